Workspace, the world's types and the wire between processes

Cause: the parts are built side by side and need fixed ids, commands and messages first. Ruled out: generated protocol code; serde derives serve TOML, JSON and bincode alike.

--- /dev/null
+++ b/crates/anvil_daemons/src/bin/anvilreel.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/anvil_ledger/src/core.rs
@@ -0,0 +1,1 @@
+//! The replicated log, without I/O.
--- /dev/null
+++ b/crates/anvil_ledger/src/inspect.rs
@@ -0,0 +1,1 @@
+//! Reads a data folder offline.
--- /dev/null
+++ b/crates/anvil_ledger/src/state.rs
@@ -0,0 +1,1 @@
+//! What the committed commands make.
--- /dev/null
+++ b/crates/anvil_ledger/src/storage.rs
@@ -0,0 +1,1 @@
+//! The data folder.
--- /dev/null
+++ b/crates/anvil_standins/src/engine.rs
@@ -0,0 +1,1 @@
+//! A model engine.
--- /dev/null
+++ b/crates/anvil_standins/src/load.rs
@@ -0,0 +1,1 @@
+//! The load and experiment tool.
--- /dev/null
+++ b/crates/anvil_standins/src/plain.rs
@@ -0,0 +1,1 @@
+//! A plain service that counts how often each order ran.
--- /dev/null
+++ b/crates/anvil_standins/src/platform.rs
@@ -0,0 +1,1 @@
+//! The platform's list of live and leaving instances, lagging.
--- /dev/null
+++ b/crates/anvil_standins/src/relay.rs
@@ -0,0 +1,1 @@
+//! A TCP link that can be slowed, cut or silenced.
--- /dev/null
+++ b/crates/anvil_standins/src/weights.rs
@@ -0,0 +1,1 @@
+//! A rate-limited weight store.
--- /dev/null
+++ b/crates/anvil_wire/src/channel.rs
@@ -0,0 +1,194 @@
+//! The asking side: a connection that is made when needed and made again when lost.
+
+use std::marker::PhantomData;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures::Stream;
+use futures::stream::unfold;
+use h2::client::{Builder, SendRequest};
+use h2::{Reason, RecvStream, SendStream};
+use http::Request;
+use serde::de::DeserializeOwned;
+use snafu::ResultExt;
+use tokio::net::TcpStream;
+use tokio::sync::Mutex;
+use tokio::time::timeout;
+
+use crate::call::Call;
+use crate::codec::{decode, encode};
+use crate::error::{BrokenSnafu, ConnectSnafu, OpenSnafu, WireError};
+use crate::keepalive::{OpenStream, OpenStreams, until_silent};
+use crate::server::{CONNECTION_WINDOW, STREAM_WINDOW};
+
+/// Longest time to make a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+#[derive(Clone)]
+struct Connected {
+    sender: SendRequest<Bytes>,
+    open: OpenStreams,
+}
+
+/// A way to one other process. Cheap to clone; all clones share one connection.
+#[derive(Clone)]
+pub struct Channel {
+    addr: SocketAddr,
+    connected: Arc<Mutex<Option<Connected>>>,
+}
+
+impl Channel {
+    /// A channel to this address. Nothing is connected yet.
+    pub fn new(addr: SocketAddr) -> Self {
+        Self {
+            addr,
+            connected: Arc::default(),
+        }
+    }
+
+    /// Where it leads.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Asks and waits for one reply.
+    pub async fn call<C: Call>(
+        &self,
+        req: &C::Req,
+        within: Duration,
+    ) -> Result<C::Resp, WireError> {
+        let exchange = async {
+            let mut replies = self.open::<C>(req).await?;
+            replies.next().await?.ok_or(WireError::Ended)
+        };
+        timeout(within, exchange)
+            .await
+            .unwrap_or(Err(WireError::Timeout { after: within }))
+    }
+
+    /// Asks and returns the replies as they come. Dropping them tells the other side to stop.
+    pub async fn open<C: Call>(&self, req: &C::Req) -> Result<Replies<C::Resp>, WireError> {
+        let body = encode(req)?;
+        let addr = self.addr;
+        let Connected { sender, open } = self.connection().await?;
+        let mut sender = sender.ready().await.context(OpenSnafu { addr })?;
+        let head = Request::post(C::PATH).body(());
+        let head = head.unwrap_or_else(|_| unreachable!("a constant path is a valid URI"));
+        let (answer, mut out) = sender
+            .send_request(head, false)
+            .context(OpenSnafu { addr })?;
+        let guard = open.enter();
+        out.send_data(body, true).context(BrokenSnafu)?;
+        let answer = answer.await.context(BrokenSnafu)?;
+        if !answer.status().is_success() {
+            let status = answer.status().as_u16();
+            return Err(WireError::Status { status });
+        }
+        Ok(Replies {
+            input: answer.into_body(),
+            out,
+            buf: BytesMut::new(),
+            ended: false,
+            _guard: guard,
+            resp: PhantomData,
+        })
+    }
+
+    /// The present connection, or a new one where it is gone.
+    async fn connection(&self) -> Result<Connected, WireError> {
+        let mut slot = self.connected.lock().await;
+        if let Some(connected) = slot.as_ref() {
+            if connected.sender.clone().ready().await.is_ok() {
+                return Ok(connected.clone());
+            }
+            *slot = None;
+        }
+        let connecting = connect(self.addr);
+        let connected = timeout(CONNECT_TIMEOUT, connecting).await;
+        let connected = connected.unwrap_or(Err(WireError::ConnectTimeout {
+            addr: self.addr,
+            after: CONNECT_TIMEOUT,
+        }))?;
+        *slot = Some(connected.clone());
+        Ok(connected)
+    }
+}
+
+async fn connect(addr: SocketAddr) -> Result<Connected, WireError> {
+    let socket = TcpStream::connect(addr).await;
+    let socket = socket.context(ConnectSnafu { addr })?;
+    socket.set_nodelay(true).context(ConnectSnafu { addr })?;
+    let (sender, mut connection) = Builder::new()
+        .initial_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .handshake(socket)
+        .await
+        .context(OpenSnafu { addr })?;
+    let open = OpenStreams::default();
+    let silent = until_silent(connection.ping_pong(), open.clone());
+    tokio::spawn(async move {
+        tokio::select! {
+            _ = connection => {}
+            () = silent => {}
+        }
+    });
+    Ok(Connected { sender, open })
+}
+
+/// The replies to one request, in order.
+pub struct Replies<T> {
+    input: RecvStream,
+    out: SendStream<Bytes>,
+    buf: BytesMut,
+    ended: bool,
+    _guard: OpenStream,
+    resp: PhantomData<fn() -> T>,
+}
+
+impl<T: DeserializeOwned> Replies<T> {
+    /// The next reply; `None` when the other side has said all.
+    ///
+    /// Bytes are given back to the flow control as they are taken, so that a reader who waits
+    /// makes the sender wait, with at most a window in between.
+    pub async fn next(&mut self) -> Result<Option<T>, WireError> {
+        loop {
+            if let Some(message) = decode(&mut self.buf)? {
+                return Ok(Some(message));
+            }
+            let Some(chunk) = self.input.data().await else {
+                self.ended = true;
+                return if self.buf.is_empty() {
+                    Ok(None)
+                } else {
+                    Err(WireError::Ended)
+                };
+            };
+            let chunk = chunk.context(BrokenSnafu)?;
+            let flow = self.input.flow_control();
+            flow.release_capacity(chunk.len()).context(BrokenSnafu)?;
+            self.buf.extend_from_slice(&chunk);
+        }
+    }
+
+    /// The replies as a stream that ends after the first error.
+    pub fn into_stream(self) -> impl Stream<Item = Result<T, WireError>> {
+        unfold(Some(self), |replies| async {
+            let mut replies = replies?;
+            match replies.next().await {
+                Ok(Some(reply)) => Some((Ok(reply), Some(replies))),
+                Ok(None) => None,
+                Err(e) => Some((Err(e), None)),
+            }
+        })
+    }
+}
+
+impl<T> Drop for Replies<T> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.out.send_reset(Reason::CANCEL);
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvil_wire/src/msg.rs
@@ -0,0 +1,15 @@
+//! The messages, by who answers them.
+
+mod ledger;
+mod router;
+mod sidecar;
+
+pub use ledger::{
+    AuditFilter, BudgetView, Evidence, FollowEvent, Heartbeat, HeartbeatReply, InForce, Interest,
+    LedgerCall, LedgerReply, LedgerRequest, LedgerStatus, Query, QueryAnswer,
+};
+pub use router::{PlacedClaim, RouterCall, RouterReply, RouterRequest};
+pub use sidecar::{
+    EndpointLoad, Frame, Head, OrderResult, Payment, ProbeAnswer, RunEnd, SidecarCall,
+    SidecarReply, SidecarRequest, Start, Work,
+};
--- /dev/null
+++ b/crates/anvil_wire/tests/exchange.rs
@@ -0,0 +1,65 @@
+//! Calls between two ends on loopback.
+
+use std::time::Duration;
+
+use anvil_wire::{Call, Channel, Handlers, Server, WireError};
+
+struct Count;
+
+impl Call for Count {
+    const PATH: &'static str = "/count";
+    type Req = u32;
+    type Resp = u32;
+}
+
+struct Missing;
+
+impl Call for Missing {
+    const PATH: &'static str = "/missing";
+    type Req = ();
+    type Resp = ();
+}
+
+async fn start() -> Result<Channel, WireError> {
+    let server = Server::bind(([127, 0, 0, 1], 0).into()).await?;
+    let addr = server.addr()?;
+    let handlers = Handlers::default().with::<Count, _, _>(|upto, mut tx| async move {
+        for n in 0..upto {
+            if tx.send(&n).await.is_err() {
+                return;
+            }
+        }
+    });
+    tokio::spawn(server.serve(handlers, std::future::pending()));
+    Ok(Channel::new(addr))
+}
+
+#[tokio::test]
+async fn replies_come_whole_and_in_order() -> Result<(), WireError> {
+    let channel = start().await?;
+    let mut replies = channel.open::<Count>(&100_000).await?;
+    let mut expected = 0;
+    while let Some(n) = replies.next().await? {
+        assert_eq!(n, expected);
+        expected += 1;
+    }
+    assert_eq!(expected, 100_000);
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_refused_connection_is_known_as_never_sent() -> Result<(), WireError> {
+    let unused = Server::bind(([127, 0, 0, 1], 0).into()).await?.addr()?;
+    let channel = Channel::new(unused);
+    let failed = channel.call::<Count>(&1, Duration::from_secs(1)).await;
+    assert!(failed.is_err_and(|e| e.never_sent()));
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_path_nobody_serves_is_an_error() -> Result<(), WireError> {
+    let channel = start().await?;
+    let failed = channel.call::<Missing>(&(), Duration::from_secs(1)).await;
+    assert!(matches!(failed, Err(WireError::Status { status: 404 })));
+    Ok(())
+}
--- /dev/null
+++ b/crates/anvil_world/src/contract/budget.rs
@@ -0,0 +1,99 @@
+//! A prepaid budget, as the ledger keeps it.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::{ContractError, Grant, GrantState};
+use crate::ids::{BudgetId, GrantId, Tokens};
+
+/// A prepaid budget: what was paid in, what was billed, and what routers may still spend.
+///
+/// The invariant `billed + open grants <= credited` is checked by [`Budget::holds`] at every
+/// apply. `billed` counts settled tokens of open grants too, so an open grant weighs only its
+/// outstanding part.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Budget {
+    /// Tokens paid in.
+    pub credited: Tokens,
+    /// Tokens charged.
+    pub billed: Tokens,
+    /// Grants not closed yet.
+    pub open: BTreeMap<GrantId, Grant>,
+}
+
+impl Budget {
+    /// Tokens in open grants that are not settled.
+    pub fn outstanding(&self) -> Tokens {
+        self.open.values().map(Grant::outstanding).sum()
+    }
+
+    /// Tokens that can still be granted.
+    pub fn left(&self) -> Tokens {
+        self.credited
+            .saturating_sub(self.billed)
+            .saturating_sub(self.outstanding())
+    }
+
+    /// The invariant: no budget is promised or charged beyond what was paid in.
+    pub fn holds(&self) -> bool {
+        self.billed
+            .checked_add(self.outstanding())
+            .is_some_and(|used| used <= self.credited)
+    }
+
+    /// Adds prepaid tokens.
+    pub fn credit(&mut self, amount: Tokens) -> Result<(), ContractError> {
+        let credited = self.credited.checked_add(amount);
+        self.credited = credited.ok_or(ContractError::Overflow)?;
+        Ok(())
+    }
+
+    /// Opens a grant when enough is left.
+    pub fn open(&mut self, budget: &BudgetId, grant: Grant) -> Result<(), ContractError> {
+        let left = self.left();
+        if grant.amount > left {
+            return Err(ContractError::Exhausted {
+                budget: budget.clone(),
+                left,
+                asked: grant.amount,
+            });
+        }
+        self.open.insert(grant.id, grant);
+        Ok(())
+    }
+
+    /// Takes a cumulative charge under a grant; a lower one than known changes nothing.
+    pub fn settle(&mut self, id: GrantId, charged: Tokens) -> Result<(), ContractError> {
+        let grant = self.open.get_mut(&id);
+        let grant = grant.ok_or(ContractError::NoGrant { grant: id })?;
+        if charged > grant.amount {
+            return Err(ContractError::OverGrant {
+                grant: id,
+                amount: grant.amount,
+                charged,
+            });
+        }
+        let added = charged.saturating_sub(grant.settled);
+        grant.settled += added;
+        self.billed += added;
+        Ok(())
+    }
+
+    /// Closes a grant at its settled charge; the rest can be granted again.
+    pub fn close(&mut self, id: GrantId) -> Result<Grant, ContractError> {
+        self.open
+            .remove(&id)
+            .ok_or(ContractError::NoGrant { grant: id })
+    }
+
+    /// Marks a grant as recalled or fenced. A fenced one never goes back to recalled.
+    pub fn mark(&mut self, id: GrantId, state: GrantState) -> Result<(), ContractError> {
+        let grant = self.open.get_mut(&id);
+        let grant = grant.ok_or(ContractError::NoGrant { grant: id })?;
+        if grant.state != GrantState::Fenced {
+            grant.state = state;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/anvil_world/src/document/budget.rs
@@ -0,0 +1,23 @@
+//! The document at `budgets/NAME`.
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{OrganisationId, Tokens};
+use crate::settings::{Check, Problem};
+
+/// Declares a prepaid budget. Money comes in by top-ups, never through this document.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BudgetDocument {
+    /// The organisation that pays.
+    pub organisation: OrganisationId,
+    /// Below this many tokens left, routers log that a top-up is due.
+    #[serde(default)]
+    pub warn_below: Tokens,
+}
+
+impl Check for BudgetDocument {
+    fn problems(&self) -> Vec<Problem> {
+        Problem::name("organisation", &self.organisation)
+    }
+}
--- /dev/null
+++ b/crates/anvil_world/src/document/fleet.rs
@@ -0,0 +1,61 @@
+//! The document at `fleet`.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::settings::{Check, Problem};
+
+/// What holds for the whole fleet. Every field has a default; an empty document is a good one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct FleetDocument {
+    /// How long a router serves on its last settings while it can't reach the ledger.
+    #[serde(with = "humantime_serde")]
+    pub serve_out_of_touch: Duration,
+    /// Longest time from a request's arrival to its answer's end.
+    #[serde(with = "humantime_serde")]
+    pub request_timeout: Duration,
+    /// Longest time a request waits for its turn.
+    #[serde(with = "humantime_serde")]
+    pub queue_timeout: Duration,
+    /// How long a finished answer is kept for a caller that retries.
+    #[serde(with = "humantime_serde")]
+    pub keep_answers: Duration,
+    /// Largest request body, in bytes.
+    pub max_body: u64,
+    /// Longest time that a grant is meant to last at the measured demand.
+    #[serde(with = "humantime_serde")]
+    pub grant_horizon: Duration,
+}
+
+impl Default for FleetDocument {
+    fn default() -> Self {
+        Self {
+            serve_out_of_touch: Duration::from_mins(10),
+            request_timeout: Duration::from_mins(10),
+            queue_timeout: Duration::from_secs(30),
+            keep_answers: Duration::from_mins(5),
+            max_body: 4 << 20,
+            grant_horizon: Duration::from_mins(1),
+        }
+    }
+}
+
+impl Check for FleetDocument {
+    fn problems(&self) -> Vec<Problem> {
+        let day = 86_400;
+        let mut found = Vec::new();
+        for (key, value) in [
+            ("serve_out_of_touch", self.serve_out_of_touch),
+            ("request_timeout", self.request_timeout),
+            ("queue_timeout", self.queue_timeout),
+            ("keep_answers", self.keep_answers),
+            ("grant_horizon", self.grant_horizon),
+        ] {
+            found.extend(Problem::range(key, value.as_secs(), 1..=day));
+        }
+        found.extend(Problem::range("max_body", self.max_body, 1_024..=(1 << 30)));
+        found
+    }
+}
--- /dev/null
+++ b/crates/anvil_world/src/document/model.rs
@@ -0,0 +1,57 @@
+//! The document at `models/NAME`.
+
+use serde::{Deserialize, Serialize};
+
+use crate::contract::Price;
+use crate::ids::{ServiceId, Tokens};
+use crate::settings::{Check, Problem};
+
+/// A model that callers may name.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ModelDocument {
+    /// The service whose endpoints run it.
+    pub service: ServiceId,
+    /// What its tokens cost.
+    #[serde(default)]
+    pub price: Price,
+    /// Most tokens of one answer; a request that names none gets this many at most.
+    #[serde(default = "default_output")]
+    pub max_output: Tokens,
+    /// Most tokens of a prompt.
+    #[serde(default = "default_prompt")]
+    pub max_prompt: Tokens,
+    /// How many endpoints are to hold it.
+    #[serde(default = "default_replicas")]
+    pub replicas: u32,
+}
+
+fn default_output() -> Tokens {
+    1_024
+}
+
+fn default_prompt() -> Tokens {
+    32_768
+}
+
+fn default_replicas() -> u32 {
+    1
+}
+
+impl Check for ModelDocument {
+    fn problems(&self) -> Vec<Problem> {
+        let mut found = Problem::name("service", &self.service);
+        found.extend(Problem::range("max_output", self.max_output, 1..=1_000_000));
+        found.extend(Problem::range(
+            "max_prompt",
+            self.max_prompt,
+            1..=10_000_000,
+        ));
+        found.extend(Problem::range(
+            "replicas",
+            u64::from(self.replicas),
+            1..=10_000,
+        ));
+        found
+    }
+}
--- /dev/null
+++ b/crates/anvil_world/src/document/organisation.rs
@@ -0,0 +1,25 @@
+//! The document at `organisations/NAME`.
+
+use serde::{Deserialize, Serialize};
+
+use crate::settings::{Check, Problem};
+
+/// An organisation: the unit between which waiting work is shared fairly.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct OrganisationDocument {
+    /// Its share against other organisations when work waits.
+    pub weight: u32,
+}
+
+impl Default for OrganisationDocument {
+    fn default() -> Self {
+        Self { weight: 1 }
+    }
+}
+
+impl Check for OrganisationDocument {
+    fn problems(&self) -> Vec<Problem> {
+        Problem::range("weight", u64::from(self.weight), 1..=1_000)
+    }
+}
--- /dev/null
+++ b/crates/anvil_world/src/prelude.rs
@@ -0,0 +1,14 @@
+//! The common types, for a glob import.
+
+pub use crate::command::{Answer, Command};
+pub use crate::contract::{Budget, ContractError, Grant, GrantState, Price, Split, Usage};
+pub use crate::document::Document;
+pub use crate::ids::*;
+pub use crate::instance::{Endpoint, Instance, Member, Presence, Role};
+pub use crate::link::Link;
+pub use crate::name::{NameError, checked_name};
+pub use crate::outcome::{Doubt, Malformed, Outcome, Reason, Refusal, RequestKey};
+pub use crate::path::TreePath;
+pub use crate::settings::SettingsError;
+pub use crate::tree::TreeEntry;
+pub use crate::zone::Zone;
--- /dev/null
+++ b/crates/anvil_world/src/settings/sidecar.rs
@@ -0,0 +1,99 @@
+//! Settings of a sidecar process.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Check, Problem};
+use crate::ids::{InstanceId, ModelId, ServiceId};
+use crate::zone::Zone;
+
+/// What stands behind a sidecar.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum EndpointKind {
+    /// A model engine.
+    #[default]
+    Engine,
+    /// A plain service.
+    Plain,
+}
+
+/// The endpoint beside a sidecar.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EndpointSettings {
+    /// Its HTTP address.
+    pub addr: SocketAddr,
+    /// The service it belongs to.
+    pub service: ServiceId,
+    /// Engine or plain service.
+    #[serde(default)]
+    pub kind: EndpointKind,
+    /// Models it holds at start.
+    #[serde(default)]
+    pub models: BTreeSet<ModelId>,
+    /// How many runs it works on side by side.
+    #[serde(default = "default_slots")]
+    pub slots: u32,
+    /// Whether it refuses an order with an old fencing number itself.
+    #[serde(default)]
+    pub checks_fencing: bool,
+}
+
+fn default_slots() -> u32 {
+    16
+}
+
+/// What `anvilreel-sidecar --settings FILE` reads.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SidecarSettings {
+    /// Name of this instance.
+    pub id: InstanceId,
+    /// Where it stands.
+    pub zone: Zone,
+    /// Where routers connect.
+    pub wire_listen: SocketAddr,
+    /// Wire addresses of the ledger's replicas.
+    pub ledgers: Vec<SocketAddr>,
+    /// The endpoint beside it.
+    pub endpoint: EndpointSettings,
+    /// Most bytes of output kept for all runs together.
+    #[serde(default = "default_buffer")]
+    pub buffer_bytes: u64,
+    /// Log lines as JSON instead of terminal text.
+    #[serde(default)]
+    pub log_json: bool,
+    /// Where metrics go by UDP, in the statsd form; none means nowhere.
+    #[serde(default)]
+    pub statsd: Option<SocketAddr>,
+}
+
+fn default_buffer() -> u64 {
+    8 << 20
+}
+
+impl Check for SidecarSettings {
+    fn problems(&self) -> Vec<Problem> {
+        let mut found = Problem::name("id", &self.id);
+        found.extend(Problem::name("zone.id", &self.zone.id));
+        found.extend(Problem::name("zone.region", &self.zone.region));
+        found.extend(Problem::name("endpoint.service", &self.endpoint.service));
+        for model in &self.endpoint.models {
+            found.extend(Problem::name("endpoint.models", model));
+        }
+        let slots = u64::from(self.endpoint.slots);
+        found.extend(Problem::range("endpoint.slots", slots, 1..=10_000));
+        found.extend(Problem::range(
+            "buffer_bytes",
+            self.buffer_bytes,
+            65_536..=(1 << 34),
+        ));
+        if self.ledgers.is_empty() {
+            found.push(Problem::new("ledgers", "none", "1 to 7 addresses"));
+        }
+        found
+    }
+}
--- /dev/null
+++ b/crates/anvilreel/src/claims.rs
@@ -0,0 +1,1 @@
+//! Which sidecar runs a request key.
--- /dev/null
+++ b/crates/anvilreel/src/events.rs
@@ -0,0 +1,1 @@
+//! Numbered log events and the loggers.
--- /dev/null
+++ b/crates/anvilreel/src/local.rs
@@ -0,0 +1,1 @@
+//! All roles in one process on loopback.
--- /dev/null
+++ b/crates/anvilreel/src/metrics.rs
@@ -0,0 +1,1 @@
+//! Names and units of all metrics.
--- /dev/null
+++ b/crates/anvilreel/src/money.rs
@@ -0,0 +1,1 @@
+//! A router's grants and reservations.
--- /dev/null
+++ b/crates/anvilreel/src/operator.rs
@@ -0,0 +1,1 @@
+//! The operators' client.
--- /dev/null
+++ b/crates/anvilreel/src/router.rs
@@ -0,0 +1,1 @@
+//! A router as a process.
--- /dev/null
+++ b/crates/anvilreel/src/runs.rs
@@ -0,0 +1,1 @@
+//! A sidecar's runs, as a state machine.
--- /dev/null
+++ b/crates/anvilreel/src/sidecar.rs
@@ -0,0 +1,1 @@
+//! A sidecar as a process.
