--- /dev/null
+++ b/crates/anvil_ledger/src/core/change.rs
@@ -0,0 +1,88 @@
+//! Membership changes, one at a time.
+//!
+//! Failure: two voters changed at once can make two majorities that share no replica, and then
+//! two leaders commit different entries. One change is begun only after the one before it and an
+//! entry of the present term are committed, and it moves one voter at most.
+
+use std::time::Duration;
+
+use super::leadership::Progress;
+use super::replica::{Replica, Role};
+use super::{Entry, Membership, Payload, ReplicaId, Site};
+
+/// Most entries that a learner may lack when it becomes a voter.
+const CAUGHT_UP: u64 = 64;
+
+impl Replica {
+    /// Begins the next change, if one is due and none is under way.
+    pub(super) fn change_members(&mut self) {
+        let Role::Leader(lead) = &self.role else {
+            return;
+        };
+        let newest = self.memberships.last().map_or(0, |(at, _)| *at);
+        let settled = newest <= self.committed && self.committed >= lead.first;
+        if !settled {
+            return;
+        }
+        let known = self.membership().clone();
+        self.joining.retain(|id, _| known.site(*id).is_none());
+        if let Some(next) = self.next_membership() {
+            self.change_to(next);
+        }
+    }
+
+    fn next_membership(&self) -> Option<Membership> {
+        let membership = self.membership();
+        if let Some((id, site)) = self.joining.first_key_value() {
+            return Some(membership.with_learner(*id, site.clone()));
+        }
+        let (id, site) = membership
+            .learners
+            .iter()
+            .find(|(id, _)| self.caught_up(**id))?;
+        let old = self.lost_disk_of(*id, site);
+        Some(old.map_or_else(
+            || membership.with_voter(*id),
+            |old| membership.without_voter(old),
+        ))
+    }
+
+    /// The voter whose instance has come back with another disk.
+    ///
+    /// It is taken out before the new one votes, and only once the new one has caught up: the
+    /// lost disk would otherwise count in the majority although it can never answer.
+    fn lost_disk_of(&self, learner: ReplicaId, site: &Site) -> Option<ReplicaId> {
+        let mut voters = self.membership().voters.iter();
+        let same = voters.find(|(id, old)| **id != learner && old.instance == site.instance);
+        same.map(|(id, _)| *id).filter(|id| *id != self.id)
+    }
+
+    fn caught_up(&self, id: ReplicaId) -> bool {
+        let Role::Leader(lead) = &self.role else {
+            return false;
+        };
+        let limit: Duration = self.timing.election;
+        let close = |progress: &Progress| {
+            let recent = self.now < progress.heard + limit;
+            recent && progress.matched > 0 && progress.matched + CAUGHT_UP >= self.committed
+        };
+        lead.progress.get(&id).is_some_and(close)
+    }
+
+    fn change_to(&mut self, next: Membership) {
+        let id = self.next_id();
+        let now = self.now;
+        let replicas: Vec<_> = next.replicas().map(|(id, _)| id).collect();
+        if let Some(lead) = self.leadership() {
+            lead.progress.retain(|id, _| replicas.contains(id));
+            for replica in replicas {
+                lead.welcome(replica, id.index, now);
+            }
+        }
+        self.append(Entry {
+            id,
+            payload: Payload::Membership(next),
+        });
+        self.replicate_all();
+    }
+}
--- /dev/null
+++ b/crates/anvil_ledger/src/core/lead.rs
@@ -0,0 +1,263 @@
+//! What a leader does: append, replicate, commit, step down.
+
+use anvil_world::ids::{LogIndex, Term};
+
+use super::leadership::{Leadership, Progress};
+use super::replica::{Replica, Role};
+use super::{
+    Action, Entry, EntryId, Message, Payload, Proposal, Refused, ReplicaId, RequestId, Round,
+};
+
+/// Most bytes of entries in one message.
+const MAX_APPEND: usize = 256 << 10;
+/// Most entries under way to one follower before it acknowledges some.
+const MAX_UNDER_WAY: LogIndex = 8_192;
+
+impl Replica {
+    pub(super) fn leadership(&mut self) -> Option<&mut Leadership> {
+        match &mut self.role {
+            Role::Leader(lead) => Some(lead),
+            _ => None,
+        }
+    }
+
+    pub(super) fn refuse(&mut self, id: RequestId) {
+        let why = self.leader.map_or(Refused::NoLeader, Refused::NotLeader);
+        self.out.push(Action::Refused { id, why });
+    }
+
+    pub(super) fn propose(&mut self, proposals: Vec<Proposal>) {
+        for Proposal { id, data } in proposals {
+            if !self.leads() {
+                self.refuse(id);
+                continue;
+            }
+            let entry = self.next_id();
+            self.append(Entry {
+                id: entry,
+                payload: Payload::Data(data),
+            });
+            self.out.push(Action::Accepted { id, entry });
+        }
+        self.replicate_all();
+    }
+
+    /// What a leader does now and then.
+    pub(super) fn lead(&mut self) {
+        if !self.has_majority() {
+            // Failure: a leader that is cut off goes on taking proposals and answering reads
+            // that nobody will ever confirm. It steps down within one election time, and whoever
+            // waits is told that the outcome is in doubt.
+            self.step_down();
+            return;
+        }
+        self.change_members();
+        let now = self.now;
+        let heartbeat = self.timing.heartbeat;
+        let Some(lead) = self.leadership() else {
+            return;
+        };
+        if now >= lead.next_heartbeat {
+            lead.next_heartbeat = now + heartbeat;
+            self.beat();
+        }
+    }
+
+    fn has_majority(&self) -> bool {
+        let Role::Leader(lead) = &self.role else {
+            return false;
+        };
+        let limit = self.timing.election;
+        let heard = |id: ReplicaId| {
+            let progress = lead.progress.get(&id);
+            id == self.id || progress.is_some_and(|p| self.now < p.heard + limit)
+        };
+        self.membership().agreed(heard)
+    }
+
+    fn others(&self) -> Vec<ReplicaId> {
+        let all = self.membership().replicas().map(|(id, _)| id);
+        all.filter(|id| *id != self.id).collect()
+    }
+
+    /// Gives every follower a sign of life, which also shows it what it lacks.
+    pub(super) fn beat(&mut self) {
+        for to in self.others() {
+            self.send_entries(to, true);
+        }
+    }
+
+    pub(super) fn replicate_all(&mut self) {
+        if !self.leads() {
+            return;
+        }
+        for to in self.others() {
+            self.replicate(to);
+        }
+    }
+
+    /// Sends what is new, several messages ahead of the acknowledgements.
+    fn replicate(&mut self, to: ReplicaId) {
+        let last = self.log.last().index;
+        let base = self.log.base().index;
+        loop {
+            let Some(progress) = self.leadership().and_then(|lead| lead.progress.get(&to)) else {
+                return;
+            };
+            let ahead = progress.next.saturating_sub(progress.matched);
+            let wait = progress.probing || ahead > MAX_UNDER_WAY;
+            let gone = progress.next <= base;
+            if wait || gone || progress.next > last {
+                return;
+            }
+            self.send_entries(to, false);
+        }
+    }
+
+    /// Sends the next entries, or none when `beat` and nothing may be sent now.
+    fn send_entries(&mut self, to: ReplicaId, beat: bool) {
+        let term = self.hard.term;
+        let committed = self.committed;
+        let Some(lead) = self.leadership() else {
+            return;
+        };
+        let round = lead.round;
+        let Some(progress) = lead.progress.get(&to).cloned() else {
+            return;
+        };
+        let Some(prev) = self.log.id_at(progress.next - 1) else {
+            self.offer_snapshot(to, round);
+            return;
+        };
+        let entries = if beat && !progress.probing {
+            Vec::new()
+        } else {
+            let last = self.log.last().index;
+            self.log.slice(progress.next, last, MAX_APPEND)
+        };
+        if !progress.probing {
+            self.sent(to, entries.last());
+        }
+        let append = Message::Append {
+            term,
+            prev,
+            entries,
+            committed,
+            round,
+        };
+        self.send(to, append);
+    }
+
+    fn sent(&mut self, to: ReplicaId, last: Option<&Entry>) {
+        let progress = self
+            .leadership()
+            .and_then(|lead| lead.progress.get_mut(&to));
+        if let (Some(progress), Some(last)) = (progress, last) {
+            progress.next = last.id.index + 1;
+        }
+    }
+
+    fn offer_snapshot(&mut self, to: ReplicaId, round: Round) {
+        let term = self.hard.term;
+        if let Some(meta) = self.snapshot.clone() {
+            let meta = Box::new(meta);
+            self.send(to, Message::Offer { term, meta, round });
+        }
+    }
+
+    /// A follower has answered.
+    pub(super) fn acked(
+        &mut self,
+        from: ReplicaId,
+        term: Term,
+        matched: LogIndex,
+        missing: Option<LogIndex>,
+        round: Round,
+    ) {
+        if term > self.hard.term {
+            self.follow_term(term);
+            return;
+        }
+        let now = self.now;
+        let current = term == self.hard.term;
+        let Some(lead) = self.leadership().filter(|_| current) else {
+            return;
+        };
+        let Some(progress) = lead.progress.get_mut(&from) else {
+            return;
+        };
+        progress.heard = now;
+        progress.round = progress.round.max(round);
+        let resend = take_ack(progress, matched, missing);
+        self.release_reads();
+        self.advance();
+        if resend {
+            self.send_entries(from, false);
+        }
+        self.replicate(from);
+    }
+
+    /// Commits what a majority holds on disk, when its last entry is of this term.
+    ///
+    /// Failure: an entry of an older term on a majority can still be replaced by another leader;
+    /// counting it would report a commit that is lost later. It is committed only below an entry
+    /// of the present term.
+    pub(super) fn advance(&mut self) {
+        let Role::Leader(lead) = &self.role else {
+            return;
+        };
+        let own = self.writes.durable();
+        let held = |id: &ReplicaId| {
+            let other = lead.progress.get(id).map_or(0, |progress| progress.matched);
+            if *id == self.id { own } else { other }
+        };
+        let mut positions: Vec<_> = self.membership().voters.keys().map(held).collect();
+        positions.sort_unstable_by(|a, b| b.cmp(a));
+        let majority = self.membership().majority();
+        let Some(agreed) = positions.get(majority - 1).copied() else {
+            return;
+        };
+        let own_term = self.log.term_at(agreed) == Some(self.hard.term);
+        if agreed > self.committed && own_term {
+            self.committed = agreed;
+            self.apply();
+            self.forget_memberships();
+            self.read_early();
+        }
+    }
+
+    /// Drops memberships that newer committed ones have replaced.
+    pub(super) fn forget_memberships(&mut self) {
+        let kept = self.snapshot.as_ref().map_or(0, |meta| meta.last.index);
+        let floor = kept.max(self.committed.saturating_sub(MAX_UNDER_WAY));
+        let is_older = |at: &LogIndex| *at <= floor;
+        let older = self.memberships.iter().filter(|(at, _)| is_older(at));
+        let surplus = older.count().saturating_sub(1);
+        self.memberships.drain(..surplus);
+    }
+
+    /// The entry that this replica has at a position, where it is still held.
+    pub fn id_at(&self, index: LogIndex) -> Option<EntryId> {
+        self.log.id_at(index)
+    }
+}
+
+/// Takes an acknowledgement in; returns whether the entries after `next` are to be sent at once.
+fn take_ack(progress: &mut Progress, matched: LogIndex, missing: Option<LogIndex>) -> bool {
+    progress.matched = progress.matched.max(matched);
+    let Some(missing) = missing else {
+        if matched >= progress.next.saturating_sub(1) || progress.probing {
+            progress.probing = false;
+            progress.next = progress.next.max(progress.matched + 1);
+        }
+        return false;
+    };
+    let next = progress.matched.max(missing) + 1;
+    // Several messages after one lost message are all refused; only the first refusal counts.
+    let news = next < progress.next;
+    if news {
+        progress.next = next;
+        progress.probing = true;
+    }
+    news
+}
--- /dev/null
+++ b/crates/anvil_ledger/src/core/leadership.rs
@@ -0,0 +1,64 @@
+//! What a leader keeps of its followers and readers.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use anvil_world::ids::LogIndex;
+
+use super::{ReplicaId, RequestId, Round};
+
+/// What a leader knows of one replica.
+#[derive(Debug, Clone)]
+pub(super) struct Progress {
+    /// Up to where its disk holds the leader's log.
+    pub matched: LogIndex,
+    /// The next entry to send.
+    pub next: LogIndex,
+    /// Whether `next` is a guess: then one message at a time.
+    pub probing: bool,
+    /// When it last answered in this term.
+    pub heard: Duration,
+    /// The newest confirmation round it answered.
+    pub round: Round,
+}
+
+#[derive(Debug)]
+pub(super) struct Leadership {
+    pub progress: BTreeMap<ReplicaId, Progress>,
+    /// The first entry of this term.
+    pub first: LogIndex,
+    pub next_heartbeat: Duration,
+    pub round: Round,
+    /// Reads, each with the round that confirms it and the position it needs.
+    pub reads: VecDeque<(Round, RequestId, LogIndex)>,
+    /// Reads from before the first entry of this term was committed.
+    pub early: Vec<RequestId>,
+}
+
+impl Leadership {
+    pub fn new(replicas: impl Iterator<Item = ReplicaId>, first: LogIndex, now: Duration) -> Self {
+        let mut lead = Self {
+            progress: BTreeMap::new(),
+            first,
+            next_heartbeat: now,
+            round: 0,
+            reads: VecDeque::new(),
+            early: Vec::new(),
+        };
+        for id in replicas {
+            lead.welcome(id, first, now);
+        }
+        lead
+    }
+
+    /// Starts keeping track of a replica.
+    pub fn welcome(&mut self, id: ReplicaId, next: LogIndex, now: Duration) {
+        self.progress.entry(id).or_insert(Progress {
+            matched: 0,
+            next,
+            probing: true,
+            heard: now,
+            round: 0,
+        });
+    }
+}
--- /dev/null
+++ b/crates/anvil_ledger/src/core/snapshot.rs
@@ -0,0 +1,79 @@
+//! Snapshots: they shorten the log and bring laggards up to date.
+
+use anvil_world::ids::{LogIndex, Term};
+use bytes::Bytes;
+
+use super::error::CoreError;
+use super::replica::Replica;
+use super::{Action, ReplicaId, Round, SnapshotMeta};
+
+/// Entries kept before a snapshot, so that a follower that lags a little needs no snapshot.
+const TRAILING: LogIndex = 4_096;
+
+impl Replica {
+    /// This replica's own snapshot is on disk: older entries can go.
+    pub(super) fn saved(&mut self, meta: SnapshotMeta) {
+        let newer = self
+            .snapshot
+            .as_ref()
+            .is_none_or(|old| old.last.index < meta.last.index);
+        if !newer {
+            return;
+        }
+        let index = meta.last.index;
+        self.snapshot = Some(meta);
+        let upto = index.saturating_sub(TRAILING);
+        if upto > self.log.base().index {
+            self.log.compact(upto);
+            self.out.push(Action::Compact(upto));
+        }
+        self.forget_memberships();
+    }
+
+    /// The leader no longer has the entries that this replica needs.
+    pub(super) fn offered(
+        &mut self,
+        from: ReplicaId,
+        term: Term,
+        meta: SnapshotMeta,
+        round: Round,
+    ) -> Result<(), CoreError> {
+        if !self.hear_leader(from, term, round)? {
+            return Ok(());
+        }
+        if self.log.id_at(meta.last.index) == Some(meta.last) || meta.last.index <= self.committed {
+            // Everything up to there is here already.
+            self.verified = self
+                .verified
+                .max(meta.last.index.min(self.log.last().index));
+        } else if self.fetching != Some(meta.last) {
+            self.fetching = Some(meta.last);
+            self.out.push(Action::Fetch { from, meta });
+        }
+        self.answer(from, None);
+        Ok(())
+    }
+
+    /// The snapshot is here; log and state are replaced unless they have caught up meanwhile.
+    pub(super) fn fetched(&mut self, meta: SnapshotMeta, data: Bytes) {
+        let wanted = self.fetching.take() == Some(meta.last);
+        if !wanted || meta.last.index <= self.committed {
+            return;
+        }
+        self.flush();
+        let index = meta.last.index;
+        self.log.reset(meta.last);
+        self.committed = index;
+        self.applied = index;
+        self.memberships = vec![(index, meta.membership.clone())];
+        self.snapshot = Some(meta.clone());
+        self.verified = index;
+        let seq = self.writes.replace(index);
+        self.out.push(Action::Install { seq, meta, data });
+    }
+
+    /// The shell could not fetch the snapshot; the next offer starts again.
+    pub fn fetch_failed(&mut self) {
+        self.fetching = None;
+    }
+}
--- /dev/null
+++ b/crates/anvil_ledger/src/core/write.rs
@@ -0,0 +1,184 @@
+//! What waits for the disk.
+//!
+//! Failure: a replica that acknowledges before its disk has synced forgets the entry or the vote
+//! in a crash, and the majority that was counted never was one. Every acknowledgement and every
+//! vote is therefore held until the write it rests on is reported as synced.
+
+use std::collections::VecDeque;
+
+use anvil_world::ids::LogIndex;
+
+use super::replica::Replica;
+use super::{Action, Entry, EntryId, Message, Payload, ReplicaId, Write, WriteSeq};
+
+#[derive(Debug)]
+pub(super) struct Writes {
+    issued: WriteSeq,
+    synced: WriteSeq,
+    /// Up to where the disk holds the log.
+    durable: LogIndex,
+    /// The last position after each write under way.
+    pending: VecDeque<(WriteSeq, LogIndex)>,
+    /// The newest write that carries a hard state.
+    hard: WriteSeq,
+    hard_changed: bool,
+    entries: Vec<Entry>,
+}
+
+impl Writes {
+    pub fn new(durable: LogIndex) -> Self {
+        Self {
+            issued: 0,
+            synced: 0,
+            durable,
+            pending: VecDeque::new(),
+            hard: 0,
+            hard_changed: false,
+            entries: Vec::new(),
+        }
+    }
+
+    pub fn durable(&self) -> LogIndex {
+        self.durable
+    }
+
+    fn dirty(&self) -> bool {
+        self.hard_changed || !self.entries.is_empty()
+    }
+
+    /// The write that carries all changes made so far.
+    fn newest(&self) -> WriteSeq {
+        self.issued + WriteSeq::from(self.dirty())
+    }
+
+    fn hard_pending(&self) -> bool {
+        self.hard_changed || self.hard > self.synced
+    }
+
+    pub fn idle(&self) -> bool {
+        !self.dirty() && self.synced == self.issued
+    }
+
+    fn truncate_from(&mut self, index: LogIndex) {
+        let last = index - 1;
+        self.durable = self.durable.min(last);
+        for (_, upto) in &mut self.pending {
+            *upto = last.min(*upto);
+        }
+        self.entries.retain(|entry| entry.id.index < index);
+    }
+
+    /// Numbers a write that replaces the whole log.
+    pub fn replace(&mut self, last: LogIndex) -> WriteSeq {
+        for (_, upto) in &mut self.pending {
+            *upto = 0;
+        }
+        self.durable = 0;
+        self.issued += 1;
+        self.pending.push_back((self.issued, last));
+        self.issued
+    }
+
+    fn synced(&mut self, seq: WriteSeq) {
+        self.synced = self.synced.max(seq);
+        while let Some((_, upto)) = self.pending.pop_front_if(|(write, _)| *write <= seq) {
+            self.durable = self.durable.max(upto);
+        }
+    }
+}
+
+impl Replica {
+    pub(super) fn append(&mut self, entry: Entry) {
+        if let Payload::Membership(membership) = &entry.payload {
+            self.memberships.push((entry.id.index, membership.clone()));
+        }
+        self.log.push(entry.clone());
+        self.writes.entries.push(entry);
+    }
+
+    /// Drops entries that the leader does not have, and the memberships they made.
+    pub(super) fn truncate_from(&mut self, index: LogIndex) {
+        self.log.truncate_from(index);
+        self.writes.truncate_from(index);
+        self.memberships.retain(|(at, _)| *at < index);
+    }
+
+    pub(super) fn set_term(&mut self, term: u64, vote: Option<ReplicaId>) {
+        self.hard.term = term;
+        self.hard.vote = vote;
+        self.writes.hard_changed = true;
+    }
+
+    /// Sends as soon as everything decided so far is synced.
+    pub(super) fn send_synced(&mut self, to: ReplicaId, message: Message) {
+        if self.writes.idle() {
+            self.send(to, message);
+        } else {
+            let seq = self.writes.newest();
+            self.held.push_back((seq, to, message));
+        }
+    }
+
+    /// Sends as soon as term and vote are synced.
+    pub(super) fn send_in_term(&mut self, to: ReplicaId, message: Message) {
+        if self.writes.hard_pending() {
+            self.send_synced(to, message);
+        } else {
+            self.send(to, message);
+        }
+    }
+
+    /// Hands out one write with all changes of this event.
+    ///
+    /// It goes before the messages of the same event, so that the disk starts first.
+    pub(super) fn flush(&mut self) {
+        if !self.writes.dirty() {
+            return;
+        }
+        let seq = self.writes.newest();
+        let entries = std::mem::take(&mut self.writes.entries);
+        let hard = self.writes.hard_changed.then_some(self.hard);
+        if hard.is_some() {
+            self.writes.hard = seq;
+        }
+        self.writes.hard_changed = false;
+        self.writes.issued = seq;
+        self.writes.pending.push_back((seq, self.log.last().index));
+        let first = entries.first().map(|entry| entry.id.index - 1);
+        let prev = first.and_then(|index| self.log.id_at(index));
+        let write = Write {
+            seq,
+            hard,
+            prev: prev.unwrap_or_default(),
+            entries,
+        };
+        self.out.insert(0, Action::Write(write));
+    }
+
+    pub(super) fn synced(&mut self, seq: WriteSeq) {
+        self.writes.synced(seq);
+        while let Some((_, to, message)) = self.held.pop_front_if(|(write, _, _)| *write <= seq) {
+            self.release(to, message);
+        }
+        self.advance_after_sync();
+    }
+
+    /// Sends a held message; its own vote for itself it counts at once.
+    fn release(&mut self, to: ReplicaId, message: Message) {
+        match message {
+            Message::Vote {
+                term,
+                trial,
+                granted,
+            } if to == self.id => self.voted(to, term, trial, granted),
+            message => self.send(to, message),
+        }
+    }
+
+    pub(super) fn next_id(&self) -> EntryId {
+        EntryId {
+            term: self.hard.term,
+            index: self.log.last().index + 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvil_ledger/src/storage/store.rs
@@ -0,0 +1,280 @@
+//! What a replica writes to its data folder.
+
+use std::collections::VecDeque;
+
+use anvil_world::ids::LogIndex;
+use serde::{Deserialize, Serialize};
+use snafu::ResultExt;
+
+use super::error::IoSnafu;
+use super::recover::{Recovered, recover};
+use super::segment::{self, Batch, Header};
+use super::{Damage, Disk, FORMAT, Op, StorageError, frame, snapshot};
+use crate::core::{EntryId, HardState, ReplicaId, SnapshotMeta, Write};
+
+/// A segment longer than this is closed, in bytes.
+const SEGMENT_BYTES: u64 = 16 << 20;
+const IDENTITY: &str = "identity";
+/// A file that gets its name once it is synced.
+const TEMPORARY: &str = "new.tmp";
+
+#[derive(Serialize, Deserialize)]
+struct Identity {
+    format: u16,
+    id: ReplicaId,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Closed {
+    number: u64,
+    newest: LogIndex,
+}
+
+/// An open data folder.
+pub struct Storage {
+    disk: Disk,
+    id: ReplicaId,
+    closed: VecDeque<Closed>,
+    /// The segment that is written to.
+    number: u64,
+    newest: LogIndex,
+    length: u64,
+    synced: u64,
+    last: EntryId,
+    hard: HardState,
+    failed: bool,
+}
+
+impl Storage {
+    /// Opens a folder and reads it back. A folder without an identity gets `fresh` as its own.
+    pub fn open(disk: Disk, fresh: ReplicaId) -> Result<(Self, Recovered), StorageError> {
+        let id = identity(&disk, fresh)?;
+        let found = recover(&disk)?;
+        let mut storage = Self {
+            disk,
+            id,
+            closed: VecDeque::new(),
+            number: 0,
+            newest: 0,
+            length: 0,
+            synced: 0,
+            last: found.last(),
+            hard: found.hard,
+            failed: false,
+        };
+        storage.go_on(&found)?;
+        Ok((storage, found))
+    }
+
+    /// Which disk this is.
+    pub fn id(&self) -> ReplicaId {
+        self.id
+    }
+
+    /// The folder.
+    pub fn disk(&self) -> &Disk {
+        &self.disk
+    }
+
+    /// Goes on behind what was read: cuts a torn tail and begins a new segment after it.
+    fn go_on(&mut self, found: &Recovered) -> Result<(), StorageError> {
+        for view in &found.segments {
+            self.closed.push_back(Closed {
+                number: view.number,
+                newest: view.newest,
+            });
+            self.number = view.number;
+        }
+        if let Some(view) = found.segments.last().filter(|view| view.torn > 0) {
+            let file = segment::name(view.number);
+            self.run("cut", &file, Op::Truncate(&file, view.end))?;
+            self.run("sync", &file, Op::Sync(&file))?;
+        }
+        self.begin_segment(found.last())?;
+        self.remove_closed(|closed| closed.number < found.stale_below)
+    }
+
+    fn run(&mut self, operation: &'static str, file: &str, op: Op<'_>) -> Result<(), StorageError> {
+        if self.failed {
+            return Err(StorageError::Failed);
+        }
+        let done = self.disk.run(op);
+        // Failure: after a failed sync the kernel may drop the bytes and report the next sync as
+        // good. Whoever tried again would acknowledge what is lost; so nothing is tried again.
+        self.failed = done.is_err();
+        done.context(IoSnafu { operation, file })?;
+        Ok(())
+    }
+
+    fn begin_segment(&mut self, base: EntryId) -> Result<(), StorageError> {
+        let number = self.number + 1;
+        let header = Header {
+            format: FORMAT,
+            number,
+            base,
+            hard: self.hard,
+        };
+        let mut buf = Vec::new();
+        let file = segment::name(number);
+        frame::put(&mut buf, 0, &segment::encode(&file, &header)?);
+        self.run("create", TEMPORARY, Op::Create(TEMPORARY))?;
+        self.run("write", TEMPORARY, Op::Append(TEMPORARY, &buf))?;
+        self.run("sync", TEMPORARY, Op::Sync(TEMPORARY))?;
+        self.run("rename", &file, Op::Rename(TEMPORARY, &file))?;
+        self.run("sync folder of", &file, Op::SyncFolder)?;
+        self.number = number;
+        self.newest = 0;
+        self.length = buf.len() as u64;
+        self.synced = self.length;
+        self.last = base;
+        Ok(())
+    }
+
+    /// Writes without a sync. Nothing of it may be acknowledged before [`Storage::sync`].
+    pub fn write(&mut self, write: &Write) -> Result<(), StorageError> {
+        let replaces = !write.entries.is_empty() && write.prev.index < self.last.index;
+        if replaces {
+            self.close_segment(write.prev)?;
+        } else if self.length > SEGMENT_BYTES {
+            self.close_segment(self.last)?;
+        }
+        let batch = Batch {
+            hard: write.hard,
+            entries: write.entries.clone(),
+        };
+        let file = segment::name(self.number);
+        let mut buf = Vec::new();
+        frame::put(&mut buf, self.synced, &segment::encode(&file, &batch)?);
+        self.run("write", &file, Op::Append(&file, &buf))?;
+        self.length += buf.len() as u64;
+        self.hard = write.hard.unwrap_or(self.hard);
+        if let Some(entry) = write.entries.last() {
+            self.newest = self.newest.max(entry.id.index);
+            self.last = entry.id;
+        }
+        Ok(())
+    }
+
+    /// Returns once everything written lasts.
+    pub fn sync(&mut self) -> Result<(), StorageError> {
+        let file = segment::name(self.number);
+        if self.synced < self.length {
+            self.run("sync", &file, Op::Sync(&file))?;
+            self.synced = self.length;
+            // Not synced itself; see the module on frames for what it proves.
+            let mut buf = Vec::new();
+            frame::put(&mut buf, self.synced, &[]);
+            self.run("write", &file, Op::Append(&file, &buf))?;
+            self.length += buf.len() as u64;
+        }
+        Ok(())
+    }
+
+    /// Begins a new segment after the entry `base`; entries that stood after it are void.
+    fn close_segment(&mut self, base: EntryId) -> Result<(), StorageError> {
+        let file = segment::name(self.number);
+        self.run("sync", &file, Op::Sync(&file))?;
+        self.closed.push_back(Closed {
+            number: self.number,
+            newest: self.newest,
+        });
+        self.begin_segment(base)
+    }
+
+    /// Makes the prepared snapshot the newest one; see [`snapshot::prepare`].
+    pub fn publish_snapshot(&mut self) -> Result<(), StorageError> {
+        if self.failed {
+            return Err(StorageError::Failed);
+        }
+        let done = snapshot::publish(&self.disk);
+        self.failed = done.is_err();
+        done
+    }
+
+    /// Replaces everything by a snapshot from another replica.
+    pub fn install(&mut self, meta: &SnapshotMeta, data: &[u8]) -> Result<(), StorageError> {
+        let prepared = snapshot::prepare(&self.disk, meta, data);
+        self.failed |= prepared.is_err();
+        prepared?;
+        self.publish_snapshot()?;
+        self.close_segment(meta.last)?;
+        self.remove_closed(|_| true)
+    }
+
+    /// Removes files that hold only entries up to this position.
+    pub fn compact(&mut self, upto: LogIndex) -> Result<(), StorageError> {
+        self.remove_closed(|closed| closed.newest <= upto)
+    }
+
+    /// Removes closed segments, oldest first, so that a crash in between leaves no gap.
+    fn remove_closed(&mut self, surplus: impl Fn(&Closed) -> bool) -> Result<(), StorageError> {
+        while let Some(closed) = self.closed.pop_front_if(|closed| surplus(closed)) {
+            let file = segment::name(closed.number);
+            self.run("remove", &file, Op::Remove(&file))?;
+            self.run("sync folder of", &file, Op::SyncFolder)?;
+        }
+        Ok(())
+    }
+}
+
+/// Reads the disk's number, or gives it one.
+///
+/// Failure: an instance comes back with an empty disk and its old name; if it voted as before, it
+/// could vote twice in a term and acknowledge entries it has lost. The number is random and lies
+/// on the disk only, so the emptied disk has another one and nobody counts it as the old replica.
+fn identity(disk: &Disk, fresh: ReplicaId) -> Result<ReplicaId, StorageError> {
+    let failed = |operation| IoSnafu {
+        operation,
+        file: IDENTITY,
+    };
+    match read_identity(disk)? {
+        Some(id) => return Ok(id),
+        None if has_segments(disk)? => {
+            return Err(StorageError::damaged(IDENTITY, 0, Damage::Header));
+        }
+        None => {}
+    }
+    let identity = Identity {
+        format: FORMAT,
+        id: fresh,
+    };
+    let mut buf = Vec::new();
+    frame::put(&mut buf, 0, &segment::encode(IDENTITY, &identity)?);
+    disk.run(Op::Create(TEMPORARY)).context(failed("create"))?;
+    disk.run(Op::Append(TEMPORARY, &buf))
+        .context(failed("write"))?;
+    disk.run(Op::Sync(TEMPORARY)).context(failed("sync"))?;
+    disk.run(Op::Rename(TEMPORARY, IDENTITY))
+        .context(failed("rename"))?;
+    disk.run(Op::SyncFolder).context(failed("sync folder of"))?;
+    Ok(fresh)
+}
+
+fn has_segments(disk: &Disk) -> Result<bool, StorageError> {
+    let names = disk.list().context(IoSnafu {
+        operation: "list",
+        file: "",
+    })?;
+    Ok(names.iter().any(|name| segment::number(name).is_some()))
+}
+
+/// The disk's number, where it has one.
+pub fn read_identity(disk: &Disk) -> Result<Option<ReplicaId>, StorageError> {
+    let bytes = match disk.read(IDENTITY) {
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ok(None),
+        bytes => bytes.context(IoSnafu {
+            operation: "read",
+            file: IDENTITY,
+        })?,
+    };
+    let mut id = None;
+    frame::scan(IDENTITY, &bytes, 0, |_, body| {
+        let decoded = bincode::serde::decode_from_slice(body, bincode::config::standard());
+        let unreadable = |_| StorageError::damaged(IDENTITY, 0, Damage::Content);
+        let (identity, _): (Identity, usize) = decoded.map_err(unreadable)?;
+        id = Some(identity.id);
+        Ok(())
+    })?;
+    id.map(Some)
+        .ok_or_else(|| StorageError::damaged(IDENTITY, 0, Damage::Checksum))
+}
