Operators' client: changes, top-ups, reads, drains and orders as library actions

Cause: operators need changes that can be resent safely and errors that tell what is known. Change: Client finds the leader and keeps apart 'not done' and 'not known'; actions apply, get, diff, top-up, write-off, budget, audit, status, drain, order with typed reports (text and JSON) and documented exit codes.

--- a/crates/anvilreel/src/operator.rs
+++ b/crates/anvilreel/src/operator.rs
@@ -1,1 +1,37 @@
-//! The operators' client.
+//! The operators' client: changes, top-ups, reading, draining and orders.
+//!
+//! Every change carries an id. When the answer is lost, the client resends under the same id and
+//! gets the first answer; when even that fails it says that the end is *not known* and names the
+//! id, and never that nothing was done.
+//!
+//! ```no_run
+//! # async fn demo() -> Result<(), anvilreel::operator::OperatorError> {
+//! use anvilreel::operator::{Client, top_up};
+//!
+//! let ledgers = ["127.0.0.1:8788".parse().expect("an address")];
+//! let client = Client::new(&ledgers).with_operator("wanjiru".into());
+//! let receipt = top_up(&client, "nairobi".into(), 50_000, None).await?;
+//! println!("{receipt}");
+//! # Ok(()) }
+//! ```
+//!
+//! [`Client`] finds the leader; the actions beside it ([`apply`], [`get`], [`top_up`], …) each do
+//! one thing and return a typed report that prints as text or as JSON.
+
+mod change;
+mod client;
+mod drain;
+mod error;
+mod order;
+mod read;
+mod report;
+
+pub use change::{Applied, apply, change_paths, in_force, top_up, write_off};
+pub use client::Client;
+pub use drain::drain;
+pub use error::{ExitCode, OperatorError};
+pub use order::order;
+pub use read::{audit, budgets, diff, get, members, status};
+pub use report::{
+    AuditReport, BudgetReport, DiffReport, OrderReport, Receipt, Spread, StatusReport, TreeReport,
+};
--- /dev/null
+++ b/crates/anvilreel/src/operator/read.rs
@@ -0,0 +1,107 @@
+//! Reading: documents, budgets, the audit trail and the state of the fleet.
+
+use std::collections::BTreeMap;
+
+use anvil_wire::msg::{AuditFilter, BudgetView, Query, QueryAnswer};
+use anvil_world::prelude::*;
+use similar::TextDiff;
+
+use super::change::in_force;
+use super::report::{AuditReport, BudgetReport, DiffReport, StatusReport, TreeReport};
+use super::{Client, OperatorError};
+
+/// Budgets asked for at a time.
+const PAGE: u32 = 1_000;
+
+/// Documents whose path starts with this text.
+pub async fn get(client: &Client, prefix: &str) -> Result<TreeReport, OperatorError> {
+    match client.query(Query::Tree(prefix.into())).await? {
+        QueryAnswer::Tree(tree) => Ok(TreeReport(tree)),
+        _ => Err(OperatorError::Unexpected),
+    }
+}
+
+/// One document, where it is there.
+pub(super) async fn entry(
+    client: &Client,
+    path: &TreePath,
+) -> Result<Option<TreeEntry>, OperatorError> {
+    let TreeReport(mut tree) = get(client, &path.to_string()).await?;
+    Ok(tree.remove(path))
+}
+
+/// How a text differs from what stands in the tree.
+pub async fn diff(
+    client: &Client,
+    path: TreePath,
+    text: &str,
+) -> Result<DiffReport, OperatorError> {
+    let entry = entry(client, &path).await?;
+    let revision = entry.as_ref().map_or(0, |entry| entry.revision);
+    let old = entry.map(|entry| entry.text).unwrap_or_default();
+    let diff = TextDiff::from_lines(&*old, text);
+    let name = path.to_string();
+    let diff = diff.unified_diff().header(&name, "file").to_string();
+    Ok(DiffReport {
+        path,
+        revision,
+        diff,
+    })
+}
+
+/// One budget, or all of them.
+pub async fn budgets(
+    client: &Client,
+    one: Option<BudgetId>,
+) -> Result<BudgetReport, OperatorError> {
+    if let Some(id) = one {
+        return Ok(BudgetReport(page(client, Query::Budget(id)).await?));
+    }
+    let mut all: Vec<BudgetView> = Vec::new();
+    loop {
+        let after = all.last().map(|view| view.id.clone());
+        let query = Query::Budgets { after, limit: PAGE };
+        let more = page(client, query).await?;
+        if more.is_empty() {
+            return Ok(BudgetReport(all));
+        }
+        all.extend(more);
+    }
+}
+
+async fn page(client: &Client, query: Query) -> Result<Vec<BudgetView>, OperatorError> {
+    match client.query(query).await? {
+        QueryAnswer::Budgets(views) => Ok(views),
+        _ => Err(OperatorError::Unexpected),
+    }
+}
+
+/// Lines of the audit trail.
+pub async fn audit(client: &Client, filter: AuditFilter) -> Result<AuditReport, OperatorError> {
+    match client.query(Query::Audit(filter)).await? {
+        QueryAnswer::Audit(lines) => Ok(AuditReport(lines)),
+        _ => Err(OperatorError::Unexpected),
+    }
+}
+
+/// All instances that were ever heard of.
+pub async fn members(client: &Client) -> Result<BTreeMap<InstanceId, Member>, OperatorError> {
+    match client.query(Query::Members).await? {
+        QueryAnswer::Members(members) => Ok(members),
+        _ => Err(OperatorError::Unexpected),
+    }
+}
+
+/// How the ledger and the fleet are.
+pub async fn status(client: &Client) -> Result<StatusReport, OperatorError> {
+    let QueryAnswer::Status(ledger) = client.query(Query::Status).await? else {
+        return Err(OperatorError::Unexpected);
+    };
+    let spread = in_force(client, ledger.version).await?;
+    let members = members(client).await?;
+    Ok(StatusReport {
+        ledger,
+        spread,
+        members,
+    })
+}
--- /dev/null
+++ b/crates/anvilreel/src/operator/report.rs
@@ -0,0 +1,249 @@
+//! What the actions report, as text for people and as JSON for programs.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::{Duration, UNIX_EPOCH};
+
+use anvil_wire::msg::{BudgetView, InForce, LedgerStatus};
+use anvil_world::command::{AuditEntry, ChangeReceipt, FenceNumber};
+use anvil_world::prelude::*;
+use serde::Serialize;
+
+/// That a change was accepted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Receipt {
+    /// The change's id.
+    pub id: ChangeId,
+    /// The version it leads to.
+    pub revision: Revision,
+    /// Whether the change had been made before and this is its first answer.
+    pub resent: bool,
+}
+
+impl From<ChangeReceipt> for Receipt {
+    fn from(receipt: ChangeReceipt) -> Self {
+        Self {
+            id: receipt.id,
+            revision: receipt.revision,
+            resent: receipt.resent,
+        }
+    }
+}
+
+impl fmt::Display for Receipt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let again = if self.resent {
+            " (made before; this is its first answer)"
+        } else {
+            ""
+        };
+        write!(
+            f,
+            "done: change {} at revision {}{again}",
+            self.id, self.revision
+        )
+    }
+}
+
+/// Where a version is in force.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct Spread {
+    /// The version asked about.
+    pub revision: Revision,
+    /// Instances that have it in force.
+    pub there: usize,
+    /// Live instances that do not, and seconds since their last sign of life.
+    pub missing: BTreeMap<InstanceId, u64>,
+}
+
+impl Spread {
+    /// What the ledger says of one version.
+    pub fn new(revision: Revision, in_force: InForce) -> Self {
+        let missing = in_force.missing.into_iter();
+        Self {
+            revision,
+            there: in_force.there.len(),
+            missing: missing.map(|(id, ago)| (id, ago.as_secs())).collect(),
+        }
+    }
+
+    /// Whether nobody holds an older version.
+    pub fn everywhere(&self) -> bool {
+        self.missing.is_empty()
+    }
+}
+
+impl fmt::Display for Spread {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "revision {} in force at {} instances",
+            self.revision, self.there
+        )?;
+        for (id, ago) in &self.missing {
+            write!(f, "\n  not yet at {id}, last heard of {ago} s ago")?;
+        }
+        Ok(())
+    }
+}
+
+/// Documents of the tree.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct TreeReport(pub BTreeMap<TreePath, TreeEntry>);
+
+impl fmt::Display for TreeReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (path, entry) in &self.0 {
+            writeln!(
+                f,
+                "# {path} revision {} by {}",
+                entry.revision, entry.operator
+            )?;
+            writeln!(f, "{}", entry.text.trim_end())?;
+        }
+        Ok(())
+    }
+}
+
+/// How a file differs from what stands in the tree.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct DiffReport {
+    /// The document.
+    pub path: TreePath,
+    /// The revision it was compared with, 0 for none.
+    pub revision: Revision,
+    /// Unified diff; empty when nothing differs.
+    pub diff: String,
+}
+
+impl fmt::Display for DiffReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.diff.is_empty() {
+            return write!(
+                f,
+                "{} at revision {}: no difference",
+                self.path, self.revision
+            );
+        }
+        write!(f, "{}", self.diff.trim_end())
+    }
+}
+
+/// Budgets and their open grants.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct BudgetReport(pub Vec<BudgetView>);
+
+impl fmt::Display for BudgetReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for BudgetView { id, budget } in &self.0 {
+            writeln!(
+                f,
+                "{id}: credited {}, billed {}, granted {}, left {}",
+                budget.credited,
+                budget.billed,
+                budget.outstanding(),
+                budget.left()
+            )?;
+            for grant in budget.open.values() {
+                writeln!(
+                    f,
+                    "  grant {} at {}: {} of {} settled, {:?}",
+                    grant.id, grant.router, grant.settled, grant.amount, grant.state
+                )?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Lines of the audit trail.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct AuditReport(pub Vec<AuditEntry>);
+
+impl fmt::Display for AuditReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for line in &self.0 {
+            let since = line.at.duration_since(UNIX_EPOCH).unwrap_or_default();
+            writeln!(
+                f,
+                "{} {} {} revision {} change {}",
+                since.as_secs(),
+                line.operator,
+                line.subject,
+                line.revision,
+                line.id
+            )?;
+            write_indented(f, "-", line.before.as_deref())?;
+            write_indented(f, "+", line.after.as_deref())?;
+        }
+        Ok(())
+    }
+}
+
+fn write_indented(f: &mut fmt::Formatter<'_>, mark: &str, text: Option<&str>) -> fmt::Result {
+    let lines = text.unwrap_or_default().lines();
+    lines
+        .into_iter()
+        .try_for_each(|line| writeln!(f, "  {mark} {line}"))
+}
+
+/// How the ledger and the fleet are.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct StatusReport {
+    /// The ledger.
+    pub ledger: LedgerStatus,
+    /// Where its newest version is in force.
+    pub spread: Spread,
+    /// Instances by state.
+    pub members: BTreeMap<InstanceId, Member>,
+}
+
+impl fmt::Display for StatusReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let ledger = &self.ledger;
+        writeln!(f, "ledger: {} leads term {}", ledger.replica, ledger.term)?;
+        writeln!(
+            f,
+            "  committed {}, version {}",
+            ledger.committed, ledger.version
+        )?;
+        writeln!(f, "  voters {}", ledger.voters.join(", "))?;
+        if !ledger.learners.is_empty() {
+            writeln!(f, "  learners {}", ledger.learners.join(", "))?;
+        }
+        writeln!(f, "{}", self.spread)?;
+        for (id, member) in &self.members {
+            let instance = &member.instance;
+            writeln!(
+                f,
+                "{id}: {:?} {:?} in {} at {}",
+                instance.role, member.presence, instance.zone.id, instance.addr
+            )?;
+        }
+        Ok(())
+    }
+}
+
+/// What came of an order to an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct OrderReport {
+    /// Its sidecar.
+    pub sidecar: InstanceId,
+    /// The number it carried.
+    pub fence: FenceNumber,
+    /// What the sidecar said.
+    pub result: anvil_wire::msg::OrderResult,
+    /// How long it took.
+    pub took: Duration,
+}
+
+impl fmt::Display for OrderReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let FenceNumber { term, index } = self.fence;
+        write!(
+            f,
+            "order {term}.{index} at {}: {:?} after {:?}",
+            self.sidecar, self.result, self.took
+        )
+    }
+}
