A router's purse: grants, lock-free reservations and batches; evidence by key

Cause: money has to be committed by the ledger before it is spent, and a lost router's grants have to be closed by what sidecars charged. Wire: Start carries the sidecar's life and the attempt, Forbid names the life it is meant for (a new life can't speak for an old one), ProbeAnswer::OtherLife, Evidence is by fenced router and key. Ruled out: sums as evidence. A run that was continued elsewhere while its first sidecar was only cut off would be billed twice.

--- a/crates/anvil_wire/src/msg.rs
+++ b/crates/anvil_wire/src/msg.rs
@@ -6,7 +6,7 @@
 
 pub use ledger::{
     AuditFilter, BudgetView, Evidence, FollowEvent, Heartbeat, HeartbeatReply, InForce, Interest,
-    LedgerCall, LedgerReply, LedgerRequest, LedgerStatus, Query, QueryAnswer,
+    KeyCharge, LedgerCall, LedgerReply, LedgerRequest, LedgerStatus, Query, QueryAnswer,
 };
 pub use router::{PlacedClaim, RouterCall, RouterReply, RouterRequest};
 pub use sidecar::{
--- a/crates/anvil_wire/src/msg/ledger.rs
+++ b/crates/anvil_wire/src/msg/ledger.rs
@@ -56,18 +56,38 @@
     pub instance: Instance,
     /// The newest version it has in force.
     pub version: LogIndex,
-    /// From a sidecar: what was charged under fenced grants, after the fence was in force.
+    /// From a sidecar: what was charged under fenced routers' grants. One for each fenced router,
+    /// also when nothing was charged; held back while a run of that router goes on.
     pub evidence: Vec<Evidence>,
     /// Whether it wishes to leave: no new work, please.
     pub leaving: bool,
 }
 
-/// What one sidecar charged under one fenced grant.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+/// What one sidecar charged under the grants of one fenced router.
+///
+/// Final: the sidecar refuses that router's lives from before it was taken, and none of their
+/// runs goes on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evidence {
+    /// The fenced router.
+    pub router: InstanceId,
+    /// The newest fenced life; older ones are meant too.
+    pub incarnation: Incarnation,
+    /// Each charge. Two sidecars may both have charged a key that was continued elsewhere, so
+    /// sums can't be sent: the collector counts each key once.
+    pub charges: Vec<KeyCharge>,
+}
+
+/// What one run charged to one grant.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyCharge {
     /// The grant.
     pub grant: GrantId,
-    /// Charged, in tokens. Final, for the sidecar refuses the grant.
+    /// The request.
+    pub key: RequestKey,
+    /// The attempt that ran here; of one key's charges the highest attempt counts.
+    pub attempt: u32,
+    /// Charged, in tokens.
     pub charged: Tokens,
 }
 
@@ -78,8 +98,8 @@
     pub version: LogIndex,
     /// What the fleet holds this instance to be.
     pub presence: Presence,
-    /// Evidence that was taken and need not be sent again.
-    pub taken: Vec<GrantId>,
+    /// Fenced routers whose evidence was taken and need not be sent again.
+    pub taken: Vec<(InstanceId, Incarnation)>,
 }
 
 /// What a follower is sent.
--- a/crates/anvil_wire/src/msg/sidecar.rs
+++ b/crates/anvil_wire/src/msg/sidecar.rs
@@ -49,6 +49,9 @@
     Forbid {
         /// The request.
         key: RequestKey,
+        /// The sidecar's life that the request was dispatched to. Another life answers
+        /// `Probed(OtherLife)`, for it can't speak for what an earlier one ran.
+        life: Incarnation,
     },
     /// An order to the endpoint. Reply: `Ordered`.
     Order {
@@ -66,6 +69,11 @@
 pub struct Start {
     /// The request.
     pub key: RequestKey,
+    /// The sidecar's life that is meant; another one refuses.
+    pub life: Incarnation,
+    /// Counts from 0; one more for each endpoint that an answer is continued on. Of the charges
+    /// for one key under one grant, that of the highest attempt counts.
+    pub attempt: u32,
     /// Hash of the caller's body.
     pub body: BodyHash,
     /// Who pays.
@@ -175,6 +183,8 @@
     Unheard,
     /// It never started and never will.
     Forbidden,
+    /// This is another life of the sidecar than the one that was asked for.
+    OtherLife,
     /// It runs.
     Running {
         /// Output so far, in bytes.
--- /dev/null
+++ b/crates/anvilreel/src/money/demand.rs
@@ -0,0 +1,57 @@
+//! Measured demand on one budget.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use anvil_world::prelude::*;
+
+/// Over how long demand is averaged, in seconds.
+const SMOOTHING: u64 = 8;
+
+/// Demand at one router on one budget: reserved tokens a second, smoothed, and the largest
+/// request lately. Counting takes no lock; the average moves once a batch.
+#[derive(Debug, Default)]
+pub(super) struct Demand {
+    since: AtomicU64,
+    rate: AtomicU64,
+    largest: AtomicU64,
+    last_millis: AtomicU64,
+}
+
+impl Demand {
+    pub(super) fn note(&self, now: Now, tokens: Tokens) {
+        self.since.fetch_add(tokens, Ordering::Relaxed);
+        self.largest.fetch_max(tokens, Ordering::Relaxed);
+        let millis = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+        self.last_millis.fetch_max(millis, Ordering::Relaxed);
+    }
+
+    /// Folds what came since the last call into the average. A rise counts at once, so that a
+    /// burst is not starved for as long as the average needs; a fall is smoothed.
+    pub(super) fn fold(&self, over: Duration) {
+        let millis = u64::try_from(over.as_millis()).unwrap_or(u64::MAX).max(1);
+        let tokens = self.since.swap(0, Ordering::Relaxed);
+        let now = tokens.saturating_mul(1_000) / millis;
+        let old = self.rate();
+        let smooth = (old.saturating_mul(SMOOTHING - 1).saturating_add(now)) / SMOOTHING;
+        self.rate.store(smooth.max(now), Ordering::Relaxed);
+        let largest = self.largest();
+        let faded = largest - largest / 64;
+        self.largest.fetch_min(faded.max(1), Ordering::Relaxed);
+    }
+
+    /// Tokens a second.
+    pub(super) fn rate(&self) -> Tokens {
+        self.rate.load(Ordering::Relaxed)
+    }
+
+    /// The largest request lately, in tokens; fades over about a minute.
+    pub(super) fn largest(&self) -> Tokens {
+        self.largest.load(Ordering::Relaxed)
+    }
+
+    /// When something was last wanted.
+    pub(super) fn last(&self) -> Now {
+        Duration::from_millis(self.last_millis.load(Ordering::Relaxed))
+    }
+}
--- /dev/null
+++ b/crates/anvilreel/src/money/sizing.rs
@@ -0,0 +1,47 @@
+//! How much is asked for and when: the numbers behind grants.
+
+use std::time::Duration;
+
+use anvil_world::prelude::*;
+
+/// Sizes and times of grants. The defaults are the measured ones of docs/design/02-money.md.
+#[derive(Debug, Clone)]
+pub struct GrantPolicy {
+    /// How long a grant is meant to last at the measured demand.
+    pub horizon: Duration,
+    /// A new grant is asked for when what is free would last less than this.
+    pub renew_ahead: Duration,
+    /// Longest time that a request waits for money that may come.
+    pub patience: Duration,
+    /// A grant without demand for so long is given back.
+    pub idle: Duration,
+    /// Time between two batches, and before an unanswered one is sent again.
+    pub batch_every: Duration,
+    /// For how long the ledger's "no" to an ask is taken for the present truth.
+    pub verdict_holds: Duration,
+    /// Most reports in one batch: keeps a batch within 4 KB.
+    pub max_reports: usize,
+    /// Most asks in one batch.
+    pub max_asks: usize,
+}
+
+impl Default for GrantPolicy {
+    fn default() -> Self {
+        Self {
+            horizon: Duration::from_mins(1),
+            renew_ahead: Duration::from_secs(20),
+            patience: Duration::from_secs(3),
+            idle: Duration::from_mins(2),
+            batch_every: Duration::from_secs(1),
+            verdict_holds: Duration::from_secs(2),
+            max_reports: 160,
+            max_asks: 40,
+        }
+    }
+}
+
+/// How many tokens are needed for so long at this rate, in tokens a second.
+pub(super) fn needed_for(rate: Tokens, time: Duration) -> Tokens {
+    let tokens = u128::from(rate) * time.as_millis() / 1_000;
+    Tokens::try_from(tokens).unwrap_or(Tokens::MAX)
+}
