First decisions under load: choice of endpoint, admission, waiting, deadlines

Cause: the router shell needs one place where it asks what is let in and where it goes. Ruled out: a queue bounded by length alone (one organisation fills it) and least reported load (every router picks the same endpoint until the next report). Change: endpoint state with atomics, choice among a few drawn endpoints, a gate whose bound is slot time with a dynamic threshold per organisation, three lanes, refusals with a time to return.

--- /dev/null
+++ b/crates/anvil_policy/src/endpoint.rs
@@ -0,0 +1,159 @@
+//! What one router knows of one endpoint.
+//!
+//! Two things are known, and neither is the truth: the endpoint's last report, which lags, and
+//! this router's own count, which does not see other routers. [`EndpointState::pressure`] joins
+//! them. All fields that change are atomics, so that a request reads them without a lock.
+
+use std::sync::atomic::{AtomicBool, AtomicI32, AtomicU32, Ordering};
+
+use anvil_world::prelude::*;
+
+/// Full share of new work, in thousandths.
+pub const FULL_SHARE: u32 = 1_000;
+
+/// One report of an endpoint's load, as its sidecar passed it on.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Runs in the endpoint, of all routers.
+    pub running: u32,
+    /// Runs that wait in the endpoint, of all routers.
+    pub queued: u32,
+    /// Runs it can work on side by side.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+}
+
+/// One endpoint as this router sees it. Shared between the pools of all models that it holds.
+#[derive(Debug)]
+pub struct EndpointState {
+    /// The sidecar's instance.
+    pub id: InstanceId,
+    /// Where it stands.
+    pub zone: Zone,
+    in_flight: AtomicU32,
+    reported: AtomicU32,
+    since_report: AtomicI32,
+    slots: AtomicU32,
+    limit: AtomicU32,
+    floor: AtomicU32,
+    share: AtomicU32,
+    leaving: AtomicBool,
+}
+
+impl EndpointState {
+    /// An endpoint without a report yet: empty, with this many slots and a full share.
+    pub fn new(id: InstanceId, zone: Zone, slots: u32) -> Self {
+        Self {
+            id,
+            zone,
+            in_flight: AtomicU32::new(0),
+            reported: AtomicU32::new(0),
+            since_report: AtomicI32::new(0),
+            slots: AtomicU32::new(slots),
+            limit: AtomicU32::new(slots.max(1)),
+            floor: AtomicU32::new(1),
+            share: AtomicU32::new(FULL_SHARE),
+            leaving: AtomicBool::new(false),
+        }
+    }
+
+    /// Takes in a report. What this router started or ended since the one before is forgotten,
+    /// because the new report counts it.
+    pub fn report(&self, load: &LoadReport) {
+        let runs = load.running.saturating_add(load.queued);
+        self.reported.store(runs, Ordering::Relaxed);
+        self.since_report.store(0, Ordering::Relaxed);
+        self.slots.store(load.slots, Ordering::Relaxed);
+        if load.slots < self.limit.load(Ordering::Relaxed) {
+            self.limit.store(load.slots.max(1), Ordering::Relaxed);
+        }
+        self.leaving.store(load.leaving, Ordering::Relaxed);
+    }
+
+    /// Counts a run that this router sends there.
+    pub fn start(&self) {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        self.since_report.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts the end of a run that [`EndpointState::start`] counted.
+    pub fn finish(&self) {
+        // A count that never falls below nothing: a doubled `finish` must not wrap round and
+        // close the endpoint for good.
+        let less = |n: u32| Some(n.saturating_sub(1));
+        let _ = self
+            .in_flight
+            .try_update(Ordering::Relaxed, Ordering::Relaxed, less);
+        self.since_report.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Runs that this router has there.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Runs there, of all routers, as far as this one can tell: the last report, corrected by
+    /// what this router did since, and never less than what it has there itself.
+    pub fn pressure(&self) -> u32 {
+        let reported = self.reported.load(Ordering::Relaxed);
+        let since = self.since_report.load(Ordering::Relaxed);
+        reported.saturating_add_signed(since).max(self.in_flight())
+    }
+
+    /// Runs it works on side by side, by its own word.
+    pub fn slots(&self) -> u32 {
+        self.slots.load(Ordering::Relaxed)
+    }
+
+    /// Most runs of all routers that it is given; see [`crate::limit`].
+    pub fn limit(&self) -> u32 {
+        self.limit.load(Ordering::Relaxed)
+    }
+
+    /// Sets the limit; at least one run.
+    pub fn set_limit(&self, limit: u32) {
+        self.limit.store(limit.max(1), Ordering::Relaxed);
+    }
+
+    /// Sets how many runs this router may always have there, whatever the report says.
+    ///
+    /// Without it a router that starts while all slots are taken would see no room for ever:
+    /// the routers that hold the slots see their own runs end first and take them again.
+    pub fn set_floor(&self, floor: u32) {
+        self.floor.store(floor.max(1), Ordering::Relaxed);
+    }
+
+    /// Share of new work that it is given, in thousandths; see [`crate::ejection`] and
+    /// [`crate::slow_start`].
+    pub fn share(&self) -> u32 {
+        self.share.load(Ordering::Relaxed)
+    }
+
+    /// Sets the share; more than [`FULL_SHARE`] counts as full.
+    pub fn set_share(&self, share: u32) {
+        self.share.store(share.min(FULL_SHARE), Ordering::Relaxed);
+    }
+
+    /// Whether it takes no new work.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Marks it as leaving, when the platform's list knows before its own report.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.leaving.store(leaving, Ordering::Relaxed);
+    }
+
+    /// Runs that this router may add now.
+    pub fn room(&self) -> u32 {
+        if self.is_leaving() || self.share() == 0 {
+            return 0;
+        }
+        let limit = u64::from(self.limit()) * u64::from(self.share()) / u64::from(FULL_SHARE);
+        let limit = u32::try_from(limit).unwrap_or(u32::MAX).max(1);
+        let shared = limit.saturating_sub(self.pressure());
+        let own = self.floor.load(Ordering::Relaxed).min(limit);
+        shared.max(own.saturating_sub(self.in_flight()))
+    }
+}
--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -1,1 +1,53 @@
 //! Decisions under load: what is let in, what waits, what is turned away and where work goes.
+//!
+//! Everything here is pure: no clock, no socket, no task. Time is passed in as [`Now`], random
+//! numbers come from a generator that is passed in, so that a test plays an hour of load in
+//! milliseconds and gets the same answer each time. Each module's page says which pattern of
+//! load it answers, what goes wrong without it, and where its thresholds come from.
+//!
+//! ```
+//! use std::sync::Arc;
+//! use std::time::Duration;
+//!
+//! use anvil_policy::prelude::*;
+//! use anvil_world::document::WorkClass;
+//! use anvil_world::prelude::*;
+//! use rand::SeedableRng;
+//!
+//! let endpoint = EndpointState::new("runner-1".into(), Zone::default(), 8);
+//! let pool = Pool::new(vec![Arc::new(endpoint)]);
+//! let mut gate = Gate::new(AdmissionRule::default()).with_limit(pool.room());
+//!
+//! let ticket = Ticket {
+//!     organisation: "mombasa".into(),
+//!     weight: 1,
+//!     class: WorkClass::Interactive,
+//!     prompt: 120,
+//!     service: Estimate::default().service(120, 256),
+//!     deadline: Duration::from_secs(20),
+//! };
+//! assert_eq!(gate.offer(Duration::ZERO, ticket), Verdict::Go);
+//!
+//! let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(7);
+//! let Choice::Endpoint(endpoint) = Chooser::default().choose(&pool, &Ask::default(), &mut rng)
+//! else {
+//!     panic!("an empty endpoint has room");
+//! };
+//! endpoint.start();
+//! assert_eq!(pool.in_flight(), 1);
+//! ```
+//!
+//! Read on in this order:
+//! * [`endpoint`] and [`choice`]: what is known of an endpoint, and which one is chosen.
+//! * [`admission`], [`waiting`], [`fair`], [`deadline`], [`estimate`]: the door and the queue.
+//!
+//! [`Now`]: anvil_world::ids::Now
+
+pub mod admission;
+pub mod choice;
+pub mod deadline;
+pub mod endpoint;
+pub mod estimate;
+pub mod fair;
+pub mod prelude;
+pub mod waiting;
--- /dev/null
+++ b/crates/anvil_policy/src/prelude.rs
@@ -0,0 +1,8 @@
+//! The common types, for a glob import.
+
+pub use crate::admission::{AdmissionRule, Gate, Verdict};
+pub use crate::choice::{Ask, Choice, Chooser, Pool};
+pub use crate::deadline::Outlook;
+pub use crate::endpoint::{EndpointState, LoadReport};
+pub use crate::estimate::{Estimate, Finished};
+pub use crate::waiting::{Lane, Ticket, Waiter, WaiterId, Waiting};
--- /dev/null
+++ b/crates/anvil_policy/src/waiting.rs
@@ -0,0 +1,286 @@
+//! The order in which waiting work gets its turn.
+//!
+//! *Answers:* long histories among short questions, and a few organisations with most of the
+//! load.
+//!
+//! *Without it:* a customer on the phone waits behind a summary of thirty years of repairs; or,
+//! with short work always first, the summary is never made.
+//!
+//! *How:* three lanes share the turns by weight ([`Lane::weight`]); inside a lane organisations
+//! share by their weights ([`crate::fair`]); inside an organisation the earliest deadline is
+//! first. Work that has almost missed its latest start goes before all of that: what was let in
+//! was promised, and fairness may reorder promises but not break them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use anvil_world::document::WorkClass;
+use anvil_world::prelude::*;
+
+use crate::fair::FairShares;
+
+/// Names a waiting request inside one queue.
+pub type WaiterId = u64;
+
+/// Prompts above this many tokens are long. Their prefill alone takes about a second on the
+/// stand-in engine, which is more than a short question takes in all.
+pub const LONG_PROMPT: Tokens = 4_096;
+
+/// Work this close to its latest start goes first, whatever its lane and organisation.
+pub const RESCUE: Duration = Duration::from_millis(500);
+
+/// What kind of work waits together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Lane {
+    /// Somebody waits for a short answer.
+    Short,
+    /// Somebody waits, but the prompt is long.
+    Long,
+    /// Nobody waits in front of a screen.
+    Batch,
+}
+
+impl Lane {
+    /// All lanes.
+    pub const ALL: [Self; 3] = [Self::Short, Self::Long, Self::Batch];
+
+    /// The lane of a request.
+    pub fn of(class: WorkClass, prompt: Tokens) -> Self {
+        match class {
+            WorkClass::Batch => Self::Batch,
+            WorkClass::Interactive if prompt > LONG_PROMPT => Self::Long,
+            WorkClass::Interactive => Self::Short,
+        }
+    }
+
+    /// Share of the slot time against other lanes with work.
+    pub fn weight(self) -> u32 {
+        match self {
+            Self::Short => 12,
+            Self::Long => 3,
+            Self::Batch => 1,
+        }
+    }
+}
+
+/// A request that asks to be let in.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ticket {
+    /// Who asks.
+    pub organisation: OrganisationId,
+    /// The organisation's weight.
+    pub weight: u32,
+    /// How it waits.
+    pub class: WorkClass,
+    /// Prompt tokens; 0 for a plain call.
+    pub prompt: Tokens,
+    /// Time that it will hold a slot; see [`crate::estimate`].
+    pub service: Duration,
+    /// When its caller gives up.
+    pub deadline: Now,
+}
+
+impl Ticket {
+    /// Its lane.
+    pub fn lane(&self) -> Lane {
+        Lane::of(self.class, self.prompt)
+    }
+
+    /// Its service time in microseconds, the unit of cost.
+    pub fn cost(&self) -> u64 {
+        u64::try_from(self.service.as_micros()).unwrap_or(u64::MAX)
+    }
+}
+
+/// A ticket in the queue.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Waiter {
+    /// Its number.
+    pub id: WaiterId,
+    /// What was asked.
+    pub ticket: Ticket,
+    /// When it came.
+    pub arrived: Now,
+    /// Latest time at which its turn still helps.
+    pub start_by: Now,
+}
+
+type Queue = BTreeMap<(Now, WaiterId), Waiter>;
+
+#[derive(Debug, Clone, Default)]
+struct LaneQueue {
+    queues: BTreeMap<OrganisationId, Queue>,
+    costs: BTreeMap<OrganisationId, u64>,
+    cost: u64,
+    shares: FairShares<OrganisationId>,
+}
+
+/// All waiting work of one pool.
+#[derive(Debug, Clone)]
+pub struct Waiting {
+    lanes: BTreeMap<Lane, LaneQueue>,
+    shares: FairShares<Lane>,
+    places: BTreeMap<WaiterId, (Lane, OrganisationId, Now)>,
+    urgent: BTreeSet<(Now, WaiterId)>,
+    counts: BTreeMap<OrganisationId, usize>,
+    next_id: WaiterId,
+}
+
+impl Default for Waiting {
+    fn default() -> Self {
+        let lanes = Lane::ALL.map(|lane| (lane, LaneQueue::default()));
+        Self {
+            lanes: BTreeMap::from(lanes),
+            shares: FairShares::default(),
+            places: BTreeMap::new(),
+            urgent: BTreeSet::new(),
+            counts: BTreeMap::new(),
+            next_id: 1,
+        }
+    }
+}
+
+impl Waiting {
+    /// How many wait.
+    pub fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    /// Whether nobody waits.
+    pub fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+
+    /// How many of an organisation wait.
+    pub fn count(&self, organisation: &OrganisationId) -> usize {
+        self.counts.get(organisation).copied().unwrap_or_default()
+    }
+
+    /// Slot time, in microseconds, that waits in a lane: of one organisation, and of all.
+    pub fn backlog(&self, lane: Lane, organisation: &OrganisationId) -> (u64, u64) {
+        let queue = &self.lanes[&lane];
+        let own = queue.costs.get(organisation).copied().unwrap_or_default();
+        (own, queue.cost)
+    }
+
+    /// Weights of the organisations that wait in a lane, with that of a newcomer.
+    pub fn active_weight(&self, lane: Lane, ticket: &Ticket) -> u64 {
+        let queues = &self.lanes[&lane].queues;
+        let others = queues
+            .iter()
+            .filter(|(organisation, _)| **organisation != ticket.organisation)
+            .filter_map(|(_, queue)| queue.values().next())
+            .map(|waiter| u64::from(waiter.ticket.weight));
+        others.sum::<u64>() + u64::from(ticket.weight)
+    }
+
+    /// Weights of the lanes with work, with that of a newcomer's lane.
+    pub fn active_lanes(&self, newcomer: Lane) -> u32 {
+        let busy = |lane: &Lane| *lane == newcomer || self.lanes[lane].cost > 0;
+        let weights = Lane::ALL.into_iter().filter(busy).map(Lane::weight);
+        weights.sum()
+    }
+
+    /// Puts a request in the queue.
+    pub fn push(&mut self, now: Now, ticket: Ticket, start_by: Now) -> WaiterId {
+        let id = self.next_id;
+        self.next_id += 1;
+        let lane = ticket.lane();
+        let organisation = ticket.organisation.clone();
+        self.urgent.insert((start_by, id));
+        self.places
+            .insert(id, (lane, organisation.clone(), ticket.deadline));
+        *self.counts.entry(organisation.clone()).or_default() += 1;
+        self.shares.wake(&lane);
+        let queue = self.lanes.entry(lane).or_default();
+        queue.add(Waiter {
+            id,
+            ticket,
+            arrived: now,
+            start_by,
+        });
+        id
+    }
+
+    /// Takes out the one whose turn it is. Its cost counts against its lane and organisation.
+    pub fn pop(&mut self, now: Now) -> Option<Waiter> {
+        let id = self.rescued(now).or_else(|| self.fair_next())?;
+        let waiter = self.remove(id)?;
+        let ticket = &waiter.ticket;
+        let lane = ticket.lane();
+        self.shares.charge(&lane, ticket.cost(), lane.weight());
+        let queue = self.lanes.entry(lane).or_default();
+        queue
+            .shares
+            .charge(&ticket.organisation, ticket.cost(), ticket.weight);
+        Some(waiter)
+    }
+
+    /// Takes out one that can no longer be served in time, if there is any.
+    pub fn pop_expired(&mut self, now: Now) -> Option<Waiter> {
+        let (start_by, id) = self.urgent.first().copied()?;
+        if start_by >= now {
+            return None;
+        }
+        self.remove(id)
+    }
+
+    /// Takes one out, because its caller left.
+    pub fn remove(&mut self, id: WaiterId) -> Option<Waiter> {
+        let (lane, organisation, deadline) = self.places.remove(&id)?;
+        let queue = self.lanes.get_mut(&lane)?;
+        let waiter = queue.take(&organisation, (deadline, id))?;
+        if queue.cost == 0 && queue.queues.is_empty() {
+            self.shares.sleep(&lane);
+        }
+        self.urgent.remove(&(waiter.start_by, id));
+        if let Some(count) = self.counts.get_mut(&organisation) {
+            *count -= 1;
+            if *count == 0 {
+                self.counts.remove(&organisation);
+            }
+        }
+        Some(waiter)
+    }
+
+    fn rescued(&self, now: Now) -> Option<WaiterId> {
+        let (start_by, id) = self.urgent.first()?;
+        (*start_by <= now + RESCUE).then_some(*id)
+    }
+
+    fn fair_next(&self) -> Option<WaiterId> {
+        let lane = self.shares.next()?;
+        let queue = &self.lanes[lane];
+        let organisation = queue.shares.next()?;
+        let ((_, id), _) = queue.queues.get(organisation)?.first_key_value()?;
+        Some(*id)
+    }
+}
+
+impl LaneQueue {
+    fn add(&mut self, waiter: Waiter) {
+        let organisation = waiter.ticket.organisation.clone();
+        let cost = waiter.ticket.cost();
+        self.cost = self.cost.saturating_add(cost);
+        *self.costs.entry(organisation.clone()).or_default() += cost;
+        self.shares.wake(&organisation);
+        let queue = self.queues.entry(organisation).or_default();
+        queue.insert((waiter.ticket.deadline, waiter.id), waiter);
+    }
+
+    fn take(&mut self, organisation: &OrganisationId, at: (Now, WaiterId)) -> Option<Waiter> {
+        let queue = self.queues.get_mut(organisation)?;
+        let waiter = queue.remove(&at)?;
+        let cost = waiter.ticket.cost();
+        self.cost = self.cost.saturating_sub(cost);
+        if let Some(own) = self.costs.get_mut(organisation) {
+            *own = own.saturating_sub(cost);
+        }
+        if queue.is_empty() {
+            self.queues.remove(organisation);
+            self.costs.remove(organisation);
+            self.shares.sleep(organisation);
+        }
+        Some(waiter)
+    }
+}
