Stand-in engine and plain service over HTTP

Cause: nothing outside the fleet could be met without a third-party server. Ruled out: real servers; answers that differ by engine, which no checker can verify. Change: engine::start and plain::start on loopback, answers a fixed function of model and messages, so that a continued answer can be compared byte for byte. Conclusion: the path can be built against them.

--- /dev/null
+++ b/crates/anvil_standins/src/client.rs
@@ -0,0 +1,71 @@
+//! A small HTTP client for the load tool and the stand-ins.
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use snafu::ResultExt;
+
+use crate::error::{BrokenSnafu, Error, RequestSnafu, UrlSnafu};
+
+type Inner = hyper_util::client::legacy::Client<HttpConnector, Full<Bytes>>;
+
+/// Keeps connections for reuse; cloning shares them.
+#[derive(Debug, Clone)]
+pub struct Client {
+    inner: Inner,
+}
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let builder = hyper_util::client::legacy::Client::builder(TokioExecutor::new());
+        Self {
+            inner: builder.build(connector),
+        }
+    }
+}
+
+impl Client {
+    /// Gets a whole answer.
+    pub async fn get(&self, url: &str) -> Result<Answer, Error> {
+        let req = Request::builder().method(Method::GET).uri(url);
+        let req = req.body(Full::default()).context(UrlSnafu { url })?;
+        self.whole(url, req).await
+    }
+
+    /// Sends a request and reads its answer whole.
+    pub async fn whole(&self, url: &str, req: Request<Full<Bytes>>) -> Result<Answer, Error> {
+        let response = self.send(url, req).await?;
+        let (parts, body) = response.into_parts();
+        let body = body.collect().await.context(BrokenSnafu { url })?;
+        Ok(Answer {
+            status: parts.status,
+            headers: parts.headers,
+            body: body.to_bytes(),
+        })
+    }
+
+    /// Sends a request; the body of the answer comes as a stream.
+    pub async fn send(
+        &self,
+        url: &str,
+        req: Request<Full<Bytes>>,
+    ) -> Result<http::Response<Incoming>, Error> {
+        self.inner.request(req).await.context(RequestSnafu { url })
+    }
+}
--- /dev/null
+++ b/crates/anvil_standins/src/engine/control.rs
@@ -0,0 +1,138 @@
+//! Load, cache events, KV cache, orders and counts over HTTP.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use anvil_world::command::OrderKind;
+use anvil_world::prelude::*;
+use bytes::Bytes;
+use http::StatusCode;
+use serde::Deserialize;
+use serde_json::json;
+use viz::{Body, Request, RequestExt, Response, Router};
+
+use super::state::{Engine, lock};
+use crate::client::Client;
+use crate::reply;
+
+/// Bytes of KV cache that stand for one block.
+static KV: [u8; 256] = [0; 256];
+
+#[derive(Debug, Deserialize)]
+struct OrderBody {
+    term: Term,
+    index: LogIndex,
+    order: OrderKind,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct From {
+    #[serde(default)]
+    from: u64,
+}
+
+pub(super) fn routes(router: Router, engine: &Arc<Engine>) -> Router {
+    let with = |f: fn(&Engine, &Request) -> Response| {
+        let engine = engine.clone();
+        move |req: Request| {
+            let response = f(&engine, &req);
+            async move { viz::Result::Ok(response) }
+        }
+    };
+    let orders = engine.clone();
+    router
+        .get("/load", with(load))
+        .get("/events", with(events))
+        .get("/runs", with(runs))
+        .get("/kv/:prefix", with(export))
+        .post("/kv/:prefix", with(import))
+        .post("/orders", move |req| order(orders.clone(), req))
+}
+
+fn load(engine: &Engine, _: &Request) -> Response {
+    reply::json(StatusCode::OK, &engine.load())
+}
+
+fn events(engine: &Engine, req: &Request) -> Response {
+    let from = req.query::<From>().unwrap_or_default().from;
+    let (lag, gap) = (engine.cfg.events_lag, engine.cfg.events_gap);
+    let events = lock(&engine.cache).events(from, lag, gap);
+    reply::json(StatusCode::OK, &json!({ "events": events }))
+}
+
+fn runs(engine: &Engine, _: &Request) -> Response {
+    let tokens = engine.tokens.load(Ordering::Relaxed);
+    let body = json!({"runs": engine.runs_started(), "tokens": tokens});
+    reply::json(StatusCode::OK, &body)
+}
+
+fn export(engine: &Engine, req: &Request) -> Response {
+    let held = block(req).is_some_and(|block| lock(&engine.cache).contains(block));
+    if held {
+        return Response::new(Body::Full(Bytes::from_static(&KV).into()));
+    }
+    reply::json(StatusCode::NOT_FOUND, &json!({"error": "no such prefix"}))
+}
+
+fn import(engine: &Engine, req: &Request) -> Response {
+    let Some(block) = block(req) else {
+        let error = json!({"error": "a prefix is a block's number"});
+        return reply::json(StatusCode::BAD_REQUEST, &error);
+    };
+    lock(&engine.cache).touch(block);
+    reply::json(StatusCode::OK, &json!({"stored": block}))
+}
+
+fn block(req: &Request) -> Option<u64> {
+    req.param("prefix").ok()
+}
+
+async fn order(engine: Arc<Engine>, mut req: Request) -> viz::Result<Response> {
+    let body = req.bytes().await?;
+    let body: OrderBody = match serde_json::from_slice(&body) {
+        Ok(body) => body,
+        Err(e) => {
+            let error = json!({"error": e.to_string()});
+            return Ok(reply::json(StatusCode::BAD_REQUEST, &error));
+        }
+    };
+    let number = (body.term, body.index);
+    let checks = engine.checks_fencing.load(Ordering::Relaxed);
+    let newest = engine.placed().newest;
+    if checks && number < newest {
+        let stale = json!({"error": "stale", "term": newest.0, "index": newest.1});
+        return Ok(reply::json(StatusCode::CONFLICT, &stale));
+    }
+    if let OrderKind::LoadModel(model) = &body.order
+        && !fetched(&engine, model).await
+    {
+        let limited = json!({"error": "the weight store limits"});
+        return Ok(reply::json(StatusCode::SERVICE_UNAVAILABLE, &limited));
+    }
+    carry_out(&engine, number, body.order);
+    Ok(reply::json(StatusCode::OK, &json!({"done": true})))
+}
+
+async fn fetched(engine: &Engine, model: &str) -> bool {
+    let Some(weights) = engine.cfg.weights else {
+        return true;
+    };
+    let url = format!("http://{weights}/weights/{model}");
+    let answer = Client::default().get(&url).await;
+    answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+}
+
+fn carry_out(engine: &Engine, number: (Term, LogIndex), order: OrderKind) {
+    let mut placed = engine.placed();
+    placed.newest = placed.newest.max(number);
+    placed.done.push(number);
+    match order {
+        OrderKind::LoadModel(model) => {
+            placed.models.insert(model);
+        }
+        OrderKind::UnloadModel(model) => {
+            placed.models.remove(&model);
+        }
+        OrderKind::LoadAdapter { .. } | OrderKind::SetVersion { .. } | OrderKind::SetRole(_) => {}
+    }
+}
--- /dev/null
+++ b/crates/anvil_standins/src/server.rs
@@ -0,0 +1,81 @@
+//! An HTTP server on loopback that can be stopped as hard as a killed process.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::server::conn::auto::Builder;
+use snafu::ResultExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{AbortHandle, JoinSet};
+use viz::{Responder, Router, Tree};
+
+use crate::error::{Error, ListenSnafu};
+
+/// A running server. Dropping it closes the listener and every connection at once.
+#[derive(Debug)]
+pub struct Server {
+    addr: SocketAddr,
+    task: AbortHandle,
+}
+
+impl Server {
+    /// Listens and serves; port 0 takes a free one.
+    pub async fn start(listen: SocketAddr, router: Router) -> Result<Self, Error> {
+        let listener = TcpListener::bind(listen).await;
+        let listener = listener.context(ListenSnafu { addr: listen })?;
+        let addr = listener.local_addr();
+        let addr = addr.context(ListenSnafu { addr: listen })?;
+        let task = tokio::spawn(accept(listener, Arc::new(router.into())));
+        Ok(Self {
+            addr,
+            task: task.abort_handle(),
+        })
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Stops and waits until the address is free again.
+    pub async fn stop(self) {
+        self.task.abort();
+        while !self.task.is_finished() {
+            tokio::task::yield_now().await;
+        }
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept(listener: TcpListener, tree: Arc<Tree>) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            Some(_) = connections.join_next() => {}
+            accepted = listener.accept() => match accepted {
+                Ok((socket, peer)) => {
+                    connections.spawn(serve(socket, peer, tree.clone()));
+                }
+                // Out of file descriptors: let some connections end first.
+                Err(_) => tokio::task::yield_now().await,
+            },
+        }
+    }
+}
+
+async fn serve(socket: TcpStream, peer: SocketAddr, tree: Arc<Tree>) {
+    // Without it small pieces wait for an acknowledgement; with a failure they are only slower.
+    let _ = socket.set_nodelay(true);
+    let responder = Responder::new(tree, Some(Arc::new(peer)));
+    let builder = Builder::new(TokioExecutor::new());
+    // A broken connection is the peer's affair.
+    let _ = builder
+        .serve_connection(TokioIo::new(socket), responder)
+        .await;
+}
--- /dev/null
+++ b/crates/anvil_standins/tests/plain.rs
@@ -0,0 +1,35 @@
+//! The plain service, over HTTP.
+
+use anvil_standins::client::Client;
+use anvil_standins::plain;
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+
+#[tokio::test]
+async fn orders_are_counted_by_header_and_by_field() {
+    let service = plain::start(plain::Config::default()).await.unwrap();
+    let url = format!("http://{}/orders/new", service.addr());
+    let client = Client::default();
+    let by_header = Request::post(&url).header(plain::ORDER_ID, "o1");
+    let by_header = by_header.body(Full::default()).unwrap();
+    client.whole(&url, by_header).await.unwrap();
+    let by_field = Full::new(Bytes::from_static(br#"{"order_id":"o1"}"#));
+    let by_field = Request::post(&url).body(by_field).unwrap();
+    client.whole(&url, by_field).await.unwrap();
+    assert_eq!(service.runs()["o1"], 2);
+    assert_eq!(service.calls(), 2);
+}
+
+#[tokio::test]
+async fn a_dying_service_runs_the_call_and_breaks_the_answer() {
+    let service = plain::start(plain::Config::default()).await.unwrap();
+    service.set_dying(true);
+    let url = format!("http://{}/deposits", service.addr());
+    let req = Request::post(&url).header(plain::ORDER_ID, "d1");
+    let answer = Client::default()
+        .whole(&url, req.body(Full::default()).unwrap())
+        .await;
+    assert!(answer.is_err());
+    assert_eq!(service.runs()["d1"], 1);
+}
