--- /dev/null
+++ b/crates/anvil_daemons/src/lib.rs
@@ -0,0 +1,3 @@
+//! What the thin `main`s share: the operators' commands of `anvilreel`.
+
+pub mod operate;
--- /dev/null
+++ b/crates/anvil_daemons/src/operate/check.rs
@@ -0,0 +1,40 @@
+//! Checking settings files without sending them.
+
+use std::path::Path;
+
+use anvil_world::prelude::*;
+use anvil_world::settings::{LedgerSettings, RouterSettings, SidecarSettings, read};
+use anvilreel::operator::OperatorError;
+
+/// Keys that only one kind of process has.
+const SIDECAR_KEY: &str = "endpoint";
+const LEDGER_KEY: &str = "data";
+
+/// Checks one file: a document where a path is given, otherwise a process's settings.
+pub(super) fn check(file: &Path, document: Option<&str>) -> Result<&'static str, OperatorError> {
+    let text = std::fs::read_to_string(file);
+    let text = text.map_err(|source| OperatorError::File {
+        file: file.into(),
+        source,
+    })?;
+    let checked = match document {
+        Some(path) => {
+            let path = TreePath::try_from(path);
+            let path = path.map_err(|source| OperatorError::Path { source })?;
+            Document::check(&path, &text).map(|_| "document")
+        }
+        None => check_process(&file.display().to_string(), &text),
+    };
+    checked.map_err(|source| OperatorError::Settings { source })
+}
+
+fn check_process(name: &str, text: &str) -> Result<&'static str, SettingsError> {
+    let table: toml::Table = toml::from_str(text).unwrap_or_default();
+    if table.contains_key(SIDECAR_KEY) {
+        return read::<SidecarSettings>(name, text).map(|_| "sidecar");
+    }
+    if table.contains_key(LEDGER_KEY) {
+        return read::<LedgerSettings>(name, text).map(|_| "ledger");
+    }
+    read::<RouterSettings>(name, text).map(|_| "router")
+}
--- /dev/null
+++ b/crates/anvil_daemons/src/operate/run.rs
@@ -0,0 +1,191 @@
+//! Runs one subcommand.
+
+use std::fmt::Display;
+use std::io::Read;
+
+use anvil_wire::msg::AuditFilter;
+use anvil_world::command::{Edit, OrderKind};
+use anvil_world::document::key_hash;
+use anvil_world::prelude::*;
+use anvilreel::operator::{self, Client, ExitCode, OperatorError};
+use serde::Serialize;
+
+use super::arguments::{Apply, Audit, Check, Connection, Operate, OrderArgs, OrderSubject, Remove};
+use super::check::check;
+
+/// Runs one subcommand and prints its report. Returns what the shell is told.
+pub async fn run(connection: &Connection, command: Operate) -> ExitCode {
+    let json = connection.json;
+    match act(connection, command).await {
+        Ok(code) => code,
+        Err(e) => {
+            complain(json, &e);
+            e.exit_code()
+        }
+    }
+}
+
+async fn act(connection: &Connection, command: Operate) -> Result<ExitCode, OperatorError> {
+    let client = connection.client();
+    let json = connection.json;
+    match command {
+        Operate::Apply(args) => apply(&client, json, args).await,
+        Operate::Remove(args) => remove(&client, json, args).await,
+        Operate::Get(args) => done(json, &operator::get(&client, &args.prefix).await?),
+        Operate::Diff(args) => {
+            let path = tree_path(&args.path)?;
+            let text = read_file(&args.file)?;
+            done(json, &operator::diff(&client, path, &text).await?)
+        }
+        Operate::TopUp(args) => {
+            let id = args.id.map(ChangeId::from);
+            let budget = args.budget.into();
+            done(
+                json,
+                &operator::top_up(&client, budget, args.amount, id).await?,
+            )
+        }
+        Operate::Budget(args) => {
+            let one = args.budget.map(BudgetId::from);
+            done(json, &operator::budgets(&client, one).await?)
+        }
+        Operate::WriteOff(args) => {
+            let id = args.id.map(ChangeId::from);
+            done(
+                json,
+                &operator::write_off(&client, args.grant, args.bill, id).await?,
+            )
+        }
+        Operate::Audit(args) => done(json, &operator::audit(&client, filter(args)).await?),
+        Operate::Status(_) => done(json, &operator::status(&client).await?),
+        Operate::Drain(args) => {
+            let id = args.id.map(ChangeId::from);
+            let applied = operator::drain(&client, args.instance.into(), id).await?;
+            spread(json, &applied)
+        }
+        Operate::Order(args) => order(&client, json, args).await,
+        Operate::Check(args) => check_all(&args),
+        Operate::HashKey(_) => hash_key(),
+    }
+}
+
+async fn apply(client: &Client, json: bool, args: Apply) -> Result<ExitCode, OperatorError> {
+    let Some(file) = &args.file else {
+        return apply_folder(client, json, args.path.as_ref()).await;
+    };
+    let path = tree_path(&args.path)?;
+    let edit = Edit::Put(read_file(file)?.into());
+    let id = args.id.map(ChangeId::from);
+    let applied = operator::apply(client, path, edit, args.expected, id).await?;
+    spread(json, &applied)
+}
+
+async fn apply_folder(
+    client: &Client,
+    json: bool,
+    folder: &std::path::Path,
+) -> Result<ExitCode, OperatorError> {
+    let mut worst = ExitCode::Done;
+    for (path, text) in operator::change_paths(folder)? {
+        let edit = Edit::Put(text.into());
+        let applied = operator::apply(client, path, edit, None, None).await?;
+        if spread(json, &applied)? == ExitCode::NotEverywhere {
+            worst = ExitCode::NotEverywhere;
+        }
+    }
+    Ok(worst)
+}
+
+async fn remove(client: &Client, json: bool, args: Remove) -> Result<ExitCode, OperatorError> {
+    let path = tree_path(&args.path)?;
+    let id = args.id.map(ChangeId::from);
+    let applied = operator::apply(client, path, Edit::Remove, args.expected, id).await?;
+    spread(json, &applied)
+}
+
+async fn order(client: &Client, json: bool, args: OrderArgs) -> Result<ExitCode, OperatorError> {
+    let name: std::sync::Arc<str> = args.name.into();
+    let detail: std::sync::Arc<str> = args.detail.unwrap_or_default().into();
+    let kind = match args.what {
+        OrderSubject::LoadModel => OrderKind::LoadModel(name),
+        OrderSubject::UnloadModel => OrderKind::UnloadModel(name),
+        OrderSubject::LoadAdapter => OrderKind::LoadAdapter {
+            model: name,
+            adapter: detail,
+        },
+        OrderSubject::SetVersion => OrderKind::SetVersion {
+            model: name,
+            version: detail,
+        },
+        OrderSubject::SetRole => OrderKind::SetRole(name),
+    };
+    let report = operator::order(client, args.sidecar.into(), kind).await?;
+    done(json, &report)
+}
+
+fn check_all(args: &Check) -> Result<ExitCode, OperatorError> {
+    for file in &args.files {
+        let kind = check(file, args.document.as_deref())?;
+        println!("{}: well-formed {kind} settings", file.display());
+    }
+    Ok(ExitCode::Done)
+}
+
+fn hash_key() -> Result<ExitCode, OperatorError> {
+    let mut key = Vec::new();
+    let read = std::io::stdin().lock().read_to_end(&mut key);
+    read.map_err(|source| OperatorError::File {
+        file: "standard input".into(),
+        source,
+    })?;
+    println!("{}", key_hash(key.trim_ascii()));
+    Ok(ExitCode::Done)
+}
+
+fn filter(args: Audit) -> AuditFilter {
+    AuditFilter {
+        subject: args.subject.map(Into::into),
+        operator: args.by.map(Into::into),
+        after: args.after,
+        limit: args.limit,
+    }
+}
+
+fn tree_path(raw: &str) -> Result<TreePath, OperatorError> {
+    TreePath::try_from(raw).map_err(|source| OperatorError::Path { source })
+}
+
+fn read_file(file: &std::path::Path) -> Result<String, OperatorError> {
+    std::fs::read_to_string(file).map_err(|source| OperatorError::File {
+        file: file.into(),
+        source,
+    })
+}
+
+fn spread(json: bool, applied: &operator::Applied) -> Result<ExitCode, OperatorError> {
+    done(json, applied)?;
+    if applied.spread.everywhere() {
+        return Ok(ExitCode::Done);
+    }
+    Ok(ExitCode::NotEverywhere)
+}
+
+fn done<T: Display + Serialize>(json: bool, report: &T) -> Result<ExitCode, OperatorError> {
+    if json {
+        let text = serde_json::to_string(report);
+        println!("{}", text.map_err(|_| OperatorError::Unexpected)?);
+    } else {
+        println!("{report}");
+    }
+    Ok(ExitCode::Done)
+}
+
+fn complain(json: bool, e: &OperatorError) {
+    if json {
+        let code = e.exit_code() as u8;
+        let line = serde_json::json!({ "error": e.to_string(), "exit_code": code });
+        eprintln!("{line}");
+    } else {
+        eprintln!("{e}");
+    }
+}
