Ledger service: one and three replicas over TCP with a durable log

Cause: the path needs a ledger to talk to. Change: node task around the core, links between replicas (each listens to the others on one stream), founding only when every founder is there and empty, joining otherwise, follow streams (full, delta, current), heartbeats, evidence, confirmed queries, checks before the log.

--- a/crates/anvil_ledger/src/core/change.rs
+++ b/crates/anvil_ledger/src/core/change.rs
@@ -31,6 +31,20 @@
         }
     }
 
+    /// Writes the first entry of a new ledger, unless this replica belongs to one already.
+    pub(super) fn found(&mut self, membership: Membership) {
+        if self.ledger() != 0 || self.log.last().index != 0 {
+            return;
+        }
+        self.set_term(self.hard.term + 1, None);
+        let id = self.next_id();
+        self.append(Entry {
+            id,
+            payload: Payload::Membership(membership),
+        });
+        self.stand_trial();
+    }
+
     fn next_membership(&self) -> Option<Membership> {
         let membership = self.membership();
         if let Some((id, site)) = self.joining.first_key_value() {
--- a/crates/anvil_ledger/src/core/event.rs
+++ b/crates/anvil_ledger/src/core/event.rs
@@ -4,8 +4,8 @@
 use bytes::Bytes;
 
 use super::{
-    CoreError, Entry, EntryId, Envelope, HardState, ReplicaId, RequestId, Site, SnapshotMeta,
-    WriteSeq,
+    CoreError, Entry, EntryId, Envelope, HardState, Membership, ReplicaId, RequestId, Site,
+    SnapshotMeta, WriteSeq,
 };
 
 /// A command that someone wants in the log.
@@ -35,6 +35,8 @@
         /// Where it runs.
         site: Site,
     },
+    /// Begin a ledger with these voters. Only for a replica that belongs to none.
+    Found(Membership),
     /// All writes up to this one are synced.
     Synced(WriteSeq),
     /// A snapshot of this replica's state is on its disk.
--- a/crates/anvil_ledger/src/core/replica.rs
+++ b/crates/anvil_ledger/src/core/replica.rs
@@ -164,6 +164,7 @@
             Event::Join { id, site } => {
                 self.joining.insert(id, site);
             }
+            Event::Found(membership) => self.found(membership),
             Event::Synced(seq) => self.synced(seq),
             Event::Saved(meta) => self.saved(meta),
             Event::Fetched { meta, data } => self.fetched(meta, data),
--- a/crates/anvil_ledger/src/storage/snapshot.rs
+++ b/crates/anvil_ledger/src/storage/snapshot.rs
@@ -11,8 +11,11 @@
 
 /// The newest snapshot.
 pub const NAME: &str = "snapshot";
-/// The next snapshot until it is synced.
+/// This replica's next snapshot until it is synced.
 pub const TEMPORARY: &str = "snapshot.tmp";
+/// Another replica's snapshot until it is synced. A name of its own, because the two are written
+/// by different threads.
+pub const INSTALLED: &str = "installed.tmp";
 
 #[derive(Serialize, Deserialize)]
 struct Header {
@@ -29,8 +32,13 @@
     pub data: Bytes,
 }
 
-/// Writes and syncs the temporary file. Needs no lock: nobody reads that file.
-pub fn prepare(disk: &Disk, meta: &SnapshotMeta, data: &[u8]) -> Result<(), StorageError> {
+/// Writes and syncs a temporary file, which nobody else reads.
+pub fn prepare(
+    disk: &Disk,
+    file: &str,
+    meta: &SnapshotMeta,
+    data: &[u8],
+) -> Result<(), StorageError> {
     let header = Header {
         format: FORMAT,
         meta: meta.clone(),
@@ -38,14 +46,10 @@
     let mut buf = Vec::with_capacity(data.len() + 256);
     frame::put(&mut buf, 0, &segment::encode(NAME, &header)?);
     frame::put(&mut buf, 0, data);
-    let failed = |operation| IoSnafu {
-        operation,
-        file: TEMPORARY,
-    };
-    disk.run(Op::Create(TEMPORARY)).context(failed("create"))?;
-    disk.run(Op::Append(TEMPORARY, &buf))
-        .context(failed("write"))?;
-    disk.run(Op::Sync(TEMPORARY)).context(failed("sync"))?;
+    let failed = |operation| IoSnafu { operation, file };
+    disk.run(Op::Create(file)).context(failed("create"))?;
+    disk.run(Op::Append(file, &buf)).context(failed("write"))?;
+    disk.run(Op::Sync(file)).context(failed("sync"))?;
     Ok(())
 }
 
@@ -53,13 +57,12 @@
 ///
 /// Failure: a snapshot overwritten in place is half old and half new after a crash. The rename
 /// swaps whole files, and the folder's sync makes it last before older log entries are removed.
-pub fn publish(disk: &Disk) -> Result<(), StorageError> {
+pub fn publish(disk: &Disk, file: &str) -> Result<(), StorageError> {
     let failed = |operation| IoSnafu {
         operation,
         file: NAME,
     };
-    disk.run(Op::Rename(TEMPORARY, NAME))
-        .context(failed("rename"))?;
+    disk.run(Op::Rename(file, NAME)).context(failed("rename"))?;
     disk.run(Op::SyncFolder).context(failed("sync folder of"))?;
     Ok(())
 }
--- a/crates/anvil_ledger/src/storage/store.rs
+++ b/crates/anvil_ledger/src/storage/store.rs
@@ -42,6 +42,8 @@
     synced: u64,
     last: EntryId,
     hard: HardState,
+    /// The last position of the newest snapshot.
+    covered: LogIndex,
     failed: bool,
 }
 
@@ -60,6 +62,7 @@
             synced: 0,
             last: found.last(),
             hard: found.hard,
+            covered: found.snapshot.as_ref().map_or(0, |s| s.meta.last.index),
             failed: false,
         };
         storage.go_on(&found)?;
@@ -182,21 +185,32 @@
     }
 
     /// Makes the prepared snapshot the newest one; see [`snapshot::prepare`].
-    pub fn publish_snapshot(&mut self) -> Result<(), StorageError> {
+    ///
+    /// Failure: a snapshot that was prepared before another replica's newer one was installed
+    /// would take the state back behind the log's beginning. An older one is dropped.
+    pub fn publish_snapshot(&mut self, meta: &SnapshotMeta) -> Result<(), StorageError> {
+        if meta.last.index <= self.covered {
+            return Ok(());
+        }
+        self.publish(snapshot::TEMPORARY, meta.last.index)
+    }
+
+    fn publish(&mut self, file: &str, covered: LogIndex) -> Result<(), StorageError> {
         if self.failed {
             return Err(StorageError::Failed);
         }
-        let done = snapshot::publish(&self.disk);
+        let done = snapshot::publish(&self.disk, file);
         self.failed = done.is_err();
+        self.covered = covered;
         done
     }
 
     /// Replaces everything by a snapshot from another replica.
     pub fn install(&mut self, meta: &SnapshotMeta, data: &[u8]) -> Result<(), StorageError> {
-        let prepared = snapshot::prepare(&self.disk, meta, data);
+        let prepared = snapshot::prepare(&self.disk, snapshot::INSTALLED, meta, data);
         self.failed |= prepared.is_err();
         prepared?;
-        self.publish_snapshot()?;
+        self.publish(snapshot::INSTALLED, meta.last.index)?;
         self.close_segment(meta.last)?;
         self.remove_closed(|_| true)
     }
--- a/crates/anvil_ledger/src/storage/writer.rs
+++ b/crates/anvil_ledger/src/storage/writer.rs
@@ -4,7 +4,7 @@
 //! share the next sync.
 
 use std::sync::mpsc::{Receiver, SyncSender, TryRecvError, sync_channel};
-use std::thread;
+use std::thread::{self, JoinHandle};
 
 use anvil_world::ids::LogIndex;
 use bytes::Bytes;
@@ -47,9 +47,10 @@
 }
 
 /// The way to the thread. Dropping it lets the thread finish its jobs and end.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct Writer {
     tx: SyncSender<Job>,
+    thread: JoinHandle<()>,
 }
 
 impl Writer {
@@ -60,10 +61,17 @@
         report: impl Fn(Report) + Send + 'static,
     ) -> std::io::Result<Self> {
         let (tx, rx) = sync_channel(QUEUE);
-        thread::Builder::new()
+        let thread = thread::Builder::new()
             .name("ledger-disk".into())
             .spawn(move || work(storage, &rx, group, &report))?;
-        Ok(Self { tx })
+        Ok(Self { tx, thread })
+    }
+
+    /// Returns when all jobs are done and the folder is free for another process.
+    pub fn finish(self) {
+        drop(self.tx);
+        // A panic in the thread was printed when it happened.
+        let _ = self.thread.join();
     }
 
     /// Hands out a job; false when the thread has ended.
@@ -134,7 +142,7 @@
         Job::Publish(meta) => {
             // The log may still lack entries that the snapshot covers; it goes first.
             storage.sync()?;
-            storage.publish_snapshot()?;
+            storage.publish_snapshot(&meta)?;
             report(Report::Published(meta));
         }
         Job::Compact(upto) => storage.compact(upto)?,
--- a/crates/anvilreel/src/ledger_service.rs
+++ b/crates/anvilreel/src/ledger_service.rs
@@ -1,1 +1,152 @@
 //! A ledger replica as a process: sockets, disk and clock around the core.
+//!
+//! [`start`] opens the data folder, listens, and runs the [`node`]: one task that owns the
+//! replica's core and its applied state. The disk has a thread of its own. Replicas hear each
+//! other over [`links`]; an empty folder founds a ledger or joins one ([`founding`]).
+//!
+//! ```no_run
+//! # async fn demo(cfg: anvil_world::settings::LedgerSettings, log: slog::Logger)
+//! # -> Result<(), anvilreel::ledger_service::ServiceError> {
+//! use anvilreel::ledger_service::{Tuning, start};
+//!
+//! let handle = start(cfg, Tuning::default(), log, std::future::pending()).await?;
+//! println!("ledger at {}", handle.addr);
+//! handle.stopped().await;
+//! # Ok(()) }
+//! ```
+
+mod check;
+mod error;
+pub mod events;
+mod follow;
+mod founding;
+mod handlers;
+mod links;
+pub mod node;
+pub mod peer;
+mod pending;
+mod queries;
+pub mod signs;
+pub mod testimony;
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anvil_ledger::core::Timing;
+use anvil_ledger::storage::{Disk, Storage, Writer};
+use anvil_wire::Server;
+use anvil_world::settings::LedgerSettings;
+use slog::Logger;
+use snafu::ResultExt;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+
+pub use error::ServiceError;
+use error::{DiskSnafu, ListenSnafu, MachineSnafu, StorageSnafu, ThreadSnafu};
+use node::{Inbox, Node};
+
+/// Events that may wait for the node before whoever sends them waits too.
+const INBOX: usize = 65_536;
+
+/// What an operator need not set.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Tuning {
+    /// How fast replicas notice things.
+    pub timing: Timing,
+    /// An instance that gives no sign of life for this long is declared gone.
+    pub gone_after: Duration,
+    /// A snapshot is taken after this many entries.
+    pub snapshot_every: u64,
+    /// One sync for many entries; off only to measure what that brings.
+    pub group_commit: bool,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            timing: Timing::default(),
+            gone_after: Duration::from_secs(10),
+            snapshot_every: 10_000,
+            group_commit: true,
+        }
+    }
+}
+
+/// A running replica.
+pub struct LedgerHandle {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl LedgerHandle {
+    /// Returns when the replica has ended.
+    pub async fn stopped(self) {
+        // The task has no result, and a panic in it was logged by the runtime.
+        let _ = self.task.await;
+    }
+}
+
+/// Starts a replica; it runs until `stop` is ready.
+pub async fn start(
+    cfg: LedgerSettings,
+    tuning: Tuning,
+    log: Logger,
+    stop: impl Future<Output = ()> + Send + 'static,
+) -> Result<LedgerHandle, ServiceError> {
+    let data = cfg.data.display().to_string();
+    let disk = Disk::folder(&cfg.data).context(DiskSnafu { data })?;
+    let fresh = rand::random();
+    let (storage, found) = Storage::open(disk.clone(), fresh).context(StorageSnafu)?;
+    let server = Server::bind(cfg.wire_listen).await.context(ListenSnafu)?;
+    let addr = server.addr().context(ListenSnafu)?;
+    let (inbox, rx) = mpsc::channel(INBOX);
+    let id = storage.id();
+    let writer = start_writer(storage, tuning.group_commit, &inbox)?;
+    let setup = node::Setup {
+        id,
+        instance: cfg.id.clone(),
+        disk,
+        writer,
+        tuning,
+        log: log.clone(),
+    };
+    let (node, public) = Node::new(setup, found, inbox.clone()).context(MachineSnafu)?;
+    events::note!(log, events::LEDGER_LISTENING, "addr" => %addr, "replica" => format!("{id:x}"));
+    let (ending, stopping) = watch::channel(false);
+    let reach = handlers::Reach {
+        inbox,
+        public,
+        stopping: stopping.clone(),
+        disk: Disk::read_only(&cfg.data),
+    };
+    let task = tokio::spawn(async move {
+        let node = tokio::spawn(node.run(rx, stopping));
+        let links = tokio::spawn(links::run(reach.clone(), id, cfg.clone(), addr));
+        let founding = tokio::spawn(founding::run(reach.clone(), id, cfg, addr, log.clone()));
+        let serving = server.serve(handlers::all(&reach), async move {
+            stop.await;
+            // Somebody always listens here: this task holds a receiver.
+            let _ = ending.send(true);
+        });
+        serving.await;
+        founding.abort();
+        links.abort();
+        // A panic in the node was printed when it happened.
+        if let Ok(writer) = node.await {
+            let _ = tokio::task::spawn_blocking(move || writer.finish()).await;
+        }
+        events::note!(log, events::LEDGER_STOPPED);
+    });
+    Ok(LedgerHandle { addr, task })
+}
+
+fn start_writer(storage: Storage, group: bool, inbox: &Inbox) -> Result<Writer, ServiceError> {
+    let inbox = inbox.clone();
+    let report = move |report| {
+        // Fails only when the node has ended, and nobody waits for the report any more.
+        let _ = inbox.blocking_send(node::Input::Disk(report));
+    };
+    Writer::start(storage, group, report).context(ThreadSnafu)
+}
--- /dev/null
+++ b/crates/anvilreel/src/ledger_service/check.rs
@@ -0,0 +1,39 @@
+//! What is checked before the log sees a command, and what the leader puts in.
+
+use std::time::SystemTime;
+
+use anvil_world::command::{Denial, Edit};
+use anvil_world::prelude::*;
+
+/// Refuses a change whose text is not a good document of its path.
+pub fn refuse(command: &Command) -> Option<Answer> {
+    let Command::Change(change) = command else {
+        return None;
+    };
+    let Edit::Put(text) = &change.edit else {
+        return None;
+    };
+    let checked = Document::check(&change.path, text);
+    let message = checked.err()?.to_string();
+    Some(Answer::Denied(Denial::Settings { message }))
+}
+
+/// Puts in when the leader took the command.
+pub fn stamp(command: &mut Command, now: SystemTime) {
+    let at = match command {
+        Command::Change(change) => &mut change.at,
+        Command::TopUp(top_up) => &mut top_up.at,
+        Command::WriteOff(write_off) => &mut write_off.at,
+        Command::Claim(claim) => &mut claim.at,
+        Command::Drain(drain) => &mut drain.at,
+        Command::Noop
+        | Command::GrantBatch(_)
+        | Command::FenceRouter(_)
+        | Command::CloseGrant { .. }
+        | Command::SettleClaim(_)
+        | Command::Join(_)
+        | Command::SetPresence(_)
+        | Command::Order(_) => return,
+    };
+    *at = now;
+}
--- /dev/null
+++ b/crates/anvilreel/src/ledger_service/events.rs
@@ -0,0 +1,80 @@
+//! Numbered log events of a ledger replica, from 3001. docs/EVENTS.md lists them all.
+
+use slog::Level;
+
+/// One kind of log line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Event {
+    /// Its number; never used again for something else.
+    pub number: u16,
+    /// Its name.
+    pub name: &'static str,
+    /// How urgent it is.
+    pub level: Level,
+    /// What it means and what to do.
+    pub meaning: &'static str,
+}
+
+macro_rules! catalogue {
+    ($($name:ident = $number:literal $level:ident $text:literal: $meaning:literal;)*) => {
+        $(
+            #[doc = $meaning]
+            pub const $name: Event = Event {
+                number: $number,
+                name: $text,
+                level: Level::$level,
+                meaning: $meaning,
+            };
+        )*
+
+        /// Every event, in the order of numbers.
+        pub const ALL: &[Event] = &[$($name),*];
+    };
+}
+
+catalogue! {
+    LEDGER_LISTENING = 3001 Info "ledger_listening":
+        "The replica has read its data folder and listens.";
+    LEDGER_FOUNDED = 3002 Info "ledger_founded":
+        "All founders are there with empty disks; this one has begun a new ledger.";
+    LEDGER_JOINING = 3003 Info "ledger_joining":
+        "The disk is empty and a ledger exists; the replica asks to be taken in as a learner.";
+    LEDGER_LEADS = 3004 Info "ledger_leads":
+        "This replica leads from this term on.";
+    LEDGER_DEPOSED = 3005 Warning "ledger_deposed":
+        "This replica leads no more; proposals under way are in doubt and must be resent.";
+    LEDGER_MEMBERS = 3006 Info "ledger_members":
+        "Voters or learners have changed.";
+    LEDGER_SNAPSHOT = 3007 Debug "ledger_snapshot":
+        "A snapshot is on disk; older entries are removed.";
+    LEDGER_INSTALLED = 3008 Info "ledger_installed":
+        "A snapshot from the leader has replaced this replica's log and state.";
+    LEDGER_DISK_FAILED = 3009 Critical "ledger_disk_failed":
+        "A write or sync failed. The replica has stopped for good: mend or empty the disk.";
+    LEDGER_INVARIANT = 3010 Critical "ledger_invariant":
+        "An invariant does not hold. The replica has stopped: keep its data folder and report it.";
+    LEDGER_INSTANCE_GONE = 3011 Warning "ledger_instance_gone":
+        "An instance gave no sign of life for too long and is declared gone.";
+    LEDGER_GRANT_HELD = 3012 Warning "ledger_grant_held":
+        "A fenced grant can't be closed: a lost sidecar may have charged it. See the write-off.";
+    LEDGER_GRANT_CLOSED = 3013 Info "ledger_grant_closed":
+        "A fenced grant is to be closed by the evidence of all sidecars.";
+    LEDGER_FETCH_FAILED = 3014 Warning "ledger_fetch_failed":
+        "A snapshot could not be fetched from the leader; it is tried again.";
+    LEDGER_STOPPED = 3015 Info "ledger_stopped":
+        "The replica has ended as planned.";
+    LEDGER_FOUNDER_UNKNOWN = 3016 Warning "ledger_founder_unknown":
+        "A founder's address is answered by another instance; check the settings.";
+}
+
+/// Logs a numbered event.
+macro_rules! note {
+    ($log:expr, $event:path $(, $key:literal => $($value:tt)*)?) => {
+        slog::log!(
+            $log, $event.level, $event.name, "{}", $event.name;
+            "event" => $event.number $(, $key => $($value)*)?
+        )
+    };
+}
+
+pub(crate) use note;
--- /dev/null
+++ b/crates/anvilreel/src/ledger_service/follow.rs
@@ -0,0 +1,98 @@
+//! What followers are sent: all of it first, then what changed, only upwards.
+
+use std::collections::BTreeSet;
+
+use anvil_ledger::state::{State, Touched};
+use anvil_wire::msg::{FollowEvent, Interest};
+use anvil_world::prelude::*;
+
+/// Who follows, and what it holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Follower {
+    /// Its name.
+    pub instance: InstanceId,
+    /// What it needs.
+    pub interest: Interest,
+    /// The newest version it holds, 0 for none.
+    pub version: LogIndex,
+}
+
+impl Follower {
+    /// What brings this follower to the state's version; `None` while it holds that or a newer
+    /// one.
+    ///
+    /// Failure: a follower moves to a replica that lags, is sent the older tree, and an accepted
+    /// change is taken back before its eyes. A lagging replica says nothing until it has caught
+    /// up.
+    pub fn catch_up(&self, state: &State) -> Option<FollowEvent> {
+        if state.version() <= self.version {
+            return None;
+        }
+        let known = (self.version > 0).then(|| state.touched_since(self.version));
+        Some(match known.flatten() {
+            Some(touched) => self.delta(state, &touched),
+            None => self.full(state),
+        })
+    }
+
+    fn full(&self, state: &State) -> FollowEvent {
+        let tree = state.tree().iter();
+        let members = state.members().iter();
+        FollowEvent::Full {
+            version: state.version(),
+            tree: tree
+                .filter(|(path, _)| self.needs_document(path))
+                .map(|(path, entry)| (path.clone(), entry.clone()))
+                .collect(),
+            members: members
+                .filter(|(id, _)| self.needs_member(id))
+                .map(|(id, member)| (id.clone(), member.clone()))
+                .collect(),
+            fenced: state.fenced().clone(),
+        }
+    }
+
+    fn delta(&self, state: &State, touched: &BTreeSet<Touched>) -> FollowEvent {
+        let mut tree = Vec::new();
+        let mut members = Vec::new();
+        let mut fenced = Vec::new();
+        for touched in touched {
+            match touched {
+                Touched::Document(path) if self.needs_document(path) => {
+                    tree.push((path.clone(), state.tree().get(path).cloned()));
+                }
+                Touched::Member(id) if self.needs_member(id) => {
+                    members.push((id.clone(), state.members().get(id).cloned()));
+                }
+                Touched::Fence(id) => {
+                    let upto = state.fenced().get(id);
+                    fenced.extend(upto.map(|upto| (id.clone(), *upto)));
+                }
+                Touched::Document(_) | Touched::Member(_) => {}
+            }
+        }
+        FollowEvent::Delta {
+            version: state.version(),
+            tree,
+            members,
+            fenced,
+        }
+    }
+
+    fn needs_document(&self, path: &TreePath) -> bool {
+        self.interest == Interest::Router || *path == TreePath::Fleet
+    }
+
+    fn needs_member(&self, id: &InstanceId) -> bool {
+        self.interest == Interest::Router || *id == self.instance
+    }
+}
+
+/// The version an event leads to.
+pub fn version_of(event: &FollowEvent) -> LogIndex {
+    match event {
+        FollowEvent::Full { version, .. }
+        | FollowEvent::Delta { version, .. }
+        | FollowEvent::Current { version } => *version,
+    }
+}
--- /dev/null
+++ b/crates/anvilreel/src/ledger_service/links.rs
@@ -0,0 +1,87 @@
+//! Links to other replicas: this one listens to what they have to say.
+//!
+//! Each replica opens one stream to every other and is sent messages on it, so that they come in
+//! order and each costs a few bytes of framing only.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anvil_ledger::core::{ReplicaId, SnapshotMeta};
+use anvil_wire::Channel;
+use anvil_world::settings::LedgerSettings;
+use bytes::{Bytes, BytesMut};
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+use super::handlers::Reach;
+use super::node::Input;
+use super::peer::{PeerCall, PeerReply, PeerRequest};
+
+/// Pause before a lost link is tried again.
+const AGAIN: Duration = Duration::from_millis(100);
+/// A link that says nothing for this long is opened anew. A leader beats several times a second,
+/// but two followers have nothing to say to each other.
+const SILENCE: Duration = Duration::from_secs(10);
+/// Longest time for a whole snapshot.
+const FETCH: Duration = Duration::from_mins(2);
+
+/// Keeps a link to every replica that the settings or the log name.
+pub async fn run(reach: Reach, id: ReplicaId, cfg: LedgerSettings, own: SocketAddr) {
+    let mut known = BTreeSet::new();
+    // Dropped with this task, it ends the links.
+    let mut links = JoinSet::new();
+    let mut public = reach.public.clone();
+    loop {
+        let named = cfg.founders.iter().filter(|peer| peer.id != cfg.id);
+        let mut wanted: Vec<_> = named.map(|peer| peer.addr).collect();
+        wanted.extend(public.borrow_and_update().peers.values());
+        for addr in wanted.into_iter().filter(|addr| *addr != own) {
+            if known.insert(addr) {
+                links.spawn(listen(reach.clone(), id, addr));
+            }
+        }
+        if public.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn listen(reach: Reach, id: ReplicaId, addr: SocketAddr) {
+    let channel = Channel::new(addr);
+    while !*reach.stopping.borrow() {
+        let asked = channel.open::<PeerCall>(&PeerRequest::Listen { id }).await;
+        if let Ok(mut replies) = asked {
+            while let Ok(Ok(Some(reply))) = timeout(SILENCE, replies.next()).await {
+                let PeerReply::Envelopes(envelopes) = reply else {
+                    break;
+                };
+                if reach.inbox.send(Input::Envelopes(envelopes)).await.is_err() {
+                    return;
+                }
+            }
+        }
+        sleep(AGAIN).await;
+    }
+}
+
+/// Fetches a replica's newest snapshot whole.
+pub async fn fetch(addr: SocketAddr) -> Option<(SnapshotMeta, Bytes)> {
+    timeout(FETCH, fetch_whole(addr)).await.ok().flatten()
+}
+
+async fn fetch_whole(addr: SocketAddr) -> Option<(SnapshotMeta, Bytes)> {
+    let channel = Channel::new(addr);
+    let mut replies = channel.open::<PeerCall>(&PeerRequest::Fetch).await.ok()?;
+    let PeerReply::Snapshot(meta) = replies.next().await.ok()?? else {
+        return None;
+    };
+    let mut data = BytesMut::new();
+    while let Some(reply) = replies.next().await.ok()? {
+        let PeerReply::Chunk(chunk) = reply else {
+            return None;
+        };
+        data.extend_from_slice(&chunk);
+    }
+    Some((meta, data.freeze()))
+}
--- /dev/null
+++ b/crates/anvilreel/src/ledger_service/node/disk.rs
@@ -0,0 +1,127 @@
+//! What the node has its disk do: writes, snapshots, fetched snapshots.
+
+use anvil_ledger::core::{Entry, Event, ReplicaId, SnapshotMeta, Write, WriteSeq};
+use anvil_ledger::machine::Machine;
+use anvil_ledger::storage::{Disk, Job, Report, snapshot};
+use anvil_world::prelude::*;
+use bytes::Bytes;
+use snafu::ResultExt;
+
+use super::{Input, Node};
+use crate::ledger_service::error::Fault;
+use crate::ledger_service::error::fault::{ApplySnafu, DiskSnafu};
+use crate::ledger_service::events::{self, note};
+use crate::ledger_service::links;
+
+impl Node {
+    pub(super) fn write(&mut self, write: Write) {
+        self.give(Job::Write(write));
+    }
+
+    pub(super) fn compact(&mut self, upto: LogIndex) {
+        note!(self.setup.log, events::LEDGER_SNAPSHOT, "upto" => upto);
+        self.give(Job::Compact(upto));
+    }
+
+    fn give(&mut self, job: Job) {
+        // When the thread has ended, its report of the failure is on the way.
+        let _ = self.setup.writer.give(job);
+    }
+
+    pub(super) fn disk_did(&mut self, report: Report) {
+        match report {
+            Report::Synced(seq) => self.feed(Event::Synced(seq)),
+            Report::Published(meta) => {
+                self.preparing = false;
+                self.feed(Event::Saved(meta));
+            }
+            Report::Failed(source) => self.fail(&Fault::Disk { source }),
+        }
+    }
+
+    /// Applies committed entries and answers whoever proposed them.
+    pub(super) fn apply(&mut self, entries: &[Entry]) {
+        for entry in entries {
+            match self.machine.apply(entry) {
+                Ok(answer) => self.pending.applied(entry.id, answer),
+                Err(source) => {
+                    self.fail(&Fault::Apply { source });
+                    return;
+                }
+            }
+        }
+        self.save_when_due();
+    }
+
+    /// Writes a snapshot off this task: the log goes on meanwhile.
+    fn save_when_due(&mut self) {
+        let applied = self.machine.state.applied();
+        let due = applied >= self.covered + self.setup.tuning.snapshot_every;
+        if !due || self.preparing {
+            return;
+        }
+        let membership = self.replica.membership_at(applied).cloned();
+        let (Some(last), Some(membership)) = (self.replica.id_at(applied), membership) else {
+            return;
+        };
+        self.preparing = true;
+        self.covered = applied;
+        let meta = SnapshotMeta { last, membership };
+        let machine = self.machine.clone();
+        let disk = self.setup.disk.clone();
+        let inbox = self.inbox.clone();
+        tokio::task::spawn_blocking(move || {
+            let input = match prepare(&machine, &disk, &meta) {
+                Ok(()) => Input::Prepared(meta),
+                Err(fault) => Input::Failed(fault),
+            };
+            // Fails only when the node has ended.
+            let _ = inbox.blocking_send(input);
+        });
+    }
+
+    pub(super) fn prepared(&mut self, meta: SnapshotMeta) {
+        self.give(Job::Publish(meta));
+    }
+
+    pub(super) fn fetch(&mut self, from: ReplicaId, meta: &SnapshotMeta) {
+        let site = self.replica.membership().site(from);
+        let site = site.or_else(|| meta.membership.site(from)).cloned();
+        let inbox = self.inbox.clone();
+        tokio::spawn(async move {
+            let fetched = match site {
+                Some(site) => links::fetch(site.addr).await,
+                None => None,
+            };
+            // Fails only when the node has ended.
+            let _ = inbox.send(Input::Fetched(fetched)).await;
+        });
+    }
+
+    pub(super) fn fetched(&mut self, fetched: Option<(SnapshotMeta, Bytes)>) {
+        let Some((meta, data)) = fetched else {
+            note!(self.setup.log, events::LEDGER_FETCH_FAILED);
+            self.replica.fetch_failed();
+            return;
+        };
+        self.feed(Event::Fetched { meta, data });
+    }
+
+    pub(super) fn install(&mut self, seq: WriteSeq, meta: SnapshotMeta, data: Bytes) {
+        match Machine::restore(&data) {
+            Ok(machine) => self.machine = machine,
+            Err(source) => {
+                self.fail(&Fault::Apply { source });
+                return;
+            }
+        }
+        note!(self.setup.log, events::LEDGER_INSTALLED, "index" => meta.last.index);
+        self.covered = meta.last.index;
+        self.give(Job::Install { seq, meta, data });
+    }
+}
+
+fn prepare(machine: &Machine, disk: &Disk, meta: &SnapshotMeta) -> Result<(), Fault> {
+    let data = machine.save().context(ApplySnafu)?;
+    snapshot::prepare(disk, snapshot::TEMPORARY, meta, &data).context(DiskSnafu)
+}
--- /dev/null
+++ b/crates/anvilreel/src/ledger_service/node/fleet.rs
@@ -0,0 +1,114 @@
+//! What the leader does for the fleet: signs of life, lost instances, fenced grants.
+
+use std::time::Duration;
+
+use anvil_wire::msg::{Heartbeat, HeartbeatReply, LedgerReply};
+use anvil_world::command::SetPresence;
+use anvil_world::prelude::*;
+use tokio::sync::oneshot;
+
+use super::Node;
+use crate::ledger_service::events::{self, note};
+use crate::ledger_service::pending::{Reply, tell};
+use crate::ledger_service::signs::Greeting;
+
+/// How often the leader looks for silent instances and for grants to close.
+const WATCH: Duration = Duration::from_secs(1);
+
+impl Node {
+    pub(super) fn hear(&mut self, heartbeat: &Heartbeat, reply: Reply) {
+        if self.stopped {
+            tell(reply, LedgerReply::Stopped);
+            return;
+        }
+        if !self.replica.leads() {
+            let leader = self.leader_addr();
+            tell(reply, LedgerReply::NotLeader { leader });
+            return;
+        }
+        let now = self.now();
+        match self.signs.hear(now, heartbeat, &self.machine) {
+            Greeting::Known(presence) => {
+                let taken = self.testimony.hear(heartbeat, &self.machine);
+                let version = self.machine.state.version();
+                tell(
+                    reply,
+                    LedgerReply::Alive(HeartbeatReply {
+                        version,
+                        presence,
+                        taken,
+                    }),
+                );
+            }
+            Greeting::Propose(command) => self.greet(command, reply),
+        }
+    }
+
+    /// Proposes what the heartbeat asks for, and answers once that is applied.
+    fn greet(&mut self, command: Command, reply: Reply) {
+        let presence = match &command {
+            Command::SetPresence(SetPresence { presence, .. }) => *presence,
+            _ => Presence::Live,
+        };
+        let (tx, rx) = oneshot::channel();
+        self.enqueue(command, tx);
+        tokio::spawn(async move {
+            let told = match rx.await {
+                Ok(LedgerReply::Applied { index, answer }) => {
+                    let refused = matches!(answer, Answer::Denied(_));
+                    LedgerReply::Alive(HeartbeatReply {
+                        version: index,
+                        presence: if refused { Presence::Gone } else { presence },
+                        taken: Vec::new(),
+                    })
+                }
+                Ok(other) => other,
+                Err(_) => LedgerReply::Stopped,
+            };
+            tell(reply, told);
+        });
+    }
+
+    fn enqueue(&mut self, command: Command, reply: Reply) {
+        let proposal = self.proposal(command, reply);
+        self.propose(&mut proposal.into_iter().collect());
+    }
+
+    /// Looks for silent instances and for grants that can be closed.
+    pub(super) fn watch_fleet(&mut self) {
+        let now = self.now();
+        if self.stopped || !self.replica.leads() || now < self.next_watch {
+            return;
+        }
+        self.next_watch = now + WATCH;
+        let limit = self.setup.tuning.gone_after;
+        for command in self.signs.silent(now, limit, &self.machine) {
+            if let Command::SetPresence(set) = &command {
+                note!(self.setup.log, events::LEDGER_INSTANCE_GONE, "instance" => %set.id);
+            }
+            self.propose_unheard(command);
+        }
+        let findings = self.testimony.examine(&self.machine);
+        for held in findings.held {
+            note!(
+                self.setup.log, events::LEDGER_GRANT_HELD,
+                "grant" => held.grant, "lost" => %held.lost
+            );
+        }
+        for command in findings.close {
+            if let Command::CloseGrant { grant, charged } = &command {
+                note!(
+                    self.setup.log, events::LEDGER_GRANT_CLOSED,
+                    "grant" => *grant, "charged" => *charged
+                );
+            }
+            self.propose_unheard(command);
+        }
+    }
+
+    /// Proposes without anybody waiting: if it is lost, the next watch proposes it again.
+    fn propose_unheard(&mut self, command: Command) {
+        let (tx, _) = oneshot::channel();
+        self.enqueue(command, tx);
+    }
+}
--- /dev/null
+++ b/crates/anvilreel/src/ledger_service/signs.rs
@@ -0,0 +1,135 @@
+//! Signs of life, as the leader keeps them in memory.
+//!
+//! Failure: a process dies or is cut off without a word; work goes on being sent to it, and its
+//! grants stay open. The leader declares it gone after a set time without a sign of life. A new
+//! leader has heard nobody yet, so it counts the time from its election; nobody is declared gone
+//! because the leader changed.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use anvil_ledger::machine::Machine;
+use anvil_wire::msg::{Heartbeat, InForce};
+use anvil_world::command::{Join, SetPresence};
+use anvil_world::prelude::*;
+
+/// The last sign of life of one instance.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Sign {
+    at: Duration,
+    incarnation: Incarnation,
+    version: LogIndex,
+}
+
+/// What a leader has heard since it was elected.
+#[derive(Debug, Clone, Default)]
+pub struct Signs {
+    since: Duration,
+    signs: BTreeMap<InstanceId, Sign>,
+}
+
+/// What is to be done about a heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Greeting {
+    /// Nothing; it is held to be this.
+    Known(Presence),
+    /// Propose this first.
+    Propose(Command),
+}
+
+impl Signs {
+    /// Starts anew after an election.
+    pub fn elected(now: Duration) -> Self {
+        Self {
+            since: now,
+            ..Self::default()
+        }
+    }
+
+    /// Takes a heartbeat.
+    pub fn hear(&mut self, now: Duration, heartbeat: &Heartbeat, machine: &Machine) -> Greeting {
+        let instance = &heartbeat.instance;
+        let Some(member) = machine.state.members().get(&instance.id) else {
+            return Greeting::Propose(join(instance));
+        };
+        let known = member.instance.incarnation;
+        if instance.incarnation < known {
+            return Greeting::Known(Presence::Gone);
+        }
+        if instance.incarnation > known {
+            return Greeting::Propose(join(instance));
+        }
+        if member.presence == Presence::Gone {
+            return Greeting::Known(Presence::Gone);
+        }
+        self.take(now, heartbeat);
+        if member.instance != *instance {
+            return Greeting::Propose(join(instance));
+        }
+        if heartbeat.leaving && member.presence == Presence::Live {
+            return Greeting::Propose(presence(member, Presence::Leaving));
+        }
+        Greeting::Known(member.presence)
+    }
+
+    fn take(&mut self, now: Duration, heartbeat: &Heartbeat) {
+        let instance = &heartbeat.instance;
+        let sign = Sign {
+            at: now,
+            incarnation: instance.incarnation,
+            version: heartbeat.version,
+        };
+        self.signs.insert(instance.id.clone(), sign);
+    }
+
+    /// Instances that have been silent for too long.
+    pub fn silent(&self, now: Duration, limit: Duration, machine: &Machine) -> Vec<Command> {
+        let members = machine.state.members().values();
+        let watched = members.filter(|m| m.presence != Presence::Gone);
+        let silent = watched.filter(|m| now >= self.heard(m) + limit);
+        silent.map(|m| presence(m, Presence::Gone)).collect()
+    }
+
+    fn heard(&self, member: &Member) -> Duration {
+        let sign = self.sign_of(member);
+        sign.map_or(self.since, |sign| sign.at.max(self.since))
+    }
+
+    fn sign_of(&self, member: &Member) -> Option<&Sign> {
+        let sign = self.signs.get(&member.instance.id);
+        sign.filter(|sign| sign.incarnation == member.instance.incarnation)
+    }
+
+    /// How far a version has spread.
+    pub fn in_force(&self, version: LogIndex, now: Duration, machine: &Machine) -> InForce {
+        let mut spread = InForce::default();
+        let members = machine.state.members().values();
+        for member in members.filter(|m| m.presence != Presence::Gone) {
+            let id = member.instance.id.clone();
+            match self.sign_of(member) {
+                Some(sign) if sign.version >= version => {
+                    spread.there.insert(id);
+                }
+                _ => {
+                    let silence = now.saturating_sub(self.heard(member));
+                    spread.missing.insert(id, silence);
+                }
+            }
+        }
+        spread
+    }
+}
+
+fn join(instance: &Instance) -> Command {
+    Command::Join(Join {
+        instance: instance.clone(),
+    })
+}
+
+fn presence(member: &Member, presence: Presence) -> Command {
+    Command::SetPresence(SetPresence {
+        id: member.instance.id.clone(),
+        incarnation: member.instance.incarnation,
+        presence,
+    })
+}
--- /dev/null
+++ b/crates/anvilreel/src/ledger_service/testimony.rs
@@ -0,0 +1,125 @@
+//! Evidence about fenced routers' grants, as the leader collects it.
+//!
+//! Failure: a router dies with open grants, and the unspent rest is missed by the others. It goes
+//! back only by evidence: every sidecar life that may have charged the grant has said, after the
+//! fence was in force there, what it charged. A new leader starts without evidence; the sidecars
+//! send theirs again until the closing is committed.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use anvil_ledger::machine::Machine;
+use anvil_wire::msg::{Evidence, Heartbeat};
+use anvil_world::prelude::*;
+
+use crate::money::Closing;
+
+/// A life of a sidecar.
+type SidecarLife = (InstanceId, Incarnation);
+/// A fenced router, up to this life.
+type Fenced = (InstanceId, Incarnation);
+
+/// A fenced grant that a lost sidecar may have charged.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeldGrant {
+    /// The grant.
+    pub grant: GrantId,
+    /// A sidecar whose life was lost.
+    pub lost: InstanceId,
+}
+
+/// What can be done about fenced grants now.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Findings {
+    /// Closings to propose.
+    pub close: Vec<Command>,
+    /// Grants that only an operator can give up; each is named once.
+    pub held: Vec<HeldGrant>,
+}
+
+/// The evidence that has come since the election.
+#[derive(Debug, Clone, Default)]
+pub struct Testimony {
+    by_router: BTreeMap<Fenced, BTreeMap<SidecarLife, Evidence>>,
+    named: BTreeSet<GrantId>,
+}
+
+impl Testimony {
+    /// Takes a sidecar's evidence; returns what it need not send again: routers whose fenced
+    /// grants are all closed by committed entries.
+    pub fn hear(&mut self, heartbeat: &Heartbeat, machine: &Machine) -> Vec<Fenced> {
+        let sidecar = &heartbeat.instance;
+        let mut taken = Vec::new();
+        for evidence in &heartbeat.evidence {
+            let fenced = (evidence.router.clone(), evidence.incarnation);
+            if !has_fenced_grants(machine, &fenced) {
+                taken.push(fenced);
+                continue;
+            }
+            let lives = self.by_router.entry(fenced).or_default();
+            let life = (sidecar.id.clone(), sidecar.incarnation);
+            lives.insert(life, evidence.clone());
+        }
+        taken
+    }
+
+    /// Looks which fenced grants can be closed.
+    pub fn examine(&mut self, machine: &Machine) -> Findings {
+        let mut findings = Findings::default();
+        let fenced: Vec<&Grant> = machine.state.fenced_grants().collect();
+        self.forget(&fenced, machine);
+        for grant in fenced {
+            self.examine_grant(grant, machine, &mut findings);
+        }
+        findings
+    }
+
+    fn examine_grant(&mut self, grant: &Grant, machine: &Machine, findings: &mut Findings) {
+        if let Some(lost) = machine.lives.may_have_charged(grant.id).next() {
+            if self.named.insert(grant.id) {
+                findings.held.push(HeldGrant {
+                    grant: grant.id,
+                    lost: lost.clone(),
+                });
+            }
+            return;
+        }
+        if let Some(charged) = self.closing(&grant.router, machine).charged(grant.id) {
+            findings.close.push(Command::CloseGrant {
+                grant: grant.id,
+                // The router's own reports may say more: a sidecar forgets what was reported.
+                charged: charged.max(grant.settled),
+            });
+        }
+    }
+
+    fn closing(&self, router: &InstanceId, machine: &Machine) -> Closing {
+        let mut closing = Closing::new(living_sidecars(machine));
+        let upto = machine.state.fenced().get(router).copied();
+        let fenced = (router.clone(), upto.unwrap_or_default());
+        let evidence = self.by_router.get(&fenced);
+        for (life, evidence) in evidence.into_iter().flatten() {
+            closing.take(life, evidence);
+        }
+        closing
+    }
+
+    fn forget(&mut self, fenced: &[&Grant], machine: &Machine) {
+        let open: BTreeSet<GrantId> = fenced.iter().map(|grant| grant.id).collect();
+        self.named.retain(|grant| open.contains(grant));
+        self.by_router
+            .retain(|fenced, _| has_fenced_grants(machine, fenced));
+    }
+}
+
+fn has_fenced_grants(machine: &Machine, (router, upto): &Fenced) -> bool {
+    let mut grants = machine.state.grants_of(router);
+    grants.any(|grant| grant.state == GrantState::Fenced && grant.incarnation <= *upto)
+}
+
+/// Lives that can still answer. Those that can't are in [`anvil_ledger::lives`].
+fn living_sidecars(machine: &Machine) -> impl Iterator<Item = SidecarLife> {
+    let members = machine.state.members().values();
+    let sidecars = members.filter(|m| m.instance.role == Role::Sidecar);
+    let living = sidecars.filter(|m| m.presence != Presence::Gone);
+    living.map(|m| (m.instance.id.clone(), m.instance.incarnation))
+}
--- /dev/null
+++ b/crates/anvilreel/tests/ledger_service.rs
@@ -0,0 +1,345 @@
+//! Replicas over real TCP and real folders.
+
+use std::net::{SocketAddr, TcpListener};
+use std::time::{Duration, SystemTime};
+
+use anvil_ledger::core::Payload;
+use anvil_ledger::storage::Disk;
+use anvil_ledger::storage::recover::recover;
+use anvil_ledger::storage::store::read_identity;
+use anvil_wire::Channel;
+use anvil_wire::msg::{
+    FollowEvent, Heartbeat, Interest, LedgerCall, LedgerReply, LedgerRequest, Query, QueryAnswer,
+};
+use anvil_world::command::{Change, Edit, TopUp, change_id};
+use anvil_world::prelude::*;
+use anvil_world::settings::{LedgerSettings, Peer};
+use anvilreel::ledger_service::{LedgerHandle, Tuning, start};
+use slog::{Discard, Drain, Logger, o};
+use tempfile::TempDir;
+use tokio::sync::oneshot;
+use tokio::time::{sleep, timeout};
+
+type Failure = Box<dyn std::error::Error + Send + Sync>;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn free_addr() -> std::io::Result<SocketAddr> {
+    TcpListener::bind(("127.0.0.1", 0))?.local_addr()
+}
+
+struct Running {
+    stop: oneshot::Sender<()>,
+    handle: LedgerHandle,
+}
+
+struct Cluster {
+    folder: TempDir,
+    peers: Vec<Peer>,
+    running: Vec<Option<Running>>,
+}
+
+impl Cluster {
+    async fn start(size: usize) -> Result<Self, Failure> {
+        let mut peers = Vec::new();
+        for number in 0..size {
+            let id = format!("ledger-{number}").into();
+            let addr = free_addr()?;
+            peers.push(Peer { id, addr });
+        }
+        let mut cluster = Self {
+            folder: tempfile::tempdir()?,
+            running: (0..size).map(|_| None).collect(),
+            peers,
+        };
+        for number in 0..size {
+            cluster.run(number).await?;
+        }
+        Ok(cluster)
+    }
+
+    fn settings(&self, number: usize) -> LedgerSettings {
+        LedgerSettings {
+            id: self.peers[number].id.clone(),
+            zone: Zone::default(),
+            wire_listen: self.peers[number].addr,
+            data: self.folder.path().join(number.to_string()),
+            founders: self.peers.clone(),
+            join: false,
+            log_json: false,
+            statsd: None,
+        }
+    }
+
+    async fn run(&mut self, number: usize) -> Result<(), Failure> {
+        let (stop, stopped) = oneshot::channel();
+        let log = if std::env::var_os("LEDGER_LOG").is_some() {
+            let plain = slog_term::PlainSyncDecorator::new(std::io::stderr());
+            let drain = slog_term::FullFormat::new(plain).build().fuse();
+            Logger::root(drain, o!("number" => number))
+        } else {
+            Logger::root(Discard, o!())
+        };
+        let stopped = async {
+            let _ = stopped.await;
+        };
+        let tuning = Tuning {
+            gone_after: Duration::from_secs(2),
+            snapshot_every: 200,
+            ..Tuning::default()
+        };
+        let handle = start(self.settings(number), tuning, log, stopped).await?;
+        self.running[number] = Some(Running { stop, handle });
+        Ok(())
+    }
+
+    async fn stop(&mut self, number: usize) {
+        if let Some(running) = self.running[number].take() {
+            let _ = running.stop.send(());
+            running.handle.stopped().await;
+        }
+    }
+
+    async fn stop_all(&mut self) {
+        for number in 0..self.peers.len() {
+            self.stop(number).await;
+        }
+    }
+
+    async fn ask(&self, req: &LedgerRequest) -> Result<LedgerReply, Failure> {
+        let asking = async {
+            loop {
+                for peer in &self.peers {
+                    let channel = Channel::new(peer.addr);
+                    let within = Duration::from_secs(2);
+                    let reply = channel.call::<LedgerCall>(req, within).await;
+                    match reply {
+                        Ok(
+                            LedgerReply::NotLeader { .. }
+                            | LedgerReply::NoQuorum
+                            | LedgerReply::InDoubt
+                            | LedgerReply::Stopped,
+                        )
+                        | Err(_) => {}
+                        Ok(reply) => return reply,
+                    }
+                }
+                sleep(Duration::from_millis(50)).await;
+            }
+        };
+        Ok(timeout(PATIENCE, asking).await?)
+    }
+
+    async fn propose(&self, command: Command) -> Result<Answer, Failure> {
+        match self.ask(&LedgerRequest::Propose(command)).await? {
+            LedgerReply::Applied { answer, .. } => Ok(answer),
+            other => Err(format!("{other:?}").into()),
+        }
+    }
+
+    async fn budget(&self, id: &str) -> Result<Budget, Failure> {
+        let query = LedgerRequest::Query(Query::Budget(id.into()));
+        match self.ask(&query).await? {
+            LedgerReply::Read(QueryAnswer::Budgets(budgets)) => {
+                let budget = budgets.into_iter().next().ok_or("no budget")?;
+                Ok(budget.budget)
+            }
+            other => Err(format!("{other:?}").into()),
+        }
+    }
+}
+
+fn put(path: &str, text: &str) -> Result<Command, Failure> {
+    Ok(Command::Change(Change {
+        id: change_id(SystemTime::now(), path),
+        operator: "test".into(),
+        path: TreePath::try_from(path)?,
+        expected: 0,
+        edit: Edit::Put(text.into()),
+        at: SystemTime::UNIX_EPOCH,
+    }))
+}
+
+fn top_up(number: u64) -> Command {
+    Command::TopUp(TopUp {
+        id: change_id(SystemTime::now(), &format!("top-up-{number}")),
+        operator: "test".into(),
+        budget: "nairobi".into(),
+        amount: 10,
+        at: SystemTime::UNIX_EPOCH,
+    })
+}
+
+async fn declare(cluster: &Cluster) -> Result<(), Failure> {
+    let organisation = put("organisations/coop", "weight = 1\n")?;
+    cluster.propose(organisation).await?;
+    let budget = put("budgets/nairobi", "organisation = \"coop\"\n")?;
+    let answer = cluster.propose(budget).await?;
+    assert!(matches!(answer, Answer::Changed(_)), "{answer:?}");
+    Ok(())
+}
+
+async fn survives_restart(size: usize) -> Result<(), Failure> {
+    let mut cluster = Cluster::start(size).await?;
+    declare(&cluster).await?;
+    for number in 0..1_000 {
+        cluster.propose(top_up(number)).await?;
+    }
+    cluster.stop_all().await;
+    for number in 0..size {
+        cluster.run(number).await?;
+    }
+    assert_eq!(cluster.budget("nairobi").await?.credited, 10_000);
+    cluster.stop_all().await;
+    Ok(())
+}
+
+/// An operator makes 1,000 top-ups; the only replica is stopped and started again. The budget
+/// shows every token, because each top-up was on disk before it was answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_replica_restarts_after_1000_changes() -> Result<(), Failure> {
+    survives_restart(1).await
+}
+
+/// As above with three replicas that all stop: the log and the snapshots of any two are enough.
+#[tokio::test(flavor = "multi_thread")]
+async fn three_replicas_restart_after_1000_changes() -> Result<(), Failure> {
+    survives_restart(3).await
+}
+
+/// A replica loses its disk and comes back empty; right after it has been taken in again, another
+/// one is lost. Operators still read every token: the new disk counts only since it caught up.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_disk_then_a_second_loss() -> Result<(), Failure> {
+    let mut cluster = Cluster::start(3).await?;
+    declare(&cluster).await?;
+    for number in 0..500 {
+        cluster.propose(top_up(number)).await?;
+    }
+    cluster.stop(0).await;
+    std::fs::remove_dir_all(cluster.folder.path().join("0"))?;
+    cluster.run(0).await?;
+    let repaired = async {
+        while !votes_again(&cluster, 0) {
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(PATIENCE, repaired).await?;
+    cluster.stop(1).await;
+    assert_eq!(cluster.budget("nairobi").await?.credited, 5_000);
+    cluster.propose(top_up(500)).await?;
+    assert_eq!(cluster.budget("nairobi").await?.credited, 5_010);
+    cluster.stop_all().await;
+    Ok(())
+}
+
+/// Whether the newest membership on a replica's disk names that very disk as a voter.
+fn votes_again(cluster: &Cluster, number: usize) -> bool {
+    let folder = cluster.folder.path().join(number.to_string());
+    let disk = Disk::read_only(&folder);
+    let (Ok(Some(id)), Ok(found)) = (read_identity(&disk), recover(&disk)) else {
+        return false;
+    };
+    let snapshot = found.snapshot.map(|snapshot| snapshot.meta.membership);
+    let changes = found
+        .entries
+        .into_iter()
+        .filter_map(|entry| match entry.payload {
+            Payload::Membership(membership) => Some(membership),
+            _ => None,
+        });
+    let newest = changes.last().or(snapshot);
+    newest.is_some_and(|membership| membership.voters.contains_key(&id))
+}
+
+/// A router follows any replica: all documents first, then each change, in order of versions. A
+/// sidecar is sent the fleet's document, itself and the fences only.
+#[tokio::test(flavor = "multi_thread")]
+async fn followers_get_all_then_changes() -> Result<(), Failure> {
+    let mut cluster = Cluster::start(3).await?;
+    declare(&cluster).await?;
+    for peer in &cluster.peers {
+        let channel = Channel::new(peer.addr);
+        let follow = LedgerRequest::Follow {
+            instance: "router-1".into(),
+            interest: Interest::Router,
+            version: 0,
+        };
+        let mut replies = channel.open::<LedgerCall>(&follow).await?;
+        let first = timeout(PATIENCE, replies.next()).await??;
+        let Some(LedgerReply::Follow(FollowEvent::Full { version, tree, .. })) = first else {
+            return Err(format!("{first:?}").into());
+        };
+        assert!(tree.contains_key(&TreePath::try_from("budgets/nairobi")?));
+        let path = format!("models/at-{}", peer.id);
+        cluster
+            .propose(put("services/chat", "").or_else(|_| put("fleet", ""))?)
+            .await?;
+        cluster.propose(put(&path, "service = \"chat\"\n")?).await?;
+        let path = TreePath::try_from(path.as_str())?;
+        let changed = async {
+            loop {
+                match replies.next().await? {
+                    Some(LedgerReply::Follow(FollowEvent::Delta {
+                        version: newer,
+                        tree,
+                        ..
+                    })) if tree.iter().any(|(changed, _)| *changed == path) => {
+                        assert!(newer > version);
+                        return Ok::<(), Failure>(());
+                    }
+                    Some(LedgerReply::Follow(FollowEvent::Full { .. })) | None => {
+                        return Err("no delta".into());
+                    }
+                    Some(_) => {}
+                }
+            }
+        };
+        timeout(PATIENCE, changed).await??;
+    }
+    cluster.stop_all().await;
+    Ok(())
+}
+
+/// A router gives signs of life, then falls silent. It is joined at its first one, and declared
+/// gone and fenced after the configured time, so that its grants can come back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_router_is_gone_and_fenced() -> Result<(), Failure> {
+    let mut cluster = Cluster::start(1).await?;
+    let instance = Instance {
+        id: "router-1".into(),
+        incarnation: 7,
+        role: Role::Router,
+        zone: Zone::default(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        endpoint: None,
+    };
+    let heartbeat = LedgerRequest::Heartbeat(Heartbeat {
+        instance,
+        version: 0,
+        evidence: Vec::new(),
+        leaving: false,
+    });
+    let LedgerReply::Alive(alive) = cluster.ask(&heartbeat).await? else {
+        return Err("no sign of life taken".into());
+    };
+    assert_eq!(alive.presence, Presence::Live);
+    let gone = async {
+        loop {
+            let members = LedgerRequest::Query(Query::Members);
+            if let LedgerReply::Read(QueryAnswer::Members(members)) = cluster.ask(&members).await?
+                && members.values().all(|m| m.presence == Presence::Gone)
+            {
+                return Ok::<(), Failure>(());
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+    };
+    timeout(PATIENCE, gone).await??;
+    let LedgerReply::Alive(late) = cluster.ask(&heartbeat).await? else {
+        return Err("no answer to a late sign of life".into());
+    };
+    assert_eq!(late.presence, Presence::Gone);
+    cluster.stop_all().await;
+    Ok(())
+}
