--- a/crates/anvilreel/src/events.rs
+++ b/crates/anvilreel/src/events.rs
@@ -1,1 +1,91 @@
-//! Numbered log events and the loggers.
+//! Numbered log events. docs/EVENTS.md says what each one means and what to do.
+//!
+//! Numbers: router 1000s, sidecar 2000s, ledger 3000s, operator and local 4000s, money, claims
+//! and runs 5000s. A number is never used again for something else.
+
+use slog::Level;
+
+/// One kind of log line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Event {
+    /// Its number in the catalogue.
+    pub number: u16,
+    /// Its name in the catalogue, and the message of the log line.
+    pub name: &'static str,
+    /// How urgent it is.
+    pub level: Level,
+}
+
+/// Logs a numbered event: `event!(log, events::ROUTER_READY, "version" => version)`.
+#[macro_export]
+macro_rules! event {
+    ($log:expr, $event:path $(, $key:literal => $value:expr)* $(,)?) => {
+        slog::log!(
+            $log, $event.level, $event.name, "{}", $event.name;
+            "event" => $event.number $(, $key => $value)*
+        )
+    };
+}
+
+macro_rules! catalogue {
+    ($($(#[$doc:meta])* $name:ident = $number:literal $level:ident $text:literal;)*) => {
+        $(
+            $(#[$doc])*
+            pub const $name: Event = Event {
+                number: $number,
+                name: $text,
+                level: Level::$level,
+            };
+        )*
+
+        /// Every event, in the order of numbers.
+        pub const ALL: &[Event] = &[$($name),*];
+    };
+}
+
+catalogue! {
+    /// The router listens.
+    ROUTER_LISTENING = 1001 Info "router_listening";
+    /// The router has the tree and takes callers.
+    ROUTER_READY = 1002 Info "router_ready";
+    /// No replica of the ledger is being followed.
+    ROUTER_OUT_OF_TOUCH = 1003 Warning "router_out_of_touch";
+    /// A replica of the ledger is followed again.
+    ROUTER_IN_TOUCH = 1004 Info "router_in_touch";
+    /// Newer settings are in force.
+    ROUTER_SETTINGS_IN_FORCE = 1005 Info "router_settings_in_force";
+    /// A document of the tree can't be read by this build.
+    ROUTER_DOCUMENT_SKIPPED = 1006 Error "router_document_skipped";
+    /// The router is stopping as planned.
+    ROUTER_LEAVING = 1007 Info "router_leaving";
+    /// The router has stopped with all requests finished.
+    ROUTER_STOPPED = 1008 Info "router_stopped";
+    /// A frame of another key or offset came; it was not delivered.
+    ROUTER_FRAME_MISFIT = 1009 Critical "router_frame_misfit";
+    /// An endpoint was lost in mid-answer.
+    ROUTER_ENDPOINT_LOST = 1010 Warning "router_endpoint_lost";
+    /// The ledger fenced this life of the router.
+    ROUTER_FENCED = 1011 Critical "router_fenced";
+    /// The outcome of a non-idempotent request is in doubt.
+    ROUTER_OUTCOME_UNKNOWN = 1012 Error "router_outcome_unknown";
+    /// A charge was refused by the purse: an invariant is broken.
+    ROUTER_SETTLEMENT_REFUSED = 1013 Critical "router_settlement_refused";
+    /// The sidecar listens.
+    SIDECAR_LISTENING = 2001 Info "sidecar_listening";
+    /// The endpoint gets no new work any more.
+    SIDECAR_LEAVING = 2002 Info "sidecar_leaving";
+    /// The engine broke off in mid-answer.
+    SIDECAR_ENGINE_BROKEN = 2003 Warning "sidecar_engine_broken";
+    /// A fenced router was refused.
+    SIDECAR_FENCED_ROUTER = 2004 Warning "sidecar_fenced_router";
+    /// An order with an old fencing number was refused.
+    SIDECAR_STALE_ORDER = 2005 Warning "sidecar_stale_order";
+    /// The newest fencing number was learned from the ledger.
+    SIDECAR_NUMBER_LEARNED = 2006 Info "sidecar_number_learned";
+    /// No replica of the ledger is being followed.
+    SIDECAR_OUT_OF_TOUCH = 2007 Warning "sidecar_out_of_touch";
+    /// The sidecar has stopped with all runs finished.
+    SIDECAR_STOPPED = 2008 Info "sidecar_stopped";
+    /// All roles of the quick start run.
+    LOCAL_READY = 4001 Info "local_ready";
+}
--- a/crates/anvilreel/src/lib.rs
+++ b/crates/anvilreel/src/lib.rs
@@ -3,14 +3,22 @@
 //! Decisions are state machines without I/O ([`money`], [`claims`], [`runs`], [`request`]); the
 //! shells ([`router`], [`sidecar`], [`ledger_service`], [`operator`]) feed them from sockets and
 //! clocks; [`local`] runs all of them in one process.
+//!
+//! Shared by the shells: [`ledger_client`] asks the ledger, [`held`] keeps what it spreads,
+//! [`events`] numbers what is logged and [`metrics`] names what is measured.
 
 pub mod claims;
 pub mod events;
+pub mod held;
+pub mod ledger_client;
 pub mod ledger_service;
+pub mod life;
 pub mod local;
+pub mod logs;
 pub mod metrics;
 pub mod money;
 pub mod operator;
+pub mod peers;
 pub mod request;
 pub mod router;
 pub mod runs;
--- /dev/null
+++ b/crates/anvilreel/src/logs.rs
@@ -0,0 +1,34 @@
+//! Where log lines go: a terminal or JSON, never on the path of a request.
+
+use slog::{Drain, Logger, o};
+use slog_async::{Async, OverflowStrategy};
+
+/// Lines that may wait to be written before further ones are dropped and counted.
+const WAITING_LINES: usize = 4_096;
+
+/// A logger on standard error, as JSON or as terminal text.
+pub fn logger(json: bool) -> Logger {
+    if json {
+        let drain = slog_json::Json::default(std::io::stderr()).fuse();
+        return behind_a_channel(drain);
+    }
+    let decorator = slog_term::TermDecorator::new().stderr().build();
+    behind_a_channel(slog_term::FullFormat::new(decorator).build().fuse())
+}
+
+/// A logger that writes nothing, for tests.
+pub fn silent() -> Logger {
+    Logger::root(slog::Discard, o!())
+}
+
+fn behind_a_channel<D>(drain: D) -> Logger
+where
+    D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
+{
+    let drain = Async::new(drain)
+        .chan_size(WAITING_LINES)
+        .overflow_strategy(OverflowStrategy::DropAndReport)
+        .build()
+        .fuse();
+    Logger::root(drain, o!())
+}
--- a/crates/anvilreel/src/metrics.rs
+++ b/crates/anvilreel/src/metrics.rs
@@ -1,1 +1,96 @@
-//! Names and units of all metrics.
+//! What is measured, by cadence over UDP in the statsd form. docs/METRICS.md lists names and units.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::time::Duration;
+
+use cadence::{Counted, Gauged, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink};
+use snafu::{ResultExt, Snafu};
+
+/// Requests that were answered whole. Count.
+pub const REQUESTS_COMPLETED: &str = "requests.completed";
+/// Requests that were refused as not run. Count.
+pub const REQUESTS_REFUSED: &str = "requests.refused";
+/// Requests that ended in doubt. Count.
+pub const REQUESTS_UNKNOWN: &str = "requests.unknown";
+/// Callers that left before the end. Count.
+pub const CALLERS_LEFT: &str = "callers.left";
+/// Time from a request's arrival to its first output. Milliseconds.
+pub const FIRST_OUTPUT: &str = "request.first_output";
+/// Requests under way. Gauge.
+pub const REQUESTS_OPEN: &str = "requests.open";
+/// Newest settings in force. Gauge, a log position.
+pub const SETTINGS_VERSION: &str = "settings.version";
+/// Runs under way at a sidecar. Gauge.
+pub const RUNS_OPEN: &str = "runs.open";
+/// Runs that were refused at a sidecar. Count.
+pub const RUNS_REFUSED: &str = "runs.refused";
+
+/// Every name with its unit, for the test that holds code and docs/METRICS.md together.
+pub const ALL: &[(&str, &str)] = &[
+    (REQUESTS_COMPLETED, "count"),
+    (REQUESTS_REFUSED, "count"),
+    (REQUESTS_UNKNOWN, "count"),
+    (CALLERS_LEFT, "count"),
+    (FIRST_OUTPUT, "milliseconds"),
+    (REQUESTS_OPEN, "gauge"),
+    (SETTINGS_VERSION, "gauge"),
+    (RUNS_OPEN, "gauge"),
+    (RUNS_REFUSED, "count"),
+];
+
+/// Metrics that can't be sent.
+#[derive(Debug, Snafu)]
+pub enum MetricsError {
+    /// No socket to send from.
+    #[snafu(display("no UDP socket for metrics: {source}"))]
+    Socket {
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The address is not accepted.
+    #[snafu(display("metrics can't go to {addr}: {source}"))]
+    Sink {
+        /// Where to.
+        addr: SocketAddr,
+        /// Why.
+        source: cadence::MetricError,
+    },
+}
+
+/// Counts, times and gauges of one process. Cheap to clone.
+#[derive(Clone)]
+pub struct Metrics {
+    client: Arc<StatsdClient>,
+}
+
+impl Metrics {
+    /// Sends to this address under `anvilreel.ROLE.`; nowhere without one.
+    pub fn new(role: &str, statsd: Option<SocketAddr>) -> Result<Self, MetricsError> {
+        let prefix = format!("anvilreel.{role}");
+        let Some(addr) = statsd else {
+            let client = StatsdClient::from_sink(&prefix, NopMetricSink);
+            return Ok(Self { client: Arc::new(client) });
+        };
+        let socket = UdpSocket::bind(("0.0.0.0", 0)).context(SocketSnafu)?;
+        socket.set_nonblocking(true).context(SocketSnafu)?;
+        let sink = UdpMetricSink::from(addr, socket).context(SinkSnafu { addr })?;
+        let client = StatsdClient::from_sink(&prefix, QueuingMetricSink::from(sink));
+        Ok(Self { client: Arc::new(client) })
+    }
+
+    /// One more of these. A lost metric is no failure of the request it counts.
+    pub fn count(&self, name: &str) {
+        let _ = self.client.count(name, 1);
+    }
+
+    /// How long something took.
+    pub fn time(&self, name: &str, took: Duration) {
+        let _ = self.client.time(name, took);
+    }
+
+    /// How much of something there is.
+    pub fn gauge(&self, name: &str, value: u64) {
+        let _ = self.client.gauge(name, value);
+    }
+}
--- /dev/null
+++ b/crates/anvilreel/src/router/job.rs
@@ -0,0 +1,108 @@
+//! One caller's request after it was checked, and the pieces of its answer.
+
+use std::time::Duration;
+
+use anvil_wire::msg::{Head, Work};
+use anvil_world::document::WorkClass;
+use anvil_world::prelude::*;
+use bytes::Bytes;
+use tokio::time::Instant;
+
+/// A checked request.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// What names it across retries and routers.
+    pub key: RequestKey,
+    /// Whether the caller chose the key, so that it may come again.
+    pub callers_key: bool,
+    /// Hash of the body and of what else makes the request.
+    pub body: BodyHash,
+    /// What to do.
+    pub work: Work,
+    /// Whether it may run at most once, ever.
+    pub once: bool,
+    /// How it waits.
+    pub class: WorkClass,
+    /// Who is served fairly.
+    pub organisation: OrganisationId,
+    /// Who pays.
+    pub split: Split,
+    /// What the work costs.
+    pub price: Price,
+    /// The most that it can cost, in tokens.
+    pub bound: Tokens,
+    /// The service whose endpoints can run it.
+    pub service: ServiceId,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// When it must have ended.
+    pub deadline: Instant,
+    /// How long it may wait for its turn or for money.
+    pub patience: Duration,
+    /// How long its answer is kept for a retry.
+    pub keep: Duration,
+}
+
+impl Job {
+    /// The model, for a chat.
+    pub fn model(&self) -> Option<&ModelId> {
+        match &self.work {
+            Work::Chat { model, .. } => Some(model),
+            Work::Plain { .. } => None,
+        }
+    }
+
+    /// Time left until its deadline.
+    pub fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+/// A part of an answer, in the order in which a caller gets it.
+#[derive(Debug)]
+pub enum Piece {
+    /// Status and headers of a plain service.
+    Head(Head),
+    /// More output.
+    Bytes(Bytes),
+    /// The answer is whole and its charge is held in two processes.
+    End {
+        /// Why the engine stopped.
+        finish: std::sync::Arc<str>,
+        /// Measured use.
+        usage: Usage,
+    },
+    /// It did not run.
+    Refused(Refusal),
+    /// It may have run.
+    Doubt(Doubt),
+}
+
+impl Job {
+    /// A request of a team, with everything that its kind of work does not decide.
+    pub fn new(view: &super::view::View, team: &super::view::Team, timeout: Duration) -> Self {
+        let arrived = Instant::now();
+        Self {
+            key: RequestKey { team: team.id.clone(), id: "".into() },
+            callers_key: false,
+            body: BodyHash::default(),
+            work: Work::Plain {
+                method: "".into(),
+                tail: "".into(),
+                headers: Vec::new(),
+                body: Bytes::new(),
+            },
+            once: false,
+            class: team.document.class,
+            organisation: team.document.organisation.clone(),
+            split: team.document.split.clone(),
+            price: Price::default(),
+            bound: 0,
+            service: "".into(),
+            arrived,
+            deadline: arrived + timeout,
+            patience: view.fleet.queue_timeout,
+            keep: view.fleet.keep_answers,
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvilreel/src/router/refuse.rs
@@ -0,0 +1,188 @@
+//! Refusals and failures as callers see them.
+
+use std::time::Duration;
+
+use anvil_world::prelude::*;
+use http::{HeaderValue, StatusCode, header};
+use serde::Serialize;
+use viz::{Body, Response};
+
+/// What stands under `error` in the JSON of an answer that is not the wanted one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct ErrorBody {
+    /// Kind, for programs.
+    pub r#type: &'static str,
+    /// The same for people.
+    pub message: String,
+    /// `not_run`, `completed` or `unknown`.
+    pub outcome: &'static str,
+    /// Whether this request was charged; nothing where that is in doubt.
+    pub billed: Option<bool>,
+    /// When a retry may succeed, in milliseconds; nothing where a retry can't help.
+    pub retry_after_ms: Option<u64>,
+}
+
+#[derive(Serialize)]
+struct Envelope<'a> {
+    error: &'a ErrorBody,
+}
+
+impl ErrorBody {
+    /// Its JSON: `{"error": ...}`.
+    pub fn to_json(&self) -> String {
+        let written = serde_json::to_string(&Envelope { error: self });
+        written.unwrap_or_else(|_| unreachable!("text and numbers are always JSON"))
+    }
+}
+
+/// The status and body that tell a caller of a refusal.
+pub fn refusal_body(refusal: &Refusal) -> (StatusCode, ErrorBody) {
+    let (status, kind, message) = describe(&refusal.reason);
+    let body = ErrorBody {
+        r#type: kind,
+        message,
+        outcome: "not_run",
+        billed: Some(false),
+        retry_after_ms: refusal.retry_after.map(millis),
+    };
+    (status, body)
+}
+
+/// The status and body that tell a caller of an outcome in doubt.
+pub fn doubt_body(doubt: Doubt) -> (StatusCode, ErrorBody) {
+    let message = match doubt {
+        Doubt::EndpointLost => "the endpoint was lost after the request had left for it",
+        Doubt::SidecarLost => "the process that holds the run can't be reached",
+        Doubt::AnswerDropped => "the answer is no longer kept",
+    };
+    let body = ErrorBody {
+        r#type: "outcome_unknown",
+        message: format!("{message}; it may have run and is never run again"),
+        outcome: "unknown",
+        billed: None,
+        retry_after_ms: None,
+    };
+    (StatusCode::BAD_GATEWAY, body)
+}
+
+/// A refusal as an HTTP answer.
+pub fn refuse(refusal: &Refusal) -> Response {
+    let (status, body) = refusal_body(refusal);
+    answer(status, &body)
+}
+
+/// An outcome in doubt as an HTTP answer.
+pub fn in_doubt(doubt: Doubt) -> Response {
+    let (status, body) = doubt_body(doubt);
+    answer(status, &body)
+}
+
+fn answer(status: StatusCode, body: &ErrorBody) -> Response {
+    let mut answer = Response::new(Body::from(body.to_json()));
+    *answer.status_mut() = status;
+    let json = HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(header::CONTENT_TYPE, json);
+    if let Some(after) = body.retry_after_ms {
+        // The header counts whole seconds; rounding up never calls a caller back too early.
+        let seconds = HeaderValue::from(after.div_ceil(1_000));
+        answer.headers_mut().insert(header::RETRY_AFTER, seconds);
+    }
+    answer
+}
+
+fn millis(after: Duration) -> u64 {
+    u64::try_from(after.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn describe(reason: &Reason) -> (StatusCode, &'static str, String) {
+    match reason {
+        Reason::BudgetExhausted(budget) => (
+            StatusCode::PAYMENT_REQUIRED,
+            "budget_exhausted",
+            format!("budget {budget} has too little left for this request"),
+        ),
+        Reason::NoEndpoint(service) => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no_endpoint",
+            format!("no endpoint of {service} takes work now"),
+        ),
+        Reason::Malformed(what) => (StatusCode::BAD_REQUEST, "malformed", malformed(what)),
+        Reason::TooLarge(limit) => (
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "too_large",
+            format!("the body is over {limit} bytes"),
+        ),
+        other => {
+            let (status, kind, message) = describe_plain(other);
+            (status, kind, message.into())
+        }
+    }
+}
+
+fn describe_plain(reason: &Reason) -> (StatusCode, &'static str, &'static str) {
+    match reason {
+        Reason::LedgerUnreachable => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "ledger_unreachable",
+            "this router's share of the budget is used and the ledger can't be asked for more",
+        ),
+        Reason::SettingsStale => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "settings_stale",
+            "this router has been out of touch for too long",
+        ),
+        Reason::Overloaded => (
+            StatusCode::TOO_MANY_REQUESTS,
+            "overloaded",
+            "too much is waiting already",
+        ),
+        Reason::DeadlineTooClose => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "deadline_too_close",
+            "it could not finish before its deadline",
+        ),
+        Reason::Leaving => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "leaving",
+            "this instance is leaving",
+        ),
+        Reason::KeyReused(_) => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "key_reused",
+            "this Idempotency-Key came with another body before",
+        ),
+        Reason::Unauthorized => (
+            StatusCode::UNAUTHORIZED,
+            "unauthorized",
+            "missing or wrong bearer key",
+        ),
+        Reason::NotAllowed => (
+            StatusCode::FORBIDDEN,
+            "not_allowed",
+            "the team may not use this model or service",
+        ),
+        Reason::UnknownModel => (StatusCode::NOT_FOUND, "unknown_model", "no such model"),
+        Reason::Cancelled => (
+            StatusCode::BAD_REQUEST,
+            "cancelled",
+            "the caller left before it began",
+        ),
+        _ => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "endpoint_refused",
+            "the endpoint did not run it",
+        ),
+    }
+}
+
+fn malformed(what: &Malformed) -> String {
+    match what {
+        Malformed::Json { line, column } => {
+            format!("the body is not JSON: stopped at line {line}, column {column}")
+        }
+        Malformed::Field(name) => format!("field {name} is missing or has the wrong type"),
+        Malformed::IdempotencyKey => {
+            "Idempotency-Key must be 1 to 255 printable ASCII characters".into()
+        }
+    }
+}
