--- a/crates/anvilreel/src/router/job.rs
+++ b/crates/anvilreel/src/router/job.rs
@@ -106,3 +106,19 @@
         }
     }
 }
+
+/// Bytes that a prompt token takes on average; only for estimates, never for money.
+const USUAL_TOKEN_BYTES: u64 = 4;
+
+impl Job {
+    /// Prompt tokens and output limit, as estimates of time need them.
+    pub fn expected(&self) -> (Tokens, Tokens) {
+        match &self.work {
+            Work::Chat { body, max_output, .. } => {
+                let bytes = u64::try_from(body.len()).unwrap_or(u64::MAX);
+                (bytes / USUAL_TOKEN_BYTES, *max_output)
+            }
+            Work::Plain { .. } => (0, 0),
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvilreel/src/sidecar/load.rs
@@ -0,0 +1,80 @@
+//! The endpoint's load: its own lagging report, asked for now and then, for routers that watch.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvil_wire::msg::EndpointLoad;
+use anvil_world::prelude::*;
+use anvil_world::settings::EndpointSettings;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use serde::Deserialize;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+use super::http::EndpointClient;
+
+/// Time between two looks at the engine's report.
+const EVERY: Duration = Duration::from_millis(250);
+/// Longest wait for a report.
+const PATIENCE: Duration = Duration::from_secs(1);
+
+/// What an engine reports at `GET /load`.
+#[derive(Debug, Default, Deserialize)]
+struct Report {
+    #[serde(default)]
+    queued: u32,
+    #[serde(default)]
+    slots: u32,
+    #[serde(default)]
+    tokens_per_second: f64,
+    #[serde(default)]
+    models: BTreeSet<ModelId>,
+}
+
+/// The newest load, shared with all who watch.
+pub type Loads = watch::Sender<EndpointLoad>;
+
+/// The load before any report.
+pub fn first_load(endpoint: &EndpointSettings) -> EndpointLoad {
+    EndpointLoad {
+        slots: endpoint.slots,
+        models: endpoint.models.clone(),
+        ..EndpointLoad::default()
+    }
+}
+
+/// Asks the engine for its report, for as long as the process lives.
+pub async fn poll(client: EndpointClient, loads: Arc<Loads>) {
+    loop {
+        if let Some(report) = ask(&client).await {
+            loads.send_if_modified(|load| take(load, report));
+        }
+        sleep(EVERY).await;
+    }
+}
+
+async fn ask(client: &EndpointClient) -> Option<Report> {
+    let answer = client.send("GET", "/load", &[], Bytes::new());
+    let answer = timeout(PATIENCE, answer).await.ok()?.ok()?;
+    let body = timeout(PATIENCE, answer.into_body().collect()).await.ok()?.ok()?;
+    serde_json::from_slice(&body.to_bytes()).ok()
+}
+
+fn take(load: &mut EndpointLoad, report: Report) -> bool {
+    let before = load.clone();
+    load.queued = report.queued;
+    if report.slots > 0 {
+        load.slots = report.slots;
+    }
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a cast from a float saturates"
+    )]
+    let tokens_per_second = report.tokens_per_second as u32;
+    load.tokens_per_second = tokens_per_second;
+    load.models = report.models;
+    *load != before
+}
