--- a/crates/anvilreel/src/held.rs
+++ b/crates/anvilreel/src/held.rs
@@ -26,14 +26,29 @@
     /// accepted configuration never reverts here.
     pub fn apply(&mut self, event: FollowEvent) -> bool {
         match event {
-            FollowEvent::Full { version, tree, members, fenced } => {
+            FollowEvent::Full {
+                version,
+                tree,
+                members,
+                fenced,
+            } => {
                 if version <= self.version {
                     return false;
                 }
-                *self = Self { version, tree, members, fenced };
+                *self = Self {
+                    version,
+                    tree,
+                    members,
+                    fenced,
+                };
                 true
             }
-            FollowEvent::Delta { version, tree, members, fenced } => {
+            FollowEvent::Delta {
+                version,
+                tree,
+                members,
+                fenced,
+            } => {
                 if version <= self.version {
                     return false;
                 }
@@ -49,7 +64,9 @@
 
     /// Whether this life of a router is fenced.
     pub fn is_fenced(&self, router: &InstanceId, incarnation: Incarnation) -> bool {
-        self.fenced.get(router).is_some_and(|newest| incarnation <= *newest)
+        self.fenced
+            .get(router)
+            .is_some_and(|newest| incarnation <= *newest)
     }
 }
 
--- a/crates/anvilreel/src/ledger_client.rs
+++ b/crates/anvilreel/src/ledger_client.rs
@@ -4,7 +4,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use anvil_wire::msg::{Heartbeat, HeartbeatReply, Interest, LedgerCall, LedgerReply, LedgerRequest};
+use anvil_wire::msg::{
+    Heartbeat, HeartbeatReply, Interest, LedgerCall, LedgerReply, LedgerRequest,
+};
 use anvil_wire::msg::{Query, QueryAnswer};
 use anvil_wire::{Channel, Replies, WireError};
 use anvil_world::prelude::*;
@@ -70,7 +72,10 @@
         heartbeat: Heartbeat,
         within: Duration,
     ) -> Result<HeartbeatReply, LedgerError> {
-        match self.ask(&LedgerRequest::Heartbeat(heartbeat), within).await? {
+        match self
+            .ask(&LedgerRequest::Heartbeat(heartbeat), within)
+            .await?
+        {
             LedgerReply::Alive(reply) => Ok(reply),
             _ => Err(LedgerError::WrongKind),
         }
@@ -85,15 +90,15 @@
         version: LogIndex,
     ) -> Result<Replies<LedgerReply>, WireError> {
         let channel = &self.replicas[replica % self.replicas.len()];
-        let ask = LedgerRequest::Follow { instance, interest, version };
+        let ask = LedgerRequest::Follow {
+            instance,
+            interest,
+            version,
+        };
         channel.open::<LedgerCall>(&ask).await
     }
 
-    async fn ask(
-        &self,
-        ask: &LedgerRequest,
-        within: Duration,
-    ) -> Result<LedgerReply, LedgerError> {
+    async fn ask(&self, ask: &LedgerRequest, within: Duration) -> Result<LedgerReply, LedgerError> {
         let deadline = Instant::now() + within;
         let mut doubt = false;
         let mut at = self.last.load(Ordering::Relaxed);
@@ -102,7 +107,11 @@
             let number = at % self.replicas.len();
             let left = deadline.saturating_duration_since(Instant::now());
             if left.is_zero() {
-                return Err(if doubt { LedgerError::InDoubt } else { LedgerError::Unreachable });
+                return Err(if doubt {
+                    LedgerError::InDoubt
+                } else {
+                    LedgerError::Unreachable
+                });
             }
             let replica = &self.replicas[number];
             at = number + 1;
@@ -126,6 +135,8 @@
     }
 
     fn number_of(&self, addr: SocketAddr) -> Option<usize> {
-        self.replicas.iter().position(|replica| replica.addr() == addr)
+        self.replicas
+            .iter()
+            .position(|replica| replica.addr() == addr)
     }
 }
--- a/crates/anvilreel/src/metrics.rs
+++ b/crates/anvilreel/src/metrics.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cadence::{Counted, Gauged, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink};
+use cadence::{
+    Counted, Gauged, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink,
+};
 use snafu::{ResultExt, Snafu};
 
 /// Requests that were answered whole. Count.
@@ -70,13 +72,17 @@
         let prefix = format!("anvilreel.{role}");
         let Some(addr) = statsd else {
             let client = StatsdClient::from_sink(&prefix, NopMetricSink);
-            return Ok(Self { client: Arc::new(client) });
+            return Ok(Self {
+                client: Arc::new(client),
+            });
         };
         let socket = UdpSocket::bind(("0.0.0.0", 0)).context(SocketSnafu)?;
         socket.set_nonblocking(true).context(SocketSnafu)?;
         let sink = UdpMetricSink::from(addr, socket).context(SinkSnafu { addr })?;
         let client = StatsdClient::from_sink(&prefix, QueuingMetricSink::from(sink));
-        Ok(Self { client: Arc::new(client) })
+        Ok(Self {
+            client: Arc::new(client),
+        })
     }
 
     /// One more of these. A lost metric is no failure of the request it counts.
--- a/crates/anvilreel/src/router.rs
+++ b/crates/anvilreel/src/router.rs
@@ -1,1 +1,287 @@
-//! A router as a process.
+//! A router as a process: callers' HTTP on one side, sidecars, routers and the ledger on the other.
+//!
+//! Read on: [`Router`], then `front` (what callers may ask), `chat_call` and `plain_call` (how it
+//! becomes a checked job), `flow` (a job's life), `relay` (its answer), `claims` (who runs a
+//! key), `lane` and `places` (where work goes), `follow` and `view` (settings in force).
+
+mod accept;
+mod chat;
+mod chat_call;
+mod claims;
+mod flow;
+mod follow;
+mod front;
+mod job;
+mod lane;
+mod money_loop;
+mod places;
+mod plain_call;
+mod refuse;
+mod relay;
+mod shape;
+mod view;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use anvil_wire::msg::RouterCall;
+use anvil_wire::{Handlers, Server, WireError};
+use anvil_world::prelude::*;
+use anvil_world::settings::RouterSettings;
+use slog::Logger;
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+use crate::event;
+use crate::events;
+use crate::ledger_client::LedgerClient;
+use crate::life::Life;
+use crate::metrics::{Metrics, REQUESTS_OPEN};
+use crate::money::{GrantPolicy, Purse};
+use crate::peers::Peers;
+use claims::KeptClaims;
+use follow::{Follower, Following};
+use places::Places;
+
+pub use refuse::ErrorBody;
+
+/// When to come back where another router or endpoint may take the work.
+const SOON: Duration = Duration::from_secs(1);
+/// Time between two looks at the queues and at what is kept.
+const TICK: Duration = Duration::from_millis(100);
+/// How long a planned stop waits between readiness going off and connections being closed, so
+/// that the balancer sees it first.
+const UNREADY_FIRST: Duration = Duration::from_millis(300);
+/// How long a planned stop tries to give its grants back.
+const GIVE_BACK: Duration = Duration::from_secs(5);
+
+/// A router that can't start.
+#[derive(Debug, Snafu)]
+pub enum RouterError {
+    /// The callers' address can't be listened on.
+    #[snafu(display("can't listen on {addr}: {source}"))]
+    Listen {
+        /// Where.
+        addr: SocketAddr,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The fleet's address can't be listened on.
+    #[snafu(display("{source}"))]
+    Wire {
+        /// Why.
+        source: WireError,
+    },
+}
+
+/// What all parts of a router share.
+pub(crate) struct Core {
+    instance: Instance,
+    life: Life,
+    log: Logger,
+    metrics: Metrics,
+    ledger: Arc<LedgerClient>,
+    peers: Arc<Peers>,
+    following: Arc<Following>,
+    places: Places,
+    purse: Purse,
+    money_wanted: Notify,
+    kept: KeptClaims,
+    made_ids: AtomicU64,
+    open: AtomicUsize,
+}
+
+/// A running router.
+pub struct Router {
+    core: Arc<Core>,
+    addr: SocketAddr,
+    wire_addr: SocketAddr,
+    serving: JoinHandle<()>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Router {
+    /// Listens, joins the fleet and serves callers as soon as it has the settings tree.
+    pub async fn start(
+        settings: &RouterSettings,
+        log: Logger,
+        metrics: Metrics,
+    ) -> Result<Self, RouterError> {
+        let addr = settings.listen;
+        let listener = TcpListener::bind(addr)
+            .await
+            .context(ListenSnafu { addr })?;
+        let addr = listener.local_addr().context(ListenSnafu { addr })?;
+        let server = Server::bind(settings.wire_listen)
+            .await
+            .context(WireSnafu)?;
+        let wire_addr = server.addr().context(WireSnafu)?;
+        let core = Arc::new(Core::new(settings, wire_addr, log, metrics));
+        event!(core.log, events::ROUTER_LISTENING, "addr" => addr.to_string());
+        let serving = accept::serve(listener, front::routes(&core), core.life.clone());
+        let serving = tokio::spawn(serving);
+        let tasks = spawn_tasks(&core, server);
+        Ok(Self {
+            core,
+            addr,
+            wire_addr,
+            serving,
+            tasks,
+        })
+    }
+
+    /// Where callers connect.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Where the fleet's processes connect.
+    pub fn wire_addr(&self) -> SocketAddr {
+        self.wire_addr
+    }
+
+    /// Whether it would answer `/readyz` with 200.
+    pub fn is_ready(&self) -> bool {
+        self.core.following.serves() && !self.core.life.is_leaving()
+    }
+
+    /// The planned stop: readiness off, no new work, streams finish, grants go back, claims are
+    /// handed over.
+    pub async fn stop(self) {
+        let core = &self.core;
+        event!(core.log, events::ROUTER_LEAVING);
+        core.life.leave();
+        sleep(UNREADY_FIRST).await;
+        // An error is a panic of the serving task, after which nothing is left to wait for.
+        let _ = self.serving.await;
+        while core.open.load(Ordering::Relaxed) > 0 {
+            sleep(TICK).await;
+        }
+        claims::hand_over(core).await;
+        money_loop::give_back(core, GIVE_BACK).await;
+        event!(core.log, events::ROUTER_STOPPED);
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+
+    /// Stops at once, as a crash does.
+    pub fn kill(self) {
+        self.serving.abort();
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+fn spawn_tasks(core: &Arc<Core>, server: Server) -> Vec<JoinHandle<()>> {
+    let answering = core.clone();
+    let handlers = Handlers::default().with::<RouterCall, _, _>(move |req, tx| {
+        let reply = claims::answer(&answering, req);
+        async move {
+            // Whoever asked is gone and asks again.
+            let _ = tx.finish(&reply).await;
+        }
+    });
+    let changed = core.clone();
+    let follower = Arc::new(Follower {
+        following: core.following.clone(),
+        ledger: core.ledger.clone(),
+        instance: core.instance.clone(),
+        log: core.log.clone(),
+        metrics: core.metrics.clone(),
+        changed: Box::new(move |held, view| changed.take_in(held, view)),
+    });
+    let (beating, ticking, paying) = (follower.clone(), core.clone(), core.clone());
+    let life = core.life.clone();
+    vec![
+        tokio::spawn(server.serve(handlers, std::future::pending())),
+        tokio::spawn(async move { follower.follow().await }),
+        tokio::spawn(async move { beating.beat(&life).await }),
+        tokio::spawn(async move { ticking.tick().await }),
+        tokio::spawn(async move { money_loop::run(&paying).await }),
+    ]
+}
+
+/// Counts a request as open until it is dropped.
+pub(crate) struct Open(Arc<Core>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Core {
+    fn new(
+        settings: &RouterSettings,
+        wire_addr: SocketAddr,
+        log: Logger,
+        metrics: Metrics,
+    ) -> Self {
+        let life = Life::begin();
+        let instance = Instance {
+            id: settings.id.clone(),
+            incarnation: life.incarnation,
+            role: Role::Router,
+            zone: settings.zone.clone(),
+            addr: wire_addr,
+            endpoint: None,
+        };
+        let peers = Arc::new(Peers::default());
+        let policy = GrantPolicy::default();
+        Self {
+            places: Places::new(instance.clone(), life.clone(), peers.clone()),
+            purse: Purse::new(instance.id.clone(), life.incarnation, policy),
+            following: Arc::new(Following::new(life.clone())),
+            ledger: Arc::new(LedgerClient::new(&settings.ledgers)),
+            instance,
+            life,
+            log,
+            metrics,
+            peers,
+            money_wanted: Notify::new(),
+            kept: KeptClaims::default(),
+            made_ids: AtomicU64::new(0),
+            open: AtomicUsize::new(0),
+        }
+    }
+
+    /// An id for a request that came without one: unique in the fleet, and over restarts.
+    fn next_id(&self) -> Arc<str> {
+        let number = self.made_ids.fetch_add(1, Ordering::Relaxed);
+        format!(
+            "{}-{:x}-{number:x}",
+            self.instance.id, self.life.incarnation
+        )
+        .into()
+    }
+
+    fn enter(self: &Arc<Self>) -> Open {
+        self.open.fetch_add(1, Ordering::Relaxed);
+        Open(self.clone())
+    }
+
+    fn take_in(&self, held: &crate::held::Held, view: &view::View) {
+        if held.is_fenced(&self.instance.id, self.instance.incarnation) {
+            event!(self.log, events::ROUTER_FENCED);
+            self.purse.fence();
+        }
+        self.places.update(view);
+    }
+
+    async fn tick(&self) {
+        loop {
+            sleep(TICK).await;
+            self.places.tick();
+            self.kept.sweep(self.life.now());
+            let open = self.open.load(Ordering::Relaxed);
+            self.metrics.gauge(REQUESTS_OPEN, open as u64);
+        }
+    }
+}
--- a/crates/anvilreel/src/router/chat_call.rs
+++ b/crates/anvilreel/src/router/chat_call.rs
@@ -74,7 +74,11 @@
         key,
         callers_key,
         body: Sha256::digest(&body).into(),
-        work: Work::Chat { model: chat.model.clone(), body, max_output },
+        work: Work::Chat {
+            model: chat.model.clone(),
+            body,
+            max_output,
+        },
         once: false,
         price: model.price,
         bound,
@@ -91,22 +95,28 @@
         Some(piece) => event_of(&mut shape, piece),
         None => return refuse::in_doubt(Doubt::EndpointLost),
     };
-    let events = unfold((shape, pieces, first), |(mut shape, mut pieces, waiting)| async {
-        if let Some(event) = waiting {
-            return Some((Ok::<_, std::io::Error>(event), (shape, pieces, None)));
-        }
-        loop {
-            // The end of the pieces is the end of the stream: after `End` it is whole, and after
-            // anything else the end mark is missing.
-            let piece = pieces.recv().await?;
-            if let Some(event) = event_of(&mut shape, piece) {
-                return Some((Ok(event), (shape, pieces, None)));
+    let events = unfold(
+        (shape, pieces, first),
+        |(mut shape, mut pieces, waiting)| async {
+            if let Some(event) = waiting {
+                return Some((Ok::<_, std::io::Error>(event), (shape, pieces, None)));
             }
-        }
-    });
+            loop {
+                // The end of the pieces is the end of the stream: after `End` it is whole, and after
+                // anything else the end mark is missing.
+                let piece = pieces.recv().await?;
+                if let Some(event) = event_of(&mut shape, piece) {
+                    return Some((Ok(event), (shape, pieces, None)));
+                }
+            }
+        },
+    );
     let mut answer = Response::new(Body::from_stream(events));
     let headers = answer.headers_mut();
-    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("text/event-stream"),
+    );
     headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
     answer
 }
--- a/crates/anvilreel/src/router/follow.rs
+++ b/crates/anvilreel/src/router/follow.rs
@@ -92,7 +92,9 @@
         // Routers start at different replicas, so that no replica spreads to all of them.
         let mut replica = usize::try_from(self.instance.incarnation % 7).unwrap_or(0);
         loop {
-            let heard = self.follow_one(replica, &mut held, &mut maker, &mut in_touch).await;
+            let heard = self
+                .follow_one(replica, &mut held, &mut maker, &mut in_touch)
+                .await;
             if !heard && in_touch {
                 event!(self.log, events::ROUTER_OUT_OF_TOUCH);
                 in_touch = false;
@@ -111,7 +113,9 @@
         in_touch: &mut bool,
     ) -> bool {
         let id = self.instance.id.clone();
-        let opening = self.ledger.follow(replica, id, Interest::Router, held.version);
+        let opening = self
+            .ledger
+            .follow(replica, id, Interest::Router, held.version);
         let Ok(Ok(mut replies)) = timeout(SILENCE, opening).await else {
             return false;
         };
--- a/crates/anvilreel/src/router/front.rs
+++ b/crates/anvilreel/src/router/front.rs
@@ -7,10 +7,11 @@
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 use http_body_util::BodyExt;
 use serde_json::json;
-use viz::{Body, Request, Response};
+use viz::{Request, Response};
 
+use super::refuse::{self, full};
 use super::view::{Team, View};
-use super::{Core, chat_call, plain_call, refuse};
+use super::{Core, chat_call, plain_call};
 
 /// Most bytes of an `Idempotency-Key`.
 const MAX_KEY: usize = 255;
@@ -34,7 +35,11 @@
 fn on<F, Fut>(
     core: &Arc<Core>,
     f: F,
-) -> impl Fn(Request) -> futures::future::BoxFuture<'static, viz::Result<Response>> + Clone + Send + Sync + 'static
+) -> impl Fn(Request) -> futures::future::BoxFuture<'static, viz::Result<Response>>
++ Clone
++ Send
++ Sync
++ 'static
 where
     F: Fn(Arc<Core>, Request) -> Fut + Clone + Send + Sync + 'static,
     Fut: Future<Output = Result<Response, Refusal>> + Send + 'static,
@@ -62,7 +67,7 @@
     } else {
         "ready"
     };
-    let mut answer = Response::new(Body::from(format!("{why}\n")));
+    let mut answer = Response::new(full(format!("{why}\n")));
     if why != "ready" {
         *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
     }
@@ -72,7 +77,10 @@
 async fn models(core: Arc<Core>, req: Request) -> Result<Response, Refusal> {
     let view = core.following.view.load();
     let team = authenticate(&view, req.headers())?;
-    let allowed = view.models.keys().filter(|id| team.document.allows_model(id));
+    let allowed = view
+        .models
+        .keys()
+        .filter(|id| team.document.allows_model(id));
     let list: Vec<_> = allowed
         .map(|id| json!({"id": id, "object": "model", "created": 0, "owned_by": "anvilreel"}))
         .collect();
@@ -82,7 +90,7 @@
 
 /// An answer in JSON.
 pub fn json_answer(body: Bytes) -> Response {
-    let mut answer = Response::new(Body::from(body));
+    let mut answer = Response::new(full(body));
     let json = HeaderValue::from_static("application/json");
     answer.headers_mut().insert(header::CONTENT_TYPE, json);
     answer
@@ -120,7 +128,10 @@
         Some(given) => checked_key(given)?,
         None => core.next_id(),
     };
-    let key = RequestKey { team: team.id.clone(), id };
+    let key = RequestKey {
+        team: team.id.clone(),
+        id,
+    };
     Ok((key, given.is_some()))
 }
 
--- a/crates/anvilreel/src/router/job.rs
+++ b/crates/anvilreel/src/router/job.rs
@@ -83,7 +83,10 @@
     pub fn new(view: &super::view::View, team: &super::view::Team, timeout: Duration) -> Self {
         let arrived = Instant::now();
         Self {
-            key: RequestKey { team: team.id.clone(), id: "".into() },
+            key: RequestKey {
+                team: team.id.clone(),
+                id: "".into(),
+            },
             callers_key: false,
             body: BodyHash::default(),
             work: Work::Plain {
@@ -114,7 +117,9 @@
     /// Prompt tokens and output limit, as estimates of time need them.
     pub fn expected(&self) -> (Tokens, Tokens) {
         match &self.work {
-            Work::Chat { body, max_output, .. } => {
+            Work::Chat {
+                body, max_output, ..
+            } => {
                 let bytes = u64::try_from(body.len()).unwrap_or(u64::MAX);
                 (bytes / USUAL_TOKEN_BYTES, *max_output)
             }
--- a/crates/anvilreel/src/router/lane.rs
+++ b/crates/anvilreel/src/router/lane.rs
@@ -49,6 +49,13 @@
     }
 }
 
+impl Turn {
+    /// Learns from a request that ran to its end.
+    pub fn learn(&self, finished: &Finished) {
+        self.lane.door().estimate.learn(finished);
+    }
+}
+
 impl Lane {
     /// A lane with no endpoint yet.
     pub fn new(chooser: Chooser, seed: u64) -> Self {
@@ -58,7 +65,11 @@
             estimate: Estimate::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         };
-        Self { pool: ArcSwap::default(), chooser, door: Mutex::new(door) }
+        Self {
+            pool: ArcSwap::default(),
+            chooser,
+            door: Mutex::new(door),
+        }
     }
 
     /// Takes in a new set of endpoints.
@@ -103,7 +114,11 @@
                 Choice::Endpoint(endpoint) => {
                     endpoint.start();
                     let (lane, life) = (self.clone(), life.clone());
-                    return Ok(Turn { lane, endpoint, life });
+                    return Ok(Turn {
+                        lane,
+                        endpoint,
+                        life,
+                    });
                 }
                 Choice::Nowhere => {
                     self.door().gate.finished();
@@ -114,11 +129,6 @@
         }
     }
 
-    /// Learns from a request that ran to its end.
-    pub fn learn(&self, finished: &Finished) {
-        self.door().estimate.learn(finished);
-    }
-
     fn ticket(&self, now: Now, job: &Job, weight: u32) -> Ticket {
         let (prompt, output) = job.expected();
         Ticket {
@@ -132,7 +142,11 @@
     }
 
     fn choose(&self, job: &Job, avoid: &[InstanceId]) -> Choice {
-        let ask = Ask { prompt: job.expected().0, cached: &[], avoid };
+        let ask = Ask {
+            prompt: job.expected().0,
+            cached: &[],
+            avoid,
+        };
         let pool = self.pool.load();
         let mut door = self.door();
         self.chooser.choose(&pool, &ask, &mut door.rng)
@@ -151,8 +165,14 @@
     async fn wait(self: &Arc<Self>, id: WaiterId) -> Told {
         let (tx, rx) = oneshot::channel();
         self.door().waiters.insert(id, tx);
-        let mut leave = LeaveQueue { lane: self, id, told: false };
-        let told = rx.await.unwrap_or_else(|_| Err(Refusal::new(Reason::Cancelled)));
+        let mut leave = LeaveQueue {
+            lane: self,
+            id,
+            told: false,
+        };
+        let told = rx
+            .await
+            .unwrap_or_else(|_| Err(Refusal::new(Reason::Cancelled)));
         leave.told = true;
         told
     }
--- a/crates/anvilreel/src/router/places.rs
+++ b/crates/anvilreel/src/router/places.rs
@@ -86,7 +86,9 @@
         for (key, instances) in &wanted {
             let endpoints = instances.iter().filter_map(|i| states.get(&i.id)).cloned();
             let pool = Pool::new(endpoints.collect());
-            let lane = lanes.entry(key.clone()).or_insert_with(|| self.new_lane(key));
+            let lane = lanes
+                .entry(key.clone())
+                .or_insert_with(|| self.new_lane(key));
             lane.set_pool(self.life.now(), pool);
         }
         self.lanes.store(Arc::new(lanes));
@@ -103,7 +105,10 @@
     fn new_lane(&self, (service, model): &PoolKey) -> Arc<Lane> {
         let chooser = Chooser::default().with_zone(self.router.zone.clone());
         let name = format!("{}/{service}/{model:?}", self.router.id);
-        Arc::new(Lane::new(chooser, xxh3_64(name.as_bytes()) ^ self.router.incarnation))
+        Arc::new(Lane::new(
+            chooser,
+            xxh3_64(name.as_bytes()) ^ self.router.incarnation,
+        ))
     }
 
     /// The watched endpoints of each pool.
@@ -152,11 +157,17 @@
                 places.insert(id.clone(), self.watch(instance));
             }
         }
-        places.iter().map(|(id, place)| (id.clone(), place.state.clone())).collect()
+        places
+            .iter()
+            .map(|(id, place)| (id.clone(), place.state.clone()))
+            .collect()
     }
 
     fn watch(&self, instance: &Arc<Instance>) -> Place {
-        let slots = instance.endpoint.as_ref().map_or(1, |endpoint| endpoint.slots);
+        let slots = instance
+            .endpoint
+            .as_ref()
+            .map_or(1, |endpoint| endpoint.slots);
         let state = EndpointState::new(instance.id.clone(), instance.zone.clone(), slots);
         let state = Arc::new(state);
         let channel = self.peers.to(instance.addr);
@@ -171,7 +182,11 @@
                 sleep(WATCH_AGAIN).await;
             }
         });
-        Place { instance: instance.clone(), state, watch }
+        Place {
+            instance: instance.clone(),
+            state,
+            watch,
+        }
     }
 }
 
--- a/crates/anvilreel/src/router/plain_call.rs
+++ b/crates/anvilreel/src/router/plain_call.rs
@@ -42,8 +42,14 @@
     check_open(&core)?;
     let view = core.following.view.load_full();
     let team = authenticate(&view, req.headers())?;
-    let rest = req.uri().path_and_query().map_or("", |whole| whole.as_str());
-    let rest = rest.strip_prefix("/services/").unwrap_or_default().to_owned();
+    let rest = req
+        .uri()
+        .path_and_query()
+        .map_or("", |whole| whole.as_str());
+    let rest = rest
+        .strip_prefix("/services/")
+        .unwrap_or_default()
+        .to_owned();
     let split_at = rest.find(['/', '?']).unwrap_or(rest.len());
     let (name, tail) = rest.split_at(split_at);
     let (service, document) = service_of(&view, &team, name)?;
@@ -55,7 +61,12 @@
         headers: passed_on(req.headers()),
         body,
     };
-    let job = call.into_job(&view, &team, (service, &document), (key.clone(), callers_key));
+    let job = call.into_job(
+        &view,
+        &team,
+        (service, &document),
+        (key.clone(), callers_key),
+    );
     let mut answer = relay(flow::start(core, job)).await;
     name_answer(&mut answer, &key);
     Ok(answer)
@@ -92,7 +103,10 @@
         (service, document): (ServiceId, &ServiceDocument),
         (key, callers_key): (RequestKey, bool),
     ) -> Job {
-        let usage = Usage { calls: 1, ..Usage::default() };
+        let usage = Usage {
+            calls: 1,
+            ..Usage::default()
+        };
         let timeout = document.timeout.unwrap_or(view.fleet.request_timeout);
         Job {
             key,
@@ -128,7 +142,12 @@
     headers
         .iter()
         .filter(|(name, _)| !NOT_PASSED_ON.contains(&name.as_str()))
-        .map(|(name, value)| (name.as_str().into(), Bytes::copy_from_slice(value.as_bytes())))
+        .map(|(name, value)| {
+            (
+                name.as_str().into(),
+                Bytes::copy_from_slice(value.as_bytes()),
+            )
+        })
         .collect()
 }
 
--- a/crates/anvilreel/src/router/refuse.rs
+++ b/crates/anvilreel/src/router/refuse.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use anvil_world::prelude::*;
+use bytes::Bytes;
 use http::{HeaderValue, StatusCode, header};
+use http_body_util::Full;
 use serde::Serialize;
 use viz::{Body, Response};
 
@@ -78,7 +80,7 @@
 }
 
 fn answer(status: StatusCode, body: &ErrorBody) -> Response {
-    let mut answer = Response::new(Body::from(body.to_json()));
+    let mut answer = Response::new(full(body.to_json()));
     *answer.status_mut() = status;
     let json = HeaderValue::from_static("application/json");
     answer.headers_mut().insert(header::CONTENT_TYPE, json);
@@ -186,3 +188,8 @@
         }
     }
 }
+
+/// A body in one piece.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Body::Full(Full::new(bytes.into()))
+}
--- a/crates/anvilreel/src/router/shape.rs
+++ b/crates/anvilreel/src/router/shape.rs
@@ -48,7 +48,10 @@
             json!({"role": "assistant", "content": text})
         };
         self.said_role = true;
-        Some(self.chunk(&json!([{"index": 0, "delta": delta, "finish_reason": null}]), None))
+        Some(self.chunk(
+            &json!([{"index": 0, "delta": delta, "finish_reason": null}]),
+            None,
+        ))
     }
 
     /// The events that end a whole answer; usage is in the last one before the end mark.
--- a/crates/anvilreel/src/router/view.rs
+++ b/crates/anvilreel/src/router/view.rs
@@ -72,7 +72,10 @@
     /// The view of what is held, and the documents that were left at their last readable text.
     pub fn make(&mut self, held: &Held) -> (View, Vec<Skipped>) {
         let skipped = self.read_changed(held);
-        let mut view = View { version: held.version, ..View::default() };
+        let mut view = View {
+            version: held.version,
+            ..View::default()
+        };
         for (path, (_, document)) in &self.read {
             view.take_document(path, document);
         }
@@ -94,7 +97,10 @@
                 Ok(document) => {
                     self.read.insert(path.clone(), (entry.revision, document));
                 }
-                Err(error) => skipped.push(Skipped { path: path.clone(), error }),
+                Err(error) => skipped.push(Skipped {
+                    path: path.clone(),
+                    error,
+                }),
             }
         }
         skipped
@@ -112,7 +118,8 @@
                 self.services.insert(id.clone(), Arc::new(service.clone()));
             }
             (TreePath::Organisation(id), Document::Organisation(organisation)) => {
-                self.organisations.insert(id.clone(), Arc::new(organisation.clone()));
+                self.organisations
+                    .insert(id.clone(), Arc::new(organisation.clone()));
             }
             (TreePath::Team(id), Document::Team(document)) => self.take_team(id, document),
             _ => {}
@@ -120,7 +127,10 @@
     }
 
     fn take_team(&mut self, id: &TeamId, document: &TeamDocument) {
-        let team = Arc::new(Team { id: id.clone(), document: document.clone() });
+        let team = Arc::new(Team {
+            id: id.clone(),
+            document: document.clone(),
+        });
         for key in &document.keys {
             self.teams_by_key.insert(key.clone(), team.clone());
         }
--- a/crates/anvilreel/src/sidecar/engine.rs
+++ b/crates/anvilreel/src/sidecar/engine.rs
@@ -55,7 +55,10 @@
 /// Starts a chat.
 pub async fn chat(client: &EndpointClient, ask: &Ask<'_>) -> Result<EngineStream, EndpointError> {
     let body = body_for(ask)?;
-    let headers = [("content-type".into(), Bytes::from_static(b"application/json"))];
+    let headers = [(
+        "content-type".into(),
+        Bytes::from_static(b"application/json"),
+    )];
     let answer = client.send("POST", CHAT, &headers, body).await?;
     stream_of(answer)
 }
--- a/crates/anvilreel/src/sidecar/load.rs
+++ b/crates/anvilreel/src/sidecar/load.rs
@@ -58,7 +58,10 @@
 async fn ask(client: &EndpointClient) -> Option<Report> {
     let answer = client.send("GET", "/load", &[], Bytes::new());
     let answer = timeout(PATIENCE, answer).await.ok()?.ok()?;
-    let body = timeout(PATIENCE, answer.into_body().collect()).await.ok()?.ok()?;
+    let body = timeout(PATIENCE, answer.into_body().collect())
+        .await
+        .ok()?
+        .ok()?;
     serde_json::from_slice(&body.to_bytes()).ok()
 }
 
--- /dev/null
+++ b/crates/anvilreel/src/sidecar/orders.rs
@@ -0,0 +1,85 @@
+//! Orders to the endpoint, and the fencing number that keeps old ones out.
+//!
+//! Failure: a control instance that was isolated for long comes back and sends an order that
+//! was replaced meanwhile; some engines ignore the number and obey. It would show as an engine
+//! that unloads a model it was told to keep. The sidecar keeps the highest number it has seen
+//! and refuses lower ones; after a restart it first learns the newest number from a majority of
+//! the ledger, so that forgetting lets nothing old pass.
+
+use anvil_wire::msg::{OrderResult, Query, QueryAnswer};
+use anvil_world::command::{FenceNumber, OrderKind};
+use bytes::Bytes;
+use serde::Serialize;
+use std::time::Duration;
+use tokio::sync::Mutex;
+
+use super::Core;
+use crate::event;
+use crate::events;
+
+/// Longest wait for the ledger's word on the newest number.
+const LEARN_WITHIN: Duration = Duration::from_secs(2);
+
+/// The highest number seen; `None` until it was learned in this life.
+pub type Highest = Mutex<Option<FenceNumber>>;
+
+#[derive(Serialize)]
+struct EngineOrder<'a> {
+    term: u64,
+    index: u64,
+    order: &'a OrderKind,
+}
+
+/// Carries an order out unless its number is old. One at a time, in the order of numbers.
+pub async fn carry_out(core: &Core, fence: FenceNumber, kind: OrderKind) -> OrderResult {
+    let mut highest = core.highest.lock().await;
+    let known = match *highest {
+        Some(known) => known,
+        None => match learn(core).await {
+            Some(learned) => learned,
+            None => return OrderResult::NumberUnknown,
+        },
+    };
+    if fence < known {
+        *highest = Some(known);
+        event!(core.log, events::SIDECAR_STALE_ORDER, "index" => fence.index);
+        return OrderResult::Stale(known);
+    }
+    // Kept before the endpoint sees the order: a failed one must not let an older one pass.
+    *highest = Some(fence);
+    pass_on(core, fence, &kind).await
+}
+
+async fn learn(core: &Core) -> Option<FenceNumber> {
+    let query = Query::Fencing(core.instance.id.clone());
+    let answer = core.ledger.query(query, LEARN_WITHIN).await.ok()?;
+    let QueryAnswer::Fencing(number) = answer else {
+        return None;
+    };
+    event!(core.log, events::SIDECAR_NUMBER_LEARNED, "index" => number.index);
+    Some(number)
+}
+
+async fn pass_on(core: &Core, fence: FenceNumber, kind: &OrderKind) -> OrderResult {
+    let order = EngineOrder {
+        term: fence.term,
+        index: fence.index,
+        order: kind,
+    };
+    let Ok(body) = serde_json::to_vec(&order) else {
+        return OrderResult::Failed;
+    };
+    let headers = [(
+        "content-type".into(),
+        Bytes::from_static(b"application/json"),
+    )];
+    match core
+        .client
+        .send("POST", "/orders", &headers, body.into())
+        .await
+    {
+        Ok(answer) if answer.status().is_success() => OrderResult::Done,
+        Ok(answer) if answer.status().as_u16() == 409 => OrderResult::Stale(fence),
+        _ => OrderResult::Failed,
+    }
+}
