A sidecar's runs: gate, output, readers, charges and evidence

Cause: one run a key, whole answers after a router died, and a bill that never exceeds its reservation need one place that decides without I/O. Wire: Payment.oldest (what sidecars may forget), Frame.tokens and Start.prefix_tokens (use of a continued answer), Doubt::Stopped.

--- a/crates/anvil_wire/src/msg/sidecar.rs
+++ b/crates/anvil_wire/src/msg/sidecar.rs
@@ -92,6 +92,8 @@
     pub offset: Offset,
     /// Output that was delivered before by another endpoint, which is to be continued.
     pub prefix: Bytes,
+    /// Tokens of the answer that the prefix holds.
+    pub prefix_tokens: Tokens,
 }
 
 /// Who pays for a run, and at most how much.
@@ -105,6 +107,8 @@
     pub split: Split,
     /// Which grant pays each budget's part, and the reserved tokens.
     pub grants: BTreeMap<BudgetId, (GrantId, Tokens)>,
+    /// The router's oldest open grant: what was charged under older ones is closed for good.
+    pub oldest: GrantId,
     /// Tokens for each unit of use.
     pub price: Price,
     /// The run is stopped before it costs more than this, in tokens.
@@ -157,6 +161,8 @@
     pub offset: Offset,
     /// The bytes.
     pub bytes: Bytes,
+    /// Tokens of the answer up to the end of this frame.
+    pub tokens: Tokens,
 }
 
 /// The end of a run.
@@ -176,6 +182,18 @@
     pub charged: BTreeMap<GrantId, Tokens>,
 }
 
+impl Default for Work {
+    /// Nothing to do: what is kept of a run whose body was dropped.
+    fn default() -> Self {
+        Self::Plain {
+            method: Arc::from(""),
+            tail: Arc::from(""),
+            headers: Vec::new(),
+            body: Bytes::new(),
+        }
+    }
+}
+
 /// What a sidecar knows of a key.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ProbeAnswer {
--- a/crates/anvil_world/src/outcome.rs
+++ b/crates/anvil_world/src/outcome.rs
@@ -27,7 +27,7 @@
     Unknown(Doubt),
 }
 
-/// Why a non-idempotent request is in doubt.
+/// Why a request has no whole answer although it may have run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Doubt {
@@ -37,6 +37,8 @@
     SidecarLost,
     /// The answer was larger than what is kept for a retry.
     AnswerDropped,
+    /// It was stopped before its end: the caller left or its deadline came.
+    Stopped,
 }
 
 /// A refusal that says "not run", and when to come back.
--- a/crates/anvilreel/src/money/exchange.rs
+++ b/crates/anvilreel/src/money/exchange.rs
@@ -71,6 +71,9 @@
         for grant in &answer.opened {
             self.take_in(&mut batches, grant)?;
         }
+        let oldest = batches.reported.first_key_value();
+        let oldest = oldest.map_or(0, |(id, _)| *id);
+        self.oldest.store(oldest, Ordering::Release);
         drop(batches);
         self.wake();
         Ok(())
--- a/crates/anvilreel/src/money/purse.rs
+++ b/crates/anvilreel/src/money/purse.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use anvil_wire::msg::Payment;
 use anvil_world::prelude::*;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use tokio::sync::Notify;
@@ -51,6 +52,8 @@
     pub(super) urgent: AtomicBool,
     pub(super) stopping: AtomicBool,
     pub(super) fenced: AtomicBool,
+    /// The oldest grant that the ledger has not confirmed as closed.
+    pub(super) oldest: AtomicU64,
     broken: ArcSwapOption<MoneyError>,
     changed: Notify,
 }
@@ -68,6 +71,7 @@
             urgent: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             fenced: AtomicBool::new(false),
+            oldest: AtomicU64::new(0),
             broken: ArcSwapOption::empty(),
             changed: Notify::new(),
         }
@@ -95,6 +99,19 @@
         })
     }
 
+    /// What a sidecar is told of who pays.
+    pub fn payment(&self, reservation: &Reservation, price: Price) -> Payment {
+        Payment {
+            router: self.router.clone(),
+            incarnation: self.incarnation,
+            split: reservation.split.clone(),
+            grants: reservation.grants(),
+            oldest: self.oldest.load(Ordering::Acquire),
+            price,
+            bound: reservation.bound,
+        }
+    }
+
     /// Charges what a request cost and frees the rest of its reservation.
     ///
     /// An error means a broken invariant; the purse has settled at the reservation and reserves
--- /dev/null
+++ b/crates/anvilreel/src/runs/run.rs
@@ -0,0 +1,109 @@
+//! One run.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use anvil_wire::msg::{Head, RunEnd, Start, Work};
+use anvil_world::prelude::*;
+use bytes::Bytes;
+
+use super::output::Output;
+use super::{ReaderId, RunId};
+
+/// A run and what is kept of it.
+#[derive(Debug)]
+pub(super) struct Run {
+    pub(super) id: RunId,
+    pub(super) start: Arc<Start>,
+    pub(super) head: Option<Head>,
+    pub(super) output: Output,
+    /// Use by this and earlier engines, as far as measured.
+    pub(super) usage: Usage,
+    pub(super) readers: BTreeSet<ReaderId>,
+    pub(super) paused: bool,
+    pub(super) deadline: Now,
+    pub(super) end: Option<Ended>,
+}
+
+/// How a run ended.
+#[derive(Debug, Clone)]
+pub(super) struct Ended {
+    pub(super) end: Box<RunEnd>,
+    /// When its output may go.
+    pub(super) drop_output: Now,
+    /// When the key may be forgotten.
+    pub(super) forget: Now,
+    /// Whether some reader got all of it.
+    pub(super) delivered: bool,
+}
+
+impl Run {
+    pub(super) fn new(now: Now, id: RunId, start: Arc<Start>) -> Self {
+        let mut output = Output::default();
+        output.push(start.prefix.clone(), start.prefix_tokens);
+        Self {
+            id,
+            head: None,
+            output,
+            usage: Usage {
+                output: start.prefix_tokens,
+                ..Usage::default()
+            },
+            readers: BTreeSet::new(),
+            paused: false,
+            deadline: now + start.time_left,
+            end: None,
+            start,
+        }
+    }
+
+    /// Whether the endpoint works on it.
+    pub(super) fn is_live(&self) -> bool {
+        self.end.is_none()
+    }
+
+    /// Forgets the caller's body, which an ended run has no use for.
+    pub(super) fn drop_body(&mut self) {
+        if self.start.work == Work::default() {
+            return;
+        }
+        let mut start = Start::clone(&self.start);
+        start.work = Work::default();
+        start.prefix = Bytes::new();
+        self.start = Arc::new(start);
+    }
+
+    /// Whether some of the output was dropped from the front.
+    pub(super) fn is_trimmed(&self) -> bool {
+        self.output.start() > 0
+    }
+
+    /// Use of the whole answer, from what this engine measured: a continuing engine takes the
+    /// prefix as part of its prompt, but it is part of the answer.
+    pub(super) fn whole_usage(&self, measured: Usage) -> Usage {
+        let prefix = self.start.prefix_tokens;
+        Usage {
+            prompt: measured.prompt.saturating_sub(prefix),
+            output: measured.output.saturating_add(prefix),
+            calls: measured.calls,
+        }
+    }
+
+    /// What a use costs, in tokens, uncapped.
+    pub(super) fn cost(&self, usage: Usage) -> Tokens {
+        self.start.payment.price.of(usage)
+    }
+
+    /// The charge for the present use by grant; never above the bound.
+    pub(super) fn charges(&self) -> BTreeMap<GrantId, Tokens> {
+        let payment = &self.start.payment;
+        let cost = self.cost(self.usage).min(payment.bound);
+        let parts = payment.split.divide(cost);
+        parts
+            .filter_map(|(budget, tokens)| {
+                let (grant, _) = payment.grants.get(budget)?;
+                Some((*grant, tokens))
+            })
+            .collect()
+    }
+}
