--- a/crates/anvilreel/src/claims.rs
+++ b/crates/anvilreel/src/claims.rs
@@ -1,1 +1,12 @@
 //! Which sidecar runs a request key.
+//!
+//! The claim of an idempotent request is kept by two routers in different availability zones
+//! ([`placement`]) and, when one of them can't be reached, by the ledger: any two of the three
+//! will do, and any two pairs have one in common. A [`ClaimBook`] is what one router keeps for
+//! its peers.
+
+mod book;
+mod placement;
+
+pub use book::ClaimBook;
+pub use placement::{HOLDERS, placement};
