Limits, ejection, slow start, retries and grant sizes

Cause: the router also needs to know how much an endpoint is given, when to try again and how much of a budget to ask for. Ruled out: a limit for each router's part (routers would have to talk); ejecting errors by ticks alone (each second of a fast-failing endpoint draws most of the load). Change: modules limit, ejection, slow_start, health that joins them, retry, grant.

--- /dev/null
+++ b/crates/anvil_policy/src/health.rs
@@ -0,0 +1,150 @@
+//! Joins what is measured of a pool's endpoints and writes it into their shares and limits.
+//!
+//! A router keeps one [`Health`] for each pool under a lock: [`Health::observe`] after each try,
+//! [`Health::tick`] once a second. What requests read on their way are only the atomics of
+//! [`EndpointState`].
+
+use std::collections::BTreeMap;
+
+use anvil_world::prelude::*;
+
+use crate::choice::Pool;
+use crate::ejection::{self, EjectionRule, Record, Try};
+use crate::endpoint::EndpointState;
+use crate::limit::{Latency, Limit, LimitRule};
+use crate::slow_start::{Ramp, RampRule};
+
+/// Rules of a pool's health.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct HealthRule {
+    /// Slow and failing endpoints.
+    pub ejection: EjectionRule,
+    /// New and returned endpoints.
+    pub ramp: RampRule,
+    /// Runs an endpoint is given.
+    pub limit: LimitRule,
+    /// How many routers share the endpoints; each may always have its part of half the slots.
+    pub routers: u32,
+}
+
+/// How one try ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// The endpoint answered.
+    Answered(Latency),
+    /// The endpoint failed or could not be reached. Not for a caller who left, and not for a
+    /// request that the endpoint rightly refused.
+    Failed,
+}
+
+#[derive(Debug, Clone)]
+struct Watched {
+    record: Record,
+    ramp: Ramp,
+    limit: Limit,
+}
+
+/// What is measured of one pool's endpoints.
+#[derive(Debug, Clone, Default)]
+pub struct Health {
+    rule: HealthRule,
+    endpoints: BTreeMap<InstanceId, Watched>,
+    serving: bool,
+}
+
+impl Health {
+    /// With these rules.
+    pub fn new(rule: HealthRule) -> Self {
+        Self {
+            rule,
+            ..Self::default()
+        }
+    }
+
+    /// Sets how many routers share the endpoints.
+    pub fn set_routers(&mut self, routers: u32) {
+        self.rule.routers = routers;
+    }
+
+    /// Takes in the end of a try that began at `started`. Errors act at once.
+    pub fn observe(&mut self, now: Now, started: Now, endpoint: &EndpointState, ended: &Ended) {
+        let Some(watched) = self.endpoints.get_mut(&endpoint.id) else {
+            return;
+        };
+        match ended {
+            Ended::Failed => watched.record.observe(now, Try::Failed),
+            Ended::Answered(latency) => {
+                let time = latency.first + latency.between;
+                watched.record.observe(now, Try::Answered(time));
+                let (rule, slots) = (&self.rule.limit, endpoint.slots());
+                let pressure = endpoint.pressure();
+                watched
+                    .limit
+                    .observe(rule, now, started, latency, pressure, slots);
+                endpoint.set_limit(watched.limit.value());
+            }
+        }
+        if watched.record.fails(&self.rule.ejection) {
+            // Through the same bound as the tick, or an error burst here could close the pool.
+            self.tick_known(now, endpoint);
+        }
+    }
+
+    /// Judges all endpoints and moves their shares. Endpoints that the pool no longer has are
+    /// forgotten, so one that comes back starts cold.
+    pub fn tick(&mut self, now: Now, pool: &Pool) {
+        self.endpoints.retain(|id, _| pool.get(id).is_some());
+        for endpoint in pool.endpoints() {
+            if !self.endpoints.contains_key(&endpoint.id) {
+                self.watch(now, endpoint);
+            }
+        }
+        self.serving |= !pool.endpoints().is_empty();
+        self.judge(now);
+        for endpoint in pool.endpoints() {
+            self.write(now, endpoint);
+        }
+    }
+
+    fn tick_known(&mut self, now: Now, endpoint: &EndpointState) {
+        self.judge(now);
+        self.write(now, endpoint);
+    }
+
+    fn judge(&mut self, now: Now) {
+        let records = self
+            .endpoints
+            .values_mut()
+            .map(|watched| &mut watched.record);
+        let mut records: Vec<&mut Record> = records.collect();
+        ejection::judge(&self.rule.ejection, now, &mut records);
+    }
+
+    fn write(&mut self, now: Now, endpoint: &EndpointState) {
+        let Some(watched) = self.endpoints.get_mut(&endpoint.id) else {
+            return;
+        };
+        if endpoint.is_leaving() {
+            watched.ramp = Ramp::cold(&self.rule.ramp, now);
+        }
+        let target = watched.record.target();
+        endpoint.set_share(watched.ramp.advance(&self.rule.ramp, now, target));
+        endpoint.set_limit(watched.limit.value());
+        let part = endpoint.slots() / 2 / self.rule.routers.max(1);
+        endpoint.set_floor(part);
+    }
+
+    fn watch(&mut self, now: Now, endpoint: &EndpointState) {
+        let ramp = if self.serving {
+            Ramp::cold(&self.rule.ramp, now)
+        } else {
+            Ramp::full(now)
+        };
+        let watched = Watched {
+            record: Record::default(),
+            ramp,
+            limit: Limit::new(endpoint.slots()),
+        };
+        self.endpoints.insert(endpoint.id.clone(), watched);
+    }
+}
--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -40,14 +40,23 @@
 //! Read on in this order:
 //! * [`endpoint`] and [`choice`]: what is known of an endpoint, and which one is chosen.
 //! * [`admission`], [`waiting`], [`fair`], [`deadline`], [`estimate`]: the door and the queue.
+//! * [`health`], with [`limit`], [`ejection`] and [`slow_start`]: how much an endpoint is given.
+//! * [`retry`]: whether a failed try is made again.
+//! * [`grant`]: how much of a budget a router holds.
 //!
 //! [`Now`]: anvil_world::ids::Now
 
 pub mod admission;
 pub mod choice;
 pub mod deadline;
+pub mod ejection;
 pub mod endpoint;
 pub mod estimate;
 pub mod fair;
+pub mod grant;
+pub mod health;
+pub mod limit;
 pub mod prelude;
+pub mod retry;
+pub mod slow_start;
 pub mod waiting;
--- a/crates/anvil_policy/src/prelude.rs
+++ b/crates/anvil_policy/src/prelude.rs
@@ -5,4 +5,8 @@
 pub use crate::deadline::Outlook;
 pub use crate::endpoint::{EndpointState, LoadReport};
 pub use crate::estimate::{Estimate, Finished};
+pub use crate::grant::{Demand, GrantRule, Need};
+pub use crate::health::{Ended, Health, HealthRule};
+pub use crate::limit::Latency;
+pub use crate::retry::{Repeat, RetryBudget, RetryRule};
 pub use crate::waiting::{Lane, Ticket, Waiter, WaiterId, Waiting};
