Prefix index, subsets of endpoints and placement of models

Cause: affinity, bounded watching at 7,100 endpoints and paced loads are decisions, too. Ruled out: trusting cache events alone (they come late and with gaps). Change: modules prefix, subset, placement.

--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -43,6 +43,8 @@
 //! * [`health`], with [`limit`], [`ejection`] and [`slow_start`]: how much an endpoint is given.
 //! * [`retry`]: whether a failed try is made again.
 //! * [`grant`]: how much of a budget a router holds.
+//! * [`prefix`]: which endpoints hold which prompt prefixes.
+//! * [`subset`] and [`placement`]: which endpoints a router watches, and which models they hold.
 //!
 //! [`Now`]: anvil_world::ids::Now
 
@@ -56,7 +58,10 @@
 pub mod grant;
 pub mod health;
 pub mod limit;
+pub mod placement;
+pub mod prefix;
 pub mod prelude;
 pub mod retry;
 pub mod slow_start;
+pub mod subset;
 pub mod waiting;
--- a/crates/anvil_policy/src/prelude.rs
+++ b/crates/anvil_policy/src/prelude.rs
@@ -8,5 +8,6 @@
 pub use crate::grant::{Demand, GrantRule, Need};
 pub use crate::health::{Ended, Health, HealthRule};
 pub use crate::limit::Latency;
+pub use crate::prefix::{CacheChange, CacheEvent, PrefixIndex, PrefixRule};
 pub use crate::retry::{Repeat, RetryBudget, RetryRule};
 pub use crate::waiting::{Lane, Ticket, Waiter, WaiterId, Waiting};
