--- /dev/null
+++ b/crates/anvil_daemons/src/bin/anvilreel-router.rs
@@ -0,0 +1,25 @@
+//! The router daemon.
+
+use std::process::ExitCode;
+
+use anvil_daemons::{Args, StartError, exit_of, read_settings, runtime, stop_signal};
+use anvil_world::settings::RouterSettings;
+use anvilreel::logs;
+use anvilreel::metrics::Metrics;
+use anvilreel::router::Router;
+
+fn main() -> ExitCode {
+    exit_of(run(&argh::from_env()))
+}
+
+fn run(args: &Args) -> Result<(), StartError> {
+    let settings: RouterSettings = read_settings(&args.settings)?;
+    runtime(settings.threads)?.block_on(async {
+        let log = logs::logger(settings.log_json);
+        let metrics = Metrics::new("router", settings.statsd)?;
+        let router = Router::start(&settings, log, metrics).await?;
+        stop_signal().await?;
+        router.stop().await;
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/anvil_daemons/src/bin/anvilreel-sidecar.rs
@@ -0,0 +1,28 @@
+//! The sidecar daemon.
+
+use std::process::ExitCode;
+
+use anvil_daemons::{Args, StartError, exit_of, read_settings, runtime, stop_signal};
+use anvil_world::settings::SidecarSettings;
+use anvilreel::logs;
+use anvilreel::metrics::Metrics;
+use anvilreel::sidecar::Sidecar;
+
+/// Threads of a sidecar: it has a small slot beside its endpoint.
+const THREADS: usize = 1;
+
+fn main() -> ExitCode {
+    exit_of(run(&argh::from_env()))
+}
+
+fn run(args: &Args) -> Result<(), StartError> {
+    let settings: SidecarSettings = read_settings(&args.settings)?;
+    runtime(THREADS)?.block_on(async {
+        let log = logs::logger(settings.log_json);
+        let metrics = Metrics::new("sidecar", settings.statsd)?;
+        let sidecar = Sidecar::start(&settings, log, metrics).await?;
+        stop_signal().await?;
+        sidecar.stop().await;
+        Ok(())
+    })
+}
--- a/crates/anvilreel/src/events.rs
+++ b/crates/anvilreel/src/events.rs
@@ -86,6 +86,8 @@
     SIDECAR_OUT_OF_TOUCH = 2007 Warning "sidecar_out_of_touch";
     /// The sidecar has stopped with all runs finished.
     SIDECAR_STOPPED = 2008 Info "sidecar_stopped";
+    /// An invariant of the runs is broken.
+    SIDECAR_INVARIANT_BROKEN = 2009 Critical "sidecar_invariant_broken";
     /// All roles of the quick start run.
     LOCAL_READY = 4001 Info "local_ready";
 }
--- a/crates/anvilreel/src/metrics.rs
+++ b/crates/anvilreel/src/metrics.rs
@@ -69,13 +69,10 @@
 impl Metrics {
     /// Sends to this address under `anvilreel.ROLE.`; nowhere without one.
     pub fn new(role: &str, statsd: Option<SocketAddr>) -> Result<Self, MetricsError> {
-        let prefix = format!("anvilreel.{role}");
         let Some(addr) = statsd else {
-            let client = StatsdClient::from_sink(&prefix, NopMetricSink);
-            return Ok(Self {
-                client: Arc::new(client),
-            });
+            return Ok(Self::silent(role));
         };
+        let prefix = prefix(role);
         let socket = UdpSocket::bind(("0.0.0.0", 0)).context(SocketSnafu)?;
         socket.set_nonblocking(true).context(SocketSnafu)?;
         let sink = UdpMetricSink::from(addr, socket).context(SinkSnafu { addr })?;
@@ -85,6 +82,14 @@
         })
     }
 
+    /// Sends nowhere.
+    pub fn silent(role: &str) -> Self {
+        let client = StatsdClient::from_sink(&prefix(role), NopMetricSink);
+        Self {
+            client: Arc::new(client),
+        }
+    }
+
     /// One more of these. A lost metric is no failure of the request it counts.
     pub fn count(&self, name: &str) {
         let _ = self.client.count(name, 1);
@@ -100,3 +105,7 @@
         let _ = self.client.gauge(name, value);
     }
 }
+
+fn prefix(role: &str) -> String {
+    format!("anvilreel.{role}")
+}
--- a/crates/anvilreel/src/router.rs
+++ b/crates/anvilreel/src/router.rs
@@ -150,6 +150,12 @@
         self.core.following.serves() && !self.core.life.is_leaving()
     }
 
+    /// Endpoints that this router knows of.
+    pub fn endpoints(&self) -> usize {
+        let view = self.core.following.view.load();
+        view.endpoints.values().map(Vec::len).sum()
+    }
+
     /// The planned stop: readiness off, no new work, streams finish, grants go back, claims are
     /// handed over.
     pub async fn stop(self) {
--- a/crates/anvilreel/src/router/refuse.rs
+++ b/crates/anvilreel/src/router/refuse.rs
@@ -56,6 +56,7 @@
         Doubt::EndpointLost => "the endpoint was lost after the request had left for it",
         Doubt::SidecarLost => "the process that holds the run can't be reached",
         Doubt::AnswerDropped => "the answer is no longer kept",
+        Doubt::Stopped => "it was stopped before its end",
     };
     let body = ErrorBody {
         r#type: "outcome_unknown",
--- a/crates/anvilreel/src/router/relay.rs
+++ b/crates/anvilreel/src/router/relay.rs
@@ -3,8 +3,7 @@
 use std::time::Duration;
 
 use anvil_wire::msg::{
-    Frame, Payment, PlacedClaim, ProbeAnswer, RunEnd, SidecarCall, SidecarReply, SidecarRequest,
-    Start, Work,
+    Frame, PlacedClaim, ProbeAnswer, RunEnd, SidecarCall, SidecarReply, SidecarRequest, Start, Work,
 };
 use anvil_wire::{Channel, Replies};
 use anvil_world::prelude::*;
@@ -32,6 +31,8 @@
     text: BytesMut,
     /// Bytes that were passed on.
     length: Offset,
+    /// Tokens of the answer that were passed on.
+    tokens: Tokens,
     head: bool,
     /// When the first output came.
     pub first_at: Option<Instant>,
@@ -132,14 +133,7 @@
         life: sidecar.incarnation,
         attempt,
         body: job.body,
-        payment: Payment {
-            router: core.instance.id.clone(),
-            incarnation: core.instance.incarnation,
-            split: job.split.clone(),
-            grants: reservation.grants(),
-            price: job.price,
-            bound: reservation.bound(),
-        },
+        payment: core.purse.payment(reservation, job.price),
         work: job.work.clone(),
         once: job.once,
         class: job.class,
@@ -147,6 +141,7 @@
         keep: job.keep,
         offset: delivered.length,
         prefix: Bytes::copy_from_slice(&delivered.text),
+        prefix_tokens: delivered.tokens,
     }
 }
 
@@ -222,6 +217,7 @@
     }
     delivered.first_at.get_or_insert_with(Instant::now);
     delivered.length += frame.bytes.len() as Offset;
+    delivered.tokens = frame.tokens;
     if matches!(job.work, Work::Chat { .. }) {
         delivered.text.extend_from_slice(&frame.bytes);
     }
--- a/crates/anvilreel/src/sidecar.rs
+++ b/crates/anvilreel/src/sidecar.rs
@@ -1,7 +1,7 @@
 //! A sidecar as a process: it stands beside one endpoint and is the last gate before it.
 //!
-//! Read on: [`Sidecar`], then `gate` (who passes), `table` and `run` (one run a key, its output
-//! and its end), `drive` (the endpoint's side of a run), `orders` (fencing numbers).
+//! Read on: [`Sidecar`], then `hub` (the shell around [`crate::runs`]), `drive` (the endpoint's
+//! side of a run), `gate` (whether the endpoint is leaving), `orders` (fencing numbers).
 
 mod answer;
 mod drive;
@@ -9,10 +9,9 @@
 mod follow;
 mod gate;
 mod http;
+mod hub;
 mod load;
 mod orders;
-mod run;
-mod table;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -31,14 +30,15 @@
 use crate::ledger_client::LedgerClient;
 use crate::life::Life;
 use crate::metrics::{Metrics, RUNS_OPEN};
+use crate::runs::{Event, RunsConfig};
 use gate::Gate;
+use hub::Hub;
 use load::{Loads, first_load};
-use table::Table;
 
-/// When to come back where another endpoint may take the work.
-const SOON: Duration = Duration::from_millis(500);
 /// Pause between two looks at the runs that a planned stop waits for.
 const STOP_LOOK: Duration = Duration::from_millis(50);
+/// How long a once-only key is remembered before the fleet's document is known.
+const KEEP_ONCE: Duration = Duration::from_hours(25);
 /// How long a stopped sidecar still answers: longer than it takes routers to see that it leaves.
 const LINGER: Duration = Duration::from_millis(500);
 
@@ -51,7 +51,7 @@
     ledger: LedgerClient,
     client: EndpointClient,
     gate: Gate,
-    table: Table,
+    hub: Arc<Hub>,
     loads: Arc<Loads>,
     highest: orders::Highest,
 }
@@ -100,7 +100,7 @@
         self.core.life.leave();
         self.core.show_leaving();
         event!(self.core.log, events::SIDECAR_LEAVING);
-        while self.core.table.running() > 0 {
+        while self.core.hub.live() > 0 {
             sleep(STOP_LOOK).await;
         }
         sleep(LINGER).await;
@@ -133,6 +133,14 @@
             addr,
             endpoint: Some(endpoint),
         };
+        let client = EndpointClient::new(settings.endpoint.addr);
+        let cfg = RunsConfig {
+            life: life.incarnation,
+            buffer_bytes: settings.buffer_bytes,
+            keep_once: KEEP_ONCE,
+        };
+        let hub = Hub::new(cfg, life.clone(), log.clone(), client.clone());
+        let hub = Arc::new(hub);
         Self {
             gate: Gate::new(instance.id.clone(), life.clone()),
             instance,
@@ -140,8 +148,8 @@
             log,
             metrics,
             ledger: LedgerClient::new(&settings.ledgers),
-            client: EndpointClient::new(settings.endpoint.addr),
-            table: Table::new(settings.buffer_bytes),
+            client,
+            hub,
             loads: Arc::new(Loads::new(first_load(&settings.endpoint))),
             highest: orders::Highest::default(),
         }
@@ -157,7 +165,7 @@
     }
 
     fn count_runs(&self) {
-        let running = self.table.running();
+        let running = self.hub.live();
         self.metrics.gauge(RUNS_OPEN, running as u64);
         self.loads
             .send_modify(|load| load.running = u32::try_from(running).unwrap_or(u32::MAX));
@@ -165,6 +173,11 @@
 
     fn show_leaving(&self) {
         let leaving = self.gate.is_leaving();
+        self.hub.feed(if leaving {
+            Event::Leaving
+        } else {
+            Event::Returned
+        });
         self.loads
             .send_if_modified(|load| std::mem::replace(&mut load.leaving, leaving) != leaving);
     }
--- a/crates/anvilreel/src/sidecar/answer.rs
+++ b/crates/anvilreel/src/sidecar/answer.rs
@@ -3,151 +3,79 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvil_wire::msg::{Frame, OrderResult, ProbeAnswer, SidecarReply, SidecarRequest, Start};
+use anvil_wire::msg::{SidecarReply, SidecarRequest};
 use anvil_wire::{Replier, WireError};
-use anvil_world::prelude::*;
-
 use tokio::time::sleep;
 
-use super::run::Run;
-use super::table::Admitted;
-use super::{Core, drive, orders};
+use super::hub::Replies;
+use super::{Core, orders};
 use crate::metrics::RUNS_REFUSED;
+use crate::runs::{Event, ReaderId};
 
 /// Least time between two load reports to one router.
 const WATCH_EVERY: Duration = Duration::from_millis(100);
 
 /// Answers one request; a lost connection ends the answer and never the run.
 pub async fn answer(core: Arc<Core>, req: SidecarRequest, mut tx: Replier<SidecarReply>) {
-    // Whoever asked is gone; the run goes on and its end is kept.
+    // In each case: whoever asked is gone; a run goes on and its end is kept.
     let _ = match req {
-        SidecarRequest::Start(start) => begin(&core, *start, &mut tx).await,
-        SidecarRequest::Attach { key, offset } => attach(&core, &key, offset, &mut tx).await,
-        SidecarRequest::Cancel { key } => cancel(&core, &key, &mut tx).await,
-        SidecarRequest::Probe { key } => probed(core.table.probe(&key), &mut tx).await,
-        SidecarRequest::Forbid { key, life } => forbid(&core, &key, life, &mut tx).await,
         SidecarRequest::Order { fence, kind } => {
-            let result: OrderResult = orders::carry_out(&core, fence, kind).await;
+            let result = orders::carry_out(&core, fence, kind).await;
             tx.send(&SidecarReply::Ordered(result)).await
         }
         SidecarRequest::Watch => watch(&core, &mut tx).await,
-    };
-}
-
-async fn begin(
-    core: &Arc<Core>,
-    start: Start,
-    tx: &mut Replier<SidecarReply>,
-) -> Result<(), WireError> {
-    let offset = start.offset;
-    let known = core.table.get(&start.key).is_some();
-    // A key that runs here already is read on, also while the endpoint leaves.
-    let passed = if known {
-        Ok(())
-    } else {
-        core.gate.check(&start)
-    };
-    let admitted = passed.and_then(|()| core.table.admit(core.life.now(), start));
-    match admitted {
-        Ok(Admitted::Fresh(run)) => {
+        run_request => {
+            let (reader, replies) = core.hub.ask(|reader| event_of(run_request, reader));
             core.count_runs();
-            let (driver, driven) = (core.clone(), run.clone());
-            tokio::spawn(async move {
-                drive::drive(driver.clone(), driven).await;
-                driver.count_runs();
-            });
-            relay(core, &run, offset, false, tx).await
-        }
-        Ok(Admitted::Attached(run)) => relay(core, &run, offset, true, tx).await,
-        Err(refusal) => {
-            core.metrics.count(RUNS_REFUSED);
-            tx.send(&SidecarReply::Refused(refusal)).await
+            let passed = pass_on(&core, reader, replies, &mut tx).await;
+            core.hub.gone(reader);
+            core.count_runs();
+            passed
         }
-    }
+    };
 }
 
-async fn attach(
-    core: &Core,
-    key: &RequestKey,
-    offset: Offset,
-    tx: &mut Replier<SidecarReply>,
-) -> Result<(), WireError> {
-    match core.table.get(key) {
-        Some(run) => relay(core, &run, offset, true, tx).await,
-        None => probed(core.table.probe(key), tx).await,
+fn event_of(req: SidecarRequest, reader: ReaderId) -> Event {
+    match req {
+        SidecarRequest::Start(start) => Event::Start { reader, start },
+        SidecarRequest::Attach { key, offset } => Event::Attach {
+            reader,
+            key,
+            offset,
+        },
+        SidecarRequest::Cancel { key } => Event::Cancel { reader, key },
+        SidecarRequest::Probe { key } => Event::Probe { reader, key },
+        SidecarRequest::Forbid { key, life } => Event::Forbid { reader, key, life },
+        SidecarRequest::Order { .. } | SidecarRequest::Watch => Event::Tick,
     }
 }
 
-async fn relay(
+/// Passes replies on at the pace at which the router takes them.
+async fn pass_on(
     core: &Core,
-    run: &Run,
-    mut offset: Offset,
-    attached: bool,
+    reader: ReaderId,
+    mut replies: Replies,
     tx: &mut Replier<SidecarReply>,
 ) -> Result<(), WireError> {
-    let incarnation = core.life.incarnation;
-    tx.send(&SidecarReply::Accepted {
-        incarnation,
-        attached,
-    })
-    .await?;
-    let mut wants_head = true;
     loop {
-        let piece = tokio::select! {
-            piece = run.read(offset, wants_head) => piece,
+        let reply = tokio::select! {
+            reply = replies.recv() => reply,
             () = tx.abandoned() => return Ok(()),
         };
-        if let Some(head) = piece.head {
-            wants_head = false;
-            tx.send(&SidecarReply::Head(head)).await?;
-        }
-        if !piece.bytes.is_empty() {
-            let length = piece.bytes.len() as Offset;
-            let frame = Frame {
-                key: run.start.key.clone(),
-                offset,
-                bytes: piece.bytes,
-            };
-            tx.send(&SidecarReply::Frame(frame)).await?;
-            offset += length;
-        }
-        if let Some(end) = piece.end {
-            return tx.send(&SidecarReply::End(end)).await;
+        let Some(reply) = reply else {
+            return Ok(());
+        };
+        tx.send(&reply).await?;
+        match reply {
+            SidecarReply::Head(_) | SidecarReply::Frame(_) => {
+                core.hub.feed(Event::Ready { reader });
+            }
+            SidecarReply::Refused(_) => core.metrics.count(RUNS_REFUSED),
+            _ => {}
         }
     }
 }
 
-async fn cancel(
-    core: &Core,
-    key: &RequestKey,
-    tx: &mut Replier<SidecarReply>,
-) -> Result<(), WireError> {
-    let Some(run) = core.table.get(key) else {
-        return probed(core.table.probe(key), tx).await;
-    };
-    // What may run only once is never stopped half-way.
-    if !run.start.once {
-        run.cancel();
-    }
-    probed(ProbeAnswer::Ended(run.ended().await), tx).await
-}
-
-async fn forbid(
-    core: &Core,
-    key: &RequestKey,
-    life: Incarnation,
-    tx: &mut Replier<SidecarReply>,
-) -> Result<(), WireError> {
-    if life != core.life.incarnation {
-        return probed(ProbeAnswer::OtherLife, tx).await;
-    }
-    probed(core.table.forbid(core.life.now(), key), tx).await
-}
-
-async fn probed(answer: ProbeAnswer, tx: &mut Replier<SidecarReply>) -> Result<(), WireError> {
-    tx.send(&SidecarReply::Probed(answer)).await
-}
-
 async fn watch(core: &Core, tx: &mut Replier<SidecarReply>) -> Result<(), WireError> {
     let mut loads = core.loads.subscribe();
     loop {
--- a/crates/anvilreel/src/sidecar/drive.rs
+++ b/crates/anvilreel/src/sidecar/drive.rs
@@ -1,247 +1,299 @@
-//! Drives one run at the endpoint from its start to its end.
+//! Drives one run at the endpoint: the endpoint's words go to the state machine, and its
+//! commands to the endpoint.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvil_wire::msg::{Head, RunEnd, Work};
+use anvil_wire::msg::{Head, Start, Work};
 use anvil_world::document::WorkClass;
 use anvil_world::prelude::*;
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use tokio::time::{Instant, sleep};
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_128;
 
-use super::Core;
 use super::engine::{self, Ask, EngineStream, Said};
-use super::http::EndpointError;
-use super::run::Run;
-use crate::event;
-use crate::events;
+use super::http::{EndpointClient, EndpointError};
+use super::hub::Hub;
+use crate::runs::{EngineCommand, EngineEvent, Event, RunId};
 
 /// How often a broken stream is resumed before the run is given up here.
 const RESUMES: u32 = 3;
 /// Pause before a broken stream is resumed.
 const RESUME_AFTER: Duration = Duration::from_millis(50);
-/// Bytes that a token takes on average: for the estimate of a cancelled run.
+/// Bytes that a prompt token takes on average: for the use of a run that is stopped before the
+/// engine has told.
 const USUAL_TOKEN_BYTES: u64 = 4;
+/// Priority of work that a person waits for; lower is sooner.
+const INTERACTIVE: i32 = 0;
+/// Priority of work with a deadline of hours.
+const BATCH: i32 = 10;
 
-/// How a run came to its end.
-struct Ending {
-    outcome: Outcome,
-    usage: Usage,
-    finish: Arc<str>,
-}
-
-/// Drives a fresh run to its end and records it.
-pub async fn drive(core: Arc<Core>, run: Arc<Run>) {
-    let deadline = Instant::now() + run.start.time_left;
-    let ending = tokio::select! {
-        ending = work(&core, &run) => ending,
-        () = run.cancelled() => cancelled(&core, &run, "cancelled").await,
-        () = tokio::time::sleep_until(deadline) => cancelled(&core, &run, "timeout").await,
-    };
-    let end = end_of(&run, ending);
-    run.finish(core.life.now(), end);
+/// What drives one run.
+pub struct Driver {
+    /// Where the endpoint's words go.
+    pub hub: Arc<Hub>,
+    /// The way to the endpoint.
+    pub client: EndpointClient,
+    /// Which run.
+    pub run: RunId,
+    /// What was asked.
+    pub start: Arc<Start>,
+    /// What the state machine wants of the endpoint.
+    pub commands: UnboundedReceiver<EngineCommand>,
 }
 
-async fn work(core: &Core, run: &Run) -> Ending {
-    match &run.start.work {
+/// Drives a run to its end.
+pub async fn drive(mut driver: Driver) {
+    let start = driver.start.clone();
+    match &start.work {
         Work::Chat {
             body, max_output, ..
-        } => chat(core, run, body, *max_output).await,
+        } => {
+            Chat::new(&start, body)
+                .drive(&mut driver, *max_output)
+                .await
+        }
         Work::Plain {
             method,
             tail,
             headers,
             body,
-        } => plain(core, run, (method, tail), headers, body.clone()).await,
+        } => driver.plain(method, tail, headers, body.clone()).await,
     }
+    driver.hub.driven(driver.run);
 }
 
-async fn chat(core: &Core, run: &Run, body: &[u8], max_output: Tokens) -> Ending {
-    let run_id = run_id(core, run);
-    let prefix = run.so_far();
-    let ask = Ask {
-        body,
-        max_output,
-        priority: match run.start.class {
-            WorkClass::Interactive => 0,
-            WorkClass::Batch => 10,
-        },
-        run_id: &run_id,
-        prefix: &prefix,
-    };
-    let mut stream = match engine::chat(&core.client, &ask).await {
-        Ok(stream) => stream,
-        Err(e) => return failed(core, run, &e),
-    };
-    let mut resumes = 0;
-    loop {
-        match read_to_end(run, &mut stream).await {
-            Ok(ending) => return ending,
-            Err(e) if resumes == RESUMES => return failed(core, run, &e),
-            Err(_) => {}
-        }
-        resumes += 1;
-        sleep(RESUME_AFTER).await;
-        match engine::resume(&core.client, &run_id, run.length()).await {
-            Ok(again) => stream = again,
-            Err(e) => return failed(core, run, &e),
-        }
+impl Driver {
+    fn say(&self, event: EngineEvent) {
+        self.hub.feed(Event::Engine {
+            run: self.run,
+            event,
+        });
     }
-}
 
-async fn read_to_end(run: &Run, stream: &mut EngineStream) -> Result<Ending, EndpointError> {
-    let mut usage = Usage::default();
-    let mut finish: Arc<str> = "stop".into();
-    loop {
-        match stream.next().await? {
-            Said::Text(text) => run.push(text.as_bytes()),
-            Said::Finish(why) => finish = why,
-            Said::Usage(used) => usage = used,
-            Said::Done => {
-                let outcome = Outcome::Completed(usage);
-                return Ok(Ending {
-                    outcome,
-                    usage,
-                    finish,
-                });
+    /// Returns when the run is to be stopped.
+    async fn stopped(&mut self) {
+        // A closed channel means that nobody is left who could want it to go on.
+        while let Some(command) = self.commands.recv().await {
+            if command == EngineCommand::Stop {
+                return;
             }
         }
     }
-}
 
-async fn plain(
-    core: &Core,
-    run: &Run,
-    (method, tail): (&str, &str),
-    headers: &[(Arc<str>, Bytes)],
-    body: Bytes,
-) -> Ending {
-    let tail = format!("/{tail}");
-    match plain_call(core, run, method, &tail, headers, body).await {
-        Ok(()) => {
-            let usage = Usage {
-                calls: 1,
-                ..Usage::default()
-            };
-            Ending {
-                outcome: Outcome::Completed(usage),
-                usage,
-                finish: "stop".into(),
-            }
+    async fn plain(
+        &mut self,
+        method: &str,
+        tail: &str,
+        headers: &[(Arc<str>, Bytes)],
+        body: Bytes,
+    ) {
+        let usage = Usage {
+            calls: 1,
+            ..Usage::default()
+        };
+        let (hub, run) = (self.hub.clone(), self.run);
+        let say = move |event| hub.feed(Event::Engine { run, event });
+        let client = self.client.clone();
+        let tail = format!("/{tail}");
+        let call = plain_call(&client, (method, &tail), headers, body, usage, &say);
+        tokio::select! {
+            called = call => match called {
+                Ok(()) => self.say(EngineEvent::Ended { usage, finish: "stop".into() }),
+                Err(e) if e.never_ran() => self.say(EngineEvent::Refused),
+                Err(_) => self.say(EngineEvent::Lost { usage, resumable: false }),
+            },
+            () = self.stopped() => {}
         }
-        Err(e) => failed(core, run, &e),
     }
 }
 
 async fn plain_call(
-    core: &Core,
-    run: &Run,
-    method: &str,
-    tail: &str,
+    client: &EndpointClient,
+    (method, tail): (&str, &str),
     headers: &[(Arc<str>, Bytes)],
     body: Bytes,
+    usage: Usage,
+    say: &impl Fn(EngineEvent),
 ) -> Result<(), EndpointError> {
-    let answer = core.client.send(method, tail, headers, body).await?;
+    let answer = client.send(method, tail, headers, body).await?;
     let (parts, mut body) = answer.into_parts();
-    let headers = parts.headers.iter();
-    let headers = headers.map(|(name, value)| {
-        (
-            name.as_str().into(),
-            Bytes::copy_from_slice(value.as_bytes()),
-        )
+    let headers = parts.headers.iter().map(|(name, value)| {
+        let value = Bytes::copy_from_slice(value.as_bytes());
+        (name.as_str().into(), value)
     });
-    run.set_head(Head {
+    say(EngineEvent::Head(Head {
         status: parts.status.as_u16(),
         headers: headers.collect(),
-    });
+    }));
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|source| EndpointError::Broken { source })?;
-        if let Ok(data) = frame.into_data() {
-            run.push(&data);
+        if let Ok(bytes) = frame.into_data() {
+            say(EngineEvent::Output { bytes, usage });
         }
     }
     Ok(())
 }
 
-/// The end of a run whose endpoint failed. Only where the endpoint certainly ran nothing is it
-/// "not run".
-fn failed(core: &Core, run: &Run, e: &EndpointError) -> Ending {
-    let key = run.start.key.id.to_string();
-    event!(core.log, events::SIDECAR_ENGINE_BROKEN, "key" => key, "error" => e.to_string());
-    let is_chat = matches!(run.start.work, Work::Chat { .. });
-    let refused = matches!(e, EndpointError::Status { .. });
-    let outcome = if e.never_ran() || (is_chat && refused && run.length() == 0) {
-        Outcome::NotRun(Refusal::new(Reason::EndpointRefused).with_retry_after(super::SOON))
-    } else {
-        Outcome::Unknown(Doubt::EndpointLost)
-    };
-    Ending {
-        outcome,
-        usage: Usage::default(),
-        finish: "error".into(),
-    }
+/// A chat at the engine.
+struct Chat<'a> {
+    start: &'a Start,
+    body: &'a Bytes,
+    run_id: String,
+    /// Bytes of the whole answer, prefix included.
+    length: Offset,
+    usage: Usage,
+    finish: Arc<str>,
+    resumes: u32,
 }
 
-async fn cancelled(core: &Core, run: &Run, finish: &str) -> Ending {
-    let Work::Chat { body, .. } = &run.start.work else {
-        let usage = Usage {
-            calls: 1,
-            ..Usage::default()
+/// What ends the reading of one stream.
+enum Cut {
+    Done,
+    Lost,
+    Stopped,
+    Resume,
+}
+
+impl<'a> Chat<'a> {
+    fn new(start: &'a Start, body: &'a Bytes) -> Self {
+        let bytes = body.len() as u64;
+        Self {
+            start,
+            body,
+            run_id: run_id(start),
+            length: start.prefix.len() as u64,
+            // Until the engine has told, which it does at the end: an estimate of the prompt, and
+            // one token for each event, which is never more than it made.
+            usage: Usage {
+                prompt: bytes / USUAL_TOKEN_BYTES,
+                ..Usage::default()
+            },
+            finish: "stop".into(),
+            resumes: 0,
+        }
+    }
+
+    async fn drive(mut self, driver: &mut Driver, max_output: Tokens) {
+        let ask = Ask {
+            body: self.body,
+            max_output,
+            priority: match self.start.class {
+                WorkClass::Interactive => INTERACTIVE,
+                WorkClass::Batch => BATCH,
+            },
+            run_id: &self.run_id,
+            prefix: &self.start.prefix,
         };
-        let outcome = Outcome::Unknown(Doubt::EndpointLost);
-        return Ending {
-            outcome,
-            usage,
-            finish: finish.into(),
+        let client = driver.client.clone();
+        let begun = tokio::select! {
+            begun = engine::chat(&client, &ask) => begun,
+            () = driver.stopped() => return self.stop(driver).await,
+        };
+        let mut stream = match begun {
+            Ok(stream) => stream,
+            Err(e) => return self.not_begun(driver, &e),
         };
-    };
-    // An engine that can't be reached runs nothing that could be cancelled.
-    let _ = engine::cancel(&core.client, &run_id(core, run)).await;
-    // The engine reports no usage of a cancelled run, so it is estimated from the bytes.
-    let bytes = u64::try_from(body.len()).unwrap_or(u64::MAX);
-    let usage = Usage {
-        prompt: bytes.div_ceil(USUAL_TOKEN_BYTES),
-        output: run.length().div_ceil(USUAL_TOKEN_BYTES),
-        calls: 0,
-    };
-    Ending {
-        outcome: Outcome::Completed(usage),
-        usage,
-        finish: finish.into(),
+        loop {
+            match self.read(driver, &mut stream).await {
+                Cut::Done => {
+                    let (usage, finish) = (self.usage, self.finish);
+                    return driver.say(EngineEvent::Ended { usage, finish });
+                }
+                Cut::Stopped => return self.stop(driver).await,
+                Cut::Lost => return,
+                Cut::Resume => match self.resume(driver).await {
+                    Some(again) => stream = again,
+                    None => return,
+                },
+            }
+        }
     }
-}
 
-fn end_of(run: &Run, ending: Ending) -> RunEnd {
-    let payment = &run.start.payment;
-    let cost = match &ending.outcome {
-        Outcome::Completed(usage) => payment.price.of(*usage).min(payment.bound),
-        Outcome::NotRun(_) | Outcome::Unknown(_) => 0,
-    };
-    let parts = payment.split.divide(cost);
-    let charged = parts.filter_map(|(budget, tokens)| {
-        let (grant, reserved) = payment.grants.get(budget)?;
-        Some((*grant, tokens.min(*reserved)))
-    });
-    let mut by_grant: BTreeMap<GrantId, Tokens> = BTreeMap::new();
-    for (grant, tokens) in charged {
-        *by_grant.entry(grant).or_default() += tokens;
+    /// Passes the engine's words on until the stream ends or a command comes.
+    async fn read(&mut self, driver: &mut Driver, stream: &mut EngineStream) -> Cut {
+        let mut paused = false;
+        let mut broken = false;
+        loop {
+            tokio::select! {
+                said = stream.next(), if !paused && !broken => match said {
+                    Ok(Said::Done) => return Cut::Done,
+                    Ok(said) => self.take(driver, said),
+                    Err(_) => {
+                        // The state machine answers with a command where it is resumable.
+                        broken = true;
+                        let resumable = self.resumes < RESUMES;
+                        self.resumes += 1;
+                        let usage = self.usage;
+                        driver.say(EngineEvent::Lost { usage, resumable });
+                        if !resumable {
+                            return Cut::Lost;
+                        }
+                    }
+                },
+                command = driver.commands.recv() => match command {
+                    Some(EngineCommand::Stop) | None => return Cut::Stopped,
+                    Some(EngineCommand::Pause) => paused = true,
+                    Some(EngineCommand::Continue) => paused = false,
+                    Some(EngineCommand::Resume { .. }) => return Cut::Resume,
+                    Some(EngineCommand::Begin(_)) => {}
+                },
+            }
+        }
+    }
+
+    fn take(&mut self, driver: &Driver, said: Said) {
+        match said {
+            Said::Text(text) => {
+                self.length += text.len() as u64;
+                self.usage.output += 1;
+                let (bytes, usage) = (text.into(), self.usage);
+                driver.say(EngineEvent::Output { bytes, usage });
+            }
+            Said::Finish(why) => self.finish = why,
+            Said::Usage(usage) => self.usage = usage,
+            Said::Done => {}
+        }
     }
-    RunEnd {
-        key: run.start.key.clone(),
-        length: run.length(),
-        usage: ending.usage,
-        outcome: ending.outcome,
-        finish: ending.finish,
-        charged: by_grant,
+
+    async fn resume(&mut self, driver: &Driver) -> Option<EngineStream> {
+        sleep(RESUME_AFTER).await;
+        match engine::resume(&driver.client, &self.run_id, self.length).await {
+            Ok(stream) => Some(stream),
+            Err(_) => {
+                let usage = self.usage;
+                driver.say(EngineEvent::Lost {
+                    usage,
+                    resumable: false,
+                });
+                None
+            }
+        }
+    }
+
+    async fn stop(&self, driver: &Driver) {
+        // An engine that can't be reached runs nothing that could be cancelled.
+        let _ = engine::cancel(&driver.client, &self.run_id).await;
+    }
+
+    fn not_begun(&self, driver: &Driver, e: &EndpointError) {
+        // A status is the engine's own word that it runs nothing.
+        if e.never_ran() || matches!(e, EndpointError::Status { .. }) {
+            return driver.say(EngineEvent::Refused);
+        }
+        let usage = Usage::default();
+        driver.say(EngineEvent::Lost {
+            usage,
+            resumable: false,
+        });
     }
 }
 
 /// Names the run at the engine, also where the caller's key holds characters of URLs.
-fn run_id(core: &Core, run: &Run) -> String {
-    let key = &run.start.key;
-    let name = format!("{}/{}/{}", core.life.incarnation, key.team, key.id);
+fn run_id(start: &Start) -> String {
+    let key = &start.key;
+    let name = format!("{}/{}/{}/{}", start.life, start.attempt, key.team, key.id);
     format!("{:032x}", xxh3_128(name.as_bytes()))
 }
--- a/crates/anvilreel/src/sidecar/follow.rs
+++ b/crates/anvilreel/src/sidecar/follow.rs
@@ -1,10 +1,9 @@
 //! Keeps what the gate knows current, and tells the ledger that the sidecar lives.
 
-use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvil_wire::msg::{Evidence, Heartbeat, Interest, KeyCharge, LedgerReply};
+use anvil_wire::msg::{Heartbeat, Interest, LedgerReply};
 use anvil_world::prelude::*;
 use tokio::time::{sleep, timeout};
 
@@ -12,11 +11,14 @@
 use crate::event;
 use crate::events;
 use crate::held::Held;
+use crate::runs::Event;
 
 /// Time between two signs of life.
 const HEARTBEAT: Duration = Duration::from_secs(1);
 /// Longest wait for anything from a followed replica before another one is tried.
 const SILENCE: Duration = Duration::from_secs(3);
+/// A once-only key is remembered this much longer than the ledger keeps its claim.
+const REMEMBER_LONGER: Duration = Duration::from_hours(1);
 /// Pause before another replica is followed.
 const AGAIN: Duration = Duration::from_millis(100);
 
@@ -49,8 +51,7 @@
     while let Ok(Ok(Some(LedgerReply::Follow(event)))) = timeout(SILENCE, replies.next()).await {
         heard = true;
         if held.apply(event) {
-            core.gate.held.store(Arc::new(held.clone()));
-            core.show_leaving();
+            take_in(core, held);
         }
     }
     heard
@@ -58,56 +59,36 @@
 
 /// Sends a sign of life every second, with the evidence of fenced routers.
 pub async fn beat(core: &Core) {
-    let mut taken = BTreeSet::new();
     loop {
         let heartbeat = Heartbeat {
             instance: core.present_instance(),
             version: core.gate.held.load().version,
-            evidence: evidence(core, &taken),
+            evidence: core.hub.evidence(),
             leaving: core.gate.is_leaving(),
         };
         // A lost sign of life is followed by the next one.
         if let Ok(reply) = core.ledger.heartbeat(heartbeat, HEARTBEAT).await {
-            taken.extend(reply.taken);
+            core.hub.evidence_taken(&reply.taken);
         }
-        core.table.sweep(core.life.now());
+        core.hub.feed(Event::Tick);
         sleep(HEARTBEAT).await;
     }
 }
 
-/// What was charged under each fenced router's grants, once none of its runs goes on.
-fn evidence(core: &Core, taken: &BTreeSet<(InstanceId, Incarnation)>) -> Vec<Evidence> {
-    let held = core.gate.held.load();
-    let fenced = held
-        .fenced
-        .iter()
-        .map(|(router, upto)| (router.clone(), *upto));
-    let open = fenced.filter(|fenced| !taken.contains(fenced));
-    open.filter_map(|(router, upto)| evidence_of(core, router, upto))
-        .collect()
-}
-
-fn evidence_of(core: &Core, router: InstanceId, upto: Incarnation) -> Option<Evidence> {
-    let mut charges = BTreeMap::new();
-    for run in core.table.all() {
-        let payment = &run.start.payment;
-        if payment.router != router || payment.incarnation > upto {
-            continue;
-        }
-        let end = run.end()?;
-        for (grant, charged) in &end.charged {
-            let charge = KeyCharge {
-                grant: *grant,
-                key: run.start.key.clone(),
-                attempt: run.start.attempt,
-                charged: *charged,
-            };
-            charges.insert((*grant, run.start.key.clone()), charge);
-        }
+/// Tells the runs what the fleet holds now.
+fn take_in(core: &Core, held: &Held) {
+    core.gate.held.store(Arc::new(held.clone()));
+    for (router, incarnation) in &held.fenced {
+        core.hub.feed(Event::Fenced {
+            router: router.clone(),
+            incarnation: *incarnation,
+        });
+    }
+    let fleet = held.tree.get(&TreePath::Fleet);
+    let fleet = fleet.map(|entry| Document::check(&TreePath::Fleet, &entry.text));
+    if let Some(Ok(Document::Fleet(fleet))) = fleet {
+        core.hub
+            .feed(Event::KeepOnce(fleet.keep_claims + REMEMBER_LONGER));
     }
-    Some(Evidence {
-        router,
-        incarnation: upto,
-        charges: charges.into_values().collect(),
-    })
+    core.show_leaving();
 }
--- a/crates/anvilreel/src/sidecar/gate.rs
+++ b/crates/anvilreel/src/sidecar/gate.rs
@@ -1,20 +1,19 @@
-//! The last gate before the endpoint: leaving, and fenced routers.
+//! Whether the endpoint gets new work.
 //!
-//! Failure: a router that is cut off from the ledger doesn't learn that an endpoint leaves, or
-//! that it was itself declared lost, and goes on sending work. It would show as work cut short
-//! by the leaving, or as money spent twice. The sidecar stands on the endpoint's own side of any
-//! partition, so its refusal holds whatever the router believes.
+//! Failure: a router that is cut off from the ledger doesn't learn that an endpoint leaves, and
+//! goes on sending work to it. It would show as work cut short by the leaving. The sidecar
+//! stands on the endpoint's own side of any partition, so its refusal holds whatever the router
+//! believes; it is itself told by the ledger, by the platform's list and by its own stop.
 
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use anvil_wire::msg::Start;
 use anvil_world::prelude::*;
 use arc_swap::ArcSwap;
 
 use crate::held::Held;
 use crate::life::Life;
 
-/// What the sidecar knows of the fleet, read for every start.
+/// What the sidecar knows of the fleet.
 pub struct Gate {
     /// What was followed so far.
     pub held: ArcSwap<Held>,
@@ -47,21 +46,4 @@
                 && member.presence != Presence::Live
         })
     }
-
-    /// Whether a start may pass.
-    pub fn check(&self, start: &Start) -> Result<(), Refusal> {
-        let leaving = || Refusal::new(Reason::Leaving).with_retry_after(super::SOON);
-        if start.life != self.life.incarnation || self.is_leaving() {
-            return Err(leaving());
-        }
-        let payment = &start.payment;
-        if self
-            .held
-            .load()
-            .is_fenced(&payment.router, payment.incarnation)
-        {
-            return Err(leaving());
-        }
-        Ok(())
-    }
 }
