Scenarios, their requests, reports, tables and drawings

Ruled out: closed-loop callers, which hide waiting; one generator for all loads, where a changed rate shifts every other load's times.

--- /dev/null
+++ b/crates/anvil_standins/src/load/table.rs
@@ -0,0 +1,57 @@
+//! Reports as a table of text.
+
+use super::report::Report;
+
+type Column = (&'static str, fn(&Report) -> String);
+
+const COLUMNS: [Column; 15] = [
+    ("scenario", |r| r.scenario.to_string()),
+    ("rule", |r| r.rule.clone()),
+    ("offered", |r| r.offered.to_string()),
+    ("in time", |r| r.in_deadline.to_string()),
+    ("a second", |r| format!("{:.1}", r.goodput_a_second())),
+    ("refused", |r| r.refusals().to_string()),
+    ("falsely", |r| r.false_refusals.to_string()),
+    ("unknown", |r| r.unknown.to_string()),
+    ("broken", |r| r.broken.to_string()),
+    ("lost", |r| r.lost.to_string()),
+    ("doubled", |r| r.doubled_runs.to_string()),
+    ("first p50", |r| format!("{:.1}", r.first_token.p50)),
+    ("first p95", |r| format!("{:.1}", r.first_token.p95)),
+    ("between p95", |r| format!("{:.2}", r.between.p95)),
+    ("fairness", |r| format!("{:.3}", r.fairness)),
+];
+
+/// One line for each report, under a line of names. Times are in milliseconds.
+pub fn table(reports: &[Report]) -> String {
+    let names = COLUMNS.iter().map(|(name, _)| (*name).to_owned());
+    let mut lines: Vec<Vec<String>> = vec![names.collect()];
+    for report in reports {
+        lines.push(COLUMNS.iter().map(|(_, cell)| cell(report)).collect());
+    }
+    aligned(&lines)
+}
+
+/// Lines of cells as text, each column as wide as its widest cell.
+pub fn aligned(lines: &[Vec<String>]) -> String {
+    let columns = lines.iter().map(Vec::len).max().unwrap_or_default();
+    let width = |at: usize| {
+        let cells = lines.iter().filter_map(|line| line.get(at));
+        cells
+            .map(|cell| cell.chars().count())
+            .max()
+            .unwrap_or_default()
+    };
+    let widths: Vec<_> = (0..columns).map(width).collect();
+    let mut text = String::new();
+    for line in lines {
+        for (cell, width) in line.iter().zip(&widths) {
+            let space = width - cell.chars().count();
+            text.push_str(cell);
+            text.push_str(&" ".repeat(space + 2));
+        }
+        text.truncate(text.trim_end().len());
+        text.push('\n');
+    }
+    text
+}
