--- a/crates/anvilreel/src/router/claims.rs
+++ b/crates/anvilreel/src/router/claims.rs
@@ -115,7 +115,7 @@
         return claim_in_ledger(core, job, claim).await;
     }
     let answers = ask_keepers(core, &job.key, RouterRequest::Put(claim.clone())).await;
-    Ok(made(claim, answers))
+    Ok(made(&claim, answers))
 }
 
 /// Puts another sidecar in the place of one that is lost or refused.
@@ -126,7 +126,7 @@
         new: new.clone(),
     };
     let answers = ask_keepers(core, &job.key, request).await;
-    made(new, answers)
+    made(&new, answers)
 }
 
 /// Tells the ledger how a once-only request ended. `NotRun` frees the key.
@@ -200,7 +200,7 @@
 }
 
 /// The first keeper's word counts where two differ: all routers ask them in the same order.
-fn made(ours: PlacedClaim, answers: Vec<Option<PlacedClaim>>) -> Made {
+fn made(ours: &PlacedClaim, answers: Vec<Option<PlacedClaim>>) -> Made {
     match answers.into_iter().flatten().next() {
         Some(standing) if standing.sidecar != ours.sidecar || standing.body != ours.body => {
             Made::Theirs(standing)
--- a/crates/anvilreel/src/router/follow.rs
+++ b/crates/anvilreel/src/router/follow.rs
@@ -67,6 +67,9 @@
     }
 }
 
+/// Called with what is held and the view of it.
+pub type Changed = Box<dyn Fn(&Held, &View) + Send + Sync>;
+
 /// What the loops need.
 pub struct Follower {
     /// Where the view goes.
@@ -80,7 +83,7 @@
     /// For the version's gauge.
     pub metrics: Metrics,
     /// Called after the view changed.
-    pub changed: Box<dyn Fn(&Held, &View) + Send + Sync>,
+    pub changed: Changed,
 }
 
 impl Follower {
--- a/crates/anvilreel/src/router/places.rs
+++ b/crates/anvilreel/src/router/places.rs
@@ -48,7 +48,7 @@
 pub struct Places {
     /// Pools by name; requests load them once.
     lanes: ArcSwap<BTreeMap<PoolKey, Arc<Lane>>>,
-    places: Mutex<BTreeMap<InstanceId, Place>>,
+    watched: Mutex<BTreeMap<InstanceId, Place>>,
     router: Instance,
     life: Life,
     peers: Arc<Peers>,
@@ -59,7 +59,7 @@
     pub fn new(router: Instance, life: Life, peers: Arc<Peers>) -> Self {
         Self {
             lanes: ArcSwap::default(),
-            places: Mutex::default(),
+            watched: Mutex::default(),
             router,
             life,
             peers,
@@ -147,7 +147,7 @@
     ) -> BTreeMap<InstanceId, Arc<EndpointState>> {
         let all: BTreeMap<_, _> = wanted.values().flatten().map(|i| (&i.id, i)).collect();
         // A panic elsewhere leaves the map as it was between two steps.
-        let mut places = self.places.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut places = self.watched.lock().unwrap_or_else(PoisonError::into_inner);
         places.retain(|id, place| {
             let now = all.get(id);
             now.is_some_and(|now| now.incarnation == place.instance.incarnation)
--- a/crates/anvilreel/src/router/shape.rs
+++ b/crates/anvilreel/src/router/shape.rs
@@ -108,8 +108,7 @@
 /// Bytes up to the last whole character. Bytes that can't be text count as whole.
 fn whole_characters(bytes: &[u8]) -> usize {
     match std::str::from_utf8(bytes) {
-        Ok(_) => bytes.len(),
         Err(e) if e.error_len().is_none() => e.valid_up_to(),
-        Err(_) => bytes.len(),
+        Ok(_) | Err(_) => bytes.len(),
     }
 }
--- a/crates/anvilreel/src/sidecar.rs
+++ b/crates/anvilreel/src/sidecar.rs
@@ -159,7 +159,7 @@
     fn present_instance(&self) -> Instance {
         let mut instance = self.instance.clone();
         if let Some(endpoint) = &mut instance.endpoint {
-            endpoint.models = self.loads.borrow().models.clone();
+            endpoint.models.clone_from(&self.loads.borrow().models);
         }
         instance
     }
--- a/crates/anvilreel/src/sidecar/drive.rs
+++ b/crates/anvilreel/src/sidecar/drive.rs
@@ -53,7 +53,7 @@
         } => {
             Chat::new(&start, body)
                 .drive(&mut driver, *max_output)
-                .await
+                .await;
         }
         Work::Plain {
             method,
@@ -194,7 +194,7 @@
         };
         let mut stream = match begun {
             Ok(stream) => stream,
-            Err(e) => return self.not_begun(driver, &e),
+            Err(e) => return not_begun(driver, &e),
         };
         loop {
             match self.read(driver, &mut stream).await {
@@ -260,35 +260,30 @@
 
     async fn resume(&mut self, driver: &Driver) -> Option<EngineStream> {
         sleep(RESUME_AFTER).await;
-        match engine::resume(&driver.client, &self.run_id, self.length).await {
-            Ok(stream) => Some(stream),
-            Err(_) => {
-                let usage = self.usage;
-                driver.say(EngineEvent::Lost {
-                    usage,
-                    resumable: false,
-                });
-                None
-            }
+        let again = engine::resume(&driver.client, &self.run_id, self.length).await;
+        if again.is_err() {
+            let (usage, resumable) = (self.usage, false);
+            driver.say(EngineEvent::Lost { usage, resumable });
         }
+        again.ok()
     }
 
     async fn stop(&self, driver: &Driver) {
         // An engine that can't be reached runs nothing that could be cancelled.
         let _ = engine::cancel(&driver.client, &self.run_id).await;
     }
+}
 
-    fn not_begun(&self, driver: &Driver, e: &EndpointError) {
-        // A status is the engine's own word that it runs nothing.
-        if e.never_ran() || matches!(e, EndpointError::Status { .. }) {
-            return driver.say(EngineEvent::Refused);
-        }
-        let usage = Usage::default();
-        driver.say(EngineEvent::Lost {
-            usage,
-            resumable: false,
-        });
+fn not_begun(driver: &Driver, e: &EndpointError) {
+    // A status is the engine's own word that it runs nothing.
+    if e.never_ran() || matches!(e, EndpointError::Status { .. }) {
+        return driver.say(EngineEvent::Refused);
     }
+    let usage = Usage::default();
+    driver.say(EngineEvent::Lost {
+        usage,
+        resumable: false,
+    });
 }
 
 /// Names the run at the engine, also where the caller's key holds characters of URLs.
