--- a/crates/anvil_ledger/src/state/claims.rs
+++ b/crates/anvil_ledger/src/state/claims.rs
@@ -38,7 +38,7 @@
         self.clock = self.clock.max(claim.at);
         self.forget();
         if let Some(first) = self.get(&claim.key) {
-            return first;
+            return as_seen_by(claim, first);
         }
         self.by_time.insert((claim.at, claim.key.clone()));
         let kept = (claim.clone(), ClaimState::Open);
@@ -59,7 +59,8 @@
             });
         };
         // The first known end stands: a late "not run" must not free a key that completed.
-        if *state != ClaimState::Open {
+        // The end of another claim than the one that stands says nothing about it.
+        if *state != ClaimState::Open || claim.id != settle.id {
             return Ok(Answer::Done);
         }
         if matches!(settle.outcome, Outcome::NotRun(_)) {
@@ -92,3 +93,13 @@
         }
     }
 }
+
+/// The first claim, as it answers a later one. A resent claim is still fresh: its first answer
+/// was lost on the way, and nobody else was told that it is theirs.
+fn as_seen_by(claim: &Claim, first: ClaimRecord) -> ClaimRecord {
+    let resent = first.claim.id == claim.id && first.state == ClaimState::Open;
+    ClaimRecord {
+        fresh: resent,
+        ..first
+    }
+}
--- a/crates/anvil_ledger/tests/state_tree.rs
+++ b/crates/anvil_ledger/tests/state_tree.rs
@@ -140,6 +140,7 @@
 
 fn claim(sidecar: &str, second: u64) -> Claim {
     Claim {
+        id: sidecar.into(),
         key: RequestKey {
             team: "counter".into(),
             id: "order-1".into(),
@@ -173,6 +174,7 @@
     let key = claim("s1", 1).key;
     let settle = |outcome| {
         Command::SettleClaim(SettleClaim {
+            id: "s1".into(),
             key: key.clone(),
             outcome,
         })
@@ -186,6 +188,37 @@
     );
 }
 
+/// An order's claim is freed ("not run"), and a retry claims it anew and runs. Then the first
+/// router's "not run" comes a second time, late. If it freed the claim that runs, the next retry
+/// would place the order twice.
+#[test]
+fn a_late_not_run_frees_no_later_claim() {
+    let mut f = Fixture::default();
+    f.apply(&Command::Claim(claim("s1", 1)));
+    let late = Command::SettleClaim(SettleClaim {
+        id: "s1".into(),
+        key: claim("s1", 1).key,
+        outcome: Outcome::NotRun(Refusal::new(Reason::Leaving)),
+    });
+    f.apply(&late);
+    f.apply(&Command::Claim(claim("s2", 2)));
+    f.apply(&late);
+    let record = f.state.claim(&claim("s2", 2).key).expect("kept");
+    assert_eq!(&*record.claim.sidecar, "s2");
+}
+
+/// The answer to a claim is lost, and the router sends the claim again. It must hear that the
+/// claim is its own: otherwise nobody would ever run the order.
+#[test]
+fn a_resent_claim_is_still_its_makers() {
+    let mut f = Fixture::default();
+    f.apply(&Command::Claim(claim("s1", 1)));
+    let Answer::Claimed(record) = f.apply(&Command::Claim(claim("s1", 1))) else {
+        panic!("not a claim's answer");
+    };
+    assert!(record.fresh);
+}
+
 #[test]
 fn a_claim_is_forgotten_after_the_fleets_time() {
     let mut f = Fixture::default();
--- a/crates/anvil_world/src/command/claim.rs
+++ b/crates/anvil_world/src/command/claim.rs
@@ -4,12 +4,15 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{BodyHash, Incarnation, InstanceId};
+use crate::ids::{BodyHash, ClaimId, Incarnation, InstanceId};
 use crate::outcome::{Outcome, RequestKey};
 
 /// Binds a request key to one sidecar. The first one wins; every later one is told who that was.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
+    /// Made by the claimer. Only who knows it may free the claim: a late "not run" of an earlier
+    /// claim must not free a later one that runs.
+    pub id: ClaimId,
     /// The request.
     pub key: RequestKey,
     /// Hash of its body, so that the same key with another body is refused.
@@ -45,6 +48,8 @@
 /// The end of a claimed request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SettleClaim {
+    /// The claim that is meant; another one is left alone.
+    pub id: ClaimId,
     /// The request.
     pub key: RequestKey,
     /// How it ended. `NotRun` frees the key for another claim.
--- a/crates/anvil_world/src/ids.rs
+++ b/crates/anvil_world/src/ids.rs
@@ -24,6 +24,8 @@
 pub type ServiceId = Arc<str>;
 /// An id that an operator's client makes for one change; a resent change keeps it.
 pub type ChangeId = Arc<str>;
+/// An id that a router makes for one claim; a resent claim keeps it.
+pub type ClaimId = Arc<str>;
 /// Who made a change.
 pub type OperatorId = Arc<str>;
 
