Load tool: open-loop driver, checker, and a fleet of real processes

Cause: what callers get could only be guessed. Ruled out: closed-loop callers; starting the fleet inside the tool, which would need a dependency of the stand-ins on the library; counting refusals without asking whether they were true. Change: anvil-load run starts the daemons as processes with settings files, applies documents through the operators' client, sends the scenario's requests at their due times, compares every answer with the expected one and judges each refusal by a view of the whole.

--- /dev/null
+++ b/crates/anvil_standins/src/bin/anvil-load.rs
@@ -0,0 +1,146 @@
+//! The load and experiment tool's command line.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use anvil_standins::Error;
+use anvil_standins::error::{FileSnafu, JsonSnafu};
+use anvil_standins::load::fleet::Fleet;
+use anvil_standins::load::{Report, Scenario, Target, drive, plot, table};
+use argh::FromArgs;
+use snafu::ResultExt;
+
+/// plays scenarios against the fleet, with stand-in endpoints, on loopback
+#[derive(Debug, FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    task: Task,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Task {
+    Run(Run),
+}
+
+/// start the daemons as processes, play scenarios against them and report what callers got
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "run")]
+struct Run {
+    /// scenario files
+    #[argh(positional)]
+    scenarios: Vec<PathBuf>,
+
+    /// folder of the daemons; the tool's own, if it is not given
+    #[argh(option)]
+    programs: Option<PathBuf>,
+
+    /// routers that run already, in place of a fleet of the tool's own
+    #[argh(option)]
+    target: Vec<SocketAddr>,
+
+    /// bearer keys of the organisations at the target
+    #[argh(option)]
+    key: Vec<String>,
+
+    /// folder for the settings, data and logs of the processes, and for drawings and JSON lines
+    #[argh(option, default = "PathBuf::from(\"target/load\")")]
+    out: PathBuf,
+
+    /// percent of the rates that the scenarios name
+    #[argh(option, default = "100")]
+    percent: u32,
+}
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(e) => return failed(&e),
+    };
+    let Task::Run(task) = arguments.task;
+    match runtime.block_on(run(&task)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => failed(&e),
+    }
+}
+
+fn failed(e: &dyn std::error::Error) -> ExitCode {
+    eprintln!("anvil-load: {e}");
+    ExitCode::FAILURE
+}
+
+async fn run(task: &Run) -> Result<(), Error> {
+    let mut reports = Vec::new();
+    for path in &task.scenarios {
+        let scenario = Scenario::load(path)?.with_percent(task.percent);
+        let report = if task.target.is_empty() {
+            with_fleet(task, &scenario).await?
+        } else {
+            let target = Target {
+                routers: task.target.clone(),
+                keys: task.key.clone(),
+                rule: "target".into(),
+                run: scenario.name.to_string(),
+            };
+            drive(&scenario, target).await.recorder.report()
+        };
+        keep(&task.out, &report)?;
+        reports.push(report);
+    }
+    print!("{}", table::table(&reports));
+    Ok(())
+}
+
+async fn with_fleet(task: &Run, scenario: &Scenario) -> Result<Report, Error> {
+    let folder = task.out.join(scenario.name.as_ref());
+    fresh(&folder)?;
+    let programs = task.programs.clone().or_else(own_folder);
+    let programs = programs.unwrap_or_default();
+    let mut fleet = Fleet::start(scenario, &programs, &folder).await?;
+    let report = fleet.run().await?;
+    let mut lines = vec![
+        ["process", "processor s", "memory MB"]
+            .map(String::from)
+            .to_vec(),
+    ];
+    for (name, usage) in fleet.usage() {
+        let processor = format!("{:.2}", usage.processor.as_secs_f64());
+        let memory = format!("{}", usage.memory >> 20);
+        lines.push(vec![name, processor, memory]);
+    }
+    print!("{}", table::aligned(&lines));
+    Ok(report)
+}
+
+fn own_folder() -> Option<PathBuf> {
+    let program = std::env::current_exe().ok()?;
+    Some(program.parent()?.into())
+}
+
+/// Empties the folder of an earlier run.
+fn fresh(folder: &Path) -> Result<(), Error> {
+    match std::fs::remove_dir_all(folder) {
+        Err(e) if e.kind() != std::io::ErrorKind::NotFound => {
+            return Err(e).context(FileSnafu { path: folder });
+        }
+        _ => {}
+    }
+    std::fs::create_dir_all(folder).context(FileSnafu { path: folder })
+}
+
+/// Adds a report to the JSON lines, and draws it.
+fn keep(folder: &Path, report: &Report) -> Result<(), Error> {
+    std::fs::create_dir_all(folder).context(FileSnafu { path: folder })?;
+    let path = folder.join("reports.jsonl");
+    let file = std::fs::File::options()
+        .append(true)
+        .create(true)
+        .open(&path);
+    let mut file = file.context(FileSnafu { path: &path })?;
+    let line = serde_json::to_string(report).context(JsonSnafu)?;
+    writeln!(file, "{line}").context(FileSnafu { path: &path })?;
+    plot::draw(folder, std::slice::from_ref(report))
+}
--- a/crates/anvil_standins/src/error.rs
+++ b/crates/anvil_standins/src/error.rs
@@ -71,4 +71,16 @@
         /// What the drawing library said.
         message: String,
     },
+    /// A process of the fleet does not serve in time.
+    #[snafu(display("{url} does not say that it is ready"))]
+    NotReady {
+        /// What was asked.
+        url: String,
+    },
+    /// The operators' client did not get its work done in time.
+    #[snafu(display("the operators' client: {said}"))]
+    Operator {
+        /// What it wrote last.
+        said: String,
+    },
 }
--- a/crates/anvil_standins/src/load.rs
+++ b/crates/anvil_standins/src/load.rs
@@ -2,17 +2,25 @@
 //!
 //! A [`Scenario`] says who asks for what and what breaks when. [`arrivals`] turns it into the
 //! same requests for every run with the same seed, at times that do not depend on the answers,
-//! so that waiting is not hidden. What came of them goes into a [`Recorder`], which ends as a
+//! so that waiting is not hidden. [`drive`] sends them to routers; [`fleet`] starts the real
+//! processes that they go to. What came of them goes into a [`Recorder`], which ends as a
 //! [`Report`]; reports are printed by [`table`] and drawn by [`plot`].
 
 pub mod arrivals;
+mod caller;
+pub mod driver;
+pub mod fleet;
 pub mod plot;
+pub mod prompt;
 pub mod recorder;
 pub mod report;
 pub mod scenario;
 pub mod table;
+pub mod usage;
+mod view;
 
 pub use arrivals::{Arrival, arrivals};
+pub use driver::{Target, drive};
 pub use recorder::{Ending, Recorder, Sample};
 pub use report::Report;
 pub use scenario::Scenario;
--- a/crates/anvil_standins/src/load/scenario.rs
+++ b/crates/anvil_standins/src/load/scenario.rs
@@ -127,8 +127,8 @@
     pub large_percent: u32,
     /// Prepaid tokens of each organisation.
     pub budget: Tokens,
-    /// Percent of requests without an answer in time that are sent once more under their key.
-    pub retry_percent: u32,
+    /// How often a caller whose answer was cut off sends the request again, under its key.
+    pub retries: u32,
 }
 
 impl Default for Callers {
@@ -138,7 +138,7 @@
             large: 2,
             large_percent: 60,
             budget: 1_000_000_000,
-            retry_percent: 0,
+            retries: 5,
         }
     }
 }
