Slopes: what ledger state, applies, messages and syncs cost

Cause: docs/CAPACITY.md needs figures from measurements. Ruled out: plain least squares, which lets the largest size decide alone; memory of several sizes in one process, where the allocator keeps what the size before has freed. Change: an example that measures each cost at three or more sizes and fits a line.

--- /dev/null
+++ b/crates/anvil_daemons/examples/slopes/main.rs
@@ -0,0 +1,59 @@
+//! Measures the slopes that docs/CAPACITY.md is worked out from.
+//!
+//! `cargo run --release -p anvil_daemons --example slopes` prints the table again: each line is
+//! a cost that was measured at three or more sizes, with the straight line that fits best and
+//! the largest error of any point against it. Memory is measured in a process of its own for
+//! each size, so that nothing is left over from the size before.
+
+mod apply;
+mod disk;
+mod fit;
+mod messages;
+mod sample;
+mod state;
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+use fit::Slope;
+
+/// measures what each thing costs, at three or more sizes, and fits a line
+#[derive(Debug, FromArgs)]
+struct Arguments {
+    /// only groups whose name starts with this: state, apply, messages, disk
+    #[argh(option, default = "String::new()")]
+    only: String,
+
+    /// used by the tool itself: measure the memory of so many of one kind, and print it
+    #[argh(option)]
+    memory: Option<String>,
+
+    /// used by the tool itself: how many
+    #[argh(option, default = "0")]
+    count: u64,
+}
+
+type Group = (&'static str, fn() -> Vec<Slope>);
+
+const GROUPS: [Group; 4] = [
+    ("state", state::slopes),
+    ("apply", apply::slopes),
+    ("messages", messages::slopes),
+    ("disk", disk::slopes),
+];
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    if let Some(kind) = &arguments.memory {
+        return state::measure(kind, arguments.count);
+    }
+    let mut lines = vec![fit::heads()];
+    for (name, slopes) in GROUPS {
+        if name.starts_with(&arguments.only) {
+            lines.extend(slopes().iter().map(Slope::line));
+        }
+    }
+    print!("{}", anvil_standins::load::table::aligned(&lines));
+    ExitCode::SUCCESS
+}
--- a/crates/anvil_standins/src/load/fleet/documents.rs
+++ b/crates/anvil_standins/src/load/fleet/documents.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::path::Path;
+use std::time::SystemTime;
 
+use anvil_world::command::change_id;
 use anvil_world::document::key_hash;
 use anvil_world::settings::EndpointKind;
 use serde_json::Value;
@@ -41,7 +43,7 @@
             let amount = self.scenario.callers.budget.to_string();
             let mut top_up = self.operator();
             let top_up = top_up.args(["top-up", &name, &amount]);
-            let id = format!("load-{name}");
+            let id = change_id(SystemTime::now(), &format!("load-{name}"));
             self.until_done(top_up.args(["--id", &id])).await?;
         }
         Ok(())
