--- /dev/null
+++ b/crates/anvilreel/src/sidecar/drive.rs
@@ -0,0 +1,294 @@
+//! Drives one run at the endpoint: the endpoint's words go to the state machine, and its
+//! commands to the endpoint.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvil_wire::msg::{Head, Start, Work};
+use anvil_world::document::WorkClass;
+use anvil_world::prelude::*;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::sleep;
+use xxhash_rust::xxh3::xxh3_128;
+
+use super::engine::{self, Ask, EngineStream, Said};
+use super::http::{EndpointClient, EndpointError};
+use super::hub::Hub;
+use crate::runs::{EngineCommand, EngineEvent, Event, RunId};
+
+/// How often a broken stream is resumed before the run is given up here.
+const RESUMES: u32 = 3;
+/// Pause before a broken stream is resumed.
+const RESUME_AFTER: Duration = Duration::from_millis(50);
+/// Bytes that a prompt token takes on average: for the use of a run that is stopped before the
+/// engine has told.
+const USUAL_TOKEN_BYTES: u64 = 4;
+/// Priority of work that a person waits for; lower is sooner.
+const INTERACTIVE: i32 = 0;
+/// Priority of work with a deadline of hours.
+const BATCH: i32 = 10;
+
+/// What drives one run.
+pub struct Driver {
+    /// Where the endpoint's words go.
+    pub hub: Arc<Hub>,
+    /// The way to the endpoint.
+    pub client: EndpointClient,
+    /// Which run.
+    pub run: RunId,
+    /// What was asked.
+    pub start: Arc<Start>,
+    /// What the state machine wants of the endpoint.
+    pub commands: UnboundedReceiver<EngineCommand>,
+}
+
+/// Drives a run to its end.
+pub async fn drive(mut driver: Driver) {
+    let start = driver.start.clone();
+    match &start.work {
+        Work::Chat {
+            body, max_output, ..
+        } => {
+            Chat::new(&start, body)
+                .drive(&mut driver, *max_output)
+                .await;
+        }
+        Work::Plain {
+            method,
+            tail,
+            headers,
+            body,
+        } => driver.plain(method, tail, headers, body.clone()).await,
+    }
+    driver.hub.driven(driver.run);
+}
+
+impl Driver {
+    fn say(&self, event: EngineEvent) {
+        self.hub.feed(Event::Engine {
+            run: self.run,
+            event,
+        });
+    }
+
+    /// Returns when the run is to be stopped.
+    async fn stopped(&mut self) {
+        // A closed channel means that nobody is left who could want it to go on.
+        while let Some(command) = self.commands.recv().await {
+            if command == EngineCommand::Stop {
+                return;
+            }
+        }
+    }
+
+    async fn plain(
+        &mut self,
+        method: &str,
+        tail: &str,
+        headers: &[(Arc<str>, Bytes)],
+        body: Bytes,
+    ) {
+        let usage = Usage {
+            calls: 1,
+            ..Usage::default()
+        };
+        let (hub, run) = (self.hub.clone(), self.run);
+        let say = move |event| hub.feed(Event::Engine { run, event });
+        let client = self.client.clone();
+        let tail = format!("/{tail}");
+        let call = plain_call(&client, (method, &tail), headers, body, usage, &say);
+        tokio::select! {
+            called = call => match called {
+                Ok(()) => self.say(EngineEvent::Ended { usage, finish: "stop".into() }),
+                Err(e) if e.never_ran() => self.say(EngineEvent::Refused),
+                Err(_) => self.say(EngineEvent::Lost { usage, resumable: false }),
+            },
+            () = self.stopped() => {}
+        }
+    }
+}
+
+async fn plain_call(
+    client: &EndpointClient,
+    (method, tail): (&str, &str),
+    headers: &[(Arc<str>, Bytes)],
+    body: Bytes,
+    usage: Usage,
+    say: &impl Fn(EngineEvent),
+) -> Result<(), EndpointError> {
+    let answer = client.send(method, tail, headers, body).await?;
+    let (parts, mut body) = answer.into_parts();
+    let headers = parts.headers.iter().map(|(name, value)| {
+        let value = Bytes::copy_from_slice(value.as_bytes());
+        (name.as_str().into(), value)
+    });
+    say(EngineEvent::Head(Head {
+        status: parts.status.as_u16(),
+        headers: headers.collect(),
+    }));
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|source| EndpointError::Broken { source })?;
+        if let Ok(bytes) = frame.into_data() {
+            say(EngineEvent::Output { bytes, usage });
+        }
+    }
+    Ok(())
+}
+
+/// A chat at the engine.
+struct Chat<'a> {
+    start: &'a Start,
+    body: &'a Bytes,
+    run_id: String,
+    /// Bytes of the whole answer, prefix included.
+    length: Offset,
+    usage: Usage,
+    finish: Arc<str>,
+    resumes: u32,
+}
+
+/// What ends the reading of one stream.
+enum Cut {
+    Done,
+    Lost,
+    Stopped,
+    Resume,
+}
+
+impl<'a> Chat<'a> {
+    fn new(start: &'a Start, body: &'a Bytes) -> Self {
+        let bytes = body.len() as u64;
+        Self {
+            start,
+            body,
+            run_id: run_id(start),
+            length: start.prefix.len() as u64,
+            // Until the engine has told, which it does at the end: an estimate of the prompt, and
+            // one token for each event, which is never more than it made.
+            usage: Usage {
+                prompt: bytes / USUAL_TOKEN_BYTES,
+                ..Usage::default()
+            },
+            finish: "stop".into(),
+            resumes: 0,
+        }
+    }
+
+    async fn drive(mut self, driver: &mut Driver, max_output: Tokens) {
+        let ask = Ask {
+            body: self.body,
+            max_output,
+            priority: match self.start.class {
+                WorkClass::Interactive => INTERACTIVE,
+                WorkClass::Batch => BATCH,
+            },
+            run_id: &self.run_id,
+            prefix: &self.start.prefix,
+        };
+        let client = driver.client.clone();
+        let begun = tokio::select! {
+            begun = engine::chat(&client, &ask) => begun,
+            () = driver.stopped() => return self.stop(driver).await,
+        };
+        let mut stream = match begun {
+            Ok(stream) => stream,
+            Err(e) => return not_begun(driver, &e),
+        };
+        loop {
+            match self.read(driver, &mut stream).await {
+                Cut::Done => {
+                    let (usage, finish) = (self.usage, self.finish);
+                    return driver.say(EngineEvent::Ended { usage, finish });
+                }
+                Cut::Stopped => return self.stop(driver).await,
+                Cut::Lost => return,
+                Cut::Resume => match self.resume(driver).await {
+                    Some(again) => stream = again,
+                    None => return,
+                },
+            }
+        }
+    }
+
+    /// Passes the engine's words on until the stream ends or a command comes.
+    async fn read(&mut self, driver: &mut Driver, stream: &mut EngineStream) -> Cut {
+        let mut paused = false;
+        let mut broken = false;
+        loop {
+            tokio::select! {
+                said = stream.next(), if !paused && !broken => match said {
+                    Ok(Said::Done) => return Cut::Done,
+                    Ok(said) => self.take(driver, said),
+                    Err(_) => {
+                        // The state machine answers with a command where it is resumable.
+                        broken = true;
+                        let resumable = self.resumes < RESUMES;
+                        self.resumes += 1;
+                        let usage = self.usage;
+                        driver.say(EngineEvent::Lost { usage, resumable });
+                        if !resumable {
+                            return Cut::Lost;
+                        }
+                    }
+                },
+                command = driver.commands.recv() => match command {
+                    Some(EngineCommand::Stop) | None => return Cut::Stopped,
+                    Some(EngineCommand::Pause) => paused = true,
+                    Some(EngineCommand::Continue) => paused = false,
+                    Some(EngineCommand::Resume { .. }) => return Cut::Resume,
+                    Some(EngineCommand::Begin(_)) => {}
+                },
+            }
+        }
+    }
+
+    fn take(&mut self, driver: &Driver, said: Said) {
+        match said {
+            Said::Text(text) => {
+                self.length += text.len() as u64;
+                self.usage.output += 1;
+                let (bytes, usage) = (text.into(), self.usage);
+                driver.say(EngineEvent::Output { bytes, usage });
+            }
+            Said::Finish(why) => self.finish = why,
+            Said::Usage(usage) => self.usage = usage,
+            Said::Done => {}
+        }
+    }
+
+    async fn resume(&mut self, driver: &Driver) -> Option<EngineStream> {
+        sleep(RESUME_AFTER).await;
+        let again = engine::resume(&driver.client, &self.run_id, self.length).await;
+        if again.is_err() {
+            let (usage, resumable) = (self.usage, false);
+            driver.say(EngineEvent::Lost { usage, resumable });
+        }
+        again.ok()
+    }
+
+    async fn stop(&self, driver: &Driver) {
+        // An engine that can't be reached runs nothing that could be cancelled.
+        let _ = engine::cancel(&driver.client, &self.run_id).await;
+    }
+}
+
+fn not_begun(driver: &Driver, e: &EndpointError) {
+    // A status is the engine's own word that it runs nothing.
+    if e.never_ran() || matches!(e, EndpointError::Status { .. }) {
+        return driver.say(EngineEvent::Refused);
+    }
+    let usage = Usage::default();
+    driver.say(EngineEvent::Lost {
+        usage,
+        resumable: false,
+    });
+}
+
+/// Names the run at the engine, also where the caller's key holds characters of URLs.
+fn run_id(start: &Start) -> String {
+    let key = &start.key;
+    let name = format!("{}/{}/{}/{}", start.life, start.attempt, key.team, key.id);
+    format!("{:032x}", xxh3_128(name.as_bytes()))
+}
