--- a/crates/anvil_ledger/src/storage/store.rs
+++ b/crates/anvil_ledger/src/storage/store.rs
@@ -135,6 +135,8 @@
 
     /// Writes without a sync. Nothing of it may be acknowledged before [`Storage::sync`].
     pub fn write(&mut self, write: &Write) -> Result<(), StorageError> {
+        // A segment begun below repeats the newest term in its header.
+        self.hard = write.hard.unwrap_or(self.hard);
         let replaces = !write.entries.is_empty() && write.prev.index < self.last.index;
         if replaces {
             self.close_segment(write.prev)?;
@@ -150,7 +152,6 @@
         frame::put(&mut buf, self.synced, &segment::encode(&file, &batch)?);
         self.run("write", &file, Op::Append(&file, &buf))?;
         self.length += buf.len() as u64;
-        self.hard = write.hard.unwrap_or(self.hard);
         if let Some(entry) = write.entries.last() {
             self.newest = self.newest.max(entry.id.index);
             self.last = entry.id;
