--- a/crates/anvil_ledger/src/core.rs
+++ b/crates/anvil_ledger/src/core.rs
@@ -29,7 +29,7 @@
 pub use event::{Action, Event, Proposal, Refused, Write};
 pub use membership::{Membership, Site};
 pub use message::{Envelope, Message};
-pub use replica::{Replica, Restored, Timing};
+pub use replica::{CoreSettings, Replica, Restored};
 
 /// Random number of a replica's disk, made when the data folder is founded. Never made again:
 /// an emptied disk is a new replica, so it can't give the vote of the old one a second time.
--- a/crates/anvil_ledger/src/core/change.rs
+++ b/crates/anvil_ledger/src/core/change.rs
@@ -75,7 +75,7 @@
         let Role::Leader(lead) = &self.role else {
             return false;
         };
-        let limit: Duration = self.timing.election;
+        let limit: Duration = self.cfg.election;
         let close = |progress: &Progress| {
             let recent = self.now < progress.heard + limit;
             recent && progress.matched > 0 && progress.matched + CAUGHT_UP >= self.committed
--- a/crates/anvil_ledger/src/core/lead.rs
+++ b/crates/anvil_ledger/src/core/lead.rs
@@ -53,7 +53,7 @@
         }
         self.change_members();
         let now = self.now;
-        let heartbeat = self.timing.heartbeat;
+        let heartbeat = self.cfg.heartbeat;
         let Some(lead) = self.leadership() else {
             return;
         };
@@ -67,7 +67,7 @@
         let Role::Leader(lead) = &self.role else {
             return false;
         };
-        let limit = self.timing.election;
+        let limit = self.cfg.election;
         let heard = |id: ReplicaId| {
             let progress = lead.progress.get(&id);
             id == self.id || progress.is_some_and(|p| self.now < p.heard + limit)
--- a/crates/anvil_ledger/src/core/replica.rs
+++ b/crates/anvil_ledger/src/core/replica.rs
@@ -16,23 +16,26 @@
     ReplicaId, Site, SnapshotMeta,
 };
 
-/// How fast replicas notice things.
+/// How fast replicas notice things, and how much of the log they keep.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Timing {
+pub struct CoreSettings {
     /// How often a leader gives a sign of life.
     pub heartbeat: Duration,
     /// How long a follower waits for one at least; it waits for up to twice as long, by chance,
     /// so that two rarely stand for election at the same time. A leader that has not heard from
     /// a majority for this long steps down.
     pub election: Duration,
+    /// Entries kept before a snapshot, so that a follower that lags a little needs no snapshot.
+    pub trailing: LogIndex,
 }
 
-impl Default for Timing {
+impl Default for CoreSettings {
     /// Zones are about a millisecond apart; the margin is for a busy machine.
     fn default() -> Self {
         Self {
             heartbeat: Duration::from_millis(100),
             election: Duration::from_millis(600),
+            trailing: 4_096,
         }
     }
 }
@@ -64,7 +67,7 @@
 #[derive(Debug)]
 pub struct Replica {
     pub(super) id: ReplicaId,
-    pub(super) timing: Timing,
+    pub(super) cfg: CoreSettings,
     pub(super) rng: ChaCha8Rng,
     pub(super) now: Duration,
     pub(super) hard: HardState,
@@ -92,7 +95,7 @@
 
 impl Replica {
     /// A replica as its disk knows it.
-    pub fn new(restored: Restored, timing: Timing, seed: u64, now: Duration) -> Self {
+    pub fn new(restored: Restored, cfg: CoreSettings, seed: u64, now: Duration) -> Self {
         let Restored {
             id,
             hard,
@@ -114,7 +117,7 @@
         let last = log.last().index;
         let mut replica = Self {
             id,
-            timing,
+            cfg,
             rng: ChaCha8Rng::seed_from_u64(seed),
             now,
             hard,
@@ -284,14 +287,14 @@
     }
 
     pub(super) fn heard_leader_lately(&self) -> bool {
-        let limit = self.timing.election;
+        let limit = self.cfg.election;
         self.heard.is_some_and(|heard| self.now < heard + limit)
     }
 
     /// Starts waiting for a sign of life, for a time that differs from the others'.
     pub(super) fn wait_for_leader(&mut self) {
         let share = self.rng.random_range(1.0..2.0);
-        self.deadline = self.now + self.timing.election.mul_f64(share);
+        self.deadline = self.now + self.cfg.election.mul_f64(share);
     }
 
     pub(super) fn send(&mut self, to: ReplicaId, message: Message) {
--- a/crates/anvil_ledger/src/core/snapshot.rs
+++ b/crates/anvil_ledger/src/core/snapshot.rs
@@ -1,15 +1,12 @@
 //! Snapshots: they shorten the log and bring laggards up to date.
 
-use anvil_world::ids::{LogIndex, Term};
+use anvil_world::ids::Term;
 use bytes::Bytes;
 
 use super::error::CoreError;
 use super::replica::Replica;
 use super::{Action, ReplicaId, Round, SnapshotMeta};
 
-/// Entries kept before a snapshot, so that a follower that lags a little needs no snapshot.
-const TRAILING: LogIndex = 4_096;
-
 impl Replica {
     /// This replica's own snapshot is on disk: older entries can go.
     pub(super) fn saved(&mut self, meta: SnapshotMeta) {
@@ -22,7 +19,7 @@
         }
         let index = meta.last.index;
         self.snapshot = Some(meta);
-        let upto = index.saturating_sub(TRAILING);
+        let upto = index.saturating_sub(self.cfg.trailing);
         if upto > self.log.base().index {
             self.log.compact(upto);
             self.out.push(Action::Compact(upto));
--- a/crates/anvil_ledger/tests/support/clients.rs
+++ b/crates/anvil_ledger/tests/support/clients.rs
@@ -37,7 +37,8 @@
     pub kind: Kind,
     pub target: usize,
     pub under_way: Option<Command>,
-    made: u64,
+    /// Commands so far.
+    pub made: u64,
     expected: Revision,
     incarnation: Incarnation,
     grants: Vec<Grant>,
--- a/crates/anvil_ledger/tests/support/fleet.rs
+++ b/crates/anvil_ledger/tests/support/fleet.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use anvil_ledger::core::{
-    Action, Entry, Envelope, Event, Membership, Proposal, Replica, ReplicaId, RequestId, Restored,
-    Site, SnapshotMeta, Timing, WriteSeq,
+    Action, CoreSettings, Entry, Envelope, Event, Membership, Proposal, Replica, ReplicaId,
+    RequestId, Restored, Site, SnapshotMeta, WriteSeq,
 };
 use anvil_ledger::machine::{Machine, encode};
 use anvil_ledger::storage::{Storage, StorageError, snapshot};
@@ -22,7 +22,7 @@
 /// A client resends after this long.
 const PATIENCE: Duration = Duration::from_millis(1_500);
 /// Snapshots are taken after this many entries.
-const SNAPSHOT_EVERY: LogIndex = 300;
+const SNAPSHOT_EVERY: LogIndex = 100;
 const CLIENTS: [Kind; 10] = [
     Kind::Steward,
     Kind::TopUps,
@@ -58,9 +58,19 @@
     sync_due: bool,
     covered: LogIndex,
     preparing: bool,
-    /// Proposals and reads under way: who asked, and what was acknowledged when it did.
-    asked: BTreeMap<RequestId, (usize, LogIndex)>,
-    accepted: BTreeMap<LogIndex, (Term, usize)>,
+    /// Proposals and reads under way.
+    asked: BTreeMap<RequestId, Asked>,
+    accepted: BTreeMap<LogIndex, (Term, Asked)>,
+}
+
+/// Who asked.
+#[derive(Clone, Copy)]
+pub struct Asked {
+    client: usize,
+    /// The client's command: an answer to an earlier one is not taken for a later one's.
+    command: u64,
+    /// What was acknowledged when it asked.
+    began: LogIndex,
 }
 
 /// An instance with its disk.
@@ -90,6 +100,14 @@
     pub steps: u64,
 }
 
+/// A short log, so that laggards need snapshots.
+fn core_settings() -> CoreSettings {
+    CoreSettings {
+        trailing: 40,
+        ..CoreSettings::default()
+    }
+}
+
 fn site(number: usize) -> Site {
     Site {
         instance: format!("ledger-{number}").into(),
@@ -178,7 +196,7 @@
         };
         self.owners.insert(storage.id(), number);
         let seed = self.rng.random();
-        let replica = Replica::new(restored, Timing::default(), seed, self.now);
+        let replica = Replica::new(restored, core_settings(), seed, self.now);
         let instance = &mut self.instances[number];
         instance.life += 1;
         let life = instance.life;
@@ -329,9 +347,9 @@
             Action::Apply(entries) => self.apply(number, &entries),
             Action::Accepted { id, entry } => {
                 if let Some(process) = self.process(number)
-                    && let Some((client, _)) = process.asked.remove(&id)
+                    && let Some(asked) = process.asked.remove(&id)
                 {
-                    process.accepted.insert(entry.index, (entry.term, client));
+                    process.accepted.insert(entry.index, (entry.term, asked));
                 }
             }
             Action::Refused { id, .. } => self.refused(number, id),
@@ -426,18 +444,22 @@
             let answer = process.machine.apply(entry).expect("invariants hold");
             let after = process.machine.state.version();
             self.checks.version(before, after);
-            let Some((term, client)) = process.accepted.remove(&entry.id.index) else {
+            let Some((term, asked)) = process.accepted.remove(&entry.id.index) else {
                 continue;
             };
             if term == entry.id.term {
                 self.checks.acknowledged(entry.id);
-                self.answer(client, &answer);
+                self.answer(asked, &answer);
             }
         }
         self.save(number);
     }
 
-    fn answer(&mut self, client: usize, answer: &Answer) {
+    fn answer(&mut self, asked: Asked, answer: &Answer) {
+        let client = asked.client;
+        if self.clients[client].made != asked.command {
+            return;
+        }
         if self.rng.random_bool(0.1) {
             self.faults.count("answer lost");
             return;
@@ -541,6 +563,7 @@
         let command = self.clients[client].command(now, &mut self.rng);
         let reads = self.clients[client].kind == Kind::Reader;
         let target = self.clients[client].target;
+        let made = self.clients[client].made;
         let began = self.checks.newest_acknowledged();
         self.last_request += 1;
         let id = self.last_request;
@@ -548,7 +571,12 @@
             self.waiting[client] = Duration::ZERO;
             return;
         };
-        process.asked.insert(id, (client, began));
+        let asked = Asked {
+            client,
+            command: made,
+            began,
+        };
+        process.asked.insert(id, asked);
         if reads {
             self.feed(target, Event::Read(id));
         } else {
@@ -559,8 +587,8 @@
 
     fn refused(&mut self, number: usize, id: RequestId) {
         let asked = self.process(number).and_then(|p| p.asked.remove(&id));
-        if let Some((client, _)) = asked {
-            self.waiting[client] = Duration::ZERO;
+        if let Some(asked) = asked {
+            self.waiting[asked.client] = Duration::ZERO;
         }
     }
 
@@ -570,10 +598,10 @@
         };
         let asked = process.asked.remove(&id);
         let applied = process.machine.state.applied();
-        if let Some((client, began)) = asked {
+        if let Some(asked) = asked {
             assert!(applied >= index, "a read was confirmed before its apply");
-            self.checks.read(began, applied);
-            self.clients[client].under_way = None;
+            self.checks.read(asked.began, applied);
+            self.clients[asked.client].under_way = None;
         }
     }
 
--- a/crates/anvilreel/src/ledger_service.rs
+++ b/crates/anvilreel/src/ledger_service.rs
@@ -33,7 +33,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anvil_ledger::core::Timing;
+use anvil_ledger::core::CoreSettings;
 use anvil_ledger::storage::{Disk, Storage, Writer};
 use anvil_wire::Server;
 use anvil_world::settings::LedgerSettings;
@@ -53,7 +53,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Tuning {
     /// How fast replicas notice things.
-    pub timing: Timing,
+    pub core: CoreSettings,
     /// An instance that gives no sign of life for this long is declared gone.
     pub gone_after: Duration,
     /// A snapshot is taken after this many entries.
@@ -65,7 +65,7 @@
 impl Default for Tuning {
     fn default() -> Self {
         Self {
-            timing: Timing::default(),
+            core: CoreSettings::default(),
             gone_after: Duration::from_secs(10),
             snapshot_every: 10_000,
             group_commit: true,
--- a/crates/anvilreel/src/ledger_service/node.rs
+++ b/crates/anvilreel/src/ledger_service/node.rs
@@ -140,8 +140,8 @@
             base: recovered.base,
             entries: recovered.entries.into(),
         };
-        let timing = setup.tuning.timing;
-        let replica = Replica::new(restored, timing, rand::random(), Duration::ZERO);
+        let core = setup.tuning.core;
+        let replica = Replica::new(restored, core, rand::random(), Duration::ZERO);
         let (public, seen) = watch::channel(Public::default());
         let mut node = Self {
             setup,
