Policy experiment in virtual time against a small fake

Cause: thresholds need measurements, and baselines on the same arrivals. Ruled out: fixed service times in the fake (no rule can then make tokens late); real time (a two-minute load would take two minutes for each rule).

--- a/crates/anvil_policy/src/endpoint.rs
+++ b/crates/anvil_policy/src/endpoint.rs
@@ -93,6 +93,11 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
+    /// Runs there by the last report alone.
+    pub fn reported(&self) -> u32 {
+        self.reported.load(Ordering::Relaxed)
+    }
+
     /// Runs there, of all routers, as far as this one can tell: the last report, corrected by
     /// what this router did since, and never less than what it has there itself.
     pub fn pressure(&self) -> u32 {
--- a/crates/anvil_policy/src/estimate.rs
+++ b/crates/anvil_policy/src/estimate.rs
@@ -60,6 +60,12 @@
         Duration::try_from_secs_f64(secs).unwrap_or(Duration::MAX)
     }
 
+    /// Expected time that a prompt's prefill takes by itself.
+    pub fn prefill(&self, prompt: Tokens) -> Duration {
+        let secs = real(prompt) * self.per_prompt_token;
+        Duration::try_from_secs_f64(secs).unwrap_or(Duration::MAX)
+    }
+
     /// Learns from a finished request.
     pub fn learn(&mut self, finished: &Finished) {
         let first = finished.first_token.as_secs_f64();
--- a/crates/anvil_standins/src/load.rs
+++ b/crates/anvil_standins/src/load.rs
@@ -1,1 +1,4 @@
 //! The load and experiment tool.
+
+pub mod fake;
+pub mod policy;
--- /dev/null
+++ b/crates/anvil_standins/src/load/policy.rs
@@ -0,0 +1,22 @@
+//! The policy experiment: decisions under load against [`super::fake`], in virtual time.
+//!
+//! The same seed gives the same arrivals to every [`Rule`], so that rules are compared on one
+//! and the same load. Arrivals are open-loop: a late answer holds no later request back, so
+//! waiting is not hidden.
+
+pub mod report;
+pub mod router;
+pub mod rule;
+pub mod scenario;
+pub mod world;
+
+pub use report::Report;
+pub use rule::Rule;
+pub use scenario::PolicyScenario;
+
+/// Plays one scenario under one rule.
+pub fn run_policy(scenario: &PolicyScenario, rule: &Rule) -> Report {
+    let mut world = world::World::new(scenario, rule);
+    world.play();
+    world.report()
+}
