Limits follow reported token times, promises are kept, retries cover a lost zone

Cause: the limit moved on finished runs, one cut in seven seconds, so at 150% tokens came 73 ms apart; 359 requests were let in and then dropped, because the wait was reckoned with every router's whole view of the room and given up at the promised wait instead of the deadline; with a reserve of 10 retries a lost zone failed 6 requests. Change: limit by smoothed reported time between tokens; a little room above the limit for held prefixes, bounded by the pool's balance; waits reckoned with what runs; a queue ordered by promise, given up at the deadline only; reserve of 100 retries.

--- a/crates/anvil_policy/src/admission.rs
+++ b/crates/anvil_policy/src/admission.rs
@@ -24,11 +24,15 @@
 use crate::waiting::{Lane, Ticket, Waiter, WaiterId, Waiting};
 
 /// Bounds of the waiting work.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct AdmissionRule {
-    /// Longest time that interactive work waits for its turn. Batch work waits until its
-    /// deadline needs it to start.
+    /// Longest time that interactive work is let in to wait. Batch work may wait until its
+    /// deadline needs it to start. What was let in is not dropped after this time, if capacity
+    /// falls: it goes first, and is given up on only when it can't meet its deadline.
     pub longest_wait: Duration,
+    /// Part of the longest wait that is promised to newcomers. The rest is kept for what the
+    /// estimate can't know: a limit that falls, or an endpoint lost, after they were let in.
+    pub promised: f64,
     /// Most requests that wait in one pool; bounds memory.
     pub most_waiting: usize,
 }
@@ -37,6 +41,7 @@
     fn default() -> Self {
         Self {
             longest_wait: Duration::from_secs(30),
+            promised: 0.75,
             most_waiting: 4_096,
         }
     }
@@ -107,8 +112,8 @@
             self.running += 1;
             return Verdict::Go;
         }
-        let start_by = self.start_by(now, &ticket);
-        Verdict::Wait(self.waiting.push(now, ticket, start_by))
+        let start_by = ticket.deadline.saturating_sub(ticket.service);
+        Verdict::Wait(self.push(now, now, ticket, start_by))
     }
 
     /// The next waiter whose turn it is, if a slot is free. Call it until it gives none, after
@@ -132,11 +137,10 @@
     }
 
     /// Puts a request back that got its turn but found every endpoint full. It keeps its
-    /// deadline, and goes first when its time is short.
+    /// arrival and deadline, and goes first when its time is short.
     pub fn put_back(&mut self, now: Now, waiter: &Waiter) -> WaiterId {
         self.running = self.running.saturating_sub(1);
-        self.waiting
-            .push(now, waiter.ticket.clone(), waiter.start_by)
+        self.push(now, waiter.arrived, waiter.ticket.clone(), waiter.start_by)
     }
 
     /// A request that ran has ended.
@@ -194,14 +198,17 @@
         }
         let (own, all) = self.waiting.backlog(lane, &ticket.organisation);
         let used = self.time_for(lane, own.saturating_add(all));
-        used.saturating_sub(self.rule.longest_wait)
+        used.saturating_sub(self.rule.longest_wait.mul_f64(self.rule.promised))
     }
 
     /// Time in which a lane works off this much slot time, given in microseconds.
     fn time_for(&self, lane: Lane, backlog: u64) -> Duration {
         let lanes = u64::from(self.waiting.active_lanes(lane));
         let part = backlog.saturating_mul(lanes) / u64::from(lane.weight());
-        Duration::from_micros(part / u64::from(self.limit.max(1)))
+        // What runs, not the limit: the room of endpoints is seen by every router at once, so
+        // the limit says more than this router will get of it.
+        let slots = self.running.min(self.limit).max(1);
+        Duration::from_micros(part / u64::from(slots))
     }
 
     fn longest_wait(&self, now: Now, ticket: &Ticket) -> Duration {
@@ -211,7 +218,9 @@
         }
     }
 
-    fn start_by(&self, now: Now, ticket: &Ticket) -> Now {
-        now + self.outlook(now, ticket).spare()
+    fn push(&mut self, now: Now, arrived: Now, ticket: Ticket, start_by: Now) -> WaiterId {
+        let longest = self.longest_wait(arrived, &ticket);
+        let promised = arrived.saturating_add(longest).min(start_by);
+        self.waiting.push(now, ticket, promised, start_by)
     }
 }
--- a/crates/anvil_policy/src/choice.rs
+++ b/crates/anvil_policy/src/choice.rs
@@ -61,9 +61,13 @@
     }
 
     /// Runs that this router may add over all endpoints. One pass; for a tick, not a request.
+    ///
+    /// What one endpoint has above its limit, for prefixes that it holds, is taken from others.
     pub fn room(&self) -> u32 {
-        let rooms = self.endpoints.iter().map(|endpoint| endpoint.room());
-        rooms.fold(0, u32::saturating_add)
+        let balance: i64 = self.endpoints.iter().map(|one| one.balance()).sum();
+        let own = self.endpoints.iter().map(|one| one.own_room());
+        let own = own.fold(0, u32::saturating_add);
+        u32::try_from(balance.max(0)).unwrap_or(u32::MAX).max(own)
     }
 
     /// Runs that this router has over all endpoints. One pass; for a tick, not a request.
@@ -176,9 +180,14 @@
     ) {
         // An endpoint with a part share is passed over in the same part of the draws, so that
         // an ejected or returning endpoint gets its trickle and no more.
+        let room = if held > 0 {
+            endpoint.room_for_held()
+        } else {
+            endpoint.room()
+        };
         let passes =
             endpoint.share() >= FULL_SHARE || rng.random_range(0..FULL_SHARE) < endpoint.share();
-        if !passes || endpoint.room() == 0 || ask.avoid.contains(&endpoint.id) {
+        if !passes || room == 0 || ask.avoid.contains(&endpoint.id) {
             return;
         }
         let score = self.expected(endpoint, ask.prompt.saturating_sub(held));
--- a/crates/anvil_policy/src/endpoint.rs
+++ b/crates/anvil_policy/src/endpoint.rs
@@ -11,6 +11,9 @@
 /// Full share of new work, in thousandths.
 pub const FULL_SHARE: u32 = 1_000;
 
+/// An endpoint that holds a prefix takes one more for each so many of its limit.
+const OVER_FOR_HELD: u32 = 8;
+
 /// One report of an endpoint's load, as its sidecar passed it on.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct LoadReport {
@@ -20,6 +23,8 @@
     pub queued: u32,
     /// Runs it can work on side by side.
     pub slots: u32,
+    /// Tokens a second that it makes for all its runs; 0 when it doesn't say.
+    pub tokens_per_second: u32,
     /// Whether it takes no new work.
     pub leaving: bool,
 }
@@ -58,7 +63,7 @@
         }
     }
 
-    /// Takes in a report. What this router started or ended since the one before is forgotten,
+    /// Takes in a report; [`crate::health::Health::report`] does it and moves the limit. What this router started or ended since the one before is forgotten,
     /// because the new report counts it.
     pub fn report(&self, load: &LoadReport) {
         let runs = load.running.saturating_add(load.queued);
@@ -152,13 +157,38 @@
 
     /// Runs that this router may add now.
     pub fn room(&self) -> u32 {
+        self.room_within(self.limit_now()).max(self.own_room())
+    }
+
+    /// Runs that this router may add now, if the endpoint holds their prefix: a little over the
+    /// limit, because a cached prefix is work saved. The whole is bounded by [`Self::balance`].
+    pub fn room_for_held(&self) -> u32 {
+        let limit = self.limit_now();
+        self.room_within(limit + limit / OVER_FOR_HELD)
+            .max(self.own_room())
+    }
+
+    /// Runs below the limit; negative when above it.
+    pub fn balance(&self) -> i64 {
+        i64::from(self.limit_now()) - i64::from(self.pressure())
+    }
+
+    /// Runs that this router may add whatever the report says.
+    pub fn own_room(&self) -> u32 {
+        let own = self.floor.load(Ordering::Relaxed).min(self.limit_now());
+        own.saturating_sub(self.in_flight())
+    }
+
+    fn room_within(&self, limit: u32) -> u32 {
+        limit.saturating_sub(self.pressure())
+    }
+
+    /// The limit for now: nothing when it takes no work, and a part while its share is a part.
+    fn limit_now(&self) -> u32 {
         if self.is_leaving() || self.share() == 0 {
             return 0;
         }
         let limit = u64::from(self.limit()) * u64::from(self.share()) / u64::from(FULL_SHARE);
-        let limit = u32::try_from(limit).unwrap_or(u32::MAX).max(1);
-        let shared = limit.saturating_sub(self.pressure());
-        let own = self.floor.load(Ordering::Relaxed).min(limit);
-        shared.max(own.saturating_sub(self.in_flight()))
+        u32::try_from(limit).unwrap_or(u32::MAX).max(1)
     }
 }
--- a/crates/anvil_policy/src/health.rs
+++ b/crates/anvil_policy/src/health.rs
@@ -1,7 +1,8 @@
 //! Joins what is measured of a pool's endpoints and writes it into their shares and limits.
 //!
-//! A router keeps one [`Health`] for each pool under a lock: [`Health::observe`] after each try,
-//! [`Health::tick`] once a second. What requests read on their way are only the atomics of
+//! A router keeps one [`Health`] for each pool under a lock: [`Health::report`] for each load
+//! report, [`Health::observe`] after each try, [`Health::tick`] once a second and when the pool
+//! was swapped. What requests read on their way are only the atomics of
 //! [`EndpointState`].
 
 use std::collections::BTreeMap;
@@ -10,7 +11,7 @@
 
 use crate::choice::Pool;
 use crate::ejection::{self, EjectionRule, Record, Try};
-use crate::endpoint::EndpointState;
+use crate::endpoint::{EndpointState, LoadReport};
 use crate::limit::{Latency, Limit, LimitRule};
 use crate::slow_start::{Ramp, RampRule};
 
@@ -66,24 +67,26 @@
         self.rule.routers = routers;
     }
 
-    /// Takes in the end of a try that began at `started`. Errors act at once.
-    pub fn observe(&mut self, now: Now, started: Now, endpoint: &EndpointState, ended: &Ended) {
+    /// Takes in a report of an endpoint's load: its pressure, and what that says of its limit.
+    pub fn report(&mut self, now: Now, endpoint: &EndpointState, load: &LoadReport) {
+        endpoint.report(load);
+        if let Some(watched) = self.endpoints.get_mut(&endpoint.id) {
+            let pressure = endpoint.pressure();
+            watched.limit.heard(&self.rule.limit, now, load, pressure);
+            endpoint.set_limit(watched.limit.value());
+        }
+    }
+
+    /// Takes in the end of a try. Errors act at once.
+    pub fn observe(&mut self, now: Now, endpoint: &EndpointState, ended: &Ended) {
         let Some(watched) = self.endpoints.get_mut(&endpoint.id) else {
             return;
         };
-        match ended {
-            Ended::Failed => watched.record.observe(now, Try::Failed),
-            Ended::Answered(latency) => {
-                let time = latency.first + latency.between;
-                watched.record.observe(now, Try::Answered(time));
-                let (rule, slots) = (&self.rule.limit, endpoint.slots());
-                let pressure = endpoint.pressure();
-                watched
-                    .limit
-                    .observe(rule, now, started, latency, pressure, slots);
-                endpoint.set_limit(watched.limit.value());
-            }
-        }
+        let ended = match ended {
+            Ended::Failed => Try::Failed,
+            Ended::Answered(latency) => Try::Answered(latency.first + latency.between),
+        };
+        watched.record.observe(now, ended);
         if watched.record.fails(&self.rule.ejection) {
             // Through the same bound as the tick, or an error burst here could close the pool.
             self.tick_known(now, endpoint);
@@ -143,7 +146,7 @@
         let watched = Watched {
             record: Record::default(),
             ramp,
-            limit: Limit::new(endpoint.slots()),
+            limit: Limit::new(&self.rule.limit, now, endpoint.slots()),
         };
         self.endpoints.insert(endpoint.id.clone(), watched);
     }
--- a/crates/anvil_policy/src/limit.rs
+++ b/crates/anvil_policy/src/limit.rs
@@ -4,16 +4,19 @@
 //!
 //! *Without it:* an engine that batches continuously takes as many runs as it has slots, and
 //! each added run slows every other. The slots are the engine's bound of memory, not of speed,
-//! so at saturation all callers get late tokens and goodput falls.
+//! so at saturation all callers get late tokens.
 //!
-//! *How:* additive increase, multiplicative decrease on a window of measurements. The limit is
-//! on the endpoint's whole pressure, not on one router's part of it: all routers see the same
-//! slow tokens and come to about the same limit without talking to each other.
+//! *How:* the limit falls to a part of what runs when tokens come late or runs wait inside the
+//! engine, then rests until the cut shows, and rises by steps while work presses against it.
+//! The limit is on the endpoint's whole pressure, not on one router's part of it: all routers
+//! hear the same reports and come to about the same limit without talking to each other.
 
 use std::time::Duration;
 
 use anvil_world::prelude::*;
 
+use crate::endpoint::LoadReport;
+
 /// What one run measured at an endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Latency {
@@ -27,26 +30,32 @@
 /// What callers are promised, and how the limit moves.
 #[derive(Debug, Clone, PartialEq)]
 pub struct LimitRule {
-    /// Longest time to the first token, for 95 in 100.
-    pub first: Duration,
-    /// Longest mean time between tokens, for 95 in 100.
+    /// Longest mean time between tokens. Below the promised 59 ms for 95 in 100, because steps
+    /// that also prefill take longer than the mean.
     pub between: Duration,
-    /// Measurements before the limit moves.
-    pub window: u32,
-    /// Of a window, how many may be late.
-    pub late: u32,
-    /// The limit keeps this part of itself when too many are late.
+    /// A cut leaves at least this part of what runs.
     pub keep: f64,
+    /// Runs that the limit rises a second, while work presses against it.
+    pub rise: f64,
+    /// After a cut the limit rests this long: the cut shows only when runs have ended, and in
+    /// the report after that. Without the rest one overload is cut again and again.
+    pub rest: Duration,
+    /// Weight of the newest report. One report covers few steps, and a long prompt that is
+    /// prefilled in them makes it late although the batch is small.
+    pub newest: f64,
+    /// Part of the slots that a new endpoint is given at first.
+    pub first: f64,
 }
 
 impl Default for LimitRule {
     fn default() -> Self {
         Self {
-            first: Duration::from_millis(410),
-            between: Duration::from_millis(59),
-            window: 20,
-            late: 1,
-            keep: 0.9,
+            between: Duration::from_millis(52),
+            keep: 0.8,
+            rise: 1.0,
+            rest: Duration::from_secs(3),
+            newest: 0.25,
+            first: 0.5,
         }
     }
 }
@@ -55,21 +64,19 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Limit {
     value: f64,
-    seen: u32,
-    late: u32,
-    pressed: bool,
-    counts_from: Now,
+    late: f64,
+    rests_until: Now,
+    heard_at: Now,
 }
 
 impl Limit {
-    /// Starts at the endpoint's own word.
-    pub fn new(slots: u32) -> Self {
+    /// Starts at a part of the endpoint's own word.
+    pub fn new(rule: &LimitRule, now: Now, slots: u32) -> Self {
         Self {
-            value: f64::from(slots.max(1)),
-            seen: 0,
-            late: 0,
-            pressed: false,
-            counts_from: Duration::ZERO,
+            value: (f64::from(slots) * rule.first).max(1.0),
+            late: 0.0,
+            rests_until: now,
+            heard_at: now,
         }
     }
 
@@ -84,45 +91,34 @@
         whole.max(1)
     }
 
-    /// Takes in a measurement of a run that started at `started`. `pressure` is the endpoint's
-    /// pressure now, `slots` its word for the most.
-    pub fn observe(
-        &mut self,
-        rule: &LimitRule,
-        now: Now,
-        started: Now,
-        latency: &Latency,
-        pressure: u32,
-        slots: u32,
-    ) {
-        // Runs that began before the last cut say nothing of the limit after it. Counting them
-        // would cut again and again for one overload, down to a single run.
-        if started < self.counts_from {
-            return;
-        }
-        self.seen += 1;
-        if latency.first > rule.first || latency.between > rule.between {
-            self.late += 1;
-        }
-        // Within two runs of the limit; an increase that nothing presses for would only let the
-        // next burst in whole.
-        self.pressed |= pressure.saturating_add(2) >= self.value();
-        if self.late > rule.late {
-            self.value = (self.value * rule.keep).max(1.0);
-            self.restart(now);
-        } else if self.seen >= rule.window {
-            if self.pressed {
-                self.value += 1.0;
+    /// Takes in a report. `pressure` is the endpoint's pressure by this router's count.
+    pub fn heard(&mut self, rule: &LimitRule, now: Now, load: &LoadReport, pressure: u32) {
+        let passed = now.saturating_sub(self.heard_at).as_secs_f64();
+        self.heard_at = now;
+        self.late += rule.newest * (lateness(rule, load) - self.late);
+        if now >= self.rests_until {
+            if self.late > 1.0 {
+                let running = f64::from(load.running).min(self.value);
+                self.value = running * (1.0 / self.late).max(rule.keep);
+                self.rests_until = now + rule.rest;
+            } else if pressure.saturating_add(2) >= self.value() {
+                // An increase that nothing presses for would only let the next burst in whole.
+                self.value += rule.rise * passed.min(1.0);
             }
-            self.restart(self.counts_from);
         }
-        self.value = self.value.min(f64::from(slots.max(1)));
+        self.value = self.value.clamp(1.0, f64::from(load.slots.max(1)));
     }
+}
 
-    fn restart(&mut self, counts_from: Now) {
-        self.seen = 0;
-        self.late = 0;
-        self.pressed = false;
-        self.counts_from = counts_from;
+/// How many times too late the tokens come; over 1 also when runs wait inside the engine.
+fn lateness(rule: &LimitRule, load: &LoadReport) -> f64 {
+    if load.queued > 0 {
+        // It is full by its own word, whatever its slots say.
+        return f64::from(load.running + load.queued) / f64::from(load.running.max(1));
+    }
+    if load.tokens_per_second == 0 {
+        return 0.0;
     }
+    let between = f64::from(load.running) / f64::from(load.tokens_per_second);
+    between / rule.between.as_secs_f64()
 }
--- a/crates/anvil_policy/src/retry.rs
+++ b/crates/anvil_policy/src/retry.rs
@@ -19,7 +19,8 @@
 pub struct RetryRule {
     /// Retries, as a part of the first tries.
     pub part: f64,
-    /// Retries that are saved up at most. They let a quiet service retry, too.
+    /// Retries that are saved up at most: the runs that one router loses with an availability
+    /// zone. Those must be made again, and they are bounded by what ran.
     pub reserve: f64,
     /// Reserve that comes back each second whatever the load.
     pub each_second: f64,
@@ -35,8 +36,8 @@
     fn default() -> Self {
         Self {
             part: 0.1,
-            reserve: 10.0,
-            each_second: 0.2,
+            reserve: 100.0,
+            each_second: 1.0,
             most_tries: 3,
             first_pause: Duration::from_millis(50),
             longest_pause: Duration::from_secs(2),
--- a/crates/anvil_policy/src/waiting.rs
+++ b/crates/anvil_policy/src/waiting.rs
@@ -8,8 +8,8 @@
 //!
 //! *How:* three lanes share the turns by weight ([`Lane::weight`]); inside a lane organisations
 //! share by their weights ([`crate::fair`]); inside an organisation the earliest deadline is
-//! first. Work that has almost missed its latest start goes before all of that: what was let in
-//! was promised, and fairness may reorder promises but not break them.
+//! first. Work that has almost waited as long as was promised goes before all of that: fairness
+//! may reorder promises but not break them.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -26,7 +26,8 @@
 /// stand-in engine, which is more than a short question takes in all.
 pub const LONG_PROMPT: Tokens = 4_096;
 
-/// Work this close to its latest start goes first, whatever its lane and organisation.
+/// Work this close to the end of its promised wait goes first, whatever its lane and
+/// organisation.
 pub const RESCUE: Duration = Duration::from_millis(500);
 
 /// What kind of work waits together.
@@ -101,10 +102,18 @@
     pub ticket: Ticket,
     /// When it came.
     pub arrived: Now,
-    /// Latest time at which its turn still helps.
+    /// Latest time at which its turn still helps. It is given up on then, and not before.
     pub start_by: Now,
 }
 
+#[derive(Debug, Clone)]
+struct Place {
+    lane: Lane,
+    organisation: OrganisationId,
+    deadline: Now,
+    promised: Now,
+}
+
 type Queue = BTreeMap<(Now, WaiterId), Waiter>;
 
 #[derive(Debug, Clone, Default)]
@@ -120,8 +129,9 @@
 pub struct Waiting {
     lanes: BTreeMap<Lane, LaneQueue>,
     shares: FairShares<Lane>,
-    places: BTreeMap<WaiterId, (Lane, OrganisationId, Now)>,
-    urgent: BTreeSet<(Now, WaiterId)>,
+    places: BTreeMap<WaiterId, Place>,
+    by_promise: BTreeSet<(Now, WaiterId)>,
+    by_start: BTreeSet<(Now, WaiterId)>,
     counts: BTreeMap<OrganisationId, usize>,
     next_id: WaiterId,
 }
@@ -133,7 +143,8 @@
             lanes: BTreeMap::from(lanes),
             shares: FairShares::default(),
             places: BTreeMap::new(),
-            urgent: BTreeSet::new(),
+            by_promise: BTreeSet::new(),
+            by_start: BTreeSet::new(),
             counts: BTreeMap::new(),
             next_id: 1,
         }
@@ -181,24 +192,29 @@
         weights.sum()
     }
 
-    /// Puts a request in the queue.
-    pub fn push(&mut self, now: Now, ticket: Ticket, start_by: Now) -> WaiterId {
+    /// Puts a request in the queue. `promised` is when it should have its turn at the latest,
+    /// `start_by` when its turn no longer helps.
+    pub fn push(&mut self, now: Now, ticket: Ticket, promised: Now, start_by: Now) -> WaiterId {
         let id = self.next_id;
         self.next_id += 1;
-        let lane = ticket.lane();
-        let organisation = ticket.organisation.clone();
-        self.urgent.insert((start_by, id));
-        self.places
-            .insert(id, (lane, organisation.clone(), ticket.deadline));
-        *self.counts.entry(organisation.clone()).or_default() += 1;
-        self.shares.wake(&lane);
-        let queue = self.lanes.entry(lane).or_default();
+        let place = Place {
+            lane: ticket.lane(),
+            organisation: ticket.organisation.clone(),
+            deadline: ticket.deadline,
+            promised,
+        };
+        self.by_promise.insert((promised, id));
+        self.by_start.insert((start_by, id));
+        *self.counts.entry(place.organisation.clone()).or_default() += 1;
+        self.shares.wake(&place.lane);
+        let queue = self.lanes.entry(place.lane).or_default();
         queue.add(Waiter {
             id,
             ticket,
             arrived: now,
             start_by,
         });
+        self.places.insert(id, place);
         id
     }
 
@@ -218,7 +234,7 @@
 
     /// Takes out one that can no longer be served in time, if there is any.
     pub fn pop_expired(&mut self, now: Now) -> Option<Waiter> {
-        let (start_by, id) = self.urgent.first().copied()?;
+        let (start_by, id) = self.by_start.first().copied()?;
         if start_by >= now {
             return None;
         }
@@ -227,25 +243,26 @@
 
     /// Takes one out, because its caller left.
     pub fn remove(&mut self, id: WaiterId) -> Option<Waiter> {
-        let (lane, organisation, deadline) = self.places.remove(&id)?;
-        let queue = self.lanes.get_mut(&lane)?;
-        let waiter = queue.take(&organisation, (deadline, id))?;
-        if queue.cost == 0 && queue.queues.is_empty() {
-            self.shares.sleep(&lane);
+        let place = self.places.remove(&id)?;
+        let queue = self.lanes.get_mut(&place.lane)?;
+        let waiter = queue.take(&place.organisation, (place.deadline, id))?;
+        if queue.queues.is_empty() {
+            self.shares.sleep(&place.lane);
         }
-        self.urgent.remove(&(waiter.start_by, id));
-        if let Some(count) = self.counts.get_mut(&organisation) {
+        self.by_promise.remove(&(place.promised, id));
+        self.by_start.remove(&(waiter.start_by, id));
+        if let Some(count) = self.counts.get_mut(&place.organisation) {
             *count -= 1;
             if *count == 0 {
-                self.counts.remove(&organisation);
+                self.counts.remove(&place.organisation);
             }
         }
         Some(waiter)
     }
 
     fn rescued(&self, now: Now) -> Option<WaiterId> {
-        let (start_by, id) = self.urgent.first()?;
-        (*start_by <= now + RESCUE).then_some(*id)
+        let (promised, id) = self.by_promise.first()?;
+        (*promised <= now + RESCUE).then_some(*id)
     }
 
     fn fair_next(&self) -> Option<WaiterId> {
--- a/crates/anvil_standins/examples/policy_table.rs
+++ b/crates/anvil_standins/examples/policy_table.rs
@@ -15,11 +15,11 @@
         rules.extend(Rule::baselines());
     }
     println!(
-        "| scenario | rule | offered | good/s | refused | false | given up | failed | batch lost \
+        "| scenario | rule | offered | good/s | kept/s | refused | false | given up | failed | batch lost \
          | first p50 ms | first p95 ms | batch first p95 | between p95 ms | Jain | prefix hits \
          | hot spot |"
     );
-    println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+    println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
     for scenario in PolicyScenario::all() {
         if wanted != "all" && wanted != scenario.name {
             continue;
@@ -33,12 +33,13 @@
 
 fn print(r: &Report) {
     println!(
-        "| {} | {} | {} | {:.2} | {} | {} | {} | {} | {} | {:.0} | {:.0} | {:.0} | {:.1} \
+        "| {} | {} | {} | {:.2} | {:.2} | {} | {} | {} | {} | {} | {:.0} | {:.0} | {:.0} | {:.1} \
          | {:.3} | {:.2} | {:.2} |",
         r.scenario,
         r.rule,
         r.offered,
         r.goodput,
+        r.kept,
         r.refused,
         r.false_refused,
         r.given_up,
--- a/crates/anvil_standins/src/load/fake/engine.rs
+++ b/crates/anvil_standins/src/load/fake/engine.rs
@@ -77,6 +77,7 @@
     pub prefix_tokens: (Tokens, Tokens),
     cache: PrefixCache,
     changes: Vec<CacheChange>,
+    tokens: u32,
     waiting: BTreeMap<(u8, u64), FakeRun>,
     arrivals: u64,
     batch: Vec<Running>,
@@ -93,6 +94,7 @@
             prefix_tokens: (0, 0),
             cache: PrefixCache::new(cache_tokens),
             changes: Vec::new(),
+            tokens: 0,
             waiting: BTreeMap::new(),
             arrivals: 0,
             batch: Vec::new(),
@@ -121,6 +123,12 @@
         std::mem::take(&mut self.changes)
     }
 
+    /// Tokens a second made since the last call, which was this long ago.
+    pub fn take_tokens_per_second(&mut self, since: Duration) -> u32 {
+        let micros = u32::try_from(since.as_micros()).unwrap_or(u32::MAX).max(1);
+        std::mem::take(&mut self.tokens).saturating_mul(1_000_000 / micros.min(1_000_000))
+    }
+
     /// Loses all runs and the cache. Gives the runs that were lost.
     pub fn lose_all(&mut self) -> Vec<usize> {
         self.cache.clear();
@@ -162,6 +170,7 @@
         let mut stepped = Stepped::default();
         self.batch
             .retain_mut(|running| running.advance(&mut stepped));
+        self.tokens += u32::try_from(stepped.tokens.len()).unwrap_or(u32::MAX);
         stepped
     }
 
@@ -186,6 +195,8 @@
     }
 
     fn plan_prefill(&mut self) -> Tokens {
+        // Engines honour priorities, in the batch as well as before it.
+        self.batch.sort_by_key(|running| running.run.priority);
         let mut left = CHUNK;
         for running in &mut self.batch {
             running.prefilling = running.prefill_left.min(left);
--- a/crates/anvil_standins/src/load/policy/report.rs
+++ b/crates/anvil_standins/src/load/policy/report.rs
@@ -16,6 +16,9 @@
 /// Longest time that histograms tell apart, in microseconds.
 const LONGEST: u64 = 3_600_000_000;
 
+/// Promised time between tokens.
+const PROMISED_GAP: Duration = Duration::from_millis(59);
+
 /// How a request ended.
 #[derive(Debug, Clone)]
 pub enum End {
@@ -44,7 +47,9 @@
     pub completed: u64,
     /// Answers within the deadline, a second of arrivals.
     pub goodput: f64,
-    /// Output tokens of these answers, a second.
+    /// Of these, the answers whose tokens came no more than 59 ms apart in the mean.
+    pub kept: f64,
+    /// Output tokens of answers within the deadline, a second.
     pub good_tokens: f64,
     /// Turned away.
     pub refused: u64,
@@ -89,6 +94,7 @@
     batch_first: Histogram<u64>,
     between: Histogram<u64>,
     good: u64,
+    kept: u64,
     good_tokens: u64,
     windows: BTreeMap<u64, u64>,
     served: BTreeMap<OrganisationId, f64>,
@@ -132,6 +138,7 @@
             batch_first: histogram(),
             between: histogram(),
             good: 0,
+            kept: 0,
             good_tokens: 0,
             windows: BTreeMap::new(),
             served: BTreeMap::new(),
@@ -193,6 +200,7 @@
         }
         if now <= req.deadline {
             self.good += 1;
+            self.kept += u64::from(mean_gap(req) <= PROMISED_GAP);
             self.good_tokens += req.output;
             *self.windows.entry(now.as_secs() / 10).or_default() += 1;
             *self.served.entry(req.organisation.clone()).or_default() += work(req);
@@ -206,6 +214,7 @@
         let by_organisation = self.by_organisation.iter();
         Report {
             goodput: real(self.good) / secs,
+            kept: real(self.kept) / secs,
             good_tokens: real(self.good_tokens) / secs,
             first_p50: millis(&self.first, 0.5),
             first_p95: millis(&self.first, 0.95),
@@ -227,6 +236,13 @@
     }
 }
 
+fn mean_gap(req: &Request) -> Duration {
+    let first = req.first_token.unwrap_or(req.newest_token);
+    let gaps = u32::try_from(req.output.saturating_sub(1)).unwrap_or(u32::MAX);
+    let whole = req.newest_token.saturating_sub(first);
+    whole.checked_div(gaps).unwrap_or_default()
+}
+
 /// Work of a request in tokens, a prompt token as a tenth: about what it costs the fake.
 fn work(req: &Request) -> f64 {
     real(req.prompt) / 10.0 + real(req.output)
--- a/crates/anvil_standins/src/load/policy/router.rs
+++ b/crates/anvil_standins/src/load/policy/router.rs
@@ -237,16 +237,16 @@
     }
 
     /// A try has ended; `answered` is nothing when the endpoint failed.
-    pub fn ended(&mut self, now: Now, endpoint: usize, started: Now, answered: Option<Finished>) {
+    pub fn ended(&mut self, now: Now, endpoint: usize, answered: Option<Finished>) {
         let state = Arc::clone(self.endpoint(endpoint));
         state.finish();
         let Some(finished) = answered else {
-            self.health.observe(now, started, &state, &Ended::Failed);
+            self.health.observe(now, &state, &Ended::Failed);
             return;
         };
         let latency = latency_of(&self.estimate, &finished);
-        self.health
-            .observe(now, started, &state, &Ended::Answered(latency));
+        let ended = Ended::Answered(latency);
+        self.health.observe(now, &state, &ended);
         self.estimate.learn(&finished);
     }
 
@@ -267,8 +267,9 @@
     }
 
     /// Takes in a report.
-    pub fn report(&mut self, endpoint: usize, load: &LoadReport) {
-        self.endpoint(endpoint).report(load);
+    pub fn report(&mut self, now: Now, endpoint: usize, load: &LoadReport) {
+        let state = &self.pool.endpoints()[endpoint];
+        self.health.report(now, state, load);
     }
 
     /// Takes in a cache event.
@@ -285,8 +286,9 @@
     };
     match rule.without {
         Some(Part::Limit) => {
-            health.limit.window = u32::MAX;
-            health.limit.late = u32::MAX;
+            health.limit.keep = 1.0;
+            health.limit.first = 1.0;
+            health.limit.between = Duration::MAX;
         }
         Some(Part::Ejection) => health.ejection.most = 0.0,
         Some(Part::Ramp) => {
--- a/crates/anvil_standins/src/load/policy/world.rs
+++ b/crates/anvil_standins/src/load/policy/world.rs
@@ -299,7 +299,7 @@
             total: self.now.saturating_sub(going.since),
         };
         let router = &mut self.routers[req.router];
-        router.ended(self.now, going.endpoint, going.since, Some(finished));
+        router.ended(self.now, going.endpoint, Some(finished));
         router.finished();
         let router = req.router;
         self.end(at, &End::Completed);
@@ -313,7 +313,7 @@
             return;
         };
         let router = &mut self.routers[req.router];
-        router.ended(now, going.endpoint, going.since, None);
+        router.ended(now, going.endpoint, None);
         req.avoid.push(router.endpoint(going.endpoint).id.clone());
         let rng = &mut router.rng;
         let pause = router.retries.again(now, req.tries, Repeat::Safe, rng);
@@ -371,6 +371,7 @@
             running: small(engine.running()),
             queued: small(engine.queued()),
             slots: small(engine.slots),
+            tokens_per_second: engine.take_tokens_per_second(every),
             leaving: false,
         };
         let events = self.number(endpoint, changes);
@@ -399,7 +400,7 @@
             return;
         }
         for router in &mut self.routers {
-            router.report(endpoint, load);
+            router.report(self.now, endpoint, load);
             for event in events {
                 router.heard(self.now, endpoint, event);
             }
@@ -438,7 +439,7 @@
                     slots,
                     ..LoadReport::default()
                 };
-                router.report(endpoint, &load);
+                router.report(self.now, endpoint, &load);
             }
         }
     }
