--- /dev/null
+++ b/crates/anvilreel/src/sidecar/answer.rs
@@ -0,0 +1,90 @@
+//! Answers what routers ask.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvil_wire::msg::{SidecarReply, SidecarRequest};
+use anvil_wire::{Replier, WireError};
+use tokio::time::sleep;
+
+use super::hub::Replies;
+use super::{Core, orders};
+use crate::metrics::RUNS_REFUSED;
+use crate::runs::{Event, ReaderId};
+
+/// Least time between two load reports to one router.
+const WATCH_EVERY: Duration = Duration::from_millis(100);
+
+/// Answers one request; a lost connection ends the answer and never the run.
+pub async fn answer(core: Arc<Core>, req: SidecarRequest, mut tx: Replier<SidecarReply>) {
+    // In each case: whoever asked is gone; a run goes on and its end is kept.
+    let _ = match req {
+        SidecarRequest::Order { fence, kind } => {
+            let result = orders::carry_out(&core, fence, kind).await;
+            tx.send(&SidecarReply::Ordered(result)).await
+        }
+        SidecarRequest::Watch => watch(&core, &mut tx).await,
+        run_request => {
+            let (reader, replies) = core.hub.ask(|reader| event_of(run_request, reader));
+            core.count_runs();
+            let passed = pass_on(&core, reader, replies, &mut tx).await;
+            core.hub.gone(reader);
+            core.count_runs();
+            passed
+        }
+    };
+}
+
+fn event_of(req: SidecarRequest, reader: ReaderId) -> Event {
+    match req {
+        SidecarRequest::Start(start) => Event::Start { reader, start },
+        SidecarRequest::Attach { key, offset } => Event::Attach {
+            reader,
+            key,
+            offset,
+        },
+        SidecarRequest::Cancel { key } => Event::Cancel { reader, key },
+        SidecarRequest::Probe { key } => Event::Probe { reader, key },
+        SidecarRequest::Forbid { key, life } => Event::Forbid { reader, key, life },
+        SidecarRequest::Order { .. } | SidecarRequest::Watch => Event::Tick,
+    }
+}
+
+/// Passes replies on at the pace at which the router takes them.
+async fn pass_on(
+    core: &Core,
+    reader: ReaderId,
+    mut replies: Replies,
+    tx: &mut Replier<SidecarReply>,
+) -> Result<(), WireError> {
+    loop {
+        let reply = tokio::select! {
+            reply = replies.recv() => reply,
+            () = tx.abandoned() => return Ok(()),
+        };
+        let Some(reply) = reply else {
+            return Ok(());
+        };
+        tx.send(&reply).await?;
+        match reply {
+            SidecarReply::Head(_) | SidecarReply::Frame(_) => {
+                core.hub.feed(Event::Ready { reader });
+            }
+            SidecarReply::Refused(_) => core.metrics.count(RUNS_REFUSED),
+            _ => {}
+        }
+    }
+}
+
+async fn watch(core: &Core, tx: &mut Replier<SidecarReply>) -> Result<(), WireError> {
+    let mut loads = core.loads.subscribe();
+    loop {
+        let load = loads.borrow_and_update().clone();
+        tx.send(&SidecarReply::Load(load)).await?;
+        sleep(WATCH_EVERY).await;
+        tokio::select! {
+            changed = loads.changed() => if changed.is_err() { return Ok(()) },
+            () = tx.abandoned() => return Ok(()),
+        }
+    }
+}
