--- a/crates/anvil_standins/src/load/experiment.rs
+++ b/crates/anvil_standins/src/load/experiment.rs
@@ -17,7 +17,8 @@
 
 /// Plays a scenario under one rule.
 pub fn play(scenario: &Scenario, rule: &Rule) -> Report {
-    converted(scenario, run_policy(&PolicyScenario::from(scenario), rule))
+    let report = run_policy(&PolicyScenario::from(scenario), rule);
+    converted(scenario, &report)
 }
 
 impl From<&Scenario> for PolicyScenario {
