The router drives the exchange's state machine

Cause: one request's life stood twice, in the shell and in request::Exchange. Change: flow feeds the exchange; claims are kept by claims::ClaimBook; sidecars that may run a key are asked after a router was lost.

--- a/crates/anvilreel/src/events.rs
+++ b/crates/anvilreel/src/events.rs
@@ -70,6 +70,8 @@
     ROUTER_OUTCOME_UNKNOWN = 1012 Error "router_outcome_unknown";
     /// A charge was refused by the purse: an invariant is broken.
     ROUTER_SETTLEMENT_REFUSED = 1013 Critical "router_settlement_refused";
+    /// The end of a claimed request could not be told to the ledger.
+    ROUTER_CLAIM_LEFT_OPEN = 1014 Warning "router_claim_left_open";
     /// The sidecar listens.
     SIDECAR_LISTENING = 2001 Info "sidecar_listening";
     /// The endpoint gets no new work any more.
--- a/crates/anvilreel/src/router.rs
+++ b/crates/anvilreel/src/router.rs
@@ -1,29 +1,29 @@
 //! A router as a process: callers' HTTP on one side, sidecars, routers and the ledger on the other.
 //!
 //! Read on: [`Router`], then `front` (what callers may ask), `chat_call` and `plain_call` (how it
-//! becomes a checked job), `flow` (a job's life), `relay` (its answer), `claims` (who runs a
-//! key), `lane` and `places` (where work goes), `follow` and `view` (settings in force).
+//! becomes a checked job), `flow` (a job's life, around [`crate::request`]), `keepers` (who keeps
+//! claims), `lane` and `places` (where work goes), `follow` and `view` (settings in force).
 
 mod accept;
+mod call;
 mod chat;
 mod chat_call;
-mod claims;
 mod flow;
 mod follow;
 mod front;
 mod job;
+mod keepers;
 mod lane;
 mod money_loop;
 mod places;
 mod plain_call;
 mod refuse;
-mod relay;
 mod shape;
 mod view;
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use anvil_wire::msg::RouterCall;
@@ -37,6 +37,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
+use crate::claims::ClaimBook;
 use crate::event;
 use crate::events;
 use crate::ledger_client::LedgerClient;
@@ -44,7 +45,6 @@
 use crate::metrics::{Metrics, REQUESTS_OPEN};
 use crate::money::{GrantPolicy, Purse};
 use crate::peers::Peers;
-use claims::KeptClaims;
 use follow::{Follower, Following};
 use places::Places;
 
@@ -91,7 +91,7 @@
     places: Places,
     purse: Purse,
     money_wanted: Notify,
-    kept: KeptClaims,
+    claims: Mutex<ClaimBook>,
     made_ids: AtomicU64,
     open: AtomicUsize,
 }
@@ -168,7 +168,7 @@
         while core.open.load(Ordering::Relaxed) > 0 {
             sleep(TICK).await;
         }
-        claims::hand_over(core).await;
+        keepers::hand_over(core).await;
         money_loop::give_back(core, GIVE_BACK).await;
         event!(core.log, events::ROUTER_STOPPED);
         for task in &self.tasks {
@@ -188,7 +188,7 @@
 fn spawn_tasks(core: &Arc<Core>, server: Server) -> Vec<JoinHandle<()>> {
     let answering = core.clone();
     let handlers = Handlers::default().with::<RouterCall, _, _>(move |req, tx| {
-        let reply = claims::answer(&answering, req);
+        let reply = keepers::answer(&answering, req);
         async move {
             // Whoever asked is gone and asks again.
             let _ = tx.finish(&reply).await;
@@ -252,7 +252,7 @@
             metrics,
             peers,
             money_wanted: Notify::new(),
-            kept: KeptClaims::default(),
+            claims: Mutex::default(),
             made_ids: AtomicU64::new(0),
             open: AtomicUsize::new(0),
         }
@@ -268,6 +268,11 @@
         .into()
     }
 
+    fn claim_book(&self) -> MutexGuard<'_, ClaimBook> {
+        // A panic elsewhere leaves the book as it was between two steps.
+        self.claims.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn enter(self: &Arc<Self>) -> Open {
         self.open.fetch_add(1, Ordering::Relaxed);
         Open(self.clone())
@@ -285,7 +290,6 @@
         loop {
             sleep(TICK).await;
             self.places.tick();
-            self.kept.sweep(self.life.now());
             let open = self.open.load(Ordering::Relaxed);
             self.metrics.gauge(REQUESTS_OPEN, open as u64);
         }
--- /dev/null
+++ b/crates/anvilreel/src/router/call.rs
@@ -0,0 +1,67 @@
+//! One call to a sidecar, from its opening to its last reply.
+
+use anvil_wire::msg::{SidecarCall, SidecarReply, SidecarRequest};
+use anvil_wire::{Channel, Replies, WireError};
+use futures::future::BoxFuture;
+
+use crate::request::{Dispatch, Event, Target};
+
+enum State {
+    Opening(BoxFuture<'static, Result<Replies<SidecarReply>, WireError>>),
+    Reading(Box<Replies<SidecarReply>>),
+    Over,
+}
+
+/// A call under way. Dropping it tells the sidecar that its replies are not wanted.
+pub struct Call {
+    /// Its number.
+    pub dispatch: Dispatch,
+    /// Whom.
+    pub target: Target,
+    state: State,
+}
+
+impl Call {
+    /// Opens a call. Nothing happens until [`Call::next`] is awaited.
+    pub fn open(
+        dispatch: Dispatch,
+        target: Target,
+        channel: Channel,
+        req: Box<SidecarRequest>,
+    ) -> Self {
+        let opening = async move { channel.open::<SidecarCall>(&req).await };
+        Self {
+            dispatch,
+            target,
+            state: State::Opening(Box::pin(opening)),
+        }
+    }
+
+    /// The next thing that happens to it; never, once it is over. Safe to be dropped half-way.
+    pub async fn next(&mut self) -> Event {
+        loop {
+            match &mut self.state {
+                State::Opening(opening) => match opening.await {
+                    Ok(replies) => self.state = State::Reading(Box::new(replies)),
+                    Err(e) => return self.broken(e.never_sent()),
+                },
+                State::Reading(replies) => match replies.next().await {
+                    Ok(Some(reply)) => {
+                        let dispatch = self.dispatch;
+                        return Event::Reply { dispatch, reply };
+                    }
+                    Ok(None) | Err(_) => return self.broken(false),
+                },
+                State::Over => return std::future::pending().await,
+            }
+        }
+    }
+
+    fn broken(&mut self, never_sent: bool) -> Event {
+        self.state = State::Over;
+        Event::Broken {
+            dispatch: self.dispatch,
+            never_sent,
+        }
+    }
+}
--- a/crates/anvilreel/src/router/chat_call.rs
+++ b/crates/anvilreel/src/router/chat_call.rs
@@ -13,7 +13,9 @@
 use viz::{Body, Request, Response};
 
 use super::chat::{Chat, is_over_prompt, upper_bound};
-use super::front::{authenticate, check_open, json_answer, name_answer, read_body, request_key};
+use super::front::{
+    authenticate, check_open, claim_id, json_answer, name_answer, read_body, request_key,
+};
 use super::job::{Job, Piece};
 use super::refuse::{self, doubt_body, refusal_body};
 use super::shape::{Shape, error_event};
@@ -31,7 +33,8 @@
     let chat = chat.map_err(|what| Refusal::new(Reason::Malformed(what)))?;
     let model = model_of(&view, &team, &chat, &body)?;
     let shape = Shape::new(&key, chat.model.clone());
-    let job = job(&view, &team, model, &chat, body, (key.clone(), callers_key));
+    let mut job = job(&view, &team, model, &chat, body, (key.clone(), callers_key));
+    job.claim_id = claim_id(&core);
     let pieces = flow::start(core, job);
     let mut answer = if chat.stream {
         streamed(shape, pieces).await
--- a/crates/anvilreel/src/router/flow.rs
+++ b/crates/anvilreel/src/router/flow.rs
@@ -1,275 +1,328 @@
-//! One request from its check to its end: money, turn, claim, dispatch, answer, settlement.
+//! One request's life: feeds its [`Exchange`] from sockets and clocks, and does what it says.
 
+use std::collections::{BTreeSet, VecDeque};
+use std::pin::Pin;
 use std::sync::Arc;
-use std::time::Duration;
 
 use anvil_policy::estimate::Finished;
+use anvil_wire::msg::RunEnd;
 use anvil_world::prelude::*;
+use futures::future::BoxFuture;
+use futures::stream::{FuturesUnordered, StreamExt};
+use tokio::sync::futures::Notified;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
-use super::claims::{self, Known, Made};
+use super::call::Call;
 use super::job::{Job, Piece};
 use super::lane::Turn;
-use super::relay::{Delivered, Stop};
-use super::{Core, relay};
+use super::{Core, keepers};
 use crate::event;
 use crate::events;
-use crate::metrics::{
-    CALLERS_LEFT, FIRST_OUTPUT, REQUESTS_COMPLETED, REQUESTS_REFUSED, REQUESTS_UNKNOWN,
-};
-use crate::money::{Reservation, Shortage};
+use crate::metrics;
+use crate::request::{Action, Event, Exchange, Target};
 
 /// Pieces that wait for a caller that reads slowly; further ones wait at the sidecar.
 const PIECES: usize = 4;
-/// Endpoints that one request is tried on.
-const TRIES: u32 = 4;
 
 /// Starts a request; its answer comes in pieces. Dropping the receiver is the caller leaving.
 pub fn start(core: Arc<Core>, job: Job) -> Receiver<Piece> {
     let (tx, rx) = channel(PIECES);
     tokio::spawn(async move {
         let open = core.enter();
-        run(&core, &job, &tx).await;
+        Flow::new(&core, job, tx).run().await;
         drop(open);
     });
     rx
 }
 
-async fn run(core: &Arc<Core>, job: &Job, tx: &Sender<Piece>) {
-    let last = match find(core, job).await {
-        Some(Known::Placed(claim)) => relay::attach(core, job, &claim, tx).await,
-        Some(Known::Settled(Outcome::Unknown(doubt))) => Piece::Doubt(doubt),
-        Some(Known::Hidden) => Piece::Doubt(Doubt::SidecarLost),
-        Some(Known::Settled(_) | Known::Nothing) | None => fresh(core, job, tx).await,
-    };
-    let count = match &last {
-        Piece::Refused(_) => REQUESTS_REFUSED,
-        Piece::Doubt(_) => REQUESTS_UNKNOWN,
-        _ => REQUESTS_COMPLETED,
-    };
-    core.metrics.count(count);
-    // Fails only where the caller has left.
-    if tx.send(last).await.is_err() {
-        core.metrics.count(CALLERS_LEFT);
-    }
+/// What an asked-for answer brings.
+enum Done {
+    Event(Event),
+    Turn(Result<(Turn, Target), Refusal>),
 }
 
-/// Only a key that the caller chose can have come before.
-async fn find(core: &Core, job: &Job) -> Option<Known> {
-    if !job.callers_key {
-        return None;
-    }
-    Some(claims::find(core, job).await)
+/// What a request holds while it goes on.
+struct Flow<'a> {
+    core: &'a Arc<Core>,
+    job: Job,
+    tx: Sender<Piece>,
+    /// Whether the exchange knows that the caller left.
+    left: bool,
+    asked: FuturesUnordered<BoxFuture<'a, Done>>,
+    call: Option<Call>,
+    turn: Option<Turn>,
+    wakes: BTreeSet<Now>,
+    money: Option<Pin<Box<Notified<'a>>>>,
+    began: Instant,
+    first_output: Option<Instant>,
 }
 
-/// Runs a request that was not seen before.
-async fn fresh(core: &Arc<Core>, job: &Job, tx: &Sender<Piece>) -> Piece {
-    let reservation = match reserve(core, job).await {
-        Ok(reservation) => reservation,
-        Err(refusal) => return Piece::Refused(refusal),
-    };
-    let mut delivered = Delivered::default();
-    let mut avoid: Vec<InstanceId> = Vec::new();
-    for attempt in 0..TRIES {
-        let turn = match turn(core, job, &avoid).await {
-            Ok(turn) => turn,
-            Err(refusal) => return give_up(core, reservation, &delivered, refusal),
-        };
-        let Some(sidecar) = core
-            .following
-            .view
-            .load()
-            .sidecars
-            .get(&turn.endpoint.id)
-            .cloned()
-        else {
-            avoid.push(turn.endpoint.id.clone());
-            continue;
-        };
-        match claim(core, job, &avoid, &sidecar).await {
-            Ok(Made::Ours) => {}
-            Ok(Made::Theirs(claim)) => {
-                core.purse.release(reservation);
-                drop(turn);
-                return relay::attach(core, job, &claim, tx).await;
-            }
-            Err(refusal) => return give_up(core, reservation, &delivered, refusal),
-        }
-        let began = Instant::now();
-        let stop = relay::dispatch(
+impl<'a> Flow<'a> {
+    fn new(core: &'a Arc<Core>, job: Job, tx: Sender<Piece>) -> Self {
+        Self {
             core,
             job,
-            &sidecar,
-            &reservation,
-            attempt,
-            &mut delivered,
             tx,
-        )
-        .await;
-        match stop {
-            Stop::Ended(end) => {
-                learn(job, &turn, began, &delivered, end.usage);
-                return settle(core, job, reservation, &end).await;
-            }
-            Stop::NotRun(refusal) => {
-                let forbidden = job.once || attempt + 1 == TRIES;
-                free_claim(core, job, &refusal).await;
-                if forbidden && !job.once {
-                    return give_up(core, reservation, &delivered, refusal);
+            left: false,
+            asked: FuturesUnordered::new(),
+            call: None,
+            turn: None,
+            wakes: BTreeSet::new(),
+            money: None,
+            began: Instant::now(),
+            first_output: None,
+        }
+    }
+
+    async fn run(mut self) {
+        let mut exchange = Exchange::new(self.job.spec(self.core));
+        let mut events = VecDeque::from([Event::Begin]);
+        let mut changes = self.core.following.changes.subscribe();
+        loop {
+            while let Some(event) = events.pop_front() {
+                let now = self.core.life.now();
+                for action in exchange.handle(now, &self.core.purse, event) {
+                    self.act(action, &mut events).await;
                 }
             }
-            Stop::Lost if job.once => return doubt(core, job, reservation).await,
-            Stop::Lost => {
-                event!(core.log, events::ROUTER_ENDPOINT_LOST, "sidecar" => sidecar.id.to_string());
-                if !delivered.may_continue(job) {
-                    return doubt(core, job, reservation).await;
+            if exchange.is_finished() {
+                return;
+            }
+            let event = tokio::select! {
+                biased;
+                event = next_reply(&mut self.call) => Some(event),
+                Some(done) = self.asked.next() => Some(self.take(done)),
+                () = self.tx.closed(), if !self.left => {
+                    self.left = true;
+                    self.core.metrics.count(metrics::CALLERS_LEFT);
+                    Some(Event::CallerGone)
+                }
+                () = next_money(&mut self.money) => {
+                    self.money = None;
+                    Some(Event::MoneyChanged)
                 }
+                () = next_wake(self.core, &self.wakes) => {
+                    self.wakes.pop_first();
+                    Some(Event::Wake)
+                }
+                // The sender lives as long as the router.
+                _ = changes.changed() => self.gone(),
+            };
+            events.extend(event);
+        }
+    }
+
+    fn take(&mut self, done: Done) -> Event {
+        match done {
+            Done::Event(event) => event,
+            Done::Turn(Ok((turn, target))) => {
+                self.turn = Some(turn);
+                Event::Chosen(target)
             }
+            Done::Turn(Err(refusal)) => Event::NotChosen(refusal),
         }
-        avoid.push(sidecar.id.clone());
     }
-    let nowhere = Refusal::new(Reason::NoEndpoint(job.service.clone()));
-    give_up(
-        core,
-        reservation,
-        &delivered,
-        nowhere.with_retry_after(super::SOON),
-    )
-}
 
-/// Waits for money no longer than the purse says that it may come.
-async fn reserve(core: &Core, job: &Job) -> Result<Reservation, Refusal> {
-    let mut until: Option<Now> = None;
-    loop {
-        let changed = core.purse.changed();
-        let shortage = match core.purse.reserve(core.life.now(), &job.split, job.bound) {
-            Ok(reservation) => return Ok(reservation),
-            Err(shortage) => shortage,
-        };
-        core.money_wanted.notify_one();
-        let Shortage::WaitFor {
-            until: latest,
-            otherwise,
-        } = shortage
-        else {
-            return Err(shortage.refusal().clone());
-        };
-        let latest = *until.get_or_insert(latest);
-        let left = latest.saturating_sub(core.life.now()).min(job.time_left());
-        if left.is_zero() {
-            return Err(otherwise);
+    /// Whether the life that is read from is over, by the members' list.
+    fn gone(&self) -> Option<Event> {
+        let target = &self.call.as_ref()?.target;
+        let view = self.core.following.view.load();
+        let now = view.sidecars.get(&target.sidecar);
+        let over = now.is_none_or(|now| now.incarnation != target.life);
+        over.then(|| Event::Gone(target.clone()))
+    }
+
+    async fn act(&mut self, action: Action, events: &mut VecDeque<Event>) {
+        let core = self.core;
+        match action {
+            Action::Choose { exclude } => self.choose(exclude),
+            Action::PutClaim { holder, claim } => {
+                let id = self.job.claim_id.clone();
+                let put = keepers::put_claim(core, holder, claim, id);
+                self.ask(async move { Done::Event(put.await) });
+            }
+            Action::PutLedgerClaim(claim) => {
+                let put = keepers::put_ledger_claim(core, claim);
+                self.ask(async move { Done::Event(put.await) });
+            }
+            Action::SettleClaim(settle) => {
+                let core = core.clone();
+                tokio::spawn(async move { keepers::settle(&core, settle).await });
+            }
+            Action::Reserve => events.push_back(self.reserve()),
+            Action::Release(reservation) => core.purse.release(reservation),
+            Action::Settle { reservation, cost } => {
+                if let Err(e) = core.purse.settle(reservation, cost) {
+                    let error = e.to_string();
+                    event!(core.log, events::ROUTER_SETTLEMENT_REFUSED, "error" => error);
+                }
+            }
+            Action::Call {
+                dispatch,
+                target,
+                req,
+            } => events.extend(self.call(dispatch, target, req)),
+            Action::Drop { dispatch } => {
+                self.call.take_if(|call| call.dispatch == dispatch);
+            }
+            Action::DeliverHead(head) => self.deliver(Piece::Head(head)).await,
+            Action::Deliver(bytes) => {
+                self.first_output.get_or_insert_with(Instant::now);
+                self.deliver(Piece::Bytes(bytes)).await;
+            }
+            Action::WakeAt(at) => drop(self.wakes.insert(at)),
+            Action::Finish { outcome, end } => self.finish(outcome, end).await,
+            Action::Violation(e) => {
+                let error = e.to_string();
+                event!(core.log, events::ROUTER_FRAME_MISFIT, "error" => error);
+            }
         }
-        let wake = Instant::now() + left;
-        tokio::select! {
-            () = changed => {}
-            () = sleep_until(wake) => return Err(otherwise),
+    }
+
+    fn ask(&mut self, f: impl Future<Output = Done> + Send + 'a) {
+        self.asked.push(Box::pin(f));
+    }
+
+    fn choose(&mut self, exclude: BTreeSet<InstanceId>) {
+        // The place at an earlier endpoint is free from now on.
+        self.turn = None;
+        self.began = Instant::now();
+        let (core, job) = (self.core, self.job.clone());
+        self.ask(async move {
+            let avoid: Vec<_> = exclude.into_iter().collect();
+            Done::Turn(turn(core, &job, &avoid).await)
+        });
+    }
+
+    fn reserve(&mut self) -> Event {
+        let core: &'a Core = self.core;
+        // Taken before the purse is looked at, so that nothing that comes in between is missed.
+        let mut changed = Box::pin(core.purse.changed());
+        changed.as_mut().enable();
+        match core
+            .purse
+            .reserve(core.life.now(), &self.job.split, self.job.bound)
+        {
+            Ok(reservation) => {
+                self.money = None;
+                Event::Reserved(reservation)
+            }
+            Err(shortage) => {
+                self.money = Some(changed);
+                core.money_wanted.notify_one();
+                Event::Short(shortage)
+            }
         }
     }
-}
 
-async fn turn(core: &Core, job: &Job, avoid: &[InstanceId]) -> Result<Turn, Refusal> {
-    let key = (job.service.clone(), job.model().cloned());
-    let lane = core.places.lane(&key).ok_or_else(|| {
-        let nowhere = Reason::NoEndpoint(job.service.clone());
-        Refusal::new(nowhere).with_retry_after(super::SOON)
-    })?;
-    let view = core.following.view.load();
-    let weight = view
-        .organisations
-        .get(&job.organisation)
-        .map_or(1, |o| o.weight);
-    drop(view);
-    lane.turn(&core.life, job, weight, avoid).await
-}
+    fn call(
+        &mut self,
+        dispatch: u32,
+        target: Target,
+        req: Box<anvil_wire::msg::SidecarRequest>,
+    ) -> Option<Event> {
+        let view = self.core.following.view.load();
+        let known = view.sidecars.get(&target.sidecar);
+        let Some(known) = known.filter(|known| known.incarnation == target.life) else {
+            // Not even asked: the life that is meant is over, or its address is not known.
+            self.call = None;
+            return Some(Event::Gone(target));
+        };
+        let channel = self.core.peers.to(known.addr);
+        self.call = Some(Call::open(dispatch, target, channel, req));
+        None
+    }
 
-async fn claim(
-    core: &Core,
-    job: &Job,
-    avoid: &[InstanceId],
-    sidecar: &Instance,
-) -> Result<Made, Refusal> {
-    if !job.once && !job.callers_key {
-        return Ok(Made::Ours);
+    /// Passes a piece on, no later than the deadline.
+    ///
+    /// Failure: a caller that stops reading without leaving. It would show as answers that pile
+    /// up in the router. Few pieces wait here, the sidecar's stream is not read meanwhile, and
+    /// at the deadline the caller counts as gone.
+    async fn deliver(&mut self, piece: Piece) {
+        if self.left {
+            return;
+        }
+        let sent = timeout_at(self.job.deadline, self.tx.send(piece)).await;
+        if sent.is_err() {
+            let (cut, _) = channel(1);
+            self.tx = cut;
+        }
     }
-    match avoid.last() {
-        Some(old) if !job.once => Ok(claims::replace(core, job, old, sidecar).await),
-        _ => claims::make(core, job, sidecar).await,
+
+    async fn finish(&mut self, outcome: Outcome, end: Option<Box<RunEnd>>) {
+        let (piece, count) = match outcome {
+            Outcome::Completed(usage) => {
+                self.learn(usage);
+                let finish = end.map_or_else(|| "stop".into(), |end| end.finish);
+                (Piece::End { finish, usage }, metrics::REQUESTS_COMPLETED)
+            }
+            Outcome::NotRun(refusal) => (Piece::Refused(refusal), metrics::REQUESTS_REFUSED),
+            Outcome::Unknown(doubt) => (Piece::Doubt(doubt), metrics::REQUESTS_UNKNOWN),
+        };
+        self.core.metrics.count(count);
+        if let Some(first) = self.first_output {
+            let took = first - self.job.arrived;
+            self.core.metrics.time(metrics::FIRST_OUTPUT, took);
+        }
+        self.turn = None;
+        self.deliver(piece).await;
     }
-}
 
-/// Frees the claim on a once-only key that a sidecar certainly never starts.
-async fn free_claim(core: &Core, job: &Job, refusal: &Refusal) {
-    if job.once {
-        claims::settle(core, job, Outcome::NotRun(refusal.clone())).await;
+    fn learn(&self, usage: Usage) {
+        let Some(turn) = &self.turn else {
+            return;
+        };
+        let (prompt, output_bound) = self.job.expected();
+        let first = self.first_output.unwrap_or_else(Instant::now);
+        turn.learn(&Finished {
+            prompt,
+            output_bound,
+            output: usage.output,
+            first_token: first - self.began,
+            total: self.began.elapsed(),
+        });
     }
 }
 
-fn give_up(
-    core: &Core,
-    reservation: Reservation,
-    delivered: &Delivered,
-    refusal: Refusal,
-) -> Piece {
-    core.purse.release(reservation);
-    if delivered.anything() {
-        // A part went out already, so "not run" would be false.
-        return Piece::Doubt(Doubt::EndpointLost);
-    }
-    Piece::Refused(refusal)
+async fn turn(core: &Core, job: &Job, avoid: &[InstanceId]) -> Result<(Turn, Target), Refusal> {
+    let nowhere = || {
+        let reason = Reason::NoEndpoint(job.service.clone());
+        Refusal::new(reason).with_retry_after(super::SOON)
+    };
+    let key = (job.service.clone(), job.model().cloned());
+    let lane = core.places.lane(&key).ok_or_else(nowhere)?;
+    let view = core.following.view.load();
+    let weight = view.organisations.get(&job.organisation);
+    let weight = weight.map_or(1, |organisation| organisation.weight);
+    drop(view);
+    let turn = lane.turn(&core.life, job, weight, avoid).await?;
+    let view = core.following.view.load();
+    let sidecar = view.sidecars.get(&turn.endpoint.id).ok_or_else(nowhere)?;
+    let target = Target::new(sidecar.id.clone(), sidecar.incarnation);
+    Ok((turn, target))
 }
 
-/// The end of a request whose run can't be reached any more: it is charged in full to the
-/// reservation's bound only where it may have run and may not run again.
-async fn doubt(core: &Core, job: &Job, reservation: Reservation) -> Piece {
-    let key = job.key.id.to_string();
-    event!(core.log, events::ROUTER_OUTCOME_UNKNOWN, "key" => key);
-    let doubt = Doubt::SidecarLost;
-    if job.once {
-        claims::settle(core, job, Outcome::Unknown(doubt)).await;
+async fn next_reply(call: &mut Option<Call>) -> Event {
+    match call {
+        Some(call) => call.next().await,
+        None => std::future::pending().await,
     }
-    core.purse.release(reservation);
-    Piece::Doubt(doubt)
 }
 
-fn learn(job: &Job, turn: &Turn, began: Instant, delivered: &Delivered, usage: Usage) {
-    let (prompt, output_bound) = job.expected();
-    turn.learn(&Finished {
-        prompt,
-        output_bound,
-        output: usage.output,
-        first_token: delivered.first_at.map_or(Duration::ZERO, |at| at - began),
-        total: began.elapsed(),
-    });
+async fn next_money(money: &mut Option<Pin<Box<Notified<'_>>>>) {
+    match money {
+        Some(money) => money.as_mut().await,
+        None => std::future::pending().await,
+    }
 }
 
-async fn settle(
-    core: &Core,
-    job: &Job,
-    reservation: Reservation,
-    end: &anvil_wire::msg::RunEnd,
-) -> Piece {
-    core.metrics.time(FIRST_OUTPUT, job.arrived.elapsed());
-    let cost = job.price.of(end.usage);
-    let (piece, cost) = match &end.outcome {
-        Outcome::Completed(usage) => {
-            let finish = end.finish.clone();
-            (
-                Piece::End {
-                    finish,
-                    usage: *usage,
-                },
-                cost,
-            )
+async fn next_wake(core: &Core, wakes: &BTreeSet<Now>) {
+    match wakes.first() {
+        Some(at) => {
+            let left = at.saturating_sub(core.life.now());
+            sleep_until(Instant::now() + left).await;
         }
-        Outcome::NotRun(refusal) => (Piece::Refused(refusal.clone()), 0),
-        Outcome::Unknown(doubt) => (Piece::Doubt(*doubt), 0),
-    };
-    if let Err(e) = core.purse.settle(reservation, cost) {
-        event!(core.log, events::ROUTER_SETTLEMENT_REFUSED, "error" => e.to_string());
-    }
-    if job.once {
-        claims::settle(core, job, end.outcome.clone()).await;
+        None => std::future::pending().await,
     }
-    piece
 }
--- a/crates/anvilreel/src/router/follow.rs
+++ b/crates/anvilreel/src/router/follow.rs
@@ -8,6 +8,7 @@
 use anvil_world::prelude::*;
 use arc_swap::ArcSwap;
 use slog::Logger;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 use super::view::{View, ViewMaker};
@@ -29,6 +30,8 @@
 pub struct Following {
     /// The present view; requests load it once.
     pub view: ArcSwap<View>,
+    /// Told after each change of the view.
+    pub changes: watch::Sender<LogIndex>,
     /// When a replica last confirmed to be in touch, in milliseconds of [`Life::now`] plus 1; 0
     /// for never.
     touched: AtomicU64,
@@ -40,6 +43,7 @@
     pub fn new(life: Life) -> Self {
         Self {
             view: ArcSwap::default(),
+            changes: watch::Sender::new(0),
             touched: AtomicU64::new(0),
             life,
         }
@@ -147,9 +151,11 @@
         }
         (self.changed)(held, &view);
         let first = self.following.view.load().is_empty();
+        let version = view.version;
         self.metrics.gauge(SETTINGS_VERSION, view.version);
         event!(self.log, events::ROUTER_SETTINGS_IN_FORCE, "version" => view.version);
         self.following.view.store(Arc::new(view));
+        self.following.changes.send_replace(version);
         if first {
             event!(self.log, events::ROUTER_READY);
         }
--- a/crates/anvilreel/src/router/front.rs
+++ b/crates/anvilreel/src/router/front.rs
@@ -107,6 +107,11 @@
     Ok(())
 }
 
+/// A name for one claim, unique in the fleet.
+pub fn claim_id(core: &Core) -> ClaimId {
+    core.next_id()
+}
+
 /// The team whose bearer key the request carries.
 pub fn authenticate(view: &View, headers: &HeaderMap) -> Result<Arc<Team>, Refusal> {
     let bearer = headers
--- a/crates/anvilreel/src/router/job.rs
+++ b/crates/anvilreel/src/router/job.rs
@@ -8,11 +8,17 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 
+use super::view::{Team, View};
+use crate::claims::placement;
+use crate::request::{Spec, Target};
+
 /// A checked request.
 #[derive(Debug, Clone)]
 pub struct Job {
     /// What names it across retries and routers.
     pub key: RequestKey,
+    /// Names this exchange's claim in the ledger.
+    pub claim_id: ClaimId,
     /// Whether the caller chose the key, so that it may come again.
     pub callers_key: bool,
     /// Hash of the body and of what else makes the request.
@@ -80,13 +86,14 @@
 
 impl Job {
     /// A request of a team, with everything that its kind of work does not decide.
-    pub fn new(view: &super::view::View, team: &super::view::Team, timeout: Duration) -> Self {
+    pub fn new(view: &View, team: &Team, timeout: Duration) -> Self {
         let arrived = Instant::now();
         Self {
             key: RequestKey {
                 team: team.id.clone(),
                 id: "".into(),
             },
+            claim_id: "".into(),
             callers_key: false,
             body: BodyHash::default(),
             work: Work::Plain {
@@ -127,3 +134,55 @@
         }
     }
 }
+
+impl Job {
+    /// What the request's state machine is told.
+    pub(super) fn spec(&self, core: &super::Core) -> Spec {
+        let view = core.following.view.load();
+        let region = &core.instance.zone.region;
+        let holders = if self.callers_key && !self.once {
+            placement(&self.key, region, view.routers.values())
+        } else {
+            Vec::new()
+        };
+        Spec {
+            key: self.key.clone(),
+            claim_id: self.claim_id.clone(),
+            named: self.callers_key,
+            body: self.body,
+            once: self.once,
+            split: self.split.clone(),
+            price: self.price,
+            bound: self.bound,
+            work: self.work.clone(),
+            class: self.class,
+            deadline: core.life.now() + self.time_left(),
+            keep: self.keep,
+            suspects: self.suspects(&view, region, &holders),
+            holders,
+        }
+    }
+
+    /// Sidecars that may run the key already although no claim says so.
+    ///
+    /// Failure: both routers that kept a key's claim are lost while its run goes on; the caller
+    /// retries. It would show as a second run and a second bill. So while a lost router is
+    /// remembered that would have kept this key, the sidecars that can run it are asked.
+    fn suspects(&self, view: &View, region: &str, holders: &[InstanceId]) -> Vec<Target> {
+        if holders.is_empty() || view.lost_routers.is_empty() {
+            return Vec::new();
+        }
+        let then = view.routers.values().chain(&view.lost_routers);
+        let kept_then = placement(&self.key, region, then);
+        let is_lost = |id: &InstanceId| view.lost_routers.iter().any(|m| m.instance.id == *id);
+        if !kept_then.iter().any(is_lost) {
+            return Vec::new();
+        }
+        let able = view.sidecars.values().filter(|instance| {
+            let endpoint = instance.endpoint.as_ref();
+            endpoint.is_some_and(|endpoint| endpoint.service == self.service)
+        });
+        able.map(|instance| Target::new(instance.id.clone(), instance.incarnation))
+            .collect()
+    }
+}
--- a/crates/anvilreel/src/router/plain_call.rs
+++ b/crates/anvilreel/src/router/plain_call.rs
@@ -12,7 +12,7 @@
 use tokio::sync::mpsc::Receiver;
 use viz::{Body, Request, Response};
 
-use super::front::{authenticate, check_open, name_answer, read_body, request_key};
+use super::front::{authenticate, check_open, claim_id, name_answer, read_body, request_key};
 use super::job::{Job, Piece};
 use super::refuse;
 use super::view::{Team, View};
@@ -61,12 +61,13 @@
         headers: passed_on(req.headers()),
         body,
     };
-    let job = call.into_job(
+    let mut job = call.into_job(
         &view,
         &team,
         (service, &document),
         (key.clone(), callers_key),
     );
+    job.claim_id = claim_id(&core);
     let mut answer = relay(flow::start(core, job)).await;
     name_answer(&mut answer, &key);
     Ok(answer)
--- a/crates/anvilreel/src/router/view.rs
+++ b/crates/anvilreel/src/router/view.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Instant;
 
 use anvil_world::document::{
     FleetDocument, ModelDocument, OrganisationDocument, ServiceDocument, TeamDocument, key_hash,
@@ -45,8 +46,10 @@
     pub endpoints: BTreeMap<ServiceId, Vec<Arc<Instance>>>,
     /// All sidecars that are not gone, by name: runs on a leaving one are still read.
     pub sidecars: BTreeMap<InstanceId, Arc<Instance>>,
-    /// Routers that are not leaving, in the order of their names.
-    pub routers: Vec<Arc<Instance>>,
+    /// Routers that are not leaving, by name.
+    pub routers: BTreeMap<InstanceId, Member>,
+    /// Routers that were lost lately: claims that they kept may be lost with them.
+    pub lost_routers: Vec<Member>,
     teams_by_key: BTreeMap<Arc<str>, Arc<Team>>,
 }
 
@@ -56,6 +59,11 @@
         self.teams_by_key.get(&key_hash(bearer)).cloned()
     }
 
+    /// A router that is not leaving.
+    pub fn router(&self, id: &InstanceId) -> Option<&Member> {
+        self.routers.get(id)
+    }
+
     /// Whether the router has a tree to serve on.
     pub fn is_empty(&self) -> bool {
         self.version == 0
@@ -66,6 +74,8 @@
 #[derive(Debug, Default)]
 pub struct ViewMaker {
     read: BTreeMap<TreePath, (Revision, Document)>,
+    routers: BTreeMap<InstanceId, Member>,
+    lost: Vec<(Instant, Member)>,
 }
 
 impl ViewMaker {
@@ -82,9 +92,25 @@
         for member in held.members.values() {
             view.take_member(member);
         }
+        view.lost_routers = self.note_lost(&view);
         (view, skipped)
     }
 
+    /// Routers that were lost within the time in which a retry of what they kept may come.
+    fn note_lost(&mut self, view: &View) -> Vec<Member> {
+        let now = Instant::now();
+        let goes_on = |old: &Member| {
+            let new = view.routers.get(&old.instance.id);
+            new.is_some_and(|new| new.instance.incarnation == old.instance.incarnation)
+        };
+        let before = std::mem::replace(&mut self.routers, view.routers.clone());
+        let lost = before.into_values().filter(|old| !goes_on(old));
+        self.lost.extend(lost.map(|old| (now, old)));
+        let keep = view.fleet.keep_answers + view.fleet.request_timeout;
+        self.lost.retain(|(at, _)| now.duration_since(*at) < keep);
+        self.lost.iter().map(|(_, member)| member.clone()).collect()
+    }
+
     fn read_changed(&mut self, held: &Held) -> Vec<Skipped> {
         let mut skipped = Vec::new();
         self.read.retain(|path, _| held.tree.contains_key(path));
@@ -142,7 +168,9 @@
         }
         let instance = Arc::new(member.instance.clone());
         match instance.role {
-            Role::Router if member.presence == Presence::Live => self.routers.push(instance),
+            Role::Router if member.presence == Presence::Live => {
+                self.routers.insert(instance.id.clone(), member.clone());
+            }
             Role::Sidecar => self.take_sidecar(instance, member.presence),
             Role::Router | Role::Ledger => {}
         }
