--- a/crates/anvil_standins/tests/scenarios.rs
+++ b/crates/anvil_standins/tests/scenarios.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use anvil_standins::Error;
-use anvil_standins::load::{Ending, Recorder, Sample, Scenario, arrivals};
+use anvil_standins::load::policy::Rule;
+use anvil_standins::load::{Ending, Recorder, Sample, Scenario, arrivals, experiment};
 use anvil_world::document::WorkClass;
 
 fn folder() -> PathBuf {
@@ -121,3 +122,18 @@
     let files = std::fs::read_dir(folder.path()).unwrap().count();
     assert_eq!(files, 3);
 }
+
+#[test]
+fn every_scenario_plays_under_the_decisions_alone() {
+    let files = std::fs::read_dir(folder()).unwrap();
+    for file in files {
+        let scenario = Scenario::load(&file.unwrap().path()).unwrap();
+        // Short, so that the faults of a long scenario are taken over and not reached.
+        let mut short = scenario.with_percent(20);
+        short.run_for = Duration::from_secs(2);
+        let report = experiment::play(&short, &Rule::ours());
+        assert_eq!(report.scenario, short.name);
+        let ended = report.completed + report.refusals() + report.lost;
+        assert_eq!(report.offered, ended, "{}", short.name);
+    }
+}
