--- a/crates/anvil_ledger/examples/soak.rs
+++ b/crates/anvil_ledger/examples/soak.rs
@@ -14,6 +14,7 @@
 #[path = "../tests/support/faults.rs"]
 mod faults;
 #[path = "../tests/support/fleet.rs"]
+#[allow(dead_code, reason = "the stories use the rest")]
 mod fleet;
 #[path = "../tests/support/mem_disk.rs"]
 #[allow(dead_code, reason = "the storage's own tests use the rest")]
--- a/crates/anvil_ledger/src/core/replica.rs
+++ b/crates/anvil_ledger/src/core/replica.rs
@@ -246,6 +246,15 @@
         self.leads() || self.heard_leader_lately()
     }
 
+    /// Whether it has to ask to be taken in.
+    ///
+    /// Failure: a new disk is taken in by a leader that is cut off; the entry that says so never
+    /// commits, the next leader knows nothing of it, and the replica waits for ever. It asks on
+    /// until it votes, whenever it hears from no leader.
+    pub fn seeks_ledger(&self) -> bool {
+        !self.votes() && !self.in_touch()
+    }
+
     /// Newest position known to be committed.
     pub fn committed(&self) -> LogIndex {
         self.committed
@@ -282,7 +291,8 @@
         self.membership().ledger
     }
 
-    pub(super) fn votes(&self) -> bool {
+    /// Whether this replica votes, as of its newest entry.
+    pub fn votes(&self) -> bool {
         self.membership().voters.contains_key(&self.id)
     }
 
--- a/crates/anvil_ledger/tests/random_failures.rs
+++ b/crates/anvil_ledger/tests/random_failures.rs
@@ -7,6 +7,7 @@
 #[path = "support/faults.rs"]
 mod faults;
 #[path = "support/fleet.rs"]
+#[allow(dead_code, reason = "the stories use the rest")]
 mod fleet;
 #[path = "support/mem_disk.rs"]
 #[allow(dead_code, reason = "the storage's own tests use the rest")]
--- a/crates/anvil_ledger/tests/support/faults.rs
+++ b/crates/anvil_ledger/tests/support/faults.rs
@@ -138,11 +138,7 @@
     }
 
     fn isolate_leader(&mut self) {
-        let leads = |number: &usize| {
-            let process = self.instances[*number].process.as_ref();
-            process.is_some_and(|process| process.replica.leads())
-        };
-        let Some(leader) = (0..self.instances.len()).find(leads) else {
+        let Some(leader) = self.leader() else {
             return;
         };
         self.faults.count("leader isolated");
--- a/crates/anvil_ledger/tests/support/fleet.rs
+++ b/crates/anvil_ledger/tests/support/fleet.rs
@@ -305,6 +305,10 @@
 
     pub fn feed(&mut self, number: usize, event: Event) {
         let now = self.now;
+        if self.instances[number].frozen_until > now {
+            // Whoever asks a frozen process waits in vain and asks again.
+            return;
+        }
         let Some(process) = self.process(number) else {
             return;
         };
@@ -528,12 +532,12 @@
         self.feed(number, Event::Fetched { meta, data });
     }
 
-    /// A replica without a ledger asks whoever leads to be taken in.
+    /// A replica outside asks whoever leads to be taken in.
     fn ask_in(&mut self, number: usize) {
         let Some(process) = self.instances[number].process.as_ref() else {
             return;
         };
-        if process.replica.membership().ledger != 0 {
+        if !process.replica.seeks_ledger() {
             return;
         }
         let id = process.replica.id();
@@ -605,6 +609,41 @@
         }
     }
 
+    /// Runs for a time.
+    pub fn run_for(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end && self.step() {}
+    }
+
+    /// Runs until something holds; false when it does not within the time.
+    pub fn run_until(&mut self, time: Duration, f: impl Fn(&Self) -> bool) -> bool {
+        let end = self.now + time;
+        while self.now < end && self.step() {
+            if f(self) {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Whether an instance believes that it leads.
+    pub fn leads(&self, number: usize) -> bool {
+        let process = self.instances[number].process.as_ref();
+        process.is_some_and(|process| process.replica.leads())
+    }
+
+    /// Who leads in the newest term.
+    pub fn leader(&self) -> Option<usize> {
+        let leaders = (0..self.instances.len()).filter(|number| self.leads(*number));
+        leaders.max_by_key(|number| self.term(*number))
+    }
+
+    /// An instance's term, 0 while it is down.
+    pub fn term(&self, number: usize) -> Term {
+        let process = self.instances[number].process.as_ref();
+        process.map_or(0, |process| process.replica.term())
+    }
+
     /// Whether every instance's present disk votes and no change is under way.
     pub fn is_whole(&self) -> bool {
         let processes = self.instances.iter().filter_map(|i| i.process.as_ref());
--- a/crates/anvilreel/src/ledger_service.rs
+++ b/crates/anvilreel/src/ledger_service.rs
@@ -46,6 +46,8 @@
 use error::{DiskSnafu, ListenSnafu, MachineSnafu, StorageSnafu, ThreadSnafu};
 use node::{Inbox, Node};
 
+use crate::event;
+
 /// Events that may wait for the node before whoever sends them waits too.
 const INBOX: usize = 65_536;
 
@@ -113,7 +115,7 @@
         log: log.clone(),
     };
     let (node, public) = Node::new(setup, found, inbox.clone()).context(MachineSnafu)?;
-    events::note!(log, events::LEDGER_LISTENING, "addr" => %addr, "replica" => format!("{id:x}"));
+    event!(log, events::LEDGER_LISTENING, "addr" => addr.to_string(), "replica" => format!("{id:x}"));
     let (ending, stopping) = watch::channel(false);
     let reach = handlers::Reach {
         inbox,
@@ -137,7 +139,7 @@
         if let Ok(writer) = node.await {
             let _ = tokio::task::spawn_blocking(move || writer.finish()).await;
         }
-        events::note!(log, events::LEDGER_STOPPED);
+        event!(log, events::LEDGER_STOPPED);
     });
     Ok(LedgerHandle { addr, task })
 }
--- a/crates/anvilreel/src/ledger_service/events.rs
+++ b/crates/anvilreel/src/ledger_service/events.rs
@@ -2,18 +2,7 @@
 
 use slog::Level;
 
-/// One kind of log line.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Event {
-    /// Its number; never used again for something else.
-    pub number: u16,
-    /// Its name.
-    pub name: &'static str,
-    /// How urgent it is.
-    pub level: Level,
-    /// What it means and what to do.
-    pub meaning: &'static str,
-}
+use crate::events::Event;
 
 macro_rules! catalogue {
     ($($name:ident = $number:literal $level:ident $text:literal: $meaning:literal;)*) => {
@@ -23,7 +12,6 @@
                 number: $number,
                 name: $text,
                 level: Level::$level,
-                meaning: $meaning,
             };
         )*
 
@@ -66,15 +54,3 @@
     LEDGER_FOUNDER_UNKNOWN = 3016 Warning "ledger_founder_unknown":
         "A founder's address is answered by another instance; check the settings.";
 }
-
-/// Logs a numbered event.
-macro_rules! note {
-    ($log:expr, $event:path $(, $key:literal => $($value:tt)*)?) => {
-        slog::log!(
-            $log, $event.level, $event.name, "{}", $event.name;
-            "event" => $event.number $(, $key => $($value)*)?
-        )
-    };
-}
-
-pub(crate) use note;
--- a/crates/anvilreel/src/ledger_service/founding.rs
+++ b/crates/anvilreel/src/ledger_service/founding.rs
@@ -15,10 +15,11 @@
 use slog::Logger;
 use tokio::time::sleep;
 
-use super::events::{self, note};
+use super::events;
 use super::handlers::Reach;
 use super::node::Input;
 use super::peer::{Hello, PeerCall, PeerReply, PeerRequest};
+use crate::event;
 
 /// Pause between two looks.
 const AGAIN: Duration = Duration::from_millis(100);
@@ -43,24 +44,10 @@
         addr,
         log,
     };
-    let Some(own) = seeker.reach.ask(Input::Hello).await else {
-        return;
-    };
-    if own.ledger != 0 {
-        return;
-    }
     let mut told = false;
-    while seeker.is_outside().await {
-        match seeker.look().await {
-            Found::Ledger => {
-                if !told {
-                    note!(seeker.log, events::LEDGER_JOINING);
-                }
-                told = true;
-                seeker.join().await;
-            }
-            Found::Empty(founders) => seeker.found(founders).await,
-            Found::Unclear => {}
+    while !seeker.votes() && !*seeker.reach.stopping.borrow() {
+        if seeker.seeks() {
+            seeker.try_once(&mut told).await;
         }
         sleep(AGAIN).await;
     }
@@ -76,9 +63,26 @@
 }
 
 impl Seeker {
-    async fn is_outside(&self) -> bool {
-        let hello = self.reach.ask(Input::Hello).await;
-        hello.is_some_and(|hello| hello.ledger == 0)
+    fn votes(&self) -> bool {
+        self.reach.public.borrow().votes
+    }
+
+    fn seeks(&self) -> bool {
+        self.reach.public.borrow().seeks_ledger
+    }
+
+    async fn try_once(&self, told: &mut bool) {
+        match self.look().await {
+            Found::Ledger => {
+                if !*told {
+                    event!(self.log, events::LEDGER_JOINING);
+                }
+                *told = true;
+                self.join().await;
+            }
+            Found::Empty(founders) => self.found(founders).await,
+            Found::Unclear => {}
+        }
     }
 
     fn site(&self) -> Site {
@@ -107,9 +111,9 @@
                     empty.insert(hello.id, site);
                 }
                 Some(hello) => {
-                    note!(
+                    event!(
                         self.log, events::LEDGER_FOUNDER_UNKNOWN,
-                        "expected" => %peer.id, "found" => %hello.instance
+                        "expected" => peer.id.to_string(), "found" => hello.instance.to_string()
                     );
                     unclear = true;
                 }
--- a/crates/anvilreel/src/ledger_service/node.rs
+++ b/crates/anvilreel/src/ledger_service/node.rs
@@ -23,13 +23,14 @@
 
 use super::Tuning;
 use super::error::Fault;
-use super::events::{self, note};
+use super::events;
 use super::follow::Follower;
 use super::peer::Hello;
 use super::pending::{Pending, Reply, tell};
 use super::queries::View;
 use super::signs::Signs;
 use super::testimony::Testimony;
+use crate::event;
 use outbox::Outbox;
 
 /// How often the core is told that time has passed.
@@ -83,8 +84,10 @@
     pub in_touch: bool,
     /// Other replicas' addresses.
     pub peers: BTreeMap<ReplicaId, SocketAddr>,
-    /// Whether the replica has stopped for good.
-    pub stopped: bool,
+    /// Whether it votes.
+    pub votes: bool,
+    /// Whether it has to ask to be taken in.
+    pub seeks_ledger: bool,
 }
 
 /// What a node is made of.
@@ -232,7 +235,7 @@
                 let _ = reply.send(self.join(id, site));
             }
             Input::Found(membership) => {
-                note!(self.setup.log, events::LEDGER_FOUNDED);
+                event!(self.setup.log, events::LEDGER_FOUNDED);
                 self.feed(Event::Found(membership));
             }
             Input::Disk(report) => self.disk_did(report),
@@ -317,7 +320,7 @@
             self.act(action);
         }
         if !led && self.replica.leads() {
-            note!(self.setup.log, events::LEDGER_LEADS, "term" => self.replica.term());
+            event!(self.setup.log, events::LEDGER_LEADS, "term" => self.replica.term());
             self.signs = Signs::elected(self.now());
             self.testimony = Testimony::default();
         }
@@ -333,7 +336,7 @@
             Action::Refused { id, why } => self.refused(id, why),
             Action::Confirmed { id, .. } => self.confirmed(id),
             Action::Deposed => {
-                note!(self.setup.log, events::LEDGER_DEPOSED);
+                event!(self.setup.log, events::LEDGER_DEPOSED);
                 self.pending.deposed();
             }
             Action::Fetch { from, meta } => self.fetch(from, &meta),
@@ -376,9 +379,11 @@
         self.pending.stopped();
         let log = &self.setup.log;
         match fault {
-            Fault::Disk { .. } => note!(log, events::LEDGER_DISK_FAILED, "why" => %fault),
+            Fault::Disk { .. } => {
+                event!(log, events::LEDGER_DISK_FAILED, "why" => fault.to_string());
+            }
             Fault::Core { .. } | Fault::Apply { .. } => {
-                note!(log, events::LEDGER_INVARIANT, "why" => %fault);
+                event!(log, events::LEDGER_INVARIANT, "why" => fault.to_string());
             }
         }
     }
@@ -390,7 +395,8 @@
             version: self.machine.state.version(),
             in_touch: self.replica.in_touch() && !self.stopped,
             peers: others.map(|(id, site)| (id, site.addr)).collect(),
-            stopped: self.stopped,
+            votes: self.replica.votes(),
+            seeks_ledger: self.replica.seeks_ledger(),
         };
         self.public.send_if_modified(|seen| {
             let changed = *seen != public;
--- a/crates/anvilreel/src/ledger_service/node/disk.rs
+++ b/crates/anvilreel/src/ledger_service/node/disk.rs
@@ -8,9 +8,10 @@
 use snafu::ResultExt;
 
 use super::{Input, Node};
+use crate::event;
 use crate::ledger_service::error::Fault;
 use crate::ledger_service::error::fault::{ApplySnafu, DiskSnafu};
-use crate::ledger_service::events::{self, note};
+use crate::ledger_service::events;
 use crate::ledger_service::links;
 
 impl Node {
@@ -19,7 +20,7 @@
     }
 
     pub(super) fn compact(&mut self, upto: LogIndex) {
-        note!(self.setup.log, events::LEDGER_SNAPSHOT, "upto" => upto);
+        event!(self.setup.log, events::LEDGER_SNAPSHOT, "upto" => upto);
         self.give(Job::Compact(upto));
     }
 
@@ -100,7 +101,7 @@
 
     pub(super) fn fetched(&mut self, fetched: Option<(SnapshotMeta, Bytes)>) {
         let Some((meta, data)) = fetched else {
-            note!(self.setup.log, events::LEDGER_FETCH_FAILED);
+            event!(self.setup.log, events::LEDGER_FETCH_FAILED);
             self.replica.fetch_failed();
             return;
         };
@@ -115,7 +116,7 @@
                 return;
             }
         }
-        note!(self.setup.log, events::LEDGER_INSTALLED, "index" => meta.last.index);
+        event!(self.setup.log, events::LEDGER_INSTALLED, "index" => meta.last.index);
         self.covered = meta.last.index;
         self.give(Job::Install { seq, meta, data });
     }
--- a/crates/anvilreel/src/ledger_service/node/fleet.rs
+++ b/crates/anvilreel/src/ledger_service/node/fleet.rs
@@ -8,7 +8,8 @@
 use tokio::sync::oneshot;
 
 use super::Node;
-use crate::ledger_service::events::{self, note};
+use crate::event;
+use crate::ledger_service::events;
 use crate::ledger_service::pending::{Reply, tell};
 use crate::ledger_service::signs::Greeting;
 
@@ -84,20 +85,20 @@
         let limit = self.setup.tuning.gone_after;
         for command in self.signs.silent(now, limit, &self.machine) {
             if let Command::SetPresence(set) = &command {
-                note!(self.setup.log, events::LEDGER_INSTANCE_GONE, "instance" => %set.id);
+                event!(self.setup.log, events::LEDGER_INSTANCE_GONE, "instance" => set.id.to_string());
             }
             self.propose_unheard(command);
         }
         let findings = self.testimony.examine(&self.machine);
         for held in findings.held {
-            note!(
+            event!(
                 self.setup.log, events::LEDGER_GRANT_HELD,
-                "grant" => held.grant, "lost" => %held.lost
+                "grant" => held.grant, "lost" => held.lost.to_string()
             );
         }
         for command in findings.close {
             if let Command::CloseGrant { grant, charged } = &command {
-                note!(
+                event!(
                     self.setup.log, events::LEDGER_GRANT_CLOSED,
                     "grant" => *grant, "charged" => *charged
                 );
