local runs on the replicated ledger; anvilreel-ledger daemon

Cause: the quick start kept its state in memory. Change: the one-replica stand-in is gone, ledger_service takes its place.

--- a/crates/anvil_daemons/src/daemon.rs
+++ b/crates/anvil_daemons/src/daemon.rs
@@ -60,6 +60,12 @@
         /// Why.
         source: anvilreel::router::RouterError,
     },
+    /// The ledger can't start.
+    #[snafu(display("{source}"), context(false))]
+    Ledger {
+        /// Why.
+        source: anvilreel::ledger_service::ServiceError,
+    },
     /// The sidecar can't start.
     #[snafu(display("{source}"), context(false))]
     Sidecar {
--- a/crates/anvilreel/src/local.rs
+++ b/crates/anvilreel/src/local.rs
@@ -4,7 +4,6 @@
 //! because the stand-ins are no part of the library.
 
 mod demo;
-mod solo;
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
@@ -12,14 +11,18 @@
 
 use anvil_wire::WireError;
 use anvil_world::prelude::*;
-use anvil_world::settings::{EndpointKind, EndpointSettings, RouterSettings, SidecarSettings};
+use anvil_world::settings::{
+    EndpointKind, EndpointSettings, LedgerSettings, Peer, RouterSettings, SidecarSettings,
+};
 use slog::Logger;
 use snafu::{ResultExt, Snafu};
+use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep};
 
 use crate::event;
 use crate::events;
 use crate::ledger_client::{LedgerClient, LedgerError};
+use crate::ledger_service::{self, LedgerHandle, ServiceError, Tuning};
 use crate::metrics::Metrics;
 use crate::router::{Router, RouterError};
 use crate::sidecar::Sidecar;
@@ -53,7 +56,7 @@
     #[snafu(display("the ledger can't start: {source}"))]
     Ledger {
         /// Why.
-        source: WireError,
+        source: ServiceError,
     },
     /// The router can't start.
     #[snafu(display("the router can't start: {source}"))]
@@ -85,6 +88,8 @@
 pub struct Local {
     router: Router,
     sidecars: Vec<Sidecar>,
+    running: LedgerHandle,
+    stop_ledger: oneshot::Sender<()>,
     /// Where operators reach the ledger.
     pub ledger: SocketAddr,
 }
@@ -92,9 +97,9 @@
 impl Local {
     /// Starts every role and returns when callers are served.
     pub async fn start(settings: &LocalSettings, log: &Logger) -> Result<Self, LocalError> {
-        let ledger = solo::start(settings.ledger_listen)
-            .await
-            .context(LedgerSnafu)?;
+        let (stop_ledger, stopped) = oneshot::channel();
+        let running = start_ledger(settings, log, stopped).await?;
+        let ledger = running.addr;
         demo::seed(&LedgerClient::new(&[ledger]))
             .await
             .context(SeedSnafu)?;
@@ -109,6 +114,8 @@
         let local = Self {
             router: router.await.context(RouterSnafu)?,
             sidecars,
+            running,
+            stop_ledger,
             ledger,
         };
         local.wait_ready().await?;
@@ -127,6 +134,9 @@
         for sidecar in self.sidecars {
             sidecar.stop().await;
         }
+        // Fails only where the ledger has ended already.
+        let _ = self.stop_ledger.send(());
+        self.running.stopped().await;
     }
 
     async fn wait_ready(&self) -> Result<(), LocalError> {
@@ -143,6 +153,31 @@
     }
 }
 
+async fn start_ledger(
+    settings: &LocalSettings,
+    log: &Logger,
+    stopped: oneshot::Receiver<()>,
+) -> Result<LedgerHandle, LocalError> {
+    let id = InstanceId::from("ledger-1");
+    let cfg = LedgerSettings {
+        id: id.clone(),
+        zone: Zone::default(),
+        wire_listen: settings.ledger_listen,
+        data: settings.data.clone(),
+        founders: vec![Peer {
+            id,
+            addr: settings.ledger_listen,
+        }],
+        join: false,
+        log_json: false,
+        statsd: None,
+    };
+    // A dropped sender stops the ledger too.
+    let stop = async move { drop(stopped.await) };
+    let started = ledger_service::start(cfg, Tuning::default(), log.clone(), stop);
+    started.await.context(LedgerSnafu)
+}
+
 fn endpoints(settings: &LocalSettings) -> [EndpointSettings; 2] {
     let engine = EndpointSettings {
         addr: settings.engine,
