--- a/crates/anvil_standins/src/bin/anvil-load.rs
+++ b/crates/anvil_standins/src/bin/anvil-load.rs
@@ -8,7 +8,8 @@
 use anvil_standins::Error;
 use anvil_standins::error::{FileSnafu, JsonSnafu};
 use anvil_standins::load::fleet::Fleet;
-use anvil_standins::load::{Report, Scenario, Target, drive, plot, table};
+use anvil_standins::load::policy::Rule;
+use anvil_standins::load::{Report, Scenario, Target, drive, experiment, plot, table};
 use argh::FromArgs;
 use snafu::ResultExt;
 
@@ -23,6 +24,28 @@
 #[argh(subcommand)]
 enum Task {
     Run(Run),
+    Policy(Policy),
+}
+
+/// play scenarios against a small fake in virtual time, under our rule and every baseline
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "policy")]
+struct Policy {
+    /// scenario files
+    #[argh(positional)]
+    scenarios: Vec<PathBuf>,
+
+    /// folder for drawings and JSON lines
+    #[argh(option, default = "PathBuf::from(\"target/load\")")]
+    out: PathBuf,
+
+    /// percent of the rates that the scenarios name
+    #[argh(option, default = "100")]
+    percent: u32,
+
+    /// ours with one part taken out each, in place of the baselines
+    #[argh(switch)]
+    ablations: bool,
 }
 
 /// start the daemons as processes, play scenarios against them and report what callers got
@@ -60,8 +83,11 @@
         Ok(runtime) => runtime,
         Err(e) => return failed(&e),
     };
-    let Task::Run(task) = arguments.task;
-    match runtime.block_on(run(&task)) {
+    let done = match arguments.task {
+        Task::Run(task) => runtime.block_on(run(&task)),
+        Task::Policy(task) => policy(&task),
+    };
+    match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => failed(&e),
     }
@@ -87,13 +113,34 @@
             };
             drive(&scenario, target).await.recorder.report()
         };
-        keep(&task.out, &report)?;
+        keep(&task.out, std::slice::from_ref(&report))?;
         reports.push(report);
     }
     print!("{}", table::table(&reports));
     Ok(())
 }
 
+fn policy(task: &Policy) -> Result<(), Error> {
+    let others = if task.ablations {
+        Rule::ablations()
+    } else {
+        Rule::baselines()
+    };
+    let rules: Vec<_> = [Rule::ours()].into_iter().chain(others).collect();
+    let mut all = Vec::new();
+    for path in &task.scenarios {
+        let scenario = Scenario::load(path)?.with_percent(task.percent);
+        let reports: Vec<_> = rules
+            .iter()
+            .map(|r| experiment::play(&scenario, r))
+            .collect();
+        keep(&task.out, &reports)?;
+        all.extend(reports);
+    }
+    print!("{}", table::table(&all));
+    Ok(())
+}
+
 async fn with_fleet(task: &Run, scenario: &Scenario) -> Result<Report, Error> {
     let folder = task.out.join(scenario.name.as_ref());
     fresh(&folder)?;
@@ -131,8 +178,8 @@
     std::fs::create_dir_all(folder).context(FileSnafu { path: folder })
 }
 
-/// Adds a report to the JSON lines, and draws it.
-fn keep(folder: &Path, report: &Report) -> Result<(), Error> {
+/// Adds the reports of one scenario to the JSON lines, and draws them.
+fn keep(folder: &Path, reports: &[Report]) -> Result<(), Error> {
     std::fs::create_dir_all(folder).context(FileSnafu { path: folder })?;
     let path = folder.join("reports.jsonl");
     let file = std::fs::File::options()
@@ -140,7 +187,9 @@
         .create(true)
         .open(&path);
     let mut file = file.context(FileSnafu { path: &path })?;
-    let line = serde_json::to_string(report).context(JsonSnafu)?;
-    writeln!(file, "{line}").context(FileSnafu { path: &path })?;
-    plot::draw(folder, std::slice::from_ref(report))
+    for report in reports {
+        let line = serde_json::to_string(report).context(JsonSnafu)?;
+        writeln!(file, "{line}").context(FileSnafu { path: &path })?;
+    }
+    plot::draw(folder, reports)
 }
--- a/crates/anvil_standins/src/load.rs
+++ b/crates/anvil_standins/src/load.rs
@@ -5,12 +5,18 @@
 //! so that waiting is not hidden. [`drive`] sends them to routers; [`fleet`] starts the real
 //! processes that they go to. What came of them goes into a [`Recorder`], which ends as a
 //! [`Report`]; reports are printed by [`table`] and drawn by [`plot`].
+//!
+//! [`policy`] plays loads against a small [`fake`] in virtual time, for the decisions alone;
+//! [`experiment`] takes a scenario file there.
 
 pub mod arrivals;
 mod caller;
 pub mod driver;
+pub mod experiment;
+pub mod fake;
 pub mod fleet;
 pub mod plot;
+pub mod policy;
 pub mod prompt;
 pub mod recorder;
 pub mod report;
