The first request after a quiet time is no longer refused

Cause: seen at the first curl line of anvilreel local: 'ledger_unreachable' although the ledger was well. A purse without grants sends no batch, so it hears nothing, and 'not heard for longer than the patience' was taken for a partition. Ruled out: empty batches from every idle router (a log entry a second each for nothing); counting heartbeats (the purse would depend on another loop's health). Change: cut off means that a batch was sent and has had no answer for longer than the patience. Conclusion: a false refusal after each quiet time is gone.

--- a/crates/anvilreel/src/money/exchange.rs
+++ b/crates/anvilreel/src/money/exchange.rs
@@ -10,7 +10,7 @@
 use anvil_world::prelude::*;
 
 use super::held::{Held, Verdict};
-use super::purse::Purse;
+use super::purse::{ANSWERED, Purse};
 use super::sizing::needed_for;
 use super::{MoneyError, OpenGrant};
 
@@ -46,6 +46,7 @@
         }
         if batches.pending.is_some() {
             batches.sent_at = Some(now);
+            self.unanswered.fetch_min(millis(now), Ordering::AcqRel);
         }
         batches.pending.clone()
     }
@@ -111,8 +112,8 @@
     }
 
     fn heard_at(&self, now: Now) {
-        let millis = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
-        self.heard.fetch_max(millis, Ordering::AcqRel);
+        self.heard.fetch_max(millis(now), Ordering::AcqRel);
+        self.unanswered.store(ANSWERED, Ordering::Release);
     }
 
     fn compose(&self, now: Now, batches: &mut Batches) -> Option<GrantBatch> {
@@ -244,3 +245,7 @@
         }
     }
 }
+
+fn millis(now: Now) -> u64 {
+    u64::try_from(now.as_millis()).unwrap_or(ANSWERED - 1)
+}
--- a/crates/anvilreel/src/money/purse.rs
+++ b/crates/anvilreel/src/money/purse.rs
@@ -21,6 +21,9 @@
 /// When to come back after the ledger could not be asked.
 const RETRY_UNREACHABLE: Duration = Duration::from_secs(2);
 
+/// In [`Purse::unanswered`]: no batch is under way.
+pub(super) const ANSWERED: u64 = u64::MAX;
+
 pub(super) type Budgets = BTreeMap<BudgetId, Arc<Held>>;
 
 /// What a router holds of one budget, for metrics and status.
@@ -48,6 +51,9 @@
     pub(super) batches: Mutex<Batches>,
     /// When the ledger last answered, in milliseconds.
     pub(super) heard: AtomicU64,
+    /// When the batch that has no answer yet was first sent, in milliseconds; [`ANSWERED`] when
+    /// none is under way.
+    pub(super) unanswered: AtomicU64,
     /// Whether a shortage wants a batch before the next second is over.
     pub(super) urgent: AtomicBool,
     pub(super) stopping: AtomicBool,
@@ -68,6 +74,7 @@
             budgets: ArcSwap::default(),
             batches: Mutex::default(),
             heard: AtomicU64::new(0),
+            unanswered: AtomicU64::new(ANSWERED),
             urgent: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             fenced: AtomicBool::new(false),
@@ -225,9 +232,13 @@
         Shortage::WaitFor { until, otherwise }
     }
 
+    /// Whether the ledger was asked and has not answered for longer than the patience.
+    ///
+    /// Failure: a router without callers asks for nothing, so it hears nothing. Taking that
+    /// silence for a partition would refuse the first request after every quiet time.
     fn is_cut_off(&self, now: Now) -> bool {
-        let heard = Duration::from_millis(self.heard.load(Ordering::Acquire));
-        now > heard + self.policy.patience
+        let since = self.unanswered.load(Ordering::Acquire);
+        since != ANSWERED && now > Duration::from_millis(since) + self.policy.patience
     }
 }
 
