Each router's part follows the limit; gaps in cache events put nothing in doubt

Ruled out: doubting all entries after a lost cache event. The rule is taken out. Change: own part is half the limit over the routers; an endpoint counts as overfull by no more than held prefixes allow, which is now half of the limit; waits are reckoned with caution 1.33.

--- a/crates/anvil_policy/src/admission.rs
+++ b/crates/anvil_policy/src/admission.rs
@@ -35,9 +35,10 @@
     /// Longest wait that is let in during saturation. A longer queue serves nobody more: as
     /// many are turned away, and those who are served only wait longer.
     pub saturated_wait: Duration,
-    /// Part of the longest wait that is promised to newcomers. The rest is kept for what the
-    /// estimate can't know: a limit that falls, or an endpoint lost, after they were let in.
-    pub promised: f64,
+    /// A wait is reckoned this many times as long as the backlog says. The rest is kept for
+    /// what the estimate can't know: a limit that falls, tokens that come slower under load, or
+    /// an endpoint lost, after the waiting were let in.
+    pub caution: f64,
     /// Most requests that wait in one pool; bounds memory.
     pub most_waiting: usize,
 }
@@ -48,7 +49,7 @@
             longest_wait: Duration::from_secs(30),
             saturated_after: Duration::from_secs(30),
             saturated_wait: Duration::from_secs(5),
-            promised: 0.75,
+            caution: 1.33,
             most_waiting: 4_096,
         }
     }
@@ -212,7 +213,7 @@
         }
         let (own, all) = self.waiting.backlog(lane, &ticket.organisation);
         let used = self.time_for(lane, own.saturating_add(all));
-        used.saturating_sub(self.longest_wait(now, ticket).mul_f64(self.rule.promised))
+        used.saturating_sub(self.longest_wait(now, ticket))
     }
 
     /// Time in which a lane works off this much slot time, given in microseconds.
@@ -222,7 +223,7 @@
         // What runs, not the limit: the room of endpoints is seen by every router at once, so
         // the limit says more than this router will get of it.
         let slots = self.running.min(self.limit).max(1);
-        Duration::from_micros(part / u64::from(slots))
+        Duration::from_micros(part / u64::from(slots)).mul_f64(self.rule.caution)
     }
 
     fn longest_wait(&self, now: Now, ticket: &Ticket) -> Duration {
--- a/crates/anvil_policy/src/endpoint.rs
+++ b/crates/anvil_policy/src/endpoint.rs
@@ -41,7 +41,7 @@
     since_report: AtomicI32,
     slots: AtomicU32,
     limit: AtomicU32,
-    floor: AtomicU32,
+    parts: AtomicU32,
     share: AtomicU32,
     leaving: AtomicBool,
 }
@@ -57,7 +57,7 @@
             since_report: AtomicI32::new(0),
             slots: AtomicU32::new(slots),
             limit: AtomicU32::new(slots.max(1)),
-            floor: AtomicU32::new(1),
+            parts: AtomicU32::new(u32::MAX),
             share: AtomicU32::new(FULL_SHARE),
             leaving: AtomicBool::new(false),
         }
@@ -126,12 +126,15 @@
         self.limit.store(limit.max(1), Ordering::Relaxed);
     }
 
-    /// Sets how many runs this router may always have there, whatever the report says.
+    /// Sets how many routers share the endpoint. Each may always have its part of half the
+    /// limit there, whatever the report says, and at least one run.
     ///
     /// Without it a router that starts while all slots are taken would see no room for ever:
-    /// the routers that hold the slots see their own runs end first and take them again.
-    pub fn set_floor(&self, floor: u32) {
-        self.floor.store(floor.max(1), Ordering::Relaxed);
+    /// the routers that hold the slots see their own runs end first and take them again. Half
+    /// of the limit, not all of it: parts that are all taken would leave nothing to the reports.
+    pub fn set_routers(&self, routers: u32) {
+        let parts = routers.max(1).saturating_mul(2);
+        self.parts.store(parts, Ordering::Relaxed);
     }
 
     /// Share of new work that it is given, in thousandths; see [`crate::ejection`] and
@@ -168,15 +171,20 @@
             .max(self.own_room())
     }
 
-    /// Runs below the limit; negative when above it.
+    /// Runs below the limit; negative when above it, but by no more than held prefixes allow:
+    /// an endpoint that is overfull for another reason, because it is leaving or its limit was
+    /// cut, must not close the others.
     pub fn balance(&self) -> i64 {
-        i64::from(self.limit_now()) - i64::from(self.pressure())
+        let limit = i64::from(self.limit_now());
+        let over = limit / i64::from(OVER_FOR_HELD);
+        (limit - i64::from(self.pressure())).max(-over)
     }
 
     /// Runs that this router may add whatever the report says.
     pub fn own_room(&self) -> u32 {
-        let own = self.floor.load(Ordering::Relaxed).min(self.limit_now());
-        own.saturating_sub(self.in_flight())
+        let limit = self.limit_now();
+        let part = limit / self.parts.load(Ordering::Relaxed);
+        part.max(1).min(limit).saturating_sub(self.in_flight())
     }
 
     fn room_within(&self, limit: u32) -> u32 {
--- a/crates/anvil_policy/src/health.rs
+++ b/crates/anvil_policy/src/health.rs
@@ -24,7 +24,8 @@
     pub ramp: RampRule,
     /// Runs an endpoint is given.
     pub limit: LimitRule,
-    /// How many routers share the endpoints; each may always have its part of half the slots.
+    /// How many routers share the endpoints; each may always have its part of half the
+    /// limit.
     pub routers: u32,
 }
 
@@ -133,8 +134,7 @@
         let target = watched.record.target();
         endpoint.set_share(watched.ramp.advance(&self.rule.ramp, now, target));
         endpoint.set_limit(watched.limit.value());
-        let part = endpoint.slots() / 2 / self.rule.routers.max(1);
-        endpoint.set_floor(part);
+        endpoint.set_routers(self.rule.routers);
     }
 
     fn watch(&mut self, now: Now, endpoint: &EndpointState) {
--- a/crates/anvil_policy/src/prefix.rs
+++ b/crates/anvil_policy/src/prefix.rs
@@ -139,9 +139,6 @@
         if event.seq < expected {
             return;
         }
-        if event.seq > expected {
-            feed.generation += 1;
-        }
         feed.next_seq = Some(event.seq + 1);
         match event.change {
             CacheChange::Added(hash) => self.hold(now, endpoint, hash),
