--- a/crates/anvil_daemons/examples/slopes/sample.rs
+++ b/crates/anvil_daemons/examples/slopes/sample.rs
@@ -191,6 +191,7 @@
 /// A claim of a non-idempotent request.
 pub fn claim(at: u64) -> Command {
     Command::Claim(Claim {
+        id: format!("router-001-{at:012}").into(),
         key: RequestKey {
             team: format!("workshop-team-{:05}", at % 2_000).into(),
             id: Arc::from(format!("0f8fad5b-d9cb-469f-a165-{at:012}")),
--- a/crates/anvilreel/src/router/places.rs
+++ b/crates/anvilreel/src/router/places.rs
@@ -195,6 +195,7 @@
         running: load.running,
         queued: load.queued,
         slots: load.slots,
+        tokens_per_second: load.tokens_per_second,
         leaving: load.leaving,
     }
 }
