A first sign of life counts: late joiners are not declared gone

Cause: anvil-load run scenarios/cooperative.toml got 2392 refusals of 2392 requests, all leaving. The leader answered a first heartbeat with a join and did not note it, so an instance that joined more than gone_after after the election looked silent since then and was fenced 100 ms later. Ruled out: lost heartbeats (the log shows gone 110 ms after the join); clocks. Conclusion: the instances of a fleet may start at any time after its ledger.

--- a/crates/anvil_standins/src/load/fleet.rs
+++ b/crates/anvil_standins/src/load/fleet.rs
@@ -34,6 +34,8 @@
 
 /// Longest time for the fleet to serve.
 const START_TIME: Duration = Duration::from_secs(30);
+/// Time for the sidecars to join and be seen by the routers.
+const JOIN_TIME: Duration = Duration::from_secs(3);
 /// Time between two looks at something that is awaited.
 const LOOK: Duration = Duration::from_millis(100);
 /// Time for the last reports of money to reach the ledger after a run.
@@ -72,14 +74,16 @@
             router_addrs: Vec::new(),
         };
         fleet.start_ledgers()?;
+        // Before anybody follows, so that no change waits to be in force everywhere.
+        fleet.write_documents().await?;
         for (at, (group, zone)) in scenario.endpoint_list().into_iter().enumerate() {
             fleet.start_endpoint(at, group, zone).await?;
         }
-        fleet.write_documents().await?;
         for at in 0..scenario.fleet.routers {
             fleet.start_router(at)?;
         }
         fleet.until_ready().await?;
+        sleep(JOIN_TIME).await;
         Ok(fleet)
     }
 
--- a/crates/anvilreel/src/ledger_service/signs.rs
+++ b/crates/anvilreel/src/ledger_service/signs.rs
@@ -50,6 +50,10 @@
     pub fn hear(&mut self, now: Duration, heartbeat: &Heartbeat, machine: &Machine) -> Greeting {
         let instance = &heartbeat.instance;
         let Some(member) = machine.state.members().get(&instance.id) else {
+            // Failure: the join is applied before the next heartbeat comes, and an instance that
+            // joins long after the election looks as if it had been silent since then. It would
+            // be declared gone a moment after it came. This sign counts for the new life.
+            self.take(now, heartbeat);
             return Greeting::Propose(join(instance));
         };
         let known = member.instance.incarnation;
@@ -57,6 +61,7 @@
             return Greeting::Known(Presence::Gone);
         }
         if instance.incarnation > known {
+            self.take(now, heartbeat);
             return Greeting::Propose(join(instance));
         }
         if member.presence == Presence::Gone {
