--- a/crates/anvil_ledger/src/core/lead.rs
+++ b/crates/anvil_ledger/src/core/lead.rs
@@ -114,7 +114,11 @@
         }
     }
 
-    /// Sends the next entries, or none when `beat` and nothing may be sent now.
+    /// Sends the next entries, or none when `beat`.
+    ///
+    /// Failure: a follower whose disk hangs acknowledges entries only after the sync. If each sign
+    /// of life carried some, a leader would hear from nobody while disks hang, and step down. A
+    /// beat without entries is answered at once, also while the next position is a guess.
     fn send_entries(&mut self, to: ReplicaId, beat: bool) {
         let term = self.hard.term;
         let committed = self.committed;
@@ -129,7 +133,7 @@
             self.offer_snapshot(to, round);
             return;
         };
-        let entries = if beat && !progress.probing {
+        let entries = if beat {
             Vec::new()
         } else {
             let last = self.log.last().index;
--- /dev/null
+++ b/crates/anvil_ledger/tests/core_guards.rs
@@ -0,0 +1,260 @@
+//! Guards of the core that only a set order of messages shows.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use anvil_ledger::core::{
+    Action, CoreSettings, Entry, EntryId, Envelope, Event, HardState, Membership, Message, Payload,
+    Proposal, Replica, ReplicaId, Restored, Site,
+};
+
+const ME: ReplicaId = 1;
+
+fn site(name: &str) -> Site {
+    Site {
+        instance: name.into(),
+        addr: ([127, 0, 0, 1], 9_000).into(),
+    }
+}
+
+fn membership() -> Membership {
+    let voters = [(1, site("a")), (2, site("b")), (3, site("c"))];
+    Membership {
+        ledger: 9,
+        voters: voters.into(),
+        learners: BTreeMap::new(),
+    }
+}
+
+fn entry(term: u64, index: u64, payload: Payload) -> Entry {
+    let id = EntryId { term, index };
+    Entry { id, payload }
+}
+
+/// A replica in term 3 whose last entry is of term 2.
+fn restored() -> Restored {
+    Restored {
+        id: ME,
+        hard: HardState {
+            term: 3,
+            vote: None,
+        },
+        snapshot: None,
+        base: EntryId::default(),
+        entries: vec![
+            entry(1, 1, Payload::Membership(membership())),
+            entry(2, 2, Payload::Data("old".into())),
+        ],
+    }
+}
+
+struct Driver {
+    replica: Replica,
+    now: Duration,
+    /// Everything it wanted, but for writes.
+    actions: Vec<Action>,
+    written: u64,
+}
+
+impl Driver {
+    fn new() -> Self {
+        let replica = Replica::new(restored(), CoreSettings::default(), 1, Duration::ZERO);
+        Self {
+            replica,
+            now: Duration::ZERO,
+            actions: Vec::new(),
+            written: 0,
+        }
+    }
+
+    fn feed(&mut self, event: Event) {
+        let actions = self.replica.handle(self.now, event);
+        for action in actions {
+            if let Action::Write(write) = &action {
+                self.written = write.seq;
+            }
+            self.actions.push(action);
+        }
+    }
+
+    fn sync(&mut self) {
+        self.feed(Event::Synced(self.written));
+    }
+
+    fn pass(&mut self, time: Duration) {
+        self.now += time;
+        self.feed(Event::Tick);
+    }
+
+    fn hear(&mut self, from: ReplicaId, message: Message) {
+        self.feed(Event::Message(Envelope {
+            ledger: 9,
+            from,
+            to: ME,
+            message,
+        }));
+    }
+
+    fn vote(&mut self, trial: bool) {
+        self.hear(
+            2,
+            Message::Vote {
+                term: 4,
+                trial,
+                granted: true,
+            },
+        );
+    }
+
+    fn ack(&mut self, from: ReplicaId, matched: u64, round: u64) {
+        self.hear(
+            from,
+            Message::Ack {
+                term: 4,
+                matched,
+                missing: None,
+                round,
+            },
+        );
+    }
+
+    /// Leads in term 4; its first entry there is the third.
+    fn leading() -> Self {
+        let mut driver = Self::new();
+        driver.pass(Duration::from_secs(2));
+        driver.vote(true);
+        driver.sync();
+        driver.vote(false);
+        assert!(driver.replica.leads());
+        driver.sync();
+        driver
+    }
+
+    fn sends_votes(&self) -> bool {
+        let mut sent = self.actions.iter();
+        sent.any(|action| {
+            matches!(action, Action::Send(envelope)
+                if matches!(envelope.message, Message::Vote { granted: true, .. }))
+        })
+    }
+}
+
+/// A leader finds an entry of an older term on a majority. It could still be replaced by a
+/// leader that never saw it, so an operator must not be told that it is committed before an entry
+/// of the present term is.
+#[test]
+fn an_entry_of_an_older_term_is_not_committed_by_counting() {
+    let mut driver = Driver::leading();
+    driver.ack(2, 2, 0);
+    assert_eq!(driver.replica.committed(), 0);
+    driver.ack(2, 3, 0);
+    assert_eq!(driver.replica.committed(), 3);
+}
+
+/// A replica is asked for its vote, and its power fails before the vote is on disk. Had it
+/// answered already, it could vote for another one in the same term after the restart.
+#[test]
+fn a_vote_leaves_only_after_the_sync() {
+    let mut driver = Driver::new();
+    let ask = Message::AskVote {
+        term: 4,
+        last: EntryId { term: 2, index: 2 },
+        trial: false,
+    };
+    driver.hear(2, ask);
+    assert!(!driver.sends_votes());
+    driver.sync();
+    assert!(driver.sends_votes());
+}
+
+/// Two new disks ask to be taken in while nothing commits. The second change waits for the first:
+/// two at once could make two majorities without a common replica.
+#[test]
+fn one_membership_change_at_a_time() {
+    let mut driver = Driver::leading();
+    driver.ack(2, 3, 0);
+    for (id, name) in [(10, "d"), (11, "e")] {
+        driver.feed(Event::Join {
+            id,
+            site: site(name),
+        });
+    }
+    for _ in 0..20 {
+        driver.pass(Duration::from_millis(100));
+        driver.sync();
+        // Alive, but without the change on disk.
+        driver.ack(2, 3, 0);
+        driver.ack(3, 3, 0);
+    }
+    assert_eq!(driver.replica.last().index, 4, "a second change was begun");
+    driver.ack(2, 4, 0);
+    driver.pass(Duration::from_millis(100));
+    assert_eq!(driver.replica.last().index, 5);
+}
+
+/// An instance comes back with an empty disk and is silent from then on. Its old disk's vote is
+/// taken out, and the new one counted, only after the new one has caught up; until then a second
+/// loss would cost the majority.
+#[test]
+fn a_new_disk_counts_only_once_it_has_caught_up() {
+    let mut driver = Driver::leading();
+    driver.ack(2, 3, 0);
+    driver.feed(Event::Join {
+        id: 10,
+        site: site("c"),
+    });
+    for _ in 0..50 {
+        driver.pass(Duration::from_millis(100));
+        driver.sync();
+        let last = driver.replica.last().index;
+        driver.ack(2, last, 0);
+    }
+    let members = driver.replica.membership();
+    assert!(members.learners.contains_key(&10));
+    assert!(
+        members.voters.contains_key(&3),
+        "the old disk was taken out"
+    );
+    let last = driver.replica.last().index;
+    for _ in 0..10 {
+        driver.ack(10, last.max(driver.replica.last().index), 0);
+        driver.pass(Duration::from_millis(100));
+        driver.sync();
+        let last = driver.replica.last().index;
+        driver.ack(2, last, 0);
+    }
+    let members = driver.replica.membership();
+    assert!(members.voters.contains_key(&10));
+    assert!(!members.voters.contains_key(&3));
+}
+
+/// A read waits for a majority that answers after it came. An answer that was under way before
+/// proves nothing about the time after.
+#[test]
+fn a_read_waits_for_a_round_of_its_own() {
+    let mut driver = Driver::leading();
+    driver.ack(2, 3, 0);
+    let confirmed = |driver: &Driver| {
+        let mut actions = driver.actions.iter();
+        actions.any(|action| matches!(action, Action::Confirmed { id: 77, .. }))
+    };
+    driver.feed(Event::Read(77));
+    driver.ack(2, 3, 0);
+    assert!(!confirmed(&driver), "confirmed by an earlier answer");
+    driver.ack(2, 3, 1);
+    assert!(confirmed(&driver));
+}
+
+/// A leader that hears nobody tells whoever waits that the outcome is in doubt, and takes nothing
+/// more.
+#[test]
+fn a_leader_alone_takes_nothing_more() {
+    let mut driver = Driver::leading();
+    driver.ack(2, 3, 0);
+    driver.pass(Duration::from_secs(2));
+    assert!(driver.actions.contains(&Action::Deposed));
+    let data = "late".into();
+    driver.feed(Event::Propose(vec![Proposal { id: 5, data }]));
+    let last = driver.actions.last();
+    assert!(matches!(last, Some(Action::Refused { id: 5, .. })));
+}
--- a/crates/anvil_ledger/tests/storage_failures.rs
+++ b/crates/anvil_ledger/tests/storage_failures.rs
@@ -283,3 +283,21 @@
     ));
     Ok(())
 }
+
+/// A replica prepares its own snapshot while a newer one comes from the leader. If the older one
+/// were put in the newer one's place, the log would begin after the snapshot's end, and the next
+/// restart would find a gap.
+#[test]
+fn an_older_snapshot_never_replaces_a_newer_one() -> Result<(), Failure> {
+    let disk = MemDisk::default();
+    let (mut storage, _) = Storage::open(disk.disk(), DISK)?;
+    let mut told = Acknowledged::default();
+    take(&mut storage, &write(1, 1, 1, 5), &mut told)?;
+    let own = meta(1, 4);
+    snapshot::prepare(storage.disk(), snapshot::TEMPORARY, &own, b"state")?;
+    take(&mut storage, &Step::Install(meta(3, 20)), &mut told)?;
+    storage.publish_snapshot(&own)?;
+    let (_, found) = Storage::open(disk.disk(), DISK)?;
+    assert_eq!(found.snapshot.map(|s| s.meta.last.index), Some(20));
+    Ok(())
+}
