--- a/crates/anvilreel/src/local.rs
+++ b/crates/anvilreel/src/local.rs
@@ -27,7 +27,7 @@
 use crate::router::{Router, RouterError};
 use crate::sidecar::Sidecar;
 
-pub use demo::{BUDGET, KEY, MODEL, PREPAID, SERVICE};
+pub use demo::{BUDGET, KEY, MODEL, PREPAID, SERVICE, seed};
 
 /// Longest time until everything is ready.
 const READY_WITHIN: Duration = Duration::from_secs(10);
--- a/crates/anvilreel/src/router.rs
+++ b/crates/anvilreel/src/router.rs
@@ -156,6 +156,11 @@
         view.endpoints.values().map(Vec::len).sum()
     }
 
+    /// Routers that this one knows of, itself included.
+    pub fn peers(&self) -> usize {
+        self.core.following.view.load().routers.len()
+    }
+
     /// The planned stop: readiness off, no new work, streams finish, grants go back, claims are
     /// handed over.
     pub async fn stop(self) {
--- a/crates/anvilreel/src/router/flow.rs
+++ b/crates/anvilreel/src/router/flow.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use anvil_policy::estimate::Finished;
-use anvil_wire::msg::RunEnd;
+use anvil_wire::msg::{RunEnd, SidecarReply};
 use anvil_world::prelude::*;
 use futures::future::BoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
@@ -81,6 +81,7 @@
         let mut changes = self.core.following.changes.subscribe();
         loop {
             while let Some(event) = events.pop_front() {
+                self.note_failure(&event);
                 let now = self.core.life.now();
                 for action in exchange.handle(now, &self.core.purse, event) {
                     self.act(action, &mut events).await;
@@ -124,6 +125,22 @@
         }
     }
 
+    /// Tells the decisions about an endpoint that failed this request.
+    fn note_failure(&self, event: &Event) {
+        let failed = match event {
+            Event::Broken { .. } | Event::Gone(_) => true,
+            Event::Reply { reply, .. } => match reply {
+                SidecarReply::Refused(refusal) => refusal.reason == Reason::EndpointRefused,
+                SidecarReply::End(end) => end.outcome == Outcome::Unknown(Doubt::EndpointLost),
+                _ => false,
+            },
+            _ => false,
+        };
+        if let Some(turn) = self.turn.as_ref().filter(|_| failed) {
+            turn.failed();
+        }
+    }
+
     /// Whether the life that is read from is over, by the members' list.
     fn gone(&self) -> Option<Event> {
         let target = &self.call.as_ref()?.target;
--- a/crates/anvilreel/src/router/lane.rs
+++ b/crates/anvilreel/src/router/lane.rs
@@ -14,6 +14,9 @@
 use super::job::Job;
 use crate::life::Life;
 
+/// Time between two judgements of all endpoints.
+const JUDGE_EVERY: Duration = Duration::from_secs(1);
+
 /// What a waiting request is told.
 type Told = Result<(), Refusal>;
 
@@ -21,6 +24,9 @@
     gate: Gate,
     waiters: BTreeMap<WaiterId, oneshot::Sender<Told>>,
     estimate: Estimate,
+    health: Health,
+    /// When shares were last judged.
+    judged: Option<Now>,
     rng: ChaCha8Rng,
 }
 
@@ -52,7 +58,17 @@
 impl Turn {
     /// Learns from a request that ran to its end.
     pub fn learn(&self, finished: &Finished) {
-        self.lane.door().estimate.learn(finished);
+        let mut door = self.lane.door();
+        door.estimate.learn(finished);
+        let ended = Ended::Answered(latency_of(finished, &door.estimate));
+        door.health.observe(self.life.now(), &self.endpoint, &ended);
+    }
+
+    /// Learns that the endpoint failed or could not be reached.
+    pub fn failed(&self) {
+        let now = self.life.now();
+        let mut door = self.lane.door();
+        door.health.observe(now, &self.endpoint, &Ended::Failed);
     }
 }
 
@@ -63,6 +79,8 @@
             gate: Gate::new(AdmissionRule::default()),
             waiters: BTreeMap::new(),
             estimate: Estimate::default(),
+            health: Health::new(HealthRule::default()),
+            judged: None,
             rng: ChaCha8Rng::seed_from_u64(seed),
         };
         Self {
@@ -75,12 +93,17 @@
     /// Takes in a new set of endpoints.
     pub fn set_pool(&self, now: Now, pool: Pool) {
         self.pool.store(Arc::new(pool));
+        self.door().judged = None;
         self.tick(now);
     }
 
     /// Lets in who has room now and answers who is given up on. To be called now and then.
     pub fn tick(&self, now: Now) {
         let mut door = self.door();
+        if door.judged.is_none_or(|at| now >= at + JUDGE_EVERY) {
+            door.judged = Some(now);
+            door.health.tick(now, &self.pool.load());
+        }
         self.let_in(&mut door, now);
         while let Some((waiter, refusal)) = door.gate.expired(now) {
             if let Some(tx) = door.waiters.remove(&waiter.id) {
@@ -90,6 +113,18 @@
         }
     }
 
+    /// Takes in a report of an endpoint's load, and lets in who has room by it.
+    pub fn report(&self, now: Now, endpoint: &EndpointState, load: &LoadReport) {
+        let mut door = self.door();
+        door.health.report(now, endpoint, load);
+        self.let_in(&mut door, now);
+    }
+
+    /// How many routers share the endpoints.
+    pub fn set_routers(&self, routers: u32) {
+        self.door().health.set_routers(routers);
+    }
+
     /// Waits for a turn and chooses the endpoint, avoiding those where the request has failed.
     pub async fn turn(
         self: &Arc<Self>,
@@ -225,3 +260,16 @@
     let reason = Reason::NoEndpoint(job.service.clone());
     Refusal::new(reason).with_retry_after(NOWHERE_RETRY)
 }
+
+/// A long prompt's own prefill is no fault of the endpoint, so it is taken off.
+fn latency_of(finished: &Finished, estimate: &Estimate) -> Latency {
+    let prompt = u32::try_from(finished.prompt).unwrap_or(u32::MAX);
+    let prefill = f64::from(prompt) * estimate.per_prompt_token;
+    let prefill = Duration::try_from_secs_f64(prefill).unwrap_or_default();
+    let rest = finished.total.saturating_sub(finished.first_token);
+    let gaps = u32::try_from(finished.output.saturating_sub(1)).unwrap_or(u32::MAX);
+    Latency {
+        first: finished.first_token.saturating_sub(prefill),
+        between: rest / gaps.max(1),
+    }
+}
--- a/crates/anvilreel/src/router/places.rs
+++ b/crates/anvilreel/src/router/places.rs
@@ -1,14 +1,14 @@
 //! The endpoints that this router sends work to, and what it knows of their load.
 //!
-//! At the design size a router does not know all 7,100 endpoints: of each pool it watches a
-//! bounded subset, chosen by rendezvous hashing of router and endpoint, so that routers cover
-//! the endpoints evenly and a restart of one moves little.
+//! At the design size a router does not watch all 7,100 endpoints: of each pool it watches the
+//! bounded subset that [`anvil_policy::subset`] chooses.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use anvil_policy::prelude::*;
+use anvil_policy::subset::SubsetRule;
 use anvil_wire::msg::{EndpointLoad, SidecarCall, SidecarReply, SidecarRequest};
 use anvil_world::prelude::*;
 use arc_swap::ArcSwap;
@@ -21,14 +21,14 @@
 use crate::life::Life;
 use crate::peers::Peers;
 
-/// Endpoints of one pool that a router watches.
-const WATCHED: usize = 32;
 /// Pause before a lost watch is taken up again.
 const WATCH_AGAIN: Duration = Duration::from_millis(500);
 
 /// Names a pool: a service, and for model runners the model.
 pub type PoolKey = (ServiceId, Option<ModelId>);
 
+type Lanes = BTreeMap<PoolKey, Arc<Lane>>;
+
 /// A sidecar with what the router knows of its endpoint.
 pub struct Place {
     /// The sidecar.
@@ -47,7 +47,7 @@
 /// All pools of a router.
 pub struct Places {
     /// Pools by name; requests load them once.
-    lanes: ArcSwap<BTreeMap<PoolKey, Arc<Lane>>>,
+    lanes: Arc<ArcSwap<Lanes>>,
     watched: Mutex<BTreeMap<InstanceId, Place>>,
     router: Instance,
     life: Life,
@@ -58,7 +58,7 @@
     /// No endpoint yet.
     pub fn new(router: Instance, life: Life, peers: Arc<Peers>) -> Self {
         Self {
-            lanes: ArcSwap::default(),
+            lanes: Arc::default(),
             watched: Mutex::default(),
             router,
             life,
@@ -75,6 +75,7 @@
     pub fn update(&self, view: &View) {
         let wanted = self.wanted(view);
         let states = self.watch_all(&wanted);
+        let routers = u32::try_from(view.routers.len()).unwrap_or(u32::MAX);
         let mut lanes = BTreeMap::clone(&self.lanes.load());
         lanes.retain(|key, lane| {
             let known = wanted.contains_key(key);
@@ -89,6 +90,7 @@
             let lane = lanes
                 .entry(key.clone())
                 .or_insert_with(|| self.new_lane(key));
+            lane.set_routers(routers);
             lane.set_pool(self.life.now(), pool);
         }
         self.lanes.store(Arc::new(lanes));
@@ -130,16 +132,14 @@
             }
         }
         for pool in wanted.values_mut() {
-            pool.sort_by_cached_key(|instance| self.rank(instance));
-            pool.truncate(WATCHED);
+            let all = pool.iter().map(|instance| (&instance.id, &instance.zone));
+            let (router, zone) = (&self.router.id, &self.router.zone);
+            let watched = SubsetRule::default().watched(router, zone, all);
+            pool.retain(|instance| watched.contains(&instance.id));
         }
         wanted
     }
 
-    fn rank(&self, instance: &Instance) -> u64 {
-        xxh3_64(format!("{}/{}", self.router.id, instance.id).as_bytes())
-    }
-
     /// Watches what is wanted and forgets the rest; a new life of a sidecar starts anew.
     fn watch_all(
         &self,
@@ -172,11 +172,12 @@
         let state = Arc::new(state);
         let channel = self.peers.to(instance.addr);
         let watched = state.clone();
+        let (lanes, life) = (self.lanes.clone(), self.life.clone());
         let watch = tokio::spawn(async move {
             loop {
                 if let Ok(mut replies) = channel.open::<SidecarCall>(&SidecarRequest::Watch).await {
                     while let Ok(Some(SidecarReply::Load(load))) = replies.next().await {
-                        watched.report(&report_of(&load));
+                        take_report(&lanes.load(), life.now(), &watched, &report_of(&load));
                     }
                 }
                 sleep(WATCH_AGAIN).await;
@@ -190,11 +191,21 @@
     }
 }
 
+/// Takes a report into every pool that the endpoint belongs to.
+fn take_report(lanes: &Lanes, now: Now, endpoint: &EndpointState, load: &LoadReport) {
+    for lane in lanes.values() {
+        if lane.pool.load().get(&endpoint.id).is_some() {
+            lane.report(now, endpoint, load);
+        }
+    }
+}
+
 fn report_of(load: &EndpointLoad) -> LoadReport {
     LoadReport {
         running: load.running,
         queued: load.queued,
         slots: load.slots,
+        tokens_per_second: load.tokens_per_second,
         leaving: load.leaving,
     }
 }
--- /dev/null
+++ b/crates/anvilreel/tests/path_fleet.rs
@@ -0,0 +1,18 @@
+//! The real shells on loopback: ledger, routers, sidecars and stand-ins, over TCP.
+
+#[path = "path_fleet/answers.rs"]
+mod answers;
+#[path = "path_fleet/bad_input.rs"]
+mod bad_input;
+#[path = "path_fleet/callers.rs"]
+mod callers;
+#[path = "path_fleet/catalogues.rs"]
+mod catalogues;
+#[path = "path_fleet/fleet.rs"]
+mod fleet;
+#[path = "path_fleet/losses.rs"]
+mod losses;
+#[path = "path_fleet/money.rs"]
+mod money;
+#[path = "path_fleet/stops.rs"]
+mod stops;
--- /dev/null
+++ b/crates/anvilreel/tests/path_fleet/fleet.rs
@@ -0,0 +1,321 @@
+//! A small fleet and a caller for the tests.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::time::Duration;
+
+use anvil_standins::client::{Answer, Client};
+use anvil_standins::{engine, plain};
+use anvil_wire::msg::{Query, QueryAnswer};
+use anvil_world::command::{TopUp, change_id};
+use anvil_world::prelude::*;
+use anvil_world::settings::{
+    EndpointKind, EndpointSettings, LedgerSettings, Peer, RouterSettings, SidecarSettings,
+};
+use anvilreel::ledger_client::LedgerClient;
+use anvilreel::ledger_service::{LedgerHandle, Tuning, start as start_ledger};
+use anvilreel::local::{BUDGET, KEY, MODEL, SERVICE, seed};
+use anvilreel::logs::silent;
+use anvilreel::metrics::Metrics;
+use anvilreel::router::Router;
+use anvilreel::sidecar::Sidecar;
+use bytes::Bytes;
+use http::{Method, Request};
+use http_body_util::Full;
+use serde_json::Value;
+use tokio::sync::oneshot;
+use tokio::time::{sleep, timeout};
+
+/// Longest wait for anything in these tests.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// One engine with its sidecar.
+pub struct Beside {
+    pub engine: engine::Handle,
+    pub sidecar: Option<Sidecar>,
+}
+
+/// All processes, running in this one.
+pub struct Fleet {
+    pub ledger: LedgerClient,
+    pub ledger_addr: SocketAddr,
+    pub ledger_handle: Option<(LedgerHandle, oneshot::Sender<()>)>,
+    pub routers: Vec<Option<Router>>,
+    pub engines: Vec<Beside>,
+    pub plain: plain::Handle,
+    pub plain_sidecar: Option<Sidecar>,
+    pub client: Client,
+    // Kept for its drop, which removes the folder.
+    _data: tempfile::TempDir,
+}
+
+fn loopback(port: u16) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, port))
+}
+
+/// A port that is free now. The ledger needs to know its own address before it listens.
+fn free_addr() -> SocketAddr {
+    let listener = TcpListener::bind(loopback(0)).expect("a free port");
+    listener.local_addr().expect("its address")
+}
+
+impl Fleet {
+    /// So many routers and engines, one plain service, and the demo's settings.
+    pub async fn start(routers: usize, engines: usize) -> Self {
+        Self::start_with(routers, engines, engine::Config::default()).await
+    }
+
+    pub async fn start_with(routers: usize, engines: usize, cfg: engine::Config) -> Self {
+        let data = tempfile::tempdir().expect("a folder");
+        let (ledger_addr, handle) = ledger(&data).await;
+        let ledger = LedgerClient::new(&[ledger_addr]);
+        seed(&ledger).await.expect("the demo's settings");
+        let plain = plain::start(plain::Config::default()).await.expect("plain");
+        let service = sidecar_settings(0, ledger_addr, plain.addr(), EndpointKind::Plain);
+        let mut fleet = Self {
+            ledger,
+            ledger_addr,
+            ledger_handle: Some(handle),
+            routers: Vec::new(),
+            engines: Vec::new(),
+            plain,
+            plain_sidecar: Some(start_sidecar(&service).await),
+            client: Client::default(),
+            _data: data,
+        };
+        for number in 0..engines {
+            let engine = engine::start(cfg.clone().with_models([MODEL])).await;
+            let engine = engine.expect("an engine");
+            let settings =
+                sidecar_settings(number + 1, ledger_addr, engine.addr(), EndpointKind::Engine);
+            let sidecar = Some(start_sidecar(&settings).await);
+            fleet.engines.push(Beside { engine, sidecar });
+        }
+        for number in 0..routers {
+            let router = fleet.router(number).await;
+            fleet.routers.push(Some(router));
+        }
+        fleet.wait_ready(routers, engines + 1).await;
+        fleet
+    }
+
+    /// A router; odd ones stand in another zone than even ones.
+    pub async fn router(&self, number: usize) -> Router {
+        let zone = ["local-a", "local-b"][number % 2];
+        let settings = RouterSettings {
+            id: format!("router-{number}").into(),
+            zone: Zone::new("local", zone),
+            listen: loopback(0),
+            wire_listen: loopback(0),
+            ledgers: vec![self.ledger_addr],
+            threads: 0,
+            log_json: false,
+            statsd: None,
+        };
+        let started = Router::start(&settings, silent(), Metrics::silent("router"));
+        started.await.expect("a router")
+    }
+
+    async fn wait_ready(&self, routers: usize, sidecars: usize) {
+        let ready = || {
+            let mut all = self.routers.iter().flatten();
+            all.all(|r| r.is_ready() && r.endpoints() >= sidecars && r.peers() >= routers)
+        };
+        eventually("the fleet is ready", || async { ready() }).await;
+    }
+
+    pub fn url(&self, router: usize, path: &str) -> String {
+        let router = self.routers[router].as_ref().expect("it runs");
+        format!("http://{}{path}", router.addr())
+    }
+
+    /// Sends a request with the demo key and reads its answer whole.
+    pub async fn send(
+        &self,
+        router: usize,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Answer {
+        let url = self.url(router, path);
+        let req = request(&url, headers, body);
+        let answer = timeout(PATIENCE, self.client.whole(&url, req)).await;
+        answer.expect("in time").expect("an answer")
+    }
+
+    /// A chat that is answered in one piece.
+    pub async fn chat(&self, router: usize, key: Option<&str>, prompt: &str) -> Answer {
+        let headers: Vec<_> = key
+            .map(|key| ("idempotency-key", key))
+            .into_iter()
+            .collect();
+        let body = chat_body(prompt, false);
+        self.send(router, "/v1/chat/completions", &headers, body)
+            .await
+    }
+
+    /// What stands at the demo budget.
+    pub async fn budget(&self) -> Budget {
+        let query = Query::Budget(BUDGET.into());
+        let answer = self.ledger.query(query, PATIENCE).await.expect("a budget");
+        let QueryAnswer::Budgets(mut budgets) = answer else {
+            panic!("another answer");
+        };
+        budgets.remove(0).budget
+    }
+
+    /// Returns when so many tokens are billed.
+    pub async fn billed(&self, tokens: Tokens) {
+        let what = format!("{tokens} tokens are billed");
+        eventually(&what, || async { self.budget().await.billed == tokens }).await;
+    }
+
+    pub async fn top_up(&self, id: &str, amount: Tokens) {
+        let at = std::time::SystemTime::now();
+        let top_up = TopUp {
+            id: change_id(at, id),
+            operator: "test".into(),
+            budget: BUDGET.into(),
+            amount,
+            at,
+        };
+        let command = Command::TopUp(top_up);
+        self.ledger
+            .propose(command, PATIENCE)
+            .await
+            .expect("paid in");
+    }
+
+    /// Runs that all engines have started.
+    pub fn started(&self) -> u64 {
+        self.engines
+            .iter()
+            .map(|beside| beside.engine.started())
+            .sum()
+    }
+
+    /// Stops the ledger.
+    pub async fn stop_ledger(&mut self) {
+        let (handle, stop) = self.ledger_handle.take().expect("it runs");
+        stop.send(()).expect("it listens");
+        handle.stopped().await;
+    }
+}
+
+async fn ledger(data: &tempfile::TempDir) -> (SocketAddr, (LedgerHandle, oneshot::Sender<()>)) {
+    let addr = free_addr();
+    let id = InstanceId::from("ledger-1");
+    let settings = LedgerSettings {
+        id: id.clone(),
+        zone: Zone::default(),
+        wire_listen: addr,
+        data: data.path().to_owned(),
+        founders: vec![Peer { id, addr }],
+        join: false,
+        log_json: false,
+        statsd: None,
+    };
+    let (tx, rx) = oneshot::channel();
+    let stop = async move { drop(rx.await) };
+    let handle = start_ledger(settings, Tuning::default(), silent(), stop).await;
+    (addr, (handle.expect("a ledger"), tx))
+}
+
+/// Settings of the sidecar with this number, beside an endpoint.
+pub fn sidecar_settings(
+    number: usize,
+    ledger: SocketAddr,
+    addr: SocketAddr,
+    kind: EndpointKind,
+) -> SidecarSettings {
+    let is_engine = kind == EndpointKind::Engine;
+    SidecarSettings {
+        id: format!("sidecar-{number}").into(),
+        zone: Zone::new("local", ["local-a", "local-b"][number % 2]),
+        wire_listen: loopback(0),
+        ledgers: vec![ledger],
+        endpoint: EndpointSettings {
+            addr,
+            service: if is_engine { "runners" } else { SERVICE }.into(),
+            kind,
+            models: is_engine.then(|| MODEL.into()).into_iter().collect(),
+            slots: 16,
+            checks_fencing: is_engine,
+        },
+        buffer_bytes: 8 << 20,
+        log_json: false,
+        statsd: None,
+    }
+}
+
+pub async fn start_sidecar(settings: &SidecarSettings) -> Sidecar {
+    let started = Sidecar::start(settings, silent(), Metrics::silent("sidecar"));
+    started.await.expect("a sidecar")
+}
+
+/// A POST with the demo key.
+pub fn request(
+    url: &str,
+    headers: &[(&str, &str)],
+    body: impl Into<Bytes>,
+) -> Request<Full<Bytes>> {
+    let mut req = Request::builder().method(Method::POST).uri(url);
+    if headers.iter().all(|(name, _)| *name != "authorization") {
+        req = req.header("authorization", format!("Bearer {KEY}"));
+    }
+    for (name, value) in headers {
+        req = req.header(*name, *value);
+    }
+    req.body(Full::new(body.into())).expect("a request")
+}
+
+pub fn chat_body(prompt: &str, stream: bool) -> String {
+    let message = serde_json::json!({"role": "user", "content": prompt});
+    serde_json::json!({"model": MODEL, "stream": stream, "messages": [message]}).to_string()
+}
+
+/// The answer that every engine gives.
+pub fn expected(prompt: &str) -> String {
+    let messages = [engine::Message::user(prompt)];
+    engine::expected_answer(MODEL, &messages, 512)
+}
+
+pub fn json(answer: &Answer) -> Value {
+    serde_json::from_slice(&answer.body).expect("JSON")
+}
+
+/// The text of a chat's answer.
+pub fn text(answer: &Answer) -> String {
+    let json = json(answer);
+    let content = json["choices"][0]["message"]["content"].as_str();
+    content
+        .unwrap_or_else(|| panic!("no text in {json}"))
+        .to_owned()
+}
+
+/// The text of a streamed answer, and whether its end mark came.
+pub fn streamed_text(body: &[u8]) -> (String, bool) {
+    let body = std::str::from_utf8(body).expect("text");
+    let mut text = String::new();
+    let mut done = false;
+    for event in body.lines().filter_map(|line| line.strip_prefix("data: ")) {
+        if event == "[DONE]" {
+            done = true;
+            continue;
+        }
+        let event: Value = serde_json::from_str(event).expect("JSON");
+        let delta = event["choices"][0]["delta"]["content"].as_str();
+        text.push_str(delta.unwrap_or_default());
+    }
+    (text, done)
+}
+
+/// Waits until something holds.
+pub async fn eventually<F: Future<Output = bool>>(what: &str, mut holds: impl FnMut() -> F) {
+    let wait = async {
+        while !holds().await {
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let waited = timeout(PATIENCE, wait).await;
+    assert!(waited.is_ok(), "not within {PATIENCE:?}: {what}");
+}
