--- a/crates/anvilreel/src/router.rs
+++ b/crates/anvilreel/src/router.rs
@@ -101,6 +101,7 @@
     core: Arc<Core>,
     addr: SocketAddr,
     wire_addr: SocketAddr,
+    close: Arc<Notify>,
     serving: JoinHandle<()>,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -123,13 +124,15 @@
         let wire_addr = server.addr().context(WireSnafu)?;
         let core = Arc::new(Core::new(settings, wire_addr, log, metrics));
         event!(core.log, events::ROUTER_LISTENING, "addr" => addr.to_string());
-        let serving = accept::serve(listener, front::routes(&core), core.life.clone());
+        let close = Arc::new(Notify::new());
+        let serving = accept::serve(listener, front::routes(&core), close.clone());
         let serving = tokio::spawn(serving);
         let tasks = spawn_tasks(&core, server);
         Ok(Self {
             core,
             addr,
             wire_addr,
+            close,
             serving,
             tasks,
         })
@@ -168,6 +171,7 @@
         event!(core.log, events::ROUTER_LEAVING);
         core.life.leave();
         sleep(UNREADY_FIRST).await;
+        self.close.notify_one();
         // An error is a panic of the serving task, after which nothing is left to wait for.
         let _ = self.serving.await;
         while core.open.load(Ordering::Relaxed) > 0 {
--- a/crates/anvilreel/src/router/accept.rs
+++ b/crates/anvilreel/src/router/accept.rs
@@ -10,11 +10,10 @@
 use hyper_util::server::conn::auto::Builder;
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 use tokio::time::sleep;
 use viz::{Responder, Tree};
 
-use crate::life::Life;
-
 /// Bytes kept for a caller that reads slowly, in each direction.
 const CONNECTION_BUFFER: usize = 16 << 10;
 /// Longest time a caller may take to send the head of a request.
@@ -22,13 +21,13 @@
 /// Pause after a failed accept, such as when file descriptors are used up.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Serves callers until the planned stop has begun and all requests have ended.
-pub async fn serve(listener: TcpListener, routes: viz::Router, life: Life) {
+/// Serves callers until told to close and all requests have ended.
+pub async fn serve(listener: TcpListener, routes: viz::Router, close: Arc<Notify>) {
     let tree = Arc::new(Tree::from(routes));
     let connections = GracefulShutdown::new();
     loop {
         let accepted = tokio::select! {
-            () = life.left() => break,
+            () = close.notified() => break,
             accepted = listener.accept() => accepted,
         };
         match accepted {
--- a/crates/anvilreel/src/router/call.rs
+++ b/crates/anvilreel/src/router/call.rs
@@ -47,6 +47,10 @@
                 },
                 State::Reading(replies) => match replies.next().await {
                     Ok(Some(reply)) => {
+                        if is_last(&reply) {
+                            // What the stream does after its last reply says nothing.
+                            self.state = State::Over;
+                        }
                         let dispatch = self.dispatch;
                         return Event::Reply { dispatch, reply };
                     }
@@ -65,3 +69,13 @@
         }
     }
 }
+
+fn is_last(reply: &SidecarReply) -> bool {
+    matches!(
+        reply,
+        SidecarReply::End(_)
+            | SidecarReply::Refused(_)
+            | SidecarReply::Probed(_)
+            | SidecarReply::Ordered(_)
+    )
+}
--- a/crates/anvilreel/tests/path_fleet/fleet.rs
+++ b/crates/anvilreel/tests/path_fleet/fleet.rs
@@ -42,7 +42,8 @@
     pub routers: Vec<Option<Router>>,
     pub engines: Vec<Beside>,
     pub plain: plain::Handle,
-    pub plain_sidecar: Option<Sidecar>,
+    // Kept running beside the plain service.
+    _plain_sidecar: Sidecar,
     pub client: Client,
     // Kept for its drop, which removes the folder.
     _data: tempfile::TempDir,
@@ -78,7 +79,7 @@
             routers: Vec::new(),
             engines: Vec::new(),
             plain,
-            plain_sidecar: Some(start_sidecar(&service).await),
+            _plain_sidecar: start_sidecar(&service).await,
             client: Client::default(),
             _data: data,
         };
