A silent instance is not dead: silent after seconds, gone only after it may not serve

An instance that the ledger had not heard of for 10 s was declared gone; gone is final for a life and fences a router. So a partition of more than 10 s between a router and the ledger made the sidecars refuse it although it had money in its grants and may serve out of touch for 10 minutes, and after the heal both routers and sidecars stayed out of service until somebody restarted them. Ruled out: letting a gone life come back (its grants may have been closed by evidence); a longer limit alone (work would be sent to lost endpoints for minutes). Change: presence Silent keeps new work away and is taken back by the next sign of life; Gone comes after serve_out_of_touch and 10 s more. A router takes a sidecar for lost when the ledger does not hear of it and it can't be reached either. A process whose life is over takes a new one itself. Conclusion: false refusals during partitions of minutes no longer come from fencing.

--- a/crates/anvil_daemons/src/bin/anvilreel-router.rs
+++ b/crates/anvil_daemons/src/bin/anvilreel-router.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use anvil_daemons::{Args, StartError, exit_of, read_settings, runtime, stop_signal};
+use anvil_daemons::{Args, StartError, exit_of, read_settings, runtime, start_again, stop_signal};
 use anvil_world::settings::RouterSettings;
 use anvilreel::logs;
 use anvilreel::metrics::Metrics;
@@ -17,9 +17,17 @@
     runtime(settings.threads)?.block_on(async {
         let log = logs::logger(settings.log_json);
         let metrics = Metrics::new("router", settings.statsd)?;
-        let router = Router::start(&settings, log, metrics).await?;
-        stop_signal().await?;
-        router.stop().await;
-        Ok(())
+        loop {
+            let start = || Router::start(&settings, log.clone(), metrics.clone());
+            let router = start_again(start).await?;
+            tokio::select! {
+                stopped = stop_signal() => {
+                    stopped?;
+                    router.stop().await;
+                    return Ok(());
+                }
+                () = router.over() => router.retire(),
+            }
+        }
     })
 }
--- a/crates/anvil_daemons/src/bin/anvilreel-sidecar.rs
+++ b/crates/anvil_daemons/src/bin/anvilreel-sidecar.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use anvil_daemons::{Args, StartError, exit_of, read_settings, runtime, stop_signal};
+use anvil_daemons::{Args, StartError, exit_of, read_settings, runtime, start_again, stop_signal};
 use anvil_world::settings::SidecarSettings;
 use anvilreel::logs;
 use anvilreel::metrics::Metrics;
@@ -20,9 +20,17 @@
     runtime(THREADS)?.block_on(async {
         let log = logs::logger(settings.log_json);
         let metrics = Metrics::new("sidecar", settings.statsd)?;
-        let sidecar = Sidecar::start(&settings, log, metrics).await?;
-        stop_signal().await?;
-        sidecar.stop().await;
-        Ok(())
+        loop {
+            let start = || Sidecar::start(&settings, log.clone(), metrics.clone());
+            let sidecar = start_again(start).await?;
+            tokio::select! {
+                stopped = stop_signal() => {
+                    stopped?;
+                    sidecar.stop().await;
+                    return Ok(());
+                }
+                () = sidecar.over() => sidecar.kill(),
+            }
+        }
     })
 }
--- a/crates/anvil_daemons/src/daemon.rs
+++ b/crates/anvil_daemons/src/daemon.rs
@@ -2,6 +2,7 @@
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 use anvil_world::SettingsError;
 use anvil_world::settings::{Check, read};
@@ -13,6 +14,10 @@
 
 /// Exit code when the settings are not accepted: nothing was started.
 const BAD_SETTINGS: u8 = 2;
+/// How often a start is tried.
+const START_TRIES: u32 = 10;
+/// Pause between two tries.
+const START_AGAIN: Duration = Duration::from_millis(100);
 /// Exit code when the process could not start for another reason.
 const NOT_STARTED: u8 = 1;
 
@@ -98,6 +103,21 @@
     }
 }
 
+/// Tries to start for a little while: the life before this one may still hold the addresses.
+pub async fn start_again<T, E, F>(start: impl Fn() -> F) -> Result<T, StartError>
+where
+    F: Future<Output = Result<T, E>>,
+    StartError: From<E>,
+{
+    for _ in 1..START_TRIES {
+        if let Ok(started) = start().await {
+            return Ok(started);
+        }
+        tokio::time::sleep(START_AGAIN).await;
+    }
+    Ok(start().await?)
+}
+
 /// Prints why a daemon did not start and chooses its exit code.
 pub fn exit_of(result: Result<(), StartError>) -> ExitCode {
     let Err(e) = result else {
--- a/crates/anvil_daemons/src/lib.rs
+++ b/crates/anvil_daemons/src/lib.rs
@@ -7,5 +7,5 @@
 pub mod operate;
 
 pub use command::Command;
-pub use daemon::{Args, StartError, exit_of, read_settings, runtime, stop_signal};
+pub use daemon::{Args, StartError, exit_of, read_settings, runtime, start_again, stop_signal};
 pub use local_command::{LocalCommand, LocalCommandError, local};
--- a/crates/anvil_ledger/src/lives.rs
+++ b/crates/anvil_ledger/src/lives.rs
@@ -43,7 +43,7 @@
         }
         let reach = match before.presence {
             Presence::Leaving => Reach::Upto(self.newest_grant),
-            Presence::Live | Presence::Gone => Reach::Any,
+            Presence::Live | Presence::Silent | Presence::Gone => Reach::Any,
         };
         self.lose(&before.instance.id, reach);
     }
--- a/crates/anvil_ledger/src/state/members.rs
+++ b/crates/anvil_ledger/src/state/members.rs
@@ -151,6 +151,7 @@
 fn presence_text(presence: Presence) -> &'static str {
     match presence {
         Presence::Live => "live",
+        Presence::Silent => "silent",
         Presence::Leaving => "leaving",
         Presence::Gone => "gone",
     }
--- a/crates/anvil_world/src/instance.rs
+++ b/crates/anvil_world/src/instance.rs
@@ -26,6 +26,9 @@
 pub enum Presence {
     /// Takes work.
     Live,
+    /// Not heard of by the ledger for a short while: gets no new work until it is heard of
+    /// again. Its life goes on, and so do its grants.
+    Silent,
     /// Finishes what it has and takes nothing new.
     Leaving,
     /// Declared lost. Its incarnation never comes back to life.
--- a/crates/anvilreel/src/events.rs
+++ b/crates/anvilreel/src/events.rs
@@ -90,6 +90,8 @@
     SIDECAR_STOPPED = 2008 Info "sidecar_stopped";
     /// An invariant of the runs is broken.
     SIDECAR_INVARIANT_BROKEN = 2009 Critical "sidecar_invariant_broken";
+    /// The ledger holds this life to be over after a long silence; a new one begins.
+    SIDECAR_GONE = 2010 Warning "sidecar_gone";
     /// All roles of the quick start run.
     LOCAL_READY = 4001 Info "local_ready";
 }
--- a/crates/anvilreel/src/ledger_service.rs
+++ b/crates/anvilreel/src/ledger_service.rs
@@ -56,7 +56,10 @@
 pub struct Tuning {
     /// How fast replicas notice things.
     pub core: CoreSettings,
-    /// An instance that gives no sign of life for this long is declared gone.
+    /// An instance that gives no sign of life for this long gets no new work.
+    pub silent_after: Duration,
+    /// An instance that gives no sign of life for this long after the time that a router may
+    /// serve out of touch is declared gone.
     pub gone_after: Duration,
     /// A snapshot is taken after this many entries.
     pub snapshot_every: u64,
@@ -68,6 +71,7 @@
     fn default() -> Self {
         Self {
             core: CoreSettings::default(),
+            silent_after: Duration::from_secs(5),
             gone_after: Duration::from_secs(10),
             snapshot_every: 10_000,
             group_commit: true,
--- a/crates/anvilreel/src/ledger_service/events.rs
+++ b/crates/anvilreel/src/ledger_service/events.rs
@@ -51,6 +51,8 @@
         "A snapshot could not be fetched from the leader; it is tried again.";
     LEDGER_STOPPED = 3015 Info "ledger_stopped":
         "The replica has ended as planned.";
+    LEDGER_INSTANCE_SILENT = 3017 Warning "ledger_instance_silent":
+        "An instance was not heard of for some seconds; it gets no new work until it is.";
     LEDGER_FOUNDER_UNKNOWN = 3016 Warning "ledger_founder_unknown":
         "A founder's address is answered by another instance; check the settings.";
 }
--- a/crates/anvilreel/src/ledger_service/node/fleet.rs
+++ b/crates/anvilreel/src/ledger_service/node/fleet.rs
@@ -4,6 +4,7 @@
 
 use anvil_wire::msg::{Heartbeat, HeartbeatReply, LedgerReply};
 use anvil_world::command::SetPresence;
+use anvil_world::document::FleetDocument;
 use anvil_world::prelude::*;
 use tokio::sync::oneshot;
 
@@ -11,7 +12,7 @@
 use crate::event;
 use crate::ledger_service::events;
 use crate::ledger_service::pending::{Reply, tell};
-use crate::ledger_service::signs::Greeting;
+use crate::ledger_service::signs::{Greeting, Patience};
 
 /// How often the leader looks for silent instances and for grants to close.
 const WATCH: Duration = Duration::from_secs(1);
@@ -82,13 +83,7 @@
             return;
         }
         self.next_watch = now + WATCH;
-        let limit = self.setup.tuning.gone_after;
-        for command in self.signs.silent(now, limit, &self.machine) {
-            if let Command::SetPresence(set) = &command {
-                event!(self.setup.log, events::LEDGER_INSTANCE_GONE, "instance" => set.id.to_string());
-            }
-            self.propose_unheard(command);
-        }
+        self.mark_silent(now);
         let findings = self.testimony.examine(&self.machine);
         for held in findings.held {
             event!(
@@ -107,6 +102,35 @@
         }
     }
 
+    fn mark_silent(&mut self, now: Duration) {
+        let patience = self.patience();
+        for command in self.signs.silent(now, patience, &self.machine) {
+            if let Command::SetPresence(set) = &command {
+                let instance = set.id.to_string();
+                if set.presence == Presence::Gone {
+                    event!(self.setup.log, events::LEDGER_INSTANCE_GONE, "instance" => instance);
+                } else {
+                    event!(self.setup.log, events::LEDGER_INSTANCE_SILENT, "instance" => instance);
+                }
+            }
+            self.propose_unheard(command);
+        }
+    }
+
+    fn patience(&self) -> Patience {
+        let entry = self.machine.state.tree().get(&TreePath::Fleet);
+        let document = entry.map(|entry| Document::check(&TreePath::Fleet, &entry.text));
+        let fleet = match document {
+            Some(Ok(Document::Fleet(fleet))) => fleet,
+            _ => FleetDocument::default(),
+        };
+        let tuning = &self.setup.tuning;
+        Patience {
+            silent: tuning.silent_after,
+            gone: fleet.serve_out_of_touch + tuning.gone_after,
+        }
+    }
+
     /// Proposes without anybody waiting: if it is lost, the next watch proposes it again.
     fn propose_unheard(&mut self, command: Command) {
         let (tx, _) = oneshot::channel();
--- a/crates/anvilreel/src/ledger_service/signs.rs
+++ b/crates/anvilreel/src/ledger_service/signs.rs
@@ -1,9 +1,12 @@
 //! Signs of life, as the leader keeps them in memory.
 //!
 //! Failure: a process dies or is cut off without a word; work goes on being sent to it, and its
-//! grants stay open. The leader declares it gone after a set time without a sign of life. A new
-//! leader has heard nobody yet, so it counts the time from its election; nobody is declared gone
-//! because the leader changed.
+//! grants stay open. After a short silence the leader marks it silent, which keeps new work away;
+//! it comes back by its next sign of life. Only after a silence longer than a router may serve out
+//! of touch is it declared gone, which ends its life and fences its grants: fenced any earlier, a
+//! router behind a partition would be refused by the sidecars it still reaches, with money in its
+//! grants. A new leader has heard nobody yet, so it counts the time from its election; nobody is
+//! declared gone because the leader changed.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -21,6 +24,15 @@
     version: LogIndex,
 }
 
+/// How long a silence may last.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Patience {
+    /// Before the instance gets no new work.
+    pub silent: Duration,
+    /// Before its life is over. Longer than a router serves out of touch.
+    pub gone: Duration,
+}
+
 /// What a leader has heard since it was elected.
 #[derive(Debug, Clone, Default)]
 pub struct Signs {
@@ -71,10 +83,13 @@
         if member.instance != *instance {
             return Greeting::Propose(join(instance));
         }
-        if heartbeat.leaving && member.presence == Presence::Live {
-            return Greeting::Propose(presence(member, Presence::Leaving));
+        match (heartbeat.leaving, member.presence) {
+            (true, Presence::Live | Presence::Silent) => {
+                Greeting::Propose(presence(member, Presence::Leaving))
+            }
+            (false, Presence::Silent) => Greeting::Propose(presence(member, Presence::Live)),
+            (_, known) => Greeting::Known(known),
         }
-        Greeting::Known(member.presence)
     }
 
     fn take(&mut self, now: Duration, heartbeat: &Heartbeat) {
@@ -87,12 +102,15 @@
         self.signs.insert(instance.id.clone(), sign);
     }
 
-    /// Instances that have been silent for too long.
-    pub fn silent(&self, now: Duration, limit: Duration, machine: &Machine) -> Vec<Command> {
+    /// Instances that have been silent for too long, and what that makes of them.
+    pub fn silent(&self, now: Duration, patience: Patience, machine: &Machine) -> Vec<Command> {
         let members = machine.state.members().values();
-        let watched = members.filter(|m| m.presence != Presence::Gone);
-        let silent = watched.filter(|m| now >= self.heard(m) + limit);
-        silent.map(|m| presence(m, Presence::Gone)).collect()
+        let judge = |member: &Member| {
+            let silence = now.saturating_sub(self.heard(member));
+            let judged = judge(member.presence, silence, patience)?;
+            Some(presence(member, judged))
+        };
+        members.filter_map(judge).collect()
     }
 
     fn heard(&self, member: &Member) -> Duration {
@@ -125,6 +143,17 @@
     }
 }
 
+/// What a silence makes of an instance; nothing when it stays what it is.
+fn judge(known: Presence, silence: Duration, patience: Patience) -> Option<Presence> {
+    match known {
+        Presence::Live | Presence::Silent if silence >= patience.gone => Some(Presence::Gone),
+        Presence::Live if silence >= patience.silent => Some(Presence::Silent),
+        // It said that it would go, so its silence means that it has.
+        Presence::Leaving if silence >= patience.silent => Some(Presence::Gone),
+        _ => None,
+    }
+}
+
 fn join(instance: &Instance) -> Command {
     Command::Join(Join {
         instance: instance.clone(),
--- a/crates/anvilreel/src/life.rs
+++ b/crates/anvilreel/src/life.rs
@@ -13,6 +13,7 @@
     pub incarnation: Incarnation,
     started: Instant,
     leaving: Arc<watch::Sender<bool>>,
+    over: Arc<watch::Sender<bool>>,
 }
 
 impl Life {
@@ -25,6 +26,7 @@
             incarnation: Incarnation::try_from(micros).unwrap_or(Incarnation::MAX),
             started: Instant::now(),
             leaving: Arc::new(watch::Sender::new(false)),
+            over: Arc::new(watch::Sender::new(false)),
         }
     }
 
@@ -50,6 +52,18 @@
         let _ = told.wait_for(|leaving| *leaving).await;
     }
 
+    /// Notes that the ledger holds this life to be over. Returns whether it is news.
+    pub fn end(&self) -> bool {
+        !self.over.send_replace(true)
+    }
+
+    /// Returns when the ledger holds this life to be over: the process must take a new one.
+    pub async fn ended(&self) {
+        let mut told = self.over.subscribe();
+        // The sender lives as long as this value, so waiting has no failure.
+        let _ = told.wait_for(|over| *over).await;
+    }
+
     /// Sleeps, but no longer than until the planned stop begins.
     pub async fn pause(&self, time: Duration) {
         tokio::select! {
--- a/crates/anvilreel/src/router.rs
+++ b/crates/anvilreel/src/router.rs
@@ -176,6 +176,37 @@
         }
     }
 
+    /// Returns when the ledger holds this life to be over, after a silence of many minutes.
+    ///
+    /// Failure: a router behind a long partition comes back and is refused by every sidecar,
+    /// for its life is fenced; without a new life it would refuse callers for ever.
+    pub async fn over(&self) {
+        self.core.life.ended().await;
+    }
+
+    /// Makes room for a new life on the same addresses. What is open goes on to its end.
+    pub fn retire(self) {
+        let Self {
+            core,
+            serving,
+            mut tasks,
+            ..
+        } = self;
+        core.life.leave();
+        // The first task listens for the fleet; its address is wanted by the new life.
+        tasks.remove(0).abort();
+        tokio::spawn(async move {
+            // An error is a panic of the serving task, after which nothing is left to wait for.
+            let _ = serving.await;
+            while core.open.load(Ordering::Relaxed) > 0 {
+                sleep(TICK).await;
+            }
+            for task in &tasks {
+                task.abort();
+            }
+        });
+    }
+
     /// Stops at once, as a crash does.
     pub fn kill(self) {
         self.serving.abort();
@@ -280,8 +311,10 @@
 
     fn take_in(&self, held: &crate::held::Held, view: &view::View) {
         if held.is_fenced(&self.instance.id, self.instance.incarnation) {
-            event!(self.log, events::ROUTER_FENCED);
             self.purse.fence();
+            if self.life.end() {
+                event!(self.log, events::ROUTER_FENCED);
+            }
         }
         self.places.update(view);
     }
--- a/crates/anvilreel/src/router/flow.rs
+++ b/crates/anvilreel/src/router/flow.rs
@@ -109,10 +109,28 @@
                 // The sender lives as long as the router.
                 _ = changes.changed() => self.gone(),
             };
-            events.extend(event);
+            events.extend(event.map(|event| self.judge(event)));
         }
     }
 
+    /// Takes a sidecar that the ledger does not hear of and that can't be reached from here for
+    /// lost, long before its life is declared over. Neither sign alone is enough: a run whose
+    /// sidecar is only cut off from the ledger goes on being read.
+    fn judge(&self, event: Event) -> Event {
+        let Some(call) = self
+            .call
+            .as_ref()
+            .filter(|_| matches!(event, Event::Broken { .. }))
+        else {
+            return event;
+        };
+        let view = self.core.following.view.load();
+        if view.silent.contains(&call.target.sidecar) {
+            return Event::Gone(call.target.clone());
+        }
+        event
+    }
+
     fn take(&mut self, done: Done) -> Event {
         match done {
             Done::Event(event) => event,
--- a/crates/anvilreel/src/router/follow.rs
+++ b/crates/anvilreel/src/router/follow.rs
@@ -164,21 +164,22 @@
     /// Sends a sign of life every second, until `stop`; the last one says that it leaves.
     pub async fn beat(&self, life: &Life) {
         loop {
-            self.beat_once(life.is_leaving()).await;
+            self.beat_once(life).await;
             sleep(HEARTBEAT).await;
         }
     }
 
-    async fn beat_once(&self, leaving: bool) {
+    async fn beat_once(&self, life: &Life) {
         let heartbeat = Heartbeat {
             instance: self.instance.clone(),
             version: self.following.view.load().version,
             evidence: Vec::new(),
-            leaving,
+            leaving: life.is_leaving(),
         };
         // A lost sign of life is followed by the next one.
         if let Ok(reply) = self.ledger.heartbeat(heartbeat, HEARTBEAT).await
             && reply.presence == Presence::Gone
+            && life.end()
         {
             event!(self.log, events::ROUTER_FENCED);
         }
--- a/crates/anvilreel/src/router/view.rs
+++ b/crates/anvilreel/src/router/view.rs
@@ -1,6 +1,6 @@
 //! The settings tree as the path of a request reads it: parsed once for each change.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -46,6 +46,8 @@
     pub endpoints: BTreeMap<ServiceId, Vec<Arc<Instance>>>,
     /// All sidecars that are not gone, by name: runs on a leaving one are still read.
     pub sidecars: BTreeMap<InstanceId, Arc<Instance>>,
+    /// Sidecars that the ledger has not heard of lately.
+    pub silent: BTreeSet<InstanceId>,
     /// Routers that are not leaving, by name.
     pub routers: BTreeMap<InstanceId, Member>,
     /// Routers that were lost lately: claims that they kept may be lost with them.
@@ -178,6 +180,9 @@
 
     fn take_sidecar(&mut self, instance: Arc<Instance>, presence: Presence) {
         self.sidecars.insert(instance.id.clone(), instance.clone());
+        if presence == Presence::Silent {
+            self.silent.insert(instance.id.clone());
+        }
         let Some(endpoint) = &instance.endpoint else {
             return;
         };
--- a/crates/anvilreel/src/sidecar.rs
+++ b/crates/anvilreel/src/sidecar.rs
@@ -108,6 +108,14 @@
         self.kill();
     }
 
+    /// Returns when the ledger holds this life to be over, after a silence of many minutes.
+    ///
+    /// Failure: the evidence of a life that was declared gone is no longer asked for, so work
+    /// that it took would be billed to nobody. It must end like a crash, and a new one begin.
+    pub async fn over(&self) {
+        self.core.life.ended().await;
+    }
+
     /// Stops at once, as a crash does.
     pub fn kill(self) {
         for task in &self.tasks {
--- a/crates/anvilreel/src/sidecar/follow.rs
+++ b/crates/anvilreel/src/sidecar/follow.rs
@@ -69,6 +69,9 @@
         // A lost sign of life is followed by the next one.
         if let Ok(reply) = core.ledger.heartbeat(heartbeat, HEARTBEAT).await {
             core.hub.evidence_taken(&reply.taken);
+            if reply.presence == Presence::Gone && core.life.end() {
+                event!(core.log, events::SIDECAR_GONE);
+            }
         }
         core.hub.feed(Event::Tick);
         sleep(HEARTBEAT).await;
--- a/crates/anvilreel/src/sidecar/gate.rs
+++ b/crates/anvilreel/src/sidecar/gate.rs
@@ -43,7 +43,7 @@
         let member = held.members.get(&self.id);
         member.is_some_and(|member| {
             member.instance.incarnation == self.life.incarnation
-                && member.presence != Presence::Live
+                && matches!(member.presence, Presence::Leaving | Presence::Gone)
         })
     }
 }
