--- a/crates/anvil_policy/src/limit.rs
+++ b/crates/anvil_policy/src/limit.rs
@@ -50,11 +50,11 @@
 impl Default for LimitRule {
     fn default() -> Self {
         Self {
-            between: Duration::from_millis(50),
+            between: Duration::from_millis(52),
             keep: 0.8,
             rise: 1.0,
             rest: Duration::from_secs(3),
-            newest: 0.25,
+            newest: 0.12,
             first: 0.5,
         }
     }
--- a/crates/anvil_standins/src/load/policy/report.rs
+++ b/crates/anvil_standins/src/load/policy/report.rs
@@ -69,6 +69,8 @@
     pub first_p50: f64,
     /// First token of interactive work, 95th in 100, in milliseconds.
     pub first_p95: f64,
+    /// The same in the worst five seconds of arrivals.
+    pub worst_first_p95: f64,
     /// First token of batch work, 95th in 100, in milliseconds.
     pub batch_first_p95: f64,
     /// Between tokens, 95th in 100, in milliseconds.
@@ -97,6 +99,7 @@
     report: Report,
     length: Duration,
     first: Histogram<u64>,
+    first_over_time: BTreeMap<u64, Histogram<u64>>,
     batch_first: Histogram<u64>,
     between: Histogram<u64>,
     good: u64,
@@ -141,6 +144,7 @@
             },
             length: scenario.length,
             first: histogram(),
+            first_over_time: BTreeMap::new(),
             batch_first: histogram(),
             between: histogram(),
             good: 0,
@@ -201,6 +205,9 @@
             self.batch_first.saturating_record(first);
         } else {
             self.first.saturating_record(first);
+            let window = req.arrived.as_secs() / 5;
+            let over_time = self.first_over_time.entry(window);
+            over_time.or_insert_with(histogram).saturating_record(first);
             let own = self.by_organisation.entry(req.organisation.clone());
             own.or_insert_with(histogram).saturating_record(first);
         }
@@ -233,6 +240,11 @@
             good_tokens: real(self.good_tokens) / secs,
             first_p50: millis(&self.first, 0.5),
             first_p95: millis(&self.first, 0.95),
+            worst_first_p95: self
+                .first_over_time
+                .values()
+                .map(|first| millis(first, 0.95))
+                .fold(0.0, f64::max),
             batch_first_p95: millis(&self.batch_first, 0.95),
             between_p95: millis(&self.between, 0.95),
             jain: jain(&self.served, &self.wanted),
