--- a/crates/anvil_policy/src/choice.rs
+++ b/crates/anvil_policy/src/choice.rs
@@ -143,11 +143,11 @@
         let mut best = Best::default();
         for (id, held) in ask.cached {
             if let Some(endpoint) = pool.get(id) {
-                self.weigh(&mut best, endpoint, ask, *held, rng);
+                self.weigh(pool, &mut best, endpoint, ask, *held, rng);
             }
         }
         for endpoint in self.draw(pool, rng) {
-            self.weigh(&mut best, endpoint, ask, 0, rng);
+            self.weigh(pool, &mut best, endpoint, ask, 0, rng);
         }
         match best.endpoint {
             Some(endpoint) => Choice::Endpoint(Arc::clone(endpoint)),
@@ -172,6 +172,7 @@
 
     fn weigh<'a>(
         &self,
+        pool: &'a Pool,
         best: &mut Best<'a>,
         endpoint: &'a Arc<EndpointState>,
         ask: &Ask<'_>,
@@ -190,7 +191,10 @@
         if !passes || room == 0 || ask.avoid.contains(&endpoint.id) {
             return;
         }
-        let score = self.expected(endpoint, ask.prompt.saturating_sub(held));
+        let mut score = self.expected(endpoint, ask.prompt.saturating_sub(held));
+        if failed_near(pool, endpoint, ask) {
+            score += FAILED_NEAR;
+        }
         if best.endpoint.is_none() || score < best.score {
             *best = Best {
                 endpoint: Some(endpoint),
@@ -215,6 +219,15 @@
     }
 }
 
+/// Added, in seconds, for an endpoint of an availability zone where this request has failed: a
+/// lost zone fails a request at each of its endpoints in turn until its tries are used up.
+const FAILED_NEAR: f64 = 1.0;
+
+fn failed_near(pool: &Pool, endpoint: &EndpointState, ask: &Ask<'_>) -> bool {
+    let mut failed = ask.avoid.iter().filter_map(|id| pool.get(id));
+    failed.any(|other| other.zone == endpoint.zone)
+}
+
 #[derive(Default)]
 struct Best<'a> {
     endpoint: Option<&'a Arc<EndpointState>>,
--- a/crates/anvil_policy/src/slow_start.rs
+++ b/crates/anvil_policy/src/slow_start.rs
@@ -25,8 +25,8 @@
 impl Default for RampRule {
     fn default() -> Self {
         Self {
-            first: 100,
-            rise: 100,
+            first: 300,
+            rise: 500,
         }
     }
 }
