Slopes of real processes: ledger, router, sidecar, path of a request

Cause: what a process uses can't be added up from its parts. Ruled out: estimating from state sizes alone.

--- /dev/null
+++ b/crates/anvil_daemons/examples/slopes/live/bench.rs
@@ -0,0 +1,153 @@
+//! Processes to be measured, and how they are.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use anvil_standins::load::fleet::free_addr;
+use anvil_standins::load::fleet::process::Process;
+use anvil_standins::load::usage::ProcessUsage;
+use anvil_wire::Channel;
+use anvil_wire::msg::{LedgerCall, LedgerReply, LedgerRequest, Query};
+use anvil_world::prelude::*;
+use anvil_world::settings::{LedgerSettings, Peer, RouterSettings};
+use serde::Serialize;
+use tempfile::TempDir;
+use tokio::time::sleep;
+
+/// How long processor time is counted.
+pub const WINDOW: Duration = Duration::from_secs(6);
+/// Time for things to come to rest before a window begins.
+pub const REST: Duration = Duration::from_secs(3);
+/// Longest wait for one answer.
+pub const PATIENCE: Duration = Duration::from_secs(10);
+/// Replicas of the ledger.
+const REPLICAS: usize = 3;
+
+/// A ledger of three processes, and whatever else is started beside it.
+pub struct Bench {
+    folder: TempDir,
+    programs: PathBuf,
+    /// Wire addresses of the replicas.
+    pub ledgers: Vec<SocketAddr>,
+    /// The replicas.
+    pub replicas: Vec<Process>,
+}
+
+/// What a process used in a window.
+#[derive(Debug, Clone, Copy)]
+pub struct Used {
+    /// Processor time, in microseconds a second.
+    pub processor: u64,
+    /// Memory at the end, in bytes.
+    pub memory: u64,
+}
+
+impl Bench {
+    /// Starts a ledger and waits until it leads.
+    pub async fn start() -> Self {
+        let folder = tempfile::tempdir().expect("a temporary folder can be made");
+        let program = std::env::current_exe().expect("a running program has a path");
+        let programs = program.ancestors().nth(2).map(Path::to_path_buf);
+        let mut bench = Self {
+            folder,
+            programs: programs.expect("examples stand beside the daemons"),
+            ledgers: (0..REPLICAS).map(|_| addr()).collect(),
+            replicas: Vec::new(),
+        };
+        let founders: Vec<_> = (0..REPLICAS).map(|at| bench.peer(at)).collect();
+        for peer in &founders {
+            let settings = LedgerSettings {
+                id: peer.id.clone(),
+                zone: Zone::default(),
+                wire_listen: peer.addr,
+                data: bench.folder.path().join(peer.id.as_ref()),
+                founders: founders.clone(),
+                join: false,
+                log_json: true,
+                statsd: None,
+            };
+            let replica = bench.spawn("anvilreel-ledger", &peer.id, &settings);
+            bench.replicas.push(replica);
+        }
+        bench.leader().await;
+        bench
+    }
+
+    fn peer(&self, at: usize) -> Peer {
+        Peer {
+            id: format!("ledger-{at}").into(),
+            addr: self.ledgers[at],
+        }
+    }
+
+    /// Starts a daemon with these settings.
+    pub fn spawn(&self, program: &str, id: &str, settings: &impl Serialize) -> Process {
+        let text = toml::to_string(settings).expect("settings are TOML");
+        let path = self.folder.path().join(format!("{id}.toml"));
+        std::fs::write(&path, text).expect("the temporary folder takes a file");
+        Process::start(&self.programs.join(program), id, &path).expect("the daemons are built")
+    }
+
+    /// Starts a router; it listens at the second address.
+    pub fn router(&self, ledgers: Vec<SocketAddr>) -> (Process, SocketAddr) {
+        let settings = RouterSettings {
+            id: "router-0".into(),
+            zone: Zone::default(),
+            listen: addr(),
+            wire_listen: addr(),
+            ledgers,
+            threads: 2,
+            log_json: true,
+            statsd: None,
+        };
+        let router = self.spawn("anvilreel-router", "router-0", &settings);
+        (router, settings.listen)
+    }
+
+    /// Which replica leads.
+    pub async fn leader(&self) -> usize {
+        loop {
+            for (at, addr) in self.ledgers.iter().enumerate() {
+                let ask = LedgerRequest::Query(Query::Status);
+                let reply = Channel::new(*addr).call::<LedgerCall>(&ask, PATIENCE).await;
+                if matches!(reply, Ok(LedgerReply::Read(_))) {
+                    return at;
+                }
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    /// A channel to the leader.
+    pub async fn lead(&self) -> Channel {
+        Channel::new(self.ledgers[self.leader().await])
+    }
+}
+
+/// What processes use, over a window in which the world goes on.
+pub async fn used(processes: &[&Process]) -> BTreeMap<String, Used> {
+    let now = |p: &&Process| {
+        let usage = p.id().and_then(ProcessUsage::of);
+        (p.name.clone(), usage.unwrap_or_default())
+    };
+    let before: BTreeMap<_, _> = processes.iter().map(now).collect();
+    sleep(WINDOW).await;
+    let after = processes.iter().map(now);
+    after
+        .map(|(name, after)| {
+            let spent = after.processor.saturating_sub(before[&name].processor);
+            let used = Used {
+                processor: u64::try_from(spent.as_micros()).unwrap_or(u64::MAX) / WINDOW.as_secs(),
+                memory: after.memory,
+            };
+            (name, used)
+        })
+        .collect()
+}
+
+/// A free address on loopback.
+pub fn addr() -> SocketAddr {
+    free_addr().expect("loopback has free ports")
+}
--- a/crates/anvil_daemons/examples/slopes/main.rs
+++ b/crates/anvil_daemons/examples/slopes/main.rs
@@ -8,6 +8,7 @@
 mod apply;
 mod disk;
 mod fit;
+mod live;
 mod messages;
 mod sample;
 mod state;
@@ -21,7 +22,7 @@
 /// measures what each thing costs, at three or more sizes, and fits a line
 #[derive(Debug, FromArgs)]
 struct Arguments {
-    /// only groups whose name starts with this: state, apply, messages, disk
+    /// only groups whose name starts with this: state, apply, messages, disk, live
     #[argh(option, default = "String::new()")]
     only: String,
 
@@ -36,11 +37,12 @@
 
 type Group = (&'static str, fn() -> Vec<Slope>);
 
-const GROUPS: [Group; 4] = [
+const GROUPS: [Group; 5] = [
     ("state", state::slopes),
     ("apply", apply::slopes),
     ("messages", messages::slopes),
     ("disk", disk::slopes),
+    ("live", live::slopes),
 ];
 
 fn main() -> ExitCode {
--- a/crates/anvil_daemons/examples/slopes/sample.rs
+++ b/crates/anvil_daemons/examples/slopes/sample.rs
@@ -64,14 +64,8 @@
     fn budget(&mut self, at: u64) {
         let path = format!("budgets/{}", budget(at));
         self.put(&path, "organisation = \"venture\"\nwarn_below = 1000000\n");
-        let time = time(self.index);
-        self.apply(&Command::TopUp(TopUp {
-            id: change_id(time, &format!("top-up-{at}")),
-            operator: "operator-of-the-venture".into(),
-            budget: budget(at),
-            amount: CREDIT,
-            at: time,
-        }));
+        let top_up = top_up(at, time(self.index));
+        self.apply(&top_up);
     }
 
     /// So many teams, each paying from one budget that is there.
@@ -108,6 +102,29 @@
         }
     }
 
+    /// Commands that make an organisation with so many budgets, each topped up.
+    pub fn budget_commands(count: u64) -> impl Iterator<Item = Command> {
+        let organisation = first_put("organisations/venture", "", 0);
+        let budgets = (0..count).flat_map(|at| {
+            let path = format!("budgets/{}", budget(at));
+            let put = first_put(&path, "organisation = \"venture\"\n", 1 + 2 * at);
+            [put, top_up(at, SystemTime::now())]
+        });
+        [organisation].into_iter().chain(budgets)
+    }
+
+    /// Commands that make so many teams, which pay from these budgets.
+    pub fn team_commands(count: u64, budgets: u64) -> impl Iterator<Item = Command> {
+        (0..count).map(move |at| {
+            let text = team(at, &budget(at % budgets));
+            first_put(
+                &format!("teams/workshop-team-{at:05}"),
+                &text,
+                1_000_000 + at,
+            )
+        })
+    }
+
     /// So many sidecars join.
     pub fn members(&mut self, count: u64) {
         for at in 0..count {
@@ -125,6 +142,29 @@
     }
 }
 
+/// The change that writes a document that is not there yet, made now.
+pub fn first_put(path: &str, text: &str, number: u64) -> Command {
+    let at = SystemTime::now();
+    Command::Change(Change {
+        id: change_id(at, &format!("slopes-{number}")),
+        operator: "operator-of-the-venture".into(),
+        path: TreePath::try_from(path).unwrap_or(TreePath::Fleet),
+        expected: 0,
+        edit: Edit::Put(text.into()),
+        at,
+    })
+}
+
+fn top_up(at: u64, time: SystemTime) -> Command {
+    Command::TopUp(TopUp {
+        id: change_id(time, &format!("top-up-{at}")),
+        operator: "operator-of-the-venture".into(),
+        budget: budget(at),
+        amount: CREDIT,
+        at: time,
+    })
+}
+
 /// A time that rises by a millisecond with each step.
 pub fn time(step: u64) -> SystemTime {
     UNIX_EPOCH + Duration::from_secs(1_790_000_000) + Duration::from_millis(step)
--- a/crates/anvil_standins/src/load/fleet.rs
+++ b/crates/anvil_standins/src/load/fleet.rs
@@ -7,7 +7,7 @@
 mod documents;
 mod endpoints;
 mod faults;
-mod process;
+pub mod process;
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
@@ -89,15 +89,9 @@
 
     /// Runs the scenario's load and faults against it.
     pub async fn run(&mut self) -> Result<Report, Error> {
-        let target = Target {
-            routers: self.router_addrs.clone(),
-            keys: documents::keys(&self.scenario),
-            rule: "anvilreel".into(),
-            run: self.scenario.name.to_string(),
-        };
         let scenario = self.scenario.clone();
         let start = Instant::now();
-        let load = drive(&scenario, target);
+        let load = drive(&scenario, self.target());
         tokio::pin!(load);
         let mut due = faults::changes(&scenario);
         let driven = loop {
@@ -123,9 +117,14 @@
             .collect()
     }
 
-    /// Where callers connect.
-    pub fn routers(&self) -> &[SocketAddr] {
-        &self.router_addrs
+    /// Where callers connect, with the keys of the scenario's organisations.
+    pub fn target(&self) -> Target {
+        Target {
+            routers: self.router_addrs.clone(),
+            keys: documents::keys(&self.scenario),
+            rule: "anvilreel".into(),
+            run: self.scenario.name.to_string(),
+        }
     }
 
     async fn report(&self, driven: &Driven) -> Result<Report, Error> {
@@ -262,7 +261,7 @@
 }
 
 /// An address on loopback that was free a moment ago.
-fn free_addr() -> Result<SocketAddr, Error> {
+pub fn free_addr() -> Result<SocketAddr, Error> {
     let addr = SocketAddr::from(([127, 0, 0, 1], 0));
     let listener = TcpListener::bind(addr).context(ListenSnafu { addr })?;
     listener.local_addr().context(ListenSnafu { addr })
--- a/crates/anvil_standins/src/load/fleet/process.rs
+++ b/crates/anvil_standins/src/load/fleet/process.rs
@@ -10,7 +10,8 @@
 use crate::error::{Error, FileSnafu};
 
 /// A daemon that is killed when it is dropped.
-pub(super) struct Process {
+pub struct Process {
+    /// Its name.
     pub name: String,
     program: PathBuf,
     settings: PathBuf,
