--- a/crates/anvil_daemons/src/operate.rs
+++ b/crates/anvil_daemons/src/operate.rs
@@ -5,7 +5,7 @@
 mod run;
 
 pub use arguments::{
-    Apply, Audit, BudgetArgs, Check, Connection, Diff, Drain, Get, HashKey, Operate, OrderArgs,
-    OrderSubject, Remove, Status, TopUpArgs, WriteOffArgs,
+    Apply, Audit, BudgetArgs, Check, Connection, Diff, Drain, Get, HashKey, Inspect, LedgerArgs,
+    LedgerCommand, Operate, OrderArgs, OrderSubject, Remove, Status, TopUpArgs, WriteOffArgs,
 };
 pub use run::run;
--- a/crates/anvil_daemons/src/operate/arguments.rs
+++ b/crates/anvil_daemons/src/operate/arguments.rs
@@ -73,6 +73,8 @@
     Check(Check),
     /// Print the digest of a bearer key.
     HashKey(HashKey),
+    /// Look into a ledger's data folder.
+    Ledger(LedgerArgs),
 }
 
 /// write one document, or all below a folder; waits until they are in force everywhere
@@ -270,3 +272,29 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "hash-key")]
 pub struct HashKey {}
+
+/// look into a ledger's data folder
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "ledger")]
+pub struct LedgerArgs {
+    /// what to do
+    #[argh(subcommand)]
+    pub command: LedgerCommand,
+}
+
+/// What can be done with a data folder.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum LedgerCommand {
+    /// Check and print it.
+    Inspect(Inspect),
+}
+
+/// check a data folder of a stopped ledger and print what it holds
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "inspect")]
+pub struct Inspect {
+    /// the data folder
+    #[argh(positional)]
+    pub folder: PathBuf,
+}
--- a/crates/anvil_daemons/src/operate/run.rs
+++ b/crates/anvil_daemons/src/operate/run.rs
@@ -10,7 +10,9 @@
 use anvilreel::operator::{self, Client, ExitCode, OperatorError};
 use serde::Serialize;
 
-use super::arguments::{Apply, Audit, Check, Connection, Operate, OrderArgs, OrderSubject, Remove};
+use super::arguments::{
+    Apply, Audit, Check, Connection, LedgerCommand, Operate, OrderArgs, OrderSubject, Remove,
+};
 use super::check::check;
 
 /// Runs one subcommand and prints its report. Returns what the shell is told.
@@ -19,8 +21,9 @@
     match act(connection, command).await {
         Ok(code) => code,
         Err(e) => {
-            complain(json, &e);
-            e.exit_code()
+            let code = e.exit_code();
+            complain(json, &e, code);
+            code
         }
     }
 }
@@ -66,6 +69,7 @@
         Operate::Order(args) => order(&client, json, args).await,
         Operate::Check(args) => check_all(&args),
         Operate::HashKey(_) => hash_key(),
+        Operate::Ledger(args) => Ok(inspect(json, &args.command)),
     }
 }
 
@@ -142,6 +146,21 @@
     Ok(ExitCode::Done)
 }
 
+/// Checks a data folder; one that is not in order ends with [`ExitCode::Wrong`].
+fn inspect(json: bool, command: &LedgerCommand) -> ExitCode {
+    let LedgerCommand::Inspect(args) = command;
+    match anvil_ledger::inspect::inspect(&args.folder) {
+        Ok(report) => {
+            println!("{report}");
+            ExitCode::Done
+        }
+        Err(e) => {
+            complain(json, &e, ExitCode::Wrong);
+            ExitCode::Wrong
+        }
+    }
+}
+
 fn filter(args: Audit) -> AuditFilter {
     AuditFilter {
         subject: args.subject.map(Into::into),
@@ -180,10 +199,9 @@
     Ok(ExitCode::Done)
 }
 
-fn complain(json: bool, e: &OperatorError) {
+fn complain(json: bool, e: &impl Display, code: ExitCode) {
     if json {
-        let code = e.exit_code() as u8;
-        let line = serde_json::json!({ "error": e.to_string(), "exit_code": code });
+        let line = serde_json::json!({ "error": e.to_string(), "exit_code": code as u8 });
         eprintln!("{line}");
     } else {
         eprintln!("{e}");
