The sidecar asks the platform itself whether its instance is leaving

Cause: read in the code: the gate had a flag for the platform's list that nothing set, so a leaving endpoint whose sidecar could not reach the ledger went on taking work. Ruled out: only the ledger polling the list (a sidecar that is cut off would not hear). Change: setting 'platform', a look at the list each second, the gate reopens when the list says live again; a test with a lagging list and no ledger at all. Conclusion: the last gate holds on the sidecar's own side of a partition.

--- a/crates/anvil_daemons/examples/slopes/live/path.rs
+++ b/crates/anvil_daemons/examples/slopes/live/path.rs
@@ -63,6 +63,7 @@
 
 fn sidecar(engine: SocketAddr, ledgers: Vec<SocketAddr>) -> SidecarSettings {
     SidecarSettings {
+        platform: None,
         id: "runner-0".into(),
         zone: Zone::default(),
         wire_listen: addr(),
--- a/crates/anvil_standins/src/load/fleet.rs
+++ b/crates/anvil_standins/src/load/fleet.rs
@@ -198,6 +198,7 @@
     ) -> Result<(), Error> {
         let endpoint = Endpoint::start(group).await?;
         let settings = SidecarSettings {
+            platform: None,
             id: format!("{}-{at}", group.service).into(),
             zone,
             wire_listen: free_addr()?,
--- a/crates/anvil_world/src/settings/sidecar.rs
+++ b/crates/anvil_world/src/settings/sidecar.rs
@@ -60,6 +60,10 @@
     pub ledgers: Vec<SocketAddr>,
     /// The endpoint beside it.
     pub endpoint: EndpointSettings,
+    /// Where the platform lists live and leaving instances, over HTTP; none means that only the
+    /// ledger and this process's own stop say that it leaves.
+    #[serde(default)]
+    pub platform: Option<SocketAddr>,
     /// Most bytes of output kept for all runs together.
     #[serde(default = "default_buffer")]
     pub buffer_bytes: u64,
--- a/crates/anvilreel/src/local.rs
+++ b/crates/anvilreel/src/local.rs
@@ -200,6 +200,7 @@
 
 fn sidecar_settings(ledger: SocketAddr, endpoint: EndpointSettings) -> SidecarSettings {
     SidecarSettings {
+        platform: None,
         id: format!("{}-1", endpoint.service).into(),
         zone: Zone::default(),
         wire_listen: loopback(),
--- a/crates/anvilreel/src/sidecar.rs
+++ b/crates/anvilreel/src/sidecar.rs
@@ -1,7 +1,8 @@
 //! A sidecar as a process: it stands beside one endpoint and is the last gate before it.
 //!
 //! Read on: [`Sidecar`], then `hub` (the shell around [`crate::runs`]), `drive` (the endpoint's
-//! side of a run), `gate` (whether the endpoint is leaving), `orders` (fencing numbers).
+//! side of a run), `gate` (whether the endpoint is leaving), `platform`
+//! (the platform's word on that), `orders` (fencing numbers).
 
 mod answer;
 mod drive;
@@ -12,6 +13,7 @@
 mod hub;
 mod load;
 mod orders;
+mod platform;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -87,6 +89,12 @@
             let polling = load::poll(core.client.clone(), core.loads.clone());
             tasks.push(tokio::spawn(polling));
         }
+        if let Some(platform) = settings.platform {
+            let (watching, platform) = (core.clone(), EndpointClient::new(platform));
+            tasks.push(tokio::spawn(async move {
+                platform::watch(&watching, platform).await;
+            }));
+        }
         Ok(Self { core, addr, tasks })
     }
 
@@ -95,6 +103,11 @@
         self.addr
     }
 
+    /// Which life of the instance this is.
+    pub fn life(&self) -> Incarnation {
+        self.core.life.incarnation
+    }
+
     /// The planned stop: no new work, runs finish, and their ends are read.
     pub async fn stop(self) {
         self.core.life.leave();
