--- a/crates/anvilreel/src/money/closing.rs
+++ b/crates/anvilreel/src/money/closing.rs
@@ -54,6 +54,12 @@
         Some(sum.unwrap_or_default())
     }
 
+    /// Charges under a grant, each key once.
+    pub fn keys(&self, grant: GrantId) -> impl Iterator<Item = (RequestKey, Tokens)> + '_ {
+        let keys = self.charges.get(&grant).into_iter().flatten();
+        keys.map(|(key, (_, tokens))| (key.clone(), *tokens))
+    }
+
     /// Counts a key once. Failure: a sidecar that was only cut off finished a run that had been
     /// continued elsewhere; both charged the same reservation. It would show as one request
     /// billed twice. The highest attempt is the one whose answer the caller got.
--- /dev/null
+++ b/crates/anvilreel/tests/soak/ledger.rs
@@ -0,0 +1,317 @@
+//! The ledger: the real state, and a service around it that notices lost instances and closes
+//! their grants by evidence.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use anvil_ledger::state::State;
+use anvil_wire::msg::Evidence;
+use anvil_world::command::{
+    Change, Claim, Edit, GrantBatch, Join, SetPresence, SettleClaim, TopUp, WriteOff, change_id,
+};
+use anvil_world::prelude::*;
+use anvilreel::money::Closing;
+
+use super::routers::FromLedger;
+use super::{Happening, World};
+
+/// Heartbeats missed for so long mean that an instance is lost.
+const LOST_AFTER: Duration = Duration::from_secs(8);
+
+/// A message to the ledger, with who sent it.
+#[derive(Debug, Clone)]
+pub struct ToLedger {
+    pub from: String,
+    pub slot: usize,
+    pub life: Incarnation,
+    pub what: Asked,
+}
+
+#[derive(Debug, Clone)]
+pub enum Asked {
+    Batch(GrantBatch),
+    Claim(u64, Claim),
+    Settle(SettleClaim),
+    Alive(Box<Instance>, Vec<Evidence>),
+}
+
+pub struct LedgerNode {
+    pub state: State,
+    index: LogIndex,
+    heard: BTreeMap<InstanceId, (Incarnation, Now)>,
+    /// Every life of a sidecar that was ever heard of, and when it was found to be over.
+    sidecar_lives: BTreeMap<(InstanceId, Incarnation), Option<Now>>,
+    /// When each grant was opened.
+    opened: BTreeMap<GrantId, Now>,
+    closing: BTreeMap<InstanceId, (Incarnation, Closing)>,
+    top_ups: u64,
+}
+
+impl LedgerNode {
+    pub fn new(credit: Tokens) -> Self {
+        let mut node = Self {
+            state: State::default(),
+            index: 0,
+            heard: BTreeMap::new(),
+            sidecar_lives: BTreeMap::new(),
+            opened: BTreeMap::new(),
+            closing: BTreeMap::new(),
+            top_ups: 0,
+        };
+        node.put("organisations/paper", "");
+        for budget in ["mombasa", "nairobi"] {
+            node.put(&format!("budgets/{budget}"), "organisation = \"paper\"");
+            node.top_up(budget, credit, Now::ZERO);
+        }
+        node
+    }
+
+    pub fn apply(&mut self, command: &Command) -> Answer {
+        self.index += 1;
+        self.state.apply(self.index, 1, command)
+    }
+
+    fn put(&mut self, path: &str, text: &str) {
+        let change = Change {
+            id: change_id(at(Now::ZERO), path),
+            operator: "wanjiru".into(),
+            path: TreePath::try_from(path).expect("a path"),
+            expected: 0,
+            edit: Edit::Put(text.into()),
+            at: at(Now::ZERO),
+        };
+        let answer = self.apply(&Command::Change(change));
+        assert!(matches!(answer, Answer::Changed(_)), "{answer:?}");
+    }
+
+    fn top_up(&mut self, budget: &str, amount: Tokens, now: Now) -> TopUp {
+        self.top_ups += 1;
+        let top_up = TopUp {
+            id: change_id(at(now), &format!("top-{}", self.top_ups)),
+            operator: "wanjiru".into(),
+            budget: budget.into(),
+            amount,
+            at: at(now),
+        };
+        self.apply(&Command::TopUp(top_up.clone()));
+        top_up
+    }
+
+    /// A top-up whose answer was lost is sent again; it must credit once.
+    pub fn top_up_twice(&mut self, now: Now) {
+        let before = self.state.budget("mombasa").map_or(0, |b| b.credited);
+        let sent = self.top_up("mombasa", 1_000, now);
+        self.apply(&Command::TopUp(sent));
+        let after = self.state.budget("mombasa").map_or(0, |b| b.credited);
+        assert_eq!(after, before + 1_000, "credited twice");
+    }
+
+    /// By budget: billed and credited.
+    pub fn billed(&self) -> BTreeMap<BudgetId, (Tokens, Tokens)> {
+        let budgets = self.state.budgets(None);
+        budgets
+            .map(|(id, b)| (id.clone(), (b.billed, b.credited)))
+            .collect()
+    }
+
+    /// At the very end the operator gives up what no evidence will ever close.
+    pub fn write_off_all(&mut self, now: Now) -> Vec<GrantId> {
+        let left: Vec<_> = self.state.fenced_grants().map(|grant| grant.id).collect();
+        for grant in left.iter().copied() {
+            self.apply(&Command::WriteOff(WriteOff {
+                id: change_id(at(now), &format!("off-{grant}")),
+                operator: "wanjiru".into(),
+                grant,
+                bill: 0,
+                at: at(now),
+            }));
+        }
+        left
+    }
+
+    fn lost(&self, now: Now) -> Vec<(InstanceId, Incarnation)> {
+        let late = self
+            .heard
+            .iter()
+            .filter(|(_, (_, at))| now > *at + LOST_AFTER);
+        late.map(|(id, (life, _))| (id.clone(), *life)).collect()
+    }
+
+    fn older_are_over(&mut self, id: &InstanceId, life: Incarnation, now: Now) {
+        for ((other, older), over) in &mut self.sidecar_lives {
+            if other == id && *older < life {
+                over.get_or_insert(now);
+            }
+        }
+    }
+
+    /// Begins the closing of newly fenced routers.
+    fn begin_closing(&mut self) {
+        for (router, life) in self.state.fenced().clone() {
+            let known = self.closing.get(&router).map(|(known, _)| *known);
+            if known != Some(life) {
+                let grants = self.state.grants_of(&router);
+                let since = grants.filter_map(|g| self.opened.get(&g.id)).min();
+                let since = since.copied().unwrap_or(Now::MAX);
+                // A life that was over before the oldest open grant charged nothing under it.
+                let lives = self.sidecar_lives.iter();
+                let lives = lives.filter(|(_, over)| over.is_none_or(|over| over >= since));
+                let closing = Closing::new(lives.map(|(life, _)| life.clone()));
+                self.closing.insert(router, (life, closing));
+            }
+        }
+    }
+}
+
+pub fn at(now: Now) -> SystemTime {
+    UNIX_EPOCH + Duration::from_secs(1_700_000_000) + now
+}
+
+impl World {
+    pub fn send_ledger(&mut self, msg: ToLedger) {
+        let pause = self.latency();
+        if self.chance(2.0) {
+            let late = self.between(Duration::from_millis(5), Duration::from_secs(4));
+            self.after(late, Happening::ToLedger(msg.clone()));
+            self.count("messages doubled");
+        }
+        if self.chance(2.0) {
+            self.count("messages lost");
+            return;
+        }
+        self.after(pause, Happening::ToLedger(msg));
+    }
+
+    pub fn to_ledger(&mut self, msg: ToLedger) {
+        if self.net.is_cut(self.now, &msg.from, "ledger") {
+            return;
+        }
+        let answer = match msg.what {
+            Asked::Batch(batch) => match self.ledger.apply(&Command::GrantBatch(batch)) {
+                Answer::Grants(answer) => {
+                    for grant in &answer.opened {
+                        let now = self.now;
+                        self.ledger.opened.entry(grant.id).or_insert(now);
+                    }
+                    FromLedger::Grants(answer)
+                }
+                Answer::Denied(denial) => FromLedger::Denied(denial),
+                other => unreachable!("{other:?}"),
+            },
+            Asked::Claim(exchange, mut claim) => {
+                claim.at = at(self.now);
+                match self.ledger.apply(&Command::Claim(claim)) {
+                    Answer::Claimed(record) => FromLedger::Claimed(exchange, Box::new(record)),
+                    other => unreachable!("{other:?}"),
+                }
+            }
+            Asked::Settle(settle) => {
+                self.ledger.apply(&Command::SettleClaim(settle));
+                return;
+            }
+            Asked::Alive(instance, evidence) => {
+                return self.alive(msg.slot, &instance, &evidence);
+            }
+        };
+        if self.net.is_cut(self.now, &msg.from, "ledger") || self.chance(2.0) {
+            return self.count("answers lost");
+        }
+        let pause = self.latency();
+        self.after(pause, Happening::ToRouter(msg.slot, msg.life, answer));
+    }
+
+    fn alive(&mut self, slot: usize, instance: &Instance, evidence: &[Evidence]) {
+        let (id, life) = (instance.id.clone(), instance.incarnation);
+        let joined = self.ledger.apply(&Command::Join(Join {
+            instance: instance.clone(),
+        }));
+        if instance.role == Role::Sidecar {
+            self.ledger
+                .sidecar_lives
+                .entry((id.clone(), life))
+                .or_default();
+            self.ledger.older_are_over(&id, life, self.now);
+        }
+        if joined == Answer::Done {
+            self.ledger.heard.insert(id.clone(), (life, self.now));
+        }
+        self.ledger.begin_closing();
+        match instance.role {
+            Role::Sidecar => self.hear_sidecar(slot, (id, life), evidence),
+            _ => self.hear_router(slot, life, joined == Answer::Done),
+        }
+    }
+
+    fn hear_sidecar(&mut self, slot: usize, who: (InstanceId, Incarnation), evidence: &[Evidence]) {
+        let mut taken = Vec::new();
+        for found in evidence {
+            let closing = self.ledger.closing.get_mut(&found.router);
+            let Some((life, closing)) = closing.filter(|(life, _)| *life == found.incarnation)
+            else {
+                continue;
+            };
+            closing.take(&who, found);
+            taken.push((found.router.clone(), *life));
+        }
+        let fenced = self.ledger.state.fenced().clone();
+        let life = who.1;
+        let pause = self.latency();
+        self.after(pause, Happening::SidecarFenced(slot, life, fenced));
+        self.after(pause, Happening::EvidenceTaken(slot, life, taken));
+        self.close_by_evidence();
+    }
+
+    fn hear_router(&mut self, slot: usize, life: Incarnation, accepted: bool) {
+        let members = self.ledger.state.members().clone();
+        let pause = self.latency();
+        let news = FromLedger::Members(Box::new(members), accepted);
+        self.after(pause, Happening::ToRouter(slot, life, news));
+    }
+
+    fn close_by_evidence(&mut self) {
+        let fenced: Vec<_> = self.ledger.state.fenced_grants().cloned().collect();
+        for grant in fenced {
+            let Some((_, closing)) = self.ledger.closing.get(&grant.router) else {
+                continue;
+            };
+            let Some(charged) = closing.charged(grant.id) else {
+                continue;
+            };
+            let keys: Vec<_> = closing.keys(grant.id).collect();
+            let closed = self.ledger.apply(&Command::CloseGrant {
+                grant: grant.id,
+                charged,
+            });
+            if matches!(closed, Answer::Denied(_)) {
+                self.truth
+                    .violate(format!("close of {}: {closed:?}", grant.id));
+            }
+            for (key, tokens) in keys {
+                self.truth.bill(&key, grant.id, tokens);
+            }
+            self.count("grants closed by evidence");
+        }
+    }
+
+    pub fn ledger_tick(&mut self) {
+        self.after(Duration::from_secs(1), Happening::LedgerTick);
+        for (id, incarnation) in self.ledger.lost(self.now) {
+            self.ledger.heard.remove(&id);
+            let now = self.now;
+            if let Some(over) = self
+                .ledger
+                .sidecar_lives
+                .get_mut(&(id.clone(), incarnation))
+            {
+                over.get_or_insert(now);
+            }
+            self.ledger.apply(&Command::SetPresence(SetPresence {
+                id,
+                incarnation,
+                presence: Presence::Gone,
+            }));
+            self.count("declared lost");
+        }
+        self.ledger.begin_closing();
+    }
+}
--- /dev/null
+++ b/crates/anvilreel/tests/soak/truth.rs
@@ -0,0 +1,93 @@
+//! The ground truth: what ran, what was billed for which key, what callers got.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use anvil_world::prelude::*;
+
+use super::callers::Caller;
+
+/// What really happened, as no part of the product sees it.
+#[derive(Debug, Default)]
+pub struct Truth {
+    pub violations: Vec<String>,
+    /// Engine runs begun, by key.
+    pub begun: BTreeMap<RequestKey, u64>,
+    /// Engine runs begun, by the exchange whose start began it.
+    pub begun_by: BTreeMap<(usize, Incarnation, u64), u64>,
+    /// Exchanges that told their caller "not run".
+    pub told_not_run: BTreeSet<(usize, Incarnation, u64)>,
+    /// What was billed for a key, by grant. The same grant billed by its router and by evidence
+    /// is one bill: the ledger merges the two by maximum.
+    pub bills: BTreeMap<RequestKey, BTreeMap<GrantId, Tokens>>,
+    /// Which keys were begun under which grant.
+    pub under: BTreeMap<GrantId, BTreeSet<RequestKey>>,
+    /// Keys begun under a grant that only an operator could close.
+    pub written_off: BTreeSet<RequestKey>,
+}
+
+impl Truth {
+    pub fn violate(&mut self, what: String) {
+        self.violations.push(what);
+    }
+
+    pub fn bill(&mut self, key: &RequestKey, grant: GrantId, tokens: Tokens) {
+        let grants = self.bills.entry(key.clone()).or_default();
+        let known = grants.entry(grant).or_default();
+        *known = (*known).max(tokens);
+    }
+
+    pub fn billed_for(&self, key: &RequestKey) -> Tokens {
+        self.bills
+            .get(key)
+            .map_or(0, |grants| grants.values().sum())
+    }
+
+    /// What must hold when all is over.
+    pub fn check(
+        &self,
+        callers: &[Caller],
+        billed: &BTreeMap<BudgetId, (Tokens, Tokens)>,
+    ) -> Result<(), String> {
+        for (budget, (billed, credited)) in billed {
+            if billed > credited {
+                return Err(format!("overspend: {budget} billed {billed} of {credited}"));
+            }
+        }
+        for exchange in &self.told_not_run {
+            if self.begun_by.contains_key(exchange) {
+                return Err(format!("told not run, but ran: {exchange:?}"));
+            }
+        }
+        callers
+            .iter()
+            .try_for_each(|caller| self.check_caller(caller))
+    }
+
+    fn check_caller(&self, caller: &Caller) -> Result<(), String> {
+        let key = &caller.key;
+        let runs = self.begun.get(key).copied().unwrap_or_default();
+        if caller.once && runs > 1 {
+            return Err(format!("{runs} runs of the non-idempotent {key:?}"));
+        }
+        let billed = self.billed_for(key);
+        let most = caller.full_cost();
+        if billed > most {
+            let bills = self.bills.get(key);
+            return Err(format!(
+                "{key:?} billed {billed}, its whole answer costs {most}: {bills:?}"
+            ));
+        }
+        // A non-idempotent call in doubt is billed as if it ran: the customer is told "unknown".
+        let in_doubt = caller
+            .outcomes
+            .iter()
+            .any(|o| matches!(o, Outcome::Unknown(_)));
+        if runs == 0 && billed > 0 && !(caller.once && in_doubt) {
+            return Err(format!("{key:?} never ran and was billed {billed}"));
+        }
+        if caller.got_whole && billed != most && !self.written_off.contains(key) {
+            return Err(format!("{key:?} got its answer, billed {billed} of {most}"));
+        }
+        Ok(())
+    }
+}
