--- a/crates/anvil_ledger/src/storage/store.rs
+++ b/crates/anvil_ledger/src/storage/store.rs
@@ -42,6 +42,8 @@
     synced: u64,
     last: EntryId,
     hard: HardState,
+    /// The last position of the newest snapshot.
+    covered: LogIndex,
     failed: bool,
 }
 
@@ -60,6 +62,7 @@
             synced: 0,
             last: found.last(),
             hard: found.hard,
+            covered: found.snapshot.as_ref().map_or(0, |s| s.meta.last.index),
             failed: false,
         };
         storage.go_on(&found)?;
@@ -132,6 +135,8 @@
 
     /// Writes without a sync. Nothing of it may be acknowledged before [`Storage::sync`].
     pub fn write(&mut self, write: &Write) -> Result<(), StorageError> {
+        // A segment begun below repeats the newest term in its header.
+        self.hard = write.hard.unwrap_or(self.hard);
         let replaces = !write.entries.is_empty() && write.prev.index < self.last.index;
         if replaces {
             self.close_segment(write.prev)?;
@@ -147,7 +152,6 @@
         frame::put(&mut buf, self.synced, &segment::encode(&file, &batch)?);
         self.run("write", &file, Op::Append(&file, &buf))?;
         self.length += buf.len() as u64;
-        self.hard = write.hard.unwrap_or(self.hard);
         if let Some(entry) = write.entries.last() {
             self.newest = self.newest.max(entry.id.index);
             self.last = entry.id;
@@ -182,21 +186,32 @@
     }
 
     /// Makes the prepared snapshot the newest one; see [`snapshot::prepare`].
-    pub fn publish_snapshot(&mut self) -> Result<(), StorageError> {
+    ///
+    /// Failure: a snapshot that was prepared before another replica's newer one was installed
+    /// would take the state back behind the log's beginning. An older one is dropped.
+    pub fn publish_snapshot(&mut self, meta: &SnapshotMeta) -> Result<(), StorageError> {
+        if meta.last.index <= self.covered {
+            return Ok(());
+        }
+        self.publish(snapshot::TEMPORARY, meta.last.index)
+    }
+
+    fn publish(&mut self, file: &str, covered: LogIndex) -> Result<(), StorageError> {
         if self.failed {
             return Err(StorageError::Failed);
         }
-        let done = snapshot::publish(&self.disk);
+        let done = snapshot::publish(&self.disk, file);
         self.failed = done.is_err();
+        self.covered = covered;
         done
     }
 
     /// Replaces everything by a snapshot from another replica.
     pub fn install(&mut self, meta: &SnapshotMeta, data: &[u8]) -> Result<(), StorageError> {
-        let prepared = snapshot::prepare(&self.disk, meta, data);
+        let prepared = snapshot::prepare(&self.disk, snapshot::INSTALLED, meta, data);
         self.failed |= prepared.is_err();
         prepared?;
-        self.publish_snapshot()?;
+        self.publish(snapshot::INSTALLED, meta.last.index)?;
         self.close_segment(meta.last)?;
         self.remove_closed(|_| true)
     }
--- /dev/null
+++ b/crates/anvilreel/src/sidecar/follow.rs
@@ -0,0 +1,94 @@
+//! Keeps what the gate knows current, and tells the ledger that the sidecar lives.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvil_wire::msg::{Heartbeat, Interest, LedgerReply};
+use anvil_world::prelude::*;
+use tokio::time::{sleep, timeout};
+
+use super::Core;
+use crate::event;
+use crate::events;
+use crate::held::Held;
+use crate::runs::Event;
+
+/// Time between two signs of life.
+const HEARTBEAT: Duration = Duration::from_secs(1);
+/// Longest wait for anything from a followed replica before another one is tried.
+const SILENCE: Duration = Duration::from_secs(3);
+/// A once-only key is remembered this much longer than the ledger keeps its claim.
+const REMEMBER_LONGER: Duration = Duration::from_hours(1);
+/// Pause before another replica is followed.
+const AGAIN: Duration = Duration::from_millis(100);
+
+/// Follows one replica after the other, for as long as the process lives.
+pub async fn follow(core: &Core) {
+    let mut held = Held::default();
+    let mut in_touch = true;
+    // Sidecars start at different replicas, so that no replica spreads to all of them.
+    let mut replica = usize::try_from(core.instance.incarnation % 7).unwrap_or(0);
+    loop {
+        let heard = follow_one(core, replica, &mut held).await;
+        if !heard && in_touch {
+            event!(core.log, events::SIDECAR_OUT_OF_TOUCH);
+        }
+        in_touch = heard;
+        replica += 1;
+        sleep(AGAIN).await;
+    }
+}
+
+async fn follow_one(core: &Core, replica: usize, held: &mut Held) -> bool {
+    let id = core.instance.id.clone();
+    let opening = core
+        .ledger
+        .follow(replica, id, Interest::Sidecar, held.version);
+    let Ok(Ok(mut replies)) = timeout(SILENCE, opening).await else {
+        return false;
+    };
+    let mut heard = false;
+    while let Ok(Ok(Some(LedgerReply::Follow(event)))) = timeout(SILENCE, replies.next()).await {
+        heard = true;
+        if held.apply(event) {
+            take_in(core, held);
+        }
+    }
+    heard
+}
+
+/// Sends a sign of life every second, with the evidence of fenced routers.
+pub async fn beat(core: &Core) {
+    loop {
+        let heartbeat = Heartbeat {
+            instance: core.present_instance(),
+            version: core.gate.held.load().version,
+            evidence: core.hub.evidence(),
+            leaving: core.gate.is_leaving(),
+        };
+        // A lost sign of life is followed by the next one.
+        if let Ok(reply) = core.ledger.heartbeat(heartbeat, HEARTBEAT).await {
+            core.hub.evidence_taken(&reply.taken);
+        }
+        core.hub.feed(Event::Tick);
+        sleep(HEARTBEAT).await;
+    }
+}
+
+/// Tells the runs what the fleet holds now.
+fn take_in(core: &Core, held: &Held) {
+    core.gate.held.store(Arc::new(held.clone()));
+    for (router, incarnation) in &held.fenced {
+        core.hub.feed(Event::Fenced {
+            router: router.clone(),
+            incarnation: *incarnation,
+        });
+    }
+    let fleet = held.tree.get(&TreePath::Fleet);
+    let fleet = fleet.map(|entry| Document::check(&TreePath::Fleet, &entry.text));
+    if let Some(Ok(Document::Fleet(fleet))) = fleet {
+        core.hub
+            .feed(Event::KeepOnce(fleet.keep_claims + REMEMBER_LONGER));
+    }
+    core.show_leaving();
+}
