--- a/crates/anvil_wire/src/msg.rs
+++ b/crates/anvil_wire/src/msg.rs
@@ -8,7 +8,7 @@
     AuditFilter, BudgetView, Evidence, FollowEvent, Heartbeat, HeartbeatReply, InForce, Interest,
     KeyCharge, LedgerCall, LedgerReply, LedgerRequest, LedgerStatus, Query, QueryAnswer,
 };
-pub use router::{PlacedClaim, RouterCall, RouterReply, RouterRequest};
+pub use router::{HolderLife, PlacedClaim, RouterCall, RouterReply, RouterRequest};
 pub use sidecar::{
     EndpointLoad, Frame, Head, OrderResult, Payment, ProbeAnswer, RunEnd, SidecarCall,
     SidecarReply, SidecarRequest, Start, Work,
--- a/crates/anvil_wire/src/msg/router.rs
+++ b/crates/anvil_wire/src/msg/router.rs
@@ -31,11 +31,28 @@
     pub keep: Duration,
 }
 
+/// One life of a router that keeps claims.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HolderLife {
+    /// The router.
+    pub id: InstanceId,
+    /// Its life.
+    pub incarnation: Incarnation,
+}
+
 /// What is asked of a router.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RouterRequest {
     /// Keep this claim, unless the key has one already. Reply: `Claim` with the first one.
     Put(PlacedClaim),
+    /// Keep this claim, unless the key has one already, and vouch for it if you can. Reply:
+    /// `Claim` with the first one; `Leaving` from one that keeps it but can't vouch.
+    PutAs {
+        /// What.
+        claim: PlacedClaim,
+        /// Who holds this key, as the asker knows the members.
+        holders: Vec<HolderLife>,
+    },
     /// Replace a claim whose sidecar is lost or said that it will never run. Reply: `Claim`.
     Replace {
         /// What is to go; nothing happens when another one stands there.
--- a/crates/anvilreel/src/claims.rs
+++ b/crates/anvilreel/src/claims.rs
@@ -7,6 +7,8 @@
 
 mod book;
 mod placement;
+mod tenure;
 
 pub use book::ClaimBook;
-pub use placement::{HOLDERS, placement};
+pub use placement::{GENERATION_MARK, HOLDERS, holder_lives, placement};
+pub use tenure::Tenure;
--- a/crates/anvilreel/src/claims/book.rs
+++ b/crates/anvilreel/src/claims/book.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use anvil_wire::msg::{PlacedClaim, RouterReply, RouterRequest};
+use anvil_wire::msg::{HolderLife, PlacedClaim, RouterReply, RouterRequest};
 use anvil_world::prelude::*;
 
 /// Most claims kept: at the design size 30,000 requests a second for five minutes, twice, over
@@ -25,11 +25,28 @@
 
 impl ClaimBook {
     /// Answers one request of a peer or of this router itself.
-    pub fn handle(&mut self, now: Now, req: RouterRequest) -> RouterReply {
+    ///
+    /// `vouch` tells whether this router may vouch for a claim that is put, see
+    /// [`super::Tenure::vouches`].
+    pub fn handle(
+        &mut self,
+        now: Now,
+        req: RouterRequest,
+        vouch: impl FnOnce(&RequestKey, &[HolderLife]) -> bool,
+    ) -> RouterReply {
         self.expire(now);
         match req {
             RouterRequest::Get(key) => RouterReply::Claim(self.get(&key).cloned()),
             RouterRequest::Put(claim) => self.put(now, claim),
+            RouterRequest::PutAs { claim, holders } => {
+                let vouches = vouch(&claim.key, &holders);
+                let stands = self.put(now, claim);
+                if vouches {
+                    stands
+                } else {
+                    RouterReply::Leaving
+                }
+            }
             RouterRequest::Replace { old, new } => self.replace(now, &old, new),
             RouterRequest::HandOver(claims) => self.take_over(now, claims),
         }
--- a/crates/anvilreel/src/claims/placement.rs
+++ b/crates/anvilreel/src/claims/placement.rs
@@ -1,8 +1,11 @@
 //! Which routers keep a key's claim.
 
+use anvil_wire::msg::HolderLife;
 use anvil_world::prelude::*;
 use xxhash_rust::xxh3::Xxh3;
 
+/// Stands between a key and the number of a claim's later generation.
+pub const GENERATION_MARK: char = '\u{1}';
 /// Routers that keep each claim.
 pub const HOLDERS: usize = 2;
 
@@ -17,6 +20,16 @@
     region: &str,
     members: impl IntoIterator<Item = &'a Member>,
 ) -> Vec<InstanceId> {
+    let lives = holder_lives(key, region, members);
+    lives.into_iter().map(|holder| holder.id).collect()
+}
+
+/// As [`placement`], with the life of each router.
+pub fn holder_lives<'a>(
+    key: &RequestKey,
+    region: &str,
+    members: impl IntoIterator<Item = &'a Member>,
+) -> Vec<HolderLife> {
     let mut scored: Vec<_> = members
         .into_iter()
         .filter(|member| holds_claims(member, region))
@@ -30,7 +43,11 @@
     let elsewhere = others().find(|other| other.zone != first.zone);
     let second = elsewhere.or_else(|| others().next());
     let holders = std::iter::once(first).chain(second);
-    holders.map(|instance| instance.id.clone()).collect()
+    let life = |instance: &&Instance| HolderLife {
+        id: instance.id.clone(),
+        incarnation: instance.incarnation,
+    };
+    holders.map(|instance| life(&instance)).collect()
 }
 
 fn holds_claims(member: &Member, region: &str) -> bool {
@@ -44,7 +61,9 @@
 /// what it kept, so it is another holder.
 fn score(key: &RequestKey, router: &Instance) -> u64 {
     let mut hash = Xxh3::new();
-    for part in [&key.team, &key.id, &router.id] {
+    // A later generation of a claim stands where the first one does.
+    let id = key.id.split(GENERATION_MARK).next().unwrap_or_default();
+    for part in [&key.team, id, &router.id] {
         hash.update(part.as_bytes());
         // Parts are names without a zero byte, so that no two lists of parts look the same.
         hash.update(&[0]);
--- a/crates/anvilreel/src/request/claiming.rs
+++ b/crates/anvilreel/src/request/claiming.rs
@@ -36,11 +36,11 @@
                 self.actions.push(Action::PutClaim { holder, claim });
             }
         }
-        if claiming.waiting.is_empty() {
-            claiming.waiting.insert(Holder::Ledger);
-            self.put_ledger_claim(None);
-        }
+        let nobody = claiming.waiting.is_empty();
         self.step = Step::Claiming(claiming);
+        if nobody {
+            self.ask_ledger(None);
+        }
     }
 
     pub(super) fn claimed(&mut self, holder: Holder, answer: ClaimAnswer) {
@@ -85,12 +85,41 @@
         if let Some(target) = targets.first().filter(|_| agreed) {
             return self.stands(target.clone());
         }
+        if targets.is_empty() {
+            return self.nobody_vouches();
+        }
         // What another exchange claimed may be decided already; ours can't be.
         let ours = self.target.as_ref();
         let other = targets.iter().find(|target| Some(*target) != ours);
         let wanted = other.cloned();
+        self.ask_ledger(wanted.as_ref());
+    }
+
+    /// No holder can say whether the key was claimed before: both were lost, or hold it since a
+    /// short time. Then the sidecars are asked, before the ledger takes a new claim.
+    ///
+    /// Why no start can still be under way: whoever was to send one got its claim before the
+    /// holders were declared lost, and the time for that is longer than a start may wait.
+    fn nobody_vouches(&mut self) {
+        if self.probed {
+            return self.ask_ledger(None);
+        }
+        if self.spec.suspects.is_empty() {
+            let refusal = Refusal::new(Reason::LedgerUnreachable);
+            return self.refuse(refusal.with_retry_after(RETRY));
+        }
+        self.probed = true;
+        self.probe_suspects();
+    }
+
+    fn ask_ledger(&mut self, wanted: Option<&Target>) {
+        let mut claiming = match std::mem::replace(&mut self.step, Step::New) {
+            Step::Claiming(claiming) => claiming,
+            _ => Claiming::default(),
+        };
         claiming.waiting.insert(Holder::Ledger);
-        self.put_ledger_claim(wanted.as_ref());
+        self.step = Step::Claiming(claiming);
+        self.put_ledger_claim(wanted);
     }
 
     fn decided_by_ledger(&mut self, target: Target, fresh: bool, settled: Option<&Outcome>) {
@@ -178,7 +207,7 @@
             // One that can't be asked may have run it; a second run would be a second bill.
             return self.finish(Outcome::Unknown(Doubt::SidecarLost), None);
         }
-        self.choose();
+        self.ask_ledger(None);
     }
 
     fn placed_claim(&self) -> PlacedClaim {
@@ -188,7 +217,7 @@
             body: self.spec.body,
             sidecar: target.sidecar,
             incarnation: target.life,
-            keep: self.spec.keep,
+            keep: self.spec.keep + self.spec.deadline.saturating_sub(self.now),
         }
     }
 
--- a/crates/anvilreel/src/request/exchange.rs
+++ b/crates/anvilreel/src/request/exchange.rs
@@ -88,6 +88,8 @@
     /// What was delivered of a chat, to be continued from.
     pub(super) prefix: BytesMut,
     pub(super) caller: Caller,
+    /// Whether the suspects were asked.
+    pub(super) probed: bool,
     /// Time of the event that is handled.
     pub(super) now: Now,
     pub(super) actions: Vec<Action>,
@@ -114,6 +116,7 @@
             delivered_tokens: 0,
             prefix: BytesMut::new(),
             caller: Caller::default(),
+            probed: false,
             now: Now::ZERO,
             actions: Vec::new(),
         }
@@ -163,10 +166,7 @@
     fn begin(&mut self) {
         let deadline = self.spec.deadline;
         self.actions.push(Action::WakeAt(deadline));
-        if self.spec.suspects.is_empty() || self.spec.once {
-            return self.choose();
-        }
-        self.probe_suspects();
+        self.choose();
     }
 
     pub(super) fn choose(&mut self) {
--- a/crates/anvilreel/src/request/spec.rs
+++ b/crates/anvilreel/src/request/spec.rs
@@ -6,6 +6,8 @@
 use anvil_world::document::WorkClass;
 use anvil_world::prelude::*;
 
+use crate::claims::GENERATION_MARK;
+
 /// A checked request of one caller.
 #[derive(Debug, Clone)]
 pub struct Spec {
@@ -35,8 +37,8 @@
     pub keep: Duration,
     /// The routers that keep this key's claim, see [`crate::claims::placement`].
     pub holders: Vec<InstanceId>,
-    /// Sidecars that may run this key already although no claim says so: filled by the shell
-    /// when a holder of the key was lost within the time in which a retry may come.
+    /// Sidecars that may run this key although no holder can vouch that it is unclaimed: all that
+    /// are eligible, unless [`crate::claims::Tenure::is_settled`]. Asked only when needed.
     pub suspects: Vec<Target>,
 }
 
@@ -60,6 +62,6 @@
     }
     RequestKey {
         team: key.team.clone(),
-        id: format!("{}\u{1}{generation}", key.id).into(),
+        id: format!("{}{GENERATION_MARK}{generation}", key.id).into(),
     }
 }
--- a/crates/anvilreel/src/router.rs
+++ b/crates/anvilreel/src/router.rs
@@ -28,6 +28,7 @@
 
 use anvil_wire::msg::RouterCall;
 use anvil_wire::{Handlers, Server, WireError};
+use anvil_world::document::FleetDocument;
 use anvil_world::prelude::*;
 use anvil_world::settings::RouterSettings;
 use slog::Logger;
@@ -37,7 +38,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
-use crate::claims::ClaimBook;
+use crate::claims::{ClaimBook, Tenure};
 use crate::event;
 use crate::events;
 use crate::ledger_client::LedgerClient;
@@ -92,6 +93,7 @@
     purse: Purse,
     money_wanted: Notify,
     claims: Mutex<ClaimBook>,
+    tenure: Mutex<Tenure>,
     made_ids: AtomicU64,
     open: AtomicUsize,
 }
@@ -240,6 +242,9 @@
             endpoint: None,
         };
         let peers = Arc::new(Peers::default());
+        let fleet = FleetDocument::default();
+        let window = fleet.keep_answers + fleet.request_timeout;
+        let tenure = Tenure::new(instance.zone.region.clone(), window, life.now());
         let policy = GrantPolicy::default();
         Self {
             places: Places::new(instance.clone(), life.clone(), peers.clone()),
@@ -253,6 +258,7 @@
             peers,
             money_wanted: Notify::new(),
             claims: Mutex::default(),
+            tenure: Mutex::new(tenure),
             made_ids: AtomicU64::new(0),
             open: AtomicUsize::new(0),
         }
@@ -273,6 +279,11 @@
         self.claims.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn tenure(&self) -> MutexGuard<'_, Tenure> {
+        // A panic elsewhere leaves the lists as they were between two steps.
+        self.tenure.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn enter(self: &Arc<Self>) -> Open {
         self.open.fetch_add(1, Ordering::Relaxed);
         Open(self.clone())
@@ -283,6 +294,10 @@
             event!(self.log, events::ROUTER_FENCED);
             self.purse.fence();
         }
+        let mut tenure = self.tenure();
+        tenure.set_window(view.fleet.keep_answers + view.fleet.request_timeout);
+        tenure.note(self.life.now(), view.routers.values());
+        drop(tenure);
         self.places.update(view);
     }
 
--- a/crates/anvilreel/src/router/job.rs
+++ b/crates/anvilreel/src/router/job.rs
@@ -158,24 +158,18 @@
             class: self.class,
             deadline: core.life.now() + self.time_left(),
             keep: self.keep,
-            suspects: self.suspects(&view, region, &holders),
+            suspects: self.suspects(core, &view, &holders),
             holders,
         }
     }
 
-    /// Sidecars that may run the key already although no claim says so.
+    /// Sidecars that may run the key already although no router can vouch that they don't.
     ///
     /// Failure: both routers that kept a key's claim are lost while its run goes on; the caller
-    /// retries. It would show as a second run and a second bill. So while a lost router is
-    /// remembered that would have kept this key, the sidecars that can run it are asked.
-    fn suspects(&self, view: &View, region: &str, holders: &[InstanceId]) -> Vec<Target> {
-        if holders.is_empty() || view.lost_routers.is_empty() {
-            return Vec::new();
-        }
-        let then = view.routers.values().chain(&view.lost_routers);
-        let kept_then = placement(&self.key, region, then);
-        let is_lost = |id: &InstanceId| view.lost_routers.iter().any(|m| m.instance.id == *id);
-        if !kept_then.iter().any(is_lost) {
+    /// retries. It would show as a second run and a second bill. So while the key's holders have
+    /// changed lately, the sidecars that can run it are asked.
+    fn suspects(&self, core: &super::Core, view: &View, holders: &[InstanceId]) -> Vec<Target> {
+        if holders.is_empty() || core.tenure().is_settled(core.life.now(), &self.key) {
             return Vec::new();
         }
         let able = view.sidecars.values().filter(|instance| {
--- a/crates/anvilreel/src/router/keepers.rs
+++ b/crates/anvilreel/src/router/keepers.rs
@@ -29,7 +29,12 @@
 
 /// Answers a router, this one included.
 pub fn answer(core: &Core, req: RouterRequest) -> RouterReply {
-    core.claim_book().handle(core.life.now(), req)
+    let now = core.life.now();
+    let silent = core.following.out_of_touch();
+    core.claim_book().handle(now, req, |key, asked| {
+        core.tenure()
+            .vouches(now, silent, &core.instance.id, key, asked)
+    })
 }
 
 /// Puts a claim at a router.
@@ -47,7 +52,8 @@
     claim: PlacedClaim,
     id: ClaimId,
 ) -> Option<ClaimAnswer> {
-    let request = RouterRequest::Put(claim);
+    let holders = core.tenure().holders(&claim.key);
+    let request = RouterRequest::PutAs { claim, holders };
     let reply = if *holder == core.instance.id {
         answer(core, request)
     } else {
--- a/crates/anvilreel/src/router/view.rs
+++ b/crates/anvilreel/src/router/view.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Instant;
 
 use anvil_world::document::{
     FleetDocument, ModelDocument, OrganisationDocument, ServiceDocument, TeamDocument, key_hash,
@@ -48,8 +47,6 @@
     pub sidecars: BTreeMap<InstanceId, Arc<Instance>>,
     /// Routers that are not leaving, by name.
     pub routers: BTreeMap<InstanceId, Member>,
-    /// Routers that were lost lately: claims that they kept may be lost with them.
-    pub lost_routers: Vec<Member>,
     teams_by_key: BTreeMap<Arc<str>, Arc<Team>>,
 }
 
@@ -74,8 +71,6 @@
 #[derive(Debug, Default)]
 pub struct ViewMaker {
     read: BTreeMap<TreePath, (Revision, Document)>,
-    routers: BTreeMap<InstanceId, Member>,
-    lost: Vec<(Instant, Member)>,
 }
 
 impl ViewMaker {
@@ -92,25 +87,9 @@
         for member in held.members.values() {
             view.take_member(member);
         }
-        view.lost_routers = self.note_lost(&view);
         (view, skipped)
     }
 
-    /// Routers that were lost within the time in which a retry of what they kept may come.
-    fn note_lost(&mut self, view: &View) -> Vec<Member> {
-        let now = Instant::now();
-        let goes_on = |old: &Member| {
-            let new = view.routers.get(&old.instance.id);
-            new.is_some_and(|new| new.instance.incarnation == old.instance.incarnation)
-        };
-        let before = std::mem::replace(&mut self.routers, view.routers.clone());
-        let lost = before.into_values().filter(|old| !goes_on(old));
-        self.lost.extend(lost.map(|old| (now, old)));
-        let keep = view.fleet.keep_answers + view.fleet.request_timeout;
-        self.lost.retain(|(at, _)| now.duration_since(*at) < keep);
-        self.lost.iter().map(|(_, member)| member.clone()).collect()
-    }
-
     fn read_changed(&mut self, held: &Held) -> Vec<Skipped> {
         let mut skipped = Vec::new();
         self.read.retain(|path, _| held.tree.contains_key(path));
