--- a/crates/anvil_wire/src/msg/sidecar.rs
+++ b/crates/anvil_wire/src/msg/sidecar.rs
@@ -38,6 +38,8 @@
     Cancel {
         /// The request.
         key: RequestKey,
+        /// The sidecar's life that the request was dispatched to, as in `Forbid`.
+        life: Incarnation,
     },
     /// What of this key? Reply: `Probed`.
     Probe {
--- a/crates/anvilreel/src/request.rs
+++ b/crates/anvilreel/src/request.rs
@@ -14,6 +14,7 @@
 mod error;
 mod event;
 mod exchange;
+mod lingering;
 mod moving;
 mod paying;
 mod reading;
--- a/crates/anvilreel/src/request/exchange.rs
+++ b/crates/anvilreel/src/request/exchange.rs
@@ -41,6 +41,11 @@
     Forbidding { because: Refusal },
     /// The sidecar's word on what was made.
     Cancelling,
+    /// The sidecar's word on what it charged; the caller has its answer.
+    Lingering {
+        /// No longer than this.
+        until: Now,
+    },
     /// Nothing.
     Finished,
 }
@@ -143,6 +148,10 @@
         if self.is_finished() {
             return after_end(event);
         }
+        if let Step::Lingering { until } = self.step {
+            self.lingering(now, until, event);
+            return std::mem::take(&mut self.actions);
+        }
         match event {
             Event::Begin => self.begin(),
             Event::Chosen(target) => self.chosen(target),
@@ -241,7 +250,10 @@
 
     /// Ends, once: settles the money, notes the claim's end, tells the caller.
     pub(super) fn finish(&mut self, outcome: Outcome, end: Option<Box<RunEnd>>) {
-        self.settle(&outcome, end.as_deref());
+        let lingers = self.may_be_charged(&outcome, end.as_deref());
+        if !lingers {
+            self.settle(&outcome, end.as_deref());
+        }
         // An answer read to its end is known to whoever read it; all else only to the claimer.
         let knows = self.claim_ours || matches!(outcome, Outcome::Completed(_));
         if self.spec.once && knows {
@@ -256,6 +268,9 @@
         self.actions.push(Action::Drop { dispatch });
         self.actions.push(Action::Finish { outcome, end });
         self.step = Step::Finished;
+        if lingers {
+            self.linger();
+        }
     }
 }
 
--- /dev/null
+++ b/crates/anvilreel/src/request/lingering.rs
@@ -0,0 +1,80 @@
+//! What is left to do for a request whose caller has its final answer.
+//!
+//! Failure: the payer gives up on a sidecar that it can't reach, and frees what it reserved. The
+//! run goes on there; the caller comes back, is led to it by the claim and gets the whole answer,
+//! and nobody is billed. So the reservation stays until the sidecar has said what it charged, or
+//! its life is over.
+
+use std::time::Duration;
+
+use anvil_wire::msg::{ProbeAnswer, RunEnd, SidecarReply, SidecarRequest};
+use anvil_world::prelude::*;
+
+use super::exchange::{Exchange, Started, Step};
+use super::{Action, Event};
+
+/// Time between two questions.
+const ASK_AGAIN: Duration = Duration::from_secs(2);
+
+impl Exchange {
+    /// Whether a run may still charge what is reserved.
+    pub(super) fn may_be_charged(&self, outcome: &Outcome, end: Option<&RunEnd>) -> bool {
+        let open = self.reservation.is_some() && self.start != Started::No;
+        let known = end.is_some() || !matches!(outcome, Outcome::Unknown(_));
+        open && !known && !self.spec.once
+    }
+
+    /// Waits for the sidecar's word, for as long as the answer may be kept there.
+    pub(super) fn linger(&mut self) {
+        let left = self.spec.deadline.saturating_sub(self.now);
+        let until = self.now + left + self.spec.keep;
+        self.step = Step::Lingering { until };
+        self.actions.push(Action::WakeAt(self.now + ASK_AGAIN));
+    }
+
+    /// The only events that count for a lingering request.
+    pub(super) fn lingering(&mut self, now: Now, until: Now, event: Event) {
+        match event {
+            Event::Reply {
+                dispatch,
+                reply: SidecarReply::Probed(answer),
+            } if dispatch == self.dispatch => self.hear(answer),
+            Event::Gone(target) if self.target.as_ref() == Some(&target) => self.let_go(None),
+            Event::Wake if now >= until => self.let_go(None),
+            Event::Wake => self.ask(now),
+            Event::Reserved(reservation) => self.actions.push(Action::Release(reservation)),
+            _ => {}
+        }
+    }
+
+    fn ask(&mut self, now: Now) {
+        let Some(target) = self.target.clone() else {
+            return self.let_go(None);
+        };
+        let key = self.spec.key.clone();
+        self.actions.push(Action::WakeAt(now + ASK_AGAIN));
+        let req = if self.spec.named {
+            SidecarRequest::Probe { key }
+        } else {
+            let life = target.life;
+            SidecarRequest::Cancel { key, life }
+        };
+        self.call(target, req);
+    }
+
+    fn hear(&mut self, answer: ProbeAnswer) {
+        match answer {
+            ProbeAnswer::Running { .. } => {}
+            ProbeAnswer::Ended(end) => self.let_go(Some(&end)),
+            ProbeAnswer::Unheard | ProbeAnswer::Forbidden | ProbeAnswer::OtherLife => {
+                self.let_go(None);
+            }
+        }
+    }
+
+    fn let_go(&mut self, end: Option<&RunEnd>) {
+        let cost = Outcome::Unknown(Doubt::SidecarLost);
+        self.settle(&cost, end);
+        self.step = Step::Finished;
+    }
+}
--- a/crates/anvilreel/src/request/moving.rs
+++ b/crates/anvilreel/src/request/moving.rs
@@ -186,7 +186,8 @@
         self.actions.push(Action::Drop { dispatch });
         self.step = Step::Cancelling;
         let key = self.spec.key.clone();
-        self.call(target, SidecarRequest::Cancel { key });
+        let life = target.life;
+        self.call(target, SidecarRequest::Cancel { key, life });
     }
 }
 
--- a/crates/anvilreel/src/runs/event.rs
+++ b/crates/anvilreel/src/runs/event.rs
@@ -39,6 +39,8 @@
         reader: ReaderId,
         /// The request.
         key: RequestKey,
+        /// The life that is meant.
+        life: Incarnation,
     },
     /// What of this key?
     Probe {
--- a/crates/anvilreel/src/runs/gate.rs
+++ b/crates/anvilreel/src/runs/gate.rs
@@ -103,7 +103,16 @@
 
     /// Stops a run and bills what was made. A key that has not started never will: its start may
     /// be under way and come after the cancel.
-    pub(super) fn cancel(&mut self, now: Now, reader: ReaderId, key: RequestKey) {
+    pub(super) fn cancel(
+        &mut self,
+        now: Now,
+        reader: ReaderId,
+        key: RequestKey,
+        life: Incarnation,
+    ) {
+        if life != self.cfg.life {
+            return self.answer(reader, ProbeAnswer::OtherLife);
+        }
         if let Some(run) = self.by_key.get(&key).copied() {
             self.stop(now, run);
         }
--- a/crates/anvilreel/src/runs/table.rs
+++ b/crates/anvilreel/src/runs/table.rs
@@ -71,7 +71,7 @@
                 key,
                 offset,
             } => self.attach(reader, &key, offset),
-            Event::Cancel { reader, key } => self.cancel(now, reader, key),
+            Event::Cancel { reader, key, life } => self.cancel(now, reader, key, life),
             Event::Probe { reader, key } => self.answer(reader, self.probe(&key)),
             Event::Forbid { reader, key, life } => self.forbid(now, reader, key, life),
             Event::Ready { reader } => self.ready(reader),
--- a/crates/anvilreel/src/sidecar/answer.rs
+++ b/crates/anvilreel/src/sidecar/answer.rs
@@ -43,7 +43,7 @@
             key,
             offset,
         },
-        SidecarRequest::Cancel { key } => Event::Cancel { reader, key },
+        SidecarRequest::Cancel { key, life } => Event::Cancel { reader, key, life },
         SidecarRequest::Probe { key } => Event::Probe { reader, key },
         SidecarRequest::Forbid { key, life } => Event::Forbid { reader, key, life },
         SidecarRequest::Order { .. } | SidecarRequest::Watch => Event::Tick,
--- a/crates/anvilreel/tests/soak/ledger.rs
+++ b/crates/anvilreel/tests/soak/ledger.rs
@@ -240,6 +240,9 @@
         }
         self.ledger.begin_closing();
         match instance.role {
+            // A life that was declared lost is not believed any more: what it ran may have been
+            // run again elsewhere. Its process begins a new one.
+            Role::Sidecar if joined != Answer::Done => self.sidecar_is_gone(slot, life),
             Role::Sidecar => self.hear_sidecar(slot, (id, life), evidence),
             _ => self.hear_router(slot, life, joined == Answer::Done),
         }
--- a/crates/anvilreel/tests/soak/sidecars.rs
+++ b/crates/anvilreel/tests/soak/sidecars.rs
@@ -95,6 +95,14 @@
         self.after(pause, Happening::SidecarTick(slot, life + 1));
     }
 
+    /// The ledger said that this life was declared lost while it was cut off.
+    pub fn sidecar_is_gone(&mut self, slot: usize, life: Incarnation) {
+        if self.sidecars[slot].life == life {
+            self.count("sidecars declared lost while alive");
+            self.kill_sidecar(slot);
+        }
+    }
+
     pub fn leave_sidecar(&mut self, slot: usize) {
         if self.sidecars[slot].alive {
             self.count("endpoints left");
@@ -174,7 +182,7 @@
                 key,
                 offset,
             },
-            SidecarRequest::Cancel { key } => Event::Cancel { reader, key },
+            SidecarRequest::Cancel { key, life } => Event::Cancel { reader, key, life },
             SidecarRequest::Probe { key } => Event::Probe { reader, key },
             SidecarRequest::Forbid { key, life } => Event::Forbid { reader, key, life },
             SidecarRequest::Order { .. } | SidecarRequest::Watch => return,
