--- a/crates/anvilreel/src/request/exchange.rs
+++ b/crates/anvilreel/src/request/exchange.rs
@@ -86,6 +86,8 @@
     pub(super) reservation: Option<Reservation>,
     pub(super) payment: Option<Payment>,
     pub(super) start: Started,
+    /// Starts that have left for the present target.
+    pub(super) starts: u32,
     pub(super) attempt: u32,
     pub(super) breaks: u32,
     pub(super) delivered: Offset,
@@ -115,6 +117,7 @@
             reservation: None,
             payment: None,
             start: Started::No,
+            starts: 0,
             attempt: 0,
             breaks: 0,
             delivered: 0,
--- a/crates/anvilreel/src/request/lingering.rs
+++ b/crates/anvilreel/src/request/lingering.rs
@@ -21,7 +21,7 @@
     pub(super) fn may_be_charged(&self, outcome: &Outcome, end: Option<&RunEnd>) -> bool {
         let open = self.reservation.is_some() && self.start != Started::No;
         let known = end.is_some() || !matches!(outcome, Outcome::Unknown(_));
-        open && !known && !self.spec.once
+        open && !known
     }
 
     /// Waits for the sidecar's word, for as long as the answer may be kept there.
@@ -53,10 +53,12 @@
         };
         let key = self.spec.key.clone();
         self.actions.push(Action::WakeAt(now + ASK_AGAIN));
-        let req = if self.spec.named {
+        let life = target.life;
+        let req = if self.spec.once {
+            SidecarRequest::Forbid { key, life }
+        } else if self.spec.named {
             SidecarRequest::Probe { key }
         } else {
-            let life = target.life;
             SidecarRequest::Cancel { key, life }
         };
         self.call(target, req);
@@ -66,7 +68,10 @@
         match answer {
             ProbeAnswer::Running { .. } => {}
             ProbeAnswer::Ended(end) => self.let_go(Some(&end)),
-            ProbeAnswer::Unheard | ProbeAnswer::Forbidden | ProbeAnswer::OtherLife => {
+            ProbeAnswer::OtherLife => self.let_go(None),
+            ProbeAnswer::Unheard | ProbeAnswer::Forbidden => {
+                // It never ran, so nothing is owed, not even for a doubt.
+                self.start = Started::No;
                 self.let_go(None);
             }
         }
--- a/crates/anvilreel/src/request/moving.rs
+++ b/crates/anvilreel/src/request/moving.rs
@@ -63,7 +63,10 @@
         if matches!(refusal.reason, Reason::KeyReused(_)) {
             return self.refuse(refusal);
         }
-        if self.spec.named && !self.spec.once {
+        // A refusal speaks for this start only. An earlier one may have been taken by a life
+        // that is over, and then "not run" would be false.
+        let doubtful = self.starts > 1;
+        if !self.spec.once && (self.spec.named || doubtful) {
             // The claim still leads others here, so it must be certain that none of them
             // starts it here after we have gone elsewhere.
             return self.forbid(refusal);
@@ -129,6 +132,7 @@
             self.excluded.insert(target.sidecar);
         }
         self.generation += 1;
+        self.starts = 0;
         self.breaks = 0;
         self.start = Started::No;
     }
--- a/crates/anvilreel/src/request/paying.rs
+++ b/crates/anvilreel/src/request/paying.rs
@@ -77,6 +77,7 @@
             prefix_tokens: self.delivered_tokens,
         };
         self.start = Started::Sent;
+        self.starts += 1;
         self.step = Step::Reading;
         self.call(target, SidecarRequest::Start(Box::new(start)));
     }
--- a/crates/anvilreel/tests/soak/callers.rs
+++ b/crates/anvilreel/tests/soak/callers.rs
@@ -185,8 +185,15 @@
                 self.count("completed");
             }
             Outcome::NotRun(refusal) => {
-                let exhausted = matches!(refusal.reason, Reason::BudgetExhausted(_));
-                self.count(if exhausted { "exhausted" } else { "not run" });
+                self.count(match refusal.reason {
+                    Reason::BudgetExhausted(_) => "not run: budget exhausted",
+                    Reason::LedgerUnreachable => "not run: ledger unreachable",
+                    Reason::NoEndpoint(_) => "not run: no endpoint",
+                    Reason::EndpointRefused => "not run: endpoint refused",
+                    Reason::Overloaded => "not run: overloaded",
+                    Reason::Leaving => "not run: leaving",
+                    _ => "not run: other",
+                });
                 self.caller_comes_back(id);
             }
             Outcome::Unknown(_) => {
