--- a/crates/anvilreel/src/request/exchange.rs
+++ b/crates/anvilreel/src/request/exchange.rs
@@ -86,8 +86,11 @@
     pub(super) reservation: Option<Reservation>,
     pub(super) payment: Option<Payment>,
     pub(super) start: Started,
-    /// Starts that have left for the present target.
+    /// Starts that have left for the present target, and the number of the last one's call.
     pub(super) starts: u32,
+    pub(super) start_call: Dispatch,
+    /// A sidecar that was left because it can't be reached; the run may go on there.
+    pub(super) left_behind: Option<Target>,
     pub(super) attempt: u32,
     pub(super) breaks: u32,
     pub(super) delivered: Offset,
@@ -118,6 +121,8 @@
             payment: None,
             start: Started::No,
             starts: 0,
+            start_call: 0,
+            left_behind: None,
             attempt: 0,
             breaks: 0,
             delivered: 0,
--- a/crates/anvilreel/src/request/lingering.rs
+++ b/crates/anvilreel/src/request/lingering.rs
@@ -19,13 +19,17 @@
 impl Exchange {
     /// Whether a run may still charge what is reserved.
     pub(super) fn may_be_charged(&self, outcome: &Outcome, end: Option<&RunEnd>) -> bool {
-        let open = self.reservation.is_some() && self.start != Started::No;
+        let begun = self.start != Started::No || self.left_behind.is_some();
+        let open = self.reservation.is_some() && begun;
         let known = end.is_some() || !matches!(outcome, Outcome::Unknown(_));
         open && !known
     }
 
     /// Waits for the sidecar's word, for as long as the answer may be kept there.
     pub(super) fn linger(&mut self) {
+        if self.start == Started::No {
+            self.target = self.left_behind.take();
+        }
         let left = self.spec.deadline.saturating_sub(self.now);
         let until = self.now + left + self.spec.keep;
         self.step = Step::Lingering { until };
--- a/crates/anvilreel/src/request/moving.rs
+++ b/crates/anvilreel/src/request/moving.rs
@@ -30,7 +30,7 @@
             return;
         }
         // The first start of a key that no other router knows never left: elsewhere, at once.
-        let untouched = never_sent && self.start == Started::Sent && self.breaks == 0;
+        let untouched = never_sent && self.starts == 1 && dispatch == self.start_call;
         if untouched && !self.spec.named && !self.spec.once {
             self.start = Started::No;
             return self.elsewhere(Refusal::new(Reason::EndpointRefused));
@@ -49,6 +49,7 @@
         self.dispatch += 1;
         self.breaks += 1;
         if self.breaks >= PATIENT_BREAKS && self.start == Started::Begun && self.may_continue() {
+            self.left_behind = self.target.clone();
             return self.move_on();
         }
         let pause = FIRST_PAUSE * 2_u32.pow(self.breaks.min(8) - 1);
--- a/crates/anvilreel/src/request/paying.rs
+++ b/crates/anvilreel/src/request/paying.rs
@@ -80,6 +80,7 @@
         self.starts += 1;
         self.step = Step::Reading;
         self.call(target, SidecarRequest::Start(Box::new(start)));
+        self.start_call = self.dispatch;
     }
 
     /// Starts with what was reserved before; the time left is told anew by the next wake-up.
