--- a/crates/anvilreel/src/request/claiming.rs
+++ b/crates/anvilreel/src/request/claiming.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, SystemTime};
 
-use anvil_wire::msg::{PlacedClaim, ProbeAnswer, SidecarReply, SidecarRequest};
+use anvil_wire::msg::{PlacedClaim, ProbeAnswer, RunEnd, SidecarReply, SidecarRequest};
 use anvil_world::command::Claim;
 use anvil_world::prelude::*;
 
@@ -192,6 +192,8 @@
             return;
         };
         match reply {
+            // A run that its endpoint lost is no find: it was continued where the claim leads to.
+            Some(SidecarReply::Probed(ProbeAnswer::Ended(end))) if is_lost(end) => {}
             Some(SidecarReply::Probed(ProbeAnswer::Running { .. } | ProbeAnswer::Ended(_))) => {
                 self.target = Some(target);
                 self.claim_ours = false;
@@ -239,3 +241,7 @@
         wanted.cloned().unwrap_or_else(Target::nobody)
     }
 }
+
+fn is_lost(end: &RunEnd) -> bool {
+    end.outcome == Outcome::Unknown(Doubt::EndpointLost)
+}
--- a/crates/anvilreel/tests/soak/callers.rs
+++ b/crates/anvilreel/tests/soak/callers.rs
@@ -33,6 +33,8 @@
     pub got: Vec<u8>,
     pub got_whole: bool,
     pub outcomes: Vec<Outcome>,
+    /// Exchanges for it that ended in doubt, whether the caller still listened or not.
+    pub doubts: u32,
     pub at_router: Option<(usize, Incarnation, u64)>,
 }
 
@@ -53,6 +55,7 @@
             got: Vec::new(),
             got_whole: false,
             outcomes: Vec::new(),
+            doubts: 0,
             at_router: None,
         }
     }
--- a/crates/anvilreel/tests/soak/routers.rs
+++ b/crates/anvilreel/tests/soak/routers.rs
@@ -442,6 +442,9 @@
                 if matches!(outcome, Outcome::NotRun(_)) {
                     self.truth.told_not_run.insert((slot, life, id));
                 }
+                if matches!(outcome, Outcome::Unknown(_)) {
+                    self.callers[caller].doubts += 1;
+                }
                 if self.is_at(caller, slot, id) {
                     self.caller_ends(caller, &outcome);
                 }
--- a/crates/anvilreel/tests/soak/truth.rs
+++ b/crates/anvilreel/tests/soak/truth.rs
@@ -30,6 +30,8 @@
     pub lost_lives: BTreeSet<(usize, Incarnation)>,
     /// Keys billed again, or not at all, after a sidecar that ran them was lost.
     pub lost_with_sidecar: BTreeSet<RequestKey>,
+    /// Non-idempotent keys of which more than one try was in doubt and billed.
+    pub doubts_billed: BTreeSet<RequestKey>,
     /// Which keys were begun under which grant.
     pub under: BTreeMap<GrantId, BTreeSet<RequestKey>>,
     /// Keys begun under a grant that only an operator could close.
@@ -124,6 +126,12 @@
             self.lost_with_sidecar.insert(key.clone());
             return Ok(());
         }
+        // See docs/PROOFS.md: each try of a non-idempotent key that ended in doubt is billed.
+        let doubts = Tokens::from(caller.doubts);
+        if caller.once && billed > most && billed <= most * doubts {
+            self.doubts_billed.insert(key.clone());
+            return Ok(());
+        }
         if billed > most {
             let bills = self.bills.get(key);
             return Err(format!(
--- a/crates/anvilreel/tests/soak/world.rs
+++ b/crates/anvilreel/tests/soak/world.rs
@@ -207,6 +207,9 @@
             "billed again or not at all: answer lost with its sidecar",
             lost,
         );
+        let doubts = self.truth.doubts_billed.len() as u64;
+        self.counts
+            .insert("billed for more than one try in doubt", doubts);
         checked.map_err(|e| self.tell(&e))
     }
 
