--- a/crates/anvil_standins/src/load/fleet.rs
+++ b/crates/anvil_standins/src/load/fleet.rs
@@ -7,7 +7,7 @@
 mod documents;
 mod endpoints;
 mod faults;
-mod process;
+pub mod process;
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
@@ -34,6 +34,8 @@
 
 /// Longest time for the fleet to serve.
 const START_TIME: Duration = Duration::from_secs(30);
+/// Time for the sidecars to join and be seen by the routers.
+const JOIN_TIME: Duration = Duration::from_secs(3);
 /// Time between two looks at something that is awaited.
 const LOOK: Duration = Duration::from_millis(100);
 /// Time for the last reports of money to reach the ledger after a run.
@@ -72,28 +74,24 @@
             router_addrs: Vec::new(),
         };
         fleet.start_ledgers()?;
+        // Before anybody follows, so that no change waits to be in force everywhere.
+        fleet.write_documents().await?;
         for (at, (group, zone)) in scenario.endpoint_list().into_iter().enumerate() {
             fleet.start_endpoint(at, group, zone).await?;
         }
-        fleet.write_documents().await?;
         for at in 0..scenario.fleet.routers {
             fleet.start_router(at)?;
         }
         fleet.until_ready().await?;
+        sleep(JOIN_TIME).await;
         Ok(fleet)
     }
 
     /// Runs the scenario's load and faults against it.
     pub async fn run(&mut self) -> Result<Report, Error> {
-        let target = Target {
-            routers: self.router_addrs.clone(),
-            keys: documents::keys(&self.scenario),
-            rule: "anvilreel".into(),
-            run: self.scenario.name.to_string(),
-        };
         let scenario = self.scenario.clone();
         let start = Instant::now();
-        let load = drive(&scenario, target);
+        let load = drive(&scenario, self.target());
         tokio::pin!(load);
         let mut due = faults::changes(&scenario);
         let driven = loop {
@@ -119,9 +117,14 @@
             .collect()
     }
 
-    /// Where callers connect.
-    pub fn routers(&self) -> &[SocketAddr] {
-        &self.router_addrs
+    /// Where callers connect, with the keys of the scenario's organisations.
+    pub fn target(&self) -> Target {
+        Target {
+            routers: self.router_addrs.clone(),
+            keys: documents::keys(&self.scenario),
+            rule: "anvilreel".into(),
+            run: self.scenario.name.to_string(),
+        }
     }
 
     async fn report(&self, driven: &Driven) -> Result<Report, Error> {
@@ -258,7 +261,7 @@
 }
 
 /// An address on loopback that was free a moment ago.
-fn free_addr() -> Result<SocketAddr, Error> {
+pub fn free_addr() -> Result<SocketAddr, Error> {
     let addr = SocketAddr::from(([127, 0, 0, 1], 0));
     let listener = TcpListener::bind(addr).context(ListenSnafu { addr })?;
     listener.local_addr().context(ListenSnafu { addr })
