--- a/crates/anvilreel/src/money/exchange.rs
+++ b/crates/anvilreel/src/money/exchange.rs
@@ -110,7 +110,7 @@
         budgets.values().all(|held| held.grants.load().is_empty())
     }
 
-    fn heard_at(&self, now: Now) {
+    pub(super) fn heard_at(&self, now: Now) {
         let millis = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
         self.heard.fetch_max(millis, Ordering::AcqRel);
     }
--- a/crates/anvilreel/src/money/purse.rs
+++ b/crates/anvilreel/src/money/purse.rs
@@ -82,6 +82,12 @@
         if self.is_fenced() || self.broken().is_some() {
             return Err(refused(Reason::Leaving, RETRY_UNREACHABLE));
         }
+        // Failure: a router that had no caller for a while after its start refuses the first one
+        // as if the ledger were lost. No batch was due before there was a budget, so nothing that
+        // was heard is no sign of a cut; the patience counts from this request.
+        if self.budgets.load().is_empty() {
+            self.heard_at(now);
+        }
         let mut parts = Vec::new();
         for (budget, tokens) in split.bounds(bound) {
             let held = self.held(budget);
