--- a/crates/anvil_policy/src/limit.rs
+++ b/crates/anvil_policy/src/limit.rs
@@ -54,7 +54,7 @@
             keep: 0.8,
             rise: 1.0,
             rest: Duration::from_secs(3),
-            newest: 0.25,
+            newest: 0.12,
             first: 0.5,
         }
     }
--- a/crates/anvilreel/tests/money_first_request.rs
+++ b/crates/anvilreel/tests/money_first_request.rs
@@ -20,7 +20,7 @@
 fn the_first_request_waits_for_its_grant() {
     let policy = GrantPolicy::default();
     let purse = Purse::new("router-0".into(), 1, policy.clone());
-    let late = Duration::from_secs(60);
+    let late = Duration::from_mins(1);
     assert!(matches!(reserve(&purse, late), Shortage::WaitFor { .. }));
     assert!(purse.batch(late).is_some(), "it asks for a grant");
     // A ledger that leaves that batch without an answer is unreachable all the same.
