--- a/crates/anvil_standins/src/bin/anvil-load.rs
+++ b/crates/anvil_standins/src/bin/anvil-load.rs
@@ -117,6 +117,7 @@
         reports.push(report);
     }
     print!("{}", table::table(&reports));
+    print!("{}", table::details(&reports));
     Ok(())
 }
 
--- a/crates/anvil_standins/src/load/caller.rs
+++ b/crates/anvil_standins/src/load/caller.rs
@@ -50,8 +50,8 @@
     NotRun(String),
     /// It may have run.
     InDoubt,
-    /// No answer, or one that broke off.
-    Cut,
+    /// No answer, or one that broke off; with how.
+    Cut(String),
 }
 
 /// When tokens came.
@@ -152,10 +152,10 @@
             req = req.header(ORDER_ID, order);
         }
         let Ok(req) = req.body(Full::new(self.body.clone())) else {
-            return Tried::Cut;
+            return cut("no request");
         };
         let Ok(response) = client.send(&url, req).await else {
-            return Tried::Cut;
+            return cut("connection");
         };
         let status = response.status();
         let body = response.into_body();
@@ -169,7 +169,7 @@
 
 async fn refused(body: Incoming) -> Tried {
     let Ok(body) = body.collect().await else {
-        return Tried::Cut;
+        return cut("answer broke off");
     };
     let answer: Value = serde_json::from_slice(&body.to_bytes()).unwrap_or_default();
     from_error(&answer["error"])
@@ -179,17 +179,21 @@
     match error["outcome"].as_str() {
         Some("not_run") => Tried::NotRun(error["type"].as_str().unwrap_or("untyped").into()),
         Some("unknown") => Tried::InDoubt,
-        _ => Tried::Cut,
+        _ => cut(error["type"].as_str().unwrap_or("error without a type")),
     }
 }
 
+fn cut(how: &str) -> Tried {
+    Tried::Cut(how.into())
+}
+
 /// Reads server-sent events up to the end mark; without it the answer is not whole.
 async fn streamed(mut body: Incoming, expected: &str, prompt: u64, times: &mut Times) -> Tried {
     let mut buf = BytesMut::new();
     let mut answer = Streamed::default();
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else {
-            return Tried::Cut;
+            return cut("stream broke off");
         };
         let Some(data) = frame.data_ref() else {
             continue;
@@ -202,7 +206,7 @@
         }
     }
     if !answer.done {
-        return Tried::Cut;
+        return cut("stream without its end");
     }
     let used = answer.usage["completion_tokens"].as_u64();
     let (Some(tokens), Some(asked)) = (used, answer.usage["prompt_tokens"].as_u64()) else {
@@ -258,7 +262,7 @@
 
 async fn whole(body: Incoming, order: Option<&str>, times: &mut Times) -> Tried {
     let Ok(body) = body.collect().await else {
-        return Tried::Cut;
+        return cut("answer broke off");
     };
     times.text("");
     let Ok(answer) = serde_json::from_slice::<Value>(&body.to_bytes()) else {
--- a/crates/anvil_standins/src/load/driver.rs
+++ b/crates/anvil_standins/src/load/driver.rs
@@ -106,7 +106,7 @@
         driver.view.enter(&stake);
         driver.tries(&call, &arrival, &mut times).await
     } else {
-        Tried::Cut
+        Tried::Cut("too many under way".into())
     };
     driver.under_way.fetch_sub(1, Ordering::Relaxed);
     driver.take_down(&arrival, &stake, &times, tried);
@@ -122,12 +122,12 @@
             let at = at % self.target.routers.len();
             let tried = call.send(&self.clients[at], self.target.routers[at], times);
             match timeout_at(end, tried).await {
-                Ok(Tried::Cut) if attempt < retries => sleep(RETRY_AFTER).await,
+                Ok(Tried::Cut(_)) if attempt < retries => sleep(RETRY_AFTER).await,
                 Ok(tried) => return tried,
-                Err(_) => return Tried::Cut,
+                Err(_) => break,
             }
         }
-        Tried::Cut
+        Tried::Cut("late".into())
     }
 
     fn take_down(&self, arrival: &Arrival, stake: &Stake, times: &Times, tried: Tried) {
@@ -140,13 +140,16 @@
             Tried::Right { .. } => Ending::Completed,
             Tried::Wrong => Ending::Broken,
             Tried::InDoubt => Ending::Unknown,
-            Tried::Cut => Ending::Lost,
+            Tried::Cut(how) => Ending::Lost { how },
             Tried::NotRun(kind) => Ending::Refused {
                 wrongly: self.view.is_false(stake, &kind, self.start.elapsed()),
                 kind,
             },
         };
-        if matches!(ending, Ending::Broken | Ending::Unknown | Ending::Lost) {
+        if matches!(
+            ending,
+            Ending::Broken | Ending::Unknown | Ending::Lost { .. }
+        ) {
             let doubt = &self.in_doubt[arrival.organisation as usize];
             doubt.fetch_add(stake.bound, Ordering::Relaxed);
         }
--- a/crates/anvil_standins/src/load/recorder.rs
+++ b/crates/anvil_standins/src/load/recorder.rs
@@ -31,7 +31,10 @@
     /// An answer that looked complete was not the expected one.
     Broken,
     /// The connection ended before an answer did, or nothing came in time.
-    Lost,
+    Lost {
+        /// How, such as `late` or `connection`.
+        how: String,
+    },
 }
 
 /// One request and what came of it.
@@ -124,7 +127,10 @@
             }
             Ending::Unknown => report.unknown += 1,
             Ending::Broken => report.broken += 1,
-            Ending::Lost => report.lost += 1,
+            Ending::Lost { how } => {
+                report.lost += 1;
+                *report.lost_by.entry(how.clone()).or_default() += 1;
+            }
         }
     }
 
--- a/crates/anvil_standins/src/load/report.rs
+++ b/crates/anvil_standins/src/load/report.rs
@@ -67,6 +67,8 @@
     pub broken: u64,
     /// Connections that ended before the answer did.
     pub lost: u64,
+    /// The same by how it happened.
+    pub lost_by: BTreeMap<String, u64>,
     /// Non-idempotent requests that ran more than once at the endpoints.
     pub doubled_runs: u64,
     /// Tokens billed beyond the use of whole answers.
