--- a/crates/anvilreel/src/ledger_service.rs
+++ b/crates/anvilreel/src/ledger_service.rs
@@ -33,7 +33,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anvil_ledger::core::Timing;
+use anvil_ledger::core::CoreSettings;
 use anvil_ledger::storage::{Disk, Storage, Writer};
 use anvil_wire::Server;
 use anvil_world::settings::LedgerSettings;
@@ -46,6 +46,8 @@
 use error::{DiskSnafu, ListenSnafu, MachineSnafu, StorageSnafu, ThreadSnafu};
 use node::{Inbox, Node};
 
+use crate::event;
+
 /// Events that may wait for the node before whoever sends them waits too.
 const INBOX: usize = 65_536;
 
@@ -53,8 +55,11 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Tuning {
     /// How fast replicas notice things.
-    pub timing: Timing,
-    /// An instance that gives no sign of life for this long is declared gone.
+    pub core: CoreSettings,
+    /// An instance that gives no sign of life for this long gets no new work.
+    pub silent_after: Duration,
+    /// An instance that gives no sign of life for this long after the time that a router may
+    /// serve out of touch is declared gone.
     pub gone_after: Duration,
     /// A snapshot is taken after this many entries.
     pub snapshot_every: u64,
@@ -65,7 +70,8 @@
 impl Default for Tuning {
     fn default() -> Self {
         Self {
-            timing: Timing::default(),
+            core: CoreSettings::default(),
+            silent_after: Duration::from_secs(5),
             gone_after: Duration::from_secs(10),
             snapshot_every: 10_000,
             group_commit: true,
@@ -113,7 +119,7 @@
         log: log.clone(),
     };
     let (node, public) = Node::new(setup, found, inbox.clone()).context(MachineSnafu)?;
-    events::note!(log, events::LEDGER_LISTENING, "addr" => %addr, "replica" => format!("{id:x}"));
+    event!(log, events::LEDGER_LISTENING, "addr" => addr.to_string(), "replica" => format!("{id:x}"));
     let (ending, stopping) = watch::channel(false);
     let reach = handlers::Reach {
         inbox,
@@ -137,7 +143,7 @@
         if let Ok(writer) = node.await {
             let _ = tokio::task::spawn_blocking(move || writer.finish()).await;
         }
-        events::note!(log, events::LEDGER_STOPPED);
+        event!(log, events::LEDGER_STOPPED);
     });
     Ok(LedgerHandle { addr, task })
 }
--- a/crates/anvilreel/src/request/exchange.rs
+++ b/crates/anvilreel/src/request/exchange.rs
@@ -41,6 +41,11 @@
     Forbidding { because: Refusal },
     /// The sidecar's word on what was made.
     Cancelling,
+    /// The sidecar's word on what it charged; the caller has its answer.
+    Lingering {
+        /// No longer than this.
+        until: Now,
+    },
     /// Nothing.
     Finished,
 }
@@ -81,6 +86,11 @@
     pub(super) reservation: Option<Reservation>,
     pub(super) payment: Option<Payment>,
     pub(super) start: Started,
+    /// Starts that have left for the present target, and the number of the last one's call.
+    pub(super) starts: u32,
+    pub(super) start_call: Dispatch,
+    /// A sidecar that was left because it can't be reached; the run may go on there.
+    pub(super) left_behind: Option<Target>,
     pub(super) attempt: u32,
     pub(super) breaks: u32,
     pub(super) delivered: Offset,
@@ -88,6 +98,8 @@
     /// What was delivered of a chat, to be continued from.
     pub(super) prefix: BytesMut,
     pub(super) caller: Caller,
+    /// Whether the suspects were asked.
+    pub(super) probed: bool,
     /// Time of the event that is handled.
     pub(super) now: Now,
     pub(super) actions: Vec<Action>,
@@ -108,12 +120,16 @@
             reservation: None,
             payment: None,
             start: Started::No,
+            starts: 0,
+            start_call: 0,
+            left_behind: None,
             attempt: 0,
             breaks: 0,
             delivered: 0,
             delivered_tokens: 0,
             prefix: BytesMut::new(),
             caller: Caller::default(),
+            probed: false,
             now: Now::ZERO,
             actions: Vec::new(),
         }
@@ -140,6 +156,10 @@
         if self.is_finished() {
             return after_end(event);
         }
+        if let Step::Lingering { until } = self.step {
+            self.lingering(now, until, event);
+            return std::mem::take(&mut self.actions);
+        }
         match event {
             Event::Begin => self.begin(),
             Event::Chosen(target) => self.chosen(target),
@@ -163,10 +183,7 @@
     fn begin(&mut self) {
         let deadline = self.spec.deadline;
         self.actions.push(Action::WakeAt(deadline));
-        if self.spec.suspects.is_empty() || self.spec.once {
-            return self.choose();
-        }
-        self.probe_suspects();
+        self.choose();
     }
 
     pub(super) fn choose(&mut self) {
@@ -241,7 +258,10 @@
 
     /// Ends, once: settles the money, notes the claim's end, tells the caller.
     pub(super) fn finish(&mut self, outcome: Outcome, end: Option<Box<RunEnd>>) {
-        self.settle(&outcome, end.as_deref());
+        let lingers = self.may_be_charged(&outcome, end.as_deref());
+        if !lingers {
+            self.settle(&outcome, end.as_deref());
+        }
         // An answer read to its end is known to whoever read it; all else only to the claimer.
         let knows = self.claim_ours || matches!(outcome, Outcome::Completed(_));
         if self.spec.once && knows {
@@ -256,6 +276,9 @@
         self.actions.push(Action::Drop { dispatch });
         self.actions.push(Action::Finish { outcome, end });
         self.step = Step::Finished;
+        if lingers {
+            self.linger();
+        }
     }
 }
 
--- a/crates/anvilreel/src/router/view.rs
+++ b/crates/anvilreel/src/router/view.rs
@@ -1,8 +1,7 @@
 //! The settings tree as the path of a request reads it: parsed once for each change.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use std::time::Instant;
 
 use anvil_world::document::{
     FleetDocument, ModelDocument, OrganisationDocument, ServiceDocument, TeamDocument, key_hash,
@@ -46,10 +45,10 @@
     pub endpoints: BTreeMap<ServiceId, Vec<Arc<Instance>>>,
     /// All sidecars that are not gone, by name: runs on a leaving one are still read.
     pub sidecars: BTreeMap<InstanceId, Arc<Instance>>,
+    /// Sidecars that the ledger has not heard of lately.
+    pub silent: BTreeSet<InstanceId>,
     /// Routers that are not leaving, by name.
     pub routers: BTreeMap<InstanceId, Member>,
-    /// Routers that were lost lately: claims that they kept may be lost with them.
-    pub lost_routers: Vec<Member>,
     teams_by_key: BTreeMap<Arc<str>, Arc<Team>>,
 }
 
@@ -74,8 +73,6 @@
 #[derive(Debug, Default)]
 pub struct ViewMaker {
     read: BTreeMap<TreePath, (Revision, Document)>,
-    routers: BTreeMap<InstanceId, Member>,
-    lost: Vec<(Instant, Member)>,
 }
 
 impl ViewMaker {
@@ -92,25 +89,9 @@
         for member in held.members.values() {
             view.take_member(member);
         }
-        view.lost_routers = self.note_lost(&view);
         (view, skipped)
     }
 
-    /// Routers that were lost within the time in which a retry of what they kept may come.
-    fn note_lost(&mut self, view: &View) -> Vec<Member> {
-        let now = Instant::now();
-        let goes_on = |old: &Member| {
-            let new = view.routers.get(&old.instance.id);
-            new.is_some_and(|new| new.instance.incarnation == old.instance.incarnation)
-        };
-        let before = std::mem::replace(&mut self.routers, view.routers.clone());
-        let lost = before.into_values().filter(|old| !goes_on(old));
-        self.lost.extend(lost.map(|old| (now, old)));
-        let keep = view.fleet.keep_answers + view.fleet.request_timeout;
-        self.lost.retain(|(at, _)| now.duration_since(*at) < keep);
-        self.lost.iter().map(|(_, member)| member.clone()).collect()
-    }
-
     fn read_changed(&mut self, held: &Held) -> Vec<Skipped> {
         let mut skipped = Vec::new();
         self.read.retain(|path, _| held.tree.contains_key(path));
@@ -178,6 +159,9 @@
 
     fn take_sidecar(&mut self, instance: Arc<Instance>, presence: Presence) {
         self.sidecars.insert(instance.id.clone(), instance.clone());
+        if presence == Presence::Silent {
+            self.silent.insert(instance.id.clone());
+        }
         let Some(endpoint) = &instance.endpoint else {
             return;
         };
