--- a/crates/anvil_standins/src/load/policy/report.rs
+++ b/crates/anvil_standins/src/load/policy/report.rs
@@ -59,6 +59,8 @@
     pub refused: u64,
     /// Turned away although capacity was there.
     pub false_refused: u64,
+    /// Turned away without a time to come back.
+    pub refused_without_time: u64,
     /// Let in and given up on.
     pub given_up: u64,
     /// Failed after all tries.
@@ -186,6 +188,7 @@
             End::Refused(refusal, capacity_there) => {
                 self.report.refused += 1;
                 self.report.false_refused += u64::from(*capacity_there);
+                self.report.refused_without_time += u64::from(refusal.retry_after.is_none());
                 let after = refusal.retry_after.unwrap_or_default();
                 let after = real(micros(after)) / 1_000.0;
                 self.report.longest_retry_after = self.report.longest_retry_after.max(after);
