--- a/crates/anvil_policy/src/limit.rs
+++ b/crates/anvil_policy/src/limit.rs
@@ -50,7 +50,7 @@
 impl Default for LimitRule {
     fn default() -> Self {
         Self {
-            between: Duration::from_millis(52),
+            between: Duration::from_millis(51),
             keep: 0.8,
             rise: 1.0,
             rest: Duration::from_secs(3),
--- a/crates/anvil_policy/src/waiting.rs
+++ b/crates/anvil_policy/src/waiting.rs
@@ -28,7 +28,7 @@
 
 /// Work this close to the end of its promised wait goes first, whatever its lane and
 /// organisation.
-pub const RESCUE: Duration = Duration::from_millis(500);
+pub const RESCUE: Duration = Duration::from_secs(2);
 
 /// What kind of work waits together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
