The end of a refusal does not stop the next try

After a sidecar's refusal its stream ends; the exchange had not left that call, took the end for a break, paused for a target that it had left and no longer heard the endpoint that was chosen. Nobody was answered before the deadline, with keys or without. Ruled out: ejection (with two endpoints and one failing every request hung, also those that the well one could take), the lane's queue, the claim's holders (a request without a key hangs too). Change: leaving a target drops its call and counts a new one. Conclusion: an endpoint that fails fast costs a try, not the request.

--- a/crates/anvilreel/src/request/moving.rs
+++ b/crates/anvilreel/src/request/moving.rs
@@ -125,6 +125,12 @@
     }
 
     fn leave_target(&mut self) {
+        // Failure: the stream of a call that was answered with a refusal ends after it, and the
+        // end looks like a break of the call that is to come: the request pauses for a target
+        // that it has left and is never answered. What the old call still says is not heard.
+        let dispatch = self.dispatch;
+        self.actions.push(Action::Drop { dispatch });
+        self.dispatch += 1;
         if let Some(target) = self.target.take() {
             self.excluded.insert(target.sidecar);
         }
