--- a/crates/anvil_policy/src/choice.rs
+++ b/crates/anvil_policy/src/choice.rs
@@ -143,11 +143,11 @@
         let mut best = Best::default();
         for (id, held) in ask.cached {
             if let Some(endpoint) = pool.get(id) {
-                self.weigh(&mut best, endpoint, ask, *held, rng);
+                self.weigh(pool, &mut best, endpoint, ask, *held, rng);
             }
         }
-        for endpoint in self.draw(pool, rng) {
-            self.weigh(&mut best, endpoint, ask, 0, rng);
+        for endpoint in self.draw(pool, ask, rng) {
+            self.weigh(pool, &mut best, endpoint, ask, 0, rng);
         }
         match best.endpoint {
             Some(endpoint) => Choice::Endpoint(Arc::clone(endpoint)),
@@ -155,23 +155,32 @@
         }
     }
 
-    fn draw<'a>(&self, pool: &'a Pool, rng: &mut impl Rng) -> Vec<&'a Arc<EndpointState>> {
-        let all = pool.endpoints.len();
-        let near = pool.by_zone.get(&self.zone).map_or(&[][..], Vec::as_slice);
-        let mut drawn = Vec::with_capacity(self.draws_near + self.draws_far);
-        if !near.is_empty() {
-            let near = (0..self.draws_near).map(|_| near[rng.random_range(0..near.len())]);
-            drawn.extend(near.map(|at| &pool.endpoints[at]));
-        }
-        if all > 0 {
-            let far = (0..self.draws_far).map(|_| rng.random_range(0..all));
-            drawn.extend(far.map(|at| &pool.endpoints[at]));
+    fn draw<'a>(
+        &self,
+        pool: &'a Pool,
+        ask: &Ask<'_>,
+        rng: &mut impl Rng,
+    ) -> Vec<&'a Arc<EndpointState>> {
+        let all = &pool.endpoints;
+        if all.len() <= self.draws_near + self.draws_far {
+            return all.iter().collect();
         }
+        let near = pool.by_zone.get(&self.zone).map_or(&[][..], Vec::as_slice);
+        let from_near = if near.is_empty() { 0 } else { self.draws_near };
+        let from_all = if ask.avoid.is_empty() {
+            self.draws_far
+        } else {
+            self.draws_far * MORE_FOR_RETRIES
+        };
+        let mut drawn = Vec::with_capacity(from_near + from_all);
+        drawn.extend((0..from_near).map(|_| &all[near[rng.random_range(0..near.len())]]));
+        drawn.extend((0..from_all).map(|_| &all[rng.random_range(0..all.len())]));
         drawn
     }
 
     fn weigh<'a>(
         &self,
+        pool: &'a Pool,
         best: &mut Best<'a>,
         endpoint: &'a Arc<EndpointState>,
         ask: &Ask<'_>,
@@ -190,7 +199,10 @@
         if !passes || room == 0 || ask.avoid.contains(&endpoint.id) {
             return;
         }
-        let score = self.expected(endpoint, ask.prompt.saturating_sub(held));
+        let mut score = self.expected(endpoint, ask.prompt.saturating_sub(held));
+        if failed_near(pool, endpoint, ask) {
+            score += FAILED_NEAR;
+        }
         if best.endpoint.is_none() || score < best.score {
             *best = Best {
                 endpoint: Some(endpoint),
@@ -215,13 +227,30 @@
     }
 }
 
+/// A retry draws so many times as many endpoints, to find one outside a zone that is lost.
+const MORE_FOR_RETRIES: usize = 4;
+
+/// Added, in seconds, for an endpoint of an availability zone where this request has failed: a
+/// lost zone fails a request at each of its endpoints in turn until its tries are used up.
+const FAILED_NEAR: f64 = 1.0;
+
+fn failed_near(pool: &Pool, endpoint: &EndpointState, ask: &Ask<'_>) -> bool {
+    let mut failed = ask.avoid.iter().filter_map(|id| pool.get(id));
+    failed.any(|other| other.zone == endpoint.zone)
+}
+
 #[derive(Default)]
 struct Best<'a> {
     endpoint: Option<&'a Arc<EndpointState>>,
     score: f64,
 }
 
-/// Looks at every endpoint once, from a random start. Only when none of the drawn ones had room.
+/// Endpoints that are looked at when none of the drawn ones had room. So many full ones in a
+/// row mean that the pool is full; looking at all 7,100 took 65 microseconds for each request,
+/// just when there was no time for it.
+const SWEPT: usize = 256;
+
+/// Looks at endpoints one after the other, from a random start.
 fn sweep(pool: &Pool, ask: &Ask<'_>, rng: &mut impl Rng) -> Choice {
     let all = pool.endpoints.len();
     if all == 0 {
@@ -230,7 +259,10 @@
     let first = rng.random_range(0..all);
     let (before, after) = pool.endpoints.split_at(first);
     let mut serves = false;
-    for endpoint in after.iter().chain(before) {
+    for (seen, endpoint) in after.iter().chain(before).enumerate() {
+        if serves && seen >= SWEPT {
+            break;
+        }
         if ask.avoid.contains(&endpoint.id) {
             continue;
         }
--- a/crates/anvilreel/src/local.rs
+++ b/crates/anvilreel/src/local.rs
@@ -27,7 +27,7 @@
 use crate::router::{Router, RouterError};
 use crate::sidecar::Sidecar;
 
-pub use demo::{BUDGET, KEY, MODEL, PREPAID, SERVICE};
+pub use demo::{BUDGET, KEY, MODEL, PREPAID, SERVICE, seed};
 
 /// Longest time until everything is ready.
 const READY_WITHIN: Duration = Duration::from_secs(10);
@@ -200,6 +200,7 @@
 
 fn sidecar_settings(ledger: SocketAddr, endpoint: EndpointSettings) -> SidecarSettings {
     SidecarSettings {
+        platform: None,
         id: format!("{}-1", endpoint.service).into(),
         zone: Zone::default(),
         wire_listen: loopback(),
--- a/crates/anvilreel/src/request/moving.rs
+++ b/crates/anvilreel/src/request/moving.rs
@@ -30,7 +30,7 @@
             return;
         }
         // The first start of a key that no other router knows never left: elsewhere, at once.
-        let untouched = never_sent && self.start == Started::Sent && self.breaks == 0;
+        let untouched = never_sent && self.starts == 1 && dispatch == self.start_call;
         if untouched && !self.spec.named && !self.spec.once {
             self.start = Started::No;
             return self.elsewhere(Refusal::new(Reason::EndpointRefused));
@@ -49,6 +49,7 @@
         self.dispatch += 1;
         self.breaks += 1;
         if self.breaks >= PATIENT_BREAKS && self.start == Started::Begun && self.may_continue() {
+            self.left_behind = self.target.clone();
             return self.move_on();
         }
         let pause = FIRST_PAUSE * 2_u32.pow(self.breaks.min(8) - 1);
@@ -63,7 +64,10 @@
         if matches!(refusal.reason, Reason::KeyReused(_)) {
             return self.refuse(refusal);
         }
-        if self.spec.named && !self.spec.once {
+        // A refusal speaks for this start only. An earlier one may have been taken by a life
+        // that is over, and then "not run" would be false.
+        let doubtful = self.starts > 1;
+        if !self.spec.once && (self.spec.named || doubtful) {
             // The claim still leads others here, so it must be certain that none of them
             // starts it here after we have gone elsewhere.
             return self.forbid(refusal);
@@ -125,10 +129,17 @@
     }
 
     fn leave_target(&mut self) {
+        // Failure: the stream of a call that was answered with a refusal ends after it, and the
+        // end looks like a break of the call that is to come: the request pauses for a target
+        // that it has left and is never answered. What the old call still says is not heard.
+        let dispatch = self.dispatch;
+        self.actions.push(Action::Drop { dispatch });
+        self.dispatch += 1;
         if let Some(target) = self.target.take() {
             self.excluded.insert(target.sidecar);
         }
         self.generation += 1;
+        self.starts = 0;
         self.breaks = 0;
         self.start = Started::No;
     }
@@ -186,7 +197,8 @@
         self.actions.push(Action::Drop { dispatch });
         self.step = Step::Cancelling;
         let key = self.spec.key.clone();
-        self.call(target, SidecarRequest::Cancel { key });
+        let life = target.life;
+        self.call(target, SidecarRequest::Cancel { key, life });
     }
 }
 
--- a/crates/anvilreel/src/router.rs
+++ b/crates/anvilreel/src/router.rs
@@ -28,6 +28,7 @@
 
 use anvil_wire::msg::RouterCall;
 use anvil_wire::{Handlers, Server, WireError};
+use anvil_world::document::FleetDocument;
 use anvil_world::prelude::*;
 use anvil_world::settings::RouterSettings;
 use slog::Logger;
@@ -37,7 +38,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
-use crate::claims::ClaimBook;
+use crate::claims::{ClaimBook, Tenure};
 use crate::event;
 use crate::events;
 use crate::ledger_client::LedgerClient;
@@ -92,6 +93,7 @@
     purse: Purse,
     money_wanted: Notify,
     claims: Mutex<ClaimBook>,
+    tenure: Mutex<Tenure>,
     made_ids: AtomicU64,
     open: AtomicUsize,
 }
@@ -101,6 +103,7 @@
     core: Arc<Core>,
     addr: SocketAddr,
     wire_addr: SocketAddr,
+    close: Arc<Notify>,
     serving: JoinHandle<()>,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -123,13 +126,15 @@
         let wire_addr = server.addr().context(WireSnafu)?;
         let core = Arc::new(Core::new(settings, wire_addr, log, metrics));
         event!(core.log, events::ROUTER_LISTENING, "addr" => addr.to_string());
-        let serving = accept::serve(listener, front::routes(&core), core.life.clone());
+        let close = Arc::new(Notify::new());
+        let serving = accept::serve(listener, front::routes(&core), close.clone());
         let serving = tokio::spawn(serving);
         let tasks = spawn_tasks(&core, server);
         Ok(Self {
             core,
             addr,
             wire_addr,
+            close,
             serving,
             tasks,
         })
@@ -156,6 +161,11 @@
         view.endpoints.values().map(Vec::len).sum()
     }
 
+    /// Routers that this one knows of, itself included.
+    pub fn peers(&self) -> usize {
+        self.core.following.view.load().routers.len()
+    }
+
     /// The planned stop: readiness off, no new work, streams finish, grants go back, claims are
     /// handed over.
     pub async fn stop(self) {
@@ -163,6 +173,7 @@
         event!(core.log, events::ROUTER_LEAVING);
         core.life.leave();
         sleep(UNREADY_FIRST).await;
+        self.close.notify_one();
         // An error is a panic of the serving task, after which nothing is left to wait for.
         let _ = self.serving.await;
         while core.open.load(Ordering::Relaxed) > 0 {
@@ -176,6 +187,37 @@
         }
     }
 
+    /// Returns when the ledger holds this life to be over, after a silence of many minutes.
+    ///
+    /// Failure: a router behind a long partition comes back and is refused by every sidecar,
+    /// for its life is fenced; without a new life it would refuse callers for ever.
+    pub async fn over(&self) {
+        self.core.life.ended().await;
+    }
+
+    /// Makes room for a new life on the same addresses. What is open goes on to its end.
+    pub fn retire(self) {
+        let Self {
+            core,
+            serving,
+            mut tasks,
+            ..
+        } = self;
+        core.life.leave();
+        // The first task listens for the fleet; its address is wanted by the new life.
+        tasks.remove(0).abort();
+        tokio::spawn(async move {
+            // An error is a panic of the serving task, after which nothing is left to wait for.
+            let _ = serving.await;
+            while core.open.load(Ordering::Relaxed) > 0 {
+                sleep(TICK).await;
+            }
+            for task in &tasks {
+                task.abort();
+            }
+        });
+    }
+
     /// Stops at once, as a crash does.
     pub fn kill(self) {
         self.serving.abort();
@@ -240,6 +282,9 @@
             endpoint: None,
         };
         let peers = Arc::new(Peers::default());
+        let fleet = FleetDocument::default();
+        let window = fleet.keep_answers + fleet.request_timeout;
+        let tenure = Tenure::new(instance.zone.region.clone(), window, life.now());
         let policy = GrantPolicy::default();
         Self {
             places: Places::new(instance.clone(), life.clone(), peers.clone()),
@@ -253,6 +298,7 @@
             peers,
             money_wanted: Notify::new(),
             claims: Mutex::default(),
+            tenure: Mutex::new(tenure),
             made_ids: AtomicU64::new(0),
             open: AtomicUsize::new(0),
         }
@@ -273,6 +319,11 @@
         self.claims.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn tenure(&self) -> MutexGuard<'_, Tenure> {
+        // A panic elsewhere leaves the lists as they were between two steps.
+        self.tenure.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn enter(self: &Arc<Self>) -> Open {
         self.open.fetch_add(1, Ordering::Relaxed);
         Open(self.clone())
@@ -280,9 +331,15 @@
 
     fn take_in(&self, held: &crate::held::Held, view: &view::View) {
         if held.is_fenced(&self.instance.id, self.instance.incarnation) {
-            event!(self.log, events::ROUTER_FENCED);
             self.purse.fence();
+            if self.life.end() {
+                event!(self.log, events::ROUTER_FENCED);
+            }
         }
+        let mut tenure = self.tenure();
+        tenure.set_window(view.fleet.keep_answers + view.fleet.request_timeout);
+        tenure.note(self.life.now(), view.routers.values());
+        drop(tenure);
         self.places.update(view);
     }
 
--- a/crates/anvilreel/src/router/flow.rs
+++ b/crates/anvilreel/src/router/flow.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use anvil_policy::estimate::Finished;
-use anvil_wire::msg::RunEnd;
+use anvil_wire::msg::{RunEnd, SidecarReply};
 use anvil_world::prelude::*;
 use futures::future::BoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
@@ -81,6 +81,7 @@
         let mut changes = self.core.following.changes.subscribe();
         loop {
             while let Some(event) = events.pop_front() {
+                self.note_failure(&event);
                 let now = self.core.life.now();
                 for action in exchange.handle(now, &self.core.purse, event) {
                     self.act(action, &mut events).await;
@@ -109,10 +110,28 @@
                 // The sender lives as long as the router.
                 _ = changes.changed() => self.gone(),
             };
-            events.extend(event);
+            events.extend(event.map(|event| self.judge(event)));
         }
     }
 
+    /// Takes a sidecar that the ledger does not hear of and that can't be reached from here for
+    /// lost, long before its life is declared over. Neither sign alone is enough: a run whose
+    /// sidecar is only cut off from the ledger goes on being read.
+    fn judge(&self, event: Event) -> Event {
+        let Some(call) = self
+            .call
+            .as_ref()
+            .filter(|_| matches!(event, Event::Broken { .. }))
+        else {
+            return event;
+        };
+        let view = self.core.following.view.load();
+        if view.silent.contains(&call.target.sidecar) {
+            return Event::Gone(call.target.clone());
+        }
+        event
+    }
+
     fn take(&mut self, done: Done) -> Event {
         match done {
             Done::Event(event) => event,
@@ -124,6 +143,22 @@
         }
     }
 
+    /// Tells the decisions about an endpoint that failed this request.
+    fn note_failure(&self, event: &Event) {
+        let failed = match event {
+            Event::Broken { .. } | Event::Gone(_) => true,
+            Event::Reply { reply, .. } => match reply {
+                SidecarReply::Refused(refusal) => refusal.reason == Reason::EndpointRefused,
+                SidecarReply::End(end) => end.outcome == Outcome::Unknown(Doubt::EndpointLost),
+                _ => false,
+            },
+            _ => false,
+        };
+        if let Some(turn) = self.turn.as_ref().filter(|_| failed) {
+            turn.failed();
+        }
+    }
+
     /// Whether the life that is read from is over, by the members' list.
     fn gone(&self) -> Option<Event> {
         let target = &self.call.as_ref()?.target;
