Evidence, follow streams, no majority and a full disk, proved

Change: tests of closing fenced grants by evidence (all testify; a lost or cut-off sidecar keeps the grant outstanding), of follow streams that never go down, of what one replica of three says (no quorum, not current), and of a full disk (in doubt, then stopped). The evidence is looked at once for each router. Two more guards of the core tested one by one. The node is cut into requests, disk, fleet and public.

--- a/crates/anvil_ledger/tests/core_guards.rs
+++ b/crates/anvil_ledger/tests/core_guards.rs
@@ -258,3 +258,47 @@
     let last = driver.actions.last();
     assert!(matches!(last, Some(Action::Refused { id: 5, .. })));
 }
+
+/// A leader's disk hangs while one of two followers has a new entry on its disk. One disk of three
+/// is no majority: were the leader's counted before its sync, a power cut of the leader and the
+/// loss of that follower would lose an answered change.
+#[test]
+fn a_leader_counts_its_own_disk_only_after_the_sync() {
+    let mut driver = Driver::leading();
+    driver.ack(2, 3, 0);
+    let data = "new".into();
+    driver.feed(Event::Propose(vec![Proposal { id: 5, data }]));
+    driver.ack(2, 4, 0);
+    assert_eq!(driver.replica.committed(), 3);
+    driver.sync();
+    assert_eq!(driver.replica.committed(), 4);
+}
+
+/// A follower's disk hangs. It tells the leader that it lives, but claims no entry before the
+/// sync.
+#[test]
+fn a_follower_claims_entries_only_after_the_sync() {
+    let mut driver = Driver::new();
+    let claimed = |driver: &Driver| {
+        let acks = driver.actions.iter().filter_map(|action| match action {
+            Action::Send(Envelope {
+                message: Message::Ack { matched, .. },
+                ..
+            }) => Some(*matched),
+            _ => None,
+        });
+        acks.max()
+    };
+    let beat = |entries| Message::Append {
+        term: 3,
+        prev: EntryId { term: 2, index: 2 },
+        entries,
+        committed: 0,
+        round: 0,
+    };
+    driver.hear(2, beat(vec![entry(3, 3, Payload::Data("new".into()))]));
+    driver.hear(2, beat(Vec::new()));
+    assert_eq!(claimed(&driver), Some(2));
+    driver.sync();
+    assert_eq!(claimed(&driver), Some(3));
+}
--- a/crates/anvilreel/src/ledger_service.rs
+++ b/crates/anvilreel/src/ledger_service.rs
@@ -18,7 +18,7 @@
 mod check;
 mod error;
 pub mod events;
-mod follow;
+pub mod follow;
 mod founding;
 mod handlers;
 mod links;
@@ -103,6 +103,17 @@
 ) -> Result<LedgerHandle, ServiceError> {
     let data = cfg.data.display().to_string();
     let disk = Disk::folder(&cfg.data).context(DiskSnafu { data })?;
+    start_on(disk, cfg, tuning, log, stop).await
+}
+
+/// Starts a replica on a folder that is open already.
+pub async fn start_on(
+    disk: Disk,
+    cfg: LedgerSettings,
+    tuning: Tuning,
+    log: Logger,
+    stop: impl Future<Output = ()> + Send + 'static,
+) -> Result<LedgerHandle, ServiceError> {
     let fresh = rand::random();
     let (storage, found) = Storage::open(disk.clone(), fresh).context(StorageSnafu)?;
     let server = Server::bind(cfg.wire_listen).await.context(ListenSnafu)?;
--- a/crates/anvilreel/src/ledger_service/node.rs
+++ b/crates/anvilreel/src/ledger_service/node.rs
@@ -3,18 +3,18 @@
 mod disk;
 mod fleet;
 mod outbox;
+mod public;
+mod requests;
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 
 use anvil_ledger::core::{
-    Action, Envelope, Event, Membership, Proposal, Refused, Replica, ReplicaId, RequestId,
-    Restored, Site, SnapshotMeta,
+    Action, Envelope, Event, Membership, Replica, ReplicaId, Restored, Site, SnapshotMeta,
 };
 use anvil_ledger::machine::{Machine, MachineError};
 use anvil_ledger::storage::{Disk, Recovered, Report, Writer};
-use anvil_wire::msg::{FollowEvent, Heartbeat, LedgerReply, Query};
+use anvil_wire::msg::{FollowEvent, Heartbeat, Query};
 use anvil_world::prelude::*;
 use bytes::Bytes;
 use slog::Logger;
@@ -26,12 +26,12 @@
 use super::events;
 use super::follow::Follower;
 use super::peer::Hello;
-use super::pending::{Pending, Reply, tell};
-use super::queries::View;
+use super::pending::{Pending, Reply};
 use super::signs::Signs;
 use super::testimony::Testimony;
 use crate::event;
 use outbox::Outbox;
+pub use public::Public;
 
 /// How often the core is told that time has passed.
 const TICK: Duration = Duration::from_millis(20);
@@ -75,21 +75,6 @@
     Failed(Fault),
 }
 
-/// What everybody may know of a node without asking it.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Public {
-    /// The newest version of the applied state.
-    pub version: LogIndex,
-    /// Whether the leader (or, at the leader, a majority) was heard of lately.
-    pub in_touch: bool,
-    /// Other replicas' addresses.
-    pub peers: BTreeMap<ReplicaId, SocketAddr>,
-    /// Whether it votes.
-    pub votes: bool,
-    /// Whether it has to ask to be taken in.
-    pub seeks_ledger: bool,
-}
-
 /// What a node is made of.
 pub struct Setup {
     /// The disk's number.
@@ -245,48 +230,6 @@
         }
     }
 
-    /// Checks a command before the log sees it, and puts the leader's time in.
-    fn proposal(&mut self, mut command: Command, reply: Reply) -> Option<Proposal> {
-        if self.stopped {
-            tell(reply, LedgerReply::Stopped);
-            return None;
-        }
-        if let Some(answer) = super::check::refuse(&command) {
-            tell(reply, LedgerReply::Applied { index: 0, answer });
-            return None;
-        }
-        super::check::stamp(&mut command, SystemTime::now());
-        let Ok(data) = anvil_ledger::machine::encode(&command) else {
-            tell(reply, LedgerReply::NoQuorum);
-            return None;
-        };
-        let id = self.pending.propose(reply);
-        Some(Proposal { id, data })
-    }
-
-    fn propose(&mut self, proposals: &mut Vec<Proposal>) {
-        if proposals.is_empty() {
-            return;
-        }
-        let proposals = std::mem::take(proposals);
-        if self.setup.tuning.group_commit {
-            self.feed(Event::Propose(proposals));
-            return;
-        }
-        for proposal in proposals {
-            self.feed(Event::Propose(vec![proposal]));
-        }
-    }
-
-    fn read(&mut self, query: Query, reply: Reply) {
-        if self.stopped {
-            tell(reply, LedgerReply::Stopped);
-            return;
-        }
-        let id = self.pending.read(query, reply);
-        self.feed(Event::Read(id));
-    }
-
     fn hello(&self) -> Hello {
         Hello {
             id: self.setup.id,
@@ -345,31 +288,6 @@
         }
     }
 
-    fn refused(&mut self, id: RequestId, why: Refused) {
-        let reply = match why {
-            Refused::NotLeader(_) => LedgerReply::NotLeader {
-                leader: self.leader_addr(),
-            },
-            Refused::NoLeader => LedgerReply::NoQuorum,
-        };
-        self.pending.refused(id, &reply);
-    }
-
-    /// Everything up to the position that a read needs is applied when the core confirms it.
-    fn confirmed(&mut self, id: RequestId) {
-        let Some((query, reply)) = self.pending.confirmed(id) else {
-            return;
-        };
-        let view = View {
-            instance: &self.setup.instance,
-            replica: &self.replica,
-            machine: &self.machine,
-            signs: &self.signs,
-            now: self.now(),
-        };
-        tell(reply, LedgerReply::Read(view.answer(&query)));
-    }
-
     /// The replica does nothing any more, and says so to everyone who asks.
     fn fail(&mut self, fault: &Fault) {
         if self.stopped {
@@ -387,21 +305,4 @@
             }
         }
     }
-
-    fn publish(&mut self) {
-        let membership = self.replica.membership();
-        let others = membership.replicas().filter(|(id, _)| *id != self.setup.id);
-        let public = Public {
-            version: self.machine.state.version(),
-            in_touch: self.replica.in_touch() && !self.stopped,
-            peers: others.map(|(id, site)| (id, site.addr)).collect(),
-            votes: self.replica.votes(),
-            seeks_ledger: self.replica.seeks_ledger(),
-        };
-        self.public.send_if_modified(|seen| {
-            let changed = *seen != public;
-            *seen = public;
-            changed
-        });
-    }
 }
--- a/crates/anvilreel/src/ledger_service/node/disk.rs
+++ b/crates/anvilreel/src/ledger_service/node/disk.rs
@@ -1,6 +1,6 @@
 //! What the node has its disk do: writes, snapshots, fetched snapshots.
 
-use anvil_ledger::core::{Entry, Event, ReplicaId, SnapshotMeta, Write, WriteSeq};
+use anvil_ledger::core::{Entry, Event, Payload, ReplicaId, SnapshotMeta, Write, WriteSeq};
 use anvil_ledger::machine::Machine;
 use anvil_ledger::storage::{Disk, Job, Report, snapshot};
 use anvil_world::prelude::*;
@@ -43,6 +43,7 @@
     /// Applies committed entries and answers whoever proposed them.
     pub(super) fn apply(&mut self, entries: &[Entry]) {
         for entry in entries {
+            self.tell_members(entry);
             match self.machine.apply(entry) {
                 Ok(answer) => self.pending.applied(entry.id, answer),
                 Err(source) => {
@@ -54,6 +55,15 @@
         self.save_when_due();
     }
 
+    fn tell_members(&self, entry: &Entry) {
+        if let Payload::Membership(membership) = &entry.payload {
+            event!(
+                self.setup.log, events::LEDGER_MEMBERS,
+                "voters" => membership.voters.len(), "learners" => membership.learners.len()
+            );
+        }
+    }
+
     /// Writes a snapshot off this task: the log goes on meanwhile.
     fn save_when_due(&mut self) {
         let applied = self.machine.state.applied();
--- /dev/null
+++ b/crates/anvilreel/src/ledger_service/node/requests.rs
@@ -0,0 +1,81 @@
+//! Proposals and reads, from the question to the answer.
+
+use std::time::SystemTime;
+
+use anvil_ledger::core::{Event, Proposal, Refused, RequestId};
+use anvil_wire::msg::{LedgerReply, Query};
+use anvil_world::prelude::*;
+
+use super::Node;
+use crate::ledger_service::check;
+use crate::ledger_service::pending::{Reply, tell};
+use crate::ledger_service::queries::View;
+
+impl Node {
+    /// Checks a command before the log sees it, and puts the leader's time in.
+    pub(super) fn proposal(&mut self, mut command: Command, reply: Reply) -> Option<Proposal> {
+        if self.stopped {
+            tell(reply, LedgerReply::Stopped);
+            return None;
+        }
+        if let Some(answer) = check::refuse(&command) {
+            tell(reply, LedgerReply::Applied { index: 0, answer });
+            return None;
+        }
+        check::stamp(&mut command, SystemTime::now());
+        let Ok(data) = anvil_ledger::machine::encode(&command) else {
+            tell(reply, LedgerReply::NoQuorum);
+            return None;
+        };
+        let id = self.pending.propose(reply);
+        Some(Proposal { id, data })
+    }
+
+    pub(super) fn propose(&mut self, proposals: &mut Vec<Proposal>) {
+        if proposals.is_empty() {
+            return;
+        }
+        let proposals = std::mem::take(proposals);
+        if self.setup.tuning.group_commit {
+            self.feed(Event::Propose(proposals));
+            return;
+        }
+        for proposal in proposals {
+            self.feed(Event::Propose(vec![proposal]));
+        }
+    }
+
+    pub(super) fn read(&mut self, query: Query, reply: Reply) {
+        if self.stopped {
+            tell(reply, LedgerReply::Stopped);
+            return;
+        }
+        let id = self.pending.read(query, reply);
+        self.feed(Event::Read(id));
+    }
+
+    pub(super) fn refused(&mut self, id: RequestId, why: Refused) {
+        let reply = match why {
+            Refused::NotLeader(_) => LedgerReply::NotLeader {
+                leader: self.leader_addr(),
+            },
+            Refused::NoLeader => LedgerReply::NoQuorum,
+        };
+        self.pending.refused(id, &reply);
+    }
+
+    /// Everything up to the position that a read needs is applied when the core confirms it.
+    pub(super) fn confirmed(&mut self, id: RequestId) {
+        let Some((query, reply)) = self.pending.confirmed(id) else {
+            return;
+        };
+        let view = View {
+            instance: &self.setup.instance,
+            replica: &self.replica,
+            machine: &self.machine,
+            signs: &self.signs,
+            now: self.now(),
+        };
+        tell(reply, LedgerReply::Read(view.answer(&query)));
+    }
+}
--- a/crates/anvilreel/src/ledger_service/testimony.rs
+++ b/crates/anvilreel/src/ledger_service/testimony.rs
@@ -67,29 +67,37 @@
         let mut findings = Findings::default();
         let fenced: Vec<&Grant> = machine.state.fenced_grants().collect();
         self.forget(&fenced, machine);
+        // One look at the evidence for each router, however many grants it had.
+        let mut closings: BTreeMap<&InstanceId, Closing> = BTreeMap::new();
         for grant in fenced {
-            self.examine_grant(grant, machine, &mut findings);
-        }
-        findings
-    }
-
-    fn examine_grant(&mut self, grant: &Grant, machine: &Machine, findings: &mut Findings) {
-        if let Some(lost) = machine.lives.may_have_charged(grant.id).next() {
-            if self.named.insert(grant.id) {
-                findings.held.push(HeldGrant {
+            if self.is_held(grant, machine, &mut findings) {
+                continue;
+            }
+            let closing = closings.entry(&grant.router);
+            let closing = closing.or_insert_with(|| self.closing(&grant.router, machine));
+            if let Some(charged) = closing.charged(grant.id) {
+                findings.close.push(Command::CloseGrant {
                     grant: grant.id,
-                    lost: lost.clone(),
+                    // The router's own reports may say more: a sidecar forgets what was reported.
+                    charged: charged.max(grant.settled),
                 });
             }
-            return;
         }
-        if let Some(charged) = self.closing(&grant.router, machine).charged(grant.id) {
-            findings.close.push(Command::CloseGrant {
+        findings
+    }
+
+    /// Whether a lost sidecar may have charged the grant.
+    fn is_held(&mut self, grant: &Grant, machine: &Machine, findings: &mut Findings) -> bool {
+        let Some(lost) = machine.lives.may_have_charged(grant.id).next() else {
+            return false;
+        };
+        if self.named.insert(grant.id) {
+            findings.held.push(HeldGrant {
                 grant: grant.id,
-                // The router's own reports may say more: a sidecar forgets what was reported.
-                charged: charged.max(grant.settled),
+                lost: lost.clone(),
             });
         }
+        true
     }
 
     fn closing(&self, router: &InstanceId, machine: &Machine) -> Closing {
--- a/crates/anvilreel/tests/ledger_service.rs
+++ b/crates/anvilreel/tests/ledger_service.rs
@@ -1,12 +1,14 @@
 //! Replicas over real TCP and real folders.
 
 use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, SystemTime};
 
 use anvil_ledger::core::Payload;
-use anvil_ledger::storage::Disk;
 use anvil_ledger::storage::recover::recover;
 use anvil_ledger::storage::store::read_identity;
+use anvil_ledger::storage::{Disk, Op};
 use anvil_wire::Channel;
 use anvil_wire::msg::{
     FollowEvent, Heartbeat, Interest, LedgerCall, LedgerReply, LedgerRequest, Query, QueryAnswer,
@@ -14,7 +16,7 @@
 use anvil_world::command::{Change, Edit, TopUp, change_id};
 use anvil_world::prelude::*;
 use anvil_world::settings::{LedgerSettings, Peer};
-use anvilreel::ledger_service::{LedgerHandle, Tuning, start};
+use anvilreel::ledger_service::{LedgerHandle, Tuning, start, start_on};
 use slog::{Discard, Drain, Logger, o};
 use tempfile::TempDir;
 use tokio::sync::oneshot;
@@ -362,3 +364,94 @@
     cluster.stop_all().await;
     Ok(())
 }
+
+/// Two of three replicas are gone. The third one says within seconds that no majority can be
+/// reached, so that operators and routers know that nothing was done; it confirms no read, and a
+/// follower is told no more that its settings are current.
+#[tokio::test(flavor = "multi_thread")]
+async fn without_a_majority_nothing_is_claimed() -> Result<(), Failure> {
+    let mut cluster = Cluster::start(3).await?;
+    declare(&cluster).await?;
+    cluster.stop(1).await;
+    cluster.stop(2).await;
+    sleep(Duration::from_secs(3)).await;
+    let channel = Channel::new(cluster.peers[0].addr);
+    let within = Duration::from_secs(2);
+    for req in [
+        LedgerRequest::Propose(top_up(1)),
+        LedgerRequest::Query(Query::Status),
+    ] {
+        let reply = channel.call::<LedgerCall>(&req, within).await?;
+        assert_eq!(reply, LedgerReply::NoQuorum);
+    }
+    let follow = LedgerRequest::Follow {
+        instance: "router-1".into(),
+        interest: Interest::Router,
+        version: 0,
+    };
+    let mut replies = channel.open::<LedgerCall>(&follow).await?;
+    let first = replies.next().await?;
+    assert!(matches!(
+        first,
+        Some(LedgerReply::Follow(FollowEvent::Full { .. }))
+    ));
+    let second = timeout(Duration::from_secs(3), replies.next()).await;
+    assert!(second.is_err(), "said to be current: {second:?}");
+    cluster.stop_all().await;
+    Ok(())
+}
+
+/// The disk is full. The change under way is in doubt, and from then on the replica says that it
+/// has stopped, instead of acknowledging what it can't keep.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_full_disk_is_said() -> Result<(), Failure> {
+    let folder = tempfile::tempdir()?;
+    let full = Arc::new(AtomicBool::new(false));
+    let inner = Disk::folder(folder.path())?;
+    let told = full.clone();
+    let disk = Disk::new(move |op| {
+        if told.load(Ordering::Relaxed) && matches!(op, Op::Append(..)) {
+            return Err(std::io::ErrorKind::StorageFull.into());
+        }
+        inner.run(op)
+    });
+    let addr = free_addr()?;
+    let id: InstanceId = "ledger-0".into();
+    let cfg = LedgerSettings {
+        id: id.clone(),
+        zone: Zone::default(),
+        wire_listen: addr,
+        data: folder.path().to_owned(),
+        founders: vec![Peer { id, addr }],
+        join: false,
+        log_json: false,
+        statsd: None,
+    };
+    let log = Logger::root(Discard, o!());
+    let (stop, stopped) = oneshot::channel::<()>();
+    let stopped = async {
+        let _ = stopped.await;
+    };
+    let handle = start_on(disk, cfg, Tuning::default(), log, stopped).await?;
+    let channel = Channel::new(addr);
+    let within = Duration::from_secs(2);
+    let ask = LedgerRequest::Propose(put("organisations/coop", "")?);
+    let ready = async {
+        while !matches!(
+            channel.call::<LedgerCall>(&ask, within).await,
+            Ok(LedgerReply::Applied { .. })
+        ) {
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(PATIENCE, ready).await?;
+    full.store(true, Ordering::Relaxed);
+    let ask = LedgerRequest::Propose(put("organisations/union", "")?);
+    let first = channel.call::<LedgerCall>(&ask, within).await?;
+    assert_eq!(first, LedgerReply::InDoubt);
+    let second = channel.call::<LedgerCall>(&ask, within).await?;
+    assert_eq!(second, LedgerReply::Stopped);
+    let _ = stop.send(());
+    handle.stopped().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/anvilreel/tests/ledger_spread.rs
@@ -0,0 +1,252 @@
+//! What followers are sent, and how fenced grants are closed, without a network.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, SystemTime};
+
+use anvil_ledger::core::{Entry, EntryId, Payload};
+use anvil_ledger::machine::{Machine, encode};
+use anvil_wire::msg::{Evidence, FollowEvent, Heartbeat, Interest, KeyCharge};
+use anvil_world::command::{
+    Change, Edit, FenceRouter, GrantAsk, GrantBatch, Join, SetPresence, TopUp, change_id,
+};
+use anvil_world::prelude::*;
+use anvilreel::ledger_service::follow::Follower;
+use anvilreel::ledger_service::testimony::{Findings, Testimony};
+
+type Failure = Box<dyn std::error::Error + Send + Sync>;
+
+/// A state machine that applies one command after the other.
+#[derive(Default)]
+struct Ledger {
+    machine: Machine,
+    index: LogIndex,
+}
+
+impl Ledger {
+    fn apply(&mut self, command: &Command) -> Result<Answer, Failure> {
+        self.index += 1;
+        let id = EntryId {
+            term: 1,
+            index: self.index,
+        };
+        let payload = Payload::Data(encode(command)?);
+        Ok(self.machine.apply(&Entry { id, payload })?)
+    }
+
+    fn put(&mut self, path: &str, expected: Revision, text: &str) -> Result<Answer, Failure> {
+        self.apply(&Command::Change(Change {
+            id: change_id(now(), &format!("{path}-{}", self.index)),
+            operator: "test".into(),
+            path: TreePath::try_from(path)?,
+            expected,
+            edit: Edit::Put(text.into()),
+            at: now(),
+        }))
+    }
+
+    fn join(&mut self, instance: Instance) -> Result<Answer, Failure> {
+        self.apply(&Command::Join(Join { instance }))
+    }
+
+    /// A budget of 1,000 tokens, two sidecars, and a fenced router with a grant.
+    fn with_fenced_grant() -> Result<(Self, Grant), Failure> {
+        let mut ledger = Self::default();
+        ledger.put("organisations/coop", 0, "")?;
+        ledger.put("budgets/nairobi", 0, "organisation = \"coop\"\n")?;
+        ledger.apply(&Command::TopUp(TopUp {
+            id: change_id(now(), "first"),
+            operator: "test".into(),
+            budget: "nairobi".into(),
+            amount: 1_000,
+            at: now(),
+        }))?;
+        for (id, role) in [
+            ("router-1", Role::Router),
+            ("sidecar-1", Role::Sidecar),
+            ("sidecar-2", Role::Sidecar),
+        ] {
+            ledger.join(instance(id, role, 1))?;
+        }
+        let granted = ledger.apply(&Command::GrantBatch(GrantBatch {
+            router: "router-1".into(),
+            incarnation: 1,
+            seq: 1,
+            reports: Vec::new(),
+            asks: vec![GrantAsk {
+                budget: "nairobi".into(),
+                wanted: 200,
+                least: 200,
+            }],
+        }))?;
+        let Answer::Grants(granted) = granted else {
+            return Err(format!("{granted:?}").into());
+        };
+        let grant = granted.opened.first().cloned().ok_or("no grant")?;
+        ledger.apply(&Command::FenceRouter(FenceRouter {
+            router: "router-1".into(),
+            incarnation: 1,
+        }))?;
+        Ok((ledger, grant))
+    }
+}
+
+fn now() -> SystemTime {
+    SystemTime::UNIX_EPOCH + Duration::from_hours(500_000)
+}
+
+fn instance(id: &str, role: Role, incarnation: Incarnation) -> Instance {
+    Instance {
+        id: id.into(),
+        incarnation,
+        role,
+        zone: Zone::default(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        endpoint: None,
+    }
+}
+
+/// Evidence of one sidecar, with one run's charge.
+fn testify(
+    sidecar: &str,
+    incarnation: Incarnation,
+    charge: Option<(GrantId, Tokens)>,
+) -> Heartbeat {
+    let charges = charge.map(|(grant, charged)| KeyCharge {
+        grant,
+        key: RequestKey {
+            team: "team".into(),
+            id: sidecar.into(),
+        },
+        attempt: 0,
+        charged,
+    });
+    Heartbeat {
+        instance: instance(sidecar, Role::Sidecar, incarnation),
+        version: 0,
+        evidence: vec![Evidence {
+            router: "router-1".into(),
+            incarnation: 1,
+            charges: charges.into_iter().collect(),
+        }],
+        leaving: false,
+    }
+}
+
+/// A router dies with an open grant. Its rest comes back only when every sidecar has said what it
+/// charged: the sum is billed, no more and no less, and only after the closing is committed does a
+/// sidecar forget its evidence.
+#[test]
+fn a_fenced_grant_closes_when_all_sidecars_have_testified() -> Result<(), Failure> {
+    let (mut ledger, grant) = Ledger::with_fenced_grant()?;
+    let mut testimony = Testimony::default();
+    let first = testify("sidecar-1", 1, Some((grant.id, 30)));
+    assert!(testimony.hear(&first, &ledger.machine).is_empty());
+    assert_eq!(testimony.examine(&ledger.machine), Findings::default());
+    let second = testify("sidecar-2", 1, Some((grant.id, 12)));
+    testimony.hear(&second, &ledger.machine);
+    let findings = testimony.examine(&ledger.machine);
+    let close = Command::CloseGrant {
+        grant: grant.id,
+        charged: 42,
+    };
+    assert_eq!(findings.close, std::slice::from_ref(&close));
+    ledger.apply(&close)?;
+    let taken = testimony.hear(&first, &ledger.machine);
+    assert_eq!(taken, [("router-1".into(), 1)]);
+    let budget = ledger.machine.state.budget("nairobi").ok_or("no budget")?;
+    assert_eq!((budget.billed, budget.left()), (42, 958));
+    Ok(())
+}
+
+/// A router and a sidecar are lost together, and the sidecar comes back in a new life that knows
+/// nothing of its old runs. The grant stays outstanding and is named once for an operator: what
+/// the lost life charged is not granted again.
+#[test]
+fn a_lost_sidecar_keeps_the_grant_outstanding() -> Result<(), Failure> {
+    let (mut ledger, grant) = Ledger::with_fenced_grant()?;
+    ledger.join(instance("sidecar-2", Role::Sidecar, 2))?;
+    let mut testimony = Testimony::default();
+    testimony.hear(&testify("sidecar-1", 1, None), &ledger.machine);
+    testimony.hear(&testify("sidecar-2", 2, None), &ledger.machine);
+    let findings = testimony.examine(&ledger.machine);
+    assert!(findings.close.is_empty());
+    assert_eq!(findings.held.len(), 1);
+    assert_eq!(findings.held[0].grant, grant.id);
+    assert_eq!(testimony.examine(&ledger.machine), Findings::default());
+    let budget = ledger.machine.state.budget("nairobi").ok_or("no budget")?;
+    assert_eq!(budget.left(), 800);
+    Ok(())
+}
+
+/// A sidecar is only cut off and declared gone; it may be running still. Its share stays
+/// outstanding as well, also for a leader that was elected since.
+#[test]
+fn a_sidecar_declared_gone_keeps_the_grant_outstanding() -> Result<(), Failure> {
+    let (mut ledger, _) = Ledger::with_fenced_grant()?;
+    ledger.apply(&Command::SetPresence(SetPresence {
+        id: "sidecar-2".into(),
+        incarnation: 1,
+        presence: Presence::Gone,
+    }))?;
+    let saved = ledger.machine.save()?;
+    let machine = Machine::restore(&saved)?;
+    let mut testimony = Testimony::default();
+    testimony.hear(&testify("sidecar-1", 1, None), &machine);
+    let findings = testimony.examine(&machine);
+    assert!(findings.close.is_empty());
+    assert_eq!(findings.held.len(), 1);
+    Ok(())
+}
+
+fn follower(interest: Interest, version: LogIndex) -> Follower {
+    Follower {
+        instance: "sidecar-1".into(),
+        interest,
+        version,
+    }
+}
+
+/// A follower moves to a replica that lags behind it. It is sent nothing until that replica has
+/// caught up, so that no accepted change is taken back before its eyes.
+#[test]
+fn a_lagging_replica_sends_nothing_older() -> Result<(), Failure> {
+    let mut ledger = Ledger::default();
+    ledger.put("organisations/coop", 0, "weight = 1\n")?;
+    let ahead = follower(Interest::Router, 2);
+    assert_eq!(ahead.catch_up(&ledger.machine.state), None);
+    ledger.put("organisations/union", 0, "weight = 1\n")?;
+    assert_eq!(ahead.catch_up(&ledger.machine.state), None);
+    ledger.put("fleet", 0, "")?;
+    let event = ahead.catch_up(&ledger.machine.state);
+    let Some(FollowEvent::Delta {
+        version: 3, tree, ..
+    }) = event
+    else {
+        return Err(format!("{event:?}").into());
+    };
+    assert_eq!(tree.len(), 1);
+    Ok(())
+}
+
+/// A sidecar is sent the fleet's document, its own presence and the fences, and nothing of other
+/// teams.
+#[test]
+fn a_sidecar_is_sent_only_what_it_needs() -> Result<(), Failure> {
+    let (mut ledger, _) = Ledger::with_fenced_grant()?;
+    ledger.put("fleet", 0, "")?;
+    let event = follower(Interest::Sidecar, 0).catch_up(&ledger.machine.state);
+    let Some(FollowEvent::Full {
+        tree,
+        members,
+        fenced,
+        ..
+    }) = event
+    else {
+        return Err(format!("{event:?}").into());
+    };
+    assert_eq!(tree.keys().collect::<Vec<_>>(), [&TreePath::Fleet]);
+    let names: BTreeSet<_> = members.keys().map(|id| &**id).collect();
+    assert_eq!(names, BTreeSet::from(["sidecar-1"]));
+    assert_eq!(fenced.get("router-1"), Some(&1));
+    Ok(())
+}
