--- a/crates/anvilreel/examples/ledger_bench/main.rs
+++ b/crates/anvilreel/examples/ledger_bench/main.rs
@@ -4,6 +4,9 @@
 //! cargo run --release -p anvilreel --example ledger_bench -- --data DIR
 //! ```
 //!
+//! `--reopen DIR` starts one replica on a folder that an earlier run left (`entries`, `budgets`), in
+//! a process of its own, so that its memory is the replica's alone.
+//!
 //! One run prints commits a second and their latency with and without group commit, the time to a
 //! new leader, recovery time and memory, and what a follower costs on the wire.
 
@@ -174,13 +177,32 @@
     Ok(())
 }
 
+/// Starts one replica on a folder that is there already.
+async fn reopen(data: &Path) -> Result<(), Failure> {
+    let before = memory();
+    let begun = Instant::now();
+    let mut ledger = Ledger::start(data, 1, Tuning::default()).await?;
+    let opened = begun.elapsed();
+    ledger.leader().await;
+    println!(
+        "{}: read back in {opened:.0?}, answers after {:.0?}; memory {before} MiB before, {} MiB \
+         after",
+        data.display(),
+        begun.elapsed(),
+        memory()
+    );
+    ledger.stop_all().await;
+    Ok(())
+}
+
 fn main() -> Result<(), Failure> {
+    let runtime = tokio::runtime::Runtime::new()?;
     let mut arguments = std::env::args().skip(1);
     let data = match (arguments.next().as_deref(), arguments.next()) {
         (Some("--data"), Some(data)) => PathBuf::from(data),
-        _ => return Err("usage: ledger_bench --data DIR".into()),
+        (Some("--reopen"), Some(data)) => return runtime.block_on(reopen(Path::new(&data))),
+        _ => return Err("usage: ledger_bench --data DIR or --reopen DIR".into()),
     };
-    let runtime = tokio::runtime::Runtime::new()?;
     runtime.block_on(async {
         commits(&data).await?;
         new_leader(&data).await?;
