An operator takes a replica out for good

Cause: an instance replaced under another name joins as one voter more, and the lost one counts in the majority for ever. Change: Remove at the leader, one step at a time, only while a majority of the rest was heard of lately, never the leader itself; remove() in the library for the operators' client. After: a test over TCP and one of the guard pass.

--- a/crates/anvil_ledger/src/core/change.rs
+++ b/crates/anvil_ledger/src/core/change.rs
@@ -26,6 +26,8 @@
         }
         let known = self.membership().clone();
         self.joining.retain(|id, _| known.site(*id).is_none());
+        self.removing
+            .retain(|instance| known.of_instance(instance).next().is_some());
         if let Some(next) = self.next_membership() {
             self.change_to(next);
         }
@@ -50,6 +52,9 @@
         if let Some((id, site)) = self.joining.first_key_value() {
             return Some(membership.with_learner(*id, site.clone()));
         }
+        if let Some(next) = self.next_removal() {
+            return Some(next);
+        }
         let (id, site) = membership
             .learners
             .iter()
@@ -61,6 +66,24 @@
         ))
     }
 
+    /// The ledger without a replica that an operator takes out.
+    ///
+    /// Failure: an operator takes out a live replica while others are down, and the rest has no
+    /// majority that can be reached. It waits until a majority of the rest was heard of lately.
+    /// The leader itself stays: another one has to lead first.
+    fn next_removal(&self) -> Option<Membership> {
+        let membership = self.membership();
+        let named = self.removing.iter();
+        let mut ids = named.flat_map(|instance| membership.of_instance(instance));
+        let id = ids.find(|id| *id != self.id)?;
+        if membership.learners.contains_key(&id) {
+            return Some(membership.without_learner(id));
+        }
+        let rest = membership.without_voter(id);
+        rest.agreed(|other| self.heard_lately(other))
+            .then_some(rest)
+    }
+
     /// The voter whose instance has come back with another disk.
     ///
     /// It is taken out before the new one votes, and only once the new one has caught up: the
--- a/crates/anvil_ledger/src/core/election.rs
+++ b/crates/anvil_ledger/src/core/election.rs
@@ -142,6 +142,7 @@
         if let Role::Leader(lead) = before {
             self.refuse_reads(&lead);
             self.joining.clear();
+            self.removing.clear();
             self.out.push(Action::Deposed);
             self.wait_for_leader();
         }
--- a/crates/anvil_ledger/src/core/event.rs
+++ b/crates/anvil_ledger/src/core/event.rs
@@ -1,6 +1,6 @@
 //! What goes into a replica and what comes out.
 
-use anvil_world::ids::LogIndex;
+use anvil_world::ids::{InstanceId, LogIndex};
 use bytes::Bytes;
 
 use super::{
@@ -35,6 +35,8 @@
         /// Where it runs.
         site: Site,
     },
+    /// An operator takes an instance's replica out for good.
+    Remove(InstanceId),
     /// Begin a ledger with these voters. Only for a replica that belongs to none.
     Found(Membership),
     /// All writes up to this one are synced.
--- a/crates/anvil_ledger/src/core/lead.rs
+++ b/crates/anvil_ledger/src/core/lead.rs
@@ -64,15 +64,17 @@
     }
 
     fn has_majority(&self) -> bool {
+        self.leads() && self.membership().agreed(|id| self.heard_lately(id))
+    }
+
+    /// Whether a replica has answered this leader within the last election time.
+    pub(super) fn heard_lately(&self, id: ReplicaId) -> bool {
         let Role::Leader(lead) = &self.role else {
             return false;
         };
         let limit = self.cfg.election;
-        let heard = |id: ReplicaId| {
-            let progress = lead.progress.get(&id);
-            id == self.id || progress.is_some_and(|p| self.now < p.heard + limit)
-        };
-        self.membership().agreed(heard)
+        let progress = lead.progress.get(&id);
+        id == self.id || progress.is_some_and(|p| self.now < p.heard + limit)
     }
 
     fn others(&self) -> Vec<ReplicaId> {
--- a/crates/anvil_ledger/src/core/membership.rs
+++ b/crates/anvil_ledger/src/core/membership.rs
@@ -80,6 +80,20 @@
         changed
     }
 
+    /// The replicas of an instance.
+    pub fn of_instance(&self, instance: &str) -> impl Iterator<Item = ReplicaId> {
+        let of_it = move |site: &Site| *site.instance == *instance;
+        let all = self.replicas().filter(move |(_, site)| of_it(site));
+        all.map(|(id, _)| id)
+    }
+
+    /// Takes a learner out.
+    pub fn without_learner(&self, id: ReplicaId) -> Self {
+        let mut changed = self.clone();
+        changed.learners.remove(&id);
+        changed
+    }
+
     /// Takes a voter out.
     pub fn without_voter(&self, id: ReplicaId) -> Self {
         let mut changed = self.clone();
--- a/crates/anvil_ledger/src/core/replica.rs
+++ b/crates/anvil_ledger/src/core/replica.rs
@@ -1,9 +1,9 @@
 //! One replica of the log.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use anvil_world::ids::{LogIndex, Term};
+use anvil_world::ids::{InstanceId, LogIndex, Term};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -89,6 +89,7 @@
     /// Messages that wait for a sync: (write, receiver, message).
     pub(super) held: VecDeque<(u64, ReplicaId, Message)>,
     pub(super) joining: BTreeMap<ReplicaId, Site>,
+    pub(super) removing: BTreeSet<InstanceId>,
     pub(super) out: Vec<Action>,
     stopped: Option<CoreError>,
 }
@@ -136,6 +137,7 @@
             writes: Writes::new(last),
             held: VecDeque::new(),
             joining: BTreeMap::new(),
+            removing: BTreeSet::new(),
             out: Vec::new(),
             stopped: None,
         };
@@ -167,6 +169,9 @@
             Event::Join { id, site } => {
                 self.joining.insert(id, site);
             }
+            Event::Remove(instance) => {
+                self.removing.insert(instance);
+            }
             Event::Found(membership) => self.found(membership),
             Event::Synced(seq) => self.synced(seq),
             Event::Saved(meta) => self.saved(meta),
--- a/crates/anvil_ledger/tests/core_guards.rs
+++ b/crates/anvil_ledger/tests/core_guards.rs
@@ -302,3 +302,22 @@
     driver.sync();
     assert_eq!(claimed(&driver), Some(3));
 }
+
+/// An operator takes out an instance that is lost for good. It goes only while a majority of the
+/// others can be reached: with the other follower silent too, the rest would be stuck.
+#[test]
+fn a_replica_is_taken_out_only_while_the_others_have_a_majority() {
+    let mut driver = Driver::leading();
+    driver.ack(2, 3, 0);
+    driver.pass(Duration::from_millis(500));
+    // Only the third one is heard; without it the leader would be alone with a silent one.
+    driver.ack(3, 3, 0);
+    driver.pass(Duration::from_millis(200));
+    driver.feed(Event::Remove("c".into()));
+    driver.pass(Duration::from_millis(100));
+    assert!(driver.replica.leads());
+    assert!(driver.replica.membership().voters.contains_key(&3));
+    driver.ack(2, 3, 0);
+    driver.pass(Duration::from_millis(100));
+    assert!(!driver.replica.membership().voters.contains_key(&3));
+}
--- a/crates/anvilreel/src/ledger_service.rs
+++ b/crates/anvilreel/src/ledger_service.rs
@@ -26,6 +26,7 @@
 pub mod peer;
 mod pending;
 mod queries;
+mod removal;
 pub mod signs;
 pub mod testimony;
 
@@ -45,6 +46,7 @@
 pub use error::ServiceError;
 use error::{DiskSnafu, ListenSnafu, MachineSnafu, StorageSnafu, ThreadSnafu};
 use node::{Inbox, Node};
+pub use removal::{NoLeader, remove};
 
 use crate::event;
 
--- a/crates/anvilreel/src/ledger_service/handlers.rs
+++ b/crates/anvilreel/src/ledger_service/handlers.rs
@@ -172,6 +172,13 @@
                 Err(leader) => PeerReply::NotLeader { leader },
             })
         }
+        PeerRequest::Remove(instance) => {
+            let removed = reach.ask(|reply| Input::Remove(instance, reply)).await;
+            removed.map(|removed| match removed {
+                Ok(()) => PeerReply::Removing,
+                Err(leader) => PeerReply::NotLeader { leader },
+            })
+        }
         PeerRequest::Listen { id } => {
             speak(reach, id, tx).await;
             return;
--- a/crates/anvilreel/src/ledger_service/node.rs
+++ b/crates/anvilreel/src/ledger_service/node.rs
@@ -63,6 +63,8 @@
         Site,
         oneshot::Sender<Result<(), Option<SocketAddr>>>,
     ),
+    /// An operator takes an instance out; answered as `Join`.
+    Remove(InstanceId, oneshot::Sender<Result<(), Option<SocketAddr>>>),
     /// Begin a ledger.
     Found(Membership),
     /// The disk's thread has done something.
@@ -217,7 +219,10 @@
                 }
             }
             Input::Join(id, site, reply) => {
-                let _ = reply.send(self.join(id, site));
+                let _ = reply.send(self.at_leader(Event::Join { id, site }));
+            }
+            Input::Remove(instance, reply) => {
+                let _ = reply.send(self.at_leader(Event::Remove(instance)));
             }
             Input::Found(membership) => {
                 event!(self.setup.log, events::LEDGER_FOUNDED);
@@ -238,11 +243,12 @@
         }
     }
 
-    fn join(&mut self, id: ReplicaId, site: Site) -> Result<(), Option<SocketAddr>> {
+    /// Feeds the core when this replica leads, or says who does.
+    fn at_leader(&mut self, event: Event) -> Result<(), Option<SocketAddr>> {
         if !self.replica.leads() {
             return Err(self.leader_addr());
         }
-        self.feed(Event::Join { id, site });
+        self.feed(event);
         Ok(())
     }
 
--- a/crates/anvilreel/src/ledger_service/peer.rs
+++ b/crates/anvilreel/src/ledger_service/peer.rs
@@ -33,6 +33,8 @@
         /// Where it runs.
         site: Site,
     },
+    /// Take this instance's replica out for good. Reply: `Removing` or `NotLeader`.
+    Remove(InstanceId),
     /// Your newest snapshot, please. Replies: `Snapshot`, then `Chunk`s.
     Fetch,
 }
@@ -57,6 +59,8 @@
     Envelopes(Vec<Envelope>),
     /// The leader will take the asker in.
     Joining,
+    /// The leader will take the instance out as soon as that is safe.
+    Removing,
     /// Another one leads.
     NotLeader {
         /// Its address, where known.
--- a/crates/anvilreel/tests/ledger_service.rs
+++ b/crates/anvilreel/tests/ledger_service.rs
@@ -16,7 +16,7 @@
 use anvil_world::command::{Change, Edit, TopUp, change_id};
 use anvil_world::prelude::*;
 use anvil_world::settings::{LedgerSettings, Peer};
-use anvilreel::ledger_service::{LedgerHandle, Tuning, start, start_on};
+use anvilreel::ledger_service::{LedgerHandle, Tuning, remove, start, start_on};
 use slog::{Discard, Drain, Logger, o};
 use tempfile::TempDir;
 use tokio::sync::oneshot;
@@ -455,3 +455,29 @@
     handle.stopped().await;
     Ok(())
 }
+
+/// An instance is lost for good and an operator takes it out. The two that are left go on, and
+/// after one more loss and its replacement nothing is missed.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_is_taken_out_for_good() -> Result<(), Failure> {
+    let mut cluster = Cluster::start(3).await?;
+    declare(&cluster).await?;
+    cluster.stop(2).await;
+    let addrs: Vec<_> = cluster.peers.iter().map(|peer| peer.addr).collect();
+    let gone = async {
+        loop {
+            let _ = remove(&addrs, &cluster.peers[2].id).await;
+            let status = cluster.ask(&LedgerRequest::Query(Query::Status)).await?;
+            if let LedgerReply::Read(QueryAnswer::Status(status)) = status
+                && status.voters.len() == 2
+            {
+                return Ok::<(), Failure>(());
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+    };
+    timeout(PATIENCE, gone).await??;
+    cluster.propose(top_up(1)).await?;
+    cluster.stop_all().await;
+    Ok(())
+}
