A candidate forgets what it knew of its old leader's log

Cause: how far a follower's log was verified against its leader was reset only when another replica's term arrived, not when the follower moved the term itself by standing for election. Ruled out by the trace: the disk (nothing was lost before), the membership change 16 s earlier, the vote (one leader in term 10). Change: the mark goes with the term, in the one place that moves it. Before: the new test fails (claims 3, holds 2); after: it passes.

--- a/crates/anvil_ledger/src/core/election.rs
+++ b/crates/anvil_ledger/src/core/election.rs
@@ -129,8 +129,6 @@
     /// Takes over a newer term, without a leader yet.
     pub(super) fn follow_term(&mut self, term: Term) {
         self.set_term(term, None);
-        self.verified = 0;
-        self.round_seen = 0;
         self.step_down();
     }
 
--- a/crates/anvil_ledger/src/core/write.rs
+++ b/crates/anvil_ledger/src/core/write.rs
@@ -103,7 +103,16 @@
         self.memberships.retain(|(at, _)| *at < index);
     }
 
+    /// Takes a term over, with the vote given in it.
+    ///
+    /// Failure: what was known of an older leader's log, kept in a newer term, lets this replica
+    /// acknowledge and apply entries that the new leader does not have; replicas differ. Whoever
+    /// moves the term, also a candidate, forgets it here.
     pub(super) fn set_term(&mut self, term: u64, vote: Option<ReplicaId>) {
+        if term != self.hard.term {
+            self.verified = 0;
+            self.round_seen = 0;
+        }
         self.hard.term = term;
         self.hard.vote = vote;
         self.writes.hard_changed = true;
--- a/crates/anvil_ledger/tests/core_guards.rs
+++ b/crates/anvil_ledger/tests/core_guards.rs
@@ -259,6 +259,40 @@
     assert!(matches!(last, Some(Action::Refused { id: 5, .. })));
 }
 
+/// A follower holds an entry of its leader that nobody else has, stands for election when the leader
+/// is lost, and another one wins in that same term. What it knew of the old leader's log says
+/// nothing about the new one's: applying its own entry would make it differ from all others.
+/// (Found by the randomised run, seed 11, episode 78.)
+#[test]
+fn a_candidate_forgets_how_far_its_old_leader_was_verified() {
+    let mut driver = Driver::new();
+    let beat = |term, entries, committed| Message::Append {
+        term,
+        prev: EntryId { term: 2, index: 2 },
+        entries,
+        committed,
+        round: 0,
+    };
+    let unsettled = entry(3, 3, Payload::Data("unsettled".into()));
+    driver.hear(3, beat(3, vec![unsettled], 0));
+    driver.sync();
+    driver.pass(Duration::from_secs(3));
+    driver.vote(true);
+    driver.sync();
+    assert_eq!(driver.replica.term(), 4);
+    driver.actions.clear();
+    driver.hear(2, beat(4, Vec::new(), 3));
+    let claimed = driver.actions.iter().filter_map(|action| match action {
+        Action::Send(Envelope {
+            message: Message::Ack { matched, .. },
+            ..
+        }) => Some(*matched),
+        _ => None,
+    });
+    assert_eq!(claimed.max(), Some(2));
+    assert_eq!(driver.replica.committed(), 2);
+}
+
 /// A leader's disk hangs while one of two followers has a new entry on its disk. One disk of three
 /// is no majority: were the leader's counted before its sync, a power cut of the leader and the
 /// loss of that follower would lose an answered change.
