Fenced grants are looked through only when something came

Cause: the leader went through all open grants every second to find fenced ones; at 65,000 budgets with several routers each that is hundreds of thousands of lookups in the node's task. Change: it looks after a new version (a fence) or while evidence waits.

--- a/crates/anvilreel/src/ledger_service/node.rs
+++ b/crates/anvilreel/src/ledger_service/node.rs
@@ -108,6 +108,8 @@
     covered: LogIndex,
     preparing: bool,
     next_watch: Duration,
+    /// The version at which fenced grants were last looked through; 0 at an election.
+    examined: LogIndex,
     stopped: bool,
 }
 
@@ -147,6 +149,7 @@
             inbox,
             preparing: false,
             next_watch: Duration::ZERO,
+            examined: 0,
             stopped: false,
         };
         node.publish();
@@ -272,6 +275,7 @@
             event!(self.setup.log, events::LEDGER_LEADS, "term" => self.replica.term());
             self.signs = Signs::elected(self.now());
             self.testimony = Testimony::default();
+            self.examined = 0;
         }
     }
 
--- a/crates/anvilreel/src/ledger_service/node/fleet.rs
+++ b/crates/anvilreel/src/ledger_service/node/fleet.rs
@@ -84,6 +84,17 @@
         }
         self.next_watch = now + WATCH;
         self.mark_silent(now);
+        self.close_grants();
+    }
+
+    /// Closes fenced grants, when a fence or evidence has come since the last look: going through
+    /// all open grants every second would cost the node more than its commits do.
+    fn close_grants(&mut self) {
+        let version = self.machine.state.version();
+        if version == self.examined && !self.testimony.is_waiting() {
+            return;
+        }
+        self.examined = version;
         let findings = self.testimony.examine(&self.machine);
         for held in findings.held {
             event!(
--- a/crates/anvilreel/src/ledger_service/testimony.rs
+++ b/crates/anvilreel/src/ledger_service/testimony.rs
@@ -62,6 +62,11 @@
         taken
     }
 
+    /// Whether evidence has come for grants that are not closed yet.
+    pub fn is_waiting(&self) -> bool {
+        !self.by_router.is_empty()
+    }
+
     /// Looks which fenced grants can be closed.
     pub fn examine(&mut self, machine: &Machine) -> Findings {
         let mut findings = Findings::default();
