--- a/crates/anvil_ledger/src/core/replica.rs
+++ b/crates/anvil_ledger/src/core/replica.rs
@@ -141,10 +141,17 @@
             out: Vec::new(),
             stopped: None,
         };
-        replica.wait_for_leader();
+        if !replica.is_alone() {
+            replica.wait_for_leader();
+        }
         replica
     }
 
+    /// Whether it is the only voter: then there is nobody to wait for.
+    fn is_alone(&self) -> bool {
+        self.votes() && self.membership().voters.len() == 1
+    }
+
     /// Takes one event and says what is to be done about it.
     pub fn handle(&mut self, now: Duration, event: Event) -> Vec<Action> {
         if self.stopped.is_some() {
