A replica may come back with its disk at another address

Cause: a replica's address stood in the log for ever; back at another one it heard the others, but they called the old address, and its votes were lost. Change: it asks the leader to note the address, as a new disk asks to be taken in; the settings' own address goes before the bound one. After: a test over TCP moves a replica, loses another, and goes on.

--- a/crates/anvil_ledger/src/core/change.rs
+++ b/crates/anvil_ledger/src/core/change.rs
@@ -25,7 +25,8 @@
             return;
         }
         let known = self.membership().clone();
-        self.joining.retain(|id, _| known.site(*id).is_none());
+        self.joining
+            .retain(|id, site| known.site(*id) != Some(&*site));
         self.removing
             .retain(|instance| known.of_instance(instance).next().is_some());
         if let Some(next) = self.next_membership() {
@@ -50,7 +51,12 @@
     fn next_membership(&self) -> Option<Membership> {
         let membership = self.membership();
         if let Some((id, site)) = self.joining.first_key_value() {
-            return Some(membership.with_learner(*id, site.clone()));
+            let next = if membership.site(*id).is_some() {
+                membership.with_site(*id, site.clone())
+            } else {
+                membership.with_learner(*id, site.clone())
+            };
+            return Some(next);
         }
         if let Some(next) = self.next_removal() {
             return Some(next);
--- a/crates/anvil_ledger/src/core/event.rs
+++ b/crates/anvil_ledger/src/core/event.rs
@@ -28,7 +28,8 @@
     Propose(Vec<Proposal>),
     /// Confirm that this replica still leads.
     Read(RequestId),
-    /// A replica with an empty disk wants to belong to the ledger.
+    /// A replica with an empty disk wants to belong to the ledger, or one that belongs to it is
+    /// reached at another address now.
     Join {
         /// Its disk.
         id: ReplicaId,
--- a/crates/anvil_ledger/src/core/membership.rs
+++ b/crates/anvil_ledger/src/core/membership.rs
@@ -71,6 +71,16 @@
         changed
     }
 
+    /// Notes that a replica, the same disk, is reached at another address now.
+    pub fn with_site(&self, id: ReplicaId, site: Site) -> Self {
+        let mut changed = self.clone();
+        let voter = changed.voters.get_mut(&id);
+        if let Some(known) = voter.or_else(|| changed.learners.get_mut(&id)) {
+            *known = site;
+        }
+        changed
+    }
+
     /// Makes a learner a voter.
     pub fn with_voter(&self, id: ReplicaId) -> Self {
         let mut changed = self.clone();
--- a/crates/anvilreel/src/ledger_service/founding.rs
+++ b/crates/anvilreel/src/ledger_service/founding.rs
@@ -35,7 +35,7 @@
     log: Logger,
 }
 
-/// Runs until the replica belongs to a ledger as a voter.
+/// Runs until the replica belongs to a ledger as a voter, under its present address.
 pub async fn run(reach: Reach, id: ReplicaId, cfg: LedgerSettings, addr: SocketAddr, log: Logger) {
     let seeker = Seeker {
         reach,
@@ -45,7 +45,7 @@
         log,
     };
     let mut told = false;
-    while !seeker.votes() && !*seeker.reach.stopping.borrow() {
+    while !seeker.is_listed() && !*seeker.reach.stopping.borrow() {
         if seeker.seeks() {
             seeker.try_once(&mut told).await;
         }
@@ -63,15 +63,31 @@
 }
 
 impl Seeker {
-    fn votes(&self) -> bool {
-        self.reach.public.borrow().votes
+    /// Whether it votes and the others have its right address.
+    fn is_listed(&self) -> bool {
+        self.reach.public.borrow().listed == Some(self.own_addr())
     }
 
+    /// Failure: a replica comes back with its disk at another address. It hears the others, but
+    /// they call the old address, so its votes and acknowledgements are lost without a word. It
+    /// asks the leader to note the new address, as a new disk asks to be taken in.
     fn seeks(&self) -> bool {
-        self.reach.public.borrow().seeks_ledger
+        let public = self.reach.public.borrow();
+        public.seeks_ledger || public.listed.is_some()
+    }
+
+    /// Where the others are to reach it: as the settings say, or as bound where they don't.
+    fn own_addr(&self) -> SocketAddr {
+        let mut founders = self.cfg.founders.iter();
+        let own = founders.find(|peer| peer.id == self.cfg.id && peer.addr.port() != 0);
+        own.map_or(self.addr, |peer| peer.addr)
     }
 
     async fn try_once(&self, told: &mut bool) {
+        if self.reach.public.borrow().listed.is_some() {
+            self.join().await;
+            return;
+        }
         match self.look().await {
             Found::Ledger => {
                 if !*told {
@@ -88,7 +104,7 @@
     fn site(&self) -> Site {
         Site {
             instance: self.cfg.id.clone(),
-            addr: self.addr,
+            addr: self.own_addr(),
         }
     }
 
@@ -137,17 +153,25 @@
         let _ = self.reach.inbox.send(Input::Found(membership)).await;
     }
 
-    /// Asks whoever may lead to be taken in.
+    /// Asks whoever may lead to be taken in, or to note the address; that may be this replica.
     async fn join(&self) {
+        let (id, site) = (self.id, self.site());
+        let own = self.reach.ask(|reply| Input::Join(id, site, reply)).await;
+        let mut leader = match own {
+            Some(Ok(())) | None => return,
+            Some(Err(leader)) => leader,
+        };
         for peer in self.others() {
-            let Some(PeerReply::NotLeader {
-                leader: Some(leader),
-            }) = self.ask_in(peer.addr).await
-            else {
-                continue;
+            if leader.is_some() {
+                break;
+            }
+            leader = match self.ask_in(peer.addr).await {
+                Some(PeerReply::NotLeader { leader }) => leader,
+                _ => None,
             };
+        }
+        if let Some(leader) = leader {
             self.ask_in(leader).await;
-            return;
         }
     }
 
--- a/crates/anvilreel/src/ledger_service/node/public.rs
+++ b/crates/anvilreel/src/ledger_service/node/public.rs
@@ -17,13 +17,18 @@
     pub in_touch: bool,
     /// Other replicas' addresses.
     pub peers: BTreeMap<ReplicaId, SocketAddr>,
-    /// Whether it votes.
-    pub votes: bool,
+    /// Where the others think that it is reached, once it votes.
+    pub listed: Option<SocketAddr>,
     /// Whether it has to ask to be taken in.
     pub seeks_ledger: bool,
 }
 
 impl Node {
+    fn listed_addr(&self) -> Option<SocketAddr> {
+        let voters = &self.replica.membership().voters;
+        voters.get(&self.setup.id).map(|site| site.addr)
+    }
+
     pub(super) fn publish(&mut self) {
         let membership = self.replica.membership();
         let others = membership.replicas().filter(|(id, _)| *id != self.setup.id);
@@ -31,7 +36,7 @@
             version: self.machine.state.version(),
             in_touch: self.replica.in_touch() && !self.stopped,
             peers: others.map(|(id, site)| (id, site.addr)).collect(),
-            votes: self.replica.votes(),
+            listed: self.listed_addr(),
             seeks_ledger: self.replica.seeks_ledger(),
         };
         self.public.send_if_modified(|seen| {
--- a/crates/anvilreel/tests/ledger_service.rs
+++ b/crates/anvilreel/tests/ledger_service.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, SystemTime};
 
-use anvil_ledger::core::Payload;
+use anvil_ledger::core::{Membership, Payload};
 use anvil_ledger::storage::recover::recover;
 use anvil_ledger::storage::store::read_identity;
 use anvil_ledger::storage::{Disk, Op};
@@ -481,3 +481,50 @@
     cluster.stop_all().await;
     Ok(())
 }
+
+/// A replica comes back with its disk at another address, and another one is lost. The two go on:
+/// the leader has noted the address, so the votes and acknowledgements of the moved one count.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_moves_to_another_address() -> Result<(), Failure> {
+    let mut cluster = Cluster::start(3).await?;
+    declare(&cluster).await?;
+    cluster.stop(2).await;
+    let old = cluster.peers[2].addr;
+    cluster.peers[2].addr = free_addr()?;
+    assert_ne!(cluster.peers[2].addr, old);
+    cluster.run(2).await?;
+    let moved = async {
+        while !is_listed(&cluster, 2) {
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(PATIENCE, moved).await?;
+    cluster.stop(1).await;
+    cluster.propose(top_up(1)).await?;
+    assert_eq!(cluster.budget("nairobi").await?.credited, 10);
+    cluster.stop_all().await;
+    Ok(())
+}
+
+/// Whether the newest membership on the first replica's disk has another one's present address.
+fn is_listed(cluster: &Cluster, number: usize) -> bool {
+    let disk = Disk::read_only(&cluster.folder.path().join("0"));
+    let Ok(found) = recover(&disk) else {
+        return false;
+    };
+    let changes = found
+        .entries
+        .into_iter()
+        .filter_map(|entry| match entry.payload {
+            Payload::Membership(membership) => Some(membership),
+            _ => None,
+        });
+    let peer = &cluster.peers[number];
+    let listed = |membership: Membership| {
+        membership
+            .voters
+            .into_values()
+            .any(|site| site.addr == peer.addr)
+    };
+    changes.last().is_some_and(listed)
+}
