The randomised run storms in every other episode

Change: in every other episode faults come ten times as often, so that elections cut each other off.

--- a/crates/anvil_ledger/examples/soak.rs
+++ b/crates/anvil_ledger/examples/soak.rs
@@ -67,7 +67,7 @@
         let seed = asked.seed.wrapping_mul(1_000_003).wrapping_add(episodes);
         println!("episode {episodes} seed {seed}");
         let mut fleet = Fleet::new(seed, if episodes % 3 == 2 { 5 } else { 3 });
-        fleet.trouble();
+        fleet.trouble(episodes % 2 == 1);
         while fleet.steps < EPISODE && fleet.step() {}
         fleet.converge();
         steps += fleet.steps;
--- a/crates/anvil_ledger/tests/random_failures.rs
+++ b/crates/anvil_ledger/tests/random_failures.rs
@@ -25,7 +25,7 @@
     for seed in 0..12 {
         let replicas = if seed % 3 == 0 { 5 } else { 3 };
         let mut fleet = Fleet::new(seed, replicas);
-        fleet.trouble();
+        fleet.trouble(seed % 2 == 1);
         while fleet.steps < STEPS && fleet.step() {}
         fleet.converge();
         assert!(fleet.checks.counts.acknowledged_kept > 100, "seed {seed}");
--- a/crates/anvil_ledger/tests/support/faults.rs
+++ b/crates/anvil_ledger/tests/support/faults.rs
@@ -61,6 +61,9 @@
 #[derive(Debug, Clone, Default)]
 pub struct Faults {
     pub counts: BTreeMap<&'static str, u64>,
+    /// Whether faults come ten times as often: elections, cut off before they settle, one after
+    /// the other.
+    pub stormy: bool,
     /// Whether no more faults are to come.
     pub over: bool,
 }
@@ -81,7 +84,8 @@
 
 impl Fleet {
     /// Lets faults begin.
-    pub fn trouble(&mut self) {
+    pub fn trouble(&mut self, stormy: bool) {
+        self.faults.stormy = stormy;
         self.after(Duration::from_secs(1), What::Fault);
     }
 
@@ -90,7 +94,12 @@
         if self.faults.over {
             return;
         }
-        let delay = self.between(50_000, 3_000_000);
+        let most = if self.faults.stormy {
+            300_000
+        } else {
+            3_000_000
+        };
+        let delay = self.between(20_000, most);
         self.after(delay, What::Fault);
         let all = self.instances.len();
         let number = self.rng.random_range(0..all);
@@ -175,7 +184,8 @@
     }
 
     fn heal_later(&mut self, most: u64) {
-        let delay = self.between(200_000, most);
+        let most = if self.faults.stormy { most / 10 } else { most };
+        let delay = self.between(100_000, most);
         self.after(delay, What::Heal);
     }
 }
