--- a/crates/anvil_wire/src/msg/sidecar.rs
+++ b/crates/anvil_wire/src/msg/sidecar.rs
@@ -280,6 +280,8 @@
         incarnation: Incarnation,
         /// Whether the key was running or ended before.
         attached: bool,
+        /// Hash of the body that runs, so that the same key with another body is refused.
+        body: BodyHash,
     },
     /// Status and headers.
     Head(Head),
--- a/crates/anvilreel/src/request/reading.rs
+++ b/crates/anvilreel/src/request/reading.rs
@@ -28,7 +28,7 @@
             return;
         }
         match reply {
-            SidecarReply::Accepted { attached, .. } => self.accepted(attached),
+            SidecarReply::Accepted { attached, body, .. } => self.accepted(attached, body),
             SidecarReply::Head(head) => self.deliver_head(head),
             SidecarReply::Frame(frame) => self.frame(now, frame),
             SidecarReply::End(end) => self.end(now, end),
@@ -39,7 +39,13 @@
     }
 
     /// The payer is whose start began the run: only it may continue elsewhere on its own.
-    fn accepted(&mut self, attached: bool) {
+    ///
+    /// Failure: a run is found at a sidecar that was asked, not through a claim, and the caller
+    /// came with another body under its key. It would show as the answer to another question.
+    fn accepted(&mut self, attached: bool, body: BodyHash) {
+        if body != self.spec.body {
+            return self.refuse(Refusal::new(Reason::KeyReused(body)));
+        }
         if self.start == Started::Sent && !attached {
             self.start = Started::Begun;
         }
--- a/crates/anvilreel/src/router/call.rs
+++ b/crates/anvilreel/src/router/call.rs
@@ -2,9 +2,9 @@
 
 use anvil_wire::msg::{SidecarCall, SidecarReply, SidecarRequest};
 use anvil_wire::{Channel, Replies, WireError};
-use futures::future::BoxFuture;
+use futures::future::{BoxFuture, select_all};
 
-use crate::request::{Dispatch, Event, Target};
+use crate::request::{Dispatch, Event};
 
 enum State {
     Opening(BoxFuture<'static, Result<Replies<SidecarReply>, WireError>>),
@@ -12,27 +12,32 @@
     Over,
 }
 
+/// The next thing that happens to any of these calls; never, while there are none.
+pub async fn next_of(calls: &mut [Call]) -> Event {
+    match calls {
+        [] => std::future::pending().await,
+        // Nearly always: only while several sidecars are asked for a key are there more.
+        [only] => only.next().await,
+        many => {
+            let waiting = many.iter_mut().map(|call| Box::pin(call.next()));
+            select_all(waiting).await.0
+        }
+    }
+}
+
 /// A call under way. Dropping it tells the sidecar that its replies are not wanted.
 pub struct Call {
     /// Its number.
     pub dispatch: Dispatch,
-    /// Whom.
-    pub target: Target,
     state: State,
 }
 
 impl Call {
     /// Opens a call. Nothing happens until [`Call::next`] is awaited.
-    pub fn open(
-        dispatch: Dispatch,
-        target: Target,
-        channel: Channel,
-        req: Box<SidecarRequest>,
-    ) -> Self {
+    pub fn open(dispatch: Dispatch, channel: Channel, req: Box<SidecarRequest>) -> Self {
         let opening = async move { channel.open::<SidecarCall>(&req).await };
         Self {
             dispatch,
-            target,
             state: State::Opening(Box::pin(opening)),
         }
     }
@@ -61,6 +66,11 @@
         }
     }
 
+    /// Whether nothing more will happen to it.
+    pub fn is_over(&self) -> bool {
+        matches!(self.state, State::Over)
+    }
+
     fn broken(&mut self, never_sent: bool) -> Event {
         self.state = State::Over;
         Event::Broken {
--- a/crates/anvilreel/src/router/flow.rs
+++ b/crates/anvilreel/src/router/flow.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use anvil_policy::estimate::Finished;
-use anvil_wire::msg::{RunEnd, SidecarReply};
+use anvil_wire::msg::{RunEnd, SidecarReply, SidecarRequest};
 use anvil_world::prelude::*;
 use futures::future::BoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
@@ -13,7 +13,7 @@
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-use super::call::Call;
+use super::call::{Call, next_of};
 use super::job::{Job, Piece};
 use super::lane::Turn;
 use super::{Core, keepers};
@@ -50,7 +50,10 @@
     /// Whether the exchange knows that the caller left.
     left: bool,
     asked: FuturesUnordered<BoxFuture<'a, Done>>,
-    call: Option<Call>,
+    /// Calls to sidecars; one, but while several are asked for a key.
+    calls: Vec<Call>,
+    /// Who was called last, but for mere questions.
+    target: Option<Target>,
     turn: Option<Turn>,
     wakes: BTreeSet<Now>,
     money: Option<Pin<Box<Notified<'a>>>>,
@@ -66,7 +69,8 @@
             tx,
             left: false,
             asked: FuturesUnordered::new(),
-            call: None,
+            calls: Vec::new(),
+            target: None,
             turn: None,
             wakes: BTreeSet::new(),
             money: None,
@@ -92,7 +96,10 @@
             }
             let event = tokio::select! {
                 biased;
-                event = next_reply(&mut self.call) => Some(event),
+                event = next_of(&mut self.calls) => {
+                    self.calls.retain(|call| !call.is_over());
+                    Some(event)
+                }
                 Some(done) = self.asked.next() => Some(self.take(done)),
                 () = self.tx.closed(), if !self.left => {
                     self.left = true;
@@ -118,16 +125,16 @@
     /// lost, long before its life is declared over. Neither sign alone is enough: a run whose
     /// sidecar is only cut off from the ledger goes on being read.
     fn judge(&self, event: Event) -> Event {
-        let Some(call) = self
-            .call
+        let Some(target) = self
+            .target
             .as_ref()
             .filter(|_| matches!(event, Event::Broken { .. }))
         else {
             return event;
         };
         let view = self.core.following.view.load();
-        if view.silent.contains(&call.target.sidecar) {
-            return Event::Gone(call.target.clone());
+        if view.silent.contains(&target.sidecar) {
+            return Event::Gone(target.clone());
         }
         event
     }
@@ -161,7 +168,7 @@
 
     /// Whether the life that is read from is over, by the members' list.
     fn gone(&self) -> Option<Event> {
-        let target = &self.call.as_ref()?.target;
+        let target = self.target.as_ref()?;
         let view = self.core.following.view.load();
         let now = view.sidecars.get(&target.sidecar);
         let over = now.is_none_or(|now| now.incarnation != target.life);
@@ -199,7 +206,7 @@
                 req,
             } => events.extend(self.call(dispatch, target, req)),
             Action::Drop { dispatch } => {
-                self.call.take_if(|call| call.dispatch == dispatch);
+                self.calls.retain(|call| call.dispatch != dispatch);
             }
             Action::DeliverHead(head) => self.deliver(Piece::Head(head)).await,
             Action::Deliver(bytes) => {
@@ -251,21 +258,24 @@
         }
     }
 
-    fn call(
-        &mut self,
-        dispatch: u32,
-        target: Target,
-        req: Box<anvil_wire::msg::SidecarRequest>,
-    ) -> Option<Event> {
+    fn call(&mut self, dispatch: u32, target: Target, req: Box<SidecarRequest>) -> Option<Event> {
         let view = self.core.following.view.load();
         let known = view.sidecars.get(&target.sidecar);
         let Some(known) = known.filter(|known| known.incarnation == target.life) else {
             // Not even asked: the life that is meant is over, or its address is not known.
-            self.call = None;
-            return Some(Event::Gone(target));
+            return Some(match *req {
+                SidecarRequest::Probe { .. } => Event::Broken {
+                    dispatch,
+                    never_sent: true,
+                },
+                _ => Event::Gone(target),
+            });
         };
         let channel = self.core.peers.to(known.addr);
-        self.call = Some(Call::open(dispatch, target, channel, req));
+        if !matches!(*req, SidecarRequest::Probe { .. }) {
+            self.target = Some(target);
+        }
+        self.calls.push(Call::open(dispatch, channel, req));
         None
     }
 
@@ -338,13 +348,6 @@
     Ok((turn, target))
 }
 
-async fn next_reply(call: &mut Option<Call>) -> Event {
-    match call {
-        Some(call) => call.next().await,
-        None => std::future::pending().await,
-    }
-}
-
 async fn next_money(money: &mut Option<Pin<Box<Notified<'_>>>>) {
     match money {
         Some(money) => money.as_mut().await,
--- a/crates/anvilreel/src/router/front.rs
+++ b/crates/anvilreel/src/router/front.rs
@@ -1,13 +1,15 @@
 //! What callers can ask for, and how a request becomes a checked [`Job`].
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use anvil_world::prelude::*;
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 use http_body_util::BodyExt;
 use serde_json::json;
-use viz::{Request, Response};
+use tokio::time::timeout;
+use viz::{Body, Request, Response};
 
 use super::refuse::{self, full};
 use super::view::{Team, View};
@@ -15,6 +17,10 @@
 
 /// Most bytes of an `Idempotency-Key`.
 const MAX_KEY: usize = 255;
+/// Most bytes of a refused body that are read in vain.
+const MOST_DISCARDED: usize = 64 << 20;
+/// Longest time for which a refused body is read.
+const DISCARD_WITHIN: Duration = Duration::from_secs(5);
 /// The header with the request's id, ours or the caller's.
 pub const REQUEST_ID: &str = "x-request-id";
 
@@ -156,16 +162,19 @@
     let too_large = || Refusal::new(Reason::TooLarge(limit));
     let announced = req.headers().get(header::CONTENT_LENGTH);
     let announced = announced.and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
+    let mut body = std::mem::take(req.body_mut());
     if announced.is_some_and(|bytes| bytes > limit) {
+        discard(&mut body).await;
         return Err(too_large());
     }
     let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-    let mut body = std::mem::take(req.body_mut());
     let mut buf = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Refusal::new(Reason::Cancelled))?;
         if let Ok(data) = frame.into_data() {
             if buf.len() + data.len() > limit {
+                drop(buf);
+                discard(&mut body).await;
                 return Err(too_large());
             }
             buf.extend_from_slice(&data);
@@ -174,6 +183,24 @@
     Ok(buf.freeze())
 }
 
+/// Reads the rest of a refused body and keeps none of it.
+///
+/// Failure: a connection that is closed while its caller still writes. It would show as a broken
+/// pipe in place of the refusal. What is read in vain is bounded in bytes and time.
+async fn discard(body: &mut Body) {
+    let reading = async {
+        let mut read = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            read += frame.data_ref().map_or(0, Bytes::len);
+            if read > MOST_DISCARDED {
+                return;
+            }
+        }
+    };
+    // Past the time the connection is closed all the same.
+    let _ = timeout(DISCARD_WITHIN, reading).await;
+}
+
 /// Puts the request's id on an answer.
 pub fn name_answer(answer: &mut Response, key: &RequestKey) {
     if let Ok(id) = HeaderValue::from_str(&key.id) {
--- a/crates/anvilreel/src/runs/readers.rs
+++ b/crates/anvilreel/src/runs/readers.rs
@@ -28,6 +28,7 @@
         let accepted = SidecarReply::Accepted {
             incarnation,
             attached,
+            body: found.start.body,
         };
         found.readers.insert(reader);
         let entry = Reader {
--- a/crates/anvilreel/src/sidecar/drive.rs
+++ b/crates/anvilreel/src/sidecar/drive.rs
@@ -179,7 +179,8 @@
     async fn drive(mut self, driver: &mut Driver, max_output: Tokens) {
         let ask = Ask {
             body: self.body,
-            max_output,
+            // The engine bounds the whole answer, the state machine what is left of it.
+            max_output: max_output + self.start.prefix_tokens,
             priority: match self.start.class {
                 WorkClass::Interactive => INTERACTIVE,
                 WorkClass::Batch => BATCH,
@@ -253,11 +254,22 @@
                 driver.say(EngineEvent::Output { bytes, usage });
             }
             Said::Finish(why) => self.finish = why,
-            Said::Usage(usage) => self.usage = usage,
+            Said::Usage(usage) => self.usage = self.own_part(usage),
             Said::Done => {}
         }
     }
 
+    /// The engine reports the use of the whole answer, also where it continues one; the state
+    /// machine counts what this run made, with the prefix as a part of its prompt.
+    fn own_part(&self, whole: Usage) -> Usage {
+        let prefix = self.start.prefix_tokens;
+        Usage {
+            prompt: whole.prompt.saturating_add(prefix),
+            output: whole.output.saturating_sub(prefix),
+            calls: whole.calls,
+        }
+    }
+
     async fn resume(&mut self, driver: &Driver) -> Option<EngineStream> {
         sleep(RESUME_AFTER).await;
         let again = engine::resume(&driver.client, &self.run_id, self.length).await;
--- a/crates/anvilreel/tests/sidecar_platform.rs
+++ b/crates/anvilreel/tests/sidecar_platform.rs
@@ -77,7 +77,6 @@
             price: Price::default(),
             bound: 100,
             oldest: 1,
-            number: 1,
         },
         work: Work::Plain {
             method: "POST".into(),
