--- a/crates/anvilreel/src/router/job.rs
+++ b/crates/anvilreel/src/router/job.rs
@@ -117,6 +117,9 @@
     }
 }
 
+/// How long a finished answer is kept whose key no caller can come back with: only its router
+/// may still have to read it again after a broken stream.
+const UNNAMED_KEEP: Duration = Duration::from_secs(10);
 /// Bytes that a prompt token takes on average; only for estimates, never for money.
 const USUAL_TOKEN_BYTES: u64 = 4;
 
@@ -157,7 +160,11 @@
             work: self.work.clone(),
             class: self.class,
             deadline: core.life.now() + self.time_left(),
-            keep: self.keep,
+            keep: if self.callers_key {
+                self.keep
+            } else {
+                UNNAMED_KEEP
+            },
             suspects: self.suspects(core, &view, &holders),
             holders,
         }
--- a/crates/anvilreel/src/runs/pressure.rs
+++ b/crates/anvilreel/src/runs/pressure.rs
@@ -20,6 +20,11 @@
             self.trim_live();
         }
         let full = self.kept > self.cfg.buffer_bytes;
+        if !full && !self.full {
+            // Nothing is paused; a look at every kept run at each event would cost more than runs.
+            return;
+        }
+        self.full = full;
         let differs = |run: &&mut Run| run.is_live() && run.paused != full;
         let mut changed = Vec::new();
         for run in self.table.values_mut().filter(differs) {
--- a/crates/anvilreel/src/runs/table.rs
+++ b/crates/anvilreel/src/runs/table.rs
@@ -39,6 +39,8 @@
     pub(super) charges: Charges,
     pub(super) leaving: bool,
     pub(super) kept: u64,
+    /// Whether engines were told to pause.
+    pub(super) full: bool,
     pub(super) next: RunId,
     pub(super) actions: Vec<Action>,
 }
@@ -57,6 +59,7 @@
             charges: Charges::default(),
             leaving: false,
             kept: 0,
+            full: false,
             next: 1,
             actions: Vec::new(),
         }
--- a/crates/anvilreel/src/sidecar/hub.rs
+++ b/crates/anvilreel/src/sidecar/hub.rs
@@ -82,7 +82,7 @@
 
     /// Runs that the endpoint works on.
     pub fn live(&self) -> usize {
-        self.desk().runs.live()
+        self.desk().drivers.len()
     }
 
     /// Evidence that the ledger has not taken yet.
