--- a/crates/anvilreel/src/request/claiming.rs
+++ b/crates/anvilreel/src/request/claiming.rs
@@ -223,7 +223,7 @@
         }
     }
 
-    fn put_ledger_claim(&mut self, other: Option<&Target>) {
+    pub(super) fn put_ledger_claim(&mut self, other: Option<&Target>) {
         let target = self.wanted(other);
         let claim = Claim {
             id: self.spec.claim_id.clone(),
--- a/crates/anvilreel/src/request/lingering.rs
+++ b/crates/anvilreel/src/request/lingering.rs
@@ -11,7 +11,7 @@
 use anvil_world::prelude::*;
 
 use super::exchange::{Exchange, Started, Step};
-use super::{Action, Event};
+use super::{Action, ClaimAnswer, Event, Holder};
 
 /// Time between two questions.
 const ASK_AGAIN: Duration = Duration::from_secs(2);
@@ -43,17 +43,46 @@
                 dispatch,
                 reply: SidecarReply::Probed(answer),
             } if dispatch == self.dispatch => self.hear(answer),
-            Event::Gone(target) if self.target.as_ref() == Some(&target) => self.let_go(None),
+            Event::Gone(target) if self.target.as_ref() == Some(&target) => self.doubt(),
+            Event::Claimed {
+                holder: Holder::Ledger,
+                answer,
+            } => self.doubt_decided(answer),
             Event::Wake if now >= until => self.let_go(None),
+            Event::Wake if self.target.is_none() => self.doubt(),
             Event::Wake => self.ask(now),
             Event::Reserved(reservation) => self.actions.push(Action::Release(reservation)),
             _ => {}
         }
     }
 
+    /// Nobody can say any more whether the call ran.
+    ///
+    /// A non-idempotent one is billed then, for it may have run. But a claim that was freed was
+    /// freed on a sidecar's word that its call will never run; billing that would bill the key
+    /// twice, once for nothing. So the ledger is asked whether our claim still stands.
+    fn doubt(&mut self) {
+        if !self.spec.once {
+            return self.let_go(None);
+        }
+        let target = self.target.take();
+        self.actions.push(Action::WakeAt(self.now + ASK_AGAIN));
+        self.put_ledger_claim(target.as_ref());
+    }
+
+    fn doubt_decided(&mut self, answer: ClaimAnswer) {
+        let ClaimAnswer::Stands { id, .. } = answer else {
+            return;
+        };
+        if id != self.spec.claim_id {
+            self.start = Started::No;
+        }
+        self.let_go(None);
+    }
+
     fn ask(&mut self, now: Now) {
         let Some(target) = self.target.clone() else {
-            return self.let_go(None);
+            return self.doubt();
         };
         let key = self.spec.key.clone();
         self.actions.push(Action::WakeAt(now + ASK_AGAIN));
@@ -72,7 +101,7 @@
         match answer {
             ProbeAnswer::Running { .. } => {}
             ProbeAnswer::Ended(end) => self.let_go(Some(&end)),
-            ProbeAnswer::OtherLife => self.let_go(None),
+            ProbeAnswer::OtherLife => self.doubt(),
             ProbeAnswer::Unheard | ProbeAnswer::Forbidden => {
                 // It never ran, so nothing is owed, not even for a doubt.
                 self.start = Started::No;
