--- a/crates/anvil_daemons/examples/slopes/sample.rs
+++ b/crates/anvil_daemons/examples/slopes/sample.rs
@@ -194,6 +194,7 @@
     GrantReport {
         grant,
         settled,
+        returned: 0,
         close: false,
     }
 }
--- a/crates/anvil_ledger/tests/common/fixture.rs
+++ b/crates/anvil_ledger/tests/common/fixture.rs
@@ -129,6 +129,7 @@
     batch.reports.push(GrantReport {
         grant,
         settled,
+        returned: 0,
         close,
     });
     batch
--- a/crates/anvil_ledger/tests/support/clients.rs
+++ b/crates/anvil_ledger/tests/support/clients.rs
@@ -127,6 +127,7 @@
             reports.push(GrantReport {
                 grant: grant.id,
                 settled: grant.settled,
+                returned: 0,
                 close: rng.random_bool(0.3),
             });
         }
--- a/crates/anvil_world/src/command/grants.rs
+++ b/crates/anvil_world/src/command/grants.rs
@@ -30,6 +30,9 @@
     pub grant: GrantId,
     /// Charged so far, in tokens.
     pub settled: Tokens,
+    /// Given back so far out of the free part, in tokens; never more than is neither charged nor
+    /// reserved. Cumulative, as `settled` is.
+    pub returned: Tokens,
     /// Whether the router spends no more out of it: the rest goes back.
     pub close: bool,
 }
--- a/crates/anvil_world/src/contract/budget.rs
+++ b/crates/anvil_world/src/contract/budget.rs
@@ -67,7 +67,7 @@
     pub fn settle(&mut self, id: GrantId, charged: Tokens) -> Result<(), ContractError> {
         let grant = self.open.get_mut(&id);
         let grant = grant.ok_or(ContractError::NoGrant { grant: id })?;
-        if charged > grant.amount {
+        if charged > grant.amount - grant.returned {
             return Err(ContractError::OverGrant {
                 grant: id,
                 amount: grant.amount,
@@ -80,6 +80,22 @@
         Ok(())
     }
 
+    /// Takes back a part of an open grant, cumulative; a lower one than known changes nothing.
+    pub fn give_back(&mut self, id: GrantId, returned: Tokens) -> Result<(), ContractError> {
+        let grant = self.open.get_mut(&id);
+        let grant = grant.ok_or(ContractError::NoGrant { grant: id })?;
+        let returned = returned.max(grant.returned);
+        if returned > grant.amount - grant.settled {
+            return Err(ContractError::OverGrant {
+                grant: id,
+                amount: grant.amount,
+                charged: grant.settled.saturating_add(returned),
+            });
+        }
+        grant.returned = returned;
+        Ok(())
+    }
+
     /// Closes a grant at its settled charge; the rest can be granted again.
     pub fn close(&mut self, id: GrantId) -> Result<Grant, ContractError> {
         self.open
--- a/crates/anvil_world/src/contract/grant.rs
+++ b/crates/anvil_world/src/contract/grant.rs
@@ -30,6 +30,8 @@
     pub amount: Tokens,
     /// Highest charge reported so far. Cumulative, so doubled and late reports are harmless.
     pub settled: Tokens,
+    /// Given back so far, in tokens. Cumulative too.
+    pub returned: Tokens,
     /// How far it has come.
     pub state: GrantState,
 }
@@ -37,6 +39,8 @@
 impl Grant {
     /// Tokens that are neither settled nor given back.
     pub fn outstanding(&self) -> Tokens {
-        self.amount.saturating_sub(self.settled)
+        self.amount
+            .saturating_sub(self.settled)
+            .saturating_sub(self.returned)
     }
 }
--- a/crates/anvilreel/src/money/demand.rs
+++ b/crates/anvilreel/src/money/demand.rs
@@ -8,8 +8,9 @@
 /// Over how long demand is averaged, in seconds.
 const SMOOTHING: u64 = 8;
 
-/// Demand at one router on one budget: reserved tokens a second, smoothed, and the largest
-/// request lately. Counting takes no lock; the average moves once a batch.
+/// Demand at one router on one budget: charged tokens a second, smoothed, and the largest
+/// request lately. What running requests reserve beyond their cost comes back by itself, so it
+/// counts only through the largest request. Counting takes no lock; the average moves once a batch.
 #[derive(Debug, Default)]
 pub(super) struct Demand {
     since: AtomicU64,
@@ -20,12 +21,15 @@
 
 impl Demand {
     pub(super) fn note(&self, now: Now, tokens: Tokens) {
-        self.since.fetch_add(tokens, Ordering::Relaxed);
         self.largest.fetch_max(tokens, Ordering::Relaxed);
         let millis = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
         self.last_millis.fetch_max(millis, Ordering::Relaxed);
     }
 
+    pub(super) fn note_cost(&self, tokens: Tokens) {
+        self.since.fetch_add(tokens, Ordering::Relaxed);
+    }
+
     /// Folds what came since the last call into the average. A rise counts at once, so that a
     /// burst is not starved for as long as the average needs; a fall is smoothed.
     pub(super) fn fold(&self, over: Duration) {
--- a/crates/anvilreel/src/money/exchange.rs
+++ b/crates/anvilreel/src/money/exchange.rs
@@ -22,7 +22,7 @@
     folded_at: Now,
     pending: Option<GrantBatch>,
     /// What the ledger is known to have of each open grant.
-    reported: std::collections::BTreeMap<GrantId, Tokens>,
+    reported: std::collections::BTreeMap<GrantId, (Tokens, Tokens)>,
 }
 
 impl Purse {
@@ -59,7 +59,8 @@
             return Ok(());
         };
         for report in &batch.reports {
-            batches.reported.insert(report.grant, report.settled);
+            let told = (report.settled, report.returned);
+            batches.reported.insert(report.grant, told);
         }
         for id in &answer.closed {
             batches.reported.remove(id);
@@ -70,7 +71,8 @@
             self.note(now, refusal);
         }
         for grant in &answer.opened {
-            self.take_in(&mut batches, grant)?;
+            let short = answer.refused.iter().any(|r| r.budget == grant.budget);
+            self.take_in(&mut batches, grant, short)?;
         }
         let oldest = batches.reported.first_key_value();
         let oldest = oldest.map_or(0, |(id, _)| *id);
@@ -124,19 +126,26 @@
         let mut asks = Vec::new();
         self.each_held(|held| {
             held.demand.fold(since);
-            let ask = self.ask(now, held);
-            let close = self.closable(now, held, ask.as_ref());
+            let wanted = self.asks(now, held);
+            let close = self.closable(now, held, wanted.last());
             for grant in held.grants.load().iter() {
-                let close = close.contains(&grant.id) && grant.close_if_idle();
+                let goes = close.contains(&grant.id);
+                let close = goes && grant.close_if_idle();
+                if goes && !close {
+                    grant.give_back();
+                }
                 reports.push(GrantReport {
                     grant: grant.id,
                     settled: grant.settled(),
+                    returned: grant.returned(),
                     close: close || grant.is_closed(),
                 });
             }
-            asks.extend(ask);
+            asks.extend(wanted);
         });
-        reports.retain(|r| r.close || batches.reported.get(&r.grant) != Some(&r.settled));
+        let told =
+            |r: &GrantReport| batches.reported.get(&r.grant) == Some(&(r.settled, r.returned));
+        reports.retain(|r| r.close || !told(r));
         // Closes first: they bring money back for others.
         reports.sort_by_key(|report| !report.close);
         reports.truncate(self.policy.max_reports);
@@ -161,30 +170,38 @@
         since >= self.policy.patience / 2 && !self.budgets.load().is_empty()
     }
 
-    /// The ask for a budget whose free tokens would not last, or that a request lacked.
-    fn ask(&self, now: Now, held: &Held) -> Option<GrantAsk> {
+    /// Asks for a budget whose free tokens would not last, or that requests lacked; the one with
+    /// the smallest `least` last.
+    ///
+    /// Failure: near the end of a budget one large request lacks more than is left, and small
+    /// ones that would fit wait behind it. So the largest and the smallest are asked for each.
+    fn asks(&self, now: Now, held: &Held) -> Vec<GrantAsk> {
         let lacking = held.lacking.swap(0, Ordering::AcqRel);
+        let lacking_least = held.lacking_least.swap(u64::MAX, Ordering::AcqRel);
         if self.stopping.load(Ordering::Acquire) {
-            return None;
+            return Vec::new();
         }
         let rate = held.demand.rate();
         let largest = held.demand.largest().max(lacking);
         let idle = now > held.demand.last() + self.policy.idle;
-        let ahead = needed_for(rate, self.policy.renew_ahead).max(largest);
+        let ahead = needed_for(rate, self.policy.renew_ahead) + 2 * largest;
         let enough = held.free() >= ahead || idle;
         // A budget that has just been said to be used up is asked for only on demand.
         let verdict = **held.verdict.load();
         let told = verdict.is_some_and(|v| now < v.at + self.policy.verdict_holds);
         if lacking == 0 && (enough || told) {
-            return None;
+            return Vec::new();
         }
         let horizon = needed_for(rate, self.policy.horizon);
-        let least = if lacking > 0 { lacking } else { largest };
-        Some(GrantAsk {
+        let of = |least: Tokens| GrantAsk {
             budget: held.budget.clone(),
-            wanted: horizon.max(least.saturating_mul(2)),
+            wanted: horizon.saturating_add(least.saturating_mul(2)),
             least,
-        })
+        };
+        if lacking > lacking_least {
+            return vec![of(lacking), of(lacking_least)];
+        }
+        vec![of(if lacking > 0 { lacking } else { largest })]
     }
 
     /// Grants of a budget that should go back: recalled, used up, idle, or too small for what is
@@ -224,7 +241,9 @@
         }
     }
 
-    fn take_in(&self, batches: &mut Batches, grant: &Grant) -> Result<(), MoneyError> {
+    /// Takes in a new grant. `short` tells that a larger ask for its budget got nothing, so that
+    /// the ledger's "no" still stands.
+    fn take_in(&self, batches: &mut Batches, grant: &Grant, short: bool) -> Result<(), MoneyError> {
         let ours = grant.router == self.router && grant.incarnation == self.incarnation;
         if !ours {
             return Err(MoneyError::NotOurs { grant: grant.id });
@@ -233,9 +252,12 @@
         let Some(held) = budgets.get(&grant.budget) else {
             return Ok(());
         };
-        batches.reported.insert(grant.id, grant.settled);
+        let told = (grant.settled, grant.returned);
+        batches.reported.insert(grant.id, told);
         held.add(OpenGrant::new(grant));
-        held.verdict.store(Arc::new(None));
+        if !short {
+            held.verdict.store(Arc::new(None));
+        }
         Ok(())
     }
 
--- a/crates/anvilreel/src/money/held.rs
+++ b/crates/anvilreel/src/money/held.rs
@@ -1,6 +1,7 @@
 //! Everything a router holds of one budget.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 
 use anvil_world::prelude::*;
 use arc_swap::ArcSwap;
@@ -25,7 +26,9 @@
     pub(super) grants: ArcSwap<Vec<Arc<OpenGrant>>>,
     pub(super) verdict: ArcSwap<Option<Verdict>>,
     /// Largest request that found too little since the last batch, in tokens.
-    pub(super) lacking: std::sync::atomic::AtomicU64,
+    pub(super) lacking: AtomicU64,
+    /// The smallest one; `u64::MAX` for none.
+    pub(super) lacking_least: AtomicU64,
 }
 
 impl Held {
@@ -35,7 +38,8 @@
             demand: Demand::default(),
             grants: ArcSwap::default(),
             verdict: ArcSwap::default(),
-            lacking: std::sync::atomic::AtomicU64::new(0),
+            lacking: AtomicU64::new(0),
+            lacking_least: AtomicU64::new(u64::MAX),
         }
     }
 
--- a/crates/anvilreel/src/money/open_grant.rs
+++ b/crates/anvilreel/src/money/open_grant.rs
@@ -21,6 +21,8 @@
     /// Settled and reserved together, in tokens, with [`CLOSED`] in the top bit.
     taken: AtomicU64,
     settled: AtomicU64,
+    /// Given back to the ledger, in tokens: counted in `taken`, never free again.
+    returned: AtomicU64,
     recalled: AtomicBool,
 }
 
@@ -30,8 +32,9 @@
             id: grant.id,
             budget: grant.budget.clone(),
             amount: grant.amount.min(CLOSED - 1),
-            taken: AtomicU64::new(grant.settled),
+            taken: AtomicU64::new(grant.settled + grant.returned),
             settled: AtomicU64::new(grant.settled),
+            returned: AtomicU64::new(grant.returned),
             recalled: AtomicBool::new(grant.state != GrantState::Open),
         }
     }
@@ -41,16 +44,21 @@
         self.settled.load(Ordering::Acquire)
     }
 
-    /// Tokens settled or reserved.
+    /// Tokens given back to the ledger so far.
+    pub fn returned(&self) -> Tokens {
+        self.returned.load(Ordering::Acquire)
+    }
+
+    /// Tokens settled, given back or reserved.
     pub fn taken(&self) -> Tokens {
         self.taken.load(Ordering::Acquire) & !CLOSED
     }
 
     /// Tokens reserved and not settled.
     pub fn reserved(&self) -> Tokens {
-        // `settled` is read first: it never passes `taken`, so the difference can't wrap.
-        let settled = self.settled();
-        self.taken().saturating_sub(settled)
+        // `taken` is read last: the others never pass it, so the difference can't wrap.
+        let gone = self.settled() + self.returned();
+        self.taken().saturating_sub(gone)
     }
 
     /// Tokens still free in this grant; none once it is closed or recalled.
@@ -71,6 +79,22 @@
         self.recalled.load(Ordering::Acquire)
     }
 
+    /// Gives back what is free now. Taken first and counted as given back after that, so that no
+    /// token is both reserved and given back.
+    pub(super) fn give_back(&self) {
+        let mut free = 0;
+        let fill = |taken: u64| {
+            free = self.amount.saturating_sub(taken);
+            (taken & CLOSED == 0 && free > 0).then_some(self.amount)
+        };
+        let filled = self
+            .taken
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, fill);
+        if filled.is_ok() {
+            self.returned.fetch_add(free, Ordering::AcqRel);
+        }
+    }
+
     pub(super) fn recall(&self) {
         self.recalled.store(true, Ordering::Release);
     }
@@ -123,12 +147,12 @@
 
     /// Closes the grant if nothing is reserved. Closed, it stays so.
     pub(super) fn close_if_idle(&self) -> bool {
-        let settled = self.settled();
-        let closed = settled | CLOSED;
+        let gone = self.settled() + self.returned();
+        let closed = gone | CLOSED;
         self.is_closed()
             || self
                 .taken
-                .compare_exchange(settled, closed, Ordering::AcqRel, Ordering::Acquire)
+                .compare_exchange(gone, closed, Ordering::AcqRel, Ordering::Acquire)
                 .is_ok()
     }
 }
--- a/crates/anvilreel/src/money/purse.rs
+++ b/crates/anvilreel/src/money/purse.rs
@@ -133,6 +133,7 @@
         let mut result = Ok(());
         // Both are in the order of the budgets.
         for (part, (_, cost)) in parts.into_iter().zip(costs) {
+            self.held(&part.grant.budget).demand.note_cost(cost);
             let settled = part.grant.settle(part.tokens, cost);
             result = result.and(settled);
         }
@@ -215,6 +216,7 @@
     /// longer than the patience is unreachable, and waiting for it would only hold the caller.
     fn shortage(&self, now: Now, held: &Held, tokens: Tokens) -> Shortage {
         held.lacking.fetch_max(tokens, Ordering::AcqRel);
+        held.lacking_least.fetch_min(tokens, Ordering::AcqRel);
         self.urgent.store(true, Ordering::Release);
         let until = now + self.policy.patience;
         let verdict = **held.verdict.load();
@@ -233,6 +235,7 @@
         if may_come < tokens {
             return Shortage::Refused(otherwise);
         }
+        let until = now + self.policy.recall_patience;
         Shortage::WaitFor { until, otherwise }
     }
 
--- a/crates/anvilreel/src/money/sizing.rs
+++ b/crates/anvilreel/src/money/sizing.rs
@@ -11,8 +11,11 @@
     pub horizon: Duration,
     /// A new grant is asked for when what is free would last less than this.
     pub renew_ahead: Duration,
-    /// Longest time that a request waits for money that may come.
+    /// Longest time that a request waits for the ledger's word on more money.
     pub patience: Duration,
+    /// Longest time that a request waits for money that lies unspent in other routers' grants:
+    /// calling it back takes up to three batches.
+    pub recall_patience: Duration,
     /// A grant without demand for so long is given back.
     pub idle: Duration,
     /// Time between two batches, and before an unanswered one is sent again.
@@ -28,9 +31,10 @@
 impl Default for GrantPolicy {
     fn default() -> Self {
         Self {
-            horizon: Duration::from_mins(1),
-            renew_ahead: Duration::from_secs(20),
+            horizon: Duration::from_mins(2),
+            renew_ahead: Duration::from_secs(75),
             patience: Duration::from_secs(3),
+            recall_patience: Duration::from_secs(6),
             idle: Duration::from_mins(2),
             batch_every: Duration::from_secs(1),
             verdict_holds: Duration::from_secs(2),
