--- a/crates/anvil_ledger/src/state/money.rs
+++ b/crates/anvil_ledger/src/state/money.rs
@@ -17,7 +17,7 @@
 use super::once::{Done, Sent};
 use super::{InvariantError, State};
 
-/// One ask gets at most this part of what is left, or a smaller one where many routers draw, unless less would be of no use. It keeps the
+/// One ask gets at most this part of what is left, unless less would be of no use. It keeps the
 /// first router that asks from taking what the others need next; see docs/design/02-money.md.
 const SHARE_OF_REST: Tokens = 4;
 
@@ -201,7 +201,7 @@
             budget: ask.budget.clone(),
             router: batch.router.clone(),
             incarnation: batch.incarnation,
-            amount: ask.wanted.min(left / shares(budget)).max(least),
+            amount: ask.wanted.min(left / SHARE_OF_REST).max(least),
             settled: 0,
             returned: 0,
             state: GrantState::Open,
@@ -221,14 +221,6 @@
     }
 }
 
-/// Into how many parts the rest of a budget is seen for one ask: two for each router that holds
-/// some of it.
-fn shares(budget: &Budget) -> Tokens {
-    let routers: BTreeSet<_> = budget.open.values().map(|grant| &grant.router).collect();
-    let parts = Tokens::try_from(2 * routers.len() + 2).unwrap_or(Tokens::MAX);
-    parts.max(SHARE_OF_REST)
-}
-
 /// Near the end of a budget what is left lies unspent in some router's grant. Calling it back
 /// lets the router that has callers use it; without this they are refused although the money is
 /// there.
--- a/crates/anvilreel/src/money/sizing.rs
+++ b/crates/anvilreel/src/money/sizing.rs
@@ -31,8 +31,8 @@
 impl Default for GrantPolicy {
     fn default() -> Self {
         Self {
-            horizon: Duration::from_mins(2),
-            renew_ahead: Duration::from_secs(75),
+            horizon: Duration::from_mins(1),
+            renew_ahead: Duration::from_secs(20),
             patience: Duration::from_secs(3),
             recall_patience: Duration::from_secs(6),
             idle: Duration::from_mins(2),
