--- a/crates/anvilreel/src/router.rs
+++ b/crates/anvilreel/src/router.rs
@@ -103,6 +103,7 @@
     core: Arc<Core>,
     addr: SocketAddr,
     wire_addr: SocketAddr,
+    close: Arc<Notify>,
     serving: JoinHandle<()>,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -125,13 +126,15 @@
         let wire_addr = server.addr().context(WireSnafu)?;
         let core = Arc::new(Core::new(settings, wire_addr, log, metrics));
         event!(core.log, events::ROUTER_LISTENING, "addr" => addr.to_string());
-        let serving = accept::serve(listener, front::routes(&core), core.life.clone());
+        let close = Arc::new(Notify::new());
+        let serving = accept::serve(listener, front::routes(&core), close.clone());
         let serving = tokio::spawn(serving);
         let tasks = spawn_tasks(&core, server);
         Ok(Self {
             core,
             addr,
             wire_addr,
+            close,
             serving,
             tasks,
         })
@@ -158,6 +161,11 @@
         view.endpoints.values().map(Vec::len).sum()
     }
 
+    /// Routers that this one knows of, itself included.
+    pub fn peers(&self) -> usize {
+        self.core.following.view.load().routers.len()
+    }
+
     /// The planned stop: readiness off, no new work, streams finish, grants go back, claims are
     /// handed over.
     pub async fn stop(self) {
@@ -165,6 +173,7 @@
         event!(core.log, events::ROUTER_LEAVING);
         core.life.leave();
         sleep(UNREADY_FIRST).await;
+        self.close.notify_one();
         // An error is a panic of the serving task, after which nothing is left to wait for.
         let _ = self.serving.await;
         while core.open.load(Ordering::Relaxed) > 0 {
