Grants give back what is free, and small requests don't wait behind large ones

Cause: near the end of a budget money lay idle in recalled grants until their last run ended, and one large request's ask was refused while small ones that would have fitted waited. Demand counted bounds, 2.6 times the cost.

--- a/crates/anvil_world/tests/contracts.rs
+++ b/crates/anvil_world/tests/contracts.rs
@@ -85,6 +85,7 @@
         incarnation: 1,
         amount,
         settled: 0,
+        returned: 0,
         state: GrantState::Open,
     };
     let id: BudgetId = "nairobi".into();
