--- a/crates/anvilreel/examples/money.rs
+++ b/crates/anvilreel/examples/money.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use anvilreel::money::GrantPolicy;
-use compare::{Play, Way, play};
+use compare::{Outcome, Play, Way, play};
 
 fn main() {
     let mut args = std::env::args().skip(1).filter_map(|a| a.parse().ok());
@@ -63,11 +63,16 @@
     let cut = if partition { "60 s" } else { "-" };
     let over = grants.overspend.max(even.overspend).max(ask.overspend);
     println!(
-        "{demand:<7} {used:>3} %  {cut:<4} {:>7.3} {:>11.3} {:>11.3} {over:>10} {:>9} {:>9}",
-        grants.false_percent(),
-        even.false_percent(),
-        ask.false_percent(),
+        "{demand:<7} {used:>3} %  {cut:<4} {:>7} {:>11} {:>11} {over:>10} {:>9} {:>9}",
+        percent(&grants),
+        percent(&even),
+        percent(&ask),
         grants.peak_bytes,
         grants.mean_bytes,
     );
 }
+
+fn percent(outcome: &Outcome) -> String {
+    let milli = outcome.false_milli_percent();
+    format!("{}.{:03}", milli / 1_000, milli % 1_000)
+}
--- a/crates/anvilreel/tests/compare/play.rs
+++ b/crates/anvilreel/tests/compare/play.rs
@@ -43,7 +43,7 @@
 }
 
 /// Played time.
-pub const LONG: Duration = Duration::from_secs(240);
+pub const LONG: Duration = Duration::from_mins(4);
 const CUT: std::ops::Range<Duration> = Duration::from_secs(90)..Duration::from_secs(150);
 const REQUESTS: usize = 24_000;
 const STEP: Duration = Duration::from_millis(50);
@@ -73,8 +73,9 @@
 }
 
 impl Outcome {
-    pub fn false_percent(&self) -> f64 {
-        self.falsely as f64 * 100.0 / self.requests as f64
+    /// False refusals of all requests, in thousandths of a percent.
+    pub fn false_milli_percent(&self) -> u64 {
+        self.falsely * 100_000 / self.requests.max(1)
     }
 }
 
--- a/crates/anvilreel/tests/path_fleet/fleet.rs
+++ b/crates/anvilreel/tests/path_fleet/fleet.rs
@@ -230,6 +230,7 @@
 ) -> SidecarSettings {
     let is_engine = kind == EndpointKind::Engine;
     SidecarSettings {
+        platform: None,
         id: format!("sidecar-{number}").into(),
         zone: Zone::new("local", ["local-a", "local-b"][number % 2]),
         wire_listen: loopback(0),
--- a/crates/anvilreel/tests/request_refused.rs
+++ b/crates/anvilreel/tests/request_refused.rs
@@ -54,6 +54,7 @@
         incarnation: 1,
         amount: 10 * BOUND,
         settled: 0,
+        returned: 0,
         state: GrantState::Open,
     };
     let answer = GrantBatchAnswer {
--- a/crates/anvilreel/tests/sidecar_platform.rs
+++ b/crates/anvilreel/tests/sidecar_platform.rs
@@ -71,7 +71,6 @@
         payment: Payment {
             router: "router-1".into(),
             incarnation: 1,
-            number: 1,
             split: Split::whole("nairobi".into()),
             grants: BTreeMap::from([("nairobi".into(), (1, 100))]),
             price: Price::default(),
