--- a/crates/anvilreel/tests/path_fleet/fleet.rs
+++ b/crates/anvilreel/tests/path_fleet/fleet.rs
@@ -244,7 +244,6 @@
             checks_fencing: is_engine,
         },
         buffer_bytes: 8 << 20,
-        platform: None,
         log_json: false,
         statsd: None,
     }
