--- a/crates/anvil_ledger/src/core/election.rs
+++ b/crates/anvil_ledger/src/core/election.rs
@@ -129,8 +129,6 @@
     /// Takes over a newer term, without a leader yet.
     pub(super) fn follow_term(&mut self, term: Term) {
         self.set_term(term, None);
-        self.verified = 0;
-        self.round_seen = 0;
         self.step_down();
     }
 
@@ -142,6 +140,7 @@
         if let Role::Leader(lead) = before {
             self.refuse_reads(&lead);
             self.joining.clear();
+            self.removing.clear();
             self.out.push(Action::Deposed);
             self.wait_for_leader();
         }
