Lagging reports, slow answers counted, no ramp for cold endpoints, rescue in the last eighth

A report resets what the router has sent since, but a lagging one doesn't count that yet, so a filled endpoint looked empty with each report. Endpoints with one history among questions were ejected, because a mean of times is lifted by one long answer. And the rescue of promises two seconds early took 40% of a wait of five seconds, so a large organisation's rescued work went before everybody's fair turns. Change: with lagging reports the last interval is kept once more; slow means 60% of the newest answers beyond three medians; rescue in the last eighth of a wait.

--- a/crates/anvil_policy/examples/decision_time.rs
+++ b/crates/anvil_policy/examples/decision_time.rs
@@ -46,7 +46,7 @@
             slots: SLOTS,
             ..LoadReport::default()
         };
-        state.report(&load);
+        state.report(&load, false);
         state.set_routers(SLOTS);
         state.start();
         Arc::new(state)
--- a/crates/anvil_policy/src/ejection.rs
+++ b/crates/anvil_policy/src/ejection.rs
@@ -8,7 +8,7 @@
 //!
 //! *How:* a slow endpoint loses half of its share at each tick, so that one bad second costs
 //! little; errors cut it to a trickle at once, because each further try is a failed request. An
-//! endpoint that is well again rises slowly ([`crate::slow_start`]). The trickle stays: without
+//! endpoint that is well again rises slowly ([`crate::ramp`]). The trickle stays: without
 //! it nobody would ever learn that the endpoint has recovered.
 
 use std::time::Duration;
@@ -20,8 +20,11 @@
 /// How endpoints are judged.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EjectionRule {
-    /// Slow means this many times the pool's median.
+    /// A slow answer took this many times the pool's median.
     pub times_median: f64,
+    /// Slow means more than this part of the newest answers were slow. A mean would do for
+    /// answers alike, but a single history among questions lifts a mean to ten times the median.
+    pub slow_part: f64,
     /// Failing means more than this part of the newest answers are errors.
     pub error_part: f64,
     /// Least share, in thousandths.
@@ -37,6 +40,7 @@
     fn default() -> Self {
         Self {
             times_median: 3.0,
+            slow_part: 0.6,
             error_part: 0.3,
             trickle: 20,
             most: 0.5,
@@ -56,8 +60,10 @@
 
 /// Weight of the newest answer among errors: three errors in a row are judged as failing.
 const NEWEST_ERROR: f64 = 1.0 / 8.0;
+/// Weight of the newest answer among slow ones: four in a row are judged as slow.
+const NEWEST_SLOW: f64 = 1.0 / 4.0;
 /// Weight of the newest time.
-const NEWEST_TIME: f64 = 1.0 / 4.0;
+const NEWEST_TIME: f64 = 1.0 / 16.0;
 /// Fewer times than this say nothing yet.
 const FEWEST_TIMES: u32 = 4;
 
@@ -65,6 +71,8 @@
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Record {
     errors: f64,
+    slow: f64,
+    reference: Option<f64>,
     time: f64,
     times: u32,
     newest: Now,
@@ -90,6 +98,8 @@
         let weight = if self.times == 0 { 1.0 } else { NEWEST_TIME };
         self.time += weight * (time - self.time);
         self.times = self.times.saturating_add(1);
+        let slow = self.reference.is_some_and(|slow_from| time > slow_from);
+        self.slow += NEWEST_SLOW * (f64::from(u8::from(slow)) - self.slow);
     }
 
     /// Whether it fails now.
@@ -114,10 +124,8 @@
                 ..Self::default()
             };
         }
-        let slow = self
-            .time()
-            .zip(median)
-            .is_some_and(|(own, median)| own > median * rule.times_median);
+        self.reference = median.map(|median| median * rule.times_median);
+        let slow = self.slow > rule.slow_part;
         self.target = if self.fails(rule) {
             Some(rule.trickle)
         } else if slow {
@@ -162,5 +170,5 @@
 
 fn badness(record: &Record) -> f64 {
     // Errors weigh more than any slowness: a slow answer is still an answer.
-    record.errors * 1_000.0 + record.time
+    record.errors * 1_000.0 + record.slow
 }
--- a/crates/anvil_policy/src/endpoint.rs
+++ b/crates/anvil_policy/src/endpoint.rs
@@ -39,6 +39,7 @@
     in_flight: AtomicU32,
     reported: AtomicU32,
     since_report: AtomicI32,
+    before_report: AtomicI32,
     slots: AtomicU32,
     limit: AtomicU32,
     parts: AtomicU32,
@@ -55,6 +56,7 @@
             in_flight: AtomicU32::new(0),
             reported: AtomicU32::new(0),
             since_report: AtomicI32::new(0),
+            before_report: AtomicI32::new(0),
             slots: AtomicU32::new(slots),
             limit: AtomicU32::new(slots.max(1)),
             parts: AtomicU32::new(u32::MAX),
@@ -63,12 +65,19 @@
         }
     }
 
-    /// Takes in a report; [`crate::health::Health::report`] does it and moves the limit. What this router started or ended since the one before is forgotten,
-    /// because the new report counts it.
-    pub fn report(&self, load: &LoadReport) {
+    /// Takes in a report; [`crate::health::Health::report`] does it and moves the limit.
+    ///
+    /// What this router started and ended since the report before is forgotten, because the new
+    /// one counts it. A report that `lags` was made about one interval ago and doesn't: then the
+    /// last interval is kept once more. Without this an endpoint that has just been filled looks
+    /// empty again with each report, and answers that end sooner than reports come make the
+    /// whole pool swing.
+    pub fn report(&self, load: &LoadReport, lags: bool) {
         let runs = load.running.saturating_add(load.queued);
         self.reported.store(runs, Ordering::Relaxed);
-        self.since_report.store(0, Ordering::Relaxed);
+        let since = self.since_report.swap(0, Ordering::Relaxed);
+        let missed = if lags { since } else { 0 };
+        self.before_report.store(missed, Ordering::Relaxed);
         self.slots.store(load.slots, Ordering::Relaxed);
         if load.slots < self.limit.load(Ordering::Relaxed) {
             self.limit.store(load.slots.max(1), Ordering::Relaxed);
@@ -107,7 +116,8 @@
     /// what this router did since, and never less than what it has there itself.
     pub fn pressure(&self) -> u32 {
         let reported = self.reported.load(Ordering::Relaxed);
-        let since = self.since_report.load(Ordering::Relaxed);
+        let since =
+            self.since_report.load(Ordering::Relaxed) + self.before_report.load(Ordering::Relaxed);
         reported.saturating_add_signed(since).max(self.in_flight())
     }
 
@@ -138,7 +148,7 @@
     }
 
     /// Share of new work that it is given, in thousandths; see [`crate::ejection`] and
-    /// [`crate::slow_start`].
+    /// [`crate::ramp`].
     pub fn share(&self) -> u32 {
         self.share.load(Ordering::Relaxed)
     }
--- a/crates/anvil_policy/src/health.rs
+++ b/crates/anvil_policy/src/health.rs
@@ -13,17 +13,20 @@
 use crate::ejection::{self, EjectionRule, Record, Try};
 use crate::endpoint::{EndpointState, LoadReport};
 use crate::limit::{Latency, Limit, LimitRule};
-use crate::slow_start::{Ramp, RampRule};
+use crate::ramp::{Ramp, RampRule};
 
 /// Rules of a pool's health.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct HealthRule {
     /// Slow and failing endpoints.
     pub ejection: EjectionRule,
-    /// New and returned endpoints.
+    /// Endpoints that were ejected and are well again.
     pub ramp: RampRule,
     /// Runs an endpoint is given.
     pub limit: LimitRule,
+    /// Whether load reports are made about one interval before they arrive. Counts of a sidecar
+    /// don't lag, those that an engine makes of itself do.
+    pub reports_lag: bool,
     /// How many routers share the endpoints; each may always have its part of half the
     /// limit.
     pub routers: u32,
@@ -51,7 +54,6 @@
 pub struct Health {
     rule: HealthRule,
     endpoints: BTreeMap<InstanceId, Watched>,
-    serving: bool,
 }
 
 impl Health {
@@ -70,7 +72,7 @@
 
     /// Takes in a report of an endpoint's load: its pressure, and what that says of its limit.
     pub fn report(&mut self, now: Now, endpoint: &EndpointState, load: &LoadReport) {
-        endpoint.report(load);
+        endpoint.report(load, self.rule.reports_lag);
         if let Some(watched) = self.endpoints.get_mut(&endpoint.id) {
             let pressure = endpoint.pressure();
             watched.limit.heard(&self.rule.limit, now, load, pressure);
@@ -95,7 +97,7 @@
     }
 
     /// Judges all endpoints and moves their shares. Endpoints that the pool no longer has are
-    /// forgotten, so one that comes back starts cold.
+    /// forgotten.
     pub fn tick(&mut self, now: Now, pool: &Pool) {
         self.endpoints.retain(|id, _| pool.get(id).is_some());
         for endpoint in pool.endpoints() {
@@ -103,7 +105,6 @@
                 self.watch(now, endpoint);
             }
         }
-        self.serving |= !pool.endpoints().is_empty();
         self.judge(now);
         for endpoint in pool.endpoints() {
             self.write(now, endpoint);
@@ -128,9 +129,6 @@
         let Some(watched) = self.endpoints.get_mut(&endpoint.id) else {
             return;
         };
-        if endpoint.is_leaving() {
-            watched.ramp = Ramp::cold(&self.rule.ramp, now);
-        }
         let target = watched.record.target();
         endpoint.set_share(watched.ramp.advance(&self.rule.ramp, now, target));
         endpoint.set_limit(watched.limit.value());
@@ -138,14 +136,9 @@
     }
 
     fn watch(&mut self, now: Now, endpoint: &EndpointState) {
-        let ramp = if self.serving {
-            Ramp::cold(&self.rule.ramp, now)
-        } else {
-            Ramp::full(now)
-        };
         let watched = Watched {
             record: Record::default(),
-            ramp,
+            ramp: Ramp::full(now),
             limit: Limit::new(&self.rule.limit, now, endpoint.slots()),
         };
         self.endpoints.insert(endpoint.id.clone(), watched);
--- a/crates/anvil_policy/src/waiting.rs
+++ b/crates/anvil_policy/src/waiting.rs
@@ -27,8 +27,12 @@
 pub const LONG_PROMPT: Tokens = 4_096;
 
 /// Work this close to the end of its promised wait goes first, whatever its lane and
-/// organisation.
-pub const RESCUE: Duration = Duration::from_secs(2);
+/// organisation; but no sooner than in the last eighth of the wait. With half a second, more of
+/// them stood there after a long wait than a router had turns; with two seconds of a short wait
+/// the rescued of a large organisation went before everybody else's fair turns.
+const RESCUE: Duration = Duration::from_secs(2);
+/// See [`RESCUE`].
+const RESCUED_PART: u32 = 8;
 
 /// What kind of work waits together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -111,7 +115,7 @@
     lane: Lane,
     organisation: OrganisationId,
     deadline: Now,
-    promised: Now,
+    rescued_from: Now,
 }
 
 /// What one organisation has waiting in a lane, earliest deadline first.
@@ -136,7 +140,7 @@
     lanes: BTreeMap<Lane, LaneQueue>,
     shares: FairShares<Lane>,
     places: BTreeMap<WaiterId, Place>,
-    by_promise: BTreeSet<(Now, WaiterId)>,
+    by_rescue: BTreeSet<(Now, WaiterId)>,
     by_start: BTreeSet<(Now, WaiterId)>,
     counts: BTreeMap<OrganisationId, usize>,
     next_id: WaiterId,
@@ -149,7 +153,7 @@
             lanes: BTreeMap::from(lanes),
             shares: FairShares::default(),
             places: BTreeMap::new(),
-            by_promise: BTreeSet::new(),
+            by_rescue: BTreeSet::new(),
             by_start: BTreeSet::new(),
             counts: BTreeMap::new(),
             next_id: 1,
@@ -200,13 +204,15 @@
     pub fn push(&mut self, now: Now, ticket: Ticket, promised: Now, start_by: Now) -> WaiterId {
         let id = self.next_id;
         self.next_id += 1;
+        let early = (promised.saturating_sub(now) / RESCUED_PART).min(RESCUE);
+        let rescued_from = promised.saturating_sub(early);
         let place = Place {
             lane: ticket.lane(),
             organisation: ticket.organisation.clone(),
             deadline: ticket.deadline,
-            promised,
+            rescued_from,
         };
-        self.by_promise.insert((promised, id));
+        self.by_rescue.insert((rescued_from, id));
         self.by_start.insert((start_by, id));
         *self.counts.entry(place.organisation.clone()).or_default() += 1;
         self.shares.wake(&place.lane);
@@ -252,7 +258,7 @@
         if queue.queues.is_empty() {
             self.shares.sleep(&place.lane);
         }
-        self.by_promise.remove(&(place.promised, id));
+        self.by_rescue.remove(&(place.rescued_from, id));
         self.by_start.remove(&(waiter.start_by, id));
         if let Some(count) = self.counts.get_mut(&place.organisation) {
             *count -= 1;
@@ -264,8 +270,8 @@
     }
 
     fn rescued(&self, now: Now) -> Option<WaiterId> {
-        let (promised, id) = self.by_promise.first()?;
-        (*promised <= now + RESCUE).then_some(*id)
+        let (from, id) = self.by_rescue.first()?;
+        (*from <= now).then_some(*id)
     }
 
     fn fair_next(&self) -> Option<WaiterId> {
--- a/crates/anvil_standins/src/load/policy/rule.rs
+++ b/crates/anvil_standins/src/load/policy/rule.rs
@@ -31,7 +31,7 @@
     Limit,
     /// Ejection of slow and failing endpoints.
     Ejection,
-    /// Shares that rise slowly.
+    /// Shares of ejected endpoints that rise slowly.
     Ramp,
     /// Affinity to cached prefixes.
     Prefix,
--- a/crates/anvil_standins/src/load/policy/scenario.rs
+++ b/crates/anvil_standins/src/load/policy/scenario.rs
@@ -148,6 +148,20 @@
         }
     }
 
+    /// A counter question of few words, which ends before the next load report tells of it.
+    pub fn counter() -> Self {
+        Self {
+            name: "counter",
+            part: 93,
+            prefix: 200,
+            prompt: (16, 128),
+            output: (8, 64),
+            output_bound: 64,
+            timeout: Duration::from_secs(10),
+            ..Self::question()
+        }
+    }
+
     /// A ticket lookup: one short answer of a service that says nothing of tokens.
     pub fn lookup() -> Self {
         Self {
@@ -240,6 +254,21 @@
             step: 3,
             fault: Fault::Down,
         };
+        let lost = FaultAt {
+            from: Duration::from_secs(30),
+            until: Duration::from_secs(50),
+            first: 4,
+            count: 1,
+            step: 1,
+            fault: Fault::Down,
+        };
+        // A service that has just started fills its caches and pools first.
+        let cold = FaultAt {
+            from: Duration::from_secs(50),
+            until: Duration::from_secs(58),
+            fault: Fault::Slow(5.0),
+            ..lost
+        };
         vec![
             base().named("steady-50").at(0.5),
             base().named("steady-90").at(0.9),
@@ -263,6 +292,18 @@
                 ],
                 ..base().named("long-among-short").at(0.6)
             },
+            Self {
+                kinds: vec![
+                    Kind::counter(),
+                    Kind {
+                        part: 7,
+                        ..Kind::history()
+                    },
+                ],
+                rate: 60.0,
+                slots: 24,
+                ..base().named("quick-answers")
+            },
             base()
                 .named("slow-10x")
                 .at(0.7)
@@ -278,6 +319,14 @@
                 .at(0.7)
                 .with_fault(Fault::FailsFast),
             base().named("cold-return").at(0.8).with_fault(Fault::Down),
+            Self {
+                kinds: vec![Kind::lookup()],
+                rate: 1_500.0,
+                routers: 30,
+                slots: 24,
+                faults: vec![lost, cold],
+                ..base().named("lookups-cold-return")
+            },
             Self {
                 faults: vec![zone],
                 ..base().named("zone-lost").at(0.6)
--- a/crates/anvil_standins/tests/policy_loads.rs
+++ b/crates/anvil_standins/tests/policy_loads.rs
@@ -146,6 +146,35 @@
     assert!(report.worst_first_p95 < 2_000.0, "{report:?}");
 }
 
+/// A service of short calls comes back and is five times slower while it fills its caches. Thirty
+/// routers see it empty in the same moment; by least reported load they all rush to it, and each
+/// report sends them to the next one.
+#[test]
+fn no_herd_over_a_returned_endpoint() {
+    let report = play("lookups-cold-return");
+    promises_hold(&report);
+    assert!(report.worst_first_p95 < 100.0, "{report:?}");
+    let least = Rule::ours().with_choice(ChoiceRule::LeastReported);
+    let least = run_policy(&scenario("lookups-cold-return"), &least);
+    assert!(
+        report.worst_first_p95 * 5.0 < least.worst_first_p95,
+        "{least:?}"
+    );
+}
+
+/// Answers end before the next load report tells of them. A router that forgets with each report
+/// what the report can't know yet fills the same endpoint again: the pool swings, and the first
+/// token of 95 in 100 came after 444 ms instead of 90.
+#[test]
+fn answers_shorter_than_the_reports_lag() {
+    let report = play("quick-answers");
+    promises_hold(&report);
+    quick(&report);
+    let turns = Rule::ours().with_choice(ChoiceRule::RoundRobin);
+    let turns = run_policy(&scenario("quick-answers"), &turns);
+    assert!(report.first_p95 < turns.first_p95, "{turns:?}");
+}
+
 /// A third of the endpoints is lost at once and comes back at once; the list of instances lags
 /// two seconds behind. Thirty routers see the healed zone empty in the same moment.
 #[test]
