--- a/crates/anvil_policy/src/ejection.rs
+++ b/crates/anvil_policy/src/ejection.rs
@@ -7,9 +7,10 @@
 //! everything.
 //!
 //! *How:* a slow endpoint loses half of its share at each tick, so that one bad second costs
-//! little; errors cut it to a trickle at once, because each further try is a failed request. An
-//! endpoint that is well again rises slowly ([`crate::ramp`]). The trickle stays: without
-//! it nobody would ever learn that the endpoint has recovered.
+//! little; errors cut it to a trickle at once, because each further try is a failed request. The
+//! trickle stays: without it nobody would ever learn that the endpoint has recovered. An endpoint
+//! that is well again has its whole share at the next tick; a slower rise was measured and taken
+//! out (`docs/design/04-decisions.md`, "Taken out").
 
 use std::time::Duration;
 
--- a/crates/anvil_policy/src/endpoint.rs
+++ b/crates/anvil_policy/src/endpoint.rs
@@ -147,8 +147,7 @@
         self.parts.store(parts, Ordering::Relaxed);
     }
 
-    /// Share of new work that it is given, in thousandths; see [`crate::ejection`] and
-    /// [`crate::ramp`].
+    /// Share of new work that it is given, in thousandths; see [`crate::ejection`].
     pub fn share(&self) -> u32 {
         self.share.load(Ordering::Relaxed)
     }
--- a/crates/anvil_policy/src/health.rs
+++ b/crates/anvil_policy/src/health.rs
@@ -13,15 +13,12 @@
 use crate::ejection::{self, EjectionRule, Record, Try};
 use crate::endpoint::{EndpointState, LoadReport};
 use crate::limit::{Latency, Limit, LimitRule};
-use crate::ramp::{Ramp, RampRule};
 
 /// Rules of a pool's health.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct HealthRule {
     /// Slow and failing endpoints.
     pub ejection: EjectionRule,
-    /// Endpoints that were ejected and are well again.
-    pub ramp: RampRule,
     /// Runs an endpoint is given.
     pub limit: LimitRule,
     /// Whether load reports are made about one interval before they arrive. Counts of a sidecar
@@ -45,7 +42,6 @@
 #[derive(Debug, Clone)]
 struct Watched {
     record: Record,
-    ramp: Ramp,
     limit: Limit,
 }
 
@@ -107,13 +103,13 @@
         }
         self.judge(now);
         for endpoint in pool.endpoints() {
-            self.write(now, endpoint);
+            self.write(endpoint);
         }
     }
 
     fn tick_known(&mut self, now: Now, endpoint: &EndpointState) {
         self.judge(now);
-        self.write(now, endpoint);
+        self.write(endpoint);
     }
 
     fn judge(&mut self, now: Now) {
@@ -125,12 +121,11 @@
         ejection::judge(&self.rule.ejection, now, &mut records);
     }
 
-    fn write(&mut self, now: Now, endpoint: &EndpointState) {
-        let Some(watched) = self.endpoints.get_mut(&endpoint.id) else {
+    fn write(&self, endpoint: &EndpointState) {
+        let Some(watched) = self.endpoints.get(&endpoint.id) else {
             return;
         };
-        let target = watched.record.target();
-        endpoint.set_share(watched.ramp.advance(&self.rule.ramp, now, target));
+        endpoint.set_share(watched.record.target());
         endpoint.set_limit(watched.limit.value());
         endpoint.set_routers(self.rule.routers);
     }
@@ -138,7 +133,6 @@
     fn watch(&mut self, now: Now, endpoint: &EndpointState) {
         let watched = Watched {
             record: Record::default(),
-            ramp: Ramp::full(now),
             limit: Limit::new(&self.rule.limit, now, endpoint.slots()),
         };
         self.endpoints.insert(endpoint.id.clone(), watched);
--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -40,7 +40,7 @@
 //! Read on in this order:
 //! * [`endpoint`] and [`choice`]: what is known of an endpoint, and which one is chosen.
 //! * [`admission`], [`waiting`], [`fair`], [`deadline`], [`estimate`]: the door and the queue.
-//! * [`health`], with [`limit`], [`ejection`] and [`ramp`]: how much an endpoint is given.
+//! * [`health`], with [`limit`] and [`ejection`]: how much an endpoint is given.
 //! * [`retry`]: whether a failed try is made again.
 //! * [`grant`]: how much of a budget a router holds.
 //! * [`prefix`]: which endpoints hold which prompt prefixes.
@@ -61,7 +61,6 @@
 pub mod placement;
 pub mod prefix;
 pub mod prelude;
-pub mod ramp;
 pub mod retry;
 pub mod subset;
 pub mod waiting;
--- a/crates/anvil_standins/src/load/policy/rule.rs
+++ b/crates/anvil_standins/src/load/policy/rule.rs
@@ -31,8 +31,8 @@
     Limit,
     /// Ejection of slow and failing endpoints.
     Ejection,
-    /// Shares of ejected endpoints that rise slowly.
-    Ramp,
+    /// Limits that begin at half of the slots.
+    LimitStart,
     /// Affinity to cached prefixes.
     Prefix,
 }
@@ -103,7 +103,7 @@
         vec![
             ours("without-limit").without(Part::Limit),
             ours("without-ejection").without(Part::Ejection),
-            ours("without-ramp").without(Part::Ramp),
+            ours("without-limit-start").without(Part::LimitStart),
             ours("without-prefix").without(Part::Prefix),
         ]
     }
