--- a/crates/anvil_standins/src/load/caller.rs
+++ b/crates/anvil_standins/src/load/caller.rs
@@ -44,8 +44,8 @@
 pub(super) enum Tried {
     /// The right answer; with its cost in budget tokens and its own tokens.
     Right { cost: u64, tokens: u64 },
-    /// An answer that looked complete and was not the right one.
-    Wrong,
+    /// An answer that looked complete and was not the right one; with what was wrong.
+    Wrong(&'static str),
     /// It did not run, for this reason.
     NotRun(String),
     /// It may have run.
@@ -210,10 +210,16 @@
     }
     let used = answer.usage["completion_tokens"].as_u64();
     let (Some(tokens), Some(asked)) = (used, answer.usage["prompt_tokens"].as_u64()) else {
-        return Tried::Wrong;
+        return Tried::Wrong("no usage");
     };
-    if answer.text != expected || asked != prompt {
-        return Tried::Wrong;
+    if answer.text != expected {
+        return Tried::Wrong(difference(&answer.text, expected));
+    }
+    if asked != prompt {
+        return Tried::Wrong("prompt tokens");
+    }
+    if tokens != expected.bytes().filter(|b| *b == b' ').count() as u64 {
+        return Tried::Wrong("completion tokens");
     }
     Tried::Right {
         cost: asked + tokens,
@@ -221,6 +227,16 @@
     }
 }
 
+fn difference(text: &str, expected: &str) -> &'static str {
+    if expected.starts_with(text) {
+        "text that ends early"
+    } else if text.starts_with(expected) {
+        "text that goes on too long"
+    } else {
+        "other text"
+    }
+}
+
 #[derive(Debug, Default)]
 struct Streamed {
     text: String,
@@ -237,7 +253,7 @@
             return None;
         }
         let Ok(chunk) = serde_json::from_slice::<Value>(data) else {
-            return Some(Tried::Wrong);
+            return Some(Tried::Wrong("an event that is no JSON"));
         };
         if !chunk["error"].is_null() {
             return Some(from_error(&chunk["error"]));
@@ -266,10 +282,10 @@
     };
     times.text("");
     let Ok(answer) = serde_json::from_slice::<Value>(&body.to_bytes()) else {
-        return Tried::Wrong;
+        return Tried::Wrong("an answer that is no JSON");
     };
     if answer["order_id"].as_str() != order {
-        return Tried::Wrong;
+        return Tried::Wrong("another order's answer");
     }
     Tried::Right { cost: 1, tokens: 0 }
 }
--- a/crates/anvil_standins/src/load/driver.rs
+++ b/crates/anvil_standins/src/load/driver.rs
@@ -138,7 +138,7 @@
         };
         let ending = match tried {
             Tried::Right { .. } => Ending::Completed,
-            Tried::Wrong => Ending::Broken,
+            Tried::Wrong(what) => Ending::Broken { what: what.into() },
             Tried::InDoubt => Ending::Unknown,
             Tried::Cut(how) => Ending::Lost { how },
             Tried::NotRun(kind) => Ending::Refused {
@@ -148,7 +148,7 @@
         };
         if matches!(
             ending,
-            Ending::Broken | Ending::Unknown | Ending::Lost { .. }
+            Ending::Broken { .. } | Ending::Unknown | Ending::Lost { .. }
         ) {
             let doubt = &self.in_doubt[arrival.organisation as usize];
             doubt.fetch_add(stake.bound, Ordering::Relaxed);
--- a/crates/anvil_standins/src/load/recorder.rs
+++ b/crates/anvil_standins/src/load/recorder.rs
@@ -29,7 +29,10 @@
     /// It was told that it may have run.
     Unknown,
     /// An answer that looked complete was not the expected one.
-    Broken,
+    Broken {
+        /// What was wrong with it.
+        what: String,
+    },
     /// The connection ended before an answer did, or nothing came in time.
     Lost {
         /// How, such as `late` or `connection`.
@@ -126,7 +129,10 @@
                 }
             }
             Ending::Unknown => report.unknown += 1,
-            Ending::Broken => report.broken += 1,
+            Ending::Broken { what } => {
+                report.broken += 1;
+                *report.broken_by.entry(what.clone()).or_default() += 1;
+            }
             Ending::Lost { how } => {
                 report.lost += 1;
                 *report.lost_by.entry(how.clone()).or_default() += 1;
--- a/crates/anvil_standins/src/load/report.rs
+++ b/crates/anvil_standins/src/load/report.rs
@@ -65,6 +65,8 @@
     pub unknown: u64,
     /// Answers that looked complete and were not the expected ones.
     pub broken: u64,
+    /// The same by what was wrong with them.
+    pub broken_by: BTreeMap<String, u64>,
     /// Connections that ended before the answer did.
     pub lost: u64,
     /// The same by how it happened.
--- a/crates/anvil_standins/src/load/table.rs
+++ b/crates/anvil_standins/src/load/table.rs
@@ -40,6 +40,8 @@
             |what: String, count: u64| vec![report.scenario.to_string(), what, count.to_string()];
         let refused = report.refused.iter();
         lines.extend(refused.map(|(kind, count)| line(format!("refused: {kind}"), *count)));
+        let broken = report.broken_by.iter();
+        lines.extend(broken.map(|(what, count)| line(format!("broken: {what}"), *count)));
         let lost = report.lost_by.iter();
         lines.extend(lost.map(|(how, count)| line(format!("lost: {how}"), *count)));
         lines.push(line("tokens overspent".into(), report.overspend));
--- a/crates/anvil_standins/tests/scenarios.rs
+++ b/crates/anvil_standins/tests/scenarios.rs
@@ -97,7 +97,9 @@
         Ending::Completed,
         refused(true),
         refused(false),
-        Ending::Broken,
+        Ending::Broken {
+            what: "other text".into(),
+        },
     ] {
         recorder.sample(&sample(ending));
     }
