--- a/crates/anvil_daemons/examples/slopes/live.rs
+++ b/crates/anvil_daemons/examples/slopes/live.rs
@@ -12,7 +12,8 @@
 pub fn slopes() -> Vec<Slope> {
     let runtime = tokio::runtime::Runtime::new().expect("a runtime can be made");
     runtime.block_on(async {
-        let mut found = ledger::members().await;
+        let mut found = vec![ledger::in_force().await];
+        found.extend(ledger::members().await);
         found.extend(ledger::batches().await);
         found.extend(ledger::claims().await);
         found.extend(router::teams().await);
--- a/crates/anvil_daemons/examples/slopes/live/ledger.rs
+++ b/crates/anvil_daemons/examples/slopes/live/ledger.rs
@@ -1,11 +1,18 @@
 //! What the ledger's processes use.
 
+use std::time::{Duration, Instant};
+
+use anvil_wire::Channel;
+use anvil_wire::msg::{LedgerCall, LedgerReply, LedgerRequest, Query, QueryAnswer};
 use tokio::time::sleep;
 
-use super::bench::{Bench, REST, Used, used};
+use super::bench::{Bench, PATIENCE, REST, Used, used};
 use super::swarm;
 use crate::fit::{Slope, point};
-use crate::sample::Filled;
+use crate::sample::{Filled, first_put};
+
+/// Time between two looks at how far a change has spread.
+const LOOK: Duration = Duration::from_millis(50);
 
 /// Leader and a follower at one size.
 struct Both {
@@ -62,6 +69,50 @@
     ]
 }
 
+/// Milliseconds until a change is known to be in force at so many sidecars; of five changes the
+/// middle one.
+pub async fn in_force() -> Slope {
+    let mut points = Vec::new();
+    for size in [150, 500, 1_500] {
+        let bench = Bench::start().await;
+        let leader = bench.lead().await;
+        let _swarm = swarm::sidecars(size, leader.addr(), &bench.ledgers);
+        sleep(REST * 2).await;
+        let mut times = Vec::new();
+        for number in 0..5 {
+            times.push(spread(&leader, number).await);
+        }
+        times.sort_unstable();
+        points.push(point(size, times[2]));
+    }
+    Slope {
+        what: "a change in force everywhere",
+        unit: "ms a sidecar that follows",
+        points,
+    }
+}
+
+async fn spread(leader: &Channel, number: u64) -> u64 {
+    let start = Instant::now();
+    let path = format!("organisations/new-{number}");
+    let ask = LedgerRequest::Propose(first_put(&path, "", number));
+    let applied = leader.call::<LedgerCall>(&ask, PATIENCE).await;
+    let Ok(LedgerReply::Applied { index, .. }) = applied else {
+        panic!("the change was not applied");
+    };
+    while start.elapsed() < PATIENCE * 3 {
+        let ask = LedgerRequest::Query(Query::InForce(index));
+        let reply = leader.call::<LedgerCall>(&ask, PATIENCE).await;
+        if let Ok(LedgerReply::Read(QueryAnswer::InForce(spread))) = reply
+            && spread.missing.is_empty()
+        {
+            break;
+        }
+        sleep(LOOK).await;
+    }
+    u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX)
+}
+
 /// With so many routers that send a batch of 50 reports every second.
 pub async fn batches() -> Vec<Slope> {
     const REPORTS: u64 = 50;
--- a/crates/anvil_daemons/examples/slopes/live/swarm.rs
+++ b/crates/anvil_daemons/examples/slopes/live/swarm.rs
@@ -1,10 +1,12 @@
 //! Fakes of sidecars and routers around a real ledger.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use anvil_wire::Channel;
-use anvil_wire::msg::{Heartbeat, Interest, LedgerCall, LedgerReply, LedgerRequest};
+use anvil_wire::msg::{FollowEvent, Heartbeat, Interest, LedgerCall, LedgerReply, LedgerRequest};
 use anvil_world::prelude::*;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
@@ -28,13 +30,21 @@
     let mut tasks = JoinSet::new();
     for at in 0..count {
         let replica = follow[usize::try_from(at).unwrap_or_default() % follow.len()];
-        tasks.spawn(live(sidecar(at), Channel::new(leader), at, count));
-        tasks.spawn(follower(sidecar(at).id, Channel::new(replica)));
+        let version = Arc::new(AtomicU64::new(0));
+        let life = live(
+            sidecar(at),
+            Channel::new(leader),
+            version.clone(),
+            at,
+            count,
+        );
+        tasks.spawn(life);
+        tasks.spawn(follower(sidecar(at).id, Channel::new(replica), version));
     }
     Swarm { _tasks: tasks }
 }
 
-async fn live(instance: Instance, leader: Channel, at: u64, count: u64) {
+async fn live(instance: Instance, leader: Channel, version: Arc<AtomicU64>, at: u64, count: u64) {
     // Spread over the second, as processes that started at any time are.
     sleep(Duration::from_millis(1_000 * at / count.max(1))).await;
     let mut every = interval(Duration::from_secs(1));
@@ -42,7 +52,7 @@
         every.tick().await;
         let beat = LedgerRequest::Heartbeat(Heartbeat {
             instance: instance.clone(),
-            version: 1,
+            version: version.load(Ordering::Relaxed),
             evidence: Vec::new(),
             leaving: false,
         });
@@ -51,7 +61,7 @@
     }
 }
 
-async fn follower(instance: InstanceId, replica: Channel) {
+async fn follower(instance: InstanceId, replica: Channel, version: Arc<AtomicU64>) {
     let ask = LedgerRequest::Follow {
         instance,
         interest: Interest::Sidecar,
@@ -60,7 +70,17 @@
     let Ok(mut replies) = replica.open::<LedgerCall>(&ask).await else {
         return;
     };
-    while let Ok(Some(_)) = replies.next().await {}
+    while let Ok(Some(LedgerReply::Follow(event))) = replies.next().await {
+        version.fetch_max(version_of(&event), Ordering::Relaxed);
+    }
+}
+
+fn version_of(event: &FollowEvent) -> LogIndex {
+    match event {
+        FollowEvent::Full { version, .. }
+        | FollowEvent::Delta { version, .. }
+        | FollowEvent::Current { version } => *version,
+    }
 }
 
 /// So many routers, each with one batch of so many reports a second.
