--- a/crates/anvil_daemons/examples/slopes/live.rs
+++ b/crates/anvil_daemons/examples/slopes/live.rs
@@ -12,8 +12,7 @@
 pub fn slopes() -> Vec<Slope> {
     let runtime = tokio::runtime::Runtime::new().expect("a runtime can be made");
     runtime.block_on(async {
-        let mut found = vec![ledger::in_force().await];
-        found.extend(ledger::members().await);
+        let mut found = ledger::members().await;
         found.extend(ledger::batches().await);
         found.extend(ledger::claims().await);
         found.extend(router::teams().await);
@@ -25,3 +24,9 @@
         found
     })
 }
+
+/// How long a change takes to be in force everywhere.
+pub fn spread() -> Vec<Slope> {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime can be made");
+    vec![runtime.block_on(ledger::in_force())]
+}
--- a/crates/anvil_daemons/examples/slopes/main.rs
+++ b/crates/anvil_daemons/examples/slopes/main.rs
@@ -22,7 +22,7 @@
 /// measures what each thing costs, at three or more sizes, and fits a line
 #[derive(Debug, FromArgs)]
 struct Arguments {
-    /// only groups whose name starts with this: state, apply, messages, disk, live
+    /// only groups whose name starts with this: state, apply, messages, disk, spread, live
     #[argh(option, default = "String::new()")]
     only: String,
 
@@ -37,11 +37,12 @@
 
 type Group = (&'static str, fn() -> Vec<Slope>);
 
-const GROUPS: [Group; 5] = [
+const GROUPS: [Group; 6] = [
     ("state", state::slopes),
     ("apply", apply::slopes),
     ("messages", messages::slopes),
     ("disk", disk::slopes),
+    ("spread", live::spread),
     ("live", live::slopes),
 ];
 
