--- a/crates/anvil_standins/src/bin/anvil-load.rs
+++ b/crates/anvil_standins/src/bin/anvil-load.rs
@@ -75,6 +75,10 @@
     /// percent of the rates that the scenarios name
     #[argh(option, default = "100")]
     percent: u32,
+
+    /// send chats and lookups without an Idempotency-Key, and never again
+    #[argh(switch)]
+    unkeyed: bool,
 }
 
 fn main() -> ExitCode {
@@ -101,7 +105,10 @@
 async fn run(task: &Run) -> Result<(), Error> {
     let mut reports = Vec::new();
     for path in &task.scenarios {
-        let scenario = Scenario::load(path)?.with_percent(task.percent);
+        let mut scenario = Scenario::load(path)?.with_percent(task.percent);
+        if task.unkeyed {
+            scenario = scenario.without_keys();
+        }
         let report = if task.target.is_empty() {
             with_fleet(task, &scenario).await?
         } else {
--- a/crates/anvil_standins/src/load/caller.rs
+++ b/crates/anvil_standins/src/load/caller.rs
@@ -30,6 +30,8 @@
     due: Due,
     /// Most that it can cost, in budget tokens.
     pub bound: u64,
+    /// Whether it carries its key, so that it may be sent again.
+    pub keyed: bool,
 }
 
 /// What a right answer looks like.
@@ -104,6 +106,7 @@
             key,
             bearer: bearer.into(),
             bound: body.len() as u64 + arrival.output,
+            keyed: true,
             body,
             due: Due::Chat {
                 text,
@@ -119,6 +122,7 @@
             key,
             bearer: bearer.into(),
             bound: 1,
+            keyed: true,
             body: Bytes::new(),
             due: Due::Plain { order: None },
         }
@@ -131,6 +135,7 @@
             path: format!("/services/{}/orders", load.service),
             bearer: bearer.into(),
             bound: 1,
+            keyed: true,
             body: Bytes::from(body.to_string()),
             due: Due::Plain {
                 order: Some(key.clone()),
@@ -139,6 +144,11 @@
         }
     }
 
+    /// Whether it may not be repeated.
+    pub fn is_order(&self) -> bool {
+        matches!(self.due, Due::Plain { order: Some(_) })
+    }
+
     /// Sends it once and reads the answer to its end.
     pub async fn send(&self, client: &Client, to: SocketAddr, times: &mut Times) -> Tried {
         let url = format!("http://{to}{}", self.path);
@@ -146,8 +156,10 @@
             .method(self.method.clone())
             .uri(&url)
             .header(header::AUTHORIZATION, format!("Bearer {}", self.bearer))
-            .header(header::CONTENT_TYPE, "application/json")
-            .header(IDEMPOTENCY_KEY, &self.key);
+            .header(header::CONTENT_TYPE, "application/json");
+        if self.keyed {
+            req = req.header(IDEMPOTENCY_KEY, &self.key);
+        }
         if let Due::Plain { order: Some(order) } = &self.due {
             req = req.header(ORDER_ID, order);
         }
--- a/crates/anvil_standins/src/load/driver.rs
+++ b/crates/anvil_standins/src/load/driver.rs
@@ -95,7 +95,8 @@
     let load = &driver.scenario.load[arrival.load];
     let keys = &driver.target.keys;
     let bearer = &keys[arrival.organisation as usize % keys.len()];
-    let call = Call::new(&driver.target.run, load, &arrival, bearer);
+    let mut call = Call::new(&driver.target.run, load, &arrival, bearer);
+    call.keyed = driver.scenario.callers.keyed || call.is_order();
     let stake = Stake {
         organisation: arrival.organisation,
         service: load.service.clone(),
@@ -116,7 +117,11 @@
     /// Tries until there is an answer, the deadline is over or the tries are used up.
     async fn tries(&self, call: &Call, arrival: &Arrival, times: &mut Times) -> Tried {
         let end = self.start + arrival.at + arrival.deadline;
-        let retries = u64::from(self.scenario.callers.retries);
+        let retries = if call.keyed {
+            u64::from(self.scenario.callers.retries)
+        } else {
+            0
+        };
         for attempt in 0..=retries {
             let at = usize::try_from(arrival.number + attempt).unwrap_or_default();
             let at = at % self.target.routers.len();
--- a/crates/anvil_standins/src/load/scenario.rs
+++ b/crates/anvil_standins/src/load/scenario.rs
@@ -129,6 +129,9 @@
     pub budget: Tokens,
     /// How often a caller whose answer was cut off sends the request again, under its key.
     pub retries: u32,
+    /// Whether chats and lookups carry an `Idempotency-Key`. Without one they are never sent
+    /// again, for that would be another request. Orders always carry one.
+    pub keyed: bool,
 }
 
 impl Default for Callers {
@@ -139,6 +142,7 @@
             large_percent: 60,
             budget: 1_000_000_000,
             retries: 5,
+            keyed: true,
         }
     }
 }
@@ -313,6 +317,12 @@
         latest.map_or(100, |step| step.percent)
     }
 
+    /// With chats and lookups that carry no key.
+    pub fn without_keys(mut self) -> Self {
+        self.callers.keyed = false;
+        self
+    }
+
     /// With another number of percent on all rates from the start.
     pub fn with_percent(mut self, percent: u32) -> Self {
         for load in &mut self.load {
