--- a/crates/anvilreel/tests/sidecar_platform.rs
+++ b/crates/anvilreel/tests/sidecar_platform.rs
@@ -76,6 +76,7 @@
             price: Price::default(),
             bound: 100,
             oldest: 1,
+            number: 1,
         },
         work: Work::Plain {
             method: "POST".into(),
