--- a/crates/anvil_standins/src/load/caller.rs
+++ b/crates/anvil_standins/src/load/caller.rs
@@ -30,6 +30,8 @@
     due: Due,
     /// Most that it can cost, in budget tokens.
     pub bound: u64,
+    /// Whether it carries its key, so that it may be sent again.
+    pub keyed: bool,
 }
 
 /// What a right answer looks like.
@@ -44,8 +46,8 @@
 pub(super) enum Tried {
     /// The right answer; with its cost in budget tokens and its own tokens.
     Right { cost: u64, tokens: u64 },
-    /// An answer that looked complete and was not the right one.
-    Wrong,
+    /// An answer that looked complete and was not the right one; with what was wrong.
+    Wrong(&'static str),
     /// It did not run, for this reason.
     NotRun(String),
     /// It may have run.
@@ -104,6 +106,7 @@
             key,
             bearer: bearer.into(),
             bound: body.len() as u64 + arrival.output,
+            keyed: true,
             body,
             due: Due::Chat {
                 text,
@@ -119,6 +122,7 @@
             key,
             bearer: bearer.into(),
             bound: 1,
+            keyed: true,
             body: Bytes::new(),
             due: Due::Plain { order: None },
         }
@@ -131,6 +135,7 @@
             path: format!("/services/{}/orders", load.service),
             bearer: bearer.into(),
             bound: 1,
+            keyed: true,
             body: Bytes::from(body.to_string()),
             due: Due::Plain {
                 order: Some(key.clone()),
@@ -139,6 +144,11 @@
         }
     }
 
+    /// Whether it may not be repeated.
+    pub fn is_order(&self) -> bool {
+        matches!(self.due, Due::Plain { order: Some(_) })
+    }
+
     /// Sends it once and reads the answer to its end.
     pub async fn send(&self, client: &Client, to: SocketAddr, times: &mut Times) -> Tried {
         let url = format!("http://{to}{}", self.path);
@@ -146,8 +156,10 @@
             .method(self.method.clone())
             .uri(&url)
             .header(header::AUTHORIZATION, format!("Bearer {}", self.bearer))
-            .header(header::CONTENT_TYPE, "application/json")
-            .header(IDEMPOTENCY_KEY, &self.key);
+            .header(header::CONTENT_TYPE, "application/json");
+        if self.keyed {
+            req = req.header(IDEMPOTENCY_KEY, &self.key);
+        }
         if let Due::Plain { order: Some(order) } = &self.due {
             req = req.header(ORDER_ID, order);
         }
@@ -210,10 +222,16 @@
     }
     let used = answer.usage["completion_tokens"].as_u64();
     let (Some(tokens), Some(asked)) = (used, answer.usage["prompt_tokens"].as_u64()) else {
-        return Tried::Wrong;
+        return Tried::Wrong("no usage");
     };
-    if answer.text != expected || asked != prompt {
-        return Tried::Wrong;
+    if answer.text != expected {
+        return Tried::Wrong(difference(&answer.text, expected));
+    }
+    if asked != prompt {
+        return Tried::Wrong("prompt tokens");
+    }
+    if tokens != expected.bytes().filter(|b| *b == b' ').count() as u64 {
+        return Tried::Wrong("completion tokens");
     }
     Tried::Right {
         cost: asked + tokens,
@@ -221,6 +239,16 @@
     }
 }
 
+fn difference(text: &str, expected: &str) -> &'static str {
+    if expected.starts_with(text) {
+        "text that ends early"
+    } else if text.starts_with(expected) {
+        "text that goes on too long"
+    } else {
+        "other text"
+    }
+}
+
 #[derive(Debug, Default)]
 struct Streamed {
     text: String,
@@ -237,7 +265,7 @@
             return None;
         }
         let Ok(chunk) = serde_json::from_slice::<Value>(data) else {
-            return Some(Tried::Wrong);
+            return Some(Tried::Wrong("an event that is no JSON"));
         };
         if !chunk["error"].is_null() {
             return Some(from_error(&chunk["error"]));
@@ -266,10 +294,10 @@
     };
     times.text("");
     let Ok(answer) = serde_json::from_slice::<Value>(&body.to_bytes()) else {
-        return Tried::Wrong;
+        return Tried::Wrong("an answer that is no JSON");
     };
     if answer["order_id"].as_str() != order {
-        return Tried::Wrong;
+        return Tried::Wrong("another order's answer");
     }
     Tried::Right { cost: 1, tokens: 0 }
 }
