The ledger's metrics, and nothing more after a failed invariant

Cause: the setting statsd was read and not used; and when an entry broke an invariant, the actions after it in the same batch still went out. Change: gauges of term, committed position, leading and version every 5 s; a stopped node drops the rest of a batch.

--- a/crates/anvilreel/src/ledger_service.rs
+++ b/crates/anvilreel/src/ledger_service.rs
@@ -44,11 +44,12 @@
 use tokio::task::JoinHandle;
 
 pub use error::ServiceError;
-use error::{DiskSnafu, ListenSnafu, MachineSnafu, StorageSnafu, ThreadSnafu};
+use error::{DiskSnafu, ListenSnafu, MachineSnafu, MetricsSnafu, StorageSnafu, ThreadSnafu};
 use node::{Inbox, Node};
 pub use removal::{NoLeader, remove};
 
 use crate::event;
+use crate::metrics::Metrics;
 
 /// Events that may wait for the node before whoever sends them waits too.
 const INBOX: usize = 65_536;
@@ -130,6 +131,7 @@
         writer,
         tuning,
         log: log.clone(),
+        metrics: Metrics::new("ledger", cfg.statsd).context(MetricsSnafu)?,
     };
     let (node, public) = Node::new(setup, found, inbox.clone()).context(MachineSnafu)?;
     event!(log, events::LEDGER_LISTENING, "addr" => addr.to_string(), "replica" => format!("{id:x}"));
--- a/crates/anvilreel/src/ledger_service/error.rs
+++ b/crates/anvilreel/src/ledger_service/error.rs
@@ -6,6 +6,8 @@
 use anvil_wire::WireError;
 use snafu::Snafu;
 
+use crate::metrics::MetricsError;
+
 /// A replica that could not start.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(super)))]
@@ -36,6 +38,12 @@
         /// Why.
         source: WireError,
     },
+    /// Metrics can't be sent.
+    #[snafu(display("{source}"))]
+    Metrics {
+        /// Why.
+        source: MetricsError,
+    },
     /// The disk's thread can't be started.
     #[snafu(display("no thread for the disk: {source}"))]
     Thread {
--- a/crates/anvilreel/src/ledger_service/node.rs
+++ b/crates/anvilreel/src/ledger_service/node.rs
@@ -30,6 +30,7 @@
 use super::signs::Signs;
 use super::testimony::Testimony;
 use crate::event;
+use crate::metrics::Metrics;
 use outbox::Outbox;
 pub use public::Public;
 
@@ -91,6 +92,8 @@
     pub tuning: Tuning,
     /// Where log lines go.
     pub log: Logger,
+    /// Where metrics go.
+    pub metrics: Metrics,
 }
 
 /// The task's state.
@@ -108,6 +111,7 @@
     covered: LogIndex,
     preparing: bool,
     next_watch: Duration,
+    next_measure: Duration,
     /// The version at which fenced grants were last looked through; 0 at an election.
     examined: LogIndex,
     stopped: bool,
@@ -149,6 +153,7 @@
             inbox,
             preparing: false,
             next_watch: Duration::ZERO,
+            next_measure: Duration::ZERO,
             examined: 0,
             stopped: false,
         };
@@ -187,6 +192,7 @@
     fn tick(&mut self) {
         self.feed(Event::Tick);
         self.watch_fleet();
+        self.measure();
     }
 
     /// Takes what has gathered; proposals that stand together share one write.
@@ -269,6 +275,10 @@
         let led = self.replica.leads();
         let actions = self.replica.handle(self.begun.elapsed(), event);
         for action in actions {
+            if self.stopped {
+                // An invariant failed in the action before; what follows rests on it.
+                return;
+            }
             self.act(action);
         }
         if !led && self.replica.leads() {
--- a/crates/anvilreel/src/ledger_service/node/public.rs
+++ b/crates/anvilreel/src/ledger_service/node/public.rs
@@ -2,11 +2,16 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use anvil_ledger::core::ReplicaId;
 use anvil_world::prelude::*;
 
 use super::Node;
+use crate::metrics;
+
+/// Time between two samples of the gauges.
+const MEASURE: Duration = Duration::from_secs(5);
 
 /// What everybody may know of a node without asking it.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -24,6 +29,21 @@
 }
 
 impl Node {
+    /// Sends the gauges now and then.
+    pub(super) fn measure(&mut self) {
+        let now = self.now();
+        if now < self.next_measure {
+            return;
+        }
+        self.next_measure = now + MEASURE;
+        let metrics = &self.setup.metrics;
+        let leads = u64::from(self.replica.leads());
+        metrics.gauge(metrics::LOG_COMMITTED, self.replica.committed());
+        metrics.gauge(metrics::LOG_TERM, self.replica.term());
+        metrics.gauge(metrics::LOG_LEADS, leads);
+        metrics.gauge(metrics::SETTINGS_VERSION, self.machine.state.version());
+    }
+
     fn listed_addr(&self) -> Option<SocketAddr> {
         let voters = &self.replica.membership().voters;
         voters.get(&self.setup.id).map(|site| site.addr)
--- a/crates/anvilreel/src/metrics.rs
+++ b/crates/anvilreel/src/metrics.rs
@@ -27,6 +27,12 @@
 pub const RUNS_OPEN: &str = "runs.open";
 /// Runs that were refused at a sidecar. Count.
 pub const RUNS_REFUSED: &str = "runs.refused";
+/// Newest committed position of the ledger's log, as a replica knows it. Gauge.
+pub const LOG_COMMITTED: &str = "log.committed";
+/// Newest term that a replica of the ledger has seen. Gauge.
+pub const LOG_TERM: &str = "log.term";
+/// Whether a replica of the ledger leads: 1 or 0. Gauge.
+pub const LOG_LEADS: &str = "log.leads";
 
 /// Every name with its unit, for the test that holds code and docs/METRICS.md together.
 pub const ALL: &[(&str, &str)] = &[
@@ -39,6 +45,9 @@
     (SETTINGS_VERSION, "gauge"),
     (RUNS_OPEN, "gauge"),
     (RUNS_REFUSED, "count"),
+    (LOG_COMMITTED, "gauge"),
+    (LOG_TERM, "gauge"),
+    (LOG_LEADS, "gauge"),
 ];
 
 /// Metrics that can't be sent.
