--- a/crates/anvil_ledger/src/core/leadership.rs
+++ b/crates/anvil_ledger/src/core/leadership.rs
@@ -22,6 +22,16 @@
     pub round: Round,
 }
 
+/// A read that waits for its round.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct WaitingRead {
+    pub id: RequestId,
+    /// The round that confirms it: the first one that begins after it came.
+    pub round: Round,
+    /// The position from which on it may be answered.
+    pub index: LogIndex,
+}
+
 #[derive(Debug)]
 pub(super) struct Leadership {
     pub progress: BTreeMap<ReplicaId, Progress>,
@@ -29,8 +39,7 @@
     pub first: LogIndex,
     pub next_heartbeat: Duration,
     pub round: Round,
-    /// Reads, each with the round that confirms it and the position it needs.
-    pub reads: VecDeque<(Round, RequestId, LogIndex)>,
+    pub reads: VecDeque<WaitingRead>,
     /// Reads from before the first entry of this term was committed.
     pub early: Vec<RequestId>,
 }
--- a/crates/anvil_ledger/src/core/read.rs
+++ b/crates/anvil_ledger/src/core/read.rs
@@ -4,9 +4,9 @@
 //! sees an accepted change vanish. A read is answered only after a majority has acknowledged,
 //! in a round that began after the read arrived, that this replica still leads.
 
-use super::leadership::Leadership;
+use super::leadership::{Leadership, WaitingRead};
 use super::replica::{Replica, Role};
-use super::{Action, RequestId};
+use super::{Action, RequestId, Round};
 
 impl Replica {
     pub(super) fn read(&mut self, id: RequestId) {
@@ -20,11 +20,13 @@
             return;
         }
         // A round under way began before this read; the next one confirms it.
-        let under_way = lead
-            .reads
-            .front()
-            .is_some_and(|(round, ..)| *round <= lead.round);
-        lead.reads.push_back((lead.round + 1, id, committed));
+        let under_way = lead.reads.front();
+        let under_way = under_way.is_some_and(|read| read.round <= lead.round);
+        lead.reads.push_back(WaitingRead {
+            id,
+            round: lead.round + 1,
+            index: committed,
+        });
         if !under_way {
             self.start_round();
         }
@@ -54,7 +56,7 @@
         let Role::Leader(lead) = &self.role else {
             return;
         };
-        let Some((wanted, ..)) = lead.reads.front().copied() else {
+        let Some(wanted) = lead.reads.front().map(|read| read.round) else {
             return;
         };
         let me = self.id;
@@ -72,17 +74,17 @@
         }
     }
 
-    fn confirm(&mut self, round: u64) {
-        while let Some((_, id, index)) = self
+    fn confirm(&mut self, round: Round) {
+        while let Some(WaitingRead { id, index, .. }) = self
             .leadership()
-            .and_then(|lead| lead.reads.pop_front_if(|(wanted, ..)| *wanted <= round))
+            .and_then(|lead| lead.reads.pop_front_if(|read| read.round <= round))
         {
             self.out.push(Action::Confirmed { id, index });
         }
     }
 
     pub(super) fn refuse_reads(&mut self, lead: &Leadership) {
-        let waiting: Vec<RequestId> = lead.reads.iter().map(|(_, id, _)| *id).collect();
+        let waiting: Vec<RequestId> = lead.reads.iter().map(|read| read.id).collect();
         for id in waiting.into_iter().chain(lead.early.iter().copied()) {
             self.refuse(id);
         }
--- a/crates/anvil_ledger/src/core/replica.rs
+++ b/crates/anvil_ledger/src/core/replica.rs
@@ -10,10 +10,10 @@
 use super::election::Votes;
 use super::leadership::Leadership;
 use super::log::Log;
-use super::write::Writes;
+use super::write::{Held, Writes};
 use super::{
     Action, CoreError, Entry, EntryId, Envelope, Event, HardState, Membership, Message, Payload,
-    ReplicaId, Site, SnapshotMeta,
+    ReplicaId, Round, Site, SnapshotMeta,
 };
 
 /// How fast replicas notice things, and how much of the log they keep.
@@ -84,10 +84,11 @@
     pub(super) deadline: Duration,
     /// Up to where the log is known to be the present leader's.
     pub(super) verified: LogIndex,
-    pub(super) round_seen: u64,
+    /// The leader's newest confirmation round.
+    pub(super) round_seen: Round,
     pub(super) writes: Writes,
-    /// Messages that wait for a sync: (write, receiver, message).
-    pub(super) held: VecDeque<(u64, ReplicaId, Message)>,
+    /// Messages that wait for a sync.
+    pub(super) held: VecDeque<Held>,
     pub(super) joining: BTreeMap<ReplicaId, Site>,
     pub(super) removing: BTreeSet<InstanceId>,
     pub(super) out: Vec<Action>,
--- a/crates/anvil_ledger/src/core/write.rs
+++ b/crates/anvil_ledger/src/core/write.rs
@@ -11,14 +11,21 @@
 use super::replica::Replica;
 use super::{Action, Entry, EntryId, Message, Payload, ReplicaId, Write, WriteSeq};
 
+/// A write that is not synced yet.
+#[derive(Debug)]
+struct UnderWay {
+    seq: WriteSeq,
+    /// Up to where the disk holds the log after it.
+    upto: LogIndex,
+}
+
 #[derive(Debug)]
 pub(super) struct Writes {
     issued: WriteSeq,
     synced: WriteSeq,
     /// Up to where the disk holds the log.
     durable: LogIndex,
-    /// The last position after each write under way.
-    pending: VecDeque<(WriteSeq, LogIndex)>,
+    pending: VecDeque<UnderWay>,
     /// The newest write that carries a hard state.
     hard: WriteSeq,
     hard_changed: bool,
@@ -62,31 +69,43 @@
     fn truncate_from(&mut self, index: LogIndex) {
         let last = index - 1;
         self.durable = self.durable.min(last);
-        for (_, upto) in &mut self.pending {
-            *upto = last.min(*upto);
+        for write in &mut self.pending {
+            write.upto = last.min(write.upto);
         }
         self.entries.retain(|entry| entry.id.index < index);
     }
 
     /// Numbers a write that replaces the whole log.
     pub fn replace(&mut self, last: LogIndex) -> WriteSeq {
-        for (_, upto) in &mut self.pending {
-            *upto = 0;
+        for write in &mut self.pending {
+            write.upto = 0;
         }
         self.durable = 0;
         self.issued += 1;
-        self.pending.push_back((self.issued, last));
+        self.pending.push_back(UnderWay {
+            seq: self.issued,
+            upto: last,
+        });
         self.issued
     }
 
     fn synced(&mut self, seq: WriteSeq) {
         self.synced = self.synced.max(seq);
-        while let Some((_, upto)) = self.pending.pop_front_if(|(write, _)| *write <= seq) {
-            self.durable = self.durable.max(upto);
+        while let Some(write) = self.pending.pop_front_if(|write| write.seq <= seq) {
+            self.durable = self.durable.max(write.upto);
         }
     }
 }
 
+/// A message that waits for a sync.
+#[derive(Debug)]
+pub(super) struct Held {
+    /// The write it rests on.
+    after: WriteSeq,
+    to: ReplicaId,
+    message: Message,
+}
+
 impl Replica {
     pub(super) fn append(&mut self, entry: Entry) {
         if let Payload::Membership(membership) = &entry.payload {
@@ -123,8 +142,8 @@
         if self.writes.idle() {
             self.send(to, message);
         } else {
-            let seq = self.writes.newest();
-            self.held.push_back((seq, to, message));
+            let after = self.writes.newest();
+            self.held.push_back(Held { after, to, message });
         }
     }
 
@@ -152,7 +171,8 @@
         }
         self.writes.hard_changed = false;
         self.writes.issued = seq;
-        self.writes.pending.push_back((seq, self.log.last().index));
+        let upto = self.log.last().index;
+        self.writes.pending.push_back(UnderWay { seq, upto });
         let first = entries.first().map(|entry| entry.id.index - 1);
         let prev = first.and_then(|index| self.log.id_at(index));
         let write = Write {
@@ -166,14 +186,15 @@
 
     pub(super) fn synced(&mut self, seq: WriteSeq) {
         self.writes.synced(seq);
-        while let Some((_, to, message)) = self.held.pop_front_if(|(write, _, _)| *write <= seq) {
-            self.release(to, message);
+        while let Some(held) = self.held.pop_front_if(|held| held.after <= seq) {
+            self.release(held);
         }
         self.advance_after_sync();
     }
 
     /// Sends a held message; its own vote for itself it counts at once.
-    fn release(&mut self, to: ReplicaId, message: Message) {
+    fn release(&mut self, held: Held) {
+        let Held { to, message, .. } = held;
         match message {
             Message::Vote {
                 term,
