A leader's backlog is bounded

Cause: with a hanging majority, callers that ask again and again grow the log in the leader's memory, and at 65,536 writes the node would wait for the disk's thread. Change: beyond 32,768 entries that wait for a majority a proposal is refused (NoQuorum on the wire) and nothing is put in. After: a test of the core; all tests of the crate pass.

--- a/crates/anvil_ledger/src/core/event.rs
+++ b/crates/anvil_ledger/src/core/event.rs
@@ -73,6 +73,8 @@
     NotLeader(ReplicaId),
     /// No leader is known.
     NoLeader,
+    /// Too much waits for a majority already.
+    Backlog,
 }
 
 /// What a replica wants done, in this order.
--- a/crates/anvil_ledger/src/core/lead.rs
+++ b/crates/anvil_ledger/src/core/lead.rs
@@ -10,6 +10,11 @@
 
 /// Most bytes of entries in one message.
 const MAX_APPEND: usize = 256 << 10;
+/// Most entries that wait for a majority.
+///
+/// Failure: the leader's disk or a majority hangs while callers ask again and again; the log grows
+/// in memory until the process dies. Beyond this, a proposal is refused and nothing is put in.
+const MAX_WAITING: LogIndex = 32_768;
 /// Most entries under way to one follower before it acknowledges some.
 const MAX_UNDER_WAY: LogIndex = 8_192;
 
@@ -32,6 +37,11 @@
                 self.refuse(id);
                 continue;
             }
+            if self.log.last().index >= self.committed + MAX_WAITING {
+                let why = Refused::Backlog;
+                self.out.push(Action::Refused { id, why });
+                continue;
+            }
             let entry = self.next_id();
             self.append(Entry {
                 id: entry,
--- a/crates/anvil_ledger/tests/core_guards.rs
+++ b/crates/anvil_ledger/tests/core_guards.rs
@@ -355,3 +355,32 @@
     driver.pass(Duration::from_millis(100));
     assert!(!driver.replica.membership().voters.contains_key(&3));
 }
+
+/// A majority hangs, alive, while callers ask again and again. The leader takes a bounded number
+/// of proposals and refuses the rest, with nothing put into the log; they go in once it commits.
+#[test]
+fn a_backlog_is_bounded() {
+    let mut driver = Driver::leading();
+    driver.ack(2, 3, 0);
+    let ask = |first: u64| {
+        let ids = first..first + 50_000;
+        let proposals = ids.map(|id| Proposal {
+            id,
+            data: "again".into(),
+        });
+        Event::Propose(proposals.collect())
+    };
+    driver.feed(ask(1_000));
+    let last = driver.replica.last().index;
+    assert!(last < 40_000);
+    let refused = |action: &&Action| matches!(action, Action::Refused { .. });
+    assert_eq!(
+        driver.actions.iter().filter(refused).count() as u64,
+        50_003 - last
+    );
+    driver.sync();
+    driver.ack(2, last, 0);
+    driver.actions.clear();
+    driver.feed(ask(100_000));
+    assert!(driver.replica.last().index > last);
+}
--- a/crates/anvilreel/src/ledger_service/node/requests.rs
+++ b/crates/anvilreel/src/ledger_service/node/requests.rs
@@ -59,7 +59,7 @@
             Refused::NotLeader(_) => LedgerReply::NotLeader {
                 leader: self.leader_addr(),
             },
-            Refused::NoLeader => LedgerReply::NoQuorum,
+            Refused::NoLeader | Refused::Backlog => LedgerReply::NoQuorum,
         };
         self.pending.refused(id, &reply);
     }
