--- a/crates/anvilreel/tests/ledger_service.rs
+++ b/crates/anvilreel/tests/ledger_service.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, SystemTime};
 
-use anvil_ledger::core::{Membership, Payload};
+use anvil_ledger::core::{CoreSettings, Membership, Payload};
 use anvil_ledger::storage::recover::recover;
 use anvil_ledger::storage::store::read_identity;
 use anvil_ledger::storage::{Disk, Op};
@@ -89,6 +89,11 @@
             silent_after: Duration::from_millis(500),
             gone_after: Duration::from_secs(1),
             snapshot_every: 200,
+            // A short log, so that a new disk has to fetch a snapshot.
+            core: CoreSettings {
+                trailing: 50,
+                ..CoreSettings::default()
+            },
             ..Tuning::default()
         };
         let handle = start(self.settings(number), tuning, log, stopped).await?;
@@ -228,6 +233,8 @@
         }
     };
     timeout(PATIENCE, repaired).await?;
+    let found = recover(&Disk::read_only(&cluster.folder.path().join("0")))?;
+    assert!(found.base.index > 0, "no snapshot was fetched");
     cluster.stop(1).await;
     assert_eq!(cluster.budget("nairobi").await?.credited, 5_000);
     cluster.propose(top_up(500)).await?;
