--- a/crates/anvilreel/src/ledger_service/node/public.rs
+++ b/crates/anvilreel/src/ledger_service/node/public.rs
@@ -2,11 +2,16 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use anvil_ledger::core::ReplicaId;
 use anvil_world::prelude::*;
 
 use super::Node;
+use crate::metrics;
+
+/// Time between two samples of the gauges.
+const MEASURE: Duration = Duration::from_secs(5);
 
 /// What everybody may know of a node without asking it.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -17,13 +22,33 @@
     pub in_touch: bool,
     /// Other replicas' addresses.
     pub peers: BTreeMap<ReplicaId, SocketAddr>,
-    /// Whether it votes.
-    pub votes: bool,
+    /// Where the others think that it is reached, once it votes.
+    pub listed: Option<SocketAddr>,
     /// Whether it has to ask to be taken in.
     pub seeks_ledger: bool,
 }
 
 impl Node {
+    /// Sends the gauges now and then.
+    pub(super) fn measure(&mut self) {
+        let now = self.now();
+        if now < self.next_measure {
+            return;
+        }
+        self.next_measure = now + MEASURE;
+        let metrics = &self.setup.metrics;
+        let leads = u64::from(self.replica.leads());
+        metrics.gauge(metrics::LOG_COMMITTED, self.replica.committed());
+        metrics.gauge(metrics::LOG_TERM, self.replica.term());
+        metrics.gauge(metrics::LOG_LEADS, leads);
+        metrics.gauge(metrics::SETTINGS_VERSION, self.machine.state.version());
+    }
+
+    fn listed_addr(&self) -> Option<SocketAddr> {
+        let voters = &self.replica.membership().voters;
+        voters.get(&self.setup.id).map(|site| site.addr)
+    }
+
     pub(super) fn publish(&mut self) {
         let membership = self.replica.membership();
         let others = membership.replicas().filter(|(id, _)| *id != self.setup.id);
@@ -31,7 +56,7 @@
             version: self.machine.state.version(),
             in_touch: self.replica.in_touch() && !self.stopped,
             peers: others.map(|(id, site)| (id, site.addr)).collect(),
-            votes: self.replica.votes(),
+            listed: self.listed_addr(),
             seeks_ledger: self.replica.seeks_ledger(),
         };
         self.public.send_if_modified(|seen| {
