Held prefixes add no run above an endpoint's slots

Cause: with a limit near the slots, half of the limit more would wait inside the engine. The guard is for engines whose limit reaches their slots.

--- a/crates/anvil_policy/src/endpoint.rs
+++ b/crates/anvil_policy/src/endpoint.rs
@@ -176,8 +176,9 @@
     /// limit, because a cached prefix is work saved. The whole is bounded by [`Self::balance`].
     pub fn room_for_held(&self) -> u32 {
         let limit = self.limit_now();
-        self.room_within(limit + limit / OVER_FOR_HELD)
-            .max(self.own_room())
+        // Above its slots the run would wait inside the engine, for longer than a prefix saves.
+        let over = (limit + limit / OVER_FOR_HELD).min(self.slots());
+        self.room_within(over.max(limit)).max(self.own_room())
     }
 
     /// Runs below the limit; negative when above it, but by no more than held prefixes allow:
