The promise's test can fail

Cause: with the rescue taken out the test still passed, because the promised organisation's turn was next anyway. Now its share is used up first.

--- a/crates/anvil_policy/tests/waiting.rs
+++ b/crates/anvil_policy/tests/waiting.rs
@@ -118,11 +118,15 @@
 #[test]
 fn a_promise_goes_before_fair_shares() {
     let mut waiting = Waiting::default();
+    push(&mut waiting, ticket("large", 60));
+    waiting.pop(Duration::ZERO).expect("waits");
     for _ in 0..10 {
         push(&mut waiting, ticket("small", 1));
     }
     let soon = Duration::from_secs(1);
     let promised = waiting.push(Duration::ZERO, ticket("large", 60), soon, LATE);
+    let early = waiting.pop(Duration::from_millis(800));
+    assert_eq!(early.map(|w| w.ticket.organisation), Some("small".into()));
     let now = Duration::from_millis(880);
     assert_eq!(waiting.pop(now).map(|w| w.id), Some(promised));
 }
