--- a/crates/anvil_ledger/src/state/money.rs
+++ b/crates/anvil_ledger/src/state/money.rs
@@ -153,11 +153,11 @@
             if grant.router != batch.router || grant.incarnation != batch.incarnation {
                 return Err(Denial::Fenced);
             }
-            if report.settled > grant.amount {
+            if report.settled.saturating_add(report.returned) > grant.amount {
                 return Err(Denial::from(ContractError::OverGrant {
                     grant: grant.id,
                     amount: grant.amount,
-                    charged: report.settled,
+                    charged: report.settled.saturating_add(report.returned),
                 }));
             }
         }
@@ -168,6 +168,7 @@
     fn report(&mut self, report: &GrantReport) -> Option<GrantId> {
         let budget = self.open_budget(report.grant).ok()?;
         budget.settle(report.grant, report.settled).ok()?;
+        budget.give_back(report.grant, report.returned).ok()?;
         if !report.close {
             return None;
         }
@@ -202,6 +203,7 @@
             incarnation: batch.incarnation,
             amount: ask.wanted.min(left / SHARE_OF_REST).max(least),
             settled: 0,
+            returned: 0,
             state: GrantState::Open,
         };
         let opened = budget.open(&ask.budget, grant.clone());
--- a/crates/anvilreel/src/ledger_service.rs
+++ b/crates/anvilreel/src/ledger_service.rs
@@ -18,7 +18,7 @@
 mod check;
 mod error;
 pub mod events;
-mod follow;
+pub mod follow;
 mod founding;
 mod handlers;
 mod links;
@@ -26,6 +26,7 @@
 pub mod peer;
 mod pending;
 mod queries;
+mod removal;
 pub mod signs;
 pub mod testimony;
 
@@ -45,6 +46,7 @@
 pub use error::ServiceError;
 use error::{DiskSnafu, ListenSnafu, MachineSnafu, StorageSnafu, ThreadSnafu};
 use node::{Inbox, Node};
+pub use removal::{NoLeader, remove};
 
 use crate::event;
 
@@ -103,6 +105,17 @@
 ) -> Result<LedgerHandle, ServiceError> {
     let data = cfg.data.display().to_string();
     let disk = Disk::folder(&cfg.data).context(DiskSnafu { data })?;
+    start_on(disk, cfg, tuning, log, stop).await
+}
+
+/// Starts a replica on a folder that is open already.
+pub async fn start_on(
+    disk: Disk,
+    cfg: LedgerSettings,
+    tuning: Tuning,
+    log: Logger,
+    stop: impl Future<Output = ()> + Send + 'static,
+) -> Result<LedgerHandle, ServiceError> {
     let fresh = rand::random();
     let (storage, found) = Storage::open(disk.clone(), fresh).context(StorageSnafu)?;
     let server = Server::bind(cfg.wire_listen).await.context(ListenSnafu)?;
