--- a/crates/anvil_standins/src/load/policy.rs
+++ b/crates/anvil_standins/src/load/policy.rs
@@ -4,7 +4,10 @@
 //! and the same load. Arrivals are open-loop: a late answer holds no later request back, so
 //! waiting is not hidden.
 
+mod draw;
+pub mod kind;
 pub mod report;
+pub mod request;
 pub mod router;
 pub mod rule;
 pub mod scenario;
--- a/crates/anvil_standins/src/load/policy/report.rs
+++ b/crates/anvil_standins/src/load/policy/report.rs
@@ -8,9 +8,9 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
+use super::request::Request;
 use super::rule::Rule;
 use super::scenario::PolicyScenario;
-use super::world::Request;
 use crate::load::fake::FakeEngine;
 
 /// Longest time that histograms tell apart, in microseconds.
--- a/crates/anvil_standins/src/load/policy/router.rs
+++ b/crates/anvil_standins/src/load/policy/router.rs
@@ -9,9 +9,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::request::Request;
 use super::rule::{ChoiceRule, EntryRule, Part, Rule};
 use super::scenario::PolicyScenario;
-use super::world::Request;
 
 /// Most requests that wait in the first-in-first-out baseline.
 const FIFO_LENGTH: usize = 4_096;
--- a/crates/anvil_standins/src/load/policy/scenario.rs
+++ b/crates/anvil_standins/src/load/policy/scenario.rs
@@ -2,36 +2,11 @@
 
 use std::time::Duration;
 
-use anvil_policy::prefix::PrefixHash;
-use anvil_world::document::WorkClass;
 use anvil_world::prelude::*;
-use rand::RngExt;
-use rand_chacha::ChaCha8Rng;
 
-use super::world::Request;
+pub use super::kind::Kind;
 use crate::load::fake::Fault;
 
-/// A kind of request.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Kind {
-    /// Its name.
-    pub name: &'static str,
-    /// Its part of the arrivals, against the other kinds.
-    pub part: u32,
-    /// How it waits.
-    pub class: WorkClass,
-    /// Tokens of the shared prefix.
-    pub prefix: Tokens,
-    /// Least and most prompt tokens after the prefix.
-    pub prompt: (Tokens, Tokens),
-    /// Least and most output tokens.
-    pub output: (Tokens, Tokens),
-    /// Output limit that the caller names.
-    pub output_bound: Tokens,
-    /// Time from arrival to the deadline.
-    pub timeout: Duration,
-}
-
 /// From when to when the rate is multiplied.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Burst {
@@ -133,78 +108,6 @@
     }
 }
 
-impl Kind {
-    /// A short question of counter staff.
-    pub fn question() -> Self {
-        Self {
-            name: "question",
-            part: 80,
-            class: WorkClass::Interactive,
-            prefix: 1_200,
-            prompt: (40, 400),
-            output: (40, 200),
-            output_bound: 512,
-            timeout: Duration::from_secs(30),
-        }
-    }
-
-    /// A counter question of few words, which ends before the next load report tells of it.
-    pub fn counter() -> Self {
-        Self {
-            name: "counter",
-            part: 93,
-            prefix: 200,
-            prompt: (16, 128),
-            output: (8, 64),
-            output_bound: 64,
-            timeout: Duration::from_secs(10),
-            ..Self::question()
-        }
-    }
-
-    /// A ticket lookup: one short answer of a service that says nothing of tokens.
-    pub fn lookup() -> Self {
-        Self {
-            name: "lookup",
-            part: 1,
-            class: WorkClass::Interactive,
-            prefix: 0,
-            prompt: (10, 30),
-            output: (1, 1),
-            output_bound: 1,
-            timeout: Duration::from_secs(10),
-        }
-    }
-
-    /// A ledger summary.
-    pub fn summary() -> Self {
-        Self {
-            name: "summary",
-            part: 17,
-            class: WorkClass::Interactive,
-            prefix: 1_200,
-            prompt: (800, 3_000),
-            output: (150, 400),
-            output_bound: 1_024,
-            timeout: Duration::from_mins(1),
-        }
-    }
-
-    /// A long repair history.
-    pub fn history() -> Self {
-        Self {
-            name: "history",
-            part: 3,
-            class: WorkClass::Batch,
-            prefix: 1_200,
-            prompt: (6_000, 14_000),
-            output: (300, 700),
-            output_bound: 1_024,
-            timeout: Duration::from_mins(30),
-        }
-    }
-}
-
 impl PolicyScenario {
     /// With another name.
     pub fn named(mut self, name: &'static str) -> Self {
@@ -339,69 +242,3 @@
         ]
     }
 }
-
-/// Drawing the load.
-impl PolicyScenario {
-    /// The zone of the endpoint or router at a place.
-    pub fn zone(&self, at: usize) -> Zone {
-        Zone::new("region", &format!("zone-{}", at % self.zones))
-    }
-
-    /// Time until the next arrival.
-    pub fn gap(&self, now: Now, rng: &mut ChaCha8Rng) -> Duration {
-        let burst = |burst: &&Burst| burst.from <= now && now < burst.until;
-        let times = self
-            .bursts
-            .iter()
-            .find(burst)
-            .map_or(1.0, |burst| burst.times);
-        let even: f64 = rng.random_range(f64::EPSILON..1.0);
-        Duration::from_secs_f64(-even.ln() / (self.rate * times))
-    }
-
-    /// A request that arrives now.
-    pub fn draw(&self, now: Now, rng: &mut ChaCha8Rng) -> Request {
-        let kind = self.kind(rng);
-        let organisation = self.organisation(rng);
-        let prefix = rng.random_range(0..self.prefixes.max(1));
-        let prefix = (organisation * self.prefixes + prefix) as PrefixHash;
-        Request {
-            organisation: format!("organisation-{organisation}").into(),
-            class: kind.class,
-            prefix,
-            prefix_tokens: kind.prefix,
-            prompt: kind.prefix + rng.random_range(kind.prompt.0..=kind.prompt.1),
-            output: rng.random_range(kind.output.0..=kind.output.1),
-            output_bound: kind.output_bound,
-            arrived: now,
-            deadline: now + kind.timeout,
-            router: rng.random_range(0..self.routers),
-            avoid: Vec::new(),
-            made: 0,
-            first_token: None,
-            newest_token: now,
-            tries: 0,
-            going: None,
-        }
-    }
-
-    fn kind(&self, rng: &mut ChaCha8Rng) -> &Kind {
-        let all: u32 = self.kinds.iter().map(|kind| kind.part).sum();
-        let mut drawn = rng.random_range(0..all);
-        for kind in &self.kinds {
-            if drawn < kind.part {
-                return kind;
-            }
-            drawn -= kind.part;
-        }
-        &self.kinds[0]
-    }
-
-    fn organisation(&self, rng: &mut ChaCha8Rng) -> usize {
-        match self.skew {
-            Some((part, few)) if rng.random_bool(part) => rng.random_range(0..few),
-            Some((_, few)) => rng.random_range(few..self.organisations),
-            None => rng.random_range(0..self.organisations),
-        }
-    }
-}
--- a/crates/anvil_standins/src/load/policy/world.rs
+++ b/crates/anvil_standins/src/load/policy/world.rs
@@ -3,18 +3,18 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use anvil_policy::prefix::{CacheChange, PrefixHash};
+use anvil_policy::prefix::CacheChange;
 use anvil_policy::prelude::*;
-use anvil_world::document::WorkClass;
 use anvil_world::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use super::report::{End, Report, Tally};
+use super::request::Request;
 use super::router::{Entry, SimRouter};
 use super::rule::Rule;
 use super::scenario::PolicyScenario;
-use crate::load::fake::{FakeEngine, FakeRun, Fault};
+use crate::load::fake::{FakeEngine, Fault};
 
 /// Time between looks at room.
 const TICK: Duration = Duration::from_millis(50);
@@ -27,52 +27,6 @@
 /// Time until the platform's list says that an endpoint is gone or back.
 const LIST_LAG: Duration = Duration::from_secs(2);
 
-/// One request.
-#[derive(Debug, Clone)]
-pub struct Request {
-    /// Who sends it.
-    pub organisation: OrganisationId,
-    /// How it waits.
-    pub class: WorkClass,
-    /// Its prefix.
-    pub prefix: PrefixHash,
-    /// Tokens of the prefix.
-    pub prefix_tokens: Tokens,
-    /// All prompt tokens.
-    pub prompt: Tokens,
-    /// Output tokens that it will make.
-    pub output: Tokens,
-    /// Output limit that the caller names.
-    pub output_bound: Tokens,
-    /// When it arrived.
-    pub arrived: Now,
-    /// When its caller leaves.
-    pub deadline: Now,
-    /// The router it came to.
-    pub router: usize,
-    /// Endpoints where it failed.
-    pub avoid: Vec<InstanceId>,
-    /// Output tokens that its caller has.
-    pub made: Tokens,
-    /// When it got its first and its newest token.
-    pub first_token: Option<Now>,
-    /// When its newest token came.
-    pub newest_token: Now,
-    /// Tries so far.
-    pub tries: u32,
-    /// The try that is going: where, since when, from which token on, its first token.
-    pub going: Option<Going>,
-}
-
-/// A try.
-#[derive(Debug, Clone, Copy)]
-pub struct Going {
-    endpoint: usize,
-    since: Now,
-    first_token: Option<Now>,
-    made_before: Tokens,
-}
-
 #[derive(Debug, Clone)]
 enum Event {
     Arrive,
@@ -226,21 +180,7 @@
             self.routers[router].put_back(self.now, at, waiter, &self.requests[at]);
             return false;
         };
-        let req = &mut self.requests[at];
-        req.tries += 1;
-        req.going = Some(Going {
-            endpoint,
-            since: self.now,
-            first_token: None,
-            made_before: req.made,
-        });
-        let run = FakeRun {
-            request: at,
-            priority: u8::from(req.class == WorkClass::Batch),
-            prefix: (req.prefix, req.prefix_tokens),
-            prompt: req.prompt + req.made,
-            output: req.output - req.made,
-        };
+        let run = self.requests[at].begin(self.now, at, endpoint);
         let fault = self.engines[endpoint].fault;
         if matches!(fault, Some(Fault::FailsFast | Fault::Down)) {
             self.at(self.now + FAIL_TIME, Event::Failed(at));
