--- a/crates/anvil_ledger/src/core/lead.rs
+++ b/crates/anvil_ledger/src/core/lead.rs
@@ -64,15 +64,17 @@
     }
 
     fn has_majority(&self) -> bool {
+        self.leads() && self.membership().agreed(|id| self.heard_lately(id))
+    }
+
+    /// Whether a replica has answered this leader within the last election time.
+    pub(super) fn heard_lately(&self, id: ReplicaId) -> bool {
         let Role::Leader(lead) = &self.role else {
             return false;
         };
         let limit = self.cfg.election;
-        let heard = |id: ReplicaId| {
-            let progress = lead.progress.get(&id);
-            id == self.id || progress.is_some_and(|p| self.now < p.heard + limit)
-        };
-        self.membership().agreed(heard)
+        let progress = lead.progress.get(&id);
+        id == self.id || progress.is_some_and(|p| self.now < p.heard + limit)
     }
 
     fn others(&self) -> Vec<ReplicaId> {
@@ -114,7 +116,11 @@
         }
     }
 
-    /// Sends the next entries, or none when `beat` and nothing may be sent now.
+    /// Sends the next entries, or none when `beat`.
+    ///
+    /// Failure: a follower whose disk hangs acknowledges entries only after the sync. If each sign
+    /// of life carried some, a leader would hear from nobody while disks hang, and step down. A
+    /// beat without entries is answered at once, also while the next position is a guess.
     fn send_entries(&mut self, to: ReplicaId, beat: bool) {
         let term = self.hard.term;
         let committed = self.committed;
@@ -129,7 +135,7 @@
             self.offer_snapshot(to, round);
             return;
         };
-        let entries = if beat && !progress.probing {
+        let entries = if beat {
             Vec::new()
         } else {
             let last = self.log.last().index;
--- a/crates/anvil_ledger/src/core/replica.rs
+++ b/crates/anvil_ledger/src/core/replica.rs
@@ -1,9 +1,9 @@
 //! One replica of the log.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use anvil_world::ids::{LogIndex, Term};
+use anvil_world::ids::{InstanceId, LogIndex, Term};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -89,6 +89,7 @@
     /// Messages that wait for a sync: (write, receiver, message).
     pub(super) held: VecDeque<(u64, ReplicaId, Message)>,
     pub(super) joining: BTreeMap<ReplicaId, Site>,
+    pub(super) removing: BTreeSet<InstanceId>,
     pub(super) out: Vec<Action>,
     stopped: Option<CoreError>,
 }
@@ -136,13 +137,21 @@
             writes: Writes::new(last),
             held: VecDeque::new(),
             joining: BTreeMap::new(),
+            removing: BTreeSet::new(),
             out: Vec::new(),
             stopped: None,
         };
-        replica.wait_for_leader();
+        if !replica.is_alone() {
+            replica.wait_for_leader();
+        }
         replica
     }
 
+    /// Whether it is the only voter: then there is nobody to wait for.
+    fn is_alone(&self) -> bool {
+        self.votes() && self.membership().voters.len() == 1
+    }
+
     /// Takes one event and says what is to be done about it.
     pub fn handle(&mut self, now: Duration, event: Event) -> Vec<Action> {
         if self.stopped.is_some() {
@@ -167,6 +176,9 @@
             Event::Join { id, site } => {
                 self.joining.insert(id, site);
             }
+            Event::Remove(instance) => {
+                self.removing.insert(instance);
+            }
             Event::Found(membership) => self.found(membership),
             Event::Synced(seq) => self.synced(seq),
             Event::Saved(meta) => self.saved(meta),
