Callers pass over a router that can't be reached, as a balancer does

Ruled out: retrying what was sent without a key. Change: only where nothing was sent, the next router is asked at once.

--- a/crates/anvil_standins/src/load/caller.rs
+++ b/crates/anvil_standins/src/load/caller.rs
@@ -14,6 +14,7 @@
 use super::scenario::{Asking, Load};
 use crate::client::Client;
 use crate::engine::prompt_tokens;
+use crate::error::Error;
 use crate::plain::ORDER_ID;
 
 /// Header that names a request across retries.
@@ -54,6 +55,8 @@
     InDoubt,
     /// No answer, or one that broke off; with how.
     Cut(String),
+    /// The router could not be reached, so nothing was sent.
+    Unsent,
 }
 
 /// When tokens came.
@@ -166,8 +169,10 @@
         let Ok(req) = req.body(Full::new(self.body.clone())) else {
             return cut("no request");
         };
-        let Ok(response) = client.send(&url, req).await else {
-            return cut("connection");
+        let response = match client.send(&url, req).await {
+            Ok(response) => response,
+            Err(Error::Request { source, .. }) if source.is_connect() => return Tried::Unsent,
+            Err(_) => return cut("connection"),
         };
         let status = response.status();
         let body = response.into_body();
--- a/crates/anvil_standins/src/load/driver.rs
+++ b/crates/anvil_standins/src/load/driver.rs
@@ -115,24 +115,28 @@
 
 impl Driver {
     /// Tries until there is an answer, the deadline is over or the tries are used up.
+    ///
+    /// A router that can't be reached is passed over, as the platform's balancer does it; that
+    /// is safe without a key too, for nothing was sent.
     async fn tries(&self, call: &Call, arrival: &Arrival, times: &mut Times) -> Tried {
         let end = self.start + arrival.at + arrival.deadline;
-        let retries = if call.keyed {
-            u64::from(self.scenario.callers.retries)
-        } else {
-            0
-        };
+        let retries = u64::from(self.scenario.callers.retries);
+        let mut last = Tried::Unsent;
         for attempt in 0..=retries {
             let at = usize::try_from(arrival.number + attempt).unwrap_or_default();
             let at = at % self.target.routers.len();
             let tried = call.send(&self.clients[at], self.target.routers[at], times);
-            match timeout_at(end, tried).await {
-                Ok(Tried::Cut(_)) if attempt < retries => sleep(RETRY_AFTER).await,
-                Ok(tried) => return tried,
-                Err(_) => break,
+            last = match timeout_at(end, tried).await {
+                Ok(tried) => tried,
+                Err(_) => return Tried::Cut("late".into()),
+            };
+            match last {
+                Tried::Unsent => {}
+                Tried::Cut(_) if call.keyed => sleep(RETRY_AFTER).await,
+                _ => return last,
             }
         }
-        Tried::Cut("late".into())
+        last
     }
 
     fn take_down(&self, arrival: &Arrival, stake: &Stake, times: &Times, tried: Tried) {
@@ -146,6 +150,9 @@
             Tried::Wrong(what) => Ending::Broken { what: what.into() },
             Tried::InDoubt => Ending::Unknown,
             Tried::Cut(how) => Ending::Lost { how },
+            Tried::Unsent => Ending::Lost {
+                how: "no router".into(),
+            },
             Tried::NotRun(kind) => Ending::Refused {
                 wrongly: self.view.is_false(stake, &kind, self.start.elapsed()),
                 kind,
