--- a/crates/anvil_standins/src/engine/chat.rs
+++ b/crates/anvil_standins/src/engine/chat.rs
@@ -43,7 +43,7 @@
 }
 
 #[derive(Debug, Default, Deserialize)]
-struct From {
+struct ResumeQuery {
     #[serde(default)]
     from: usize,
 }
@@ -112,7 +112,7 @@
 
 fn resume(engine: &Engine, req: &Request) -> viz::Result<Response> {
     let id: String = req.param("run_id")?;
-    let from = req.query::<From>().unwrap_or_default().from;
+    let from = req.query::<ResumeQuery>().unwrap_or_default().from;
     let Some(run) = engine.find(&id) else {
         return Ok(refusal(StatusCode::NOT_FOUND, "run_not_found", &id));
     };
--- a/crates/anvil_standins/src/engine/control.rs
+++ b/crates/anvil_standins/src/engine/control.rs
@@ -26,7 +26,7 @@
 }
 
 #[derive(Debug, Default, Deserialize)]
-struct From {
+struct EventsQuery {
     #[serde(default)]
     from: u64,
 }
@@ -54,7 +54,7 @@
 }
 
 fn events(engine: &Engine, req: &Request) -> Response {
-    let from = req.query::<From>().unwrap_or_default().from;
+    let from = req.query::<EventsQuery>().unwrap_or_default().from;
     let (lag, gap) = (engine.cfg.events_lag, engine.cfg.events_gap);
     let events = lock(&engine.cache).events(from, lag, gap);
     reply::json(StatusCode::OK, &json!({ "events": events }))
--- a/crates/anvil_standins/src/load/caller.rs
+++ b/crates/anvil_standins/src/load/caller.rs
@@ -28,7 +28,7 @@
     key: String,
     bearer: String,
     body: Bytes,
-    due: Due,
+    expected: Expected,
     /// Most that it can cost, in budget tokens.
     pub bound: u64,
     /// Whether it carries its key, so that it may be sent again.
@@ -37,7 +37,7 @@
 
 /// What a right answer looks like.
 #[derive(Debug, Clone)]
-enum Due {
+enum Expected {
     Chat { text: String, prompt: u64 },
     Plain { order: Option<String> },
 }
@@ -111,7 +111,7 @@
             bound: body.len() as u64 + arrival.output,
             keyed: true,
             body,
-            due: Due::Chat {
+            expected: Expected::Chat {
                 text,
                 prompt: prompt_tokens(&messages),
             },
@@ -127,7 +127,7 @@
             bound: 1,
             keyed: true,
             body: Bytes::new(),
-            due: Due::Plain { order: None },
+            expected: Expected::Plain { order: None },
         }
     }
 
@@ -140,7 +140,7 @@
             bound: 1,
             keyed: true,
             body: Bytes::from(body.to_string()),
-            due: Due::Plain {
+            expected: Expected::Plain {
                 order: Some(key.clone()),
             },
             key,
@@ -149,7 +149,7 @@
 
     /// Whether it may not be repeated.
     pub fn is_order(&self) -> bool {
-        matches!(self.due, Due::Plain { order: Some(_) })
+        matches!(self.expected, Expected::Plain { order: Some(_) })
     }
 
     /// Sends it once and reads the answer to its end.
@@ -163,7 +163,7 @@
         if self.keyed {
             req = req.header(IDEMPOTENCY_KEY, &self.key);
         }
-        if let Due::Plain { order: Some(order) } = &self.due {
+        if let Expected::Plain { order: Some(order) } = &self.expected {
             req = req.header(ORDER_ID, order);
         }
         let Ok(req) = req.body(Full::new(self.body.clone())) else {
@@ -176,10 +176,10 @@
         };
         let status = response.status();
         let body = response.into_body();
-        match &self.due {
+        match &self.expected {
             _ if status != StatusCode::OK => refused(body).await,
-            Due::Chat { text, prompt } => streamed(body, text, *prompt, times).await,
-            Due::Plain { order } => whole(body, order.as_deref(), times).await,
+            Expected::Chat { text, prompt } => streamed(body, text, *prompt, times).await,
+            Expected::Plain { order } => whole(body, order.as_deref(), times).await,
         }
     }
 }
--- a/crates/anvil_standins/src/load/driver.rs
+++ b/crates/anvil_standins/src/load/driver.rs
@@ -110,7 +110,7 @@
         Tried::Cut("too many under way".into())
     };
     driver.under_way.fetch_sub(1, Ordering::Relaxed);
-    driver.take_down(&arrival, &stake, &times, tried);
+    driver.record(&arrival, &stake, &times, tried);
 }
 
 impl Driver {
@@ -139,7 +139,7 @@
         last
     }
 
-    fn take_down(&self, arrival: &Arrival, stake: &Stake, times: &Times, tried: Tried) {
+    fn record(&self, arrival: &Arrival, stake: &Stake, times: &Times, tried: Tried) {
         let due = self.start + arrival.at;
         let (cost, tokens) = match tried {
             Tried::Right { cost, tokens } => (cost, tokens),
