Prefix affinity in the choice; local is ready only with its own sidecars' lives

Cause: after kill -9 the quick start said ready while the router still held the last life of its sidecars, and the first request was refused as no_endpoint (seen in a trial); the choice of endpoint was asked without what is known of cached prefixes. Change: Router::sees compares addresses of lives; the lane remembers where prefixes were sent.

--- a/crates/anvilreel/src/local.rs
+++ b/crates/anvilreel/src/local.rs
@@ -141,7 +141,12 @@
 
     async fn wait_ready(&self) -> Result<(), LocalError> {
         let deadline = Instant::now() + READY_WITHIN;
-        while !(self.router.is_ready() && self.router.endpoints() >= self.sidecars.len()) {
+        // Counting endpoints would not do: after a crash the ledger still lists the last life's.
+        let sees_all = || {
+            let mut all = self.sidecars.iter();
+            all.all(|sidecar| self.router.sees(sidecar.addr()))
+        };
+        while !(self.router.is_ready() && sees_all()) {
             if Instant::now() > deadline {
                 return Err(LocalError::NotReady {
                     after: READY_WITHIN,
--- a/crates/anvilreel/src/router.rs
+++ b/crates/anvilreel/src/router.rs
@@ -155,6 +155,13 @@
         self.core.following.serves() && !self.core.life.is_leaving()
     }
 
+    /// Whether this router sends work to the sidecar at this address, in its present life.
+    pub fn sees(&self, sidecar: SocketAddr) -> bool {
+        let view = self.core.following.view.load();
+        let mut all = view.endpoints.values().flatten();
+        all.any(|instance| instance.addr == sidecar)
+    }
+
     /// Endpoints that this router knows of.
     pub fn endpoints(&self) -> usize {
         let view = self.core.following.view.load();
--- a/crates/anvilreel/src/router/job.rs
+++ b/crates/anvilreel/src/router/job.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use anvil_policy::prefix::{PrefixHash, PrefixRule};
 use anvil_wire::msg::{Head, Work};
 use anvil_world::document::WorkClass;
 use anvil_world::prelude::*;
@@ -121,9 +122,18 @@
 /// may still have to read it again after a broken stream.
 const UNNAMED_KEEP: Duration = Duration::from_secs(10);
 /// Bytes that a prompt token takes on average; only for estimates, never for money.
-const USUAL_TOKEN_BYTES: u64 = 4;
+pub(super) const USUAL_TOKEN_BYTES: u64 = 4;
 
 impl Job {
+    /// Hashes of the prompt's prefixes; none for a plain call. The caller's JSON stands for the
+    /// prompt: requests of one client that share a beginning have it in the same bytes.
+    pub(super) fn prefix_hashes(&self, rule: &PrefixRule) -> Vec<PrefixHash> {
+        match &self.work {
+            Work::Chat { model, body, .. } => rule.hashes(model, body),
+            Work::Plain { .. } => Vec::new(),
+        }
+    }
+
     /// Prompt tokens and output limit, as estimates of time need them.
     pub fn expected(&self) -> (Tokens, Tokens) {
         match &self.work {
--- a/crates/anvilreel/src/router/lane.rs
+++ b/crates/anvilreel/src/router/lane.rs
@@ -11,7 +11,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::oneshot;
 
-use super::job::Job;
+use super::job::{Job, USUAL_TOKEN_BYTES};
 use crate::life::Life;
 
 /// Time between two judgements of all endpoints.
@@ -27,6 +27,7 @@
     health: Health,
     /// When shares were last judged.
     judged: Option<Now>,
+    prefixes: PrefixIndex,
     rng: ChaCha8Rng,
 }
 
@@ -81,6 +82,7 @@
             estimate: Estimate::default(),
             health: Health::new(HealthRule::default()),
             judged: None,
+            prefixes: PrefixIndex::new(PrefixRule::default()),
             rng: ChaCha8Rng::seed_from_u64(seed),
         };
         Self {
@@ -144,7 +146,7 @@
                 Verdict::Refuse(refusal) => return Err(refusal),
                 Verdict::Wait(id) => self.wait(id).await?,
             }
-            let choice = self.choose(job, avoid);
+            let choice = self.choose(life.now(), job, avoid);
             match choice {
                 Choice::Endpoint(endpoint) => {
                     endpoint.start();
@@ -176,15 +178,21 @@
         }
     }
 
-    fn choose(&self, job: &Job, avoid: &[InstanceId]) -> Choice {
+    fn choose(&self, now: Now, job: &Job, avoid: &[InstanceId]) -> Choice {
+        let hashes = job.prefix_hashes(&PrefixRule::default());
+        let pool = self.pool.load();
+        let mut door = self.door();
+        let cached = tokens_of(door.prefixes.holders(now, &hashes));
         let ask = Ask {
             prompt: job.expected().0,
-            cached: &[],
+            cached: &cached,
             avoid,
         };
-        let pool = self.pool.load();
-        let mut door = self.door();
-        self.chooser.choose(&pool, &ask, &mut door.rng)
+        let choice = self.chooser.choose(&pool, &ask, &mut door.rng);
+        if let Choice::Endpoint(endpoint) = &choice {
+            door.prefixes.sent(now, &endpoint.id, &hashes);
+        }
+        choice
     }
 
     fn wait_again(&self, now: Now, ticket: &Ticket, job: &Job) -> Verdict {
@@ -273,3 +281,10 @@
         between: rest / gaps.max(1),
     }
 }
+
+/// Prefixes held, in tokens in place of blocks.
+fn tokens_of(held: Vec<(InstanceId, usize)>) -> Vec<(InstanceId, Tokens)> {
+    let block = PrefixRule::default().block as u64 / USUAL_TOKEN_BYTES;
+    let tokens = |(id, blocks): (InstanceId, usize)| (id, blocks as u64 * block);
+    held.into_iter().map(tokens).collect()
+}
