--- a/crates/anvil_policy/src/health.rs
+++ b/crates/anvil_policy/src/health.rs
@@ -13,17 +13,17 @@
 use crate::ejection::{self, EjectionRule, Record, Try};
 use crate::endpoint::{EndpointState, LoadReport};
 use crate::limit::{Latency, Limit, LimitRule};
-use crate::slow_start::{Ramp, RampRule};
 
 /// Rules of a pool's health.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct HealthRule {
     /// Slow and failing endpoints.
     pub ejection: EjectionRule,
-    /// New and returned endpoints.
-    pub ramp: RampRule,
     /// Runs an endpoint is given.
     pub limit: LimitRule,
+    /// Whether load reports are made about one interval before they arrive. Counts of a sidecar
+    /// don't lag, those that an engine makes of itself do.
+    pub reports_lag: bool,
     /// How many routers share the endpoints; each may always have its part of half the
     /// limit.
     pub routers: u32,
@@ -42,7 +42,6 @@
 #[derive(Debug, Clone)]
 struct Watched {
     record: Record,
-    ramp: Ramp,
     limit: Limit,
 }
 
@@ -51,7 +50,6 @@
 pub struct Health {
     rule: HealthRule,
     endpoints: BTreeMap<InstanceId, Watched>,
-    serving: bool,
 }
 
 impl Health {
@@ -70,7 +68,7 @@
 
     /// Takes in a report of an endpoint's load: its pressure, and what that says of its limit.
     pub fn report(&mut self, now: Now, endpoint: &EndpointState, load: &LoadReport) {
-        endpoint.report(load);
+        endpoint.report(load, self.rule.reports_lag);
         if let Some(watched) = self.endpoints.get_mut(&endpoint.id) {
             let pressure = endpoint.pressure();
             watched.limit.heard(&self.rule.limit, now, load, pressure);
@@ -95,7 +93,7 @@
     }
 
     /// Judges all endpoints and moves their shares. Endpoints that the pool no longer has are
-    /// forgotten, so one that comes back starts cold.
+    /// forgotten.
     pub fn tick(&mut self, now: Now, pool: &Pool) {
         self.endpoints.retain(|id, _| pool.get(id).is_some());
         for endpoint in pool.endpoints() {
@@ -103,16 +101,15 @@
                 self.watch(now, endpoint);
             }
         }
-        self.serving |= !pool.endpoints().is_empty();
         self.judge(now);
         for endpoint in pool.endpoints() {
-            self.write(now, endpoint);
+            self.write(endpoint);
         }
     }
 
     fn tick_known(&mut self, now: Now, endpoint: &EndpointState) {
         self.judge(now);
-        self.write(now, endpoint);
+        self.write(endpoint);
     }
 
     fn judge(&mut self, now: Now) {
@@ -124,28 +121,18 @@
         ejection::judge(&self.rule.ejection, now, &mut records);
     }
 
-    fn write(&mut self, now: Now, endpoint: &EndpointState) {
-        let Some(watched) = self.endpoints.get_mut(&endpoint.id) else {
+    fn write(&self, endpoint: &EndpointState) {
+        let Some(watched) = self.endpoints.get(&endpoint.id) else {
             return;
         };
-        if endpoint.is_leaving() {
-            watched.ramp = Ramp::cold(&self.rule.ramp, now);
-        }
-        let target = watched.record.target();
-        endpoint.set_share(watched.ramp.advance(&self.rule.ramp, now, target));
+        endpoint.set_share(watched.record.target());
         endpoint.set_limit(watched.limit.value());
         endpoint.set_routers(self.rule.routers);
     }
 
     fn watch(&mut self, now: Now, endpoint: &EndpointState) {
-        let ramp = if self.serving {
-            Ramp::cold(&self.rule.ramp, now)
-        } else {
-            Ramp::full(now)
-        };
         let watched = Watched {
             record: Record::default(),
-            ramp,
             limit: Limit::new(&self.rule.limit, now, endpoint.slots()),
         };
         self.endpoints.insert(endpoint.id.clone(), watched);
