Every event of the catalogue is logged somewhere

Cause: four events stood in the catalogue and in no line of code (found by a search). Change: lost endpoints, unknown outcomes, broken engines and fenced routers are logged.

--- a/crates/anvilreel/src/events.rs
+++ b/crates/anvilreel/src/events.rs
@@ -62,11 +62,11 @@
     ROUTER_STOPPED = 1008 Info "router_stopped";
     /// A frame of another key or offset came; it was not delivered.
     ROUTER_FRAME_MISFIT = 1009 Critical "router_frame_misfit";
-    /// An endpoint was lost in mid-answer.
+    /// An endpoint failed a request or was lost in mid-answer; another one is tried.
     ROUTER_ENDPOINT_LOST = 1010 Warning "router_endpoint_lost";
     /// The ledger fenced this life of the router.
     ROUTER_FENCED = 1011 Critical "router_fenced";
-    /// The outcome of a non-idempotent request is in doubt.
+    /// A request ended without a whole answer although it may have run.
     ROUTER_OUTCOME_UNKNOWN = 1012 Error "router_outcome_unknown";
     /// A charge was refused by the purse: an invariant is broken.
     ROUTER_SETTLEMENT_REFUSED = 1013 Critical "router_settlement_refused";
@@ -78,7 +78,7 @@
     SIDECAR_LEAVING = 2002 Info "sidecar_leaving";
     /// The engine broke off in mid-answer.
     SIDECAR_ENGINE_BROKEN = 2003 Warning "sidecar_engine_broken";
-    /// A fenced router was refused.
+    /// A router's life was fenced: its starts are refused from now on.
     SIDECAR_FENCED_ROUTER = 2004 Warning "sidecar_fenced_router";
     /// An order with an old fencing number was refused.
     SIDECAR_STALE_ORDER = 2005 Warning "sidecar_stale_order";
--- a/crates/anvilreel/src/router/flow.rs
+++ b/crates/anvilreel/src/router/flow.rs
@@ -161,9 +161,13 @@
             },
             _ => false,
         };
-        if let Some(turn) = self.turn.as_ref().filter(|_| failed) {
-            turn.failed();
-        }
+        let Some(turn) = self.turn.as_ref().filter(|_| failed) else {
+            return;
+        };
+        turn.failed();
+        let (key, sidecar) = (self.job.key.id.to_string(), turn.endpoint.id.to_string());
+        let log = &self.core.log;
+        event!(log, events::ROUTER_ENDPOINT_LOST, "key" => key, "sidecar" => sidecar);
     }
 
     /// Whether the life that is read from is over, by the members' list.
@@ -303,7 +307,10 @@
                 (Piece::End { finish, usage }, metrics::REQUESTS_COMPLETED)
             }
             Outcome::NotRun(refusal) => (Piece::Refused(refusal), metrics::REQUESTS_REFUSED),
-            Outcome::Unknown(doubt) => (Piece::Doubt(doubt), metrics::REQUESTS_UNKNOWN),
+            Outcome::Unknown(doubt) => {
+                self.log_unknown(doubt);
+                (Piece::Doubt(doubt), metrics::REQUESTS_UNKNOWN)
+            }
         };
         self.core.metrics.count(count);
         if let Some(first) = self.first_output {
@@ -314,6 +321,16 @@
         self.deliver(piece).await;
     }
 
+    /// An operator can ask the service what became of it; of a stopped run all is known.
+    fn log_unknown(&self, doubt: Doubt) {
+        if doubt == Doubt::Stopped {
+            return;
+        }
+        let (key, why) = (self.job.key.id.to_string(), format!("{doubt:?}"));
+        let log = &self.core.log;
+        event!(log, events::ROUTER_OUTCOME_UNKNOWN, "key" => key, "doubt" => why);
+    }
+
     fn learn(&self, usage: Usage) {
         let Some(turn) = &self.turn else {
             return;
--- a/crates/anvilreel/src/sidecar/drive.rs
+++ b/crates/anvilreel/src/sidecar/drive.rs
@@ -67,6 +67,9 @@
 
 impl Driver {
     fn say(&self, event: EngineEvent) {
+        if let EngineEvent::Lost { resumable, .. } = event {
+            self.hub.broken(self.run, resumable);
+        }
         self.hub.feed(Event::Engine {
             run: self.run,
             event,
--- a/crates/anvilreel/src/sidecar/follow.rs
+++ b/crates/anvilreel/src/sidecar/follow.rs
@@ -80,8 +80,12 @@
 
 /// Tells the runs what the fleet holds now.
 fn take_in(core: &Core, held: &Held) {
-    core.gate.held.store(Arc::new(held.clone()));
+    let before = core.gate.held.swap(Arc::new(held.clone()));
     for (router, incarnation) in &held.fenced {
+        if before.fenced.get(router) != Some(incarnation) {
+            let router = router.to_string();
+            event!(core.log, events::SIDECAR_FENCED_ROUTER, "router" => router);
+        }
         core.hub.feed(Event::Fenced {
             router: router.clone(),
             incarnation: *incarnation,
--- a/crates/anvilreel/src/sidecar/hub.rs
+++ b/crates/anvilreel/src/sidecar/hub.rs
@@ -80,6 +80,12 @@
         self.desk().drivers.remove(&run);
     }
 
+    /// The endpoint broke off in mid-answer.
+    pub fn broken(&self, run: RunId, resumable: bool) {
+        let log = &self.log;
+        event!(log, events::SIDECAR_ENGINE_BROKEN, "run" => run, "resumable" => resumable);
+    }
+
     /// Runs that the endpoint works on.
     pub fn live(&self) -> usize {
         self.desk().drivers.len()
