A fenced router forbids nothing; restarts and deaths under load as tests

Ruled out: the choice of endpoint, ejection (the trace shows Forbidden at both sidecars). Change: Reason::RouterFenced tells a fence from a leaving endpoint; such a refusal ends the request without forbidding. Doubt about repeatable work names when to ask again.

--- a/crates/anvil_world/src/outcome.rs
+++ b/crates/anvil_world/src/outcome.rs
@@ -100,6 +100,8 @@
     EndpointRefused,
     /// The caller left before it began.
     Cancelled,
+    /// The router was declared lost, so no endpoint takes its starts.
+    RouterFenced,
 }
 
 /// What is wrong with a request's form.
--- a/crates/anvilreel/src/request/moving.rs
+++ b/crates/anvilreel/src/request/moving.rs
@@ -64,6 +64,16 @@
         if matches!(refusal.reason, Reason::KeyReused(_)) {
             return self.refuse(refusal);
         }
+        // Failure: a router that was cut off or frozen is fenced, and its requests, refused at one
+        // sidecar after the other, forbid their keys everywhere. It would show as a caller whose
+        // retries through other routers find no endpoint. A fenced router forbids nothing; where
+        // nothing of this request ever left before, "not run" is true.
+        if refusal.reason == Reason::RouterFenced {
+            if self.starts > 1 {
+                return self.finish(Outcome::Unknown(Doubt::SidecarLost), None);
+            }
+            return self.refuse(refusal);
+        }
         // A refusal speaks for this start only. An earlier one may have been taken by a life
         // that is over, and then "not run" would be false.
         let doubtful = self.starts > 1;
--- a/crates/anvilreel/src/router.rs
+++ b/crates/anvilreel/src/router.rs
@@ -230,7 +230,8 @@
         });
     }
 
-    /// Stops at once, as a crash does.
+    /// Stops listening and talking to the ledger at once. Requests under way go on as those of a
+    /// router do that is cut off from the ledger, until they are refused.
     pub fn kill(self) {
         self.serving.abort();
         for task in &self.tasks {
--- a/crates/anvilreel/src/router/chat_call.rs
+++ b/crates/anvilreel/src/router/chat_call.rs
@@ -94,9 +94,9 @@
 async fn streamed(mut shape: Shape, mut pieces: Receiver<Piece>) -> Response {
     let first = match pieces.recv().await {
         Some(Piece::Refused(refusal)) => return refuse::refuse(&refusal),
-        Some(Piece::Doubt(doubt)) => return refuse::in_doubt(doubt),
+        Some(Piece::Doubt(doubt)) => return refuse::in_doubt(doubt, false),
         Some(piece) => event_of(&mut shape, piece),
-        None => return refuse::in_doubt(Doubt::EndpointLost),
+        None => return refuse::in_doubt(Doubt::EndpointLost, false),
     };
     let events = unfold(
         (shape, pieces, first),
@@ -130,7 +130,7 @@
         Piece::Bytes(bytes) => shape.piece(&bytes),
         Piece::End { finish, usage } => Some(shape.end(&finish, usage)),
         Piece::Refused(refusal) => Some(error_event(&refusal_body(&refusal).1.to_json())),
-        Piece::Doubt(doubt) => Some(error_event(&doubt_body(doubt).1.to_json())),
+        Piece::Doubt(doubt) => Some(error_event(&doubt_body(doubt, false).1.to_json())),
     }
 }
 
@@ -145,8 +145,8 @@
                 return json_answer(shape.whole(&text, &finish, usage));
             }
             Piece::Refused(refusal) => return refuse::refuse(&refusal),
-            Piece::Doubt(doubt) => return refuse::in_doubt(doubt),
+            Piece::Doubt(doubt) => return refuse::in_doubt(doubt, false),
         }
     }
-    refuse::in_doubt(Doubt::EndpointLost)
+    refuse::in_doubt(Doubt::EndpointLost, false)
 }
--- a/crates/anvilreel/src/router/plain_call.rs
+++ b/crates/anvilreel/src/router/plain_call.rs
@@ -68,7 +68,8 @@
         (key.clone(), callers_key),
     );
     job.claim_id = claim_id(&core);
-    let mut answer = relay(flow::start(core, job)).await;
+    let once = job.once;
+    let mut answer = relay(once, flow::start(core, job)).await;
     name_answer(&mut answer, &key);
     Ok(answer)
 }
@@ -152,14 +153,14 @@
         .collect()
 }
 
-async fn relay(mut pieces: Receiver<Piece>) -> Response {
+async fn relay(once: bool, mut pieces: Receiver<Piece>) -> Response {
     let mut answer = match pieces.recv().await {
         Some(Piece::Head(head)) => with_head(&head),
         Some(Piece::Refused(refusal)) => return refuse::refuse(&refusal),
-        Some(Piece::Doubt(doubt)) => return refuse::in_doubt(doubt),
+        Some(Piece::Doubt(doubt)) => return refuse::in_doubt(doubt, once),
         // A run without a head broke an invariant of the sidecar, so nothing is known of it.
         Some(Piece::Bytes(_) | Piece::End { .. }) | None => {
-            return refuse::in_doubt(Doubt::EndpointLost);
+            return refuse::in_doubt(Doubt::EndpointLost, once);
         }
     };
     let body = unfold(Some(pieces), |pieces| async {
--- a/crates/anvilreel/src/router/refuse.rs
+++ b/crates/anvilreel/src/router/refuse.rs
@@ -9,6 +9,9 @@
 use serde::Serialize;
 use viz::{Body, Response};
 
+/// When to ask again for work that may be repeated and is in doubt.
+const DOUBT_RETRY: Duration = Duration::from_secs(1);
+
 /// What stands under `error` in the JSON of an answer that is not the wanted one.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct ErrorBody {
@@ -51,7 +54,10 @@
 }
 
 /// The status and body that tell a caller of an outcome in doubt.
-pub fn doubt_body(doubt: Doubt) -> (StatusCode, ErrorBody) {
+///
+/// Work that may be repeated can be asked for again under the same key: it is then read where it
+/// runs, or run where it did not, and billed once all the same.
+pub fn doubt_body(doubt: Doubt, once: bool) -> (StatusCode, ErrorBody) {
     let message = match doubt {
         Doubt::EndpointLost => "the endpoint was lost after the request had left for it",
         Doubt::SidecarLost => "the process that holds the run can't be reached",
@@ -60,10 +66,14 @@
     };
     let body = ErrorBody {
         r#type: "outcome_unknown",
-        message: format!("{message}; it may have run and is never run again"),
+        message: if once {
+            format!("{message}; it may have run and is never run again")
+        } else {
+            format!("{message}; ask again under the same Idempotency-Key")
+        },
         outcome: "unknown",
         billed: None,
-        retry_after_ms: None,
+        retry_after_ms: (!once).then_some(millis(DOUBT_RETRY)),
     };
     (StatusCode::BAD_GATEWAY, body)
 }
@@ -75,8 +85,8 @@
 }
 
 /// An outcome in doubt as an HTTP answer.
-pub fn in_doubt(doubt: Doubt) -> Response {
-    let (status, body) = doubt_body(doubt);
+pub fn in_doubt(doubt: Doubt, once: bool) -> Response {
+    let (status, body) = doubt_body(doubt, once);
     answer(status, &body)
 }
 
@@ -165,6 +175,11 @@
             "the team may not use this model or service",
         ),
         Reason::UnknownModel => (StatusCode::NOT_FOUND, "unknown_model", "no such model"),
+        Reason::RouterFenced => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "router_fenced",
+            "this router was declared lost; another one serves the request",
+        ),
         Reason::Cancelled => (
             StatusCode::BAD_REQUEST,
             "cancelled",
--- a/crates/anvilreel/src/runs/gate.rs
+++ b/crates/anvilreel/src/runs/gate.rs
@@ -39,7 +39,10 @@
         // fence is in force here before the evidence is taken, so its starts end here.
         let payment = &start.payment;
         let fenced = self.fenced.get(&payment.router);
-        if fenced.is_some_and(|life| payment.incarnation <= *life) || self.leaving {
+        if fenced.is_some_and(|life| payment.incarnation <= *life) {
+            return Err(Refusal::new(Reason::RouterFenced).with_retry_after(RETRY));
+        }
+        if self.leaving {
             return Err(Refusal::new(Reason::Leaving).with_retry_after(RETRY));
         }
         if let Err(e) = covers(payment) {
--- a/crates/anvilreel/tests/path_fleet.rs
+++ b/crates/anvilreel/tests/path_fleet.rs
@@ -14,5 +14,7 @@
 mod losses;
 #[path = "path_fleet/money.rs"]
 mod money;
+#[path = "path_fleet/rolling.rs"]
+mod rolling;
 #[path = "path_fleet/stops.rs"]
 mod stops;
