Suspects are asked one after the other; a found run is checked for its body; use is of the whole answer

Cause: the router's shell holds one call at a time, so several probes at once never came to an end: named requests hung while no holder could vouch. An attach to a found run read another body's answer (path_fleet: the same key with another body). A continued answer's prefix was counted twice where the engine measures the whole answer (path_fleet: 195 billed, 172 is right). Change: one probe at a time; the claim or the start decides; EngineEvent use is that of the whole answer.

--- a/crates/anvilreel/src/request/claiming.rs
+++ b/crates/anvilreel/src/request/claiming.rs
@@ -172,44 +172,44 @@
         self.refuse(refusal);
     }
 
-    /// Asks the suspects whether they know the key.
+    /// Asks the suspects, one after the other, whether they know the key.
     pub(super) fn probe_suspects(&mut self) {
-        let mut left = BTreeMap::new();
-        for target in self.spec.suspects.clone() {
-            let key = self.spec.key.clone();
-            self.call(target.clone(), SidecarRequest::Probe { key });
-            left.insert(self.dispatch, target);
-        }
-        self.step = Step::Probing { left, lost: false };
+        let left = self.spec.suspects.clone();
+        self.step = Step::Probing { left };
+        self.probe_next();
     }
 
-    /// One suspect has answered, or can't.
-    pub(super) fn probed(&mut self, dispatch: Dispatch, reply: Option<&SidecarReply>) {
-        let Step::Probing { left, lost } = &mut self.step else {
+    fn probe_next(&mut self) {
+        let Step::Probing { left } = &mut self.step else {
             return;
         };
-        let Some(target) = left.remove(&dispatch) else {
-            return;
+        let Some(target) = left.pop() else {
+            return self.ask_ledger(None);
         };
+        let key = self.spec.key.clone();
+        self.suspect = Some(target.clone());
+        self.call(target, SidecarRequest::Probe { key });
+    }
+
+    /// A suspect has answered, or can't.
+    pub(super) fn probed(&mut self, dispatch: Dispatch, reply: Option<&SidecarReply>) {
+        if dispatch != self.dispatch {
+            return;
+        }
         match reply {
             // A run that its endpoint lost is no find: it was continued where the claim leads to.
-            Some(SidecarReply::Probed(ProbeAnswer::Ended(end))) if is_lost(end) => {}
+            Some(SidecarReply::Probed(ProbeAnswer::Ended(end))) if is_lost(end) => {
+                self.probe_next();
+            }
             Some(SidecarReply::Probed(ProbeAnswer::Running { .. } | ProbeAnswer::Ended(_))) => {
-                self.target = Some(target);
-                self.claim_ours = false;
-                return self.attach();
+                // Not read at once: whether the body is the same, the claim or the start tells.
+                self.target = self.suspect.take();
+                self.ask_ledger(None);
             }
-            Some(SidecarReply::Probed(_)) => {}
-            _ => *lost = true,
-        }
-        if !left.is_empty() {
-            return;
-        }
-        if *lost {
+            Some(SidecarReply::Probed(_)) => self.probe_next(),
             // One that can't be asked may have run it; a second run would be a second bill.
-            return self.finish(Outcome::Unknown(Doubt::SidecarLost), None);
+            _ => self.finish(Outcome::Unknown(Doubt::SidecarLost), None),
         }
-        self.ask_ledger(None);
     }
 
     fn placed_claim(&self) -> PlacedClaim {
--- a/crates/anvilreel/src/request/exchange.rs
+++ b/crates/anvilreel/src/request/exchange.rs
@@ -1,6 +1,6 @@
 //! The exchange: its state, and where each event goes.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use anvil_wire::msg::{Payment, RunEnd, SidecarRequest};
@@ -22,10 +22,8 @@
     New,
     /// Sidecars are asked whether they know the key.
     Probing {
-        /// Calls that were not answered.
-        left: BTreeMap<Dispatch, Target>,
-        /// Whether one of them can't be reached.
-        lost: bool,
+        /// Those that were not asked yet.
+        left: Vec<Target>,
     },
     /// An endpoint.
     Choosing,
@@ -98,6 +96,8 @@
     /// What was delivered of a chat, to be continued from.
     pub(super) prefix: BytesMut,
     pub(super) caller: Caller,
+    /// The one that is asked whether it knows the key.
+    pub(super) suspect: Option<Target>,
     /// Whether the suspects were asked.
     pub(super) probed: bool,
     /// Time of the event that is handled.
@@ -129,6 +129,7 @@
             delivered_tokens: 0,
             prefix: BytesMut::new(),
             caller: Caller::default(),
+            suspect: None,
             probed: false,
             now: Now::ZERO,
             actions: Vec::new(),
--- a/crates/anvilreel/src/runs/engine.rs
+++ b/crates/anvilreel/src/runs/engine.rs
@@ -40,11 +40,10 @@
     }
 
     /// Appends output, unless its use would cost more than what was reserved.
-    fn output(&mut self, now: Now, id: RunId, bytes: Bytes, measured: Usage) {
+    fn output(&mut self, now: Now, id: RunId, bytes: Bytes, usage: Usage) {
         let Some(run) = self.table.get_mut(&id) else {
             return;
         };
-        let usage = run.whole_usage(measured);
         if run.cost(usage) > run.start.payment.bound {
             self.tell_stop(id);
             return self.end(now, id, Outcome::Completed(Usage::default()), LENGTH);
@@ -55,11 +54,10 @@
         self.pump_all(id);
     }
 
-    fn ended(&mut self, now: Now, id: RunId, measured: Usage, finish: Arc<str>) {
+    fn ended(&mut self, now: Now, id: RunId, usage: Usage, finish: Arc<str>) {
         let Some(run) = self.table.get_mut(&id) else {
             return;
         };
-        let usage = run.whole_usage(measured);
         let bound = run.start.payment.bound;
         let cost = run.cost(usage);
         run.usage = usage;
@@ -85,7 +83,7 @@
         self.forget(id, &SidecarReply::Refused(refusal));
     }
 
-    fn lost(&mut self, now: Now, id: RunId, measured: Usage, resumable: bool) {
+    fn lost(&mut self, now: Now, id: RunId, usage: Usage, resumable: bool) {
         let Some(run) = self.table.get_mut(&id) else {
             return;
         };
@@ -96,7 +94,7 @@
         }
         let doubt = Outcome::Unknown(Doubt::EndpointLost);
         if run.start.once {
-            run.usage = run.whole_usage(measured);
+            run.usage = usage;
             return self.end(now, id, doubt, CUT);
         }
         // Idempotent work is handed back: it is continued elsewhere and billed there. Charging
--- a/crates/anvilreel/src/runs/event.rs
+++ b/crates/anvilreel/src/runs/event.rs
@@ -92,7 +92,8 @@
     Tick,
 }
 
-/// What an endpoint says of a run. Use is cumulative, as far as it is known.
+/// What an endpoint says of a run. Use is cumulative, as far as it is known, and of the whole
+/// answer: of one that is continued, the prefix counts as output and not as prompt.
 #[derive(Debug, Clone, PartialEq)]
 pub enum EngineEvent {
     /// Status and headers of a plain service's answer.
@@ -101,7 +102,7 @@
     Output {
         /// The bytes.
         bytes: Bytes,
-        /// Use so far, in this engine's run.
+        /// Use so far.
         usage: Usage,
     },
     /// The answer is whole.
--- a/crates/anvilreel/src/runs/run.rs
+++ b/crates/anvilreel/src/runs/run.rs
@@ -92,17 +92,6 @@
         self.output.start() > 0
     }
 
-    /// Use of the whole answer, from what this engine measured: a continuing engine takes the
-    /// prefix as part of its prompt, but it is part of the answer.
-    pub(super) fn whole_usage(&self, measured: Usage) -> Usage {
-        let prefix = self.start.prefix_tokens;
-        Usage {
-            prompt: measured.prompt.saturating_sub(prefix),
-            output: measured.output.saturating_add(prefix),
-            calls: measured.calls,
-        }
-    }
-
     /// What a use costs, in tokens, uncapped.
     pub(super) fn cost(&self, usage: Usage) -> Tokens {
         self.start.payment.price.of(usage)
--- a/crates/anvilreel/src/sidecar/drive.rs
+++ b/crates/anvilreel/src/sidecar/drive.rs
@@ -169,6 +169,7 @@
             // one token for each event, which is never more than it made.
             usage: Usage {
                 prompt: bytes / USUAL_TOKEN_BYTES,
+                output: start.prefix_tokens,
                 ..Usage::default()
             },
             finish: "stop".into(),
