--- a/crates/anvilreel/src/request/exchange.rs
+++ b/crates/anvilreel/src/request/exchange.rs
@@ -96,6 +96,8 @@
     /// What was delivered of a chat, to be continued from.
     pub(super) prefix: BytesMut,
     pub(super) caller: Caller,
+    /// Since when a claimed non-idempotent key has not been heard of at its sidecar.
+    pub(super) unheard_since: Option<Now>,
     /// The one that is asked whether it knows the key.
     pub(super) suspect: Option<Target>,
     /// Whether the suspects were asked.
@@ -129,6 +131,7 @@
             delivered_tokens: 0,
             prefix: BytesMut::new(),
             caller: Caller::default(),
+            unheard_since: None,
             suspect: None,
             probed: false,
             now: Now::ZERO,
--- a/crates/anvilreel/src/request/moving.rs
+++ b/crates/anvilreel/src/request/moving.rs
@@ -15,6 +15,11 @@
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 /// Breaks without a byte between them after which the payer continues elsewhere.
 const PATIENT_BREAKS: u32 = 3;
+/// How long the claimer of a non-idempotent key is given to send its call: longer than it waits
+/// for money.
+const CLAIMER_WITHIN: Duration = Duration::from_secs(8);
+/// Pause before looking again.
+const CLAIMER_PAUSE: Duration = Duration::from_millis(150);
 /// Endpoints tried for one request.
 const MOST_ENDPOINTS: usize = 4;
 /// When to come back after a request found no endpoint that takes it.
@@ -102,12 +107,25 @@
     /// The claimed sidecar has not heard of the key.
     pub(super) fn unheard(&mut self) {
         if self.spec.once {
-            // Its claimer died before the dispatch, or its call is still under way.
-            return self.forbid(come_back(Reason::EndpointRefused));
+            return self.wait_for_claimer();
         }
         self.reserve_or_start();
     }
 
+    /// The claimer of a non-idempotent key has not sent its call yet: it waits for money, or its
+    /// call is under way, or it died. Forbidding at once would refuse two calls that came side
+    /// by side, both of them.
+    fn wait_for_claimer(&mut self) {
+        let now = self.now;
+        let since = *self.unheard_since.get_or_insert(now);
+        if now >= since + CLAIMER_WITHIN {
+            return self.forbid(come_back(Reason::EndpointRefused));
+        }
+        let until = now + CLAIMER_PAUSE;
+        self.step = Step::Pausing { until };
+        self.actions.push(Action::WakeAt(until));
+    }
+
     /// Tries another endpoint for work that has not begun.
     fn elsewhere(&mut self, because: Refusal) {
         if self.attempt == 0 && self.excluded.len() + 1 >= MOST_ENDPOINTS {
