--- a/crates/anvil_daemons/examples/slopes/live.rs
+++ b/crates/anvil_daemons/examples/slopes/live.rs
@@ -24,3 +24,9 @@
         found
     })
 }
+
+/// How long a change takes to be in force everywhere.
+pub fn spread() -> Vec<Slope> {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime can be made");
+    vec![runtime.block_on(ledger::in_force())]
+}
