--- a/crates/anvil_wire/src/msg/sidecar.rs
+++ b/crates/anvil_wire/src/msg/sidecar.rs
@@ -54,6 +54,9 @@
         /// The sidecar's life that the request was dispatched to. Another life answers
         /// `Probed(OtherLife)`, for it can't speak for what an earlier one ran.
         life: Incarnation,
+        /// Only starts under this claim; nothing means every start of the key. A claim that was
+        /// freed must not keep a later one from running on the same sidecar.
+        claim: Option<ClaimId>,
     },
     /// An order to the endpoint. Reply: `Ordered`.
     Order {
@@ -73,6 +76,8 @@
     pub key: RequestKey,
     /// The sidecar's life that is meant; another one refuses.
     pub life: Incarnation,
+    /// The claim under which it is sent.
+    pub claim: ClaimId,
     /// Counts from 0; one more for each endpoint that an answer is continued on. Of the charges
     /// for one key under one grant, that of the highest attempt counts.
     pub attempt: u32,
--- a/crates/anvilreel/src/request/lingering.rs
+++ b/crates/anvilreel/src/request/lingering.rs
@@ -88,7 +88,8 @@
         self.actions.push(Action::WakeAt(now + ASK_AGAIN));
         let life = target.life;
         let req = if self.spec.once {
-            SidecarRequest::Forbid { key, life }
+            let claim = Some(self.spec.claim_id.clone());
+            SidecarRequest::Forbid { key, life, claim }
         } else if self.spec.named {
             SidecarRequest::Probe { key }
         } else {
--- a/crates/anvilreel/src/request/moving.rs
+++ b/crates/anvilreel/src/request/moving.rs
@@ -90,7 +90,8 @@
         self.step = Step::Forbidding { because };
         let key = self.spec.key.clone();
         let life = target.life;
-        self.call(target, SidecarRequest::Forbid { key, life });
+        let claim = self.spec.once.then(|| self.claim_id.clone());
+        self.call(target, SidecarRequest::Forbid { key, life, claim });
     }
 
     /// The sidecar has said that it never starts this key.
--- a/crates/anvilreel/src/request/paying.rs
+++ b/crates/anvilreel/src/request/paying.rs
@@ -64,6 +64,7 @@
         let start = Start {
             key: self.spec.key.clone(),
             life: target.life,
+            claim: self.spec.claim_id.clone(),
             attempt: self.attempt,
             body: self.spec.body,
             payment,
--- a/crates/anvilreel/src/runs/event.rs
+++ b/crates/anvilreel/src/runs/event.rs
@@ -57,6 +57,8 @@
         key: RequestKey,
         /// The life that is meant.
         life: Incarnation,
+        /// The claim that is meant; nothing means the key.
+        claim: Option<ClaimId>,
     },
     /// The reader's stream has taken the last `Head` or `Frame` and has room for the next.
     Ready {
--- a/crates/anvilreel/src/runs/gate.rs
+++ b/crates/anvilreel/src/runs/gate.rs
@@ -7,7 +7,7 @@
 use anvil_world::prelude::*;
 
 use super::run::Run;
-use super::table::{KEEP_FORBIDDEN, Runs};
+use super::table::{Forbidden, KEEP_FORBIDDEN, Runs};
 use super::{Action, EngineCommand, ReaderId, RunsError};
 
 /// When to come back to an endpoint that is full or leaving.
@@ -31,7 +31,7 @@
     /// Whether a new run may begin; a refusal means that nothing runs and nothing is charged.
     fn admit(&mut self, start: &Start) -> Result<(), Refusal> {
         let gone = Refusal::new(Reason::EndpointRefused).with_retry_after(RETRY);
-        if start.life != self.cfg.life || self.forbidden.contains_key(&start.key) {
+        if start.life != self.cfg.life || self.is_forbidden(start) {
             return Err(gone);
         }
         // Failure: a router that was frozen, declared lost and fenced, and then thaws, spends
@@ -79,7 +79,7 @@
         &mut self,
         now: Now,
         reader: ReaderId,
-        key: RequestKey,
+        what: Forbidden,
         life: Incarnation,
     ) {
         // Failure: a restarted sidecar knows nothing of what its earlier life ran, and "it never
@@ -87,17 +87,23 @@
         if life != self.cfg.life {
             return self.answer(reader, ProbeAnswer::OtherLife);
         }
-        let answer = self.never_start(now, key);
+        let answer = self.never_start(now, what);
         self.answer(reader, answer);
     }
 
-    /// Remembers that a key may not start here, unless it has.
-    fn never_start(&mut self, now: Now, key: RequestKey) -> ProbeAnswer {
-        let known = self.probe(&key);
+    fn is_forbidden(&self, start: &Start) -> bool {
+        let every = (start.key.clone(), None);
+        let this = (start.key.clone(), Some(start.claim.clone()));
+        self.forbidden.contains_key(&every) || self.forbidden.contains_key(&this)
+    }
+
+    /// Remembers that a key, or one claim of it, may not start here, unless it has.
+    fn never_start(&mut self, now: Now, what: Forbidden) -> ProbeAnswer {
+        let known = self.probe(&what.0);
         if known != ProbeAnswer::Unheard {
             return known;
         }
-        self.forbidden.insert(key, now + KEEP_FORBIDDEN);
+        self.forbidden.insert(what, now + KEEP_FORBIDDEN);
         ProbeAnswer::Forbidden
     }
 
@@ -116,7 +122,7 @@
         if let Some(run) = self.by_key.get(&key).copied() {
             self.stop(now, run);
         }
-        let answer = self.never_start(now, key);
+        let answer = self.never_start(now, (key, None));
         self.answer(reader, answer);
     }
 
--- a/crates/anvilreel/src/runs/table.rs
+++ b/crates/anvilreel/src/runs/table.rs
@@ -15,6 +15,8 @@
 /// fenced meanwhile.
 pub(super) const KEEP_FORBIDDEN: Duration = Duration::from_hours(1);
 
+pub(super) type Forbidden = (RequestKey, Option<ClaimId>);
+
 /// What a sidecar's runs are bounded by.
 #[derive(Debug, Clone)]
 pub struct RunsConfig {
@@ -33,7 +35,8 @@
     pub(super) table: BTreeMap<RunId, Run>,
     pub(super) by_key: BTreeMap<RequestKey, RunId>,
     pub(super) readers: BTreeMap<ReaderId, Reader>,
-    pub(super) forbidden: BTreeMap<RequestKey, Now>,
+    /// By key and claim; no claim means every start of the key.
+    pub(super) forbidden: BTreeMap<Forbidden, Now>,
     pub(super) fenced: BTreeMap<InstanceId, Incarnation>,
     pub(super) unsent: BTreeSet<InstanceId>,
     pub(super) charges: Charges,
@@ -76,7 +79,12 @@
             } => self.attach(reader, &key, offset),
             Event::Cancel { reader, key, life } => self.cancel(now, reader, key, life),
             Event::Probe { reader, key } => self.answer(reader, self.probe(&key)),
-            Event::Forbid { reader, key, life } => self.forbid(now, reader, key, life),
+            Event::Forbid {
+                reader,
+                key,
+                life,
+                claim,
+            } => self.forbid(now, reader, (key, claim), life),
             Event::Ready { reader } => self.ready(reader),
             Event::Gone { reader } => self.gone(reader),
             Event::Engine { run, event } => self.engine(now, run, event),
@@ -159,7 +167,7 @@
                     length: run.output.length(),
                 },
             },
-            None if self.forbidden.contains_key(key) => ProbeAnswer::Forbidden,
+            None if self.forbidden.contains_key(&(key.clone(), None)) => ProbeAnswer::Forbidden,
             None => ProbeAnswer::Unheard,
         }
     }
--- a/crates/anvilreel/src/sidecar/answer.rs
+++ b/crates/anvilreel/src/sidecar/answer.rs
@@ -45,7 +45,12 @@
         },
         SidecarRequest::Cancel { key, life } => Event::Cancel { reader, key, life },
         SidecarRequest::Probe { key } => Event::Probe { reader, key },
-        SidecarRequest::Forbid { key, life } => Event::Forbid { reader, key, life },
+        SidecarRequest::Forbid { key, life, claim } => Event::Forbid {
+            reader,
+            key,
+            life,
+            claim,
+        },
         SidecarRequest::Order { .. } | SidecarRequest::Watch => Event::Tick,
     }
 }
--- a/crates/anvilreel/tests/sidecar_platform.rs
+++ b/crates/anvilreel/tests/sidecar_platform.rs
@@ -66,6 +66,7 @@
             id: format!("order-{number}").into(),
         },
         life,
+        claim: "claim".into(),
         attempt: 0,
         body: [0; 32],
         payment: Payment {
--- a/crates/anvilreel/tests/soak/sidecars.rs
+++ b/crates/anvilreel/tests/soak/sidecars.rs
@@ -185,7 +185,12 @@
             },
             SidecarRequest::Cancel { key, life } => Event::Cancel { reader, key, life },
             SidecarRequest::Probe { key } => Event::Probe { reader, key },
-            SidecarRequest::Forbid { key, life } => Event::Forbid { reader, key, life },
+            SidecarRequest::Forbid { key, life, claim } => Event::Forbid {
+                reader,
+                key,
+                life,
+                claim,
+            },
             SidecarRequest::Order { .. } | SidecarRequest::Watch => return,
         };
         self.tell_runs(slot, event);
