--- /dev/null
+++ b/crates/anvilreel/tests/money_purse.rs
@@ -0,0 +1,203 @@
+//! A router's purse against the ledger's real state.
+
+use std::time::Duration;
+
+use anvil_ledger::state::State;
+use anvil_wire::msg::{Evidence, KeyCharge};
+use anvil_world::command::{Change, Edit, GrantBatch, GrantBatchAnswer, TopUp, change_id};
+use anvil_world::prelude::*;
+use anvilreel::money::{Closing, GrantPolicy, Purse, Shortage};
+
+struct Ledger {
+    state: State,
+    index: LogIndex,
+}
+
+impl Ledger {
+    fn with(credit: Tokens) -> Self {
+        let mut ledger = Self {
+            state: State::default(),
+            index: 0,
+        };
+        for (path, text) in [
+            ("organisations/paper", ""),
+            ("budgets/nairobi", "organisation = \"paper\""),
+        ] {
+            ledger.apply(&Command::Change(Change {
+                id: change_id(std::time::UNIX_EPOCH, path),
+                operator: "wanjiru".into(),
+                path: TreePath::try_from(path).expect("a path"),
+                expected: 0,
+                edit: Edit::Put(text.into()),
+                at: std::time::UNIX_EPOCH,
+            }));
+        }
+        ledger.apply(&Command::TopUp(TopUp {
+            id: change_id(std::time::UNIX_EPOCH, "top"),
+            operator: "wanjiru".into(),
+            budget: "nairobi".into(),
+            amount: credit,
+            at: std::time::UNIX_EPOCH,
+        }));
+        ledger
+    }
+
+    fn apply(&mut self, command: &Command) -> Answer {
+        self.index += 1;
+        let answer = self.state.apply(self.index, 1, command);
+        self.state.check_all().expect("the invariants hold");
+        answer
+    }
+
+    fn answer(&mut self, batch: GrantBatch) -> GrantBatchAnswer {
+        match self.apply(&Command::GrantBatch(batch)) {
+            Answer::Grants(answer) => answer,
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+fn at(millis: u64) -> Now {
+    Duration::from_millis(millis)
+}
+
+fn split() -> Split {
+    Split::whole("nairobi".into())
+}
+
+fn purse() -> Purse {
+    Purse::new("r1".into(), 1, GrantPolicy::default())
+}
+
+/// A purse that lacks 100 tokens, asks and is given some.
+fn funded(ledger: &mut Ledger) -> Purse {
+    let purse = purse();
+    assert!(purse.reserve(at(0), &split(), 100).is_err());
+    let batch = purse.batch(at(1)).expect("asks");
+    let answer = ledger.answer(batch);
+    purse.answered(at(2), &answer).expect("ours");
+    purse
+}
+
+/// The answer to a batch is lost, and the batch is sent again. Without its number a second grant
+/// would be opened, which nobody knows of and nobody closes.
+#[test]
+fn a_resent_batch_opens_no_second_grant() {
+    let mut ledger = Ledger::with(10_000);
+    let purse = purse();
+    assert!(purse.reserve(at(0), &split(), 100).is_err());
+    let first = purse.batch(at(1)).expect("asks");
+    let lost = ledger.answer(first.clone());
+    let again = purse.batch(at(1_100)).expect("sent again");
+    assert_eq!(again, first);
+    assert_eq!(ledger.answer(again), lost);
+    purse.answered(at(1_200), &lost).expect("ours");
+    purse.answered(at(1_300), &lost).expect("a doubled answer");
+    let budget = ledger.state.budget("nairobi").expect("there");
+    assert_eq!(budget.open.len(), 1);
+    assert_eq!(purse.view("nairobi").free, budget.outstanding());
+}
+
+/// Four threads reserve out of one grant at once. Two that saw the same free tokens would
+/// overspend it.
+#[test]
+fn threads_never_reserve_more_than_the_grant() {
+    let mut ledger = Ledger::with(10_000);
+    let purse = funded(&mut ledger);
+    let free = purse.view("nairobi").free;
+    let taken: u64 = std::thread::scope(|scope| {
+        let take = || {
+            let mut taken = 0;
+            while let Ok(reservation) = purse.reserve(at(10), &split(), 7) {
+                taken += 7;
+                // Half of them cost less; what they free is taken again.
+                if taken % 2 == 0 {
+                    purse.settle(reservation, 3).expect("within the bound");
+                    taken -= 4;
+                } else {
+                    std::mem::forget(reservation);
+                }
+            }
+            taken
+        };
+        let threads: Vec<_> = (0..4).map(|_| scope.spawn(take)).collect();
+        threads
+            .into_iter()
+            .map(|t| t.join().expect("no panic"))
+            .sum()
+    });
+    assert!(taken <= free, "{taken} of {free}");
+    assert_eq!(purse.broken(), None);
+}
+
+/// A sidecar reports a cost above what was reserved. Billing it would overspend the grant; the
+/// purse bills the reservation, says so, and reserves nothing more.
+#[test]
+fn a_cost_above_the_reservation_stops_the_purse() {
+    let mut ledger = Ledger::with(10_000);
+    let purse = funded(&mut ledger);
+    let reservation = purse.reserve(at(10), &split(), 50).expect("money");
+    assert!(purse.settle(reservation, 51).is_err());
+    assert!(purse.broken().is_some());
+    assert!(purse.reserve(at(11), &split(), 1).is_err());
+}
+
+/// The ledger is cut off. "Budget exhausted" would be a lie that sends a member to pay.
+#[test]
+fn an_unreachable_ledger_is_not_called_an_exhausted_budget() {
+    let purse = purse();
+    assert!(purse.reserve(at(0), &split(), 100).is_err());
+    assert!(purse.batch(at(1)).is_some());
+    let late = purse.reserve(at(5_000), &split(), 100);
+    let Err(Shortage::Refused(refusal)) = late else {
+        panic!("{late:?}");
+    };
+    assert_eq!(refusal.reason, Reason::LedgerUnreachable);
+}
+
+/// All money lies free in another router's grant. The first "no" calls it back, and the second
+/// ask gets it; without the recall a caller is refused although the money is there.
+#[test]
+fn idle_money_is_called_back() {
+    let mut ledger = Ledger::with(100);
+    let idle = funded(&mut ledger);
+    let other = Purse::new("r2".into(), 1, GrantPolicy::default());
+    let mut got = false;
+    for second in 1..6 {
+        let now = at(second * 1_000);
+        got |= other.reserve(now, &split(), 100).is_ok();
+        for purse in [&other, &idle] {
+            if let Some(batch) = purse.batch(now + at(10)) {
+                let answer = ledger.answer(batch);
+                purse.answered(now + at(20), &answer).expect("ours");
+            }
+        }
+    }
+    assert!(got);
+}
+
+/// A run is continued elsewhere while its first sidecar was only cut off; both charged the key.
+/// The sum of both would bill one request twice.
+#[test]
+fn evidence_counts_a_key_once_by_its_highest_attempt() {
+    let lives = [("s1".into(), 1), ("s2".into(), 1)];
+    let mut closing = Closing::new(lives.clone());
+    let evidence = |attempt, charged| Evidence {
+        router: "r1".into(),
+        incarnation: 1,
+        charges: vec![KeyCharge {
+            grant: 7,
+            key: RequestKey {
+                team: "counter".into(),
+                id: "q1".into(),
+            },
+            attempt,
+            charged,
+        }],
+    };
+    closing.take(&lives[0], &evidence(0, 90));
+    assert_eq!(closing.charged(7), None, "one has not answered");
+    closing.take(&lives[1], &evidence(1, 80));
+    closing.take(&lives[1], &evidence(1, 80));
+    assert_eq!(closing.charged(7), Some(80));
+}
