--- a/crates/anvilreel/tests/replay.rs
+++ b/crates/anvilreel/tests/replay.rs
@@ -210,8 +210,8 @@
     }
 }
 
-fn replay(path: &Path, text: String) -> datatest_stable::Result<()> {
-    let trace: Trace = toml::from_str(&text)?;
+fn replay(path: &Path) -> datatest_stable::Result<()> {
+    let trace: Trace = toml::from_str(&std::fs::read_to_string(path)?)?;
     let mut runs = Runs::new(RunsConfig {
         life: 1,
         buffer_bytes: 64,
