One judgement when an endpoint begins to fail

Cause: read as a newcomer: every error of a failing endpoint judged the whole pool, so slow endpoints lost half of their share with each error of another one, and the pool was sorted under the lock for each failed request. Ruled out: judging by ticks alone (a second of errors). Change: judged once, when the part of errors passes its bound.

--- a/crates/anvil_policy/src/health.rs
+++ b/crates/anvil_policy/src/health.rs
@@ -85,10 +85,14 @@
             Ended::Failed => Try::Failed,
             Ended::Answered(latency) => Try::Answered(latency.first + latency.between),
         };
+        let rule = &self.rule.ejection;
+        let failed_before = watched.record.fails(rule);
         watched.record.observe(now, ended);
-        if watched.record.fails(&self.rule.ejection) {
+        if watched.record.fails(rule) && !failed_before {
             // Through the same bound as the tick, or an error burst here could close the pool.
-            self.tick_known(now, endpoint);
+            // Once, not with each error: every judgement halves the shares of slow endpoints.
+            self.judge(now);
+            self.write(endpoint);
         }
     }
 
@@ -107,11 +111,6 @@
         }
     }
 
-    fn tick_known(&mut self, now: Now, endpoint: &EndpointState) {
-        self.judge(now);
-        self.write(endpoint);
-    }
-
     fn judge(&mut self, now: Now) {
         let records = self
             .endpoints
