--- a/crates/anvilreel/src/runs/event.rs
+++ b/crates/anvilreel/src/runs/event.rs
@@ -57,6 +57,8 @@
         key: RequestKey,
         /// The life that is meant.
         life: Incarnation,
+        /// The claim that is meant; nothing means the key.
+        claim: Option<ClaimId>,
     },
     /// The reader's stream has taken the last `Head` or `Frame` and has room for the next.
     Ready {
@@ -92,7 +94,8 @@
     Tick,
 }
 
-/// What an endpoint says of a run. Use is cumulative, as far as it is known.
+/// What an endpoint says of a run. Use is cumulative, as far as it is known, and of the whole
+/// answer: of one that is continued, the prefix counts as output and not as prompt.
 #[derive(Debug, Clone, PartialEq)]
 pub enum EngineEvent {
     /// Status and headers of a plain service's answer.
@@ -101,7 +104,7 @@
     Output {
         /// The bytes.
         bytes: Bytes,
-        /// Use so far, in this engine's run.
+        /// Use so far.
         usage: Usage,
     },
     /// The answer is whole.
--- a/crates/anvilreel/src/sidecar/drive.rs
+++ b/crates/anvilreel/src/sidecar/drive.rs
@@ -67,6 +67,9 @@
 
 impl Driver {
     fn say(&self, event: EngineEvent) {
+        if let EngineEvent::Lost { resumable, .. } = event {
+            self.hub.broken(self.run, resumable);
+        }
         self.hub.feed(Event::Engine {
             run: self.run,
             event,
@@ -169,6 +172,7 @@
             // one token for each event, which is never more than it made.
             usage: Usage {
                 prompt: bytes / USUAL_TOKEN_BYTES,
+                output: start.prefix_tokens,
                 ..Usage::default()
             },
             finish: "stop".into(),
