--- a/crates/anvil_daemons/examples/slopes/live.rs
+++ b/crates/anvil_daemons/examples/slopes/live.rs
@@ -30,3 +30,9 @@
     let runtime = tokio::runtime::Runtime::new().expect("a runtime can be made");
     vec![runtime.block_on(ledger::in_force())]
 }
+
+/// What a sidecar tells a router that watches it.
+pub fn watched() -> Vec<Slope> {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime can be made");
+    vec![runtime.block_on(path::watched())]
+}
--- a/crates/anvil_daemons/examples/slopes/live/path.rs
+++ b/crates/anvil_daemons/examples/slopes/live/path.rs
@@ -8,11 +8,13 @@
 use anvil_standins::load::usage::ProcessUsage;
 use anvil_standins::load::{Scenario, drive};
 use anvil_standins::{engine, relay};
+use anvil_wire::Channel;
+use anvil_wire::msg::{SidecarCall, SidecarRequest};
 use anvil_world::prelude::*;
 use anvil_world::settings::{EndpointSettings, SidecarSettings};
 use tokio::time::sleep;
 
-use super::bench::{Bench, REST, addr};
+use super::bench::{Bench, REST, WINDOW, addr};
 use crate::fit::{Slope, point};
 
 /// Bytes between an idle process and the ledger, both ways.
@@ -222,3 +224,48 @@
         },
     ]
 }
+
+/// Bytes of load reports from one sidecar to one router that watches it, with so many requests a
+/// second at that sidecar.
+pub async fn watched() -> Slope {
+    let mut points = Vec::new();
+    for rate in [2, 4, 8] {
+        // Two runners share the requests.
+        let scenario = scenario(2 * rate, 40, "10ms", "10s");
+        let folder = tempfile::tempdir().expect("a temporary folder can be made");
+        let program = std::env::current_exe().expect("a running program has a path");
+        let programs = program
+            .ancestors()
+            .nth(2)
+            .expect("examples stand beside the daemons");
+        let fleet = Fleet::start(&scenario, programs, folder.path()).await;
+        let fleet = fleet.expect("the fleet starts");
+        let settings = std::fs::read_to_string(folder.path().join("runners-0.toml"));
+        let settings: SidecarSettings =
+            toml::from_str(&settings.expect("the fleet wrote it")).expect("settings are TOML");
+        let link = relay::start(relay::Config::to(settings.wire_listen)).await;
+        let link = link.expect("loopback has free ports");
+        let watch = tokio::spawn(watch(Channel::new(link.addr())));
+        let look = async {
+            sleep(Duration::from_secs(2)).await;
+            let before = link.bytes();
+            sleep(WINDOW).await;
+            (link.bytes() - before) / WINDOW.as_secs()
+        };
+        let (_, bytes) = tokio::join!(drive(&scenario, fleet.target()), look);
+        watch.abort();
+        points.push(point(rate, bytes));
+    }
+    Slope {
+        what: "sidecar to one router: load reports",
+        unit: "bytes a second, a request a second",
+        points,
+    }
+}
+
+async fn watch(sidecar: Channel) {
+    let Ok(mut replies) = sidecar.open::<SidecarCall>(&SidecarRequest::Watch).await else {
+        return;
+    };
+    while let Ok(Some(_)) = replies.next().await {}
+}
--- a/crates/anvil_daemons/examples/slopes/main.rs
+++ b/crates/anvil_daemons/examples/slopes/main.rs
@@ -22,7 +22,7 @@
 /// measures what each thing costs, at three or more sizes, and fits a line
 #[derive(Debug, FromArgs)]
 struct Arguments {
-    /// only groups whose name starts with this: state, apply, messages, disk, spread, live
+    /// only groups whose name starts with this: state, apply, messages, disk, spread, watched, live
     #[argh(option, default = "String::new()")]
     only: String,
 
@@ -37,12 +37,13 @@
 
 type Group = (&'static str, fn() -> Vec<Slope>);
 
-const GROUPS: [Group; 6] = [
+const GROUPS: [Group; 7] = [
     ("state", state::slopes),
     ("apply", apply::slopes),
     ("messages", messages::slopes),
     ("disk", disk::slopes),
     ("spread", live::spread),
+    ("watched", live::watched),
     ("live", live::slopes),
 ];
 
