--- a/crates/anvil_standins/src/load/fleet.rs
+++ b/crates/anvil_standins/src/load/fleet.rs
@@ -129,8 +129,9 @@
 
     async fn report(&self, driven: &Driven) -> Result<Report, Error> {
         let mut report = driven.recorder.report();
-        report.doubled_runs = self.endpoints.iter().map(Endpoint::doubled).sum();
+        report.doubled_runs = Some(self.endpoints.iter().map(Endpoint::doubled).sum());
         let budgets = self.budgets().await?;
+        let (mut overspend, mut doubled) = (0, 0);
         for at in 0..self.scenario.callers.organisations {
             let name = documents::organisation(at);
             let Some((credited, billed)) = budgets.get(name.as_str()) else {
@@ -138,9 +139,11 @@
             };
             let at = at as usize;
             let due = driven.spent[at] + driven.in_doubt[at];
-            report.overspend += billed.saturating_sub(*credited);
-            report.doubled_bills += billed.saturating_sub(due);
+            overspend += billed.saturating_sub(*credited);
+            doubled += billed.saturating_sub(due);
         }
+        report.overspend = Some(overspend);
+        report.doubled_bills = Some(doubled);
         Ok(report)
     }
 
--- a/crates/anvil_standins/src/load/report.rs
+++ b/crates/anvil_standins/src/load/report.rs
@@ -71,12 +71,12 @@
     pub lost: u64,
     /// The same by how it happened.
     pub lost_by: BTreeMap<String, u64>,
-    /// Non-idempotent requests that ran more than once at the endpoints.
-    pub doubled_runs: u64,
-    /// Tokens billed beyond the use of whole answers.
-    pub doubled_bills: u64,
-    /// Tokens spent beyond what was prepaid. Must be 0.
-    pub overspend: u64,
+    /// Second and later runs of orders at the endpoints, where they were asked. Must be 0.
+    pub doubled_runs: Option<u64>,
+    /// Tokens billed beyond what the answers can have cost, where the ledger was asked.
+    pub doubled_bills: Option<u64>,
+    /// Tokens spent beyond what was prepaid, where the ledger was asked. Must be 0.
+    pub overspend: Option<u64>,
     /// To the first token.
     pub first_token: Quantiles,
     /// To the first token, of work that a person waits for.
--- a/crates/anvil_standins/src/load/table.rs
+++ b/crates/anvil_standins/src/load/table.rs
@@ -15,13 +15,17 @@
     ("unknown", |r| r.unknown.to_string()),
     ("broken", |r| r.broken.to_string()),
     ("lost", |r| r.lost.to_string()),
-    ("doubled", |r| r.doubled_runs.to_string()),
+    ("doubled", |r| known(r.doubled_runs)),
     ("first p50", |r| format!("{:.1}", r.first_token.p50)),
     ("first p95", |r| format!("{:.1}", r.first_token.p95)),
     ("between p95", |r| format!("{:.2}", r.between.p95)),
     ("fairness", |r| format!("{:.3}", r.fairness)),
 ];
 
+fn known(count: Option<u64>) -> String {
+    count.map_or_else(|| "-".into(), |count| count.to_string())
+}
+
 /// One line for each report, under a line of names. Times are in milliseconds.
 pub fn table(reports: &[Report]) -> String {
     let names = COLUMNS.iter().map(|(name, _)| (*name).to_owned());
