--- a/crates/anvil_standins/src/load/table.rs
+++ b/crates/anvil_standins/src/load/table.rs
@@ -36,6 +36,27 @@
     aligned(&lines)
 }
 
+/// One line for each kind of refusal and loss, and for every token that is wrong.
+pub fn details(reports: &[Report]) -> String {
+    let mut lines = Vec::new();
+    for report in reports {
+        let line =
+            |what: String, count: u64| vec![report.scenario.to_string(), what, count.to_string()];
+        let refused = report.refused.iter();
+        lines.extend(refused.map(|(kind, count)| line(format!("refused: {kind}"), *count)));
+        let broken = report.broken_by.iter();
+        lines.extend(broken.map(|(what, count)| line(format!("broken: {what}"), *count)));
+        let lost = report.lost_by.iter();
+        lines.extend(lost.map(|(how, count)| line(format!("lost: {how}"), *count)));
+        let overspent = report.overspend;
+        lines.extend(overspent.map(|tokens| line("tokens overspent".into(), tokens)));
+        let beyond = report.doubled_bills;
+        let what = "tokens billed beyond answers";
+        lines.extend(beyond.map(|tokens| line(what.into(), tokens)));
+    }
+    aligned(&lines)
+}
+
 /// One line for each kind of refusal and loss, and for every token that is wrong.
 pub fn details(reports: &[Report]) -> String {
     let mut lines = Vec::new();
