--- a/crates/anvil_standins/src/load/table.rs
+++ b/crates/anvil_standins/src/load/table.rs
@@ -57,27 +57,6 @@
     aligned(&lines)
 }
 
-/// One line for each kind of refusal and loss, and for every token that is wrong.
-pub fn details(reports: &[Report]) -> String {
-    let mut lines = Vec::new();
-    for report in reports {
-        let line =
-            |what: String, count: u64| vec![report.scenario.to_string(), what, count.to_string()];
-        let refused = report.refused.iter();
-        lines.extend(refused.map(|(kind, count)| line(format!("refused: {kind}"), *count)));
-        let broken = report.broken_by.iter();
-        lines.extend(broken.map(|(what, count)| line(format!("broken: {what}"), *count)));
-        let lost = report.lost_by.iter();
-        lines.extend(lost.map(|(how, count)| line(format!("lost: {how}"), *count)));
-        lines.push(line("tokens overspent".into(), report.overspend));
-        lines.push(line(
-            "tokens billed beyond answers".into(),
-            report.doubled_bills,
-        ));
-    }
-    aligned(&lines)
-}
-
 /// Lines of cells as text, each column as wide as its widest cell.
 pub fn aligned(lines: &[Vec<String>]) -> String {
     let columns = lines.iter().map(Vec::len).max().unwrap_or_default();
