--- a/crates/anvil_daemons/examples/slopes/main.rs
+++ b/crates/anvil_daemons/examples/slopes/main.rs
@@ -52,12 +52,12 @@
     if let Some(kind) = &arguments.memory {
         return state::measure(kind, arguments.count);
     }
-    let mut lines = vec![fit::heads()];
     for (name, slopes) in GROUPS {
         if name.starts_with(&arguments.only) {
+            let mut lines = vec![fit::heads()];
             lines.extend(slopes().iter().map(Slope::line));
+            println!("{}", anvil_standins::load::table::aligned(&lines));
         }
     }
-    print!("{}", anvil_standins::load::table::aligned(&lines));
     ExitCode::SUCCESS
 }
