A sidecar's new life is not passed by for what its old one lost

Ruled out: the claim (the ledger named the old life rightly), the queue. Change: only lives that this request has called are avoided; a stop waits for the runs themselves, not for their drivers.

--- a/crates/anvilreel/src/router/flow.rs
+++ b/crates/anvilreel/src/router/flow.rs
@@ -52,6 +52,8 @@
     asked: FuturesUnordered<BoxFuture<'a, Done>>,
     /// Calls to sidecars; one, but while several are asked for a key.
     calls: Vec<Call>,
+    /// All who were called.
+    tried: BTreeSet<Target>,
     /// Who was called last, but for mere questions.
     target: Option<Target>,
     turn: Option<Turn>,
@@ -70,6 +72,7 @@
             left: false,
             asked: FuturesUnordered::new(),
             calls: Vec::new(),
+            tried: BTreeSet::new(),
             target: None,
             turn: None,
             wakes: BTreeSet::new(),
@@ -235,10 +238,19 @@
         self.turn = None;
         self.began = Instant::now();
         let (core, job) = (self.core, self.job.clone());
-        self.ask(async move {
-            let avoid: Vec<_> = exclude.into_iter().collect();
-            Done::Turn(turn(core, &job, &avoid).await)
-        });
+        let avoid: Vec<_> = exclude.into_iter().filter(|id| self.avoids(id)).collect();
+        self.ask(async move { Done::Turn(turn(core, &job, &avoid).await) });
+    }
+
+    /// Failure: a sidecar restarts, and requests that its earlier life had lost pass the new one
+    /// by. It would show as "no endpoint" although one takes work. A new life is another one.
+    fn avoids(&self, id: &InstanceId) -> bool {
+        let view = self.core.following.view.load();
+        let Some(now) = view.sidecars.get(id) else {
+            return true;
+        };
+        let target = Target::new(id.clone(), now.incarnation);
+        self.tried.contains(&target)
     }
 
     fn reserve(&mut self) -> Event {
@@ -263,6 +275,7 @@
     }
 
     fn call(&mut self, dispatch: u32, target: Target, req: Box<SidecarRequest>) -> Option<Event> {
+        self.tried.insert(target.clone());
         let view = self.core.following.view.load();
         let known = view.sidecars.get(&target.sidecar);
         let Some(known) = known.filter(|known| known.incarnation == target.life) else {
--- a/crates/anvilreel/src/sidecar.rs
+++ b/crates/anvilreel/src/sidecar.rs
@@ -186,7 +186,7 @@
     }
 
     fn count_runs(&self) {
-        let running = self.hub.live();
+        let running = self.hub.driving();
         self.metrics.gauge(RUNS_OPEN, running as u64);
         self.loads
             .send_modify(|load| load.running = u32::try_from(running).unwrap_or(u32::MAX));
--- a/crates/anvilreel/src/sidecar/hub.rs
+++ b/crates/anvilreel/src/sidecar/hub.rs
@@ -86,8 +86,13 @@
         event!(log, events::SIDECAR_ENGINE_BROKEN, "run" => run, "resumable" => resumable);
     }
 
-    /// Runs that the endpoint works on.
+    /// Runs that the endpoint works on. Looks at every kept run: for a stop, not for a request.
     pub fn live(&self) -> usize {
+        self.desk().runs.live()
+    }
+
+    /// Runs that are driven at the endpoint, for its load.
+    pub fn driving(&self) -> usize {
         self.desk().drivers.len()
     }
 
