--- a/crates/anvilreel/tests/ledger_service.rs
+++ b/crates/anvilreel/tests/ledger_service.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, SystemTime};
 
-use anvil_ledger::core::Payload;
+use anvil_ledger::core::{CoreSettings, Membership, Payload};
 use anvil_ledger::storage::recover::recover;
 use anvil_ledger::storage::store::read_identity;
 use anvil_ledger::storage::{Disk, Op};
@@ -89,6 +89,11 @@
             silent_after: Duration::from_millis(500),
             gone_after: Duration::from_secs(1),
             snapshot_every: 200,
+            // A short log, so that a new disk has to fetch a snapshot.
+            core: CoreSettings {
+                trailing: 50,
+                ..CoreSettings::default()
+            },
             ..Tuning::default()
         };
         let handle = start(self.settings(number), tuning, log, stopped).await?;
@@ -228,6 +233,8 @@
         }
     };
     timeout(PATIENCE, repaired).await?;
+    let found = recover(&Disk::read_only(&cluster.folder.path().join("0")))?;
+    assert!(found.base.index > 0, "no snapshot was fetched");
     cluster.stop(1).await;
     assert_eq!(cluster.budget("nairobi").await?.credited, 5_000);
     cluster.propose(top_up(500)).await?;
@@ -481,3 +488,50 @@
     cluster.stop_all().await;
     Ok(())
 }
+
+/// A replica comes back with its disk at another address, and another one is lost. The two go on:
+/// the leader has noted the address, so the votes and acknowledgements of the moved one count.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_moves_to_another_address() -> Result<(), Failure> {
+    let mut cluster = Cluster::start(3).await?;
+    declare(&cluster).await?;
+    cluster.stop(2).await;
+    let old = cluster.peers[2].addr;
+    cluster.peers[2].addr = free_addr()?;
+    assert_ne!(cluster.peers[2].addr, old);
+    cluster.run(2).await?;
+    let moved = async {
+        while !is_listed(&cluster, 2) {
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(PATIENCE, moved).await?;
+    cluster.stop(1).await;
+    cluster.propose(top_up(1)).await?;
+    assert_eq!(cluster.budget("nairobi").await?.credited, 10);
+    cluster.stop_all().await;
+    Ok(())
+}
+
+/// Whether the newest membership on the first replica's disk has another one's present address.
+fn is_listed(cluster: &Cluster, number: usize) -> bool {
+    let disk = Disk::read_only(&cluster.folder.path().join("0"));
+    let Ok(found) = recover(&disk) else {
+        return false;
+    };
+    let changes = found
+        .entries
+        .into_iter()
+        .filter_map(|entry| match entry.payload {
+            Payload::Membership(membership) => Some(membership),
+            _ => None,
+        });
+    let peer = &cluster.peers[number];
+    let listed = |membership: Membership| {
+        membership
+            .voters
+            .into_values()
+            .any(|site| site.addr == peer.addr)
+    };
+    changes.last().is_some_and(listed)
+}
