A dead sidecar puts nobody else's request in doubt

Change: an address that refuses connections has no process, so the life asked for is over; sidecars that the ledger does not hear of are passed over. The new test of path_fleet fails without the change.

--- a/crates/anvil_ledger/examples/soak.rs
+++ b/crates/anvil_ledger/examples/ledger_soak.rs
@@ -1,7 +1,7 @@
 //! The long randomised run: replicas, disks and network simulated from one seed.
 //!
 //! ```text
-//! cargo run --release -p anvil_ledger --example soak -- --seed 1 --steps 1000000
+//! cargo run --release -p anvil_ledger --example ledger_soak -- --seed 1 --steps 1000000
 //! ```
 //!
 //! The steps are run in episodes, each with a fresh fleet and its own seed. An invariant that
--- a/crates/anvil_wire/src/error.rs
+++ b/crates/anvil_wire/src/error.rs
@@ -83,6 +83,17 @@
 }
 
 impl WireError {
+    /// Whether the other machine answered that no process listens there.
+    ///
+    /// Stronger than [`WireError::never_sent`]: a process that could be reached by nobody may
+    /// still run; one whose address refuses connections does not.
+    pub fn nobody_listens(&self) -> bool {
+        let Self::Connect { source, .. } = self else {
+            return false;
+        };
+        source.kind() == std::io::ErrorKind::ConnectionRefused
+    }
+
     /// Whether it is certain that the other side never saw the request.
     ///
     /// Only then may a non-idempotent request be sent elsewhere.
--- a/crates/anvilreel/src/router/call.rs
+++ b/crates/anvilreel/src/router/call.rs
@@ -1,6 +1,6 @@
 //! One call to a sidecar, from its opening to its last reply.
 
-use anvil_wire::msg::{SidecarCall, SidecarReply, SidecarRequest};
+use anvil_wire::msg::{ProbeAnswer, SidecarCall, SidecarReply, SidecarRequest};
 use anvil_wire::{Channel, Replies, WireError};
 use futures::future::{BoxFuture, select_all};
 
@@ -29,15 +29,19 @@
 pub struct Call {
     /// Its number.
     pub dispatch: Dispatch,
+    /// Whether it only asks what a sidecar knows of a key.
+    probes: bool,
     state: State,
 }
 
 impl Call {
     /// Opens a call. Nothing happens until [`Call::next`] is awaited.
     pub fn open(dispatch: Dispatch, channel: Channel, req: Box<SidecarRequest>) -> Self {
+        let probes = matches!(*req, SidecarRequest::Probe { .. });
         let opening = async move { channel.open::<SidecarCall>(&req).await };
         Self {
             dispatch,
+            probes,
             state: State::Opening(Box::pin(opening)),
         }
     }
@@ -48,6 +52,7 @@
             match &mut self.state {
                 State::Opening(opening) => match opening.await {
                     Ok(replies) => self.state = State::Reading(Box::new(replies)),
+                    Err(e) if self.probes && e.nobody_listens() => return self.life_is_over(),
                     Err(e) => return self.broken(e.never_sent()),
                 },
                 State::Reading(replies) => match replies.next().await {
@@ -71,6 +76,17 @@
         matches!(self.state, State::Over)
     }
 
+    /// Failure: a sidecar dies, and until the ledger has missed it every request whose key it
+    /// might have run is told "unknown". No process listens where it was, so the life that is
+    /// asked for is over and none of its runs goes on.
+    fn life_is_over(&mut self) -> Event {
+        self.state = State::Over;
+        Event::Reply {
+            dispatch: self.dispatch,
+            reply: SidecarReply::Probed(ProbeAnswer::OtherLife),
+        }
+    }
+
     fn broken(&mut self, never_sent: bool) -> Event {
         self.state = State::Over;
         Event::Broken {
--- a/crates/anvilreel/src/router/job.rs
+++ b/crates/anvilreel/src/router/job.rs
@@ -189,9 +189,13 @@
         if holders.is_empty() || core.tenure().is_settled(core.life.now(), &self.key) {
             return Vec::new();
         }
+        // One that the ledger does not hear of is passed over. Waiting for its word would answer
+        // "unknown" to every caller's key for as long as it is away, because of a run that only
+        // a caller who lost both holders of the claim can have left there.
         let able = view.sidecars.values().filter(|instance| {
             let endpoint = instance.endpoint.as_ref();
-            endpoint.is_some_and(|endpoint| endpoint.service == self.service)
+            let serves = endpoint.is_some_and(|endpoint| endpoint.service == self.service);
+            serves && !view.silent.contains(&instance.id)
         });
         able.map(|instance| Target::new(instance.id.clone(), instance.incarnation))
             .collect()
--- a/crates/anvilreel/tests/path_fleet/losses.rs
+++ b/crates/anvilreel/tests/path_fleet/losses.rs
@@ -87,3 +87,18 @@
     assert!(answer.headers.contains_key("retry-after"));
     assert!(fleet.plain.runs().is_empty());
 }
+
+/// A sidecar dies in a young fleet, where no router can vouch yet that a key never ran. Every
+/// request with a caller's key was told "unknown" until the ledger missed the dead one, although
+/// its address refused connections: no process, so no run that could be billed beside this one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_dead_sidecar_puts_nobody_elses_request_in_doubt() {
+    let mut fleet = Fleet::start(2, 3).await;
+    fleet.engines[0].sidecar.take().expect("it runs").kill();
+    for number in 0..12 {
+        let prompt = format!("tokens=5 card {number}");
+        let key = format!("card-{number}");
+        let answer = fleet.chat(number % 2, Some(&key), &prompt).await;
+        assert_eq!(text(&answer), expected(&prompt), "{number}");
+    }
+}
