A continued answer's use is counted once: the sidecar's second correction is taken out

Cause: two parts had mended the same fault, one on each side of the runs' interface: the state machine now takes the use of the whole answer, and the sidecar's driver still turned it into 'this run's part, the prefix in its prompt'. A continued answer was told and billed with its prefix as prompt tokens (31 and 180 in place of 11 and 200). Ruled out: the stand-in's counting (it reports 11 and 200); the router's shape. Change: the driver passes the engine's figures on. The new test compares both counts. Conclusion: at the meeting of parts each interface needs one owner of a conversion.

--- a/crates/anvilreel/src/sidecar/drive.rs
+++ b/crates/anvilreel/src/sidecar/drive.rs
@@ -258,22 +258,12 @@
                 driver.say(EngineEvent::Output { bytes, usage });
             }
             Said::Finish(why) => self.finish = why,
-            Said::Usage(usage) => self.usage = self.own_part(usage),
+            // Of the whole answer, also where the engine continues one.
+            Said::Usage(usage) => self.usage = usage,
             Said::Done => {}
         }
     }
 
-    /// The engine reports the use of the whole answer, also where it continues one; the state
-    /// machine counts what this run made, with the prefix as a part of its prompt.
-    fn own_part(&self, whole: Usage) -> Usage {
-        let prefix = self.start.prefix_tokens;
-        Usage {
-            prompt: whole.prompt.saturating_add(prefix),
-            output: whole.output.saturating_sub(prefix),
-            calls: whole.calls,
-        }
-    }
-
     async fn resume(&mut self, driver: &Driver) -> Option<EngineStream> {
         sleep(RESUME_AFTER).await;
         let again = engine::resume(&driver.client, &self.run_id, self.length).await;
--- a/crates/anvilreel/tests/path_fleet/losses.rs
+++ b/crates/anvilreel/tests/path_fleet/losses.rs
@@ -102,3 +102,36 @@
         assert_eq!(text(&answer), expected(&prompt), "{number}");
     }
 }
+
+/// A sidecar dies in mid-answer with its instance. The caller gets the rest from another endpoint,
+/// and the use that it is told and billed is that of the whole answer, counted once.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_sidecar_dies_and_the_use_told_is_that_of_the_whole_answer() {
+    let mut fleet = Fleet::start_with(1, 2, slow()).await;
+    let prompt = "tokens=200 repair history of a chronograph";
+    let url = fleet.url(0, CHAT);
+    let headers = [("idempotency-key", "history")];
+    let body = chat_body(prompt, true);
+    let sent = fleet.client.send(&url, request(&url, &headers, body)).await;
+    let mut answer = sent.expect("an answer").into_body();
+    let mut read = Vec::new();
+    for _ in 0..20 {
+        let frame = answer.frame().await.expect("output").expect("whole");
+        read.extend_from_slice(&frame.into_data().expect("bytes"));
+    }
+    let busy = fleet.engines.iter().position(|b| b.engine.started() > 0);
+    let busy = busy.expect("one works on it");
+    fleet.engines[busy].sidecar.take().expect("it runs").kill();
+    while let Some(frame) = answer.frame().await {
+        let frame = frame.expect("whole");
+        read.extend_from_slice(&frame.into_data().expect("bytes"));
+    }
+    assert_eq!(streamed_text(&read), (expected(prompt), true));
+    let told = String::from_utf8_lossy(&read);
+    let undisturbed = fleet.chat(0, None, prompt).await;
+    let whole = json(&undisturbed)["usage"].clone();
+    for count in ["prompt_tokens", "completion_tokens"] {
+        let wanted = format!("\"{count}\":{}", whole[count]);
+        assert!(told.contains(&wanted), "{wanted} is not in {told}");
+    }
+}
