An order that is known to have run is told so after its answer is lost

Cause: seen with anvilreel local: after a restart a repeated order was told 'it may have run' although its claim in the ledger was settled as completed. Ruled out: running it again; keeping answers in the ledger (their bytes would go through the log). Change: Doubt::AnswerLost, told as outcome completed, billed true, status 410; a test restarts the service's sidecar in between.

--- a/crates/anvil_world/src/outcome.rs
+++ b/crates/anvil_world/src/outcome.rs
@@ -39,6 +39,8 @@
     AnswerDropped,
     /// It was stopped before its end: the caller left or its deadline came.
     Stopped,
+    /// It ran to its end and is billed once; its answer was lost with the process that kept it.
+    AnswerLost,
 }
 
 /// A refusal that says "not run", and when to come back.
--- a/crates/anvilreel/src/request/claiming.rs
+++ b/crates/anvilreel/src/request/claiming.rs
@@ -131,6 +131,7 @@
             return self.reserve_or_start();
         }
         self.target = Some(target);
+        self.known_complete = matches!(settled, Some(Outcome::Completed(_)));
         // A completed one is read again from its sidecar; a doubt stays a doubt.
         match settled {
             Some(Outcome::Unknown(doubt)) => self.finish(Outcome::Unknown(*doubt), None),
--- a/crates/anvilreel/src/request/exchange.rs
+++ b/crates/anvilreel/src/request/exchange.rs
@@ -81,6 +81,8 @@
     pub(super) claim_id: ClaimId,
     /// Whether the claim that stands was made by this exchange.
     pub(super) claim_ours: bool,
+    /// Whether the ledger has said that the claimed run came to its end.
+    pub(super) known_complete: bool,
     pub(super) reservation: Option<Reservation>,
     pub(super) payment: Option<Payment>,
     pub(super) start: Started,
@@ -119,6 +121,7 @@
             excluded: BTreeSet::new(),
             generation: 0,
             claim_ours: false,
+            known_complete: false,
             reservation: None,
             payment: None,
             start: Started::No,
--- a/crates/anvilreel/src/request/moving.rs
+++ b/crates/anvilreel/src/request/moving.rs
@@ -201,6 +201,11 @@
         if matches!(self.step, Step::Cancelling) {
             return self.finish(Outcome::Unknown(Doubt::Stopped), None);
         }
+        if self.known_complete {
+            // Failure: an order was placed, its sidecar restarted, and the caller who asks again
+            // is told "it may have run" although the ledger knows that it did.
+            return self.finish(Outcome::Unknown(Doubt::AnswerLost), None);
+        }
         if !self.may_continue() {
             return self.finish(Outcome::Unknown(Doubt::SidecarLost), None);
         }
--- a/crates/anvilreel/src/router/refuse.rs
+++ b/crates/anvilreel/src/router/refuse.rs
@@ -63,6 +63,7 @@
         Doubt::SidecarLost => "the process that holds the run can't be reached",
         Doubt::AnswerDropped => "the answer is no longer kept",
         Doubt::Stopped => "it was stopped before its end",
+        Doubt::AnswerLost => return answer_lost(),
     };
     let body = ErrorBody {
         r#type: "outcome_unknown",
@@ -84,6 +85,18 @@
     answer(status, &body)
 }
 
+/// The request is known to have run; only its answer is gone.
+fn answer_lost() -> (StatusCode, ErrorBody) {
+    let body = ErrorBody {
+        r#type: "answer_lost",
+        message: "it ran to its end and is billed once; its answer is no longer kept".into(),
+        outcome: "completed",
+        billed: Some(true),
+        retry_after_ms: None,
+    };
+    (StatusCode::GONE, body)
+}
+
 /// An outcome in doubt as an HTTP answer.
 pub fn in_doubt(doubt: Doubt, once: bool) -> Response {
     let (status, body) = doubt_body(doubt, once);
--- a/crates/anvilreel/tests/path_fleet/answers.rs
+++ b/crates/anvilreel/tests/path_fleet/answers.rs
@@ -73,3 +73,23 @@
     assert_eq!(fleet.plain.runs().get("order-7"), Some(&1));
     fleet.billed(1).await;
 }
+
+/// An order is placed and its sidecar's instance restarts. The member asks again under the same
+/// key and was told "it may have run" although the ledger knows that it did: somebody would place
+/// it a second time by hand.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_whose_answer_is_lost_is_told_to_have_run() {
+    let mut fleet = Fleet::start(1, 1).await;
+    let headers = [("idempotency-key", "order-9"), ("order-id", "order-9")];
+    let path = "/services/swatches/orders";
+    let placed = fleet.send(0, path, &headers, "{}").await;
+    assert_eq!(placed.status.as_u16(), 200);
+    fleet.billed(1).await;
+    fleet.restart_plain_sidecar().await;
+    let again = fleet.send(0, path, &headers, "{}").await;
+    assert_eq!(again.status.as_u16(), 410);
+    let error = &json(&again)["error"];
+    assert_eq!(error["outcome"], "completed");
+    assert_eq!(error["billed"], true);
+    assert_eq!(fleet.plain.runs().get("order-9"), Some(&1));
+}
--- a/crates/anvilreel/tests/path_fleet/fleet.rs
+++ b/crates/anvilreel/tests/path_fleet/fleet.rs
@@ -43,7 +43,7 @@
     pub engines: Vec<Beside>,
     pub plain: plain::Handle,
     // Kept running beside the plain service.
-    _plain_sidecar: Sidecar,
+    plain_sidecar: Sidecar,
     pub client: Client,
     // Kept for its drop, which removes the folder.
     _data: tempfile::TempDir,
@@ -79,7 +79,7 @@
             routers: Vec::new(),
             engines: Vec::new(),
             plain,
-            _plain_sidecar: start_sidecar(&service).await,
+            plain_sidecar: start_sidecar(&service).await,
             client: Client::default(),
             _data: data,
         };
@@ -227,6 +227,23 @@
             .sum()
     }
 
+    /// Ends the plain service's sidecar as a crash does, and starts another life of it.
+    pub async fn restart_plain_sidecar(&mut self) {
+        let addr = self.plain.addr();
+        let settings = sidecar_settings(0, self.ledger_addr, addr, EndpointKind::Plain);
+        let new = start_sidecar(&settings).await;
+        let life = new.life();
+        std::mem::replace(&mut self.plain_sidecar, new).kill();
+        let id = settings.id.clone();
+        eventually("the new life is known", || async {
+            let members = self.ledger.query(Query::Members, PATIENCE).await;
+            matches!(members, Ok(QueryAnswer::Members(members))
+                if members[&id].instance.incarnation == life)
+        })
+        .await;
+        sleep(Duration::from_millis(300)).await;
+    }
+
     /// Stops the ledger.
     pub async fn stop_ledger(&mut self) {
         let (handle, stop) = self.ledger_handle.take().expect("it runs");
