--- a/crates/anvilreel/src/router/places.rs
+++ b/crates/anvilreel/src/router/places.rs
@@ -174,12 +174,22 @@
         let watched = state.clone();
         let (lanes, life) = (self.lanes.clone(), self.life.clone());
         let watch = tokio::spawn(async move {
+            let mut last = EndpointLoad {
+                slots,
+                ..EndpointLoad::default()
+            };
             loop {
                 if let Ok(mut replies) = channel.open::<SidecarCall>(&SidecarRequest::Watch).await {
                     while let Ok(Some(SidecarReply::Load(load))) = replies.next().await {
                         take_report(&lanes.load(), life.now(), &watched, &report_of(&load));
+                        last = load;
                     }
                 }
+                // Failure: a sidecar dies, and until the ledger has missed it work goes on being
+                // sent there; it shows as requests with a key that wait some seconds for it. Whom
+                // this router can't watch it can't send work to either.
+                last.leaving = true;
+                take_report(&lanes.load(), life.now(), &watched, &report_of(&last));
                 sleep(WATCH_AGAIN).await;
             }
         });
