One way of finding the ledger's leader, one way of turning a request into a run's event

The operators' client had a second loop for finding the leader beside LedgerClient's; two replicas that each named the other would have been asked without a pause. The soak had its own copy of the sidecar's conversion of requests into events. Ruled out: sharing error types by hand where they only look alike (inspect and the ledger service).

--- a/crates/anvilreel/src/ledger_client.rs
+++ b/crates/anvilreel/src/ledger_client.rs
@@ -1,4 +1,4 @@
-//! How routers and sidecars ask the ledger: any replica first, then whoever leads.
+//! How every process asks the ledger: any replica first, then whoever leads.
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -103,6 +103,7 @@
         let mut doubt = false;
         let mut at = self.last.load(Ordering::Relaxed);
         let mut tries = 0;
+        let mut hinted: Option<Channel> = None;
         loop {
             let number = at % self.replicas.len();
             let left = deadline.saturating_duration_since(Instant::now());
@@ -113,16 +114,28 @@
                     LedgerError::Unreachable
                 });
             }
-            let replica = &self.replicas[number];
-            at = number + 1;
+            // A leader that is not in the settings is asked where it said that it is.
+            let stranger = hinted.take();
+            let replica = stranger.as_ref().unwrap_or(&self.replicas[number]);
+            if stranger.is_none() {
+                at = number + 1;
+            }
             match replica.call::<LedgerCall>(ask, left.min(ONE_REPLICA)).await {
                 Ok(LedgerReply::NotLeader { leader }) => {
-                    at = leader.and_then(|addr| self.number_of(addr)).unwrap_or(at);
+                    match leader.map(|addr| (addr, self.number_of(addr))) {
+                        Some((_, Some(known))) => at = known,
+                        Some((addr, None)) if stranger.is_none() => {
+                            hinted = Some(Channel::new(addr));
+                        }
+                        _ => {}
+                    }
                 }
                 Ok(LedgerReply::NoQuorum | LedgerReply::Stopped) => {}
                 Ok(LedgerReply::InDoubt) => doubt = true,
                 Ok(reply) => {
-                    self.last.store(number, Ordering::Relaxed);
+                    if stranger.is_none() {
+                        self.last.store(number, Ordering::Relaxed);
+                    }
                     return Ok(reply);
                 }
                 Err(e) => doubt |= !e.never_sent(),
--- a/crates/anvilreel/src/runs/event.rs
+++ b/crates/anvilreel/src/runs/event.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvil_wire::msg::{Head, SidecarReply, Start};
+use anvil_wire::msg::{Head, SidecarReply, SidecarRequest, Start};
 use anvil_world::prelude::*;
 use bytes::Bytes;
 
@@ -94,6 +94,29 @@
     Tick,
 }
 
+impl Event {
+    /// What a router's request is to the runs; nothing for an order or a watch.
+    pub fn of(reader: ReaderId, req: SidecarRequest) -> Option<Self> {
+        Some(match req {
+            SidecarRequest::Start(start) => Self::Start { reader, start },
+            SidecarRequest::Attach { key, offset } => Self::Attach {
+                reader,
+                key,
+                offset,
+            },
+            SidecarRequest::Cancel { key, life } => Self::Cancel { reader, key, life },
+            SidecarRequest::Probe { key } => Self::Probe { reader, key },
+            SidecarRequest::Forbid { key, life, claim } => Self::Forbid {
+                reader,
+                key,
+                life,
+                claim,
+            },
+            SidecarRequest::Order { .. } | SidecarRequest::Watch => return None,
+        })
+    }
+}
+
 /// What an endpoint says of a run. Use is cumulative, as far as it is known, and of the whole
 /// answer: of one that is continued, the prefix counts as output and not as prompt.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/anvilreel/src/sidecar/answer.rs
+++ b/crates/anvilreel/src/sidecar/answer.rs
@@ -25,7 +25,10 @@
         }
         SidecarRequest::Watch => watch(&core, &mut tx).await,
         run_request => {
-            let (reader, replies) = core.hub.ask(|reader| event_of(run_request, reader));
+            let (reader, replies) = core.hub.ask(|reader| {
+                // Orders and watches were taken out above; nothing else is not about a run.
+                Event::of(reader, run_request).unwrap_or(Event::Tick)
+            });
             core.count_runs();
             let passed = pass_on(&core, reader, replies, &mut tx).await;
             core.hub.gone(reader);
@@ -35,26 +38,6 @@
     };
 }
 
-fn event_of(req: SidecarRequest, reader: ReaderId) -> Event {
-    match req {
-        SidecarRequest::Start(start) => Event::Start { reader, start },
-        SidecarRequest::Attach { key, offset } => Event::Attach {
-            reader,
-            key,
-            offset,
-        },
-        SidecarRequest::Cancel { key, life } => Event::Cancel { reader, key, life },
-        SidecarRequest::Probe { key } => Event::Probe { reader, key },
-        SidecarRequest::Forbid { key, life, claim } => Event::Forbid {
-            reader,
-            key,
-            life,
-            claim,
-        },
-        SidecarRequest::Order { .. } | SidecarRequest::Watch => Event::Tick,
-    }
-}
-
 /// Passes replies on at the pace at which the router takes them.
 async fn pass_on(
     core: &Core,
--- a/crates/anvilreel/tests/soak/sidecars.rs
+++ b/crates/anvilreel/tests/soak/sidecars.rs
@@ -176,22 +176,8 @@
     }
 
     pub fn sidecar_request(&mut self, slot: usize, reader: StreamId, req: SidecarRequest) {
-        let event = match req {
-            SidecarRequest::Start(start) => Event::Start { reader, start },
-            SidecarRequest::Attach { key, offset } => Event::Attach {
-                reader,
-                key,
-                offset,
-            },
-            SidecarRequest::Cancel { key, life } => Event::Cancel { reader, key, life },
-            SidecarRequest::Probe { key } => Event::Probe { reader, key },
-            SidecarRequest::Forbid { key, life, claim } => Event::Forbid {
-                reader,
-                key,
-                life,
-                claim,
-            },
-            SidecarRequest::Order { .. } | SidecarRequest::Watch => return,
+        let Some(event) = Event::of(reader, req) else {
+            return;
         };
         self.tell_runs(slot, event);
     }
