--- /dev/null
+++ b/crates/anvil_gateway/src/directory.rs
@@ -0,0 +1,87 @@
+//! Which endpoints there are, as the platform lists them.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use anvil_world::prelude::*;
+use arc_swap::ArcSwap;
+
+use crate::dialect::Listed;
+use crate::endpoint::Endpoint;
+
+/// Endpoints of one service.
+pub type Group = Vec<Arc<Endpoint>>;
+
+/// All endpoints by service; replaced whole.
+#[derive(Default)]
+pub struct Directory {
+    groups: ArcSwap<BTreeMap<ServiceId, Group>>,
+}
+
+/// What a new list changed.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct Changes {
+    /// Endpoints that came.
+    pub came: Vec<InstanceId>,
+    /// Endpoints that take no new work from now on.
+    pub leaving: Vec<InstanceId>,
+    /// Endpoints that are not listed any more.
+    pub gone: Vec<InstanceId>,
+}
+
+impl Changes {
+    /// Whether the list said nothing new.
+    pub fn is_empty(&self) -> bool {
+        self.came.is_empty() && self.leaving.is_empty() && self.gone.is_empty()
+    }
+}
+
+impl Directory {
+    /// The endpoints of a service.
+    pub fn group(&self, service: &str) -> Group {
+        let groups = self.groups.load();
+        groups.get(service).cloned().unwrap_or_default()
+    }
+
+    /// Whether any endpoint is known.
+    pub fn is_empty(&self) -> bool {
+        self.groups.load().is_empty()
+    }
+
+    /// Takes in a whole list. Endpoints in the same life at the same address keep their
+    /// connections and what is known of them; those not listed get no new work.
+    pub fn take(&self, list: &[Listed]) -> Changes {
+        let old = self.groups.load();
+        let mut known: BTreeMap<&InstanceId, &Arc<Endpoint>> = BTreeMap::new();
+        for endpoint in old.values().flatten() {
+            known.insert(&endpoint.id, endpoint);
+        }
+        let mut changes = Changes::default();
+        let mut groups: BTreeMap<ServiceId, Group> = BTreeMap::new();
+        for listed in list {
+            let same = known.remove(&listed.id).filter(|endpoint| {
+                endpoint.addr == listed.addr && endpoint.service == listed.service
+            });
+            let endpoint = same.cloned().unwrap_or_else(|| {
+                changes.came.push(listed.id.clone());
+                Arc::new(Endpoint::new(listed))
+            });
+            if listed.leaving && endpoint.leave() {
+                changes.leaving.push(listed.id.clone());
+            }
+            groups
+                .entry(listed.service.clone())
+                .or_default()
+                .push(endpoint);
+        }
+        for (id, endpoint) in known {
+            endpoint.leave();
+            endpoint.pool.clear();
+            changes.gone.push(id.clone());
+        }
+        if !changes.is_empty() {
+            self.groups.store(Arc::new(groups));
+        }
+        changes
+    }
+}
--- /dev/null
+++ b/crates/anvil_gateway/src/endpoint.rs
@@ -0,0 +1,102 @@
+//! One endpoint that is called directly: its connections and what is known of its load.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use anvil_policy::engine::{EndpointLoad, EngineRule, Prompt};
+use anvil_world::prelude::*;
+
+use crate::dialect::{Listed, Load};
+use crate::pool::Pool;
+
+/// One endpoint in one life.
+pub struct Endpoint {
+    /// Its id; another life has another one.
+    pub id: InstanceId,
+    /// What it serves.
+    pub service: ServiceId,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Where it stands.
+    pub zone: ZoneId,
+    /// Requests that it works on side by side, as listed.
+    pub slots: u32,
+    /// Connections to it.
+    pub pool: Pool,
+    leaving: AtomicBool,
+    load: Mutex<EndpointLoad>,
+}
+
+impl Endpoint {
+    /// As the platform lists it.
+    pub fn new(listed: &Listed) -> Self {
+        Self {
+            id: listed.id.clone(),
+            service: listed.service.clone(),
+            addr: listed.addr,
+            zone: listed.zone.clone(),
+            slots: listed.slots,
+            pool: Pool::new(listed.addr),
+            leaving: AtomicBool::new(listed.leaving),
+            load: Mutex::default(),
+        }
+    }
+
+    /// Whether it takes no new work.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Marks it as leaving. Returns whether that is news. An endpoint never comes back in the
+    /// same life, so a list that lags can't take the mark away.
+    pub fn leave(&self) -> bool {
+        !self.leaving.swap(true, Ordering::Relaxed)
+    }
+
+    /// What is known of its load.
+    pub fn load(&self) -> MutexGuard<'_, EndpointLoad> {
+        // A panic elsewhere leaves plain numbers, each of them valid.
+        self.load.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in its own word on its load.
+    pub fn heard(&self, now: Now, load: &Load) {
+        self.load()
+            .heard(now, load.running, load.waiting, load.slots);
+    }
+}
+
+/// A place at an endpoint that one request holds. Dropping it gives the place back.
+pub struct Place {
+    /// Where.
+    pub endpoint: Arc<Endpoint>,
+    unread: Tokens,
+}
+
+impl Place {
+    /// Takes a place.
+    pub fn take(
+        endpoint: Arc<Endpoint>,
+        now: Now,
+        rule: &EngineRule,
+        prompt: &Prompt<'_>,
+        unread: Tokens,
+    ) -> Self {
+        endpoint.load().start(now, rule, prompt, unread);
+        Self { endpoint, unread }
+    }
+
+    /// The first piece of the answer is here: the prompt has been read.
+    pub fn answered(&mut self) {
+        let unread = std::mem::take(&mut self.unread);
+        self.endpoint.load().read(unread);
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.answered();
+        self.endpoint.load().end();
+    }
+}
--- /dev/null
+++ b/crates/anvil_gateway/src/follow.rs
@@ -0,0 +1,131 @@
+//! Keeps the routing table current, and tells the ledger that this gateway lives.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use anvil_wire::msg::{Heartbeat, Interest, LedgerReply};
+use anvil_world::prelude::*;
+use anvilreel::event;
+use anvilreel::held::Held;
+use tokio::time::{sleep, timeout};
+
+use crate::gateway::Gateway;
+use crate::log_events as events;
+
+/// Longest wait for anything from a followed replica before another one is tried. A replica
+/// that is current says so every half second.
+const SILENCE: Duration = Duration::from_millis(1_300);
+/// Pause before another replica is followed.
+const AGAIN: Duration = Duration::from_millis(50);
+/// Time between two signs of life.
+const HEARTBEAT: Duration = Duration::from_secs(1);
+
+/// Follows one replica after the other, for as long as the process lives.
+pub async fn run(gw: &Gateway) {
+    let mut held = Held::default();
+    let mut revision = 0;
+    let mut in_touch = false;
+    // Gateways start at different replicas, so that no replica spreads to all of them.
+    let mut replica = rand::random_range(0..64);
+    loop {
+        let heard = follow_one(gw, replica, &mut held, &mut revision, &mut in_touch).await;
+        if !heard && in_touch {
+            let version = held.version;
+            event!(gw.log, events::GATEWAY_OUT_OF_TOUCH, "version" => version);
+            in_touch = false;
+        }
+        replica += 1;
+        sleep(AGAIN).await;
+    }
+}
+
+async fn follow_one(
+    gw: &Gateway,
+    replica: usize,
+    held: &mut Held,
+    revision: &mut Revision,
+    in_touch: &mut bool,
+) -> bool {
+    let opening = gw
+        .ledger
+        .follow(replica, gw.cfg.id.clone(), Interest::Router, held.version);
+    let Ok(Ok(mut replies)) = timeout(SILENCE, opening).await else {
+        return false;
+    };
+    let mut heard = false;
+    while let Ok(Ok(Some(LedgerReply::Follow(told)))) = timeout(SILENCE, replies.next()).await {
+        heard = true;
+        if !*in_touch {
+            event!(gw.log, events::GATEWAY_IN_TOUCH, "replica" => replica);
+            *in_touch = true;
+        }
+        let now = u64::try_from(gw.life.now().as_millis()).unwrap_or(u64::MAX);
+        gw.confirmed.store(now, Ordering::Relaxed);
+        if held.apply(told) {
+            take(gw, held, revision);
+        }
+    }
+    heard
+}
+
+fn take(gw: &Gateway, held: &Held, revision: &mut Revision) {
+    count_gateways(gw, held);
+    let Some(entry) = held.tree.get(&TreePath::Routing) else {
+        return;
+    };
+    if entry.revision <= *revision {
+        return;
+    }
+    *revision = entry.revision;
+    match (gw.cfg.dialect.table)(&entry.text) {
+        Ok(table) => {
+            let version = table.version;
+            gw.table.store(Some(Arc::new(table)));
+            event!(
+                gw.log, events::GATEWAY_TABLE_IN_FORCE,
+                "table" => version, "version" => held.version
+            );
+        }
+        Err(e) => {
+            event!(gw.log, events::GATEWAY_TABLE_UNREADABLE, "error" => e.to_string());
+        }
+    }
+}
+
+fn count_gateways(gw: &Gateway, held: &Held) {
+    let alive = held
+        .members
+        .values()
+        .filter(|member| member.instance.role == Role::Router && member.presence == Presence::Live);
+    let count = u32::try_from(alive.count()).unwrap_or(u32::MAX).max(1);
+    if gw.gateways.swap(count, Ordering::Relaxed) != count {
+        event!(gw.log, events::GATEWAY_PEERS_CHANGED, "gateways" => count);
+    }
+}
+
+/// Sends a sign of life every second.
+pub async fn beat(gw: &Gateway) {
+    let instance = Instance {
+        id: gw.cfg.id.clone(),
+        incarnation: gw.life.incarnation,
+        role: Role::Router,
+        zone: gw.cfg.zone.clone(),
+        addr: gw.cfg.listen,
+        endpoint: None,
+    };
+    loop {
+        let table = gw.table.load();
+        let version = table.as_ref().map_or(0, |table| table.version);
+        drop(table);
+        let heartbeat = Heartbeat {
+            instance: instance.clone(),
+            version,
+            evidence: Vec::new(),
+            leaving: gw.life.is_leaving(),
+        };
+        // A lost sign of life is followed by the next one.
+        let _ = gw.ledger.heartbeat(heartbeat, HEARTBEAT).await;
+        sleep(HEARTBEAT).await;
+    }
+}
--- /dev/null
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -0,0 +1,169 @@
+//! Everything that the requests of one process share.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use anvil_policy::engine::EngineRule;
+use anvil_policy::retry::{Repeat, RetryBudget, RetryRule};
+use anvil_world::prelude::*;
+use anvilreel::ledger_client::LedgerClient;
+use anvilreel::life::Life;
+use anvilreel::money::{GrantPolicy, Purse};
+use arc_swap::ArcSwapOption;
+use slog::Logger;
+use tokio::sync::Notify;
+
+use crate::dialect::{Dialect, ListSource};
+use crate::directory::Directory;
+use crate::table::RouteTable;
+
+/// What a gateway is told at its start.
+#[derive(Clone)]
+pub struct GatewaySettings {
+    /// Name of the instance.
+    pub id: InstanceId,
+    /// Where it stands.
+    pub zone: Zone,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where the balancer asks whether this process takes connections.
+    pub ready_listen: SocketAddr,
+    /// Replicas of the ledger that are known at the start.
+    pub ledger: Vec<SocketAddr>,
+    /// The platform's list of endpoints.
+    pub list: ListSource,
+    /// How the platform speaks.
+    pub dialect: Dialect,
+    /// Time between a planned stop's signal and its end.
+    pub grace: Duration,
+    /// Tries beyond the first that all gateways together may make, as a part of the requests.
+    pub retry_part: f64,
+    /// Tries beyond that part that all gateways together may make within [`Self::retry_window`].
+    pub retry_slack: f64,
+    /// See [`Self::retry_slack`].
+    pub retry_window: Duration,
+    /// Time between two looks at the platform's list.
+    pub list_every: Duration,
+}
+
+/// One gateway process.
+pub struct Gateway {
+    /// What it was told.
+    pub cfg: GatewaySettings,
+    /// The routing table in force.
+    pub table: ArcSwapOption<RouteTable>,
+    /// The endpoints.
+    pub directory: Directory,
+    /// Grants.
+    pub purse: Arc<Purse>,
+    /// Wakes the task that talks to the ledger about money.
+    pub money_wanted: Notify,
+    /// Clock and wish to leave.
+    pub life: Life,
+    /// The way to the ledger.
+    pub ledger: LedgerClient,
+    /// Where log lines go.
+    pub log: Logger,
+    /// How engines are judged.
+    pub rule: EngineRule,
+    /// Gateways that are alive, as the ledger knows them; this one among them.
+    pub gateways: AtomicU32,
+    /// When the ledger last said that what is held here is current, in milliseconds of the life.
+    pub confirmed: AtomicU64,
+    /// Requests under way.
+    pub open: AtomicU32,
+    retries: Mutex<BTreeMap<ServiceId, RetryBudget>>,
+}
+
+/// Part of the shared retry budget that is used. The rest covers requests that the platform
+/// counts in another window than this process does.
+const RETRY_MARGIN: f64 = 0.8;
+/// Part of this gateway's slack that may be used at once. With [`RETRY_REFILL`] it stays below
+/// the whole slack in any window.
+const RETRY_RESERVE: f64 = 0.5;
+/// Part of this gateway's slack that comes back within a window.
+const RETRY_REFILL: f64 = 0.3;
+/// Gateways that are assumed to share the budget before the ledger has told how many there are.
+const GATEWAYS_UNTIL_TOLD: u32 = 16;
+
+/// Sizes of grants where no sidecar gives evidence of a lost gateway's spending.
+///
+/// Horizon: a gateway that is cut off from the ledger goes on for that long. Batches: what a lost
+/// gateway has spent since its last report is known to nobody, so reports are frequent.
+fn grant_policy() -> GrantPolicy {
+    GrantPolicy {
+        horizon: Duration::from_secs(12),
+        patience: Duration::from_millis(400),
+        recall_patience: Duration::from_millis(700),
+        idle: Duration::from_secs(20),
+        batch_every: Duration::from_millis(500),
+        urgent_every: Duration::from_millis(25),
+        verdict_holds: Duration::from_millis(500),
+        ..GrantPolicy::default()
+    }
+}
+
+impl Gateway {
+    /// Before anything is known.
+    pub fn new(cfg: GatewaySettings, log: Logger) -> Self {
+        let life = Life::begin();
+        // A clock that was set back makes a later life look older, and the ledger would refuse
+        // its batches. So the life is a part of the name.
+        let name = format!("{}#{:x}", cfg.id, rand::random::<u64>());
+        let purse = Purse::new(name.into(), life.incarnation, grant_policy());
+        Self {
+            table: ArcSwapOption::empty(),
+            directory: Directory::default(),
+            purse: Arc::new(purse),
+            money_wanted: Notify::new(),
+            ledger: LedgerClient::new(&cfg.ledger),
+            life,
+            log,
+            rule: EngineRule::default(),
+            gateways: AtomicU32::new(GATEWAYS_UNTIL_TOLD),
+            confirmed: AtomicU64::new(0),
+            open: AtomicU32::new(0),
+            retries: Mutex::default(),
+            cfg,
+        }
+    }
+
+    /// Whether new connections are welcome.
+    pub fn is_ready(&self) -> bool {
+        self.table.load().is_some() && !self.directory.is_empty() && !self.life.is_leaving()
+    }
+
+    /// Counts a first try at a service.
+    pub fn first_try(&self, service: &ServiceId) {
+        let now = self.life.now();
+        self.with_retries(service, |budget| budget.first_try(now));
+    }
+
+    /// Whether one more try at a service is within the budget; it is counted when it is.
+    pub fn may_try_again(&self, service: &ServiceId) -> bool {
+        let now = self.life.now();
+        let mut rng = rand::rng();
+        let again = |budget: &mut RetryBudget| budget.again(now, 1, Repeat::Safe, &mut rng);
+        self.with_retries(service, again).is_some()
+    }
+
+    fn with_retries<T>(&self, service: &ServiceId, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        // A panic elsewhere leaves a number between nothing and the reserve.
+        let mut retries = self.retries.lock().unwrap_or_else(PoisonError::into_inner);
+        let budget = retries.entry(service.clone()).or_insert_with(|| {
+            let gateways = f64::from(self.gateways.load(Ordering::Relaxed).max(1));
+            let slack = self.cfg.retry_slack / gateways;
+            RetryBudget::new(RetryRule {
+                part: RETRY_MARGIN * self.cfg.retry_part,
+                reserve: RETRY_RESERVE * slack,
+                each_second: RETRY_REFILL * slack / self.cfg.retry_window.as_secs_f64(),
+                most_tries: u32::MAX,
+                ..RetryRule::default()
+            })
+        });
+        f(budget)
+    }
+}
--- /dev/null
+++ b/crates/anvil_gateway/src/lib.rs
@@ -0,0 +1,38 @@
+//! A router that calls endpoints directly, over the HTTP/1.1 that a platform speaks.
+//!
+//! Where a sidecar stands beside each endpoint, `anvilreel::router` is the way in. Where none
+//! does, this is: clients' requests come in over HTTP, are admitted by a [`table::RouteTable`] and
+//! a prepaid budget, sent to an endpoint on the platform's list, and answered whole or as a stream
+//! of events. How a platform names things is kept outside, in a [`dialect::Dialect`].
+//!
+//! One request's way: [`serve`] takes the connection, [`exchange`] admits the request and tries
+//! endpoints, [`choose`] picks them, [`attempt`] sends it to one, [`relay`] passes a stream on and
+//! has it continued elsewhere, [`reply`] says no.
+//!
+//! What the gateway believes, and from whom: the routing table and the number of gateways
+//! ([`follow`], from the ledger), grants ([`money_loop`], from the ledger), the endpoints
+//! ([`discovery`], from the platform's list), their load ([`endpoint`], from their answers).
+
+pub mod attempt;
+pub mod choose;
+pub mod dialect;
+pub mod directory;
+pub mod discovery;
+pub mod endpoint;
+pub mod events;
+pub mod exchange;
+pub mod follow;
+pub mod gateway;
+pub mod log_events;
+pub mod money;
+pub mod money_loop;
+pub mod pool;
+pub mod relay;
+pub mod reply;
+pub mod run;
+pub mod serve;
+pub mod table;
+pub mod trace;
+
+pub use gateway::{Gateway, GatewaySettings};
+pub use run::{GatewayError, run};
--- /dev/null
+++ b/crates/anvil_gateway/src/log_events.rs
@@ -0,0 +1,59 @@
+//! Numbered log events of the gateway. docs/EVENTS.md says what each one means and what to do.
+
+use anvilreel::events::Event;
+use slog::Level;
+
+macro_rules! catalogue {
+    ($($(#[$doc:meta])* $name:ident = $number:literal $level:ident $text:literal;)*) => {
+        $(
+            $(#[$doc])*
+            pub const $name: Event = Event {
+                number: $number,
+                name: $text,
+                level: Level::$level,
+            };
+        )*
+
+        /// Every event, in the order of numbers.
+        pub const ALL: &[Event] = &[$($name),*];
+    };
+}
+
+catalogue! {
+    /// The process listens.
+    GATEWAY_LISTENING = 6001 Info "gateway_listening";
+    /// A newer routing table is in force.
+    GATEWAY_TABLE_IN_FORCE = 6002 Info "gateway_table_in_force";
+    /// A routing table can't be read by this build; the one before stays in force.
+    GATEWAY_TABLE_UNREADABLE = 6003 Error "gateway_table_unreadable";
+    /// No replica of the ledger confirms that what is held here is current.
+    GATEWAY_OUT_OF_TOUCH = 6004 Warning "gateway_out_of_touch";
+    /// A replica of the ledger is followed again.
+    GATEWAY_IN_TOUCH = 6005 Info "gateway_in_touch";
+    /// The platform's list of endpoints has changed.
+    GATEWAY_ENDPOINTS_CHANGED = 6006 Info "gateway_endpoints_changed";
+    /// The platform's list can't be had; the last one is used.
+    GATEWAY_LIST_LOST = 6007 Warning "gateway_list_lost";
+    /// The platform's list can be had again.
+    GATEWAY_LIST_BACK = 6008 Info "gateway_list_back";
+    /// A planned stop begins.
+    GATEWAY_LEAVING = 6009 Info "gateway_leaving";
+    /// The process has stopped.
+    GATEWAY_STOPPED = 6010 Info "gateway_stopped";
+    /// A request was answered whole.
+    GATEWAY_REQUEST_COMPLETED = 6011 Info "gateway_request_completed";
+    /// A request was refused, failed, or was left by its client.
+    GATEWAY_REQUEST_FAILED = 6012 Warning "gateway_request_failed";
+    /// The ledger refuses this life's money batches.
+    GATEWAY_FENCED = 6013 Critical "gateway_fenced";
+    /// A charge was refused by the purse: an invariant is broken.
+    GATEWAY_SETTLEMENT_REFUSED = 6014 Critical "gateway_settlement_refused";
+    /// A grant came, or the ledger refused one.
+    GATEWAY_GRANTS = 6015 Info "gateway_grants";
+    /// An endpoint failed and is passed over for a while.
+    GATEWAY_ENDPOINT_SHUT = 6016 Warning "gateway_endpoint_shut";
+    /// The number of gateways that share the retry budget has changed.
+    GATEWAY_PEERS_CHANGED = 6017 Info "gateway_peers_changed";
+    /// A connection of a client could not be served.
+    GATEWAY_CLIENT_CONNECTION = 6018 Debug "gateway_client_connection";
+}
--- /dev/null
+++ b/crates/anvil_gateway/src/money_loop.rs
@@ -0,0 +1,73 @@
+//! The one task that talks to the ledger about money.
+
+use std::time::Duration;
+
+use anvil_world::prelude::*;
+use anvilreel::event;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::gateway::Gateway;
+use crate::log_events as events;
+
+/// Longest wait for the ledger's answer to a batch; afterwards the same batch is sent again.
+const BATCH_WITHIN: Duration = Duration::from_millis(800);
+/// Time between two looks at whether a batch is due.
+const LOOK: Duration = Duration::from_millis(125);
+/// Least time between two batches, also when a request waits for money.
+const URGENT: Duration = Duration::from_millis(10);
+
+/// Exchanges batches, for as long as the process lives.
+pub async fn run(gw: &Gateway) {
+    loop {
+        exchange(gw).await;
+        sleep(URGENT).await;
+        if !gw.purse.is_urgent() {
+            // Either wake-up is followed by a look, so it does not matter which one it was.
+            let _ = timeout(LOOK, gw.money_wanted.notified()).await;
+        }
+    }
+}
+
+/// Gives every grant back, within this time.
+pub async fn give_back(gw: &Gateway, within: Duration) {
+    gw.purse.stop();
+    let deadline = Instant::now() + within;
+    while !gw.purse.is_empty() && Instant::now() < deadline {
+        gw.money_wanted.notify_one();
+        sleep(URGENT).await;
+    }
+}
+
+async fn exchange(gw: &Gateway) {
+    let Some(batch) = gw.purse.batch(gw.life.now()) else {
+        return;
+    };
+    let command = Command::GrantBatch(batch);
+    match gw.ledger.propose(command, BATCH_WITHIN).await {
+        Ok(Answer::Grants(answer)) => {
+            if !answer.opened.is_empty() || !answer.refused.is_empty() {
+                event!(
+                    gw.log, events::GATEWAY_GRANTS,
+                    "opened" => format!("{:?}", opened(&answer.opened)),
+                    "recalled" => answer.recalled.len(),
+                    "refused" => format!("{:?}", answer.refused)
+                );
+            }
+            if let Err(e) = gw.purse.answered(gw.life.now(), &answer) {
+                event!(gw.log, events::GATEWAY_SETTLEMENT_REFUSED, "error" => e.to_string());
+            }
+        }
+        Ok(Answer::Denied(denial)) => {
+            if gw.purse.denied(gw.life.now(), &denial) {
+                event!(gw.log, events::GATEWAY_FENCED, "why" => denial.to_string());
+            }
+        }
+        // The purse gives the same batch again when it is due.
+        Ok(_) | Err(_) => {}
+    }
+}
+
+fn opened(grants: &[Grant]) -> Vec<(&BudgetId, Tokens)> {
+    let each = grants.iter();
+    each.map(|grant| (&grant.budget, grant.amount)).collect()
+}
--- /dev/null
+++ b/crates/anvil_gateway/src/relay.rs
@@ -0,0 +1,229 @@
+//! Passes a stream of events on, and has another endpoint continue it where that is allowed.
+//!
+//! Failure: an endpoint is lost in the middle of a stream. It shows as a client with half an
+//! answer. Another endpoint goes on after the last event that was delivered, within the same
+//! answer; the connection to the one before is closed first, which makes it stop. Where nobody
+//! can go on, the client's connection is closed without the stream's end.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::stream::unfold;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::client::conn::http1::SendRequest;
+use tokio::time::{Instant, timeout_at};
+
+use crate::attempt::Answer;
+use crate::dialect::AnswerHead;
+use crate::endpoint::Place;
+use crate::events::{Splitter, StreamEvent};
+use crate::exchange::{Exchange, may_resume, strip};
+use crate::reply::{BrokenOff, Cause, Reply};
+
+/// Pauses between events that a resumable stream is given before another endpoint goes on, as
+/// times of the route's longest pause. The client leaves after eight.
+const SILENT_GAPS: f64 = 4.0;
+/// For a route that names no longest pause.
+const SILENT: Duration = Duration::from_secs(2);
+
+struct Source {
+    body: Incoming,
+    splitter: Splitter,
+    sender: SendRequest<http_body_util::Full<Bytes>>,
+    head: AnswerHead,
+    place: Place,
+}
+
+/// A stream under way.
+pub struct Relay {
+    exchange: Exchange,
+    source: Option<Source>,
+    /// Number of the last event handed to the client.
+    last: Option<u64>,
+    /// An event that was read ahead of the answer's head.
+    ahead: Option<StreamEvent>,
+}
+
+enum Next {
+    Event(StreamEvent),
+    End,
+    Broken,
+}
+
+impl Relay {
+    /// Begins the client's answer once the first event is here, so that a stream which breaks
+    /// before it can still be asked for elsewhere, or be refused with a status.
+    pub async fn begin(exchange: Exchange, answer: Answer) -> Reply {
+        let mut parts = answer.parts.clone();
+        strip(&mut parts.headers);
+        let last = exchange.ask.after;
+        let mut relay = Self {
+            exchange,
+            source: Some(Source::from(answer)),
+            last,
+            ahead: None,
+        };
+        match relay.next_anywhere(Some(&mut parts)).await {
+            Ok(event) => relay.ahead = event,
+            Err(cause) => return relay.exchange.refuse((cause, Duration::ZERO)),
+        }
+        relay.exchange.trace.first_piece();
+        let stream = unfold(Some(relay), |relay| async move {
+            let mut relay = relay?;
+            match relay.next_frame().await {
+                Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
+                Ok(None) => {
+                    relay.exchange.trace.ended("completed");
+                    None
+                }
+                Err(cause) => {
+                    relay.exchange.trace.ended(cause.text());
+                    Some((Err(BrokenOff), None))
+                }
+            }
+        });
+        Reply::from_parts(parts, StreamBody::new(stream).boxed_unsync())
+    }
+
+    async fn next_frame(&mut self) -> Result<Option<Bytes>, Cause> {
+        let event = match self.ahead.take() {
+            Some(event) => Some(event),
+            None => self.next_anywhere(None).await?,
+        };
+        let Some(event) = event else {
+            return Ok(None);
+        };
+        self.last = event.id.or(self.last);
+        let tokens = self.exchange.per_event;
+        if let Some(spend) = &mut self.exchange.spend {
+            spend.delivered(tokens);
+        }
+        Ok(Some(event.bytes))
+    }
+
+    /// The next event, from the present endpoint or from one that goes on after it. `None` at
+    /// the stream's end. `head` is replaced while the client has not seen one.
+    async fn next_anywhere(
+        &mut self,
+        mut head: Option<&mut http::response::Parts>,
+    ) -> Result<Option<StreamEvent>, Cause> {
+        loop {
+            match self.next_here().await {
+                Next::Event(event) => return Ok(Some(event)),
+                Next::End => {
+                    self.finish();
+                    return Ok(None);
+                }
+                Next::Broken => {
+                    let answer = self.go_on_elsewhere().await?;
+                    if let Some(head) = head.as_deref_mut() {
+                        *head = answer.parts.clone();
+                        strip(&mut head.headers);
+                    }
+                    self.source = Some(Source::from(answer));
+                }
+            }
+        }
+    }
+
+    async fn next_here(&mut self) -> Next {
+        let until = self.silent_until();
+        let Some(source) = &mut self.source else {
+            return Next::Broken;
+        };
+        loop {
+            if let Some(event) = source.splitter.next_event() {
+                source.place.answered();
+                // Failure: an endpoint sends an event twice, or one of a run that it had
+                // before. Numbers rise by one; what does not follow is not delivered.
+                if follows(self.last, event.id) {
+                    return Next::Event(event);
+                }
+                return Next::Broken;
+            }
+            match timeout_at(until, source.body.frame()).await {
+                Err(_) => {
+                    self.exchange.trace.step(format_args!("silent endpoint"));
+                    return Next::Broken;
+                }
+                Ok(None) if source.splitter.is_empty() => return Next::End,
+                Ok(None | Some(Err(_))) => return Next::Broken,
+                Ok(Some(Ok(frame))) => {
+                    let Some(data) = frame.data_ref() else {
+                        continue;
+                    };
+                    if !source.splitter.push(data) {
+                        return Next::Broken;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Until when the present endpoint may be silent. Only where another one may go on is that
+    /// sooner than the request's own end.
+    fn silent_until(&self) -> Instant {
+        let deadline = self.exchange.deadline;
+        if !may_resume(&self.exchange.route) || !self.exchange.has_tries() {
+            return deadline;
+        }
+        let gap = self.exchange.route.gap;
+        let silent = gap.map_or(SILENT, |gap| gap.mul_f64(SILENT_GAPS));
+        deadline.min(Instant::now() + silent)
+    }
+
+    async fn go_on_elsewhere(&mut self) -> Result<Answer, Cause> {
+        if let Some(source) = self.source.take() {
+            let now = self.exchange.gw.life.now();
+            source.place.endpoint.load().failed(now);
+            let last = self.last;
+            let id = &source.place.endpoint.id;
+            self.exchange
+                .trace
+                .step(format_args!("{id} broke off after {last:?}"));
+            // Dropped here: its connection closes, and the endpoint stops its run.
+        }
+        let late = self.exchange.left().is_zero();
+        let cause = if late { Cause::Late } else { Cause::Lost };
+        if !may_resume(&self.exchange.route) {
+            return Err(cause);
+        }
+        self.exchange.may_go_on(cause).map_err(|(cause, _)| cause)?;
+        let last = self.last;
+        let answer = self.exchange.first_answer(last).await;
+        let answer = answer.map_err(|(cause, _)| cause)?;
+        if answer.parts.status.is_success() {
+            Ok(*answer)
+        } else {
+            Err(Cause::Lost)
+        }
+    }
+
+    fn finish(&mut self) {
+        let Some(source) = self.source.take() else {
+            return;
+        };
+        let endpoint = source.place.endpoint.clone();
+        Answer::put_back(source.sender, &endpoint, &source.head);
+    }
+}
+
+fn follows(last: Option<u64>, next: Option<u64>) -> bool {
+    match (last, next) {
+        (Some(last), Some(next)) => next == last + 1,
+        _ => true,
+    }
+}
+
+impl From<Answer> for Source {
+    fn from(answer: Answer) -> Self {
+        Self {
+            body: answer.body,
+            splitter: Splitter::default(),
+            sender: answer.sender,
+            head: answer.head,
+            place: answer.place,
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvil_gateway/src/reply.rs
@@ -0,0 +1,147 @@
+//! Answers to clients.
+
+use std::convert::Infallible;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderName, HeaderValue, Response, StatusCode};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use snafu::Snafu;
+
+/// A stream that can't be finished. The connection is closed without the stream's end, so that
+/// nobody takes the part for the whole.
+#[derive(Debug, Snafu)]
+#[snafu(display("the answer broke off"))]
+pub struct BrokenOff;
+
+/// A body for a client.
+pub type ReplyBody = UnsyncBoxBody<Bytes, BrokenOff>;
+/// An answer for a client.
+pub type Reply = Response<ReplyBody>;
+
+/// Why a request has no answer of an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cause {
+    /// The head can't be read.
+    BadHead,
+    /// No bearer key, or one that nobody holds.
+    UnknownKey,
+    /// No route has this host and path.
+    NoRoute,
+    /// The body is longer than allowed.
+    BodyTooLong,
+    /// The client did not send the body in time.
+    BodyLate,
+    /// The budget does not cover the request at its most.
+    BudgetExhausted,
+    /// Money may come, but not in time.
+    BudgetBusy,
+    /// This process has no routing table or no endpoints yet.
+    NotReady,
+    /// This process is stopping.
+    Leaving,
+    /// No endpoint of the service takes work.
+    NoEndpoint,
+    /// All endpoints are too busy to answer in time.
+    Overloaded,
+    /// Endpoints refused it or could not be reached.
+    Refused,
+    /// It may have run, and its answer is lost.
+    Lost,
+    /// It may have run, and no answer came in time.
+    Late,
+}
+
+impl Cause {
+    /// Status for the client. 429 and 503 say that it has not run and never will.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::BadHead => StatusCode::BAD_REQUEST,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyLate => StatusCode::REQUEST_TIMEOUT,
+            Self::BudgetExhausted => StatusCode::PAYMENT_REQUIRED,
+            Self::BudgetBusy => StatusCode::TOO_MANY_REQUESTS,
+            Self::NotReady
+            | Self::Leaving
+            | Self::NoEndpoint
+            | Self::Overloaded
+            | Self::Refused => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Lost => StatusCode::BAD_GATEWAY,
+            Self::Late => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// In log lines and for the client.
+    pub fn text(self) -> &'static str {
+        match self {
+            Self::BadHead => "bad_head",
+            Self::UnknownKey => "unknown_key",
+            Self::NoRoute => "no_route",
+            Self::BodyTooLong => "body_too_long",
+            Self::BodyLate => "body_late",
+            Self::BudgetExhausted => "budget_exhausted",
+            Self::BudgetBusy => "budget_busy",
+            Self::NotReady => "not_ready",
+            Self::Leaving => "leaving",
+            Self::NoEndpoint => "no_endpoint",
+            Self::Overloaded => "overloaded",
+            Self::Refused => "refused_by_endpoints",
+            Self::Lost => "answer_lost",
+            Self::Late => "no_answer_in_time",
+        }
+    }
+
+    /// Whether it has not run and the client may come again.
+    pub fn may_come_again(self) -> bool {
+        let status = self.status();
+        status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS
+    }
+}
+
+/// Says why there is no answer.
+pub fn refusal(cause: Cause, come_again: Option<Duration>) -> Reply {
+    let text = format!("{{\"error\":{{\"type\":\"{}\"}}}}", cause.text());
+    let body = Full::new(Bytes::from(text)).map_err(never).boxed_unsync();
+    let mut reply = Response::new(body);
+    *reply.status_mut() = cause.status();
+    let headers = reply.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Some(after) = come_again.filter(|_| cause.may_come_again()) {
+        let seconds = format!("{:.3}", after.as_secs_f64());
+        if let Ok(value) = HeaderValue::try_from(seconds) {
+            headers.insert(RETRY_AFTER, value);
+        }
+    }
+    reply
+}
+
+/// A whole body.
+pub fn whole(bytes: Bytes) -> ReplyBody {
+    Full::new(bytes).map_err(never).boxed_unsync()
+}
+
+/// Asks the client to use another connection next time.
+pub fn close_after(reply: &mut Reply) {
+    let headers = reply.headers_mut();
+    headers.insert(CONNECTION, HeaderValue::from_static("close"));
+}
+
+fn never(never: Infallible) -> BrokenOff {
+    match never {}
+}
+
+/// Headers that concern one connection only.
+pub const ONE_CONNECTION: [HeaderName; 8] = [
+    http::header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    http::header::PROXY_AUTHENTICATE,
+    http::header::PROXY_AUTHORIZATION,
+    http::header::TE,
+    http::header::TRAILER,
+    http::header::TRANSFER_ENCODING,
+    http::header::UPGRADE,
+];
--- /dev/null
+++ b/crates/anvil_gateway/src/run.rs
@@ -0,0 +1,70 @@
+//! A gateway as a process: all its tasks, from the start to the end of a planned stop.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvilreel::event;
+use slog::Logger;
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpListener;
+
+use crate::gateway::{Gateway, GatewaySettings};
+use crate::log_events as events;
+use crate::{discovery, follow, money_loop, serve};
+
+/// Longest time to give grants back at a planned stop.
+const GIVE_BACK: Duration = Duration::from_millis(250);
+
+/// A gateway that did not start.
+#[derive(Debug, Snafu)]
+pub enum GatewayError {
+    /// It can't listen.
+    #[snafu(display("can't listen at {addr}: {source}"))]
+    Listen {
+        /// Where.
+        addr: std::net::SocketAddr,
+        /// Why.
+        source: std::io::Error,
+    },
+}
+
+/// Starts a gateway and runs it until `stop` is ready and its requests have ended.
+pub async fn run(
+    cfg: GatewaySettings,
+    log: Logger,
+    stop: impl Future<Output = ()>,
+) -> Result<(), GatewayError> {
+    let addr = cfg.listen;
+    let clients = TcpListener::bind(addr).await;
+    let clients = clients.context(ListenSnafu { addr })?;
+    let addr = cfg.ready_listen;
+    let ready = TcpListener::bind(addr).await;
+    let ready = ready.context(ListenSnafu { addr })?;
+    event!(
+        log, events::GATEWAY_LISTENING,
+        "addr" => cfg.listen.to_string(), "zone" => cfg.zone.id.to_string()
+    );
+    let gw = Arc::new(Gateway::new(cfg, log));
+    let own = gw.clone();
+    let background = tokio::spawn(async move {
+        let ready = serve::ready(ready, own.log.clone(), || own.is_ready());
+        tokio::join!(
+            ready,
+            follow::run(&own),
+            follow::beat(&own),
+            discovery::run(&own),
+            money_loop::run(&own),
+        );
+    });
+    let serving = serve::clients(gw.clone(), clients);
+    let stopping = async {
+        stop.await;
+        event!(gw.log, events::GATEWAY_LEAVING);
+        gw.life.leave();
+    };
+    tokio::join!(serving, stopping);
+    money_loop::give_back(&gw, GIVE_BACK).await;
+    background.abort();
+    event!(gw.log, events::GATEWAY_STOPPED);
+    Ok(())
+}
--- /dev/null
+++ b/crates/anvil_gateway/src/serve.rs
@@ -0,0 +1,143 @@
+//! Clients' connections, and the balancer's question.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use slog::Logger;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+use crate::exchange::answer;
+use crate::gateway::Gateway;
+use crate::log_events as events;
+use crate::reply::{Reply, close_after, whole};
+use anvilreel::event;
+
+/// Idle time of a client's connection until the routing table says otherwise.
+const IDLE: Duration = Duration::from_secs(15);
+/// For how long a stopping process goes on taking connections and requests: the balancer asks
+/// once a second and believes the second refusal.
+const STILL_TAKING: Duration = Duration::from_millis(2_600);
+/// Time before the end of the grace period by which everything has ended.
+const SPARE: Duration = Duration::from_millis(350);
+/// Pause after a connection could not be accepted, for want of descriptors or memory.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+
+/// Serves clients until a planned stop has finished.
+pub async fn clients(gw: Arc<Gateway>, listener: TcpListener) {
+    let (tell, told) = watch::channel(false);
+    let mut connections = JoinSet::new();
+    let stopping = async {
+        gw.life.left().await;
+        let left_at = Instant::now();
+        sleep_until(left_at + STILL_TAKING).await;
+        left_at
+    };
+    tokio::pin!(stopping);
+    let left_at = loop {
+        tokio::select! {
+            left_at = &mut stopping => break left_at,
+            Some(_) = connections.join_next() => {}
+            accepted = listener.accept() => match accepted {
+                Ok((socket, _)) => {
+                    connections.spawn(client(gw.clone(), socket, told.clone()));
+                }
+                Err(e) => {
+                    event!(gw.log, events::GATEWAY_CLIENT_CONNECTION, "error" => e.to_string());
+                    tokio::time::sleep(ACCEPT_AGAIN).await;
+                }
+            },
+        }
+    };
+    drop(listener);
+    // Fails only when no connection is left to be told.
+    let _ = tell.send(true);
+    let end = left_at + gw.cfg.grace.saturating_sub(SPARE);
+    while let Ok(Some(_)) = timeout_at(end, connections.join_next()).await {}
+}
+
+async fn client(gw: Arc<Gateway>, socket: TcpStream, mut told: watch::Receiver<bool>) {
+    // Without it small pieces wait for an acknowledgement; with a failure they are only slower.
+    let _ = socket.set_nodelay(true);
+    let table = gw.table.load();
+    let idle = table.as_ref().map_or(IDLE, |table| table.limits.idle_time);
+    drop(table);
+    let service = service_fn(|req: Request<Incoming>| {
+        let gw = gw.clone();
+        async move {
+            let mut reply = answer(&gw, req).await;
+            if gw.life.is_leaving() {
+                close_after(&mut reply);
+            }
+            Ok::<Reply, Infallible>(reply)
+        }
+    });
+    let connection = Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .serve_connection(TokioIo::new(socket), service);
+    tokio::pin!(connection);
+    let served = tokio::select! {
+        served = &mut connection => served,
+        () = stopped(&mut told) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(e) = served {
+        event!(gw.log, events::GATEWAY_CLIENT_CONNECTION, "error" => e.to_string());
+    }
+}
+
+async fn stopped(told: &mut watch::Receiver<bool>) {
+    // An error means that the accepting side has ended, which comes after the stop.
+    let _ = told.wait_for(|stop| *stop).await;
+}
+
+/// Answers the balancer's question at any path, for as long as the process lives.
+pub async fn ready(listener: TcpListener, log: Logger, is_ready: impl Fn() -> bool) {
+    let is_ready = &is_ready;
+    let mut connections = futures::stream::FuturesUnordered::new();
+    loop {
+        use futures::StreamExt;
+        tokio::select! {
+            Some(()) = connections.next() => {}
+            accepted = listener.accept() => match accepted {
+                Ok((socket, _)) => connections.push(tell(socket, is_ready)),
+                Err(e) => {
+                    event!(log, events::GATEWAY_CLIENT_CONNECTION, "error" => e.to_string());
+                    tokio::time::sleep(ACCEPT_AGAIN).await;
+                }
+            },
+        }
+    }
+}
+
+async fn tell(socket: TcpStream, is_ready: impl Fn() -> bool) {
+    let service = service_fn(|_: Request<Incoming>| {
+        let status = if is_ready() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        async move {
+            let mut reply = Response::new(whole(bytes::Bytes::new()));
+            *reply.status_mut() = status;
+            Ok::<Reply, Infallible>(reply)
+        }
+    });
+    let connection = Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE)
+        .serve_connection(TokioIo::new(socket), service);
+    // The balancer hears of a failure by itself: it gets no answer.
+    let _ = connection.await;
+}
--- /dev/null
+++ b/crates/anvil_gateway/src/trace.rs
@@ -0,0 +1,98 @@
+//! What is logged of one request: one line at its end, with what decided it.
+
+use std::fmt::Write;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvilreel::event;
+use slog::Logger;
+use tokio::time::Instant;
+
+use crate::log_events as events;
+
+/// Gathers what happens to one request, and logs it when the request ends, however it ends.
+pub struct Trace {
+    log: Logger,
+    begun: Instant,
+    id: Arc<str>,
+    route: Option<Arc<str>>,
+    organisation: Option<Arc<str>>,
+    table: u64,
+    steps: String,
+    first: Option<Duration>,
+    outcome: Option<&'static str>,
+}
+
+/// Bytes of steps that are kept for one request. A request makes a handful.
+const MOST_STEPS: usize = 1_024;
+
+impl Trace {
+    /// For a request that has just arrived.
+    pub fn new(log: Logger, id: Arc<str>, begun: Instant) -> Self {
+        Self {
+            log,
+            begun,
+            id,
+            route: None,
+            organisation: None,
+            table: 0,
+            steps: String::new(),
+            first: None,
+            outcome: None,
+        }
+    }
+
+    /// Notes the route, and the routing table that it comes from.
+    pub fn routed(&mut self, route: &Arc<str>, table: u64) {
+        self.route = Some(route.clone());
+        self.table = table;
+    }
+
+    /// Notes who sends it.
+    pub fn sent_by(&mut self, organisation: &Arc<str>) {
+        self.organisation = Some(organisation.clone());
+    }
+
+    /// Notes one decision with what it rests on.
+    pub fn step(&mut self, step: std::fmt::Arguments<'_>) {
+        if self.steps.len() > MOST_STEPS {
+            return;
+        }
+        let at = self.begun.elapsed().as_millis();
+        // Writing to a string does not fail.
+        let _ = write!(self.steps, "{at}ms {step}; ");
+    }
+
+    /// Notes that the first piece of an answer went out.
+    pub fn first_piece(&mut self) {
+        self.first.get_or_insert(self.begun.elapsed());
+    }
+
+    /// Notes how it ended. The first word counts.
+    pub fn ended(&mut self, outcome: &'static str) {
+        self.outcome.get_or_insert(outcome);
+    }
+}
+
+impl Drop for Trace {
+    fn drop(&mut self) {
+        let outcome = self.outcome.unwrap_or("client_left");
+        let took = self.begun.elapsed().as_millis();
+        let first = self.first.map_or(0, |first| first.as_millis());
+        if outcome == "completed" {
+            event!(
+                self.log, events::GATEWAY_REQUEST_COMPLETED,
+                "request" => &*self.id, "route" => self.route.as_deref(),
+                "organisation" => self.organisation.as_deref(), "table" => self.table,
+                "first_ms" => first, "took_ms" => took, "steps" => &*self.steps
+            );
+        } else {
+            event!(
+                self.log, events::GATEWAY_REQUEST_FAILED,
+                "request" => &*self.id, "outcome" => outcome, "route" => self.route.as_deref(),
+                "organisation" => self.organisation.as_deref(), "table" => self.table,
+                "first_ms" => first, "took_ms" => took, "steps" => &*self.steps
+            );
+        }
+    }
+}
--- a/crates/anvil_ledger/src/state.rs
+++ b/crates/anvil_ledger/src/state.rs
@@ -20,6 +20,7 @@
 mod once;
 mod receipts;
 mod references;
+mod routing;
 mod spread;
 mod tree;
 
@@ -43,6 +44,8 @@
 pub struct State {
     applied: LogIndex,
     tree: Tree,
+    /// Number of the routing table in force, 0 before the first.
+    routing: RoutingVersion,
     money: Money,
     members: Members,
     claims: Claims,
@@ -75,6 +78,7 @@
             Command::Join(join) => self.join(index, &join.instance),
             Command::SetPresence(set) => self.set_presence(index, set),
             Command::Order(order) => Ok(self.order(index, term, order)),
+            Command::ReplaceRouting(replace) => Ok(self.replace_routing(index, replace)),
         };
         result.unwrap_or_else(Answer::Denied)
     }
@@ -99,6 +103,11 @@
         self.tree.entries()
     }
 
+    /// Number of the routing table in force, 0 before the first.
+    pub fn routing(&self) -> RoutingVersion {
+        self.routing
+    }
+
     /// All instances that were ever heard of, in their newest life.
     pub fn members(&self) -> &BTreeMap<InstanceId, Member> {
         self.members.all()
--- a/crates/anvil_ledger/src/state/money.rs
+++ b/crates/anvil_ledger/src/state/money.rs
@@ -38,6 +38,8 @@
     /// for among all that a router holds.
     recalled: BTreeMap<InstanceId, BTreeSet<GrantId>>,
     last_batch: BTreeMap<InstanceId, LastBatch>,
+    /// Budgets that are to be worth less than what is billed and granted already.
+    lowering: BTreeMap<BudgetId, Tokens>,
     last_grant: GrantId,
 }
 
@@ -46,6 +48,29 @@
         self.budgets.entry(id.clone()).or_default();
     }
 
+    /// Sets what a budget is worth in all.
+    ///
+    /// Failure: an operator lowers a budget below what routers hold in open grants, and they go on
+    /// spending it. The grants are called back at once, and the budget sinks to its new worth as
+    /// they come in; what is granted stays covered meanwhile, so the invariant holds throughout.
+    pub(super) fn set_credited(&mut self, id: &BudgetId, credited: Tokens) {
+        self.lowering.remove(id);
+        let budget = self.budgets.entry(id.clone()).or_default();
+        let used = budget.billed.saturating_add(budget.outstanding());
+        budget.credited = credited.max(used);
+        if used > credited {
+            self.lowering.insert(id.clone(), credited);
+            self.recall(id);
+        }
+    }
+
+    /// Lets a lowered budget sink as far as its open grants allow by now.
+    pub(super) fn sink(&mut self, id: &BudgetId) {
+        if let Some(credited) = self.lowering.get(id).copied() {
+            self.set_credited(id, credited);
+        }
+    }
+
     pub(super) fn budget(&self, id: &str) -> Option<&Budget> {
         self.budgets.get(id)
     }
--- a/crates/anvil_ledger/src/state/money/apply.rs
+++ b/crates/anvil_ledger/src/state/money/apply.rs
@@ -76,9 +76,13 @@
             seq: batch.seq,
             ..GrantBatchAnswer::default()
         };
+        let reported = self.budgets_of(batch);
         for report in &batch.reports {
             answer.closed.extend(self.money.report(report));
         }
+        for budget in &reported {
+            self.money.sink(budget);
+        }
         for ask in &batch.asks {
             match self.money.ask(batch, ask) {
                 Ok(grant) => answer.opened.push(grant),
--- a/crates/anvil_ledger/src/state/references.rs
+++ b/crates/anvil_ledger/src/state/references.rs
@@ -93,7 +93,10 @@
 /// What a document names, with the key it stands under.
 fn named(document: &Document) -> Vec<(&'static str, TreePath)> {
     match document {
-        Document::Fleet(_) | Document::Organisation(_) | Document::Service(_) => Vec::new(),
+        Document::Fleet(_)
+        | Document::Routing
+        | Document::Organisation(_)
+        | Document::Service(_) => Vec::new(),
         Document::Budget(budget) => {
             let organisation = TreePath::Organisation(budget.organisation.clone());
             vec![("organisation", organisation)]
--- a/crates/anvil_ledger/src/state/tree.rs
+++ b/crates/anvil_ledger/src/state/tree.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use anvil_world::command::{Change, Denial, Edit, Noun};
+use anvil_world::command::{Change, Denial, Edit, Noun, ReplaceRouting};
 use anvil_world::prelude::*;
 use anvil_world::settings::Problem;
 use serde::{Deserialize, Serialize};
@@ -71,6 +71,15 @@
         Ok(document)
     }
 
+    pub(super) fn put_routing(&mut self, index: LogIndex, new: &ReplaceRouting) {
+        let entry = TreeEntry {
+            revision: index,
+            text: new.text.clone(),
+            operator: new.operator.clone(),
+        };
+        self.entries.insert(TreePath::Routing, entry);
+    }
+
     fn remove(&mut self, path: &TreePath) -> Result<(), Denial> {
         self.references.check_remove(path)?;
         if let Some(old) = self.document(path) {
@@ -97,6 +106,13 @@
     }
 
     fn compare_and_set(&mut self, index: LogIndex, change: &Change) -> Result<Done, Denial> {
+        if change.path == TreePath::Routing {
+            let message =
+                "routing: found a change by revision; allowed is a replacement by version";
+            return Err(Denial::Settings {
+                message: message.into(),
+            });
+        }
         self.tree.check_revision(change)?;
         let before = self.tree.entries.get(&change.path).cloned();
         let after = self.edit(index, change)?;
--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -43,6 +43,7 @@
 //! * [`health`], with [`limit`] and [`ejection`]: how much an endpoint is given.
 //! * [`retry`]: whether a failed try is made again.
 //! * [`grant`]: how much of a budget a router holds.
+//! * [`engine`]: where a prompt goes among engines that nobody stands beside.
 //! * [`prefix`]: which endpoints hold which prompt prefixes.
 //! * [`subset`] and [`placement`]: which endpoints a router watches, and which models they hold.
 //!
@@ -53,6 +54,7 @@
 pub mod deadline;
 pub mod ejection;
 pub mod endpoint;
+pub mod engine;
 pub mod estimate;
 pub mod fair;
 pub mod grant;
--- a/crates/anvil_world/src/command.rs
+++ b/crates/anvil_world/src/command.rs
@@ -9,6 +9,7 @@
 mod fencing;
 mod grants;
 mod membership;
+mod replace;
 
 use serde::{Deserialize, Serialize};
 
@@ -20,6 +21,7 @@
 pub use fencing::{FenceNumber, Order, OrderKind};
 pub use grants::{FenceRouter, GrantAsk, GrantBatch, GrantBatchAnswer, GrantRefusal, GrantReport};
 pub use membership::{Drain, Join, SetPresence};
+pub use replace::ReplaceRouting;
 
 use crate::ids::{GrantId, Tokens};
 
@@ -57,4 +59,6 @@
     Drain(Drain),
     /// An order to an endpoint takes the next fencing number.
     Order(Order),
+    /// A routing table takes the place of the one before, if its number is higher.
+    ReplaceRouting(ReplaceRouting),
 }
--- a/crates/anvil_world/src/command/answer.rs
+++ b/crates/anvil_world/src/command/answer.rs
@@ -5,7 +5,7 @@
 
 use super::{ChangeReceipt, ClaimRecord, FenceNumber, GrantBatchAnswer};
 use crate::contract::ContractError;
-use crate::ids::{ChangeId, GrantId, OperatorId, Revision, Tokens};
+use crate::ids::{ChangeId, GrantId, OperatorId, Revision, RoutingVersion, Tokens};
 use crate::path::TreePath;
 use crate::settings::Problem;
 
@@ -24,6 +24,8 @@
     Fencing(FenceNumber),
     /// The tokens left in a budget after a closed grant.
     Closed(Tokens),
+    /// The number of the routing table in force after a replacement, taken or not.
+    Routing(RoutingVersion),
     /// Applied as a refusal; nothing was changed.
     Denied(Denial),
 }
--- a/crates/anvil_world/src/document.rs
+++ b/crates/anvil_world/src/document.rs
@@ -26,6 +26,8 @@
 pub enum Document {
     /// At `fleet`.
     Fleet(FleetDocument),
+    /// At `routing`: opaque here; whoever takes it from operators checks it before the log sees it.
+    Routing,
     /// At `budgets/NAME`.
     Budget(BudgetDocument),
     /// At `models/NAME`.
@@ -44,6 +46,7 @@
         let name = path.to_string();
         Ok(match path {
             TreePath::Fleet => Self::Fleet(read(&name, text)?),
+            TreePath::Routing => Self::Routing,
             TreePath::Budget(_) => Self::Budget(read(&name, text)?),
             TreePath::Model(_) => Self::Model(read(&name, text)?),
             TreePath::Organisation(_) => Self::Organisation(read(&name, text)?),
--- a/crates/anvil_world/src/ids.rs
+++ b/crates/anvil_world/src/ids.rs
@@ -33,6 +33,8 @@
 pub type Incarnation = u64;
 /// Position of the settings tree in the order of accepted changes. Never falls.
 pub type Revision = u64;
+/// Number that an operator gives a routing table; the highest one is in force.
+pub type RoutingVersion = u64;
 /// Number of a grant, unique in the fleet and never used again.
 pub type GrantId = u64;
 /// Running number of a router incarnation's grant batches.
--- a/crates/anvil_world/src/path.rs
+++ b/crates/anvil_world/src/path.rs
@@ -17,6 +17,8 @@
 pub enum TreePath {
     /// What holds for the whole fleet.
     Fleet,
+    /// The routing table, replaced whole and only by a higher version.
+    Routing,
     /// One budget.
     Budget(Arc<str>),
     /// One model.
@@ -32,10 +34,10 @@
 /// Text that is not a path of the tree.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 pub enum PathError {
-    /// Neither `fleet` nor a known kind before a `/`.
+    /// Neither `fleet`, nor `routing`, nor a known kind before a `/`.
     #[snafu(display(
-        "found {found:?}; allowed are fleet, budgets/NAME, models/NAME, organisations/NAME, \
-         services/NAME and teams/NAME"
+        "found {found:?}; allowed are fleet, routing, budgets/NAME, models/NAME, \
+         organisations/NAME, services/NAME and teams/NAME"
     ))]
     Kind {
         /// The text as it was given.
@@ -56,6 +58,9 @@
         if raw == "fleet" {
             return Ok(Self::Fleet);
         }
+        if raw == "routing" {
+            return Ok(Self::Routing);
+        }
         let unknown = || PathError::Kind { found: raw.into() };
         let (kind, name) = raw.split_once('/').ok_or_else(unknown)?;
         let name = checked_name(name).map_err(|source| PathError::Name { source })?;
@@ -88,6 +93,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Fleet => f.write_str("fleet"),
+            Self::Routing => f.write_str("routing"),
             Self::Budget(name) => write!(f, "budgets/{name}"),
             Self::Model(name) => write!(f, "models/{name}"),
             Self::Organisation(name) => write!(f, "organisations/{name}"),
--- a/crates/anvilreel/src/ledger_service/check.rs
+++ b/crates/anvilreel/src/ledger_service/check.rs
@@ -26,6 +26,7 @@
         Command::WriteOff(write_off) => &mut write_off.at,
         Command::Claim(claim) => &mut claim.at,
         Command::Drain(drain) => &mut drain.at,
+        Command::ReplaceRouting(replace) => &mut replace.at,
         Command::Noop
         | Command::GrantBatch(_)
         | Command::FenceRouter(_)
--- a/crates/anvilreel/src/logs.rs
+++ b/crates/anvilreel/src/logs.rs
@@ -16,6 +16,11 @@
     behind_a_channel(slog_term::FullFormat::new(decorator).build().fuse())
 }
 
+/// A logger on standard output, as JSON.
+pub fn to_stdout() -> Logger {
+    behind_a_channel(slog_json::Json::default(std::io::stdout()).fuse())
+}
+
 /// A logger that writes nothing, for tests.
 pub fn silent() -> Logger {
     Logger::root(slog::Discard, o!())
