Grants of two seconds and no spare requests where no sidecar gives evidence

Ruled out: too small budgets (7.5 M of 8.1 M tokens had been used, the rest sat in open grants of lost lives, as the refusals' left/outstanding in the log show). Change: spare_requests in GrantPolicy (2 as before for routers with sidecars, 0 for gateways), horizon 12 s to 2 s, idle 20 s to 2 s, batches each 250 ms.

--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -89,19 +89,21 @@
 /// Gateways that are assumed to share the budget before the ledger has told how many there are.
 const GATEWAYS_UNTIL_TOLD: u32 = 16;
 
-/// Sizes of grants where no sidecar gives evidence of a lost gateway's spending.
+/// Sizes of grants where no sidecar gives evidence of a lost gateway's spending: all that is left
+/// in its grants counts as spent.
 ///
-/// Horizon: a gateway that is cut off from the ledger goes on for that long. Batches: what a lost
-/// gateway has spent since its last report is known to nobody, so reports are frequent.
+/// So little lies ready, and a request that finds too little asks the ledger, which answers
+/// within some 10 ms. The horizon bounds what a lost gateway costs: two seconds of its demand.
 fn grant_policy() -> GrantPolicy {
     GrantPolicy {
-        horizon: Duration::from_secs(12),
-        patience: Duration::from_millis(400),
-        recall_patience: Duration::from_millis(700),
-        idle: Duration::from_secs(20),
-        batch_every: Duration::from_millis(500),
-        urgent_every: Duration::from_millis(25),
-        verdict_holds: Duration::from_millis(500),
+        horizon: Duration::from_secs(2),
+        patience: Duration::from_millis(300),
+        recall_patience: Duration::from_millis(500),
+        idle: Duration::from_secs(2),
+        batch_every: Duration::from_millis(250),
+        urgent_every: Duration::from_millis(10),
+        verdict_holds: Duration::from_millis(300),
+        spare_requests: 0,
         ..GrantPolicy::default()
     }
 }
--- a/crates/anvilreel/src/money/exchange.rs
+++ b/crates/anvilreel/src/money/exchange.rs
@@ -202,7 +202,8 @@
         let largest = held.demand.largest().max(lacking);
         let idle = now > held.demand.last() + self.policy.idle;
         let horizon = self.horizon();
-        let ahead = needed_for(rate, horizon / RENEW_PART) + 2 * largest;
+        let spare = self.policy.spare_requests;
+        let ahead = needed_for(rate, horizon / RENEW_PART).saturating_add(spare * largest);
         let enough = held.free() >= ahead || idle;
         // A budget that has just been said to be used up is asked for only on demand.
         let verdict = **held.verdict.load();
@@ -213,7 +214,7 @@
         let horizon = needed_for(rate, horizon);
         let of = |least: Tokens| GrantAsk {
             budget: held.budget.clone(),
-            wanted: horizon.saturating_add(least.saturating_mul(2)),
+            wanted: horizon.saturating_add(least.saturating_mul(spare)).max(least),
             least,
         };
         if lacking > lacking_least {
--- a/crates/anvilreel/src/money/sizing.rs
+++ b/crates/anvilreel/src/money/sizing.rs
@@ -25,6 +25,10 @@
     pub urgent_every: Duration,
     /// For how long the ledger's "no" to an ask is taken for the present truth.
     pub verdict_holds: Duration,
+    /// Largest requests that a grant holds beyond the demand of its horizon, so that a request
+    /// does not wait for the ledger. Where the ledger answers within some milliseconds and budgets
+    /// are small, 0: what lies ready in every router is lost to all others.
+    pub spare_requests: Tokens,
     /// Most reports in one batch: keeps a batch within 4 KB.
     pub max_reports: usize,
     /// Most asks in one batch.
@@ -41,6 +45,7 @@
             batch_every: Duration::from_secs(1),
             urgent_every: Duration::from_millis(100),
             verdict_holds: Duration::from_secs(2),
+            spare_requests: 2,
             max_reports: 160,
             max_asks: 40,
         }
