--- a/crates/anvil_gateway/src/follow.rs
+++ b/crates/anvil_gateway/src/follow.rs
@@ -1,13 +1,14 @@
-//! Keeps the routing table current, and tells the ledger that this gateway lives.
+//! Keeps the routing table current, and what is known of the other processes.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use anvil_wire::msg::{Heartbeat, Interest, LedgerReply};
+use anvil_wire::msg::{Interest, LedgerReply};
 use anvil_world::prelude::*;
 use anvilreel::event;
 use anvilreel::held::Held;
+use anvilreel::members;
 use tokio::time::{sleep, timeout};
 
 use crate::gateway::Gateway;
@@ -16,10 +17,10 @@
 /// Longest wait for anything from a followed replica before another one is tried. A replica
 /// that is current says so every half second.
 const SILENCE: Duration = Duration::from_millis(1_300);
+/// Longest time to open a stream to a replica.
+const OPENING: Duration = Duration::from_millis(400);
 /// Pause before another replica is followed.
 const AGAIN: Duration = Duration::from_millis(50);
-/// Time between two signs of life.
-const HEARTBEAT: Duration = Duration::from_secs(1);
 
 /// Follows one replica after the other, for as long as the process lives.
 pub async fn run(gw: &Gateway) {
@@ -50,7 +51,7 @@
     let opening = gw
         .ledger
         .follow(replica, gw.cfg.id.clone(), Interest::Router, held.version);
-    let Ok(Ok(mut replies)) = timeout(SILENCE, opening).await else {
+    let Ok(Ok(mut replies)) = timeout(OPENING, opening).await else {
         return false;
     };
     let mut heard = false;
@@ -71,6 +72,14 @@
 
 fn take(gw: &Gateway, held: &Held, revision: &mut Revision) {
     count_gateways(gw, held);
+    let replicas = members::replicas(held, &gw.cfg.ledger);
+    let relays = members::relays(held, &gw.cfg.id);
+    if gw.ledger.set_ways(&replicas, &relays) {
+        event!(
+            gw.log, events::GATEWAY_LEDGER_WAYS,
+            "replicas" => replicas.len(), "relays" => relays.len()
+        );
+    }
     let Some(entry) = held.tree.get(&TreePath::Routing) else {
         return;
     };
@@ -94,38 +103,9 @@
 }
 
 fn count_gateways(gw: &Gateway, held: &Held) {
-    let alive = held
-        .members
-        .values()
-        .filter(|member| member.instance.role == Role::Router && member.presence == Presence::Live);
+    let alive = members::alive(held, Role::Router);
     let count = u32::try_from(alive.count()).unwrap_or(u32::MAX).max(1);
     if gw.gateways.swap(count, Ordering::Relaxed) != count {
         event!(gw.log, events::GATEWAY_PEERS_CHANGED, "gateways" => count);
     }
 }
-
-/// Sends a sign of life every second.
-pub async fn beat(gw: &Gateway) {
-    let instance = Instance {
-        id: gw.cfg.id.clone(),
-        incarnation: gw.life.incarnation,
-        role: Role::Router,
-        zone: gw.cfg.zone.clone(),
-        addr: gw.cfg.listen,
-        endpoint: None,
-    };
-    loop {
-        let table = gw.table.load();
-        let version = table.as_ref().map_or(0, |table| table.version);
-        drop(table);
-        let heartbeat = Heartbeat {
-            instance: instance.clone(),
-            version,
-            evidence: Vec::new(),
-            leaving: gw.life.is_leaving(),
-        };
-        // A lost sign of life is followed by the next one.
-        let _ = gw.ledger.heartbeat(heartbeat, HEARTBEAT).await;
-        sleep(HEARTBEAT).await;
-    }
-}
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -78,6 +78,8 @@
     retries: Mutex<BTreeMap<ServiceId, RetryBudget>>,
 }
 
+/// Longest wait for one replica's or relay's answer; a commit takes some 10 ms.
+const ONE_REPLICA: Duration = Duration::from_millis(300);
 /// Part of the shared retry budget that is used. The rest covers requests that the platform
 /// counts in another window than this process does.
 const RETRY_MARGIN: f64 = 0.8;
@@ -121,7 +123,7 @@
             directory: Directory::default(),
             purse: Arc::new(purse),
             money_wanted: Notify::new(),
-            ledger: LedgerClient::new(&cfg.ledger),
+            ledger: LedgerClient::new(&cfg.ledger).with_patience(ONE_REPLICA),
             life,
             log,
             rule: EngineRule::default(),
@@ -138,6 +140,18 @@
         self.table.load().is_some() && !self.directory.is_empty() && !self.life.is_leaving()
     }
 
+    /// This process, as the ledger knows it.
+    pub fn instance(&self) -> Instance {
+        Instance {
+            id: self.cfg.id.clone(),
+            incarnation: self.life.incarnation,
+            role: Role::Router,
+            zone: self.cfg.zone.clone(),
+            addr: self.cfg.listen,
+            endpoint: None,
+        }
+    }
+
     /// Counts a first try at a service.
     pub fn first_try(&self, service: &ServiceId) {
         let now = self.life.now();
--- a/crates/anvil_gateway/src/log_events.rs
+++ b/crates/anvil_gateway/src/log_events.rs
@@ -56,4 +56,6 @@
     GATEWAY_PEERS_CHANGED = 6017 Info "gateway_peers_changed";
     /// A connection of a client could not be served.
     GATEWAY_CLIENT_CONNECTION = 6018 Debug "gateway_client_connection";
+    /// Other processes lead to the ledger than before.
+    GATEWAY_LEDGER_WAYS = 6019 Info "gateway_ledger_ways";
 }
--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvilreel::event;
+use anvilreel::{announce, event};
 use slog::Logger;
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
@@ -47,11 +47,12 @@
     let gw = Arc::new(Gateway::new(cfg, log));
     let own = gw.clone();
     let background = tokio::spawn(async move {
+        let instance = own.instance();
         let ready = serve::ready(ready, own.log.clone(), || own.is_ready());
         tokio::join!(
             ready,
             follow::run(&own),
-            follow::beat(&own),
+            announce::run(&own.ledger, &own.life, &instance, || 0),
             discovery::run(&own),
             money_loop::run(&own),
         );
--- a/crates/anvil_wire/src/channel.rs
+++ b/crates/anvil_wire/src/channel.rs
@@ -63,9 +63,19 @@
             let mut replies = self.open::<C>(req).await?;
             replies.next().await?.ok_or(WireError::Ended)
         };
-        timeout(within, exchange)
-            .await
-            .unwrap_or(Err(WireError::Timeout { after: within }))
+        if let Ok(reply) = timeout(within, exchange).await {
+            return reply;
+        }
+        self.forget().await;
+        Err(WireError::Timeout { after: within })
+    }
+
+    /// Drops the present connection for the calls to come; streams that are open on it go on.
+    ///
+    /// Failure: a connection goes silent for good while new ones work. It shows as calls that time
+    /// out one after the other until a ping does.
+    async fn forget(&self) {
+        *self.connected.lock().await = None;
     }
 
     /// Asks and returns the replies as they come. Dropping them tells the other side to stop.
--- a/crates/anvil_world/src/instance.rs
+++ b/crates/anvil_world/src/instance.rs
@@ -18,6 +18,8 @@
     Sidecar,
     /// Keeps the durable state.
     Ledger,
+    /// Passes calls on to the ledger, for those who can't reach it themselves.
+    Relay,
 }
 
 /// Whether an instance takes new work.
--- a/crates/anvilreel/src/events.rs
+++ b/crates/anvilreel/src/events.rs
@@ -92,6 +92,10 @@
     SIDECAR_INVARIANT_BROKEN = 2009 Critical "sidecar_invariant_broken";
     /// The ledger holds this life to be over after a long silence; a new one begins.
     SIDECAR_GONE = 2010 Warning "sidecar_gone";
+    /// The relay listens.
+    RELAY_LISTENING = 2011 Info "relay_listening";
+    /// The relay has stopped.
+    RELAY_STOPPED = 2012 Info "relay_stopped";
     /// All roles of the quick start run.
     LOCAL_READY = 4001 Info "local_ready";
 }
--- a/crates/anvilreel/src/ledger_client.rs
+++ b/crates/anvilreel/src/ledger_client.rs
@@ -1,6 +1,9 @@
 //! How every process asks the ledger: any replica first, then whoever leads.
 
+mod way;
+
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
@@ -10,10 +13,13 @@
 use anvil_wire::msg::{Query, QueryAnswer};
 use anvil_wire::{Channel, Replies, WireError};
 use anvil_world::prelude::*;
+use arc_swap::ArcSwap;
 use snafu::Snafu;
 use tokio::time::{Instant, sleep};
 
-/// Longest wait for one replica's answer.
+use way::{Ways, interleaved};
+
+/// Longest wait for one replica's answer, unless the client is told otherwise.
 const ONE_REPLICA: Duration = Duration::from_millis(1_500);
 /// Pause after every replica was asked in vain.
 const PAUSE: Duration = Duration::from_millis(50);
@@ -32,19 +38,59 @@
     WrongKind,
 }
 
-/// A way to the ledger. Remembers who led last.
+/// A way to the ledger. Remembers who answered last.
+///
+/// Failure: a process is cut off from every replica while others are not. It shows as requests
+/// refused for want of money, for as long as the cut lasts. So a client may also know relays
+/// ([`crate::relay`]): after a replica that did not answer, a relay is asked next.
 pub struct LedgerClient {
-    replicas: Vec<Channel>,
+    ways: ArcSwap<Ways>,
     last: AtomicUsize,
+    patience: Duration,
 }
 
 impl LedgerClient {
     /// A way to these replicas. Nothing is connected yet.
     pub fn new(replicas: &[SocketAddr]) -> Self {
+        let ways = Ways::default().moved_to(&interleaved(replicas, &[]));
         Self {
-            replicas: replicas.iter().copied().map(Channel::new).collect(),
+            ways: ArcSwap::from_pointee(ways),
             last: AtomicUsize::new(0),
+            patience: ONE_REPLICA,
+        }
+    }
+
+    /// Waits no longer than this for one replica's answer.
+    pub fn with_patience(mut self, patience: Duration) -> Self {
+        self.patience = patience;
+        self
+    }
+
+    /// Asks through these from now on. Those that are known already keep their connections.
+    /// Returns whether anything has changed.
+    pub fn set_ways(&self, replicas: &[SocketAddr], relays: &[SocketAddr]) -> bool {
+        let wanted = interleaved(replicas, relays);
+        let ways = self.ways.load();
+        if ways.leads_to(&wanted) {
+            return false;
         }
+        let at = self.last.load(Ordering::Relaxed);
+        let last = ways.get(at).map(Channel::addr);
+        let moved = ways.moved_to(&wanted);
+        let at = last.and_then(|addr| moved.number_of(addr)).unwrap_or(0);
+        self.ways.store(Arc::new(moved));
+        self.last.store(at, Ordering::Relaxed);
+        true
+    }
+
+    /// How many ways there are.
+    pub fn len(&self) -> usize {
+        self.ways.load().len()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
     }
 
     /// Puts a command into the log and returns what it answered.
@@ -89,7 +135,8 @@
         interest: Interest,
         version: LogIndex,
     ) -> Result<Replies<LedgerReply>, WireError> {
-        let channel = &self.replicas[replica % self.replicas.len()];
+        let ways = self.ways.load_full();
+        let channel = ways.round(replica).ok_or(WireError::Ended)?;
         let ask = LedgerRequest::Follow {
             instance,
             interest,
@@ -98,31 +145,40 @@
         channel.open::<LedgerCall>(&ask).await
     }
 
-    async fn ask(&self, ask: &LedgerRequest, within: Duration) -> Result<LedgerReply, LedgerError> {
+    /// Asks one after the other until one answers for the ledger.
+    pub async fn ask(
+        &self,
+        ask: &LedgerRequest,
+        within: Duration,
+    ) -> Result<LedgerReply, LedgerError> {
         let deadline = Instant::now() + within;
+        let ways = self.ways.load_full();
         let mut doubt = false;
         let mut at = self.last.load(Ordering::Relaxed);
         let mut tries = 0;
         let mut hinted: Option<Channel> = None;
         loop {
-            let number = at % self.replicas.len();
             let left = deadline.saturating_duration_since(Instant::now());
-            if left.is_zero() {
+            let (true, Some(channel)) = (!left.is_zero(), ways.round(at)) else {
                 return Err(if doubt {
                     LedgerError::InDoubt
                 } else {
                     LedgerError::Unreachable
                 });
-            }
+            };
+            let number = at % ways.len();
             // A leader that is not in the settings is asked where it said that it is.
             let stranger = hinted.take();
-            let replica = stranger.as_ref().unwrap_or(&self.replicas[number]);
+            let replica = stranger.as_ref().unwrap_or(channel);
             if stranger.is_none() {
                 at = number + 1;
             }
-            match replica.call::<LedgerCall>(ask, left.min(ONE_REPLICA)).await {
+            match replica
+                .call::<LedgerCall>(ask, left.min(self.patience))
+                .await
+            {
                 Ok(LedgerReply::NotLeader { leader }) => {
-                    match leader.map(|addr| (addr, self.number_of(addr))) {
+                    match leader.map(|addr| (addr, ways.number_of(addr))) {
                         Some((_, Some(known))) => at = known,
                         Some((addr, None)) if stranger.is_none() => {
                             hinted = Some(Channel::new(addr));
@@ -141,15 +197,9 @@
                 Err(e) => doubt |= !e.never_sent(),
             }
             tries += 1;
-            if tries % self.replicas.len() == 0 {
+            if tries % ways.len() == 0 {
                 sleep(PAUSE).await;
             }
         }
     }
-
-    fn number_of(&self, addr: SocketAddr) -> Option<usize> {
-        self.replicas
-            .iter()
-            .position(|replica| replica.addr() == addr)
-    }
 }
--- /dev/null
+++ b/crates/anvilreel/src/ledger_client/way.rs
@@ -0,0 +1,65 @@
+//! The addresses through which the ledger is asked, in the order in which they are tried.
+
+use std::net::SocketAddr;
+
+use anvil_wire::Channel;
+
+/// Channels in the order in which they are tried.
+#[derive(Clone, Default)]
+pub struct Ways {
+    channels: Vec<Channel>,
+}
+
+impl Ways {
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.channels.len()
+    }
+
+    /// One by its number.
+    pub fn get(&self, number: usize) -> Option<&Channel> {
+        self.channels.get(number)
+    }
+
+    /// One by its number, counted round.
+    pub fn round(&self, number: usize) -> Option<&Channel> {
+        let number = number.checked_rem(self.channels.len())?;
+        self.channels.get(number)
+    }
+
+    /// The number of an address.
+    pub fn number_of(&self, addr: SocketAddr) -> Option<usize> {
+        self.channels.iter().position(|way| way.addr() == addr)
+    }
+
+    /// Whether these are the addresses, in this order.
+    pub fn leads_to(&self, addrs: &[SocketAddr]) -> bool {
+        self.channels
+            .iter()
+            .map(Channel::addr)
+            .eq(addrs.iter().copied())
+    }
+
+    /// Ways to these addresses; those that are known already keep their connections.
+    pub fn moved_to(&self, addrs: &[SocketAddr]) -> Self {
+        let way = |addr: &SocketAddr| {
+            let known = self.channels.iter().find(|way| way.addr() == *addr);
+            known.cloned().unwrap_or_else(|| Channel::new(*addr))
+        };
+        Self {
+            channels: addrs.iter().map(way).collect(),
+        }
+    }
+}
+
+/// Replicas and relays by turns, so that a relay is the second that is tried.
+pub fn interleaved(replicas: &[SocketAddr], relays: &[SocketAddr]) -> Vec<SocketAddr> {
+    let mut relays = relays.iter();
+    let mut all = Vec::new();
+    for replica in replicas {
+        all.push(*replica);
+        all.extend(relays.next());
+    }
+    all.extend(relays);
+    all
+}
--- a/crates/anvilreel/src/money/exchange.rs
+++ b/crates/anvilreel/src/money/exchange.rs
@@ -214,7 +214,9 @@
         let horizon = needed_for(rate, horizon);
         let of = |least: Tokens| GrantAsk {
             budget: held.budget.clone(),
-            wanted: horizon.saturating_add(least.saturating_mul(spare)).max(least),
+            wanted: horizon
+                .saturating_add(least.saturating_mul(spare))
+                .max(least),
             least,
         };
         if lacking > lacking_least {
--- /dev/null
+++ b/crates/anvilreel/src/relay.rs
@@ -0,0 +1,160 @@
+//! Passes calls on to the ledger, for processes that can't reach it themselves.
+//!
+//! Failure: routers are cut off from every replica of the ledger, while they still reach other
+//! instances that are not. It shows as settings that grow old and as budgets that can't be drawn
+//! on, for as long as the cut lasts. A relay beside each endpoint asks the ledger for them. It
+//! keeps nothing and decides nothing: what it passes on is as true as if it had been said directly,
+//! because the ledger confirms by majority and followers take only what is newer.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvil_wire::msg::{Interest, LedgerCall, LedgerReply, LedgerRequest};
+use anvil_wire::{Handlers, Replier, Server, WireError};
+use anvil_world::prelude::*;
+use slog::Logger;
+use tokio::time::timeout;
+
+use crate::event;
+use crate::events;
+use crate::held::Held;
+use crate::ledger_client::LedgerClient;
+use crate::life::Life;
+use crate::{announce, members};
+
+/// Longest time that a call is passed on. Whoever asks waits no longer for one way.
+const PASS_WITHIN: Duration = Duration::from_millis(900);
+/// Longest wait for one replica's answer. A commit takes some 10 ms.
+const ONE_REPLICA: Duration = Duration::from_millis(250);
+/// A followed replica that says nothing for so long is left for another one.
+const SILENCE: Duration = Duration::from_millis(1_300);
+/// Pause before another replica is followed.
+const AGAIN: Duration = Duration::from_millis(100);
+
+/// What a relay is told at its start.
+#[derive(Debug, Clone)]
+pub struct RelaySettings {
+    /// Name of the instance.
+    pub id: InstanceId,
+    /// Where it stands.
+    pub zone: Zone,
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Replicas of the ledger that are known at the start.
+    pub ledger: Vec<SocketAddr>,
+}
+
+struct Relay {
+    cfg: RelaySettings,
+    ledger: LedgerClient,
+    log: Logger,
+    life: Life,
+}
+
+/// Runs a relay until `stop` is ready.
+pub async fn run(
+    cfg: RelaySettings,
+    log: Logger,
+    stop: impl Future<Output = ()>,
+) -> Result<(), WireError> {
+    let server = Server::bind(cfg.listen).await?;
+    event!(log, events::RELAY_LISTENING, "addr" => cfg.listen.to_string());
+    let relay = Arc::new(Relay {
+        ledger: LedgerClient::new(&cfg.ledger).with_patience(ONE_REPLICA),
+        cfg,
+        log,
+        life: Life::begin(),
+    });
+    let answering = relay.clone();
+    let handlers = Handlers::default().with::<LedgerCall, _, _>(move |req, tx| {
+        let relay = answering.clone();
+        async move { relay.answer(req, tx).await }
+    });
+    tokio::select! {
+        () = stop => {}
+        () = server.serve(handlers, std::future::pending()) => {}
+        () = relay.follow() => {}
+        () = relay.announce() => {}
+    }
+    event!(relay.log, events::RELAY_STOPPED);
+    Ok(())
+}
+
+impl Relay {
+    async fn announce(&self) {
+        let instance = Instance {
+            id: self.cfg.id.clone(),
+            incarnation: self.life.incarnation,
+            role: Role::Relay,
+            zone: self.cfg.zone.clone(),
+            addr: self.cfg.listen,
+            endpoint: None,
+        };
+        announce::run(&self.ledger, &self.life, &instance, || 0).await;
+    }
+
+    /// Keeps up with which replicas there are.
+    async fn follow(&self) {
+        let mut held = Held::default();
+        let mut replica = rand::random_range(0..64);
+        loop {
+            let id = self.cfg.id.clone();
+            let opening = self
+                .ledger
+                .follow(replica, id, Interest::Router, held.version);
+            if let Ok(Ok(mut replies)) = timeout(SILENCE, opening).await {
+                while let Ok(Ok(Some(LedgerReply::Follow(told)))) =
+                    timeout(SILENCE, replies.next()).await
+                {
+                    if held.apply(told) {
+                        let replicas = members::replicas(&held, &self.cfg.ledger);
+                        self.ledger.set_ways(&replicas, &[]);
+                    }
+                }
+            }
+            replica += 1;
+            tokio::time::sleep(AGAIN).await;
+        }
+    }
+
+    async fn answer(&self, req: LedgerRequest, tx: Replier<LedgerReply>) {
+        if let LedgerRequest::Follow {
+            instance,
+            interest,
+            version,
+        } = req
+        {
+            self.pass_stream(instance, interest, version, tx).await;
+            return;
+        }
+        // The asker can't tell whether a lost answer was carried out, so a doubt stays a doubt.
+        let reply = match self.ledger.ask(&req, PASS_WITHIN).await {
+            Ok(reply) => reply,
+            Err(crate::ledger_client::LedgerError::InDoubt) => LedgerReply::InDoubt,
+            Err(_) => LedgerReply::NoQuorum,
+        };
+        // Fails only where the asker is gone.
+        let _ = tx.finish(&reply).await;
+    }
+
+    async fn pass_stream(
+        &self,
+        instance: InstanceId,
+        interest: Interest,
+        version: LogIndex,
+        mut tx: Replier<LedgerReply>,
+    ) {
+        let replica = rand::random_range(0..64);
+        let opening = self.ledger.follow(replica, instance, interest, version);
+        let Ok(Ok(mut replies)) = timeout(SILENCE, opening).await else {
+            return;
+        };
+        while let Ok(Ok(Some(reply))) = timeout(SILENCE, replies.next()).await {
+            if tx.send(&reply).await.is_err() {
+                return;
+            }
+        }
+    }
+}
--- a/crates/anvilreel/src/router/view.rs
+++ b/crates/anvilreel/src/router/view.rs
@@ -153,7 +153,7 @@
                 self.routers.insert(instance.id.clone(), member.clone());
             }
             Role::Sidecar => self.take_sidecar(instance, member.presence),
-            Role::Router | Role::Ledger => {}
+            Role::Router | Role::Ledger | Role::Relay => {}
         }
     }
 
