A router that can't pay asks for no clients and sends those it has elsewhere at once

Ruled out: the ledger (it had a leader throughout, the other routers were served). Change: such a router isn't ready, closes its clients' connections, and answers 503 with 20 ms to come back; billed tokens are in each request's line; a request counts as begun from before it is sent.

--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -31,6 +31,8 @@
 const SENT_WITHIN: f64 = 0.8;
 /// When to come back to a process or service that is not there now.
 const SOON: Duration = Duration::from_millis(300);
+/// When to come back where another gateway may serve the request: at once.
+const ELSEWHERE: Duration = Duration::from_millis(20);
 /// Bounds of the time to come back after an overload.
 const OVERLOAD: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(2));
 
@@ -219,7 +221,7 @@
         let (until, otherwise) = match shortage {
             Shortage::Refused(refusal) => {
                 trace.step(format_args!("no money: {:?}", refusal.reason));
-                return Err(broke(&refusal.reason));
+                return Err(broke(gw, &refusal.reason));
             }
             Shortage::WaitFor { until, otherwise } => (until, otherwise),
         };
@@ -229,14 +231,21 @@
         let ends = (Instant::now() + left).min(deadline);
         if left.is_zero() || timeout_at(ends, changed).await.is_err() {
             trace.step(format_args!("money did not come: {:?}", otherwise.reason));
-            return Err((Cause::BudgetBusy, SOON));
+            return Err(match otherwise.reason {
+                Reason::BudgetExhausted(_) => (Cause::BudgetBusy, SOON),
+                reason => broke(gw, &reason),
+            });
         }
     }
 }
 
-fn broke(reason: &Reason) -> Refused {
+fn broke(gw: &Gateway, reason: &Reason) -> Refused {
     match reason {
         Reason::BudgetExhausted(_) => (Cause::BudgetExhausted, SOON),
+        Reason::LedgerUnreachable => {
+            gw.starve();
+            (Cause::LedgerUnreachable, ELSEWHERE)
+        }
         _ => (Cause::BudgetBusy, SOON),
     }
 }
@@ -286,9 +295,6 @@
 
     /// A failure of the endpoint's own is passed on where nothing better can be had.
     fn is_wanted(&mut self, answer: &Answer) -> bool {
-        if let Some(spend) = &mut self.spend {
-            spend.begun();
-        }
         self.in_doubt = true;
         let failed = answer.parts.status.is_server_error();
         let again = failed && self.route.repeat.may_run_again() && self.has_tries();
@@ -309,9 +315,6 @@
     fn doubt(&mut self, doubt: Doubt) -> Cause {
         self.trace.step(format_args!("in doubt: {doubt:?}"));
         self.in_doubt = true;
-        if let Some(spend) = &mut self.spend {
-            spend.begun();
-        }
         match doubt {
             Doubt::Silent => Cause::Late,
             Doubt::Lost | Doubt::Misfit | Doubt::Spoiled => Cause::Lost,
@@ -359,7 +362,16 @@
             id: &self.ask.id,
             until: self.answer_until(),
         };
+        // Counted before it is sent: a client that leaves ends this in the middle of the wait,
+        // when the endpoint may have begun.
+        let counted_before = self.in_doubt;
+        if let Some(spend) = &mut self.spend {
+            spend.begun();
+        }
         let tried = send(&self.gw.cfg.dialect, chosen.place, out).await;
+        if let (Tried::NotRun(_), Some(spend), false) = (&tried, &mut self.spend, counted_before) {
+            spend.not_run();
+        }
         self.learn(&endpoint, &tried);
         Ok(tried)
     }
@@ -456,6 +468,14 @@
     }
 }
 
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        if let Some(spend) = &self.spend {
+            self.trace.billed(spend.cost());
+        }
+    }
+}
+
 /// How many times its target an answer's head is waited for where another endpoint may run the
 /// request instead: an endpoint that has been silent for so long is more likely lost than slow.
 const SILENT_TARGETS: f64 = 2.0;
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 use anvil_policy::engine::EngineRule;
 use anvil_policy::retry::{Repeat, RetryBudget, RetryRule};
 use anvil_world::prelude::*;
+use anvilreel::event;
 use anvilreel::ledger_client::LedgerClient;
 use anvilreel::life::Life;
 use anvilreel::money::{GrantPolicy, Purse};
@@ -18,6 +19,7 @@
 
 use crate::dialect::{Dialect, ListSource};
 use crate::directory::Directory;
+use crate::log_events;
 use crate::table::RouteTable;
 
 /// What a gateway is told at its start.
@@ -75,6 +77,8 @@
     pub confirmed: AtomicU64,
     /// Requests under way.
     pub open: AtomicU32,
+    /// In milliseconds of the life: until then this gateway can't pay for what it is asked.
+    starved_until: AtomicU64,
     retries: Mutex<BTreeMap<ServiceId, RetryBudget>>,
 }
 
@@ -88,6 +92,9 @@
 const RETRY_RESERVE: f64 = 0.5;
 /// Part of this gateway's slack that comes back within a window.
 const RETRY_REFILL: f64 = 0.3;
+/// For how long a gateway that could not pay for a request asks for no new clients, in
+/// milliseconds: the balancer looks once a second and believes the second refusal.
+const STARVED_MS: u64 = 2_500;
 /// Gateways that are assumed to share the budget before the ledger has told how many there are.
 const GATEWAYS_UNTIL_TOLD: u32 = 16;
 
@@ -130,6 +137,7 @@
             gateways: AtomicU32::new(GATEWAYS_UNTIL_TOLD),
             confirmed: AtomicU64::new(0),
             open: AtomicU32::new(0),
+            starved_until: AtomicU64::new(0),
             retries: Mutex::default(),
             cfg,
         }
@@ -137,7 +145,36 @@
 
     /// Whether new connections are welcome.
     pub fn is_ready(&self) -> bool {
-        self.table.load().is_some() && !self.directory.is_empty() && !self.life.is_leaving()
+        let knows = self.table.load().is_some() && !self.directory.is_empty();
+        knows && !self.life.is_leaving() && !self.is_starved()
+    }
+
+    /// Whether requests were refused lately because no way leads to the ledger and the grants
+    /// are used up.
+    ///
+    /// Failure: one gateway is cut off from the ledger and from all relays. Its clients stay, are
+    /// refused, come back and are refused again, while the gateway beside it could serve them.
+    /// So it asks the balancer for no more clients and closes the connections of those it has.
+    pub fn is_starved(&self) -> bool {
+        self.now_ms() < self.starved_until.load(Ordering::Relaxed)
+    }
+
+    /// A request could not be paid for, because the ledger can't be reached.
+    pub fn starve(&self) {
+        let until = self.now_ms() + STARVED_MS;
+        if !self.is_starved() {
+            event!(self.log, log_events::GATEWAY_STARVED);
+        }
+        self.starved_until.store(until, Ordering::Relaxed);
+    }
+
+    /// The ledger has answered.
+    pub fn fed(&self) {
+        self.starved_until.store(0, Ordering::Relaxed);
+    }
+
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.life.now().as_millis()).unwrap_or(u64::MAX)
     }
 
     /// This process, as the ledger knows it.
--- a/crates/anvil_gateway/src/log_events.rs
+++ b/crates/anvil_gateway/src/log_events.rs
@@ -58,4 +58,6 @@
     GATEWAY_CLIENT_CONNECTION = 6018 Debug "gateway_client_connection";
     /// Other processes lead to the ledger than before.
     GATEWAY_LEDGER_WAYS = 6019 Info "gateway_ledger_ways";
+    /// No way leads to the ledger and the grants are used up: no new clients are asked for.
+    GATEWAY_STARVED = 6020 Warning "gateway_starved";
 }
--- a/crates/anvil_gateway/src/money.rs
+++ b/crates/anvil_gateway/src/money.rs
@@ -32,6 +32,18 @@
         self.ran = true;
     }
 
+    /// An endpoint said that it did not run the request.
+    pub fn not_run(&mut self) {
+        self.ran = false;
+    }
+
+    /// What it costs as it stands, in tokens; never more than was set aside.
+    pub fn cost(&self) -> Tokens {
+        let bound = self.reservation.as_ref().map_or(0, Reservation::bound);
+        let cost = self.prompt.saturating_add(self.output);
+        if self.ran { cost.min(bound) } else { 0 }
+    }
+
     /// Output was handed to the client.
     pub fn delivered(&mut self, tokens: Tokens) {
         self.output = self.output.saturating_add(tokens);
@@ -40,6 +52,7 @@
 
 impl Drop for Spend {
     fn drop(&mut self) {
+        let cost = self.cost();
         let Some(reservation) = self.reservation.take() else {
             return;
         };
@@ -47,8 +60,6 @@
             self.purse.release(reservation);
             return;
         }
-        let cost = self.prompt.saturating_add(self.output);
-        let cost = cost.min(reservation.bound());
         // The purse keeps a broken invariant and refuses everything after it; the loop that
         // talks to the ledger logs it.
         let _ = self.purse.settle(reservation, cost);
--- a/crates/anvil_gateway/src/money_loop.rs
+++ b/crates/anvil_gateway/src/money_loop.rs
@@ -45,6 +45,7 @@
     let command = Command::GrantBatch(batch);
     match gw.ledger.propose(command, BATCH_WITHIN).await {
         Ok(Answer::Grants(answer)) => {
+            gw.fed();
             if !answer.opened.is_empty() || !answer.refused.is_empty() {
                 event!(
                     gw.log, events::GATEWAY_GRANTS,
--- a/crates/anvil_gateway/src/reply.rs
+++ b/crates/anvil_gateway/src/reply.rs
@@ -38,6 +38,8 @@
     BudgetExhausted,
     /// Money may come, but not in time.
     BudgetBusy,
+    /// The ledger can't be reached for money; another process may reach it.
+    LedgerUnreachable,
     /// This process has no routing table or no endpoints yet.
     NotReady,
     /// This process is stopping.
@@ -65,7 +67,8 @@
             Self::BodyLate => StatusCode::REQUEST_TIMEOUT,
             Self::BudgetExhausted => StatusCode::PAYMENT_REQUIRED,
             Self::BudgetBusy => StatusCode::TOO_MANY_REQUESTS,
-            Self::NotReady
+            Self::LedgerUnreachable
+            | Self::NotReady
             | Self::Leaving
             | Self::NoEndpoint
             | Self::Overloaded
@@ -85,6 +88,7 @@
             Self::BodyLate => "body_late",
             Self::BudgetExhausted => "budget_exhausted",
             Self::BudgetBusy => "budget_busy",
+            Self::LedgerUnreachable => "ledger_unreachable",
             Self::NotReady => "not_ready",
             Self::Leaving => "leaving",
             Self::NoEndpoint => "no_endpoint",
--- a/crates/anvil_gateway/src/serve.rs
+++ b/crates/anvil_gateway/src/serve.rs
@@ -74,7 +74,7 @@
         let gw = gw.clone();
         async move {
             let mut reply = answer(&gw, req).await;
-            if gw.life.is_leaving() {
+            if gw.life.is_leaving() || gw.is_starved() {
                 close_after(&mut reply);
             }
             Ok::<Reply, Infallible>(reply)
--- a/crates/anvil_gateway/src/trace.rs
+++ b/crates/anvil_gateway/src/trace.rs
@@ -20,6 +20,7 @@
     table: u64,
     steps: String,
     first: Option<Duration>,
+    billed: u64,
     outcome: Option<&'static str>,
 }
 
@@ -38,6 +39,7 @@
             table: 0,
             steps: String::new(),
             first: None,
+            billed: 0,
             outcome: None,
         }
     }
@@ -68,6 +70,11 @@
         self.first.get_or_insert(self.begun.elapsed());
     }
 
+    /// Notes what it cost, in tokens.
+    pub fn billed(&mut self, tokens: u64) {
+        self.billed = tokens;
+    }
+
     /// Notes how it ended. The first word counts.
     pub fn ended(&mut self, outcome: &'static str) {
         self.outcome.get_or_insert(outcome);
@@ -84,14 +91,14 @@
                 self.log, events::GATEWAY_REQUEST_COMPLETED,
                 "request" => &*self.id, "route" => self.route.as_deref(),
                 "organisation" => self.organisation.as_deref(), "table" => self.table,
-                "first_ms" => first, "took_ms" => took, "steps" => &*self.steps
+                "first_ms" => first, "took_ms" => took, "billed" => self.billed, "steps" => &*self.steps
             );
         } else {
             event!(
                 self.log, events::GATEWAY_REQUEST_FAILED,
                 "request" => &*self.id, "outcome" => outcome, "route" => self.route.as_deref(),
                 "organisation" => self.organisation.as_deref(), "table" => self.table,
-                "first_ms" => first, "took_ms" => took, "steps" => &*self.steps
+                "first_ms" => first, "took_ms" => took, "billed" => self.billed, "steps" => &*self.steps
             );
         }
     }
