Grants of 0.7 s, given back after 0.4 s without demand; shorter waits for money

Ruled out: ledger latency (an ask is answered within some 10 ms). Change: horizon 2 s to 0.7 s, idle 2 s to 0.4 s, patience 300 to 200 ms, recall patience 500 to 120 ms, batches each 200 ms.

--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -105,11 +105,11 @@
 /// within some 10 ms. The horizon bounds what a lost gateway costs: two seconds of its demand.
 fn grant_policy() -> GrantPolicy {
     GrantPolicy {
-        horizon: Duration::from_secs(2),
-        patience: Duration::from_millis(300),
-        recall_patience: Duration::from_millis(500),
-        idle: Duration::from_secs(2),
-        batch_every: Duration::from_millis(250),
+        horizon: Duration::from_millis(700),
+        patience: Duration::from_millis(200),
+        recall_patience: Duration::from_millis(120),
+        idle: Duration::from_millis(400),
+        batch_every: Duration::from_millis(200),
         urgent_every: Duration::from_millis(10),
         verdict_holds: Duration::from_millis(300),
         spare_requests: 0,
