--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -84,6 +84,9 @@
 
 /// Longest wait for one replica's or relay's answer; a commit takes some 10 ms.
 const ONE_REPLICA: Duration = Duration::from_millis(300);
+/// A second way to the ledger is asked after this time: five commits, and a quarter of the time
+/// that a request waits for money.
+const SECOND_WAY: Duration = Duration::from_millis(50);
 /// Part of the shared retry budget that is used. The rest covers requests that the platform
 /// counts in another window than this process does.
 const RETRY_MARGIN: f64 = 0.8;
@@ -130,7 +133,9 @@
             directory: Directory::default(),
             purse: Arc::new(purse),
             money_wanted: Notify::new(),
-            ledger: LedgerClient::new(&cfg.ledger).with_patience(ONE_REPLICA),
+            ledger: LedgerClient::new(&cfg.ledger)
+                .with_patience(ONE_REPLICA)
+                .with_hedge(SECOND_WAY),
             life,
             log,
             rule: EngineRule::default(),
--- a/crates/anvilreel/src/ledger_client.rs
+++ b/crates/anvilreel/src/ledger_client.rs
@@ -15,7 +15,7 @@
 use anvil_world::prelude::*;
 use arc_swap::ArcSwap;
 use snafu::Snafu;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use way::{Ways, interleaved};
 
@@ -47,6 +47,7 @@
     ways: ArcSwap<Ways>,
     last: AtomicUsize,
     patience: Duration,
+    hedge: Option<Duration>,
 }
 
 impl LedgerClient {
@@ -57,6 +58,7 @@
             ways: ArcSwap::from_pointee(ways),
             last: AtomicUsize::new(0),
             patience: ONE_REPLICA,
+            hedge: None,
         }
     }
 
@@ -66,6 +68,12 @@
         self
     }
 
+    /// Asks a second one beside the first when that has not answered within this time.
+    pub fn with_hedge(mut self, hedge: Duration) -> Self {
+        self.hedge = Some(hedge);
+        self
+    }
+
     /// Asks through these from now on. Those that are known already keep their connections.
     /// Returns whether anything has changed.
     pub fn set_ways(&self, replicas: &[SocketAddr], relays: &[SocketAddr]) -> bool {
@@ -170,13 +178,17 @@
             // A leader that is not in the settings is asked where it said that it is.
             let stranger = hinted.take();
             let replica = stranger.as_ref().unwrap_or(channel);
-            if stranger.is_none() {
+            let second = ways.round(number + 1);
+            let (answered, by_second) = self.one_or_two(replica, second, ask, left).await;
+            let number = if by_second {
+                (number + 1) % ways.len()
+            } else {
+                number
+            };
+            if stranger.is_none() || by_second {
                 at = number + 1;
             }
-            match replica
-                .call::<LedgerCall>(ask, left.min(self.patience))
-                .await
-            {
+            match answered {
                 Ok(LedgerReply::NotLeader { leader }) => {
                     match leader.map(|addr| (addr, ways.number_of(addr))) {
                         Some((_, Some(known))) => at = known,
@@ -189,7 +201,7 @@
                 Ok(LedgerReply::NoQuorum | LedgerReply::Stopped) => {}
                 Ok(LedgerReply::InDoubt) => doubt = true,
                 Ok(reply) => {
-                    if stranger.is_none() {
+                    if stranger.is_none() || by_second {
                         self.last.store(number, Ordering::Relaxed);
                     }
                     return Ok(reply);
@@ -202,4 +214,40 @@
             }
         }
     }
+
+    /// Asks one and, when it takes long, a second one beside it. Returns the first answer that
+    /// came, and whether it is the second one's.
+    ///
+    /// Failure: the way that answered last is cut off without a word. It shows as requests that
+    /// wait for money for as long as that way is given. Both may carry the same command out: the
+    /// log keeps the first.
+    async fn one_or_two(
+        &self,
+        first: &Channel,
+        second: Option<&Channel>,
+        ask: &LedgerRequest,
+        left: Duration,
+    ) -> (Result<LedgerReply, WireError>, bool) {
+        let within = left.min(self.patience);
+        let asking = first.call::<LedgerCall>(ask, within);
+        let (Some(hedge), Some(second)) = (self.hedge.filter(|h| *h < within), second) else {
+            return (asking.await, false);
+        };
+        tokio::pin!(asking);
+        if let Ok(answered) = timeout(hedge, &mut asking).await {
+            return (answered, false);
+        }
+        let beside = second.call::<LedgerCall>(ask, within.saturating_sub(hedge));
+        tokio::pin!(beside);
+        tokio::select! {
+            answered = &mut asking => match answered {
+                Ok(answered) => (Ok(answered), false),
+                Err(_) => (beside.await, true),
+            },
+            answered = &mut beside => match answered {
+                Ok(answered) => (Ok(answered), true),
+                Err(_) => (asking.await, false),
+            },
+        }
+    }
 }
