A ledger replica without a majority sends its followers away

Router a-1 followed the replica at c-1 when that was cut off; it waited 0.9 s for the next tick that did not come, then 1.3 s each at replicas (one through a relay that had picked c-1) that had nothing to say. Ruled out: the acknowledgement (committed at 25.025 by b-1), the relays (reachable throughout). Change: a replica that has nothing true to say for 0.5 s ends the stream; ticks each 0.3 s and patience 0.9 s; a relay follows the replica that it follows itself. Test: a_replica_out_of_touch_sends_its_followers_away failed before. without_a_majority_nothing_is_claimed took silence for the only right thing; it now takes silence or the stream's end, and still fails on any further word.

--- a/crates/anvil_gateway/src/follow.rs
+++ b/crates/anvil_gateway/src/follow.rs
@@ -15,10 +15,10 @@
 use crate::log_events as events;
 
 /// Longest wait for anything from a followed replica before another one is tried. A replica
-/// that is current says so every half second.
-const SILENCE: Duration = Duration::from_millis(1_300);
+/// that is current says so every 0.3 s.
+const SILENCE: Duration = Duration::from_millis(900);
 /// Longest time to open a stream to a replica.
-const OPENING: Duration = Duration::from_millis(400);
+const OPENING: Duration = Duration::from_millis(300);
 /// Pause before another replica is followed.
 const AGAIN: Duration = Duration::from_millis(50);
 
--- a/crates/anvilreel/src/ledger_service/handlers.rs
+++ b/crates/anvilreel/src/ledger_service/handlers.rs
@@ -7,15 +7,19 @@
 use anvil_wire::msg::{FollowEvent, LedgerCall, LedgerReply, LedgerRequest};
 use anvil_wire::{Handlers, Replier};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::follow::{Follower, version_of};
 use super::node::{Inbox, Input, Public};
 use super::peer::{PeerCall, PeerReply, PeerRequest};
 use super::pending::Reply;
 
-/// Time between two ticks of a follow stream on which nothing changes.
-const CURRENT: Duration = Duration::from_secs(1);
+/// Time between two ticks of a follow stream on which nothing changes. A follower leaves after
+/// some of them have failed to come, so this bounds how long it believes a replica that is cut off.
+const CURRENT: Duration = Duration::from_millis(300);
+/// A replica that has nothing true to say for so long sends its followers away. Shorter than an
+/// election, and followers that all replicas send away would do nothing but come back.
+const MUTE: Duration = Duration::from_millis(500);
 /// Changes within this time go to a follower as one.
 const GATHER: Duration = Duration::from_millis(20);
 /// Messages that wait for one replica.
@@ -105,8 +109,10 @@
 /// Sends a follower what it lacks, now and whenever that changes.
 async fn follow(reach: &Reach, mut follower: Follower, mut tx: Replier<LedgerReply>) {
     let mut public = reach.public.clone();
+    let mut spoke = Instant::now();
     loop {
         if let Some(event) = next_event(reach, &public, &follower).await {
+            spoke = Instant::now();
             follower.version = follower.version.max(version_of(&event));
             let reply = LedgerReply::Follow(event);
             tokio::select! {
@@ -116,7 +122,9 @@
                 () = reach.stopped() => return,
             }
         }
-        if !wait(reach, &mut public, &follower, &mut tx).await {
+        // Failure: a replica without a majority keeps its followers in silence while another one
+        // could tell them what has changed. The end of the stream sends them on at once.
+        if spoke.elapsed() >= MUTE || !wait(reach, &mut public, &follower, &mut tx).await {
             return;
         }
     }
--- a/crates/anvilreel/src/relay.rs
+++ b/crates/anvilreel/src/relay.rs
@@ -9,6 +9,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use anvil_wire::msg::{Interest, LedgerCall, LedgerReply, LedgerRequest};
@@ -29,7 +30,7 @@
 /// Longest wait for one replica's answer. A commit takes some 10 ms.
 const ONE_REPLICA: Duration = Duration::from_millis(250);
 /// A followed replica that says nothing for so long is left for another one.
-const SILENCE: Duration = Duration::from_millis(1_300);
+const SILENCE: Duration = Duration::from_millis(900);
 /// Pause before another replica is followed.
 const AGAIN: Duration = Duration::from_millis(100);
 
@@ -51,6 +52,8 @@
     ledger: LedgerClient,
     log: Logger,
     life: Life,
+    /// Number of the replica that this relay follows itself: one that is current.
+    followed: AtomicUsize,
 }
 
 /// Runs a relay until `stop` is ready.
@@ -66,6 +69,7 @@
         cfg,
         log,
         life: Life::begin(),
+        followed: AtomicUsize::new(rand::random_range(0..64)),
     });
     let answering = relay.clone();
     let handlers = Handlers::default().with::<LedgerCall, _, _>(move |req, tx| {
@@ -98,8 +102,8 @@
     /// Keeps up with which replicas there are.
     async fn follow(&self) {
         let mut held = Held::default();
-        let mut replica = rand::random_range(0..64);
         loop {
+            let replica = self.followed.load(Ordering::Relaxed);
             let id = self.cfg.id.clone();
             let opening = self
                 .ledger
@@ -114,7 +118,8 @@
                     }
                 }
             }
-            replica += 1;
+            self.followed
+                .store(replica.wrapping_add(1), Ordering::Relaxed);
             tokio::time::sleep(AGAIN).await;
         }
     }
@@ -146,7 +151,7 @@
         version: LogIndex,
         mut tx: Replier<LedgerReply>,
     ) {
-        let replica = rand::random_range(0..64);
+        let replica = self.followed.load(Ordering::Relaxed);
         let opening = self.ledger.follow(replica, instance, interest, version);
         let Ok(Ok(mut replies)) = timeout(SILENCE, opening).await else {
             return;
