--- a/crates/anvil_gateway/src/attempt.rs
+++ b/crates/anvil_gateway/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One request sent to one endpoint, and what can be said of it afterwards.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,6 +12,8 @@
 
 use crate::dialect::{AnswerHead, Dialect};
 use crate::endpoint::{Endpoint, Place};
+use crate::line::Line;
+use crate::pool::Connection;
 
 /// Why nothing has run.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -44,14 +47,21 @@
     pub body: Incoming,
     /// The connection, to be put back once the body has ended well.
     pub sender: SendRequest<Full<Bytes>>,
+    /// What is known of the connection.
+    pub line: Arc<Line>,
     /// The place that the request holds.
     pub place: Place,
 }
 
 impl Answer {
     /// The body has ended well: the connection may carry the next request.
-    pub fn put_back(sender: SendRequest<Full<Bytes>>, endpoint: &Endpoint, head: &AnswerHead) {
-        endpoint.pool.put(sender, head.keeps);
+    pub fn put_back(
+        sender: SendRequest<Full<Bytes>>,
+        line: Arc<Line>,
+        endpoint: &Endpoint,
+        head: &AnswerHead,
+    ) {
+        endpoint.pool.put(sender, line, head.keeps);
     }
 }
 
@@ -79,6 +89,8 @@
     pub id: &'a str,
     /// No answer is waited for after this.
     pub until: Instant,
+    /// Where to note the connection on which it is sent.
+    pub line: &'a mut Option<Arc<Line>>,
 }
 
 /// Sends one request to the endpoint at whose place it is, and waits for the answer's head.
@@ -100,6 +112,8 @@
             Ok(connection) => connection,
             Err(e) => return Tried::NotRun(NotRun::Unreachable(e.to_string())),
         };
+        connection.line.sent();
+        *out.line = Some(connection.line.clone());
         let sending = connection.sender.try_send_request(request(&out));
         let answer = match timeout_at(out.until, sending).await {
             Err(_) => return Tried::Doubt(Doubt::Silent),
@@ -117,6 +131,7 @@
                 return Tried::Doubt(Doubt::Lost);
             }
         };
+        connection.line.answered();
         let (parts, body) = answer.into_parts();
         let head = (dialect.answer)(parts.status, &parts.headers);
         // Failure: an endpoint sends a second answer, late, where the next request's answer is
@@ -126,7 +141,7 @@
         }
         if head.not_run {
             let status = parts.status.as_u16();
-            finish(connection.sender, &endpoint, &head, body).await;
+            finish(connection, &endpoint, &head, body).await;
             return Tried::NotRun(NotRun::Refused(status));
         }
         let sound = head.sealed && !head.encoded && head.id.is_some();
@@ -138,6 +153,7 @@
             head,
             body,
             sender: connection.sender,
+            line: connection.line,
             place,
         }));
     }
@@ -157,16 +173,11 @@
 const REFUSAL_BYTES: usize = 4_096;
 
 /// Reads the rest of a refusal, so that its connection can be used again.
-async fn finish(
-    sender: SendRequest<Full<Bytes>>,
-    endpoint: &Endpoint,
-    head: &AnswerHead,
-    body: Incoming,
-) {
+async fn finish(connection: Connection, endpoint: &Endpoint, head: &AnswerHead, body: Incoming) {
     use http_body_util::{BodyExt, Limited};
     let reading = Limited::new(body, REFUSAL_BYTES).collect();
     let until = Instant::now() + REFUSAL_REST;
     if let Ok(Ok(_)) = timeout_at(until, reading).await {
-        Answer::put_back(sender, endpoint, head);
+        Answer::put_back(connection.sender, connection.line, endpoint, head);
     }
 }
--- a/crates/anvil_gateway/src/endpoint.rs
+++ b/crates/anvil_gateway/src/endpoint.rs
@@ -6,8 +6,11 @@
 
 use anvil_policy::engine::{EndpointLoad, EngineRule, Prompt};
 use anvil_world::prelude::*;
+use anvilreel::event;
+use slog::Logger;
 
 use crate::dialect::{Listed, Load};
+use crate::log_events as events;
 use crate::pool::Pool;
 
 /// One endpoint in one life.
@@ -60,6 +63,19 @@
         self.load.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// It failed a request: it is passed over for a while.
+    pub fn failed(&self, now: Now, log: &Logger, why: &str) {
+        let mut load = self.load();
+        let was_shut = load.is_shut(now);
+        load.failed(now);
+        if !was_shut {
+            event!(
+                log, events::GATEWAY_ENDPOINT_SHUT,
+                "endpoint" => &*self.id, "why" => why, "failures" => load.failures()
+            );
+        }
+    }
+
     /// Takes in its own word on its load.
     pub fn heard(&self, now: Now, load: &Load) {
         self.load()
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -5,6 +5,7 @@
 
 use anvil_policy::engine::Prompt;
 use anvil_world::prelude::*;
+use anvilreel::event;
 use anvilreel::money::Shortage;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Uri, request};
@@ -15,7 +16,10 @@
 use crate::attempt::{Answer, Doubt, NotRun, Outgoing, Tried, send};
 use crate::choose::Unplaced;
 use crate::dialect::{Ask, Onward};
+use crate::endpoint::Endpoint;
 use crate::gateway::Gateway;
+use crate::line::Line;
+use crate::log_events as events;
 use crate::money::Spend;
 use crate::relay::Relay;
 use crate::reply::{Cause, ONE_CONNECTION, Reply, refusal, whole};
@@ -60,6 +64,8 @@
     pub trace: Trace,
     /// Whether an endpoint may have run it.
     pub in_doubt: bool,
+    /// The connection on which it waits for an answer to begin.
+    waits_on: Option<Arc<Line>>,
     parts: Vec<(u64, Tokens)>,
     method: Method,
     uri: Uri,
@@ -122,6 +128,7 @@
             spend: self.spend,
             trace,
             in_doubt: false,
+            waits_on: None,
             method: self.head.method,
             uri: self.head.uri,
             headers: self.head.headers,
@@ -283,7 +290,7 @@
                 Tried::Answer(answer) => {
                     self.trace
                         .step(format_args!("status {}", answer.parts.status));
-                    answer.place.endpoint.load().failed(self.gw.life.now());
+                    self.endpoint_failed(&answer.place.endpoint, "its own failure");
                     Cause::Lost
                 }
                 Tried::NotRun(why) => self.not_run(&why),
@@ -354,13 +361,15 @@
             class: self.class(),
             after: after.or(self.ask.after),
         };
+        let until = self.answer_until();
         let out = Outgoing {
             method: &self.method,
             uri: &self.uri,
             headers: (self.gw.cfg.dialect.onward)(&self.headers, &onward),
             body: self.body.clone(),
             id: &self.ask.id,
-            until: self.answer_until(),
+            until,
+            line: &mut self.waits_on,
         };
         // Counted before it is sent: a client that leaves ends this in the middle of the wait,
         // when the endpoint may have begun.
@@ -369,6 +378,7 @@
             spend.begun();
         }
         let tried = send(&self.gw.cfg.dialect, chosen.place, out).await;
+        self.waits_on = None;
         if let (Tried::NotRun(_), Some(spend), false) = (&tried, &mut self.spend, counted_before) {
             spend.not_run();
         }
@@ -393,7 +403,7 @@
         own.unwrap_or(self.route.class).min(LOWEST_CLASS)
     }
 
-    fn learn(&self, endpoint: &crate::endpoint::Endpoint, tried: &Tried) {
+    fn learn(&self, endpoint: &Endpoint, tried: &Tried) {
         let now = self.gw.life.now();
         match tried {
             Tried::Answer(answer) => {
@@ -408,10 +418,16 @@
                 endpoint.leave();
             }
             Tried::NotRun(NotRun::Refused(_)) => endpoint.load().was_full(now, FULL_PAUSE),
-            Tried::NotRun(NotRun::Unreachable(_)) | Tried::Doubt(_) => endpoint.load().failed(now),
+            Tried::NotRun(NotRun::Unreachable(why)) => self.endpoint_failed(endpoint, why),
+            Tried::Doubt(doubt) => self.endpoint_failed(endpoint, &format!("{doubt:?}")),
         }
     }
 
+    /// Notes that an endpoint failed this request.
+    pub fn endpoint_failed(&self, endpoint: &Endpoint, why: &str) {
+        endpoint.failed(self.gw.life.now(), &self.gw.log, why);
+    }
+
     fn unplaced(&mut self, unplaced: Unplaced) -> Refused {
         self.trace.step(format_args!("no place: {unplaced:?}"));
         if self.in_doubt {
@@ -435,13 +451,14 @@
                 head,
                 body,
                 sender,
+                line,
                 mut place,
             } = answer;
             let reading = Limited::new(body, WHOLE_ANSWER).collect();
             let read = timeout_at(self.deadline, reading).await;
             place.answered();
             if let Ok(Ok(body)) = read {
-                Answer::put_back(sender, &place.endpoint, &head);
+                Answer::put_back(sender, line, &place.endpoint, &head);
                 strip(&mut parts.headers);
                 self.trace.first_piece();
                 let fine = parts.status.is_success();
@@ -449,7 +466,7 @@
                     .ended(if fine { "completed" } else { "endpoint_failed" });
                 return Reply::from_parts(parts, whole(body.to_bytes()));
             }
-            place.endpoint.load().failed(self.gw.life.now());
+            self.endpoint_failed(&place.endpoint, "no whole answer");
             let doubt = if read.is_err() {
                 Doubt::Silent
             } else {
@@ -470,9 +487,22 @@
 
 impl Drop for Exchange {
     fn drop(&mut self) {
-        if let Some(spend) = &self.spend {
-            self.trace.billed(spend.cost());
-        }
+        let Some(mut spend) = self.spend.take() else {
+            return;
+        };
+        self.trace.billed(spend.cost());
+        // The client has left while an answer was waited for.
+        let Some(line) = self.waits_on.take().filter(|_| !self.in_doubt) else {
+            return;
+        };
+        let log = self.gw.log.clone();
+        let id = self.ask.id.clone();
+        tokio::spawn(async move {
+            if line.ended_unheard().await {
+                spend.not_run();
+                event!(log, events::GATEWAY_BILL_DROPPED, "request" => &*id);
+            }
+        });
     }
 }
 
--- a/crates/anvil_gateway/src/follow.rs
+++ b/crates/anvil_gateway/src/follow.rs
@@ -72,7 +72,7 @@
 
 fn take(gw: &Gateway, held: &Held, revision: &mut Revision) {
     count_gateways(gw, held);
-    let replicas = members::replicas(held, &gw.cfg.ledger);
+    let replicas = members::replicas(held, &gw.seeds.load());
     let relays = members::relays(held, &gw.cfg.id);
     if gw.ledger.set_ways(&replicas, &relays) {
         event!(
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -13,7 +13,7 @@
 use anvilreel::ledger_client::LedgerClient;
 use anvilreel::life::Life;
 use anvilreel::money::{GrantPolicy, Purse};
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use slog::Logger;
 use tokio::sync::Notify;
 
@@ -67,6 +67,8 @@
     pub life: Life,
     /// The way to the ledger.
     pub ledger: LedgerClient,
+    /// Replicas that the settings name.
+    pub seeds: ArcSwap<Vec<SocketAddr>>,
     /// Where log lines go.
     pub log: Logger,
     /// How engines are judged.
@@ -136,6 +138,7 @@
             ledger: LedgerClient::new(&cfg.ledger)
                 .with_patience(ONE_REPLICA)
                 .with_hedge(SECOND_WAY),
+            seeds: ArcSwap::from_pointee(cfg.ledger.clone()),
             life,
             log,
             rule: EngineRule::default(),
@@ -182,6 +185,12 @@
         u64::try_from(self.life.now().as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// Takes other seeds, as the settings name them now.
+    pub fn set_seeds(&self, seeds: &[SocketAddr]) {
+        self.seeds.store(Arc::new(seeds.to_vec()));
+        self.ledger.add_ways(seeds);
+    }
+
     /// This process, as the ledger knows it.
     pub fn instance(&self) -> Instance {
         Instance {
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod exchange;
 pub mod follow;
 pub mod gateway;
+pub mod line;
 pub mod log_events;
 pub mod money;
 pub mod money_loop;
--- a/crates/anvil_gateway/src/log_events.rs
+++ b/crates/anvil_gateway/src/log_events.rs
@@ -60,4 +60,6 @@
     GATEWAY_LEDGER_WAYS = 6019 Info "gateway_ledger_ways";
     /// No way leads to the ledger and the grants are used up: no new clients are asked for.
     GATEWAY_STARVED = 6020 Warning "gateway_starved";
+    /// A client left before its answer began, and the endpoint had not begun: nothing is billed.
+    GATEWAY_BILL_DROPPED = 6021 Info "gateway_bill_dropped";
 }
--- a/crates/anvil_gateway/src/pool.rs
+++ b/crates/anvil_gateway/src/pool.rs
@@ -4,7 +4,7 @@
 //! answer to the right request, and is never used again in doubt.
 
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -15,6 +15,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::line::{Line, WatchedSocket};
+
 /// Longest time to make a connection. The next endpoint is tried instead: a lost opening packet
 /// is sent again only after a second.
 const CONNECT: Duration = Duration::from_millis(400);
@@ -57,12 +59,15 @@
 pub struct Connection {
     /// Sends one request.
     pub sender: SendRequest<Full<Bytes>>,
+    /// What is known of it.
+    pub line: Arc<Line>,
     /// Whether it has carried a request before.
     pub used: bool,
 }
 
 struct Idle {
     sender: SendRequest<Full<Bytes>>,
+    line: Arc<Line>,
     until: Instant,
 }
 
@@ -83,8 +88,12 @@
 
     /// The connection that was used last, or a new one.
     pub async fn take(&self) -> Result<Connection, ConnectError> {
-        if let Some(sender) = self.take_idle() {
-            return Ok(Connection { sender, used: true });
+        if let Some(Idle { sender, line, .. }) = self.take_idle() {
+            return Ok(Connection {
+                sender,
+                line,
+                used: true,
+            });
         }
         self.connect().await
     }
@@ -100,6 +109,7 @@
         // Without it the end of a request waits for an acknowledgement; with a failure it is
         // only slower.
         let _ = socket.set_nodelay(true);
+        let (socket, line) = WatchedSocket::new(socket);
         let handshake = Builder::new().handshake(TokioIo::new(socket)).await;
         let (sender, connection) = handshake.context(HandshakeSnafu { addr })?;
         tokio::spawn(async move {
@@ -108,12 +118,13 @@
         });
         Ok(Connection {
             sender,
+            line,
             used: false,
         })
     }
 
     /// Puts a connection back that has carried a whole answer.
-    pub fn put(&self, sender: SendRequest<Full<Bytes>>, keeps: Option<Duration>) {
+    pub fn put(&self, sender: SendRequest<Full<Bytes>>, line: Arc<Line>, keeps: Option<Duration>) {
         if sender.is_closed() {
             return;
         }
@@ -121,7 +132,11 @@
         let until = Instant::now() + keeps;
         let mut idle = self.lock();
         if idle.len() < MOST_IDLE {
-            idle.push(Idle { sender, until });
+            idle.push(Idle {
+                sender,
+                line,
+                until,
+            });
         }
     }
 
@@ -130,12 +145,12 @@
         self.lock().clear();
     }
 
-    fn take_idle(&self) -> Option<SendRequest<Full<Bytes>>> {
+    fn take_idle(&self) -> Option<Idle> {
         let now = Instant::now();
         let mut idle = self.lock();
         idle.retain(|idle| now < idle.until && !idle.sender.is_closed());
         let newest = idle.iter().rposition(|idle| idle.sender.is_ready())?;
-        Some(idle.remove(newest).sender)
+        Some(idle.remove(newest))
     }
 
     fn lock(&self) -> MutexGuard<'_, Vec<Idle>> {
--- a/crates/anvil_gateway/src/relay.rs
+++ b/crates/anvil_gateway/src/relay.rs
@@ -5,6 +5,7 @@
 //! answer; the connection to the one before is closed first, which makes it stop. Where nobody
 //! can go on, the client's connection is closed without the stream's end.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,6 +20,7 @@
 use crate::endpoint::Place;
 use crate::events::{Splitter, StreamEvent};
 use crate::exchange::{Exchange, may_resume, strip};
+use crate::line::Line;
 use crate::reply::{BrokenOff, Cause, Reply};
 
 /// Pauses between events that a resumable stream is given before another endpoint goes on, as
@@ -31,6 +33,7 @@
     body: Incoming,
     splitter: Splitter,
     sender: SendRequest<http_body_util::Full<Bytes>>,
+    line: Arc<Line>,
     head: AnswerHead,
     place: Place,
 }
@@ -175,8 +178,8 @@
 
     async fn go_on_elsewhere(&mut self) -> Result<Answer, Cause> {
         if let Some(source) = self.source.take() {
-            let now = self.exchange.gw.life.now();
-            source.place.endpoint.load().failed(now);
+            self.exchange
+                .endpoint_failed(&source.place.endpoint, "its stream broke off");
             let last = self.last;
             let id = &source.place.endpoint.id;
             self.exchange
@@ -205,7 +208,7 @@
             return;
         };
         let endpoint = source.place.endpoint.clone();
-        Answer::put_back(source.sender, &endpoint, &source.head);
+        Answer::put_back(source.sender, source.line, &endpoint, &source.head);
     }
 }
 
@@ -222,6 +225,7 @@
             body: answer.body,
             splitter: Splitter::default(),
             sender: answer.sender,
+            line: answer.line,
             head: answer.head,
             place: answer.place,
         }
--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -4,11 +4,10 @@
 use std::time::Duration;
 
 use anvilreel::{announce, event};
-use slog::Logger;
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
 
-use crate::gateway::{Gateway, GatewaySettings};
+use crate::gateway::Gateway;
 use crate::log_events as events;
 use crate::{discovery, follow, money_loop, serve};
 
@@ -28,12 +27,9 @@
     },
 }
 
-/// Starts a gateway and runs it until `stop` is ready and its requests have ended.
-pub async fn run(
-    cfg: GatewaySettings,
-    log: Logger,
-    stop: impl Future<Output = ()>,
-) -> Result<(), GatewayError> {
+/// Runs a gateway until `stop` is ready and its requests have ended.
+pub async fn run(gw: Arc<Gateway>, stop: impl Future<Output = ()>) -> Result<(), GatewayError> {
+    let (cfg, log) = (&gw.cfg, &gw.log);
     let addr = cfg.listen;
     let clients = TcpListener::bind(addr).await;
     let clients = clients.context(ListenSnafu { addr })?;
@@ -44,7 +40,6 @@
         log, events::GATEWAY_LISTENING,
         "addr" => cfg.listen.to_string(), "zone" => cfg.zone.id.to_string()
     );
-    let gw = Arc::new(Gateway::new(cfg, log));
     let own = gw.clone();
     let background = tokio::spawn(async move {
         let instance = own.instance();
--- a/crates/anvil_ledger/src/core/lead.rs
+++ b/crates/anvil_ledger/src/core/lead.rs
@@ -1,6 +1,8 @@
 //! What a leader does: append, replicate, commit, step down.
 
-use anvil_world::ids::{LogIndex, Term};
+use std::time::Duration;
+
+use anvil_world::ids::{InstanceId, LogIndex, Term};
 
 use super::leadership::{Leadership, Progress};
 use super::replica::{Replica, Role};
@@ -77,6 +79,29 @@
         self.leads() && self.membership().agreed(|id| self.heard_lately(id))
     }
 
+    /// An instance whose replica has not answered this leader for so long, while more than `least`
+    /// vote and a majority of the others has answered lately.
+    ///
+    /// Failure: an instance is replaced by one at another address and never comes back. Its
+    /// replica goes on counting in the majority, and the next loss stops the ledger.
+    pub fn lost_voter(&self, silence: Duration, least: usize) -> Option<&InstanceId> {
+        let Role::Leader(lead) = &self.role else {
+            return None;
+        };
+        let membership = self.membership();
+        if membership.voters.len() <= least {
+            return None;
+        }
+        let silent = |id: &ReplicaId| {
+            let progress = lead.progress.get(id);
+            *id != self.id && progress.is_some_and(|p| self.now >= p.heard + silence)
+        };
+        let (id, site) = membership.voters.iter().find(|(id, _)| silent(id))?;
+        let rest = membership.without_voter(*id);
+        let safe = rest.agreed(|other| self.heard_lately(other));
+        safe.then_some(&site.instance)
+    }
+
     /// Whether a replica has answered this leader within the last election time.
     pub(super) fn heard_lately(&self, id: ReplicaId) -> bool {
         let Role::Leader(lead) = &self.role else {
--- a/crates/anvil_ledger/src/storage/store.rs
+++ b/crates/anvil_ledger/src/storage/store.rs
@@ -12,7 +12,7 @@
 use super::{Damage, Disk, FORMAT, Op, StorageError, frame, snapshot};
 use crate::core::{EntryId, HardState, ReplicaId, SnapshotMeta, Write};
 
-/// A segment longer than this is closed, in bytes.
+/// A segment longer than this is closed, in bytes, unless the storage is told otherwise.
 const SEGMENT_BYTES: u64 = 16 << 20;
 const IDENTITY: &str = "identity";
 /// A file that gets its name once it is synced.
@@ -44,6 +44,7 @@
     hard: HardState,
     /// The last position of the newest snapshot.
     covered: LogIndex,
+    segment_bytes: u64,
     failed: bool,
 }
 
@@ -63,12 +64,19 @@
             last: found.last(),
             hard: found.hard,
             covered: found.snapshot.as_ref().map_or(0, |s| s.meta.last.index),
+            segment_bytes: SEGMENT_BYTES,
             failed: false,
         };
         storage.go_on(&found)?;
         Ok((storage, found))
     }
 
+    /// Closes segments that are longer than this, in bytes.
+    pub fn with_segment_bytes(mut self, bytes: u64) -> Self {
+        self.segment_bytes = bytes;
+        self
+    }
+
     /// Which disk this is.
     pub fn id(&self) -> ReplicaId {
         self.id
@@ -145,7 +153,7 @@
         let replaces = !write.entries.is_empty() && write.prev.index < self.last.index;
         if replaces {
             self.close_segment(write.prev)?;
-        } else if self.length > SEGMENT_BYTES {
+        } else if self.length > self.segment_bytes {
             self.close_segment(self.last)?;
         }
         let batch = Batch {
--- a/crates/anvil_policy/src/engine.rs
+++ b/crates/anvil_policy/src/engine.rs
@@ -157,6 +157,11 @@
         self.shut_until = self.shut_until.max(now + pause);
     }
 
+    /// Failures in a row.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
     /// Whether it is passed over for now.
     pub fn is_shut(&self, now: Now) -> bool {
         now < self.shut_until
--- a/crates/anvilreel/src/ledger_client.rs
+++ b/crates/anvilreel/src/ledger_client.rs
@@ -91,6 +91,18 @@
         true
     }
 
+    /// Asks through these as well.
+    pub fn add_ways(&self, more: &[SocketAddr]) {
+        let ways = self.ways.load();
+        let mut wanted = ways.addrs();
+        for addr in more {
+            if !wanted.contains(addr) {
+                wanted.push(*addr);
+            }
+        }
+        self.ways.store(Arc::new(ways.moved_to(&wanted)));
+    }
+
     /// How many ways there are.
     pub fn len(&self) -> usize {
         self.ways.load().len()
--- a/crates/anvilreel/src/ledger_client/way.rs
+++ b/crates/anvilreel/src/ledger_client/way.rs
@@ -32,6 +32,11 @@
         self.channels.iter().position(|way| way.addr() == addr)
     }
 
+    /// Their addresses, in order.
+    pub fn addrs(&self) -> Vec<SocketAddr> {
+        self.channels.iter().map(Channel::addr).collect()
+    }
+
     /// Whether these are the addresses, in this order.
     pub fn leads_to(&self, addrs: &[SocketAddr]) -> bool {
         self.channels
--- a/crates/anvilreel/src/ledger_service.rs
+++ b/crates/anvilreel/src/ledger_service.rs
@@ -66,10 +66,29 @@
     pub gone_after: Duration,
     /// A snapshot is taken after this many entries.
     pub snapshot_every: u64,
+    /// A snapshot is taken, too, after this many bytes of entries.
+    pub snapshot_bytes: u64,
+    /// A file of the log is closed when it is longer, in bytes. Files go when a snapshot covers
+    /// them, so a small disk wants small ones.
+    pub segment_bytes: u64,
+    /// Replicas that are lost for good are taken out of the ledger; `None` leaves that to an
+    /// operator.
+    pub take_out: Option<TakeOut>,
+    /// The process ends its replica when that can't go on, instead of saying so to all who ask.
+    pub end_when_failed: bool,
     /// One sync for many entries; off only to measure what that brings.
     pub group_commit: bool,
 }
 
+/// When a replica is taken out of the ledger without an operator.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TakeOut {
+    /// After a silence of this length.
+    pub after: Duration,
+    /// Never below this many voters: twice the disks that may be lost at once, plus one.
+    pub least: usize,
+}
+
 impl Default for Tuning {
     fn default() -> Self {
         Self {
@@ -77,6 +96,10 @@
             silent_after: Duration::from_secs(5),
             gone_after: Duration::from_secs(10),
             snapshot_every: 10_000,
+            snapshot_bytes: 64 << 20,
+            segment_bytes: 16 << 20,
+            take_out: None,
+            end_when_failed: false,
             group_commit: true,
         }
     }
@@ -119,6 +142,7 @@
 ) -> Result<LedgerHandle, ServiceError> {
     let fresh = rand::random();
     let (storage, found) = Storage::open(disk.clone(), fresh).context(StorageSnafu)?;
+    let storage = storage.with_segment_bytes(tuning.segment_bytes);
     let server = Server::bind(cfg.wire_listen).await.context(ListenSnafu)?;
     let addr = server.addr().context(ListenSnafu)?;
     let (inbox, rx) = mpsc::channel(INBOX);
@@ -142,12 +166,22 @@
         stopping: stopping.clone(),
         disk: Disk::read_only(&cfg.data),
     };
+    let (ended, mut node_ended) = watch::channel(false);
     let task = tokio::spawn(async move {
-        let node = tokio::spawn(node.run(rx, stopping));
+        let node = tokio::spawn(async move {
+            let writer = node.run(rx, stopping).await;
+            // Somebody always listens here: the task around this one holds a receiver.
+            let _ = ended.send(true);
+            writer
+        });
         let links = tokio::spawn(links::run(reach.clone(), id, cfg.clone(), addr));
         let founding = tokio::spawn(founding::run(reach.clone(), id, cfg, addr, log.clone()));
         let serving = server.serve(handlers::all(&reach), async move {
-            stop.await;
+            tokio::select! {
+                () = stop => {}
+                // Either it has failed and is to end the process, or it has panicked.
+                _ = node_ended.wait_for(|ended| *ended) => {}
+            }
             // Somebody always listens here: this task holds a receiver.
             let _ = ending.send(true);
         });
--- a/crates/anvilreel/src/ledger_service/events.rs
+++ b/crates/anvilreel/src/ledger_service/events.rs
@@ -55,4 +55,6 @@
         "An instance was not heard of for some seconds; it gets no new work until it is.";
     LEDGER_FOUNDER_UNKNOWN = 3016 Warning "ledger_founder_unknown":
         "A founder's address is answered by another instance; check the settings.";
+    LEDGER_REPLICA_LOST = 3018 Warning "ledger_replica_lost":
+        "A replica has been silent for so long that it is taken out; it may join again.";
 }
--- a/crates/anvilreel/src/ledger_service/node.rs
+++ b/crates/anvilreel/src/ledger_service/node.rs
@@ -109,6 +109,8 @@
     public: watch::Sender<Public>,
     inbox: Inbox,
     covered: LogIndex,
+    /// Bytes of entries applied since the last snapshot.
+    uncovered_bytes: u64,
     preparing: bool,
     next_watch: Duration,
     next_measure: Duration,
@@ -145,6 +147,7 @@
             covered: replica.committed(),
             replica,
             machine,
+            uncovered_bytes: 0,
             pending: Pending::default(),
             signs: Signs::default(),
             testimony: Testimony::default(),
@@ -182,6 +185,9 @@
                 }
             }
             self.publish();
+            if self.stopped && self.setup.tuning.end_when_failed {
+                return self.setup.writer;
+            }
         }
     }
 
--- a/crates/anvilreel/src/ledger_service/node/disk.rs
+++ b/crates/anvilreel/src/ledger_service/node/disk.rs
@@ -43,6 +43,9 @@
     /// Applies committed entries and answers whoever proposed them.
     pub(super) fn apply(&mut self, entries: &[Entry]) {
         for entry in entries {
+            if let Payload::Data(data) = &entry.payload {
+                self.uncovered_bytes += data.len() as u64;
+            }
             self.tell_members(entry);
             match self.machine.apply(entry) {
                 Ok(answer) => self.pending.applied(entry.id, answer),
@@ -67,7 +70,9 @@
     /// Writes a snapshot off this task: the log goes on meanwhile.
     fn save_when_due(&mut self) {
         let applied = self.machine.state.applied();
-        let due = applied >= self.covered + self.setup.tuning.snapshot_every;
+        let tuning = &self.setup.tuning;
+        let due = applied >= self.covered + tuning.snapshot_every
+            || self.uncovered_bytes >= tuning.snapshot_bytes;
         if !due || self.preparing {
             return;
         }
@@ -77,6 +82,7 @@
         };
         self.preparing = true;
         self.covered = applied;
+        self.uncovered_bytes = 0;
         let meta = SnapshotMeta { last, membership };
         let machine = self.machine.clone();
         let disk = self.setup.disk.clone();
--- a/crates/anvilreel/src/ledger_service/node/fleet.rs
+++ b/crates/anvilreel/src/ledger_service/node/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use anvil_ledger::core::Event;
 use anvil_wire::msg::{Heartbeat, HeartbeatReply, LedgerReply};
 use anvil_world::command::SetPresence;
 use anvil_world::document::FleetDocument;
@@ -83,10 +84,24 @@
             return;
         }
         self.next_watch = now + WATCH;
+        self.take_out_lost();
         self.mark_silent(now);
         self.close_grants();
     }
 
+    fn take_out_lost(&mut self) {
+        let Some(rule) = self.setup.tuning.take_out else {
+            return;
+        };
+        let lost = self.replica.lost_voter(rule.after, rule.least).cloned();
+        if let Some(instance) = lost {
+            event!(
+                self.setup.log, events::LEDGER_REPLICA_LOST, "instance" => instance.to_string()
+            );
+            self.feed(Event::Remove(instance));
+        }
+    }
+
     /// Closes fenced grants, when a fence or evidence has come since the last look: going through
     /// all open grants every second would cost the node more than its commits do.
     fn close_grants(&mut self) {
--- a/crates/anvilreel/src/lib.rs
+++ b/crates/anvilreel/src/lib.rs
@@ -7,7 +7,7 @@
 //! [`relay`] passes calls on to the ledger for those who can't reach it.
 //!
 //! Shared by the shells: [`ledger_client`] asks the ledger, [`announce`] tells it who lives, [`members`]
-//! says who is where, [`held`] keeps what it spreads,
+//! says who is where and [`watcher`] keeps up with it, [`held`] keeps what it spreads,
 //! [`events`] numbers what is logged and [`metrics`] names what is measured.
 
 pub mod announce;
@@ -29,3 +29,4 @@
 pub mod router;
 pub mod runs;
 pub mod sidecar;
+pub mod watcher;
--- a/crates/anvilreel/src/relay.rs
+++ b/crates/anvilreel/src/relay.rs
@@ -9,7 +9,6 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use anvil_wire::msg::{Interest, LedgerCall, LedgerReply, LedgerRequest};
@@ -18,12 +17,12 @@
 use slog::Logger;
 use tokio::time::timeout;
 
+use crate::announce;
 use crate::event;
 use crate::events;
-use crate::held::Held;
 use crate::ledger_client::LedgerClient;
 use crate::life::Life;
-use crate::{announce, members};
+use crate::watcher::Watcher;
 
 /// Longest time that a call is passed on. Whoever asks waits no longer for one way.
 const PASS_WITHIN: Duration = Duration::from_millis(900);
@@ -31,8 +30,6 @@
 const ONE_REPLICA: Duration = Duration::from_millis(250);
 /// A followed replica that says nothing for so long is left for another one.
 const SILENCE: Duration = Duration::from_millis(900);
-/// Pause before another replica is followed.
-const AGAIN: Duration = Duration::from_millis(100);
 
 /// What a relay is told at its start.
 #[derive(Debug, Clone)]
@@ -49,27 +46,31 @@
 
 struct Relay {
     cfg: RelaySettings,
-    ledger: LedgerClient,
+    watcher: Arc<Watcher>,
     log: Logger,
     life: Life,
-    /// Number of the replica that this relay follows itself: one that is current.
-    followed: AtomicUsize,
+}
+
+/// The relay's own way to the ledger.
+pub fn watcher(cfg: &RelaySettings) -> Arc<Watcher> {
+    let ledger = LedgerClient::new(&cfg.ledger).with_patience(ONE_REPLICA);
+    Arc::new(Watcher::new(ledger, cfg.id.clone(), &cfg.ledger))
 }
 
 /// Runs a relay until `stop` is ready.
 pub async fn run(
     cfg: RelaySettings,
+    watcher: Arc<Watcher>,
     log: Logger,
     stop: impl Future<Output = ()>,
 ) -> Result<(), WireError> {
     let server = Server::bind(cfg.listen).await?;
     event!(log, events::RELAY_LISTENING, "addr" => cfg.listen.to_string());
     let relay = Arc::new(Relay {
-        ledger: LedgerClient::new(&cfg.ledger).with_patience(ONE_REPLICA),
+        watcher,
         cfg,
         log,
         life: Life::begin(),
-        followed: AtomicUsize::new(rand::random_range(0..64)),
     });
     let answering = relay.clone();
     let handlers = Handlers::default().with::<LedgerCall, _, _>(move |req, tx| {
@@ -79,7 +80,7 @@
     tokio::select! {
         () = stop => {}
         () = server.serve(handlers, std::future::pending()) => {}
-        () = relay.follow() => {}
+        () = relay.watcher.run() => {}
         () = relay.announce() => {}
     }
     event!(relay.log, events::RELAY_STOPPED);
@@ -96,32 +97,7 @@
             addr: self.cfg.listen,
             endpoint: None,
         };
-        announce::run(&self.ledger, &self.life, &instance, || 0).await;
-    }
-
-    /// Keeps up with which replicas there are.
-    async fn follow(&self) {
-        let mut held = Held::default();
-        loop {
-            let replica = self.followed.load(Ordering::Relaxed);
-            let id = self.cfg.id.clone();
-            let opening = self
-                .ledger
-                .follow(replica, id, Interest::Router, held.version);
-            if let Ok(Ok(mut replies)) = timeout(SILENCE, opening).await {
-                while let Ok(Ok(Some(LedgerReply::Follow(told)))) =
-                    timeout(SILENCE, replies.next()).await
-                {
-                    if held.apply(told) {
-                        let replicas = members::replicas(&held, &self.cfg.ledger);
-                        self.ledger.set_ways(&replicas, &[]);
-                    }
-                }
-            }
-            self.followed
-                .store(replica.wrapping_add(1), Ordering::Relaxed);
-            tokio::time::sleep(AGAIN).await;
-        }
+        announce::run(&self.watcher.ledger, &self.life, &instance, || 0).await;
     }
 
     async fn answer(&self, req: LedgerRequest, tx: Replier<LedgerReply>) {
@@ -135,7 +111,7 @@
             return;
         }
         // The asker can't tell whether a lost answer was carried out, so a doubt stays a doubt.
-        let reply = match self.ledger.ask(&req, PASS_WITHIN).await {
+        let reply = match self.watcher.ledger.ask(&req, PASS_WITHIN).await {
             Ok(reply) => reply,
             Err(crate::ledger_client::LedgerError::InDoubt) => LedgerReply::InDoubt,
             Err(_) => LedgerReply::NoQuorum,
@@ -151,8 +127,9 @@
         version: LogIndex,
         mut tx: Replier<LedgerReply>,
     ) {
-        let replica = self.followed.load(Ordering::Relaxed);
-        let opening = self.ledger.follow(replica, instance, interest, version);
+        let replica = self.watcher.followed();
+        let ledger = &self.watcher.ledger;
+        let opening = ledger.follow(replica, instance, interest, version);
         let Ok(Ok(mut replies)) = timeout(SILENCE, opening).await else {
             return;
         };
