--- a/crates/anvil_gateway/src/directory.rs
+++ b/crates/anvil_gateway/src/directory.rs
@@ -1,7 +1,8 @@
 //! Which endpoints there are, as the platform lists them.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
 
 use anvil_world::prelude::*;
 use arc_swap::ArcSwap;
@@ -12,10 +13,16 @@
 /// Endpoints of one service.
 pub type Group = Vec<Arc<Endpoint>>;
 
+/// For how long an endpoint that was leaving is still known as such after the list has dropped
+/// it: some times the lag of the list. Afterwards the same name may be another life.
+const REMEMBERED: Duration = Duration::from_secs(5);
+
 /// All endpoints by service; replaced whole.
 #[derive(Default)]
 pub struct Directory {
     groups: ArcSwap<BTreeMap<ServiceId, Group>>,
+    /// Endpoints that were leaving, with when they were last listed so.
+    left: Mutex<BTreeMap<InstanceId, Instant>>,
 }
 
 /// What a new list changed.
@@ -56,6 +63,9 @@
         for endpoint in old.values().flatten() {
             known.insert(&endpoint.id, endpoint);
         }
+        // A panic elsewhere leaves names and times, each of them true.
+        let mut left = self.left.lock().unwrap_or_else(PoisonError::into_inner);
+        left.retain(|_, at| at.elapsed() < REMEMBERED);
         let mut changes = Changes::default();
         let mut groups: BTreeMap<ServiceId, Group> = BTreeMap::new();
         for listed in list {
@@ -66,9 +76,15 @@
                 changes.came.push(listed.id.clone());
                 Arc::new(Endpoint::new(listed))
             });
-            if listed.leaving && endpoint.leave() {
+            // Failure: a list that lags names an endpoint as ready that an earlier one named as
+            // leaving or no longer at all, and it gets work just before it goes.
+            let leaves = listed.leaving || left.contains_key(&listed.id);
+            if leaves && endpoint.leave() {
                 changes.leaving.push(listed.id.clone());
             }
+            if listed.leaving {
+                left.insert(listed.id.clone(), Instant::now());
+            }
             groups
                 .entry(listed.service.clone())
                 .or_default()
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Uri, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempt::{Answer, Doubt, NotRun, Outgoing, Tried, send};
@@ -190,6 +190,10 @@
 }
 
 async fn read_body(body: Incoming, most: usize, until: Instant) -> Result<Bytes, Refused> {
+    // What is announced as too long is not waited for.
+    if body.size_hint().lower() > most as u64 {
+        return Err((Cause::BodyTooLong, SOON));
+    }
     let reading = Limited::new(body, most).collect();
     match timeout_at(until, reading).await {
         Err(_) => Err((Cause::BodyLate, SOON)),
--- /dev/null
+++ b/crates/anvil_gateway/tests/direct/dialect.rs
@@ -0,0 +1,88 @@
+//! A dialect of its own, so that nothing rests on one platform's names.
+
+use std::time::Duration;
+
+use anvil_gateway::dialect::{
+    AnswerHead, Ask, BadAsk, BadTable, Dialect, Load, ModelWork, Onward, PromptPart,
+};
+use anvil_gateway::table::RouteTable;
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, request};
+
+/// The dialect of the tests.
+pub const DIALECT: Dialect = Dialect {
+    ask,
+    onward,
+    answer,
+    table,
+};
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn ask(head: &request::Parts) -> Result<Ask, BadAsk> {
+    let headers = &head.headers;
+    let id = text(headers, "x-id").ok_or(BadAsk { what: "the id" })?;
+    let patience = text(headers, "x-wait").and_then(|ms| ms.parse().ok());
+    let work = text(headers, "x-tokens").and_then(|tokens| {
+        let (prompt, most_output) = tokens.split_once(',')?;
+        let prompt = prompt.parse().ok()?;
+        Some(ModelWork {
+            prompt,
+            most_output: most_output.parse().ok()?,
+            parts: vec![PromptPart {
+                id: 1,
+                tokens: prompt,
+            }],
+        })
+    });
+    Ok(Ask {
+        id: id.into(),
+        patience: Duration::from_millis(patience.unwrap_or(3_000)),
+        key: text(headers, "x-key").map(Into::into),
+        work,
+        after: text(headers, "x-after").and_then(|id| id.parse().ok()),
+    })
+}
+
+fn onward(client: &HeaderMap, onward: &Onward<'_>) -> HeaderMap {
+    let mut headers = client.clone();
+    for name in ["connection", "content-length", "x-key"] {
+        headers.remove(name);
+    }
+    let mut set = |name: &'static str, value: String| {
+        let value = HeaderValue::try_from(value).expect("a header value");
+        headers.insert(HeaderName::from_static(name), value);
+    };
+    set("x-endpoint", onward.endpoint.into());
+    set("x-wait", onward.left.as_millis().to_string());
+    if let Some(organisation) = onward.organisation {
+        set("x-organisation", organisation.into());
+    }
+    if let Some(after) = onward.after {
+        set("x-after", after.to_string());
+    }
+    headers
+}
+
+fn answer(status: StatusCode, headers: &HeaderMap) -> AnswerHead {
+    AnswerHead {
+        id: text(headers, "x-id").map(Into::into),
+        not_run: headers.contains_key("x-not-run") || status == StatusCode::MISDIRECTED_REQUEST,
+        sealed: headers.contains_key("x-seal"),
+        load: text(headers, "x-load").and_then(|load| {
+            let mut numbers = load.split(',').map(|n| n.parse().ok());
+            Some(Load {
+                running: numbers.next()??,
+                waiting: numbers.next()??,
+                slots: numbers.next()??,
+            })
+        }),
+        keeps: None,
+        encoded: headers.contains_key("content-encoding"),
+    }
+}
+
+fn table(_: &str) -> Result<RouteTable, BadTable> {
+    unreachable!("tests put their tables in themselves")
+}
--- /dev/null
+++ b/crates/anvil_gateway/tests/direct/fleet.rs
@@ -0,0 +1,140 @@
+//! A gateway with a routing table and endpoints of a test's own.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvil_gateway::dialect::{ListPage, ListSource, Listed};
+use anvil_gateway::table::{
+    Engine, Limits, Organisation, Repeat, Route, RouteTable, Service, TableParts,
+};
+use anvil_gateway::{Gateway, GatewaySettings, serve};
+use anvil_world::prelude::*;
+use bytes::Bytes;
+use slog::{Discard, Logger, o};
+use tokio::net::TcpListener;
+
+use crate::dialect::DIALECT;
+use crate::endpoint::Endpoint;
+
+/// The service that all routes of the tests lead to.
+pub const SERVICE: &str = "desk";
+
+/// A running gateway.
+pub struct Fleet {
+    /// Its insides.
+    pub gw: Arc<Gateway>,
+    /// Where clients connect.
+    pub addr: SocketAddr,
+    /// Ends when the planned stop has finished.
+    pub serving: tokio::task::JoinHandle<()>,
+}
+
+/// A route for each kind of repeating: `/idempotent/`, `/once/`, `/stream/` and `/resumed/`.
+pub fn routes() -> Vec<Route> {
+    let route = |name: &str, repeat| Route {
+        name: name.into(),
+        host: "shop".into(),
+        prefix: format!("/{name}/").into(),
+        repeat,
+        timeout: Duration::from_secs(3),
+        target: Duration::from_millis(150),
+        gap: Some(Duration::from_millis(100)),
+        class: 1,
+        services: vec![(SERVICE.into(), 1)],
+        attempts: 2,
+        public: true,
+    };
+    vec![
+        route("idempotent", Repeat::Idempotent),
+        route("once", Repeat::Once),
+        route("stream", Repeat::StreamOnce),
+        route("resumed", Repeat::StreamResumed),
+    ]
+}
+
+/// A table of these routes, with one prepaid organisation whose key is `key`.
+pub fn table(version: RoutingVersion, routes: Vec<Route>) -> RouteTable {
+    let organisation = Organisation {
+        id: "co-op".into(),
+        class: None,
+        prepaid: true,
+    };
+    let service = Service {
+        id: SERVICE.into(),
+        connections: 100,
+        engine: Some(Engine {
+            batch: 8,
+            memory: 100_000,
+            tokens_per_event: 3,
+        }),
+    };
+    RouteTable::from(TableParts {
+        version,
+        routes,
+        services: vec![service],
+        organisations: vec![(organisation, vec!["key".into()])],
+        limits: Limits {
+            head_bytes: 16_384,
+            body_bytes: 10_000,
+            head_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
+        },
+    })
+}
+
+/// An endpoint as the platform would list it.
+pub fn listed(id: &str, addr: SocketAddr) -> Listed {
+    Listed {
+        id: id.into(),
+        service: SERVICE.into(),
+        addr,
+        zone: "local-a".into(),
+        slots: 8,
+        leaving: false,
+        warm_in: Duration::ZERO,
+    }
+}
+
+fn settings() -> GatewaySettings {
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 9));
+    GatewaySettings {
+        id: "gateway-1".into(),
+        zone: Zone::default(),
+        listen: nowhere,
+        ready_listen: nowhere,
+        ledger: Vec::new(),
+        list: ListSource {
+            addr: nowhere,
+            path: "/".into(),
+            page: |_: &Bytes| Ok(ListPage::default()),
+        },
+        dialect: DIALECT,
+        grace: Duration::from_secs(4),
+        retry_part: 0.2,
+        retry_slack: 200.0,
+        retry_window: Duration::from_secs(10),
+        list_every: Duration::from_secs(1),
+    }
+}
+
+impl Fleet {
+    /// A gateway before these endpoints, with the tests' routes.
+    pub async fn start(endpoints: &[(&str, &Endpoint)]) -> Self {
+        let fleet = Self::empty().await;
+        let list: Vec<_> = endpoints.iter().map(|(id, e)| listed(id, e.addr)).collect();
+        fleet.gw.directory.take(&list);
+        fleet.gw.table.store(Some(Arc::new(table(1, routes()))));
+        fleet
+    }
+
+    /// A gateway that knows nothing yet.
+    pub async fn empty() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let log = Logger::root(Discard, o!());
+        let gw = Arc::new(Gateway::new(settings(), log));
+        let serving = tokio::spawn(serve::clients(gw.clone(), listener));
+        Self { gw, addr, serving }
+    }
+}
--- /dev/null
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -0,0 +1,10 @@
+//! A gateway over real sockets, before endpoints that misbehave in every way that can be seen.
+
+mod answers;
+mod client;
+mod dialect;
+mod endpoint;
+mod fleet;
+mod leaving;
+mod money;
+mod streams;
--- /dev/null
+++ b/crates/anvil_ledger/tests/state_routing.rs
@@ -0,0 +1,158 @@
+//! The routing table by highest number, and budgets that follow it.
+
+use std::collections::BTreeMap;
+use std::time::UNIX_EPOCH;
+
+use anvil_ledger::state::State;
+use anvil_world::command::{
+    Change, Denial, Edit, GrantAsk, GrantBatch, GrantReport, ReplaceRouting, change_id,
+};
+use anvil_world::prelude::*;
+
+struct Ledger {
+    state: State,
+    index: LogIndex,
+    seq: BatchSeq,
+}
+
+impl Ledger {
+    fn new() -> Self {
+        Self {
+            state: State::default(),
+            index: 0,
+            seq: 0,
+        }
+    }
+
+    fn apply(&mut self, command: &Command) -> Answer {
+        self.index += 1;
+        let answer = self.state.apply(self.index, 1, command);
+        assert_eq!(self.state.holds(), Ok(()));
+        answer
+    }
+
+    fn replace(&mut self, version: RoutingVersion, text: &str, credited: Tokens) -> Answer {
+        self.apply(&Command::ReplaceRouting(ReplaceRouting {
+            operator: "op".into(),
+            version,
+            text: text.into(),
+            credits: BTreeMap::from([("co-op".into(), credited)]),
+            at: UNIX_EPOCH,
+        }))
+    }
+
+    fn batch(&mut self, reports: Vec<GrantReport>, wanted: Tokens) -> Vec<Grant> {
+        self.seq += 1;
+        let ask = GrantAsk {
+            budget: "co-op".into(),
+            wanted,
+            least: wanted,
+        };
+        let batch = GrantBatch {
+            router: "router".into(),
+            incarnation: 1,
+            seq: self.seq,
+            reports,
+            asks: if wanted > 0 { vec![ask] } else { Vec::new() },
+        };
+        match self.apply(&Command::GrantBatch(batch)) {
+            Answer::Grants(answer) => answer.opened,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn text(&self) -> Option<&str> {
+        let entry = self.state.tree().get(&TreePath::Routing);
+        entry.map(|entry| &*entry.text)
+    }
+
+    fn budget(&self) -> &Budget {
+        self.state.budget("co-op").expect("a budget")
+    }
+}
+
+/// Two operators' tables cross, an older order arrives late, and an order whose answer was lost is
+/// sent again. All are acknowledged; what is in force never reverts, whatever the order.
+#[test]
+fn the_highest_number_is_in_force_whatever_comes_after_it() {
+    let mut ledger = Ledger::new();
+    assert_eq!(ledger.replace(7, "seven", 0), Answer::Routing(7));
+    let version = ledger.state.version();
+    assert_eq!(ledger.replace(5, "five", 0), Answer::Routing(7));
+    assert_eq!(ledger.replace(7, "seven", 0), Answer::Routing(7));
+    assert_eq!(ledger.text(), Some("seven"));
+    // Nothing is spread that changes nothing.
+    assert_eq!(ledger.state.version(), version);
+    assert_eq!(ledger.replace(9, "nine", 0), Answer::Routing(9));
+    assert_eq!(ledger.text(), Some("nine"));
+    assert!(ledger.state.version() > version);
+}
+
+/// Another table comes under the number in force, by a mistake or from another operator. It is
+/// neither read back nor obeyed.
+#[test]
+fn other_content_under_the_same_number_changes_nothing() {
+    let mut ledger = Ledger::new();
+    ledger.replace(7, "seven", 100);
+    assert_eq!(ledger.replace(7, "another", 5_000), Answer::Routing(7));
+    assert_eq!(ledger.text(), Some("seven"));
+    assert_eq!(ledger.budget().credited, 100);
+}
+
+/// An operator's client changes the table by its revision, past the number that alone decides.
+/// It is refused, or an accepted table could be undone by an older one.
+#[test]
+fn the_table_is_not_changed_by_revision() {
+    let mut ledger = Ledger::new();
+    ledger.replace(7, "seven", 0);
+    let revision = ledger.state.tree()[&TreePath::Routing].revision;
+    let answer = ledger.apply(&Command::Change(Change {
+        id: change_id(UNIX_EPOCH, "x"),
+        operator: "op".into(),
+        path: TreePath::Routing,
+        expected: revision,
+        edit: Edit::Put("other".into()),
+        at: UNIX_EPOCH,
+    }));
+    assert!(matches!(answer, Answer::Denied(Denial::Settings { .. })));
+    assert_eq!(ledger.text(), Some("seven"));
+}
+
+/// A budget is raised: the new money can be granted at once, and raising it again by the same
+/// table adds nothing.
+#[test]
+fn a_raised_budget_is_worth_what_the_table_says() {
+    let mut ledger = Ledger::new();
+    ledger.replace(1, "one", 100);
+    assert_eq!(ledger.batch(Vec::new(), 80).len(), 1);
+    assert!(ledger.batch(Vec::new(), 80).is_empty());
+    ledger.replace(2, "two", 200);
+    ledger.replace(2, "two", 200);
+    assert_eq!(ledger.budget().left(), 120);
+    assert_eq!(ledger.batch(Vec::new(), 80).len(), 1);
+}
+
+/// A budget is lowered below what a router holds and has spent. Nothing more is granted, what is
+/// open is called back, and as it comes in the budget sinks to its new worth and no further than
+/// what was used.
+#[test]
+fn a_lowered_budget_sinks_as_its_grants_come_back() {
+    let mut ledger = Ledger::new();
+    ledger.replace(1, "one", 1_000);
+    let grants = ledger.batch(Vec::new(), 600);
+    ledger.replace(2, "two", 300);
+    assert!(ledger.batch(Vec::new(), 1).is_empty());
+    assert_eq!(
+        ledger.budget().open[&grants[0].id].state,
+        GrantState::Recalled
+    );
+    let report = GrantReport {
+        grant: grants[0].id,
+        settled: 200,
+        returned: 0,
+        close: true,
+    };
+    ledger.batch(vec![report], 0);
+    assert_eq!(ledger.budget().credited, 300);
+    assert_eq!(ledger.budget().left(), 100);
+}
