Bounded logs on standard output, metrics over HTTP, and one request's way out of logs

Each try's line says what is known of the endpoint's load and how old that is; each request's line how old the ledger's confirmation was.

--- a/crates/anvil_daemons/src/operate/arguments.rs
+++ b/crates/anvil_daemons/src/operate/arguments.rs
@@ -73,6 +73,8 @@
     Check(Check),
     /// Print the digest of a bearer key.
     HashKey(HashKey),
+    /// Tell one request's way out of logs.
+    Explain(ExplainArgs),
     /// Look into a ledger's data folder.
     Ledger(LedgerArgs),
 }
@@ -273,6 +275,18 @@
 #[argh(subcommand, name = "hash-key")]
 pub struct HashKey {}
 
+/// tell one request's way, and what decided it, out of the logs of several processes
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct ExplainArgs {
+    /// the request's id
+    #[argh(positional)]
+    pub request: String,
+    /// files with log lines, one for each process
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
 /// look into a ledger's data folder
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "ledger")]
--- a/crates/anvil_daemons/src/operate/run.rs
+++ b/crates/anvil_daemons/src/operate/run.rs
@@ -11,7 +11,8 @@
 use serde::Serialize;
 
 use super::arguments::{
-    Apply, Audit, Check, Connection, LedgerCommand, Operate, OrderArgs, OrderSubject, Remove,
+    Apply, Audit, Check, Connection, ExplainArgs, LedgerCommand, Operate, OrderArgs, OrderSubject,
+    Remove,
 };
 use super::check::check;
 
@@ -69,10 +70,21 @@
         Operate::Order(args) => order(&client, json, args).await,
         Operate::Check(args) => check_all(&args),
         Operate::HashKey(_) => hash_key(),
+        Operate::Explain(args) => explain(json, &args),
         Operate::Ledger(args) => Ok(inspect(json, &args.command)),
     }
 }
 
+fn explain(json: bool, args: &ExplainArgs) -> Result<ExitCode, OperatorError> {
+    let mut logs = Vec::new();
+    for file in &args.files {
+        let name = file.file_stem().unwrap_or_default().to_string_lossy();
+        logs.push((name.into_owned(), read_file(file)?));
+    }
+    let logs = logs.iter().map(|(name, text)| (&**name, &**text));
+    done(json, &operator::explain(&args.request, logs))
+}
+
 async fn apply(client: &Client, json: bool, args: Apply) -> Result<ExitCode, OperatorError> {
     let Some(file) = &args.file else {
         return apply_folder(client, json, args.path.as_ref()).await;
--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -18,6 +18,8 @@
     pub expected: Duration,
     /// Tokens of the prompt that have to be read there.
     pub missing: Tokens,
+    /// What is known of its load, and how old that is.
+    pub grounds: String,
 }
 
 /// Why nothing was chosen.
@@ -71,11 +73,13 @@
         if expected > within {
             return Err(Unplaced::TooLate(expected));
         }
+        let grounds = endpoint.load().grounds(now);
         let place = Place::take(endpoint.clone(), now, &self.rule, prompt, missing);
         Ok(Chosen {
             place,
             expected,
             missing,
+            grounds,
         })
     }
 
--- a/crates/anvil_gateway/src/directory.rs
+++ b/crates/anvil_gateway/src/directory.rs
@@ -55,6 +55,15 @@
         self.groups.load().is_empty()
     }
 
+    /// How many take work, and how many of those are passed over for now.
+    pub fn count(&self, now: Now) -> (u64, u64) {
+        let groups = self.groups.load();
+        let all = groups.values().flatten();
+        let open: Vec<_> = all.filter(|endpoint| !endpoint.is_leaving()).collect();
+        let shut = open.iter().filter(|endpoint| endpoint.load().is_shut(now));
+        (open.len() as u64, shut.count() as u64)
+    }
+
     /// Takes in a whole list. Endpoints in the same life at the same address keep their
     /// connections and what is known of them; those not listed get no new work.
     pub fn take(&self, list: &[Listed]) -> Changes {
--- a/crates/anvil_gateway/src/discovery.rs
+++ b/crates/anvil_gateway/src/discovery.rs
@@ -1,5 +1,6 @@
 //! Reads the platform's list of endpoints again and again.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use anvilreel::event;
@@ -73,6 +74,7 @@
 }
 
 fn take(gw: &Gateway, listed: &[Listed], unreadable: u32) {
+    gw.listed.store(gw.now_ms(), Ordering::Relaxed);
     let changes = gw.directory.take(listed);
     if !changes.is_empty() {
         event!(
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -20,6 +20,7 @@
 use crate::gateway::Gateway;
 use crate::line::Line;
 use crate::log_events as events;
+use crate::metrics;
 use crate::money::Spend;
 use crate::relay::Relay;
 use crate::reply::{Cause, ONE_CONNECTION, Reply, refusal, whole};
@@ -80,13 +81,13 @@
     let ask = match (gw.cfg.dialect.ask)(&parts) {
         Ok(ask) => ask,
         Err(e) => {
-            let mut trace = Trace::new(gw.log.clone(), "unknown".into(), begun);
+            let mut trace = Trace::new(gw.clone(), "unknown".into(), begun);
             trace.step(format_args!("{e}"));
             trace.ended(Cause::BadHead.text());
             return refusal(Cause::BadHead, None);
         }
     };
-    let mut trace = Trace::new(gw.log.clone(), ask.id.clone(), begun);
+    let mut trace = Trace::new(gw.clone(), ask.id.clone(), begun);
     match admit(gw, parts, body, ask, begun, &mut trace).await {
         Ok(admitted) => admitted.into_exchange(gw.clone(), trace).run().await,
         Err((cause, again)) => {
@@ -220,10 +221,14 @@
     let split = Split::whole(organisation.id.clone());
     let bound = work.prompt.saturating_add(work.most_output);
     let mut give_up: Option<Now> = None;
+    let asked = Instant::now();
     loop {
         let changed = gw.purse.changed();
         let shortage = match gw.purse.reserve(gw.life.now(), &split, bound) {
             Ok(reservation) => {
+                if give_up.is_some() {
+                    gw.metrics.time(metrics::MONEY_WAIT, asked.elapsed());
+                }
                 let spend = Spend::new(gw.purse.clone(), reservation, work.prompt);
                 return Ok(Some(spend));
             }
@@ -320,11 +325,13 @@
 
     fn not_run(&mut self, why: &NotRun) -> Cause {
         self.trace.step(format_args!("not run: {why:?}"));
+        self.gw.metrics.count(metrics::TRIES_NOT_RUN);
         Cause::Refused
     }
 
     fn doubt(&mut self, doubt: Doubt) -> Cause {
         self.trace.step(format_args!("in doubt: {doubt:?}"));
+        self.gw.metrics.count(metrics::TRIES_IN_DOUBT);
         self.in_doubt = true;
         match doubt {
             Doubt::Silent => Cause::Late,
@@ -353,9 +360,13 @@
         let chosen = chosen.map_err(|unplaced| self.unplaced(unplaced))?;
         let endpoint = chosen.place.endpoint.clone();
         self.trace.step(format_args!(
-            "to {} expecting {:?}, {} tokens to read",
-            endpoint.id, chosen.expected, chosen.missing
+            "to {} expecting {:?}, {} tokens to read, {}",
+            endpoint.id, chosen.expected, chosen.missing, chosen.grounds
         ));
+        self.gw.metrics.count(metrics::TRIES);
+        if !self.tried.is_empty() {
+            self.gw.metrics.count(metrics::TRIES_AGAIN);
+        }
         self.tried.push(endpoint.id.clone());
         let left = self.left();
         let onward = Onward {
--- a/crates/anvil_gateway/src/follow.rs
+++ b/crates/anvil_gateway/src/follow.rs
@@ -61,8 +61,7 @@
             event!(gw.log, events::GATEWAY_IN_TOUCH, "replica" => replica);
             *in_touch = true;
         }
-        let now = u64::try_from(gw.life.now().as_millis()).unwrap_or(u64::MAX);
-        gw.confirmed.store(now, Ordering::Relaxed);
+        gw.confirmed.store(gw.now_ms(), Ordering::Relaxed);
         if held.apply(told) {
             take(gw, held, revision);
         }
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -12,6 +12,8 @@
 use anvilreel::event;
 use anvilreel::ledger_client::LedgerClient;
 use anvilreel::life::Life;
+use anvilreel::logs::Dropped;
+use anvilreel::metrics::Metrics;
 use anvilreel::money::{GrantPolicy, Purse};
 use arc_swap::{ArcSwap, ArcSwapOption};
 use slog::Logger;
@@ -20,6 +22,7 @@
 use crate::dialect::{Dialect, ListSource};
 use crate::directory::Directory;
 use crate::log_events;
+use crate::metrics::TRIES_DENIED;
 use crate::table::RouteTable;
 
 /// What a gateway is told at its start.
@@ -71,12 +74,18 @@
     pub seeds: ArcSwap<Vec<SocketAddr>>,
     /// Where log lines go.
     pub log: Logger,
+    /// Log lines that were dropped.
+    pub dropped: Dropped,
+    /// What is measured.
+    pub metrics: Metrics,
     /// How engines are judged.
     pub rule: EngineRule,
     /// Gateways that are alive, as the ledger knows them; this one among them.
     pub gateways: AtomicU32,
     /// When the ledger last said that what is held here is current, in milliseconds of the life.
     pub confirmed: AtomicU64,
+    /// When the platform's list was last read, in milliseconds of the life.
+    pub listed: AtomicU64,
     /// Requests under way.
     pub open: AtomicU32,
     /// In milliseconds of the life: until then this gateway can't pay for what it is asked.
@@ -124,7 +133,7 @@
 
 impl Gateway {
     /// Before anything is known.
-    pub fn new(cfg: GatewaySettings, log: Logger) -> Self {
+    pub fn new(cfg: GatewaySettings, log: Logger, metrics: Metrics) -> Self {
         let life = Life::begin();
         // A clock that was set back makes a later life look older, and the ledger would refuse
         // its batches. So the life is a part of the name.
@@ -141,9 +150,12 @@
             seeds: ArcSwap::from_pointee(cfg.ledger.clone()),
             life,
             log,
+            dropped: Dropped::default(),
+            metrics,
             rule: EngineRule::default(),
             gateways: AtomicU32::new(GATEWAYS_UNTIL_TOLD),
             confirmed: AtomicU64::new(0),
+            listed: AtomicU64::new(0),
             open: AtomicU32::new(0),
             starved_until: AtomicU64::new(0),
             retries: Mutex::default(),
@@ -181,7 +193,13 @@
         self.starved_until.store(0, Ordering::Relaxed);
     }
 
-    fn now_ms(&self) -> u64 {
+    /// With what the log had to drop.
+    pub fn with_dropped(mut self, dropped: Dropped) -> Self {
+        self.dropped = dropped;
+        self
+    }
+
+    pub(crate) fn now_ms(&self) -> u64 {
         u64::try_from(self.life.now().as_millis()).unwrap_or(u64::MAX)
     }
 
@@ -214,7 +232,11 @@
         let now = self.life.now();
         let mut rng = rand::rng();
         let again = |budget: &mut RetryBudget| budget.again(now, 1, Repeat::Safe, &mut rng);
-        self.with_retries(service, again).is_some()
+        let allowed = self.with_retries(service, again).is_some();
+        if !allowed {
+            self.metrics.count(TRIES_DENIED);
+        }
+        allowed
     }
 
     fn with_retries<T>(&self, service: &ServiceId, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod gateway;
 pub mod line;
 pub mod log_events;
+pub mod metrics;
 pub mod money;
 pub mod money_loop;
 pub mod pool;
--- /dev/null
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -0,0 +1,101 @@
+//! What a gateway measures. docs/METRICS.md lists names and units; a test holds both together.
+
+use std::sync::atomic::Ordering;
+
+use anvilreel::metrics::LOG_DROPPED;
+
+use crate::gateway::Gateway;
+use crate::reply::Cause;
+
+/// Requests that were answered whole. Count.
+pub const COMPLETED: &str = "requests.completed";
+/// Requests that ended with an endpoint's own failure, passed on. Count.
+pub const ENDPOINT_FAILED: &str = "requests.endpoint_failed";
+/// Requests whose clients left before the end. Count.
+pub const CLIENT_LEFT: &str = "requests.client_left";
+/// Time from a request's arrival to the first piece of its answer. Milliseconds.
+pub const FIRST_PIECE: &str = "request.first_piece";
+/// Time from a request's arrival to its end. Milliseconds.
+pub const TOOK: &str = "request.took";
+/// Time that requests waited for money. Milliseconds.
+pub const MONEY_WAIT: &str = "request.money_wait";
+/// Time between two events of a stream. Milliseconds.
+pub const GAP: &str = "stream.gap";
+/// Requests sent to endpoints. Count.
+pub const TRIES: &str = "tries.sent";
+/// Of these, those beyond a request's first. Count.
+pub const TRIES_AGAIN: &str = "tries.again";
+/// Tries that surely did not run. Count.
+pub const TRIES_NOT_RUN: &str = "tries.not_run";
+/// Tries that may have run and whose answer was lost. Count.
+pub const TRIES_IN_DOUBT: &str = "tries.in_doubt";
+/// Tries that the shared budget did not allow. Count.
+pub const TRIES_DENIED: &str = "tries.denied";
+/// Streams that another endpoint went on with. Count.
+pub const RESUMED: &str = "streams.resumed";
+/// Requests under way. Gauge.
+pub const OPEN: &str = "requests.open";
+/// The operator's number of the routing table in force. Gauge.
+pub const TABLE: &str = "table.version";
+/// Gateways that share the retry budget. Gauge.
+pub const GATEWAYS: &str = "gateways";
+/// Endpoints that take work. Gauge.
+pub const ENDPOINTS: &str = "endpoints.open";
+/// Endpoints that are passed over for a while. Gauge.
+pub const ENDPOINTS_SHUT: &str = "endpoints.shut";
+/// Time since the ledger last confirmed what is held. Gauge, milliseconds.
+pub const CONFIRMED_AGE: &str = "age.ledger";
+/// Time since the platform's list was last read. Gauge, milliseconds.
+pub const LIST_AGE: &str = "age.list";
+
+/// Every name with its unit.
+pub const ALL: &[(&str, &str)] = &[
+    (COMPLETED, "count"),
+    (ENDPOINT_FAILED, "count"),
+    (CLIENT_LEFT, "count"),
+    (FIRST_PIECE, "milliseconds"),
+    (TOOK, "milliseconds"),
+    (MONEY_WAIT, "milliseconds"),
+    (GAP, "milliseconds"),
+    (TRIES, "count"),
+    (TRIES_AGAIN, "count"),
+    (TRIES_NOT_RUN, "count"),
+    (TRIES_IN_DOUBT, "count"),
+    (TRIES_DENIED, "count"),
+    (RESUMED, "count"),
+    (OPEN, "gauge"),
+    (TABLE, "gauge"),
+    (GATEWAYS, "gauge"),
+    (ENDPOINTS, "gauge"),
+    (ENDPOINTS_SHUT, "gauge"),
+    (CONFIRMED_AGE, "gauge"),
+    (LIST_AGE, "gauge"),
+];
+
+/// Name of the count of requests that ended for this cause.
+pub fn of_cause(cause: Cause) -> String {
+    format!("requests.{}", cause.text())
+}
+
+impl Gateway {
+    /// Brings the gauges up to date.
+    pub fn measure(&self) {
+        let now = self.now_ms();
+        let (open, shut) = self.directory.count(self.life.now());
+        let table = self.table.load();
+        let table = table.as_ref().map_or(0, |table| table.version);
+        let age = |at: u64| now.saturating_sub(at);
+        for (name, value) in [
+            (OPEN, u64::from(self.open.load(Ordering::Relaxed))),
+            (TABLE, table),
+            (GATEWAYS, u64::from(self.gateways.load(Ordering::Relaxed))),
+            (ENDPOINTS, open),
+            (ENDPOINTS_SHUT, shut),
+            (CONFIRMED_AGE, age(self.confirmed.load(Ordering::Relaxed))),
+            (LIST_AGE, age(self.listed.load(Ordering::Relaxed))),
+            (LOG_DROPPED, self.dropped.count()),
+        ] {
+            self.metrics.gauge(name, value);
+        }
+    }
+}
--- a/crates/anvil_gateway/src/relay.rs
+++ b/crates/anvil_gateway/src/relay.rs
@@ -21,6 +21,7 @@
 use crate::events::{Splitter, StreamEvent};
 use crate::exchange::{Exchange, may_resume, strip};
 use crate::line::Line;
+use crate::metrics;
 use crate::reply::{BrokenOff, Cause, Reply};
 
 /// Pauses between events that a resumable stream is given before another endpoint goes on, as
@@ -46,6 +47,8 @@
     last: Option<u64>,
     /// An event that was read ahead of the answer's head.
     ahead: Option<StreamEvent>,
+    /// When the last event was handed to the client.
+    delivered_at: Option<Instant>,
 }
 
 enum Next {
@@ -66,6 +69,7 @@
             source: Some(Source::from(answer)),
             last,
             ahead: None,
+            delivered_at: None,
         };
         match relay.next_anywhere(Some(&mut parts)).await {
             Ok(event) => relay.ahead = event,
@@ -98,6 +102,10 @@
             return Ok(None);
         };
         self.last = event.id.or(self.last);
+        let now = Instant::now();
+        if let Some(before) = self.delivered_at.replace(now) {
+            self.exchange.gw.metrics.time(metrics::GAP, now - before);
+        }
         let tokens = self.exchange.per_event;
         if let Some(spend) = &mut self.exchange.spend {
             spend.delivered(tokens);
@@ -197,6 +205,7 @@
         let answer = self.exchange.first_answer(last).await;
         let answer = answer.map_err(|(cause, _)| cause)?;
         if answer.parts.status.is_success() {
+            self.exchange.gw.metrics.count(metrics::RESUMED);
             Ok(*answer)
         } else {
             Err(Cause::Lost)
--- a/crates/anvil_gateway/src/reply.rs
+++ b/crates/anvil_gateway/src/reply.rs
@@ -57,6 +57,25 @@
 }
 
 impl Cause {
+    /// Each one.
+    pub const ALL: [Self; 15] = [
+        Self::BadHead,
+        Self::UnknownKey,
+        Self::NoRoute,
+        Self::BodyTooLong,
+        Self::BodyLate,
+        Self::BudgetExhausted,
+        Self::BudgetBusy,
+        Self::LedgerUnreachable,
+        Self::NotReady,
+        Self::Leaving,
+        Self::NoEndpoint,
+        Self::Overloaded,
+        Self::Refused,
+        Self::Lost,
+        Self::Late,
+    ];
+
     /// Status for the client. 429 and 503 say that it has not run and never will.
     pub fn status(self) -> StatusCode {
         match self {
--- a/crates/anvil_gateway/src/trace.rs
+++ b/crates/anvil_gateway/src/trace.rs
@@ -2,17 +2,19 @@
 
 use std::fmt::Write;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use anvilreel::event;
-use slog::Logger;
 use tokio::time::Instant;
 
+use crate::gateway::Gateway;
 use crate::log_events as events;
+use crate::metrics;
 
 /// Gathers what happens to one request, and logs it when the request ends, however it ends.
 pub struct Trace {
-    log: Logger,
+    gw: Arc<Gateway>,
     begun: Instant,
     id: Arc<str>,
     route: Option<Arc<str>>,
@@ -29,9 +31,10 @@
 
 impl Trace {
     /// For a request that has just arrived.
-    pub fn new(log: Logger, id: Arc<str>, begun: Instant) -> Self {
+    pub fn new(gw: Arc<Gateway>, id: Arc<str>, begun: Instant) -> Self {
+        gw.open.fetch_add(1, Ordering::Relaxed);
         Self {
-            log,
+            gw,
             begun,
             id,
             route: None,
@@ -84,20 +87,32 @@
 impl Drop for Trace {
     fn drop(&mut self) {
         let outcome = self.outcome.unwrap_or("client_left");
-        let took = self.begun.elapsed().as_millis();
+        let took = self.begun.elapsed();
+        self.gw.open.fetch_sub(1, Ordering::Relaxed);
+        self.gw.metrics.count(&format!("requests.{outcome}"));
+        self.gw.metrics.time(metrics::TOOK, took);
+        if let Some(first) = self.first {
+            self.gw.metrics.time(metrics::FIRST_PIECE, first);
+        }
+        let log = &self.gw.log;
+        let took = took.as_millis();
         let first = self.first.map_or(0, |first| first.as_millis());
+        let confirmed = self.gw.confirmed.load(Ordering::Relaxed);
+        let held = self.gw.now_ms().saturating_sub(confirmed);
         if outcome == "completed" {
             event!(
-                self.log, events::GATEWAY_REQUEST_COMPLETED,
+                log, events::GATEWAY_REQUEST_COMPLETED,
                 "request" => &*self.id, "route" => self.route.as_deref(),
                 "organisation" => self.organisation.as_deref(), "table" => self.table,
+                "held_ms" => held,
                 "first_ms" => first, "took_ms" => took, "billed" => self.billed, "steps" => &*self.steps
             );
         } else {
             event!(
-                self.log, events::GATEWAY_REQUEST_FAILED,
+                log, events::GATEWAY_REQUEST_FAILED,
                 "request" => &*self.id, "outcome" => outcome, "route" => self.route.as_deref(),
                 "organisation" => self.organisation.as_deref(), "table" => self.table,
+                "held_ms" => held,
                 "first_ms" => first, "took_ms" => took, "billed" => self.billed, "steps" => &*self.steps
             );
         }
--- a/crates/anvil_gateway/tests/catalogue.rs
+++ b/crates/anvil_gateway/tests/catalogue.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 
 use anvil_gateway::log_events;
+use anvil_gateway::reply::Cause;
 
 /// Number of the gateway's first event.
 const FIRST: u16 = 6_000;
@@ -38,3 +39,27 @@
         .collect();
     assert_eq!(listed, code);
 }
+
+#[test]
+fn every_metric_stands_on_its_page_and_the_other_way_round() {
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../docs/METRICS.md");
+    let page = std::fs::read_to_string(path).expect("a page");
+    let rows = page
+        .lines()
+        .filter_map(|line| line.strip_prefix("| gateway `"));
+    let listed: BTreeMap<_, _> = rows
+        .map(|row| {
+            let (name, rest) = row.split_once("` | ").expect("a name");
+            let (unit, _) = rest.split_once(" | ").expect("a unit");
+            (name.to_owned(), unit.to_owned())
+        })
+        .collect();
+    let code: BTreeMap<_, _> = anvil_gateway::metrics::ALL
+        .iter()
+        .map(|(name, unit)| ((*name).to_owned(), (*unit).to_owned()))
+        .collect();
+    assert_eq!(listed, code);
+    for cause in Cause::ALL {
+        assert!(page.contains(&format!("`{}`", cause.text())), "{cause:?}");
+    }
+}
--- a/crates/anvil_gateway/tests/direct/fleet.rs
+++ b/crates/anvil_gateway/tests/direct/fleet.rs
@@ -10,6 +10,7 @@
 };
 use anvil_gateway::{Gateway, GatewaySettings, serve};
 use anvil_world::prelude::*;
+use anvilreel::metrics::Metrics;
 use bytes::Bytes;
 use slog::{Discard, Logger, o};
 use tokio::net::TcpListener;
@@ -133,7 +134,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let addr = listener.local_addr().expect("an address");
         let log = Logger::root(Discard, o!());
-        let gw = Arc::new(Gateway::new(settings(), log));
+        let gw = Arc::new(Gateway::new(settings(), log, Metrics::silent("gateway")));
         let serving = tokio::spawn(serve::clients(gw.clone(), listener));
         Self { gw, addr, serving }
     }
--- a/crates/anvil_policy/src/engine.rs
+++ b/crates/anvil_policy/src/engine.rs
@@ -177,6 +177,17 @@
         others.saturating_add(self.running)
     }
 
+    /// What is known of it, for a log line.
+    pub fn grounds(&self, now: Now) -> String {
+        let own = self.running;
+        let Some(report) = &self.report else {
+            return format!("{own} own, no report");
+        };
+        let age = now.saturating_sub(report.at).as_millis();
+        let (running, waiting) = (report.running, report.waiting);
+        format!("{own} own, {running} running and {waiting} waiting {age} ms ago")
+    }
+
     /// Places there, as the endpoint said or else as listed.
     pub fn slots(&self, listed: u32) -> u32 {
         self.report.map_or(listed, |report| report.slots.max(1))
--- a/crates/anvilreel/src/ledger_service.rs
+++ b/crates/anvilreel/src/ledger_service.rs
@@ -55,7 +55,7 @@
 const INBOX: usize = 65_536;
 
 /// What an operator need not set.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Clone)]
 pub struct Tuning {
     /// How fast replicas notice things.
     pub core: CoreSettings,
@@ -76,6 +76,8 @@
     pub take_out: Option<TakeOut>,
     /// The process ends its replica when that can't go on, instead of saying so to all who ask.
     pub end_when_failed: bool,
+    /// Where metrics go, in place of what the settings say.
+    pub metrics: Option<Metrics>,
     /// One sync for many entries; off only to measure what that brings.
     pub group_commit: bool,
 }
@@ -100,6 +102,7 @@
             segment_bytes: 16 << 20,
             take_out: None,
             end_when_failed: false,
+            metrics: None,
             group_commit: true,
         }
     }
@@ -148,6 +151,10 @@
     let (inbox, rx) = mpsc::channel(INBOX);
     let id = storage.id();
     let writer = start_writer(storage, tuning.group_commit, &inbox)?;
+    let metrics = match tuning.metrics.clone() {
+        Some(metrics) => metrics,
+        None => Metrics::new("ledger", cfg.statsd).context(MetricsSnafu)?,
+    };
     let setup = node::Setup {
         id,
         instance: cfg.id.clone(),
@@ -155,7 +162,7 @@
         writer,
         tuning,
         log: log.clone(),
-        metrics: Metrics::new("ledger", cfg.statsd).context(MetricsSnafu)?,
+        metrics,
     };
     let (node, public) = Node::new(setup, found, inbox.clone()).context(MachineSnafu)?;
     event!(log, events::LEDGER_LISTENING, "addr" => addr.to_string(), "replica" => format!("{id:x}"));
--- a/crates/anvilreel/src/logs.rs
+++ b/crates/anvilreel/src/logs.rs
@@ -1,8 +1,12 @@
 //! Where log lines go: a terminal or JSON, never on the path of a request.
 
+mod bounded;
+
 use slog::{Drain, Logger, o};
 use slog_async::{Async, OverflowStrategy};
 
+pub use bounded::{Dropped, LogLimits};
+
 /// Lines that may wait to be written before further ones are dropped and counted.
 const WAITING_LINES: usize = 4_096;
 
@@ -16,9 +20,20 @@
     behind_a_channel(slog_term::FullFormat::new(decorator).build().fuse())
 }
 
-/// A logger on standard output, as JSON.
-pub fn to_stdout() -> Logger {
-    behind_a_channel(slog_json::Json::default(std::io::stdout()).fuse())
+/// A logger on standard output, as JSON lines within these limits, and what it had to drop.
+///
+/// A reader of standard output that has stopped delays nobody: lines are handed to a thread of
+/// their own, and what that can't get rid of is dropped and counted.
+pub fn to_stdout(limits: LogLimits) -> (Logger, Dropped) {
+    bounded::logger(std::io::stdout(), limits)
+}
+
+/// The same on any writer.
+pub fn to_writer(
+    writer: impl std::io::Write + Send + 'static,
+    limits: LogLimits,
+) -> (Logger, Dropped) {
+    bounded::logger(writer, limits)
 }
 
 /// A logger that writes nothing, for tests.
--- a/crates/anvilreel/src/metrics.rs
+++ b/crates/anvilreel/src/metrics.rs
@@ -1,4 +1,7 @@
-//! What is measured, by cadence over UDP in the statsd form. docs/METRICS.md lists names and units.
+//! What is measured, by cadence: sent over UDP in the statsd form, or kept for whoever comes and
+//! asks ([`exposition`]). docs/METRICS.md lists names and units.
+
+pub mod exposition;
 
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
@@ -34,6 +37,9 @@
 /// Whether a replica of the ledger leads: 1 or 0. Gauge.
 pub const LOG_LEADS: &str = "log.leads";
 
+/// Log lines that were dropped since the process started. Gauge.
+pub const LOG_DROPPED: &str = "log.lines_dropped";
+
 /// Every name with its unit, for the test that holds code and docs/METRICS.md together.
 pub const ALL: &[(&str, &str)] = &[
     (REQUESTS_COMPLETED, "count"),
@@ -48,6 +54,7 @@
     (LOG_COMMITTED, "gauge"),
     (LOG_TERM, "gauge"),
     (LOG_LEADS, "gauge"),
+    (LOG_DROPPED, "gauge"),
 ];
 
 /// Metrics that can't be sent.
@@ -91,6 +98,17 @@
         })
     }
 
+    /// Keeps all of it on a board, which [`exposition::serve`] hands out.
+    pub fn kept(role: &str) -> (Self, exposition::Board) {
+        let board = exposition::Board::default();
+        let sink = exposition::BoardSink(board.clone());
+        let client = StatsdClient::from_sink(&prefix(role), sink);
+        let metrics = Self {
+            client: Arc::new(client),
+        };
+        (metrics, board)
+    }
+
     /// Sends nowhere.
     pub fn silent(role: &str) -> Self {
         let client = StatsdClient::from_sink(&prefix(role), NopMetricSink);
--- a/crates/anvilreel/src/operator.rs
+++ b/crates/anvilreel/src/operator.rs
@@ -22,6 +22,7 @@
 mod client;
 mod drain;
 mod error;
+mod explain;
 mod order;
 mod read;
 mod report;
@@ -30,6 +31,7 @@
 pub use client::Client;
 pub use drain::drain;
 pub use error::{ExitCode, OperatorError};
+pub use explain::{Explanation, Told, explain};
 pub use order::order;
 pub use read::{audit, budgets, diff, get, members, status};
 pub use report::{
