A router killed inside the process closes its connections; an endpoint's own failures don't shut it

Cause: connections' tasks were detached, a request of a killed router waited for its tick for ever, and the clerk for its answer. They belong to the serving task now.

Lookups: an endpoint's signed 500 shut it for 0.25 s or more for all requests, a retry was counted twice in the shared budget, and where nobody else answered our own 502 took the place of its 500; a client that waits less than the route's target and gets nothing counted against the endpoint, too. Now its bad answers set an endpoint back by their part, and its own failure is passed on.

--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -34,6 +34,9 @@
 /// Expected time that one more request waits at a plain endpoint with no place left.
 const WHEN_FULL: Duration = Duration::from_millis(30);
 
+/// What it costs to try another endpoint after a bad answer: about one answer of a plain service.
+const NEXT_TRY: Duration = Duration::from_millis(40);
+
 impl Gateway {
     /// Draws one of a route's services by weight.
     pub fn draw_service(&self, route: &Route) -> Option<ServiceId> {
@@ -114,14 +117,15 @@
         if prompt.parts.is_empty() {
             let full = f64::from(load.busy(now)) / f64::from(load.slots(endpoint.slots).max(1));
             let spread = Duration::from_micros(rand::random_range(0..500));
-            return (way + WHEN_FULL.mul_f64(full) + spread, 0);
+            let set_back = load.set_back(NEXT_TRY);
+            return (way + WHEN_FULL.mul_f64(full) + set_back + spread, 0);
         }
         let is_home = prompt
             .subject()
             .is_some_and(|subject| Some(home_rank(subject, &endpoint.id)) == home);
         let missing = load.missing(now, &self.rule, prompt, is_home);
         let expected = load.expected(now, &self.rule, missing, endpoint.slots);
-        (way + expected, missing)
+        (way + expected + load.set_back(NEXT_TRY), missing)
     }
 }
 
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -292,15 +292,22 @@
 
     /// Tries endpoints until one begins to answer. `after` is the last event that was delivered.
     pub async fn first_answer(&mut self, after: Option<u64>) -> Result<Box<Answer>, Refused> {
+        let mut failure: Option<Box<Answer>> = None;
         loop {
-            let tried = self.one_try(after).await?;
+            let tried = self.one_try(after).await;
+            let tried = match (tried, failure.take()) {
+                (Ok(tried), _) => tried,
+                // Nobody else takes it: the endpoint's own failure is the truest answer there is.
+                (Err(_), Some(failure)) => return Ok(failure),
+                (Err(refused), None) => return Err(refused),
+            };
             let failed = match tried {
                 Tried::Answer(answer) if self.is_wanted(&answer) => return Ok(answer),
                 Tried::Answer(answer) => {
                     self.trace
                         .step(format_args!("status {}", answer.parts.status));
-                    self.endpoint_failed(&answer.place.endpoint, "its own failure");
-                    Cause::Lost
+                    failure = Some(answer);
+                    continue;
                 }
                 Tried::NotRun(why) => self.not_run(&why),
                 Tried::Doubt(doubt) => self.doubt(doubt),
@@ -392,12 +399,13 @@
         if let Some(spend) = &mut self.spend {
             spend.begun();
         }
+        let sent_at = Instant::now();
         let tried = send(&self.gw.cfg.dialect, chosen.place, out).await;
         self.waits_on = None;
         if let (Tried::NotRun(_), Some(spend), false) = (&tried, &mut self.spend, counted_before) {
             spend.not_run();
         }
-        self.learn(&endpoint, &tried);
+        self.learn(&endpoint, &tried, sent_at.elapsed());
         Ok(tried)
     }
 
@@ -418,22 +426,24 @@
         own.unwrap_or(self.route.class).min(LOWEST_CLASS)
     }
 
-    fn learn(&self, endpoint: &Endpoint, tried: &Tried) {
+    fn learn(&self, endpoint: &Endpoint, tried: &Tried, waited: Duration) {
         let now = self.gw.life.now();
         match tried {
             Tried::Answer(answer) => {
                 if let Some(load) = &answer.head.load {
                     endpoint.heard(now, load);
                 }
-                if !answer.parts.status.is_server_error() {
-                    endpoint.load().succeeded();
-                }
+                endpoint
+                    .load()
+                    .answered(answer.parts.status.is_server_error());
             }
             Tried::NotRun(NotRun::Refused(421)) => {
                 endpoint.leave();
             }
             Tried::NotRun(NotRun::Refused(_)) => endpoint.load().was_full(now, FULL_PAUSE),
             Tried::NotRun(NotRun::Unreachable(why)) => self.endpoint_failed(endpoint, why),
+            // A client that waits for less than an answer takes says nothing of the endpoint.
+            Tried::Doubt(Doubt::Silent) if waited < self.route.target => {}
             Tried::Doubt(doubt) => self.endpoint_failed(endpoint, &format!("{doubt:?}")),
         }
     }
--- a/crates/anvil_gateway/tests/direct/answers.rs
+++ b/crates/anvil_gateway/tests/direct/answers.rs
@@ -254,3 +254,22 @@
     let mut client = Client::connect(empty.addr).await;
     assert_eq!(client.ask("/nowhere/x", "1", "").await.status, 503);
 }
+
+/// A lookup fails at its endpoint, with the endpoint's signature, and the only other endpoint takes
+/// nothing. The caller gets the endpoint's own answer, not one of ours in its place.
+#[tokio::test]
+async fn an_endpoints_own_failure_is_passed_on_where_nobody_else_answers() {
+    let failing = Endpoint::start(|_, req| {
+        let id = req.header("x-id").unwrap();
+        let text = format!(
+            "HTTP/1.1 500 Failed\r\nx-id: {id}\r\nx-seal: s\r\ncontent-length: 4\r\n\r\nwhy."
+        );
+        vec![Step::Send(text.into_bytes())]
+    })
+    .await;
+    let fleet = Fleet::start(&[("a", &failing)]).await;
+    let mut client = Client::connect(fleet.addr).await;
+    let got = client.ask("/idempotent/x", "id", "").await;
+    assert_eq!((got.status, &*got.body), (500, "why."));
+    assert_eq!(failing.received().len(), 1);
+}
--- a/crates/anvil_gateway/tests/direct/fleet.rs
+++ b/crates/anvil_gateway/tests/direct/fleet.rs
@@ -122,7 +122,17 @@
 impl Fleet {
     /// A gateway before these endpoints, with the tests' routes.
     pub async fn start(endpoints: &[(&str, &Endpoint)]) -> Self {
-        let fleet = Self::empty().await;
+        let log = Logger::root(Discard, o!());
+        Self::start_with(endpoints, log, Metrics::silent("gateway")).await
+    }
+
+    /// The same with a log and metrics.
+    pub async fn start_with(
+        endpoints: &[(&str, &Endpoint)],
+        log: Logger,
+        metrics: Metrics,
+    ) -> Self {
+        let fleet = Self::knowing_nothing(log, metrics).await;
         let list: Vec<_> = endpoints.iter().map(|(id, e)| listed(id, e.addr)).collect();
         fleet.gw.directory.take(&list);
         fleet.gw.table.store(Some(Arc::new(table(1, routes()))));
@@ -131,10 +141,14 @@
 
     /// A gateway that knows nothing yet.
     pub async fn empty() -> Self {
+        let log = Logger::root(Discard, o!());
+        Self::knowing_nothing(log, Metrics::silent("gateway")).await
+    }
+
+    async fn knowing_nothing(log: Logger, metrics: Metrics) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let addr = listener.local_addr().expect("an address");
-        let log = Logger::root(Discard, o!());
-        let gw = Arc::new(Gateway::new(settings(), log, Metrics::silent("gateway")));
+        let gw = Arc::new(Gateway::new(settings(), log, metrics));
         let serving = tokio::spawn(serve::clients(gw.clone(), listener));
         Self { gw, addr, serving }
     }
--- a/crates/anvil_gateway/tests/direct/main.rs
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -4,6 +4,7 @@
 mod client;
 mod dialect;
 mod endpoint;
+mod explained;
 mod fleet;
 mod leaving;
 mod money;
--- a/crates/anvil_policy/src/engine.rs
+++ b/crates/anvil_policy/src/engine.rs
@@ -63,6 +63,8 @@
     report: Option<Report>,
     /// When a part of a prompt was last read there, by part.
     parts: BTreeMap<u64, Now>,
+    /// Part of its newest answers that were its own failures.
+    bad_part: f64,
     /// Failures in a row.
     failures: u32,
     /// Gets no work before this.
@@ -98,6 +100,9 @@
     }
 }
 
+/// Weight of the newest answer among bad ones: an endpoint that fails four in ten is set apart from
+/// one that fails one in seven after some ten answers.
+const NEWEST_ANSWER: f64 = 1.0 / 8.0;
 /// First pause after a failure. One lost connection costs a moment, not the endpoint.
 const FIRST_SHUT: Duration = Duration::from_millis(250);
 /// Longest pause. An endpoint that is back gets a trial at least so often.
@@ -139,10 +144,18 @@
         });
     }
 
-    /// A request was answered.
-    pub fn succeeded(&mut self) {
+    /// A request was answered; `badly` when the answer is the endpoint's own failure.
+    pub fn answered(&mut self, badly: bool) {
         self.failures = 0;
         self.shut_until = Duration::ZERO;
+        let newest = f64::from(u8::from(badly));
+        self.bad_part += NEWEST_ANSWER * (newest - self.bad_part);
+    }
+
+    /// Time by which its bad answers set it back: what the next try elsewhere costs, as often as
+    /// it will be needed.
+    pub fn set_back(&self, next_try: Duration) -> Duration {
+        next_try.mul_f64(self.bad_part)
     }
 
     /// A connection or an answer was lost.
--- a/crates/anvil_policy/tests/engine.rs
+++ b/crates/anvil_policy/tests/engine.rs
@@ -97,7 +97,7 @@
         load.failed(at(1_000));
     }
     assert!(load.is_shut(at(2_900)) && !load.is_shut(at(3_001)));
-    load.succeeded();
+    load.answered(false);
     assert!(!load.is_shut(at(2_000)));
 }
 
@@ -144,3 +144,24 @@
         0
     );
 }
+
+/// One endpoint fails four answers in ten while its health is good, the others fail one in seven by
+/// nature of the requests. It is not shut, but it is set back far enough to be chosen less.
+#[test]
+fn an_endpoint_that_fails_more_often_is_set_back() {
+    let step = Duration::from_millis(40);
+    let played = |bad: fn(u32) -> bool| {
+        let mut load = EndpointLoad::default();
+        for number in 0..100 {
+            load.answered(bad(number));
+        }
+        assert!(!load.is_shut(at(0)));
+        load.set_back(step)
+    };
+    let grey = played(|n| n % 5 < 2);
+    let usual = played(|n| n % 7 == 0);
+    assert!(
+        grey > usual + Duration::from_millis(5),
+        "{grey:?} {usual:?}"
+    );
+}
--- a/crates/anvilreel/src/router/accept.rs
+++ b/crates/anvilreel/src/router/accept.rs
@@ -11,6 +11,7 @@
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 use viz::{Responder, Tree};
 
@@ -22,16 +23,22 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Serves callers until told to close and all requests have ended.
+///
+/// The connections' tasks belong to this one. Failure: a router that is killed in the process
+/// leaves a connection behind whose request waits for a task that is gone; its caller waits for
+/// ever, where a process that died would have closed the connection.
 pub async fn serve(listener: TcpListener, routes: viz::Router, close: Arc<Notify>) {
     let tree = Arc::new(Tree::from(routes));
     let connections = GracefulShutdown::new();
+    let mut tasks = JoinSet::new();
     loop {
         let accepted = tokio::select! {
             () = close.notified() => break,
+            Some(_) = tasks.join_next() => continue,
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((socket, _)) => spawn_connection(socket, &tree, &connections),
+            Ok((socket, _)) => spawn_connection(socket, &tree, &connections, &mut tasks),
             Err(_) => sleep(ACCEPT_PAUSE).await,
         }
     }
@@ -39,7 +46,12 @@
     connections.shutdown().await;
 }
 
-fn spawn_connection(socket: TcpStream, tree: &Arc<Tree>, connections: &GracefulShutdown) {
+fn spawn_connection(
+    socket: TcpStream,
+    tree: &Arc<Tree>,
+    connections: &GracefulShutdown,
+    tasks: &mut JoinSet<()>,
+) {
     // Without it small events wait for an acknowledgement; with a failure they are only slower.
     let _ = socket.set_nodelay(true);
     let peer = socket.peer_addr().ok().map(Arc::new);
@@ -53,5 +65,7 @@
     let connection = builder.serve_connection(TokioIo::new(socket), responder);
     let connection = connections.watch(connection.into_owned());
     // An error is a caller that left; its request's task notices that by itself.
-    tokio::spawn(async move { connection.await.ok() });
+    tasks.spawn(async move {
+        let _ = connection.await;
+    });
 }
