--- a/crates/anvil_wire/src/error.rs
+++ b/crates/anvil_wire/src/error.rs
@@ -9,6 +9,12 @@
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum WireError {
+    /// A message can't be deflated or inflated.
+    #[snafu(display("a message can't be deflated or inflated: {source}"))]
+    Deflate {
+        /// Why.
+        source: std::io::Error,
+    },
     /// No connection; nothing was sent.
     #[snafu(display("no connection to {addr}: {source}"))]
     Connect {
--- a/crates/anvil_wire/src/msg/ledger.rs
+++ b/crates/anvil_wire/src/msg/ledger.rs
@@ -47,6 +47,9 @@
     Router,
     /// The fleet's document, the follower's own presence and the fenced routers.
     Sidecar,
+    /// The members alone: for those who only want to know who is where. A routing table may be
+    /// megabytes, and there are as many of these followers as endpoints.
+    Members,
 }
 
 /// A sign of life, every second.
--- a/crates/anvilreel/src/ledger_client.rs
+++ b/crates/anvilreel/src/ledger_client.rs
@@ -240,9 +240,12 @@
         ask: &LedgerRequest,
         left: Duration,
     ) -> (Result<LedgerReply, WireError>, bool) {
-        let within = left.min(self.patience);
+        let weight = weight(ask);
+        let within = left.min(self.patience + PER_BYTE * weight);
         let asking = first.call::<LedgerCall>(ask, within);
-        let (Some(hedge), Some(second)) = (self.hedge.filter(|h| *h < within), second) else {
+        let light = weight < HEAVY;
+        let hedge = self.hedge.filter(|hedge| *hedge < within && light);
+        let (Some(hedge), Some(second)) = (hedge, second) else {
             return (asking.await, false);
         };
         tokio::pin!(asking);
@@ -263,3 +266,22 @@
         }
     }
 }
+
+/// Added to the patience for each byte of what is asked: ten times what a link of 100 Mbit/s takes,
+/// since it goes to several replicas.
+const PER_BYTE: Duration = Duration::from_nanos(800);
+/// From this size on, in bytes, a second way is not asked beside the first.
+///
+/// Failure: a routing table of 400 KB takes longer than the time after which another way is asked;
+/// each further copy delays all others, and none is answered in time.
+const HEAVY: u32 = 32 << 10;
+
+/// Bytes of what is asked, where there may be many.
+fn weight(ask: &LedgerRequest) -> u32 {
+    match ask {
+        LedgerRequest::Propose(Command::ReplaceRouting(replace)) => {
+            u32::try_from(replace.text.len()).unwrap_or(u32::MAX)
+        }
+        _ => 0,
+    }
+}
--- a/crates/anvilreel/src/ledger_service/follow.rs
+++ b/crates/anvilreel/src/ledger_service/follow.rs
@@ -80,11 +80,15 @@
     }
 
     fn needs_document(&self, path: &TreePath) -> bool {
-        self.interest == Interest::Router || *path == TreePath::Fleet
+        match self.interest {
+            Interest::Router => true,
+            Interest::Sidecar => *path == TreePath::Fleet,
+            Interest::Members => false,
+        }
     }
 
     fn needs_member(&self, id: &InstanceId) -> bool {
-        self.interest == Interest::Router || *id == self.instance
+        self.interest != Interest::Sidecar || *id == self.instance
     }
 }
 
--- a/crates/anvilreel/src/ledger_service/node/requests.rs
+++ b/crates/anvilreel/src/ledger_service/node/requests.rs
@@ -18,6 +18,11 @@
             tell(reply, LedgerReply::Stopped);
             return None;
         }
+        if let Some(answer) = self.overtaken(&command) {
+            let index = self.machine.state.applied();
+            tell(reply, LedgerReply::Applied { index, answer });
+            return None;
+        }
         if let Some(answer) = check::refuse(&command) {
             tell(reply, LedgerReply::Applied { index: 0, answer });
             return None;
@@ -31,6 +36,19 @@
         Some(Proposal { id, data })
     }
 
+    /// Answers a routing table that is in force already or overtaken, without the log.
+    ///
+    /// Failure: an operator's acknowledgement is lost, and it sends the same table of megabytes
+    /// again and again; each time the whole log carries it, and what is new waits behind. What is
+    /// applied here is committed, so the answer is true, also from a replica that leads no more.
+    fn overtaken(&self, command: &Command) -> Option<Answer> {
+        let Command::ReplaceRouting(replace) = command else {
+            return None;
+        };
+        let in_force = self.machine.state.routing();
+        (replace.version <= in_force).then_some(Answer::Routing(in_force))
+    }
+
     pub(super) fn propose(&mut self, proposals: &mut Vec<Proposal>) {
         if proposals.is_empty() {
             return;
--- a/crates/anvilreel/src/watcher.rs
+++ b/crates/anvilreel/src/watcher.rs
@@ -66,7 +66,7 @@
     async fn follow_one(&self, replica: usize, held: &mut Held) {
         let opening = self
             .ledger
-            .follow(replica, self.id.clone(), Interest::Router, held.version);
+            .follow(replica, self.id.clone(), Interest::Members, held.version);
         let Ok(Ok(mut replies)) = timeout(SILENCE, opening).await else {
             return;
         };
--- a/crates/anvilreel/tests/ledger_service.rs
+++ b/crates/anvilreel/tests/ledger_service.rs
@@ -13,7 +13,7 @@
 use anvil_wire::msg::{
     FollowEvent, Heartbeat, Interest, LedgerCall, LedgerReply, LedgerRequest, Query, QueryAnswer,
 };
-use anvil_world::command::{Change, Edit, TopUp, change_id};
+use anvil_world::command::{Change, Edit, ReplaceRouting, TopUp, change_id};
 use anvil_world::prelude::*;
 use anvil_world::settings::{LedgerSettings, Peer};
 use anvilreel::ledger_service::{LedgerHandle, Tuning, remove, start, start_on};
@@ -562,3 +562,37 @@
     cluster.stop_all().await;
     Ok(())
 }
+
+/// An operator's acknowledgement is lost and it sends the same large routing table again and again.
+/// Were each copy put into the log, what is new would wait behind megabytes. A table that is in force
+/// is acknowledged without the log.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_table_sent_again_is_acknowledged_without_the_log() -> Result<(), Failure> {
+    let mut cluster = Cluster::start(3).await?;
+    let table = LedgerRequest::Propose(Command::ReplaceRouting(ReplaceRouting {
+        operator: "op".into(),
+        version: 7,
+        text: "x".repeat(100_000).into(),
+        credits: std::collections::BTreeMap::new(),
+        at: SystemTime::UNIX_EPOCH,
+    }));
+    let LedgerReply::Applied { answer, .. } = cluster.ask(&table).await? else {
+        return Err("not applied".into());
+    };
+    assert_eq!(answer, Answer::Routing(7));
+    let committed = |reply| match reply {
+        LedgerReply::Read(QueryAnswer::Status(status)) => status.committed,
+        other => panic!("{other:?}"),
+    };
+    let status = LedgerRequest::Query(Query::Status);
+    let before = committed(cluster.ask(&status).await?);
+    for _ in 0..10 {
+        let LedgerReply::Applied { answer, .. } = cluster.ask(&table).await? else {
+            return Err("not acknowledged again".into());
+        };
+        assert_eq!(answer, Answer::Routing(7));
+    }
+    assert_eq!(committed(cluster.ask(&status).await?), before);
+    cluster.stop_all().await;
+    Ok(())
+}
