Requests wait 0.45 s for a ledger that does not answer

Cause: an election takes up to 0.7 s in all and requests were refused after 0.2 s of it, though a first token is on time after 0.8 s. Change: the purse's patience 0.2 to 0.45 s.

--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -120,7 +120,7 @@
 fn grant_policy() -> GrantPolicy {
     GrantPolicy {
         horizon: Duration::from_millis(700),
-        patience: Duration::from_millis(200),
+        patience: Duration::from_millis(450),
         recall_patience: Duration::from_millis(120),
         idle: Duration::from_millis(400),
         batch_every: Duration::from_millis(200),
