--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -1,4 +1,4 @@
-//! One request's way: from its head to its answer's end.
+//! One admitted request's way: from the first endpoint that is tried to its answer's end.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -6,11 +6,9 @@
 use anvil_policy::engine::Prompt;
 use anvil_world::prelude::*;
 use anvilreel::event;
-use anvilreel::money::Shortage;
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Uri, request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use http::{HeaderMap, Method, Uri};
+use http_body_util::{BodyExt, Limited};
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempt::{Answer, Doubt, NotRun, Outgoing, Tried, send};
@@ -24,7 +22,7 @@
 use crate::money::Spend;
 use crate::relay::Relay;
 use crate::reply::{Cause, ONE_CONNECTION, Reply, refusal, whole};
-use crate::table::{Organisation, Repeat, Route, RouteTable};
+use crate::table::{Organisation, Repeat, Route};
 use crate::trace::Trace;
 
 /// Longest body of a plain answer that is kept whole before it is passed on, in bytes. It must
@@ -35,12 +33,13 @@
 /// Part of the time left within which a first token must be expected for a request to be sent.
 const SENT_WITHIN: f64 = 0.8;
 /// When to come back to a process or service that is not there now.
-const SOON: Duration = Duration::from_millis(300);
-/// When to come back where another gateway may serve the request: at once.
-const ELSEWHERE: Duration = Duration::from_millis(20);
+pub const SOON: Duration = Duration::from_millis(300);
 /// Bounds of the time to come back after an overload.
 const OVERLOAD: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(2));
 
+/// A cause, and when to come back where that helps.
+pub type Refused = (Cause, Duration);
+
 /// One request, as it is sent to endpoints.
 pub struct Exchange {
     /// What all requests share.
@@ -66,209 +65,22 @@
     /// Whether an endpoint may have run it.
     pub in_doubt: bool,
     /// The connection on which it waits for an answer to begin.
-    waits_on: Option<Arc<Line>>,
-    parts: Vec<(u64, Tokens)>,
-    method: Method,
-    uri: Uri,
-    headers: HeaderMap,
-    body: Bytes,
-}
-
-/// Answers one request.
-pub async fn answer(gw: &Arc<Gateway>, req: Request<Incoming>) -> Reply {
-    let begun = Instant::now();
-    let (parts, body) = req.into_parts();
-    let ask = match (gw.cfg.dialect.ask)(&parts) {
-        Ok(ask) => ask,
-        Err(e) => {
-            let mut trace = Trace::new(gw.clone(), "unknown".into(), begun);
-            trace.step(format_args!("{e}"));
-            trace.ended(Cause::BadHead.text());
-            return refusal(Cause::BadHead, None);
-        }
-    };
-    let mut trace = Trace::new(gw.clone(), ask.id.clone(), begun);
-    match admit(gw, parts, body, ask, begun, &mut trace).await {
-        Ok(admitted) => admitted.into_exchange(gw.clone(), trace).run().await,
-        Err((cause, again)) => {
-            trace.ended(cause.text());
-            refusal(cause, Some(again))
-        }
-    }
-}
-
-/// A cause, and when to come back where that helps.
-type Refused = (Cause, Duration);
-
-struct Admitted {
-    ask: Ask,
-    route: Arc<Route>,
-    organisation: Option<Arc<Organisation>>,
-    service: ServiceId,
-    per_event: Tokens,
-    deadline: Instant,
-    spend: Option<Spend>,
-    head: request::Parts,
-    body: Bytes,
-}
-
-impl Admitted {
-    fn into_exchange(self, gw: Arc<Gateway>, trace: Trace) -> Exchange {
-        let parts = self.ask.work.as_ref();
-        let parts = parts.map(|work| work.parts.iter().map(|p| (p.id, p.tokens)).collect());
-        Exchange {
-            gw,
-            parts: parts.unwrap_or_default(),
-            ask: self.ask,
-            route: self.route,
-            organisation: self.organisation,
-            service: self.service,
-            per_event: self.per_event,
-            tried: Vec::new(),
-            deadline: self.deadline,
-            spend: self.spend,
-            trace,
-            in_doubt: false,
-            waits_on: None,
-            method: self.head.method,
-            uri: self.head.uri,
-            headers: self.head.headers,
-            body: self.body,
-        }
-    }
-}
-
-async fn admit(
-    gw: &Arc<Gateway>,
-    head: request::Parts,
-    body: Incoming,
-    ask: Ask,
-    begun: Instant,
-    trace: &mut Trace,
-) -> Result<Admitted, Refused> {
-    let table = gw.table.load_full().ok_or((Cause::NotReady, SOON))?;
-    let route = route_of(&table, &head).ok_or((Cause::NoRoute, SOON))?;
-    trace.routed(&route.name, table.version);
-    let organisation = sender(&table, &route, &ask)?;
-    if let Some(organisation) = &organisation {
-        trace.sent_by(&organisation.id);
-    }
-    let deadline = begun + ask.patience.min(route.timeout);
-    let body = read_body(body, table.limits.body_bytes, deadline).await?;
-    let service = gw.draw_service(&route).ok_or((Cause::NoEndpoint, SOON))?;
-    let engine = table.services.get(&service).and_then(|s| s.engine);
-    let per_event = engine.map_or(1, |engine| engine.tokens_per_event.max(1));
-    let spend = reserve(gw, organisation.as_deref(), &ask, deadline, trace).await?;
-    Ok(Admitted {
-        ask,
-        route,
-        organisation,
-        service,
-        per_event,
-        deadline,
-        spend,
-        head,
-        body,
-    })
-}
-
-fn route_of(table: &RouteTable, head: &request::Parts) -> Option<Arc<Route>> {
-    let host = head.headers.get(http::header::HOST)?.to_str().ok()?;
-    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
-    table.route(name, head.uri.path()).cloned()
-}
-
-fn sender(
-    table: &RouteTable,
-    route: &Route,
-    ask: &Ask,
-) -> Result<Option<Arc<Organisation>>, Refused> {
-    let known = ask.key.as_deref().and_then(|key| table.organisation(key));
-    if known.is_none() && table.asks_for_keys() && !route.public {
-        return Err((Cause::UnknownKey, SOON));
-    }
-    Ok(known.cloned())
-}
-
-async fn read_body(body: Incoming, most: usize, until: Instant) -> Result<Bytes, Refused> {
-    // What is announced as too long is not waited for.
-    if body.size_hint().lower() > most as u64 {
-        return Err((Cause::BodyTooLong, SOON));
-    }
-    let reading = Limited::new(body, most).collect();
-    match timeout_at(until, reading).await {
-        Err(_) => Err((Cause::BodyLate, SOON)),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err((Cause::BodyTooLong, SOON)),
-        Ok(Err(_)) => Err((Cause::BadHead, SOON)),
-    }
-}
-
-/// Sets aside what the request costs at its most.
-async fn reserve(
-    gw: &Arc<Gateway>,
-    organisation: Option<&Organisation>,
-    ask: &Ask,
-    deadline: Instant,
-    trace: &mut Trace,
-) -> Result<Option<Spend>, Refused> {
-    let Some(organisation) = organisation.filter(|organisation| organisation.prepaid) else {
-        return Ok(None);
-    };
-    let Some(work) = &ask.work else {
-        return Ok(None);
-    };
-    let split = Split::whole(organisation.id.clone());
-    let bound = work.prompt.saturating_add(work.most_output);
-    let mut give_up: Option<Now> = None;
-    let asked = Instant::now();
-    loop {
-        let changed = gw.purse.changed();
-        let shortage = match gw.purse.reserve(gw.life.now(), &split, bound) {
-            Ok(reservation) => {
-                if give_up.is_some() {
-                    gw.metrics.time(metrics::MONEY_WAIT, asked.elapsed());
-                }
-                let spend = Spend::new(gw.purse.clone(), reservation, work.prompt);
-                return Ok(Some(spend));
-            }
-            Err(shortage) => shortage,
-        };
-        let (until, otherwise) = match shortage {
-            Shortage::Refused(refusal) => {
-                trace.step(format_args!("no money: {:?}", refusal.reason));
-                return Err(broke(gw, &refusal.reason));
-            }
-            Shortage::WaitFor { until, otherwise } => (until, otherwise),
-        };
-        let until = *give_up.get_or_insert(until);
-        let left = until.saturating_sub(gw.life.now());
-        gw.money_wanted.notify_one();
-        let ends = (Instant::now() + left).min(deadline);
-        if left.is_zero() || timeout_at(ends, changed).await.is_err() {
-            trace.step(format_args!("money did not come: {:?}", otherwise.reason));
-            return Err(match otherwise.reason {
-                Reason::BudgetExhausted(_) => (Cause::BudgetBusy, SOON),
-                reason => broke(gw, &reason),
-            });
-        }
-    }
-}
-
-fn broke(gw: &Gateway, reason: &Reason) -> Refused {
-    match reason {
-        Reason::BudgetExhausted(_) => (Cause::BudgetExhausted, SOON),
-        Reason::LedgerUnreachable => {
-            gw.starve();
-            (Cause::LedgerUnreachable, ELSEWHERE)
-        }
-        _ => (Cause::BudgetBusy, SOON),
-    }
+    pub waits_on: Option<Arc<Line>>,
+    /// Parts of its prompt with their tokens.
+    pub parts: Vec<(u64, Tokens)>,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// The client's headers.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
 }
 
 impl Exchange {
     /// Sends the request to endpoints until one answers.
-    async fn run(mut self) -> Reply {
+    pub async fn run(mut self) -> Reply {
         self.gw.first_try(&self.service);
         match self.first_answer(None).await {
             Ok(answer) if self.route.repeat.is_stream() && answer.parts.status.is_success() => {
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -5,14 +5,15 @@
 //! a prepaid budget, sent to an endpoint on the platform's list, and answered whole or as a stream
 //! of events. How a platform names things is kept outside, in a [`dialect::Dialect`].
 //!
-//! One request's way: [`serve`] takes the connection, [`exchange`] admits the request and tries
-//! endpoints, [`choose`] picks them, [`attempt`] sends it to one, [`relay`] passes a stream on and
+//! One request's way: [`serve`] takes the connection, [`admit`] checks and pays, [`exchange`]
+//! tries endpoints, [`choose`] picks them, [`attempt`] sends it to one, [`relay`] passes a stream on and
 //! has it continued elsewhere, [`reply`] says no.
 //!
 //! What the gateway believes, and from whom: the routing table and the number of gateways
 //! ([`follow`], from the ledger), grants ([`money_loop`], from the ledger), the endpoints
 //! ([`discovery`], from the platform's list), their load ([`endpoint`], from their answers).
 
+pub mod admit;
 pub mod attempt;
 pub mod choose;
 pub mod dialect;
--- a/crates/anvil_gateway/src/log_events.rs
+++ b/crates/anvil_gateway/src/log_events.rs
@@ -1,25 +1,6 @@
 //! Numbered log events of the gateway. docs/EVENTS.md says what each one means and what to do.
 
-use anvilreel::events::Event;
-use slog::Level;
-
-macro_rules! catalogue {
-    ($($(#[$doc:meta])* $name:ident = $number:literal $level:ident $text:literal;)*) => {
-        $(
-            $(#[$doc])*
-            pub const $name: Event = Event {
-                number: $number,
-                name: $text,
-                level: Level::$level,
-            };
-        )*
-
-        /// Every event, in the order of numbers.
-        pub const ALL: &[Event] = &[$($name),*];
-    };
-}
-
-catalogue! {
+anvilreel::event_catalogue! {
     /// The process listens.
     GATEWAY_LISTENING = 6001 Info "gateway_listening";
     /// A newer routing table is in force.
--- a/crates/anvil_gateway/src/serve.rs
+++ b/crates/anvil_gateway/src/serve.rs
@@ -15,7 +15,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-use crate::exchange::answer;
+use crate::admit::answer;
 use crate::gateway::Gateway;
 use crate::log_events as events;
 use crate::reply::{Reply, close_after, whole};
--- a/crates/anvilreel/src/events.rs
+++ b/crates/anvilreel/src/events.rs
@@ -27,23 +27,25 @@
     };
 }
 
-macro_rules! catalogue {
+/// Makes a catalogue of numbered events: one constant each, and all of them in `ALL`.
+#[macro_export]
+macro_rules! event_catalogue {
     ($($(#[$doc:meta])* $name:ident = $number:literal $level:ident $text:literal;)*) => {
         $(
             $(#[$doc])*
-            pub const $name: Event = Event {
+            pub const $name: $crate::events::Event = $crate::events::Event {
                 number: $number,
                 name: $text,
-                level: Level::$level,
+                level: slog::Level::$level,
             };
         )*
 
         /// Every event, in the order of numbers.
-        pub const ALL: &[Event] = &[$($name),*];
+        pub const ALL: &[$crate::events::Event] = &[$($name),*];
     };
 }
 
-catalogue! {
+event_catalogue! {
     /// The router listens.
     ROUTER_LISTENING = 1001 Info "router_listening";
     /// The router has the tree and takes callers.
