A replica that was taken out while it was down asks to be taken in again

Cause, found by the new test a_replica_lost_for_good_is_taken_out: the task that asks ended once the replica's own log named it as a voter; taken out meanwhile, it waited for ever, and each such loss made the ledger smaller for good. It asks again after two seconds without a leader; where it still votes the leader drops the question.

--- a/crates/anvilreel/src/ledger_service/founding.rs
+++ b/crates/anvilreel/src/ledger_service/founding.rs
@@ -13,7 +13,7 @@
 use anvil_wire::Channel;
 use anvil_world::settings::{LedgerSettings, Peer};
 use slog::Logger;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::events;
 use super::handlers::Reach;
@@ -23,6 +23,8 @@
 
 /// Pause between two looks.
 const AGAIN: Duration = Duration::from_millis(100);
+/// A replica that hears from no leader for so long may have been taken out: some elections.
+const FORGOTTEN: Duration = Duration::from_secs(2);
 /// Longest wait for one answer.
 const ANSWER: Duration = Duration::from_millis(500);
 
@@ -35,7 +37,8 @@
     log: Logger,
 }
 
-/// Runs until the replica belongs to a ledger as a voter, under its present address.
+/// Sees to it that the replica belongs to a ledger as a voter, under its present address, for as
+/// long as the process lives.
 pub async fn run(reach: Reach, id: ReplicaId, cfg: LedgerSettings, addr: SocketAddr, log: Logger) {
     let seeker = Seeker {
         reach,
@@ -45,9 +48,18 @@
         log,
     };
     let mut told = false;
-    while !seeker.is_listed() && !*seeker.reach.stopping.borrow() {
-        if seeker.seeks() {
+    let mut in_touch_at = Instant::now();
+    while !*seeker.reach.stopping.borrow() {
+        if seeker.reach.public.borrow().in_touch {
+            in_touch_at = Instant::now();
+        }
+        if !seeker.is_listed() && seeker.seeks() {
             seeker.try_once(&mut told).await;
+        } else if in_touch_at.elapsed() >= FORGOTTEN {
+            // Failure: a replica is taken out while it is down. Its own log still names it as a
+            // voter, the others send it nothing, and it waits for ever. So it asks again; where it
+            // still votes, the leader drops the question.
+            seeker.join().await;
         }
         sleep(AGAIN).await;
     }
@@ -161,11 +173,13 @@
             Some(Ok(())) | None => return,
             Some(Err(leader)) => leader,
         };
-        for peer in self.others() {
+        let known: Vec<_> = self.reach.public.borrow().peers.values().copied().collect();
+        let named = self.others().map(|peer| peer.addr);
+        for addr in named.chain(known) {
             if leader.is_some() {
                 break;
             }
-            leader = match self.ask_in(peer.addr).await {
+            leader = match self.ask_in(addr).await {
                 Some(PeerReply::NotLeader { leader }) => leader,
                 _ => None,
             };
--- a/crates/anvilreel/tests/ledger_service.rs
+++ b/crates/anvilreel/tests/ledger_service.rs
@@ -16,7 +16,7 @@
 use anvil_world::command::{Change, Edit, ReplaceRouting, TopUp, change_id};
 use anvil_world::prelude::*;
 use anvil_world::settings::{LedgerSettings, Peer};
-use anvilreel::ledger_service::{LedgerHandle, Tuning, remove, start, start_on};
+use anvilreel::ledger_service::{LedgerHandle, TakeOut, Tuning, remove, start, start_on};
 use slog::{Discard, Drain, Logger, o};
 use tempfile::TempDir;
 use tokio::sync::oneshot;
@@ -38,11 +38,16 @@
 struct Cluster {
     folder: TempDir,
     peers: Vec<Peer>,
+    take_out: Option<TakeOut>,
     running: Vec<Option<Running>>,
 }
 
 impl Cluster {
     async fn start(size: usize) -> Result<Self, Failure> {
+        Self::start_with(size, None).await
+    }
+
+    async fn start_with(size: usize, take_out: Option<TakeOut>) -> Result<Self, Failure> {
         let mut peers = Vec::new();
         for number in 0..size {
             let id = format!("ledger-{number}").into();
@@ -51,6 +56,7 @@
         }
         let mut cluster = Self {
             folder: tempfile::tempdir()?,
+            take_out,
             running: (0..size).map(|_| None).collect(),
             peers,
         };
@@ -89,6 +95,7 @@
             silent_after: Duration::from_millis(500),
             gone_after: Duration::from_secs(1),
             snapshot_every: 200,
+            take_out: self.take_out,
             // A short log, so that a new disk has to fetch a snapshot.
             core: CoreSettings {
                 trailing: 50,
@@ -596,3 +603,45 @@
     cluster.stop_all().await;
     Ok(())
 }
+
+/// Four instances keep the ledger; one is gone for good and nobody is there to say so. Left in, it
+/// counts in the majority, and the next loss stops the ledger. It is taken out after its silence;
+/// below three voters none is.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_lost_for_good_is_taken_out() -> Result<(), Failure> {
+    let rule = TakeOut {
+        after: Duration::from_secs(2),
+        least: 3,
+    };
+    let mut cluster = Cluster::start_with(4, Some(rule)).await?;
+    declare(&cluster).await?;
+    cluster.stop(3).await;
+    let voters = |reply| match reply {
+        LedgerReply::Read(QueryAnswer::Status(status)) => status.voters.len(),
+        other => panic!("{other:?}"),
+    };
+    let status = LedgerRequest::Query(Query::Status);
+    let shrunk = async {
+        while voters(cluster.ask(&status).await?) > 3 {
+            sleep(Duration::from_millis(100)).await;
+        }
+        Ok::<(), Failure>(())
+    };
+    timeout(PATIENCE, shrunk).await??;
+    // Two of four would have been no majority.
+    cluster.stop(2).await;
+    cluster.ask(&LedgerRequest::Propose(top_up(1))).await?;
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(voters(cluster.ask(&status).await?), 3);
+    // Whoever comes back with its disk joins again.
+    cluster.run(3).await?;
+    let joined = async {
+        while voters(cluster.ask(&status).await?) < 4 {
+            sleep(Duration::from_millis(100)).await;
+        }
+        Ok::<(), Failure>(())
+    };
+    timeout(PATIENCE, joined).await??;
+    cluster.stop_all().await;
+    Ok(())
+}
