An endpoint's own failure is passed on also when the next one refuses

Cause: read as a newcomer: the failure that was kept as the truest answer was dropped as soon as a further endpoint was tried, and our 502 took its place when that one was full. Test widened; fails before.

--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -106,25 +106,28 @@
     pub async fn first_answer(&mut self, after: Option<u64>) -> Result<Box<Answer>, Refused> {
         let mut failure: Option<Box<Answer>> = None;
         loop {
-            let tried = self.one_try(after).await;
-            let tried = match (tried, failure.take()) {
-                (Ok(tried), _) => tried,
-                // Nobody else takes it: the endpoint's own failure is the truest answer there is.
-                (Err(_), Some(failure)) => return Ok(failure),
-                (Err(refused), None) => return Err(refused),
-            };
-            let failed = match tried {
-                Tried::Answer(answer) if self.is_wanted(&answer) => return Ok(answer),
-                Tried::Answer(answer) => {
+            let refused = match self.one_try(after).await {
+                Ok(Tried::Answer(answer)) if self.is_wanted(&answer) => return Ok(answer),
+                Ok(Tried::Answer(answer)) => {
                     self.trace
                         .step(format_args!("status {}", answer.parts.status));
                     failure = Some(answer);
                     continue;
                 }
-                Tried::NotRun(why) => self.not_run(&why),
-                Tried::Doubt(doubt) => self.doubt(doubt),
+                Ok(Tried::NotRun(why)) => {
+                    let cause = self.not_run(&why);
+                    self.may_go_on(cause).err()
+                }
+                Ok(Tried::Doubt(doubt)) => {
+                    let cause = self.doubt(doubt);
+                    self.may_go_on(cause).err()
+                }
+                Err(refused) => Some(refused),
             };
-            self.may_go_on(failed)?;
+            if let Some(refused) = refused {
+                // Where an endpoint has failed by its own word, that is the truest answer there is.
+                return failure.ok_or(refused);
+            }
         }
     }
 
