Tests of two endpoints: the first one is tried first, not by chance

Ruled out: the gateway (no assertion on what it did failed). Change: the first endpoint stands in the gateway's zone, the others don't; no assertion is touched.

--- a/crates/anvil_gateway/tests/direct/fleet.rs
+++ b/crates/anvil_gateway/tests/direct/fleet.rs
@@ -120,7 +120,8 @@
 }
 
 impl Fleet {
-    /// A gateway before these endpoints, with the tests' routes.
+    /// A gateway before these endpoints, with the tests' routes. The first endpoint is tried first
+    /// while it is well.
     pub async fn start(endpoints: &[(&str, &Endpoint)]) -> Self {
         let log = Logger::root(Discard, o!());
         Self::start_with(endpoints, log, Metrics::silent("gateway")).await
@@ -133,7 +134,11 @@
         metrics: Metrics,
     ) -> Self {
         let fleet = Self::knowing_nothing(log, metrics).await;
-        let list: Vec<_> = endpoints.iter().map(|(id, e)| listed(id, e.addr)).collect();
+        let mut list: Vec<_> = endpoints.iter().map(|(id, e)| listed(id, e.addr)).collect();
+        // The first one is near and the others are not, so that it is the first to be tried.
+        for other in list.iter_mut().skip(1) {
+            other.zone = "local-b".into();
+        }
         fleet.gw.directory.take(&list);
         fleet.gw.table.store(Some(Arc::new(table(1, routes()))));
         fleet
