Read once more: dead code out, one constant for one thing, budgets of a batch looked up once

Cause: RouteTable::prepaid, EndpointLoad::waiting, metrics::of_cause had no caller; may_resume stood beside Repeat's own methods; announce took a closure that was always the same; the patience with a silent replica stood in three files; a money batch's budgets were gathered twice in the ledger's apply.

--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -22,7 +22,7 @@
 use crate::money::Spend;
 use crate::relay::Relay;
 use crate::reply::{Cause, ONE_CONNECTION, Reply, refusal, whole};
-use crate::table::{Organisation, Repeat, Route};
+use crate::table::{Organisation, Route};
 use crate::trace::Trace;
 
 /// Longest body of a plain answer that is kept whole before it is passed on, in bytes. It must
@@ -359,8 +359,3 @@
     }
     headers.remove(http::header::CONTENT_LENGTH);
 }
-
-/// Whether the route streams and another endpoint may go on.
-pub fn may_resume(route: &Route) -> bool {
-    route.repeat == Repeat::StreamResumed
-}
--- a/crates/anvil_gateway/src/follow.rs
+++ b/crates/anvil_gateway/src/follow.rs
@@ -9,14 +9,12 @@
 use anvilreel::event;
 use anvilreel::held::Held;
 use anvilreel::members;
+use anvilreel::watcher::SILENCE;
 use tokio::time::{sleep, timeout};
 
 use crate::gateway::Gateway;
 use crate::log_events as events;
 
-/// Longest wait for anything from a followed replica before another one is tried. A replica
-/// that is current says so every 0.3 s.
-const SILENCE: Duration = Duration::from_millis(900);
 /// Longest time to open a stream to a replica.
 const OPENING: Duration = Duration::from_millis(300);
 /// Pause before another replica is followed.
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -5,7 +5,6 @@
 use anvilreel::metrics::LOG_DROPPED;
 
 use crate::gateway::Gateway;
-use crate::reply::Cause;
 
 /// Requests that were answered whole. Count.
 pub const COMPLETED: &str = "requests.completed";
@@ -72,11 +71,6 @@
     (LIST_AGE, "gauge"),
 ];
 
-/// Name of the count of requests that ended for this cause.
-pub fn of_cause(cause: Cause) -> String {
-    format!("requests.{}", cause.text())
-}
-
 impl Gateway {
     /// Brings the gauges up to date.
     pub fn measure(&self) {
--- a/crates/anvil_gateway/src/relay.rs
+++ b/crates/anvil_gateway/src/relay.rs
@@ -19,7 +19,7 @@
 use crate::dialect::AnswerHead;
 use crate::endpoint::Place;
 use crate::events::{Splitter, StreamEvent};
-use crate::exchange::{Exchange, may_resume, strip};
+use crate::exchange::{Exchange, strip};
 use crate::line::Line;
 use crate::metrics;
 use crate::reply::{BrokenOff, Cause, Reply};
@@ -176,7 +176,7 @@
     /// sooner than the request's own end.
     fn silent_until(&self) -> Instant {
         let deadline = self.exchange.deadline;
-        if !may_resume(&self.exchange.route) || !self.exchange.has_tries() {
+        if !self.exchange.route.repeat.may_go_on_elsewhere() || !self.exchange.has_tries() {
             return deadline;
         }
         let gap = self.exchange.route.gap;
@@ -197,7 +197,7 @@
         }
         let late = self.exchange.left().is_zero();
         let cause = if late { Cause::Late } else { Cause::Lost };
-        if !may_resume(&self.exchange.route) {
+        if !self.exchange.route.repeat.may_go_on_elsewhere() {
             return Err(cause);
         }
         self.exchange.may_go_on(cause).map_err(|(cause, _)| cause)?;
--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -47,7 +47,7 @@
         tokio::join!(
             ready,
             follow::run(&own),
-            announce::run(&own.ledger, &own.life, &instance, || 0),
+            announce::run(&own.ledger, &own.life, &instance),
             discovery::run(&own),
             money_loop::run(&own),
         );
--- a/crates/anvil_gateway/src/table.rs
+++ b/crates/anvil_gateway/src/table.rs
@@ -25,6 +25,11 @@
         matches!(self, Self::StreamOnce | Self::StreamResumed)
     }
 
+    /// Whether another endpoint may continue the stream after the last event delivered.
+    pub fn may_go_on_elsewhere(self) -> bool {
+        self == Self::StreamResumed
+    }
+
     /// Whether a request that may have run may run again.
     pub fn may_run_again(self) -> bool {
         matches!(self, Self::Idempotent | Self::StreamResumed)
@@ -180,11 +185,4 @@
     pub fn asks_for_keys(&self) -> bool {
         self.asks_for_keys
     }
-
-    /// Prepaid organisations.
-    pub fn prepaid(&self) -> impl Iterator<Item = &Arc<Organisation>> {
-        self.keys
-            .values()
-            .filter(|organisation| organisation.prepaid)
-    }
 }
--- a/crates/anvil_ledger/src/state/money/apply.rs
+++ b/crates/anvil_ledger/src/state/money/apply.rs
@@ -24,7 +24,7 @@
             self.fence_older(index, &batch.router, batch.incarnation);
         }
         let touched = self.budgets_of(batch);
-        let answer = self.apply_batch(batch);
+        let answer = self.apply_batch(batch, &touched);
         for budget in &touched {
             self.check_budget(budget);
         }
@@ -71,16 +71,19 @@
         Ok(same.then(|| last.answer.clone()))
     }
 
-    fn apply_batch(&mut self, batch: &GrantBatch) -> GrantBatchAnswer {
+    fn apply_batch(
+        &mut self,
+        batch: &GrantBatch,
+        touched: &BTreeSet<BudgetId>,
+    ) -> GrantBatchAnswer {
         let mut answer = GrantBatchAnswer {
             seq: batch.seq,
             ..GrantBatchAnswer::default()
         };
-        let reported = self.budgets_of(batch);
         for report in &batch.reports {
             answer.closed.extend(self.money.report(report));
         }
-        for budget in &reported {
+        for budget in touched {
             self.money.sink(budget);
         }
         for ask in &batch.asks {
--- a/crates/anvil_policy/src/engine.rs
+++ b/crates/anvil_policy/src/engine.rs
@@ -206,11 +206,6 @@
         self.report.map_or(listed, |report| report.slots.max(1))
     }
 
-    /// Requests that wait in it, as far as is known.
-    pub fn waiting(&self, now: Now) -> u32 {
-        self.fresh_report(now).map_or(0, |report| report.waiting)
-    }
-
     fn fresh_report(&self, now: Now) -> Option<&Report> {
         let fresh = |report: &&Report| now < report.at + REPORT_HOLDS;
         self.report.as_ref().filter(fresh)
--- a/crates/anvilreel/src/announce.rs
+++ b/crates/anvilreel/src/announce.rs
@@ -12,18 +12,13 @@
 /// Time between two signs of life. The ledger holds an instance to be silent after five of them.
 const EVERY: Duration = Duration::from_secs(1);
 
-/// Gives a sign of life every second, for as long as the process lives. `version` is what the
-/// process has in force of the ledger's state.
-pub async fn run(
-    ledger: &LedgerClient,
-    life: &Life,
-    instance: &Instance,
-    version: impl Fn() -> LogIndex,
-) {
+/// Gives a sign of life every second, for as long as the process lives. It tells of no version in
+/// force: those who are asked for one give their signs of life themselves.
+pub async fn run(ledger: &LedgerClient, life: &Life, instance: &Instance) {
     loop {
         let heartbeat = Heartbeat {
             instance: instance.clone(),
-            version: version(),
+            version: 0,
             evidence: Vec::new(),
             leaving: life.is_leaving(),
         };
--- a/crates/anvilreel/src/relay.rs
+++ b/crates/anvilreel/src/relay.rs
@@ -22,14 +22,12 @@
 use crate::events;
 use crate::ledger_client::LedgerClient;
 use crate::life::Life;
-use crate::watcher::Watcher;
+use crate::watcher::{SILENCE, Watcher};
 
 /// Longest time that a call is passed on. Whoever asks waits no longer for one way.
 const PASS_WITHIN: Duration = Duration::from_millis(900);
 /// Longest wait for one replica's answer. A commit takes some 10 ms.
 const ONE_REPLICA: Duration = Duration::from_millis(250);
-/// A followed replica that says nothing for so long is left for another one.
-const SILENCE: Duration = Duration::from_millis(900);
 
 /// What a relay is told at its start.
 #[derive(Debug, Clone)]
@@ -97,7 +95,7 @@
             addr: self.cfg.listen,
             endpoint: None,
         };
-        announce::run(&self.watcher.ledger, &self.life, &instance, || 0).await;
+        announce::run(&self.watcher.ledger, &self.life, &instance).await;
     }
 
     async fn answer(&self, req: LedgerRequest, tx: Replier<LedgerReply>) {
--- a/crates/anvilreel/src/watcher.rs
+++ b/crates/anvilreel/src/watcher.rs
@@ -16,7 +16,7 @@
 
 /// A followed replica that says nothing for so long is left for another one. A replica that is
 /// current says so every 0.3 s.
-const SILENCE: Duration = Duration::from_millis(900);
+pub const SILENCE: Duration = Duration::from_millis(900);
 /// Pause before another replica is followed.
 const AGAIN: Duration = Duration::from_millis(100);
 
