Grants by averaged demand: sparse large requests are not taken for a flood

Cause: 25 routers each see a few large requests a second. One that ended within a batch of 0.2 s counted as the demand of that moment, so routers asked for two to five times what they used; a second ask for the smallest waiting request asked for the demand ahead once more.

Ruled out: budgets that are truly used up (billed at second 36: 0.84 of the largest, 0.51 to 0.99 of others); reservations of running requests (0.7 s on average, needed).

Change: the gateway averages demand over a second, the ask for the smallest request asks for that one only.

The purse's tests share one folder now.

--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -120,6 +120,8 @@
 fn grant_policy() -> GrantPolicy {
     GrantPolicy {
         horizon: Duration::from_millis(700),
+        // Some five batches, and about as long as a prompt's answer takes.
+        smooth_over: Some(Duration::from_secs(1)),
         patience: Duration::from_millis(450),
         recall_patience: Duration::from_millis(120),
         idle: Duration::from_millis(400),
--- a/crates/anvilreel/src/money/demand.rs
+++ b/crates/anvilreel/src/money/demand.rs
@@ -30,15 +30,23 @@
         self.since.fetch_add(tokens, Ordering::Relaxed);
     }
 
-    /// Folds what came since the last call into the average. A rise counts at once, so that a
-    /// burst is not starved for as long as the average needs; a fall is smoothed.
-    pub(super) fn fold(&self, over: Duration) {
+    /// Folds what came since the last call into the average. A fall is smoothed. A rise counts at
+    /// once, so that a burst is not starved for as long as the average needs; with `smooth` it
+    /// is averaged over that time, too.
+    pub(super) fn fold(&self, over: Duration, smooth: Option<Duration>) {
         let millis = u64::try_from(over.as_millis()).unwrap_or(u64::MAX).max(1);
         let tokens = self.since.swap(0, Ordering::Relaxed);
         let now = tokens.saturating_mul(1_000) / millis;
         let old = self.rate();
-        let smooth = (old.saturating_mul(SMOOTHING - 1).saturating_add(now)) / SMOOTHING;
-        self.rate.store(smooth.max(now), Ordering::Relaxed);
+        let rate = match smooth {
+            None => average(old, SMOOTHING - 1, now, 1).max(now),
+            Some(smooth) => {
+                let whole = u64::try_from(smooth.as_millis()).unwrap_or(u64::MAX);
+                let new = millis.min(whole);
+                average(old, whole - new, now, new)
+            }
+        };
+        self.rate.store(rate, Ordering::Relaxed);
         let largest = self.largest();
         let faded = largest - largest / 64;
         self.largest.fetch_min(faded.max(1), Ordering::Relaxed);
@@ -59,3 +67,10 @@
         Duration::from_millis(self.last_millis.load(Ordering::Relaxed))
     }
 }
+
+/// The mean of two numbers by their weights.
+fn average(a: u64, weight_a: u64, b: u64, weight_b: u64) -> u64 {
+    let sum = u128::from(a) * u128::from(weight_a) + u128::from(b) * u128::from(weight_b);
+    let weights = (u128::from(weight_a) + u128::from(weight_b)).max(1);
+    u64::try_from(sum / weights).unwrap_or(u64::MAX)
+}
--- a/crates/anvilreel/src/money/exchange.rs
+++ b/crates/anvilreel/src/money/exchange.rs
@@ -139,7 +139,7 @@
         self.each_held(|held| {
             if whole {
                 // A rate over less than a second would take one request for a flood.
-                held.demand.fold(since);
+                held.demand.fold(since, self.policy.smooth_over);
             } else if !held.lacks() {
                 return;
             }
@@ -212,17 +212,16 @@
             return Vec::new();
         }
         let horizon = needed_for(rate, horizon);
-        let of = |least: Tokens| GrantAsk {
+        let of = |least: Tokens, ahead: Tokens| GrantAsk {
             budget: held.budget.clone(),
-            wanted: horizon
-                .saturating_add(least.saturating_mul(spare))
-                .max(least),
+            wanted: ahead.saturating_add(least.saturating_mul(spare)).max(least),
             least,
         };
         if lacking > lacking_least {
-            return vec![of(lacking), of(lacking_least)];
+            // The demand ahead is asked for once; the small request's ask covers that one.
+            return vec![of(lacking, horizon), of(lacking_least, 0)];
         }
-        vec![of(if lacking > 0 { lacking } else { largest })]
+        vec![of(if lacking > 0 { lacking } else { largest }, horizon)]
     }
 
     /// Grants of a budget that should go back: recalled, used up, idle, or too small for what is
--- a/crates/anvilreel/src/money/sizing.rs
+++ b/crates/anvilreel/src/money/sizing.rs
@@ -10,6 +10,13 @@
     /// How long a grant is meant to last at the measured demand, until the fleet's document says
     /// otherwise; it is renewed when a third of that is left.
     pub horizon: Duration,
+    /// Time over which demand is averaged; with `None` a rise counts at once.
+    ///
+    /// Failure: a router sees a few large requests a second. Those that end within one batch look
+    /// like a flood, and it asks for several times what it will use. What then lies in its grant is
+    /// refused elsewhere, and lost when it dies. Averaging suits a ledger that answers in some
+    /// milliseconds, which a burst can wait for.
+    pub smooth_over: Option<Duration>,
     /// Longest time that a request waits for the ledger's word on more money.
     pub patience: Duration,
     /// Longest time that a request waits for money that lies unspent in other routers' grants:
@@ -39,6 +46,7 @@
     fn default() -> Self {
         Self {
             horizon: Duration::from_mins(1),
+            smooth_over: None,
             patience: Duration::from_secs(3),
             recall_patience: Duration::from_secs(6),
             idle: Duration::from_mins(2),
--- /dev/null
+++ b/crates/anvilreel/tests/money/ledger.rs
@@ -0,0 +1,71 @@
+//! The ledger's real state, asked without a network.
+
+use std::time::Duration;
+
+use anvil_ledger::state::State;
+use anvil_world::command::{Change, Edit, GrantBatch, GrantBatchAnswer, TopUp, change_id};
+use anvil_world::prelude::*;
+
+/// The ledger's state with the budget `nairobi`.
+pub struct Ledger {
+    /// What it holds.
+    pub state: State,
+    index: LogIndex,
+}
+
+impl Ledger {
+    /// With so much credit.
+    pub fn with(credit: Tokens) -> Self {
+        let mut ledger = Self {
+            state: State::default(),
+            index: 0,
+        };
+        for (path, text) in [
+            ("organisations/paper", ""),
+            ("budgets/nairobi", "organisation = \"paper\""),
+        ] {
+            ledger.apply(&Command::Change(Change {
+                id: change_id(std::time::UNIX_EPOCH, path),
+                operator: "wanjiru".into(),
+                path: TreePath::try_from(path).expect("a path"),
+                expected: 0,
+                edit: Edit::Put(text.into()),
+                at: std::time::UNIX_EPOCH,
+            }));
+        }
+        ledger.apply(&Command::TopUp(TopUp {
+            id: change_id(std::time::UNIX_EPOCH, "top"),
+            operator: "wanjiru".into(),
+            budget: "nairobi".into(),
+            amount: credit,
+            at: std::time::UNIX_EPOCH,
+        }));
+        ledger
+    }
+
+    /// Applies a command; the invariants must hold.
+    pub fn apply(&mut self, command: &Command) -> Answer {
+        self.index += 1;
+        let answer = self.state.apply(self.index, 1, command);
+        self.state.check_all().expect("the invariants hold");
+        answer
+    }
+
+    /// Answers a purse's batch.
+    pub fn answer(&mut self, batch: GrantBatch) -> GrantBatchAnswer {
+        match self.apply(&Command::GrantBatch(batch)) {
+            Answer::Grants(answer) => answer,
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+/// A time of the purse's clock, in milliseconds.
+pub fn at(millis: u64) -> Now {
+    Duration::from_millis(millis)
+}
+
+/// The one payer.
+pub fn split() -> Split {
+    Split::whole("nairobi".into())
+}
--- a/crates/anvilreel/tests/money_purse.rs
+++ b/crates/anvilreel/tests/money/purse.rs
@@ -1,69 +1,10 @@
 //! A router's purse against the ledger's real state.
 
-use std::time::Duration;
-
-use anvil_ledger::state::State;
 use anvil_wire::msg::{Evidence, KeyCharge};
-use anvil_world::command::{Change, Edit, GrantBatch, GrantBatchAnswer, TopUp, change_id};
 use anvil_world::prelude::*;
 use anvilreel::money::{Closing, GrantPolicy, Purse, Shortage};
 
-struct Ledger {
-    state: State,
-    index: LogIndex,
-}
-
-impl Ledger {
-    fn with(credit: Tokens) -> Self {
-        let mut ledger = Self {
-            state: State::default(),
-            index: 0,
-        };
-        for (path, text) in [
-            ("organisations/paper", ""),
-            ("budgets/nairobi", "organisation = \"paper\""),
-        ] {
-            ledger.apply(&Command::Change(Change {
-                id: change_id(std::time::UNIX_EPOCH, path),
-                operator: "wanjiru".into(),
-                path: TreePath::try_from(path).expect("a path"),
-                expected: 0,
-                edit: Edit::Put(text.into()),
-                at: std::time::UNIX_EPOCH,
-            }));
-        }
-        ledger.apply(&Command::TopUp(TopUp {
-            id: change_id(std::time::UNIX_EPOCH, "top"),
-            operator: "wanjiru".into(),
-            budget: "nairobi".into(),
-            amount: credit,
-            at: std::time::UNIX_EPOCH,
-        }));
-        ledger
-    }
-
-    fn apply(&mut self, command: &Command) -> Answer {
-        self.index += 1;
-        let answer = self.state.apply(self.index, 1, command);
-        self.state.check_all().expect("the invariants hold");
-        answer
-    }
-
-    fn answer(&mut self, batch: GrantBatch) -> GrantBatchAnswer {
-        match self.apply(&Command::GrantBatch(batch)) {
-            Answer::Grants(answer) => answer,
-            other => panic!("{other:?}"),
-        }
-    }
-}
-
-fn at(millis: u64) -> Now {
-    Duration::from_millis(millis)
-}
-
-fn split() -> Split {
-    Split::whole("nairobi".into())
-}
+use crate::ledger::{Ledger, at, split};
 
 fn purse() -> Purse {
     Purse::new("r1".into(), 1, GrantPolicy::default())
