An endpoint that is gone uses up no try

Nothing had been sent to the dead ones.

Ruled out: the pause after a failure (0.25 to 2 s): each of 25 routers learns for itself, and tries each dead endpoint again every two seconds at most, which is needed to find it well again.

Change: Tries counts what an endpoint has got; one that could not be reached, or whose address is another's, is not counted (four of those at most), and an arrival draws on the shared budget only after the first one.

Tests: direct::gone, the first two fail without it.

--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -22,6 +22,7 @@
 use crate::reply::{Cause, Reply, refusal};
 use crate::table::{Organisation, Route, RouteTable};
 use crate::trace::Trace;
+use crate::tries::Tries;
 
 /// When to come back where another gateway may serve the request: at once.
 const ELSEWHERE: Duration = Duration::from_millis(20);
@@ -73,7 +74,7 @@
             organisation: self.organisation,
             service: self.service,
             per_event: self.per_event,
-            tried: Vec::new(),
+            tries: Tries::default(),
             deadline: self.deadline,
             spend: self.spend,
             trace,
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -24,6 +24,7 @@
 use crate::reply::{Cause, ONE_CONNECTION, Reply, refusal, whole};
 use crate::table::{Organisation, Route};
 use crate::trace::Trace;
+use crate::tries::Tries;
 
 /// Longest body of a plain answer that is kept whole before it is passed on, in bytes. It must
 /// have ended well before the client sees any of it, so that a broken one can be asked for again.
@@ -54,8 +55,8 @@
     pub service: ServiceId,
     /// Tokens of output in one event, at most.
     pub per_event: Tokens,
-    /// Endpoints that it was sent to.
-    pub tried: Vec<InstanceId>,
+    /// What came of its tries so far.
+    pub tries: Tries,
     /// No answer is waited for after this.
     pub deadline: Instant,
     /// What it costs.
@@ -141,8 +142,7 @@
 
     /// Whether another endpoint may be tried.
     pub fn has_tries(&self) -> bool {
-        let tried = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
-        tried < self.route.attempts && !self.left().is_zero()
+        self.tries.may_go_on(self.route.attempts) && !self.left().is_zero()
     }
 
     fn not_run(&mut self, why: &NotRun) -> Cause {
@@ -169,16 +169,24 @@
             failed
         };
         let allowed = !self.in_doubt || self.route.repeat.may_run_again();
-        if !allowed || !self.has_tries() || !self.gw.may_try_again(&self.service) {
+        if !allowed || !self.has_tries() || !self.may_arrive_again() {
             return Err((cause, SOON));
         }
         Ok(())
     }
 
+    /// Whether the shared budget allows one more arrival; a request that has reached no endpoint
+    /// yet needs none of it.
+    fn may_arrive_again(&self) -> bool {
+        !self.tries.arrived() || self.gw.may_try_again(&self.service)
+    }
+
     async fn one_try(&mut self, after: Option<u64>) -> Result<Tried, Refused> {
         let prompt = Prompt { parts: &self.parts };
         let within = self.left().mul_f64(SENT_WITHIN);
-        let chosen = self.gw.choose(&self.service, &prompt, &self.tried, within);
+        let chosen = self
+            .gw
+            .choose(&self.service, &prompt, self.tries.endpoints(), within);
         let chosen = chosen.map_err(|unplaced| self.unplaced(unplaced))?;
         let endpoint = chosen.place.endpoint.clone();
         self.trace.step(format_args!(
@@ -186,10 +194,9 @@
             endpoint.id, chosen.expected, chosen.missing, chosen.grounds
         ));
         self.gw.metrics.count(metrics::TRIES);
-        if !self.tried.is_empty() {
+        if !self.tries.endpoints().is_empty() {
             self.gw.metrics.count(metrics::TRIES_AGAIN);
         }
-        self.tried.push(endpoint.id.clone());
         let left = self.left();
         let onward = Onward {
             endpoint: &endpoint.id,
@@ -217,6 +224,7 @@
         let sent_at = Instant::now();
         let tried = send(&self.gw.cfg.dialect, chosen.place, out).await;
         self.waits_on = None;
+        self.tries.note(endpoint.id.clone(), &tried);
         if let (Tried::NotRun(_), Some(spend), false) = (&tried, &mut self.spend, counted_before) {
             spend.not_run();
         }
@@ -228,8 +236,7 @@
     /// endpoint may run instead.
     fn answer_until(&self) -> Instant {
         let repeatable = self.route.repeat.may_run_again();
-        let more = u32::try_from(self.tried.len()).unwrap_or(u32::MAX) < self.route.attempts;
-        if !repeatable || !more {
+        if !repeatable || self.tries.is_last(self.route.attempts) {
             return self.deadline;
         }
         let patient = Instant::now() + self.route.target.mul_f64(SILENT_TARGETS);
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -6,7 +6,7 @@
 //! of events. How a platform names things is kept outside, in a [`dialect::Dialect`].
 //!
 //! One request's way: [`serve`] takes the connection, [`admit`] checks and pays, [`exchange`]
-//! tries endpoints, [`choose`] picks them, [`attempt`] sends it to one, [`relay`] passes a stream on and
+//! tries endpoints, [`choose`] picks them, [`attempt`] sends it to one, [`tries`] counts, [`relay`] passes a stream on and
 //! has it continued elsewhere, [`reply`] says no.
 //!
 //! What the gateway believes, and from whom: the routing table and the number of gateways
@@ -36,6 +36,7 @@
 pub mod serve;
 pub mod table;
 pub mod trace;
+pub mod tries;
 
 pub use gateway::{Gateway, GatewaySettings};
 pub use run::{GatewayError, run};
--- a/crates/anvil_gateway/tests/direct/main.rs
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -6,6 +6,7 @@
 mod endpoint;
 mod explained;
 mod fleet;
+mod gone;
 mod leaving;
 mod money;
 mod streams;
