--- a/crates/anvil_daemons/examples/slopes/live/bench.rs
+++ b/crates/anvil_daemons/examples/slopes/live/bench.rs
@@ -62,6 +62,7 @@
                 id: peer.id.clone(),
                 zone: Zone::default(),
                 wire_listen: peer.addr,
+                bind: None,
                 data: bench.folder.path().join(peer.id.as_ref()),
                 founders: founders.clone(),
                 join: false,
--- a/crates/anvil_standins/src/load/fleet.rs
+++ b/crates/anvil_standins/src/load/fleet.rs
@@ -164,6 +164,7 @@
                 id: peer.id.clone(),
                 zone: self.scenario.zone(at),
                 wire_listen: peer.addr,
+                bind: None,
                 data: self.folder.join(peer.id.as_ref()),
                 founders: founders.clone(),
                 join: false,
--- a/crates/anvil_world/src/settings/ledger.rs
+++ b/crates/anvil_world/src/settings/ledger.rs
@@ -29,6 +29,9 @@
     pub zone: Zone,
     /// Where the other processes connect.
     pub wire_listen: SocketAddr,
+    /// Where this process listens, if the address above is passed on to it by something between.
+    #[serde(default)]
+    pub bind: Option<SocketAddr>,
     /// The data folder. Its disk is the replica's identity.
     pub data: PathBuf,
     /// The replicas that found the ledger, this one among them. Read only when the data folder
--- a/crates/anvilreel/examples/ledger_bench/ledger.rs
+++ b/crates/anvilreel/examples/ledger_bench/ledger.rs
@@ -70,6 +70,7 @@
             id: self.peers[number].id.clone(),
             zone: Zone::default(),
             wire_listen: self.peers[number].addr,
+            bind: None,
             data: self.data.join(number.to_string()),
             founders: self.peers.clone(),
             join: false,
--- a/crates/anvilreel/src/ledger_service.rs
+++ b/crates/anvilreel/src/ledger_service.rs
@@ -146,7 +146,8 @@
     let fresh = rand::random();
     let (storage, found) = Storage::open(disk.clone(), fresh).context(StorageSnafu)?;
     let storage = storage.with_segment_bytes(tuning.segment_bytes);
-    let server = Server::bind(cfg.wire_listen).await.context(ListenSnafu)?;
+    let listen = cfg.bind.unwrap_or(cfg.wire_listen);
+    let server = Server::bind(listen).await.context(ListenSnafu)?;
     let addr = server.addr().context(ListenSnafu)?;
     let (inbox, rx) = mpsc::channel(INBOX);
     let id = storage.id();
--- a/crates/anvilreel/src/local.rs
+++ b/crates/anvilreel/src/local.rs
@@ -168,6 +168,7 @@
         id: id.clone(),
         zone: Zone::default(),
         wire_listen: settings.ledger_listen,
+        bind: None,
         data: settings.data.clone(),
         founders: vec![Peer {
             id,
--- a/crates/anvilreel/src/relay.rs
+++ b/crates/anvilreel/src/relay.rs
@@ -36,8 +36,10 @@
     pub id: InstanceId,
     /// Where it stands.
     pub zone: Zone,
-    /// Where it listens.
+    /// Where the other processes connect.
     pub listen: SocketAddr,
+    /// Where this process listens, if the address above is passed on to it by something between.
+    pub bind: Option<SocketAddr>,
     /// Replicas of the ledger that are known at the start.
     pub ledger: Vec<SocketAddr>,
 }
@@ -62,7 +64,7 @@
     log: Logger,
     stop: impl Future<Output = ()>,
 ) -> Result<(), WireError> {
-    let server = Server::bind(cfg.listen).await?;
+    let server = Server::bind(cfg.bind.unwrap_or(cfg.listen)).await?;
     event!(log, events::RELAY_LISTENING, "addr" => cfg.listen.to_string());
     let relay = Arc::new(Relay {
         watcher,
--- a/crates/anvilreel/tests/path_fleet/fleet.rs
+++ b/crates/anvilreel/tests/path_fleet/fleet.rs
@@ -259,6 +259,7 @@
         id: id.clone(),
         zone: Zone::default(),
         wire_listen: addr,
+        bind: None,
         data: data.path().to_owned(),
         founders: vec![Peer { id, addr }],
         join: false,
