A call that has timed out waits for nobody else's connecting

Cause: Channel::forget waited for the connection's lock, which another call holds for up to two seconds while it connects; a call of 100 ms took 1.95 s then, and could drop the connection that had just been made. Ruled out: nothing else holds the lock across a wait. Change: connections have numbers; only the one that timed out is dropped, and only if the lock is free. Test: exchange::a_call_does_not_wait_for_another_that_connects, seen failing at 1.95 s.

--- a/crates/anvil_wire/src/channel.rs
+++ b/crates/anvil_wire/src/channel.rs
@@ -3,6 +3,7 @@
 use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -28,6 +29,8 @@
 
 #[derive(Clone)]
 struct Connected {
+    /// Of the connections that this channel made.
+    number: u64,
     sender: SendRequest<Bytes>,
     open: OpenStreams,
 }
@@ -37,6 +40,7 @@
 pub struct Channel {
     addr: SocketAddr,
     connected: Arc<Mutex<Option<Connected>>>,
+    made: Arc<AtomicU64>,
 }
 
 impl Channel {
@@ -45,6 +49,7 @@
         Self {
             addr,
             connected: Arc::default(),
+            made: Arc::default(),
         }
     }
 
@@ -59,30 +64,47 @@
         req: &C::Req,
         within: Duration,
     ) -> Result<C::Resp, WireError> {
+        let mut used = None;
         let exchange = async {
-            let mut replies = self.open::<C>(req).await?;
+            let connected = self.connection().await?;
+            used = Some(connected.number);
+            let mut replies = self.open_on::<C>(connected, req).await?;
             replies.next().await?.ok_or(WireError::Ended)
         };
         if let Ok(reply) = timeout(within, exchange).await {
             return reply;
         }
-        self.forget().await;
+        if let Some(number) = used {
+            self.forget(number);
+        }
         Err(WireError::Timeout { after: within })
     }
 
-    /// Drops the present connection for the calls to come; streams that are open on it go on.
+    /// Drops this connection for the calls to come; streams that are open on it go on.
     ///
     /// Failure: a connection goes silent for good while new ones work. It shows as calls that time
-    /// out one after the other until a ping does.
-    async fn forget(&self) {
-        *self.connected.lock().await = None;
+    /// out one after the other until a ping does. Nothing is waited for: while another call
+    /// connects, the connection that timed out is replaced anyway.
+    fn forget(&self, number: u64) {
+        let Ok(mut slot) = self.connected.try_lock() else {
+            return;
+        };
+        slot.take_if(|connected| connected.number == number);
     }
 
     /// Asks and returns the replies as they come. Dropping them tells the other side to stop.
     pub async fn open<C: Call>(&self, req: &C::Req) -> Result<Replies<C::Resp>, WireError> {
+        self.open_on::<C>(self.connection().await?, req).await
+    }
+
+    async fn open_on<C: Call>(
+        &self,
+        connected: Connected,
+        req: &C::Req,
+    ) -> Result<Replies<C::Resp>, WireError> {
         let body = encode(req)?;
         let addr = self.addr;
-        let Connected { sender, open } = self.connection().await?;
+        let Connected { sender, open, .. } = connected;
         let mut sender = sender.ready().await.context(OpenSnafu { addr })?;
         let head = Request::post(C::PATH).body(());
         let head = head.unwrap_or_else(|_| unreachable!("a constant path is a valid URI"));
@@ -115,7 +137,8 @@
             }
             *slot = None;
         }
-        let connecting = connect(self.addr);
+        let number = self.made.fetch_add(1, Ordering::Relaxed);
+        let connecting = connect(self.addr, number);
         let connected = timeout(CONNECT_TIMEOUT, connecting).await;
         let connected = connected.unwrap_or(Err(WireError::ConnectTimeout {
             addr: self.addr,
@@ -126,7 +149,7 @@
     }
 }
 
-async fn connect(addr: SocketAddr) -> Result<Connected, WireError> {
+async fn connect(addr: SocketAddr, number: u64) -> Result<Connected, WireError> {
     let socket = TcpStream::connect(addr).await;
     let socket = socket.context(ConnectSnafu { addr })?;
     socket.set_nodelay(true).context(ConnectSnafu { addr })?;
@@ -144,7 +167,11 @@
             () = silent => {}
         }
     });
-    Ok(Connected { sender, open })
+    Ok(Connected {
+        number,
+        sender,
+        open,
+    })
 }
 
 /// The replies to one request, in order.
--- a/crates/anvil_wire/tests/exchange.rs
+++ b/crates/anvil_wire/tests/exchange.rs
@@ -63,3 +63,36 @@
     assert!(matches!(failed, Err(WireError::Status { status: 404 })));
     Ok(())
 }
+
+/// One of a process's peers takes no connections. A call to it that may take 100 ms takes as long as
+/// another call's attempt to connect, two seconds, and whoever asks the next peer asks too late.
+#[tokio::test]
+async fn a_call_does_not_wait_for_another_that_connects() {
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    socket.bind(([127, 0, 0, 1], 0).into()).expect("a port");
+    let listener = socket.listen(1).expect("listening");
+    let addr = listener.local_addr().expect("an address");
+    // Nobody accepts: once these wait, the next opening packets are dropped.
+    let mut waiting = Vec::new();
+    for _ in 0..8 {
+        let connecting = tokio::net::TcpStream::connect(addr);
+        waiting.push(tokio::time::timeout(Duration::from_millis(50), connecting).await);
+    }
+    let channel = Channel::new(addr);
+    let other = channel.clone();
+    let patient =
+        tokio::spawn(async move { other.call::<Count>(&1, Duration::from_secs(5)).await });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let begun = std::time::Instant::now();
+    let called = channel.call::<Count>(&1, Duration::from_millis(100)).await;
+    assert!(
+        matches!(called, Err(WireError::Timeout { .. })),
+        "{called:?}"
+    );
+    assert!(
+        begun.elapsed() < Duration::from_millis(600),
+        "{:?}",
+        begun.elapsed()
+    );
+    patient.abort();
+}
