--- a/crates/anvil_ledger/src/storage.rs
+++ b/crates/anvil_ledger/src/storage.rs
@@ -18,6 +18,7 @@
 pub mod disk;
 mod error;
 pub mod frame;
+pub mod harm;
 pub mod recover;
 pub mod segment;
 pub mod snapshot;
--- a/crates/anvilreel/src/ledger_service.rs
+++ b/crates/anvilreel/src/ledger_service.rs
@@ -130,9 +130,13 @@
     log: Logger,
     stop: impl Future<Output = ()> + Send + 'static,
 ) -> Result<LedgerHandle, ServiceError> {
+    start_on(open_disk(&cfg)?, cfg, tuning, log, stop).await
+}
+
+/// Opens the data folder that the settings name.
+pub fn open_disk(cfg: &LedgerSettings) -> Result<Disk, ServiceError> {
     let data = cfg.data.display().to_string();
-    let disk = Disk::folder(&cfg.data).context(DiskSnafu { data })?;
-    start_on(disk, cfg, tuning, log, stop).await
+    Disk::folder(&cfg.data).context(DiskSnafu { data })
 }
 
 /// Starts a replica on a folder that is open already.
