A gateway's part of the retry slack follows the number of gateways

Cause: the part was fixed by the number of gateways known at the first request to a service. Right after a start that is few, so each of thirty kept up to a half of the whole slack for good. Ruled out: the part of the requests, which needs no number. Change: RetryBudget::set_rule; what is left only ever shrinks by it.

--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -86,11 +86,13 @@
     pub confirmed: AtomicU64,
     /// When the platform's list was last read, in milliseconds of the life.
     pub listed: AtomicU64,
+    /// Wakes the task that reads the platform's list: an endpoint was another one than listed.
+    pub list_doubted: Notify,
     /// Requests under way.
     pub open: AtomicU32,
     /// In milliseconds of the life: until then this gateway can't pay for what it is asked.
     starved_until: AtomicU64,
-    retries: Mutex<BTreeMap<ServiceId, RetryBudget>>,
+    retries: Mutex<BTreeMap<ServiceId, OwnRetries>>,
 }
 
 /// Longest wait for one replica's or relay's answer; a commit takes some 10 ms.
@@ -158,6 +160,7 @@
             gateways: AtomicU32::new(GATEWAYS_UNTIL_TOLD),
             confirmed: AtomicU64::new(0),
             listed: AtomicU64::new(0),
+            list_doubted: Notify::new(),
             open: AtomicU32::new(0),
             starved_until: AtomicU64::new(0),
             retries: Mutex::default(),
@@ -241,20 +244,41 @@
         allowed
     }
 
+    /// The budget of a service, by the number of gateways as it is known now.
     fn with_retries<T>(&self, service: &ServiceId, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let gateways = self.gateways.load(Ordering::Relaxed).max(1);
         // A panic elsewhere leaves a number between nothing and the reserve.
         let mut retries = self.retries.lock().unwrap_or_else(PoisonError::into_inner);
-        let budget = retries.entry(service.clone()).or_insert_with(|| {
-            let gateways = f64::from(self.gateways.load(Ordering::Relaxed).max(1));
-            let slack = self.cfg.retry_slack / gateways;
-            RetryBudget::new(RetryRule {
-                part: RETRY_MARGIN * self.cfg.retry_part,
-                reserve: RETRY_RESERVE * slack,
-                each_second: RETRY_REFILL * slack / self.cfg.retry_window.as_secs_f64(),
-                most_tries: u32::MAX,
-                ..RetryRule::default()
-            })
-        });
-        f(budget)
+        let own = retries
+            .entry(service.clone())
+            .or_insert_with(|| OwnRetries {
+                gateways,
+                budget: RetryBudget::new(self.retry_rule(gateways)),
+            });
+        if own.gateways != gateways {
+            own.gateways = gateways;
+            let rule = self.retry_rule(gateways);
+            own.budget.set_rule(self.life.now(), rule);
+        }
+        f(&mut own.budget)
+    }
+
+    /// This gateway's part of what all may do, as one of so many.
+    fn retry_rule(&self, gateways: u32) -> RetryRule {
+        let slack = self.cfg.retry_slack / f64::from(gateways);
+        RetryRule {
+            part: RETRY_MARGIN * self.cfg.retry_part,
+            reserve: RETRY_RESERVE * slack,
+            each_second: RETRY_REFILL * slack / self.cfg.retry_window.as_secs_f64(),
+            most_tries: u32::MAX,
+            ..RetryRule::default()
+        }
     }
 }
+
+/// The tries beyond the first that this gateway may make at one service.
+struct OwnRetries {
+    /// For how many gateways it was reckoned.
+    gateways: u32,
+    budget: RetryBudget,
+}
--- a/crates/anvil_policy/src/retry.rs
+++ b/crates/anvil_policy/src/retry.rs
@@ -78,6 +78,14 @@
         }
     }
 
+    /// Takes another rule over. What is left stays as it is, but for what the new reserve does not
+    /// allow: others may have used up in the same window what a larger reserve would give back.
+    pub fn set_rule(&mut self, now: Now, rule: RetryRule) {
+        self.refill(now);
+        self.left = self.left.min(rule.reserve);
+        self.rule = rule;
+    }
+
     /// Counts a first try.
     pub fn first_try(&mut self, now: Now) {
         self.refill(now);
