--- a/crates/anvil_gateway/src/relay.rs
+++ b/crates/anvil_gateway/src/relay.rs
@@ -104,6 +104,7 @@
         self.last = event.id.or(self.last);
         let now = Instant::now();
         if let Some(before) = self.delivered_at.replace(now) {
+            self.exchange.trace.paused(now - before);
             self.exchange.gw.metrics.time(metrics::GAP, now - before);
         }
         let tokens = self.exchange.per_event;
--- a/crates/anvil_gateway/src/trace.rs
+++ b/crates/anvil_gateway/src/trace.rs
@@ -22,6 +22,7 @@
     table: u64,
     steps: String,
     first: Option<Duration>,
+    pause: Duration,
     billed: u64,
     outcome: Option<&'static str>,
 }
@@ -42,6 +43,7 @@
             table: 0,
             steps: String::new(),
             first: None,
+            pause: Duration::ZERO,
             billed: 0,
             outcome: None,
         }
@@ -73,6 +75,11 @@
         self.first.get_or_insert(self.begun.elapsed());
     }
 
+    /// Notes the time between two events of a stream; the longest one is logged.
+    pub fn paused(&mut self, pause: Duration) {
+        self.pause = self.pause.max(pause);
+    }
+
     /// Notes what it cost, in tokens.
     pub fn billed(&mut self, tokens: u64) {
         self.billed = tokens;
@@ -97,6 +104,7 @@
         let log = &self.gw.log;
         let took = took.as_millis();
         let first = self.first.map_or(0, |first| first.as_millis());
+        let pause = self.pause.as_millis();
         let confirmed = self.gw.confirmed.load(Ordering::Relaxed);
         let held = self.gw.now_ms().saturating_sub(confirmed);
         if outcome == "completed" {
@@ -105,7 +113,7 @@
                 "request" => &*self.id, "route" => self.route.as_deref(),
                 "organisation" => self.organisation.as_deref(), "table" => self.table,
                 "held_ms" => held,
-                "first_ms" => first, "took_ms" => took, "billed" => self.billed, "steps" => &*self.steps
+                "first_ms" => first, "pause_ms" => pause, "took_ms" => took, "billed" => self.billed, "steps" => &*self.steps
             );
         } else {
             event!(
@@ -113,7 +121,7 @@
                 "request" => &*self.id, "outcome" => outcome, "route" => self.route.as_deref(),
                 "organisation" => self.organisation.as_deref(), "table" => self.table,
                 "held_ms" => held,
-                "first_ms" => first, "took_ms" => took, "billed" => self.billed, "steps" => &*self.steps
+                "first_ms" => first, "pause_ms" => pause, "took_ms" => took, "billed" => self.billed, "steps" => &*self.steps
             );
         }
     }
--- a/crates/anvil_gateway/tests/direct/explained.rs
+++ b/crates/anvil_gateway/tests/direct/explained.rs
@@ -147,6 +147,7 @@
         Endpoint::start(|_, req| vec![Step::Send(crate::endpoint::answer(req, "ran"))]).await;
     let limits = LogLimits {
         bytes_per_second: 1_000_000,
+        lines_per_second: 10_000,
         waiting_bytes: 20_000,
     };
     let (log, dropped) = to_writer(Stuck, limits);
@@ -168,6 +169,7 @@
     let written = Written::default();
     let limits = LogLimits {
         bytes_per_second: 20_000,
+        lines_per_second: 10_000,
         waiting_bytes: 40_000,
     };
     let (log, dropped) = to_writer(written.clone(), limits);
@@ -189,3 +191,26 @@
     assert!(text.contains("log_lines_dropped"));
     assert!(dropped.count() > 100);
 }
+
+/// Lines are short and many; whoever reads the log pays for each. So lines are bounded as well, and
+/// one that explains a failure has room in the end.
+#[tokio::test]
+async fn lines_are_bounded_as_bytes_are() {
+    let written = Written::default();
+    let limits = LogLimits {
+        bytes_per_second: 1_000_000,
+        lines_per_second: 40,
+        waiting_bytes: 1_000_000,
+    };
+    let (log, dropped) = to_writer(written.clone(), limits);
+    for number in 0..200 {
+        slog::info!(log, "fine"; "request" => number);
+    }
+    slog::warn!(log, "failed"; "request" => "x");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let text = String::from_utf8(written.0.lock().expect("a buffer").clone()).expect("text");
+    let fine = text.lines().filter(|line| line.contains("fine")).count();
+    assert!((15..=30).contains(&fine), "{fine}");
+    assert!(text.contains("\"failed\""));
+    assert!(dropped.count() >= 170);
+}
--- a/crates/anvilreel/src/logs/bounded.rs
+++ b/crates/anvilreel/src/logs/bounded.rs
@@ -19,16 +19,20 @@
 pub struct LogLimits {
     /// Bytes a second, averaged over a second.
     pub bytes_per_second: u64,
+    /// Lines a second, averaged over a second.
+    pub lines_per_second: u64,
     /// Bytes that may wait for a slow reader.
     pub waiting_bytes: usize,
 }
 
 impl Default for LogLimits {
     /// A router that answers 100 requests a second logs 40 KB a second; five times that is room
-    /// for a storm of failures. What waits is two seconds of it.
+    /// for a storm of failures. Lines of half the usual length reach the bound of lines first. What
+    /// waits is two seconds of it.
     fn default() -> Self {
         Self {
             bytes_per_second: 200_000,
+            lines_per_second: 1_000,
             waiting_bytes: 400_000,
         }
     }
@@ -51,12 +55,35 @@
     }
 }
 
-#[derive(Default)]
+/// So much a second, saved up for one second.
+struct Allowance {
+    most: f64,
+    left: f64,
+}
+
+impl Allowance {
+    #[expect(clippy::cast_precision_loss, reason = "limits far below 2^52")]
+    fn new(most: u64) -> Self {
+        let most = most as f64;
+        Self { most, left: most }
+    }
+
+    fn refill(&mut self, passed: Duration) {
+        self.left = (self.left + passed.as_secs_f64() * self.most).min(self.most);
+    }
+
+    /// Whether so much may be taken while this part of the whole is kept.
+    fn has(&self, cost: f64, kept: f64) -> bool {
+        self.left - cost >= self.most * kept
+    }
+}
+
 struct Waiting {
     buf: Vec<u8>,
-    /// Bytes that may still be logged now, and when that was counted.
-    allowance: f64,
-    counted: Option<Instant>,
+    bytes: Allowance,
+    lines: Allowance,
+    /// When the allowances were last refilled.
+    counted: Instant,
     dropped: u64,
 }
 
@@ -72,7 +99,13 @@
 pub(super) fn logger(writer: impl Write + Send + 'static, limits: LogLimits) -> (Logger, Dropped) {
     let shared = Arc::new(Shared {
         limits,
-        waiting: Mutex::default(),
+        waiting: Mutex::new(Waiting {
+            buf: Vec::new(),
+            bytes: Allowance::new(limits.bytes_per_second),
+            lines: Allowance::new(limits.lines_per_second),
+            counted: Instant::now(),
+            dropped: 0,
+        }),
         filled: Condvar::new(),
         dropped: Dropped::default(),
     });
@@ -100,10 +133,18 @@
     type Err = std::io::Error;
 
     fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), Self::Err> {
+        let kept = if record.level().is_at_least(Level::Warning) {
+            0.0
+        } else {
+            1.0 - ORDINARY_PART
+        };
+        // Under a flood most lines are dropped; they need not be formatted for that.
+        if !self.0.has_room(kept) {
+            return Ok(());
+        }
         let line = RefCell::new(Vec::with_capacity(512));
         slog_json::Json::default(Line(&line)).log(record, values)?;
-        self.0
-            .take(&line.borrow(), record.level().is_at_least(Level::Warning));
+        self.0.take(&line.borrow(), kept);
         Ok(())
     }
 }
@@ -114,25 +155,35 @@
         self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn take(&self, line: &[u8], urgent: bool) {
+    /// Whether any line may be taken while this part of the limits is kept; one that may not counts
+    /// as dropped.
+    fn has_room(&self, kept: f64) -> bool {
+        let mut waiting = self.lock();
+        let passed = waiting.counted.elapsed();
+        waiting.counted += passed;
+        waiting.bytes.refill(passed);
+        waiting.lines.refill(passed);
+        let allowed = waiting.lines.has(1.0, kept) && waiting.bytes.has(1.0, kept);
+        if !allowed {
+            self.dropped_one(&mut waiting);
+        }
+        allowed
+    }
+
+    fn take(&self, line: &[u8], kept: f64) {
         let mut waiting = self.lock();
-        self.refill(&mut waiting);
         #[expect(clippy::cast_precision_loss, reason = "limits far below 2^52 bytes")]
-        let (a_second, room) = (
-            self.limits.bytes_per_second as f64,
+        let (bytes, full, room) = (
+            line.len() as f64,
+            waiting.buf.len() as f64,
             self.limits.waiting_bytes as f64,
         );
-        #[expect(clippy::cast_precision_loss, reason = "as above")]
-        let (line_bytes, full) = (line.len() as f64, waiting.buf.len() as f64);
-        let kept = if urgent { 0.0 } else { 1.0 - ORDINARY_PART };
-        let allowed = waiting.allowance - line_bytes >= a_second * kept;
-        let fits = full + line_bytes <= room * (1.0 - kept);
-        if !allowed || !fits {
-            waiting.dropped += 1;
-            self.dropped.0.fetch_add(1, Ordering::Relaxed);
-            return;
+        let fits = full + bytes <= room * (1.0 - kept);
+        if !fits || !waiting.bytes.has(bytes, kept) {
+            return self.dropped_one(&mut waiting);
         }
-        waiting.allowance -= line_bytes;
+        waiting.bytes.left -= bytes;
+        waiting.lines.left -= 1.0;
         let was_empty = waiting.buf.is_empty();
         waiting.buf.extend_from_slice(line);
         drop(waiting);
@@ -141,14 +192,9 @@
         }
     }
 
-    fn refill(&self, waiting: &mut Waiting) {
-        let now = Instant::now();
-        #[expect(clippy::cast_precision_loss, reason = "limits far below 2^52 bytes")]
-        let most = self.limits.bytes_per_second as f64;
-        let passed = waiting.counted.map(|at| now.saturating_duration_since(at));
-        let more = passed.map_or(most, |passed| passed.as_secs_f64() * most);
-        waiting.allowance = (waiting.allowance + more).min(most);
-        waiting.counted = Some(now);
+    fn dropped_one(&self, waiting: &mut Waiting) {
+        waiting.dropped += 1;
+        self.dropped.0.fetch_add(1, Ordering::Relaxed);
     }
 
     fn write_out(&self, mut writer: impl Write) {
--- a/crates/anvilreel/tests/money/sparse.rs
+++ b/crates/anvilreel/tests/money/sparse.rs
@@ -28,10 +28,9 @@
     let mut most = 0;
     let mut open = Vec::new();
     for now in 1..5_000 {
-        if now % EVERY == 0 || purse.is_urgent() {
-            if let Ok(reservation) = purse.reserve(at(now), &split(), REQUEST) {
-                open.push((now + 600, reservation));
-            }
+        let asks = now % EVERY == 0 || purse.is_urgent();
+        if asks && let Ok(reservation) = purse.reserve(at(now), &split(), REQUEST) {
+            open.push((now + 600, reservation));
         }
         while open.first().is_some_and(|(ends, _)| *ends <= now) {
             let (_, reservation) = open.remove(0);
