--- /dev/null
+++ b/crates/anvilreel/tests/ledger_service/cluster.rs
@@ -0,0 +1,197 @@
+//! Replicas of a ledger in this process, over real sockets and folders.
+
+use std::net::{SocketAddr, TcpListener};
+use std::time::{Duration, SystemTime};
+
+use anvil_ledger::core::CoreSettings;
+use anvil_wire::Channel;
+use anvil_wire::msg::{LedgerCall, LedgerReply, LedgerRequest, Query, QueryAnswer};
+use anvil_world::command::{Change, Edit, TopUp, change_id};
+use anvil_world::prelude::*;
+use anvil_world::settings::{LedgerSettings, Peer};
+use anvilreel::ledger_service::{LedgerHandle, TakeOut, Tuning, start};
+use slog::{Discard, Drain, Logger, o};
+use tempfile::TempDir;
+use tokio::sync::oneshot;
+use tokio::time::{sleep, timeout};
+
+/// What ends a test.
+pub type Failure = Box<dyn std::error::Error + Send + Sync>;
+
+/// Longest wait for something that must come.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// An address at which nobody listens.
+pub fn free_addr() -> std::io::Result<SocketAddr> {
+    TcpListener::bind(("127.0.0.1", 0))?.local_addr()
+}
+
+/// A replica that runs.
+pub struct Running {
+    pub stop: oneshot::Sender<()>,
+    pub handle: LedgerHandle,
+}
+
+/// Replicas with their folders; some may be stopped.
+pub struct Cluster {
+    pub folder: TempDir,
+    pub peers: Vec<Peer>,
+    pub take_out: Option<TakeOut>,
+    pub running: Vec<Option<Running>>,
+}
+
+impl Cluster {
+    pub async fn start(size: usize) -> Result<Self, Failure> {
+        Self::start_with(size, None).await
+    }
+
+    pub async fn start_with(size: usize, take_out: Option<TakeOut>) -> Result<Self, Failure> {
+        let mut peers = Vec::new();
+        for number in 0..size {
+            let id = format!("ledger-{number}").into();
+            let addr = free_addr()?;
+            peers.push(Peer { id, addr });
+        }
+        let mut cluster = Self {
+            folder: tempfile::tempdir()?,
+            take_out,
+            running: (0..size).map(|_| None).collect(),
+            peers,
+        };
+        for number in 0..size {
+            cluster.run(number).await?;
+        }
+        Ok(cluster)
+    }
+
+    pub fn settings(&self, number: usize) -> LedgerSettings {
+        LedgerSettings {
+            id: self.peers[number].id.clone(),
+            zone: Zone::default(),
+            wire_listen: self.peers[number].addr,
+            bind: None,
+            data: self.folder.path().join(number.to_string()),
+            founders: self.peers.clone(),
+            join: false,
+            log_json: false,
+            statsd: None,
+        }
+    }
+
+    pub async fn run(&mut self, number: usize) -> Result<(), Failure> {
+        let (stop, stopped) = oneshot::channel();
+        let log = if std::env::var_os("LEDGER_LOG").is_some() {
+            let plain = slog_term::PlainSyncDecorator::new(std::io::stderr());
+            let drain = slog_term::FullFormat::new(plain).build().fuse();
+            Logger::root(drain, o!("number" => number))
+        } else {
+            Logger::root(Discard, o!())
+        };
+        let stopped = async {
+            let _ = stopped.await;
+        };
+        let tuning = Tuning {
+            silent_after: Duration::from_millis(500),
+            gone_after: Duration::from_secs(1),
+            snapshot_every: 200,
+            take_out: self.take_out,
+            // A short log, so that a new disk has to fetch a snapshot.
+            core: CoreSettings {
+                trailing: 50,
+                ..CoreSettings::default()
+            },
+            ..Tuning::default()
+        };
+        let handle = start(self.settings(number), tuning, log, stopped).await?;
+        self.running[number] = Some(Running { stop, handle });
+        Ok(())
+    }
+
+    pub async fn stop(&mut self, number: usize) {
+        if let Some(running) = self.running[number].take() {
+            let _ = running.stop.send(());
+            running.handle.stopped().await;
+        }
+    }
+
+    pub async fn stop_all(&mut self) {
+        for number in 0..self.peers.len() {
+            self.stop(number).await;
+        }
+    }
+
+    pub async fn ask(&self, req: &LedgerRequest) -> Result<LedgerReply, Failure> {
+        let asking = async {
+            loop {
+                for peer in &self.peers {
+                    let channel = Channel::new(peer.addr);
+                    let within = Duration::from_secs(2);
+                    let reply = channel.call::<LedgerCall>(req, within).await;
+                    match reply {
+                        Ok(
+                            LedgerReply::NotLeader { .. }
+                            | LedgerReply::NoQuorum
+                            | LedgerReply::InDoubt
+                            | LedgerReply::Stopped,
+                        )
+                        | Err(_) => {}
+                        Ok(reply) => return reply,
+                    }
+                }
+                sleep(Duration::from_millis(50)).await;
+            }
+        };
+        Ok(timeout(PATIENCE, asking).await?)
+    }
+
+    pub async fn propose(&self, command: Command) -> Result<Answer, Failure> {
+        match self.ask(&LedgerRequest::Propose(command)).await? {
+            LedgerReply::Applied { answer, .. } => Ok(answer),
+            other => Err(format!("{other:?}").into()),
+        }
+    }
+
+    pub async fn budget(&self, id: &str) -> Result<Budget, Failure> {
+        let query = LedgerRequest::Query(Query::Budget(id.into()));
+        match self.ask(&query).await? {
+            LedgerReply::Read(QueryAnswer::Budgets(budgets)) => {
+                let budget = budgets.into_iter().next().ok_or("no budget")?;
+                Ok(budget.budget)
+            }
+            other => Err(format!("{other:?}").into()),
+        }
+    }
+}
+
+/// Sets a document that is not there yet.
+pub fn put(path: &str, text: &str) -> Result<Command, Failure> {
+    Ok(Command::Change(Change {
+        id: change_id(SystemTime::now(), path),
+        operator: "test".into(),
+        path: TreePath::try_from(path)?,
+        expected: 0,
+        edit: Edit::Put(text.into()),
+        at: SystemTime::UNIX_EPOCH,
+    }))
+}
+
+/// Ten tokens more for the budget `nairobi`.
+pub fn top_up(number: u64) -> Command {
+    Command::TopUp(TopUp {
+        id: change_id(SystemTime::now(), &format!("top-up-{number}")),
+        operator: "test".into(),
+        budget: "nairobi".into(),
+        amount: 10,
+        at: SystemTime::UNIX_EPOCH,
+    })
+}
+
+/// Declares the budget `nairobi`.
+pub async fn declare(cluster: &Cluster) -> Result<(), Failure> {
+    let organisation = put("organisations/coop", "weight = 1\n")?;
+    cluster.propose(organisation).await?;
+    let budget = put("budgets/nairobi", "organisation = \"coop\"\n")?;
+    let answer = cluster.propose(budget).await?;
+    assert!(matches!(answer, Answer::Changed(_)), "{answer:?}");
+    Ok(())
+}
--- /dev/null
+++ b/crates/anvilreel/tests/ledger_service/main.rs
@@ -0,0 +1,8 @@
+//! Replicas over real TCP and real folders.
+
+mod cluster;
+mod following;
+mod presence;
+mod replicas;
+mod restart;
+mod trouble;
--- /dev/null
+++ b/crates/anvilreel/tests/ledger_service/presence.rs
@@ -0,0 +1,97 @@
+//! Which instances are alive, and which are gone.
+
+use std::time::Duration;
+
+use anvil_wire::msg::{Heartbeat, LedgerReply, LedgerRequest, Query, QueryAnswer};
+use anvil_world::prelude::*;
+use anvilreel::ledger_service::remove;
+use tokio::time::{sleep, timeout};
+
+use crate::cluster::{Cluster, Failure, PATIENCE, declare, put, top_up};
+
+async fn presence_of_all(cluster: &Cluster) -> Result<Vec<Presence>, Failure> {
+    let members = LedgerRequest::Query(Query::Members);
+    match cluster.ask(&members).await? {
+        LedgerReply::Read(QueryAnswer::Members(members)) => {
+            Ok(members.values().map(|member| member.presence).collect())
+        }
+        other => Err(format!("{other:?}").into()),
+    }
+}
+
+async fn until_all_are(cluster: &Cluster, wanted: Presence) -> Result<(), Failure> {
+    let look = async {
+        while presence_of_all(cluster).await? != [wanted] {
+            sleep(Duration::from_millis(50)).await;
+        }
+        Ok::<(), Failure>(())
+    };
+    timeout(PATIENCE, look).await?
+}
+
+/// A router gives signs of life, then falls silent. It is joined at its first one, kept from new
+/// work after a short silence, and taken back by its next sign. After a silence longer than it
+/// may serve out of touch it is declared gone and fenced, so that its grants can come back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_router_is_gone_and_fenced() -> Result<(), Failure> {
+    let mut cluster = Cluster::start(1).await?;
+    let fleet = put("fleet", "serve_out_of_touch = \"2s\"")?;
+    cluster.propose(fleet).await?;
+    let instance = Instance {
+        id: "router-1".into(),
+        incarnation: 7,
+        role: Role::Router,
+        zone: Zone::default(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        endpoint: None,
+    };
+    let heartbeat = LedgerRequest::Heartbeat(Heartbeat {
+        instance,
+        version: 0,
+        evidence: Vec::new(),
+        leaving: false,
+    });
+    let LedgerReply::Alive(alive) = cluster.ask(&heartbeat).await? else {
+        return Err("no sign of life taken".into());
+    };
+    assert_eq!(alive.presence, Presence::Live);
+    until_all_are(&cluster, Presence::Silent).await?;
+    let LedgerReply::Alive(back) = cluster.ask(&heartbeat).await? else {
+        return Err("no answer to a sign of life after a silence".into());
+    };
+    assert_eq!(back.presence, Presence::Live);
+    assert_eq!(presence_of_all(&cluster).await?, [Presence::Live]);
+    until_all_are(&cluster, Presence::Gone).await?;
+    let LedgerReply::Alive(late) = cluster.ask(&heartbeat).await? else {
+        return Err("no answer to a late sign of life".into());
+    };
+    assert_eq!(late.presence, Presence::Gone);
+    cluster.stop_all().await;
+    Ok(())
+}
+
+/// An instance is lost for good and an operator takes it out. The two that are left go on, and
+/// after one more loss and its replacement nothing is missed.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_is_taken_out_for_good() -> Result<(), Failure> {
+    let mut cluster = Cluster::start(3).await?;
+    declare(&cluster).await?;
+    cluster.stop(2).await;
+    let addrs: Vec<_> = cluster.peers.iter().map(|peer| peer.addr).collect();
+    let gone = async {
+        loop {
+            let _ = remove(&addrs, &cluster.peers[2].id).await;
+            let status = cluster.ask(&LedgerRequest::Query(Query::Status)).await?;
+            if let LedgerReply::Read(QueryAnswer::Status(status)) = status
+                && status.voters.len() == 2
+            {
+                return Ok::<(), Failure>(());
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+    };
+    timeout(PATIENCE, gone).await??;
+    cluster.propose(top_up(1)).await?;
+    cluster.stop_all().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/anvilreel/tests/ledger_service/replicas.rs
@@ -0,0 +1,101 @@
+//! Replicas that move, and that are taken out.
+
+use std::time::Duration;
+
+use anvil_ledger::core::{Membership, Payload};
+use anvil_ledger::storage::Disk;
+use anvil_ledger::storage::recover::recover;
+use anvil_wire::msg::{LedgerReply, LedgerRequest, Query, QueryAnswer};
+use anvilreel::ledger_service::TakeOut;
+use tokio::time::{sleep, timeout};
+
+use crate::cluster::{Cluster, Failure, PATIENCE, declare, free_addr, top_up};
+
+/// A replica comes back with its disk at another address, and another one is lost. The two go on:
+/// the leader has noted the address, so the votes and acknowledgements of the moved one count.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_moves_to_another_address() -> Result<(), Failure> {
+    let mut cluster = Cluster::start(3).await?;
+    declare(&cluster).await?;
+    cluster.stop(2).await;
+    let old = cluster.peers[2].addr;
+    cluster.peers[2].addr = free_addr()?;
+    assert_ne!(cluster.peers[2].addr, old);
+    cluster.run(2).await?;
+    let moved = async {
+        while !is_listed(&cluster, 2) {
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(PATIENCE, moved).await?;
+    cluster.stop(1).await;
+    cluster.propose(top_up(1)).await?;
+    assert_eq!(cluster.budget("nairobi").await?.credited, 10);
+    cluster.stop_all().await;
+    Ok(())
+}
+
+/// Whether the newest membership on the first replica's disk has another one's present address.
+fn is_listed(cluster: &Cluster, number: usize) -> bool {
+    let disk = Disk::read_only(&cluster.folder.path().join("0"));
+    let Ok(found) = recover(&disk) else {
+        return false;
+    };
+    let changes = found
+        .entries
+        .into_iter()
+        .filter_map(|entry| match entry.payload {
+            Payload::Membership(membership) => Some(membership),
+            _ => None,
+        });
+    let peer = &cluster.peers[number];
+    let listed = |membership: Membership| {
+        membership
+            .voters
+            .into_values()
+            .any(|site| site.addr == peer.addr)
+    };
+    changes.last().is_some_and(listed)
+}
+
+/// Four instances keep the ledger; one is gone for good and nobody is there to say so. Left in, it
+/// counts in the majority, and the next loss stops the ledger. It is taken out after its silence;
+/// below three voters none is.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_lost_for_good_is_taken_out() -> Result<(), Failure> {
+    let rule = TakeOut {
+        after: Duration::from_secs(2),
+        least: 3,
+    };
+    let mut cluster = Cluster::start_with(4, Some(rule)).await?;
+    declare(&cluster).await?;
+    cluster.stop(3).await;
+    let voters = |reply| match reply {
+        LedgerReply::Read(QueryAnswer::Status(status)) => status.voters.len(),
+        other => panic!("{other:?}"),
+    };
+    let status = LedgerRequest::Query(Query::Status);
+    let shrunk = async {
+        while voters(cluster.ask(&status).await?) > 3 {
+            sleep(Duration::from_millis(100)).await;
+        }
+        Ok::<(), Failure>(())
+    };
+    timeout(PATIENCE, shrunk).await??;
+    // Two of four would have been no majority.
+    cluster.stop(2).await;
+    cluster.ask(&LedgerRequest::Propose(top_up(1))).await?;
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(voters(cluster.ask(&status).await?), 3);
+    // Whoever comes back with its disk joins again.
+    cluster.run(3).await?;
+    let joined = async {
+        while voters(cluster.ask(&status).await?) < 4 {
+            sleep(Duration::from_millis(100)).await;
+        }
+        Ok::<(), Failure>(())
+    };
+    timeout(PATIENCE, joined).await??;
+    cluster.stop_all().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/anvilreel/tests/ledger_service/trouble.rs
@@ -0,0 +1,111 @@
+//! A ledger that can do nothing says so.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use anvil_ledger::storage::{Disk, Op};
+use anvil_wire::Channel;
+use anvil_wire::msg::{FollowEvent, Interest, LedgerCall, LedgerReply, LedgerRequest, Query};
+use anvil_world::prelude::*;
+use anvil_world::settings::{LedgerSettings, Peer};
+use anvilreel::ledger_service::{Tuning, start_on};
+use slog::{Discard, Logger, o};
+use tokio::sync::oneshot;
+use tokio::time::{sleep, timeout};
+
+use crate::cluster::{Cluster, Failure, PATIENCE, declare, free_addr, put, top_up};
+
+/// Two of three replicas are gone. The third one says within seconds that no majority can be
+/// reached, so that operators and routers know that nothing was done; it confirms no read, and a
+/// follower is told no more that its settings are current.
+#[tokio::test(flavor = "multi_thread")]
+async fn without_a_majority_nothing_is_claimed() -> Result<(), Failure> {
+    let mut cluster = Cluster::start(3).await?;
+    declare(&cluster).await?;
+    cluster.stop(1).await;
+    cluster.stop(2).await;
+    sleep(Duration::from_secs(3)).await;
+    let channel = Channel::new(cluster.peers[0].addr);
+    let within = Duration::from_secs(2);
+    for req in [
+        LedgerRequest::Propose(top_up(1)),
+        LedgerRequest::Query(Query::Status),
+    ] {
+        let reply = channel.call::<LedgerCall>(&req, within).await?;
+        assert_eq!(reply, LedgerReply::NoQuorum);
+    }
+    let follow = LedgerRequest::Follow {
+        instance: "router-1".into(),
+        interest: Interest::Router,
+        version: 0,
+    };
+    let mut replies = channel.open::<LedgerCall>(&follow).await?;
+    let first = replies.next().await?;
+    assert!(matches!(
+        first,
+        Some(LedgerReply::Follow(FollowEvent::Full { .. }))
+    ));
+    // Silence or the stream's end: nothing more may be said.
+    let second = timeout(Duration::from_secs(3), replies.next()).await;
+    let said = matches!(second, Ok(Ok(Some(_))));
+    assert!(!said, "said to be current: {second:?}");
+    cluster.stop_all().await;
+    Ok(())
+}
+
+/// The disk is full. The change under way is in doubt, and from then on the replica says that it
+/// has stopped, instead of acknowledging what it can't keep.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_full_disk_is_said() -> Result<(), Failure> {
+    let folder = tempfile::tempdir()?;
+    let full = Arc::new(AtomicBool::new(false));
+    let inner = Disk::folder(folder.path())?;
+    let told = full.clone();
+    let disk = Disk::new(move |op| {
+        if told.load(Ordering::Relaxed) && matches!(op, Op::Append(..)) {
+            return Err(std::io::ErrorKind::StorageFull.into());
+        }
+        inner.run(op)
+    });
+    let addr = free_addr()?;
+    let id: InstanceId = "ledger-0".into();
+    let cfg = LedgerSettings {
+        id: id.clone(),
+        zone: Zone::default(),
+        wire_listen: addr,
+        bind: None,
+        data: folder.path().to_owned(),
+        founders: vec![Peer { id, addr }],
+        join: false,
+        log_json: false,
+        statsd: None,
+    };
+    let log = Logger::root(Discard, o!());
+    let (stop, stopped) = oneshot::channel::<()>();
+    let stopped = async {
+        let _ = stopped.await;
+    };
+    let handle = start_on(disk, cfg, Tuning::default(), log, stopped).await?;
+    let channel = Channel::new(addr);
+    let within = Duration::from_secs(2);
+    let ask = LedgerRequest::Propose(put("organisations/coop", "")?);
+    let ready = async {
+        while !matches!(
+            channel.call::<LedgerCall>(&ask, within).await,
+            Ok(LedgerReply::Applied { .. })
+        ) {
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(PATIENCE, ready).await?;
+    full.store(true, Ordering::Relaxed);
+    let ask = LedgerRequest::Propose(put("organisations/union", "")?);
+    let first = channel.call::<LedgerCall>(&ask, within).await?;
+    assert_eq!(first, LedgerReply::InDoubt);
+    let second = channel.call::<LedgerCall>(&ask, within).await?;
+    assert_eq!(second, LedgerReply::Stopped);
+    let _ = stop.send(());
+    handle.stopped().await;
+    Ok(())
+}
