A leader whose commits are slow makes way

Change: an entry that waits 0.45 s for a majority, with a majority of others answering, has the leader step down and stand again only after the others could; at most once in five seconds.

--- a/crates/anvil_ledger/src/core/lead.rs
+++ b/crates/anvil_ledger/src/core/lead.rs
@@ -10,6 +10,11 @@
     Action, Entry, EntryId, Message, Payload, Proposal, Refused, ReplicaId, RequestId, Round,
 };
 
+/// Election times for which a leader that was too slow does not stand: the others stand after two
+/// at most.
+const YIELDS_FOR: u32 = 3;
+/// Least time after that before it yields again.
+const YIELDS_AGAIN: Duration = Duration::from_secs(5);
 /// Most bytes of entries in one message.
 const MAX_APPEND: usize = 256 << 10;
 /// Most entries that wait for a majority.
@@ -63,6 +68,10 @@
             self.step_down();
             return;
         }
+        if self.commits_slowly() {
+            self.yield_lead();
+            return;
+        }
         self.change_members();
         let now = self.now;
         let heartbeat = self.cfg.heartbeat;
@@ -75,6 +84,46 @@
         }
     }
 
+    /// Whether an entry has waited for a majority for too long.
+    ///
+    /// Failure: the links of the leader's availability zone lose packets. Its signs of life still
+    /// get through, so it is followed, but each loss holds up one of its connections for some tenths of
+    /// a second, and a majority of them is always held up. It shows as grants that come too late
+    /// at every router, for as long as the loss lasts. A leader elsewhere needs none of these links.
+    fn commits_slowly(&mut self) -> bool {
+        let (now, committed, last) = (self.now, self.committed, self.log.last().index);
+        let limit = self.cfg.slow_commit;
+        let may_yield = now >= self.yields_until + YIELDS_AGAIN && self.others_suffice();
+        let Some(lead) = self.leadership() else {
+            return false;
+        };
+        match lead.waiting {
+            Some((index, since)) if committed < index => {
+                may_yield && limit.is_some_and(|limit| now >= since + limit)
+            }
+            _ => {
+                lead.waiting = (committed < last).then_some((last, now));
+                false
+            }
+        }
+    }
+
+    /// Whether the others make a majority without this replica: otherwise no leader is faster.
+    fn others_suffice(&self) -> bool {
+        let heard = |id: ReplicaId| id != self.id && self.heard_lately(id);
+        self.membership().agreed(heard)
+    }
+
+    /// Leads no more, and stands for election only after the others have had the time to.
+    ///
+    /// It does so once in a while only: where every replica is slow, as with hanging disks,
+    /// changing the leader helps nobody.
+    fn yield_lead(&mut self) {
+        self.step_down();
+        self.yields_until = self.now + YIELDS_FOR * self.cfg.election;
+        self.deadline = self.yields_until;
+    }
+
     fn has_majority(&self) -> bool {
         self.leads() && self.membership().agreed(|id| self.heard_lately(id))
     }
--- a/crates/anvil_ledger/src/core/leadership.rs
+++ b/crates/anvil_ledger/src/core/leadership.rs
@@ -38,6 +38,8 @@
     /// The first entry of this term.
     pub first: LogIndex,
     pub next_heartbeat: Duration,
+    /// An entry that was not committed when it was last looked, and since when it has been waited for.
+    pub waiting: Option<(LogIndex, Duration)>,
     pub round: Round,
     pub reads: VecDeque<WaitingRead>,
     /// Reads from before the first entry of this term was committed.
@@ -50,6 +52,7 @@
             progress: BTreeMap::new(),
             first,
             next_heartbeat: now,
+            waiting: None,
             round: 0,
             reads: VecDeque::new(),
             early: Vec::new(),
--- a/crates/anvil_ledger/src/core/replica.rs
+++ b/crates/anvil_ledger/src/core/replica.rs
@@ -25,6 +25,9 @@
     /// so that two rarely stand for election at the same time. A leader that has not heard from
     /// a majority for this long steps down.
     pub election: Duration,
+    /// A leader whose entries wait for a majority for so long leaves the lead to another replica;
+    /// `None` keeps it.
+    pub slow_commit: Option<Duration>,
     /// Entries kept before a snapshot, so that a follower that lags a little needs no snapshot.
     pub trailing: LogIndex,
 }
@@ -35,6 +38,7 @@
         Self {
             heartbeat: Duration::from_millis(100),
             election: Duration::from_millis(600),
+            slow_commit: None,
             trailing: 4_096,
         }
     }
@@ -80,6 +84,8 @@
     pub(super) fetching: Option<EntryId>,
     pub(super) role: Role,
     pub(super) leader: Option<ReplicaId>,
+    /// Until when it leaves the lead to others, after it was too slow.
+    pub(super) yields_until: Duration,
     pub(super) heard: Option<Duration>,
     pub(super) deadline: Duration,
     /// Up to where the log is known to be the present leader's.
@@ -131,6 +137,7 @@
             fetching: None,
             role: Role::Follower,
             leader: None,
+            yields_until: Duration::ZERO,
             heard: None,
             deadline: now,
             verified: 0,
--- a/crates/anvil_ledger/tests/core_guards.rs
+++ b/crates/anvil_ledger/tests/core_guards.rs
@@ -58,7 +58,11 @@
 
 impl Driver {
     fn new() -> Self {
-        let replica = Replica::new(restored(), CoreSettings::default(), 1, Duration::ZERO);
+        Self::with(CoreSettings::default())
+    }
+
+    fn with(cfg: CoreSettings) -> Self {
+        let replica = Replica::new(restored(), cfg, 1, Duration::ZERO);
         Self {
             replica,
             now: Duration::ZERO,
@@ -121,15 +125,28 @@
     /// Leads in term 4; its first entry there is the third.
     fn leading() -> Self {
         let mut driver = Self::new();
-        driver.pass(Duration::from_secs(2));
-        driver.vote(true);
-        driver.sync();
-        driver.vote(false);
-        assert!(driver.replica.leads());
-        driver.sync();
+        driver.win();
         driver
     }
 
+    fn win(&mut self) {
+        self.pass(Duration::from_secs(6));
+        self.vote(true);
+        self.sync();
+        self.vote(false);
+        assert!(self.replica.leads());
+        self.sync();
+    }
+
+    /// Time passes in which both followers answer the leader, and hold its log up to there.
+    fn pass_answered(&mut self, millis: u64, matched: u64) {
+        for _ in 0..millis / 50 {
+            self.pass(Duration::from_millis(50));
+            self.ack(2, matched, 0);
+            self.ack(3, matched, 0);
+        }
+    }
+
     fn sends_votes(&self) -> bool {
         let mut sent = self.actions.iter();
         sent.any(|action| {
@@ -384,3 +401,32 @@
     driver.feed(ask(100_000));
     assert!(driver.replica.last().index > last);
 }
+
+/// The links of the leader's availability zone lose packets. Its signs of life get through, so all
+/// follow it, and every grant comes too late for as long as the loss lasts. It makes way for a leader
+/// elsewhere, and does not stand before the others could.
+#[test]
+fn a_leader_whose_commits_are_slow_makes_way() {
+    let slow_commit = Some(Duration::from_millis(450));
+    let cfg = CoreSettings {
+        slow_commit,
+        ..CoreSettings::default()
+    };
+    let mut driver = Driver::with(cfg);
+    driver.win();
+    driver.pass_answered(1_000, 3);
+    assert!(driver.replica.leads(), "everything is committed");
+    let data = "late".into();
+    driver.feed(Event::Propose(vec![Proposal { id: 5, data }]));
+    driver.pass_answered(300, 3);
+    assert!(driver.replica.leads(), "not for long");
+    driver.pass_answered(300, 3);
+    assert!(!driver.replica.leads());
+    assert!(driver.actions.contains(&Action::Deposed));
+    driver.actions.clear();
+    driver.pass(2 * cfg.election);
+    let asks = |action: &Action| matches!(action, Action::Send(sent) if matches!(sent.message, Message::AskVote { .. }));
+    assert!(!driver.actions.iter().any(asks), "the others stand first");
+    driver.pass(2 * cfg.election);
+    assert!(driver.actions.iter().any(asks), "somebody must lead");
+}
--- a/crates/anvil_ledger/tests/support/fleet.rs
+++ b/crates/anvil_ledger/tests/support/fleet.rs
@@ -103,6 +103,7 @@
 /// A short log, so that laggards need snapshots.
 fn core_settings() -> CoreSettings {
     CoreSettings {
+        slow_commit: Some(std::time::Duration::from_millis(700)),
         trailing: 40,
         ..CoreSettings::default()
     }
