--- a/crates/anvilreel/tests/ledger_service/cluster.rs
+++ b/crates/anvilreel/tests/ledger_service/cluster.rs
@@ -3,7 +3,9 @@
 use std::net::{SocketAddr, TcpListener};
 use std::time::{Duration, SystemTime};
 
-use anvil_ledger::core::CoreSettings;
+use anvil_ledger::core::{CoreSettings, Membership, Payload};
+use anvil_ledger::storage::Disk;
+use anvil_ledger::storage::recover::recover;
 use anvil_wire::Channel;
 use anvil_wire::msg::{LedgerCall, LedgerReply, LedgerRequest, Query, QueryAnswer};
 use anvil_world::command::{Change, Edit, TopUp, change_id};
@@ -41,6 +43,19 @@
 }
 
 impl Cluster {
+    /// The newest membership on a replica's disk.
+    pub fn membership(&self, number: usize) -> Option<Membership> {
+        let disk = Disk::read_only(&self.folder.path().join(number.to_string()));
+        let found = recover(&disk).ok()?;
+        let snapshot = found.snapshot.map(|snapshot| snapshot.meta.membership);
+        let changes = found.entries.into_iter();
+        let changes = changes.filter_map(|entry| match entry.payload {
+            Payload::Membership(membership) => Some(membership),
+            _ => None,
+        });
+        changes.last().or(snapshot)
+    }
+
     pub async fn start(size: usize) -> Result<Self, Failure> {
         Self::start_with(size, None).await
     }
--- a/crates/anvilreel/tests/ledger_service/replicas.rs
+++ b/crates/anvilreel/tests/ledger_service/replicas.rs
@@ -2,9 +2,7 @@
 
 use std::time::Duration;
 
-use anvil_ledger::core::{Membership, Payload};
-use anvil_ledger::storage::Disk;
-use anvil_ledger::storage::recover::recover;
+use anvil_ledger::core::Membership;
 use anvil_wire::msg::{LedgerReply, LedgerRequest, Query, QueryAnswer};
 use anvilreel::ledger_service::TakeOut;
 use tokio::time::{sleep, timeout};
@@ -37,25 +35,9 @@
 
 /// Whether the newest membership on the first replica's disk has another one's present address.
 fn is_listed(cluster: &Cluster, number: usize) -> bool {
-    let disk = Disk::read_only(&cluster.folder.path().join("0"));
-    let Ok(found) = recover(&disk) else {
-        return false;
-    };
-    let changes = found
-        .entries
-        .into_iter()
-        .filter_map(|entry| match entry.payload {
-            Payload::Membership(membership) => Some(membership),
-            _ => None,
-        });
-    let peer = &cluster.peers[number];
-    let listed = |membership: Membership| {
-        membership
-            .voters
-            .into_values()
-            .any(|site| site.addr == peer.addr)
-    };
-    changes.last().is_some_and(listed)
+    let addr = cluster.peers[number].addr;
+    let listed = |membership: Membership| membership.voters.values().any(|site| site.addr == addr);
+    cluster.membership(0).is_some_and(listed)
 }
 
 /// Four instances keep the ledger; one is gone for good and nobody is there to say so. Left in, it
--- a/crates/anvilreel/tests/ledger_service/restart.rs
+++ b/crates/anvilreel/tests/ledger_service/restart.rs
@@ -2,9 +2,7 @@
 
 use std::time::Duration;
 
-use anvil_ledger::core::Payload;
 use anvil_ledger::storage::Disk;
-use anvil_ledger::storage::recover::recover;
 use anvil_ledger::storage::store::read_identity;
 use tokio::time::{sleep, timeout};
 
@@ -68,19 +66,10 @@
 
 /// Whether the newest membership on a replica's disk names that very disk as a voter.
 fn votes_again(cluster: &Cluster, number: usize) -> bool {
-    let folder = cluster.folder.path().join(number.to_string());
-    let disk = Disk::read_only(&folder);
-    let (Ok(Some(id)), Ok(found)) = (read_identity(&disk), recover(&disk)) else {
+    let disk = Disk::read_only(&cluster.folder.path().join(number.to_string()));
+    let Ok(Some(id)) = read_identity(&disk) else {
         return false;
     };
-    let snapshot = found.snapshot.map(|snapshot| snapshot.meta.membership);
-    let changes = found
-        .entries
-        .into_iter()
-        .filter_map(|entry| match entry.payload {
-            Payload::Membership(membership) => Some(membership),
-            _ => None,
-        });
-    let newest = changes.last().or(snapshot);
-    newest.is_some_and(|membership| membership.voters.contains_key(&id))
+    let membership = cluster.membership(number);
+    membership.is_some_and(|membership| membership.voters.contains_key(&id))
 }
