--- a/crates/anvilreel/tests/ledger_service/restart.rs
+++ b/crates/anvilreel/tests/ledger_service/restart.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use anvil_ledger::storage::Disk;
+use anvil_ledger::storage::recover::recover;
 use anvil_ledger::storage::store::read_identity;
 use tokio::time::{sleep, timeout};
 
