--- a/crates/anvil_ledger/src/core/event.rs
+++ b/crates/anvil_ledger/src/core/event.rs
@@ -1,5 +1,7 @@
 //! What goes into a replica and what comes out.
 
+use std::time::Duration;
+
 use anvil_world::ids::{InstanceId, LogIndex};
 use bytes::Bytes;
 
@@ -118,6 +120,13 @@
     },
     /// This replica leads no more: what was accepted and not applied is in doubt.
     Deposed,
+    /// This replica is about to leave the lead to others: an entry waits for a majority for too long.
+    Yields {
+        /// Its position.
+        index: LogIndex,
+        /// For how long.
+        waited: Duration,
+    },
     /// Get this snapshot from that replica and report [`Event::Fetched`].
     Fetch {
         /// From whom.
--- a/crates/anvil_ledger/src/core/lead.rs
+++ b/crates/anvil_ledger/src/core/lead.rs
@@ -68,7 +68,8 @@
             self.step_down();
             return;
         }
-        if self.commits_slowly() {
+        if let Some((index, waited)) = self.slow_commit() {
+            self.out.push(Action::Yields { index, waited });
             self.yield_lead();
             return;
         }
@@ -84,28 +85,24 @@
         }
     }
 
-    /// Whether an entry has waited for a majority for too long.
+    /// The entry that has waited for a majority for too long, and for how long.
     ///
     /// Failure: the links of the leader's availability zone lose packets. Its signs of life still
     /// get through, so it is followed, but each loss holds up one of its connections for some tenths of
     /// a second, and a majority of them is always held up. It shows as grants that come too late
     /// at every router, for as long as the loss lasts. A leader elsewhere needs none of these links.
-    fn commits_slowly(&mut self) -> bool {
+    fn slow_commit(&mut self) -> Option<(LogIndex, Duration)> {
         let (now, committed, last) = (self.now, self.committed, self.log.last().index);
-        let limit = self.cfg.slow_commit;
+        let limit = self.cfg.slow_commit?;
         let may_yield = now >= self.yields_until + YIELDS_AGAIN && self.others_suffice();
-        let Some(lead) = self.leadership() else {
-            return false;
+        let lead = self.leadership()?;
+        let waiting = lead.waiting.filter(|(index, _)| committed < *index);
+        let Some((index, since)) = waiting else {
+            lead.waiting = (committed < last).then_some((last, now));
+            return None;
         };
-        match lead.waiting {
-            Some((index, since)) if committed < index => {
-                may_yield && limit.is_some_and(|limit| now >= since + limit)
-            }
-            _ => {
-                lead.waiting = (committed < last).then_some((last, now));
-                false
-            }
-        }
+        let waited = now.saturating_sub(since);
+        (may_yield && waited >= limit).then_some((index, waited))
     }
 
     /// Whether the others make a majority without this replica: otherwise no leader is faster.
--- a/crates/anvil_ledger/tests/core_guards.rs
+++ b/crates/anvil_ledger/tests/core_guards.rs
@@ -423,6 +423,8 @@
     driver.pass_answered(300, 3);
     assert!(!driver.replica.leads());
     assert!(driver.actions.contains(&Action::Deposed));
+    let why = |action: &Action| matches!(action, Action::Yields { index: 4, .. });
+    assert!(driver.actions.iter().any(why));
     driver.actions.clear();
     driver.pass(2 * cfg.election);
     let asks = |action: &Action| matches!(action, Action::Send(sent) if matches!(sent.message, Message::AskVote { .. }));
--- a/crates/anvil_ledger/tests/support/fleet.rs
+++ b/crates/anvil_ledger/tests/support/fleet.rs
@@ -364,6 +364,8 @@
                     process.accepted.clear();
                 }
             }
+            // What it leads to is told by `Deposed`.
+            Action::Yields { .. } => {}
             Action::Fetch { from, .. } => self.fetch(number, from),
             Action::Compact(upto) => {
                 let Some(process) = self.process(number) else {
--- a/crates/anvilreel/src/ledger_service/events.rs
+++ b/crates/anvilreel/src/ledger_service/events.rs
@@ -57,4 +57,6 @@
         "A founder's address is answered by another instance; check the settings.";
     LEDGER_REPLICA_LOST = 3018 Warning "ledger_replica_lost":
         "A replica has been silent for so long that it is taken out; it may join again.";
+    LEDGER_YIELDS = 3019 Warning "ledger_yields":
+        "An entry waits too long for a majority; this replica leaves the lead to another.";
 }
--- a/crates/anvilreel/src/ledger_service/node.rs
+++ b/crates/anvilreel/src/ledger_service/node.rs
@@ -308,6 +308,13 @@
                 event!(self.setup.log, events::LEDGER_DEPOSED);
                 self.pending.deposed();
             }
+            Action::Yields { index, waited } => {
+                let waited = waited.as_millis();
+                event!(
+                    self.setup.log, events::LEDGER_YIELDS,
+                    "index" => index, "waited_ms" => waited
+                );
+            }
             Action::Fetch { from, meta } => self.fetch(from, &meta),
             Action::Compact(upto) => self.compact(upto),
             Action::Stop(source) => self.fail(&Fault::Core { source }),
