--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -118,7 +118,8 @@
 /// in its grants counts as spent.
 ///
 /// So little lies ready, and a request that finds too little asks the ledger, which answers
-/// within some 10 ms. The horizon bounds what a lost gateway costs: two seconds of its demand.
+/// within some 10 ms. The horizon bounds what a lost gateway costs: 0.7 s of its demand, as a mean
+/// over the last second, beside what its running requests have set aside.
 fn grant_policy() -> GrantPolicy {
     GrantPolicy {
         horizon: Duration::from_millis(700),
