The status of an address that another endpoint has stands in one place

Cause: tries.rs named 421 and exchange.rs wrote it out; whoever changed one would have left endpoints of other lives in use, or counted them as tries. Ruled out: the platform's adapter, which decodes it into not_run and stays. Change: one constant beside NotRun.

--- a/crates/anvil_gateway/src/attempt.rs
+++ b/crates/anvil_gateway/src/attempt.rs
@@ -24,6 +24,9 @@
     Refused(u16),
 }
 
+/// Status by which the address of an endpoint that is gone says that another one has it.
+pub const ANOTHER_HAS_IT: u16 = 421;
+
 /// Why nobody can say whether it has run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Doubt {
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt, Limited};
 use tokio::time::{Instant, timeout_at};
 
-use crate::attempt::{Answer, Doubt, NotRun, Outgoing, Tried, send};
+use crate::attempt::{ANOTHER_HAS_IT, Answer, Doubt, NotRun, Outgoing, Tried, send};
 use crate::choose::Unplaced;
 use crate::dialect::{Ask, Onward};
 use crate::endpoint::Endpoint;
@@ -259,7 +259,7 @@
                     .load()
                     .answered(answer.parts.status.is_server_error());
             }
-            Tried::NotRun(NotRun::Refused(421)) => {
+            Tried::NotRun(NotRun::Refused(ANOTHER_HAS_IT)) => {
                 endpoint.leave();
                 self.gw.list_doubted.notify_one();
             }
--- a/crates/anvil_gateway/src/tries.rs
+++ b/crates/anvil_gateway/src/tries.rs
@@ -7,13 +7,11 @@
 
 use anvil_world::prelude::*;
 
-use crate::attempt::{NotRun, Tried};
+use crate::attempt::{ANOTHER_HAS_IT, NotRun, Tried};
 
 /// Endpoints that one request may find gone. Each costs up to the time to connect, and a fleet of
 /// which four in a row are gone is better left to the client's own return.
 const MOST_GONE: u32 = 4;
-/// Status by which the address of an endpoint that is gone says that another one has it.
-const ANOTHER_HAS_IT: u16 = 421;
 
 /// One request's tries so far.
 #[derive(Debug, Default)]
