Engines copy a prompt's shared beginning from the one that holds it

Change: a request names the engine from which to copy, where a link carries at least four times what an engine reads.

--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -1,8 +1,10 @@
 //! Chooses an endpoint for a request, out of what this gateway knows.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvil_policy::copying::Copying;
 use anvil_policy::engine::{Prompt, home_rank};
 use anvil_world::prelude::*;
 
@@ -18,6 +20,8 @@
     pub expected: Duration,
     /// Tokens of the prompt that have to be read there.
     pub missing: Tokens,
+    /// The engine from which it is to copy what that one has read.
+    pub copy_from: Option<SocketAddr>,
     /// What is known of its load, and how old that is.
     pub grounds: String,
 }
@@ -69,44 +73,62 @@
         let open =
             |endpoint: &&Arc<Endpoint>| !endpoint.is_leaving() && !tried.contains(&endpoint.id);
         let home = home_of(prompt, group.iter().filter(open));
-        let sound = |endpoint: &&Arc<Endpoint>| open(endpoint) && !endpoint.load().is_shut(now);
-        let best = self.best(now, prompt, home, group.iter().filter(sound));
-        let best = best.or_else(|| self.best(now, prompt, home, group.iter().filter(open)));
-        let (endpoint, expected, missing) = best.ok_or(Unplaced::Nobody)?;
-        if expected > within {
-            return Err(Unplaced::TooLate(expected));
+        let weighed = |endpoint| self.weigh(now, prompt, home, endpoint);
+        let all: Vec<Weighed<'_>> = group.iter().filter(open).map(weighed).collect();
+        let sound = all.iter().filter(|weighed| !weighed.shut);
+        let best = sound.min_by_key(|weighed| weighed.expected);
+        let best = best.or_else(|| all.iter().min_by_key(|weighed| weighed.expected));
+        let best = best.ok_or(Unplaced::Nobody)?;
+        if best.expected > within {
+            return Err(Unplaced::TooLate(best.expected));
         }
-        let grounds = endpoint.load().grounds(now);
-        let place = Place::take(endpoint.clone(), now, &self.rule, prompt, missing);
+        let source = self.source(service, prompt, best, &all);
+        let missing = source.as_ref().map_or(best.missing, |source| source.left);
+        let grounds = best.endpoint.load().grounds(now);
+        let place = Place::take(best.endpoint.clone(), now, &self.rule, prompt, missing);
         Ok(Chosen {
             place,
-            expected,
+            expected: best.expected,
             missing,
+            copy_from: source.map(|source| source.addr),
             grounds,
         })
     }
 
-    fn best<'a>(
+    /// The engine from which the chosen one copies, where that is much faster than reading: one to
+    /// which this gateway has sent more of the prompt itself, or else the subject's home.
+    fn source(
         &self,
-        now: Now,
+        service: &str,
         prompt: &Prompt<'_>,
-        home: Option<u64>,
-        group: impl Iterator<Item = &'a Arc<Endpoint>>,
-    ) -> Option<(&'a Arc<Endpoint>, Duration, Tokens)> {
-        let weighed = group.map(|endpoint| {
-            let (expected, missing) = self.expect(now, prompt, home, endpoint);
-            (endpoint, expected, missing)
-        });
-        weighed.min_by_key(|(_, expected, _)| *expected)
+        chosen: &Weighed<'_>,
+        all: &[Weighed<'_>],
+    ) -> Option<Source> {
+        prompt.subject()?;
+        let table = self.table.load();
+        let engine = table.as_ref()?.services.get(service)?.engine?;
+        let rate = Copying::between(engine.bytes_per_token, engine.link_mbps, &self.rule)?;
+        let others = all.iter().filter(|other| !other.shut);
+        let others = others.filter(|other| other.endpoint.id != chosen.endpoint.id);
+        let holds = |missing: fn(&Weighed<'_>) -> Tokens| {
+            let most = others.clone().min_by_key(|other| missing(other))?;
+            let worth = Copying::is_worth_it(missing(chosen), missing(most));
+            worth.then(|| (most.endpoint.addr, missing(most)))
+        };
+        let (addr, there) = holds(|w| w.unsent).or_else(|| holds(|w| w.missing))?;
+        Some(Source {
+            addr,
+            left: rate.as_if_missing(chosen.missing, there, &self.rule),
+        })
     }
 
-    fn expect(
+    fn weigh<'a>(
         &self,
         now: Now,
         prompt: &Prompt<'_>,
         home: Option<u64>,
-        endpoint: &Endpoint,
-    ) -> (Duration, Tokens) {
+        endpoint: &'a Arc<Endpoint>,
+    ) -> Weighed<'a> {
         let load = endpoint.load();
         let far = *endpoint.zone != *self.cfg.zone.id;
         let way = if far {
@@ -114,21 +136,54 @@
         } else {
             Duration::ZERO
         };
+        let before = way + load.set_back(NEXT_TRY);
+        let shut = load.is_shut(now);
         if prompt.parts.is_empty() {
             let full = f64::from(load.busy(now)) / f64::from(load.slots(endpoint.slots).max(1));
             let spread = Duration::from_micros(rand::random_range(0..500));
-            let set_back = load.set_back(NEXT_TRY);
-            return (way + WHEN_FULL.mul_f64(full) + set_back + spread, 0);
+            return Weighed {
+                endpoint,
+                expected: before + WHEN_FULL.mul_f64(full) + spread,
+                missing: 0,
+                unsent: 0,
+                shut,
+            };
         }
         let is_home = prompt
             .subject()
             .is_some_and(|subject| Some(home_rank(subject, &endpoint.id)) == home);
         let missing = load.missing(now, &self.rule, prompt, is_home);
         let expected = load.expected(now, &self.rule, missing, endpoint.slots);
-        (way + expected + load.set_back(NEXT_TRY), missing)
+        Weighed {
+            endpoint,
+            expected: before + expected,
+            missing,
+            unsent: load.missing(now, &self.rule, prompt, false),
+            shut,
+        }
     }
 }
 
+/// An endpoint with what is expected of it.
+struct Weighed<'a> {
+    endpoint: &'a Arc<Endpoint>,
+    /// Time to the first token if all that is missing is read.
+    expected: Duration,
+    /// Tokens of the prompt that it is not believed to hold.
+    missing: Tokens,
+    /// Tokens of the prompt that this gateway has not sent there itself.
+    unsent: Tokens,
+    /// It failed lately.
+    shut: bool,
+}
+
+/// An engine from which another one copies.
+struct Source {
+    addr: SocketAddr,
+    /// Tokens whose reading takes as long as what remains to be read and copied.
+    left: Tokens,
+}
+
 fn home_of<'a>(prompt: &Prompt<'_>, group: impl Iterator<Item = &'a Arc<Endpoint>>) -> Option<u64> {
     let subject = prompt.subject()?;
     group.map(|endpoint| home_rank(subject, &endpoint.id)).max()
--- a/crates/anvil_gateway/src/dialect.rs
+++ b/crates/anvil_gateway/src/dialect.rs
@@ -3,6 +3,7 @@
 //! A [`Dialect`] holds the functions of one adapter. They translate names and formats and decide
 //! nothing.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -72,6 +73,8 @@
     pub class: u8,
     /// Go on after this event.
     pub after: Option<u64>,
+    /// The engine from which to copy what it has read of the prompt.
+    pub copy_from: Option<SocketAddr>,
 }
 
 /// An endpoint's word on its load.
@@ -135,7 +138,7 @@
     /// What it serves.
     pub service: ServiceId,
     /// Where it listens.
-    pub addr: std::net::SocketAddr,
+    pub addr: SocketAddr,
     /// Where it stands.
     pub zone: ZoneId,
     /// Requests that it works on side by side.
@@ -161,7 +164,7 @@
 #[derive(Debug, Clone)]
 pub struct ListSource {
     /// Its address.
-    pub addr: std::net::SocketAddr,
+    pub addr: SocketAddr,
     /// Path of the first page.
     pub path: String,
     /// Reads a page.
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -193,6 +193,9 @@
             "to {} expecting {:?}, {} tokens to read, {}",
             endpoint.id, chosen.expected, chosen.missing, chosen.grounds
         ));
+        if let Some(addr) = chosen.copy_from {
+            self.trace.step(format_args!("copies from {addr}"));
+        }
         self.gw.metrics.count(metrics::TRIES);
         if !self.tries.endpoints().is_empty() {
             self.gw.metrics.count(metrics::TRIES_AGAIN);
@@ -204,6 +207,7 @@
             left,
             class: self.class(),
             after: after.or(self.ask.after),
+            copy_from: chosen.copy_from,
         };
         let until = self.answer_until();
         let out = Outgoing {
--- a/crates/anvil_gateway/src/table.rs
+++ b/crates/anvil_gateway/src/table.rs
@@ -83,6 +83,10 @@
     pub memory: Tokens,
     /// Tokens of output in one event, at most.
     pub tokens_per_event: Tokens,
+    /// Bytes of memory that one token takes; 0 where it isn't told.
+    pub bytes_per_token: f64,
+    /// What an engine's link to the others carries, in megabits a second; 0 where it isn't told.
+    pub link_mbps: f64,
 }
 
 /// Who sends requests, and pays for them.
--- a/crates/anvil_gateway/tests/direct/fleet.rs
+++ b/crates/anvil_gateway/tests/direct/fleet.rs
@@ -68,6 +68,8 @@
             batch: 8,
             memory: 100_000,
             tokens_per_event: 3,
+            bytes_per_token: 1e4,
+            link_mbps: 1e5,
         }),
     };
     RouteTable::from(TableParts {
--- a/crates/anvil_policy/src/engine.rs
+++ b/crates/anvil_policy/src/engine.rs
@@ -52,6 +52,13 @@
     }
 }
 
+impl EngineRule {
+    /// Time that reading so many tokens takes.
+    pub fn reading(&self, tokens: Tokens) -> Duration {
+        Duration::from_secs_f64(tokens_f64(tokens) / self.read_per_ms / 1e3)
+    }
+}
+
 /// What one router knows of one engine or plain endpoint.
 #[derive(Debug, Clone, Default)]
 pub struct EndpointLoad {
@@ -231,9 +238,9 @@
     /// Expected time to the first token of a prompt of which so much is missing there.
     pub fn expected(&self, now: Now, rule: &EngineRule, missing: Tokens, slots: u32) -> Duration {
         let others = self.others_unread(now, rule);
-        let ms = tokens_f64(self.unread + others + missing) / rule.read_per_ms;
+        let reading = rule.reading(self.unread + others + missing);
         let full = f64::from(self.busy(now)) / f64::from(self.slots(slots).max(1));
-        Duration::from_secs_f64(ms / 1e3) + rule.when_full.mul_f64(full * full)
+        reading + rule.when_full.mul_f64(full * full)
     }
 
     /// Tokens of other routers' prompts that wait there: those of the last report, less what the
@@ -262,7 +269,7 @@
 }
 
 #[expect(clippy::cast_precision_loss, reason = "far below 2^52 tokens")]
-fn tokens_f64(tokens: Tokens) -> f64 {
+pub(crate) fn tokens_f64(tokens: Tokens) -> f64 {
     tokens as f64
 }
 
--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -44,6 +44,7 @@
 //! * [`retry`]: whether a failed try is made again.
 //! * [`grant`]: how much of a budget a router holds.
 //! * [`engine`]: where a prompt goes among engines that nobody stands beside.
+//! * [`copying`]: when such an engine copies what another one has read.
 //! * [`prefix`]: which endpoints hold which prompt prefixes.
 //! * [`subset`] and [`placement`]: which endpoints a router watches, and which models they hold.
 //!
@@ -51,6 +52,7 @@
 
 pub mod admission;
 pub mod choice;
+pub mod copying;
 pub mod deadline;
 pub mod ejection;
 pub mod endpoint;
