Replicas that start together elect a leader at once

Change: a replica that has just started asks for a trial after two heartbeats' time. Whoever hears a leader refuses it, so one that restarts alone changes nothing (both tested). The disks of the test fleet hang by a setting now, with the same share as before.

--- a/crates/anvil_ledger/src/core/follow.rs
+++ b/crates/anvil_ledger/src/core/follow.rs
@@ -1,5 +1,7 @@
 //! What a follower does with its leader's entries.
 
+use std::time::Duration;
+
 use anvil_world::ids::{LogIndex, Term};
 
 use super::error::CoreError;
@@ -31,6 +33,7 @@
         self.role = Role::Follower;
         self.leader = Some(from);
         self.heard = Some(self.now);
+        self.eager_until = Duration::ZERO;
         self.round_seen = self.round_seen.max(round);
         self.wait_for_leader();
         Ok(true)
--- a/crates/anvil_ledger/src/core/replica.rs
+++ b/crates/anvil_ledger/src/core/replica.rs
@@ -87,6 +87,9 @@
     /// Until when it leaves the lead to others, after it was too slow.
     pub(super) yields_until: Duration,
     pub(super) heard: Option<Duration>,
+    /// Until when it stands for election without a follower's patience: it has just started, and
+    /// has heard from no leader yet.
+    pub(super) eager_until: Duration,
     pub(super) deadline: Duration,
     /// Up to where the log is known to be the present leader's.
     pub(super) verified: LogIndex,
@@ -139,6 +142,7 @@
             leader: None,
             yields_until: Duration::ZERO,
             heard: None,
+            eager_until: now + cfg.election,
             deadline: now,
             verified: 0,
             round_seen: 0,
@@ -322,9 +326,20 @@
     }
 
     /// Starts waiting for a sign of life, for a time that differs from the others'.
+    ///
+    /// Failure: all replicas lose power and are back together. Each waits out a follower's patience
+    /// with a leader that none of them has, and callers get neither money nor a routing table
+    /// for half a second. One that has just started knows of no leader, so it asks after the time of
+    /// two heartbeats, in which a leader that lives would have reached it; whoever hears a leader
+    /// refuses the trial, so a replica that restarts alone changes nothing.
     pub(super) fn wait_for_leader(&mut self) {
         let share = self.rng.random_range(1.0..2.0);
-        self.deadline = self.now + self.cfg.election.mul_f64(share);
+        let patience = if self.now < self.eager_until {
+            2 * self.cfg.heartbeat
+        } else {
+            self.cfg.election
+        };
+        self.deadline = self.now + patience.mul_f64(share);
     }
 
     pub(super) fn send(&mut self, to: ReplicaId, message: Message) {
--- a/crates/anvil_ledger/tests/failures.rs
+++ b/crates/anvil_ledger/tests/failures.rs
@@ -163,6 +163,49 @@
     fleet.converge();
 }
 
+/// All replicas lose power and are back at once. Callers pay for nothing and get no routing table
+/// until there is a leader: half a second and more, since each replica first waits out a
+/// follower's patience with a leader that none of them has.
+#[test]
+fn replicas_that_start_together_have_a_leader_at_once() {
+    for seed in 0..16 {
+        let mut fleet = started(seed, 4);
+        // A disk that hangs is another story.
+        fleet.weather.hanging = 0.0;
+        (0..4).for_each(|number| fleet.crash(number, true));
+        // What was on the way from the old leader goes with the connections.
+        fleet.run_for(Duration::from_millis(10));
+        (0..4).for_each(|number| fleet.start(number));
+        let restarted = fleet.now;
+        let led = fleet.run_until(LONG, |fleet| fleet.leader().is_some());
+        assert!(led, "seed {seed}");
+        let took = fleet.now - restarted;
+        assert!(
+            took < Duration::from_millis(400),
+            "seed {seed}: {took:?} without a leader"
+        );
+        fleet.converge();
+    }
+}
+
+/// One replica is restarted while the others follow a leader. It asks at once whether it would be
+/// elected, is refused by all who hear the leader, and changes nothing.
+#[test]
+fn a_replica_that_restarts_alone_deposes_nobody() {
+    for seed in 0..16 {
+        let mut fleet = started(seed, 3);
+        let leader = fleet.leader().expect("a leader");
+        let term = fleet.term(leader);
+        let other = (leader + 1) % 3;
+        fleet.crash(other, false);
+        fleet.start(other);
+        fleet.run_for(Duration::from_secs(3));
+        assert_eq!(fleet.leader(), Some(leader), "seed {seed}");
+        assert_eq!(fleet.term(leader), term, "seed {seed}");
+        fleet.converge();
+    }
+}
+
 /// The leader is cut off, and one of the two others loses its power at the same time. Nobody can
 /// commit until it is back; then the two go on, and the old leader's unconfirmed entries go.
 #[test]
--- a/crates/anvil_ledger/tests/support/faults.rs
+++ b/crates/anvil_ledger/tests/support/faults.rs
@@ -19,6 +19,8 @@
     pub doubled: f64,
     /// Longest delay, in microseconds. Messages overtake each other within it.
     pub slowest: u64,
+    /// Share of syncs that take up to 0.9 s.
+    pub hanging: f64,
 }
 
 impl Default for Weather {
@@ -28,6 +30,7 @@
             lost: 0.0,
             doubled: 0.0,
             slowest: 2_000,
+            hanging: 0.01,
         }
     }
 }
--- a/crates/anvil_ledger/tests/support/fleet.rs
+++ b/crates/anvil_ledger/tests/support/fleet.rs
@@ -387,7 +387,7 @@
     }
 
     fn sync_soon(&mut self, number: usize) {
-        let delay = if self.rng.random_bool(0.01) {
+        let delay = if self.rng.random_bool(self.weather.hanging) {
             self.between(100_000, 900_000)
         } else {
             self.between(100, 4_000)
