Requests wait for the first routing table and for endpoints in their new lives

Cause: after all processes and endpoints lost power, requests were refused for up to 0.5 s without a table and 0.5 s before the list named the new lives; their clients came back once, were refused again and were lost. Change: nothing has run yet and what is missing is known to be near, so a request waits for it: 0.7 s from the start of the process, 1 s for the list, a quarter of the time left at most. Once nothing is expected it is refused at once.

--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -14,6 +14,7 @@
 use hyper::body::{Body, Incoming};
 use tokio::time::{Instant, timeout_at};
 
+use crate::arrival;
 use crate::dialect::Ask;
 use crate::exchange::{Exchange, Refused, SOON};
 use crate::gateway::Gateway;
@@ -79,6 +80,7 @@
             spend: self.spend,
             trace,
             in_doubt: false,
+            has_waited: false,
             waits_on: None,
             method: self.head.method,
             uri: self.head.uri,
@@ -96,7 +98,7 @@
     begun: Instant,
     trace: &mut Trace,
 ) -> Result<Admitted, Refused> {
-    let table = gw.table.load_full().ok_or((Cause::NotReady, SOON))?;
+    let table = first_table(gw, &ask, trace).await?;
     let route = route_of(&table, &head).ok_or((Cause::NoRoute, SOON))?;
     trace.routed(&route.name, table.version);
     let organisation = sender(&table, &route, &ask)?;
@@ -122,6 +124,20 @@
     })
 }
 
+/// The routing table; a process that has just started waits for its first one.
+async fn first_table(
+    gw: &Gateway,
+    ask: &Ask,
+    trace: &mut Trace,
+) -> Result<Arc<RouteTable>, Refused> {
+    let most = arrival::for_start(gw.life.now(), ask.patience);
+    let table = arrival::wait(gw, most, || gw.table.load_full()).await;
+    if table.is_none() {
+        trace.step(format_args!("no routing table"));
+    }
+    table.ok_or((Cause::NotReady, SOON))
+}
+
 fn route_of(table: &RouteTable, head: &request::Parts) -> Option<Arc<Route>> {
     let host = head.headers.get(http::header::HOST)?.to_str().ok()?;
     let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
--- /dev/null
+++ b/crates/anvil_gateway/src/arrival.rs
@@ -0,0 +1,56 @@
+//! Waiting for what is about to come: the first routing table, or endpoints in their new lives.
+//!
+//! *Answers:* all processes and endpoints lose power and are back within a second, with clients that
+//! have one return left.
+//!
+//! *Without it:* for half a second each request is refused, its client comes back, is refused again
+//! and gives up, although everything is there a moment later. Sent away with a longer time to come
+//! back, it is served, but late.
+//!
+//! *How:* what comes is known to be near, so a request waits for it, and no longer than that. Where
+//! nothing is expected any more, requests are refused at once.
+
+use std::time::Duration;
+
+use anvil_world::prelude::*;
+use tokio::time::{Instant, timeout_at};
+
+use crate::gateway::Gateway;
+
+/// Time within which a process that has started has a routing table: its replicas elect a leader
+/// within 0.3 s and tell the table within some 10 ms more; twice that, for a lost packet.
+const STARTS_WITHIN: Duration = Duration::from_millis(700);
+/// Time within which the list names endpoints in their new lives: the list lags by less than a second
+/// and is read again after half of one when it is doubted.
+const LISTED_WITHIN: Duration = Duration::from_secs(1);
+/// Part of the time left that a request waits at most, so that a client who is refused after all
+/// can still come back and be served.
+const PART_OF_PATIENCE: u32 = 4;
+
+/// Longest wait for a routing table, by the age of the process.
+pub fn for_start(age: Now, patience: Duration) -> Duration {
+    let expected = STARTS_WITHIN.saturating_sub(age);
+    expected.min(patience / PART_OF_PATIENCE)
+}
+
+/// Longest wait for endpoints, while the list that is held is known to be wrong.
+pub fn for_endpoints(left: Duration) -> Duration {
+    LISTED_WITHIN.min(left / PART_OF_PATIENCE)
+}
+
+/// Waits until `f` finds what is wanted, for this time at most.
+pub async fn wait<T>(gw: &Gateway, most: Duration, f: impl Fn() -> Option<T>) -> Option<T> {
+    let until = Instant::now() + most;
+    loop {
+        let news = gw.news.notified();
+        tokio::pin!(news);
+        // Before the look, so that what comes between the two is not missed.
+        news.as_mut().enable();
+        if let Some(found) = f() {
+            return Some(found);
+        }
+        if timeout_at(until, news).await.is_err() {
+            return f();
+        }
+    }
+}
--- a/crates/anvil_gateway/src/discovery.rs
+++ b/crates/anvil_gateway/src/discovery.rs
@@ -95,6 +95,7 @@
     gw.listed.store(gw.now_ms(), Ordering::Relaxed);
     let changes = gw.directory.take(listed);
     if !changes.is_empty() {
+        gw.news.notify_waiters();
         event!(
             gw.log, events::GATEWAY_ENDPOINTS_CHANGED, "listed" => listed.len(),
             "unreadable" => unreadable, "came" => format!("{:?}", changes.came),
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -11,6 +11,7 @@
 use http_body_util::{BodyExt, Limited};
 use tokio::time::{Instant, timeout_at};
 
+use crate::arrival;
 use crate::attempt::{ANOTHER_HAS_IT, Answer, Doubt, NotRun, Outgoing, Tried, send};
 use crate::choose::Unplaced;
 use crate::dialect::{Ask, Onward};
@@ -65,6 +66,8 @@
     pub trace: Trace,
     /// Whether an endpoint may have run it.
     pub in_doubt: bool,
+    /// Whether it has waited for endpoints already.
+    pub has_waited: bool,
     /// The connection on which it waits for an answer to begin.
     pub waits_on: Option<Arc<Line>>,
     /// Parts of its prompt with their tokens.
@@ -125,6 +128,9 @@
                 }
                 Err(refused) => Some(refused),
             };
+            if self.finds_endpoints(refused).await && self.may_arrive_again() {
+                continue;
+            }
             if let Some(refused) = refused {
                 // Where an endpoint has failed by its own word, that is the truest answer there is.
                 return failure.ok_or(refused);
@@ -132,6 +138,32 @@
         }
     }
 
+    /// Waits for endpoints in their new lives, once, when none that was asked is there any more.
+    ///
+    /// Nothing has run, so the request may wait and go to any of them.
+    async fn finds_endpoints(&mut self, refused: Option<Refused>) -> bool {
+        let nobody = matches!(refused, Some((Cause::NoEndpoint | Cause::Refused, _)));
+        if !nobody || self.has_waited || self.in_doubt || !self.tries.found_nobody() {
+            return false;
+        }
+        self.has_waited = true;
+        self.gw.list_doubted.notify_one();
+        let most = arrival::for_endpoints(self.left());
+        let found = arrival::wait(&self.gw, most, || {
+            let group = self.gw.directory.group(&self.service);
+            let mut open = group.iter().filter(|endpoint| !endpoint.is_leaving());
+            open.any(|endpoint| !self.tries.endpoints().contains(&endpoint.id))
+                .then_some(())
+        });
+        let found = found.await.is_some();
+        self.trace
+            .step(format_args!("waited for endpoints: {found}"));
+        if found {
+            self.tries.forget_gone();
+        }
+        found
+    }
+
     /// A failure of the endpoint's own is passed on where nothing better can be had.
     fn is_wanted(&mut self, answer: &Answer) -> bool {
         self.in_doubt = true;
--- a/crates/anvil_gateway/src/follow.rs
+++ b/crates/anvil_gateway/src/follow.rs
@@ -93,6 +93,7 @@
         Ok(table) => {
             let version = table.version;
             gw.table.store(Some(Arc::new(table)));
+            gw.news.notify_waiters();
             event!(
                 gw.log, events::GATEWAY_TABLE_IN_FORCE,
                 "table" => version, "version" => held.version
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -88,6 +88,8 @@
     pub listed: AtomicU64,
     /// Wakes the task that reads the platform's list: an endpoint was another one than listed.
     pub list_doubted: Notify,
+    /// Wakes requests that wait for a routing table or for endpoints.
+    pub news: Notify,
     /// Requests under way.
     pub open: AtomicU32,
     /// In milliseconds of the life: until then this gateway can't pay for what it is asked.
@@ -162,6 +164,7 @@
             confirmed: AtomicU64::new(0),
             listed: AtomicU64::new(0),
             list_doubted: Notify::new(),
+            news: Notify::new(),
             open: AtomicU32::new(0),
             starved_until: AtomicU64::new(0),
             retries: Mutex::default(),
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -6,7 +6,7 @@
 //! of events. How a platform names things is kept outside, in a [`dialect::Dialect`].
 //!
 //! One request's way: [`serve`] takes the connection, [`admit`] checks and pays, [`exchange`]
-//! tries endpoints, [`choose`] picks them, [`attempt`] sends it to one, [`tries`] counts, [`relay`] passes a stream on and
+//! tries endpoints, [`choose`] picks them, [`attempt`] sends it to one, [`tries`] counts, [`arrival`] waits for what is about to come, [`relay`] passes a stream on and
 //! has it continued elsewhere, [`reply`] says no.
 //!
 //! What the gateway believes, and from whom: the routing table and the number of gateways
@@ -14,6 +14,7 @@
 //! ([`discovery`], from the platform's list), their load ([`endpoint`], from their answers).
 
 pub mod admit;
+pub mod arrival;
 pub mod attempt;
 pub mod choose;
 pub mod dialect;
--- a/crates/anvil_gateway/src/tries.rs
+++ b/crates/anvil_gateway/src/tries.rs
@@ -49,6 +49,16 @@
         self.arrived
     }
 
+    /// Whether every endpoint that was tried was gone, or none was there to be tried.
+    pub fn found_nobody(&self) -> bool {
+        self.used == 0
+    }
+
+    /// Endpoints in new lives are there: those that were gone count no more.
+    pub fn forget_gone(&mut self) {
+        self.gone = 0;
+    }
+
     /// Whether one more endpoint may be tried, of so many that may get it.
     pub fn may_go_on(&self, attempts: u32) -> bool {
         self.used < attempts && self.gone < MOST_GONE
--- a/crates/anvil_gateway/tests/direct/main.rs
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -9,4 +9,5 @@
 mod gone;
 mod leaving;
 mod money;
+mod starting;
 mod streams;
