anvilreel losses: what requests were lost to, and where budgets went, out of logs

Operators and we need sums beside one request's way: which decisions ended how many requests, in which seconds, and how much of each budget was billed for what, lies in grants, or is told by no line. Lines are read back in one place for both commands.

--- a/crates/anvil_daemons/src/operate/arguments.rs
+++ b/crates/anvil_daemons/src/operate/arguments.rs
@@ -75,6 +75,8 @@
     HashKey(HashKey),
     /// Tell one request's way out of logs.
     Explain(ExplainArgs),
+    /// Add up what requests were lost to, out of logs.
+    Losses(LossesArgs),
     /// Look into a ledger's data folder.
     Ledger(LedgerArgs),
 }
@@ -287,6 +289,15 @@
     pub files: Vec<PathBuf>,
 }
 
+/// add up what requests were lost to and where budgets went, out of the logs of several processes
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "losses")]
+pub struct LossesArgs {
+    /// files with log lines, one for each process
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
 /// look into a ledger's data folder
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "ledger")]
--- a/crates/anvil_daemons/src/operate/run.rs
+++ b/crates/anvil_daemons/src/operate/run.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Display;
 use std::io::Read;
+use std::path::PathBuf;
 
 use anvil_wire::msg::AuditFilter;
 use anvil_world::command::{Edit, OrderKind};
@@ -11,8 +12,7 @@
 use serde::Serialize;
 
 use super::arguments::{
-    Apply, Audit, Check, Connection, ExplainArgs, LedgerCommand, Operate, OrderArgs, OrderSubject,
-    Remove,
+    Apply, Audit, Check, Connection, LedgerCommand, Operate, OrderArgs, OrderSubject, Remove,
 };
 use super::check::check;
 
@@ -70,19 +70,27 @@
         Operate::Order(args) => order(&client, json, args).await,
         Operate::Check(args) => check_all(&args),
         Operate::HashKey(_) => hash_key(),
-        Operate::Explain(args) => explain(json, &args),
+        Operate::Explain(args) => {
+            let logs = read_logs(&args.files)?;
+            done(json, &operator::explain(&args.request, named(&logs)))
+        }
+        Operate::Losses(args) => done(json, &operator::losses(named(&read_logs(&args.files)?))),
         Operate::Ledger(args) => Ok(inspect(json, &args.command)),
     }
 }
 
-fn explain(json: bool, args: &ExplainArgs) -> Result<ExitCode, OperatorError> {
+/// Logs by the names of their files, which are those of processes.
+fn read_logs(files: &[PathBuf]) -> Result<Vec<(String, String)>, OperatorError> {
     let mut logs = Vec::new();
-    for file in &args.files {
+    for file in files {
         let name = file.file_stem().unwrap_or_default().to_string_lossy();
         logs.push((name.into_owned(), read_file(file)?));
     }
-    let logs = logs.iter().map(|(name, text)| (&**name, &**text));
-    done(json, &operator::explain(&args.request, logs))
+    Ok(logs)
+}
+
+fn named(logs: &[(String, String)]) -> impl Iterator<Item = (&str, &str)> {
+    logs.iter().map(|(name, text)| (&**name, &**text))
 }
 
 async fn apply(client: &Client, json: bool, args: Apply) -> Result<ExitCode, OperatorError> {
--- a/crates/anvilreel/src/operator/explain.rs
+++ b/crates/anvilreel/src/operator/explain.rs
@@ -4,7 +4,8 @@
 use std::fmt;
 
 use serde::Serialize;
-use serde_json::Value;
+
+use super::log_line::Told;
 
 /// Log lines of beliefs that decide what becomes of requests, by their message.
 const BELIEFS: [&str; 10] = [
@@ -20,19 +21,6 @@
     "gateway_leaving",
 ];
 
-/// One line of a log.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
-pub struct Told {
-    /// When, as the line says; all processes write it in the same form.
-    pub at: String,
-    /// Whose log it stands in.
-    pub process: String,
-    /// What it says.
-    pub message: String,
-    /// Everything else that it holds, in the order of its keys.
-    pub values: BTreeMap<String, String>,
-}
-
 /// A request's way, in order of time.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
 pub struct Explanation {
@@ -60,7 +48,7 @@
 fn read_log(found: &mut Explanation, process: &str, text: &str) {
     let mut beliefs: BTreeMap<&str, Told> = BTreeMap::new();
     for line in text.lines().filter(|line| !line.trim().is_empty()) {
-        let Some(told) = read_line(process, line) else {
+        let Some(told) = Told::read(process, line) else {
             found.unreadable += 1;
             continue;
         };
@@ -75,34 +63,6 @@
     }
 }
 
-fn read_line(process: &str, line: &str) -> Option<Told> {
-    // A collector may have put something before the line.
-    let json = &line[line.find('{')?..];
-    let Ok(Value::Object(fields)) = serde_json::from_str(json) else {
-        return None;
-    };
-    let mut told = Told {
-        at: String::new(),
-        process: process.into(),
-        message: String::new(),
-        values: BTreeMap::new(),
-    };
-    for (key, value) in fields {
-        let text = match value {
-            Value::String(text) => text,
-            other => other.to_string(),
-        };
-        match key.as_str() {
-            "ts" => told.at = text,
-            "msg" => told.message = text,
-            _ => {
-                told.values.insert(key, text);
-            }
-        }
-    }
-    Some(told)
-}
-
 impl fmt::Display for Explanation {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for line in &self.lines {
