--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -67,7 +67,6 @@
         prompt: &Prompt<'_>,
         tried: &[InstanceId],
         within: Duration,
-        loss_costs: Duration,
     ) -> Result<Chosen, Unplaced> {
         let now = self.life.now();
         if self.directory.is_old(service) {
@@ -77,7 +76,7 @@
         let open =
             |endpoint: &&Arc<Endpoint>| !endpoint.is_leaving() && !tried.contains(&endpoint.id);
         let home = home_of(prompt, group.iter().filter(open));
-        let weighed = |endpoint| self.weigh(now, prompt, home, loss_costs, endpoint);
+        let weighed = |endpoint| self.weigh(now, prompt, home, endpoint);
         let all: Vec<Weighed<'_>> = group.iter().filter(open).map(weighed).collect();
         let sound = all.iter().filter(|weighed| !weighed.shut);
         let best = sound.min_by_key(|weighed| weighed.expected);
@@ -131,7 +130,6 @@
         now: Now,
         prompt: &Prompt<'_>,
         home: Option<u64>,
-        loss_costs: Duration,
         endpoint: &'a Arc<Endpoint>,
     ) -> Weighed<'a> {
         let load = endpoint.load();
@@ -141,7 +139,7 @@
         } else {
             Duration::ZERO
         };
-        let before = way + load.set_back(now, NEXT_TRY, loss_costs);
+        let before = way + load.set_back(NEXT_TRY);
         let shut = load.is_shut(now);
         if prompt.parts.is_empty() {
             let full = f64::from(load.busy(now)) / f64::from(load.slots(endpoint.slots).max(1));
--- a/crates/anvil_gateway/src/endpoint.rs
+++ b/crates/anvil_gateway/src/endpoint.rs
@@ -76,12 +76,6 @@
         }
     }
 
-    /// It lost an answer of which it may have made a part.
-    pub fn lost_answer(&self, now: Now, log: &Logger, why: &str) {
-        self.load().lost_answer(now);
-        self.failed(now, log, why);
-    }
-
     /// Takes in its own word on its load.
     pub fn heard(&self, now: Now, load: &Load) {
         self.load()
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -9,13 +9,13 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use http_body_util::{BodyExt, Limited};
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 use crate::arrival;
 use crate::attempt::{ANOTHER_HAS_IT, Answer, Doubt, NotRun, Outgoing, Tried, send};
 use crate::choose::Unplaced;
 use crate::dialect::{Ask, Onward};
-use crate::endpoint::{Endpoint, Place};
+use crate::endpoint::Endpoint;
 use crate::gateway::Gateway;
 use crate::line::Line;
 use crate::log_events as events;
@@ -216,13 +216,9 @@
     async fn one_try(&mut self, after: Option<u64>) -> Result<Tried, Refused> {
         let prompt = Prompt { parts: &self.parts };
         let within = self.left().mul_f64(SENT_WITHIN);
-        let chosen = self.gw.choose(
-            &self.service,
-            &prompt,
-            self.tries.endpoints(),
-            within,
-            self.loss_costs(),
-        );
+        let chosen = self
+            .gw
+            .choose(&self.service, &prompt, self.tries.endpoints(), within);
         let chosen = chosen.map_err(|unplaced| self.unplaced(unplaced))?;
         let endpoint = chosen.place.endpoint.clone();
         self.trace.step(format_args!(
@@ -262,8 +258,7 @@
             spend.begun();
         }
         let sent_at = Instant::now();
-        let silent_after = self.route.target.mul_f64(SILENT_TARGETS);
-        let tried = send_watched(&self.gw, &endpoint, chosen.place, silent_after, out).await;
+        let tried = send(&self.gw.cfg.dialect, chosen.place, out).await;
         self.waits_on = None;
         self.tries.note(endpoint.id.clone(), &tried);
         if let (Tried::NotRun(_), Some(spend), false) = (&tried, &mut self.spend, counted_before) {
@@ -273,15 +268,6 @@
         Ok(tried)
     }
 
-    /// What it costs to lose the answer, in time: the request itself where it may not run again.
-    fn loss_costs(&self) -> Duration {
-        if self.route.repeat.may_run_again() {
-            self.route.target.mul_f64(AGAIN_COSTS)
-        } else {
-            self.route.target
-        }
-    }
-
     /// How long an answer's head is waited for: to the end, but for a request that another
     /// endpoint may run instead.
     fn answer_until(&self) -> Instant {
@@ -308,7 +294,7 @@
                 }
                 endpoint
                     .load()
-                    .answered(now, answer.parts.status.is_server_error());
+                    .answered(answer.parts.status.is_server_error());
             }
             Tried::NotRun(NotRun::Refused(ANOTHER_HAS_IT)) => {
                 endpoint.leave();
@@ -319,19 +305,15 @@
             Tried::NotRun(NotRun::Unreachable(why)) => self.endpoint_failed(endpoint, why),
             // A client that waits for less than an answer takes says nothing of the endpoint.
             Tried::Doubt(Doubt::Silent) if waited < self.route.target => {}
-            Tried::Doubt(doubt) => self.answer_lost(endpoint, &format!("{doubt:?}")),
+            Tried::Doubt(doubt) => self.endpoint_failed(endpoint, &format!("{doubt:?}")),
         }
     }
 
-    fn endpoint_failed(&self, endpoint: &Endpoint, why: &str) {
+    /// Notes that an endpoint failed this request.
+    pub fn endpoint_failed(&self, endpoint: &Endpoint, why: &str) {
         endpoint.failed(self.gw.life.now(), &self.gw.log, why);
     }
 
-    /// Notes that an endpoint lost this request's answer, of which it may have made a part.
-    pub fn answer_lost(&self, endpoint: &Endpoint, why: &str) {
-        endpoint.lost_answer(self.gw.life.now(), &self.gw.log, why);
-    }
-
     fn unplaced(&mut self, unplaced: Unplaced) -> Refused {
         self.trace.step(format_args!("no place: {unplaced:?}"));
         if self.in_doubt {
@@ -370,7 +352,7 @@
                     .ended(if fine { "completed" } else { "endpoint_failed" });
                 return Reply::from_parts(parts, whole(body.to_bytes()));
             }
-            self.answer_lost(&place.endpoint, "no whole answer");
+            self.endpoint_failed(&place.endpoint, "no whole answer");
             let doubt = if read.is_err() {
                 Doubt::Silent
             } else {
@@ -389,26 +371,6 @@
     }
 }
 
-/// Sends a request, and holds a long silence against the endpoint while the answer is still waited for.
-///
-/// Failure: an endpoint takes requests and says nothing, with a good health check. Clients leave before their
-/// deadline, which ends the wait without a word, so the endpoint would go on getting its share.
-async fn send_watched(
-    gw: &Gateway,
-    endpoint: &Endpoint,
-    place: Place,
-    silent_after: Duration,
-    out: Outgoing<'_>,
-) -> Tried {
-    let sending = send(&gw.cfg.dialect, place, out);
-    tokio::pin!(sending);
-    if let Ok(tried) = timeout(silent_after, sending.as_mut()).await {
-        return tried;
-    }
-    endpoint.lost_answer(gw.life.now(), &gw.log, "silent");
-    sending.await
-}
-
 impl Drop for Exchange {
     fn drop(&mut self) {
         let Some(mut spend) = self.spend.take() else {
@@ -433,9 +395,6 @@
 /// How many times its target an answer's head is waited for where another endpoint may run the
 /// request instead: an endpoint that has been silent for so long is more likely lost than slow.
 const SILENT_TARGETS: f64 = 2.0;
-/// What a lost answer costs a request that may run again, in parts of its target: the next endpoint's first
-/// answer comes after about so long.
-const AGAIN_COSTS: f64 = 0.25;
 /// A full endpoint gets nothing for about the time of one of its requests.
 const FULL_PAUSE: Duration = Duration::from_millis(25);
 
--- a/crates/anvil_policy/src/engine.rs
+++ b/crates/anvil_policy/src/engine.rs
@@ -17,8 +17,6 @@
 use std::time::Duration;
 
 use anvil_world::prelude::*;
-
-use crate::reliability::Reliability;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// How fast engines work, as the routers assume it.
@@ -74,8 +72,6 @@
     parts: BTreeMap<u64, Now>,
     /// Part of its newest answers that were its own failures.
     bad_part: f64,
-    /// How often it lost what it was given.
-    reliability: Reliability,
     /// Failures in a row.
     failures: u32,
     /// Gets no work before this.
@@ -156,23 +152,17 @@
     }
 
     /// A request was answered; `badly` when the answer is the endpoint's own failure.
-    pub fn answered(&mut self, now: Now, badly: bool) {
-        self.reliability.answered(now);
+    pub fn answered(&mut self, badly: bool) {
         self.failures = 0;
         self.shut_until = Duration::ZERO;
         let newest = f64::from(u8::from(badly));
         self.bad_part += NEWEST_ANSWER * (newest - self.bad_part);
     }
 
-    /// An answer was lost that the endpoint may have begun.
-    pub fn lost_answer(&mut self, now: Now) {
-        self.reliability.note_loss(now);
-    }
-
-    /// Time by which its bad and its lost answers set it back: what the next try elsewhere costs, or
-    /// the loss of the request, as often as it will be needed.
-    pub fn set_back(&self, now: Now, next_try: Duration, loss_costs: Duration) -> Duration {
-        next_try.mul_f64(self.bad_part) + self.reliability.set_back(now, loss_costs)
+    /// Time by which its bad answers set it back: what the next try elsewhere costs, as often as
+    /// it will be needed.
+    pub fn set_back(&self, next_try: Duration) -> Duration {
+        next_try.mul_f64(self.bad_part)
     }
 
     /// A connection or an answer was lost.
