Money that lies with dead routers is not waited for

Change: where refusals have followed each other for 0.8 s, four batches, what was called back and did not come does not count as about to come; the request is told at once that the budget does not cover it. A top-up or a grant that is given back ends that.

--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -129,6 +129,9 @@
         smooth_over: Some(Duration::from_secs(1)),
         patience: Duration::from_millis(450),
         recall_patience: Duration::from_millis(120),
+        // Four batches: the ledger calls back with one, routers give back with the next, and a lost one is sent
+        // again.
+        recalled_within: Duration::from_millis(800),
         idle: Duration::from_millis(400),
         batch_every: Duration::from_millis(200),
         urgent_every: Duration::from_millis(10),
--- a/crates/anvilreel/src/money/exchange.rs
+++ b/crates/anvilreel/src/money/exchange.rs
@@ -255,14 +255,18 @@
     }
 
     fn note(&self, now: Now, refusal: &GrantRefusal) {
-        let verdict = Verdict {
+        let budgets = self.budgets.load();
+        let Some(held) = budgets.get(&refusal.budget) else {
+            return;
+        };
+        let before = **held.verdict.load();
+        let unbroken = before.filter(|before| now < before.at + self.policy.recalled_within);
+        held.verdict.store(Arc::new(Some(Verdict {
             at: now,
+            since: unbroken.map_or(now, |before| before.since),
             left: refusal.left,
             outstanding: refusal.outstanding,
-        };
-        if let Some(held) = self.budgets.load().get(&refusal.budget) {
-            held.verdict.store(Arc::new(Some(verdict)));
-        }
+        })));
     }
 
     /// Takes in a new grant. `short` tells that a larger ask for its budget got nothing, so that
--- a/crates/anvilreel/src/money/held.rs
+++ b/crates/anvilreel/src/money/held.rs
@@ -13,6 +13,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Verdict {
     pub(super) at: Now,
+    /// When the first one came of the refusals that have followed each other since without a break.
+    pub(super) since: Now,
     pub(super) left: Tokens,
     pub(super) outstanding: Tokens,
 }
--- a/crates/anvilreel/src/money/purse.rs
+++ b/crates/anvilreel/src/money/purse.rs
@@ -242,8 +242,15 @@
         };
         let exhausted = Reason::BudgetExhausted(held.budget.clone());
         let otherwise = refusal(exhausted, RETRY_EXHAUSTED);
-        let here = held.free() + held.reserved();
-        let may_come = verdict.left + verdict.outstanding + here;
+        // Failure: routers died with money in their grants. The ledger has called it back again and again, it
+        // can't come, and each request still waits for it, is told to come back, and waits again.
+        let recalled = now >= verdict.since + self.policy.recalled_within;
+        let elsewhere = if recalled {
+            0
+        } else {
+            verdict.outstanding + held.reserved()
+        };
+        let may_come = verdict.left + held.free() + elsewhere;
         if may_come < tokens {
             return Shortage::Refused(otherwise);
         }
--- a/crates/anvilreel/src/money/sizing.rs
+++ b/crates/anvilreel/src/money/sizing.rs
@@ -22,6 +22,9 @@
     /// Longest time that a request waits for money that lies unspent in other routers' grants:
     /// calling it back takes up to three batches.
     pub recall_patience: Duration,
+    /// What was called back and has not come within this time lies in grants of routers that died, or is set
+    /// aside by running requests: with an unbroken row of refusals it is not waited for any more.
+    pub recalled_within: Duration,
     /// A grant without demand for so long is given back.
     pub idle: Duration,
     /// Time between two batches, and before an unanswered one is sent again.
@@ -56,6 +59,7 @@
             smooth_over: None,
             patience: Duration::from_secs(3),
             recall_patience: Duration::from_secs(6),
+            recalled_within: Duration::from_secs(6),
             idle: Duration::from_mins(2),
             batch_every: Duration::from_secs(1),
             urgent_every: Duration::from_millis(100),
--- a/crates/anvilreel/tests/money/purse.rs
+++ b/crates/anvilreel/tests/money/purse.rs
@@ -1,6 +1,9 @@
 //! A router's purse against the ledger's real state.
 
+use std::time::Duration;
+
 use anvil_wire::msg::{Evidence, KeyCharge};
+use anvil_world::command::{TopUp, change_id};
 use anvil_world::prelude::*;
 use anvilreel::money::{Closing, GrantPolicy, Purse, Shortage};
 
@@ -142,3 +145,62 @@
     closing.take(&lives[1], &evidence(1, 80));
     assert_eq!(closing.charged(7), Some(80));
 }
+
+/// A router died with a tenth of a budget in its grant. A clerk's request finds too little, waits for the tenth to be
+/// called back, is told to come again at once, and waits again, for the rest of the day. Once the recall is
+/// old and refusals have followed each other, the budget is said to be used up.
+#[test]
+fn money_of_dead_routers_is_not_waited_for_for_ever() {
+    let mut ledger = Ledger::with(1_000);
+    let policy = || GrantPolicy {
+        recalled_within: Duration::from_millis(800),
+        verdict_holds: Duration::from_millis(300),
+        batch_every: Duration::from_millis(200),
+        urgent_every: Duration::from_millis(10),
+        spare_requests: 0,
+        ..GrantPolicy::default()
+    };
+    let dead = Purse::new("dead".into(), 1, policy());
+    assert!(dead.reserve(at(1), &split(), 900).is_err());
+    let batch = dead.batch(at(1)).expect("an ask");
+    dead.answered(at(2), &ledger.answer(batch)).expect("ours");
+    assert!(dead.reserve(at(3), &split(), 900).is_ok());
+
+    let alive = Purse::new("alive".into(), 1, policy());
+    let mut waited = 0;
+    let mut refused_from = None;
+    for now in (1_000..4_000).step_by(50) {
+        match alive.reserve(at(now), &split(), 500) {
+            Ok(_) => panic!("900 of 1,000 are gone"),
+            Err(Shortage::WaitFor { .. }) => waited += 1,
+            Err(Shortage::Refused(refusal)) => {
+                assert!(matches!(refusal.reason, Reason::BudgetExhausted(_)));
+                refused_from.get_or_insert(now);
+            }
+        }
+        if let Some(batch) = alive.batch(at(now)) {
+            let answer = ledger.answer(batch);
+            alive.answered(at(now), &answer).expect("ours");
+        }
+    }
+    assert!(waited > 5, "a recall takes some batches");
+    let refused_from = refused_from.expect("a plain word in the end");
+    assert!(refused_from < 2_200, "{refused_from}");
+
+    // A top-up is noticed all the same.
+    ledger.apply(&Command::TopUp(TopUp {
+        id: change_id(std::time::UNIX_EPOCH, "more"),
+        operator: "wanjiru".into(),
+        budget: "nairobi".into(),
+        amount: 5_000,
+        at: std::time::UNIX_EPOCH,
+    }));
+    let served = (4_000..5_000).step_by(50).any(|now| {
+        if let Some(batch) = alive.batch(at(now)) {
+            let answer = ledger.answer(batch);
+            alive.answered(at(now), &answer).expect("ours");
+        }
+        alive.reserve(at(now), &split(), 500).is_ok()
+    });
+    assert!(served);
+}
