--- a/crates/anvil_gateway/src/arrival.rs
+++ b/crates/anvil_gateway/src/arrival.rs
@@ -16,6 +16,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::gateway::Gateway;
+use crate::metrics;
 
 /// Time within which a process that has started has a routing table: processes that start together come
 /// up within 0.3 s of each other, elect a leader within 0.3 s, and a lost opening packet takes 0.25 s.
@@ -41,7 +42,16 @@
 
 /// Waits until `f` finds what is wanted, for this time at most.
 pub async fn wait<T>(gw: &Gateway, most: Duration, f: impl Fn() -> Option<T>) -> Option<T> {
-    let until = Instant::now() + most;
+    if let Some(found) = f() {
+        return Some(found);
+    }
+    let begun = Instant::now();
+    let found = wait_for(gw, begun + most, f).await;
+    gw.metrics.time(metrics::ARRIVAL_WAIT, begun.elapsed());
+    found
+}
+
+async fn wait_for<T>(gw: &Gateway, until: Instant, f: impl Fn() -> Option<T>) -> Option<T> {
     loop {
         let news = gw.news.notified();
         tokio::pin!(news);
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -227,6 +227,7 @@
         ));
         if let Some(addr) = chosen.copy_from {
             self.trace.step(format_args!("copies from {addr}"));
+            self.gw.metrics.count(metrics::TRIES_COPIED);
         }
         self.gw.metrics.count(metrics::TRIES);
         if !self.tries.endpoints().is_empty() {
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -18,6 +18,8 @@
 pub const TOOK: &str = "request.took";
 /// Time that requests waited for money. Milliseconds.
 pub const MONEY_WAIT: &str = "request.money_wait";
+/// Time that requests waited for the first routing table, or for endpoints in their new lives. Milliseconds.
+pub const ARRIVAL_WAIT: &str = "request.arrival_wait";
 /// Time between two events of a stream. Milliseconds.
 pub const GAP: &str = "stream.gap";
 /// Requests sent to endpoints. Count.
@@ -30,6 +32,8 @@
 pub const TRIES_IN_DOUBT: &str = "tries.in_doubt";
 /// Tries that the shared budget did not allow. Count.
 pub const TRIES_DENIED: &str = "tries.denied";
+/// Tries that told the endpoint to copy a prompt's beginning from another one. Count.
+pub const TRIES_COPIED: &str = "tries.copied";
 /// Streams that another endpoint went on with. Count.
 pub const RESUMED: &str = "streams.resumed";
 /// Requests under way. Gauge.
@@ -55,12 +59,14 @@
     (FIRST_PIECE, "milliseconds"),
     (TOOK, "milliseconds"),
     (MONEY_WAIT, "milliseconds"),
+    (ARRIVAL_WAIT, "milliseconds"),
     (GAP, "milliseconds"),
     (TRIES, "count"),
     (TRIES_AGAIN, "count"),
     (TRIES_NOT_RUN, "count"),
     (TRIES_IN_DOUBT, "count"),
     (TRIES_DENIED, "count"),
+    (TRIES_COPIED, "count"),
     (RESUMED, "count"),
     (OPEN, "gauge"),
     (TABLE, "gauge"),
--- a/crates/anvilreel/src/metrics.rs
+++ b/crates/anvilreel/src/metrics.rs
@@ -36,6 +36,14 @@
 pub const LOG_TERM: &str = "log.term";
 /// Whether a replica of the ledger leads: 1 or 0. Gauge.
 pub const LOG_LEADS: &str = "log.leads";
+/// Calls that a relay passed on to the ledger. Count.
+pub const RELAY_PASSED: &str = "relay.passed";
+/// Of these, those whose outcome nobody can tell. Count.
+pub const RELAY_IN_DOUBT: &str = "relay.in_doubt";
+/// Of these, those for which no majority of the ledger was reached. Count.
+pub const RELAY_NO_QUORUM: &str = "relay.no_quorum";
+/// Streams of settings that a relay opened for others. Count.
+pub const RELAY_STREAMS: &str = "relay.streams";
 
 /// Log lines that were dropped since the process started. Gauge.
 pub const LOG_DROPPED: &str = "log.lines_dropped";
@@ -54,6 +62,10 @@
     (LOG_COMMITTED, "gauge"),
     (LOG_TERM, "gauge"),
     (LOG_LEADS, "gauge"),
+    (RELAY_PASSED, "count"),
+    (RELAY_IN_DOUBT, "count"),
+    (RELAY_NO_QUORUM, "count"),
+    (RELAY_STREAMS, "count"),
     (LOG_DROPPED, "gauge"),
 ];
 
--- a/crates/anvilreel/src/relay.rs
+++ b/crates/anvilreel/src/relay.rs
@@ -20,8 +20,9 @@
 use crate::announce;
 use crate::event;
 use crate::events;
-use crate::ledger_client::LedgerClient;
+use crate::ledger_client::{LedgerClient, LedgerError};
 use crate::life::Life;
+use crate::metrics::{self, Metrics};
 use crate::watcher::{SILENCE, Watcher};
 
 /// Longest time that a call is passed on. Whoever asks waits no longer for one way.
@@ -48,6 +49,7 @@
     cfg: RelaySettings,
     watcher: Arc<Watcher>,
     log: Logger,
+    metrics: Metrics,
     life: Life,
 }
 
@@ -62,6 +64,7 @@
     cfg: RelaySettings,
     watcher: Arc<Watcher>,
     log: Logger,
+    metrics: Metrics,
     stop: impl Future<Output = ()>,
 ) -> Result<(), WireError> {
     let server = Server::bind(cfg.bind.unwrap_or(cfg.listen)).await?;
@@ -70,6 +73,7 @@
         watcher,
         cfg,
         log,
+        metrics,
         life: Life::begin(),
     });
     let answering = relay.clone();
@@ -110,11 +114,18 @@
             self.pass_stream(instance, interest, version, tx).await;
             return;
         }
+        self.metrics.count(metrics::RELAY_PASSED);
         // The asker can't tell whether a lost answer was carried out, so a doubt stays a doubt.
         let reply = match self.watcher.ledger.ask(&req, PASS_WITHIN).await {
             Ok(reply) => reply,
-            Err(crate::ledger_client::LedgerError::InDoubt) => LedgerReply::InDoubt,
-            Err(_) => LedgerReply::NoQuorum,
+            Err(LedgerError::InDoubt) => {
+                self.metrics.count(metrics::RELAY_IN_DOUBT);
+                LedgerReply::InDoubt
+            }
+            Err(_) => {
+                self.metrics.count(metrics::RELAY_NO_QUORUM);
+                LedgerReply::NoQuorum
+            }
         };
         // Fails only where the asker is gone.
         let _ = tx.finish(&reply).await;
@@ -133,6 +144,7 @@
         let Ok(Ok(mut replies)) = timeout(SILENCE, opening).await else {
             return;
         };
+        self.metrics.count(metrics::RELAY_STREAMS);
         while let Ok(Ok(Some(reply))) = timeout(SILENCE, replies.next()).await {
             if tx.send(&reply).await.is_err() {
                 return;
