--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use anvil_policy::copying::Copying;
-use anvil_policy::engine::{EngineRule, Prompt, home_rank};
+use anvil_policy::engine::{Prompt, home_rank};
 use anvil_world::prelude::*;
 
 use crate::endpoint::{Endpoint, Place};
@@ -73,11 +73,10 @@
             return Err(Unplaced::Nobody);
         }
         let group = self.directory.group(service);
-        let rule = self.rule_of(&group);
         let open =
             |endpoint: &&Arc<Endpoint>| !endpoint.is_leaving() && !tried.contains(&endpoint.id);
         let home = home_of(prompt, group.iter().filter(open));
-        let weighed = |endpoint| self.weigh(now, &rule, prompt, home, endpoint);
+        let weighed = |endpoint| self.weigh(now, prompt, home, endpoint);
         let all: Vec<Weighed<'_>> = group.iter().filter(open).map(weighed).collect();
         let sound = all.iter().filter(|weighed| !weighed.shut);
         let best = sound.min_by_key(|weighed| weighed.expected);
@@ -86,10 +85,10 @@
         if best.expected > within {
             return Err(Unplaced::TooLate(best.expected));
         }
-        let source = self.source(service, &rule, prompt, best, &all);
+        let source = self.source(service, prompt, best, &all);
         let missing = source.as_ref().map_or(best.missing, |source| source.left);
         let grounds = best.endpoint.load().grounds(now);
-        let place = Place::take(best.endpoint.clone(), now, &rule, prompt, missing);
+        let place = Place::take(best.endpoint.clone(), now, &self.rule, prompt, missing);
         Ok(Chosen {
             place,
             expected: best.expected,
@@ -99,21 +98,11 @@
         })
     }
 
-    /// How engines are judged, with the rate at which those of this group were seen to read.
-    fn rule_of(&self, group: &[Arc<Endpoint>]) -> EngineRule {
-        let mut rule = self.rule.clone();
-        if let Some(endpoint) = group.first() {
-            rule.read_per_ms = endpoint.reads_per_ms();
-        }
-        rule
-    }
-
     /// The engine from which the chosen one copies, where that is much faster than reading: one to
     /// which this gateway has sent more of the prompt itself, or else the subject's home.
     fn source(
         &self,
         service: &str,
-        rule: &EngineRule,
         prompt: &Prompt<'_>,
         chosen: &Weighed<'_>,
         all: &[Weighed<'_>],
@@ -121,7 +110,7 @@
         prompt.subject()?;
         let table = self.table.load();
         let engine = table.as_ref()?.services.get(service)?.engine?;
-        let rate = Copying::between(engine.bytes_per_token, engine.link_mbps, rule)?;
+        let rate = Copying::between(engine.bytes_per_token, engine.link_mbps, &self.rule)?;
         let others = all.iter().filter(|other| !other.shut);
         let others = others.filter(|other| other.endpoint.id != chosen.endpoint.id);
         let holds = |missing: fn(&Weighed<'_>) -> Tokens| {
@@ -132,21 +121,24 @@
         let (addr, there) = holds(|w| w.unsent).or_else(|| holds(|w| w.missing))?;
         Some(Source {
             addr,
-            left: rate.as_if_missing(chosen.missing, there, rule),
+            left: rate.as_if_missing(chosen.missing, there, &self.rule),
         })
     }
 
     fn weigh<'a>(
         &self,
         now: Now,
-        rule: &EngineRule,
         prompt: &Prompt<'_>,
         home: Option<u64>,
         endpoint: &'a Arc<Endpoint>,
     ) -> Weighed<'a> {
         let load = endpoint.load();
         let far = *endpoint.zone != *self.cfg.zone.id;
-        let way = if far { rule.other_zone } else { Duration::ZERO };
+        let way = if far {
+            self.rule.other_zone
+        } else {
+            Duration::ZERO
+        };
         let before = way + load.set_back(NEXT_TRY);
         let shut = load.is_shut(now);
         if prompt.parts.is_empty() {
@@ -163,13 +155,13 @@
         let is_home = prompt
             .subject()
             .is_some_and(|subject| Some(home_rank(subject, &endpoint.id)) == home);
-        let missing = load.missing(now, rule, prompt, is_home);
-        let expected = load.expected(now, rule, missing, endpoint.slots);
+        let missing = load.missing(now, &self.rule, prompt, is_home);
+        let expected = load.expected(now, &self.rule, missing, endpoint.slots);
         Weighed {
             endpoint,
             expected: before + expected,
             missing,
-            unsent: load.missing(now, rule, prompt, false),
+            unsent: load.missing(now, &self.rule, prompt, false),
             shut,
         }
     }
--- a/crates/anvil_gateway/src/directory.rs
+++ b/crates/anvil_gateway/src/directory.rs
@@ -4,7 +4,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use anvil_policy::reading::ReadingRate;
 use anvil_world::prelude::*;
 use arc_swap::ArcSwap;
 
@@ -24,8 +23,6 @@
     groups: ArcSwap<BTreeMap<ServiceId, Group>>,
     /// Endpoints that were leaving, with when they were last listed so.
     left: Mutex<BTreeMap<InstanceId, Instant>>,
-    /// How fast the engines of each service read.
-    readings: Mutex<BTreeMap<ServiceId, Arc<Mutex<ReadingRate>>>>,
     /// Endpoints in a row, by service, at whose address another life answered.
     replaced: Mutex<BTreeMap<ServiceId, usize>>,
 }
@@ -83,12 +80,6 @@
         replaced >= FEWEST_REPLACED && replaced * REPLACED_PART >= listed
     }
 
-    fn reading(&self, service: &ServiceId) -> Arc<Mutex<ReadingRate>> {
-        // A panic elsewhere leaves rates, each of them valid.
-        let mut readings = self.readings.lock().unwrap_or_else(PoisonError::into_inner);
-        readings.entry(service.clone()).or_default().clone()
-    }
-
     fn replaced(&self) -> MutexGuard<'_, BTreeMap<ServiceId, usize>> {
         // A panic elsewhere leaves plain numbers, each of them true.
         self.replaced.lock().unwrap_or_else(PoisonError::into_inner)
@@ -127,7 +118,7 @@
             });
             let endpoint = same.cloned().unwrap_or_else(|| {
                 changes.came.push(listed.id.clone());
-                Arc::new(Endpoint::new(listed, self.reading(&listed.service)))
+                Arc::new(Endpoint::new(listed))
             });
             // Failure: a list that lags names an endpoint as ready that an earlier one named as
             // leaving or no longer at all, and it gets work just before it goes.
--- a/crates/anvil_gateway/src/endpoint.rs
+++ b/crates/anvil_gateway/src/endpoint.rs
@@ -5,11 +5,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use anvil_policy::engine::{EndpointLoad, EngineRule, Prompt};
-use anvil_policy::reading::ReadingRate;
 use anvil_world::prelude::*;
 use anvilreel::event;
 use slog::Logger;
-use tokio::time::Instant;
 
 use crate::dialect::{Listed, Load};
 use crate::log_events as events;
@@ -29,15 +27,13 @@
     pub slots: u32,
     /// Connections to it.
     pub pool: Pool,
-    /// How fast the engines of its service read, as this process has seen it.
-    pub reading: Arc<Mutex<ReadingRate>>,
     leaving: AtomicBool,
     load: Mutex<EndpointLoad>,
 }
 
 impl Endpoint {
     /// As the platform lists it.
-    pub fn new(listed: &Listed, reading: Arc<Mutex<ReadingRate>>) -> Self {
+    pub fn new(listed: &Listed) -> Self {
         Self {
             id: listed.id.clone(),
             service: listed.service.clone(),
@@ -45,7 +41,6 @@
             zone: listed.zone.clone(),
             slots: listed.slots,
             pool: Pool::new(listed.addr),
-            reading,
             leaving: AtomicBool::new(listed.leaving),
             load: Mutex::default(),
         }
@@ -68,16 +63,6 @@
         self.load.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Tokens that an engine of its service reads in a millisecond.
-    pub fn reads_per_ms(&self) -> f64 {
-        self.reading().per_ms()
-    }
-
-    fn reading(&self) -> MutexGuard<'_, ReadingRate> {
-        // A panic elsewhere leaves plain numbers, each of them valid.
-        self.reading.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// It failed a request: it is passed over for a while.
     pub fn failed(&self, now: Now, log: &Logger, why: &str) {
         let mut load = self.load();
@@ -103,8 +88,6 @@
     /// Where.
     pub endpoint: Arc<Endpoint>,
     unread: Tokens,
-    /// When the request was placed; `None` once its answer has begun.
-    placed: Option<Instant>,
 }
 
 impl Place {
@@ -117,24 +100,11 @@
         unread: Tokens,
     ) -> Self {
         endpoint.load().start(now, rule, prompt, unread);
-        Self {
-            endpoint,
-            unread,
-            placed: Some(Instant::now()),
-        }
+        Self { endpoint, unread }
     }
 
     /// The first piece of the answer is here: the prompt has been read.
     pub fn answered(&mut self) {
-        if let Some(placed) = self.placed.take() {
-            self.endpoint
-                .reading()
-                .observe(self.unread, placed.elapsed());
-        }
-        self.give_back();
-    }
-
-    fn give_back(&mut self) {
         let unread = std::mem::take(&mut self.unread);
         self.endpoint.load().read(unread);
     }
@@ -142,7 +112,7 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.give_back();
+        self.answered();
         self.endpoint.load().end();
     }
 }
--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -44,7 +44,6 @@
 //! * [`retry`]: whether a failed try is made again.
 //! * [`grant`]: how much of a budget a router holds.
 //! * [`engine`]: where a prompt goes among engines that nobody stands beside.
-//! * [`reading`]: how fast such engines read, as their answers show it.
 //! * [`copying`]: when such an engine copies what another one has read.
 //! * [`prefix`]: which endpoints hold which prompt prefixes.
 //! * [`subset`] and [`placement`]: which endpoints a router watches, and which models they hold.
@@ -66,7 +65,6 @@
 pub mod placement;
 pub mod prefix;
 pub mod prelude;
-pub mod reading;
 pub mod retry;
 pub mod subset;
 pub mod waiting;
