--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -17,7 +17,7 @@
 use crate::arrival;
 use crate::dialect::Ask;
 use crate::exchange::{Exchange, Refused, SOON};
-use crate::gateway::{Gateway, RECALLED_WITHIN};
+use crate::gateway::Gateway;
 use crate::metrics;
 use crate::money::Spend;
 use crate::reply::{Cause, Reply, refusal};
@@ -214,8 +214,7 @@
         if left.is_zero() || timeout_at(ends, changed).await.is_err() {
             trace.step(format_args!("money did not come: {:?}", otherwise.reason));
             return Err(match otherwise.reason {
-                // Sooner, the client would find the same and have no return left.
-                Reason::BudgetExhausted(_) => (Cause::BudgetBusy, RECALLED_WITHIN),
+                Reason::BudgetExhausted(_) => (Cause::BudgetBusy, SOON),
                 reason => broke(gw, &reason),
             });
         }
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -116,10 +116,6 @@
 /// Gateways that are assumed to share the budget before the ledger has told how many there are.
 const GATEWAYS_UNTIL_TOLD: u32 = 16;
 
-/// What the ledger calls back comes within this time, four batches: it calls back with one, routers give back
-/// with the next, and a lost one is sent again.
-pub(crate) const RECALLED_WITHIN: Duration = Duration::from_millis(800);
-
 /// Sizes of grants where no sidecar gives evidence of a lost gateway's spending: all that is left
 /// in its grants counts as spent.
 ///
@@ -133,7 +129,9 @@
         smooth_over: Some(Duration::from_secs(1)),
         patience: Duration::from_millis(450),
         recall_patience: Duration::from_millis(120),
-        recalled_within: RECALLED_WITHIN,
+        // Four batches: the ledger calls back with one, routers give back with the next, and a lost one is sent
+        // again.
+        recalled_within: Duration::from_millis(800),
         idle: Duration::from_millis(400),
         batch_every: Duration::from_millis(200),
         urgent_every: Duration::from_millis(10),
