Which engine a prompt is copied from is decided without a network

The choice stood in the gateway; it is a function of what engines lack now, with its two patterns tested: a new home, and a subject that a router has sent nowhere yet. No behaviour is meant to change.

--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvil_policy::copying::Copying;
+use anvil_policy::copying::{self, Copying, Lacking};
 use anvil_policy::engine::{Prompt, home_rank};
 use anvil_world::prelude::*;
 
@@ -86,7 +86,9 @@
             return Err(Unplaced::TooLate(best.expected));
         }
         let source = self.source(service, prompt, best, &all);
-        let missing = source.as_ref().map_or(best.missing, |source| source.left);
+        let missing = source
+            .as_ref()
+            .map_or(best.lacking.believed, |source| source.left);
         let grounds = best.endpoint.load().grounds(now);
         let place = Place::take(best.endpoint.clone(), now, &self.rule, prompt, missing);
         Ok(Chosen {
@@ -98,8 +100,7 @@
         })
     }
 
-    /// The engine from which the chosen one copies, where that is much faster than reading: one to
-    /// which this gateway has sent more of the prompt itself, or else the subject's home.
+    /// The engine from which the chosen one copies, where that is much faster than reading.
     fn source(
         &self,
         service: &str,
@@ -113,15 +114,13 @@
         let rate = Copying::between(engine.bytes_per_token, engine.link_mbps, &self.rule)?;
         let others = all.iter().filter(|other| !other.shut);
         let others = others.filter(|other| other.endpoint.id != chosen.endpoint.id);
-        let holds = |missing: fn(&Weighed<'_>) -> Tokens| {
-            let most = others.clone().min_by_key(|other| missing(other))?;
-            let worth = Copying::is_worth_it(missing(chosen), missing(most));
-            worth.then(|| (most.endpoint.addr, missing(most)))
-        };
-        let (addr, there) = holds(|w| w.unsent).or_else(|| holds(|w| w.missing))?;
+        let others: Vec<_> = others
+            .map(|other| (other.endpoint.addr, other.lacking))
+            .collect();
+        let (addr, there) = copying::source(chosen.lacking, &others)?;
         Some(Source {
             addr,
-            left: rate.as_if_missing(chosen.missing, there, &self.rule),
+            left: rate.as_if_missing(chosen.lacking.believed, there, &self.rule),
         })
     }
 
@@ -147,8 +146,10 @@
             return Weighed {
                 endpoint,
                 expected: before + WHEN_FULL.mul_f64(full) + spread,
-                missing: 0,
-                unsent: 0,
+                lacking: Lacking {
+                    unsent: 0,
+                    believed: 0,
+                },
                 shut,
             };
         }
@@ -160,8 +161,10 @@
         Weighed {
             endpoint,
             expected: before + expected,
-            missing,
-            unsent: load.missing(now, &self.rule, prompt, false),
+            lacking: Lacking {
+                unsent: load.missing(now, &self.rule, prompt, false),
+                believed: missing,
+            },
             shut,
         }
     }
@@ -172,10 +175,8 @@
     endpoint: &'a Arc<Endpoint>,
     /// Time to the first token if all that is missing is read.
     expected: Duration,
-    /// Tokens of the prompt that it is not believed to hold.
-    missing: Tokens,
-    /// Tokens of the prompt that this gateway has not sent there itself.
-    unsent: Tokens,
+    /// What it lacks of the prompt.
+    lacking: Lacking,
     /// It failed lately.
     shut: bool,
 }
--- a/crates/anvil_policy/src/copying.rs
+++ b/crates/anvil_policy/src/copying.rs
@@ -23,6 +23,28 @@
 /// a copy is not begun sooner either.
 const LEAST_COPIED: Tokens = 256;
 
+/// What one engine lacks of a prompt, in tokens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Lacking {
+    /// By what this router has sent there itself.
+    pub unsent: Tokens,
+    /// By that and by whether the engine is the home of the prompt's subject, to which other routers send it.
+    pub believed: Tokens,
+}
+
+/// The engine from which the chosen one copies, with what that one lacks itself.
+///
+/// What this router has sent goes before what a home is only presumed to hold: a home that is new holds
+/// nothing yet, and the engine that was the home before it still holds all.
+pub fn source<T: Copy>(chosen: Lacking, others: &[(T, Lacking)]) -> Option<(T, Tokens)> {
+    let holds = |lacks: fn(&Lacking) -> Tokens| {
+        let (engine, least) = others.iter().min_by_key(|(_, other)| lacks(other))?;
+        let worth = Copying::is_worth_it(lacks(&chosen), lacks(least));
+        worth.then(|| (*engine, lacks(least)))
+    };
+    holds(|lacking| lacking.unsent).or_else(|| holds(|lacking| lacking.believed))
+}
+
 /// How quickly the engines of one service copy from each other.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Copying {
--- a/crates/anvil_policy/tests/copying.rs
+++ b/crates/anvil_policy/tests/copying.rs
@@ -1,6 +1,6 @@
 //! Copying what another engine has read, without a network.
 
-use anvil_policy::copying::Copying;
+use anvil_policy::copying::{Copying, Lacking, source};
 use anvil_policy::engine::EngineRule;
 
 /// An engine reads 31 tokens a millisecond. Its link carries 46 MB in that time.
@@ -45,3 +45,39 @@
     assert_eq!(copying.as_if_missing(1_000, 900, &rule), 1_000);
     assert_eq!(copying.as_if_missing(900, 1_000, &rule), 900);
 }
+
+/// The home of a subject was replaced by a new engine, which holds nothing. The engine that this router sent the
+/// subject to before holds all of it, so the new home copies from there, though it counts as a holder itself.
+#[test]
+fn a_new_home_copies_from_the_engine_that_was_used_before() {
+    let new_home = Lacking {
+        unsent: 12_000,
+        believed: 6_600,
+    };
+    let used = Lacking {
+        unsent: 6_600,
+        believed: 6_600,
+    };
+    let never = Lacking {
+        unsent: 12_000,
+        believed: 12_000,
+    };
+    let others = [("never", never), ("used", used)];
+    assert_eq!(source(new_home, &others), Some(("used", 6_600)));
+}
+
+/// A router that has sent a subject nowhere yet finds its home full. The second engine copies from the home.
+#[test]
+fn without_a_use_of_ones_own_the_home_is_the_source() {
+    let never = Lacking {
+        unsent: 12_000,
+        believed: 12_000,
+    };
+    let home = Lacking {
+        unsent: 12_000,
+        believed: 6_600,
+    };
+    let others = [("other", never), ("home", home)];
+    assert_eq!(source(never, &others), Some(("home", 6_600)));
+    assert_eq!(source(home, &[("other", never)]), None);
+}
