--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -6,8 +6,9 @@
 //! of events. How a platform names things is kept outside, in a [`dialect::Dialect`].
 //!
 //! One request's way: [`serve`] takes the connection, [`admit`] checks and pays, [`exchange`]
-//! tries endpoints, [`choose`] picks them, [`attempt`] sends it to one, [`tries`] counts, [`arrival`] waits for what is about to come, [`relay`] passes a stream on and
-//! has it continued elsewhere, [`reply`] says no.
+//! tries endpoints, [`choose`] picks them, [`attempt`] sends it to one, [`tries`] counts,
+//! [`arrival`] waits for what is about to come, [`relay`] passes a stream on and has it continued
+//! elsewhere, [`reply`] says no.
 //!
 //! What the gateway believes, and from whom: the routing table and the number of gateways
 //! ([`follow`], from the ledger), grants ([`money_loop`], from the ledger), the endpoints
--- a/crates/anvilreel/tests/money/sparse.rs
+++ b/crates/anvilreel/tests/money/sparse.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use anvilreel::money::{GrantPolicy, Purse};
+use anvilreel::money::{GrantPolicy, Purse, Reservation};
 
 use crate::ledger::{Ledger, at, split};
 
@@ -10,6 +10,23 @@
 const EVERY: u64 = 330;
 const REQUEST: u64 = 9_000;
 
+/// Settles the requests that have ended by now, and has the ledger answer the batch that is due.
+fn settle_and_exchange(
+    purse: &Purse,
+    ledger: &mut Ledger,
+    open: &mut Vec<(u64, Reservation)>,
+    now: u64,
+) {
+    while open.first().is_some_and(|(ends, _)| *ends <= now) {
+        let (_, reservation) = open.remove(0);
+        purse.settle(reservation, REQUEST).expect("within");
+    }
+    if let Some(batch) = purse.batch(at(now)) {
+        let answer = ledger.answer(batch);
+        purse.answered(at(now), &answer).expect("ours");
+    }
+}
+
 /// Most tokens that lie free in the grants of a purse under this demand, over five seconds.
 fn most_free(smooth_over: Option<Duration>) -> u64 {
     let mut ledger = Ledger::with(100_000_000);
@@ -32,14 +49,7 @@
         if asks && let Ok(reservation) = purse.reserve(at(now), &split(), REQUEST) {
             open.push((now + 600, reservation));
         }
-        while open.first().is_some_and(|(ends, _)| *ends <= now) {
-            let (_, reservation) = open.remove(0);
-            purse.settle(reservation, REQUEST).expect("within");
-        }
-        if let Some(batch) = purse.batch(at(now)) {
-            let answer = ledger.answer(batch);
-            purse.answered(at(now), &answer).expect("ours");
-        }
+        settle_and_exchange(&purse, &mut ledger, &mut open, now);
         if now > 2_000 {
             most = most.max(purse.view("nairobi").free);
         }
@@ -84,14 +94,7 @@
             waiting -= 1;
             open.push((now + 100, reservation));
         }
-        while open.first().is_some_and(|(ends, _)| *ends <= now) {
-            let (_, reservation) = open.remove(0);
-            purse.settle(reservation, REQUEST).expect("within");
-        }
-        if let Some(batch) = purse.batch(at(now)) {
-            let answer = ledger.answer(batch);
-            purse.answered(at(now), &answer).expect("ours");
-        }
+        settle_and_exchange(&purse, &mut ledger, &mut open, now);
         if now > every && now % every == 350 % every {
             free += purse.view("nairobi").free;
             looks += 1;
