What a ledger lacks can be read: links, silent learners, majorities

In the incident a learner stayed one for eight seconds and then the ledger had no majority; that the learner had no link to its leader could only be inferred from its term of 0. Links now say when they come up and are lost, the leader says once of each learner that answers nothing and whether it listens, and a leader that steps down says how many voters it heard of. Gauges: log.voters, log.learners, log.voters_heard. Each line is written once per change, so their number is bounded by that of the faults. No decision changes.

--- a/crates/anvil_ledger/src/core/event.rs
+++ b/crates/anvil_ledger/src/core/event.rs
@@ -120,6 +120,13 @@
     },
     /// This replica leads no more: what was accepted and not applied is in doubt.
     Deposed,
+    /// This replica is about to lead no more: too few voters have answered it lately.
+    MajorityLost {
+        /// How many have, this replica among them.
+        heard: usize,
+        /// How many vote.
+        voters: usize,
+    },
     /// This replica is about to leave the lead to others: an entry waits for a majority for too long.
     Yields {
         /// Its position.
--- a/crates/anvil_ledger/src/core/lead.rs
+++ b/crates/anvil_ledger/src/core/lead.rs
@@ -7,7 +7,7 @@
 use super::leadership::{Leadership, Progress};
 use super::replica::{Replica, Role};
 use super::{
-    Action, Entry, EntryId, Message, Payload, Proposal, Refused, ReplicaId, RequestId, Round,
+    Action, Entry, EntryId, Message, Payload, Proposal, Refused, ReplicaId, RequestId, Round, Site,
 };
 
 /// Election times for which a leader that was too slow does not stand: the others stand after two
@@ -65,6 +65,8 @@
             // Failure: a leader that is cut off goes on taking proposals and answering reads
             // that nobody will ever confirm. It steps down within one election time, and whoever
             // waits is told that the outcome is in doubt.
+            let (heard, voters) = self.voters_heard();
+            self.out.push(Action::MajorityLost { heard, voters });
             self.step_down();
             return;
         }
@@ -158,6 +160,28 @@
         id == self.id || progress.is_some_and(|p| self.now < p.heard + limit)
     }
 
+    /// How many voters have answered this leader within the last election time, itself among them,
+    /// and how many there are. Nobody is heard of by a replica that doesn't lead.
+    pub fn voters_heard(&self) -> (usize, usize) {
+        let voters = &self.membership().voters;
+        let heard = voters.keys().filter(|id| self.heard_lately(**id)).count();
+        (heard, voters.len())
+    }
+
+    /// Learners that have answered nothing for so long since this leader knows them.
+    pub fn silent_learners(&self, silence: Duration) -> impl Iterator<Item = (ReplicaId, &Site)> {
+        let lead = match &self.role {
+            Role::Leader(lead) => Some(lead),
+            _ => None,
+        };
+        let is_silent = move |id: ReplicaId| {
+            let progress = lead.and_then(|lead| lead.progress.get(&id));
+            progress.is_some_and(|p| self.now >= p.heard + silence)
+        };
+        let learners = self.membership().learners.iter();
+        learners.filter_map(move |(id, site)| is_silent(*id).then_some((*id, site)))
+    }
+
     fn others(&self) -> Vec<ReplicaId> {
         let all = self.membership().replicas().map(|(id, _)| id);
         all.filter(|id| *id != self.id).collect()
--- a/crates/anvil_ledger/tests/support/fleet.rs
+++ b/crates/anvil_ledger/tests/support/fleet.rs
@@ -365,7 +365,7 @@
                 }
             }
             // What it leads to is told by `Deposed`.
-            Action::Yields { .. } => {}
+            Action::MajorityLost { .. } | Action::Yields { .. } => {}
             Action::Fetch { from, .. } => self.fetch(number, from),
             Action::Compact(upto) => {
                 let Some(process) = self.process(number) else {
--- a/crates/anvilreel/src/ledger_service.rs
+++ b/crates/anvilreel/src/ledger_service.rs
@@ -186,7 +186,13 @@
             let _ = ended.send(true);
             writer
         });
-        let links = tokio::spawn(links::run(reach.clone(), id, cfg.clone(), addr));
+        let links = tokio::spawn(links::run(
+            reach.clone(),
+            id,
+            cfg.clone(),
+            addr,
+            log.clone(),
+        ));
         let founding = tokio::spawn(founding::run(reach.clone(), id, cfg, addr, log.clone()));
         let serving = server.serve(handlers::all(&reach), async move {
             tokio::select! {
--- a/crates/anvilreel/src/ledger_service/events.rs
+++ b/crates/anvilreel/src/ledger_service/events.rs
@@ -59,4 +59,12 @@
         "A replica has been silent for so long that it is taken out; it may join again.";
     LEDGER_YIELDS = 3019 Warning "ledger_yields":
         "An entry waits too long for a majority; this replica leaves the lead to another.";
+    LEDGER_MAJORITY_LOST = 3020 Warning "ledger_majority_lost":
+        "Too few voters answer this leader; nothing is committed until a majority is back.";
+    LEDGER_LEARNER_SILENT = 3021 Warning "ledger_learner_silent":
+        "A learner was taken in and answers nothing; it can't vote until it does.";
+    LEDGER_LINK_UP = 3022 Info "ledger_link_up":
+        "This replica hears what another one has to say.";
+    LEDGER_LINK_LOST = 3023 Warning "ledger_link_lost":
+        "Another replica can't be reached; what it has to say is not heard.";
 }
--- a/crates/anvilreel/src/ledger_service/links.rs
+++ b/crates/anvilreel/src/ledger_service/links.rs
@@ -8,15 +8,18 @@
 use std::time::Duration;
 
 use anvil_ledger::core::{ReplicaId, SnapshotMeta};
-use anvil_wire::Channel;
+use anvil_wire::{Channel, WireError};
 use anvil_world::settings::LedgerSettings;
 use bytes::{Bytes, BytesMut};
+use slog::Logger;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
+use super::events;
 use super::handlers::Reach;
 use super::node::Input;
 use super::peer::{PeerCall, PeerReply, PeerRequest};
+use crate::event;
 
 /// Pause before a lost link is tried again.
 const AGAIN: Duration = Duration::from_millis(100);
@@ -27,7 +30,7 @@
 const FETCH: Duration = Duration::from_mins(2);
 
 /// Keeps a link to every replica that the settings or the log name.
-pub async fn run(reach: Reach, id: ReplicaId, cfg: LedgerSettings, own: SocketAddr) {
+pub async fn run(reach: Reach, id: ReplicaId, cfg: LedgerSettings, own: SocketAddr, log: Logger) {
     let mut known = BTreeSet::new();
     // Dropped with this task, it ends the links.
     let mut links = JoinSet::new();
@@ -38,7 +41,7 @@
         wanted.extend(public.borrow_and_update().peers.values());
         for addr in wanted.into_iter().filter(|addr| *addr != own) {
             if known.insert(addr) {
-                links.spawn(listen(reach.clone(), id, addr));
+                links.spawn(listen(reach.clone(), id, addr, log.clone()));
             }
         }
         if public.changed().await.is_err() {
@@ -47,10 +50,12 @@
     }
 }
 
-async fn listen(reach: Reach, id: ReplicaId, addr: SocketAddr) {
+async fn listen(reach: Reach, id: ReplicaId, addr: SocketAddr, log: Logger) {
     let channel = Channel::new(addr);
+    let mut up = false;
     while !*reach.stopping.borrow() {
         let asked = channel.open::<PeerCall>(&PeerRequest::Listen { id }).await;
+        tell(&log, addr, &mut up, asked.as_ref().err());
         if let Ok(mut replies) = asked {
             while let Ok(Ok(Some(reply))) = timeout(SILENCE, replies.next()).await {
                 let PeerReply::Envelopes(envelopes) = reply else {
@@ -65,6 +70,19 @@
     }
 }
 
+/// Logs when a link comes up or is lost, and nothing while it stays as it is.
+fn tell(log: &Logger, addr: SocketAddr, up: &mut bool, failure: Option<&WireError>) {
+    match failure {
+        None if !*up => event!(log, events::LEDGER_LINK_UP, "addr" => addr.to_string()),
+        Some(e) if *up => event!(
+            log, events::LEDGER_LINK_LOST,
+            "addr" => addr.to_string(), "why" => e.to_string()
+        ),
+        _ => {}
+    }
+    *up = failure.is_none();
+}
+
 /// Fetches a replica's newest snapshot whole.
 pub async fn fetch(addr: SocketAddr) -> Option<(SnapshotMeta, Bytes)> {
     timeout(FETCH, fetch_whole(addr)).await.ok().flatten()
--- a/crates/anvilreel/src/ledger_service/node.rs
+++ b/crates/anvilreel/src/ledger_service/node.rs
@@ -6,6 +6,7 @@
 mod public;
 mod requests;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -114,6 +115,8 @@
     preparing: bool,
     next_watch: Duration,
     next_measure: Duration,
+    /// Learners of which it was said that they answer nothing.
+    told_silent: BTreeSet<ReplicaId>,
     /// The version at which fenced grants were last looked through; 0 at an election.
     examined: LogIndex,
     stopped: bool,
@@ -157,6 +160,7 @@
             preparing: false,
             next_watch: Duration::ZERO,
             next_measure: Duration::ZERO,
+            told_silent: BTreeSet::new(),
             examined: 0,
             stopped: false,
         };
@@ -292,6 +296,7 @@
             self.signs = Signs::elected(self.now());
             self.testimony = Testimony::default();
             self.examined = 0;
+            self.told_silent.clear();
         }
     }
 
@@ -308,6 +313,12 @@
                 event!(self.setup.log, events::LEDGER_DEPOSED);
                 self.pending.deposed();
             }
+            Action::MajorityLost { heard, voters } => {
+                event!(
+                    self.setup.log, events::LEDGER_MAJORITY_LOST,
+                    "heard" => heard, "voters" => voters
+                );
+            }
             Action::Yields { index, waited } => {
                 let waited = waited.as_millis();
                 event!(
--- a/crates/anvilreel/src/ledger_service/node/fleet.rs
+++ b/crates/anvilreel/src/ledger_service/node/fleet.rs
@@ -17,6 +17,8 @@
 
 /// How often the leader looks for silent instances and for grants to close.
 const WATCH: Duration = Duration::from_secs(1);
+/// A learner that connects answers within tenths of a second.
+const LEARNER_SILENT: Duration = Duration::from_secs(2);
 
 impl Node {
     pub(super) fn hear(&mut self, heartbeat: &Heartbeat, reply: Reply) {
@@ -84,11 +86,27 @@
             return;
         }
         self.next_watch = now + WATCH;
+        self.tell_silent_learners();
         self.take_out_lost();
         self.mark_silent(now);
         self.close_grants();
     }
 
+    /// Says of each learner once that it answers nothing, and whether it has a link to this leader.
+    fn tell_silent_learners(&mut self) {
+        let silent = self.replica.silent_learners(LEARNER_SILENT);
+        let news = silent.filter(|(id, _)| !self.told_silent.contains(id));
+        let mut told = Vec::new();
+        for (id, site) in news {
+            event!(
+                self.setup.log, events::LEDGER_LEARNER_SILENT,
+                "instance" => site.instance.to_string(), "listens" => self.outbox.is_open(id)
+            );
+            told.push(id);
+        }
+        self.told_silent.extend(told);
+    }
+
     fn take_out_lost(&mut self) {
         let Some(rule) = self.setup.tuning.take_out else {
             return;
--- a/crates/anvilreel/src/ledger_service/node/outbox.rs
+++ b/crates/anvilreel/src/ledger_service/node/outbox.rs
@@ -20,6 +20,11 @@
         self.queues.insert(id, tx);
     }
 
+    /// Whether a replica listens.
+    pub fn is_open(&self, id: ReplicaId) -> bool {
+        self.queues.get(&id).is_some_and(|tx| !tx.is_closed())
+    }
+
     /// Sends, or drops when nobody listens or the queue is full.
     pub fn send(&mut self, envelope: Envelope) {
         let to = envelope.to;
--- a/crates/anvilreel/src/ledger_service/node/public.rs
+++ b/crates/anvilreel/src/ledger_service/node/public.rs
@@ -42,6 +42,14 @@
         metrics.gauge(metrics::LOG_TERM, self.replica.term());
         metrics.gauge(metrics::LOG_LEADS, leads);
         metrics.gauge(metrics::SETTINGS_VERSION, self.machine.state.version());
+        let (heard, voters) = self.replica.voters_heard();
+        let learners = self.replica.membership().learners.len();
+        metrics.gauge(metrics::LOG_VOTERS, voters as u64);
+        metrics.gauge(metrics::LOG_LEARNERS, learners as u64);
+        metrics.gauge(
+            metrics::LOG_VOTERS_HEARD,
+            if leads == 1 { heard as u64 } else { 0 },
+        );
     }
 
     fn listed_addr(&self) -> Option<SocketAddr> {
--- a/crates/anvilreel/src/metrics.rs
+++ b/crates/anvilreel/src/metrics.rs
@@ -36,6 +36,12 @@
 pub const LOG_TERM: &str = "log.term";
 /// Whether a replica of the ledger leads: 1 or 0. Gauge.
 pub const LOG_LEADS: &str = "log.leads";
+/// Replicas of the ledger that vote, as a replica knows it. Gauge.
+pub const LOG_VOTERS: &str = "log.voters";
+/// Replicas of the ledger that catch up and don't vote yet, as a replica knows it. Gauge.
+pub const LOG_LEARNERS: &str = "log.learners";
+/// Voters that answered the leader within an election time, itself among them; 0 elsewhere. Gauge.
+pub const LOG_VOTERS_HEARD: &str = "log.voters_heard";
 /// Calls that a relay passed on to the ledger. Count.
 pub const RELAY_PASSED: &str = "relay.passed";
 /// Of these, those whose outcome nobody can tell. Count.
@@ -62,6 +68,9 @@
     (LOG_COMMITTED, "gauge"),
     (LOG_TERM, "gauge"),
     (LOG_LEADS, "gauge"),
+    (LOG_VOTERS, "gauge"),
+    (LOG_LEARNERS, "gauge"),
+    (LOG_VOTERS_HEARD, "gauge"),
     (RELAY_PASSED, "count"),
     (RELAY_IN_DOUBT, "count"),
     (RELAY_NO_QUORUM, "count"),
