A new disk listens to the leader that takes it in

Callers saw: no change was taken and no budget paid from, from the second loss on, for good. Cause: replicas send what they have to say on links that the receiver opens, and a receiver opened links only to the addresses of its settings and of its own log. A new disk has an empty log. Where the leader was not one of the three seeds, it was taken in as a learner, heard not one message (term 0) and never voted; the lost disk went on counting, and the next loss left two of four. Change: whoever asks to be taken in listens to the leader it was directed to, wherever that is. The question is asked again every 0.1 s until the replica votes, so a new leader is listened to as well; that is why it holds without a list of members handed over at the join.

--- a/crates/anvilreel/src/ledger_service.rs
+++ b/crates/anvilreel/src/ledger_service.rs
@@ -16,6 +16,7 @@
 //! ```
 
 mod check;
+mod contacts;
 mod error;
 pub mod events;
 pub mod follow;
@@ -43,6 +44,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 
+use contacts::Contacts;
 pub use error::ServiceError;
 use error::{DiskSnafu, ListenSnafu, MachineSnafu, MetricsSnafu, StorageSnafu, ThreadSnafu};
 use node::{Inbox, Node};
@@ -176,6 +178,7 @@
         inbox,
         public,
         stopping: stopping.clone(),
+        contacts: Contacts::default(),
         disk: Disk::read_only(&cfg.data),
     };
     let (ended, mut node_ended) = watch::channel(false);
--- a/crates/anvilreel/src/ledger_service/founding.rs
+++ b/crates/anvilreel/src/ledger_service/founding.rs
@@ -185,6 +185,7 @@
             };
         }
         if let Some(leader) = leader {
+            self.reach.contacts.note_leader(leader);
             self.ask_in(leader).await;
         }
     }
--- a/crates/anvilreel/src/ledger_service/handlers.rs
+++ b/crates/anvilreel/src/ledger_service/handlers.rs
@@ -9,6 +9,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, timeout};
 
+use super::contacts::Contacts;
 use super::follow::{Follower, version_of};
 use super::node::{Inbox, Input, Public};
 use super::peer::{PeerCall, PeerReply, PeerRequest};
@@ -38,6 +39,8 @@
     pub public: watch::Receiver<Public>,
     /// Whether the process is ending.
     pub stopping: watch::Receiver<bool>,
+    /// Where others are, beyond what the log names.
+    pub contacts: Contacts,
     /// The data folder.
     pub disk: anvil_ledger::storage::Disk,
 }
--- a/crates/anvilreel/src/ledger_service/links.rs
+++ b/crates/anvilreel/src/ledger_service/links.rs
@@ -29,22 +29,29 @@
 /// Longest time for a whole snapshot.
 const FETCH: Duration = Duration::from_mins(2);
 
-/// Keeps a link to every replica that the settings or the log name.
+/// Keeps a link to every replica that the settings or the log name, and to the leader that this
+/// replica has asked to be taken in.
 pub async fn run(reach: Reach, id: ReplicaId, cfg: LedgerSettings, own: SocketAddr, log: Logger) {
     let mut known = BTreeSet::new();
     // Dropped with this task, it ends the links.
     let mut links = JoinSet::new();
     let mut public = reach.public.clone();
+    let mut leader = reach.contacts.leader();
     loop {
         let named = cfg.founders.iter().filter(|peer| peer.id != cfg.id);
         let mut wanted: Vec<_> = named.map(|peer| peer.addr).collect();
         wanted.extend(public.borrow_and_update().peers.values());
+        wanted.extend(*leader.borrow_and_update());
         for addr in wanted.into_iter().filter(|addr| *addr != own) {
             if known.insert(addr) {
                 links.spawn(listen(reach.clone(), id, addr, log.clone()));
             }
         }
-        if public.changed().await.is_err() {
+        let changed = tokio::select! {
+            changed = public.changed() => changed,
+            changed = leader.changed() => changed,
+        };
+        if changed.is_err() {
             return;
         }
     }
--- a/crates/anvilreel/tests/ledger_service/newcomers.rs
+++ b/crates/anvilreel/tests/ledger_service/newcomers.rs
@@ -5,6 +5,8 @@
 /// Users see every change refused from some moment on, and nothing served after a restart of all.
 /// Before that a replica lost its disk and came back; its settings named two replicas, and a third one
 /// led. It was taken in as a learner and never voted. With the next loss the ledger had no majority.
+/// Cause: a replica hears whom its settings and its own log name, and the log of a new disk is empty.
+/// Shown by the leader's line on a silent learner (`listens` false) and the newcomer's term of 0.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_new_disk_votes_though_its_settings_do_not_name_the_leader() -> Result<(), Failure> {
     let mut cluster = Cluster::start(4).await?;
