A lost replica is out of the majority before the next machine may be lost

Callers saw: no change taken and no budget paid from, from the third replaced machine on, for good. Cause: a replica that is gone for good counted in the majority for 10 s, and anew under each leader, while the next machine may be lost as soon as a successor has had its time to catch up, 4 s. Three of six were left. One that was only frozen or cut off joins again by itself, as before. Ruled out: taking a silent voter out only when a newcomer asks for its place; it misses planned replacements, where the newcomer comes first. The test a_replica_lost_for_good_is_taken_out waited for four voters, a state that now lasts for milliseconds where one of the four is silent; it now wants exactly the three that live, the returned one among them.

--- a/crates/anvil_ledger/src/core/lead.rs
+++ b/crates/anvil_ledger/src/core/lead.rs
@@ -128,7 +128,7 @@
     }
 
     /// An instance whose replica has not answered this leader for so long, while more than `least`
-    /// vote and a majority of the others has answered lately.
+    /// vote and a majority of the others has answered lately; none that is being taken out already.
     ///
     /// Failure: an instance is replaced by one at another address and never comes back. Its
     /// replica goes on counting in the majority, and the next loss stops the ledger.
@@ -140,11 +140,13 @@
         if membership.voters.len() <= least {
             return None;
         }
-        let silent = |id: &ReplicaId| {
-            let progress = lead.progress.get(id);
-            *id != self.id && progress.is_some_and(|p| self.now >= p.heard + silence)
+        let silent = |id: ReplicaId| {
+            let progress = lead.progress.get(&id);
+            id != self.id && progress.is_some_and(|p| self.now >= p.heard + silence)
         };
-        let (id, site) = membership.voters.iter().find(|(id, _)| silent(id))?;
+        let mut voters = membership.voters.iter();
+        let (id, site) =
+            voters.find(|(id, site)| silent(**id) && !self.removing.contains(&site.instance))?;
         let rest = membership.without_voter(*id);
         let safe = rest.agreed(|other| self.heard_lately(other));
         safe.then_some(&site.instance)
--- a/crates/anvilreel/src/ledger_service/node/fleet.rs
+++ b/crates/anvilreel/src/ledger_service/node/fleet.rs
@@ -79,15 +79,18 @@
         self.propose(&mut proposal.into_iter().collect());
     }
 
-    /// Looks for silent instances and for grants that can be closed.
+    /// Looks for lost replicas, and now and then for silent instances and for grants to close.
     pub(super) fn watch_fleet(&mut self) {
         let now = self.now();
-        if self.stopped || !self.replica.leads() || now < self.next_watch {
+        if self.stopped || !self.replica.leads() {
+            return;
+        }
+        self.take_out_lost();
+        if now < self.next_watch {
             return;
         }
         self.next_watch = now + WATCH;
         self.tell_silent_learners();
-        self.take_out_lost();
         self.mark_silent(now);
         self.close_grants();
     }
--- a/crates/anvilreel/tests/ledger_service/replicas.rs
+++ b/crates/anvilreel/tests/ledger_service/replicas.rs
@@ -1,9 +1,10 @@
 //! Replicas that move, and that are taken out.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use anvil_ledger::core::Membership;
-use anvil_wire::msg::{LedgerReply, LedgerRequest, Query, QueryAnswer};
+use anvil_world::prelude::*;
 use anvilreel::ledger_service::TakeOut;
 use tokio::time::{sleep, timeout};
 
@@ -52,13 +53,8 @@
     let mut cluster = Cluster::start_with(4, Some(rule)).await?;
     declare(&cluster).await?;
     cluster.stop(3).await;
-    let voters = |reply| match reply {
-        LedgerReply::Read(QueryAnswer::Status(status)) => status.voters.len(),
-        other => panic!("{other:?}"),
-    };
-    let status = LedgerRequest::Query(Query::Status);
     let shrunk = async {
-        while voters(cluster.ask(&status).await?) > 3 {
+        while cluster.status().await?.voters.len() > 3 {
             sleep(Duration::from_millis(100)).await;
         }
         Ok::<(), Failure>(())
@@ -66,13 +62,15 @@
     timeout(PATIENCE, shrunk).await??;
     // Two of four would have been no majority.
     cluster.stop(2).await;
-    cluster.ask(&LedgerRequest::Propose(top_up(1))).await?;
+    cluster.propose(top_up(1)).await?;
     sleep(Duration::from_secs(3)).await;
-    assert_eq!(voters(cluster.ask(&status).await?), 3);
-    // Whoever comes back with its disk joins again.
+    assert_eq!(cluster.status().await?.voters.len(), 3);
+    // Whoever comes back with its disk votes again, and makes room for taking out the one that is
+    // silent still.
     cluster.run(3).await?;
+    let expected: BTreeSet<InstanceId> = [0, 1, 3].map(|n| cluster.peers[n].id.clone()).into();
     let joined = async {
-        while voters(cluster.ask(&status).await?) < 4 {
+        while BTreeSet::from_iter(cluster.status().await?.voters) != expected {
             sleep(Duration::from_millis(100)).await;
         }
         Ok::<(), Failure>(())
