Other seeds don't displace the replicas that are known

Operators and relays would get no answer while the settings name replicas that can't be reached, until the ledger's members change. Routers kept what they knew already. Change: seeds are added to the known replicas, as routers do it. Measured: other_seeds_leave_the_replicas_that_answer fails before (unreachable), passes after.

--- a/crates/anvilreel/src/watcher.rs
+++ b/crates/anvilreel/src/watcher.rs
@@ -40,10 +40,14 @@
         }
     }
 
-    /// Takes other seeds, as the settings name them now.
+    /// Takes other seeds, as the settings name them now, beside the replicas that are known.
+    ///
+    /// Failure: the settings come to name replicas that are cut off, and whoever replaces what it
+    /// knows by them gets no answer until the ledger's members change. Replicas that are gone leave
+    /// the list with the next change of the members.
     pub fn set_seeds(&self, seeds: &[SocketAddr]) {
         self.seeds.store(Arc::new(seeds.to_vec()));
-        self.ledger.set_ways(seeds, &[]);
+        self.ledger.add_ways(seeds);
     }
 
     /// Number of a replica that is current, as far as is known: for others to follow.
--- a/crates/anvilreel/tests/ledger_service/following.rs
+++ b/crates/anvilreel/tests/ledger_service/following.rs
@@ -9,9 +9,11 @@
 };
 use anvil_world::command::ReplaceRouting;
 use anvil_world::prelude::*;
+use anvilreel::ledger_client::LedgerClient;
+use anvilreel::watcher::Watcher;
 use tokio::time::timeout;
 
-use crate::cluster::{Cluster, Failure, PATIENCE, declare, put};
+use crate::cluster::{Cluster, Failure, PATIENCE, declare, free_addr, put};
 
 /// A router follows any replica: all documents first, then each change, in order of versions. A
 /// sidecar is sent the fleet's document, itself and the fences only.
@@ -120,3 +122,19 @@
     cluster.stop_all().await;
     Ok(())
 }
+
+/// Operators and relays get no answer from a ledger that is well, for as long as its members don't
+/// change. Their settings have come to name replicas that can't be reached, and the ones that answered
+/// until then were forgotten for them.
+#[tokio::test(flavor = "multi_thread")]
+async fn other_seeds_leave_the_replicas_that_answer() -> Result<(), Failure> {
+    let mut cluster = Cluster::start(1).await?;
+    let addrs = [cluster.peers[0].addr];
+    let watcher = Watcher::new(LedgerClient::new(&addrs), "operators-1".into(), &addrs);
+    watcher.set_seeds(&[free_addr()?]);
+    let within = Duration::from_secs(2);
+    let answer = watcher.ledger.query(Query::Status, within).await;
+    assert!(answer.is_ok(), "{answer:?}");
+    cluster.stop_all().await;
+    Ok(())
+}
