A running replica asks the seeds that its settings have come to name

A replica that starts while its settings name only replicas that are gone would never join, and the next loss would leave no majority; until now only a restart helped. Change: the contacts of a running replica take the seeds of changed settings beside the leader's address. Who may found a ledger stays fixed by the settings of the start, so two lists can't make two first founders.

--- a/crates/anvilreel/src/ledger_service.rs
+++ b/crates/anvilreel/src/ledger_service.rs
@@ -44,7 +44,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 
-use contacts::Contacts;
+pub use contacts::Contacts;
 pub use error::ServiceError;
 use error::{DiskSnafu, ListenSnafu, MachineSnafu, MetricsSnafu, StorageSnafu, ThreadSnafu};
 use node::{Inbox, Node};
@@ -132,7 +132,15 @@
     log: Logger,
     stop: impl Future<Output = ()> + Send + 'static,
 ) -> Result<LedgerHandle, ServiceError> {
-    start_on(open_disk(&cfg)?, cfg, tuning, log, stop).await
+    start_on(
+        open_disk(&cfg)?,
+        cfg,
+        tuning,
+        Contacts::default(),
+        log,
+        stop,
+    )
+    .await
 }
 
 /// Opens the data folder that the settings name.
@@ -141,11 +149,12 @@
     Disk::folder(&cfg.data).context(DiskSnafu { data })
 }
 
-/// Starts a replica on a folder that is open already.
+/// Starts a replica on a folder that is open already, with contacts that may change while it runs.
 pub async fn start_on(
     disk: Disk,
     cfg: LedgerSettings,
     tuning: Tuning,
+    contacts: Contacts,
     log: Logger,
     stop: impl Future<Output = ()> + Send + 'static,
 ) -> Result<LedgerHandle, ServiceError> {
@@ -178,7 +187,7 @@
         inbox,
         public,
         stopping: stopping.clone(),
-        contacts: Contacts::default(),
+        contacts,
         disk: Disk::read_only(&cfg.data),
     };
     let (ended, mut node_ended) = watch::channel(false);
--- a/crates/anvilreel/src/ledger_service/contacts.rs
+++ b/crates/anvilreel/src/ledger_service/contacts.rs
@@ -4,37 +4,49 @@
 
 use tokio::sync::watch;
 
-/// The leader's address as other replicas tell it to one that asks to be taken in.
+/// Addresses of other replicas that a replica is told while it runs. Cheap to clone; all clones say
+/// the same.
 ///
 /// Failure: a replica with a new disk hears only those whom its settings name, because its log is
-/// empty. A leader that isn't among them takes it in as a learner and never reaches it; it doesn't
-/// vote, and the next loss leaves the ledger without a majority. Whoever asks the leader to be taken
-/// in therefore listens to it from then on, wherever it is.
-#[derive(Clone)]
+/// empty. A leader that isn't among them takes it in as a learner and never reaches it; or none of them
+/// is there any more, and nobody takes it in. Either way it doesn't vote, and the next loss leaves the
+/// ledger without a majority. So it listens to the leader that it was directed to, wherever that is,
+/// and asks those, too, whom its settings have come to name.
+#[derive(Clone, Default)]
 pub struct Contacts {
-    leader: watch::Sender<Option<SocketAddr>>,
+    told: watch::Sender<Told>,
 }
 
-impl Default for Contacts {
-    fn default() -> Self {
-        Self {
-            leader: watch::Sender::new(None),
-        }
-    }
+/// What a replica was told of others.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Told {
+    /// Whom its settings name now, beyond the founders.
+    pub seeds: Vec<SocketAddr>,
+    /// Where the leader is, as another replica said.
+    pub leader: Option<SocketAddr>,
 }
 
 impl Contacts {
+    /// Takes other seeds, as the settings name them now.
+    pub fn set_seeds(&self, seeds: &[SocketAddr]) {
+        self.change(|told| seeds.clone_into(&mut told.seeds));
+    }
+
     /// Notes where the leader is.
     pub fn note_leader(&self, addr: SocketAddr) {
-        self.leader.send_if_modified(|known| {
-            let is_new = *known != Some(addr);
-            *known = Some(addr);
-            is_new
-        });
+        self.change(|told| told.leader = Some(addr));
     }
 
-    /// The leader's address, as it was last noted, and each change of it.
-    pub fn leader(&self) -> watch::Receiver<Option<SocketAddr>> {
-        self.leader.subscribe()
+    /// What was told, and each change of it.
+    pub fn told(&self) -> watch::Receiver<Told> {
+        self.told.subscribe()
+    }
+
+    fn change(&self, f: impl FnOnce(&mut Told)) {
+        self.told.send_if_modified(|told| {
+            let before = told.clone();
+            f(told);
+            *told != before
+        });
     }
 }
--- a/crates/anvilreel/src/ledger_service/founding.rs
+++ b/crates/anvilreel/src/ledger_service/founding.rs
@@ -125,6 +125,14 @@
         founders.filter(|peer| peer.id != self.cfg.id)
     }
 
+    /// Whom the settings have come to name beyond the founders.
+    fn seeds(&self) -> Vec<SocketAddr> {
+        let own = self.own_addr();
+        let mut seeds = self.reach.contacts.told().borrow().seeds.clone();
+        seeds.retain(|addr| *addr != own && self.others().all(|peer| peer.addr != *addr));
+        seeds
+    }
+
     async fn look(&self) -> Found {
         let mut empty = BTreeMap::from([(self.id, self.site())]);
         let mut unclear = false;
@@ -149,6 +157,13 @@
             }
         }
         let first = self.cfg.founders.iter().map(|peer| &peer.id).min();
+        // Who may found is fixed by the settings of the start: with two lists of founders there can be
+        // two first ones.
+        for addr in self.seeds() {
+            if hello(addr).await.is_some_and(|hello| hello.ledger != 0) {
+                return Found::Ledger;
+            }
+        }
         if unclear || self.cfg.join || first != Some(&self.cfg.id) {
             return Found::Unclear;
         }
@@ -175,7 +190,7 @@
         };
         let known: Vec<_> = self.reach.public.borrow().peers.values().copied().collect();
         let named = self.others().map(|peer| peer.addr);
-        for addr in named.chain(known) {
+        for addr in named.chain(self.seeds()).chain(known) {
             if leader.is_some() {
                 break;
             }
--- a/crates/anvilreel/src/ledger_service/links.rs
+++ b/crates/anvilreel/src/ledger_service/links.rs
@@ -36,12 +36,12 @@
     // Dropped with this task, it ends the links.
     let mut links = JoinSet::new();
     let mut public = reach.public.clone();
-    let mut leader = reach.contacts.leader();
+    let mut told = reach.contacts.told();
     loop {
         let named = cfg.founders.iter().filter(|peer| peer.id != cfg.id);
         let mut wanted: Vec<_> = named.map(|peer| peer.addr).collect();
         wanted.extend(public.borrow_and_update().peers.values());
-        wanted.extend(*leader.borrow_and_update());
+        wanted.extend(told.borrow_and_update().leader);
         for addr in wanted.into_iter().filter(|addr| *addr != own) {
             if known.insert(addr) {
                 links.spawn(listen(reach.clone(), id, addr, log.clone()));
@@ -49,7 +49,7 @@
         }
         let changed = tokio::select! {
             changed = public.changed() => changed,
-            changed = leader.changed() => changed,
+            changed = told.changed() => changed,
         };
         if changed.is_err() {
             return;
--- a/crates/anvilreel/tests/ledger_service/cluster.rs
+++ b/crates/anvilreel/tests/ledger_service/cluster.rs
@@ -13,7 +13,7 @@
 use anvil_world::command::{Change, Edit, TopUp, change_id};
 use anvil_world::prelude::*;
 use anvil_world::settings::{LedgerSettings, Peer};
-use anvilreel::ledger_service::{LedgerHandle, TakeOut, Tuning, start};
+use anvilreel::ledger_service::{Contacts, LedgerHandle, TakeOut, Tuning, open_disk, start_on};
 use slog::{Discard, Drain, Logger, o};
 use tempfile::TempDir;
 use tokio::sync::oneshot;
@@ -32,6 +32,7 @@
 
 /// A replica that runs.
 pub struct Running {
+    pub contacts: Contacts,
     pub stop: oneshot::Sender<()>,
     pub handle: LedgerHandle,
 }
@@ -171,8 +172,15 @@
             },
             ..Tuning::default()
         };
-        let handle = start(self.settings(number), tuning, log, stopped).await?;
-        self.running[number] = Some(Running { stop, handle });
+        let cfg = self.settings(number);
+        let contacts = Contacts::default();
+        let disk = open_disk(&cfg)?;
+        let handle = start_on(disk, cfg, tuning, contacts.clone(), log, stopped).await?;
+        self.running[number] = Some(Running {
+            contacts,
+            stop,
+            handle,
+        });
         Ok(())
     }
 
--- a/crates/anvilreel/tests/ledger_service/newcomers.rs
+++ b/crates/anvilreel/tests/ledger_service/newcomers.rs
@@ -27,3 +27,24 @@
     cluster.stop_all().await;
     Ok(())
 }
+
+/// An instance is replaced, and its successor never joins the ledger; with the next loss nothing is
+/// taken any more. Its settings named replicas that were gone when it started. They name living ones a
+/// little later, and the running replica asked only those of its start.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_disk_joins_through_seeds_that_its_settings_name_later() -> Result<(), Failure> {
+    let mut cluster = Cluster::start(4).await?;
+    declare(&cluster).await?;
+    let newcomer = 3;
+    cluster.stop(newcomer).await;
+    cluster.wipe(newcomer)?;
+    cluster.knows.insert(newcomer, Vec::new());
+    cluster.run(newcomer).await?;
+    let seeds = [cluster.peers[1].addr];
+    let running = cluster.running[newcomer].as_ref();
+    let running = running.ok_or("the replica was started above")?;
+    running.contacts.set_seeds(&seeds);
+    cluster.until_it_votes(newcomer).await?;
+    cluster.stop_all().await;
+    Ok(())
+}
--- a/crates/anvilreel/tests/ledger_service/trouble.rs
+++ b/crates/anvilreel/tests/ledger_service/trouble.rs
@@ -9,7 +9,7 @@
 use anvil_wire::msg::{FollowEvent, Interest, LedgerCall, LedgerReply, LedgerRequest, Query};
 use anvil_world::prelude::*;
 use anvil_world::settings::{LedgerSettings, Peer};
-use anvilreel::ledger_service::{Tuning, start_on};
+use anvilreel::ledger_service::{Contacts, Tuning, start_on};
 use slog::{Discard, Logger, o};
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
@@ -86,7 +86,15 @@
     let stopped = async {
         let _ = stopped.await;
     };
-    let handle = start_on(disk, cfg, Tuning::default(), log, stopped).await?;
+    let handle = start_on(
+        disk,
+        cfg,
+        Tuning::default(),
+        Contacts::default(),
+        log,
+        stopped,
+    )
+    .await?;
     let channel = Channel::new(addr);
     let within = Duration::from_secs(2);
     let ask = LedgerRequest::Propose(put("organisations/coop", "")?);
