One place says which endpoints are open to a request

Choosing and waiting for endpoints each filtered the listed ones by leaving, tried and the list's age; Directory::open does it for both. No behaviour is meant to change.

--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -69,15 +69,10 @@
         within: Duration,
     ) -> Result<Chosen, Unplaced> {
         let now = self.life.now();
-        if self.directory.is_old(service) {
-            return Err(Unplaced::Nobody);
-        }
-        let group = self.directory.group(service);
-        let open =
-            |endpoint: &&Arc<Endpoint>| !endpoint.is_leaving() && !tried.contains(&endpoint.id);
-        let home = home_of(prompt, group.iter().filter(open));
+        let open = self.directory.open(service, tried);
+        let home = home_of(prompt, &open);
         let weighed = |endpoint| self.weigh(now, prompt, home, endpoint);
-        let all: Vec<Weighed<'_>> = group.iter().filter(open).map(weighed).collect();
+        let all: Vec<Weighed<'_>> = open.iter().map(weighed).collect();
         let sound = all.iter().filter(|weighed| !weighed.shut);
         let best = sound.min_by_key(|weighed| weighed.expected);
         let best = best.or_else(|| all.iter().min_by_key(|weighed| weighed.expected));
@@ -156,15 +151,17 @@
         let is_home = prompt
             .subject()
             .is_some_and(|subject| Some(home_rank(subject, &endpoint.id)) == home);
-        let missing = load.missing(now, &self.rule, prompt, is_home);
-        let expected = load.expected(now, &self.rule, missing, endpoint.slots);
+        let unsent = load.missing(now, &self.rule, prompt, false);
+        let believed = if is_home {
+            load.missing(now, &self.rule, prompt, true)
+        } else {
+            unsent
+        };
+        let expected = load.expected(now, &self.rule, believed, endpoint.slots);
         Weighed {
             endpoint,
             expected: before + expected,
-            lacking: Lacking {
-                unsent: load.missing(now, &self.rule, prompt, false),
-                believed: missing,
-            },
+            lacking: Lacking { unsent, believed },
             shut,
         }
     }
@@ -188,7 +185,10 @@
     left: Tokens,
 }
 
-fn home_of<'a>(prompt: &Prompt<'_>, group: impl Iterator<Item = &'a Arc<Endpoint>>) -> Option<u64> {
+fn home_of(prompt: &Prompt<'_>, group: &[Arc<Endpoint>]) -> Option<u64> {
     let subject = prompt.subject()?;
-    group.map(|endpoint| home_rank(subject, &endpoint.id)).max()
+    let ranks = group
+        .iter()
+        .map(|endpoint| home_rank(subject, &endpoint.id));
+    ranks.max()
 }
--- a/crates/anvil_gateway/src/directory.rs
+++ b/crates/anvil_gateway/src/directory.rs
@@ -59,6 +59,17 @@
         groups.get(service).cloned().unwrap_or_default()
     }
 
+    /// The endpoints of a service that take work and are none of these; none while the list is older
+    /// than its endpoints.
+    pub fn open(&self, service: &str, tried: &[InstanceId]) -> Group {
+        if self.is_old(service) {
+            return Group::new();
+        }
+        let mut group = self.group(service);
+        group.retain(|endpoint| !endpoint.is_leaving() && !tried.contains(&endpoint.id));
+        group
+    }
+
     /// Another life has the address of a listed endpoint.
     pub fn found_replaced(&self, service: &ServiceId) {
         *self.replaced().entry(service.clone()).or_default() += 1;
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -22,7 +22,7 @@
 use crate::metrics;
 use crate::money::Spend;
 use crate::relay::Relay;
-use crate::reply::{Cause, ONE_CONNECTION, Reply, refusal, whole};
+use crate::reply::{Cause, Reply, refusal, strip, whole};
 use crate::table::{Organisation, Route};
 use crate::trace::Trace;
 use crate::tries::Tries;
@@ -150,10 +150,11 @@
         self.gw.list_doubted.notify_one();
         let most = arrival::for_endpoints(self.gw.cfg.list.lag, self.left());
         let found = arrival::wait(&self.gw, most, || {
-            let group = self.gw.directory.group(&self.service);
-            let mut open = group.iter().filter(|endpoint| !endpoint.is_leaving());
-            let untried = open.any(|e| !self.tries.endpoints().contains(&e.id));
-            (untried && !self.gw.directory.is_old(&self.service)).then_some(())
+            let open = self
+                .gw
+                .directory
+                .open(&self.service, self.tries.endpoints());
+            (!open.is_empty()).then_some(())
         });
         let found = found.await.is_some();
         self.trace
@@ -398,11 +399,3 @@
 const SILENT_TARGETS: f64 = 2.0;
 /// A full endpoint gets nothing for about the time of one of its requests.
 const FULL_PAUSE: Duration = Duration::from_millis(25);
-
-/// Takes out what concerns only the connection to the endpoint.
-pub fn strip(headers: &mut HeaderMap) {
-    for name in ONE_CONNECTION {
-        headers.remove(name);
-    }
-    headers.remove(http::header::CONTENT_LENGTH);
-}
--- a/crates/anvil_gateway/src/relay.rs
+++ b/crates/anvil_gateway/src/relay.rs
@@ -19,10 +19,10 @@
 use crate::dialect::AnswerHead;
 use crate::endpoint::Place;
 use crate::events::{Splitter, StreamEvent};
-use crate::exchange::{Exchange, strip};
+use crate::exchange::Exchange;
 use crate::line::Line;
 use crate::metrics;
-use crate::reply::{BrokenOff, Cause, Reply};
+use crate::reply::{BrokenOff, Cause, Reply, strip};
 
 /// Pauses between events that a resumable stream is given before another endpoint goes on, as
 /// times of the route's longest pause. The client leaves after eight.
--- a/crates/anvil_gateway/src/reply.rs
+++ b/crates/anvil_gateway/src/reply.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
-use http::{HeaderName, HeaderValue, Response, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use snafu::Snafu;
@@ -168,3 +168,11 @@
     http::header::TRANSFER_ENCODING,
     http::header::UPGRADE,
 ];
+
+/// Takes out what concerns only the connection to the endpoint.
+pub fn strip(headers: &mut HeaderMap) {
+    for name in ONE_CONNECTION {
+        headers.remove(name);
+    }
+    headers.remove(http::header::CONTENT_LENGTH);
+}
