Routers and sidecars learn where the ledger's replicas are

A leader's hint helped for one question only, and only while one of the named replicas lived. Gateways, relays and operators learn of replicas by the members that they follow. Change: the answer to a sign of life names the replicas; routers and sidecars ask those, then the named ones. Cost: some 40 bytes in each answer, one a second and process.

--- a/crates/anvil_daemons/examples/slopes/messages.rs
+++ b/crates/anvil_daemons/examples/slopes/messages.rs
@@ -90,6 +90,7 @@
         version: 40_000_000,
         presence: Presence::Live,
         taken: Vec::new(),
+        replicas: vec![([10, 1, 0, 19], 7_340).into(); 5],
     });
     seconds * encoded(&reply)
 }
--- a/crates/anvil_wire/src/msg/ledger.rs
+++ b/crates/anvil_wire/src/msg/ledger.rs
@@ -103,6 +103,8 @@
     pub presence: Presence,
     /// Fenced routers whose evidence was taken and need not be sent again.
     pub taken: Vec<(InstanceId, Incarnation)>,
+    /// Where the ledger's replicas are, voters and learners.
+    pub replicas: Vec<SocketAddr>,
 }
 
 /// What a follower is sent.
--- a/crates/anvilreel/src/ledger_client.rs
+++ b/crates/anvilreel/src/ledger_client.rs
@@ -48,6 +48,8 @@
     last: AtomicUsize,
     patience: Duration,
     hedge: Option<Duration>,
+    /// The replicas that the settings name, where the ledger's own word is added to them.
+    learns: Option<Vec<SocketAddr>>,
 }
 
 impl LedgerClient {
@@ -59,9 +61,20 @@
             last: AtomicUsize::new(0),
             patience: ONE_REPLICA,
             hedge: None,
+            learns: None,
         }
     }
 
+    /// Also asks the replicas that answers to signs of life name.
+    ///
+    /// Failure: the replicas that the settings name are replaced one after the other, and in the end a
+    /// process that has never stopped knows none of them any more. It shows as a process out of touch
+    /// with a ledger that is well, until somebody restarts it.
+    pub fn with_learning(mut self) -> Self {
+        self.learns = Some(self.ways.load().addrs());
+        self
+    }
+
     /// Waits no longer than this for one replica's answer.
     pub fn with_patience(mut self, patience: Duration) -> Self {
         self.patience = patience;
@@ -142,11 +155,23 @@
             .ask(&LedgerRequest::Heartbeat(heartbeat), within)
             .await?
         {
-            LedgerReply::Alive(reply) => Ok(reply),
+            LedgerReply::Alive(reply) => {
+                self.learn(&reply.replicas);
+                Ok(reply)
+            }
             _ => Err(LedgerError::WrongKind),
         }
     }
 
+    fn learn(&self, replicas: &[SocketAddr]) {
+        let Some(named) = &self.learns else {
+            return;
+        };
+        let mut wanted = replicas.to_vec();
+        wanted.extend(named.iter().filter(|addr| !replicas.contains(addr)));
+        self.set_ways(&wanted, &[]);
+    }
+
     /// Follows the replica with this number, counted round.
     pub async fn follow(
         &self,
--- a/crates/anvilreel/src/ledger_service/node/fleet.rs
+++ b/crates/anvilreel/src/ledger_service/node/fleet.rs
@@ -1,5 +1,6 @@
 //! What the leader does for the fleet: signs of life, lost instances, fenced grants.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use anvil_ledger::core::Event;
@@ -42,6 +43,7 @@
                         version,
                         presence,
                         taken,
+                        replicas: self.replica_addrs(),
                     }),
                 );
             }
@@ -55,6 +57,7 @@
             Command::SetPresence(SetPresence { presence, .. }) => *presence,
             _ => Presence::Live,
         };
+        let replicas = self.replica_addrs();
         let (tx, rx) = oneshot::channel();
         self.enqueue(command, tx);
         tokio::spawn(async move {
@@ -65,6 +68,7 @@
                         version: index,
                         presence: if refused { Presence::Gone } else { presence },
                         taken: Vec::new(),
+                        replicas,
                     })
                 }
                 Ok(other) => other,
@@ -74,6 +78,11 @@
         });
     }
 
+    fn replica_addrs(&self) -> Vec<SocketAddr> {
+        let replicas = self.replica.membership().replicas();
+        replicas.map(|(_, site)| site.addr).collect()
+    }
+
     fn enqueue(&mut self, command: Command, reply: Reply) {
         let proposal = self.proposal(command, reply);
         self.propose(&mut proposal.into_iter().collect());
--- a/crates/anvilreel/src/router.rs
+++ b/crates/anvilreel/src/router.rs
@@ -303,7 +303,7 @@
             places: Places::new(instance.clone(), life.clone(), peers.clone()),
             purse: Purse::new(instance.id.clone(), life.incarnation, policy),
             following: Arc::new(Following::new(life.clone())),
-            ledger: Arc::new(LedgerClient::new(&settings.ledgers)),
+            ledger: Arc::new(LedgerClient::new(&settings.ledgers).with_learning()),
             instance,
             life,
             log,
--- a/crates/anvilreel/src/sidecar.rs
+++ b/crates/anvilreel/src/sidecar.rs
@@ -168,7 +168,7 @@
             life,
             log,
             metrics,
-            ledger: LedgerClient::new(&settings.ledgers),
+            ledger: LedgerClient::new(&settings.ledgers).with_learning(),
             client,
             hub,
             loads: Arc::new(Loads::new(first_load(&settings.endpoint))),
--- a/crates/anvilreel/tests/ledger_service/presence.rs
+++ b/crates/anvilreel/tests/ledger_service/presence.rs
@@ -1,13 +1,18 @@
 //! Which instances are alive, and which are gone.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use anvil_wire::msg::{Heartbeat, LedgerReply, LedgerRequest, Query, QueryAnswer};
 use anvil_world::prelude::*;
+use anvil_world::settings::{EndpointKind, EndpointSettings, SidecarSettings};
 use anvilreel::ledger_service::remove;
+use anvilreel::logs::silent;
+use anvilreel::metrics::Metrics;
+use anvilreel::sidecar::Sidecar;
 use tokio::time::{sleep, timeout};
 
-use crate::cluster::{Cluster, Failure, PATIENCE, declare, put, top_up};
+use crate::cluster::{Cluster, Failure, PATIENCE, declare, free_addr, put, top_up};
 
 async fn presence_of_all(cluster: &Cluster) -> Result<Vec<Presence>, Failure> {
     let members = LedgerRequest::Query(Query::Members);
@@ -95,3 +100,40 @@
     cluster.stop_all().await;
     Ok(())
 }
+
+/// An endpoint gets no work any more, though it and the ledger are well, until somebody restarts its
+/// sidecar. The one replica that the sidecar's settings name was replaced by another, and the sidecar
+/// knew no others.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_sidecar_outlives_the_replica_that_its_settings_name() -> Result<(), Failure> {
+    let mut cluster = Cluster::start(4).await?;
+    declare(&cluster).await?;
+    let named = 3;
+    let settings = SidecarSettings {
+        platform: None,
+        id: "sidecar-1".into(),
+        zone: Zone::default(),
+        wire_listen: ([127, 0, 0, 1], 0).into(),
+        ledgers: vec![cluster.peers[named].addr],
+        endpoint: EndpointSettings {
+            addr: free_addr()?,
+            service: "desk".into(),
+            kind: EndpointKind::Plain,
+            models: BTreeSet::new(),
+            slots: 16,
+            checks_fencing: false,
+        },
+        buffer_bytes: 8 << 20,
+        log_json: false,
+        statsd: None,
+    };
+    let sidecar = Sidecar::start(&settings, silent(), Metrics::silent("sidecar")).await?;
+    until_all_are(&cluster, Presence::Live).await?;
+    cluster.stop(named).await;
+    // Signs of life from before the loss count no more.
+    until_all_are(&cluster, Presence::Silent).await?;
+    until_all_are(&cluster, Presence::Live).await?;
+    sidecar.kill();
+    cluster.stop_all().await;
+    Ok(())
+}
