--- a/crates/anvil_ledger/src/core/lead.rs
+++ b/crates/anvil_ledger/src/core/lead.rs
@@ -133,20 +133,16 @@
     /// Failure: an instance is replaced by one at another address and never comes back. Its
     /// replica goes on counting in the majority, and the next loss stops the ledger.
     pub fn lost_voter(&self, silence: Duration, least: usize) -> Option<&InstanceId> {
-        let Role::Leader(lead) = &self.role else {
-            return None;
-        };
         let membership = self.membership();
         if membership.voters.len() <= least {
             return None;
         }
-        let silent = |id: ReplicaId| {
-            let progress = lead.progress.get(&id);
-            id != self.id && progress.is_some_and(|p| self.now >= p.heard + silence)
+        let is_lost = |id: ReplicaId, site: &Site| {
+            let leaving = self.removing.contains(&site.instance);
+            id != self.id && !leaving && self.is_silent(id, silence)
         };
         let mut voters = membership.voters.iter();
-        let (id, site) =
-            voters.find(|(id, site)| silent(**id) && !self.removing.contains(&site.instance))?;
+        let (id, site) = voters.find(|(id, site)| is_lost(**id, site))?;
         let rest = membership.without_voter(*id);
         let safe = rest.agreed(|other| self.heard_lately(other));
         safe.then_some(&site.instance)
@@ -172,16 +168,18 @@
 
     /// Learners that have answered nothing for so long since this leader knows them.
     pub fn silent_learners(&self, silence: Duration) -> impl Iterator<Item = (ReplicaId, &Site)> {
-        let lead = match &self.role {
-            Role::Leader(lead) => Some(lead),
-            _ => None,
-        };
-        let is_silent = move |id: ReplicaId| {
-            let progress = lead.and_then(|lead| lead.progress.get(&id));
-            progress.is_some_and(|p| self.now >= p.heard + silence)
-        };
         let learners = self.membership().learners.iter();
-        learners.filter_map(move |(id, site)| is_silent(*id).then_some((*id, site)))
+        let silent = learners.filter(move |(id, _)| self.is_silent(**id, silence));
+        silent.map(|(id, site)| (*id, site))
+    }
+
+    /// Whether this replica leads and another one has not answered it for so long.
+    fn is_silent(&self, id: ReplicaId, silence: Duration) -> bool {
+        let Role::Leader(lead) = &self.role else {
+            return false;
+        };
+        let progress = lead.progress.get(&id);
+        progress.is_some_and(|p| self.now >= p.heard + silence)
     }
 
     fn others(&self) -> Vec<ReplicaId> {
--- a/crates/anvilreel/src/ledger_service/node/public.rs
+++ b/crates/anvilreel/src/ledger_service/node/public.rs
@@ -46,10 +46,7 @@
         let learners = self.replica.membership().learners.len();
         metrics.gauge(metrics::LOG_VOTERS, voters as u64);
         metrics.gauge(metrics::LOG_LEARNERS, learners as u64);
-        metrics.gauge(
-            metrics::LOG_VOTERS_HEARD,
-            if leads == 1 { heard as u64 } else { 0 },
-        );
+        metrics.gauge(metrics::LOG_VOTERS_HEARD, heard as u64);
     }
 
     fn listed_addr(&self) -> Option<SocketAddr> {
