--- a/crates/anvilreel/src/ledger_service/contacts.rs
+++ b/crates/anvilreel/src/ledger_service/contacts.rs
@@ -22,7 +22,7 @@
 pub struct Told {
     /// Whom its settings name now, beyond the founders.
     pub seeds: Vec<SocketAddr>,
-    /// Where the leader is, as another replica said.
+    /// Where the leader is, as it or another replica said.
     pub leader: Option<SocketAddr>,
 }
 
--- a/crates/anvilreel/src/ledger_service/founding.rs
+++ b/crates/anvilreel/src/ledger_service/founding.rs
@@ -184,27 +184,38 @@
     async fn join(&self) {
         let (id, site) = (self.id, self.site());
         let own = self.reach.ask(|reply| Input::Join(id, site, reply)).await;
-        let mut leader = match own {
+        let leader = match own {
             Some(Ok(())) | None => return,
             Some(Err(leader)) => leader,
         };
+        if let Some(leader) = leader {
+            self.join_at(leader).await;
+            return;
+        }
         let known: Vec<_> = self.reach.public.borrow().peers.values().copied().collect();
         let named = self.others().map(|peer| peer.addr);
         for addr in named.chain(self.seeds()).chain(known) {
-            if leader.is_some() {
-                break;
+            match self.ask_in(addr).await {
+                Some(PeerReply::Joining) => {
+                    self.reach.contacts.note_leader(addr);
+                    return;
+                }
+                Some(PeerReply::NotLeader {
+                    leader: Some(leader),
+                }) => {
+                    self.join_at(leader).await;
+                    return;
+                }
+                _ => {}
             }
-            leader = match self.ask_in(addr).await {
-                Some(PeerReply::NotLeader { leader }) => leader,
-                _ => None,
-            };
-        }
-        if let Some(leader) = leader {
-            self.reach.contacts.note_leader(leader);
-            self.ask_in(leader).await;
         }
     }
 
+    async fn join_at(&self, leader: SocketAddr) {
+        self.reach.contacts.note_leader(leader);
+        self.ask_in(leader).await;
+    }
+
     async fn ask_in(&self, addr: SocketAddr) -> Option<PeerReply> {
         let req = PeerRequest::Join {
             id: self.id,
--- a/crates/anvilreel/tests/ledger_service/newcomers.rs
+++ b/crates/anvilreel/tests/ledger_service/newcomers.rs
@@ -33,14 +33,25 @@
 /// little later, and the running replica asked only those of its start.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_new_disk_joins_through_seeds_that_its_settings_name_later() -> Result<(), Failure> {
+    joins_through_a_later_seed(|leader| (leader + 1) % 4).await
+}
+
+/// As above; the seed that is named later is the leader itself, so nobody directs the newcomer to it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_disk_joins_through_a_later_seed_that_leads() -> Result<(), Failure> {
+    joins_through_a_later_seed(|leader| leader).await
+}
+
+async fn joins_through_a_later_seed(seed: impl Fn(usize) -> usize) -> Result<(), Failure> {
     let mut cluster = Cluster::start(4).await?;
     declare(&cluster).await?;
-    let newcomer = 3;
+    let leader = cluster.leader().await?;
+    let newcomer = (leader + 2) % 4;
     cluster.stop(newcomer).await;
     cluster.wipe(newcomer)?;
     cluster.knows.insert(newcomer, Vec::new());
     cluster.run(newcomer).await?;
-    let seeds = [cluster.peers[1].addr];
+    let seeds = [cluster.peers[seed(leader)].addr];
     let running = cluster.running[newcomer].as_ref();
     let running = running.ok_or("the replica was started above")?;
     running.contacts.set_seeds(&seeds);
