--- a/crates/anvilreel/src/ledger_service/node.rs
+++ b/crates/anvilreel/src/ledger_service/node.rs
@@ -20,6 +20,7 @@
 use bytes::Bytes;
 use slog::Logger;
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinHandle;
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::Tuning;
@@ -112,7 +113,8 @@
     covered: LogIndex,
     /// Bytes of entries applied since the last snapshot.
     uncovered_bytes: u64,
-    preparing: bool,
+    /// Writes a snapshot at this moment.
+    preparing: Option<JoinHandle<()>>,
     next_watch: Duration,
     next_measure: Duration,
     /// Learners of which it was said that they answer nothing.
@@ -157,7 +159,7 @@
             outbox: Outbox::default(),
             public,
             inbox,
-            preparing: false,
+            preparing: None,
             next_watch: Duration::ZERO,
             next_measure: Duration::ZERO,
             told_silent: BTreeSet::new(),
@@ -179,20 +181,34 @@
         let mut inputs = Vec::with_capacity(BATCH);
         loop {
             tokio::select! {
-                _ = stop.wait_for(|stop| *stop) => return self.setup.writer,
+                _ = stop.wait_for(|stop| *stop) => break,
                 _ = ticks.tick() => self.tick(),
                 count = rx.recv_many(&mut inputs, BATCH) => {
                     if count == 0 {
-                        return self.setup.writer;
+                        break;
                     }
                     self.take(inputs.drain(..));
                 }
             }
             self.publish();
             if self.stopped && self.setup.tuning.end_when_failed {
-                return self.setup.writer;
+                break;
             }
         }
+        drop(rx);
+        self.end().await
+    }
+
+    /// Ends once nothing of it uses the data folder but the disk's thread.
+    ///
+    /// Failure: a replica is stopped while its snapshot is being written, and is started again in the
+    /// same process. It finds the folder locked, by itself, and does not start.
+    async fn end(self) -> Writer {
+        if let Some(preparing) = self.preparing {
+            // A panic in it was printed when it happened.
+            let _ = preparing.await;
+        }
+        self.setup.writer
     }
 
     fn now(&self) -> Duration {
--- a/crates/anvilreel/src/ledger_service/node/disk.rs
+++ b/crates/anvilreel/src/ledger_service/node/disk.rs
@@ -33,7 +33,7 @@
         match report {
             Report::Synced(seq) => self.feed(Event::Synced(seq)),
             Report::Published(meta) => {
-                self.preparing = false;
+                self.preparing = None;
                 self.feed(Event::Saved(meta));
             }
             Report::Failed(source) => self.fail(&Fault::Disk { source }),
@@ -73,28 +73,27 @@
         let tuning = &self.setup.tuning;
         let due = applied >= self.covered + tuning.snapshot_every
             || self.uncovered_bytes >= tuning.snapshot_bytes;
-        if !due || self.preparing {
+        if !due || self.preparing.is_some() {
             return;
         }
         let membership = self.replica.membership_at(applied).cloned();
         let (Some(last), Some(membership)) = (self.replica.id_at(applied), membership) else {
             return;
         };
-        self.preparing = true;
         self.covered = applied;
         self.uncovered_bytes = 0;
         let meta = SnapshotMeta { last, membership };
         let machine = self.machine.clone();
         let disk = self.setup.disk.clone();
         let inbox = self.inbox.clone();
-        tokio::task::spawn_blocking(move || {
+        self.preparing = Some(tokio::task::spawn_blocking(move || {
             let input = match prepare(&machine, &disk, &meta) {
                 Ok(()) => Input::Prepared(meta),
                 Err(fault) => Input::Failed(fault),
             };
             // Fails only when the node has ended.
             let _ = inbox.blocking_send(input);
-        });
+        }));
     }
 
     pub(super) fn prepared(&mut self, meta: SnapshotMeta) {
