Tests take ports that outgoing connections don't get

Seen in 2 of 34 runs of ledger_service beside the soak: a replica that comes back finds its address in use. Its port came from the range that the system gives to outgoing connections, and one of these had it meanwhile. Ports for what stops and comes back lie below that range now, another one each time, in one place for three test programs.

--- a/crates/anvilreel/tests/ledger_service/cluster.rs
+++ b/crates/anvilreel/tests/ledger_service/cluster.rs
@@ -1,7 +1,6 @@
 //! Replicas of a ledger in this process, over real sockets and folders.
 
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener};
 use std::time::{Duration, SystemTime};
 
 use anvil_ledger::core::{CoreSettings, Membership, Payload};
@@ -19,17 +18,14 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
 
+pub use crate::ports::free_addr;
+
 /// What ends a test.
 pub type Failure = Box<dyn std::error::Error + Send + Sync>;
 
 /// Longest wait for something that must come.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
-/// An address at which nobody listens.
-pub fn free_addr() -> std::io::Result<SocketAddr> {
-    TcpListener::bind(("127.0.0.1", 0))?.local_addr()
-}
-
 /// A replica that runs.
 pub struct Running {
     pub contacts: Contacts,
--- a/crates/anvilreel/tests/ledger_service/main.rs
+++ b/crates/anvilreel/tests/ledger_service/main.rs
@@ -3,6 +3,8 @@
 mod cluster;
 mod following;
 mod newcomers;
+#[path = "../support/ports.rs"]
+mod ports;
 mod presence;
 mod replicas;
 mod restart;
--- a/crates/anvilreel/tests/path_fleet.rs
+++ b/crates/anvilreel/tests/path_fleet.rs
@@ -14,6 +14,8 @@
 mod losses;
 #[path = "path_fleet/money.rs"]
 mod money;
+#[path = "support/ports.rs"]
+mod ports;
 #[path = "path_fleet/rolling.rs"]
 mod rolling;
 #[path = "path_fleet/stops.rs"]
--- a/crates/anvilreel/tests/path_fleet/fleet.rs
+++ b/crates/anvilreel/tests/path_fleet/fleet.rs
@@ -1,6 +1,6 @@
 //! A small fleet and a caller for the tests.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use anvil_standins::client::{Answer as HttpAnswer, Client};
@@ -53,10 +53,9 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, port))
 }
 
-/// A port that is free now. The ledger needs to know its own address before it listens.
+/// The ledger needs to know its own address before it listens.
 fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind(loopback(0)).expect("a free port");
-    listener.local_addr().expect("its address")
+    crate::ports::free_addr().expect("a free port")
 }
 
 impl Fleet {
--- a/crates/anvilreel/tests/proof_processes.rs
+++ b/crates/anvilreel/tests/proof_processes.rs
@@ -4,6 +4,8 @@
 #[allow(dead_code)]
 #[path = "path_fleet/fleet.rs"]
 mod fleet;
+#[path = "support/ports.rs"]
+mod ports;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
