Leaders that follow each other don't all make way when every disk is slow

Cause: a leader whose entries wait 0.45 s for a majority makes way, and waits 5 s before it does so again. The pause was each replica's own. Where every disk is slow, seven replicas take turns: the next one is elected, is as slow, and makes way too. Change: a leader makes way only when no other leader was elected in the 5 s before. Tried and not kept: more time for the first answers of a majority, which changes nothing here.

--- a/crates/anvil_ledger/src/core/election.rs
+++ b/crates/anvil_ledger/src/core/election.rs
@@ -114,6 +114,7 @@
 
     fn take_lead(&mut self) {
         self.leader = Some(self.id);
+        self.note_leader();
         let id = self.next_id();
         let members = self.membership().replicas().map(|(id, _)| id);
         let lead = Leadership::new(members, id.index, self.now);
--- a/crates/anvil_ledger/src/core/follow.rs
+++ b/crates/anvil_ledger/src/core/follow.rs
@@ -32,6 +32,7 @@
         }
         self.role = Role::Follower;
         self.leader = Some(from);
+        self.note_leader();
         self.heard = Some(self.now);
         self.eager_until = Duration::ZERO;
         self.round_seen = self.round_seen.max(round);
--- a/crates/anvil_ledger/src/core/lead.rs
+++ b/crates/anvil_ledger/src/core/lead.rs
@@ -13,7 +13,7 @@
 /// Election times for which a leader that was too slow does not stand: the others stand after two
 /// at most.
 const YIELDS_FOR: u32 = 3;
-/// Least time after that before it yields again.
+/// Least time after that before it yields again, and between the elections of two leaders that yield.
 const YIELDS_AGAIN: Duration = Duration::from_secs(5);
 /// Most bytes of entries in one message.
 const MAX_APPEND: usize = 256 << 10;
@@ -96,7 +96,7 @@
     fn slow_commit(&mut self) -> Option<(LogIndex, Duration)> {
         let (now, committed, last) = (self.now, self.committed, self.log.last().index);
         let limit = self.cfg.slow_commit?;
-        let may_yield = now >= self.yields_until + YIELDS_AGAIN && self.others_suffice();
+        let may_yield = self.may_yield() && self.others_suffice();
         let lead = self.leadership()?;
         let waiting = lead.waiting.filter(|(index, _)| committed < *index);
         let Some((index, since)) = waiting else {
@@ -107,6 +107,26 @@
         (may_yield && waited >= limit).then_some((index, waited))
     }
 
+    /// Whether another leader may be faster: neither this one nor another has made way lately.
+    ///
+    /// Failure: every disk is slow. Each new leader is as slow as the last one and yields in its turn; with
+    /// seven replicas the first one's turn comes again before it may yield again, and elections take
+    /// longer than anyone leads.
+    fn may_yield(&self) -> bool {
+        let lately = |at: Duration| self.now < at + YIELDS_AGAIN;
+        !lately(self.yields_until) && !self.led_before.is_some_and(lately)
+    }
+
+    /// Notes that the present term has a leader, this replica or another.
+    pub(super) fn note_leader(&mut self) {
+        let term = self.hard.term;
+        if self.led_since.is_some_and(|(newest, _)| newest == term) {
+            return;
+        }
+        let before = self.led_since.replace((term, self.now));
+        self.led_before = before.map(|(_, at)| at);
+    }
+
     /// Whether the others make a majority without this replica: otherwise no leader is faster.
     fn others_suffice(&self) -> bool {
         let heard = |id: ReplicaId| id != self.id && self.heard_lately(id);
--- a/crates/anvil_ledger/src/core/replica.rs
+++ b/crates/anvil_ledger/src/core/replica.rs
@@ -90,6 +90,10 @@
     pub(super) leader: Option<ReplicaId>,
     /// Until when it leaves the lead to others, after it was too slow.
     pub(super) yields_until: Duration,
+    /// The newest term that had a leader, and when this replica first heard of it.
+    pub(super) led_since: Option<(Term, Duration)>,
+    /// When it first heard of the leader before that one.
+    pub(super) led_before: Option<Duration>,
     pub(super) heard: Option<Duration>,
     /// Until when it stands for election without a follower's patience: it has just started, and
     /// has heard from no leader yet.
@@ -145,6 +149,8 @@
             role: Role::Follower,
             leader: None,
             yields_until: Duration::ZERO,
+            led_since: None,
+            led_before: None,
             heard: None,
             eager_until: now + EAGER_TIMES * cfg.election,
             deadline: now,
--- a/crates/anvil_ledger/tests/failures.rs
+++ b/crates/anvil_ledger/tests/failures.rs
@@ -16,6 +16,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use anvil_ledger::core::CoreSettings;
 use fleet::Fleet;
 
 const LONG: Duration = Duration::from_mins(1);
@@ -254,3 +255,37 @@
         fleet.converge();
     }
 }
+
+/// Guards against a lead that is passed round without end while every disk is slow: seven replicas changed
+/// their leader about once a second, and served half of what they were asked.
+#[test]
+fn slow_disks_everywhere_do_not_pass_the_lead_round() {
+    const SLOW_FOR: Duration = Duration::from_secs(40);
+    const LOOK: Duration = Duration::from_millis(50);
+    const LEAST_LEAD: Duration = Duration::from_secs(4);
+    let impatient = CoreSettings {
+        heartbeat: Duration::from_millis(70),
+        election: Duration::from_millis(350),
+        slow_commit: Some(Duration::from_millis(450)),
+        ..fleet::core_settings()
+    };
+    for seed in 0..6 {
+        let mut fleet = Fleet::with(impatient, seed, 7);
+        fleet.run_for(Duration::from_secs(5));
+        fleet.weather.hanging = 1.0;
+        let end = fleet.now + SLOW_FOR;
+        let mut led = BTreeSet::new();
+        while fleet.now < end {
+            fleet.run_for(LOOK);
+            led.extend(fleet.leader().map(|leader| fleet.term(leader)));
+        }
+        let most = SLOW_FOR.as_secs() / LEAST_LEAD.as_secs();
+        let leaders = led.len() as u64;
+        assert!(
+            leaders <= most,
+            "seed {seed}: {leaders} leaders in {SLOW_FOR:?}"
+        );
+        fleet.weather.clear();
+        fleet.converge();
+    }
+}
--- a/crates/anvil_ledger/tests/support/fleet.rs
+++ b/crates/anvil_ledger/tests/support/fleet.rs
@@ -98,10 +98,11 @@
     pub faults: Faults,
     pub checks: Checks,
     pub steps: u64,
+    core: CoreSettings,
 }
 
 /// A short log, so that laggards need snapshots.
-fn core_settings() -> CoreSettings {
+pub fn core_settings() -> CoreSettings {
     CoreSettings {
         slow_commit: Some(std::time::Duration::from_millis(700)),
         trailing: 40,
@@ -118,6 +119,10 @@
 
 impl Fleet {
     pub fn new(seed: u64, replicas: usize) -> Self {
+        Self::with(core_settings(), seed, replicas)
+    }
+
+    pub fn with(core: CoreSettings, seed: u64, replicas: usize) -> Self {
         let clients = CLIENTS.iter().enumerate();
         let clients: Vec<_> = clients.map(|(n, k)| Client::new(n, *k)).collect();
         let mut fleet = Self {
@@ -134,6 +139,7 @@
             faults: Faults::default(),
             checks: Checks::default(),
             steps: 0,
+            core,
         };
         for number in 0..replicas {
             fleet.start(number);
@@ -197,7 +203,7 @@
         };
         self.owners.insert(storage.id(), number);
         let seed = self.rng.random();
-        let replica = Replica::new(restored, core_settings(), seed, self.now);
+        let replica = Replica::new(restored, self.core, seed, self.now);
         let instance = &mut self.instances[number];
         instance.life += 1;
         let life = instance.life;
