One gateway of each availability zone reads the list of endpoints for the others

Change: the gateways of a zone rank themselves by a hash of their names. The first one reads; the others ask it and are answered as soon as it has read again, with the changes only. Nobody has to agree on who is first: each answer tells how old it is, by a clock that counts suspensions too, and how long the question was held, so that each gateway knows by its own clock how old what it holds may be. A first one that tells nothing newer is passed over before the list is due, and any gateway reads by itself before it is too old. A doubted list is read by the sibling that is asked, and told to all who wait. Tests: anvil_policy list_turn (frozen, cut off from the list, cut off from siblings, two dead in a row), anvil_gateway listing and direct::siblings over real sockets (reader killed, two killed, a reader that only answers, a doubted list).

--- a/crates/anvil_gateway/src/dialect.rs
+++ b/crates/anvil_gateway/src/dialect.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvil_wire::msg::Listed;
 use anvil_world::prelude::*;
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode, request};
@@ -130,25 +131,6 @@
     pub table: fn(&str) -> Result<RouteTable, BadTable>,
 }
 
-/// One endpoint on the platform's list.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Listed {
-    /// The endpoint in its present life.
-    pub id: InstanceId,
-    /// What it serves.
-    pub service: ServiceId,
-    /// Where it listens.
-    pub addr: SocketAddr,
-    /// Where it stands.
-    pub zone: ZoneId,
-    /// Requests that it works on side by side.
-    pub slots: u32,
-    /// It takes no new work.
-    pub leaving: bool,
-    /// How much longer it is slow after its start.
-    pub warm_in: Duration,
-}
-
 /// One page of the platform's list.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ListPage {
--- a/crates/anvil_gateway/src/directory.rs
+++ b/crates/anvil_gateway/src/directory.rs
@@ -4,10 +4,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use anvil_wire::msg::Listed;
 use anvil_world::prelude::*;
 use arc_swap::ArcSwap;
 
-use crate::dialect::Listed;
 use crate::endpoint::Endpoint;
 
 /// Endpoints of one service.
--- a/crates/anvil_gateway/src/discovery.rs
+++ b/crates/anvil_gateway/src/discovery.rs
@@ -1,28 +1,23 @@
-//! Reads the platform's list of endpoints again and again.
+//! Keeps the list of endpoints current: reads it, or asks the sibling that reads it for the others.
+//!
+//! Whose turn it is, and how old the list may grow, is decided in [`anvil_policy::list_turn`].
 
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use anvil_policy::list_turn::{ListAges, Step, next_step};
+use anvil_wire::WireError;
+use anvil_wire::msg::{ListAsk, ListCall, ListReply, Listed};
+use anvil_world::prelude::*;
 use anvilreel::event;
-use bytes::Bytes;
-use http::Request;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1::{Builder, SendRequest};
-use hyper_util::rt::TokioIo;
-use snafu::Snafu;
-use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-use crate::dialect::{ListPage, ListSource, Listed};
 use crate::gateway::Gateway;
+use crate::list_reader::ListReader;
+use crate::listing::Moment;
 use crate::log_events as events;
+use crate::metrics;
 
-/// Longest wait for one page.
-const PAGE_WITHIN: Duration = Duration::from_millis(700);
-/// Most pages of one list.
-const MOST_PAGES: usize = 200;
-/// Longest page, in bytes.
-const PAGE_BYTES: usize = 4 << 20;
 /// Bounds of the pause before a list that is doubted is read again, drawn up to half as long again: a
 /// list lags by less than a second, and a process that finds it old serves nobody meanwhile.
 const DOUBTED_AFTER: (Duration, Duration) =
@@ -32,142 +27,167 @@
 /// Pause after a list that could not be had.
 const AGAIN: Duration = Duration::from_millis(400);
 
-/// A list that could not be had.
-#[derive(Debug, Snafu)]
-enum ListError {
-    #[snafu(display("no answer within {PAGE_WITHIN:?}"))]
-    Slow,
-    #[snafu(display("{why}"))]
-    Lost { why: String },
-    #[snafu(display("status {status}"))]
-    Status { status: u16 },
-    #[snafu(display("more than {MOST_PAGES} pages"))]
-    Endless,
-}
+/// Time that a sibling's answer takes on its way.
+const ON_THE_WAY: Duration = Duration::from_millis(50);
 
-/// One connection to the list, kept between looks.
+/// What the loop keeps between two steps.
 #[derive(Default)]
-struct Reader {
-    sender: Option<SendRequest<Full<Bytes>>>,
+struct Discovery {
+    reader: ListReader,
+    /// The last reading failed.
+    lost: bool,
+    /// Whom the list came from last; itself before the first.
+    source: Option<InstanceId>,
 }
 
-/// Looks at the list for as long as the process lives.
+/// Keeps the list current for as long as the process lives.
 pub async fn run(gw: &Gateway) {
-    let mut reader = Reader::default();
-    let mut lost = false;
+    let ages = ListAges::within(gw.cfg.list_within);
+    let mut discovery = Discovery::default();
     loop {
-        match reader.list(&gw.cfg.list).await {
-            Ok((listed, unreadable)) => {
-                if lost {
-                    event!(gw.log, events::GATEWAY_LIST_BACK);
-                }
-                lost = false;
-                take(gw, &listed, unreadable);
-                until_next_look(gw).await;
+        let order = gw.siblings.order(gw.life.now());
+        let age = gw.listings.age();
+        match next_step(&gw.cfg.id, &order, &ages, age, rand::random()) {
+            Step::Read(at) => {
+                until_due(gw, at.saturating_sub(age)).await;
+                discovery.read(gw).await;
             }
-            Err(e) => {
-                reader.sender = None;
-                if !lost {
-                    event!(gw.log, events::GATEWAY_LIST_LOST, "error" => e.to_string());
-                }
-                lost = true;
-                sleep(AGAIN).await;
+            Step::Ask(sibling, until) => {
+                discovery.ask(gw, sibling, until.saturating_sub(age)).await;
             }
         }
     }
 }
 
-/// Waits until the list is due, or sooner when it is doubted.
+/// Waits until the list is due, or sooner when it is doubted here or by a sibling.
 ///
 /// Failure: all endpoints lose power and are back within a second, in other lives. A gateway that
 /// has just read the list has nobody to send requests to until it reads it again.
-async fn until_next_look(gw: &Gateway) {
-    // Gateways that started together must not ask together for ever.
-    let due = gw.cfg.list_every.mul_f64(rand::random_range(0.9..1.1));
+async fn until_due(gw: &Gateway, due: Duration) {
     let doubted = async {
-        sleep(doubted_after(gw).mul_f64(rand::random_range(1.0..1.5))).await;
-        gw.list_doubted.notified().await;
+        pause_in_doubt(gw).await;
+        tokio::select! {
+            () = gw.list_doubted.notified() => {}
+            () = gw.read_wanted.notified() => {}
+        }
     };
-    tokio::select! {
-        () = sleep(due) => {}
-        () = doubted => {}
-    }
+    // Either way it is read next.
+    let _ = timeout(due, doubted).await;
 }
 
 /// Pause before a doubted list is read again, so long that all gateways together stay within what
 /// the list answers.
-fn doubted_after(gw: &Gateway) -> Duration {
+async fn pause_in_doubt(gw: &Gateway) {
     let gateways = f64::from(gw.gateways.load(Ordering::Relaxed));
     let pause = gateways / (RATE_PART * gw.cfg.list.calls_per_second);
     let pause = Duration::try_from_secs_f64(pause).unwrap_or(DOUBTED_AFTER.1);
-    pause.clamp(DOUBTED_AFTER.0, DOUBTED_AFTER.1)
+    let pause = pause.clamp(DOUBTED_AFTER.0, DOUBTED_AFTER.1);
+    sleep(pause.mul_f64(rand::random_range(1.0..1.5))).await;
 }
 
-fn take(gw: &Gateway, listed: &[Listed], unreadable: u32) {
-    gw.listed.store(gw.now_ms(), Ordering::Relaxed);
-    let changes = gw.directory.take(listed);
-    if !changes.is_empty() {
-        gw.news.notify_waiters();
-        event!(
-            gw.log, events::GATEWAY_ENDPOINTS_CHANGED, "listed" => listed.len(),
-            "unreadable" => unreadable, "came" => format!("{:?}", changes.came),
-            "leaving" => format!("{:?}", changes.leaving), "gone" => format!("{:?}", changes.gone)
-        );
+impl Discovery {
+    async fn read(&mut self, gw: &Gateway) {
+        let begun = Moment::now();
+        gw.metrics.count(metrics::LIST_READ);
+        match self.reader.list(&gw.cfg.list).await {
+            Ok((listed, unreadable)) => {
+                if self.lost {
+                    event!(gw.log, events::GATEWAY_LIST_BACK);
+                }
+                self.lost = false;
+                gw.listings.read(begun, listed);
+                self.came_from(gw, &gw.cfg.id);
+                take(gw, unreadable);
+            }
+            Err(e) => {
+                if !self.lost {
+                    event!(gw.log, events::GATEWAY_LIST_LOST, "error" => e.to_string());
+                }
+                self.lost = true;
+                // A sibling may still reach it.
+                gw.siblings.pass_over(&gw.cfg.id, gw.life.now());
+                sleep(AGAIN).await;
+            }
+        }
     }
-}
 
-impl Reader {
-    /// All pages.
-    async fn list(&mut self, source: &ListSource) -> Result<(Vec<Listed>, u32), ListError> {
-        let mut listed = Vec::new();
-        let mut unreadable = 0;
-        let mut path = source.path.clone();
-        for _ in 0..MOST_PAGES {
-            let reading = timeout(PAGE_WITHIN, self.page(source, &path)).await;
-            let page = reading.unwrap_or(Err(ListError::Slow))?;
-            listed.extend(page.listed);
-            unreadable += page.unreadable;
-            match page.next {
-                Some(next) => path = next,
-                None => return Ok((listed, unreadable)),
+    /// Asks a sibling for a newer list; one that has none within this time is passed over.
+    async fn ask(&mut self, gw: &Gateway, sibling: &InstanceId, within: Duration) {
+        let waiting = ask_for(gw, sibling, gw.listings.age() / 2, within);
+        let doubted = async {
+            pause_in_doubt(gw).await;
+            tokio::select! {
+                () = gw.list_doubted.notified() => false,
+                () = gw.read_wanted.notified() => true,
+            }
+        };
+        let told = tokio::select! {
+            told = waiting => told,
+            is_wanted = doubted => {
+                if is_wanted {
+                    return self.read(gw).await;
+                }
+                ask_for(gw, sibling, Duration::ZERO, within).await
+            }
+        };
+        match told {
+            Ok(true) => {
+                gw.metrics.count(metrics::LIST_TOLD);
+                self.came_from(gw, sibling);
+                take(gw, 0);
             }
+            Ok(false) => pass_over(gw, sibling, "nothing newer"),
+            Err(e) => pass_over(gw, sibling, &e.to_string()),
         }
-        EndlessSnafu.fail()
     }
 
-    async fn page(&mut self, source: &ListSource, path: &str) -> Result<ListPage, ListError> {
-        let lost = |why: String| ListError::Lost { why };
-        let mut sender = match self.sender.take().filter(SendRequest::is_ready) {
-            Some(sender) => sender,
-            None => connect(source).await?,
-        };
-        let req = Request::get(path)
-            .header(http::header::HOST, source.addr.to_string())
-            .body(Full::default())
-            .map_err(|e| lost(e.to_string()))?;
-        let answer = sender.send_request(req).await;
-        let answer = answer.map_err(|e| lost(e.to_string()))?;
-        let status = answer.status();
-        let body = Limited::new(answer.into_body(), PAGE_BYTES).collect().await;
-        let body = body.map_err(|e| lost(e.to_string()))?.to_bytes();
-        self.sender = Some(sender);
-        if !status.is_success() {
-            let status = status.as_u16();
-            return StatusSnafu { status }.fail();
+    fn came_from(&mut self, gw: &Gateway, source: &InstanceId) {
+        if self.source.as_ref() != Some(source) {
+            event!(gw.log, events::GATEWAY_LIST_SOURCE, "from" => source.to_string());
+            self.source = Some(source.clone());
         }
-        (source.page)(&body).map_err(lost)
     }
 }
 
-async fn connect(source: &ListSource) -> Result<SendRequest<Full<Bytes>>, ListError> {
-    let lost = |why: String| ListError::Lost { why };
-    let socket = TcpStream::connect(source.addr).await;
-    let socket = socket.map_err(|e| lost(e.to_string()))?;
-    let handshake = Builder::new().handshake(TokioIo::new(socket)).await;
-    let (sender, connection) = handshake.map_err(|e| lost(e.to_string()))?;
-    tokio::spawn(async move {
-        // Its error reaches whoever waits for the answer.
-        let _ = connection.await;
-    });
-    Ok(sender)
+/// Asks a sibling; returns whether its answer is newer than what was held.
+async fn ask_for(
+    gw: &Gateway,
+    sibling: &InstanceId,
+    read_within: Duration,
+    within: Duration,
+) -> Result<bool, WireError> {
+    let channel = gw.siblings.channel(sibling).ok_or(WireError::Ended)?;
+    let asked = Moment::now();
+    let ask = ListAsk {
+        have: gw.listings.version(),
+        read_within,
+        wait: within.saturating_sub(ON_THE_WAY),
+    };
+    let reply: ListReply = channel.call::<ListCall>(&ask, within).await?;
+    Ok(gw.listings.told(asked, reply))
+}
+
+fn pass_over(gw: &Gateway, sibling: &InstanceId, why: &str) {
+    gw.siblings.pass_over(sibling, gw.life.now());
+    event!(
+        gw.log, events::GATEWAY_SIBLING_PASSED_OVER,
+        "sibling" => sibling.to_string(), "why" => why
+    );
+}
+
+/// Takes the newest list in.
+fn take(gw: &Gateway, unreadable: u32) {
+    let Some(listing) = gw.listings.newest() else {
+        return;
+    };
+    let listed: Vec<Listed> = listing.endpoints().cloned().collect();
+    let changes = gw.directory.take(&listed);
+    if !changes.is_empty() {
+        gw.news.notify_waiters();
+        event!(
+            gw.log, events::GATEWAY_ENDPOINTS_CHANGED, "listed" => listed.len(),
+            "unreadable" => unreadable, "came" => format!("{:?}", changes.came),
+            "leaving" => format!("{:?}", changes.leaving), "gone" => format!("{:?}", changes.gone)
+        );
+    }
 }
--- a/crates/anvil_gateway/src/endpoint.rs
+++ b/crates/anvil_gateway/src/endpoint.rs
@@ -5,11 +5,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use anvil_policy::engine::{EndpointLoad, EngineRule, Prompt};
+use anvil_wire::msg::Listed;
 use anvil_world::prelude::*;
 use anvilreel::event;
 use slog::Logger;
 
-use crate::dialect::{Listed, Load};
+use crate::dialect::Load;
 use crate::log_events as events;
 use crate::pool::Pool;
 
--- a/crates/anvil_gateway/src/follow.rs
+++ b/crates/anvil_gateway/src/follow.rs
@@ -74,6 +74,9 @@
 
 fn take(gw: &Gateway, held: &Held, revision: &mut Revision) {
     count_gateways(gw, held);
+    let routers = members::alive(held, Role::Router);
+    gw.siblings
+        .set(routers.filter(|router| router.zone.id == gw.cfg.zone.id));
     let replicas = members::replicas(held, &gw.seeds.load());
     let relays = members::relays(held, &gw.cfg.id);
     if gw.ledger.set_ways(&replicas, &relays) {
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -21,8 +21,10 @@
 
 use crate::dialect::{Dialect, ListSource};
 use crate::directory::Directory;
+use crate::listing::Listings;
 use crate::log_events;
 use crate::metrics::TRIES_DENIED;
+use crate::siblings::Siblings;
 use crate::table::RouteTable;
 
 /// What a gateway is told at its start.
@@ -50,8 +52,12 @@
     pub retry_slack: f64,
     /// See [`Self::retry_slack`].
     pub retry_window: Duration,
-    /// Time between two looks at the platform's list.
-    pub list_every: Duration,
+    /// Where siblings ask this gateway; all gateways answer at the same port.
+    pub siblings: SocketAddr,
+    /// Where it listens for them, if the address above is passed on to it by something between.
+    pub siblings_bind: Option<SocketAddr>,
+    /// Oldest that the platform's list may grow before it is read again.
+    pub list_within: Duration,
 }
 
 /// One gateway process.
@@ -84,8 +90,12 @@
     pub gateways: AtomicU32,
     /// When the ledger last said that what is held here is current, in milliseconds of the life.
     pub confirmed: AtomicU64,
-    /// When the platform's list was last read, in milliseconds of the life.
-    pub listed: AtomicU64,
+    /// The platform's list.
+    pub listings: Listings,
+    /// The other gateways of the availability zone.
+    pub siblings: Siblings,
+    /// Wakes the task that reads the platform's list: a sibling has found it wrong.
+    pub read_wanted: Notify,
     /// Wakes the task that reads the platform's list: an endpoint was another one than listed.
     pub list_doubted: Notify,
     /// Wakes requests that wait for a routing table or for endpoints.
@@ -166,7 +176,9 @@
             rule: EngineRule::default(),
             gateways: AtomicU32::new(GATEWAYS_UNTIL_TOLD),
             confirmed: AtomicU64::new(0),
-            listed: AtomicU64::new(0),
+            listings: Listings::default(),
+            siblings: Siblings::of(cfg.id.clone(), cfg.siblings),
+            read_wanted: Notify::new(),
             list_doubted: Notify::new(),
             news: Notify::new(),
             open: AtomicU32::new(0),
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -12,7 +12,7 @@
 //!
 //! What the gateway believes, and from whom: the routing table and the number of gateways
 //! ([`follow`], from the ledger), grants ([`money_loop`], from the ledger), the endpoints
-//! ([`discovery`], from the platform's list), their load ([`endpoint`], from their answers).
+//! ([`discovery`], from the platform's list by [`list_reader`], or from [`siblings`] that read it), their load ([`endpoint`], from their answers).
 
 pub mod admit;
 pub mod arrival;
@@ -27,6 +27,8 @@
 pub mod follow;
 pub mod gateway;
 pub mod line;
+pub mod list_reader;
+pub mod listing;
 pub mod log_events;
 pub mod metrics;
 pub mod money;
@@ -36,6 +38,7 @@
 pub mod reply;
 pub mod run;
 pub mod serve;
+pub mod siblings;
 pub mod table;
 pub mod trace;
 pub mod tries;
--- /dev/null
+++ b/crates/anvil_gateway/src/list_reader.rs
@@ -0,0 +1,114 @@
+//! Reads the platform's list of endpoints, page by page.
+
+use std::time::Duration;
+
+use anvil_wire::msg::Listed;
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper_util::rt::TokioIo;
+use snafu::Snafu;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::dialect::{ListPage, ListSource};
+
+/// Longest wait for one page.
+const PAGE_WITHIN: Duration = Duration::from_millis(700);
+/// Most pages of one list.
+const MOST_PAGES: usize = 200;
+/// Longest page, in bytes.
+const PAGE_BYTES: usize = 4 << 20;
+/// A list that could not be had.
+#[derive(Debug, Snafu)]
+pub enum ListError {
+    /// A page didn't come.
+    #[snafu(display("no answer within {PAGE_WITHIN:?}"))]
+    Slow,
+    /// The connection failed, or a page can't be read.
+    #[snafu(display("{why}"))]
+    Lost {
+        /// Why.
+        why: String,
+    },
+    /// The platform refused.
+    #[snafu(display("status {status}"))]
+    Status {
+        /// Its status.
+        status: u16,
+    },
+    /// It has no end.
+    #[snafu(display("more than {MOST_PAGES} pages"))]
+    Endless,
+}
+
+/// One connection to the list, kept between looks.
+#[derive(Default)]
+pub struct ListReader {
+    sender: Option<SendRequest<Full<Bytes>>>,
+}
+
+impl ListReader {
+    /// All pages, and how many entries can't be read.
+    pub async fn list(&mut self, source: &ListSource) -> Result<(Vec<Listed>, u32), ListError> {
+        let listed = self.pages(source).await;
+        if listed.is_err() {
+            self.sender = None;
+        }
+        listed
+    }
+
+    async fn pages(&mut self, source: &ListSource) -> Result<(Vec<Listed>, u32), ListError> {
+        let mut listed = Vec::new();
+        let mut unreadable = 0;
+        let mut path = source.path.clone();
+        for _ in 0..MOST_PAGES {
+            let reading = timeout(PAGE_WITHIN, self.page(source, &path)).await;
+            let page = reading.unwrap_or(Err(ListError::Slow))?;
+            listed.extend(page.listed);
+            unreadable += page.unreadable;
+            match page.next {
+                Some(next) => path = next,
+                None => return Ok((listed, unreadable)),
+            }
+        }
+        EndlessSnafu.fail()
+    }
+
+    async fn page(&mut self, source: &ListSource, path: &str) -> Result<ListPage, ListError> {
+        let lost = |why: String| ListError::Lost { why };
+        let mut sender = match self.sender.take().filter(SendRequest::is_ready) {
+            Some(sender) => sender,
+            None => connect(source).await?,
+        };
+        let req = Request::get(path)
+            .header(http::header::HOST, source.addr.to_string())
+            .body(Full::default())
+            .map_err(|e| lost(e.to_string()))?;
+        let answer = sender.send_request(req).await;
+        let answer = answer.map_err(|e| lost(e.to_string()))?;
+        let status = answer.status();
+        let body = Limited::new(answer.into_body(), PAGE_BYTES).collect().await;
+        let body = body.map_err(|e| lost(e.to_string()))?.to_bytes();
+        self.sender = Some(sender);
+        if !status.is_success() {
+            let status = status.as_u16();
+            return StatusSnafu { status }.fail();
+        }
+        (source.page)(&body).map_err(lost)
+    }
+}
+
+async fn connect(source: &ListSource) -> Result<SendRequest<Full<Bytes>>, ListError> {
+    let lost = |why: String| ListError::Lost { why };
+    let socket = TcpStream::connect(source.addr).await;
+    let socket = socket.map_err(|e| lost(e.to_string()))?;
+    let handshake = Builder::new().handshake(TokioIo::new(socket)).await;
+    let (sender, connection) = handshake.map_err(|e| lost(e.to_string()))?;
+    tokio::spawn(async move {
+        // Its error reaches whoever waits for the answer.
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
--- /dev/null
+++ b/crates/anvil_gateway/src/listing.rs
@@ -0,0 +1,236 @@
+//! The platform's list of endpoints as this gateway holds it: what it says, and how old that may be.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant, SystemTime};
+
+use anvil_wire::msg::{ListAsk, ListNews, ListReply, ListVersion, Listed};
+use anvil_world::prelude::*;
+use tokio::sync::watch;
+use xxhash_rust::xxh3::Xxh3;
+
+/// Endpoints by id.
+type Entries = BTreeMap<InstanceId, Listed>;
+
+/// Earlier lists from which siblings are told the changes only; whoever holds an older one is sent all.
+const EARLIER: usize = 4;
+
+/// A moment by two clocks.
+///
+/// Failure: a machine is suspended for seconds, and its steady clock does not count them. A sibling is
+/// told that a list of before is fresh, and goes on sending work to endpoints that have left meanwhile.
+/// The time of day counts them; where it was set, the longer of both times is the safe one.
+#[derive(Debug, Clone, Copy)]
+pub struct Moment {
+    steady: Instant,
+    wall: SystemTime,
+}
+
+impl Moment {
+    /// This one.
+    pub fn now() -> Self {
+        Self {
+            steady: Instant::now(),
+            wall: SystemTime::now(),
+        }
+    }
+
+    /// Longest time since then.
+    pub fn age(&self) -> Duration {
+        // A time of day that was set back tells nothing.
+        let wall = self.wall.elapsed().unwrap_or_default();
+        self.steady.elapsed().max(wall)
+    }
+
+    /// A moment of so much after and before this one; `None` before the clocks' beginning.
+    fn moved(&self, after: Duration, before: Duration) -> Option<Self> {
+        let steady = self.steady.checked_add(after)?.checked_sub(before)?;
+        let wall = self.wall.checked_add(after)?.checked_sub(before)?;
+        Some(Self { steady, wall })
+    }
+}
+
+/// One list.
+#[derive(Debug, Clone)]
+pub struct Listing {
+    version: ListVersion,
+    entries: Arc<Entries>,
+    /// When its reading began, or a moment before that.
+    as_of: Moment,
+}
+
+impl Listing {
+    fn new(entries: Entries, as_of: Moment) -> Self {
+        Self {
+            version: digest(&entries),
+            entries: Arc::new(entries),
+            as_of,
+        }
+    }
+
+    /// All endpoints.
+    pub fn endpoints(&self) -> impl Iterator<Item = &Listed> {
+        self.entries.values()
+    }
+
+    /// Longest time since it was read.
+    pub fn age(&self) -> Duration {
+        self.as_of.age()
+    }
+}
+
+/// The newest list, and some before it.
+pub struct Listings {
+    newest: watch::Sender<Option<Listing>>,
+    earlier: Mutex<VecDeque<Listing>>,
+}
+
+impl Default for Listings {
+    fn default() -> Self {
+        Self {
+            newest: watch::Sender::new(None),
+            earlier: Mutex::default(),
+        }
+    }
+}
+
+impl Listings {
+    /// The newest one.
+    pub fn newest(&self) -> Option<Listing> {
+        self.newest.borrow().clone()
+    }
+
+    /// Longest time since the newest one was read; endless before the first.
+    pub fn age(&self) -> Duration {
+        let newest = self.newest.borrow();
+        newest.as_ref().map_or(Duration::MAX, Listing::age)
+    }
+
+    /// Which list is the newest; 0 before the first.
+    pub fn version(&self) -> ListVersion {
+        let newest = self.newest.borrow();
+        newest.as_ref().map_or(0, |listing| listing.version)
+    }
+
+    /// Takes a list that was read from the platform since `begun`.
+    pub fn read(&self, begun: Moment, listed: Vec<Listed>) {
+        let mut entries = Entries::new();
+        for listed in listed {
+            let leaves = listed.leaving;
+            let id = listed.id.clone();
+            // Of two entries with one name the first holds, and either of them that says it leaves.
+            entries.entry(id).or_insert(listed).leaving |= leaves;
+        }
+        self.put(Listing::new(entries, begun));
+    }
+
+    /// Takes a sibling's answer to what was asked at `asked`. Returns whether it is newer than what is held.
+    pub fn told(&self, asked: Moment, reply: ListReply) -> bool {
+        let Some(as_of) = asked.moved(reply.held_for, reply.age) else {
+            return false;
+        };
+        let held = self.newest();
+        let is_newer = held
+            .as_ref()
+            .is_none_or(|held| as_of.steady > held.as_of.steady);
+        let Some(listing) = listing_of(reply.news, held, as_of).filter(|_| is_newer) else {
+            return false;
+        };
+        self.put(listing);
+        true
+    }
+
+    fn put(&self, listing: Listing) {
+        let before = self.newest.send_replace(Some(listing));
+        let Some(before) = before.filter(|before| before.version != self.version()) else {
+            return;
+        };
+        let mut earlier = self.earlier();
+        earlier.push_front(before);
+        earlier.truncate(EARLIER);
+    }
+
+    /// Waits until a list is held that answers this question, or until its time is over, and answers.
+    pub async fn answer(&self, ask: &ListAsk, most: Duration) -> ListReply {
+        let asked = Moment::now();
+        let is_fresh = |listing: &Listing| {
+            listing.as_of.steady + ask.read_within >= asked.steady && listing.age() < most
+        };
+        let mut newest = self.newest.subscribe();
+        let waiting = newest.wait_for(|newest| newest.as_ref().is_some_and(is_fresh));
+        // Either there is one, or the time is over: what is held tells its own age.
+        let _ = tokio::time::timeout(ask.wait.min(most), waiting).await;
+        ListReply {
+            held_for: asked.steady.elapsed(),
+            age: self.age(),
+            news: self.news_since(ask.have),
+        }
+    }
+
+    fn news_since(&self, have: ListVersion) -> ListNews {
+        let Some(newest) = self.newest() else {
+            return ListNews::Nothing;
+        };
+        if newest.version == have {
+            return ListNews::Same;
+        }
+        let earlier = self.earlier();
+        let known = earlier.iter().find(|listing| listing.version == have);
+        let Some(known) = known else {
+            return ListNews::Whole {
+                version: newest.version,
+                listed: newest.endpoints().cloned().collect(),
+            };
+        };
+        let is_new = |listed: &&Listed| known.entries.get(&listed.id) != Some(*listed);
+        let is_gone = |id: &&InstanceId| !newest.entries.contains_key(*id);
+        ListNews::Changes {
+            version: newest.version,
+            listed: newest.endpoints().filter(is_new).cloned().collect(),
+            gone: known.entries.keys().filter(is_gone).cloned().collect(),
+        }
+    }
+
+    fn earlier(&self) -> MutexGuard<'_, VecDeque<Listing>> {
+        // A panic elsewhere leaves whole lists.
+        self.earlier.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The list that these news lead to; `None` where they don't lead to the one that they name.
+fn listing_of(news: ListNews, held: Option<Listing>, as_of: Moment) -> Option<Listing> {
+    let (version, entries) = match news {
+        ListNews::Nothing => return None,
+        ListNews::Same => return Some(Listing { as_of, ..held? }),
+        ListNews::Whole { version, listed } => {
+            let named = listed.into_iter().map(|listed| (listed.id.clone(), listed));
+            (version, named.collect())
+        }
+        ListNews::Changes {
+            version,
+            listed,
+            gone,
+        } => {
+            let mut entries = Entries::clone(&held?.entries);
+            entries.retain(|id, _| !gone.contains(id));
+            entries.extend(listed.into_iter().map(|listed| (listed.id.clone(), listed)));
+            (version, entries)
+        }
+    };
+    Some(Listing::new(entries, as_of)).filter(|listing| listing.version == version)
+}
+
+/// Alike for equal lists in all routers; never 0.
+fn digest(entries: &Entries) -> ListVersion {
+    let mut hash = Xxh3::new();
+    for listed in entries.values() {
+        for text in [&listed.id, &listed.service, &listed.zone] {
+            hash.update(text.as_bytes());
+            hash.update(&[0]);
+        }
+        hash.update(listed.addr.to_string().as_bytes());
+        hash.update(&listed.slots.to_le_bytes());
+        hash.update(&[u8::from(listed.leaving)]);
+    }
+    hash.digest().max(1)
+}
--- a/crates/anvil_gateway/src/log_events.rs
+++ b/crates/anvil_gateway/src/log_events.rs
@@ -43,4 +43,8 @@
     GATEWAY_STARVED = 6020 Warning "gateway_starved";
     /// A client left before its answer began, and the endpoint had not begun: nothing is billed.
     GATEWAY_BILL_DROPPED = 6021 Info "gateway_bill_dropped";
+    /// The list of endpoints comes from another gateway than before, or is read here again.
+    GATEWAY_LIST_SOURCE = 6022 Info "gateway_list_source";
+    /// A sibling did not tell a newer list in time; the next one is asked, or the list is read here.
+    GATEWAY_SIBLING_PASSED_OVER = 6023 Warning "gateway_sibling_passed_over";
 }
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -36,6 +36,10 @@
 pub const TRIES_COPIED: &str = "tries.copied";
 /// Streams that another endpoint went on with. Count.
 pub const RESUMED: &str = "streams.resumed";
+/// Times that the platform's list was read here. Count.
+pub const LIST_READ: &str = "list.read";
+/// Times that a sibling told what it has read. Count.
+pub const LIST_TOLD: &str = "list.told";
 /// Requests under way. Gauge.
 pub const OPEN: &str = "requests.open";
 /// The operator's number of the routing table in force. Gauge.
@@ -68,6 +72,8 @@
     (TRIES_DENIED, "count"),
     (TRIES_COPIED, "count"),
     (RESUMED, "count"),
+    (LIST_READ, "count"),
+    (LIST_TOLD, "count"),
     (OPEN, "gauge"),
     (TABLE, "gauge"),
     (GATEWAYS, "gauge"),
@@ -84,6 +90,8 @@
         let (open, shut) = self.directory.count(self.life.now());
         let table = self.table.load();
         let table = table.as_ref().map_or(0, |table| table.version);
+        let list_age = self.listings.age().min(self.life.now()).as_millis();
+        let list_age = u64::try_from(list_age).unwrap_or(u64::MAX);
         let age = |at: u64| now.saturating_sub(at);
         for (name, value) in [
             (OPEN, u64::from(self.open.load(Ordering::Relaxed))),
@@ -92,7 +100,7 @@
             (ENDPOINTS, open),
             (ENDPOINTS_SHUT, shut),
             (CONFIRMED_AGE, age(self.confirmed.load(Ordering::Relaxed))),
-            (LIST_AGE, age(self.listed.load(Ordering::Relaxed))),
+            (LIST_AGE, list_age),
             (LOG_DROPPED, self.dropped.count()),
         ] {
             self.metrics.gauge(name, value);
--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -9,7 +9,7 @@
 
 use crate::gateway::Gateway;
 use crate::log_events as events;
-use crate::{discovery, follow, money_loop, serve};
+use crate::{discovery, follow, money_loop, serve, siblings};
 
 /// Longest time to give grants back at a planned stop.
 const GIVE_BACK: Duration = Duration::from_millis(250);
@@ -25,6 +25,12 @@
         /// Why.
         source: std::io::Error,
     },
+    /// It can't listen for siblings.
+    #[snafu(display("can't listen for other gateways: {source}"))]
+    Siblings {
+        /// Where and why.
+        source: anvil_wire::WireError,
+    },
 }
 
 /// Runs a gateway until `stop` is ready and its requests have ended.
@@ -36,6 +42,7 @@
     let addr = cfg.ready_listen;
     let ready = TcpListener::bind(addr).await;
     let ready = ready.context(ListenSnafu { addr })?;
+    let siblings = siblings::listen(&gw).await.context(SiblingsSnafu)?;
     event!(
         log, events::GATEWAY_LISTENING,
         "addr" => cfg.listen.to_string(), "zone" => cfg.zone.id.to_string()
@@ -49,6 +56,7 @@
             follow::run(&own),
             announce::run(&own.ledger, &own.life, &instance),
             discovery::run(&own),
+            siblings::answer(own.clone(), siblings),
             money_loop::run(&own),
         );
     });
--- a/crates/anvil_gateway/tests/direct/fleet.rs
+++ b/crates/anvil_gateway/tests/direct/fleet.rs
@@ -4,11 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvil_gateway::dialect::{ListPage, ListSource, Listed};
+use anvil_gateway::dialect::{ListPage, ListSource};
 use anvil_gateway::table::{
     Engine, Limits, Organisation, Repeat, Route, RouteTable, Service, TableParts,
 };
 use anvil_gateway::{Gateway, GatewaySettings, discovery, serve};
+use anvil_wire::msg::Listed;
 use anvil_world::prelude::*;
 use anvilreel::metrics::Metrics;
 use bytes::Bytes;
@@ -95,11 +96,11 @@
         zone: "local-a".into(),
         slots: 8,
         leaving: false,
-        warm_in: Duration::ZERO,
     }
 }
 
-fn settings() -> GatewaySettings {
+/// Settings of a gateway that reaches nobody.
+pub fn settings() -> GatewaySettings {
     let nowhere = SocketAddr::from(([127, 0, 0, 1], 9));
     GatewaySettings {
         id: "gateway-1".into(),
@@ -119,7 +120,9 @@
         retry_part: 0.2,
         retry_slack: 200.0,
         retry_window: Duration::from_secs(10),
-        list_every: Duration::from_secs(1),
+        siblings: nowhere,
+        siblings_bind: None,
+        list_within: Duration::from_secs(1),
     }
 }
 
@@ -155,10 +158,10 @@
     }
 
     /// A gateway with the tests' routes that reads a list, now and then.
-    pub async fn reading(list: ListSource, list_every: Duration) -> Self {
+    pub async fn reading(list: ListSource, list_within: Duration) -> Self {
         let cfg = GatewaySettings {
             list,
-            list_every,
+            list_within,
             ..settings()
         };
         let log = Logger::root(Discard, o!());
--- a/crates/anvil_gateway/tests/direct/main.rs
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -9,5 +9,6 @@
 mod gone;
 mod leaving;
 mod money;
+mod siblings;
 mod starting;
 mod streams;
--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -46,6 +46,7 @@
 //! * [`engine`]: where a prompt goes among engines that nobody stands beside.
 //! * [`copying`]: when such an engine copies what another one has read.
 //! * [`prefix`]: which endpoints hold which prompt prefixes.
+//! * [`list_turn`]: which router reads the list of endpoints for the others.
 //! * [`subset`] and [`placement`]: which endpoints a router watches, and which models they hold.
 //!
 //! [`Now`]: anvil_world::ids::Now
@@ -62,6 +63,7 @@
 pub mod grant;
 pub mod health;
 pub mod limit;
+pub mod list_turn;
 pub mod placement;
 pub mod prefix;
 pub mod prelude;
