A gateway whose link fills up while its siblings' don't asks for no new clients

Cause: the balancer hashes connections onto a ring of very unequal arcs. Change: gateways measure the bytes of their clients and endpoints against their link, and tell their siblings with the questions about the list. One that has used half of its link for two seconds, and twice the siblings' mean, isn't ready for ten seconds, twice as long when that comes again at once, and closes a quarter of its answers' connections once the balancer has noticed. A quarter of a zone may be away at once; who has heard nothing of its siblings stays. The pattern stands in anvil_policy shedding, without a network.

--- a/crates/anvil_gateway/src/endpoint.rs
+++ b/crates/anvil_gateway/src/endpoint.rs
@@ -11,6 +11,7 @@
 use slog::Logger;
 
 use crate::dialect::Load;
+use crate::link::LinkMeter;
 use crate::log_events as events;
 use crate::pool::Pool;
 
@@ -34,14 +35,14 @@
 
 impl Endpoint {
     /// As the platform lists it.
-    pub fn new(listed: &Listed) -> Self {
+    pub fn new(listed: &Listed, link: Arc<LinkMeter>) -> Self {
         Self {
             id: listed.id.clone(),
             service: listed.service.clone(),
             addr: listed.addr,
             zone: listed.zone.clone(),
             slots: listed.slots,
-            pool: Pool::new(listed.addr),
+            pool: Pool::new(listed.addr, link),
             leaving: AtomicBool::new(listed.leaving),
             load: Mutex::default(),
         }
--- a/crates/anvil_gateway/src/siblings.rs
+++ b/crates/anvil_gateway/src/siblings.rs
@@ -104,5 +104,11 @@
     if ask.read_within.is_zero() {
         gw.read_wanted.notify_one();
     }
-    gw.listings.answer(ask, gw.cfg.list_within).await
+    let now = gw.life.now();
+    gw.busy.said(ask.from.clone(), ask.load, now);
+    let reply = gw.listings.answer(ask, gw.cfg.list_within).await;
+    ListReply {
+        loads: gw.busy.of_all(gw.life.now()),
+        ..reply
+    }
 }
