A client isn't sent to and fro between a deposed leader and its follower

It is deposed after 0.37 s and another one leads 0.54 s after the cut, but grants come only 1.2 s after it: relays ask the deposed leader, which knows of none, then the follower that was cut off with it, which names the deposed one, and so on; a hint was always followed. Ruled out: relays without a way (they reach every replica), the election (0.18 s after the deposing). Change: within a round a hint to a replica that was asked in vain isn't followed.

--- a/crates/anvilreel/src/ledger_client.rs
+++ b/crates/anvilreel/src/ledger_client.rs
@@ -2,6 +2,7 @@
 
 mod way;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -191,6 +192,10 @@
     }
 
     /// Asks one after the other until one answers for the ledger.
+    ///
+    /// Failure: the leader is deposed, and a follower that hasn't heard of it sends whoever asks back to it.
+    /// It shows as calls that go to and fro between the two for as long as they may take, while all
+    /// others follow a new leader. So a hint to a replica that was asked in this round is not followed.
     pub async fn ask(
         &self,
         ask: &LedgerRequest,
@@ -202,6 +207,7 @@
         let mut at = self.last.load(Ordering::Relaxed);
         let mut tries = 0;
         let mut hinted: Option<Channel> = None;
+        let mut in_vain = BTreeSet::new();
         loop {
             let left = deadline.saturating_duration_since(Instant::now());
             let (true, Some(channel)) = (!left.is_zero(), ways.round(at)) else {
@@ -217,6 +223,7 @@
             let replica = stranger.as_ref().unwrap_or(channel);
             let second = ways.round(number + 1);
             let (answered, by_second) = self.one_or_two(replica, second, ask, left).await;
+            let asked = second.filter(|_| by_second).unwrap_or(replica).addr();
             let number = if by_second {
                 (number + 1) % ways.len()
             } else {
@@ -227,6 +234,8 @@
             }
             match answered {
                 Ok(LedgerReply::NotLeader { leader }) => {
+                    in_vain.insert(asked);
+                    let leader = leader.filter(|addr| !in_vain.contains(addr));
                     match leader.map(|addr| (addr, ways.number_of(addr))) {
                         Some((_, Some(known))) => at = known,
                         Some((addr, None)) if stranger.is_none() => {
@@ -235,7 +244,9 @@
                         _ => {}
                     }
                 }
-                Ok(LedgerReply::NoQuorum | LedgerReply::Stopped) => {}
+                Ok(LedgerReply::NoQuorum | LedgerReply::Stopped) => {
+                    in_vain.insert(asked);
+                }
                 Ok(LedgerReply::InDoubt) => doubt = true,
                 Ok(reply) => {
                     if stranger.is_none() || by_second {
@@ -243,10 +254,14 @@
                     }
                     return Ok(reply);
                 }
-                Err(e) => doubt |= !e.never_sent(),
+                Err(e) => {
+                    in_vain.insert(asked);
+                    doubt |= !e.never_sent();
+                }
             }
             tries += 1;
             if tries % ways.len() == 0 {
+                in_vain.clear();
                 sleep(PAUSE).await;
             }
         }
