Clients are told to come back a moment later while the ledger elects a leader

Cause: 0.45 s after the ledger's last answer each gateway refuses and sends its clients to another gateway at once (Retry-After 0.02 s) and closes their connections. Change: within a second of the ledger's silence a gateway tells clients to come back after 0.3 s and stays ready; after it, it sends them elsewhere as before.

--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -27,6 +27,8 @@
 
 /// When to come back where another gateway may serve the request: at once.
 const ELSEWHERE: Duration = Duration::from_millis(20);
+/// Time within which a ledger that has lost its leader has another one, and gateways have found it.
+const LEADER_WITHIN: Duration = Duration::from_secs(1);
 
 /// Answers one request.
 pub async fn answer(gw: &Arc<Gateway>, req: Request<Incoming>) -> Reply {
@@ -221,13 +223,23 @@
     }
 }
 
+/// When to come back while the ledger doesn't answer.
+///
+/// Failure: the ledger loses its leader. Every gateway's clients are sent elsewhere at once, are refused
+/// there as well, and give up while the next leader is being elected. So only a gateway that stays
+/// without an answer for longer than that sends its clients away.
+fn unreachable(gw: &Gateway) -> Duration {
+    if gw.purse.unanswered_for(gw.life.now()) < LEADER_WITHIN {
+        return SOON;
+    }
+    gw.starve();
+    ELSEWHERE
+}
+
 fn broke(gw: &Gateway, reason: &Reason) -> Refused {
     match reason {
         Reason::BudgetExhausted(_) => (Cause::BudgetExhausted, SOON),
-        Reason::LedgerUnreachable => {
-            gw.starve();
-            (Cause::LedgerUnreachable, ELSEWHERE)
-        }
+        Reason::LedgerUnreachable => (Cause::LedgerUnreachable, unreachable(gw)),
         _ => (Cause::BudgetBusy, SOON),
     }
 }
--- a/crates/anvil_gateway/tests/direct/money.rs
+++ b/crates/anvil_gateway/tests/direct/money.rs
@@ -148,3 +148,38 @@
     fleet.gw.fed();
     assert!(fleet.gw.is_ready());
 }
+
+/// Guards against clients that are sent from gateway to gateway while the ledger elects a leader, and give
+/// up: for a second they are told to come back a moment later, and then to go elsewhere.
+#[tokio::test]
+async fn clients_are_sent_elsewhere_only_after_an_election() {
+    let endpoint = three_events().await;
+    let fleet = with_money(&endpoint, 10).await;
+    let headers = format!("{KEY}x-tokens: 100,30\r\n");
+    let again = async |id: &str| {
+        let mut client = Client::connect(fleet.addr).await;
+        let got = client.ask("/stream/x", id, &headers).await;
+        assert_eq!(got.status, 503);
+        let again = got.head.lines();
+        let again = again.filter_map(|line| line.strip_prefix("retry-after: "));
+        again
+            .last()
+            .expect("a time")
+            .parse::<f64>()
+            .expect("seconds")
+    };
+    fleet
+        .gw
+        .purse
+        .batch(fleet.gw.life.now() + Duration::from_secs(1));
+    let asked = fleet.gw.life.now();
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let first = again("early").await;
+    if fleet.gw.life.now() < asked + Duration::from_secs(1) {
+        assert!(first >= 0.2, "{first}");
+        assert!(!fleet.gw.is_starved());
+    }
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert!(again("late").await < 0.1);
+    assert!(fleet.gw.is_starved());
+}
--- a/crates/anvilreel/src/money/purse.rs
+++ b/crates/anvilreel/src/money/purse.rs
@@ -258,13 +258,21 @@
         Shortage::WaitFor { until, otherwise }
     }
 
+    /// For how long the ledger has been asked without an answer.
+    pub fn unanswered_for(&self, now: Now) -> Duration {
+        let since = self.unanswered.load(Ordering::Acquire);
+        if since == ANSWERED {
+            return Duration::ZERO;
+        }
+        now.saturating_sub(Duration::from_millis(since))
+    }
+
     /// Whether the ledger was asked and has not answered for longer than the patience.
     ///
     /// Failure: a router without callers asks for nothing, so it hears nothing. Taking that
     /// silence for a partition would refuse the first request after every quiet time.
     fn is_cut_off(&self, now: Now) -> bool {
-        let since = self.unanswered.load(Ordering::Acquire);
-        since != ANSWERED && now > Duration::from_millis(since) + self.policy.patience
+        self.unanswered_for(now) > self.policy.patience
     }
 }
 
