A call's way from replica to replica has a file of its own

LedgerClient::ask kept six variables over 60 lines. What is asked next, who was asked in vain and which hint is followed is Search now; no change of behaviour, the same tests.

--- a/crates/anvilreel/src/ledger_client.rs
+++ b/crates/anvilreel/src/ledger_client.rs
@@ -1,8 +1,8 @@
 //! How every process asks the ledger: any replica first, then whoever leads.
 
+mod search;
 mod way;
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -18,6 +18,7 @@
 use snafu::Snafu;
 use tokio::time::{Instant, sleep, timeout};
 
+use search::{Question, Search};
 use way::{Ways, interleaved};
 
 /// Longest wait for one replica's answer, unless the client is told otherwise.
@@ -192,10 +193,6 @@
     }
 
     /// Asks one after the other until one answers for the ledger.
-    ///
-    /// Failure: the leader is deposed, and a follower that hasn't heard of it sends whoever asks back to it.
-    /// It shows as calls that go to and fro between the two for as long as they may take, while all
-    /// others follow a new leader. So a hint to a replica that was asked in this round is not followed.
     pub async fn ask(
         &self,
         ask: &LedgerRequest,
@@ -203,65 +200,42 @@
     ) -> Result<LedgerReply, LedgerError> {
         let deadline = Instant::now() + within;
         let ways = self.ways.load_full();
+        let mut search = Search::from(&ways, self.last.load(Ordering::Relaxed));
         let mut doubt = false;
-        let mut at = self.last.load(Ordering::Relaxed);
-        let mut tries = 0;
-        let mut hinted: Option<Channel> = None;
-        let mut in_vain = BTreeSet::new();
         loop {
             let left = deadline.saturating_duration_since(Instant::now());
-            let (true, Some(channel)) = (!left.is_zero(), ways.round(at)) else {
+            let question = search.next().filter(|_| !left.is_zero());
+            let Some(question) = question else {
                 return Err(if doubt {
                     LedgerError::InDoubt
                 } else {
                     LedgerError::Unreachable
                 });
             };
-            let number = at % ways.len();
-            // A leader that is not in the settings is asked where it said that it is.
-            let stranger = hinted.take();
-            let replica = stranger.as_ref().unwrap_or(channel);
-            let second = ways.round(number + 1);
-            let (answered, by_second) = self.one_or_two(replica, second, ask, left).await;
-            let asked = second.filter(|_| by_second).unwrap_or(replica).addr();
-            let number = if by_second {
-                (number + 1) % ways.len()
-            } else {
-                number
-            };
-            if stranger.is_none() || by_second {
-                at = number + 1;
-            }
+            let (answered, by_second) = self.one_or_two(&question, ask, left).await;
+            let asked = question.asked(by_second);
+            search.go_on(&question, by_second);
             match answered {
                 Ok(LedgerReply::NotLeader { leader }) => {
-                    in_vain.insert(asked);
-                    let leader = leader.filter(|addr| !in_vain.contains(addr));
-                    match leader.map(|addr| (addr, ways.number_of(addr))) {
-                        Some((_, Some(known))) => at = known,
-                        Some((addr, None)) if stranger.is_none() => {
-                            hinted = Some(Channel::new(addr));
-                        }
-                        _ => {}
+                    search.was_in_vain(asked);
+                    if let Some(leader) = leader {
+                        search.hint(&question, leader);
                     }
                 }
-                Ok(LedgerReply::NoQuorum | LedgerReply::Stopped) => {
-                    in_vain.insert(asked);
-                }
+                Ok(LedgerReply::NoQuorum | LedgerReply::Stopped) => search.was_in_vain(asked),
                 Ok(LedgerReply::InDoubt) => doubt = true,
                 Ok(reply) => {
-                    if stranger.is_none() || by_second {
+                    if let Some(number) = question.way(by_second) {
                         self.last.store(number, Ordering::Relaxed);
                     }
                     return Ok(reply);
                 }
                 Err(e) => {
-                    in_vain.insert(asked);
+                    search.was_in_vain(asked);
                     doubt |= !e.never_sent();
                 }
             }
-            tries += 1;
-            if tries % ways.len() == 0 {
-                in_vain.clear();
+            if search.ends_round() {
                 sleep(PAUSE).await;
             }
         }
@@ -275,17 +249,17 @@
     /// log keeps the first.
     async fn one_or_two(
         &self,
-        first: &Channel,
-        second: Option<&Channel>,
+        question: &Question<'_>,
         ask: &LedgerRequest,
         left: Duration,
     ) -> (Result<LedgerReply, WireError>, bool) {
+        let Question { first, second, .. } = question;
         let weight = weight(ask);
         let within = left.min(self.patience + PER_BYTE * weight);
         let asking = first.call::<LedgerCall>(ask, within);
         let light = weight < HEAVY;
         let hedge = self.hedge.filter(|hedge| *hedge < within && light);
-        let (Some(hedge), Some(second)) = (hedge, second) else {
+        let (Some(hedge), Some(second)) = (hedge, *second) else {
             return (asking.await, false);
         };
         tokio::pin!(asking);
