A leader that commits late again and again makes way

Change: entries in a row that each wait a third of the limit count together; at twice the limit the leader makes way. A replica that has never made way may do so at once after its start. Between two that make way ten seconds pass in place of five, else disks that are slow everywhere pass the lead round again.

--- a/crates/anvil_ledger/src/core/lead.rs
+++ b/crates/anvil_ledger/src/core/lead.rs
@@ -14,7 +14,11 @@
 /// at most.
 const YIELDS_FOR: u32 = 3;
 /// Least time after that before it yields again, and between the elections of two leaders that yield.
-const YIELDS_AGAIN: Duration = Duration::from_secs(5);
+const YIELDS_AGAIN: Duration = Duration::from_secs(10);
+/// Entries that wait so long, as a divisor of the limit, are slow where those before them were, too.
+const SLOW_PART: u32 = 3;
+/// Time that slow entries in a row may wait together, as times of the limit for one.
+const SLOW_TIMES: u32 = 2;
 /// Most bytes of entries in one message.
 const MAX_APPEND: usize = 256 << 10;
 /// Most entries that wait for a majority.
@@ -87,7 +91,8 @@
         }
     }
 
-    /// The entry that has waited for a majority for too long, and for how long.
+    /// The entry that has waited for a majority for too long, or after others that were slow as well, and
+    /// for how long.
     ///
     /// Failure: the links of the leader's availability zone lose packets. Its signs of life still
     /// get through, so it is followed, but each loss holds up one of its connections for some tenths of
@@ -98,13 +103,15 @@
         let limit = self.cfg.slow_commit?;
         let may_yield = self.may_yield() && self.others_suffice();
         let lead = self.leadership()?;
+        let waited = lead.waiting.map(|(_, since)| now.saturating_sub(since));
         let waiting = lead.waiting.filter(|(index, _)| committed < *index);
-        let Some((index, since)) = waiting else {
+        let Some((index, waited)) = waiting.zip(waited).map(|((i, _), waited)| (i, waited)) else {
+            lead.committed_after(waited, limit / SLOW_PART);
             lead.waiting = (committed < last).then_some((last, now));
             return None;
         };
-        let waited = now.saturating_sub(since);
-        (may_yield && waited >= limit).then_some((index, waited))
+        let is_slow = waited >= limit || lead.slow_for + waited >= SLOW_TIMES * limit;
+        (may_yield && is_slow).then_some((index, waited))
     }
 
     /// Whether another leader may be faster: neither this one nor another has made way lately.
@@ -114,7 +121,7 @@
     /// longer than anyone leads.
     fn may_yield(&self) -> bool {
         let lately = |at: Duration| self.now < at + YIELDS_AGAIN;
-        !lately(self.yields_until) && !self.led_before.is_some_and(lately)
+        !self.yields_until.is_some_and(lately) && !self.led_before.is_some_and(lately)
     }
 
     /// Notes that the present term has a leader, this replica or another.
@@ -139,8 +146,8 @@
     /// changing the leader helps nobody.
     fn yield_lead(&mut self) {
         self.step_down();
-        self.yields_until = self.now + YIELDS_FOR * self.cfg.election;
-        self.deadline = self.yields_until;
+        self.deadline = self.now + YIELDS_FOR * self.cfg.election;
+        self.yields_until = Some(self.deadline);
     }
 
     fn has_majority(&self) -> bool {
--- a/crates/anvil_ledger/src/core/leadership.rs
+++ b/crates/anvil_ledger/src/core/leadership.rs
@@ -40,6 +40,8 @@
     pub next_heartbeat: Duration,
     /// An entry that was not committed when it was last looked, and since when it has been waited for.
     pub waiting: Option<(LogIndex, Duration)>,
+    /// How long the last entries in a row waited that were slow; zero after one that wasn't.
+    pub slow_for: Duration,
     pub round: Round,
     pub reads: VecDeque<WaitingRead>,
     /// Reads from before the first entry of this term was committed.
@@ -53,6 +55,7 @@
             first,
             next_heartbeat: now,
             waiting: None,
+            slow_for: Duration::ZERO,
             round: 0,
             reads: VecDeque::new(),
             early: Vec::new(),
@@ -63,6 +66,15 @@
         lead
     }
 
+    /// An entry was committed after this wait, where one was waited for.
+    pub fn committed_after(&mut self, waited: Option<Duration>, slow: Duration) {
+        match waited {
+            Some(waited) if waited >= slow => self.slow_for += waited,
+            Some(_) => self.slow_for = Duration::ZERO,
+            None => {}
+        }
+    }
+
     /// Starts keeping track of a replica.
     pub fn welcome(&mut self, id: ReplicaId, next: LogIndex, now: Duration) {
         self.progress.entry(id).or_insert(Progress {
--- a/crates/anvil_ledger/src/core/replica.rs
+++ b/crates/anvil_ledger/src/core/replica.rs
@@ -89,7 +89,7 @@
     pub(super) role: Role,
     pub(super) leader: Option<ReplicaId>,
     /// Until when it leaves the lead to others, after it was too slow.
-    pub(super) yields_until: Duration,
+    pub(super) yields_until: Option<Duration>,
     /// The newest term that had a leader, and when this replica first heard of it.
     pub(super) led_since: Option<(Term, Duration)>,
     /// When it first heard of the leader before that one.
@@ -148,7 +148,7 @@
             fetching: None,
             role: Role::Follower,
             leader: None,
-            yields_until: Duration::ZERO,
+            yields_until: None,
             led_since: None,
             led_before: None,
             heard: None,
--- a/crates/anvil_ledger/tests/core_guards.rs
+++ b/crates/anvil_ledger/tests/core_guards.rs
@@ -432,3 +432,33 @@
     driver.pass(2 * cfg.election);
     assert!(driver.actions.iter().any(asks), "somebody must lead");
 }
+
+/// Guards against a leader behind lossy links that commits everything a third of a second late, never so
+/// late that it makes way, and always too late for those who wait.
+#[test]
+fn a_leader_that_is_slow_again_and_again_makes_way() {
+    let cfg = CoreSettings {
+        slow_commit: Some(Duration::from_millis(450)),
+        ..CoreSettings::default()
+    };
+    let mut driver = Driver::with(cfg);
+    driver.win();
+    driver.pass_answered(1_000, 3);
+    let late = |driver: &mut Driver, number: u64, millis: u64| {
+        let data = "late".into();
+        driver.feed(Event::Propose(vec![Proposal { id: number, data }]));
+        driver.sync();
+        driver.pass_answered(millis, number - 1);
+        driver.pass_answered(50, number);
+    };
+    late(&mut driver, 4, 300);
+    for number in 5..10 {
+        late(&mut driver, number, 50);
+    }
+    late(&mut driver, 10, 300);
+    assert!(driver.replica.leads(), "slow now and then");
+    for number in 11..15 {
+        late(&mut driver, number, 300);
+    }
+    assert!(!driver.replica.leads(), "slow each time");
+}
