--- a/crates/anvil_gateway/src/reply.rs
+++ b/crates/anvil_gateway/src/reply.rs
@@ -42,6 +42,8 @@
     LedgerUnreachable,
     /// This process has no routing table or no endpoints yet.
     NotReady,
+    /// This machine's link is full, and others' are not.
+    LinkFull,
     /// This process is stopping.
     Leaving,
     /// No endpoint of the service takes work.
@@ -58,7 +60,7 @@
 
 impl Cause {
     /// Each one.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::BadHead,
         Self::UnknownKey,
         Self::NoRoute,
@@ -68,6 +70,7 @@
         Self::BudgetBusy,
         Self::LedgerUnreachable,
         Self::NotReady,
+        Self::LinkFull,
         Self::Leaving,
         Self::NoEndpoint,
         Self::Overloaded,
@@ -88,6 +91,7 @@
             Self::BudgetBusy => StatusCode::TOO_MANY_REQUESTS,
             Self::LedgerUnreachable
             | Self::NotReady
+            | Self::LinkFull
             | Self::Leaving
             | Self::NoEndpoint
             | Self::Overloaded
@@ -109,6 +113,7 @@
             Self::BudgetBusy => "budget_busy",
             Self::LedgerUnreachable => "ledger_unreachable",
             Self::NotReady => "not_ready",
+            Self::LinkFull => "link_full",
             Self::Leaving => "leaving",
             Self::NoEndpoint => "no_endpoint",
             Self::Overloaded => "overloaded",
