--- a/crates/anvil_gateway/tests/direct/money.rs
+++ b/crates/anvil_gateway/tests/direct/money.rs
@@ -161,9 +161,9 @@
         let got = client.ask("/stream/x", id, &headers).await;
         assert_eq!(got.status, 503);
         let again = got.head.lines();
-        let again = again.filter_map(|line| line.strip_prefix("retry-after: "));
+        let mut again = again.filter_map(|line| line.strip_prefix("retry-after: "));
         again
-            .last()
+            .next()
             .expect("a time")
             .parse::<f64>()
             .expect("seconds")
