Revert "A gateway whose link is full at this moment admits a part of what comes"

A client has one return, and the ring sends it to the same gateway again more often than not; it is refused twice though the link would have carried it a little late.

--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -109,9 +109,6 @@
     }
     let deadline = begun + ask.patience.min(route.timeout);
     let body = read_body(body, table.limits.body_bytes, deadline).await?;
-    if !gw.busy.admits() {
-        return Err((Cause::LinkFull, ELSEWHERE));
-    }
     let service = gw.draw_service(&route).ok_or((Cause::NoEndpoint, SOON))?;
     let engine = table.services.get(&service).and_then(|s| s.engine);
     let per_event = engine.map_or(1, |engine| engine.tokens_per_event.max(1));
--- a/crates/anvil_gateway/src/busy.rs
+++ b/crates/anvil_gateway/src/busy.rs
@@ -37,11 +37,6 @@
         self.shedding().closes(now)
     }
 
-    /// Whether a request is admitted, or refused so that its client reaches a sibling with room.
-    pub fn admits(&self) -> bool {
-        self.shedding().admits(rand::random())
-    }
-
     /// What this gateway says of itself.
     pub fn own(&self, now: Now) -> SiblingLoad {
         let shedding = self.shedding();
--- a/crates/anvil_gateway/src/reply.rs
+++ b/crates/anvil_gateway/src/reply.rs
@@ -42,8 +42,6 @@
     LedgerUnreachable,
     /// This process has no routing table or no endpoints yet.
     NotReady,
-    /// This machine's link is full, and others' are not.
-    LinkFull,
     /// This process is stopping.
     Leaving,
     /// No endpoint of the service takes work.
@@ -60,7 +58,7 @@
 
 impl Cause {
     /// Each one.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 15] = [
         Self::BadHead,
         Self::UnknownKey,
         Self::NoRoute,
@@ -70,7 +68,6 @@
         Self::BudgetBusy,
         Self::LedgerUnreachable,
         Self::NotReady,
-        Self::LinkFull,
         Self::Leaving,
         Self::NoEndpoint,
         Self::Overloaded,
@@ -91,7 +88,6 @@
             Self::BudgetBusy => StatusCode::TOO_MANY_REQUESTS,
             Self::LedgerUnreachable
             | Self::NotReady
-            | Self::LinkFull
             | Self::Leaving
             | Self::NoEndpoint
             | Self::Overloaded
@@ -113,7 +109,6 @@
             Self::BudgetBusy => "budget_busy",
             Self::LedgerUnreachable => "ledger_unreachable",
             Self::NotReady => "not_ready",
-            Self::LinkFull => "link_full",
             Self::Leaving => "leaving",
             Self::NoEndpoint => "no_endpoint",
             Self::Overloaded => "overloaded",
--- a/crates/anvil_policy/src/shedding.rs
+++ b/crates/anvil_policy/src/shedding.rs
@@ -12,10 +12,6 @@
 //! has noticed. The hash sends the clients back as soon as it is ready again, so it stays away for
 //! a while, and longer each time that it was found full soon after its return.
 //!
-//! The balancer takes seconds to notice, and may send all of it to another small link. So a router whose
-//! link is full at this moment admits a part of what comes, less and less until it is not full any more,
-//! and refuses the rest at once: a client that comes back reaches another router.
-//!
 //! Where all are busy, nobody does so: a router compares itself with what its siblings say of themselves,
 //! and one that has heard nothing of them stays. A load that no router carries is passed on by a quarter
 //! of them at most.
@@ -31,18 +27,8 @@
     pub full: f64,
     /// How many times the siblings' mean load its own must be.
     pub above_siblings: f64,
-    /// For how long that must be so: the siblings' word may be older than a rise of all loads.
+    /// For how long that must be so: siblings are heard of about as often.
     pub full_for: Duration,
-    /// Part of the link from which on it is full at this moment, and fewer requests are admitted.
-    pub overfull: f64,
-    /// Part of the link below which more requests are admitted again.
-    pub has_room: f64,
-    /// What is admitted of what was before, where the link is full.
-    pub admits_less: f64,
-    /// What is admitted in addition, as a part of all, where there is room again.
-    pub admits_more: f64,
-    /// Least part that is admitted.
-    pub admits_least: f64,
     /// Part of the siblings that may be away at once, this router among them.
     pub most_away: f64,
     /// Time over which the load is averaged.
@@ -67,14 +53,9 @@
         Self {
             full: 0.5,
             above_siblings: 2.0,
-            full_for: Duration::from_secs(1),
-            overfull: 0.9,
-            has_room: 0.75,
-            admits_less: 0.7,
-            admits_more: 0.1,
-            admits_least: 0.3,
+            full_for: Duration::from_secs(2),
             most_away: 0.25,
-            smooth_over: Duration::from_millis(500),
+            smooth_over: Duration::from_secs(1),
             siblings_hold: Duration::from_secs(10),
             away: Duration::from_secs(10),
             longest_away: Duration::from_secs(40),
@@ -104,11 +85,9 @@
 }
 
 /// One router's load, and whether it asks for new clients.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Shedding {
     rule: SheddingRule,
-    /// Part of the requests that is admitted.
-    admitted: f64,
     /// Part of the link in use, smoothed.
     load: f64,
     measured_at: Now,
@@ -119,23 +98,12 @@
     away: Option<Away>,
 }
 
-impl Default for Shedding {
-    fn default() -> Self {
-        Self::new(SheddingRule::default())
-    }
-}
-
 impl Shedding {
-    /// By this rule, with nothing known yet.
+    /// By this rule.
     pub fn new(rule: SheddingRule) -> Self {
         Self {
             rule,
-            admitted: 1.0,
-            load: 0.0,
-            measured_at: Duration::ZERO,
-            full_since: None,
-            siblings: None,
-            away: None,
+            ..Self::default()
         }
     }
 
@@ -150,7 +118,6 @@
         self.measured_at = now;
         let kept = (-passed / self.rule.smooth_over.as_secs_f64()).exp();
         self.load = kept * self.load + (1.0 - kept) * used;
-        self.admit(now, used);
         let since = self.full_since.unwrap_or(now);
         self.full_since = self.is_too_much(now).then_some(since);
         let lasts = self
@@ -167,25 +134,6 @@
         goes
     }
 
-    /// Whether a request is admitted; `drawn` lies between 0 and 1.
-    pub fn admits(&self, drawn: f64) -> bool {
-        drawn < self.admitted
-    }
-
-    /// Part of the requests that is admitted.
-    pub fn admitted(&self) -> f64 {
-        self.admitted
-    }
-
-    fn admit(&mut self, now: Now, used: f64) {
-        let rule = &self.rule;
-        if used >= rule.overfull && self.is_above_siblings(now, used) {
-            self.admitted = (self.admitted * rule.admits_less).max(rule.admits_least);
-        } else if used < rule.has_room || !self.is_above_siblings(now, used) {
-            self.admitted = (self.admitted + rule.admits_more).min(1.0);
-        }
-    }
-
     /// Takes in what the routers of its availability zone say of themselves, itself among them.
     pub fn heard(&mut self, now: Now, siblings: ZoneLoad) {
         self.siblings = Some((siblings, now));
@@ -205,21 +153,15 @@
     }
 
     fn is_too_much(&self, now: Now) -> bool {
-        let may_go = self.heard_lately(now).is_some_and(|zone| {
-            f64::from(zone.away + 1) <= self.rule.most_away * f64::from(zone.routers)
-        });
-        may_go && self.load >= self.rule.full && self.is_above_siblings(now, self.load)
-    }
-
-    /// Whether the siblings have so much more room that clients do better there.
-    fn is_above_siblings(&self, now: Now, load: f64) -> bool {
-        let zone = self.heard_lately(now);
-        zone.is_some_and(|zone| load >= self.rule.above_siblings * zone.load)
-    }
-
-    fn heard_lately(&self, now: Now) -> Option<ZoneLoad> {
         let fresh = |(_, at): &(ZoneLoad, Now)| now < *at + self.rule.siblings_hold;
-        self.siblings.filter(fresh).map(|(zone, _)| zone)
+        let Some((siblings, _)) = self.siblings.filter(fresh) else {
+            return false;
+        };
+        let may_go =
+            f64::from(siblings.away + 1) <= self.rule.most_away * f64::from(siblings.routers);
+        may_go
+            && self.load >= self.rule.full
+            && self.load >= self.rule.above_siblings * siblings.load
     }
 
     fn time_away(&self, now: Now) -> Duration {
