A doubt doesn't prolong the wait for a sibling

Change: each question ends when what is held has the age at which the sibling is passed over. Test: direct::siblings, red before (not told within 0.7 s beyond the longest age), green after.

--- a/crates/anvil_gateway/src/discovery.rs
+++ b/crates/anvil_gateway/src/discovery.rs
@@ -26,7 +26,6 @@
 const RATE_PART: f64 = 0.8;
 /// Pause after a list that could not be had.
 const AGAIN: Duration = Duration::from_millis(400);
-
 /// Time that a sibling's answer takes on its way.
 const ON_THE_WAY: Duration = Duration::from_millis(50);
 
@@ -53,7 +52,7 @@
                 discovery.read(gw).await;
             }
             Step::Ask(sibling, until) => {
-                discovery.ask(gw, sibling, until.saturating_sub(age)).await;
+                discovery.ask(gw, sibling, until).await;
             }
         }
     }
@@ -113,9 +112,9 @@
         }
     }
 
-    /// Asks a sibling for a newer list; one that has none within this time is passed over.
-    async fn ask(&mut self, gw: &Gateway, sibling: &InstanceId, within: Duration) {
-        let waiting = ask_for(gw, sibling, gw.listings.age() / 2, within);
+    /// Asks a sibling for a newer list; one that has none when this one has that age is passed over.
+    async fn ask(&mut self, gw: &Gateway, sibling: &InstanceId, until: Duration) {
+        let waiting = ask_for(gw, sibling, gw.listings.age() / 2, until);
         let doubted = async {
             pause_in_doubt(gw).await;
             tokio::select! {
@@ -129,7 +128,7 @@
                 if is_wanted {
                     return self.read(gw).await;
                 }
-                ask_for(gw, sibling, Duration::ZERO, within).await
+                ask_for(gw, sibling, Duration::ZERO, until).await
             }
         };
         match told {
@@ -151,13 +150,14 @@
     }
 }
 
-/// Asks a sibling; returns whether its answer is newer than what was held.
+/// Asks a sibling, until what is held has this age; returns whether its answer is newer.
 async fn ask_for(
     gw: &Gateway,
     sibling: &InstanceId,
     read_within: Duration,
-    within: Duration,
+    until: Duration,
 ) -> Result<bool, WireError> {
+    let within = until.saturating_sub(gw.listings.age());
     let channel = gw.siblings.channel(sibling).ok_or(WireError::Ended)?;
     let asked = Moment::now();
     let ask = ListAsk {
--- a/crates/anvil_gateway/src/list_reader.rs
+++ b/crates/anvil_gateway/src/list_reader.rs
@@ -20,6 +20,7 @@
 const MOST_PAGES: usize = 200;
 /// Longest page, in bytes.
 const PAGE_BYTES: usize = 4 << 20;
+
 /// A list that could not be had.
 #[derive(Debug, Snafu)]
 pub enum ListError {
--- a/crates/anvil_gateway/tests/direct/siblings.rs
+++ b/crates/anvil_gateway/tests/direct/siblings.rs
@@ -167,6 +167,25 @@
     assert!(all_know(&zone[1..], WITHIN + SLACK).await);
 }
 
+/// Guards against a list that grows too old because its gateway doubts it late, and waits anew for a
+/// sibling that answers and doesn't read.
+#[tokio::test]
+async fn a_doubt_does_not_prolong_the_wait_for_a_sibling() {
+    let within = Duration::from_secs(4);
+    let list = List::serve().await;
+    let begun = Instant::now();
+    let zone = zone_within(within, &list, 7, 2).await;
+    sleep(within / 8).await;
+    for task in &zone[0].tasks[1..] {
+        task.abort();
+    }
+    list.leave();
+    sleep(within * 3 / 4).await;
+    zone[1].gw.list_doubted.notify_one();
+    let left = within.saturating_sub(begun.elapsed());
+    assert!(all_know(&zone[1..], left + SLACK).await);
+}
+
 /// Guards against a dead reader in whose place every gateway reads.
 #[tokio::test]
 async fn one_gateway_reads_in_a_dead_readers_place() {
