--- a/crates/anvil_gateway/src/directory.rs
+++ b/crates/anvil_gateway/src/directory.rs
@@ -9,7 +9,6 @@
 use arc_swap::ArcSwap;
 
 use crate::endpoint::Endpoint;
-use crate::link::LinkMeter;
 
 /// Endpoints of one service.
 pub type Group = Vec<Arc<Endpoint>>;
@@ -21,8 +20,6 @@
 /// All endpoints by service; replaced whole.
 #[derive(Default)]
 pub struct Directory {
-    /// Counts what connections to endpoints and clients carry.
-    pub link: Arc<LinkMeter>,
     groups: ArcSwap<BTreeMap<ServiceId, Group>>,
     /// Endpoints that were leaving, with when they were last listed so.
     left: Mutex<BTreeMap<InstanceId, Instant>>,
@@ -132,7 +129,7 @@
             });
             let endpoint = same.cloned().unwrap_or_else(|| {
                 changes.came.push(listed.id.clone());
-                Arc::new(Endpoint::new(listed, self.link.clone()))
+                Arc::new(Endpoint::new(listed))
             });
             // Failure: a list that lags names an endpoint as ready that an earlier one named as
             // leaving or no longer at all, and it gets work just before it goes.
--- a/crates/anvil_gateway/src/discovery.rs
+++ b/crates/anvil_gateway/src/discovery.rs
@@ -96,8 +96,6 @@
                 self.lost = false;
                 gw.listings.read(begun, listed);
                 self.came_from(gw, &gw.cfg.id);
-                let now = gw.life.now();
-                gw.busy.heard(now, &gw.busy.of_all(now));
                 take(gw, unreadable);
             }
             Err(e) => {
@@ -161,14 +159,11 @@
     let channel = gw.siblings.channel(sibling).ok_or(WireError::Ended)?;
     let asked = Moment::now();
     let ask = ListAsk {
-        from: gw.cfg.id.clone(),
-        load: gw.busy.own(gw.life.now()),
         have: gw.listings.version(),
         read_within,
         wait: within.saturating_sub(ON_THE_WAY),
     };
     let reply: ListReply = channel.call::<ListCall>(&ask, within).await?;
-    gw.busy.heard(gw.life.now(), &reply.loads);
     Ok(gw.listings.told(asked, reply))
 }
 
--- a/crates/anvil_gateway/src/endpoint.rs
+++ b/crates/anvil_gateway/src/endpoint.rs
@@ -11,7 +11,6 @@
 use slog::Logger;
 
 use crate::dialect::Load;
-use crate::link::LinkMeter;
 use crate::log_events as events;
 use crate::pool::Pool;
 
@@ -35,14 +34,14 @@
 
 impl Endpoint {
     /// As the platform lists it.
-    pub fn new(listed: &Listed, link: Arc<LinkMeter>) -> Self {
+    pub fn new(listed: &Listed) -> Self {
         Self {
             id: listed.id.clone(),
             service: listed.service.clone(),
             addr: listed.addr,
             zone: listed.zone.clone(),
             slots: listed.slots,
-            pool: Pool::new(listed.addr, link),
+            pool: Pool::new(listed.addr),
             leaving: AtomicBool::new(listed.leaving),
             load: Mutex::default(),
         }
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -19,7 +19,6 @@
 use slog::Logger;
 use tokio::sync::Notify;
 
-use crate::busy::Busy;
 use crate::dialect::{Dialect, ListSource};
 use crate::directory::Directory;
 use crate::listing::Listings;
@@ -57,8 +56,6 @@
     pub siblings: SocketAddr,
     /// Where it listens for them, if the address above is passed on to it by something between.
     pub siblings_bind: Option<SocketAddr>,
-    /// What this machine's link carries; `None` where it is not known.
-    pub link_bytes_per_second: Option<f64>,
     /// Oldest that the platform's list may grow before it is read again.
     pub list_within: Duration,
 }
@@ -97,8 +94,6 @@
     pub listings: Listings,
     /// The other gateways of the availability zone.
     pub siblings: Siblings,
-    /// How busy this gateway is, and its siblings.
-    pub busy: Busy,
     /// Wakes the task that reads the platform's list: a sibling has found it wrong.
     pub read_wanted: Notify,
     /// Wakes the task that reads the platform's list: an endpoint was another one than listed.
@@ -184,7 +179,6 @@
             confirmed: AtomicU64::new(0),
             listings: Listings::default(),
             siblings: Siblings::of(cfg.id.clone(), cfg.siblings),
-            busy: Busy::default(),
             read_wanted: Notify::new(),
             list_doubted: Notify::new(),
             news: Notify::new(),
@@ -198,8 +192,7 @@
     /// Whether new connections are welcome.
     pub fn is_ready(&self) -> bool {
         let knows = self.table.load().is_some() && !self.directory.is_empty();
-        let has_room = !self.is_starved() && !self.busy.is_away(self.life.now());
-        knows && !self.life.is_leaving() && has_room
+        knows && !self.life.is_leaving() && !self.is_starved()
     }
 
     /// Whether requests were refused lately because no way leads to the ledger and the grants
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -12,12 +12,11 @@
 //!
 //! What the gateway believes, and from whom: the routing table and the number of gateways
 //! ([`follow`], from the ledger), grants ([`money_loop`], from the ledger), the endpoints
-//! ([`discovery`], from the platform's list by [`list_reader`], or from [`siblings`] that read it), their load ([`endpoint`], from their answers), this machine's link ([`link`], [`busy`]).
+//! ([`discovery`], from the platform's list by [`list_reader`], or from [`siblings`] that read it), their load ([`endpoint`], from their answers).
 
 pub mod admit;
 pub mod arrival;
 pub mod attempt;
-pub mod busy;
 pub mod choose;
 pub mod dialect;
 pub mod directory;
@@ -28,7 +27,6 @@
 pub mod follow;
 pub mod gateway;
 pub mod line;
-pub mod link;
 pub mod list_reader;
 pub mod listing;
 pub mod log_events;
--- a/crates/anvil_gateway/src/listing.rs
+++ b/crates/anvil_gateway/src/listing.rs
@@ -164,7 +164,6 @@
             held_for: asked.steady.elapsed(),
             age: self.age(),
             news: self.news_since(ask.have),
-            loads: Vec::new(),
         }
     }
 
--- a/crates/anvil_gateway/src/log_events.rs
+++ b/crates/anvil_gateway/src/log_events.rs
@@ -47,8 +47,4 @@
     GATEWAY_LIST_SOURCE = 6022 Info "gateway_list_source";
     /// A sibling did not tell a newer list in time; the next one is asked, or the list is read here.
     GATEWAY_SIBLING_PASSED_OVER = 6023 Warning "gateway_sibling_passed_over";
-    /// The link fills up while siblings have room: no new clients are asked for.
-    GATEWAY_BUSY = 6024 Warning "gateway_busy";
-    /// New clients are welcome again.
-    GATEWAY_NOT_BUSY = 6025 Info "gateway_not_busy";
 }
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -50,8 +50,6 @@
 pub const ENDPOINTS: &str = "endpoints.open";
 /// Endpoints that are passed over for a while. Gauge.
 pub const ENDPOINTS_SHUT: &str = "endpoints.shut";
-/// Part of this machine's link that clients and endpoints take. Gauge, percent.
-pub const LINK: &str = "link.used";
 /// Time since the ledger last confirmed what is held. Gauge, milliseconds.
 pub const CONFIRMED_AGE: &str = "age.ledger";
 /// Time since the platform's list was last read. Gauge, milliseconds.
@@ -81,7 +79,6 @@
     (GATEWAYS, "gauge"),
     (ENDPOINTS, "gauge"),
     (ENDPOINTS_SHUT, "gauge"),
-    (LINK, "gauge"),
     (CONFIRMED_AGE, "gauge"),
     (LIST_AGE, "gauge"),
 ];
@@ -102,7 +99,6 @@
             (GATEWAYS, u64::from(self.gateways.load(Ordering::Relaxed))),
             (ENDPOINTS, open),
             (ENDPOINTS_SHUT, shut),
-            (LINK, percent(self.busy.own(self.life.now()).used)),
             (CONFIRMED_AGE, age(self.confirmed.load(Ordering::Relaxed))),
             (LIST_AGE, list_age),
             (LOG_DROPPED, self.dropped.count()),
@@ -111,14 +107,3 @@
         }
     }
 }
-
-/// A part in whole percent.
-fn percent(part: f64) -> u64 {
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "a part of a link is never below nothing"
-    )]
-    let percent = (part * 100.0).round() as u64;
-    percent
-}
--- a/crates/anvil_gateway/src/pool.rs
+++ b/crates/anvil_gateway/src/pool.rs
@@ -16,7 +16,6 @@
 use tokio::time::timeout;
 
 use crate::line::{Line, WatchedSocket};
-use crate::link::{LinkMeter, Metered};
 
 /// Longest time to make a connection. The next endpoint is tried instead: a lost opening packet
 /// is sent again only after a second.
@@ -75,16 +74,14 @@
 /// The connections to one endpoint.
 pub struct Pool {
     addr: SocketAddr,
-    link: Arc<LinkMeter>,
     idle: Mutex<Vec<Idle>>,
 }
 
 impl Pool {
     /// No connection yet.
-    pub fn new(addr: SocketAddr, link: Arc<LinkMeter>) -> Self {
+    pub fn new(addr: SocketAddr) -> Self {
         Self {
             addr,
-            link,
             idle: Mutex::default(),
         }
     }
@@ -113,7 +110,6 @@
         // only slower.
         let _ = socket.set_nodelay(true);
         let (socket, line) = WatchedSocket::new(socket);
-        let socket = Metered::new(socket, self.link.clone());
         let handshake = Builder::new().handshake(TokioIo::new(socket)).await;
         let (sender, connection) = handshake.context(HandshakeSnafu { addr })?;
         tokio::spawn(async move {
--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -9,7 +9,7 @@
 
 use crate::gateway::Gateway;
 use crate::log_events as events;
-use crate::{busy, discovery, follow, money_loop, serve, siblings};
+use crate::{discovery, follow, money_loop, serve, siblings};
 
 /// Longest time to give grants back at a planned stop.
 const GIVE_BACK: Duration = Duration::from_millis(250);
@@ -57,7 +57,6 @@
             announce::run(&own.ledger, &own.life, &instance),
             discovery::run(&own),
             siblings::answer(own.clone(), siblings),
-            busy::run(&own),
             money_loop::run(&own),
         );
     });
--- a/crates/anvil_gateway/src/serve.rs
+++ b/crates/anvil_gateway/src/serve.rs
@@ -17,7 +17,6 @@
 
 use crate::admit::answer;
 use crate::gateway::Gateway;
-use crate::link::Metered;
 use crate::log_events as events;
 use crate::reply::{Reply, close_after, whole};
 use anvilreel::event;
@@ -29,8 +28,6 @@
 const STILL_TAKING: Duration = Duration::from_millis(2_600);
 /// Time before the end of the grace period by which everything has ended.
 const SPARE: Duration = Duration::from_millis(350);
-/// Part of the answers after which a busy gateway closes the connection.
-const CLOSED_PART: f64 = 0.25;
 /// Pause after a connection could not be accepted, for want of descriptors or memory.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
@@ -73,13 +70,11 @@
     let table = gw.table.load();
     let idle = table.as_ref().map_or(IDLE, |table| table.limits.idle_time);
     drop(table);
-    let socket = Metered::new(socket, gw.directory.link.clone());
     let service = service_fn(|req: Request<Incoming>| {
         let gw = gw.clone();
         async move {
             let mut reply = answer(&gw, req).await;
-            let elsewhere = gw.is_starved() || closes_one(&gw);
-            if gw.life.is_leaving() || elsewhere {
+            if gw.life.is_leaving() || gw.is_starved() {
                 close_after(&mut reply);
             }
             Ok::<Reply, Infallible>(reply)
@@ -102,12 +97,6 @@
     }
 }
 
-/// Whether a busy gateway closes this connection. A few at a time, so that those with most requests go
-/// first and their new gateways are not met by all at once.
-fn closes_one(gw: &Gateway) -> bool {
-    gw.busy.closes(gw.life.now()) && rand::random_bool(CLOSED_PART)
-}
-
 async fn stopped(told: &mut watch::Receiver<bool>) {
     // An error means that the accepting side has ended, which comes after the stop.
     let _ = told.wait_for(|stop| *stop).await;
--- a/crates/anvil_gateway/src/siblings.rs
+++ b/crates/anvil_gateway/src/siblings.rs
@@ -104,11 +104,5 @@
     if ask.read_within.is_zero() {
         gw.read_wanted.notify_one();
     }
-    let now = gw.life.now();
-    gw.busy.said(ask.from.clone(), ask.load, now);
-    let reply = gw.listings.answer(ask, gw.cfg.list_within).await;
-    ListReply {
-        loads: gw.busy.of_all(gw.life.now()),
-        ..reply
-    }
+    gw.listings.answer(ask, gw.cfg.list_within).await
 }
--- a/crates/anvil_gateway/tests/direct/fleet.rs
+++ b/crates/anvil_gateway/tests/direct/fleet.rs
@@ -122,7 +122,6 @@
         retry_window: Duration::from_secs(10),
         siblings: nowhere,
         siblings_bind: None,
-        link_bytes_per_second: None,
         list_within: Duration::from_secs(1),
     }
 }
@@ -141,17 +140,7 @@
         log: Logger,
         metrics: Metrics,
     ) -> Self {
-        Self::of(settings(), endpoints, log, metrics).await
-    }
-
-    /// The same with settings of its own.
-    pub async fn of(
-        cfg: GatewaySettings,
-        endpoints: &[(&str, &Endpoint)],
-        log: Logger,
-        metrics: Metrics,
-    ) -> Self {
-        let fleet = Self::knowing_nothing(cfg, log, metrics).await;
+        let fleet = Self::knowing_nothing(settings(), log, metrics).await;
         let mut list: Vec<_> = endpoints.iter().map(|(id, e)| listed(id, e.addr)).collect();
         // The first one is near and the others are not, so that it is the first to be tried.
         for other in list.iter_mut().skip(1) {
--- a/crates/anvil_gateway/tests/direct/main.rs
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -1,7 +1,6 @@
 //! A gateway over real sockets, before endpoints that misbehave in every way that can be seen.
 
 mod answers;
-mod busy;
 mod client;
 mod dialect;
 mod endpoint;
--- a/crates/anvil_gateway/tests/listing.rs
+++ b/crates/anvil_gateway/tests/listing.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use anvil_gateway::listing::{Listings, Moment};
-use anvil_wire::msg::{ListAsk, ListNews, ListReply, Listed, SiblingLoad};
+use anvil_wire::msg::{ListAsk, ListNews, ListReply, Listed};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -20,11 +20,6 @@
 
 fn ask(have: u64, read_within: Duration) -> ListAsk {
     ListAsk {
-        from: "other".into(),
-        load: SiblingLoad {
-            used: 0.0,
-            is_away: false,
-        },
         have,
         read_within,
         wait: Duration::from_millis(50),
--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -47,7 +47,6 @@
 //! * [`copying`]: when such an engine copies what another one has read.
 //! * [`prefix`]: which endpoints hold which prompt prefixes.
 //! * [`list_turn`]: which router reads the list of endpoints for the others.
-//! * [`shedding`]: when a router leaves its clients to siblings with room.
 //! * [`subset`] and [`placement`]: which endpoints a router watches, and which models they hold.
 //!
 //! [`Now`]: anvil_world::ids::Now
@@ -69,6 +68,5 @@
 pub mod prefix;
 pub mod prelude;
 pub mod retry;
-pub mod shedding;
 pub mod subset;
 pub mod waiting;
--- a/crates/anvil_wire/src/msg.rs
+++ b/crates/anvil_wire/src/msg.rs
@@ -9,7 +9,7 @@
     AuditFilter, BudgetView, Evidence, FollowEvent, Heartbeat, HeartbeatReply, InForce, Interest,
     KeyCharge, LedgerCall, LedgerReply, LedgerRequest, LedgerStatus, Query, QueryAnswer,
 };
-pub use listing::{ListAsk, ListCall, ListNews, ListReply, ListVersion, Listed, SiblingLoad};
+pub use listing::{ListAsk, ListCall, ListNews, ListReply, ListVersion, Listed};
 pub use router::{HolderLife, PlacedClaim, RouterCall, RouterReply, RouterRequest};
 pub use sidecar::{
     EndpointLoad, Frame, Head, OrderResult, Payer, Payment, ProbeAnswer, RunEnd, SidecarCall,
--- a/crates/anvil_wire/src/msg/listing.rs
+++ b/crates/anvil_wire/src/msg/listing.rs
@@ -37,22 +37,9 @@
     pub leaving: bool,
 }
 
-/// How busy a router is.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct SiblingLoad {
-    /// Part of its link in use.
-    pub used: f64,
-    /// It asks for no new clients.
-    pub is_away: bool,
-}
-
-/// A router asks for a list newer than its own, and tells how busy it is.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+/// A router asks for a list newer than its own.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListAsk {
-    /// Who asks.
-    pub from: InstanceId,
-    /// How busy it is.
-    pub load: SiblingLoad,
     /// What the asker holds.
     pub have: ListVersion,
     /// Answer as soon as a list is held that was read at most this long before the question. With zero
@@ -62,8 +49,8 @@
     pub wait: Duration,
 }
 
-/// What a router holds of the list, and how busy its siblings are.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+/// What a router holds of the list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListReply {
     /// Longest time since it was read.
     pub age: Duration,
@@ -71,8 +58,6 @@
     pub held_for: Duration,
     /// What changed.
     pub news: ListNews,
-    /// What the routers that ask this one said of themselves lately, and what it says of itself.
-    pub loads: Vec<SiblingLoad>,
 }
 
 /// How the answering router's list differs from the asker's.
