Logs tell a crashed endpoint from a lost connection, and the same request again

A lost answer's line has a digest of what makes the request the same one (organisation, method, path, query, body); an endpoint that lost an answer is looked at once, and a crash is told with its evidence and the contents lost under it. No decision rests on it yet.

Tests: explained::a_request_under_which_an_endpoint_crashed, a_lost_connection_is_no_crash, anvil_policy's crash.

--- /dev/null
+++ b/crates/anvil_gateway/src/content.rs
@@ -0,0 +1,36 @@
+//! What makes two requests the same one: who sends it, and all of it but its id.
+
+use anvil_world::prelude::*;
+use bytes::Bytes;
+use http::{Method, Uri};
+use sha2::{Digest, Sha256};
+
+use crate::table::Organisation;
+
+/// Bytes of the hash that are kept.
+const KEPT: usize = 16;
+
+/// A number that only equal requests share.
+pub fn digest(
+    organisation: Option<&Organisation>,
+    method: &Method,
+    uri: &Uri,
+    body: &Bytes,
+) -> RequestDigest {
+    let organisation = organisation.map_or("", |organisation| &*organisation.id);
+    let path = uri.path_and_query().map_or("", |path| path.as_str());
+    let mut hash = Sha256::new();
+    for part in [organisation, method.as_str(), path] {
+        hash.update(part);
+        // No part may run into the next one.
+        hash.update([0]);
+    }
+    hash.update(body);
+    let kept = hash.finalize().into_iter().take(KEPT);
+    kept.fold(0, |number, byte| number << 8 | RequestDigest::from(byte))
+}
+
+/// In log lines.
+pub fn text(digest: RequestDigest) -> String {
+    format!("{digest:032x}")
+}
--- a/crates/anvil_gateway/src/directory.rs
+++ b/crates/anvil_gateway/src/directory.rs
@@ -43,6 +43,8 @@
     pub leaving: Vec<InstanceId>,
     /// Endpoints that are not listed any more.
     pub gone: Vec<InstanceId>,
+    /// Of these, those that were not leaving.
+    pub vanished: Vec<InstanceId>,
 }
 
 impl Changes {
@@ -146,7 +148,9 @@
                 .push(endpoint);
         }
         for (id, endpoint) in known {
-            endpoint.leave();
+            if endpoint.leave() {
+                changes.vanished.push(id.clone());
+            }
             endpoint.pool.clear();
             changes.gone.push(id.clone());
         }
--- a/crates/anvil_gateway/src/discovery.rs
+++ b/crates/anvil_gateway/src/discovery.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use anvil_policy::crash::Evidence;
 use anvil_policy::list_turn::{ListAges, Step, next_step};
 use anvil_wire::WireError;
 use anvil_wire::msg::{ListAsk, ListCall, ListReply, Listed};
@@ -182,6 +183,9 @@
     };
     let listed: Vec<Listed> = listing.endpoints().cloned().collect();
     let changes = gw.directory.take(&listed);
+    for endpoint in &changes.vanished {
+        gw.endpoint_crashed(endpoint, Evidence::Unlisted);
+    }
     if !changes.is_empty() {
         gw.news.notify_waiters();
         event!(
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvil_policy::crash::Evidence;
 use anvil_policy::engine::Prompt;
 use anvil_world::prelude::*;
 use anvilreel::event;
@@ -14,6 +15,7 @@
 use crate::arrival;
 use crate::attempt::{ANOTHER_HAS_IT, Answer, Doubt, NotRun, Outgoing, Tried, send};
 use crate::choose::Unplaced;
+use crate::content;
 use crate::dialect::{Ask, Onward};
 use crate::endpoint::Endpoint;
 use crate::gateway::Gateway;
@@ -286,7 +288,7 @@
         own.unwrap_or(self.route.class).min(LOWEST_CLASS)
     }
 
-    fn learn(&self, endpoint: &Endpoint, tried: &Tried, waited: Duration) {
+    fn learn(&mut self, endpoint: &Arc<Endpoint>, tried: &Tried, waited: Duration) {
         let now = self.gw.life.now();
         match tried {
             Tried::Answer(answer) => {
@@ -299,6 +301,7 @@
                     .answered(answer.parts.status.is_server_error());
             }
             Tried::NotRun(NotRun::Refused(ANOTHER_HAS_IT)) => {
+                self.gw.endpoint_crashed(&endpoint.id, Evidence::Replaced);
                 endpoint.leave();
                 self.gw.directory.found_replaced(&self.service);
                 self.gw.list_doubted.notify_one();
@@ -307,10 +310,28 @@
             Tried::NotRun(NotRun::Unreachable(why)) => self.endpoint_failed(endpoint, why),
             // A client that waits for less than an answer takes says nothing of the endpoint.
             Tried::Doubt(Doubt::Silent) if waited < self.route.target => {}
-            Tried::Doubt(doubt) => self.endpoint_failed(endpoint, &format!("{doubt:?}")),
+            Tried::Doubt(doubt) => self.answer_lost(endpoint, &format!("{doubt:?}")),
         }
     }
 
+    /// What makes another request the same one.
+    pub fn content(&self) -> RequestDigest {
+        content::digest(
+            self.organisation.as_deref(),
+            &self.method,
+            &self.uri,
+            &self.body,
+        )
+    }
+
+    /// Notes that an endpoint lost the answer to this request.
+    pub fn answer_lost(&mut self, endpoint: &Arc<Endpoint>, why: &str) {
+        let content = self.content();
+        self.trace.content(content);
+        self.endpoint_failed(endpoint, why);
+        self.gw.lost_at(endpoint, content);
+    }
+
     /// Notes that an endpoint failed this request.
     pub fn endpoint_failed(&self, endpoint: &Endpoint, why: &str) {
         endpoint.failed(self.gw.life.now(), &self.gw.log, why);
@@ -354,7 +375,7 @@
                     .ended(if fine { "completed" } else { "endpoint_failed" });
                 return Reply::from_parts(parts, whole(body.to_bytes()));
             }
-            self.endpoint_failed(&place.endpoint, "no whole answer");
+            self.answer_lost(&place.endpoint, "no whole answer");
             let doubt = if read.is_err() {
                 Doubt::Silent
             } else {
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use anvil_policy::crash::CrashWatch;
 use anvil_policy::engine::EngineRule;
 use anvil_policy::retry::{Repeat, RetryBudget, RetryRule};
 use anvil_world::prelude::*;
@@ -100,6 +101,8 @@
     pub list_doubted: Notify,
     /// Wakes requests that wait for a routing table or for endpoints.
     pub news: Notify,
+    /// Endpoints that lost answers or crashed lately.
+    pub crashes: Mutex<CrashWatch>,
     /// Requests under way.
     pub open: AtomicU32,
     /// In milliseconds of the life: until then this gateway can't pay for what it is asked.
@@ -182,6 +185,7 @@
             read_wanted: Notify::new(),
             list_doubted: Notify::new(),
             news: Notify::new(),
+            crashes: Mutex::default(),
             open: AtomicU32::new(0),
             starved_until: AtomicU64::new(0),
             retries: Mutex::default(),
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -18,6 +18,8 @@
 pub mod arrival;
 pub mod attempt;
 pub mod choose;
+pub mod content;
+pub mod crashes;
 pub mod dialect;
 pub mod directory;
 pub mod discovery;
--- a/crates/anvil_gateway/src/log_events.rs
+++ b/crates/anvil_gateway/src/log_events.rs
@@ -47,4 +47,6 @@
     GATEWAY_LIST_SOURCE = 6022 Info "gateway_list_source";
     /// A sibling did not tell a newer list in time; the next one is asked, or the list is read here.
     GATEWAY_SIBLING_PASSED_OVER = 6023 Warning "gateway_sibling_passed_over";
+    /// An endpoint crashed under requests.
+    GATEWAY_ENDPOINT_CRASHED = 6024 Warning "gateway_endpoint_crashed";
 }
--- a/crates/anvil_gateway/src/relay.rs
+++ b/crates/anvil_gateway/src/relay.rs
@@ -188,7 +188,7 @@
     async fn go_on_elsewhere(&mut self) -> Result<Answer, Cause> {
         if let Some(source) = self.source.take() {
             self.exchange
-                .endpoint_failed(&source.place.endpoint, "its stream broke off");
+                .answer_lost(&source.place.endpoint, "its stream broke off");
             let last = self.last;
             let id = &source.place.endpoint.id;
             self.exchange
--- a/crates/anvil_gateway/src/trace.rs
+++ b/crates/anvil_gateway/src/trace.rs
@@ -5,9 +5,11 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use anvil_world::prelude::*;
 use anvilreel::event;
 use tokio::time::Instant;
 
+use crate::content;
 use crate::gateway::Gateway;
 use crate::log_events as events;
 use crate::metrics;
@@ -24,6 +26,7 @@
     first: Option<Duration>,
     pause: Duration,
     billed: u64,
+    content: Option<RequestDigest>,
     outcome: Option<&'static str>,
 }
 
@@ -45,6 +48,7 @@
             first: None,
             pause: Duration::ZERO,
             billed: 0,
+            content: None,
             outcome: None,
         }
     }
@@ -85,6 +89,11 @@
         self.billed = tokens;
     }
 
+    /// Notes what makes it the same request as another one.
+    pub fn content(&mut self, content: RequestDigest) {
+        self.content = Some(content);
+    }
+
     /// Notes how it ended. The first word counts.
     pub fn ended(&mut self, outcome: &'static str) {
         self.outcome.get_or_insert(outcome);
@@ -120,7 +129,7 @@
                 log, events::GATEWAY_REQUEST_FAILED,
                 "request" => &*self.id, "outcome" => outcome, "route" => self.route.as_deref(),
                 "organisation" => self.organisation.as_deref(), "table" => self.table,
-                "held_ms" => held,
+                "held_ms" => held, "content" => self.content.map(content::text),
                 "first_ms" => first, "pause_ms" => pause, "took_ms" => took, "billed" => self.billed, "steps" => &*self.steps
             );
         }
--- a/crates/anvil_gateway/tests/direct/endpoint.rs
+++ b/crates/anvil_gateway/tests/direct/endpoint.rs
@@ -6,6 +6,7 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 /// A request as it came.
@@ -38,6 +39,8 @@
     Close,
     /// Resets the connection.
     Reset,
+    /// Ends as a process does: all connections are reset, and nobody listens any more.
+    Crash,
     /// Does nothing until the other side closes, and notes when it did.
     Hang,
 }
@@ -51,6 +54,7 @@
     pub addr: SocketAddr,
     received: Arc<Mutex<Vec<Received>>>,
     left: Arc<Mutex<usize>>,
+    crashed: watch::Sender<bool>,
 }
 
 impl Endpoint {
@@ -63,17 +67,36 @@
             addr: listener.local_addr().expect("an address"),
             received: Arc::default(),
             left: Arc::default(),
+            crashed: watch::Sender::new(false),
         };
         let behave: Arc<Behaviour> = Arc::new(behave);
         let own = endpoint.clone();
         tokio::spawn(async move {
-            while let Ok((socket, _)) = listener.accept().await {
-                tokio::spawn(own.clone().serve(socket, behave.clone()));
+            let mut crashed = own.crashed.subscribe();
+            loop {
+                tokio::select! {
+                    accepted = listener.accept() => {
+                        let Ok((socket, _)) = accepted else { return };
+                        tokio::spawn(own.clone().serve_until_crash(socket, behave.clone()));
+                    }
+                    _ = crashed.wait_for(|crashed| *crashed) => return,
+                }
             }
         });
         endpoint
     }
 
+    async fn serve_until_crash(self, mut socket: TcpStream, behave: Arc<Behaviour>) {
+        let mut crashed = self.crashed.subscribe();
+        let has_crashed = tokio::select! {
+            () = self.serve(&mut socket, behave) => false,
+            _ = crashed.wait_for(|crashed| *crashed) => true,
+        };
+        if has_crashed {
+            socket.set_zero_linger().expect("a socket option");
+        }
+    }
+
     /// All requests so far.
     pub fn received(&self) -> Vec<Received> {
         self.received.lock().expect("a list").clone()
@@ -84,9 +107,9 @@
         *self.left.lock().expect("a number")
     }
 
-    async fn serve(self, mut socket: TcpStream, behave: Arc<Behaviour>) {
+    async fn serve(&self, socket: &mut TcpStream, behave: Arc<Behaviour>) {
         let mut buf = Vec::new();
-        while let Some(req) = read_request(&mut socket, &mut buf).await {
+        while let Some(req) = read_request(socket, &mut buf).await {
             let number = {
                 let mut received = self.received.lock().expect("a list");
                 received.push(req.clone());
@@ -105,6 +128,10 @@
                         socket.set_zero_linger().expect("a socket option");
                         return;
                     }
+                    Step::Crash => {
+                        self.crashed.send_replace(true);
+                        std::future::pending::<()>().await;
+                    }
                     Step::Hang => {
                         let mut rest = [0; 64];
                         while matches!(socket.read(&mut rest).await, Ok(n) if n > 0) {}
--- a/crates/anvil_gateway/tests/direct/explained.rs
+++ b/crates/anvil_gateway/tests/direct/explained.rs
@@ -32,9 +32,12 @@
     async fn explain(&self, request: &str) -> Explanation {
         // Lines are gathered for a moment before they are written.
         tokio::time::sleep(Duration::from_millis(300)).await;
+        explain(request, [("gateway-1", &*self.text())].into_iter())
+    }
+
+    fn text(&self) -> String {
         let text = self.0.lock().expect("a buffer").clone();
-        let text = String::from_utf8(text).expect("text");
-        explain(request, [("gateway-1", &*text)].into_iter())
+        String::from_utf8(text).expect("text")
     }
 }
 
@@ -129,6 +132,44 @@
     assert_eq!(told.unreadable, 0);
 }
 
+/// Guards against crashes that can't be told from lost connections, nor their request from its neighbours.
+#[tokio::test]
+async fn a_request_under_which_an_endpoint_crashed() {
+    let crashing = Endpoint::start(|_, _| vec![Step::Crash]).await;
+    let (fleet, written, _) = logged(&[("engine-1", &crashing)]).await;
+    let mut client = Client::connect(fleet.addr).await;
+    assert_eq!(client.ask("/once/x", "crash-1", "").await.status, 502);
+    let told = written.explain("crash-1").await;
+    let line = told.lines.last().expect("the request's line");
+    let content = &line.values["content"];
+    let text = written.text();
+    let crash = text
+        .lines()
+        .find(|line| line.contains("gateway_endpoint_crashed"));
+    let crash = crash.expect("a line on the crash");
+    assert!(crash.contains("engine-1"), "{crash}");
+    assert!(crash.contains("Refused"), "{crash}");
+    assert!(crash.contains(content), "{crash}");
+}
+
+/// Guards against a lost connection that is told as a crash.
+#[tokio::test]
+async fn a_lost_connection_is_no_crash() {
+    let lossy = Endpoint::start(|_, _| vec![Step::Reset]).await;
+    let (fleet, written, _) = logged(&[("desk-1", &lossy)]).await;
+    let mut client = Client::connect(fleet.addr).await;
+    assert_eq!(client.ask("/once/x", "lost-1", "").await.status, 502);
+    let told = written.explain("lost-1").await;
+    assert!(
+        told.lines
+            .last()
+            .expect("a line")
+            .values
+            .contains_key("content")
+    );
+    assert!(!written.text().contains("gateway_endpoint_crashed"));
+}
+
 /// Standard output's reader has stopped. Requests are answered all the same, at once; what can't
 /// be kept is counted.
 #[tokio::test]
@@ -180,7 +221,7 @@
     tokio::time::sleep(Duration::from_millis(300)).await;
     slog::warn!(log, "later"; "request" => "y");
     tokio::time::sleep(Duration::from_millis(300)).await;
-    let text = String::from_utf8(written.0.lock().expect("a buffer").clone()).expect("text");
+    let text = written.text();
     assert!(text.contains("\"failed\"") && text.contains("\"later\""));
     let bytes = text
         .lines()
@@ -208,7 +249,7 @@
     }
     slog::warn!(log, "failed"; "request" => "x");
     tokio::time::sleep(Duration::from_millis(300)).await;
-    let text = String::from_utf8(written.0.lock().expect("a buffer").clone()).expect("text");
+    let text = written.text();
     let fine = text.lines().filter(|line| line.contains("fine")).count();
     assert!((15..=30).contains(&fine), "{fine}");
     assert!(text.contains("\"failed\""));
--- /dev/null
+++ b/crates/anvil_policy/src/crash.rs
@@ -0,0 +1,103 @@
+//! Tells an endpoint that crashed from a connection that was lost, and under which requests it crashed.
+//!
+//! *Answers:* endpoints that crash, one after the other, each with some hundred requests, beside networks that
+//! reset connections and endpoints that lose answers.
+//!
+//! *Without it:* a lost answer says nothing of its cause. A request that makes its endpoint crash looks like its
+//! neighbours, and like one whose connection was reset.
+//!
+//! *How:* requests whose answers were lost are kept for some seconds by endpoint, until there is evidence that
+//! the endpoint's process has ended: nobody listens at its address, another life answers there, or the platform
+//! no longer lists it although it wasn't leaving.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use anvil_world::prelude::*;
+
+/// For how long evidence is waited for after a lost answer, and lost answers after evidence: a crashed endpoint
+/// stays on the platform's list for some seconds.
+const KEPT: Duration = Duration::from_secs(10);
+/// Least time between two looks at one endpoint.
+const BETWEEN_LOOKS: Duration = Duration::from_secs(1);
+/// Requests that are kept for one endpoint: more than it works on at once. Further ones are left out.
+const MOST_REQUESTS: usize = 256;
+
+/// How it showed that an endpoint's process has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Evidence {
+    /// Nobody listens at its address.
+    Refused,
+    /// Another life answers at its address.
+    Replaced,
+    /// It is no longer listed, and wasn't leaving.
+    Unlisted,
+}
+
+/// What a lost answer calls for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lost {
+    /// Look whether the endpoint still listens.
+    Look,
+    /// Nothing; evidence may still come.
+    Wait,
+    /// Its endpoint is known to have crashed.
+    Crashed,
+}
+
+/// Endpoints that lost answers or crashed within the last seconds.
+#[derive(Debug, Default)]
+pub struct CrashWatch {
+    endpoints: BTreeMap<InstanceId, Watched>,
+}
+
+#[derive(Debug)]
+struct Watched {
+    since: Now,
+    looked: Option<Now>,
+    has_crashed: bool,
+    requests: BTreeSet<RequestDigest>,
+}
+
+impl CrashWatch {
+    /// A request's answer was lost at an endpoint.
+    pub fn lost(&mut self, now: Now, endpoint: &InstanceId, request: RequestDigest) -> Lost {
+        self.forget(now);
+        let watched = self.watched(now, endpoint);
+        if watched.has_crashed {
+            return Lost::Crashed;
+        }
+        watched.since = now;
+        if watched.requests.len() < MOST_REQUESTS {
+            watched.requests.insert(request);
+        }
+        if watched.looked.is_some_and(|at| now < at + BETWEEN_LOOKS) {
+            return Lost::Wait;
+        }
+        watched.looked = Some(now);
+        Lost::Look
+    }
+
+    /// An endpoint has crashed. Returns the requests that were lost there, each of them once.
+    pub fn crashed(&mut self, now: Now, endpoint: &InstanceId) -> BTreeSet<RequestDigest> {
+        self.forget(now);
+        let watched = self.watched(now, endpoint);
+        watched.has_crashed = true;
+        std::mem::take(&mut watched.requests)
+    }
+
+    fn watched(&mut self, now: Now, endpoint: &InstanceId) -> &mut Watched {
+        let new = || Watched {
+            since: now,
+            looked: None,
+            has_crashed: false,
+            requests: BTreeSet::new(),
+        };
+        self.endpoints.entry(endpoint.clone()).or_insert_with(new)
+    }
+
+    fn forget(&mut self, now: Now) {
+        self.endpoints
+            .retain(|_, watched| now < watched.since + KEPT);
+    }
+}
--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -45,6 +45,7 @@
 //! * [`grant`]: how much of a budget a router holds.
 //! * [`engine`]: where a prompt goes among engines that nobody stands beside.
 //! * [`copying`]: when such an engine copies what another one has read.
+//! * [`crash`]: under which requests an endpoint crashed.
 //! * [`prefix`]: which endpoints hold which prompt prefixes.
 //! * [`list_turn`]: which router reads the list of endpoints for the others.
 //! * [`subset`] and [`placement`]: which endpoints a router watches, and which models they hold.
@@ -54,6 +55,7 @@
 pub mod admission;
 pub mod choice;
 pub mod copying;
+pub mod crash;
 pub mod deadline;
 pub mod ejection;
 pub mod endpoint;
--- a/crates/anvil_world/src/ids.rs
+++ b/crates/anvil_world/src/ids.rs
@@ -49,5 +49,7 @@
 pub type Offset = u64;
 /// SHA-256 of a request's body.
 pub type BodyHash = [u8; 32];
+/// The beginning of a SHA-256 of all that makes two requests the same one.
+pub type RequestDigest = u128;
 /// Time since the process started, as state machines see it.
 pub type Now = Duration;
