--- a/crates/anvil_gateway/tests/direct/client.rs
+++ b/crates/anvil_gateway/tests/direct/client.rs
@@ -11,7 +11,7 @@
 const PATIENCE: Duration = Duration::from_secs(10);
 
 /// What a client got on one connection.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Got {
     /// Status, 0 when the connection ended without one.
     pub status: u16,
@@ -41,9 +41,22 @@
 impl Client {
     /// Connects.
     pub async fn connect(addr: SocketAddr) -> Self {
-        let socket = TcpStream::connect(addr).await.expect("a connection");
+        Self::try_connect(addr).await.expect("a connection")
+    }
+
+    /// Connects to a process that may not be there.
+    pub async fn try_connect(addr: SocketAddr) -> std::io::Result<Self> {
+        let socket = TcpStream::connect(addr).await?;
         let buf = Vec::new();
-        Self { socket, buf }
+        Ok(Self { socket, buf })
+    }
+
+    /// Sends a request with this body and waits for its answer.
+    pub async fn ask_with(&mut self, path: &str, id: &str, body: &str) -> Got {
+        let headers = format!("content-length: {}\r\n", body.len());
+        self.send(path, id, &headers).await;
+        self.socket.write_all(body.as_bytes()).await.expect("sent");
+        self.answer().await
     }
 
     /// Sends a request with these headers beside its id.
--- a/crates/anvil_gateway/tests/direct/main.rs
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod client;
+mod crashing;
 mod dialect;
 mod endpoint;
 mod explained;
