A request under which three endpoints crashed is kept from the others

What callers saw: engines crashed about once a second for fifteen seconds at a time, each with five to ten streams of others. A request crashed each engine that began to run it, and its callers came again at one router after the other.

Cause: each attempt was new to each router. A crash was remembered of the endpoint, which is gone anyhow, and never of the request; no router knew of another's crashes, and one that started anew knew of none. Ruled out: our own second tries (none in the lines), crashes for another reason (none happens in the test).

Change: a router that loses an answer finds out whether the endpoint crashed (nobody listens, another life answers, or it left the list without leaving), and reports the crash to the ledger with a digest of each request that was lost under it. The ledger counts endpoints by request; from the third on the request is held: every router refuses it at once, with the time until it is let through again, and sends none on. It is told with the routing table, so a router that starts anew knows before it serves. An endpoint's answer clears a request, and one given a moment before speaks for equal requests that were under way as a zone lost power. Without the ledger a router counts its own crashes.

Why it works: what is counted is the request, by all routers together, in the state that survives them. Lost connections don't count, as the endpoint still listens.

Guards: lost answers without a crash, and a lookup that is answered all the time while endpoints crash under it, are not held.

--- a/crates/anvil_daemons/examples/slopes/messages.rs
+++ b/crates/anvil_daemons/examples/slopes/messages.rs
@@ -126,6 +126,7 @@
         tree: (0..teams).map(entry).collect(),
         members,
         fenced: BTreeMap::new(),
+        suspects: BTreeMap::new(),
     }))
 }
 
@@ -144,6 +145,7 @@
         tree: tree.map(|(path, entry)| (path, Some(entry))).collect(),
         members: Vec::new(),
         fenced: Vec::new(),
+        suspects: Vec::new(),
     }))
 }
 
--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::arrival;
+use crate::content;
 use crate::dialect::Ask;
 use crate::exchange::{Exchange, Refused, SOON};
 use crate::gateway::Gateway;
@@ -109,6 +110,10 @@
     }
     let deadline = begun + ask.patience.min(route.timeout);
     let body = read_body(body, table.limits.body_bytes, deadline).await?;
+    let content = || content::digest(organisation.as_deref(), &head.method, &head.uri, &body);
+    if let Some(left) = gw.suspects.held(content) {
+        return Err((Cause::CrashesEndpoints, left));
+    }
     let service = gw.draw_service(&route).ok_or((Cause::NoEndpoint, SOON))?;
     let engine = table.services.get(&service).and_then(|s| s.engine);
     let per_event = engine.map_or(1, |engine| engine.tokens_per_event.max(1));
--- a/crates/anvil_gateway/src/crashes.rs
+++ b/crates/anvil_gateway/src/crashes.rs
@@ -14,6 +14,7 @@
 use crate::endpoint::Endpoint;
 use crate::gateway::Gateway;
 use crate::log_events as events;
+use crate::metrics;
 use crate::pool::ConnectError;
 
 /// Pause before the look: a process that ends closes its sockets one after the other.
@@ -35,32 +36,42 @@
             Lost::Look => {
                 tokio::spawn(look(self.clone(), endpoint.clone()));
             }
-            Lost::Crashed => self.crashed_under(&endpoint.id, [content].into_iter(), None),
+            Lost::Crashed => self.crashed_under(&endpoint.id, vec![content], None),
         }
     }
 
+    /// An endpoint has answered a request to the end.
+    pub fn answered(&self, content: RequestDigest) {
+        self.crash_watch().answered(self.life.now(), content);
+        self.suspects.answered(content);
+    }
+
     /// There is evidence that an endpoint's process has ended though it wasn't leaving.
     pub fn endpoint_crashed(&self, endpoint: &InstanceId, evidence: Evidence) {
         let contents = self.crash_watch().crashed(self.life.now(), endpoint);
-        self.crashed_under(endpoint, contents.into_iter(), Some(evidence));
+        self.crashed_under(endpoint, contents.into_iter().collect(), Some(evidence));
     }
 
     fn crashed_under(
         &self,
         endpoint: &InstanceId,
-        contents: impl ExactSizeIterator<Item = RequestDigest>,
+        contents: Vec<RequestDigest>,
         evidence: Option<Evidence>,
     ) {
-        let count = contents.len();
-        if count == 0 {
+        if contents.is_empty() {
             return;
         }
-        let named: Vec<_> = contents.take(MOST_NAMED).map(content::text).collect();
+        self.metrics.count(metrics::CRASHES);
+        let named = contents.iter().take(MOST_NAMED);
+        let named: Vec<_> = named.map(|content| content::text(*content)).collect();
         event!(
             self.log, events::GATEWAY_ENDPOINT_CRASHED, "endpoint" => &**endpoint,
-            "evidence" => evidence.map(|evidence| format!("{evidence:?}")), "requests" => count,
-            "contents" => named.join(" ")
+            "evidence" => evidence.map(|evidence| format!("{evidence:?}")),
+            "requests" => contents.len(), "contents" => named.join(" ")
         );
+        if self.suspects.crashed(endpoint, contents) {
+            self.metrics.count(metrics::CRASHES_UNTOLD);
+        }
     }
 
     fn crash_watch(&self) -> MutexGuard<'_, CrashWatch> {
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -217,6 +217,14 @@
     }
 
     async fn one_try(&mut self, after: Option<u64>) -> Result<Tried, Refused> {
+        if let Some(left) = self.gw.suspects.held(|| self.content()) {
+            let cause = if self.in_doubt {
+                Cause::Lost
+            } else {
+                Cause::CrashesEndpoints
+            };
+            return Err((cause, left));
+        }
         let prompt = Prompt { parts: &self.parts };
         let within = self.left().mul_f64(SENT_WITHIN);
         let chosen = self
@@ -324,6 +332,11 @@
         )
     }
 
+    /// An endpoint has answered this request to the end.
+    pub fn answered(&self) {
+        self.gw.answered(self.content());
+    }
+
     /// Notes that an endpoint lost the answer to this request.
     pub fn answer_lost(&mut self, endpoint: &Arc<Endpoint>, why: &str) {
         let content = self.content();
@@ -369,6 +382,7 @@
             if let Ok(Ok(body)) = read {
                 Answer::put_back(sender, line, &place.endpoint, &head);
                 strip(&mut parts.headers);
+                self.answered();
                 self.trace.first_piece();
                 let fine = parts.status.is_success();
                 self.trace
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -26,6 +26,7 @@
 use crate::log_events;
 use crate::metrics::TRIES_DENIED;
 use crate::siblings::Siblings;
+use crate::suspects::Suspects;
 use crate::table::RouteTable;
 
 /// What a gateway is told at its start.
@@ -103,6 +104,8 @@
     pub news: Notify,
     /// Endpoints that lost answers or crashed lately.
     pub crashes: Mutex<CrashWatch>,
+    /// Requests under which endpoints crashed.
+    pub suspects: Suspects,
     /// Requests under way.
     pub open: AtomicU32,
     /// In milliseconds of the life: until then this gateway can't pay for what it is asked.
@@ -186,6 +189,7 @@
             list_doubted: Notify::new(),
             news: Notify::new(),
             crashes: Mutex::default(),
+            suspects: Suspects::default(),
             open: AtomicU32::new(0),
             starved_until: AtomicU64::new(0),
             retries: Mutex::default(),
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -10,6 +10,9 @@
 //! [`arrival`] waits for what is about to come, [`relay`] passes a stream on and has it continued
 //! elsewhere, [`reply`] says no.
 //!
+//! Which requests are kept from endpoints because these crash under them: [`crashes`] finds out what crashed,
+//! [`suspects`] tells the ledger and hears of all others, [`content`] says which requests are the same.
+//!
 //! What the gateway believes, and from whom: the routing table and the number of gateways
 //! ([`follow`], from the ledger), grants ([`money_loop`], from the ledger), the endpoints
 //! ([`discovery`], from the platform's list by [`list_reader`], or from [`siblings`] that read it), their load ([`endpoint`], from their answers).
@@ -41,6 +44,7 @@
 pub mod run;
 pub mod serve;
 pub mod siblings;
+pub mod suspects;
 pub mod table;
 pub mod trace;
 pub mod tries;
--- a/crates/anvil_gateway/src/log_events.rs
+++ b/crates/anvil_gateway/src/log_events.rs
@@ -49,4 +49,8 @@
     GATEWAY_SIBLING_PASSED_OVER = 6023 Warning "gateway_sibling_passed_over";
     /// An endpoint crashed under requests.
     GATEWAY_ENDPOINT_CRASHED = 6024 Warning "gateway_endpoint_crashed";
+    /// A request is kept from endpoints from now on, because they crash under it.
+    GATEWAY_REQUEST_HELD = 6025 Warning "gateway_request_held";
+    /// A request under which endpoints crashed may go to them again: one has answered it, or the time is over.
+    GATEWAY_REQUEST_CLEARED = 6026 Info "gateway_request_cleared";
 }
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -34,6 +34,12 @@
 pub const TRIES_DENIED: &str = "tries.denied";
 /// Tries that told the endpoint to copy a prompt's beginning from another one. Count.
 pub const TRIES_COPIED: &str = "tries.copied";
+/// Endpoints that crashed under requests. Count.
+pub const CRASHES: &str = "endpoints.crashed";
+/// Of these, those of which the ledger was not told, for too many waited. Count.
+pub const CRASHES_UNTOLD: &str = "endpoints.crashed_untold";
+/// Requests that are kept from endpoints, because these crash under them. Gauge.
+pub const HELD: &str = "requests.held";
 /// Streams that another endpoint went on with. Count.
 pub const RESUMED: &str = "streams.resumed";
 /// Times that the platform's list was read here. Count.
@@ -71,6 +77,9 @@
     (TRIES_IN_DOUBT, "count"),
     (TRIES_DENIED, "count"),
     (TRIES_COPIED, "count"),
+    (CRASHES, "count"),
+    (CRASHES_UNTOLD, "count"),
+    (HELD, "gauge"),
     (RESUMED, "count"),
     (LIST_READ, "count"),
     (LIST_TOLD, "count"),
@@ -99,6 +108,7 @@
             (GATEWAYS, u64::from(self.gateways.load(Ordering::Relaxed))),
             (ENDPOINTS, open),
             (ENDPOINTS_SHUT, shut),
+            (HELD, self.suspects.count_held()),
             (CONFIRMED_AGE, age(self.confirmed.load(Ordering::Relaxed))),
             (LIST_AGE, list_age),
             (LOG_DROPPED, self.dropped.count()),
--- a/crates/anvil_gateway/src/relay.rs
+++ b/crates/anvil_gateway/src/relay.rs
@@ -217,6 +217,7 @@
         let Some(source) = self.source.take() else {
             return;
         };
+        self.exchange.answered();
         let endpoint = source.place.endpoint.clone();
         Answer::put_back(source.sender, source.line, &endpoint, &source.head);
     }
--- a/crates/anvil_gateway/src/reply.rs
+++ b/crates/anvil_gateway/src/reply.rs
@@ -48,6 +48,8 @@
     NoEndpoint,
     /// All endpoints are too busy to answer in time.
     Overloaded,
+    /// Endpoints crashed under the same request.
+    CrashesEndpoints,
     /// Endpoints refused it or could not be reached.
     Refused,
     /// It may have run, and its answer is lost.
@@ -58,7 +60,7 @@
 
 impl Cause {
     /// Each one.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::BadHead,
         Self::UnknownKey,
         Self::NoRoute,
@@ -71,6 +73,7 @@
         Self::Leaving,
         Self::NoEndpoint,
         Self::Overloaded,
+        Self::CrashesEndpoints,
         Self::Refused,
         Self::Lost,
         Self::Late,
@@ -91,6 +94,7 @@
             | Self::Leaving
             | Self::NoEndpoint
             | Self::Overloaded
+            | Self::CrashesEndpoints
             | Self::Refused => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
@@ -112,6 +116,7 @@
             Self::Leaving => "leaving",
             Self::NoEndpoint => "no_endpoint",
             Self::Overloaded => "overloaded",
+            Self::CrashesEndpoints => "crashes_endpoints",
             Self::Refused => "refused_by_endpoints",
             Self::Lost => "answer_lost",
             Self::Late => "no_answer_in_time",
--- a/crates/anvil_gateway/tests/direct/crashing.rs
+++ b/crates/anvil_gateway/tests/direct/crashing.rs
@@ -24,7 +24,7 @@
 use crate::client::{Client, Got};
 use crate::dialect::DIALECT;
 use crate::endpoint::{Endpoint, Received, Step, answer};
-use crate::fleet::{listed, routes, settings, table};
+use crate::fleet::{Fleet, listed, routes, settings, table};
 
 /// Gateways that callers are spread over.
 const GATEWAYS: u8 = 3;
@@ -338,3 +338,71 @@
     let strays = strays(&endpoints);
     assert!(strays <= STRAYS, "{strays} more endpoints crashed");
 }
+
+/// Guards against a request that is held because its answers are lost, though no endpoint crashes.
+#[tokio::test]
+async fn a_request_whose_answers_are_lost_is_not_held() {
+    let lossy = Endpoint::start(|number, req| match number {
+        0..12 => vec![Step::Reset],
+        _ => vec![Step::Send(answer(req, "ran"))],
+    })
+    .await;
+    let fleet = Fleet::start(&[("a", &lossy)]).await;
+    for _ in 0..12 {
+        let mut client = Client::connect(fleet.addr).await;
+        assert_eq!(client.ask("/once/x", "id", "").await.status, 502);
+        sleep(Duration::from_millis(30)).await;
+    }
+    let mut client = Client::connect(fleet.addr).await;
+    assert_eq!(client.ask("/once/x", "id", "").await.status, 200);
+}
+
+/// Guards against a lookup that all callers share being held, because many were under way as a zone lost power.
+#[tokio::test]
+async fn a_request_that_is_answered_all_the_time_is_not_held() {
+    let behave = |number, req: &Received| match number {
+        0 => vec![Step::Send(answer(req, "ran"))],
+        _ => vec![Step::Crash],
+    };
+    let mut lost = Vec::new();
+    for _ in 0..4 {
+        lost.push(Endpoint::start(behave).await);
+    }
+    let well = Endpoint::start(|_, req| vec![Step::Send(answer(req, "ran"))]).await;
+    let fleet = Fleet::start(&[("well", &well)]).await;
+    for (number, endpoint) in lost.iter().enumerate() {
+        let id = format!("lost-{number}");
+        fleet.gw.directory.take(&[listed(&id, endpoint.addr)]);
+        for status in [200, 502] {
+            let mut client = Client::connect(fleet.addr).await;
+            assert_eq!(client.ask("/once/x", "id", "").await.status, status);
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    fleet.gw.directory.take(&[listed("well", well.addr)]);
+    let mut client = Client::connect(fleet.addr).await;
+    assert_eq!(client.ask("/once/x", "id", "").await.status, 200);
+}
+
+/// Guards against a request that is sent on by a gateway which is cut off from the ledger.
+#[tokio::test]
+async fn a_gateway_by_itself_holds_a_request_under_which_three_endpoints_crashed() {
+    let mut crashing = Vec::new();
+    for _ in 0..5 {
+        crashing.push(Endpoint::start(|_, _| vec![Step::Crash]).await);
+    }
+    let names = ["a", "b", "c", "d", "e"];
+    let listed: Vec<_> = names.into_iter().zip(&crashing).collect();
+    let fleet = Fleet::start(&listed).await;
+    for _ in 0..CRASHES {
+        let mut client = Client::connect(fleet.addr).await;
+        assert_eq!(client.ask("/once/x", "id", "").await.status, 502);
+        sleep(Duration::from_millis(50)).await;
+    }
+    let mut client = Client::connect(fleet.addr).await;
+    let got = client.ask("/once/x", "id", "").await;
+    assert_eq!(got.status, 503);
+    assert!(got.retry_after() > Some(Duration::from_mins(1)), "{got:?}");
+    let received = crashing.iter().map(|endpoint| endpoint.received().len());
+    assert_eq!(received.sum::<usize>(), CRASHES);
+}
--- a/crates/anvil_ledger/src/machine.rs
+++ b/crates/anvil_ledger/src/machine.rs
@@ -1,4 +1,5 @@
-//! What a replica makes of the committed entries: the state, and the lives of sidecars.
+//! What a replica makes of the committed entries: the state, the lives of sidecars, and the requests under
+//! which endpoints crashed.
 
 use anvil_world::command::Join;
 use anvil_world::prelude::*;
@@ -9,7 +10,8 @@
 
 use crate::core::{Entry, Payload};
 use crate::lives::Lives;
-use crate::state::{InvariantError, State};
+use crate::state::{InvariantError, State, Touched};
+use crate::suspects::Suspects;
 
 /// A state machine that can't go on. The replica stops.
 #[derive(Debug, Snafu)]
@@ -41,14 +43,28 @@
     pub state: State,
     /// Sidecar lives that were lost.
     pub lives: Lives,
+    /// Requests under which endpoints crashed.
+    pub suspects: Suspects,
 }
 
 impl Machine {
     /// Reads a snapshot.
     pub fn restore(data: &[u8]) -> Result<Self, MachineError> {
         let decoded = bincode::serde::decode_from_slice(data, standard());
-        let (machine, _) = decoded.context(DecodeSnafu)?;
-        Ok(machine)
+        let ((state, lives), read) = decoded.context(DecodeSnafu)?;
+        // A snapshot of an earlier build ends here.
+        let suspects = match data.get(read..) {
+            Some(rest) if !rest.is_empty() => {
+                let decoded = bincode::serde::decode_from_slice(rest, standard());
+                decoded.context(DecodeSnafu)?.0
+            }
+            _ => Suspects::default(),
+        };
+        Ok(Self {
+            state,
+            lives,
+            suspects,
+        })
     }
 
     /// Writes a snapshot.
@@ -67,6 +83,7 @@
         let answer = self.state.apply(entry.id.index, entry.id.term, &command);
         self.state.holds().context(InvariantSnafu)?;
         self.follow_lives(&command, before.as_ref(), &answer);
+        self.follow_suspects(entry.id.index, &command);
         Ok(answer)
     }
 
@@ -79,6 +96,17 @@
         self.state.members().get(id).cloned()
     }
 
+    fn follow_suspects(&mut self, index: LogIndex, command: &Command) {
+        let changed = match command {
+            Command::ReportCrash(report) => self.suspects.report(report),
+            Command::ClearSuspects(clear) => self.suspects.clear(clear),
+            _ => return,
+        };
+        for request in changed {
+            self.state.touch(index, Touched::Suspect(request));
+        }
+    }
+
     fn follow_lives(&mut self, command: &Command, before: Option<&Member>, answer: &Answer) {
         match (command, answer) {
             (_, Answer::Denied(_)) => {}
--- a/crates/anvil_ledger/src/state.rs
+++ b/crates/anvil_ledger/src/state.rs
@@ -62,7 +62,8 @@
         self.check_order(index);
         self.applied = index;
         let result = match command {
-            Command::Noop => Ok(Answer::Done),
+            // The last two are kept beside the state; see `machine`.
+            Command::Noop | Command::ReportCrash(_) | Command::ClearSuspects(_) => Ok(Answer::Done),
             Command::Change(change) => self.change(index, change),
             Command::TopUp(top_up) => self.top_up(top_up),
             Command::WriteOff(write_off) => self.write_off(write_off),
@@ -83,6 +84,11 @@
         result.unwrap_or_else(Answer::Denied)
     }
 
+    /// Something that is kept beside the state and that followers hold has changed at this index.
+    pub fn touch(&mut self, index: LogIndex, touched: Touched) {
+        self.spread.touch(index, touched);
+    }
+
     /// The last index applied, 0 for none.
     pub fn applied(&self) -> LogIndex {
         self.applied
--- a/crates/anvil_ledger/src/state/spread.rs
+++ b/crates/anvil_ledger/src/state/spread.rs
@@ -18,6 +18,8 @@
     Member(InstanceId),
     /// A fenced router.
     Fence(InstanceId),
+    /// A request under which endpoints crashed.
+    Suspect(RequestDigest),
 }
 
 /// The newest changes by version.
--- /dev/null
+++ b/crates/anvil_ledger/tests/suspects.rs
@@ -0,0 +1,116 @@
+//! Requests under which endpoints crash, as the ledger gathers them from all routers.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use anvil_ledger::core::{Entry, EntryId, Payload};
+use anvil_ledger::lives::Lives;
+use anvil_ledger::machine::{Machine, encode};
+use anvil_ledger::state::{State, Touched};
+use anvil_ledger::suspects::Suspects;
+use anvil_world::command::{ClearSuspects, ReportCrash};
+use anvil_world::prelude::*;
+use anvil_world::suspect::HELD_FOR;
+use bincode::config::standard;
+
+fn at(second: u64) -> SystemTime {
+    UNIX_EPOCH + Duration::from_secs(1_700_000_000 + second)
+}
+
+fn crash(endpoint: &str, requests: &[RequestDigest], second: u64) -> ReportCrash {
+    ReportCrash {
+        endpoint: endpoint.into(),
+        requests: requests.to_vec(),
+        at: at(second),
+    }
+}
+
+fn is_held(suspects: &Suspects, request: RequestDigest) -> bool {
+    suspects.get(request).is_some_and(Suspect::is_held)
+}
+
+/// Guards against a request that is held for one crash, because all routers tell of it.
+#[test]
+fn one_crash_counts_once_whoever_tells_of_it() {
+    let mut suspects = Suspects::default();
+    for second in 0..5 {
+        assert!(suspects.report(&crash("a", &[1], second)).is_empty());
+    }
+    assert_eq!(suspects.get(1), None);
+    assert_eq!(suspects.report(&crash("b", &[1], 5)), BTreeSet::from([1]));
+    assert!(!is_held(&suspects, 1));
+    suspects.report(&crash("c", &[1, 2], 6));
+    assert!(is_held(&suspects, 1) && !is_held(&suspects, 2));
+}
+
+/// Guards against a request that stays held though it was answered, and against one that is held for ever.
+#[test]
+fn a_request_is_cleared_by_an_answer_and_by_time() {
+    let mut suspects = Suspects::default();
+    for endpoint in ["a", "b", "c"] {
+        suspects.report(&crash(endpoint, &[1, 2], 0));
+    }
+    let clear = ClearSuspects {
+        requests: vec![1, 9],
+    };
+    assert_eq!(suspects.clear(&clear), BTreeSet::from([1]));
+    assert!(!is_held(&suspects, 1) && is_held(&suspects, 2));
+    let over = HELD_FOR.as_secs();
+    suspects.report(&crash("d", &[3], over - 1));
+    assert!(is_held(&suspects, 2));
+    let told = suspects.report(&crash("e", &[3], over));
+    assert_eq!(told, BTreeSet::from([2, 3]));
+    assert!(!is_held(&suspects, 2));
+}
+
+/// Guards against a flood of crashes that drives out what is known of a request that crashes endpoints.
+#[test]
+fn a_lost_zone_neither_grows_the_memory_nor_frees_a_held_request() {
+    let mut suspects = Suspects::default();
+    for endpoint in ["a", "b", "c"] {
+        suspects.report(&crash(endpoint, &[0], 0));
+    }
+    for endpoint in 0..1_000u32 {
+        let first = 1 + u128::from(endpoint) * 100;
+        let requests: Vec<_> = (first..first + 100).collect();
+        suspects.report(&crash(&format!("lost-{endpoint}"), &requests, 1));
+    }
+    assert!(is_held(&suspects, 0));
+    let bytes = bincode::serde::encode_to_vec(&suspects, standard()).expect("bytes");
+    assert!(bytes.len() < 1 << 20, "{} bytes", bytes.len());
+}
+
+fn entry(index: LogIndex, command: &Command) -> Entry {
+    Entry {
+        id: EntryId { term: 1, index },
+        payload: Payload::Data(encode(command).expect("bytes")),
+    }
+}
+
+/// Guards against what is known of a request being lost with a restart, or not told to followers.
+#[test]
+fn a_snapshot_keeps_suspects_and_followers_are_told() {
+    let mut machine = Machine::default();
+    for (index, endpoint) in (1..).zip(["a", "b", "c"]) {
+        let command = Command::ReportCrash(crash(endpoint, &[7], 0));
+        machine.apply(&entry(index, &command)).expect("applied");
+    }
+    assert_eq!(
+        machine.state.touched_since(2),
+        Some(BTreeSet::from([Touched::Suspect(7)]))
+    );
+    let restored = Machine::restore(&machine.save().expect("bytes")).expect("a machine");
+    assert_eq!(restored, machine);
+    assert!(is_held(&restored.suspects, 7));
+}
+
+/// Guards against a replica that can't start on the snapshot of an earlier build.
+#[test]
+fn a_snapshot_without_suspects_is_read() {
+    let before = (State::default(), Lives::default());
+    let bytes = bincode::serde::encode_to_vec(before, standard()).expect("bytes");
+    assert_eq!(
+        Machine::restore(&bytes).expect("a machine"),
+        Machine::default()
+    );
+}
--- a/crates/anvil_policy/src/crash.rs
+++ b/crates/anvil_policy/src/crash.rs
@@ -8,9 +8,11 @@
 //!
 //! *How:* requests whose answers were lost are kept for some seconds by endpoint, until there is evidence that
 //! the endpoint's process has ended: nobody listens at its address, another life answers there, or the platform
-//! no longer lists it although it wasn't leaving.
+//! no longer lists it although it wasn't leaving. A request that an endpoint has answered a moment before is
+//! not what others crash from: where a whole zone loses power, equal requests of many callers were under way at
+//! several endpoints.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use anvil_world::prelude::*;
@@ -23,6 +25,11 @@
 /// Requests that are kept for one endpoint: more than it works on at once. Further ones are left out.
 const MOST_REQUESTS: usize = 256;
 
+/// For how long an answer speaks for equal requests. Later ones may meet other software.
+const ANSWER_HOLDS: Duration = Duration::from_secs(10);
+/// Answers that are remembered.
+const MOST_ANSWERS: usize = 4_096;
+
 /// How it showed that an endpoint's process has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Evidence {
@@ -49,6 +56,9 @@
 #[derive(Debug, Default)]
 pub struct CrashWatch {
     endpoints: BTreeMap<InstanceId, Watched>,
+    answered: BTreeMap<RequestDigest, Now>,
+    /// The same, the oldest first; a request that was answered again stands in it again.
+    answers: VecDeque<(Now, RequestDigest)>,
 }
 
 #[derive(Debug)]
@@ -63,6 +73,9 @@
     /// A request's answer was lost at an endpoint.
     pub fn lost(&mut self, now: Now, endpoint: &InstanceId, request: RequestDigest) -> Lost {
         self.forget(now);
+        if self.answered.contains_key(&request) {
+            return Lost::Wait;
+        }
         let watched = self.watched(now, endpoint);
         if watched.has_crashed {
             return Lost::Crashed;
@@ -83,7 +96,28 @@
         self.forget(now);
         let watched = self.watched(now, endpoint);
         watched.has_crashed = true;
-        std::mem::take(&mut watched.requests)
+        let mut requests = std::mem::take(&mut watched.requests);
+        requests.retain(|request| !self.answered.contains_key(request));
+        requests
+    }
+
+    /// An endpoint has answered a request.
+    pub fn answered(&mut self, now: Now, request: RequestDigest) {
+        self.answered.insert(request, now);
+        self.answers.push_back((now, request));
+        self.forget_answers(now);
+    }
+
+    fn forget_answers(&mut self, now: Now) {
+        let is_over = |at: Now| now >= at + ANSWER_HOLDS;
+        while let Some((at, request)) = self.answers.front().copied()
+            && (is_over(at) || self.answers.len() > MOST_ANSWERS)
+        {
+            self.answers.pop_front();
+            if self.answered.get(&request) == Some(&at) {
+                self.answered.remove(&request);
+            }
+        }
     }
 
     fn watched(&mut self, now: Now, endpoint: &InstanceId) -> &mut Watched {
@@ -97,6 +131,7 @@
     }
 
     fn forget(&mut self, now: Now) {
+        self.forget_answers(now);
         self.endpoints
             .retain(|_, watched| now < watched.since + KEPT);
     }
--- a/crates/anvil_policy/tests/crash.rs
+++ b/crates/anvil_policy/tests/crash.rs
@@ -40,3 +40,35 @@
     let looks = (0..10_000u64).filter(|ms| watch.lost(at(*ms), &a, (*ms).into()) == Lost::Look);
     assert_eq!(looks.count(), 10);
 }
+
+/// Guards against a lookup that is blamed, though it is answered all the time, where a zone loses power.
+#[test]
+fn a_request_that_was_answered_a_moment_before_is_not_blamed() {
+    let mut watch = CrashWatch::default();
+    let a: InstanceId = "a".into();
+    watch.answered(at(0), 1);
+    watch.lost(at(10), &a, 1);
+    watch.lost(at(10), &a, 2);
+    watch.answered(at(20), 2);
+    watch.lost(at(30), &a, 3);
+    assert_eq!(watch.crashed(at(40), &a), BTreeSet::from([3]));
+    assert_eq!(watch.lost(at(50), &a, 1), Lost::Wait);
+    assert_eq!(
+        watch.lost(at(10_000), &a, 1),
+        Lost::Crashed,
+        "the answer is old"
+    );
+}
+
+/// Guards against a memory that grows with the requests that are answered.
+#[test]
+fn answers_are_remembered_within_bounds() {
+    let mut watch = CrashWatch::default();
+    let a: InstanceId = "a".into();
+    for request in 0..10_000 {
+        watch.answered(at(0), request);
+    }
+    watch.lost(at(1), &a, 9_999);
+    watch.lost(at(1), &a, 0);
+    assert_eq!(watch.crashed(at(2), &a), BTreeSet::from([0]));
+}
--- a/crates/anvil_wire/src/msg/ledger.rs
+++ b/crates/anvil_wire/src/msg/ledger.rs
@@ -43,7 +43,7 @@
 /// Which part of the state a follower needs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Interest {
-    /// The whole settings tree, the members and the fenced routers.
+    /// The whole settings tree, the members, the fenced routers and the suspected requests.
     Router,
     /// The fleet's document, the follower's own presence and the fenced routers.
     Sidecar,
@@ -120,6 +120,8 @@
         members: BTreeMap<InstanceId, Member>,
         /// Routers whose grants are refused, with the newest fenced life.
         fenced: BTreeMap<InstanceId, Incarnation>,
+        /// Requests under which endpoints crashed.
+        suspects: BTreeMap<RequestDigest, Suspect>,
     },
     /// What changed since the last event; `None` for what went away.
     Delta {
@@ -131,6 +133,8 @@
         members: Vec<(InstanceId, Option<Member>)>,
         /// Newly fenced routers.
         fenced: Vec<(InstanceId, Incarnation)>,
+        /// Requests under which endpoints crashed.
+        suspects: Vec<(RequestDigest, Option<Suspect>)>,
     },
     /// Nothing changed; the replica confirms that this version is the newest it knows of and
     /// that it heard from the leader lately.
--- a/crates/anvil_world/src/command.rs
+++ b/crates/anvil_world/src/command.rs
@@ -6,6 +6,7 @@
 mod answer;
 mod change;
 mod claim;
+mod crash;
 mod fencing;
 mod grants;
 mod membership;
@@ -18,6 +19,7 @@
     AuditEntry, Change, ChangeReceipt, Edit, TopUp, WriteOff, change_id, change_made_at,
 };
 pub use claim::{Claim, ClaimRecord, ClaimState, SettleClaim};
+pub use crash::{ClearSuspects, ReportCrash};
 pub use fencing::{FenceNumber, Order, OrderKind};
 pub use grants::{FenceRouter, GrantAsk, GrantBatch, GrantBatchAnswer, GrantRefusal, GrantReport};
 pub use membership::{Drain, Join, SetPresence};
@@ -61,4 +63,8 @@
     Order(Order),
     /// A routing table takes the place of the one before, if its number is higher.
     ReplaceRouting(ReplaceRouting),
+    /// An endpoint crashed under requests.
+    ReportCrash(ReportCrash),
+    /// Requests under which endpoints crashed have been answered by others.
+    ClearSuspects(ClearSuspects),
 }
--- a/crates/anvil_world/src/lib.rs
+++ b/crates/anvil_world/src/lib.rs
@@ -18,6 +18,7 @@
 //! * [`zone`], [`instance`], [`link`]: machines and where they stand.
 //! * [`contract`]: budgets, prices, grants and how a cost is split.
 //! * [`outcome`]: what a caller is told, and why.
+//! * [`suspect`]: requests under which endpoints crashed.
 //! * [`path`], [`document`] and [`tree`]: the settings tree.
 //! * [`command`]: what the replicated log holds.
 //! * [`settings`]: the TOML file of each process.
@@ -33,6 +34,7 @@
 pub mod path;
 pub mod prelude;
 pub mod settings;
+pub mod suspect;
 pub mod tree;
 pub mod zone;
 
--- a/crates/anvil_world/src/prelude.rs
+++ b/crates/anvil_world/src/prelude.rs
@@ -10,5 +10,6 @@
 pub use crate::outcome::{Doubt, Malformed, Outcome, Reason, Refusal, RequestKey};
 pub use crate::path::TreePath;
 pub use crate::settings::SettingsError;
+pub use crate::suspect::Suspect;
 pub use crate::tree::TreeEntry;
 pub use crate::zone::Zone;
--- a/crates/anvilreel/src/held.rs
+++ b/crates/anvilreel/src/held.rs
@@ -5,7 +5,7 @@
 use anvil_wire::msg::FollowEvent;
 use anvil_world::prelude::*;
 
-/// Tree, members and fences at one version.
+/// Tree, members, fences and suspected requests at one version.
 #[derive(Debug, Clone, Default)]
 pub struct Held {
     /// Log position it stands for; 0 before the first event.
@@ -16,6 +16,8 @@
     pub members: BTreeMap<InstanceId, Member>,
     /// Routers whose grants are refused, with the newest fenced life.
     pub fenced: BTreeMap<InstanceId, Incarnation>,
+    /// Requests under which endpoints crashed.
+    pub suspects: BTreeMap<RequestDigest, Suspect>,
 }
 
 impl Held {
@@ -31,6 +33,7 @@
                 tree,
                 members,
                 fenced,
+                suspects,
             } => {
                 if version <= self.version {
                     return false;
@@ -40,6 +43,7 @@
                     tree,
                     members,
                     fenced,
+                    suspects,
                 };
                 true
             }
@@ -48,6 +52,7 @@
                 tree,
                 members,
                 fenced,
+                suspects,
             } => {
                 if version <= self.version {
                     return false;
@@ -56,6 +61,7 @@
                 merge(&mut self.tree, tree);
                 merge(&mut self.members, members);
                 self.fenced.extend(fenced);
+                merge(&mut self.suspects, suspects);
                 true
             }
             FollowEvent::Current { .. } => false,
--- a/crates/anvilreel/src/ledger_service/check.rs
+++ b/crates/anvilreel/src/ledger_service/check.rs
@@ -27,6 +27,7 @@
         Command::Claim(claim) => &mut claim.at,
         Command::Drain(drain) => &mut drain.at,
         Command::ReplaceRouting(replace) => &mut replace.at,
+        Command::ReportCrash(report) => &mut report.at,
         Command::Noop
         | Command::GrantBatch(_)
         | Command::FenceRouter(_)
@@ -34,7 +35,8 @@
         | Command::SettleClaim(_)
         | Command::Join(_)
         | Command::SetPresence(_)
-        | Command::Order(_) => return,
+        | Command::Order(_)
+        | Command::ClearSuspects(_) => return,
     };
     *at = now;
 }
--- a/crates/anvilreel/src/ledger_service/follow.rs
+++ b/crates/anvilreel/src/ledger_service/follow.rs
@@ -2,7 +2,8 @@
 
 use std::collections::BTreeSet;
 
-use anvil_ledger::state::{State, Touched};
+use anvil_ledger::machine::Machine;
+use anvil_ledger::state::Touched;
 use anvil_wire::msg::{FollowEvent, Interest};
 use anvil_world::prelude::*;
 
@@ -24,18 +25,22 @@
     /// Failure: a follower moves to a replica that lags, is sent the older tree, and an accepted
     /// change is taken back before its eyes. A lagging replica says nothing until it has caught
     /// up.
-    pub fn catch_up(&self, state: &State) -> Option<FollowEvent> {
+    pub fn catch_up(&self, machine: &Machine) -> Option<FollowEvent> {
+        let state = &machine.state;
         if state.version() <= self.version {
             return None;
         }
         let known = (self.version > 0).then(|| state.touched_since(self.version));
         Some(match known.flatten() {
-            Some(touched) => self.delta(state, &touched),
-            None => self.full(state),
+            Some(touched) => self.delta(machine, &touched),
+            None => self.full(machine),
         })
     }
 
-    fn full(&self, state: &State) -> FollowEvent {
+    fn full(&self, machine: &Machine) -> FollowEvent {
+        let state = &machine.state;
+        let suspects = machine.suspects.told();
+        let suspects = suspects.filter(|_| self.needs_suspects());
         let tree = state.tree().iter();
         let members = state.members().iter();
         FollowEvent::Full {
@@ -49,10 +54,13 @@
                 .map(|(id, member)| (id.clone(), member.clone()))
                 .collect(),
             fenced: state.fenced().clone(),
+            suspects: suspects.map(|(request, s)| (request, s.clone())).collect(),
         }
     }
 
-    fn delta(&self, state: &State, touched: &BTreeSet<Touched>) -> FollowEvent {
+    fn delta(&self, machine: &Machine, touched: &BTreeSet<Touched>) -> FollowEvent {
+        let state = &machine.state;
+        let mut suspects = Vec::new();
         let mut tree = Vec::new();
         let mut members = Vec::new();
         let mut fenced = Vec::new();
@@ -68,7 +76,10 @@
                     let upto = state.fenced().get(id);
                     fenced.extend(upto.map(|upto| (id.clone(), *upto)));
                 }
-                Touched::Document(_) | Touched::Member(_) => {}
+                Touched::Suspect(request) if self.needs_suspects() => {
+                    suspects.push((*request, machine.suspects.get(*request).cloned()));
+                }
+                Touched::Document(_) | Touched::Member(_) | Touched::Suspect(_) => {}
             }
         }
         FollowEvent::Delta {
@@ -76,9 +87,14 @@
             tree,
             members,
             fenced,
+            suspects,
         }
     }
 
+    fn needs_suspects(&self) -> bool {
+        self.interest == Interest::Router
+    }
+
     fn needs_document(&self, path: &TreePath) -> bool {
         match self.interest {
             Interest::Router => true,
--- a/crates/anvilreel/src/ledger_service/node.rs
+++ b/crates/anvilreel/src/ledger_service/node.rs
@@ -242,7 +242,7 @@
             Input::Heartbeat(heartbeat, reply) => self.hear(&heartbeat, reply),
             Input::CatchUp(follower, reply) => {
                 // Fails only where the follower is gone; so do the answers below.
-                let _ = reply.send(follower.catch_up(&self.machine.state));
+                let _ = reply.send(follower.catch_up(&self.machine));
             }
             Input::Hello(reply) => {
                 let _ = reply.send(self.hello());
--- a/crates/anvilreel/tests/ledger_spread.rs
+++ b/crates/anvilreel/tests/ledger_spread.rs
@@ -7,9 +7,11 @@
 use anvil_ledger::machine::{Machine, encode};
 use anvil_wire::msg::{Evidence, FollowEvent, Heartbeat, Interest, KeyCharge};
 use anvil_world::command::{
-    Change, Edit, FenceRouter, GrantAsk, GrantBatch, Join, SetPresence, TopUp, change_id,
+    Change, ClearSuspects, Edit, FenceRouter, GrantAsk, GrantBatch, Join, ReportCrash, SetPresence,
+    TopUp, change_id,
 };
 use anvil_world::prelude::*;
+use anvilreel::held::Held;
 use anvilreel::ledger_service::follow::Follower;
 use anvilreel::ledger_service::testimony::{Findings, Testimony};
 
@@ -213,11 +215,11 @@
     let mut ledger = Ledger::default();
     ledger.put("organisations/coop", 0, "weight = 1\n")?;
     let ahead = follower(Interest::Router, 2);
-    assert_eq!(ahead.catch_up(&ledger.machine.state), None);
+    assert_eq!(ahead.catch_up(&ledger.machine), None);
     ledger.put("organisations/union", 0, "weight = 1\n")?;
-    assert_eq!(ahead.catch_up(&ledger.machine.state), None);
+    assert_eq!(ahead.catch_up(&ledger.machine), None);
     ledger.put("fleet", 0, "")?;
-    let event = ahead.catch_up(&ledger.machine.state);
+    let event = ahead.catch_up(&ledger.machine);
     let Some(FollowEvent::Delta {
         version: 3, tree, ..
     }) = event
@@ -234,7 +236,7 @@
 fn a_sidecar_is_sent_only_what_it_needs() -> Result<(), Failure> {
     let (mut ledger, _) = Ledger::with_fenced_grant()?;
     ledger.put("fleet", 0, "")?;
-    let event = follower(Interest::Sidecar, 0).catch_up(&ledger.machine.state);
+    let event = follower(Interest::Sidecar, 0).catch_up(&ledger.machine);
     let Some(FollowEvent::Full {
         tree,
         members,
@@ -250,3 +252,30 @@
     assert_eq!(fenced.get("router-1"), Some(&1));
     Ok(())
 }
+
+/// Guards against routers that are not told which requests crash endpoints, or that go on holding one.
+#[test]
+fn routers_are_told_of_suspected_requests() -> Result<(), Failure> {
+    let mut ledger = Ledger::default();
+    for endpoint in ["a", "b"] {
+        ledger.apply(&Command::ReportCrash(ReportCrash {
+            endpoint: endpoint.into(),
+            requests: vec![7],
+            at: SystemTime::now(),
+        }))?;
+    }
+    let mut held = Held::default();
+    let sidecar = follower(Interest::Sidecar, 0).catch_up(&ledger.machine);
+    held.apply(sidecar.ok_or("an event")?);
+    assert!(held.suspects.is_empty());
+    let mut held = Held::default();
+    let full = follower(Interest::Router, 0).catch_up(&ledger.machine);
+    held.apply(full.ok_or("an event")?);
+    assert_eq!(held.suspects[&7].endpoints.len(), 2);
+    let requests = vec![7];
+    ledger.apply(&Command::ClearSuspects(ClearSuspects { requests }))?;
+    let delta = follower(Interest::Router, held.version).catch_up(&ledger.machine);
+    held.apply(delta.ok_or("an event")?);
+    assert!(held.suspects.is_empty());
+    Ok(())
+}
