Logs tell what an endpoint names as its limit

The adapter decodes it, and a line says when it is first heard, changes and ends. No decision rests on it yet. The tests' ledger and gateways have a file of their own, for the tests to come.

--- a/crates/anvil_gateway/src/attempt.rs
+++ b/crates/anvil_gateway/src/attempt.rs
@@ -10,8 +10,9 @@
 use hyper::client::conn::http1::SendRequest;
 use tokio::time::{Instant, timeout_at};
 
-use crate::dialect::{AnswerHead, Dialect};
+use crate::dialect::AnswerHead;
 use crate::endpoint::{Endpoint, Place};
+use crate::gateway::Gateway;
 use crate::line::Line;
 use crate::pool::Connection;
 
@@ -97,7 +98,7 @@
 }
 
 /// Sends one request to the endpoint at whose place it is, and waits for the answer's head.
-pub async fn send(dialect: &Dialect, place: Place, out: Outgoing<'_>) -> Tried {
+pub async fn send(gw: &Gateway, place: Place, out: Outgoing<'_>) -> Tried {
     let endpoint = place.endpoint.clone();
     let mut fresh = false;
     loop {
@@ -136,12 +137,13 @@
         };
         connection.line.answered();
         let (parts, body) = answer.into_parts();
-        let head = (dialect.answer)(parts.status, &parts.headers);
+        let head = (gw.cfg.dialect.answer)(parts.status, &parts.headers);
         // Failure: an endpoint sends a second answer, late, where the next request's answer is
         // due. Only the id tells them apart; taken for the answer, it reaches another caller.
         if head.id.as_deref().is_some_and(|id| id != out.id) {
             return Tried::Doubt(Doubt::Misfit);
         }
+        endpoint.names_limit(head.rate_limit, &gw.log);
         if head.not_run {
             let status = parts.status.as_u16();
             finish(connection, &endpoint, &head, body).await;
--- a/crates/anvil_gateway/src/endpoint.rs
+++ b/crates/anvil_gateway/src/endpoint.rs
@@ -30,6 +30,7 @@
     pub pool: Pool,
     leaving: AtomicBool,
     load: Mutex<EndpointLoad>,
+    rate_limit: Mutex<Option<f64>>,
 }
 
 impl Endpoint {
@@ -44,6 +45,7 @@
             pool: Pool::new(listed.addr),
             leaving: AtomicBool::new(listed.leaving),
             load: Mutex::default(),
+            rate_limit: Mutex::default(),
         }
     }
 
@@ -64,6 +66,23 @@
         self.load.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Takes in how many requests a second it takes from all routers together; `None` where it doesn't say.
+    pub fn names_limit(&self, limit: Option<f64>, log: &Logger) {
+        // A panic elsewhere leaves a number.
+        let mut known = self
+            .rate_limit
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if *known == limit {
+            return;
+        }
+        *known = limit;
+        event!(
+            log, events::GATEWAY_ENDPOINT_LIMIT,
+            "endpoint" => &*self.id, "per_second" => limit
+        );
+    }
+
     /// It failed a request: it is passed over for a while.
     pub fn failed(&self, now: Now, log: &Logger, why: &str) {
         let mut load = self.load();
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -270,7 +270,7 @@
             spend.begun();
         }
         let sent_at = Instant::now();
-        let tried = send(&self.gw.cfg.dialect, chosen.place, out).await;
+        let tried = send(&self.gw, chosen.place, out).await;
         self.waits_on = None;
         self.tries.note(endpoint.id.clone(), &tried);
         if let (Tried::NotRun(_), Some(spend), false) = (&tried, &mut self.spend, counted_before) {
--- a/crates/anvil_gateway/tests/direct/dialect.rs
+++ b/crates/anvil_gateway/tests/direct/dialect.rs
@@ -80,6 +80,7 @@
         }),
         keeps: None,
         encoded: headers.contains_key("content-encoding"),
+        rate_limit: text(headers, "x-limit").and_then(|limit| limit.parse().ok()),
     }
 }
 
--- a/crates/anvil_gateway/tests/direct/endpoint.rs
+++ b/crates/anvil_gateway/tests/direct/endpoint.rs
@@ -168,9 +168,14 @@
 
 /// The endpoint's whole answer to a request, with its signature.
 pub fn answer(req: &Received, body: &str) -> Vec<u8> {
+    answer_with(req, "", body)
+}
+
+/// The same with further lines in its head.
+pub fn answer_with(req: &Received, lines: &str, body: &str) -> Vec<u8> {
     let id = req.header("x-id").unwrap_or_default();
     let length = body.len();
-    format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\ncontent-length: {length}\r\n\r\n{body}")
+    format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\n{lines}content-length: {length}\r\n\r\n{body}")
         .into_bytes()
 }
 
--- a/crates/anvil_gateway/tests/direct/explained.rs
+++ b/crates/anvil_gateway/tests/direct/explained.rs
@@ -10,7 +10,7 @@
 use anvilreel::operator::{Explanation, explain};
 
 use crate::client::Client;
-use crate::endpoint::{Endpoint, Step, chunk, event, stream_head};
+use crate::endpoint::{Endpoint, Step, answer, answer_with, chunk, event, stream_head};
 use crate::fleet::Fleet;
 
 /// What was written so far.
@@ -170,6 +170,33 @@
     assert!(!written.text().contains("gateway_endpoint_crashed"));
 }
 
+/// Guards against an endpoint's limit that can't be found in the logs, nor its end.
+#[tokio::test]
+async fn an_endpoint_that_names_a_limit() {
+    let endpoint = Endpoint::start(|number, req| {
+        let limit = ["", "x-limit: 2.5\r\n", "x-limit: 2.5\r\n", ""][number];
+        vec![Step::Send(answer_with(req, limit, "ran"))]
+    })
+    .await;
+    let (fleet, written, _) = logged(&[("engine-1", &endpoint)]).await;
+    let mut client = Client::connect(fleet.addr).await;
+    for number in 0..4 {
+        let got = client.ask("/once/x", &format!("id-{number}"), "").await;
+        assert_eq!(got.status, 200);
+    }
+    written.explain("id-3").await;
+    let text = written.text();
+    let lines = text
+        .lines()
+        .filter(|line| line.contains("gateway_endpoint_limit"));
+    let lines: Vec<_> = lines.collect();
+    assert_eq!(lines.len(), 2, "{lines:?}");
+    assert!(
+        lines[0].contains("2.5") && !lines[1].contains("2.5"),
+        "{lines:?}"
+    );
+}
+
 /// Standard output's reader has stopped. Requests are answered all the same, at once; what can't
 /// be kept is counted.
 #[tokio::test]
@@ -184,8 +211,7 @@
             Ok(())
         }
     }
-    let good =
-        Endpoint::start(|_, req| vec![Step::Send(crate::endpoint::answer(req, "ran"))]).await;
+    let good = Endpoint::start(|_, req| vec![Step::Send(answer(req, "ran"))]).await;
     let limits = LogLimits {
         bytes_per_second: 1_000_000,
         lines_per_second: 10_000,
--- a/crates/anvil_gateway/tests/direct/main.rs
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -10,6 +10,7 @@
 mod gone;
 mod leaving;
 mod money;
+mod processes;
 mod siblings;
 mod starting;
 mod streams;
--- /dev/null
+++ b/crates/anvil_gateway/tests/direct/processes.rs
@@ -0,0 +1,222 @@
+//! A ledger and gateways as processes are, each at an address of its own.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvil_gateway::dialect::{Dialect, ListPage, ListSource};
+use anvil_gateway::{Gateway, GatewaySettings, run};
+use anvil_world::command::ReplaceRouting;
+use anvil_world::prelude::*;
+use anvil_world::settings::{LedgerSettings, Peer};
+use anvilreel::ledger_client::LedgerClient;
+use anvilreel::ledger_service::{self, LedgerHandle, Tuning};
+use anvilreel::logs::silent;
+use anvilreel::metrics::Metrics;
+use bytes::Bytes;
+use tempfile::TempDir;
+use tokio::runtime::Runtime;
+use tokio::sync::oneshot;
+use tokio::task::spawn_blocking;
+use tokio::time::{sleep, timeout};
+
+use crate::client::{Client, Got};
+use crate::dialect::DIALECT;
+use crate::endpoint::{Endpoint, Step};
+use crate::fleet::{listed, routes, settings, table};
+
+/// Gateways that callers are spread over.
+pub const GATEWAYS: u8 = 3;
+/// Longest wait for anything.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+async fn listing(text: impl Fn() -> String + Send + Sync + 'static) -> ListSource {
+    let list = Endpoint::start(move |_, _| {
+        let body = text();
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+        vec![Step::Send((head + &body).into_bytes())]
+    })
+    .await;
+    ListSource {
+        addr: list.addr,
+        path: "/".into(),
+        lag: Duration::from_millis(300),
+        calls_per_second: 50.0,
+        page,
+    }
+}
+
+fn page(bytes: &Bytes) -> Result<ListPage, String> {
+    let text = String::from_utf8_lossy(bytes);
+    let entry = |line: &str| {
+        let (id, addr) = line.split_once(' ')?;
+        Some(listed(id, addr.parse().ok()?))
+    };
+    let listed = text.lines().map(entry).collect::<Option<Vec<_>>>();
+    Ok(ListPage {
+        listed: listed.ok_or("a line that names no endpoint")?,
+        ..ListPage::default()
+    })
+}
+
+/// A gateway in a runtime of its own, which ends with all it has started.
+struct Running {
+    runtime: Option<Runtime>,
+}
+
+impl Running {
+    fn start(gw: Gateway) -> Self {
+        let runtime = Runtime::new().expect("threads");
+        runtime.spawn(async move {
+            let never = std::future::pending();
+            run(Arc::new(gw), never)
+                .await
+                .expect("a gateway that listens");
+        });
+        Self {
+            runtime: Some(runtime),
+        }
+    }
+
+    /// Ends it without a planned stop.
+    async fn kill(mut self) {
+        let runtime = self.runtime.take().expect("it runs");
+        let ending = spawn_blocking(|| runtime.shutdown_timeout(PATIENCE));
+        ending.await.expect("ended");
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+/// A ledger and its gateways, each at an address of its own.
+pub struct Processes {
+    net: u8,
+    data: TempDir,
+    list: ListSource,
+    ledger: Option<(oneshot::Sender<()>, LedgerHandle)>,
+    gateways: Vec<Running>,
+}
+
+impl Processes {
+    /// Starts them before the endpoints that `list` names, one a line: id and address.
+    pub async fn start(list: impl Fn() -> String + Send + Sync + 'static) -> Self {
+        let mut processes = Self {
+            net: rand::random_range(1..=250),
+            data: tempfile::tempdir().expect("a folder"),
+            list: listing(list).await,
+            ledger: None,
+            gateways: Vec::new(),
+        };
+        processes.begin().await;
+        processes.put_routes().await;
+        processes.serve().await;
+        processes
+    }
+
+    fn ip(&self, number: u8) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.net, 11, number)
+    }
+
+    fn ledger_addr(&self) -> SocketAddr {
+        (self.ip(200), 17_340).into()
+    }
+
+    fn front(&self, gateway: u8) -> SocketAddr {
+        (self.ip(gateway), 18_227).into()
+    }
+
+    /// Starts all processes, on whatever the ledger's disk holds.
+    async fn begin(&mut self) {
+        let addr = self.ledger_addr();
+        let id = InstanceId::from("ledger-1");
+        let cfg = LedgerSettings {
+            id: id.clone(),
+            zone: Zone::default(),
+            wire_listen: addr,
+            bind: None,
+            data: self.data.path().to_owned(),
+            founders: vec![Peer { id, addr }],
+            join: false,
+            log_json: false,
+            statsd: None,
+        };
+        let (stop, stopped) = oneshot::channel();
+        let stopped = async { drop(stopped.await) };
+        let ledger = ledger_service::start(cfg, Tuning::default(), silent(), stopped).await;
+        self.ledger = Some((stop, ledger.expect("a ledger")));
+        for number in 0..GATEWAYS {
+            let gateway = self.gateway(number);
+            self.gateways.push(gateway);
+        }
+    }
+
+    fn gateway(&self, number: u8) -> Running {
+        let cfg = GatewaySettings {
+            id: format!("gateway-{number}").into(),
+            listen: self.front(number),
+            ready_listen: (self.ip(number), 18_220).into(),
+            siblings: (self.ip(number), 17_342).into(),
+            ledger: vec![self.ledger_addr()],
+            list: self.list.clone(),
+            dialect: Dialect {
+                table: |_| Ok(table(1, routes())),
+                ..DIALECT
+            },
+            ..settings()
+        };
+        Running::start(Gateway::new(cfg, silent(), Metrics::silent("gateway")))
+    }
+
+    async fn put_routes(&self) {
+        let ledger = LedgerClient::new(&[self.ledger_addr()]);
+        let routing = Command::ReplaceRouting(ReplaceRouting {
+            operator: "wanjiru".into(),
+            version: 1,
+            text: "routes".into(),
+            credits: BTreeMap::new(),
+            at: std::time::UNIX_EPOCH,
+        });
+        ledger.propose(routing, PATIENCE).await.expect("taken");
+    }
+
+    /// Waits until each gateway serves.
+    async fn serve(&self) {
+        for number in 0..GATEWAYS {
+            let served = async {
+                while self.ask(number, "/once/x", "fine").await.status != 200 {
+                    sleep(Duration::from_millis(50)).await;
+                }
+            };
+            timeout(PATIENCE, served).await.expect("a gateway serves");
+        }
+    }
+
+    /// All processes lose power and begin again.
+    pub async fn lose_power(&mut self) {
+        for gateway in self.gateways.drain(..) {
+            gateway.kill().await;
+        }
+        if let Some((stop, ledger)) = self.ledger.take() {
+            let _ = stop.send(());
+            ledger.stopped().await;
+        }
+        self.begin().await;
+        self.serve().await;
+    }
+
+    /// Asks a gateway once; status 0 where nobody answers.
+    pub async fn ask(&self, gateway: u8, path: &str, body: &str) -> Got {
+        let id = format!("id-{:x}", rand::random::<u64>());
+        let Ok(mut client) = Client::try_connect(self.front(gateway)).await else {
+            return Got::default();
+        };
+        client.ask_with(path, &id, body).await
+    }
+}
