--- a/crates/anvil_gateway/tests/direct/main.rs
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod gone;
 mod leaving;
+mod limits;
 mod money;
 mod processes;
 mod siblings;
