An endpoint that names a limit gets it from all routers together

What callers saw: two engines in need took one request a second each, said so, and went on getting some three; thirteen and twelve within four seconds from routers that had passed their word on.

Cause: no router read what an endpoint names. Evidence: their share of the load is unchanged before and after; one router alone sent three within a second; the word stood nowhere in the code. Ruled out: each router taking the whole limit, and requests sent before they knew (nothing falls off later).

Change: each router keeps to its part, by the number of routers and its rank among them, as the ledger tells, without a word between them. Large parts are token buckets. Where a part is less than a request in two seconds, ready tokens would add up over the routers in a burst; so the time of day is cut into slots that each belong to some routers. Where all endpoints of a service are at their limits, requests are refused at once, with the time to the router's next turn.

Why it works: in any four seconds at most half as much again as the limit, and two, are sent (five are borne), whatever the number of routers.

--- a/crates/anvil_gateway/src/attempt.rs
+++ b/crates/anvil_gateway/src/attempt.rs
@@ -143,7 +143,7 @@
         if head.id.as_deref().is_some_and(|id| id != out.id) {
             return Tried::Doubt(Doubt::Misfit);
         }
-        endpoint.names_limit(head.rate_limit, &gw.log);
+        endpoint.names_limit(gw.life.now(), head.rate_limit, &gw.log);
         if head.not_run {
             let status = parts.status.as_u16();
             finish(connection, &endpoint, &head, body).await;
--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -2,10 +2,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use anvil_policy::copying::{self, Copying, Lacking};
 use anvil_policy::engine::{Prompt, home_rank};
+use anvil_policy::rate_share::Moment;
 use anvil_world::prelude::*;
 
 use crate::endpoint::{Endpoint, Place};
@@ -33,6 +34,8 @@
     Nobody,
     /// The best one would answer too late: after this time.
     TooLate(Duration),
+    /// All of them take fewer requests than come; the first one takes another after this time.
+    AtLimit(Duration),
 }
 
 /// Expected time that one more request waits at a plain endpoint with no place left.
@@ -60,7 +63,8 @@
     /// Chooses among the endpoints of a service that have not been tried.
     ///
     /// Endpoints that failed lately are passed over while others are there. When all have failed,
-    /// they are tried all the same: a request that is turned away is surely not answered.
+    /// they are tried all the same: a request that is turned away is surely not answered. Those that
+    /// named a limit get no more than this gateway's part of it.
     pub fn choose(
         &self,
         service: &str,
@@ -73,13 +77,7 @@
         let home = home_of(prompt, &open);
         let weighed = |endpoint| self.weigh(now, prompt, home, endpoint);
         let all: Vec<Weighed<'_>> = open.iter().map(weighed).collect();
-        let sound = all.iter().filter(|weighed| !weighed.shut);
-        let best = sound.min_by_key(|weighed| weighed.expected);
-        let best = best.or_else(|| all.iter().min_by_key(|weighed| weighed.expected));
-        let best = best.ok_or(Unplaced::Nobody)?;
-        if best.expected > within {
-            return Err(Unplaced::TooLate(best.expected));
-        }
+        let best = self.take_best(now, &all, within)?;
         let source = self.source(service, prompt, best, &all);
         let missing = source
             .as_ref()
@@ -95,6 +93,40 @@
         })
     }
 
+    /// The best of these that takes a request now; the request is counted there.
+    fn take_best<'a>(
+        &self,
+        now: Now,
+        all: &'a [Weighed<'a>],
+        within: Duration,
+    ) -> Result<&'a Weighed<'a>, Unplaced> {
+        // A time of day before the epoch makes slots of it all the same.
+        let time_of_day = SystemTime::now().duration_since(UNIX_EPOCH);
+        let at = Moment {
+            now,
+            time_of_day: time_of_day.unwrap_or_default(),
+        };
+        let turn = self.turn();
+        let waits = all
+            .iter()
+            .map(|weighed| weighed.endpoint.opens_in(at, turn));
+        let waits: Vec<_> = waits.collect();
+        let taking = all.iter().zip(&waits).filter(|(_, wait)| wait.is_zero());
+        let mut taking: Vec<_> = taking.map(|(weighed, _)| weighed).collect();
+        taking.sort_by_key(|weighed| (weighed.shut, weighed.expected));
+        for best in taking {
+            if best.expected > within {
+                return Err(Unplaced::TooLate(best.expected));
+            }
+            // Another request may have been first.
+            if best.endpoint.takes_one(at, turn) {
+                return Ok(best);
+            }
+        }
+        let first = waits.into_iter().min();
+        Err(first.map_or(Unplaced::Nobody, Unplaced::AtLimit))
+    }
+
     /// The engine from which the chosen one copies, where that is much faster than reading.
     fn source(
         &self,
--- a/crates/anvil_gateway/src/endpoint.rs
+++ b/crates/anvil_gateway/src/endpoint.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use anvil_policy::engine::{EndpointLoad, EngineRule, Prompt};
+use anvil_policy::rate_share::{Moment, RateShare, Turn};
 use anvil_wire::msg::Listed;
 use anvil_world::prelude::*;
 use anvilreel::event;
@@ -30,7 +32,7 @@
     pub pool: Pool,
     leaving: AtomicBool,
     load: Mutex<EndpointLoad>,
-    rate_limit: Mutex<Option<f64>>,
+    rate_share: Mutex<RateShare>,
 }
 
 impl Endpoint {
@@ -45,7 +47,7 @@
             pool: Pool::new(listed.addr),
             leaving: AtomicBool::new(listed.leaving),
             load: Mutex::default(),
-            rate_limit: Mutex::default(),
+            rate_share: Mutex::default(),
         }
     }
 
@@ -67,20 +69,30 @@
     }
 
     /// Takes in how many requests a second it takes from all routers together; `None` where it doesn't say.
-    pub fn names_limit(&self, limit: Option<f64>, log: &Logger) {
-        // A panic elsewhere leaves a number.
-        let mut known = self
-            .rate_limit
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        if *known == limit {
-            return;
+    pub fn names_limit(&self, now: Now, limit: Option<f64>, log: &Logger) {
+        if self.rate_share().named(limit, now) {
+            event!(
+                log, events::GATEWAY_ENDPOINT_LIMIT,
+                "endpoint" => &*self.id, "per_second" => limit
+            );
         }
-        *known = limit;
-        event!(
-            log, events::GATEWAY_ENDPOINT_LIMIT,
-            "endpoint" => &*self.id, "per_second" => limit
-        );
+    }
+
+    /// Time until it may be sent a request; nothing when it may be now.
+    pub fn opens_in(&self, at: Moment, turn: Turn) -> Duration {
+        self.rate_share().opens_in(at, turn)
+    }
+
+    /// Counts a request that is about to be sent; false where it may not be.
+    pub fn takes_one(&self, at: Moment, turn: Turn) -> bool {
+        self.rate_share().send(at, turn)
+    }
+
+    fn rate_share(&self) -> MutexGuard<'_, RateShare> {
+        // A panic elsewhere leaves numbers and times, each of them valid.
+        self.rate_share
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// It failed a request: it is passed over for a while.
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -361,6 +361,7 @@
                 let over = expected.saturating_sub(self.left().mul_f64(SENT_WITHIN));
                 (Cause::Overloaded, over.clamp(OVERLOAD.0, OVERLOAD.1))
             }
+            Unplaced::AtLimit(wait) => (Cause::Overloaded, wait.clamp(OVERLOAD.0, OVERLOAD.1)),
         }
     }
 
--- a/crates/anvil_gateway/src/follow.rs
+++ b/crates/anvil_gateway/src/follow.rs
@@ -1,5 +1,6 @@
 //! Keeps the routing table current, and what is known of the other processes.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -111,7 +112,13 @@
 
 fn count_gateways(gw: &Gateway, held: &Held) {
     let alive = members::alive(held, Role::Router);
-    let count = u32::try_from(alive.count()).unwrap_or(u32::MAX).max(1);
+    let mut ids: BTreeSet<_> = alive.map(|router| &router.id).collect();
+    // The ledger may not have heard of it yet.
+    ids.insert(&gw.cfg.id);
+    let rank = ids.iter().position(|id| **id == gw.cfg.id).unwrap_or(0);
+    let rank = u32::try_from(rank).unwrap_or(u32::MAX);
+    gw.rank.store(rank, Ordering::Relaxed);
+    let count = u32::try_from(ids.len()).unwrap_or(u32::MAX);
     if gw.gateways.swap(count, Ordering::Relaxed) != count {
         event!(gw.log, events::GATEWAY_PEERS_CHANGED, "gateways" => count);
     }
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -8,6 +8,7 @@
 
 use anvil_policy::crash::CrashWatch;
 use anvil_policy::engine::EngineRule;
+use anvil_policy::rate_share::Turn;
 use anvil_policy::retry::{Repeat, RetryBudget, RetryRule};
 use anvil_world::prelude::*;
 use anvilreel::event;
@@ -90,6 +91,8 @@
     pub rule: EngineRule,
     /// Gateways that are alive, as the ledger knows them; this one among them.
     pub gateways: AtomicU32,
+    /// The place of this one among them.
+    pub rank: AtomicU32,
     /// When the ledger last said that what is held here is current, in milliseconds of the life.
     pub confirmed: AtomicU64,
     /// The platform's list.
@@ -182,6 +185,7 @@
             metrics,
             rule: EngineRule::default(),
             gateways: AtomicU32::new(GATEWAYS_UNTIL_TOLD),
+            rank: AtomicU32::new(rand::random_range(0..GATEWAYS_UNTIL_TOLD)),
             confirmed: AtomicU64::new(0),
             listings: Listings::default(),
             siblings: Siblings::of(cfg.id.clone(), cfg.siblings),
@@ -237,6 +241,14 @@
         u64::try_from(self.life.now().as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// This gateway among those that share what an endpoint takes.
+    pub(crate) fn turn(&self) -> Turn {
+        Turn {
+            rank: self.rank.load(Ordering::Relaxed),
+            routers: self.gateways.load(Ordering::Relaxed),
+        }
+    }
+
     /// Takes other seeds, as the settings name them now.
     pub fn set_seeds(&self, seeds: &[SocketAddr]) {
         self.seeds.store(Arc::new(seeds.to_vec()));
--- a/crates/anvil_gateway/tests/direct/explained.rs
+++ b/crates/anvil_gateway/tests/direct/explained.rs
@@ -2,6 +2,7 @@
 //! docs/OPERATIONS.md shows it. Without one of the lines on that way these tests fail.
 
 use std::io::Write;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -179,8 +180,10 @@
     })
     .await;
     let (fleet, written, _) = logged(&[("engine-1", &endpoint)]).await;
+    fleet.gw.gateways.store(1, Ordering::Relaxed);
     let mut client = Client::connect(fleet.addr).await;
     for number in 0..4 {
+        tokio::time::sleep(Duration::from_millis(450)).await;
         let got = client.ask("/once/x", &format!("id-{number}"), "").await;
         assert_eq!(got.status, 200);
     }
--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -46,6 +46,7 @@
 //! * [`engine`]: where a prompt goes among engines that nobody stands beside.
 //! * [`copying`]: when such an engine copies what another one has read.
 //! * [`crash`]: under which requests an endpoint crashed.
+//! * [`rate_share`]: how many requests a router sends to an endpoint that named a limit for all of them.
 //! * [`prefix`]: which endpoints hold which prompt prefixes.
 //! * [`list_turn`]: which router reads the list of endpoints for the others.
 //! * [`subset`] and [`placement`]: which endpoints a router watches, and which models they hold.
@@ -69,6 +70,7 @@
 pub mod placement;
 pub mod prefix;
 pub mod prelude;
+pub mod rate_share;
 pub mod retry;
 pub mod subset;
 pub mod waiting;
