What is counted against a request rests on its own run

A request that is answered at any router within ten seconds before or after it is told of is cleared by that router for all. The host is a part of what makes requests the same. A refused request's line names the endpoints, who told of them and since when.

--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -110,9 +110,11 @@
     }
     let deadline = begun + ask.patience.min(route.timeout);
     let body = read_body(body, table.limits.body_bytes, deadline).await?;
-    let content = || content::digest(organisation.as_deref(), &head.method, &head.uri, &body);
-    if let Some(left) = gw.suspects.held(content) {
-        return Err((Cause::CrashesEndpoints, left));
+    let payer = organisation.as_deref();
+    let content = || content::digest(payer, &route, &head.method, &head.uri, &body);
+    if let Some(held) = gw.suspects.held(content) {
+        trace.step(format_args!("held: {held}"));
+        return Err((Cause::CrashesEndpoints, held.left));
     }
     let service = gw.draw_service(&route).ok_or((Cause::NoEndpoint, SOON))?;
     let engine = table.services.get(&service).and_then(|s| s.engine);
--- a/crates/anvil_gateway/src/content.rs
+++ b/crates/anvil_gateway/src/content.rs
@@ -5,14 +5,15 @@
 use http::{Method, Uri};
 use sha2::{Digest, Sha256};
 
-use crate::table::Organisation;
+use crate::table::{Organisation, Route};
 
 /// Bytes of the hash that are kept.
 const KEPT: usize = 16;
 
-/// A number that only equal requests share.
+/// A number that only equal requests share: of one organisation, on one host, with one method, path, query and body.
 pub fn digest(
     organisation: Option<&Organisation>,
+    route: &Route,
     method: &Method,
     uri: &Uri,
     body: &Bytes,
@@ -20,7 +21,7 @@
     let organisation = organisation.map_or("", |organisation| &*organisation.id);
     let path = uri.path_and_query().map_or("", |path| path.as_str());
     let mut hash = Sha256::new();
-    for part in [organisation, method.as_str(), path] {
+    for part in [organisation, &*route.host, method.as_str(), path] {
         hash.update(part);
         // No part may run into the next one.
         hash.update([0]);
--- a/crates/anvil_gateway/src/crashes.rs
+++ b/crates/anvil_gateway/src/crashes.rs
@@ -1,12 +1,14 @@
 //! Finds out whether an endpoint that lost answers has crashed. What that rests on is decided in
 //! [`anvil_policy::crash`].
 
+use std::collections::BTreeMap;
 use std::io::ErrorKind;
 use std::sync::{Arc, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use anvil_policy::crash::{CrashWatch, Evidence, Lost};
 use anvil_world::prelude::*;
+use anvil_world::suspect::CrashedRun;
 use anvilreel::event;
 use tokio::time::sleep;
 
@@ -24,19 +26,25 @@
 
 impl Gateway {
     /// A request's answer was lost at an endpoint. One that is leaving may end in its own time.
-    pub fn lost_at(self: &Arc<Self>, endpoint: &Arc<Endpoint>, content: RequestDigest) {
+    pub fn lost_at(
+        self: &Arc<Self>,
+        endpoint: &Arc<Endpoint>,
+        content: RequestDigest,
+        run: CrashedRun,
+    ) {
         if endpoint.is_leaving() {
             return;
         }
-        let lost = self
-            .crash_watch()
-            .lost(self.life.now(), &endpoint.id, content);
+        let now = self.life.now();
+        let lost = self.crash_watch().lost(now, &endpoint.id, content, run);
         match lost {
             Lost::Wait => {}
             Lost::Look => {
                 tokio::spawn(look(self.clone(), endpoint.clone()));
             }
-            Lost::Crashed => self.crashed_under(&endpoint.id, vec![content], None),
+            Lost::Crashed => {
+                self.crashed_under(&endpoint.id, BTreeMap::from([(content, run)]), None);
+            }
         }
     }
 
@@ -49,20 +57,20 @@
     /// There is evidence that an endpoint's process has ended though it wasn't leaving.
     pub fn endpoint_crashed(&self, endpoint: &InstanceId, evidence: Evidence) {
         let contents = self.crash_watch().crashed(self.life.now(), endpoint);
-        self.crashed_under(endpoint, contents.into_iter().collect(), Some(evidence));
+        self.crashed_under(endpoint, contents, Some(evidence));
     }
 
     fn crashed_under(
         &self,
         endpoint: &InstanceId,
-        contents: Vec<RequestDigest>,
+        contents: BTreeMap<RequestDigest, CrashedRun>,
         evidence: Option<Evidence>,
     ) {
         if contents.is_empty() {
             return;
         }
         self.metrics.count(metrics::CRASHES);
-        let named = contents.iter().take(MOST_NAMED);
+        let named = contents.keys().take(MOST_NAMED);
         let named: Vec<_> = named.map(|content| content::text(*content)).collect();
         event!(
             self.log, events::GATEWAY_ENDPOINT_CRASHED, "endpoint" => &**endpoint,
@@ -74,6 +82,12 @@
         }
     }
 
+    /// Whether an endpoint has answered a request a moment before.
+    pub fn was_answered(&self, content: RequestDigest) -> bool {
+        let now = self.life.now();
+        self.crash_watch().was_answered(now, content)
+    }
+
     fn crash_watch(&self) -> MutexGuard<'_, CrashWatch> {
         // A panic elsewhere leaves ids and times, each of them true.
         self.crashes.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -6,6 +6,7 @@
 use anvil_policy::crash::Evidence;
 use anvil_policy::engine::Prompt;
 use anvil_world::prelude::*;
+use anvil_world::suspect::CrashedRun;
 use anvilreel::event;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
@@ -217,13 +218,14 @@
     }
 
     async fn one_try(&mut self, after: Option<u64>) -> Result<Tried, Refused> {
-        if let Some(left) = self.gw.suspects.held(|| self.content()) {
+        if let Some(held) = self.gw.suspects.held(|| self.content()) {
+            self.trace.step(format_args!("held: {held}"));
             let cause = if self.in_doubt {
                 Cause::Lost
             } else {
                 Cause::CrashesEndpoints
             };
-            return Err((cause, left));
+            return Err((cause, held.left));
         }
         let prompt = Prompt { parts: &self.parts };
         let within = self.left().mul_f64(SENT_WITHIN);
@@ -318,7 +320,9 @@
             Tried::NotRun(NotRun::Unreachable(why)) => self.endpoint_failed(endpoint, why),
             // A client that waits for less than an answer takes says nothing of the endpoint.
             Tried::Doubt(Doubt::Silent) if waited < self.route.target => {}
-            Tried::Doubt(doubt) => self.answer_lost(endpoint, &format!("{doubt:?}")),
+            Tried::Doubt(doubt) => {
+                self.answer_lost(endpoint, CrashedRun::BeforeOutput, &format!("{doubt:?}"));
+            }
         }
     }
 
@@ -326,6 +330,7 @@
     pub fn content(&self) -> RequestDigest {
         content::digest(
             self.organisation.as_deref(),
+            &self.route,
             &self.method,
             &self.uri,
             &self.body,
@@ -338,11 +343,11 @@
     }
 
     /// Notes that an endpoint lost the answer to this request.
-    pub fn answer_lost(&mut self, endpoint: &Arc<Endpoint>, why: &str) {
+    pub fn answer_lost(&mut self, endpoint: &Arc<Endpoint>, run: CrashedRun, why: &str) {
         let content = self.content();
         self.trace.content(content);
         self.endpoint_failed(endpoint, why);
-        self.gw.lost_at(endpoint, content);
+        self.gw.lost_at(endpoint, content, run);
     }
 
     /// Notes that an endpoint failed this request.
@@ -390,7 +395,7 @@
                     .ended(if fine { "completed" } else { "endpoint_failed" });
                 return Reply::from_parts(parts, whole(body.to_bytes()));
             }
-            self.answer_lost(&place.endpoint, "no whole answer");
+            self.answer_lost(&place.endpoint, CrashedRun::AfterOutput, "no whole answer");
             let doubt = if read.is_err() {
                 Doubt::Silent
             } else {
--- a/crates/anvil_gateway/src/log_events.rs
+++ b/crates/anvil_gateway/src/log_events.rs
@@ -51,7 +51,8 @@
     GATEWAY_ENDPOINT_CRASHED = 6024 Warning "gateway_endpoint_crashed";
     /// A request is kept from endpoints from now on, because they crash under it.
     GATEWAY_REQUEST_HELD = 6025 Warning "gateway_request_held";
-    /// A request under which endpoints crashed may go to them again: one has answered it, or the time is over.
+    /// A request under which endpoints crashed may go to them again: one has answered it, or its crashes are
+    /// forgotten.
     GATEWAY_REQUEST_CLEARED = 6026 Info "gateway_request_cleared";
     /// An endpoint names another number of requests a second that it takes from all routers, or none any more.
     GATEWAY_ENDPOINT_LIMIT = 6027 Info "gateway_endpoint_limit";
--- a/crates/anvil_gateway/src/relay.rs
+++ b/crates/anvil_gateway/src/relay.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvil_world::suspect::CrashedRun;
 use bytes::Bytes;
 use futures::stream::unfold;
 use http_body_util::{BodyExt, StreamBody};
@@ -37,6 +38,8 @@
     line: Arc<Line>,
     head: AnswerHead,
     place: Place,
+    /// An event of it has come.
+    has_spoken: bool,
 }
 
 /// A stream under way.
@@ -147,6 +150,7 @@
         loop {
             if let Some(event) = source.splitter.next_event() {
                 source.place.answered();
+                source.has_spoken = true;
                 // Failure: an endpoint sends an event twice, or one of a run that it had
                 // before. Numbers rise by one; what does not follow is not delivered.
                 if follows(self.last, event.id) {
@@ -187,8 +191,13 @@
 
     async fn go_on_elsewhere(&mut self) -> Result<Answer, Cause> {
         if let Some(source) = self.source.take() {
+            let run = if source.has_spoken {
+                CrashedRun::AfterOutput
+            } else {
+                CrashedRun::BeforeOutput
+            };
             self.exchange
-                .answer_lost(&source.place.endpoint, "its stream broke off");
+                .answer_lost(&source.place.endpoint, run, "its stream broke off");
             let last = self.last;
             let id = &source.place.endpoint.id;
             self.exchange
@@ -239,6 +248,7 @@
             line: answer.line,
             head: answer.head,
             place: answer.place,
+            has_spoken: false,
         }
     }
 }
--- a/crates/anvil_gateway/src/suspects.rs
+++ b/crates/anvil_gateway/src/suspects.rs
@@ -4,12 +4,13 @@
 //! the ledger has it, it counts here by itself.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use anvil_world::command::{ClearSuspects, ReportCrash};
 use anvil_world::prelude::*;
-use anvil_world::suspect::{CRASHES_TO_HOLD, HELD_FOR};
+use anvil_world::suspect::{CrashedRun, HELD_FROM};
 use anvilreel::event;
 use arc_swap::ArcSwap;
 use tokio::sync::Notify;
@@ -29,25 +30,58 @@
 /// Requests under which endpoints crashed.
 #[derive(Default)]
 pub struct Suspects {
-    told: ArcSwap<BTreeMap<RequestDigest, Suspect>>,
+    told: ArcSwap<BTreeMap<RequestDigest, Told>>,
     own: Mutex<Own>,
     wanted: Notify,
 }
 
+/// What the ledger tells of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Told {
+    suspect: Suspect,
+    /// When it told this gateway first.
+    since: Now,
+}
+
+/// Why a request is kept from endpoints.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Held {
+    /// For how much longer.
+    pub left: Duration,
+    /// Endpoints that crashed under it, as many as it took.
+    pub endpoints: Vec<InstanceId>,
+    /// When the ledger told of it first; `None` where this gateway knows by itself.
+    pub told: Option<Now>,
+}
+
+impl fmt::Display for Held {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?} crashed under it, ", self.endpoints)?;
+        match self.told {
+            Some(since) => write!(
+                f,
+                "told by the ledger {:.1} s after the start",
+                since.as_secs_f64()
+            ),
+            None => f.write_str("seen here"),
+        }
+    }
+}
+
 /// What the ledger has not heard of yet.
 #[derive(Default)]
 struct Own {
     crashes: VecDeque<ReportCrash>,
     /// The same by request.
-    endpoints: BTreeMap<RequestDigest, BTreeSet<InstanceId>>,
+    endpoints: BTreeMap<RequestDigest, BTreeMap<InstanceId, CrashedRun>>,
     answered: BTreeSet<RequestDigest>,
 }
 
 impl Own {
     fn add(&mut self, crash: ReportCrash) {
-        for request in &crash.requests {
+        for (request, run) in &crash.requests {
             let endpoints = self.endpoints.entry(*request).or_default();
-            endpoints.insert(crash.endpoint.clone());
+            endpoints.insert(crash.endpoint.clone(), *run);
         }
         self.crashes.push_back(crash);
     }
@@ -56,7 +90,7 @@
         let Some(crash) = self.crashes.pop_front() else {
             return;
         };
-        for request in &crash.requests {
+        for (request, _) in &crash.requests {
             if let Some(endpoints) = self.endpoints.get_mut(request) {
                 endpoints.remove(&crash.endpoint);
             }
@@ -67,7 +101,11 @@
 
 impl Suspects {
     /// An endpoint crashed under these requests. Returns whether an older report was left out for it.
-    pub fn crashed(&self, endpoint: &InstanceId, requests: Vec<RequestDigest>) -> bool {
+    pub fn crashed(
+        &self,
+        endpoint: &InstanceId,
+        requests: BTreeMap<RequestDigest, CrashedRun>,
+    ) -> bool {
         let mut own = self.own();
         let is_full = own.crashes.len() >= MOST_WAITING;
         if is_full {
@@ -75,7 +113,7 @@
         }
         own.add(ReportCrash {
             endpoint: endpoint.clone(),
-            requests,
+            requests: requests.into_iter().collect(),
             // The leader puts its own time in.
             at: UNIX_EPOCH,
         });
@@ -83,20 +121,34 @@
         is_full
     }
 
-    /// For how much longer a request is kept from endpoints; `None` where it may go to them.
-    pub fn held(&self, request: impl FnOnce() -> RequestDigest) -> Option<Duration> {
+    /// Why a request is kept from endpoints; `None` where it may go to them.
+    pub fn held(&self, request: impl FnOnce() -> RequestDigest) -> Option<Held> {
         if self.is_empty() {
             return None;
         }
         let request = request();
+        let now = SystemTime::now();
         let told = self.told.load();
         let told = told.get(&request);
-        let mut endpoints = told.map_or_else(BTreeSet::new, |told| told.endpoints.clone());
-        if let Some(own) = self.own().endpoints.get(&request) {
-            endpoints.extend(own.iter().cloned());
+        let own = {
+            let own = self.own();
+            // The ledger is about to hear that it was answered.
+            if own.answered.contains(&request) {
+                return None;
+            }
+            own.endpoints.get(&request).cloned()
+        };
+        let Some(own) = own else {
+            let told = told?;
+            return held(&told.suspect, Some(told.since), now);
+        };
+        let suspect = told.map(|told| told.suspect.clone());
+        let mut suspect = suspect.unwrap_or_else(|| Suspect::new(now));
+        for (endpoint, run) in own {
+            suspect.crashed(&endpoint, run, now);
         }
-        let left = told.map_or(HELD_FOR, |told| told.left(SystemTime::now()));
-        (endpoints.len() >= CRASHES_TO_HOLD && !left.is_zero()).then_some(left)
+        let told = told.filter(|told| told.suspect.weight() >= HELD_FROM);
+        held(&suspect, told.map(|told| told.since), now)
     }
 
     /// An endpoint has answered a request: what crashed before did so for another reason.
@@ -111,8 +163,9 @@
 
     /// How many are kept from endpoints, by the ledger's word.
     pub fn count_held(&self) -> u64 {
+        let now = SystemTime::now();
         let told = self.told.load();
-        let held = told.values().filter(|suspect| suspect.is_held());
+        let held = told.values().filter(|told| is_held(&told.suspect, now));
         held.count() as u64
     }
 
@@ -151,34 +204,66 @@
     }
 }
 
+fn held(suspect: &Suspect, told: Option<Now>, now: SystemTime) -> Option<Held> {
+    let left = suspect.held_for(now);
+    (!left.is_zero()).then(|| Held {
+        left,
+        endpoints: suspect.endpoints.keys().cloned().collect(),
+        told,
+    })
+}
+
+fn is_held(suspect: &Suspect, now: SystemTime) -> bool {
+    !suspect.held_for(now).is_zero()
+}
+
 impl Gateway {
-    /// Takes in what the ledger tells.
+    /// Takes in what the ledger tells. A request that an endpoint has answered here a moment before is cleared:
+    /// where a zone loses power, equal requests of many callers were under way at several endpoints.
     pub fn take_suspects(&self, told: &BTreeMap<RequestDigest, Suspect>) {
         let before = self.suspects.told.load_full();
-        if *before == *told {
+        let known = before
+            .iter()
+            .map(|(request, told)| (request, &told.suspect));
+        if known.eq(told) {
             return;
         }
-        let is_held = |all: &BTreeMap<RequestDigest, Suspect>, request| {
-            all.get(request).is_some_and(Suspect::is_held)
-        };
+        let since = self.life.now();
+        let mut all = BTreeMap::new();
         for (request, suspect) in told {
-            if suspect.is_held() && !is_held(&before, request) {
-                event!(
-                    self.log, events::GATEWAY_REQUEST_HELD,
-                    "content" => content::text(*request),
-                    "endpoints" => format!("{:?}", suspect.endpoints)
-                );
-            }
+            let known = before.get(request);
+            let told = Told {
+                suspect: suspect.clone(),
+                since: known.map_or(since, |known| known.since),
+            };
+            self.log_news(*request, known, &told);
+            all.insert(*request, told);
+        }
+        for (request, _) in before
+            .iter()
+            .filter(|(request, _)| !told.contains_key(request))
+        {
+            event!(
+                self.log, events::GATEWAY_REQUEST_CLEARED, "content" => content::text(*request)
+            );
         }
-        for request in before.keys() {
-            if is_held(&before, request) && !is_held(told, request) {
-                event!(
-                    self.log, events::GATEWAY_REQUEST_CLEARED,
-                    "content" => content::text(*request)
-                );
+        self.suspects.told.store(Arc::new(all));
+        for request in told.keys() {
+            if self.was_answered(*request) {
+                self.suspects.answered(*request);
             }
         }
-        self.suspects.told.store(Arc::new(told.clone()));
+    }
+
+    fn log_news(&self, request: RequestDigest, known: Option<&Told>, told: &Told) {
+        let now = SystemTime::now();
+        let was_held = known.is_some_and(|known| is_held(&known.suspect, now));
+        if is_held(&told.suspect, now) && !was_held {
+            event!(
+                self.log, events::GATEWAY_REQUEST_HELD, "content" => content::text(request),
+                "endpoints" => format!("{:?}", told.suspect.endpoints)
+            );
+        }
     }
 }
 
--- a/crates/anvil_gateway/tests/direct/crashing.rs
+++ b/crates/anvil_gateway/tests/direct/crashing.rs
@@ -3,8 +3,11 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
+use anvil_gateway::content::digest;
+use anvil_world::prelude::*;
+use anvil_world::suspect::CrashedRun;
 use tokio::time::{Instant, sleep};
 
 use crate::client::Client;
@@ -203,3 +206,34 @@
     let received = crashing.iter().map(|endpoint| endpoint.received().len());
     assert_eq!(received.sum::<usize>(), CRASHES);
 }
+
+/// Guards against a lookup that is held, because many were under way at other gateways as a zone lost power.
+#[tokio::test]
+async fn a_request_that_was_answered_here_is_not_held_by_the_ledgers_word() {
+    let well = Endpoint::start(|_, req| vec![Step::Send(answer(req, "ran"))]).await;
+    let fleet = Fleet::start(&[("well", &well)]).await;
+    let table = fleet.gw.table.load_full().expect("a table");
+    let route = table.route("shop", "/once/x").expect("a route").clone();
+    let uri = http::Uri::from_static("/once/x");
+    let content = digest(
+        None,
+        &route,
+        &http::Method::POST,
+        &uri,
+        &bytes::Bytes::new(),
+    );
+    let mut suspect = Suspect::new(SystemTime::now());
+    for endpoint in ["a", "b", "c"] {
+        suspect.crashed(&endpoint.into(), CrashedRun::BeforeOutput, suspect.since);
+    }
+    let told = BTreeMap::from([(content, suspect)]);
+    for (answered, status) in [(false, 503), (true, 200)] {
+        fleet.gw.take_suspects(&BTreeMap::new());
+        let mut client = Client::connect(fleet.addr).await;
+        if answered {
+            assert_eq!(client.ask("/once/x", "id", "").await.status, 200);
+        }
+        fleet.gw.take_suspects(&told);
+        assert_eq!(client.ask("/once/x", "id", "").await.status, status);
+    }
+}
--- a/crates/anvil_ledger/src/suspects.rs
+++ b/crates/anvil_ledger/src/suspects.rs
@@ -14,8 +14,9 @@
 const REMEMBERED: usize = 16_384;
 /// Requests that are forgotten together, when there are too many.
 const FORGOTTEN_AT_ONCE: usize = 4_096;
-/// Crashes from which on routers are told of a request. The first one says little, and there are many of those.
-const TOLD_FROM: usize = 2;
+/// Weight from which on routers are told of a request: more than one crash. The first one says little, and there
+/// are many of those.
+const TOLD_FROM: u32 = 3;
 
 /// Suspected requests.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -39,10 +40,10 @@
     pub fn report(&mut self, report: &ReportCrash) -> BTreeSet<RequestDigest> {
         self.clock = self.clock.max(report.at);
         let mut changed = self.forget();
-        for request in &report.requests {
+        for (request, run) in &report.requests {
             let new = || Suspect::new(self.clock);
             let suspect = self.all.entry(*request).or_insert_with(new);
-            if suspect.crashed(&report.endpoint, self.clock) && is_told(suspect) {
+            if suspect.crashed(&report.endpoint, *run, self.clock) && is_told(suspect) {
                 changed.insert(*request);
             }
         }
@@ -71,19 +72,18 @@
     }
 
     fn forget(&mut self) -> BTreeSet<RequestDigest> {
-        let is_over = |suspect: &Suspect| suspect.left(self.clock).is_zero();
         let all = self.all.iter();
-        let over = all.filter(|(_, suspect)| is_over(suspect));
+        let over = all.filter(|(_, suspect)| suspect.is_over(self.clock));
         let over = over.map(|(request, _)| *request).collect();
         self.remove(over)
     }
 
-    /// Forgets those with the fewest crashes, the oldest ones first, when there are too many.
+    /// Forgets those against which least speaks, the oldest ones first, when there are too many.
     fn bound(&mut self) -> BTreeSet<RequestDigest> {
         if self.all.len() <= REMEMBERED {
             return BTreeSet::new();
         }
-        let weight = |suspect: &Suspect| (suspect.endpoints.len(), suspect.since);
+        let weight = |suspect: &Suspect| (suspect.weight(), suspect.since);
         let all = self.all.iter();
         let mut ranked: Vec<_> = all
             .map(|(request, suspect)| (weight(suspect), *request))
@@ -103,5 +103,5 @@
 }
 
 fn is_told(suspect: &Suspect) -> bool {
-    suspect.endpoints.len() >= TOLD_FROM
+    suspect.weight() >= TOLD_FROM
 }
--- a/crates/anvil_policy/src/crash.rs
+++ b/crates/anvil_policy/src/crash.rs
@@ -10,12 +10,14 @@
 //! the endpoint's process has ended: nobody listens at its address, another life answers there, or the platform
 //! no longer lists it although it wasn't leaving. A request that an endpoint has answered a moment before is
 //! not what others crash from: where a whole zone loses power, equal requests of many callers were under way at
-//! several endpoints.
+//! several endpoints. And a run that had some output when its endpoint crashed speaks less against its request than one
+//! that had none: it had begun without a crash.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use anvil_world::prelude::*;
+use anvil_world::suspect::CrashedRun;
 
 /// For how long evidence is waited for after a lost answer, and lost answers after evidence: a crashed endpoint
 /// stays on the platform's list for some seconds.
@@ -66,12 +68,18 @@
     since: Now,
     looked: Option<Now>,
     has_crashed: bool,
-    requests: BTreeSet<RequestDigest>,
+    requests: BTreeMap<RequestDigest, CrashedRun>,
 }
 
 impl CrashWatch {
-    /// A request's answer was lost at an endpoint.
-    pub fn lost(&mut self, now: Now, endpoint: &InstanceId, request: RequestDigest) -> Lost {
+    /// A request's answer was lost at an endpoint, with its run as far as that.
+    pub fn lost(
+        &mut self,
+        now: Now,
+        endpoint: &InstanceId,
+        request: RequestDigest,
+        run: CrashedRun,
+    ) -> Lost {
         self.forget(now);
         if self.answered.contains_key(&request) {
             return Lost::Wait;
@@ -81,8 +89,10 @@
             return Lost::Crashed;
         }
         watched.since = now;
-        if watched.requests.len() < MOST_REQUESTS {
-            watched.requests.insert(request);
+        let known = watched.requests.get(&request).copied();
+        if known.is_some() || watched.requests.len() < MOST_REQUESTS {
+            let run = known.map_or(run, |known| known.max(run));
+            watched.requests.insert(request, run);
         }
         if watched.looked.is_some_and(|at| now < at + BETWEEN_LOOKS) {
             return Lost::Wait;
@@ -92,15 +102,25 @@
     }
 
     /// An endpoint has crashed. Returns the requests that were lost there, each of them once.
-    pub fn crashed(&mut self, now: Now, endpoint: &InstanceId) -> BTreeSet<RequestDigest> {
+    pub fn crashed(
+        &mut self,
+        now: Now,
+        endpoint: &InstanceId,
+    ) -> BTreeMap<RequestDigest, CrashedRun> {
         self.forget(now);
         let watched = self.watched(now, endpoint);
         watched.has_crashed = true;
         let mut requests = std::mem::take(&mut watched.requests);
-        requests.retain(|request| !self.answered.contains_key(request));
+        requests.retain(|request, _| !self.answered.contains_key(request));
         requests
     }
 
+    /// Whether an endpoint has answered a request a moment before.
+    pub fn was_answered(&mut self, now: Now, request: RequestDigest) -> bool {
+        self.forget_answers(now);
+        self.answered.contains_key(&request)
+    }
+
     /// An endpoint has answered a request.
     pub fn answered(&mut self, now: Now, request: RequestDigest) {
         self.answered.insert(request, now);
@@ -125,7 +145,7 @@
             since: now,
             looked: None,
             has_crashed: false,
-            requests: BTreeSet::new(),
+            requests: BTreeMap::new(),
         };
         self.endpoints.entry(endpoint.clone()).or_insert_with(new)
     }
--- a/crates/anvil_world/src/command/crash.rs
+++ b/crates/anvil_world/src/command/crash.rs
@@ -5,14 +5,15 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{InstanceId, RequestDigest};
+use crate::suspect::CrashedRun;
 
 /// An endpoint crashed under these requests. The same crash counts once, whoever tells of it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReportCrash {
     /// The endpoint, in the life that crashed.
     pub endpoint: InstanceId,
-    /// The requests.
-    pub requests: Vec<RequestDigest>,
+    /// The requests, and how far their runs had come.
+    pub requests: Vec<(RequestDigest, CrashedRun)>,
     /// When the leader took it.
     pub at: SystemTime,
 }
