--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod pool;
 pub mod relay;
 pub mod reply;
+pub mod reports;
 pub mod run;
 pub mod serve;
 pub mod siblings;
--- a/crates/anvil_gateway/src/suspects.rs
+++ b/crates/anvil_gateway/src/suspects.rs
@@ -14,16 +14,12 @@
 use anvilreel::event;
 use arc_swap::ArcSwap;
 use tokio::sync::Notify;
-use tokio::time::sleep;
 
 use crate::content;
 use crate::gateway::Gateway;
 use crate::log_events as events;
+use crate::reports;
 
-/// Longest wait for the ledger to take a report; afterwards it is sent again.
-const TOLD_WITHIN: Duration = Duration::from_secs(2);
-/// Pause before a report is sent again.
-const AGAIN: Duration = Duration::from_millis(100);
 /// Crashes that wait for the ledger: each of a large fleet's endpoints, once. The oldest are left out.
 const MOST_WAITING: usize = 8_192;
 
@@ -269,15 +265,8 @@
 
 /// Tells the ledger what is seen here, for as long as the process lives.
 pub async fn run(gw: &Gateway) {
-    loop {
-        let Some(report) = gw.suspects.next_report() else {
-            gw.suspects.wanted.notified().await;
-            continue;
-        };
-        match gw.ledger.propose(report.clone(), TOLD_WITHIN).await {
-            Ok(_) => gw.suspects.was_taken(&report),
-            // It counts here meanwhile, and is sent again: a report may come twice.
-            Err(_) => sleep(AGAIN).await,
-        }
-    }
+    let suspects = &gw.suspects;
+    let next = || suspects.next_report();
+    let taken = |report: &Command| suspects.was_taken(report);
+    reports::run(gw, &suspects.wanted, next, taken).await;
 }
