What an endpoint takes is known to all routers, and used

A router heard of a limit only in an answer to a request of its own, so hundreds of routers sent hundreds before they knew; and of its end only with its next turn, minutes later where routers are many. A router with few requests often had none in its slot; a slot's rounding left up to a fifth of the limit unused; a bucket of one request lost another fifth.

Change: the first router that hears of a limit, another number or the end tells the ledger, which tells all routers, by the way that crashes take: one report for each change (or one from each router that hears it within the same moment), no message for a request. An answer ends a limit only if its request was sent when that was known. Windows of routers overlap as far as the bound bears, and begin one after the other without rounding; buckets hold what it bears. Metrics tell how many endpoints are limited and how much of that is used.

--- a/crates/anvil_daemons/examples/slopes/messages.rs
+++ b/crates/anvil_daemons/examples/slopes/messages.rs
@@ -127,6 +127,7 @@
         members,
         fenced: BTreeMap::new(),
         suspects: BTreeMap::new(),
+        limits: BTreeMap::new(),
     }))
 }
 
@@ -146,6 +147,7 @@
         members: Vec::new(),
         fenced: Vec::new(),
         suspects: Vec::new(),
+        limits: Vec::new(),
     }))
 }
 
--- a/crates/anvil_gateway/src/attempt.rs
+++ b/crates/anvil_gateway/src/attempt.rs
@@ -117,6 +117,7 @@
             Err(e) => return Tried::NotRun(NotRun::Unreachable(e.to_string())),
         };
         connection.line.sent();
+        let sent = gw.life.now();
         *out.line = Some(connection.line.clone());
         let sending = connection.sender.try_send_request(request(&out));
         let answer = match timeout_at(out.until, sending).await {
@@ -143,7 +144,7 @@
         if head.id.as_deref().is_some_and(|id| id != out.id) {
             return Tried::Doubt(Doubt::Misfit);
         }
-        endpoint.names_limit(gw.life.now(), head.rate_limit, &gw.log);
+        gw.limit_heard(&endpoint, sent, head.limit);
         if head.not_run {
             let status = parts.status.as_u16();
             finish(connection, &endpoint, &head, body).await;
--- a/crates/anvil_gateway/src/dialect.rs
+++ b/crates/anvil_gateway/src/dialect.rs
@@ -90,7 +90,7 @@
 }
 
 /// What the head of an endpoint's answer tells.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AnswerHead {
     /// The request that it answers, as far as it says.
     pub id: Option<Arc<str>>,
@@ -104,8 +104,19 @@
     pub keeps: Option<Duration>,
     /// The body is in an encoding that nobody asked for.
     pub encoded: bool,
-    /// Requests a second that the endpoint takes from all callers together, for as long as it says so.
-    pub rate_limit: Option<f64>,
+    /// What the endpoint takes from all callers together, for as long as it says so.
+    pub limit: LimitWord,
+}
+
+/// An endpoint's word on what it takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LimitWord {
+    /// It names no limit.
+    None,
+    /// So many requests.
+    Takes(RateLimit),
+    /// Something that is no limit.
+    Unreadable,
 }
 
 /// Text that is no routing table.
--- a/crates/anvil_gateway/src/directory.rs
+++ b/crates/anvil_gateway/src/directory.rs
@@ -61,6 +61,19 @@
         groups.get(service).cloned().unwrap_or_default()
     }
 
+    /// An endpoint by its id.
+    pub fn find(&self, id: &InstanceId) -> Option<Arc<Endpoint>> {
+        let groups = self.groups.load();
+        let mut all = groups.values().flatten();
+        all.find(|endpoint| endpoint.id == *id).cloned()
+    }
+
+    /// All endpoints.
+    pub fn all(&self) -> Vec<Arc<Endpoint>> {
+        let groups = self.groups.load();
+        groups.values().flatten().cloned().collect()
+    }
+
     /// The endpoints of a service that take work and are none of these; none while the list is older
     /// than its endpoints.
     pub fn open(&self, service: &str, tried: &[InstanceId]) -> Group {
--- a/crates/anvil_gateway/src/discovery.rs
+++ b/crates/anvil_gateway/src/discovery.rs
@@ -186,6 +186,7 @@
     for endpoint in &changes.vanished {
         gw.endpoint_crashed(endpoint, Evidence::Unlisted);
     }
+    gw.limits_of_new(&changes.came);
     if !changes.is_empty() {
         gw.news.notify_waiters();
         event!(
--- a/crates/anvil_gateway/src/endpoint.rs
+++ b/crates/anvil_gateway/src/endpoint.rs
@@ -68,16 +68,37 @@
         self.load.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes in how many requests a second it takes from all routers together; `None` where it doesn't say.
-    pub fn names_limit(&self, now: Now, limit: Option<f64>, log: &Logger) {
-        if self.rate_share().named(limit, now) {
-            event!(
-                log, events::GATEWAY_ENDPOINT_LIMIT,
-                "endpoint" => &*self.id, "per_second" => limit
-            );
+    /// What it takes from all routers together, as far as is known.
+    pub fn limit(&self) -> Option<RateLimit> {
+        self.rate_share().limit()
+    }
+
+    /// An answer of its to a request sent at `sent` names this limit, or none.
+    pub fn limit_heard(&self, now: Now, sent: Now, word: Option<RateLimit>, log: &Logger) {
+        if self.rate_share().heard(now, sent, word) {
+            self.log_limit("heard", log);
         }
     }
 
+    /// The ledger tells of its limit, or that there is none any more.
+    pub fn limit_told(&self, now: Now, limit: Option<RateLimit>, log: &Logger) {
+        if self.rate_share().told(now, limit) {
+            self.log_limit("told", log);
+        }
+    }
+
+    fn log_limit(&self, how: &str, log: &Logger) {
+        event!(
+            log, events::GATEWAY_ENDPOINT_LIMIT, "endpoint" => &*self.id,
+            "per_thousand_seconds" => self.limit(), "how" => how
+        );
+    }
+
+    /// Requests sent since its limit is known, and those that this gateway might have sent.
+    pub fn limit_used(&self, now: Now, turn: Turn) -> (f64, f64) {
+        self.rate_share().used(now, turn)
+    }
+
     /// Time until it may be sent a request; nothing when it may be now.
     pub fn opens_in(&self, at: Moment, turn: Turn) -> Duration {
         self.rate_share().opens_in(at, turn)
--- a/crates/anvil_gateway/src/follow.rs
+++ b/crates/anvil_gateway/src/follow.rs
@@ -79,6 +79,7 @@
     gw.siblings
         .set(routers.filter(|router| router.zone.id == gw.cfg.zone.id));
     gw.take_suspects(&held.suspects);
+    gw.take_limits(&held.limits);
     let replicas = members::replicas(held, &gw.seeds.load());
     let relays = members::relays(held, &gw.cfg.id);
     if gw.ledger.set_ways(&replicas, &relays) {
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -23,6 +23,7 @@
 
 use crate::dialect::{Dialect, ListSource};
 use crate::directory::Directory;
+use crate::limits::Limits;
 use crate::listing::Listings;
 use crate::log_events;
 use crate::metrics::TRIES_DENIED;
@@ -109,6 +110,8 @@
     pub crashes: Mutex<CrashWatch>,
     /// Requests under which endpoints crashed.
     pub suspects: Suspects,
+    /// Limits that endpoints named.
+    pub limits: Limits,
     /// Requests under way.
     pub open: AtomicU32,
     /// In milliseconds of the life: until then this gateway can't pay for what it is asked.
@@ -194,6 +197,7 @@
             news: Notify::new(),
             crashes: Mutex::default(),
             suspects: Suspects::default(),
+            limits: Limits::default(),
             open: AtomicU32::new(0),
             starved_until: AtomicU64::new(0),
             retries: Mutex::default(),
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -13,6 +13,9 @@
 //! Which requests are kept from endpoints because these crash under them: [`crashes`] finds out what crashed,
 //! [`suspects`] tells the ledger and hears of all others, [`content`] says which requests are the same.
 //!
+//! How many requests an endpoint takes from all gateways: [`limits`] tells the ledger what it named and hears of
+//! others. [`reports`] is the way of both to the ledger.
+//!
 //! What the gateway believes, and from whom: the routing table and the number of gateways
 //! ([`follow`], from the ledger), grants ([`money_loop`], from the ledger), the endpoints
 //! ([`discovery`], from the platform's list by [`list_reader`], or from [`siblings`] that read it), their load ([`endpoint`], from their answers).
@@ -31,6 +34,7 @@
 pub mod exchange;
 pub mod follow;
 pub mod gateway;
+pub mod limits;
 pub mod line;
 pub mod list_reader;
 pub mod listing;
--- /dev/null
+++ b/crates/anvil_gateway/src/limits.rs
@@ -0,0 +1,136 @@
+//! Limits that endpoints named: heard here in an answer, or told by the ledger.
+//!
+//! The first router that hears of a limit, or of its end, tells the ledger, which tells all others. What a
+//! router may send is decided in [`anvil_policy::rate_share`].
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use anvil_world::command::NameLimit;
+use anvil_world::endpoint_limit::EndpointLimit;
+use anvil_world::prelude::*;
+use arc_swap::ArcSwap;
+use tokio::sync::Notify;
+
+use crate::dialect::LimitWord;
+use crate::endpoint::Endpoint;
+use crate::gateway::Gateway;
+use crate::metrics;
+use crate::reports;
+
+/// A limit is told again when the ledger heard of it so long ago, so that it isn't forgotten there.
+const TOLD_AGAIN: Duration = Duration::from_mins(2);
+
+/// What is known of endpoints' limits.
+#[derive(Default)]
+pub struct Limits {
+    told: ArcSwap<BTreeMap<InstanceId, EndpointLimit>>,
+    /// What the ledger has not heard of yet; the newest word of each endpoint.
+    untold: Mutex<BTreeMap<InstanceId, Option<RateLimit>>>,
+    wanted: Notify,
+}
+
+impl Limits {
+    fn untold(&self) -> MutexGuard<'_, BTreeMap<InstanceId, Option<RateLimit>>> {
+        // A panic elsewhere leaves names and numbers, each of them true.
+        self.untold.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn tell(&self, endpoint: &InstanceId, limit: Option<RateLimit>) {
+        self.untold().insert(endpoint.clone(), limit);
+        self.wanted.notify_one();
+    }
+
+    fn is_told(&self, endpoint: &InstanceId, limit: Option<RateLimit>) -> bool {
+        let told = self.told.load();
+        let Some(told) = told.get(endpoint) else {
+            return limit.is_none();
+        };
+        let age = SystemTime::now().duration_since(told.at);
+        limit == Some(told.limit) && age.unwrap_or_default() < TOLD_AGAIN
+    }
+
+    fn next_report(&self) -> Option<Command> {
+        let untold = self.untold();
+        let (endpoint, limit) = untold.first_key_value()?;
+        Some(Command::NameLimit(NameLimit {
+            endpoint: endpoint.clone(),
+            limit: *limit,
+            // The leader puts its own time in.
+            at: UNIX_EPOCH,
+        }))
+    }
+
+    fn was_taken(&self, report: &Command) {
+        let Command::NameLimit(taken) = report else {
+            return;
+        };
+        let mut untold = self.untold();
+        // Another word of the endpoint may have come meanwhile.
+        if untold.get(&taken.endpoint) == Some(&taken.limit) {
+            untold.remove(&taken.endpoint);
+        }
+    }
+}
+
+impl Gateway {
+    /// Takes in an endpoint's word in the answer to a request that was sent at `sent`.
+    pub fn limit_heard(&self, endpoint: &Endpoint, sent: Now, word: LimitWord) {
+        let word = match word {
+            LimitWord::None => None,
+            LimitWord::Takes(limit) => Some(limit),
+            // What was known before holds on.
+            LimitWord::Unreadable => return self.metrics.count(metrics::LIMITS_UNREADABLE),
+        };
+        endpoint.limit_heard(self.life.now(), sent, word, &self.log);
+        let limit = endpoint.limit();
+        let heard_so = limit == word;
+        if heard_so && !self.limits.is_told(&endpoint.id, limit) {
+            self.limits.tell(&endpoint.id, limit);
+        }
+    }
+
+    /// Takes in what the ledger tells.
+    pub fn take_limits(&self, told: &BTreeMap<InstanceId, EndpointLimit>) {
+        let before = self.limits.told.load_full();
+        if *before == *told {
+            return;
+        }
+        self.limits.told.store(Arc::new(told.clone()));
+        let limit_of = |all: &BTreeMap<InstanceId, EndpointLimit>, endpoint: &InstanceId| {
+            all.get(endpoint).map(|named| named.limit)
+        };
+        let named = before.keys().chain(told.keys());
+        for endpoint in named {
+            let limit = limit_of(told, endpoint);
+            if limit != limit_of(&before, endpoint) {
+                self.limit_told(endpoint, limit);
+            }
+        }
+    }
+
+    /// Tells endpoints that have just been listed what the ledger knows of them.
+    pub fn limits_of_new(&self, came: &[InstanceId]) {
+        let told = self.limits.told.load();
+        for endpoint in came {
+            if let Some(named) = told.get(endpoint) {
+                self.limit_told(endpoint, Some(named.limit));
+            }
+        }
+    }
+
+    fn limit_told(&self, endpoint: &InstanceId, limit: Option<RateLimit>) {
+        if let Some(endpoint) = self.directory.find(endpoint) {
+            endpoint.limit_told(self.life.now(), limit, &self.log);
+        }
+    }
+}
+
+/// Tells the ledger what is heard here, for as long as the process lives.
+pub async fn run(gw: &Gateway) {
+    let limits = &gw.limits;
+    let next = || limits.next_report();
+    let taken = |report: &Command| limits.was_taken(report);
+    reports::run(gw, &limits.wanted, next, taken).await;
+}
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! What a gateway measures. docs/METRICS.md lists names and units; a test holds both together.
 
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use anvilreel::metrics::LOG_DROPPED;
 
@@ -40,6 +41,12 @@
 pub const CRASHES_UNTOLD: &str = "endpoints.crashed_untold";
 /// Requests that are kept from endpoints, because these crash under them. Gauge.
 pub const HELD: &str = "requests.held";
+/// Answers whose limit can't be read. Count.
+pub const LIMITS_UNREADABLE: &str = "endpoints.limit_unreadable";
+/// Endpoints that named how many requests they take from all gateways. Gauge.
+pub const LIMITED: &str = "endpoints.limited";
+/// Of what this gateway might have sent to those, what it has sent. Gauge, percent.
+pub const LIMIT_USED: &str = "endpoints.limit_used";
 /// Streams that another endpoint went on with. Count.
 pub const RESUMED: &str = "streams.resumed";
 /// Times that the platform's list was read here. Count.
@@ -80,6 +87,9 @@
     (CRASHES, "count"),
     (CRASHES_UNTOLD, "count"),
     (HELD, "gauge"),
+    (LIMITS_UNREADABLE, "count"),
+    (LIMITED, "gauge"),
+    (LIMIT_USED, "gauge"),
     (RESUMED, "count"),
     (LIST_READ, "count"),
     (LIST_TOLD, "count"),
@@ -97,6 +107,7 @@
     pub fn measure(&self) {
         let now = self.now_ms();
         let (open, shut) = self.directory.count(self.life.now());
+        let (limited, limit_used) = self.measure_limits();
         let table = self.table.load();
         let table = table.as_ref().map_or(0, |table| table.version);
         let list_age = self.listings.age().min(self.life.now()).as_millis();
@@ -109,6 +120,8 @@
             (ENDPOINTS, open),
             (ENDPOINTS_SHUT, shut),
             (HELD, self.suspects.count_held()),
+            (LIMITED, limited),
+            (LIMIT_USED, limit_used),
             (CONFIRMED_AGE, age(self.confirmed.load(Ordering::Relaxed))),
             (LIST_AGE, list_age),
             (LOG_DROPPED, self.dropped.count()),
@@ -116,4 +129,21 @@
             self.metrics.gauge(name, value);
         }
     }
+
+    /// Endpoints that named limits, and the part of them that is used here, in percent.
+    fn measure_limits(&self) -> (u64, u64) {
+        let all = self.directory.all();
+        let limited = all.iter().filter(|endpoint| endpoint.limit().is_some());
+        let used = limited.map(|endpoint| endpoint.limit_used(self.life.now(), self.turn()));
+        let used: Vec<_> = used.collect();
+        let sent: f64 = used.iter().map(|(sent, _)| sent).sum();
+        let might: f64 = used.iter().map(|(_, might)| might).sum();
+        // Milliseconds of a time are a whole number, rounded and within bounds; a percentage is one as well.
+        let percent = Duration::try_from_secs_f64(sent / might.max(1.0) / 10.0);
+        let percent = percent.unwrap_or_default().as_millis();
+        (
+            used.len() as u64,
+            u64::try_from(percent).unwrap_or(u64::MAX),
+        )
+    }
 }
--- a/crates/anvil_gateway/tests/direct/dialect.rs
+++ b/crates/anvil_gateway/tests/direct/dialect.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use anvil_gateway::dialect::{
-    AnswerHead, Ask, BadAsk, BadTable, Dialect, Load, ModelWork, Onward, PromptPart,
+    AnswerHead, Ask, BadAsk, BadTable, Dialect, LimitWord, Load, ModelWork, Onward, PromptPart,
 };
 use anvil_gateway::table::RouteTable;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, request};
@@ -80,7 +80,11 @@
         }),
         keeps: None,
         encoded: headers.contains_key("content-encoding"),
-        rate_limit: text(headers, "x-limit").and_then(|limit| limit.parse().ok()),
+        limit: match text(headers, "x-limit").map(str::parse) {
+            None => LimitWord::None,
+            Some(Ok(limit)) => LimitWord::Takes(limit),
+            Some(Err(_)) => LimitWord::Unreadable,
+        },
     }
 }
 
--- a/crates/anvil_gateway/tests/direct/explained.rs
+++ b/crates/anvil_gateway/tests/direct/explained.rs
@@ -201,7 +201,7 @@
 #[tokio::test]
 async fn an_endpoint_that_names_a_limit() {
     let endpoint = Endpoint::start(|number, req| {
-        let limit = ["", "x-limit: 2.5\r\n", "x-limit: 2.5\r\n", ""][number];
+        let limit = ["", "x-limit: 2500\r\n", "x-limit: 2500\r\n", ""][number];
         vec![Step::Send(answer_with(req, limit, "ran"))]
     })
     .await;
@@ -221,7 +221,7 @@
     let lines: Vec<_> = lines.collect();
     assert_eq!(lines.len(), 2, "{lines:?}");
     assert!(
-        lines[0].contains("2.5") && !lines[1].contains("2.5"),
+        lines[0].contains("2500") && !lines[1].contains("2500"),
         "{lines:?}"
     );
 }
--- a/crates/anvil_gateway/tests/direct/limits.rs
+++ b/crates/anvil_gateway/tests/direct/limits.rs
@@ -1,16 +1,20 @@
 //! Gateways before endpoints that take so many requests a second from all of them together.
 
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
+use anvil_world::endpoint_limit::EndpointLimit;
 use tokio::time::{Instant, sleep};
 
+use crate::client::Client;
 use crate::endpoint::{Endpoint, Step, answer_with};
+use crate::fleet::{Fleet, listed};
 use crate::processes::{GATEWAYS, Processes};
 
-/// Requests a second that an endpoint in need takes.
-const LIMIT: f64 = 1.0;
+/// Requests in a thousand seconds that an endpoint in need takes.
+const LIMIT: u64 = 1_000;
 /// Time after an endpoint first names its limit from which on it must be kept.
 const KNOWN_WITHIN: Duration = Duration::from_secs(3);
 /// Any span of this length counts.
@@ -137,3 +141,38 @@
     let again = arrivals.iter().filter(|at| **at >= since).count();
     assert!(again > MOST_IN_A_SPAN, "{again} requests in {SPAN:?}");
 }
+
+/// Guards against a gateway that learns of a limit, and of its end, only by requests of its own.
+#[tokio::test]
+async fn what_other_gateways_heard_holds_here() {
+    let endpoint = InNeed::start(false).await;
+    let fleet = Fleet::start(&[("a", &endpoint.endpoint)]).await;
+    let mut told = BTreeMap::new();
+    let limit = EndpointLimit {
+        limit: 10,
+        at: SystemTime::now(),
+    };
+    told.insert("a".into(), limit);
+    told.insert("b".into(), limit);
+    let ask = async |count| {
+        let mut served = 0;
+        for _ in 0..count {
+            let mut client = Client::connect(fleet.addr).await;
+            served += usize::from(client.ask("/once/x", "id", "").await.status == 200);
+        }
+        served
+    };
+    fleet.gw.take_limits(&told);
+    let served = ask(10).await;
+    assert!(served <= 1, "{served} at the limit");
+    fleet.gw.take_limits(&BTreeMap::new());
+    assert_eq!(ask(10).await, 10, "after its end");
+    fleet.gw.take_limits(&told);
+    fleet
+        .gw
+        .directory
+        .take(&[listed("b", endpoint.endpoint.addr)]);
+    fleet.gw.limits_of_new(&["b".into()]);
+    let served = ask(10).await;
+    assert!(served <= 1, "{served} at the limit of one listed later");
+}
--- a/crates/anvil_ledger/src/machine.rs
+++ b/crates/anvil_ledger/src/machine.rs
@@ -1,14 +1,18 @@
-//! What a replica makes of the committed entries: the state, the lives of sidecars, and the requests under
-//! which endpoints crashed.
+//! What a replica makes of the committed entries: the state, the lives of sidecars, and what routers tell of
+//! endpoints: requests under which they crashed, and limits that they named.
+
+use std::collections::BTreeSet;
 
 use anvil_world::command::Join;
 use anvil_world::prelude::*;
 use bincode::config::standard;
 use bytes::Bytes;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
 use crate::core::{Entry, Payload};
+use crate::limits::Limits;
 use crate::lives::Lives;
 use crate::state::{InvariantError, State, Touched};
 use crate::suspects::Suspects;
@@ -45,6 +49,8 @@
     pub lives: Lives,
     /// Requests under which endpoints crashed.
     pub suspects: Suspects,
+    /// Limits that endpoints named.
+    pub limits: Limits,
 }
 
 impl Machine {
@@ -52,18 +58,12 @@
     pub fn restore(data: &[u8]) -> Result<Self, MachineError> {
         let decoded = bincode::serde::decode_from_slice(data, standard());
         let ((state, lives), read) = decoded.context(DecodeSnafu)?;
-        // A snapshot of an earlier build ends here.
-        let suspects = match data.get(read..) {
-            Some(rest) if !rest.is_empty() => {
-                let decoded = bincode::serde::decode_from_slice(rest, standard());
-                decoded.context(DecodeSnafu)?.0
-            }
-            _ => Suspects::default(),
-        };
+        let mut rest = data.get(read..).unwrap_or_default();
         Ok(Self {
             state,
             lives,
-            suspects,
+            suspects: next_part(&mut rest)?,
+            limits: next_part(&mut rest)?,
         })
     }
 
@@ -83,7 +83,7 @@
         let answer = self.state.apply(entry.id.index, entry.id.term, &command);
         self.state.holds().context(InvariantSnafu)?;
         self.follow_lives(&command, before.as_ref(), &answer);
-        self.follow_suspects(entry.id.index, &command);
+        self.follow_routers(entry.id.index, &command);
         Ok(answer)
     }
 
@@ -96,14 +96,20 @@
         self.state.members().get(id).cloned()
     }
 
-    fn follow_suspects(&mut self, index: LogIndex, command: &Command) {
-        let changed = match command {
+    fn follow_routers(&mut self, index: LogIndex, command: &Command) {
+        let suspects = match command {
             Command::ReportCrash(report) => self.suspects.report(report),
             Command::ClearSuspects(clear) => self.suspects.clear(clear),
-            _ => return,
+            _ => BTreeSet::new(),
+        };
+        let limits = match command {
+            Command::NameLimit(named) => self.limits.name(named),
+            _ => BTreeSet::new(),
         };
-        for request in changed {
-            self.state.touch(index, Touched::Suspect(request));
+        let suspects = suspects.into_iter().map(Touched::Suspect);
+        let limits = limits.into_iter().map(Touched::Limit);
+        for touched in suspects.chain(limits) {
+            self.state.touch(index, touched);
         }
     }
 
@@ -126,6 +132,17 @@
     }
 }
 
+/// The next part of a snapshot; that of an earlier build ends before it.
+fn next_part<T: Default + DeserializeOwned>(rest: &mut &[u8]) -> Result<T, MachineError> {
+    if rest.is_empty() {
+        return Ok(T::default());
+    }
+    let decoded = bincode::serde::decode_from_slice(rest, standard());
+    let (part, read) = decoded.context(DecodeSnafu)?;
+    *rest = rest.get(read..).unwrap_or_default();
+    Ok(part)
+}
+
 /// A command as the log holds it.
 pub fn encode(command: &Command) -> Result<Bytes, MachineError> {
     let encoded = bincode::serde::encode_to_vec(command, standard());
--- a/crates/anvil_ledger/src/state.rs
+++ b/crates/anvil_ledger/src/state.rs
@@ -62,8 +62,11 @@
         self.check_order(index);
         self.applied = index;
         let result = match command {
-            // The last two are kept beside the state; see `machine`.
-            Command::Noop | Command::ReportCrash(_) | Command::ClearSuspects(_) => Ok(Answer::Done),
+            // All but the first are kept beside the state; see `machine`.
+            Command::Noop
+            | Command::ReportCrash(_)
+            | Command::ClearSuspects(_)
+            | Command::NameLimit(_) => Ok(Answer::Done),
             Command::Change(change) => self.change(index, change),
             Command::TopUp(top_up) => self.top_up(top_up),
             Command::WriteOff(write_off) => self.write_off(write_off),
--- a/crates/anvil_ledger/src/state/spread.rs
+++ b/crates/anvil_ledger/src/state/spread.rs
@@ -20,6 +20,8 @@
     Fence(InstanceId),
     /// A request under which endpoints crashed.
     Suspect(RequestDigest),
+    /// A limit that an endpoint named.
+    Limit(InstanceId),
 }
 
 /// The newest changes by version.
--- /dev/null
+++ b/crates/anvil_ledger/tests/limits.rs
@@ -0,0 +1,71 @@
+//! Limits that endpoints name, as the ledger gathers them from all routers.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use anvil_ledger::core::{Entry, EntryId, Payload};
+use anvil_ledger::limits::Limits;
+use anvil_ledger::machine::{Machine, encode};
+use anvil_ledger::state::Touched;
+use anvil_world::command::NameLimit;
+use anvil_world::prelude::*;
+
+fn at(second: u64) -> SystemTime {
+    UNIX_EPOCH + Duration::from_secs(1_700_000_000 + second)
+}
+
+fn name(endpoint: &str, limit: Option<RateLimit>, second: u64) -> NameLimit {
+    NameLimit {
+        endpoint: endpoint.into(),
+        limit,
+        at: at(second),
+    }
+}
+
+fn limit_of(limits: &Limits, endpoint: &str) -> Option<RateLimit> {
+    limits.all().get(endpoint).map(|named| named.limit)
+}
+
+/// Guards against routers that don't hear of a limit, of its change, or of its end.
+#[test]
+fn the_newest_word_of_an_endpoint_holds() {
+    let mut limits = Limits::default();
+    let all = BTreeSet::from(["a".into()]);
+    for (second, limit) in (0..).zip([Some(2_000), Some(1_000), None]) {
+        assert_eq!(limits.name(&name("a", limit, second)), all);
+        assert_eq!(limit_of(&limits, "a"), limit);
+    }
+    assert_eq!(limits.name(&name("a", None, 3)), BTreeSet::new());
+}
+
+/// Guards against limits of endpoints that are gone, which nobody tells of any more.
+#[test]
+fn limits_are_forgotten_and_bounded() {
+    let mut limits = Limits::default();
+    limits.name(&name("gone", Some(1_000), 0));
+    limits.name(&name("here", Some(1_000), 0));
+    limits.name(&name("here", Some(1_000), 400));
+    let changed = limits.name(&name("other", Some(1_000), 600));
+    assert_eq!(changed, BTreeSet::from(["gone".into(), "other".into()]));
+    assert_eq!(limit_of(&limits, "here"), Some(1_000));
+    for number in 0..20_000 {
+        limits.name(&name(&format!("e-{number}"), Some(1_000), 601));
+    }
+    assert!(limits.all().len() <= 16_384, "{}", limits.all().len());
+}
+
+/// Guards against limits that a replica loses as it starts again, or that followers are not told.
+#[test]
+fn a_snapshot_keeps_limits_and_followers_are_told() {
+    let mut machine = Machine::default();
+    let command = Command::NameLimit(name("a", Some(1_000), 0));
+    let entry = Entry {
+        id: EntryId { term: 1, index: 1 },
+        payload: Payload::Data(encode(&command).expect("bytes")),
+    };
+    machine.apply(&entry).expect("applied");
+    let touched = BTreeSet::from([Touched::Limit("a".into())]);
+    assert_eq!(machine.state.touched_since(0), Some(touched));
+    let restored = Machine::restore(&machine.save().expect("bytes")).expect("a machine");
+    assert_eq!(restored, machine);
+}
--- a/crates/anvil_policy/src/rate_share.rs
+++ b/crates/anvil_policy/src/rate_share.rs
@@ -8,10 +8,11 @@
 //!
 //! *How:* without a word between routers, by their number and each one's rank among them. Where the part of one
 //! router is a request in two seconds or more, it is a token bucket. Where it is less, tokens that lie ready would
-//! add up over all routers to more than the limit as soon as a burst comes. So the time of day is cut into slots,
-//! each of which belongs to as many routers as the endpoint takes requests in it; a router may send one in its own.
-//! A slot lasts a second or more, and in any four seconds half as much again as the limit, and two, are sent at most.
-//! Where clocks differ, slots overlap, but no router sends more often than its part.
+//! add up over all routers to more than the limit as soon as a burst comes. So each router may send one
+//! request in a window of its own, by the time of day, once in each round. The windows begin one after the other, as many
+//! a second as the endpoint takes requests, and overlap as far as a burst in all open ones may be borne, so that
+//! a router with few requests has one for its window. In any four seconds half as much again as the limit, and five,
+//! are sent at most. Where clocks differ, windows shift, but no router sends more often than its part.
 
 use std::time::Duration;
 
@@ -19,11 +20,15 @@
 
 /// Part of one router, in requests a second, from which on it keeps a token bucket.
 const BUCKET_FROM: f64 = 0.5;
-/// What a bucket holds, in seconds of its filling, but one request at least. All buckets together hold half a second
-/// of the limit, or less than five requests and the limit of two seconds.
-const BUCKET_HOLDS_S: f64 = 0.5;
-/// Least limit, in requests a second: an endpoint that takes nothing is asked now and then whether that still holds.
-const LEAST_LIMIT: f64 = 0.05;
+/// What a bucket holds, in seconds of its filling, beside its part of [`ALL_HOLD`]; one request at least. All buckets
+/// together hold less than two seconds of the limit and five requests.
+const BUCKET_HOLDS_S: f64 = 1.5;
+/// Requests that all buckets together hold beside that.
+const ALL_HOLD: f64 = 2.0;
+/// Windows that are open at once, beyond those that begin within a second.
+const OPEN_BEYOND: f64 = 2.0;
+/// Least limit: an endpoint that takes nothing is asked now and then whether that still holds.
+const LEAST_LIMIT: RateLimit = 50;
 
 /// A router among those that share the limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -34,6 +39,13 @@
     pub routers: u32,
 }
 
+impl Turn {
+    /// Its part of what all of them have.
+    fn share(self, all: f64) -> f64 {
+        all / f64::from(self.routers.max(1))
+    }
+}
+
 /// A moment by both clocks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Moment {
@@ -46,19 +58,49 @@
 /// What one router sends to one endpoint.
 #[derive(Debug, Clone, Default)]
 pub struct RateShare {
-    limit: Option<f64>,
-    sent: Option<Now>,
+    limit: Option<RateLimit>,
+    /// Since when any limit is known.
+    since: Now,
+    sent: Option<Sent>,
+    /// Requests sent since a limit is known.
+    count: u32,
     tokens: f64,
     filled: Now,
 }
 
+/// The last request.
+#[derive(Debug, Clone, Copy)]
+struct Sent {
+    at: Now,
+    /// The round of windows that it was sent in.
+    round: f64,
+}
+
 impl RateShare {
-    /// The endpoint names this limit, in requests a second, or none any more. Returns whether that is news.
-    pub fn named(&mut self, limit: Option<f64>, now: Now) -> bool {
+    /// The limit as it is known, in force now.
+    pub fn limit(&self) -> Option<RateLimit> {
+        self.limit
+    }
+
+    /// An answer to a request sent at `sent` names this limit, or none. Returns whether that is news.
+    ///
+    /// An answer that names none ends a limit only if its request was sent when the limit was known: an earlier one
+    /// may be from before the endpoint's need.
+    pub fn heard(&mut self, now: Now, sent: Now, word: Option<RateLimit>) -> bool {
+        if word.is_none() && sent < self.since {
+            return false;
+        }
+        self.told(now, word)
+    }
+
+    /// All routers are told of this limit, or that there is none any more. Returns whether that is news.
+    pub fn told(&mut self, now: Now, limit: Option<RateLimit>) -> bool {
         if self.limit == limit {
             return false;
         }
         if self.limit.is_none() {
+            self.since = now;
+            self.count = 0;
             self.tokens = 0.0;
             self.filled = now;
         }
@@ -68,24 +110,15 @@
 
     /// Time until a request may be sent; nothing when it may be now.
     pub fn opens_in(&self, at: Moment, turn: Turn) -> Duration {
-        let Some(limit) = self.limit else {
+        let Some(limit) = self.limit.map(per_second) else {
             return Duration::ZERO;
         };
-        let limit = limit.max(LEAST_LIMIT);
-        let share = limit / f64::from(turn.routers.max(1));
+        let share = turn.share(limit);
         if share >= BUCKET_FROM {
-            let missing = 1.0 - self.tokens_at(at.now, share);
+            let missing = 1.0 - self.tokens_at(at.now, turn, share);
             return seconds((missing / share).max(0.0));
         }
-        let slots = Slots::of(limit, turn);
-        let by_slot = slots.opens_in(at.time_of_day);
-        // Not twice in a slot, nor sooner than that where the time of day was set.
-        let since = self.sent.map(|sent| at.now.saturating_sub(sent));
-        match since.map(|since| slots.spacing().saturating_sub(since)) {
-            None | Some(Duration::ZERO) => by_slot,
-            Some(left) if by_slot.is_zero() => left,
-            Some(left) => by_slot.max(left),
-        }
+        Windows::of(limit, turn).opens_in(at, self.sent)
     }
 
     /// Sends a request if it may be sent now.
@@ -93,61 +126,87 @@
         if !self.opens_in(at, turn).is_zero() {
             return false;
         }
-        if let Some(limit) = self.limit {
-            let share = limit.max(LEAST_LIMIT) / f64::from(turn.routers.max(1));
-            self.tokens = self.tokens_at(at.now, share) - 1.0;
-            self.filled = at.now;
-        }
-        self.sent = Some(at.now);
+        let Some(limit) = self.limit.map(per_second) else {
+            return true;
+        };
+        self.tokens = self.tokens_at(at.now, turn, turn.share(limit)) - 1.0;
+        self.filled = at.now;
+        self.count = self.count.saturating_add(1);
+        self.sent = Some(Sent {
+            at: at.now,
+            round: Windows::of(limit, turn).round(at.time_of_day),
+        });
         true
     }
 
-    fn tokens_at(&self, now: Now, share: f64) -> f64 {
+    /// Requests sent, and those that might have been, since the limit is known.
+    pub fn used(&self, now: Now, turn: Turn) -> (f64, f64) {
+        let share = self
+            .limit
+            .map_or(0.0, |limit| turn.share(per_second(limit)));
+        let time = now.saturating_sub(self.since);
+        (f64::from(self.count), share * time.as_secs_f64())
+    }
+
+    fn tokens_at(&self, now: Now, turn: Turn, share: f64) -> f64 {
         let filled = now.saturating_sub(self.filled).as_secs_f64() * share;
-        let holds = (BUCKET_HOLDS_S * share).max(1.0);
+        let holds = (BUCKET_HOLDS_S * share + turn.share(ALL_HOLD)).max(1.0);
         (self.tokens + filled).min(holds)
     }
 }
 
-/// How the time of day is cut.
-struct Slots {
+/// One router's windows.
+struct Windows {
     /// Length of one, in seconds.
     length: f64,
-    /// How many there are until each router has had one.
-    count: f64,
-    /// The router's own.
-    own: f64,
+    /// Time from the beginning of one to that of the next, in seconds.
+    round: f64,
+    /// When the first one begins, in seconds.
+    first: f64,
 }
 
-impl Slots {
+impl Windows {
     fn of(limit: f64, turn: Turn) -> Self {
-        // So many that a slot lasts a second or more: in a shorter one a router often has no request to send.
-        let routers_in_one = limit.ceil();
-        let routers = f64::from(turn.routers.max(1));
+        let round = f64::from(turn.routers.max(1)) / limit;
         Self {
-            length: routers_in_one / limit,
-            count: (routers / routers_in_one).ceil(),
-            own: (f64::from(turn.rank.min(turn.routers.saturating_sub(1))) / routers_in_one)
-                .floor(),
+            length: ((limit.ceil() + OPEN_BEYOND) / limit).min(round),
+            round,
+            first: f64::from(turn.rank) / limit,
         }
     }
 
-    fn opens_in(&self, time_of_day: Duration) -> Duration {
-        let cycle = self.length * self.count;
-        let into_own = time_of_day.as_secs_f64() - self.own * self.length;
-        let into_own = into_own.rem_euclid(cycle);
-        if into_own < self.length {
-            return Duration::ZERO;
-        }
-        seconds(cycle - into_own)
+    /// Which of them is open or was the last to be so.
+    fn round(&self, time_of_day: Duration) -> f64 {
+        ((time_of_day.as_secs_f64() - self.first) / self.round).floor()
     }
 
-    /// Least time between two requests of one router.
-    fn spacing(&self) -> Duration {
-        seconds(self.length * (self.count - 1.0).max(1.0))
+    fn opens_in(&self, at: Moment, sent: Option<Sent>) -> Duration {
+        let round = self.round(at.time_of_day);
+        let into = at.time_of_day.as_secs_f64() - self.first - round * self.round;
+        let to_next = seconds(self.round - into);
+        let is_open = into < self.length;
+        let Some(sent) = sent else {
+            return if is_open { Duration::ZERO } else { to_next };
+        };
+        let since = at.now.saturating_sub(sent.at);
+        // The time of day may have been set: by the steady clock a window and the next one are so far apart.
+        let apart = seconds(self.round - self.length);
+        let is_used = sent.round.total_cmp(&round).is_eq() && since < seconds(self.round);
+        let by_window = if is_open && !is_used {
+            Duration::ZERO
+        } else {
+            to_next
+        };
+        by_window.max(apart.saturating_sub(since))
     }
 }
 
+fn per_second(limit: RateLimit) -> f64 {
+    // Above what a number can hold exactly, a request more or less doesn't matter.
+    let limit = u32::try_from(limit.max(LEAST_LIMIT)).unwrap_or(u32::MAX);
+    f64::from(limit) / 1e3
+}
+
 fn seconds(seconds: f64) -> Duration {
     Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
 }
--- a/crates/anvil_wire/src/msg/ledger.rs
+++ b/crates/anvil_wire/src/msg/ledger.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use anvil_world::command::AuditEntry;
+use anvil_world::endpoint_limit::EndpointLimit;
 use anvil_world::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -43,7 +44,7 @@
 /// Which part of the state a follower needs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Interest {
-    /// The whole settings tree, the members, the fenced routers and the suspected requests.
+    /// The whole settings tree, the members, the fenced routers, and what routers tell of endpoints.
     Router,
     /// The fleet's document, the follower's own presence and the fenced routers.
     Sidecar,
@@ -122,6 +123,8 @@
         fenced: BTreeMap<InstanceId, Incarnation>,
         /// Requests under which endpoints crashed.
         suspects: BTreeMap<RequestDigest, Suspect>,
+        /// Limits that endpoints named.
+        limits: BTreeMap<InstanceId, EndpointLimit>,
     },
     /// What changed since the last event; `None` for what went away.
     Delta {
@@ -135,6 +138,8 @@
         fenced: Vec<(InstanceId, Incarnation)>,
         /// Requests under which endpoints crashed.
         suspects: Vec<(RequestDigest, Option<Suspect>)>,
+        /// Limits that endpoints named.
+        limits: Vec<(InstanceId, Option<EndpointLimit>)>,
     },
     /// Nothing changed; the replica confirms that this version is the newest it knows of and
     /// that it heard from the leader lately.
--- a/crates/anvil_world/src/command.rs
+++ b/crates/anvil_world/src/command.rs
@@ -9,6 +9,7 @@
 mod crash;
 mod fencing;
 mod grants;
+mod limit;
 mod membership;
 mod replace;
 
@@ -22,6 +23,7 @@
 pub use crash::{ClearSuspects, ReportCrash};
 pub use fencing::{FenceNumber, Order, OrderKind};
 pub use grants::{FenceRouter, GrantAsk, GrantBatch, GrantBatchAnswer, GrantRefusal, GrantReport};
+pub use limit::NameLimit;
 pub use membership::{Drain, Join, SetPresence};
 pub use replace::ReplaceRouting;
 
@@ -67,4 +69,6 @@
     ReportCrash(ReportCrash),
     /// Requests under which endpoints crashed have been answered by others.
     ClearSuspects(ClearSuspects),
+    /// An endpoint named what it takes from all routers, or names nothing any more.
+    NameLimit(NameLimit),
 }
--- a/crates/anvil_world/src/ids.rs
+++ b/crates/anvil_world/src/ids.rs
@@ -49,6 +49,8 @@
 pub type Offset = u64;
 /// SHA-256 of a request's body.
 pub type BodyHash = [u8; 32];
+/// Requests in a thousand seconds.
+pub type RateLimit = u64;
 /// The beginning of a SHA-256 of all that makes two requests the same one.
 pub type RequestDigest = u128;
 /// Time since the process started, as state machines see it.
--- a/crates/anvil_world/src/lib.rs
+++ b/crates/anvil_world/src/lib.rs
@@ -18,7 +18,7 @@
 //! * [`zone`], [`instance`], [`link`]: machines and where they stand.
 //! * [`contract`]: budgets, prices, grants and how a cost is split.
 //! * [`outcome`]: what a caller is told, and why.
-//! * [`suspect`]: requests under which endpoints crashed.
+//! * [`suspect`], [`endpoint_limit`]: requests under which endpoints crashed, and what endpoints take.
 //! * [`path`], [`document`] and [`tree`]: the settings tree.
 //! * [`command`]: what the replicated log holds.
 //! * [`settings`]: the TOML file of each process.
@@ -26,6 +26,7 @@
 pub mod command;
 pub mod contract;
 pub mod document;
+pub mod endpoint_limit;
 pub mod ids;
 pub mod instance;
 pub mod link;
--- a/crates/anvilreel/src/held.rs
+++ b/crates/anvilreel/src/held.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeMap;
 
 use anvil_wire::msg::FollowEvent;
+use anvil_world::endpoint_limit::EndpointLimit;
 use anvil_world::prelude::*;
 
-/// Tree, members, fences and suspected requests at one version.
+/// Tree, members, fences, suspected requests and endpoints' limits at one version.
 #[derive(Debug, Clone, Default)]
 pub struct Held {
     /// Log position it stands for; 0 before the first event.
@@ -18,6 +19,8 @@
     pub fenced: BTreeMap<InstanceId, Incarnation>,
     /// Requests under which endpoints crashed.
     pub suspects: BTreeMap<RequestDigest, Suspect>,
+    /// Limits that endpoints named.
+    pub limits: BTreeMap<InstanceId, EndpointLimit>,
 }
 
 impl Held {
@@ -34,6 +37,7 @@
                 members,
                 fenced,
                 suspects,
+                limits,
             } => {
                 if version <= self.version {
                     return false;
@@ -44,6 +48,7 @@
                     members,
                     fenced,
                     suspects,
+                    limits,
                 };
                 true
             }
@@ -53,6 +58,7 @@
                 members,
                 fenced,
                 suspects,
+                limits,
             } => {
                 if version <= self.version {
                     return false;
@@ -62,6 +68,7 @@
                 merge(&mut self.members, members);
                 self.fenced.extend(fenced);
                 merge(&mut self.suspects, suspects);
+                merge(&mut self.limits, limits);
                 true
             }
             FollowEvent::Current { .. } => false,
--- a/crates/anvilreel/src/ledger_service/follow.rs
+++ b/crates/anvilreel/src/ledger_service/follow.rs
@@ -40,7 +40,9 @@
     fn full(&self, machine: &Machine) -> FollowEvent {
         let state = &machine.state;
         let suspects = machine.suspects.told();
-        let suspects = suspects.filter(|_| self.needs_suspects());
+        let suspects = suspects.filter(|_| self.is_router());
+        let limits = machine.limits.all().iter();
+        let limits = limits.filter(|_| self.is_router());
         let tree = state.tree().iter();
         let members = state.members().iter();
         FollowEvent::Full {
@@ -55,12 +57,14 @@
                 .collect(),
             fenced: state.fenced().clone(),
             suspects: suspects.map(|(request, s)| (request, s.clone())).collect(),
+            limits: limits.map(|(id, limit)| (id.clone(), *limit)).collect(),
         }
     }
 
     fn delta(&self, machine: &Machine, touched: &BTreeSet<Touched>) -> FollowEvent {
         let state = &machine.state;
         let mut suspects = Vec::new();
+        let mut limits = Vec::new();
         let mut tree = Vec::new();
         let mut members = Vec::new();
         let mut fenced = Vec::new();
@@ -76,10 +80,16 @@
                     let upto = state.fenced().get(id);
                     fenced.extend(upto.map(|upto| (id.clone(), *upto)));
                 }
-                Touched::Suspect(request) if self.needs_suspects() => {
+                Touched::Suspect(request) if self.is_router() => {
                     suspects.push((*request, machine.suspects.get(*request).cloned()));
                 }
-                Touched::Document(_) | Touched::Member(_) | Touched::Suspect(_) => {}
+                Touched::Limit(id) if self.is_router() => {
+                    limits.push((id.clone(), machine.limits.all().get(id).copied()));
+                }
+                Touched::Document(_)
+                | Touched::Member(_)
+                | Touched::Suspect(_)
+                | Touched::Limit(_) => {}
             }
         }
         FollowEvent::Delta {
@@ -88,10 +98,11 @@
             members,
             fenced,
             suspects,
+            limits,
         }
     }
 
-    fn needs_suspects(&self) -> bool {
+    fn is_router(&self) -> bool {
         self.interest == Interest::Router
     }
 
--- a/crates/anvilreel/tests/ledger_spread.rs
+++ b/crates/anvilreel/tests/ledger_spread.rs
@@ -7,8 +7,8 @@
 use anvil_ledger::machine::{Machine, encode};
 use anvil_wire::msg::{Evidence, FollowEvent, Heartbeat, Interest, KeyCharge};
 use anvil_world::command::{
-    Change, ClearSuspects, Edit, FenceRouter, GrantAsk, GrantBatch, Join, ReportCrash, SetPresence,
-    TopUp, change_id,
+    Change, ClearSuspects, Edit, FenceRouter, GrantAsk, GrantBatch, Join, NameLimit, ReportCrash,
+    SetPresence, TopUp, change_id,
 };
 use anvil_world::prelude::*;
 use anvil_world::suspect::CrashedRun;
@@ -280,3 +280,21 @@
     assert!(held.suspects.is_empty());
     Ok(())
 }
+
+/// Guards against routers that are not told what an endpoint takes, or that its limit is over.
+#[test]
+fn routers_are_told_of_endpoints_limits() -> Result<(), Failure> {
+    let mut ledger = Ledger::default();
+    let mut held = Held::default();
+    for limit in [Some(1_000), Some(500), None] {
+        ledger.apply(&Command::NameLimit(NameLimit {
+            endpoint: "a".into(),
+            limit,
+            at: SystemTime::now(),
+        }))?;
+        let event = follower(Interest::Router, held.version).catch_up(&ledger.machine);
+        held.apply(event.ok_or("an event")?);
+        assert_eq!(held.limits.get("a").map(|named| named.limit), limit);
+    }
+    Ok(())
+}
