Tests of crashes and limits see more guards

An endpoint that leaves and ends counted for a request would have gone unnoticed (guard taken out: no test red); there is a test now, red without it.

--- a/crates/anvil_gateway/tests/direct/crashing.rs
+++ b/crates/anvil_gateway/tests/direct/crashing.rs
@@ -142,17 +142,17 @@
 /// Guards against a request that is held because its answers are lost, though no endpoint crashes.
 #[tokio::test]
 async fn a_request_whose_answers_are_lost_is_not_held() {
-    let lossy = Endpoint::start(|number, req| match number {
-        0..12 => vec![Step::Reset],
-        _ => vec![Step::Send(answer(req, "ran"))],
-    })
-    .await;
-    let fleet = Fleet::start(&[("a", &lossy)]).await;
-    for _ in 0..12 {
+    let well = Endpoint::start(|_, req| vec![Step::Send(answer(req, "ran"))]).await;
+    let fleet = Fleet::start(&[]).await;
+    for number in 0..2 * CRASHES {
+        let lossy = Endpoint::start(|_, _| vec![Step::Reset]).await;
+        let id = format!("lossy-{number}");
+        fleet.gw.directory.take(&[listed(&id, lossy.addr)]);
         let mut client = Client::connect(fleet.addr).await;
         assert_eq!(client.ask("/once/x", "id", "").await.status, 502);
-        sleep(Duration::from_millis(30)).await;
+        sleep(Duration::from_millis(50)).await;
     }
+    fleet.gw.directory.take(&[listed("well", well.addr)]);
     let mut client = Client::connect(fleet.addr).await;
     assert_eq!(client.ask("/once/x", "id", "").await.status, 200);
 }
@@ -237,3 +237,29 @@
         assert_eq!(client.ask("/once/x", "id", "").await.status, status);
     }
 }
+
+/// Guards against a request being held because endpoints that were leaving ended while it ran.
+#[tokio::test]
+async fn an_endpoint_that_leaves_and_ends_counts_against_no_request() {
+    let ends = |_, _: &Received| vec![Step::Pause(Duration::from_millis(100)), Step::Crash];
+    let well = Endpoint::start(|_, req| vec![Step::Send(answer(req, "ran"))]).await;
+    let fleet = Fleet::start(&[]).await;
+    for number in 0..CRASHES {
+        let leaving = Endpoint::start(ends).await;
+        let mut listed = listed(&format!("leaving-{number}"), leaving.addr);
+        fleet.gw.directory.take(std::slice::from_ref(&listed));
+        let mut client = Client::connect(fleet.addr).await;
+        let asking = client.ask("/once/x", "id", "");
+        let leaves = async {
+            sleep(Duration::from_millis(50)).await;
+            listed.leaving = true;
+            fleet.gw.directory.take(std::slice::from_ref(&listed));
+        };
+        let (got, ()) = tokio::join!(asking, leaves);
+        assert_eq!(got.status, 502);
+        sleep(Duration::from_millis(50)).await;
+    }
+    fleet.gw.directory.take(&[listed("well", well.addr)]);
+    let mut client = Client::connect(fleet.addr).await;
+    assert_eq!(client.ask("/once/x", "id", "").await.status, 200);
+}
--- a/crates/anvil_gateway/tests/direct/limits.rs
+++ b/crates/anvil_gateway/tests/direct/limits.rs
@@ -145,11 +145,11 @@
 /// Guards against a gateway that learns of a limit, and of its end, only by requests of its own.
 #[tokio::test]
 async fn what_other_gateways_heard_holds_here() {
-    let endpoint = InNeed::start(false).await;
+    let endpoint = InNeed::start(true).await;
     let fleet = Fleet::start(&[("a", &endpoint.endpoint)]).await;
     let mut told = BTreeMap::new();
     let limit = EndpointLimit {
-        limit: 10,
+        limit: LIMIT,
         at: SystemTime::now(),
     };
     told.insert("a".into(), limit);
@@ -165,8 +165,10 @@
     fleet.gw.take_limits(&told);
     let served = ask(10).await;
     assert!(served <= 1, "{served} at the limit");
+    endpoint.names_limit.store(false, Ordering::Relaxed);
     fleet.gw.take_limits(&BTreeMap::new());
     assert_eq!(ask(10).await, 10, "after its end");
+    endpoint.names_limit.store(true, Ordering::Relaxed);
     fleet.gw.take_limits(&told);
     fleet
         .gw
