An endpoint that starts again under its name counts again for the request that crashes it

The platform may start an endpoint under the id that it had. Its second crash then counted as the first one told again, so the request that crashed it went on. Reports on one endpoint are of one crash within three seconds; later ones are of another. And an endpoint that answers again is no crashed one any more, so a connection lost there afterwards is looked into anew.

Tests: suspects::an_endpoint_that_starts_again_under_its_name_counts_again, crash::an_endpoint_that_answers_again_has_not_crashed.

--- a/crates/anvil_gateway/src/crashes.rs
+++ b/crates/anvil_gateway/src/crashes.rs
@@ -48,6 +48,11 @@
         }
     }
 
+    /// An endpoint begins to answer.
+    pub fn endpoint_lives(&self, endpoint: &Endpoint) {
+        self.crash_watch().lives(&endpoint.id);
+    }
+
     /// An endpoint has answered a request to the end.
     pub fn answered(&self, content: RequestDigest) {
         self.crash_watch().answered(self.life.now(), content);
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -303,6 +303,7 @@
         match tried {
             Tried::Answer(answer) => {
                 self.gw.directory.found_right(&self.service);
+                self.gw.endpoint_lives(endpoint);
                 if let Some(load) = &answer.head.load {
                     endpoint.heard(now, load);
                 }
--- a/crates/anvil_gateway/src/suspects.rs
+++ b/crates/anvil_gateway/src/suspects.rs
@@ -204,11 +204,16 @@
     let left = suspect.held_for(now);
     (!left.is_zero()).then(|| Held {
         left,
-        endpoints: suspect.endpoints.keys().cloned().collect(),
+        endpoints: endpoints_of(suspect),
         told,
     })
 }
 
+fn endpoints_of(suspect: &Suspect) -> Vec<InstanceId> {
+    let crashes = suspect.crashes.iter();
+    crashes.map(|crash| crash.endpoint.clone()).collect()
+}
+
 fn is_held(suspect: &Suspect, now: SystemTime) -> bool {
     !suspect.held_for(now).is_zero()
 }
@@ -257,7 +262,7 @@
         if is_held(&told.suspect, now) && !was_held {
             event!(
                 self.log, events::GATEWAY_REQUEST_HELD, "content" => content::text(request),
-                "endpoints" => format!("{:?}", told.suspect.endpoints)
+                "endpoints" => format!("{:?}", endpoints_of(&told.suspect))
             );
         }
     }
--- a/crates/anvil_policy/src/crash.rs
+++ b/crates/anvil_policy/src/crash.rs
@@ -115,6 +115,15 @@
         requests
     }
 
+    /// An endpoint answers: it lives, also where one of its name had crashed.
+    pub fn lives(&mut self, endpoint: &str) {
+        if let Some(watched) = self.endpoints.get(endpoint)
+            && watched.has_crashed
+        {
+            self.endpoints.remove(endpoint);
+        }
+    }
+
     /// Whether an endpoint has answered a request a moment before.
     pub fn was_answered(&mut self, now: Now, request: RequestDigest) -> bool {
         self.forget_answers(now);
--- a/crates/anvil_policy/tests/crash.rs
+++ b/crates/anvil_policy/tests/crash.rs
@@ -91,3 +91,16 @@
     let crashed = [(1, CrashedRun::AfterOutput), (2, CrashedRun::BeforeOutput)];
     assert_eq!(watch.crashed(at(2), &a), BTreeMap::from(crashed));
 }
+
+/// Guards against lost connections being told as crashes, after an endpoint started again under its name.
+#[test]
+fn an_endpoint_that_answers_again_has_not_crashed() {
+    let mut watch = CrashWatch::default();
+    let a: InstanceId = "a".into();
+    watch.lost(at(0), &a, 1, RUN);
+    watch.lives(&a);
+    assert_eq!(watch.crashed(at(1), &a), BTreeMap::from([(1, RUN)]));
+    assert_eq!(watch.lost(at(2), &a, 2, RUN), Lost::Crashed);
+    watch.lives(&a);
+    assert_eq!(watch.lost(at(3), &a, 3, RUN), Lost::Look);
+}
--- a/crates/anvil_world/src/suspect.rs
+++ b/crates/anvil_world/src/suspect.rs
@@ -1,6 +1,5 @@
 //! A request under which endpoints crashed and which none has answered since.
 
-use std::collections::BTreeMap;
 use std::time::{Duration, SystemTime};
 
 use serde::{Deserialize, Serialize};
@@ -10,6 +9,8 @@
 /// Weight from which on a request is kept from endpoints: three crashes before its run had any output. One or two may
 /// have come from another reason, or from a neighbour that was waiting as well.
 pub const HELD_FROM: u32 = 6;
+/// Reports on one endpoint within this time are of the same crash. One that starts again under its name is back later.
+const SAME_CRASH: Duration = Duration::from_secs(3);
 /// For how long it is kept from them after the last crash.
 pub const HELD_FOR: Duration = Duration::from_hours(1);
 /// For how long crashes are remembered after the last one. Within this time a single further one is enough.
@@ -34,12 +35,23 @@
     }
 }
 
+/// One crash under a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// The endpoint.
+    pub endpoint: InstanceId,
+    /// How far the run had come.
+    pub run: CrashedRun,
+    /// When it was told of, by the ledger's clock.
+    pub at: SystemTime,
+}
+
 /// What is known of such a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Suspect {
-    /// Endpoints that crashed under it, each in one life; no more than it takes to hold it.
-    pub endpoints: BTreeMap<InstanceId, CrashedRun>,
-    /// When the last one did, by the ledger's clock.
+    /// Crashes under it, no more than it takes to hold it.
+    pub crashes: Vec<Crash>,
+    /// When the last one was told of, by the ledger's clock.
     pub since: SystemTime,
 }
 
@@ -47,30 +59,36 @@
     /// Nothing crashed yet.
     pub fn new(since: SystemTime) -> Self {
         Self {
-            endpoints: BTreeMap::new(),
+            crashes: Vec::new(),
             since,
         }
     }
 
     /// An endpoint crashed under it. Returns whether that is news.
     pub fn crashed(&mut self, endpoint: &InstanceId, run: CrashedRun, at: SystemTime) -> bool {
-        if self
-            .endpoints
-            .get(endpoint)
-            .is_some_and(|known| *known >= run)
-        {
-            return false;
+        let is_same = |crash: &&mut Crash| {
+            let apart = at.duration_since(crash.at).unwrap_or_default();
+            crash.endpoint == *endpoint && apart < SAME_CRASH
+        };
+        if let Some(known) = self.crashes.iter_mut().find(is_same) {
+            let is_news = run > known.run;
+            known.run = known.run.max(run);
+            return is_news;
         }
         self.since = self.since.max(at);
         if self.weight() < HELD_FROM {
-            self.endpoints.insert(endpoint.clone(), run);
+            self.crashes.push(Crash {
+                endpoint: endpoint.clone(),
+                run,
+                at,
+            });
         }
         true
     }
 
     /// How much speaks against it.
     pub fn weight(&self) -> u32 {
-        self.endpoints.values().map(|run| run.weight()).sum()
+        self.crashes.iter().map(|crash| crash.run.weight()).sum()
     }
 
     /// For how much longer it is kept from endpoints; nothing where it may go to them.
