A request that crashes endpoints is in quarantine

'Held' stood for two things: a request that waits, and one that is kept from endpoints. What a request teaches of endpoints has a file of its own (exchange/learning). Two ways in which a crash shows had no test that noticed their loss: an endpoint that is listed no more, and one at whose address another one answers; each has one now, red without its guard.

--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -112,9 +112,9 @@
     let body = read_body(body, table.limits.body_bytes, deadline).await?;
     let payer = organisation.as_deref();
     let content = || content::digest(payer, &route, &head.method, &head.uri, &body);
-    if let Some(held) = gw.suspects.held(content) {
-        trace.step(format_args!("held: {held}"));
-        return Err((Cause::CrashesEndpoints, held.left));
+    if let Some(quarantine) = gw.suspects.quarantine(content) {
+        trace.step(format_args!("in quarantine: {quarantine}"));
+        return Err((Cause::CrashesEndpoints, quarantine.left));
     }
     let service = gw.draw_service(&route).ok_or((Cause::NoEndpoint, SOON))?;
     let engine = table.services.get(&service).and_then(|s| s.engine);
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -1,9 +1,10 @@
 //! One admitted request's way: from the first endpoint that is tried to its answer's end.
 
+mod learning;
+
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvil_policy::crash::Evidence;
 use anvil_policy::engine::Prompt;
 use anvil_world::prelude::*;
 use anvil_world::suspect::CrashedRun;
@@ -14,11 +15,9 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::arrival;
-use crate::attempt::{ANOTHER_HAS_IT, Answer, Doubt, NotRun, Outgoing, Tried, send};
+use crate::attempt::{Answer, Doubt, NotRun, Outgoing, Tried, send};
 use crate::choose::Unplaced;
-use crate::content;
 use crate::dialect::{Ask, Onward};
-use crate::endpoint::Endpoint;
 use crate::gateway::Gateway;
 use crate::line::Line;
 use crate::log_events as events;
@@ -218,14 +217,14 @@
     }
 
     async fn one_try(&mut self, after: Option<u64>) -> Result<Tried, Refused> {
-        if let Some(held) = self.gw.suspects.held(|| self.content()) {
-            self.trace.step(format_args!("held: {held}"));
+        if let Some(quarantine) = self.gw.suspects.quarantine(|| self.content()) {
+            self.trace.step(format_args!("in quarantine: {quarantine}"));
             let cause = if self.in_doubt {
                 Cause::Lost
             } else {
                 Cause::CrashesEndpoints
             };
-            return Err((cause, held.left));
+            return Err((cause, quarantine.left));
         }
         let prompt = Prompt { parts: &self.parts };
         let within = self.left().mul_f64(SENT_WITHIN);
@@ -298,64 +297,6 @@
         own.unwrap_or(self.route.class).min(LOWEST_CLASS)
     }
 
-    fn learn(&mut self, endpoint: &Arc<Endpoint>, tried: &Tried, waited: Duration) {
-        let now = self.gw.life.now();
-        match tried {
-            Tried::Answer(answer) => {
-                self.gw.directory.found_right(&self.service);
-                self.gw.endpoint_lives(endpoint);
-                if let Some(load) = &answer.head.load {
-                    endpoint.heard(now, load);
-                }
-                endpoint
-                    .load()
-                    .answered(answer.parts.status.is_server_error());
-            }
-            Tried::NotRun(NotRun::Refused(ANOTHER_HAS_IT)) => {
-                self.gw.endpoint_crashed(&endpoint.id, Evidence::Replaced);
-                endpoint.leave();
-                self.gw.directory.found_replaced(&self.service);
-                self.gw.list_doubted.notify_one();
-            }
-            Tried::NotRun(NotRun::Refused(_)) => endpoint.load().was_full(now, FULL_PAUSE),
-            Tried::NotRun(NotRun::Unreachable(why)) => self.endpoint_failed(endpoint, why),
-            // A client that waits for less than an answer takes says nothing of the endpoint.
-            Tried::Doubt(Doubt::Silent) if waited < self.route.target => {}
-            Tried::Doubt(doubt) => {
-                self.answer_lost(endpoint, CrashedRun::BeforeOutput, &format!("{doubt:?}"));
-            }
-        }
-    }
-
-    /// What makes another request the same one.
-    pub fn content(&self) -> RequestDigest {
-        content::digest(
-            self.organisation.as_deref(),
-            &self.route,
-            &self.method,
-            &self.uri,
-            &self.body,
-        )
-    }
-
-    /// An endpoint has answered this request to the end.
-    pub fn answered(&self) {
-        self.gw.answered(self.content());
-    }
-
-    /// Notes that an endpoint lost the answer to this request.
-    pub fn answer_lost(&mut self, endpoint: &Arc<Endpoint>, run: CrashedRun, why: &str) {
-        let content = self.content();
-        self.trace.content(content);
-        self.endpoint_failed(endpoint, why);
-        self.gw.lost_at(endpoint, content, run);
-    }
-
-    /// Notes that an endpoint failed this request.
-    pub fn endpoint_failed(&self, endpoint: &Endpoint, why: &str) {
-        endpoint.failed(self.gw.life.now(), &self.gw.log, why);
-    }
-
     fn unplaced(&mut self, unplaced: Unplaced) -> Refused {
         self.trace.step(format_args!("no place: {unplaced:?}"));
         if self.in_doubt {
@@ -439,5 +380,3 @@
 /// How many times its target an answer's head is waited for where another endpoint may run the
 /// request instead: an endpoint that has been silent for so long is more likely lost than slow.
 const SILENT_TARGETS: f64 = 2.0;
-/// A full endpoint gets nothing for about the time of one of its requests.
-const FULL_PAUSE: Duration = Duration::from_millis(25);
--- a/crates/anvil_gateway/src/log_events.rs
+++ b/crates/anvil_gateway/src/log_events.rs
@@ -50,7 +50,7 @@
     /// An endpoint crashed under requests.
     GATEWAY_ENDPOINT_CRASHED = 6024 Warning "gateway_endpoint_crashed";
     /// A request is kept from endpoints from now on, because they crash under it.
-    GATEWAY_REQUEST_HELD = 6025 Warning "gateway_request_held";
+    GATEWAY_REQUEST_QUARANTINED = 6025 Warning "gateway_request_quarantined";
     /// A request under which endpoints crashed may go to them again: one has answered it, or its crashes are
     /// forgotten.
     GATEWAY_REQUEST_CLEARED = 6026 Info "gateway_request_cleared";
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -40,7 +40,7 @@
 /// Of these, those of which the ledger was not told, for too many waited. Count.
 pub const CRASHES_UNTOLD: &str = "endpoints.crashed_untold";
 /// Requests that are kept from endpoints, because these crash under them. Gauge.
-pub const HELD: &str = "requests.held";
+pub const QUARANTINED: &str = "requests.quarantined";
 /// Answers whose limit can't be read. Count.
 pub const LIMITS_UNREADABLE: &str = "endpoints.limit_unreadable";
 /// Endpoints that named how many requests they take from all gateways. Gauge.
@@ -86,7 +86,7 @@
     (TRIES_COPIED, "count"),
     (CRASHES, "count"),
     (CRASHES_UNTOLD, "count"),
-    (HELD, "gauge"),
+    (QUARANTINED, "gauge"),
     (LIMITS_UNREADABLE, "count"),
     (LIMITED, "gauge"),
     (LIMIT_USED, "gauge"),
@@ -119,7 +119,7 @@
             (GATEWAYS, u64::from(self.gateways.load(Ordering::Relaxed))),
             (ENDPOINTS, open),
             (ENDPOINTS_SHUT, shut),
-            (HELD, self.suspects.count_held()),
+            (QUARANTINED, self.suspects.count_quarantined()),
             (LIMITED, limited),
             (LIMIT_USED, limit_used),
             (CONFIRMED_AGE, age(self.confirmed.load(Ordering::Relaxed))),
--- a/crates/anvil_gateway/src/suspects.rs
+++ b/crates/anvil_gateway/src/suspects.rs
@@ -10,7 +10,7 @@
 
 use anvil_world::command::{ClearSuspects, ReportCrash};
 use anvil_world::prelude::*;
-use anvil_world::suspect::{CrashedRun, HELD_FROM};
+use anvil_world::suspect::{CrashedRun, QUARANTINED_FROM};
 use anvilreel::event;
 use arc_swap::ArcSwap;
 use tokio::sync::Notify;
@@ -41,7 +41,7 @@
 
 /// Why a request is kept from endpoints.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Held {
+pub struct Quarantine {
     /// For how much longer.
     pub left: Duration,
     /// Endpoints that crashed under it, as many as it took.
@@ -50,7 +50,7 @@
     pub told: Option<Now>,
 }
 
-impl fmt::Display for Held {
+impl fmt::Display for Quarantine {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:?} crashed under it, ", self.endpoints)?;
         match self.told {
@@ -118,7 +118,7 @@
     }
 
     /// Why a request is kept from endpoints; `None` where it may go to them.
-    pub fn held(&self, request: impl FnOnce() -> RequestDigest) -> Option<Held> {
+    pub fn quarantine(&self, request: impl FnOnce() -> RequestDigest) -> Option<Quarantine> {
         if self.is_empty() {
             return None;
         }
@@ -136,15 +136,15 @@
         };
         let Some(own) = own else {
             let told = told?;
-            return held(&told.suspect, Some(told.since), now);
+            return quarantine(&told.suspect, Some(told.since), now);
         };
         let suspect = told.map(|told| told.suspect.clone());
         let mut suspect = suspect.unwrap_or_else(|| Suspect::new(now));
         for (endpoint, run) in own {
             suspect.crashed(&endpoint, run, now);
         }
-        let told = told.filter(|told| told.suspect.weight() >= HELD_FROM);
-        held(&suspect, told.map(|told| told.since), now)
+        let told = told.filter(|told| told.suspect.weight() >= QUARANTINED_FROM);
+        quarantine(&suspect, told.map(|told| told.since), now)
     }
 
     /// An endpoint has answered a request: what crashed before did so for another reason.
@@ -158,11 +158,13 @@
     }
 
     /// How many are kept from endpoints, by the ledger's word.
-    pub fn count_held(&self) -> u64 {
+    pub fn count_quarantined(&self) -> u64 {
         let now = SystemTime::now();
         let told = self.told.load();
-        let held = told.values().filter(|told| is_held(&told.suspect, now));
-        held.count() as u64
+        let quarantined = told
+            .values()
+            .filter(|told| is_quarantined(&told.suspect, now));
+        quarantined.count() as u64
     }
 
     fn is_empty(&self) -> bool {
@@ -200,9 +202,9 @@
     }
 }
 
-fn held(suspect: &Suspect, told: Option<Now>, now: SystemTime) -> Option<Held> {
-    let left = suspect.held_for(now);
-    (!left.is_zero()).then(|| Held {
+fn quarantine(suspect: &Suspect, told: Option<Now>, now: SystemTime) -> Option<Quarantine> {
+    let left = suspect.quarantined_for(now);
+    (!left.is_zero()).then(|| Quarantine {
         left,
         endpoints: endpoints_of(suspect),
         told,
@@ -214,8 +216,8 @@
     crashes.map(|crash| crash.endpoint.clone()).collect()
 }
 
-fn is_held(suspect: &Suspect, now: SystemTime) -> bool {
-    !suspect.held_for(now).is_zero()
+fn is_quarantined(suspect: &Suspect, now: SystemTime) -> bool {
+    !suspect.quarantined_for(now).is_zero()
 }
 
 impl Gateway {
@@ -258,10 +260,10 @@
 
     fn log_news(&self, request: RequestDigest, known: Option<&Told>, told: &Told) {
         let now = SystemTime::now();
-        let was_held = known.is_some_and(|known| is_held(&known.suspect, now));
-        if is_held(&told.suspect, now) && !was_held {
+        let was_quarantined = known.is_some_and(|known| is_quarantined(&known.suspect, now));
+        if is_quarantined(&told.suspect, now) && !was_quarantined {
             event!(
-                self.log, events::GATEWAY_REQUEST_HELD, "content" => content::text(request),
+                self.log, events::GATEWAY_REQUEST_QUARANTINED, "content" => content::text(request),
                 "endpoints" => format!("{:?}", endpoints_of(&told.suspect))
             );
         }
--- a/crates/anvil_gateway/tests/direct/crashing.rs
+++ b/crates/anvil_gateway/tests/direct/crashing.rs
@@ -11,9 +11,11 @@
 use tokio::time::{Instant, sleep};
 
 use crate::client::Client;
-use crate::endpoint::{Endpoint, Received, Step, answer, chunk, event, stream_end, stream_head};
+use crate::endpoint::{
+    Endpoint, Received, Step, answer, chunk, event, not_run, stream_end, stream_head,
+};
 use crate::fleet::{Fleet, listed};
-use crate::processes::{GATEWAYS, Processes};
+use crate::processes::{GATEWAYS, Processes, listing};
 
 /// Endpoints that run at once.
 const ENDPOINTS: usize = 6;
@@ -139,9 +141,9 @@
     assert!(strays <= STRAYS, "{strays} more endpoints crashed");
 }
 
-/// Guards against a request that is held because its answers are lost, though no endpoint crashes.
+/// Guards against a request that is quarantined because its answers are lost, though no endpoint crashes.
 #[tokio::test]
-async fn a_request_whose_answers_are_lost_is_not_held() {
+async fn a_request_whose_answers_are_lost_is_not_quarantined() {
     let well = Endpoint::start(|_, req| vec![Step::Send(answer(req, "ran"))]).await;
     let fleet = Fleet::start(&[]).await;
     for number in 0..2 * CRASHES {
@@ -157,9 +159,9 @@
     assert_eq!(client.ask("/once/x", "id", "").await.status, 200);
 }
 
-/// Guards against a stream being held for crashes that came while it was being answered.
+/// Guards against a stream being quarantined for crashes that came while it was being answered.
 #[tokio::test]
-async fn a_stream_that_had_output_is_not_held_for_three_crashes() {
+async fn a_stream_that_had_output_is_not_quarantined_for_three_crashes() {
     let well = Endpoint::start(|_, req| {
         let answer = [stream_head(req), chunk(&event(1)), stream_end()];
         vec![Step::Send(answer.concat())]
@@ -187,9 +189,9 @@
     assert_eq!(client.ask("/stream/x", "id", "").await.status, 200);
 }
 
-/// Guards against a lookup that all callers share being held, because many were under way as a zone lost power.
+/// Guards against a lookup that all callers share being quarantined, because many were under way as a zone lost power.
 #[tokio::test]
-async fn a_request_that_is_answered_all_the_time_is_not_held() {
+async fn a_request_that_is_answered_all_the_time_is_not_quarantined() {
     let behave = |number, req: &Received| match number {
         0 => vec![Step::Send(answer(req, "ran"))],
         _ => vec![Step::Crash],
@@ -216,7 +218,7 @@
 
 /// Guards against a request that is sent on by a gateway which is cut off from the ledger.
 #[tokio::test]
-async fn a_gateway_by_itself_holds_a_request_under_which_three_endpoints_crashed() {
+async fn a_gateway_by_itself_quarantines_a_request_under_which_three_endpoints_crashed() {
     let mut crashing = Vec::new();
     for _ in 0..5 {
         crashing.push(Endpoint::start(|_, _| vec![Step::Crash]).await);
@@ -260,7 +262,7 @@
 
 /// Guards against a request that waits for money, although it is known to be refused.
 #[tokio::test]
-async fn a_held_request_is_refused_before_money_is_asked_for() {
+async fn a_quarantined_request_is_refused_before_money_is_asked_for() {
     let well = Endpoint::start(|_, req| vec![Step::Send(answer(req, "ran"))]).await;
     let fleet = Fleet::start(&[("well", &well)]).await;
     fleet
@@ -275,9 +277,9 @@
     assert!(begun.elapsed() < Duration::from_millis(150));
 }
 
-/// Guards against a further endpoint for a request that is held while its first one works on it.
+/// Guards against a further endpoint for a request that is quarantined while its first one works on it.
 #[tokio::test]
-async fn a_request_that_is_held_meanwhile_is_not_sent_on() {
+async fn a_request_quarantined_meanwhile_is_not_sent_on() {
     let failing = Endpoint::start(|_, req| {
         let id = req.header("x-id").unwrap_or_default();
         let text = format!(
@@ -301,9 +303,9 @@
     assert!(well.received().is_empty());
 }
 
-/// Guards against a lookup that is held, because many were under way at other gateways as a zone lost power.
+/// Guards against a lookup that is quarantined, because many were under way at other gateways as a zone lost power.
 #[tokio::test]
-async fn a_request_that_was_answered_here_is_not_held_by_the_ledgers_word() {
+async fn a_request_that_was_answered_here_is_not_quarantined_by_the_ledgers_word() {
     let well = Endpoint::start(|_, req| vec![Step::Send(answer(req, "ran"))]).await;
     let fleet = Fleet::start(&[("well", &well)]).await;
     let told = told(&fleet, "/once/x", None);
@@ -318,7 +320,7 @@
     }
 }
 
-/// Guards against a request being held because endpoints that were leaving ended while it ran.
+/// Guards against a request being quarantined because endpoints that were leaving ended while it ran.
 #[tokio::test]
 async fn an_endpoint_that_leaves_and_ends_counts_against_no_request() {
     let ends = |_, _: &Received| vec![Step::Pause(Duration::from_millis(100)), Step::Crash];
@@ -343,3 +345,58 @@
     let mut client = Client::connect(fleet.addr).await;
     assert_eq!(client.ask("/once/x", "id", "").await.status, 200);
 }
+
+/// A gateway that reads a list, with the text that it consists of.
+async fn reading() -> (Fleet, Arc<Mutex<String>>) {
+    let text = Arc::new(Mutex::new(String::new()));
+    let told = text.clone();
+    let list = listing(move || told.lock().expect("a text").clone()).await;
+    (Fleet::reading(list, Duration::from_millis(200)).await, text)
+}
+
+/// Lists only this endpoint, and waits until the gateway knows.
+async fn list_only(fleet: &Fleet, text: &Mutex<String>, id: &str, addr: SocketAddr) {
+    *text.lock().expect("a text") = format!("{id} {addr}\n");
+    while fleet.gw.directory.find(&id.into()).is_none() {
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Guards against crashes that aren't counted where the machine is gone as well, so that nobody refuses a connection.
+#[tokio::test]
+async fn an_endpoint_that_is_listed_no_more_has_crashed() {
+    let (fleet, text) = reading().await;
+    let mut client = Client::connect(fleet.addr).await;
+    for number in 0..CRASHES {
+        let lossy = Endpoint::start(|_, _| vec![Step::Reset]).await;
+        list_only(&fleet, &text, &format!("lost-{number}"), lossy.addr).await;
+        assert_eq!(client.ask("/once/x", "id", "").await.status, 502);
+    }
+    let well = Endpoint::start(|_, req| vec![Step::Send(answer(req, "ran"))]).await;
+    list_only(&fleet, &text, "well", well.addr).await;
+    let got = client.ask("/once/x", "id", "").await;
+    assert!(got.body.contains("crashes_endpoints"), "{got:?}");
+}
+
+/// Guards against crashes that aren't counted where another endpoint has the address at once.
+#[tokio::test]
+async fn an_endpoint_at_whose_address_another_one_answers_has_crashed() {
+    let fleet = Fleet::start(&[]).await;
+    for number in 0..CRASHES {
+        let replaced = Endpoint::start(|number, req| match number {
+            0 => vec![Step::Reset],
+            _ => vec![Step::Send(not_run(req, "421 Misdirected Request"))],
+        })
+        .await;
+        let id = format!("replaced-{number}");
+        fleet.gw.directory.take(&[listed(&id, replaced.addr)]);
+        let mut client = Client::connect(fleet.addr).await;
+        assert_eq!(client.ask("/once/x", "id", "").await.status, 502);
+        assert_eq!(client.ask("/once/y", "id", "").await.status, 503);
+    }
+    let well = Endpoint::start(|_, req| vec![Step::Send(answer(req, "ran"))]).await;
+    fleet.gw.directory.take(&[listed("well", well.addr)]);
+    let mut client = Client::connect(fleet.addr).await;
+    let got = client.ask("/once/x", "id", "").await;
+    assert!(got.body.contains("crashes_endpoints"), "{got:?}");
+}
--- a/crates/anvil_gateway/tests/direct/explained.rs
+++ b/crates/anvil_gateway/tests/direct/explained.rs
@@ -155,7 +155,7 @@
 
 /// Guards against a request whose refusal can't be explained: for which crashes, and who told of them.
 #[tokio::test]
-async fn a_request_that_is_held() {
+async fn a_request_in_quarantine() {
     let crashing = |_| Endpoint::start(|_, _| vec![Step::Crash]);
     let endpoints = futures::future::join_all((0..4).map(crashing)).await;
     let names = ["engine-1", "engine-2", "engine-3", "engine-4"];
@@ -163,11 +163,13 @@
     let (fleet, written, metrics) = logged(&listed).await;
     for status in [502, 502, 502, 503] {
         let mut client = Client::connect(fleet.addr).await;
-        let got = client.ask("/once/x", &format!("held-{status}"), "").await;
+        let got = client
+            .ask("/once/x", &format!("quarantine-{status}"), "")
+            .await;
         assert_eq!(got.status, status);
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
-    let told = written.explain("held-503").await;
+    let told = written.explain("quarantine-503").await;
     let line = told.lines.last().expect("the request's line");
     assert_eq!(line.values["outcome"], "crashes_endpoints");
     let steps = &line.values["steps"];
--- a/crates/anvil_gateway/tests/direct/processes.rs
+++ b/crates/anvil_gateway/tests/direct/processes.rs
@@ -31,7 +31,8 @@
 /// Longest wait for anything.
 const PATIENCE: Duration = Duration::from_secs(10);
 
-async fn listing(text: impl Fn() -> String + Send + Sync + 'static) -> ListSource {
+/// A list of the endpoints that the text names, one a line: id and address.
+pub async fn listing(text: impl Fn() -> String + Send + Sync + 'static) -> ListSource {
     let list = Endpoint::start(move |_, _| {
         let body = text();
         let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
--- a/crates/anvil_ledger/tests/suspects.rs
+++ b/crates/anvil_ledger/tests/suspects.rs
@@ -10,7 +10,7 @@
 use anvil_ledger::suspects::Suspects;
 use anvil_world::command::{ClearSuspects, ReportCrash};
 use anvil_world::prelude::*;
-use anvil_world::suspect::{CrashedRun, HELD_FOR, REMEMBERED_FOR};
+use anvil_world::suspect::{CrashedRun, QUARANTINED_FOR, REMEMBERED_FOR};
 use bincode::config::standard;
 
 const RUN: CrashedRun = CrashedRun::BeforeOutput;
@@ -27,14 +27,14 @@
     }
 }
 
-fn is_held(suspects: &Suspects, request: RequestDigest, second: u64) -> bool {
+fn is_quarantined(suspects: &Suspects, request: RequestDigest, second: u64) -> bool {
     let left = suspects
         .get(request)
-        .map(|suspect| suspect.held_for(at(second)));
+        .map(|suspect| suspect.quarantined_for(at(second)));
     left.is_some_and(|left| !left.is_zero())
 }
 
-/// Guards against a request that is held for one crash, because all routers tell of it.
+/// Guards against a request that is quarantined for one crash, because all routers tell of it.
 #[test]
 fn one_crash_counts_once_whoever_tells_of_it() {
     let mut suspects = Suspects::default();
@@ -44,9 +44,9 @@
     assert!(suspects.report(&crash("a", &[1], 2)).is_empty());
     assert_eq!(suspects.get(1), None);
     assert_eq!(suspects.report(&crash("b", &[1], 3)), BTreeSet::from([1]));
-    assert!(!is_held(&suspects, 1, 9));
+    assert!(!is_quarantined(&suspects, 1, 9));
     suspects.report(&crash("c", &[1, 2], 4));
-    assert!(is_held(&suspects, 1, 9) && !is_held(&suspects, 2, 9));
+    assert!(is_quarantined(&suspects, 1, 9) && !is_quarantined(&suspects, 2, 9));
 }
 
 /// Guards against an endpoint that crashes again and again, and starts again each time under the name that it had.
@@ -54,13 +54,13 @@
 fn an_endpoint_that_starts_again_under_its_name_counts_again() {
     let mut suspects = Suspects::default();
     for second in [0, 4, 8] {
-        assert!(!is_held(&suspects, 1, 9));
+        assert!(!is_quarantined(&suspects, 1, 9));
         suspects.report(&crash("a", &[1], second));
     }
-    assert!(is_held(&suspects, 1, 9));
+    assert!(is_quarantined(&suspects, 1, 9));
 }
 
-/// Guards against a request that stays held though it was answered, and against one that is held for ever.
+/// Guards against a request that stays quarantined though it was answered, and against one that is quarantined for ever.
 #[test]
 fn a_request_is_cleared_by_an_answer_and_by_time() {
     let mut suspects = Suspects::default();
@@ -71,26 +71,26 @@
         requests: vec![1, 9],
     };
     assert_eq!(suspects.clear(&clear), BTreeSet::from([1]));
-    assert!(!is_held(&suspects, 1, 9) && is_held(&suspects, 2, 9));
-    let over = HELD_FOR.as_secs();
-    assert!(is_held(&suspects, 2, over - 1));
-    assert!(!is_held(&suspects, 2, over));
+    assert!(!is_quarantined(&suspects, 1, 9) && is_quarantined(&suspects, 2, 9));
+    let over = QUARANTINED_FOR.as_secs();
+    assert!(is_quarantined(&suspects, 2, over - 1));
+    assert!(!is_quarantined(&suspects, 2, over));
 }
 
-/// Guards against three more endpoints that are lost each time a request's hold is over.
+/// Guards against three more endpoints that are lost each time a request's quarantine is over.
 #[test]
-fn after_its_hold_one_more_crash_is_enough() {
+fn after_its_quarantine_one_more_crash_is_enough() {
     let mut suspects = Suspects::default();
     for endpoint in ["a", "b", "c"] {
         suspects.report(&crash(endpoint, &[1], 0));
     }
-    let over = HELD_FOR.as_secs();
-    assert!(!is_held(&suspects, 1, over));
+    let over = QUARANTINED_FOR.as_secs();
+    assert!(!is_quarantined(&suspects, 1, over));
     assert_eq!(
         suspects.report(&crash("d", &[1], over)),
         BTreeSet::from([1])
     );
-    assert!(is_held(&suspects, 1, over));
+    assert!(is_quarantined(&suspects, 1, over));
     let forgotten = over + REMEMBERED_FOR.as_secs();
     assert_eq!(
         suspects.report(&crash("e", &[1], forgotten)),
@@ -99,7 +99,7 @@
     assert_eq!(suspects.get(1), None);
 }
 
-/// Guards against long streams being held, because they were under way at endpoints that another request crashed.
+/// Guards against long streams being quarantined, because they were under way at endpoints that another request crashed.
 #[test]
 fn a_request_whose_runs_had_output_takes_twice_the_crashes() {
     let mut suspects = Suspects::default();
@@ -108,14 +108,14 @@
             requests: vec![(1, CrashedRun::AfterOutput), (2, RUN)],
             ..crash(endpoint, &[], 0)
         });
-        assert_eq!(is_held(&suspects, 1, 9), number == 6);
-        assert_eq!(is_held(&suspects, 2, 9), number >= 3);
+        assert_eq!(is_quarantined(&suspects, 1, 9), number == 6);
+        assert_eq!(is_quarantined(&suspects, 2, 9), number >= 3);
     }
 }
 
 /// Guards against a flood of crashes that drives out what is known of a request that crashes endpoints.
 #[test]
-fn a_lost_zone_neither_grows_the_memory_nor_frees_a_held_request() {
+fn a_lost_zone_neither_grows_the_memory_nor_frees_a_quarantined_request() {
     let mut suspects = Suspects::default();
     for endpoint in ["a", "b", "c"] {
         suspects.report(&crash(endpoint, &[0], 0));
@@ -125,7 +125,7 @@
         let requests: Vec<_> = (first..first + 100).collect();
         suspects.report(&crash(&format!("lost-{endpoint}"), &requests, 1));
     }
-    assert!(is_held(&suspects, 0, 9));
+    assert!(is_quarantined(&suspects, 0, 9));
     let bytes = bincode::serde::encode_to_vec(&suspects, standard()).expect("bytes");
     assert!(bytes.len() < 1 << 20, "{} bytes", bytes.len());
 }
@@ -151,7 +151,7 @@
     );
     let restored = Machine::restore(&machine.save().expect("bytes")).expect("a machine");
     assert_eq!(restored, machine);
-    assert!(is_held(&restored.suspects, 7, 9));
+    assert!(is_quarantined(&restored.suspects, 7, 9));
 }
 
 /// Guards against a replica that can't start on the snapshot of an earlier build.
--- a/crates/anvil_world/src/suspect.rs
+++ b/crates/anvil_world/src/suspect.rs
@@ -8,11 +8,11 @@
 
 /// Weight from which on a request is kept from endpoints: three crashes before its run had any output. One or two may
 /// have come from another reason, or from a neighbour that was waiting as well.
-pub const HELD_FROM: u32 = 6;
+pub const QUARANTINED_FROM: u32 = 6;
 /// Reports on one endpoint within this time are of the same crash. One that starts again under its name is back later.
 const SAME_CRASH: Duration = Duration::from_secs(3);
 /// For how long it is kept from them after the last crash.
-pub const HELD_FOR: Duration = Duration::from_hours(1);
+pub const QUARANTINED_FOR: Duration = Duration::from_hours(1);
 /// For how long crashes are remembered after the last one. Within this time a single further one is enough.
 pub const REMEMBERED_FOR: Duration = Duration::from_hours(24);
 
@@ -49,7 +49,7 @@
 /// What is known of such a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Suspect {
-    /// Crashes under it, no more than it takes to hold it.
+    /// Crashes under it, no more than it takes for the quarantine.
     pub crashes: Vec<Crash>,
     /// When the last one was told of, by the ledger's clock.
     pub since: SystemTime,
@@ -76,7 +76,7 @@
             return is_news;
         }
         self.since = self.since.max(at);
-        if self.weight() < HELD_FROM {
+        if self.weight() < QUARANTINED_FROM {
             self.crashes.push(Crash {
                 endpoint: endpoint.clone(),
                 run,
@@ -92,11 +92,11 @@
     }
 
     /// For how much longer it is kept from endpoints; nothing where it may go to them.
-    pub fn held_for(&self, now: SystemTime) -> Duration {
-        if self.weight() < HELD_FROM {
+    pub fn quarantined_for(&self, now: SystemTime) -> Duration {
+        if self.weight() < QUARANTINED_FROM {
             return Duration::ZERO;
         }
-        HELD_FOR.saturating_sub(self.age(now))
+        QUARANTINED_FOR.saturating_sub(self.age(now))
     }
 
     /// Whether its crashes are too long ago to be remembered.
