--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -64,7 +64,7 @@
     ///
     /// Endpoints that failed lately are passed over while others are there. When all have failed,
     /// they are tried all the same: a request that is turned away is surely not answered. Those that
-    /// named a limit get no more than this gateway's part of it.
+    /// announced a limit get no more than this gateway's part of it.
     pub fn choose(
         &self,
         service: &str,
--- a/crates/anvil_gateway/src/dialect.rs
+++ b/crates/anvil_gateway/src/dialect.rs
@@ -105,16 +105,16 @@
     /// The body is in an encoding that nobody asked for.
     pub encoded: bool,
     /// What the endpoint takes from all callers together, for as long as it says so.
-    pub limit: LimitWord,
+    pub limit: AnnouncedLimit,
 }
 
 /// An endpoint's word on what it takes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum LimitWord {
-    /// It names no limit.
+pub enum AnnouncedLimit {
+    /// It announces no limit.
     None,
     /// So many requests.
-    Takes(RateLimit),
+    Rate(RateLimit),
     /// Something that is no limit.
     Unreadable,
 }
--- a/crates/anvil_gateway/src/endpoint.rs
+++ b/crates/anvil_gateway/src/endpoint.rs
@@ -73,7 +73,7 @@
         self.rate_share().limit()
     }
 
-    /// An answer of its to a request sent at `sent` names this limit, or none.
+    /// An answer of its to a request sent at `sent` announces this limit, or none.
     pub fn limit_heard(&self, now: Now, sent: Now, word: Option<RateLimit>, log: &Logger) {
         if self.rate_share().heard(now, sent, word) {
             self.log_limit("heard", log);
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -110,7 +110,7 @@
     pub crashes: Mutex<CrashWatch>,
     /// Requests under which endpoints crashed.
     pub suspects: Suspects,
-    /// Limits that endpoints named.
+    /// Limits that endpoints announced.
     pub limits: Limits,
     /// Requests under way.
     pub open: AtomicU32,
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -13,7 +13,7 @@
 //! Which requests are kept from endpoints because these crash under them: [`crashes`] finds out what crashed,
 //! [`suspects`] tells the ledger and hears of all others, [`content`] says which requests are the same.
 //!
-//! How many requests an endpoint takes from all gateways: [`limits`] tells the ledger what it named and hears of
+//! How many requests an endpoint takes from all gateways: [`limits`] tells the ledger what it announced and hears of
 //! others. [`reports`] is the way of both to the ledger.
 //!
 //! What the gateway believes, and from whom: the routing table and the number of gateways
--- a/crates/anvil_gateway/src/limits.rs
+++ b/crates/anvil_gateway/src/limits.rs
@@ -1,4 +1,4 @@
-//! Limits that endpoints named: heard here in an answer, or told by the ledger.
+//! Limits that endpoints announced: heard here in an answer, or told by the ledger.
 //!
 //! The first router that hears of a limit, or of its end, tells the ledger, which tells all others. What a
 //! router may send is decided in [`anvil_policy::rate_share`].
@@ -7,13 +7,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use anvil_world::command::NameLimit;
+use anvil_world::command::ReportLimit;
 use anvil_world::endpoint_limit::EndpointLimit;
 use anvil_world::prelude::*;
 use arc_swap::ArcSwap;
 use tokio::sync::Notify;
 
-use crate::dialect::LimitWord;
+use crate::dialect::AnnouncedLimit;
 use crate::endpoint::Endpoint;
 use crate::gateway::Gateway;
 use crate::metrics;
@@ -54,7 +54,7 @@
     fn next_report(&self) -> Option<Command> {
         let untold = self.untold();
         let (endpoint, limit) = untold.first_key_value()?;
-        Some(Command::NameLimit(NameLimit {
+        Some(Command::ReportLimit(ReportLimit {
             endpoint: endpoint.clone(),
             limit: *limit,
             // The leader puts its own time in.
@@ -63,7 +63,7 @@
     }
 
     fn was_taken(&self, report: &Command) {
-        let Command::NameLimit(taken) = report else {
+        let Command::ReportLimit(taken) = report else {
             return;
         };
         let mut untold = self.untold();
@@ -76,12 +76,12 @@
 
 impl Gateway {
     /// Takes in an endpoint's word in the answer to a request that was sent at `sent`.
-    pub fn limit_heard(&self, endpoint: &Endpoint, sent: Now, word: LimitWord) {
+    pub fn limit_heard(&self, endpoint: &Endpoint, sent: Now, word: AnnouncedLimit) {
         let word = match word {
-            LimitWord::None => None,
-            LimitWord::Takes(limit) => Some(limit),
+            AnnouncedLimit::None => None,
+            AnnouncedLimit::Rate(limit) => Some(limit),
             // What was known before holds on.
-            LimitWord::Unreadable => return self.metrics.count(metrics::LIMITS_UNREADABLE),
+            AnnouncedLimit::Unreadable => return self.metrics.count(metrics::LIMITS_UNREADABLE),
         };
         endpoint.limit_heard(self.life.now(), sent, word, &self.log);
         let limit = endpoint.limit();
@@ -99,10 +99,10 @@
         }
         self.limits.told.store(Arc::new(told.clone()));
         let limit_of = |all: &BTreeMap<InstanceId, EndpointLimit>, endpoint: &InstanceId| {
-            all.get(endpoint).map(|named| named.limit)
+            all.get(endpoint).map(|told| told.limit)
         };
-        let named = before.keys().chain(told.keys());
-        for endpoint in named {
+        let all = before.keys().chain(told.keys());
+        for endpoint in all {
             let limit = limit_of(told, endpoint);
             if limit != limit_of(&before, endpoint) {
                 self.limit_told(endpoint, limit);
@@ -114,8 +114,8 @@
     pub fn limits_of_new(&self, came: &[InstanceId]) {
         let told = self.limits.told.load();
         for endpoint in came {
-            if let Some(named) = told.get(endpoint) {
-                self.limit_told(endpoint, Some(named.limit));
+            if let Some(limit) = told.get(endpoint) {
+                self.limit_told(endpoint, Some(limit.limit));
             }
         }
     }
--- a/crates/anvil_gateway/src/log_events.rs
+++ b/crates/anvil_gateway/src/log_events.rs
@@ -54,6 +54,6 @@
     /// A request under which endpoints crashed may go to them again: one has answered it, or its crashes are
     /// forgotten.
     GATEWAY_REQUEST_CLEARED = 6026 Info "gateway_request_cleared";
-    /// An endpoint names another number of requests a second that it takes from all routers, or none any more.
+    /// An endpoint announces another number of requests a second that it takes from all routers, or none any more.
     GATEWAY_ENDPOINT_LIMIT = 6027 Info "gateway_endpoint_limit";
 }
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -43,7 +43,7 @@
 pub const QUARANTINED: &str = "requests.quarantined";
 /// Answers whose limit can't be read. Count.
 pub const LIMITS_UNREADABLE: &str = "endpoints.limit_unreadable";
-/// Endpoints that named how many requests they take from all gateways. Gauge.
+/// Endpoints that announced how many requests they take from all gateways. Gauge.
 pub const LIMITED: &str = "endpoints.limited";
 /// Of what this gateway might have sent to those, what it has sent. Gauge, percent.
 pub const LIMIT_USED: &str = "endpoints.limit_used";
@@ -130,7 +130,7 @@
         }
     }
 
-    /// Endpoints that named limits, and the part of them that is used here, in percent.
+    /// Endpoints that announced limits, and the part of them that is used here, in percent.
     fn measure_limits(&self) -> (u64, u64) {
         let all = self.directory.all();
         let limited = all.iter().filter(|endpoint| endpoint.limit().is_some());
--- a/crates/anvil_ledger/src/limits.rs
+++ b/crates/anvil_ledger/src/limits.rs
@@ -1,13 +1,13 @@
-//! Limits that endpoints named, as the routers heard them.
+//! Limits that endpoints announced, as the routers heard them.
 //!
-//! Failure: an endpoint in need names a limit in its answers, and each router sends it a request before it has
-//! heard so; hundreds of routers send hundreds. When the need is over, a router that is one of hundreds hears so only with
+//! Failure: a limited endpoint announces a limit in its answers, and each router sends it a request before it has
+//! heard so; hundreds of routers send hundreds. When the limit is over, a router that is one of hundreds hears so only with
 //! its next turn, minutes later.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use anvil_world::command::NameLimit;
+use anvil_world::command::ReportLimit;
 use anvil_world::endpoint_limit::EndpointLimit;
 use anvil_world::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -20,7 +20,7 @@
 /// Limits by endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
-    /// The latest time that a limit was named at. Leaders' clocks differ; this never falls.
+    /// The latest time that a limit was announced at. Leaders' clocks differ; this never falls.
     clock: SystemTime,
     all: BTreeMap<InstanceId, EndpointLimit>,
     by_time: BTreeSet<(SystemTime, InstanceId)>,
@@ -37,18 +37,18 @@
 }
 
 impl Limits {
-    /// An endpoint named one, or none any more. Returns those of which routers have to be told anew.
-    pub fn name(&mut self, named: &NameLimit) -> BTreeSet<InstanceId> {
-        self.clock = self.clock.max(named.at);
+    /// An endpoint announced one, or none any more. Returns those of which routers have to be told anew.
+    pub fn report(&mut self, report: &ReportLimit) -> BTreeSet<InstanceId> {
+        self.clock = self.clock.max(report.at);
         let mut changed = BTreeSet::new();
-        if self.remove(&named.endpoint) || named.limit.is_some() {
-            changed.insert(named.endpoint.clone());
+        if self.remove(&report.endpoint) || report.limit.is_some() {
+            changed.insert(report.endpoint.clone());
         }
-        if let Some(limit) = named.limit {
+        if let Some(limit) = report.limit {
             let at = self.clock;
-            self.by_time.insert((at, named.endpoint.clone()));
+            self.by_time.insert((at, report.endpoint.clone()));
             let limit = EndpointLimit { limit, at };
-            self.all.insert(named.endpoint.clone(), limit);
+            self.all.insert(report.endpoint.clone(), limit);
         }
         while let Some(oldest) = self.outdated() {
             self.remove(&oldest);
--- a/crates/anvil_ledger/src/machine.rs
+++ b/crates/anvil_ledger/src/machine.rs
@@ -49,7 +49,7 @@
     pub lives: Lives,
     /// Requests under which endpoints crashed.
     pub suspects: Suspects,
-    /// Limits that endpoints named.
+    /// Limits that endpoints announced.
     pub limits: Limits,
 }
 
@@ -103,7 +103,7 @@
             _ => BTreeSet::new(),
         };
         let limits = match command {
-            Command::NameLimit(named) => self.limits.name(named),
+            Command::ReportLimit(report) => self.limits.report(report),
             _ => BTreeSet::new(),
         };
         let suspects = suspects.into_iter().map(Touched::Suspect);
--- a/crates/anvil_ledger/src/state.rs
+++ b/crates/anvil_ledger/src/state.rs
@@ -66,7 +66,7 @@
             Command::Noop
             | Command::ReportCrash(_)
             | Command::ClearSuspects(_)
-            | Command::NameLimit(_) => Ok(Answer::Done),
+            | Command::ReportLimit(_) => Ok(Answer::Done),
             Command::Change(change) => self.change(index, change),
             Command::TopUp(top_up) => self.top_up(top_up),
             Command::WriteOff(write_off) => self.write_off(write_off),
--- a/crates/anvil_ledger/src/state/spread.rs
+++ b/crates/anvil_ledger/src/state/spread.rs
@@ -20,7 +20,7 @@
     Fence(InstanceId),
     /// A request under which endpoints crashed.
     Suspect(RequestDigest),
-    /// A limit that an endpoint named.
+    /// A limit that an endpoint announced.
     Limit(InstanceId),
 }
 
--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -46,7 +46,7 @@
 //! * [`engine`]: where a prompt goes among engines that nobody stands beside.
 //! * [`copying`]: when such an engine copies what another one has read.
 //! * [`crash`]: under which requests an endpoint crashed.
-//! * [`rate_share`]: how many requests a router sends to an endpoint that named a limit for all of them.
+//! * [`rate_share`]: how many requests a router sends to an endpoint that announced a limit for all of them.
 //! * [`prefix`]: which endpoints hold which prompt prefixes.
 //! * [`list_turn`]: which router reads the list of endpoints for the others.
 //! * [`subset`] and [`placement`]: which endpoints a router watches, and which models they hold.
--- a/crates/anvil_policy/src/rate_share.rs
+++ b/crates/anvil_policy/src/rate_share.rs
@@ -1,6 +1,6 @@
 //! One router's part of the requests that an endpoint takes a second from all routers together.
 //!
-//! *Answers:* an endpoint in need that names a limit in its answers, before three or five hundred routers that
+//! *Answers:* an endpoint that announces a limit in its answers, before three or five hundred routers that
 //! each see a part of the load, in bursts that reach all of them at once.
 //!
 //! *Without it:* each router takes the whole limit for its own, or none, and the endpoint gets it as many
@@ -82,10 +82,10 @@
         self.limit
     }
 
-    /// An answer to a request sent at `sent` names this limit, or none. Returns whether that is news.
+    /// An answer to a request sent at `sent` announces this limit, or none. Returns whether that is news.
     ///
-    /// An answer that names none ends a limit only if its request was sent when the limit was known: an earlier one
-    /// may be from before the endpoint's need.
+    /// An answer that announces none ends a limit only if its request was sent when the limit was known: an earlier one
+    /// may be from before the endpoint announced it.
     pub fn heard(&mut self, now: Now, sent: Now, word: Option<RateLimit>) -> bool {
         if word.is_none() && sent < self.since {
             return false;
--- a/crates/anvil_policy/tests/rate_share.rs
+++ b/crates/anvil_policy/tests/rate_share.rs
@@ -1,4 +1,4 @@
-//! Many routers before one endpoint that named a limit for all of them together.
+//! Many routers before one endpoint that announced a limit for all of them together.
 
 use std::time::Duration;
 
@@ -86,7 +86,7 @@
     count as f64
 }
 
-/// Guards against an endpoint in need that gets its limit from each router, at any size and under any load.
+/// Guards against a limited endpoint that gets its limit from each router, at any size and under any load.
 #[test]
 fn all_routers_together_keep_the_limit() {
     for routers in [1, 3, 8, 31, 99] {
@@ -150,7 +150,7 @@
     }
 }
 
-/// Guards against an endpoint that stays without work once it names no limit any more.
+/// Guards against an endpoint that stays without work once it announces no limit any more.
 #[test]
 fn without_a_limit_all_may_be_sent() {
     let turn = Turn {
@@ -184,7 +184,7 @@
     assert!(share.send(at(17.5, 17.5), turn));
 }
 
-/// Guards against a limit that ends by an answer from before the endpoint's need, which comes late.
+/// Guards against a limit that ends by an answer from before the endpoint announced it, which comes late.
 #[test]
 fn an_answer_to_an_earlier_request_ends_no_limit() {
     let mut share = RateShare::default();
--- a/crates/anvil_wire/src/msg/ledger.rs
+++ b/crates/anvil_wire/src/msg/ledger.rs
@@ -123,7 +123,7 @@
         fenced: BTreeMap<InstanceId, Incarnation>,
         /// Requests under which endpoints crashed.
         suspects: BTreeMap<RequestDigest, Suspect>,
-        /// Limits that endpoints named.
+        /// Limits that endpoints announced.
         limits: BTreeMap<InstanceId, EndpointLimit>,
     },
     /// What changed since the last event; `None` for what went away.
@@ -138,7 +138,7 @@
         fenced: Vec<(InstanceId, Incarnation)>,
         /// Requests under which endpoints crashed.
         suspects: Vec<(RequestDigest, Option<Suspect>)>,
-        /// Limits that endpoints named.
+        /// Limits that endpoints announced.
         limits: Vec<(InstanceId, Option<EndpointLimit>)>,
     },
     /// Nothing changed; the replica confirms that this version is the newest it knows of and
--- a/crates/anvil_world/src/command/limit.rs
+++ b/crates/anvil_world/src/command/limit.rs
@@ -1,4 +1,4 @@
-//! Limits that endpoints name.
+//! Limits that endpoints announce.
 
 use std::time::SystemTime;
 
@@ -6,9 +6,9 @@
 
 use crate::ids::{InstanceId, RateLimit};
 
-/// An endpoint has named a limit, or names none any more.
+/// An endpoint has announced a limit, or announces none any more.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct NameLimit {
+pub struct ReportLimit {
     /// The endpoint.
     pub endpoint: InstanceId,
     /// What it takes from all routers together.
--- a/crates/anvil_world/src/endpoint_limit.rs
+++ b/crates/anvil_world/src/endpoint_limit.rs
@@ -1,4 +1,4 @@
-//! What an endpoint in need takes from all routers together.
+//! What a limited endpoint takes from all routers together.
 
 use std::time::SystemTime;
 
@@ -6,7 +6,7 @@
 
 use crate::ids::RateLimit;
 
-/// A limit that an endpoint named.
+/// A limit that an endpoint announced.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointLimit {
     /// Requests that it takes.
--- a/crates/anvilreel/src/held.rs
+++ b/crates/anvilreel/src/held.rs
@@ -19,7 +19,7 @@
     pub fenced: BTreeMap<InstanceId, Incarnation>,
     /// Requests under which endpoints crashed.
     pub suspects: BTreeMap<RequestDigest, Suspect>,
-    /// Limits that endpoints named.
+    /// Limits that endpoints announced.
     pub limits: BTreeMap<InstanceId, EndpointLimit>,
 }
 
--- a/crates/anvilreel/src/ledger_service/check.rs
+++ b/crates/anvilreel/src/ledger_service/check.rs
@@ -28,7 +28,7 @@
         Command::Drain(drain) => &mut drain.at,
         Command::ReplaceRouting(replace) => &mut replace.at,
         Command::ReportCrash(report) => &mut report.at,
-        Command::NameLimit(named) => &mut named.at,
+        Command::ReportLimit(report) => &mut report.at,
         Command::Noop
         | Command::GrantBatch(_)
         | Command::FenceRouter(_)
