--- a/crates/anvil_gateway/src/attempt.rs
+++ b/crates/anvil_gateway/src/attempt.rs
@@ -10,10 +10,10 @@
 use hyper::client::conn::http1::SendRequest;
 use tokio::time::{Instant, timeout_at};
 
+use crate::connection_watch::ConnectionWatch;
 use crate::dialect::AnswerHead;
 use crate::endpoint::{Endpoint, Place};
 use crate::gateway::Gateway;
-use crate::line::Line;
 use crate::pool::Connection;
 
 /// Why nothing has run.
@@ -52,7 +52,7 @@
     /// The connection, to be put back once the body has ended well.
     pub sender: SendRequest<Full<Bytes>>,
     /// What is known of the connection.
-    pub line: Arc<Line>,
+    pub watch: Arc<ConnectionWatch>,
     /// The place that the request holds.
     pub place: Place,
 }
@@ -61,11 +61,11 @@
     /// The body has ended well: the connection may carry the next request.
     pub fn put_back(
         sender: SendRequest<Full<Bytes>>,
-        line: Arc<Line>,
+        watch: Arc<ConnectionWatch>,
         endpoint: &Endpoint,
         head: &AnswerHead,
     ) {
-        endpoint.pool.put(sender, line, head.keeps);
+        endpoint.pool.put(sender, watch, head.keeps);
     }
 }
 
@@ -94,7 +94,7 @@
     /// No answer is waited for after this.
     pub until: Instant,
     /// Where to note the connection on which it is sent.
-    pub line: &'a mut Option<Arc<Line>>,
+    pub watch: &'a mut Option<Arc<ConnectionWatch>>,
 }
 
 /// Sends one request to the endpoint at whose place it is, and waits for the answer's head.
@@ -116,9 +116,9 @@
             Ok(connection) => connection,
             Err(e) => return Tried::NotRun(NotRun::Unreachable(e.to_string())),
         };
-        connection.line.sent();
+        connection.watch.sent();
         let sent = gw.life.now();
-        *out.line = Some(connection.line.clone());
+        *out.watch = Some(connection.watch.clone());
         let sending = connection.sender.try_send_request(request(&out));
         let answer = match timeout_at(out.until, sending).await {
             Err(_) => return Tried::Doubt(Doubt::Silent),
@@ -136,7 +136,7 @@
                 return Tried::Doubt(Doubt::Lost);
             }
         };
-        connection.line.answered();
+        connection.watch.answered();
         let (parts, body) = answer.into_parts();
         let head = (gw.cfg.dialect.answer)(parts.status, &parts.headers);
         // Failure: an endpoint sends a second answer, late, where the next request's answer is
@@ -159,7 +159,7 @@
             head,
             body,
             sender: connection.sender,
-            line: connection.line,
+            watch: connection.watch,
             place,
         }));
     }
@@ -184,6 +184,6 @@
     let reading = Limited::new(body, REFUSAL_BYTES).collect();
     let until = Instant::now() + REFUSAL_REST;
     if let Ok(Ok(_)) = timeout_at(until, reading).await {
-        Answer::put_back(connection.sender, connection.line, endpoint, head);
+        Answer::put_back(connection.sender, connection.watch, endpoint, head);
     }
 }
--- a/crates/anvil_gateway/src/line.rs
+++ b/crates/anvil_gateway/src/connection_watch.rs
@@ -24,7 +24,7 @@
 
 /// What is known of one connection.
 #[derive(Debug)]
-pub struct Line {
+pub struct ConnectionWatch {
     /// Bytes have come since the last request was sent.
     heard: AtomicBool,
     /// A request was sent and its answer has not begun.
@@ -42,7 +42,7 @@
     Left,
 }
 
-impl Line {
+impl ConnectionWatch {
     fn new() -> Arc<Self> {
         Arc::new(Self {
             heard: AtomicBool::new(false),
@@ -80,21 +80,21 @@
     }
 }
 
-/// A socket that keeps its [`Line`] informed.
+/// A socket that keeps its [`ConnectionWatch`] informed.
 pub struct WatchedSocket {
     socket: Option<TcpStream>,
-    line: Arc<Line>,
+    watch: Arc<ConnectionWatch>,
 }
 
 impl WatchedSocket {
     /// Watches this socket.
-    pub fn new(socket: TcpStream) -> (Self, Arc<Line>) {
-        let line = Line::new();
+    pub fn new(socket: TcpStream) -> (Self, Arc<ConnectionWatch>) {
+        let watch = ConnectionWatch::new();
         let watched = Self {
             socket: Some(socket),
-            line: line.clone(),
+            watch: watch.clone(),
         };
-        (watched, line)
+        (watched, watch)
     }
 
     fn socket(&mut self) -> Pin<&mut TcpStream> {
@@ -109,31 +109,31 @@
         let Some(socket) = self.socket.take() else {
             return;
         };
-        let line = self.line.clone();
-        let awaited = line.awaited.load(Ordering::Relaxed);
+        let watch = self.watch.clone();
+        let awaited = watch.awaited.load(Ordering::Relaxed);
         let Ok(runtime) = tokio::runtime::Handle::try_current() else {
             return;
         };
-        if !awaited || line.heard.load(Ordering::Relaxed) {
-            line.end(End::Left);
+        if !awaited || watch.heard.load(Ordering::Relaxed) {
+            watch.end(End::Left);
             return;
         }
         runtime.spawn(async move {
-            let reading = timeout(LINGER, read_to_end(socket, &line));
+            let reading = timeout(LINGER, read_to_end(socket, &watch));
             let end = reading.await.unwrap_or(End::Left);
-            line.end(end);
+            watch.end(end);
         });
     }
 }
 
-async fn read_to_end(mut socket: TcpStream, line: &Line) -> End {
+async fn read_to_end(mut socket: TcpStream, watch: &ConnectionWatch) -> End {
     // Fails only where the connection is gone already; the read tells.
     let _ = socket.shutdown().await;
     let mut buf = [0; 512];
     match socket.read(&mut buf).await {
         Ok(0) => End::Read,
         Ok(_) => {
-            line.heard.store(true, Ordering::Relaxed);
+            watch.heard.store(true, Ordering::Relaxed);
             End::Left
         }
         // A reset may have swallowed what had come.
@@ -150,7 +150,7 @@
         let before = buf.filled().len();
         let polled = self.socket().poll_read(cx, buf);
         if buf.filled().len() > before {
-            self.line.heard.store(true, Ordering::Relaxed);
+            self.watch.heard.store(true, Ordering::Relaxed);
         }
         polled
     }
--- a/crates/anvil_gateway/src/crashes.rs
+++ b/crates/anvil_gateway/src/crashes.rs
@@ -103,7 +103,7 @@
 async fn look(gw: Arc<Gateway>, endpoint: Arc<Endpoint>) {
     sleep(LOOK_AFTER).await;
     match endpoint.pool.connect().await {
-        Ok(connection) => endpoint.pool.put(connection.sender, connection.line, None),
+        Ok(connection) => endpoint.pool.put(connection.sender, connection.watch, None),
         Err(ConnectError::Refused { source, .. })
             if source.kind() == ErrorKind::ConnectionRefused =>
         {
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -17,9 +17,9 @@
 use crate::arrival;
 use crate::attempt::{Answer, Doubt, NotRun, Outgoing, Tried, send};
 use crate::choose::Unplaced;
+use crate::connection_watch::ConnectionWatch;
 use crate::dialect::{Ask, Onward};
 use crate::gateway::Gateway;
-use crate::line::Line;
 use crate::log_events as events;
 use crate::metrics;
 use crate::money::Spend;
@@ -71,7 +71,7 @@
     /// Whether it has waited for endpoints already.
     pub has_waited: bool,
     /// The connection on which it waits for an answer to begin.
-    pub waits_on: Option<Arc<Line>>,
+    pub waits_on: Option<Arc<ConnectionWatch>>,
     /// Parts of its prompt with their tokens.
     pub parts: Vec<(u64, Tokens)>,
     /// Method.
@@ -262,7 +262,7 @@
             body: self.body.clone(),
             id: &self.ask.id,
             until,
-            line: &mut self.waits_on,
+            watch: &mut self.waits_on,
         };
         // Counted before it is sent: a client that leaves ends this in the middle of the wait,
         // when the endpoint may have begun.
@@ -321,14 +321,14 @@
                 head,
                 body,
                 sender,
-                line,
+                watch,
                 mut place,
             } = answer;
             let reading = Limited::new(body, WHOLE_ANSWER).collect();
             let read = timeout_at(self.deadline, reading).await;
             place.answered();
             if let Ok(Ok(body)) = read {
-                Answer::put_back(sender, line, &place.endpoint, &head);
+                Answer::put_back(sender, watch, &place.endpoint, &head);
                 strip(&mut parts.headers);
                 self.answered();
                 self.trace.first_piece();
@@ -363,13 +363,13 @@
         };
         self.trace.billed(spend.cost());
         // The client has left while an answer was waited for.
-        let Some(line) = self.waits_on.take().filter(|_| !self.in_doubt) else {
+        let Some(watch) = self.waits_on.take().filter(|_| !self.in_doubt) else {
             return;
         };
         let log = self.gw.log.clone();
         let id = self.ask.id.clone();
         tokio::spawn(async move {
-            if line.ended_unheard().await {
+            if watch.ended_unheard().await {
                 spend.not_run();
                 event!(log, events::GATEWAY_BILL_DROPPED, "request" => &*id);
             }
--- a/crates/anvil_gateway/src/pool.rs
+++ b/crates/anvil_gateway/src/pool.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use crate::line::{Line, WatchedSocket};
+use crate::connection_watch::{ConnectionWatch, WatchedSocket};
 
 /// Longest time to make a connection. The next endpoint is tried instead: a lost opening packet
 /// is sent again only after a second.
@@ -60,14 +60,14 @@
     /// Sends one request.
     pub sender: SendRequest<Full<Bytes>>,
     /// What is known of it.
-    pub line: Arc<Line>,
+    pub watch: Arc<ConnectionWatch>,
     /// Whether it has carried a request before.
     pub used: bool,
 }
 
 struct Idle {
     sender: SendRequest<Full<Bytes>>,
-    line: Arc<Line>,
+    watch: Arc<ConnectionWatch>,
     until: Instant,
 }
 
@@ -88,10 +88,10 @@
 
     /// The connection that was used last, or a new one.
     pub async fn take(&self) -> Result<Connection, ConnectError> {
-        if let Some(Idle { sender, line, .. }) = self.take_idle() {
+        if let Some(Idle { sender, watch, .. }) = self.take_idle() {
             return Ok(Connection {
                 sender,
-                line,
+                watch,
                 used: true,
             });
         }
@@ -109,7 +109,7 @@
         // Without it the end of a request waits for an acknowledgement; with a failure it is
         // only slower.
         let _ = socket.set_nodelay(true);
-        let (socket, line) = WatchedSocket::new(socket);
+        let (socket, watch) = WatchedSocket::new(socket);
         let handshake = Builder::new().handshake(TokioIo::new(socket)).await;
         let (sender, connection) = handshake.context(HandshakeSnafu { addr })?;
         tokio::spawn(async move {
@@ -118,13 +118,18 @@
         });
         Ok(Connection {
             sender,
-            line,
+            watch,
             used: false,
         })
     }
 
     /// Puts a connection back that has carried a whole answer.
-    pub fn put(&self, sender: SendRequest<Full<Bytes>>, line: Arc<Line>, keeps: Option<Duration>) {
+    pub fn put(
+        &self,
+        sender: SendRequest<Full<Bytes>>,
+        watch: Arc<ConnectionWatch>,
+        keeps: Option<Duration>,
+    ) {
         if sender.is_closed() {
             return;
         }
@@ -134,7 +139,7 @@
         if idle.len() < MOST_IDLE {
             idle.push(Idle {
                 sender,
-                line,
+                watch,
                 until,
             });
         }
--- a/crates/anvil_gateway/src/relay.rs
+++ b/crates/anvil_gateway/src/relay.rs
@@ -17,11 +17,11 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempt::Answer;
+use crate::connection_watch::ConnectionWatch;
 use crate::dialect::AnswerHead;
 use crate::endpoint::Place;
 use crate::events::{Splitter, StreamEvent};
 use crate::exchange::Exchange;
-use crate::line::Line;
 use crate::metrics;
 use crate::reply::{BrokenOff, Cause, Reply, strip};
 
@@ -35,7 +35,7 @@
     body: Incoming,
     splitter: Splitter,
     sender: SendRequest<http_body_util::Full<Bytes>>,
-    line: Arc<Line>,
+    watch: Arc<ConnectionWatch>,
     head: AnswerHead,
     place: Place,
     /// An event of it has come.
@@ -228,7 +228,7 @@
         };
         self.exchange.answered();
         let endpoint = source.place.endpoint.clone();
-        Answer::put_back(source.sender, source.line, &endpoint, &source.head);
+        Answer::put_back(source.sender, source.watch, &endpoint, &source.head);
     }
 }
 
@@ -245,7 +245,7 @@
             body: answer.body,
             splitter: Splitter::default(),
             sender: answer.sender,
-            line: answer.line,
+            watch: answer.watch,
             head: answer.head,
             place: answer.place,
             has_spoken: false,
