--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -100,7 +100,7 @@
         all: &'a [Weighed<'a>],
         within: Duration,
     ) -> Result<&'a Weighed<'a>, Unplaced> {
-        // A time of day before the epoch makes slots of it all the same.
+        // A time of day before the epoch has windows all the same.
         let time_of_day = SystemTime::now().duration_since(UNIX_EPOCH);
         let at = Moment {
             now,
