--- a/crates/anvil_gateway/src/limits.rs
+++ b/crates/anvil_gateway/src/endpoint_limits.rs
@@ -24,14 +24,14 @@
 
 /// What is known of endpoints' limits.
 #[derive(Default)]
-pub struct Limits {
+pub struct EndpointLimits {
     told: ArcSwap<BTreeMap<InstanceId, EndpointLimit>>,
     /// What the ledger has not heard of yet; the newest word of each endpoint.
     untold: Mutex<BTreeMap<InstanceId, Option<RateLimit>>>,
     wanted: Notify,
 }
 
-impl Limits {
+impl EndpointLimits {
     fn untold(&self) -> MutexGuard<'_, BTreeMap<InstanceId, Option<RateLimit>>> {
         // A panic elsewhere leaves names and numbers, each of them true.
         self.untold.lock().unwrap_or_else(PoisonError::into_inner)
@@ -86,18 +86,18 @@
         endpoint.limit_heard(self.life.now(), sent, word, &self.log);
         let limit = endpoint.limit();
         let heard_so = limit == word;
-        if heard_so && !self.limits.is_told(&endpoint.id, limit) {
-            self.limits.tell(&endpoint.id, limit);
+        if heard_so && !self.endpoint_limits.is_told(&endpoint.id, limit) {
+            self.endpoint_limits.tell(&endpoint.id, limit);
         }
     }
 
     /// Takes in what the ledger tells.
     pub fn take_limits(&self, told: &BTreeMap<InstanceId, EndpointLimit>) {
-        let before = self.limits.told.load_full();
+        let before = self.endpoint_limits.told.load_full();
         if *before == *told {
             return;
         }
-        self.limits.told.store(Arc::new(told.clone()));
+        self.endpoint_limits.told.store(Arc::new(told.clone()));
         let limit_of = |all: &BTreeMap<InstanceId, EndpointLimit>, endpoint: &InstanceId| {
             all.get(endpoint).map(|told| told.limit)
         };
@@ -112,7 +112,7 @@
 
     /// Tells endpoints that have just been listed what the ledger knows of them.
     pub fn limits_of_new(&self, came: &[InstanceId]) {
-        let told = self.limits.told.load();
+        let told = self.endpoint_limits.told.load();
         for endpoint in came {
             if let Some(limit) = told.get(endpoint) {
                 self.limit_told(endpoint, Some(limit.limit));
@@ -129,7 +129,7 @@
 
 /// Tells the ledger what is heard here, for as long as the process lives.
 pub async fn run(gw: &Gateway) {
-    let limits = &gw.limits;
+    let limits = &gw.endpoint_limits;
     let next = || limits.next_report();
     let taken = |report: &Command| limits.was_taken(report);
     reports::run(gw, &limits.wanted, next, taken).await;
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -23,7 +23,7 @@
 
 use crate::dialect::{Dialect, ListSource};
 use crate::directory::Directory;
-use crate::limits::Limits;
+use crate::endpoint_limits::EndpointLimits;
 use crate::listing::Listings;
 use crate::log_events;
 use crate::metrics::TRIES_DENIED;
@@ -111,7 +111,7 @@
     /// Requests under which endpoints crashed.
     pub suspects: Suspects,
     /// Limits that endpoints announced.
-    pub limits: Limits,
+    pub endpoint_limits: EndpointLimits,
     /// Requests under way.
     pub open: AtomicU32,
     /// In milliseconds of the life: until then this gateway can't pay for what it is asked.
@@ -197,7 +197,7 @@
             news: Notify::new(),
             crashes: Mutex::default(),
             suspects: Suspects::default(),
-            limits: Limits::default(),
+            endpoint_limits: EndpointLimits::default(),
             open: AtomicU32::new(0),
             starved_until: AtomicU64::new(0),
             retries: Mutex::default(),
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -13,8 +13,8 @@
 //! Which requests are kept from endpoints because these crash under them: [`crashes`] finds out what crashed,
 //! [`suspects`] tells the ledger and hears of all others, [`content`] says which requests are the same.
 //!
-//! How many requests an endpoint takes from all gateways: [`limits`] tells the ledger what it announced and hears of
-//! others. [`reports`] is the way of both to the ledger.
+//! How many requests an endpoint takes from all gateways: [`endpoint_limits`] tells the ledger what it announced and hears
+//! of others. [`reports`] is the way of both to the ledger.
 //!
 //! What the gateway believes, and from whom: the routing table and the number of gateways
 //! ([`follow`], from the ledger), grants ([`money_loop`], from the ledger), the endpoints
@@ -31,11 +31,11 @@
 pub mod directory;
 pub mod discovery;
 pub mod endpoint;
+pub mod endpoint_limits;
 pub mod events;
 pub mod exchange;
 pub mod follow;
 pub mod gateway;
-pub mod limits;
 pub mod list_reader;
 pub mod listing;
 pub mod log_events;
--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -9,7 +9,7 @@
 
 use crate::gateway::Gateway;
 use crate::log_events as events;
-use crate::{discovery, follow, limits, money_loop, serve, siblings, suspects};
+use crate::{discovery, endpoint_limits, follow, money_loop, serve, siblings, suspects};
 
 /// Longest time to give grants back at a planned stop.
 const GIVE_BACK: Duration = Duration::from_millis(250);
@@ -59,7 +59,7 @@
             siblings::answer(own.clone(), siblings),
             money_loop::run(&own),
             suspects::run(&own),
-            limits::run(&own),
+            endpoint_limits::run(&own),
         );
     });
     let serving = serve::clients(gw.clone(), clients);
