What makes a request the same one is worked out once for each request

Found by reading the diff. The digest of a request was made up to three times on its way (at admission, before each try, at its end), behind closures that left it out where nobody is suspected; yet each request that is answered needs it anyhow. It is made once, when its body is there, and goes with the request. A stream's source holds how far its run has come, in place of a flag that was turned into that. The two ways to a quarantine (told, or told and seen here) are one.

--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -64,6 +64,7 @@
     spend: Option<Spend>,
     head: request::Parts,
     body: Bytes,
+    content: RequestDigest,
 }
 
 impl Admitted {
@@ -89,6 +90,7 @@
             uri: self.head.uri,
             headers: self.head.headers,
             body: self.body,
+            content: self.content,
         }
     }
 }
@@ -111,7 +113,7 @@
     let deadline = begun + ask.patience.min(route.timeout);
     let body = read_body(body, table.limits.body_bytes, deadline).await?;
     let payer = organisation.as_deref();
-    let content = || content::digest(payer, &route, &head.method, &head.uri, &body);
+    let content = content::digest(payer, &route, &head.method, &head.uri, &body);
     if let Some(quarantine) = gw.suspects.quarantine(content) {
         trace.step(format_args!("in quarantine: {quarantine}"));
         return Err((Cause::CrashesEndpoints, quarantine.left));
@@ -130,6 +132,7 @@
         spend,
         head,
         body,
+        content,
     })
 }
 
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -82,6 +82,8 @@
     pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
+    /// What makes another request the same one.
+    pub content: RequestDigest,
 }
 
 impl Exchange {
@@ -217,7 +219,7 @@
     }
 
     async fn one_try(&mut self, after: Option<u64>) -> Result<Tried, Refused> {
-        if let Some(quarantine) = self.gw.suspects.quarantine(|| self.content()) {
+        if let Some(quarantine) = self.gw.suspects.quarantine(self.content) {
             self.trace.step(format_args!("in quarantine: {quarantine}"));
             let cause = if self.in_doubt {
                 Cause::Lost
@@ -330,7 +332,7 @@
             if let Ok(Ok(body)) = read {
                 Answer::put_back(sender, watch, &place.endpoint, &head);
                 strip(&mut parts.headers);
-                self.answered();
+                self.gw.answered(self.content);
                 self.trace.first_piece();
                 let fine = parts.status.is_success();
                 self.trace
--- a/crates/anvil_gateway/src/exchange/learning.rs
+++ b/crates/anvil_gateway/src/exchange/learning.rs
@@ -4,12 +4,10 @@
 use std::time::Duration;
 
 use anvil_policy::crash::Evidence;
-use anvil_world::prelude::*;
 use anvil_world::suspect::CrashedRun;
 
 use super::Exchange;
 use crate::attempt::{ANOTHER_HAS_IT, Doubt, NotRun, Tried};
-use crate::content;
 use crate::endpoint::Endpoint;
 
 /// A full endpoint gets nothing for about the time of one of its requests.
@@ -46,28 +44,11 @@
         }
     }
 
-    /// What makes another request the same one.
-    pub fn content(&self) -> RequestDigest {
-        content::digest(
-            self.organisation.as_deref(),
-            &self.route,
-            &self.method,
-            &self.uri,
-            &self.body,
-        )
-    }
-
-    /// An endpoint has answered this request to the end.
-    pub fn answered(&self) {
-        self.gw.answered(self.content());
-    }
-
     /// Notes that an endpoint lost the answer to this request.
     pub fn answer_lost(&mut self, endpoint: &Arc<Endpoint>, run: CrashedRun, why: &str) {
-        let content = self.content();
-        self.trace.content(content);
+        self.trace.content(self.content);
         self.endpoint_failed(endpoint, why);
-        self.gw.lost_at(endpoint, content, run);
+        self.gw.lost_at(endpoint, self.content, run);
     }
 
     /// Notes that an endpoint failed this request.
--- a/crates/anvil_gateway/src/relay.rs
+++ b/crates/anvil_gateway/src/relay.rs
@@ -38,8 +38,8 @@
     watch: Arc<ConnectionWatch>,
     head: AnswerHead,
     place: Place,
-    /// An event of it has come.
-    has_spoken: bool,
+    /// How far it has come, should the endpoint crash now.
+    run: CrashedRun,
 }
 
 /// A stream under way.
@@ -150,7 +150,7 @@
         loop {
             if let Some(event) = source.splitter.next_event() {
                 source.place.answered();
-                source.has_spoken = true;
+                source.run = CrashedRun::AfterOutput;
                 // Failure: an endpoint sends an event twice, or one of a run that it had
                 // before. Numbers rise by one; what does not follow is not delivered.
                 if follows(self.last, event.id) {
@@ -191,13 +191,8 @@
 
     async fn go_on_elsewhere(&mut self) -> Result<Answer, Cause> {
         if let Some(source) = self.source.take() {
-            let run = if source.has_spoken {
-                CrashedRun::AfterOutput
-            } else {
-                CrashedRun::BeforeOutput
-            };
             self.exchange
-                .answer_lost(&source.place.endpoint, run, "its stream broke off");
+                .answer_lost(&source.place.endpoint, source.run, "its stream broke off");
             let last = self.last;
             let id = &source.place.endpoint.id;
             self.exchange
@@ -226,7 +221,7 @@
         let Some(source) = self.source.take() else {
             return;
         };
-        self.exchange.answered();
+        self.exchange.gw.answered(self.exchange.content);
         let endpoint = source.place.endpoint.clone();
         Answer::put_back(source.sender, source.watch, &endpoint, &source.head);
     }
@@ -248,7 +243,7 @@
             watch: answer.watch,
             head: answer.head,
             place: answer.place,
-            has_spoken: false,
+            run: CrashedRun::BeforeOutput,
         }
     }
 }
--- a/crates/anvil_gateway/src/suspects.rs
+++ b/crates/anvil_gateway/src/suspects.rs
@@ -118,12 +118,7 @@
     }
 
     /// Why a request is kept from endpoints; `None` where it may go to them.
-    pub fn quarantine(&self, request: impl FnOnce() -> RequestDigest) -> Option<Quarantine> {
-        if self.is_empty() {
-            return None;
-        }
-        let request = request();
-        let now = SystemTime::now();
+    pub fn quarantine(&self, request: RequestDigest) -> Option<Quarantine> {
         let told = self.told.load();
         let told = told.get(&request);
         let own = {
@@ -134,17 +129,22 @@
             }
             own.endpoints.get(&request).cloned()
         };
-        let Some(own) = own else {
-            let told = told?;
-            return quarantine(&told.suspect, Some(told.since), now);
-        };
+        if told.is_none() && own.is_none() {
+            return None;
+        }
+        let now = SystemTime::now();
         let suspect = told.map(|told| told.suspect.clone());
         let mut suspect = suspect.unwrap_or_else(|| Suspect::new(now));
-        for (endpoint, run) in own {
+        for (endpoint, run) in own.into_iter().flatten() {
             suspect.crashed(&endpoint, run, now);
         }
+        let left = suspect.quarantined_for(now);
         let told = told.filter(|told| told.suspect.weight() >= QUARANTINED_FROM);
-        quarantine(&suspect, told.map(|told| told.since), now)
+        (!left.is_zero()).then(|| Quarantine {
+            left,
+            endpoints: endpoints_of(&suspect),
+            told: told.map(|told| told.since),
+        })
     }
 
     /// An endpoint has answered a request: what crashed before did so for another reason.
@@ -167,10 +167,6 @@
         quarantined.count() as u64
     }
 
-    fn is_empty(&self) -> bool {
-        self.told.load().is_empty() && self.own().crashes.is_empty()
-    }
-
     fn own(&self) -> MutexGuard<'_, Own> {
         // A panic elsewhere leaves whole reports.
         self.own.lock().unwrap_or_else(PoisonError::into_inner)
@@ -202,15 +198,6 @@
     }
 }
 
-fn quarantine(suspect: &Suspect, told: Option<Now>, now: SystemTime) -> Option<Quarantine> {
-    let left = suspect.quarantined_for(now);
-    (!left.is_zero()).then(|| Quarantine {
-        left,
-        endpoints: endpoints_of(suspect),
-        told,
-    })
-}
-
 fn endpoints_of(suspect: &Suspect) -> Vec<InstanceId> {
     let crashes = suspect.crashes.iter();
     crashes.map(|crash| crash.endpoint.clone()).collect()
--- a/crates/anvil_world/src/suspect.rs
+++ b/crates/anvil_world/src/suspect.rs
@@ -9,12 +9,12 @@
 /// Weight from which on a request is kept from endpoints: three crashes before its run had any output. One or two may
 /// have come from another reason, or from a neighbour that was waiting as well.
 pub const QUARANTINED_FROM: u32 = 6;
-/// Reports on one endpoint within this time are of the same crash. One that starts again under its name is back later.
-const SAME_CRASH: Duration = Duration::from_secs(3);
 /// For how long it is kept from them after the last crash.
 pub const QUARANTINED_FOR: Duration = Duration::from_hours(1);
 /// For how long crashes are remembered after the last one. Within this time a single further one is enough.
 pub const REMEMBERED_FOR: Duration = Duration::from_hours(24);
+/// Reports on one endpoint within this time are of the same crash. One that starts again under its name is back later.
+const SAME_CRASH: Duration = Duration::from_secs(3);
 
 /// How far a request's run had come when its endpoint crashed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
