An endpoint that takes a request is found without sorting them all

Found by reading the diff. Since limits came, each choice of an endpoint sorted all of them where a minimum had been taken: work on each request that grows faster than the endpoints. It is a minimum again, over those that take a request now. What is used of a limit was a fraction that went through a time to become a percentage; it is whole numbers, with a test that it lacked. What two clocks say at a moment has a name of its own, as the listing has a Moment of another kind. A comma, and a word that had been left from before, in two pages of the ledger's crate.

No behaviour changes, but that the measure counts in thousandths of a request.

--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -6,7 +6,7 @@
 
 use anvil_policy::copying::{self, Copying, Lacking};
 use anvil_policy::engine::{Prompt, home_rank};
-use anvil_policy::rate_share::Moment;
+use anvil_policy::rate_share::Clocks;
 use anvil_world::prelude::*;
 
 use crate::endpoint::{Endpoint, Place};
@@ -102,29 +102,32 @@
     ) -> Result<&'a Weighed<'a>, Unplaced> {
         // A time of day before the epoch has windows all the same.
         let time_of_day = SystemTime::now().duration_since(UNIX_EPOCH);
-        let at = Moment {
+        let at = Clocks {
             now,
             time_of_day: time_of_day.unwrap_or_default(),
         };
         let turn = self.turn();
-        let waits = all
-            .iter()
-            .map(|weighed| weighed.endpoint.opens_in(at, turn));
-        let waits: Vec<_> = waits.collect();
-        let taking = all.iter().zip(&waits).filter(|(_, wait)| wait.is_zero());
-        let mut taking: Vec<_> = taking.map(|(weighed, _)| weighed).collect();
-        taking.sort_by_key(|weighed| (weighed.shut, weighed.expected));
-        for best in taking {
+        let mut taking = Vec::new();
+        let mut soonest = None;
+        for weighed in all {
+            let wait = weighed.endpoint.opens_in(at, turn);
+            soonest = Some(soonest.map_or(wait, |soonest: Duration| soonest.min(wait)));
+            if wait.is_zero() {
+                taking.push(weighed);
+            }
+        }
+        let by_rank = |weighed: &&Weighed<'_>| (weighed.shut, weighed.expected);
+        while let Some(best) = taking.iter().copied().min_by_key(by_rank) {
             if best.expected > within {
                 return Err(Unplaced::TooLate(best.expected));
             }
-            // Another request may have been first.
             if best.endpoint.takes_one(at, turn) {
                 return Ok(best);
             }
+            // Another request was first.
+            taking.retain(|weighed| weighed.endpoint.id != best.endpoint.id);
         }
-        let first = waits.into_iter().min();
-        Err(first.map_or(Unplaced::Nobody, Unplaced::AtLimit))
+        Err(soonest.map_or(Unplaced::Nobody, Unplaced::AtLimit))
     }
 
     /// The engine from which the chosen one copies, where that is much faster than reading.
--- a/crates/anvil_gateway/src/endpoint.rs
+++ b/crates/anvil_gateway/src/endpoint.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use anvil_policy::engine::{EndpointLoad, EngineRule, Prompt};
-use anvil_policy::rate_share::{Moment, RateShare, Turn};
+use anvil_policy::rate_share::{Clocks, RateShare, Turn};
 use anvil_wire::msg::Listed;
 use anvil_world::prelude::*;
 use anvilreel::event;
@@ -94,18 +94,18 @@
         );
     }
 
-    /// Requests sent since its limit is known, and those that this gateway might have sent.
-    pub fn limit_used(&self, now: Now, turn: Turn) -> (f64, f64) {
+    /// Requests sent since its limit is known, and thousandths of those that this gateway might have sent.
+    pub fn limit_used(&self, now: Now, turn: Turn) -> (u64, u64) {
         self.rate_share().used(now, turn)
     }
 
     /// Time until it may be sent a request; nothing when it may be now.
-    pub fn opens_in(&self, at: Moment, turn: Turn) -> Duration {
+    pub fn opens_in(&self, at: Clocks, turn: Turn) -> Duration {
         self.rate_share().opens_in(at, turn)
     }
 
     /// Counts a request that is about to be sent; false where it may not be.
-    pub fn takes_one(&self, at: Moment, turn: Turn) -> bool {
+    pub fn takes_one(&self, at: Clocks, turn: Turn) -> bool {
         self.rate_share().send(at, turn)
     }
 
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -1,7 +1,6 @@
 //! What a gateway measures. docs/METRICS.md lists names and units; a test holds both together.
 
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use anvilreel::metrics::LOG_DROPPED;
 
@@ -135,15 +134,13 @@
         let all = self.directory.all();
         let limited = all.iter().filter(|endpoint| endpoint.limit().is_some());
         let used = limited.map(|endpoint| endpoint.limit_used(self.life.now(), self.turn()));
-        let used: Vec<_> = used.collect();
-        let sent: f64 = used.iter().map(|(sent, _)| sent).sum();
-        let might: f64 = used.iter().map(|(_, might)| might).sum();
-        // Milliseconds of a time are a whole number, rounded and within bounds; a percentage is one as well.
-        let percent = Duration::try_from_secs_f64(sent / might.max(1.0) / 10.0);
-        let percent = percent.unwrap_or_default().as_millis();
-        (
-            used.len() as u64,
-            u64::try_from(percent).unwrap_or(u64::MAX),
-        )
+        let (mut count, mut sent, mut might) = (0, 0, 0_u64);
+        for (one_sent, one_might) in used {
+            count += 1;
+            sent += one_sent;
+            might = might.saturating_add(one_might);
+        }
+        // One request at least, so that a limit heard of just now isn't used many times over.
+        (count, sent * 100_000 / might.max(1_000))
     }
 }
--- a/crates/anvil_ledger/src/lib.rs
+++ b/crates/anvil_ledger/src/lib.rs
@@ -22,8 +22,8 @@
 //! * [`core`]: election, replication and membership of replicas, without I/O.
 //! * [`storage`]: log and snapshots under one data folder.
 //! * [`state`]: what the committed commands make: tree, budgets, claims, fences, members, audit.
-//! * [`machine`]: the state together with the [`lives`] of sidecars the [`suspects`] and the
-//!   [`limits`]; what a snapshot holds.
+//! * [`machine`]: the state together with the [`lives`] of sidecars, the [`suspects`] and the [`limits`]; what a
+//!   snapshot holds.
 //! * [`inspect`]: reads a data folder offline.
 
 pub mod core;
--- a/crates/anvil_ledger/src/machine.rs
+++ b/crates/anvil_ledger/src/machine.rs
@@ -1,5 +1,5 @@
 //! What a replica makes of the committed entries: the state, the lives of sidecars, and what routers tell of
-//! endpoints: requests under which they crashed, and limits that they named.
+//! endpoints: requests under which they crashed, and limits that they announced.
 
 use std::collections::BTreeSet;
 
--- a/crates/anvil_policy/src/rate_share.rs
+++ b/crates/anvil_policy/src/rate_share.rs
@@ -46,9 +46,9 @@
     }
 }
 
-/// A moment by both clocks.
+/// What both clocks say at one moment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Moment {
+pub struct Clocks {
     /// By the steady one.
     pub now: Now,
     /// By the time of day, since the epoch.
@@ -109,7 +109,7 @@
     }
 
     /// Time until a request may be sent; nothing when it may be now.
-    pub fn opens_in(&self, at: Moment, turn: Turn) -> Duration {
+    pub fn opens_in(&self, at: Clocks, turn: Turn) -> Duration {
         let Some(limit) = self.limit.map(per_second) else {
             return Duration::ZERO;
         };
@@ -122,7 +122,7 @@
     }
 
     /// Sends a request if it may be sent now.
-    pub fn send(&mut self, at: Moment, turn: Turn) -> bool {
+    pub fn send(&mut self, at: Clocks, turn: Turn) -> bool {
         if !self.opens_in(at, turn).is_zero() {
             return false;
         }
@@ -139,13 +139,12 @@
         true
     }
 
-    /// Requests sent, and those that might have been, since the limit is known.
-    pub fn used(&self, now: Now, turn: Turn) -> (f64, f64) {
-        let share = self
-            .limit
-            .map_or(0.0, |limit| turn.share(per_second(limit)));
-        let time = now.saturating_sub(self.since);
-        (f64::from(self.count), share * time.as_secs_f64())
+    /// Requests sent since the limit is known, and thousandths of those that might have been.
+    pub fn used(&self, now: Now, turn: Turn) -> (u64, u64) {
+        let limit = self.limit.map_or(0, |limit| limit.max(LEAST_LIMIT));
+        let time = now.saturating_sub(self.since).as_millis();
+        let might = u128::from(limit) * time / 1_000 / u128::from(turn.routers.max(1));
+        (self.count.into(), might.try_into().unwrap_or(u64::MAX))
     }
 
     fn tokens_at(&self, now: Now, turn: Turn, share: f64) -> f64 {
@@ -180,7 +179,7 @@
         ((time_of_day.as_secs_f64() - self.first) / self.round).floor()
     }
 
-    fn opens_in(&self, at: Moment, sent: Option<Sent>) -> Duration {
+    fn opens_in(&self, at: Clocks, sent: Option<Sent>) -> Duration {
         let round = self.round(at.time_of_day);
         let into = at.time_of_day.as_secs_f64() - self.first - round * self.round;
         let to_next = seconds(self.round - into);
--- a/crates/anvil_policy/tests/rate_share.rs
+++ b/crates/anvil_policy/tests/rate_share.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use anvil_policy::rate_share::{Moment, RateShare, Turn};
+use anvil_policy::rate_share::{Clocks, RateShare, Turn};
 use anvil_world::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -52,7 +52,7 @@
     while now < PLAY {
         for (turn, share, ahead) in &mut shares {
             let time_of_day = *ahead + now;
-            let at = Moment { now, time_of_day };
+            let at = Clocks { now, time_of_day };
             if load.comes(now, &mut rng) && share.send(at, *turn) {
                 got.push(now);
             }
@@ -143,8 +143,8 @@
     );
 }
 
-fn at(now: f64, time_of_day: f64) -> Moment {
-    Moment {
+fn at(now: f64, time_of_day: f64) -> Clocks {
+    Clocks {
         now: Duration::from_secs_f64(now),
         time_of_day: Duration::from_secs_f64(time_of_day),
     }
@@ -251,3 +251,19 @@
     let later = got.iter().filter(|at| at.as_secs() >= 24).count();
     assert!(as_number(later) > 0.9 * 36.0 * 2.0, "{later}");
 }
+
+/// Guards against a measure of what is used of a limit that tells of another router's part, or of sends before it.
+#[test]
+fn what_is_used_is_of_this_routers_part() {
+    let turn = Turn {
+        rank: 0,
+        routers: 2,
+    };
+    let mut share = RateShare::default();
+    assert!(share.send(at(1.0, 1.0), turn));
+    share.told(Duration::from_secs(2), Some(4_000));
+    for second in [3.0, 4.0, 5.0] {
+        assert!(share.send(at(second, second), turn));
+    }
+    assert_eq!(share.used(Duration::from_secs(12), turn), (3, 20_000));
+}
