Evacuate an availability zone by an operator's order

Cause: POST /evacuations/ZONE/begin was answered 404 "no such call": the product had no such order.

Every order writes a new revision, also one that changes nothing: an order delayed by a freeze or a partition then expects an outdated revision and is refused. An order older than 1.5 s on the way is not committed. Endpoints of an evacuated zone get no new requests; if all of a service are evacuated, requests are refused at once with a cause of their own. `anvilreel evacuate ZONE [--finish]`, `status`. `Moment` moved from the gateway to anvilreel, as both need it.

Seen red by taking the guard out: without the filter in Directory::available all four tests of direct::evacuating; without a revision for orders that change nothing delayed_order_is_refused; without the age check old_order_is_not_committed; without a cause of its own requests_are_refused_at_once_when_all_zones_are_evacuated.

--- a/crates/anvil_daemons/src/operate/arguments.rs
+++ b/crates/anvil_daemons/src/operate/arguments.rs
@@ -67,6 +67,8 @@
     Status(Status),
     /// Drains an instance.
     Drain(Drain),
+    /// Evacuates an availability zone.
+    Evacuate(Evacuate),
     /// Sends an order to an endpoint.
     Order(OrderArgs),
     /// Validates settings files without sending them.
@@ -209,6 +211,18 @@
     pub id: Option<String>,
 }
 
+/// evacuate an availability zone: its endpoints finish what they have and get nothing new
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "evacuate")]
+pub struct Evacuate {
+    /// the availability zone
+    #[argh(positional)]
+    pub zone: String,
+    /// end its evacuation
+    #[argh(switch)]
+    pub finish: bool,
+}
+
 /// order the endpoint beside a sidecar
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "order")]
--- a/crates/anvil_daemons/src/operate/run.rs
+++ b/crates/anvil_daemons/src/operate/run.rs
@@ -12,7 +12,8 @@
 use serde::Serialize;
 
 use super::arguments::{
-    Apply, Audit, Check, Connection, LedgerCommand, Operate, OrderArgs, OrderSubject, Remove,
+    Apply, Audit, Check, Connection, Evacuate, LedgerCommand, Operate, OrderArgs, OrderSubject,
+    Remove,
 };
 use super::check::check;
 
@@ -69,6 +70,7 @@
             let applied = operator::drain(&client, args.instance.into(), id).await?;
             print_rollout(json, &applied)
         }
+        Operate::Evacuate(args) => evacuate(&client, json, &args).await,
         Operate::Order(args) => order(&client, json, args).await,
         Operate::Check(args) => check_all(&args),
         Operate::HashKey(_) => hash_key(),
@@ -133,6 +135,18 @@
     print_rollout(json, &applied)
 }
 
+async fn evacuate(client: &Client, json: bool, args: &Evacuate) -> Result<ExitCode, OperatorError> {
+    let TreePath::Zone(zone) = tree_path(&format!("zones/{}", args.zone))? else {
+        return Err(OperatorError::Unexpected);
+    };
+    let rollout = operator::evacuate(client, zone, !args.finish).await?;
+    print_report(json, &rollout)?;
+    if rollout.is_rolled_out() {
+        return Ok(ExitCode::Done);
+    }
+    Ok(ExitCode::RolloutIncomplete)
+}
+
 async fn order(client: &Client, json: bool, args: OrderArgs) -> Result<ExitCode, OperatorError> {
     let name: std::sync::Arc<str> = args.name.into();
     let detail: std::sync::Arc<str> = args.detail.unwrap_or_default().into();
--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -32,6 +32,8 @@
 pub enum Unplaced {
     /// No endpoint accepts work.
     Nobody,
+    /// All endpoints are in availability zones that operators have evacuated.
+    Evacuated,
     /// The best endpoint would respond too late: after this time.
     TooLate(Duration),
     /// All endpoints are at their announced limits; the first one accepts another request after
@@ -75,6 +77,9 @@
     ) -> Result<Selection, Unplaced> {
         let now = self.lifecycle.now();
         let available = self.directory.available(service, tried);
+        if available.is_empty() && self.directory.is_evacuated(service) {
+            return Err(Unplaced::Evacuated);
+        }
         let home = home_of(prompt, &available);
         let candidate = |endpoint| self.estimate(now, prompt, home, endpoint);
         let candidates: Vec<Candidate<'_>> = available.iter().map(candidate).collect();
--- a/crates/anvil_gateway/src/directory.rs
+++ b/crates/anvil_gateway/src/directory.rs
@@ -1,6 +1,6 @@
 //! The known endpoints by service, as the platform lists them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -21,6 +21,8 @@
 #[derive(Default)]
 pub struct Directory {
     groups: ArcSwap<BTreeMap<ServiceId, EndpointGroup>>,
+    /// Availability zones whose endpoints receive no new requests.
+    evacuated_zones: ArcSwap<BTreeSet<ZoneId>>,
     /// Leaving endpoints, with the time they were last listed so.
     recently_leaving: Mutex<BTreeMap<InstanceId, Instant>>,
     /// By service: number of consecutive endpoints whose address another incarnation has taken
@@ -75,14 +77,39 @@
         groups.values().flatten().cloned().collect()
     }
 
-    /// The endpoints of a service that accept requests, without those in `tried`. Empty while the
-    /// list is stale.
+    /// The availability zones whose endpoints receive no new requests.
+    pub fn evacuated_zones(&self) -> Arc<BTreeSet<ZoneId>> {
+        self.evacuated_zones.load_full()
+    }
+
+    /// Replaces them.
+    pub fn set_evacuated_zones(&self, zones: Arc<BTreeSet<ZoneId>>) {
+        self.evacuated_zones.store(zones);
+    }
+
+    /// Whether a service has endpoints that would accept requests, but all of them are in evacuated
+    /// zones.
+    pub fn is_evacuated(&self, service: &str) -> bool {
+        let evacuated = self.evacuated_zones.load();
+        let mut accepting = self.service_endpoints(service);
+        accepting.retain(|endpoint| !endpoint.is_leaving());
+        let mut zones = accepting.iter().map(|endpoint| &endpoint.zone);
+        !accepting.is_empty() && zones.all(|zone| evacuated.contains(zone))
+    }
+
+    /// The endpoints of a service that accept requests, without those in `tried` and in evacuated
+    /// zones. Empty while the list is stale.
     pub fn available(&self, service: &str, tried: &[InstanceId]) -> EndpointGroup {
         if self.is_stale(service) {
             return EndpointGroup::new();
         }
+        let evacuated = self.evacuated_zones.load();
         let mut endpoints = self.service_endpoints(service);
-        endpoints.retain(|endpoint| !endpoint.is_leaving() && !tried.contains(&endpoint.id));
+        endpoints.retain(|endpoint| {
+            !endpoint.is_leaving()
+                && !evacuated.contains(&endpoint.zone)
+                && !tried.contains(&endpoint.id)
+        });
         endpoints
     }
 
--- a/crates/anvil_gateway/src/discovery.rs
+++ b/crates/anvil_gateway/src/discovery.rs
@@ -12,10 +12,10 @@
 use anvil_wire::msg::{ListCall, ListReply, ListRequest, ListedEndpoint};
 use anvil_world::prelude::*;
 use anvilreel::event;
+use anvilreel::moment::Moment;
 use tokio::time::{sleep, timeout};
 
 use crate::gateway::Gateway;
-use crate::list_cache::Moment;
 use crate::list_reader::ListReader;
 use crate::log_events as events;
 use crate::metrics;
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -39,6 +39,8 @@
 const FIRST_TOKEN_FRACTION: f64 = 0.8;
 /// Retry-after time while a process or service is unavailable.
 pub const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Retry-after time while all endpoints are in evacuated zones: an operator has to act first.
+const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Shortest and longest retry-after time when endpoints are overloaded.
 const OVERLOAD_RETRY_AFTER: (Duration, Duration) =
     (Duration::from_millis(250), Duration::from_secs(2));
@@ -340,6 +342,7 @@
         }
         match unplaced {
             Unplaced::Nobody => (Cause::NoEndpoint, DEFAULT_RETRY_AFTER),
+            Unplaced::Evacuated => (Cause::Evacuated, EVACUATED_RETRY_AFTER),
             Unplaced::TooLate(expected) => {
                 let excess =
                     expected.saturating_sub(self.time_left().mul_f64(FIRST_TOKEN_FRACTION));
--- a/crates/anvil_gateway/src/ledger_updates.rs
+++ b/crates/anvil_gateway/src/ledger_updates.rs
@@ -86,6 +86,7 @@
         .update_members(routers.filter(|router| router.zone.id == gw.cfg.zone.id));
     gw.apply_ledger_suspects(&cached.suspects);
     gw.apply_ledger_limits(&cached.limits);
+    gw.apply_zone_documents(&cached.tree);
     let replicas = members::replicas(cached, &gw.seeds.load());
     let relays = members::relays(cached, &gw.cfg.id);
     if gw.ledger.set_addresses(&replicas, &relays) {
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod suspects;
 pub mod table;
 pub mod trace;
+pub mod zones;
 
 pub use gateway::{Gateway, GatewaySettings};
 pub use run::{GatewayError, run};
--- a/crates/anvil_gateway/src/list_cache.rs
+++ b/crates/anvil_gateway/src/list_cache.rs
@@ -2,10 +2,11 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant, SystemTime};
+use std::time::Duration;
 
 use anvil_wire::msg::{ListDigest, ListReply, ListRequest, ListUpdate, ListedEndpoint};
 use anvil_world::prelude::*;
+use anvilreel::moment::Moment;
 use tokio::sync::watch;
 use xxhash_rust::xxh3::Xxh3;
 
@@ -16,43 +17,6 @@
 /// receives the complete one.
 const MAX_EARLIER_LISTS: usize = 4;
 
-/// A moment on both the monotonic clock and the wall clock.
-///
-/// Failure: while a machine is suspended, the monotonic clock may stand still. An outdated list
-/// then counts as fresh, and siblings send requests to endpoints that have left in the meantime.
-/// The wall clock includes the suspension; if it was adjusted, the greater of both ages is the safe
-/// one.
-#[derive(Debug, Clone, Copy)]
-pub struct Moment {
-    monotonic: Instant,
-    wall: SystemTime,
-}
-
-impl Moment {
-    /// The current moment.
-    pub fn now() -> Self {
-        Self {
-            monotonic: Instant::now(),
-            wall: SystemTime::now(),
-        }
-    }
-
-    /// Maximum time since this moment.
-    pub fn age(&self) -> Duration {
-        // A wall clock that was set back yields no age.
-        let wall = self.wall.elapsed().unwrap_or_default();
-        self.monotonic.elapsed().max(wall)
-    }
-
-    /// The moment shifted forward by `after` and back by `before`; `None` if a clock can't
-    /// represent it.
-    fn shifted(&self, after: Duration, before: Duration) -> Option<Self> {
-        let monotonic = self.monotonic.checked_add(after)?.checked_sub(before)?;
-        let wall = self.wall.checked_add(after)?.checked_sub(before)?;
-        Some(Self { monotonic, wall })
-    }
-}
-
 /// One version of the list.
 #[derive(Debug, Clone)]
 pub struct ListSnapshot {
--- a/crates/anvil_gateway/src/log_events.rs
+++ b/crates/anvil_gateway/src/log_events.rs
@@ -58,4 +58,8 @@
     GATEWAY_REQUEST_CLEARED = 6026 Info "gateway_request_cleared";
     /// An endpoint has changed or ended the rate limit that it announces to all routers.
     GATEWAY_ENDPOINT_LIMIT = 6027 Info "gateway_endpoint_limit";
+    /// An operator's order for an availability zone is in force.
+    GATEWAY_ZONE_ORDER = 6028 Info "gateway_zone_order";
+    /// An order for an availability zone can't be read by this build; the zone counts as evacuated.
+    GATEWAY_ZONE_UNREADABLE = 6029 Error "gateway_zone_unreadable";
 }
--- a/crates/anvil_gateway/src/reply.rs
+++ b/crates/anvil_gateway/src/reply.rs
@@ -46,6 +46,8 @@
     Leaving,
     /// No endpoint of the service accepts requests.
     NoEndpoint,
+    /// All endpoints of the service are in evacuated availability zones.
+    Evacuated,
     /// All endpoints are too busy to respond in time.
     Overloaded,
     /// Endpoints crashed under the same request.
@@ -60,7 +62,7 @@
 
 impl Cause {
     /// All causes.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 17] = [
         Self::BadHead,
         Self::UnknownKey,
         Self::NoRoute,
@@ -72,6 +74,7 @@
         Self::NotReady,
         Self::Leaving,
         Self::NoEndpoint,
+        Self::Evacuated,
         Self::Overloaded,
         Self::CrashesEndpoints,
         Self::RefusedByEndpoints,
@@ -93,6 +96,7 @@
             | Self::NotReady
             | Self::Leaving
             | Self::NoEndpoint
+            | Self::Evacuated
             | Self::Overloaded
             | Self::CrashesEndpoints
             | Self::RefusedByEndpoints => StatusCode::SERVICE_UNAVAILABLE,
@@ -115,6 +119,7 @@
             Self::NotReady => "not_ready",
             Self::Leaving => "leaving",
             Self::NoEndpoint => "no_endpoint",
+            Self::Evacuated => "evacuated",
             Self::Overloaded => "overloaded",
             Self::CrashesEndpoints => "crashes_endpoints",
             Self::RefusedByEndpoints => "refused_by_endpoints",
--- a/crates/anvil_gateway/tests/direct/main.rs
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -5,6 +5,7 @@
 mod crashing;
 mod dialect;
 mod endpoint;
+mod evacuating;
 mod explanations;
 mod gateway;
 mod leaving;
--- a/crates/anvil_gateway/tests/direct/processes.rs
+++ b/crates/anvil_gateway/tests/direct/processes.rs
@@ -10,10 +10,12 @@
 use anvil_world::command::ReplaceRouting;
 use anvil_world::prelude::*;
 use anvil_world::settings::{LedgerSettings, Peer};
+use anvilreel::evacuation::{self, EvacuationOrder};
 use anvilreel::ledger_client::LedgerClient;
 use anvilreel::ledger_service::{self, LedgerHandle, Tuning};
 use anvilreel::logs::discard;
 use anvilreel::metrics::Metrics;
+use anvilreel::moment::Moment;
 use bytes::Bytes;
 use tempfile::TempDir;
 use tokio::runtime::Runtime;
@@ -31,7 +33,8 @@
 /// Longest wait for anything.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// A list of the endpoints that the text names, one per line: id and address.
+/// A list of the endpoints that the text names, one per line: id, address and, if it is not the
+/// gateways' own, availability zone.
 pub async fn serve_list(text: impl Fn() -> String + Send + Sync + 'static) -> ListSource {
     let list = TestEndpoint::start(move |_, _| {
         let body = text();
@@ -51,8 +54,12 @@
 fn parse_page(bytes: &Bytes) -> Result<ListPage, String> {
     let text = String::from_utf8_lossy(bytes);
     let entry = |line: &str| {
-        let (id, addr) = line.split_once(' ')?;
-        Some(listed(id, addr.parse().ok()?))
+        let mut words = line.split(' ');
+        let mut endpoint = listed(words.next()?, words.next()?.parse().ok()?);
+        if let Some(zone) = words.next() {
+            endpoint.zone = zone.into();
+        }
+        Some(endpoint)
     };
     let listed = text.lines().map(entry).collect::<Option<Vec<_>>>();
     Ok(ListPage {
@@ -106,7 +113,7 @@
 }
 
 impl Processes {
-    /// Starts them; `list` names the endpoints, one per line: id and address.
+    /// Starts them; `list` names the endpoints as in [`serve_list`].
     pub async fn start(list: impl Fn() -> String + Send + Sync + 'static) -> Self {
         let mut processes = Self {
             subnet: rand::random_range(1..=250),
@@ -204,6 +211,19 @@
         }
     }
 
+    /// Commits an operator's order for a zone, and returns when it is acknowledged.
+    pub async fn order_evacuation(&self, zone: &str, evacuated: bool) {
+        let ledger = LedgerClient::new(&[self.ledger_addr()]);
+        let order = EvacuationOrder {
+            zone: zone.into(),
+            evacuated,
+            operator: "wanjiru".into(),
+        };
+        evacuation::commit(&ledger, &order, Moment::now(), WAIT_TIMEOUT)
+            .await
+            .expect("acknowledged");
+    }
+
     /// Ends all processes as in a power failure, and starts them again.
     pub async fn lose_power(&mut self) {
         for gateway in self.gateways.drain(..) {
--- a/crates/anvil_gateway/tests/list_cache.rs
+++ b/crates/anvil_gateway/tests/list_cache.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use anvil_gateway::list_cache::{ListCache, Moment};
+use anvil_gateway::list_cache::ListCache;
 use anvil_wire::msg::{ListReply, ListRequest, ListUpdate, ListedEndpoint};
+use anvilreel::moment::Moment;
 
 const MAX_AGE: Duration = Duration::from_secs(1);
 
--- a/crates/anvil_ledger/src/state/references.rs
+++ b/crates/anvil_ledger/src/state/references.rs
@@ -98,7 +98,8 @@
         Document::Fleet(_)
         | Document::Routing
         | Document::Organisation(_)
-        | Document::Service(_) => Vec::new(),
+        | Document::Service(_)
+        | Document::Zone(_) => Vec::new(),
         Document::Budget(budget) => {
             let organisation = TreePath::Organisation(budget.organisation.clone());
             vec![("organisation", organisation)]
--- a/crates/anvil_world/src/document.rs
+++ b/crates/anvil_world/src/document.rs
@@ -10,6 +10,7 @@
 mod organisation;
 mod service;
 mod team;
+mod zone;
 
 pub use budget::BudgetDocument;
 pub use fleet::FleetDocument;
@@ -17,6 +18,7 @@
 pub use organisation::OrganisationDocument;
 pub use service::{ServiceDocument, ServiceKind};
 pub use team::{KEY_HASH_PREFIX, TeamDocument, WorkClass, key_hash};
+pub use zone::ZoneDocument;
 
 use crate::path::TreePath;
 use crate::settings::{SettingsError, parse_settings};
@@ -39,6 +41,8 @@
     Service(ServiceDocument),
     /// At `teams/NAME`.
     Team(TeamDocument),
+    /// At `zones/NAME`.
+    Zone(ZoneDocument),
 }
 
 impl Document {
@@ -53,6 +57,7 @@
             TreePath::Organisation(_) => Self::Organisation(parse_settings(&name, text)?),
             TreePath::Service(_) => Self::Service(parse_settings(&name, text)?),
             TreePath::Team(_) => Self::Team(parse_settings(&name, text)?),
+            TreePath::Zone(_) => Self::Zone(parse_settings(&name, text)?),
         })
     }
 }
--- a/crates/anvil_world/src/path.rs
+++ b/crates/anvil_world/src/path.rs
@@ -29,6 +29,8 @@
     Service(Arc<str>),
     /// One team.
     Team(Arc<str>),
+    /// One availability zone.
+    Zone(Arc<str>),
 }
 
 /// Text that is not a valid path of the settings tree.
@@ -37,7 +39,7 @@
     /// Neither `fleet`, nor `routing`, nor a known kind before a `/`.
     #[snafu(display(
         "found {found:?}; allowed are fleet, routing, budgets/NAME, models/NAME, \
-         organisations/NAME, services/NAME and teams/NAME"
+         organisations/NAME, services/NAME, teams/NAME and zones/NAME"
     ))]
     Kind {
         /// The rejected text.
@@ -70,6 +72,7 @@
             "organisations" => Ok(Self::Organisation(name)),
             "services" => Ok(Self::Service(name)),
             "teams" => Ok(Self::Team(name)),
+            "zones" => Ok(Self::Zone(name)),
             _ => Err(unknown()),
         }
     }
@@ -99,6 +102,7 @@
             Self::Organisation(name) => write!(f, "organisations/{name}"),
             Self::Service(name) => write!(f, "services/{name}"),
             Self::Team(name) => write!(f, "teams/{name}"),
+            Self::Zone(name) => write!(f, "zones/{name}"),
         }
     }
 }
--- a/crates/anvilreel/src/lib.rs
+++ b/crates/anvilreel/src/lib.rs
@@ -10,13 +10,15 @@
 //! - [`ledger_view`] is a process's copy of the ledger's state; [`members`] looks up addresses in
 //!   it, and [`watcher`] keeps a client's list of ledger replicas up to date.
 //! - [`channel_cache`] holds the channels to other processes, and [`lifecycle`] a process's
-//!   incarnation, clock and planned stop.
+//!   incarnation, clock and planned stop; [`moment`] measures ages across a suspension.
+//! - [`evacuation`] commits operators' orders for availability zones.
 //! - [`events`] lists the log events, [`logs`] writes them, and [`metrics`] lists and sends the
 //!   metrics.
 
 pub mod announce;
 pub mod channel_cache;
 pub mod claims;
+pub mod evacuation;
 pub mod events;
 pub mod ledger_client;
 pub mod ledger_service;
@@ -26,6 +28,7 @@
 pub mod logs;
 pub mod members;
 pub mod metrics;
+pub mod moment;
 pub mod money;
 pub mod operator;
 pub mod relay;
--- a/crates/anvilreel/src/operator.rs
+++ b/crates/anvilreel/src/operator.rs
@@ -1,4 +1,5 @@
-//! The operators' client: changes, top-ups, queries, drains and orders, and reports from logs.
+//! The operators' client: changes, top-ups, queries, drains, evacuations and orders, and reports
+//! from logs.
 //!
 //! Every change carries an id. If the reply is lost, the client resends the change under the same
 //! id and receives the first reply. If that fails too, it reports that the outcome is unknown,
@@ -22,6 +23,7 @@
 mod client;
 mod drain;
 mod error;
+mod evacuate;
 mod explain;
 mod log_line;
 mod losses;
@@ -33,6 +35,7 @@
 pub use client::Client;
 pub use drain::drain;
 pub use error::{ExitCode, OperatorError};
+pub use evacuate::evacuate;
 pub use explain::{Explanation, explain};
 pub use log_line::LogLine;
 pub use losses::{BudgetSpending, Loss, Losses, SecondCounts, losses};
--- a/crates/anvilreel/src/operator/client.rs
+++ b/crates/anvilreel/src/operator/client.rs
@@ -53,6 +53,11 @@
         self.timeout
     }
 
+    /// The client of the ledger.
+    pub(super) fn ledger(&self) -> &LedgerClient {
+        &self.ledger
+    }
+
     /// Appends a command to the ledger's log, resending it under the same id while its outcome is
     /// in doubt.
     ///
@@ -78,7 +83,7 @@
         }
     }
 
-    fn not_done(&self) -> OperatorError {
+    pub(super) fn not_done(&self) -> OperatorError {
         let addrs: Vec<_> = self.addrs.iter().map(ToString::to_string).collect();
         OperatorError::NotDone {
             tried: addrs.join(", "),
--- a/crates/anvilreel/src/operator/error.rs
+++ b/crates/anvilreel/src/operator/error.rs
@@ -45,6 +45,11 @@
         /// The id to resend with.
         id: ChangeId,
     },
+    /// The reply to an order for a zone was lost.
+    #[snafu(display(
+        "outcome unknown: the reply was lost; the order may be in force. Send it again"
+    ))]
+    EvacuationUnknown,
     /// The ledger refused; nothing was changed.
     #[snafu(display("not done: {source}"))]
     Denied {
@@ -95,9 +100,10 @@
     pub fn exit_code(&self) -> ExitCode {
         match self {
             Self::NotDone { .. } => ExitCode::NotDone,
-            Self::OutcomeUnknown { .. } | Self::Sidecar { .. } | Self::Unexpected => {
-                ExitCode::OutcomeUnknown
-            }
+            Self::OutcomeUnknown { .. }
+            | Self::EvacuationUnknown
+            | Self::Sidecar { .. }
+            | Self::Unexpected => ExitCode::OutcomeUnknown,
             Self::Denied { .. } | Self::NoInstance { .. } => ExitCode::Denied,
             Self::Settings { .. } | Self::Path { .. } | Self::File { .. } => ExitCode::InvalidInput,
         }
--- a/crates/anvilreel/src/operator/read.rs
+++ b/crates/anvilreel/src/operator/read.rs
@@ -10,6 +10,8 @@
 use super::report::{AuditReport, BudgetReport, DiffReport, StatusReport, TreeReport};
 use super::{Client, OperatorError};
 
+/// Prefix of the paths of all zones' documents.
+const ZONES_PREFIX: &str = "zones/";
 /// Number of budgets requested at a time.
 const PAGE_SIZE: u32 = 1_000;
 
@@ -97,6 +99,11 @@
     }
 }
 
+fn is_evacuated((path, entry): &(TreePath, TreeEntry)) -> bool {
+    let document = Document::check(path, &entry.text);
+    matches!(document, Ok(Document::Zone(zone)) if zone.evacuated)
+}
+
 /// Reads the state of the ledger and of the fleet.
 pub async fn status(client: &Client) -> Result<StatusReport, OperatorError> {
     let QueryAnswer::Status(ledger) = client.query(Query::Status).await? else {
@@ -104,9 +111,11 @@
     };
     let spread = query_rollout(client, ledger.version).await?;
     let members = members(client).await?;
+    let TreeReport(zones) = get(client, ZONES_PREFIX).await?;
     Ok(StatusReport {
         ledger,
         spread,
+        evacuated: zones.into_iter().filter(is_evacuated).collect(),
         members,
     })
 }
--- a/crates/anvilreel/src/operator/report.rs
+++ b/crates/anvilreel/src/operator/report.rs
@@ -194,6 +194,8 @@
     pub ledger: LedgerStatus,
     /// Where the newest version is in force.
     pub spread: RolloutReport,
+    /// The orders by which availability zones are evacuated.
+    pub evacuated: BTreeMap<TreePath, TreeEntry>,
     /// Members with their presence.
     pub members: BTreeMap<InstanceId, Member>,
 }
@@ -212,6 +214,13 @@
             writeln!(f, "  learners {}", ledger.learners.join(", "))?;
         }
         writeln!(f, "{}", self.spread)?;
+        for (path, entry) in &self.evacuated {
+            writeln!(
+                f,
+                "evacuated: {path} at revision {} by {}",
+                entry.revision, entry.operator
+            )?;
+        }
         for (id, member) in &self.members {
             let instance = &member.instance;
             writeln!(
--- a/crates/anvilreel/tests/ledger_service/main.rs
+++ b/crates/anvilreel/tests/ledger_service/main.rs
@@ -1,6 +1,7 @@
 //! Ledger replicas over real TCP connections and data folders.
 
 mod cluster;
+mod evacuations;
 mod failures;
 mod followers;
 mod joining;
