Endpoints that are warming up receive no more than they tolerate

Cause: the list's warm-up time was validated and dropped, and nothing read how many requests an endpoint takes during its warm-up. An endpoint that has just started runs nothing, so every router prefers it.

Change: `anvil_policy::warm_up` keeps, for each endpoint, whether it may be warming up: stated by the list, unreachable and not seen since by a list that was read late enough, or of a zone that was taken back. Routers divide its rate with the mechanism for announced limits (`rate_share`), which got a tolerance for bursts within a second. A router takes part only while the ledger counts it and confirmed its view in the last 3 s, a second before the others would use its part. Requests that find no place are refused at once. Lists between gateways carry the warm-up, at a path of their own: in a fleet of two builds each kind has its own reader in a zone.

Two ways were considered for the division: equal parts by rank in windows of time, and a few owners of each endpoint by hash. The first was kept, as it is the mechanism that announced limits have; with 31 routers and enough work it uses over nine tenths of the rate (warm_up_limit_is_used).

Without the suspicion of unreachable endpoints endpoint_that_was_unreachable fails; with the windows of announced limits all_routers_together_keep_the_limit_within_a_second.

--- a/crates/anvil_gateway/src/attempt.rs
+++ b/crates/anvil_gateway/src/attempt.rs
@@ -119,7 +119,10 @@
         };
         let mut connection = match connected {
             Ok(connection) => connection,
-            Err(e) => return AttemptOutcome::NotRun(NotRun::Unreachable(e.to_string())),
+            Err(e) => {
+                gw.record_unreachable(&endpoint);
+                return AttemptOutcome::NotRun(NotRun::Unreachable(e.to_string()));
+            }
         };
         connection.watch.request_sent();
         let sent_at = gw.lifecycle.now();
--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -12,6 +12,7 @@
 use crate::endpoint::{Endpoint, EndpointSlot};
 use crate::gateway::Gateway;
 use crate::table::Route;
+use crate::warm_up::WarmUpTerms;
 
 /// The selected endpoint, and the data behind the decision.
 pub struct Selection {
@@ -36,8 +37,8 @@
     Evacuated,
     /// The best endpoint would respond too late: after this time.
     TooLate(Duration),
-    /// All endpoints are at their announced limits; the first one accepts another request after
-    /// this time.
+    /// All endpoints are at their limits, announced or of their warm-up; the first one accepts another
+    /// request after this time.
     AtLimit(Duration),
 }
 
@@ -66,8 +67,8 @@
     /// Selects among the endpoints of a service that have not been tried.
     ///
     /// Endpoints that failed recently are used only if no others are left: an attempt there may
-    /// still succeed, a refusal can't. Endpoints that announced a limit receive at most this
-    /// gateway's share of it.
+    /// still succeed, a refusal can't. Endpoints that announced a limit or are warming up receive at
+    /// most this gateway's share of what they tolerate.
     pub fn select_endpoint(
         &self,
         service: &str,
@@ -82,8 +83,9 @@
         }
         let home = home_of(prompt, &available);
         let candidate = |endpoint| self.estimate(now, prompt, home, endpoint);
+        let warm_up = self.warm_up_terms(service);
         let candidates: Vec<Candidate<'_>> = available.iter().map(candidate).collect();
-        let best = self.reserve_best(now, &candidates, within)?;
+        let best = self.reserve_best(now, &candidates, warm_up.as_ref(), within)?;
         let source = self.copy_source(service, prompt, best, &candidates);
         let missing_tokens = source
             .as_ref()
@@ -111,6 +113,7 @@
         &self,
         now: Now,
         candidates: &'a [Candidate<'a>],
+        warm_up: Option<&WarmUpTerms>,
         within: Duration,
     ) -> Result<&'a Candidate<'a>, Unplaced> {
         // A clock before the epoch still yields valid time windows.
@@ -123,7 +126,11 @@
         let mut accepting = Vec::new();
         let mut shortest_wait = None;
         for candidate in candidates {
+            let warm_up_wait = warm_up.map_or(Duration::ZERO, |terms| {
+                candidate.endpoint.warm_up().time_until_send(terms, at)
+            });
             let wait = candidate.endpoint.rate_limit_wait(at, position);
+            let wait = wait.max(warm_up_wait);
             shortest_wait =
                 Some(shortest_wait.map_or(wait, |shortest_wait: Duration| shortest_wait.min(wait)));
             if wait.is_zero() {
@@ -135,7 +142,9 @@
             if best.expected > within {
                 return Err(Unplaced::TooLate(best.expected));
             }
-            if best.endpoint.try_count_request(at, position) {
+            let is_warm_enough =
+                warm_up.is_none_or(|terms| best.endpoint.warm_up().try_send(terms, at));
+            if is_warm_enough && best.endpoint.try_count_request(at, position) {
                 return Ok(best);
             }
             // A concurrent request took the last one allowed.
--- a/crates/anvil_gateway/src/crashes.rs
+++ b/crates/anvil_gateway/src/crashes.rs
@@ -54,6 +54,8 @@
     /// Records that an endpoint has begun to respond, so it is alive.
     pub fn record_endpoint_alive(&self, endpoint: &Endpoint) {
         self.crash_watch().record_alive(&endpoint.id);
+        let now = self.lifecycle.now();
+        endpoint.warm_up().view().record_answer(now);
     }
 
     /// Records that an endpoint has answered a request completely.
@@ -117,6 +119,7 @@
         Err(ConnectError::Refused { source, .. })
             if source.kind() == ErrorKind::ConnectionRefused =>
         {
+            gw.record_unreachable(&endpoint);
             gw.record_crash_evidence(&endpoint.id, Evidence::Refused);
         }
         // The endpoint may just be unreachable; the platform's list will show whether it is gone.
--- a/crates/anvil_gateway/src/discovery.rs
+++ b/crates/anvil_gateway/src/discovery.rs
@@ -186,7 +186,9 @@
         return;
     };
     let listed: Vec<ListedEndpoint> = snapshot.endpoints().cloned().collect();
+    let read_at = gw.lifecycle.now().saturating_sub(snapshot.age());
     let changes = gw.directory.apply_list(&listed);
+    gw.apply_listed_warm_up(&listed, read_at);
     for endpoint in &changes.vanished {
         gw.record_crash_evidence(endpoint, Evidence::Unlisted);
     }
--- a/crates/anvil_gateway/src/endpoint.rs
+++ b/crates/anvil_gateway/src/endpoint.rs
@@ -15,6 +15,7 @@
 use crate::dialect::ReportedLoad;
 use crate::log_events as events;
 use crate::pool::ConnectionPool;
+use crate::warm_up::EndpointWarmUp;
 
 /// One incarnation of an endpoint.
 pub struct Endpoint {
@@ -33,6 +34,7 @@
     leaving: AtomicBool,
     load: Mutex<EndpointView>,
     rate_share: Mutex<RateShare>,
+    warm_up: Mutex<EndpointWarmUp>,
 }
 
 impl Endpoint {
@@ -48,6 +50,7 @@
             leaving: AtomicBool::new(listed.leaving),
             load: Mutex::default(),
             rate_share: Mutex::default(),
+            warm_up: Mutex::default(),
         }
     }
 
@@ -68,6 +71,12 @@
         self.load.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Its warm-up.
+    pub fn warm_up(&self) -> MutexGuard<'_, EndpointWarmUp> {
+        // Sound after a panic elsewhere: each value is valid by itself.
+        self.warm_up.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The limit it has announced to all gateways together, if any.
     pub fn limit(&self) -> Option<RateLimit> {
         self.rate_share().limit()
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -2,13 +2,13 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use anvil_policy::crash::CrashWatch;
 use anvil_policy::engine::EngineRule;
-use anvil_policy::rate_share::RouterRank;
+use anvil_policy::rate_share::{BurstTolerance, RouterRank};
 use anvil_policy::retry::{RetryBudget, RetryRule, RetrySafety};
 use anvil_world::prelude::*;
 use anvilreel::event;
@@ -63,6 +63,9 @@
     pub siblings_bind: Option<SocketAddr>,
     /// Maximum age of the platform's list before it is read again.
     pub max_list_age: Duration,
+    /// How far all gateways together may exceed the rate that an endpoint tolerates during its
+    /// warm-up.
+    pub warm_up_tolerance: BurstTolerance,
 }
 
 /// One gateway process.
@@ -95,6 +98,8 @@
     pub gateway_count: AtomicU32,
     /// Rank of this gateway among them.
     pub gateway_rank: AtomicU32,
+    /// Whether the other gateways count this one, according to the ledger.
+    pub is_counted: AtomicBool,
     /// When the ledger last confirmed that the cached state is current, in milliseconds since the
     /// start.
     pub ledger_confirmed_ms: AtomicU64,
@@ -193,6 +198,7 @@
             engine_rule: EngineRule::default(),
             gateway_count: AtomicU32::new(ASSUMED_GATEWAYS),
             gateway_rank: AtomicU32::new(rand::random_range(0..ASSUMED_GATEWAYS)),
+            is_counted: AtomicBool::new(false),
             ledger_confirmed_ms: AtomicU64::new(0),
             list_cache: ListCache::default(),
             siblings: Siblings::new(cfg.id.clone(), cfg.siblings_addr),
--- a/crates/anvil_gateway/src/ledger_updates.rs
+++ b/crates/anvil_gateway/src/ledger_updates.rs
@@ -86,7 +86,8 @@
         .update_members(routers.filter(|router| router.zone.id == gw.cfg.zone.id));
     gw.apply_ledger_suspects(&cached.suspects);
     gw.apply_ledger_limits(&cached.limits);
-    gw.apply_zone_documents(&cached.tree);
+    let returned = gw.apply_zone_documents(&cached.tree);
+    gw.record_zones_returned(&returned);
     let replicas = members::replicas(cached, &gw.seeds.load());
     let relays = members::relays(cached, &gw.cfg.id);
     if gw.ledger.set_addresses(&replicas, &relays) {
@@ -121,6 +122,8 @@
 fn update_gateway_count(gw: &Gateway, cached: &LedgerView) {
     let live = members::live_instances(cached, Role::Router);
     let mut ids: BTreeSet<_> = live.map(|router| &router.id).collect();
+    gw.is_counted
+        .store(ids.contains(&gw.cfg.id), Ordering::Relaxed);
     // This gateway may not be in the ledger's membership yet.
     ids.insert(&gw.cfg.id);
     let rank = ids.iter().position(|id| **id == gw.cfg.id).unwrap_or(0);
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -19,6 +19,9 @@
 //! Rate limits announced by endpoints: [`endpoint_limits`] reports them to the ledger and learns of
 //! those reported by other gateways. [`reports`] delivers both kinds of reports.
 //!
+//! Endpoints that receive fewer requests, or none: those in [`zones`] that operators evacuated, and
+//! those in their [`warm_up`].
+//!
 //! Where the gateway's view comes from: the routing table and the number of gateways from the
 //! ledger ([`ledger_updates`]), grants from the ledger ([`grant_loop`]), the list of endpoints from
 //! the platform ([`discovery`], [`list_reader`]) or from the gateways of the same zone that read it
@@ -57,6 +60,7 @@
 pub mod suspects;
 pub mod table;
 pub mod trace;
+pub mod warm_up;
 pub mod zones;
 
 pub use gateway::{Gateway, GatewaySettings};
--- a/crates/anvil_gateway/src/list_cache.rs
+++ b/crates/anvil_gateway/src/list_cache.rs
@@ -206,7 +206,7 @@
         }
         hasher.update(listed.addr.to_string().as_bytes());
         hasher.update(&listed.slots.to_le_bytes());
-        hasher.update(&[u8::from(listed.leaving)]);
+        hasher.update(&[u8::from(listed.leaving), u8::from(listed.warming_up)]);
     }
     hasher.digest().max(1)
 }
--- a/crates/anvil_gateway/src/log_events.rs
+++ b/crates/anvil_gateway/src/log_events.rs
@@ -62,4 +62,6 @@
     GATEWAY_ZONE_ORDER = 6028 Info "gateway_zone_order";
     /// An order for an availability zone can't be read by this build; the zone counts as evacuated.
     GATEWAY_ZONE_UNREADABLE = 6029 Error "gateway_zone_unreadable";
+    /// An endpoint may be warming up, or is warm.
+    GATEWAY_ENDPOINT_WARM_UP = 6030 Info "gateway_endpoint_warm_up";
 }
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -47,6 +47,8 @@
 pub const ENDPOINTS_LIMITED: &str = "endpoints.limited";
 /// Requests sent to these, relative to what this gateway could have sent. Gauge, percent.
 pub const LIMIT_USED: &str = "endpoints.limit_used";
+/// Endpoints that may be warming up. Gauge.
+pub const ENDPOINTS_WARMING_UP: &str = "endpoints.warming_up";
 /// Streams resumed by another endpoint. Count.
 pub const STREAMS_RESUMED: &str = "streams.resumed";
 /// Readings of the platform's list by this gateway. Count.
@@ -90,6 +92,7 @@
     (LIMITS_UNREADABLE, "count"),
     (ENDPOINTS_LIMITED, "gauge"),
     (LIMIT_USED, "gauge"),
+    (ENDPOINTS_WARMING_UP, "gauge"),
     (STREAMS_RESUMED, "count"),
     (LIST_READ, "count"),
     (LIST_FROM_SIBLING, "count"),
@@ -130,6 +133,7 @@
             (REQUESTS_QUARANTINED, self.suspects.count_quarantined()),
             (ENDPOINTS_LIMITED, limited),
             (LIMIT_USED, limit_used),
+            (ENDPOINTS_WARMING_UP, self.count_warming_up()),
             (
                 LEDGER_AGE,
                 age(self.ledger_confirmed_ms.load(Ordering::Relaxed)),
--- a/crates/anvil_gateway/src/table.rs
+++ b/crates/anvil_gateway/src/table.rs
@@ -73,6 +73,17 @@
     pub max_connections: u32,
     /// Set only for a pool of model engines.
     pub engine: Option<Engine>,
+    /// Set only if its endpoints are slow and crash easily after a start.
+    pub warm_up: Option<WarmUp>,
+}
+
+/// How a service's endpoints warm up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WarmUp {
+    /// Time from an endpoint's start until it is warm.
+    pub duration: Duration,
+    /// Requests that an endpoint tolerates meanwhile, from all gateways together.
+    pub rate: RateLimit,
 }
 
 /// Settings of the model engines of a service.
--- a/crates/anvil_gateway/tests/direct/gateway.rs
+++ b/crates/anvil_gateway/tests/direct/gateway.rs
@@ -6,9 +6,10 @@
 
 use anvil_gateway::dialect::{ListPage, ListSource};
 use anvil_gateway::table::{
-    Engine, Limits, Organisation, RetryMode, Route, RouteTable, Service, TableParts,
+    Engine, Limits, Organisation, RetryMode, Route, RouteTable, Service, TableParts, WarmUp,
 };
 use anvil_gateway::{Gateway, GatewaySettings, discovery, serve};
+use anvil_policy::rate_share::BurstTolerance;
 use anvil_wire::msg::ListedEndpoint;
 use anvil_world::prelude::*;
 use anvilreel::metrics::Metrics;
@@ -72,6 +73,7 @@
             bytes_per_token: 1e4,
             link_mbps: 1e5,
         }),
+        warm_up: None,
     };
     RouteTable::from(TableParts {
         version,
@@ -87,6 +89,21 @@
     })
 }
 
+/// The same table, with endpoints that warm up after a start.
+pub fn table_with_warm_up(version: RoutingVersion) -> RouteTable {
+    let mut table = table(version, routes());
+    for service in table.services.values_mut() {
+        service.warm_up = Some(WARM_UP);
+    }
+    table
+}
+
+/// How endpoints warm up in the tests that have them do so.
+pub const WARM_UP: WarmUp = WarmUp {
+    duration: Duration::from_mins(1),
+    rate: 10_000,
+};
+
 /// An endpoint as the platform would list it.
 pub fn listed(id: &str, addr: SocketAddr) -> ListedEndpoint {
     ListedEndpoint {
@@ -96,6 +113,7 @@
         zone: "local-a".into(),
         slots: 8,
         leaving: false,
+        warming_up: false,
     }
 }
 
@@ -123,6 +141,7 @@
         siblings_addr: nowhere,
         siblings_bind: None,
         max_list_age: Duration::from_secs(1),
+        warm_up_tolerance: BurstTolerance::within_a_second(1.5, 5.0),
     }
 }
 
--- a/crates/anvil_gateway/tests/direct/main.rs
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -16,3 +16,4 @@
 mod siblings;
 mod starting;
 mod streams;
+mod warming_up;
--- a/crates/anvil_gateway/tests/direct/processes.rs
+++ b/crates/anvil_gateway/tests/direct/processes.rs
@@ -26,15 +26,17 @@
 use crate::client::{Client, ClientResponse};
 use crate::dialect::DIALECT;
 use crate::endpoint::{Step, TestEndpoint};
-use crate::gateway::{listed, routes, settings, table};
+use crate::gateway::{listed, routes, settings, table, table_with_warm_up};
 
 /// Number of gateways.
 pub const GATEWAYS: u8 = 3;
+/// Text of a routing table whose service's endpoints warm up.
+const WARM_UP_ROUTES: &str = "routes with warm-up";
 /// Longest wait for anything.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A list of the endpoints that the text names, one per line: id, address and, if it is not the
-/// gateways' own, availability zone.
+/// gateways' own, availability zone; then `warming-up` if it is.
 pub async fn serve_list(text: impl Fn() -> String + Send + Sync + 'static) -> ListSource {
     let list = TestEndpoint::start(move |_, _| {
         let body = text();
@@ -59,6 +61,7 @@
         if let Some(zone) = words.next() {
             endpoint.zone = zone.into();
         }
+        endpoint.warming_up = words.next() == Some("warming-up");
         Some(endpoint)
     };
     let listed = text.lines().map(entry).collect::<Option<Vec<_>>>();
@@ -115,6 +118,18 @@
 impl Processes {
     /// Starts them; `list` names the endpoints as in [`serve_list`].
     pub async fn start(list: impl Fn() -> String + Send + Sync + 'static) -> Self {
+        Self::start_with_routes("routes", list).await
+    }
+
+    /// The same with endpoints that warm up after a start.
+    pub async fn start_with_warm_up(list: impl Fn() -> String + Send + Sync + 'static) -> Self {
+        Self::start_with_routes(WARM_UP_ROUTES, list).await
+    }
+
+    async fn start_with_routes(
+        routes: &str,
+        list: impl Fn() -> String + Send + Sync + 'static,
+    ) -> Self {
         let mut processes = Self {
             subnet: rand::random_range(1..=250),
             data: tempfile::tempdir().expect("a folder"),
@@ -123,7 +138,7 @@
             gateways: Vec::new(),
         };
         processes.start_processes().await;
-        processes.store_routes().await;
+        processes.store_routes(routes).await;
         processes.wait_until_serving().await;
         processes
     }
@@ -174,7 +189,10 @@
             ledger: vec![self.ledger_addr()],
             list: self.list.clone(),
             dialect: Dialect {
-                parse_table: |_| Ok(table(1, routes())),
+                parse_table: |text| match text {
+                    WARM_UP_ROUTES => Ok(table_with_warm_up(1)),
+                    _ => Ok(table(1, routes())),
+                },
                 ..DIALECT
             },
             ..settings()
@@ -182,12 +200,12 @@
         GatewayProcess::start(Gateway::new(cfg, discard(), Metrics::disabled("gateway")))
     }
 
-    async fn store_routes(&self) {
+    async fn store_routes(&self, routes: &str) {
         let ledger = LedgerClient::new(&[self.ledger_addr()]);
         let routing = Command::ReplaceRouting(ReplaceRouting {
             operator: "wanjiru".into(),
             version: 1,
-            text: "routes".into(),
+            text: routes.into(),
             credits: BTreeMap::new(),
             at: std::time::UNIX_EPOCH,
         });
--- /dev/null
+++ b/crates/anvil_gateway/tests/direct/warming_up.rs
@@ -0,0 +1,137 @@
+//! Endpoints that are slow and crash easily for some time after a start.
+
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep};
+
+use crate::client::Client;
+use crate::endpoint::{Step, TestEndpoint, response};
+use crate::gateway::{TestGateway, WARM_UP, listed, table_with_warm_up};
+use crate::processes::{GATEWAYS, Processes};
+
+/// Requests that an endpoint may receive within a second during its warm-up: one and a half times
+/// its rate, plus five.
+const MAX_IN_A_SECOND: usize = 20;
+/// Time between two requests, over all clients.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(8);
+
+/// An endpoint with the arrival times of its requests.
+async fn counting_endpoint() -> (TestEndpoint, Arc<Mutex<Vec<Instant>>>) {
+    let arrivals: Arc<Mutex<Vec<Instant>>> = Arc::default();
+    let arrived = arrivals.clone();
+    let endpoint = TestEndpoint::start(move |_, req| {
+        arrived.lock().expect("times").push(Instant::now());
+        vec![Step::Send(response(req, "ran"))]
+    })
+    .await;
+    (endpoint, arrivals)
+}
+
+fn most_in_a_second(arrivals: &[Instant]) -> usize {
+    let within = |from: &Instant| {
+        let in_span = arrivals
+            .iter()
+            .filter(|at| **at >= *from && **at < *from + Duration::from_secs(1));
+        in_span.count()
+    };
+    arrivals.iter().map(within).max().unwrap_or(0)
+}
+
+/// A gateway whose only endpoint is listed as warming up or not.
+async fn start_gateway(endpoint: &TestEndpoint, warming_up: bool) -> TestGateway {
+    let gateway = TestGateway::start_empty().await;
+    let table = Arc::new(table_with_warm_up(1));
+    gateway.gw.table.store(Some(table));
+    list(&gateway, endpoint, warming_up);
+    gateway
+}
+
+fn list(gateway: &TestGateway, endpoint: &TestEndpoint, warming_up: bool) {
+    let mut listed = [listed("a", endpoint.addr)];
+    listed[0].warming_up = warming_up;
+    gateway.gw.directory.apply_list(&listed);
+    let now = gateway.gw.lifecycle.now();
+    gateway.gw.apply_listed_warm_up(&listed, now);
+}
+
+async fn send(gateway: &TestGateway) -> u16 {
+    let mut client = Client::connect(gateway.addr).await;
+    client.request("/once/x", "id", "").await.status
+}
+
+/// Guards against an endpoint that crashes again as soon as it is back, because every gateway sends
+/// to it, and against one that stays idle until it is warm.
+#[tokio::test(flavor = "multi_thread")]
+async fn endpoint_receives_what_it_tolerates_during_its_warm_up() {
+    let (warm, _) = counting_endpoint().await;
+    let (warming_up, arrivals) = counting_endpoint().await;
+    // The one that is warming up is in the gateways' zone, so it is preferred.
+    let text = format!(
+        "new {} local-a warming-up\nold {} local-b\n",
+        warming_up.addr, warm.addr
+    );
+    let processes = Processes::start_with_warm_up(move || text.clone()).await;
+    let started_at = Instant::now();
+    for number in (0..GATEWAYS).cycle() {
+        if started_at.elapsed() > Duration::from_secs(6) {
+            break;
+        }
+        assert_eq!(
+            processes.send_request(number, "/once/x", "").await.status,
+            200
+        );
+        sleep(REQUEST_INTERVAL).await;
+    }
+    let arrivals = arrivals.lock().expect("times").clone();
+    let most = most_in_a_second(&arrivals);
+    assert!(most <= MAX_IN_A_SECOND, "{most} requests in a second");
+    assert!(arrivals.len() >= 20, "{} requests in all", arrivals.len());
+}
+
+/// Guards against a gateway that uses the whole rate for itself because it does not know the others
+/// yet, and against requests that wait for a warm endpoint.
+#[tokio::test]
+async fn gateway_that_the_others_do_not_count_sends_nothing() {
+    let (endpoint, _) = counting_endpoint().await;
+    let gateway = start_gateway(&endpoint, true).await;
+    let sent_at = Instant::now();
+    assert_eq!(send(&gateway).await, 503);
+    assert!(sent_at.elapsed() < Duration::from_millis(200));
+    assert!(endpoint.received().is_empty());
+    gateway.gw.is_counted.store(true, Ordering::Relaxed);
+    gateway.gw.gateway_count.store(1, Ordering::Relaxed);
+    gateway.gw.gateway_rank.store(0, Ordering::Relaxed);
+    send(&gateway).await;
+    sleep(Duration::from_millis(200)).await;
+    assert_eq!(send(&gateway).await, 200);
+}
+
+/// Guards against a flood at an endpoint that crashed and returned under the same id, which the list
+/// still states to be warm.
+#[tokio::test]
+async fn endpoint_that_was_unreachable_may_be_warming_up() {
+    let (endpoint, _) = counting_endpoint().await;
+    let gateway = start_gateway(&endpoint, false).await;
+    assert_eq!(send(&gateway).await, 200);
+    let listed = gateway.gw.directory.find(&"a".into()).expect("listed");
+    gateway.gw.record_unreachable(&listed);
+    list(&gateway, &endpoint, false);
+    assert_eq!(send(&gateway).await, 503);
+    assert_eq!(gateway.gw.count_warming_up(), 1);
+}
+
+/// Guards against a flood at endpoints that were restarted while their zone was evacuated.
+#[tokio::test]
+async fn endpoints_of_a_returned_zone_may_be_warming_up() {
+    let (endpoint, _) = counting_endpoint().await;
+    let gateway = start_gateway(&endpoint, false).await;
+    let zones = ["local-a".into()].into();
+    gateway.gw.record_zones_returned(&zones);
+    assert_eq!(send(&gateway).await, 503);
+    sleep(gateway.gw.cfg.list.max_lag).await;
+    list(&gateway, &endpoint, false);
+    assert_eq!(send(&gateway).await, 200);
+    assert!(WARM_UP.duration > gateway.gw.cfg.list.max_lag);
+}
--- a/crates/anvil_gateway/tests/list_cache.rs
+++ b/crates/anvil_gateway/tests/list_cache.rs
@@ -16,6 +16,7 @@
         zone: "a".into(),
         slots: 8,
         leaving,
+        warming_up: false,
     }
 }
 
--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -48,6 +48,7 @@
 //! * [`copying`]: when such an engine copies cached tokens from another one.
 //! * [`crash`]: which requests were in flight at an endpoint when it crashed.
 //! * [`rate_share`]: each router's part of a rate limit that an endpoint announces for all of them.
+//! * [`warm_up`]: which endpoints may be warming up and tolerate few requests.
 //! * [`prefix`]: which endpoints hold which prompt prefixes.
 //! * [`list_turn`]: which router reads the list of endpoints for the others.
 //! * [`subset`] and [`placement`]: which endpoints a router watches, and which models they hold.
@@ -75,3 +76,4 @@
 pub mod retry;
 pub mod subset;
 pub mod waiting;
+pub mod warm_up;
--- a/crates/anvil_policy/src/rate_share.rs
+++ b/crates/anvil_policy/src/rate_share.rs
@@ -14,8 +14,9 @@
 //! that a router with few requests is more likely to have one during its window, but only as far as
 //! a burst in all open windows is acceptable.
 //!
-//! *Thresholds:* in any four seconds at most one and a half times the limit plus five requests are
-//! sent. If clocks differ, windows shift, but no router sends more often than its part.
+//! *Thresholds:* a [`BurstTolerance`] bounds what is sent beyond the limit. For a limit that an
+//! endpoint announces, at most one and a half times the limit plus five requests are sent in any
+//! four seconds. If clocks differ, windows shift, but no router sends more often than its part.
 
 use std::time::Duration;
 
@@ -23,18 +24,61 @@
 
 /// Minimum part of a router, in requests a second, for which it uses a token bucket.
 const MIN_BUCKET_RATE: f64 = 0.5;
-/// Capacity of a bucket in seconds of refill, in addition to its part of [`SHARED_BUCKET_TOKENS`];
-/// at least one request. All buckets together hold less than two seconds of the limit plus five
-/// requests.
-const BUCKET_REFILL_S: f64 = 1.5;
-/// Further capacity in requests, shared by all buckets.
-const SHARED_BUCKET_TOKENS: f64 = 2.0;
-/// Number of windows that are open at a time, in addition to those that start within one second.
-const EXTRA_OPEN_WINDOWS: f64 = 2.0;
 /// Minimum limit, in requests per 1,000 s: an endpoint that accepts nothing is tried now and then,
 /// to learn whether that still holds.
 const MIN_LIMIT: RateLimit = 50;
 
+/// How many requests all routers together may send at once, beyond a steady rate at the limit.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BurstTolerance {
+    /// Seconds of the limit that all buckets together hold.
+    bucket_s: f64,
+    /// Seconds in which as many windows start as are open at a time.
+    window_s: f64,
+    /// Further requests or open windows, shared by all routers.
+    requests: f64,
+    /// Whether buckets may hold a request each, however many routers there are.
+    any_number_of_buckets: bool,
+}
+
+impl BurstTolerance {
+    /// For limits that endpoints announce: all buckets together hold less than two seconds of the
+    /// limit plus five requests.
+    pub const ANNOUNCED: Self = Self {
+        bucket_s: 1.5,
+        window_s: 1.0,
+        requests: 2.0,
+        any_number_of_buckets: true,
+    };
+
+    /// For a limit of which at most `overshoot` times as many requests, plus `allowance`, may arrive
+    /// in any second. Part of what is tolerated is kept for requests that travel unequally long.
+    pub fn within_a_second(overshoot: f64, allowance: f64) -> Self {
+        let seconds = USED_TOLERANCE * (overshoot - 1.0).max(0.0);
+        Self {
+            bucket_s: seconds,
+            window_s: seconds,
+            requests: (USED_TOLERANCE * allowance).max(1.0),
+            any_number_of_buckets: false,
+        }
+    }
+
+    fn allows_buckets(&self, limit: f64, turn: RouterRank) -> bool {
+        let tokens = self.bucket_s * limit + self.requests;
+        turn.share(limit) >= MIN_BUCKET_RATE
+            && (self.any_number_of_buckets || f64::from(turn.routers) <= tokens)
+    }
+}
+
+impl Default for BurstTolerance {
+    fn default() -> Self {
+        Self::ANNOUNCED
+    }
+}
+
+/// Fraction of a tolerated burst that is used.
+const USED_TOLERANCE: f64 = 0.6;
+
 /// Position of a router among those that share a limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RouterRank {
@@ -63,6 +107,7 @@
 /// Requests that one router sends to one endpoint under its limit.
 #[derive(Debug, Clone, Default)]
 pub struct RateShare {
+    tolerance: BurstTolerance,
     limit: Option<RateLimit>,
     /// Since when a limit has been known.
     known_since: Now,
@@ -82,6 +127,12 @@
 }
 
 impl RateShare {
+    /// Sets how far the limit may be exceeded for a moment.
+    pub fn with_tolerance(mut self, tolerance: BurstTolerance) -> Self {
+        self.tolerance = tolerance;
+        self
+    }
+
     /// The limit in force, if any.
     pub fn limit(&self) -> Option<RateLimit> {
         self.limit
@@ -121,11 +172,11 @@
             return Duration::ZERO;
         };
         let share = turn.share(limit);
-        if share >= MIN_BUCKET_RATE {
+        if self.tolerance.allows_buckets(limit, turn) {
             let missing = 1.0 - self.tokens_at(at.now, turn, share);
             return seconds((missing / share).max(0.0));
         }
-        Windows::of(limit, turn).time_until_open(at, self.sent)
+        Windows::of(limit, turn, self.tolerance).time_until_open(at, self.sent)
     }
 
     /// Counts a request as sent, if it may be sent now; returns whether it may.
@@ -141,7 +192,7 @@
         self.sent_count = self.sent_count.saturating_add(1);
         self.sent = Some(Sent {
             at: at.now,
-            round: Windows::of(limit, turn).round(at.time_of_day),
+            round: Windows::of(limit, turn, self.tolerance).round(at.time_of_day),
         });
         true
     }
@@ -160,8 +211,9 @@
 
     fn tokens_at(&self, now: Now, turn: RouterRank, share: f64) -> f64 {
         let refilled = now.saturating_sub(self.filled_at).as_secs_f64() * share;
-        let bucket_capacity = (BUCKET_REFILL_S * share + turn.share(SHARED_BUCKET_TOKENS)).max(1.0);
-        (self.tokens + refilled).min(bucket_capacity)
+        let tolerance = self.tolerance;
+        let bucket_capacity = tolerance.bucket_s * share + turn.share(tolerance.requests);
+        (self.tokens + refilled).min(bucket_capacity.max(1.0))
     }
 }
 
@@ -176,10 +228,10 @@
 }
 
 impl Windows {
-    fn of(limit: f64, turn: RouterRank) -> Self {
+    fn of(limit: f64, turn: RouterRank, tolerance: BurstTolerance) -> Self {
         let round = f64::from(turn.routers.max(1)) / limit;
         Self {
-            length: ((limit.ceil() + EXTRA_OPEN_WINDOWS) / limit).min(round),
+            length: (((limit * tolerance.window_s).ceil() + tolerance.requests) / limit).min(round),
             round,
             first_start: f64::from(turn.rank) / limit,
         }
--- a/crates/anvil_policy/tests/rate_share.rs
+++ b/crates/anvil_policy/tests/rate_share.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use anvil_policy::rate_share::{Clocks, RateShare, RouterRank};
+use anvil_policy::rate_share::{BurstTolerance, Clocks, RateShare, RouterRank};
 use anvil_world::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -39,10 +39,20 @@
 /// Times of the requests that the endpoint received. The clocks of the routers differ by up to
 /// `skew_s` seconds.
 fn simulate(routers: u32, limit: RateLimit, load: Load, skew_s: f64) -> Vec<Now> {
+    simulate_with(BurstTolerance::ANNOUNCED, routers, limit, load, skew_s)
+}
+
+fn simulate_with(
+    tolerance: BurstTolerance,
+    routers: u32,
+    limit: RateLimit,
+    load: Load,
+    skew_s: f64,
+) -> Vec<Now> {
     let mut rng = ChaCha8Rng::seed_from_u64(u64::from(routers));
     let mut shares: Vec<_> = (0..routers)
         .map(|rank| {
-            let mut share = RateShare::default();
+            let mut share = RateShare::default().with_tolerance(tolerance);
             share.set_limit(Duration::ZERO, Some(limit));
             let clock_offset = Duration::from_secs_f64(1.7e9 + skew_s * rng.random::<f64>());
             (RouterRank { rank, routers }, share, clock_offset)
@@ -65,10 +75,13 @@
 
 fn max_in_span(received: &[Now]) -> usize {
     let first = received.partition_point(|at| *at < SETTLING);
-    let settled = &received[first..];
+    max_within(SPAN, &received[first..])
+}
+
+fn max_within(span: Duration, settled: &[Now]) -> usize {
     let in_span = |from: usize| {
         let rest = &settled[from..];
-        rest.partition_point(|at| *at < rest[0] + SPAN)
+        rest.partition_point(|at| *at < rest[0] + span)
     };
     (0..settled.len()).map(in_span).max().unwrap_or(0)
 }
@@ -277,3 +290,45 @@
     }
     assert_eq!(share.usage(Duration::from_secs(12), turn), (3, 20_000));
 }
+
+/// Overshoot and allowance within a second, as of an endpoint that is warming up.
+const OVERSHOOT: f64 = 1.5;
+const ALLOWANCE: f64 = 5.0;
+/// The clocks of instances may be set by this many seconds.
+const CLOCK_STEP_S: f64 = 2.0;
+
+fn simulate_warm_up(routers: u32, limit: RateLimit, load: Load, skew_s: f64) -> Vec<Now> {
+    let tolerance = BurstTolerance::within_a_second(OVERSHOOT, ALLOWANCE);
+    simulate_with(tolerance, routers, limit, load, skew_s)
+}
+
+/// Guards against an endpoint that crashes while it warms up: all routers together send more within
+/// a second than it tolerates, in bursts and from the first moment on.
+#[test]
+fn all_routers_together_keep_the_limit_within_a_second() {
+    for routers in [1, 3, 6, 8, 31, 303] {
+        for limit in [300, 1_000, 4_000, 11_000, 40_000] {
+            let allowed = OVERSHOOT * per_second(limit) + ALLOWANCE;
+            for load in [Load::Flood, Load::Even(2.0), Load::Bursts] {
+                for skew_s in [0.0, 0.05, CLOCK_STEP_S] {
+                    let received = simulate_warm_up(routers, limit, load, skew_s);
+                    let most = max_within(Duration::from_secs(1), &received);
+                    assert!(
+                        count_to_f64(most) <= allowed,
+                        "{most} from {routers} routers under {load:?}, limit {limit}, skew {skew_s}"
+                    );
+                }
+            }
+        }
+    }
+}
+
+/// Guards against an endpoint that stays idle while it warms up, although routers have work for it.
+#[test]
+fn warm_up_limit_is_used_if_there_is_work() {
+    for routers in [1, 3, 8, 31, 99] {
+        let received = simulate_warm_up(routers, 11_000, Load::Even(11.0), 0.05);
+        let part = count_to_f64(received.len()) / (11.0 * SIMULATED.as_secs_f64());
+        assert!(part > 0.9, "{part:.2} used by {routers} routers");
+    }
+}
--- a/crates/anvil_wire/src/msg/listing.rs
+++ b/crates/anvil_wire/src/msg/listing.rs
@@ -14,7 +14,9 @@
 pub struct ListCall;
 
 impl Call for ListCall {
-    const PATH: &'static str = "/list";
+    // Builds whose entries lack the warm-up serve `/list`. They don't understand each other's lists, so
+    // each kind has its own reader in a zone.
+    const PATH: &'static str = "/endpoints";
     type Req = ListRequest;
     type Resp = ListReply;
 }
@@ -37,6 +39,8 @@
     pub slots: u32,
     /// Whether it is leaving and takes no new work.
     pub leaving: bool,
+    /// Whether it is still warming up after a start.
+    pub warming_up: bool,
 }
 
 /// A router's request for a list newer than its own.
