Routes and organisations may name the regions in which their requests run

Cause: allowed regions were nowhere in the code; a request could run, be resumed or copy its prompt in any region.

Change: a route and an organisation may name regions; where both do, both bind. The selection of an endpoint, also for repeats, resumed streams and the engine that a prompt is copied from, sees only endpoints in these regions; an endpoint in a zone of unknown region is in none. Without any endpoint there the request is refused at once (`outside_regions`). The platform's settings name the regions of the zones. No deployment has two regions yet, so this is modelled with two by direct::regions.

Seen red without the filter in available_endpoints: three of the four tests (the fourth checks the intersection alone).

--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -71,8 +71,14 @@
         let prompt_parts = self.request.model_work.as_ref();
         let prompt_parts =
             prompt_parts.map(|work| work.parts.iter().map(|p| (p.id, p.tokens)).collect());
+        let payer_regions = self.organisation.as_ref().map(|payer| &payer.regions);
+        let regions = payer_regions.map_or_else(
+            || self.route.regions.clone(),
+            |payer_regions| self.route.regions.and(payer_regions),
+        );
         Exchange {
             gw,
+            regions,
             prompt_parts: prompt_parts.unwrap_or_default(),
             request: self.request,
             route: self.route,
--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -11,6 +11,7 @@
 
 use crate::endpoint::{Endpoint, EndpointSlot};
 use crate::gateway::Gateway;
+use crate::regions::Constraints;
 use crate::table::Route;
 use crate::warm_up::WarmUpTerms;
 
@@ -33,6 +34,8 @@
 pub enum Unplaced {
     /// No endpoint accepts work.
     Nobody,
+    /// No endpoint is in a region in which the request may run.
+    OutsideRegions,
     /// All endpoints are in availability zones that operators have evacuated.
     Evacuated,
     /// The best endpoint would respond too late: after this time.
@@ -64,7 +67,17 @@
         found.map(|(service, _)| service.clone())
     }
 
-    /// Selects among the endpoints of a service that have not been tried.
+    fn why_none_is_available(&self, service: &str, constraints: Constraints<'_>) -> Unplaced {
+        if self.is_outside(service, constraints.regions) {
+            return Unplaced::OutsideRegions;
+        }
+        if self.directory.is_evacuated(service) {
+            return Unplaced::Evacuated;
+        }
+        Unplaced::Nobody
+    }
+
+    /// Selects among the endpoints of a service that satisfy the constraints.
     ///
     /// Endpoints that failed recently are used only if no others are left: an attempt there may
     /// still succeed, a refusal can't. Endpoints that announced a limit or are warming up receive at
@@ -73,13 +86,13 @@
         &self,
         service: &str,
         prompt: &Prompt<'_>,
-        tried: &[InstanceId],
+        constraints: Constraints<'_>,
         within: Duration,
     ) -> Result<Selection, Unplaced> {
         let now = self.lifecycle.now();
-        let available = self.directory.available(service, tried);
-        if available.is_empty() && self.directory.is_evacuated(service) {
-            return Err(Unplaced::Evacuated);
+        let available = self.available_endpoints(service, constraints);
+        if available.is_empty() {
+            return Err(self.why_none_is_available(service, constraints));
         }
         let home = home_of(prompt, &available);
         let candidate = |endpoint| self.estimate(now, prompt, home, endpoint);
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -23,6 +23,7 @@
 use crate::gateway::Gateway;
 use crate::log_events as events;
 use crate::metrics;
+use crate::regions::{AllowedRegions, Constraints};
 use crate::reply::{Cause, Reply, full_body, refusal, remove_connection_headers};
 use crate::request_charge::RequestCharge;
 use crate::stream_relay::StreamRelay;
@@ -39,8 +40,8 @@
 const FIRST_TOKEN_FRACTION: f64 = 0.8;
 /// Retry-after time while a process or service is unavailable.
 pub const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
-/// Retry-after time while all endpoints are in evacuated zones: an operator has to act first.
-const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(2);
+/// Retry-after time while no endpoint may be used and an operator has to act first.
+const OPERATOR_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Shortest and longest retry-after time when endpoints are overloaded.
 const OVERLOAD_RETRY_AFTER: (Duration, Duration) =
     (Duration::from_millis(250), Duration::from_secs(2));
@@ -60,6 +61,8 @@
     pub organisation: Option<Arc<Organisation>>,
     /// The service that was selected for it.
     pub service: ServiceId,
+    /// Where it may run.
+    pub regions: AllowedRegions,
     /// Maximum output tokens in one event.
     pub tokens_per_event: Tokens,
     /// Attempts made so far.
@@ -175,8 +178,7 @@
         let found = availability::wait_until_available(&self.gw, max_wait, || {
             let available = self
                 .gw
-                .directory
-                .available(&self.service, self.attempt_counter.endpoints());
+                .available_endpoints(&self.service, self.constraints());
             (!available.is_empty()).then_some(())
         });
         let found = found.await.is_some();
@@ -252,12 +254,9 @@
             parts: &self.prompt_parts,
         };
         let within = self.time_left().mul_f64(FIRST_TOKEN_FRACTION);
-        let selection = self.gw.select_endpoint(
-            &self.service,
-            &prompt,
-            self.attempt_counter.endpoints(),
-            within,
-        );
+        let selection = self
+            .gw
+            .select_endpoint(&self.service, &prompt, self.constraints(), within);
         let selection = selection.map_err(|unplaced| self.refuse_unplaced(unplaced))?;
         let endpoint = selection.slot.endpoint.clone();
         self.trace.step(format_args!(
@@ -313,6 +312,13 @@
         Ok(outcome)
     }
 
+    fn constraints(&self) -> Constraints<'_> {
+        Constraints {
+            tried: self.attempt_counter.endpoints(),
+            regions: &self.regions,
+        }
+    }
+
     /// Until when the response head is awaited: up to the deadline, or less if another endpoint may
     /// run the request instead.
     fn response_deadline(&self) -> Instant {
@@ -342,7 +348,8 @@
         }
         match unplaced {
             Unplaced::Nobody => (Cause::NoEndpoint, DEFAULT_RETRY_AFTER),
-            Unplaced::Evacuated => (Cause::Evacuated, EVACUATED_RETRY_AFTER),
+            Unplaced::OutsideRegions => (Cause::OutsideRegions, OPERATOR_RETRY_AFTER),
+            Unplaced::Evacuated => (Cause::Evacuated, OPERATOR_RETRY_AFTER),
             Unplaced::TooLate(expected) => {
                 let excess =
                     expected.saturating_sub(self.time_left().mul_f64(FIRST_TOKEN_FRACTION));
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -38,6 +38,8 @@
     pub id: InstanceId,
     /// Its availability zone.
     pub zone: Zone,
+    /// Regions of all availability zones.
+    pub regions_by_zone: BTreeMap<ZoneId, RegionId>,
     /// Address for clients.
     pub listen: SocketAddr,
     /// Address for the load balancer's readiness checks.
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -19,8 +19,8 @@
 //! Rate limits announced by endpoints: [`endpoint_limits`] reports them to the ledger and learns of
 //! those reported by other gateways. [`reports`] delivers both kinds of reports.
 //!
-//! Endpoints that receive fewer requests, or none: those in [`zones`] that operators evacuated, and
-//! those in their [`warm_up`].
+//! Endpoints that receive fewer requests, or none: those in [`zones`] that operators evacuated, those
+//! outside the [`regions`] in which a request may run, and those in their [`warm_up`].
 //!
 //! Where the gateway's view comes from: the routing table and the number of gateways from the
 //! ledger ([`ledger_updates`]), grants from the ledger ([`grant_loop`]), the list of endpoints from
@@ -48,6 +48,7 @@
 pub mod log_events;
 pub mod metrics;
 pub mod pool;
+pub mod regions;
 pub mod reply;
 pub mod reports;
 pub mod request_charge;
--- a/crates/anvil_gateway/src/reply.rs
+++ b/crates/anvil_gateway/src/reply.rs
@@ -46,6 +46,8 @@
     Leaving,
     /// No endpoint of the service accepts requests.
     NoEndpoint,
+    /// No endpoint of the service is in a region in which the request may run.
+    OutsideRegions,
     /// All endpoints of the service are in evacuated availability zones.
     Evacuated,
     /// All endpoints are too busy to respond in time.
@@ -62,7 +64,7 @@
 
 impl Cause {
     /// All causes.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::BadHead,
         Self::UnknownKey,
         Self::NoRoute,
@@ -74,6 +76,7 @@
         Self::NotReady,
         Self::Leaving,
         Self::NoEndpoint,
+        Self::OutsideRegions,
         Self::Evacuated,
         Self::Overloaded,
         Self::CrashesEndpoints,
@@ -96,6 +99,7 @@
             | Self::NotReady
             | Self::Leaving
             | Self::NoEndpoint
+            | Self::OutsideRegions
             | Self::Evacuated
             | Self::Overloaded
             | Self::CrashesEndpoints
@@ -119,6 +123,7 @@
             Self::NotReady => "not_ready",
             Self::Leaving => "leaving",
             Self::NoEndpoint => "no_endpoint",
+            Self::OutsideRegions => "outside_regions",
             Self::Evacuated => "evacuated",
             Self::Overloaded => "overloaded",
             Self::CrashesEndpoints => "crashes_endpoints",
--- a/crates/anvil_gateway/src/table.rs
+++ b/crates/anvil_gateway/src/table.rs
@@ -7,6 +7,8 @@
 
 use anvil_world::prelude::*;
 
+use crate::regions::AllowedRegions;
+
 /// How often a request on a route may run, and whether its response is a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RetryMode {
@@ -62,6 +64,8 @@
     pub max_attempts: u32,
     /// Whether requests need no bearer key.
     pub public: bool,
+    /// Where requests may run.
+    pub regions: AllowedRegions,
 }
 
 /// Settings of a service.
@@ -110,6 +114,8 @@
     pub priority_class: Option<u8>,
     /// Whether it has a prepaid budget.
     pub prepaid: bool,
+    /// Where its requests may run; a route's restriction applies as well.
+    pub regions: AllowedRegions,
 }
 
 /// Limits on clients' requests and connections.
--- a/crates/anvil_gateway/tests/direct/gateway.rs
+++ b/crates/anvil_gateway/tests/direct/gateway.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use anvil_gateway::dialect::{ListPage, ListSource};
+use anvil_gateway::regions::AllowedRegions;
 use anvil_gateway::table::{
     Engine, Limits, Organisation, RetryMode, Route, RouteTable, Service, TableParts, WarmUp,
 };
@@ -47,6 +48,7 @@
         services: vec![(SERVICE.into(), 1)],
         max_attempts: 2,
         public: true,
+        regions: AllowedRegions::default(),
     };
     vec![
         route("idempotent", RetryMode::Idempotent),
@@ -62,6 +64,7 @@
         id: "co-op".into(),
         priority_class: None,
         prepaid: true,
+        regions: AllowedRegions::default(),
     };
     let service = Service {
         id: SERVICE.into(),
@@ -123,6 +126,12 @@
     GatewaySettings {
         id: "gateway-1".into(),
         zone: Zone::default(),
+        regions_by_zone: [
+            ("local-a".into(), "local".into()),
+            ("local-b".into(), "local".into()),
+            ("away-a".into(), "away".into()),
+        ]
+        .into(),
         listen: nowhere,
         ready_listen: nowhere,
         ledger: Vec::new(),
--- a/crates/anvil_gateway/tests/direct/main.rs
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -12,6 +12,7 @@
 mod limits;
 mod missing_endpoints;
 mod processes;
+mod regions;
 mod responses;
 mod siblings;
 mod starting;
--- a/crates/anvil_gateway/tests/request_digest.rs
+++ b/crates/anvil_gateway/tests/request_digest.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use anvil_gateway::regions::AllowedRegions;
 use anvil_gateway::request_digest::digest;
 use anvil_gateway::table::{Organisation, RetryMode, Route};
 use anvil_world::prelude::*;
@@ -20,6 +21,7 @@
         id: organisation.into(),
         priority_class: None,
         prepaid: true,
+        regions: AllowedRegions::default(),
     };
     let route = Route {
         name: "route".into(),
@@ -33,6 +35,7 @@
         services: Vec::new(),
         max_attempts: 1,
         public: false,
+        regions: AllowedRegions::default(),
     };
     let uri = path.parse().expect("a path");
     let body = Bytes::copy_from_slice(body.as_bytes());
