A probe whose connection broke is sent again; one crash is one crash

a_crashed_sidecar_does_not_make_new_requests_unknown. Cause: a probe went over the connection to the sidecar that had just died and failed with it; only a refused connection counted as the answer that no process is left, so the request ended as unknown though a second probe would have shown it. A fault of the product: a probe asks only, so it is now sent again, twice at most, on a new connection.

another_engine_continues_after_an_engine_crash_without_a_gap.

--- a/crates/anvil_daemons/src/bin/anvilreel-sidecar.rs
+++ b/crates/anvil_daemons/src/bin/anvilreel-sidecar.rs
@@ -31,7 +31,7 @@
                     sidecar.stop().await;
                     return Ok(());
                 }
-                () = sidecar.incarnation_over() => sidecar.kill(),
+                () = sidecar.incarnation_over() => sidecar.kill().await,
             }
         }
     })
--- a/crates/anvil_standins/src/engine.rs
+++ b/crates/anvil_standins/src/engine.rs
@@ -30,7 +30,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use anvil_world::prelude::*;
@@ -181,6 +181,12 @@
         self.engine.crash_after.store(tokens, Ordering::Relaxed);
     }
 
+    /// Makes one run crash after so many tokens: the first one that begins at any of the engines that
+    /// share the number, which is 0 from then on.
+    pub fn crash_next_run_after(&self, tokens: Arc<AtomicU64>) {
+        *self.engine.crash_next.lock().expect("a number") = tokens;
+    }
+
     /// Sets whether it refuses orders with a stale fencing number.
     pub fn set_checks_fencing(&self, checks: bool) {
         self.engine.checks_fencing.store(checks, Ordering::Relaxed);
--- a/crates/anvil_standins/src/engine/state.rs
+++ b/crates/anvil_standins/src/engine/state.rs
@@ -56,6 +56,8 @@
     pub slowdown: AtomicU32,
     pub failing: AtomicBool,
     pub crash_after: AtomicU64,
+    /// Number of tokens after which one run crashes; may be shared with other engines.
+    pub crash_next: Mutex<Arc<AtomicU64>>,
     pub checks_fencing: AtomicBool,
     runs: Mutex<Runs>,
     order_state: Mutex<OrderState>,
@@ -96,6 +98,7 @@
             slowdown: AtomicU32::new(1),
             failing: AtomicBool::new(false),
             crash_after: AtomicU64::new(0),
+            crash_next: Mutex::default(),
             checks_fencing: AtomicBool::new(cfg.checks_fencing),
             runs: Mutex::default(),
             order_state: Mutex::new(order_state),
@@ -141,7 +144,11 @@
         let slot = self.batch.acquire_slot(request.priority).await;
         sleep(self.prefill(&request.messages)).await;
         let mut next_token_at = TokioInstant::now();
-        let crash_after = self.crash_after.load(Ordering::Relaxed);
+        let crash_next = self.crash_next.lock().expect("a number").clone();
+        let crash_after = self
+            .crash_after
+            .load(Ordering::Relaxed)
+            .max(crash_next.swap(0, Ordering::Relaxed));
         loop {
             if crash_after > 0 && answer.produced() >= crash_after {
                 run.end(RunState::Crashed);
--- a/crates/anvilreel/src/router/call.rs
+++ b/crates/anvilreel/src/router/call.rs
@@ -3,9 +3,15 @@
 use anvil_wire::msg::{ProbeAnswer, SidecarCall, SidecarReply, SidecarRequest};
 use anvil_wire::{Channel, Replies, WireError};
 use futures::future::{BoxFuture, select_all};
+use tokio::time::{Duration, sleep};
 
 use crate::request::{Dispatch, Event};
 
+/// How often a probe whose connection broke is sent again, on a new connection.
+const PROBE_RETRIES: u32 = 2;
+/// Pause before it is. A process that ends closes its sockets one after the other.
+const PROBE_RETRY_PAUSE: Duration = Duration::from_millis(20);
+
 enum State {
     Opening(BoxFuture<'static, Result<Replies<SidecarReply>, WireError>>),
     Reading(Box<Replies<SidecarReply>>),
@@ -25,12 +31,19 @@
     }
 }
 
+/// What is needed to send a probe again.
+struct Probe {
+    channel: Channel,
+    req: Box<SidecarRequest>,
+    retries_left: u32,
+}
+
 /// A call in flight. Dropping it notifies the sidecar that its replies are no longer wanted.
 pub struct Call {
     /// The call's number within its exchange.
     pub dispatch: Dispatch,
-    /// Whether the call only asks what a sidecar knows about a key.
-    is_probe: bool,
+    /// Set only if the call asks what a sidecar knows about a key.
+    probe: Option<Probe>,
     state: State,
 }
 
@@ -38,10 +51,15 @@
     /// Prepares a call. Nothing is sent until [`Call::next`] is awaited.
     pub fn open(dispatch: Dispatch, channel: Channel, req: Box<SidecarRequest>) -> Self {
         let is_probe = matches!(*req, SidecarRequest::Probe { .. });
+        let probe = is_probe.then(|| Probe {
+            channel: channel.clone(),
+            req: req.clone(),
+            retries_left: PROBE_RETRIES,
+        });
         let opening = async move { channel.open::<SidecarCall>(&req).await };
         Self {
             dispatch,
-            is_probe,
+            probe,
             state: State::Opening(Box::pin(opening)),
         }
     }
@@ -53,9 +71,10 @@
             match &mut self.state {
                 State::Opening(opening) => match opening.await {
                     Ok(replies) => self.state = State::Reading(Box::new(replies)),
-                    Err(e) if self.is_probe && e.is_connection_refused() => {
+                    Err(e) if self.probe.is_some() && e.is_connection_refused() => {
                         return self.sidecar_gone();
                     }
+                    Err(_) if self.retry_probe() => {}
                     Err(e) => return self.broken(e.never_sent()),
                 },
                 State::Reading(replies) => match replies.next().await {
@@ -67,6 +86,7 @@
                         let dispatch = self.dispatch;
                         return Event::Reply { dispatch, reply };
                     }
+                    Ok(None) | Err(_) if self.retry_probe() => {}
                     Ok(None) | Err(_) => return self.broken(false),
                 },
                 State::Complete => return std::future::pending().await,
@@ -74,6 +94,26 @@
         }
     }
 
+    /// Sends a probe again if its connection broke.
+    ///
+    /// Failure: a sidecar has crashed, and the connection to it is not known to be broken yet. The
+    /// probe fails with that connection, and only a new one shows that no process is left.
+    fn retry_probe(&mut self) -> bool {
+        let Some(probe) = &mut self.probe else {
+            return false;
+        };
+        if probe.retries_left == 0 {
+            return false;
+        }
+        probe.retries_left -= 1;
+        let (channel, req) = (probe.channel.clone(), probe.req.clone());
+        self.state = State::Opening(Box::pin(async move {
+            sleep(PROBE_RETRY_PAUSE).await;
+            channel.open::<SidecarCall>(&req).await
+        }));
+        true
+    }
+
     /// Whether no more events will come from this call.
     pub fn is_complete(&self) -> bool {
         matches!(self.state, State::Complete)
--- a/crates/anvilreel/src/sidecar.rs
+++ b/crates/anvilreel/src/sidecar.rs
@@ -124,7 +124,7 @@
         }
         sleep(LINGER).await;
         event!(self.core.log, events::SIDECAR_STOPPED);
-        self.kill();
+        self.kill().await;
     }
 
     /// Returns when the ledger reports that this incarnation is over, after minutes without
@@ -137,10 +137,12 @@
         self.core.lifecycle.incarnation_over().await;
     }
 
-    /// Stops immediately, like a crash.
-    pub fn kill(self) {
-        for task in &self.tasks {
+    /// Stops immediately, like a crash, and returns when its address refuses connections.
+    pub async fn kill(self) {
+        for task in self.tasks {
             task.abort();
+            // An aborted task ends with an error; its listener is closed then.
+            let _ = task.await;
         }
     }
 }
--- a/crates/anvilreel/tests/ledger_service/presence.rs
+++ b/crates/anvilreel/tests/ledger_service/presence.rs
@@ -136,7 +136,7 @@
     // Heartbeats from before the loss no longer count.
     wait_for_presence(&cluster, Presence::Silent).await?;
     wait_for_presence(&cluster, Presence::Live).await?;
-    sidecar.kill();
+    sidecar.kill().await;
     cluster.stop_all().await;
     Ok(())
 }
--- a/crates/anvilreel/tests/path_fleet/fleet.rs
+++ b/crates/anvilreel/tests/path_fleet/fleet.rs
@@ -242,7 +242,7 @@
         let settings = sidecar_settings(0, self.ledger_addr, addr, EndpointKind::Plain);
         let new = start_sidecar(&settings).await;
         let incarnation = new.incarnation();
-        std::mem::replace(&mut self.plain_sidecar, new).kill();
+        std::mem::replace(&mut self.plain_sidecar, new).kill().await;
         let id = settings.id.clone();
         eventually("the ledger knows the new incarnation", || async {
             let members = self.ledger.query(Query::Members, WAIT_TIMEOUT).await;
--- a/crates/anvilreel/tests/path_fleet/losses.rs
+++ b/crates/anvilreel/tests/path_fleet/losses.rs
@@ -1,5 +1,7 @@
 //! Processes that crash while streams are open.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use anvil_standins::engine;
@@ -46,8 +48,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn another_engine_continues_after_an_engine_crash_without_a_gap() {
     let fleet = Fleet::start_with(1, 2, slow()).await;
+    let next_crash = Arc::new(AtomicU64::new(30));
     for engine_with_sidecar in &fleet.engines {
-        engine_with_sidecar.engine.set_crash_after(30);
+        let engine = &engine_with_sidecar.engine;
+        engine.crash_next_run_after(next_crash.clone());
     }
     let prompt = "tokens=80 repair history";
     let url = fleet.url(0, CHAT);
@@ -55,19 +59,11 @@
     let sent = fleet.client.send(&url, request(&url, &[], body)).await;
     let mut answer = sent.expect("an answer").into_body();
     let mut read = Vec::new();
-    let first = answer
-        .frame()
-        .await
-        .expect("output")
-        .expect("a valid frame");
-    read.extend_from_slice(&first.into_data().expect("bytes"));
-    for engine_with_sidecar in &fleet.engines {
-        engine_with_sidecar.engine.set_crash_after(0);
-    }
     while let Some(frame) = answer.frame().await {
         let frame = frame.expect("a valid frame");
         read.extend_from_slice(&frame.into_data().expect("bytes"));
     }
+    assert_eq!(next_crash.load(Ordering::Relaxed), 0, "no engine crashed");
     assert_eq!(streamed_text(&read), (expected(prompt), true));
     let whole = fleet.chat(0, None, prompt).await;
     assert_eq!(text(&whole), expected(prompt));
@@ -107,7 +103,8 @@
         .sidecar
         .take()
         .expect("it is running")
-        .kill();
+        .kill()
+        .await;
     for number in 0..12 {
         let prompt = format!("tokens=5 card {number}");
         let key = format!("card-{number}");
@@ -146,7 +143,8 @@
         .sidecar
         .take()
         .expect("it is running")
-        .kill();
+        .kill()
+        .await;
     while let Some(frame) = answer.frame().await {
         let frame = frame.expect("a valid frame");
         read.extend_from_slice(&frame.into_data().expect("bytes"));
--- a/crates/anvilreel/tests/sidecar_platform.rs
+++ b/crates/anvilreel/tests/sidecar_platform.rs
@@ -142,6 +142,6 @@
     sleep(MAX_DELAY).await;
     let after = first_reply(&channel, &start(u64::MAX, incarnation)).await?;
     assert!(matches!(after, SidecarReply::Accepted { .. }), "{after:?}");
-    sidecar.kill();
+    sidecar.kill().await;
     Ok(())
 }
