Windows of a shared limit are at other times at each endpoint

Cause: each router's windows at all endpoints opened at the same moment.

Change: the rank among the routers is moved by a hash of the endpoint, for warm-ups and for announced limits. All routers move by the same number, so the sum at one endpoint is what it was.

Seen red without it: router_finds_an_open_window_while_all_endpoints_warm_up.

--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -140,7 +140,7 @@
         let mut shortest_wait = None;
         for candidate in candidates {
             let warm_up_wait = warm_up.map_or(Duration::ZERO, |terms| {
-                candidate.endpoint.warm_up().time_until_send(terms, at)
+                candidate.endpoint.warm_up_wait(terms, at)
             });
             let wait = candidate.endpoint.rate_limit_wait(at, position);
             let wait = wait.max(warm_up_wait);
@@ -156,7 +156,7 @@
                 return Err(Unplaced::TooLate(best.expected));
             }
             let is_warm_enough =
-                warm_up.is_none_or(|terms| best.endpoint.warm_up().try_send(terms, at));
+                warm_up.is_none_or(|terms| best.endpoint.try_count_in_warm_up(terms, at));
             if is_warm_enough && best.endpoint.try_count_request(at, position) {
                 return Ok(best);
             }
--- a/crates/anvil_gateway/src/endpoint.rs
+++ b/crates/anvil_gateway/src/endpoint.rs
@@ -117,11 +117,13 @@
 
     /// Time until the limit allows another request; zero if it does now.
     pub fn rate_limit_wait(&self, clocks: Clocks, position: RouterRank) -> Duration {
+        let position = position.at_endpoint(&self.id);
         self.rate_share().time_until_send(clocks, position)
     }
 
     /// Counts a request that is about to be sent. Returns false if the limit does not allow it.
     pub fn try_count_request(&self, clocks: Clocks, position: RouterRank) -> bool {
+        let position = position.at_endpoint(&self.id);
         self.rate_share().try_send(clocks, position)
     }
 
--- a/crates/anvil_gateway/src/warm_up.rs
+++ b/crates/anvil_gateway/src/warm_up.rs
@@ -47,8 +47,7 @@
         self.view.is_warming_up(&terms.rule, now)
     }
 
-    /// Time until it may receive another request; zero if it may now.
-    pub fn time_until_send(&mut self, terms: &WarmUpTerms, at: Clocks) -> Duration {
+    fn time_until_send(&mut self, terms: &WarmUpTerms, at: Clocks, endpoint: &str) -> Duration {
         if !self.is_warming_up(terms, at.now) {
             self.share = RateShare::default();
             return Duration::ZERO;
@@ -58,19 +57,20 @@
         }
         self.share.set_limit(at.now, Some(terms.rate));
         match terms.position {
-            Some(position) => self.share.time_until_send(at, position),
+            Some(position) => self
+                .share
+                .time_until_send(at, position.at_endpoint(endpoint)),
             None => UNCOUNTED_WAIT,
         }
     }
 
-    /// Counts a request that is about to be sent. Returns false if it may not be sent now.
-    pub fn try_send(&mut self, terms: &WarmUpTerms, at: Clocks) -> bool {
-        if !self.time_until_send(terms, at).is_zero() {
+    fn try_send(&mut self, terms: &WarmUpTerms, at: Clocks, endpoint: &str) -> bool {
+        if !self.time_until_send(terms, at, endpoint).is_zero() {
             return false;
         }
         terms
             .position
-            .is_none_or(|position| self.share.try_send(at, position))
+            .is_none_or(|position| self.share.try_send(at, position.at_endpoint(endpoint)))
     }
 
     /// What is known of its warm-up.
@@ -79,6 +79,18 @@
     }
 }
 
+impl Endpoint {
+    /// Time until its warm-up allows another request; zero if it does now.
+    pub fn warm_up_wait(&self, terms: &WarmUpTerms, at: Clocks) -> Duration {
+        self.warm_up().time_until_send(terms, at, &self.id)
+    }
+
+    /// Counts a request that is about to be sent. Returns false if its warm-up does not allow it.
+    pub fn try_count_in_warm_up(&self, terms: &WarmUpTerms, at: Clocks) -> bool {
+        self.warm_up().try_send(terms, at, &self.id)
+    }
+}
+
 impl Gateway {
     /// What decides about a service's endpoints that are warming up; `None` if its endpoints start
     /// warm.
--- a/crates/anvil_policy/src/rate_share.rs
+++ b/crates/anvil_policy/src/rate_share.rs
@@ -21,6 +21,7 @@
 use std::time::Duration;
 
 use anvil_world::prelude::*;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Minimum part of a router, in requests a second, for which it uses a token bucket.
 const MIN_BUCKET_RATE: f64 = 0.5;
@@ -89,6 +90,20 @@
 }
 
 impl RouterRank {
+    /// The rank for one endpoint. All routers move their ranks by the same number.
+    ///
+    /// Failure: many endpoints are limited at once. With the same rank for all of them, a router's
+    /// windows at all endpoints open at the same time, and until the next round it refuses requests
+    /// although each endpoint has room for them.
+    pub fn at_endpoint(self, endpoint: &str) -> Self {
+        let routers = u64::from(self.routers.max(1));
+        let rank = (u64::from(self.rank) + xxh3_64(endpoint.as_bytes()) % routers) % routers;
+        Self {
+            rank: u32::try_from(rank).unwrap_or(0),
+            routers: self.routers,
+        }
+    }
+
     /// Its part of a total.
     fn share(self, all: f64) -> f64 {
         all / f64::from(self.routers.max(1))
--- a/crates/anvil_policy/tests/rate_share.rs
+++ b/crates/anvil_policy/tests/rate_share.rs
@@ -332,3 +332,27 @@
         assert!(part > 0.9, "{part:.2} used by {routers} routers");
     }
 }
+
+/// Guards against routers that refuse requests although endpoints have room: when all endpoints start
+/// at once, as after a power failure, each router must find one at any time.
+#[test]
+fn router_finds_an_open_window_while_all_endpoints_warm_up() {
+    let tolerance = BurstTolerance::within_a_second(OVERSHOOT, ALLOWANCE);
+    let endpoints: Vec<String> = (0..53).map(|number| format!("i-{number:x}")).collect();
+    for rank in 0..31 {
+        let turn = RouterRank { rank, routers: 31 };
+        for ms in (0..30_000).step_by(100) {
+            let clocks = at(1.0, 1.7e9 + f64::from(ms) / 1e3);
+            let is_open = |endpoint: &&String| {
+                let mut share = RateShare::default().with_tolerance(tolerance);
+                share.set_limit(Duration::ZERO, Some(11_000));
+                let turn = turn.at_endpoint(endpoint);
+                share.time_until_send(clocks, turn).is_zero()
+            };
+            assert!(
+                endpoints.iter().any(|e| is_open(&e)),
+                "rank {rank}, {ms} ms"
+            );
+        }
+    }
+}
