Gateways report the version that they have in force

Cause: gateways' heartbeats reported version 0, and relays and ledger processes, which apply no settings, counted as missing, so `evacuate`, `apply` and `status` never saw anything in force on the users' platform.

Change: a gateway's heartbeat carries the version that it applied last; only roles that apply settings count.

--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -100,6 +100,8 @@
     pub gateway_count: AtomicU32,
     /// Rank of this gateway among them.
     pub gateway_rank: AtomicU32,
+    /// Version of the ledger's state that is in force.
+    pub version_in_force: AtomicU64,
     /// Whether the other gateways count this one, according to the ledger.
     pub is_counted: AtomicBool,
     /// When the ledger last confirmed that the cached state is current, in milliseconds since the
@@ -200,6 +202,7 @@
             engine_rule: EngineRule::default(),
             gateway_count: AtomicU32::new(ASSUMED_GATEWAYS),
             gateway_rank: AtomicU32::new(rand::random_range(0..ASSUMED_GATEWAYS)),
+            version_in_force: AtomicU64::new(0),
             is_counted: AtomicBool::new(false),
             ledger_confirmed_ms: AtomicU64::new(0),
             list_cache: ListCache::default(),
--- a/crates/anvil_gateway/src/ledger_updates.rs
+++ b/crates/anvil_gateway/src/ledger_updates.rs
@@ -74,6 +74,7 @@
         gw.ledger_confirmed_ms.store(gw.now_ms(), Ordering::Relaxed);
         if cached.apply(update) {
             apply_update(gw, cached, revision);
+            gw.version_in_force.store(cached.version, Ordering::Relaxed);
         }
     }
     updated
--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -1,6 +1,7 @@
 //! A gateway process: all its tasks, from the start to the end of a planned stop.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use anvilreel::{announce, event};
@@ -54,7 +55,9 @@
         tokio::join!(
             ready,
             ledger_updates::run(&task_gw),
-            announce::run(&task_gw.ledger, &task_gw.lifecycle, &instance),
+            announce::run(&task_gw.ledger, &task_gw.lifecycle, &instance, || {
+                task_gw.version_in_force.load(Ordering::Relaxed)
+            }),
             discovery::run(&task_gw),
             siblings::serve_siblings(task_gw.clone(), siblings),
             grant_loop::run(&task_gw),
--- a/crates/anvil_gateway/tests/direct/evacuating.rs
+++ b/crates/anvil_gateway/tests/direct/evacuating.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvilreel::operator;
 use tokio::time::{Instant, sleep};
 
 use crate::client::Client;
@@ -61,6 +62,19 @@
     assert!(near.received().len() > before, "no requests after its end");
 }
 
+/// Guards against an operator who is never told that an order is in force, or is told too early.
+#[tokio::test(flavor = "multi_thread")]
+async fn operator_is_told_when_an_order_is_in_force() {
+    let (near, far) = (answering_endpoint().await, answering_endpoint().await);
+    let processes = start_processes(&near, &far).await;
+    let client = processes.operator();
+    let rollout = operator::evacuate(&client, "local-a".into(), true).await;
+    assert!(rollout.expect("acknowledged").is_rolled_out());
+    let before = near.received().len();
+    assert_eq!(send_to_all(&processes, "/once/x").await, [200; 3]);
+    assert_eq!(near.received().len(), before);
+}
+
 /// Guards against an acknowledged evacuation that is lost when all processes lose power, and
 /// against a gateway that serves before it knows the evacuated zones.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/anvil_gateway/tests/direct/processes.rs
+++ b/crates/anvil_gateway/tests/direct/processes.rs
@@ -16,6 +16,7 @@
 use anvilreel::logs::discard;
 use anvilreel::metrics::Metrics;
 use anvilreel::moment::Moment;
+use anvilreel::operator;
 use bytes::Bytes;
 use tempfile::TempDir;
 use tokio::runtime::Runtime;
@@ -108,7 +109,8 @@
 
 /// A ledger and its gateways, each at an address of its own.
 pub struct Processes {
-    subnet: u8,
+    /// Second and third part of its addresses; drawn, as tests run side by side.
+    subnet: [u8; 2],
     data: TempDir,
     list: ListSource,
     ledger: Option<(oneshot::Sender<()>, LedgerHandle)>,
@@ -131,7 +133,7 @@
         list: impl Fn() -> String + Send + Sync + 'static,
     ) -> Self {
         let mut processes = Self {
-            subnet: rand::random_range(1..=250),
+            subnet: [rand::random_range(1..=250), rand::random()],
             data: tempfile::tempdir().expect("a folder"),
             list: serve_list(list).await,
             ledger: None,
@@ -144,7 +146,8 @@
     }
 
     fn ip(&self, number: u8) -> Ipv4Addr {
-        Ipv4Addr::new(127, self.subnet, 11, number)
+        let [second, third] = self.subnet;
+        Ipv4Addr::new(127, second, third, number)
     }
 
     fn ledger_addr(&self) -> SocketAddr {
@@ -229,6 +232,11 @@
         }
     }
 
+    /// An operator's client of the ledger.
+    pub fn operator(&self) -> operator::Client {
+        operator::Client::new(&[self.ledger_addr()])
+    }
+
     /// Commits an operator's order for a zone, and returns when it is acknowledged.
     pub async fn order_evacuation(&self, zone: &str, evacuated: bool) {
         let ledger = LedgerClient::new(&[self.ledger_addr()]);
--- a/crates/anvilreel/src/announce.rs
+++ b/crates/anvilreel/src/announce.rs
@@ -13,13 +13,18 @@
 /// ones.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Sends a heartbeat every second, for as long as the process runs. The heartbeats report version
-/// 0, so they are only for roles that apply no settings; the others send their own heartbeats.
-pub async fn run(ledger: &LedgerClient, lifecycle: &Lifecycle, instance: &Instance) {
+/// Sends a heartbeat every second, for as long as the process runs. `version` returns the version of
+/// the ledger's state that the process has in force; 0 for a role that applies no settings.
+pub async fn run(
+    ledger: &LedgerClient,
+    lifecycle: &Lifecycle,
+    instance: &Instance,
+    version: impl Fn() -> LogIndex,
+) {
     loop {
         let heartbeat = Heartbeat {
             instance: instance.clone(),
-            version: 0,
+            version: version(),
             evidence: Vec::new(),
             leaving: lifecycle.is_draining(),
         };
--- a/crates/anvilreel/src/ledger_service/heartbeats.rs
+++ b/crates/anvilreel/src/ledger_service/heartbeats.rs
@@ -142,7 +142,7 @@
             .filter(|last_heartbeat| last_heartbeat.incarnation == member.instance.incarnation)
     }
 
-    /// The instances that have and that have not reached a version.
+    /// The instances that have and that have not reached a version, among those that apply settings.
     pub fn version_rollout(
         &self,
         version: LogIndex,
@@ -151,7 +151,8 @@
     ) -> VersionRollout {
         let mut rollout = VersionRollout::default();
         let members = machine.state.members().values();
-        for member in members.filter(|m| m.presence != Presence::Gone) {
+        let applying = members.filter(|m| applies_settings(m.instance.role));
+        for member in applying.filter(|m| m.presence != Presence::Gone) {
             let id = member.instance.id.clone();
             match self.heartbeat_of(member) {
                 Some(last_heartbeat) if last_heartbeat.version >= version => {
@@ -167,6 +168,13 @@
     }
 }
 
+fn applies_settings(role: Role) -> bool {
+    match role {
+        Role::Router | Role::Sidecar => true,
+        Role::Ledger | Role::Relay => false,
+    }
+}
+
 /// The presence after this time without a heartbeat; `None` if it doesn't change.
 fn presence_after(
     known: Presence,
--- a/crates/anvilreel/src/relay.rs
+++ b/crates/anvilreel/src/relay.rs
@@ -102,7 +102,7 @@
             addr: self.cfg.listen,
             endpoint: None,
         };
-        announce::run(&self.watcher.ledger, &self.lifecycle, &instance).await;
+        announce::run(&self.watcher.ledger, &self.lifecycle, &instance, || 0).await;
     }
 
     async fn handle(&self, req: LedgerRequest, tx: ReplySender<LedgerReply>) {
