--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -1,11 +1,11 @@
 //! One admitted request: attempts at endpoints until one responds, then its response up to the end.
 
+mod one_attempt;
 mod outcome;
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvil_policy::engine::Prompt;
 use anvil_world::prelude::*;
 use anvil_world::suspect::CrashedRun;
 use anvilreel::event;
@@ -14,16 +14,15 @@
 use http_body_util::{BodyExt, Limited};
 use tokio::time::{Instant, timeout_at};
 
-use crate::attempt::{AttemptOutcome, Doubt, EndpointResponse, NotRun, OutgoingRequest, send};
+use crate::attempt::{AttemptOutcome, Doubt, EndpointResponse, NotRun};
 use crate::attempt_counter::AttemptCounter;
 use crate::availability;
-use crate::choose::Unplaced;
 use crate::connection_watch::ConnectionWatch;
-use crate::dialect::{ForwardedHead, RequestHead};
+use crate::dialect::RequestHead;
 use crate::gateway::Gateway;
 use crate::log_events as events;
 use crate::metrics;
-use crate::regions::{AllowedRegions, Constraints};
+use crate::regions::AllowedRegions;
 use crate::reply::{Cause, Reply, full_body, refusal, remove_connection_headers};
 use crate::request_charge::RequestCharge;
 use crate::stream_relay::StreamRelay;
@@ -33,18 +32,8 @@
 /// Longest non-streamed response body that is buffered, in bytes. Nothing reaches the client before
 /// the body is complete, so that a broken response can be requested again.
 const MAX_BUFFERED_BODY_BYTES: usize = 4 << 20;
-/// The least urgent priority class that is sent to endpoints.
-const LEAST_URGENT_CLASS: u8 = 9;
-/// A request is sent only if the first token is expected within this fraction of its remaining
-/// time.
-const FIRST_TOKEN_FRACTION: f64 = 0.8;
 /// Retry-after time while a process or service is unavailable.
 pub const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
-/// Retry-after time while no endpoint may be used and an operator has to act first.
-const OPERATOR_RETRY_AFTER: Duration = Duration::from_secs(2);
-/// Shortest and longest retry-after time when endpoints are overloaded.
-const OVERLOAD_RETRY_AFTER: (Duration, Duration) =
-    (Duration::from_millis(250), Duration::from_secs(2));
 
 /// Why a request is refused, and the retry-after time where a retry helps.
 pub type RequestRefusal = (Cause, Duration);
@@ -240,131 +229,6 @@
         !self.attempt_counter.was_received() || self.gw.try_count_retry(&self.service)
     }
 
-    async fn one_attempt(&mut self, after: Option<u64>) -> Result<AttemptOutcome, RequestRefusal> {
-        if let Some(quarantine) = self.gw.suspects.quarantine(self.request_digest) {
-            self.trace.step(format_args!("in quarantine: {quarantine}"));
-            let cause = if self.in_doubt {
-                Cause::ResponseLost
-            } else {
-                Cause::CrashesEndpoints
-            };
-            return Err((cause, quarantine.time_left));
-        }
-        let prompt = Prompt {
-            parts: &self.prompt_parts,
-        };
-        let within = self.time_left().mul_f64(FIRST_TOKEN_FRACTION);
-        let selection = self
-            .gw
-            .select_endpoint(&self.service, &prompt, self.constraints(), within);
-        let selection = selection.map_err(|unplaced| self.refuse_unplaced(unplaced))?;
-        let endpoint = selection.slot.endpoint.clone();
-        self.trace.step(format_args!(
-            "to {} expecting {:?}, {} tokens to read, {}",
-            endpoint.id, selection.expected, selection.missing_tokens, selection.load_summary
-        ));
-        if let Some(addr) = selection.copy_from {
-            self.trace.step(format_args!("copies from {addr}"));
-            self.gw.metrics.count(metrics::ATTEMPTS_WITH_COPY);
-        }
-        self.gw.metrics.count(metrics::ATTEMPTS);
-        if !self.attempt_counter.endpoints().is_empty() {
-            self.gw.metrics.count(metrics::ATTEMPTS_AFTER_FIRST);
-        }
-        let time_left = self.time_left();
-        let forwarded = ForwardedHead {
-            endpoint: &endpoint.id,
-            organisation: self
-                .organisation
-                .as_ref()
-                .map(|organisation| &*organisation.id),
-            time_left,
-            priority_class: self.priority_class(),
-            resume_after: after.or(self.request.resume_after),
-            copy_from: selection.copy_from,
-        };
-        let response_deadline = self.response_deadline();
-        let outgoing = OutgoingRequest {
-            method: &self.method,
-            uri: &self.uri,
-            headers: (self.gw.cfg.dialect.forward_headers)(&self.headers, &forwarded),
-            body: self.body.clone(),
-            id: &self.request.id,
-            response_deadline,
-            watch: &mut self.awaited_connection,
-        };
-        // Counted before it is sent: if the client disconnects, this function is dropped during the
-        // wait, when the endpoint may have begun.
-        let was_in_doubt = self.in_doubt;
-        if let Some(charge) = &mut self.charge {
-            charge.record_begun();
-        }
-        let sent_at = Instant::now();
-        let outcome = send(&self.gw, selection.slot, outgoing).await;
-        self.awaited_connection = None;
-        self.attempt_counter.record(endpoint.id.clone(), &outcome);
-        if let (AttemptOutcome::NotRun(_), Some(charge), false) =
-            (&outcome, &mut self.charge, was_in_doubt)
-        {
-            charge.record_not_run();
-        }
-        self.record_outcome(&endpoint, &outcome, sent_at.elapsed());
-        Ok(outcome)
-    }
-
-    fn constraints(&self) -> Constraints<'_> {
-        Constraints {
-            tried: self.attempt_counter.endpoints(),
-            regions: &self.regions,
-        }
-    }
-
-    /// Until when the response head is awaited: up to the deadline, or less if another endpoint may
-    /// run the request instead.
-    fn response_deadline(&self) -> Instant {
-        let repeatable = self.route.retry_mode.may_run_again();
-        if !repeatable || self.attempt_counter.is_last(self.route.max_attempts) {
-            return self.deadline;
-        }
-        let unresponsive_at =
-            Instant::now() + self.route.target_latency.mul_f64(UNRESPONSIVE_TARGETS);
-        unresponsive_at.min(self.deadline)
-    }
-
-    fn priority_class(&self) -> u8 {
-        let organisation_class = self
-            .organisation
-            .as_ref()
-            .and_then(|organisation| organisation.priority_class);
-        organisation_class
-            .unwrap_or(self.route.priority_class)
-            .min(LEAST_URGENT_CLASS)
-    }
-
-    fn refuse_unplaced(&mut self, unplaced: Unplaced) -> RequestRefusal {
-        self.trace.step(format_args!("no place: {unplaced:?}"));
-        if self.in_doubt {
-            return (Cause::ResponseLost, DEFAULT_RETRY_AFTER);
-        }
-        match unplaced {
-            Unplaced::Nobody => (Cause::NoEndpoint, DEFAULT_RETRY_AFTER),
-            Unplaced::OutsideRegions => (Cause::OutsideRegions, OPERATOR_RETRY_AFTER),
-            Unplaced::Evacuated => (Cause::Evacuated, OPERATOR_RETRY_AFTER),
-            Unplaced::TooLate(expected) => {
-                let excess =
-                    expected.saturating_sub(self.time_left().mul_f64(FIRST_TOKEN_FRACTION));
-                (
-                    Cause::Overloaded,
-                    excess.clamp(OVERLOAD_RETRY_AFTER.0, OVERLOAD_RETRY_AFTER.1),
-                )
-            }
-            Unplaced::AtLimit(wait) => (
-                Cause::Overloaded,
-                wait.clamp(OVERLOAD_RETRY_AFTER.0, OVERLOAD_RETRY_AFTER.1),
-            ),
-        }
-    }
-
     /// Passes on a non-streamed response once it is complete.
     async fn buffered_response(mut self, response: EndpointResponse) -> Reply {
         let mut response = response;
@@ -436,7 +300,3 @@
         });
     }
 }
-
-/// If another endpoint may run the request, the response head is awaited for this multiple of the
-/// route's target: an endpoint that takes longer is more likely lost than slow.
-const UNRESPONSIVE_TARGETS: f64 = 2.0;
--- /dev/null
+++ b/crates/anvil_gateway/src/exchange/one_attempt.rs
@@ -0,0 +1,173 @@
+//! One attempt of an exchange: the selection of an endpoint, and the request sent to it.
+
+use std::time::Duration;
+
+use anvil_policy::engine::Prompt;
+use tokio::time::Instant;
+
+use super::{DEFAULT_RETRY_AFTER, Exchange, RequestRefusal};
+use crate::attempt::{AttemptOutcome, OutgoingRequest, send};
+use crate::choose::{Selection, Unplaced};
+use crate::dialect::ForwardedHead;
+use crate::metrics;
+use crate::regions::Constraints;
+use crate::reply::Cause;
+
+/// The least urgent priority class that is sent to endpoints.
+const LEAST_URGENT_CLASS: u8 = 9;
+/// A request is sent only if the first token is expected within this fraction of its remaining
+/// time.
+const FIRST_TOKEN_FRACTION: f64 = 0.8;
+/// Retry-after time while no endpoint may be used and an operator has to act first.
+const OPERATOR_RETRY_AFTER: Duration = Duration::from_secs(2);
+/// Shortest and longest retry-after time when endpoints are overloaded.
+const OVERLOAD_RETRY_AFTER: (Duration, Duration) =
+    (Duration::from_millis(250), Duration::from_secs(2));
+/// If another endpoint may run the request, the response head is awaited for this multiple of the
+/// route's target: an endpoint that takes longer is more likely lost than slow.
+const UNRESPONSIVE_TARGETS: f64 = 2.0;
+
+impl Exchange {
+    /// Selects an endpoint and sends the request to it. `after` is the id of the last event that was
+    /// delivered.
+    pub(super) async fn one_attempt(
+        &mut self,
+        after: Option<u64>,
+    ) -> Result<AttemptOutcome, RequestRefusal> {
+        self.refuse_in_quarantine()?;
+        let selection = self.select_endpoint()?;
+        let endpoint = selection.slot.endpoint.clone();
+        let forwarded = ForwardedHead {
+            endpoint: &endpoint.id,
+            organisation: self
+                .organisation
+                .as_ref()
+                .map(|organisation| &*organisation.id),
+            time_left: self.time_left(),
+            priority_class: self.priority_class(),
+            resume_after: after.or(self.request.resume_after),
+            copy_from: selection.copy_from,
+        };
+        let response_deadline = self.response_deadline();
+        let outgoing = OutgoingRequest {
+            method: &self.method,
+            uri: &self.uri,
+            headers: (self.gw.cfg.dialect.forward_headers)(&self.headers, &forwarded),
+            body: self.body.clone(),
+            id: &self.request.id,
+            response_deadline,
+            watch: &mut self.awaited_connection,
+        };
+        // Counted before it is sent: if the client disconnects, this function is dropped during the
+        // wait, when the endpoint may have begun.
+        let was_in_doubt = self.in_doubt;
+        if let Some(charge) = &mut self.charge {
+            charge.record_begun();
+        }
+        let sent_at = Instant::now();
+        let outcome = send(&self.gw, selection.slot, outgoing).await;
+        self.awaited_connection = None;
+        self.attempt_counter.record(endpoint.id.clone(), &outcome);
+        if let (AttemptOutcome::NotRun(_), Some(charge), false) =
+            (&outcome, &mut self.charge, was_in_doubt)
+        {
+            charge.record_not_run();
+        }
+        self.record_outcome(&endpoint, &outcome, sent_at.elapsed());
+        Ok(outcome)
+    }
+
+    /// Refuses a request under which endpoints crash.
+    fn refuse_in_quarantine(&mut self) -> Result<(), RequestRefusal> {
+        let Some(quarantine) = self.gw.suspects.quarantine(self.request_digest) else {
+            return Ok(());
+        };
+        self.trace.step(format_args!("in quarantine: {quarantine}"));
+        let cause = if self.in_doubt {
+            Cause::ResponseLost
+        } else {
+            Cause::CrashesEndpoints
+        };
+        Err((cause, quarantine.time_left))
+    }
+
+    /// Takes a slot at the best endpoint.
+    fn select_endpoint(&mut self) -> Result<Selection, RequestRefusal> {
+        let prompt = Prompt {
+            parts: &self.prompt_parts,
+        };
+        let within = self.time_left().mul_f64(FIRST_TOKEN_FRACTION);
+        let selection = self
+            .gw
+            .select_endpoint(&self.service, &prompt, self.constraints(), within);
+        let selection = selection.map_err(|unplaced| self.refuse_unplaced(unplaced))?;
+        let endpoint = &selection.slot.endpoint;
+        self.trace.step(format_args!(
+            "to {} expecting {:?}, {} tokens to read, {}",
+            endpoint.id, selection.expected, selection.missing_tokens, selection.load_summary
+        ));
+        if let Some(addr) = selection.copy_from {
+            self.trace.step(format_args!("copies from {addr}"));
+            self.gw.metrics.count(metrics::ATTEMPTS_WITH_COPY);
+        }
+        self.gw.metrics.count(metrics::ATTEMPTS);
+        if !self.attempt_counter.endpoints().is_empty() {
+            self.gw.metrics.count(metrics::ATTEMPTS_AFTER_FIRST);
+        }
+        Ok(selection)
+    }
+
+    /// Which endpoints the request may be sent to.
+    pub(super) fn constraints(&self) -> Constraints<'_> {
+        Constraints {
+            tried: self.attempt_counter.endpoints(),
+            regions: &self.regions,
+        }
+    }
+
+    /// Until when the response head is awaited: up to the deadline, or less if another endpoint may
+    /// run the request instead.
+    fn response_deadline(&self) -> Instant {
+        let repeatable = self.route.retry_mode.may_run_again();
+        if !repeatable || self.attempt_counter.is_last(self.route.max_attempts) {
+            return self.deadline;
+        }
+        let unresponsive_at =
+            Instant::now() + self.route.target_latency.mul_f64(UNRESPONSIVE_TARGETS);
+        unresponsive_at.min(self.deadline)
+    }
+
+    fn priority_class(&self) -> u8 {
+        let organisation_class = self
+            .organisation
+            .as_ref()
+            .and_then(|organisation| organisation.priority_class);
+        organisation_class
+            .unwrap_or(self.route.priority_class)
+            .min(LEAST_URGENT_CLASS)
+    }
+
+    fn refuse_unplaced(&mut self, unplaced: Unplaced) -> RequestRefusal {
+        self.trace.step(format_args!("no place: {unplaced:?}"));
+        if self.in_doubt {
+            return (Cause::ResponseLost, DEFAULT_RETRY_AFTER);
+        }
+        match unplaced {
+            Unplaced::Nobody => (Cause::NoEndpoint, DEFAULT_RETRY_AFTER),
+            Unplaced::OutsideRegions => (Cause::OutsideRegions, OPERATOR_RETRY_AFTER),
+            Unplaced::Evacuated => (Cause::Evacuated, OPERATOR_RETRY_AFTER),
+            Unplaced::TooLate(expected) => {
+                let excess =
+                    expected.saturating_sub(self.time_left().mul_f64(FIRST_TOKEN_FRACTION));
+                (
+                    Cause::Overloaded,
+                    excess.clamp(OVERLOAD_RETRY_AFTER.0, OVERLOAD_RETRY_AFTER.1),
+                )
+            }
+            Unplaced::AtLimit(wait) => (
+                Cause::Overloaded,
+                wait.clamp(OVERLOAD_RETRY_AFTER.0, OVERLOAD_RETRY_AFTER.1),
+            ),
+        }
+    }
+}
