A router whose rank has moved waits for a whole round

Cause: one of four routers ended, the other three moved up, and each found itself in a window that it had not used, 0.15 s after its last request. With few routers a window lasts a whole round, so nothing else kept the distance.

Change: after a change of its position a router waits for a whole round since its last request. Red without it: changes_of_the_ranks_allow_no_second_request.

--- a/crates/anvil_policy/src/rate_share.rs
+++ b/crates/anvil_policy/src/rate_share.rs
@@ -139,6 +139,8 @@
     at: Now,
     /// The round of windows in which it was sent.
     round: f64,
+    /// The router's position then.
+    turn: RouterRank,
 }
 
 impl RateShare {
@@ -191,7 +193,7 @@
             let missing = 1.0 - self.tokens_at(at.now, turn, share);
             return seconds((missing / share).max(0.0));
         }
-        Windows::of(limit, turn, self.tolerance).time_until_open(at, self.sent)
+        Windows::of(limit, turn, self.tolerance).time_until_open(at, turn, self.sent)
     }
 
     /// Counts a request as sent, if it may be sent now; returns whether it may.
@@ -208,6 +210,7 @@
         self.sent = Some(Sent {
             at: at.now,
             round: Windows::of(limit, turn, self.tolerance).round(at.time_of_day),
+            turn,
         });
         true
     }
@@ -257,7 +260,7 @@
         ((time_of_day.as_secs_f64() - self.first_start) / self.round).floor()
     }
 
-    fn time_until_open(&self, at: Clocks, sent: Option<Sent>) -> Duration {
+    fn time_until_open(&self, at: Clocks, turn: RouterRank, sent: Option<Sent>) -> Duration {
         let round = self.round(at.time_of_day);
         let since_start = at.time_of_day.as_secs_f64() - self.first_start - round * self.round;
         let to_next = seconds(self.round - since_start);
@@ -268,7 +271,14 @@
         let since = at.now.saturating_sub(sent.at);
         // The time of day may have been set, so the monotonic clock also enforces the minimum
         // distance between two windows.
-        let min_gap = seconds(self.round - self.length);
+        //
+        // Failure: a router ends, all others move up, and each of them finds itself in a window that
+        // it has not used. So after a change of its position a router waits for a whole round.
+        let min_gap = if sent.turn == turn {
+            seconds(self.round - self.length)
+        } else {
+            seconds(self.round)
+        };
         let is_used = sent.round.total_cmp(&round).is_eq() && since < seconds(self.round);
         let by_window = if is_open && !is_used {
             Duration::ZERO
--- a/crates/anvil_policy/tests/rate_share.rs
+++ b/crates/anvil_policy/tests/rate_share.rs
@@ -356,3 +356,45 @@
         }
     }
 }
+
+/// Guards against a burst when routers end and return: all others move to other windows, and each
+/// would send again at once.
+#[test]
+fn changes_of_the_ranks_allow_no_second_request() {
+    let tolerance = BurstTolerance::within_a_second(OVERSHOOT, ALLOWANCE);
+    for (routers, limit) in [(4, 1_000), (8, 1_000), (31, 11_000)] {
+        let mut shares: Vec<_> = (0..routers)
+            .map(|_| RateShare::default().with_tolerance(tolerance))
+            .collect();
+        let mut received = Vec::new();
+        for ms in (0..20_000_u32).step_by(10) {
+            // Every 0.6 s another router is not counted, or all are.
+            let missing = (ms / 600) % (routers + 1);
+            let now = Duration::from_millis(u64::from(ms));
+            let clocks = Clocks {
+                now,
+                time_of_day: Duration::from_secs(1_700_000_000) + now,
+            };
+            let counted = (0..routers).filter(|router| *router != missing);
+            let live = u32::try_from(counted.clone().count()).expect("a few");
+            for (rank, router) in (0..).zip(counted) {
+                let turn = RouterRank {
+                    rank,
+                    routers: live,
+                };
+                let share = &mut shares[usize::try_from(router).expect("a few")];
+                share.set_limit(Duration::ZERO, Some(limit));
+                if share.try_send(clocks, turn) {
+                    received.push(now);
+                }
+            }
+        }
+        let most = max_within(Duration::from_secs(1), &received);
+        let allowed = OVERSHOOT * per_second(limit) + ALLOWANCE;
+        assert!(
+            count_to_f64(most) <= allowed,
+            "{most} from {routers} routers, limit {limit}"
+        );
+        assert!(received.len() >= 10, "{} requests in 20 s", received.len());
+    }
+}
