One piece for the exit code of a rollout and for the documents of zones

`evacuate` of the command line had the tail of `print_rollout` again, and zones.rs went through the tree for zones' documents twice with the same lines.

Change: rollout_exit_code and zone_documents, called by both places each. No behaviour changed; no test or bound touched.

--- a/crates/anvil_daemons/src/operate/run.rs
+++ b/crates/anvil_daemons/src/operate/run.rs
@@ -8,7 +8,7 @@
 use anvil_world::command::{Edit, OrderKind};
 use anvil_world::document::key_hash;
 use anvil_world::prelude::*;
-use anvilreel::operator::{self, Client, ExitCode, OperatorError};
+use anvilreel::operator::{self, Client, ExitCode, OperatorError, RolloutReport};
 use serde::Serialize;
 
 use super::arguments::{
@@ -141,10 +141,7 @@
     };
     let rollout = operator::evacuate(client, zone, !args.finish).await?;
     print_report(json, &rollout)?;
-    if rollout.is_rolled_out() {
-        return Ok(ExitCode::Done);
-    }
-    Ok(ExitCode::RolloutIncomplete)
+    Ok(rollout_exit_code(&rollout))
 }
 
 async fn order(client: &Client, json: bool, args: OrderArgs) -> Result<ExitCode, OperatorError> {
@@ -226,10 +223,15 @@
     applied: &operator::CommittedChange,
 ) -> Result<ExitCode, OperatorError> {
     print_report(json, applied)?;
-    if applied.spread.is_rolled_out() {
-        return Ok(ExitCode::Done);
+    Ok(rollout_exit_code(&applied.spread))
+}
+
+fn rollout_exit_code(rollout: &RolloutReport) -> ExitCode {
+    if rollout.is_rolled_out() {
+        ExitCode::Done
+    } else {
+        ExitCode::RolloutIncomplete
     }
-    Ok(ExitCode::RolloutIncomplete)
 }
 
 fn print_report<T: Display + Serialize>(json: bool, report: &T) -> Result<ExitCode, OperatorError> {
--- a/crates/anvil_gateway/src/zones.rs
+++ b/crates/anvil_gateway/src/zones.rs
@@ -21,10 +21,7 @@
         if *previous == evacuated {
             return BTreeSet::new();
         }
-        for (path, entry) in tree {
-            let TreePath::Zone(zone) = path else {
-                continue;
-            };
+        for (_, zone, entry) in zone_documents(tree) {
             if evacuated.contains(zone) != previous.contains(zone) {
                 event!(
                     self.log, events::GATEWAY_ZONE_ORDER, "zone" => &**zone,
@@ -40,14 +37,21 @@
     }
 }
 
+/// The documents of zones, with their paths and zones.
+fn zone_documents(
+    tree: &BTreeMap<TreePath, TreeEntry>,
+) -> impl Iterator<Item = (&TreePath, &ZoneId, &TreeEntry)> {
+    tree.iter().filter_map(|(path, entry)| match path {
+        TreePath::Zone(zone) => Some((path, zone, entry)),
+        _ => None,
+    })
+}
+
 /// A zone whose document can't be read counts as evacuated: requests that go elsewhere are served,
 /// and those sent to endpoints that are about to be switched off are lost.
 fn evacuated_zones(tree: &BTreeMap<TreePath, TreeEntry>, log: &Logger) -> BTreeSet<ZoneId> {
     let mut evacuated = BTreeSet::new();
-    for (path, entry) in tree {
-        let TreePath::Zone(zone) = path else {
-            continue;
-        };
+    for (path, zone, entry) in zone_documents(tree) {
         let is_evacuated = match Document::check(path, &entry.text) {
             Ok(Document::Zone(document)) => document.evacuated,
             Ok(_) => true,
