Lists travel along a tree of the whole fleet; rank alone decides who reads

Cause: each router of a zone skipped a reader whose list was no newer, then read itself; refused readings caused more readings, and the storm kept itself going. All siblings of a zone also took whole lists from one router with a link of 10 Mbit/s. Change: the first router of the fleet reads, four substitutes one after the other, all others only with a list that is too old, spread over the platform's rate. Lists travel along a tree of four children a router. A sibling that replies without a newer list isn't skipped. A router reads nothing before it knows its siblings.

--- a/crates/anvil_gateway/src/discovery.rs
+++ b/crates/anvil_gateway/src/discovery.rs
@@ -1,9 +1,9 @@
-//! Keeps the list of endpoints current: reads it from the platform, or requests it from the gateway
-//! of the same zone (sibling) that reads it for the others.
+//! Keeps the list of endpoints current: requests it from another gateway (sibling), or reads it from
+//! the platform.
 //!
-//! [`anvil_policy::list_turn`] decides which gateway reads, and how old the list may grow.
+//! [`anvil_policy::list_turn`] decides which gateway reads and when, and from whom the others request
+//! the list.
 
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use anvil_policy::crash::Evidence;
@@ -13,137 +13,198 @@
 use anvil_world::prelude::*;
 use anvilreel::event;
 use anvilreel::moment::Moment;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::gateway::Gateway;
 use crate::list_reader::ListReader;
 use crate::log_events as events;
 use crate::metrics;
 
-/// Bounds of the pause before a list that proved wrong is read again; up to half as much is added
-/// at random. The list lags by less than a second, and a gateway with a wrong list can serve nobody
-/// in the meantime.
-const REREAD_PAUSE: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(500));
+/// Longest wait for the membership, from which siblings are known: about the time in which the ledger
+/// elects a leader after all its processes were killed.
+const SIBLINGS_TIMEOUT: Duration = Duration::from_secs(2);
+/// Minimum pause before a list that proved wrong is read or requested again; up to half as much is
+/// added at random. The list lags by less than a second, and a gateway with a wrong list can serve
+/// nobody in the meantime.
+const REREAD_PAUSE: Duration = Duration::from_millis(250);
 /// Fraction of the platform's call rate that is used if all gateways read at once.
 const LIST_RATE_FRACTION: f64 = 0.8;
-/// Pause after a failed reading.
+/// Pause after a failed reading; it doubles with each further one, and up to half as much is added
+/// at random.
 const FAILED_READ_PAUSE: Duration = Duration::from_millis(400);
+/// Longest pause after failed readings.
+const MAX_FAILED_READ_PAUSE: Duration = Duration::from_millis(3_200);
 /// Time allowed for a sibling's reply to arrive.
-const TRANSIT_TIME: Duration = Duration::from_millis(50);
+const TRANSIT_TIME: Duration = Duration::from_millis(200);
+/// Pause after a reply without a newer list.
+const NOTHING_NEWER_PAUSE: Duration = Duration::from_millis(50);
 
 /// State kept between two readings.
-#[derive(Default)]
 struct Discovery {
     reader: ListReader,
-    /// Whether the last reading failed.
-    last_read_failed: bool,
+    /// Number of readings that failed in a row.
+    failed_reads: u32,
     /// The gateway that the last list came from; `None` before the first list.
     source: Option<InstanceId>,
+    /// When the siblings were known, or were no longer waited for.
+    began: Instant,
+    /// Places the next reading between its earliest and its latest time; from 0 to 1.
+    jitter: f64,
+    /// Whether the list was found wrong and no newer one has arrived since.
+    is_wrong: bool,
 }
 
 /// Keeps the list current for as long as the process runs.
 pub async fn run(gw: &Gateway) {
-    let ages = ListAges::within(gw.cfg.max_list_age);
-    let mut discovery = Discovery::default();
+    // Without the ledger there is no routing table either, so a list would be of no use yet.
+    let _ = timeout(SIBLINGS_TIMEOUT, gw.siblings.known()).await;
+    let mut discovery = Discovery {
+        reader: ListReader::default(),
+        failed_reads: 0,
+        source: None,
+        began: Instant::now(),
+        jitter: rand::random(),
+        is_wrong: false,
+    };
     loop {
-        let order = gw.siblings.reading_order(gw.lifecycle.now());
-        let age = gw.list_cache.age();
-        match next_step(&gw.cfg.id, &order, &ages, age, rand::random()) {
-            RefreshStep::Read(at) => {
-                wait_until_due(gw, at.saturating_sub(age)).await;
-                discovery.read_from_platform(gw).await;
-            }
-            RefreshStep::RequestFrom(sibling, until) => {
-                discovery.request_from_sibling(gw, sibling, until).await;
-            }
-        }
+        discovery.refresh(gw).await;
     }
 }
 
-/// Waits until the list is due, or until it is found wrong here or by a sibling.
+/// Waits until this gateway or a sibling finds the list wrong, at least for a pause.
 ///
 /// Failure: all endpoints lose power and return within a second as new incarnations. Without the
 /// early wake-up, a gateway that has just read the list has no usable endpoint until the list is
 /// due again.
-async fn wait_until_due(gw: &Gateway, due: Duration) {
-    let found_wrong = async {
-        pause_before_reread(gw).await;
-        tokio::select! {
-            () = gw.list_mismatch.notified() => {}
-            () = gw.list_read_requested.notified() => {}
-        }
-    };
-    // The list is read next in either case.
-    let _ = timeout(due, found_wrong).await;
+async fn found_wrong(gw: &Gateway) {
+    sleep(REREAD_PAUSE.mul_f64(rand::random_range(1.0..1.5))).await;
+    tokio::select! {
+        () = gw.list_mismatch.notified() => {}
+        () = gw.list_read_requested.notified() => {}
+    }
 }
 
-/// Pause before a wrong list is read again, long enough to keep all gateways together within the
-/// platform's call rate.
-async fn pause_before_reread(gw: &Gateway) {
-    let gateways = f64::from(gw.gateway_count.load(Ordering::Relaxed));
-    let pause = gateways / (LIST_RATE_FRACTION * gw.cfg.list.calls_per_second);
-    let pause = Duration::try_from_secs_f64(pause).unwrap_or(REREAD_PAUSE.1);
-    let pause = pause.clamp(REREAD_PAUSE.0, REREAD_PAUSE.1);
-    sleep(pause.mul_f64(rand::random_range(1.0..1.5))).await;
+/// Ages at which this gateway acts.
+fn ages(gw: &Gateway, gateways: usize) -> ListAges {
+    let gateways = f64::from(u32::try_from(gateways).unwrap_or(u32::MAX));
+    let spread = gateways / (LIST_RATE_FRACTION * gw.cfg.list.calls_per_second);
+    ListAges {
+        must_read: gw.cfg.max_list_age,
+        spread: Duration::try_from_secs_f64(spread).unwrap_or(gw.cfg.max_list_age),
+    }
 }
 
 impl Discovery {
+    /// Reads or requests the list once.
+    async fn refresh(&mut self, gw: &Gateway) {
+        let tree = gw.siblings.tree();
+        let (position, count) = (tree.position(&gw.cfg.id), tree.count());
+        let now = gw.lifecycle.now();
+        let source = tree.source(&gw.cfg.id, |id| gw.siblings.is_skipped(id, now));
+        let ages = ages(gw, count);
+        let age = self.list_age(gw, &ages, position);
+        match next_step((position, count), source, &ages, age, self.jitter) {
+            RefreshStep::Read(at) => {
+                let due = at.saturating_sub(age);
+                let is_reader = tree.is_reader(&gw.cfg.id);
+                if !(self.is_wrong && is_reader) {
+                    // The list is read next in either case.
+                    let _ = timeout(due, found_wrong(gw)).await;
+                }
+                self.read_from_platform(gw).await;
+            }
+            RefreshStep::RequestFrom(sibling, until) => {
+                let within = until.saturating_sub(age);
+                self.request_from_sibling(gw, sibling, within).await;
+            }
+        }
+    }
+
+    /// The age that counts for the list's refresh.
+    fn list_age(&self, gw: &Gateway, ages: &ListAges, position: usize) -> Duration {
+        if gw.list_cache.newest().is_some() {
+            gw.list_cache.age()
+        } else {
+            ages.without_list(position, self.began.elapsed())
+        }
+    }
+
     async fn read_from_platform(&mut self, gw: &Gateway) {
         let started = Moment::now();
         gw.metrics.count(metrics::LIST_READ);
         match self.reader.read_list(&gw.cfg.list).await {
             Ok((listed, unreadable)) => {
-                if self.last_read_failed {
-                    event!(gw.log, events::GATEWAY_LIST_BACK);
-                }
-                self.last_read_failed = false;
                 gw.list_cache.store_reading(started, listed);
-                self.record_source(gw, &gw.cfg.id);
+                self.record_newer(gw, &gw.cfg.id);
                 apply_newest(gw, unreadable);
             }
             Err(e) => {
-                if !self.last_read_failed {
+                if self.failed_reads == 0 {
                     event!(gw.log, events::GATEWAY_LIST_LOST, "error" => e.to_string());
                 }
-                self.last_read_failed = true;
-                // A sibling may still reach the platform.
-                gw.siblings.mark_skipped(&gw.cfg.id, gw.lifecycle.now());
-                sleep(FAILED_READ_PAUSE).await;
+                self.failed_reads = self.failed_reads.saturating_add(1);
+                self.pause_after_failure(gw).await;
             }
         }
     }
 
-    /// Requests a newer list from a sibling. A sibling that has none by the time the cached list is
-    /// due is skipped for a while.
-    async fn request_from_sibling(&mut self, gw: &Gateway, sibling: &InstanceId, until: Duration) {
-        let waiting = request_list(gw, sibling, gw.list_cache.age() / 2, until);
-        let found_wrong = async {
-            pause_before_reread(gw).await;
+    /// Waits before the platform is called again; meanwhile a sibling may have a newer list.
+    async fn pause_after_failure(&mut self, gw: &Gateway) {
+        let doubled = 2_u32.saturating_pow(self.failed_reads.saturating_sub(1));
+        let pause = FAILED_READ_PAUSE
+            .saturating_mul(doubled)
+            .min(MAX_FAILED_READ_PAUSE);
+        let pause = pause.mul_f64(rand::random_range(1.0..1.5));
+        let started = Instant::now();
+        let tree = gw.siblings.tree();
+        let now = gw.lifecycle.now();
+        let is_skipped = |id: &InstanceId| gw.siblings.is_skipped(id, now);
+        let sibling = tree.substitute_source(&gw.cfg.id, is_skipped);
+        if let Some(sibling) = sibling {
+            self.request_from_sibling(gw, sibling, pause).await;
+        }
+        if self.failed_reads > 0 {
+            sleep(pause.saturating_sub(started.elapsed())).await;
+        }
+    }
+
+    /// Requests a newer list from a sibling. A sibling that does not reply is skipped for a while.
+    async fn request_from_sibling(&mut self, gw: &Gateway, sibling: &InstanceId, within: Duration) {
+        let until = Instant::now() + within;
+        let max_age = gw.list_cache.age().min(gw.cfg.max_list_age) / 2;
+        let newer = if self.is_wrong {
+            request_list(gw, sibling, Duration::ZERO, within).await
+        } else {
             tokio::select! {
-                () = gw.list_mismatch.notified() => false,
-                () = gw.list_read_requested.notified() => true,
-            }
-        };
-        let newer = tokio::select! {
-            newer = waiting => newer,
-            read_requested = found_wrong => {
-                if read_requested {
-                    return self.read_from_platform(gw).await;
+                newer = request_list(gw, sibling, max_age, within) => newer,
+                () = found_wrong(gw) => {
+                    self.is_wrong = true;
+                    let within = until.saturating_duration_since(Instant::now());
+                    request_list(gw, sibling, Duration::ZERO, within).await
                 }
-                request_list(gw, sibling, Duration::ZERO, until).await
             }
         };
         match newer {
             Ok(true) => {
                 gw.metrics.count(metrics::LIST_FROM_SIBLING);
-                self.record_source(gw, sibling);
+                self.record_newer(gw, sibling);
                 apply_newest(gw, 0);
             }
-            Ok(false) => skip_sibling(gw, sibling, "nothing newer"),
+            Ok(false) => sleep(NOTHING_NEWER_PAUSE).await,
             Err(e) => skip_sibling(gw, sibling, &e.to_string()),
         }
     }
 
+    fn record_newer(&mut self, gw: &Gateway, source: &InstanceId) {
+        if self.failed_reads > 0 {
+            event!(gw.log, events::GATEWAY_LIST_BACK);
+        }
+        self.failed_reads = 0;
+        self.is_wrong = false;
+        self.jitter = rand::random();
+        self.record_source(gw, source);
+    }
+
     fn record_source(&mut self, gw: &Gateway, source: &InstanceId) {
         if self.source.as_ref() != Some(source) {
             event!(gw.log, events::GATEWAY_LIST_SOURCE, "from" => source.to_string());
@@ -152,23 +213,24 @@
     }
 }
 
-/// Requests the list from a sibling until the cached list reaches the age `until`. Returns whether
-/// the reply is newer.
+/// Requests the list from a sibling, which replies when it has one that was read within
+/// `read_within` before the request, or when the time is over. Returns whether the reply is newer.
 async fn request_list(
     gw: &Gateway,
     sibling: &InstanceId,
     read_within: Duration,
-    until: Duration,
+    wait: Duration,
 ) -> Result<bool, WireError> {
-    let within = until.saturating_sub(gw.list_cache.age());
     let channel = gw.siblings.channel(sibling).ok_or(WireError::Ended)?;
     let asked_at = Moment::now();
     let request = ListRequest {
         have: gw.list_cache.version(),
         read_within,
-        wait: within.saturating_sub(TRANSIT_TIME),
+        wait,
     };
-    let reply: ListReply = channel.call::<ListCall>(&request, within).await?;
+    let reply: ListReply = channel
+        .call::<ListCall>(&request, wait + TRANSIT_TIME)
+        .await?;
     Ok(gw.list_cache.apply_reply(asked_at, reply))
 }
 
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -59,7 +59,7 @@
     pub retry_slack: f64,
     /// See [`Self::retry_slack`].
     pub retry_window: Duration,
-    /// Address at which the gateways of this zone reach this one; all of them use the same port.
+    /// Address at which the other gateways reach this one; all of them use the same port.
     pub siblings_addr: SocketAddr,
     /// Address to bind for them, if traffic to [`Self::siblings_addr`] is forwarded to another address.
     pub siblings_bind: Option<SocketAddr>,
@@ -109,7 +109,7 @@
     pub ledger_confirmed_ms: AtomicU64,
     /// Copies of the platform's list.
     pub list_cache: ListCache,
-    /// The other gateways of the availability zone.
+    /// The other gateways.
     pub siblings: Siblings,
     /// Wakes the task that reads the platform's list: a sibling has found the list wrong.
     pub list_read_requested: Notify,
@@ -206,7 +206,7 @@
             is_counted: AtomicBool::new(false),
             ledger_confirmed_ms: AtomicU64::new(0),
             list_cache: ListCache::default(),
-            siblings: Siblings::new(cfg.id.clone(), cfg.siblings_addr),
+            siblings: Siblings::new(cfg.id.clone(), cfg.zone.id.clone(), cfg.siblings_addr),
             list_read_requested: Notify::new(),
             list_mismatch: Notify::new(),
             state_changed: Notify::new(),
--- a/crates/anvil_gateway/src/ledger_updates.rs
+++ b/crates/anvil_gateway/src/ledger_updates.rs
@@ -83,8 +83,7 @@
 fn apply_update(gw: &Gateway, cached: &LedgerView, revision: &mut Revision) {
     update_gateway_count(gw, cached);
     let routers = members::live_instances(cached, Role::Router);
-    gw.siblings
-        .update_members(routers.filter(|router| router.zone.id == gw.cfg.zone.id));
+    gw.siblings.update_members(routers);
     gw.apply_ledger_suspects(&cached.suspects);
     gw.apply_ledger_limits(&cached.limits);
     let returned = gw.apply_zone_documents(&cached.tree);
--- a/crates/anvil_gateway/src/siblings.rs
+++ b/crates/anvil_gateway/src/siblings.rs
@@ -1,17 +1,17 @@
-//! The other gateways of this availability zone, and the service that sends them the list of
-//! endpoints.
+//! The other gateways of the fleet, and the service that sends them the list of endpoints.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use anvil_policy::list_turn::reader_order;
+use anvil_policy::list_turn::ListTree;
 use anvil_wire::msg::{ListCall, ListReply, ListRequest};
 use anvil_wire::{Channel, Handlers, Server, WireError};
 use anvil_world::prelude::*;
 use anvilreel::channel_cache::ChannelCache;
 use arc_swap::ArcSwap;
+use tokio::sync::watch;
 
 use crate::gateway::Gateway;
 
@@ -19,24 +19,32 @@
 /// regard a process as unresponsive.
 const SKIP_TIME: Duration = Duration::from_secs(5);
 
-/// The gateways of one availability zone, according to the ledger's membership.
+/// The gateways of the fleet, according to the ledger's membership.
 pub struct Siblings {
     own_id: InstanceId,
+    own_zone: ZoneId,
     /// Addresses at which they serve siblings, including this gateway's own.
     addrs: ArcSwap<BTreeMap<InstanceId, SocketAddr>>,
+    tree: ArcSwap<ListTree>,
     channels: ChannelCache,
     skipped: Mutex<BTreeMap<InstanceId, Now>>,
+    /// Whether the ledger has reported the membership.
+    are_known: watch::Sender<bool>,
 }
 
 impl Siblings {
     /// Contains only this gateway until the ledger reports others.
-    pub fn new(own_id: InstanceId, addr: SocketAddr) -> Self {
+    pub fn new(own_id: InstanceId, own_zone: ZoneId, addr: SocketAddr) -> Self {
         let addrs = BTreeMap::from([(own_id.clone(), addr)]);
+        let tree = ListTree::new([(own_id.clone(), own_zone.clone())]);
         Self {
             own_id,
+            own_zone,
             addrs: ArcSwap::from_pointee(addrs),
+            tree: ArcSwap::from_pointee(tree),
             channels: ChannelCache::default(),
             skipped: Mutex::default(),
+            are_known: watch::Sender::new(false),
         }
     }
 
@@ -45,24 +53,39 @@
         let Some(own_addr) = self.addrs.load().get(&self.own_id).copied() else {
             return;
         };
-        let sibling_addr =
-            |instance: &Instance| SocketAddr::new(instance.addr.ip(), own_addr.port());
-        let mut addrs: BTreeMap<_, _> = live.map(|i| (i.id.clone(), sibling_addr(i))).collect();
+        let mut addrs = BTreeMap::new();
+        let mut zones = BTreeMap::new();
+        for instance in live {
+            let addr = SocketAddr::new(instance.addr.ip(), own_addr.port());
+            addrs.insert(instance.id.clone(), addr);
+            zones.insert(instance.id.clone(), instance.zone.id.clone());
+        }
         addrs.insert(self.own_id.clone(), own_addr);
-        if addrs == **self.addrs.load() {
-            return;
+        zones.insert(self.own_id.clone(), self.own_zone.clone());
+        if addrs != **self.addrs.load() {
+            self.channels
+                .retain(|addr| addrs.values().any(|known| known == addr));
+            self.addrs.store(Arc::new(addrs));
+            self.tree.store(Arc::new(ListTree::new(zones)));
         }
-        self.channels
-            .retain(|addr| addrs.values().any(|known| known == addr));
-        self.addrs.store(Arc::new(addrs));
+        self.are_known.send_replace(true);
     }
 
-    /// The gateways that may read the list, in order of preference.
-    pub fn reading_order(&self, now: Now) -> Vec<InstanceId> {
-        let mut skipped = self.skipped();
-        skipped.retain(|_, until| now < *until);
-        let addrs = self.addrs.load();
-        reader_order(addrs.keys().cloned(), |id| skipped.contains_key(id))
+    /// Waits until the ledger has reported the membership.
+    pub async fn known(&self) {
+        let mut are_known = self.are_known.subscribe();
+        // The sender lives as long as `self`.
+        let _ = are_known.wait_for(|known| *known).await;
+    }
+
+    /// All gateways in the order in which they read the list.
+    pub fn tree(&self) -> Arc<ListTree> {
+        self.tree.load_full()
+    }
+
+    /// Whether a sibling recently did not answer.
+    pub fn is_skipped(&self, id: &InstanceId, now: Now) -> bool {
+        self.skipped().get(id).is_some_and(|until| now < *until)
     }
 
     /// The channel to a sibling.
@@ -73,7 +96,9 @@
 
     /// Skips a sibling that has not answered in time.
     pub fn mark_skipped(&self, id: &InstanceId, now: Now) {
-        self.skipped().insert(id.clone(), now + SKIP_TIME);
+        let mut skipped = self.skipped();
+        skipped.retain(|_, until| now < *until);
+        skipped.insert(id.clone(), now + SKIP_TIME);
     }
 
     fn skipped(&self) -> MutexGuard<'_, BTreeMap<InstanceId, Now>> {
--- a/crates/anvil_gateway/tests/direct/gateway.rs
+++ b/crates/anvil_gateway/tests/direct/gateway.rs
@@ -196,6 +196,7 @@
         let gateway = Self::start_without_state(cfg, log, Metrics::disabled("gateway")).await;
         gateway.gw.table.store(Some(Arc::new(table(1, routes()))));
         let gw = gateway.gw.clone();
+        gw.siblings.update_members(std::iter::empty());
         tokio::spawn(async move { discovery::run(&gw).await });
         gateway
     }
--- a/crates/anvil_policy/src/list_turn.rs
+++ b/crates/anvil_policy/src/list_turn.rs
@@ -1,22 +1,23 @@
-//! Which router of an availability zone reads the platform's list of endpoints for the others.
+//! Which router reads the platform's list of endpoints, and from whom the others get it.
 //!
 //! *Load pattern:* hundreds of routers that each need to know within seconds which endpoints come
 //! and leave, and a list that is read page by page and served at a bounded rate.
 //!
-//! *Without it:* every router reads every page: the calls grow with routers times pages, and when
-//! many routers start or need a fresh list at once, most of their calls are refused.
+//! *Without it:* every router reads every page: the calls grow with routers times pages. A reader
+//! in each availability zone isn't enough: when one of them is refused, its siblings skip it, find
+//! the next one without a newer list as well, and read themselves, so refusals cause more calls.
 //!
-//! *Mechanism:* the routers of an availability zone rank themselves in the same way, without
-//! communication. The first one reads the list; the others request it from that reader and are
-//! answered when it has read again. They need not agree on the reader: each answer carries its age,
-//! each router knows by its own clock how old its copy may be, and reads the list itself before the
-//! copy is too old. A reader that is frozen, partitioned or dead is skipped a little earlier than
-//! that, so that the next one reads for all.
+//! *Mechanism:* all routers rank the fleet in the same way, without communication. The rank alone
+//! decides when a router reads: the first one early, a few substitutes one after the other, each
+//! only if no newer list has reached it by then, and all others when their copy is too old, spread
+//! over the time that the platform's rate allows for all of them. Lists travel along a tree: each
+//! router requests them from one of lower rank in its zone, and the first of each zone from the
+//! first of another. Whom a router skips changes only whom it asks, never when it reads.
 //!
-//! *Thresholds:* the reader reads early enough to leave a tenth of the maximum age for its reading
-//! and the way to the others, and another tenth for the next router to do the same. The number of
-//! calls is zones times pages for each reading, whatever the number of routers.
+//! *Thresholds:* between two substitutes lies the time to read a list and to pass it on. The number
+//! of calls is pages for each reading, whatever the number of routers and zones.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use anvil_world::prelude::*;
@@ -25,34 +26,63 @@
 /// Ages of a router's copy of the list at which it acts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ListAges {
-    /// The reader reads the list again; drawn between these for each reading.
-    pub reader_refreshes: (Duration, Duration),
-    /// The same for a router without siblings.
-    pub alone_refreshes: (Duration, Duration),
-    /// A reader that hasn't answered is skipped.
-    pub skip_reader: Duration,
-    /// Any router reads the list itself.
+    /// Any router without a newer list begins to read it.
     pub must_read: Duration,
+    /// Time over which the readings of all routers are spread after that.
+    pub spread: Duration,
 }
 
-/// Age at which the reader reads, as parts of the age at which any router does. This leaves a tenth
-/// for the reading and the way to the others, and another tenth for the next router to do the same.
-const READER_REFRESHES: (f64, f64) = (0.72, 0.8);
+/// Age at which the first router reads, as parts of the age at which any does; drawn between them.
+const FIRST_READS: (f64, f64) = (0.55, 0.6);
 /// The same for a router without siblings, which needs no time to pass the list on.
-const ALONE_REFRESHES: (f64, f64) = (0.82, 1.0);
-/// Age at which an unresponsive reader is skipped, as a part of the same.
-const SKIP_READER: f64 = 0.9;
+const ALONE_READS: (f64, f64) = (0.82, 1.0);
+/// Age at which the first substitute reads, as a part of the same.
+const SUBSTITUTE_READS: f64 = 0.72;
+/// Additional age for each further substitute.
+const SUBSTITUTE_STEP: f64 = 0.08;
+/// Number of substitutes.
+const SUBSTITUTES: usize = 4;
+/// Age by which a newer list arrives unless the first router has failed.
+const LIST_EXPECTED: f64 = 0.75;
+/// Duration of a request after that.
+const LATE_REQUEST: f64 = 0.05;
+/// Assumed age of the list of a router that has none: substitutes leave the first router time to
+/// read.
+const MISSING_LIST: f64 = 0.6;
+/// Routers that request the list from the same router of their zone, and first routers of zones
+/// that request it from the same one of another zone. A link of 10 Mbit/s carries that many whole
+/// lists of a thousand endpoints in a quarter of a second.
+const FAN_OUT: usize = 4;
 
 impl ListAges {
-    /// Ages for a list that a router must not keep for longer than this without reading it again.
-    pub fn within(must_read: Duration) -> Self {
-        let between = |(min_age, max_age)| (must_read.mul_f64(min_age), must_read.mul_f64(max_age));
-        Self {
-            reader_refreshes: between(READER_REFRESHES),
-            alone_refreshes: between(ALONE_REFRESHES),
-            skip_reader: must_read.mul_f64(SKIP_READER),
-            must_read,
+    /// Age that counts for a router without a list, this long after it learned of its siblings. The
+    /// first router reads at once.
+    pub fn without_list(&self, position: usize, waited: Duration) -> Duration {
+        if position == 0 {
+            return self.must_read;
         }
+        self.must_read.mul_f64(MISSING_LIST) + waited
+    }
+
+    /// Age at which the router at this position among `count` reads. `jitter` lies between 0 and 1.
+    pub fn read_at(&self, position: usize, count: usize, jitter: f64) -> Duration {
+        let between = |(min, max): (f64, f64)| self.must_read.mul_f64(min + (max - min) * jitter);
+        match position {
+            0 if count <= 1 => between(ALONE_READS),
+            0 => between(FIRST_READS),
+            1..=SUBSTITUTES => {
+                let step = u32::try_from(position - 1).unwrap_or(u32::MAX);
+                let part = SUBSTITUTE_READS + SUBSTITUTE_STEP * f64::from(step);
+                self.must_read.mul_f64(part)
+            }
+            _ => self.must_read + self.spread.mul_f64(jitter),
+        }
+    }
+
+    /// Age until which a router that has a copy of this age waits for a sibling's reply.
+    pub fn request_until(&self, age: Duration) -> Duration {
+        let expected = self.must_read.mul_f64(LIST_EXPECTED);
+        expected.max(age + self.must_read.mul_f64(LATE_REQUEST))
     }
 }
 
@@ -61,49 +91,113 @@
 pub enum RefreshStep<'a> {
     /// Read the list when the copy has this age.
     Read(Duration),
-    /// Request the list from this sibling, and skip the sibling when the copy has this age.
+    /// Request the list from this sibling until the copy has this age.
     RequestFrom(&'a InstanceId, Duration),
 }
 
-/// Rank of a router as the reader: the lowest one reads. All routers compute the same rank.
+/// Rank of a router: the lowest one reads first. All routers compute the same rank.
 pub fn reader_rank(router: &str) -> u64 {
     xxh3_64(router.as_bytes())
 }
 
-/// The siblings in order of their rank, without those that are skipped because they didn't answer
-/// recently.
-pub fn reader_order(
-    siblings: impl IntoIterator<Item = InstanceId>,
-    is_skipped: impl Fn(&InstanceId) -> bool,
-) -> Vec<InstanceId> {
-    let answering = siblings.into_iter().filter(|id| !is_skipped(id));
-    let mut order: Vec<_> = answering.collect();
-    order.sort_by_key(|id| reader_rank(id));
-    order
+/// All routers of the fleet in the order of their rank.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ListTree {
+    ranked: Vec<(InstanceId, ZoneId)>,
+}
+
+impl ListTree {
+    /// The tree of these routers.
+    pub fn new(routers: impl IntoIterator<Item = (InstanceId, ZoneId)>) -> Self {
+        let mut ranked: Vec<_> = routers.into_iter().collect();
+        ranked.sort_by_cached_key(|(id, _)| reader_rank(id));
+        Self { ranked }
+    }
+
+    /// Number of routers.
+    pub fn count(&self) -> usize {
+        self.ranked.len()
+    }
+
+    /// Position of a router in the order of reading; after all others if it isn't known.
+    pub fn position(&self, router: &InstanceId) -> usize {
+        let position = self.ranked.iter().position(|(id, _)| id == router);
+        position.unwrap_or(self.ranked.len())
+    }
+
+    /// Whether this router is the first one or a substitute for it.
+    pub fn is_reader(&self, router: &InstanceId) -> bool {
+        self.position(router) <= SUBSTITUTES
+    }
+
+    /// The router from which `own` requests the list; `None` for the first router, which reads it.
+    ///
+    /// Unless routers are skipped, each requests from one of lower rank, so that they never wait for
+    /// each other in a circle.
+    pub fn source(
+        &self,
+        own: &InstanceId,
+        is_skipped: impl Fn(&InstanceId) -> bool,
+    ) -> Option<&InstanceId> {
+        let (first, _) = self.ranked.first()?;
+        if first == own {
+            return None;
+        }
+        self.lower_source(own, &is_skipped)
+            .or_else(|| self.substitute_source(own, is_skipped))
+    }
+
+    /// The lowest-ranked other router, which reads next: the source while all routers of lower rank
+    /// are skipped, or while the own readings fail.
+    pub fn substitute_source(
+        &self,
+        own: &InstanceId,
+        is_skipped: impl Fn(&InstanceId) -> bool,
+    ) -> Option<&InstanceId> {
+        let mut others = self.ranked.iter().map(|(id, _)| id);
+        others.find(|id| *id != own && !is_skipped(id))
+    }
+
+    fn lower_source(
+        &self,
+        own: &InstanceId,
+        is_skipped: impl Fn(&InstanceId) -> bool,
+    ) -> Option<&InstanceId> {
+        let (_, own_zone) = self.ranked.iter().find(|(id, _)| id == own)?;
+        let lower = self.ranked.iter().take_while(|(id, _)| id != own);
+        let lower: Vec<_> = lower.filter(|(id, _)| !is_skipped(id)).collect();
+        let in_zone = lower.iter().filter(|(_, zone)| zone == own_zone);
+        let in_zone: Vec<_> = in_zone.map(|(id, _)| id).collect();
+        if !in_zone.is_empty() {
+            return Some(in_zone[parent(in_zone.len())]);
+        }
+        let mut zones = BTreeSet::new();
+        let zone_firsts = lower.iter().filter(|(_, zone)| zones.insert(zone));
+        let zone_firsts: Vec<_> = zone_firsts.map(|(id, _)| id).collect();
+        zone_firsts.get(parent(zone_firsts.len())).copied()
+    }
+}
+
+/// Index of the parent of the node at this index of a tree that is stored in levels.
+fn parent(index: usize) -> usize {
+    index.saturating_sub(1) / FAN_OUT
 }
 
-/// The next action of `own` with a copy of this age, if the routers rank in this order. `jitter`
-/// lies between 0 and 1.
+/// The next action of the router at this position among `count`, with a copy of this age.
+/// `source` is the router to request from. `jitter` lies between 0 and 1 and stays the same until
+/// the next reading.
 pub fn next_step<'a>(
-    own: &InstanceId,
-    order: &'a [InstanceId],
+    (position, count): (usize, usize),
+    source: Option<&'a InstanceId>,
     ages: &ListAges,
     age: Duration,
     jitter: f64,
 ) -> RefreshStep<'a> {
-    let Some(first) = order.first().filter(|first| *first != own) else {
-        let (min_age, max_age) = if order.len() > 1 {
-            ages.reader_refreshes
-        } else {
-            ages.alone_refreshes
-        };
-        return RefreshStep::Read(min_age + max_age.saturating_sub(min_age).mul_f64(jitter));
-    };
-    if age < ages.skip_reader {
-        return RefreshStep::RequestFrom(first, ages.skip_reader);
-    }
-    if age < ages.must_read {
-        return RefreshStep::RequestFrom(first, ages.must_read);
+    let read_at = ages.read_at(position, count, jitter);
+    match source {
+        Some(source) if age < read_at => {
+            RefreshStep::RequestFrom(source, ages.request_until(age).min(read_at))
+        }
+        _ => RefreshStep::Read(read_at),
     }
-    RefreshStep::Read(ages.must_read)
 }
