The ledger encodes an event once for all of its followers

Cause: each replica built, encoded and compressed the same event for every follower, which grows with routers times the size of the routing table. In a series of five configurations the leader was busy for three seconds and answered no batch; 348 routers refused as ledger_unreachable. Change: encoded events are kept by scope, from and to version, and sent to all followers that need the same.

--- a/crates/anvil_wire/src/server.rs
+++ b/crates/anvil_wire/src/server.rs
@@ -96,7 +96,11 @@
 impl<T: Serialize + DeserializeOwned> ReplySender<T> {
     /// Sends one reply; waits while the flow-control window is exhausted.
     pub async fn send(&mut self, reply: &T) -> Result<(), WireError> {
-        let mut rest = encode(reply)?;
+        self.send_encoded(encode(reply)?).await
+    }
+
+    /// Sends a reply that [`encode`] has encoded; waits like [`Self::send`].
+    pub async fn send_encoded(&mut self, mut rest: Bytes) -> Result<(), WireError> {
         while !rest.is_empty() {
             self.out.reserve_capacity(rest.len());
             let assigned = poll_fn(|cx| self.out.poll_capacity(cx)).await;
--- a/crates/anvilreel/src/ledger_service.rs
+++ b/crates/anvilreel/src/ledger_service.rs
@@ -21,6 +21,7 @@
 mod error;
 pub mod events;
 pub mod follow;
+pub mod follow_frames;
 pub mod grant_evidence;
 mod handlers;
 pub mod heartbeats;
@@ -192,6 +193,7 @@
         status,
         stopping: stopping.clone(),
         peer_addresses,
+        follow_frames: follow_frames::FollowFrames::default(),
         disk: Disk::read_only(&cfg.data),
     };
     let (ended, mut task_ended) = watch::channel(false);
--- a/crates/anvilreel/src/ledger_service/handlers.rs
+++ b/crates/anvilreel/src/ledger_service/handlers.rs
@@ -5,11 +5,12 @@
 use anvil_ledger::core::{Envelope, ReplicaId};
 use anvil_ledger::storage::snapshot;
 use anvil_wire::msg::{FollowEvent, LedgerCall, LedgerReply, LedgerRequest};
-use anvil_wire::{Handlers, ReplySender};
+use anvil_wire::{Handlers, ReplySender, WireError};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, timeout};
 
-use super::follow::{Follower, version_of};
+use super::follow::Follower;
+use super::follow_frames::{FollowFrame, FollowFrames};
 use super::peer::{PeerCall, PeerReply, PeerRequest};
 use super::peer_addresses::PeerAddresses;
 use super::pending::ReplyTx;
@@ -42,6 +43,8 @@
     pub stopping: watch::Receiver<bool>,
     /// Addresses of other replicas, beyond those in the log's membership.
     pub peer_addresses: PeerAddresses,
+    /// Encoded events for followers.
+    pub follow_frames: FollowFrames,
     /// The data folder.
     pub disk: anvil_ledger::storage::Disk,
 }
@@ -115,12 +118,15 @@
     let mut status = replica.status.clone();
     let mut last_event_at = Instant::now();
     loop {
-        if let Some(event) = next_event(replica, &status, &follower).await {
+        let Ok(frame) = next_frame(replica, &status, &follower).await else {
+            // The event is too large; another replica may have a smaller one, of fewer changes.
+            return;
+        };
+        if let Some(frame) = frame {
             last_event_at = Instant::now();
-            follower.version = follower.version.max(version_of(&event));
-            let reply = LedgerReply::Follow(event);
+            follower.version = follower.version.max(frame.to);
             tokio::select! {
-                sent = tx.send(&reply) => if sent.is_err() {
+                sent = tx.send_encoded(frame.reply) => if sent.is_err() {
                     return;
                 },
                 () = replica.stopped() => return,
@@ -138,20 +144,28 @@
 
 /// The changes since the follower's version, or `Current` if there are none. Returns `None` while
 /// the replica is disconnected or behind the follower, so that the follower moves to another one.
-async fn next_event(
+async fn next_frame(
     replica: &ReplicaHandle,
     status: &watch::Receiver<ReplicaStatus>,
     follower: &Follower,
-) -> Option<FollowEvent> {
+) -> Result<Option<FollowFrame>, WireError> {
     let current_status = status.borrow().clone();
-    if current_status.version > follower.version {
+    let version = current_status.version;
+    if version <= follower.version && !(current_status.connected && version == follower.version) {
+        return Ok(None);
+    }
+    if let Some(frame) = replica.follow_frames.find(follower, version) {
+        return Ok(Some(frame));
+    }
+    let event = if version > follower.version {
         let follower = follower.clone();
         let input = |reply| Input::CatchUp(follower, reply);
-        return replica.request(input).await.flatten();
-    }
-    let version = current_status.version;
-    let current = current_status.connected && version == follower.version;
-    current.then_some(FollowEvent::Current { version })
+        replica.request(input).await.flatten()
+    } else {
+        Some(FollowEvent::Current { version })
+    };
+    let encode = |event| replica.follow_frames.encode(follower, event);
+    event.map(encode).transpose()
 }
 
 /// Waits for a newer version or for the next `Current` event; false if the follower has
