Endpoints that say how long work takes are chosen by it

Cause: the fourth figure of an endpoint's load was dropped, so an endpoint slowed by other work on its machine received as much as the others.

--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -48,8 +48,10 @@
 /// Expected wait for one more request at a non-engine endpoint whose slots are all in use.
 const FULL_ENDPOINT_WAIT: Duration = Duration::from_millis(30);
 
-/// Cost of a retry after a bad response: about the duration of a non-engine request.
-const RETRY_COST: Duration = Duration::from_millis(40);
+/// Usual duration of a request at a non-engine endpoint.
+const PLAIN_WORK: Duration = Duration::from_millis(40);
+/// Cost of a retry after a bad response.
+const RETRY_COST: Duration = PLAIN_WORK;
 
 impl Gateway {
     /// Selects one of a route's services at random, by weight.
@@ -215,9 +217,10 @@
             let utilisation = f64::from(load.estimated_requests(now))
                 / f64::from(load.slots(endpoint.slots).max(1));
             let jitter = Duration::from_micros(rand::random_range(0..500));
+            let work = FULL_ENDPOINT_WAIT.mul_f64(utilisation) + PLAIN_WORK;
             return Candidate {
                 endpoint,
-                expected: base + FULL_ENDPOINT_WAIT.mul_f64(utilisation) + jitter,
+                expected: base + work.mul_f64(load.work_factor(now)) + jitter,
                 missing: MissingTokens {
                     by_own_requests: 0,
                     with_home: 0,
--- a/crates/anvil_gateway/src/dialect.rs
+++ b/crates/anvil_gateway/src/dialect.rs
@@ -87,6 +87,8 @@
     pub queued: u32,
     /// Requests that it can run concurrently.
     pub slots: u32,
+    /// How long work takes there at the moment, in percent of usual, if it says so.
+    pub work_percent: Option<u32>,
 }
 
 /// The parsed head of an endpoint's response.
--- a/crates/anvil_gateway/src/endpoint.rs
+++ b/crates/anvil_gateway/src/endpoint.rs
@@ -149,8 +149,11 @@
 
     /// Applies the load that the endpoint reports.
     pub fn apply_load(&self, now: Now, load: &ReportedLoad) {
-        self.load()
-            .apply_report(now, load.running, load.queued, load.slots);
+        let mut view = self.load();
+        view.apply_report(now, load.running, load.queued, load.slots);
+        if let Some(percent) = load.work_percent {
+            view.apply_pace(now, percent);
+        }
     }
 }
 
--- a/crates/anvil_gateway/tests/direct/dialect.rs
+++ b/crates/anvil_gateway/tests/direct/dialect.rs
@@ -77,6 +77,7 @@
                 running: numbers.next()??,
                 queued: numbers.next()??,
                 slots: numbers.next()??,
+                work_percent: numbers.next().flatten(),
             })
         }),
         idle_timeout: None,
--- a/crates/anvil_policy/src/engine.rs
+++ b/crates/anvil_policy/src/engine.rs
@@ -22,6 +22,8 @@
 use anvil_world::prelude::*;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::pace::WorkPace;
+
 /// How fast engines work, as the routers assume it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EngineRule {
@@ -71,6 +73,8 @@
     pub pending_prefill: Tokens,
     /// Last load report of the endpoint itself.
     report: Option<Report>,
+    /// How long work takes there, compared to usual.
+    pace: WorkPace,
     /// When each prompt part was last prefilled there.
     parts: BTreeMap<u64, Now>,
     /// Rate of failures of the endpoint itself among its recent answers.
@@ -161,6 +165,16 @@
         });
     }
 
+    /// Applies its report of how long work takes there, in percent of usual.
+    pub fn apply_pace(&mut self, now: Now, percent: u32) {
+        self.pace.apply_report(now, percent);
+    }
+
+    /// Expected time of work there, as a multiple of usual.
+    pub fn work_factor(&self, now: Now) -> f64 {
+        self.pace.factor(now)
+    }
+
     /// Records an answer; `is_failure` if it is a failure of the endpoint itself. Ends the
     /// cooldown.
     pub fn record_answer(&mut self, is_failure: bool) {
@@ -265,7 +279,8 @@
         let prefill_time = rule.prefill_time(self.pending_prefill + others + missing);
         let fullness =
             f64::from(self.estimated_requests(now)) / f64::from(self.slots(slots).max(1));
-        prefill_time + rule.full_penalty.mul_f64(fullness * fullness)
+        let usual = prefill_time + rule.full_penalty.mul_f64(fullness * fullness);
+        usual.mul_f64(self.work_factor(now))
     }
 
     /// Tokens of other routers' prompts that are queued there: those of the last report, less what
--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -45,6 +45,7 @@
 //! * [`retry`]: whether a failed attempt is repeated.
 //! * [`grant`]: how much of a budget a router holds.
 //! * [`engine`]: which engine a prompt goes to, among engines without a sidecar.
+//! * [`pace`]: how much longer work takes where an endpoint shares its machine.
 //! * [`copying`]: when such an engine copies cached tokens from another one.
 //! * [`crash`]: which requests were in flight at an endpoint when it crashed.
 //! * [`rate_share`]: each router's part of a rate limit that an endpoint announces for all of them.
@@ -69,6 +70,7 @@
 pub mod health;
 pub mod limit;
 pub mod list_turn;
+pub mod pace;
 pub mod placement;
 pub mod prefix;
 pub mod prelude;
