--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -24,10 +24,10 @@
 use crate::dialect::{Dialect, ListSource};
 use crate::directory::Directory;
 use crate::endpoint_limits::EndpointLimits;
-use crate::list_cache::ListCache;
+use crate::list::cache::ListCache;
+use crate::list::siblings::Siblings;
 use crate::log_events;
 use crate::metrics::RETRIES_DENIED;
-use crate::siblings::Siblings;
 use crate::suspects::Suspects;
 use crate::table::RouteTable;
 
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -24,8 +24,7 @@
 //!
 //! Where the gateway's view comes from: the routing table and the number of gateways from the
 //! ledger ([`ledger_updates`]), grants from the ledger ([`grant_loop`]), the list of endpoints from
-//! the platform ([`discovery`], [`list_reader`]) or from the gateways of the same zone that read it
-//! ([`siblings`]), endpoint load from response headers ([`endpoint`]).
+//! the platform or from other gateways ([`list`]), endpoint load from response headers ([`endpoint`]).
 
 pub mod admit;
 pub mod attempt;
@@ -36,15 +35,13 @@
 pub mod crashes;
 pub mod dialect;
 pub mod directory;
-pub mod discovery;
 pub mod endpoint;
 pub mod endpoint_limits;
 pub mod exchange;
 pub mod gateway;
 pub mod grant_loop;
 pub mod ledger_updates;
-pub mod list_cache;
-pub mod list_reader;
+pub mod list;
 pub mod log_events;
 pub mod metrics;
 pub mod pool;
@@ -55,7 +52,6 @@
 pub mod request_digest;
 pub mod run;
 pub mod serve;
-pub mod siblings;
 pub mod stream_events;
 pub mod stream_relay;
 pub mod suspects;
--- a/crates/anvil_gateway/src/discovery.rs
+++ b/crates/anvil_gateway/src/list/discovery.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::gateway::Gateway;
-use crate::list_reader::ListReader;
+use crate::list::reader::ListReader;
 use crate::log_events as events;
 use crate::metrics;
 
--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -9,8 +9,9 @@
 use tokio::net::TcpListener;
 
 use crate::gateway::Gateway;
+use crate::list::{discovery, siblings};
 use crate::log_events as events;
-use crate::{discovery, endpoint_limits, grant_loop, ledger_updates, serve, siblings, suspects};
+use crate::{endpoint_limits, grant_loop, ledger_updates, serve, suspects};
 
 /// Time to return grants to the ledger at a planned stop.
 const RETURN_GRANTS_TIME: Duration = Duration::from_millis(250);
--- a/crates/anvil_gateway/tests/direct/gateway.rs
+++ b/crates/anvil_gateway/tests/direct/gateway.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 
 use anvil_gateway::dialect::{ListPage, ListSource};
+use anvil_gateway::list::discovery;
 use anvil_gateway::regions::AllowedRegions;
 use anvil_gateway::table::{
     Engine, Limits, Organisation, RetryMode, Route, RouteTable, Service, TableParts, WarmUp,
 };
-use anvil_gateway::{Gateway, GatewaySettings, discovery, serve};
+use anvil_gateway::{Gateway, GatewaySettings, serve};
 use anvil_policy::rate_share::BurstTolerance;
 use anvil_wire::msg::ListedEndpoint;
 use anvil_world::prelude::*;
--- a/crates/anvil_gateway/tests/direct/siblings.rs
+++ b/crates/anvil_gateway/tests/direct/siblings.rs
@@ -1,4 +1,4 @@
-//! Gateways of one availability zone that read the list for each other.
+//! Gateways that read the list for each other.
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use anvil_gateway::dialect::{ListPage, ListSource};
-use anvil_gateway::{Gateway, GatewaySettings, discovery, siblings};
+use anvil_gateway::list::{discovery, siblings};
+use anvil_gateway::{Gateway, GatewaySettings};
 use anvil_policy::list_turn::reader_rank;
 use anvil_world::prelude::*;
 use anvilreel::metrics::Metrics;
--- a/crates/anvil_gateway/tests/list_cache.rs
+++ b/crates/anvil_gateway/tests/list_cache.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use anvil_gateway::list_cache::ListCache;
+use anvil_gateway::list::cache::ListCache;
 use anvil_wire::msg::{ListReply, ListRequest, ListUpdate, ListedEndpoint};
 use anvilreel::moment::Moment;
 
