One copy of the reading's pauses and spread; skipped siblings are looked up once

Cause: the spread of readings and the doubled pause after failed ones stood in discovery and again in the model that is to test them, so the model could agree with itself only; each decision took the lock of the skipped siblings once for every router; a router's position was searched twice. Change: ListAges::new and pause_after_failures in list_turn serve both; Siblings::skipped_at takes the lock once; is_reader takes the position. The condition of next_frame is named. Tests of evacuations share one piece for what stood twice, with the same assertions.

--- a/crates/anvil_gateway/src/list/discovery.rs
+++ b/crates/anvil_gateway/src/list/discovery.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use anvil_policy::crash::Evidence;
-use anvil_policy::list_turn::{ListAges, RefreshStep, next_step};
+use anvil_policy::list_turn::{ListAges, RefreshStep, is_reader, next_step, pause_after_failures};
 use anvil_wire::WireError;
 use anvil_wire::msg::{ListCall, ListReply, ListRequest, ListedEndpoint};
 use anvil_world::prelude::*;
@@ -27,13 +27,6 @@
 /// added at random. The list lags by less than a second, and a gateway with a wrong list can serve
 /// nobody in the meantime.
 const REREAD_PAUSE: Duration = Duration::from_millis(250);
-/// Fraction of the platform's call rate that is used if all gateways read at once.
-const LIST_RATE_FRACTION: f64 = 0.8;
-/// Pause after a failed reading; it doubles with each further one, and up to half as much is added
-/// at random.
-const FAILED_READ_PAUSE: Duration = Duration::from_millis(400);
-/// Longest pause after failed readings.
-const MAX_FAILED_READ_PAUSE: Duration = Duration::from_millis(3_200);
 /// Time allowed for a sibling's reply to arrive.
 const TRANSIT_TIME: Duration = Duration::from_millis(200);
 /// Pause after a reply without a newer list.
@@ -84,30 +77,19 @@
     }
 }
 
-/// Ages at which this gateway acts.
-fn ages(gw: &Gateway, gateways: usize) -> ListAges {
-    let gateways = f64::from(u32::try_from(gateways).unwrap_or(u32::MAX));
-    let spread = gateways / (LIST_RATE_FRACTION * gw.cfg.list.calls_per_second);
-    ListAges {
-        must_read: gw.cfg.max_list_age,
-        spread: Duration::try_from_secs_f64(spread).unwrap_or(gw.cfg.max_list_age),
-    }
-}
-
 impl Discovery {
     /// Reads or requests the list once.
     async fn refresh(&mut self, gw: &Gateway) {
         let tree = gw.siblings.tree();
         let (position, count) = (tree.position(&gw.cfg.id), tree.count());
-        let now = gw.lifecycle.now();
-        let source = tree.source(&gw.cfg.id, |id| gw.siblings.is_skipped(id, now));
-        let ages = ages(gw, count);
+        let skipped = gw.siblings.skipped_at(gw.lifecycle.now());
+        let source = tree.source(&gw.cfg.id, |id| skipped.contains(id));
+        let ages = ListAges::new(gw.cfg.max_list_age, count, gw.cfg.list.calls_per_second);
         let age = self.list_age(gw, &ages, position);
         match next_step((position, count), source, &ages, age, self.jitter) {
             RefreshStep::Read(at) => {
                 let due = at.saturating_sub(age);
-                let is_reader = tree.is_reader(&gw.cfg.id);
-                if !(self.is_wrong && is_reader) {
+                if !(self.is_wrong && is_reader(position)) {
                     // The list is read next in either case.
                     let _ = timeout(due, found_wrong(gw)).await;
                 }
@@ -150,16 +132,11 @@
 
     /// Waits before the platform is called again; meanwhile a sibling may have a newer list.
     async fn pause_after_failure(&mut self, gw: &Gateway) {
-        let doubled = 2_u32.saturating_pow(self.failed_reads.saturating_sub(1));
-        let pause = FAILED_READ_PAUSE
-            .saturating_mul(doubled)
-            .min(MAX_FAILED_READ_PAUSE);
-        let pause = pause.mul_f64(rand::random_range(1.0..1.5));
+        let pause = pause_after_failures(self.failed_reads, rand::random());
         let started = Instant::now();
         let tree = gw.siblings.tree();
-        let now = gw.lifecycle.now();
-        let is_skipped = |id: &InstanceId| gw.siblings.is_skipped(id, now);
-        let sibling = tree.substitute_source(&gw.cfg.id, is_skipped);
+        let skipped = gw.siblings.skipped_at(gw.lifecycle.now());
+        let sibling = tree.substitute_source(&gw.cfg.id, |id| skipped.contains(id));
         if let Some(sibling) = sibling {
             self.request_from_sibling(gw, sibling, pause).await;
         }
--- a/crates/anvil_gateway/src/list/siblings.rs
+++ b/crates/anvil_gateway/src/list/siblings.rs
@@ -1,6 +1,6 @@
 //! The other gateways of the fleet, and the service that sends them the list of endpoints.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -83,9 +83,11 @@
         self.tree.load_full()
     }
 
-    /// Whether a sibling recently did not answer.
-    pub fn is_skipped(&self, id: &InstanceId, now: Now) -> bool {
-        self.skipped().get(id).is_some_and(|until| now < *until)
+    /// The siblings that recently did not answer.
+    pub fn skipped_at(&self, now: Now) -> BTreeSet<InstanceId> {
+        let mut skipped = self.skipped();
+        skipped.retain(|_, until| now < *until);
+        skipped.keys().cloned().collect()
     }
 
     /// The channel to a sibling.
@@ -96,9 +98,7 @@
 
     /// Skips a sibling that has not answered in time.
     pub fn mark_skipped(&self, id: &InstanceId, now: Now) {
-        let mut skipped = self.skipped();
-        skipped.retain(|_, until| now < *until);
-        skipped.insert(id.clone(), now + SKIP_TIME);
+        self.skipped().insert(id.clone(), now + SKIP_TIME);
     }
 
     fn skipped(&self) -> MutexGuard<'_, BTreeMap<InstanceId, Now>> {
--- a/crates/anvil_gateway/tests/direct/evacuating.rs
+++ b/crates/anvil_gateway/tests/direct/evacuating.rs
@@ -35,6 +35,19 @@
     statuses
 }
 
+/// Sends requests through each gateway: all are served, and this endpoint in the evacuated zone has
+/// received none beyond those `before`.
+async fn assert_served_outside(processes: &Processes, evacuated: &TestEndpoint, before: usize) {
+    for _ in 0..5 {
+        assert_eq!(send_to_all(processes, "/once/x").await, [200; 3]);
+    }
+    assert_eq!(
+        evacuated.received().len(),
+        before,
+        "requests to the evacuated zone"
+    );
+}
+
 /// Guards against requests to a zone whose evacuation was acknowledged, and against a zone that
 /// stays without requests after its evacuation has ended.
 #[tokio::test(flavor = "multi_thread")]
@@ -48,14 +61,7 @@
     }
     sleep(IN_FORCE_WITHIN).await;
     let before = near.received().len();
-    for _ in 0..5 {
-        assert_eq!(send_to_all(&processes, "/once/x").await, [200; 3]);
-    }
-    assert_eq!(
-        near.received().len(),
-        before,
-        "requests to the evacuated zone"
-    );
+    assert_served_outside(&processes, &near, before).await;
     processes.order_evacuation("local-a", false).await;
     sleep(IN_FORCE_WITHIN).await;
     assert_eq!(send_to_all(&processes, "/once/x").await, [200; 3]);
@@ -84,14 +90,7 @@
     processes.order_evacuation("local-a", true).await;
     let before = near.received().len();
     processes.lose_power().await;
-    for _ in 0..5 {
-        assert_eq!(send_to_all(&processes, "/once/x").await, [200; 3]);
-    }
-    assert_eq!(
-        near.received().len(),
-        before,
-        "requests to the evacuated zone"
-    );
+    assert_served_outside(&processes, &near, before).await;
 }
 
 /// Guards against requests that wait for endpoints while all of them are in evacuated zones.
--- a/crates/anvil_policy/src/list_turn.rs
+++ b/crates/anvil_policy/src/list_turn.rs
@@ -54,7 +54,34 @@
 /// lists of a thousand endpoints in a quarter of a second.
 const FAN_OUT: usize = 4;
 
+/// Fraction of the platform's call rate that is used if all routers read at once.
+const CALL_RATE_FRACTION: f64 = 0.8;
+/// Pause after a failed reading; doubles with each further one.
+const FAILED_READ_PAUSE: Duration = Duration::from_millis(400);
+/// Longest pause after failed readings, without its random part.
+const MAX_FAILED_READ_PAUSE: Duration = Duration::from_millis(3_200);
+
+/// Pause after this many readings in a row have failed; up to half is added at random. `jitter`
+/// lies between 0 and 1.
+pub fn pause_after_failures(failed_reads: u32, jitter: f64) -> Duration {
+    let doubled = 2_u32.saturating_pow(failed_reads.saturating_sub(1));
+    let pause = FAILED_READ_PAUSE.saturating_mul(doubled);
+    pause.min(MAX_FAILED_READ_PAUSE).mul_f64(1.0 + jitter / 2.0)
+}
+
 impl ListAges {
+    /// Ages for this many routers and a list that a router must not keep for longer than `must_read`
+    /// without reading it again, if the platform accepts this many calls a second.
+    pub fn new(must_read: Duration, routers: usize, calls_per_second: f64) -> Self {
+        let routers = f64::from(u32::try_from(routers).unwrap_or(u32::MAX));
+        let spread = routers / (CALL_RATE_FRACTION * calls_per_second);
+        Self {
+            must_read,
+            // Without a rate, the readings are spread over as long as a list is kept.
+            spread: Duration::try_from_secs_f64(spread).unwrap_or(must_read),
+        }
+    }
+
     /// Age that counts for a router without a list, this long after it learned of its siblings. The
     /// first router reads at once.
     pub fn without_list(&self, position: usize, waited: Duration) -> Duration {
@@ -125,11 +152,6 @@
         position.unwrap_or(self.ranked.len())
     }
 
-    /// Whether this router is the first one or a substitute for it.
-    pub fn is_reader(&self, router: &InstanceId) -> bool {
-        self.position(router) <= SUBSTITUTES
-    }
-
     /// The router from which `own` requests the list; `None` for the first router, which reads it.
     ///
     /// Unless routers are skipped, each requests from one of lower rank, so that they never wait for
@@ -178,6 +200,11 @@
     }
 }
 
+/// Whether the router at this position is the first one or a substitute for it.
+pub fn is_reader(position: usize) -> bool {
+    position <= SUBSTITUTES
+}
+
 /// Index of the parent of the node at this index of a tree that is stored in levels.
 fn parent(index: usize) -> usize {
     index.saturating_sub(1) / FAN_OUT
--- a/crates/anvil_policy/tests/list_turn.rs
+++ b/crates/anvil_policy/tests/list_turn.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use anvil_policy::list_turn::{ListAges, ListTree, RefreshStep, next_step};
+use anvil_policy::list_turn::{ListAges, ListTree, RefreshStep, next_step, pause_after_failures};
 use anvil_world::prelude::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -22,8 +22,6 @@
 const SKIPPED_FOR: Duration = Duration::from_secs(5);
 /// Time after which a request without a reply has failed.
 const TRANSIT_TIME: Duration = Duration::from_millis(200);
-/// Pause after a failed reading.
-const FAILED_READ_PAUSE: Duration = Duration::from_millis(400);
 /// Calls per second that the platform accepts.
 const RATE: f64 = 140.0;
 /// Calls that one reading takes.
@@ -143,11 +141,7 @@
     }
 
     fn ages(&self) -> ListAges {
-        let count = f64::from(u32::try_from(self.routers.len()).expect("a small fleet"));
-        ListAges {
-            must_read: MAX_AGE,
-            spread: Duration::from_secs_f64(count / (0.8 * RATE)),
-        }
+        ListAges::new(MAX_AGE, self.routers.len(), RATE)
     }
 
     /// Kills routers; they start again, without a list, within a second.
@@ -247,9 +241,7 @@
         if !is_accepted {
             let router = &mut self.routers[number];
             router.failed_reads += 1;
-            let doubled = 2_u32.pow((router.failed_reads - 1).min(3));
-            let pause = FAILED_READ_PAUSE.mul_f64(f64::from(doubled));
-            let pause = pause.mul_f64(self.rng.random_range(1.0..1.5));
+            let pause = pause_after_failures(router.failed_reads, self.rng.random());
             let id = self.routers[number].id.clone();
             let next = self.tree.substitute_source(&id, |_| false);
             let until = self.now + pause;
--- a/crates/anvilreel/src/ledger_service/handlers.rs
+++ b/crates/anvilreel/src/ledger_service/handlers.rs
@@ -149,15 +149,19 @@
     status: &watch::Receiver<ReplicaStatus>,
     follower: &Follower,
 ) -> Result<Option<FollowFrame>, WireError> {
-    let current_status = status.borrow().clone();
-    let version = current_status.version;
-    if version <= follower.version && !(current_status.connected && version == follower.version) {
+    let (version, connected) = {
+        let current_status = status.borrow();
+        (current_status.version, current_status.connected)
+    };
+    let is_newer = version > follower.version;
+    let is_current = connected && version == follower.version;
+    if !is_newer && !is_current {
         return Ok(None);
     }
     if let Some(frame) = replica.follow_frames.find(follower, version) {
         return Ok(Some(frame));
     }
-    let event = if version > follower.version {
+    let event = if is_newer {
         let follower = follower.clone();
         let input = |reply| Input::CatchUp(follower, reply);
         replica.request(input).await.flatten()
--- a/crates/anvilreel/tests/ledger_service/evacuations.rs
+++ b/crates/anvilreel/tests/ledger_service/evacuations.rs
@@ -53,6 +53,13 @@
     })
 }
 
+fn assert_conflict(answer: &Answer) {
+    assert!(
+        matches!(answer, Answer::Denied(Denial::Conflict { .. })),
+        "{answer:?}"
+    );
+}
+
 /// Guards against an evacuation that is begun again by a delayed order, after the operator has
 /// finished it through another process.
 #[tokio::test(flavor = "multi_thread")]
@@ -62,17 +69,11 @@
     // Finishing an evacuation that never began changes nothing, and still overtakes its beginning.
     commit(&ledger, false).await?;
     let answer = cluster.propose(change(0, true)).await?;
-    assert!(
-        matches!(answer, Answer::Denied(Denial::Conflict { .. })),
-        "{answer:?}"
-    );
+    assert_conflict(&answer);
     let begun = commit(&ledger, true).await?;
     commit(&ledger, true).await?;
     let answer = cluster.propose(change(begun, false)).await?;
-    assert!(
-        matches!(answer, Answer::Denied(Denial::Conflict { .. })),
-        "{answer:?}"
-    );
+    assert_conflict(&answer);
     assert_eq!(&*entry(&cluster).await?.text, "evacuated = true\n");
     cluster.stop_all().await;
     Ok(())
