Requests of endpoints for a pause, and that they leave, are decoded and logged

Nothing showed which answer asked for how long, so the hypotheses could not be told apart. Decoded at the boundary; gateway_endpoint_pause and gateway_endpoint_leaves name the answer; no change of logic.

--- a/crates/anvil_gateway/src/attempt.rs
+++ b/crates/anvil_gateway/src/attempt.rs
@@ -147,6 +147,7 @@
         connection.watch.response_started();
         let (parts, body) = response.into_parts();
         let head = (gw.cfg.dialect.parse_response)(parts.status, &parts.headers);
+        gw.apply_notice(&endpoint, outgoing.id, parts.status, head.notice);
         // Failure: an endpoint sends a second, late response on the connection, and it is taken for
         // the response to the next request, from another client. Only the id tells them apart.
         if head.id.as_deref().is_some_and(|id| id != outgoing.id) {
--- a/crates/anvil_gateway/src/dialect.rs
+++ b/crates/anvil_gateway/src/dialect.rs
@@ -108,6 +108,28 @@
     pub unexpected_encoding: bool,
     /// The rate limit that the endpoint announces to all callers together.
     pub limit: AnnouncedLimit,
+    /// Whether the endpoint takes further requests.
+    pub notice: AvailabilityNotice,
+}
+
+/// Whether an endpoint takes further requests, as it states in a response head.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AvailabilityNotice {
+    /// After which time it wants the next request.
+    pub retry_after: RetryAfter,
+    /// It is leaving and takes no new work.
+    pub leaving: bool,
+}
+
+/// The retry-after time in a response head.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetryAfter {
+    /// No time is given.
+    None,
+    /// After this time.
+    Time(Duration),
+    /// The value can't be parsed.
+    Unreadable,
 }
 
 /// A rate limit in a response head.
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod list;
 pub mod log_events;
 pub mod metrics;
+pub mod pauses;
 pub mod pool;
 pub mod regions;
 pub mod reply;
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -47,6 +47,10 @@
 pub const ENDPOINTS_LIMITED: &str = "endpoints.limited";
 /// Requests sent to these, relative to what this gateway could have sent. Gauge, percent.
 pub const LIMIT_USED: &str = "endpoints.limit_used";
+/// Answers in which an endpoint asked for a pause. Count.
+pub const PAUSES_REQUESTED: &str = "endpoints.pauses";
+/// Answers whose retry-after time can't be parsed. Count.
+pub const PAUSES_UNREADABLE: &str = "endpoints.pause_unreadable";
 /// Endpoints that may be warming up. Gauge.
 pub const ENDPOINTS_WARMING_UP: &str = "endpoints.warming_up";
 /// Streams resumed by another endpoint. Count.
@@ -92,6 +96,8 @@
     (LIMITS_UNREADABLE, "count"),
     (ENDPOINTS_LIMITED, "gauge"),
     (LIMIT_USED, "gauge"),
+    (PAUSES_REQUESTED, "count"),
+    (PAUSES_UNREADABLE, "count"),
     (ENDPOINTS_WARMING_UP, "gauge"),
     (STREAMS_RESUMED, "count"),
     (LIST_READ, "count"),
--- a/crates/anvil_gateway/tests/direct/dialect.rs
+++ b/crates/anvil_gateway/tests/direct/dialect.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use anvil_gateway::dialect::{
-    AnnouncedLimit, Dialect, ForwardedHead, InvalidTable, ModelWork, PromptPart, ReportedLoad,
-    RequestHead, RequestHeadError, ResponseHead,
+    AnnouncedLimit, AvailabilityNotice, Dialect, ForwardedHead, InvalidTable, ModelWork,
+    PromptPart, ReportedLoad, RequestHead, RequestHeadError, ResponseHead, RetryAfter,
 };
 use anvil_gateway::table::RouteTable;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, request};
@@ -87,6 +87,14 @@
             Some(Ok(limit)) => AnnouncedLimit::Rate(limit),
             Some(Err(_)) => AnnouncedLimit::Unreadable,
         },
+        notice: AvailabilityNotice {
+            retry_after: match text(headers, "retry-after").map(str::parse) {
+                None => RetryAfter::None,
+                Some(Ok(seconds)) => RetryAfter::Time(Duration::from_secs_f64(seconds)),
+                Some(Err(_)) => RetryAfter::Unreadable,
+            },
+            leaving: headers.contains_key("x-leaving"),
+        },
     }
 }
 
