--- a/crates/anvil_gateway/tests/direct/endpoint.rs
+++ b/crates/anvil_gateway/tests/direct/endpoint.rs
@@ -186,6 +186,13 @@
         .into_bytes()
 }
 
+/// A refusal of a request that was not run, with additional header lines.
+pub fn refusal_with(req: &ReceivedRequest, lines: &str) -> Vec<u8> {
+    let id = req.header("x-id").unwrap_or_default();
+    format!("HTTP/1.1 503 Service Unavailable\r\nx-id: {id}\r\nx-not-run: 1\r\n{lines}content-length: 0\r\n\r\n")
+        .into_bytes()
+}
+
 /// The head of a chunked stream.
 pub fn stream_head(req: &ReceivedRequest) -> Vec<u8> {
     let id = req.header("x-id").unwrap_or_default();
--- a/crates/anvil_gateway/tests/direct/leaving.rs
+++ b/crates/anvil_gateway/tests/direct/leaving.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::client::Client;
-use crate::endpoint::{Step, TestEndpoint, response};
+use crate::endpoint::{ReceivedRequest, Step, TestEndpoint, refusal_with, response, response_with};
 use crate::gateway::{TestGateway, listed};
 
 /// Guards against requests to a leaving endpoint: it is listed as leaving, then no longer, and
@@ -36,6 +36,52 @@
     }
 }
 
+/// Guards against an endpoint receiving new requests after it stated in an answer that it is
+/// leaving, while no list shows it yet.
+#[tokio::test]
+async fn endpoint_that_states_it_leaves_receives_no_new_requests() {
+    let answers: [fn(&ReceivedRequest) -> Vec<Step>; 5] = [
+        |req| vec![Step::Send(response_with(req, "x-leaving: 1\r\n", "ran"))],
+        |req| vec![Step::Send(refusal_with(req, "x-leaving: 1\r\n"))],
+        |req| {
+            let failed = "HTTP/1.1 500 Failed\r\nx-id: ID\r\nx-seal: s\r\nx-leaving: 1\r\ncontent-length: 0\r\n\r\n";
+            let id = req.header("x-id").unwrap_or_default();
+            vec![Step::Send(failed.replace("ID", id).into_bytes())]
+        },
+        |_| {
+            let other = "HTTP/1.1 200 OK\r\nx-id: other\r\nx-seal: s\r\nx-leaving: 1\r\ncontent-length: 0\r\n\r\n";
+            vec![Step::Send(other.into())]
+        },
+        |req| {
+            let mut cut = response_with(req, "x-leaving: 1\r\n", "ran");
+            cut.pop();
+            vec![Step::Send(cut), Step::Close]
+        },
+    ];
+    for answer in answers {
+        let leaving = TestEndpoint::start(move |_, req| answer(req)).await;
+        let staying = TestEndpoint::start(|_, req| vec![Step::Send(response(req, "ran"))]).await;
+        let gateway = TestGateway::start(&[("leaving", &leaving), ("staying", &staying)]).await;
+        let mut client = Client::connect(gateway.addr).await;
+        client.request("/idempotent/x", "first", "").await;
+        // Past the cooldown after a failure.
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        let ready = [
+            listed("leaving", leaving.addr),
+            listed("staying", staying.addr),
+        ];
+        for list in [&ready[..], &ready[1..], &ready[..]] {
+            gateway.gw.directory.apply_list(list);
+            for number in 0..5 {
+                let mut client = Client::connect(gateway.addr).await;
+                let response = client.request("/once/x", &format!("id-{number}"), "").await;
+                assert_eq!(response.status, 200);
+            }
+        }
+        assert_eq!(leaving.received().len(), 1);
+    }
+}
+
 /// Guards against a planned stop that cuts requests off: a running request is answered completely,
 /// the client is asked to reconnect elsewhere, the readiness check fails, and the process ends.
 #[tokio::test]
--- a/crates/anvil_gateway/tests/direct/main.rs
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -11,6 +11,7 @@
 mod leaving;
 mod limits;
 mod missing_endpoints;
+mod pausing;
 mod processes;
 mod regions;
 mod responses;
