An endpoint that asks for a pause gets no requests in it

Callers saw: a 503 that meant 'come back in three seconds' was followed within 25 ms by the next request to the same endpoint; turned away at once, the endpoint looked free and got twice its part of the load. Each try used up an attempt and the shared retry budget; whose route allows one attempt was refused (8 to 10 of 18 to 32 a second) and told to come back after 0.3 s.

A 503 was a sign of a full endpoint only, on cooldown for 25 ms, and a cooldown is a preference.

Why it works: anvil_policy::pause is a bar per router and incarnation, of several the latest end; it is checked where an endpoint is selected, where a copy's source is, and once more before the bytes go out. After its end sending begins with one request, and the end is later by a random part. With all endpoints paused a request is refused at once with the time to the first end. 503 alone asks for a pause: 429 speaks of the sender, and one organisation would close an endpoint to all others.

--- a/crates/anvil_gateway/src/attempt.rs
+++ b/crates/anvil_gateway/src/attempt.rs
@@ -23,6 +23,8 @@
     Unreachable(String),
     /// The endpoint said so: it is full, leaving, or another incarnation has its address.
     Refused(u16),
+    /// Nothing was sent, because the endpoint no longer accepts requests.
+    NotAccepting,
 }
 
 /// Status that an endpoint returns if the request names another incarnation: 421 Misdirected
@@ -124,6 +126,13 @@
                 return AttemptOutcome::NotRun(NotRun::Unreachable(e.to_string()));
             }
         };
+        // The endpoint may have asked for a pause since it was selected.
+        if !endpoint.accepts_requests(gw.lifecycle.now()) {
+            if !connection.reused {
+                endpoint.pool.put(connection.sender, connection.watch, None);
+            }
+            return AttemptOutcome::NotRun(NotRun::NotAccepting);
+        }
         connection.watch.request_sent();
         let sent_at = gw.lifecycle.now();
         *outgoing.watch = Some(connection.watch.clone());
--- a/crates/anvil_gateway/src/attempt_counter.rs
+++ b/crates/anvil_gateway/src/attempt_counter.rs
@@ -26,6 +26,9 @@
 impl AttemptCounter {
     /// Records the outcome of an attempt at an endpoint.
     pub fn record(&mut self, endpoint: InstanceId, outcome: &AttemptOutcome) {
+        if let AttemptOutcome::NotRun(NotRun::NotAccepting) = outcome {
+            return;
+        }
         self.endpoints.push(endpoint);
         match outcome {
             AttemptOutcome::NotRun(NotRun::Unreachable(_)) => self.missing += 1,
--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -6,7 +6,7 @@
 
 use anvil_policy::copying::{self, Copying, MissingTokens};
 use anvil_policy::engine::{Prompt, home_rank};
-use anvil_policy::rate_share::Clocks;
+use anvil_policy::rate_share::{Clocks, RouterRank};
 use anvil_world::prelude::*;
 
 use crate::endpoint::{Endpoint, EndpointSlot};
@@ -43,6 +43,8 @@
     /// All endpoints are at their limits, announced or of their warm-up; the first one accepts another
     /// request after this time.
     AtLimit(Duration),
+    /// All endpoints have asked for a pause; the first one ends after this time.
+    Paused(Duration),
 }
 
 /// Expected wait for one more request at a non-engine endpoint whose slots are all in use.
@@ -82,8 +84,9 @@
     /// Selects among the endpoints of a service that satisfy the constraints.
     ///
     /// Endpoints that failed recently are used only if no others are left: an attempt there may
-    /// still succeed, a refusal can't. Endpoints that announced a limit or are warming up receive at
-    /// most this gateway's share of what they tolerate.
+    /// still succeed, a refusal can't. Endpoints that asked for a pause receive nothing in it, and
+    /// those that announced a limit or are warming up receive at most this gateway's share of what
+    /// they tolerate.
     pub fn select_endpoint(
         &self,
         service: &str,
@@ -139,18 +142,13 @@
         };
         let position = self.share_position();
         let mut accepting = Vec::new();
-        let mut shortest_wait = None;
+        let mut shortest_wait = EndpointWait::MAX;
         for candidate in candidates {
-            let warm_up_wait = warm_up.map_or(Duration::ZERO, |terms| {
-                candidate.endpoint.warm_up_wait(terms, at)
-            });
-            let wait = candidate.endpoint.rate_limit_wait(at, position);
-            let wait = wait.max(warm_up_wait);
-            shortest_wait =
-                Some(shortest_wait.map_or(wait, |shortest_wait: Duration| shortest_wait.min(wait)));
+            let wait = EndpointWait::of(candidate.endpoint, warm_up, at, position);
             if wait.is_zero() {
                 accepting.push(candidate);
             }
+            shortest_wait = shortest_wait.min(wait);
         }
         let preference = |candidate: &&Candidate<'_>| (candidate.on_cooldown, candidate.expected);
         while let Some(best) = accepting.iter().copied().min_by_key(preference) {
@@ -159,13 +157,16 @@
             }
             let is_warm_enough =
                 warm_up.is_none_or(|terms| best.endpoint.try_count_in_warm_up(terms, at));
-            if is_warm_enough && best.endpoint.try_count_request(at, position) {
+            if is_warm_enough
+                && best.endpoint.try_count_request(at, position)
+                && best.endpoint.try_count_after_pause(now, &self.log)
+            {
                 return Ok(best);
             }
             // A concurrent request took the last one allowed.
             accepting.retain(|candidate| candidate.endpoint.id != best.endpoint.id);
         }
-        Err(shortest_wait.map_or(Unplaced::Nobody, Unplaced::AtLimit))
+        Err(shortest_wait.into())
     }
 
     /// The engine to copy the prefix from, if copying is much faster than recomputing it.
@@ -181,7 +182,10 @@
         let engine = table.as_ref()?.services.get(service)?.engine?;
         let copy_rate =
             Copying::between(engine.bytes_per_token, engine.link_mbps, &self.engine_rule)?;
-        let others = candidates.iter().filter(|other| !other.on_cooldown);
+        let now = self.lifecycle.now();
+        let others = candidates
+            .iter()
+            .filter(|other| !other.on_cooldown && !other.endpoint.is_paused(now));
         let others = others.filter(|other| other.endpoint.id != selected.endpoint.id);
         let others: Vec<_> = others
             .map(|other| (other.endpoint.addr, other.missing))
@@ -261,6 +265,49 @@
     on_cooldown: bool,
 }
 
+/// Time until an endpoint accepts another request of this gateway, by what bars it until then.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct EndpointWait {
+    time: Duration,
+    by_pause: bool,
+}
+
+impl EndpointWait {
+    const MAX: Self = Self {
+        time: Duration::MAX,
+        by_pause: true,
+    };
+
+    fn of(
+        endpoint: &Endpoint,
+        warm_up: Option<&WarmUpTerms>,
+        at: Clocks,
+        position: RouterRank,
+    ) -> Self {
+        let warm_up_wait = warm_up.map_or(Duration::ZERO, |terms| endpoint.warm_up_wait(terms, at));
+        let by_limit = endpoint.rate_limit_wait(at, position).max(warm_up_wait);
+        let by_pause = endpoint.pause_wait(at.now);
+        Self {
+            time: by_limit.max(by_pause),
+            by_pause: by_pause > by_limit,
+        }
+    }
+
+    fn is_zero(self) -> bool {
+        self.time.is_zero()
+    }
+}
+
+impl From<EndpointWait> for Unplaced {
+    fn from(wait: EndpointWait) -> Self {
+        if wait.by_pause {
+            Self::Paused(wait.time)
+        } else {
+            Self::AtLimit(wait.time)
+        }
+    }
+}
+
 /// An engine from which another one copies a cached prefix.
 struct CopySource {
     addr: SocketAddr,
--- a/crates/anvil_gateway/src/endpoint.rs
+++ b/crates/anvil_gateway/src/endpoint.rs
@@ -14,6 +14,7 @@
 
 use crate::dialect::ReportedLoad;
 use crate::log_events as events;
+use crate::pauses::EndpointPause;
 use crate::pool::ConnectionPool;
 use crate::warm_up::EndpointWarmUp;
 
@@ -35,6 +36,7 @@
     load: Mutex<EndpointView>,
     rate_share: Mutex<RateShare>,
     warm_up: Mutex<EndpointWarmUp>,
+    pause: Mutex<EndpointPause>,
 }
 
 impl Endpoint {
@@ -51,6 +53,7 @@
             load: Mutex::default(),
             rate_share: Mutex::default(),
             warm_up: Mutex::default(),
+            pause: Mutex::default(),
         }
     }
 
@@ -77,6 +80,12 @@
         self.warm_up.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The pause it has asked for.
+    pub fn pause(&self) -> MutexGuard<'_, EndpointPause> {
+        // Sound after a panic elsewhere: each value is valid by itself.
+        self.pause.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The limit it has announced to all gateways together, if any.
     pub fn limit(&self) -> Option<RateLimit> {
         self.rate_share().limit()
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -22,7 +22,7 @@
 use crate::gateway::Gateway;
 use crate::log_events as events;
 use crate::metrics;
-use crate::regions::AllowedRegions;
+use crate::regions::{AllowedRegions, Constraints};
 use crate::reply::{Cause, Reply, full_body, refusal, remove_connection_headers};
 use crate::request_charge::RequestCharge;
 use crate::stream_relay::StreamRelay;
@@ -35,6 +35,18 @@
 /// Retry-after time while a process or service is unavailable.
 pub const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Clients that are refused because of a pause are told to return within this part of it after its
+/// end, so that they don't return together.
+const RETURN_SPREAD_FRACTION: f64 = 0.25;
+/// Maximum time within which they return.
+const MAX_RETURN_SPREAD: Duration = Duration::from_millis(500);
+
+/// Retry-after time of a request that can be served once a pause has ended.
+fn spread_return(pause: Duration) -> Duration {
+    let spread = pause.mul_f64(RETURN_SPREAD_FRACTION).min(MAX_RETURN_SPREAD);
+    pause.saturating_add(spread.mul_f64(rand::random()))
+}
+
 /// Why a request is refused, and the retry-after time where a retry helps.
 pub type RequestRefusal = (Cause, Duration);
 
@@ -126,6 +138,10 @@
                     failure = Some(response);
                     continue;
                 }
+                Ok(AttemptOutcome::NotRun(NotRun::NotAccepting)) => {
+                    self.trace.step(format_args!("not sent: not accepting"));
+                    continue;
+                }
                 Ok(AttemptOutcome::NotRun(reason)) => {
                     let cause = self.record_not_run(&reason);
                     self.may_retry(cause).err()
@@ -218,11 +234,32 @@
         };
         let allowed = !self.in_doubt || self.route.retry_mode.may_run_again();
         if !allowed || !self.has_attempts_left() || !self.retry_budget_allows() {
-            return Err((cause, DEFAULT_RETRY_AFTER));
+            return Err((cause, self.retry_after(cause)));
         }
         Ok(())
     }
 
+    /// When the client may return after this failure: not before an endpoint's pause ends, if all
+    /// of them have asked for one.
+    fn retry_after(&self, cause: Cause) -> Duration {
+        if cause != Cause::RefusedByEndpoints {
+            return DEFAULT_RETRY_AFTER;
+        }
+        match self.common_pause() {
+            Duration::ZERO => DEFAULT_RETRY_AFTER,
+            pause => spread_return(pause),
+        }
+    }
+
+    /// Time until the first pause ends, if all endpoints that may run the request are paused.
+    fn common_pause(&self) -> Duration {
+        let constraints = Constraints {
+            tried: &[],
+            regions: &self.regions,
+        };
+        self.gw.common_pause(&self.service, constraints)
+    }
+
     /// Whether the shared retry budget allows another attempt. A request that has not reached any
     /// endpoint does not use the budget.
     fn retry_budget_allows(&self) -> bool {
--- a/crates/anvil_gateway/src/exchange/one_attempt.rs
+++ b/crates/anvil_gateway/src/exchange/one_attempt.rs
@@ -5,7 +5,7 @@
 use anvil_policy::engine::Prompt;
 use tokio::time::Instant;
 
-use super::{DEFAULT_RETRY_AFTER, Exchange, RequestRefusal};
+use super::{DEFAULT_RETRY_AFTER, Exchange, RequestRefusal, spread_return};
 use crate::attempt::{AttemptOutcome, OutgoingRequest, send};
 use crate::choose::{Selection, Unplaced};
 use crate::dialect::ForwardedHead;
@@ -149,10 +149,17 @@
 
     fn refuse_unplaced(&mut self, unplaced: Unplaced) -> RequestRefusal {
         self.trace.step(format_args!("no place: {unplaced:?}"));
+        for summary in self.gw.pause_summaries(&self.service) {
+            self.trace.step(format_args!("{summary}"));
+        }
         if self.in_doubt {
             return (Cause::ResponseLost, DEFAULT_RETRY_AFTER);
         }
         match unplaced {
+            // All were tried, and turned it away.
+            Unplaced::Nobody if !self.common_pause().is_zero() => {
+                (Cause::EndpointsPaused, spread_return(self.common_pause()))
+            }
             Unplaced::Nobody => (Cause::NoEndpoint, DEFAULT_RETRY_AFTER),
             Unplaced::OutsideRegions => (Cause::OutsideRegions, OPERATOR_RETRY_AFTER),
             Unplaced::Evacuated => (Cause::Evacuated, OPERATOR_RETRY_AFTER),
@@ -168,6 +175,7 @@
                 Cause::Overloaded,
                 wait.clamp(OVERLOAD_RETRY_AFTER.0, OVERLOAD_RETRY_AFTER.1),
             ),
+            Unplaced::Paused(wait) => (Cause::EndpointsPaused, spread_return(wait)),
         }
     }
 }
--- a/crates/anvil_gateway/src/exchange/outcome.rs
+++ b/crates/anvil_gateway/src/exchange/outcome.rs
@@ -26,6 +26,7 @@
             AttemptOutcome::Response(response) => {
                 self.gw.directory.record_match(&self.service);
                 self.gw.record_endpoint_alive(endpoint);
+                endpoint.record_taken_on(now);
                 if let Some(load) = &response.head.load {
                     endpoint.apply_load(now, load);
                 }
@@ -40,6 +41,7 @@
                 self.gw.directory.record_replaced(&self.service);
                 self.gw.list_mismatch.notify_one();
             }
+            AttemptOutcome::NotRun(NotRun::NotAccepting) => {}
             AttemptOutcome::NotRun(NotRun::Refused(_)) => {
                 endpoint.load().record_full(now, FULL_ENDPOINT_PAUSE);
             }
--- a/crates/anvil_gateway/src/log_events.rs
+++ b/crates/anvil_gateway/src/log_events.rs
@@ -64,8 +64,10 @@
     GATEWAY_ZONE_UNREADABLE = 6029 Error "gateway_zone_unreadable";
     /// An endpoint may be warming up, or is warm.
     GATEWAY_ENDPOINT_WARM_UP = 6030 Info "gateway_endpoint_warm_up";
-    /// An endpoint that turned a request away asks for a pause.
+    /// An endpoint that turned a request away asks for a pause; it gets no requests in it.
     GATEWAY_ENDPOINT_PAUSE = 6031 Info "gateway_endpoint_pause";
+    /// A request is sent to an endpoint whose pause is over.
+    GATEWAY_ENDPOINT_PAUSE_OVER = 6032 Info "gateway_endpoint_pause_over";
     /// An endpoint states in an answer that it is leaving.
     GATEWAY_ENDPOINT_LEAVES = 6033 Info "gateway_endpoint_leaves";
 }
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -51,6 +51,8 @@
 pub const PAUSES_REQUESTED: &str = "endpoints.pauses";
 /// Answers whose retry-after time can't be parsed. Count.
 pub const PAUSES_UNREADABLE: &str = "endpoints.pause_unreadable";
+/// Endpoints that get no requests because they asked for a pause. Gauge.
+pub const ENDPOINTS_PAUSED: &str = "endpoints.paused";
 /// Endpoints that may be warming up. Gauge.
 pub const ENDPOINTS_WARMING_UP: &str = "endpoints.warming_up";
 /// Streams resumed by another endpoint. Count.
@@ -98,6 +100,7 @@
     (LIMIT_USED, "gauge"),
     (PAUSES_REQUESTED, "count"),
     (PAUSES_UNREADABLE, "count"),
+    (ENDPOINTS_PAUSED, "gauge"),
     (ENDPOINTS_WARMING_UP, "gauge"),
     (STREAMS_RESUMED, "count"),
     (LIST_READ, "count"),
@@ -139,6 +142,7 @@
             (REQUESTS_QUARANTINED, self.suspects.count_quarantined()),
             (ENDPOINTS_LIMITED, limited),
             (LIMIT_USED, limit_used),
+            (ENDPOINTS_PAUSED, self.count_paused()),
             (ENDPOINTS_WARMING_UP, self.count_warming_up()),
             (
                 LEDGER_AGE,
--- a/crates/anvil_gateway/src/reply.rs
+++ b/crates/anvil_gateway/src/reply.rs
@@ -52,6 +52,8 @@
     Evacuated,
     /// All endpoints are too busy to respond in time.
     Overloaded,
+    /// All endpoints have asked for a pause.
+    EndpointsPaused,
     /// Endpoints crashed under the same request.
     CrashesEndpoints,
     /// Endpoints refused it or were unreachable.
@@ -64,7 +66,7 @@
 
 impl Cause {
     /// All causes.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::BadHead,
         Self::UnknownKey,
         Self::NoRoute,
@@ -79,6 +81,7 @@
         Self::OutsideRegions,
         Self::Evacuated,
         Self::Overloaded,
+        Self::EndpointsPaused,
         Self::CrashesEndpoints,
         Self::RefusedByEndpoints,
         Self::ResponseLost,
@@ -102,6 +105,7 @@
             | Self::OutsideRegions
             | Self::Evacuated
             | Self::Overloaded
+            | Self::EndpointsPaused
             | Self::CrashesEndpoints
             | Self::RefusedByEndpoints => StatusCode::SERVICE_UNAVAILABLE,
             Self::ResponseLost => StatusCode::BAD_GATEWAY,
@@ -126,6 +130,7 @@
             Self::OutsideRegions => "outside_regions",
             Self::Evacuated => "evacuated",
             Self::Overloaded => "overloaded",
+            Self::EndpointsPaused => "endpoints_paused",
             Self::CrashesEndpoints => "crashes_endpoints",
             Self::RefusedByEndpoints => "refused_by_endpoints",
             Self::ResponseLost => "answer_lost",
--- a/crates/anvil_gateway/tests/direct/charging.rs
+++ b/crates/anvil_gateway/tests/direct/charging.rs
@@ -6,7 +6,7 @@
 use anvil_world::prelude::*;
 
 use crate::client::Client;
-use crate::endpoint::{Step, TestEndpoint, chunk, event, stream_end, stream_head};
+use crate::endpoint::{Step, TestEndpoint, chunk, event, refusal_with, stream_end, stream_head};
 use crate::gateway::TestGateway;
 
 const KEY: &str = "x-key: key\r\n";
@@ -192,3 +192,22 @@
     assert!(retry_after("late").await < 0.1);
     assert!(gateway.gw.is_starved());
 }
+
+/// Guards against tokens that stay reserved for a request that an endpoint turned away, or that was
+/// refused because of a pause.
+#[tokio::test]
+async fn tokens_of_requests_refused_in_a_pause_are_released() {
+    let pausing =
+        TestEndpoint::start(|_, req| vec![Step::Send(refusal_with(req, "retry-after: 60\r\n"))])
+            .await;
+    let gateway = start_with_grant(&pausing, 500).await;
+    for number in 0..5 {
+        let mut client = Client::connect(gateway.addr).await;
+        let headers = format!("{KEY}x-tokens: 300,100\r\n");
+        let id = format!("id-{number}");
+        let refused = client.request("/stream/x", &id, &headers).await;
+        assert_eq!(refused.status, 503);
+        assert!(!refused.body.contains("budget"), "{refused:?}");
+    }
+    assert_eq!(pausing.received().len(), 1);
+}
--- a/crates/anvil_gateway/tests/direct/explanations.rs
+++ b/crates/anvil_gateway/tests/direct/explanations.rs
@@ -11,7 +11,9 @@
 use anvilreel::operator::{Explanation, explain};
 
 use crate::client::Client;
-use crate::endpoint::{Step, TestEndpoint, chunk, event, response, response_with, stream_head};
+use crate::endpoint::{
+    Step, TestEndpoint, chunk, event, refusal_with, response, response_with, stream_head,
+};
 use crate::gateway::TestGateway;
 
 /// Everything written so far.
@@ -319,3 +321,43 @@
     assert!(text.contains("\"failed\""));
     assert!(dropped.count() >= 170);
 }
+
+/// Guards against an unexplained refusal in a pause: the line names the endpoint, the answer that
+/// asked for the pause, and its age and end; the log has the beginning of the pause once, and its end.
+#[tokio::test]
+async fn refusal_in_a_pause_is_explained() {
+    let endpoint = TestEndpoint::start(|number, req| {
+        if number == 0 {
+            return vec![Step::Send(refusal_with(req, "retry-after: 1\r\n"))];
+        }
+        vec![Step::Send(response(req, "ran"))]
+    })
+    .await;
+    let (gateway, log_output, metrics) = start_logged(&[("engine-1", &endpoint)]).await;
+    let mut client = Client::connect(gateway.addr).await;
+    for number in 0..3 {
+        let id = format!("refused-{number}");
+        assert_eq!(client.request("/once/x", &id, "").await.status, 503);
+    }
+    let explanation = log_output.explain("refused-2").await;
+    let messages: Vec<_> = explanation.lines.iter().map(|l| &*l.message).collect();
+    assert!(messages.contains(&"gateway_endpoint_pause"), "{messages:?}");
+    let line = explanation.lines.last().expect("the request's line");
+    assert_eq!(line.values["outcome"], "endpoints_paused");
+    let steps = &line.values["steps"];
+    assert!(
+        steps.contains("engine-1 paused for") && steps.contains("its answer to refused-0"),
+        "{steps}"
+    );
+    gateway.gw.update_gauges();
+    assert!(metrics().contains("anvilreel_gateway_endpoints_paused 1"));
+    assert!(metrics().contains("anvilreel_gateway_endpoints_pauses 1"));
+    assert!(metrics().contains("anvilreel_gateway_requests_endpoints_paused 3"));
+    tokio::time::sleep(Duration::from_millis(1_100)).await;
+    assert_eq!(client.request("/once/x", "after", "").await.status, 200);
+    log_output.explain("after").await;
+    let text = log_output.text();
+    let count = |message: &str| text.matches(message).count();
+    assert_eq!(count("\"gateway_endpoint_pause\""), 1);
+    assert_eq!(count("\"gateway_endpoint_pause_over\""), 1);
+}
--- a/crates/anvil_gateway/tests/direct/pausing.rs
+++ b/crates/anvil_gateway/tests/direct/pausing.rs
@@ -4,11 +4,21 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use anvil_gateway::Gateway;
+use anvil_gateway::attempt::{AttemptOutcome, NotRun, OutgoingRequest, send as send_attempt};
+use anvil_gateway::choose::{Selection, Unplaced};
+use anvil_gateway::dialect::{AvailabilityNotice, RetryAfter};
+use anvil_gateway::regions::{AllowedRegions, Constraints};
+use anvil_policy::engine::Prompt;
+use anvil_world::prelude::*;
+use http::{HeaderMap, Method, StatusCode, Uri};
 use tokio::time::{Instant, sleep};
 
 use crate::client::{Client, ClientResponse};
-use crate::endpoint::{ReceivedRequest, Step, TestEndpoint, refusal_with, response};
-use crate::gateway::TestGateway;
+use crate::endpoint::{
+    ReceivedRequest, Step, TestEndpoint, chunk, event, refusal_with, response, stream_head,
+};
+use crate::gateway::{SERVICE, TestGateway, listed, routes, table, table_with_warm_up};
 
 /// Longest duration of a request that is refused at once.
 const AT_ONCE: Duration = Duration::from_millis(100);
@@ -97,3 +107,202 @@
     }
     assert_eq!(endpoint.arrivals().len(), 1);
 }
+
+/// Guards against callers being told to return in the middle of a pause when their request was
+/// turned away by all endpoints, or by as many as its route allows.
+#[tokio::test]
+async fn refusal_after_the_last_attempt_names_the_end_of_the_pause() {
+    for max_attempts in [1, 3] {
+        let short = PausingEndpoint::start("retry-after: 2.5\r\n").await;
+        let long = PausingEndpoint::start("retry-after: 9\r\n").await;
+        let gateway =
+            TestGateway::start(&[("short", &short.endpoint), ("long", &long.endpoint)]).await;
+        let mut routes = routes();
+        for route in &mut routes {
+            route.max_attempts = max_attempts;
+        }
+        gateway.gw.table.store(Some(Arc::new(table(2, routes))));
+        let mut last = send(&gateway, "/once/x").await.0;
+        if max_attempts == 1 {
+            assert_eq!(last.retry_after(), Some(Duration::from_millis(300)));
+            last = send(&gateway, "/once/x").await.0;
+        }
+        assert_eq!(last.status, 503);
+        let retry_after = last.retry_after().expect("a time");
+        assert!(retry_after > Duration::from_secs(2), "{retry_after:?}");
+        assert!(retry_after < Duration::from_secs(4), "{retry_after:?}");
+        assert_eq!((short.arrivals().len(), long.arrivals().len()), (1, 1));
+    }
+}
+
+/// Applies a request for a pause of an endpoint, as if it had answered a request.
+fn request_pause(gw: &Gateway, id: &str, length: Duration) {
+    let endpoint = gw.directory.find(&id.into()).expect("listed");
+    let notice = AvailabilityNotice {
+        retry_after: RetryAfter::Time(length),
+        leaving: false,
+    };
+    gw.apply_notice(&endpoint, "r", StatusCode::SERVICE_UNAVAILABLE, notice);
+}
+
+fn select(gw: &Gateway, parts: &[(u64, Tokens)]) -> Result<Selection, Unplaced> {
+    let constraints = Constraints {
+        tried: &[],
+        regions: &AllowedRegions::default(),
+    };
+    gw.select_endpoint(SERVICE, &Prompt { parts }, constraints, Duration::MAX)
+}
+
+/// Guards against a request that was on its way to an endpoint being sent after the endpoint asked
+/// for a pause.
+#[tokio::test]
+async fn request_selected_before_a_pause_is_not_sent_in_it() {
+    let ready = ready_endpoint().await;
+    let gateway = TestGateway::start(&[("a", &ready)]).await;
+    let selection = select(&gateway.gw, &[]).expect("an endpoint");
+    request_pause(&gateway.gw, "a", Duration::from_secs(1));
+    let outgoing = OutgoingRequest {
+        method: &Method::GET,
+        uri: &Uri::from_static("/once/x"),
+        headers: HeaderMap::new(),
+        body: bytes::Bytes::new(),
+        id: "id",
+        response_deadline: Instant::now() + Duration::from_secs(1),
+        watch: &mut None,
+    };
+    let outcome = send_attempt(&gateway.gw, selection.slot, outgoing).await;
+    assert!(matches!(
+        outcome,
+        AttemptOutcome::NotRun(NotRun::NotAccepting)
+    ));
+    assert!(ready.received().is_empty());
+}
+
+/// Guards against a new incarnation, or the new owner of an address, being held to a pause that
+/// another one asked for.
+#[tokio::test]
+async fn pause_does_not_bind_a_new_incarnation() {
+    let endpoint = PausingEndpoint::start("retry-after: 60\r\n").await;
+    let gateway = TestGateway::start(&[("old", &endpoint.endpoint)]).await;
+    assert_eq!(send(&gateway, "/once/x").await.0.status, 503);
+    endpoint.busy.store(false, Ordering::Relaxed);
+    assert_eq!(send(&gateway, "/once/x").await.0.status, 503);
+    let new = listed("new", endpoint.endpoint.addr);
+    gateway.gw.directory.apply_list(&[new]);
+    assert_eq!(send(&gateway, "/once/x").await.0.status, 200);
+}
+
+/// Guards against all requests of a gateway returning at once when a pause ends.
+#[tokio::test]
+async fn sending_begins_slowly_after_a_pause() {
+    let arrivals = Arc::new(Mutex::new(Vec::new()));
+    let arrived = arrivals.clone();
+    let slow = TestEndpoint::start(move |number, req| {
+        arrived.lock().expect("times").push(Instant::now());
+        if number == 0 {
+            return vec![Step::Send(refusal_with(req, "retry-after: 0.5\r\n"))];
+        }
+        let answer = response(req, "ran");
+        vec![Step::Pause(Duration::from_millis(150)), Step::Send(answer)]
+    })
+    .await;
+    let ready = ready_endpoint().await;
+    let gateway = TestGateway::start(&[("slow", &slow), ("ready", &ready)]).await;
+    assert_eq!(send(&gateway, "/once/x").await.0.status, 200);
+    sleep(Duration::from_millis(600)).await;
+    let all = (0..20).map(|_| send(&gateway, "/once/x"));
+    let all = futures::future::join_all(all).await;
+    assert!(all.iter().all(|(response, _)| response.status == 200));
+    assert_eq!(arrivals.lock().expect("times").len(), 2);
+}
+
+/// Guards against a stream being resumed at an endpoint that asked for a pause.
+#[tokio::test]
+async fn broken_stream_is_not_resumed_in_a_pause() {
+    let breaking = TestEndpoint::start(|_, req| {
+        vec![
+            Step::Send(stream_head(req)),
+            Step::Send(chunk(&event(1))),
+            Step::Pause(Duration::from_millis(100)),
+            Step::Reset,
+        ]
+    })
+    .await;
+    let pausing = PausingEndpoint::start("retry-after: 60\r\n").await;
+    let gateway =
+        TestGateway::start(&[("breaking", &breaking), ("pausing", &pausing.endpoint)]).await;
+    request_pause(&gateway.gw, "pausing", Duration::from_mins(1));
+    let (broken, _) = send(&gateway, "/resumed/x").await;
+    assert!(!broken.complete, "{broken:?}");
+    assert!(pausing.arrivals().is_empty());
+}
+
+/// Guards against another engine being taken for the home of a prompt while its home pauses, and
+/// against a request that has an engine copy from a paused one.
+#[tokio::test]
+async fn home_of_a_prompt_stays_its_home_in_a_pause() {
+    let (first, second) = (ready_endpoint().await, ready_endpoint().await);
+    let gateway = TestGateway::start(&[]).await;
+    let list = [listed("a", first.addr), listed("b", second.addr)];
+    gateway.gw.directory.apply_list(&list);
+    let parts = [(7, 6_000), (8, 100)];
+    let home = select(&gateway.gw, &parts).expect("an endpoint");
+    assert_eq!(home.missing_tokens, 100);
+    request_pause(&gateway.gw, &home.slot.endpoint.id, Duration::from_mins(1));
+    let other = select(&gateway.gw, &parts).expect("an endpoint");
+    assert_ne!(other.slot.endpoint.id, home.slot.endpoint.id);
+    assert_eq!((other.missing_tokens, other.copy_from), (6_100, None));
+}
+
+/// Guards against a pause being forgotten where other bars apply too: evacuations, limits, warm-ups.
+#[tokio::test]
+async fn longest_bar_of_each_endpoint_counts() {
+    let (first, second) = (ready_endpoint().await, ready_endpoint().await);
+    let gateway = TestGateway::start(&[("a", &first), ("b", &second)]).await;
+    let gw = &gateway.gw;
+    gw.gateway_count.store(1, Ordering::Relaxed);
+    request_pause(gw, "a", Duration::from_secs(20));
+    // The other one is in a zone that is evacuated.
+    let zones = Arc::new(["local-b".into()].into());
+    gw.directory.set_evacuated_zones(zones);
+    assert!(matches!(select(gw, &[]), Err(Unplaced::Paused(time)) if time.as_secs() >= 20));
+    gw.directory.set_evacuated_zones(Arc::default());
+    assert!(select(gw, &[]).is_ok());
+    // It is at its limit, one request in ten seconds, which ends before the pause.
+    let limited = gw.directory.find(&"b".into()).expect("listed");
+    limited.apply_reported_limit(gw.lifecycle.now(), Some(100), &gw.log);
+    select(gw, &[]).ok();
+    assert!(matches!(select(gw, &[]), Err(Unplaced::AtLimit(time)) if time.as_secs() <= 10));
+    request_pause(gw, "b", Duration::from_secs(15));
+    assert!(matches!(select(gw, &[]), Err(Unplaced::Paused(time)) if time.as_secs() >= 15));
+    // The first one is warming up, and this gateway may not take part.
+    gw.table.store(Some(Arc::new(table_with_warm_up(2))));
+    gw.record_unreachable(&limited);
+    assert!(matches!(select(gw, &[]), Err(Unplaced::Paused(time)) if time.as_secs() >= 15));
+}
+
+/// Guards against statuses that speak of a request or its sender closing an endpoint.
+#[tokio::test]
+async fn only_status_503_asks_for_a_pause() {
+    let ready = ready_endpoint().await;
+    let gateway = TestGateway::start(&[("a", &ready)]).await;
+    let endpoint = gateway.gw.directory.find(&"a".into()).expect("listed");
+    let notice = AvailabilityNotice {
+        retry_after: RetryAfter::Time(Duration::from_mins(1)),
+        leaving: false,
+    };
+    for status in [200, 400, 421, 429, 500, 504] {
+        let status = StatusCode::from_u16(status).expect("a status");
+        gateway.gw.apply_notice(&endpoint, "r", status, notice);
+    }
+    assert_eq!(gateway.gw.count_paused(), 0);
+    let unreadable = AvailabilityNotice {
+        retry_after: RetryAfter::Unreadable,
+        ..notice
+    };
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    gateway.gw.apply_notice(&endpoint, "r", status, unreadable);
+    assert_eq!(gateway.gw.count_paused(), 0);
+    gateway.gw.apply_notice(&endpoint, "r", status, notice);
+    assert_eq!(gateway.gw.count_paused(), 1);
+}
--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -46,6 +46,7 @@
 //! * [`grant`]: how much of a budget a router holds.
 //! * [`engine`]: which engine a prompt goes to, among engines without a sidecar.
 //! * [`pace`]: how much longer work takes where an endpoint shares its machine.
+//! * [`pause`]: when a router sends to an endpoint that asked for a pause.
 //! * [`copying`]: when such an engine copies cached tokens from another one.
 //! * [`crash`]: which requests were in flight at an endpoint when it crashed.
 //! * [`rate_share`]: each router's part of a rate limit that an endpoint announces for all of them.
@@ -71,6 +72,7 @@
 pub mod limit;
 pub mod list_turn;
 pub mod pace;
+pub mod pause;
 pub mod placement;
 pub mod prefix;
 pub mod prelude;
--- a/crates/anvilreel/src/operator/explain.rs
+++ b/crates/anvilreel/src/operator/explain.rs
@@ -9,7 +9,7 @@
 
 /// Messages of log lines that record a process's view of the fleet, which decides how it handles
 /// requests.
-const VIEW_MESSAGES: [&str; 10] = [
+const VIEW_MESSAGES: [&str; 12] = [
     "gateway_table_in_force",
     "gateway_out_of_touch",
     "gateway_in_touch",
@@ -18,6 +18,8 @@
     "gateway_list_back",
     "gateway_grants",
     "gateway_endpoint_shut",
+    "gateway_endpoint_pause",
+    "gateway_endpoint_leaves",
     "gateway_starved",
     "gateway_leaving",
 ];
