An endpoint that states in an answer that it leaves gets no new requests

It counts in any answer: a complete one, a refusal, an error, a stream's head, an answer to another request, one whose body breaks off. The mark lasts as long as the incarnation is listed, and lists that lag don't take it back: an endpoint that was leaving when it was last listed is remembered for 5 s, as one listed as leaving was before.

--- a/crates/anvil_gateway/src/directory.rs
+++ b/crates/anvil_gateway/src/directory.rs
@@ -23,7 +23,7 @@
     groups: ArcSwap<BTreeMap<ServiceId, EndpointGroup>>,
     /// Availability zones whose endpoints receive no new requests.
     evacuated_zones: ArcSwap<BTreeSet<ZoneId>>,
-    /// Leaving endpoints, with the time they were last listed so.
+    /// Leaving endpoints, with the time they were last listed so, or were last listed at all.
     recently_leaving: Mutex<BTreeMap<InstanceId, Instant>>,
     /// By service: number of consecutive endpoints whose address another incarnation has taken
     /// over.
@@ -196,6 +196,9 @@
         for (id, endpoint) in known {
             if endpoint.mark_leaving() {
                 changes.vanished.push(id.clone());
+            } else {
+                // It may have stated so itself, and lists that lag may still name it as ready.
+                recently_leaving.insert(id.clone(), Instant::now());
             }
             endpoint.pool.clear();
             changes.removed.push(id.clone());
--- a/crates/anvil_gateway/src/pauses.rs
+++ b/crates/anvil_gateway/src/pauses.rs
@@ -118,7 +118,7 @@
         status: StatusCode,
         notice: AvailabilityNotice,
     ) {
-        if notice.leaving {
+        if notice.leaving && endpoint.mark_leaving() {
             event!(
                 self.log, events::GATEWAY_ENDPOINT_LEAVES, "endpoint" => &*endpoint.id,
                 "request" => id
