An endpoint that returns under its id is used again

An endpoint that left, disappeared from the list and was listed as ready within 5 s under the same id was marked as leaving in its new incarnation too, for good: it ran nothing for as long as it was listed.

--- a/crates/anvil_gateway/src/directory.rs
+++ b/crates/anvil_gateway/src/directory.rs
@@ -175,18 +175,22 @@
             let unchanged = known.remove(&listed.id).filter(|endpoint| {
                 endpoint.addr == listed.addr && endpoint.service == listed.service
             });
+            // Failure: a lagging list names an endpoint as ready that an earlier list had as
+            // leaving or no longer had, so it would receive requests just before it stops. It is
+            // left out rather than marked: the mark would outlast the lag and bind a new
+            // incarnation that has the same id.
+            if unchanged.is_none() && !listed.leaving && recently_leaving.contains_key(&listed.id) {
+                continue;
+            }
             let endpoint = unchanged.cloned().unwrap_or_else(|| {
                 changes.added.push(listed.id.clone());
                 Arc::new(Endpoint::new(listed))
             });
-            // Failure: a lagging list names an endpoint as ready that an earlier list had as
-            // leaving or no longer had, so it would receive requests just before it stops.
-            let is_leaving = listed.leaving || recently_leaving.contains_key(&listed.id);
-            if is_leaving && endpoint.mark_leaving() {
-                changes.leaving.push(listed.id.clone());
-            }
             if listed.leaving {
                 recently_leaving.insert(listed.id.clone(), Instant::now());
+                if endpoint.mark_leaving() {
+                    changes.leaving.push(listed.id.clone());
+                }
             }
             groups
                 .entry(listed.service.clone())
--- a/crates/anvil_gateway/tests/direct/leaving.rs
+++ b/crates/anvil_gateway/tests/direct/leaving.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use tokio::time::{Instant, sleep};
+
 use crate::client::Client;
 use crate::endpoint::{ReceivedRequest, Step, TestEndpoint, refusal_with, response, response_with};
 use crate::gateway::{TestGateway, listed};
@@ -36,6 +38,31 @@
     }
 }
 
+/// Guards against an endpoint that left and started again under the same id staying without
+/// requests for good.
+#[tokio::test]
+async fn endpoint_that_returns_under_its_id_receives_requests_again() {
+    let endpoint = TestEndpoint::start(|_, req| vec![Step::Send(response(req, "ran"))]).await;
+    let gateway = TestGateway::start(&[("a", &endpoint)]).await;
+    let ready = [listed("a", endpoint.addr)];
+    let mut leaving = ready.clone();
+    leaving[0].leaving = true;
+    gateway.gw.directory.apply_list(&leaving);
+    gateway.gw.directory.apply_list(&[]);
+    let removed_at = Instant::now();
+    let mut served_after = None;
+    while served_after.is_none() && removed_at.elapsed() < Duration::from_secs(8) {
+        gateway.gw.directory.apply_list(&ready);
+        let mut client = Client::connect(gateway.addr).await;
+        if client.request("/once/x", "id", "").await.status == 200 {
+            served_after = Some(removed_at.elapsed());
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+    let served_after = served_after.expect("served again");
+    assert!(served_after > Duration::from_secs(4), "{served_after:?}");
+}
+
 /// Guards against an endpoint receiving new requests after it stated in an answer that it is
 /// leaving, while no list shows it yet.
 #[tokio::test]
@@ -65,7 +92,7 @@
         let mut client = Client::connect(gateway.addr).await;
         client.request("/idempotent/x", "first", "").await;
         // Past the cooldown after a failure.
-        tokio::time::sleep(Duration::from_millis(400)).await;
+        sleep(Duration::from_millis(400)).await;
         let ready = [
             listed("leaving", leaving.addr),
             listed("staying", staying.addr),
@@ -97,7 +124,7 @@
     let mut client = Client::connect(gateway.addr).await;
     client.send("/once/x", "id", "content-length: 0\r\n").await;
     while slow.received().is_empty() {
-        tokio::time::sleep(Duration::from_millis(5)).await;
+        sleep(Duration::from_millis(5)).await;
     }
     assert!(gateway.gw.is_ready());
     gateway.gw.lifecycle.begin_drain();
