Sidecars keep the pauses that their endpoints ask for

One sidecar stands before each endpoint, so its bar holds for all routers: new work, polls, resumed streams and orders wait, cancels don't, as they relieve the endpoint. Routers see an endpoint in a pause as one that takes no work, and send elsewhere; the end begins slowly, by the same anvil_policy::pause. Retry-After is parsed once, in anvilreel::retry_after.

Partial: where all endpoints pause, callers are told to return after 1 s, as routers know only that none takes work; the end would need a new field on the wire between sidecars and routers of two builds.

--- a/crates/anvil_gateway/src/dialect.rs
+++ b/crates/anvil_gateway/src/dialect.rs
@@ -9,6 +9,7 @@
 
 use anvil_wire::msg::ListedEndpoint;
 use anvil_world::prelude::*;
+use anvilreel::retry_after::RetryAfter;
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode, request};
 use snafu::Snafu;
@@ -121,17 +122,6 @@
     pub leaving: bool,
 }
 
-/// The retry-after time in a response head.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum RetryAfter {
-    /// No time is given.
-    None,
-    /// After this time.
-    Time(Duration),
-    /// The value can't be parsed.
-    Unreadable,
-}
-
 /// A rate limit in a response head.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AnnouncedLimit {
--- a/crates/anvil_gateway/src/pauses.rs
+++ b/crates/anvil_gateway/src/pauses.rs
@@ -8,10 +8,11 @@
 use anvil_policy::pause::Pause;
 use anvil_world::prelude::*;
 use anvilreel::event;
+use anvilreel::retry_after::RetryAfter;
 use http::StatusCode;
 use slog::Logger;
 
-use crate::dialect::{AvailabilityNotice, RetryAfter};
+use crate::dialect::AvailabilityNotice;
 use crate::endpoint::Endpoint;
 use crate::gateway::Gateway;
 use crate::log_events as events;
--- a/crates/anvil_gateway/tests/direct/dialect.rs
+++ b/crates/anvil_gateway/tests/direct/dialect.rs
@@ -4,7 +4,7 @@
 
 use anvil_gateway::dialect::{
     AnnouncedLimit, AvailabilityNotice, Dialect, ForwardedHead, InvalidTable, ModelWork,
-    PromptPart, ReportedLoad, RequestHead, RequestHeadError, ResponseHead, RetryAfter,
+    PromptPart, ReportedLoad, RequestHead, RequestHeadError, ResponseHead,
 };
 use anvil_gateway::table::RouteTable;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, request};
@@ -88,11 +88,7 @@
             Some(Err(_)) => AnnouncedLimit::Unreadable,
         },
         notice: AvailabilityNotice {
-            retry_after: match text(headers, "retry-after").map(str::parse) {
-                None => RetryAfter::None,
-                Some(Ok(seconds)) => RetryAfter::Time(Duration::from_secs_f64(seconds)),
-                Some(Err(_)) => RetryAfter::Unreadable,
-            },
+            retry_after: headers.into(),
             leaving: headers.contains_key("x-leaving"),
         },
     }
--- a/crates/anvil_gateway/tests/direct/pausing.rs
+++ b/crates/anvil_gateway/tests/direct/pausing.rs
@@ -6,11 +6,13 @@
 
 use anvil_gateway::Gateway;
 use anvil_gateway::attempt::{AttemptOutcome, NotRun, OutgoingRequest, send as send_attempt};
+use anvil_gateway::attempt_counter::AttemptCounter;
 use anvil_gateway::choose::{Selection, Unplaced};
-use anvil_gateway::dialect::{AvailabilityNotice, RetryAfter};
+use anvil_gateway::dialect::AvailabilityNotice;
 use anvil_gateway::regions::{AllowedRegions, Constraints};
 use anvil_policy::engine::Prompt;
 use anvil_world::prelude::*;
+use anvilreel::retry_after::RetryAfter;
 use http::{HeaderMap, Method, StatusCode, Uri};
 use tokio::time::{Instant, sleep};
 
@@ -178,6 +180,17 @@
     assert!(ready.received().is_empty());
 }
 
+/// Guards against a request using up an attempt, and an endpoint that it may still be sent to, when
+/// nothing was sent.
+#[test]
+fn request_that_was_not_sent_uses_no_attempt() {
+    let mut counter = AttemptCounter::default();
+    let outcome = AttemptOutcome::NotRun(NotRun::NotAccepting);
+    counter.record("a".into(), &outcome);
+    assert!(counter.may_continue(1) && counter.reached_none());
+    assert!(counter.endpoints().is_empty() && !counter.was_received());
+}
+
 /// Guards against a new incarnation, or the new owner of an address, being held to a pause that
 /// another one asked for.
 #[tokio::test]
--- a/crates/anvil_standins/src/plain.rs
+++ b/crates/anvil_standins/src/plain.rs
@@ -2,7 +2,8 @@
 //!
 //! It accepts any method and path. A request with an `order-id` header, or a JSON body with
 //! `order_id`, is counted under that id; the response contains the count. `GET /runs` returns
-//! all counts.
+//! all counts. A call of `/pause/SECONDS` makes it busy for so long: it turns all calls away with
+//! 503 and a `Retry-After` of what is left.
 
 use std::collections::BTreeMap;
 use std::io;
@@ -15,7 +16,7 @@
 use bytes::Bytes;
 use http::StatusCode;
 use serde_json::{Value, json};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 use viz::{Request, RequestExt, Response, ResponseExt, Router};
 
 use crate::engine::lock;
@@ -49,6 +50,7 @@
     call_time: AtomicU64,
     failing: AtomicBool,
     breaks_responses: AtomicBool,
+    busy_until: Mutex<Option<Instant>>,
     calls: AtomicU64,
     orders: Mutex<BTreeMap<String, u64>>,
 }
@@ -87,7 +89,7 @@
         lock(&self.service.orders).clone()
     }
 
-    /// Total number of calls.
+    /// Total number of calls, those that it turned away included.
     pub fn calls(&self) -> u64 {
         self.service.calls.load(Ordering::Relaxed)
     }
@@ -103,6 +105,11 @@
         self.service.failing.store(failing, Ordering::Relaxed);
     }
 
+    /// Makes it busy for this time: it turns all calls away and asks for a pause until then.
+    pub fn set_busy_for(&self, time: Duration) {
+        *lock(&self.service.busy_until) = Some(Instant::now() + time);
+    }
+
     /// Sets whether it runs a call and breaks the connection in the middle of the response.
     pub fn set_breaks_responses(&self, breaks_responses: bool) {
         self.service
@@ -117,6 +124,15 @@
 }
 
 async fn call(service: Arc<Service>, mut req: Request) -> viz::Result<Response> {
+    service.calls.fetch_add(1, Ordering::Relaxed);
+    if let Some(time) = pause_of(req.uri().path()) {
+        *lock(&service.busy_until) = Some(Instant::now() + time);
+    }
+    let busy_until = *lock(&service.busy_until);
+    let busy_for = busy_until.map(|until| until.saturating_duration_since(Instant::now()));
+    if let Some(busy_for) = busy_for.filter(|time| !time.is_zero()) {
+        return Ok(reply::busy("busy", busy_for));
+    }
     if service.failing.load(Ordering::Relaxed) {
         let failing = json!({"error": "this service fails"});
         return Ok(reply::json(StatusCode::SERVICE_UNAVAILABLE, &failing));
@@ -144,7 +160,6 @@
 
 impl Service {
     fn count(&self, order: Option<&str>) -> u64 {
-        self.calls.fetch_add(1, Ordering::Relaxed);
         let Some(order) = order else {
             return 0;
         };
@@ -155,6 +170,12 @@
     }
 }
 
+/// The time that a call asks it to be busy for.
+fn pause_of(path: &str) -> Option<Duration> {
+    let seconds = path.strip_prefix("/pause/")?.parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
 fn order_id(body: &Bytes) -> Option<String> {
     let body: Value = serde_json::from_slice(body).ok()?;
     Some(body["order_id"].as_str()?.into())
--- a/crates/anvil_standins/src/reply.rs
+++ b/crates/anvil_standins/src/reply.rs
@@ -1,8 +1,11 @@
 //! JSON responses of the stand-ins.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::{HeaderValue, StatusCode, header};
 use serde::Serialize;
+use serde_json::json;
 use viz::{Body, Response};
 
 /// A response with this status and a JSON body.
@@ -17,3 +20,11 @@
         .insert(header::CONTENT_TYPE, content_type);
     response
 }
+
+/// A refusal with 503 that asks for a pause of at least this time, in whole seconds.
+pub fn busy(error: &str, time: Duration) -> Response {
+    let mut response = json(StatusCode::SERVICE_UNAVAILABLE, &json!({ "error": error }));
+    let seconds = HeaderValue::from(time.as_secs() + 1);
+    response.headers_mut().insert(header::RETRY_AFTER, seconds);
+    response
+}
--- a/crates/anvil_standins/src/weights.rs
+++ b/crates/anvil_standins/src/weights.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use http::{HeaderValue, StatusCode, header};
+use http::StatusCode;
 use serde_json::json;
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
@@ -95,17 +95,9 @@
     let model: String = req.param("model")?;
     let Ok(_permit) = store.permits.try_acquire() else {
         store.limited.fetch_add(1, Ordering::Relaxed);
-        return Ok(limited(store.cfg.read_time));
+        return Ok(reply::busy("too many reads", store.cfg.read_time));
     };
     sleep(store.cfg.read_time).await;
     store.served.fetch_add(1, Ordering::Relaxed);
     Ok(reply::json(StatusCode::OK, &json!({ "model": model })))
 }
-
-fn limited(after: Duration) -> Response {
-    let error = json!({"error": "too many reads"});
-    let mut response = reply::json(StatusCode::SERVICE_UNAVAILABLE, &error);
-    let seconds = HeaderValue::from(after.as_secs() + 1);
-    response.headers_mut().insert(header::RETRY_AFTER, seconds);
-    response
-}
--- a/crates/anvilreel/src/events.rs
+++ b/crates/anvilreel/src/events.rs
@@ -100,6 +100,10 @@
     RELAY_LISTENING = 2011 Info "relay_listening";
     /// The relay has stopped.
     RELAY_STOPPED = 2012 Info "relay_stopped";
+    /// The endpoint turned work away and asks for a pause; it gets no work in it.
+    SIDECAR_ENDPOINT_PAUSE = 2013 Info "sidecar_endpoint_pause";
+    /// The pause that the endpoint asked for is over.
+    SIDECAR_ENDPOINT_PAUSE_OVER = 2014 Info "sidecar_endpoint_pause_over";
     /// All roles of the quick start are running.
     LOCAL_READY = 4001 Info "local_ready";
 }
--- a/crates/anvilreel/src/lib.rs
+++ b/crates/anvilreel/src/lib.rs
@@ -11,6 +11,7 @@
 //!   it, and [`watcher`] keeps a client's list of ledger replicas up to date.
 //! - [`channel_cache`] holds the channels to other processes, and [`lifecycle`] a process's
 //!   incarnation, clock and planned stop; [`moment`] measures ages across a suspension.
+//! - [`retry_after`] parses when an endpoint wants the next request.
 //! - [`evacuation`] commits operators' orders for availability zones.
 //! - [`events`] lists the log events, [`logs`] writes them, and [`metrics`] lists and sends the
 //!   metrics.
@@ -33,6 +34,7 @@
 pub mod operator;
 pub mod relay;
 pub mod request;
+pub mod retry_after;
 pub mod router;
 pub mod runs;
 pub mod sidecar;
--- a/crates/anvilreel/src/sidecar.rs
+++ b/crates/anvilreel/src/sidecar.rs
@@ -4,12 +4,13 @@
 //! [`Sidecar`] starts and stops the process. `requests` answers routers, `hub` holds the state
 //! machine [`crate::runs`], `drive` performs one run at the endpoint (`engine` and `http` are its
 //! protocols), and `load` polls the endpoint's load. `follow` keeps up with the ledger and sends
-//! heartbeats, `admission` decides whether the endpoint accepts new work, `platform` polls the
+//! heartbeats, `endpoint_pause` keeps the pauses that the endpoint asks for, `admission` decides whether the endpoint accepts new work, `platform` polls the
 //! platform for whether it is leaving, and `orders` passes orders with their fencing numbers to the
 //! endpoint.
 
 mod admission;
 mod drive;
+mod endpoint_pause;
 mod engine;
 mod follow;
 mod http;
@@ -90,6 +91,10 @@
         tasks.push(tokio::spawn(
             async move { follow::heartbeat(&sender).await },
         ));
+        let pausing = core.clone();
+        tasks.push(tokio::spawn(async move {
+            endpoint_pause::publish(&pausing).await;
+        }));
         if settings.endpoint.kind == EndpointKind::Engine {
             let polling = load::poll(core.client.clone(), core.loads.clone());
             tasks.push(tokio::spawn(polling));
@@ -117,7 +122,7 @@
     /// routers read their ends.
     pub async fn stop(self) {
         self.core.lifecycle.begin_drain();
-        self.core.publish_leaving();
+        self.core.publish_accepting();
         event!(self.core.log, events::SIDECAR_LEAVING);
         while self.core.hub.live_runs() > 0 {
             sleep(STOP_POLL_INTERVAL).await;
@@ -202,8 +207,10 @@
             .send_modify(|load| load.running = u32::try_from(running).unwrap_or(u32::MAX));
     }
 
-    fn publish_leaving(&self) {
-        let leaving = self.admission.is_leaving();
+    /// Tells the runs and all watching routers whether new work is accepted. To both, an endpoint in a
+    /// pause is one that is leaving, until it no longer is.
+    fn publish_accepting(&self) {
+        let leaving = self.admission.is_leaving() || self.client.pause().is_paused();
         self.hub.feed(if leaving {
             Event::Leaving
         } else {
--- a/crates/anvilreel/src/sidecar/drive.rs
+++ b/crates/anvilreel/src/sidecar/drive.rs
@@ -121,7 +121,7 @@
     usage: Usage,
     report: &impl Fn(EndpointEvent),
 ) -> Result<(), EndpointError> {
-    let response = client.send(method, tail, headers, body).await?;
+    let response = client.send_work(method, tail, headers, body).await?;
     let (parts, mut body) = response.into_parts();
     let headers = parts.headers.iter().map(|(name, value)| {
         let value = Bytes::copy_from_slice(value.as_bytes());
--- a/crates/anvilreel/src/sidecar/engine.rs
+++ b/crates/anvilreel/src/sidecar/engine.rs
@@ -62,7 +62,7 @@
         "content-type".into(),
         Bytes::from_static(b"application/json"),
     )];
-    let response = client.send("POST", CHAT_PATH, &headers, body).await?;
+    let response = client.send_work("POST", CHAT_PATH, &headers, body).await?;
     open_stream(response)
 }
 
@@ -80,7 +80,9 @@
 /// Cancels a run.
 pub async fn cancel(client: &EndpointClient, run_id: &str) -> Result<(), EndpointError> {
     let path = format!("/v1/streams/{run_id}");
-    client.send("DELETE", &path, &[], Bytes::new()).await?;
+    client
+        .send_always("DELETE", &path, &[], Bytes::new())
+        .await?;
     Ok(())
 }
 
--- a/crates/anvilreel/src/sidecar/follow.rs
+++ b/crates/anvilreel/src/sidecar/follow.rs
@@ -104,5 +104,5 @@
             fleet.keep_claims + ONCE_RETENTION_MARGIN,
         ));
     }
-    core.publish_leaving();
+    core.publish_accepting();
 }
--- a/crates/anvilreel/src/sidecar/http.rs
+++ b/crates/anvilreel/src/sidecar/http.rs
@@ -1,6 +1,7 @@
 //! The HTTP client of the endpoint.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,6 +13,8 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use snafu::{ResultExt, Snafu};
 
+use super::endpoint_pause::EndpointPause;
+
 /// Timeout of a connection to the endpoint, which runs on the same machine.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -46,6 +49,9 @@
         /// Status of the response.
         status: StatusCode,
     },
+    /// Nothing was sent, because the endpoint asked for a pause.
+    #[snafu(display("the endpoint asked for a pause"))]
+    Paused,
     /// The event or the request body is not the JSON that is expected.
     #[snafu(display("invalid JSON in a request or event: {source}"))]
     Event {
@@ -63,7 +69,10 @@
 impl EndpointError {
     /// Whether the endpoint has certainly not run the call.
     pub fn never_ran(&self) -> bool {
-        matches!(self, Self::Connect { .. } | Self::Call { .. })
+        matches!(
+            self,
+            Self::Connect { .. } | Self::Call { .. } | Self::Paused
+        )
     }
 }
 
@@ -72,6 +81,7 @@
 pub struct EndpointClient {
     addr: SocketAddr,
     client: Client<HttpConnector, Full<Bytes>>,
+    pause: Arc<EndpointPause>,
 }
 
 impl EndpointClient {
@@ -86,15 +96,55 @@
             .pool_timer(TokioTimer::new())
             .retry_canceled_requests(false)
             .build(connector);
-        Self { addr, client }
+        Self {
+            addr,
+            client,
+            pause: Arc::new(EndpointPause::new()),
+        }
+    }
+
+    /// The pause that the endpoint has asked for.
+    pub fn pause(&self) -> &EndpointPause {
+        &self.pause
+    }
+
+    /// Sends new work to this path and query, unless the endpoint's pause bars it.
+    pub async fn send_work(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(Arc<str>, Bytes)],
+        body: Bytes,
+    ) -> Result<Response<Incoming>, EndpointError> {
+        if !self.pause.try_send() {
+            return Err(EndpointError::Paused);
+        }
+        let response = self.send_always(method, path, headers, body).await?;
+        self.pause
+            .apply_response(response.status(), response.headers());
+        Ok(response)
     }
 
-    /// Sends a call to this path and query.
+    /// Sends any other call, unless the endpoint has asked for a pause.
     pub async fn send(
         &self,
         method: &str,
         path: &str,
-        headers: &[(std::sync::Arc<str>, Bytes)],
+        headers: &[(Arc<str>, Bytes)],
+        body: Bytes,
+    ) -> Result<Response<Incoming>, EndpointError> {
+        if self.pause.is_paused() {
+            return Err(EndpointError::Paused);
+        }
+        self.send_always(method, path, headers, body).await
+    }
+
+    /// Sends a call that relieves the endpoint, in a pause too.
+    pub async fn send_always(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(Arc<str>, Bytes)],
         body: Bytes,
     ) -> Result<Response<Incoming>, EndpointError> {
         let mut req = Request::builder()
--- a/crates/anvilreel/src/sidecar/platform.rs
+++ b/crates/anvilreel/src/sidecar/platform.rs
@@ -55,7 +55,7 @@
                 .platform_leaving
                 .swap(leaving, Ordering::Relaxed);
             if before != leaving {
-                core.publish_leaving();
+                core.publish_accepting();
             }
         }
         sleep(POLL_INTERVAL).await;
