While an endpoint pauses, the others get no more than they bear

A router that moves the whole load of a paused endpoint to the others has them turn requests away and ask for pauses too, until it refuses everything for the length of a pause.

--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -45,6 +45,8 @@
     AtLimit(Duration),
     /// All endpoints have asked for a pause; the first one ends after this time.
     Paused(Duration),
+    /// Some endpoints have asked for a pause, and the others bear no more.
+    Full,
 }
 
 /// Expected wait for one more request at a non-engine endpoint whose slots are all in use.
@@ -150,6 +152,14 @@
             }
             shortest_wait = shortest_wait.min(wait);
         }
+        let some_accept = !accepting.is_empty();
+        let is_paused = |candidate: &Candidate<'_>| candidate.endpoint.is_paused(now);
+        if candidates.iter().any(is_paused) {
+            accepting.retain(|candidate| candidate.endpoint.bears_another(now));
+        }
+        if some_accept && accepting.is_empty() {
+            return Err(Unplaced::Full);
+        }
         let preference = |candidate: &&Candidate<'_>| (candidate.on_cooldown, candidate.expected);
         while let Some(best) = accepting.iter().copied().min_by_key(preference) {
             if best.expected > within {
--- a/crates/anvil_gateway/src/exchange/one_attempt.rs
+++ b/crates/anvil_gateway/src/exchange/one_attempt.rs
@@ -175,6 +175,7 @@
                 Cause::Overloaded,
                 wait.clamp(OVERLOAD_RETRY_AFTER.0, OVERLOAD_RETRY_AFTER.1),
             ),
+            Unplaced::Full => (Cause::Overloaded, OVERLOAD_RETRY_AFTER.0),
             Unplaced::Paused(wait) => (Cause::EndpointsPaused, spread_return(wait)),
         }
     }
--- a/crates/anvil_gateway/src/pauses.rs
+++ b/crates/anvil_gateway/src/pauses.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvil_policy::pause::Pause;
+use anvil_policy::pause::{self, Pause};
 use anvil_world::prelude::*;
 use anvilreel::event;
 use anvilreel::retry_after::RetryAfter;
@@ -68,6 +68,12 @@
         !self.is_leaving() && !self.is_paused(now)
     }
 
+    /// Whether it bears another request while other endpoints of its service pause.
+    pub fn bears_another(&self, now: Now) -> bool {
+        let load = self.load();
+        pause::bears_another(load.estimated_requests(now), load.slots(self.slots))
+    }
+
     /// Time until its pause allows another request; zero if it does now.
     pub fn pause_wait(&self, now: Now) -> Duration {
         self.pause().pause.time_until_send(now)
--- a/crates/anvil_gateway/tests/direct/pausing.rs
+++ b/crates/anvil_gateway/tests/direct/pausing.rs
@@ -319,3 +319,20 @@
     gateway.gw.apply_notice(&endpoint, "r", status, notice);
     assert_eq!(gateway.gw.count_paused(), 1);
 }
+
+/// Guards against a gateway that sends the load of a paused endpoint to the others until they ask for
+/// pauses too, and against a bound on them when none pauses.
+#[tokio::test]
+async fn endpoints_beside_a_paused_one_get_what_they_bear() {
+    let (first, second) = (ready_endpoint().await, ready_endpoint().await);
+    let gateway = TestGateway::start(&[("a", &first), ("b", &second)]).await;
+    let gw = &gateway.gw;
+    request_pause(gw, "a", Duration::from_millis(500));
+    // Eight slots, and a quarter as many that wait.
+    let mut selected: Vec<_> = (0..10).map(|_| select(gw, &[]).expect("room")).collect();
+    assert!(matches!(select(gw, &[]), Err(Unplaced::Full)));
+    selected.pop();
+    selected.push(select(gw, &[]).expect("room"));
+    sleep(Duration::from_millis(600)).await;
+    assert!((0..20).all(|_| select(gw, &[]).is_ok()));
+}
--- a/crates/anvil_policy/src/pause.rs
+++ b/crates/anvil_policy/src/pause.rs
@@ -11,7 +11,9 @@
 //! *Mechanism:* a [`Pause`] bars the endpoint at one router until its end; of several, the latest end
 //! counts. After that the router starts slowly: one request first, and two more for each one that the
 //! endpoint takes on, until it has taken on [`TAKEN_ON_TO_END`]. An endpoint that doesn't answer gets
-//! one request in each [`UNANSWERED_INTERVAL`].
+//! one request in each [`UNANSWERED_INTERVAL`]. While one endpoint of a service pauses, the others get no
+//! more than they bear ([`bears_another`]): the load that it no longer takes would have them ask for
+//! pauses as well, one after the other.
 //!
 //! *Thresholds:* the router's own end is later by a random part of the pause, so that the routers that
 //! were turned away together don't return together.
@@ -29,6 +31,15 @@
 /// After this time without an answer another request may be sent.
 const UNANSWERED_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Requests at an endpoint, as a multiple of its slots, from which on it gets no more while another one
+/// pauses: a few wait for the next slot, so that none stays empty.
+const MAX_LOAD: f64 = 1.25;
+
+/// Whether an endpoint bears another request while other endpoints of its service pause.
+pub fn bears_another(requests: u32, slots: u32) -> bool {
+    f64::from(requests) < MAX_LOAD * f64::from(slots.max(1))
+}
+
 /// The pause that one endpoint has asked one router for.
 #[derive(Debug, Clone, Default)]
 pub struct Pause {
--- a/crates/anvil_policy/tests/pause.rs
+++ b/crates/anvil_policy/tests/pause.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use anvil_policy::pause::Pause;
+use anvil_policy::pause::{Pause, bears_another};
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -100,3 +100,10 @@
     let mut frozen = paused();
     assert!(frozen.try_send(ms(9_000_000)));
 }
+
+/// Guards against the load of a paused endpoint overloading the others, and against idle slots there.
+#[test]
+fn others_get_what_they_bear() {
+    assert!(bears_another(0, 0) && bears_another(5, 6) && bears_another(7, 6));
+    assert!(!bears_another(8, 6) && !bears_another(2, 1));
+}
