An answer that comes when nobody waits for it is read

The router's log: c0000059f was sent to i-14 at 1.403 s; its client left 3 ms later; no gateway_endpoint_pause before the next answer 1.3 s on. The answer had been given, and the connection was dropped unread.

Also seen by reading: the tokens of a request that was turned away after its client had left counted as spent, as any byte of an answer counted as a run.

--- a/crates/anvil_gateway/src/attempt.rs
+++ b/crates/anvil_gateway/src/attempt.rs
@@ -14,6 +14,7 @@
 use crate::dialect::ResponseHead;
 use crate::endpoint::{Endpoint, EndpointSlot};
 use crate::gateway::Gateway;
+use crate::late_response::LateHandler;
 use crate::pool::Connection;
 
 /// Why a request has not run at an endpoint.
@@ -102,7 +103,7 @@
 
 /// Sends one request to the endpoint of `slot` and waits for the response head.
 pub async fn send(
-    gw: &Gateway,
+    gw: &Arc<Gateway>,
     slot: EndpointSlot,
     outgoing: OutgoingRequest<'_>,
 ) -> AttemptOutcome {
@@ -133,7 +134,8 @@
             }
             return AttemptOutcome::NotRun(NotRun::NotAccepting);
         }
-        connection.watch.request_sent();
+        let handler = late_handler(gw, &endpoint, outgoing.id);
+        connection.watch.request_sent(handler);
         let sent_at = gw.lifecycle.now();
         *outgoing.watch = Some(connection.watch.clone());
         let sending = connection.sender.try_send_request(build_request(&outgoing));
@@ -183,6 +185,16 @@
     }
 }
 
+/// Applies what a response states about its endpoint if nobody waits for it any more.
+fn late_handler(gw: &Arc<Gateway>, endpoint: &Arc<Endpoint>, id: &str) -> LateHandler {
+    let (gw, endpoint, id) = (gw.clone(), endpoint.clone(), String::from(id));
+    Box::new(move |status, headers| {
+        let head = (gw.cfg.dialect.parse_response)(status, headers);
+        gw.apply_notice(&endpoint, &id, status, head.notice);
+        head.not_run && head.id.is_none_or(|answered| *answered == *id)
+    })
+}
+
 fn build_request(outgoing: &OutgoingRequest<'_>) -> Request<Full<Bytes>> {
     let mut req = Request::new(Full::new(outgoing.body.clone()));
     *req.method_mut() = outgoing.method.clone();
--- a/crates/anvil_gateway/src/connection_watch.rs
+++ b/crates/anvil_gateway/src/connection_watch.rs
@@ -4,12 +4,12 @@
 //! had begun to run the request. If it is charged, the organisation pays for tokens it never
 //! received; if not, it may receive more than it pays for. So an abandoned connection is first
 //! closed for writing, which stops the endpoint's run, and then read to its end: an endpoint that
-//! had begun has sent the start of its response.
+//! had begun has sent the start of its response. A head that comes is handled as a [`LateResponse`].
 
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -18,6 +18,8 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
+use crate::late_response::{LateHandler, LateResponse};
+
 /// For how long an abandoned connection is read. An endpoint notices the close within a few
 /// milliseconds; one that does not close in this time is assumed to have begun.
 const LINGER: Duration = Duration::from_millis(100);
@@ -29,6 +31,8 @@
     received_data: AtomicBool,
     /// A request was sent and its response has not begun.
     awaiting_response: AtomicBool,
+    /// What has come of the awaited response.
+    late_response: Mutex<LateResponse>,
     /// How the connection ended; `None` while it is in use.
     ended: watch::Sender<Option<End>>,
 }
@@ -38,6 +42,8 @@
 enum End {
     /// The endpoint closed it and all data was read.
     Closed,
+    /// The endpoint stated that it did not run the request.
+    NotRun,
     /// It was abandoned before its end was seen.
     Abandoned,
 }
@@ -47,12 +53,15 @@
         Arc::new(Self {
             received_data: AtomicBool::new(false),
             awaiting_response: AtomicBool::new(false),
+            late_response: Mutex::default(),
             ended: watch::Sender::new(None),
         })
     }
 
-    /// Call before a request is sent.
-    pub fn request_sent(&self) {
+    /// Call before a request is sent. `handler` receives the head of the response if it comes when
+    /// nobody waits for it any more.
+    pub fn request_sent(&self, handler: LateHandler) {
+        *self.late_response() = LateResponse::new(handler);
         self.received_data.store(false, Ordering::Relaxed);
         self.awaiting_response.store(true, Ordering::Relaxed);
     }
@@ -60,11 +69,32 @@
     /// Call when the response has begun.
     pub fn response_started(&self) {
         self.awaiting_response.store(false, Ordering::Relaxed);
+        *self.late_response() = LateResponse::default();
+    }
+
+    fn late_response(&self) -> MutexGuard<'_, LateResponse> {
+        // Sound after a panic elsewhere: bytes are only appended.
+        self.late_response
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn record_received(&self, bytes: &[u8]) {
+        self.received_data.store(true, Ordering::Relaxed);
+        if self.awaiting_response.load(Ordering::Relaxed) {
+            self.late_response().push(bytes);
+        }
+    }
+
+    /// How the connection ended, if the head of the awaited response has come.
+    fn end_by_late_response(&self) -> Option<End> {
+        let not_run = self.late_response().handle()?;
+        Some(if not_run { End::NotRun } else { End::Abandoned })
     }
 
     /// Waits for the end of the connection. Returns whether it is certain that the endpoint had not
-    /// begun to respond to the last request.
-    pub async fn ended_without_data(&self) -> bool {
+    /// begun to run the last request.
+    pub async fn ended_without_run(&self) -> bool {
         let mut ended = self.ended.subscribe();
         let waiting = ended.wait_for(Option::is_some);
         let end = match timeout(2 * LINGER, waiting).await {
@@ -72,7 +102,8 @@
             // Timed out, or the sender was dropped.
             Err(_) | Ok(Err(_)) => None,
         };
-        end == Some(End::Closed) && !self.received_data.load(Ordering::Relaxed)
+        let received_data = self.received_data.load(Ordering::Relaxed);
+        end == Some(End::NotRun) || end == Some(End::Closed) && !received_data
     }
 
     fn set_end(&self, end: End) {
@@ -114,10 +145,14 @@
         let Ok(runtime) = tokio::runtime::Handle::try_current() else {
             return;
         };
-        if !awaited || watch.received_data.load(Ordering::Relaxed) {
+        if !awaited {
             watch.set_end(End::Abandoned);
             return;
         }
+        if let Some(end) = watch.end_by_late_response() {
+            watch.set_end(end);
+            return;
+        }
         runtime.spawn(async move {
             let reading = timeout(LINGER, read_to_end(socket, &watch));
             let end = reading.await.unwrap_or(End::Abandoned);
@@ -130,14 +165,16 @@
     // Fails only if the connection is already gone, which the read shows.
     let _ = socket.shutdown().await;
     let mut buf = [0; 512];
-    match socket.read(&mut buf).await {
-        Ok(0) => End::Closed,
-        Ok(_) => {
-            watch.received_data.store(true, Ordering::Relaxed);
-            End::Abandoned
+    loop {
+        match socket.read(&mut buf).await {
+            Ok(0) => return End::Closed,
+            Ok(received) => watch.record_received(&buf[..received]),
+            // Data received before a reset may be lost.
+            Err(_) => return End::Abandoned,
+        }
+        if let Some(end) = watch.end_by_late_response() {
+            return end;
         }
-        // Data received before a reset may be lost.
-        Err(_) => End::Abandoned,
     }
 }
 
@@ -150,7 +187,7 @@
         let before = buf.filled().len();
         let polled = self.socket().poll_read(cx, buf);
         if buf.filled().len() > before {
-            self.watch.received_data.store(true, Ordering::Relaxed);
+            self.watch.record_received(&buf.filled()[before..]);
         }
         polled
     }
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -330,7 +330,7 @@
         let log = self.gw.log.clone();
         let id = self.request.id.clone();
         tokio::spawn(async move {
-            if watch.ended_without_data().await {
+            if watch.ended_without_run().await {
                 charge.record_not_run();
                 event!(log, events::GATEWAY_BILL_DROPPED, "request" => &*id);
             }
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod exchange;
 pub mod gateway;
 pub mod grant_loop;
+pub mod late_response;
 pub mod ledger_updates;
 pub mod list;
 pub mod log_events;
--- a/crates/anvil_gateway/tests/direct/charging.rs
+++ b/crates/anvil_gateway/tests/direct/charging.rs
@@ -211,3 +211,28 @@
     }
     assert_eq!(pausing.received().len(), 1);
 }
+
+/// Guards against the cost of a request being kept when its client left just before the endpoint
+/// turned it away.
+#[tokio::test]
+async fn request_turned_away_after_its_client_has_left_costs_nothing() {
+    let full = TestEndpoint::start(|_, req| {
+        vec![
+            Step::Pause(Duration::from_millis(30)),
+            Step::Send(refusal_with(req, "")),
+        ]
+    })
+    .await;
+    let gateway = start_with_grant(&full, 500).await;
+    let headers = format!("{KEY}x-tokens: 300,100\r\ncontent-length: 0\r\n");
+    for number in 1..=3 {
+        let mut client = Client::connect(gateway.addr).await;
+        client
+            .send("/stream/x", &format!("id-{number}"), &headers)
+            .await;
+        tokio::time::sleep(Duration::from_millis(15)).await;
+        drop(client);
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        assert_eq!(full.received().len(), number);
+    }
+}
--- a/crates/anvil_gateway/tests/direct/pausing.rs
+++ b/crates/anvil_gateway/tests/direct/pausing.rs
@@ -336,3 +336,41 @@
     sleep(Duration::from_millis(600)).await;
     assert!((0..20).all(|_| select(gw, &[]).is_ok()));
 }
+
+/// Guards against an answer that asks for a pause going unread because the client left before it came.
+#[tokio::test]
+async fn answer_that_comes_after_the_client_has_left_is_heard() {
+    for delay in [Duration::ZERO, Duration::from_millis(30)] {
+        let pausing = TestEndpoint::start(move |_, req| {
+            let answer = refusal_with(req, "retry-after: 60\r\n");
+            vec![Step::Pause(delay), Step::Send(answer)]
+        })
+        .await;
+        let gateway = TestGateway::start(&[("pausing", &pausing)]).await;
+        let mut client = Client::connect(gateway.addr).await;
+        client.send("/once/x", "id", "content-length: 0\r\n").await;
+        while pausing.received().is_empty() {
+            sleep(Duration::from_millis(1)).await;
+        }
+        drop(client);
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!(gateway.gw.count_paused(), 1, "{delay:?}");
+    }
+}
+
+/// Guards against an answer that asks for a pause going unread because the request timed out just
+/// before it came.
+#[tokio::test]
+async fn answer_that_comes_after_the_timeout_is_heard() {
+    let pausing = TestEndpoint::start(|_, req| {
+        let answer = refusal_with(req, "retry-after: 60\r\n");
+        vec![Step::Pause(Duration::from_millis(130)), Step::Send(answer)]
+    })
+    .await;
+    let gateway = TestGateway::start(&[("pausing", &pausing)]).await;
+    let mut client = Client::connect(gateway.addr).await;
+    let timed_out = client.request("/once/x", "id", "x-wait: 100\r\n").await;
+    assert_eq!(timed_out.status, 504);
+    sleep(Duration::from_millis(150)).await;
+    assert_eq!(gateway.gw.count_paused(), 1);
+}
