--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -146,19 +146,17 @@
         let mut accepting = Vec::new();
         let mut shortest_wait = EndpointWait::MAX;
         for candidate in candidates {
-            let wait = EndpointWait::of(candidate.endpoint, warm_up, at, position);
+            let wait = candidate.wait(warm_up, at, position);
             if wait.is_zero() {
                 accepting.push(candidate);
             }
             shortest_wait = shortest_wait.min(wait);
         }
-        let some_accept = !accepting.is_empty();
-        let is_paused = |candidate: &Candidate<'_>| candidate.endpoint.is_paused(now);
-        if candidates.iter().any(is_paused) {
+        if !accepting.is_empty() && candidates.iter().any(|other| other.is_paused) {
             accepting.retain(|candidate| candidate.endpoint.bears_another(now));
-        }
-        if some_accept && accepting.is_empty() {
-            return Err(Unplaced::Full);
+            if accepting.is_empty() {
+                return Err(Unplaced::Full);
+            }
         }
         let preference = |candidate: &&Candidate<'_>| (candidate.on_cooldown, candidate.expected);
         while let Some(best) = accepting.iter().copied().min_by_key(preference) {
@@ -192,10 +190,9 @@
         let engine = table.as_ref()?.services.get(service)?.engine?;
         let copy_rate =
             Copying::between(engine.bytes_per_token, engine.link_mbps, &self.engine_rule)?;
-        let now = self.lifecycle.now();
         let others = candidates
             .iter()
-            .filter(|other| !other.on_cooldown && !other.endpoint.is_paused(now));
+            .filter(|other| !other.on_cooldown && !other.is_paused);
         let others = others.filter(|other| other.endpoint.id != selected.endpoint.id);
         let others: Vec<_> = others
             .map(|other| (other.endpoint.addr, other.missing))
@@ -227,6 +224,7 @@
         };
         let base = network_delay + load.failure_cost(RETRY_COST);
         let on_cooldown = load.is_on_cooldown(now);
+        let (is_paused, pause_wait) = endpoint.pause_state(now);
         if prompt.parts.is_empty() {
             let utilisation = f64::from(load.estimated_requests(now))
                 / f64::from(load.slots(endpoint.slots).max(1));
@@ -240,6 +238,8 @@
                     with_home: 0,
                 },
                 on_cooldown,
+                is_paused,
+                pause_wait,
             };
         }
         let is_home = prompt
@@ -260,6 +260,8 @@
                 with_home,
             },
             on_cooldown,
+            is_paused,
+            pause_wait,
         }
     }
 }
@@ -273,6 +275,27 @@
     missing: MissingTokens,
     /// Whether it failed recently and is on cooldown.
     on_cooldown: bool,
+    /// Whether it is in a pause that it asked for.
+    is_paused: bool,
+    /// Time until its pause, or the slow start after it, allows another request.
+    pause_wait: Duration,
+}
+
+impl Candidate<'_> {
+    fn wait(
+        &self,
+        warm_up: Option<&WarmUpTerms>,
+        at: Clocks,
+        position: RouterRank,
+    ) -> EndpointWait {
+        let endpoint = self.endpoint;
+        let warm_up_wait = warm_up.map_or(Duration::ZERO, |terms| endpoint.warm_up_wait(terms, at));
+        let by_limit = endpoint.rate_limit_wait(at, position).max(warm_up_wait);
+        EndpointWait {
+            time: by_limit.max(self.pause_wait),
+            by_pause: self.pause_wait > by_limit,
+        }
+    }
 }
 
 /// Time until an endpoint accepts another request of this gateway, by what bars it until then.
@@ -288,21 +311,6 @@
         by_pause: true,
     };
 
-    fn of(
-        endpoint: &Endpoint,
-        warm_up: Option<&WarmUpTerms>,
-        at: Clocks,
-        position: RouterRank,
-    ) -> Self {
-        let warm_up_wait = warm_up.map_or(Duration::ZERO, |terms| endpoint.warm_up_wait(terms, at));
-        let by_limit = endpoint.rate_limit_wait(at, position).max(warm_up_wait);
-        let by_pause = endpoint.pause_wait(at.now);
-        Self {
-            time: by_limit.max(by_pause),
-            by_pause: by_pause > by_limit,
-        }
-    }
-
     fn is_zero(self) -> bool {
         self.time.is_zero()
     }
--- a/crates/anvil_gateway/src/pauses.rs
+++ b/crates/anvil_gateway/src/pauses.rs
@@ -74,9 +74,11 @@
         pause::bears_another(load.estimated_requests(now), load.slots(self.slots))
     }
 
-    /// Time until its pause allows another request; zero if it does now.
-    pub fn pause_wait(&self, now: Now) -> Duration {
-        self.pause().pause.time_until_send(now)
+    /// Whether it is in a pause that it asked for, and the time until that, or the slow start after
+    /// it, allows another request.
+    pub fn pause_state(&self, now: Now) -> (bool, Duration) {
+        let pause = self.pause();
+        (pause.pause.is_paused(now), pause.pause.time_until_send(now))
     }
 
     /// Counts a request that is about to be sent. Returns false if its pause does not allow it.
@@ -155,7 +157,7 @@
     pub fn common_pause(&self, service: &str, constraints: Constraints<'_>) -> Duration {
         let now = self.lifecycle.now();
         let available = self.available_endpoints(service, constraints);
-        let waits = available.iter().map(|endpoint| endpoint.pause_wait(now));
+        let waits = available.iter().map(|endpoint| endpoint.pause_state(now).1);
         waits.min().unwrap_or_default()
     }
 
