--- a/crates/anvil_gateway/src/attempt.rs
+++ b/crates/anvil_gateway/src/attempt.rs
@@ -165,6 +165,10 @@
             return AttemptOutcome::Doubt(Doubt::Misfit);
         }
         gw.apply_announced_limit(&endpoint, sent_at, head.limit);
+        // Of another incarnation's load, 421 says nothing about this one.
+        if let Some(load) = head.load.filter(|_| parts.status != MISDIRECTED_STATUS) {
+            endpoint.apply_load(gw.lifecycle.now(), &load);
+        }
         if head.not_run {
             let status = parts.status.as_u16();
             drain_refusal(connection, &endpoint, &head, body).await;
--- a/crates/anvil_gateway/src/exchange/outcome.rs
+++ b/crates/anvil_gateway/src/exchange/outcome.rs
@@ -27,9 +27,6 @@
                 self.gw.directory.record_match(&self.service);
                 self.gw.record_endpoint_alive(endpoint);
                 endpoint.record_taken_on(now);
-                if let Some(load) = &response.head.load {
-                    endpoint.apply_load(now, load);
-                }
                 endpoint
                     .load()
                     .record_answer(response.parts.status.is_server_error());
--- a/crates/anvil_gateway/tests/direct/responses.rs
+++ b/crates/anvil_gateway/tests/direct/responses.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::client::Client;
-use crate::endpoint::{Step, TestEndpoint, not_run, response};
+use crate::endpoint::{Step, TestEndpoint, not_run, refusal_with, response, response_with};
 use crate::gateway::TestGateway;
 
 /// Guards against a second, late response on a kept connection being delivered as the response to
@@ -290,3 +290,33 @@
         assert!(delivered >= 4, "{delivered} of 8");
     }
 }
+
+/// Guards against an endpoint that turns requests away looking free: its refusals state its load too.
+#[tokio::test]
+async fn load_in_a_refusal_counts() {
+    let full = TestEndpoint::start(|number, req| {
+        let lines = if number == 0 {
+            "x-load: 0,0,8\r\n"
+        } else {
+            "x-load: 8,6,8\r\n"
+        };
+        if number == 0 {
+            return vec![Step::Send(response_with(req, lines, "ran"))];
+        }
+        vec![Step::Send(refusal_with(req, lines))]
+    })
+    .await;
+    let free = TestEndpoint::start(|_, req| {
+        vec![Step::Send(response_with(req, "x-load: 1,0,8\r\n", "ran"))]
+    })
+    .await;
+    let gateway = TestGateway::start(&[("full", &full), ("free", &free)]).await;
+    for number in 0..10 {
+        let mut client = Client::connect(gateway.addr).await;
+        let response = client.request("/once/x", &format!("id-{number}"), "").await;
+        assert_eq!(response.status, 200);
+        // Past the cooldown after a refusal.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(full.received().len(), 2);
+}
