--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -20,7 +20,9 @@
 //! those reported by other gateways. [`reports`] delivers both kinds of reports.
 //!
 //! Endpoints that receive fewer requests, or none: those in [`zones`] that operators evacuated, those
-//! outside the [`regions`] in which a request may run, and those in their [`warm_up`].
+//! outside the [`regions`] in which a request may run, those in their [`warm_up`], and those that asked
+//! for [`pauses`] or state that they are leaving. [`late_response`] reads what they state in answers
+//! that nobody waits for.
 //!
 //! Where the gateway's view comes from: the routing table and the number of gateways from the
 //! ledger ([`ledger_updates`]), grants from the ledger ([`grant_loop`]), the list of endpoints from
