--- a/crates/anvil_gateway/src/attempt.rs
+++ b/crates/anvil_gateway/src/attempt.rs
@@ -165,7 +165,7 @@
             return AttemptOutcome::Doubt(Doubt::Misfit);
         }
         gw.apply_announced_limit(&endpoint, sent_at, head.limit);
-        // Of another incarnation's load, 421 says nothing about this one.
+        // A 421 states the load of another incarnation.
         if let Some(load) = head.load.filter(|_| parts.status != MISDIRECTED_STATUS) {
             endpoint.apply_load(gw.lifecycle.now(), &load);
         }
