One way to send a call to a sidecar's endpoint

Three functions with the same four parameters had come in with pauses, apart only in whether the pause bars the call. One send takes what the call means for the endpoint. The pause uses the process's clock instead of one of its own.

--- a/crates/anvilreel/src/sidecar.rs
+++ b/crates/anvilreel/src/sidecar.rs
@@ -4,9 +4,9 @@
 //! [`Sidecar`] starts and stops the process. `requests` answers routers, `hub` holds the state
 //! machine [`crate::runs`], `drive` performs one run at the endpoint (`engine` and `http` are its
 //! protocols), and `load` polls the endpoint's load. `follow` keeps up with the ledger and sends
-//! heartbeats, `endpoint_pause` keeps the pauses that the endpoint asks for, `admission` decides whether the endpoint accepts new work, `platform` polls the
-//! platform for whether it is leaving, and `orders` passes orders with their fencing numbers to the
-//! endpoint.
+//! heartbeats, `endpoint_pause` keeps the pauses that the endpoint asks for, `admission` decides
+//! whether the endpoint accepts new work, `platform` polls the platform for whether it is leaving,
+//! and `orders` passes orders with their fencing numbers to the endpoint.
 
 mod admission;
 mod drive;
@@ -100,7 +100,10 @@
             tasks.push(tokio::spawn(polling));
         }
         if let Some(platform) = settings.platform {
-            let (platform_core, platform) = (core.clone(), EndpointClient::new(platform));
+            let (platform_core, platform) = (
+                core.clone(),
+                EndpointClient::new(platform, core.lifecycle.clone()),
+            );
             tasks.push(tokio::spawn(async move {
                 platform::poll(&platform_core, platform).await;
             }));
@@ -169,7 +172,7 @@
             addr,
             endpoint: Some(endpoint),
         };
-        let client = EndpointClient::new(settings.endpoint.addr);
+        let client = EndpointClient::new(settings.endpoint.addr, lifecycle.clone());
         let cfg = RunsConfig {
             incarnation: lifecycle.incarnation,
             buffer_bytes: settings.buffer_bytes,
--- a/crates/anvilreel/src/sidecar/drive.rs
+++ b/crates/anvilreel/src/sidecar/drive.rs
@@ -14,7 +14,7 @@
 use xxhash_rust::xxh3::xxh3_128;
 
 use super::engine::{self, ChatRequest, EngineStream, StreamItem};
-use super::http::{EndpointClient, EndpointError};
+use super::http::{CallPurpose, EndpointClient, EndpointError};
 use super::hub::Hub;
 use crate::runs::{EndpointCommand, EndpointEvent, Event, RunId};
 
@@ -121,7 +121,9 @@
     usage: Usage,
     report: &impl Fn(EndpointEvent),
 ) -> Result<(), EndpointError> {
-    let response = client.send_work(method, tail, headers, body).await?;
+    let response = client
+        .send(CallPurpose::Work, method, tail, headers, body)
+        .await?;
     let (parts, mut body) = response.into_parts();
     let headers = parts.headers.iter().map(|(name, value)| {
         let value = Bytes::copy_from_slice(value.as_bytes());
--- a/crates/anvilreel/src/sidecar/endpoint_pause.rs
+++ b/crates/anvilreel/src/sidecar/endpoint_pause.rs
@@ -10,50 +10,49 @@
 use anvil_policy::pause::Pause;
 use http::{HeaderMap, StatusCode};
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 use super::Core;
 use crate::event;
 use crate::events;
+use crate::lifecycle::Lifecycle;
 use crate::retry_after::RetryAfter;
 
 /// The pause of one endpoint, shared by all who call it.
-#[derive(Debug)]
 pub struct EndpointPause {
     pause: Mutex<Pause>,
-    /// The zero of the pause's times.
-    started: Instant,
+    lifecycle: Lifecycle,
     began: Notify,
 }
 
 impl EndpointPause {
     /// No pause.
-    pub fn new() -> Self {
+    pub fn new(lifecycle: Lifecycle) -> Self {
         Self {
             pause: Mutex::default(),
-            started: Instant::now(),
+            lifecycle,
             began: Notify::new(),
         }
     }
 
     /// Whether it gets no calls now.
     pub fn is_paused(&self) -> bool {
-        self.lock().is_paused(self.started.elapsed())
+        self.lock().is_paused(self.lifecycle.now())
     }
 
     /// Time until it may get work; zero if it may now.
     pub fn time_left(&self) -> Duration {
-        self.lock().time_until_send(self.started.elapsed())
+        self.lock().time_until_send(self.lifecycle.now())
     }
 
     /// Counts new work that is about to be sent. Returns false if the pause does not allow it.
     pub fn try_send(&self) -> bool {
-        self.lock().try_send(self.started.elapsed())
+        self.lock().try_send(self.lifecycle.now())
     }
 
     /// Applies the endpoint's response to new work.
     pub fn apply_response(&self, status: StatusCode, headers: &HeaderMap) {
-        let now = self.started.elapsed();
+        let now = self.lifecycle.now();
         if status != StatusCode::SERVICE_UNAVAILABLE {
             return self.lock().record_taken_on(now);
         }
--- a/crates/anvilreel/src/sidecar/engine.rs
+++ b/crates/anvilreel/src/sidecar/engine.rs
@@ -10,7 +10,7 @@
 use snafu::ResultExt;
 use std::sync::Arc;
 
-use super::http::{BrokenSnafu, EndpointClient, EndpointError, EventSnafu};
+use super::http::{BrokenSnafu, CallPurpose, EndpointClient, EndpointError, EventSnafu};
 
 /// Path of chat completions.
 const CHAT_PATH: &str = "/v1/chat/completions";
@@ -62,7 +62,9 @@
         "content-type".into(),
         Bytes::from_static(b"application/json"),
     )];
-    let response = client.send_work("POST", CHAT_PATH, &headers, body).await?;
+    let response = client
+        .send(CallPurpose::Work, "POST", CHAT_PATH, &headers, body)
+        .await?;
     open_stream(response)
 }
 
@@ -73,7 +75,9 @@
     from: Offset,
 ) -> Result<EngineStream, EndpointError> {
     let path = format!("/v1/streams/{run_id}?from={from}");
-    let response = client.send("GET", &path, &[], Bytes::new()).await?;
+    let response = client
+        .send(CallPurpose::Other, "GET", &path, &[], Bytes::new())
+        .await?;
     open_stream(response)
 }
 
@@ -81,7 +85,7 @@
 pub async fn cancel(client: &EndpointClient, run_id: &str) -> Result<(), EndpointError> {
     let path = format!("/v1/streams/{run_id}");
     client
-        .send_always("DELETE", &path, &[], Bytes::new())
+        .send(CallPurpose::Relief, "DELETE", &path, &[], Bytes::new())
         .await?;
     Ok(())
 }
--- a/crates/anvilreel/src/sidecar/http.rs
+++ b/crates/anvilreel/src/sidecar/http.rs
@@ -14,6 +14,7 @@
 use snafu::{ResultExt, Snafu};
 
 use super::endpoint_pause::EndpointPause;
+use crate::lifecycle::Lifecycle;
 
 /// Timeout of a connection to the endpoint, which runs on the same machine.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -76,6 +77,17 @@
     }
 }
 
+/// What a call means for an endpoint that asks for pauses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallPurpose {
+    /// New work; the endpoint's response to it may ask for a pause.
+    Work,
+    /// Any other call that waits until a pause is over.
+    Other,
+    /// Relieves the endpoint, so it is sent in a pause too.
+    Relief,
+}
+
 /// A client of one endpoint. Cheap to clone; all clones share its connections.
 #[derive(Clone)]
 pub struct EndpointClient {
@@ -86,7 +98,7 @@
 
 impl EndpointClient {
     /// A client of the endpoint at this address. Does not connect yet.
-    pub fn new(addr: SocketAddr) -> Self {
+    pub fn new(addr: SocketAddr, lifecycle: Lifecycle) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
@@ -99,7 +111,7 @@
         Self {
             addr,
             client,
-            pause: Arc::new(EndpointPause::new()),
+            pause: Arc::new(EndpointPause::new(lifecycle)),
         }
     }
 
@@ -108,45 +120,23 @@
         &self.pause
     }
 
-    /// Sends new work to this path and query, unless the endpoint's pause bars it.
-    pub async fn send_work(
-        &self,
-        method: &str,
-        path: &str,
-        headers: &[(Arc<str>, Bytes)],
-        body: Bytes,
-    ) -> Result<Response<Incoming>, EndpointError> {
-        if !self.pause.try_send() {
-            return Err(EndpointError::Paused);
-        }
-        let response = self.send_always(method, path, headers, body).await?;
-        self.pause
-            .apply_response(response.status(), response.headers());
-        Ok(response)
-    }
-
-    /// Sends any other call, unless the endpoint has asked for a pause.
+    /// Sends a call to this path and query, unless the endpoint's pause bars it.
     pub async fn send(
         &self,
+        purpose: CallPurpose,
         method: &str,
         path: &str,
         headers: &[(Arc<str>, Bytes)],
         body: Bytes,
     ) -> Result<Response<Incoming>, EndpointError> {
-        if self.pause.is_paused() {
+        let may_send = match purpose {
+            CallPurpose::Work => self.pause.try_send(),
+            CallPurpose::Other => !self.pause.is_paused(),
+            CallPurpose::Relief => true,
+        };
+        if !may_send {
             return Err(EndpointError::Paused);
         }
-        self.send_always(method, path, headers, body).await
-    }
-
-    /// Sends a call that relieves the endpoint, in a pause too.
-    pub async fn send_always(
-        &self,
-        method: &str,
-        path: &str,
-        headers: &[(Arc<str>, Bytes)],
-        body: Bytes,
-    ) -> Result<Response<Incoming>, EndpointError> {
         let mut req = Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.addr));
@@ -154,12 +144,17 @@
             req = req.header(name.as_ref(), value.as_ref());
         }
         let req = req.body(Full::new(body)).context(CallSnafu)?;
-        self.client.request(req).await.map_err(|source| {
+        let response = self.client.request(req).await.map_err(|source| {
             if source.is_connect() {
                 EndpointError::Connect { source }
             } else {
                 EndpointError::Lost { source }
             }
-        })
+        })?;
+        if purpose == CallPurpose::Work {
+            self.pause
+                .apply_response(response.status(), response.headers());
+        }
+        Ok(response)
     }
 }
--- a/crates/anvilreel/src/sidecar/load.rs
+++ b/crates/anvilreel/src/sidecar/load.rs
@@ -14,7 +14,7 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-use super::http::EndpointClient;
+use super::http::{CallPurpose, EndpointClient};
 
 /// Interval at which the report is polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
@@ -57,7 +57,7 @@
 }
 
 async fn fetch_report(client: &EndpointClient) -> Option<Report> {
-    let response = client.send("GET", "/load", &[], Bytes::new());
+    let response = client.send(CallPurpose::Other, "GET", "/load", &[], Bytes::new());
     let response = timeout(REPORT_TIMEOUT, response).await.ok()?.ok()?;
     let body = timeout(REPORT_TIMEOUT, response.into_body().collect())
         .await
--- a/crates/anvilreel/src/sidecar/orders.rs
+++ b/crates/anvilreel/src/sidecar/orders.rs
@@ -14,6 +14,7 @@
 use tokio::sync::Mutex;
 
 use super::Core;
+use super::http::CallPurpose;
 use crate::event;
 use crate::events;
 
@@ -76,7 +77,7 @@
     )];
     match core
         .client
-        .send("POST", "/orders", &headers, body.into())
+        .send(CallPurpose::Other, "POST", "/orders", &headers, body.into())
         .await
     {
         Ok(response) if response.status().is_success() => OrderResult::Done,
--- a/crates/anvilreel/src/sidecar/platform.rs
+++ b/crates/anvilreel/src/sidecar/platform.rs
@@ -15,7 +15,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::Core;
-use super::http::EndpointClient;
+use super::http::{CallPurpose, EndpointClient};
 
 /// Interval at which the list is polled.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
@@ -65,7 +65,7 @@
 /// Whether the instance is listed as leaving. `None` if this is unknown and the last state is kept:
 /// no response, or not listed (a lagging list does not contain a new instance yet).
 async fn fetch_leaving(platform: &EndpointClient, path: &str, id: &InstanceId) -> Option<bool> {
-    let response = platform.send("GET", path, &[], Bytes::new());
+    let response = platform.send(CallPurpose::Other, "GET", path, &[], Bytes::new());
     let response = timeout(LIST_TIMEOUT, response).await.ok()?.ok()?;
     let body = timeout(LIST_TIMEOUT, response.into_body().collect()).await;
     let body = body.ok()?.ok()?;
