The pause common to all endpoints is looked up once

A refusal looked it up twice, and zero stood for none; it is an Option now, with one rule for the time to return. A candidate's bar is a type with names instead of a pair.

--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -11,6 +11,7 @@
 
 use crate::endpoint::{Endpoint, EndpointSlot};
 use crate::gateway::Gateway;
+use crate::pauses::PauseBar;
 use crate::regions::Constraints;
 use crate::table::Route;
 use crate::warm_up::WarmUpTerms;
@@ -152,7 +153,7 @@
             }
             shortest_wait = shortest_wait.min(wait);
         }
-        if !accepting.is_empty() && candidates.iter().any(|other| other.is_paused) {
+        if !accepting.is_empty() && candidates.iter().any(|other| other.pause.is_paused) {
             accepting.retain(|candidate| candidate.endpoint.bears_another(now));
             if accepting.is_empty() {
                 return Err(Unplaced::Full);
@@ -192,7 +193,7 @@
             Copying::between(engine.bytes_per_token, engine.link_mbps, &self.engine_rule)?;
         let others = candidates
             .iter()
-            .filter(|other| !other.on_cooldown && !other.is_paused);
+            .filter(|other| !other.on_cooldown && !other.pause.is_paused);
         let others = others.filter(|other| other.endpoint.id != selected.endpoint.id);
         let others: Vec<_> = others
             .map(|other| (other.endpoint.addr, other.missing))
@@ -224,7 +225,7 @@
         };
         let base = network_delay + load.failure_cost(RETRY_COST);
         let on_cooldown = load.is_on_cooldown(now);
-        let (is_paused, pause_wait) = endpoint.pause_state(now);
+        let pause = endpoint.pause_bar(now);
         if prompt.parts.is_empty() {
             let utilisation = f64::from(load.estimated_requests(now))
                 / f64::from(load.slots(endpoint.slots).max(1));
@@ -238,8 +239,7 @@
                     with_home: 0,
                 },
                 on_cooldown,
-                is_paused,
-                pause_wait,
+                pause,
             };
         }
         let is_home = prompt
@@ -260,8 +260,7 @@
                 with_home,
             },
             on_cooldown,
-            is_paused,
-            pause_wait,
+            pause,
         }
     }
 }
@@ -275,10 +274,8 @@
     missing: MissingTokens,
     /// Whether it failed recently and is on cooldown.
     on_cooldown: bool,
-    /// Whether it is in a pause that it asked for.
-    is_paused: bool,
-    /// Time until its pause, or the slow start after it, allows another request.
-    pause_wait: Duration,
+    /// How the pause that it asked for bars it.
+    pause: PauseBar,
 }
 
 impl Candidate<'_> {
@@ -292,8 +289,8 @@
         let warm_up_wait = warm_up.map_or(Duration::ZERO, |terms| endpoint.warm_up_wait(terms, at));
         let by_limit = endpoint.rate_limit_wait(at, position).max(warm_up_wait);
         EndpointWait {
-            time: by_limit.max(self.pause_wait),
-            by_pause: self.pause_wait > by_limit,
+            time: by_limit.max(self.pause.wait),
+            by_pause: self.pause.wait > by_limit,
         }
     }
 }
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -239,20 +239,17 @@
         Ok(())
     }
 
-    /// When the client may return after this failure: not before an endpoint's pause ends, if all
-    /// of them have asked for one.
+    /// When the client may return after this failure.
     fn retry_after(&self, cause: Cause) -> Duration {
-        if cause != Cause::RefusedByEndpoints {
-            return DEFAULT_RETRY_AFTER;
-        }
-        match self.common_pause() {
-            Duration::ZERO => DEFAULT_RETRY_AFTER,
-            pause => spread_return(pause),
-        }
+        let pause = match cause {
+            Cause::RefusedByEndpoints => self.common_pause(),
+            _ => None,
+        };
+        pause.map_or(DEFAULT_RETRY_AFTER, spread_return)
     }
 
     /// Time until the first pause ends, if all endpoints that may run the request are paused.
-    fn common_pause(&self) -> Duration {
+    fn common_pause(&self) -> Option<Duration> {
         let constraints = Constraints {
             tried: &[],
             regions: &self.regions,
--- a/crates/anvil_gateway/src/exchange/one_attempt.rs
+++ b/crates/anvil_gateway/src/exchange/one_attempt.rs
@@ -156,11 +156,11 @@
             return (Cause::ResponseLost, DEFAULT_RETRY_AFTER);
         }
         match unplaced {
-            // All were tried, and turned it away.
-            Unplaced::Nobody if !self.common_pause().is_zero() => {
-                (Cause::EndpointsPaused, spread_return(self.common_pause()))
-            }
-            Unplaced::Nobody => (Cause::NoEndpoint, DEFAULT_RETRY_AFTER),
+            Unplaced::Nobody => match self.common_pause() {
+                // All were tried, and turned it away.
+                Some(wait) => (Cause::EndpointsPaused, spread_return(wait)),
+                None => (Cause::NoEndpoint, DEFAULT_RETRY_AFTER),
+            },
             Unplaced::OutsideRegions => (Cause::OutsideRegions, OPERATOR_RETRY_AFTER),
             Unplaced::Evacuated => (Cause::Evacuated, OPERATOR_RETRY_AFTER),
             Unplaced::TooLate(expected) => {
--- a/crates/anvil_gateway/src/pauses.rs
+++ b/crates/anvil_gateway/src/pauses.rs
@@ -30,6 +30,15 @@
     requested_by: Option<(Arc<str>, Now)>,
 }
 
+/// How an endpoint's pause bars it at one moment.
+#[derive(Debug, Clone, Copy)]
+pub struct PauseBar {
+    /// Whether it is in a pause that it asked for.
+    pub is_paused: bool,
+    /// Time until the pause, or the slow start after it, allows another request; zero if it does now.
+    pub wait: Duration,
+}
+
 /// A pause in the trace of a request that was not sent because of it.
 #[derive(Debug)]
 pub struct PauseSummary {
@@ -74,11 +83,13 @@
         pause::bears_another(load.estimated_requests(now), load.slots(self.slots))
     }
 
-    /// Whether it is in a pause that it asked for, and the time until that, or the slow start after
-    /// it, allows another request.
-    pub fn pause_state(&self, now: Now) -> (bool, Duration) {
+    /// How its pause bars it now.
+    pub fn pause_bar(&self, now: Now) -> PauseBar {
         let pause = self.pause();
-        (pause.pause.is_paused(now), pause.pause.time_until_send(now))
+        PauseBar {
+            is_paused: pause.pause.is_paused(now),
+            wait: pause.pause.time_until_send(now),
+        }
     }
 
     /// Counts a request that is about to be sent. Returns false if its pause does not allow it.
@@ -154,11 +165,13 @@
     }
 
     /// Time until the first pause ends, if all endpoints that satisfy the constraints are paused.
-    pub fn common_pause(&self, service: &str, constraints: Constraints<'_>) -> Duration {
+    pub fn common_pause(&self, service: &str, constraints: Constraints<'_>) -> Option<Duration> {
         let now = self.lifecycle.now();
         let available = self.available_endpoints(service, constraints);
-        let waits = available.iter().map(|endpoint| endpoint.pause_state(now).1);
-        waits.min().unwrap_or_default()
+        let waits = available
+            .iter()
+            .map(|endpoint| endpoint.pause_bar(now).wait);
+        waits.min().filter(|wait| !wait.is_zero())
     }
 
     /// The pauses of a service's endpoints, for the trace; only the first few.
