Whether a response has begun is known once

A flag beside the bytes of the awaited response said the same, and was set at each read of a stream, where nobody asks.

--- a/crates/anvil_gateway/src/connection_watch.rs
+++ b/crates/anvil_gateway/src/connection_watch.rs
@@ -27,8 +27,6 @@
 /// What was observed on one connection.
 #[derive(Debug)]
 pub struct ConnectionWatch {
-    /// Data was received since the last request was sent.
-    received_data: AtomicBool,
     /// A request was sent and its response has not begun.
     awaiting_response: AtomicBool,
     /// What has come of the awaited response.
@@ -51,7 +49,6 @@
 impl ConnectionWatch {
     fn new() -> Arc<Self> {
         Arc::new(Self {
-            received_data: AtomicBool::new(false),
             awaiting_response: AtomicBool::new(false),
             late_response: Mutex::default(),
             ended: watch::Sender::new(None),
@@ -62,7 +59,6 @@
     /// nobody waits for it any more.
     pub fn request_sent(&self, handler: LateHandler) {
         *self.late_response() = LateResponse::new(handler);
-        self.received_data.store(false, Ordering::Relaxed);
         self.awaiting_response.store(true, Ordering::Relaxed);
     }
 
@@ -80,7 +76,6 @@
     }
 
     fn record_received(&self, bytes: &[u8]) {
-        self.received_data.store(true, Ordering::Relaxed);
         if self.awaiting_response.load(Ordering::Relaxed) {
             self.late_response().push(bytes);
         }
@@ -102,8 +97,11 @@
             // Timed out, or the sender was dropped.
             Err(_) | Ok(Err(_)) => None,
         };
-        let received_data = self.received_data.load(Ordering::Relaxed);
-        end == Some(End::NotRun) || end == Some(End::Closed) && !received_data
+        match end {
+            Some(End::NotRun) => true,
+            Some(End::Closed) => !self.late_response().has_begun(),
+            Some(End::Abandoned) | None => false,
+        }
     }
 
     fn set_end(&self, end: End) {
--- a/crates/anvil_gateway/src/late_response.rs
+++ b/crates/anvil_gateway/src/late_response.rs
@@ -47,6 +47,11 @@
             .extend_from_slice(&bytes[..room.min(bytes.len())]);
     }
 
+    /// Whether any of it has come.
+    pub fn has_begun(&self) -> bool {
+        !self.received.is_empty()
+    }
+
     /// Handles the head once it is complete. Returns whether it states that the request was not run;
     /// `None` if there is no complete head.
     pub fn handle(&mut self) -> Option<bool> {
@@ -68,9 +73,5 @@
         let name = HeaderName::try_from(header.name).ok()?;
         Some((name, HeaderValue::from_bytes(header.value).ok()?))
     });
-    let mut map = HeaderMap::new();
-    for (name, value) in headers {
-        map.append(name, value);
-    }
-    Some((status, map))
+    Some((status, headers.collect()))
 }
