--- a/crates/anvil_gateway/tests/direct/crashing.rs
+++ b/crates/anvil_gateway/tests/direct/crashing.rs
@@ -168,7 +168,7 @@
 /// Guards against a quarantine for lost responses without a crash.
 #[tokio::test]
 async fn lost_responses_without_a_crash_cause_no_quarantine() {
-    let working = TestEndpoint::start(|_, req| vec![Step::Send(response(req, "ran"))]).await;
+    let working = TestEndpoint::answering().await;
     let gateway = TestGateway::start(&[]).await;
     for number in 0..2 * QUARANTINE_CRASHES {
         let resetting = TestEndpoint::start(|_, _| vec![Step::Reset]).await;
@@ -231,7 +231,7 @@
     for _ in 0..4 {
         crashing.push(TestEndpoint::start(behave).await);
     }
-    let working = TestEndpoint::start(|_, req| vec![Step::Send(response(req, "ran"))]).await;
+    let working = TestEndpoint::answering().await;
     let gateway = TestGateway::start(&[("well", &working)]).await;
     for (number, endpoint) in crashing.iter().enumerate() {
         let id = format!("lost-{number}");
@@ -302,7 +302,7 @@
 /// Guards against a request waiting for grants although its quarantine is known.
 #[tokio::test]
 async fn quarantined_request_is_refused_without_waiting_for_grants() {
-    let working = TestEndpoint::start(|_, req| vec![Step::Send(response(req, "ran"))]).await;
+    let working = TestEndpoint::answering().await;
     let gateway = TestGateway::start(&[("well", &working)]).await;
     gateway
         .gw
@@ -329,7 +329,7 @@
         vec![Step::Pause(after), Step::Send(text.into_bytes())]
     })
     .await;
-    let working = TestEndpoint::start(|_, req| vec![Step::Send(response(req, "ran"))]).await;
+    let working = TestEndpoint::answering().await;
     let gateway = TestGateway::start(&[("failing", &failing), ("well", &working)]).await;
     let suspects = ledger_suspects(&gateway, "/idempotent/x", None);
     let mut client = Client::connect(gateway.addr).await;
@@ -347,7 +347,7 @@
 /// were in flight when a zone lost power.
 #[tokio::test]
 async fn request_answered_here_is_not_quarantined_by_the_ledger() {
-    let working = TestEndpoint::start(|_, req| vec![Step::Send(response(req, "ran"))]).await;
+    let working = TestEndpoint::answering().await;
     let gateway = TestGateway::start(&[("well", &working)]).await;
     let suspects = ledger_suspects(&gateway, "/once/x", None);
     for (answered, status) in [(false, 503), (true, 200)] {
@@ -365,7 +365,7 @@
 #[tokio::test]
 async fn leaving_endpoint_that_stops_causes_no_quarantine() {
     let ends = |_, _: &ReceivedRequest| vec![Step::Pause(Duration::from_millis(100)), Step::Crash];
-    let working = TestEndpoint::start(|_, req| vec![Step::Send(response(req, "ran"))]).await;
+    let working = TestEndpoint::answering().await;
     let gateway = TestGateway::start(&[]).await;
     for number in 0..QUARANTINE_CRASHES {
         let leaving = TestEndpoint::start(ends).await;
@@ -426,7 +426,7 @@
         list_only(&gateway, &text, &format!("lost-{number}"), resetting.addr).await;
         assert_eq!(client.request("/once/x", "id", "").await.status, 502);
     }
-    let working = TestEndpoint::start(|_, req| vec![Step::Send(response(req, "ran"))]).await;
+    let working = TestEndpoint::answering().await;
     list_only(&gateway, &text, "well", working.addr).await;
     let response = client.request("/once/x", "id", "").await;
     assert!(response.body.contains("crashes_endpoints"), "{response:?}");
@@ -448,7 +448,7 @@
             assert_eq!(response.status, status);
         }
     }
-    let working = TestEndpoint::start(|_, req| vec![Step::Send(response(req, "ran"))]).await;
+    let working = TestEndpoint::answering().await;
     let response = request_with_only(&gateway, "well", &working, "/once/x").await;
     assert!(response.body.contains("crashes_endpoints"), "{response:?}");
 }
--- a/crates/anvil_gateway/tests/direct/endpoint.rs
+++ b/crates/anvil_gateway/tests/direct/endpoint.rs
@@ -7,7 +7,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// A request as received.
 #[derive(Debug, Clone)]
@@ -16,6 +16,8 @@
     pub head: String,
     /// Body.
     pub body: Vec<u8>,
+    /// When it was complete.
+    pub at: Instant,
 }
 
 impl ReceivedRequest {
@@ -86,6 +88,25 @@
         endpoint
     }
 
+    /// Starts one that answers every request.
+    pub async fn answering() -> Self {
+        Self::start(|_, req| vec![Step::Send(response(req, "ran"))]).await
+    }
+
+    /// Starts one whose streams break off after their first event.
+    pub async fn breaking_off() -> Self {
+        Self::start(|_, req| {
+            vec![
+                Step::Send(stream_head(req)),
+                Step::Send(chunk(&event(1))),
+                // Time for the event to be read: a reset discards unread data.
+                Step::Pause(Duration::from_millis(100)),
+                Step::Reset,
+            ]
+        })
+        .await
+    }
+
     async fn serve_until_crash(self, mut socket: TcpStream, behave: Arc<Behaviour>) {
         let mut crashed = self.crashed.subscribe();
         let has_crashed = tokio::select! {
@@ -102,6 +123,12 @@
         self.received.lock().expect("a list").clone()
     }
 
+    /// When the requests so far arrived.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        let received = self.received.lock().expect("a list");
+        received.iter().map(|req| req.at).collect()
+    }
+
     /// Number of requests that were abandoned by the other side during [`Step::Hang`].
     pub fn abandoned(&self) -> usize {
         *self.abandoned.lock().expect("a number")
@@ -151,6 +178,7 @@
             let mut received = ReceivedRequest {
                 head,
                 body: Vec::new(),
+                at: Instant::now(),
             };
             let length = received.header("content-length");
             let length: usize = length.and_then(|n| n.parse().ok()).unwrap_or(0);
--- a/crates/anvil_gateway/tests/direct/evacuating.rs
+++ b/crates/anvil_gateway/tests/direct/evacuating.rs
@@ -7,7 +7,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::client::Client;
-use crate::endpoint::{Step, TestEndpoint, chunk, event, response, stream_end, stream_head};
+use crate::endpoint::{Step, TestEndpoint, chunk, event, stream_end, stream_head};
 use crate::gateway::{TestGateway, listed, routes, table};
 use crate::processes::{GATEWAYS, Processes};
 
@@ -16,10 +16,6 @@
 /// Longest duration of a refusal.
 const AT_ONCE: Duration = Duration::from_millis(200);
 
-async fn answering_endpoint() -> TestEndpoint {
-    TestEndpoint::start(|_, req| vec![Step::Send(response(req, "ran"))]).await
-}
-
 /// Gateways in `local-a`, with one endpoint in their zone and one in `local-b`.
 async fn start_processes(near: &TestEndpoint, far: &TestEndpoint) -> Processes {
     let text = format!("near {} local-a\nfar {} local-b\n", near.addr, far.addr);
@@ -52,7 +48,10 @@
 /// stays without requests after its evacuation has ended.
 #[tokio::test(flavor = "multi_thread")]
 async fn evacuated_zone_receives_no_requests_until_it_is_taken_back() {
-    let (near, far) = (answering_endpoint().await, answering_endpoint().await);
+    let (near, far) = (
+        TestEndpoint::answering().await,
+        TestEndpoint::answering().await,
+    );
     let processes = start_processes(&near, &far).await;
     // Orders are idempotent, and may be given in any order.
     processes.order_evacuation("local-a", false).await;
@@ -71,7 +70,10 @@
 /// Guards against an operator who is never told that an order is in force, or is told too early.
 #[tokio::test(flavor = "multi_thread")]
 async fn operator_is_told_when_an_order_is_in_force() {
-    let (near, far) = (answering_endpoint().await, answering_endpoint().await);
+    let (near, far) = (
+        TestEndpoint::answering().await,
+        TestEndpoint::answering().await,
+    );
     let processes = start_processes(&near, &far).await;
     let client = processes.operator();
     let rollout = operator::evacuate(&client, "local-a".into(), true).await;
@@ -85,7 +87,10 @@
 /// against a gateway that serves before it knows the evacuated zones.
 #[tokio::test(flavor = "multi_thread")]
 async fn evacuation_is_in_force_after_a_power_failure() {
-    let (near, far) = (answering_endpoint().await, answering_endpoint().await);
+    let (near, far) = (
+        TestEndpoint::answering().await,
+        TestEndpoint::answering().await,
+    );
     let mut processes = start_processes(&near, &far).await;
     processes.order_evacuation("local-a", true).await;
     let before = near.received().len();
@@ -96,7 +101,10 @@
 /// Guards against requests that wait for endpoints while all of them are in evacuated zones.
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_are_refused_at_once_when_all_zones_are_evacuated() {
-    let (near, far) = (answering_endpoint().await, answering_endpoint().await);
+    let (near, far) = (
+        TestEndpoint::answering().await,
+        TestEndpoint::answering().await,
+    );
     let processes = start_processes(&near, &far).await;
     for zone in ["local-a", "local-b", "local-c"] {
         processes.order_evacuation(zone, true).await;
--- a/crates/anvil_gateway/tests/direct/explanations.rs
+++ b/crates/anvil_gateway/tests/direct/explanations.rs
@@ -11,9 +11,7 @@
 use anvilreel::operator::{Explanation, explain};
 
 use crate::client::Client;
-use crate::endpoint::{
-    Step, TestEndpoint, chunk, event, refusal_with, response, response_with, stream_head,
-};
+use crate::endpoint::{Step, TestEndpoint, refusal_with, response, response_with};
 use crate::gateway::TestGateway;
 
 /// Everything written so far.
@@ -83,15 +81,7 @@
 /// that the endpoint is on cooldown.
 #[tokio::test]
 async fn broken_stream_is_explained() {
-    let broken = TestEndpoint::start(|_, req| {
-        vec![
-            Step::Send(stream_head(req)),
-            Step::Send(chunk(&event(1))),
-            Step::Pause(Duration::from_millis(100)),
-            Step::Reset,
-        ]
-    })
-    .await;
+    let broken = TestEndpoint::breaking_off().await;
     let (gateway, log_output, metrics) = start_logged(&[("engine-1", &broken)]).await;
     let mut client = Client::connect(gateway.addr).await;
     assert!(!client.request("/stream/x", "broken-1", "").await.complete);
@@ -250,7 +240,7 @@
             Ok(())
         }
     }
-    let working = TestEndpoint::start(|_, req| vec![Step::Send(response(req, "ran"))]).await;
+    let working = TestEndpoint::answering().await;
     let limits = LogLimits {
         max_bytes_per_second: 1_000_000,
         max_lines_per_second: 10_000,
--- a/crates/anvil_gateway/tests/direct/leaving.rs
+++ b/crates/anvil_gateway/tests/direct/leaving.rs
@@ -12,8 +12,8 @@
 /// then, by a list that lags, as ready again. It receives nothing once it was listed as leaving.
 #[tokio::test]
 async fn leaving_endpoint_receives_no_new_requests() {
-    let leaving = TestEndpoint::start(|_, req| vec![Step::Send(response(req, "ran"))]).await;
-    let staying = TestEndpoint::start(|_, req| vec![Step::Send(response(req, "ran"))]).await;
+    let leaving = TestEndpoint::answering().await;
+    let staying = TestEndpoint::answering().await;
     let gateway = TestGateway::start(&[("leaving", &leaving), ("staying", &staying)]).await;
     let ready = [
         listed("leaving", leaving.addr),
@@ -42,7 +42,7 @@
 /// requests for good.
 #[tokio::test]
 async fn endpoint_that_returns_under_its_id_receives_requests_again() {
-    let endpoint = TestEndpoint::start(|_, req| vec![Step::Send(response(req, "ran"))]).await;
+    let endpoint = TestEndpoint::answering().await;
     let gateway = TestGateway::start(&[("a", &endpoint)]).await;
     let ready = [listed("a", endpoint.addr)];
     let mut leaving = ready.clone();
@@ -87,7 +87,7 @@
     ];
     for answer in answers {
         let leaving = TestEndpoint::start(move |_, req| answer(req)).await;
-        let staying = TestEndpoint::start(|_, req| vec![Step::Send(response(req, "ran"))]).await;
+        let staying = TestEndpoint::answering().await;
         let gateway = TestGateway::start(&[("leaving", &leaving), ("staying", &staying)]).await;
         let mut client = Client::connect(gateway.addr).await;
         client.request("/idempotent/x", "first", "").await;
--- a/crates/anvil_gateway/tests/direct/limits.rs
+++ b/crates/anvil_gateway/tests/direct/limits.rs
@@ -26,22 +26,19 @@
 /// Time between two requests, over all clients.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(25);
 
-/// An endpoint that may announce a limit, with the arrival times of its requests.
+/// An endpoint that may announce a limit.
 #[derive(Clone)]
 struct LimitedEndpoint {
     endpoint: TestEndpoint,
-    arrivals: Arc<Mutex<Vec<Instant>>>,
     /// The limit that it announces; 0 for none.
     limit: Arc<AtomicU64>,
 }
 
 impl LimitedEndpoint {
     async fn start(limit: u64) -> Self {
-        let arrivals = Arc::new(Mutex::new(Vec::new()));
         let limit = Arc::new(AtomicU64::new(limit));
-        let (arrived, announced) = (arrivals.clone(), limit.clone());
+        let announced = limit.clone();
         let endpoint = TestEndpoint::start(move |_, req| {
-            arrived.lock().expect("times").push(Instant::now());
             let lines = match announced.load(Ordering::Relaxed) {
                 0 => String::new(),
                 limit => format!("x-limit: {limit}\r\n"),
@@ -49,20 +46,12 @@
             vec![Step::Send(response_with(req, &lines, "ran"))]
         })
         .await;
-        Self {
-            endpoint,
-            arrivals,
-            limit,
-        }
-    }
-
-    fn arrivals(&self) -> Vec<Instant> {
-        self.arrivals.lock().expect("times").clone()
+        Self { endpoint, limit }
     }
 
     /// Maximum number of arrivals in any window since then.
     fn max_in_window(&self, since: Instant) -> usize {
-        let arrivals = self.arrivals();
+        let arrivals = self.endpoint.arrivals();
         let in_range: Vec<_> = arrivals.iter().filter(|at| **at >= since).collect();
         let in_span = |from: &Instant| {
             let count = in_range
@@ -170,7 +159,7 @@
     send_for(&processes, 2 * WINDOW).await;
     let since = Instant::now();
     send_for(&processes, WINDOW).await;
-    let arrivals = limited.arrivals();
+    let arrivals = limited.endpoint.arrivals();
     let requests = arrivals.iter().filter(|at| **at >= since).count();
     assert!(
         requests > MAX_IN_WINDOW,
--- a/crates/anvil_gateway/tests/direct/missing_endpoints.rs
+++ b/crates/anvil_gateway/tests/direct/missing_endpoints.rs
@@ -10,7 +10,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::client::Client;
-use crate::endpoint::{Step, TestEndpoint, not_run, response};
+use crate::endpoint::{Step, TestEndpoint, not_run};
 use crate::gateway::{TestGateway, listed, routes, table};
 
 /// An address at which nothing listens.
@@ -46,7 +46,7 @@
 /// do not count as attempts, and the request goes on until it reaches a live one.
 #[tokio::test]
 async fn unreachable_endpoint_does_not_count_as_an_attempt() {
-    let working = TestEndpoint::start(|_, req| vec![Step::Send(response(req, "ran"))]).await;
+    let working = TestEndpoint::answering().await;
     let dead = [
         ("d1", unused_addr().await),
         ("d2", unused_addr().await),
@@ -66,7 +66,7 @@
     let replacement =
         TestEndpoint::start(|_, req| vec![Step::Send(not_run(req, "421 Misdirected Request"))])
             .await;
-    let working = TestEndpoint::start(|_, req| vec![Step::Send(response(req, "ran"))]).await;
+    let working = TestEndpoint::answering().await;
     let gateway = start_with_one_attempt(&[("was-here", replacement.addr)], &working).await;
     let mut client = Client::connect(gateway.addr).await;
     let response = client.request("/once/x", "id-1", "").await;
@@ -80,7 +80,7 @@
     let full =
         TestEndpoint::start(|_, req| vec![Step::Send(not_run(req, "503 Service Unavailable"))])
             .await;
-    let working = TestEndpoint::start(|_, req| vec![Step::Send(response(req, "ran"))]).await;
+    let working = TestEndpoint::answering().await;
     let gateway = start_with_one_attempt(&[("full", full.addr)], &working).await;
     let mut client = Client::connect(gateway.addr).await;
     let response = client.request("/once/x", "id-1", "").await;
@@ -93,7 +93,7 @@
 #[tokio::test]
 async fn request_in_doubt_is_not_retried_when_other_endpoints_are_gone() {
     let resetting = TestEndpoint::start(|_, _| vec![Step::Reset]).await;
-    let working = TestEndpoint::start(|_, req| vec![Step::Send(response(req, "ran"))]).await;
+    let working = TestEndpoint::answering().await;
     let gateway = start_with_one_attempt(
         &[("gone", unused_addr().await), ("lost", resetting.addr)],
         &working,
@@ -130,7 +130,7 @@
     let replacement =
         TestEndpoint::start(|_, req| vec![Step::Send(not_run(req, "421 Misdirected Request"))])
             .await;
-    let working = TestEndpoint::start(|_, req| vec![Step::Send(response(req, "ran"))]).await;
+    let working = TestEndpoint::answering().await;
     let listed = Arc::new(Mutex::new(format!("before {}", replacement.addr)));
     let list_text = listed.clone();
     let list = TestEndpoint::start(move |_, _| {
--- a/crates/anvil_gateway/tests/direct/pausing.rs
+++ b/crates/anvil_gateway/tests/direct/pausing.rs
@@ -1,7 +1,7 @@
 //! Endpoints that turn requests away and ask for a pause.
 
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use anvil_gateway::Gateway;
@@ -17,54 +17,35 @@
 use tokio::time::{Instant, sleep};
 
 use crate::client::{Client, ClientResponse};
-use crate::endpoint::{
-    ReceivedRequest, Step, TestEndpoint, chunk, event, refusal_with, response, stream_head,
-};
+use crate::endpoint::{Step, TestEndpoint, refusal_with, response};
 use crate::gateway::{SERVICE, TestGateway, listed, routes, table, table_with_warm_up};
 
 /// Longest duration of a request that is refused at once.
 const AT_ONCE: Duration = Duration::from_millis(100);
 
-/// An endpoint that turns requests away for as long as it is busy, with the arrival times of all
-/// requests.
+/// An endpoint that turns requests away for as long as it is busy.
 #[derive(Clone)]
 struct PausingEndpoint {
     endpoint: TestEndpoint,
-    arrivals: Arc<Mutex<Vec<Instant>>>,
     busy: Arc<AtomicBool>,
 }
 
 impl PausingEndpoint {
     /// A busy endpoint whose refusals have these header lines.
     async fn start(lines: &'static str) -> Self {
-        let arrivals = Arc::new(Mutex::new(Vec::new()));
         let busy = Arc::new(AtomicBool::new(true));
-        let (arrived, is_busy) = (arrivals.clone(), busy.clone());
+        let is_busy = busy.clone();
         let endpoint = TestEndpoint::start(move |_, req| {
-            arrived.lock().expect("times").push(Instant::now());
             if is_busy.load(Ordering::Relaxed) {
                 return vec![Step::Send(refusal_with(req, lines))];
             }
             vec![Step::Send(response(req, "ran"))]
         })
         .await;
-        Self {
-            endpoint,
-            arrivals,
-            busy,
-        }
-    }
-
-    fn arrivals(&self) -> Vec<Instant> {
-        self.arrivals.lock().expect("times").clone()
+        Self { endpoint, busy }
     }
 }
 
-async fn ready_endpoint() -> TestEndpoint {
-    let ran = |_: usize, req: &ReceivedRequest| vec![Step::Send(response(req, "ran"))];
-    TestEndpoint::start(ran).await
-}
-
 async fn send(gateway: &TestGateway, path: &str) -> (ClientResponse, Duration) {
     let sent_at = Instant::now();
     let mut client = Client::connect(gateway.addr).await;
@@ -76,14 +57,14 @@
 #[tokio::test]
 async fn endpoint_that_asked_for_a_pause_receives_nothing_until_its_end() {
     let pausing = PausingEndpoint::start("retry-after: 1.2\r\n").await;
-    let ready = ready_endpoint().await;
+    let ready = TestEndpoint::answering().await;
     let gateway = TestGateway::start(&[("pausing", &pausing.endpoint), ("ready", &ready)]).await;
     let started_at = Instant::now();
     while started_at.elapsed() < Duration::from_secs(3) {
         assert_eq!(send(&gateway, "/once/x").await.0.status, 200);
         sleep(Duration::from_millis(10)).await;
     }
-    let arrivals = pausing.arrivals();
+    let arrivals = pausing.endpoint.arrivals();
     assert!((2..=3).contains(&arrivals.len()), "{arrivals:?}");
     for pair in arrivals.windows(2) {
         assert!(
@@ -107,7 +88,7 @@
         assert!(retry_after > Duration::from_secs(3), "{retry_after:?}");
         assert!(retry_after < Duration::from_secs(5), "{retry_after:?}");
     }
-    assert_eq!(endpoint.arrivals().len(), 1);
+    assert_eq!(endpoint.endpoint.arrivals().len(), 1);
 }
 
 /// Guards against callers being told to return in the middle of a pause when their request was
@@ -133,7 +114,13 @@
         let retry_after = last.retry_after().expect("a time");
         assert!(retry_after > Duration::from_secs(2), "{retry_after:?}");
         assert!(retry_after < Duration::from_secs(4), "{retry_after:?}");
-        assert_eq!((short.arrivals().len(), long.arrivals().len()), (1, 1));
+        assert_eq!(
+            (
+                short.endpoint.arrivals().len(),
+                long.endpoint.arrivals().len()
+            ),
+            (1, 1)
+        );
     }
 }
 
@@ -159,7 +146,7 @@
 /// for a pause.
 #[tokio::test]
 async fn request_selected_before_a_pause_is_not_sent_in_it() {
-    let ready = ready_endpoint().await;
+    let ready = TestEndpoint::answering().await;
     let gateway = TestGateway::start(&[("a", &ready)]).await;
     let selection = select(&gateway.gw, &[]).expect("an endpoint");
     request_pause(&gateway.gw, "a", Duration::from_secs(1));
@@ -208,10 +195,7 @@
 /// Guards against all requests of a gateway returning at once when a pause ends.
 #[tokio::test]
 async fn sending_begins_slowly_after_a_pause() {
-    let arrivals = Arc::new(Mutex::new(Vec::new()));
-    let arrived = arrivals.clone();
     let slow = TestEndpoint::start(move |number, req| {
-        arrived.lock().expect("times").push(Instant::now());
         if number == 0 {
             return vec![Step::Send(refusal_with(req, "retry-after: 0.5\r\n"))];
         }
@@ -219,42 +203,37 @@
         vec![Step::Pause(Duration::from_millis(150)), Step::Send(answer)]
     })
     .await;
-    let ready = ready_endpoint().await;
+    let ready = TestEndpoint::answering().await;
     let gateway = TestGateway::start(&[("slow", &slow), ("ready", &ready)]).await;
     assert_eq!(send(&gateway, "/once/x").await.0.status, 200);
     sleep(Duration::from_millis(600)).await;
     let all = (0..20).map(|_| send(&gateway, "/once/x"));
     let all = futures::future::join_all(all).await;
     assert!(all.iter().all(|(response, _)| response.status == 200));
-    assert_eq!(arrivals.lock().expect("times").len(), 2);
+    assert_eq!(slow.received().len(), 2);
 }
 
 /// Guards against a stream being resumed at an endpoint that asked for a pause.
 #[tokio::test]
 async fn broken_stream_is_not_resumed_in_a_pause() {
-    let breaking = TestEndpoint::start(|_, req| {
-        vec![
-            Step::Send(stream_head(req)),
-            Step::Send(chunk(&event(1))),
-            Step::Pause(Duration::from_millis(100)),
-            Step::Reset,
-        ]
-    })
-    .await;
+    let breaking = TestEndpoint::breaking_off().await;
     let pausing = PausingEndpoint::start("retry-after: 60\r\n").await;
     let gateway =
         TestGateway::start(&[("breaking", &breaking), ("pausing", &pausing.endpoint)]).await;
     request_pause(&gateway.gw, "pausing", Duration::from_mins(1));
     let (broken, _) = send(&gateway, "/resumed/x").await;
     assert!(!broken.complete, "{broken:?}");
-    assert!(pausing.arrivals().is_empty());
+    assert!(pausing.endpoint.arrivals().is_empty());
 }
 
 /// Guards against another engine being taken for the home of a prompt while its home pauses, and
 /// against a request that has an engine copy from a paused one.
 #[tokio::test]
 async fn home_of_a_prompt_stays_its_home_in_a_pause() {
-    let (first, second) = (ready_endpoint().await, ready_endpoint().await);
+    let (first, second) = (
+        TestEndpoint::answering().await,
+        TestEndpoint::answering().await,
+    );
     let gateway = TestGateway::start(&[]).await;
     let list = [listed("a", first.addr), listed("b", second.addr)];
     gateway.gw.directory.apply_list(&list);
@@ -270,7 +249,10 @@
 /// Guards against a pause being forgotten where other bars apply too: evacuations, limits, warm-ups.
 #[tokio::test]
 async fn longest_bar_of_each_endpoint_counts() {
-    let (first, second) = (ready_endpoint().await, ready_endpoint().await);
+    let (first, second) = (
+        TestEndpoint::answering().await,
+        TestEndpoint::answering().await,
+    );
     let gateway = TestGateway::start(&[("a", &first), ("b", &second)]).await;
     let gw = &gateway.gw;
     gw.gateway_count.store(1, Ordering::Relaxed);
@@ -297,7 +279,7 @@
 /// Guards against statuses that speak of a request or its sender closing an endpoint.
 #[tokio::test]
 async fn only_status_503_asks_for_a_pause() {
-    let ready = ready_endpoint().await;
+    let ready = TestEndpoint::answering().await;
     let gateway = TestGateway::start(&[("a", &ready)]).await;
     let endpoint = gateway.gw.directory.find(&"a".into()).expect("listed");
     let notice = AvailabilityNotice {
@@ -324,7 +306,10 @@
 /// pauses too, and against a bound on them when none pauses.
 #[tokio::test]
 async fn endpoints_beside_a_paused_one_get_what_they_bear() {
-    let (first, second) = (ready_endpoint().await, ready_endpoint().await);
+    let (first, second) = (
+        TestEndpoint::answering().await,
+        TestEndpoint::answering().await,
+    );
     let gateway = TestGateway::start(&[("a", &first), ("b", &second)]).await;
     let gw = &gateway.gw;
     request_pause(gw, "a", Duration::from_millis(500));
--- a/crates/anvil_gateway/tests/direct/regions.rs
+++ b/crates/anvil_gateway/tests/direct/regions.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use crate::client::{Client, ClientResponse};
-use crate::endpoint::{Step, TestEndpoint, chunk, event, response, stream_end, stream_head};
+use crate::endpoint::{Step, TestEndpoint, chunk, event, stream_end, stream_head};
 use crate::gateway::{TestGateway, listed, routes, table};
 
 fn only(regions: &[&str]) -> AllowedRegions {
@@ -47,18 +47,14 @@
     client.request(path, "id", "").await
 }
 
-async fn answering_endpoint() -> TestEndpoint {
-    TestEndpoint::start(|_, req| vec![Step::Send(response(req, "ran"))]).await
-}
-
 /// Guards against a request that runs in a region which its route does not allow, because the
 /// endpoint there is nearer or the only one left.
 #[tokio::test]
 async fn restricted_request_runs_only_in_its_regions() {
     let endpoints = [
-        answering_endpoint().await,
-        answering_endpoint().await,
-        answering_endpoint().await,
+        TestEndpoint::answering().await,
+        TestEndpoint::answering().await,
+        TestEndpoint::answering().await,
     ];
     let [local, away, unknown] = &endpoints;
     let gateway = start_gateway(&[local, away, unknown], restricted(&["away"])).await;
@@ -72,7 +68,7 @@
 /// Guards against a request that waits, or runs elsewhere, if no endpoint is in its regions.
 #[tokio::test]
 async fn request_without_endpoints_in_its_regions_is_refused_at_once() {
-    let endpoint = answering_endpoint().await;
+    let endpoint = TestEndpoint::answering().await;
     let table = restricted(&["nowhere"]);
     let gateway = start_gateway(&[&endpoint, &endpoint, &endpoint], table).await;
     let sent_at = Instant::now();
--- a/crates/anvil_gateway/tests/direct/responses.rs
+++ b/crates/anvil_gateway/tests/direct/responses.rs
@@ -36,7 +36,7 @@
 #[tokio::test]
 async fn non_idempotent_request_in_doubt_is_not_retried() {
     let resetting = TestEndpoint::start(|_, _| vec![Step::Reset]).await;
-    let working = TestEndpoint::start(|_, req| vec![Step::Send(response(req, "ran"))]).await;
+    let working = TestEndpoint::answering().await;
     let gateway = TestGateway::start(&[("lost", &resetting), ("other", &working)]).await;
     let mut sent = 0;
     for number in 0..30 {
@@ -115,7 +115,7 @@
 #[tokio::test]
 async fn request_that_was_not_run_is_sent_to_another_endpoint() {
     let full = TestEndpoint::start(|_, req| vec![Step::Send(not_run(req, "503 Full"))]).await;
-    let free = TestEndpoint::start(|_, req| vec![Step::Send(response(req, "ran"))]).await;
+    let free = TestEndpoint::answering().await;
     let gateway = TestGateway::start(&[("full", &full), ("free", &free)]).await;
     for number in 0..10 {
         let mut client = Client::connect(gateway.addr).await;
@@ -132,7 +132,7 @@
     let replaced =
         TestEndpoint::start(|_, req| vec![Step::Send(not_run(req, "421 Misdirected Request"))])
             .await;
-    let working = TestEndpoint::start(|_, req| vec![Step::Send(response(req, "ran"))]).await;
+    let working = TestEndpoint::answering().await;
     let gateway = TestGateway::start(&[("taken", &replaced), ("right", &working)]).await;
     for number in 0..10 {
         let mut client = Client::connect(gateway.addr).await;
@@ -225,7 +225,7 @@
 /// routing table the refusal is temporary.
 #[tokio::test]
 async fn refusals_name_the_correct_cause() {
-    let working = TestEndpoint::start(|_, req| vec![Step::Send(response(req, "ran"))]).await;
+    let working = TestEndpoint::answering().await;
     let gateway = TestGateway::start(&[("a", &working)]).await;
     let mut client = Client::connect(gateway.addr).await;
     assert_eq!(client.request("/nowhere/x", "1", "").await.status, 404);
--- a/crates/anvil_gateway/tests/direct/starting.rs
+++ b/crates/anvil_gateway/tests/direct/starting.rs
@@ -6,14 +6,14 @@
 use tokio::time::sleep;
 
 use crate::client::Client;
-use crate::endpoint::{Step, TestEndpoint, not_run, response};
+use crate::endpoint::{Step, TestEndpoint, not_run};
 use crate::gateway::{TestGateway, listed, routes, table};
 
 /// Guards against a lost request after a power failure: a client with no retry left arrives before
 /// the ledger has a leader, and the routing table follows a tenth of a second later.
 #[tokio::test]
 async fn request_waits_for_the_first_routing_table() {
-    let working = TestEndpoint::start(|_, req| vec![Step::Send(response(req, "ran"))]).await;
+    let working = TestEndpoint::answering().await;
     let gateway = TestGateway::start_empty().await;
     gateway
         .gw
@@ -50,7 +50,7 @@
     let replacement =
         TestEndpoint::start(|_, req| vec![Step::Send(not_run(req, "421 Misdirected Request"))])
             .await;
-    let working = TestEndpoint::start(|_, req| vec![Step::Send(response(req, "ran"))]).await;
+    let working = TestEndpoint::answering().await;
     let gateway = TestGateway::start(&[("before", &replacement)]).await;
     let gw = gateway.gw.clone();
     let addr = working.addr;
@@ -87,7 +87,7 @@
     let replacement =
         TestEndpoint::start(|_, req| vec![Step::Send(not_run(req, "421 Misdirected Request"))])
             .await;
-    let working = TestEndpoint::start(|_, req| vec![Step::Send(response(req, "ran"))]).await;
+    let working = TestEndpoint::answering().await;
     let ids = ["b1", "b2", "b3", "b4", "b5", "b6"];
     let gateway = TestGateway::start(&ids.map(|id| (id, &replacement))).await;
     let gw = gateway.gw.clone();
@@ -112,7 +112,7 @@
     let replacement =
         TestEndpoint::start(|_, req| vec![Step::Send(not_run(req, "421 Misdirected Request"))])
             .await;
-    let working = TestEndpoint::start(|_, req| vec![Step::Send(response(req, "ran"))]).await;
+    let working = TestEndpoint::answering().await;
     let gateway =
         TestGateway::start(&[("gone", &replacement), ("w1", &working), ("w2", &working)]).await;
     let requested_at = Instant::now();
--- a/crates/anvil_gateway/tests/direct/warming_up.rs
+++ b/crates/anvil_gateway/tests/direct/warming_up.rs
@@ -1,13 +1,13 @@
 //! Endpoints that are slow and crash easily for some time after a start.
 
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use tokio::time::{Instant, sleep};
 
 use crate::client::Client;
-use crate::endpoint::{Step, TestEndpoint, response};
+use crate::endpoint::TestEndpoint;
 use crate::gateway::{TestGateway, WARM_UP, listed, table_with_warm_up};
 use crate::processes::{GATEWAYS, Processes};
 
@@ -17,18 +17,6 @@
 /// Time between two requests, over all clients.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(8);
 
-/// An endpoint with the arrival times of its requests.
-async fn counting_endpoint() -> (TestEndpoint, Arc<Mutex<Vec<Instant>>>) {
-    let arrivals: Arc<Mutex<Vec<Instant>>> = Arc::default();
-    let arrived = arrivals.clone();
-    let endpoint = TestEndpoint::start(move |_, req| {
-        arrived.lock().expect("times").push(Instant::now());
-        vec![Step::Send(response(req, "ran"))]
-    })
-    .await;
-    (endpoint, arrivals)
-}
-
 fn most_in_a_second(arrivals: &[Instant]) -> usize {
     let within = |from: &Instant| {
         let in_span = arrivals
@@ -65,8 +53,8 @@
 /// to it, and against one that stays idle until it is warm.
 #[tokio::test(flavor = "multi_thread")]
 async fn endpoint_receives_what_it_tolerates_during_its_warm_up() {
-    let (warm, _) = counting_endpoint().await;
-    let (warming_up, arrivals) = counting_endpoint().await;
+    let warm = TestEndpoint::answering().await;
+    let warming_up = TestEndpoint::answering().await;
     // The one that is warming up is in the gateways' zone, so it is preferred.
     let text = format!(
         "new {} local-a warming-up\nold {} local-b\n",
@@ -84,7 +72,7 @@
         );
         sleep(REQUEST_INTERVAL).await;
     }
-    let arrivals = arrivals.lock().expect("times").clone();
+    let arrivals = warming_up.arrivals();
     let most = most_in_a_second(&arrivals);
     assert!(most <= MAX_IN_A_SECOND, "{most} requests in a second");
     assert!(arrivals.len() >= 20, "{} requests in all", arrivals.len());
@@ -94,7 +82,7 @@
 /// yet, and against requests that wait for a warm endpoint.
 #[tokio::test]
 async fn gateway_that_the_others_do_not_count_sends_nothing() {
-    let (endpoint, _) = counting_endpoint().await;
+    let endpoint = TestEndpoint::answering().await;
     let gateway = start_gateway(&endpoint, true).await;
     let sent_at = Instant::now();
     assert_eq!(send(&gateway).await, 503);
@@ -112,7 +100,7 @@
 /// still states to be warm.
 #[tokio::test]
 async fn endpoint_that_was_unreachable_may_be_warming_up() {
-    let (endpoint, _) = counting_endpoint().await;
+    let endpoint = TestEndpoint::answering().await;
     let gateway = start_gateway(&endpoint, false).await;
     assert_eq!(send(&gateway).await, 200);
     let listed = gateway.gw.directory.find(&"a".into()).expect("listed");
@@ -125,7 +113,7 @@
 /// Guards against a flood at endpoints that were restarted while their zone was evacuated.
 #[tokio::test]
 async fn endpoints_of_a_returned_zone_may_be_warming_up() {
-    let (endpoint, _) = counting_endpoint().await;
+    let endpoint = TestEndpoint::answering().await;
     let gateway = start_gateway(&endpoint, false).await;
     let zones = ["local-a".into()].into();
     gateway.gw.record_zones_returned(&zones);
