Software versions of endpoints, and the attempt that a client takes up, are seen

Cause: the list's version and the header that names a stream's first attempt were read by nobody, so logs could not tell whether a stream changed versions within one answer or over a caller's tries. Change: both are decoded; the version of each endpoint stands in the steps of a request, a step says which attempt is taken up after which event, gateway_service_versions says when a service has several versions, and the gauge services.mixed counts such services. Lists with versions travel between routers at a path of their own, since builds without them can't read the entries. No decision changes, but that an endpoint that is listed under the same id with another version is a new one.

--- a/crates/anvil_gateway/src/dialect.rs
+++ b/crates/anvil_gateway/src/dialect.rs
@@ -43,7 +43,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RequestHead {
     /// Id of this attempt of the client; unique.
-    pub id: Arc<str>,
+    pub id: AttemptId,
     /// The client's timeout.
     pub timeout: Duration,
     /// Bearer key.
@@ -52,6 +52,8 @@
     pub model_work: Option<ModelWork>,
     /// Id of the last event of the stream that the client already has.
     pub resume_after: Option<u64>,
+    /// The client's attempt that brought the stream's first event, if the client names it.
+    pub first_attempt: Option<AttemptId>,
 }
 
 /// A request head that can't be served.
--- a/crates/anvil_gateway/src/directory.rs
+++ b/crates/anvil_gateway/src/directory.rs
@@ -155,7 +155,7 @@
         (available.len() as u64, on_cooldown.count() as u64)
     }
 
-    /// Applies a complete list. An endpoint with the same id, address and service keeps its
+    /// Applies a complete list. An endpoint with the same id, address, service and version keeps its
     /// connections and statistics; endpoints that are not listed receive no new requests.
     pub fn apply_list(&self, list: &[ListedEndpoint]) -> Changes {
         let previous = self.groups.load();
@@ -173,7 +173,9 @@
         let mut groups: BTreeMap<ServiceId, EndpointGroup> = BTreeMap::new();
         for listed in list {
             let unchanged = known.remove(&listed.id).filter(|endpoint| {
-                endpoint.addr == listed.addr && endpoint.service == listed.service
+                endpoint.addr == listed.addr
+                    && endpoint.service == listed.service
+                    && endpoint.version == listed.version
             });
             // Failure: a lagging list names an endpoint as ready that an earlier list had as
             // leaving or no longer had, so it would receive requests just before it stops. It is
--- a/crates/anvil_gateway/src/endpoint.rs
+++ b/crates/anvil_gateway/src/endpoint.rs
@@ -28,6 +28,8 @@
     pub addr: SocketAddr,
     /// Its availability zone.
     pub zone: ZoneId,
+    /// Version of its software.
+    pub version: SoftwareVersion,
     /// Requests that it runs concurrently, as listed.
     pub slots: u32,
     /// Connections to it.
@@ -47,6 +49,7 @@
             service: listed.service.clone(),
             addr: listed.addr,
             zone: listed.zone.clone(),
+            version: listed.version.clone(),
             slots: listed.slots,
             pool: ConnectionPool::new(listed.addr),
             leaving: AtomicBool::new(listed.leaving),
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -98,6 +98,7 @@
     /// Sends the request to endpoints until one responds.
     pub async fn run(mut self) -> Reply {
         self.gw.count_first_attempt(&self.service);
+        self.trace_taken_up();
         match self.first_response(None).await {
             Ok(response)
                 if self.route.retry_mode.is_stream() && response.parts.status.is_success() =>
@@ -109,6 +110,20 @@
         }
     }
 
+    /// Notes in the trace that the client wants the rest of a stream.
+    fn trace_taken_up(&mut self) {
+        let RequestHead {
+            resume_after,
+            first_attempt,
+            ..
+        } = &self.request;
+        if resume_after.is_some() || first_attempt.is_some() {
+            self.trace.step(format_args!(
+                "takes up {first_attempt:?} after {resume_after:?}"
+            ));
+        }
+    }
+
     /// Ends the request with a refusal.
     pub fn refuse(mut self, (cause, retry_after): RequestRefusal) -> Reply {
         self.trace.record_outcome(cause.text());
--- a/crates/anvil_gateway/src/exchange/one_attempt.rs
+++ b/crates/anvil_gateway/src/exchange/one_attempt.rs
@@ -103,8 +103,12 @@
         let selection = selection.map_err(|unplaced| self.refuse_unplaced(unplaced))?;
         let endpoint = &selection.slot.endpoint;
         self.trace.step(format_args!(
-            "to {} expecting {:?}, {} tokens to read, {}",
-            endpoint.id, selection.expected, selection.missing_tokens, selection.load_summary
+            "to {} ({}) expecting {:?}, {} tokens to read, {}",
+            endpoint.id,
+            endpoint.version,
+            selection.expected,
+            selection.missing_tokens,
+            selection.load_summary
         ));
         if let Some(addr) = selection.copy_from {
             self.trace.step(format_args!("copies from {addr}"));
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -28,6 +28,7 @@
 use crate::list::siblings::Siblings;
 use crate::log_events;
 use crate::metrics::RETRIES_DENIED;
+use crate::service_versions::ServiceVersions;
 use crate::suspects::Suspects;
 use crate::table::RouteTable;
 
@@ -124,6 +125,8 @@
     pub suspects: Suspects,
     /// Limits that endpoints announced.
     pub endpoint_limits: EndpointLimits,
+    /// Software versions of the endpoints of each service.
+    pub service_versions: ServiceVersions,
     /// Requests in progress.
     pub open_requests: AtomicU32,
     /// End of the time in which this gateway reports that it can't obtain grants, in milliseconds
@@ -213,6 +216,7 @@
             crash_watch: Mutex::default(),
             suspects: Suspects::default(),
             endpoint_limits: EndpointLimits::default(),
+            service_versions: ServiceVersions::default(),
             open_requests: AtomicU32::new(0),
             starved_until_ms: AtomicU64::new(0),
             retry_budgets: Mutex::default(),
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -24,6 +24,8 @@
 //! for [`pauses`] or state that they are leaving. [`late_response`] reads what they state in answers
 //! that nobody waits for.
 //!
+//! Software versions: [`service_versions`] records which versions of a service's endpoints serve.
+//!
 //! Where the gateway's view comes from: the routing table and the number of gateways from the
 //! ledger ([`ledger_updates`]), grants from the ledger ([`grant_loop`]), the list of endpoints from
 //! the platform or from other gateways ([`list`]), endpoint load from response headers ([`endpoint`]).
@@ -56,6 +58,7 @@
 pub mod request_digest;
 pub mod run;
 pub mod serve;
+pub mod service_versions;
 pub mod stream_events;
 pub mod stream_relay;
 pub mod suspects;
--- a/crates/anvil_gateway/src/list/cache.rs
+++ b/crates/anvil_gateway/src/list/cache.rs
@@ -200,7 +200,7 @@
 fn digest(entries: &Entries) -> ListDigest {
     let mut hasher = Xxh3::new();
     for listed in entries.values() {
-        for text in [&listed.id, &listed.service, &listed.zone] {
+        for text in [&listed.id, &listed.service, &listed.zone, &listed.version] {
             hasher.update(text.as_bytes());
             hasher.update(&[0]);
         }
--- a/crates/anvil_gateway/src/list/discovery.rs
+++ b/crates/anvil_gateway/src/list/discovery.rs
@@ -228,6 +228,7 @@
     let read_at = gw.lifecycle.now().saturating_sub(snapshot.age());
     let changes = gw.directory.apply_list(&listed);
     gw.apply_listed_warm_up(&listed, read_at);
+    gw.record_listed_versions(&listed);
     for endpoint in &changes.vanished {
         gw.record_crash_evidence(endpoint, Evidence::Unlisted);
     }
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -55,6 +55,8 @@
 pub const ENDPOINTS_PAUSED: &str = "endpoints.paused";
 /// Endpoints that may be warming up. Gauge.
 pub const ENDPOINTS_WARMING_UP: &str = "endpoints.warming_up";
+/// Services whose endpoints run more than one software version. Gauge.
+pub const SERVICES_MIXED: &str = "services.mixed";
 /// Streams resumed by another endpoint. Count.
 pub const STREAMS_RESUMED: &str = "streams.resumed";
 /// Readings of the platform's list by this gateway. Count.
@@ -102,6 +104,7 @@
     (PAUSES_UNREADABLE, "count"),
     (ENDPOINTS_PAUSED, "gauge"),
     (ENDPOINTS_WARMING_UP, "gauge"),
+    (SERVICES_MIXED, "gauge"),
     (STREAMS_RESUMED, "count"),
     (LIST_READ, "count"),
     (LIST_FROM_SIBLING, "count"),
@@ -144,6 +147,7 @@
             (LIMIT_USED, limit_used),
             (ENDPOINTS_PAUSED, self.count_paused()),
             (ENDPOINTS_WARMING_UP, self.count_warming_up()),
+            (SERVICES_MIXED, self.count_mixed_services()),
             (
                 LEDGER_AGE,
                 age(self.ledger_confirmed_ms.load(Ordering::Relaxed)),
--- a/crates/anvil_gateway/tests/direct/dialect.rs
+++ b/crates/anvil_gateway/tests/direct/dialect.rs
@@ -43,6 +43,7 @@
         bearer_key: text(headers, "x-key").map(Into::into),
         model_work,
         resume_after: text(headers, "x-after").and_then(|id| id.parse().ok()),
+        first_attempt: text(headers, "x-first").map(Into::into),
     })
 }
 
--- a/crates/anvil_gateway/tests/direct/gateway.rs
+++ b/crates/anvil_gateway/tests/direct/gateway.rs
@@ -115,6 +115,7 @@
         service: SERVICE.into(),
         addr,
         zone: "local-a".into(),
+        version: "v1".into(),
         slots: 8,
         leaving: false,
         warming_up: false,
--- a/crates/anvil_gateway/tests/list_cache.rs
+++ b/crates/anvil_gateway/tests/list_cache.rs
@@ -14,6 +14,7 @@
         service: "desk".into(),
         addr: ([127, 0, 0, 1], 80).into(),
         zone: "a".into(),
+        version: "v1".into(),
         slots: 8,
         leaving,
         warming_up: false,
--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -51,6 +51,7 @@
 //! * [`crash`]: which requests were in flight at an endpoint when it crashed.
 //! * [`rate_share`]: each router's part of a rate limit that an endpoint announces for all of them.
 //! * [`warm_up`]: which endpoints may be warming up and tolerate few requests.
+//! * [`version_history`]: which software versions of a service served, and since when.
 //! * [`prefix`]: which endpoints hold which prompt prefixes.
 //! * [`list_turn`]: which router reads the list of endpoints for the others.
 //! * [`subset`] and [`placement`]: which endpoints a router watches, and which models they hold.
@@ -79,5 +80,6 @@
 pub mod rate_share;
 pub mod retry;
 pub mod subset;
+pub mod version_history;
 pub mod waiting;
 pub mod warm_up;
--- a/crates/anvil_wire/src/msg/listing.rs
+++ b/crates/anvil_wire/src/msg/listing.rs
@@ -14,9 +14,9 @@
 pub struct ListCall;
 
 impl Call for ListCall {
-    // Builds whose entries lack the warm-up serve `/list`. They don't understand each other's lists, so
-    // each kind has its own reader in a zone.
-    const PATH: &'static str = "/endpoints";
+    // Builds whose entries lack the warm-up serve `/list`, those whose entries lack the version
+    // `/endpoints`. They don't understand each other's lists, so each kind has its own reader in a zone.
+    const PATH: &'static str = "/endpoints-by-version";
     type Req = ListRequest;
     type Resp = ListReply;
 }
@@ -35,6 +35,8 @@
     pub addr: SocketAddr,
     /// Its availability zone.
     pub zone: ZoneId,
+    /// Version of its software.
+    pub version: SoftwareVersion,
     /// Requests it works on concurrently.
     pub slots: u32,
     /// Whether it is leaving and takes no new work.
--- a/crates/anvil_world/src/ids.rs
+++ b/crates/anvil_world/src/ids.rs
@@ -22,6 +22,10 @@
 pub type ModelId = Arc<str>;
 /// Name of a service: a pool of model runners or a plain service.
 pub type ServiceId = Arc<str>;
+/// Version of an endpoint's software; texts are equal or not, and have no order.
+pub type SoftwareVersion = Arc<str>;
+/// Id that a client generates for one attempt at a request.
+pub type AttemptId = Arc<str>;
 /// Id that an operator's client generates for one change; a resent change keeps it.
 pub type ChangeId = Arc<str>;
 /// Id that a router generates for one claim; a resent claim keeps it.
