Red tests: streams that change versions within a response and over a client's attempts

What callers saw: parts of two software versions in one stream. The tests have a gateway before endpoints of two versions that write theirs into each event: an endpoint that breaks off, with and without another one of its version, and a killed gateway whose streams are taken up at others.

--- a/crates/anvil_gateway/tests/direct/main.rs
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -18,4 +18,5 @@
 mod siblings;
 mod starting;
 mod streams;
+mod versions;
 mod warming_up;
--- a/crates/anvil_gateway/tests/direct/processes.rs
+++ b/crates/anvil_gateway/tests/direct/processes.rs
@@ -37,7 +37,8 @@
 const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A list of the endpoints that the text names, one per line: id, address and, if it is not the
-/// gateways' own, availability zone; then `warming-up` if it is.
+/// gateways' own, availability zone; then `warming-up` if it is, or the software version if it is not
+/// the usual one.
 pub async fn serve_list(text: impl Fn() -> String + Send + Sync + 'static) -> ListSource {
     let list = TestEndpoint::start(move |_, _| {
         let body = text();
@@ -62,7 +63,11 @@
         if let Some(zone) = words.next() {
             endpoint.zone = zone.into();
         }
-        endpoint.warming_up = words.next() == Some("warming-up");
+        match words.next() {
+            Some("warming-up") => endpoint.warming_up = true,
+            Some(version) => endpoint.version = version.into(),
+            None => {}
+        }
         Some(endpoint)
     };
     let listed = text.lines().map(entry).collect::<Option<Vec<_>>>();
@@ -250,6 +255,11 @@
             .expect("acknowledged");
     }
 
+    /// Ends one gateway without a planned stop.
+    pub async fn kill_gateway(&mut self, gateway: usize) {
+        self.gateways.remove(gateway).kill().await;
+    }
+
     /// Ends all processes as in a power failure, and starts them again.
     pub async fn lose_power(&mut self) {
         for gateway in self.gateways.drain(..) {
@@ -263,6 +273,11 @@
         self.wait_until_serving().await;
     }
 
+    /// A client that is connected to a gateway.
+    pub async fn connect(&self, gateway: u8) -> Client {
+        Client::connect(self.client_addr(gateway)).await
+    }
+
     /// Sends one request to a gateway; status 0 if it does not answer.
     pub async fn send_request(&self, gateway: u8, path: &str, body: &str) -> ClientResponse {
         let id = format!("id-{:x}", rand::random::<u64>());
--- /dev/null
+++ b/crates/anvil_gateway/tests/direct/versions.rs
@@ -0,0 +1,213 @@
+//! Streams of a service whose endpoints run several software versions: each goes on only at the version
+//! that began it, within one response and over a client's attempts.
+
+use std::time::Duration;
+
+use anvil_wire::msg::ListedEndpoint;
+use futures::future::join_all;
+use tokio::time::{Instant, sleep};
+
+use crate::client::{Client, ClientResponse};
+use crate::endpoint::{
+    ReceivedRequest, Step, TestEndpoint, chunk, response, stream_end, stream_head,
+};
+use crate::gateway::{TestGateway, listed};
+use crate::processes::{GATEWAYS, Processes};
+
+/// Last event of each stream.
+const LAST_EVENT: u64 = 60;
+/// Time between two events of a stream that is not taken up.
+const EVENT_INTERVAL: Duration = Duration::from_millis(50);
+/// Longest duration of a refusal, or until a stream without a version ends.
+const AT_ONCE: Duration = Duration::from_millis(250);
+/// Time in which gateways tell each other where streams began.
+const TELLING_TIME: Duration = Duration::from_millis(500);
+/// Streams that are open when their gateway is killed.
+const STREAMS: usize = 16;
+
+fn event_of(version: &str, id: u64) -> String {
+    format!("id: {id}\ndata: {version}\n\n")
+}
+
+fn whole_stream(version: &str) -> String {
+    (1..=LAST_EVENT).map(|id| event_of(version, id)).collect()
+}
+
+fn resumed_after(req: &ReceivedRequest) -> Option<u64> {
+    req.header("x-after").and_then(|id| id.parse().ok())
+}
+
+/// An endpoint of this version. Streams take three seconds, the rest of one comes at once.
+async fn streaming(version: &'static str) -> TestEndpoint {
+    TestEndpoint::start(move |_, req| {
+        if !req.head.starts_with("POST /resumed/") {
+            return vec![Step::Send(response(req, "ran"))];
+        }
+        let after = resumed_after(req);
+        let mut steps = vec![Step::Send(stream_head(req))];
+        for id in after.map_or(1, |after| after + 1)..=LAST_EVENT {
+            steps.push(Step::Send(chunk(&event_of(version, id))));
+            if after.is_none() {
+                steps.push(Step::Pause(EVENT_INTERVAL));
+            }
+        }
+        steps.push(Step::Send(stream_end()));
+        steps
+    })
+    .await
+}
+
+/// An endpoint of this version whose streams break off after three events.
+async fn breaking_off(version: &'static str) -> TestEndpoint {
+    TestEndpoint::start(move |_, req| {
+        let mut steps = vec![Step::Send(stream_head(req))];
+        steps.extend((1..=3).map(|id| Step::Send(chunk(&event_of(version, id)))));
+        // Time for the events to be read: a reset discards unread data.
+        steps.push(Step::Pause(Duration::from_millis(100)));
+        steps.push(Step::Reset);
+        steps
+    })
+    .await
+}
+
+/// An endpoint as listed in the gateway's zone, or else in another one.
+fn listed_as(id: &str, version: &str, endpoint: &TestEndpoint, is_near: bool) -> ListedEndpoint {
+    let mut listed = listed(id, endpoint.addr);
+    listed.version = version.into();
+    if !is_near {
+        listed.zone = "local-b".into();
+    }
+    listed
+}
+
+/// A gateway with these endpoints.
+async fn start_gateway(endpoints: &[ListedEndpoint]) -> TestGateway {
+    let gateway = TestGateway::start(&[]).await;
+    gateway.gw.directory.apply_list(endpoints);
+    gateway.gw.record_listed_versions(endpoints);
+    gateway
+}
+
+/// Guards against a stream that changes versions within one response: its endpoint is lost, and one of
+/// another version would be the best to go on.
+#[tokio::test]
+async fn broken_stream_goes_on_at_its_version() {
+    let broken = breaking_off("v1").await;
+    let (other, same) = (streaming("v2").await, streaming("v1").await);
+    let gateway = start_gateway(&[
+        listed_as("broken", "v1", &broken, true),
+        listed_as("other", "v2", &other, true),
+        listed_as("same", "v1", &same, false),
+    ])
+    .await;
+    let mut resumed = 0;
+    for number in 0..8 {
+        let mut client = Client::connect(gateway.addr).await;
+        let id = format!("id-{number}");
+        let received = client.request("/resumed/x", &id, "").await;
+        let version = first_version(&received.body);
+        assert!(received.complete, "{received:?}");
+        assert_eq!(received.body, whole_stream(version));
+        resumed += same.received().len();
+    }
+    assert!(resumed > 0, "no stream broke off");
+}
+
+/// Guards against a stream that goes on at another version, or is held, when none of its own is left.
+#[tokio::test]
+async fn broken_stream_ends_at_once_without_its_version() {
+    let broken = breaking_off("v1").await;
+    let other = streaming("v2").await;
+    let gateway = start_gateway(&[
+        listed_as("broken", "v1", &broken, true),
+        listed_as("other", "v2", &other, false),
+    ])
+    .await;
+    let mut client = Client::connect(gateway.addr).await;
+    let started = Instant::now();
+    let received = client.request("/resumed/x", "id", "").await;
+    assert!(!received.complete, "{received:?}");
+    assert_eq!(first_version(&received.body), "v1");
+    assert!(other.received().is_empty(), "went on at another version");
+    assert!(started.elapsed() < Duration::from_millis(100) + AT_ONCE);
+}
+
+/// The version of a stream's first event.
+fn first_version(body: &str) -> &str {
+    let data = body.lines().find_map(|line| line.strip_prefix("data: "));
+    data.unwrap_or_default()
+}
+
+/// Takes a stream up after its first event.
+async fn take_up(mut client: Client, id: &str, first_attempt: &str) -> ClientResponse {
+    let headers = format!("x-after: 1\r\nx-first: {first_attempt}\r\n");
+    client.request("/resumed/x", id, &headers).await
+}
+
+/// Gateways before two endpoints of each of two versions.
+struct MixedService {
+    processes: Processes,
+}
+
+impl MixedService {
+    async fn start() -> Self {
+        let mut text = String::new();
+        for number in 0..2 {
+            for version in ["v1", "v2"] {
+                let endpoint = streaming(version).await;
+                text += &format!("{version}-{number} {} local-a {version}\n", endpoint.addr);
+            }
+        }
+        let processes = Processes::start(move || text.clone()).await;
+        Self { processes }
+    }
+
+    /// Opens a stream at the first gateway, and returns it with the version of its first event.
+    async fn begin(&self, id: &str) -> (Client, String) {
+        let mut client = self.processes.connect(0).await;
+        client.send("/resumed/x", id, "content-length: 0\r\n").await;
+        let mut seen = String::new();
+        while first_version(&seen).is_empty() || !seen.contains("\n\n") {
+            seen = client.read_some().await;
+        }
+        let version = first_version(&seen).trim_end().to_owned();
+        (client, version)
+    }
+}
+
+/// Guards against a stream that changes versions over a client's attempts: its gateway is killed, and
+/// another one, which has not seen the stream, is asked for the rest.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_killed_gateway_goes_on_at_its_version() {
+    let mut service = MixedService::start().await;
+    let ids: Vec<_> = (0..STREAMS)
+        .map(|number| format!("first-{number}"))
+        .collect();
+    let begun = join_all(ids.iter().map(|id| service.begin(id))).await;
+    sleep(TELLING_TIME).await;
+    service.processes.kill_gateway(0).await;
+    for (number, (id, (_, version))) in ids.iter().zip(begun).enumerate() {
+        let gateway = 1 + u8::try_from(number % 2).expect("a small number");
+        let client = service.processes.connect(gateway).await;
+        let received = take_up(client, &format!("next-{number}"), id).await;
+        assert!(received.complete, "{received:?}");
+        let rest: String = (2..=LAST_EVENT).map(|id| event_of(&version, id)).collect();
+        assert_eq!(received.body, rest, "{id} began at {version}");
+    }
+}
+
+/// Guards against a guess: a stream of which no gateway knows the version, in a service with two.
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_stream_is_refused_at_once_while_versions_are_mixed() {
+    let service = MixedService::start().await;
+    for number in 0..GATEWAYS {
+        for first_attempt in ["never-seen", ""] {
+            let client = service.processes.connect(number).await;
+            let started = Instant::now();
+            let received = take_up(client, &format!("next-{number}"), first_attempt).await;
+            assert_eq!(received.status, 503, "{received:?}");
+            assert!(received.retry_after().is_some(), "{received:?}");
+            assert!(started.elapsed() < AT_ONCE);
+        }
+    }
+}
