--- a/crates/anvil_gateway/tests/direct/versions.rs
+++ b/crates/anvil_gateway/tests/direct/versions.rs
@@ -151,13 +151,15 @@
 
 impl MixedService {
     async fn start() -> Self {
-        let mut text = String::new();
-        for number in 0..2 {
-            for version in ["v1", "v2"] {
-                let endpoint = streaming(version).await;
-                text += &format!("{version}-{number} {} local-a {version}\n", endpoint.addr);
-            }
+        let mut lines = Vec::new();
+        for (number, version) in ["v1", "v2", "v1", "v2"].into_iter().enumerate() {
+            let endpoint = streaming(version).await;
+            lines.push(format!(
+                "endpoint-{number} {} local-a {version}",
+                endpoint.addr
+            ));
         }
+        let text = lines.join("\n");
         let processes = Processes::start(move || text.clone()).await;
         Self { processes }
     }
