A stream goes on at its software version within one response

Cause: an endpoint that breaks off was replaced by the best of all endpoints of the service; nothing kept what the answer had begun with. Change: the first event that goes into the answer binds the exchange to its endpoint's version, and the version is one of the constraints of a selection, so that resumption, retries, the last look before the bytes go out and common pauses all have it. A stream that breaks before its first event may still go anywhere. Without an endpoint of its version a stream ends at once as broken; it isn't held.

--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -84,6 +84,7 @@
             route: self.route,
             organisation: self.organisation,
             service: self.service,
+            stream_version: None,
             tokens_per_event: self.tokens_per_event,
             attempt_counter: AttemptCounter::default(),
             deadline: self.deadline,
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -64,6 +64,8 @@
     pub service: ServiceId,
     /// Where it may run.
     pub regions: AllowedRegions,
+    /// The software version at which its stream goes on; `None` until the first event.
+    pub stream_version: Option<SoftwareVersion>,
     /// Maximum output tokens in one event.
     pub tokens_per_event: Tokens,
     /// Attempts made so far.
@@ -267,7 +269,7 @@
     fn common_pause(&self) -> Option<Duration> {
         let constraints = Constraints {
             tried: &[],
-            regions: &self.regions,
+            ..self.constraints()
         };
         self.gw.common_pause(&self.service, constraints)
     }
--- a/crates/anvil_gateway/src/exchange/one_attempt.rs
+++ b/crates/anvil_gateway/src/exchange/one_attempt.rs
@@ -126,6 +126,7 @@
         Constraints {
             tried: self.attempt_counter.endpoints(),
             regions: &self.regions,
+            version: self.stream_version.as_ref(),
         }
     }
 
--- a/crates/anvil_gateway/src/regions.rs
+++ b/crates/anvil_gateway/src/regions.rs
@@ -43,6 +43,8 @@
     pub tried: &'a [InstanceId],
     /// Where it may run.
     pub regions: &'a AllowedRegions,
+    /// The software version that began its stream; `None` if any may run it.
+    pub version: Option<&'a SoftwareVersion>,
 }
 
 impl Gateway {
@@ -54,6 +56,9 @@
     ) -> EndpointGroup {
         let mut available = self.directory.available(service, constraints.tried);
         self.retain_allowed(&mut available, constraints.regions);
+        if let Some(version) = constraints.version {
+            available.retain(|endpoint| endpoint.version == *version);
+        }
         available
     }
 
--- a/crates/anvil_gateway/src/stream_relay.rs
+++ b/crates/anvil_gateway/src/stream_relay.rs
@@ -1,9 +1,9 @@
 //! Forwards a stream of events, and resumes it at another endpoint where the route allows that.
 //!
 //! Failure: an endpoint is lost in the middle of a stream, and the client has only part of the
-//! response. Another endpoint continues after the last delivered event, within the same response;
-//! the connection to the previous endpoint is closed first, which stops its run. If no endpoint can
-//! continue, the client's connection is closed without the end of the stream.
+//! response. Another endpoint of the same software version continues after the last delivered event,
+//! within the same response; the connection to the previous endpoint is closed first, which stops its
+//! run. If no endpoint can continue, the client's connection is closed without the end of the stream.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -157,6 +157,9 @@
                 // Failure: an endpoint repeats an event, or sends one of an earlier run. Ids
                 // increase by one; an event that does not follow is not delivered.
                 if is_next_event(self.last_delivered, event.id) {
+                    let version = &source.slot.endpoint.version;
+                    let bound = &mut self.exchange.stream_version;
+                    bound.get_or_insert_with(|| version.clone());
                     return NextEvent::Event(event);
                 }
                 return NextEvent::Broken;
--- a/crates/anvil_gateway/tests/direct/pausing.rs
+++ b/crates/anvil_gateway/tests/direct/pausing.rs
@@ -138,6 +138,7 @@
     let constraints = Constraints {
         tried: &[],
         regions: &AllowedRegions::default(),
+        version: None,
     };
     gw.select_endpoint(SERVICE, &Prompt { parts }, constraints, Duration::MAX)
 }
