A stream goes on at its software version over a client's attempts

Cause: the version at which a stream began was known to the router that saw its first event, at most; the try that began it was not read, and the next choice was made among all endpoints. Change: a router records the version of each resumable stream as it sends the request, so before the first event, and while the service has several versions it tells three routers, in as many zones as there are, which all routers find by the stream's key (rendezvous hash). It tells again when their incarnations change or they don't answer, and all that runs as soon as a second version is listed. A router that is asked for the rest of a stream asks these, and some others, at once; the answers also say which versions each has listed lately. Known: it goes on at that version, or is refused as version_gone. Not known, but no router has listed another version for twice the route's timeout: that one. Else it is refused as stream_unknown, at once and not run. Nothing is sent between routers while a service has one version, but for three questions, 30 ms at most, per stream taken up. Memory is bounded by time and number; names of streams that don't exist store nothing.

--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -35,6 +35,8 @@
 pub enum Unplaced {
     /// No endpoint accepts work.
     Nobody,
+    /// No endpoint of the software version that began the stream accepts work, but others do.
+    VersionGone,
     /// No endpoint is in a region in which the request may run.
     OutsideRegions,
     /// All endpoints are in availability zones that operators have evacuated.
@@ -81,6 +83,13 @@
         if self.directory.is_evacuated(service) {
             return Unplaced::Evacuated;
         }
+        let any_version = Constraints {
+            version: None,
+            ..constraints
+        };
+        if !self.available_endpoints(service, any_version).is_empty() {
+            return Unplaced::VersionGone;
+        }
         Unplaced::Nobody
     }
 
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -2,6 +2,7 @@
 
 mod one_attempt;
 mod outcome;
+mod take_up;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -100,7 +101,9 @@
     /// Sends the request to endpoints until one responds.
     pub async fn run(mut self) -> Reply {
         self.gw.count_first_attempt(&self.service);
-        self.trace_taken_up();
+        if let Err(refusal) = self.bind_taken_up().await {
+            return self.refuse(refusal);
+        }
         match self.first_response(None).await {
             Ok(response)
                 if self.route.retry_mode.is_stream() && response.parts.status.is_success() =>
@@ -112,20 +115,6 @@
         }
     }
 
-    /// Notes in the trace that the client wants the rest of a stream.
-    fn trace_taken_up(&mut self) {
-        let RequestHead {
-            resume_after,
-            first_attempt,
-            ..
-        } = &self.request;
-        if resume_after.is_some() || first_attempt.is_some() {
-            self.trace.step(format_args!(
-                "takes up {first_attempt:?} after {resume_after:?}"
-            ));
-        }
-    }
-
     /// Ends the request with a refusal.
     pub fn refuse(mut self, (cause, retry_after): RequestRefusal) -> Reply {
         self.trace.record_outcome(cause.text());
--- a/crates/anvil_gateway/src/exchange/one_attempt.rs
+++ b/crates/anvil_gateway/src/exchange/one_attempt.rs
@@ -5,6 +5,7 @@
 use anvil_policy::engine::Prompt;
 use tokio::time::Instant;
 
+use super::take_up::TAKE_UP_RETRY_AFTER;
 use super::{DEFAULT_RETRY_AFTER, Exchange, RequestRefusal, spread_return};
 use crate::attempt::{AttemptOutcome, OutgoingRequest, send};
 use crate::choose::{Selection, Unplaced};
@@ -37,6 +38,7 @@
         self.refuse_in_quarantine()?;
         let selection = self.select_endpoint()?;
         let endpoint = selection.slot.endpoint.clone();
+        self.record_origin(&endpoint.version);
         let forwarded = ForwardedHead {
             endpoint: &endpoint.id,
             organisation: self
@@ -166,6 +168,7 @@
                 Some(wait) => (Cause::EndpointsPaused, spread_return(wait)),
                 None => (Cause::NoEndpoint, DEFAULT_RETRY_AFTER),
             },
+            Unplaced::VersionGone => (Cause::VersionGone, spread_return(TAKE_UP_RETRY_AFTER)),
             Unplaced::OutsideRegions => (Cause::OutsideRegions, OPERATOR_RETRY_AFTER),
             Unplaced::Evacuated => (Cause::Evacuated, OPERATOR_RETRY_AFTER),
             Unplaced::TooLate(expected) => {
--- /dev/null
+++ b/crates/anvil_gateway/src/exchange/take_up.rs
@@ -0,0 +1,92 @@
+//! Streams that a client takes up: they go on only at the software version that began them.
+
+use std::time::Duration;
+
+use anvil_policy::stream_origins::{StreamKey, stream_key};
+use anvil_world::prelude::*;
+
+use super::{Exchange, RequestRefusal, spread_return};
+use crate::metrics;
+use crate::reply::Cause;
+use crate::stream_origins::RunningStream;
+use crate::stream_origins::ask::StreamVersion;
+
+/// How old a stream can be when its client takes it up, as a multiple of its route's timeout: one
+/// response, and the client's attempts after it.
+const MAX_AGE_TIMEOUTS: u32 = 2;
+/// Retry-after time of a stream that can't go on now: the time in which a lost gateway or endpoint
+/// returns.
+pub(super) const TAKE_UP_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+impl Exchange {
+    /// If the client takes a stream up, restricts it to the version that began it. A stream whose
+    /// version nobody knows is refused: any endpoint would be a guess.
+    pub(super) async fn bind_taken_up(&mut self) -> Result<(), RequestRefusal> {
+        let (after, first) = (self.request.resume_after, &self.request.first_attempt);
+        let is_taken_up = after.is_some() || first.is_some();
+        if !is_taken_up || !self.route.retry_mode.is_stream() {
+            return Ok(());
+        }
+        self.trace
+            .step(format_args!("takes up {first:?} after {after:?}"));
+        self.gw.metrics.count(metrics::STREAMS_TAKEN_UP);
+        let key = first.as_ref().map(|first| self.key_of(first));
+        let span = self.stream_span();
+        let found = self
+            .gw
+            .find_stream_version(key, &self.service, span, self.deadline)
+            .await;
+        let version = match found {
+            StreamVersion::Known { version, by } => {
+                self.trace
+                    .step(format_args!("began at {version}, known by {by}"));
+                version
+            }
+            StreamVersion::Only(version) => {
+                self.trace
+                    .step(format_args!("began at {version}, the only version"));
+                version
+            }
+            // No list yet: no endpoint either.
+            StreamVersion::Unknown(versions) if versions.is_empty() => return Ok(()),
+            StreamVersion::Unknown(versions) => {
+                self.trace
+                    .step(format_args!("began at one of {versions:?}"));
+                return Err((Cause::StreamUnknown, spread_return(TAKE_UP_RETRY_AFTER)));
+            }
+        };
+        if let Some(key) = key {
+            self.gw.record_origin(self.running_stream(key), &version);
+        }
+        self.stream_version = Some(version);
+        Ok(())
+    }
+
+    /// Records the version of the endpoint to which a stream is about to be sent, so that it is known
+    /// elsewhere before its first event.
+    pub(super) fn record_origin(&self, version: &SoftwareVersion) {
+        let is_bound = self.stream_version.is_some();
+        if !is_bound && self.route.retry_mode.may_resume_elsewhere() {
+            let key = self.key_of(&self.request.id);
+            self.gw.record_origin(self.running_stream(key), version);
+        }
+    }
+
+    fn key_of(&self, first_attempt: &AttemptId) -> StreamKey {
+        let organisation = self.organisation.as_ref().map(|payer| &*payer.id);
+        stream_key(organisation.unwrap_or_default(), first_attempt)
+    }
+
+    fn running_stream(&self, key: StreamKey) -> RunningStream<'_> {
+        RunningStream {
+            key,
+            service: &self.service,
+            span: self.stream_span(),
+            client_timeout: self.request.timeout,
+        }
+    }
+
+    fn stream_span(&self) -> Duration {
+        self.route.timeout.saturating_mul(MAX_AGE_TIMEOUTS)
+    }
+}
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -29,6 +29,7 @@
 use crate::log_events;
 use crate::metrics::RETRIES_DENIED;
 use crate::service_versions::ServiceVersions;
+use crate::stream_origins::StreamOrigins;
 use crate::suspects::Suspects;
 use crate::table::RouteTable;
 
@@ -127,6 +128,8 @@
     pub endpoint_limits: EndpointLimits,
     /// Software versions of the endpoints of each service.
     pub service_versions: ServiceVersions,
+    /// Software versions at which streams began.
+    pub stream_origins: StreamOrigins,
     /// Requests in progress.
     pub open_requests: AtomicU32,
     /// End of the time in which this gateway reports that it can't obtain grants, in milliseconds
@@ -217,6 +220,7 @@
             suspects: Suspects::default(),
             endpoint_limits: EndpointLimits::default(),
             service_versions: ServiceVersions::default(),
+            stream_origins: StreamOrigins::default(),
             open_requests: AtomicU32::new(0),
             starved_until_ms: AtomicU64::new(0),
             retry_budgets: Mutex::default(),
--- a/crates/anvil_gateway/src/ledger_updates.rs
+++ b/crates/anvil_gateway/src/ledger_updates.rs
@@ -83,7 +83,9 @@
 fn apply_update(gw: &Gateway, cached: &LedgerView, revision: &mut Revision) {
     update_gateway_count(gw, cached);
     let routers = members::live_instances(cached, Role::Router);
-    gw.siblings.update_members(routers);
+    if gw.siblings.update_members(routers) {
+        gw.update_origin_holders();
+    }
     gw.apply_ledger_suspects(&cached.suspects);
     gw.apply_ledger_limits(&cached.limits);
     let returned = gw.apply_zone_documents(&cached.tree);
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -24,7 +24,8 @@
 //! for [`pauses`] or state that they are leaving. [`late_response`] reads what they state in answers
 //! that nobody waits for.
 //!
-//! Software versions: [`service_versions`] records which versions of a service's endpoints serve.
+//! Software versions: [`service_versions`] records which versions of a service's endpoints serve,
+//! [`stream_origins`] at which of them streams began, and what other gateways know of that.
 //!
 //! Where the gateway's view comes from: the routing table and the number of gateways from the
 //! ledger ([`ledger_updates`]), grants from the ledger ([`grant_loop`]), the list of endpoints from
@@ -60,6 +61,7 @@
 pub mod serve;
 pub mod service_versions;
 pub mod stream_events;
+pub mod stream_origins;
 pub mod stream_relay;
 pub mod suspects;
 pub mod table;
--- a/crates/anvil_gateway/src/list/siblings.rs
+++ b/crates/anvil_gateway/src/list/siblings.rs
@@ -1,4 +1,5 @@
-//! The other gateways of the fleet, and the service that sends them the list of endpoints.
+//! The other gateways of the fleet, and the service that sends them the list of endpoints and the
+//! versions at which streams began.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -6,7 +7,7 @@
 use std::time::Duration;
 
 use anvil_policy::list_turn::ListTree;
-use anvil_wire::msg::{ListCall, ListReply, ListRequest};
+use anvil_wire::msg::{ListCall, ListReply, ListRequest, OriginCall, OriginRequest};
 use anvil_wire::{Channel, Handlers, Server, WireError};
 use anvil_world::prelude::*;
 use anvilreel::channel_cache::ChannelCache;
@@ -19,12 +20,24 @@
 /// regard a process as unresponsive.
 const SKIP_TIME: Duration = Duration::from_secs(5);
 
+/// One live gateway of the fleet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Sibling {
+    /// Address at which it serves siblings.
+    pub addr: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Its incarnation; 0 for this gateway itself.
+    pub incarnation: Incarnation,
+}
+
+/// Live gateways by id, this gateway included.
+pub type SiblingMap = BTreeMap<InstanceId, Sibling>;
+
 /// The gateways of the fleet, according to the ledger's membership.
 pub struct Siblings {
     own_id: InstanceId,
-    own_zone: ZoneId,
-    /// Addresses at which they serve siblings, including this gateway's own.
-    addrs: ArcSwap<BTreeMap<InstanceId, SocketAddr>>,
+    members: ArcSwap<SiblingMap>,
     tree: ArcSwap<ListTree>,
     channels: ChannelCache,
     skipped: Mutex<BTreeMap<InstanceId, Now>>,
@@ -35,12 +48,16 @@
 impl Siblings {
     /// Contains only this gateway until the ledger reports others.
     pub fn new(own_id: InstanceId, own_zone: ZoneId, addr: SocketAddr) -> Self {
-        let addrs = BTreeMap::from([(own_id.clone(), addr)]);
         let tree = ListTree::new([(own_id.clone(), own_zone.clone())]);
+        let own = Sibling {
+            addr,
+            zone: own_zone,
+            incarnation: 0,
+        };
+        let members = BTreeMap::from([(own_id.clone(), own)]);
         Self {
             own_id,
-            own_zone,
-            addrs: ArcSwap::from_pointee(addrs),
+            members: ArcSwap::from_pointee(members),
             tree: ArcSwap::from_pointee(tree),
             channels: ChannelCache::default(),
             skipped: Mutex::default(),
@@ -48,27 +65,39 @@
         }
     }
 
-    /// Updates the live gateways. All of them serve siblings at the same port.
-    pub fn update_members<'a>(&self, live: impl Iterator<Item = &'a Instance>) {
-        let Some(own_addr) = self.addrs.load().get(&self.own_id).copied() else {
-            return;
+    /// Updates the live gateways, and returns whether they have changed. All of them serve siblings at
+    /// the same port.
+    pub fn update_members<'a>(&self, live: impl Iterator<Item = &'a Instance>) -> bool {
+        let before = self.members();
+        let Some(own) = before.get(&self.own_id) else {
+            return false;
         };
-        let mut addrs = BTreeMap::new();
-        let mut zones = BTreeMap::new();
-        for instance in live {
-            let addr = SocketAddr::new(instance.addr.ip(), own_addr.port());
-            addrs.insert(instance.id.clone(), addr);
-            zones.insert(instance.id.clone(), instance.zone.id.clone());
-        }
-        addrs.insert(self.own_id.clone(), own_addr);
-        zones.insert(self.own_id.clone(), self.own_zone.clone());
-        if addrs != **self.addrs.load() {
+        let sibling = |instance: &Instance| Sibling {
+            addr: SocketAddr::new(instance.addr.ip(), own.addr.port()),
+            zone: instance.zone.id.clone(),
+            incarnation: instance.incarnation,
+        };
+        let mut members: SiblingMap = live
+            .map(|instance| (instance.id.clone(), sibling(instance)))
+            .collect();
+        members.insert(self.own_id.clone(), own.clone());
+        let has_changed = members != *before;
+        if has_changed {
             self.channels
-                .retain(|addr| addrs.values().any(|known| known == addr));
-            self.addrs.store(Arc::new(addrs));
+                .retain(|addr| members.values().any(|known| known.addr == *addr));
+            let zones = members
+                .iter()
+                .map(|(id, member)| (id.clone(), member.zone.clone()));
             self.tree.store(Arc::new(ListTree::new(zones)));
+            self.members.store(Arc::new(members));
         }
         self.are_known.send_replace(true);
+        has_changed
+    }
+
+    /// The live gateways.
+    pub fn members(&self) -> Arc<SiblingMap> {
+        self.members.load_full()
     }
 
     /// Waits until the ledger has reported the membership.
@@ -92,8 +121,9 @@
 
     /// The channel to a sibling.
     pub fn channel(&self, id: &InstanceId) -> Option<Channel> {
-        let addrs = self.addrs.load();
-        addrs.get(id).map(|addr| self.channels.channel(*addr))
+        let members = self.members.load();
+        let sibling = members.get(id)?;
+        Some(self.channels.channel(sibling.addr))
     }
 
     /// Skips a sibling that has not answered in time.
@@ -114,14 +144,23 @@
 
 /// Serves siblings for as long as the process runs.
 pub async fn serve_siblings(gw: Arc<Gateway>, server: Server) {
-    let handlers = Handlers::default().with::<ListCall, _, _>(move |request: ListRequest, tx| {
-        let gw = gw.clone();
-        async move {
-            let reply = reply_to(&gw, &request).await;
-            // Fails only if the sibling has disconnected.
-            let _ = tx.finish(&reply).await;
-        }
-    });
+    let list_gw = gw.clone();
+    let handlers = Handlers::default()
+        .with::<ListCall, _, _>(move |request: ListRequest, tx| {
+            let gw = list_gw.clone();
+            async move {
+                let reply = reply_to(&gw, &request).await;
+                // Fails only if the sibling has disconnected.
+                let _ = tx.finish(&reply).await;
+            }
+        })
+        .with::<OriginCall, _, _>(move |request: OriginRequest, tx| {
+            let reply = gw.answer_origin_request(request);
+            async move {
+                // Fails only if the sibling has disconnected.
+                let _ = tx.finish(&reply).await;
+            }
+        });
     server.serve(handlers, std::future::pending()).await;
 }
 
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -57,6 +57,14 @@
 pub const ENDPOINTS_WARMING_UP: &str = "endpoints.warming_up";
 /// Services whose endpoints run more than one software version. Gauge.
 pub const SERVICES_MIXED: &str = "services.mixed";
+/// Streams that clients took up after another attempt had begun them. Count.
+pub const STREAMS_TAKEN_UP: &str = "streams.taken_up";
+/// Messages that told other gateways at which versions streams run. Count.
+pub const ORIGIN_MESSAGES: &str = "streams.origin_messages";
+/// Streams of which no other gateway was told, because too many are told of. Count.
+pub const ORIGINS_UNTOLD: &str = "streams.origins_untold";
+/// Streams whose version this gateway knows, its own and those that others told of. Gauge.
+pub const ORIGINS_KNOWN: &str = "streams.origins_known";
 /// Streams resumed by another endpoint. Count.
 pub const STREAMS_RESUMED: &str = "streams.resumed";
 /// Readings of the platform's list by this gateway. Count.
@@ -105,6 +113,10 @@
     (ENDPOINTS_PAUSED, "gauge"),
     (ENDPOINTS_WARMING_UP, "gauge"),
     (SERVICES_MIXED, "gauge"),
+    (STREAMS_TAKEN_UP, "count"),
+    (ORIGIN_MESSAGES, "count"),
+    (ORIGINS_UNTOLD, "count"),
+    (ORIGINS_KNOWN, "gauge"),
     (STREAMS_RESUMED, "count"),
     (LIST_READ, "count"),
     (LIST_FROM_SIBLING, "count"),
@@ -148,6 +160,7 @@
             (ENDPOINTS_PAUSED, self.count_paused()),
             (ENDPOINTS_WARMING_UP, self.count_warming_up()),
             (SERVICES_MIXED, self.count_mixed_services()),
+            (ORIGINS_KNOWN, self.count_known_origins()),
             (
                 LEDGER_AGE,
                 age(self.ledger_confirmed_ms.load(Ordering::Relaxed)),
--- a/crates/anvil_gateway/src/reply.rs
+++ b/crates/anvil_gateway/src/reply.rs
@@ -54,6 +54,10 @@
     Overloaded,
     /// All endpoints have asked for a pause.
     EndpointsPaused,
+    /// No gateway knows which software version began the stream that is taken up.
+    StreamUnknown,
+    /// No endpoint of the software version that began the stream accepts requests.
+    VersionGone,
     /// Endpoints crashed under the same request.
     CrashesEndpoints,
     /// Endpoints refused it or were unreachable.
@@ -66,7 +70,7 @@
 
 impl Cause {
     /// All causes.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 21] = [
         Self::BadHead,
         Self::UnknownKey,
         Self::NoRoute,
@@ -82,6 +86,8 @@
         Self::Evacuated,
         Self::Overloaded,
         Self::EndpointsPaused,
+        Self::StreamUnknown,
+        Self::VersionGone,
         Self::CrashesEndpoints,
         Self::RefusedByEndpoints,
         Self::ResponseLost,
@@ -106,6 +112,8 @@
             | Self::Evacuated
             | Self::Overloaded
             | Self::EndpointsPaused
+            | Self::StreamUnknown
+            | Self::VersionGone
             | Self::CrashesEndpoints
             | Self::RefusedByEndpoints => StatusCode::SERVICE_UNAVAILABLE,
             Self::ResponseLost => StatusCode::BAD_GATEWAY,
@@ -131,6 +139,8 @@
             Self::Evacuated => "evacuated",
             Self::Overloaded => "overloaded",
             Self::EndpointsPaused => "endpoints_paused",
+            Self::StreamUnknown => "stream_unknown",
+            Self::VersionGone => "version_gone",
             Self::CrashesEndpoints => "crashes_endpoints",
             Self::RefusedByEndpoints => "refused_by_endpoints",
             Self::ResponseLost => "answer_lost",
--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -11,6 +11,7 @@
 use crate::gateway::Gateway;
 use crate::list::{discovery, siblings};
 use crate::log_events as events;
+use crate::stream_origins::tell;
 use crate::{endpoint_limits, grant_loop, ledger_updates, serve, suspects};
 
 /// Time to return grants to the ledger at a planned stop.
@@ -64,6 +65,7 @@
             grant_loop::run(&task_gw),
             suspects::run(&task_gw),
             endpoint_limits::run(&task_gw),
+            tell::run(&task_gw),
         );
     });
     let serving = serve::serve_clients(gw.clone(), clients);
--- a/crates/anvil_gateway/src/service_versions.rs
+++ b/crates/anvil_gateway/src/service_versions.rs
@@ -13,11 +13,7 @@
 use crate::gateway::Gateway;
 use crate::log_events as events;
 
-/// Maximum time between two lists, as a multiple of the age at which a list is read again: a version
-/// that serves for less is not expected.
-const MAX_LIST_GAP: u32 = 2;
-/// For how long a version is remembered after the list has dropped it: as long as a route's timeout
-/// may reasonably be.
+/// For how long a version is remembered after the list has dropped it: longer than a stream lasts.
 const VERSION_RETENTION: Duration = Duration::from_mins(10);
 
 /// Histories by service.
@@ -51,7 +47,6 @@
     /// Records the versions in a list of endpoints that has just become the newest one.
     pub fn record_listed_versions(&self, listed: &[ListedEndpoint]) {
         let now = self.lifecycle.now();
-        let max_gap = self.cfg.max_list_age * MAX_LIST_GAP;
         let versions = versions_by_service(listed);
         let mut histories = self.service_versions.histories();
         for service in versions.keys() {
@@ -60,9 +55,10 @@
         for (service, history) in histories.iter_mut() {
             let listed = versions.get(service).into_iter().flatten().copied();
             let before: BTreeSet<_> = history.listed_now().cloned().collect();
-            history.record(now, listed, max_gap, VERSION_RETENTION);
+            history.record(now, listed, VERSION_RETENTION);
             let after: BTreeSet<_> = history.listed_now().cloned().collect();
             if after != before && (after.len() > 1 || before.len() > 1) {
+                self.stream_origins.wake();
                 event!(
                     self.log, events::GATEWAY_SERVICE_VERSIONS, "service" => &**service,
                     "versions" => format!("{after:?}"), "before" => format!("{before:?}")
@@ -71,6 +67,22 @@
         }
     }
 
+    /// All versions of a service that lists named within `span` before now.
+    pub fn versions_within(&self, service: &str, span: Duration) -> BTreeSet<SoftwareVersion> {
+        let histories = self.service_versions.histories();
+        let history = histories.get(service);
+        let now = self.lifecycle.now();
+        let versions = history.map(|history| history.listed_within(now, span).cloned().collect());
+        versions.unwrap_or_default()
+    }
+
+    /// Whether a service had more than one version within `span` before now.
+    pub fn is_mixed(&self, service: &str, span: Duration) -> bool {
+        let histories = self.service_versions.histories();
+        let history = histories.get(service);
+        history.is_some_and(|history| history.is_mixed(self.lifecycle.now(), span))
+    }
+
     /// Number of services whose endpoints run more than one software version now.
     pub fn count_mixed_services(&self) -> u64 {
         let histories = self.service_versions.histories();
--- /dev/null
+++ b/crates/anvil_gateway/src/stream_origins.rs
@@ -0,0 +1,186 @@
+//! The software versions at which resumable streams began.
+//!
+//! Failure: a gateway is killed, and its clients take their streams up at others, which send the rest to
+//! endpoints of another version: the client holds parts that don't fit together. [`tell`] sends the
+//! versions of this gateway's streams to the gateways that hold them, while a service has several
+//! versions; [`ask`] finds the version of a stream that a client takes up.
+//! [`anvil_policy::stream_origins`] decides which gateways these are.
+
+pub mod ask;
+pub mod tell;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use anvil_policy::stream_origins::{
+    HOLDERS_PER_STREAM, Origin, OriginStore, StreamKey, expiry, holders,
+};
+use anvil_wire::msg::StreamOrigin;
+use anvil_world::prelude::*;
+use tokio::sync::Notify;
+
+use crate::gateway::Gateway;
+use crate::list::siblings::SiblingMap;
+use crate::metrics;
+
+/// Streams that one gateway tells of at a time.
+const MAX_TOLD_STREAMS: usize = 10_000;
+
+/// Origins that this gateway knows, and the streams of which it tells others.
+#[derive(Default)]
+pub struct StreamOrigins {
+    known: Mutex<OriginStore>,
+    told: Mutex<BTreeMap<StreamKey, ToldStream>>,
+    /// Wakes the task that tells others.
+    changed: Notify,
+}
+
+/// A stream that ran at this gateway.
+#[derive(Debug)]
+struct ToldStream {
+    origin: Origin,
+    service: ServiceId,
+    /// How far back the versions of its service matter to it.
+    span: Duration,
+    /// Holders that have not been told yet.
+    untold: BTreeSet<InstanceId>,
+    /// Holders that have been told, each in its incarnation.
+    told: BTreeMap<InstanceId, Incarnation>,
+}
+
+impl ToldStream {
+    /// Sets its holders to these.
+    fn set_holders(&mut self, key: StreamKey, own: &InstanceId, siblings: &SiblingMap) {
+        let is_told = |id: &InstanceId| {
+            let incarnation = siblings.get(id).map(|sibling| sibling.incarnation);
+            self.told.get(id).copied() == incarnation
+        };
+        let holders = ranked(key, siblings).take(HOLDERS_PER_STREAM);
+        let untold = holders.filter(|id| *id != own && !is_told(id));
+        self.untold = untold.cloned().collect();
+    }
+}
+
+/// The gateways to ask for a stream, the holders first.
+fn ranked(key: StreamKey, siblings: &SiblingMap) -> impl Iterator<Item = &InstanceId> {
+    let zones = siblings.iter().map(|(id, sibling)| (id, &sibling.zone));
+    holders(key, zones).into_iter()
+}
+
+impl StreamOrigins {
+    fn known(&self) -> MutexGuard<'_, OriginStore> {
+        // Sound after a panic elsewhere: each origin is stored whole.
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn told(&self) -> MutexGuard<'_, BTreeMap<StreamKey, ToldStream>> {
+        // Sound after a panic elsewhere: each stream is valid by itself.
+        self.told.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Wakes the task that tells others: a list names other versions than the one before.
+    pub fn wake(&self) {
+        self.changed.notify_one();
+    }
+}
+
+/// A stream as it runs at this gateway.
+#[derive(Debug, Clone, Copy)]
+pub struct RunningStream<'a> {
+    /// Its key.
+    pub key: StreamKey,
+    /// Its service.
+    pub service: &'a ServiceId,
+    /// How far back the versions of its service matter to it.
+    pub span: Duration,
+    /// For how long its client may still take it up.
+    pub client_timeout: Duration,
+}
+
+impl Gateway {
+    /// Records that a stream is sent to an endpoint of this version.
+    pub fn record_origin(&self, stream: RunningStream<'_>, version: &SoftwareVersion) {
+        let now = self.lifecycle.now();
+        let origins = &self.stream_origins;
+        let mut known = origins.known();
+        let attempt = known.get(now, stream.key).map_or(0, |before| {
+            before.attempt + u32::from(before.version != *version)
+        });
+        let origin = Origin {
+            version: version.clone(),
+            attempt,
+            expires: expiry(now, stream.client_timeout),
+        };
+        known.insert(now, stream.key, origin.clone());
+        drop(known);
+        self.tell_of(now, stream, origin);
+    }
+
+    fn tell_of(&self, now: Now, stream: RunningStream<'_>, origin: Origin) {
+        let origins = &self.stream_origins;
+        let mut told = origins.told();
+        if told.len() >= MAX_TOLD_STREAMS {
+            told.retain(|_, stream| now < stream.origin.expires);
+        }
+        if told.len() >= MAX_TOLD_STREAMS {
+            self.metrics.count(metrics::ORIGINS_UNTOLD);
+            return;
+        }
+        let mut told_stream = ToldStream {
+            origin,
+            service: stream.service.clone(),
+            span: stream.span,
+            untold: BTreeSet::new(),
+            told: BTreeMap::new(),
+        };
+        told_stream.set_holders(stream.key, &self.cfg.id, &self.siblings.members());
+        told.insert(stream.key, told_stream);
+        drop(told);
+        if self.is_mixed(stream.service, stream.span) {
+            origins.wake();
+        }
+    }
+
+    /// Applies a change of the fleet's gateways: streams may have other holders now.
+    pub fn update_origin_holders(&self) {
+        let siblings = self.siblings.members();
+        for (key, stream) in self.stream_origins.told().iter_mut() {
+            stream.set_holders(*key, &self.cfg.id, &siblings);
+        }
+        self.stream_origins.wake();
+    }
+
+    /// Stores what another gateway told.
+    fn store_told(&self, origin: StreamOrigin) {
+        let now = self.lifecycle.now();
+        let StreamOrigin {
+            key,
+            version,
+            attempt,
+            keep,
+        } = origin;
+        let expires = expiry(now, keep);
+        let origin = Origin {
+            version,
+            attempt,
+            expires,
+        };
+        self.stream_origins.known().insert(now, key, origin);
+    }
+
+    /// Number of streams whose origins this gateway knows.
+    pub fn count_known_origins(&self) -> u64 {
+        self.stream_origins.known().len() as u64
+    }
+}
+
+/// An origin as it is sent to another gateway.
+fn to_message(now: Now, key: StreamKey, origin: &Origin) -> StreamOrigin {
+    StreamOrigin {
+        key,
+        version: origin.version.clone(),
+        attempt: origin.attempt,
+        keep: origin.expires.saturating_sub(now),
+    }
+}
--- /dev/null
+++ b/crates/anvil_gateway/src/stream_origins/ask.rs
@@ -0,0 +1,145 @@
+//! Finds the software version of a stream that a client takes up.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use anvil_policy::stream_origins::{HOLDERS_PER_STREAM, Origin, StreamKey};
+use anvil_wire::msg::{OriginCall, OriginReply, OriginRequest, StreamOrigin};
+use anvil_world::prelude::*;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use tokio::time::{Instant, timeout_at};
+
+use super::{ranked, to_message};
+use crate::gateway::Gateway;
+
+/// Longest wait for siblings while a service has several versions.
+const ASK_TIMEOUT: Duration = Duration::from_millis(150);
+/// Longest wait for siblings while this gateway knows one version only: another gateway may have a newer
+/// list.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(30);
+/// Siblings that are asked while a service has several versions: the holders, and others that may have
+/// been holders or have run the stream.
+const MAX_ASKED: usize = 8;
+
+/// What is known of the version at which a stream began.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StreamVersion {
+    /// A gateway that ran it knows.
+    Known {
+        /// The version.
+        version: SoftwareVersion,
+        /// The gateway that knows, and for how long it keeps the stream from now on.
+        by: InstanceId,
+    },
+    /// Nobody knows the stream, but its service had only this version for as long as it can be old.
+    Only(SoftwareVersion),
+    /// Nobody knows the stream, and its service had these versions.
+    Unknown(BTreeSet<SoftwareVersion>),
+}
+
+impl Gateway {
+    /// Finds the version of a stream. `key` is `None` if the client did not name the stream; `span` is
+    /// how old it can be.
+    pub async fn find_stream_version(
+        &self,
+        key: Option<StreamKey>,
+        service: &ServiceId,
+        span: Duration,
+        deadline: Instant,
+    ) -> StreamVersion {
+        if let Some(origin) = key.and_then(|key| self.known_origin(key)) {
+            return StreamVersion::Known {
+                version: origin.version,
+                by: self.cfg.id.clone(),
+            };
+        }
+        let mut versions = self.versions_within(service, span);
+        let (asked, wait) = if versions.len() > 1 {
+            (MAX_ASKED, ASK_TIMEOUT)
+        } else {
+            (HOLDERS_PER_STREAM, CONFIRM_TIMEOUT)
+        };
+        let request = OriginRequest::Ask {
+            key,
+            service: service.clone(),
+            span,
+        };
+        let until = deadline.min(Instant::now() + wait);
+        let siblings = self.siblings.members();
+        let skipped = self.siblings.skipped_at(self.lifecycle.now());
+        let others = ranked(key.unwrap_or_default(), &siblings)
+            .filter(|id| **id != self.cfg.id && !skipped.contains(*id));
+        let mut replies: FuturesUnordered<_> = others
+            .take(asked)
+            .map(|id| self.ask(id, &request, wait))
+            .collect();
+        while let Ok(Some((id, reply))) = timeout_at(until, replies.next()).await {
+            let Some(OriginReply::Known {
+                origin,
+                versions: listed,
+            }) = reply
+            else {
+                continue;
+            };
+            if let Some(origin) = origin {
+                return StreamVersion::Known {
+                    version: origin.version,
+                    by: id.clone(),
+                };
+            }
+            versions.extend(listed);
+        }
+        only(versions)
+    }
+
+    async fn ask<'a>(
+        &self,
+        id: &'a InstanceId,
+        request: &OriginRequest,
+        within: Duration,
+    ) -> (&'a InstanceId, Option<OriginReply>) {
+        let Some(channel) = self.siblings.channel(id) else {
+            return (id, None);
+        };
+        // A sibling that can't answer knows nothing for this stream; others are asked as well.
+        (id, channel.call::<OriginCall>(request, within).await.ok())
+    }
+
+    fn known_origin(&self, key: StreamKey) -> Option<Origin> {
+        let known = self.stream_origins.known();
+        known.get(self.lifecycle.now(), key).cloned()
+    }
+
+    /// Replies to another gateway.
+    pub fn answer_origin_request(&self, request: OriginRequest) -> OriginReply {
+        match request {
+            OriginRequest::Tell(origins) => {
+                for origin in origins {
+                    self.store_told(origin);
+                }
+                OriginReply::Stored
+            }
+            OriginRequest::Ask { key, service, span } => OriginReply::Known {
+                origin: key.and_then(|key| self.origin_message(key)),
+                versions: self.versions_within(&service, span),
+            },
+        }
+    }
+
+    fn origin_message(&self, key: StreamKey) -> Option<StreamOrigin> {
+        let origin = self.known_origin(key)?;
+        Some(to_message(self.lifecycle.now(), key, &origin))
+    }
+}
+
+/// The version of a stream that nobody knows, in a service with these versions.
+fn only(mut versions: BTreeSet<SoftwareVersion>) -> StreamVersion {
+    match (versions.pop_first(), versions.is_empty()) {
+        (Some(only), true) => StreamVersion::Only(only),
+        (first, _) => {
+            versions.extend(first);
+            StreamVersion::Unknown(versions)
+        }
+    }
+}
--- a/crates/anvil_gateway/tests/direct/processes.rs
+++ b/crates/anvil_gateway/tests/direct/processes.rs
@@ -226,17 +226,21 @@
     /// Waits until each gateway serves requests.
     async fn wait_until_serving(&self) {
         for number in 0..GATEWAYS {
-            let served = async {
-                while self.send_request(number, "/once/x", "fine").await.status != 200 {
-                    sleep(Duration::from_millis(50)).await;
-                }
-            };
-            timeout(WAIT_TIMEOUT, served)
-                .await
-                .expect("a gateway serves");
+            self.wait_until_gateway_serves(number).await;
         }
     }
 
+    async fn wait_until_gateway_serves(&self, number: u8) {
+        let served = async {
+            while self.send_request(number, "/once/x", "fine").await.status != 200 {
+                sleep(Duration::from_millis(50)).await;
+            }
+        };
+        timeout(WAIT_TIMEOUT, served)
+            .await
+            .expect("a gateway serves");
+    }
+
     /// An operator's client of the ledger.
     pub fn operator(&self) -> operator::Client {
         operator::Client::new(&[self.ledger_addr()])
@@ -255,6 +259,20 @@
             .expect("acknowledged");
     }
 
+    /// Starts one more gateway.
+    pub async fn add_gateway(&mut self, number: u8) {
+        self.gateways.push(self.start_gateway(number));
+        self.wait_until_gateway_serves(number).await;
+    }
+
+    /// Ends one gateway without a planned stop, and starts it again at its address.
+    pub async fn restart_gateway(&mut self, gateway: u8) {
+        let restarted = usize::from(gateway);
+        self.gateways.remove(restarted).kill().await;
+        self.gateways.insert(restarted, self.start_gateway(gateway));
+        self.wait_until_gateway_serves(gateway).await;
+    }
+
     /// Ends one gateway without a planned stop.
     pub async fn kill_gateway(&mut self, gateway: usize) {
         self.gateways.remove(gateway).kill().await;
--- a/crates/anvil_gateway/tests/direct/versions.rs
+++ b/crates/anvil_gateway/tests/direct/versions.rs
@@ -167,7 +167,8 @@
     /// Opens a stream at the first gateway, and returns it with the version of its first event.
     async fn begin(&self, id: &str) -> (Client, String) {
         let mut client = self.processes.connect(0).await;
-        client.send("/resumed/x", id, "content-length: 0\r\n").await;
+        let headers = "content-length: 0\r\nx-wait: 30000\r\n";
+        client.send("/resumed/x", id, headers).await;
         let mut seen = String::new();
         while first_version(&seen).is_empty() || !seen.contains("\n\n") {
             seen = client.read_some().await;
@@ -198,6 +199,86 @@
     }
 }
 
+/// Guards against a gateway that started after a stream was told of and knows nothing of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateway_that_has_just_started_asks_the_others() {
+    let mut service = MixedService::start().await;
+    let ids: Vec<_> = (0..STREAMS)
+        .map(|number| format!("first-{number}"))
+        .collect();
+    let begun = join_all(ids.iter().map(|id| service.begin(id))).await;
+    sleep(TELLING_TIME).await;
+    service.processes.kill_gateway(0).await;
+    service.processes.add_gateway(GATEWAYS).await;
+    for (id, (_, version)) in ids.iter().zip(begun) {
+        let client = service.processes.connect(GATEWAYS).await;
+        let received = take_up(client, &format!("next-{id}"), id).await;
+        assert_eq!(received.status, 200, "{received:?}");
+        assert_eq!(first_version(&received.body), version);
+    }
+}
+
+/// Guards against streams that can't be taken up any more because every gateway that knew their version
+/// was restarted while they ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_are_told_again_to_restarted_gateways() {
+    let mut service = MixedService::start().await;
+    let ids: Vec<_> = (0..STREAMS)
+        .map(|number| format!("first-{number}"))
+        .collect();
+    let begun = join_all(ids.iter().map(|id| service.begin(id))).await;
+    sleep(TELLING_TIME).await;
+    for gateway in 1..GATEWAYS {
+        service.processes.restart_gateway(gateway).await;
+    }
+    sleep(TELLING_TIME).await;
+    service.processes.kill_gateway(0).await;
+    let mut went_on = 0;
+    for (id, (_, version)) in ids.iter().zip(begun) {
+        let client = service.processes.connect(1).await;
+        let received = take_up(client, &format!("next-{id}"), id).await;
+        if received.status == 200 {
+            assert_eq!(first_version(&received.body), version);
+            went_on += 1;
+        }
+    }
+    assert_eq!(went_on, STREAMS);
+}
+
+/// Guards against a stream that is held, or goes on elsewhere, when its version is known and gone.
+#[tokio::test]
+async fn known_stream_without_its_version_is_refused_at_once() {
+    let (first, other) = (streaming("v1").await, streaming("v2").await);
+    let gateway = start_gateway(&[listed_as("first", "v1", &first, true)]).await;
+    let mut client = Client::connect(gateway.addr).await;
+    client
+        .send("/resumed/x", "begun", "content-length: 0\r\n")
+        .await;
+    while !client.read_some().await.contains("data: v1") {}
+    let list = [listed_as("other", "v2", &other, true)];
+    gateway.gw.directory.apply_list(&list);
+    gateway.gw.record_listed_versions(&list);
+    let started = Instant::now();
+    let received = take_up(Client::connect(gateway.addr).await, "next", "begun").await;
+    assert_eq!(received.status, 503, "{received:?}");
+    assert!(received.retry_after().is_some(), "{received:?}");
+    assert!(started.elapsed() < AT_ONCE);
+    assert!(other.received().is_empty());
+}
+
+/// Guards against streams that break for good because nobody knows them, in a service that has had one
+/// version only.
+#[tokio::test]
+async fn unknown_stream_goes_on_at_the_only_version() {
+    let endpoint = streaming("v1").await;
+    let gateway = start_gateway(&[listed_as("a", "v1", &endpoint, true)]).await;
+    for first_attempt in ["never-seen", ""] {
+        let client = Client::connect(gateway.addr).await;
+        let received = take_up(client, &format!("next-{first_attempt}"), first_attempt).await;
+        assert_eq!((received.status, received.complete), (200, true));
+    }
+}
+
 /// Guards against a guess: a stream of which no gateway knows the version, in a service with two.
 #[tokio::test(flavor = "multi_thread")]
 async fn unknown_stream_is_refused_at_once_while_versions_are_mixed() {
--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -51,7 +51,8 @@
 //! * [`crash`]: which requests were in flight at an endpoint when it crashed.
 //! * [`rate_share`]: each router's part of a rate limit that an endpoint announces for all of them.
 //! * [`warm_up`]: which endpoints may be warming up and tolerate few requests.
-//! * [`version_history`]: which software versions of a service served, and since when.
+//! * [`version_history`]: which software versions of a service served, and when last.
+//! * [`stream_origins`]: which routers know at which version a stream began.
 //! * [`prefix`]: which endpoints hold which prompt prefixes.
 //! * [`list_turn`]: which router reads the list of endpoints for the others.
 //! * [`subset`] and [`placement`]: which endpoints a router watches, and which models they hold.
@@ -79,6 +80,7 @@
 pub mod prelude;
 pub mod rate_share;
 pub mod retry;
+pub mod stream_origins;
 pub mod subset;
 pub mod version_history;
 pub mod waiting;
