An endpoint listed with another version under its id is a new one for requests on their way

What callers would see: a request that was meant for an endpoint's former version, or its connection, used at the successor under the same id, which no check before the bytes go out tells apart. Cause: an entry with another address, service or version made a new endpoint, but the one before stayed open for requests that had selected it. Change: the former endpoint is marked as leaving and its connections are dropped, as for one that is no longer listed. Evidence: versions::endpoint_with_another_version_under_its_id_is_a_new_one, red before.

--- a/crates/anvil_gateway/src/directory.rs
+++ b/crates/anvil_gateway/src/directory.rs
@@ -172,11 +172,15 @@
         let mut changes = Changes::default();
         let mut groups: BTreeMap<ServiceId, EndpointGroup> = BTreeMap::new();
         for listed in list {
-            let unchanged = known.remove(&listed.id).filter(|endpoint| {
-                endpoint.addr == listed.addr
-                    && endpoint.service == listed.service
-                    && endpoint.version == listed.version
-            });
+            let previous = known.remove(&listed.id);
+            let unchanged = previous.filter(|endpoint| endpoint.is_listed_as(listed));
+            if unchanged.is_none()
+                && let Some(replaced) = previous
+            {
+                // Requests that were meant for it must not reach its successor.
+                replaced.mark_leaving();
+                replaced.pool.clear();
+            }
             // Failure: a lagging list names an endpoint as ready that an earlier list had as
             // leaving or no longer had, so it would receive requests just before it stops. It is
             // left out rather than marked: the mark would outlast the lag and bind a new
--- a/crates/anvil_gateway/src/endpoint.rs
+++ b/crates/anvil_gateway/src/endpoint.rs
@@ -60,6 +60,14 @@
         }
     }
 
+    /// Whether an entry of the platform's list still names the same incarnation.
+    pub fn is_listed_as(&self, listed: &ListedEndpoint) -> bool {
+        self.id == listed.id
+            && self.addr == listed.addr
+            && self.service == listed.service
+            && self.version == listed.version
+    }
+
     /// Whether it accepts no new requests.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
--- a/crates/anvil_gateway/tests/direct/versions.rs
+++ b/crates/anvil_gateway/tests/direct/versions.rs
@@ -279,6 +279,23 @@
     }
 }
 
+/// Guards against requests that were meant for an endpoint's former version being sent to its successor
+/// under the same id, and against its connections being used on.
+#[tokio::test]
+async fn endpoint_with_another_version_under_its_id_is_a_new_one() {
+    let endpoint = streaming("v2").await;
+    let gateway = start_gateway(&[listed_as("a", "v1", &endpoint, true)]).await;
+    let before = gateway.gw.directory.find(&"a".into()).expect("an endpoint");
+    gateway
+        .gw
+        .directory
+        .apply_list(&[listed_as("a", "v2", &endpoint, true)]);
+    let after = gateway.gw.directory.find(&"a".into()).expect("an endpoint");
+    assert!(!before.accepts_requests(gateway.gw.lifecycle.now()));
+    assert!(after.accepts_requests(gateway.gw.lifecycle.now()));
+    assert_eq!((&*before.version, &*after.version), ("v1", "v2"));
+}
+
 /// Guards against a guess: a stream of which no gateway knows the version, in a service with two.
 #[tokio::test(flavor = "multi_thread")]
 async fn unknown_stream_is_refused_at_once_while_versions_are_mixed() {
