--- a/crates/anvil_gateway/src/log_events.rs
+++ b/crates/anvil_gateway/src/log_events.rs
@@ -70,6 +70,8 @@
     GATEWAY_ENDPOINT_PAUSE_OVER = 6032 Info "gateway_endpoint_pause_over";
     /// An endpoint states in an answer that it is leaving.
     GATEWAY_ENDPOINT_LEAVES = 6033 Info "gateway_endpoint_leaves";
-    /// The software versions of a service's endpoints have changed, and there is or was more than one.
+    /// The software versions of a service's endpoints have changed, and there was more than one lately.
     GATEWAY_SERVICE_VERSIONS = 6034 Info "gateway_service_versions";
+    /// A sibling did not store at which versions streams run; it is told again.
+    GATEWAY_ORIGINS_NOT_STORED = 6035 Warning "gateway_origins_not_stored";
 }
--- a/crates/anvil_gateway/src/service_versions.rs
+++ b/crates/anvil_gateway/src/service_versions.rs
@@ -48,6 +48,7 @@
     pub fn record_listed_versions(&self, listed: &[ListedEndpoint]) {
         let now = self.lifecycle.now();
         let versions = versions_by_service(listed);
+        let mut have_changed = false;
         let mut histories = self.service_versions.histories();
         for service in versions.keys() {
             histories.entry((*service).clone()).or_default();
@@ -57,14 +58,18 @@
             let before: BTreeSet<_> = history.listed_now().cloned().collect();
             history.record(now, listed, VERSION_RETENTION);
             let after: BTreeSet<_> = history.listed_now().cloned().collect();
-            if after != before && (after.len() > 1 || before.len() > 1) {
-                self.stream_origins.wake();
+            if after != before && history.is_mixed(now, VERSION_RETENTION) {
+                have_changed = true;
                 event!(
                     self.log, events::GATEWAY_SERVICE_VERSIONS, "service" => &**service,
                     "versions" => format!("{after:?}"), "before" => format!("{before:?}")
                 );
             }
         }
+        drop(histories);
+        if have_changed {
+            self.update_origin_holders();
+        }
     }
 
     /// All versions of a service that lists named within `span` before now.
--- a/crates/anvil_gateway/src/stream_origins.rs
+++ b/crates/anvil_gateway/src/stream_origins.rs
@@ -32,6 +32,8 @@
 pub struct StreamOrigins {
     known: Mutex<OriginStore>,
     told: Mutex<BTreeMap<StreamKey, ToldStream>>,
+    /// Siblings that did not store what they were told, until when others hold streams in their place.
+    silent: Mutex<BTreeMap<InstanceId, Now>>,
     /// Wakes the task that tells others.
     changed: Notify,
 }
@@ -43,22 +45,21 @@
     service: ServiceId,
     /// How far back the versions of its service matter to it.
     span: Duration,
-    /// Holders that have not been told yet.
+    /// Holders that have not been told yet; none are known before its service has several versions.
     untold: BTreeSet<InstanceId>,
     /// Holders that have been told, each in its incarnation.
     told: BTreeMap<InstanceId, Incarnation>,
 }
 
 impl ToldStream {
-    /// Sets its holders to these.
-    fn set_holders(&mut self, key: StreamKey, own: &InstanceId, siblings: &SiblingMap) {
+    /// Sets its holders to the best of these siblings.
+    fn set_holders(&mut self, key: StreamKey, siblings: &SiblingMap) {
         let is_told = |id: &InstanceId| {
             let incarnation = siblings.get(id).map(|sibling| sibling.incarnation);
             self.told.get(id).copied() == incarnation
         };
         let holders = ranked(key, siblings).take(HOLDERS_PER_STREAM);
-        let untold = holders.filter(|id| *id != own && !is_told(id));
-        self.untold = untold.cloned().collect();
+        self.untold = holders.filter(|id| !is_told(id)).cloned().collect();
     }
 }
 
@@ -74,15 +75,19 @@
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn silent(&self) -> MutexGuard<'_, BTreeMap<InstanceId, Now>> {
+        // Sound after a panic elsewhere: each entry is valid by itself.
+        self.silent.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn has_silent(&self) -> bool {
+        !self.silent().is_empty()
+    }
+
     fn told(&self) -> MutexGuard<'_, BTreeMap<StreamKey, ToldStream>> {
         // Sound after a panic elsewhere: each stream is valid by itself.
         self.told.lock().unwrap_or_else(PoisonError::into_inner)
     }
-
-    /// Wakes the task that tells others: a list names other versions than the one before.
-    pub fn wake(&self) {
-        self.changed.notify_one();
-    }
 }
 
 /// A stream as it runs at this gateway.
@@ -134,21 +139,36 @@
             untold: BTreeSet::new(),
             told: BTreeMap::new(),
         };
-        told_stream.set_holders(stream.key, &self.cfg.id, &self.siblings.members());
+        let is_mixed = self.is_mixed(stream.service, stream.span);
+        if is_mixed {
+            told_stream.set_holders(stream.key, &self.possible_holders());
+        }
         told.insert(stream.key, told_stream);
         drop(told);
-        if self.is_mixed(stream.service, stream.span) {
-            origins.wake();
+        if is_mixed {
+            origins.changed.notify_one();
         }
     }
 
-    /// Applies a change of the fleet's gateways: streams may have other holders now.
+    /// Applies a change of the fleet's gateways, of those that answer, or of a service's versions: streams
+    /// may have other holders now.
     pub fn update_origin_holders(&self) {
-        let siblings = self.siblings.members();
+        let siblings = self.possible_holders();
         for (key, stream) in self.stream_origins.told().iter_mut() {
-            stream.set_holders(*key, &self.cfg.id, &siblings);
+            stream.set_holders(*key, &siblings);
         }
-        self.stream_origins.wake();
+        self.stream_origins.changed.notify_one();
+    }
+
+    /// The other gateways that may hold this one's streams.
+    fn possible_holders(&self) -> SiblingMap {
+        let now = self.lifecycle.now();
+        let mut siblings = SiblingMap::clone(&self.siblings.members());
+        siblings.remove(&self.cfg.id);
+        let mut silent = self.stream_origins.silent();
+        silent.retain(|_, until| now < *until);
+        siblings.retain(|id, _| !silent.contains_key(id));
+        siblings
     }
 
     /// Stores what another gateway told.
--- a/crates/anvil_gateway/src/stream_origins/ask.rs
+++ b/crates/anvil_gateway/src/stream_origins/ask.rs
@@ -18,8 +18,8 @@
 /// Longest wait for siblings while this gateway knows one version only: another gateway may have a newer
 /// list.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(30);
-/// Siblings that are asked while a service has several versions: the holders, and others that may have
-/// been holders or have run the stream.
+/// Siblings that are asked while a service has several versions: the holders, others that may hold the
+/// stream in place of one that did not answer, and the gateway that ran it, which is none of them.
 const MAX_ASKED: usize = 8;
 
 /// What is known of the version at which a stream began.
@@ -58,7 +58,7 @@
         let (asked, wait) = if versions.len() > 1 {
             (MAX_ASKED, ASK_TIMEOUT)
         } else {
-            (HOLDERS_PER_STREAM, CONFIRM_TIMEOUT)
+            (HOLDERS_PER_STREAM + 1, CONFIRM_TIMEOUT)
         };
         let request = OriginRequest::Ask {
             key,
--- a/crates/anvil_gateway/src/stream_origins/tell.rs
+++ b/crates/anvil_gateway/src/stream_origins/tell.rs
@@ -1,25 +1,32 @@
 //! Tells other gateways at which versions this gateway's streams run.
+//!
+//! Failure: a gateway is killed while those that hold its streams are frozen or cut off. So the next best
+//! gateways hold them in place of one that does not store what it is told.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use anvil_policy::stream_origins::StreamKey;
-use anvil_wire::msg::{OriginCall, OriginReply, OriginRequest, StreamOrigin};
+use anvil_wire::WireError;
+use anvil_wire::msg::{OriginCall, OriginRequest, StreamOrigin};
 use anvil_world::prelude::*;
+use anvilreel::event;
 use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::interval;
 
 use super::to_message;
 use crate::gateway::Gateway;
+use crate::log_events as events;
 use crate::metrics;
 
 /// Streams in one message.
 const MAX_STREAMS_PER_MESSAGE: usize = 256;
 /// Longest wait for a sibling to store them.
 const STORE_TIMEOUT: Duration = Duration::from_millis(300);
-/// Pause after which a sibling that did not answer is told again.
-const RETELL_PAUSE: Duration = Duration::from_millis(250);
+/// For how long others hold streams in place of a sibling that did not store them: about as long as the
+/// ledger takes to regard a process as unresponsive.
+const SILENT_TIME: Duration = Duration::from_secs(5);
 
 /// What one sibling is told.
 struct Message {
@@ -29,12 +36,16 @@
     origins: Vec<StreamOrigin>,
 }
 
+/// Interval at which holders are chosen anew while a sibling is silent.
+const RECHECK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Tells the holders of this gateway's streams, for as long as the process runs. Each sibling gets one
 /// message at a time, with all that has come up since the one before.
 pub async fn run(gw: &Arc<Gateway>) {
     let mut sending: JoinSet<(Message, bool)> = JoinSet::new();
-    // Siblings that are being told, or that did not answer a moment ago.
+    // Siblings that are being told.
     let mut busy: BTreeMap<InstanceId, Incarnation> = BTreeMap::new();
+    let mut recheck = interval(RECHECK_INTERVAL);
     loop {
         for message in gw.untold_messages(&busy) {
             busy.insert(message.to.clone(), message.incarnation);
@@ -42,31 +53,40 @@
         }
         tokio::select! {
             () = gw.stream_origins.changed.notified() => {}
+            _ = recheck.tick(), if gw.stream_origins.has_silent() => gw.update_origin_holders(),
             Some(Ok((message, is_stored))) = sending.join_next() => {
                 busy.remove(&message.to);
                 if is_stored {
                     gw.mark_told(&message);
+                } else {
+                    gw.mark_silent(message.to);
                 }
             }
         }
     }
 }
 
-/// Sends a message. After a failure it returns only when the sibling may be told again.
+/// Sends a message. Returns whether it was stored.
 async fn send(gw: Arc<Gateway>, message: Message) -> (Message, bool) {
     gw.metrics.count(metrics::ORIGIN_MESSAGES);
-    let is_stored = match gw.siblings.channel(&message.to) {
-        None => false,
-        Some(channel) => {
-            let request = OriginRequest::Tell(message.origins.clone());
-            let reply = channel.call::<OriginCall>(&request, STORE_TIMEOUT).await;
-            matches!(reply, Ok(OriginReply::Stored))
-        }
-    };
-    if !is_stored {
-        sleep(RETELL_PAUSE).await;
+    let stored = store(&gw, &message).await;
+    if let Err(e) = &stored {
+        event!(
+            gw.log, events::GATEWAY_ORIGINS_NOT_STORED, "sibling" => &*message.to,
+            "streams" => message.origins.len(), "why" => e.to_string()
+        );
     }
-    (message, is_stored)
+    (message, stored.is_ok())
+}
+
+async fn store(gw: &Gateway, message: &Message) -> Result<(), WireError> {
+    // Gone from the membership since the message was composed.
+    let channel = gw.siblings.channel(&message.to).ok_or(WireError::Ended)?;
+    let request = OriginRequest::Tell(message.origins.clone());
+    channel
+        .call::<OriginCall>(&request, STORE_TIMEOUT)
+        .await
+        .map(drop)
 }
 
 impl Gateway {
@@ -99,6 +119,13 @@
         addressed.collect()
     }
 
+    /// Records that a sibling did not store a message.
+    fn mark_silent(&self, sibling: InstanceId) {
+        let until = self.lifecycle.now() + SILENT_TIME;
+        self.stream_origins.silent().insert(sibling, until);
+        self.update_origin_holders();
+    }
+
     /// Records that a sibling has stored a message.
     fn mark_told(&self, message: &Message) {
         let mut told = self.stream_origins.told();
--- a/crates/anvil_policy/src/stream_origins.rs
+++ b/crates/anvil_policy/src/stream_origins.rs
@@ -13,8 +13,8 @@
 //! long as the client may still take the stream up. A router that is asked for the rest of a stream asks
 //! the same routers.
 //!
-//! *Thresholds:* three holders, in as many availability zones as there are, so that two routers may be
-//! lost together with the one that served the stream.
+//! *Thresholds:* three holders beside the router that serves the stream, in as many availability zones as
+//! there are, so that two routers may be lost together with that one.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -25,7 +25,7 @@
 /// Identifies a stream by its organisation and its client's first attempt.
 pub type StreamKey = u128;
 
-/// Routers that hold each stream's origin.
+/// Routers that hold each stream's origin, beside the one that serves it.
 pub const HOLDERS_PER_STREAM: usize = 3;
 /// Streams whose origins one router holds for others. Beyond that the ones that expire first yield.
 const MAX_STREAMS: usize = 20_000;
@@ -105,7 +105,7 @@
     }
 }
 
-/// The routers to ask for a stream's origin, in this order; the first [`HOLDERS_PER_STREAM`] hold it.
+/// These routers in the order in which they hold a stream's origin, and are asked for it.
 ///
 /// This is rendezvous hashing: a router that joins or leaves moves only the streams that it holds. Each
 /// holder is the best one in an availability zone that has none yet; after one of each zone, the best of
