A stream goes on at its service over a client's attempts

What callers would see: on a route that divides its requests between services, the rest of a stream from another service than the one that began it. Change: the origin of a stream names its service too, streams of such routes are always told of, and a stream that is taken up goes to its service if the route still names it; if not it is refused at once. Evidence: versions::stream_goes_on_at_its_service, red with the service drawn anew.

--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -100,10 +100,10 @@
 impl Exchange {
     /// Sends the request to endpoints until one responds.
     pub async fn run(mut self) -> Reply {
-        self.gw.count_first_attempt(&self.service);
         if let Err(refusal) = self.bind_taken_up().await {
             return self.refuse(refusal);
         }
+        self.gw.count_first_attempt(&self.service);
         match self.first_response(None).await {
             Ok(response)
                 if self.route.retry_mode.is_stream() && response.parts.status.is_success() =>
--- a/crates/anvil_gateway/src/exchange/take_up.rs
+++ b/crates/anvil_gateway/src/exchange/take_up.rs
@@ -1,4 +1,4 @@
-//! Streams that a client takes up: they go on only at the software version that began them.
+//! Streams that a client takes up: they go on only at the service and software version that began them.
 
 use std::time::Duration;
 
@@ -19,8 +19,8 @@
 pub(super) const TAKE_UP_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 impl Exchange {
-    /// If the client takes a stream up, restricts it to the version that began it. A stream whose
-    /// version nobody knows is refused: any endpoint would be a guess.
+    /// If the client takes a stream up, restricts it to the service and version that began it. A stream
+    /// whose version nobody knows is refused: any endpoint would be a guess.
     pub(super) async fn bind_taken_up(&mut self) -> Result<(), RequestRefusal> {
         let (after, first) = (self.request.resume_after, &self.request.first_attempt);
         let is_taken_up = after.is_some() || first.is_some();
@@ -37,9 +37,18 @@
             .find_stream_version(key, &self.service, span, self.deadline)
             .await;
         let version = match found {
-            StreamVersion::Known { version, by } => {
+            StreamVersion::Known {
+                service,
+                version,
+                by,
+            } => {
                 self.trace
                     .step(format_args!("began at {version}, known by {by}"));
+                // A route that no longer names the service leaves the stream without endpoints.
+                if !self.route.names(&service) {
+                    return Err((Cause::VersionGone, spread_return(TAKE_UP_RETRY_AFTER)));
+                }
+                self.service = service;
                 version
             }
             StreamVersion::Only(version) => {
@@ -81,6 +90,7 @@
         RunningStream {
             key,
             service: &self.service,
+            is_split: self.route.services.len() > 1,
             span: self.stream_span(),
             client_timeout: self.request.timeout,
         }
--- a/crates/anvil_gateway/src/stream_origins.rs
+++ b/crates/anvil_gateway/src/stream_origins.rs
@@ -1,9 +1,10 @@
-//! The software versions at which resumable streams began.
+//! The services and software versions at which resumable streams began.
 //!
 //! Failure: a gateway is killed, and its clients take their streams up at others, which send the rest to
-//! endpoints of another version: the client holds parts that don't fit together. [`tell`] sends the
-//! versions of this gateway's streams to the gateways that hold them, while a service has several
-//! versions; [`ask`] finds the version of a stream that a client takes up.
+//! endpoints of another version or of another service of the route: the client holds parts that don't
+//! fit together. [`tell`] sends the origins of this gateway's streams to the gateways that hold them,
+//! while there are several versions or services; [`ask`] finds the origin of a stream that a client takes
+//! up.
 //! [`anvil_policy::stream_origins`] decides which gateways these are.
 
 pub mod ask;
@@ -42,10 +43,11 @@
 #[derive(Debug)]
 struct ToldStream {
     origin: Origin,
-    service: ServiceId,
+    /// Whether its route names other services too.
+    is_split: bool,
     /// How far back the versions of its service matter to it.
     span: Duration,
-    /// Holders that have not been told yet; none are known before its service has several versions.
+    /// Holders that have not been told yet; none are known before others have to be told.
     untold: BTreeSet<InstanceId>,
     /// Holders that have been told, each in its incarnation.
     told: BTreeMap<InstanceId, Incarnation>,
@@ -97,6 +99,8 @@
     pub key: StreamKey,
     /// Its service.
     pub service: &'a ServiceId,
+    /// Whether its route names other services too.
+    pub is_split: bool,
     /// How far back the versions of its service matter to it.
     pub span: Duration,
     /// For how long its client may still take it up.
@@ -110,9 +114,11 @@
         let origins = &self.stream_origins;
         let mut known = origins.known();
         let attempt = known.get(now, stream.key).map_or(0, |before| {
-            before.attempt + u32::from(before.version != *version)
+            let is_same = before.version == *version && before.service == *stream.service;
+            before.attempt + u32::from(!is_same)
         });
         let origin = Origin {
+            service: stream.service.clone(),
             version: version.clone(),
             attempt,
             expires: expiry(now, stream.client_timeout),
@@ -134,22 +140,27 @@
         }
         let mut told_stream = ToldStream {
             origin,
-            service: stream.service.clone(),
+            is_split: stream.is_split,
             span: stream.span,
             untold: BTreeSet::new(),
             told: BTreeMap::new(),
         };
-        let is_mixed = self.is_mixed(stream.service, stream.span);
-        if is_mixed {
+        let is_to_be_told = self.is_to_be_told(&told_stream);
+        if is_to_be_told {
             told_stream.set_holders(stream.key, &self.possible_holders());
         }
         told.insert(stream.key, told_stream);
         drop(told);
-        if is_mixed {
+        if is_to_be_told {
             origins.changed.notify_one();
         }
     }
 
+    /// Whether another gateway could take the stream for one of another service or version.
+    fn is_to_be_told(&self, stream: &ToldStream) -> bool {
+        stream.is_split || self.is_mixed(&stream.origin.service, stream.span)
+    }
+
     /// Applies a change of the fleet's gateways, of those that answer, or of a service's versions: streams
     /// may have other holders now.
     pub fn update_origin_holders(&self) {
@@ -176,12 +187,14 @@
         let now = self.lifecycle.now();
         let StreamOrigin {
             key,
+            service,
             version,
             attempt,
             keep,
         } = origin;
         let expires = expiry(now, keep);
         let origin = Origin {
+            service,
             version,
             attempt,
             expires,
@@ -199,6 +212,7 @@
 fn to_message(now: Now, key: StreamKey, origin: &Origin) -> StreamOrigin {
     StreamOrigin {
         key,
+        service: origin.service.clone(),
         version: origin.version.clone(),
         attempt: origin.attempt,
         keep: origin.expires.saturating_sub(now),
--- a/crates/anvil_gateway/src/stream_origins/ask.rs
+++ b/crates/anvil_gateway/src/stream_origins/ask.rs
@@ -27,9 +27,11 @@
 pub enum StreamVersion {
     /// A gateway that ran it knows.
     Known {
+        /// The service.
+        service: ServiceId,
         /// The version.
         version: SoftwareVersion,
-        /// The gateway that knows, and for how long it keeps the stream from now on.
+        /// The gateway that knows.
         by: InstanceId,
     },
     /// Nobody knows the stream, but its service had only this version for as long as it can be old.
@@ -50,6 +52,7 @@
     ) -> StreamVersion {
         if let Some(origin) = key.and_then(|key| self.known_origin(key)) {
             return StreamVersion::Known {
+                service: origin.service,
                 version: origin.version,
                 by: self.cfg.id.clone(),
             };
@@ -84,6 +87,7 @@
             };
             if let Some(origin) = origin {
                 return StreamVersion::Known {
+                    service: origin.service,
                     version: origin.version,
                     by: id.clone(),
                 };
--- a/crates/anvil_gateway/src/stream_origins/tell.rs
+++ b/crates/anvil_gateway/src/stream_origins/tell.rs
@@ -98,7 +98,7 @@
         let mut told = self.stream_origins.told();
         told.retain(|_, stream| now < stream.origin.expires);
         for (key, stream) in told.iter() {
-            if stream.untold.is_empty() || !self.is_mixed(&stream.service, stream.span) {
+            if stream.untold.is_empty() || !self.is_to_be_told(stream) {
                 continue;
             }
             for holder in stream.untold.iter().filter(|id| !busy.contains_key(*id)) {
@@ -133,7 +133,7 @@
             let key: StreamKey = origin.key;
             let stream = told.get_mut(&key);
             // A later attempt may have changed the version meanwhile.
-            let Some(stream) = stream.filter(|stream| stream.origin.version == origin.version)
+            let Some(stream) = stream.filter(|stream| stream.origin.attempt == origin.attempt)
             else {
                 continue;
             };
--- a/crates/anvil_gateway/src/table.rs
+++ b/crates/anvil_gateway/src/table.rs
@@ -68,6 +68,14 @@
     pub regions: AllowedRegions,
 }
 
+impl Route {
+    /// Whether requests on the route may go to this service.
+    pub fn names(&self, service: &str) -> bool {
+        let mut services = self.services.iter();
+        services.any(|(named, weight)| **named == *service && *weight > 0)
+    }
+}
+
 /// Settings of a service.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Service {
--- a/crates/anvil_gateway/tests/direct/versions.rs
+++ b/crates/anvil_gateway/tests/direct/versions.rs
@@ -1,6 +1,7 @@
 //! Streams of a service whose endpoints run several software versions: each goes on only at the version
 //! that began it, within one response and over a client's attempts.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use anvil_wire::msg::ListedEndpoint;
@@ -11,7 +12,7 @@
 use crate::endpoint::{
     ReceivedRequest, Step, TestEndpoint, chunk, response, stream_end, stream_head,
 };
-use crate::gateway::{TestGateway, listed};
+use crate::gateway::{TestGateway, listed, routes, table};
 use crate::processes::{GATEWAYS, Processes};
 
 /// Last event of each stream.
@@ -296,6 +297,38 @@
     assert_eq!((&*before.version, &*after.version), ("v1", "v2"));
 }
 
+/// Guards against a stream that goes on at another service of its route, drawn anew for each attempt.
+#[tokio::test]
+async fn stream_goes_on_at_its_service() {
+    let (desk, annex) = (streaming("desk").await, streaming("annex").await);
+    let mut listed = [
+        listed_as("a", "v1", &desk, true),
+        listed_as("b", "v1", &annex, true),
+    ];
+    listed[1].service = "annex".into();
+    let gateway = start_gateway(&listed).await;
+    let mut routes = routes();
+    for route in &mut routes {
+        route.services.push(("annex".into(), 1));
+    }
+    gateway.gw.table.store(Some(Arc::new(table(2, routes))));
+    for number in 0..12 {
+        let id = format!("first-{number}");
+        let mut client = Client::connect(gateway.addr).await;
+        client
+            .send("/resumed/x", &id, "content-length: 0\r\n")
+            .await;
+        let mut seen = String::new();
+        while !seen.contains("\n\n") || first_version(&seen).is_empty() {
+            seen = client.read_some().await;
+        }
+        let next = Client::connect(gateway.addr).await;
+        let received = take_up(next, &format!("next-{number}"), &id).await;
+        let service = first_version(&seen).trim_end();
+        assert_eq!(first_version(&received.body), service, "{received:?}");
+    }
+}
+
 /// Guards against a guess: a stream of which no gateway knows the version, in a service with two.
 #[tokio::test(flavor = "multi_thread")]
 async fn unknown_stream_is_refused_at_once_while_versions_are_mixed() {
--- a/crates/anvil_policy/src/stream_origins.rs
+++ b/crates/anvil_policy/src/stream_origins.rs
@@ -36,9 +36,11 @@
     xxh3_128(&[organisation.as_bytes(), &[0], first_attempt.as_bytes()].concat())
 }
 
-/// At which version a stream runs.
+/// Where a stream runs.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Origin {
+    /// The service, of those that its route names.
+    pub service: ServiceId,
     /// The version.
     pub version: SoftwareVersion,
     /// Number of the attempt at an endpoint that this is from; the highest one is right.
--- a/crates/anvil_policy/tests/stream_origins.rs
+++ b/crates/anvil_policy/tests/stream_origins.rs
@@ -16,6 +16,7 @@
 
 fn origin(version: &str, attempt: u32, at: Duration) -> Origin {
     Origin {
+        service: "engines".into(),
         version: version.into(),
         attempt,
         expires: expiry(at, TIMEOUT),
--- a/crates/anvil_wire/src/msg/origins.rs
+++ b/crates/anvil_wire/src/msg/origins.rs
@@ -22,6 +22,8 @@
 pub struct StreamOrigin {
     /// Hash of the stream's organisation and first attempt.
     pub key: u128,
+    /// The service that runs it.
+    pub service: ServiceId,
     /// The software version that runs it.
     pub version: SoftwareVersion,
     /// Number of the attempt at an endpoint that this is from; the highest one is right.
