A gateway that is cut off doesn't guess the version of a stream

What callers would see: a gateway without a newer list and without an answer of any other sends a stream to the one version it knows, which another gateway began at a version that came since. Cause: a lone version counted as known however old the list was, also when nobody confirmed it. Change: without an answer of a sibling the list has to be current, at most twice as old as the age at which it is read again; a gateway that is the only one needs neither. Otherwise the stream is refused as stream_unknown. Evidence: versions::unknown_stream_is_refused_by_a_gateway_with_an_old_list_and_silent_siblings, red before (200).

--- a/crates/anvil_gateway/src/stream_origins/ask.rs
+++ b/crates/anvil_gateway/src/stream_origins/ask.rs
@@ -22,6 +22,9 @@
 /// stream in place of one that did not answer, and the gateway that ran it, which is none of them.
 const MAX_ASKED: usize = 8;
 
+/// Age up to which a list counts as current, as a multiple of the age at which it is read again.
+const MAX_LIST_AGES: u32 = 2;
+
 /// What is known of the version at which a stream began.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StreamVersion {
@@ -36,7 +39,7 @@
     },
     /// Nobody knows the stream, but its service had only this version for as long as it can be old.
     Only(SoftwareVersion),
-    /// Nobody knows the stream, and its service had these versions.
+    /// Nobody knows the stream. Its service had these versions, as far as this gateway can tell.
     Unknown(BTreeSet<SoftwareVersion>),
 }
 
@@ -69,6 +72,7 @@
             span,
         };
         let until = deadline.min(Instant::now() + wait);
+        let mut is_current = self.is_list_current();
         let siblings = self.siblings.members();
         let skipped = self.siblings.skipped_at(self.lifecycle.now());
         let others = ranked(key.unwrap_or_default(), &siblings)
@@ -93,8 +97,22 @@
                 };
             }
             versions.extend(listed);
+            is_current = true;
+        }
+        if is_current {
+            only(versions)
+        } else {
+            StreamVersion::Unknown(versions)
         }
-        only(versions)
+    }
+
+    /// Whether no other gateway can have a much newer list of endpoints than this one.
+    ///
+    /// Failure: a gateway that is cut off from the list and from all others knows one version only, and
+    /// sends a stream to it that another gateway began at a version that came since.
+    fn is_list_current(&self) -> bool {
+        let is_alone = self.siblings.members().len() == 1;
+        is_alone || self.list_cache.age() <= self.cfg.max_list_age * MAX_LIST_AGES
     }
 
     async fn ask<'a>(
--- a/crates/anvil_gateway/tests/direct/versions.rs
+++ b/crates/anvil_gateway/tests/direct/versions.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use anvil_wire::msg::ListedEndpoint;
+use anvil_world::prelude::*;
+use anvilreel::moment::Moment;
 use futures::future::join_all;
 use tokio::time::{Instant, sleep};
 
@@ -329,6 +331,29 @@
     }
 }
 
+/// Guards against a guess of a gateway that is cut off: another version may serve that it has not heard
+/// of.
+#[tokio::test]
+async fn unknown_stream_is_refused_by_a_gateway_with_an_old_list_and_silent_siblings() {
+    let endpoint = streaming("v1").await;
+    let list = [listed_as("a", "v1", &endpoint, true)];
+    let gateway = start_gateway(&list).await;
+    let sibling = Instance {
+        id: "gateway-2".into(),
+        incarnation: 1,
+        ..gateway.gw.instance()
+    };
+    gateway.gw.siblings.update_members([&sibling].into_iter());
+    let refused = take_up(Client::connect(gateway.addr).await, "next-1", "never-seen").await;
+    assert_eq!(refused.status, 503, "{refused:?}");
+    gateway
+        .gw
+        .list_cache
+        .store_reading(Moment::now(), list.to_vec());
+    let went_on = take_up(Client::connect(gateway.addr).await, "next-2", "never-seen").await;
+    assert_eq!(went_on.status, 200, "{went_on:?}");
+}
+
 /// Guards against a guess: a stream of which no gateway knows the version, in a service with two.
 #[tokio::test(flavor = "multi_thread")]
 async fn unknown_stream_is_refused_at_once_while_versions_are_mixed() {
