--- a/crates/anvil_gateway/src/exchange/take_up.rs
+++ b/crates/anvil_gateway/src/exchange/take_up.rs
@@ -9,7 +9,7 @@
 use crate::metrics;
 use crate::reply::Cause;
 use crate::stream_origins::RunningStream;
-use crate::stream_origins::ask::StreamVersion;
+use crate::stream_origins::ask::{FoundOrigin, OriginQuestion};
 
 /// How old a stream can be when its client takes it up, as a multiple of its route's timeout: one
 /// response, and the client's attempts after it.
@@ -31,13 +31,15 @@
             .step(format_args!("takes up {first:?} after {after:?}"));
         self.gw.metrics.count(metrics::STREAMS_TAKEN_UP);
         let key = first.as_ref().map(|first| self.key_of(first));
-        let span = self.stream_span();
-        let found = self
-            .gw
-            .find_stream_version(key, &self.service, span, self.deadline)
-            .await;
+        let question = OriginQuestion {
+            key,
+            service: &self.service,
+            span: self.stream_span(),
+            deadline: self.deadline,
+        };
+        let found = self.gw.find_origin(question).await;
         let version = match found {
-            StreamVersion::Known {
+            FoundOrigin::Known {
                 service,
                 version,
                 by,
@@ -51,14 +53,14 @@
                 self.service = service;
                 version
             }
-            StreamVersion::Only(version) => {
+            FoundOrigin::OnlyVersion(version) => {
                 self.trace
                     .step(format_args!("began at {version}, the only version"));
                 version
             }
             // No list yet: no endpoint either.
-            StreamVersion::Unknown(versions) if versions.is_empty() => return Ok(()),
-            StreamVersion::Unknown(versions) => {
+            FoundOrigin::Unknown(versions) if versions.is_empty() => return Ok(()),
+            FoundOrigin::Unknown(versions) => {
                 self.trace
                     .step(format_args!("began at one of {versions:?}"));
                 return Err((Cause::StreamUnknown, spread_return(TAKE_UP_RETRY_AFTER)));
--- a/crates/anvil_gateway/src/stream_origins.rs
+++ b/crates/anvil_gateway/src/stream_origins.rs
@@ -26,7 +26,9 @@
 use crate::metrics;
 
 /// Streams that one gateway tells of at a time.
-const MAX_TOLD_STREAMS: usize = 10_000;
+const MAX_TOLD_STREAMS: usize = 10_240;
+/// Expired streams are dropped whenever their number is a multiple of this.
+const SWEEP_INTERVAL: usize = 256;
 
 /// Origins that this gateway knows, and the streams of which it tells others.
 #[derive(Default)]
@@ -131,7 +133,7 @@
     fn tell_of(&self, now: Now, stream: RunningStream<'_>, origin: Origin) {
         let origins = &self.stream_origins;
         let mut told = origins.told();
-        if told.len() >= MAX_TOLD_STREAMS {
+        if told.len().is_multiple_of(SWEEP_INTERVAL) {
             told.retain(|_, stream| now < stream.origin.expires);
         }
         if told.len() >= MAX_TOLD_STREAMS {
@@ -164,10 +166,18 @@
     /// Applies a change of the fleet's gateways, of those that answer, or of a service's versions: streams
     /// may have other holders now.
     pub fn update_origin_holders(&self) {
+        let now = self.lifecycle.now();
         let siblings = self.possible_holders();
-        for (key, stream) in self.stream_origins.told().iter_mut() {
+        let mut told = self.stream_origins.told();
+        told.retain(|_, stream| now < stream.origin.expires);
+        // Ranking all gateways for each stream is costly, and needless while nobody is told.
+        let to_be_told = told
+            .iter_mut()
+            .filter(|(_, stream)| self.is_to_be_told(stream));
+        for (key, stream) in to_be_told {
             stream.set_holders(*key, &siblings);
         }
+        drop(told);
         self.stream_origins.changed.notify_one();
     }
 
