Streams from the moment before a new version go on

Cause: nothing is told while a service has one version, and a stream that nobody knows could have begun at any. Change: a version is new until all gateways in touch list it, twice the age at which lists are read again; streams that may be taken up begin at other versions meanwhile, if any has a place. Then a stream of which nobody was told didn't begin at a new version, and a gateway that is asked says which versions aren't new.

--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -85,6 +85,7 @@
         }
         let any_version = Constraints {
             version: None,
+            avoided: &[],
             ..constraints
         };
         if !self.available_endpoints(service, any_version).is_empty() {
--- a/crates/anvil_gateway/src/exchange/one_attempt.rs
+++ b/crates/anvil_gateway/src/exchange/one_attempt.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use anvil_policy::engine::Prompt;
+use anvil_world::prelude::*;
 use tokio::time::Instant;
 
 use super::take_up::TAKE_UP_RETRY_AFTER;
@@ -95,13 +96,15 @@
 
     /// Takes a slot at the best endpoint.
     fn select_endpoint(&mut self) -> Result<Selection, RequestRefusal> {
-        let prompt = Prompt {
-            parts: &self.prompt_parts,
+        let new_versions = self.versions_to_avoid();
+        let selection = match self.select_avoiding(&new_versions) {
+            Err(unplaced) if !new_versions.is_empty() => {
+                self.trace
+                    .step(format_args!("no place at settled versions: {unplaced:?}"));
+                self.select_avoiding(&[])
+            }
+            selection => selection,
         };
-        let within = self.time_left().mul_f64(FIRST_TOKEN_FRACTION);
-        let selection = self
-            .gw
-            .select_endpoint(&self.service, &prompt, self.constraints(), within);
         let selection = selection.map_err(|unplaced| self.refuse_unplaced(unplaced))?;
         let endpoint = &selection.slot.endpoint;
         self.trace.step(format_args!(
@@ -123,12 +126,26 @@
         Ok(selection)
     }
 
+    fn select_avoiding(&self, avoided: &[SoftwareVersion]) -> Result<Selection, Unplaced> {
+        let prompt = Prompt {
+            parts: &self.prompt_parts,
+        };
+        let within = self.time_left().mul_f64(FIRST_TOKEN_FRACTION);
+        let constraints = Constraints {
+            avoided,
+            ..self.constraints()
+        };
+        self.gw
+            .select_endpoint(&self.service, &prompt, constraints, within)
+    }
+
     /// Which endpoints the request may be sent to.
     pub(super) fn constraints(&self) -> Constraints<'_> {
         Constraints {
             tried: self.attempt_counter.endpoints(),
             regions: &self.regions,
             version: self.stream_version.as_ref(),
+            avoided: &[],
         }
     }
 
--- a/crates/anvil_gateway/src/exchange/take_up.rs
+++ b/crates/anvil_gateway/src/exchange/take_up.rs
@@ -55,7 +55,7 @@
             }
             FoundOrigin::OnlyVersion(version) => {
                 self.trace
-                    .step(format_args!("began at {version}, the only version"));
+                    .step(format_args!("began at {version}, the only settled version"));
                 version
             }
             // No list yet: no endpoint either.
@@ -83,6 +83,15 @@
         }
     }
 
+    /// Versions at which a stream that may be taken up should not begin: gateways that have not listed them
+    /// yet would take it for one of another version.
+    pub(super) fn versions_to_avoid(&self) -> Vec<SoftwareVersion> {
+        if self.stream_version.is_some() || !self.route.retry_mode.may_resume_elsewhere() {
+            return Vec::new();
+        }
+        self.gw.new_versions(&self.service)
+    }
+
     fn key_of(&self, first_attempt: &AttemptId) -> StreamKey {
         let organisation = self.organisation.as_ref().map(|payer| &*payer.id);
         stream_key(organisation.unwrap_or_default(), first_attempt)
--- a/crates/anvil_gateway/src/regions.rs
+++ b/crates/anvil_gateway/src/regions.rs
@@ -45,6 +45,8 @@
     pub regions: &'a AllowedRegions,
     /// The software version that began its stream; `None` if any may run it.
     pub version: Option<&'a SoftwareVersion>,
+    /// Versions at which it may not run.
+    pub avoided: &'a [SoftwareVersion],
 }
 
 impl Gateway {
@@ -56,9 +58,11 @@
     ) -> EndpointGroup {
         let mut available = self.directory.available(service, constraints.tried);
         self.retain_allowed(&mut available, constraints.regions);
-        if let Some(version) = constraints.version {
-            available.retain(|endpoint| endpoint.version == *version);
-        }
+        available.retain(|endpoint| {
+            let version = &endpoint.version;
+            let is_avoided = constraints.avoided.contains(version);
+            !is_avoided && constraints.version.is_none_or(|bound| bound == version)
+        });
         available
     }
 
--- a/crates/anvil_gateway/src/service_versions.rs
+++ b/crates/anvil_gateway/src/service_versions.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use anvil_policy::version_history::VersionHistory;
-use anvil_wire::msg::ListedEndpoint;
+use anvil_wire::msg::{ListedEndpoint, ListedVersions};
 use anvil_world::prelude::*;
 use anvilreel::event;
 
@@ -16,6 +16,9 @@
 /// For how long a version is remembered after the list has dropped it: longer than a stream lasts.
 const VERSION_RETENTION: Duration = Duration::from_mins(10);
 
+/// Age up to which a list counts as current, as a multiple of the age at which it is read again.
+const MAX_LIST_AGES: u32 = 2;
+
 /// Histories by service.
 #[derive(Default)]
 pub struct ServiceVersions {
@@ -32,10 +35,10 @@
 }
 
 /// Versions by service, as one list names them.
-type ListedVersions<'a> = BTreeMap<&'a ServiceId, BTreeSet<&'a SoftwareVersion>>;
+type VersionsByService<'a> = BTreeMap<&'a ServiceId, BTreeSet<&'a SoftwareVersion>>;
 
-fn versions_by_service(listed: &[ListedEndpoint]) -> ListedVersions<'_> {
-    let mut versions = ListedVersions::new();
+fn versions_by_service(listed: &[ListedEndpoint]) -> VersionsByService<'_> {
+    let mut versions = VersionsByService::new();
     for endpoint in listed {
         let of_service = versions.entry(&endpoint.service).or_default();
         of_service.insert(&endpoint.version);
@@ -72,13 +75,43 @@
         }
     }
 
-    /// All versions of a service that lists named within `span` before now.
-    pub fn versions_within(&self, service: &str, span: Duration) -> BTreeSet<SoftwareVersion> {
+    /// The versions of a service that lists named within `span` before now.
+    pub fn versions_within(&self, service: &str, span: Duration) -> ListedVersions {
         let histories = self.service_versions.histories();
-        let history = histories.get(service);
+        let Some(history) = histories.get(service) else {
+            return ListedVersions {
+                all: BTreeSet::new(),
+                settled: None,
+            };
+        };
         let now = self.lifecycle.now();
-        let versions = history.map(|history| history.listed_within(now, span).cloned().collect());
-        versions.unwrap_or_default()
+        let settled = history.settled_within(now, span, self.settling_time());
+        ListedVersions {
+            all: history.listed_within(now, span).cloned().collect(),
+            settled: settled.map(|versions| versions.cloned().collect()),
+        }
+    }
+
+    /// Time in which all gateways have listed a new version.
+    fn settling_time(&self) -> Duration {
+        self.cfg.max_list_age * MAX_LIST_AGES
+    }
+
+    /// Whether this gateway's list is no older than any gateway's should be.
+    pub fn is_list_current(&self) -> bool {
+        self.list_cache.age() <= self.settling_time()
+    }
+
+    /// The versions of a service that other gateways may not have listed yet.
+    pub fn new_versions(&self, service: &str) -> Vec<SoftwareVersion> {
+        let histories = self.service_versions.histories();
+        let (now, settling) = (self.lifecycle.now(), self.settling_time());
+        let history = histories.get(service).into_iter();
+        let new = history.flat_map(|history| {
+            let listed = history.listed_now();
+            listed.filter(move |version| history.is_new(now, version, settling))
+        });
+        new.cloned().collect()
     }
 
     /// Whether a service had more than one version within `span` before now.
--- a/crates/anvil_gateway/src/stream_origins/ask.rs
+++ b/crates/anvil_gateway/src/stream_origins/ask.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use anvil_policy::stream_origins::{HOLDERS_PER_STREAM, Origin, StreamKey};
-use anvil_wire::msg::{OriginCall, OriginReply, OriginRequest, StreamOrigin};
+use anvil_wire::msg::{ListedVersions, OriginCall, OriginReply, OriginRequest, StreamOrigin};
 use anvil_wire::{Channel, WireError};
 use anvil_world::prelude::*;
 use futures::stream::FuturesUnordered;
@@ -25,9 +25,6 @@
 /// stream in place of one that did not answer, and the gateway that ran it, which is none of them.
 const MAX_ASKED: usize = 8;
 
-/// Age up to which a list counts as current, as a multiple of the age at which it is read again.
-const MAX_LIST_AGES: u32 = 2;
-
 /// A sibling's reply.
 type SiblingReply = (InstanceId, Result<OriginReply, WireError>);
 
@@ -43,7 +40,8 @@
         /// The gateway that knows.
         by: InstanceId,
     },
-    /// Nobody knows the stream, but its service had only this version for as long as it can be old.
+    /// Nobody knows the stream, but its service had only this version for as long as it can be old, but for
+    /// new ones of which others would have been told.
     OnlyVersion(SoftwareVersion),
     /// Nobody knows the stream. Its service had these versions, as far as this gateway can tell.
     Unknown(BTreeSet<SoftwareVersion>),
@@ -73,14 +71,15 @@
                 by: self.cfg.id.clone(),
             };
         }
-        let mut versions = self.versions_within(question.service, question.span);
-        let (count, wait) = if versions.len() > 1 {
+        let own = self.versions_within(question.service, question.span);
+        let (count, wait) = if own.all.len() > 1 {
             (MAX_ASKED, ASK_TIMEOUT)
         } else {
             (HOLDERS_PER_STREAM + 1, CONFIRM_TIMEOUT)
         };
         let until = question.deadline.min(Instant::now() + wait);
-        let mut is_current = self.is_list_current();
+        let mut is_current = self.is_alone() || self.is_list_current();
+        let mut versions = vec![own];
         let mut replies = self.ask_siblings(question, count);
         while let Ok(Some((by, reply))) = timeout_at(until, replies.next()).await {
             // A sibling that does not answer knows nothing for this stream.
@@ -101,14 +100,10 @@
                     by,
                 };
             }
-            versions.extend(listed);
+            versions.push(listed);
             is_current = true;
         }
-        if is_current {
-            only(versions)
-        } else {
-            FoundOrigin::Unknown(versions)
-        }
+        possible(versions, is_current)
     }
 
     /// The replies of the first siblings that a stream's origin is asked of, in the order in which they
@@ -137,13 +132,8 @@
         channels.map(ask).collect::<FuturesUnordered<_>>()
     }
 
-    /// Whether no other gateway can have a much newer list of endpoints than this one.
-    ///
-    /// Failure: a gateway that is cut off from the list and from all others knows one version only, and
-    /// sends a stream to it that another gateway began at a version that came since.
-    fn is_list_current(&self) -> bool {
-        let is_alone = self.siblings.members().len() == 1;
-        is_alone || self.list_cache.age() <= self.cfg.max_list_age * MAX_LIST_AGES
+    fn is_alone(&self) -> bool {
+        self.siblings.members().len() == 1
     }
 
     fn known_origin(&self, key: StreamKey) -> Option<Origin> {
@@ -173,13 +163,25 @@
     }
 }
 
-/// The version of a stream that nobody knows, in a service with these versions.
-fn only(mut versions: BTreeSet<SoftwareVersion>) -> FoundOrigin {
-    match (versions.pop_first(), versions.is_empty()) {
-        (Some(only), true) => FoundOrigin::OnlyVersion(only),
-        (first, _) => {
-            versions.extend(first);
-            FoundOrigin::Unknown(versions)
-        }
+/// What is known of a stream that no gateway knows, from the versions that each of them listed.
+///
+/// Failure: a gateway that is cut off from the list and from all others knows one version only, and sends
+/// a stream to it that another gateway began at a version that came since. So one of the lists has to be
+/// current.
+fn possible(versions: Vec<ListedVersions>, is_current: bool) -> FoundOrigin {
+    let settled = versions.iter().filter_map(|listed| listed.settled.as_ref());
+    let settled: BTreeSet<_> = settled.flatten().cloned().collect();
+    let all = versions.into_iter().flat_map(|listed| listed.all);
+    let mut possible: BTreeSet<_> = if settled.is_empty() {
+        all.collect()
+    } else {
+        settled
+    };
+    if is_current
+        && possible.len() == 1
+        && let Some(only) = possible.pop_first()
+    {
+        return FoundOrigin::OnlyVersion(only);
     }
+    FoundOrigin::Unknown(possible)
 }
--- a/crates/anvil_gateway/tests/direct/pausing.rs
+++ b/crates/anvil_gateway/tests/direct/pausing.rs
@@ -139,6 +139,7 @@
         tried: &[],
         regions: &AllowedRegions::default(),
         version: None,
+        avoided: &[],
     };
     gw.select_endpoint(SERVICE, &Prompt { parts }, constraints, Duration::MAX)
 }
--- a/crates/anvil_gateway/tests/direct/versions.rs
+++ b/crates/anvil_gateway/tests/direct/versions.rs
@@ -1,7 +1,7 @@
 //! Streams of a service whose endpoints run several software versions: each goes on only at the version
 //! that began it, within one response and over a client's attempts.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use anvil_wire::msg::ListedEndpoint;
@@ -25,6 +25,10 @@
 const AT_ONCE: Duration = Duration::from_millis(250);
 /// Time in which gateways tell each other where streams began.
 const TELLING_TIME: Duration = Duration::from_millis(500);
+/// Time in which a version is new.
+const SETTLING_TIME: Duration = Duration::from_millis(2_500);
+/// Time in which all gateways read a list.
+const LISTING_TIME: Duration = Duration::from_millis(1_300);
 /// Streams that are open when their gateway is killed.
 const STREAMS: usize = 16;
 
@@ -135,6 +139,17 @@
     assert!(started.elapsed() < Duration::from_millis(100) + AT_ONCE);
 }
 
+/// A list of new endpoints of these versions.
+async fn list_of(versions: &[&'static str]) -> String {
+    let mut lines = Vec::new();
+    for version in versions {
+        let endpoint = streaming(version).await;
+        let addr = endpoint.addr;
+        lines.push(format!("endpoint-{} {addr} local-a {version}", addr.port()));
+    }
+    lines.join("\n")
+}
+
 /// The version of a stream's first event.
 fn first_version(body: &str) -> &str {
     let data = body.lines().find_map(|line| line.strip_prefix("data: "));
@@ -147,24 +162,30 @@
     client.request("/resumed/x", id, &headers).await
 }
 
-/// Gateways before two endpoints of each of two versions.
+/// Gateways before endpoints whose list can change.
 struct MixedService {
     processes: Processes,
+    listed: Arc<Mutex<String>>,
 }
 
 impl MixedService {
+    /// Two endpoints of each of two versions.
     async fn start() -> Self {
-        let mut lines = Vec::new();
-        for (number, version) in ["v1", "v2", "v1", "v2"].into_iter().enumerate() {
-            let endpoint = streaming(version).await;
-            lines.push(format!(
-                "endpoint-{number} {} local-a {version}",
-                endpoint.addr
-            ));
-        }
-        let text = lines.join("\n");
-        let processes = Processes::start(move || text.clone()).await;
-        Self { processes }
+        Self::start_with(&["v1", "v2", "v1", "v2"]).await
+    }
+
+    async fn start_with(versions: &[&'static str]) -> Self {
+        let listed = Arc::new(Mutex::new(list_of(versions).await));
+        let served = listed.clone();
+        let processes = Processes::start(move || served.lock().expect("a list").clone()).await;
+        Self { processes, listed }
+    }
+
+    /// Lists endpoints of these versions besides the others.
+    async fn add_endpoints(&self, versions: &[&'static str]) {
+        let added = list_of(versions).await;
+        let mut listed = self.listed.lock().expect("a list");
+        *listed = format!("{listed}\n{added}");
     }
 
     /// Opens a stream at the first gateway, and returns it with the version of its first event.
@@ -354,6 +375,53 @@
     assert_eq!(went_on.status, 200, "{went_on:?}");
 }
 
+/// Guards against refusing streams of a gateway that was killed before it listed a new version, and so told
+/// nobody of them.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_from_before_a_new_version_go_on() {
+    let mut service = MixedService::start_with(&["v1", "v1"]).await;
+    sleep(SETTLING_TIME).await;
+    let ids: Vec<_> = (0..STREAMS)
+        .map(|number| format!("first-{number}"))
+        .collect();
+    join_all(ids.iter().map(|id| service.begin(id))).await;
+    service.processes.kill_gateway(0).await;
+    service.add_endpoints(&["v2", "v2"]).await;
+    sleep(LISTING_TIME).await;
+    for id in &ids {
+        let client = service.processes.connect(1).await;
+        let received = take_up(client, &format!("next-{id}"), id).await;
+        assert_eq!(received.status, 200, "{received:?}");
+        assert_eq!(first_version(&received.body), "v1");
+    }
+}
+
+/// Guards against streams that begin at a version that other gateways may not have listed: these would take
+/// them for streams of the version before.
+#[tokio::test]
+async fn streams_begin_at_settled_versions() {
+    let (settled, new) = (streaming("v1").await, streaming("v2").await);
+    let before = [listed_as("a", "v1", &settled, false)];
+    let gateway = start_gateway(&before).await;
+    let after = [before[0].clone(), listed_as("b", "v2", &new, true)];
+    gateway.gw.directory.apply_list(&after);
+    gateway.gw.record_listed_versions(&after);
+    let mut client = Client::connect(gateway.addr).await;
+    client
+        .send("/resumed/x", "id", "content-length: 0\r\n")
+        .await;
+    while first_version(&client.read_some().await).is_empty() {}
+    assert_eq!((settled.received().len(), new.received().len()), (1, 0));
+    // Without a settled version there is no choice.
+    gateway.gw.directory.apply_list(&after[1..]);
+    let mut client = Client::connect(gateway.addr).await;
+    client
+        .send("/resumed/x", "id-2", "content-length: 0\r\n")
+        .await;
+    while first_version(&client.read_some().await).is_empty() {}
+    assert_eq!(new.received().len(), 1);
+}
+
 /// Guards against a guess: a stream of which no gateway knows the version, in a service with two.
 #[tokio::test(flavor = "multi_thread")]
 async fn unknown_stream_is_refused_at_once_while_versions_are_mixed() {
--- a/crates/anvil_policy/src/version_history.rs
+++ b/crates/anvil_policy/src/version_history.rs
@@ -7,8 +7,11 @@
 //! *Without it:* a router can't tell a service with one version, where each endpoint may continue each
 //! stream, from one in which it has to know where a stream began.
 //!
-//! *Mechanism:* a [`VersionHistory`] remembers when each version was last listed. If all routers have
-//! listed only one version for as long as a stream can be old, that version began it.
+//! *Mechanism:* a [`VersionHistory`] remembers when each version was first and last listed. If all
+//! routers have listed only one version for as long as a stream can be old, that version began it. A version
+//! is new for a settling time, in which all routers list it; until then streams that may be taken up
+//! begin elsewhere. So a stream that began before its router knew of the new version, and told nobody
+//! where, did not begin at that version.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -18,10 +21,19 @@
 /// When which versions of a service were listed.
 #[derive(Debug, Clone, Default)]
 pub struct VersionHistory {
-    last_listed: BTreeMap<SoftwareVersion, Now>,
+    listed: BTreeMap<SoftwareVersion, Listed>,
+    /// When the first list was recorded.
+    began: Option<Now>,
     recorded_at: Now,
 }
 
+/// When a version was listed.
+#[derive(Debug, Clone, Copy)]
+struct Listed {
+    first: Now,
+    last: Now,
+}
+
 impl VersionHistory {
     /// Records the versions of a list. Versions that were last listed more than `keep` ago are
     /// forgotten.
@@ -32,11 +44,17 @@
         keep: Duration,
     ) {
         self.recorded_at = now;
+        self.began.get_or_insert(now);
         for version in listed {
-            self.last_listed.insert(version.clone(), now);
+            let first_listed = Listed {
+                first: now,
+                last: now,
+            };
+            let entry = self.listed.entry(version.clone()).or_insert(first_listed);
+            entry.last = now;
         }
-        self.last_listed
-            .retain(|_, last_listed| now.saturating_sub(*last_listed) <= keep);
+        self.listed
+            .retain(|_, listed| now.saturating_sub(listed.last) <= keep);
     }
 
     /// The versions of the newest list.
@@ -55,11 +73,35 @@
     }
 
     fn listed_since(&self, from: Now) -> impl Iterator<Item = &SoftwareVersion> {
-        let listed = self.last_listed.iter();
-        let listed = listed.filter(move |(_, last_listed)| **last_listed >= from);
+        let listed = self.listed.iter();
+        let listed = listed.filter(move |(_, listed)| listed.last >= from);
         listed.map(|(version, _)| version)
     }
 
+    /// Of the versions that were listed within `span` before now, those that are not new. `None` in the
+    /// settling time after the first list, in which that can't be told.
+    pub fn settled_within(
+        &self,
+        now: Now,
+        span: Duration,
+        settling: Duration,
+    ) -> Option<impl Iterator<Item = &SoftwareVersion>> {
+        let began = self.began?;
+        (now.saturating_sub(began) >= settling).then(|| {
+            self.listed_within(now, span)
+                .filter(move |version| !self.is_new(now, version, settling))
+        })
+    }
+
+    /// Whether a version was first listed within `settling` before now, when others had been listed
+    /// before.
+    pub fn is_new(&self, now: Now, version: &SoftwareVersion, settling: Duration) -> bool {
+        let listed = self.listed.get(version);
+        listed.is_some_and(|listed| {
+            Some(listed.first) != self.began && now.saturating_sub(listed.first) < settling
+        })
+    }
+
     /// Whether more than one version was listed within `span` before now.
     pub fn is_mixed(&self, now: Now, span: Duration) -> bool {
         self.listed_within(now, span).nth(1).is_some()
--- a/crates/anvil_policy/tests/version_history.rs
+++ b/crates/anvil_policy/tests/version_history.rs
@@ -43,6 +43,23 @@
     assert_eq!(history.listed_within(s(25), SPAN).count(), 2);
 }
 
+/// Guards against streams of the moments before a rollout, which nobody was told of, counting as unknown;
+/// and against taking a version for new because the router is.
+#[test]
+fn new_versions_are_settled_after_a_while() {
+    let settling = s(3);
+    let history = history(&[(0..20, &["v1"]), (20..30, &["v1", "v2"])]);
+    let settled = |now| {
+        let settled = history.settled_within(now, SPAN, settling)?;
+        Some(settled.map(|version| &**version).collect::<Vec<_>>())
+    };
+    assert_eq!(settled(s(22)), Some(vec!["v1"]));
+    assert_eq!(settled(s(23)), Some(vec!["v1", "v2"]));
+    let restarted = self::history(&[(20..22, &["v1", "v2"])]);
+    assert!(restarted.settled_within(s(22), SPAN, settling).is_none());
+    assert!(!restarted.is_new(s(21), &"v2".into(), settling));
+}
+
 /// Guards against forgetting the versions of the newest list while no further one arrives.
 #[test]
 fn newest_list_holds_until_the_next() {
--- a/crates/anvil_wire/src/msg.rs
+++ b/crates/anvil_wire/src/msg.rs
@@ -12,7 +12,7 @@
     VersionRollout,
 };
 pub use listing::{ListCall, ListDigest, ListReply, ListRequest, ListUpdate, ListedEndpoint};
-pub use origins::{OriginCall, OriginReply, OriginRequest, StreamOrigin};
+pub use origins::{ListedVersions, OriginCall, OriginReply, OriginRequest, StreamOrigin};
 pub use router::{ClaimHolder, IdempotentClaim, RouterCall, RouterReply, RouterRequest};
 pub use sidecar::{
     EndpointLoad, Frame, OrderResult, Payment, ProbeAnswer, ReservationId, ResponseHead, RunEnd,
--- a/crates/anvil_wire/src/msg/origins.rs
+++ b/crates/anvil_wire/src/msg/origins.rs
@@ -48,6 +48,16 @@
     },
 }
 
+/// Versions of a service that a router's lists named within a time.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListedVersions {
+    /// All of them.
+    pub all: BTreeSet<SoftwareVersion>,
+    /// Those that have been listed for long enough to be known to all routers. `None` from a router whose
+    /// own lists don't reach back that far.
+    pub settled: Option<BTreeSet<SoftwareVersion>>,
+}
+
 /// A reply of a router.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OriginReply {
@@ -57,7 +67,7 @@
     Known {
         /// Where the stream began, if it is known.
         origin: Option<StreamOrigin>,
-        /// All versions of the service that lists named within the span.
-        versions: BTreeSet<SoftwareVersion>,
+        /// Versions of the service that lists named within the span.
+        versions: ListedVersions,
     },
 }
