--- a/crates/anvil_gateway/tests/direct/versions.rs
+++ b/crates/anvil_gateway/tests/direct/versions.rs
@@ -188,6 +188,16 @@
         *listed = format!("{listed}\n{added}");
     }
 
+    /// Opens several streams at the first gateway; each with its id, connection and version.
+    async fn begin_all(&self) -> Vec<(String, Client, String)> {
+        let begin = async |number| {
+            let id = format!("first-{number}");
+            let (client, version) = self.begin(&id).await;
+            (id, client, version)
+        };
+        join_all((0..STREAMS).map(begin)).await
+    }
+
     /// Opens a stream at the first gateway, and returns it with the version of its first event.
     async fn begin(&self, id: &str) -> (Client, String) {
         let mut client = self.processes.connect(0).await;
@@ -207,18 +217,15 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_of_a_killed_gateway_goes_on_at_its_version() {
     let mut service = MixedService::start().await;
-    let ids: Vec<_> = (0..STREAMS)
-        .map(|number| format!("first-{number}"))
-        .collect();
-    let begun = join_all(ids.iter().map(|id| service.begin(id))).await;
+    let begun = service.begin_all().await;
     sleep(TELLING_TIME).await;
     service.processes.kill_gateway(0).await;
-    for (number, (id, (_, version))) in ids.iter().zip(begun).enumerate() {
+    for (number, (id, _, version)) in begun.iter().enumerate() {
         let gateway = 1 + u8::try_from(number % 2).expect("a small number");
         let client = service.processes.connect(gateway).await;
         let received = take_up(client, &format!("next-{number}"), id).await;
         assert!(received.complete, "{received:?}");
-        let rest: String = (2..=LAST_EVENT).map(|id| event_of(&version, id)).collect();
+        let rest: String = (2..=LAST_EVENT).map(|id| event_of(version, id)).collect();
         assert_eq!(received.body, rest, "{id} began at {version}");
     }
 }
@@ -227,14 +234,11 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn gateway_that_has_just_started_asks_the_others() {
     let mut service = MixedService::start().await;
-    let ids: Vec<_> = (0..STREAMS)
-        .map(|number| format!("first-{number}"))
-        .collect();
-    let begun = join_all(ids.iter().map(|id| service.begin(id))).await;
+    let begun = service.begin_all().await;
     sleep(TELLING_TIME).await;
     service.processes.kill_gateway(0).await;
     service.processes.add_gateway(GATEWAYS).await;
-    for (id, (_, version)) in ids.iter().zip(begun) {
+    for (id, _, version) in &begun {
         let client = service.processes.connect(GATEWAYS).await;
         let received = take_up(client, &format!("next-{id}"), id).await;
         assert_eq!(received.status, 200, "{received:?}");
@@ -247,10 +251,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_are_told_again_to_restarted_gateways() {
     let mut service = MixedService::start().await;
-    let ids: Vec<_> = (0..STREAMS)
-        .map(|number| format!("first-{number}"))
-        .collect();
-    let begun = join_all(ids.iter().map(|id| service.begin(id))).await;
+    let begun = service.begin_all().await;
     sleep(TELLING_TIME).await;
     for gateway in 1..GATEWAYS {
         service.processes.restart_gateway(gateway).await;
@@ -258,7 +259,7 @@
     sleep(TELLING_TIME).await;
     service.processes.kill_gateway(0).await;
     let mut went_on = 0;
-    for (id, (_, version)) in ids.iter().zip(begun) {
+    for (id, _, version) in &begun {
         let client = service.processes.connect(1).await;
         let received = take_up(client, &format!("next-{id}"), id).await;
         if received.status == 200 {
@@ -381,14 +382,11 @@
 async fn streams_from_before_a_new_version_go_on() {
     let mut service = MixedService::start_with(&["v1", "v1"]).await;
     sleep(SETTLING_TIME).await;
-    let ids: Vec<_> = (0..STREAMS)
-        .map(|number| format!("first-{number}"))
-        .collect();
-    join_all(ids.iter().map(|id| service.begin(id))).await;
+    let begun = service.begin_all().await;
     service.processes.kill_gateway(0).await;
     service.add_endpoints(&["v2", "v2"]).await;
     sleep(LISTING_TIME).await;
-    for id in &ids {
+    for (id, ..) in &begun {
         let client = service.processes.connect(1).await;
         let received = take_up(client, &format!("next-{id}"), id).await;
         assert_eq!(received.status, 200, "{received:?}");
