Crash records are of contents, not of requests only

No logic changes: what a crash is blamed on is called a content from here on, as the log calls it already, so that it can be something else than a whole request. The field names of two commands change, which bincode doesn't write. Tests of the world, ledger, policy and gateway crates are green.

--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -63,7 +63,7 @@
     charge: Option<RequestCharge>,
     head: request::Parts,
     body: Bytes,
-    request_digest: RequestDigest,
+    request_digest: ContentDigest,
 }
 
 impl Admitted {
--- a/crates/anvil_gateway/src/crashes.rs
+++ b/crates/anvil_gateway/src/crashes.rs
@@ -30,7 +30,7 @@
     pub fn record_lost_response(
         self: &Arc<Self>,
         endpoint: &Arc<Endpoint>,
-        digest: RequestDigest,
+        digest: ContentDigest,
         progress: CrashedRun,
     ) {
         if endpoint.is_leaving() {
@@ -59,7 +59,7 @@
     }
 
     /// Records that an endpoint has answered a request completely.
-    pub fn record_answered(&self, digest: RequestDigest) {
+    pub fn record_answered(&self, digest: ContentDigest) {
         self.crash_watch()
             .record_answer(self.lifecycle.now(), digest);
         self.suspects.record_answered(digest);
@@ -76,7 +76,7 @@
     fn report_crash(
         &self,
         endpoint: &InstanceId,
-        digests: BTreeMap<RequestDigest, CrashedRun>,
+        digests: BTreeMap<ContentDigest, CrashedRun>,
         evidence: Option<Evidence>,
     ) {
         if digests.is_empty() {
@@ -98,7 +98,7 @@
     }
 
     /// Whether an endpoint answered a request shortly before.
-    pub fn was_recently_answered(&self, digest: RequestDigest) -> bool {
+    pub fn was_recently_answered(&self, digest: ContentDigest) -> bool {
         let now = self.lifecycle.now();
         self.crash_watch().was_recently_answered(now, digest)
     }
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -94,7 +94,7 @@
     /// The complete body.
     pub body: Bytes,
     /// Equal for requests that count as the same one.
-    pub request_digest: RequestDigest,
+    pub request_digest: ContentDigest,
 }
 
 impl Exchange {
--- a/crates/anvil_gateway/src/request_digest.rs
+++ b/crates/anvil_gateway/src/request_digest.rs
@@ -17,7 +17,7 @@
     method: &Method,
     uri: &Uri,
     body: &Bytes,
-) -> RequestDigest {
+) -> ContentDigest {
     let organisation = organisation.map_or("", |organisation| &*organisation.id);
     let path = uri.path_and_query().map_or("", |path| path.as_str());
     let mut hash = Sha256::new();
@@ -28,10 +28,10 @@
     }
     hash.update(body);
     let kept = hash.finalize().into_iter().take(DIGEST_BYTES);
-    kept.fold(0, |number, byte| number << 8 | RequestDigest::from(byte))
+    kept.fold(0, |number, byte| number << 8 | ContentDigest::from(byte))
 }
 
 /// The digest as hexadecimal text, for the log.
-pub fn to_hex(digest: RequestDigest) -> String {
+pub fn to_hex(digest: ContentDigest) -> String {
     format!("{digest:032x}")
 }
--- a/crates/anvil_gateway/src/suspects.rs
+++ b/crates/anvil_gateway/src/suspects.rs
@@ -28,7 +28,7 @@
 /// Requests under which endpoints crashed.
 #[derive(Default)]
 pub struct Suspects {
-    from_ledger: ArcSwap<BTreeMap<RequestDigest, LedgerSuspect>>,
+    from_ledger: ArcSwap<BTreeMap<ContentDigest, LedgerSuspect>>,
     pending: Mutex<PendingReports>,
     report_wanted: Notify,
 }
@@ -36,7 +36,7 @@
 /// A suspect request as the ledger reports it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct LedgerSuspect {
-    suspect: SuspectRequest,
+    suspect: SuspectContent,
     /// When the ledger first reported it to this gateway.
     learned_at: Now,
 }
@@ -71,13 +71,13 @@
 struct PendingReports {
     crashes: VecDeque<ReportCrash>,
     /// The same crashes, by request.
-    endpoints_by_request: BTreeMap<RequestDigest, BTreeMap<InstanceId, CrashedRun>>,
-    answered: BTreeSet<RequestDigest>,
+    endpoints_by_request: BTreeMap<ContentDigest, BTreeMap<InstanceId, CrashedRun>>,
+    answered: BTreeSet<ContentDigest>,
 }
 
 impl PendingReports {
     fn add(&mut self, crash: ReportCrash) {
-        for (request, run) in &crash.requests {
+        for (request, run) in &crash.contents {
             let endpoints = self.endpoints_by_request.entry(*request).or_default();
             endpoints.insert(crash.endpoint.clone(), *run);
         }
@@ -88,7 +88,7 @@
         let Some(crash) = self.crashes.pop_front() else {
             return;
         };
-        for (request, _) in &crash.requests {
+        for (request, _) in &crash.contents {
             if let Some(endpoints) = self.endpoints_by_request.get_mut(request) {
                 endpoints.remove(&crash.endpoint);
             }
@@ -104,7 +104,7 @@
     pub fn record_crash(
         &self,
         endpoint: &InstanceId,
-        requests: BTreeMap<RequestDigest, CrashedRun>,
+        requests: BTreeMap<ContentDigest, CrashedRun>,
     ) -> bool {
         let mut pending = self.pending();
         let is_full = pending.crashes.len() >= MAX_PENDING_CRASHES;
@@ -113,7 +113,7 @@
         }
         pending.add(ReportCrash {
             endpoint: endpoint.clone(),
-            requests: requests.into_iter().collect(),
+            contents: requests.into_iter().collect(),
             // The ledger's leader sets the time.
             at: UNIX_EPOCH,
         });
@@ -122,7 +122,7 @@
     }
 
     /// Why a request is not sent to endpoints; `None` if it may be sent.
-    pub fn quarantine(&self, request: RequestDigest) -> Option<Quarantine> {
+    pub fn quarantine(&self, request: ContentDigest) -> Option<Quarantine> {
         let reported = self.from_ledger.load();
         let reported = reported.get(&request);
         let pending = {
@@ -138,7 +138,7 @@
         }
         let now = SystemTime::now();
         let suspect = reported.map(|reported| reported.suspect.clone());
-        let mut suspect = suspect.unwrap_or_else(|| SuspectRequest::new(now));
+        let mut suspect = suspect.unwrap_or_else(|| SuspectContent::new(now));
         for (endpoint, run) in pending.into_iter().flatten() {
             suspect.record_crash(&endpoint, run, now);
         }
@@ -153,7 +153,7 @@
     }
 
     /// Records that an endpoint answered a request, so the earlier crashes had another cause.
-    pub fn record_answered(&self, request: RequestDigest) {
+    pub fn record_answered(&self, request: ContentDigest) {
         let mut pending = self.pending();
         let is_suspect = self.from_ledger.load().contains_key(&request)
             || pending.endpoints_by_request.contains_key(&request);
@@ -185,8 +185,8 @@
         if pending.answered.is_empty() {
             return None;
         }
-        let requests = pending.answered.iter().copied().collect();
-        Some(Command::ClearSuspects(ClearSuspects { requests }))
+        let contents = pending.answered.iter().copied().collect();
+        Some(Command::ClearSuspects(ClearSuspects { contents }))
     }
 
     fn mark_accepted(&self, report: &Command) {
@@ -199,19 +199,19 @@
             Command::ClearSuspects(accepted) => {
                 pending
                     .answered
-                    .retain(|request| !accepted.requests.contains(request));
+                    .retain(|request| !accepted.contents.contains(request));
             }
             _ => {}
         }
     }
 }
 
-fn endpoints_of(suspect: &SuspectRequest) -> Vec<InstanceId> {
+fn endpoints_of(suspect: &SuspectContent) -> Vec<InstanceId> {
     let crashes = suspect.crashes.iter();
     crashes.map(|crash| crash.endpoint.clone()).collect()
 }
 
-fn is_quarantined(suspect: &SuspectRequest, now: SystemTime) -> bool {
+fn is_quarantined(suspect: &SuspectContent, now: SystemTime) -> bool {
     !suspect.quarantine_remaining(now).is_zero()
 }
 
@@ -219,7 +219,7 @@
     /// Applies the suspects reported by the ledger. A request that an endpoint answered here
     /// shortly before is cleared: when a zone loses power, equal requests from many clients were in
     /// flight at several endpoints.
-    pub fn apply_ledger_suspects(&self, reported: &BTreeMap<RequestDigest, SuspectRequest>) {
+    pub fn apply_ledger_suspects(&self, reported: &BTreeMap<ContentDigest, SuspectContent>) {
         let previous = self.suspects.from_ledger.load_full();
         let known = previous
             .iter()
@@ -256,7 +256,7 @@
 
     fn log_new_quarantine(
         &self,
-        request: RequestDigest,
+        request: ContentDigest,
         known: Option<&LedgerSuspect>,
         entry: &LedgerSuspect,
     ) {
--- a/crates/anvil_gateway/src/trace.rs
+++ b/crates/anvil_gateway/src/trace.rs
@@ -27,7 +27,7 @@
     first_piece_at: Option<Duration>,
     longest_gap: Duration,
     cost: u64,
-    request_digest: Option<RequestDigest>,
+    request_digest: Option<ContentDigest>,
     outcome: Option<&'static str>,
 }
 
@@ -91,7 +91,7 @@
     }
 
     /// Records the digest that is equal for equal requests.
-    pub fn record_digest(&mut self, request_digest: RequestDigest) {
+    pub fn record_digest(&mut self, request_digest: ContentDigest) {
         self.request_digest = Some(request_digest);
     }
 
--- a/crates/anvil_gateway/tests/direct/crashing.rs
+++ b/crates/anvil_gateway/tests/direct/crashing.rs
@@ -279,7 +279,7 @@
     gateway: &TestGateway,
     path: &str,
     key: Option<&str>,
-) -> BTreeMap<RequestDigest, SuspectRequest> {
+) -> BTreeMap<ContentDigest, SuspectContent> {
     let table = gateway.gw.table.load_full().expect("a table");
     let route = table.route("shop", path).expect("a route").clone();
     let organisation = key.and_then(|key| table.organisation(key).cloned());
@@ -292,7 +292,7 @@
         &uri,
         &body,
     );
-    let mut suspect = SuspectRequest::new(SystemTime::now());
+    let mut suspect = SuspectContent::new(SystemTime::now());
     for endpoint in ["x", "y", "z"] {
         suspect.record_crash(&endpoint.into(), CrashedRun::BeforeOutput, suspect.since);
     }
--- a/crates/anvil_gateway/tests/request_digest.rs
+++ b/crates/anvil_gateway/tests/request_digest.rs
@@ -16,7 +16,7 @@
     method: &Method,
     path: &str,
     body: &str,
-) -> RequestDigest {
+) -> ContentDigest {
     let organisation = Organisation {
         id: organisation.into(),
         priority_class: None,
--- a/crates/anvil_ledger/src/state/recent_changes.rs
+++ b/crates/anvil_ledger/src/state/recent_changes.rs
@@ -19,7 +19,7 @@
     /// A fenced router.
     Fence(InstanceId),
     /// A request during which endpoints crashed.
-    Suspect(RequestDigest),
+    Suspect(ContentDigest),
     /// A limit that an endpoint announced.
     Limit(InstanceId),
 }
--- a/crates/anvil_ledger/tests/suspects.rs
+++ b/crates/anvil_ledger/tests/suspects.rs
@@ -19,15 +19,15 @@
     UNIX_EPOCH + Duration::from_secs(1_700_000_000 + second)
 }
 
-fn crash(endpoint: &str, requests: &[RequestDigest], second: u64) -> ReportCrash {
+fn crash(endpoint: &str, requests: &[ContentDigest], second: u64) -> ReportCrash {
     ReportCrash {
         endpoint: endpoint.into(),
-        requests: requests.iter().map(|request| (*request, RUN)).collect(),
+        contents: requests.iter().map(|request| (*request, RUN)).collect(),
         at: at(second),
     }
 }
 
-fn is_quarantined(suspects: &Suspects, request: RequestDigest, second: u64) -> bool {
+fn is_quarantined(suspects: &Suspects, request: ContentDigest, second: u64) -> bool {
     let left = suspects
         .get(request)
         .map(|suspect| suspect.quarantine_remaining(at(second)));
@@ -69,7 +69,7 @@
         suspects.report(&crash(endpoint, &[1, 2], 0));
     }
     let clear = ClearSuspects {
-        requests: vec![1, 9],
+        contents: vec![1, 9],
     };
     assert_eq!(suspects.clear(&clear), BTreeSet::from([1]));
     assert!(!is_quarantined(&suspects, 1, 9) && is_quarantined(&suspects, 2, 9));
@@ -107,7 +107,7 @@
     let mut suspects = Suspects::default();
     for (number, endpoint) in (1..).zip(["a", "b", "c", "d", "e", "f"]) {
         suspects.report(&ReportCrash {
-            requests: vec![(1, CrashedRun::AfterOutput), (2, RUN)],
+            contents: vec![(1, CrashedRun::AfterOutput), (2, RUN)],
             ..crash(endpoint, &[], 0)
         });
         assert_eq!(is_quarantined(&suspects, 1, 9), number == 6);
--- a/crates/anvil_policy/src/crash.rs
+++ b/crates/anvil_policy/src/crash.rs
@@ -65,9 +65,9 @@
 #[derive(Debug, Default)]
 pub struct CrashWatch {
     endpoints: BTreeMap<InstanceId, EndpointLosses>,
-    answered_at: BTreeMap<RequestDigest, Now>,
+    answered_at: BTreeMap<ContentDigest, Now>,
     /// The same answers, oldest first; a request that was answered again occurs again.
-    answer_order: VecDeque<(Now, RequestDigest)>,
+    answer_order: VecDeque<(Now, ContentDigest)>,
 }
 
 #[derive(Debug)]
@@ -75,7 +75,7 @@
     updated_at: Now,
     probed_at: Option<Now>,
     has_crashed: bool,
-    requests: BTreeMap<RequestDigest, CrashedRun>,
+    requests: BTreeMap<ContentDigest, CrashedRun>,
 }
 
 impl CrashWatch {
@@ -85,7 +85,7 @@
         &mut self,
         now: Now,
         endpoint: &InstanceId,
-        request: RequestDigest,
+        request: ContentDigest,
         run: CrashedRun,
     ) -> LostAnswerAction {
         self.prune(now);
@@ -115,7 +115,7 @@
         &mut self,
         now: Now,
         endpoint: &InstanceId,
-    ) -> BTreeMap<RequestDigest, CrashedRun> {
+    ) -> BTreeMap<ContentDigest, CrashedRun> {
         self.prune(now);
         let losses = self.losses(now, endpoint);
         losses.has_crashed = true;
@@ -135,13 +135,13 @@
     }
 
     /// Whether an endpoint has answered a request recently.
-    pub fn was_recently_answered(&mut self, now: Now, request: RequestDigest) -> bool {
+    pub fn was_recently_answered(&mut self, now: Now, request: ContentDigest) -> bool {
         self.prune_answers(now);
         self.answered_at.contains_key(&request)
     }
 
     /// Records that an endpoint has answered a request.
-    pub fn record_answer(&mut self, now: Now, request: RequestDigest) {
+    pub fn record_answer(&mut self, now: Now, request: ContentDigest) {
         self.answered_at.insert(request, now);
         self.answer_order.push_back((now, request));
         self.prune_answers(now);
--- a/crates/anvil_wire/src/msg/ledger.rs
+++ b/crates/anvil_wire/src/msg/ledger.rs
@@ -121,8 +121,8 @@
         members: BTreeMap<InstanceId, Member>,
         /// Routers whose grants are refused, with the newest fenced incarnation.
         fenced: BTreeMap<InstanceId, Incarnation>,
-        /// Suspect requests.
-        suspects: BTreeMap<RequestDigest, SuspectRequest>,
+        /// Suspect contents.
+        suspects: BTreeMap<ContentDigest, SuspectContent>,
         /// Rate limits that endpoints announced.
         limits: BTreeMap<InstanceId, EndpointLimit>,
     },
@@ -136,8 +136,8 @@
         members: Vec<(InstanceId, Option<Member>)>,
         /// Newly fenced routers.
         fenced: Vec<(InstanceId, Incarnation)>,
-        /// Suspect requests.
-        suspects: Vec<(RequestDigest, Option<SuspectRequest>)>,
+        /// Suspect contents.
+        suspects: Vec<(ContentDigest, Option<SuspectContent>)>,
         /// Rate limits that endpoints announced.
         limits: Vec<(InstanceId, Option<EndpointLimit>)>,
     },
--- a/crates/anvil_world/src/ids.rs
+++ b/crates/anvil_world/src/ids.rs
@@ -55,7 +55,7 @@
 pub type BodyHash = [u8; 32];
 /// Request rate, in requests per thousand seconds.
 pub type RateLimit = u64;
-/// The first 128 bits of a SHA-256 over everything that identifies a request's content.
-pub type RequestDigest = u128;
+/// What a crash can be blamed on: a whole request, or one part of prompts.
+pub type ContentDigest = u128;
 /// Time since the process started; the clock of the state machines.
 pub type Now = Duration;
--- a/crates/anvil_world/src/prelude.rs
+++ b/crates/anvil_world/src/prelude.rs
@@ -10,6 +10,6 @@
 pub use crate::outcome::{Malformed, Outcome, Reason, Refusal, RequestKey, UnknownCause};
 pub use crate::path::TreePath;
 pub use crate::settings::SettingsError;
-pub use crate::suspect::SuspectRequest;
+pub use crate::suspect::SuspectContent;
 pub use crate::tree::TreeEntry;
 pub use crate::zone::Zone;
--- a/crates/anvil_world/src/suspect.rs
+++ b/crates/anvil_world/src/suspect.rs
@@ -1,8 +1,8 @@
-//! Suspect requests: requests that were in flight on endpoints when these crashed, and that no
-//! endpoint has answered since.
+//! Suspect contents: whole requests that were in flight on endpoints when these crashed, or parts of
+//! their prompts, that no endpoint has answered since.
 //!
-//! Each crash adds a weight. From a minimum weight on the request is quarantined: it is not sent to
-//! endpoints for a time, so that one request can't crash them one after the other.
+//! Each crash adds a weight. From a minimum weight on the content is quarantined: requests with it are
+//! not sent to endpoints for a time, so that they can't crash them one after the other.
 
 use std::time::{Duration, SystemTime};
 
@@ -10,10 +10,10 @@
 
 use crate::ids::InstanceId;
 
-/// Weight from which a request is quarantined: three crashes before its run had any output. One or two
+/// Weight from which a content is quarantined: three crashes before its run had any output. One or two
 /// crashes may have had another cause, or come from another request waiting on the same endpoint.
 pub const QUARANTINE_MIN_WEIGHT: u32 = 6;
-/// How long a request is quarantined after its last crash.
+/// How long a content is quarantined after its last crash.
 pub const QUARANTINE_TIME: Duration = Duration::from_hours(1);
 /// How long crashes are kept after the last one. Within this time a single further crash renews an
 /// expired quarantine.
@@ -32,7 +32,7 @@
 }
 
 impl CrashedRun {
-    /// How strongly the crash counts against the request.
+    /// How strongly the crash counts against the request's contents.
     pub fn weight(self) -> u32 {
         match self {
             Self::AfterOutput => 1,
@@ -52,16 +52,16 @@
     pub at: SystemTime,
 }
 
-/// The crash record of one suspect request.
+/// The crash record of one suspect content.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SuspectRequest {
+pub struct SuspectContent {
     /// Its crashes, no more than are needed for the quarantine.
     pub crashes: Vec<Crash>,
     /// When the last one was reported, by the ledger's clock.
     pub since: SystemTime,
 }
 
-impl SuspectRequest {
+impl SuspectContent {
     /// A record without crashes.
     pub fn new(since: SystemTime) -> Self {
         Self {
@@ -97,7 +97,7 @@
         self.crashes.iter().map(|crash| crash.run.weight()).sum()
     }
 
-    /// Remaining quarantine time; zero when the request may be dispatched.
+    /// Remaining quarantine time; zero when requests with the content may be dispatched.
     pub fn quarantine_remaining(&self, now: SystemTime) -> Duration {
         if self.weight() < QUARANTINE_MIN_WEIGHT {
             return Duration::ZERO;
--- a/crates/anvilreel/src/ledger_view.rs
+++ b/crates/anvilreel/src/ledger_view.rs
@@ -21,7 +21,7 @@
     /// Fenced routers, whose grants are refused, with the newest fenced incarnation of each.
     pub fenced: BTreeMap<InstanceId, Incarnation>,
     /// Requests that endpoints crashed on.
-    pub suspects: BTreeMap<RequestDigest, SuspectRequest>,
+    pub suspects: BTreeMap<ContentDigest, SuspectContent>,
     /// Rate limits that endpoints announced.
     pub limits: BTreeMap<InstanceId, EndpointLimit>,
 }
--- a/crates/anvilreel/tests/ledger_followers_and_evidence.rs
+++ b/crates/anvilreel/tests/ledger_followers_and_evidence.rs
@@ -262,7 +262,7 @@
     for endpoint in ["a", "b"] {
         ledger.apply(&Command::ReportCrash(ReportCrash {
             endpoint: endpoint.into(),
-            requests: vec![(7, CrashedRun::BeforeOutput)],
+            contents: vec![(7, CrashedRun::BeforeOutput)],
             at: SystemTime::now(),
         }))?;
     }
@@ -274,8 +274,8 @@
     let full = follower(FollowScope::Router, 0).catch_up(&ledger.machine);
     ledger_view.apply(full.ok_or("an event")?);
     assert_eq!(ledger_view.suspects[&7].crashes.len(), 2);
-    let requests = vec![7];
-    ledger.apply(&Command::ClearSuspects(ClearSuspects { requests }))?;
+    let contents = vec![7];
+    ledger.apply(&Command::ClearSuspects(ClearSuspects { contents }))?;
     let delta = follower(FollowScope::Router, ledger_view.version).catch_up(&ledger.machine);
     ledger_view.apply(delta.ok_or("an event")?);
     assert!(ledger_view.suspects.is_empty());
