--- a/crates/anvil_gateway/src/exchange/outcome.rs
+++ b/crates/anvil_gateway/src/exchange/outcome.rs
@@ -65,7 +65,8 @@
         run: CrashedRun,
         reason: &str,
     ) {
-        self.trace.record_digest(self.request_digest);
+        let parts = self.prompt_parts.iter().map(|(part, _)| *part);
+        self.trace.record_lost_contents(self.request_digest, parts);
         self.record_endpoint_failure(endpoint, reason);
         self.gw
             .record_lost_response(endpoint, self.request_digest, run);
--- a/crates/anvil_gateway/src/trace.rs
+++ b/crates/anvil_gateway/src/trace.rs
@@ -9,6 +9,7 @@
 use anvilreel::event;
 use tokio::time::Instant;
 
+use crate::dialect::PartId;
 use crate::gateway::Gateway;
 use crate::log_events as events;
 use crate::metrics;
@@ -27,13 +28,23 @@
     first_piece_at: Option<Duration>,
     longest_gap: Duration,
     cost: u64,
-    request_digest: Option<ContentDigest>,
+    lost_contents: Option<LostContents>,
     outcome: Option<&'static str>,
 }
 
+/// Maximum number of parts of a prompt in one log line.
+const MAX_LOGGED_PARTS: usize = 16;
 /// No steps are added beyond this many bytes; a normal request has only a few steps.
 const MAX_STEPS_BYTES: usize = 1_024;
 
+/// What a request consists of whose response was lost, for the log.
+struct LostContents {
+    /// Equal for equal requests.
+    request: String,
+    /// The parts of its prompt.
+    parts: String,
+}
+
 impl Trace {
     /// Starts the trace of a request that has just arrived.
     pub fn new(gw: Arc<Gateway>, id: Arc<str>, started_at: Instant) -> Self {
@@ -49,7 +60,7 @@
             first_piece_at: None,
             longest_gap: Duration::ZERO,
             cost: 0,
-            request_digest: None,
+            lost_contents: None,
             outcome: None,
         }
     }
@@ -90,9 +101,20 @@
         self.cost = tokens;
     }
 
-    /// Records the digest that is equal for equal requests.
-    pub fn record_digest(&mut self, request_digest: ContentDigest) {
-        self.request_digest = Some(request_digest);
+    /// Records what the request consists of, because an endpoint lost its response.
+    pub fn record_lost_contents(
+        &mut self,
+        request_digest: ContentDigest,
+        prompt_parts: impl Iterator<Item = PartId>,
+    ) {
+        self.lost_contents.get_or_insert_with(|| {
+            let logged = prompt_parts.take(MAX_LOGGED_PARTS);
+            let parts: Vec<_> = logged.map(|part| format!("{part:x}")).collect();
+            LostContents {
+                request: request_digest::to_hex(request_digest),
+                parts: parts.join(" "),
+            }
+        });
     }
 
     /// Records the outcome. Only the first call has an effect.
@@ -126,11 +148,12 @@
                 "first_ms" => first_ms, "pause_ms" => longest_gap_ms, "took_ms" => took_ms, "billed" => self.cost, "steps" => &*self.steps
             );
         } else {
+            let lost = self.lost_contents.as_ref();
             event!(
                 log, events::GATEWAY_REQUEST_FAILED,
                 "request" => &*self.id, "outcome" => outcome, "route" => self.route.as_deref(),
                 "organisation" => self.organisation.as_deref(), "table" => self.table_version,
-                "held_ms" => since_confirmed_ms, "content" => self.request_digest.map(request_digest::to_hex),
+                "held_ms" => since_confirmed_ms, "content" => lost.map(|lost| &*lost.request), "parts" => lost.map(|lost| &*lost.parts),
                 "first_ms" => first_ms, "pause_ms" => longest_gap_ms, "took_ms" => took_ms, "billed" => self.cost, "steps" => &*self.steps
             );
         }
--- a/crates/anvil_gateway/tests/direct/dialect.rs
+++ b/crates/anvil_gateway/tests/direct/dialect.rs
@@ -28,13 +28,14 @@
     let model_work = text(headers, "x-tokens").and_then(|tokens| {
         let (prompt, max_output) = tokens.split_once(',')?;
         let prompt = prompt.parse().ok()?;
+        let own_part = PromptPart {
+            id: 1,
+            tokens: prompt,
+        };
         Some(ModelWork {
             prompt,
             max_output: max_output.parse().ok()?,
-            parts: vec![PromptPart {
-                id: 1,
-                tokens: prompt,
-            }],
+            parts: text(headers, "x-parts").map_or(vec![own_part], parse_parts),
         })
     });
     Ok(RequestHead {
@@ -47,6 +48,18 @@
     })
 }
 
+/// Parts as `ID:TOKENS`, separated by commas.
+fn parse_parts(parts: &str) -> Vec<PromptPart> {
+    let part = |part: &str| {
+        let (id, tokens) = part.split_once(':')?;
+        Some(PromptPart {
+            id: id.parse().ok()?,
+            tokens: tokens.parse().ok()?,
+        })
+    };
+    parts.split(',').filter_map(part).collect()
+}
+
 fn forward_headers(client: &HeaderMap, forwarded: &ForwardedHead<'_>) -> HeaderMap {
     let mut headers = client.clone();
     for name in ["connection", "content-length", "x-key"] {
--- a/crates/anvil_gateway/tests/direct/explanations.rs
+++ b/crates/anvil_gateway/tests/direct/explanations.rs
@@ -137,10 +137,13 @@
     let crashing = TestEndpoint::start(|_, _| vec![Step::Crash]).await;
     let (gateway, log_output, _) = start_logged(&[("engine-1", &crashing)]).await;
     let mut client = Client::connect(gateway.addr).await;
-    assert_eq!(client.request("/once/x", "crash-1", "").await.status, 502);
+    let headers = "x-tokens: 30,30\r\nx-parts: 255:20,17:10\r\n";
+    let response = client.request("/once/x", "crash-1", headers).await;
+    assert_eq!(response.status, 502);
     let explanation = log_output.explain("crash-1").await;
     let line = explanation.lines.last().expect("the request's line");
     let content = &line.values["content"];
+    assert_eq!(line.values["parts"], "ff 11");
     let text = log_output.text();
     let crash = text
         .lines()
