Red: requests with a part that crashes endpoints are sent on, no two of them alike

Known red until the mend.

The endpoints that crash and return have a module of their own, for both files of tests; a prompt's parts and each path are the test's to choose.

--- a/crates/anvil_gateway/tests/direct/crashing.rs
+++ b/crates/anvil_gateway/tests/direct/crashing.rs
@@ -11,82 +11,23 @@
 use tokio::time::{Instant, sleep};
 
 use crate::client::{Client, ClientResponse};
+use crate::crashing_endpoints::{CrashingEndpoints, KNOWN_WITHIN, TOLERATED_LATE_ARRIVALS};
 use crate::endpoint::{
     ReceivedRequest, Step, TestEndpoint, chunk, event, not_run, response, stream_end, stream_head,
 };
 use crate::gateway::{TestGateway, listed};
 use crate::processes::{GATEWAYS, Processes, serve_list};
 
-/// Endpoints that run concurrently.
-const ENDPOINTS: usize = 6;
 /// Body of the request that crashes each endpoint that begins to run it.
 const CRASHING_BODY: &str = "crash";
-/// A crashed endpoint stays on the list for this time.
-const DELISTED_AFTER: Duration = Duration::from_millis(500);
-/// A crashed endpoint returns as a new incarnation after this time.
-const RESTARTED_AFTER: Duration = Duration::from_millis(700);
 /// Endpoints that may crash under a request before it must be quarantined.
 const QUARANTINE_CRASHES: usize = 3;
-/// Time in which all gateways learn of the quarantine.
-const KNOWN_WITHIN: Duration = Duration::from_secs(3);
-/// Later arrivals that are tolerated.
-const TOLERATED_LATE_CRASHES: usize = 3;
 
-/// The endpoints of one test, and when they crashed.
-#[derive(Clone, Default)]
-struct Endpoints {
-    listed: Arc<Mutex<BTreeMap<String, SocketAddr>>>,
-    crashes: Arc<Mutex<Vec<Instant>>>,
-    started: Arc<Mutex<usize>>,
-}
-
-impl Endpoints {
-    async fn start(&self) {
-        let endpoints = self.clone();
-        let number = {
-            let mut started = self.started.lock().expect("a number");
-            *started += 1;
-            *started
-        };
-        let id = format!("life-{number}");
-        let name = id.clone();
-        let endpoint = TestEndpoint::start(move |_, req| endpoints.behave(&name, req)).await;
-        let mut listed = self.listed.lock().expect("a list");
-        listed.insert(id, endpoint.addr);
-    }
-
-    fn behave(&self, id: &str, req: &ReceivedRequest) -> Vec<Step> {
-        if req.body != CRASHING_BODY.as_bytes() {
-            return vec![Step::Send(response(req, "ran"))];
-        }
-        self.crashes.lock().expect("times").push(Instant::now());
-        let (endpoints, id) = (self.clone(), id.to_owned());
-        tokio::spawn(async move {
-            sleep(DELISTED_AFTER).await;
-            endpoints.listed.lock().expect("a list").remove(&id);
-            sleep(RESTARTED_AFTER.saturating_sub(DELISTED_AFTER)).await;
-            endpoints.start().await;
-        });
+fn behave(req: &ReceivedRequest) -> Vec<Step> {
+    if req.body == CRASHING_BODY.as_bytes() {
         vec![Step::Crash]
-    }
-
-    fn crashes(&self) -> Vec<Instant> {
-        self.crashes.lock().expect("times").clone()
-    }
-
-    fn list_text(&self) -> String {
-        let listed = self.listed.lock().expect("a list");
-        let lines = listed.iter().map(|(id, addr)| format!("{id} {addr}\n"));
-        lines.collect()
-    }
-
-    /// A ledger and gateways in front of them.
-    async fn start_processes(&self) -> Processes {
-        for _ in 0..ENDPOINTS {
-            self.start().await;
-        }
-        let endpoints = self.clone();
-        Processes::start(move || endpoints.list_text()).await
+    } else {
+        vec![Step::Send(response(req, "ran"))]
     }
 }
 
@@ -102,28 +43,18 @@
     }
 }
 
-/// Number of arrivals after all gateways must know of the earlier crashes.
-fn late_crashes(endpoints: &Endpoints) -> usize {
-    let crashes = endpoints.crashes();
-    let Some(last) = crashes.get(QUARANTINE_CRASHES - 1) else {
-        return 0;
-    };
-    let is_late = |at: &&Instant| **at > *last + KNOWN_WITHIN;
-    crashes.iter().filter(is_late).count()
-}
-
 /// Guards against a request crashing one endpoint after the other as its clients retry at any
 /// gateway.
 #[tokio::test(flavor = "multi_thread")]
 async fn request_that_crashes_endpoints_is_quarantined_at_all_gateways() {
-    let endpoints = Endpoints::default();
+    let endpoints = CrashingEndpoints::new(behave);
     let processes = endpoints.start_processes().await;
     for path in ["/once/x", "/idempotent/x"] {
-        endpoints.crashes.lock().expect("times").clear();
+        endpoints.forget_arrivals();
         send_repeatedly(&processes, path, KNOWN_WITHIN + KNOWN_WITHIN).await;
-        let late = late_crashes(&endpoints);
+        let late = endpoints.late_arrivals(QUARANTINE_CRASHES);
         assert!(
-            late <= TOLERATED_LATE_CRASHES,
+            late <= TOLERATED_LATE_ARRIVALS,
             "{path}: {late} more endpoints crashed"
         );
         let response = processes.send_request(0, path, CRASHING_BODY).await;
@@ -136,14 +67,14 @@
 /// Guards against a power failure erasing which requests crash endpoints.
 #[tokio::test(flavor = "multi_thread")]
 async fn quarantine_survives_a_power_failure() {
-    let endpoints = Endpoints::default();
+    let endpoints = CrashingEndpoints::new(behave);
     let mut processes = endpoints.start_processes().await;
     send_repeatedly(&processes, "/once/x", KNOWN_WITHIN).await;
     processes.lose_power().await;
     send_repeatedly(&processes, "/once/x", KNOWN_WITHIN).await;
-    let late = late_crashes(&endpoints);
+    let late = endpoints.late_arrivals(QUARANTINE_CRASHES);
     assert!(
-        late <= TOLERATED_LATE_CRASHES,
+        late <= TOLERATED_LATE_ARRIVALS,
         "{late} more endpoints crashed"
     );
 }
--- a/crates/anvil_gateway/tests/direct/main.rs
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -3,6 +3,7 @@
 mod charging;
 mod client;
 mod crashing;
+mod crashing_endpoints;
 mod dialect;
 mod endpoint;
 mod evacuating;
@@ -13,6 +14,7 @@
 mod missing_endpoints;
 mod pausing;
 mod processes;
+mod prompt_parts;
 mod regions;
 mod responses;
 mod siblings;
--- a/crates/anvil_gateway/tests/direct/processes.rs
+++ b/crates/anvil_gateway/tests/direct/processes.rs
@@ -77,6 +77,10 @@
     })
 }
 
+fn new_id() -> String {
+    format!("id-{:x}", rand::random::<u64>())
+}
+
 /// A gateway in its own runtime, which ends together with all its tasks.
 struct GatewayProcess {
     runtime: Option<Runtime>,
@@ -298,10 +302,20 @@
 
     /// Sends one request to a gateway; status 0 if it does not answer.
     pub async fn send_request(&self, gateway: u8, path: &str, body: &str) -> ClientResponse {
-        let id = format!("id-{:x}", rand::random::<u64>());
         let Ok(mut client) = Client::try_connect(self.client_addr(gateway)).await else {
             return ClientResponse::default();
         };
-        client.request_with_body(path, &id, body).await
+        client.request_with_body(path, &new_id(), body).await
+    }
+
+    /// Sends a prompt with these parts to a gateway, at a path of its own; status 0 if the gateway does
+    /// not answer.
+    pub async fn send_prompt(&self, gateway: u8, route: &str, parts: &str) -> ClientResponse {
+        let Ok(mut client) = Client::try_connect(self.client_addr(gateway)).await else {
+            return ClientResponse::default();
+        };
+        let headers = format!("x-tokens: 200,30\r\nx-parts: {parts}\r\n");
+        let id = new_id();
+        client.request(&format!("{route}{id}"), &id, &headers).await
     }
 }
