--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -15,13 +15,14 @@
 
 use crate::attempt_counter::AttemptCounter;
 use crate::availability;
-use crate::dialect::RequestHead;
+use crate::dialect::{PartId, RequestHead};
 use crate::exchange::{DEFAULT_RETRY_AFTER, Exchange, RequestRefusal};
 use crate::gateway::Gateway;
 use crate::metrics;
 use crate::reply::{Cause, Reply, refusal};
 use crate::request_charge::RequestCharge;
 use crate::request_digest;
+use crate::suspects;
 use crate::table::{Organisation, Route, RouteTable};
 use crate::trace::Trace;
 
@@ -64,6 +65,7 @@
     head: request::Parts,
     body: Bytes,
     request_digest: ContentDigest,
+    shared_parts: Vec<PartId>,
 }
 
 impl Admitted {
@@ -80,6 +82,7 @@
             gw,
             regions,
             prompt_parts: prompt_parts.unwrap_or_default(),
+            shared_parts: self.shared_parts,
             request: self.request,
             route: self.route,
             organisation: self.organisation,
@@ -128,6 +131,16 @@
     let service = gw
         .pick_service(&route)
         .ok_or((Cause::NoEndpoint, DEFAULT_RETRY_AFTER))?;
+    let work = request.model_work.iter();
+    let parts: Vec<_> = work
+        .flat_map(|work| &work.parts)
+        .map(|part| part.id)
+        .collect();
+    let shared_parts = suspects::shared_parts(parts.into_iter());
+    if let Some(quarantine) = gw.quarantine_at_service(&service, &shared_parts) {
+        trace.step(format_args!("in quarantine: {quarantine}"));
+        return Err((Cause::CrashesEndpoints, quarantine.time_left));
+    }
     let engine = table.services.get(&service).and_then(|s| s.engine);
     let tokens_per_event = engine.map_or(1, |engine| engine.tokens_per_event.max(1));
     let charge = reserve(gw, organisation.as_deref(), &request, deadline, trace).await?;
@@ -142,6 +155,7 @@
         head,
         body,
         request_digest,
+        shared_parts,
     })
 }
 
--- a/crates/anvil_gateway/src/attempt.rs
+++ b/crates/anvil_gateway/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvil_world::prelude::*;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Uri, response};
 use http_body_util::Full;
@@ -11,7 +12,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::connection_watch::ConnectionWatch;
-use crate::dialect::ResponseHead;
+use crate::dialect::{PartId, ResponseHead};
 use crate::endpoint::{Endpoint, EndpointSlot};
 use crate::gateway::Gateway;
 use crate::late_response::LateHandler;
@@ -95,6 +96,10 @@
     pub body: Bytes,
     /// Id that the response must carry.
     pub id: &'a str,
+    /// Equal for equal requests.
+    pub request_digest: ContentDigest,
+    /// The parts that its prompt shares with others.
+    pub shared_parts: &'a [PartId],
     /// The response head is awaited until then.
     pub response_deadline: Instant,
     /// Set to the connection on which the request is sent.
@@ -127,8 +132,11 @@
                 return AttemptOutcome::NotRun(NotRun::Unreachable(e.to_string()));
             }
         };
-        // The endpoint may have asked for a pause since it was selected.
-        if !endpoint.accepts_requests(gw.lifecycle.now()) {
+        // Since it was selected, the endpoint may have asked for a pause, and others may have crashed
+        // under the same content.
+        if !endpoint.accepts_requests(gw.lifecycle.now())
+            || is_quarantined(gw, &endpoint, &outgoing)
+        {
             if !connection.reused {
                 endpoint.pool.put(connection.sender, connection.watch, None);
             }
@@ -189,6 +197,11 @@
     }
 }
 
+fn is_quarantined(gw: &Gateway, endpoint: &Endpoint, outgoing: &OutgoingRequest<'_>) -> bool {
+    let by_part = gw.part_quarantine(endpoint.part_scope, outgoing.shared_parts);
+    by_part.is_some() || gw.suspects.quarantine(outgoing.request_digest).is_some()
+}
+
 /// Applies what a response states about its endpoint if nobody waits for it any more.
 fn late_handler(gw: &Arc<Gateway>, endpoint: &Arc<Endpoint>, id: &str) -> LateHandler {
     let (gw, endpoint, id) = (gw.clone(), endpoint.clone(), String::from(id));
--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -37,6 +37,8 @@
     Nobody,
     /// No endpoint of the software version that began the stream accepts work, but others do.
     VersionGone,
+    /// Only endpoints accept work whose software version crashes under a part of the prompt.
+    CrashesEndpoints,
     /// No endpoint is in a region in which the request may run.
     OutsideRegions,
     /// All endpoints are in availability zones that operators have evacuated.
@@ -83,10 +85,17 @@
         if self.directory.is_evacuated(service) {
             return Unplaced::Evacuated;
         }
+        let any_parts = Constraints {
+            parts: &[],
+            ..constraints
+        };
+        if !self.available_endpoints(service, any_parts).is_empty() {
+            return Unplaced::CrashesEndpoints;
+        }
         let any_version = Constraints {
             version: None,
             avoided: &[],
-            ..constraints
+            ..any_parts
         };
         if !self.available_endpoints(service, any_version).is_empty() {
             return Unplaced::VersionGone;
--- a/crates/anvil_gateway/src/crashes.rs
+++ b/crates/anvil_gateway/src/crashes.rs
@@ -1,12 +1,11 @@
 //! Detects whether an endpoint that lost responses has crashed. [`anvil_policy::crash`] decides
 //! which evidence counts.
 
-use std::collections::BTreeMap;
 use std::io::ErrorKind;
 use std::sync::{Arc, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use anvil_policy::crash::{CrashWatch, Evidence, LostAnswerAction};
+use anvil_policy::crash::{CrashWatch, Evidence, LostAnswerAction, RunContents};
 use anvil_world::prelude::*;
 use anvil_world::suspect::CrashedRun;
 use anvilreel::event;
@@ -30,7 +29,7 @@
     pub fn record_lost_response(
         self: &Arc<Self>,
         endpoint: &Arc<Endpoint>,
-        digest: ContentDigest,
+        contents: &RunContents,
         progress: CrashedRun,
     ) {
         if endpoint.is_leaving() {
@@ -39,14 +38,14 @@
         let now = self.lifecycle.now();
         let action = self
             .crash_watch()
-            .record_lost_answer(now, &endpoint.id, digest, progress);
+            .record_lost_answer(now, &endpoint.id, contents, progress);
         match action {
             LostAnswerAction::Wait => {}
             LostAnswerAction::Probe => {
                 tokio::spawn(probe(self.clone(), endpoint.clone()));
             }
             LostAnswerAction::Crashed => {
-                self.report_crash(&endpoint.id, BTreeMap::from([(digest, progress)]), None);
+                self.report_crash(&endpoint.id, None);
             }
         }
     }
@@ -65,20 +64,26 @@
         self.suspects.record_answered(digest);
     }
 
+    /// Records that an endpoint survived the beginning of its answer to a prompt with these parts.
+    pub fn record_parts_answered(&self, parts: &[ContentDigest]) {
+        if parts.is_empty() {
+            return;
+        }
+        self.crash_watch()
+            .record_part_answers(self.lifecycle.now(), parts);
+        for part in parts {
+            self.suspects.record_answered(*part);
+        }
+    }
+
     /// Records evidence that an endpoint's process has ended although it was not leaving.
     pub fn record_crash_evidence(&self, endpoint: &InstanceId, evidence: Evidence) {
-        let digests = self
-            .crash_watch()
-            .record_crash(self.lifecycle.now(), endpoint);
-        self.report_crash(endpoint, digests, Some(evidence));
+        self.report_crash(endpoint, Some(evidence));
     }
 
-    fn report_crash(
-        &self,
-        endpoint: &InstanceId,
-        digests: BTreeMap<ContentDigest, CrashedRun>,
-        evidence: Option<Evidence>,
-    ) {
+    fn report_crash(&self, endpoint: &InstanceId, evidence: Option<Evidence>) {
+        let now = self.lifecycle.now();
+        let digests = self.crash_watch().record_crash(now, endpoint);
         if digests.is_empty() {
             return;
         }
@@ -97,10 +102,16 @@
         }
     }
 
-    /// Whether an endpoint answered a request shortly before.
-    pub fn was_recently_answered(&self, digest: ContentDigest) -> bool {
+    /// Whether a part of prompts was answered here, at its service and software version.
+    pub fn was_part_answered(&self, part: ContentDigest) -> bool {
+        let now = self.lifecycle.now();
+        self.crash_watch().was_part_answered(now, part)
+    }
+
+    /// Whether an earlier answer here clears a content; an answer clears a part of prompts only once.
+    pub fn clears(&self, content: ContentDigest) -> bool {
         let now = self.lifecycle.now();
-        self.crash_watch().was_recently_answered(now, digest)
+        self.crash_watch().clears(now, content)
     }
 
     fn crash_watch(&self) -> MutexGuard<'_, CrashWatch> {
--- a/crates/anvil_gateway/src/endpoint.rs
+++ b/crates/anvil_gateway/src/endpoint.rs
@@ -16,6 +16,7 @@
 use crate::log_events as events;
 use crate::pauses::EndpointPause;
 use crate::pool::ConnectionPool;
+use crate::prompt_part_digest::PartScope;
 use crate::warm_up::EndpointWarmUp;
 
 /// One incarnation of an endpoint.
@@ -32,6 +33,8 @@
     pub version: SoftwareVersion,
     /// Requests that it runs concurrently, as listed.
     pub slots: u32,
+    /// Where parts of prompts run that it receives.
+    pub part_scope: PartScope,
     /// Connections to it.
     pub pool: ConnectionPool,
     leaving: AtomicBool,
@@ -51,6 +54,7 @@
             zone: listed.zone.clone(),
             version: listed.version.clone(),
             slots: listed.slots,
+            part_scope: PartScope::new(&listed.service, &listed.version),
             pool: ConnectionPool::new(listed.addr),
             leaving: AtomicBool::new(listed.leaving),
             load: Mutex::default(),
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -19,7 +19,7 @@
 use crate::attempt_counter::AttemptCounter;
 use crate::availability;
 use crate::connection_watch::ConnectionWatch;
-use crate::dialect::RequestHead;
+use crate::dialect::{PartId, RequestHead};
 use crate::gateway::Gateway;
 use crate::log_events as events;
 use crate::metrics;
@@ -84,7 +84,9 @@
     /// The connection whose response has not begun yet.
     pub awaited_connection: Option<Arc<ConnectionWatch>>,
     /// Parts of the prompt with their token counts.
-    pub prompt_parts: Vec<(u64, Tokens)>,
+    pub prompt_parts: Vec<(PartId, Tokens)>,
+    /// The parts that the prompt shares with others.
+    pub shared_parts: Vec<PartId>,
     /// Method.
     pub method: Method,
     /// Path and query.
@@ -287,7 +289,7 @@
             if let Ok(Ok(body)) = read {
                 EndpointResponse::release_connection(sender, watch, &slot.endpoint, &head);
                 remove_connection_headers(&mut parts.headers);
-                self.gw.record_answered(self.request_digest);
+                self.record_answered(&slot.endpoint, parts.status);
                 self.trace.record_first_piece();
                 let is_success = parts.status.is_success();
                 self.trace.record_outcome(if is_success {
--- a/crates/anvil_gateway/src/exchange/one_attempt.rs
+++ b/crates/anvil_gateway/src/exchange/one_attempt.rs
@@ -58,6 +58,8 @@
             headers: (self.gw.cfg.dialect.forward_headers)(&self.headers, &forwarded),
             body: self.body.clone(),
             id: &self.request.id,
+            request_digest: self.request_digest,
+            shared_parts: &self.shared_parts,
             response_deadline,
             watch: &mut self.awaited_connection,
         };
@@ -80,9 +82,14 @@
         Ok(outcome)
     }
 
-    /// Refuses a request under which endpoints crash.
+    /// Refuses a request under which endpoints crash, or under a part of its prompt.
     fn refuse_in_quarantine(&mut self) -> Result<(), RequestRefusal> {
-        let Some(quarantine) = self.gw.suspects.quarantine(self.request_digest) else {
+        let quarantine = self.gw.suspects.quarantine(self.request_digest);
+        let quarantine = quarantine.or_else(|| {
+            self.gw
+                .quarantine_at_service(&self.service, &self.shared_parts)
+        });
+        let Some(quarantine) = quarantine else {
             return Ok(());
         };
         self.trace.step(format_args!("in quarantine: {quarantine}"));
@@ -146,6 +153,7 @@
             regions: &self.regions,
             version: self.stream_version.as_ref(),
             avoided: &[],
+            parts: &self.shared_parts,
         }
     }
 
@@ -186,6 +194,9 @@
                 None => (Cause::NoEndpoint, DEFAULT_RETRY_AFTER),
             },
             Unplaced::VersionGone => (Cause::VersionGone, spread_return(TAKE_UP_RETRY_AFTER)),
+            Unplaced::CrashesEndpoints => {
+                (Cause::CrashesEndpoints, spread_return(TAKE_UP_RETRY_AFTER))
+            }
             Unplaced::OutsideRegions => (Cause::OutsideRegions, OPERATOR_RETRY_AFTER),
             Unplaced::Evacuated => (Cause::Evacuated, OPERATOR_RETRY_AFTER),
             Unplaced::TooLate(expected) => {
--- a/crates/anvil_gateway/src/exchange/outcome.rs
+++ b/crates/anvil_gateway/src/exchange/outcome.rs
@@ -3,8 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvil_policy::crash::Evidence;
+use anvil_policy::crash::{Evidence, RunContents};
+use anvil_world::prelude::*;
 use anvil_world::suspect::CrashedRun;
+use http::StatusCode;
 
 use super::Exchange;
 use crate::attempt::{AttemptOutcome, Doubt, MISDIRECTED_STATUS, NotRun};
@@ -68,8 +70,32 @@
         let parts = self.prompt_parts.iter().map(|(part, _)| *part);
         self.trace.record_lost_contents(self.request_digest, parts);
         self.record_endpoint_failure(endpoint, reason);
-        self.gw
-            .record_lost_response(endpoint, self.request_digest, run);
+        let contents = RunContents {
+            request: self.request_digest,
+            parts: self.parts_at(endpoint),
+        };
+        self.gw.record_lost_response(endpoint, &contents, run);
+    }
+
+    /// Records that an endpoint has answered this request completely.
+    pub fn record_answered(&self, endpoint: &Endpoint, status: StatusCode) {
+        self.gw.record_answered(self.request_digest);
+        // An endpoint that answers with an error may not have run the prompt.
+        if status.is_success() {
+            self.record_survived_beginning(endpoint);
+        }
+    }
+
+    /// Records that an endpoint has written more than the beginning of the response.
+    pub fn record_survived_beginning(&self, endpoint: &Endpoint) {
+        self.gw.record_parts_answered(&self.parts_at(endpoint));
+    }
+
+    fn parts_at(&self, endpoint: &Endpoint) -> Vec<ContentDigest> {
+        let parts = self.shared_parts.iter();
+        parts
+            .map(|part| endpoint.part_scope.digest(*part))
+            .collect()
     }
 
     /// Records that an endpoint failed this request.
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -12,9 +12,9 @@
 //! for a routing table or endpoints that are expected shortly, [`stream_relay`] forwards a stream
 //! and resumes it at another endpoint, [`reply`] builds refusals.
 //!
-//! Quarantine of requests that crash endpoints: [`crashes`] detects which endpoint crashed,
-//! [`suspects`] reports the requests to the ledger and learns of those reported by other gateways,
-//! [`request_digest`] decides which requests are the same.
+//! Quarantine of requests that crash endpoints, and of parts of prompts that do: [`crashes`] detects
+//! which endpoint crashed, [`suspects`] reports the contents to the ledger and learns of those reported
+//! by other gateways, [`request_digest`] and [`prompt_part_digest`] decide which are the same.
 //!
 //! Rate limits announced by endpoints: [`endpoint_limits`] reports them to the ledger and learns of
 //! those reported by other gateways. [`reports`] delivers both kinds of reports.
@@ -52,6 +52,7 @@
 pub mod metrics;
 pub mod pauses;
 pub mod pool;
+pub mod prompt_part_digest;
 pub mod regions;
 pub mod reply;
 pub mod reports;
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -41,6 +41,8 @@
 pub const CRASHES_UNREPORTED: &str = "endpoints.crashed_untold";
 /// Requests in quarantine because endpoints crash under them. Gauge.
 pub const REQUESTS_QUARANTINED: &str = "requests.quarantined";
+/// Parts of prompts in quarantine because endpoints crash under them, by software version. Gauge.
+pub const PROMPT_PARTS_QUARANTINED: &str = "prompt_parts.quarantined";
 /// Responses whose rate limit can't be parsed. Count.
 pub const LIMITS_UNREADABLE: &str = "endpoints.limit_unreadable";
 /// Endpoints that announced a rate limit to all gateways together. Gauge.
@@ -105,6 +107,7 @@
     (ENDPOINT_CRASHES, "count"),
     (CRASHES_UNREPORTED, "count"),
     (REQUESTS_QUARANTINED, "gauge"),
+    (PROMPT_PARTS_QUARANTINED, "gauge"),
     (LIMITS_UNREADABLE, "count"),
     (ENDPOINTS_LIMITED, "gauge"),
     (LIMIT_USED, "gauge"),
@@ -154,7 +157,14 @@
             ),
             (ENDPOINTS_AVAILABLE, available),
             (ENDPOINTS_ON_COOLDOWN, on_cooldown),
-            (REQUESTS_QUARANTINED, self.suspects.count_quarantined()),
+            (
+                REQUESTS_QUARANTINED,
+                self.suspects.count_quarantined_requests(),
+            ),
+            (
+                PROMPT_PARTS_QUARANTINED,
+                self.suspects.count_quarantined_parts(),
+            ),
             (ENDPOINTS_LIMITED, limited),
             (LIMIT_USED, limit_used),
             (ENDPOINTS_PAUSED, self.count_paused()),
--- a/crates/anvil_gateway/src/regions.rs
+++ b/crates/anvil_gateway/src/regions.rs
@@ -4,6 +4,7 @@
 
 use anvil_world::prelude::*;
 
+use crate::dialect::PartId;
 use crate::directory::EndpointGroup;
 use crate::gateway::Gateway;
 
@@ -47,6 +48,8 @@
     pub version: Option<&'a SoftwareVersion>,
     /// Versions at which it may not run.
     pub avoided: &'a [SoftwareVersion],
+    /// The parts that its prompt shares with others.
+    pub parts: &'a [PartId],
 }
 
 impl Gateway {
@@ -58,10 +61,12 @@
     ) -> EndpointGroup {
         let mut available = self.directory.available(service, constraints.tried);
         self.retain_allowed(&mut available, constraints.regions);
+        let barred = self.barred_scopes(&available, constraints.parts);
         available.retain(|endpoint| {
             let version = &endpoint.version;
             let is_avoided = constraints.avoided.contains(version);
-            !is_avoided && constraints.version.is_none_or(|bound| bound == version)
+            let is_barred = barred.contains_key(&endpoint.part_scope);
+            !is_avoided && !is_barred && constraints.version.is_none_or(|bound| bound == version)
         });
         available
     }
--- a/crates/anvil_gateway/src/stream_relay.rs
+++ b/crates/anvil_gateway/src/stream_relay.rs
@@ -11,6 +11,7 @@
 use anvil_world::suspect::CrashedRun;
 use bytes::Bytes;
 use futures::stream::unfold;
+use http::StatusCode;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::client::conn::http1::SendRequest;
@@ -31,6 +32,10 @@
 /// Time after which a stream counts as stalled if its route sets no maximum gap.
 const DEFAULT_STALL_TIME: Duration = Duration::from_secs(2);
 
+/// From this event on an endpoint has survived the beginning of its response: one that crashes as it
+/// begins may still send the first event.
+const EVENTS_AFTER_BEGINNING: u32 = 2;
+
 struct StreamSource {
     body: Incoming,
     splitter: EventSplitter,
@@ -40,6 +45,8 @@
     slot: EndpointSlot,
     /// What is reported should the endpoint crash now.
     progress: CrashedRun,
+    /// Events received from it.
+    events: u32,
 }
 
 /// A stream in progress.
@@ -160,6 +167,11 @@
                     let version = &source.slot.endpoint.version;
                     let bound = &mut self.exchange.stream_version;
                     bound.get_or_insert_with(|| version.clone());
+                    source.events += 1;
+                    if source.events == EVENTS_AFTER_BEGINNING {
+                        let endpoint = &source.slot.endpoint;
+                        self.exchange.record_survived_beginning(endpoint);
+                    }
                     return NextEvent::Event(event);
                 }
                 return NextEvent::Broken;
@@ -236,10 +248,8 @@
         let Some(source) = self.source.take() else {
             return;
         };
-        self.exchange
-            .gw
-            .record_answered(self.exchange.request_digest);
         let endpoint = source.slot.endpoint.clone();
+        self.exchange.record_answered(&endpoint, StatusCode::OK);
         EndpointResponse::release_connection(source.sender, source.watch, &endpoint, &source.head);
     }
 }
@@ -261,6 +271,7 @@
             head: response.head,
             slot: response.slot,
             progress: CrashedRun::BeforeOutput,
+            events: 0,
         }
     }
 }
--- a/crates/anvil_gateway/src/suspects.rs
+++ b/crates/anvil_gateway/src/suspects.rs
@@ -1,15 +1,21 @@
-//! Requests under which endpoints crashed: those observed by this gateway, and those the ledger
-//! reports.
+//! Contents under which endpoints crashed, whole requests and parts of their prompts: those observed
+//! by this gateway, and those the ledger reports.
 //!
 //! Observations are reported to the ledger, which merges the reports of all gateways and keeps them
 //! across restarts. Until the ledger has accepted a report, this gateway applies it locally.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+mod parts;
+mod pending;
+
+pub use parts::shared_parts;
+
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use anvil_world::command::{ClearSuspects, ReportCrash};
+use anvil_world::command::ReportCrash;
 use anvil_world::prelude::*;
 use anvil_world::suspect::{CrashedRun, QUARANTINE_MIN_WEIGHT};
 use anvilreel::event;
@@ -18,22 +24,31 @@
 
 use crate::gateway::Gateway;
 use crate::log_events as events;
+use crate::prompt_part_digest;
 use crate::reports;
 use crate::request_digest;
+use parts::QuarantinedParts;
+use pending::PendingReports;
 
-/// Unreported crashes that are kept: one for each endpoint of a large fleet. The oldest are
-/// dropped.
-const MAX_PENDING_CRASHES: usize = 8_192;
+/// Minimum time from the first to the last crash blamed on a part of prompts. When several endpoints
+/// lose power together, prompts with an unanswered part were in flight at all of them.
+const MIN_PART_CRASH_SPAN: Duration = Duration::from_secs(1);
 
-/// Requests under which endpoints crashed.
+/// Suspects as the ledger reports them.
+type ReportedSuspects = BTreeMap<ContentDigest, LedgerSuspect>;
+
+/// Contents under which endpoints crashed.
 #[derive(Default)]
 pub struct Suspects {
-    from_ledger: ArcSwap<BTreeMap<ContentDigest, LedgerSuspect>>,
+    from_ledger: ArcSwap<ReportedSuspects>,
     pending: Mutex<PendingReports>,
+    has_pending: AtomicBool,
+    /// Derived from both.
+    parts: ArcSwap<QuarantinedParts>,
     report_wanted: Notify,
 }
 
-/// A suspect request as the ledger reports it.
+/// A suspect content as the ledger reports it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct LedgerSuspect {
     suspect: SuspectContent,
@@ -44,9 +59,11 @@
 /// Why a request is not sent to endpoints.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Quarantine {
+    /// The request, or parts of its prompt.
+    pub contents: BTreeSet<ContentDigest>,
     /// Time until the quarantine ends.
     pub time_left: Duration,
-    /// Endpoints that crashed under the request, as many as its quarantine required.
+    /// Endpoints that crashed under them, as many as the quarantine required.
     pub endpoints: Vec<InstanceId>,
     /// When the ledger first reported it; `None` if only this gateway's own observations count.
     pub reported_at: Option<Now>,
@@ -54,7 +71,11 @@
 
 impl fmt::Display for Quarantine {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:?} crashed under it, ", self.endpoints)?;
+        write!(f, "{:?} crashed under", self.endpoints)?;
+        for content in &self.contents {
+            write!(f, " {}", request_digest::to_hex(*content))?;
+        }
+        f.write_str(", ")?;
         match self.reported_at {
             Some(reported_at) => write!(
                 f,
@@ -66,206 +87,177 @@
     }
 }
 
-/// Observations that the ledger has not accepted yet.
-#[derive(Default)]
-struct PendingReports {
-    crashes: VecDeque<ReportCrash>,
-    /// The same crashes, by request.
-    endpoints_by_request: BTreeMap<ContentDigest, BTreeMap<InstanceId, CrashedRun>>,
-    answered: BTreeSet<ContentDigest>,
-}
-
-impl PendingReports {
-    fn add(&mut self, crash: ReportCrash) {
-        for (request, run) in &crash.contents {
-            let endpoints = self.endpoints_by_request.entry(*request).or_default();
-            endpoints.insert(crash.endpoint.clone(), *run);
-        }
-        self.crashes.push_back(crash);
-    }
-
-    fn remove_oldest(&mut self) {
-        let Some(crash) = self.crashes.pop_front() else {
-            return;
-        };
-        for (request, _) in &crash.contents {
-            if let Some(endpoints) = self.endpoints_by_request.get_mut(request) {
-                endpoints.remove(&crash.endpoint);
-            }
-        }
-        self.endpoints_by_request
-            .retain(|_, endpoints| !endpoints.is_empty());
-    }
-}
-
 impl Suspects {
-    /// Records that an endpoint crashed under these requests. Returns whether an older report was
+    /// Records that an endpoint crashed under these contents. Returns whether an older report was
     /// dropped to make room.
     pub fn record_crash(
         &self,
         endpoint: &InstanceId,
-        requests: BTreeMap<ContentDigest, CrashedRun>,
+        contents: BTreeMap<ContentDigest, CrashedRun>,
     ) -> bool {
-        let mut pending = self.pending();
-        let is_full = pending.crashes.len() >= MAX_PENDING_CRASHES;
-        if is_full {
-            pending.remove_oldest();
-        }
-        pending.add(ReportCrash {
+        let crash = ReportCrash {
             endpoint: endpoint.clone(),
-            contents: requests.into_iter().collect(),
+            contents: contents.into_iter().collect(),
             // The ledger's leader sets the time.
             at: UNIX_EPOCH,
-        });
+        };
+        let has_dropped = self.update_pending(|pending| pending.add_crash(crash));
         self.report_wanted.notify_one();
-        is_full
+        has_dropped
+    }
+
+    /// Whether no content is suspected, so that nothing is in quarantine.
+    pub fn is_empty(&self) -> bool {
+        !self.has_pending.load(Ordering::Relaxed) && self.from_ledger.load().is_empty()
     }
 
     /// Why a request is not sent to endpoints; `None` if it may be sent.
     pub fn quarantine(&self, request: ContentDigest) -> Option<Quarantine> {
-        let reported = self.from_ledger.load();
-        let reported = reported.get(&request);
-        let pending = {
-            let pending = self.pending();
-            // A report that it was answered is on its way to the ledger.
-            if pending.answered.contains(&request) {
-                return None;
-            }
-            pending.endpoints_by_request.get(&request).cloned()
-        };
-        if reported.is_none() && pending.is_none() {
+        if self.is_empty() {
             return None;
         }
-        let now = SystemTime::now();
-        let suspect = reported.map(|reported| reported.suspect.clone());
-        let mut suspect = suspect.unwrap_or_else(|| SuspectContent::new(now));
-        for (endpoint, run) in pending.into_iter().flatten() {
-            suspect.record_crash(&endpoint, run, now);
-        }
-        let time_left = suspect.quarantine_remaining(now);
+        let reported = self.from_ledger.load();
+        let reported = reported.get(&request);
+        let suspect = reported.map(|reported| &reported.suspect);
+        let suspect = self.pending().merged_with(suspect, request)?;
+        let time_left = suspect.quarantine_remaining(SystemTime::now());
         let reported =
             reported.filter(|reported| reported.suspect.weight() >= QUARANTINE_MIN_WEIGHT);
         (!time_left.is_zero()).then(|| Quarantine {
+            contents: BTreeSet::from([request]),
             time_left,
-            endpoints: endpoints_of(&suspect),
+            endpoints: suspect.endpoints().cloned().collect(),
             reported_at: reported.map(|reported| reported.learned_at),
         })
     }
 
-    /// Records that an endpoint answered a request, so the earlier crashes had another cause.
-    pub fn record_answered(&self, request: ContentDigest) {
-        let mut pending = self.pending();
-        let is_suspect = self.from_ledger.load().contains_key(&request)
-            || pending.endpoints_by_request.contains_key(&request);
-        if is_suspect && pending.answered.insert(request) {
+    /// Records that an endpoint answered a content, so the earlier crashes had another cause.
+    pub fn record_answered(&self, content: ContentDigest) {
+        if self.is_empty() {
+            return;
+        }
+        let is_reported = self.from_ledger.load().contains_key(&content);
+        let is_suspect = is_reported || self.pending().has_crash(content);
+        if is_suspect && self.update_pending(|pending| pending.add_answered(content)) {
             self.report_wanted.notify_one();
         }
     }
 
     /// Number of requests in quarantine according to the ledger.
-    pub fn count_quarantined(&self) -> u64 {
+    pub fn count_quarantined_requests(&self) -> u64 {
         let now = SystemTime::now();
         let reported = self.from_ledger.load();
-        let quarantined = reported
-            .values()
-            .filter(|reported| is_quarantined(&reported.suspect, now));
+        let requests = reported
+            .iter()
+            .filter(|(content, _)| !prompt_part_digest::is_part(**content));
+        let quarantined = requests
+            .filter(|(content, reported)| is_quarantined(**content, &reported.suspect, now));
         quarantined.count() as u64
     }
 
-    fn pending(&self) -> MutexGuard<'_, PendingReports> {
-        // Sound after a panic elsewhere: reports are added and removed whole.
-        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Number of parts of prompts in quarantine, by software version.
+    pub fn count_quarantined_parts(&self) -> u64 {
+        self.parts.load().count()
     }
 
-    fn next_report(&self) -> Option<Command> {
-        let pending = self.pending();
-        if let Some(crash) = pending.crashes.front() {
-            return Some(Command::ReportCrash(crash.clone()));
-        }
-        if pending.answered.is_empty() {
-            return None;
-        }
-        let contents = pending.answered.iter().copied().collect();
-        Some(Command::ClearSuspects(ClearSuspects { contents }))
+    fn apply_reported(&self, reported: ReportedSuspects) {
+        self.from_ledger.store(Arc::new(reported));
+        self.update_pending(|_| ());
     }
 
-    fn mark_accepted(&self, report: &Command) {
+    fn update_pending<T>(&self, f: impl FnOnce(&mut PendingReports) -> T) -> T {
         let mut pending = self.pending();
-        match report {
-            // The first report is a different one if this one was dropped in the meantime.
-            Command::ReportCrash(accepted) if pending.crashes.front() == Some(accepted) => {
-                pending.remove_oldest();
-            }
-            Command::ClearSuspects(accepted) => {
-                pending
-                    .answered
-                    .retain(|request| !accepted.contents.contains(request));
-            }
-            _ => {}
-        }
+        let result = f(&mut pending);
+        let has_pending = !pending.is_empty();
+        self.has_pending.store(has_pending, Ordering::Relaxed);
+        let parts = QuarantinedParts::new(&self.from_ledger.load(), &pending);
+        self.parts.store(Arc::new(parts));
+        result
+    }
+
+    fn pending(&self) -> MutexGuard<'_, PendingReports> {
+        // Sound after a panic elsewhere: reports are added and removed whole.
+        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-fn endpoints_of(suspect: &SuspectContent) -> Vec<InstanceId> {
-    let crashes = suspect.crashes.iter();
-    crashes.map(|crash| crash.endpoint.clone()).collect()
+/// Time until a content's quarantine ends; zero if it is in none.
+fn quarantine_left(content: ContentDigest, suspect: &SuspectContent, now: SystemTime) -> Duration {
+    let is_part = prompt_part_digest::is_part(content);
+    if is_part && suspect.crash_span() < MIN_PART_CRASH_SPAN {
+        return Duration::ZERO;
+    }
+    suspect.quarantine_remaining(now)
 }
 
-fn is_quarantined(suspect: &SuspectContent, now: SystemTime) -> bool {
-    !suspect.quarantine_remaining(now).is_zero()
+fn is_quarantined(content: ContentDigest, suspect: &SuspectContent, now: SystemTime) -> bool {
+    !quarantine_left(content, suspect, now).is_zero()
 }
 
 impl Gateway {
-    /// Applies the suspects reported by the ledger. A request that an endpoint answered here
-    /// shortly before is cleared: when a zone loses power, equal requests from many clients were in
-    /// flight at several endpoints.
+    /// Applies the suspects reported by the ledger. A content that an endpoint answered here before is
+    /// cleared: when a zone loses power, equal requests from many clients were in flight at several
+    /// endpoints, and sound requests share parts of their prompts with those that crash endpoints.
     pub fn apply_ledger_suspects(&self, reported: &BTreeMap<ContentDigest, SuspectContent>) {
         let previous = self.suspects.from_ledger.load_full();
         let known = previous
             .iter()
-            .map(|(request, reported)| (request, &reported.suspect));
+            .map(|(content, reported)| (content, &reported.suspect));
         if known.eq(reported) {
             return;
         }
         let now = self.lifecycle.now();
         let mut updated = BTreeMap::new();
-        for (request, suspect) in reported {
-            let known = previous.get(request);
+        for (content, suspect) in reported {
+            let known = previous.get(content);
             let entry = LedgerSuspect {
                 suspect: suspect.clone(),
                 learned_at: known.map_or(now, |known| known.learned_at),
             };
-            self.log_new_quarantine(*request, known, &entry);
-            updated.insert(*request, entry);
+            self.log_new_quarantine(*content, known, &entry);
+            updated.insert(*content, entry);
         }
-        for (request, _) in previous
+        for (content, _) in previous
             .iter()
-            .filter(|(request, _)| !reported.contains_key(request))
+            .filter(|(content, _)| !reported.contains_key(content))
         {
             event!(
-                self.log, events::GATEWAY_REQUEST_CLEARED, "content" => request_digest::to_hex(*request)
+                self.log, events::GATEWAY_REQUEST_CLEARED, "content" => request_digest::to_hex(*content)
             );
         }
-        self.suspects.from_ledger.store(Arc::new(updated));
-        for request in reported.keys() {
-            if self.was_recently_answered(*request) {
-                self.suspects.record_answered(*request);
+        self.suspects.apply_reported(updated);
+        for (content, suspect) in reported {
+            if self.is_cleared_by_earlier_answer(*content, suspect) {
+                self.suspects.record_answered(*content);
             }
         }
     }
 
+    /// Whether an endpoint answered a content before it was suspected. Once a part is in quarantine only
+    /// an answer to a prompt that is still under way clears it.
+    fn is_cleared_by_earlier_answer(
+        &self,
+        content: ContentDigest,
+        suspect: &SuspectContent,
+    ) -> bool {
+        let is_named_part = prompt_part_digest::is_part(content)
+            && is_quarantined(content, suspect, SystemTime::now());
+        !is_named_part && self.clears(content)
+    }
+
     fn log_new_quarantine(
         &self,
-        request: ContentDigest,
+        content: ContentDigest,
         known: Option<&LedgerSuspect>,
         entry: &LedgerSuspect,
     ) {
         let now = SystemTime::now();
-        let was_quarantined = known.is_some_and(|known| is_quarantined(&known.suspect, now));
-        if is_quarantined(&entry.suspect, now) && !was_quarantined {
+        let was_quarantined =
+            known.is_some_and(|known| is_quarantined(content, &known.suspect, now));
+        if is_quarantined(content, &entry.suspect, now) && !was_quarantined {
             event!(
-                self.log, events::GATEWAY_REQUEST_QUARANTINED, "content" => request_digest::to_hex(request),
-                "endpoints" => format!("{:?}", endpoints_of(&entry.suspect))
+                self.log, events::GATEWAY_REQUEST_QUARANTINED, "content" => request_digest::to_hex(content),
+                "endpoints" => format!("{:?}", entry.suspect.endpoints().collect::<Vec<_>>())
             );
         }
     }
@@ -274,7 +266,8 @@
 /// Reports observations to the ledger for as long as the process runs.
 pub async fn run(gw: &Gateway) {
     let suspects = &gw.suspects;
-    let next_report = || suspects.next_report();
-    let mark_accepted = |report: &Command| suspects.mark_accepted(report);
+    let next_report = || suspects.pending().next_report();
+    let mark_accepted =
+        |report: &Command| suspects.update_pending(|pending| pending.mark_accepted(report));
     reports::run(gw, &suspects.report_wanted, next_report, mark_accepted).await;
 }
--- a/crates/anvil_gateway/tests/direct/pausing.rs
+++ b/crates/anvil_gateway/tests/direct/pausing.rs
@@ -136,6 +136,7 @@
 
 fn select(gw: &Gateway, parts: &[(u64, Tokens)]) -> Result<Selection, Unplaced> {
     let constraints = Constraints {
+        parts: &[],
         tried: &[],
         regions: &AllowedRegions::default(),
         version: None,
@@ -153,6 +154,8 @@
     let selection = select(&gateway.gw, &[]).expect("an endpoint");
     request_pause(&gateway.gw, "a", Duration::from_secs(1));
     let outgoing = OutgoingRequest {
+        request_digest: 0,
+        shared_parts: &[],
         method: &Method::GET,
         uri: &Uri::from_static("/once/x"),
         headers: HeaderMap::new(),
--- a/crates/anvil_policy/src/crash.rs
+++ b/crates/anvil_policy/src/crash.rs
@@ -1,5 +1,5 @@
-//! Distinguishes crashed endpoints from lost connections, and finds the requests that were in
-//! flight at a crash.
+//! Distinguishes crashed endpoints from lost connections, and finds the contents of the requests that
+//! were in flight at a crash.
 //!
 //! *Load pattern:* endpoints that crash one after the other, each with some hundred requests in
 //! flight, while networks reset connections and endpoints lose answers.
@@ -7,37 +7,57 @@
 //! *Without it:* a lost answer doesn't show its cause. A request that crashes its endpoint looks
 //! like the other requests there, and like one whose connection was reset.
 //!
-//! *Mechanism:* requests whose answers were lost are kept for some seconds by endpoint, until there
-//! is evidence that the endpoint's process has ended: connections to its address are refused,
-//! another incarnation answers there, or the platform no longer lists it although it wasn't
-//! leaving. A request that an endpoint has answered recently is not suspected of causing crashes:
-//! when a whole zone loses power, equal requests of many callers are in flight at several
-//! endpoints. A run that had produced output before the crash is weaker evidence against its
-//! request than one that had not, as it had started without a crash.
+//! *Mechanism:* the contents of requests whose answers were lost are kept for some seconds by
+//! endpoint, until there is evidence that the endpoint's process has ended: connections to its
+//! address are refused, another incarnation answers there, or the platform no longer lists it
+//! although it wasn't leaving. A content is a whole request, or a part that its prompt shares with
+//! others. One that was answered recently is not suspected of causing crashes: when a whole zone loses
+//! power, equal requests of many callers are in flight at several endpoints, and sound requests share
+//! all parts but one with those that crash endpoints. A run that had produced output before the crash
+//! is weaker evidence against its contents than one that had not, as it had started without a crash.
+//!
+//! An answer long ago clears a part only once, so that a part which was sound and crashes endpoints now
+//! is not cleared forever, and one that is rarely used is not blamed for the crashes of others.
 //!
 //! *Thresholds:* lost answers and evidence are matched within some seconds, because a crashed
 //! endpoint stays listed that long; probes and memory are bounded where an endpoint loses thousands
-//! of answers.
+//! of answers, or prompts consist of made-up parts.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use anvil_world::prelude::*;
 use anvil_world::suspect::CrashedRun;
 
+use crate::recent_answers::RecentAnswers;
+
 /// How long lost answers wait for evidence of a crash, and evidence for lost answers: a crashed
 /// endpoint stays on the platform's list for some seconds.
 const RETENTION: Duration = Duration::from_secs(10);
 /// Minimum time between two probes of one endpoint.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
-/// Maximum number of requests kept for one endpoint: more than it works on at a time. Further ones
-/// are ignored.
-const MAX_REQUESTS: usize = 256;
+/// Maximum number of contents kept for one endpoint: those of more requests than it works on at a time.
+/// Further ones are ignored.
+const MAX_CONTENTS: usize = 4_096;
 
-/// How long an answer clears equal requests. Later ones may run on a different software version.
+/// For how long an answer keeps equal contents from being reported. Later ones may run on a different
+/// software version.
 const ANSWER_RETENTION: Duration = Duration::from_secs(10);
-/// Maximum number of answers that are remembered.
-const MAX_ANSWERS: usize = 4_096;
+/// Maximum number of answered requests that are remembered.
+const MAX_ANSWERED_REQUESTS: usize = 4_096;
+/// For how long an answer can clear a part of its prompt once.
+const PART_ANSWER_RETENTION: Duration = Duration::from_mins(10);
+/// Maximum number of answered parts that are remembered.
+const MAX_ANSWERED_PARTS: usize = 16_384;
+
+/// What one run consists of, as far as a crash can be blamed on it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RunContents {
+    /// The whole request.
+    pub request: ContentDigest,
+    /// The parts that its prompt shares with others, at the service and version of its endpoint.
+    pub parts: Vec<ContentDigest>,
+}
 
 /// Evidence that an endpoint's process has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -57,17 +77,26 @@
     Probe,
     /// Nothing; evidence may still come.
     Wait,
-    /// Report the request: its endpoint is known to have crashed.
+    /// Report its contents: its endpoint is known to have crashed.
     Crashed,
 }
 
-/// Endpoints that lost answers or crashed within the last seconds.
-#[derive(Debug, Default)]
+/// Endpoints that lost answers or crashed within the last seconds, and what was answered recently.
+#[derive(Debug)]
 pub struct CrashWatch {
     endpoints: BTreeMap<InstanceId, EndpointLosses>,
-    answered_at: BTreeMap<ContentDigest, Now>,
-    /// The same answers, oldest first; a request that was answered again occurs again.
-    answer_order: VecDeque<(Now, ContentDigest)>,
+    requests: RecentAnswers,
+    parts: RecentAnswers,
+}
+
+impl Default for CrashWatch {
+    fn default() -> Self {
+        Self {
+            endpoints: BTreeMap::new(),
+            requests: RecentAnswers::new(ANSWER_RETENTION, MAX_ANSWERED_REQUESTS),
+            parts: RecentAnswers::new(PART_ANSWER_RETENTION, MAX_ANSWERED_PARTS),
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -75,7 +104,17 @@
     updated_at: Now,
     probed_at: Option<Now>,
     has_crashed: bool,
-    requests: BTreeMap<ContentDigest, CrashedRun>,
+    contents: BTreeMap<ContentDigest, CrashedRun>,
+}
+
+impl EndpointLosses {
+    fn add(&mut self, content: ContentDigest, run: CrashedRun) {
+        let known = self.contents.get(&content).copied();
+        if known.is_some() || self.contents.len() < MAX_CONTENTS {
+            let run = known.map_or(run, |known| known.max(run));
+            self.contents.insert(content, run);
+        }
+    }
 }
 
 impl CrashWatch {
@@ -85,23 +124,26 @@
         &mut self,
         now: Now,
         endpoint: &InstanceId,
-        request: ContentDigest,
+        contents: &RunContents,
         run: CrashedRun,
     ) -> LostAnswerAction {
         self.prune(now);
-        if self.answered_at.contains_key(&request) {
+        let request = [contents.request];
+        let all = request.iter().chain(&contents.parts).copied();
+        let unanswered: Vec<_> = all
+            .filter(|content| !self.was_just_answered(now, *content))
+            .collect();
+        if unanswered.is_empty() {
             return LostAnswerAction::Wait;
         }
         let losses = self.losses(now, endpoint);
+        losses.updated_at = now;
+        for content in unanswered {
+            losses.add(content, run);
+        }
         if losses.has_crashed {
             return LostAnswerAction::Crashed;
         }
-        losses.updated_at = now;
-        let known = losses.requests.get(&request).copied();
-        if known.is_some() || losses.requests.len() < MAX_REQUESTS {
-            let run = known.map_or(run, |known| known.max(run));
-            losses.requests.insert(request, run);
-        }
         if losses.probed_at.is_some_and(|at| now < at + PROBE_INTERVAL) {
             return LostAnswerAction::Wait;
         }
@@ -109,7 +151,7 @@
         LostAnswerAction::Probe
     }
 
-    /// Records that an endpoint has crashed. Returns the requests whose answers were lost there,
+    /// Records that an endpoint has crashed. Returns the contents whose answers were lost there,
     /// each of them once.
     pub fn record_crash(
         &mut self,
@@ -119,9 +161,9 @@
         self.prune(now);
         let losses = self.losses(now, endpoint);
         losses.has_crashed = true;
-        let mut requests = std::mem::take(&mut losses.requests);
-        requests.retain(|request, _| !self.answered_at.contains_key(request));
-        requests
+        let mut contents = std::mem::take(&mut losses.contents);
+        contents.retain(|content, _| !self.was_just_answered(now, *content));
+        contents
     }
 
     /// Records that an endpoint answers: it is alive, even if an endpoint of the same name has
@@ -134,43 +176,46 @@
         }
     }
 
-    /// Whether an endpoint has answered a request recently.
-    pub fn was_recently_answered(&mut self, now: Now, request: ContentDigest) -> bool {
-        self.prune_answers(now);
-        self.answered_at.contains_key(&request)
-    }
-
-    /// Records that an endpoint has answered a request.
+    /// Records that an endpoint has answered a request completely.
     pub fn record_answer(&mut self, now: Now, request: ContentDigest) {
-        self.answered_at.insert(request, now);
-        self.answer_order.push_back((now, request));
-        self.prune_answers(now);
+        self.requests.record(now, request);
     }
 
-    fn prune_answers(&mut self, now: Now) {
-        let is_expired = |at: Now| now >= at + ANSWER_RETENTION;
-        while let Some((at, request)) = self.answer_order.front().copied()
-            && (is_expired(at) || self.answer_order.len() > MAX_ANSWERS)
-        {
-            self.answer_order.pop_front();
-            if self.answered_at.get(&request) == Some(&at) {
-                self.answered_at.remove(&request);
-            }
+    /// Records that an endpoint writes answers to prompts with these parts.
+    pub fn record_part_answers(&mut self, now: Now, parts: &[ContentDigest]) {
+        for part in parts {
+            self.parts.record(now, *part);
         }
     }
 
+    /// Whether a part has been answered, so that prompts with it are sound at its service and version.
+    pub fn was_part_answered(&self, now: Now, part: ContentDigest) -> bool {
+        self.parts.contains(now, part)
+    }
+
+    /// Whether an earlier answer clears a content that is suspected now. An answer to a part clears it
+    /// only once.
+    pub fn clears(&mut self, now: Now, content: ContentDigest) -> bool {
+        self.requests.contains(now, content) || self.parts.take(now, content)
+    }
+
+    fn was_just_answered(&self, now: Now, content: ContentDigest) -> bool {
+        let parts = &self.parts;
+        self.requests.contains(now, content)
+            || parts.contains_within(now, content, ANSWER_RETENTION)
+    }
+
     fn losses(&mut self, now: Now, endpoint: &InstanceId) -> &mut EndpointLosses {
         let new = || EndpointLosses {
             updated_at: now,
             probed_at: None,
             has_crashed: false,
-            requests: BTreeMap::new(),
+            contents: BTreeMap::new(),
         };
         self.endpoints.entry(endpoint.clone()).or_insert_with(new)
     }
 
     fn prune(&mut self, now: Now) {
-        self.prune_answers(now);
         self.endpoints
             .retain(|_, losses| now < losses.updated_at + RETENTION);
     }
--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -48,7 +48,8 @@
 //! * [`pace`]: how much longer work takes where an endpoint shares its machine.
 //! * [`pause`]: when a router sends to an endpoint that asked for a pause.
 //! * [`copying`]: when such an engine copies cached tokens from another one.
-//! * [`crash`]: which requests were in flight at an endpoint when it crashed.
+//! * [`crash`]: which contents were in flight at an endpoint when it crashed, and [`recent_answers`]: which are sound.
+//! * [`blame`]: which parts of prompts endpoints crash under.
 //! * [`rate_share`]: each router's part of a rate limit that an endpoint announces for all of them.
 //! * [`warm_up`]: which endpoints may be warming up and tolerate few requests.
 //! * [`version_history`]: which software versions of a service served, and when last.
@@ -60,6 +61,7 @@
 //! [`Now`]: anvil_world::ids::Now
 
 pub mod admission;
+pub mod blame;
 pub mod choice;
 pub mod copying;
 pub mod crash;
@@ -79,6 +81,7 @@
 pub mod prefix;
 pub mod prelude;
 pub mod rate_share;
+pub mod recent_answers;
 pub mod retry;
 pub mod stream_origins;
 pub mod subset;
--- a/crates/anvil_policy/tests/crash.rs
+++ b/crates/anvil_policy/tests/crash.rs
@@ -3,12 +3,20 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use anvil_policy::crash::{CrashWatch, LostAnswerAction};
+use anvil_policy::crash::{CrashWatch, LostAnswerAction, RunContents};
 use anvil_world::prelude::*;
 use anvil_world::suspect::CrashedRun;
 
 const RUN: CrashedRun = CrashedRun::BeforeOutput;
 
+/// A run of a request without parts.
+fn whole(request: ContentDigest) -> RunContents {
+    RunContents {
+        request,
+        parts: Vec::new(),
+    }
+}
+
 fn at(ms: u64) -> Now {
     Duration::from_millis(ms)
 }
@@ -19,7 +27,7 @@
     let mut watch = CrashWatch::default();
     let (a, b): (InstanceId, InstanceId) = ("a".into(), "b".into());
     assert_eq!(
-        watch.record_lost_answer(at(0), &a, 1, RUN),
+        watch.record_lost_answer(at(0), &a, &whole(1), RUN),
         LostAnswerAction::Probe
     );
     assert_eq!(watch.record_crash(at(100), &b), BTreeMap::new());
@@ -37,11 +45,11 @@
     let mut watch = CrashWatch::default();
     let a: InstanceId = "a".into();
     assert_eq!(
-        watch.record_lost_answer(at(0), &a, 1, RUN),
+        watch.record_lost_answer(at(0), &a, &whole(1), RUN),
         LostAnswerAction::Probe
     );
     assert_eq!(
-        watch.record_lost_answer(at(1), &a, 2, RUN),
+        watch.record_lost_answer(at(1), &a, &whole(2), RUN),
         LostAnswerAction::Wait
     );
     assert_eq!(
@@ -50,7 +58,7 @@
     );
     assert_eq!(watch.record_crash(at(21), &a), BTreeMap::new());
     assert_eq!(
-        watch.record_lost_answer(at(30), &a, 3, RUN),
+        watch.record_lost_answer(at(30), &a, &whole(3), RUN),
         LostAnswerAction::Crashed
     );
 }
@@ -61,7 +69,7 @@
     let mut watch = CrashWatch::default();
     let a: InstanceId = "a".into();
     let probes = (0..10_000u64).filter(|ms| {
-        watch.record_lost_answer(at(*ms), &a, (*ms).into(), RUN) == LostAnswerAction::Probe
+        watch.record_lost_answer(at(*ms), &a, &whole((*ms).into()), RUN) == LostAnswerAction::Probe
     });
     assert_eq!(probes.count(), 10);
 }
@@ -72,17 +80,17 @@
     let mut watch = CrashWatch::default();
     let a: InstanceId = "a".into();
     watch.record_answer(at(0), 1);
-    watch.record_lost_answer(at(10), &a, 1, RUN);
-    watch.record_lost_answer(at(10), &a, 2, RUN);
+    watch.record_lost_answer(at(10), &a, &whole(1), RUN);
+    watch.record_lost_answer(at(10), &a, &whole(2), RUN);
     watch.record_answer(at(20), 2);
-    watch.record_lost_answer(at(30), &a, 3, RUN);
+    watch.record_lost_answer(at(30), &a, &whole(3), RUN);
     assert_eq!(watch.record_crash(at(40), &a), BTreeMap::from([(3, RUN)]));
     assert_eq!(
-        watch.record_lost_answer(at(50), &a, 1, RUN),
+        watch.record_lost_answer(at(50), &a, &whole(1), RUN),
         LostAnswerAction::Wait
     );
     assert_eq!(
-        watch.record_lost_answer(at(10_000), &a, 1, RUN),
+        watch.record_lost_answer(at(10_000), &a, &whole(1), RUN),
         LostAnswerAction::Crashed,
         "the answer has expired"
     );
@@ -96,8 +104,8 @@
     for request in 0..10_000 {
         watch.record_answer(at(0), request);
     }
-    watch.record_lost_answer(at(1), &a, 9_999, RUN);
-    watch.record_lost_answer(at(1), &a, 0, RUN);
+    watch.record_lost_answer(at(1), &a, &whole(9_999), RUN);
+    watch.record_lost_answer(at(1), &a, &whole(0), RUN);
     assert_eq!(watch.record_crash(at(2), &a), BTreeMap::from([(0, RUN)]));
 }
 
@@ -106,9 +114,9 @@
 fn run_without_output_takes_precedence_among_equal_requests() {
     let mut watch = CrashWatch::default();
     let a: InstanceId = "a".into();
-    watch.record_lost_answer(at(0), &a, 1, CrashedRun::AfterOutput);
-    watch.record_lost_answer(at(0), &a, 2, CrashedRun::AfterOutput);
-    watch.record_lost_answer(at(1), &a, 2, CrashedRun::BeforeOutput);
+    watch.record_lost_answer(at(0), &a, &whole(1), CrashedRun::AfterOutput);
+    watch.record_lost_answer(at(0), &a, &whole(2), CrashedRun::AfterOutput);
+    watch.record_lost_answer(at(1), &a, &whole(2), CrashedRun::BeforeOutput);
     let crashed = [(1, CrashedRun::AfterOutput), (2, CrashedRun::BeforeOutput)];
     assert_eq!(watch.record_crash(at(2), &a), BTreeMap::from(crashed));
 }
@@ -119,16 +127,68 @@
 fn restarted_endpoint_is_no_longer_crashed() {
     let mut watch = CrashWatch::default();
     let a: InstanceId = "a".into();
-    watch.record_lost_answer(at(0), &a, 1, RUN);
+    watch.record_lost_answer(at(0), &a, &whole(1), RUN);
     watch.record_alive(&a);
     assert_eq!(watch.record_crash(at(1), &a), BTreeMap::from([(1, RUN)]));
     assert_eq!(
-        watch.record_lost_answer(at(2), &a, 2, RUN),
+        watch.record_lost_answer(at(2), &a, &whole(2), RUN),
         LostAnswerAction::Crashed
     );
     watch.record_alive(&a);
     assert_eq!(
-        watch.record_lost_answer(at(3), &a, 3, RUN),
+        watch.record_lost_answer(at(3), &a, &whole(3), RUN),
         LostAnswerAction::Probe
     );
 }
+
+/// A run of a request whose prompt has these shared parts.
+fn prompt(request: ContentDigest, parts: &[ContentDigest]) -> RunContents {
+    RunContents {
+        request,
+        parts: parts.to_vec(),
+    }
+}
+
+/// Guards against blaming the parts that sound prompts share with those that crash endpoints.
+#[test]
+fn part_answered_shortly_before_is_not_reported() {
+    let mut watch = CrashWatch::default();
+    let a: InstanceId = "a".into();
+    watch.record_part_answers(at(0), &[11]);
+    watch.record_lost_answer(at(10), &a, &prompt(1, &[11, 66]), RUN);
+    assert_eq!(
+        watch.record_crash(at(20), &a),
+        BTreeMap::from([(1, RUN), (66, RUN)])
+    );
+    watch.record_lost_answer(at(10_000), &a, &prompt(2, &[11]), RUN);
+    assert_eq!(
+        watch.record_crash(at(10_010), &a),
+        BTreeMap::from([(2, RUN), (11, RUN)]),
+        "it may crash endpoints by now"
+    );
+}
+
+/// Guards against blaming a part that is used every few minutes, and against clearing one forever that
+/// was sound before.
+#[test]
+fn answer_minutes_ago_clears_a_part_once() {
+    let mut watch = CrashWatch::default();
+    watch.record_part_answers(at(0), &[11]);
+    assert!(watch.was_part_answered(at(599_000), 11));
+    assert!(watch.clears(at(599_000), 11));
+    assert!(!watch.clears(at(599_001), 11));
+    watch.record_part_answers(at(599_002), &[11]);
+    assert!(watch.clears(at(599_003), 11));
+}
+
+/// Guards against made-up parts that fill the memory of a crashed endpoint without end.
+#[test]
+fn remembered_contents_of_an_endpoint_are_bounded() {
+    let mut watch = CrashWatch::default();
+    let a: InstanceId = "a".into();
+    for request in 0..1_000 {
+        let parts: Vec<_> = (0..64).map(|part| 10_000 + request * 64 + part).collect();
+        watch.record_lost_answer(at(0), &a, &prompt(request, &parts), RUN);
+    }
+    assert_eq!(watch.record_crash(at(1), &a).len(), 4_096);
+}
--- a/crates/anvil_world/src/suspect.rs
+++ b/crates/anvil_world/src/suspect.rs
@@ -92,6 +92,19 @@
         true
     }
 
+    /// Time from its first crash to its last one.
+    pub fn crash_span(&self) -> Duration {
+        let first = self.crashes.iter().map(|crash| crash.at).min();
+        let span = first.map(|first| self.since.duration_since(first));
+        // Without a crash, and where clocks differ, there is no span.
+        span.and_then(Result::ok).unwrap_or_default()
+    }
+
+    /// Endpoints that crashed.
+    pub fn endpoints(&self) -> impl Iterator<Item = &InstanceId> {
+        self.crashes.iter().map(|crash| &crash.endpoint)
+    }
+
     /// Total weight of its crashes.
     pub fn weight(&self) -> u32 {
         self.crashes.iter().map(|crash| crash.run.weight()).sum()
