Tests of endpoints' responses that end with their connection

The users' pages say today that an answer, a stream too, may have neither length nor chunks. To callers the router always answers with a length or in chunks, and breaks those off.

--- a/crates/anvil_gateway/tests/direct/main.rs
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -20,5 +20,6 @@
 mod siblings;
 mod starting;
 mod streams;
+mod unframed;
 mod versions;
 mod warming_up;
