Test of most connections at one gateway

A ledger and three gateways, prompts of a prepaid organisation, each on a new connection: 50 a second to all, then 83 a second to one. Not shown by it: limits that endpoints announce and warm-ups, of which a gateway uses its equal part only, and a gateway whose core is full.

--- a/crates/anvil_gateway/tests/direct/main.rs
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -20,6 +20,7 @@
 mod siblings;
 mod starting;
 mod streams;
+mod uneven_load;
 mod unframed;
 mod versions;
 mod warming_up;
--- a/crates/anvil_gateway/tests/direct/processes.rs
+++ b/crates/anvil_gateway/tests/direct/processes.rs
@@ -33,6 +33,8 @@
 pub const GATEWAYS: u8 = 3;
 /// Text of a routing table whose service's endpoints warm up.
 const WARM_UP_ROUTES: &str = "routes with warm-up";
+/// What the organisation with the key `key` may use, in tokens.
+const CREDIT: Tokens = 10_000_000;
 /// Longest wait for anything.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -218,7 +220,7 @@
             operator: "wanjiru".into(),
             version: 1,
             text: routes.into(),
-            credits: BTreeMap::new(),
+            credits: BTreeMap::from([("co-op".into(), CREDIT)]),
             at: std::time::UNIX_EPOCH,
         });
         ledger
@@ -311,10 +313,26 @@
     /// Sends a prompt with these parts to a gateway, at a path of its own; status 0 if the gateway does
     /// not answer.
     pub async fn send_prompt(&self, gateway: u8, route: &str, parts: &str) -> ClientResponse {
+        self.send_prompt_with(gateway, route, parts, "").await
+    }
+
+    /// The same, paid for by the organisation with the key `key`.
+    pub async fn send_paid_prompt(&self, gateway: u8, route: &str, parts: &str) -> ClientResponse {
+        self.send_prompt_with(gateway, route, parts, "x-key: key\r\n")
+            .await
+    }
+
+    async fn send_prompt_with(
+        &self,
+        gateway: u8,
+        route: &str,
+        parts: &str,
+        headers: &str,
+    ) -> ClientResponse {
         let Ok(mut client) = Client::try_connect(self.client_addr(gateway)).await else {
             return ClientResponse::default();
         };
-        let headers = format!("x-tokens: 200,30\r\nx-parts: {parts}\r\n");
+        let headers = format!("x-tokens: 200,30\r\nx-parts: {parts}\r\n{headers}");
         let id = new_id();
         client.request(&format!("{route}{id}"), &id, &headers).await
     }
