Paths, senders and sizes that crash endpoints are quarantined, and blame is shared out

What callers would see: engines crash one after the other under requests that are no two alike and share no part of their prompts, but a path, an organisation on a route, or a size. The mend: what a request has in common with others is a list of contents, of which parts are one kind; all go the same way.

Wider contents need more care for those that are sound: - a content at whose crashes another one was always in flight, which went on to crash endpoints, is explained by that one; whole requests take part, so that what a repeated request shares is not blamed.

--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -15,14 +15,15 @@
 
 use crate::attempt_counter::AttemptCounter;
 use crate::availability;
-use crate::dialect::{PartId, RequestHead};
+use crate::dialect::RequestHead;
 use crate::exchange::{DEFAULT_RETRY_AFTER, Exchange, RequestRefusal};
 use crate::gateway::Gateway;
 use crate::metrics;
 use crate::reply::{Cause, Reply, refusal};
 use crate::request_charge::RequestCharge;
 use crate::request_digest;
-use crate::suspects;
+use crate::shared_content::{self, SharedContent};
+use crate::suspects::RequestContents;
 use crate::table::{Organisation, Route, RouteTable};
 use crate::trace::Trace;
 
@@ -65,7 +66,7 @@
     head: request::Parts,
     body: Bytes,
     request_digest: ContentDigest,
-    shared_parts: Vec<PartId>,
+    shared: Vec<SharedContent>,
 }
 
 impl Admitted {
@@ -82,7 +83,7 @@
             gw,
             regions,
             prompt_parts: prompt_parts.unwrap_or_default(),
-            shared_parts: self.shared_parts,
+            shared: self.shared,
             request: self.request,
             route: self.route,
             organisation: self.organisation,
@@ -124,20 +125,16 @@
     let body = read_body(body, table.limits.body_bytes, deadline).await?;
     let payer = organisation.as_deref();
     let request_digest = request_digest::digest(payer, &route, &head.method, &head.uri, &body);
-    if let Some(quarantine) = gw.suspects.quarantine(request_digest) {
-        trace.step(format_args!("in quarantine: {quarantine}"));
-        return Err((Cause::CrashesEndpoints, quarantine.time_left));
-    }
     let service = gw
         .pick_service(&route)
         .ok_or((Cause::NoEndpoint, DEFAULT_RETRY_AFTER))?;
-    let work = request.model_work.iter();
-    let parts: Vec<_> = work
-        .flat_map(|work| &work.parts)
-        .map(|part| part.id)
-        .collect();
-    let shared_parts = suspects::shared_parts(parts.into_iter());
-    if let Some(quarantine) = gw.quarantine_at_service(&service, &shared_parts) {
+    let work = request.model_work.as_ref();
+    let shared = shared_content::of_request(&route, payer, &head.uri, work, body.len());
+    let contents = RequestContents {
+        request: request_digest,
+        shared: &shared,
+    };
+    if let Some(quarantine) = gw.quarantine_at_service(&service, contents) {
         trace.step(format_args!("in quarantine: {quarantine}"));
         return Err((Cause::CrashesEndpoints, quarantine.time_left));
     }
@@ -155,7 +152,7 @@
         head,
         body,
         request_digest,
-        shared_parts,
+        shared,
     })
 }
 
--- a/crates/anvil_gateway/src/attempt.rs
+++ b/crates/anvil_gateway/src/attempt.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvil_world::prelude::*;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Uri, response};
 use http_body_util::Full;
@@ -12,11 +11,12 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::connection_watch::ConnectionWatch;
-use crate::dialect::{PartId, ResponseHead};
+use crate::dialect::ResponseHead;
 use crate::endpoint::{Endpoint, EndpointSlot};
 use crate::gateway::Gateway;
 use crate::late_response::LateHandler;
 use crate::pool::Connection;
+use crate::suspects::RequestContents;
 
 /// Why a request has not run at an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -96,10 +96,8 @@
     pub body: Bytes,
     /// Id that the response must carry.
     pub id: &'a str,
-    /// Equal for equal requests.
-    pub request_digest: ContentDigest,
-    /// The parts that its prompt shares with others.
-    pub shared_parts: &'a [PartId],
+    /// What it consists of.
+    pub contents: RequestContents<'a>,
     /// The response head is awaited until then.
     pub response_deadline: Instant,
     /// Set to the connection on which the request is sent.
@@ -135,7 +133,9 @@
         // Since it was selected, the endpoint may have asked for a pause, and others may have crashed
         // under the same content.
         if !endpoint.accepts_requests(gw.lifecycle.now())
-            || is_quarantined(gw, &endpoint, &outgoing)
+            || gw
+                .quarantine_at(endpoint.content_scope, outgoing.contents)
+                .is_some()
         {
             if !connection.reused {
                 endpoint.pool.put(connection.sender, connection.watch, None);
@@ -197,11 +197,6 @@
     }
 }
 
-fn is_quarantined(gw: &Gateway, endpoint: &Endpoint, outgoing: &OutgoingRequest<'_>) -> bool {
-    let by_part = gw.part_quarantine(endpoint.part_scope, outgoing.shared_parts);
-    by_part.is_some() || gw.suspects.quarantine(outgoing.request_digest).is_some()
-}
-
 /// Applies what a response states about its endpoint if nobody waits for it any more.
 fn late_handler(gw: &Arc<Gateway>, endpoint: &Arc<Endpoint>, id: &str) -> LateHandler {
     let (gw, endpoint, id) = (gw.clone(), endpoint.clone(), String::from(id));
--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -37,7 +37,7 @@
     Nobody,
     /// No endpoint of the software version that began the stream accepts work, but others do.
     VersionGone,
-    /// Only endpoints accept work whose software version crashes under a part of the prompt.
+    /// Only endpoints accept work whose software version crashes under the request.
     CrashesEndpoints,
     /// No endpoint is in a region in which the request may run.
     OutsideRegions,
@@ -85,17 +85,17 @@
         if self.directory.is_evacuated(service) {
             return Unplaced::Evacuated;
         }
-        let any_parts = Constraints {
-            parts: &[],
+        let any_contents = Constraints {
+            contents: None,
             ..constraints
         };
-        if !self.available_endpoints(service, any_parts).is_empty() {
+        if !self.available_endpoints(service, any_contents).is_empty() {
             return Unplaced::CrashesEndpoints;
         }
         let any_version = Constraints {
             version: None,
             avoided: &[],
-            ..any_parts
+            ..any_contents
         };
         if !self.available_endpoints(service, any_version).is_empty() {
             return Unplaced::VersionGone;
--- a/crates/anvil_gateway/src/crashes.rs
+++ b/crates/anvil_gateway/src/crashes.rs
@@ -64,15 +64,13 @@
         self.suspects.record_answered(digest);
     }
 
-    /// Records that an endpoint survived the beginning of its answer to a prompt with these parts.
-    pub fn record_parts_answered(&self, parts: &[ContentDigest]) {
-        if parts.is_empty() {
-            return;
-        }
+    /// Records that an endpoint survived the beginning of its answer to a request with these shared
+    /// contents.
+    pub fn record_shared_answered(&self, contents: &[ContentDigest]) {
         self.crash_watch()
-            .record_part_answers(self.lifecycle.now(), parts);
-        for part in parts {
-            self.suspects.record_answered(*part);
+            .record_shared_answers(self.lifecycle.now(), contents);
+        for content in contents {
+            self.suspects.record_answered(*content);
         }
     }
 
@@ -102,13 +100,13 @@
         }
     }
 
-    /// Whether a part of prompts was answered here, at its service and software version.
-    pub fn was_part_answered(&self, part: ContentDigest) -> bool {
+    /// Whether a shared content was answered here, at its service and software version.
+    pub fn was_shared_answered(&self, content: ContentDigest) -> bool {
         let now = self.lifecycle.now();
-        self.crash_watch().was_part_answered(now, part)
+        self.crash_watch().was_shared_answered(now, content)
     }
 
-    /// Whether an earlier answer here clears a content; an answer clears a part of prompts only once.
+    /// Whether an earlier answer here clears a content that is suspected now.
     pub fn clears(&self, content: ContentDigest) -> bool {
         let now = self.lifecycle.now();
         self.crash_watch().clears(now, content)
--- a/crates/anvil_gateway/src/endpoint.rs
+++ b/crates/anvil_gateway/src/endpoint.rs
@@ -16,7 +16,7 @@
 use crate::log_events as events;
 use crate::pauses::EndpointPause;
 use crate::pool::ConnectionPool;
-use crate::prompt_part_digest::PartScope;
+use crate::shared_content::ContentScope;
 use crate::warm_up::EndpointWarmUp;
 
 /// One incarnation of an endpoint.
@@ -33,8 +33,8 @@
     pub version: SoftwareVersion,
     /// Requests that it runs concurrently, as listed.
     pub slots: u32,
-    /// Where parts of prompts run that it receives.
-    pub part_scope: PartScope,
+    /// Where contents run that requests share.
+    pub content_scope: ContentScope,
     /// Connections to it.
     pub pool: ConnectionPool,
     leaving: AtomicBool,
@@ -54,7 +54,7 @@
             zone: listed.zone.clone(),
             version: listed.version.clone(),
             slots: listed.slots,
-            part_scope: PartScope::new(&listed.service, &listed.version),
+            content_scope: ContentScope::new(&listed.service, &listed.version),
             pool: ConnectionPool::new(listed.addr),
             leaving: AtomicBool::new(listed.leaving),
             load: Mutex::default(),
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -26,6 +26,7 @@
 use crate::regions::{AllowedRegions, Constraints};
 use crate::reply::{Cause, Reply, full_body, refusal, remove_connection_headers};
 use crate::request_charge::RequestCharge;
+use crate::shared_content::SharedContent;
 use crate::stream_relay::StreamRelay;
 use crate::table::{Organisation, Route};
 use crate::trace::Trace;
@@ -85,8 +86,8 @@
     pub awaited_connection: Option<Arc<ConnectionWatch>>,
     /// Parts of the prompt with their token counts.
     pub prompt_parts: Vec<(PartId, Tokens)>,
-    /// The parts that the prompt shares with others.
-    pub shared_parts: Vec<PartId>,
+    /// What the request shares with others.
+    pub shared: Vec<SharedContent>,
     /// Method.
     pub method: Method,
     /// Path and query.
--- a/crates/anvil_gateway/src/exchange/one_attempt.rs
+++ b/crates/anvil_gateway/src/exchange/one_attempt.rs
@@ -14,6 +14,7 @@
 use crate::metrics;
 use crate::regions::Constraints;
 use crate::reply::Cause;
+use crate::suspects::RequestContents;
 
 /// The least urgent priority class that is sent to endpoints.
 const LEAST_URGENT_CLASS: u8 = 9;
@@ -58,8 +59,10 @@
             headers: (self.gw.cfg.dialect.forward_headers)(&self.headers, &forwarded),
             body: self.body.clone(),
             id: &self.request.id,
-            request_digest: self.request_digest,
-            shared_parts: &self.shared_parts,
+            contents: RequestContents {
+                request: self.request_digest,
+                shared: &self.shared,
+            },
             response_deadline,
             watch: &mut self.awaited_connection,
         };
@@ -82,14 +85,10 @@
         Ok(outcome)
     }
 
-    /// Refuses a request under which endpoints crash, or under a part of its prompt.
+    /// Refuses a request under which endpoints crash.
     fn refuse_in_quarantine(&mut self) -> Result<(), RequestRefusal> {
-        let quarantine = self.gw.suspects.quarantine(self.request_digest);
-        let quarantine = quarantine.or_else(|| {
-            self.gw
-                .quarantine_at_service(&self.service, &self.shared_parts)
-        });
-        let Some(quarantine) = quarantine else {
+        let contents = self.contents();
+        let Some(quarantine) = self.gw.quarantine_at_service(&self.service, contents) else {
             return Ok(());
         };
         self.trace.step(format_args!("in quarantine: {quarantine}"));
@@ -146,6 +145,14 @@
             .select_endpoint(&self.service, &prompt, constraints, within)
     }
 
+    /// What the request consists of.
+    pub(super) fn contents(&self) -> RequestContents<'_> {
+        RequestContents {
+            request: self.request_digest,
+            shared: &self.shared,
+        }
+    }
+
     /// Which endpoints the request may be sent to.
     pub(super) fn constraints(&self) -> Constraints<'_> {
         Constraints {
@@ -153,7 +160,7 @@
             regions: &self.regions,
             version: self.stream_version.as_ref(),
             avoided: &[],
-            parts: &self.shared_parts,
+            contents: Some(self.contents()),
         }
     }
 
--- a/crates/anvil_gateway/src/exchange/outcome.rs
+++ b/crates/anvil_gateway/src/exchange/outcome.rs
@@ -3,8 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvil_policy::crash::{Evidence, RunContents};
-use anvil_world::prelude::*;
+use anvil_policy::crash::Evidence;
 use anvil_world::suspect::CrashedRun;
 use http::StatusCode;
 
@@ -70,17 +69,14 @@
         let parts = self.prompt_parts.iter().map(|(part, _)| *part);
         self.trace.record_lost_contents(self.request_digest, parts);
         self.record_endpoint_failure(endpoint, reason);
-        let contents = RunContents {
-            request: self.request_digest,
-            parts: self.parts_at(endpoint),
-        };
+        let contents = self.contents().run_at(endpoint.content_scope);
         self.gw.record_lost_response(endpoint, &contents, run);
     }
 
     /// Records that an endpoint has answered this request completely.
     pub fn record_answered(&self, endpoint: &Endpoint, status: StatusCode) {
         self.gw.record_answered(self.request_digest);
-        // An endpoint that answers with an error may not have run the prompt.
+        // An endpoint that answers with an error may not have run the request.
         if status.is_success() {
             self.record_survived_beginning(endpoint);
         }
@@ -88,14 +84,8 @@
 
     /// Records that an endpoint has written more than the beginning of the response.
     pub fn record_survived_beginning(&self, endpoint: &Endpoint) {
-        self.gw.record_parts_answered(&self.parts_at(endpoint));
-    }
-
-    fn parts_at(&self, endpoint: &Endpoint) -> Vec<ContentDigest> {
-        let parts = self.shared_parts.iter();
-        parts
-            .map(|part| endpoint.part_scope.digest(*part))
-            .collect()
+        let run = self.contents().run_at(endpoint.content_scope);
+        self.gw.record_shared_answered(&run.shared);
     }
 
     /// Records that an endpoint failed this request.
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -12,9 +12,9 @@
 //! for a routing table or endpoints that are expected shortly, [`stream_relay`] forwards a stream
 //! and resumes it at another endpoint, [`reply`] builds refusals.
 //!
-//! Quarantine of requests that crash endpoints, and of parts of prompts that do: [`crashes`] detects
-//! which endpoint crashed, [`suspects`] reports the contents to the ledger and learns of those reported
-//! by other gateways, [`request_digest`] and [`prompt_part_digest`] decide which are the same.
+//! Quarantine of requests that crash endpoints, and of what such requests have in common: [`crashes`]
+//! detects which endpoint crashed, [`suspects`] reports the contents to the ledger and learns of those
+//! reported by other gateways, [`request_digest`] and [`shared_content`] decide which are the same.
 //!
 //! Rate limits announced by endpoints: [`endpoint_limits`] reports them to the ledger and learns of
 //! those reported by other gateways. [`reports`] delivers both kinds of reports.
@@ -52,7 +52,6 @@
 pub mod metrics;
 pub mod pauses;
 pub mod pool;
-pub mod prompt_part_digest;
 pub mod regions;
 pub mod reply;
 pub mod reports;
@@ -61,6 +60,7 @@
 pub mod run;
 pub mod serve;
 pub mod service_versions;
+pub mod shared_content;
 pub mod stream_events;
 pub mod stream_origins;
 pub mod stream_relay;
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -41,8 +41,8 @@
 pub const CRASHES_UNREPORTED: &str = "endpoints.crashed_untold";
 /// Requests in quarantine because endpoints crash under them. Gauge.
 pub const REQUESTS_QUARANTINED: &str = "requests.quarantined";
-/// Parts of prompts in quarantine because endpoints crash under them, by software version. Gauge.
-pub const PROMPT_PARTS_QUARANTINED: &str = "prompt_parts.quarantined";
+/// Contents in quarantine that requests share, by software version. Gauge.
+pub const SHARED_QUARANTINED: &str = "shared_contents.quarantined";
 /// Responses whose rate limit can't be parsed. Count.
 pub const LIMITS_UNREADABLE: &str = "endpoints.limit_unreadable";
 /// Endpoints that announced a rate limit to all gateways together. Gauge.
@@ -107,7 +107,7 @@
     (ENDPOINT_CRASHES, "count"),
     (CRASHES_UNREPORTED, "count"),
     (REQUESTS_QUARANTINED, "gauge"),
-    (PROMPT_PARTS_QUARANTINED, "gauge"),
+    (SHARED_QUARANTINED, "gauge"),
     (LIMITS_UNREADABLE, "count"),
     (ENDPOINTS_LIMITED, "gauge"),
     (LIMIT_USED, "gauge"),
@@ -161,10 +161,7 @@
                 REQUESTS_QUARANTINED,
                 self.suspects.count_quarantined_requests(),
             ),
-            (
-                PROMPT_PARTS_QUARANTINED,
-                self.suspects.count_quarantined_parts(),
-            ),
+            (SHARED_QUARANTINED, self.suspects.count_quarantined_shared()),
             (ENDPOINTS_LIMITED, limited),
             (LIMIT_USED, limit_used),
             (ENDPOINTS_PAUSED, self.count_paused()),
--- a/crates/anvil_gateway/src/regions.rs
+++ b/crates/anvil_gateway/src/regions.rs
@@ -4,9 +4,9 @@
 
 use anvil_world::prelude::*;
 
-use crate::dialect::PartId;
 use crate::directory::EndpointGroup;
 use crate::gateway::Gateway;
+use crate::suspects::RequestContents;
 
 /// Regions in which a request may run; all of them by default.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -48,8 +48,8 @@
     pub version: Option<&'a SoftwareVersion>,
     /// Versions at which it may not run.
     pub avoided: &'a [SoftwareVersion],
-    /// The parts that its prompt shares with others.
-    pub parts: &'a [PartId],
+    /// What the request consists of; `None` if no quarantine matters.
+    pub contents: Option<RequestContents<'a>>,
 }
 
 impl Gateway {
@@ -61,11 +61,14 @@
     ) -> EndpointGroup {
         let mut available = self.directory.available(service, constraints.tried);
         self.retain_allowed(&mut available, constraints.regions);
-        let barred = self.barred_scopes(&available, constraints.parts);
+        let barred = constraints
+            .contents
+            .map(|contents| self.barred_scopes(&available, contents))
+            .unwrap_or_default();
         available.retain(|endpoint| {
             let version = &endpoint.version;
             let is_avoided = constraints.avoided.contains(version);
-            let is_barred = barred.contains_key(&endpoint.part_scope);
+            let is_barred = barred.contains_key(&endpoint.content_scope);
             !is_avoided && !is_barred && constraints.version.is_none_or(|bound| bound == version)
         });
         available
--- a/crates/anvil_gateway/src/suspects.rs
+++ b/crates/anvil_gateway/src/suspects.rs
@@ -1,13 +1,13 @@
-//! Contents under which endpoints crashed, whole requests and parts of their prompts: those observed
-//! by this gateway, and those the ledger reports.
+//! Contents under which endpoints crashed, whole requests and what they share: those observed by this
+//! gateway, and those the ledger reports.
 //!
 //! Observations are reported to the ledger, which merges the reports of all gateways and keeps them
 //! across restarts. Until the ledger has accepted a report, this gateway applies it locally.
 
-mod parts;
 mod pending;
+mod shared;
 
-pub use parts::shared_parts;
+pub use shared::RequestContents;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -24,15 +24,11 @@
 
 use crate::gateway::Gateway;
 use crate::log_events as events;
-use crate::prompt_part_digest;
 use crate::reports;
 use crate::request_digest;
-use parts::QuarantinedParts;
+use crate::shared_content;
 use pending::PendingReports;
-
-/// Minimum time from the first to the last crash blamed on a part of prompts. When several endpoints
-/// lose power together, prompts with an unanswered part were in flight at all of them.
-const MIN_PART_CRASH_SPAN: Duration = Duration::from_secs(1);
+use shared::QuarantinedContents;
 
 /// Suspects as the ledger reports them.
 type ReportedSuspects = BTreeMap<ContentDigest, LedgerSuspect>;
@@ -44,7 +40,7 @@
     pending: Mutex<PendingReports>,
     has_pending: AtomicBool,
     /// Derived from both.
-    parts: ArcSwap<QuarantinedParts>,
+    quarantined: ArcSwap<QuarantinedContents>,
     report_wanted: Notify,
 }
 
@@ -59,7 +55,7 @@
 /// Why a request is not sent to endpoints.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Quarantine {
-    /// The request, or parts of its prompt.
+    /// The request, or what it shares with others.
     pub contents: BTreeSet<ContentDigest>,
     /// Time until the quarantine ends.
     pub time_left: Duration,
@@ -149,15 +145,15 @@
         let reported = self.from_ledger.load();
         let requests = reported
             .iter()
-            .filter(|(content, _)| !prompt_part_digest::is_part(**content));
+            .filter(|(content, _)| !shared_content::is_shared(**content));
         let quarantined = requests
             .filter(|(content, reported)| is_quarantined(**content, &reported.suspect, now));
         quarantined.count() as u64
     }
 
-    /// Number of parts of prompts in quarantine, by software version.
-    pub fn count_quarantined_parts(&self) -> u64 {
-        self.parts.load().count()
+    /// Number of contents in quarantine that requests share, by software version.
+    pub fn count_quarantined_shared(&self) -> u64 {
+        self.quarantined.load().count_shared()
     }
 
     fn apply_reported(&self, reported: ReportedSuspects) {
@@ -170,8 +166,8 @@
         let result = f(&mut pending);
         let has_pending = !pending.is_empty();
         self.has_pending.store(has_pending, Ordering::Relaxed);
-        let parts = QuarantinedParts::new(&self.from_ledger.load(), &pending);
-        self.parts.store(Arc::new(parts));
+        let quarantined = QuarantinedContents::new(&self.from_ledger.load(), &pending);
+        self.quarantined.store(Arc::new(quarantined));
         result
     }
 
@@ -183,11 +179,11 @@
 
 /// Time until a content's quarantine ends; zero if it is in none.
 fn quarantine_left(content: ContentDigest, suspect: &SuspectContent, now: SystemTime) -> Duration {
-    let is_part = prompt_part_digest::is_part(content);
-    if is_part && suspect.crash_span() < MIN_PART_CRASH_SPAN {
-        return Duration::ZERO;
+    if shared_content::is_shared(content) {
+        suspect.shared_quarantine_remaining(now)
+    } else {
+        suspect.quarantine_remaining(now)
     }
-    suspect.quarantine_remaining(now)
 }
 
 fn is_quarantined(content: ContentDigest, suspect: &SuspectContent, now: SystemTime) -> bool {
@@ -197,7 +193,7 @@
 impl Gateway {
     /// Applies the suspects reported by the ledger. A content that an endpoint answered here before is
     /// cleared: when a zone loses power, equal requests from many clients were in flight at several
-    /// endpoints, and sound requests share parts of their prompts with those that crash endpoints.
+    /// endpoints, and sound requests share contents with those that crash endpoints.
     pub fn apply_ledger_suspects(&self, reported: &BTreeMap<ContentDigest, SuspectContent>) {
         let previous = self.suspects.from_ledger.load_full();
         let known = previous
@@ -233,16 +229,16 @@
         }
     }
 
-    /// Whether an endpoint answered a content before it was suspected. Once a part is in quarantine only
-    /// an answer to a prompt that is still under way clears it.
+    /// Whether an endpoint answered a content before it was suspected. Once a shared one is in quarantine
+    /// only an answer to a request that is still under way clears it.
     fn is_cleared_by_earlier_answer(
         &self,
         content: ContentDigest,
         suspect: &SuspectContent,
     ) -> bool {
-        let is_named_part = prompt_part_digest::is_part(content)
+        let is_named = shared_content::is_shared(content)
             && is_quarantined(content, suspect, SystemTime::now());
-        !is_named_part && self.clears(content)
+        !is_named && self.clears(content)
     }
 
     fn log_new_quarantine(
--- a/crates/anvil_gateway/tests/direct/main.rs
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -17,6 +17,7 @@
 mod prompt_parts;
 mod regions;
 mod responses;
+mod shared_contents;
 mod siblings;
 mod starting;
 mod streams;
--- a/crates/anvil_policy/src/blame.rs
+++ b/crates/anvil_policy/src/blame.rs
@@ -1,16 +1,16 @@
-//! Which parts of prompts endpoints crash under, where several parts were in flight at the same crashes.
+//! Which contents endpoints crash under, where several of them were in flight at the same crashes.
 //!
 //! *Load pattern:* endpoints crash one after the other under a part of prompts. The prompts are no two
-//! alike, and share their other parts with prompts that are sound.
+//! alike, and share their other parts, their sender and their size with requests that are sound.
 //!
-//! *Without it:* each part that was in flight at all these crashes and was not answered meanwhile is
+//! *Without it:* each content that was in flight at all these crashes and was not answered meanwhile is
 //! blamed. Where all prompts of an organisation begin with the same part, all of them are refused.
 //!
-//! *Mechanism:* parts that were in flight at the same crashes can't be told apart, so they are blamed
-//! as a group: a prompt is refused only if it consists of all of them. A prompt with some of them is
-//! sent; if it is answered, its parts are cleared, and if its endpoint crashes, its parts were in flight
-//! at a crash that the others were not. A part that was in flight at all crashes of another one, and at
-//! later ones, explains these without the other one.
+//! *Mechanism:* contents that were in flight at the same crashes can't be told apart, so they are blamed
+//! as a group: a request is refused only if it has all of them. One with some of them is sent; if it is
+//! answered, its contents are cleared, and if its endpoint crashes, they were in flight at a crash at
+//! which the others were not. A content that was in flight at all crashes of another one, and at later
+//! ones, explains these without the other one.
 //!
 //! *Thresholds:* gateways report one crash at slightly different times, depending on when each of them
 //! notices it.
@@ -20,35 +20,66 @@
 
 use anvil_world::prelude::*;
 
-/// The last crashes of two parts count as the same one if they were reported within this time.
-const SAME_REPORT_TIME: Duration = Duration::from_millis(300);
+/// Two crashes count as the same one, or as simultaneous, if they were reported within this time.
+const SAME_REPORT_TIME: Duration = Duration::from_millis(100);
 
-/// Parts that only together are known to crash endpoints.
+/// Contents that only together are known to crash endpoints.
 pub type BlamedGroup = BTreeSet<ContentDigest>;
 
-/// Groups the parts that endpoints crash under.
+/// Contents that were in flight at the same crashes.
+struct Candidate<'a> {
+    contents: BlamedGroup,
+    suspect: &'a SuspectContent,
+}
+
+/// Groups the contents that endpoints crash under.
 pub fn groups<'a>(
     blamed: impl Iterator<Item = (ContentDigest, &'a SuspectContent)>,
 ) -> Vec<BlamedGroup> {
     let mut by_crashes: BTreeMap<BTreeSet<&InstanceId>, Vec<_>> = BTreeMap::new();
-    for (part, suspect) in blamed {
+    for (content, suspect) in blamed {
         let endpoints = suspect.endpoints().collect();
         by_crashes
             .entry(endpoints)
             .or_default()
-            .push((part, suspect));
+            .push((content, suspect));
     }
-    by_crashes.into_values().map(with_latest_crash).collect()
+    let candidates = by_crashes.into_values().filter_map(with_latest_crash);
+    let candidates: Vec<_> = candidates.collect();
+    let is_explained = |candidate: &Candidate<'_>| {
+        candidates.iter().any(|other| {
+            explains(other.suspect, candidate.suspect)
+                && !explains(candidate.suspect, other.suspect)
+        })
+    };
+    let groups = candidates
+        .iter()
+        .filter(|candidate| !is_explained(candidate));
+    groups.map(|candidate| candidate.contents.clone()).collect()
 }
 
-/// Of the parts that were in flight at the same crashes, those that were at the latest one.
-fn with_latest_crash(parts: Vec<(ContentDigest, &SuspectContent)>) -> BlamedGroup {
-    let latest = parts.iter().map(|(_, suspect)| suspect.since).max();
-    let is_latest = |suspect: &SuspectContent| {
-        let behind = latest.map(|latest| latest.duration_since(suspect.since));
+/// Of the contents that were in flight at the same crashes, those that were at the latest one.
+fn with_latest_crash(contents: Vec<(ContentDigest, &SuspectContent)>) -> Option<Candidate<'_>> {
+    let (_, suspect) = *contents.iter().max_by_key(|(_, suspect)| suspect.since)?;
+    let is_latest = |(_, other): &(ContentDigest, &SuspectContent)| {
+        let behind = suspect.since.duration_since(other.since);
         // None is later than the latest.
-        behind.is_none_or(|behind| behind.unwrap_or_default() <= SAME_REPORT_TIME)
+        behind.unwrap_or_default() <= SAME_REPORT_TIME
     };
-    let blamed = parts.into_iter().filter(|(_, suspect)| is_latest(suspect));
-    blamed.map(|(part, _)| part).collect()
+    let latest = contents.into_iter().filter(is_latest);
+    Some(Candidate {
+        contents: latest.map(|(content, _)| content).collect(),
+        suspect,
+    })
+}
+
+/// Whether one content was in flight at all crashes of another one, as far as its record tells: it names
+/// the first crashes, and the time of the last one.
+fn explains(one: &SuspectContent, other: &SuspectContent) -> bool {
+    let recorded_until = one.crashes.iter().map(|crash| crash.at).max();
+    other.crashes.iter().all(|crash| {
+        let is_later = recorded_until.is_none_or(|until| crash.at > until);
+        let is_over = crash.at > one.since + SAME_REPORT_TIME;
+        one.endpoints().any(|endpoint| *endpoint == crash.endpoint) || is_later && !is_over
+    })
 }
--- a/crates/anvil_policy/src/crash.rs
+++ b/crates/anvil_policy/src/crash.rs
@@ -16,12 +16,13 @@
 //! all parts but one with those that crash endpoints. A run that had produced output before the crash
 //! is weaker evidence against its contents than one that had not, as it had started without a crash.
 //!
-//! An answer long ago clears a part only once, so that a part which was sound and crashes endpoints now
-//! is not cleared forever, and one that is rarely used is not blamed for the crashes of others.
+//! An answer long ago clears a shared content for the crashes of a few seconds only, so that one which
+//! was sound and crashes endpoints now is not cleared forever, and one that is rarely used is not blamed
+//! for the crashes of others, also where all endpoints are lost at once.
 //!
 //! *Thresholds:* lost answers and evidence are matched within some seconds, because a crashed
 //! endpoint stays listed that long; probes and memory are bounded where an endpoint loses thousands
-//! of answers, or prompts consist of made-up parts.
+//! of answers, or requests consist of made-up parts.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -45,18 +46,21 @@
 const ANSWER_RETENTION: Duration = Duration::from_secs(10);
 /// Maximum number of answered requests that are remembered.
 const MAX_ANSWERED_REQUESTS: usize = 4_096;
-/// For how long an answer can clear a part of its prompt once.
-const PART_ANSWER_RETENTION: Duration = Duration::from_mins(10);
-/// Maximum number of answered parts that are remembered.
-const MAX_ANSWERED_PARTS: usize = 16_384;
+/// For how long answers to shared contents are remembered.
+const SHARED_ANSWER_RETENTION: Duration = Duration::from_mins(10);
+/// For how long such an answer clears its content, from the first time on. Within this time gateways
+/// notice all crashes of endpoints that are lost together.
+const CLEARING_TIME: Duration = Duration::from_secs(3);
+/// Maximum number of answered shared contents that are remembered.
+const MAX_ANSWERED_SHARED: usize = 16_384;
 
 /// What one run consists of, as far as a crash can be blamed on it.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct RunContents {
     /// The whole request.
     pub request: ContentDigest,
-    /// The parts that its prompt shares with others, at the service and version of its endpoint.
-    pub parts: Vec<ContentDigest>,
+    /// What it shares with others, at the service and version of its endpoint.
+    pub shared: Vec<ContentDigest>,
 }
 
 /// Evidence that an endpoint's process has ended.
@@ -86,7 +90,7 @@
 pub struct CrashWatch {
     endpoints: BTreeMap<InstanceId, EndpointLosses>,
     requests: RecentAnswers,
-    parts: RecentAnswers,
+    shared: RecentAnswers,
 }
 
 impl Default for CrashWatch {
@@ -94,7 +98,7 @@
         Self {
             endpoints: BTreeMap::new(),
             requests: RecentAnswers::new(ANSWER_RETENTION, MAX_ANSWERED_REQUESTS),
-            parts: RecentAnswers::new(PART_ANSWER_RETENTION, MAX_ANSWERED_PARTS),
+            shared: RecentAnswers::new(SHARED_ANSWER_RETENTION, MAX_ANSWERED_SHARED),
         }
     }
 }
@@ -129,7 +133,7 @@
     ) -> LostAnswerAction {
         self.prune(now);
         let request = [contents.request];
-        let all = request.iter().chain(&contents.parts).copied();
+        let all = request.iter().chain(&contents.shared).copied();
         let unanswered: Vec<_> = all
             .filter(|content| !self.was_just_answered(now, *content))
             .collect();
@@ -181,28 +185,27 @@
         self.requests.record(now, request);
     }
 
-    /// Records that an endpoint writes answers to prompts with these parts.
-    pub fn record_part_answers(&mut self, now: Now, parts: &[ContentDigest]) {
-        for part in parts {
-            self.parts.record(now, *part);
+    /// Records that an endpoint writes an answer to a request with these shared contents.
+    pub fn record_shared_answers(&mut self, now: Now, contents: &[ContentDigest]) {
+        for content in contents {
+            self.shared.record(now, *content);
         }
     }
 
-    /// Whether a part has been answered, so that prompts with it are sound at its service and version.
-    pub fn was_part_answered(&self, now: Now, part: ContentDigest) -> bool {
-        self.parts.contains(now, part)
+    /// Whether a shared content has been answered, so that it is sound at its service and version.
+    pub fn was_shared_answered(&self, now: Now, content: ContentDigest) -> bool {
+        self.shared.contains(now, content)
     }
 
-    /// Whether an earlier answer clears a content that is suspected now. An answer to a part clears it
-    /// only once.
+    /// Whether an earlier answer clears a content that is suspected now.
     pub fn clears(&mut self, now: Now, content: ContentDigest) -> bool {
-        self.requests.contains(now, content) || self.parts.take(now, content)
+        self.requests.contains(now, content) || self.shared.can_use(now, content, CLEARING_TIME)
     }
 
     fn was_just_answered(&self, now: Now, content: ContentDigest) -> bool {
-        let parts = &self.parts;
+        let shared = &self.shared;
         self.requests.contains(now, content)
-            || parts.contains_within(now, content, ANSWER_RETENTION)
+            || shared.contains_within(now, content, ANSWER_RETENTION)
     }
 
     fn losses(&mut self, now: Now, endpoint: &InstanceId) -> &mut EndpointLosses {
--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -49,7 +49,7 @@
 //! * [`pause`]: when a router sends to an endpoint that asked for a pause.
 //! * [`copying`]: when such an engine copies cached tokens from another one.
 //! * [`crash`]: which contents were in flight at an endpoint when it crashed, and [`recent_answers`]: which are sound.
-//! * [`blame`]: which parts of prompts endpoints crash under.
+//! * [`blame`]: which contents endpoints crash under.
 //! * [`rate_share`]: each router's part of a rate limit that an endpoint announces for all of them.
 //! * [`warm_up`]: which endpoints may be warming up and tolerate few requests.
 //! * [`version_history`]: which software versions of a service served, and when last.
--- a/crates/anvil_policy/src/recent_answers.rs
+++ b/crates/anvil_policy/src/recent_answers.rs
@@ -15,6 +15,8 @@
     retention: Duration,
     max_contents: usize,
     answered_at: BTreeMap<ContentDigest, Now>,
+    /// Since when an answer has been used to clear its content.
+    used_since: BTreeMap<ContentDigest, Now>,
     /// The same answers, oldest first; a content that was answered again occurs again.
     order: VecDeque<(Now, ContentDigest)>,
 }
@@ -26,6 +28,7 @@
             retention,
             max_contents,
             answered_at: BTreeMap::new(),
+            used_since: BTreeMap::new(),
             order: VecDeque::new(),
         }
     }
@@ -33,10 +36,12 @@
     /// Records an answer.
     pub fn record(&mut self, now: Now, content: ContentDigest) {
         let last = self.answered_at.get(&content);
-        if last.is_some_and(|at| now < *at + self.retention / REFRESH_FRACTION) {
+        let is_fresh = last.is_some_and(|at| now < *at + self.retention / REFRESH_FRACTION);
+        if is_fresh && !self.used_since.contains_key(&content) {
             return;
         }
         self.answered_at.insert(content, now);
+        self.used_since.remove(&content);
         self.order.push_back((now, content));
         self.prune(now);
     }
@@ -52,11 +57,14 @@
         self.contains_within(now, content, self.retention)
     }
 
-    /// Removes a content. Returns whether it was answered within the retention.
-    pub fn take(&mut self, now: Now, content: ContentDigest) -> bool {
-        let is_known = self.contains(now, content);
-        self.answered_at.remove(&content);
-        is_known
+    /// Whether a content was answered within the retention. An answer can be used for `span` from its
+    /// first use on.
+    pub fn can_use(&mut self, now: Now, content: ContentDigest, span: Duration) -> bool {
+        if !self.contains(now, content) {
+            return false;
+        }
+        let since = *self.used_since.entry(content).or_insert(now);
+        now < since + span
     }
 
     /// Removes expired answers, and the oldest ones beyond the maximum.
@@ -67,6 +75,7 @@
             self.order.pop_front();
             if self.answered_at.get(&content) == Some(&at) {
                 self.answered_at.remove(&content);
+                self.used_since.remove(&content);
             }
         }
     }
--- a/crates/anvil_world/src/ids.rs
+++ b/crates/anvil_world/src/ids.rs
@@ -55,7 +55,7 @@
 pub type BodyHash = [u8; 32];
 /// Request rate, in requests per thousand seconds.
 pub type RateLimit = u64;
-/// What a crash can be blamed on: a whole request, or one part of prompts.
+/// What a crash can be blamed on: a whole request, or something that requests share.
 pub type ContentDigest = u128;
 /// Time since the process started; the clock of the state machines.
 pub type Now = Duration;
--- a/crates/anvil_world/src/suspect.rs
+++ b/crates/anvil_world/src/suspect.rs
@@ -1,5 +1,5 @@
-//! Suspect contents: whole requests that were in flight on endpoints when these crashed, or parts of
-//! their prompts, that no endpoint has answered since.
+//! Suspect contents: whole requests that were in flight on endpoints when these crashed, or what they
+//! share with others, such as a part of their prompts, that no endpoint has answered since.
 //!
 //! Each crash adds a weight. From a minimum weight on the content is quarantined: requests with it are
 //! not sent to endpoints for a time, so that they can't crash them one after the other.
@@ -15,6 +15,12 @@
 pub const QUARANTINE_MIN_WEIGHT: u32 = 6;
 /// How long a content is quarantined after its last crash.
 pub const QUARANTINE_TIME: Duration = Duration::from_hours(1);
+/// How long a content that requests share is quarantined at first. If an endpoint crashes under it once
+/// more after that, [`QUARANTINE_TIME`] applies.
+pub const FIRST_SHARED_QUARANTINE: Duration = Duration::from_mins(1);
+/// Minimum time from the first to the last crash blamed on a content that requests share. When several
+/// endpoints lose power together, requests with an unanswered content were in flight at all of them.
+const MIN_SHARED_CRASH_SPAN: Duration = Duration::from_secs(1);
 /// How long crashes are kept after the last one. Within this time a single further crash renews an
 /// expired quarantine.
 pub const CRASH_RETENTION: Duration = Duration::from_hours(24);
@@ -118,6 +124,20 @@
         QUARANTINE_TIME.saturating_sub(self.age(now))
     }
 
+    /// The same for a content that many requests share, which are refused together.
+    pub fn shared_quarantine_remaining(&self, now: SystemTime) -> Duration {
+        let span = self.crash_span();
+        if self.weight() < QUARANTINE_MIN_WEIGHT || span < MIN_SHARED_CRASH_SPAN {
+            return Duration::ZERO;
+        }
+        let time = if span < FIRST_SHARED_QUARANTINE {
+            FIRST_SHARED_QUARANTINE
+        } else {
+            QUARANTINE_TIME
+        };
+        time.saturating_sub(self.age(now))
+    }
+
     /// Whether the record has expired.
     pub fn is_expired(&self, now: SystemTime) -> bool {
         self.age(now) >= CRASH_RETENTION
