One content explains another one only by two common crashes, and while it goes on

Its logs: the part was in quarantine by the ledger's record, and sent on all the same for six seconds. Cause: a content counted as explained by another one if its crashes were later than those that the other one's record names; a repeated request that crashed endpoints at the same time so hid the part.

--- a/crates/anvil_policy/src/blame.rs
+++ b/crates/anvil_policy/src/blame.rs
@@ -19,10 +19,15 @@
 use std::time::Duration;
 
 use anvil_world::prelude::*;
+use anvil_world::suspect::Crash;
 
 /// Two crashes count as the same one, or as simultaneous, if they were reported within this time.
 const SAME_REPORT_TIME: Duration = Duration::from_millis(100);
 
+/// Minimum number of common crashes by which one content explains another one: endpoints also crash under
+/// two contents by chance.
+const MIN_COMMON_CRASHES: usize = 2;
+
 /// Contents that only together are known to crash endpoints.
 pub type BlamedGroup = BTreeSet<ContentDigest>;
 
@@ -73,13 +78,16 @@
     })
 }
 
-/// Whether one content was in flight at all crashes of another one, as far as its record tells: it names
-/// the first crashes, and the time of the last one.
+/// Whether one content was in flight at all crashes of another one, as far as their records tell: these
+/// name the first crashes, and the time of the last one.
 fn explains(one: &SuspectContent, other: &SuspectContent) -> bool {
+    let is_recorded = |crash: &&Crash| {
+        let mut endpoints = one.endpoints();
+        endpoints.any(|endpoint| *endpoint == crash.endpoint)
+    };
+    let (common, others): (Vec<_>, Vec<_>) = other.crashes.iter().partition(is_recorded);
     let recorded_until = one.crashes.iter().map(|crash| crash.at).max();
-    other.crashes.iter().all(|crash| {
-        let is_later = recorded_until.is_none_or(|until| crash.at > until);
-        let is_over = crash.at > one.since + SAME_REPORT_TIME;
-        one.endpoints().any(|endpoint| *endpoint == crash.endpoint) || is_later && !is_over
-    })
+    let is_later = |crash: &Crash| recorded_until.is_none_or(|until| crash.at > until);
+    let goes_on = other.since <= one.since + SAME_REPORT_TIME;
+    goes_on && common.len() >= MIN_COMMON_CRASHES && others.into_iter().all(is_later)
 }
--- a/crates/anvil_policy/tests/blame.rs
+++ b/crates/anvil_policy/tests/blame.rs
@@ -77,3 +77,12 @@
         "it was in flight at a crash at which the other one was not"
     );
 }
+
+/// Guards against a part that crashes endpoints hiding another one that began later.
+#[test]
+fn crashes_of_one_part_do_not_hide_another_one() {
+    let mut earlier = part(&[("a", 0), ("b", 400), ("c", 1_100)]);
+    earlier.since = at(5_000);
+    let other = part(&[("c", 1_200), ("d", 2_000), ("e", 3_000)]);
+    assert_eq!(groups_of(&[(66, earlier), (67, other)]).len(), 2);
+}
