Tests of clients that disconnect before their request is sent

Cause: a request whose client has closed its connection is sent to an endpoint all the same, if the gateway has not looked at the client's socket since; and the deadline of a request counts from when it was read, however late that was.

Change: tests only.

--- a/crates/anvil_gateway/tests/direct/charging.rs
+++ b/crates/anvil_gateway/tests/direct/charging.rs
@@ -9,10 +9,11 @@
 use crate::endpoint::{Step, TestEndpoint, chunk, event, refusal_with, stream_end, stream_head};
 use crate::gateway::TestGateway;
 
-const KEY: &str = "x-key: key\r\n";
+/// Header line with the key of the prepaid organisation.
+pub const KEY: &str = "x-key: key\r\n";
 
 /// Grants this amount to the co-op, as the ledger would.
-fn add_grant(gateway: &TestGateway, id: GrantId, amount: Tokens) {
+pub fn add_grant(gateway: &TestGateway, id: GrantId, amount: Tokens) {
     let grant_account = &gateway.gw.grant_account;
     let batch = grant_account
         .next_batch(gateway.gw.lifecycle.now())
--- a/crates/anvil_gateway/tests/direct/main.rs
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -5,6 +5,7 @@
 mod crashing;
 mod crashing_endpoints;
 mod dialect;
+mod disconnected_clients;
 mod endpoint;
 mod evacuating;
 mod explanations;
