Requests of clients that have disconnected are not sent to endpoints

Cause: a client that gave up while its request waited had it run all the same, since the HTTP server notices a closed connection only when it next reads from it.

Change: accept::client_socket shares the client's socket with its requests; attempt::send looks at it (recv with MSG_PEEK) and at the deadline just before the request's bytes go out. A request that is not sent for this counts as not run and isn't charged; its outcomes are client_left and expired.

One existing test is adapted: pausing::request_selected_before_a_pause_is_not_sent_in_it names the two new fields of OutgoingRequest; what it checks is unchanged.

--- /dev/null
+++ b/crates/anvil_gateway/src/accept/client_socket.rs
@@ -0,0 +1,133 @@
+//! A client's connection, and whether the client still holds it open.
+//!
+//! Failure: a client gives up and closes its connection while its request waits for the processor, for
+//! tokens or for an endpoint. The HTTP server notices that only when it next reads from the socket, so
+//! the request is sent although nobody waits for the response. So the socket is looked at once more just
+//! before the request is sent.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use std::task::{Context, Poll};
+
+use rustix::io::Errno;
+use rustix::net::{RecvFlags, recv};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// A client's socket as the HTTP server uses it.
+///
+/// Only [`ClientConnection`] shares it, and locks it for one system call at a time.
+pub struct ClientSocket {
+    socket: Arc<Mutex<TcpStream>>,
+}
+
+/// The state of a client's connection, for its requests.
+pub struct ClientConnection {
+    socket: Weak<Mutex<TcpStream>>,
+    accepted_at: Instant,
+    /// Whether the next request is the first one and lay in the socket when it was accepted.
+    first_is_waiting: AtomicBool,
+}
+
+/// What a look at a socket shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum SocketState {
+    /// Open, without unread data.
+    Empty,
+    /// Open, with unread data.
+    HasData,
+    /// Closed or reset by the other side.
+    Closed,
+}
+
+impl ClientSocket {
+    /// Wraps a socket that has just been accepted.
+    pub fn new(socket: TcpStream) -> (Self, ClientConnection) {
+        let first_is_waiting = peek(&socket) == SocketState::HasData;
+        let socket = Arc::new(Mutex::new(socket));
+        let connection = ClientConnection {
+            socket: Arc::downgrade(&socket),
+            accepted_at: Instant::now(),
+            first_is_waiting: AtomicBool::new(first_is_waiting),
+        };
+        (Self { socket }, connection)
+    }
+}
+
+impl ClientConnection {
+    /// Whether the client has closed its connection, also if the HTTP server has not noticed it yet.
+    pub fn is_closed(&self) -> bool {
+        let socket = self.socket.upgrade();
+        socket.is_none_or(|socket| peek(&lock(&socket)) == SocketState::Closed)
+    }
+
+    /// From when on the time limit of a request counts whose head has just been read: a first request
+    /// that lay in the socket when it was accepted counts from then.
+    pub fn request_started_at(&self) -> Instant {
+        if self.first_is_waiting.swap(false, Ordering::Relaxed) {
+            self.accepted_at
+        } else {
+            Instant::now()
+        }
+    }
+}
+
+/// Looks at a socket without reading from it. Asks the kernel and not the runtime, which learns of new
+/// data and closed connections only between tasks.
+fn peek(socket: &TcpStream) -> SocketState {
+    let mut byte = [0];
+    match recv(socket, &mut byte, RecvFlags::PEEK | RecvFlags::DONTWAIT) {
+        Ok((_, 0)) => SocketState::Closed,
+        Ok(_) => SocketState::HasData,
+        Err(Errno::AGAIN | Errno::INTR) => SocketState::Empty,
+        Err(_) => SocketState::Closed,
+    }
+}
+
+fn lock(socket: &Mutex<TcpStream>) -> MutexGuard<'_, TcpStream> {
+    // Sound after a panic elsewhere: the lock guards single system calls.
+    socket.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl AsyncRead for ClientSocket {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut *lock(&self.socket)).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for ClientSocket {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *lock(&self.socket)).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *lock(&self.socket)).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *lock(&self.socket)).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *lock(&self.socket)).poll_shutdown(cx)
+    }
+}
--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -13,6 +13,7 @@
 use hyper::body::{Body, Incoming};
 use tokio::time::{Instant, timeout_at};
 
+use crate::accept::client_socket::ClientConnection;
 use crate::attempt_counter::AttemptCounter;
 use crate::availability;
 use crate::dialect::RequestHead;
@@ -33,8 +34,12 @@
 const LEADER_ELECTION_TIME: Duration = Duration::from_secs(1);
 
 /// Answers one request.
-pub async fn handle_request(gw: &Arc<Gateway>, req: Request<Incoming>) -> Reply {
-    let received_at = Instant::now();
+pub async fn handle_request(
+    gw: &Arc<Gateway>,
+    client: Arc<ClientConnection>,
+    req: Request<Incoming>,
+) -> Reply {
+    let received_at = client.request_started_at();
     let (head, body) = req.into_parts();
     let request = match (gw.cfg.dialect.parse_request)(&head) {
         Ok(request) => request,
@@ -47,7 +52,10 @@
     };
     let mut trace = Trace::new(gw.clone(), request.id.clone(), received_at);
     match admit(gw, head, body, request, received_at, &mut trace).await {
-        Ok(admitted) => admitted.into_exchange(gw.clone(), trace).run().await,
+        Ok(admitted) => {
+            let exchange = admitted.into_exchange(gw.clone(), client, trace);
+            exchange.run().await
+        }
         Err((cause, retry_after)) => {
             trace.record_outcome(cause.text());
             refusal(cause, Some(retry_after))
@@ -70,7 +78,12 @@
 }
 
 impl Admitted {
-    fn into_exchange(self, gw: Arc<Gateway>, trace: Trace) -> Exchange {
+    fn into_exchange(
+        self,
+        gw: Arc<Gateway>,
+        client: Arc<ClientConnection>,
+        trace: Trace,
+    ) -> Exchange {
         let prompt_parts = self.request.model_work.as_ref();
         let prompt_parts =
             prompt_parts.map(|work| work.parts.iter().map(|p| (p.id, p.tokens)).collect());
@@ -81,6 +94,7 @@
         );
         Exchange {
             gw,
+            client,
             regions,
             prompt_parts: prompt_parts.unwrap_or_default(),
             shared: self.shared,
@@ -122,6 +136,9 @@
         trace.record_organisation(&organisation.id);
     }
     let deadline = received_at + request.timeout.min(route.timeout);
+    if deadline <= Instant::now() {
+        return Err((Cause::Expired, DEFAULT_RETRY_AFTER));
+    }
     let body = read_body(body, table.limits.body_bytes, deadline).await?;
     let payer = organisation.as_deref();
     let request_digest = request_digest::digest(payer, &route, &head.method, &head.uri, &body);
--- a/crates/anvil_gateway/src/attempt.rs
+++ b/crates/anvil_gateway/src/attempt.rs
@@ -10,12 +10,14 @@
 use hyper::client::conn::http1::SendRequest;
 use tokio::time::{Instant, timeout_at};
 
+use crate::accept::client_socket::ClientConnection;
 use crate::connection_watch::ConnectionWatch;
 use crate::dialect::ResponseHead;
 use crate::endpoint::{Endpoint, EndpointSlot};
 use crate::gateway::Gateway;
 use crate::late_response::LateHandler;
 use crate::pool::Connection;
+use crate::reply::Cause;
 use crate::suspects::RequestContents;
 
 /// Why a request has not run at an endpoint.
@@ -27,6 +29,8 @@
     Refused(u16),
     /// Nothing was sent, because the endpoint no longer accepts requests.
     NotAccepting,
+    /// Nothing was sent, because nobody waits for the response any more.
+    Unwanted(Cause),
 }
 
 /// Status that an endpoint returns if the request names another incarnation: 421 Misdirected
@@ -100,6 +104,10 @@
     pub contents: RequestContents<'a>,
     /// The response head is awaited until then.
     pub response_deadline: Instant,
+    /// The request fails if it has no response by then.
+    pub deadline: Instant,
+    /// The connection of its client; `None` if it has none to check.
+    pub client: Option<&'a ClientConnection>,
     /// Set to the connection on which the request is sent.
     pub watch: &'a mut Option<Arc<ConnectionWatch>>,
 }
@@ -130,17 +138,11 @@
                 return AttemptOutcome::NotRun(NotRun::Unreachable(e.to_string()));
             }
         };
-        // Since it was selected, the endpoint may have asked for a pause, and others may have crashed
-        // under the same content.
-        if !endpoint.accepts_requests(gw.lifecycle.now())
-            || gw
-                .quarantine_at(endpoint.content_scope, outgoing.contents)
-                .is_some()
-        {
+        if let Some(reason) = reason_not_to_send(gw, &endpoint, &outgoing) {
             if !connection.reused {
                 endpoint.pool.put(connection.sender, connection.watch, None);
             }
-            return AttemptOutcome::NotRun(NotRun::NotAccepting);
+            return AttemptOutcome::NotRun(reason);
         }
         let handler = late_handler(gw, &endpoint, outgoing.id);
         connection.watch.request_sent(handler);
@@ -197,6 +199,25 @@
     }
 }
 
+/// Why a request is not sent although a connection to its endpoint exists.
+fn reason_not_to_send(
+    gw: &Gateway,
+    endpoint: &Endpoint,
+    outgoing: &OutgoingRequest<'_>,
+) -> Option<NotRun> {
+    // Since it was selected, the endpoint may have asked for a pause, and others may have crashed
+    // under the same content.
+    let quarantine = gw.quarantine_at(endpoint.content_scope, outgoing.contents);
+    if !endpoint.accepts_requests(gw.lifecycle.now()) || quarantine.is_some() {
+        return Some(NotRun::NotAccepting);
+    }
+    if outgoing.deadline <= Instant::now() {
+        return Some(NotRun::Unwanted(Cause::Expired));
+    }
+    let client_left = outgoing.client.is_some_and(ClientConnection::is_closed);
+    client_left.then_some(NotRun::Unwanted(Cause::ClientLeft))
+}
+
 /// Applies what a response states about its endpoint if nobody waits for it any more.
 fn late_handler(gw: &Arc<Gateway>, endpoint: &Arc<Endpoint>, id: &str) -> LateHandler {
     let (gw, endpoint, id) = (gw.clone(), endpoint.clone(), String::from(id));
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -15,6 +15,7 @@
 use http_body_util::{BodyExt, Limited};
 use tokio::time::{Instant, timeout_at};
 
+use crate::accept::client_socket::ClientConnection;
 use crate::attempt::{AttemptOutcome, Doubt, EndpointResponse, NotRun};
 use crate::attempt_counter::AttemptCounter;
 use crate::availability;
@@ -56,6 +57,8 @@
 pub struct Exchange {
     /// State shared by all requests.
     pub gw: Arc<Gateway>,
+    /// The connection of its client.
+    pub client: Arc<ClientConnection>,
     /// The parsed request head.
     pub request: RequestHead,
     /// The matching route.
@@ -151,6 +154,11 @@
                     self.trace.step(format_args!("not sent: not accepting"));
                     continue;
                 }
+                Ok(AttemptOutcome::NotRun(NotRun::Unwanted(cause))) => {
+                    self.trace.step(format_args!("not sent: {}", cause.text()));
+                    self.gw.metrics.count(metrics::ATTEMPTS_NOT_RUN);
+                    return Err((self.cause_by_doubt(cause), DEFAULT_RETRY_AFTER));
+                }
                 Ok(AttemptOutcome::NotRun(reason)) => {
                     let cause = self.record_not_run(&reason);
                     self.may_retry(cause).err()
@@ -234,6 +242,14 @@
         }
     }
 
+    /// The cause to state if the last attempt was not sent: an earlier one may have run.
+    fn cause_by_doubt(&self, cause: Cause) -> Cause {
+        match cause {
+            Cause::Expired if self.in_doubt => Cause::ResponseTimeout,
+            cause => cause,
+        }
+    }
+
     /// Whether the request may be sent to another endpoint after this failure.
     pub fn may_retry(&mut self, failed: Cause) -> Result<(), RequestRefusal> {
         let cause = if self.in_doubt && failed == Cause::RefusedByEndpoints {
--- a/crates/anvil_gateway/src/exchange/one_attempt.rs
+++ b/crates/anvil_gateway/src/exchange/one_attempt.rs
@@ -64,6 +64,8 @@
                 shared: &self.shared,
             },
             response_deadline,
+            deadline: self.deadline,
+            client: Some(&*self.client),
             watch: &mut self.awaited_connection,
         };
         // Counted before it is sent: if the client disconnects, this function is dropped during the
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -6,7 +6,7 @@
 //! and are answered with a complete body or a stream of events. The platform's names and formats
 //! are kept out of this crate by a [`dialect::Dialect`].
 //!
-//! Path of a request: [`serve`] accepts the connection, [`admit`] checks the request and reserves
+//! Path of a request: [`serve`] accepts the connection, [`accept`] watches it, [`admit`] checks the request and reserves
 //! tokens, [`exchange`] runs attempts until one succeeds, [`choose`] selects the endpoint,
 //! [`attempt`] sends the request to it, [`attempt_counter`] counts attempts, [`availability`] waits
 //! for a routing table or endpoints that are expected shortly, [`stream_relay`] forwards a stream
@@ -31,6 +31,7 @@
 //! ledger ([`ledger_updates`]), grants from the ledger ([`grant_loop`]), the list of endpoints from
 //! the platform or from other gateways ([`list`]), endpoint load from response headers ([`endpoint`]).
 
+pub mod accept;
 pub mod admit;
 pub mod attempt;
 pub mod attempt_counter;
--- a/crates/anvil_gateway/src/reply.rs
+++ b/crates/anvil_gateway/src/reply.rs
@@ -42,6 +42,10 @@
     LedgerUnreachable,
     /// This process has no routing table or no endpoints yet.
     NotReady,
+    /// The client closed its connection before the request was sent to an endpoint.
+    ClientLeft,
+    /// The deadline passed before the request was sent to an endpoint.
+    Expired,
     /// This process is stopping.
     Leaving,
     /// No endpoint of the service accepts requests.
@@ -70,7 +74,7 @@
 
 impl Cause {
     /// All causes.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 23] = [
         Self::BadHead,
         Self::UnknownKey,
         Self::NoRoute,
@@ -80,6 +84,8 @@
         Self::BudgetBusy,
         Self::LedgerUnreachable,
         Self::NotReady,
+        Self::ClientLeft,
+        Self::Expired,
         Self::Leaving,
         Self::NoEndpoint,
         Self::OutsideRegions,
@@ -106,6 +112,8 @@
             Self::BudgetBusy => StatusCode::TOO_MANY_REQUESTS,
             Self::LedgerUnreachable
             | Self::NotReady
+            | Self::ClientLeft
+            | Self::Expired
             | Self::Leaving
             | Self::NoEndpoint
             | Self::OutsideRegions
@@ -133,6 +141,8 @@
             Self::BudgetBusy => "budget_busy",
             Self::LedgerUnreachable => "ledger_unreachable",
             Self::NotReady => "not_ready",
+            Self::ClientLeft => "client_left",
+            Self::Expired => "expired",
             Self::Leaving => "leaving",
             Self::NoEndpoint => "no_endpoint",
             Self::OutsideRegions => "outside_regions",
--- a/crates/anvil_gateway/src/serve.rs
+++ b/crates/anvil_gateway/src/serve.rs
@@ -15,6 +15,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
+use crate::accept::client_socket::{ClientConnection, ClientSocket};
 use crate::admit::handle_request;
 use crate::gateway::Gateway;
 use crate::log_events as events;
@@ -48,7 +49,12 @@
             Some(_) = connections.join_next() => {}
             accepted = listener.accept() => match accepted {
                 Ok((socket, _)) => {
-                    connections.spawn(serve_client(gw.clone(), socket, stop_rx.clone()));
+                    // Without TCP_NODELAY small chunks wait for an acknowledgement. If setting it
+                    // fails, they are only slower.
+                    let _ = socket.set_nodelay(true);
+                    let (socket, client) = ClientSocket::new(socket);
+                    let served = serve_client(gw.clone(), socket, client, stop_rx.clone());
+                    connections.spawn(served);
                 }
                 Err(e) => {
                     event!(gw.log, events::GATEWAY_CLIENT_CONNECTION, "error" => e.to_string());
@@ -64,19 +70,22 @@
     while let Ok(Some(_)) = timeout_at(end, connections.join_next()).await {}
 }
 
-async fn serve_client(gw: Arc<Gateway>, socket: TcpStream, mut stop_rx: watch::Receiver<bool>) {
-    // Without TCP_NODELAY small chunks wait for an acknowledgement. If setting it fails, they are
-    // only slower.
-    let _ = socket.set_nodelay(true);
+async fn serve_client(
+    gw: Arc<Gateway>,
+    socket: ClientSocket,
+    client: ClientConnection,
+    mut stop_rx: watch::Receiver<bool>,
+) {
+    let client = Arc::new(client);
     let table = gw.table.load();
     let idle_timeout = table
         .as_ref()
         .map_or(DEFAULT_IDLE_TIMEOUT, |table| table.limits.idle_timeout);
     drop(table);
     let service = service_fn(|req: Request<Incoming>| {
-        let gw = gw.clone();
+        let (gw, client) = (gw.clone(), client.clone());
         async move {
-            let mut reply = handle_request(&gw, req).await;
+            let mut reply = handle_request(&gw, client, req).await;
             if gw.lifecycle.is_draining() || gw.is_starved() {
                 set_connection_close(&mut reply);
             }
--- a/crates/anvil_gateway/tests/direct/pausing.rs
+++ b/crates/anvil_gateway/tests/direct/pausing.rs
@@ -165,6 +165,8 @@
         body: bytes::Bytes::new(),
         id: "id",
         response_deadline: Instant::now() + Duration::from_secs(1),
+        deadline: Instant::now() + Duration::from_secs(1),
+        client: None,
         watch: &mut None,
     };
     let outcome = send_attempt(&gateway.gw, selection.slot, outgoing).await;
