Decisions about a narrow link, overload and few descriptors

Cause: on narrow links control messages queue behind callers' data; overloaded routers accept every connection; routers with few descriptors fail to accept.

Change: anvil_policy::link_pacer (data is paced below four fifths of the link; what would wait too long is refused at once), anvil_policy::intake (the part of the time in which a router listens follows the load) and anvil_policy::descriptors (who may use how many). Not used by the gateway yet.

--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -56,6 +56,7 @@
 //! * [`stream_origins`]: which routers know at which version a stream began.
 //! * [`prefix`]: which endpoints hold which prompt prefixes.
 //! * [`list_turn`]: which router reads the list of endpoints for the others.
+//! * [`link_pacer`], [`intake`] and [`descriptors`]: what a router with a narrow link or few descriptors sends and accepts.
 //! * [`subset`] and [`placement`]: which endpoints a router watches, and which models they hold.
 //!
 //! [`Now`]: anvil_world::ids::Now
@@ -66,6 +67,7 @@
 pub mod copying;
 pub mod crash;
 pub mod deadline;
+pub mod descriptors;
 pub mod ejection;
 pub mod endpoint;
 pub mod engine;
@@ -73,7 +75,9 @@
 pub mod fair;
 pub mod grant;
 pub mod health;
+pub mod intake;
 pub mod limit;
+pub mod link_pacer;
 pub mod list_turn;
 pub mod pace;
 pub mod pause;
