Gateways pace prompts, reject excess connections and partition descriptors where limits are stated

Cause: on a narrow link callers' data delays the ledger's messages by seconds; an overloaded gateway accepts everything; one with few descriptors fails to accept and to connect.

Change: the settings file's [limits] (bandwidth_mbps, max_fds, memory_mb, all optional) reach the gateway as ResourceLimits. Sockets of clients and endpoints count their bytes (send::link_budget); a request waits for the link before an endpoint is selected, or is refused at once as link_busy (send::pacing). accept::client_listener stops listening for 50 to 200 ms at a time as anvil_policy::intake decides; responses then carry Connection: close. accept::descriptor_budget counts descriptors; idle connections to endpoints are closed when they are scarce, and a request without a descriptor is refused as no_descriptors. Without stated limits the listener is used as before and nothing waits. Events 6041 to 6043 and metrics are documented.

--- a/crates/anvil_gateway/src/accept.rs
+++ b/crates/anvil_gateway/src/accept.rs
@@ -1,3 +1,8 @@
 //! Clients' connections, before a request is read from them and while one is in progress.
 
+pub mod client_listener;
 pub mod client_socket;
+pub mod descriptor_budget;
+pub mod intake_status;
+pub mod resource_limits;
+pub mod socket_budgets;
--- a/crates/anvil_gateway/src/accept/client_socket.rs
+++ b/crates/anvil_gateway/src/accept/client_socket.rs
@@ -17,11 +17,18 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use super::descriptor_budget::DescriptorGuard;
+use super::socket_budgets::SocketBudgets;
+use crate::send::link_budget::LinkBudget;
+
 /// A client's socket as the HTTP server uses it.
 ///
 /// Only [`ClientConnection`] shares it, and locks it for one system call at a time.
 pub struct ClientSocket {
     socket: Arc<Mutex<TcpStream>>,
+    link: Arc<LinkBudget>,
+    /// Dropped after the socket.
+    _descriptor: DescriptorGuard,
 }
 
 /// The state of a client's connection, for its requests.
@@ -45,7 +52,7 @@
 
 impl ClientSocket {
     /// Wraps a socket that has just been accepted.
-    pub fn new(socket: TcpStream) -> (Self, ClientConnection) {
+    pub fn new(socket: TcpStream, sockets: &SocketBudgets) -> (Self, ClientConnection) {
         let first_is_waiting = peek(&socket) == SocketState::HasData;
         let socket = Arc::new(Mutex::new(socket));
         let connection = ClientConnection {
@@ -53,7 +60,19 @@
             accepted_at: Instant::now(),
             first_is_waiting: AtomicBool::new(first_is_waiting),
         };
-        (Self { socket }, connection)
+        let socket = Self {
+            socket,
+            link: sockets.link.clone(),
+            _descriptor: sockets.descriptors.client(),
+        };
+        (socket, connection)
+    }
+
+    fn count_written(&self, polled: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(written)) = &polled {
+            self.link.count_response(*written);
+        }
+        polled
     }
 }
 
@@ -98,7 +117,10 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut *lock(&self.socket)).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut *lock(&self.socket)).poll_read(cx, buf);
+        self.link.count_received(buf.filled().len() - before);
+        polled
     }
 }
 
@@ -108,7 +130,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *lock(&self.socket)).poll_write(cx, buf)
+        let polled = Pin::new(&mut *lock(&self.socket)).poll_write(cx, buf);
+        self.count_written(polled)
     }
 
     fn poll_write_vectored(
@@ -116,7 +139,8 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *lock(&self.socket)).poll_write_vectored(cx, bufs)
+        let polled = Pin::new(&mut *lock(&self.socket)).poll_write_vectored(cx, bufs);
+        self.count_written(polled)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/anvil_gateway/src/attempt.rs
+++ b/crates/anvil_gateway/src/attempt.rs
@@ -16,8 +16,9 @@
 use crate::endpoint::{Endpoint, EndpointSlot};
 use crate::gateway::Gateway;
 use crate::late_response::LateHandler;
-use crate::pool::Connection;
+use crate::pool::{ConnectError, Connection};
 use crate::reply::Cause;
+use crate::send::new_connection::{open_connection, take_connection};
 use crate::suspects::RequestContents;
 
 /// Why a request has not run at an endpoint.
@@ -29,8 +30,8 @@
     Refused(u16),
     /// Nothing was sent, because the endpoint no longer accepts requests.
     NotAccepting,
-    /// Nothing was sent, because nobody waits for the response any more.
-    Unwanted(Cause),
+    /// Nothing was sent, for a reason that another endpoint doesn't change.
+    Withheld(Cause),
 }
 
 /// Status that an endpoint returns if the request names another incarnation: 421 Misdirected
@@ -123,9 +124,9 @@
     loop {
         let connecting = async {
             if force_new {
-                endpoint.pool.connect().await
+                open_connection(&endpoint, &gw.directory, &gw.sockets).await
             } else {
-                endpoint.pool.take().await
+                take_connection(&endpoint, &gw.directory, &gw.sockets).await
             }
         };
         let Ok(connected) = timeout_at(outgoing.response_deadline, connecting).await else {
@@ -133,6 +134,9 @@
         };
         let mut connection = match connected {
             Ok(connection) => connection,
+            Err(ConnectError::NoDescriptor) => {
+                return AttemptOutcome::NotRun(NotRun::Withheld(Cause::NoDescriptors));
+            }
             Err(e) => {
                 gw.record_unreachable(&endpoint);
                 return AttemptOutcome::NotRun(NotRun::Unreachable(e.to_string()));
@@ -212,10 +216,10 @@
         return Some(NotRun::NotAccepting);
     }
     if outgoing.deadline <= Instant::now() {
-        return Some(NotRun::Unwanted(Cause::Expired));
+        return Some(NotRun::Withheld(Cause::Expired));
     }
     let client_left = outgoing.client.is_some_and(ClientConnection::is_closed);
-    client_left.then_some(NotRun::Unwanted(Cause::ClientLeft))
+    client_left.then_some(NotRun::Withheld(Cause::ClientLeft))
 }
 
 /// Applies what a response states about its endpoint if nobody waits for it any more.
--- a/crates/anvil_gateway/src/attempt_counter.rs
+++ b/crates/anvil_gateway/src/attempt_counter.rs
@@ -26,7 +26,7 @@
 impl AttemptCounter {
     /// Records the outcome of an attempt at an endpoint.
     pub fn record(&mut self, endpoint: InstanceId, outcome: &AttemptOutcome) {
-        if let AttemptOutcome::NotRun(NotRun::NotAccepting | NotRun::Unwanted(_)) = outcome {
+        if let AttemptOutcome::NotRun(NotRun::NotAccepting | NotRun::Withheld(_)) = outcome {
             return;
         }
         self.endpoints.push(endpoint);
--- a/crates/anvil_gateway/src/connection_watch.rs
+++ b/crates/anvil_gateway/src/connection_watch.rs
@@ -18,7 +18,9 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
+use crate::accept::descriptor_budget::DescriptorGuard;
 use crate::late_response::{LateHandler, LateResponse};
+use crate::send::link_budget::LinkBudget;
 
 /// For how long an abandoned connection is read. An endpoint notices the close within a few
 /// milliseconds; one that does not close in this time is assumed to have begun.
@@ -113,19 +115,35 @@
 pub struct WatchedSocket {
     socket: Option<TcpStream>,
     watch: Arc<ConnectionWatch>,
+    link: Arc<LinkBudget>,
+    /// Dropped after the socket.
+    descriptor: Option<DescriptorGuard>,
 }
 
 impl WatchedSocket {
-    /// Wraps a socket.
-    pub fn new(socket: TcpStream) -> (Self, Arc<ConnectionWatch>) {
+    /// Wraps a socket for which `descriptor` was counted.
+    pub fn new(
+        socket: TcpStream,
+        link: Arc<LinkBudget>,
+        descriptor: DescriptorGuard,
+    ) -> (Self, Arc<ConnectionWatch>) {
         let watch = ConnectionWatch::new();
         let watched = Self {
             socket: Some(socket),
             watch: watch.clone(),
+            link,
+            descriptor: Some(descriptor),
         };
         (watched, watch)
     }
 
+    fn count_written(&self, polled: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(written)) = &polled {
+            self.link.count_prompt(*written);
+        }
+        polled
+    }
+
     fn socket(&mut self) -> Pin<&mut TcpStream> {
         let socket = self.socket.as_mut();
         // The socket is taken out only on drop.
@@ -139,6 +157,7 @@
             return;
         };
         let watch = self.watch.clone();
+        let descriptor = self.descriptor.take();
         let awaited = watch.awaiting_response.load(Ordering::Relaxed);
         let Ok(runtime) = tokio::runtime::Handle::try_current() else {
             return;
@@ -155,6 +174,7 @@
             let reading = timeout(LINGER, read_to_end(socket, &watch));
             let end = reading.await.unwrap_or(End::Abandoned);
             watch.set_end(end);
+            drop(descriptor);
         });
     }
 }
@@ -186,6 +206,7 @@
         let polled = self.socket().poll_read(cx, buf);
         if buf.filled().len() > before {
             self.watch.record_received(&buf.filled()[before..]);
+            self.link.count_received(buf.filled().len() - before);
         }
         polled
     }
@@ -197,7 +218,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.socket().poll_write(cx, buf)
+        let polled = self.socket().poll_write(cx, buf);
+        self.count_written(polled)
     }
 
     fn poll_write_vectored(
@@ -205,7 +227,8 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.socket().poll_write_vectored(cx, bufs)
+        let polled = self.socket().poll_write_vectored(cx, bufs);
+        self.count_written(polled)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/anvil_gateway/src/crashes.rs
+++ b/crates/anvil_gateway/src/crashes.rs
@@ -17,6 +17,7 @@
 use crate::metrics;
 use crate::pool::ConnectError;
 use crate::request_digest;
+use crate::send::new_connection::open_connection;
 
 /// Pause before the probe, because a process that ends closes its sockets one after the other.
 const PROBE_DELAY: Duration = Duration::from_millis(20);
@@ -123,7 +124,7 @@
 /// Probes whether an endpoint still listens. The new connection replaces the one that was lost.
 async fn probe(gw: Arc<Gateway>, endpoint: Arc<Endpoint>) {
     sleep(PROBE_DELAY).await;
-    match endpoint.pool.connect().await {
+    match open_connection(&endpoint, &gw.directory, &gw.sockets).await {
         Ok(connection) => endpoint.pool.put(connection.sender, connection.watch, None),
         Err(ConnectError::Refused { source, .. })
             if source.kind() == ErrorKind::ConnectionRefused =>
--- a/crates/anvil_gateway/src/directory.rs
+++ b/crates/anvil_gateway/src/directory.rs
@@ -77,6 +77,24 @@
         groups.values().flatten().cloned().collect()
     }
 
+    /// Closes up to `count` idle connections, of all endpoints in turn. Returns how many were closed.
+    pub fn close_idle(&self, count: u32) -> u32 {
+        let groups = self.groups.load();
+        let mut closed = 0;
+        loop {
+            let closed_before = closed;
+            for endpoint in groups.values().flatten() {
+                if closed >= count {
+                    return closed;
+                }
+                closed += u32::from(endpoint.pool.close_oldest_idle());
+            }
+            if closed == closed_before {
+                return closed;
+            }
+        }
+    }
+
     /// The availability zones whose endpoints receive no new requests.
     pub fn evacuated_zones(&self) -> Arc<BTreeSet<ZoneId>> {
         self.evacuated_zones.load_full()
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -27,6 +27,7 @@
 use crate::regions::{AllowedRegions, Constraints};
 use crate::reply::{Cause, Reply, full_body, refusal, remove_connection_headers};
 use crate::request_charge::RequestCharge;
+use crate::send::pacing::retry_elsewhere_after;
 use crate::shared_content::SharedContent;
 use crate::stream_relay::StreamRelay;
 use crate::table::{Organisation, Route};
@@ -154,10 +155,10 @@
                     self.trace.step(format_args!("not sent: not accepting"));
                     continue;
                 }
-                Ok(AttemptOutcome::NotRun(NotRun::Unwanted(cause))) => {
+                Ok(AttemptOutcome::NotRun(NotRun::Withheld(cause))) => {
                     self.trace.step(format_args!("not sent: {}", cause.text()));
                     self.gw.metrics.count(metrics::ATTEMPTS_NOT_RUN);
-                    return Err((self.cause_by_doubt(cause), DEFAULT_RETRY_AFTER));
+                    return Err((self.cause_by_doubt(cause), retry_elsewhere_after()));
                 }
                 Ok(AttemptOutcome::NotRun(reason)) => {
                     let cause = self.record_not_run(&reason);
@@ -246,6 +247,7 @@
     fn cause_by_doubt(&self, cause: Cause) -> Cause {
         match cause {
             Cause::Expired if self.in_doubt => Cause::ResponseTimeout,
+            Cause::NoDescriptors if self.in_doubt => Cause::ResponseLost,
             cause => cause,
         }
     }
--- a/crates/anvil_gateway/src/exchange/one_attempt.rs
+++ b/crates/anvil_gateway/src/exchange/one_attempt.rs
@@ -38,6 +38,7 @@
         after: Option<u64>,
     ) -> Result<AttemptOutcome, RequestRefusal> {
         self.refuse_in_quarantine()?;
+        let link_reservation = self.wait_for_link().await?;
         let selection = self.select_endpoint()?;
         let endpoint = selection.slot.endpoint.clone();
         self.record_origin(&endpoint.version);
@@ -74,6 +75,7 @@
         if let Some(charge) = &mut self.charge {
             charge.record_begun();
         }
+        link_reservation.record_sent();
         let sent_at = Instant::now();
         let outcome = send(&self.gw, selection.slot, outgoing).await;
         self.awaited_connection = None;
--- a/crates/anvil_gateway/src/exchange/outcome.rs
+++ b/crates/anvil_gateway/src/exchange/outcome.rs
@@ -39,7 +39,7 @@
                 self.gw.directory.record_replaced(&self.service);
                 self.gw.list_mismatch.notify_one();
             }
-            AttemptOutcome::NotRun(NotRun::NotAccepting | NotRun::Unwanted(_)) => {}
+            AttemptOutcome::NotRun(NotRun::NotAccepting | NotRun::Withheld(_)) => {}
             AttemptOutcome::NotRun(NotRun::Refused(_)) => {
                 endpoint.load().record_full(now, FULL_ENDPOINT_PAUSE);
             }
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -21,6 +21,9 @@
 use slog::Logger;
 use tokio::sync::Notify;
 
+use crate::accept::intake_status::IntakeStatus;
+use crate::accept::resource_limits::ResourceLimits;
+use crate::accept::socket_budgets::SocketBudgets;
 use crate::dialect::{Dialect, ListSource};
 use crate::directory::Directory;
 use crate::endpoint_limits::EndpointLimits;
@@ -70,6 +73,8 @@
     /// How far all gateways together may exceed the rate that an endpoint tolerates during its
     /// warm-up.
     pub warm_up_tolerance: BurstTolerance,
+    /// What the machine provides.
+    pub limits: ResourceLimits,
 }
 
 /// One gateway process.
@@ -130,6 +135,10 @@
     pub service_versions: ServiceVersions,
     /// Software versions at which streams began.
     pub stream_origins: StreamOrigins,
+    /// The link and the descriptors that all connections share.
+    pub sockets: SocketBudgets,
+    /// Whether clients' connections are being rejected.
+    pub intake: Arc<IntakeStatus>,
     /// Requests in progress.
     pub open_requests: AtomicU32,
     /// End of the time in which this gateway reports that it can't obtain grants, in milliseconds
@@ -221,6 +230,8 @@
             endpoint_limits: EndpointLimits::default(),
             service_versions: ServiceVersions::default(),
             stream_origins: StreamOrigins::default(),
+            sockets: SocketBudgets::new(&cfg.limits),
+            intake: Arc::default(),
             open_requests: AtomicU32::new(0),
             starved_until_ms: AtomicU64::new(0),
             retry_budgets: Mutex::default(),
--- a/crates/anvil_gateway/src/grant_loop.rs
+++ b/crates/anvil_gateway/src/grant_loop.rs
@@ -43,7 +43,13 @@
         return;
     };
     let command = Command::GrantBatch(batch);
-    match gw.ledger.propose(command, BATCH_TIMEOUT).await {
+    let sent_at = Instant::now();
+    let proposed = gw.ledger.propose(command, BATCH_TIMEOUT).await;
+    if proposed.is_ok() {
+        let link = &gw.sockets.link;
+        link.record_control_delay(sent_at.elapsed());
+    }
+    match proposed {
         Ok(Answer::Grants(answer)) => {
             gw.clear_starved();
             if !answer.opened.is_empty() || !answer.refused.is_empty() {
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -6,9 +6,9 @@
 //! and are answered with a complete body or a stream of events. The platform's names and formats
 //! are kept out of this crate by a [`dialect::Dialect`].
 //!
-//! Path of a request: [`serve`] accepts the connection, [`accept`] watches it, [`admit`] checks the request and reserves
+//! Path of a request: [`serve`] accepts the connection, [`accept`] limits how many and watches them, [`admit`] checks the request and reserves
 //! tokens, [`exchange`] runs attempts until one succeeds, [`choose`] selects the endpoint,
-//! [`attempt`] sends the request to it, [`attempt_counter`] counts attempts, [`availability`] waits
+//! [`send`] waits for the link, [`attempt`] sends the request to it, [`attempt_counter`] counts attempts, [`availability`] waits
 //! for a routing table or endpoints that are expected shortly, [`stream_relay`] forwards a stream
 //! and resumes it at another endpoint, [`reply`] builds refusals.
 //!
@@ -59,6 +59,7 @@
 pub mod request_charge;
 pub mod request_digest;
 pub mod run;
+pub mod send;
 pub mod serve;
 pub mod service_versions;
 pub mod shared_content;
--- a/crates/anvil_gateway/src/log_events.rs
+++ b/crates/anvil_gateway/src/log_events.rs
@@ -74,4 +74,11 @@
     GATEWAY_SERVICE_VERSIONS = 6034 Info "gateway_service_versions";
     /// A sibling did not store at which versions streams run; it is told again.
     GATEWAY_ORIGINS_NOT_STORED = 6035 Warning "gateway_origins_not_stored";
+    /// A part of the clients' connections is rejected, because there is more load than the gateway
+    /// can serve.
+    GATEWAY_SHEDDING = 6041 Warning "gateway_shedding";
+    /// All clients' connections are accepted again.
+    GATEWAY_SHEDDING_OVER = 6042 Info "gateway_shedding_over";
+    /// The address for clients can't be listened on again after connections were rejected.
+    GATEWAY_LISTEN_FAILED = 6043 Error "gateway_listen_failed";
 }
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -75,6 +75,24 @@
 pub const LIST_FROM_SIBLING: &str = "list.told";
 /// Requests in progress. Gauge.
 pub const OPEN_REQUESTS: &str = "requests.open";
+/// Time that requests waited for the link. Milliseconds.
+pub const LINK_WAIT: &str = "request.link_wait";
+/// Bytes received from clients and endpoints since the start. Gauge.
+pub const LINK_RECEIVED: &str = "link.received";
+/// Bytes sent to clients and endpoints since the start. Gauge.
+pub const LINK_SENT: &str = "link.sent";
+/// Time until the link is free of the data that is to be sent. Gauge, milliseconds.
+pub const LINK_BACKLOG: &str = "link.backlog";
+/// Times that the gateway stopped listening for clients because of load. Count.
+pub const INTAKE_CLOSINGS: &str = "intake.closings";
+/// Part of the time in which it doesn't listen. Gauge, percent.
+pub const INTAKE_CLOSED: &str = "intake.closed";
+/// Descriptors of clients' connections. Gauge.
+pub const CLIENT_DESCRIPTORS: &str = "descriptors.clients";
+/// Descriptors of connections to endpoints. Gauge.
+pub const ENDPOINT_DESCRIPTORS: &str = "descriptors.endpoints";
+/// Idle connections to endpoints that were closed to free descriptors. Count.
+pub const IDLE_CLOSED: &str = "descriptors.idle_closed";
 /// Version of the routing table in force. Gauge.
 pub const TABLE_VERSION: &str = "table.version";
 /// Gateways that share the retry budget. Gauge.
@@ -124,6 +142,15 @@
     (LIST_READ, "count"),
     (LIST_FROM_SIBLING, "count"),
     (OPEN_REQUESTS, "gauge"),
+    (LINK_WAIT, "milliseconds"),
+    (LINK_RECEIVED, "gauge"),
+    (LINK_SENT, "gauge"),
+    (LINK_BACKLOG, "gauge"),
+    (INTAKE_CLOSINGS, "count"),
+    (INTAKE_CLOSED, "gauge"),
+    (CLIENT_DESCRIPTORS, "gauge"),
+    (ENDPOINT_DESCRIPTORS, "gauge"),
+    (IDLE_CLOSED, "count"),
     (TABLE_VERSION, "gauge"),
     (GATEWAYS, "gauge"),
     (ENDPOINTS_AVAILABLE, "gauge"),
@@ -144,12 +171,21 @@
             .map_or(0, |table_version| table_version.version);
         let list_age = self.list_cache.age().min(self.lifecycle.now()).as_millis();
         let list_age = u64::try_from(list_age).unwrap_or(u64::MAX);
+        let backlog = self.sockets.link.backlog().as_millis();
+        let backlog_ms = u64::try_from(backlog).unwrap_or(u64::MAX);
+        let descriptors = self.sockets.descriptors.in_use();
         let age = |since_ms: u64| now.saturating_sub(since_ms);
         for (name, value) in [
             (
                 OPEN_REQUESTS,
                 u64::from(self.open_requests.load(Ordering::Relaxed)),
             ),
+            (LINK_RECEIVED, self.sockets.link.received()),
+            (LINK_SENT, self.sockets.link.sent()),
+            (LINK_BACKLOG, backlog_ms),
+            (INTAKE_CLOSED, u64::from(self.intake.closed_percent())),
+            (CLIENT_DESCRIPTORS, u64::from(descriptors.clients)),
+            (ENDPOINT_DESCRIPTORS, u64::from(descriptors.endpoints)),
             (TABLE_VERSION, table_version),
             (
                 GATEWAYS,
--- a/crates/anvil_gateway/src/pool.rs
+++ b/crates/anvil_gateway/src/pool.rs
@@ -15,7 +15,9 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::accept::descriptor_budget::DescriptorGuard;
 use crate::connection_watch::{ConnectionWatch, WatchedSocket};
+use crate::send::link_budget::LinkBudget;
 
 /// Connect timeout. The next endpoint is tried instead, since a lost SYN is retransmitted only
 /// after a second.
@@ -45,6 +47,9 @@
         /// Cause.
         source: std::io::Error,
     },
+    /// The process has no descriptor left for another connection.
+    #[snafu(display("no descriptor left"))]
+    NoDescriptor,
     /// The HTTP handshake failed.
     #[snafu(display("no connection to {addr}: {source}"))]
     Handshake {
@@ -86,20 +91,22 @@
         }
     }
 
-    /// The most recently used idle connection, or a new one.
-    pub async fn take(&self) -> Result<Connection, ConnectError> {
-        if let Some(IdleConnection { sender, watch, .. }) = self.take_idle() {
-            return Ok(Connection {
-                sender,
-                watch,
-                reused: true,
-            });
-        }
-        self.connect().await
+    /// The most recently used idle connection, if there is one.
+    pub fn take(&self) -> Option<Connection> {
+        let IdleConnection { sender, watch, .. } = self.take_idle()?;
+        Some(Connection {
+            sender,
+            watch,
+            reused: true,
+        })
     }
 
-    /// A new connection.
-    pub async fn connect(&self) -> Result<Connection, ConnectError> {
+    /// A new connection, for which `descriptor` was counted.
+    pub async fn connect(
+        &self,
+        link: Arc<LinkBudget>,
+        descriptor: DescriptorGuard,
+    ) -> Result<Connection, ConnectError> {
         let addr = self.addr;
         let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
         let Ok(socket) = connecting else {
@@ -109,7 +116,7 @@
         // Without TCP_NODELAY the end of a request may wait for an acknowledgement. If setting it
         // fails, the connection is only slower.
         let _ = socket.set_nodelay(true);
-        let (socket, watch) = WatchedSocket::new(socket);
+        let (socket, watch) = WatchedSocket::new(socket, link, descriptor);
         let handshake = Builder::new().handshake(TokioIo::new(socket)).await;
         let (sender, connection) = handshake.context(HandshakeSnafu { addr })?;
         tokio::spawn(async move {
@@ -147,6 +154,16 @@
         }
     }
 
+    /// Closes the idle connection that has been unused for longest. Returns whether there was one.
+    pub fn close_oldest_idle(&self) -> bool {
+        let mut idle = self.lock();
+        if idle.is_empty() {
+            return false;
+        }
+        idle.remove(0);
+        true
+    }
+
     /// Closes all idle connections.
     pub fn clear(&self) {
         self.lock().clear();
--- a/crates/anvil_gateway/src/reply.rs
+++ b/crates/anvil_gateway/src/reply.rs
@@ -56,6 +56,10 @@
     Evacuated,
     /// All endpoints are too busy to respond in time.
     Overloaded,
+    /// The link is too busy to send the request in time; another process may have room.
+    LinkBusy,
+    /// No descriptor is left for a connection to an endpoint; another process may have one.
+    NoDescriptors,
     /// All endpoints have asked for a pause.
     EndpointsPaused,
     /// No gateway knows which software version began the stream that is taken up.
@@ -74,7 +78,7 @@
 
 impl Cause {
     /// All causes.
-    pub const ALL: [Self; 23] = [
+    pub const ALL: [Self; 25] = [
         Self::BadHead,
         Self::UnknownKey,
         Self::NoRoute,
@@ -91,6 +95,8 @@
         Self::OutsideRegions,
         Self::Evacuated,
         Self::Overloaded,
+        Self::LinkBusy,
+        Self::NoDescriptors,
         Self::EndpointsPaused,
         Self::StreamUnknown,
         Self::VersionGone,
@@ -119,6 +125,8 @@
             | Self::OutsideRegions
             | Self::Evacuated
             | Self::Overloaded
+            | Self::LinkBusy
+            | Self::NoDescriptors
             | Self::EndpointsPaused
             | Self::StreamUnknown
             | Self::VersionGone
@@ -148,6 +156,8 @@
             Self::OutsideRegions => "outside_regions",
             Self::Evacuated => "evacuated",
             Self::Overloaded => "overloaded",
+            Self::LinkBusy => "link_busy",
+            Self::NoDescriptors => "no_descriptors",
             Self::EndpointsPaused => "endpoints_paused",
             Self::StreamUnknown => "stream_unknown",
             Self::VersionGone => "version_gone",
--- /dev/null
+++ b/crates/anvil_gateway/src/send/pacing.rs
@@ -0,0 +1,60 @@
+//! A request waits for the link before an endpoint is selected for it, so that the selection is up to date
+//! and no slot is held meanwhile.
+
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use super::link_budget::LinkReservation;
+use crate::exchange::{Exchange, RequestRefusal};
+use crate::metrics;
+use crate::reply::Cause;
+
+/// Size of a request's head, in bytes; the bodies are what fills a link.
+const HEAD_BYTES: u64 = 512;
+/// Longest wait, as a fraction of the route's target latency and of the remaining time: as much is
+/// left for the endpoint.
+const MAX_WAIT_FRACTION: f64 = 0.5;
+/// Shortest and longest retry-after time: another gateway can serve the request now. Random, so
+/// that refused clients don't return together.
+const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(100));
+
+/// Retry-after time of a request that another gateway may serve at once.
+pub(crate) fn retry_elsewhere_after() -> Duration {
+    rand::random_range(RETRY_AFTER.0..=RETRY_AFTER.1)
+}
+
+impl Exchange {
+    /// Waits until the link has room for the request. One that would wait too long is refused at once;
+    /// one that may have run already waits for as long as its time allows.
+    pub(crate) async fn wait_for_link(&mut self) -> Result<LinkReservation, RequestRefusal> {
+        let time_left = self.time_left();
+        let longest = if self.in_doubt {
+            time_left
+        } else {
+            time_left.min(self.route.target_latency)
+        };
+        let bytes = HEAD_BYTES + self.body.len() as u64;
+        let max_wait = longest.mul_f64(MAX_WAIT_FRACTION);
+        let reserved = self.gw.sockets.link.reserve(bytes, max_wait);
+        let reservation = reserved.map_err(|busy| {
+            let wait = busy.wait;
+            self.trace.step(format_args!(
+                "link is busy for {wait:?}, allowed {max_wait:?}"
+            ));
+            let cause = if self.in_doubt {
+                Cause::ResponseLost
+            } else {
+                Cause::LinkBusy
+            };
+            (cause, retry_elsewhere_after())
+        })?;
+        if !reservation.wait().is_zero() {
+            let wait = reservation.wait();
+            self.gw.metrics.time(metrics::LINK_WAIT, wait);
+            self.trace.step(format_args!("waits {wait:?} for the link"));
+            sleep(wait).await;
+        }
+        Ok(reservation)
+    }
+}
--- a/crates/anvil_gateway/src/serve.rs
+++ b/crates/anvil_gateway/src/serve.rs
@@ -15,6 +15,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
+use crate::accept::client_listener::{ClientListener, ListenerContext};
 use crate::accept::client_socket::{ClientConnection, ClientSocket};
 use crate::admit::handle_request;
 use crate::gateway::Gateway;
@@ -35,6 +36,13 @@
 /// Serves clients until a planned stop is complete.
 pub async fn serve_clients(gw: Arc<Gateway>, listener: TcpListener) {
     let (stop_tx, stop_rx) = watch::channel(false);
+    let mut listener = match ClientListener::new(listener, listener_context(&gw)) {
+        Ok(listener) => listener,
+        Err(e) => {
+            event!(gw.log, events::GATEWAY_LISTEN_FAILED, "error" => e.to_string());
+            return;
+        }
+    };
     let mut connections = JoinSet::new();
     let stopping = async {
         gw.lifecycle.drain_begun().await;
@@ -48,11 +56,11 @@
             stopped_at = &mut stopping => break stopped_at,
             Some(_) = connections.join_next() => {}
             accepted = listener.accept() => match accepted {
-                Ok((socket, _)) => {
+                Ok(socket) => {
                     // Without TCP_NODELAY small chunks wait for an acknowledgement. If setting it
                     // fails, they are only slower.
                     let _ = socket.set_nodelay(true);
-                    let (socket, client) = ClientSocket::new(socket);
+                    let (socket, client) = ClientSocket::new(socket, &gw.sockets);
                     let served = serve_client(gw.clone(), socket, client, stop_rx.clone());
                     connections.spawn(served);
                 }
@@ -70,6 +78,18 @@
     while let Ok(Some(_)) = timeout_at(end, connections.join_next()).await {}
 }
 
+fn listener_context(gw: &Arc<Gateway>) -> ListenerContext {
+    let directory = gw.clone();
+    ListenerContext {
+        limits: gw.cfg.limits,
+        sockets: gw.sockets.clone(),
+        status: gw.intake.clone(),
+        close_idle: Box::new(move |count| directory.directory.close_idle(count)),
+        log: gw.log.clone(),
+        metrics: gw.metrics.clone(),
+    }
+}
+
 async fn serve_client(
     gw: Arc<Gateway>,
     socket: ClientSocket,
@@ -86,7 +106,7 @@
         let (gw, client) = (gw.clone(), client.clone());
         async move {
             let mut reply = handle_request(&gw, client, req).await;
-            if gw.lifecycle.is_draining() || gw.is_starved() {
+            if gw.lifecycle.is_draining() || gw.is_starved() || gw.intake.is_shedding() {
                 set_connection_close(&mut reply);
             }
             Ok::<Reply, Infallible>(reply)
--- a/crates/anvil_gateway/tests/direct/gateway.rs
+++ b/crates/anvil_gateway/tests/direct/gateway.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvil_gateway::accept::resource_limits::ResourceLimits;
 use anvil_gateway::dialect::{ListPage, ListSource};
 use anvil_gateway::list::discovery;
 use anvil_gateway::regions::AllowedRegions;
@@ -153,6 +154,7 @@
         siblings_bind: None,
         max_list_age: Duration::from_secs(1),
         warm_up_tolerance: BurstTolerance::within_a_second(1.5, 5.0),
+        limits: ResourceLimits::default(),
     }
 }
 
