--- a/crates/anvil_gateway/src/accept/client_listener.rs
+++ b/crates/anvil_gateway/src/accept/client_listener.rs
@@ -152,6 +152,7 @@
             backlog: link.backlog(),
             received: link.received(),
             sent: link.sent(),
+            expected: link.expected(),
             control_delay: link.take_control_delay(),
             lateness,
             has_descriptors: descriptors.has_room_for_client(),
--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -139,7 +139,9 @@
     if deadline <= Instant::now() {
         return Err((Cause::Expired, DEFAULT_RETRY_AFTER));
     }
+    let expected = gw.sockets.link.expect(body.size_hint().lower());
     let body = read_body(body, table.limits.body_bytes, deadline).await?;
+    drop(expected);
     let payer = organisation.as_deref();
     let request_digest = request_digest::digest(payer, &route, &head.method, &head.uri, &body);
     let service = gw
--- a/crates/anvil_gateway/src/send/link_budget.rs
+++ b/crates/anvil_gateway/src/send/link_budget.rs
@@ -22,6 +22,8 @@
     /// Bytes of responses that the pacer has not counted yet. Collected here, so that a chunk of a
     /// response doesn't take the pacer's lock.
     uncounted: AtomicU64,
+    /// Bytes of requests that clients are sending.
+    expected: AtomicU64,
     /// Duration of the last exchange with the ledger, in microseconds; zero if it was taken.
     control_delay_us: AtomicU64,
 }
@@ -35,6 +37,13 @@
     is_sent: bool,
 }
 
+/// The body of a request that a client is sending.
+#[derive(Debug)]
+pub struct ExpectedBytes {
+    budget: Arc<LinkBudget>,
+    bytes: u64,
+}
+
 impl LinkBudget {
     /// The budget of a link of this speed; `None` if it is not limited.
     pub fn new(link: Option<BytesPerSecond>) -> Self {
@@ -44,6 +53,7 @@
             received: AtomicU64::new(0),
             sent: AtomicU64::new(0),
             uncounted: AtomicU64::new(0),
+            expected: AtomicU64::new(0),
             control_delay_us: AtomicU64::new(0),
         }
     }
@@ -98,6 +108,20 @@
         pacer.map_or(Duration::ZERO, |(now, pacer)| pacer.backlog(now))
     }
 
+    /// Counts the body of a request that a client is sending, until the guard is dropped.
+    pub fn expect(self: &Arc<Self>, bytes: u64) -> ExpectedBytes {
+        self.expected.fetch_add(bytes, Ordering::Relaxed);
+        ExpectedBytes {
+            budget: self.clone(),
+            bytes,
+        }
+    }
+
+    /// Bytes of requests that clients are sending.
+    pub fn expected(&self) -> u64 {
+        self.expected.load(Ordering::Relaxed)
+    }
+
     /// Records how long an exchange with the ledger took.
     pub fn record_control_delay(&self, delay: Duration) {
         let delay = u64::try_from(delay.as_micros()).unwrap_or(u64::MAX);
@@ -121,6 +145,13 @@
     }
 }
 
+impl Drop for ExpectedBytes {
+    fn drop(&mut self) {
+        let expected = &self.budget.expected;
+        expected.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
 impl LinkReservation {
     /// Time until the prompt may be sent.
     pub fn wait(&self) -> Duration {
--- a/crates/anvil_gateway/tests/direct/client.rs
+++ b/crates/anvil_gateway/tests/direct/client.rs
@@ -59,6 +59,22 @@
         self.read_response().await
     }
 
+    /// The same; `None` if the gateway closes the connection.
+    pub async fn try_request_with_body(
+        &mut self,
+        path: &str,
+        id: &str,
+        body: &str,
+    ) -> Option<ClientResponse> {
+        let length = body.len();
+        let req = format!(
+            "POST {path} HTTP/1.1\r\nhost: shop\r\nx-id: {id}\r\ncontent-length: {length}\r\n\r\n{body}"
+        );
+        self.socket.write_all(req.as_bytes()).await.ok()?;
+        let response = self.read_response().await;
+        response.complete.then_some(response)
+    }
+
     /// Sends a request with these headers in addition to its id.
     pub async fn send(&mut self, path: &str, id: &str, headers: &str) {
         let req = format!("POST {path} HTTP/1.1\r\nhost: shop\r\nx-id: {id}\r\n{headers}\r\n");
--- a/crates/anvil_gateway/tests/direct/gateway.rs
+++ b/crates/anvil_gateway/tests/direct/gateway.rs
@@ -205,7 +205,8 @@
         gateway
     }
 
-    async fn start_without_state(cfg: GatewaySettings, log: Logger, metrics: Metrics) -> Self {
+    /// A gateway with these settings, without routing table and endpoints.
+    pub async fn start_without_state(cfg: GatewaySettings, log: Logger, metrics: Metrics) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let addr = listener.local_addr().expect("an address");
         let gw = Arc::new(Gateway::new(cfg, log, metrics));
--- a/crates/anvil_policy/src/intake.rs
+++ b/crates/anvil_policy/src/intake.rs
@@ -12,7 +12,9 @@
 //! the router can serve; the ratio is the *pressure*, and the logarithm of the open share falls or rises
 //! in proportion to the logarithm of the pressure. So the part that is rejected converges to
 //! the excess, whatever its size, and does not swing between all and nothing. The time that the router
-//! has to be closed for is spent in closings of random length.
+//! has to be closed for is spent in closings of random length. That takes a second at the beginning of an
+//! overload; meanwhile, the router does not accept more while clients are still sending much of
+//! what was accepted.
 //!
 //! *Thresholds:* data uses up to [`TARGET_USE`] of the link, less than [`crate::link_pacer`] lets
 //! through, so that its queue stays short. A queue of [`TARGET_BACKLOG`] is a fraction of any route's target
@@ -37,8 +39,10 @@
 const TARGET_USE: f64 = 0.75;
 /// From this share on the link is saturated: it can't show how much more is waiting.
 const SATURATED_USE: f64 = 0.95;
-/// Pressure while the link is saturated.
-const SATURATED_PRESSURE: f64 = 3.0;
+/// Pressure when the link becomes saturated.
+const SATURATED_PRESSURE: f64 = 2.0;
+/// The pressure rises by as much again each time that the link has been saturated for as long.
+const SATURATED_INTERVAL: Duration = Duration::from_millis(100);
 /// Backlog of the pacer from which on less is accepted.
 const TARGET_BACKLOG: Duration = Duration::from_millis(50);
 /// Lateness of a timer from which on less is accepted.
@@ -47,8 +51,11 @@
 const MAX_CONTROL_DELAY: Duration = Duration::from_millis(400);
 /// Share of the link from which on slow exchanges with the ledger are ascribed to the link.
 const BUSY_USE: f64 = 0.4;
+/// While data uses more than [`TARGET_USE`], nothing is accepted if clients are still sending more than the
+/// link carries in this time: a fraction of any route's target latency.
+const MAX_EXPECTED: Duration = Duration::from_millis(200);
 /// Bounds of the pressure; the lower one decides how fast a router opens again.
-const PRESSURE_BOUNDS: (f64, f64) = (0.25, 4.0);
+const PRESSURE_BOUNDS: (f64, f64) = (0.25, 16.0);
 /// Change of the open share's logarithm per second, for each unit of the pressure's logarithm.
 const GAIN: f64 = 1.2;
 /// The open share never falls below this.
@@ -80,6 +87,8 @@
     pub received: u64,
     /// Data sent since the start, in bytes.
     pub sent: u64,
+    /// Bytes of requests that clients have begun and not finished sending.
+    pub expected: u64,
     /// Duration of an exchange with the ledger that has ended since the last observation.
     pub control_delay: Option<Duration>,
     /// By how much the timer of this observation was late.
@@ -95,6 +104,8 @@
     link: Option<BytesPerSecond>,
     /// Bytes received and sent, by time.
     traffic: VecDeque<(Now, u64, u64)>,
+    /// Since when the link is saturated.
+    saturated_at: Option<Now>,
     open_share: f64,
     /// For how long it still has to be closed, for the time that it was open.
     owed: Duration,
@@ -114,6 +125,7 @@
         Self {
             link,
             traffic: VecDeque::new(),
+            saturated_at: None,
             open_share: 1.0,
             owed: Duration::ZERO,
             next_closing: CLOSING.0,
@@ -151,12 +163,16 @@
         self.observed_at = now;
         if step > MAX_AGE {
             self.traffic.clear();
+            self.saturated_at = None;
             self.owed = Duration::ZERO;
         } else if let Some(link) = self.link {
             self.adjust_share(now, link, step.min(MAX_STEP), load);
         }
+        let has_queue = self
+            .link
+            .is_some_and(|link| self.has_queue(now, link, load));
         self.record_traffic(now, load);
-        let is_open = self.next_phase(now, step, load, rng);
+        let is_open = self.next_phase(now, step, has_queue, load, rng);
         let interval = if is_open {
             self.time_to_closing()
         } else {
@@ -180,11 +196,14 @@
     }
 
     /// The load as a multiple of what the router can serve.
-    fn pressure(&self, now: Now, link: BytesPerSecond, load: &IntakeLoad) -> f64 {
+    fn pressure(&mut self, now: Now, link: BytesPerSecond, load: &IntakeLoad) -> f64 {
         let in_use = self.link_use(now, link, load);
         let by_use = if in_use >= SATURATED_USE {
-            SATURATED_PRESSURE
+            let since = *self.saturated_at.get_or_insert(now);
+            let lasted = now.saturating_sub(since);
+            SATURATED_PRESSURE * (1.0 + lasted.div_duration_f64(SATURATED_INTERVAL))
         } else {
+            self.saturated_at = None;
             in_use / TARGET_USE
         };
         let ratio = |time: Duration, limit: Duration| time.as_secs_f64() / limit.as_secs_f64();
@@ -198,6 +217,13 @@
             .max(ratio(load.lateness, MAX_LATENESS))
     }
 
+    /// Whether clients are sending more than the link can carry soon.
+    fn has_queue(&self, now: Now, link: BytesPerSecond, load: &IntakeLoad) -> bool {
+        #[expect(clippy::cast_precision_loss, reason = "far below 2^52 bytes")]
+        let seconds = load.expected as f64 / link.max(1) as f64;
+        seconds > MAX_EXPECTED.as_secs_f64() && self.link_use(now, link, load) > TARGET_USE
+    }
+
     /// The share of the link in use over the last [`USE_WINDOW`], of the busier direction.
     fn link_use(&self, now: Now, link: BytesPerSecond, load: &IntakeLoad) -> f64 {
         let Some((since, received, sent)) = self.traffic.front() else {
@@ -231,6 +257,7 @@
         &mut self,
         now: Now,
         step: Duration,
+        has_queue: bool,
         load: &IntakeLoad,
         rng: &mut impl Rng,
     ) -> bool {
@@ -250,9 +277,9 @@
             self.owed = Duration::ZERO;
         }
         let has_accepted = now < self.accepted_at + MAX_ACCEPT_GAP;
-        let share_is_used =
-            self.owed >= self.next_closing && has_accepted && now >= self.opened_at + MIN_OPENING;
-        if share_is_used || !load.has_descriptors {
+        let may_close = has_accepted && now >= self.opened_at + MIN_OPENING;
+        let is_due = self.owed >= self.next_closing || has_queue;
+        if (is_due && may_close) || !load.has_descriptors {
             self.owed = self.owed.saturating_sub(self.next_closing);
             self.closed_until = Some(now + self.next_closing);
         }
--- a/crates/anvil_policy/tests/intake.rs
+++ b/crates/anvil_policy/tests/intake.rs
@@ -36,6 +36,8 @@
     accepted: u32,
     rejected: u32,
     received: u64,
+    /// Bytes that clients were sending at most.
+    longest_queue: u64,
 }
 
 impl Second {
@@ -100,6 +102,8 @@
             }
             self.waiting.pop_front();
         }
+        self.load.expected = self.waiting.iter().map(|(_, left)| left).sum();
+        second.longest_queue = second.longest_queue.max(self.load.expected);
         if self.now >= self.intake.observe_at() {
             self.is_open = self.intake.observe(self.now, &self.load, &mut self.rng);
         }
@@ -113,13 +117,16 @@
 }
 
 /// Load pattern: for half a minute four times, twice and a little more than the link can carry. Guards
-/// against more being rejected than exceeds the link, and against swings between everything and nothing.
+/// against more being rejected than exceeds the link, against swings between everything and nothing, and
+/// against a queue of more than a second at the beginning.
 #[test]
 fn sustained_overload_sheds_the_excess() {
     for demand in [1.2, 2.0, 4.0] {
         let mut model = Model::new(Some(LINK));
         let starting = model.seconds(5, demand);
         assert!(starting.iter().all(|s| s.accepted > 0), "{starting:?}");
+        let queue = starting.iter().map(|s| s.longest_queue).max();
+        assert!(queue < Some(LINK), "at {demand}: {starting:?}");
         let settled = model.seconds(25, demand);
         let rejected = mean_rejected_share(&settled);
         let excess = 1.0 - 0.75 / demand;
