Pure decision on tokens held for an outage of the ledger

Cause: grants last 0.7 s and sparse organisations hold nothing ahead, so that nothing can be paid for while the ledger has no quorum for 6 to 8.5 s. Change: anvil_policy::outage_grant averages the demand over twice the outage and decides how many tokens a router holds, when and how much it requests, what it returns of which grant, and when a budget counts as scarce. Nothing uses it yet.

--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -44,6 +44,7 @@
 //! * [`health`], with [`limit`] and [`ejection`]: how much work an endpoint is given.
 //! * [`retry`]: whether a failed attempt is repeated.
 //! * [`grant`]: how much of a budget a router holds.
+//! * [`outage_grant`]: how much it holds so that it can pay for requests while the ledger does not answer.
 //! * [`engine`]: which engine a prompt goes to, among engines without a sidecar.
 //! * [`pace`]: how much longer work takes where an endpoint shares its machine.
 //! * [`pause`]: when a router sends to an endpoint that asked for a pause.
@@ -75,6 +76,7 @@
 pub mod health;
 pub mod limit;
 pub mod list_turn;
+pub mod outage_grant;
 pub mod pace;
 pub mod pause;
 pub mod placement;
--- /dev/null
+++ b/crates/anvil_policy/tests/outage_grant.rs
@@ -0,0 +1,134 @@
+//! Tokens that a router holds for the time in which the ledger does not answer.
+
+use std::time::Duration;
+
+use anvil_policy::outage_grant::{
+    GrantReturn, OutageDemand, OutageLimits, Scarcity, return_down_to, tokens_to_request,
+    tokens_to_return,
+};
+use anvil_world::prelude::*;
+
+const HORIZON: Duration = Duration::from_secs(9);
+const BATCH_INTERVAL: Duration = Duration::from_millis(200);
+const BOUND: Tokens = 9_000;
+const COST: Tokens = 4_000;
+
+fn limits(credit: Tokens, routers: u32) -> OutageLimits {
+    OutageLimits {
+        horizon: HORIZON,
+        credit,
+        routers,
+    }
+}
+
+/// Demand after two minutes in which a request ended every `interval` batches, just before the next.
+fn steady_demand(interval: u32) -> OutageDemand {
+    let mut demand = OutageDemand::default();
+    for batch in 0..600 {
+        let requests = u64::from(batch % interval == 0);
+        let charged = requests * COST;
+        demand.update(HORIZON, BATCH_INTERVAL, charged, requests, BOUND * requests);
+    }
+    demand
+}
+
+/// Guards against grants that are used up long before the outage ends.
+#[test]
+fn frequent_requests_are_covered_over_the_whole_outage() {
+    let hold = steady_demand(5).tokens_to_hold(&limits(100_000_000, 30));
+    let hold = hold.expect("one request a second");
+    assert!((32_000..=40_000).contains(&hold), "{hold}");
+}
+
+/// Guards against an organisation with a request every few seconds at each of many routers that can pay
+/// for nothing in an outage, and against one that holds tokens where it hardly ever sends requests.
+#[test]
+fn sparse_requests_have_one_bound_while_they_are_expected() {
+    let budget = limits(100_000_000, 30);
+    for interval in [25, 60, 90] {
+        let hold = steady_demand(interval).tokens_to_hold(&budget);
+        let hold = hold.expect("a request every 5 to 18 s");
+        assert!((7_500..=11_000).contains(&hold), "{interval}: {hold}");
+    }
+    assert_eq!(steady_demand(600).tokens_to_hold(&budget), None);
+}
+
+/// Guards against more than a quarter of a credit being lost with the routers that hold it.
+#[test]
+fn all_routers_together_hold_at_most_a_quarter_of_the_credit() {
+    let demand = steady_demand(1);
+    for (credit, routers) in [(1_200_000, 30), (2_000_000, 34), (4_000_000, 26)] {
+        let hold = demand.tokens_to_hold(&limits(credit, routers));
+        let hold = hold.expect("the credit bears one bound at each router");
+        assert!(hold * u64::from(routers) <= credit / 4, "{hold}");
+    }
+    // A bound at each of 30 routers would be more than a quarter.
+    assert_eq!(demand.tokens_to_hold(&limits(1_000_000, 30)), None);
+}
+
+/// Guards against an outage that begins when little of the last grant is left.
+#[test]
+fn a_fifth_that_was_used_is_replaced() {
+    assert_eq!(tokens_to_request(100_000, 1_000, &[80_000]), None);
+    assert_eq!(
+        tokens_to_request(100_000, 1_000, &[79_000]),
+        Some(21_000),
+        "only what is missing"
+    );
+}
+
+/// Guards against rests of many grants that add up to the need while none holds a large request, and
+/// against rests that are returned before their replacement has arrived.
+#[test]
+fn rests_are_replaced_first_and_then_returned() {
+    let rests = [30_000, 30_000, 30_000];
+    assert!(
+        tokens_to_return(100_000, 10_000, &rests)
+            .iter()
+            .all(|returned| *returned == GrantReturn::Nothing)
+    );
+    let rests = [20_000, 30_000, 20_000];
+    let requested = tokens_to_request(100_000, 10_000, &rests);
+    assert_eq!(requested, Some(100_000));
+    let after = [20_000, 30_000, 20_000, 100_000];
+    assert_eq!(
+        tokens_to_return(100_000, 10_000, &after),
+        [
+            GrantReturn::All,
+            GrantReturn::All,
+            GrantReturn::All,
+            GrantReturn::Nothing
+        ]
+    );
+}
+
+/// Guards against tokens that stay at a router after its demand has fallen.
+#[test]
+fn tokens_beyond_the_need_are_returned() {
+    assert_eq!(
+        tokens_to_return(50_000, 1_000, &[40_000, 60_000]),
+        [GrantReturn::All, GrantReturn::Part(10_000)]
+    );
+    assert_eq!(
+        return_down_to(5_000, &[3_000, 4_000, 2_000]),
+        [
+            GrantReturn::All,
+            GrantReturn::Part(1_000),
+            GrantReturn::Nothing
+        ]
+    );
+}
+
+/// Guards against the last tokens of a budget lying in long grants, and against a budget that stays without
+/// cover after it was topped up.
+#[test]
+fn scarcity_holds_for_five_seconds_after_the_last_sign() {
+    let at = Duration::from_secs;
+    let mut scarcity = Scarcity::default();
+    scarcity.record_grant(at(10), 100, 100);
+    assert!(!scarcity.is_scarce(at(10)));
+    scarcity.record_grant(at(10), 100, 99);
+    scarcity.record_shortage(at(12));
+    assert!(scarcity.is_scarce(at(16)));
+    assert!(!scarcity.is_scarce(at(17)));
+}
