Grants that outlast an outage of the ledger

Cause: while the ledger does not answer for 6 to 8.5 s, requests are refused within a second, since grants cover 0.7 s and sparse organisations hold nothing ahead. Change: GrantPolicy::outage_horizon; GrantAccount holds for it what anvil_policy::outage_grant decides, from the credits of the routing table and the number of routers. Organisation::prepaid becomes the credit. A gateway that still pays for requests does not report that it is not ready; before a planned stop the excess is returned at once, and the rest in batches 10 ms apart. Event 6050, three gauges. A model of 30 routers and 24 organisations with the real account and the ledger's real state.

--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -219,7 +219,8 @@
     deadline: Instant,
     trace: &mut Trace,
 ) -> Result<Option<RequestCharge>, RequestRefusal> {
-    let Some(organisation) = organisation.filter(|organisation| organisation.prepaid) else {
+    let Some(organisation) = organisation.filter(|organisation| organisation.prepaid.is_some())
+    else {
         return Ok(None);
     };
     let Some(work) = &request.model_work else {
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -70,6 +70,9 @@
     /// How far all gateways together may exceed the rate that an endpoint tolerates during its
     /// warm-up.
     pub warm_up_tolerance: BurstTolerance,
+    /// The longest outage of the ledger over which requests are to be paid for; `None` if grants need not
+    /// outlast one.
+    pub outage_horizon: Option<Duration>,
 }
 
 /// One gateway process.
@@ -154,6 +157,9 @@
 /// For how long a gateway that could not pay for a request reports that it is not ready, in
 /// milliseconds: the load balancer checks once per second and acts on the second failed check.
 const STARVED_TIME_MS: u64 = 2_500;
+/// For how long a request that was paid for shows that the grants are not used up: a few requests' intervals
+/// at a gateway with little load.
+const PAYING_TIME: Duration = Duration::from_secs(1);
 /// Number of gateways assumed to share the budget until the ledger reports it.
 const ASSUMED_GATEWAYS: u32 = 16;
 
@@ -162,9 +168,11 @@
 ///
 /// Grants are therefore small, and a request that needs more triggers a batch to the ledger, which
 /// answers within about 10 ms. A lost gateway costs what its horizon covers, 0.7 s of its demand
-/// averaged over the last second, and what its running requests have reserved.
-fn grant_policy() -> GrantPolicy {
+/// averaged over the last second, and what its running requests have reserved. With an outage horizon, it
+/// also costs what was held for an outage, while much of the budget is left.
+fn grant_policy(outage_horizon: Option<Duration>) -> GrantPolicy {
     GrantPolicy {
+        outage_horizon,
         horizon: Duration::from_millis(700),
         // About five batches, and about the duration of a response to a prompt.
         smoothing_window: Some(Duration::from_secs(1)),
@@ -191,7 +199,9 @@
         // If the clock was set back, a later incarnation would look older and the ledger would
         // refuse its batches. A random part of the name keeps incarnations apart.
         let name = format!("{}#{:x}", cfg.id, rand::random::<u64>());
-        let grant_account = GrantAccount::new(name.into(), lifecycle.incarnation, grant_policy());
+        let policy = grant_policy(cfg.outage_horizon);
+        let grant_account = GrantAccount::new(name.into(), lifecycle.incarnation, policy);
+        grant_account.set_routers(ASSUMED_GATEWAYS);
         Self {
             table: ArcSwapOption::empty(),
             directory: Directory::default(),
@@ -244,8 +254,14 @@
         self.now_ms() < self.starved_until_ms.load(Ordering::Relaxed)
     }
 
-    /// Records that a request could not be paid for because the ledger is unreachable.
+    /// Records that a request could not be paid for because the ledger is unreachable. While others are
+    /// paid for out of grants that outlast an outage, the gateway stays ready for them: no other one reaches
+    /// the ledger either, or has more for this organisation.
     pub fn mark_starved(&self) {
+        let now = self.lifecycle.now();
+        if self.grant_account.is_paying(now, PAYING_TIME) {
+            return;
+        }
         let until = self.now_ms() + STARVED_TIME_MS;
         if !self.is_starved() {
             event!(self.log, log_events::GATEWAY_STARVED);
--- a/crates/anvil_gateway/src/grant_loop.rs
+++ b/crates/anvil_gateway/src/grant_loop.rs
@@ -57,6 +57,7 @@
             if let Err(e) = gw.grant_account.apply_answer(gw.lifecycle.now(), &answer) {
                 event!(gw.log, events::GATEWAY_SETTLEMENT_REFUSED, "error" => e.to_string());
             }
+            log_scarcity(gw);
         }
         Ok(Answer::Denied(denial)) => {
             if gw.grant_account.apply_denial(gw.lifecycle.now(), &denial) {
@@ -68,6 +69,16 @@
     }
 }
 
+fn log_scarcity(gw: &Gateway) {
+    for change in gw.grant_account.take_scarcity_changes(gw.lifecycle.now()) {
+        event!(
+            gw.log, events::GATEWAY_BUDGET_SCARCE,
+            "budget" => change.budget.to_string(), "scarce" => change.is_scarce,
+            "free" => change.free
+        );
+    }
+}
+
 fn summarize_opened(grants: &[Grant]) -> Vec<(&BudgetId, Tokens)> {
     let grants = grants.iter();
     grants.map(|grant| (&grant.budget, grant.amount)).collect()
--- a/crates/anvil_gateway/src/ledger_updates.rs
+++ b/crates/anvil_gateway/src/ledger_updates.rs
@@ -108,6 +108,7 @@
     match (gw.cfg.dialect.parse_table)(&entry.text) {
         Ok(table) => {
             let version = table.version;
+            gw.grant_account.set_credits(table.credits());
             gw.table.store(Some(Arc::new(table)));
             gw.state_changed.notify_waiters();
             event!(
@@ -132,6 +133,7 @@
     let rank = u32::try_from(rank).unwrap_or(u32::MAX);
     gw.gateway_rank.store(rank, Ordering::Relaxed);
     let count = u32::try_from(ids.len()).unwrap_or(u32::MAX);
+    gw.grant_account.set_routers(count);
     if gw.gateway_count.swap(count, Ordering::Relaxed) != count {
         event!(gw.log, events::GATEWAY_PEERS_CHANGED, "gateways" => count);
     }
--- a/crates/anvil_gateway/src/log_events.rs
+++ b/crates/anvil_gateway/src/log_events.rs
@@ -74,4 +74,6 @@
     GATEWAY_SERVICE_VERSIONS = 6034 Info "gateway_service_versions";
     /// A sibling did not store at which versions streams run; it is told again.
     GATEWAY_ORIGINS_NOT_STORED = 6035 Warning "gateway_origins_not_stored";
+    /// Little is left of a budget, so that its grants are short, or this has ended.
+    GATEWAY_BUDGET_SCARCE = 6050 Info "gateway_budget_scarce";
 }
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -83,6 +83,12 @@
 pub const ENDPOINTS_AVAILABLE: &str = "endpoints.open";
 /// Endpoints on cooldown. Gauge.
 pub const ENDPOINTS_ON_COOLDOWN: &str = "endpoints.shut";
+/// Tokens free in this gateway's grants: lost if it is killed. Gauge.
+pub const GRANTS_FREE: &str = "grants.free";
+/// Budgets whose grants are to outlast an outage of the ledger. Gauge.
+pub const BUDGETS_COVERED: &str = "budgets.covered";
+/// Budgets of which little is left, so that their grants are short. Gauge.
+pub const BUDGETS_SCARCE: &str = "budgets.scarce";
 /// Time since the ledger last confirmed the cached state. Gauge, milliseconds.
 pub const LEDGER_AGE: &str = "age.ledger";
 /// Time since the platform's list was last read. Gauge, milliseconds.
@@ -128,6 +134,9 @@
     (GATEWAYS, "gauge"),
     (ENDPOINTS_AVAILABLE, "gauge"),
     (ENDPOINTS_ON_COOLDOWN, "gauge"),
+    (GRANTS_FREE, "gauge"),
+    (BUDGETS_COVERED, "gauge"),
+    (BUDGETS_SCARCE, "gauge"),
     (LEDGER_AGE, "gauge"),
     (LIST_AGE, "gauge"),
 ];
@@ -144,6 +153,7 @@
             .map_or(0, |table_version| table_version.version);
         let list_age = self.list_cache.age().min(self.lifecycle.now()).as_millis();
         let list_age = u64::try_from(list_age).unwrap_or(u64::MAX);
+        let grants = self.grant_account.cover_status(self.lifecycle.now());
         let age = |since_ms: u64| now.saturating_sub(since_ms);
         for (name, value) in [
             (
@@ -168,6 +178,9 @@
             (ENDPOINTS_WARMING_UP, self.count_warming_up()),
             (SERVICES_MIXED, self.count_mixed_services()),
             (ORIGINS_KNOWN, self.count_known_origins()),
+            (GRANTS_FREE, grants.free),
+            (BUDGETS_COVERED, grants.covered),
+            (BUDGETS_SCARCE, grants.scarce),
             (
                 LEDGER_AGE,
                 age(self.ledger_confirmed_ms.load(Ordering::Relaxed)),
--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -73,6 +73,7 @@
         stop.await;
         event!(gw.log, events::GATEWAY_LEAVING);
         gw.lifecycle.begin_drain();
+        gw.grant_account.end_outage_cover();
     };
     tokio::join!(serving, stopping);
     grant_loop::return_grants(&gw, RETURN_GRANTS_TIME).await;
--- a/crates/anvil_gateway/src/table.rs
+++ b/crates/anvil_gateway/src/table.rs
@@ -120,8 +120,8 @@
     pub id: OrganisationId,
     /// Priority class that overrides the route's.
     pub priority_class: Option<u8>,
-    /// Whether it has a prepaid budget.
-    pub prepaid: bool,
+    /// Tokens credited to its prepaid budget in all; `None` if it has none.
+    pub prepaid: Option<Tokens>,
     /// Where its requests may run; a route's restriction applies as well.
     pub regions: AllowedRegions,
 }
@@ -212,6 +212,13 @@
         self.organisations_by_key.get(key)
     }
 
+    /// Tokens credited to each prepaid budget in all.
+    pub fn credits(&self) -> BTreeMap<BudgetId, Tokens> {
+        let organisations = self.organisations_by_key.values();
+        let credits = organisations.filter_map(|o| Some((o.id.clone(), o.prepaid?)));
+        credits.collect()
+    }
+
     /// Whether requests must carry a key on routes that aren't public.
     pub fn requires_keys(&self) -> bool {
         self.requires_keys
--- a/crates/anvil_policy/src/outage_grant.rs
+++ b/crates/anvil_policy/src/outage_grant.rs
@@ -15,7 +15,8 @@
 //!
 //! *Thresholds:* what a router holds is lost if it is killed, so the same holdings at all routers may be
 //! at most a quarter of the credit. The demand is averaged over twice the outage: over less, an organisation
-//! with a request every few seconds would appear to come and go.
+//! with a request every few seconds would appear to come and go. Two standard deviations are added to the
+//! expected number of requests, because a router that expects three of them often gets six.
 
 use std::time::Duration;
 
@@ -26,12 +27,23 @@
 const CREDIT_DIVISOR: Tokens = 4;
 /// Minimum number of requests expected within the outage for any tokens to be held. With fewer, the tokens
 /// would be lost more often by a killed router than used in an outage.
-const MIN_EXPECTED_REQUESTS: f64 = 0.25;
+const MIN_EXPECTED_REQUESTS: f64 = 0.1;
+/// Requests beyond the expected ones that are covered, in standard deviations of a Poisson distribution.
+const MARGIN: f64 = 2.0;
 /// Length of the demand's window, as a multiple of the outage.
 const WINDOW_FACTOR: u32 = 2;
-/// Time over which the largest request fades, as a multiple of the window: longer than the gaps between the
-/// large requests of a sparse organisation.
-const BOUND_FADE_FACTOR: f64 = 8.0;
+/// Divisor of the window for recent demand, which counts instead where it is clearly higher: an organisation that
+/// becomes hot is covered within half an outage.
+const RECENT_DIVISOR: u32 = 4;
+/// Recent demand is clearly higher from this multiple of the usual demand on.
+const RISING_FACTOR: f64 = 1.5;
+/// Requests expected by recent demand from which on it counts: a single request of a sparse organisation
+/// is no rise.
+const MIN_RISING_REQUESTS: f64 = 4.0;
+/// For how long the largest request counts at least, as a multiple of the window: longer than the gaps between
+/// the requests of a sparse organisation for which tokens are held. It does not fade meanwhile, since a request
+/// of the same size would not fit any more.
+const BOUND_EPOCH_FACTOR: u32 = 3;
 /// Tokens are topped up when less than this part of them is free: four fifths.
 const TOP_UP_NUMERATOR: Tokens = 4;
 /// See [`TOP_UP_NUMERATOR`].
@@ -53,15 +65,31 @@
     pub routers: u32,
 }
 
-/// Average demand of one organisation at one router.
+/// Demand averaged over one window.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct OutageDemand {
-    /// Tokens charged per second.
+struct Average {
     tokens_per_s: f64,
-    /// Requests per second.
     requests_per_s: f64,
-    /// Upper bound of the largest recent request, in tokens.
-    bound: f64,
+}
+
+impl Average {
+    fn update(&mut self, window: Duration, elapsed: Duration, charged: Tokens, requests: u64) {
+        let elapsed_s = elapsed.as_secs_f64().max(0.001);
+        let weight = 1.0 - (-elapsed_s / window.as_secs_f64().max(0.001)).exp();
+        self.tokens_per_s += (to_f64(charged) / elapsed_s - self.tokens_per_s) * weight;
+        self.requests_per_s += (to_f64(requests) / elapsed_s - self.requests_per_s) * weight;
+    }
+}
+
+/// Average demand of one organisation at one router.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct OutageDemand {
+    usual: Average,
+    recent: Average,
+    /// Upper bounds of the largest requests of the current epoch and of the one before, in tokens.
+    bounds: [Tokens; 2],
+    /// Age of the current epoch.
+    epoch_age: Duration,
 }
 
 impl OutageDemand {
@@ -75,31 +103,43 @@
         requests: u64,
         largest: Tokens,
     ) {
-        let window_s = (horizon * WINDOW_FACTOR).as_secs_f64().max(0.001);
-        let elapsed_s = elapsed.as_secs_f64().max(0.001);
-        let weight = 1.0 - (-elapsed_s / window_s).exp();
-        self.tokens_per_s += (to_f64(charged) / elapsed_s - self.tokens_per_s) * weight;
-        self.requests_per_s += (to_f64(requests) / elapsed_s - self.requests_per_s) * weight;
-        let fade = (-elapsed_s / (BOUND_FADE_FACTOR * window_s)).exp();
-        self.bound = (self.bound * fade).max(to_f64(largest));
+        let window = horizon * WINDOW_FACTOR;
+        self.usual.update(window, elapsed, charged, requests);
+        self.recent
+            .update(window / RECENT_DIVISOR, elapsed, charged, requests);
+        self.epoch_age += elapsed;
+        if self.epoch_age >= window * BOUND_EPOCH_FACTOR {
+            self.epoch_age = Duration::ZERO;
+            self.bounds = [0, self.bounds[0]];
+        }
+        self.bounds[0] = self.bounds[0].max(largest);
     }
 
     /// Upper bound of the largest recent request, in tokens.
     pub fn bound(&self) -> Tokens {
-        to_tokens(self.bound.ceil())
+        self.bounds[0].max(self.bounds[1])
     }
 
-    /// Tokens to be free in the router's grants; `None` if the budget can't bear one request's bound at
+    /// Tokens to be free in the router's grants; `None` if the budget can't bear one request of mean cost at
     /// every router, or hardly any request is expected within an outage.
     pub fn tokens_to_hold(&self, limits: &OutageLimits) -> Option<Tokens> {
         let horizon_s = limits.horizon.as_secs_f64();
         let limit = limits.credit / CREDIT_DIVISOR / Tokens::from(limits.routers.max(1));
         let bound = self.bound();
-        let is_expected = self.requests_per_s * horizon_s >= MIN_EXPECTED_REQUESTS;
-        if !is_expected || bound == 0 || bound > limit {
+        let recently = self.recent.requests_per_s;
+        let is_rising = recently * horizon_s >= MIN_RISING_REQUESTS
+            && recently > RISING_FACTOR * self.usual.requests_per_s;
+        let demand = if is_rising { self.recent } else { self.usual };
+        let expected = demand.requests_per_s * horizon_s;
+        if expected < MIN_EXPECTED_REQUESTS || bound == 0 {
+            return None;
+        }
+        let mean_cost = demand.tokens_per_s / demand.requests_per_s;
+        if to_f64(limit) < mean_cost {
             return None;
         }
-        let needed = to_tokens((self.tokens_per_s * horizon_s).ceil());
+        let requests = expected + MARGIN * expected.sqrt();
+        let needed = to_tokens((requests * mean_cost).ceil());
         Some(needed.max(bound).min(limit))
     }
 }
--- a/crates/anvilreel/src/money.rs
+++ b/crates/anvilreel/src/money.rs
@@ -17,6 +17,7 @@
 mod demand;
 mod error;
 mod open_grant;
+mod outage_cover;
 mod reservation;
 mod sizing;
 
@@ -24,5 +25,6 @@
 pub use closing::GrantClosing;
 pub use error::MoneyError;
 pub use open_grant::OpenGrant;
+pub use outage_cover::{CoverStatus, ScarcityChange};
 pub use reservation::{Reservation, Shortage};
 pub use sizing::GrantPolicy;
--- a/crates/anvilreel/src/money/account.rs
+++ b/crates/anvilreel/src/money/account.rs
@@ -1,7 +1,7 @@
 //! The grant account: reservations for requests.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -57,6 +57,13 @@
     /// Whether a shortage needs a batch sooner than the next regular one.
     pub(super) urgent: AtomicBool,
     pub(super) stopping: AtomicBool,
+    /// What each organisation was credited in all.
+    pub(super) credits: ArcSwap<BTreeMap<BudgetId, Tokens>>,
+    /// Number of routers that draw on the budgets; 0 if unknown.
+    pub(super) routers: AtomicU32,
+    pub(super) cover_ended: AtomicBool,
+    /// When a request last reserved tokens, in milliseconds.
+    last_reserved: AtomicU64,
     pub(super) fenced: AtomicBool,
     /// The oldest grant whose closing the ledger has not confirmed.
     pub(super) oldest_open_grant: AtomicU64,
@@ -80,6 +87,10 @@
             unanswered_since: AtomicU64::new(NO_BATCH_PENDING),
             urgent: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
+            credits: ArcSwap::default(),
+            routers: AtomicU32::new(0),
+            cover_ended: AtomicBool::new(false),
+            last_reserved: AtomicU64::new(0),
             fenced: AtomicBool::new(false),
             oldest_open_grant: AtomicU64::new(0),
             next_number: AtomicU64::new(1),
@@ -114,6 +125,7 @@
             };
             parts.push(ReservationPart { grant, tokens });
         }
+        self.last_reserved.fetch_max(millis(now), Ordering::Relaxed);
         Ok(Reservation {
             number: self.next_number.fetch_add(1, Ordering::Relaxed),
             split: split.clone(),
@@ -268,6 +280,12 @@
         Shortage::WaitFor { until, otherwise }
     }
 
+    /// Whether grants that outlast an outage have paid for a request within this time.
+    pub fn is_paying(&self, now: Now, within: Duration) -> bool {
+        let last = Duration::from_millis(self.last_reserved.load(Ordering::Relaxed));
+        self.policy.outage_horizon.is_some() && !last.is_zero() && now < last + within
+    }
+
     /// How long a batch has been without an answer.
     pub fn unanswered_for(&self, now: Now) -> Duration {
         let since = self.unanswered_since.load(Ordering::Acquire);
--- a/crates/anvilreel/src/money/batch_exchange.rs
+++ b/crates/anvilreel/src/money/batch_exchange.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use anvil_policy::outage_grant::{GrantReturn, missing_tokens, tokens_to_request};
 use anvil_world::command::{
     Denial, GrantBatch, GrantBatchAnswer, GrantRefusal, GrantReport, GrantRequest,
 };
@@ -13,6 +14,7 @@
 
 use super::account::{GrantAccount, NO_BATCH_PENDING, millis};
 use super::budget_grants::{BudgetGrants, LedgerRefusal};
+use super::outage_cover::AddedDemand;
 use super::sizing::needed_for;
 use super::{MoneyError, OpenGrant};
 
@@ -43,7 +45,9 @@
         // An urgent batch is sent sooner: if the first request on a budget waited for the next
         // regular batch to ask for a grant, its first token would take up to a second, where 25 ms
         // are usual.
-        let every = if batches.pending.is_none() && self.is_urgent() {
+        // At a planned stop the grants have to be back before the process ends.
+        let is_urgent = self.is_urgent() || self.stopping.load(Ordering::Acquire);
+        let every = if batches.pending.is_none() && is_urgent {
             self.policy.urgent_batch_interval
         } else {
             self.policy.batch_interval
@@ -69,6 +73,7 @@
         let Some(batch) = batches.pending.take_if(|batch| batch.seq == answer.seq) else {
             return Ok(());
         };
+        self.record_scarcity(now, &batch, answer);
         for report in &batch.reports {
             let amounts = (report.settled, report.returned);
             batches.reported.insert(report.grant, amounts);
@@ -147,19 +152,33 @@
         self.for_each_budget(|budget_grants| {
             if covers_all {
                 // Measured over less than a second, a single request would look like a burst.
-                budget_grants
-                    .demand
-                    .update_averages(since, self.policy.smoothing_window);
+                let demand = &budget_grants.demand;
+                let largest = demand.largest();
+                let (charged, requests) =
+                    demand.update_averages(since, self.policy.smoothing_window);
+                let added = AddedDemand {
+                    charged,
+                    requests,
+                    largest,
+                };
+                self.update_outage_cover(now, budget_grants, since, &added);
             } else if !budget_grants.has_shortage() {
                 return;
             }
             let budget_asks = self.grant_asks(now, budget_grants);
+            let grants = budget_grants.grants.load();
             let close = self.grants_to_close(now, budget_grants, budget_asks.last());
-            for grant in budget_grants.grants.load().iter() {
-                let should_close = close.contains(&grant.id);
+            let surplus = covers_all.then(|| self.surplus_returns(now, budget_grants, &grants));
+            let surplus = surplus.flatten().unwrap_or_default();
+            for (i, grant) in grants.iter().enumerate() {
+                let returned = surplus.get(i).copied().unwrap_or(GrantReturn::Nothing);
+                let should_close = close.contains(&grant.id) || returned == GrantReturn::All;
                 let close = should_close && grant.close_if_idle();
                 if should_close && !close {
-                    grant.return_free();
+                    grant.return_free(Tokens::MAX);
+                }
+                if let (GrantReturn::Part(tokens), false) = (returned, should_close) {
+                    grant.return_free(tokens);
                 }
                 reports.push(GrantReport {
                     grant: grant.id,
@@ -212,6 +231,12 @@
         if self.stopping.load(Ordering::Acquire) {
             return Vec::new();
         }
+        let hold = budget_grants.outage_cover().hold();
+        if let Some((hold, bound)) = hold
+            && largest_shortage == 0
+        {
+            return top_up_asks(budget_grants, hold, bound);
+        }
         let rate = budget_grants.demand.rate();
         let largest = budget_grants.demand.largest().max(largest_shortage);
         let idle = now > budget_grants.demand.last_request() + self.policy.idle_timeout;
@@ -233,7 +258,10 @@
         if largest_shortage == 0 && (enough || recently_refused) {
             return Vec::new();
         }
-        let horizon = needed_for(rate, horizon);
+        let horizon = hold.map_or_else(
+            || needed_for(rate, horizon),
+            |(hold, bound)| missing_tokens(hold, bound, &budget_grants.free_by_grant()),
+        );
         let ask_for = |least: Tokens, ahead: Tokens| GrantRequest {
             budget: budget_grants.budget.clone(),
             wanted: ahead.saturating_add(least.saturating_mul(spare)).max(least),
@@ -269,7 +297,13 @@
         let largest = budget_grants.demand.largest();
         let grants = budget_grants.grants.load();
         let newest = grants.last().map(|grant| grant.id);
+        // Rests of grants that outlast an outage go back only once they are replaced: the batch that
+        // requests the replacement may be the first one that stays unanswered.
+        let outlasts = budget_grants.outage_cover().hold().is_some();
         let should_close = |grant: &&Arc<OpenGrant>| {
+            if outlasts {
+                return stopping || grant.is_recalled();
+            }
             let too_small =
                 grant_request.is_some_and(|grant_request| grant.free() < grant_request.least);
             let used_up = grant.free() < largest && Some(grant.id) != newest;
@@ -340,3 +374,15 @@
         }
     }
 }
+
+/// The request that tops up what is held for an outage, if it is due. It is never refused while anything is
+/// left: a refusal would recall every router's grants although no request lacks tokens.
+fn top_up_asks(budget_grants: &BudgetGrants, hold: Tokens, bound: Tokens) -> Vec<GrantRequest> {
+    let wanted = tokens_to_request(hold, bound, &budget_grants.free_by_grant());
+    let request = wanted.map(|wanted| GrantRequest {
+        budget: budget_grants.budget.clone(),
+        wanted,
+        least: 1,
+    });
+    request.into_iter().collect()
+}
--- a/crates/anvilreel/src/money/budget_grants.rs
+++ b/crates/anvilreel/src/money/budget_grants.rs
@@ -1,13 +1,14 @@
 //! The grants, demand and shortages of one budget at one router.
 
-use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use anvil_world::prelude::*;
 use arc_swap::ArcSwap;
 
 use super::OpenGrant;
 use super::demand::Demand;
+use super::outage_cover::OutageCover;
 
 /// The ledger's last refusal of a grant request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,6 +32,8 @@
     pub(super) largest_shortage: AtomicU64,
     /// The smallest such request; `u64::MAX` for none.
     pub(super) smallest_shortage: AtomicU64,
+    /// Used only by the task that exchanges batches, and for metrics.
+    outage_cover: Mutex<OutageCover>,
 }
 
 impl BudgetGrants {
@@ -42,9 +45,26 @@
             last_refusal: ArcSwap::default(),
             largest_shortage: AtomicU64::new(0),
             smallest_shortage: AtomicU64::new(u64::MAX),
+            outage_cover: Mutex::default(),
         }
     }
 
+    pub(super) fn outage_cover(&self) -> MutexGuard<'_, OutageCover> {
+        // A panic leaves at most one average too low, so a poisoned lock can be used.
+        self.outage_cover
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Free tokens of each grant, oldest first.
+    pub(super) fn free_by_grant(&self) -> Vec<Tokens> {
+        self.grants
+            .load()
+            .iter()
+            .map(|grant| grant.free())
+            .collect()
+    }
+
     /// Reserves from the first grant that has enough free tokens. Older grants come first, so that
     /// they are used up and closed.
     pub(super) fn reserve(&self, tokens: Tokens) -> Option<Arc<OpenGrant>> {
--- a/crates/anvilreel/src/money/demand.rs
+++ b/crates/anvilreel/src/money/demand.rs
@@ -39,8 +39,13 @@
 
     /// Adds what was recorded since the last call to the averages. A fall is smoothed. A rise takes
     /// effect at once, so that a burst does not lack tokens for as long as averaging takes; with
-    /// `smooth` a rise is averaged over that time, too.
-    pub(super) fn update_averages(&self, over: Duration, smooth: Option<Duration>) {
+    /// `smooth` a rise is averaged over that time, too. Returns the tokens and requests that were
+    /// added.
+    pub(super) fn update_averages(
+        &self,
+        over: Duration,
+        smooth: Option<Duration>,
+    ) -> (Tokens, u64) {
         let millis = u64::try_from(over.as_millis()).unwrap_or(u64::MAX).max(1);
         let tokens = self.charged_since_update.swap(0, Ordering::Relaxed);
         let rate = smoothed(
@@ -58,6 +63,7 @@
         let largest = self.largest();
         let faded = largest - largest / 64;
         self.largest.fetch_min(faded.max(1), Ordering::Relaxed);
+        (tokens, settled)
     }
 
     /// Tokens charged per second.
--- a/crates/anvilreel/src/money/open_grant.rs
+++ b/crates/anvilreel/src/money/open_grant.rs
@@ -79,13 +79,13 @@
         self.recalled.load(Ordering::Acquire)
     }
 
-    /// Returns the tokens that are free now. They are taken first and counted as returned
-    /// afterwards, so that no token is both reserved and returned.
-    pub(super) fn return_free(&self) {
+    /// Returns the tokens that are free now, at most `limit` of them. They are taken first and counted
+    /// as returned afterwards, so that no token is both reserved and returned.
+    pub(super) fn return_free(&self, limit: Tokens) {
         let mut free = 0;
         let fill = |taken: u64| {
-            free = self.amount.saturating_sub(taken);
-            (taken & CLOSED == 0 && free > 0).then_some(self.amount)
+            free = self.amount.saturating_sub(taken).min(limit);
+            (taken & CLOSED == 0 && free > 0).then_some(taken + free)
         };
         let filled = self
             .taken
--- a/crates/anvilreel/src/money/sizing.rs
+++ b/crates/anvilreel/src/money/sizing.rs
@@ -52,6 +52,9 @@
     /// the router dies: with 17 routers a tenth of a budget. If the ledger answers within a few
     /// milliseconds, the next such request can ask for itself.
     pub min_expected_requests: f64,
+    /// The longest outage of the ledger for which tokens are held while much of a budget is left; `None`
+    /// if no longer than the horizon. See `anvil_policy::outage_grant`.
+    pub outage_horizon: Option<Duration>,
     /// Maximum number of reports in one batch: keeps a batch within 4 KB.
     pub max_reports: usize,
     /// Maximum number of grant requests in one batch.
@@ -73,6 +76,7 @@
             refusal_lifetime: Duration::from_secs(2),
             spare_requests: 2,
             min_expected_requests: 0.0,
+            outage_horizon: None,
             max_reports: 160,
             max_asks: 40,
         }
--- a/crates/anvilreel/tests/money/main.rs
+++ b/crates/anvilreel/tests/money/main.rs
@@ -2,4 +2,6 @@
 
 mod grant_account;
 mod ledger;
+mod outage;
+mod outage_model;
 mod sparse;
--- /dev/null
+++ b/crates/anvilreel/tests/money/outage.rs
@@ -0,0 +1,175 @@
+//! Requests are paid for while the ledger does not answer, and no budget is overspent.
+
+use std::ops::Range;
+use std::time::Duration;
+
+use anvil_world::prelude::*;
+
+use crate::outage_model::{MEAN_COST, Measured, OUTAGE_HORIZON, Payer, Plan, play, policy};
+
+const PAYERS: usize = 24;
+/// The first of them have most requests.
+const FREQUENT: usize = 6;
+const OUTAGE: Range<u64> = 90_000..98_000;
+
+/// Requests per second of an organisation: a few have most of the load.
+#[expect(clippy::cast_precision_loss, reason = "few payers")]
+fn rate(payer: usize) -> f64 {
+    16.0 / (payer as f64 + 1.0)
+}
+
+/// Expected use of an organisation in this time.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    clippy::cast_precision_loss,
+    reason = "a few million tokens"
+)]
+fn expected_use(payer: usize, seconds: f64) -> Tokens {
+    (rate(payer) * seconds * MEAN_COST as f64) as Tokens
+}
+
+/// 30 routers and 24 organisations, each with credit for 1.3 times its use in five minutes.
+fn plan(outage_horizon: Option<Duration>) -> Plan {
+    let payer = |payer| Payer {
+        spent_before: 0,
+        credit: expected_use(payer, 1.3 * 300.0),
+        rates: vec![(0, rate(payer))],
+        top_up: None,
+    };
+    Plan {
+        seed: 1,
+        routers: 30,
+        payers: (0..PAYERS).map(payer).collect(),
+        policy: policy(outage_horizon),
+        outage: OUTAGE,
+        kill_at: None,
+        end: OUTAGE.end + 7_000,
+    }
+}
+
+impl Plan {
+    /// Leaves of each credit what is used in this many seconds.
+    fn leave_for(&mut self, seconds: f64) {
+        for (i, payer) in self.payers.iter_mut().enumerate() {
+            payer.spent_before = payer.credit - expected_use(i, seconds);
+        }
+    }
+}
+
+/// Plays the plan, and prints what was measured.
+fn play_and_print(name: &str, plan: Plan) -> Measured {
+    let outage = plan.outage.clone();
+    let measured = play(plan);
+    let sum = |tokens: &[Tokens]| tokens.iter().sum::<Tokens>();
+    println!(
+        "{name}: served and refused before {:?}, in {:?}, after the outage {:?}; of {} tokens \
+         {} spent, {} held, {} lost; {} batches of at most {} reports, {} requests and {} bytes",
+        measured.count(0..PAYERS, 0..outage.start),
+        measured.count(0..PAYERS, outage.clone()),
+        measured.count(0..PAYERS, outage.end..u64::MAX),
+        sum(&measured.credited),
+        sum(&measured.spent),
+        sum(&measured.held),
+        sum(&measured.lost),
+        measured.batches,
+        measured.max_reports,
+        measured.max_asks,
+        measured.max_bytes,
+    );
+    measured
+}
+
+/// Guards against an outage in which nothing can be paid for although budgets are far from exhausted, and
+/// against batches that grow with the horizon.
+#[test]
+fn outage_in_mid_budget_is_paid_for() {
+    let short = play_and_print("mid-budget, short", plan(None));
+    let long = play_and_print("mid-budget, long", plan(Some(OUTAGE_HORIZON)));
+    assert!(short.refused_percent(0..PAYERS, OUTAGE) > 90);
+    assert!(long.refused_percent(0..PAYERS, OUTAGE) <= 25);
+    // The organisations with a request within an outage at most routers.
+    assert!(long.refused_percent(0..FREQUENT, OUTAGE) <= 12);
+    assert!(long.batches <= short.batches);
+    assert!(long.max_reports <= short.max_reports && long.max_asks <= short.max_asks);
+    assert!(long.max_bytes <= 4_096, "{}", long.max_bytes);
+    for (held, credited) in long.held.iter().zip(&long.credited) {
+        assert!(*held <= credited / 4, "{held} of {credited}");
+    }
+}
+
+/// Guards against budgets that are overspent in an outage while they run out (checked at each
+/// settlement), and against last tokens that lie in long grants.
+#[test]
+fn budgets_that_run_out_in_an_outage_are_used_up_and_not_overspent() {
+    let [short, long] = [None, Some(OUTAGE_HORIZON)].map(|horizon| {
+        let mut plan = plan(horizon);
+        plan.leave_for(95.0);
+        plan.end = 125_000;
+        play_and_print("near exhaustion", plan)
+    });
+    let spent = |measured: &Measured| measured.spent.iter().sum::<Tokens>();
+    assert!(spent(&long) >= spent(&short) / 1_000 * 999);
+}
+
+/// Guards against requests that are refused while budgets run out, because other routers hold tokens for an
+/// outage that does not come.
+#[test]
+fn budgets_that_run_out_serve_as_many_requests_as_with_short_grants() {
+    let [short, long] = [None, Some(OUTAGE_HORIZON)].map(|horizon| {
+        let mut plan = plan(horizon);
+        plan.leave_for(60.0);
+        plan.outage = 0..0;
+        plan.end = 85_000;
+        play_and_print("running out", plan)
+    });
+    let served = |measured: &Measured| measured.count(0..PAYERS, 0..85_000).0;
+    assert!(served(&long) >= served(&short) / 100 * 99);
+}
+
+/// Guards against budgets that are lost with the routers that hold them: a third of the routers has at most
+/// a third of a quarter.
+#[test]
+fn killed_routers_lose_at_most_their_part_of_a_quarter() {
+    let mut plan = plan(Some(OUTAGE_HORIZON));
+    plan.kill_at = Some(OUTAGE.start);
+    plan.outage = 0..0;
+    let measured = play_and_print("a third killed", plan);
+    for (lost, credited) in measured.lost.iter().zip(&measured.credited) {
+        assert!(*lost <= credited / 4 / 3, "{lost} of {credited}");
+    }
+    assert_eq!(
+        measured.count(0..PAYERS, OUTAGE).1,
+        0,
+        "the others serve on"
+    );
+}
+
+/// Guards against budgets that stay without cover after they were topped up.
+#[test]
+fn topped_up_budgets_are_covered_again() {
+    let mut plan = plan(Some(OUTAGE_HORIZON));
+    plan.leave_for(60.0);
+    for payer in &mut plan.payers {
+        payer.top_up = Some((75_000, payer.credit / 2));
+    }
+    let measured = play_and_print("topped up", plan);
+    assert!(measured.refused_percent(0..PAYERS, 70_000..75_000) > 50);
+    assert!(measured.refused_percent(0..FREQUENT, OUTAGE) <= 25);
+}
+
+/// Guards against an organisation that becomes hot and whose cover follows only after several outages.
+#[test]
+fn organisation_that_became_hot_is_paid_for() {
+    let hot = 5;
+    let mut plan = plan(Some(OUTAGE_HORIZON));
+    plan.payers[hot].credit *= 4;
+    plan.payers[hot].rates.push((OUTAGE.start - 10_000, 20.0));
+    let measured = play_and_print("hot", plan);
+    assert_eq!(
+        measured.count(hot..hot + 1, 0..OUTAGE.start).1,
+        0,
+        "nothing is refused when it becomes hot"
+    );
+    assert!(measured.refused_percent(hot..hot + 1, OUTAGE) <= 25);
+}
