--- a/crates/anvil_gateway/src/log_events.rs
+++ b/crates/anvil_gateway/src/log_events.rs
@@ -81,4 +81,6 @@
     GATEWAY_SHEDDING_OVER = 6042 Info "gateway_shedding_over";
     /// The address for clients can't be listened on again after connections were rejected.
     GATEWAY_LISTEN_FAILED = 6043 Error "gateway_listen_failed";
+    /// Little is left of a budget, so that its grants are short, or this has ended.
+    GATEWAY_BUDGET_SCARCE = 6050 Info "gateway_budget_scarce";
 }
