--- a/crates/anvil_gateway/src/accept/client_listener.rs
+++ b/crates/anvil_gateway/src/accept/client_listener.rs
@@ -92,10 +92,12 @@
                     biased;
                     () = sleep_until(observe_at) => {}
                     accepted = accept_on(self.listener.as_ref()) => {
-                        if accepted.is_ok() {
+                        // Connections to endpoints may have taken the last descriptors meanwhile; then
+                        // this one is closed unread.
+                        if accepted.is_err() || control.cx.sockets.descriptors.has_room_for_client() {
                             control.intake.record_accept(control.started.elapsed());
+                            return accepted;
                         }
-                        return accepted;
                     }
                 }
             }
