--- a/crates/anvil_policy/src/outage_grant.rs
+++ b/crates/anvil_policy/src/outage_grant.rs
@@ -65,17 +65,31 @@
     pub routers: u32,
 }
 
-/// Demand averaged over one window.
+/// Minimum time that an average stands for: over less, the first requests would look like a burst.
+const MIN_OBSERVED_S: f64 = 1.0;
+
+/// Demand averaged over one window, or over the time since its first update if that is shorter.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 struct Average {
     tokens_per_s: f64,
     requests_per_s: f64,
+    observed_s: f64,
 }
 
 impl Average {
     fn update(&mut self, window: Duration, elapsed: Duration, charged: Tokens, requests: u64) {
-        let elapsed_s = elapsed.as_secs_f64().max(0.001);
-        let weight = 1.0 - (-elapsed_s / window.as_secs_f64().max(0.001)).exp();
+        let elapsed_s = elapsed.as_secs_f64();
+        let window_s = window.as_secs_f64();
+        self.observed_s = (self.observed_s + elapsed_s).min(window_s);
+        // The first updates have equal weights, those after a whole window fade exponentially.
+        let divisor = self.observed_s.max(MIN_OBSERVED_S);
+        let weight = 1.0 - (-elapsed_s / divisor).exp();
+        let weight = if self.observed_s < window_s {
+            elapsed_s / divisor
+        } else {
+            weight
+        };
+        let elapsed_s = elapsed_s.max(0.001);
         self.tokens_per_s += (to_f64(charged) / elapsed_s - self.tokens_per_s) * weight;
         self.requests_per_s += (to_f64(requests) / elapsed_s - self.requests_per_s) * weight;
     }
