The intake bounds what accepted connections are still to send

Change: each accepted connection counts with the mean of what recent ones sent, until it has been received; above 100 ms of the link, and while the link is busy or load is shed, the gateway stops listening at once.

--- a/crates/anvil_policy/src/intake.rs
+++ b/crates/anvil_policy/src/intake.rs
@@ -12,9 +12,9 @@
 //! the router can serve; the ratio is the *pressure*, and the logarithm of the open share falls or rises
 //! in proportion to the logarithm of the pressure. So the part that is rejected converges to
 //! the excess, whatever its size, and does not swing between all and nothing. The time that the router
-//! has to be closed for is spent in closings of random length. That takes a second at the beginning of an
-//! overload; meanwhile, the router does not accept more while clients are still sending much of
-//! what was accepted.
+//! has to be closed for is spent in closings of random length. The share takes a second to fall, and hundreds
+//! of connections may wait to be accepted at once; so nothing is accepted either while accepted clients are
+//! still sending, or are expected to send, more than [`MAX_EXPECTED`] of the link.
 //!
 //! *Thresholds:* data uses up to [`TARGET_USE`] of the link, less than [`crate::link_pacer`] lets
 //! through, so that its queue stays short. A queue of [`TARGET_BACKLOG`] is a fraction of any route's target
@@ -51,9 +51,11 @@
 const MAX_CONTROL_DELAY: Duration = Duration::from_millis(400);
 /// Share of the link from which on slow exchanges with the ledger are ascribed to the link.
 const BUSY_USE: f64 = 0.4;
-/// While data uses more than [`TARGET_USE`], nothing is accepted if clients are still sending more than the
-/// link carries in this time: a fraction of any route's target latency.
-const MAX_EXPECTED: Duration = Duration::from_millis(200);
+/// While the link is busy, nothing is accepted if clients are still sending more than it carries in this time:
+/// a fraction of any route's target latency.
+const MAX_EXPECTED: Duration = Duration::from_millis(100);
+/// Time after which what connections sent counts for less than half, and what they were expected to send.
+const MEMORY: Duration = Duration::from_secs(1);
 /// Bounds of the pressure; the lower one decides how fast a router opens again.
 const PRESSURE_BOUNDS: (f64, f64) = (0.25, 16.0);
 /// Change of the open share's logarithm per second, for each unit of the pressure's logarithm.
@@ -115,6 +117,13 @@
     closed_until: Option<Now>,
     opened_at: Now,
     accepted_at: Now,
+    /// Bytes that the accepted connections have yet to send, as far as that can be expected.
+    promised: f64,
+    /// Connections accepted lately, and bytes received.
+    recent_accepts: f64,
+    recent_bytes: f64,
+    /// Whether the link was busy at the last observation.
+    is_busy: bool,
     observed_at: Now,
     observe_at: Now,
 }
@@ -132,6 +141,10 @@
             closed_until: None,
             opened_at: now,
             accepted_at: now,
+            promised: 0.0,
+            recent_accepts: 0.0,
+            recent_bytes: 0.0,
+            is_busy: false,
             observed_at: now,
             observe_at: now + OBSERVE_INTERVAL,
         }
@@ -155,6 +168,12 @@
     /// Records that a connection was accepted.
     pub fn record_accept(&mut self, now: Now) {
         self.accepted_at = now;
+        self.recent_accepts += 1.0;
+        // After a freeze, hundreds of connections may be waiting to be accepted at once.
+        self.promised += self.recent_bytes / self.recent_accepts;
+        if self.has_queue(self.promised) {
+            self.observe_at = now;
+        }
     }
 
     /// Applies the present load. Returns whether the router listens until the next observation.
@@ -165,13 +184,13 @@
             self.traffic.clear();
             self.saturated_at = None;
             self.owed = Duration::ZERO;
+            self.promised = 0.0;
         } else if let Some(link) = self.link {
             self.adjust_share(now, link, step.min(MAX_STEP), load);
         }
-        let has_queue = self
-            .link
-            .is_some_and(|link| self.has_queue(now, link, load));
-        self.record_traffic(now, load);
+        self.record_traffic(now, step, load);
+        #[expect(clippy::cast_precision_loss, reason = "far below 2^52 bytes")]
+        let has_queue = self.has_queue(self.promised.max(load.expected as f64));
         let is_open = self.next_phase(now, step, has_queue, load, rng);
         let interval = if is_open {
             self.time_to_closing()
@@ -198,6 +217,7 @@
     /// The load as a multiple of what the router can serve.
     fn pressure(&mut self, now: Now, link: BytesPerSecond, load: &IntakeLoad) -> f64 {
         let in_use = self.link_use(now, link, load);
+        self.is_busy = in_use > TARGET_USE;
         let by_use = if in_use >= SATURATED_USE {
             let since = *self.saturated_at.get_or_insert(now);
             let lasted = now.saturating_sub(since);
@@ -218,10 +238,13 @@
     }
 
     /// Whether clients are sending more than the link can carry soon.
-    fn has_queue(&self, now: Now, link: BytesPerSecond, load: &IntakeLoad) -> bool {
+    fn has_queue(&self, expected: f64) -> bool {
+        let Some(link) = self.link else {
+            return false;
+        };
         #[expect(clippy::cast_precision_loss, reason = "far below 2^52 bytes")]
-        let seconds = load.expected as f64 / link.max(1) as f64;
-        seconds > MAX_EXPECTED.as_secs_f64() && self.link_use(now, link, load) > TARGET_USE
+        let seconds = expected / link.max(1) as f64;
+        seconds > MAX_EXPECTED.as_secs_f64() && (self.is_busy || self.open_share < FULL_SHARE)
     }
 
     /// The share of the link in use over the last [`USE_WINDOW`], of the busier direction.
@@ -240,7 +263,17 @@
         in_use
     }
 
-    fn record_traffic(&mut self, now: Now, load: &IntakeLoad) {
+    fn record_traffic(&mut self, now: Now, step: Duration, load: &IntakeLoad) {
+        let before = self
+            .traffic
+            .back()
+            .map_or(load.received, |(_, received, _)| *received);
+        #[expect(clippy::cast_precision_loss, reason = "far below 2^52 bytes")]
+        let received = load.received.saturating_sub(before) as f64;
+        let kept = (-step.div_duration_f64(MEMORY)).exp();
+        self.recent_accepts *= kept;
+        self.recent_bytes = kept * self.recent_bytes + received;
+        self.promised = (kept * self.promised - received).max(0.0);
         self.traffic.push_back((now, load.received, load.sent));
         // Keeps one entry that is as old as the window.
         while self
@@ -277,9 +310,9 @@
             self.owed = Duration::ZERO;
         }
         let has_accepted = now < self.accepted_at + MAX_ACCEPT_GAP;
-        let may_close = has_accepted && now >= self.opened_at + MIN_OPENING;
-        let is_due = self.owed >= self.next_closing || has_queue;
-        if (is_due && may_close) || !load.has_descriptors {
+        let is_due = self.owed >= self.next_closing && now >= self.opened_at + MIN_OPENING;
+        let may_close = (is_due || has_queue) && has_accepted;
+        if may_close || !load.has_descriptors {
             self.owed = self.owed.saturating_sub(self.next_closing);
             self.closed_until = Some(now + self.next_closing);
         }
--- a/crates/anvil_policy/tests/intake.rs
+++ b/crates/anvil_policy/tests/intake.rs
@@ -84,6 +84,7 @@
                 second.accepted += 1;
                 self.intake.record_accept(self.now);
                 self.waiting.push_back((self.now, REQUEST));
+                self.observe_if_due();
             } else {
                 second.rejected += 1;
             }
@@ -104,6 +105,10 @@
         }
         self.load.expected = self.waiting.iter().map(|(_, left)| left).sum();
         second.longest_queue = second.longest_queue.max(self.load.expected);
+        self.observe_if_due();
+    }
+
+    fn observe_if_due(&mut self) {
         if self.now >= self.intake.observe_at() {
             self.is_open = self.intake.observe(self.now, &self.load, &mut self.rng);
         }
@@ -141,6 +146,21 @@
     }
 }
 
+/// Load pattern: a process that gets a part of a processor is halted, and hundreds of connections wait for it.
+/// Guards against all of them being accepted at once, which would fill the link for seconds.
+#[test]
+fn connections_that_waited_are_not_all_accepted() {
+    let mut model = Model::new(Some(LINK));
+    model.seconds(5, 2.0);
+    while !model.is_open {
+        model.step(0.0, &mut Second::default());
+    }
+    model.arrivals += 300.0;
+    let mut halted = Second::default();
+    model.step(0.0, &mut halted);
+    assert!((1..30).contains(&halted.accepted), "{halted:?}");
+}
+
 /// Load pattern: a link that is well used but not full. Guards against clients being rejected without need.
 #[test]
 fn load_below_the_link_is_accepted() {
