Links of 500 Mbit/s and more are neither paced nor watched

Cause: with a stated link the lateness of timers has connections rejected, which on a link that one process can't fill would change how a deployment is served although the link isn't busy.

Change: ResourceLimits::narrow_link leaves such links out. An accepted connection is counted only once it is served.

--- a/crates/anvil_gateway/src/accept/client_listener.rs
+++ b/crates/anvil_gateway/src/accept/client_listener.rs
@@ -53,7 +53,7 @@
     /// Keeps the address bound while there is no listener, so that no outgoing connection is given
     /// its port.
     placeholder: Option<TcpSocket>,
-    /// `None` if the settings state neither a link nor descriptors: everything is accepted.
+    /// `None` if the settings state neither a narrow link nor descriptors: everything is accepted.
     control: Option<Control>,
 }
 
@@ -70,7 +70,7 @@
 impl ClientListener {
     /// Takes over a listener.
     pub fn new(listener: TcpListener, cx: ListenerContext) -> io::Result<Self> {
-        let is_limited = cx.limits.link.is_some() || cx.sockets.descriptors.is_limited();
+        let is_limited = cx.limits.narrow_link().is_some() || cx.sockets.descriptors.is_limited();
         Ok(Self {
             addr: listener.local_addr()?,
             listener: Some(listener),
@@ -92,11 +92,12 @@
                     biased;
                     () = sleep_until(observe_at) => {}
                     accepted = accept_on(self.listener.as_ref()) => {
+                        let socket = accepted?;
                         // Connections to endpoints may have taken the last descriptors meanwhile; then
                         // this one is closed unread.
-                        if accepted.is_err() || control.cx.sockets.descriptors.has_room_for_client() {
+                        if control.cx.sockets.descriptors.has_room_for_client() {
                             control.intake.record_accept(control.started.elapsed());
-                            return accepted;
+                            return Ok(socket);
                         }
                     }
                 }
@@ -129,7 +130,7 @@
 impl Control {
     fn new(cx: ListenerContext) -> Self {
         Self {
-            intake: Intake::new(Duration::ZERO, cx.limits.link),
+            intake: Intake::new(Duration::ZERO, cx.limits.narrow_link()),
             started: Instant::now(),
             logged_shedding: None,
             listen_failed: false,
--- a/crates/anvil_gateway/src/accept/resource_limits.rs
+++ b/crates/anvil_gateway/src/accept/resource_limits.rs
@@ -14,7 +14,15 @@
     pub memory: Option<u64>,
 }
 
+/// A link of this speed or more isn't watched: one process can't fill it.
+const WIDE_LINK: BytesPerSecond = 62_500_000;
+
 impl ResourceLimits {
+    /// The link, if data can fill it; `None`: nothing is paced or rejected because of it.
+    pub fn narrow_link(&self) -> Option<BytesPerSecond> {
+        self.link.filter(|link| *link < WIDE_LINK)
+    }
+
     /// The stated number of descriptors, or the process's own limit if that is lower.
     pub fn descriptors_to_open(&self) -> Option<u32> {
         let stated = self.descriptors?;
--- a/crates/anvil_gateway/src/accept/socket_budgets.rs
+++ b/crates/anvil_gateway/src/accept/socket_budgets.rs
@@ -20,7 +20,7 @@
     pub fn new(limits: &ResourceLimits) -> Self {
         let descriptors = DescriptorBudget::new(limits.descriptors_to_open());
         Self {
-            link: Arc::new(LinkBudget::new(limits.link)),
+            link: Arc::new(LinkBudget::new(limits.narrow_link())),
             descriptors: Arc::new(descriptors),
         }
     }
