Log the time of each stage of a request, and add up late responses by it

Cause: the log line of a late response says when its first event came, but not whether the client, the budget, a wait for a place, the connection or the endpoint took the time, and `losses` leaves late responses out.

Change: `StageTimes` adds up the time in each stage until the response begins; the request's line has it as `body_ms`, `money_ms`, `place_ms`, `connect_ms` and `response_ms`, with the route's targets as `target_ms` and `pause_target_ms`. The end of sending is the last write to the endpoint's socket, kept by `ConnectionWatch`. `anvilreel losses` counts completed responses after their target by the stage that took longest, with share and the slowest example, and refusals and waits by organisation. Lines without a target, as earlier builds write them, are not counted as late.

`pausing.rs` passes the new field of `OutgoingRequest`, with no change to what it checks.

--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -23,6 +23,7 @@
 use crate::request_charge::RequestCharge;
 use crate::request_digest;
 use crate::shared_content::{self, SharedContent};
+use crate::stage_times::Stage;
 use crate::suspects::RequestContents;
 use crate::table::{Organisation, Route, RouteTable};
 use crate::trace::Trace;
@@ -114,15 +115,19 @@
     received_at: Instant,
     trace: &mut Trace,
 ) -> Result<Admitted, RequestRefusal> {
+    trace.stages.enter(Stage::Place);
     let table = wait_for_table(gw, &request, trace).await?;
+    trace.stages.enter(Stage::Other);
     let route = find_route(&table, &head).ok_or((Cause::NoRoute, DEFAULT_RETRY_AFTER))?;
-    trace.record_route(&route.name, table.version);
+    trace.record_route(&route, table.version);
     let organisation = identify_sender(&table, &route, &request)?;
     if let Some(organisation) = &organisation {
         trace.record_organisation(&organisation.id);
     }
     let deadline = received_at + request.timeout.min(route.timeout);
+    trace.stages.enter(Stage::Body);
     let body = read_body(body, table.limits.body_bytes, deadline).await?;
+    trace.stages.enter(Stage::Other);
     let payer = organisation.as_deref();
     let request_digest = request_digest::digest(payer, &route, &head.method, &head.uri, &body);
     let service = gw
@@ -140,7 +145,9 @@
     }
     let engine = table.services.get(&service).and_then(|s| s.engine);
     let tokens_per_event = engine.map_or(1, |engine| engine.tokens_per_event.max(1));
+    trace.stages.enter(Stage::Money);
     let charge = reserve(gw, organisation.as_deref(), &request, deadline, trace).await?;
+    trace.stages.enter(Stage::Other);
     Ok(Admitted {
         request,
         route,
--- a/crates/anvil_gateway/src/attempt.rs
+++ b/crates/anvil_gateway/src/attempt.rs
@@ -16,6 +16,7 @@
 use crate::gateway::Gateway;
 use crate::late_response::LateHandler;
 use crate::pool::Connection;
+use crate::stage_times::{Stage, StageTimes};
 use crate::suspects::RequestContents;
 
 /// Why a request has not run at an endpoint.
@@ -102,6 +103,8 @@
     pub response_deadline: Instant,
     /// Set to the connection on which the request is sent.
     pub watch: &'a mut Option<Arc<ConnectionWatch>>,
+    /// Receives the time that connecting and sending take.
+    pub stages: &'a mut StageTimes,
 }
 
 /// Sends one request to the endpoint of `slot` and waits for the response head.
@@ -113,6 +116,7 @@
     let endpoint = slot.endpoint.clone();
     let mut force_new = false;
     loop {
+        outgoing.stages.enter(Stage::Connect);
         let connecting = async {
             if force_new {
                 endpoint.pool.connect().await
@@ -147,7 +151,11 @@
         let sent_at = gw.lifecycle.now();
         *outgoing.watch = Some(connection.watch.clone());
         let sending = connection.sender.try_send_request(build_request(&outgoing));
-        let response = match timeout_at(outgoing.response_deadline, sending).await {
+        let sent = timeout_at(outgoing.response_deadline, sending).await;
+        if let Some(sent_at) = connection.watch.sent_at() {
+            outgoing.stages.enter_at(Stage::Response, sent_at);
+        }
+        let response = match sent {
             Err(_) => return AttemptOutcome::Doubt(Doubt::Silent),
             Ok(Ok(response)) => response,
             Ok(Err(mut e)) => {
--- a/crates/anvil_gateway/src/connection_watch.rs
+++ b/crates/anvil_gateway/src/connection_watch.rs
@@ -16,7 +16,7 @@
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use crate::late_response::{LateHandler, LateResponse};
 
@@ -29,6 +29,8 @@
 pub struct ConnectionWatch {
     /// A request was sent and its response has not begun.
     awaiting_response: AtomicBool,
+    /// When the last part of the request was written to the socket.
+    sent_at: Mutex<Option<Instant>>,
     /// What has come of the awaited response.
     late_response: Mutex<LateResponse>,
     /// How the connection ended; `None` while it is in use.
@@ -50,6 +52,7 @@
     fn new() -> Arc<Self> {
         Arc::new(Self {
             awaiting_response: AtomicBool::new(false),
+            sent_at: Mutex::default(),
             late_response: Mutex::default(),
             ended: watch::Sender::new(None),
         })
@@ -58,10 +61,27 @@
     /// Call before a request is sent. `handler` receives the head of the response if it comes when
     /// nobody waits for it any more.
     pub fn request_sent(&self, handler: LateHandler) {
+        *self.last_write() = None;
         *self.late_response() = LateResponse::new(handler);
         self.awaiting_response.store(true, Ordering::Relaxed);
     }
 
+    /// When the last part of the request was written; `None` if nothing was.
+    pub fn sent_at(&self) -> Option<Instant> {
+        *self.last_write()
+    }
+
+    fn last_write(&self) -> MutexGuard<'_, Option<Instant>> {
+        // Sound after a panic elsewhere: the value is replaced as a whole.
+        self.sent_at.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn record_write(&self, written: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(_)) = written {
+            *self.last_write() = Some(Instant::now());
+        }
+    }
+
     /// Call when the response has begun.
     pub fn response_started(&self) {
         self.awaiting_response.store(false, Ordering::Relaxed);
@@ -197,7 +217,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.socket().poll_write(cx, buf)
+        let written = self.socket().poll_write(cx, buf);
+        self.watch.record_write(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -205,7 +227,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.socket().poll_write_vectored(cx, bufs)
+        let written = self.socket().poll_write_vectored(cx, bufs);
+        self.watch.record_write(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -27,6 +27,7 @@
 use crate::reply::{Cause, Reply, full_body, refusal, remove_connection_headers};
 use crate::request_charge::RequestCharge;
 use crate::shared_content::SharedContent;
+use crate::stage_times::Stage;
 use crate::stream_relay::StreamRelay;
 use crate::table::{Organisation, Route};
 use crate::trace::Trace;
@@ -189,6 +190,7 @@
         self.has_waited_for_endpoints = true;
         self.gw.list_mismatch.notify_one();
         let max_wait = availability::endpoints_wait(self.gw.cfg.list.max_lag, self.time_left());
+        self.trace.stages.enter(Stage::Place);
         let found = availability::wait_until_available(&self.gw, max_wait, || {
             let available = self
                 .gw
@@ -196,6 +198,7 @@
             (!available.is_empty()).then_some(())
         });
         let found = found.await.is_some();
+        self.trace.stages.enter(Stage::Other);
         self.trace
             .step(format_args!("waited for endpoints: {found}"));
         if found {
@@ -325,6 +328,10 @@
 
 impl Drop for Exchange {
     fn drop(&mut self) {
+        // The client has disconnected while the response was awaited.
+        if let Some(sent_at) = self.awaited_connection.as_ref().and_then(|c| c.sent_at()) {
+            self.trace.stages.enter_at(Stage::Response, sent_at);
+        }
         let Some(mut charge) = self.charge.take() else {
             return;
         };
--- a/crates/anvil_gateway/src/exchange/one_attempt.rs
+++ b/crates/anvil_gateway/src/exchange/one_attempt.rs
@@ -14,6 +14,7 @@
 use crate::metrics;
 use crate::regions::Constraints;
 use crate::reply::Cause;
+use crate::stage_times::Stage;
 use crate::suspects::RequestContents;
 
 /// The least urgent priority class that is sent to endpoints.
@@ -65,6 +66,7 @@
             },
             response_deadline,
             watch: &mut self.awaited_connection,
+            stages: &mut self.trace.stages,
         };
         // Counted before it is sent: if the client disconnects, this function is dropped during the
         // wait, when the endpoint may have begun.
@@ -75,6 +77,9 @@
         let sent_at = Instant::now();
         let outcome = send(&self.gw, selection.slot, outgoing).await;
         self.awaited_connection = None;
+        if !matches!(outcome, AttemptOutcome::Response(_)) {
+            self.trace.stages.enter(Stage::Other);
+        }
         self.attempt_counter.record(endpoint.id.clone(), &outcome);
         if let (AttemptOutcome::NotRun(_), Some(charge), false) =
             (&outcome, &mut self.charge, was_in_doubt)
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod serve;
 pub mod service_versions;
 pub mod shared_content;
+pub mod stage_times;
 pub mod stream_events;
 pub mod stream_origins;
 pub mod stream_relay;
--- a/crates/anvil_gateway/src/trace.rs
+++ b/crates/anvil_gateway/src/trace.rs
@@ -14,6 +14,8 @@
 use crate::log_events as events;
 use crate::metrics;
 use crate::request_digest;
+use crate::stage_times::StageTimes;
+use crate::table::Route;
 
 /// Collects what happens to a request and logs it on drop, so each request is logged however it
 /// ends.
@@ -24,6 +26,10 @@
     route: Option<Arc<str>>,
     organisation: Option<Arc<str>>,
     table_version: u64,
+    target_latency: Option<Duration>,
+    max_gap: Option<Duration>,
+    /// Time in each stage up to the beginning of the response.
+    pub stages: StageTimes,
     steps: String,
     first_piece_at: Option<Duration>,
     longest_gap: Duration,
@@ -56,6 +62,9 @@
             route: None,
             organisation: None,
             table_version: 0,
+            target_latency: None,
+            max_gap: None,
+            stages: StageTimes::new(started_at),
             steps: String::new(),
             first_piece_at: None,
             longest_gap: Duration::ZERO,
@@ -66,8 +75,10 @@
     }
 
     /// Records the route, and the version of the routing table that it is from.
-    pub fn record_route(&mut self, route: &Arc<str>, table_version: u64) {
-        self.route = Some(route.clone());
+    pub fn record_route(&mut self, route: &Route, table_version: u64) {
+        self.route = Some(route.name.clone());
+        self.target_latency = Some(route.target_latency);
+        self.max_gap = route.max_gap;
         self.table_version = table_version;
     }
 
@@ -89,6 +100,7 @@
     /// Records that the response to the client has begun.
     pub fn record_first_piece(&mut self) {
         self.first_piece_at.get_or_insert(self.started_at.elapsed());
+        self.stages.end();
     }
 
     /// Records the gap between two events of a stream; the longest one is logged.
@@ -125,6 +137,7 @@
 
 impl Drop for Trace {
     fn drop(&mut self) {
+        self.stages.end();
         let outcome = self.outcome.unwrap_or("client_left");
         let took = self.started_at.elapsed();
         self.gw.open_requests.fetch_sub(1, Ordering::Relaxed);
@@ -137,6 +150,9 @@
         let took_ms = took.as_millis();
         let first_ms = self.first_piece_at.map_or(0, |first| first.as_millis());
         let longest_gap_ms = self.longest_gap.as_millis();
+        let target_ms = self.target_latency.map(|target| target.as_millis());
+        let pause_target_ms = self.max_gap.map(|gap| gap.as_millis());
+        let stages = &self.stages;
         let confirmed_ms = self.gw.ledger_confirmed_ms.load(Ordering::Relaxed);
         let since_confirmed_ms = self.gw.now_ms().saturating_sub(confirmed_ms);
         if outcome == "completed" {
@@ -145,7 +161,12 @@
                 "request" => &*self.id, "route" => self.route.as_deref(),
                 "organisation" => self.organisation.as_deref(), "table" => self.table_version,
                 "held_ms" => since_confirmed_ms,
-                "first_ms" => first_ms, "pause_ms" => longest_gap_ms, "took_ms" => took_ms, "billed" => self.cost, "steps" => &*self.steps
+                "first_ms" => first_ms, "pause_ms" => longest_gap_ms, "took_ms" => took_ms,
+                "target_ms" => target_ms, "pause_target_ms" => pause_target_ms,
+                "body_ms" => stages.body.as_millis(), "money_ms" => stages.money.as_millis(),
+                "place_ms" => stages.place.as_millis(), "connect_ms" => stages.connect.as_millis(),
+                "response_ms" => stages.response.as_millis(),
+                "billed" => self.cost, "steps" => &*self.steps
             );
         } else {
             let lost = self.lost_contents.as_ref();
@@ -154,7 +175,12 @@
                 "request" => &*self.id, "outcome" => outcome, "route" => self.route.as_deref(),
                 "organisation" => self.organisation.as_deref(), "table" => self.table_version,
                 "held_ms" => since_confirmed_ms, "content" => lost.map(|lost| &*lost.request), "parts" => lost.map(|lost| &*lost.parts),
-                "first_ms" => first_ms, "pause_ms" => longest_gap_ms, "took_ms" => took_ms, "billed" => self.cost, "steps" => &*self.steps
+                "first_ms" => first_ms, "pause_ms" => longest_gap_ms, "took_ms" => took_ms,
+                "target_ms" => target_ms, "pause_target_ms" => pause_target_ms,
+                "body_ms" => stages.body.as_millis(), "money_ms" => stages.money.as_millis(),
+                "place_ms" => stages.place.as_millis(), "connect_ms" => stages.connect.as_millis(),
+                "response_ms" => stages.response.as_millis(),
+                "billed" => self.cost, "steps" => &*self.steps
             );
         }
     }
--- a/crates/anvil_gateway/tests/direct/client.rs
+++ b/crates/anvil_gateway/tests/direct/client.rs
@@ -65,6 +65,11 @@
         self.socket.write_all(req.as_bytes()).await.expect("sent");
     }
 
+    /// Sends these bytes.
+    pub async fn send_bytes(&mut self, bytes: &[u8]) {
+        self.socket.write_all(bytes).await.expect("sent");
+    }
+
     /// Sends a request and waits for the response.
     pub async fn request(&mut self, path: &str, id: &str, headers: &str) -> ClientResponse {
         let headers = format!("content-length: 0\r\n{headers}");
--- a/crates/anvil_gateway/tests/direct/explanations.rs
+++ b/crates/anvil_gateway/tests/direct/explanations.rs
@@ -8,10 +8,13 @@
 
 use anvilreel::logs::{LogLimits, to_writer};
 use anvilreel::metrics::Metrics;
-use anvilreel::operator::{Explanation, explain};
+use anvilreel::operator::{Explanation, explain, losses};
 
 use crate::client::Client;
-use crate::endpoint::{Step, TestEndpoint, refusal_with, response, response_with};
+use crate::endpoint::{
+    Step, TestEndpoint, chunk, event, refusal_with, response, response_with, stream_end,
+    stream_head,
+};
 use crate::gateway::TestGateway;
 
 /// Everything written so far.
@@ -354,3 +357,88 @@
     assert_eq!(count("\"gateway_endpoint_pause\""), 1);
     assert_eq!(count("\"gateway_endpoint_pause_over\""), 1);
 }
+
+/// Guards against a late response whose delay can't be attributed: the line has the time of each stage
+/// and the route's targets, and `losses` names the stage that took longest.
+#[tokio::test]
+async fn late_response_states_the_time_of_each_stage() {
+    let slow = TestEndpoint::start(|_, req| {
+        vec![
+            Step::Send(stream_head(req)),
+            Step::Pause(Duration::from_millis(300)),
+            Step::Send(chunk(&event(1))),
+            Step::Pause(Duration::from_millis(60)),
+            Step::Send(chunk(&event(2))),
+            Step::Send(stream_end()),
+        ]
+    })
+    .await;
+    let (gateway, log_output, _) = start_logged(&[("engine-1", &slow)]).await;
+    let mut client = Client::connect(gateway.addr).await;
+    client
+        .send("/stream/x", "late-1", "content-length: 4\r\n")
+        .await;
+    tokio::time::sleep(Duration::from_millis(120)).await;
+    client.send_bytes(b"body").await;
+    assert!(client.read_response().await.complete);
+    let explanation = log_output.explain("late-1").await;
+    let line = explanation.lines.last().expect("the request's line");
+    let ms = |key| {
+        line.number(key)
+            .unwrap_or_else(|| panic!("{key} of {line:?}"))
+    };
+    assert_eq!((ms("target_ms"), ms("pause_target_ms")), (150, 100));
+    assert!(ms("body_ms") >= 115 && ms("body_ms") < ms("response_ms"));
+    assert!(ms("response_ms") >= 295);
+    assert!(ms("pause_ms") >= 55);
+    let before = [
+        "body_ms",
+        "money_ms",
+        "place_ms",
+        "connect_ms",
+        "response_ms",
+    ];
+    let sum: u64 = before.into_iter().map(ms).sum();
+    assert!(
+        sum <= ms("first_ms") && sum + 50 > ms("first_ms"),
+        "{line:?}"
+    );
+    let report = losses([("gateway-1", &*log_output.text())].into_iter());
+    let stages = report.late_stages.iter();
+    let stages: Vec<_> = stages.map(|late| (late.stage, &*late.example)).collect();
+    assert_eq!(stages, [("response", "late-1")]);
+}
+
+/// Guards against the wait of a client that gave up being lost: the stage in which it left counts.
+#[tokio::test]
+async fn stage_in_which_a_client_left_is_counted() {
+    let silent = TestEndpoint::start(|_, _| vec![Step::Hang]).await;
+    let (gateway, log_output, _) = start_logged(&[("engine-1", &silent)]).await;
+    let mut client = Client::connect(gateway.addr).await;
+    client
+        .send("/once/x", "left-1", "content-length: 0\r\n")
+        .await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    drop(client);
+    let explanation = log_output.explain("left-1").await;
+    let line = explanation.lines.last().expect("the request's line");
+    assert_eq!(line.values["outcome"], "client_left");
+    assert!(
+        line.number("response_ms").is_some_and(|ms| ms >= 150),
+        "{line:?}"
+    );
+}
+
+/// Guards against a refusal after a wait that looks like one at once.
+#[tokio::test]
+async fn wait_for_endpoints_is_counted_as_a_wait_for_a_place() {
+    let (gateway, log_output, _) = start_logged(&[]).await;
+    let mut client = Client::connect(gateway.addr).await;
+    assert_eq!(client.request("/once/x", "nobody-1", "").await.status, 503);
+    let explanation = log_output.explain("nobody-1").await;
+    let line = explanation.lines.last().expect("the request's line");
+    assert!(
+        line.number("place_ms").is_some_and(|ms| ms >= 500),
+        "{line:?}"
+    );
+}
--- a/crates/anvil_gateway/tests/direct/pausing.rs
+++ b/crates/anvil_gateway/tests/direct/pausing.rs
@@ -10,6 +10,7 @@
 use anvil_gateway::choose::{Selection, Unplaced};
 use anvil_gateway::dialect::AvailabilityNotice;
 use anvil_gateway::regions::{AllowedRegions, Constraints};
+use anvil_gateway::stage_times::StageTimes;
 use anvil_gateway::suspects::RequestContents;
 use anvil_policy::engine::Prompt;
 use anvil_world::prelude::*;
@@ -166,6 +167,7 @@
         id: "id",
         response_deadline: Instant::now() + Duration::from_secs(1),
         watch: &mut None,
+        stages: &mut StageTimes::new(Instant::now()),
     };
     let outcome = send_attempt(&gateway.gw, selection.slot, outgoing).await;
     assert!(matches!(
--- a/crates/anvilreel/src/operator.rs
+++ b/crates/anvilreel/src/operator.rs
@@ -25,9 +25,11 @@
 mod error;
 mod evacuate;
 mod explain;
+mod late_responses;
 mod log_line;
 mod losses;
 mod order;
+mod organisation_waits;
 mod read;
 mod report;
 
@@ -37,9 +39,11 @@
 pub use error::{ExitCode, OperatorError};
 pub use evacuate::evacuate;
 pub use explain::{Explanation, explain};
+pub use late_responses::LateStage;
 pub use log_line::LogLine;
 pub use losses::{BudgetSpending, Loss, Losses, SecondCounts, losses};
 pub use order::order;
+pub use organisation_waits::OrganisationWaits;
 pub use read::{audit, budgets, diff, get, members, status};
 pub use report::{
     AuditReport, BudgetReport, DiffReport, OrderReport, Receipt, RolloutReport, StatusReport,
--- a/crates/anvilreel/src/operator/log_line.rs
+++ b/crates/anvilreel/src/operator/log_line.rs
@@ -53,6 +53,12 @@
         self.values.get(key).map_or("", String::as_str)
     }
 
+    /// A value that names something; `None` if the key is absent or has no value.
+    pub fn name(&self, key: &str) -> Option<&str> {
+        let name = self.values.get(key)?;
+        (!name.is_empty() && name != "null").then_some(name)
+    }
+
     /// A value as a number; `None` if the key is absent or the value is not a number.
     pub fn number(&self, key: &str) -> Option<u64> {
         self.values.get(key)?.parse().ok()
--- a/crates/anvilreel/src/operator/losses.rs
+++ b/crates/anvilreel/src/operator/losses.rs
@@ -1,7 +1,8 @@
 //! Aggregates failed requests and spent tokens from the logs of several processes.
 //!
 //! While [`super::explain()`] shows one request, this reports which decisions made how many
-//! requests fail, in which seconds, and what each budget's tokens were spent on.
+//! requests fail, in which seconds, which stage made responses late, which organisations were refused
+//! or waited, and what each budget's tokens were spent on.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -9,7 +10,9 @@
 
 use serde::Serialize;
 
+use super::late_responses::{LateResponses, LateStage};
 use super::log_line::LogLine;
+use super::organisation_waits::OrganisationWaits;
 
 const COMPLETED: &str = "gateway_request_completed";
 const FAILED: &str = "gateway_request_failed";
@@ -19,7 +22,7 @@
 
 /// Length of the prefix of a timestamp that ends with the seconds.
 const SECOND_PREFIX_LEN: usize = 19;
-/// Maximum number of seconds, and of decisions, that the text report prints.
+/// Maximum number of seconds, of decisions, and of organisations that the text report prints.
 const MAX_PRINTED: usize = 20;
 
 /// Failed requests with the same outcome and the same decisions.
@@ -93,6 +96,12 @@
     pub losses: Vec<Loss>,
     /// Seconds in which requests failed, the one with the most failures first.
     pub seconds: Vec<SecondCounts>,
+    /// Completed responses that came after their route's target.
+    pub late: usize,
+    /// The same by the stage that took longest, the most frequent one first.
+    pub late_stages: Vec<LateStage>,
+    /// Refusals and waits by organisation, the one with the most refusals first.
+    pub organisations: Vec<OrganisationWaits>,
     /// Budgets, ordered by name.
     pub budgets: Vec<BudgetSpending>,
     /// Lines that could not be parsed and were skipped.
@@ -104,6 +113,8 @@
     report: Losses,
     losses: BTreeMap<(String, String), Loss>,
     seconds: BTreeMap<String, SecondCounts>,
+    late: LateResponses,
+    organisations: BTreeMap<String, OrganisationWaits>,
     budgets: BTreeMap<String, BudgetSpending>,
     /// When each budget's last refusal was logged.
     refused_at: BTreeMap<String, String>,
@@ -149,8 +160,13 @@
         second.requests += 1;
         second.failed += usize::from(!completed);
         self.record_charge(line, completed);
+        if let Some(organisation) = line.name("organisation") {
+            let waits = self.organisations.entry(organisation.into());
+            waits.or_default().record(line, completed);
+        }
         if completed {
             self.report.completed += 1;
+            self.late.record(line);
             return;
         }
         let outcome = line.text("outcome");
@@ -167,10 +183,9 @@
     }
 
     fn record_charge(&mut self, line: &LogLine, completed: bool) {
-        let organisation = line.text("organisation");
-        if organisation.is_empty() || organisation == "null" {
+        let Some(organisation) = line.name("organisation") else {
             return;
-        }
+        };
         let billed = line.number("billed").unwrap_or(0);
         let spent = self.budgets.entry(organisation.into()).or_default();
         let delivery_begun = line.number("first_ms").is_some_and(|ms| ms > 0);
@@ -235,6 +250,17 @@
             .filter(|second| second.failed > 0);
         report.seconds = with_failures.collect();
         report.seconds.sort_by_key(|second| Reverse(second.failed));
+        report.late = self.late.count();
+        report.late_stages = self.late.into_stages();
+        let waits = self.organisations.into_iter();
+        let waits = waits.map(|(organisation, waits)| OrganisationWaits {
+            organisation,
+            ..waits
+        });
+        report.organisations = waits.collect();
+        report
+            .organisations
+            .sort_by_key(|waits| Reverse((waits.refused, waits.waited)));
         let named = self
             .budgets
             .into_iter()
@@ -275,6 +301,21 @@
         for second in self.seconds.iter().take(MAX_PRINTED) {
             writeln!(f, "{} {} of {}", second.at, second.failed, second.requests)?;
         }
+        writeln!(
+            f,
+            "{} responses after their target, by the stage that took longest",
+            self.late
+        )?;
+        for stage in &self.late_stages {
+            writeln!(f, "{stage}")?;
+        }
+        writeln!(
+            f,
+            "organisations: requests, refused, waited for tokens or a place; wait in all and longest"
+        )?;
+        for waits in self.organisations.iter().take(MAX_PRINTED) {
+            writeln!(f, "{waits}")?;
+        }
         writeln!(
             f,
             "budgets: credited; billed for completed, partly delivered, undelivered; left, granted, untold; requests refused"
--- a/crates/anvilreel/tests/losses.rs
+++ b/crates/anvilreel/tests/losses.rs
@@ -78,3 +78,64 @@
             .contains("co-op 2000; 1000, 200, 0; 50, 600, 150; 2")
     );
 }
+
+const LATE: &str = r#"
+{"msg":"gateway_request_completed","ts":"2026-01-01T00:00:01.000Z","first_ms":400,"pause_ms":20,"target_ms":300,"pause_target_ms":100,"body_ms":5,"money_ms":0,"place_ms":250,"connect_ms":3,"response_ms":140,"organisation":"co-op","request":"b1","event":6011}
+{"msg":"gateway_request_completed","ts":"2026-01-01T00:00:01.100Z","first_ms":700,"pause_ms":20,"target_ms":300,"pause_target_ms":100,"body_ms":5,"money_ms":0,"place_ms":500,"connect_ms":3,"response_ms":190,"organisation":"co-op","request":"b2","event":6011}
+{"msg":"gateway_request_completed","ts":"2026-01-01T00:00:01.200Z","first_ms":90,"pause_ms":350,"target_ms":300,"pause_target_ms":100,"body_ms":1,"money_ms":0,"place_ms":0,"connect_ms":1,"response_ms":85,"organisation":"guild","request":"b3","event":6011}
+{"msg":"gateway_request_completed","ts":"2026-01-01T00:00:01.300Z","first_ms":900,"pause_ms":0,"target_ms":300,"pause_target_ms":null,"body_ms":10,"money_ms":20,"place_ms":0,"connect_ms":10,"response_ms":60,"organisation":null,"request":"b4","event":6011}
+{"msg":"gateway_request_completed","ts":"2026-01-01T00:00:01.400Z","first_ms":299,"pause_ms":99,"target_ms":300,"pause_target_ms":100,"body_ms":1,"money_ms":280,"place_ms":0,"connect_ms":1,"response_ms":10,"organisation":"guild","request":"b5","event":6011}
+{"msg":"gateway_request_completed","ts":"2026-01-01T00:00:01.500Z","first_ms":9000,"pause_ms":9000,"organisation":"guild","request":"b6","event":6011}
+{"msg":"gateway_request_failed","ts":"2026-01-01T00:00:01.600Z","outcome":"overloaded","first_ms":0,"target_ms":300,"place_ms":120,"money_ms":0,"organisation":"guild","request":"b7","event":6012}
+{"msg":"gateway_request_failed","ts":"2026-01-01T00:00:01.700Z","outcome":"answer_lost","first_ms":900,"target_ms":300,"response_ms":899,"organisation":"guild","request":"b8","event":6012}
+"#;
+
+/// Guards against late responses being counted under the wrong stage: two waited for a place, one had
+/// a long gap between events after a first one in time, and one spent its time in no known stage.
+/// Responses in time, failed requests, and lines of builds without a target don't count.
+#[test]
+fn late_responses_are_counted_by_their_longest_stage() {
+    let report = losses([("router-1", LATE)].into_iter());
+    assert_eq!(report.late, 4);
+    let stages = report.late_stages.iter();
+    let stages: Vec<_> = stages
+        .map(|late| {
+            let example = late.example.as_str();
+            (
+                late.stage,
+                late.responses,
+                late.percent,
+                late.longest_ms,
+                example,
+            )
+        })
+        .collect();
+    assert_eq!(
+        stages,
+        [
+            ("place", 2, 50, 500, "b2"),
+            ("other", 1, 25, 800, "b4"),
+            ("pause", 1, 25, 350, "b3"),
+        ]
+    );
+    assert!(
+        report
+            .to_string()
+            .contains("2 50% place (up to 500 ms, such as b2)")
+    );
+}
+
+/// Guards against an organisation that is refused or waits more than others going unnoticed: a
+/// response that was lost is not a refusal, and a request that was refused may have waited.
+#[test]
+fn refusals_and_waits_are_counted_by_organisation() {
+    let report = losses([("router-1", LATE)].into_iter());
+    let waits = report.organisations.iter().map(ToString::to_string);
+    assert_eq!(
+        waits.collect::<Vec<_>>(),
+        [
+            "guild 5, 1, 2; 400 ms, 280 ms",
+            "co-op 2, 0, 2; 750 ms, 500 ms"
+        ]
+    );
+}
