An operator's order lifts the quarantine of a content or of a service

Cause: requests under which endpoints crashed are refused for up to an hour, also after their endpoints were repaired, and nothing but an answer to one that is still under way ends that.

Change: `anvilreel lift-quarantine` commits `Command::LiftQuarantine`, with receipt, audit line, operator and reason; applied once under its id. The entry removes the records of its contents and their crashes from all other records, because contents that were in flight at the same crashes are blamed together and would be blamed alone otherwise. Followers learn of it as of a cleared content. `anvilreel status` lists what is in quarantine (`Query::Suspects`). The layout of shared digests moves to `anvil_world::content`.

A replica of the previous build would stop at the entry, and no protection against that existed. Replicas are asked at each new link which kinds of commands they apply, and the leader denies the order unless all other members have said that they apply it.

--- a/crates/anvil_daemons/src/operate/arguments.rs
+++ b/crates/anvil_daemons/src/operate/arguments.rs
@@ -69,6 +69,8 @@
     Drain(Drain),
     /// Evacuates an availability zone.
     Evacuate(Evacuate),
+    /// Lifts quarantines.
+    LiftQuarantine(LiftQuarantineArgs),
     /// Sends an order to an endpoint.
     Order(OrderArgs),
     /// Validates settings files without sending them.
@@ -223,6 +225,24 @@
     pub finish: bool,
 }
 
+/// lift a quarantine: requests with the content are sent to endpoints again, at all routers
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "lift-quarantine")]
+pub struct LiftQuarantineArgs {
+    /// the content's digest, as the log and `anvilreel status` show it
+    #[argh(positional)]
+    pub content: Option<String>,
+    /// all quarantines of this service instead
+    #[argh(option)]
+    pub service: Option<String>,
+    /// why, for the audit trail
+    #[argh(option)]
+    pub reason: String,
+    /// the id of an order that is sent again
+    #[argh(option)]
+    pub id: Option<String>,
+}
+
 /// order the endpoint beside a sidecar
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "order")]
--- a/crates/anvil_daemons/src/operate/run.rs
+++ b/crates/anvil_daemons/src/operate/run.rs
@@ -5,15 +5,16 @@
 use std::path::PathBuf;
 
 use anvil_wire::msg::AuditFilter;
-use anvil_world::command::{Edit, OrderKind};
+use anvil_world::command::{Edit, OrderKind, QuarantineTarget};
+use anvil_world::content;
 use anvil_world::document::key_hash;
 use anvil_world::prelude::*;
 use anvilreel::operator::{self, Client, ExitCode, OperatorError, RolloutReport};
 use serde::Serialize;
 
 use super::arguments::{
-    Apply, Audit, Check, Connection, Evacuate, LedgerCommand, Operate, OrderArgs, OrderSubject,
-    Remove,
+    Apply, Audit, Check, Connection, Evacuate, LedgerCommand, LiftQuarantineArgs, Operate,
+    OrderArgs, OrderSubject, Remove,
 };
 use super::check::check;
 
@@ -71,6 +72,7 @@
             print_rollout(json, &applied)
         }
         Operate::Evacuate(args) => evacuate(&client, json, &args).await,
+        Operate::LiftQuarantine(args) => lift_quarantine(&client, json, args).await,
         Operate::Order(args) => order(&client, json, args).await,
         Operate::Check(args) => check_all(&args),
         Operate::HashKey(_) => hash_key(),
@@ -144,6 +146,24 @@
     Ok(rollout_exit_code(&rollout))
 }
 
+async fn lift_quarantine(
+    client: &Client,
+    json: bool,
+    args: LiftQuarantineArgs,
+) -> Result<ExitCode, OperatorError> {
+    let target = match (args.content, args.service) {
+        (Some(content), None) => {
+            let digest = content::from_hex(&content);
+            QuarantineTarget::Content(digest.map_err(|source| OperatorError::Digest { source })?)
+        }
+        (None, Some(service)) => QuarantineTarget::Service(service.into()),
+        _ => return Err(OperatorError::QuarantineTarget),
+    };
+    let id = args.id.map(ChangeId::from);
+    let lifted = operator::lift_quarantine(client, target, args.reason.into(), id).await?;
+    print_rollout(json, &lifted)
+}
+
 async fn order(client: &Client, json: bool, args: OrderArgs) -> Result<ExitCode, OperatorError> {
     let name: std::sync::Arc<str> = args.name.into();
     let detail: std::sync::Arc<str> = args.detail.unwrap_or_default().into();
--- a/crates/anvil_gateway/src/crashes.rs
+++ b/crates/anvil_gateway/src/crashes.rs
@@ -98,6 +98,10 @@
         if self.suspects.record_crash(endpoint, digests) {
             self.metrics.count(metrics::CRASHES_UNREPORTED);
         }
+        // One that is no longer listed is named by the gateways that noticed its crash earlier.
+        if let Some(known) = self.directory.find(endpoint) {
+            self.suspects.name_service(&known.service, endpoint);
+        }
     }
 
     /// Whether a shared content was answered here, at its service and software version.
--- a/crates/anvil_gateway/src/log_events.rs
+++ b/crates/anvil_gateway/src/log_events.rs
@@ -53,8 +53,8 @@
     GATEWAY_ENDPOINT_CRASHED = 6024 Warning "gateway_endpoint_crashed";
     /// A request is no longer sent to endpoints, because they crash under it.
     GATEWAY_REQUEST_QUARANTINED = 6025 Warning "gateway_request_quarantined";
-    /// A request under which endpoints crashed may be sent again: an endpoint has answered it, or
-    /// its crashes have expired.
+    /// A request under which endpoints crashed may be sent again: an endpoint has answered it, its
+    /// crashes have expired, or an operator has lifted its quarantine.
     GATEWAY_REQUEST_CLEARED = 6026 Info "gateway_request_cleared";
     /// An endpoint has changed or ended the rate limit that it announces to all routers.
     GATEWAY_ENDPOINT_LIMIT = 6027 Info "gateway_endpoint_limit";
--- a/crates/anvil_gateway/src/request_digest.rs
+++ b/crates/anvil_gateway/src/request_digest.rs
@@ -1,5 +1,6 @@
 //! Identifies equal requests by a digest of everything except the request id.
 
+pub use anvil_world::content::to_hex;
 use anvil_world::prelude::*;
 use bytes::Bytes;
 use http::{Method, Uri};
@@ -30,8 +31,3 @@
     let kept = hash.finalize().into_iter().take(DIGEST_BYTES);
     kept.fold(0, |number, byte| number << 8 | ContentDigest::from(byte))
 }
-
-/// The digest as hexadecimal text, for the log.
-pub fn to_hex(digest: ContentDigest) -> String {
-    format!("{digest:032x}")
-}
--- a/crates/anvil_gateway/src/suspects.rs
+++ b/crates/anvil_gateway/src/suspects.rs
@@ -16,6 +16,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use anvil_world::command::ReportCrash;
+use anvil_world::content;
 use anvil_world::prelude::*;
 use anvil_world::suspect::{CrashedRun, QUARANTINE_MIN_WEIGHT};
 use anvilreel::event;
@@ -102,6 +103,15 @@
         has_dropped
     }
 
+    /// Tells the ledger which service a crashed endpoint belongs to, so that an operator's order for the
+    /// service finds the requests that it crashed under.
+    pub fn name_service(&self, service: &str, endpoint: &str) {
+        let content = content::of_endpoint(service, endpoint);
+        if self.update_pending(|pending| pending.add_answered(content)) {
+            self.report_wanted.notify_one();
+        }
+    }
+
     /// Whether no content is suspected, so that nothing is in quarantine.
     pub fn is_empty(&self) -> bool {
         !self.has_pending.load(Ordering::Relaxed) && self.from_ledger.load().is_empty()
--- a/crates/anvil_gateway/tests/direct/main.rs
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -10,6 +10,7 @@
 mod explanations;
 mod gateway;
 mod leaving;
+mod lifting;
 mod limits;
 mod missing_endpoints;
 mod pausing;
--- a/crates/anvil_ledger/src/lib.rs
+++ b/crates/anvil_ledger/src/lib.rs
@@ -28,6 +28,7 @@
 //! * [`inspect`]: reads a data folder offline.
 
 pub mod core;
+pub mod crashed_endpoints;
 pub mod inspect;
 pub mod limits;
 pub mod lost_incarnations;
--- a/crates/anvil_ledger/src/machine.rs
+++ b/crates/anvil_ledger/src/machine.rs
@@ -3,7 +3,8 @@
 
 use std::collections::BTreeSet;
 
-use anvil_world::command::Join;
+use anvil_world::command::{Join, LiftQuarantine, QuarantineTarget};
+use anvil_world::content;
 use anvil_world::prelude::*;
 use bincode::config::standard;
 use bytes::Bytes;
@@ -12,6 +13,7 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::core::{Entry, Payload};
+use crate::crashed_endpoints::CrashedEndpoints;
 use crate::limits::Limits;
 use crate::lost_incarnations::LostIncarnations;
 use crate::state::{ChangedItem, InvariantError, State};
@@ -52,6 +54,8 @@
     pub suspects: Suspects,
     /// Limits that endpoints announced.
     pub limits: Limits,
+    /// Services of the endpoints that crashed.
+    pub crashed_endpoints: CrashedEndpoints,
 }
 
 impl Machine {
@@ -65,6 +69,7 @@
             lost_incarnations,
             suspects: next_part(&mut rest)?,
             limits: next_part(&mut rest)?,
+            crashed_endpoints: next_part(&mut rest)?,
         })
     }
 
@@ -81,10 +86,14 @@
             Payload::Data(data) => decode(data)?,
         };
         let before = self.affected_member(&command);
-        let answer = self.state.apply(entry.id.index, entry.id.term, &command);
+        let answer = match &command {
+            Command::LiftQuarantine(lift) => self.lift_quarantine(entry.id.index, lift),
+            _ => self.state.apply(entry.id.index, entry.id.term, &command),
+        };
         self.state.invariants_held().context(InvariantSnafu)?;
         self.track_incarnations(&command, before.as_ref(), &answer);
         self.apply_router_reports(entry.id.index, &command);
+        self.record_crashed_endpoint(&command);
         Ok(answer)
     }
 
@@ -97,6 +106,51 @@
         self.state.members().get(id).cloned()
     }
 
+    /// The suspect contents that an order names, for the leader to fill in.
+    pub fn contents_of(&self, target: &QuarantineTarget) -> Vec<ContentDigest> {
+        let service = match target {
+            QuarantineTarget::Content(digest) => return vec![*digest],
+            QuarantineTarget::Service(service) => content::service_digest(service),
+        };
+        let is_at_service = |content: ContentDigest, suspect: &SuspectContent| {
+            if let Some(shared_at) = content::service_of(content) {
+                return shared_at == service;
+            }
+            let mut endpoints = suspect.endpoints();
+            endpoints.any(|endpoint| self.crashed_endpoints.is_at(endpoint, service))
+        };
+        let all = self.suspects.all().iter();
+        let found = all.filter(|(content, suspect)| is_at_service(**content, suspect));
+        found.map(|(content, _)| *content).collect()
+    }
+
+    fn record_crashed_endpoint(&mut self, command: &Command) {
+        if let Command::ClearSuspects(clear) = command {
+            self.crashed_endpoints.record_services(clear);
+        }
+        if let Command::ReportCrash(report) = command {
+            self.crashed_endpoints.record(report);
+            let suspects = self.suspects.all().values();
+            let suspected = || {
+                suspects
+                    .flat_map(SuspectContent::endpoints)
+                    .cloned()
+                    .collect()
+            };
+            self.crashed_endpoints.evict_excess(suspected);
+        }
+    }
+
+    fn lift_quarantine(&mut self, index: LogIndex, lift: &LiftQuarantine) -> Answer {
+        let mut suspects = self.suspects.clone();
+        let lifted = suspects.lift(&lift.contents);
+        let answer = self.state.apply_lift(index, lift, &lifted);
+        if matches!(&answer, Answer::Changed(receipt) if !receipt.resent) {
+            self.suspects = suspects;
+        }
+        answer
+    }
+
     fn apply_router_reports(&mut self, index: LogIndex, command: &Command) {
         let suspects = match command {
             Command::ReportCrash(report) => self.suspects.report(report),
--- a/crates/anvil_ledger/src/state.rs
+++ b/crates/anvil_ledger/src/state.rs
@@ -18,6 +18,7 @@
 mod members;
 mod money;
 mod operator_change;
+mod quarantine;
 mod receipts;
 mod recent_changes;
 mod references;
@@ -39,6 +40,8 @@
 use recent_changes::RecentChanges;
 use tree::Tree;
 
+use crate::suspects::Lifted;
+
 /// The ledger's state after all commands applied so far.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct State {
@@ -60,8 +63,7 @@
 impl State {
     /// Applies one committed command. Has to be called once for each index, in order.
     pub fn apply(&mut self, index: LogIndex, term: Term, command: &Command) -> Answer {
-        self.check_order(index);
-        self.applied = index;
+        self.begin(index);
         let result = match command {
             // All but `Noop` change parts that are kept outside this state; see `machine`.
             Command::Noop
@@ -84,6 +86,8 @@
             Command::SetPresence(set) => self.set_presence(index, set),
             Command::Order(order) => Ok(self.order(index, term, order)),
             Command::ReplaceRouting(replace) => Ok(self.replace_routing(index, replace)),
+            // Without the suspects, which are kept outside this state, there is nothing to lift.
+            Command::LiftQuarantine(lift) => self.lift_quarantine(index, lift, &Lifted::default()),
         };
         result.unwrap_or_else(Answer::Denied)
     }
@@ -189,6 +193,11 @@
         }
     }
 
+    fn begin(&mut self, index: LogIndex) {
+        self.check_order(index);
+        self.applied = index;
+    }
+
     fn record_violation(&mut self, e: InvariantError) {
         // The first violation is the cause; later ones may only follow from it.
         self.violated.get_or_insert(e);
--- a/crates/anvil_ledger/src/suspects.rs
+++ b/crates/anvil_ledger/src/suspects.rs
@@ -27,6 +27,15 @@
     all: BTreeMap<ContentDigest, SuspectContent>,
 }
 
+/// What an operator's order lifts.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Lifted {
+    /// Contents whose records are removed.
+    pub contents: BTreeSet<ContentDigest>,
+    /// Contents whose announcement changed.
+    pub changed: BTreeSet<ContentDigest>,
+}
+
 impl Default for Suspects {
     fn default() -> Self {
         Self {
@@ -58,6 +67,35 @@
         self.remove(cleared.collect())
     }
 
+    /// Removes the records that an operator's order names, so that their contents are blamed from the
+    /// beginning if endpoints crash under them again.
+    ///
+    /// Contents that were in flight at the same crashes are blamed together, or one of them explains the
+    /// crashes of another. If only the named record were removed, the others would be blamed for its
+    /// crashes, and requests that share less with the crashing one would be refused. So its crashes are
+    /// removed from all other records.
+    pub fn lift(&mut self, named: &[ContentDigest]) -> Lifted {
+        let known = named.iter().copied();
+        let contents: BTreeSet<_> = known.filter(|c| self.all.contains_key(c)).collect();
+        let is_announced_before: BTreeSet<_> =
+            self.announced().map(|(content, _)| content).collect();
+        let removed = contents
+            .iter()
+            .filter_map(|content| self.all.remove(content));
+        let removed: Vec<_> = removed.collect();
+        let mut changed = contents.clone();
+        self.all.retain(|content, suspect| {
+            for other in &removed {
+                if suspect.remove_crashes_of(other) {
+                    changed.insert(*content);
+                }
+            }
+            !suspect.crashes.is_empty()
+        });
+        changed.retain(|content| is_announced_before.contains(content));
+        Lifted { contents, changed }
+    }
+
     /// The record of a content, if it is announced to routers.
     pub fn get(&self, content: ContentDigest) -> Option<&SuspectContent> {
         self.all
@@ -74,6 +112,11 @@
         all.filter(|(_, suspect)| is_announced(suspect))
     }
 
+    /// All records.
+    pub fn all(&self) -> &BTreeMap<ContentDigest, SuspectContent> {
+        &self.all
+    }
+
     fn expire(&mut self) -> BTreeSet<ContentDigest> {
         let all = self.all.iter();
         let over = all.filter(|(_, suspect)| suspect.is_expired(self.clock));
--- a/crates/anvil_wire/src/msg/ledger.rs
+++ b/crates/anvil_wire/src/msg/ledger.rs
@@ -175,6 +175,8 @@
     Fencing(InstanceId),
     /// All members.
     Members,
+    /// The suspect contents that are announced to routers.
+    Suspects,
 }
 
 /// Selects entries of the audit trail.
@@ -209,6 +211,8 @@
     Fencing(anvil_world::command::FenceNumber),
     /// See [`Query::Members`].
     Members(BTreeMap<InstanceId, Member>),
+    /// See [`Query::Suspects`].
+    Suspects(BTreeMap<ContentDigest, SuspectContent>),
 }
 
 /// A budget as operators see it.
--- a/crates/anvil_world/src/command.rs
+++ b/crates/anvil_world/src/command.rs
@@ -11,6 +11,7 @@
 mod grants;
 mod limit;
 mod membership;
+mod quarantine;
 mod replace;
 
 use serde::{Deserialize, Serialize};
@@ -27,6 +28,7 @@
 };
 pub use limit::ReportLimit;
 pub use membership::{Drain, Join, SetPresence};
+pub use quarantine::{LiftQuarantine, QuarantineTarget};
 pub use replace::ReplaceRouting;
 
 use crate::ids::{GrantId, Tokens};
@@ -73,4 +75,21 @@
     ClearSuspects(ClearSuspects),
     /// An endpoint announced its rate limit over all routers, or no longer announces one.
     ReportLimit(ReportLimit),
+    /// An operator lifts quarantines.
+    LiftQuarantine(LiftQuarantine),
+}
+
+/// Number of kinds of commands that this build applies. Builds differ only in kinds at the end, so a
+/// higher number includes all kinds of a lower one.
+pub const COMMAND_KINDS: u32 = 18;
+
+impl Command {
+    /// Number of kinds that a replica must apply to apply this one. A replica that can't decode a committed
+    /// entry stops, so a kind that the previous build lacks is appended only once all replicas apply it.
+    pub fn required_kinds(&self) -> u32 {
+        match self {
+            Self::LiftQuarantine(_) => 18,
+            _ => 0,
+        }
+    }
 }
--- a/crates/anvil_world/src/command/answer.rs
+++ b/crates/anvil_world/src/command/answer.rs
@@ -104,6 +104,15 @@
     /// The incarnation is older than one already known.
     #[snafu(display("a newer incarnation is known"))]
     OldIncarnation,
+    /// Some replicas run a build that can't apply the command, or have not said yet that theirs can.
+    #[snafu(display(
+        "replicas that have not confirmed that they can apply this order: {replicas}; they run an earlier build, \
+         or are not connected to the leader. Upgrade them, wait for them, or remove them"
+    ))]
+    NotApplicable {
+        /// Names of their instances.
+        replicas: String,
+    },
 }
 
 /// The kind of an unknown name.
@@ -119,6 +128,8 @@
     Grant,
     /// A path of the tree.
     Path,
+    /// A quarantine.
+    Quarantine,
 }
 
 impl std::fmt::Display for EntityKind {
@@ -129,6 +140,7 @@
             Self::Claim => "claim",
             Self::Grant => "grant",
             Self::Path => "path",
+            Self::Quarantine => "quarantine",
         })
     }
 }
--- a/crates/anvil_world/src/lib.rs
+++ b/crates/anvil_world/src/lib.rs
@@ -18,12 +18,13 @@
 //! * [`zone`], [`instance`], [`link`]: instances, their zones and the latency between zones.
 //! * [`contract`]: budgets, prices, grants and how a cost is split among payers.
 //! * [`outcome`]: how a request ended, and why.
-//! * [`suspect`], [`endpoint_limit`]: requests suspected of crashing endpoints, and the endpoints' rate limits.
+//! * [`content`], [`suspect`], [`endpoint_limit`]: digests of requests and what they share, requests suspected of crashing endpoints, and the endpoints' rate limits.
 //! * [`path`], [`document`] and [`tree`]: the settings tree.
 //! * [`command`]: the commands of the replicated log.
 //! * [`settings`]: the TOML settings file of each process.
 
 pub mod command;
+pub mod content;
 pub mod contract;
 pub mod document;
 pub mod endpoint_limit;
--- a/crates/anvil_world/src/suspect.rs
+++ b/crates/anvil_world/src/suspect.rs
@@ -67,6 +67,14 @@
     pub since: SystemTime,
 }
 
+impl Crash {
+    fn is_same(&self, other: &Self) -> bool {
+        let later = self.at.max(other.at);
+        let apart = later.duration_since(self.at.min(other.at));
+        self.endpoint == other.endpoint && apart.unwrap_or_default() < SAME_CRASH_WINDOW
+    }
+}
+
 impl SuspectContent {
     /// A record without crashes.
     pub fn new(since: SystemTime) -> Self {
@@ -98,6 +106,17 @@
         true
     }
 
+    /// Removes the crashes that `other` records too. Returns whether there were any.
+    pub fn remove_crashes_of(&mut self, other: &Self) -> bool {
+        let before = self.crashes.len();
+        self.crashes.retain(|crash| !other.has_crash(crash));
+        self.crashes.len() < before
+    }
+
+    fn has_crash(&self, crash: &Crash) -> bool {
+        self.crashes.iter().any(|known| known.is_same(crash))
+    }
+
     /// Time from its first crash to its last one.
     pub fn crash_span(&self) -> Duration {
         let first = self.crashes.iter().map(|crash| crash.at).min();
--- a/crates/anvilreel/src/ledger_service/check.rs
+++ b/crates/anvilreel/src/ledger_service/check.rs
@@ -5,8 +5,14 @@
 use anvil_world::command::{Denial, Edit};
 use anvil_world::prelude::*;
 
-/// Refuses a change whose text is not a valid document for its path.
+/// Refuses a change whose text is not a valid document for its path, and an order without a reason.
 pub fn validate(command: &Command) -> Option<Answer> {
+    if let Command::LiftQuarantine(lift) = command
+        && lift.reason.trim().is_empty()
+    {
+        let message = "an order to lift a quarantine needs a reason".into();
+        return Some(Answer::Denied(Denial::Settings { message }));
+    }
     let Command::Change(change) = command else {
         return None;
     };
@@ -29,6 +35,7 @@
         Command::ReplaceRouting(replace) => &mut replace.at,
         Command::ReportCrash(report) => &mut report.at,
         Command::ReportLimit(report) => &mut report.at,
+        Command::LiftQuarantine(lift) => &mut lift.at,
         Command::Noop
         | Command::GrantBatch(_)
         | Command::FenceRouter(_)
--- a/crates/anvilreel/src/ledger_service/handlers.rs
+++ b/crates/anvilreel/src/ledger_service/handlers.rs
@@ -6,6 +6,7 @@
 use anvil_ledger::storage::snapshot;
 use anvil_wire::msg::{FollowEvent, LedgerCall, LedgerReply, LedgerRequest};
 use anvil_wire::{Handlers, ReplySender, WireError};
+use anvil_world::command::COMMAND_KINDS;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, timeout};
 
@@ -203,6 +204,7 @@
 async fn handle_peer(replica: &ReplicaHandle, req: PeerRequest, mut tx: ReplySender<PeerReply>) {
     let reply = match req {
         PeerRequest::Hello => replica.request(Input::Hello).await.map(PeerReply::Hello),
+        PeerRequest::CommandKinds => Some(PeerReply::CommandKinds(COMMAND_KINDS)),
         PeerRequest::Join { id, site } => {
             let joined = replica.request(|reply| Input::Join(id, site, reply)).await;
             joined.map(|joined| match joined {
--- a/crates/anvilreel/src/ledger_service/links.rs
+++ b/crates/anvilreel/src/ledger_service/links.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use anvil_ledger::core::{ReplicaId, SnapshotMeta};
-use anvil_wire::{Channel, WireError};
+use anvil_wire::{Channel, Replies, WireError};
 use anvil_world::settings::LedgerSettings;
 use bytes::{Bytes, BytesMut};
 use slog::Logger;
@@ -26,6 +26,9 @@
 /// A link without messages for this long is opened again. A leader sends several heartbeats a
 /// second, but two followers have no messages for each other.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Timeout of the question which commands a replica applies, and the pause before it is asked again.
+/// Operators give orders by hand, so a few seconds without an answer hold nobody up.
+const KINDS_TIMEOUT: Duration = Duration::from_secs(2);
 /// Timeout for fetching a whole snapshot.
 const FETCH_TIMEOUT: Duration = Duration::from_mins(2);
 
@@ -69,25 +72,46 @@
     while !*replica.stopping.borrow() {
         let opened = channel.open::<PeerCall>(&PeerRequest::Listen { id }).await;
         log_change(&log, addr, &mut up, opened.as_ref().err());
-        if let Ok(mut replies) = opened {
-            while let Ok(Ok(Some(reply))) = timeout(IDLE_TIMEOUT, replies.next()).await {
-                let PeerReply::Envelopes(envelopes) = reply else {
-                    break;
-                };
-                if replica
-                    .inbox
-                    .send(Input::Messages(envelopes))
-                    .await
-                    .is_err()
-                {
-                    return;
-                }
+        if let Ok(replies) = opened {
+            tokio::select! {
+                () = forward_messages(&replica, replies) => {}
+                () = ask_command_kinds(&replica, &channel, addr) => {}
             }
         }
         sleep(RETRY_DELAY).await;
     }
 }
 
+/// Forwards messages until the link ends.
+async fn forward_messages(replica: &ReplicaHandle, mut replies: Replies<PeerReply>) {
+    while let Ok(Ok(Some(PeerReply::Envelopes(envelopes)))) =
+        timeout(IDLE_TIMEOUT, replies.next()).await
+    {
+        let forwarded = replica.inbox.send(Input::Messages(envelopes)).await;
+        if forwarded.is_err() {
+            return;
+        }
+    }
+}
+
+/// Asks which commands a replica applies, at each new link, since it may have returned with another
+/// build. One of an earlier build does not know the question. Never returns.
+async fn ask_command_kinds(replica: &ReplicaHandle, channel: &Channel, addr: SocketAddr) {
+    loop {
+        let asked = channel.call::<PeerCall>(&PeerRequest::CommandKinds, KINDS_TIMEOUT);
+        let kinds = match asked.await {
+            Ok(PeerReply::CommandKinds(kinds)) => kinds,
+            _ => 0,
+        };
+        // Fails only if the replica task has ended, and with it the process.
+        let _ = replica.inbox.send(Input::CommandKinds(addr, kinds)).await;
+        if kinds > 0 {
+            std::future::pending::<()>().await;
+        }
+        sleep(KINDS_TIMEOUT).await;
+    }
+}
+
 /// Logs when a link comes up or is lost, and nothing while its state is unchanged.
 fn log_change(log: &Logger, addr: SocketAddr, up: &mut bool, failure: Option<&WireError>) {
     match failure {
--- a/crates/anvilreel/src/ledger_service/peer.rs
+++ b/crates/anvilreel/src/ledger_service/peer.rs
@@ -37,6 +37,8 @@
     Remove(InstanceId),
     /// Requests the newest snapshot. Replies: `Snapshot`, then `Chunk`s.
     Fetch,
+    /// Requests which commands the replica applies. Reply: `CommandKinds`.
+    CommandKinds,
 }
 
 /// Identity of a replica.
@@ -72,4 +74,6 @@
     Chunk(Bytes),
     /// There is no readable snapshot, or the replica task has ended.
     Nothing,
+    /// Number of kinds of commands that the replica applies.
+    CommandKinds(u32),
 }
--- a/crates/anvilreel/src/ledger_service/queries.rs
+++ b/crates/anvilreel/src/ledger_service/queries.rs
@@ -64,6 +64,10 @@
             Query::Claim(key) => QueryAnswer::Claim(state.claim(key)),
             Query::Fencing(sidecar) => QueryAnswer::Fencing(state.fencing(sidecar)),
             Query::Members => QueryAnswer::Members(state.members().clone()),
+            Query::Suspects => {
+                let announced = self.machine.suspects.announced();
+                QueryAnswer::Suspects(announced.map(|(c, s)| (c, s.clone())).collect())
+            }
         }
     }
 
--- a/crates/anvilreel/src/ledger_service/replica_task.rs
+++ b/crates/anvilreel/src/ledger_service/replica_task.rs
@@ -7,7 +7,7 @@
 mod requests;
 mod status;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -61,6 +61,8 @@
     Subscribe(ReplicaId, mpsc::Sender<Envelope>),
     /// Messages from another replica.
     Messages(Vec<Envelope>),
+    /// Number of kinds of commands that the replica at this address applies; 0 if it has not said so.
+    CommandKinds(SocketAddr, u32),
     /// Adds a replica to the ledger; answered with the leader's address if this replica doesn't
     /// lead.
     Join(
@@ -111,6 +113,8 @@
     evidence: GrantEvidence,
     outbox: Outbox,
     status: watch::Sender<ReplicaStatus>,
+    /// Number of kinds of commands that other replicas apply, as they last said.
+    command_kinds: BTreeMap<SocketAddr, u32>,
     inbox: Inbox,
     snapshot_index: LogIndex,
     /// Bytes of entries applied since the last snapshot.
@@ -160,6 +164,7 @@
             evidence: GrantEvidence::default(),
             outbox: Outbox::default(),
             status,
+            command_kinds: BTreeMap::new(),
             inbox,
             snapshot_task: None,
             next_check: Duration::ZERO,
@@ -256,6 +261,9 @@
                     self.feed(Event::Message(envelope));
                 }
             }
+            Input::CommandKinds(addr, kinds) => {
+                self.command_kinds.insert(addr, kinds);
+            }
             Input::Join(id, site, reply) => {
                 let _ = reply.send(self.feed_if_leader(Event::Join { id, site }));
             }
--- a/crates/anvilreel/src/ledger_service/replica_task/requests.rs
+++ b/crates/anvilreel/src/ledger_service/replica_task/requests.rs
@@ -4,6 +4,7 @@
 
 use anvil_ledger::core::{Event, Proposal, Refused, RequestId};
 use anvil_wire::msg::{LedgerReply, Query};
+use anvil_world::command::Denial;
 use anvil_world::prelude::*;
 
 use super::ReplicaTask;
@@ -27,7 +28,14 @@
             send_reply(reply, LedgerReply::Applied { index: 0, answer });
             return None;
         }
+        if let Some(answer) = self.not_applicable(&command) {
+            send_reply(reply, LedgerReply::Applied { index: 0, answer });
+            return None;
+        }
         check::set_time(&mut command, SystemTime::now());
+        if let Command::LiftQuarantine(lift) = &mut command {
+            lift.contents = self.machine.contents_of(&lift.target);
+        }
         let Ok(data) = anvil_ledger::machine::encode(&command) else {
             send_reply(reply, LedgerReply::NoQuorum);
             return None;
@@ -36,6 +44,24 @@
         Some(Proposal { id, data })
     }
 
+    /// Denies a command that some replicas may be unable to apply: they would stop at its entry.
+    fn not_applicable(&self, command: &Command) -> Option<Answer> {
+        // A replica that does not lead appends nothing.
+        if command.required_kinds() == 0 || !self.replica.leads() {
+            return None;
+        }
+        let applies = |addr| {
+            let known = self.command_kinds.get(addr).copied();
+            known.unwrap_or(0) >= command.required_kinds()
+        };
+        let replicas = self.replica.membership().replicas();
+        let others = replicas.filter(|(id, _)| *id != self.setup.id);
+        let unfit = others.filter(|(_, site)| !applies(&site.addr));
+        let names: Vec<_> = unfit.map(|(_, site)| site.instance.to_string()).collect();
+        let replicas = names.join(", ");
+        (!names.is_empty()).then_some(Answer::Denied(Denial::NotApplicable { replicas }))
+    }
+
     /// Answers a routing table whose version is in force or older without a log entry.
     ///
     /// An operator whose acknowledgements are lost resends the same table of several megabytes; if
--- a/crates/anvilreel/src/operator.rs
+++ b/crates/anvilreel/src/operator.rs
@@ -30,6 +30,7 @@
 mod losses;
 mod order;
 mod organisation_waits;
+mod quarantine;
 mod read;
 mod report;
 
@@ -44,6 +45,7 @@
 pub use losses::{BudgetSpending, Loss, Losses, SecondCounts, losses};
 pub use order::order;
 pub use organisation_waits::OrganisationWaits;
+pub use quarantine::{QuarantinedContent, lift_quarantine};
 pub use read::{audit, budgets, diff, get, members, status};
 pub use report::{
     AuditReport, BudgetReport, DiffReport, OrderReport, Receipt, RolloutReport, StatusReport,
--- a/crates/anvilreel/src/operator/change.rs
+++ b/crates/anvilreel/src/operator/change.rs
@@ -34,7 +34,7 @@
 }
 
 /// A unique change id: the time, then random bits.
-fn new_change_id() -> ChangeId {
+pub(super) fn new_change_id() -> ChangeId {
     let random: u64 = rand::random();
     change_id(SystemTime::now(), &format!("{random:016x}"))
 }
@@ -164,7 +164,7 @@
 }
 
 /// Proposes a command whose reply is a change receipt.
-async fn propose_change(
+pub(super) async fn propose_change(
     client: &Client,
     id: &ChangeId,
     command: Command,
--- a/crates/anvilreel/src/operator/error.rs
+++ b/crates/anvilreel/src/operator/error.rs
@@ -4,6 +4,7 @@
 
 use anvil_wire::WireError;
 use anvil_world::command::Denial;
+use anvil_world::content::DigestError;
 use anvil_world::path::PathError;
 use anvil_world::prelude::*;
 use snafu::Snafu;
@@ -71,6 +72,15 @@
         /// Cause, with what is allowed.
         source: PathError,
     },
+    /// Invalid digest of a content.
+    #[snafu(display("{source}"))]
+    Digest {
+        /// Cause, with what is allowed.
+        source: DigestError,
+    },
+    /// An order to lift quarantines that doesn't say which.
+    #[snafu(display("name either the digest of a content or, with --service, a service"))]
+    QuarantineTarget,
     /// A file that can't be read.
     #[snafu(display("{}: {source}", file.display()))]
     File {
@@ -105,7 +115,11 @@
             | Self::Sidecar { .. }
             | Self::Unexpected => ExitCode::OutcomeUnknown,
             Self::Denied { .. } | Self::NoInstance { .. } => ExitCode::Denied,
-            Self::Settings { .. } | Self::Path { .. } | Self::File { .. } => ExitCode::InvalidInput,
+            Self::Settings { .. }
+            | Self::Path { .. }
+            | Self::Digest { .. }
+            | Self::QuarantineTarget
+            | Self::File { .. } => ExitCode::InvalidInput,
         }
     }
 }
--- a/crates/anvilreel/src/operator/read.rs
+++ b/crates/anvilreel/src/operator/read.rs
@@ -7,6 +7,7 @@
 use similar::TextDiff;
 
 use super::change::query_rollout;
+use super::quarantine::quarantined;
 use super::report::{AuditReport, BudgetReport, DiffReport, StatusReport, TreeReport};
 use super::{Client, OperatorError};
 
@@ -116,6 +117,7 @@
         ledger,
         spread,
         evacuated: zones.into_iter().filter(is_evacuated).collect(),
+        quarantined: quarantined(client).await,
         members,
     })
 }
--- a/crates/anvilreel/src/operator/report.rs
+++ b/crates/anvilreel/src/operator/report.rs
@@ -9,6 +9,8 @@
 use anvil_world::prelude::*;
 use serde::Serialize;
 
+use super::quarantine::QuarantinedContent;
+
 /// Receipt of a committed change.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Receipt {
@@ -196,6 +198,8 @@
     pub spread: RolloutReport,
     /// The orders by which availability zones are evacuated.
     pub evacuated: BTreeMap<TreePath, TreeEntry>,
+    /// Contents in quarantine; `None` if the leader is of a build that doesn't tell.
+    pub quarantined: Option<Vec<QuarantinedContent>>,
     /// Members with their presence.
     pub members: BTreeMap<InstanceId, Member>,
 }
@@ -221,6 +225,14 @@
                 entry.revision, entry.operator
             )?;
         }
+        match &self.quarantined {
+            None => writeln!(f, "quarantines: not known")?,
+            Some(quarantined) => {
+                for content in quarantined {
+                    writeln!(f, "{content}")?;
+                }
+            }
+        }
         for (id, member) in &self.members {
             let instance = &member.instance;
             writeln!(
--- a/crates/anvilreel/tests/ledger_service/cluster.rs
+++ b/crates/anvilreel/tests/ledger_service/cluster.rs
@@ -68,23 +68,29 @@
         size: usize,
         auto_removal: Option<AutoRemoval>,
     ) -> Result<Self, Failure> {
+        let mut cluster = Self::reserve(size)?;
+        cluster.auto_removal = auto_removal;
+        for number in 0..size {
+            cluster.run(number).await?;
+        }
+        Ok(cluster)
+    }
+
+    /// Replicas none of which is running.
+    pub fn reserve(size: usize) -> Result<Self, Failure> {
         let mut peers = Vec::new();
         for number in 0..size {
             let id = format!("ledger-{number}").into();
             let addr = free_addr()?;
             peers.push(Peer { id, addr });
         }
-        let mut cluster = Self {
+        Ok(Self {
             folder: tempfile::tempdir()?,
-            auto_removal,
+            auto_removal: None,
             known_peers: BTreeMap::new(),
             running: (0..size).map(|_| None).collect(),
             peers,
-        };
-        for number in 0..size {
-            cluster.run(number).await?;
-        }
-        Ok(cluster)
+        })
     }
 
     fn founders_of(&self, number: usize) -> Vec<Peer> {
--- a/crates/anvilreel/tests/ledger_service/main.rs
+++ b/crates/anvilreel/tests/ledger_service/main.rs
@@ -9,4 +9,5 @@
 #[path = "../support/ports.rs"]
 mod ports;
 mod presence;
+mod quarantines;
 mod restart;
