--- a/crates/anvil_gateway/tests/direct/main.rs
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -12,6 +12,7 @@
 mod gateway;
 mod leaving;
 mod ledger_outage;
+mod lifting;
 mod limits;
 mod missing_endpoints;
 mod pausing;
