Read streams ahead of clients that read slowly

Cause: the gateway reads a stream from its endpoint only as fast as the client reads, so an endpoint cuts off a response that stays unread for a second.

Change: `ClientSocket` shows when a write to a client has to wait. The stream then goes on in a task that reads into a buffer: up to 256 KB a stream and 16 MB in all (`anvil_policy::read_ahead`), beyond which one event is read at a time as before. Output counts as delivered when the client's response takes it; a client that disconnects ends the task and the endpoint's run. Streams whose clients keep up have no task and no lock. Metrics: `streams.read_ahead`, `streams.read_ahead_stopped`, `streams.read_ahead_bytes`.

--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -101,6 +101,7 @@
             method: self.head.method,
             uri: self.head.uri,
             headers: self.head.headers,
+            client_pace: self.head.extensions.get().cloned().unwrap_or_default(),
             body: self.body,
             request_digest: self.request_digest,
         }
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -18,6 +18,7 @@
 use crate::attempt::{AttemptOutcome, Doubt, EndpointResponse, NotRun};
 use crate::attempt_counter::AttemptCounter;
 use crate::availability;
+use crate::client_socket::ClientPace;
 use crate::connection_watch::ConnectionWatch;
 use crate::dialect::{PartId, RequestHead};
 use crate::gateway::Gateway;
@@ -95,6 +96,8 @@
     pub uri: Uri,
     /// The client's headers.
     pub headers: HeaderMap,
+    /// Whether the client reads as fast as it is written to.
+    pub client_pace: ClientPace,
     /// The complete body.
     pub body: Bytes,
     /// Equal for requests that count as the same one.
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 use anvil_policy::crash::CrashWatch;
 use anvil_policy::engine::EngineRule;
 use anvil_policy::rate_share::{BurstTolerance, RouterRank};
+use anvil_policy::read_ahead::ReadAhead;
 use anvil_policy::retry::{RetryBudget, RetryRule, RetrySafety};
 use anvil_world::prelude::*;
 use anvilreel::event;
@@ -130,6 +131,8 @@
     pub service_versions: ServiceVersions,
     /// Software versions at which streams began.
     pub stream_origins: StreamOrigins,
+    /// What streams have read ahead of their clients.
+    pub(crate) read_ahead: Mutex<ReadAhead>,
     /// Requests in progress.
     pub open_requests: AtomicU32,
     /// End of the time in which this gateway reports that it can't obtain grants, in milliseconds
@@ -221,6 +224,7 @@
             endpoint_limits: EndpointLimits::default(),
             service_versions: ServiceVersions::default(),
             stream_origins: StreamOrigins::default(),
+            read_ahead: Mutex::new(ReadAhead::new(None)),
             open_requests: AtomicU32::new(0),
             starved_until_ms: AtomicU64::new(0),
             retry_budgets: Mutex::default(),
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -10,7 +10,8 @@
 //! tokens, [`exchange`] runs attempts until one succeeds, [`choose`] selects the endpoint,
 //! [`attempt`] sends the request to it, [`attempt_counter`] counts attempts, [`availability`] waits
 //! for a routing table or endpoints that are expected shortly, [`stream_relay`] forwards a stream
-//! and resumes it at another endpoint, [`reply`] builds refusals.
+//! and resumes it at another endpoint, [`client_socket`] shows whether its client reads fast enough,
+//! [`reply`] builds refusals.
 //!
 //! Quarantine of requests that crash endpoints, and of what such requests have in common: [`crashes`]
 //! detects which endpoint crashed, [`suspects`] reports the contents to the ledger and learns of those
@@ -36,6 +37,7 @@
 pub mod attempt_counter;
 pub mod availability;
 pub mod choose;
+pub mod client_socket;
 pub mod connection_watch;
 pub mod crashes;
 pub mod dialect;
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -69,6 +69,12 @@
 pub const ORIGINS_KNOWN: &str = "streams.origins_known";
 /// Streams resumed by another endpoint. Count.
 pub const STREAMS_RESUMED: &str = "streams.resumed";
+/// Streams that were read ahead of a client that reads slowly. Count.
+pub const STREAMS_READ_AHEAD: &str = "streams.read_ahead";
+/// How often such a stream stopped, because its buffer or all of them were full. Count.
+pub const READ_AHEAD_STOPPED: &str = "streams.read_ahead_stopped";
+/// Bytes that are read ahead in all. Gauge.
+pub const READ_AHEAD_BYTES: &str = "streams.read_ahead_bytes";
 /// Readings of the platform's list by this gateway. Count.
 pub const LIST_READ: &str = "list.read";
 /// Lists received from a sibling. Count.
@@ -121,6 +127,9 @@
     (ORIGINS_UNTOLD, "count"),
     (ORIGINS_KNOWN, "gauge"),
     (STREAMS_RESUMED, "count"),
+    (STREAMS_READ_AHEAD, "count"),
+    (READ_AHEAD_STOPPED, "count"),
+    (READ_AHEAD_BYTES, "gauge"),
     (LIST_READ, "count"),
     (LIST_FROM_SIBLING, "count"),
     (OPEN_REQUESTS, "gauge"),
@@ -168,6 +177,7 @@
             (ENDPOINTS_WARMING_UP, self.count_warming_up()),
             (SERVICES_MIXED, self.count_mixed_services()),
             (ORIGINS_KNOWN, self.count_known_origins()),
+            (READ_AHEAD_BYTES, self.read_ahead().total()),
             (
                 LEDGER_AGE,
                 age(self.ledger_confirmed_ms.load(Ordering::Relaxed)),
--- a/crates/anvil_gateway/src/serve.rs
+++ b/crates/anvil_gateway/src/serve.rs
@@ -16,6 +16,7 @@
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::admit::handle_request;
+use crate::client_socket::ClientSocket;
 use crate::gateway::Gateway;
 use crate::log_events as events;
 use crate::reply::{Reply, full_body, set_connection_close};
@@ -73,8 +74,10 @@
         .as_ref()
         .map_or(DEFAULT_IDLE_TIMEOUT, |table| table.limits.idle_timeout);
     drop(table);
-    let service = service_fn(|req: Request<Incoming>| {
+    let (socket, pace) = ClientSocket::new(socket);
+    let service = service_fn(|mut req: Request<Incoming>| {
         let gw = gw.clone();
+        req.extensions_mut().insert(pace.clone());
         async move {
             let mut reply = handle_request(&gw, req).await;
             if gw.lifecycle.is_draining() || gw.is_starved() {
--- a/crates/anvil_gateway/src/stream_relay.rs
+++ b/crates/anvil_gateway/src/stream_relay.rs
@@ -4,6 +4,11 @@
 //! response. Another endpoint of the same software version continues after the last delivered event,
 //! within the same response; the connection to the previous endpoint is closed first, which stops its
 //! run. If no endpoint can continue, the client's connection is closed without the end of the stream.
+//!
+//! Failure: a client reads slowly, and the endpoint cuts off the response because it stays unread. The
+//! stream is then read ahead into a buffer, by a task that is started once the client falls behind.
+
+mod ahead;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,8 +20,11 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::client::conn::http1::SendRequest;
+use tokio::task::yield_now;
 use tokio::time::{Instant, timeout_at};
 
+use ahead::{AheadReader, AheadWriter, Taken};
+
 use crate::attempt::EndpointResponse;
 use crate::connection_watch::ConnectionWatch;
 use crate::dialect::ResponseHead;
@@ -36,6 +44,10 @@
 /// begins may still send the first event.
 const EVENTS_AFTER_BEGINNING: u32 = 2;
 
+/// Events after which the connection writes to the client's socket: half of those that it holds before it
+/// takes no more.
+const MAX_UNWRITTEN_EVENTS: u32 = 8;
+
 struct StreamSource {
     body: Incoming,
     splitter: EventSplitter,
@@ -53,12 +65,50 @@
 pub struct StreamRelay {
     exchange: Exchange,
     source: Option<StreamSource>,
-    /// Id of the last event handed to the client.
-    last_delivered: Option<u64>,
+    /// Id of the last event read from an endpoint; it is handed to the client next.
+    last_read: Option<u64>,
     /// The first event, read before the response head is sent.
     prefetched: Option<StreamEvent>,
     /// When the last event was handed to the client.
     delivered_at: Option<Instant>,
+    /// Events handed to the client since they were last written to its socket.
+    unwritten: u32,
+}
+
+/// How a client's response receives events.
+enum Forwarding {
+    /// As fast as the client reads.
+    Direct(Box<StreamRelay>),
+    /// Out of a buffer that is filled ahead of the client.
+    Ahead(AheadReader),
+}
+
+impl Forwarding {
+    /// The next part of the client's response; `None` at its end.
+    async fn next_frame(&mut self) -> Option<Result<Bytes, IncompleteStream>> {
+        let next = match self {
+            Self::Direct(relay) => relay.next_frame().await,
+            Self::Ahead(reader) => reader.next().await,
+        };
+        if let (Self::Direct(relay), Ok(None) | Err(_)) = (&mut *self, &next) {
+            let outcome = next.as_ref().err().map_or("completed", |c| c.text());
+            relay.exchange.trace.record_outcome(outcome);
+        }
+        next.map_err(|_| IncompleteStream).transpose()
+    }
+
+    /// Starts to read ahead if the client has fallen behind.
+    async fn keep_up(self) -> Self {
+        let Self::Direct(mut relay) = self else {
+            return self;
+        };
+        relay.let_write().await;
+        if relay.exchange.client_pace.is_slow() {
+            Self::Ahead(relay.read_ahead())
+        } else {
+            Self::Direct(relay)
+        }
+    }
 }
 
 enum NextEvent {
@@ -73,45 +123,35 @@
     pub async fn start_response(exchange: Exchange, response: EndpointResponse) -> Reply {
         let mut parts = response.parts.clone();
         remove_connection_headers(&mut parts.headers);
-        let last_delivered = exchange.request.resume_after;
+        let last_read = exchange.request.resume_after;
         let mut relay = Self {
             exchange,
             source: Some(StreamSource::from(response)),
-            last_delivered,
+            last_read,
             prefetched: None,
             delivered_at: None,
+            unwritten: 0,
         };
         match relay.next_event_or_resume(Some(&mut parts)).await {
             Ok(event) => relay.prefetched = event,
             Err(cause) => return relay.exchange.refuse((cause, Duration::ZERO)),
         }
         relay.exchange.trace.record_first_piece();
-        let stream = unfold(Some(relay), |relay| async move {
-            let mut relay = relay?;
-            match relay.next_frame().await {
-                Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
-                Ok(None) => {
-                    relay.exchange.trace.record_outcome("completed");
-                    None
-                }
-                Err(cause) => {
-                    relay.exchange.trace.record_outcome(cause.text());
-                    Some((Err(IncompleteStream), None))
-                }
+        let forwarding = Forwarding::Direct(Box::new(relay));
+        let stream = unfold(Some(forwarding), |forwarding| async move {
+            let mut forwarding = forwarding?.keep_up().await;
+            match forwarding.next_frame().await? {
+                Ok(bytes) => Some((Ok(Frame::data(bytes)), Some(forwarding))),
+                Err(e) => Some((Err(e), None)),
             }
         });
         Reply::from_parts(parts, StreamBody::new(stream).boxed_unsync())
     }
 
     async fn next_frame(&mut self) -> Result<Option<Bytes>, Cause> {
-        let event = match self.prefetched.take() {
-            Some(event) => Some(event),
-            None => self.next_event_or_resume(None).await?,
-        };
-        let Some(event) = event else {
+        let Some(event) = self.read_event().await? else {
             return Ok(None);
         };
-        self.last_delivered = event.id.or(self.last_delivered);
         let now = Instant::now();
         if let Some(previous) = self.delivered_at.replace(now) {
             self.exchange.trace.record_gap(now - previous);
@@ -127,6 +167,67 @@
         Ok(Some(event.bytes))
     }
 
+    async fn read_event(&mut self) -> Result<Option<StreamEvent>, Cause> {
+        match self.prefetched.take() {
+            Some(event) => Ok(Some(event)),
+            None => self.next_event_or_resume(None).await,
+        }
+    }
+
+    /// Lets the connection write some events to the client's socket before it takes more, so that it
+    /// shows whether the client reads them: a connection that holds too many takes no more, and nothing
+    /// would start the reading ahead.
+    async fn let_write(&mut self) {
+        self.unwritten += 1;
+        if self.unwritten >= MAX_UNWRITTEN_EVENTS {
+            self.unwritten = 0;
+            yield_now().await;
+        }
+    }
+
+    /// Goes on reading from the endpoint in a task of its own.
+    fn read_ahead(self) -> AheadReader {
+        let gw = self.exchange.gw.clone();
+        gw.metrics.count(metrics::STREAMS_READ_AHEAD);
+        let (writer, reader) = ahead::buffer(gw, Taken::after(self.delivered_at));
+        tokio::spawn(self.fill(writer));
+        reader
+    }
+
+    /// Reads up to the end of the stream, until the client disconnects.
+    async fn fill(mut self, writer: AheadWriter) {
+        let outcome = self.fill_until_end(&writer).await;
+        let taken = writer.taken();
+        self.exchange.trace.record_gap(taken.longest_gap);
+        let tokens = self.exchange.tokens_per_event.saturating_mul(taken.events);
+        if let Some(charge) = &mut self.exchange.charge {
+            charge.record_output(tokens);
+        }
+        if let Some(outcome) = outcome {
+            self.exchange.trace.record_outcome(outcome);
+        }
+    }
+
+    /// The outcome; `None` if the client has disconnected.
+    async fn fill_until_end(&mut self, writer: &AheadWriter) -> Option<&'static str> {
+        let end = loop {
+            if !writer.wait_for_room().await {
+                return None;
+            }
+            let read = tokio::select! {
+                () = writer.closed() => return None,
+                read = self.read_event() => read,
+            };
+            match read {
+                Ok(Some(event)) => writer.add(event.bytes),
+                Ok(None) => break Ok(()),
+                Err(cause) => break Err(cause),
+            }
+        };
+        let is_seen = writer.finish(end).await;
+        is_seen.then(|| end.err().map_or("completed", Cause::text))
+    }
+
     /// The next event, from the current endpoint or from one that resumes the stream. `None` at the
     /// end of the stream. `head` is replaced as long as the client has not received one.
     async fn next_event_or_resume(
@@ -135,7 +236,10 @@
     ) -> Result<Option<StreamEvent>, Cause> {
         loop {
             match self.next_from_source().await {
-                NextEvent::Event(event) => return Ok(Some(event)),
+                NextEvent::Event(event) => {
+                    self.last_read = event.id.or(self.last_read);
+                    return Ok(Some(event));
+                }
                 NextEvent::End => {
                     self.release_source();
                     return Ok(None);
@@ -163,7 +267,7 @@
                 source.progress = CrashedRun::AfterOutput;
                 // Failure: an endpoint repeats an event, or sends one of an earlier run. Ids
                 // increase by one; an event that does not follow is not delivered.
-                if is_next_event(self.last_delivered, event.id) {
+                if is_next_event(self.last_read, event.id) {
                     let version = &source.slot.endpoint.version;
                     let bound = &mut self.exchange.stream_version;
                     bound.get_or_insert_with(|| version.clone());
@@ -216,11 +320,11 @@
                 source.progress,
                 "stream ended early",
             );
-            let last_delivered = self.last_delivered;
+            let last_read = self.last_read;
             let id = &source.slot.endpoint.id;
             self.exchange
                 .trace
-                .step(format_args!("{id} broke off after {last_delivered:?}"));
+                .step(format_args!("{id} broke off after {last_read:?}"));
             // Dropping the source closes its connection, which stops the endpoint's run.
         }
         let timed_out = self.exchange.time_left().is_zero();
@@ -233,8 +337,8 @@
             return Err(cause);
         }
         self.exchange.may_retry(cause).map_err(|(cause, _)| cause)?;
-        let last_delivered = self.last_delivered;
-        let response = self.exchange.first_response(last_delivered).await;
+        let last_read = self.last_read;
+        let response = self.exchange.first_response(last_read).await;
         let response = response.map_err(|(cause, _)| cause)?;
         if response.parts.status.is_success() {
             self.exchange.gw.metrics.count(metrics::STREAMS_RESUMED);
@@ -254,9 +358,9 @@
     }
 }
 
-fn is_next_event(last_delivered: Option<u64>, next: Option<u64>) -> bool {
-    match (last_delivered, next) {
-        (Some(last_delivered), Some(next)) => next == last_delivered + 1,
+fn is_next_event(last_read: Option<u64>, next: Option<u64>) -> bool {
+    match (last_read, next) {
+        (Some(last_read), Some(next)) => next == last_read + 1,
         _ => true,
     }
 }
--- a/crates/anvil_gateway/tests/direct/charging.rs
+++ b/crates/anvil_gateway/tests/direct/charging.rs
@@ -12,7 +12,7 @@
 const KEY: &str = "x-key: key\r\n";
 
 /// Grants this amount to the co-op, as the ledger would.
-fn add_grant(gateway: &TestGateway, id: GrantId, amount: Tokens) {
+pub fn add_grant(gateway: &TestGateway, id: GrantId, amount: Tokens) {
     let grant_account = &gateway.gw.grant_account;
     let batch = grant_account
         .next_batch(gateway.gw.lifecycle.now())
--- a/crates/anvil_gateway/tests/direct/client.rs
+++ b/crates/anvil_gateway/tests/direct/client.rs
@@ -51,6 +51,12 @@
         Ok(Self { socket, buf })
     }
 
+    /// Uses a socket that is connected already.
+    pub fn on(socket: TcpStream) -> Self {
+        let buf = Vec::new();
+        Self { socket, buf }
+    }
+
     /// Sends a request with this body and waits for the response.
     pub async fn request_with_body(&mut self, path: &str, id: &str, body: &str) -> ClientResponse {
         let headers = format!("content-length: {}\r\n", body.len());
--- a/crates/anvil_gateway/tests/direct/gateway.rs
+++ b/crates/anvil_gateway/tests/direct/gateway.rs
@@ -203,8 +203,26 @@
         gateway
     }
 
+    /// A gateway that accepts clients on this listener, with one endpoint.
+    pub fn start_on(listener: TcpListener, endpoint: SocketAddr, metrics: Metrics) -> Self {
+        let log = Logger::root(Discard, o!());
+        let gateway = Self::serve_on(listener, settings(), log, metrics);
+        gateway.gw.directory.apply_list(&[listed("a", endpoint)]);
+        gateway.gw.table.store(Some(Arc::new(table(1, routes()))));
+        gateway
+    }
+
     async fn start_without_state(cfg: GatewaySettings, log: Logger, metrics: Metrics) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        Self::serve_on(listener, cfg, log, metrics)
+    }
+
+    fn serve_on(
+        listener: TcpListener,
+        cfg: GatewaySettings,
+        log: Logger,
+        metrics: Metrics,
+    ) -> Self {
         let addr = listener.local_addr().expect("an address");
         let gw = Arc::new(Gateway::new(cfg, log, metrics));
         let serving = tokio::spawn(serve::serve_clients(gw.clone(), listener));
--- a/crates/anvil_gateway/tests/direct/main.rs
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -20,6 +20,7 @@
 mod responses;
 mod shared_contents;
 mod siblings;
+mod slow_readers;
 mod starting;
 mod streams;
 mod uneven_load;
--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -51,6 +51,7 @@
 //! * [`crash`]: which contents were in flight at an endpoint when it crashed, and [`recent_answers`]: which are sound.
 //! * [`blame`]: which contents endpoints crash under.
 //! * [`rate_share`]: each router's part of a rate limit that an endpoint announces for all of them.
+//! * [`read_ahead`]: how far a router reads ahead of clients that read slowly.
 //! * [`warm_up`]: which endpoints may be warming up and tolerate few requests.
 //! * [`version_history`]: which software versions of a service served, and when last.
 //! * [`stream_origins`]: which routers know at which version a stream began.
@@ -81,6 +82,7 @@
 pub mod prefix;
 pub mod prelude;
 pub mod rate_share;
+pub mod read_ahead;
 pub mod recent_answers;
 pub mod retry;
 pub mod stream_origins;
