--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -13,6 +13,7 @@
 use hyper::body::{Body, Incoming};
 use tokio::time::{Instant, timeout_at};
 
+use crate::accept::client_socket::ClientConnection;
 use crate::attempt_counter::AttemptCounter;
 use crate::availability;
 use crate::dialect::RequestHead;
@@ -34,8 +35,12 @@
 const LEADER_ELECTION_TIME: Duration = Duration::from_secs(1);
 
 /// Answers one request.
-pub async fn handle_request(gw: &Arc<Gateway>, req: Request<Incoming>) -> Reply {
-    let received_at = Instant::now();
+pub async fn handle_request(
+    gw: &Arc<Gateway>,
+    client: Arc<ClientConnection>,
+    req: Request<Incoming>,
+) -> Reply {
+    let received_at = client.request_started_at();
     let (head, body) = req.into_parts();
     let request = match (gw.cfg.dialect.parse_request)(&head) {
         Ok(request) => request,
@@ -48,7 +53,10 @@
     };
     let mut trace = Trace::new(gw.clone(), request.id.clone(), received_at);
     match admit(gw, head, body, request, received_at, &mut trace).await {
-        Ok(admitted) => admitted.into_exchange(gw.clone(), trace).run().await,
+        Ok(admitted) => {
+            let exchange = admitted.into_exchange(gw.clone(), client, trace);
+            exchange.run().await
+        }
         Err((cause, retry_after)) => {
             trace.record_outcome(cause.text());
             refusal(cause, Some(retry_after))
@@ -71,7 +79,12 @@
 }
 
 impl Admitted {
-    fn into_exchange(self, gw: Arc<Gateway>, trace: Trace) -> Exchange {
+    fn into_exchange(
+        self,
+        gw: Arc<Gateway>,
+        client: Arc<ClientConnection>,
+        trace: Trace,
+    ) -> Exchange {
         let prompt_parts = self.request.model_work.as_ref();
         let prompt_parts =
             prompt_parts.map(|work| work.parts.iter().map(|p| (p.id, p.tokens)).collect());
@@ -82,6 +95,7 @@
         );
         Exchange {
             gw,
+            client,
             regions,
             prompt_parts: prompt_parts.unwrap_or_default(),
             shared: self.shared,
@@ -101,7 +115,6 @@
             method: self.head.method,
             uri: self.head.uri,
             headers: self.head.headers,
-            client_pace: self.head.extensions.get().cloned().unwrap_or_default(),
             body: self.body,
             request_digest: self.request_digest,
         }
@@ -126,9 +139,14 @@
         trace.record_organisation(&organisation.id);
     }
     let deadline = received_at + request.timeout.min(route.timeout);
+    if deadline <= Instant::now() {
+        return Err((Cause::Expired, DEFAULT_RETRY_AFTER));
+    }
+    let expected = gw.sockets.link.expect(body.size_hint().lower());
     trace.stages.enter(Stage::Body);
     let body = read_body(body, table.limits.body_bytes, deadline).await?;
     trace.stages.enter(Stage::Other);
+    drop(expected);
     let payer = organisation.as_deref();
     let request_digest = request_digest::digest(payer, &route, &head.method, &head.uri, &body);
     let service = gw
@@ -227,7 +245,8 @@
     deadline: Instant,
     trace: &mut Trace,
 ) -> Result<Option<RequestCharge>, RequestRefusal> {
-    let Some(organisation) = organisation.filter(|organisation| organisation.prepaid) else {
+    let Some(organisation) = organisation.filter(|organisation| organisation.prepaid.is_some())
+    else {
         return Ok(None);
     };
     let Some(work) = &request.model_work else {
--- a/crates/anvil_gateway/src/connection_watch.rs
+++ b/crates/anvil_gateway/src/connection_watch.rs
@@ -18,7 +18,9 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout};
 
+use crate::accept::descriptor_budget::DescriptorGuard;
 use crate::late_response::{LateHandler, LateResponse};
+use crate::send::link_budget::LinkBudget;
 
 /// For how long an abandoned connection is read. An endpoint notices the close within a few
 /// milliseconds; one that does not close in this time is assumed to have begun.
@@ -133,19 +135,35 @@
 pub struct WatchedSocket {
     socket: Option<TcpStream>,
     watch: Arc<ConnectionWatch>,
+    link: Arc<LinkBudget>,
+    /// Dropped after the socket.
+    descriptor: Option<DescriptorGuard>,
 }
 
 impl WatchedSocket {
-    /// Wraps a socket.
-    pub fn new(socket: TcpStream) -> (Self, Arc<ConnectionWatch>) {
+    /// Wraps a socket for which `descriptor` was counted.
+    pub fn new(
+        socket: TcpStream,
+        link: Arc<LinkBudget>,
+        descriptor: DescriptorGuard,
+    ) -> (Self, Arc<ConnectionWatch>) {
         let watch = ConnectionWatch::new();
         let watched = Self {
             socket: Some(socket),
             watch: watch.clone(),
+            link,
+            descriptor: Some(descriptor),
         };
         (watched, watch)
     }
 
+    fn count_written(&self, polled: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(written)) = &polled {
+            self.link.count_prompt(*written);
+        }
+        polled
+    }
+
     fn socket(&mut self) -> Pin<&mut TcpStream> {
         let socket = self.socket.as_mut();
         // The socket is taken out only on drop.
@@ -159,6 +177,7 @@
             return;
         };
         let watch = self.watch.clone();
+        let descriptor = self.descriptor.take();
         let awaited = watch.awaiting_response.load(Ordering::Relaxed);
         let Ok(runtime) = tokio::runtime::Handle::try_current() else {
             return;
@@ -175,6 +194,7 @@
             let reading = timeout(LINGER, read_to_end(socket, &watch));
             let end = reading.await.unwrap_or(End::Abandoned);
             watch.set_end(end);
+            drop(descriptor);
         });
     }
 }
@@ -206,6 +226,7 @@
         let polled = self.socket().poll_read(cx, buf);
         if buf.filled().len() > before {
             self.watch.record_received(&buf.filled()[before..]);
+            self.link.count_received(buf.filled().len() - before);
         }
         polled
     }
@@ -217,9 +238,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = self.socket().poll_write(cx, buf);
-        self.watch.record_write(&written);
-        written
+        let polled = self.socket().poll_write(cx, buf);
+        self.watch.record_write(&polled);
+        self.count_written(polled)
     }
 
     fn poll_write_vectored(
@@ -227,9 +248,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = self.socket().poll_write_vectored(cx, bufs);
-        self.watch.record_write(&written);
-        written
+        let polled = self.socket().poll_write_vectored(cx, bufs);
+        self.watch.record_write(&polled);
+        self.count_written(polled)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -15,10 +15,10 @@
 use http_body_util::{BodyExt, Limited};
 use tokio::time::{Instant, timeout_at};
 
+use crate::accept::client_socket::ClientConnection;
 use crate::attempt::{AttemptOutcome, Doubt, EndpointResponse, NotRun};
 use crate::attempt_counter::AttemptCounter;
 use crate::availability;
-use crate::client_socket::ClientPace;
 use crate::connection_watch::ConnectionWatch;
 use crate::dialect::{PartId, RequestHead};
 use crate::gateway::Gateway;
@@ -27,6 +27,7 @@
 use crate::regions::{AllowedRegions, Constraints};
 use crate::reply::{Cause, Reply, full_body, refusal, remove_connection_headers};
 use crate::request_charge::RequestCharge;
+use crate::send::pacing::retry_elsewhere_after;
 use crate::shared_content::SharedContent;
 use crate::stage_times::Stage;
 use crate::stream_relay::StreamRelay;
@@ -58,6 +59,8 @@
 pub struct Exchange {
     /// State shared by all requests.
     pub gw: Arc<Gateway>,
+    /// The connection of its client.
+    pub client: Arc<ClientConnection>,
     /// The parsed request head.
     pub request: RequestHead,
     /// The matching route.
@@ -96,8 +99,6 @@
     pub uri: Uri,
     /// The client's headers.
     pub headers: HeaderMap,
-    /// Whether the client reads as fast as it is written to.
-    pub client_pace: ClientPace,
     /// The complete body.
     pub body: Bytes,
     /// Equal for requests that count as the same one.
@@ -155,6 +156,11 @@
                     self.trace.step(format_args!("not sent: not accepting"));
                     continue;
                 }
+                Ok(AttemptOutcome::NotRun(NotRun::Withheld(cause))) => {
+                    self.trace.step(format_args!("not sent: {}", cause.text()));
+                    self.gw.metrics.count(metrics::ATTEMPTS_NOT_RUN);
+                    return Err((self.cause_by_doubt(cause), retry_elsewhere_after()));
+                }
                 Ok(AttemptOutcome::NotRun(reason)) => {
                     let cause = self.record_not_run(&reason);
                     self.may_retry(cause).err()
@@ -240,6 +246,15 @@
         }
     }
 
+    /// The cause to state if the last attempt was not sent: an earlier one may have run.
+    fn cause_by_doubt(&self, cause: Cause) -> Cause {
+        match cause {
+            Cause::Expired if self.in_doubt => Cause::ResponseTimeout,
+            Cause::NoDescriptors if self.in_doubt => Cause::ResponseLost,
+            cause => cause,
+        }
+    }
+
     /// Whether the request may be sent to another endpoint after this failure.
     pub fn may_retry(&mut self, failed: Cause) -> Result<(), RequestRefusal> {
         let cause = if self.in_doubt && failed == Cause::RefusedByEndpoints {
--- a/crates/anvil_gateway/src/exchange/one_attempt.rs
+++ b/crates/anvil_gateway/src/exchange/one_attempt.rs
@@ -39,6 +39,7 @@
         after: Option<u64>,
     ) -> Result<AttemptOutcome, RequestRefusal> {
         self.refuse_in_quarantine()?;
+        let link_reservation = self.wait_for_link().await?;
         let selection = self.select_endpoint()?;
         let endpoint = selection.slot.endpoint.clone();
         self.record_origin(&endpoint.version);
@@ -65,6 +66,8 @@
                 shared: &self.shared,
             },
             response_deadline,
+            deadline: self.deadline,
+            client: Some(&*self.client),
             watch: &mut self.awaited_connection,
             stages: &mut self.trace.stages,
         };
@@ -74,6 +77,7 @@
         if let Some(charge) = &mut self.charge {
             charge.record_begun();
         }
+        link_reservation.record_sent();
         let sent_at = Instant::now();
         let outcome = send(&self.gw, selection.slot, outgoing).await;
         self.awaited_connection = None;
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -22,6 +22,9 @@
 use slog::Logger;
 use tokio::sync::Notify;
 
+use crate::accept::intake_status::IntakeStatus;
+use crate::accept::resource_limits::ResourceLimits;
+use crate::accept::socket_budgets::SocketBudgets;
 use crate::dialect::{Dialect, ListSource};
 use crate::directory::Directory;
 use crate::endpoint_limits::EndpointLimits;
@@ -71,6 +74,11 @@
     /// How far all gateways together may exceed the rate that an endpoint tolerates during its
     /// warm-up.
     pub warm_up_tolerance: BurstTolerance,
+    /// What the machine provides.
+    pub limits: ResourceLimits,
+    /// The longest outage of the ledger over which requests are to be paid for; `None` if grants need not
+    /// outlast one.
+    pub outage_horizon: Option<Duration>,
 }
 
 /// One gateway process.
@@ -131,6 +139,10 @@
     pub service_versions: ServiceVersions,
     /// Software versions at which streams began.
     pub stream_origins: StreamOrigins,
+    /// The link and the descriptors that all connections share.
+    pub sockets: SocketBudgets,
+    /// Whether clients' connections are being rejected.
+    pub intake: Arc<IntakeStatus>,
     /// What streams have read ahead of their clients.
     pub(crate) read_ahead: Mutex<ReadAhead>,
     /// Requests in progress.
@@ -157,6 +169,9 @@
 /// For how long a gateway that could not pay for a request reports that it is not ready, in
 /// milliseconds: the load balancer checks once per second and acts on the second failed check.
 const STARVED_TIME_MS: u64 = 2_500;
+/// For how long a request that was paid for shows that the grants are not used up: a few requests' intervals
+/// at a gateway with little load.
+const PAYING_TIME: Duration = Duration::from_secs(1);
 /// Number of gateways assumed to share the budget until the ledger reports it.
 const ASSUMED_GATEWAYS: u32 = 16;
 
@@ -165,9 +180,11 @@
 ///
 /// Grants are therefore small, and a request that needs more triggers a batch to the ledger, which
 /// answers within about 10 ms. A lost gateway costs what its horizon covers, 0.7 s of its demand
-/// averaged over the last second, and what its running requests have reserved.
-fn grant_policy() -> GrantPolicy {
+/// averaged over the last second, and what its running requests have reserved. With an outage horizon, it
+/// also costs what was held for an outage, while much of the budget is left.
+fn grant_policy(outage_horizon: Option<Duration>) -> GrantPolicy {
     GrantPolicy {
+        outage_horizon,
         horizon: Duration::from_millis(700),
         // About five batches, and about the duration of a response to a prompt.
         smoothing_window: Some(Duration::from_secs(1)),
@@ -194,7 +211,8 @@
         // If the clock was set back, a later incarnation would look older and the ledger would
         // refuse its batches. A random part of the name keeps incarnations apart.
         let name = format!("{}#{:x}", cfg.id, rand::random::<u64>());
-        let grant_account = GrantAccount::new(name.into(), lifecycle.incarnation, grant_policy());
+        let policy = grant_policy(cfg.outage_horizon);
+        let grant_account = GrantAccount::new(name.into(), lifecycle.incarnation, policy);
         Self {
             table: ArcSwapOption::empty(),
             directory: Directory::default(),
@@ -224,7 +242,9 @@
             endpoint_limits: EndpointLimits::default(),
             service_versions: ServiceVersions::default(),
             stream_origins: StreamOrigins::default(),
-            read_ahead: Mutex::new(ReadAhead::new(None)),
+            sockets: SocketBudgets::new(&cfg.limits),
+            intake: Arc::default(),
+            read_ahead: Mutex::new(ReadAhead::new(cfg.limits.memory)),
             open_requests: AtomicU32::new(0),
             starved_until_ms: AtomicU64::new(0),
             retry_budgets: Mutex::default(),
@@ -249,7 +269,14 @@
     }
 
     /// Records that a request could not be paid for because the ledger is unreachable.
+    ///
+    /// Failure: grants outlast an outage for most organisations, and one request that lacks tokens closes
+    /// the connections of all. So a gateway that still pays for requests stays ready.
     pub fn mark_starved(&self) {
+        let now = self.lifecycle.now();
+        if self.grant_account.is_paying(now, PAYING_TIME) {
+            return;
+        }
         let until = self.now_ms() + STARVED_TIME_MS;
         if !self.is_starved() {
             event!(self.log, log_events::GATEWAY_STARVED);
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -6,11 +6,11 @@
 //! and are answered with a complete body or a stream of events. The platform's names and formats
 //! are kept out of this crate by a [`dialect::Dialect`].
 //!
-//! Path of a request: [`serve`] accepts the connection, [`admit`] checks the request and reserves
+//! Path of a request: [`serve`] accepts the connection, [`accept`] limits how many and watches them, [`admit`] checks the request and reserves
 //! tokens, [`exchange`] runs attempts until one succeeds, [`choose`] selects the endpoint,
-//! [`attempt`] sends the request to it, [`attempt_counter`] counts attempts, [`availability`] waits
+//! [`send`] waits for the link, [`attempt`] sends the request to it, [`attempt_counter`] counts attempts, [`availability`] waits
 //! for a routing table or endpoints that are expected shortly, [`stream_relay`] forwards a stream
-//! and resumes it at another endpoint, [`client_socket`] shows whether its client reads fast enough,
+//! and resumes it at another endpoint, [`accept::client_socket`] shows whether its client reads fast enough,
 //! [`reply`] builds refusals.
 //!
 //! Quarantine of requests that crash endpoints, and of what such requests have in common: [`crashes`]
@@ -32,12 +32,12 @@
 //! ledger ([`ledger_updates`]), grants from the ledger ([`grant_loop`]), the list of endpoints from
 //! the platform or from other gateways ([`list`]), endpoint load from response headers ([`endpoint`]).
 
+pub mod accept;
 pub mod admit;
 pub mod attempt;
 pub mod attempt_counter;
 pub mod availability;
 pub mod choose;
-pub mod client_socket;
 pub mod connection_watch;
 pub mod crashes;
 pub mod dialect;
@@ -60,6 +60,7 @@
 pub mod request_charge;
 pub mod request_digest;
 pub mod run;
+pub mod send;
 pub mod serve;
 pub mod service_versions;
 pub mod shared_content;
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -81,6 +81,24 @@
 pub const LIST_FROM_SIBLING: &str = "list.told";
 /// Requests in progress. Gauge.
 pub const OPEN_REQUESTS: &str = "requests.open";
+/// Time that requests waited for the link. Milliseconds.
+pub const LINK_WAIT: &str = "request.link_wait";
+/// Bytes received from clients and endpoints since the start. Gauge.
+pub const LINK_RECEIVED: &str = "link.received";
+/// Bytes sent to clients and endpoints since the start. Gauge.
+pub const LINK_SENT: &str = "link.sent";
+/// Time until the link is free of the data that is to be sent. Gauge, milliseconds.
+pub const LINK_BACKLOG: &str = "link.backlog";
+/// Times that the gateway stopped listening for clients because of load. Count.
+pub const INTAKE_CLOSINGS: &str = "intake.closings";
+/// Part of the time in which it doesn't listen. Gauge, percent.
+pub const INTAKE_CLOSED: &str = "intake.closed";
+/// Descriptors of clients' connections. Gauge.
+pub const CLIENT_DESCRIPTORS: &str = "descriptors.clients";
+/// Descriptors of connections to endpoints. Gauge.
+pub const ENDPOINT_DESCRIPTORS: &str = "descriptors.endpoints";
+/// Idle connections to endpoints that were closed to free descriptors. Count.
+pub const IDLE_CLOSED: &str = "descriptors.idle_closed";
 /// Version of the routing table in force. Gauge.
 pub const TABLE_VERSION: &str = "table.version";
 /// Gateways that share the retry budget. Gauge.
@@ -89,6 +107,12 @@
 pub const ENDPOINTS_AVAILABLE: &str = "endpoints.open";
 /// Endpoints on cooldown. Gauge.
 pub const ENDPOINTS_ON_COOLDOWN: &str = "endpoints.shut";
+/// Tokens free in this gateway's grants: lost if it is killed. Gauge.
+pub const GRANTS_FREE: &str = "grants.free";
+/// Budgets whose grants are to outlast an outage of the ledger. Gauge.
+pub const BUDGETS_COVERED: &str = "budgets.covered";
+/// Budgets of which little is left, so that their grants are short. Gauge.
+pub const BUDGETS_SCARCE: &str = "budgets.scarce";
 /// Time since the ledger last confirmed the cached state. Gauge, milliseconds.
 pub const LEDGER_AGE: &str = "age.ledger";
 /// Time since the platform's list was last read. Gauge, milliseconds.
@@ -133,10 +157,22 @@
     (LIST_READ, "count"),
     (LIST_FROM_SIBLING, "count"),
     (OPEN_REQUESTS, "gauge"),
+    (LINK_WAIT, "milliseconds"),
+    (LINK_RECEIVED, "gauge"),
+    (LINK_SENT, "gauge"),
+    (LINK_BACKLOG, "gauge"),
+    (INTAKE_CLOSINGS, "count"),
+    (INTAKE_CLOSED, "gauge"),
+    (CLIENT_DESCRIPTORS, "gauge"),
+    (ENDPOINT_DESCRIPTORS, "gauge"),
+    (IDLE_CLOSED, "count"),
     (TABLE_VERSION, "gauge"),
     (GATEWAYS, "gauge"),
     (ENDPOINTS_AVAILABLE, "gauge"),
     (ENDPOINTS_ON_COOLDOWN, "gauge"),
+    (GRANTS_FREE, "gauge"),
+    (BUDGETS_COVERED, "gauge"),
+    (BUDGETS_SCARCE, "gauge"),
     (LEDGER_AGE, "gauge"),
     (LIST_AGE, "gauge"),
 ];
@@ -153,12 +189,22 @@
             .map_or(0, |table_version| table_version.version);
         let list_age = self.list_cache.age().min(self.lifecycle.now()).as_millis();
         let list_age = u64::try_from(list_age).unwrap_or(u64::MAX);
+        let backlog = self.sockets.link.backlog().as_millis();
+        let backlog_ms = u64::try_from(backlog).unwrap_or(u64::MAX);
+        let descriptors = self.sockets.descriptors.in_use();
+        let grants = self.grant_account.cover_status(self.lifecycle.now());
         let age = |since_ms: u64| now.saturating_sub(since_ms);
         for (name, value) in [
             (
                 OPEN_REQUESTS,
                 u64::from(self.open_requests.load(Ordering::Relaxed)),
             ),
+            (LINK_RECEIVED, self.sockets.link.received()),
+            (LINK_SENT, self.sockets.link.sent()),
+            (LINK_BACKLOG, backlog_ms),
+            (INTAKE_CLOSED, u64::from(self.intake.closed_percent())),
+            (CLIENT_DESCRIPTORS, u64::from(descriptors.clients)),
+            (ENDPOINT_DESCRIPTORS, u64::from(descriptors.endpoints)),
             (TABLE_VERSION, table_version),
             (
                 GATEWAYS,
@@ -177,6 +223,9 @@
             (ENDPOINTS_WARMING_UP, self.count_warming_up()),
             (SERVICES_MIXED, self.count_mixed_services()),
             (ORIGINS_KNOWN, self.count_known_origins()),
+            (GRANTS_FREE, grants.free),
+            (BUDGETS_COVERED, grants.covered),
+            (BUDGETS_SCARCE, grants.scarce),
             (READ_AHEAD_BYTES, self.read_ahead().total()),
             (
                 LEDGER_AGE,
--- a/crates/anvil_gateway/src/reply.rs
+++ b/crates/anvil_gateway/src/reply.rs
@@ -42,6 +42,10 @@
     LedgerUnreachable,
     /// This process has no routing table or no endpoints yet.
     NotReady,
+    /// The client closed its connection before the request was sent to an endpoint.
+    ClientLeft,
+    /// The deadline passed before the request was sent to an endpoint.
+    Expired,
     /// This process is stopping.
     Leaving,
     /// No endpoint of the service accepts requests.
@@ -52,6 +56,10 @@
     Evacuated,
     /// All endpoints are too busy to respond in time.
     Overloaded,
+    /// The link is too busy to send the request in time; another process may have room.
+    LinkBusy,
+    /// No descriptor is left for a connection to an endpoint; another process may have one.
+    NoDescriptors,
     /// All endpoints have asked for a pause.
     EndpointsPaused,
     /// No gateway knows which software version began the stream that is taken up.
@@ -70,7 +78,7 @@
 
 impl Cause {
     /// All causes.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 25] = [
         Self::BadHead,
         Self::UnknownKey,
         Self::NoRoute,
@@ -80,11 +88,15 @@
         Self::BudgetBusy,
         Self::LedgerUnreachable,
         Self::NotReady,
+        Self::ClientLeft,
+        Self::Expired,
         Self::Leaving,
         Self::NoEndpoint,
         Self::OutsideRegions,
         Self::Evacuated,
         Self::Overloaded,
+        Self::LinkBusy,
+        Self::NoDescriptors,
         Self::EndpointsPaused,
         Self::StreamUnknown,
         Self::VersionGone,
@@ -106,11 +118,15 @@
             Self::BudgetBusy => StatusCode::TOO_MANY_REQUESTS,
             Self::LedgerUnreachable
             | Self::NotReady
+            | Self::ClientLeft
+            | Self::Expired
             | Self::Leaving
             | Self::NoEndpoint
             | Self::OutsideRegions
             | Self::Evacuated
             | Self::Overloaded
+            | Self::LinkBusy
+            | Self::NoDescriptors
             | Self::EndpointsPaused
             | Self::StreamUnknown
             | Self::VersionGone
@@ -133,11 +149,15 @@
             Self::BudgetBusy => "budget_busy",
             Self::LedgerUnreachable => "ledger_unreachable",
             Self::NotReady => "not_ready",
+            Self::ClientLeft => "client_left",
+            Self::Expired => "expired",
             Self::Leaving => "leaving",
             Self::NoEndpoint => "no_endpoint",
             Self::OutsideRegions => "outside_regions",
             Self::Evacuated => "evacuated",
             Self::Overloaded => "overloaded",
+            Self::LinkBusy => "link_busy",
+            Self::NoDescriptors => "no_descriptors",
             Self::EndpointsPaused => "endpoints_paused",
             Self::StreamUnknown => "stream_unknown",
             Self::VersionGone => "version_gone",
--- a/crates/anvil_gateway/src/stream_relay.rs
+++ b/crates/anvil_gateway/src/stream_relay.rs
@@ -103,7 +103,7 @@
             return self;
         };
         relay.let_write().await;
-        if relay.exchange.client_pace.is_slow() {
+        if relay.exchange.client.reads_slowly() {
             Self::Ahead(relay.read_ahead())
         } else {
             Self::Direct(relay)
--- a/crates/anvil_gateway/tests/direct/gateway.rs
+++ b/crates/anvil_gateway/tests/direct/gateway.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvil_gateway::accept::resource_limits::ResourceLimits;
 use anvil_gateway::dialect::{ListPage, ListSource};
 use anvil_gateway::list::discovery;
 use anvil_gateway::regions::AllowedRegions;
@@ -64,7 +65,7 @@
     let organisation = Organisation {
         id: "co-op".into(),
         priority_class: None,
-        prepaid: true,
+        prepaid: Some(1_000_000),
         regions: AllowedRegions::default(),
     };
     let service = Service {
@@ -153,6 +154,8 @@
         siblings_bind: None,
         max_list_age: Duration::from_secs(1),
         warm_up_tolerance: BurstTolerance::within_a_second(1.5, 5.0),
+        limits: ResourceLimits::default(),
+        outage_horizon: None,
     }
 }
 
@@ -170,7 +173,17 @@
         log: Logger,
         metrics: Metrics,
     ) -> Self {
-        let gateway = Self::start_without_state(settings(), log, metrics).await;
+        Self::start_configured(settings(), endpoints, log, metrics).await
+    }
+
+    /// The same with settings.
+    pub async fn start_configured(
+        cfg: GatewaySettings,
+        endpoints: &[(&str, &TestEndpoint)],
+        log: Logger,
+        metrics: Metrics,
+    ) -> Self {
+        let gateway = Self::start_without_state(cfg, log, metrics).await;
         let mut list: Vec<_> = endpoints.iter().map(|(id, e)| listed(id, e.addr)).collect();
         // Only the first one is in the gateway's zone, so it is tried first.
         for other in list.iter_mut().skip(1) {
@@ -212,7 +225,8 @@
         gateway
     }
 
-    async fn start_without_state(cfg: GatewaySettings, log: Logger, metrics: Metrics) -> Self {
+    /// A gateway with these settings, without routing table and endpoints.
+    pub async fn start_without_state(cfg: GatewaySettings, log: Logger, metrics: Metrics) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         Self::serve_on(listener, cfg, log, metrics)
     }
--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -44,6 +44,7 @@
 //! * [`health`], with [`limit`] and [`ejection`]: how much work an endpoint is given.
 //! * [`retry`]: whether a failed attempt is repeated.
 //! * [`grant`]: how much of a budget a router holds.
+//! * [`outage_grant`]: how much it holds so that it can pay for requests while the ledger does not answer.
 //! * [`engine`]: which engine a prompt goes to, among engines without a sidecar.
 //! * [`pace`]: how much longer work takes where an endpoint shares its machine.
 //! * [`pause`]: when a router sends to an endpoint that asked for a pause.
@@ -57,6 +58,7 @@
 //! * [`stream_origins`]: which routers know at which version a stream began.
 //! * [`prefix`]: which endpoints hold which prompt prefixes.
 //! * [`list_turn`]: which router reads the list of endpoints for the others.
+//! * [`link_pacer`], [`intake`] and [`descriptors`]: what a router with a narrow link or few descriptors sends and accepts.
 //! * [`subset`] and [`placement`]: which endpoints a router watches, and which models they hold.
 //!
 //! [`Now`]: anvil_world::ids::Now
@@ -67,6 +69,7 @@
 pub mod copying;
 pub mod crash;
 pub mod deadline;
+pub mod descriptors;
 pub mod ejection;
 pub mod endpoint;
 pub mod engine;
@@ -74,8 +77,11 @@
 pub mod fair;
 pub mod grant;
 pub mod health;
+pub mod intake;
 pub mod limit;
+pub mod link_pacer;
 pub mod list_turn;
+pub mod outage_grant;
 pub mod pace;
 pub mod pause;
 pub mod placement;
