--- a/crates/anvil_gateway/src/accept/client_socket.rs
+++ b/crates/anvil_gateway/src/accept/client_socket.rs
@@ -27,6 +27,8 @@
 pub struct ClientSocket {
     socket: Arc<Mutex<TcpStream>>,
     link: Arc<LinkBudget>,
+    /// See [`ClientConnection::reads_slowly`].
+    reads_slowly: Arc<AtomicBool>,
     /// Dropped after the socket.
     _descriptor: DescriptorGuard,
 }
@@ -37,6 +39,8 @@
     accepted_at: Instant,
     /// Whether the next request is the first one and lay in the socket when it was accepted.
     first_is_waiting: AtomicBool,
+    /// Whether the last write had to wait, because the socket's buffer is full.
+    reads_slowly: Arc<AtomicBool>,
 }
 
 /// What a look at a socket shows.
@@ -55,20 +59,25 @@
     pub fn new(socket: TcpStream, sockets: &SocketBudgets) -> (Self, ClientConnection) {
         let first_is_waiting = peek(&socket) == SocketState::HasData;
         let socket = Arc::new(Mutex::new(socket));
+        let reads_slowly = Arc::new(AtomicBool::new(false));
         let connection = ClientConnection {
             socket: Arc::downgrade(&socket),
             accepted_at: Instant::now(),
             first_is_waiting: AtomicBool::new(first_is_waiting),
+            reads_slowly: reads_slowly.clone(),
         };
         let socket = Self {
             socket,
             link: sockets.link.clone(),
+            reads_slowly,
             _descriptor: sockets.descriptors.client(),
         };
         (socket, connection)
     }
 
     fn count_written(&self, polled: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        self.reads_slowly
+            .store(polled.is_pending(), Ordering::Relaxed);
         if let Poll::Ready(Ok(written)) = &polled {
             self.link.count_response(*written);
         }
@@ -83,6 +92,11 @@
         socket.is_none_or(|socket| peek(&lock(&socket)) == SocketState::Closed)
     }
 
+    /// Whether the client reads more slowly than it is written to.
+    pub fn reads_slowly(&self) -> bool {
+        self.reads_slowly.load(Ordering::Relaxed)
+    }
+
     /// From when on the time limit of a request counts whose head has just been read: a first request
     /// that lay in the socket when it was accepted counts from then.
     pub fn request_started_at(&self) -> Instant {
