Learn engines' speeds, and weigh the homes of prefixes by them

Cause: one prefill speed and one batch cost are assumed of all engines, and each engine is home to as many prefixes as any other. Prompts queue at slow engines, and where engines prefill four times as fast as assumed, their batches are taken for slower than they are. Change: engine/speed.rs learns from times to first events: the service's prefill time, batch cost and time of the first event, and each engine's speed relative to its service. engine/home.rs ranks homes by weights in coarse steps of the long-term speed; equal weights keep today's homes.

--- a/crates/anvil_policy/src/engine.rs
+++ b/crates/anvil_policy/src/engine.rs
@@ -10,21 +10,27 @@
 //! *Mechanism:* the engine with the lowest expected time to the first token is chosen. That time
 //! includes the prompts queued there for prefill, and the tokens of this prompt that the engine has
 //! not cached. Each shared prefix has a home engine that all routers compute in the same way
-//! ([`home_rank`]), so that they agree without communication. A busy home is skipped exactly when
-//! prefilling the prefix elsewhere is faster.
+//! ([`home`]), so that they agree without communication. A busy home is skipped when prefilling the
+//! prefix elsewhere is faster by more than it costs other requests ([`EndpointView::reload_cost`]):
+//! without that cost, requests leave slow homes for fast engines, whose caches and queues they fill.
 //!
-//! *Thresholds:* the speed assumed of an engine is in [`EngineRule`]; cooldowns after failures are
-//! short, so that an endpoint that has recovered is not left idle while the others are full.
+//! *Thresholds:* the speed assumed of an engine before any response is in [`EngineRule`]; [`speed`]
+//! learns it. Cooldowns after failures are short, so that an endpoint that has recovered is not left
+//! idle while the others are full.
+
+pub mod home;
+pub mod speed;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use anvil_world::prelude::*;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+pub use self::home::{HomeWeight, home_rank};
+use self::speed::{RelativeSpeed, ReportedWork, ServiceSpeed, WorkAhead};
 use crate::pace::WorkPace;
 
-/// How fast engines work, as the routers assume it.
+/// How fast engines work, as the routers assume it before they have learned it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EngineRule {
     /// Prompt tokens that an engine prefills in a millisecond when it does little else.
@@ -34,6 +40,8 @@
     pub queued_prompt_tokens: Tokens,
     /// Time that a full batch adds, compared to an empty one.
     pub full_penalty: Duration,
+    /// Time of the step that generates the first event.
+    pub first_event_time: Duration,
     /// Network round trip to an engine in another availability zone.
     pub other_zone_round_trip: Duration,
     /// Prompt parts that are remembered for one engine. The oldest are evicted.
@@ -50,6 +58,7 @@
             prefill_tokens_per_ms: 31.0,
             queued_prompt_tokens: 2_500,
             full_penalty: Duration::from_millis(400),
+            first_event_time: Duration::from_millis(5),
             other_zone_round_trip: Duration::from_millis(2),
             max_parts: 512,
             assume_cached_for: Duration::from_mins(2),
@@ -75,6 +84,8 @@
     report: Option<Report>,
     /// How long work takes there, compared to usual.
     pace: WorkPace,
+    /// Its learned speed.
+    speed: RelativeSpeed,
     /// When each prompt part was last prefilled there.
     parts: BTreeMap<u64, Now>,
     /// Rate of failures of the endpoint itself among its recent answers.
@@ -107,6 +118,13 @@
         self.parts.iter().map(|(_, tokens)| tokens).sum()
     }
 
+    /// Tokens of shared parts among this number of missing ones. The parts before a missing one are
+    /// cached, so missing tokens are the last ones of the prompt.
+    pub fn missing_shared(&self, missing: Tokens) -> Tokens {
+        let own = self.parts.last().map_or(0, |(_, tokens)| *tokens);
+        missing.saturating_sub(own)
+    }
+
     /// The last shared part, which identifies the shared prefix of the prompt.
     pub fn shared_prefix(&self) -> Option<u64> {
         let shared = self.parts.len().checked_sub(2)?;
@@ -149,6 +167,60 @@
         self.pending_prefill = self.pending_prefill.saturating_sub(pending_prefill);
     }
 
+    /// What the engine has to do before the first event of a request that is about to be started
+    /// with this number of tokens to prefill.
+    pub fn work_ahead(
+        &self,
+        now: Now,
+        rule: &EngineRule,
+        prompt: &Prompt<'_>,
+        new_tokens: Tokens,
+        slots: u32,
+    ) -> WorkAhead {
+        let own_part = prompt.parts.last().map(|(_, tokens)| *tokens);
+        let missing = self.missing_tokens(now, rule, prompt, false);
+        WorkAhead {
+            new_tokens,
+            is_cache_known: new_tokens == missing && own_part == Some(missing),
+            pending_tokens: self.pending_prefill,
+            reported: self.reported_work(now, rule, slots),
+        }
+    }
+
+    /// Learns from a first event that came `took` after its request was sent, without the network
+    /// round trip. The load at that time is `ahead`, or the one reported since if none was known.
+    /// Returns whether the coarse speed has changed.
+    pub fn record_first_event(
+        &mut self,
+        now: Now,
+        rule: &EngineRule,
+        service: &mut ServiceSpeed,
+        ahead: &WorkAhead,
+        took: Duration,
+        slots: u32,
+    ) -> bool {
+        let ahead = WorkAhead {
+            reported: ahead
+                .reported
+                .or_else(|| self.reported_work(now, &service.apply_to(rule), slots)),
+            ..*ahead
+        };
+        let took = took.div_f64(self.work_factor(now));
+        let previous = self.speed.step();
+        speed::learn(&mut self.speed, service, rule, &ahead, took);
+        self.speed.step() != previous
+    }
+
+    /// Its learned speed.
+    pub fn speed(&self) -> &RelativeSpeed {
+        &self.speed
+    }
+
+    /// Its weight in the choice of homes.
+    pub fn home_weight(&self) -> HomeWeight {
+        HomeWeight::from(&self.speed)
+    }
+
     /// Records that a request has ended.
     pub fn record_end(&mut self) {
         self.running = self.running.saturating_sub(1);
@@ -225,12 +297,13 @@
     /// Summary of what is known of it, for a log line.
     pub fn describe(&self, now: Now) -> String {
         let own = self.running;
+        let speed = self.speed.factor();
         let Some(report) = &self.report else {
-            return format!("{own} own, no report");
+            return format!("{own} own, no report, speed {speed:.2}");
         };
         let age = now.saturating_sub(report.at).as_millis();
         let (running, waiting) = (report.running, report.waiting);
-        format!("{own} own, {running} running and {waiting} waiting {age} ms ago")
+        format!("{own} own, {running} running and {waiting} waiting {age} ms ago, speed {speed:.2}")
     }
 
     /// Slots of the endpoint, as reported or else as listed.
@@ -277,10 +350,32 @@
     ) -> Duration {
         let others = self.others_queued_tokens(now, rule);
         let prefill_time = rule.prefill_time(self.pending_prefill + others + missing);
-        let fullness =
-            f64::from(self.estimated_requests(now)) / f64::from(self.slots(slots).max(1));
-        let usual = prefill_time + rule.full_penalty.mul_f64(fullness * fullness);
-        usual.mul_f64(self.work_factor(now))
+        let fullness = self.fullness(self.estimated_requests(now), slots);
+        let batch_cost = rule.full_penalty.mul_f64(fullness * fullness);
+        let usual = prefill_time + batch_cost + rule.first_event_time;
+        usual.mul_f64(self.work_factor(now) / self.speed.factor())
+    }
+
+    /// Cost for other requests if the engine prefills this number of tokens of a shared prefix: they
+    /// delay the prompts behind them, and evict a prefix that other requests find there. It is as
+    /// long as the prefill itself, so prompts leave a prefix's home only if that saves twice the
+    /// time that it costs.
+    pub fn reload_cost(&self, now: Now, rule: &EngineRule, shared: Tokens) -> Duration {
+        let slowness = self.work_factor(now) / self.speed.factor();
+        rule.prefill_time(shared).mul_f64(slowness)
+    }
+
+    /// The load from other requests, if there is a recent report.
+    fn reported_work(&self, now: Now, rule: &EngineRule, slots: u32) -> Option<ReportedWork> {
+        self.fresh_report(now)?;
+        Some(ReportedWork {
+            others_tokens: self.others_queued_tokens(now, rule),
+            fullness: self.fullness(self.estimated_requests(now), slots),
+        })
+    }
+
+    fn fullness(&self, requests: u32, slots: u32) -> f64 {
+        f64::from(requests) / f64::from(self.slots(slots).max(1))
     }
 
     /// Tokens of other routers' prompts that are queued there: those of the last report, less what
@@ -296,7 +391,7 @@
             clippy::cast_sign_loss,
             reason = "a few seconds at some tokens a millisecond"
         )]
-        let prefilled = (elapsed_ms * rule.prefill_tokens_per_ms) as Tokens;
+        let prefilled = (elapsed_ms * rule.prefill_tokens_per_ms * self.speed.factor()) as Tokens;
         queued_tokens
             .saturating_sub(self.pending_prefill)
             .saturating_sub(prefilled)
@@ -314,10 +409,3 @@
 pub(crate) fn tokens_f64(tokens: Tokens) -> f64 {
     tokens as f64
 }
-
-/// Rank of an endpoint for a shared prefix: the one with the highest rank is its home (rendezvous
-/// hashing). All routers compute the same rank, and when an endpoint comes or goes, only the
-/// prefixes that it gains or loses move.
-pub fn home_rank(shared_prefix: u64, endpoint: &str) -> u64 {
-    xxh3_64_with_seed(endpoint.as_bytes(), shared_prefix)
-}
