The gateway learns engines' speeds from first events

Cause: the gateway assumes one speed of all engines. Change: a slot keeps what its engine had to do when the request was sent (attempt.rs) and learns when the first event comes (stream_relay.rs), unless the stream was begun elsewhere or part of the prompt is copied. choose/engine_estimates.rs holds what is learned of each service. choose.rs uses it, with weighted homes and the cost of processing a shared prefix again; where engines copy prefixes from each other, that cost is left out.

--- a/crates/anvil_gateway/src/attempt.rs
+++ b/crates/anvil_gateway/src/attempt.rs
@@ -107,7 +107,7 @@
 /// Sends one request to the endpoint of `slot` and waits for the response head.
 pub async fn send(
     gw: &Arc<Gateway>,
-    slot: EndpointSlot,
+    mut slot: EndpointSlot,
     outgoing: OutgoingRequest<'_>,
 ) -> AttemptOutcome {
     let endpoint = slot.endpoint.clone();
@@ -145,6 +145,7 @@
         let handler = late_handler(gw, &endpoint, outgoing.id);
         connection.watch.request_sent(handler);
         let sent_at = gw.lifecycle.now();
+        slot.request_sent(sent_at);
         *outgoing.watch = Some(connection.watch.clone());
         let sending = connection.sender.try_send_request(build_request(&outgoing));
         let response = match timeout_at(outgoing.response_deadline, sending).await {
--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -1,14 +1,18 @@
 //! Selects an endpoint for a request, by expected time to the first token.
 
+mod engine_estimates;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use anvil_policy::copying::{self, Copying, MissingTokens};
-use anvil_policy::engine::{Prompt, home_rank};
+use anvil_policy::engine::home::WeightedRank;
+use anvil_policy::engine::{EngineRule, Prompt};
 use anvil_policy::rate_share::{Clocks, RouterRank};
 use anvil_world::prelude::*;
 
+pub use self::engine_estimates::EngineEstimates;
 use crate::endpoint::{Endpoint, EndpointSlot};
 use crate::gateway::Gateway;
 use crate::pauses::PauseBar;
@@ -121,23 +125,32 @@
         if available.is_empty() {
             return Err(self.why_none_is_available(service, constraints));
         }
-        let home = home_of(prompt, &available);
-        let candidate = |endpoint| self.estimate(now, prompt, home, endpoint);
+        let rule = self.engine_estimates.rule(service);
+        let terms = EngineTerms {
+            home: home_of(prompt, &available),
+            copying: self.copying(service, &rule),
+            rule,
+        };
+        let candidate = |endpoint| self.estimate(now, prompt, &terms, endpoint);
         let warm_up = self.warm_up_terms(service);
         let candidates: Vec<Candidate<'_>> = available.iter().map(candidate).collect();
         let best = self.reserve_best(now, &candidates, warm_up.as_ref(), within)?;
-        let source = self.copy_source(service, prompt, best, &candidates);
+        let source = copy_source(&terms, prompt, best, &candidates);
         let missing_tokens = source
             .as_ref()
             .map_or(best.missing.with_home, |source| source.equivalent_tokens);
         let load_summary = best.endpoint.load().describe(now);
-        let slot = EndpointSlot::take(
+        let mut slot = EndpointSlot::take(
             best.endpoint.clone(),
             now,
-            &self.engine_rule,
+            &terms.rule,
             prompt,
             missing_tokens,
         );
+        if source.is_some() {
+            // The time includes that of the copy.
+            slot.disregard_first_event();
+        }
         Ok(Selection {
             slot,
             expected: best.expected,
@@ -178,7 +191,16 @@
                 return Err(Unplaced::Full);
             }
         }
-        let preference = |candidate: &&Candidate<'_>| (candidate.on_cooldown, candidate.expected);
+        let preference = |candidate: &&Candidate<'_>| {
+            let is_late = candidate.expected > within;
+            let reload_cost = if is_late {
+                Duration::ZERO
+            } else {
+                candidate.reload_cost
+            };
+            let cost = candidate.expected + reload_cost;
+            (candidate.on_cooldown, is_late, cost)
+        };
         while let Some(best) = accepting.iter().copied().min_by_key(preference) {
             if best.expected > within {
                 return Err(Unplaced::TooLate(best.expected));
@@ -197,51 +219,32 @@
         Err(shortest_wait.into())
     }
 
-    /// The engine to copy the prefix from, if copying is much faster than recomputing it.
-    fn copy_source(
-        &self,
-        service: &str,
-        prompt: &Prompt<'_>,
-        selected: &Candidate<'_>,
-        candidates: &[Candidate<'_>],
-    ) -> Option<CopySource> {
-        prompt.shared_prefix()?;
+    /// How the engines of a service copy from each other, if that is much faster than prefill.
+    fn copying(&self, service: &str, rule: &EngineRule) -> Option<Copying> {
         let table = self.table.load();
         let engine = table.as_ref()?.services.get(service)?.engine?;
-        let copy_rate =
-            Copying::between(engine.bytes_per_token, engine.link_mbps, &self.engine_rule)?;
-        let others = candidates
-            .iter()
-            .filter(|other| !other.on_cooldown && !other.pause.is_paused);
-        let others = others.filter(|other| other.endpoint.id != selected.endpoint.id);
-        let others: Vec<_> = others
-            .map(|other| (other.endpoint.addr, other.missing))
-            .collect();
-        let (addr, source_missing) = copying::source(selected.missing, &others)?;
-        Some(CopySource {
-            addr,
-            equivalent_tokens: copy_rate.equivalent_missing(
-                selected.missing.with_home,
-                source_missing,
-                &self.engine_rule,
-            ),
-        })
+        Copying::between(engine.bytes_per_token, engine.link_mbps, rule)
+    }
+
+    /// Network round trip to an endpoint.
+    pub(crate) fn round_trip_to(&self, endpoint: &Endpoint) -> Duration {
+        if endpoint.zone == self.cfg.zone.id {
+            Duration::ZERO
+        } else {
+            self.engine_estimates.other_zone_round_trip()
+        }
     }
 
     fn estimate<'a>(
         &self,
         now: Now,
         prompt: &Prompt<'_>,
-        home: Option<u64>,
+        terms: &EngineTerms<'_>,
         endpoint: &'a Arc<Endpoint>,
     ) -> Candidate<'a> {
+        let rule = &terms.rule;
         let load = endpoint.load();
-        let is_other_zone = *endpoint.zone != *self.cfg.zone.id;
-        let network_delay = if is_other_zone {
-            self.engine_rule.other_zone_round_trip
-        } else {
-            Duration::ZERO
-        };
+        let network_delay = self.round_trip_to(endpoint);
         let base = network_delay + load.failure_cost(RETRY_COST);
         let on_cooldown = load.is_on_cooldown(now);
         let pause = endpoint.pause_bar(now);
@@ -253,6 +256,7 @@
             return Candidate {
                 endpoint,
                 expected: base + work.mul_f64(load.work_factor(now)) + jitter,
+                reload_cost: Duration::ZERO,
                 missing: MissingTokens {
                     by_own_requests: 0,
                     with_home: 0,
@@ -261,19 +265,24 @@
                 pause,
             };
         }
-        let is_home = prompt
-            .shared_prefix()
-            .is_some_and(|subject| Some(home_rank(subject, &endpoint.id)) == home);
-        let by_own_requests = load.missing_tokens(now, &self.engine_rule, prompt, false);
+        let is_home = terms.home.is_some_and(|home| Arc::ptr_eq(home, endpoint));
+        let by_own_requests = load.missing_tokens(now, rule, prompt, false);
         let with_home = if is_home {
-            load.missing_tokens(now, &self.engine_rule, prompt, true)
+            load.missing_tokens(now, rule, prompt, true)
         } else {
             by_own_requests
         };
-        let expected = load.expected_first_token(now, &self.engine_rule, with_home, endpoint.slots);
+        let expected = load.expected_first_token(now, rule, with_home, endpoint.slots);
+        let reload_cost = if terms.copying.is_some() {
+            // A prefix that is cached elsewhere is copied.
+            Duration::ZERO
+        } else {
+            load.reload_cost(now, rule, prompt.missing_shared(with_home))
+        };
         Candidate {
             endpoint,
             expected: base + expected,
+            reload_cost,
             missing: MissingTokens {
                 by_own_requests,
                 with_home,
@@ -284,11 +293,23 @@
     }
 }
 
+/// What applies to all engines among which one is selected.
+struct EngineTerms<'a> {
+    /// How fast they work.
+    rule: EngineRule,
+    /// The home of the prompt's shared prefix.
+    home: Option<&'a Arc<Endpoint>>,
+    /// How they copy from each other.
+    copying: Option<Copying>,
+}
+
 /// An endpoint with the estimate for this request.
 struct Candidate<'a> {
     endpoint: &'a Arc<Endpoint>,
     /// Time to the first token if all missing prompt tokens are processed.
     expected: Duration,
+    /// What it costs other requests if the prompt's shared prefix is processed there.
+    reload_cost: Duration,
     /// Prompt tokens that are not cached there.
     missing: MissingTokens,
     /// Whether it failed recently and is on cooldown.
@@ -349,10 +370,45 @@
     equivalent_tokens: Tokens,
 }
 
-fn home_of(prompt: &Prompt<'_>, endpoints: &[Arc<Endpoint>]) -> Option<u64> {
-    let subject = prompt.shared_prefix()?;
-    let ranks = endpoints
+/// The engine to copy the prefix from, if copying is much faster than recomputing it.
+fn copy_source(
+    terms: &EngineTerms<'_>,
+    prompt: &Prompt<'_>,
+    selected: &Candidate<'_>,
+    candidates: &[Candidate<'_>],
+) -> Option<CopySource> {
+    prompt.shared_prefix()?;
+    let copying = terms.copying?;
+    let others = candidates
         .iter()
-        .map(|endpoint| home_rank(subject, &endpoint.id));
-    ranks.max()
+        .filter(|other| !other.on_cooldown && !other.pause.is_paused);
+    let others = others.filter(|other| other.endpoint.id != selected.endpoint.id);
+    let others: Vec<_> = others
+        .map(|other| (other.endpoint.addr, other.missing))
+        .collect();
+    let (addr, source_missing) = copying::source(selected.missing, &others)?;
+    Some(CopySource {
+        addr,
+        equivalent_tokens: copying.equivalent_missing(
+            selected.missing.with_home,
+            source_missing,
+            &terms.rule,
+        ),
+    })
+}
+
+fn home_of<'a>(prompt: &Prompt<'_>, endpoints: &'a [Arc<Endpoint>]) -> Option<&'a Arc<Endpoint>> {
+    let subject = prompt.shared_prefix()?;
+    let ranked = endpoints.iter().map(|endpoint| {
+        let weight = endpoint.load().home_weight();
+        (endpoint, WeightedRank::new(subject, &endpoint.id, weight))
+    });
+    let home = ranked.reduce(|best, other| {
+        if other.1.is_above(&best.1) {
+            other
+        } else {
+            best
+        }
+    });
+    home.map(|(endpoint, _)| endpoint)
 }
--- a/crates/anvil_gateway/src/endpoint.rs
+++ b/crates/anvil_gateway/src/endpoint.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use anvil_policy::engine::speed::WorkAhead;
 use anvil_policy::engine::{EndpointView, EngineRule, Prompt};
 use anvil_policy::rate_share::{Clocks, RateShare, RouterRank};
 use anvil_wire::msg::ListedEndpoint;
@@ -12,6 +13,7 @@
 use anvilreel::event;
 use slog::Logger;
 
+use crate::choose::EngineEstimates;
 use crate::dialect::ReportedLoad;
 use crate::log_events as events;
 use crate::pauses::EndpointPause;
@@ -186,6 +188,15 @@
     /// The endpoint.
     pub endpoint: Arc<Endpoint>,
     unprocessed_tokens: Tokens,
+    /// Set until the first event, if that shows how fast the endpoint works.
+    prefill: Option<Prefill>,
+}
+
+/// The work that the endpoint does before the first event.
+#[derive(Debug, Clone, Copy)]
+struct Prefill {
+    ahead: WorkAhead,
+    sent_at: Now,
 }
 
 impl EndpointSlot {
@@ -197,12 +208,58 @@
         prompt: &Prompt<'_>,
         unprocessed_tokens: Tokens,
     ) -> Self {
-        endpoint
-            .load()
-            .record_start(now, rule, prompt, unprocessed_tokens);
+        let mut load = endpoint.load();
+        let ahead = load.work_ahead(now, rule, prompt, unprocessed_tokens, endpoint.slots);
+        load.record_start(now, rule, prompt, unprocessed_tokens);
+        drop(load);
         Self {
             endpoint,
             unprocessed_tokens,
+            prefill: Some(Prefill {
+                ahead,
+                sent_at: now,
+            }),
+        }
+    }
+
+    /// Records that the time of the first event doesn't show how fast the endpoint works.
+    pub fn disregard_first_event(&mut self) {
+        self.prefill = None;
+    }
+
+    /// Records that the request is sent now, on a connection.
+    pub fn request_sent(&mut self, now: Now) {
+        if let Some(prefill) = &mut self.prefill {
+            let pending = self.endpoint.load().pending_prefill;
+            prefill.ahead.pending_tokens = pending.saturating_sub(self.unprocessed_tokens);
+            prefill.sent_at = now;
+        }
+    }
+
+    /// Records that an event of the response has come. The first one shows how fast the endpoint
+    /// works; `round_trip` is the part of its time that the network took.
+    pub fn record_event(
+        &mut self,
+        now: Now,
+        estimates: &EngineEstimates,
+        round_trip: Duration,
+        log: &Logger,
+    ) {
+        let Some(Prefill { ahead, sent_at }) = self.prefill.take() else {
+            return;
+        };
+        let endpoint = &self.endpoint;
+        let took = now.saturating_sub(sent_at).saturating_sub(round_trip);
+        let mut load = endpoint.load();
+        let has_changed = estimates.update(&endpoint.service, |prior, service| {
+            load.record_first_event(now, prior, service, &ahead, took, endpoint.slots)
+        });
+        if has_changed {
+            event!(
+                log, events::GATEWAY_ENGINE_SPEED, "endpoint" => &*endpoint.id,
+                "service" => &*endpoint.service, "speed" => load.speed().factor(),
+                "step" => load.speed().step()
+            );
         }
     }
 
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use anvil_policy::crash::CrashWatch;
-use anvil_policy::engine::EngineRule;
 use anvil_policy::rate_share::{BurstTolerance, RouterRank};
 use anvil_policy::retry::{RetryBudget, RetryRule, RetrySafety};
 use anvil_world::prelude::*;
@@ -21,6 +20,7 @@
 use slog::Logger;
 use tokio::sync::Notify;
 
+use crate::choose::EngineEstimates;
 use crate::dialect::{Dialect, ListSource};
 use crate::directory::Directory;
 use crate::endpoint_limits::EndpointLimits;
@@ -96,8 +96,8 @@
     pub dropped_log_lines: DroppedLines,
     /// Metrics.
     pub metrics: Metrics,
-    /// Constants for estimates of engines.
-    pub engine_rule: EngineRule,
+    /// What was learned of engines.
+    pub engine_estimates: EngineEstimates,
     /// Number of live gateways according to the ledger, this one included.
     pub gateway_count: AtomicU32,
     /// Rank of this gateway among them.
@@ -205,7 +205,7 @@
             log,
             dropped_log_lines: DroppedLines::default(),
             metrics,
-            engine_rule: EngineRule::default(),
+            engine_estimates: EngineEstimates::default(),
             gateway_count: AtomicU32::new(ASSUMED_GATEWAYS),
             gateway_rank: AtomicU32::new(rand::random_range(0..ASSUMED_GATEWAYS)),
             version_in_force: AtomicU64::new(0),
--- a/crates/anvil_gateway/src/log_events.rs
+++ b/crates/anvil_gateway/src/log_events.rs
@@ -74,4 +74,6 @@
     GATEWAY_SERVICE_VERSIONS = 6034 Info "gateway_service_versions";
     /// A sibling did not store at which versions streams run; it is told again.
     GATEWAY_ORIGINS_NOT_STORED = 6035 Warning "gateway_origins_not_stored";
+    /// The lasting speed of an engine relative to its service has changed by a step.
+    GATEWAY_ENGINE_SPEED = 6060 Info "gateway_engine_speed";
 }
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -57,6 +57,8 @@
 pub const ENDPOINTS_PAUSED: &str = "endpoints.paused";
 /// Endpoints that may be warming up. Gauge.
 pub const ENDPOINTS_WARMING_UP: &str = "endpoints.warming_up";
+/// Endpoints whose learned speed is at least a step below that of their service. Gauge.
+pub const ENDPOINTS_SLOW: &str = "endpoints.slow";
 /// Services whose endpoints run more than one software version. Gauge.
 pub const SERVICES_MIXED: &str = "services.mixed";
 /// Streams that clients took up after another attempt had begun them. Count.
@@ -115,6 +117,7 @@
     (PAUSES_UNREADABLE, "count"),
     (ENDPOINTS_PAUSED, "gauge"),
     (ENDPOINTS_WARMING_UP, "gauge"),
+    (ENDPOINTS_SLOW, "gauge"),
     (SERVICES_MIXED, "gauge"),
     (STREAMS_TAKEN_UP, "count"),
     (ORIGIN_MESSAGES, "count"),
@@ -166,6 +169,7 @@
             (LIMIT_USED, limit_used),
             (ENDPOINTS_PAUSED, self.count_paused()),
             (ENDPOINTS_WARMING_UP, self.count_warming_up()),
+            (ENDPOINTS_SLOW, self.count_slow_endpoints()),
             (SERVICES_MIXED, self.count_mixed_services()),
             (ORIGINS_KNOWN, self.count_known_origins()),
             (
@@ -179,6 +183,12 @@
         }
     }
 
+    fn count_slow_endpoints(&self) -> u64 {
+        let all = self.directory.all_endpoints();
+        let slow = all.iter().filter(|e| e.load().speed().step() < 0);
+        slow.count() as u64
+    }
+
     /// Number of endpoints with a limit, and the percentage of this gateway's share that is used.
     fn measure_limits(&self) -> (u64, u64) {
         let all = self.directory.all_endpoints();
--- a/crates/anvil_gateway/src/stream_relay.rs
+++ b/crates/anvil_gateway/src/stream_relay.rs
@@ -160,6 +160,16 @@
         loop {
             if let Some(event) = source.splitter.next_event() {
                 source.slot.response_started();
+                // A stream that another endpoint began says nothing about the time of a prompt.
+                if self.last_delivered.is_none() {
+                    let gw = &self.exchange.gw;
+                    let round_trip = gw.round_trip_to(&source.slot.endpoint);
+                    let now = gw.lifecycle.now();
+                    let estimates = &gw.engine_estimates;
+                    source
+                        .slot
+                        .record_event(now, estimates, round_trip, &gw.log);
+                }
                 source.progress = CrashedRun::AfterOutput;
                 // Failure: an endpoint repeats an event, or sends one of an earlier run. Ids
                 // increase by one; an event that does not follow is not delivered.
