Engines whose memory a request would overfill are passed over

Cause: an engine crashes if the requests that it holds exceed its memory, and nothing counts that. Change: engine/memory.rs learns the mean output and size of a service's requests; slots count their prompt and expected output (or what has come, if more) at the engine, other routers' requests count with the mean size, queued ones too, and fade with the age of the report. choose.rs passes over engines without room and refuses with Unplaced::OutOfMemory (as overloaded) if none has any. Nothing is counted where the table's memory_tokens is 0. Counter tries.memory_full. Prompt gets max_output; tests that build one state it.

--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -8,13 +8,15 @@
 
 use anvil_policy::copying::{self, Copying, MissingTokens};
 use anvil_policy::engine::home::WeightedRank;
+use anvil_policy::engine::memory::MemoryDemand;
 use anvil_policy::engine::{EngineRule, Prompt};
 use anvil_policy::rate_share::{Clocks, RouterRank};
 use anvil_world::prelude::*;
 
 pub use self::engine_estimates::EngineEstimates;
-use crate::endpoint::{Endpoint, EndpointSlot};
+use crate::endpoint::{Endpoint, EndpointSlot, SlotWork};
 use crate::gateway::Gateway;
+use crate::metrics;
 use crate::pauses::PauseBar;
 use crate::regions::Constraints;
 use crate::table::Route;
@@ -56,6 +58,8 @@
     Paused(Duration),
     /// Some endpoints have asked for a pause, and the others bear no more.
     Full,
+    /// The request would overfill the memory of every engine.
+    OutOfMemory,
 }
 
 /// Expected wait for one more request at a non-engine endpoint whose slots are all in use.
@@ -125,12 +129,7 @@
         if available.is_empty() {
             return Err(self.why_none_is_available(service, constraints));
         }
-        let rule = self.engine_estimates.rule(service);
-        let terms = EngineTerms {
-            home: home_of(prompt, &available),
-            copying: self.copying(service, &rule),
-            rule,
-        };
+        let terms = self.engine_terms(service, prompt, &available);
         let candidate = |endpoint| self.estimate(now, prompt, &terms, endpoint);
         let warm_up = self.warm_up_terms(service);
         let candidates: Vec<Candidate<'_>> = available.iter().map(candidate).collect();
@@ -140,13 +139,11 @@
             .as_ref()
             .map_or(best.missing.with_home, |source| source.equivalent_tokens);
         let load_summary = best.endpoint.load().describe(now);
-        let mut slot = EndpointSlot::take(
-            best.endpoint.clone(),
-            now,
-            &terms.rule,
-            prompt,
-            missing_tokens,
-        );
+        let work = SlotWork {
+            unprocessed_tokens: missing_tokens,
+            held_tokens: terms.held_tokens,
+        };
+        let mut slot = EndpointSlot::take(best.endpoint.clone(), now, &terms.rule, prompt, work);
         if source.is_some() {
             // The time includes that of the copy.
             slot.disregard_first_event();
@@ -191,6 +188,14 @@
                 return Err(Unplaced::Full);
             }
         }
+        let with_room = accepting.iter().filter(|candidate| candidate.has_room);
+        if with_room.count() < accepting.len() {
+            self.metrics.count(metrics::ATTEMPTS_BESIDE_FULL_MEMORY);
+            accepting.retain(|candidate| candidate.has_room);
+            if accepting.is_empty() {
+                return Err(Unplaced::OutOfMemory);
+            }
+        }
         let preference = |candidate: &&Candidate<'_>| {
             let is_late = candidate.expected > within;
             let reload_cost = if is_late {
@@ -219,11 +224,37 @@
         Err(shortest_wait.into())
     }
 
-    /// How the engines of a service copy from each other, if that is much faster than prefill.
-    fn copying(&self, service: &str, rule: &EngineRule) -> Option<Copying> {
+    fn engine_terms<'a>(
+        &self,
+        service: &str,
+        prompt: &Prompt<'_>,
+        available: &'a [Arc<Endpoint>],
+    ) -> EngineTerms<'a> {
+        let estimate = self.engine_estimates.of(service);
+        let rule = estimate.speed.apply_to(&self.engine_estimates.prior);
         let table = self.table.load();
-        let engine = table.as_ref()?.services.get(service)?.engine?;
-        Copying::between(engine.bytes_per_token, engine.link_mbps, rule)
+        let service = table.as_ref().and_then(|table| table.services.get(service));
+        let engine = service.and_then(|service| service.engine);
+        let prompt_tokens = prompt.tokens();
+        let held_tokens = if prompt_tokens == 0 {
+            0
+        } else {
+            prompt_tokens + estimate.sizes.expected_output(prompt.max_output)
+        };
+        let memory = engine.filter(|engine| engine.memory_tokens > 0 && held_tokens > 0);
+        EngineTerms {
+            home: home_of(prompt, available),
+            copying: engine.and_then(|engine| {
+                Copying::between(engine.bytes_per_token, engine.link_mbps, &rule)
+            }),
+            memory: memory.map(|engine| MemoryDemand {
+                capacity: engine.memory_tokens,
+                request: held_tokens,
+                mean_request: estimate.sizes.mean().unwrap_or(held_tokens),
+            }),
+            held_tokens,
+            rule,
+        }
     }
 
     /// Network round trip to an endpoint.
@@ -248,6 +279,8 @@
         let base = network_delay + load.failure_cost(RETRY_COST);
         let on_cooldown = load.is_on_cooldown(now);
         let pause = endpoint.pause_bar(now);
+        let memory = terms.memory.as_ref();
+        let has_room = memory.is_none_or(|demand| load.has_room(now, demand));
         if prompt.parts.is_empty() {
             let utilisation = f64::from(load.estimated_requests(now))
                 / f64::from(load.slots(endpoint.slots).max(1));
@@ -261,6 +294,7 @@
                     by_own_requests: 0,
                     with_home: 0,
                 },
+                has_room,
                 on_cooldown,
                 pause,
             };
@@ -287,6 +321,7 @@
                 by_own_requests,
                 with_home,
             },
+            has_room,
             on_cooldown,
             pause,
         }
@@ -299,8 +334,12 @@
     rule: EngineRule,
     /// The home of the prompt's shared prefix.
     home: Option<&'a Arc<Endpoint>>,
-    /// How they copy from each other.
+    /// How they copy from each other, if that is much faster than prefill.
     copying: Option<Copying>,
+    /// What the request would add to their memory, if the table states how large that is.
+    memory: Option<MemoryDemand>,
+    /// Tokens of the request: its prompt and expected output.
+    held_tokens: Tokens,
 }
 
 /// An endpoint with the estimate for this request.
@@ -312,6 +351,8 @@
     reload_cost: Duration,
     /// Prompt tokens that are not cached there.
     missing: MissingTokens,
+    /// Whether the request fits into its memory.
+    has_room: bool,
     /// Whether it failed recently and is on cooldown.
     on_cooldown: bool,
     /// How the pause that it asked for bars it.
--- a/crates/anvil_gateway/src/endpoint.rs
+++ b/crates/anvil_gateway/src/endpoint.rs
@@ -187,9 +187,24 @@
 pub struct EndpointSlot {
     /// The endpoint.
     pub endpoint: Arc<Endpoint>,
-    unprocessed_tokens: Tokens,
+    work: SlotWork,
     /// Set until the first event, if that shows how fast the endpoint works.
     prefill: Option<Prefill>,
+    /// Tokens of the prompt.
+    prompt_tokens: Tokens,
+    /// Tokens of output that have come.
+    output_tokens: Tokens,
+    /// Whether the output that comes is the beginning of the response.
+    began_response: bool,
+}
+
+/// What a request means for the endpoint that holds it.
+#[derive(Debug, Clone, Copy)]
+pub struct SlotWork {
+    /// Tokens of the prompt that it has to process.
+    pub unprocessed_tokens: Tokens,
+    /// Tokens in its memory: the prompt and the expected output.
+    pub held_tokens: Tokens,
 }
 
 /// The work that the endpoint does before the first event.
@@ -206,15 +221,19 @@
         now: Now,
         rule: &EngineRule,
         prompt: &Prompt<'_>,
-        unprocessed_tokens: Tokens,
+        work: SlotWork,
     ) -> Self {
         let mut load = endpoint.load();
-        let ahead = load.work_ahead(now, rule, prompt, unprocessed_tokens, endpoint.slots);
-        load.record_start(now, rule, prompt, unprocessed_tokens);
+        let ahead = load.work_ahead(now, rule, prompt, work.unprocessed_tokens, endpoint.slots);
+        load.record_start(now, rule, prompt, work.unprocessed_tokens);
+        load.hold_tokens(work.held_tokens);
         drop(load);
         Self {
             endpoint,
-            unprocessed_tokens,
+            work,
+            prompt_tokens: prompt.tokens(),
+            output_tokens: 0,
+            began_response: false,
             prefill: Some(Prefill {
                 ahead,
                 sent_at: now,
@@ -231,28 +250,31 @@
     pub fn request_sent(&mut self, now: Now) {
         if let Some(prefill) = &mut self.prefill {
             let pending = self.endpoint.load().pending_prefill;
-            prefill.ahead.pending_tokens = pending.saturating_sub(self.unprocessed_tokens);
+            prefill.ahead.pending_tokens = pending.saturating_sub(self.work.unprocessed_tokens);
             prefill.sent_at = now;
         }
     }
 
-    /// Records that an event of the response has come. The first one shows how fast the endpoint
-    /// works; `round_trip` is the part of its time that the network took.
-    pub fn record_event(
+    /// Records that the first event of the response has come, which shows how fast the endpoint
+    /// works; `round_trip` is the part of its time that the network took. Further calls have no effect.
+    pub fn record_first_event(
         &mut self,
         now: Now,
         estimates: &EngineEstimates,
         round_trip: Duration,
         log: &Logger,
     ) {
+        self.began_response = true;
         let Some(Prefill { ahead, sent_at }) = self.prefill.take() else {
             return;
         };
         let endpoint = &self.endpoint;
         let took = now.saturating_sub(sent_at).saturating_sub(round_trip);
         let mut load = endpoint.load();
-        let has_changed = estimates.update(&endpoint.service, |prior, service| {
-            load.record_first_event(now, prior, service, &ahead, took, endpoint.slots)
+        let prior = &estimates.prior;
+        let has_changed = estimates.update(&endpoint.service, |service| {
+            let speed = &mut service.speed;
+            load.record_first_event(now, prior, speed, &ahead, took, endpoint.slots)
         });
         if has_changed {
             event!(
@@ -265,14 +287,36 @@
 
     /// Records that the response has begun, so the prompt has been processed.
     pub fn response_started(&mut self) {
-        let unprocessed_tokens = std::mem::take(&mut self.unprocessed_tokens);
+        let unprocessed_tokens = std::mem::take(&mut self.work.unprocessed_tokens);
         self.endpoint.load().end_prefill(unprocessed_tokens);
     }
+
+    /// Records output. What exceeds the expected output is counted in the endpoint's memory.
+    pub fn record_output(&mut self, tokens: Tokens) {
+        self.output_tokens += tokens;
+        let held = self.prompt_tokens + self.output_tokens;
+        if self.prompt_tokens > 0 && held > self.work.held_tokens {
+            let excess = held - self.work.held_tokens;
+            self.work.held_tokens = held;
+            self.endpoint.load().hold_tokens(excess);
+        }
+    }
+
+    /// Records that the response is complete, which shows how large requests are.
+    pub fn record_completed(&self, estimates: &EngineEstimates) {
+        if self.began_response && self.prompt_tokens > 0 {
+            estimates.update(&self.endpoint.service, |service| {
+                service.sizes.record(self.prompt_tokens, self.output_tokens);
+            });
+        }
+    }
 }
 
 impl Drop for EndpointSlot {
     fn drop(&mut self) {
         self.response_started();
-        self.endpoint.load().record_end();
+        let mut load = self.endpoint.load();
+        load.record_end();
+        load.release_tokens(self.work.held_tokens);
     }
 }
--- a/crates/anvil_gateway/src/exchange/one_attempt.rs
+++ b/crates/anvil_gateway/src/exchange/one_attempt.rs
@@ -133,8 +133,10 @@
     }
 
     fn select_avoiding(&self, avoided: &[SoftwareVersion]) -> Result<Selection, Unplaced> {
+        let work = self.request.model_work.as_ref();
         let prompt = Prompt {
             parts: &self.prompt_parts,
+            max_output: work.map_or(0, |work| work.max_output),
         };
         let within = self.time_left().mul_f64(FIRST_TOKEN_FRACTION);
         let constraints = Constraints {
@@ -218,7 +220,7 @@
                 Cause::Overloaded,
                 wait.clamp(OVERLOAD_RETRY_AFTER.0, OVERLOAD_RETRY_AFTER.1),
             ),
-            Unplaced::Full => (Cause::Overloaded, OVERLOAD_RETRY_AFTER.0),
+            Unplaced::Full | Unplaced::OutOfMemory => (Cause::Overloaded, OVERLOAD_RETRY_AFTER.0),
             Unplaced::Paused(wait) => (Cause::EndpointsPaused, spread_return(wait)),
         }
     }
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -35,6 +35,9 @@
 pub const RETRIES_DENIED: &str = "tries.denied";
 /// Attempts that asked the endpoint to copy a cached prompt prefix from another one. Count.
 pub const ATTEMPTS_WITH_COPY: &str = "tries.copied";
+/// Attempts for which engines were passed over, because the request would overfill their memory.
+/// Count.
+pub const ATTEMPTS_BESIDE_FULL_MEMORY: &str = "tries.memory_full";
 /// Endpoints that crashed under requests. Count.
 pub const ENDPOINT_CRASHES: &str = "endpoints.crashed";
 /// Of these, the ones whose report was dropped because too many were pending. Count.
@@ -106,6 +109,7 @@
     (ATTEMPTS_IN_DOUBT, "count"),
     (RETRIES_DENIED, "count"),
     (ATTEMPTS_WITH_COPY, "count"),
+    (ATTEMPTS_BESIDE_FULL_MEMORY, "count"),
     (ENDPOINT_CRASHES, "count"),
     (CRASHES_UNREPORTED, "count"),
     (REQUESTS_QUARANTINED, "gauge"),
--- a/crates/anvil_gateway/src/stream_relay.rs
+++ b/crates/anvil_gateway/src/stream_relay.rs
@@ -168,7 +168,7 @@
                     let estimates = &gw.engine_estimates;
                     source
                         .slot
-                        .record_event(now, estimates, round_trip, &gw.log);
+                        .record_first_event(now, estimates, round_trip, &gw.log);
                 }
                 source.progress = CrashedRun::AfterOutput;
                 // Failure: an endpoint repeats an event, or sends one of an earlier run. Ids
@@ -178,6 +178,7 @@
                     let bound = &mut self.exchange.stream_version;
                     bound.get_or_insert_with(|| version.clone());
                     source.events += 1;
+                    source.slot.record_output(self.exchange.tokens_per_event);
                     if source.events == EVENTS_AFTER_BEGINNING {
                         let endpoint = &source.slot.endpoint;
                         self.exchange.record_survived_beginning(endpoint);
@@ -259,6 +260,8 @@
             return;
         };
         let endpoint = source.slot.endpoint.clone();
+        let estimates = &self.exchange.gw.engine_estimates;
+        source.slot.record_completed(estimates);
         self.exchange.record_answered(&endpoint, StatusCode::OK);
         EndpointResponse::release_connection(source.sender, source.watch, &endpoint, &source.head);
     }
--- a/crates/anvil_gateway/src/table.rs
+++ b/crates/anvil_gateway/src/table.rs
@@ -103,7 +103,7 @@
 pub struct Engine {
     /// Requests that an engine runs concurrently.
     pub concurrent_requests: u32,
-    /// Tokens that fit into an engine's memory.
+    /// Tokens that fit into an engine's memory; 0 if unknown.
     pub memory_tokens: Tokens,
     /// Maximum output tokens in one event.
     pub tokens_per_event: Tokens,
--- a/crates/anvil_gateway/tests/direct/main.rs
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -21,6 +21,7 @@
 mod siblings;
 mod starting;
 mod streams;
+mod uneven_engines;
 mod uneven_load;
 mod unframed;
 mod versions;
--- a/crates/anvil_gateway/tests/direct/pausing.rs
+++ b/crates/anvil_gateway/tests/direct/pausing.rs
@@ -143,7 +143,11 @@
         version: None,
         avoided: &[],
     };
-    gw.select_endpoint(SERVICE, &Prompt { parts }, constraints, Duration::MAX)
+    let prompt = Prompt {
+        parts,
+        max_output: 0,
+    };
+    gw.select_endpoint(SERVICE, &prompt, constraints, Duration::MAX)
 }
 
 /// Guards against a request that was on its way to an endpoint being sent after the endpoint asked
--- a/crates/anvil_policy/src/engine.rs
+++ b/crates/anvil_policy/src/engine.rs
@@ -19,6 +19,7 @@
 //! idle while the others are full.
 
 pub mod home;
+pub mod memory;
 pub mod speed;
 
 use std::collections::BTreeMap;
@@ -27,6 +28,7 @@
 use anvil_world::prelude::*;
 
 pub use self::home::{HomeWeight, home_rank};
+use self::memory::MemoryDemand;
 use self::speed::{RelativeSpeed, ReportedWork, ServiceSpeed, WorkAhead};
 use crate::pace::WorkPace;
 
@@ -80,6 +82,8 @@
     pub running: u32,
     /// Prompt tokens of this router's requests there that have not received their first token.
     pub pending_prefill: Tokens,
+    /// Tokens that this router's requests there occupy in its memory.
+    own_held: Tokens,
     /// Last load report of the endpoint itself.
     report: Option<Report>,
     /// How long work takes there, compared to usual.
@@ -110,6 +114,8 @@
 pub struct Prompt<'a> {
     /// Parts in order with their tokens; the last one is specific to the request.
     pub parts: &'a [(u64, Tokens)],
+    /// Maximum tokens of the response.
+    pub max_output: Tokens,
 }
 
 impl Prompt<'_> {
@@ -162,6 +168,35 @@
         }
     }
 
+    /// Counts tokens of a request of this router in the engine's memory.
+    pub fn hold_tokens(&mut self, tokens: Tokens) {
+        self.own_held += tokens;
+    }
+
+    /// Ends the count of these tokens.
+    pub fn release_tokens(&mut self, tokens: Tokens) {
+        self.own_held = self.own_held.saturating_sub(tokens);
+    }
+
+    /// Whether a request fits into the engine's memory.
+    pub fn has_room(&self, now: Now, demand: &MemoryDemand) -> bool {
+        demand.fits(self.own_held, self.others_holding(now))
+    }
+
+    /// Estimated number of other routers' requests that hold memory there. Queued ones count too:
+    /// they begin before a new one. An old report fades rather than ends, since an engine of which
+    /// nothing was heard is not empty.
+    fn others_holding(&self, now: Now) -> f64 {
+        let Some(report) = &self.report else {
+            return 0.0;
+        };
+        let all = report.running.saturating_add(report.waiting);
+        let others = f64::from(all.saturating_sub(report.own_running));
+        let age = now.saturating_sub(report.at);
+        let overdue = age.saturating_sub(REPORT_TTL).div_duration_f64(REPORT_TTL);
+        others * (-overdue).exp2()
+    }
+
     /// Records that the first token has come, or that the request has ended before it.
     pub fn end_prefill(&mut self, pending_prefill: Tokens) {
         self.pending_prefill = self.pending_prefill.saturating_sub(pending_prefill);
@@ -297,13 +332,14 @@
     /// Summary of what is known of it, for a log line.
     pub fn describe(&self, now: Now) -> String {
         let own = self.running;
-        let speed = self.speed.factor();
+        let (held, speed) = (self.own_held, self.speed.factor());
+        let learned = format!("speed {speed:.2}, {held} tokens held");
         let Some(report) = &self.report else {
-            return format!("{own} own, no report, speed {speed:.2}");
+            return format!("{own} own, no report, {learned}");
         };
         let age = now.saturating_sub(report.at).as_millis();
         let (running, waiting) = (report.running, report.waiting);
-        format!("{own} own, {running} running and {waiting} waiting {age} ms ago, speed {speed:.2}")
+        format!("{own} own, {running} running and {waiting} waiting {age} ms ago, {learned}")
     }
 
     /// Slots of the endpoint, as reported or else as listed.
--- a/crates/anvil_policy/tests/engine.rs
+++ b/crates/anvil_policy/tests/engine.rs
@@ -18,6 +18,13 @@
     Duration::from_millis(ms)
 }
 
+fn prompt_of(parts: &[(u64, Tokens)]) -> Prompt<'_> {
+    Prompt {
+        parts,
+        max_output: 100,
+    }
+}
+
 /// Chooses an engine in the same way as a gateway does.
 fn choose(
     now: Now,
@@ -59,7 +66,7 @@
         let shared_prefix = 1 + rng.random_range(0..SHARED_PREFIXES);
         let own = 1_000_000 + number;
         let parts = [(shared_prefix, SHARED_TOKENS), (own, OWN_TOKENS)];
-        let prompt = Prompt { parts: &parts };
+        let prompt = prompt_of(&parts);
         let router = rng.random_range(0..ROUTERS);
         let loads = &mut routers[router];
         let (engine, missing) = choose(now, &rule, loads, &prompt);
@@ -86,7 +93,7 @@
     let mut used = BTreeSet::new();
     for number in 0..40 {
         let parts = [(7, SHARED_TOKENS), (1_000 + number, OWN_TOKENS)];
-        let prompt = Prompt { parts: &parts };
+        let prompt = prompt_of(&parts);
         let (engine, missing) = choose(at(number), &rule, &loads, &prompt);
         loads[engine].record_start(at(number), &rule, &prompt, missing);
         used.insert(engine);
@@ -122,7 +129,7 @@
     load.apply_report(at(0), 10, 0, 128);
     assert_eq!(load.estimated_requests(at(10)), 10);
     let parts = [(1, 500)];
-    let prompt = Prompt { parts: &parts };
+    let prompt = prompt_of(&parts);
     for _ in 0..5 {
         load.record_start(at(10), &rule, &prompt, 500);
     }
@@ -146,16 +153,16 @@
     let mut load = EndpointView::default();
     for part in 0..10_000 {
         let parts = [(part, 10)];
-        load.record_start(at(part), &rule, &Prompt { parts: &parts }, 10);
+        load.record_start(at(part), &rule, &prompt_of(&parts), 10);
     }
     let old = [(0, 10)];
     let new = [(9_999, 10)];
     assert_eq!(
-        load.missing_tokens(at(9_999), &rule, &Prompt { parts: &old }, false),
+        load.missing_tokens(at(9_999), &rule, &prompt_of(&old), false),
         10
     );
     assert_eq!(
-        load.missing_tokens(at(9_999), &rule, &Prompt { parts: &new }, false),
+        load.missing_tokens(at(9_999), &rule, &prompt_of(&new), false),
         0
     );
 }
--- a/crates/anvil_policy/tests/engine_speeds.rs
+++ b/crates/anvil_policy/tests/engine_speeds.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use anvil_policy::engine::home::WeightedRank;
+use anvil_policy::engine::memory::{MemoryDemand, RequestSizes};
 use anvil_policy::engine::speed::{ReportedWork, ServiceSpeed, WorkAhead};
 use anvil_policy::engine::{EndpointView, EngineRule, HomeWeight, Prompt};
 use anvil_world::prelude::*;
@@ -22,6 +23,8 @@
 const CACHED_PREFIXES: usize = 27;
 const SLOTS: u32 = 64;
 const TARGET: Duration = Duration::from_millis(400);
+/// A request is refused if its first event is expected later.
+const LATEST: Duration = Duration::from_secs(3);
 /// Speeds relative to usual: three engines of each.
 const ENGINES: usize = 9;
 const SPEEDS: [f64; ENGINES] = [0.5, 1.0, 1.2, 0.5, 1.0, 1.2, 0.5, 1.0, 1.2];
@@ -34,6 +37,8 @@
     prefilled_at: Now,
     waiting: u32,
     running: u32,
+    /// Tokens in its memory.
+    held: Tokens,
 }
 
 impl Engine {
@@ -45,6 +50,7 @@
             prefilled_at: Now::ZERO,
             waiting: 0,
             running: 0,
+            held: 0,
         }
     }
 
@@ -86,7 +92,10 @@
     missing: Tokens,
     ahead: WorkAhead,
     sent_at: Now,
+    prompt: Tokens,
     output: u32,
+    /// Prompt and expected output.
+    expected: Tokens,
     is_counted: bool,
 }
 
@@ -98,6 +107,10 @@
 #[derive(Debug, Default)]
 struct Served {
     first_events: Vec<Duration>,
+    /// Requests that overfilled an engine's memory.
+    overfilling: u32,
+    /// Requests for which no engine had room.
+    refused: u32,
 }
 
 impl Served {
@@ -125,11 +138,18 @@
 struct Router {
     views: Vec<EndpointView>,
     service: ServiceSpeed,
+    sizes: RequestSizes,
 }
 
 struct Pool {
     rule: EngineRule,
     learning: Learning,
+    /// Tokens that an engine's memory holds.
+    capacity: Tokens,
+    /// Whether routers know that.
+    states_capacity: bool,
+    /// Mean tokens of a response.
+    output: u32,
     engines: Vec<Engine>,
     routers: Vec<Router>,
     events: BTreeMap<(Now, u64), Event>,
@@ -141,11 +161,14 @@
         let engines = speeds.map(|speed| Engine::new(speed, tokens_per_ms));
         let router = Router {
             views: vec![EndpointView::default(); ENGINES],
-            service: ServiceSpeed::default(),
+            ..Router::default()
         };
         Self {
             rule: EngineRule::default(),
             learning,
+            capacity: Tokens::MAX,
+            states_capacity: false,
+            output: 100,
             engines: engines.into(),
             routers: vec![router; ROUTERS],
             events: BTreeMap::new(),
@@ -164,21 +187,39 @@
             let prefix = 1 + rng.random_range(0..SHARED_PREFIXES);
             let own = OWN_TOKENS / 2 + rng.random_range(0..OWN_TOKENS);
             let parts = [(prefix, SHARED_TOKENS), (1_000_000 + number, own)];
-            let prompt = Prompt { parts: &parts };
+            let prompt = Prompt {
+                parts: &parts,
+                max_output: 8 * Tokens::from(self.output),
+            };
             let router = rng.random_range(0..ROUTERS);
-            let (engine, missing) = self.choose(now, router, &prompt);
-            let Router { views, service } = &mut self.routers[router];
+            let output = rng.random_range(self.output / 2..3 * self.output / 2);
+            let Some((engine, missing)) = self.choose(now, router, &prompt) else {
+                self.served.refused += 1;
+                continue;
+            };
+            let Router {
+                views,
+                service,
+                sizes,
+            } = &mut self.routers[router];
             let rule = service.apply_to(&self.rule);
             let ahead = views[engine].work_ahead(now, &rule, &prompt, missing, SLOTS);
             views[engine].record_start(now, &rule, &prompt, missing);
+            let expected = prompt.tokens() + sizes.expected_output(prompt.max_output);
+            views[engine].hold_tokens(expected);
             let first_at = self.engines[engine].start(now, &prompt);
+            let held = &mut self.engines[engine].held;
+            *held += prompt.tokens() + Tokens::from(output);
+            self.served.overfilling += u32::from(*held > self.capacity);
             let request = Request {
                 router,
                 engine,
                 missing,
                 ahead,
                 sent_at: now,
-                output: rng.random_range(50..150),
+                prompt: prompt.tokens(),
+                output,
+                expected,
                 is_counted: number >= WARM_UP_REQUESTS,
             };
             self.events
@@ -197,8 +238,15 @@
                     self.events.insert((last_at, number), Event::Last(request));
                 }
                 Event::Last(request) => {
-                    self.engines[request.engine].running -= 1;
-                    self.routers[request.router].views[request.engine].record_end();
+                    let output = Tokens::from(request.output);
+                    let engine = &mut self.engines[request.engine];
+                    engine.running -= 1;
+                    engine.held -= request.prompt + output;
+                    let router = &mut self.routers[request.router];
+                    router.sizes.record(request.prompt, output);
+                    let view = &mut router.views[request.engine];
+                    view.record_end();
+                    view.release_tokens(request.expected);
                 }
             }
         }
@@ -207,7 +255,7 @@
     fn receive_first(&mut self, now: Now, request: &Request) -> Now {
         let engine = &mut self.engines[request.engine];
         let last_at = engine.end_prefill(now, request.output);
-        let Router { views, service } = &mut self.routers[request.router];
+        let Router { views, service, .. } = &mut self.routers[request.router];
         let view = &mut views[request.engine];
         view.apply_report(now, engine.running, engine.waiting, SLOTS);
         view.end_prefill(request.missing);
@@ -222,8 +270,18 @@
     }
 
     /// Chooses an engine in the same way as a gateway does.
-    fn choose(&self, now: Now, router: usize, prompt: &Prompt<'_>) -> (usize, Tokens) {
-        let Router { views, service } = &self.routers[router];
+    fn choose(&self, now: Now, router: usize, prompt: &Prompt<'_>) -> Option<(usize, Tokens)> {
+        let Router {
+            views,
+            service,
+            sizes,
+        } = &self.routers[router];
+        let request = prompt.tokens() + sizes.expected_output(prompt.max_output);
+        let demand = MemoryDemand {
+            capacity: self.capacity,
+            request,
+            mean_request: sizes.mean().unwrap_or(request),
+        };
         let rule = service.apply_to(&self.rule);
         let rank = |at: usize| {
             let weight = if self.learning >= Learning::SpeedsAndHomes {
@@ -240,7 +298,11 @@
                 best
             }
         });
-        let candidates = views.iter().enumerate().map(|(at, view)| {
+        let with_room = views
+            .iter()
+            .enumerate()
+            .filter(|(_, view)| !self.states_capacity || view.has_room(now, &demand));
+        let candidates = with_room.map(|(at, view)| {
             let missing = view.missing_tokens(now, &rule, prompt, Some(at) == home);
             let expected = view.expected_first_token(now, &rule, missing, SLOTS);
             let reload = if self.learning >= Learning::Speeds {
@@ -250,8 +312,9 @@
             };
             (expected + reload, at, missing)
         });
-        let (_, at, missing) = candidates.min().expect("at least one engine");
-        (at, missing)
+        let (_, at, missing) = candidates.min()?;
+        let expected = views[at].expected_first_token(now, &rule, missing, SLOTS);
+        (expected < LATEST).then_some((at, missing))
     }
 }
 
@@ -304,6 +367,81 @@
     assert_eq!(speeds.first_events, homes.first_events);
 }
 
+/// Guards against engines that crash because requests overfill their memory while their slots are
+/// free: long responses, with memory for 24 and for 12 requests.
+#[test]
+fn memory_that_is_full_before_the_slots() {
+    for (capacity, per_second) in [(228_000, 40.0), (114_000, 20.0)] {
+        let [unaware, aware] = [false, true].map(|states_capacity| {
+            let mut pool = Pool::new(SPEEDS, 39.0, Learning::SpeedsAndHomes);
+            pool.capacity = capacity;
+            pool.states_capacity = states_capacity;
+            pool.output = 250;
+            let served = pool.serve(per_second);
+            let (mean, late) = (served.mean(), served.late_per_thousand());
+            let (overfilling, refused) = (served.overfilling, served.refused);
+            println!("mean {mean:?}, late {late}; {overfilling} overfill, {refused} refused");
+            served
+        });
+        assert!(unaware.overfilling > 0);
+        assert!(aware.overfilling * 5 < unaware.overfilling);
+        assert_eq!(aware.refused, 0);
+    }
+}
+
+/// Guards against requests that are refused though they would fit: expected output counts, not the
+/// maximum, and before any request has ended, half of that.
+#[test]
+fn output_is_expected_to_be_as_long_as_before() {
+    let mut sizes = RequestSizes::default();
+    assert_eq!((sizes.expected_output(4_000), sizes.mean()), (2_000, None));
+    for output in [100, 300, 200] {
+        sizes.record(1_000, output);
+    }
+    assert_eq!(
+        (sizes.expected_output(4_000), sizes.mean()),
+        (200, Some(1_200))
+    );
+    assert_eq!(sizes.expected_output(50), 50);
+}
+
+/// Guards against an engine that is overfilled by requests of which this router knows only the
+/// number, and against one that is passed over for good after its last report.
+#[test]
+fn requests_of_other_routers_fill_memory_until_their_report_is_old() {
+    let demand = MemoryDemand {
+        capacity: 10_000,
+        request: 1_000,
+        mean_request: 1_000,
+    };
+    let mut view = EndpointView::default();
+    assert!(view.has_room(Now::ZERO, &demand));
+    view.apply_report(Now::ZERO, 5, 3, SLOTS);
+    assert!(view.has_room(Now::ZERO, &demand));
+    view.hold_tokens(1_000);
+    assert!(!view.has_room(Duration::from_secs(1), &demand));
+    assert!(view.has_room(Duration::from_secs(4), &demand));
+    view.hold_tokens(8_000);
+    assert!(!view.has_room(Duration::from_mins(1), &demand));
+    view.release_tokens(9_000);
+    assert!(view.has_room(Duration::from_mins(1), &demand));
+}
+
+/// Guards against a prompt that no engine ever takes, because it alone exceeds what is counted as
+/// usable.
+#[test]
+fn empty_engine_takes_any_request() {
+    let demand = MemoryDemand {
+        capacity: 10_000,
+        request: 9_900,
+        mean_request: 1_000,
+    };
+    let mut view = EndpointView::default();
+    assert!(view.has_room(Now::ZERO, &demand));
+    view.hold_tokens(1);
+    assert!(!view.has_room(Now::ZERO, &demand));
+}
+
 fn sample(new_tokens: Tokens) -> WorkAhead {
     WorkAhead {
         new_tokens,
