--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -29,7 +29,8 @@
 //!
 //! Where the gateway's view comes from: the routing table and the number of gateways from the
 //! ledger ([`ledger_updates`]), grants from the ledger ([`grant_loop`]), the list of endpoints from
-//! the platform or from other gateways ([`list`]), endpoint load from response headers ([`endpoint`]).
+//! the platform or from other gateways ([`list`]), endpoint load from response headers ([`endpoint`]),
+//! engines' speeds and requests' sizes from responses ([`choose::EngineEstimates`]).
 
 pub mod admit;
 pub mod attempt;
--- a/crates/anvil_policy/src/engine/speed.rs
+++ b/crates/anvil_policy/src/engine/speed.rs
@@ -4,15 +4,16 @@
 //! services whose engines prefill several times as fast as others.
 //!
 //! *Without it:* prompts queue at slow engines until their reports show it, while faster ones are
-//! idle; and where all engines are faster than assumed, prompts stay at the home of their prefix
-//! although its queue costs more than prefilling the prefix elsewhere, or the reverse.
+//! idle. Where all engines prefill faster than assumed, the cost of a full batch is overestimated in
+//! comparison, and prompts leave the homes of their prefixes, which are prefilled again elsewhere.
 //!
 //! *Mechanism:* each time to a first event is compared with the expected one. The difference moves
 //! the parts of the service's estimate (prefill, batch, first event) in proportion to their shares
-//! of the expected time, and the engine's speed relative to its service. A sample has the less
-//! weight, the more of its time is attributed to other routers' prompts, of which only the number
-//! is known. Differences are clipped, so that single late responses move an estimate little, like
-//! a median. The pace that an endpoint states is divided out of the sample.
+//! of the expected time; the difference from what is expected of this engine moves its speed
+//! relative to its service. The more of its time is attributed to other routers' prompts, of which
+//! only the number is known, the less weight a sample has. Differences are clipped, so that single
+//! late responses move an estimate little. The pace that an endpoint states is divided out of the
+//! sample.
 //!
 //! *Thresholds:* an engine's speed follows the last ten samples or so, since requests to one engine
 //! are few at one router; the service's estimate follows the last hundred.
@@ -40,8 +41,8 @@
 const ENGINE_PRIOR_WEIGHT: f64 = 2.0;
 /// Minimum weight of the newest sample in an engine's speed.
 const ENGINE_MIN_GAIN: f64 = 0.2;
-/// Part of an engine's difference from its service that is attributed to the service with each
-/// sample, so that a difference that all engines share becomes the service's.
+/// Part of an engine's difference from its service that is dropped with each sample, so that a
+/// difference that all engines share is left to the service.
 const ENGINE_SHRINKAGE: f64 = 0.1;
 /// Weight of the prior of a service's estimate, in samples. The same number of samples halves the
 /// weight of the next one.
@@ -268,11 +269,12 @@
         fullness: 0.0,
     });
     let parts = TimeParts::expected(&service.apply_to(rule), own_tokens, reported);
-    let expected = parts.total() / engine.speed;
-    let error = (took.as_secs_f64() / expected).ln();
-    let error = error.clamp(-MAX_ERROR, MAX_ERROR);
-    let error = weigh_slower(error);
+    let error_at = |speed: f64| {
+        let error = (took.as_secs_f64() * speed / parts.total()).ln();
+        weigh_slower(error.clamp(-MAX_ERROR, MAX_ERROR))
+    };
+    let (engine_error, service_error) = (error_at(engine.speed), error_at(1.0));
     let shares = parts.shares();
-    engine.learn(error, weight * (shares.prefill + shares.batch));
-    service.learn(error, weight * (1.0 - shares.others), &shares);
+    engine.learn(engine_error, weight * (shares.prefill + shares.batch));
+    service.learn(service_error, weight * (1.0 - shares.others), &shares);
 }
