--- a/crates/anvil_gateway/tests/direct/uneven_engines.rs
+++ b/crates/anvil_gateway/tests/direct/uneven_engines.rs
@@ -5,7 +5,7 @@
 
 use crate::client::Client;
 use crate::endpoint::{ReceivedRequest, Step, TestEndpoint, chunk, event, stream_end};
-use crate::gateway::{SERVICE, TestGateway, routes, table};
+use crate::gateway::{SERVICE, TestGateway, listed, routes, table};
 use crate::processes::{TestRequest, new_id};
 
 /// The head of a stream, with a report of one running request.
@@ -57,6 +57,10 @@
     let (slow_count, fast_count) = (slow.received().len(), fast.received().len());
     assert!(fast_count > 2 * slow_count, "{slow_count} {fast_count}");
     assert!(learned_speed(&gateway, "slow") < learned_speed(&gateway, "fast"));
+    // A new incarnation is not taken for slow.
+    let restarted = listed("slow", fast.addr);
+    gateway.gw.directory.apply_list(&[restarted]);
+    assert!((learned_speed(&gateway, "slow") - 1.0).abs() < 1e-9);
 }
 
 /// Guards against speeds learned from a request whose answer never came, or from a stream that was
--- a/crates/anvil_policy/tests/engine_speeds.rs
+++ b/crates/anvil_policy/tests/engine_speeds.rs
@@ -538,6 +538,53 @@
     assert!((0.7..1.4).contains(&ratio), "{ratio}");
 }
 
+/// Guards against one slow engine that makes all engines of its service look slow.
+#[test]
+fn slow_engine_among_fast_ones_is_told_apart() {
+    let mut observed = Observed::default();
+    let usual = observed.expected();
+    let mut views = vec![EndpointView::default(); 6];
+    for _ in 0..40 {
+        for (at, view) in views.iter_mut().enumerate() {
+            std::mem::swap(view, &mut observed.view);
+            let factor = if at == 0 { 1.8 } else { 1.0 };
+            observed.observe(&sample(Observed::TOKENS), usual.mul_f64(factor), 1);
+            std::mem::swap(view, &mut observed.view);
+        }
+    }
+    let mut ratios = views.into_iter().map(|view| {
+        observed.view = view;
+        observed.ratio_to(usual)
+    });
+    let slow = ratios.next().expect("six engines");
+    assert!((1.5..2.0).contains(&slow), "{slow}");
+    for fast in ratios {
+        assert!((0.9..1.1).contains(&fast), "{fast}");
+    }
+}
+
+/// Guards against speeds learned from what was queued while reports were late: without a recent
+/// report, a response teaches less.
+#[test]
+fn responses_without_a_recent_report_teach_less() {
+    let unreported = WorkAhead {
+        reported: None,
+        ..sample(Observed::TOKENS)
+    };
+    let expected_after = |ahead| {
+        let mut engine = Observed::default();
+        let slow = 2 * engine.expected();
+        engine.observe(ahead, slow, 3);
+        engine.ratio_to(slow)
+    };
+    let (reported, unreported) = (
+        expected_after(&sample(Observed::TOKENS)),
+        expected_after(&unreported),
+    );
+    assert!((0.5..0.6).contains(&unreported), "{unreported}");
+    assert!(reported > unreported + 0.05, "{reported} {unreported}");
+}
+
 /// Guards against speeds learned from responses that say little about them: tiny prompts, and
 /// prompts behind many of other routers.
 #[test]
