--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use anvil_policy::crash::CrashWatch;
-use anvil_policy::engine::EngineRule;
 use anvil_policy::rate_share::{BurstTolerance, RouterRank};
 use anvil_policy::read_ahead::ReadAhead;
 use anvil_policy::retry::{RetryBudget, RetryRule, RetrySafety};
@@ -25,6 +24,7 @@
 use crate::accept::intake_status::IntakeStatus;
 use crate::accept::resource_limits::ResourceLimits;
 use crate::accept::socket_budgets::SocketBudgets;
+use crate::choose::EngineEstimates;
 use crate::dialect::{Dialect, ListSource};
 use crate::directory::Directory;
 use crate::endpoint_limits::EndpointLimits;
@@ -105,8 +105,8 @@
     pub dropped_log_lines: DroppedLines,
     /// Metrics.
     pub metrics: Metrics,
-    /// Constants for estimates of engines.
-    pub engine_rule: EngineRule,
+    /// What was learned of engines.
+    pub engine_estimates: EngineEstimates,
     /// Number of live gateways according to the ledger, this one included.
     pub gateway_count: AtomicU32,
     /// Rank of this gateway among them.
@@ -226,7 +226,7 @@
             log,
             dropped_log_lines: DroppedLines::default(),
             metrics,
-            engine_rule: EngineRule::default(),
+            engine_estimates: EngineEstimates::default(),
             gateway_count: AtomicU32::new(ASSUMED_GATEWAYS),
             gateway_rank: AtomicU32::new(rand::random_range(0..ASSUMED_GATEWAYS)),
             version_in_force: AtomicU64::new(0),
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -35,6 +35,9 @@
 pub const RETRIES_DENIED: &str = "tries.denied";
 /// Attempts that asked the endpoint to copy a cached prompt prefix from another one. Count.
 pub const ATTEMPTS_WITH_COPY: &str = "tries.copied";
+/// Attempts for which engines were passed over, because the request would overfill their memory.
+/// Count.
+pub const ATTEMPTS_BESIDE_FULL_MEMORY: &str = "tries.memory_full";
 /// Endpoints that crashed under requests. Count.
 pub const ENDPOINT_CRASHES: &str = "endpoints.crashed";
 /// Of these, the ones whose report was dropped because too many were pending. Count.
@@ -57,6 +60,8 @@
 pub const ENDPOINTS_PAUSED: &str = "endpoints.paused";
 /// Endpoints that may be warming up. Gauge.
 pub const ENDPOINTS_WARMING_UP: &str = "endpoints.warming_up";
+/// Endpoints whose learned speed is at least a step below that of their service. Gauge.
+pub const ENDPOINTS_SLOW: &str = "endpoints.slow";
 /// Services whose endpoints run more than one software version. Gauge.
 pub const SERVICES_MIXED: &str = "services.mixed";
 /// Streams that clients took up after another attempt had begun them. Count.
@@ -134,6 +139,7 @@
     (ATTEMPTS_IN_DOUBT, "count"),
     (RETRIES_DENIED, "count"),
     (ATTEMPTS_WITH_COPY, "count"),
+    (ATTEMPTS_BESIDE_FULL_MEMORY, "count"),
     (ENDPOINT_CRASHES, "count"),
     (CRASHES_UNREPORTED, "count"),
     (REQUESTS_QUARANTINED, "gauge"),
@@ -145,6 +151,7 @@
     (PAUSES_UNREADABLE, "count"),
     (ENDPOINTS_PAUSED, "gauge"),
     (ENDPOINTS_WARMING_UP, "gauge"),
+    (ENDPOINTS_SLOW, "gauge"),
     (SERVICES_MIXED, "gauge"),
     (STREAMS_TAKEN_UP, "count"),
     (ORIGIN_MESSAGES, "count"),
@@ -221,6 +228,7 @@
             (LIMIT_USED, limit_used),
             (ENDPOINTS_PAUSED, self.count_paused()),
             (ENDPOINTS_WARMING_UP, self.count_warming_up()),
+            (ENDPOINTS_SLOW, self.count_slow_endpoints()),
             (SERVICES_MIXED, self.count_mixed_services()),
             (ORIGINS_KNOWN, self.count_known_origins()),
             (GRANTS_FREE, grants.free),
@@ -238,6 +246,12 @@
         }
     }
 
+    fn count_slow_endpoints(&self) -> u64 {
+        let all = self.directory.all_endpoints();
+        let slow = all.iter().filter(|e| e.load().speed().step() < 0);
+        slow.count() as u64
+    }
+
     /// Number of endpoints with a limit, and the percentage of this gateway's share that is used.
     fn measure_limits(&self) -> (u64, u64) {
         let all = self.directory.all_endpoints();
--- a/crates/anvil_gateway/src/stream_relay.rs
+++ b/crates/anvil_gateway/src/stream_relay.rs
@@ -264,6 +264,16 @@
         loop {
             if let Some(event) = source.splitter.next_event() {
                 source.slot.response_started();
+                // A stream that another endpoint began says nothing about the time of a prompt.
+                if self.last_read.is_none() {
+                    let gw = &self.exchange.gw;
+                    let round_trip = gw.round_trip_to(&source.slot.endpoint);
+                    let now = gw.lifecycle.now();
+                    let estimates = &gw.engine_estimates;
+                    source
+                        .slot
+                        .record_first_event(now, estimates, round_trip, &gw.log);
+                }
                 source.progress = CrashedRun::AfterOutput;
                 // Failure: an endpoint repeats an event, or sends one of an earlier run. Ids
                 // increase by one; an event that does not follow is not delivered.
@@ -272,6 +282,7 @@
                     let bound = &mut self.exchange.stream_version;
                     bound.get_or_insert_with(|| version.clone());
                     source.events += 1;
+                    source.slot.record_output(self.exchange.tokens_per_event);
                     if source.events == EVENTS_AFTER_BEGINNING {
                         let endpoint = &source.slot.endpoint;
                         self.exchange.record_survived_beginning(endpoint);
@@ -353,6 +364,8 @@
             return;
         };
         let endpoint = source.slot.endpoint.clone();
+        let estimates = &self.exchange.gw.engine_estimates;
+        source.slot.record_completed(estimates);
         self.exchange.record_answered(&endpoint, StatusCode::OK);
         EndpointResponse::release_connection(source.sender, source.watch, &endpoint, &source.head);
     }
--- a/crates/anvil_gateway/tests/direct/main.rs
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -25,6 +25,7 @@
 mod slow_readers;
 mod starting;
 mod streams;
+mod uneven_engines;
 mod uneven_load;
 mod unframed;
 mod versions;
