Queue of an entry router: by priority class, fair among organisations

Cause: an entry router sends a request at once or refuses it. The queue of the sidecars' router orders by lanes of work and has no priority classes, no targets and no rule by which a class can't starve.

Change: `Ticket::priority` puts a request into the lane of its priority class; the most urgent class goes first, and a class of which 20 requests were offered and none was dispatched gets a turn. `AdmissionGate` forecasts the wait behind more urgent classes and those that arrive meanwhile, and returns a request to its place that found no room. Requests without a priority are treated as before.

Tests changed: `Ticket` has a new field, set to `None` in the tests of admission and waiting.

--- a/crates/anvil_policy/examples/decision_time.rs
+++ b/crates/anvil_policy/examples/decision_time.rs
@@ -113,6 +113,7 @@
         prompt: 100,
         service: Duration::from_secs(5),
         deadline: Duration::from_hours(2),
+        priority: None,
     };
     let waiting = if full { 4 * organisations } else { 0 };
     for at in 0..1_000 + waiting {
--- a/crates/anvil_policy/src/admission.rs
+++ b/crates/anvil_policy/src/admission.rs
@@ -18,12 +18,16 @@
 //! during sustained saturation, when a long queue adds delay and no throughput; [`AdmissionRule`]
 //! has the reason for each value.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use anvil_world::prelude::*;
 
 use crate::deadline::{Forecast, retry_delay};
-use crate::waiting::{Lane, Ticket, WaitQueue, Waiter, WaiterId};
+use crate::grant::Demand;
+use crate::waiting::{
+    Lane, MAX_OFFERS_WITHOUT_START, Priority, PriorityClass, Ticket, WaitQueue, Waiter, WaiterId,
+};
 
 /// Bounds on queued work.
 #[derive(Debug, Clone, PartialEq)]
@@ -57,6 +61,9 @@
     }
 }
 
+/// Time over which the demand of more urgent priority classes is measured.
+const URGENT_DEMAND_HORIZON: Duration = Duration::from_secs(1);
+
 /// Outcome of admission for one request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum AdmissionDecision {
@@ -76,6 +83,10 @@
     waiting: WaitQueue,
     running: u32,
     limit: u32,
+    /// Slots that queued requests are observed to get; `None` if not observed.
+    observed_slots: Option<f64>,
+    /// Slot time that was queued in each priority class, in microseconds.
+    queued_demand: BTreeMap<PriorityClass, Demand>,
     last_empty_at: Now,
 }
 
@@ -100,6 +111,13 @@
         self.limit = limit;
     }
 
+    /// Sets how many requests run, where the caller counts them itself, and how many slots queued
+    /// requests are observed to get, if that is known.
+    pub fn set_running(&mut self, running: u32, observed_slots: Option<f64>) {
+        self.running = running;
+        self.observed_slots = observed_slots;
+    }
+
     /// Maximum number of requests that run at a time.
     pub fn limit(&self) -> u32 {
         self.limit
@@ -120,6 +138,9 @@
         if self.waiting.is_empty() {
             self.last_empty_at = now;
         }
+        if ticket.priority.is_some() {
+            self.waiting.record_offer(ticket.lane());
+        }
         if let Some(refusal) = self.refusal(now, &ticket) {
             return AdmissionDecision::Refuse(refusal);
         }
@@ -127,7 +148,15 @@
             self.running += 1;
             return AdmissionDecision::Run;
         }
-        let start_by = ticket.deadline.saturating_sub(ticket.service);
+        let start_by = ticket.priority.map_or_else(
+            || ticket.deadline.saturating_sub(ticket.service),
+            |priority| priority.start_by,
+        );
+        if let Some(priority) = ticket.priority {
+            let demand = self.queued_demand.entry(priority.class);
+            let demand = demand.or_insert_with(|| Demand::over(URGENT_DEMAND_HORIZON));
+            demand.add(now, ticket.cost());
+        }
         AdmissionDecision::Wait(self.push(now, now, ticket, start_by))
     }
 
@@ -161,6 +190,18 @@
         self.push(now, waiter.arrived, waiter.ticket.clone(), waiter.start_by)
     }
 
+    /// Queues a request again that [`AdmissionGate::next`] returned and that was not dispatched, as
+    /// if it had not been returned.
+    pub fn put_back(&mut self, now: Now, waiter: &Waiter) -> WaiterId {
+        self.waiting.refund(&waiter.ticket);
+        self.requeue(now, waiter)
+    }
+
+    /// When the next queued request expires.
+    pub fn next_expiry(&self) -> Option<Now> {
+        self.waiting.next_expiry()
+    }
+
     /// Records that a running request has ended.
     pub fn finished(&mut self) {
         self.running = self.running.saturating_sub(1);
@@ -173,8 +214,16 @@
 
     /// Forecast for a new request, given the current backlog.
     pub fn forecast(&self, now: Now, ticket: &Ticket) -> Forecast {
+        if let Some(priority) = ticket.priority {
+            return Forecast {
+                wait: self.expected_wait(now, ticket),
+                service: Duration::ZERO,
+                time_left: priority.start_by.saturating_sub(now),
+                max_wait: self.max_wait(now, ticket),
+            };
+        }
         Forecast {
-            wait: self.expected_wait(ticket),
+            wait: self.expected_wait(now, ticket),
             service: ticket.service,
             time_left: ticket.deadline.saturating_sub(now),
             max_wait: self.max_wait(now, ticket),
@@ -197,7 +246,7 @@
     }
 
     /// Expected wait in the request's lane at the fair share of its organisation.
-    fn expected_wait(&self, ticket: &Ticket) -> Duration {
+    fn expected_wait(&self, now: Now, ticket: &Ticket) -> Duration {
         if self.waiting.is_empty() && self.running < self.limit {
             return Duration::ZERO;
         }
@@ -205,13 +254,38 @@
         let (own, all) = self.waiting.backlog(lane, &ticket.organisation);
         let weight_sum = self.waiting.active_weight(lane, ticket);
         let fair_backlog = own.saturating_mul(weight_sum) / u64::from(ticket.weight.max(1));
-        self.time_to_clear(lane, fair_backlog.min(all))
+        let backlog = fair_backlog.min(all);
+        ticket.priority.map_or_else(
+            || self.time_to_clear(lane, backlog),
+            |priority| self.priority_wait(now, priority, backlog, ticket.cost()),
+        )
+    }
+
+    /// Expected wait behind more urgent classes, those that arrive meanwhile included, and this
+    /// backlog of its own class.
+    fn priority_wait(&self, now: Now, priority: Priority, backlog: u64, cost: u64) -> Duration {
+        let class = priority.class;
+        if backlog == 0 && self.waiting.is_overdue(class) {
+            return Duration::ZERO;
+        }
+        // On average, the next slot becomes free after half of the time between two.
+        let ahead = self.waiting.more_urgent_backlog(class);
+        let ahead = ahead.saturating_add(backlog).saturating_add(cost / 2);
+        let running = self.running.min(self.limit).max(1);
+        let slots = self.observed_slots.unwrap_or(f64::from(running));
+        let more_urgent = self.queued_demand.range(..class);
+        let taken: f64 = more_urgent.map(|(_, demand)| demand.rate(now)).sum();
+        let least = slots / f64::from(MAX_OFFERS_WITHOUT_START);
+        let left = (slots - taken / MICROS_PER_SECOND).max(least);
+        let wait_s = to_f64(ahead) / MICROS_PER_SECOND / left;
+        Duration::try_from_secs_f64(wait_s * self.rule.wait_safety_factor).unwrap_or(Duration::MAX)
     }
 
     /// Amount by which the organisation's backlog exceeds the free part of the maximum wait.
     fn threshold_excess(&self, now: Now, ticket: &Ticket) -> Duration {
         let lane = ticket.lane();
-        if lane == Lane::Batch {
+        // The wait of a request with a priority is bounded by its target, which is short.
+        if matches!(lane, Lane::Batch | Lane::Priority(_)) {
             return Duration::ZERO;
         }
         let (own, all) = self.waiting.backlog(lane, &ticket.organisation);
@@ -233,6 +307,7 @@
         match ticket.lane() {
             Lane::Batch => ticket.deadline.saturating_sub(now),
             Lane::Short | Lane::Long => self.max_interactive_wait(now),
+            Lane::Priority(_) => max_priority_wait(now, ticket),
         }
     }
 
@@ -250,3 +325,26 @@
         self.waiting.push(now, ticket, target_start, start_by)
     }
 }
+
+const MICROS_PER_SECOND: f64 = 1e6;
+
+/// A request waits up to its target, or without a chance to meet it, as long as it can still be
+/// served.
+fn max_priority_wait(now: Now, ticket: &Ticket) -> Duration {
+    let Some(priority) = ticket.priority else {
+        return Duration::ZERO;
+    };
+    let to_target = priority.target_start.saturating_sub(now);
+    if to_target.is_zero() {
+        return priority.start_by.saturating_sub(now);
+    }
+    to_target
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "an estimate needs no last digit"
+)]
+fn to_f64(micros: u64) -> f64 {
+    micros as f64
+}
--- a/crates/anvil_policy/src/estimate.rs
+++ b/crates/anvil_policy/src/estimate.rs
@@ -11,6 +11,7 @@
 //! to the first token, of the time for each output token, and of the output length relative to its
 //! bound.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use anvil_world::prelude::*;
@@ -99,6 +100,29 @@
     }
 }
 
+/// Mean of a time that concurrent tasks measure, without a lock.
+#[derive(Debug, Default)]
+pub struct MeanDuration(AtomicU64);
+
+impl MeanDuration {
+    /// The mean; `None` before the first measurement.
+    pub fn get(&self) -> Option<Duration> {
+        let micros = self.0.load(Ordering::Relaxed);
+        (micros > 0).then(|| Duration::from_micros(micros))
+    }
+
+    /// Updates the mean. A concurrent update may be lost, which the next ones make up for.
+    pub fn learn(&self, measured: Duration) {
+        let mean = self.get().map_or(measured, |old| {
+            let mut mean = old.as_secs_f64();
+            update_mean(&mut mean, measured.as_secs_f64());
+            Duration::from_secs_f64(mean)
+        });
+        let micros = u64::try_from(mean.as_micros()).unwrap_or(u64::MAX);
+        self.0.store(micros.max(1), Ordering::Relaxed);
+    }
+}
+
 fn update_mean(old: &mut f64, new: f64) {
     *old += SAMPLE_WEIGHT * (new - *old);
 }
--- a/crates/anvil_policy/src/fair.rs
+++ b/crates/anvil_policy/src/fair.rs
@@ -18,6 +18,11 @@
 /// Keeps small costs distinct after the division by a weight of up to 1,000.
 const SCALE: u64 = 1_024;
 
+/// By how much a turn advances a tag.
+fn step(cost: u64, weight: u32) -> Tag {
+    cost.max(1).saturating_mul(SCALE) / u64::from(weight.max(1))
+}
+
 /// Selects the next key among those that have work.
 #[derive(Debug, Clone)]
 pub struct FairShares<K> {
@@ -61,6 +66,19 @@
         }
     }
 
+    /// Returns the cost of a turn that was charged but not taken.
+    pub fn refund(&mut self, key: &K, cost: u64, weight: u32) {
+        let Some(old) = self.tags.get(key).copied() else {
+            return;
+        };
+        let ready = self.ready.remove(&(old, key.clone()));
+        let new = old.saturating_sub(step(cost, weight));
+        self.tags.insert(key.clone(), new);
+        if ready {
+            self.ready.insert((new, key.clone()));
+        }
+    }
+
     /// The key whose turn it is.
     pub fn next(&self) -> Option<&K> {
         self.ready.first().map(|(_, key)| key)
@@ -70,15 +88,38 @@
     pub fn charge(&mut self, key: &K, cost: u64, weight: u32) {
         let old = self.tags.get(key).copied().unwrap_or(self.virtual_time);
         let ready = self.ready.remove(&(old, key.clone()));
-        let step = cost.max(1).saturating_mul(SCALE) / u64::from(weight.max(1));
         // A turn out of order (a promoted request) must not advance the virtual time past keys that
         // still wait.
         let first = self.ready.first().map_or(old, |(tag, _)| *tag);
         self.virtual_time = self.virtual_time.max(old.min(first));
-        let new = old.max(self.virtual_time).saturating_add(step);
+        let new = old
+            .max(self.virtual_time)
+            .saturating_add(step(cost, weight));
         self.tags.insert(key.clone(), new);
         if ready {
             self.ready.insert((new, key.clone()));
         }
     }
 }
+
+/// An organisation gets at least this part of the turns that it would get in proportion to its load,
+/// as a divisor: none is served less than a quarter as often as all requests are on the whole, with
+/// a margin for the estimates of both.
+const PROPORTIONAL_PART: f64 = 3.0;
+/// Weight of an organisation whose load is at most [`PROPORTIONAL_PART`] times the mean.
+const USUAL_WEIGHT: f64 = 100.0;
+
+/// Weight of an organisation, by its load and the mean load of all organisations.
+///
+/// With equal weights for all, an organisation with most of the load would get next to nothing
+/// beside many small ones; in proportion to the load, it would push them aside.
+pub fn weight_by_load(own: f64, mean: f64) -> u32 {
+    let excess = own / (PROPORTIONAL_PART * mean.max(f64::MIN_POSITIVE));
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a float to integer cast saturates"
+    )]
+    let weight = (USUAL_WEIGHT * excess.max(1.0)) as u32;
+    weight
+}
--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -26,6 +26,7 @@
 //!     prompt: 120,
 //!     service: Estimate::default().service_time(120, 256),
 //!     deadline: Duration::from_secs(20),
+//!     priority: None,
 //! };
 //! assert_eq!(gate.offer(Duration::ZERO, ticket), AdmissionDecision::Run);
 //!
@@ -41,6 +42,7 @@
 //! Suggested reading order:
 //! * [`endpoint`] and [`choice`]: what is known of an endpoint, and which one is chosen.
 //! * [`admission`], [`waiting`], [`fair`], [`deadline`], [`estimate`]: admission and the queue.
+//! * [`entry_queue`]: the queue of a router in front of endpoints without a sidecar.
 //! * [`health`], with [`limit`] and [`ejection`]: how much work an endpoint is given.
 //! * [`retry`]: whether a failed attempt is repeated.
 //! * [`grant`]: how much of a budget a router holds.
@@ -69,6 +71,7 @@
 pub mod ejection;
 pub mod endpoint;
 pub mod engine;
+pub mod entry_queue;
 pub mod estimate;
 pub mod fair;
 pub mod grant;
--- a/crates/anvil_policy/src/waiting.rs
+++ b/crates/anvil_policy/src/waiting.rs
@@ -11,6 +11,11 @@
 //! deadline goes first. A request close to its target start is promoted ahead of all of these:
 //! fairness may reorder requests, but must not break the maximum wait that they were admitted with.
 //!
+//! Requests with a [`Priority`] have a lane for each priority class, and the most urgent lane with
+//! work goes first. A class of which [`MAX_OFFERS_WITHOUT_START`] requests were offered and none was
+//! dispatched gets a turn before more urgent ones. Promotions would let every class go first under
+//! sustained overload, so there are none among these lanes.
+//!
 //! *Thresholds:* the lead of a promotion is bounded both absolutely and as a part of the wait, see
 //! `MAX_PROMOTION_LEAD`; prompts count as long from the length at which prefill alone takes as
 //! long as a short question, see [`LONG_PROMPT_TOKENS`].
@@ -39,6 +44,25 @@
 /// The lead is at most the wait divided by this; see [`MAX_PROMOTION_LEAD`].
 const PROMOTION_LEAD_DIVISOR: u32 = 8;
 
+/// Priority class of a request; 0 is the most urgent.
+pub type PriorityClass = u8;
+
+/// Of a priority class, at least one request in so many is dispatched, and at most one dispatch in
+/// so many is out of turn: this keeps a class from starving, and a less urgent class is never served
+/// more often than a more urgent one by over 5 in 100.
+pub const MAX_OFFERS_WITHOUT_START: u32 = 20;
+
+/// Place of a request in a queue that is ordered by priority class.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Priority {
+    /// Its class.
+    pub class: PriorityClass,
+    /// Latest start at which its response begins within its target.
+    pub target_start: Now,
+    /// Latest start for which it waits.
+    pub start_by: Now,
+}
+
 /// Class of work that is queued together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Lane {
@@ -48,10 +72,12 @@
     Long,
     /// Work that no interactive user waits for.
     Batch,
+    /// Work of a priority class.
+    Priority(PriorityClass),
 }
 
 impl Lane {
-    /// All lanes.
+    /// The lanes that share slot time by weight.
     pub const ALL: [Self; 3] = [Self::Short, Self::Long, Self::Batch];
 
     /// The lane of a request.
@@ -68,7 +94,7 @@
         match self {
             Self::Short => 12,
             Self::Long => 3,
-            Self::Batch => 1,
+            Self::Batch | Self::Priority(_) => 1,
         }
     }
 }
@@ -88,12 +114,23 @@
     pub service: Duration,
     /// When its caller times out.
     pub deadline: Now,
+    /// Set if the queue is ordered by priority class.
+    pub priority: Option<Priority>,
 }
 
 impl Ticket {
     /// The lane it is queued in.
     pub fn lane(&self) -> Lane {
-        Lane::of(self.class, self.prompt)
+        self.priority.map_or_else(
+            || Lane::of(self.class, self.prompt),
+            |priority| Lane::Priority(priority.class),
+        )
+    }
+
+    /// Requests of one organisation are dispatched in this order.
+    fn order(&self) -> Now {
+        self.priority
+            .map_or(self.deadline, |priority| priority.target_start)
     }
 
     /// Service time in microseconds, the unit of cost in fair queueing.
@@ -120,11 +157,11 @@
 struct QueuePosition {
     lane: Lane,
     organisation: OrganisationId,
-    deadline: Now,
+    order: Now,
     promote_at: Now,
 }
 
-/// Queued requests of one organisation in one lane, earliest deadline first.
+/// Queued requests of one organisation in one lane, in their order.
 #[derive(Debug, Clone, Default)]
 struct OrganisationQueue {
     waiters: BTreeMap<(Now, WaiterId), Waiter>,
@@ -138,6 +175,7 @@
     cost: u64,
     weight: u64,
     shares: FairShares<OrganisationId>,
+    offers_without_start: u32,
 }
 
 /// All queued requests of one pool.
@@ -150,6 +188,8 @@
     by_start_by: BTreeSet<(Now, WaiterId)>,
     counts: BTreeMap<OrganisationId, usize>,
     next_id: WaiterId,
+    /// Dispatches since the last one out of turn.
+    starts_in_turn: u32,
 }
 
 impl Default for WaitQueue {
@@ -163,6 +203,7 @@
             by_start_by: BTreeSet::new(),
             counts: BTreeMap::new(),
             next_id: 1,
+            starts_in_turn: 0,
         }
     }
 }
@@ -185,14 +226,36 @@
 
     /// Queued slot time in a lane, in microseconds: of one organisation, and of all.
     pub fn backlog(&self, lane: Lane, organisation: &OrganisationId) -> (u64, u64) {
-        let queue = &self.lanes[&lane];
+        let Some(queue) = self.lanes.get(&lane) else {
+            return (0, 0);
+        };
         let own = queue.queues.get(organisation).map_or(0, |own| own.cost);
         (own, queue.cost)
     }
 
+    /// Queued slot time of the priority classes that are more urgent, in microseconds.
+    pub fn more_urgent_backlog(&self, class: PriorityClass) -> u64 {
+        let more_urgent = self.lanes.range(Lane::Priority(0)..Lane::Priority(class));
+        more_urgent.fold(0, |sum, (_, queue)| sum.saturating_add(queue.cost))
+    }
+
+    /// Records that a request was offered, whether or not it is queued.
+    pub fn record_offer(&mut self, lane: Lane) {
+        let queue = self.lanes.entry(lane).or_default();
+        queue.offers_without_start = queue.offers_without_start.saturating_add(1);
+    }
+
+    /// Whether a priority class may have its next turn before more urgent ones.
+    pub fn is_overdue(&self, class: PriorityClass) -> bool {
+        let queue = self.lanes.get(&Lane::Priority(class));
+        queue.is_some_and(LaneQueue::is_overdue)
+    }
+
     /// Sum of the weights of the organisations queued in a lane, including that of a new request.
     pub fn active_weight(&self, lane: Lane, ticket: &Ticket) -> u64 {
-        let queue = &self.lanes[&lane];
+        let Some(queue) = self.lanes.get(&lane) else {
+            return u64::from(ticket.weight);
+        };
         let own = queue.queues.get(&ticket.organisation);
         let others = queue.weight - own.map_or(0, |own| u64::from(own.weight));
         others + u64::from(ticket.weight)
@@ -200,7 +263,8 @@
 
     /// Sum of the weights of the lanes that have work, including the lane of a new request.
     pub fn active_lane_weight(&self, newcomer: Lane) -> u32 {
-        let busy = |lane: &Lane| *lane == newcomer || self.lanes[lane].cost > 0;
+        let has_work = |lane: &Lane| self.lanes.get(lane).is_some_and(|queue| queue.cost > 0);
+        let busy = |lane: &Lane| *lane == newcomer || has_work(lane);
         let weights = Lane::ALL.into_iter().filter(busy).map(Lane::weight);
         weights.sum()
     }
@@ -216,10 +280,12 @@
         let position = QueuePosition {
             lane: ticket.lane(),
             organisation: ticket.organisation.clone(),
-            deadline: ticket.deadline,
+            order: ticket.order(),
             promote_at,
         };
-        self.by_promotion.insert((promote_at, id));
+        if ticket.priority.is_none() {
+            self.by_promotion.insert((promote_at, id));
+        }
         self.by_start_by.insert((start_by, id));
         *self
             .counts
@@ -244,14 +310,36 @@
         let waiter = self.remove(id)?;
         let ticket = &waiter.ticket;
         let lane = ticket.lane();
+        if ticket.priority.is_some_and(|one| self.is_out_of_turn(one)) {
+            self.starts_in_turn = 0;
+        } else {
+            self.starts_in_turn = self.starts_in_turn.saturating_add(1);
+        }
         self.shares.charge(&lane, ticket.cost(), lane.weight());
         let queue = self.lanes.entry(lane).or_default();
+        queue.offers_without_start = 0;
         queue
             .shares
             .charge(&ticket.organisation, ticket.cost(), ticket.weight);
         Some(waiter)
     }
 
+    /// Returns the cost of a request to its lane and organisation: it was removed by
+    /// [`WaitQueue::pop`], but not dispatched.
+    pub fn refund(&mut self, ticket: &Ticket) {
+        let lane = ticket.lane();
+        self.shares.refund(&lane, ticket.cost(), lane.weight());
+        let queue = self.lanes.entry(lane).or_default();
+        queue
+            .shares
+            .refund(&ticket.organisation, ticket.cost(), ticket.weight);
+    }
+
+    /// When the next request is removed by [`WaitQueue::pop_expired`].
+    pub fn next_expiry(&self) -> Option<Now> {
+        self.by_start_by.first().map(|(start_by, _)| *start_by)
+    }
+
     /// Removes a request that can no longer be served in time, if there is one.
     pub fn pop_expired(&mut self, now: Now) -> Option<Waiter> {
         let (start_by, id) = self.by_start_by.first().copied()?;
@@ -265,7 +353,7 @@
     pub fn remove(&mut self, id: WaiterId) -> Option<Waiter> {
         let position = self.positions.remove(&id)?;
         let queue = self.lanes.get_mut(&position.lane)?;
-        let waiter = queue.take(&position.organisation, (position.deadline, id))?;
+        let waiter = queue.take(&position.organisation, (position.order, id))?;
         if queue.queues.is_empty() {
             self.shares.mark_idle(&position.lane);
         }
@@ -286,16 +374,41 @@
     }
 
     fn next_fair(&self) -> Option<WaiterId> {
-        let lane = self.shares.next()?;
-        let queue = &self.lanes[lane];
+        let lane = self
+            .next_priority()
+            .or_else(|| self.shares.next().copied())?;
+        let queue = self.lanes.get(&lane)?;
         let organisation = queue.shares.next()?;
         let own = queue.queues.get(organisation)?;
         let ((_, id), _) = own.waiters.first_key_value()?;
         Some(*id)
     }
+
+    /// The lane of the priority class whose turn it is.
+    fn next_priority(&self) -> Option<Lane> {
+        let lanes = self.lanes.range(Lane::Priority(0)..);
+        let mut ready = lanes.filter(|(_, queue)| !queue.queues.is_empty());
+        if self.starts_in_turn >= MAX_OFFERS_WITHOUT_START {
+            let overdue = ready.clone().filter(|(_, queue)| queue.is_overdue());
+            let longest = overdue.max_by_key(|(_, queue)| queue.offers_without_start);
+            if let Some((lane, _)) = longest {
+                return Some(*lane);
+            }
+        }
+        ready.next().map(|(lane, _)| *lane)
+    }
+
+    /// Whether more urgent classes have queued work.
+    fn is_out_of_turn(&self, priority: Priority) -> bool {
+        self.more_urgent_backlog(priority.class) > 0
+    }
 }
 
 impl LaneQueue {
+    fn is_overdue(&self) -> bool {
+        self.offers_without_start >= MAX_OFFERS_WITHOUT_START
+    }
+
     fn add(&mut self, waiter: Waiter) {
         let organisation = waiter.ticket.organisation.clone();
         let cost = waiter.ticket.cost();
@@ -308,7 +421,7 @@
         self.weight += u64::from(own.weight);
         own.cost = own.cost.saturating_add(cost);
         own.waiters
-            .insert((waiter.ticket.deadline, waiter.id), waiter);
+            .insert((waiter.ticket.order(), waiter.id), waiter);
     }
 
     fn take(&mut self, organisation: &OrganisationId, at: (Now, WaiterId)) -> Option<Waiter> {
--- a/crates/anvil_policy/tests/admission.rs
+++ b/crates/anvil_policy/tests/admission.rs
@@ -14,6 +14,7 @@
         prompt: 100,
         service: Duration::from_secs(1),
         deadline: now + Duration::from_secs(timeout),
+        priority: None,
     }
 }
 
--- a/crates/anvil_policy/tests/waiting.rs
+++ b/crates/anvil_policy/tests/waiting.rs
@@ -18,6 +18,7 @@
         prompt: 100,
         service: Duration::from_secs(service),
         deadline: LATE,
+        priority: None,
     }
 }
 
--- a/crates/anvil_standins/src/load/policy/router.rs
+++ b/crates/anvil_standins/src/load/policy/router.rs
@@ -123,6 +123,7 @@
             prompt: req.prompt,
             service: self.estimate.service_time(req.prompt, req.output_bound),
             deadline: req.deadline,
+            priority: None,
         };
         match self.gate.offer(now, ticket) {
             AdmissionDecision::Run => Admission::Run,
@@ -172,6 +173,7 @@
                 prompt: req.prompt,
                 service,
                 deadline: req.deadline,
+                priority: None,
             },
         }
     }
--- a/crates/anvilreel/src/router/pool_queue.rs
+++ b/crates/anvilreel/src/router/pool_queue.rs
@@ -186,6 +186,7 @@
             prompt,
             service: self.queue().estimate.service_time(prompt, output),
             deadline: now + job.time_left(),
+            priority: None,
         }
     }
 
