Requests wait at the gateway while no endpoint has room

Cause: a gateway sent a request into the queue of a full endpoint, or refused it although a slot or a limit allowed it a few milliseconds later.

Change: `wait::ServiceQueue` holds requests of a service while no endpoint has room, in the order of `anvil_policy::entry_queue`; `exchange/place.rs` uses it around `select_endpoint`. One request is woken for each response that ends, prompt that an engine has processed, or report that shows room where there was none; one that finds a further free slot wakes the next; a timer wakes one when a limit allows another request. What can't start within its target is refused at once, as not run, with a spread retry time. Nothing that may have run waits. While nothing waits, a request costs atomic counters only.

Tests changed: pausing.rs calls `select_endpoint` with the same terms as a struct.

--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -52,8 +52,25 @@
     Paused(Duration),
     /// Some endpoints have asked for a pause, and the others bear no more.
     Full,
+    /// No endpoint has room: a request would wait there for longer than its target allows.
+    Busy,
 }
 
+/// Until when a request has to be placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PlacementTerms {
+    /// Its response must be expected within this time.
+    pub within: Duration,
+    /// If it can wait in front of the endpoints: it is placed only where its response is expected
+    /// within this time, or at once.
+    pub with_room_within: Option<Duration>,
+}
+
+/// Requests in the queue of an engine that has all slots in use, as a divisor of its slots: they keep
+/// the slots in use between the end of a request and the arrival of the next. A sixteenth is served
+/// within a sixteenth of the duration of a response.
+const ENGINE_QUEUE_DIVISOR: u32 = 16;
+
 /// Expected wait for one more request at a non-engine endpoint whose slots are all in use.
 const FULL_ENDPOINT_WAIT: Duration = Duration::from_millis(30);
 
@@ -114,7 +131,7 @@
         service: &str,
         prompt: &Prompt<'_>,
         constraints: Constraints<'_>,
-        within: Duration,
+        terms: PlacementTerms,
     ) -> Result<Selection, Unplaced> {
         let now = self.lifecycle.now();
         let available = self.available_endpoints(service, constraints);
@@ -125,7 +142,7 @@
         let candidate = |endpoint| self.estimate(now, prompt, home, endpoint);
         let warm_up = self.warm_up_terms(service);
         let candidates: Vec<Candidate<'_>> = available.iter().map(candidate).collect();
-        let best = self.reserve_best(now, &candidates, warm_up.as_ref(), within)?;
+        let best = self.reserve_best(now, &candidates, warm_up.as_ref(), terms)?;
         let source = self.copy_source(service, prompt, best, &candidates);
         let missing_tokens = source
             .as_ref()
@@ -154,7 +171,7 @@
         now: Now,
         candidates: &'a [Candidate<'a>],
         warm_up: Option<&WarmUpTerms>,
-        within: Duration,
+        terms: PlacementTerms,
     ) -> Result<&'a Candidate<'a>, Unplaced> {
         // A clock before the epoch still yields valid time windows.
         let time_of_day = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -178,9 +195,17 @@
                 return Err(Unplaced::Full);
             }
         }
+        if let Some(within) = terms.with_room_within
+            && !accepting.is_empty()
+        {
+            accepting.retain(|candidate| candidate.has_room(now, within));
+            if accepting.is_empty() {
+                return Err(Unplaced::Busy);
+            }
+        }
         let preference = |candidate: &&Candidate<'_>| (candidate.on_cooldown, candidate.expected);
         while let Some(best) = accepting.iter().copied().min_by_key(preference) {
-            if best.expected > within {
+            if best.expected > terms.within {
                 return Err(Unplaced::TooLate(best.expected));
             }
             let is_warm_enough =
@@ -253,6 +278,7 @@
             return Candidate {
                 endpoint,
                 expected: base + work.mul_f64(load.work_factor(now)) + jitter,
+                is_engine: false,
                 missing: MissingTokens {
                     by_own_requests: 0,
                     with_home: 0,
@@ -274,6 +300,7 @@
         Candidate {
             endpoint,
             expected: base + expected,
+            is_engine: true,
             missing: MissingTokens {
                 by_own_requests,
                 with_home,
@@ -289,6 +316,8 @@
     endpoint: &'a Arc<Endpoint>,
     /// Time to the first token if all missing prompt tokens are processed.
     expected: Duration,
+    /// Whether it processes the request's prompt.
+    is_engine: bool,
     /// Prompt tokens that are not cached there.
     missing: MissingTokens,
     /// Whether it failed recently and is on cooldown.
@@ -298,6 +327,25 @@
 }
 
 impl Candidate<'_> {
+    /// Whether a request that can wait is sent there now: one that can be expected in time, or that
+    /// would wait for nothing there.
+    fn has_room(&self, now: Now, within: Duration) -> bool {
+        let endpoint = self.endpoint;
+        // A router without requests in flight learns of room only from a response.
+        if endpoint.queue.is_idle() {
+            return true;
+        }
+        let load = endpoint.load();
+        let requests = load.estimated_requests(now);
+        let slots = load.slots(endpoint.slots).max(1);
+        if self.is_engine {
+            let is_idle = load.pending_prefill == 0;
+            return requests < slots + slots / ENGINE_QUEUE_DIVISOR
+                && (is_idle || self.expected <= within);
+        }
+        requests < slots || self.expected <= within
+    }
+
     fn wait(
         &self,
         warm_up: Option<&WarmUpTerms>,
--- a/crates/anvil_gateway/src/directory.rs
+++ b/crates/anvil_gateway/src/directory.rs
@@ -9,6 +9,7 @@
 use arc_swap::ArcSwap;
 
 use crate::endpoint::Endpoint;
+use crate::wait::{ServiceQueue, Wake};
 
 /// Endpoints of one service.
 pub type EndpointGroup = Vec<Arc<Endpoint>>;
@@ -21,6 +22,8 @@
 #[derive(Default)]
 pub struct Directory {
     groups: ArcSwap<BTreeMap<ServiceId, EndpointGroup>>,
+    /// By service: requests that wait for its endpoints. Kept while no endpoint is listed.
+    queues: Mutex<BTreeMap<ServiceId, Arc<ServiceQueue>>>,
     /// Availability zones whose endpoints receive no new requests.
     evacuated_zones: ArcSwap<BTreeSet<ZoneId>>,
     /// Leaving endpoints, with the time they were last listed so, or were last listed at all.
@@ -64,6 +67,34 @@
         groups.get(service).cloned().unwrap_or_default()
     }
 
+    /// The queue of a service; `None` if no endpoint is listed.
+    pub fn queue(&self, service: &str) -> Option<Arc<ServiceQueue>> {
+        let groups = self.groups.load();
+        let endpoint = groups.get(service)?.first()?;
+        Some(endpoint.queue.clone())
+    }
+
+    /// Number of requests that wait for endpoints.
+    pub fn count_waiting(&self) -> u64 {
+        let queues = self.queues();
+        queues
+            .values()
+            .map(|queue| u64::from(queue.waiting()))
+            .sum()
+    }
+
+    fn queues(&self) -> MutexGuard<'_, BTreeMap<ServiceId, Arc<ServiceQueue>>> {
+        // Sound after a panic elsewhere: each queue is valid by itself.
+        self.queues.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn queue_of(&self, service: &ServiceId) -> Arc<ServiceQueue> {
+        let mut queues = self.queues();
+        let queue = queues.entry(service.clone());
+        let queue = queue.or_insert_with(|| Arc::new(ServiceQueue::new(service.clone())));
+        queue.clone()
+    }
+
     /// An endpoint by its id.
     pub fn find(&self, id: &InstanceId) -> Option<Arc<Endpoint>> {
         let groups = self.groups.load();
@@ -190,7 +221,7 @@
             }
             let endpoint = unchanged.cloned().unwrap_or_else(|| {
                 changes.added.push(listed.id.clone());
-                Arc::new(Endpoint::new(listed))
+                Arc::new(Endpoint::new(listed, self.queue_of(&listed.service)))
             });
             if listed.leaving {
                 recently_leaving.insert(listed.id.clone(), Instant::now());
@@ -217,6 +248,12 @@
             self.groups.store(Arc::new(groups));
             self.replaced().clear();
         }
+        if !changes.added.is_empty() {
+            // A new endpoint has room for several requests: each that finds some wakes the next.
+            for queue in self.queues().values() {
+                queue.free_place(Wake::Timer);
+            }
+        }
         changes
     }
 }
--- a/crates/anvil_gateway/src/endpoint.rs
+++ b/crates/anvil_gateway/src/endpoint.rs
@@ -11,12 +11,14 @@
 use anvil_world::prelude::*;
 use anvilreel::event;
 use slog::Logger;
+use tokio::time::Instant;
 
 use crate::dialect::ReportedLoad;
 use crate::log_events as events;
 use crate::pauses::EndpointPause;
 use crate::pool::ConnectionPool;
 use crate::shared_content::ContentScope;
+use crate::wait::{ServiceQueue, Wake};
 use crate::warm_up::EndpointWarmUp;
 
 /// One incarnation of an endpoint.
@@ -37,6 +39,8 @@
     pub content_scope: ContentScope,
     /// Connections to it.
     pub pool: ConnectionPool,
+    /// Requests that wait for an endpoint of its service.
+    pub queue: Arc<ServiceQueue>,
     leaving: AtomicBool,
     load: Mutex<EndpointView>,
     rate_share: Mutex<RateShare>,
@@ -45,8 +49,8 @@
 }
 
 impl Endpoint {
-    /// Creates it from an entry of the platform's list.
-    pub fn new(listed: &ListedEndpoint) -> Self {
+    /// Creates it from an entry of the platform's list, with the queue of its service.
+    pub fn new(listed: &ListedEndpoint, queue: Arc<ServiceQueue>) -> Self {
         Self {
             id: listed.id.clone(),
             service: listed.service.clone(),
@@ -56,6 +60,7 @@
             slots: listed.slots,
             content_scope: ContentScope::new(&listed.service, &listed.version),
             pool: ConnectionPool::new(listed.addr),
+            queue,
             leaving: AtomicBool::new(listed.leaving),
             load: Mutex::default(),
             rate_share: Mutex::default(),
@@ -171,13 +176,29 @@
         }
     }
 
+    /// Whether it has a slot for another request.
+    pub fn has_free_slot(&self, now: Now) -> bool {
+        !self.is_full(&self.load(), now)
+    }
+
+    /// Whether all its slots are in use.
+    fn is_full(&self, load: &EndpointView, now: Now) -> bool {
+        load.estimated_requests(now) >= load.slots(self.slots)
+    }
+
     /// Applies the load that the endpoint reports.
     pub fn apply_load(&self, now: Now, load: &ReportedLoad) {
         let mut view = self.load();
+        let was_full = self.is_full(&view, now);
         view.apply_report(now, load.running, load.queued, load.slots);
         if let Some(percent) = load.work_percent {
             view.apply_pace(now, percent);
         }
+        let has_room_again = was_full && !self.is_full(&view, now);
+        drop(view);
+        if has_room_again {
+            self.queue.free_place(Wake::Place);
+        }
     }
 }
 
@@ -186,6 +207,9 @@
     /// The endpoint.
     pub endpoint: Arc<Endpoint>,
     unprocessed_tokens: Tokens,
+    taken_at: Instant,
+    taken_now: Now,
+    has_response: bool,
 }
 
 impl EndpointSlot {
@@ -200,14 +224,34 @@
         endpoint
             .load()
             .record_start(now, rule, prompt, unprocessed_tokens);
+        endpoint.queue.record_sent();
         Self {
             endpoint,
             unprocessed_tokens,
+            taken_at: Instant::now(),
+            taken_now: now,
+            has_response: false,
         }
     }
 
     /// Records that the response has begun, so the prompt has been processed.
     pub fn response_started(&mut self) {
+        if self.has_response {
+            return;
+        }
+        self.has_response = true;
+        let had_prompt = self.unprocessed_tokens > 0;
+        self.end_prefill();
+        let (endpoint, after) = (&self.endpoint, self.taken_at.elapsed());
+        endpoint.queue.record_response(after);
+        // An engine that has processed a prompt has room for another one, if it has a slot.
+        if had_prompt {
+            let has_slot = || endpoint.has_free_slot(self.taken_now + after);
+            endpoint.queue.free_place_if(Wake::Place, has_slot);
+        }
+    }
+
+    fn end_prefill(&mut self) {
         let unprocessed_tokens = std::mem::take(&mut self.unprocessed_tokens);
         self.endpoint.load().end_prefill(unprocessed_tokens);
     }
@@ -215,7 +259,10 @@
 
 impl Drop for EndpointSlot {
     fn drop(&mut self) {
-        self.response_started();
+        self.end_prefill();
         self.endpoint.load().record_end();
+        // A refusal says nothing of how long requests take.
+        let held = self.has_response.then(|| self.taken_at.elapsed());
+        self.endpoint.queue.record_end(held);
     }
 }
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -2,6 +2,7 @@
 
 mod one_attempt;
 mod outcome;
+mod place;
 mod take_up;
 
 use std::sync::Arc;
--- a/crates/anvil_gateway/src/exchange/one_attempt.rs
+++ b/crates/anvil_gateway/src/exchange/one_attempt.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use anvil_policy::deadline::MIN_RETRY_AFTER;
 use anvil_policy::engine::Prompt;
 use anvil_world::prelude::*;
 use tokio::time::Instant;
@@ -9,7 +10,7 @@
 use super::take_up::TAKE_UP_RETRY_AFTER;
 use super::{DEFAULT_RETRY_AFTER, Exchange, RequestRefusal, spread_return};
 use crate::attempt::{AttemptOutcome, OutgoingRequest, send};
-use crate::choose::{Selection, Unplaced};
+use crate::choose::{PlacementTerms, Selection, Unplaced};
 use crate::dialect::ForwardedHead;
 use crate::metrics;
 use crate::regions::Constraints;
@@ -23,9 +24,6 @@
 const FIRST_TOKEN_FRACTION: f64 = 0.8;
 /// Retry-after time while no endpoint may be used and an operator has to act first.
 const OPERATOR_RETRY_AFTER: Duration = Duration::from_secs(2);
-/// Shortest and longest retry-after time when endpoints are overloaded.
-const OVERLOAD_RETRY_AFTER: (Duration, Duration) =
-    (Duration::from_millis(250), Duration::from_secs(2));
 /// If another endpoint may run the request, the response head is awaited for this multiple of the
 /// route's target: an endpoint that takes longer is more likely lost than slow.
 const UNRESPONSIVE_TARGETS: f64 = 2.0;
@@ -38,7 +36,7 @@
         after: Option<u64>,
     ) -> Result<AttemptOutcome, RequestRefusal> {
         self.refuse_in_quarantine()?;
-        let selection = self.select_endpoint()?;
+        let selection = self.take_place().await?;
         let endpoint = selection.slot.endpoint.clone();
         self.record_origin(&endpoint.version);
         let forwarded = ForwardedHead {
@@ -100,18 +98,25 @@
         Err((cause, quarantine.time_left))
     }
 
-    /// Takes a slot at the best endpoint.
-    fn select_endpoint(&mut self) -> Result<Selection, RequestRefusal> {
+    /// Takes a slot at the best endpoint; `with_room_within` as in [`PlacementTerms`].
+    pub(super) fn select_endpoint(
+        &mut self,
+        with_room_within: Option<Duration>,
+    ) -> Result<Selection, Unplaced> {
+        let terms = PlacementTerms {
+            within: self.first_token_within(),
+            with_room_within,
+        };
         let new_versions = self.versions_to_avoid();
-        let selection = match self.select_avoiding(&new_versions) {
-            Err(unplaced) if !new_versions.is_empty() => {
+        let selection = match self.select_avoiding(&new_versions, terms) {
+            Err(unplaced) if !new_versions.is_empty() && unplaced != Unplaced::Busy => {
                 self.trace
                     .step(format_args!("no place at settled versions: {unplaced:?}"));
-                self.select_avoiding(&[])
+                self.select_avoiding(&[], terms)
             }
             selection => selection,
         };
-        let selection = selection.map_err(|unplaced| self.refuse_unplaced(unplaced))?;
+        let selection = selection?;
         let endpoint = &selection.slot.endpoint;
         self.trace.step(format_args!(
             "to {} ({}) expecting {:?}, {} tokens to read, {}",
@@ -132,17 +137,25 @@
         Ok(selection)
     }
 
-    fn select_avoiding(&self, avoided: &[SoftwareVersion]) -> Result<Selection, Unplaced> {
+    fn select_avoiding(
+        &self,
+        avoided: &[SoftwareVersion],
+        terms: PlacementTerms,
+    ) -> Result<Selection, Unplaced> {
         let prompt = Prompt {
             parts: &self.prompt_parts,
         };
-        let within = self.time_left().mul_f64(FIRST_TOKEN_FRACTION);
         let constraints = Constraints {
             avoided,
             ..self.constraints()
         };
         self.gw
-            .select_endpoint(&self.service, &prompt, constraints, within)
+            .select_endpoint(&self.service, &prompt, constraints, terms)
+    }
+
+    /// Longest expected time to the first token with which the request is sent.
+    pub(super) fn first_token_within(&self) -> Duration {
+        self.time_left().mul_f64(FIRST_TOKEN_FRACTION)
     }
 
     /// What the request consists of.
@@ -176,7 +189,7 @@
         unresponsive_at.min(self.deadline)
     }
 
-    fn priority_class(&self) -> u8 {
+    pub(super) fn priority_class(&self) -> u8 {
         let organisation_class = self
             .organisation
             .as_ref()
@@ -186,7 +199,7 @@
             .min(LEAST_URGENT_CLASS)
     }
 
-    fn refuse_unplaced(&mut self, unplaced: Unplaced) -> RequestRefusal {
+    pub(super) fn refuse_unplaced(&mut self, unplaced: Unplaced) -> RequestRefusal {
         self.trace.step(format_args!("no place: {unplaced:?}"));
         for summary in self.gw.pause_summaries(&self.service) {
             self.trace.step(format_args!("{summary}"));
@@ -206,19 +219,9 @@
             }
             Unplaced::OutsideRegions => (Cause::OutsideRegions, OPERATOR_RETRY_AFTER),
             Unplaced::Evacuated => (Cause::Evacuated, OPERATOR_RETRY_AFTER),
-            Unplaced::TooLate(expected) => {
-                let excess =
-                    expected.saturating_sub(self.time_left().mul_f64(FIRST_TOKEN_FRACTION));
-                (
-                    Cause::Overloaded,
-                    excess.clamp(OVERLOAD_RETRY_AFTER.0, OVERLOAD_RETRY_AFTER.1),
-                )
+            Unplaced::TooLate(_) | Unplaced::AtLimit(_) | Unplaced::Full | Unplaced::Busy => {
+                (Cause::Overloaded, spread_return(MIN_RETRY_AFTER))
             }
-            Unplaced::AtLimit(wait) => (
-                Cause::Overloaded,
-                wait.clamp(OVERLOAD_RETRY_AFTER.0, OVERLOAD_RETRY_AFTER.1),
-            ),
-            Unplaced::Full => (Cause::Overloaded, OVERLOAD_RETRY_AFTER.0),
             Unplaced::Paused(wait) => (Cause::EndpointsPaused, spread_return(wait)),
         }
     }
--- /dev/null
+++ b/crates/anvil_gateway/src/exchange/place.rs
@@ -0,0 +1,165 @@
+//! A place at an endpoint, at once or after a wait in front of all of them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvil_world::prelude::*;
+use anvilreel::event;
+use tokio::time::Instant;
+
+use super::{Exchange, RequestRefusal};
+use crate::choose::{Selection, Unplaced};
+use crate::log_events as events;
+use crate::metrics;
+use crate::reply::Cause;
+use crate::wait::{ServiceQueue, WaitRequest, WaitingPlace};
+
+impl Exchange {
+    /// Takes a slot at the best endpoint. If none has room, a request that certainly has not run
+    /// waits for one while it can start in time.
+    pub(super) async fn take_place(&mut self) -> Result<Selection, RequestRefusal> {
+        let queue = self.gw.directory.queue(&self.service);
+        let Some(queue) = queue.filter(|_| !self.in_doubt) else {
+            return self
+                .select_endpoint(None)
+                .map_err(|unplaced| self.refuse_unplaced(unplaced));
+        };
+        let unclaimed = queue.unclaimed();
+        let unplaced = if queue.is_contended() && self.has_working_endpoints() {
+            Unplaced::Busy
+        } else {
+            match self.select_endpoint(Some(self.room_within())) {
+                Ok(selection) => return Ok(selection),
+                Err(unplaced) => unplaced,
+            }
+        };
+        let Some(min_wait) = self.wait_for(unplaced) else {
+            return Err(self.refuse_unplaced(unplaced));
+        };
+        let place = match queue.join(&self.wait_request(min_wait, unclaimed)) {
+            Ok(place) => place,
+            Err(retry_after) => return Err(self.refuse_in_queue(&queue, unplaced, retry_after)),
+        };
+        self.trace.step(format_args!(
+            "waits, {} in the queue: {unplaced:?}",
+            queue.waiting()
+        ));
+        self.gw.metrics.count(metrics::QUEUE_JOINED);
+        let started = Instant::now();
+        let selection = self.wait_in_queue(&queue, place).await;
+        self.gw.metrics.time(metrics::QUEUE_TIME, started.elapsed());
+        selection
+    }
+
+    async fn wait_in_queue(
+        &mut self,
+        queue: &Arc<ServiceQueue>,
+        mut place: WaitingPlace,
+    ) -> Result<Selection, RequestRefusal> {
+        loop {
+            if let Err(retry_after) = place.woken().await {
+                self.gw.metrics.count(metrics::QUEUE_EXPIRED);
+                return Err(self.refuse_in_queue(queue, Unplaced::Busy, retry_after));
+            }
+            self.gw.metrics.count(metrics::QUEUE_WAKE_UPS);
+            let unclaimed = queue.unclaimed();
+            match self.select_endpoint(Some(self.room_within())) {
+                Ok(selection) => {
+                    let endpoint = &selection.slot.endpoint;
+                    place.started(endpoint.has_free_slot(self.gw.lifecycle.now()));
+                    return Ok(selection);
+                }
+                Err(unplaced) => match self.wait_for(unplaced) {
+                    Some(min_wait) => place.put_back(unclaimed, min_wait),
+                    None => return Err(self.refuse_unplaced(unplaced)),
+                },
+            }
+        }
+    }
+
+    /// The time until an endpoint accepts another request, zero if it is not known; `None` if waiting
+    /// does not help.
+    fn wait_for(&self, unplaced: Unplaced) -> Option<Duration> {
+        match unplaced {
+            Unplaced::Busy | Unplaced::Full => Some(Duration::ZERO),
+            Unplaced::AtLimit(wait) => Some(wait),
+            Unplaced::TooLate(expected) => Some(expected.saturating_sub(self.first_token_within())),
+            Unplaced::Nobody
+            | Unplaced::VersionGone
+            | Unplaced::CrashesEndpoints
+            | Unplaced::OutsideRegions
+            | Unplaced::Evacuated
+            | Unplaced::Paused(_) => None,
+        }
+    }
+
+    /// Whether an endpoint may run the request that isn't paused.
+    fn has_working_endpoints(&self) -> bool {
+        let available = self
+            .gw
+            .available_endpoints(&self.service, self.constraints());
+        let now = self.gw.lifecycle.now();
+        available.iter().any(|endpoint| !endpoint.is_paused(now))
+    }
+
+    /// When the response should begin.
+    fn target(&self) -> Instant {
+        let timeout = self.request.timeout.min(self.route.timeout);
+        self.deadline + self.route.target_latency - timeout
+    }
+
+    /// Within which time a response is expected from an endpoint that has room.
+    fn room_within(&self) -> Duration {
+        let to_target = self.target().saturating_duration_since(Instant::now());
+        if to_target.is_zero() {
+            return self.first_token_within();
+        }
+        to_target
+    }
+
+    fn wait_request(&self, min_wait: Duration, unclaimed: u64) -> WaitRequest {
+        let organisation = self.organisation.as_ref();
+        let organisation = organisation.map_or_else(
+            || OrganisationId::from(""),
+            |organisation| organisation.id.clone(),
+        );
+        let eligible = self
+            .gw
+            .available_endpoints(&self.service, self.constraints());
+        let working = self.gw.directory.available(&self.service, &[]);
+        let is_restricted = eligible.len() < working.len();
+        WaitRequest {
+            organisation,
+            class: self.priority_class(),
+            target: self.target(),
+            deadline: self.deadline,
+            min_wait,
+            is_restricted,
+            unclaimed,
+        }
+    }
+
+    /// Refuses a request that can't start in time, or has waited too long.
+    fn refuse_in_queue(
+        &mut self,
+        queue: &ServiceQueue,
+        unplaced: Unplaced,
+        retry_after: Duration,
+    ) -> RequestRefusal {
+        self.trace.step(format_args!(
+            "can't start in time: {unplaced:?}, {:?}, {} in the queue",
+            queue.occupancy(),
+            queue.waiting()
+        ));
+        self.gw.metrics.count(metrics::QUEUE_REFUSED);
+        if let Some(refused) = queue.refusals_to_log() {
+            event!(
+                self.gw.log, events::GATEWAY_OVERLOADED, "service" => &*queue.service,
+                "refused" => refused, "waiting" => queue.waiting(),
+                "running" => queue.occupancy().running,
+                "slot_ms" => queue.occupancy().slot_time.as_millis()
+            );
+        }
+        (Cause::Overloaded, retry_after)
+    }
+}
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -9,7 +9,8 @@
 //! Path of a request: [`serve`] accepts the connection, [`admit`] checks the request and reserves
 //! tokens, [`exchange`] runs attempts until one succeeds, [`choose`] selects the endpoint,
 //! [`attempt`] sends the request to it, [`attempt_counter`] counts attempts, [`availability`] waits
-//! for a routing table or endpoints that are expected shortly, [`stream_relay`] forwards a stream
+//! for a routing table or endpoints that are expected shortly, [`wait`] holds requests while no
+//! endpoint has room, [`stream_relay`] forwards a stream
 //! and resumes it at another endpoint, [`reply`] builds refusals.
 //!
 //! Quarantine of requests that crash endpoints, and of what such requests have in common: [`crashes`]
@@ -67,6 +68,7 @@
 pub mod suspects;
 pub mod table;
 pub mod trace;
+pub mod wait;
 pub mod warm_up;
 pub mod zones;
 
--- a/crates/anvil_gateway/src/log_events.rs
+++ b/crates/anvil_gateway/src/log_events.rs
@@ -74,4 +74,6 @@
     GATEWAY_SERVICE_VERSIONS = 6034 Info "gateway_service_versions";
     /// A sibling did not store at which versions streams run; it is told again.
     GATEWAY_ORIGINS_NOT_STORED = 6035 Warning "gateway_origins_not_stored";
+    /// Requests to a service are refused because no endpoint has room for them in time.
+    GATEWAY_OVERLOADED = 6050 Warning "gateway_overloaded";
 }
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -21,6 +21,18 @@
 /// Time that requests waited for the first routing table, or for new incarnations of endpoints.
 /// Milliseconds.
 pub const AVAILABILITY_WAIT: &str = "request.arrival_wait";
+/// Requests that waited because no endpoint had room. Count.
+pub const QUEUE_JOINED: &str = "queue.joined";
+/// Time that these waited. Milliseconds.
+pub const QUEUE_TIME: &str = "queue.time";
+/// Requests that were refused because they could not start in time. Count.
+pub const QUEUE_REFUSED: &str = "queue.refused";
+/// Of these, the ones that had waited. Count.
+pub const QUEUE_EXPIRED: &str = "queue.expired";
+/// Waiting requests that were woken to look for an endpoint. Count.
+pub const QUEUE_WAKE_UPS: &str = "queue.wake_ups";
+/// Requests that wait now. Gauge.
+pub const QUEUE_WAITING: &str = "queue.waiting";
 /// Time between two events of a stream. Milliseconds.
 pub const STREAM_GAP: &str = "stream.gap";
 /// Requests sent to endpoints. Count.
@@ -97,6 +109,12 @@
     (REQUEST_TIME, "milliseconds"),
     (GRANT_WAIT, "milliseconds"),
     (AVAILABILITY_WAIT, "milliseconds"),
+    (QUEUE_JOINED, "count"),
+    (QUEUE_TIME, "milliseconds"),
+    (QUEUE_REFUSED, "count"),
+    (QUEUE_EXPIRED, "count"),
+    (QUEUE_WAKE_UPS, "count"),
+    (QUEUE_WAITING, "gauge"),
     (STREAM_GAP, "milliseconds"),
     (ATTEMPTS, "count"),
     (ATTEMPTS_AFTER_FIRST, "count"),
@@ -155,6 +173,7 @@
                 GATEWAYS,
                 u64::from(self.gateway_count.load(Ordering::Relaxed)),
             ),
+            (QUEUE_WAITING, self.directory.count_waiting()),
             (ENDPOINTS_AVAILABLE, available),
             (ENDPOINTS_ON_COOLDOWN, on_cooldown),
             (
--- a/crates/anvil_gateway/tests/direct/main.rs
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -24,4 +24,5 @@
 mod uneven_load;
 mod unframed;
 mod versions;
+mod waiting;
 mod warming_up;
--- a/crates/anvil_gateway/tests/direct/pausing.rs
+++ b/crates/anvil_gateway/tests/direct/pausing.rs
@@ -7,7 +7,7 @@
 use anvil_gateway::Gateway;
 use anvil_gateway::attempt::{AttemptOutcome, NotRun, OutgoingRequest, send as send_attempt};
 use anvil_gateway::attempt_counter::AttemptCounter;
-use anvil_gateway::choose::{Selection, Unplaced};
+use anvil_gateway::choose::{PlacementTerms, Selection, Unplaced};
 use anvil_gateway::dialect::AvailabilityNotice;
 use anvil_gateway::regions::{AllowedRegions, Constraints};
 use anvil_gateway::suspects::RequestContents;
@@ -143,7 +143,11 @@
         version: None,
         avoided: &[],
     };
-    gw.select_endpoint(SERVICE, &Prompt { parts }, constraints, Duration::MAX)
+    let terms = PlacementTerms {
+        within: Duration::MAX,
+        with_room_within: None,
+    };
+    gw.select_endpoint(SERVICE, &Prompt { parts }, constraints, terms)
 }
 
 /// Guards against a request that was on its way to an endpoint being sent after the endpoint asked
--- a/crates/anvil_policy/src/entry_queue.rs
+++ b/crates/anvil_policy/src/entry_queue.rs
@@ -66,7 +66,9 @@
 
 impl EntryRequest {
     fn priority(&self, now: Now) -> Priority {
-        let target_start = self.target.saturating_sub(self.response_time);
+        let in_time = self.target.saturating_sub(self.response_time);
+        // Where a response takes longer than its target, the start at least is in time.
+        let target_start = if in_time > now { in_time } else { self.target };
         let last_start = self.deadline.saturating_sub(self.response_time);
         let to_target = target_start.saturating_sub(now);
         let start_by = if to_target.is_zero() {
