Routers share plain endpoints in proportion to their demands

Change: `anvil_policy::room` decides whether there is room. For plain services a window on the router's requests in flight exists after congested reports; it is lowered in proportion to the part of congested reports and grows with the router's demand. Engines keep the test by slots and pending prompts. A quarter of a router's equal share of the slots is always usable.

--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -2,11 +2,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use anvil_policy::copying::{self, Copying, MissingTokens};
 use anvil_policy::engine::{Prompt, home_rank};
 use anvil_policy::rate_share::{Clocks, RouterRank};
+use anvil_policy::room::{EngineRoom, guaranteed_requests};
 use anvil_world::prelude::*;
 
 use crate::endpoint::{Endpoint, EndpointSlot};
@@ -61,16 +63,11 @@
 pub struct PlacementTerms {
     /// Its response must be expected within this time.
     pub within: Duration,
-    /// If it can wait in front of the endpoints: it is placed only where its response is expected
-    /// within this time, or at once.
+    /// If it can wait in front of the endpoints: it is placed only while an endpoint has room, where
+    /// its response is expected within this time, or would not be delayed by other requests.
     pub with_room_within: Option<Duration>,
 }
 
-/// Requests in the queue of an engine that has all slots in use, as a divisor of its slots: they keep
-/// the slots in use between the end of a request and the arrival of the next. A sixteenth is served
-/// within a sixteenth of the duration of a response.
-const ENGINE_QUEUE_DIVISOR: u32 = 16;
-
 /// Expected wait for one more request at a non-engine endpoint whose slots are all in use.
 const FULL_ENDPOINT_WAIT: Duration = Duration::from_millis(30);
 
@@ -164,6 +161,24 @@
         })
     }
 
+    /// Whether there is room for a request that can wait, see [`anvil_policy::room`].
+    fn has_room(&self, now: Now, accepting: &[&Candidate<'_>], within: Duration) -> bool {
+        let Some(first) = accepting.first() else {
+            return false;
+        };
+        let queue = &first.endpoint.queue;
+        let slots = accepting.iter().map(|one| one.endpoint.slots);
+        let slots = slots.fold(0, u32::saturating_add);
+        let routers = self.gateway_count.load(Ordering::Relaxed);
+        if queue.in_flight() < guaranteed_requests(slots, routers) {
+            return true;
+        }
+        if first.is_engine {
+            return accepting.iter().any(|one| one.has_engine_room(now, within));
+        }
+        queue.has_window_room()
+    }
+
     /// Selects the best candidate that accepts a request now, and counts the request against its
     /// limit.
     fn reserve_best<'a>(
@@ -197,11 +212,9 @@
         }
         if let Some(within) = terms.with_room_within
             && !accepting.is_empty()
+            && !self.has_room(now, &accepting, within)
         {
-            accepting.retain(|candidate| candidate.has_room(now, within));
-            if accepting.is_empty() {
-                return Err(Unplaced::Busy);
-            }
+            return Err(Unplaced::Busy);
         }
         let preference = |candidate: &&Candidate<'_>| (candidate.on_cooldown, candidate.expected);
         while let Some(best) = accepting.iter().copied().min_by_key(preference) {
@@ -327,23 +340,16 @@
 }
 
 impl Candidate<'_> {
-    /// Whether a request that can wait is sent there now: one that can be expected in time, or that
-    /// would wait for nothing there.
-    fn has_room(&self, now: Now, within: Duration) -> bool {
-        let endpoint = self.endpoint;
-        // A router without requests in flight learns of room only from a response.
-        if endpoint.queue.is_idle() {
-            return true;
-        }
-        let load = endpoint.load();
-        let requests = load.estimated_requests(now);
-        let slots = load.slots(endpoint.slots).max(1);
-        if self.is_engine {
-            let is_idle = load.pending_prefill == 0;
-            return requests < slots + slots / ENGINE_QUEUE_DIVISOR
-                && (is_idle || self.expected <= within);
-        }
-        requests < slots || self.expected <= within
+    /// Whether the engine has room for a request that can wait.
+    fn has_engine_room(&self, now: Now, within: Duration) -> bool {
+        let load = self.endpoint.load();
+        let room = EngineRoom {
+            requests: load.estimated_requests(now),
+            slots: load.slots(self.endpoint.slots).max(1),
+            expected: self.expected,
+            has_pending_prompts: load.pending_prefill > 0,
+        };
+        room.allows(within)
     }
 
     fn wait(
--- a/crates/anvil_gateway/src/endpoint.rs
+++ b/crates/anvil_gateway/src/endpoint.rs
@@ -196,6 +196,8 @@
         }
         let has_room_again = was_full && !self.is_full(&view, now);
         drop(view);
+        self.queue
+            .record_report(load.running.saturating_add(load.queued), load.slots);
         if has_room_again {
             self.queue.free_place(Wake::Place);
         }
--- a/crates/anvil_gateway/src/exchange/place.rs
+++ b/crates/anvil_gateway/src/exchange/place.rs
@@ -24,6 +24,7 @@
                 .select_endpoint(None)
                 .map_err(|unplaced| self.refuse_unplaced(unplaced));
         };
+        queue.record_offer();
         let unclaimed = queue.unclaimed();
         let unplaced = if queue.is_contended() && self.has_working_endpoints() {
             Unplaced::Busy
@@ -65,8 +66,7 @@
             let unclaimed = queue.unclaimed();
             match self.select_endpoint(Some(self.room_within())) {
                 Ok(selection) => {
-                    let endpoint = &selection.slot.endpoint;
-                    place.started(endpoint.has_free_slot(self.gw.lifecycle.now()));
+                    place.started(self.finds_further_room(&selection));
                     return Ok(selection);
                 }
                 Err(unplaced) => match self.wait_for(unplaced) {
@@ -77,6 +77,15 @@
         }
     }
 
+    /// Whether there is room for another request besides this one.
+    fn finds_further_room(&self, selection: &Selection) -> bool {
+        let endpoint = &selection.slot.endpoint;
+        if self.prompt_parts.is_empty() {
+            return endpoint.queue.has_window_room();
+        }
+        endpoint.has_free_slot(self.gw.lifecycle.now())
+    }
+
     /// The time until an endpoint accepts another request, zero if it is not known; `None` if waiting
     /// does not help.
     fn wait_for(&self, unplaced: Unplaced) -> Option<Duration> {
--- a/crates/anvil_gateway/src/wait/service_queue.rs
+++ b/crates/anvil_gateway/src/wait/service_queue.rs
@@ -7,6 +7,7 @@
 
 use anvil_policy::entry_queue::{EntryQueue, EntryRequest, Occupancy};
 use anvil_policy::estimate::MeanDuration;
+use anvil_policy::room::{InFlightWindow, WindowSample, is_congested, window_interval};
 use anvil_policy::waiting::{Waiter, WaiterId};
 use anvil_world::prelude::*;
 use tokio::sync::{Notify, oneshot};
@@ -55,6 +56,7 @@
     waiting: AtomicU32,
     /// Of these, the ones that any endpoint may run.
     unrestricted: AtomicU32,
+    window: WindowCounters,
     /// Refusals since the last one that was logged.
     unlogged: AtomicU64,
     /// Milliseconds since the start of the queue from which on refusals are logged again.
@@ -63,6 +65,30 @@
     pub(super) timer_changed: Notify,
 }
 
+/// What is counted between two changes of the window.
+struct WindowCounters {
+    offered: AtomicU32,
+    reports: AtomicU32,
+    congested: AtomicU32,
+    /// Maximum number of requests in flight.
+    size: AtomicU32,
+    changed_ms: AtomicU64,
+    window: Mutex<InFlightWindow>,
+}
+
+impl Default for WindowCounters {
+    fn default() -> Self {
+        Self {
+            offered: AtomicU32::new(0),
+            reports: AtomicU32::new(0),
+            congested: AtomicU32::new(0),
+            size: AtomicU32::new(u32::MAX),
+            changed_ms: AtomicU64::new(0),
+            window: Mutex::default(),
+        }
+    }
+}
+
 #[derive(Default)]
 struct State {
     queue: EntryQueue,
@@ -84,6 +110,7 @@
             unclaimed: AtomicU64::new(0),
             waiting: AtomicU32::new(0),
             unrestricted: AtomicU32::new(0),
+            window: WindowCounters::default(),
             unlogged: AtomicU64::new(0),
             log_again_ms: AtomicU64::new(0),
             state: Mutex::default(),
@@ -101,9 +128,61 @@
         self.unrestricted.load(Ordering::Relaxed) > 0
     }
 
-    /// Whether this router has no request in flight at the service's endpoints.
-    pub fn is_idle(&self) -> bool {
-        self.in_flight.load(Ordering::Relaxed) == 0
+    /// Number of requests of this router in flight at the service's endpoints.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Whether the window allows another request in flight.
+    pub fn has_window_room(&self) -> bool {
+        self.in_flight() < self.window.size.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request, whether or not it is sent.
+    pub fn record_offer(&self) {
+        self.window.offered.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Applies the load that an endpoint reported, and changes the window if an interval has passed.
+    pub fn record_report(&self, load: u32, slots: u32) {
+        let counters = &self.window;
+        counters.reports.fetch_add(1, Ordering::Relaxed);
+        if is_congested(load, slots) {
+            counters.congested.fetch_add(1, Ordering::Relaxed);
+        }
+        let now_ms = u64::try_from(self.now().as_millis()).unwrap_or(u64::MAX);
+        let changed_ms = counters.changed_ms.load(Ordering::Relaxed);
+        let elapsed = Duration::from_millis(now_ms.saturating_sub(changed_ms));
+        let Occupancy { running, slot_time } = self.occupancy();
+        let is_due = elapsed >= window_interval(slot_time);
+        let is_first = || {
+            let changed = &counters.changed_ms;
+            let exchanged =
+                changed.compare_exchange(changed_ms, now_ms, Ordering::Relaxed, Ordering::Relaxed);
+            exchanged.is_ok()
+        };
+        if !is_due || !is_first() {
+            return;
+        }
+        // Sound after a panic elsewhere: any size is valid.
+        let mut window = counters
+            .window
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        window.change(&WindowSample {
+            elapsed,
+            offered: counters.offered.swap(0, Ordering::Relaxed),
+            reports: counters.reports.swap(0, Ordering::Relaxed),
+            congested: counters.congested.swap(0, Ordering::Relaxed),
+            in_flight: running,
+            slot_time,
+        });
+        let size = window.size().unwrap_or(u32::MAX);
+        let has_grown = size > counters.size.swap(size, Ordering::Relaxed);
+        drop(window);
+        if has_grown && self.waiting() > 0 && self.has_window_room() {
+            self.wake_next(Wake::Place);
+        }
     }
 
     /// Number of places that have become free so far while no request waited for them.
--- a/crates/anvil_gateway/src/wait/waiting_place.rs
+++ b/crates/anvil_gateway/src/wait/waiting_place.rs
@@ -96,17 +96,17 @@
         self.queue.wake_if_unclaimed_since(unclaimed);
     }
 
-    /// Ends the wait, because the request has taken a place at an endpoint, which may have a slot for
-    /// another one.
+    /// Ends the wait, because the request has taken a place at an endpoint, beside which there may
+    /// be further room.
     ///
     /// Failure: the load of other routers falls while requests wait. Each response that ends wakes
     /// one, so this router would have no more requests in flight than before, and refuse others.
-    pub fn started(mut self, has_free_slot: bool) {
+    pub fn started(mut self, finds_further_room: bool) {
         self.queue.record_start();
         self.has_ended = true;
         match self.woken.take() {
             Some((Wake::Timer, _)) => self.queue.wake_next(Wake::Timer),
-            Some(_) if has_free_slot => self.queue.wake_next(Wake::Place),
+            Some(_) if finds_further_room => self.queue.wake_next(Wake::Place),
             _ => false,
         };
     }
--- a/crates/anvil_gateway/tests/direct/waiting.rs
+++ b/crates/anvil_gateway/tests/direct/waiting.rs
@@ -60,11 +60,16 @@
         }
     }
 
-    /// Sends a request.
+    /// Sends a request with a prompt, or without one to a path that ends with `plain`.
     async fn send(&self, path: &str, id: &str) -> Client {
         let mut client = Client::connect(self.gateway.addr).await;
-        let headers = "content-length: 0\r\nx-tokens: 10,1\r\n";
-        client.send(path, id, headers).await;
+        let tokens = if path.ends_with("plain") {
+            ""
+        } else {
+            "x-tokens: 10,1\r\n"
+        };
+        let headers = format!("content-length: 0\r\n{tokens}");
+        client.send(path, id, &headers).await;
         client
     }
 
@@ -237,6 +242,31 @@
     assert!(arrivals[4] - arrivals[2] < WORK, "{arrivals:?}");
 }
 
+/// Guards against a gateway that fills the queues of plain endpoints that report congestion, and
+/// against requests that wait for good after it.
+#[tokio::test(flavor = "multi_thread")]
+async fn plain_requests_wait_while_endpoints_report_congestion() {
+    let respond = |number, req: &_| {
+        let load = if number == 0 { "4,20,4" } else { "1,0,4" };
+        let lines = format!("x-load: {load}\r\n");
+        vec![
+            Step::Pause(WORK),
+            Step::Send(response_with(req, &lines, "ran")),
+        ]
+    };
+    let setup = Setup::start_with(TestEndpoint::start(respond).await, 4).await;
+    assert_served(vec![setup.send_running("/once/plain", "0").await]).await;
+    let clients = vec![
+        setup.send_running("/once/plain", "1").await,
+        setup.send_waiting("/once/plain", "2").await,
+        setup.send_waiting("/once/plain", "3").await,
+    ];
+    assert_served(clients).await;
+    let arrivals = setup.endpoint.arrivals();
+    assert!(arrivals[2] - arrivals[1] >= WORK);
+    assert_eq!(setup.waiting(), 0);
+}
+
 /// Guards against requests that are refused, or never woken, while an endpoint's limit allows another
 /// one soon: no response ends at that moment.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -43,6 +43,7 @@
 //! * [`endpoint`] and [`choice`]: what is known of an endpoint, and which one is chosen.
 //! * [`admission`], [`waiting`], [`fair`], [`deadline`], [`estimate`]: admission and the queue.
 //! * [`entry_queue`]: the queue of a router in front of endpoints without a sidecar.
+//! * [`room`]: when a request waits in that queue instead of being sent.
 //! * [`health`], with [`limit`] and [`ejection`]: how much work an endpoint is given.
 //! * [`retry`]: whether a failed attempt is repeated.
 //! * [`grant`]: how much of a budget a router holds.
@@ -86,6 +87,7 @@
 pub mod rate_share;
 pub mod recent_answers;
 pub mod retry;
+pub mod room;
 pub mod stream_origins;
 pub mod subset;
 pub mod version_history;
