A window on plain endpoints ends when its router has been quiet

Cause: a window changes only with reports, so one from an earlier overload would hold back the first burst after a pause, for about a second.

Change: intervals without reports count as calm. `decision_time` measures the entry queue.

--- a/crates/anvil_policy/examples/decision_time.rs
+++ b/crates/anvil_policy/examples/decision_time.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use anvil_policy::entry_queue::{EntryQueue, EntryRequest, Occupancy};
 use anvil_policy::prelude::*;
 use anvil_world::document::WorkClass;
 use anvil_world::prelude::*;
@@ -30,6 +31,45 @@
             );
         }
     }
+    println!("entry queue: offer, next and put back: {:?}", entry_time());
+}
+
+/// Mean time in which a router queues a request, takes the next one and puts it back, while 200
+/// requests of 50 organisations wait.
+fn entry_time() -> Duration {
+    const WAITING: u32 = 200;
+    let mut queue = EntryQueue::default();
+    let names: Vec<OrganisationId> = (0..50)
+        .map(|at| format!("organisation-{at}").into())
+        .collect();
+    let occupancy = Occupancy {
+        running: 1_000,
+        slot_time: Duration::from_millis(100),
+    };
+    let offer = |queue: &mut EntryQueue, now: Now, at: u32| {
+        let req = EntryRequest {
+            organisation: names[at as usize % names.len()].clone(),
+            class: u8::try_from(at % 3).unwrap_or_default(),
+            target: now + Duration::from_hours(1),
+            deadline: now + Duration::from_hours(1),
+            response_time: Duration::ZERO,
+            min_wait: Duration::ZERO,
+        };
+        queue.offer(now, &req, occupancy, 0.5)
+    };
+    for at in 0..WAITING {
+        let _ = black_box(offer(&mut queue, Duration::ZERO, at));
+    }
+    let started = Instant::now();
+    for round in 0..ROUNDS {
+        let now = Duration::from_micros(u64::from(round));
+        let _ = black_box(offer(&mut queue, now, round));
+        if let Some(waiter) = queue.next(now) {
+            queue.put_back(now, &waiter);
+        }
+        black_box(queue.next(now));
+    }
+    started.elapsed() / ROUNDS
 }
 
 fn pool(endpoints: usize, full: bool) -> Pool {
--- a/crates/anvil_policy/src/room.rs
+++ b/crates/anvil_policy/src/room.rs
@@ -132,7 +132,16 @@
         let growth = INCREASE * by_demand * f64::from(self.calm_intervals.max(1));
         let decrease = 1.0 - DECREASE * congested;
         *size = (*size * decrease + growth * (1.0 - congested)).max(1.0);
-        self.calm_intervals += 1;
+        // A router that sent nothing for a while had no reports either.
+        let intervals =
+            sample.elapsed.as_secs_f64() / window_interval(sample.slot_time).as_secs_f64();
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a float to integer cast saturates"
+        )]
+        let intervals = intervals as u32;
+        self.calm_intervals = self.calm_intervals.saturating_add(intervals.max(1));
         if self.calm_intervals >= MAX_CALM_INTERVALS {
             self.size = None;
         }
--- a/crates/anvil_policy/tests/room.rs
+++ b/crates/anvil_policy/tests/room.rs
@@ -283,9 +283,16 @@
         congested: 0,
         ..congested
     };
-    // A second.
+    let mut after_a_second = window;
     for _ in 0..20 {
-        window.change(&calm);
+        after_a_second.change(&calm);
     }
+    assert_eq!(after_a_second.size(), None);
+    let after_a_pause = WindowSample {
+        elapsed: Duration::from_mins(1),
+        offered: 1,
+        ..calm
+    };
+    window.change(&after_a_pause);
     assert_eq!(window.size(), None);
 }
