Tests of places that are passed on, and of earliest targets

Cause: the queue of a service had no test for a place that the request whose turn it is may not use, for one that becomes free just before a request begins to wait, and for the order within an organisation.

--- a/crates/anvil_gateway/tests/direct/waiting.rs
+++ b/crates/anvil_gateway/tests/direct/waiting.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use anvil_gateway::table::Route;
-use anvil_gateway::wait::{WaitRequest, Wake};
+use anvil_gateway::wait::{ServiceQueue, WaitRequest, WaitingPlace, Wake};
 use anvilreel::metrics::Metrics;
 use slog::{Discard, Logger, o};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::client::{Client, ClientResponse};
 use crate::endpoint::{Step, TestEndpoint, response, response_with};
@@ -89,6 +89,11 @@
         client
     }
 
+    fn queue(&self) -> Arc<ServiceQueue> {
+        let directory = &self.gateway.gw.directory;
+        directory.queue(SERVICE).expect("listed")
+    }
+
     fn waiting(&self) -> u64 {
         self.gateway.gw.directory.count_waiting()
     }
@@ -106,6 +111,24 @@
     }
 }
 
+/// A request that any endpoint may run.
+fn wait_request(queue: &ServiceQueue) -> WaitRequest {
+    WaitRequest {
+        organisation: "co-op".into(),
+        class: 0,
+        target: Instant::now() + TARGET,
+        deadline: Instant::now() + 2 * TARGET,
+        min_wait: Duration::ZERO,
+        is_restricted: false,
+        unclaimed: queue.unclaimed(),
+    }
+}
+
+async fn woken(place: &mut WaitingPlace) {
+    let woken = timeout(TARGET / 2, place.woken()).await;
+    assert_eq!(woken.expect("a wake-up"), Ok(()));
+}
+
 async fn until(reached: impl Fn() -> bool) {
     let started_at = Instant::now();
     while !reached() {
@@ -176,17 +199,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn new_request_waits_behind_others_and_takes_the_place_of_one_that_left() {
     let setup = Setup::start(WORK).await;
-    let queue = setup.gateway.gw.directory.queue(SERVICE).expect("listed");
-    let waiting = WaitRequest {
-        organisation: "co-op".into(),
-        class: 0,
-        target: Instant::now() + TARGET,
-        deadline: Instant::now() + 2 * TARGET,
-        min_wait: Duration::ZERO,
-        is_restricted: false,
-        unclaimed: queue.unclaimed(),
-    };
-    let place = queue.join(&waiting).expect("a place");
+    let queue = setup.queue();
+    let place = queue.join(&wait_request(&queue)).expect("a place");
     let client = setup.send_waiting("/once/x", "1").await;
     assert_eq!(setup.endpoint.received().len(), 0);
     queue.free_place(Wake::Place);
@@ -195,6 +209,38 @@
     assert_eq!(setup.waiting(), 0);
 }
 
+/// Guards against a free place that only others can use staying unused, because the request whose turn
+/// it is may not run there.
+#[tokio::test(flavor = "multi_thread")]
+async fn place_that_a_request_can_not_use_goes_to_the_next_one() {
+    let setup = Setup::start(WORK).await;
+    let queue = setup.queue();
+    let restricted = WaitRequest {
+        is_restricted: true,
+        ..wait_request(&queue)
+    };
+    let mut restricted = queue.join(&restricted).expect("a place");
+    let mut next = queue.join(&wait_request(&queue)).expect("a place");
+    queue.free_place(Wake::Place);
+    woken(&mut restricted).await;
+    restricted.put_back(queue.unclaimed(), Duration::ZERO);
+    woken(&mut next).await;
+    next.started(false);
+    queue.free_place(Wake::Place);
+    woken(&mut restricted).await;
+}
+
+/// Guards against a request that waits although a place became free just before it began to wait.
+#[tokio::test(flavor = "multi_thread")]
+async fn place_that_becomes_free_before_the_wait_is_noticed() {
+    let setup = Setup::start(WORK).await;
+    let queue = setup.queue();
+    let req = wait_request(&queue);
+    queue.free_place(Wake::Place);
+    let mut place = queue.join(&req).expect("a place");
+    woken(&mut place).await;
+}
+
 /// Guards against a request being held that can't start before its target.
 #[tokio::test(flavor = "multi_thread")]
 async fn request_that_can_not_start_in_time_is_refused_at_once() {
--- a/crates/anvil_policy/tests/entry_queue.rs
+++ b/crates/anvil_policy/tests/entry_queue.rs
@@ -419,6 +419,32 @@
     assert!(queue.is_empty());
 }
 
+/// Guards against requests of one organisation that are started in order of arrival.
+#[test]
+fn earliest_target_is_first_within_an_organisation() {
+    let mut queue = EntryQueue::default();
+    let occupancy = Occupancy {
+        running: 10,
+        slot_time: Duration::from_millis(15),
+    };
+    let mut offer = |target| {
+        let req = EntryRequest {
+            organisation: "co-op".into(),
+            class: 0,
+            target,
+            deadline: DEADLINE,
+            response_time: Duration::from_millis(15),
+            min_wait: Duration::ZERO,
+        };
+        let offered = queue.offer(Duration::ZERO, &req, occupancy, 0.0);
+        offered.expect("a place")
+    };
+    let later = offer(2 * TARGET);
+    let earlier = offer(TARGET);
+    let order = [(); 2].map(|()| queue.next(STEP).expect("a request").id);
+    assert_eq!(order, [earlier, later]);
+}
+
 /// Guards against a request losing its place, or its organisation a turn, because it was woken and
 /// found no room.
 #[test]
