--- a/crates/anvil_gateway/src/connection_watch.rs
+++ b/crates/anvil_gateway/src/connection_watch.rs
@@ -16,9 +16,11 @@
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
+use crate::accept::descriptor_budget::DescriptorGuard;
 use crate::late_response::{LateHandler, LateResponse};
+use crate::send::link_budget::LinkBudget;
 
 /// For how long an abandoned connection is read. An endpoint notices the close within a few
 /// milliseconds; one that does not close in this time is assumed to have begun.
@@ -29,6 +31,8 @@
 pub struct ConnectionWatch {
     /// A request was sent and its response has not begun.
     awaiting_response: AtomicBool,
+    /// When the last part of the request was written to the socket.
+    sent_at: Mutex<Option<Instant>>,
     /// What has come of the awaited response.
     late_response: Mutex<LateResponse>,
     /// How the connection ended; `None` while it is in use.
@@ -50,6 +54,7 @@
     fn new() -> Arc<Self> {
         Arc::new(Self {
             awaiting_response: AtomicBool::new(false),
+            sent_at: Mutex::default(),
             late_response: Mutex::default(),
             ended: watch::Sender::new(None),
         })
@@ -58,10 +63,27 @@
     /// Call before a request is sent. `handler` receives the head of the response if it comes when
     /// nobody waits for it any more.
     pub fn request_sent(&self, handler: LateHandler) {
+        *self.last_write() = None;
         *self.late_response() = LateResponse::new(handler);
         self.awaiting_response.store(true, Ordering::Relaxed);
     }
 
+    /// When the last part of the request was written; `None` if nothing was.
+    pub fn sent_at(&self) -> Option<Instant> {
+        *self.last_write()
+    }
+
+    fn last_write(&self) -> MutexGuard<'_, Option<Instant>> {
+        // Sound after a panic elsewhere: the value is replaced as a whole.
+        self.sent_at.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn record_write(&self, written: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(_)) = written {
+            *self.last_write() = Some(Instant::now());
+        }
+    }
+
     /// Call when the response has begun.
     pub fn response_started(&self) {
         self.awaiting_response.store(false, Ordering::Relaxed);
@@ -113,19 +135,35 @@
 pub struct WatchedSocket {
     socket: Option<TcpStream>,
     watch: Arc<ConnectionWatch>,
+    link: Arc<LinkBudget>,
+    /// Dropped after the socket.
+    descriptor: Option<DescriptorGuard>,
 }
 
 impl WatchedSocket {
-    /// Wraps a socket.
-    pub fn new(socket: TcpStream) -> (Self, Arc<ConnectionWatch>) {
+    /// Wraps a socket for which `descriptor` was counted.
+    pub fn new(
+        socket: TcpStream,
+        link: Arc<LinkBudget>,
+        descriptor: DescriptorGuard,
+    ) -> (Self, Arc<ConnectionWatch>) {
         let watch = ConnectionWatch::new();
         let watched = Self {
             socket: Some(socket),
             watch: watch.clone(),
+            link,
+            descriptor: Some(descriptor),
         };
         (watched, watch)
     }
 
+    fn count_written(&self, polled: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(written)) = &polled {
+            self.link.count_prompt(*written);
+        }
+        polled
+    }
+
     fn socket(&mut self) -> Pin<&mut TcpStream> {
         let socket = self.socket.as_mut();
         // The socket is taken out only on drop.
@@ -139,6 +177,7 @@
             return;
         };
         let watch = self.watch.clone();
+        let descriptor = self.descriptor.take();
         let awaited = watch.awaiting_response.load(Ordering::Relaxed);
         let Ok(runtime) = tokio::runtime::Handle::try_current() else {
             return;
@@ -155,6 +194,7 @@
             let reading = timeout(LINGER, read_to_end(socket, &watch));
             let end = reading.await.unwrap_or(End::Abandoned);
             watch.set_end(end);
+            drop(descriptor);
         });
     }
 }
@@ -186,6 +226,7 @@
         let polled = self.socket().poll_read(cx, buf);
         if buf.filled().len() > before {
             self.watch.record_received(&buf.filled()[before..]);
+            self.link.count_received(buf.filled().len() - before);
         }
         polled
     }
@@ -197,7 +238,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.socket().poll_write(cx, buf)
+        let polled = self.socket().poll_write(cx, buf);
+        self.watch.record_write(&polled);
+        self.count_written(polled)
     }
 
     fn poll_write_vectored(
@@ -205,7 +248,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.socket().poll_write_vectored(cx, bufs)
+        let polled = self.socket().poll_write_vectored(cx, bufs);
+        self.watch.record_write(&polled);
+        self.count_written(polled)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -16,6 +16,7 @@
 use http_body_util::{BodyExt, Limited};
 use tokio::time::{Instant, timeout_at};
 
+use crate::accept::client_socket::ClientConnection;
 use crate::attempt::{AttemptOutcome, Doubt, EndpointResponse, NotRun};
 use crate::attempt_counter::AttemptCounter;
 use crate::availability;
@@ -27,7 +28,9 @@
 use crate::regions::{AllowedRegions, Constraints};
 use crate::reply::{Cause, Reply, full_body, refusal, remove_connection_headers};
 use crate::request_charge::RequestCharge;
+use crate::send::pacing::retry_elsewhere_after;
 use crate::shared_content::SharedContent;
+use crate::stage_times::Stage;
 use crate::stream_relay::StreamRelay;
 use crate::table::{Organisation, Route};
 use crate::trace::Trace;
@@ -57,6 +60,8 @@
 pub struct Exchange {
     /// State shared by all requests.
     pub gw: Arc<Gateway>,
+    /// The connection of its client.
+    pub client: Arc<ClientConnection>,
     /// The parsed request head.
     pub request: RequestHead,
     /// The matching route.
@@ -152,6 +157,11 @@
                     self.trace.step(format_args!("not sent: not accepting"));
                     continue;
                 }
+                Ok(AttemptOutcome::NotRun(NotRun::Withheld(cause))) => {
+                    self.trace.step(format_args!("not sent: {}", cause.text()));
+                    self.gw.metrics.count(metrics::ATTEMPTS_NOT_RUN);
+                    return Err((self.cause_by_doubt(cause), retry_elsewhere_after()));
+                }
                 Ok(AttemptOutcome::NotRun(reason)) => {
                     let cause = self.record_not_run(&reason);
                     self.may_retry(cause).err()
@@ -190,6 +200,7 @@
         self.has_waited_for_endpoints = true;
         self.gw.list_mismatch.notify_one();
         let max_wait = availability::endpoints_wait(self.gw.cfg.list.max_lag, self.time_left());
+        self.trace.stages.enter(Stage::Place);
         let found = availability::wait_until_available(&self.gw, max_wait, || {
             let available = self
                 .gw
@@ -197,6 +208,7 @@
             (!available.is_empty()).then_some(())
         });
         let found = found.await.is_some();
+        self.trace.stages.enter(Stage::Other);
         self.trace
             .step(format_args!("waited for endpoints: {found}"));
         if found {
@@ -235,6 +247,15 @@
         }
     }
 
+    /// The cause to state if the last attempt was not sent: an earlier one may have run.
+    fn cause_by_doubt(&self, cause: Cause) -> Cause {
+        match cause {
+            Cause::Expired if self.in_doubt => Cause::ResponseTimeout,
+            Cause::NoDescriptors if self.in_doubt => Cause::ResponseLost,
+            cause => cause,
+        }
+    }
+
     /// Whether the request may be sent to another endpoint after this failure.
     pub fn may_retry(&mut self, failed: Cause) -> Result<(), RequestRefusal> {
         let cause = if self.in_doubt && failed == Cause::RefusedByEndpoints {
@@ -326,6 +347,10 @@
 
 impl Drop for Exchange {
     fn drop(&mut self) {
+        // The client has disconnected while the response was awaited.
+        if let Some(sent_at) = self.awaited_connection.as_ref().and_then(|c| c.sent_at()) {
+            self.trace.stages.enter_at(Stage::Response, sent_at);
+        }
         let Some(mut charge) = self.charge.take() else {
             return;
         };
--- a/crates/anvil_gateway/src/exchange/one_attempt.rs
+++ b/crates/anvil_gateway/src/exchange/one_attempt.rs
@@ -15,6 +15,7 @@
 use crate::metrics;
 use crate::regions::Constraints;
 use crate::reply::Cause;
+use crate::stage_times::Stage;
 use crate::suspects::RequestContents;
 
 /// The least urgent priority class that is sent to endpoints.
@@ -36,7 +37,11 @@
         after: Option<u64>,
     ) -> Result<AttemptOutcome, RequestRefusal> {
         self.refuse_in_quarantine()?;
-        let selection = self.take_place().await?;
+        let link_reservation = self.wait_for_link().await?;
+        self.trace.stages.enter(Stage::Place);
+        let selection = self.take_place().await;
+        self.trace.stages.enter(Stage::Other);
+        let selection = selection?;
         let endpoint = selection.slot.endpoint.clone();
         self.record_origin(&endpoint.version);
         let forwarded = ForwardedHead {
@@ -62,7 +67,10 @@
                 shared: &self.shared,
             },
             response_deadline,
+            deadline: self.deadline,
+            client: Some(&*self.client),
             watch: &mut self.awaited_connection,
+            stages: &mut self.trace.stages,
         };
         // Counted before it is sent: if the client disconnects, this function is dropped during the
         // wait, when the endpoint may have begun.
@@ -70,9 +78,13 @@
         if let Some(charge) = &mut self.charge {
             charge.record_begun();
         }
+        link_reservation.record_sent();
         let sent_at = Instant::now();
         let outcome = send(&self.gw, selection.slot, outgoing).await;
         self.awaited_connection = None;
+        if !matches!(outcome, AttemptOutcome::Response(_)) {
+            self.trace.stages.enter(Stage::Other);
+        }
         self.attempt_counter.record(endpoint.id.clone(), &outcome);
         if let (AttemptOutcome::NotRun(_), Some(charge), false) =
             (&outcome, &mut self.charge, was_in_doubt)
--- a/crates/anvil_gateway/src/log_events.rs
+++ b/crates/anvil_gateway/src/log_events.rs
@@ -53,8 +53,8 @@
     GATEWAY_ENDPOINT_CRASHED = 6024 Warning "gateway_endpoint_crashed";
     /// A request is no longer sent to endpoints, because they crash under it.
     GATEWAY_REQUEST_QUARANTINED = 6025 Warning "gateway_request_quarantined";
-    /// A request under which endpoints crashed may be sent again: an endpoint has answered it, or
-    /// its crashes have expired.
+    /// A request under which endpoints crashed may be sent again: an endpoint has answered it, its
+    /// crashes have expired, or an operator has lifted its quarantine.
     GATEWAY_REQUEST_CLEARED = 6026 Info "gateway_request_cleared";
     /// An endpoint has changed or ended the rate limit that it announces to all routers.
     GATEWAY_ENDPOINT_LIMIT = 6027 Info "gateway_endpoint_limit";
@@ -74,6 +74,15 @@
     GATEWAY_SERVICE_VERSIONS = 6034 Info "gateway_service_versions";
     /// A sibling did not store at which versions streams run; it is told again.
     GATEWAY_ORIGINS_NOT_STORED = 6035 Warning "gateway_origins_not_stored";
+    /// A part of the clients' connections is rejected, because there is more load than the gateway
+    /// can serve.
+    GATEWAY_SHEDDING = 6041 Warning "gateway_shedding";
+    /// All clients' connections are accepted again.
+    GATEWAY_SHEDDING_OVER = 6042 Info "gateway_shedding_over";
+    /// The address for clients can't be listened on again after connections were rejected.
+    GATEWAY_LISTEN_FAILED = 6043 Error "gateway_listen_failed";
+    /// Little is left of a budget, so that its grants are short, or this has ended.
+    GATEWAY_BUDGET_SCARCE = 6050 Info "gateway_budget_scarce";
     /// Requests to a service are refused because no endpoint has room for them in time.
-    GATEWAY_OVERLOADED = 6050 Warning "gateway_overloaded";
+    GATEWAY_OVERLOADED = 6070 Warning "gateway_overloaded";
 }
