--- a/crates/anvil_gateway/src/exchange/one_attempt.rs
+++ b/crates/anvil_gateway/src/exchange/one_attempt.rs
@@ -154,8 +154,10 @@
         avoided: &[SoftwareVersion],
         terms: PlacementTerms,
     ) -> Result<Selection, Unplaced> {
+        let work = self.request.model_work.as_ref();
         let prompt = Prompt {
             parts: &self.prompt_parts,
+            max_output: work.map_or(0, |work| work.max_output),
         };
         let constraints = Constraints {
             avoided,
@@ -231,7 +233,11 @@
             }
             Unplaced::OutsideRegions => (Cause::OutsideRegions, OPERATOR_RETRY_AFTER),
             Unplaced::Evacuated => (Cause::Evacuated, OPERATOR_RETRY_AFTER),
-            Unplaced::TooLate(_) | Unplaced::AtLimit(_) | Unplaced::Full | Unplaced::Busy => {
+            Unplaced::TooLate(_)
+            | Unplaced::AtLimit(_)
+            | Unplaced::Full
+            | Unplaced::OutOfMemory
+            | Unplaced::Busy => {
                 (Cause::Overloaded, spread_return(MIN_RETRY_AFTER))
             }
             Unplaced::Paused(wait) => (Cause::EndpointsPaused, spread_return(wait)),
--- a/crates/anvil_gateway/src/exchange/place.rs
+++ b/crates/anvil_gateway/src/exchange/place.rs
@@ -90,7 +90,7 @@
     /// does not help.
     fn wait_for(&self, unplaced: Unplaced) -> Option<Duration> {
         match unplaced {
-            Unplaced::Busy | Unplaced::Full => Some(Duration::ZERO),
+            Unplaced::Busy | Unplaced::Full | Unplaced::OutOfMemory => Some(Duration::ZERO),
             Unplaced::AtLimit(wait) => Some(wait),
             Unplaced::TooLate(expected) => Some(expected.saturating_sub(self.first_token_within())),
             Unplaced::Nobody
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use anvil_policy::crash::CrashWatch;
-use anvil_policy::engine::EngineRule;
 use anvil_policy::rate_share::{BurstTolerance, RouterRank};
+use anvil_policy::read_ahead::ReadAhead;
 use anvil_policy::retry::{RetryBudget, RetryRule, RetrySafety};
 use anvil_world::prelude::*;
 use anvilreel::event;
@@ -24,6 +24,7 @@
 use crate::accept::intake_status::IntakeStatus;
 use crate::accept::resource_limits::ResourceLimits;
 use crate::accept::socket_budgets::SocketBudgets;
+use crate::choose::EngineEstimates;
 use crate::dialect::{Dialect, ListSource};
 use crate::directory::Directory;
 use crate::endpoint_limits::EndpointLimits;
@@ -104,8 +105,8 @@
     pub dropped_log_lines: DroppedLines,
     /// Metrics.
     pub metrics: Metrics,
-    /// Constants for estimates of engines.
-    pub engine_rule: EngineRule,
+    /// What was learned of engines.
+    pub engine_estimates: EngineEstimates,
     /// Number of live gateways according to the ledger, this one included.
     pub gateway_count: AtomicU32,
     /// Rank of this gateway among them.
@@ -142,6 +143,8 @@
     pub sockets: SocketBudgets,
     /// Whether clients' connections are being rejected.
     pub intake: Arc<IntakeStatus>,
+    /// What streams have read ahead of their clients.
+    pub(crate) read_ahead: Mutex<ReadAhead>,
     /// Requests in progress.
     pub open_requests: AtomicU32,
     /// End of the time in which this gateway reports that it can't obtain grants, in milliseconds
@@ -223,7 +226,7 @@
             log,
             dropped_log_lines: DroppedLines::default(),
             metrics,
-            engine_rule: EngineRule::default(),
+            engine_estimates: EngineEstimates::default(),
             gateway_count: AtomicU32::new(ASSUMED_GATEWAYS),
             gateway_rank: AtomicU32::new(rand::random_range(0..ASSUMED_GATEWAYS)),
             version_in_force: AtomicU64::new(0),
@@ -241,6 +244,7 @@
             stream_origins: StreamOrigins::default(),
             sockets: SocketBudgets::new(&cfg.limits),
             intake: Arc::default(),
+            read_ahead: Mutex::new(ReadAhead::new(cfg.limits.memory)),
             open_requests: AtomicU32::new(0),
             starved_until_ms: AtomicU64::new(0),
             retry_budgets: Mutex::default(),
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -10,8 +10,9 @@
 //! tokens, [`exchange`] runs attempts until one succeeds, [`choose`] selects the endpoint,
 //! [`send`] waits for the link, [`attempt`] sends the request to it, [`attempt_counter`] counts attempts,
 //! [`availability`] waits for a routing table or endpoints that are expected shortly, [`wait`] holds
-//! requests while no endpoint has room, [`stream_relay`] forwards a stream
-//! and resumes it at another endpoint, [`reply`] builds refusals.
+//! requests while no endpoint has room, [`stream_relay`] forwards a stream and resumes it at another
+//! endpoint, [`accept::client_socket`] shows whether its client reads fast enough, [`reply`] builds
+//! refusals.
 //!
 //! Quarantine of requests that crash endpoints, and of what such requests have in common: [`crashes`]
 //! detects which endpoint crashed, [`suspects`] reports the contents to the ledger and learns of those
@@ -29,10 +30,13 @@
 //! [`stream_origins`] at which of them streams began, and what other gateways know of that.
 //!
 //! Where the gateway's view comes from: the routing table and the number of gateways from the
-//! ledger ([`ledger_updates`]), grants from the ledger ([`grant_loop`]), the list of endpoints from
-//! the platform or from other gateways ([`list`]), endpoint load from response headers ([`endpoint`]).
+//! ledger ([`ledger_updates`]), grants from the ledger ([`grant_loop`]), balances of budgets
+//! ([`account::balances`]), the list of endpoints from the platform or from other gateways ([`list`]),
+//! endpoint load from response headers ([`endpoint`]), engines' speeds and requests' sizes from
+//! responses ([`choose::EngineEstimates`]).
 
 pub mod accept;
+pub mod account;
 pub mod admit;
 pub mod attempt;
 pub mod attempt_counter;
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -47,6 +47,9 @@
 pub const RETRIES_DENIED: &str = "tries.denied";
 /// Attempts that asked the endpoint to copy a cached prompt prefix from another one. Count.
 pub const ATTEMPTS_WITH_COPY: &str = "tries.copied";
+/// Attempts for which engines were passed over, because the request would overfill their memory.
+/// Count.
+pub const ATTEMPTS_BESIDE_FULL_MEMORY: &str = "tries.memory_full";
 /// Endpoints that crashed under requests. Count.
 pub const ENDPOINT_CRASHES: &str = "endpoints.crashed";
 /// Of these, the ones whose report was dropped because too many were pending. Count.
@@ -69,6 +72,8 @@
 pub const ENDPOINTS_PAUSED: &str = "endpoints.paused";
 /// Endpoints that may be warming up. Gauge.
 pub const ENDPOINTS_WARMING_UP: &str = "endpoints.warming_up";
+/// Endpoints whose learned speed is at least a step below that of their service. Gauge.
+pub const ENDPOINTS_SLOW: &str = "endpoints.slow";
 /// Services whose endpoints run more than one software version. Gauge.
 pub const SERVICES_MIXED: &str = "services.mixed";
 /// Streams that clients took up after another attempt had begun them. Count.
@@ -81,6 +86,12 @@
 pub const ORIGINS_KNOWN: &str = "streams.origins_known";
 /// Streams resumed by another endpoint. Count.
 pub const STREAMS_RESUMED: &str = "streams.resumed";
+/// Streams that were read ahead of a client that reads slowly. Count.
+pub const STREAMS_READ_AHEAD: &str = "streams.read_ahead";
+/// How often such a stream stopped, because its buffer or all of them were full. Count.
+pub const READ_AHEAD_STOPPED: &str = "streams.read_ahead_stopped";
+/// Bytes that are read ahead in all. Gauge.
+pub const READ_AHEAD_BYTES: &str = "streams.read_ahead_bytes";
 /// Readings of the platform's list by this gateway. Count.
 pub const LIST_READ: &str = "list.read";
 /// Lists received from a sibling. Count.
@@ -119,6 +130,8 @@
 pub const BUDGETS_COVERED: &str = "budgets.covered";
 /// Budgets of which little is left, so that their grants are short. Gauge.
 pub const BUDGETS_SCARCE: &str = "budgets.scarce";
+/// Reads of budgets' balances that failed. Count.
+pub const BALANCE_READS_FAILED: &str = "balances.failed";
 /// Time since the ledger last confirmed the cached state. Gauge, milliseconds.
 pub const LEDGER_AGE: &str = "age.ledger";
 /// Time since the platform's list was last read. Gauge, milliseconds.
@@ -146,6 +159,7 @@
     (ATTEMPTS_IN_DOUBT, "count"),
     (RETRIES_DENIED, "count"),
     (ATTEMPTS_WITH_COPY, "count"),
+    (ATTEMPTS_BESIDE_FULL_MEMORY, "count"),
     (ENDPOINT_CRASHES, "count"),
     (CRASHES_UNREPORTED, "count"),
     (REQUESTS_QUARANTINED, "gauge"),
@@ -157,12 +171,16 @@
     (PAUSES_UNREADABLE, "count"),
     (ENDPOINTS_PAUSED, "gauge"),
     (ENDPOINTS_WARMING_UP, "gauge"),
+    (ENDPOINTS_SLOW, "gauge"),
     (SERVICES_MIXED, "gauge"),
     (STREAMS_TAKEN_UP, "count"),
     (ORIGIN_MESSAGES, "count"),
     (ORIGINS_UNTOLD, "count"),
     (ORIGINS_KNOWN, "gauge"),
     (STREAMS_RESUMED, "count"),
+    (STREAMS_READ_AHEAD, "count"),
+    (READ_AHEAD_STOPPED, "count"),
+    (READ_AHEAD_BYTES, "gauge"),
     (LIST_READ, "count"),
     (LIST_FROM_SIBLING, "count"),
     (OPEN_REQUESTS, "gauge"),
@@ -182,6 +200,7 @@
     (GRANTS_FREE, "gauge"),
     (BUDGETS_COVERED, "gauge"),
     (BUDGETS_SCARCE, "gauge"),
+    (BALANCE_READS_FAILED, "count"),
     (LEDGER_AGE, "gauge"),
     (LIST_AGE, "gauge"),
 ];
@@ -231,11 +250,13 @@
             (LIMIT_USED, limit_used),
             (ENDPOINTS_PAUSED, self.count_paused()),
             (ENDPOINTS_WARMING_UP, self.count_warming_up()),
+            (ENDPOINTS_SLOW, self.count_slow_endpoints()),
             (SERVICES_MIXED, self.count_mixed_services()),
             (ORIGINS_KNOWN, self.count_known_origins()),
             (GRANTS_FREE, grants.free),
             (BUDGETS_COVERED, grants.covered),
             (BUDGETS_SCARCE, grants.scarce),
+            (READ_AHEAD_BYTES, self.read_ahead().total()),
             (
                 LEDGER_AGE,
                 age(self.ledger_confirmed_ms.load(Ordering::Relaxed)),
@@ -247,6 +268,12 @@
         }
     }
 
+    fn count_slow_endpoints(&self) -> u64 {
+        let all = self.directory.all_endpoints();
+        let slow = all.iter().filter(|e| e.load().speed().step() < 0);
+        slow.count() as u64
+    }
+
     /// Number of endpoints with a limit, and the percentage of this gateway's share that is used.
     fn measure_limits(&self) -> (u64, u64) {
         let all = self.directory.all_endpoints();
--- a/crates/anvil_gateway/src/table.rs
+++ b/crates/anvil_gateway/src/table.rs
@@ -103,7 +103,7 @@
 pub struct Engine {
     /// Requests that an engine runs concurrently.
     pub concurrent_requests: u32,
-    /// Tokens that fit into an engine's memory.
+    /// Tokens that fit into an engine's memory; 0 if unknown.
     pub memory_tokens: Tokens,
     /// Maximum output tokens in one event.
     pub tokens_per_event: Tokens,
@@ -212,13 +212,6 @@
         self.organisations_by_key.get(key)
     }
 
-    /// Tokens credited to each prepaid budget in all.
-    pub fn credits(&self) -> BTreeMap<BudgetId, Tokens> {
-        let organisations = self.organisations_by_key.values();
-        let credits = organisations.filter_map(|o| Some((o.id.clone(), o.prepaid?)));
-        credits.collect()
-    }
-
     /// Whether requests must carry a key on routes that aren't public.
     pub fn requires_keys(&self) -> bool {
         self.requires_keys
--- a/crates/anvil_gateway/tests/direct/pausing.rs
+++ b/crates/anvil_gateway/tests/direct/pausing.rs
@@ -144,11 +144,15 @@
         version: None,
         avoided: &[],
     };
+    let prompt = Prompt {
+        parts,
+        max_output: 0,
+    };
     let terms = PlacementTerms {
         within: Duration::MAX,
         with_room_within: None,
     };
-    gw.select_endpoint(SERVICE, &Prompt { parts }, constraints, terms)
+    gw.select_endpoint(SERVICE, &prompt, constraints, terms)
 }
 
 /// Guards against a request that was on its way to an endpoint being sent after the endpoint asked
