--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -4,6 +4,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use anvil_policy::copying::{self, Copying, MissingTokens};
@@ -11,6 +12,7 @@
 use anvil_policy::engine::memory::MemoryDemand;
 use anvil_policy::engine::{EngineRule, Prompt};
 use anvil_policy::rate_share::{Clocks, RouterRank};
+use anvil_policy::room::{EngineRoom, guaranteed_requests};
 use anvil_world::prelude::*;
 
 pub use self::engine_estimates::EngineEstimates;
@@ -60,6 +62,18 @@
     Full,
     /// The request would overfill the memory of every engine.
     OutOfMemory,
+    /// No endpoint has room: a request would wait there for longer than its target allows.
+    Busy,
+}
+
+/// Until when a request has to be placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PlacementTerms {
+    /// Its response must be expected within this time.
+    pub within: Duration,
+    /// If it can wait in front of the endpoints: it is placed only while an endpoint has room, where
+    /// its response is expected within this time, or would not be delayed by other requests.
+    pub with_room_within: Option<Duration>,
 }
 
 /// Expected wait for one more request at a non-engine endpoint whose slots are all in use.
@@ -122,7 +136,7 @@
         service: &str,
         prompt: &Prompt<'_>,
         constraints: Constraints<'_>,
-        within: Duration,
+        placement: PlacementTerms,
     ) -> Result<Selection, Unplaced> {
         let now = self.lifecycle.now();
         let available = self.available_endpoints(service, constraints);
@@ -133,7 +147,7 @@
         let candidate = |endpoint| self.estimate(now, prompt, &terms, endpoint);
         let warm_up = self.warm_up_terms(service);
         let candidates: Vec<Candidate<'_>> = available.iter().map(candidate).collect();
-        let best = self.reserve_best(now, &candidates, warm_up.as_ref(), within)?;
+        let best = self.reserve_best(now, &candidates, warm_up.as_ref(), placement)?;
         let source = copy_source(&terms, prompt, best, &candidates);
         let missing_tokens = source
             .as_ref()
@@ -157,6 +171,24 @@
         })
     }
 
+    /// Whether there is room for a request that can wait, see [`anvil_policy::room`].
+    fn has_room(&self, now: Now, accepting: &[&Candidate<'_>], within: Duration) -> bool {
+        let Some(first) = accepting.first() else {
+            return false;
+        };
+        let queue = &first.endpoint.queue;
+        let slots = accepting.iter().map(|one| one.endpoint.slots);
+        let slots = slots.fold(0, u32::saturating_add);
+        let routers = self.gateway_count.load(Ordering::Relaxed);
+        if queue.in_flight() < guaranteed_requests(slots, routers) {
+            return true;
+        }
+        if first.is_engine {
+            return accepting.iter().any(|one| one.has_engine_room(now, within));
+        }
+        queue.has_window_room()
+    }
+
     /// Selects the best candidate that accepts a request now, and counts the request against its
     /// limit.
     fn reserve_best<'a>(
@@ -164,7 +196,7 @@
         now: Now,
         candidates: &'a [Candidate<'a>],
         warm_up: Option<&WarmUpTerms>,
-        within: Duration,
+        terms: PlacementTerms,
     ) -> Result<&'a Candidate<'a>, Unplaced> {
         // A clock before the epoch still yields valid time windows.
         let time_of_day = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -196,8 +228,14 @@
                 return Err(Unplaced::OutOfMemory);
             }
         }
+        if let Some(within) = terms.with_room_within
+            && !accepting.is_empty()
+            && !self.has_room(now, &accepting, within)
+        {
+            return Err(Unplaced::Busy);
+        }
         let preference = |candidate: &&Candidate<'_>| {
-            let is_late = candidate.expected > within;
+            let is_late = candidate.expected > terms.within;
             let reload_cost = if is_late {
                 Duration::ZERO
             } else {
@@ -207,7 +245,7 @@
             (candidate.on_cooldown, is_late, cost)
         };
         while let Some(best) = accepting.iter().copied().min_by_key(preference) {
-            if best.expected > within {
+            if best.expected > terms.within {
                 return Err(Unplaced::TooLate(best.expected));
             }
             let is_warm_enough =
@@ -289,6 +327,7 @@
             return Candidate {
                 endpoint,
                 expected: base + work.mul_f64(load.work_factor(now)) + jitter,
+                is_engine: false,
                 reload_cost: Duration::ZERO,
                 missing: MissingTokens {
                     by_own_requests: 0,
@@ -316,6 +355,7 @@
         Candidate {
             endpoint,
             expected: base + expected,
+            is_engine: true,
             reload_cost,
             missing: MissingTokens {
                 by_own_requests,
@@ -347,6 +387,8 @@
     endpoint: &'a Arc<Endpoint>,
     /// Time to the first token if all missing prompt tokens are processed.
     expected: Duration,
+    /// Whether it processes the request's prompt.
+    is_engine: bool,
     /// What it costs other requests if the prompt's shared prefix is processed there.
     reload_cost: Duration,
     /// Prompt tokens that are not cached there.
@@ -360,6 +402,18 @@
 }
 
 impl Candidate<'_> {
+    /// Whether the engine has room for a request that can wait.
+    fn has_engine_room(&self, now: Now, within: Duration) -> bool {
+        let load = self.endpoint.load();
+        let room = EngineRoom {
+            requests: load.estimated_requests(now),
+            slots: load.slots(self.endpoint.slots).max(1),
+            expected: self.expected,
+            has_pending_prompts: load.pending_prefill > 0,
+        };
+        room.allows(within)
+    }
+
     fn wait(
         &self,
         warm_up: Option<&WarmUpTerms>,
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -8,10 +8,11 @@
 //!
 //! Path of a request: [`serve`] accepts the connection, [`accept`] limits how many and watches them, [`admit`] checks the request and reserves
 //! tokens, [`exchange`] runs attempts until one succeeds, [`choose`] selects the endpoint,
-//! [`send`] waits for the link, [`attempt`] sends the request to it, [`attempt_counter`] counts attempts, [`availability`] waits
-//! for a routing table or endpoints that are expected shortly, [`stream_relay`] forwards a stream
-//! and resumes it at another endpoint, [`accept::client_socket`] shows whether its client reads fast enough,
-//! [`reply`] builds refusals.
+//! [`send`] waits for the link, [`attempt`] sends the request to it, [`attempt_counter`] counts attempts,
+//! [`availability`] waits for a routing table or endpoints that are expected shortly, [`wait`] holds
+//! requests while no endpoint has room, [`stream_relay`] forwards a stream and resumes it at another
+//! endpoint, [`accept::client_socket`] shows whether its client reads fast enough, [`reply`] builds
+//! refusals.
 //!
 //! Quarantine of requests that crash endpoints, and of what such requests have in common: [`crashes`]
 //! detects which endpoint crashed, [`suspects`] reports the contents to the ledger and learns of those
@@ -74,6 +75,7 @@
 pub mod suspects;
 pub mod table;
 pub mod trace;
+pub mod wait;
 pub mod warm_up;
 pub mod zones;
 
--- a/crates/anvil_gateway/src/log_events.rs
+++ b/crates/anvil_gateway/src/log_events.rs
@@ -85,4 +85,6 @@
     GATEWAY_BUDGET_SCARCE = 6050 Info "gateway_budget_scarce";
     /// The lasting speed of an engine relative to its service has changed by a step.
     GATEWAY_ENGINE_SPEED = 6060 Info "gateway_engine_speed";
+    /// Requests to a service are refused because no endpoint has room for them in time.
+    GATEWAY_OVERLOADED = 6070 Warning "gateway_overloaded";
 }
--- a/crates/anvil_gateway/tests/direct/main.rs
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -29,4 +29,5 @@
 mod uneven_load;
 mod unframed;
 mod versions;
+mod waiting;
 mod warming_up;
--- a/crates/anvil_gateway/tests/direct/pausing.rs
+++ b/crates/anvil_gateway/tests/direct/pausing.rs
@@ -7,7 +7,7 @@
 use anvil_gateway::Gateway;
 use anvil_gateway::attempt::{AttemptOutcome, NotRun, OutgoingRequest, send as send_attempt};
 use anvil_gateway::attempt_counter::AttemptCounter;
-use anvil_gateway::choose::{Selection, Unplaced};
+use anvil_gateway::choose::{PlacementTerms, Selection, Unplaced};
 use anvil_gateway::dialect::AvailabilityNotice;
 use anvil_gateway::regions::{AllowedRegions, Constraints};
 use anvil_gateway::stage_times::StageTimes;
@@ -148,7 +148,11 @@
         parts,
         max_output: 0,
     };
-    gw.select_endpoint(SERVICE, &prompt, constraints, Duration::MAX)
+    let terms = PlacementTerms {
+        within: Duration::MAX,
+        with_room_within: None,
+    };
+    gw.select_endpoint(SERVICE, &prompt, constraints, terms)
 }
 
 /// Guards against a request that was on its way to an endpoint being sent after the endpoint asked
