A gateway that lacks tokens sends its clients elsewhere, also while it pays for others

Cause: with long grants, a gateway that was cut off alone kept the clients that it could not pay for.

--- a/crates/anvil_gateway/src/exchange/one_attempt.rs
+++ b/crates/anvil_gateway/src/exchange/one_attempt.rs
@@ -237,9 +237,7 @@
             | Unplaced::AtLimit(_)
             | Unplaced::Full
             | Unplaced::OutOfMemory
-            | Unplaced::Busy => {
-                (Cause::Overloaded, spread_return(MIN_RETRY_AFTER))
-            }
+            | Unplaced::Busy => (Cause::Overloaded, spread_return(MIN_RETRY_AFTER)),
             Unplaced::Paused(wait) => (Cause::EndpointsPaused, spread_return(wait)),
         }
     }
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -169,9 +169,6 @@
 /// For how long a gateway that could not pay for a request reports that it is not ready, in
 /// milliseconds: the load balancer checks once per second and acts on the second failed check.
 const STARVED_TIME_MS: u64 = 2_500;
-/// For how long a request that was paid for shows that the grants are not used up: a few requests' intervals
-/// at a gateway with little load.
-const PAYING_TIME: Duration = Duration::from_secs(1);
 /// Number of gateways assumed to share the budget until the ledger reports it.
 const ASSUMED_GATEWAYS: u32 = 16;
 
@@ -273,10 +270,6 @@
     /// Failure: grants outlast an outage for most organisations, and one request that lacks tokens closes
     /// the connections of all. So a gateway that still pays for requests stays ready.
     pub fn mark_starved(&self) {
-        let now = self.lifecycle.now();
-        if self.grant_account.is_paying(now, PAYING_TIME) {
-            return;
-        }
         let until = self.now_ms() + STARVED_TIME_MS;
         if !self.is_starved() {
             event!(self.log, log_events::GATEWAY_STARVED);
--- a/crates/anvilreel/src/money/account.rs
+++ b/crates/anvilreel/src/money/account.rs
@@ -60,8 +60,6 @@
     /// Number of routers that draw on the budgets; 0 if unknown.
     pub(super) routers: AtomicU32,
     pub(super) cover_ended: AtomicBool,
-    /// When a request last reserved tokens, in milliseconds.
-    last_reserved: AtomicU64,
     pub(super) fenced: AtomicBool,
     /// The oldest grant whose closing the ledger has not confirmed.
     pub(super) oldest_open_grant: AtomicU64,
@@ -87,7 +85,6 @@
             stopping: AtomicBool::new(false),
             routers: AtomicU32::new(0),
             cover_ended: AtomicBool::new(false),
-            last_reserved: AtomicU64::new(0),
             fenced: AtomicBool::new(false),
             oldest_open_grant: AtomicU64::new(0),
             next_number: AtomicU64::new(1),
@@ -122,7 +119,6 @@
             };
             parts.push(ReservationPart { grant, tokens });
         }
-        self.last_reserved.fetch_max(millis(now), Ordering::Relaxed);
         Ok(Reservation {
             number: self.next_number.fetch_add(1, Ordering::Relaxed),
             split: split.clone(),
@@ -277,12 +273,6 @@
         Shortage::WaitFor { until, otherwise }
     }
 
-    /// Whether grants that outlast an outage have paid for a request within this time.
-    pub fn is_paying(&self, now: Now, within: Duration) -> bool {
-        let last = Duration::from_millis(self.last_reserved.load(Ordering::Relaxed));
-        self.policy.outage_horizon.is_some() && !last.is_zero() && now < last + within
-    }
-
     /// How long a batch has been without an answer.
     pub fn unanswered_for(&self, now: Now) -> Duration {
         let since = self.unanswered_since.load(Ordering::Acquire);
