--- a/crates/anvil_gateway/src/stream_relay.rs
+++ b/crates/anvil_gateway/src/stream_relay.rs
@@ -44,8 +44,8 @@
 /// begins may still send the first event.
 const EVENTS_AFTER_BEGINNING: u32 = 2;
 
-/// Events after which the connection writes to the client's socket: half of those that it holds before it
-/// takes no more.
+/// Events after which the HTTP connection gets a turn to write: it buffers twice as many and then asks for
+/// no more.
 const MAX_UNWRITTEN_EVENTS: u32 = 8;
 
 struct StreamSource {
--- a/crates/anvil_policy/src/fair.rs
+++ b/crates/anvil_policy/src/fair.rs
@@ -102,9 +102,8 @@
     }
 }
 
-/// An organisation gets at least this part of the turns that it would get in proportion to its load,
-/// as a divisor: none is served less than a quarter as often as all requests are on the whole, with
-/// a margin for the estimates of both.
+/// Divisor of the load in proportion to which an organisation gets turns. Each is to be served at least a
+/// quarter as often as the average; a third leaves a margin for errors of the measured loads.
 const PROPORTIONAL_PART: f64 = 3.0;
 /// Weight of an organisation whose load is at most [`PROPORTIONAL_PART`] times the mean.
 const USUAL_WEIGHT: f64 = 100.0;
--- a/crates/anvil_policy/src/intake.rs
+++ b/crates/anvil_policy/src/intake.rs
@@ -21,8 +21,8 @@
 //! latency. A timer that is late by [`MAX_LATENESS`] shows that more tasks wait than are run; on
 //! a machine that has a part of a core, timers are up to 100 ms late without load. Answers of the ledger that
 //! take longer than [`MAX_CONTROL_DELAY`] count only while the link is in use: otherwise the
-//! ledger itself is slow, and rejecting clients would not help. [`GAIN`] is as high as it can be without
-//! swings, as the use of the link follows the open share after about 0.25 s. Closings are short against the
+//! ledger itself is slow, and rejecting clients would not help. A higher [`GAIN`]
+//! makes the open share swing, because the use of the link follows it with a delay. Closings are short against the
 //! time that a client tries to connect. At least [`MIN_OPEN_SHARE`] stays open, and the router does not close
 //! before it has accepted a connection in the last half second, so that the routers that a client tries
 //! never reject everything.
@@ -39,7 +39,7 @@
 const TARGET_USE: f64 = 0.75;
 /// From this share on the link is saturated: it can't show how much more is waiting.
 const SATURATED_USE: f64 = 0.95;
-/// Pressure when the link becomes saturated.
+/// Pressure when the link becomes saturated: at least as much again may be waiting in front of it.
 const SATURATED_PRESSURE: f64 = 2.0;
 /// The pressure rises by as much again each time that the link has been saturated for as long.
 const SATURATED_INTERVAL: Duration = Duration::from_millis(100);
@@ -47,15 +47,16 @@
 const TARGET_BACKLOG: Duration = Duration::from_millis(50);
 /// Lateness of a timer from which on less is accepted.
 const MAX_LATENESS: Duration = Duration::from_millis(150);
-/// Duration of an exchange with the ledger from which on less is accepted.
+/// Duration of an exchange with the ledger from which on less is accepted: requests wait little longer for
+/// tokens.
 const MAX_CONTROL_DELAY: Duration = Duration::from_millis(400);
 /// Share of the link from which on slow exchanges with the ledger are ascribed to the link.
 const BUSY_USE: f64 = 0.4;
 /// While the link is busy, nothing is accepted if clients are still sending more than it carries in this time:
 /// a fraction of any route's target latency.
 const MAX_EXPECTED: Duration = Duration::from_millis(100);
-/// Time after which what connections sent counts for less than half, and what they were expected to send.
-const MEMORY: Duration = Duration::from_secs(1);
+/// Time constant with which accepted connections, the bytes received and those expected of them fade.
+const DECAY_TIME: Duration = Duration::from_secs(1);
 /// Bounds of the pressure; the lower one decides how fast a router opens again.
 const PRESSURE_BOUNDS: (f64, f64) = (0.25, 16.0);
 /// Change of the open share's logarithm per second, for each unit of the pressure's logarithm.
@@ -270,7 +271,7 @@
             .map_or(load.received, |(_, received, _)| *received);
         #[expect(clippy::cast_precision_loss, reason = "far below 2^52 bytes")]
         let received = load.received.saturating_sub(before) as f64;
-        let kept = (-step.div_duration_f64(MEMORY)).exp();
+        let kept = (-step.div_duration_f64(DECAY_TIME)).exp();
         self.recent_accepts *= kept;
         self.recent_bytes = kept * self.recent_bytes + received;
         self.promised = (kept * self.promised - received).max(0.0);
--- a/crates/anvil_policy/src/room.rs
+++ b/crates/anvil_policy/src/room.rs
@@ -6,7 +6,7 @@
 //! *Without it:* a request is sent into the queue of a full endpoint, where it starts after its
 //! target and can no longer go to one that becomes free. If routers hold requests back by the
 //! reported load alone, those with many requests in flight learn of each free slot and take it, and
-//! the others are left with few: one of six equal routers got nearly all.
+//! the others are left with few.
 //!
 //! *Mechanism:* plain endpoints have room while the router's requests in flight are below its
 //! [`InFlightWindow`]; engines, whose requests take seconds, while one has a slot and no prompts that
--- a/crates/anvil_policy/src/waiting.rs
+++ b/crates/anvil_policy/src/waiting.rs
@@ -47,9 +47,9 @@
 /// Priority class of a request; 0 is the most urgent.
 pub type PriorityClass = u8;
 
-/// Of a priority class, at least one request in so many is dispatched, and at most one dispatch in
-/// so many is out of turn: this keeps a class from starving, and a less urgent class is never served
-/// more often than a more urgent one by over 5 in 100.
+/// A class of which this many requests were offered without a dispatch is overdue. At most one dispatch in
+/// this many goes to an overdue class, so that a less urgent class gains at most 5 in 100 over a more
+/// urgent one.
 pub const MAX_OFFERS_WITHOUT_START: u32 = 20;
 
 /// Place of a request in a queue that is ordered by priority class.
--- a/crates/anvilreel/src/ledger_service/links.rs
+++ b/crates/anvilreel/src/ledger_service/links.rs
@@ -26,8 +26,8 @@
 /// A link without messages for this long is opened again. A leader sends several heartbeats a
 /// second, but two followers have no messages for each other.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Timeout of the question which commands a replica applies, and the pause before it is asked again.
-/// Operators give orders by hand, so a few seconds without an answer hold nobody up.
+/// Timeout of a query for the kinds of commands that a replica applies, and the delay before it is repeated.
+/// Only operators' orders wait for the reply.
 const KINDS_TIMEOUT: Duration = Duration::from_secs(2);
 /// Timeout for fetching a whole snapshot.
 const FETCH_TIMEOUT: Duration = Duration::from_mins(2);
