--- a/crates/anvil_policy/src/grant.rs
+++ b/crates/anvil_policy/src/grant.rs
@@ -135,7 +135,7 @@
 }
 
 #[expect(clippy::cast_precision_loss, reason = "a rate needs no last digit")]
-fn tokens_to_f64(amount: Tokens) -> f64 {
+pub(crate) fn tokens_to_f64(amount: Tokens) -> f64 {
     amount as f64
 }
 
@@ -144,6 +144,6 @@
     clippy::cast_sign_loss,
     reason = "a float to integer cast saturates"
 )]
-fn to_tokens(amount: f64) -> Tokens {
+pub(crate) fn to_tokens(amount: f64) -> Tokens {
     amount as Tokens
 }
--- a/crates/anvil_policy/src/outage_grant.rs
+++ b/crates/anvil_policy/src/outage_grant.rs
@@ -26,6 +26,8 @@
 
 use anvil_world::prelude::*;
 
+use crate::grant::{to_tokens, tokens_to_f64};
+
 /// Divisor of what is left: all routers together hold at most this part of it, so that no more is lost if all
 /// are killed at once.
 const LEFT_DIVISOR: Tokens = 8;
@@ -107,8 +109,8 @@
             weight
         };
         let elapsed_s = elapsed_s.max(0.001);
-        self.tokens_per_s += (to_f64(charged) / elapsed_s - self.tokens_per_s) * weight;
-        self.requests_per_s += (to_f64(requests) / elapsed_s - self.requests_per_s) * weight;
+        self.tokens_per_s += (tokens_to_f64(charged) / elapsed_s - self.tokens_per_s) * weight;
+        self.requests_per_s += (tokens_to_f64(requests) / elapsed_s - self.requests_per_s) * weight;
     }
 }
 
@@ -236,7 +238,7 @@
         let fleet = assumed + (limits.spending - assumed) * limits.confidence;
         let fleet = fleet.max(own);
         let limit = limits.left / LEFT_DIVISOR;
-        let covered_s = horizon_s.min(to_f64(limit) / fleet);
+        let covered_s = horizon_s.min(tokens_to_f64(limit) / fleet);
         let expected = demand.requests_per_s * covered_s;
         if expected < MIN_EXPECTED_REQUESTS {
             return None;
@@ -254,9 +256,9 @@
         } else {
             (0, limit)
         };
-        let share = to_tokens(to_f64(shared) * (own / fleet));
+        let share = to_tokens(tokens_to_f64(shared) * (own / fleet));
         let hold = needed.max(bound).min(share).max(floor);
-        (to_f64(hold) >= mean_cost).then_some(hold)
+        (tokens_to_f64(hold) >= mean_cost).then_some(hold)
     }
 }
 
@@ -362,17 +364,3 @@
         self.until.is_some_and(|until| now < until)
     }
 }
-
-#[expect(clippy::cast_precision_loss, reason = "a rate needs no last digit")]
-fn to_f64(amount: u64) -> f64 {
-    amount as f64
-}
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a float to integer cast saturates"
-)]
-fn to_tokens(amount: f64) -> Tokens {
-    amount as Tokens
-}
