The intake follows the measured queue of the link

Cause: connections that wait upstream of an overloaded link are established by the kernel, and their data arrives while the router listens. The use of the link shows neither that queue nor, after a closing, the data of connections that were reset. Change: the router probes its link through siblings while it is in use; the intake closes at a delayed probe and opens once one that was sent after the closing has returned. Without replies the use decides as before.

--- a/crates/anvil_gateway/src/accept.rs
+++ b/crates/anvil_gateway/src/accept.rs
@@ -4,5 +4,6 @@
 pub mod client_socket;
 pub mod descriptor_budget;
 pub mod intake_status;
+pub mod link_probe;
 pub mod resource_limits;
 pub mod socket_budgets;
--- a/crates/anvil_gateway/src/accept/client_listener.rs
+++ b/crates/anvil_gateway/src/accept/client_listener.rs
@@ -157,12 +157,14 @@
             sent: link.sent(),
             expected: link.expected(),
             control_delay: link.take_control_delay(),
+            link_delay: link.probe.delay(),
             lateness,
             has_descriptors: descriptors.has_room_for_client(),
         };
         let is_open = self.intake.observe(self.now(), &load, &mut rand::rng());
         let is_shedding = self.intake.is_shedding();
-        self.cx.status.set(is_shedding, self.intake.open_share());
+        let open_share = self.intake.recent_open_share();
+        self.cx.status.set(is_shedding, open_share);
         self.log_shedding(is_shedding, &load);
         is_open
     }
@@ -175,7 +177,8 @@
                     log, events::GATEWAY_SHEDDING,
                     "backlog_ms" => load.backlog.as_millis(), "late_ms" => load.lateness.as_millis(),
                     "descriptors" => load.has_descriptors,
-                    "control_ms" => load.control_delay.map(|delay| delay.as_millis())
+                    "control_ms" => load.control_delay.map(|delay| delay.as_millis()),
+                    "link_delay_ms" => load.link_delay.map(|delay| delay.so_far().as_millis())
                 );
             }
             self.logged_shedding = Some(Instant::now());
--- /dev/null
+++ b/crates/anvil_gateway/src/accept/link_probe.rs
@@ -0,0 +1,163 @@
+//! Probes the queue of this router's link.
+//!
+//! Failure: clients send more than the link can carry. What waits upstream of the link shows in no counter
+//! of this process, also not after their connections were closed. But a message to another router and its
+//! reply wait behind it, so their round trip measures the queue.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use anvil_policy::intake::LinkDelay;
+use anvil_policy::link_pacer::BytesPerSecond;
+use anvil_wire::msg::{OriginCall, OriginRequest};
+use anvil_wire::{Channel, WireError};
+use anvil_world::prelude::*;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use rand::seq::IteratorRandom;
+use tokio::time::{Instant, sleep};
+
+use super::intake_status::IntakeStatus;
+use super::socket_budgets::SocketBudgets;
+use crate::list::siblings::Siblings;
+use crate::metrics;
+use anvilreel::metrics::Metrics;
+
+/// Time between a reply and the next probe: short against the delay that the intake allows, and little
+/// work for a part of a core.
+const PROBE_INTERVAL: Duration = Duration::from_millis(10);
+/// The same while the link is overloaded.
+const OVERLOADED_PROBE_INTERVAL: Duration = Duration::from_millis(5);
+/// Longest wait for the reply to a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+/// A second sibling is probed if the first has not replied after this time: that may have stopped or be
+/// overloaded itself. Shorter than the delay that the intake allows.
+const HEDGE_DELAY: Duration = Duration::from_millis(5);
+/// The link is probed while more than this fraction of it is in use.
+const PROBE_FROM_USE: f64 = 0.4;
+
+/// The last probe of the link.
+#[derive(Debug, Default)]
+pub struct LinkProbe {
+    last: Mutex<Option<SentProbe>>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct SentProbe {
+    at: Instant,
+    round_trip: Option<Duration>,
+}
+
+impl LinkProbe {
+    /// What the last probe shows; `None` if the link is not probed, or no sibling replies.
+    pub fn delay(&self) -> Option<LinkDelay> {
+        let last = *self.last.lock().unwrap_or_else(PoisonError::into_inner);
+        last.map(|probe| LinkDelay {
+            age: probe.at.elapsed(),
+            round_trip: probe.round_trip,
+        })
+    }
+
+    fn set(&self, probe: Option<SentProbe>) {
+        // Sound after a panic elsewhere: it is one value.
+        *self.last.lock().unwrap_or_else(PoisonError::into_inner) = probe;
+    }
+}
+
+/// What is probed, and by which siblings.
+pub struct ProbeContext<'a> {
+    /// The link, `None` if it is not limited.
+    pub link: Option<BytesPerSecond>,
+    /// Its use.
+    pub sockets: &'a SocketBudgets,
+    /// Whether connections are being rejected.
+    pub status: &'a Arc<IntakeStatus>,
+    /// The other routers.
+    pub siblings: &'a Siblings,
+    /// This router.
+    pub own_id: &'a InstanceId,
+    /// Metrics.
+    pub metrics: &'a Metrics,
+}
+
+/// Probes the link while it is in use, for as long as the process runs.
+pub async fn run(cx: ProbeContext<'_>) {
+    let Some(link) = cx.link else {
+        return;
+    };
+    let budget = &cx.sockets.link;
+    let mut before = (Instant::now(), budget.received());
+    let mut interval = PROBE_INTERVAL;
+    loop {
+        sleep(interval).await;
+        let now = (Instant::now(), budget.received());
+        let is_used = is_in_use(link, now.0 - before.0, now.1 - before.1);
+        before = now;
+        let is_shedding = cx.status.is_shedding();
+        if is_used || is_shedding {
+            probe_once(&cx).await;
+        } else {
+            budget.probe.set(None);
+        }
+        interval = if is_shedding {
+            OVERLOADED_PROBE_INTERVAL
+        } else {
+            PROBE_INTERVAL
+        };
+    }
+}
+
+fn is_in_use(link: BytesPerSecond, time: Duration, received: u64) -> bool {
+    #[expect(clippy::cast_precision_loss, reason = "far below 2^52 bytes")]
+    let in_use = received as f64 / (link.max(1) as f64 * time.as_secs_f64());
+    in_use > PROBE_FROM_USE
+}
+
+async fn probe_once(cx: &ProbeContext<'_>) {
+    let probe = &cx.sockets.link.probe;
+    let [Some(first), second] = channels(cx) else {
+        probe.set(None);
+        return;
+    };
+    let at = Instant::now();
+    probe.set(Some(SentProbe {
+        at,
+        round_trip: None,
+    }));
+    let first = call(first, Duration::ZERO);
+    let second = second.map(|channel| call(channel, HEDGE_DELAY));
+    let mut replies: FuturesUnordered<_> = std::iter::once(first).chain(second).collect();
+    let mut sent = None;
+    while let Some(reply) = replies.next().await {
+        sent = reply.ok();
+        if sent.is_some() {
+            break;
+        }
+    }
+    // Siblings that don't reply show nothing of the link: this router may be cut off from them.
+    probe.set(sent);
+    if let Some(round_trip) = sent.and_then(|sent| sent.round_trip) {
+        cx.metrics.time(metrics::LINK_DELAY, round_trip);
+    }
+}
+
+/// Two other routers, as far as there are any.
+fn channels(cx: &ProbeContext<'_>) -> [Option<Channel>; 2] {
+    let members = cx.siblings.members();
+    let others = members.keys().filter(|id| *id != cx.own_id);
+    let mut chosen = others.sample(&mut rand::rng(), 2).into_iter();
+    let mut next = || chosen.next().and_then(|id| cx.siblings.channel(id));
+    [next(), next()]
+}
+
+/// Sends a message without content, which routers of earlier builds answer too.
+async fn call(channel: Channel, after: Duration) -> Result<SentProbe, WireError> {
+    sleep(after).await;
+    let at = Instant::now();
+    let request = OriginRequest::Tell(Vec::new());
+    channel.call::<OriginCall>(&request, PROBE_TIMEOUT).await?;
+    Ok(SentProbe {
+        at,
+        round_trip: Some(at.elapsed()),
+    })
+}
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -100,6 +100,8 @@
 pub const OPEN_REQUESTS: &str = "requests.open";
 /// Time that requests waited for the link. Milliseconds.
 pub const LINK_WAIT: &str = "request.link_wait";
+/// Round trip of a probe to another gateway, while the link is in use. Milliseconds.
+pub const LINK_DELAY: &str = "link.delay";
 /// Bytes received from clients and endpoints since the start. Gauge.
 pub const LINK_RECEIVED: &str = "link.received";
 /// Bytes sent to clients and endpoints since the start. Gauge.
@@ -185,6 +187,7 @@
     (LIST_FROM_SIBLING, "count"),
     (OPEN_REQUESTS, "gauge"),
     (LINK_WAIT, "milliseconds"),
+    (LINK_DELAY, "milliseconds"),
     (LINK_RECEIVED, "gauge"),
     (LINK_SENT, "gauge"),
     (LINK_BACKLOG, "gauge"),
--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -8,6 +8,7 @@
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
 
+use crate::accept::link_probe::{self, ProbeContext};
 use crate::account::balances;
 use crate::gateway::Gateway;
 use crate::list::{discovery, siblings};
@@ -73,6 +74,7 @@
             suspects::run(&task_gw),
             endpoint_limits::run(&task_gw),
             tell::run(&task_gw),
+            link_probe::run(probe_context(&task_gw)),
         );
     });
     let serving = serve::serve_clients(gw.clone(), clients);
@@ -88,3 +90,14 @@
     event!(gw.log, events::GATEWAY_STOPPED);
     Ok(())
 }
+
+fn probe_context(gw: &Gateway) -> ProbeContext<'_> {
+    ProbeContext {
+        link: gw.cfg.limits.narrow_link(),
+        sockets: &gw.sockets,
+        status: &gw.intake,
+        siblings: &gw.siblings,
+        own_id: &gw.cfg.id,
+        metrics: &gw.metrics,
+    }
+}
--- a/crates/anvil_gateway/src/send/link_budget.rs
+++ b/crates/anvil_gateway/src/send/link_budget.rs
@@ -11,6 +11,8 @@
 use anvil_world::prelude::*;
 use tokio::time::Instant;
 
+use crate::accept::link_probe::LinkProbe;
+
 /// The link of this process.
 #[derive(Debug)]
 pub struct LinkBudget {
@@ -26,6 +28,8 @@
     expected: AtomicU64,
     /// Duration of the last exchange with the ledger, in microseconds; zero if it was taken.
     control_delay_us: AtomicU64,
+    /// The last probe.
+    pub probe: LinkProbe,
 }
 
 /// The link reserved for one prompt. Dropping it gives the reservation back, unless the prompt was sent.
@@ -55,6 +59,7 @@
             uncounted: AtomicU64::new(0),
             expected: AtomicU64::new(0),
             control_delay_us: AtomicU64::new(0),
+            probe: LinkProbe::default(),
         }
     }
 
--- a/crates/anvil_policy/src/intake.rs
+++ b/crates/anvil_policy/src/intake.rs
@@ -16,12 +16,18 @@
 //! of connections may wait to be accepted at once; so nothing is accepted either while accepted clients are
 //! still sending, or are expected to send, more than [`MAX_EXPECTED`] of the link.
 //!
+//! The use of the link doesn't show how much waits upstream of it, nor that what waits after a closing is
+//! data of connections that were reset. So the router also probes the link ([`LinkDelay`]): it closes as soon as
+//! a probe is delayed by more than [`MAX_LINK_DELAY`], or [`MAX_DELAY_AFTER_DRAIN`], and opens once one that was sent after the closing
+//! has returned, since then the queue has passed. While probes return, they decide in place of the use.
+//!
 //! *Thresholds:* data uses up to [`TARGET_USE`] of the link, less than [`crate::link_pacer`] lets
 //! through, so that its queue stays short. A queue of [`TARGET_BACKLOG`] is a fraction of any route's target
 //! latency. A timer that is late by [`MAX_LATENESS`] shows that more tasks wait than are run; on
 //! a machine that has a part of a core, timers are up to 100 ms late without load. Answers of the ledger that
 //! take longer than [`MAX_CONTROL_DELAY`] count only while the link is in use: otherwise the
-//! ledger itself is slow, and rejecting clients would not help. A higher [`GAIN`]
+//! ledger itself is slow, and rejecting clients would not help. The same holds for delayed probes. A
+//! higher [`GAIN`]
 //! makes the open share swing, because the use of the link follows it with a delay. Closings are short against the
 //! time that a client tries to connect. At least [`MIN_OPEN_SHARE`] stays open, and the router does not close
 //! before it has accepted a connection in the last half second, so that the routers that a client tries
@@ -55,6 +61,16 @@
 /// While the link is busy, nothing is accepted if clients are still sending more than it carries in this time:
 /// a fraction of any route's target latency.
 const MAX_EXPECTED: Duration = Duration::from_millis(100);
+/// Delay of a probe from which on the link has a queue: well above the round trip between routers, a fraction
+/// of any route's target latency. Connections that wait in the queue are lost when the listener closes, so
+/// it closes while the queue is short.
+const MAX_LINK_DELAY: Duration = Duration::from_millis(25);
+/// The same for a while after a closing: if the overload goes on, the queue grows faster than probes return.
+const MAX_DELAY_AFTER_DRAIN: Duration = Duration::from_millis(12);
+/// For how long that applies.
+const OVERLOAD_TIME: Duration = Duration::from_secs(1);
+/// Longest closing because of a queue. A probe that has not returned by then was lost or is delayed elsewhere.
+const MAX_DRAIN: Duration = Duration::from_millis(300);
 /// Time constant with which accepted connections, the bytes received and those expected of them fade.
 const DECAY_TIME: Duration = Duration::from_secs(1);
 /// Bounds of the pressure; the lower one decides how fast a router opens again.
@@ -75,12 +91,46 @@
 const USE_WINDOW: Duration = Duration::from_millis(200);
 /// Time between two observations.
 const OBSERVE_INTERVAL: Duration = Duration::from_millis(50);
+/// Shortest time between two observations while the link is probed, so that the listener closes while the
+/// queue is short.
+const MIN_PROBED_INTERVAL: Duration = Duration::from_millis(5);
 /// Longest time that one observation stands for.
 const MAX_STEP: Duration = Duration::from_millis(200);
 /// After a longer time without an observation the process was frozen, and what was measured before is
 /// dropped.
 const MAX_AGE: Duration = Duration::from_secs(1);
 
+/// What the last probe of the link shows: a short message to another router, whose reply waits behind the
+/// data on the link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LinkDelay {
+    /// Time since the probe was sent.
+    pub age: Duration,
+    /// Time to its reply; `None` if that is outstanding.
+    pub round_trip: Option<Duration>,
+}
+
+impl LinkDelay {
+    /// The delay so far.
+    pub fn so_far(self) -> Duration {
+        self.round_trip.unwrap_or(self.age)
+    }
+
+    /// A probe that has been outstanding for long was lost or is delayed elsewhere, and shows nothing.
+    fn is_known(&self) -> bool {
+        self.round_trip.is_some() || self.age < MAX_DRAIN
+    }
+
+    /// Time until an observation may find this delay.
+    fn time_to(self, delay: Duration) -> Duration {
+        let left = match self.round_trip {
+            Some(_) => Duration::ZERO,
+            None => delay.saturating_sub(self.age),
+        };
+        left.max(MIN_PROBED_INTERVAL)
+    }
+}
+
 /// The load of a router at one time.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct IntakeLoad {
@@ -94,6 +144,8 @@
     pub expected: u64,
     /// Duration of an exchange with the ledger that has ended since the last observation.
     pub control_delay: Option<Duration>,
+    /// The last probe of the link; `None` if it is not probed, or no probe returns.
+    pub link_delay: Option<LinkDelay>,
     /// By how much the timer of this observation was late.
     pub lateness: Duration,
     /// Whether descriptors are left for another client.
@@ -110,12 +162,17 @@
     /// Since when the link is saturated.
     saturated_at: Option<Now>,
     open_share: f64,
+    recent_open_share: f64,
     /// For how long it still has to be closed, for the time that it was open.
     owed: Duration,
     /// Length of the next closing.
     next_closing: Duration,
     /// End of the current closing.
     closed_until: Option<Now>,
+    /// Start of the current closing, if it lasts until the link's queue has passed.
+    draining_since: Option<Now>,
+    /// End of the last such closing.
+    drained_at: Option<Now>,
     opened_at: Now,
     accepted_at: Now,
     /// Bytes that the accepted connections have yet to send, as far as that can be expected.
@@ -137,9 +194,12 @@
             traffic: VecDeque::new(),
             saturated_at: None,
             open_share: 1.0,
+            recent_open_share: 1.0,
             owed: Duration::ZERO,
             next_closing: CLOSING.0,
             closed_until: None,
+            draining_since: None,
+            drained_at: None,
             opened_at: now,
             accepted_at: now,
             promised: 0.0,
@@ -158,27 +218,51 @@
 
     /// Whether a part of the connections is rejected.
     pub fn is_shedding(&self) -> bool {
-        self.open_share < FULL_SHARE || self.closed_until.is_some()
+        self.open_share < FULL_SHARE || self.closed_until.is_some() || self.had_queue()
     }
 
-    /// The part of the time in which the router is to listen.
+    /// Whether the link has a queue, or had one recently.
+    fn had_queue(&self) -> bool {
+        let is_recent = |at: Now| self.observed_at < at + OVERLOAD_TIME;
+        self.draining_since.is_some() || self.drained_at.is_some_and(is_recent)
+    }
+
+    fn max_link_delay(&self) -> Duration {
+        if self.had_queue() {
+            MAX_DELAY_AFTER_DRAIN
+        } else {
+            MAX_LINK_DELAY
+        }
+    }
+
+    /// The part of the time in which the router is to listen, from 0 to 1, apart from the closings because
+    /// of a queue.
     pub fn open_share(&self) -> f64 {
         self.open_share
     }
 
+    /// The part of the last second in which it listened, from 0 to 1.
+    pub fn recent_open_share(&self) -> f64 {
+        self.recent_open_share
+    }
+
     /// Records that a connection was accepted.
     pub fn record_accept(&mut self, now: Now) {
         self.accepted_at = now;
         self.recent_accepts += 1.0;
         // After a freeze, hundreds of connections may be waiting to be accepted at once.
         self.promised += self.recent_bytes / self.recent_accepts;
-        if self.has_queue(self.promised) {
+        if self.expects_queue(self.promised) {
             self.observe_at = now;
         }
     }
 
     /// Applies the present load. Returns whether the router listens until the next observation.
     pub fn observe(&mut self, now: Now, load: &IntakeLoad, rng: &mut impl Rng) -> bool {
+        let load = &IntakeLoad {
+            link_delay: load.link_delay.filter(LinkDelay::is_known),
+            ..*load
+        };
         let step = now.saturating_sub(self.observed_at);
         self.observed_at = now;
         if step > MAX_AGE {
@@ -186,21 +270,24 @@
             self.saturated_at = None;
             self.owed = Duration::ZERO;
             self.promised = 0.0;
+            self.draining_since = None;
         } else if let Some(link) = self.link {
             self.adjust_share(now, link, step.min(MAX_STEP), load);
         }
+        self.record_listening(step);
         self.record_traffic(now, step, load);
-        #[expect(clippy::cast_precision_loss, reason = "far below 2^52 bytes")]
-        let has_queue = self.has_queue(self.promised.max(load.expected as f64));
+        let has_queue = self.has_queue(now, load);
         let is_open = self.next_phase(now, step, has_queue, load, rng);
+        let longest = match load.link_delay {
+            Some(delay) => delay.time_to(self.max_link_delay()),
+            None => OBSERVE_INTERVAL,
+        };
         let interval = if is_open {
             self.time_to_closing()
         } else {
             None
         };
-        let interval = interval.map_or(OBSERVE_INTERVAL, |time| {
-            time.clamp(MIN_OPENING, OBSERVE_INTERVAL)
-        });
+        let interval = interval.map_or(longest, |time| time.max(MIN_OPENING).min(longest));
         self.observe_at = now + interval;
         if let Some(until) = self.closed_until {
             self.observe_at = self.observe_at.min(until);
@@ -219,7 +306,10 @@
     fn pressure(&mut self, now: Now, link: BytesPerSecond, load: &IntakeLoad) -> f64 {
         let in_use = self.link_use(now, link, load);
         self.is_busy = in_use > TARGET_USE;
-        let by_use = if in_use >= SATURATED_USE {
+        let by_use = if load.link_delay.is_some() {
+            self.saturated_at = None;
+            0.0
+        } else if in_use >= SATURATED_USE {
             let since = *self.saturated_at.get_or_insert(now);
             let lasted = now.saturating_sub(since);
             SATURATED_PRESSURE * (1.0 + lasted.div_duration_f64(SATURATED_INTERVAL))
@@ -238,8 +328,21 @@
             .max(ratio(load.lateness, MAX_LATENESS))
     }
 
+    /// Whether more is waiting for the link than it can carry soon.
+    fn has_queue(&self, now: Now, load: &IntakeLoad) -> bool {
+        let Some(link) = self.link else {
+            return false;
+        };
+        if let Some(delay) = load.link_delay {
+            return delay.so_far() > self.max_link_delay()
+                && self.link_use(now, link, load) >= BUSY_USE;
+        }
+        #[expect(clippy::cast_precision_loss, reason = "far below 2^52 bytes")]
+        self.expects_queue(self.promised.max(load.expected as f64))
+    }
+
     /// Whether clients are sending more than the link can carry soon.
-    fn has_queue(&self, expected: f64) -> bool {
+    fn expects_queue(&self, expected: f64) -> bool {
         let Some(link) = self.link else {
             return false;
         };
@@ -255,15 +358,18 @@
         };
         let bytes = load.received.saturating_sub(*received);
         let bytes = bytes.max(load.sent.saturating_sub(*sent));
-        let seconds = now
-            .saturating_sub(*since)
-            .max(OBSERVE_INTERVAL)
-            .as_secs_f64();
+        let seconds = now.saturating_sub(*since).max(MIN_OPENING).as_secs_f64();
         #[expect(clippy::cast_precision_loss, reason = "far below 2^52 bytes")]
         let in_use = bytes as f64 / (seconds * link.max(1) as f64);
         in_use
     }
 
+    fn record_listening(&mut self, step: Duration) {
+        let is_open = self.closed_until.is_none() && self.draining_since.is_none();
+        let kept = (-step.div_duration_f64(DECAY_TIME)).exp();
+        self.recent_open_share = kept * self.recent_open_share + (1.0 - kept) * f64::from(is_open);
+    }
+
     fn record_traffic(&mut self, now: Now, step: Duration, load: &IntakeLoad) {
         let before = self
             .traffic
@@ -295,6 +401,17 @@
         load: &IntakeLoad,
         rng: &mut impl Rng,
     ) -> bool {
+        if let Some(since) = self.draining_since {
+            if !has_drained(now, since, load) {
+                return false;
+            }
+            self.draining_since = None;
+            self.drained_at = Some(now);
+            // What arrived while it was closed doesn't show the use of the link.
+            self.traffic.clear();
+            self.traffic.push_back((now, load.received, load.sent));
+            self.opened_at = now;
+        }
         if let Some(until) = self.closed_until {
             if now < until {
                 return false;
@@ -312,6 +429,10 @@
         }
         let has_accepted = now < self.accepted_at + MAX_ACCEPT_GAP;
         let is_due = self.owed >= self.next_closing && now >= self.opened_at + MIN_OPENING;
+        if has_queue && has_accepted && load.link_delay.is_some() {
+            self.draining_since = Some(now);
+            return false;
+        }
         let may_close = (is_due || has_queue) && has_accepted;
         if may_close || !load.has_descriptors {
             self.owed = self.owed.saturating_sub(self.next_closing);
@@ -334,3 +455,9 @@
         Some(missing.div_f64(self.closed_per_open()))
     }
 }
+
+/// Whether the queue that the link had at this time has passed.
+fn has_drained(now: Now, since: Now, load: &IntakeLoad) -> bool {
+    let is_behind = |delay: LinkDelay| delay.round_trip.is_some() && since + delay.age <= now;
+    load.link_delay.is_none_or(is_behind) || now >= since + MAX_DRAIN
+}
