The delay of probes counts only while the link is full

Change: a probe counts only if the link was full all the time that it waited. The allowed delay is 50 ms, halved while queues outgrow it. The sibling that replied last is probed first.

--- a/crates/anvil_gateway/src/accept/client_listener.rs
+++ b/crates/anvil_gateway/src/accept/client_listener.rs
@@ -157,7 +157,7 @@
             sent: link.sent(),
             expected: link.expected(),
             control_delay: link.take_control_delay(),
-            link_delay: link.probe.delay(),
+            link_delay: link.probe.delay(link),
             lateness,
             has_descriptors: descriptors.has_room_for_client(),
         };
--- a/crates/anvil_gateway/src/accept/link_probe.rs
+++ b/crates/anvil_gateway/src/accept/link_probe.rs
@@ -21,6 +21,7 @@
 use super::socket_budgets::SocketBudgets;
 use crate::list::siblings::Siblings;
 use crate::metrics;
+use crate::send::link_budget::LinkBudget;
 use anvilreel::metrics::Metrics;
 
 /// Time between a reply and the next probe: short against the delay that the intake allows, and little
@@ -45,16 +46,46 @@
 #[derive(Debug, Clone, Copy)]
 struct SentProbe {
     at: Instant,
-    round_trip: Option<Duration>,
+    before: Carried,
+    /// Time to the reply, and what the link had carried by then.
+    reply: Option<(Duration, Carried)>,
+}
+
+/// Bytes that the link has carried since the start.
+#[derive(Debug, Clone, Copy)]
+struct Carried {
+    received: u64,
+    sent: u64,
+}
+
+impl Carried {
+    fn until_now(link: &LinkBudget) -> Self {
+        Self {
+            received: link.received(),
+            sent: link.sent(),
+        }
+    }
+
+    /// Bytes since then, of the busier direction.
+    fn since(self, before: Self) -> u64 {
+        let received = self.received - before.received;
+        received.max(self.sent - before.sent)
+    }
 }
 
 impl LinkProbe {
     /// What the last probe shows; `None` if the link is not probed, or no sibling replies.
-    pub fn delay(&self) -> Option<LinkDelay> {
+    pub fn delay(&self, link: &LinkBudget) -> Option<LinkDelay> {
         let last = *self.last.lock().unwrap_or_else(PoisonError::into_inner);
-        last.map(|probe| LinkDelay {
+        let probe = last?;
+        let carried = match probe.reply {
+            Some((_, carried)) => carried,
+            None => Carried::until_now(link),
+        };
+        Some(LinkDelay {
             age: probe.at.elapsed(),
-            round_trip: probe.round_trip,
+            round_trip: probe.reply.map(|(round_trip, _)| round_trip),
+            carried: carried.since(probe.before),
         })
     }
 
@@ -88,6 +119,7 @@
     let budget = &cx.sockets.link;
     let mut before = (Instant::now(), budget.received());
     let mut interval = PROBE_INTERVAL;
+    let mut preferred = None;
     loop {
         sleep(interval).await;
         let now = (Instant::now(), budget.received());
@@ -95,7 +127,7 @@
         before = now;
         let is_shedding = cx.status.is_shedding();
         if is_used || is_shedding {
-            probe_once(&cx).await;
+            preferred = probe_once(&cx, preferred.as_ref()).await;
         } else {
             budget.probe.set(None);
         }
@@ -113,51 +145,70 @@
     in_use > PROBE_FROM_USE
 }
 
-async fn probe_once(cx: &ProbeContext<'_>) {
-    let probe = &cx.sockets.link.probe;
-    let [Some(first), second] = channels(cx) else {
-        probe.set(None);
-        return;
+/// Sends one probe, to this sibling first. Returns the sibling that replied.
+async fn probe_once(cx: &ProbeContext<'_>, preferred: Option<&InstanceId>) -> Option<InstanceId> {
+    let link = &cx.sockets.link;
+    let mut siblings = choose_siblings(cx, preferred).into_iter();
+    let Some(first) = siblings.next() else {
+        link.probe.set(None);
+        return None;
     };
-    let at = Instant::now();
-    probe.set(Some(SentProbe {
-        at,
-        round_trip: None,
+    link.probe.set(Some(SentProbe {
+        at: Instant::now(),
+        before: Carried::until_now(link),
+        reply: None,
     }));
-    let first = call(first, Duration::ZERO);
-    let second = second.map(|channel| call(channel, HEDGE_DELAY));
+    let first = call(first, link, Duration::ZERO);
+    let second = siblings
+        .next()
+        .map(|sibling| call(sibling, link, HEDGE_DELAY));
     let mut replies: FuturesUnordered<_> = std::iter::once(first).chain(second).collect();
-    let mut sent = None;
+    let mut first_reply = None;
     while let Some(reply) = replies.next().await {
-        sent = reply.ok();
-        if sent.is_some() {
+        first_reply = reply.ok();
+        if first_reply.is_some() {
             break;
         }
     }
     // Siblings that don't reply show nothing of the link: this router may be cut off from them.
-    probe.set(sent);
-    if let Some(round_trip) = sent.and_then(|sent| sent.round_trip) {
+    link.probe
+        .set(first_reply.as_ref().map(|(_, probe)| *probe));
+    let (id, probe) = first_reply?;
+    if let Some((round_trip, _)) = probe.reply {
         cx.metrics.time(metrics::LINK_DELAY, round_trip);
     }
+    Some(id)
 }
 
-/// Two other routers, as far as there are any.
-fn channels(cx: &ProbeContext<'_>) -> [Option<Channel>; 2] {
+/// Two other routers, as far as there are any: the preferred one and one drawn at random.
+fn choose_siblings(
+    cx: &ProbeContext<'_>,
+    preferred: Option<&InstanceId>,
+) -> Vec<(InstanceId, Channel)> {
     let members = cx.siblings.members();
-    let others = members.keys().filter(|id| *id != cx.own_id);
-    let mut chosen = others.sample(&mut rand::rng(), 2).into_iter();
-    let mut next = || chosen.next().and_then(|id| cx.siblings.channel(id));
-    [next(), next()]
+    let preferred = preferred.filter(|id| members.contains_key(*id));
+    let others = members.keys();
+    let others = others.filter(|id| *id != cx.own_id && Some(*id) != preferred);
+    let drawn = others.sample(&mut rand::rng(), 2);
+    let chosen = preferred.into_iter().chain(drawn).take(2);
+    let channel = |id: &InstanceId| Some((id.clone(), cx.siblings.channel(id)?));
+    chosen.filter_map(channel).collect()
 }
 
 /// Sends a message without content, which routers of earlier builds answer too.
-async fn call(channel: Channel, after: Duration) -> Result<SentProbe, WireError> {
+async fn call(
+    (id, channel): (InstanceId, Channel),
+    link: &LinkBudget,
+    after: Duration,
+) -> Result<(InstanceId, SentProbe), WireError> {
     sleep(after).await;
-    let at = Instant::now();
+    let (at, before) = (Instant::now(), Carried::until_now(link));
     let request = OriginRequest::Tell(Vec::new());
     channel.call::<OriginCall>(&request, PROBE_TIMEOUT).await?;
-    Ok(SentProbe {
+    let probe = SentProbe {
         at,
-        round_trip: Some(at.elapsed()),
-    })
+        before,
+        reply: Some((at.elapsed(), Carried::until_now(link))),
+    };
+    Ok((id, probe))
 }
--- a/crates/anvil_policy/src/intake.rs
+++ b/crates/anvil_policy/src/intake.rs
@@ -17,17 +17,18 @@
 //! still sending, or are expected to send, more than [`MAX_EXPECTED`] of the link.
 //!
 //! The use of the link doesn't show how much waits upstream of it, nor that what waits after a closing is
-//! data of connections that were reset. So the router also probes the link ([`LinkDelay`]): it closes as soon as
-//! a probe is delayed by more than [`MAX_LINK_DELAY`], or [`MAX_DELAY_AFTER_DRAIN`], and opens once one that was sent after the closing
-//! has returned, since then the queue has passed. While probes return, they decide in place of the use.
+//! data of connections that were reset. So the router also probes the link ([`LinkDelay`]). It closes as soon as
+//! a probe has waited for the allowed delay while the link was full, and opens once a probe that was sent
+//! after the closing has returned, since then the queue has passed. The allowed delay falls if the queue
+//! took longer than [`MAX_DRAIN_TIME`] to pass, and rises again up to [`MAX_LINK_DELAY`]. While probes return, they
+//! decide in place of the use.
 //!
 //! *Thresholds:* data uses up to [`TARGET_USE`] of the link, less than [`crate::link_pacer`] lets
 //! through, so that its queue stays short. A queue of [`TARGET_BACKLOG`] is a fraction of any route's target
 //! latency. A timer that is late by [`MAX_LATENESS`] shows that more tasks wait than are run; on
 //! a machine that has a part of a core, timers are up to 100 ms late without load. Answers of the ledger that
 //! take longer than [`MAX_CONTROL_DELAY`] count only while the link is in use: otherwise the
-//! ledger itself is slow, and rejecting clients would not help. The same holds for delayed probes. A
-//! higher [`GAIN`]
+//! ledger itself is slow, and rejecting clients would not help. A higher [`GAIN`]
 //! makes the open share swing, because the use of the link follows it with a delay. Closings are short against the
 //! time that a client tries to connect. At least [`MIN_OPEN_SHARE`] stays open, and the router does not close
 //! before it has accepted a connection in the last half second, so that the routers that a client tries
@@ -61,13 +62,16 @@
 /// While the link is busy, nothing is accepted if clients are still sending more than it carries in this time:
 /// a fraction of any route's target latency.
 const MAX_EXPECTED: Duration = Duration::from_millis(100);
-/// Delay of a probe from which on the link has a queue: well above the round trip between routers, a fraction
-/// of any route's target latency. Connections that wait in the queue are lost when the listener closes, so
-/// it closes while the queue is short.
-const MAX_LINK_DELAY: Duration = Duration::from_millis(25);
-/// The same for a while after a closing: if the overload goes on, the queue grows faster than probes return.
-const MAX_DELAY_AFTER_DRAIN: Duration = Duration::from_millis(12);
-/// For how long that applies.
+/// Delay of a probe from which on the link has a queue: several of the largest prompts at once are no overload,
+/// and it is a fraction of any route's target latency.
+const MAX_LINK_DELAY: Duration = Duration::from_millis(50);
+/// The allowed delay doesn't fall below this, about what a probe takes between routers.
+const MIN_LINK_DELAY: Duration = Duration::from_millis(10);
+/// Time in which a queue is to pass, so that the ledger's messages arrive in time.
+const MAX_DRAIN_TIME: Duration = Duration::from_millis(80);
+/// Share of the link that is carried while a probe waits in its queue. Otherwise it waits elsewhere.
+const FULL_LINK: f64 = 0.7;
+/// For how long the allowed delay stays low after a closing.
 const OVERLOAD_TIME: Duration = Duration::from_secs(1);
 /// Longest closing because of a queue. A probe that has not returned by then was lost or is delayed elsewhere.
 const MAX_DRAIN: Duration = Duration::from_millis(300);
@@ -108,6 +112,8 @@
     pub age: Duration,
     /// Time to its reply; `None` if that is outstanding.
     pub round_trip: Option<Duration>,
+    /// Bytes that the link carried meanwhile, of the busier direction.
+    pub carried: u64,
 }
 
 impl LinkDelay {
@@ -116,6 +122,14 @@
         self.round_trip.unwrap_or(self.age)
     }
 
+    /// Whether the probe has waited for this long in the queue of this link.
+    fn is_queued(self, link: BytesPerSecond, max_delay: Duration) -> bool {
+        let delay = self.so_far();
+        #[expect(clippy::cast_precision_loss, reason = "far below 2^52 bytes")]
+        let carried = self.carried as f64 / (link.max(1) as f64 * delay.as_secs_f64());
+        delay >= max_delay && carried >= FULL_LINK
+    }
+
     /// A probe that has been outstanding for long was lost or is delayed elsewhere, and shows nothing.
     fn is_known(&self) -> bool {
         self.round_trip.is_some() || self.age < MAX_DRAIN
@@ -172,7 +186,9 @@
     /// Start of the current closing, if it lasts until the link's queue has passed.
     draining_since: Option<Now>,
     /// End of the last such closing.
-    drained_at: Option<Now>,
+    drained_at: Now,
+    /// Delay of a probe that is allowed now.
+    max_delay: Duration,
     opened_at: Now,
     accepted_at: Now,
     /// Bytes that the accepted connections have yet to send, as far as that can be expected.
@@ -199,7 +215,8 @@
             next_closing: CLOSING.0,
             closed_until: None,
             draining_since: None,
-            drained_at: None,
+            drained_at: now,
+            max_delay: MAX_LINK_DELAY,
             opened_at: now,
             accepted_at: now,
             promised: 0.0,
@@ -218,21 +235,10 @@
 
     /// Whether a part of the connections is rejected.
     pub fn is_shedding(&self) -> bool {
-        self.open_share < FULL_SHARE || self.closed_until.is_some() || self.had_queue()
-    }
-
-    /// Whether the link has a queue, or had one recently.
-    fn had_queue(&self) -> bool {
-        let is_recent = |at: Now| self.observed_at < at + OVERLOAD_TIME;
-        self.draining_since.is_some() || self.drained_at.is_some_and(is_recent)
-    }
-
-    fn max_link_delay(&self) -> Duration {
-        if self.had_queue() {
-            MAX_DELAY_AFTER_DRAIN
-        } else {
-            MAX_LINK_DELAY
-        }
+        self.open_share < FULL_SHARE
+            || self.closed_until.is_some()
+            || self.draining_since.is_some()
+            || self.recent_open_share < FULL_SHARE
     }
 
     /// The part of the time in which the router is to listen, from 0 to 1, apart from the closings because
@@ -276,10 +282,13 @@
         }
         self.record_listening(step);
         self.record_traffic(now, step, load);
-        let has_queue = self.has_queue(now, load);
+        if self.draining_since.is_none() && now > self.drained_at + OVERLOAD_TIME {
+            self.max_delay = MAX_LINK_DELAY;
+        }
+        let has_queue = self.has_queue(load);
         let is_open = self.next_phase(now, step, has_queue, load, rng);
         let longest = match load.link_delay {
-            Some(delay) => delay.time_to(self.max_link_delay()),
+            Some(delay) => delay.time_to(self.max_delay),
             None => OBSERVE_INTERVAL,
         };
         let interval = if is_open {
@@ -329,13 +338,12 @@
     }
 
     /// Whether more is waiting for the link than it can carry soon.
-    fn has_queue(&self, now: Now, load: &IntakeLoad) -> bool {
+    fn has_queue(&self, load: &IntakeLoad) -> bool {
         let Some(link) = self.link else {
             return false;
         };
         if let Some(delay) = load.link_delay {
-            return delay.so_far() > self.max_link_delay()
-                && self.link_use(now, link, load) >= BUSY_USE;
+            return delay.is_queued(link, self.max_delay);
         }
         #[expect(clippy::cast_precision_loss, reason = "far below 2^52 bytes")]
         self.expects_queue(self.promised.max(load.expected as f64))
@@ -406,10 +414,8 @@
                 return false;
             }
             self.draining_since = None;
-            self.drained_at = Some(now);
-            // What arrived while it was closed doesn't show the use of the link.
-            self.traffic.clear();
-            self.traffic.push_back((now, load.received, load.sent));
+            self.drained_at = now;
+            self.adapt_max_delay(now.saturating_sub(since));
             self.opened_at = now;
         }
         if let Some(until) = self.closed_until {
@@ -441,6 +447,16 @@
         self.closed_until.is_none()
     }
 
+    /// Adapts the allowed delay after a closing of this length.
+    fn adapt_max_delay(&mut self, closed: Duration) {
+        let delay = if closed > MAX_DRAIN_TIME {
+            self.max_delay / 2
+        } else {
+            self.max_delay.mul_f64(1.25)
+        };
+        self.max_delay = delay.clamp(MIN_LINK_DELAY, MAX_LINK_DELAY);
+    }
+
     /// Time that it has to be closed for, for each unit of time that it is open.
     fn closed_per_open(&self) -> f64 {
         (1.0 - self.open_share) / self.open_share
--- a/crates/anvil_policy/tests/link_delay.rs
+++ b/crates/anvil_policy/tests/link_delay.rs
@@ -28,6 +28,16 @@
     Probe,
 }
 
+/// The last probe.
+#[derive(Clone, Copy)]
+struct Probe {
+    sent_at: Now,
+    /// Bytes received until it was sent.
+    received_before: u64,
+    /// Its round trip, and the bytes received meanwhile.
+    reply: Option<(Duration, u64)>,
+}
+
 struct Model {
     intake: Intake,
     rng: ChaCha8Rng,
@@ -36,8 +46,7 @@
     load: IntakeLoad,
     queue: VecDeque<Waiting>,
     queued_bytes: u64,
-    /// When the last probe was sent, and its round trip.
-    probe: Option<(Now, Option<Duration>)>,
+    probe: Option<Probe>,
     has_siblings: bool,
     accepted: u64,
     steps: u32,
@@ -122,19 +131,25 @@
     }
 
     fn receive_probe(&mut self) {
-        if let Some((at, round_trip)) = &mut self.probe {
-            *round_trip = Some(self.now.saturating_sub(*at));
+        if let Some(probe) = &mut self.probe {
+            let round_trip = self.now.saturating_sub(probe.sent_at);
+            let carried = self.load.received - probe.received_before;
+            probe.reply = Some((round_trip, carried));
         }
     }
 
     fn send_probe(&mut self) {
         let is_due = match self.probe {
             None => true,
-            Some((_, None)) => false,
-            Some((at, Some(round_trip))) => self.now >= at + round_trip + PROBE_INTERVAL,
+            Some(Probe { sent_at, reply, .. }) => reply
+                .is_some_and(|(round_trip, _)| self.now >= sent_at + round_trip + PROBE_INTERVAL),
         };
         if self.has_siblings && is_due {
-            self.probe = Some((self.now, None));
+            self.probe = Some(Probe {
+                sent_at: self.now,
+                received_before: self.load.received,
+                reply: None,
+            });
             self.queue.push_back(Waiting::Probe);
         }
     }
@@ -144,9 +159,14 @@
             return;
         }
         let now = self.now;
-        self.load.link_delay = self.probe.map(|(at, round_trip)| LinkDelay {
-            age: now.saturating_sub(at),
-            round_trip,
+        let received = self.load.received;
+        self.load.link_delay = self.probe.map(|probe| LinkDelay {
+            age: now.saturating_sub(probe.sent_at),
+            round_trip: probe.reply.map(|(round_trip, _)| round_trip),
+            carried: match probe.reply {
+                Some((_, carried)) => carried,
+                None => received - probe.received_before,
+            },
         });
         let was_open = self.is_open;
         self.is_open = self.intake.observe(now, &self.load, &mut self.rng);
@@ -207,7 +227,11 @@
     model.run(Duration::from_secs(2), 0.6);
     model.has_siblings = false;
     model.queue.retain(|w| !matches!(w, Waiting::Probe));
-    model.probe = Some((model.now, None));
+    model.probe = Some(Probe {
+        sent_at: model.now,
+        received_before: model.load.received,
+        reply: None,
+    });
     let before = model.accepted;
     model.run(Duration::from_secs(4), 0.6);
     let accepted = model.accepted - before;
