Idle organisations no longer raise the weights of busy ones

Cause: the queue compares an organisation's load with the mean of all that it knows, and forgot idle ones only from 256 on. Where most had been idle for a while, the mean was so low that every load exceeded three times of it, and turns went in proportion to the load.

Change: idle organisations are forgotten every five seconds, the time over which loads are compared.

Measured: the pattern of an organisation with five times its usual load, after 200 organisations that sent one request each 10 s before: one of the others is served 444 of 561 requests before, more than nine in ten after (the test's bound).

--- a/crates/anvil_policy/src/entry_queue.rs
+++ b/crates/anvil_policy/src/entry_queue.rs
@@ -44,7 +44,7 @@
 const MAX_WAIT_FACTOR: u32 = 2;
 /// Organisations with a lower load, in requests a second, are not compared.
 const MIN_LOAD: f64 = 0.05;
-/// Number of organisations from which on idle ones are forgotten.
+/// Number of organisations from which on idle ones are forgotten before [`LOAD_HORIZON`] has passed.
 const MIN_PRUNED: usize = 256;
 
 /// A request for which no endpoint has room now.
@@ -100,6 +100,7 @@
     loads: BTreeMap<OrganisationId, Demand>,
     total_load: Demand,
     prune_at: usize,
+    pruned_at: Now,
     starts: Demand,
     refusals: Demand,
     busy_since: Option<Now>,
@@ -116,6 +117,7 @@
             loads: BTreeMap::new(),
             total_load: Demand::over(LOAD_HORIZON),
             prune_at: MIN_PRUNED,
+            pruned_at: Duration::ZERO,
             starts: Demand::over(RATE_HORIZON),
             refusals: Demand::over(RATE_HORIZON),
             busy_since: None,
@@ -219,9 +221,8 @@
     /// Counts a request of an organisation, and returns its weight.
     fn weight(&mut self, now: Now, organisation: &OrganisationId) -> u32 {
         self.total_load.add(now, 1);
-        if self.loads.len() >= self.prune_at {
-            self.loads.retain(|_, load| load.rate(now) >= MIN_LOAD);
-            self.prune_at = (2 * self.loads.len()).max(MIN_PRUNED);
+        if self.loads.len() >= self.prune_at || now >= self.pruned_at + LOAD_HORIZON {
+            self.forget_idle(now);
         }
         let own = self.loads.entry(organisation.clone());
         let own = own.or_insert_with(|| Demand::over(LOAD_HORIZON));
@@ -231,6 +232,14 @@
         weight_by_load(own, self.total_load.rate(now) / f64::from(organisations))
     }
 
+    /// Failure: idle organisations lower the mean load. Compared with that, all others have a high load,
+    /// and get turns in proportion to it.
+    fn forget_idle(&mut self, now: Now) {
+        self.loads.retain(|_, load| load.rate(now) >= MIN_LOAD);
+        self.prune_at = (2 * self.loads.len()).max(MIN_PRUNED);
+        self.pruned_at = now;
+    }
+
     fn retry_after(
         &self,
         now: Now,
--- a/crates/anvil_policy/tests/entry_queue.rs
+++ b/crates/anvil_policy/tests/entry_queue.rs
@@ -94,9 +94,13 @@
     }
 
     fn run(&self) -> BTreeMap<&'static str, Score> {
+        self.run_on(EntryQueue::default())
+    }
+
+    fn run_on(&self, queue: EntryQueue) -> BTreeMap<&'static str, Score> {
         let mut run = Run {
             pattern: self,
-            queue: EntryQueue::default(),
+            queue,
             rng: ChaCha8Rng::seed_from_u64(11),
             ends: Vec::new(),
             queued: BTreeMap::new(),
@@ -276,6 +280,34 @@
 /// gets less than a quarter of what all get.
 #[test]
 fn organisation_with_five_times_its_usual_load_does_not_displace_others() {
+    assert_others_are_not_displaced(EntryQueue::default());
+}
+
+/// Guards against weights in proportion to the load, where many organisations have sent a request a while
+/// ago: these lower the mean with which the load is compared.
+#[test]
+fn idle_organisations_do_not_raise_the_weight_of_a_large_one() {
+    let mut queue = EntryQueue::default();
+    let occupancy = Occupancy {
+        running: 10,
+        slot_time: Duration::from_millis(15),
+    };
+    for number in 0..200 {
+        let req = EntryRequest {
+            organisation: format!("idle-{number}").as_str().into(),
+            class: 0,
+            target: TARGET,
+            deadline: DEADLINE,
+            response_time: Duration::ZERO,
+            min_wait: Duration::ZERO,
+        };
+        let id = queue.offer(Duration::ZERO, &req, occupancy, 0.0);
+        assert!(queue.cancel(id.expect("a place")));
+    }
+    assert_others_are_not_displaced(queue);
+}
+
+fn assert_others_are_not_displaced(queue: EntryQueue) {
     let names = ["a", "b", "c", "d", "e", "f", "g", "h", "i"];
     let mut sources: Vec<_> = names.map(|name| Source::new(name, 0, 30.0)).to_vec();
     sources.push(Source::new("large", 0, 30.0).then(Duration::from_secs(2), 150.0));
@@ -284,7 +316,7 @@
         slots: vec![(Duration::ZERO, 5)],
         length: Duration::from_secs(20),
     };
-    let scores = pattern.run();
+    let scores = pattern.run_on(queue);
     let all = total(&scores);
     for name in names {
         assert!(scores[name].share() > 0.9, "{name}: {scores:?}");
