A report of congestion never ends the window that it starts

Cause: the length of an interval counted as calm even if its reports were of congestion. A router that received such a report after a second without any opened a window and dropped it at once.

Change: only intervals without congestion count as calm.

Measured: the new test of one congested report after 10 s is red before, green after; all tests of anvil_policy are green.

--- a/crates/anvil_policy/src/room.rs
+++ b/crates/anvil_policy/src/room.rs
@@ -103,6 +103,7 @@
 pub struct InFlightWindow {
     /// `None` while there is no maximum.
     size: Option<f64>,
+    /// Intervals without congestion, and the one before them.
     calm_intervals: u32,
 }
 
@@ -123,15 +124,18 @@
         // requests receives is much less reliable than that of many.
         let congested = f64::from(sample.congested) / f64::from(sample.reports.max(1));
         if sample.congested > 0 {
-            self.calm_intervals = 0;
             self.size.get_or_insert(f64::from(sample.in_flight));
+            self.calm_intervals = 1;
         }
         let Some(size) = &mut self.size else { return };
         let rate = f64::from(sample.offered) / sample.elapsed.as_secs_f64().max(f64::EPSILON);
         let by_demand = rate * sample.slot_time.as_secs_f64();
-        let growth = INCREASE * by_demand * f64::from(self.calm_intervals.max(1));
+        let growth = INCREASE * by_demand * f64::from(self.calm_intervals);
         let decrease = 1.0 - DECREASE * congested;
         *size = (*size * decrease + growth * (1.0 - congested)).max(1.0);
+        if sample.congested > 0 {
+            return;
+        }
         // A router that sent nothing for a while had no reports either.
         let intervals =
             sample.elapsed.as_secs_f64() / window_interval(sample.slot_time).as_secs_f64();
--- a/crates/anvil_policy/tests/room.rs
+++ b/crates/anvil_policy/tests/room.rs
@@ -296,3 +296,19 @@
     window.change(&after_a_pause);
     assert_eq!(window.size(), None);
 }
+
+/// Guards against a router that receives its first report of congestion after a second without any, and
+/// fills the endpoints' queues as if there were none.
+#[test]
+fn congestion_after_a_pause_starts_a_window() {
+    let mut window = InFlightWindow::default();
+    window.change(&WindowSample {
+        elapsed: Duration::from_secs(10),
+        offered: 12,
+        reports: 1,
+        congested: 1,
+        in_flight: 12,
+        slot_time: HELD,
+    });
+    assert!(window.size().is_some_and(|size| size < 12), "{window:?}");
+}
