A place that becomes free as a request begins to wait is always noticed

Cause: places that no waiting request took were counted by a counter that was raised before the check and lowered after it, so a place could be hidden by the end of another check. Not counted at all were the place of a woken request that left, a window that grew while none waited, and a second place that became free while the only waiting request was already woken: the next request, which doesn't look for an endpoint while another one waits, noticed them with the next response that ended.

Change: the counter only rises, by places that nobody took, and the check is repeated after it. Places that are passed on count too, and a woken request that starts wakes the next one if the counter has risen since it began to wait.

--- a/crates/anvil_gateway/src/wait/service_queue.rs
+++ b/crates/anvil_gateway/src/wait/service_queue.rs
@@ -50,7 +50,8 @@
     in_flight: AtomicU32,
     slot_time: MeanDuration,
     response_time: MeanDuration,
-    /// Number of places that became free while no request waited for them.
+    /// Number of places that became free while no request waited for them. Never decreases, so that
+    /// equal values mean that none did in between.
     unclaimed: AtomicU64,
     /// Requests that wait or have been woken.
     waiting: AtomicU32,
@@ -180,8 +181,8 @@
         let size = window.size().unwrap_or(u32::MAX);
         let has_grown = size > counters.size.swap(size, Ordering::Relaxed);
         drop(window);
-        if has_grown && self.waiting() > 0 && self.has_window_room() {
-            self.wake_next(Wake::Place);
+        if has_grown && self.has_window_room() {
+            self.free_place(Wake::Place);
         }
     }
 
@@ -217,10 +218,14 @@
 
     /// The same if `has_room`, which is called only if a request waits.
     pub fn free_place_if(&self, wake: Wake, has_room: impl FnOnce() -> bool) {
-        // Counted before the check: a request that begins to wait meanwhile notices one of both.
+        let has_waiting = || self.waiting.load(Ordering::SeqCst) > 0;
+        if has_waiting() && (!has_room() || self.wake_next(wake)) {
+            return;
+        }
         self.unclaimed.fetch_add(1, Ordering::SeqCst);
-        if self.waiting.load(Ordering::SeqCst) > 0 && (!has_room() || self.wake_next(wake)) {
-            self.unclaimed.fetch_sub(1, Ordering::SeqCst);
+        // A request that began to wait since the check above may have read the counter before.
+        if has_waiting() {
+            self.wake_next(wake);
         }
     }
 
@@ -245,7 +250,7 @@
         }
         self.set_timer(now, &mut state, req.min_wait);
         drop(state);
-        let place = WaitingPlace::new(self.clone(), id, rx, req.is_restricted);
+        let place = WaitingPlace::new(self.clone(), id, rx, req);
         self.wake_if_unclaimed_since(req.unclaimed);
         Ok(place)
     }
--- a/crates/anvil_gateway/src/wait/waiting_place.rs
+++ b/crates/anvil_gateway/src/wait/waiting_place.rs
@@ -6,7 +6,7 @@
 use anvil_policy::waiting::{Waiter, WaiterId};
 use tokio::sync::oneshot;
 
-use super::service_queue::ServiceQueue;
+use super::service_queue::{ServiceQueue, WaitRequest};
 
 /// A woken request that some endpoints may not run wakes the next one if it finds no room. This
 /// happens at most so many times for one place.
@@ -42,6 +42,8 @@
     id: WaiterId,
     rx: oneshot::Receiver<WaitResult>,
     is_restricted: bool,
+    /// [`ServiceQueue::unclaimed`] before the request last found no room.
+    unclaimed: u64,
     /// Set while the request is woken and looks for an endpoint.
     woken: Option<(Wake, Waiter)>,
     has_ended: bool,
@@ -52,13 +54,14 @@
         queue: Arc<ServiceQueue>,
         id: WaiterId,
         rx: oneshot::Receiver<WaitResult>,
-        is_restricted: bool,
+        req: &WaitRequest,
     ) -> Self {
         Self {
             queue,
             id,
             rx,
-            is_restricted,
+            is_restricted: req.is_restricted,
+            unclaimed: req.unclaimed,
             woken: None,
             has_ended: false,
         }
@@ -93,6 +96,7 @@
             self.queue.wake_next(wake);
         }
         (self.id, self.rx) = self.queue.put_back(&waiter, min_wait);
+        self.unclaimed = unclaimed;
         self.queue.wake_if_unclaimed_since(unclaimed);
     }
 
@@ -101,14 +105,18 @@
     ///
     /// Failure: the load of other routers falls while requests wait. Each response that ends wakes
     /// one, so this router would have no more requests in flight than before, and refuse others.
+    ///
+    /// Failure: a further place became free while no other request waited, and the next one did not
+    /// look for it, since this one was waiting.
     pub fn started(mut self, finds_further_room: bool) {
         self.queue.record_start();
         self.has_ended = true;
+        let may_have_room = finds_further_room || self.queue.unclaimed() != self.unclaimed;
         match self.woken.take() {
-            Some((Wake::Timer, _)) => self.queue.wake_next(Wake::Timer),
-            Some(_) if finds_further_room => self.queue.wake_next(Wake::Place),
-            _ => false,
-        };
+            Some((Wake::Timer, _)) => self.queue.free_place(Wake::Timer),
+            Some(_) if may_have_room => self.queue.free_place(Wake::Place),
+            _ => {}
+        }
     }
 }
 
@@ -118,14 +126,14 @@
         self.queue
             .leave(is_queued.then_some(self.id), self.is_restricted);
         // It was woken and has left, or it was woken at the same moment: the place goes to the next
-        // one.
+        // one, also if that is about to wait.
         let unread = if is_queued {
             self.rx.try_recv().ok().and_then(Result::ok)
         } else {
             self.woken.take()
         };
         if let Some((wake, _)) = unread {
-            self.queue.wake_next(wake);
+            self.queue.free_place(wake);
         }
     }
 }
--- a/crates/anvil_gateway/tests/direct/waiting.rs
+++ b/crates/anvil_gateway/tests/direct/waiting.rs
@@ -241,6 +241,71 @@
     woken(&mut place).await;
 }
 
+/// Guards against a request that waits although a place became free just before it began to wait, while
+/// another one was found not to be free.
+#[tokio::test]
+async fn place_that_becomes_free_beside_one_that_is_in_use_is_noticed() {
+    let queue = Arc::new(ServiceQueue::new(SERVICE.into()));
+    let mut other = queue.join(&wait_request(&queue)).expect("a place");
+    queue.free_place(Wake::Place);
+    woken(&mut other).await;
+    let mut req = wait_request(&queue);
+    queue.free_place_if(Wake::Place, || {
+        req = wait_request(&queue);
+        queue.free_place(Wake::Place);
+        false
+    });
+    let mut place = queue.join(&req).expect("a place");
+    woken(&mut place).await;
+}
+
+/// Guards against a free place that stays unused, because the request woken for it leaves while the next
+/// one has found others waiting and does not wait itself yet.
+#[tokio::test]
+async fn place_of_a_request_that_leaves_is_noticed_by_one_that_begins_to_wait() {
+    let queue = Arc::new(ServiceQueue::new(SERVICE.into()));
+    let mut leaving = queue.join(&wait_request(&queue)).expect("a place");
+    queue.free_place(Wake::Place);
+    woken(&mut leaving).await;
+    let req = wait_request(&queue);
+    drop(leaving);
+    let mut place = queue.join(&req).expect("a place");
+    woken(&mut place).await;
+}
+
+/// Guards against a free place that stays unused, because it became free while the only request that
+/// waited was already woken for another one.
+#[tokio::test]
+async fn second_place_beside_a_woken_request_goes_to_the_next_one() {
+    let queue = Arc::new(ServiceQueue::new(SERVICE.into()));
+    let mut first = queue.join(&wait_request(&queue)).expect("a place");
+    queue.free_place(Wake::Place);
+    woken(&mut first).await;
+    queue.free_place(Wake::Place);
+    let mut next = queue.join(&wait_request(&queue)).expect("a place");
+    first.started(false);
+    woken(&mut next).await;
+}
+
+/// Guards against a request that waits although the window has grown just before it began to wait.
+#[tokio::test(start_paused = true)]
+async fn window_that_grows_before_the_wait_is_noticed() {
+    let queue = Arc::new(ServiceQueue::new(SERVICE.into()));
+    queue.record_sent();
+    sleep(2 * WORK).await;
+    queue.record_report(9, 1);
+    assert!(!queue.has_window_room());
+    let req = wait_request(&queue);
+    for _ in 0..100 {
+        queue.record_offer();
+    }
+    sleep(2 * WORK).await;
+    queue.record_report(0, 1);
+    assert!(queue.has_window_room());
+    let mut place = queue.join(&req).expect("a place");
+    woken(&mut place).await;
+}
+
 /// Guards against a request being held that can't start before its target.
 #[tokio::test(flavor = "multi_thread")]
 async fn request_that_can_not_start_in_time_is_refused_at_once() {
