A gateway that can't take over its listener ends with an error

Cause: if the address of the listener for clients could not be read, serving ended with a log line, and the process went on with all its background tasks and served nobody.

Change: the listener is taken over before anything is started, and a failure is the same error as an address that can't be bound.

Measured: the new test (a listener without an address) is green; it can't be written against the former interface, which returned nothing.

--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -42,6 +42,7 @@
     let (cfg, log) = (&gw.cfg, &gw.log);
     let addr = cfg.listen;
     let clients = TcpListener::bind(addr).await;
+    let clients = clients.and_then(|listener| serve::client_listener(&gw, listener));
     let clients = clients.context(ListenSnafu { addr })?;
     let addr = cfg.ready_listen;
     let ready = TcpListener::bind(addr).await;
--- a/crates/anvil_gateway/src/serve.rs
+++ b/crates/anvil_gateway/src/serve.rs
@@ -1,6 +1,7 @@
 //! Serves clients' connections and the load balancer's readiness checks.
 
 use std::convert::Infallible;
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -33,16 +34,14 @@
 /// Pause after an accept failed for lack of file descriptors or memory.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 
+/// Takes over the listener for clients. A failure ends the process, which would serve nobody.
+pub fn client_listener(gw: &Arc<Gateway>, listener: TcpListener) -> io::Result<ClientListener> {
+    ClientListener::new(listener, listener_context(gw))
+}
+
 /// Serves clients until a planned stop is complete.
-pub async fn serve_clients(gw: Arc<Gateway>, listener: TcpListener) {
+pub async fn serve_clients(gw: Arc<Gateway>, mut listener: ClientListener) {
     let (stop_tx, stop_rx) = watch::channel(false);
-    let mut listener = match ClientListener::new(listener, listener_context(&gw)) {
-        Ok(listener) => listener,
-        Err(e) => {
-            event!(gw.log, events::GATEWAY_LISTEN_FAILED, "error" => e.to_string());
-            return;
-        }
-    };
     let mut connections = JoinSet::new();
     let stopping = async {
         gw.lifecycle.drain_begun().await;
--- a/crates/anvil_gateway/tests/direct/gateway.rs
+++ b/crates/anvil_gateway/tests/direct/gateway.rs
@@ -239,6 +239,7 @@
     ) -> Self {
         let addr = listener.local_addr().expect("an address");
         let gw = Arc::new(Gateway::new(cfg, log, metrics));
+        let listener = serve::client_listener(&gw, listener).expect("a listener");
         let serving = tokio::spawn(serve::serve_clients(gw.clone(), listener));
         Self { gw, addr, serving }
     }
--- a/crates/anvil_gateway/tests/direct/starting.rs
+++ b/crates/anvil_gateway/tests/direct/starting.rs
@@ -1,14 +1,31 @@
 //! Gateways and endpoints that have just started.
 
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixListener;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use anvil_gateway::serve;
+use tokio::net::TcpListener;
 use tokio::time::sleep;
 
 use crate::client::Client;
 use crate::endpoint::{Step, TestEndpoint, not_run};
 use crate::gateway::{TestGateway, listed, routes, table};
 
+/// Guards against a process that goes on and serves nobody if it can't take over its listener: the failure
+/// is returned to `run`, which ends with it. A Unix socket has no address that it could listen at again.
+#[tokio::test]
+async fn listener_without_an_address_is_an_error() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let listener = UnixListener::bind(folder.path().join("socket")).expect("a listener");
+    listener.set_nonblocking(true).expect("a mode");
+    let listener = std::net::TcpListener::from(OwnedFd::from(listener));
+    let listener = TcpListener::from_std(listener).expect("a listener");
+    let gateway = TestGateway::start_empty().await;
+    assert!(serve::client_listener(&gateway.gw, listener).is_err());
+}
+
 /// Guards against a lost request after a power failure: a client with no retry left arrives before
 /// the ledger has a leader, and the routing table follows a tenth of a second later.
 #[tokio::test]
