A stream whose client stops reading ends at its deadline

Cause: a stream that is read ahead waited without limit for its client to take events or the end.

Change: at the request's deadline (its own timeout or the route's) the task ends, discards the buffer and shuts the client's connection down, since writes to it wait for good. The outcome is a response that did not come in time; what the client took is billed.

--- a/crates/anvil_gateway/src/accept/client_socket.rs
+++ b/crates/anvil_gateway/src/accept/client_socket.rs
@@ -12,7 +12,7 @@
 use std::task::{Context, Poll};
 
 use rustix::io::Errno;
-use rustix::net::{RecvFlags, recv};
+use rustix::net::{RecvFlags, Shutdown, recv, shutdown};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -97,6 +97,14 @@
         self.reads_slowly.load(Ordering::Relaxed)
     }
 
+    /// Ends the connection both ways, also while a write waits for the client to read.
+    pub fn shut_down(&self) {
+        if let Some(socket) = self.socket.upgrade() {
+            // Fails only if the connection has ended already.
+            let _ = shutdown(&*lock(&socket), Shutdown::Both);
+        }
+    }
+
     /// Start of the time limit of a request whose head has just been read: the accept, if it is the first
     /// request and had arrived by then.
     pub fn request_started_at(&self) -> Instant {
--- a/crates/anvil_gateway/src/stream_relay.rs
+++ b/crates/anvil_gateway/src/stream_relay.rs
@@ -194,9 +194,19 @@
         reader
     }
 
-    /// Reads up to the end of the stream, until the client disconnects.
+    /// Reads up to the end of the stream, until the client disconnects or its deadline has passed.
+    ///
+    /// Failure: a client stays connected and reads nothing, and keeps its buffer for good.
     async fn fill(mut self, writer: AheadWriter) {
-        let outcome = self.fill_until_end(&writer).await;
+        let deadline = self.exchange.deadline;
+        let filled = timeout_at(deadline, self.fill_until_end(&writer)).await;
+        let outcome = filled.unwrap_or_else(|_| {
+            let cause = Cause::ResponseTimeout;
+            writer.abort(cause);
+            // Its connection can't be closed otherwise while writes to it wait.
+            self.exchange.client.shut_down();
+            Some(cause.text())
+        });
         let taken = writer.taken();
         self.exchange.trace.record_gap(taken.longest_gap);
         let tokens = self.exchange.tokens_per_event.saturating_mul(taken.events);
--- a/crates/anvil_gateway/src/stream_relay/ahead.rs
+++ b/crates/anvil_gateway/src/stream_relay/ahead.rs
@@ -156,6 +156,17 @@
         }
     }
 
+    /// Discards what the client has not taken, and ends the stream.
+    pub fn abort(&self, cause: Cause) {
+        let mut buffer = self.0.buffer();
+        buffer.events = VecDeque::new();
+        let bytes = std::mem::take(&mut buffer.bytes);
+        buffer.end = Some(Err(cause));
+        drop(buffer);
+        self.0.gw.read_ahead().remove(bytes);
+        self.0.added.notify_one();
+    }
+
     /// Returns when the client has disconnected.
     pub async fn closed(&self) {
         while !self.0.buffer().is_closed {
--- a/crates/anvil_gateway/tests/direct/slow_readers.rs
+++ b/crates/anvil_gateway/tests/direct/slow_readers.rs
@@ -184,6 +184,43 @@
     );
 }
 
+/// Guards against a client that stays connected and reads nothing, and keeps its buffer and its connection
+/// for good: both while the endpoint has more to send, and once all of it has been read.
+#[tokio::test]
+async fn stream_of_a_client_that_never_reads_ends_at_its_deadline() {
+    for events in [EVENTS, 20 * EVENTS] {
+        let endpoint = CuttingEndpoint::start(events, Duration::ZERO);
+        let (gateway, rendered) = start_gateway(&endpoint).await;
+        let mut client = connect_slowly(&gateway).await;
+        let headers = format!("content-length: 0\r\nx-wait: 2000\r\n{KEY}x-tokens: 100,300000\r\n");
+        client.send("/stream/x", "slow", &headers).await;
+        let held = || gateway.gw.read_ahead().total();
+        until(|| held() > MAX_STREAM_BYTES / 2).await;
+        until(|| held() == 0).await;
+        until(|| rendered().contains("requests_no_answer_in_time 1")).await;
+        assert!(!client.read_response().await.complete);
+        // The connection of a stream that was read to its end is kept for the next request.
+        let is_broken_off = endpoint.closed.load(Ordering::Relaxed) == 1;
+        assert_eq!(is_broken_off, events > EVENTS);
+        let output = charged(&gateway) - 100;
+        assert!(
+            (3..=3 * MAX_EVENTS_ON_THE_WAY).contains(&output),
+            "{output}"
+        );
+    }
+}
+
+/// Waits for a state, for some seconds.
+async fn until(is_reached: impl Fn() -> bool) {
+    let reaching = async {
+        while !is_reached() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let reached = timeout(5 * CUT_OFF_AFTER, reaching).await;
+    reached.expect("the state");
+}
+
 /// An endpoint that writes the events from the one asked for up to `last`, then resets the connection or
 /// ends the stream.
 async fn writing_endpoint(last: u64, is_lost: bool) -> TestEndpoint {
