A prompt that waits for a place reserves the link when it is woken

Cause: the link was reserved before the wait in the queue. Prompts that were woken together were sent together, each within a reservation whose time had passed.

Change: the reservation is given back before the wait and made again after each wake-up, before an endpoint is selected, so that no slot is held while the prompt waits for the link.

--- a/crates/anvil_gateway/src/exchange/one_attempt.rs
+++ b/crates/anvil_gateway/src/exchange/one_attempt.rs
@@ -7,6 +7,7 @@
 use anvil_world::prelude::*;
 use tokio::time::Instant;
 
+use super::place::Place;
 use super::take_up::TAKE_UP_RETRY_AFTER;
 use super::{DEFAULT_RETRY_AFTER, Exchange, RequestRefusal, spread_return};
 use crate::attempt::{AttemptOutcome, OutgoingRequest, send};
@@ -38,10 +39,9 @@
     ) -> Result<AttemptOutcome, RequestRefusal> {
         self.refuse_in_quarantine()?;
         self.trace.stages.enter(Stage::Place);
-        let link_reservation = self.wait_for_link().await?;
-        let selection = self.take_place().await;
+        let place = self.take_place().await;
         self.trace.stages.enter(Stage::Other);
-        let selection = selection?;
+        let Place { selection, link } = place?;
         let endpoint = selection.slot.endpoint.clone();
         self.record_origin(&endpoint.version);
         let forwarded = ForwardedHead {
@@ -78,7 +78,7 @@
         if let Some(charge) = &mut self.charge {
             charge.record_begun();
         }
-        link_reservation.record_sent();
+        link.record_sent();
         let sent_at = Instant::now();
         let outcome = send(&self.gw, selection.slot, outgoing).await;
         self.awaited_connection = None;
--- a/crates/anvil_gateway/src/exchange/place.rs
+++ b/crates/anvil_gateway/src/exchange/place.rs
@@ -12,17 +12,28 @@
 use crate::log_events as events;
 use crate::metrics;
 use crate::reply::Cause;
+use crate::send::link_budget::LinkReservation;
 use crate::wait::{ServiceQueue, WaitRequest, WaitingPlace};
 
+/// What a request needs to be sent.
+pub(super) struct Place {
+    /// The slot at an endpoint.
+    pub(super) selection: Selection,
+    /// The link for its prompt.
+    pub(super) link: LinkReservation,
+}
+
 impl Exchange {
-    /// Takes a slot at the best endpoint. If none has room, a request that certainly has not run
-    /// waits for one while it can start in time.
-    pub(super) async fn take_place(&mut self) -> Result<Selection, RequestRefusal> {
+    /// Waits for the link and takes a slot at the best endpoint. If none has room, a request that
+    /// certainly has not run waits for one while it can start in time.
+    pub(super) async fn take_place(&mut self) -> Result<Place, RequestRefusal> {
+        let link = self.wait_for_link().await?;
         let queue = self.gw.directory.queue(&self.service);
         let Some(queue) = queue.filter(|_| !self.in_doubt) else {
-            return self
-                .select_endpoint(None)
-                .map_err(|unplaced| self.refuse_unplaced(unplaced));
+            return match self.select_endpoint(None) {
+                Ok(selection) => Ok(Place { selection, link }),
+                Err(unplaced) => Err(self.refuse_unplaced(unplaced)),
+            };
         };
         queue.record_offer();
         let unclaimed = queue.unclaimed();
@@ -30,10 +41,12 @@
             Unplaced::Busy
         } else {
             match self.select_endpoint(Some(self.room_within())) {
-                Ok(selection) => return Ok(selection),
+                Ok(selection) => return Ok(Place { selection, link }),
                 Err(unplaced) => unplaced,
             }
         };
+        // Others use the link meanwhile.
+        drop(link);
         let Some(min_wait) = self.wait_for(unplaced) else {
             return Err(self.refuse_unplaced(unplaced));
         };
@@ -47,27 +60,30 @@
         ));
         self.gw.metrics.count(metrics::QUEUE_JOINED);
         let started = Instant::now();
-        let selection = self.wait_in_queue(&queue, place).await;
+        let place = self.wait_in_queue(&queue, place).await;
         self.gw.metrics.time(metrics::QUEUE_TIME, started.elapsed());
-        selection
+        place
     }
 
     async fn wait_in_queue(
         &mut self,
         queue: &Arc<ServiceQueue>,
         mut place: WaitingPlace,
-    ) -> Result<Selection, RequestRefusal> {
+    ) -> Result<Place, RequestRefusal> {
         loop {
             if let Err(retry_after) = place.woken().await {
                 self.gw.metrics.count(metrics::QUEUE_EXPIRED);
                 return Err(self.refuse_in_queue(queue, Unplaced::Busy, retry_after));
             }
             self.gw.metrics.count(metrics::QUEUE_WAKE_UPS);
+            // Failure: with a reservation from before the wait, prompts that are woken together are
+            // sent together, faster than the link's pace.
+            let link = self.wait_for_link().await?;
             let unclaimed = queue.unclaimed();
             match self.select_endpoint(Some(self.room_within())) {
                 Ok(selection) => {
                     place.started(self.finds_further_room(&selection));
-                    return Ok(selection);
+                    return Ok(Place { selection, link });
                 }
                 Err(unplaced) => match self.wait_for(unplaced) {
                     Some(min_wait) => place.put_back(unclaimed, min_wait),
--- a/crates/anvil_gateway/src/send/pacing.rs
+++ b/crates/anvil_gateway/src/send/pacing.rs
@@ -1,7 +1,7 @@
 //! Waits for the link before an endpoint is selected, so that no slot is held meanwhile.
 //!
-//! A request that then waits for a place is sent later than its reservation, so prompts that are started
-//! together may exceed the pace for a moment.
+//! A request that then waits for a place gives its reservation back, and makes another one when it is
+//! woken.
 
 use std::time::Duration;
 
--- a/crates/anvil_gateway/tests/overload/narrow_links.rs
+++ b/crates/anvil_gateway/tests/overload/narrow_links.rs
@@ -19,7 +19,7 @@
 
 use crate::LOADED_MACHINE;
 use crate::client::Client;
-use crate::endpoint::TestEndpoint;
+use crate::endpoint::{Step, TestEndpoint, response};
 use crate::gateway::{TestGateway, listed, routes, settings, table};
 use crate::slow_link::{Opener, SlowLink};
 
@@ -194,6 +194,58 @@
     assert_eq!(endpoint.received().len(), 1);
 }
 
+/// Guards against prompts that exceed the pace together, because each has reserved the link before it waited
+/// for a place.
+#[tokio::test]
+async fn prompts_that_waited_for_a_place_are_paced() {
+    const SLOTS: u32 = 4;
+    /// Time in which the link carries a prompt of 9 kB.
+    const PROMPT_TIME: Duration = Duration::from_millis(95);
+    let free_at = Instant::now() + Duration::from_millis(1_500);
+    let endpoint = TestEndpoint::start(move |_, req| {
+        let left = free_at.saturating_duration_since(Instant::now());
+        vec![Step::Pause(left), Step::Send(response(req, "ran"))]
+    })
+    .await;
+    let cfg = GatewaySettings {
+        limits: ResourceLimits {
+            link: Some(125_000),
+            ..ResourceLimits::default()
+        },
+        ..settings()
+    };
+    let gateway = start_gateway(cfg, endpoint.addr).await;
+    let mut engine = listed("engine", endpoint.addr);
+    engine.slots = SLOTS;
+    gateway.gw.directory.apply_list(&[engine]);
+    let mut routes = routes();
+    for route in &mut routes {
+        route.target_latency = Duration::from_secs(2);
+    }
+    gateway.gw.table.store(Some(Arc::new(table(1, routes))));
+    let headers = "content-length: 9000\r\nx-tokens: 10,1\r\n";
+    let body = "x".repeat(9_000);
+    let mut clients = Vec::new();
+    for number in 0..2 * SLOTS {
+        let mut client = Client::connect(gateway.addr).await;
+        let id = format!("id-{number}");
+        client.send("/once/x", &id, headers).await;
+        client.send_bytes(body.as_bytes()).await;
+        clients.push(client);
+        sleep(PROMPT_TIME).await;
+    }
+    assert_eq!(gateway.gw.directory.count_waiting(), u64::from(SLOTS));
+    for client in &mut clients {
+        assert_eq!(client.read_response().await.status, 200);
+    }
+    let arrivals = endpoint.arrivals();
+    let took = arrivals[7] - arrivals[4];
+    assert!(
+        took > 2 * PROMPT_TIME - Duration::from_millis(40),
+        "{took:?}"
+    );
+}
+
 /// Guards against clients that stay connected while the gateway rejects others, and against a gateway that
 /// goes on rejecting when the load is over.
 #[tokio::test]
