Endpoints of the gateway's tests have addresses of their own

All endpoints of the binary listened at 127.0.0.1. Once an endpoint had crashed, the kernel could give its port to an endpoint of another test, while a gateway of the first test still sent there. This is the suspected cause; the failure was not reproduced.

Change: each test endpoint listens at a loopback address that no other caller in the process gets. Addresses at which nothing listens are drawn in the same way instead of from released ports. The new test address_of_a_crashed_endpoint_is_not_used_again guards that.

--- a/crates/anvil_gateway/tests/direct/endpoint.rs
+++ b/crates/anvil_gateway/tests/direct/endpoint.rs
@@ -1,7 +1,8 @@
 //! An endpoint that sends exactly the bytes a test specifies.
 
-use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, LazyLock, Mutex};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -47,6 +48,20 @@
     Hang,
 }
 
+/// A loopback address that no other caller in this process gets.
+///
+/// Failure: an endpoint crashes, the kernel gives its port to an endpoint of another test, and this
+/// receives what gateways of the first test still send to the crashed one.
+pub fn own_ip() -> Ipv4Addr {
+    /// 127.251.0.0, beyond the addresses of the tests that draw their own.
+    const FIRST: u32 = 0x7ffb_0000;
+    const COUNT: u32 = 0x4_0000;
+    // Drawn, as other test processes run beside this one.
+    static NEXT: LazyLock<AtomicU32> = LazyLock::new(|| AtomicU32::new(rand::random()));
+    let number = NEXT.fetch_add(1, Ordering::Relaxed) % COUNT;
+    Ipv4Addr::from(FIRST + number)
+}
+
 type Behaviour = dyn Fn(usize, &ReceivedRequest) -> Vec<Step> + Send + Sync;
 
 /// A running endpoint.
@@ -64,7 +79,9 @@
     pub async fn start(
         behave: impl Fn(usize, &ReceivedRequest) -> Vec<Step> + Send + Sync + 'static,
     ) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let listener = TcpListener::bind((own_ip(), 0))
+            .await
+            .expect("a free address");
         let endpoint = Self {
             addr: listener.local_addr().expect("an address"),
             received: Arc::default(),
--- a/crates/anvil_gateway/tests/direct/missing_endpoints.rs
+++ b/crates/anvil_gateway/tests/direct/missing_endpoints.rs
@@ -1,22 +1,43 @@
 //! Endpoints that no longer exist and are still listed.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use anvil_gateway::dialect::{ListPage, ListSource};
 use bytes::Bytes;
-use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
 use crate::client::Client;
-use crate::endpoint::{Step, TestEndpoint, not_run};
+use crate::endpoint::{Step, TestEndpoint, not_run, own_ip};
 use crate::gateway::{TestGateway, listed, routes, table};
 
-/// An address at which nothing listens.
-async fn unused_addr() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    listener.local_addr().expect("an address")
+/// An address at which nothing listens, in this test or in others.
+fn unused_addr() -> SocketAddr {
+    (own_ip(), 8_000).into()
+}
+
+/// Guards against requests to an endpoint that no longer exists reaching the endpoint of another
+/// test: its address refuses connections at once and belongs to no endpoint that starts later.
+#[tokio::test]
+async fn address_of_a_crashed_endpoint_is_not_used_again() {
+    let crashed = TestEndpoint::start(|_, _| vec![Step::Crash]).await;
+    let gateway = TestGateway::start(&[("gone", &crashed)]).await;
+    let mut client = Client::connect(gateway.addr).await;
+    assert_eq!(client.request("/once/x", "id-1", "").await.status, 502);
+    let mut later = Vec::new();
+    for _ in 0..200 {
+        later.push(TestEndpoint::answering().await);
+    }
+    for addr in [crashed.addr, unused_addr()] {
+        let connecting = timeout(Duration::from_millis(200), TcpStream::connect(addr)).await;
+        let refused = connecting.expect("an answer at once").map(drop);
+        let refused = refused.expect_err("nothing listens");
+        assert_eq!(refused.kind(), ErrorKind::ConnectionRefused);
+        assert!(later.iter().all(|endpoint| endpoint.addr.ip() != addr.ip()));
+    }
 }
 
 /// A gateway with these endpoints in its own zone and a working one in another zone; each request
@@ -48,9 +69,9 @@
 async fn unreachable_endpoint_does_not_count_as_an_attempt() {
     let working = TestEndpoint::answering().await;
     let dead = [
-        ("d1", unused_addr().await),
-        ("d2", unused_addr().await),
-        ("d3", unused_addr().await),
+        ("d1", unused_addr()),
+        ("d2", unused_addr()),
+        ("d3", unused_addr()),
     ];
     let gateway = start_with_one_attempt(&dead, &working).await;
     let mut client = Client::connect(gateway.addr).await;
@@ -95,7 +116,7 @@
     let resetting = TestEndpoint::start(|_, _| vec![Step::Reset]).await;
     let working = TestEndpoint::answering().await;
     let gateway = start_with_one_attempt(
-        &[("gone", unused_addr().await), ("lost", resetting.addr)],
+        &[("gone", unused_addr()), ("lost", resetting.addr)],
         &working,
     )
     .await;
