Streams that clients take up wait for their version, and go before new requests

Cause: a stream that a client takes up may run at one software version only. While all engines of that version were in pauses, at limits or warming up, the router refused it at once like a new request, which runs at another version or returns later; the client used up its attempts within 0.2 s. Change: such a stream waits for the first time at which an endpoint of its version accepts it, if that is known, for at most half of its client's time (anvil_policy::taken_up, wait::TakenUpWait). For want of room it waits in the queue, where a lane is now one of class and urgency: before new requests of its class, which get at least one start in four and are admitted by that share.

--- a/crates/anvil_gateway/src/exchange/place.rs
+++ b/crates/anvil_gateway/src/exchange/place.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvil_policy::waiting::Urgency;
 use anvil_world::prelude::*;
 use anvilreel::event;
 use tokio::time::Instant;
@@ -12,7 +13,15 @@
 use crate::log_events as events;
 use crate::metrics;
 use crate::reply::Cause;
-use crate::wait::{ServiceQueue, WaitRequest, WaitingPlace};
+use crate::wait::{ServiceQueue, TakenUpWait, WaitRequest, WaitingPlace};
+
+/// Why a stream that its client takes up was not placed in front of the queue.
+enum VersionWait {
+    /// It is not known when an endpoint of its version accepts it, or that is too late.
+    NotBegun,
+    /// It has waited, and its time or the gateway's is over.
+    Over(Unplaced),
+}
 
 impl Exchange {
     /// Takes a slot at the best endpoint. If none has room, a request that certainly has not run
@@ -25,6 +34,59 @@
                 .map_err(|unplaced| self.refuse_unplaced(unplaced));
         };
         queue.record_offer();
+        if self.stream_version.is_none() {
+            let selection = self.take_place_in_turn(&queue).await?;
+            queue.record_new_start();
+            return Ok(selection);
+        }
+        match self.wait_for_version(&queue).await {
+            Ok(selection) => Ok(selection),
+            Err(VersionWait::NotBegun) => self.take_place_in_turn(&queue).await,
+            Err(VersionWait::Over(unplaced)) => Err(self.refuse_unplaced(unplaced)),
+        }
+    }
+
+    /// Takes a slot for a stream that its client takes up. Where it is known when an endpoint of its
+    /// version accepts a request, the stream waits for that.
+    async fn wait_for_version(
+        &mut self,
+        queue: &Arc<ServiceQueue>,
+    ) -> Result<Selection, VersionWait> {
+        let mut wait = TakenUpWait::new(queue.clone(), self.time_left());
+        loop {
+            let unplaced = match wait.try_begin_look() {
+                Err(until_turn) => Unplaced::AtLimit(until_turn),
+                Ok(()) => match self.select_endpoint(Some(self.room_within())) {
+                    Ok(selection) => return Ok(selection),
+                    Err(unplaced) => {
+                        wait.end_look();
+                        unplaced
+                    }
+                },
+            };
+            let has_waited = wait.has_joined();
+            let time = match unplaced {
+                Unplaced::Paused(time) | Unplaced::AtLimit(time) => wait.time_until_look(time),
+                _ => return Err(VersionWait::NotBegun),
+            };
+            let time = match time {
+                Some(time) if !self.gw.lifecycle.is_draining() => time,
+                _ if has_waited => return Err(VersionWait::Over(unplaced)),
+                _ => return Err(VersionWait::NotBegun),
+            };
+            if !has_waited {
+                self.trace
+                    .step(format_args!("waits for its version: {unplaced:?}"));
+                self.gw.metrics.count(metrics::STREAMS_WAITED);
+            }
+            self.gw.lifecycle.sleep_unless_draining(time).await;
+        }
+    }
+
+    async fn take_place_in_turn(
+        &mut self,
+        queue: &Arc<ServiceQueue>,
+    ) -> Result<Selection, RequestRefusal> {
         let unclaimed = queue.unclaimed();
         let unplaced = if queue.is_contended() && self.has_working_endpoints() {
             Unplaced::Busy
@@ -39,7 +101,7 @@
         };
         let place = match queue.join(&self.wait_request(min_wait, unclaimed)) {
             Ok(place) => place,
-            Err(retry_after) => return Err(self.refuse_in_queue(&queue, unplaced, retry_after)),
+            Err(retry_after) => return Err(self.refuse_in_queue(queue, unplaced, retry_after)),
         };
         self.trace.step(format_args!(
             "waits, {} in the queue: {unplaced:?}",
@@ -47,7 +109,7 @@
         ));
         self.gw.metrics.count(metrics::QUEUE_JOINED);
         let started = Instant::now();
-        let selection = self.wait_in_queue(&queue, place).await;
+        let selection = self.wait_in_queue(queue, place).await;
         self.gw.metrics.time(metrics::QUEUE_TIME, started.elapsed());
         selection
     }
@@ -142,7 +204,10 @@
         let is_restricted = eligible.len() < working.len();
         WaitRequest {
             organisation,
-            class: self.priority_class(),
+            urgency: Urgency {
+                class: self.priority_class(),
+                is_new: self.stream_version.is_none(),
+            },
             target: self.target(),
             deadline: self.deadline,
             min_wait,
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -78,6 +78,8 @@
 pub const SERVICES_MIXED: &str = "services.mixed";
 /// Streams that clients took up after another attempt had begun them. Count.
 pub const STREAMS_TAKEN_UP: &str = "streams.taken_up";
+/// Of these, the ones that waited for an endpoint of their version. Count.
+pub const STREAMS_WAITED: &str = "streams.waited";
 /// Messages that told other gateways at which versions streams run. Count.
 pub const ORIGIN_MESSAGES: &str = "streams.origin_messages";
 /// Streams of which no other gateway was told, because too many are told of. Count.
@@ -174,6 +176,7 @@
     (ENDPOINTS_SLOW, "gauge"),
     (SERVICES_MIXED, "gauge"),
     (STREAMS_TAKEN_UP, "count"),
+    (STREAMS_WAITED, "count"),
     (ORIGIN_MESSAGES, "count"),
     (ORIGINS_UNTOLD, "count"),
     (ORIGINS_KNOWN, "gauge"),
--- a/crates/anvil_gateway/src/wait.rs
+++ b/crates/anvil_gateway/src/wait.rs
@@ -10,11 +10,16 @@
 //! reports room. Where the time is known at which an endpoint accepts another request (a limit), a
 //! timer wakes one. A [`WaitingPlace`] is held by the waiting request and removes it on drop.
 //!
-//! While nothing waits, a request costs some atomic counters here, no lock and no allocation.
+//! Streams that clients take up and that wait for endpoints of their version are not in the queue, where
+//! they would be woken for places that they can't use: each looks for itself ([`TakenUpWait`]).
+//!
+//! While nothing waits, a request costs some atomic counters and one short lock here, and no allocation.
 
 mod service_queue;
+mod taken_up_wait;
 mod timer;
 mod waiting_place;
 
 pub use service_queue::{ServiceQueue, WaitRequest};
+pub use taken_up_wait::TakenUpWait;
 pub use waiting_place::{WaitingPlace, Wake};
--- a/crates/anvil_gateway/src/wait/service_queue.rs
+++ b/crates/anvil_gateway/src/wait/service_queue.rs
@@ -8,7 +8,8 @@
 use anvil_policy::entry_queue::{EntryQueue, EntryRequest, Occupancy};
 use anvil_policy::estimate::MeanDuration;
 use anvil_policy::room::{InFlightWindow, WindowSample, is_congested, window_interval};
-use anvil_policy::waiting::{Waiter, WaiterId};
+use anvil_policy::taken_up::TakenUpTurns;
+use anvil_policy::waiting::{Urgency, Waiter, WaiterId};
 use anvil_world::prelude::*;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::Instant;
@@ -27,8 +28,8 @@
 pub struct WaitRequest {
     /// Organisation that it belongs to.
     pub organisation: OrganisationId,
-    /// Its priority class.
-    pub class: u8,
+    /// Its urgency.
+    pub urgency: Urgency,
     /// When its response should begin.
     pub target: Instant,
     /// When its client gives up.
@@ -62,6 +63,8 @@
     /// Milliseconds since the start of the queue from which on refusals are logged again.
     log_again_ms: AtomicU64,
     state: Mutex<State>,
+    /// Turns of streams that clients take up.
+    taken_up: Mutex<TakenUpTurns>,
     pub(super) timer_changed: Notify,
 }
 
@@ -114,6 +117,7 @@
             unlogged: AtomicU64::new(0),
             log_again_ms: AtomicU64::new(0),
             state: Mutex::default(),
+            taken_up: Mutex::default(),
             timer_changed: Notify::new(),
         }
     }
@@ -229,7 +233,7 @@
         let (now, occupancy) = (self.now(), self.occupancy());
         let entry = EntryRequest {
             organisation: req.organisation.clone(),
-            class: req.class,
+            urgency: req.urgency,
             target: self.at(req.target),
             deadline: self.at(req.deadline),
             response_time: self.response_time.get().unwrap_or_default(),
@@ -370,7 +374,18 @@
         }
     }
 
-    fn now(&self) -> Now {
+    /// Records that a request was placed that is not a stream which its client takes up.
+    pub fn record_new_start(&self) {
+        self.taken_up().record_other_start();
+    }
+
+    /// Turns of the streams that clients take up.
+    pub(super) fn taken_up(&self) -> MutexGuard<'_, TakenUpTurns> {
+        // Sound after a panic elsewhere: any counts are valid.
+        self.taken_up.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn now(&self) -> Now {
         self.epoch.elapsed()
     }
 
--- a/crates/anvil_gateway/tests/direct/versions.rs
+++ b/crates/anvil_gateway/tests/direct/versions.rs
@@ -4,11 +4,14 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use anvil_gateway::dialect::AvailabilityNotice;
 use anvil_wire::msg::ListedEndpoint;
 use anvil_world::prelude::*;
 use anvilreel::moment::Moment;
+use anvilreel::retry_after::RetryAfter;
 use futures::future::join_all;
-use tokio::time::{Instant, sleep};
+use http::StatusCode;
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::client::{Client, ClientResponse};
 use crate::endpoint::{
@@ -29,6 +32,8 @@
 const SETTLING_TIME: Duration = Duration::from_millis(2_500);
 /// Time in which all gateways read a list.
 const LISTING_TIME: Duration = Duration::from_millis(1_300);
+/// A pause that an endpoint asks for.
+const PAUSE: Duration = Duration::from_millis(400);
 /// Streams that are open when their gateway is killed.
 const STREAMS: usize = 16;
 
@@ -291,6 +296,64 @@
     assert!(other.received().is_empty());
 }
 
+/// Has an endpoint ask for a pause, as if it had turned a request away.
+fn request_pause(gateway: &TestGateway, id: &str, length: Duration) {
+    let gw = &gateway.gw;
+    let endpoint = gw.directory.find(&id.into()).expect("an endpoint");
+    let notice = AvailabilityNotice {
+        retry_after: RetryAfter::Time(length),
+        leaving: false,
+    };
+    gw.apply_notice(&endpoint, "r", StatusCode::SERVICE_UNAVAILABLE, notice);
+}
+
+/// Guards against refusing streams whose version is back within a moment: their clients use up their
+/// attempts meanwhile. New streams run at another version.
+#[tokio::test]
+async fn taken_up_stream_waits_for_the_pause_of_its_version() {
+    let (first, other) = (streaming("v1").await, streaming("v2").await);
+    let mut list = vec![listed_as("first", "v1", &first, true)];
+    let gateway = start_gateway(&list).await;
+    let mut client = Client::connect(gateway.addr).await;
+    client
+        .send("/resumed/x", "begun", "content-length: 0\r\n")
+        .await;
+    while !client.read_some().await.contains("data: v1") {}
+    list.push(listed_as("other", "v2", &other, true));
+    gateway.gw.directory.apply_list(&list);
+    gateway.gw.record_listed_versions(&list);
+    request_pause(&gateway, "first", PAUSE);
+    let started = Instant::now();
+    let client = Client::connect(gateway.addr).await;
+    let received = take_up(client, "next-1", "begun").await;
+    assert_eq!((received.status, received.complete), (200, true));
+    assert_eq!(first_version(&received.body), "v1");
+    assert!(started.elapsed() >= PAUSE, "{:?}", started.elapsed());
+    assert!(other.received().is_empty(), "went on at another version");
+    // Longer than half of the client's time.
+    request_pause(&gateway, "first", 100 * PAUSE);
+    let started = Instant::now();
+    let client = Client::connect(gateway.addr).await;
+    let received = take_up(client, "next-2", "begun").await;
+    assert_eq!(received.status, 503, "{received:?}");
+    assert!(started.elapsed() < AT_ONCE);
+}
+
+/// Guards against a gateway that holds streams while it stops, when their clients could go elsewhere.
+#[tokio::test]
+async fn stopping_gateway_refuses_streams_that_wait() {
+    let first = streaming("v1").await;
+    let gateway = start_gateway(&[listed_as("first", "v1", &first, true)]).await;
+    request_pause(&gateway, "first", 3 * PAUSE);
+    let client = Client::connect(gateway.addr).await;
+    let waiting = tokio::spawn(async move { take_up(client, "next", "begun").await });
+    sleep(PAUSE).await;
+    assert!(!waiting.is_finished());
+    gateway.gw.lifecycle.begin_drain();
+    let received = timeout(AT_ONCE, waiting).await.expect("an answer at once");
+    assert_eq!(received.expect("no panic").status, 503);
+}
+
 /// Guards against streams that break for good because nobody knows them, in a service that has had one
 /// version only.
 #[tokio::test]
--- a/crates/anvil_gateway/tests/direct/waiting.rs
+++ b/crates/anvil_gateway/tests/direct/waiting.rs
@@ -6,6 +6,7 @@
 
 use anvil_gateway::table::Route;
 use anvil_gateway::wait::{ServiceQueue, WaitRequest, WaitingPlace, Wake};
+use anvil_policy::waiting::Urgency;
 use anvilreel::metrics::Metrics;
 use slog::{Discard, Logger, o};
 use tokio::time::{Instant, sleep, timeout};
@@ -115,7 +116,10 @@
 fn wait_request(queue: &ServiceQueue) -> WaitRequest {
     WaitRequest {
         organisation: "co-op".into(),
-        class: 0,
+        urgency: Urgency {
+            class: 0,
+            is_new: true,
+        },
         target: Instant::now() + TARGET,
         deadline: Instant::now() + 2 * TARGET,
         min_wait: Duration::ZERO,
@@ -230,6 +234,24 @@
     woken(&mut restricted).await;
 }
 
+/// Guards against streams that clients take up waiting behind new requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn taken_up_stream_is_woken_before_new_requests() {
+    let setup = Setup::start(WORK).await;
+    let queue = setup.queue();
+    let taken_up = WaitRequest {
+        urgency: Urgency::first_of(0),
+        ..wait_request(&queue)
+    };
+    let mut new = queue.join(&wait_request(&queue)).expect("a place");
+    let mut taken_up = queue.join(&taken_up).expect("a place");
+    queue.free_place(Wake::Place);
+    woken(&mut taken_up).await;
+    taken_up.started(false);
+    queue.free_place(Wake::Place);
+    woken(&mut new).await;
+}
+
 /// Guards against a request that waits although a place became free just before it began to wait.
 #[tokio::test(flavor = "multi_thread")]
 async fn place_that_becomes_free_before_the_wait_is_noticed() {
--- a/crates/anvil_policy/examples/decision_time.rs
+++ b/crates/anvil_policy/examples/decision_time.rs
@@ -8,6 +8,7 @@
 
 use anvil_policy::entry_queue::{EntryQueue, EntryRequest, Occupancy};
 use anvil_policy::prelude::*;
+use anvil_policy::waiting::Urgency;
 use anvil_world::document::WorkClass;
 use anvil_world::prelude::*;
 use rand::{RngExt, SeedableRng};
@@ -49,7 +50,10 @@
     let offer = |queue: &mut EntryQueue, now: Now, at: u32| {
         let req = EntryRequest {
             organisation: names[at as usize % names.len()].clone(),
-            class: u8::try_from(at % 3).unwrap_or_default(),
+            urgency: Urgency {
+                class: u8::try_from(at % 3).unwrap_or_default(),
+                is_new: true,
+            },
             target: now + Duration::from_hours(1),
             deadline: now + Duration::from_hours(1),
             response_time: Duration::ZERO,
--- a/crates/anvil_policy/src/admission.rs
+++ b/crates/anvil_policy/src/admission.rs
@@ -26,7 +26,8 @@
 use crate::deadline::{Forecast, retry_delay};
 use crate::grant::Demand;
 use crate::waiting::{
-    Lane, MAX_OFFERS_WITHOUT_START, Priority, PriorityClass, Ticket, WaitQueue, Waiter, WaiterId,
+    Lane, MAX_OFFERS_WITHOUT_START, NEW_SHARE_DIVISOR, Priority, Ticket, Urgency, WaitQueue,
+    Waiter, WaiterId,
 };
 
 /// Bounds on queued work.
@@ -85,8 +86,8 @@
     limit: u32,
     /// Slots that queued requests are observed to get; `None` if not observed.
     observed_slots: Option<f64>,
-    /// Slot time that was queued in each priority class, in microseconds.
-    queued_demand: BTreeMap<PriorityClass, Demand>,
+    /// Slot time that was queued with each urgency, in microseconds.
+    queued_demand: BTreeMap<Urgency, Demand>,
     last_empty_at: Now,
 }
 
@@ -153,7 +154,7 @@
             |priority| priority.start_by,
         );
         if let Some(priority) = ticket.priority {
-            let demand = self.queued_demand.entry(priority.class);
+            let demand = self.queued_demand.entry(priority.urgency);
             let demand = demand.or_insert_with(|| Demand::over(URGENT_DEMAND_HORIZON));
             demand.add(now, ticket.cost());
         }
@@ -261,24 +262,37 @@
         )
     }
 
-    /// Expected wait behind more urgent classes, those that arrive meanwhile included, and this
-    /// backlog of its own class.
+    /// Expected wait behind more urgent requests, those that arrive meanwhile included, and this backlog
+    /// of its own urgency.
     fn priority_wait(&self, now: Now, priority: Priority, backlog: u64, cost: u64) -> Duration {
-        let class = priority.class;
-        if backlog == 0 && self.waiting.is_overdue(class) {
+        let urgency = priority.urgency;
+        if backlog == 0 && self.waiting.is_overdue(urgency) {
             return Duration::ZERO;
         }
         // On average, the next slot becomes free after half of the time between two.
-        let ahead = self.waiting.more_urgent_backlog(class);
-        let ahead = ahead.saturating_add(backlog).saturating_add(cost / 2);
+        let own = backlog.saturating_add(cost / 2);
+        let first_of_class = Urgency::first_of(urgency.class);
+        let behind_all = self.time_behind(now, urgency, own);
+        let share = f64::from(NEW_SHARE_DIVISOR);
+        let by_share = self.time_behind(now, first_of_class, own) * share;
+        let wait_s = if urgency.is_new {
+            behind_all.min(by_share)
+        } else {
+            behind_all
+        };
+        Duration::try_from_secs_f64(wait_s * self.rule.wait_safety_factor).unwrap_or(Duration::MAX)
+    }
+
+    /// Time in seconds in which this slot time is worked off behind what is more urgent.
+    fn time_behind(&self, now: Now, urgency: Urgency, own: u64) -> f64 {
+        let ahead = self.waiting.more_urgent_backlog(urgency);
         let running = self.running.min(self.limit).max(1);
         let slots = self.observed_slots.unwrap_or(f64::from(running));
-        let more_urgent = self.queued_demand.range(..class);
+        let more_urgent = self.queued_demand.range(..urgency);
         let taken: f64 = more_urgent.map(|(_, demand)| demand.rate(now)).sum();
         let least = slots / f64::from(MAX_OFFERS_WITHOUT_START);
         let left = (slots - taken / MICROS_PER_SECOND).max(least);
-        let wait_s = to_f64(ahead) / MICROS_PER_SECOND / left;
-        Duration::try_from_secs_f64(wait_s * self.rule.wait_safety_factor).unwrap_or(Duration::MAX)
+        to_f64(ahead.saturating_add(own)) / MICROS_PER_SECOND / left
     }
 
     /// Amount by which the organisation's backlog exceeds the free part of the maximum wait.
--- a/crates/anvil_policy/src/entry_queue.rs
+++ b/crates/anvil_policy/src/entry_queue.rs
@@ -29,7 +29,7 @@
 use crate::deadline::MIN_RETRY_AFTER;
 use crate::fair::weight_by_load;
 use crate::grant::Demand;
-use crate::waiting::{Priority, PriorityClass, Ticket, Waiter, WaiterId};
+use crate::waiting::{Priority, Ticket, Urgency, Waiter, WaiterId};
 
 /// Maximum number of queued requests. With prompts of up to 55 KB each, they hold 14 MB.
 const MAX_QUEUED: usize = 256;
@@ -52,8 +52,8 @@
 pub struct EntryRequest {
     /// Organisation that it belongs to.
     pub organisation: OrganisationId,
-    /// Its priority class.
-    pub class: PriorityClass,
+    /// Its urgency.
+    pub urgency: Urgency,
     /// When its response should begin.
     pub target: Now,
     /// When its client gives up.
@@ -77,7 +77,7 @@
             last_start.min(now.saturating_add(to_target.saturating_mul(MAX_WAIT_FACTOR)))
         };
         Priority {
-            class: self.class,
+            urgency: self.urgency,
             target_start,
             start_by,
         }
--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -59,6 +59,7 @@
 //! * [`warm_up`]: which endpoints may be warming up and tolerate few requests.
 //! * [`version_history`]: which software versions of a service served, and when last.
 //! * [`stream_origins`]: which routers know at which version a stream began.
+//! * [`taken_up`]: how long a stream that its client takes up waits for an endpoint of its version.
 //! * [`prefix`]: which endpoints hold which prompt prefixes.
 //! * [`list_turn`]: which router reads the list of endpoints for the others.
 //! * [`link_pacer`], [`intake`] and [`descriptors`]: what a router with a narrow link or few descriptors sends and accepts.
@@ -98,6 +99,7 @@
 pub mod room;
 pub mod stream_origins;
 pub mod subset;
+pub mod taken_up;
 pub mod version_history;
 pub mod waiting;
 pub mod warm_up;
--- a/crates/anvil_policy/src/waiting.rs
+++ b/crates/anvil_policy/src/waiting.rs
@@ -11,8 +11,9 @@
 //! deadline goes first. A request close to its target start is promoted ahead of all of these:
 //! fairness may reorder requests, but must not break the maximum wait that they were admitted with.
 //!
-//! Requests with a [`Priority`] have a lane for each priority class, and the most urgent lane with
-//! work goes first. A class of which [`MAX_OFFERS_WITHOUT_START`] requests were offered and none was
+//! Requests with a [`Priority`] have a lane for each [`Urgency`], and the most urgent lane with work goes
+//! first. Of the dispatches of a class, new requests get at least one in [`NEW_SHARE_DIVISOR`], however many
+//! streams are taken up. A class of which [`MAX_OFFERS_WITHOUT_START`] requests were offered and none was
 //! dispatched gets a turn before more urgent ones. Promotions would let every class go first under
 //! sustained overload, so there are none among these lanes.
 //!
@@ -52,11 +53,37 @@
 /// urgent one.
 pub const MAX_OFFERS_WITHOUT_START: u32 = 20;
 
-/// Place of a request in a queue that is ordered by priority class.
+/// Number of dispatches in a row of streams that clients take up, after which a new request of their class
+/// gets a turn, if one waits.
+const MAX_TAKEN_UP_IN_A_ROW: u32 = 3;
+/// Minimum part of the dispatches of a class that new requests get while some wait, as a divisor.
+pub const NEW_SHARE_DIVISOR: u32 = MAX_TAKEN_UP_IN_A_ROW + 1;
+
+/// Which requests go first, in this order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Urgency {
+    /// Priority class.
+    pub class: PriorityClass,
+    /// Whether it is a new request. A stream that its client takes up goes before new ones of its class: it
+    /// has been paid for, and can't run at other software versions.
+    pub is_new: bool,
+}
+
+impl Urgency {
+    /// The most urgent requests of a class.
+    pub fn first_of(class: PriorityClass) -> Self {
+        Self {
+            class,
+            is_new: false,
+        }
+    }
+}
+
+/// Place of a request in a queue that is ordered by urgency.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Priority {
-    /// Its class.
-    pub class: PriorityClass,
+    /// Its urgency.
+    pub urgency: Urgency,
     /// Latest start at which its response begins within its target.
     pub target_start: Now,
     /// Latest start for which it waits.
@@ -73,7 +100,7 @@
     /// Work that no interactive user waits for.
     Batch,
     /// Work of a priority class.
-    Priority(PriorityClass),
+    Priority(Urgency),
 }
 
 impl Lane {
@@ -123,7 +150,7 @@
     pub fn lane(&self) -> Lane {
         self.priority.map_or_else(
             || Lane::of(self.class, self.prompt),
-            |priority| Lane::Priority(priority.class),
+            |priority| Lane::Priority(priority.urgency),
         )
     }
 
@@ -190,6 +217,8 @@
     next_id: WaiterId,
     /// Dispatches since the last one out of turn.
     starts_in_turn: u32,
+    /// Dispatches of streams that clients take up since the last other one.
+    taken_up_in_a_row: u32,
 }
 
 impl Default for WaitQueue {
@@ -204,6 +233,7 @@
             counts: BTreeMap::new(),
             next_id: 1,
             starts_in_turn: 0,
+            taken_up_in_a_row: 0,
         }
     }
 }
@@ -233,9 +263,10 @@
         (own, queue.cost)
     }
 
-    /// Queued slot time of the priority classes that are more urgent, in microseconds.
-    pub fn more_urgent_backlog(&self, class: PriorityClass) -> u64 {
-        let more_urgent = self.lanes.range(Lane::Priority(0)..Lane::Priority(class));
+    /// Queued slot time that is more urgent, in microseconds.
+    pub fn more_urgent_backlog(&self, urgency: Urgency) -> u64 {
+        let first = Lane::Priority(Urgency::first_of(0));
+        let more_urgent = self.lanes.range(first..Lane::Priority(urgency));
         more_urgent.fold(0, |sum, (_, queue)| sum.saturating_add(queue.cost))
     }
 
@@ -245,9 +276,9 @@
         queue.offers_without_start = queue.offers_without_start.saturating_add(1);
     }
 
-    /// Whether a priority class may have its next turn before more urgent ones.
-    pub fn is_overdue(&self, class: PriorityClass) -> bool {
-        let queue = self.lanes.get(&Lane::Priority(class));
+    /// Whether requests of this urgency may have their next turn before more urgent ones.
+    pub fn is_overdue(&self, urgency: Urgency) -> bool {
+        let queue = self.lanes.get(&Lane::Priority(urgency));
         queue.is_some_and(LaneQueue::is_overdue)
     }
 
@@ -315,6 +346,11 @@
         } else {
             self.starts_in_turn = self.starts_in_turn.saturating_add(1);
         }
+        if ticket.priority.is_some_and(|one| !one.urgency.is_new) {
+            self.taken_up_in_a_row = self.taken_up_in_a_row.saturating_add(1);
+        } else {
+            self.taken_up_in_a_row = 0;
+        }
         self.shares.charge(&lane, ticket.cost(), lane.weight());
         let queue = self.lanes.entry(lane).or_default();
         queue.offers_without_start = 0;
@@ -384,9 +420,10 @@
         Some(*id)
     }
 
-    /// The lane of the priority class whose turn it is.
+    /// The lane of the urgency whose turn it is.
     fn next_priority(&self) -> Option<Lane> {
-        let lanes = self.lanes.range(Lane::Priority(0)..);
+        let first = Lane::Priority(Urgency::first_of(0));
+        let lanes = self.lanes.range(first..);
         let mut ready = lanes.filter(|(_, queue)| !queue.queues.is_empty());
         if self.starts_in_turn >= MAX_OFFERS_WITHOUT_START {
             let overdue = ready.clone().filter(|(_, queue)| queue.is_overdue());
@@ -395,12 +432,28 @@
                 return Some(*lane);
             }
         }
-        ready.next().map(|(lane, _)| *lane)
+        let (most_urgent, _) = ready.next()?;
+        let new_ones = self.new_ones_after(*most_urgent);
+        Some(new_ones.unwrap_or(*most_urgent))
+    }
+
+    /// The lane of new requests whose turn it is after streams of their class that clients take up.
+    fn new_ones_after(&self, lane: Lane) -> Option<Lane> {
+        let Lane::Priority(urgency) = lane else {
+            return None;
+        };
+        let new_ones = Lane::Priority(Urgency {
+            is_new: true,
+            ..urgency
+        });
+        let queue = self.lanes.get(&new_ones)?;
+        let has_turn = self.taken_up_in_a_row >= MAX_TAKEN_UP_IN_A_ROW && !queue.queues.is_empty();
+        has_turn.then_some(new_ones)
     }
 
     /// Whether more urgent classes have queued work.
     fn is_out_of_turn(&self, priority: Priority) -> bool {
-        self.more_urgent_backlog(priority.class) > 0
+        self.more_urgent_backlog(Urgency::first_of(priority.urgency.class)) > 0
     }
 }
 
--- a/crates/anvil_policy/tests/entry_queue.rs
+++ b/crates/anvil_policy/tests/entry_queue.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use anvil_policy::entry_queue::{EntryQueue, EntryRequest, Occupancy};
-use anvil_policy::waiting::WaiterId;
+use anvil_policy::waiting::{Urgency, WaiterId};
 use anvil_world::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -12,12 +12,18 @@
 const TARGET: Duration = Duration::from_millis(120);
 const DEADLINE: Duration = Duration::from_secs(1);
 const STEP: Duration = Duration::from_millis(1);
+const NEW: Urgency = Urgency {
+    class: 0,
+    is_new: true,
+};
 
 /// Requests of one kind.
 #[derive(Debug, Clone)]
 struct Source {
     name: &'static str,
     class: u8,
+    /// Whether these are no streams that clients take up.
+    is_new: bool,
     /// Requests a second from a given time on.
     rates: Vec<(Now, f64)>,
     work: Duration,
@@ -30,12 +36,18 @@
         Self {
             name,
             class,
+            is_new: true,
             rates: vec![(Duration::ZERO, rate)],
             work: Duration::from_millis(15),
             returns_at_once: false,
         }
     }
 
+    fn taken_up(mut self) -> Self {
+        self.is_new = false;
+        self
+    }
+
     fn then(mut self, from: Now, rate: f64) -> Self {
         self.rates.push((from, rate));
         self
@@ -181,7 +193,10 @@
         let kind = &self.pattern.sources[client.source];
         let req = EntryRequest {
             organisation: kind.name.into(),
-            class: kind.class,
+            urgency: Urgency {
+                class: kind.class,
+                is_new: kind.is_new,
+            },
             target: now + TARGET,
             deadline: now + DEADLINE,
             response_time: kind.work,
@@ -272,6 +287,27 @@
     }
 }
 
+/// Guards against streams that wait behind new requests when their clients take them up, and against these
+/// pushing new ones out: six slots serve 400 requests a second.
+#[test]
+fn taken_up_streams_go_first_and_leave_new_requests_a_quarter() {
+    for taken_up_rate in [60.0, 250.0, 900.0] {
+        let pattern = Pattern {
+            sources: vec![
+                Source::new("broken", 0, taken_up_rate).taken_up(),
+                Source::new("new", 0, 700.0),
+            ],
+            slots: vec![(Duration::ZERO, 6)],
+            length: Duration::from_secs(20),
+        };
+        let scores = pattern.run();
+        let (broken, new) = (scores["broken"].share(), scores["new"].share());
+        assert!(broken > new, "{broken} and {new} at {taken_up_rate}");
+        assert!(broken > 0.95 || taken_up_rate > 250.0, "{broken}");
+        assert!(new * 700.0 > 0.8 * 100.0, "{new} at {taken_up_rate}");
+    }
+}
+
 /// Guards against an organisation with five times its usual load that takes the others' turns, or
 /// gets less than a quarter of what all get.
 #[test]
@@ -404,7 +440,7 @@
     let mut queue = EntryQueue::default();
     let req = EntryRequest {
         organisation: "co-op".into(),
-        class: 0,
+        urgency: NEW,
         target: TARGET,
         deadline: DEADLINE,
         response_time: Duration::from_millis(15),
@@ -430,7 +466,7 @@
     let mut offer = |target| {
         let req = EntryRequest {
             organisation: "co-op".into(),
-            class: 0,
+            urgency: NEW,
             target,
             deadline: DEADLINE,
             response_time: Duration::from_millis(15),
@@ -457,7 +493,7 @@
     for (at, organisation) in ["a", "b", "a", "b"].into_iter().enumerate() {
         let req = EntryRequest {
             organisation: organisation.into(),
-            class: 0,
+            urgency: NEW,
             target: TARGET + Duration::from_millis(at as u64),
             deadline: DEADLINE,
             response_time: Duration::from_millis(15),
--- a/crates/anvil_policy/tests/room.rs
+++ b/crates/anvil_policy/tests/room.rs
@@ -7,11 +7,15 @@
 use anvil_policy::room::{
     EngineRoom, InFlightWindow, WindowSample, guaranteed_requests, is_congested, window_interval,
 };
-use anvil_policy::waiting::WaiterId;
+use anvil_policy::waiting::{Urgency, WaiterId};
 use anvil_world::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+const NEW: Urgency = Urgency {
+    class: 0,
+    is_new: true,
+};
 const TARGET: Duration = Duration::from_millis(120);
 const WORK: Duration = Duration::from_millis(15);
 /// Time that a request takes at an endpoint under overload, with its wait there.
@@ -160,7 +164,7 @@
             }
             let req = EntryRequest {
                 organisation: "co-op".into(),
-                class: 0,
+                urgency: NEW,
                 target: now + TARGET,
                 deadline: now + Duration::from_secs(1),
                 response_time: HELD,
