An organisation's table entry says only whether it prepays

Cause: `Organisation::prepaid` held the credited tokens, of which only the presence was used.

Change: it is a flag, `is_prepaid`.

--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -245,8 +245,7 @@
     deadline: Instant,
     trace: &mut Trace,
 ) -> Result<Option<RequestCharge>, RequestRefusal> {
-    let Some(organisation) = organisation.filter(|organisation| organisation.prepaid.is_some())
-    else {
+    let Some(organisation) = organisation.filter(|organisation| organisation.is_prepaid) else {
         return Ok(None);
     };
     let Some(work) = &request.model_work else {
--- a/crates/anvil_gateway/src/table.rs
+++ b/crates/anvil_gateway/src/table.rs
@@ -120,8 +120,8 @@
     pub id: OrganisationId,
     /// Priority class that overrides the route's.
     pub priority_class: Option<u8>,
-    /// Tokens credited to its prepaid budget in all; `None` if it has none.
-    pub prepaid: Option<Tokens>,
+    /// Whether its requests are paid for out of a prepaid budget.
+    pub is_prepaid: bool,
     /// Where its requests may run; a route's restriction applies as well.
     pub regions: AllowedRegions,
 }
--- a/crates/anvil_gateway/tests/direct/gateway.rs
+++ b/crates/anvil_gateway/tests/direct/gateway.rs
@@ -65,7 +65,7 @@
     let organisation = Organisation {
         id: "co-op".into(),
         priority_class: None,
-        prepaid: Some(1_000_000),
+        is_prepaid: true,
         regions: AllowedRegions::default(),
     };
     let service = Service {
--- a/crates/anvil_gateway/tests/request_digest.rs
+++ b/crates/anvil_gateway/tests/request_digest.rs
@@ -20,7 +20,7 @@
     let organisation = Organisation {
         id: organisation.into(),
         priority_class: None,
-        prepaid: Some(1_000_000),
+        is_prepaid: true,
         regions: AllowedRegions::default(),
     };
     let route = Route {
