Token counts are converted in one place

Cause: estimate, engine, its memory and admission each had conversions of their own between counts and numbers with fractions, beside those of grant.

Change: `token_counts` holds both directions; admission, which converted microseconds, uses Duration. `EndpointView::has_room` is `has_memory_for`, since room has another meaning in `room`.

Measured: all tests of anvil_policy green, Clippy green.

--- a/crates/anvil_policy/src/admission.rs
+++ b/crates/anvil_policy/src/admission.rs
@@ -277,7 +277,7 @@
         let taken: f64 = more_urgent.map(|(_, demand)| demand.rate(now)).sum();
         let least = slots / f64::from(MAX_OFFERS_WITHOUT_START);
         let left = (slots - taken / MICROS_PER_SECOND).max(least);
-        let wait_s = to_f64(ahead) / MICROS_PER_SECOND / left;
+        let wait_s = Duration::from_micros(ahead).as_secs_f64() / left;
         Duration::try_from_secs_f64(wait_s * self.rule.wait_safety_factor).unwrap_or(Duration::MAX)
     }
 
@@ -340,11 +340,3 @@
     }
     to_target
 }
-
-#[expect(
-    clippy::cast_precision_loss,
-    reason = "an estimate needs no last digit"
-)]
-fn to_f64(micros: u64) -> f64 {
-    micros as f64
-}
--- a/crates/anvil_policy/src/copying.rs
+++ b/crates/anvil_policy/src/copying.rs
@@ -17,7 +17,8 @@
 
 use anvil_world::prelude::*;
 
-use crate::engine::{EngineRule, tokens_f64};
+use crate::engine::EngineRule;
+use crate::token_counts::tokens_to_f64;
 
 /// Minimum speed of copying relative to prefill. Copies of all requests share two links, and each
 /// is charged by its bytes: at twice the speed (256 KB a token) a copy costs as much as prefill, at
@@ -85,7 +86,7 @@
         if !Self::is_worthwhile(here, there) {
             return here;
         }
-        let copied = tokens_f64(here - there) * rule.prefill_tokens_per_ms / self.tokens_per_ms;
+        let copied = tokens_to_f64(here - there) * rule.prefill_tokens_per_ms / self.tokens_per_ms;
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
--- a/crates/anvil_policy/src/engine.rs
+++ b/crates/anvil_policy/src/engine.rs
@@ -31,6 +31,7 @@
 use self::memory::MemoryDemand;
 use self::speed::{RelativeSpeed, ReportedWork, ServiceSpeed, WorkAhead};
 use crate::pace::WorkPace;
+use crate::token_counts::{to_tokens, tokens_to_f64};
 
 /// How fast engines work, as the routers assume it before they have learned it.
 #[derive(Debug, Clone, PartialEq)]
@@ -71,7 +72,7 @@
 impl EngineRule {
     /// Time to prefill this number of tokens.
     pub fn prefill_time(&self, tokens: Tokens) -> Duration {
-        Duration::from_secs_f64(tokens_f64(tokens) / self.prefill_tokens_per_ms / 1e3)
+        Duration::from_secs_f64(tokens_to_f64(tokens) / self.prefill_tokens_per_ms / 1e3)
     }
 }
 
@@ -179,7 +180,7 @@
     }
 
     /// Whether a request fits into the engine's memory.
-    pub fn has_room(&self, now: Now, demand: &MemoryDemand) -> bool {
+    pub fn has_memory_for(&self, now: Now, demand: &MemoryDemand) -> bool {
         demand.fits(self.own_held, self.others_holding(now))
     }
 
@@ -422,12 +423,7 @@
         };
         let queued_tokens = Tokens::from(report.waiting) * rule.queued_prompt_tokens;
         let elapsed_ms = now.saturating_sub(report.at).as_secs_f64() * 1e3;
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "a few seconds at some tokens a millisecond"
-        )]
-        let prefilled = (elapsed_ms * rule.prefill_tokens_per_ms * self.speed.factor()) as Tokens;
+        let prefilled = to_tokens(elapsed_ms * rule.prefill_tokens_per_ms * self.speed.factor());
         queued_tokens
             .saturating_sub(self.pending_prefill)
             .saturating_sub(prefilled)
@@ -440,8 +436,3 @@
         self.parts.retain(|_, at| *at >= cut);
     }
 }
-
-#[expect(clippy::cast_precision_loss, reason = "far below 2^52 tokens")]
-pub(crate) fn tokens_f64(tokens: Tokens) -> f64 {
-    tokens as f64
-}
--- a/crates/anvil_policy/src/engine/memory.rs
+++ b/crates/anvil_policy/src/engine/memory.rs
@@ -15,7 +15,7 @@
 
 use anvil_world::prelude::*;
 
-use super::tokens_f64;
+use crate::token_counts::{to_tokens, tokens_to_f64};
 
 /// Part of the memory that requests may fill by estimate.
 const USABLE_PART: f64 = 0.9;
@@ -37,21 +37,21 @@
     pub fn record(&mut self, prompt: Tokens, output: Tokens) {
         self.count = self.count.saturating_add(1);
         let gain = f64::from(self.count).recip().max(MIN_GAIN);
-        self.output += gain * (tokens_f64(output) - self.output);
-        self.whole += gain * (tokens_f64(prompt + output) - self.whole);
+        self.output += gain * (tokens_to_f64(output) - self.output);
+        self.whole += gain * (tokens_to_f64(prompt + output) - self.whole);
     }
 
     /// Expected output of a request that may have this much.
     pub fn expected_output(&self, max_output: Tokens) -> Tokens {
         if self.count == 0 {
-            return whole_tokens(FIRST_OUTPUT_PART * tokens_f64(max_output));
+            return to_tokens((FIRST_OUTPUT_PART * tokens_to_f64(max_output)).round());
         }
-        whole_tokens(self.output).min(max_output)
+        to_tokens(self.output.round()).min(max_output)
     }
 
     /// Mean size of a request, prompt and output; `None` before any has ended.
     pub fn mean(&self) -> Option<Tokens> {
-        (self.count > 0).then(|| whole_tokens(self.whole))
+        (self.count > 0).then(|| to_tokens(self.whole.round()))
     }
 }
 
@@ -70,16 +70,8 @@
     /// Whether the request fits beside `own` tokens of this router and `others` requests of other
     /// routers. An engine that holds nothing takes any request.
     pub fn fits(&self, own: Tokens, others: f64) -> bool {
-        let held = tokens_f64(own) + others * tokens_f64(self.mean_request);
-        held < 1.0 || held + tokens_f64(self.request) <= USABLE_PART * tokens_f64(self.capacity)
+        let held = tokens_to_f64(own) + others * tokens_to_f64(self.mean_request);
+        held < 1.0
+            || held + tokens_to_f64(self.request) <= USABLE_PART * tokens_to_f64(self.capacity)
     }
 }
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "between 0 and the tokens of a request"
-)]
-fn whole_tokens(tokens: f64) -> Tokens {
-    tokens.round() as Tokens
-}
--- a/crates/anvil_policy/src/engine/speed.rs
+++ b/crates/anvil_policy/src/engine/speed.rs
@@ -22,7 +22,8 @@
 
 use anvil_world::prelude::*;
 
-use super::{EngineRule, tokens_f64};
+use super::EngineRule;
+use crate::token_counts::tokens_to_f64;
 
 /// Clip of the logarithm of a sample's ratio to the expected time: beyond a factor of two, a sample
 /// says more about a lost or late packet than about speed.
@@ -213,8 +214,8 @@
     fn expected(rule: &EngineRule, own_tokens: Tokens, reported: ReportedWork) -> Self {
         let per_token = 1.0 / rule.prefill_tokens_per_ms / 1e3;
         Self {
-            prefill: tokens_f64(own_tokens) * per_token,
-            others: tokens_f64(reported.others_tokens) * per_token,
+            prefill: tokens_to_f64(own_tokens) * per_token,
+            others: tokens_to_f64(reported.others_tokens) * per_token,
             batch: rule.full_penalty.as_secs_f64() * reported.fullness.powi(2),
             first_event: rule.first_event_time.as_secs_f64(),
         }
@@ -257,7 +258,7 @@
         return;
     }
     let own_tokens = ahead.new_tokens + ahead.pending_tokens;
-    let mut weight = tokens_f64(ahead.new_tokens) / tokens_f64(own_tokens);
+    let mut weight = tokens_to_f64(ahead.new_tokens) / tokens_to_f64(own_tokens);
     if ahead.reported.is_none() {
         weight *= UNREPORTED_WEIGHT;
     }
--- a/crates/anvil_policy/src/estimate.rs
+++ b/crates/anvil_policy/src/estimate.rs
@@ -16,6 +16,8 @@
 
 use anvil_world::prelude::*;
 
+use crate::token_counts::tokens_to_f64;
+
 /// Weight of the newest measurement in the means: about the last 32 count.
 const SAMPLE_WEIGHT: f64 = 1.0 / 32.0;
 
@@ -126,11 +128,3 @@
 fn update_mean(old: &mut f64, new: f64) {
     *old += SAMPLE_WEIGHT * (new - *old);
 }
-
-#[expect(
-    clippy::cast_precision_loss,
-    reason = "lengths are far below 2^52 tokens"
-)]
-fn tokens_to_f64(tokens: Tokens) -> f64 {
-    tokens as f64
-}
--- a/crates/anvil_policy/src/grant.rs
+++ b/crates/anvil_policy/src/grant.rs
@@ -14,6 +14,8 @@
 
 use anvil_world::prelude::*;
 
+use crate::token_counts::{to_tokens, tokens_to_f64};
+
 /// How grants are sized.
 #[derive(Debug, Clone, PartialEq)]
 pub struct GrantRule {
@@ -133,17 +135,3 @@
         self.sum * (-elapsed_s / self.half_life_s).exp2()
     }
 }
-
-#[expect(clippy::cast_precision_loss, reason = "a rate needs no last digit")]
-pub(crate) fn tokens_to_f64(amount: Tokens) -> f64 {
-    amount as f64
-}
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a float to integer cast saturates"
-)]
-pub(crate) fn to_tokens(amount: f64) -> Tokens {
-    amount as Tokens
-}
--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -98,6 +98,7 @@
 pub mod room;
 pub mod stream_origins;
 pub mod subset;
+mod token_counts;
 pub mod version_history;
 pub mod waiting;
 pub mod warm_up;
--- a/crates/anvil_policy/src/outage_grant.rs
+++ b/crates/anvil_policy/src/outage_grant.rs
@@ -26,7 +26,7 @@
 
 use anvil_world::prelude::*;
 
-use crate::grant::{to_tokens, tokens_to_f64};
+use crate::token_counts::{to_tokens, tokens_to_f64};
 
 /// Divisor of what is left: all routers together hold at most this part of it, so that no more is lost if all
 /// are killed at once.
--- a/crates/anvil_policy/tests/engine_speeds.rs
+++ b/crates/anvil_policy/tests/engine_speeds.rs
@@ -301,7 +301,7 @@
         let with_room = views
             .iter()
             .enumerate()
-            .filter(|(_, view)| !self.states_capacity || view.has_room(now, &demand));
+            .filter(|(_, view)| !self.states_capacity || view.has_memory_for(now, &demand));
         let candidates = with_room.map(|(at, view)| {
             let missing = view.missing_tokens(now, &rule, prompt, Some(at) == home);
             let expected = view.expected_first_token(now, &rule, missing, SLOTS);
@@ -415,16 +415,16 @@
         mean_request: 1_000,
     };
     let mut view = EndpointView::default();
-    assert!(view.has_room(Now::ZERO, &demand));
+    assert!(view.has_memory_for(Now::ZERO, &demand));
     view.apply_report(Now::ZERO, 5, 3, SLOTS);
-    assert!(view.has_room(Now::ZERO, &demand));
+    assert!(view.has_memory_for(Now::ZERO, &demand));
     view.hold_tokens(1_000);
-    assert!(!view.has_room(Duration::from_secs(1), &demand));
-    assert!(view.has_room(Duration::from_secs(4), &demand));
+    assert!(!view.has_memory_for(Duration::from_secs(1), &demand));
+    assert!(view.has_memory_for(Duration::from_secs(4), &demand));
     view.hold_tokens(8_000);
-    assert!(!view.has_room(Duration::from_mins(1), &demand));
+    assert!(!view.has_memory_for(Duration::from_mins(1), &demand));
     view.release_tokens(9_000);
-    assert!(view.has_room(Duration::from_mins(1), &demand));
+    assert!(view.has_memory_for(Duration::from_mins(1), &demand));
 }
 
 /// Guards against a prompt that no engine ever takes, because it alone exceeds what is counted as
@@ -437,9 +437,9 @@
         mean_request: 1_000,
     };
     let mut view = EndpointView::default();
-    assert!(view.has_room(Now::ZERO, &demand));
+    assert!(view.has_memory_for(Now::ZERO, &demand));
     view.hold_tokens(1);
-    assert!(!view.has_room(Now::ZERO, &demand));
+    assert!(!view.has_memory_for(Now::ZERO, &demand));
 }
 
 fn sample(new_tokens: Tokens) -> WorkAhead {
