choose is split by job, and names say what they do

`name_service`, `keep_up`, `let_write` and `ATTEMPTS_BESIDE_FULL_MEMORY` did not tell a newcomer what they are for.

Change: candidates with their estimates, the source of a copy, and the reasons why none is selected have files of their own. The names are `has_memory`, `report_service`, `read_ahead_if_slow`, `yield_to_writes` and `ATTEMPTS_MEMORY_FULL`; the metric keeps its name.

--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -1,25 +1,27 @@
 //! Selects an endpoint for a request, by expected time to the first token.
 
+mod candidate;
+mod copy_source;
 mod engine_estimates;
+mod unplaced;
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use anvil_policy::copying::{self, Copying, MissingTokens};
-use anvil_policy::engine::home::WeightedRank;
-use anvil_policy::engine::memory::MemoryDemand;
-use anvil_policy::engine::{EngineRule, Prompt};
-use anvil_policy::rate_share::{Clocks, RouterRank};
-use anvil_policy::room::{EngineRoom, guaranteed_requests};
+use anvil_policy::engine::Prompt;
+use anvil_policy::rate_share::Clocks;
+use anvil_policy::room::guaranteed_requests;
 use anvil_world::prelude::*;
 
+use self::candidate::Candidate;
+use self::copy_source::copy_source;
 pub use self::engine_estimates::EngineEstimates;
-use crate::endpoint::{Endpoint, EndpointSlot, SlotWork};
+use self::unplaced::EndpointWait;
+pub use self::unplaced::Unplaced;
+use crate::endpoint::{EndpointSlot, SlotWork};
 use crate::gateway::Gateway;
 use crate::metrics;
-use crate::pauses::PauseBar;
 use crate::regions::Constraints;
 use crate::table::Route;
 use crate::warm_up::WarmUpTerms;
@@ -38,34 +40,6 @@
     pub load_summary: String,
 }
 
-/// Why no endpoint was selected.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Unplaced {
-    /// No endpoint accepts work.
-    Nobody,
-    /// No endpoint of the software version that began the stream accepts work, but others do.
-    VersionGone,
-    /// Only endpoints accept work whose software version crashes under the request.
-    CrashesEndpoints,
-    /// No endpoint is in a region in which the request may run.
-    OutsideRegions,
-    /// All endpoints are in availability zones that operators have evacuated.
-    Evacuated,
-    /// The best endpoint would respond too late: after this time.
-    TooLate(Duration),
-    /// All endpoints are at their limits, announced or of their warm-up; the first one accepts another
-    /// request after this time.
-    AtLimit(Duration),
-    /// All endpoints have asked for a pause; the first one ends after this time.
-    Paused(Duration),
-    /// Some endpoints have asked for a pause, and the others bear no more.
-    Full,
-    /// The request would overfill the memory of every engine.
-    OutOfMemory,
-    /// No endpoint has room: a request would wait there for longer than its target allows.
-    Busy,
-}
-
 /// Limits on the expected time to the first token for a placement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PlacementTerms {
@@ -76,14 +50,6 @@
     pub with_room_within: Option<Duration>,
 }
 
-/// Expected wait for one more request at a non-engine endpoint whose slots are all in use.
-const FULL_ENDPOINT_WAIT: Duration = Duration::from_millis(30);
-
-/// Usual duration of a request at a non-engine endpoint.
-const PLAIN_WORK: Duration = Duration::from_millis(40);
-/// Cost of a retry after a bad response.
-const RETRY_COST: Duration = PLAIN_WORK;
-
 impl Gateway {
     /// Selects one of a route's services at random, by weight.
     pub fn pick_service(&self, route: &Route) -> Option<ServiceId> {
@@ -100,31 +66,6 @@
         found.map(|(service, _)| service.clone())
     }
 
-    fn why_none_is_available(&self, service: &str, constraints: Constraints<'_>) -> Unplaced {
-        if self.is_outside(service, constraints.regions) {
-            return Unplaced::OutsideRegions;
-        }
-        if self.directory.is_evacuated(service) {
-            return Unplaced::Evacuated;
-        }
-        let any_contents = Constraints {
-            contents: None,
-            ..constraints
-        };
-        if !self.available_endpoints(service, any_contents).is_empty() {
-            return Unplaced::CrashesEndpoints;
-        }
-        let any_version = Constraints {
-            version: None,
-            avoided: &[],
-            ..any_contents
-        };
-        if !self.available_endpoints(service, any_version).is_empty() {
-            return Unplaced::VersionGone;
-        }
-        Unplaced::Nobody
-    }
-
     /// Selects among the endpoints of a service that satisfy the constraints.
     ///
     /// Endpoints that failed recently are used only if no others are left: an attempt there may
@@ -220,10 +161,10 @@
                 return Err(Unplaced::Full);
             }
         }
-        let with_room = accepting.iter().filter(|candidate| candidate.has_room);
-        if with_room.count() < accepting.len() {
-            self.metrics.count(metrics::ATTEMPTS_BESIDE_FULL_MEMORY);
-            accepting.retain(|candidate| candidate.has_room);
+        let with_memory = accepting.iter().filter(|candidate| candidate.has_memory);
+        if with_memory.count() < accepting.len() {
+            self.metrics.count(metrics::ATTEMPTS_MEMORY_FULL);
+            accepting.retain(|candidate| candidate.has_memory);
             if accepting.is_empty() {
                 return Err(Unplaced::OutOfMemory);
             }
@@ -261,249 +202,4 @@
         }
         Err(shortest_wait.into())
     }
-
-    fn engine_terms<'a>(
-        &self,
-        service: &str,
-        prompt: &Prompt<'_>,
-        available: &'a [Arc<Endpoint>],
-    ) -> EngineTerms<'a> {
-        let estimate = self.engine_estimates.of(service);
-        let rule = estimate.speed.apply_to(&self.engine_estimates.prior);
-        let table = self.table.load();
-        let service = table.as_ref().and_then(|table| table.services.get(service));
-        let engine = service.and_then(|service| service.engine);
-        let prompt_tokens = prompt.tokens();
-        let held_tokens = if prompt_tokens == 0 {
-            0
-        } else {
-            prompt_tokens + estimate.sizes.expected_output(prompt.max_output)
-        };
-        let memory = engine.filter(|engine| engine.memory_tokens > 0 && held_tokens > 0);
-        EngineTerms {
-            home: home_of(prompt, available),
-            copying: engine.and_then(|engine| {
-                Copying::between(engine.bytes_per_token, engine.link_mbps, &rule)
-            }),
-            memory: memory.map(|engine| MemoryDemand {
-                capacity: engine.memory_tokens,
-                request: held_tokens,
-                mean_request: estimate.sizes.mean().unwrap_or(held_tokens),
-            }),
-            held_tokens,
-            rule,
-        }
-    }
-
-    /// Network round trip to an endpoint.
-    pub(crate) fn round_trip_to(&self, endpoint: &Endpoint) -> Duration {
-        if endpoint.zone == self.cfg.zone.id {
-            Duration::ZERO
-        } else {
-            self.engine_estimates.other_zone_round_trip()
-        }
-    }
-
-    fn estimate<'a>(
-        &self,
-        now: Now,
-        prompt: &Prompt<'_>,
-        terms: &EngineTerms<'_>,
-        endpoint: &'a Arc<Endpoint>,
-    ) -> Candidate<'a> {
-        let rule = &terms.rule;
-        let load = endpoint.load();
-        let network_delay = self.round_trip_to(endpoint);
-        let base = network_delay + load.failure_cost(RETRY_COST);
-        let on_cooldown = load.is_on_cooldown(now);
-        let pause = endpoint.pause_bar(now);
-        let memory = terms.memory.as_ref();
-        let has_room = memory.is_none_or(|demand| load.has_room(now, demand));
-        if prompt.parts.is_empty() {
-            let utilisation = f64::from(load.estimated_requests(now))
-                / f64::from(load.slots(endpoint.slots).max(1));
-            let jitter = Duration::from_micros(rand::random_range(0..500));
-            let work = FULL_ENDPOINT_WAIT.mul_f64(utilisation) + PLAIN_WORK;
-            return Candidate {
-                endpoint,
-                expected: base + work.mul_f64(load.work_factor(now)) + jitter,
-                is_engine: false,
-                reload_cost: Duration::ZERO,
-                missing: MissingTokens {
-                    by_own_requests: 0,
-                    with_home: 0,
-                },
-                has_room,
-                on_cooldown,
-                pause,
-            };
-        }
-        let is_home = terms.home.is_some_and(|home| Arc::ptr_eq(home, endpoint));
-        let by_own_requests = load.missing_tokens(now, rule, prompt, false);
-        let with_home = if is_home {
-            load.missing_tokens(now, rule, prompt, true)
-        } else {
-            by_own_requests
-        };
-        let expected = load.expected_first_token(now, rule, with_home, endpoint.slots);
-        let reload_cost = if terms.copying.is_some() {
-            // A prefix that is cached elsewhere is copied.
-            Duration::ZERO
-        } else {
-            load.reload_cost(now, rule, prompt.missing_shared(with_home))
-        };
-        Candidate {
-            endpoint,
-            expected: base + expected,
-            is_engine: true,
-            reload_cost,
-            missing: MissingTokens {
-                by_own_requests,
-                with_home,
-            },
-            has_room,
-            on_cooldown,
-            pause,
-        }
-    }
-}
-
-/// What applies to all engines among which one is selected.
-struct EngineTerms<'a> {
-    /// How fast they work.
-    rule: EngineRule,
-    /// The home of the prompt's shared prefix.
-    home: Option<&'a Arc<Endpoint>>,
-    /// How they copy from each other, if that is much faster than prefill.
-    copying: Option<Copying>,
-    /// What the request would add to their memory, if the table states how large that is.
-    memory: Option<MemoryDemand>,
-    /// Tokens of the request: its prompt and expected output.
-    held_tokens: Tokens,
-}
-
-/// An endpoint with the estimate for this request.
-struct Candidate<'a> {
-    endpoint: &'a Arc<Endpoint>,
-    /// Time to the first token if all missing prompt tokens are processed.
-    expected: Duration,
-    /// Whether it processes the request's prompt.
-    is_engine: bool,
-    /// What it costs other requests if the prompt's shared prefix is processed there.
-    reload_cost: Duration,
-    /// Prompt tokens that are not cached there.
-    missing: MissingTokens,
-    /// Whether the request fits into its memory.
-    has_room: bool,
-    /// Whether it failed recently and is on cooldown.
-    on_cooldown: bool,
-    /// How the pause that it asked for bars it.
-    pause: PauseBar,
-}
-
-impl Candidate<'_> {
-    /// Whether the engine has room for a request that can wait.
-    fn has_engine_room(&self, now: Now, within: Duration) -> bool {
-        let load = self.endpoint.load();
-        let room = EngineRoom {
-            requests: load.estimated_requests(now),
-            slots: load.slots(self.endpoint.slots).max(1),
-            expected: self.expected,
-            has_pending_prompts: load.pending_prefill > 0,
-        };
-        room.allows(within)
-    }
-
-    fn wait(
-        &self,
-        warm_up: Option<&WarmUpTerms>,
-        at: Clocks,
-        position: RouterRank,
-    ) -> EndpointWait {
-        let endpoint = self.endpoint;
-        let warm_up_wait = warm_up.map_or(Duration::ZERO, |terms| endpoint.warm_up_wait(terms, at));
-        let by_limit = endpoint.rate_limit_wait(at, position).max(warm_up_wait);
-        EndpointWait {
-            time: by_limit.max(self.pause.wait),
-            by_pause: self.pause.wait > by_limit,
-        }
-    }
-}
-
-/// Time until an endpoint accepts another request of this gateway, by what bars it until then.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct EndpointWait {
-    time: Duration,
-    by_pause: bool,
-}
-
-impl EndpointWait {
-    const MAX: Self = Self {
-        time: Duration::MAX,
-        by_pause: true,
-    };
-
-    fn is_zero(self) -> bool {
-        self.time.is_zero()
-    }
-}
-
-impl From<EndpointWait> for Unplaced {
-    fn from(wait: EndpointWait) -> Self {
-        if wait.by_pause {
-            Self::Paused(wait.time)
-        } else {
-            Self::AtLimit(wait.time)
-        }
-    }
-}
-
-/// An engine from which another one copies a cached prefix.
-struct CopySource {
-    addr: SocketAddr,
-    /// Tokens whose processing takes as long as copying the prefix and processing the rest.
-    equivalent_tokens: Tokens,
-}
-
-/// The engine to copy the prefix from, if copying is much faster than recomputing it.
-fn copy_source(
-    terms: &EngineTerms<'_>,
-    prompt: &Prompt<'_>,
-    selected: &Candidate<'_>,
-    candidates: &[Candidate<'_>],
-) -> Option<CopySource> {
-    prompt.shared_prefix()?;
-    let copying = terms.copying?;
-    let others = candidates
-        .iter()
-        .filter(|other| !other.on_cooldown && !other.pause.is_paused);
-    let others = others.filter(|other| other.endpoint.id != selected.endpoint.id);
-    let others: Vec<_> = others
-        .map(|other| (other.endpoint.addr, other.missing))
-        .collect();
-    let (addr, source_missing) = copying::source(selected.missing, &others)?;
-    Some(CopySource {
-        addr,
-        equivalent_tokens: copying.equivalent_missing(
-            selected.missing.with_home,
-            source_missing,
-            &terms.rule,
-        ),
-    })
-}
-
-fn home_of<'a>(prompt: &Prompt<'_>, endpoints: &'a [Arc<Endpoint>]) -> Option<&'a Arc<Endpoint>> {
-    let subject = prompt.shared_prefix()?;
-    let ranked = endpoints.iter().map(|endpoint| {
-        let weight = endpoint.load().home_weight();
-        (endpoint, WeightedRank::new(subject, &endpoint.id, weight))
-    });
-    let home = ranked.reduce(|best, other| {
-        if other.1.is_above(&best.1) {
-            other
-        } else {
-            best
-        }
-    });
-    home.map(|(endpoint, _)| endpoint)
 }
--- a/crates/anvil_gateway/src/crashes.rs
+++ b/crates/anvil_gateway/src/crashes.rs
@@ -101,7 +101,7 @@
         }
         // One that is no longer listed is named by the gateways that noticed its crash earlier.
         if let Some(known) = self.directory.find(endpoint) {
-            self.suspects.name_service(&known.service, endpoint);
+            self.suspects.report_service(&known.service, endpoint);
         }
     }
 
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -49,7 +49,7 @@
 pub const ATTEMPTS_WITH_COPY: &str = "tries.copied";
 /// Attempts for which engines were passed over, because the request would overfill their memory.
 /// Count.
-pub const ATTEMPTS_BESIDE_FULL_MEMORY: &str = "tries.memory_full";
+pub const ATTEMPTS_MEMORY_FULL: &str = "tries.memory_full";
 /// Endpoints that crashed under requests. Count.
 pub const ENDPOINT_CRASHES: &str = "endpoints.crashed";
 /// Of these, the ones whose report was dropped because too many were pending. Count.
@@ -159,7 +159,7 @@
     (ATTEMPTS_IN_DOUBT, "count"),
     (RETRIES_DENIED, "count"),
     (ATTEMPTS_WITH_COPY, "count"),
-    (ATTEMPTS_BESIDE_FULL_MEMORY, "count"),
+    (ATTEMPTS_MEMORY_FULL, "count"),
     (ENDPOINT_CRASHES, "count"),
     (CRASHES_UNREPORTED, "count"),
     (REQUESTS_QUARANTINED, "gauge"),
--- a/crates/anvil_gateway/src/stream_relay.rs
+++ b/crates/anvil_gateway/src/stream_relay.rs
@@ -98,11 +98,11 @@
     }
 
     /// Starts to read ahead if the client has fallen behind.
-    async fn keep_up(self) -> Self {
+    async fn read_ahead_if_slow(self) -> Self {
         let Self::Direct(mut relay) = self else {
             return self;
         };
-        relay.let_write().await;
+        relay.yield_to_writes().await;
         if relay.exchange.client.reads_slowly() {
             Self::Ahead(relay.read_ahead())
         } else {
@@ -139,7 +139,7 @@
         relay.exchange.trace.record_first_piece();
         let forwarding = Forwarding::Direct(Box::new(relay));
         let stream = unfold(Some(forwarding), |forwarding| async move {
-            let mut forwarding = forwarding?.keep_up().await;
+            let mut forwarding = forwarding?.read_ahead_if_slow().await;
             match forwarding.next_frame().await? {
                 Ok(bytes) => Some((Ok(Frame::data(bytes)), Some(forwarding))),
                 Err(e) => Some((Err(e), None)),
@@ -177,7 +177,7 @@
     /// Lets the connection write some events to the client's socket before it takes more, so that it
     /// shows whether the client reads them: a connection that holds too many takes no more, and nothing
     /// would start the reading ahead.
-    async fn let_write(&mut self) {
+    async fn yield_to_writes(&mut self) {
         self.unwritten += 1;
         if self.unwritten >= MAX_UNWRITTEN_EVENTS {
             self.unwritten = 0;
--- a/crates/anvil_gateway/src/suspects.rs
+++ b/crates/anvil_gateway/src/suspects.rs
@@ -105,7 +105,7 @@
 
     /// Tells the ledger which service a crashed endpoint belongs to, so that an operator's order for the
     /// service finds the requests that it crashed under.
-    pub fn name_service(&self, service: &str, endpoint: &str) {
+    pub fn report_service(&self, service: &str, endpoint: &str) {
         let content = content::of_endpoint(service, endpoint);
         if self.update_pending(|pending| pending.add_answered(content)) {
             self.report_wanted.notify_one();
