The log lines of a request share their fields; tests of descriptors their endpoint

Cause: the fields that completed and failed requests have in common were written twice, and four tests of few_descriptors each wrote the same endpoint.

Change: one local macro and one function. The outcome of a failed request now stands behind `held_ms` in its line instead of behind the id.

--- a/crates/anvil_gateway/src/trace.rs
+++ b/crates/anvil_gateway/src/trace.rs
@@ -155,32 +155,30 @@
         let stages = &self.stages;
         let confirmed_ms = self.gw.ledger_confirmed_ms.load(Ordering::Relaxed);
         let since_confirmed_ms = self.gw.now_ms().saturating_sub(confirmed_ms);
+        // What the lines of completed and failed requests share.
+        macro_rules! request_event {
+            ($event:path $(, $key:literal => $value:expr)*) => {
+                event!(
+                    log, $event, "request" => &*self.id, "route" => self.route.as_deref(),
+                    "organisation" => self.organisation.as_deref(), "table" => self.table_version,
+                    "held_ms" => since_confirmed_ms $(, $key => $value)*,
+                    "first_ms" => first_ms, "pause_ms" => longest_gap_ms, "took_ms" => took_ms,
+                    "target_ms" => target_ms, "pause_target_ms" => pause_target_ms,
+                    "body_ms" => stages.body.as_millis(), "money_ms" => stages.money.as_millis(),
+                    "place_ms" => stages.place.as_millis(),
+                    "connect_ms" => stages.connect.as_millis(),
+                    "response_ms" => stages.response.as_millis(),
+                    "billed" => self.cost, "steps" => &*self.steps
+                )
+            };
+        }
         if outcome == "completed" {
-            event!(
-                log, events::GATEWAY_REQUEST_COMPLETED,
-                "request" => &*self.id, "route" => self.route.as_deref(),
-                "organisation" => self.organisation.as_deref(), "table" => self.table_version,
-                "held_ms" => since_confirmed_ms,
-                "first_ms" => first_ms, "pause_ms" => longest_gap_ms, "took_ms" => took_ms,
-                "target_ms" => target_ms, "pause_target_ms" => pause_target_ms,
-                "body_ms" => stages.body.as_millis(), "money_ms" => stages.money.as_millis(),
-                "place_ms" => stages.place.as_millis(), "connect_ms" => stages.connect.as_millis(),
-                "response_ms" => stages.response.as_millis(),
-                "billed" => self.cost, "steps" => &*self.steps
-            );
+            request_event!(events::GATEWAY_REQUEST_COMPLETED);
         } else {
             let lost = self.lost_contents.as_ref();
-            event!(
-                log, events::GATEWAY_REQUEST_FAILED,
-                "request" => &*self.id, "outcome" => outcome, "route" => self.route.as_deref(),
-                "organisation" => self.organisation.as_deref(), "table" => self.table_version,
-                "held_ms" => since_confirmed_ms, "content" => lost.map(|lost| &*lost.request), "parts" => lost.map(|lost| &*lost.parts),
-                "first_ms" => first_ms, "pause_ms" => longest_gap_ms, "took_ms" => took_ms,
-                "target_ms" => target_ms, "pause_target_ms" => pause_target_ms,
-                "body_ms" => stages.body.as_millis(), "money_ms" => stages.money.as_millis(),
-                "place_ms" => stages.place.as_millis(), "connect_ms" => stages.connect.as_millis(),
-                "response_ms" => stages.response.as_millis(),
-                "billed" => self.cost, "steps" => &*self.steps
+            request_event!(
+                events::GATEWAY_REQUEST_FAILED, "outcome" => outcome,
+                "content" => lost.map(|lost| &*lost.request), "parts" => lost.map(|lost| &*lost.parts)
             );
         }
     }
--- a/crates/anvil_gateway/tests/overload/few_descriptors.rs
+++ b/crates/anvil_gateway/tests/overload/few_descriptors.rs
@@ -44,6 +44,12 @@
     gateway
 }
 
+/// An endpoint that answers each request after this time.
+async fn answering_after(pause: Duration) -> TestEndpoint {
+    let respond = move |_, req: &_| vec![Step::Pause(pause), Step::Send(response(req, "ran"))];
+    TestEndpoint::start(respond).await
+}
+
 /// Two hundred clients that connect, send a request and try again for some seconds.
 struct Crowd {
     started: Instant,
@@ -129,13 +135,7 @@
 #[tokio::test]
 async fn process_never_runs_out_of_descriptors() {
     let _alone = LOADED_MACHINE.lock().await;
-    let endpoint = TestEndpoint::start(|_, req| {
-        vec![
-            Step::Pause(Duration::from_millis(20)),
-            Step::Send(response(req, "ran")),
-        ]
-    })
-    .await;
+    let endpoint = answering_after(Duration::from_millis(20)).await;
     let mut process = Command::new(std::env::current_exe().expect("a path"))
         .args([
             "few_descriptors::gateway_of_its_own_process",
@@ -173,13 +173,7 @@
 #[tokio::test]
 async fn many_clients_use_no_more_descriptors_than_there_are() {
     let _alone = LOADED_MACHINE.lock().await;
-    let endpoint = TestEndpoint::start(|_, req| {
-        vec![
-            Step::Pause(Duration::from_millis(20)),
-            Step::Send(response(req, "ran")),
-        ]
-    })
-    .await;
+    let endpoint = answering_after(Duration::from_millis(20)).await;
     let gateway = start_with_descriptors(40, &endpoint).await;
     let crowd = Crowd::start(gateway.addr);
     while !crowd.is_over() {
@@ -197,13 +191,7 @@
 /// Guards against clients that are rejected while connections to endpoints are idle.
 #[tokio::test]
 async fn idle_endpoint_connections_are_closed_first() {
-    let endpoint = TestEndpoint::start(|_, req| {
-        vec![
-            Step::Pause(Duration::from_millis(500)),
-            Step::Send(response(req, "ran")),
-        ]
-    })
-    .await;
+    let endpoint = answering_after(Duration::from_millis(500)).await;
     let gateway = start_with_descriptors(40, &endpoint).await;
     let mut clients = Vec::new();
     for number in 0..15 {
@@ -231,13 +219,7 @@
 /// Guards against a planned stop that waits for a listener that is closed at that time.
 #[tokio::test]
 async fn planned_stop_ends_while_clients_are_rejected() {
-    let endpoint = TestEndpoint::start(|_, req| {
-        vec![
-            Step::Pause(Duration::from_millis(500)),
-            Step::Send(response(req, "ran")),
-        ]
-    })
-    .await;
+    let endpoint = answering_after(Duration::from_millis(500)).await;
     let gateway = start_with_descriptors(2, &endpoint).await;
     let mut client = Client::connect(gateway.addr).await;
     client.send("/once/x", "id", "content-length: 0\r\n").await;
