--- a/crates/anvil_policy/src/admission.rs
+++ b/crates/anvil_policy/src/admission.rs
@@ -70,7 +70,8 @@
 pub enum AdmissionDecision {
     /// The request runs now. The caller reports its end with [`AdmissionGate::finished`].
     Run,
-    /// The request is queued; [`AdmissionGate::next`] or [`AdmissionGate::expired`] returns it later.
+    /// The request is queued; [`AdmissionGate::next`] or [`AdmissionGate::expired`] returns it
+    /// later.
     Wait(WaiterId),
     /// The request is refused now.
     Refuse(Refusal),
@@ -292,7 +293,8 @@
         let taken: f64 = more_urgent.map(|(_, demand)| demand.rate(now)).sum();
         let least = slots / f64::from(MAX_OFFERS_WITHOUT_START);
         let left = (slots - taken / MICROS_PER_SECOND).max(least);
-        to_f64(ahead.saturating_add(own)) / MICROS_PER_SECOND / left
+        let ahead = Duration::from_micros(ahead.saturating_add(own));
+        ahead.as_secs_f64() / left
     }
 
     /// Amount by which the organisation's backlog exceeds the free part of the maximum wait.
@@ -354,11 +356,3 @@
     }
     to_target
 }
-
-#[expect(
-    clippy::cast_precision_loss,
-    reason = "an estimate needs no last digit"
-)]
-fn to_f64(micros: u64) -> f64 {
-    micros as f64
-}
--- a/crates/anvil_policy/src/engine.rs
+++ b/crates/anvil_policy/src/engine.rs
@@ -12,11 +12,12 @@
 //! not cached. Each shared prefix has a home engine that all routers compute in the same way
 //! ([`home`]), so that they agree without communication. A busy home is skipped when prefilling the
 //! prefix elsewhere is faster by more than it costs other requests ([`EndpointView::reload_cost`]):
-//! without that cost, requests leave slow homes for fast engines, whose caches and queues they fill.
+//! without that cost, requests leave slow homes for fast engines, whose caches and queues they
+//! fill.
 //!
 //! *Thresholds:* the speed assumed of an engine before any response is in [`EngineRule`]; [`speed`]
-//! learns it. Cooldowns after failures are short, so that an endpoint that has recovered is not left
-//! idle while the others are full.
+//! learns it. Cooldowns after failures are short, so that an endpoint that has recovered is not
+//! left idle while the others are full.
 
 pub mod home;
 pub mod memory;
@@ -31,6 +32,7 @@
 use self::memory::MemoryDemand;
 use self::speed::{RelativeSpeed, ReportedWork, ServiceSpeed, WorkAhead};
 use crate::pace::WorkPace;
+use crate::token_counts::{to_tokens, tokens_to_f64};
 
 /// How fast engines work, as the routers assume it before they have learned it.
 #[derive(Debug, Clone, PartialEq)]
@@ -71,7 +73,7 @@
 impl EngineRule {
     /// Time to prefill this number of tokens.
     pub fn prefill_time(&self, tokens: Tokens) -> Duration {
-        Duration::from_secs_f64(tokens_f64(tokens) / self.prefill_tokens_per_ms / 1e3)
+        Duration::from_secs_f64(tokens_to_f64(tokens) / self.prefill_tokens_per_ms / 1e3)
     }
 }
 
@@ -179,7 +181,7 @@
     }
 
     /// Whether a request fits into the engine's memory.
-    pub fn has_room(&self, now: Now, demand: &MemoryDemand) -> bool {
+    pub fn has_memory_for(&self, now: Now, demand: &MemoryDemand) -> bool {
         demand.fits(self.own_held, self.others_holding(now))
     }
 
@@ -392,9 +394,9 @@
         usual.mul_f64(self.work_factor(now) / self.speed.factor())
     }
 
-    /// Cost for other requests if the engine prefills this number of tokens of a shared prefix: they
-    /// delay the prompts behind them, and evict a prefix that other requests find there. It is as
-    /// long as the prefill itself, so prompts leave a prefix's home only if that saves twice the
+    /// Cost for other requests if the engine prefills this number of tokens of a shared prefix:
+    /// they delay the prompts behind them, and evict a prefix that other requests find there. It is
+    /// as long as the prefill itself, so prompts leave a prefix's home only if that saves twice the
     /// time that it costs.
     pub fn reload_cost(&self, now: Now, rule: &EngineRule, shared: Tokens) -> Duration {
         let slowness = self.work_factor(now) / self.speed.factor();
@@ -422,12 +424,7 @@
         };
         let queued_tokens = Tokens::from(report.waiting) * rule.queued_prompt_tokens;
         let elapsed_ms = now.saturating_sub(report.at).as_secs_f64() * 1e3;
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "a few seconds at some tokens a millisecond"
-        )]
-        let prefilled = (elapsed_ms * rule.prefill_tokens_per_ms * self.speed.factor()) as Tokens;
+        let prefilled = to_tokens(elapsed_ms * rule.prefill_tokens_per_ms * self.speed.factor());
         queued_tokens
             .saturating_sub(self.pending_prefill)
             .saturating_sub(prefilled)
@@ -440,8 +437,3 @@
         self.parts.retain(|_, at| *at >= cut);
     }
 }
-
-#[expect(clippy::cast_precision_loss, reason = "far below 2^52 tokens")]
-pub(crate) fn tokens_f64(tokens: Tokens) -> f64 {
-    tokens as f64
-}
--- a/crates/anvil_policy/src/engine/speed.rs
+++ b/crates/anvil_policy/src/engine/speed.rs
@@ -4,8 +4,9 @@
 //! services whose engines prefill several times as fast as others.
 //!
 //! *Without it:* prompts queue at slow engines until their reports show it, while faster ones are
-//! idle. Where all engines prefill faster than assumed, the cost of a full batch is overestimated in
-//! comparison, and prompts leave the homes of their prefixes, which are prefilled again elsewhere.
+//! idle. Where all engines prefill faster than assumed, the cost of a full batch is overestimated
+//! in comparison, and prompts leave the homes of their prefixes, which are prefilled again
+//! elsewhere.
 //!
 //! *Mechanism:* each time to a first event is compared with the expected one. The difference moves
 //! the parts of the service's estimate (prefill, batch, first event) in proportion to their shares
@@ -22,7 +23,8 @@
 
 use anvil_world::prelude::*;
 
-use super::{EngineRule, tokens_f64};
+use super::EngineRule;
+use crate::token_counts::tokens_to_f64;
 
 /// Clip of the logarithm of a sample's ratio to the expected time: beyond a factor of two, a sample
 /// says more about a lost or late packet than about speed.
@@ -34,8 +36,8 @@
 const UNREPORTED_WEIGHT: f64 = 0.25;
 /// Weight of a sample whose prompt the engine may have cached through other routers, or evicted.
 const UNKNOWN_CACHE_WEIGHT: f64 = 0.1;
-/// Weight of a sample that is slower than expected, relative to a faster one: other routers' prompts
-/// that no report shows only ever make a sample slower.
+/// Weight of a sample that is slower than expected, relative to a faster one: other routers'
+/// prompts that no report shows only ever make a sample slower.
 const SLOWER_WEIGHT: f64 = 1.0 / 3.0;
 /// Weight of the prior of an engine's speed, in samples.
 const ENGINE_PRIOR_WEIGHT: f64 = 2.0;
@@ -213,8 +215,8 @@
     fn expected(rule: &EngineRule, own_tokens: Tokens, reported: ReportedWork) -> Self {
         let per_token = 1.0 / rule.prefill_tokens_per_ms / 1e3;
         Self {
-            prefill: tokens_f64(own_tokens) * per_token,
-            others: tokens_f64(reported.others_tokens) * per_token,
+            prefill: tokens_to_f64(own_tokens) * per_token,
+            others: tokens_to_f64(reported.others_tokens) * per_token,
             batch: rule.full_penalty.as_secs_f64() * reported.fullness.powi(2),
             first_event: rule.first_event_time.as_secs_f64(),
         }
@@ -257,7 +259,7 @@
         return;
     }
     let own_tokens = ahead.new_tokens + ahead.pending_tokens;
-    let mut weight = tokens_f64(ahead.new_tokens) / tokens_f64(own_tokens);
+    let mut weight = tokens_to_f64(ahead.new_tokens) / tokens_to_f64(own_tokens);
     if ahead.reported.is_none() {
         weight *= UNREPORTED_WEIGHT;
     }
--- a/crates/anvil_policy/src/waiting.rs
+++ b/crates/anvil_policy/src/waiting.rs
@@ -48,9 +48,9 @@
 /// Priority class of a request; 0 is the most urgent.
 pub type PriorityClass = u8;
 
-/// A class of which this many requests were offered without a dispatch is overdue. At most one dispatch in
-/// this many goes to an overdue class, so that a less urgent class gains at most 5 in 100 over a more
-/// urgent one.
+/// A class of which this many requests were offered without a dispatch is overdue. At most one
+/// dispatch in this many goes to an overdue class, so that a less urgent class gains at most 5 in
+/// 100 over a more urgent one.
 pub const MAX_OFFERS_WITHOUT_START: u32 = 20;
 
 /// Number of dispatches in a row of streams that clients take up, after which a new request of their class
