The test of a full read-ahead buffer waits for it to fill

Cause: it looked at the buffer after half a second, in which a loaded machine had not filled it (240,715 bytes at a load of 40 on seven cores).

Change: it waits until the buffer has reached its bound, and then looks whether it goes beyond it. All bounds are as before.

--- a/crates/anvil_gateway/tests/direct/slow_readers.rs
+++ b/crates/anvil_gateway/tests/direct/slow_readers.rs
@@ -22,8 +22,8 @@
 const EVENT_BYTES: usize = 1_000;
 /// Small socket buffers, so that a response of some hundred kilobytes does not fit into them.
 const SOCKET_BYTES: u32 = 4_096;
-/// Events of a response that is larger than the socket buffers on its way, and smaller than these and the
-/// stream's buffer.
+/// Events of a response that is larger than the socket buffers on its way, and smaller than these
+/// and the stream's buffer.
 const EVENTS: u64 = 280;
 /// Events that fit into the sockets' and the connection's buffers to the client, at most.
 const MAX_EVENTS_ON_THE_WAY: u64 = 64;
@@ -139,7 +139,8 @@
     1_000_000 - view.free
 }
 
-/// Guards against a response that the endpoint cuts off because its client reads nothing for seconds.
+/// Guards against a response that the endpoint cuts off because its client reads nothing for
+/// seconds.
 #[tokio::test]
 async fn stream_of_a_client_that_pauses_is_not_cut_off() {
     let endpoint = CuttingEndpoint::start(EVENTS, Duration::ZERO);
@@ -158,14 +159,15 @@
     assert_eq!(gateway.gw.read_ahead().total(), 0);
 }
 
-/// Guards against a client that reads nothing and takes ever more memory, against an endpoint that goes
-/// on for a client that has left, and against a charge for output that the client never got.
+/// Guards against a client that reads nothing and takes ever more memory, against an endpoint that
+/// goes on for a client that has left, and against a charge for output that the client never got.
 #[tokio::test]
 async fn client_that_never_reads_is_bounded_and_pays_only_for_what_it_got() {
     let endpoint = CuttingEndpoint::start(20 * EVENTS, Duration::ZERO);
     let (gateway, _) = start_gateway(&endpoint).await;
     let client = send_request(&gateway).await;
-    sleep(CUT_OFF_AFTER / 2).await;
+    until(|| gateway.gw.read_ahead().total() >= MAX_STREAM_BYTES).await;
+    sleep(CUT_OFF_AFTER / 4).await;
     let held = gateway.gw.read_ahead().total();
     let one_more = 2 * EVENT_BYTES as u64;
     assert!(
@@ -184,8 +186,8 @@
     );
 }
 
-/// Guards against a client that stays connected and reads nothing, and keeps its buffer and its connection
-/// for good: both while the endpoint has more to send, and once all of it has been read.
+/// Guards against a client that stays connected and reads nothing, and keeps its buffer and its
+/// connection for good: both while the endpoint has more to send, and once all of it has been read.
 #[tokio::test]
 async fn stream_of_a_client_that_never_reads_ends_at_its_deadline() {
     for events in [EVENTS, 20 * EVENTS] {
@@ -221,8 +223,8 @@
     reached.expect("the state");
 }
 
-/// An endpoint that writes the events from the one asked for up to `last`, then resets the connection or
-/// ends the stream.
+/// An endpoint that writes the events from the one asked for up to `last`, then resets the
+/// connection or ends the stream.
 async fn writing_endpoint(last: u64, is_lost: bool) -> TestEndpoint {
     TestEndpoint::start(move |_, req| {
         let after = req.header("x-after").and_then(|id| id.parse().ok());
@@ -240,8 +242,9 @@
     .await
 }
 
-/// Guards against events that are lost or repeated when the endpoint of a stream that is read ahead is lost:
-/// the next endpoint continues after the last event read, not after the last one that the client has.
+/// Guards against events that are lost or repeated when the endpoint of a stream that is read ahead
+/// is lost: the next endpoint continues after the last event read, not after the last one that the
+/// client has.
 #[tokio::test]
 async fn stream_that_is_read_ahead_is_resumed_after_the_last_event_read() {
     let lost = writing_endpoint(EVENTS / 2, true).await;
