--- a/crates/anvil_gateway/src/accept/client_socket.rs
+++ b/crates/anvil_gateway/src/accept/client_socket.rs
@@ -1,9 +1,9 @@
 //! A client's connection, and whether the client still holds it open.
 //!
-//! Failure: a client gives up and closes its connection while its request waits for the processor, for
-//! tokens or for an endpoint. The HTTP server notices that only when it next reads from the socket, so
-//! the request is sent although nobody waits for the response. So the socket is looked at once more just
-//! before the request is sent.
+//! Failure: a client gives up and closes its connection while its request waits for the processor,
+//! for tokens or for an endpoint. The HTTP server notices that only when it next reads from the
+//! socket, so the request is sent although nobody waits for the response. So the socket is looked
+//! at once more just before the request is sent.
 
 use std::io;
 use std::pin::Pin;
@@ -37,7 +37,8 @@
 pub struct ClientConnection {
     socket: Weak<Mutex<TcpStream>>,
     accepted_at: Instant,
-    /// Whether the first request had arrived before the connection was accepted and has not been read.
+    /// Whether the first request had arrived before the connection was accepted and has not been
+    /// read.
     first_is_waiting: AtomicBool,
     /// Whether the last write had to wait, because the socket's buffer is full.
     reads_slowly: Arc<AtomicBool>,
@@ -86,7 +87,8 @@
 }
 
 impl ClientConnection {
-    /// Whether the client has closed its connection, also if the HTTP server has not noticed it yet.
+    /// Whether the client has closed its connection, also if the HTTP server has not noticed it
+    /// yet.
     pub fn is_closed(&self) -> bool {
         let socket = self.socket.upgrade();
         socket.is_none_or(|socket| peek(&lock(&socket)) == SocketState::Closed)
@@ -105,8 +107,8 @@
         }
     }
 
-    /// Start of the time limit of a request whose head has just been read: the accept, if it is the first
-    /// request and had arrived by then.
+    /// Start of the time limit of a request whose head has just been read: the accept, if it is the
+    /// first request and had arrived by then.
     pub fn request_started_at(&self) -> Instant {
         if self.first_is_waiting.swap(false, Ordering::Relaxed) {
             self.accepted_at
@@ -116,8 +118,8 @@
     }
 }
 
-/// Looks at a socket without reading from it. Asks the kernel and not the runtime, which learns of new
-/// data and closed connections only between tasks.
+/// Looks at a socket without reading from it. Asks the kernel and not the runtime, which learns of
+/// new data and closed connections only between tasks.
 fn peek(socket: &TcpStream) -> SocketState {
     let mut byte = [0];
     match recv(socket, &mut byte, RecvFlags::PEEK | RecvFlags::DONTWAIT) {
--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -45,8 +45,8 @@
 pub struct PlacementTerms {
     /// Its response must be expected within this time.
     pub within: Duration,
-    /// If it can wait in front of the endpoints: it is placed only while an endpoint has room, where
-    /// its response is expected within this time, or would not be delayed by other requests.
+    /// If it can wait in front of the endpoints: it is placed only while an endpoint has room,
+    /// where its response is expected within this time, or would not be delayed by other requests.
     pub with_room_within: Option<Duration>,
 }
 
--- a/crates/anvil_gateway/src/choose/engine_estimates.rs
+++ b/crates/anvil_gateway/src/choose/engine_estimates.rs
@@ -1,5 +1,5 @@
-//! What this gateway has learned of the engines of each service. [`anvil_policy::engine`] decides what
-//! a response says about speed and sizes.
+//! What this gateway has learned of the engines of each service. [`anvil_policy::engine`] decides
+//! what a response says about speed and sizes.
 
 use std::collections::BTreeMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
--- a/crates/anvil_gateway/src/choose/unplaced.rs
+++ b/crates/anvil_gateway/src/choose/unplaced.rs
@@ -20,8 +20,8 @@
     Evacuated,
     /// The best endpoint would respond too late: after this time.
     TooLate(Duration),
-    /// All endpoints are at their limits, announced or of their warm-up; the first one accepts another
-    /// request after this time.
+    /// All endpoints are at their limits, announced or of their warm-up; the first one accepts
+    /// another request after this time.
     AtLimit(Duration),
     /// All endpoints have asked for a pause; the first one ends after this time.
     Paused(Duration),
--- a/crates/anvil_gateway/src/endpoint.rs
+++ b/crates/anvil_gateway/src/endpoint.rs
@@ -286,7 +286,8 @@
     }
 
     /// Records that the first event of the response has come, which shows how fast the endpoint
-    /// works; `round_trip` is the part of its time that the network took. Further calls have no effect.
+    /// works; `round_trip` is the part of its time that the network took. Further calls have no
+    /// effect.
     pub fn record_first_event(
         &mut self,
         now: Now,
--- a/crates/anvil_gateway/src/exchange/one_attempt.rs
+++ b/crates/anvil_gateway/src/exchange/one_attempt.rs
@@ -31,8 +31,8 @@
 const UNRESPONSIVE_TARGETS: f64 = 2.0;
 
 impl Exchange {
-    /// Selects an endpoint and sends the request to it. `after` is the id of the last event that was
-    /// delivered.
+    /// Selects an endpoint and sends the request to it. `after` is the id of the last event that
+    /// was delivered.
     pub(super) async fn one_attempt(
         &mut self,
         after: Option<u64>,
--- a/crates/anvil_gateway/src/exchange/place.rs
+++ b/crates/anvil_gateway/src/exchange/place.rs
@@ -102,14 +102,15 @@
         endpoint.has_free_slot(self.gw.lifecycle.now())
     }
 
-    /// The time until an endpoint accepts another request, zero if it is not known; `None` if waiting
-    /// does not help.
+    /// The time until an endpoint accepts another request, zero if it is not known; `None` if
+    /// waiting does not help.
     fn wait_for(&self, unplaced: Unplaced) -> Option<Duration> {
         match unplaced {
             Unplaced::Busy => Some(Duration::ZERO),
             Unplaced::AtLimit(wait) => Some(wait),
             Unplaced::TooLate(expected) => Some(expected.saturating_sub(self.first_token_within())),
-            // Nothing shows this gateway when pauses end, or when other gateways' requests leave memory.
+            // Nothing shows this gateway when pauses end, or when other gateways' requests leave
+            // memory.
             Unplaced::Full
             | Unplaced::OutOfMemory
             | Unplaced::Nobody
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -67,7 +67,8 @@
     pub retry_window: Duration,
     /// Address at which the other gateways reach this one; all of them use the same port.
     pub siblings_addr: SocketAddr,
-    /// Address to bind for them, if traffic to [`Self::siblings_addr`] is forwarded to another address.
+    /// Address to bind for them, if traffic to [`Self::siblings_addr`] is forwarded to another
+    /// address.
     pub siblings_bind: Option<SocketAddr>,
     /// Maximum age of the platform's list before it is read again.
     pub max_list_age: Duration,
@@ -76,8 +77,8 @@
     pub warm_up_tolerance: BurstTolerance,
     /// What the machine provides.
     pub limits: ResourceLimits,
-    /// The longest outage of the ledger over which requests are to be paid for; `None` if grants need not
-    /// outlast one.
+    /// The longest outage of the ledger over which requests are to be paid for; `None` if grants
+    /// need not outlast one.
     pub outage_horizon: Option<Duration>,
 }
 
@@ -177,8 +178,8 @@
 ///
 /// Grants are therefore small, and a request that needs more triggers a batch to the ledger, which
 /// answers within about 10 ms. A lost gateway costs what its horizon covers, 0.7 s of its demand
-/// averaged over the last second, and what its running requests have reserved. With an outage horizon, it
-/// also costs what was held for an outage, while much of the budget is left.
+/// averaged over the last second, and what its running requests have reserved. With an outage
+/// horizon, it also costs what was held for an outage, while much of the budget is left.
 fn grant_policy(outage_horizon: Option<Duration>) -> GrantPolicy {
     GrantPolicy {
         outage_horizon,
@@ -267,8 +268,8 @@
 
     /// Records that a request could not be paid for because the ledger is unreachable.
     ///
-    /// The gateway reports that it is not ready even if it still pays for other requests: one that is cut
-    /// off alone would otherwise keep clients that others can serve.
+    /// The gateway reports that it is not ready even if it still pays for other requests: one that
+    /// is cut off alone would otherwise keep clients that others can serve.
     pub fn mark_starved(&self) {
         let until = self.now_ms() + STARVED_TIME_MS;
         if !self.is_starved() {
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -6,34 +6,35 @@
 //! and are answered with a complete body or a stream of events. The platform's names and formats
 //! are kept out of this crate by a [`dialect::Dialect`].
 //!
-//! Path of a request: [`serve`] accepts the connection, [`accept`] limits how many and watches them, [`admit`] checks the request and reserves
-//! tokens, [`exchange`] runs attempts until one succeeds, [`choose`] selects the endpoint,
-//! [`send`] waits for the link, [`attempt`] sends the request to it, [`attempt_counter`] counts attempts,
-//! [`availability`] waits for a routing table or endpoints that are expected shortly, [`wait`] holds
-//! requests while no endpoint has room, [`stream_relay`] forwards a stream and resumes it at another
-//! endpoint, [`accept::client_socket`] shows whether its client reads fast enough, [`reply`] builds
-//! refusals.
+//! Path of a request: [`serve`] accepts the connection, [`accept`] limits how many and watches
+//! them, [`admit`] checks the request and reserves tokens, [`exchange`] runs attempts until one
+//! succeeds, [`choose`] selects the endpoint, [`send`] waits for the link, [`attempt`] sends the
+//! request to it, [`attempt_counter`] counts attempts, [`availability`] waits for a routing table
+//! or endpoints that are expected shortly, [`wait`] holds requests while no endpoint has room,
+//! [`stream_relay`] forwards a stream and resumes it at another endpoint, [`accept::client_socket`]
+//! shows whether its client reads fast enough, [`reply`] builds refusals.
 //!
-//! Quarantine of requests that crash endpoints, and of what such requests have in common: [`crashes`]
-//! detects which endpoint crashed, [`suspects`] reports the contents to the ledger and learns of those
-//! reported by other gateways, [`request_digest`] and [`shared_content`] decide which are the same.
+//! Quarantine of requests that crash endpoints, and of what such requests have in common:
+//! [`crashes`] detects which endpoint crashed, [`suspects`] reports the contents to the ledger and
+//! learns of those reported by other gateways, [`request_digest`] and [`shared_content`] decide
+//! which are the same.
 //!
 //! Rate limits announced by endpoints: [`endpoint_limits`] reports them to the ledger and learns of
 //! those reported by other gateways. [`reports`] delivers both kinds of reports.
 //!
-//! Endpoints that receive fewer requests, or none: those in [`zones`] that operators evacuated, those
-//! outside the [`regions`] in which a request may run, those in their [`warm_up`], and those that asked
-//! for [`pauses`] or state that they are leaving. [`late_response`] reads what they state in answers
-//! that nobody waits for.
+//! Endpoints that receive fewer requests, or none: those in [`zones`] that operators evacuated,
+//! those outside the [`regions`] in which a request may run, those in their [`warm_up`], and those
+//! that asked for [`pauses`] or state that they are leaving. [`late_response`] reads what they
+//! state in answers that nobody waits for.
 //!
 //! Software versions: [`service_versions`] records which versions of a service's endpoints serve,
 //! [`stream_origins`] at which of them streams began, and what other gateways know of that.
 //!
 //! Where the gateway's view comes from: the routing table and the number of gateways from the
 //! ledger ([`ledger_updates`]), grants from the ledger ([`grant_loop`]), balances of budgets
-//! ([`account::balances`]), the list of endpoints from the platform or from other gateways ([`list`]),
-//! endpoint load from response headers ([`endpoint`]), engines' speeds and requests' sizes from
-//! responses ([`choose::EngineEstimates`]).
+//! ([`account::balances`]), the list of endpoints from the platform or from other gateways
+//! ([`list`]), endpoint load from response headers ([`endpoint`]), engines' speeds and requests'
+//! sizes from responses ([`choose::EngineEstimates`]).
 
 pub mod accept;
 pub mod account;
--- a/crates/anvil_gateway/src/send/link_budget.rs
+++ b/crates/anvil_gateway/src/send/link_budget.rs
@@ -28,7 +28,8 @@
     control_delay_us: AtomicU64,
 }
 
-/// The link reserved for one prompt. Dropping it gives the reservation back, unless the prompt was sent.
+/// The link reserved for one prompt. Dropping it gives the reservation back, unless the prompt was
+/// sent.
 #[derive(Debug)]
 pub struct LinkReservation {
     budget: Arc<LinkBudget>,
@@ -128,7 +129,8 @@
         self.control_delay_us.store(delay.max(1), Ordering::Relaxed);
     }
 
-    /// Takes the duration of the last exchange with the ledger, if one has ended since the last call.
+    /// Takes the duration of the last exchange with the ledger, if one has ended since the last
+    /// call.
     pub fn take_control_delay(&self) -> Option<Duration> {
         let delay = self.control_delay_us.swap(0, Ordering::Relaxed);
         (delay > 0).then(|| Duration::from_micros(delay))
--- a/crates/anvil_gateway/src/send/pacing.rs
+++ b/crates/anvil_gateway/src/send/pacing.rs
@@ -1,7 +1,7 @@
 //! Waits for the link before an endpoint is selected, so that no slot is held meanwhile.
 //!
-//! A request that then waits for a place gives its reservation back, and makes another one when it is
-//! woken.
+//! A request that then waits for a place gives its reservation back, and makes another one when it
+//! is woken.
 
 use std::time::Duration;
 
@@ -27,8 +27,8 @@
 }
 
 impl Exchange {
-    /// Waits until the link has room for the request. One that would wait too long is refused at once;
-    /// one that may have run already waits for as long as its time allows.
+    /// Waits until the link has room for the request. One that would wait too long is refused at
+    /// once; one that may have run already waits for as long as its time allows.
     pub(crate) async fn wait_for_link(&mut self) -> Result<LinkReservation, RequestRefusal> {
         let time_left = self.time_left();
         let longest = if self.in_doubt {
--- a/crates/anvil_gateway/src/stream_relay.rs
+++ b/crates/anvil_gateway/src/stream_relay.rs
@@ -1,12 +1,14 @@
 //! Forwards a stream of events, and resumes it at another endpoint where the route allows that.
 //!
 //! Failure: an endpoint is lost in the middle of a stream, and the client has only part of the
-//! response. Another endpoint of the same software version continues after the last delivered event,
-//! within the same response; the connection to the previous endpoint is closed first, which stops its
-//! run. If no endpoint can continue, the client's connection is closed without the end of the stream.
+//! response. Another endpoint of the same software version continues after the last delivered
+//! event, within the same response; the connection to the previous endpoint is closed first, which
+//! stops its run. If no endpoint can continue, the client's connection is closed without the end of
+//! the stream.
 //!
-//! Failure: a client reads slowly, and the endpoint cuts off the response because it stays unread. The
-//! stream is then read ahead into a buffer, by a task that is started once the client falls behind.
+//! Failure: a client reads slowly, and the endpoint cuts off the response because it stays unread.
+//! The stream is then read ahead into a buffer, by a task that is started once the client falls
+//! behind.
 
 mod ahead;
 
@@ -40,12 +42,12 @@
 /// Time after which a stream counts as stalled if its route sets no maximum gap.
 const DEFAULT_STALL_TIME: Duration = Duration::from_secs(2);
 
-/// From this event on an endpoint has survived the beginning of its response: one that crashes as it
-/// begins may still send the first event.
+/// From this event on an endpoint has survived the beginning of its response: one that crashes as
+/// it begins may still send the first event.
 const EVENTS_AFTER_BEGINNING: u32 = 2;
 
-/// Events after which the HTTP connection gets a turn to write: it buffers twice as many and then asks for
-/// no more.
+/// Events after which the HTTP connection gets a turn to write: it buffers twice as many and then
+/// asks for no more.
 const MAX_UNWRITTEN_EVENTS: u32 = 8;
 
 struct StreamSource {
@@ -174,9 +176,9 @@
         }
     }
 
-    /// Lets the connection write some events to the client's socket before it takes more, so that it
-    /// shows whether the client reads them: a connection that holds too many takes no more, and nothing
-    /// would start the reading ahead.
+    /// Lets the connection write some events to the client's socket before it takes more, so that
+    /// it shows whether the client reads them: a connection that holds too many takes no more, and
+    /// nothing would start the reading ahead.
     async fn yield_to_writes(&mut self) {
         self.unwritten += 1;
         if self.unwritten >= MAX_UNWRITTEN_EVENTS {
--- a/crates/anvil_gateway/src/stream_relay/ahead.rs
+++ b/crates/anvil_gateway/src/stream_relay/ahead.rs
@@ -1,6 +1,8 @@
-//! The buffer of a stream that is read ahead of its client. [`anvil_policy::read_ahead`] decides how far.
+//! The buffer of a stream that is read ahead of its client. [`anvil_policy::read_ahead`] decides
+//! how far.
 //!
-//! One task reads events from the endpoint into the buffer, and the client's response takes them out.
+//! One task reads events from the endpoint into the buffer, and the client's response takes them
+//! out.
 
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -15,8 +17,9 @@
 use crate::metrics;
 use crate::reply::Cause;
 
-/// A stream that stopped because all streams together hold too much checks this often whether others have
-/// released some: several times within the second after which an endpoint cuts off an unread response.
+/// A stream that stopped because all streams together hold too much checks this often whether
+/// others have released some: several times within the second after which an endpoint cuts off an
+/// unread response.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// What the client has taken out of the buffer.
@@ -139,8 +142,8 @@
         self.0.added.notify_one();
     }
 
-    /// Adds the end, and waits until the client's response has seen it; false if the client disconnected
-    /// before.
+    /// Adds the end, and waits until the client's response has seen it; false if the client
+    /// disconnected before.
     pub async fn finish(&self, end: Result<(), Cause>) -> bool {
         self.0.buffer().end = Some(end);
         self.0.added.notify_one();
--- a/crates/anvil_gateway/src/suspects.rs
+++ b/crates/anvil_gateway/src/suspects.rs
@@ -1,5 +1,5 @@
-//! Contents under which endpoints crashed, whole requests and what they share: those observed by this
-//! gateway, and those the ledger reports.
+//! Contents under which endpoints crashed, whole requests and what they share: those observed by
+//! this gateway, and those the ledger reports.
 //!
 //! Observations are reported to the ledger, which merges the reports of all gateways and keeps them
 //! across restarts. Until the ledger has accepted a report, this gateway applies it locally.
@@ -103,8 +103,8 @@
         has_dropped
     }
 
-    /// Tells the ledger which service a crashed endpoint belongs to, so that an operator's order for the
-    /// service finds the requests that it crashed under.
+    /// Tells the ledger which service a crashed endpoint belongs to, so that an operator's order
+    /// for the service finds the requests that it crashed under.
     pub fn report_service(&self, service: &str, endpoint: &str) {
         let content = content::of_endpoint(service, endpoint);
         if self.update_pending(|pending| pending.add_answered(content)) {
@@ -201,9 +201,9 @@
 }
 
 impl Gateway {
-    /// Applies the suspects reported by the ledger. A content that an endpoint answered here before is
-    /// cleared: when a zone loses power, equal requests from many clients were in flight at several
-    /// endpoints, and sound requests share contents with those that crash endpoints.
+    /// Applies the suspects reported by the ledger. A content that an endpoint answered here before
+    /// is cleared: when a zone loses power, equal requests from many clients were in flight at
+    /// several endpoints, and sound requests share contents with those that crash endpoints.
     pub fn apply_ledger_suspects(&self, reported: &BTreeMap<ContentDigest, SuspectContent>) {
         let previous = self.suspects.from_ledger.load_full();
         let known = previous
@@ -239,8 +239,8 @@
         }
     }
 
-    /// Whether an endpoint answered a content before it was suspected. Once a shared one is in quarantine
-    /// only an answer to a request that is still under way clears it.
+    /// Whether an endpoint answered a content before it was suspected. Once a shared one is in
+    /// quarantine only an answer to a request that is still under way clears it.
     fn is_cleared_by_earlier_answer(
         &self,
         content: ContentDigest,
--- a/crates/anvil_gateway/src/wait.rs
+++ b/crates/anvil_gateway/src/wait.rs
@@ -4,11 +4,12 @@
 //! to an endpoint in whose queue it starts after its target, while another one becomes free. Which
 //! request is served next is then decided at the endpoints, each for its own queue.
 //!
-//! [`anvil_policy::entry_queue`] decides which requests wait, in which order, and which are refused.
-//! [`ServiceQueue`] supplies what it needs and wakes requests: one for each place that becomes free,
-//! when a response ends, when an engine has processed a prompt, or when an endpoint that was full
-//! reports room. Where the time is known at which an endpoint accepts another request (a limit), a
-//! timer wakes one. A [`WaitingPlace`] is held by the waiting request and removes it on drop.
+//! [`anvil_policy::entry_queue`] decides which requests wait, in which order, and which are
+//! refused. [`ServiceQueue`] supplies what it needs and wakes requests: one for each place that
+//! becomes free, when a response ends, when an engine has processed a prompt, or when an endpoint
+//! that was full reports room. Where the time is known at which an endpoint accepts another request
+//! (a limit), a timer wakes one. A [`WaitingPlace`] is held by the waiting request and removes it
+//! on drop.
 //!
 //! While nothing waits, a request costs some atomic counters here, no lock and no allocation.
 
--- a/crates/anvil_gateway/src/wait/service_queue.rs
+++ b/crates/anvil_gateway/src/wait/service_queue.rs
@@ -144,7 +144,8 @@
         self.window.offered.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Applies the load that an endpoint reported, and changes the window if an interval has passed.
+    /// Applies the load that an endpoint reported, and changes the window if an interval has
+    /// passed.
     pub fn record_report(&self, load: u32, slots: u32) {
         let counters = &self.window;
         counters.reports.fetch_add(1, Ordering::Relaxed);
@@ -201,8 +202,8 @@
         self.response_time.learn(after);
     }
 
-    /// Records that a request left its endpoint; `held` is the time for which it occupied a slot, if
-    /// it had a response.
+    /// Records that a request left its endpoint; `held` is the time for which it occupied a slot,
+    /// if it had a response.
     pub fn record_end(&self, held: Option<Duration>) {
         self.in_flight.fetch_sub(1, Ordering::Relaxed);
         if let Some(held) = held {
@@ -310,8 +311,8 @@
         false
     }
 
-    /// Refuses the requests that have waited too long, and wakes one if a place is due. Returns when
-    /// to be called next; `None` once nothing waits.
+    /// Refuses the requests that have waited too long, and wakes one if a place is due. Returns
+    /// when to be called next; `None` once nothing waits.
     pub(super) fn tick(&self) -> Option<Instant> {
         let (now, occupancy) = (self.now(), self.occupancy());
         let mut state = self.state();
--- a/crates/anvil_gateway/tests/direct/ledger_outage.rs
+++ b/crates/anvil_gateway/tests/direct/ledger_outage.rs
@@ -27,8 +27,9 @@
     (served, refused)
 }
 
-/// Guards against requests that are refused within a second of an outage of the ledger, although much of the
-/// budget is left: a gateway that holds grants for an outage pays for requests all through it.
+/// Guards against requests that are refused within a second of an outage of the ledger, although
+/// much of the budget is left: a gateway that holds grants for an outage pays for requests all
+/// through it.
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_are_paid_for_while_the_ledger_is_down() {
     let endpoint = TestEndpoint::start(|_, req| {
--- a/crates/anvil_gateway/tests/direct/starting.rs
+++ b/crates/anvil_gateway/tests/direct/starting.rs
@@ -13,8 +13,9 @@
 use crate::endpoint::{Step, TestEndpoint, not_run};
 use crate::gateway::{TestGateway, listed, routes, table};
 
-/// Guards against a process that goes on and serves nobody if it can't take over its listener: the failure
-/// is returned to `run`, which ends with it. A Unix socket has no address that it could listen at again.
+/// Guards against a process that goes on and serves nobody if it can't take over its listener: the
+/// failure is returned to `run`, which ends with it. A Unix socket has no address that it could
+/// listen at again.
 #[tokio::test]
 async fn listener_without_an_address_is_an_error() {
     let folder = tempfile::tempdir().expect("a folder");
--- a/crates/anvil_gateway/tests/direct/waiting.rs
+++ b/crates/anvil_gateway/tests/direct/waiting.rs
@@ -181,7 +181,8 @@
     assert_eq!(setup.received_ids(), ["1", "urgent", "usual"]);
 }
 
-/// Guards against a request that keeps its place, and reaches an endpoint, after its client has left.
+/// Guards against a request that keeps its place, and reaches an endpoint, after its client has
+/// left.
 #[tokio::test(flavor = "multi_thread")]
 async fn request_of_a_client_that_leaves_is_removed() {
     let setup = Setup::start(WORK).await;
@@ -194,8 +195,8 @@
     assert_eq!(setup.received_ids(), ["1", "2"]);
 }
 
-/// Guards against a new request overtaking those that wait, and against a place that is lost because
-/// the request woken for it has left.
+/// Guards against a new request overtaking those that wait, and against a place that is lost
+/// because the request woken for it has left.
 #[tokio::test(flavor = "multi_thread")]
 async fn new_request_waits_behind_others_and_takes_the_place_of_one_that_left() {
     let setup = Setup::start(WORK).await;
@@ -209,8 +210,8 @@
     assert_eq!(setup.waiting(), 0);
 }
 
-/// Guards against a free place that only others can use staying unused, because the request whose turn
-/// it is may not run there.
+/// Guards against a free place that only others can use staying unused, because the request whose
+/// turn it is may not run there.
 #[tokio::test(flavor = "multi_thread")]
 async fn place_that_a_request_can_not_use_goes_to_the_next_one() {
     let setup = Setup::start(WORK).await;
@@ -241,8 +242,8 @@
     woken(&mut place).await;
 }
 
-/// Guards against a request that waits although a place became free just before it began to wait, while
-/// another one was found not to be free.
+/// Guards against a request that waits although a place became free just before it began to wait,
+/// while another one was found not to be free.
 #[tokio::test]
 async fn place_that_becomes_free_beside_one_that_is_in_use_is_noticed() {
     let queue = Arc::new(ServiceQueue::new(SERVICE.into()));
@@ -259,8 +260,8 @@
     woken(&mut place).await;
 }
 
-/// Guards against a free place that stays unused, because the request woken for it leaves while the next
-/// one has found others waiting and does not wait itself yet.
+/// Guards against a free place that stays unused, because the request woken for it leaves while the
+/// next one has found others waiting and does not wait itself yet.
 #[tokio::test]
 async fn place_of_a_request_that_leaves_is_noticed_by_one_that_begins_to_wait() {
     let queue = Arc::new(ServiceQueue::new(SERVICE.into()));
@@ -273,8 +274,8 @@
     woken(&mut place).await;
 }
 
-/// Guards against a free place that stays unused, because it became free while the only request that
-/// waited was already woken for another one.
+/// Guards against a free place that stays unused, because it became free while the only request
+/// that waited was already woken for another one.
 #[tokio::test]
 async fn second_place_beside_a_woken_request_goes_to_the_next_one() {
     let queue = Arc::new(ServiceQueue::new(SERVICE.into()));
@@ -378,8 +379,8 @@
     assert_eq!(setup.waiting(), 0);
 }
 
-/// Guards against requests that are refused, or never woken, while an endpoint's limit allows another
-/// one soon: no response ends at that moment.
+/// Guards against requests that are refused, or never woken, while an endpoint's limit allows
+/// another one soon: no response ends at that moment.
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_wait_until_a_limit_allows_them() {
     // Ten a second.
--- a/crates/anvil_gateway/tests/overload/few_descriptors.rs
+++ b/crates/anvil_gateway/tests/overload/few_descriptors.rs
@@ -106,13 +106,14 @@
     }
 }
 
-/// Set in the process that [`gateway_of_its_own_process`] runs the gateway in: the endpoint's address.
+/// Set in the process that [`gateway_of_its_own_process`] runs the gateway in: the endpoint's
+/// address.
 const ENDPOINT_VARIABLE: &str = "FEW_DESCRIPTORS_ENDPOINT";
 /// Descriptors that this process may open.
 const PROCESS_LIMIT: u32 = RESERVED + 40;
 
-/// The gateway of [`process_never_runs_out_of_descriptors`], in a process of its own; without that test's
-/// variable there is nothing to do.
+/// The gateway of [`process_never_runs_out_of_descriptors`], in a process of its own; without that
+/// test's variable there is nothing to do.
 #[tokio::test]
 async fn gateway_of_its_own_process() {
     let Ok(endpoint) = std::env::var(ENDPOINT_VARIABLE) else {
@@ -168,8 +169,8 @@
     assert!(!log.contains("os error 24"), "{log}");
 }
 
-/// Guards against running out of descriptors, and against a gateway that serves nobody when many clients
-/// connect: five times as many as it has descriptors for.
+/// Guards against running out of descriptors, and against a gateway that serves nobody when many
+/// clients connect: five times as many as it has descriptors for.
 #[tokio::test]
 async fn many_clients_use_no_more_descriptors_than_there_are() {
     let _alone = LOADED_MACHINE.lock().await;
--- a/crates/anvil_gateway/tests/overload/main.rs
+++ b/crates/anvil_gateway/tests/overload/main.rs
@@ -1,5 +1,5 @@
-//! Gateways under more load than their machine can carry. In a process of its own, as this load would delay
-//! the tests of `direct`.
+//! Gateways under more load than their machine can carry. In a process of its own, as this load
+//! would delay the tests of `direct`.
 
 #[path = "../direct/client.rs"]
 #[expect(dead_code, reason = "shared with `direct`")]
--- a/crates/anvil_policy/src/admission.rs
+++ b/crates/anvil_policy/src/admission.rs
@@ -69,7 +69,8 @@
 pub enum AdmissionDecision {
     /// The request runs now. The caller reports its end with [`AdmissionGate::finished`].
     Run,
-    /// The request is queued; [`AdmissionGate::next`] or [`AdmissionGate::expired`] returns it later.
+    /// The request is queued; [`AdmissionGate::next`] or [`AdmissionGate::expired`] returns it
+    /// later.
     Wait(WaiterId),
     /// The request is refused now.
     Refuse(Refusal),
--- a/crates/anvil_policy/src/engine.rs
+++ b/crates/anvil_policy/src/engine.rs
@@ -12,11 +12,12 @@
 //! not cached. Each shared prefix has a home engine that all routers compute in the same way
 //! ([`home`]), so that they agree without communication. A busy home is skipped when prefilling the
 //! prefix elsewhere is faster by more than it costs other requests ([`EndpointView::reload_cost`]):
-//! without that cost, requests leave slow homes for fast engines, whose caches and queues they fill.
+//! without that cost, requests leave slow homes for fast engines, whose caches and queues they
+//! fill.
 //!
 //! *Thresholds:* the speed assumed of an engine before any response is in [`EngineRule`]; [`speed`]
-//! learns it. Cooldowns after failures are short, so that an endpoint that has recovered is not left
-//! idle while the others are full.
+//! learns it. Cooldowns after failures are short, so that an endpoint that has recovered is not
+//! left idle while the others are full.
 
 pub mod home;
 pub mod memory;
@@ -393,9 +394,9 @@
         usual.mul_f64(self.work_factor(now) / self.speed.factor())
     }
 
-    /// Cost for other requests if the engine prefills this number of tokens of a shared prefix: they
-    /// delay the prompts behind them, and evict a prefix that other requests find there. It is as
-    /// long as the prefill itself, so prompts leave a prefix's home only if that saves twice the
+    /// Cost for other requests if the engine prefills this number of tokens of a shared prefix:
+    /// they delay the prompts behind them, and evict a prefix that other requests find there. It is
+    /// as long as the prefill itself, so prompts leave a prefix's home only if that saves twice the
     /// time that it costs.
     pub fn reload_cost(&self, now: Now, rule: &EngineRule, shared: Tokens) -> Duration {
         let slowness = self.work_factor(now) / self.speed.factor();
--- a/crates/anvil_policy/src/engine/home.rs
+++ b/crates/anvil_policy/src/engine/home.rs
@@ -16,9 +16,9 @@
 
 use super::speed::{RelativeSpeed, STEPS_PER_DOUBLING};
 
-/// Rank of an endpoint for a shared prefix among endpoints of equal weight: the one with the highest
-/// rank is its home (rendezvous hashing). All routers compute the same rank, and when an endpoint
-/// comes or goes, only the prefixes that it gains or loses move.
+/// Rank of an endpoint for a shared prefix among endpoints of equal weight: the one with the
+/// highest rank is its home (rendezvous hashing). All routers compute the same rank, and when an
+/// endpoint comes or goes, only the prefixes that it gains or loses move.
 pub fn home_rank(shared_prefix: u64, endpoint: &str) -> u64 {
     xxh3_64_with_seed(endpoint.as_bytes(), shared_prefix)
 }
--- a/crates/anvil_policy/src/engine/memory.rs
+++ b/crates/anvil_policy/src/engine/memory.rs
@@ -3,15 +3,15 @@
 //! *Load pattern:* long prompts with long responses on engines whose memory is full before their
 //! slots are.
 //!
-//! *Without it:* an engine with free slots receives one request too many, crashes, and loses all that
-//! it runs.
+//! *Without it:* an engine with free slots receives one request too many, crashes, and loses all
+//! that it runs.
 //!
-//! *Mechanism:* the tokens of this router's requests are counted: the prompt, and the output that is
-//! expected, or what has come if that is more. For other routers' requests the reported number is
-//! multiplied by the mean size. An engine that one more request would overfill is passed over.
+//! *Mechanism:* the tokens of this router's requests are counted: the prompt, and the output that
+//! is expected, or what has come if that is more. For other routers' requests the reported number
+//! is multiplied by the mean size. An engine that one more request would overfill is passed over.
 //!
-//! *Thresholds:* a tenth of the memory is left free, for other routers' requests that are larger than
-//! the mean, and for those sent since the last report.
+//! *Thresholds:* a tenth of the memory is left free, for other routers' requests that are larger
+//! than the mean, and for those sent since the last report.
 
 use anvil_world::prelude::*;
 
--- a/crates/anvil_policy/src/engine/speed.rs
+++ b/crates/anvil_policy/src/engine/speed.rs
@@ -4,8 +4,9 @@
 //! services whose engines prefill several times as fast as others.
 //!
 //! *Without it:* prompts queue at slow engines until their reports show it, while faster ones are
-//! idle. Where all engines prefill faster than assumed, the cost of a full batch is overestimated in
-//! comparison, and prompts leave the homes of their prefixes, which are prefilled again elsewhere.
+//! idle. Where all engines prefill faster than assumed, the cost of a full batch is overestimated
+//! in comparison, and prompts leave the homes of their prefixes, which are prefilled again
+//! elsewhere.
 //!
 //! *Mechanism:* each time to a first event is compared with the expected one. The difference moves
 //! the parts of the service's estimate (prefill, batch, first event) in proportion to their shares
@@ -35,8 +36,8 @@
 const UNREPORTED_WEIGHT: f64 = 0.25;
 /// Weight of a sample whose prompt the engine may have cached through other routers, or evicted.
 const UNKNOWN_CACHE_WEIGHT: f64 = 0.1;
-/// Weight of a sample that is slower than expected, relative to a faster one: other routers' prompts
-/// that no report shows only ever make a sample slower.
+/// Weight of a sample that is slower than expected, relative to a faster one: other routers'
+/// prompts that no report shows only ever make a sample slower.
 const SLOWER_WEIGHT: f64 = 1.0 / 3.0;
 /// Weight of the prior of an engine's speed, in samples.
 const ENGINE_PRIOR_WEIGHT: f64 = 2.0;
--- a/crates/anvil_policy/src/entry_queue.rs
+++ b/crates/anvil_policy/src/entry_queue.rs
@@ -10,10 +10,10 @@
 //!
 //! *Mechanism:* [`crate::admission`] and [`crate::waiting`], ordered by priority class, then fairly
 //! among organisations, then by earliest target. A request waits only while it can start before its
-//! target by the current rate of starts, else it is refused at once. While the queue has been in use
-//! for a second, that rate is the one observed; before that it follows from the requests in flight
-//! and the time that they take, since the rate of a router that was not busy says nothing of what
-//! the endpoints can do.
+//! target by the current rate of starts, else it is refused at once. While the queue has been in
+//! use for a second, that rate is the one observed; before that it follows from the requests in
+//! flight and the time that they take, since the rate of a router that was not busy says nothing of
+//! what the endpoints can do.
 //!
 //! *Thresholds:* no time is a constant here: a request waits up to its target, and no longer than
 //! twice that if the rate falls meanwhile. Clients that are refused return over the time in which
@@ -44,7 +44,8 @@
 const MAX_WAIT_FACTOR: u32 = 2;
 /// Organisations with a lower load, in requests a second, are not compared.
 const MIN_LOAD: f64 = 0.05;
-/// Number of organisations from which on idle ones are forgotten before [`LOAD_HORIZON`] has passed.
+/// Number of organisations from which on idle ones are forgotten before [`LOAD_HORIZON`] has
+/// passed.
 const MIN_PRUNED: usize = 256;
 
 /// A request for which no endpoint has room now.
@@ -232,8 +233,8 @@
         weight_by_load(own, self.total_load.rate(now) / f64::from(organisations))
     }
 
-    /// Failure: idle organisations lower the mean load. Compared with that, all others have a high load,
-    /// and get turns in proportion to it.
+    /// Failure: idle organisations lower the mean load. Compared with that, all others have a high
+    /// load, and get turns in proportion to it.
     fn forget_idle(&mut self, now: Now) {
         self.loads.retain(|_, load| load.rate(now) >= MIN_LOAD);
         self.prune_at = (2 * self.loads.len()).max(MIN_PRUNED);
--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -31,8 +31,8 @@
 //! assert_eq!(gate.offer(Duration::ZERO, ticket), AdmissionDecision::Run);
 //!
 //! let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(7);
-//! let Choice::Endpoint(endpoint) = Chooser::default().choose(&pool, &ChoiceRequest::default(), &mut rng)
-//! else {
+//! let choice = Chooser::default().choose(&pool, &ChoiceRequest::default(), &mut rng);
+//! let Choice::Endpoint(endpoint) = choice else {
 //!     panic!("an empty endpoint has headroom");
 //! };
 //! endpoint.start();
@@ -47,12 +47,14 @@
 //! * [`health`], with [`limit`] and [`ejection`]: how much work an endpoint is given.
 //! * [`retry`]: whether a failed attempt is repeated.
 //! * [`grant`]: how much of a budget a router holds.
-//! * [`outage_grant`]: how much it holds so that it can pay for requests while the ledger does not answer.
+//! * [`outage_grant`]: how much it holds so that it can pay for requests while the ledger does not
+//!   answer.
 //! * [`engine`]: which engine a prompt goes to, among engines without a sidecar.
 //! * [`pace`]: how much longer work takes where an endpoint shares its machine.
 //! * [`pause`]: when a router sends to an endpoint that asked for a pause.
 //! * [`copying`]: when such an engine copies cached tokens from another one.
-//! * [`crash`]: which contents were in flight at an endpoint when it crashed, and [`recent_answers`]: which are sound.
+//! * [`crash`]: which contents were in flight at an endpoint when it crashed, and
+//!   [`recent_answers`]: which are sound.
 //! * [`blame`]: which contents endpoints crash under.
 //! * [`rate_share`]: each router's part of a rate limit that an endpoint announces for all of them.
 //! * [`read_ahead`]: how far a router reads ahead of clients that read slowly.
@@ -61,7 +63,8 @@
 //! * [`stream_origins`]: which routers know at which version a stream began.
 //! * [`prefix`]: which endpoints hold which prompt prefixes.
 //! * [`list_turn`]: which router reads the list of endpoints for the others.
-//! * [`link_pacer`], [`intake`] and [`descriptors`]: what a router with a narrow link or few descriptors sends and accepts.
+//! * [`link_pacer`], [`intake`] and [`descriptors`]: what a router with a narrow link or few
+//!   descriptors sends and accepts.
 //! * [`subset`] and [`placement`]: which endpoints a router watches, and which models they hold.
 //!
 //! [`Now`]: anvil_world::ids::Now
--- a/crates/anvil_policy/src/outage_grant.rs
+++ b/crates/anvil_policy/src/outage_grant.rs
@@ -1,26 +1,30 @@
-//! How much of a budget a router holds, so that it can pay for requests while the ledger does not answer.
+//! How much of a budget a router holds, so that it can pay for requests while the ledger does not
+//! answer.
 //!
-//! *Load pattern:* the ledger has no quorum for some seconds, or no router reaches it. Dozens of routers draw
-//! on the same budgets, and most organisations send a request only every few seconds to most routers.
+//! *Load pattern:* the ledger has no quorum for some seconds, or no router reaches it. Dozens of
+//! routers draw on the same budgets, and most organisations send a request only every few seconds
+//! to most routers.
 //!
-//! *Without it:* grants are sized for a ledger that answers within milliseconds. They are used up within a
-//! second of an outage, sparse organisations hold nothing at all, and every request after that is refused.
+//! *Without it:* grants are sized for a ledger that answers within milliseconds. They are used up
+//! within a second of an outage, sparse organisations hold nothing at all, and every request after
+//! that is refused.
 //!
-//! *Mechanism:* while much of a budget is left, a router holds what its demand needs over the longest outage
-//! that is tolerated, at least one request's bound ([`OutageDemand::tokens_to_hold`]), and tops it up
-//! early, so that most of it is there whenever an outage begins ([`tokens_to_request`]). What is too
-//! small to be useful or exceeds the need is returned, but never before its replacement has arrived
-//! ([`tokens_to_return`]). As soon as the ledger shows that little is left, the budget is scarce for a while
-//! ([`Scarcity`]) and the router holds no more than before.
+//! *Mechanism:* while much of a budget is left, a router holds what its demand needs over the
+//! longest outage that is tolerated, at least one request's bound
+//! ([`OutageDemand::tokens_to_hold`]), and tops it up early, so that most of it is there whenever
+//! an outage begins ([`tokens_to_request`]). What is too small to be useful or exceeds the need is
+//! returned, but never before its replacement has arrived ([`tokens_to_return`]). As soon as the
+//! ledger shows that little is left, the budget is scarce for a while ([`Scarcity`]) and the router
+//! holds no more than before.
 //!
-//! *Thresholds:* what routers hold is lost if they are killed, and all of them may lose power at once. So the
-//! time that is covered is at most an eighth of the time for which the budget lasts at the fleet's spending
-//! ([`FleetBalance`]), and a router holds at most its part of an eighth of what is left, in proportion to
-//! its part of the spending: routers with many connections hold more than others. The demand is averaged over
-//! twice the outage: over less, an organisation with a request every few seconds would appear to come and go.
-//! The fleet's spending is averaged in the same way, so that the parts of all routers add up. Two standard
-//! deviations are added to the expected number of requests, because a router that expects three of them often
-//! gets six.
+//! *Thresholds:* what routers hold is lost if they are killed, and all of them may lose power at
+//! once. So the time that is covered is at most an eighth of the time for which the budget lasts at
+//! the fleet's spending ([`FleetBalance`]), and a router holds at most its part of an eighth of
+//! what is left, in proportion to its part of the spending: routers with many connections hold more
+//! than others. The demand is averaged over twice the outage: over less, an organisation with a
+//! request every few seconds would appear to come and go. The fleet's spending is averaged in the
+//! same way, so that the parts of all routers add up. Two standard deviations are added to the
+//! expected number of requests, because a router that expects three of them often gets six.
 
 use std::time::Duration;
 
@@ -28,42 +32,43 @@
 
 use crate::token_counts::{to_tokens, tokens_to_f64};
 
-/// Divisor of what is left: all routers together hold at most this part of it, so that no more is lost if all
-/// are killed at once.
+/// Divisor of what is left: all routers together hold at most this part of it, so that no more is
+/// lost if all are killed at once.
 const LEFT_DIVISOR: Tokens = 8;
-/// Divisor of that part: the bounds that routers hold independently of their part of the spending use at
-/// most half of it.
+/// Divisor of that part: the bounds that routers hold independently of their part of the spending
+/// use at most half of it.
 const FLOOR_DIVISOR: Tokens = 2;
 /// Divisor of what a router holds: a surplus beyond this part is returned.
 const SURPLUS_DIVISOR: Tokens = 4;
-/// For how long a balance is used, as a multiple of the outage. An outage must not end the cover, but a
-/// ledger that answers batches and no balances (a previous build) must.
+/// For how long a balance is used, as a multiple of the outage. An outage must not end the cover,
+/// but a ledger that answers batches and no balances (a previous build) must.
 const BALANCE_LIFETIME_FACTOR: u32 = 3;
-/// Minimum number of requests expected within the outage for any tokens to be held. With fewer, the tokens
-/// would be lost more often by a killed router than used in an outage.
+/// Minimum number of requests expected within the outage for any tokens to be held. With fewer, the
+/// tokens would be lost more often by a killed router than used in an outage.
 const MIN_EXPECTED_REQUESTS: f64 = 0.1;
-/// Requests beyond the expected ones that are covered, in standard deviations of a Poisson distribution.
+/// Requests beyond the expected ones that are covered, in standard deviations of a Poisson
+/// distribution.
 const MARGIN: f64 = 2.0;
 /// Length of the demand's window, as a multiple of the outage.
 const WINDOW_FACTOR: u32 = 2;
-/// Divisor of the window for recent demand, which counts instead where it is clearly higher: an organisation that
-/// becomes hot is covered within half an outage.
+/// Divisor of the window for recent demand, which counts instead where it is clearly higher: an
+/// organisation that becomes hot is covered within half an outage.
 const RECENT_DIVISOR: u32 = 4;
 /// Recent demand is clearly higher from this multiple of the usual demand on.
 const RISING_FACTOR: f64 = 1.5;
-/// Requests expected by recent demand from which on it counts: a single request of a sparse organisation
-/// is no rise.
+/// Requests expected by recent demand from which on it counts: a single request of a sparse
+/// organisation is no rise.
 const MIN_RISING_REQUESTS: f64 = 4.0;
-/// For how long the largest request counts at least, as a multiple of the window: longer than the gaps between
-/// the requests of a sparse organisation for which tokens are held. It does not fade meanwhile, since a request
-/// of the same size would not fit any more.
+/// For how long the largest request counts at least, as a multiple of the window: longer than the
+/// gaps between the requests of a sparse organisation for which tokens are held. It does not fade
+/// meanwhile, since a request of the same size would not fit any more.
 const BOUND_EPOCH_FACTOR: u32 = 3;
 /// Tokens are topped up when less than this part of them is free: four fifths.
 const TOP_UP_NUMERATOR: Tokens = 4;
 /// See [`TOP_UP_NUMERATOR`].
 const TOP_UP_DENOMINATOR: Tokens = 5;
-/// A grant with less than this many of the largest requests free is replaced by the next one. A request is
-/// paid for out of one grant, so the rest of each grant is of no use to a large request.
+/// A grant with less than this many of the largest requests free is replaced by the next one. A
+/// request is paid for out of one grant, so the rest of each grant is of no use to a large request.
 const MIN_USEFUL_REQUESTS: Tokens = 4;
 /// Time for which a budget counts as scarce after the ledger has shown that little is left.
 const SCARCE_TIME: Duration = Duration::from_secs(5);
@@ -77,8 +82,9 @@
     pub left: Tokens,
     /// Tokens charged per second at all routers, as measured.
     pub spending: f64,
-    /// How much the measurement counts, from 0 to 1. For the rest, every router is assumed to spend as much
-    /// as this one: a measurement over a second or two often shows nothing of a sparse organisation.
+    /// How much the measurement counts, from 0 to 1. For the rest, every router is assumed to spend
+    /// as much as this one: a measurement over a second or two often shows nothing of a sparse
+    /// organisation.
     pub confidence: f64,
     /// Number of routers that draw on the budget.
     pub routers: u32,
@@ -114,8 +120,8 @@
     }
 }
 
-/// Whether demand has clearly risen, so that the recent average counts. `requests` is what that average expects
-/// within an outage.
+/// Whether demand has clearly risen, so that the recent average counts. `requests` is what that
+/// average expects within an outage.
 fn is_rising(usual: &Average, recent: &Average, requests: f64) -> bool {
     requests >= MIN_RISING_REQUESTS && recent.requests_per_s > RISING_FACTOR * usual.requests_per_s
 }
@@ -153,7 +159,8 @@
             return None;
         }
         let (usual, recent) = (self.usual.tokens_per_s, self.recent.tokens_per_s);
-        // Routers at which demand rises use their recent average, so the fleet's spending must follow.
+        // Routers at which demand rises use their recent average, so the fleet's spending must
+        // follow.
         let is_rising = recent > RISING_FACTOR * usual;
         let spending = if is_rising { recent } else { usual };
         Some(OutageLimits {
@@ -186,8 +193,8 @@
 }
 
 impl OutageDemand {
-    /// Adds what was charged in the time `elapsed` since the last call. `largest` is the largest upper
-    /// bound of a request in this time.
+    /// Adds what was charged in the time `elapsed` since the last call. `largest` is the largest
+    /// upper bound of a request in this time.
     pub fn update(
         &mut self,
         horizon: Duration,
@@ -218,8 +225,8 @@
         self.bounds[0].max(self.bounds[1])
     }
 
-    /// Tokens to be free in the router's grants; `None` if this router's part of the budget can't bear one
-    /// request of mean cost, or hardly any request is expected within the time covered.
+    /// Tokens to be free in the router's grants; `None` if this router's part of the budget can't
+    /// bear one request of mean cost, or hardly any request is expected within the time covered.
     pub fn tokens_to_hold(&self, limits: &OutageLimits) -> Option<Tokens> {
         let horizon_s = limits.horizon.as_secs_f64();
         let bound = self.bound();
@@ -262,7 +269,8 @@
     }
 }
 
-/// Tokens to request, if it is time to top up. `free` lists what is free in each grant, oldest first.
+/// Tokens to request, if it is time to top up. `free` lists what is free in each grant, oldest
+/// first.
 pub fn tokens_to_request(hold: Tokens, bound: Tokens, free: &[Tokens]) -> Option<Tokens> {
     if free.iter().sum::<Tokens>() >= top_up_below(hold) {
         return None;
@@ -287,8 +295,8 @@
     All,
 }
 
-/// What to return of each grant, in the order of `free`, oldest first: rests that the other grants make
-/// up for, and what exceeds `hold` by more than a quarter.
+/// What to return of each grant, in the order of `free`, oldest first: rests that the other grants
+/// make up for, and what exceeds `hold` by more than a quarter.
 pub fn tokens_to_return(hold: Tokens, bound: Tokens, free: &[Tokens]) -> Vec<GrantReturn> {
     let mut total: Tokens = free.iter().sum();
     let newest = free.len().saturating_sub(1);
--- a/crates/anvil_policy/src/room.rs
+++ b/crates/anvil_policy/src/room.rs
@@ -1,7 +1,7 @@
 //! Whether endpoints have room for a request that can wait at its router.
 //!
-//! *Load pattern:* endpoints that many routers fill, each of which knows its own requests and the load
-//! that endpoints reported last; some routers receive several times the requests of others.
+//! *Load pattern:* endpoints that many routers fill, each of which knows its own requests and the
+//! load that endpoints reported last; some routers receive several times the requests of others.
 //!
 //! *Without it:* a request is sent into the queue of a full endpoint, where it starts after its
 //! target and can no longer go to one that becomes free. If routers hold requests back by the
@@ -9,9 +9,9 @@
 //! the others are left with few.
 //!
 //! *Mechanism:* plain endpoints have room while the router's requests in flight are below its
-//! [`InFlightWindow`]; engines, whose requests take seconds, while one has a slot and no prompts that
-//! delay the next one ([`EngineRoom`]). A router with less than a part of its equal share of the
-//! slots in flight sends in any case.
+//! [`InFlightWindow`]; engines, whose requests take seconds, while one has a slot and no prompts
+//! that delay the next one ([`EngineRoom`]). A router with less than a part of its equal share of
+//! the slots in flight sends in any case.
 //!
 //! *Thresholds:* the part is a quarter. With the whole share, routers with many requests would be
 //! left with too little beside many small ones.
@@ -40,9 +40,9 @@
     pub has_pending_prompts: bool,
 }
 
-/// Requests in the queue of an engine that has all slots in use, as a divisor of its slots: they keep
-/// the slots in use between the end of a request and the arrival of the next. A sixteenth is served
-/// within a sixteenth of the duration of a response.
+/// Requests in the queue of an engine that has all slots in use, as a divisor of its slots: they
+/// keep the slots in use between the end of a request and the arrival of the next. A sixteenth is
+/// served within a sixteenth of the duration of a response.
 const ENGINE_QUEUE_DIVISOR: u32 = 16;
 
 impl EngineRoom {
--- a/crates/anvil_policy/src/waiting.rs
+++ b/crates/anvil_policy/src/waiting.rs
@@ -12,9 +12,9 @@
 //! fairness may reorder requests, but must not break the maximum wait that they were admitted with.
 //!
 //! Requests with a [`Priority`] have a lane for each priority class, and the most urgent lane with
-//! work goes first. A class of which [`MAX_OFFERS_WITHOUT_START`] requests were offered and none was
-//! dispatched gets a turn before more urgent ones. Promotions would let every class go first under
-//! sustained overload, so there are none among these lanes.
+//! work goes first. A class of which [`MAX_OFFERS_WITHOUT_START`] requests were offered and none
+//! was dispatched gets a turn before more urgent ones. Promotions would let every class go first
+//! under sustained overload, so there are none among these lanes.
 //!
 //! *Thresholds:* the lead of a promotion is bounded both absolutely and as a part of the wait, see
 //! `MAX_PROMOTION_LEAD`; prompts count as long from the length at which prefill alone takes as
@@ -47,9 +47,9 @@
 /// Priority class of a request; 0 is the most urgent.
 pub type PriorityClass = u8;
 
-/// A class of which this many requests were offered without a dispatch is overdue. At most one dispatch in
-/// this many goes to an overdue class, so that a less urgent class gains at most 5 in 100 over a more
-/// urgent one.
+/// A class of which this many requests were offered without a dispatch is overdue. At most one
+/// dispatch in this many goes to an overdue class, so that a less urgent class gains at most 5 in
+/// 100 over a more urgent one.
 pub const MAX_OFFERS_WITHOUT_START: u32 = 20;
 
 /// Place of a request in a queue that is ordered by priority class.
--- a/crates/anvil_policy/tests/entry_queue.rs
+++ b/crates/anvil_policy/tests/entry_queue.rs
@@ -234,8 +234,8 @@
     f64::from(served) / f64::from(offered)
 }
 
-/// Guards against a burst that is refused although the pool can serve all of it in time: 24 slots of
-/// 15 ms serve 192 requests within 120 ms.
+/// Guards against a burst that is refused although the pool can serve all of it in time: 24 slots
+/// of 15 ms serve 192 requests within 120 ms.
 #[test]
 fn burst_of_one_kind_is_served_in_time() {
     let at = Duration::from_secs(1);
@@ -253,8 +253,8 @@
     assert!(scores["usual"].share() > 0.99, "{scores:?}");
 }
 
-/// Guards against a more urgent class that waits behind a less urgent one, and a less urgent one that
-/// starves.
+/// Guards against a more urgent class that waits behind a less urgent one, and a less urgent one
+/// that starves.
 #[test]
 fn urgent_class_is_served_first_under_sustained_overload() {
     for urgent_rate in [100.0, 900.0] {
@@ -283,8 +283,8 @@
     assert_others_are_not_displaced(EntryQueue::default());
 }
 
-/// Guards against weights in proportion to the load, where many organisations have sent a request a while
-/// ago: these lower the mean with which the load is compared.
+/// Guards against weights in proportion to the load, where many organisations have sent a request a
+/// while ago: these lower the mean with which the load is compared.
 #[test]
 fn idle_organisations_do_not_raise_the_weight_of_a_large_one() {
     let mut queue = EntryQueue::default();
--- a/crates/anvil_policy/tests/outage_grant.rs
+++ b/crates/anvil_policy/tests/outage_grant.rs
@@ -23,7 +23,8 @@
     }
 }
 
-/// Demand after two minutes in which a request ended every `interval` batches, just before the next.
+/// Demand after two minutes in which a request ended every `interval` batches, just before the
+/// next.
 fn steady_demand(interval: u32) -> OutageDemand {
     let mut demand = OutageDemand::default();
     for batch in 0..600 {
@@ -43,8 +44,9 @@
     assert!((54_000..=62_000).contains(&hold), "{hold}");
 }
 
-/// Guards against an organisation with a request every few seconds at each of many routers that can pay
-/// for nothing in an outage, and against one that holds tokens where it hardly ever sends requests.
+/// Guards against an organisation with a request every few seconds at each of many routers that can
+/// pay for nothing in an outage, and against one that holds tokens where it hardly ever sends
+/// requests.
 #[test]
 fn sparse_requests_have_at_least_one_bound_while_they_are_expected() {
     let budget = limits(100_000_000, 30);
@@ -65,8 +67,8 @@
     demand
 }
 
-/// Guards against more than an eighth of what is left being lost when all routers lose power at once, also
-/// where a few of them have most requests.
+/// Guards against more than an eighth of what is left being lost when all routers lose power at
+/// once, also where a few of them have most requests.
 #[test]
 fn all_routers_together_hold_at_most_an_eighth_of_what_is_left() {
     let even = vec![frequent_demand(1); 30];
@@ -108,8 +110,8 @@
     assert_eq!(demand.tokens_to_hold(&limits(900_000, 30)), None);
 }
 
-/// Guards against a limit that assumes even connections, with which a crowded router's grants end long
-/// before the outage.
+/// Guards against a limit that assumes even connections, with which a crowded router's grants end
+/// long before the outage.
 #[test]
 fn crowded_router_holds_its_part_of_the_spending() {
     let demand = frequent_demand(40);
@@ -125,7 +127,8 @@
     assert!(hold >= 9 * 200 * COST, "{hold}");
 }
 
-/// Guards against long grants near the end of a budget: the time covered is an eighth of what remains.
+/// Guards against long grants near the end of a budget: the time covered is an eighth of what
+/// remains.
 #[test]
 fn covered_time_shrinks_with_what_is_left() {
     let demand = frequent_demand(40);
@@ -178,8 +181,8 @@
     assert_eq!(tokens_to_request(5_000, 9_000, &[]), Some(5_000));
 }
 
-/// Guards against an organisation that becomes hot and is covered as before for several outages, and
-/// against a single request of a sparse one that counts as a rise.
+/// Guards against an organisation that becomes hot and is covered as before for several outages,
+/// and against a single request of a sparse one that counts as a rise.
 #[test]
 fn a_rise_counts_within_half_an_outage() {
     let budget = limits(100_000_000, 30);
@@ -209,8 +212,8 @@
     );
 }
 
-/// Guards against rests of many grants that add up to the need while none holds a large request, and
-/// against rests that are returned before their replacement has arrived.
+/// Guards against rests of many grants that add up to the need while none holds a large request,
+/// and against rests that are returned before their replacement has arrived.
 #[test]
 fn rests_are_replaced_first_and_then_returned() {
     let rests = [30_000, 30_000, 30_000];
@@ -251,8 +254,8 @@
     );
 }
 
-/// Guards against the last tokens of a budget lying in long grants, and against a budget that stays without
-/// cover after it was topped up.
+/// Guards against the last tokens of a budget lying in long grants, and against a budget that stays
+/// without cover after it was topped up.
 #[test]
 fn scarcity_holds_for_five_seconds_after_the_last_sign() {
     let at = Duration::from_secs;
--- a/crates/anvil_policy/tests/read_ahead.rs
+++ b/crates/anvil_policy/tests/read_ahead.rs
@@ -26,8 +26,8 @@
     assert_eq!(ahead.total(), 0);
 }
 
-/// Guards against many slow clients that exhaust the memory, and against one that gets nothing any more
-/// because the others have filled their buffers.
+/// Guards against many slow clients that exhaust the memory, and against one that gets nothing any
+/// more because the others have filled their buffers.
 #[test]
 fn many_slow_clients_hold_no_more_than_the_total_and_one_event_each() {
     for (memory, max_total) in [(None, DEFAULT_TOTAL_BYTES), (Some(40 << 20), 4 << 20)] {
--- a/crates/anvil_policy/tests/room.rs
+++ b/crates/anvil_policy/tests/room.rs
@@ -93,8 +93,8 @@
     u32::try_from(SLOTS).expect("few")
 }
 
-/// Runs routers with these rates of requests; returns the part that each serves in time, and the part
-/// that endpoints turn away.
+/// Runs routers with these rates of requests; returns the part that each serves in time, and the
+/// part that endpoints turn away.
 fn run(rates: &[f64], seed: u64) -> Vec<(f64, f64)> {
     let count = u32::try_from(rates.len()).expect("few");
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -210,8 +210,8 @@
     }
 }
 
-/// Guards against routers that receive a quarter of the requests of others being left without slots:
-/// they learn of free ones only from their few responses.
+/// Guards against routers that receive a quarter of the requests of others being left without
+/// slots: they learn of free ones only from their few responses.
 #[test]
 fn zone_with_a_quarter_of_the_callers_keeps_its_part_of_the_pool() {
     for seed in SEEDS {
@@ -224,8 +224,8 @@
     }
 }
 
-/// Guards against one of several equal routers that takes nearly all slots, and against routers that
-/// fill the endpoints' queues until these turn requests away.
+/// Guards against one of several equal routers that takes nearly all slots, and against routers
+/// that fill the endpoints' queues until these turn requests away.
 #[test]
 fn equal_routers_share_the_endpoints_under_overload() {
     for seed in SEEDS {
@@ -297,8 +297,8 @@
     assert_eq!(window.size(), None);
 }
 
-/// Guards against a router that receives its first report of congestion after a second without any, and
-/// fills the endpoints' queues as if there were none.
+/// Guards against a router that receives its first report of congestion after a second without any,
+/// and fills the endpoints' queues as if there were none.
 #[test]
 fn congestion_after_a_pause_starts_a_window() {
     let mut window = InFlightWindow::default();
--- a/crates/anvilreel/src/money/batch_exchange.rs
+++ b/crates/anvilreel/src/money/batch_exchange.rs
@@ -297,8 +297,8 @@
         let largest = budget_grants.demand.largest();
         let grants = budget_grants.grants.load();
         let newest = grants.last().map(|grant| grant.id);
-        // Rests of grants that outlast an outage go back only once they are replaced: the batch that
-        // requests the replacement may be the first one that stays unanswered.
+        // Rests of grants that outlast an outage go back only once they are replaced: the batch
+        // that requests the replacement may be the first one that stays unanswered.
         let outlasts = budget_grants.outage_cover().hold().is_some();
         let should_close = |grant: &&Arc<OpenGrant>| {
             if outlasts {
@@ -375,8 +375,8 @@
     }
 }
 
-/// The request that tops up what is held for an outage, if it is due. It is never refused while anything is
-/// left: a refusal would recall every router's grants although no request lacks tokens.
+/// The request that tops up what is held for an outage, if it is due. It is never refused while
+/// anything is left: a refusal would recall every router's grants although no request lacks tokens.
 fn top_up_asks(budget_grants: &BudgetGrants, hold: Tokens, bound: Tokens) -> Vec<GrantRequest> {
     let wanted = tokens_to_request(hold, bound, &budget_grants.free_by_grant());
     let request = wanted.map(|wanted| GrantRequest {
--- a/crates/anvilreel/src/money/outage_cover.rs
+++ b/crates/anvilreel/src/money/outage_cover.rs
@@ -1,4 +1,5 @@
-//! Tokens that one budget's grants hold for an outage of the ledger, beyond what the next batch needs.
+//! Tokens that one budget's grants hold for an outage of the ledger, beyond what the next batch
+//! needs.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -17,8 +18,8 @@
 use super::sizing::needed_for;
 use super::{GrantAccount, OpenGrant};
 
-/// Free tokens are not returned for this time after a grant has arrived, so that the requests that wait for
-/// it can reserve them. Five times what a request takes to wake up on a slow processor.
+/// Free tokens are not returned for this time after a grant has arrived, so that the requests that
+/// wait for it can reserve them. Five times what a request takes to wake up on a slow processor.
 const SETTLING_TIME: Duration = Duration::from_millis(100);
 
 /// How much of one budget a router holds for an outage, and why not more.
@@ -78,8 +79,8 @@
         self.policy.outage_horizon.is_some()
     }
 
-    /// The budgets, in order, whose balances are needed to decide what is held for an outage: those that had
-    /// a request recently.
+    /// The budgets, in order, whose balances are needed to decide what is held for an outage: those
+    /// that had a request recently.
     pub fn budgets_in_demand(&self, now: Now) -> Vec<BudgetId> {
         let Some(horizon) = self.policy.outage_horizon else {
             return Vec::new();
@@ -92,8 +93,8 @@
         in_demand.map(|grants| grants.budget.clone()).collect()
     }
 
-    /// Records balances that the ledger reported. Budgets without a recent one have no tokens held for an
-    /// outage.
+    /// Records balances that the ledger reported. Budgets without a recent one have no tokens held
+    /// for an outage.
     pub fn record_balances(&self, now: Now, balances: &BTreeMap<BudgetId, BudgetBalance>) {
         let Some(horizon) = self.policy.outage_horizon else {
             return;
@@ -109,14 +110,14 @@
         }
     }
 
-    /// Sets the number of routers that draw on the budgets. The largest one counts: a router that is not
-    /// listed for a while may still hold tokens.
+    /// Sets the number of routers that draw on the budgets. The largest one counts: a router that
+    /// is not listed for a while may still hold tokens.
     pub fn set_routers(&self, routers: u32) {
         self.routers.fetch_max(routers, Ordering::Relaxed);
     }
 
-    /// Holds only what the next batch needs from now on: before a planned stop, so that little is lost if
-    /// the process is killed before its last request has ended.
+    /// Holds only what the next batch needs from now on: before a planned stop, so that little is
+    /// lost if the process is killed before its last request has ended.
     pub fn end_outage_cover(&self) {
         self.cover_ended.store(true, Ordering::Release);
     }
@@ -184,8 +185,8 @@
         });
     }
 
-    /// What to return of each grant of the budget, in the order of its grants; `None` if the rules for short
-    /// grants decide alone.
+    /// What to return of each grant of the budget, in the order of its grants; `None` if the rules
+    /// for short grants decide alone.
     pub(super) fn surplus_returns(
         &self,
         now: Now,
@@ -200,7 +201,8 @@
         }
         let free: Vec<_> = grants.iter().map(|grant| grant.free()).collect();
         let Some((hold, bound)) = cover.hold() else {
-            // As much as short grants hold at most: one that was just renewed, and the rest before it.
+            // As much as short grants hold at most: one that was just renewed, and the rest before
+            // it.
             let short = needed_for(budget_grants.demand.rate(), self.horizon());
             let keep = short + short / 3 + budget_grants.demand.largest();
             return Some(return_down_to(keep, &free));
--- a/crates/anvilreel/src/money/sizing.rs
+++ b/crates/anvilreel/src/money/sizing.rs
@@ -52,8 +52,8 @@
     /// the router dies: with 17 routers a tenth of a budget. If the ledger answers within a few
     /// milliseconds, the next such request can ask for itself.
     pub min_expected_requests: f64,
-    /// The longest outage of the ledger for which tokens are held while much of a budget is left; `None`
-    /// if no longer than the horizon. See `anvil_policy::outage_grant`.
+    /// The longest outage of the ledger for which tokens are held while much of a budget is left;
+    /// `None` if no longer than the horizon. See `anvil_policy::outage_grant`.
     pub outage_horizon: Option<Duration>,
     /// Maximum number of reports in one batch: keeps a batch within 4 KB.
     pub max_reports: usize,
--- a/crates/anvilreel/tests/money/outage.rs
+++ b/crates/anvilreel/tests/money/outage.rs
@@ -89,8 +89,8 @@
     }
 }
 
-/// Guards against an outage in which nothing can be paid for although budgets are far from exhausted, and
-/// against batches that grow with the horizon.
+/// Guards against an outage in which nothing can be paid for although budgets are far from
+/// exhausted, and against batches that grow with the horizon.
 #[test]
 fn outage_in_mid_budget_is_paid_for() {
     let short = play_and_print("mid-budget, short", plan(None));
@@ -118,8 +118,8 @@
     assert!(spent(&long) >= spent(&short) / 1_000 * 999);
 }
 
-/// Guards against requests that are refused while budgets run out, because other routers hold tokens for an
-/// outage that does not come.
+/// Guards against requests that are refused while budgets run out, because other routers hold
+/// tokens for an outage that does not come.
 #[test]
 fn budgets_that_run_out_serve_as_many_requests_as_with_short_grants() {
     let [short, long] = [None, Some(OUTAGE_HORIZON)].map(|horizon| {
@@ -133,8 +133,8 @@
     assert!(served(&long) >= served(&short) / 100 * 99);
 }
 
-/// Guards against budgets that are lost with the routers that hold them, when all of them lose power at
-/// once while a fifth of each budget is left.
+/// Guards against budgets that are lost with the routers that hold them, when all of them lose
+/// power at once while a fifth of each budget is left.
 #[test]
 fn all_routers_killed_lose_at_most_an_eighth_of_what_is_left() {
     let fifth = 1.3 * 300.0 / 5.0;
@@ -151,8 +151,8 @@
     }
 }
 
-/// Guards against budgets that are lost with the routers that hold them, when a third of the routers is killed
-/// in mid-budget.
+/// Guards against budgets that are lost with the routers that hold them, when a third of the
+/// routers is killed in mid-budget.
 #[test]
 fn killed_routers_lose_at_most_a_sixteenth_of_what_is_left() {
     let mut plan = plan(Some(OUTAGE_HORIZON));
@@ -182,7 +182,8 @@
     assert!(measured.refused_percent(0..FREQUENT, OUTAGE) <= 25);
 }
 
-/// Guards against an organisation that becomes hot and whose cover follows only after several outages.
+/// Guards against an organisation that becomes hot and whose cover follows only after several
+/// outages.
 #[test]
 fn organisation_that_became_hot_is_paid_for() {
     let hot = 5;
@@ -202,8 +203,8 @@
 const REQUESTS_PER_S: u64 = 5;
 const COST: Tokens = 1_000;
 
-/// A router's account with these budgets, each of which has paid for requests for a minute. `ends` is the
-/// number of milliseconds that it takes part in.
+/// A router's account with these budgets, each of which has paid for requests for a minute. `ends`
+/// is the number of milliseconds that it takes part in.
 fn loaded(ledger: &mut Ledger, budgets: &[BudgetId], ends: u64) -> GrantAccount {
     let account = GrantAccount::new("r1".into(), 1, policy(Some(OUTAGE_HORIZON)));
     account.set_routers(2);
@@ -239,8 +240,8 @@
     }
 }
 
-/// Guards against refusals while the ledger does not answer and enough is held, and against requests that
-/// wait for it although they need more.
+/// Guards against refusals while the ledger does not answer and enough is held, and against
+/// requests that wait for it although they need more.
 #[test]
 fn silent_ledger_refuses_at_once_only_what_is_not_held() {
     let mut ledger = Ledger::with(10_000_000);
@@ -263,8 +264,8 @@
     }
 }
 
-/// Guards against long grants that a planned stop loses: what an ended incarnation holds counts as spent.
-/// The gateway has 250 ms for it.
+/// Guards against long grants that a planned stop loses: what an ended incarnation holds counts as
+/// spent. The gateway has 250 ms for it.
 #[test]
 fn planned_stop_returns_all_long_grants_in_time() {
     let budgets: Vec<BudgetId> = (0..PAYERS).map(|i| format!("b{i}").into()).collect();
@@ -291,14 +292,15 @@
     }
 }
 
-/// Guards against a router that holds tokens for an outage without knowing what the budget bears: a ledger
-/// of a previous build answers batches, but no reads of balances.
+/// Guards against a router that holds tokens for an outage without knowing what the budget bears: a
+/// ledger of a previous build answers batches, but no reads of balances.
 #[test]
 fn nothing_is_held_without_a_balance() {
     let mut ledger = Ledger::with(10_000_000);
     let account = loaded(&mut ledger, &["nairobi".into()], 30_000);
     assert_eq!(account.cover_status(at(30_000)).covered, 1);
-    // The last balance stays usable over an outage, and is dropped where the ledger answers batches.
+    // The last balance stays usable over an outage, and is dropped where the ledger answers
+    // batches.
     for (until, covered) in [(38_000, 1), (60_000, 0)] {
         for now in (until - 500..until).step_by(10) {
             exchange(&mut ledger, &account, now);
--- a/crates/anvilreel/tests/money/outage_model.rs
+++ b/crates/anvilreel/tests/money/outage_model.rs
@@ -1,5 +1,5 @@
-//! Several routers' real grant accounts and the ledger's real state in virtual time, with outages of the
-//! ledger and routers that are killed.
+//! Several routers' real grant accounts and the ledger's real state in virtual time, with outages
+//! of the ledger and routers that are killed.
 
 use std::collections::BTreeMap;
 use std::ops::Range;
