Parts held after a start bear a request each

Change: if the parts of all routers would be too small, as many routers as there are requests in the eighth hold one each, by their rank, moved by the budget.

--- a/crates/anvil_gateway/src/ledger_updates.rs
+++ b/crates/anvil_gateway/src/ledger_updates.rs
@@ -134,7 +134,7 @@
     let rank = u32::try_from(rank).unwrap_or(u32::MAX);
     gw.gateway_rank.store(rank, Ordering::Relaxed);
     let count = u32::try_from(ids.len()).unwrap_or(u32::MAX);
-    gw.grant_account.set_routers(count);
+    gw.grant_account.set_routers(count, rank);
     if gw.gateway_count.swap(count, Ordering::Relaxed) != count {
         event!(gw.log, events::GATEWAY_PEERS_CHANGED, "gateways" => count);
     }
--- a/crates/anvilreel/src/money/account.rs
+++ b/crates/anvilreel/src/money/account.rs
@@ -62,6 +62,8 @@
     pub(super) stopping: AtomicBool,
     /// Number of routers that draw on the budgets; 0 if unknown.
     pub(super) routers: AtomicU32,
+    /// Rank of this router among them.
+    pub(super) rank: AtomicU32,
     pub(super) cover_ended: AtomicBool,
     /// When the first request of any organisation came, in milliseconds; [`NO_REQUEST`] before.
     first_request: AtomicU64,
@@ -93,6 +95,7 @@
             urgent: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             routers: AtomicU32::new(0),
+            rank: AtomicU32::new(0),
             cover_ended: AtomicBool::new(false),
             first_request: AtomicU64::new(NO_REQUEST),
             largest_request: AtomicU64::new(0),
--- a/crates/anvilreel/src/money/outage_cover.rs
+++ b/crates/anvilreel/src/money/outage_cover.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use anvil_policy::outage_grant::{
-    FleetBalance, GrantReturn, OutageDemand, Scarcity, demand_lifetime, return_down_to,
-    tokens_to_return,
+    FleetBalance, GrantReturn, OutageDemand, RouterPlace, Scarcity, demand_lifetime,
+    return_down_to, tokens_to_return,
 };
 use anvil_wire::msg::BudgetBalance;
 use anvil_world::command::{GrantBatch, GrantBatchAnswer};
@@ -124,10 +124,11 @@
         }
     }
 
-    /// Sets the number of routers that draw on the budgets. The largest one counts: a router that
-    /// is not listed for a while may still hold tokens.
-    pub fn set_routers(&self, routers: u32) {
+    /// Sets the number of routers that draw on the budgets, and this router's rank among them. The
+    /// largest number counts: a router that is not listed for a while may still hold tokens.
+    pub fn set_routers(&self, routers: u32, rank: u32) {
         self.routers.fetch_max(routers, Ordering::Relaxed);
+        self.rank.store(rank, Ordering::Relaxed);
     }
 
     /// Holds only what the next batch needs from now on: before a planned stop, so that little is
@@ -189,7 +190,9 @@
                 .update(horizon, elapsed, charged, requests, added.largest);
         }
         let routers = self.routers.load(Ordering::Relaxed);
-        let limits = cover.balance.limits(now, horizon, routers);
+        let rank = self.rank.load(Ordering::Relaxed);
+        let place = RouterPlace::at_budget(&budget_grants.budget, rank, routers);
+        let limits = cover.balance.limits(now, horizon, place);
         let may_cover = routers > 0
             && !cover.scarcity.is_scarce(now)
             && !self.cover_ended.load(Ordering::Acquire);
--- a/crates/anvilreel/tests/money/outage.rs
+++ b/crates/anvilreel/tests/money/outage.rs
@@ -225,7 +225,7 @@
 /// is the number of milliseconds that it takes part in.
 fn loaded(ledger: &mut Ledger, budgets: &[BudgetId], ends: u64) -> GrantAccount {
     let account = GrantAccount::new("r1".into(), 1, policy(Some(OUTAGE_HORIZON)));
-    account.set_routers(2);
+    account.set_routers(2, 0);
     for now in (10..ends).step_by(10) {
         if now % (1_000 / REQUESTS_PER_S) == 0 {
             for budget in budgets {
@@ -329,7 +329,7 @@
     assert!(status.free <= 4 * COST, "{}", status.free);
 
     let account = GrantAccount::new("r2".into(), 1, policy(Some(OUTAGE_HORIZON)));
-    account.set_routers(2);
+    account.set_routers(2, 0);
     for now in (10..20_000).step_by(10) {
         if now % (1_000 / REQUESTS_PER_S) == 0
             && let Ok(reservation) = account.reserve(at(now), &split(), COST)
--- a/crates/anvilreel/tests/money/outage_model.rs
+++ b/crates/anvilreel/tests/money/outage_model.rs
@@ -234,8 +234,9 @@
     }
 
     fn set_router_count(&self) {
-        for account in self.accounts.iter().flatten() {
-            account.set_routers(u32::try_from(self.plan.routers).expect("few routers"));
+        let routers = u32::try_from(self.plan.routers).expect("few routers");
+        for (rank, account) in (0..routers).zip(self.accounts.iter().flatten()) {
+            account.set_routers(routers, rank);
         }
     }
 
