Held prompts: decision, messages and reduced reservations

Cause: each attempt of a prepaid request that may have run is charged for its prompt. A client whose answer was lost pays again for its retry at another router.

Change: anvil_policy::held_prompt decides which charge is released. A router holds the prompt of an attempt that ended in doubt; it is released only for a charge that is final and is reported while its request still runs, so of several lost attempts the last one stays charged. A charge of fewer tokens than the held prompt releases nothing, as the client states them outside of what the hash covers. anvil_wire has the messages, at a call of their own. GrantAccount::reduce frees what a reservation holds beyond the prompt.

--- /dev/null
+++ b/crates/anvil_policy/src/held_prompt.rs
@@ -0,0 +1,375 @@
+//! Prompts of lost attempts: the prompt of a request that a client retries is charged once.
+//!
+//! *Load pattern:* an answer is lost after the endpoint may have read the prompt, and the client retries the
+//! request at another router of its zone.
+//!
+//! *Without it:* each attempt is charged for the prompt, and the budget is used up before the organisation
+//! has received what it paid for.
+//!
+//! *Mechanism:* the router of the lost attempt, the *origin*, keeps the prompt reserved ([`HeldAttempts`])
+//! and notifies the other routers of its zone. A router that charges the same request reports this for each
+//! notice that it has ([`Notices`]), and the origin releases the prompt instead of charging it.
+//!
+//! *Why every prompt is charged at least once:* a charge is reported only while its request runs, and only
+//! once it can't be reversed ([`ChargeProgress::may_report`]). A request is held after that, if at all. So a
+//! held attempt is released only by a request that ends later, and the last one is charged.
+//!
+//! *Thresholds:* a hold lasts as long as the client may retry, at most [`MAX_HOLD_TIME`].
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use anvil_world::prelude::*;
+
+/// Longest time for which a prompt is held.
+pub const MAX_HOLD_TIME: Duration = Duration::from_secs(5);
+/// Attempts that one router holds. Beyond that the oldest is charged.
+pub const MAX_HELD_ATTEMPTS: usize = 4_096;
+/// Notices of other routers that one router keeps. Beyond that the oldest is dropped.
+pub const MAX_NOTICES: usize = 16_384;
+
+/// Number of a held attempt, unique within an incarnation of its router.
+pub type HoldNumber = u64;
+
+/// What becomes of a reservation when its request has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ChargeEnd {
+    /// The request did not run: it is released.
+    Release,
+    /// The request may have run, and its client received nothing: the prompt is held.
+    Hold,
+    /// It is charged.
+    Charge,
+}
+
+/// What is known of a running request that decides about its charge.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ChargeProgress {
+    may_have_run: bool,
+    is_final: bool,
+    is_answered: bool,
+}
+
+impl ChargeProgress {
+    /// Records that an endpoint may have begun.
+    pub fn record_begun(&mut self) {
+        self.may_have_run = true;
+    }
+
+    /// Records that the request did not run. Without effect once the charge is final.
+    pub fn record_not_run(&mut self) {
+        self.may_have_run &= self.is_final;
+    }
+
+    /// Records that the charge can't be reversed any more: an endpoint responded, or its response is lost.
+    pub fn record_final(&mut self) {
+        self.is_final = self.may_have_run;
+    }
+
+    /// Records that output is delivered to the client.
+    pub fn record_answered(&mut self) {
+        self.is_answered = true;
+    }
+
+    /// Whether an endpoint may have begun.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
+    /// Whether the charge may be reported to routers that hold the same request.
+    pub fn may_report(&self) -> bool {
+        self.is_final
+    }
+
+    /// What becomes of the reservation if the request ends now.
+    pub fn end(&self) -> ChargeEnd {
+        if !self.may_have_run {
+            ChargeEnd::Release
+        } else if self.is_answered {
+            ChargeEnd::Charge
+        } else {
+            ChargeEnd::Hold
+        }
+    }
+}
+
+/// The request of an attempt, and the tokens that are charged for its prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LostAttempt {
+    /// Hash of the request; equal for its retries.
+    pub request: ContentDigest,
+    /// Its prompt.
+    pub prompt: Tokens,
+}
+
+/// A held attempt as other routers are notified of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Announcement {
+    /// The attempt.
+    pub number: HoldNumber,
+    /// Its request.
+    pub request: ContentDigest,
+    /// For how much longer it is held.
+    pub keep: Duration,
+}
+
+#[derive(Debug)]
+struct Held<T> {
+    attempt: LostAttempt,
+    until: Now,
+    charge: T,
+}
+
+/// The attempts that a router holds, each with its charge. An attempt that is returned is no longer held, so
+/// each is released or charged once.
+#[derive(Debug)]
+pub struct HeldAttempts<T> {
+    held: BTreeMap<HoldNumber, Held<T>>,
+    by_request: BTreeSet<(ContentDigest, HoldNumber)>,
+    by_end: BTreeSet<(Now, HoldNumber)>,
+    unannounced: BTreeSet<HoldNumber>,
+    next_number: HoldNumber,
+    is_closed: bool,
+}
+
+impl<T> HeldAttempts<T> {
+    /// Holds nothing yet. The first attempt gets this number.
+    pub fn new(first_number: HoldNumber) -> Self {
+        Self {
+            held: BTreeMap::new(),
+            by_request: BTreeSet::new(),
+            by_end: BTreeSet::new(),
+            unannounced: BTreeSet::new(),
+            next_number: first_number,
+            is_closed: false,
+        }
+    }
+
+    /// Holds an attempt while its client may retry it. Returns the oldest one if there are too many; it is to
+    /// be charged.
+    ///
+    /// # Errors
+    /// Returns the charge if it isn't held: no time is left, or nothing is held any more.
+    pub fn hold(
+        &mut self,
+        now: Now,
+        attempt: LostAttempt,
+        time_left: Duration,
+        charge: T,
+    ) -> Result<Option<T>, T> {
+        if self.is_closed || time_left.is_zero() {
+            return Err(charge);
+        }
+        let number = self.next_number;
+        self.next_number = number.wrapping_add(1);
+        let until = now + time_left.min(MAX_HOLD_TIME);
+        self.by_request.insert((attempt.request, number));
+        self.by_end.insert((until, number));
+        self.unannounced.insert(number);
+        let held = Held {
+            attempt,
+            until,
+            charge,
+        };
+        self.held.insert(number, held);
+        let first = self.held.first_key_value().map(|(number, _)| *number);
+        let oldest = first.filter(|_| self.held.len() > MAX_HELD_ATTEMPTS);
+        Ok(oldest.and_then(|number| self.remove(number)))
+    }
+
+    /// Ends a hold because another router reports that it has charged the request. `None` if the attempt is
+    /// not held, or if another request or less than its prompt was charged.
+    pub fn release(&mut self, number: HoldNumber, charged: &LostAttempt) -> Option<T> {
+        let held = self.held.get(&number)?;
+        covers(charged, &held.attempt).then(|| self.remove(number))?
+    }
+
+    /// Ends the holds of a request that this router has charged.
+    pub fn release_equal(&mut self, charged: &LostAttempt) -> Vec<T> {
+        let request = charged.request;
+        let equal = self
+            .by_request
+            .range((request, 0)..=(request, HoldNumber::MAX));
+        let numbers: Vec<_> = equal.map(|(_, number)| *number).collect();
+        let released = numbers.into_iter();
+        released
+            .filter_map(|number| self.release(number, charged))
+            .collect()
+    }
+
+    /// Ends the holds whose time is over: they are to be charged.
+    pub fn take_ended(&mut self, now: Now) -> Vec<T> {
+        let ended = self.by_end.range(..=(now, HoldNumber::MAX));
+        let numbers: Vec<_> = ended.map(|(_, number)| *number).collect();
+        self.remove_all(numbers)
+    }
+
+    /// Ends the holds of these charges.
+    pub fn take_if(&mut self, is_taken: impl Fn(&T) -> bool) -> Vec<T> {
+        let taken = self.held.iter().filter(|(_, held)| is_taken(&held.charge));
+        let numbers: Vec<_> = taken.map(|(number, _)| *number).collect();
+        self.remove_all(numbers)
+    }
+
+    /// Ends all holds for good: they are to be charged, and nothing is held any more.
+    pub fn close(&mut self) -> Vec<T> {
+        self.is_closed = true;
+        self.take_if(|_| true)
+    }
+
+    /// When the next hold ends.
+    pub fn first_end(&self) -> Option<Now> {
+        self.by_end.first().map(|(until, _)| *until)
+    }
+
+    /// At most `max` attempts of which no router has been notified yet.
+    pub fn take_announcements(&mut self, now: Now, max: usize) -> Vec<Announcement> {
+        let mut announcements = Vec::new();
+        while announcements.len() < max {
+            let Some(number) = self.unannounced.pop_first() else {
+                break;
+            };
+            let held = self.held.get(&number).filter(|held| now < held.until);
+            announcements.extend(held.map(|held| Announcement {
+                number,
+                request: held.attempt.request,
+                keep: held.until.saturating_sub(now),
+            }));
+        }
+        announcements
+    }
+
+    /// Whether other routers are to be notified.
+    pub fn has_unannounced(&self) -> bool {
+        !self.unannounced.is_empty()
+    }
+
+    /// Number of held attempts.
+    pub fn len(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Whether nothing is held.
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
+    fn remove_all(&mut self, numbers: Vec<HoldNumber>) -> Vec<T> {
+        let numbers = numbers.into_iter();
+        numbers.filter_map(|number| self.remove(number)).collect()
+    }
+
+    fn remove(&mut self, number: HoldNumber) -> Option<T> {
+        let held = self.held.remove(&number)?;
+        self.by_request.remove(&(held.attempt.request, number));
+        self.by_end.remove(&(held.until, number));
+        self.unannounced.remove(&number);
+        Some(held.charge)
+    }
+}
+
+/// Whether a charge stands for that of a lost attempt. The prompt's tokens are stated by the client and not
+/// part of the request's hash.
+fn covers(charged: &LostAttempt, lost: &LostAttempt) -> bool {
+    charged.request == lost.request && charged.prompt >= lost.prompt
+}
+
+/// Notice of an attempt that another router holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Notice {
+    /// The router that holds it.
+    pub origin: InstanceId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// The attempt.
+    pub number: HoldNumber,
+    /// Its request.
+    pub request: ContentDigest,
+    /// When it is charged, as far as known here.
+    pub until: Now,
+}
+
+impl Notice {
+    fn is_of_same_attempt(&self, other: &Self) -> bool {
+        self.number == other.number
+            && self.incarnation == other.incarnation
+            && self.origin == other.origin
+    }
+}
+
+/// Notices of attempts that other routers hold, bounded in number and by time.
+#[derive(Debug, Default)]
+pub struct Notices {
+    by_arrival: BTreeMap<u64, Notice>,
+    by_request: BTreeSet<(ContentDigest, u64)>,
+    next: u64,
+}
+
+impl Notices {
+    /// Stores a notice, unless it is known.
+    pub fn insert(&mut self, now: Now, notice: Notice) {
+        self.drop_ended(now);
+        if self.knows(&notice) {
+            return;
+        }
+        let arrival = self.next;
+        self.next += 1;
+        self.by_request.insert((notice.request, arrival));
+        self.by_arrival.insert(arrival, notice);
+        if self.by_arrival.len() > MAX_NOTICES {
+            self.drop_oldest();
+        }
+    }
+
+    /// Takes the notices of a request that has been charged here: each is reported once.
+    pub fn take(&mut self, now: Now, request: ContentDigest) -> Vec<Notice> {
+        let arrivals: Vec<_> = self.arrivals_of(request).collect();
+        let taken = arrivals
+            .into_iter()
+            .filter_map(|arrival| self.remove(arrival));
+        taken.filter(|notice| now < notice.until).collect()
+    }
+
+    /// Number of notices.
+    pub fn len(&self) -> usize {
+        self.by_arrival.len()
+    }
+
+    /// Whether there are no notices.
+    pub fn is_empty(&self) -> bool {
+        self.by_arrival.is_empty()
+    }
+
+    fn knows(&self, notice: &Notice) -> bool {
+        let arrivals = self.arrivals_of(notice.request);
+        let mut known = arrivals.filter_map(|arrival| self.by_arrival.get(&arrival));
+        known.any(|known| known.is_of_same_attempt(notice))
+    }
+
+    fn arrivals_of(&self, request: ContentDigest) -> impl Iterator<Item = u64> {
+        let of_request = self.by_request.range((request, 0)..=(request, u64::MAX));
+        of_request.map(|(_, arrival)| *arrival)
+    }
+
+    /// Drops the oldest notices that have ended. A later one may be kept behind one that ends later, at most
+    /// for [`MAX_HOLD_TIME`].
+    fn drop_ended(&mut self, now: Now) {
+        while let Some((_, oldest)) = self.by_arrival.first_key_value()
+            && oldest.until <= now
+        {
+            self.drop_oldest();
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        if let Some((arrival, notice)) = self.by_arrival.pop_first() {
+            self.by_request.remove(&(notice.request, arrival));
+        }
+    }
+
+    fn remove(&mut self, arrival: u64) -> Option<Notice> {
+        let notice = self.by_arrival.remove(&arrival)?;
+        self.by_request.remove(&(notice.request, arrival));
+        Some(notice)
+    }
+}
--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -48,6 +48,7 @@
 //! * [`retry`]: whether a failed attempt is repeated.
 //! * [`grant`]: how much of a budget a router holds.
 //! * [`outage_grant`]: how much it holds so that it can pay for requests while the ledger does not answer.
+//! * [`held_prompt`]: whether the prompt of a lost attempt is charged, or that of its retry.
 //! * [`engine`]: which engine a prompt goes to, among engines without a sidecar.
 //! * [`pace`]: how much longer work takes where an endpoint shares its machine.
 //! * [`pause`]: when a router sends to an endpoint that asked for a pause.
@@ -81,6 +82,7 @@
 pub mod fair;
 pub mod grant;
 pub mod health;
+pub mod held_prompt;
 pub mod intake;
 pub mod limit;
 pub mod link_pacer;
--- a/crates/anvil_wire/src/msg.rs
+++ b/crates/anvil_wire/src/msg.rs
@@ -1,11 +1,15 @@
 //! The messages, in one module per kind of call.
 
+mod held_prompts;
 mod ledger;
 mod listing;
 mod origins;
 mod router;
 mod sidecar;
 
+pub use held_prompts::{
+    HeldPromptCall, HeldPromptNotice, HeldPromptReply, HeldPromptRequest, PromptCharge,
+};
 pub use ledger::{
     AuditFilter, BudgetBalance, BudgetView, ChargeEvidence, FollowEvent, FollowScope, Heartbeat,
     HeartbeatReply, KeyCharge, LedgerCall, LedgerReply, LedgerRequest, LedgerStatus, Query,
--- a/crates/anvil_wire/tests/codec.rs
+++ b/crates/anvil_wire/tests/codec.rs
@@ -1,6 +1,9 @@
 //! Tests of the encoding of short and long messages.
 
-use anvil_wire::msg::{BudgetBalance, Query, QueryAnswer};
+use anvil_wire::msg::{
+    BudgetBalance, HeldPromptNotice, HeldPromptReply, HeldPromptRequest, PromptCharge, Query,
+    QueryAnswer,
+};
 use anvil_wire::{MAX_MESSAGE_BYTES, decode, encode};
 use bytes::{BufMut, BytesMut};
 
@@ -70,3 +73,39 @@
         Some(answer)
     );
 }
+
+/// Guards against another order of the messages about held prompts, which routers of two builds exchange
+/// during an update: a notice would be read as a charge.
+#[test]
+fn messages_about_held_prompts_keep_their_encoding() {
+    let held = HeldPromptNotice {
+        number: 7,
+        request: 11,
+        keep: std::time::Duration::from_secs(2),
+    };
+    let notify = HeldPromptRequest::Notify {
+        origin: "r1".into(),
+        incarnation: 3,
+        held: vec![held],
+    };
+    let charge = PromptCharge {
+        number: 7,
+        request: 11,
+        prompt: 200,
+    };
+    let report = HeldPromptRequest::Report {
+        by: "r2".into(),
+        incarnation: 3,
+        charges: vec![charge],
+    };
+    for (variant, message) in [(0, notify), (1, report)] {
+        let bytes = encode(&message).expect("encoded");
+        // The variant's number follows the length, which takes four bytes.
+        assert_eq!(bytes[4], variant);
+        let mut buf = BytesMut::from(&bytes[..]);
+        let decoded = decode::<HeldPromptRequest>(&mut buf).expect("decoded");
+        assert_eq!(decoded, Some(message));
+    }
+    let reply = encode(&HeldPromptReply::Received).expect("encoded");
+    assert_eq!(reply[4], 0);
+}
--- a/crates/anvilreel/src/money/account.rs
+++ b/crates/anvilreel/src/money/account.rs
@@ -164,6 +164,20 @@
         result
     }
 
+    /// Frees what a reservation holds beyond `bound` tokens; the rest stays reserved.
+    pub fn reduce(&self, reservation: &mut Reservation, bound: Tokens) {
+        let Reservation { split, parts, .. } = reservation;
+        // Both are in the order of the budgets.
+        for (part, (_, tokens)) in parts.iter_mut().zip(split.bounds(bound)) {
+            let excess = part.tokens.saturating_sub(tokens);
+            part.tokens -= excess;
+            // A cost of zero can't exceed the reservation.
+            let _ = part.grant.settle(excess, 0);
+        }
+        reservation.bound = reservation.bound.min(bound);
+        self.changed.notify_waiters();
+    }
+
     /// Frees a whole reservation: the request did not run, or another router's grants pay for it.
     pub fn release(&self, reservation: Reservation) {
         release_parts(reservation.parts);
--- a/crates/anvilreel/src/money/reservation.rs
+++ b/crates/anvilreel/src/money/reservation.rs
@@ -33,6 +33,11 @@
         self.bound
     }
 
+    /// Whether the ledger has recalled a grant that it is from.
+    pub fn is_recalled(&self) -> bool {
+        self.parts.iter().any(|part| part.grant.is_recalled())
+    }
+
     /// The grant and the reserved tokens of each budget, for the sidecar.
     pub fn grants(&self) -> BTreeMap<BudgetId, (GrantId, Tokens)> {
         let entry =
--- a/crates/anvilreel/tests/money/main.rs
+++ b/crates/anvilreel/tests/money/main.rs
@@ -4,4 +4,5 @@
 mod ledger;
 mod outage;
 mod outage_model;
+mod reduced;
 mod sparse;
