The prompt of a retried request is charged once

Change: a RequestCharge that ends in doubt hands its reservation to HeldPrompts, which keeps it for the client's time, at most 5 s. The gateways of the zone are notified at most every 50 ms; one that charges the same request reports it once, and the prompt is released. A stopping or fenced gateway, and one whose grant is recalled, charges what it holds. The request's line has prompt_held; gateway_prompt_released or gateway_prompt_charged says later how the hold ended, as the line is written up to 5 s before. The losses report subtracts released prompts.

Result: the six requests are billed 1,200 tokens.

--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvil_policy::held_prompt::LostAttempt;
 use anvil_world::prelude::*;
 use anvilreel::money::Shortage;
 use bytes::Bytes;
@@ -165,7 +166,12 @@
     let engine = table.services.get(&service).and_then(|s| s.engine);
     let tokens_per_event = engine.map_or(1, |engine| engine.tokens_per_event.max(1));
     trace.stages.enter(Stage::Money);
-    let charge = reserve(gw, organisation.as_deref(), &request, deadline, trace).await?;
+    let terms = ChargeTerms {
+        request: &request,
+        digest: request_digest,
+        deadline,
+    };
+    let charge = reserve(gw, organisation.as_deref(), terms, trace).await?;
     trace.stages.enter(Stage::Other);
     Ok(Admitted {
         request,
@@ -237,21 +243,38 @@
     }
 }
 
+/// What a charge is for.
+#[derive(Clone, Copy)]
+struct ChargeTerms<'a> {
+    request: &'a RequestHead,
+    /// Equal for requests that count as the same one.
+    digest: ContentDigest,
+    deadline: Instant,
+}
+
 /// Reserves the most that the request can cost.
 async fn reserve(
     gw: &Arc<Gateway>,
     organisation: Option<&Organisation>,
-    request: &RequestHead,
-    deadline: Instant,
+    terms: ChargeTerms<'_>,
     trace: &mut Trace,
 ) -> Result<Option<RequestCharge>, RequestRefusal> {
     let Some(organisation) = organisation.filter(|organisation| organisation.prepaid.is_some())
     else {
         return Ok(None);
     };
+    let ChargeTerms {
+        request,
+        digest,
+        deadline,
+    } = terms;
     let Some(work) = &request.model_work else {
         return Ok(None);
     };
+    let attempt = LostAttempt {
+        request: digest,
+        prompt: work.prompt,
+    };
     let split = Split::single_payer(organisation.id.clone());
     let max_cost = work.prompt.saturating_add(work.max_output);
     let mut give_up_at: Option<Now> = None;
@@ -266,7 +289,8 @@
                 if give_up_at.is_some() {
                     gw.metrics.time(metrics::GRANT_WAIT, wait_started.elapsed());
                 }
-                let charge = RequestCharge::new(gw.grant_account.clone(), reservation, work.prompt);
+                let id = request.id.clone();
+                let charge = RequestCharge::new(gw.clone(), reservation, id, attempt, deadline);
                 return Ok(Some(charge));
             }
             Err(shortage) => shortage,
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -220,7 +220,7 @@
     /// Whether the response is passed on. A server error is retried first if the route and the
     /// retry budget allow it.
     fn is_final(&mut self, response: &EndpointResponse) -> bool {
-        self.in_doubt = true;
+        self.set_in_doubt();
         let failed = response.parts.status.is_server_error();
         let retry = failed && self.route.retry_mode.may_run_again() && self.has_attempts_left();
         !(retry && self.gw.try_count_retry(&self.service))
@@ -240,13 +240,35 @@
     fn record_doubt(&mut self, doubt: Doubt) -> Cause {
         self.trace.step(format_args!("in doubt: {doubt:?}"));
         self.gw.metrics.count(metrics::ATTEMPTS_IN_DOUBT);
-        self.in_doubt = true;
+        self.set_in_doubt();
         match doubt {
             Doubt::Silent => Cause::ResponseTimeout,
             Doubt::Lost | Doubt::Misfit | Doubt::Spoiled => Cause::ResponseLost,
         }
     }
 
+    /// Records that an endpoint may have run the request. Its charge is final from now on, and is reported to
+    /// the gateways that hold the prompt of an earlier attempt.
+    fn set_in_doubt(&mut self) {
+        self.in_doubt = true;
+        let Some(charge) = &mut self.charge else {
+            return;
+        };
+        for holder in charge.record_final() {
+            self.trace.step(format_args!(
+                "charge reported to {holder}, which holds a lost attempt"
+            ));
+        }
+    }
+
+    /// Records that the response to the client begins: its prompt is charged, not held.
+    pub fn record_response_begun(&mut self) {
+        self.trace.record_first_piece();
+        if let Some(charge) = &mut self.charge {
+            charge.record_answered();
+        }
+    }
+
     /// The cause to state if the last attempt was not sent: an earlier one may have run.
     fn cause_by_doubt(&self, cause: Cause) -> Cause {
         match cause {
@@ -313,7 +335,7 @@
                 EndpointResponse::release_connection(sender, watch, &slot.endpoint, &head);
                 remove_connection_headers(&mut parts.headers);
                 self.record_answered(&slot.endpoint, parts.status);
-                self.trace.record_first_piece();
+                self.record_response_begun();
                 let is_success = parts.status.is_success();
                 self.trace.record_outcome(if is_success {
                     "completed"
@@ -355,6 +377,7 @@
             return;
         };
         self.trace.record_cost(charge.cost());
+        self.trace.record_prompt_held(charge.prompt_to_hold());
         // The client has disconnected before the response began.
         let Some(watch) = self.awaited_connection.take().filter(|_| !self.in_doubt) else {
             return;
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -24,6 +24,7 @@
 use crate::accept::intake_status::IntakeStatus;
 use crate::accept::resource_limits::ResourceLimits;
 use crate::accept::socket_budgets::SocketBudgets;
+use crate::account::held_prompts::HeldPrompts;
 use crate::choose::EngineEstimates;
 use crate::dialect::{Dialect, ListSource};
 use crate::directory::Directory;
@@ -91,6 +92,8 @@
     pub directory: Directory,
     /// Grants, and what is reserved and settled on them.
     pub grant_account: Arc<GrantAccount>,
+    /// Prompts of lost attempts, here and at other gateways.
+    pub held_prompts: HeldPrompts,
     /// Wakes the task that requests grants from the ledger.
     pub grants_wanted: Notify,
     /// The process's clock and incarnation, and whether it is stopping.
@@ -210,10 +213,19 @@
         let name = format!("{}#{:x}", cfg.id, rand::random::<u64>());
         let policy = grant_policy(cfg.outage_horizon);
         let grant_account = GrantAccount::new(name.into(), lifecycle.incarnation, policy);
+        let grant_account = Arc::new(grant_account);
+        let held_prompts = HeldPrompts::new(
+            grant_account.clone(),
+            cfg.id.clone(),
+            lifecycle.incarnation,
+            // Room for as many attempts as a process can hold in its life.
+            rand::random::<u64>() >> 1,
+        );
         Self {
             table: ArcSwapOption::empty(),
             directory: Directory::default(),
-            grant_account: Arc::new(grant_account),
+            grant_account,
+            held_prompts,
             grants_wanted: Notify::new(),
             ledger: LedgerClient::new(&cfg.ledger)
                 .with_replica_timeout(REPLICA_TIMEOUT)
--- a/crates/anvil_gateway/src/grant_loop.rs
+++ b/crates/anvil_gateway/src/grant_loop.rs
@@ -63,11 +63,15 @@
             if let Err(e) = gw.grant_account.apply_answer(gw.lifecycle.now(), &answer) {
                 event!(gw.log, events::GATEWAY_SETTLEMENT_REFUSED, "error" => e.to_string());
             }
+            if !answer.recalled.is_empty() {
+                gw.charge_recalled_prompts();
+            }
             log_scarcity(gw);
         }
         Ok(Answer::Denied(denial)) => {
             if gw.grant_account.apply_denial(gw.lifecycle.now(), &denial) {
                 event!(gw.log, events::GATEWAY_FENCED, "why" => denial.to_string());
+                gw.stop_holding_prompts();
             }
         }
         // The same batch is sent again when it is due.
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -31,7 +31,7 @@
 //!
 //! Where the gateway's view comes from: the routing table and the number of gateways from the
 //! ledger ([`ledger_updates`]), grants from the ledger ([`grant_loop`]), balances of budgets
-//! ([`account::balances`]), the list of endpoints from the platform or from other gateways ([`list`]),
+//! ([`account::balances`]), prompts that other gateways hold from these ([`account::held_prompts`]), the list of endpoints from the platform or from other gateways ([`list`]),
 //! endpoint load from response headers ([`endpoint`]), engines' speeds and requests' sizes from
 //! responses ([`choose::EngineEstimates`]).
 
--- a/crates/anvil_gateway/src/list/siblings.rs
+++ b/crates/anvil_gateway/src/list/siblings.rs
@@ -1,5 +1,5 @@
 //! The other gateways of the fleet, and the service that sends them the list of endpoints and the
-//! versions at which streams began.
+//! versions at which streams began, and receives which prompts they hold.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use anvil_policy::list_turn::ListTree;
-use anvil_wire::msg::{ListCall, ListReply, ListRequest, OriginCall, OriginRequest};
+use anvil_wire::msg::{
+    HeldPromptCall, HeldPromptRequest, ListCall, ListReply, ListRequest, OriginCall, OriginRequest,
+};
 use anvil_wire::{Channel, Handlers, Server, WireError};
 use anvil_world::prelude::*;
 use anvilreel::channel_cache::ChannelCache;
@@ -144,7 +146,7 @@
 
 /// Serves siblings for as long as the process runs.
 pub async fn serve_siblings(gw: Arc<Gateway>, server: Server) {
-    let list_gw = gw.clone();
+    let (list_gw, held_gw) = (gw.clone(), gw.clone());
     let handlers = Handlers::default()
         .with::<ListCall, _, _>(move |request: ListRequest, tx| {
             let gw = list_gw.clone();
@@ -154,6 +156,13 @@
                 let _ = tx.finish(&reply).await;
             }
         })
+        .with::<HeldPromptCall, _, _>(move |request: HeldPromptRequest, tx| {
+            let reply = held_gw.answer_held_prompt_request(request);
+            async move {
+                // Fails only if the sibling has disconnected.
+                let _ = tx.finish(&reply).await;
+            }
+        })
         .with::<OriginCall, _, _>(move |request: OriginRequest, tx| {
             let reply = gw.answer_origin_request(request);
             async move {
--- a/crates/anvil_gateway/src/log_events.rs
+++ b/crates/anvil_gateway/src/log_events.rs
@@ -87,4 +87,8 @@
     GATEWAY_ENGINE_SPEED = 6060 Info "gateway_engine_speed";
     /// Requests to a service are refused because no endpoint has room for them in time.
     GATEWAY_OVERLOADED = 6070 Warning "gateway_overloaded";
+    /// The prompt of an attempt that ended in doubt is not charged, because a retry was.
+    GATEWAY_PROMPT_RELEASED = 6080 Info "gateway_prompt_released";
+    /// The prompt of an attempt that ended in doubt was held, and is charged.
+    GATEWAY_PROMPT_CHARGED = 6081 Info "gateway_prompt_charged";
 }
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -132,6 +132,14 @@
 pub const BUDGETS_SCARCE: &str = "budgets.scarce";
 /// Reads of budgets' balances that failed. Count.
 pub const BALANCE_READS_FAILED: &str = "balances.failed";
+/// Attempts that ended in doubt, and whose prompts are held for a retry. Count.
+pub const PROMPTS_HELD: &str = "prompts.held";
+/// Of these, the ones that are not charged, because a retry was. Count.
+pub const PROMPTS_RELEASED: &str = "prompts.released";
+/// Of these, the ones that were charged after the wait. Count.
+pub const PROMPTS_CHARGED: &str = "prompts.charged";
+/// Messages to other gateways about held prompts. Count.
+pub const HELD_PROMPT_MESSAGES: &str = "prompts.messages";
 /// Time since the ledger last confirmed the cached state. Gauge, milliseconds.
 pub const LEDGER_AGE: &str = "age.ledger";
 /// Time since the platform's list was last read. Gauge, milliseconds.
@@ -201,6 +209,10 @@
     (BUDGETS_COVERED, "gauge"),
     (BUDGETS_SCARCE, "gauge"),
     (BALANCE_READS_FAILED, "count"),
+    (PROMPTS_HELD, "count"),
+    (PROMPTS_RELEASED, "count"),
+    (PROMPTS_CHARGED, "count"),
+    (HELD_PROMPT_MESSAGES, "count"),
     (LEDGER_AGE, "gauge"),
     (LIST_AGE, "gauge"),
 ];
--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -8,7 +8,7 @@
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
 
-use crate::account::balances;
+use crate::account::{balances, held_prompt_exchange};
 use crate::gateway::Gateway;
 use crate::list::{discovery, siblings};
 use crate::log_events as events;
@@ -73,6 +73,7 @@
             suspects::run(&task_gw),
             endpoint_limits::run(&task_gw),
             tell::run(&task_gw),
+            held_prompt_exchange::run(&task_gw),
         );
     });
     let serving = serve::serve_clients(gw.clone(), clients);
@@ -81,6 +82,7 @@
         event!(gw.log, events::GATEWAY_LEAVING);
         gw.lifecycle.begin_drain();
         gw.grant_account.end_outage_cover();
+        gw.stop_holding_prompts();
     };
     tokio::join!(serving, stopping);
     grant_loop::return_grants(&gw, RETURN_GRANTS_TIME).await;
--- a/crates/anvil_gateway/src/stream_relay.rs
+++ b/crates/anvil_gateway/src/stream_relay.rs
@@ -136,7 +136,7 @@
             Ok(event) => relay.prefetched = event,
             Err(cause) => return relay.exchange.refuse((cause, Duration::ZERO)),
         }
-        relay.exchange.trace.record_first_piece();
+        relay.exchange.record_response_begun();
         let forwarding = Forwarding::Direct(Box::new(relay));
         let stream = unfold(Some(forwarding), |forwarding| async move {
             let mut forwarding = forwarding?.keep_up().await;
--- a/crates/anvil_gateway/src/trace.rs
+++ b/crates/anvil_gateway/src/trace.rs
@@ -34,6 +34,7 @@
     first_piece_at: Option<Duration>,
     longest_gap: Duration,
     cost: u64,
+    prompt_held: Tokens,
     lost_contents: Option<LostContents>,
     outcome: Option<&'static str>,
 }
@@ -69,6 +70,7 @@
             first_piece_at: None,
             longest_gap: Duration::ZERO,
             cost: 0,
+            prompt_held: 0,
             lost_contents: None,
             outcome: None,
         }
@@ -113,6 +115,11 @@
         self.cost = tokens;
     }
 
+    /// Records the tokens of its prompt that are held for a retry.
+    pub fn record_prompt_held(&mut self, tokens: Tokens) {
+        self.prompt_held = tokens;
+    }
+
     /// Records what the request consists of, because an endpoint lost its response.
     pub fn record_lost_contents(
         &mut self,
@@ -180,7 +187,7 @@
                 "body_ms" => stages.body.as_millis(), "money_ms" => stages.money.as_millis(),
                 "place_ms" => stages.place.as_millis(), "connect_ms" => stages.connect.as_millis(),
                 "response_ms" => stages.response.as_millis(),
-                "billed" => self.cost, "steps" => &*self.steps
+                "billed" => self.cost, "prompt_held" => self.prompt_held, "steps" => &*self.steps
             );
         }
     }
--- a/crates/anvil_gateway/tests/direct/explanations.rs
+++ b/crates/anvil_gateway/tests/direct/explanations.rs
@@ -10,6 +10,7 @@
 use anvilreel::metrics::Metrics;
 use anvilreel::operator::{Explanation, explain, losses};
 
+use crate::charging::{KEY, add_grant};
 use crate::client::Client;
 use crate::endpoint::{
     Step, TestEndpoint, chunk, event, refusal_with, response, response_with, stream_end,
@@ -429,6 +430,45 @@
     );
 }
 
+/// Guards against a budget whose spending can't be explained: the lines show that the prompt of a lost
+/// attempt was held, and that it was not charged.
+#[tokio::test]
+async fn released_prompt_is_logged() {
+    let losing_first = TestEndpoint::start(|number, req| match number {
+        0 => vec![Step::Reset],
+        _ => vec![Step::Send(response(req, "ran"))],
+    })
+    .await;
+    let (gateway, log_output, metrics) = start_logged(&[("a", &losing_first)]).await;
+    let headers = format!("{KEY}x-tokens: 100,30\r\n");
+    let send = async |id: &str| {
+        let mut client = Client::connect(gateway.addr).await;
+        client.request("/once/x", id, &headers).await.status
+    };
+    assert!(send("unpaid-1").await >= 400);
+    add_grant(&gateway, 1, 500);
+    assert!(send("lost-1").await >= 500);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(send("retry-1").await, 200);
+    let explanation = log_output.explain("lost-1").await;
+    let of_message = |message: &str| {
+        let mut lines = explanation.lines.iter();
+        lines.find(|line| line.message == message).expect("a line")
+    };
+    let failed = of_message("gateway_request_failed");
+    assert_eq!(failed.number("prompt_held"), Some(100));
+    let released = of_message("gateway_prompt_released");
+    assert_eq!(released.number("tokens"), Some(100));
+    let metrics = metrics();
+    for name in ["prompts_held", "prompts_released"] {
+        let line = format!("{name} 1");
+        assert!(metrics.contains(&line), "no {line} in {metrics}");
+    }
+    let report = losses([("gateway-1", &*log_output.text())].into_iter());
+    let undelivered = report.budgets.iter().map(|spent| spent.undelivered);
+    assert_eq!(undelivered.sum::<u64>(), 0);
+}
+
 /// Guards against a refusal after a wait that looks like one at once.
 #[tokio::test]
 async fn wait_for_endpoints_is_counted_as_a_wait_for_a_place() {
--- /dev/null
+++ b/crates/anvil_gateway/tests/direct/held_prompts.rs
@@ -0,0 +1,126 @@
+//! Answers that are lost on their way from an endpoint, and retries at another gateway.
+
+use std::collections::BTreeSet;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use anvil_world::prelude::*;
+use tokio::time::{Instant, sleep};
+
+use crate::endpoint::{
+    ReceivedRequest, Step, TestEndpoint, chunk, event, response, stream_end, stream_head,
+};
+use crate::processes::{Processes, TestRequest, new_id};
+
+/// Tokens of each prompt.
+const PROMPT: Tokens = 200;
+/// Longest time for which these clients' attempts are held.
+const CLIENT_TIME: Duration = Duration::from_secs(2);
+/// Time until the ledger has the routers' reports.
+const REPORT_TIME: Duration = Duration::from_millis(700);
+/// A client's pause before its retry.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+fn path(req: &ReceivedRequest) -> String {
+    let path = req.head.split(' ').nth(1);
+    path.expect("a path").to_owned()
+}
+
+/// Three gateways before an endpoint that loses the first answer to each paid request.
+async fn start(
+    answer: impl Fn(&ReceivedRequest) -> Vec<Step> + Send + Sync + 'static,
+) -> Processes {
+    let seen = Mutex::new(BTreeSet::new());
+    let endpoint = TestEndpoint::start(move |_, req| {
+        let is_paid = req.header("x-organisation").is_some();
+        let is_first = seen.lock().expect("paths").insert(path(req));
+        if is_paid && is_first {
+            return vec![Step::Reset];
+        }
+        answer(req)
+    })
+    .await;
+    Processes::start(move || format!("a {}", endpoint.addr)).await
+}
+
+fn request(route: &str) -> TestRequest {
+    TestRequest {
+        path: format!("{route}{}", new_id()),
+        headers: format!(
+            "x-tokens: {PROMPT},30\r\nx-wait: {}\r\n",
+            CLIENT_TIME.as_millis()
+        ),
+    }
+    .paid()
+}
+
+/// Sends a request whose answer is lost.
+async fn lose(processes: &Processes, gateway: u8, request: &TestRequest) {
+    let lost = processes.send(gateway, request).await;
+    assert!(lost.status >= 500, "{lost:?}");
+}
+
+/// Guards against prompts that are charged for the lost attempt and for the retry at another gateway.
+#[tokio::test(flavor = "multi_thread")]
+async fn prompt_of_a_retried_request_is_charged_once() {
+    let processes = start(|req| vec![Step::Send(response(req, "ran"))]).await;
+    for number in 0..6 {
+        let request = request("/once/");
+        lose(&processes, number % 3, &request).await;
+        sleep(RETRY_PAUSE).await;
+        let served = processes.send((number + 1) % 3, &request).await;
+        assert_eq!(served.status, 200, "{served:?}");
+    }
+    sleep(CLIENT_TIME + REPORT_TIME).await;
+    assert_eq!(processes.billed().await, 6 * PROMPT);
+}
+
+/// Guards against the same for streams, and against output that isn't charged.
+#[tokio::test(flavor = "multi_thread")]
+async fn prompt_of_a_retried_stream_is_charged_once() {
+    let stream = |req: &ReceivedRequest| {
+        let mut steps = vec![Step::Send(stream_head(req))];
+        steps.extend((1..=3).map(|id| Step::Send(chunk(&event(id)))));
+        steps.push(Step::Send(stream_end()));
+        steps
+    };
+    let processes = start(stream).await;
+    let request = request("/stream/");
+    lose(&processes, 0, &request).await;
+    sleep(RETRY_PAUSE).await;
+    assert!(processes.send(1, &request).await.complete);
+    sleep(CLIENT_TIME + REPORT_TIME).await;
+    // Three events of three tokens.
+    assert_eq!(processes.billed().await, PROMPT + 9);
+}
+
+/// Guards against a lost attempt without a retry that nobody pays for, and that is charged before its client
+/// could retry it.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_request_without_a_retry_is_charged_after_the_wait() {
+    let processes = start(|req| vec![Step::Send(response(req, "ran"))]).await;
+    let lost = request("/once/");
+    lose(&processes, 0, &lost).await;
+    let lost_at = Instant::now();
+    sleep(REPORT_TIME).await;
+    let billed = processes.billed().await;
+    if lost_at.elapsed() < CLIENT_TIME {
+        assert_eq!(billed, 0, "charged before the client's time was over");
+    }
+    sleep(CLIENT_TIME + REPORT_TIME).await;
+    assert_eq!(processes.billed().await, PROMPT);
+}
+
+/// Guards against a retry that is refused or not charged because the gateway that held the lost attempt was
+/// killed and started again.
+#[tokio::test(flavor = "multi_thread")]
+async fn retry_after_a_restart_of_the_origin_is_served() {
+    let mut processes = start(|req| vec![Step::Send(response(req, "ran"))]).await;
+    let request = request("/once/");
+    lose(&processes, 0, &request).await;
+    processes.restart_gateway(0).await;
+    let served = processes.send(1, &request).await;
+    assert_eq!(served.status, 200, "{served:?}");
+    sleep(REPORT_TIME).await;
+    assert_eq!(processes.billed().await, PROMPT);
+}
--- a/crates/anvil_gateway/tests/direct/main.rs
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -10,6 +10,7 @@
 mod evacuating;
 mod explanations;
 mod gateway;
+mod held_prompts;
 mod leaving;
 mod ledger_outage;
 mod lifting;
--- a/crates/anvil_gateway/tests/direct/processes.rs
+++ b/crates/anvil_gateway/tests/direct/processes.rs
@@ -7,6 +7,7 @@
 
 use anvil_gateway::dialect::{Dialect, ListPage, ListSource};
 use anvil_gateway::{Gateway, GatewaySettings, run};
+use anvil_wire::msg::{Query, QueryAnswer};
 use anvil_world::command::ReplaceRouting;
 use anvil_world::prelude::*;
 use anvil_world::settings::{LedgerSettings, Peer};
@@ -286,6 +287,16 @@
             .expect("a gateway serves");
     }
 
+    /// Tokens billed to the prepaid organisation, according to the ledger.
+    pub async fn billed(&self) -> Tokens {
+        let ledger = LedgerClient::new(&[self.ledger_addr()]);
+        let query = Query::Balances(vec!["co-op".into()]);
+        match ledger.query(query, WAIT_TIMEOUT).await {
+            Ok(QueryAnswer::Balances(balances)) => balances["co-op"].billed,
+            other => panic!("{other:?}"),
+        }
+    }
+
     /// An operator's client of the ledger.
     pub fn operator(&self) -> operator::Client {
         operator::Client::new(&[self.ledger_addr()])
--- a/crates/anvilreel/src/operator/losses.rs
+++ b/crates/anvilreel/src/operator/losses.rs
@@ -19,6 +19,7 @@
 const GRANTS: &str = "gateway_grants";
 const CONFIGURATION_APPLIED: &str = "configuration_taken";
 const CHARGE_DROPPED: &str = "gateway_bill_dropped";
+const PROMPT_RELEASED: &str = "gateway_prompt_released";
 
 /// Length of the prefix of a timestamp that ends with the seconds.
 const SECOND_PREFIX_LEN: usize = 19;
@@ -147,7 +148,9 @@
             FAILED => self.record_end(line, false),
             GRANTS => self.record_refusals(line),
             CONFIGURATION_APPLIED => self.record_credits(line),
-            CHARGE_DROPPED => self.dropped_charges.push(line.text("request").into()),
+            CHARGE_DROPPED | PROMPT_RELEASED => {
+                self.dropped_charges.push(line.text("request").into());
+            }
             _ => {}
         }
     }
--- a/crates/anvilreel/tests/losses.rs
+++ b/crates/anvilreel/tests/losses.rs
@@ -79,6 +79,20 @@
     );
 }
 
+const HELD: &str = r#"
+{"msg":"gateway_request_failed","ts":"2026-01-01T00:00:01.000Z","steps":"0ms to i-2 expecting 4ms; ","billed":250,"prompt_held":250,"first_ms":0,"took_ms":500,"organisation":"co-op","route":"r-1","outcome":"answer_lost","request":"c1","event":6012}
+{"msg":"gateway_request_failed","ts":"2026-01-01T00:00:01.100Z","steps":"0ms to i-2 expecting 4ms; ","billed":300,"prompt_held":300,"first_ms":0,"took_ms":500,"organisation":"co-op","route":"r-1","outcome":"answer_lost","request":"c2","event":6012}
+{"msg":"gateway_prompt_released","ts":"2026-01-01T00:00:01.400Z","request":"c1","tokens":250,"event":6080}
+{"msg":"gateway_prompt_charged","ts":"2026-01-01T00:00:06.100Z","request":"c2","tokens":300,"why":"wait_over","event":6081}
+"#;
+
+/// Guards against prompts of lost attempts that the report counts although a retry paid for them.
+#[test]
+fn released_prompts_are_not_counted_as_spent() {
+    let report = losses([("router-1", HELD)].into_iter());
+    assert_eq!(report.budgets[0].undelivered, 300);
+}
+
 const LATE: &str = r#"
 {"msg":"gateway_request_completed","ts":"2026-01-01T00:00:01.000Z","first_ms":400,"pause_ms":20,"target_ms":300,"pause_target_ms":100,"body_ms":5,"money_ms":0,"place_ms":250,"connect_ms":3,"response_ms":140,"organisation":"co-op","request":"b1","event":6011}
 {"msg":"gateway_request_completed","ts":"2026-01-01T00:00:01.100Z","first_ms":700,"pause_ms":20,"target_ms":300,"pause_target_ms":100,"body_ms":5,"money_ms":0,"place_ms":500,"connect_ms":3,"response_ms":190,"organisation":"co-op","request":"b2","event":6011}
