Notices of held prompts end with the holds

Cause: a notice was dropped only when another one arrived. After the last lost answer it stayed, and each event of each stream looked it up.

Change: the task that charges ended holds drops ended notices too; a notice lasts no longer than a hold can.

--- a/crates/anvil_gateway/src/account/held_prompts.rs
+++ b/crates/anvil_gateway/src/account/held_prompts.rs
@@ -9,7 +9,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use anvil_policy::held_prompt::{HeldAttempts, HoldNumber, LostAttempt, Notice, Notices};
+use anvil_policy::held_prompt::{
+    HeldAttempts, HoldNumber, LostAttempt, MAX_HOLD_TIME, Notice, Notices,
+};
 use anvil_wire::msg::{HeldPromptNotice, HeldPromptRequest, PromptCharge};
 use anvil_world::prelude::*;
 use anvilreel::money::{GrantAccount, Reservation};
@@ -197,6 +199,8 @@
                 for notice in held {
                     self.store_notice(now, &origin, incarnation, &notice);
                 }
+                // The task that drops them sleeps until the end of the first one.
+                self.changed.notify_one();
                 Vec::new()
             }
             HeldPromptRequest::Report {
@@ -209,8 +213,12 @@
         }
     }
 
-    /// Charges the attempts whose clients have no time left.
+    /// Charges the attempts whose clients have no time left, and drops notices of such attempts.
     pub fn charge_ended(&self, now: Now) -> Vec<EndedHold> {
+        let mut notices = self.notices();
+        notices.drop_ended(now);
+        self.notice_count.store(notices.len(), Ordering::Relaxed);
+        drop(notices);
         let ended = self.with_held(|held| held.take_ended(now));
         self.charge_all(ended, HoldEnd::WaitOver)
     }
@@ -264,9 +272,11 @@
         reports.into_iter().map(message).collect()
     }
 
-    /// When the next hold ends.
+    /// When the next hold ends, here or elsewhere.
     pub fn first_end(&self) -> Option<Now> {
-        self.held().first_end()
+        let own = self.held().first_end();
+        let others = self.notices().first_end();
+        own.into_iter().chain(others).min()
     }
 
     /// Number of attempts that are held here.
@@ -300,7 +310,7 @@
                 incarnation,
                 number: notice.number,
                 request: notice.request,
-                until: now.saturating_add(notice.keep),
+                until: now + notice.keep.min(MAX_HOLD_TIME),
             },
         );
         self.notice_count.store(notices.len(), Ordering::Relaxed);
--- a/crates/anvil_gateway/tests/held_prompts/orders.rs
+++ b/crates/anvil_gateway/tests/held_prompts/orders.rs
@@ -218,6 +218,23 @@
     assert_eq!(model.count(1, Fate::Released), 1);
 }
 
+/// Guards against notices that are kept, and looked up at each event of each stream, long after the last
+/// answer was lost.
+#[test]
+fn notices_are_dropped_with_the_end_of_the_hold() {
+    let mut model = Model::new(CREDIT);
+    model.lose(0, 1);
+    model.deliver_all();
+    assert!(!model.routers[1].prompts.is_idle());
+    assert_eq!(
+        model.routers[1].prompts.first_end(),
+        Some(model.now + CLIENT_TIME)
+    );
+    model.advance(CLIENT_TIME);
+    assert!(model.routers.iter().all(|router| router.prompts.is_idle()));
+    assert_eq!(model.routers[1].prompts.first_end(), None);
+}
+
 /// Guards against costs while no answer is lost: no message, and nothing kept.
 #[test]
 fn nothing_is_sent_while_no_answer_is_lost() {
--- a/crates/anvil_policy/src/held_prompt.rs
+++ b/crates/anvil_policy/src/held_prompt.rs
@@ -330,6 +330,21 @@
         taken.filter(|notice| now < notice.until).collect()
     }
 
+    /// Drops the oldest notices that have ended. A later one may be kept behind one that ends later, at most
+    /// for [`MAX_HOLD_TIME`].
+    pub fn drop_ended(&mut self, now: Now) {
+        while self.first_end().is_some_and(|end| end <= now) {
+            self.drop_oldest();
+        }
+    }
+
+    /// When the oldest notice ends.
+    pub fn first_end(&self) -> Option<Now> {
+        self.by_arrival
+            .first_key_value()
+            .map(|(_, oldest)| oldest.until)
+    }
+
     /// Number of notices.
     pub fn len(&self) -> usize {
         self.by_arrival.len()
@@ -351,16 +366,6 @@
         of_request.map(|(_, arrival)| *arrival)
     }
 
-    /// Drops the oldest notices that have ended. A later one may be kept behind one that ends later, at most
-    /// for [`MAX_HOLD_TIME`].
-    fn drop_ended(&mut self, now: Now) {
-        while let Some((_, oldest)) = self.by_arrival.first_key_value()
-            && oldest.until <= now
-        {
-            self.drop_oldest();
-        }
-    }
-
     fn drop_oldest(&mut self) {
         if let Some((arrival, notice)) = self.by_arrival.pop_first() {
             self.by_request.remove(&(notice.request, arrival));
