A retry has the same prompt, not only the same body

Cause: the parts of a prompt are stated in a header, so two requests with equal bodies can have different prompts, and the charge of one released the prompt of the other. Change: the hash of a held attempt covers the tokens and parts of its prompt.

--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -271,7 +271,7 @@
         return Ok(None);
     };
     let attempt = LostAttempt {
-        request: digest,
+        request: request_digest::with_work(digest, work),
         prompt: work.prompt,
     };
     let split = Split::single_payer(organisation.id.clone());
--- a/crates/anvil_gateway/src/request_digest.rs
+++ b/crates/anvil_gateway/src/request_digest.rs
@@ -6,6 +6,7 @@
 use http::{Method, Uri};
 use sha2::{Digest, Sha256};
 
+use crate::dialect::ModelWork;
 use crate::table::{Organisation, Route};
 
 /// Bytes of the hash that are kept.
@@ -28,6 +29,24 @@
         hash.update([0]);
     }
     hash.update(body);
+    truncated(hash)
+}
+
+/// The same with the model's work: requests may have equal bodies and name their prompts' parts in
+/// headers.
+pub fn with_work(digest: ContentDigest, work: &ModelWork) -> ContentDigest {
+    let mut hash = Sha256::new();
+    hash.update(digest.to_be_bytes());
+    hash.update(work.prompt.to_be_bytes());
+    hash.update(work.max_output.to_be_bytes());
+    for part in &work.parts {
+        hash.update(part.id.to_be_bytes());
+        hash.update(part.tokens.to_be_bytes());
+    }
+    truncated(hash)
+}
+
+fn truncated(hash: Sha256) -> ContentDigest {
     let kept = hash.finalize().into_iter().take(DIGEST_BYTES);
     kept.fold(0, |number, byte| number << 8 | ContentDigest::from(byte))
 }
--- a/crates/anvil_gateway/tests/direct/held_prompts.rs
+++ b/crates/anvil_gateway/tests/direct/held_prompts.rs
@@ -75,7 +75,25 @@
     assert_eq!(processes.billed().await, 6 * PROMPT);
 }
 
-/// Guards against the same for streams, and against output that isn't charged.
+/// Guards against a request that counts as the retry of another one, because only the parts of its prompt
+/// differ, which are stated in a header.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_with_another_prompt_releases_nothing() {
+    let processes = start(|req| vec![Step::Send(response(req, "ran"))]).await;
+    let first = request("/once/");
+    let with_parts = |parts: &str| TestRequest {
+        path: first.path.clone(),
+        headers: format!("{}x-parts: {parts}\r\n", first.headers),
+    };
+    lose(&processes, 0, &with_parts("1:150,2:50")).await;
+    sleep(RETRY_PAUSE).await;
+    let served = processes.send(1, &with_parts("1:150,3:50")).await;
+    assert_eq!(served.status, 200, "{served:?}");
+    sleep(CLIENT_TIME + REPORT_TIME).await;
+    assert_eq!(processes.billed().await, 2 * PROMPT);
+}
+
+/// Guards against prompts of streams that are charged twice, and against output that isn't charged.
 #[tokio::test(flavor = "multi_thread")]
 async fn prompt_of_a_retried_stream_is_charged_once() {
     let stream = |req: &ReceivedRequest| {
