--- a/crates/anvil_gateway/src/exchange/place.rs
+++ b/crates/anvil_gateway/src/exchange/place.rs
@@ -225,6 +225,8 @@
         let is_restricted = eligible.len() < working.len();
         WaitRequest {
             organisation,
+            route: self.route.name.clone(),
+            shares: self.gw.shares.load_full(),
             urgency: Urgency {
                 class: self.priority_class(),
                 is_new: self.stream_version.is_none(),
--- a/crates/anvil_gateway/src/wait/service_queue.rs
+++ b/crates/anvil_gateway/src/wait/service_queue.rs
@@ -28,6 +28,10 @@
 pub struct WaitRequest {
     /// Organisation that it belongs to.
     pub organisation: OrganisationId,
+    /// Its route.
+    pub route: RouteName,
+    /// Shares that operators have set.
+    pub shares: Arc<Shares>,
     /// Its urgency.
     pub urgency: Urgency,
     /// When its response should begin.
@@ -239,6 +243,8 @@
         let (now, occupancy) = (self.now(), self.occupancy());
         let entry = EntryRequest {
             organisation: req.organisation.clone(),
+            route: req.route.clone(),
+            shares: req.shares.clone(),
             urgency: req.urgency,
             target: self.at(req.target),
             deadline: self.at(req.deadline),
--- a/crates/anvil_gateway/tests/direct/waiting.rs
+++ b/crates/anvil_gateway/tests/direct/waiting.rs
@@ -116,6 +116,8 @@
 fn wait_request(queue: &ServiceQueue) -> WaitRequest {
     WaitRequest {
         organisation: "co-op".into(),
+        route: "once".into(),
+        shares: Arc::default(),
         urgency: Urgency {
             class: 0,
             is_new: true,
--- a/crates/anvil_policy/tests/room.rs
+++ b/crates/anvil_policy/tests/room.rs
@@ -1,6 +1,7 @@
 //! Several routers that share endpoints, each with the load that it knows of.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 use std::time::Duration;
 
 use anvil_policy::entry_queue::{EntryQueue, EntryRequest, Occupancy};
@@ -164,6 +165,8 @@
             }
             let req = EntryRequest {
                 organisation: "co-op".into(),
+                route: "desk".into(),
+                shares: Arc::default(),
                 urgency: NEW,
                 target: now + TARGET,
                 deadline: now + Duration::from_secs(1),
