A change of the number of routers opens no further windows at cold endpoints

While there were seven, five of them sent it one request each within 0.4 s. Then a stopped router returned, all windows moved, and two routers that had sent nothing found themselves in windows that had opened before the change.

Change: RouterRank names since when a router has had its position. For limits that hold within a second, a router uses only windows that opened after it had its position.

--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -111,6 +111,8 @@
     pub gateway_count: AtomicU32,
     /// Rank of this gateway among them.
     pub gateway_rank: AtomicU32,
+    /// When this rank or the number of gateways last changed, in milliseconds since its start.
+    pub position_since_ms: AtomicU64,
     /// Version of the ledger's state that is in force.
     pub version_in_force: AtomicU64,
     /// Whether the other gateways count this one, according to the ledger.
@@ -226,6 +228,7 @@
             engine_estimates: EngineEstimates::default(),
             gateway_count: AtomicU32::new(ASSUMED_GATEWAYS),
             gateway_rank: AtomicU32::new(rand::random_range(0..ASSUMED_GATEWAYS)),
+            position_since_ms: AtomicU64::new(0),
             version_in_force: AtomicU64::new(0),
             is_counted: AtomicBool::new(false),
             ledger_confirmed_ms: AtomicU64::new(0),
@@ -297,6 +300,7 @@
         RouterRank {
             rank: self.gateway_rank.load(Ordering::Relaxed),
             routers: self.gateway_count.load(Ordering::Relaxed),
+            since: Duration::from_millis(self.position_since_ms.load(Ordering::Relaxed)),
         }
     }
 
--- a/crates/anvil_gateway/src/ledger_updates.rs
+++ b/crates/anvil_gateway/src/ledger_updates.rs
@@ -130,8 +130,13 @@
     ids.insert(&gw.cfg.id);
     let rank = ids.iter().position(|id| **id == gw.cfg.id).unwrap_or(0);
     let rank = u32::try_from(rank).unwrap_or(u32::MAX);
-    gw.gateway_rank.store(rank, Ordering::Relaxed);
     let count = u32::try_from(ids.len()).unwrap_or(u32::MAX);
+    let has_moved = gw.gateway_rank.load(Ordering::Relaxed) != rank
+        || gw.gateway_count.load(Ordering::Relaxed) != count;
+    if has_moved {
+        gw.position_since_ms.store(gw.now_ms(), Ordering::Relaxed);
+    }
+    gw.gateway_rank.store(rank, Ordering::Relaxed);
     gw.grant_account.set_routers(count);
     if gw.gateway_count.swap(count, Ordering::Relaxed) != count {
         event!(gw.log, events::GATEWAY_PEERS_CHANGED, "gateways" => count);
--- a/crates/anvil_policy/src/rate_share.rs
+++ b/crates/anvil_policy/src/rate_share.rs
@@ -40,6 +40,9 @@
     requests: f64,
     /// Whether buckets may hold a request each, however many routers there are.
     any_number_of_buckets: bool,
+    /// Whether a router in a new position may use a window that opened before it had it. What is
+    /// tolerated in four seconds includes such windows; what is tolerated in one second does not.
+    any_open_window: bool,
 }
 
 impl BurstTolerance {
@@ -50,6 +53,7 @@
         window_s: 1.0,
         requests: 2.0,
         any_number_of_buckets: true,
+        any_open_window: true,
     };
 
     /// For a limit of which at most `overshoot` times as many requests, plus `allowance`, may arrive
@@ -61,6 +65,7 @@
             window_s: seconds,
             requests: (USED_TOLERANCE * allowance).max(1.0),
             any_number_of_buckets: false,
+            any_open_window: false,
         }
     }
 
@@ -87,6 +92,8 @@
     pub rank: u32,
     /// Number of routers.
     pub routers: u32,
+    /// Since when it has had this position.
+    pub since: Now,
 }
 
 impl RouterRank {
@@ -100,7 +107,7 @@
         let rank = (u64::from(self.rank) + xxh3_64(endpoint.as_bytes()) % routers) % routers;
         Self {
             rank: u32::try_from(rank).unwrap_or(0),
-            routers: self.routers,
+            ..self
         }
     }
 
@@ -243,6 +250,8 @@
     round: f64,
     /// Start of the first window, in seconds.
     first_start: f64,
+    /// As in [`BurstTolerance`].
+    any_open_window: bool,
 }
 
 impl Windows {
@@ -252,6 +261,7 @@
             length: (((limit * tolerance.window_s).ceil() + tolerance.requests) / limit).min(round),
             round,
             first_start: f64::from(turn.rank) / limit,
+            any_open_window: tolerance.any_open_window,
         }
     }
 
@@ -264,7 +274,12 @@
         let round = self.round(at.time_of_day);
         let since_start = at.time_of_day.as_secs_f64() - self.first_start - round * self.round;
         let to_next = seconds(self.round - since_start);
-        let is_open = since_start < self.length;
+        // Failure: the number of routers changes, and all windows move. Those that would then be
+        // open add to those that others have just used, which is more than may arrive in a second.
+        // So a router in a new position waits for a window that opens after the change.
+        let opened_at = at.now.saturating_sub(seconds(since_start));
+        let may_use = self.any_open_window || opened_at >= turn.since;
+        let is_open = since_start < self.length && may_use;
         let Some(sent) = sent else {
             return if is_open { Duration::ZERO } else { to_next };
         };
--- a/crates/anvil_policy/tests/rate_share.rs
+++ b/crates/anvil_policy/tests/rate_share.rs
@@ -55,7 +55,7 @@
             let mut share = RateShare::default().with_tolerance(tolerance);
             share.set_limit(Duration::ZERO, Some(limit));
             let clock_offset = Duration::from_secs_f64(1.7e9 + skew_s * rng.random::<f64>());
-            (RouterRank { rank, routers }, share, clock_offset)
+            (turn(rank, routers), share, clock_offset)
         })
         .collect();
     let mut received = Vec::new();
@@ -159,6 +159,15 @@
     );
 }
 
+/// The position of a router since the beginning.
+fn turn(rank: u32, routers: u32) -> RouterRank {
+    RouterRank {
+        rank,
+        routers,
+        since: Duration::ZERO,
+    }
+}
+
 fn at(now: f64, time_of_day: f64) -> Clocks {
     Clocks {
         now: Duration::from_secs_f64(now),
@@ -169,10 +178,7 @@
 /// Guards against an endpoint that gets no work after it has stopped announcing a limit.
 #[test]
 fn requests_are_not_limited_after_the_limit_is_removed() {
-    let turn = RouterRank {
-        rank: 0,
-        routers: 16,
-    };
+    let turn = turn(0, 16);
     let mut share = RateShare::default();
     assert!(share.set_limit(Duration::ZERO, Some(1_000)));
     assert!(share.try_send(at(0.1, 0.1), turn));
@@ -186,10 +192,7 @@
 /// forward.
 #[test]
 fn setting_the_clock_allows_no_second_request() {
-    let turn = RouterRank {
-        rank: 1,
-        routers: 16,
-    };
+    let turn = turn(1, 16);
     let mut share = RateShare::default();
     share.set_limit(Duration::ZERO, Some(1_000));
     assert!(share.try_send(at(1.5, 1.5), turn));
@@ -222,10 +225,7 @@
 /// fallen.
 #[test]
 fn lowered_limit_applies_at_once() {
-    let turn = RouterRank {
-        rank: 0,
-        routers: 4,
-    };
+    let turn = turn(0, 4);
     let mut share = RateShare::default();
     share.set_limit(Duration::ZERO, Some(400_000));
     assert!(share.try_send(at(10.0, 10.0), turn));
@@ -239,7 +239,7 @@
 fn extreme_limits_cause_no_panic_or_endless_wait() {
     for limit in [0, 1, RateLimit::MAX] {
         for routers in [0, 1, 99] {
-            let turn = RouterRank { rank: 98, routers };
+            let turn = turn(98, routers);
             let mut share = RateShare::default();
             share.set_limit(Duration::ZERO, Some(limit));
             let wait = share.time_until_send(at(1.0, 1.7e9), turn);
@@ -264,7 +264,7 @@
         let now = f64::from(step) / 100.0;
         let routers = if step < 2_000 { 8 } else { 3 };
         for (rank, share) in (0..routers).zip(&mut shares) {
-            if share.try_send(at(now, now), RouterRank { rank, routers }) {
+            if share.try_send(at(now, now), turn(rank, routers)) {
                 received.push(Duration::from_secs_f64(now));
             }
         }
@@ -278,10 +278,7 @@
 /// limit was known.
 #[test]
 fn usage_counts_only_this_routers_part() {
-    let turn = RouterRank {
-        rank: 0,
-        routers: 2,
-    };
+    let turn = turn(0, 2);
     let mut share = RateShare::default();
     assert!(share.try_send(at(1.0, 1.0), turn));
     share.set_limit(Duration::from_secs(2), Some(4_000));
@@ -340,7 +337,7 @@
     let tolerance = BurstTolerance::within_a_second(OVERSHOOT, ALLOWANCE);
     let endpoints: Vec<String> = (0..53).map(|number| format!("i-{number:x}")).collect();
     for rank in 0..31 {
-        let turn = RouterRank { rank, routers: 31 };
+        let turn = turn(rank, 31);
         for ms in (0..30_000).step_by(100) {
             let clocks = at(1.0, 1.7e9 + f64::from(ms) / 1e3);
             let is_open = |endpoint: &&String| {
@@ -371,6 +368,7 @@
             // Every 0.6 s another router is not counted, or all are.
             let missing = (ms / 600) % (routers + 1);
             let now = Duration::from_millis(u64::from(ms));
+            let changed_at = Duration::from_millis(u64::from(ms / 600 * 600));
             let clocks = Clocks {
                 now,
                 time_of_day: Duration::from_secs(1_700_000_000) + now,
@@ -379,8 +377,8 @@
             let live = u32::try_from(counted.clone().count()).expect("a few");
             for (rank, router) in (0..).zip(counted) {
                 let turn = RouterRank {
-                    rank,
-                    routers: live,
+                    since: changed_at,
+                    ..turn(rank, live)
                 };
                 let share = &mut shares[usize::try_from(router).expect("a few")];
                 share.set_limit(Duration::ZERO, Some(limit));
@@ -398,3 +396,60 @@
         assert!(received.len() >= 10, "{} requests in 20 s", received.len());
     }
 }
+
+/// Requests that arrive in ten seconds, all routers always having one, if their number changes in the
+/// first second.
+fn simulate_change(tolerance: BurstTolerance, before: u32, after: u32, phase_ms: u64) -> Vec<Now> {
+    let changed_at = Duration::from_millis(phase_ms % 1_000);
+    let mut shares: Vec<_> = (0..before.max(after))
+        .map(|_| RateShare::default().with_tolerance(tolerance))
+        .collect();
+    let mut received = Vec::new();
+    for ms in (0..10_000).step_by(10) {
+        let now = Duration::from_millis(ms);
+        let clocks = Clocks {
+            now,
+            time_of_day: Duration::from_millis(1_700_000_000_000 + phase_ms) + now,
+        };
+        let (routers, since) = if now < changed_at {
+            (before, Duration::ZERO)
+        } else {
+            (after, changed_at)
+        };
+        for (rank, share) in (0..routers).zip(&mut shares) {
+            let turn = turn(rank, routers).at_endpoint("i-1");
+            share.set_limit(Duration::ZERO, Some(1_000));
+            if share.try_send(clocks, RouterRank { since, ..turn }) {
+                received.push(now);
+            }
+        }
+    }
+    received
+}
+
+/// Guards against a burst when the number of routers changes: the windows of all routers move, and
+/// those that have sent nothing would use windows that opened before the change, beside those that
+/// others have just used.
+#[test]
+fn change_of_the_number_of_routers_opens_no_further_windows() {
+    let second = Duration::from_secs(1);
+    let warm_up = BurstTolerance::within_a_second(OVERSHOOT, ALLOWANCE);
+    let within = [
+        (warm_up, second, OVERSHOOT + ALLOWANCE),
+        (BurstTolerance::ANNOUNCED, SPAN, allowed(1_000)),
+    ];
+    for (before, after) in [(7, 8), (8, 7), (12, 13), (31, 30)] {
+        for phase_ms in (0..100).map(|step| step * u64::from(before) * 10) {
+            for (tolerance, span, allowed) in within {
+                let received = simulate_change(tolerance, before, after, phase_ms);
+                let most = max_within(span, &received);
+                assert!(
+                    count_to_f64(most) <= allowed,
+                    "{most} in {span:?}, from {before} and then {after} routers, phase {phase_ms} ms"
+                );
+                let late = received.iter().filter(|at| at.as_secs() >= 2).count();
+                assert!(late >= 5, "{late} requests in the last eight seconds");
+            }
+        }
+    }
+}
