Endpoints that close idle connections early count as warming up

Cause: an endpoint crashes and restarts under the same id before the list shows it, cold.

Change: if an endpoint closes its idle connections before nine tenths of the idle time that it announced, keeps none open 20 ms later, and no request of the router is in flight there, it counts as warming up until a list that was read late enough states otherwise. It is then probed, as it may still be down when that list is read. Only services that name a warm-up are concerned.

Not covered: a router that has no idle connection to the endpoint when it crashes.

--- a/crates/anvil_gateway/src/attempt.rs
+++ b/crates/anvil_gateway/src/attempt.rs
@@ -128,9 +128,9 @@
         outgoing.stages.enter(Stage::Connect);
         let connecting = async {
             if force_new {
-                open_connection(&endpoint, &gw.directory, &gw.sockets).await
+                open_connection(gw, &endpoint).await
             } else {
-                take_connection(&endpoint, &gw.directory, &gw.sockets).await
+                take_connection(gw, &endpoint).await
             }
         };
         let Ok(connected) = timeout_at(outgoing.response_deadline, connecting).await else {
--- a/crates/anvil_gateway/src/connection_watch.rs
+++ b/crates/anvil_gateway/src/connection_watch.rs
@@ -11,7 +11,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant as StdInstant};
 
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
@@ -35,6 +35,11 @@
     sent_at: Mutex<Option<Instant>>,
     /// What has come of the awaited response.
     late_response: Mutex<LateResponse>,
+    /// Whether the endpoint closed it.
+    closed_by_endpoint: AtomicBool,
+    /// Until when the endpoint should keep it open; `None` if a request uses it or no idle time was
+    /// announced.
+    kept_until: Mutex<Option<StdInstant>>,
     /// How the connection ended; `None` while it is in use.
     ended: watch::Sender<Option<End>>,
 }
@@ -56,6 +61,8 @@
             awaiting_response: AtomicBool::new(false),
             sent_at: Mutex::default(),
             late_response: Mutex::default(),
+            closed_by_endpoint: AtomicBool::new(false),
+            kept_until: Mutex::default(),
             ended: watch::Sender::new(None),
         })
     }
@@ -126,6 +133,29 @@
         }
     }
 
+    /// Sets until when the endpoint should keep it open, or that a request uses it.
+    pub fn set_kept_until(&self, until: Option<StdInstant>) {
+        *self.kept_until() = until;
+    }
+
+    /// Whether it is idle and the endpoint should keep it open.
+    pub fn should_be_open(&self) -> bool {
+        self.kept_until()
+            .is_some_and(|until| StdInstant::now() < until)
+    }
+
+    /// Whether the endpoint closed it while it was idle, before the idle time that it announced.
+    pub fn was_closed_early(&self) -> bool {
+        self.should_be_open() && self.closed_by_endpoint.load(Ordering::Relaxed)
+    }
+
+    fn kept_until(&self) -> MutexGuard<'_, Option<StdInstant>> {
+        // Sound after a panic elsewhere: the value is replaced as a whole.
+        self.kept_until
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn set_end(&self, end: End) {
         self.ended.send_replace(Some(end));
     }
@@ -224,6 +254,9 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let polled = self.socket().poll_read(cx, buf);
+        if buf.filled().len() == before && polled.is_ready() {
+            self.watch.closed_by_endpoint.store(true, Ordering::Relaxed);
+        }
         if buf.filled().len() > before {
             self.watch.record_received(&buf.filled()[before..]);
             self.link.count_received(buf.filled().len() - before);
--- a/crates/anvil_gateway/src/crashes.rs
+++ b/crates/anvil_gateway/src/crashes.rs
@@ -19,7 +19,7 @@
 use crate::request_digest;
 use crate::send::new_connection::open_connection;
 
-/// Pause before the probe, because a process that ends closes its sockets one after the other.
+/// Pause before a check, because a process that ends closes its sockets one after the other.
 const PROBE_DELAY: Duration = Duration::from_millis(20);
 /// Maximum number of request digests in one log line.
 const MAX_LOGGED_DIGESTS: usize = 16;
@@ -51,6 +51,15 @@
         }
     }
 
+    /// Records that an endpoint closed an idle connection before its idle time.
+    pub fn record_early_close(self: &Arc<Self>, endpoint: &Arc<Endpoint>) {
+        let warms_up = self.warm_up_terms(&endpoint.service).is_some();
+        // The last one to be closed counts for all.
+        if warms_up && !endpoint.pool.has_kept() {
+            tokio::spawn(check_for_restart(self.clone(), endpoint.clone()));
+        }
+    }
+
     /// Records that an endpoint has begun to respond, so it is alive.
     pub fn record_endpoint_alive(&self, endpoint: &Endpoint) {
         self.crash_watch().record_alive(&endpoint.id);
@@ -125,10 +134,26 @@
     }
 }
 
+/// Counts an endpoint that closed its idle connections early as restarted, if it has closed all
+/// connections and no request is in flight there that would show whether it is alive.
+///
+/// Failure: an endpoint crashes and restarts under the same id before the list shows it. A gateway
+/// that did not try it meanwhile sends it more than it tolerates while it warms up.
+async fn check_for_restart(gw: Arc<Gateway>, endpoint: Arc<Endpoint>) {
+    sleep(PROBE_DELAY).await;
+    let is_in_use = endpoint.pool.has_open() || endpoint.load().running > 0;
+    if is_in_use || endpoint.is_leaving() {
+        return;
+    }
+    gw.suspect_restart(&endpoint);
+    // It may still be down when the next list is read.
+    probe(gw, endpoint).await;
+}
+
 /// Probes whether an endpoint still listens. The new connection replaces the one that was lost.
 async fn probe(gw: Arc<Gateway>, endpoint: Arc<Endpoint>) {
     sleep(PROBE_DELAY).await;
-    match open_connection(&endpoint, &gw.directory, &gw.sockets).await {
+    match open_connection(&gw, &endpoint).await {
         Ok(connection) => endpoint.pool.put(connection.sender, connection.watch, None),
         Err(ConnectError::Refused { source, .. })
             if source.kind() == ErrorKind::ConnectionRefused =>
--- a/crates/anvil_gateway/src/pool.rs
+++ b/crates/anvil_gateway/src/pool.rs
@@ -27,6 +27,9 @@
 /// Fraction of the endpoint's idle timeout in which a connection is reused. If the endpoint closes
 /// the connection while a request is on its way, it is unknown whether the request ran.
 const IDLE_TIME_FRACTION: f64 = 0.6;
+/// Fraction of the endpoint's idle timeout before which it does not close a connection for its age.
+/// Its time began a little earlier than it began here.
+const EARLY_CLOSE_FRACTION: f64 = 0.9;
 /// Maximum number of idle connections to one endpoint.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
@@ -94,6 +97,7 @@
     /// The most recently used idle connection, if there is one.
     pub fn take(&self) -> Option<Connection> {
         let IdleConnection { sender, watch, .. } = self.take_idle()?;
+        watch.set_kept_until(None);
         Some(Connection {
             sender,
             watch,
@@ -101,11 +105,13 @@
         })
     }
 
-    /// A new connection, for which `descriptor` was counted.
+    /// A new connection, for which `descriptor` was counted. `on_early_close` is called if the
+    /// endpoint closes it before its idle time.
     pub async fn connect(
         &self,
         link: Arc<LinkBudget>,
         descriptor: DescriptorGuard,
+        on_early_close: impl FnOnce() + Send + 'static,
     ) -> Result<Connection, ConnectError> {
         let addr = self.addr;
         let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
@@ -119,9 +125,13 @@
         let (socket, watch) = WatchedSocket::new(socket, link, descriptor);
         let handshake = Builder::new().handshake(TokioIo::new(socket)).await;
         let (sender, connection) = handshake.context(HandshakeSnafu { addr })?;
+        let watched = watch.clone();
         tokio::spawn(async move {
             // An error reaches the caller that waits for the response.
             let _ = connection.await;
+            if watched.was_closed_early() {
+                on_early_close();
+            }
         });
         Ok(Connection {
             sender,
@@ -140,20 +150,33 @@
         if sender.is_closed() {
             return;
         }
-        let idle_time = idle_time
+        let now = Instant::now();
+        let reuse_time = idle_time
             .unwrap_or(DEFAULT_IDLE_TIME)
             .mul_f64(IDLE_TIME_FRACTION);
-        let expires_at = Instant::now() + idle_time;
         let mut idle = self.lock();
         if idle.len() < MAX_IDLE_CONNECTIONS {
+            watch.set_kept_until(idle_time.map(|time| now + time.mul_f64(EARLY_CLOSE_FRACTION)));
             idle.push(IdleConnection {
                 sender,
                 watch,
-                expires_at,
+                expires_at: now + reuse_time,
             });
         }
     }
 
+    /// Whether there is an idle connection that the endpoint has not closed.
+    pub fn has_open(&self) -> bool {
+        self.lock().iter().any(|idle| !idle.sender.is_closed())
+    }
+
+    /// Whether there is one among them that the endpoint should keep open.
+    pub fn has_kept(&self) -> bool {
+        self.lock()
+            .iter()
+            .any(|idle| !idle.sender.is_closed() && idle.watch.should_be_open())
+    }
+
     /// Closes the idle connection that has been unused for longest. Returns whether there was one.
     pub fn close_oldest_idle(&self) -> bool {
         let mut idle = self.lock();
--- a/crates/anvil_gateway/src/warm_up.rs
+++ b/crates/anvil_gateway/src/warm_up.rs
@@ -130,6 +130,12 @@
         self.update_warm_up(endpoint, WarmUpView::record_unreachable);
     }
 
+    /// Records that an endpoint may have restarted although no connection to it was refused.
+    pub fn suspect_restart(&self, endpoint: &Endpoint) {
+        let now = self.lifecycle.now();
+        self.update_warm_up(endpoint, |view| view.record_early_close(now));
+    }
+
     /// Records that zones were taken back after an evacuation.
     pub fn record_zones_returned(&self, zones: &BTreeSet<ZoneId>) {
         let now = self.lifecycle.now();
--- a/crates/anvil_gateway/tests/direct/dialect.rs
+++ b/crates/anvil_gateway/tests/direct/dialect.rs
@@ -94,7 +94,9 @@
                 work_percent: numbers.next().flatten(),
             })
         }),
-        idle_timeout: None,
+        idle_timeout: text(headers, "x-idle")
+            .and_then(|ms| ms.parse().ok())
+            .map(Duration::from_millis),
         unexpected_encoding: headers.contains_key("content-encoding"),
         limit: match text(headers, "x-limit").map(str::parse) {
             None => AnnouncedLimit::None,
--- a/crates/anvil_gateway/tests/direct/endpoint.rs
+++ b/crates/anvil_gateway/tests/direct/endpoint.rs
@@ -79,9 +79,15 @@
     pub async fn start(
         behave: impl Fn(usize, &ReceivedRequest) -> Vec<Step> + Send + Sync + 'static,
     ) -> Self {
-        let listener = TcpListener::bind((own_ip(), 0))
-            .await
-            .expect("a free address");
+        Self::start_at((own_ip(), 0).into(), behave).await
+    }
+
+    /// Starts one at this address, as a crashed endpoint that returns.
+    pub async fn start_at(
+        addr: SocketAddr,
+        behave: impl Fn(usize, &ReceivedRequest) -> Vec<Step> + Send + Sync + 'static,
+    ) -> Self {
+        let listener = TcpListener::bind(addr).await.expect("a free address");
         let endpoint = Self {
             addr: listener.local_addr().expect("an address"),
             received: Arc::default(),
@@ -124,6 +130,11 @@
         .await
     }
 
+    /// Ends it as [`Step::Crash`] does.
+    pub fn crash(&self) {
+        self.crashed.send_replace(true);
+    }
+
     async fn serve_until_crash(self, mut socket: TcpStream, behave: Arc<Behaviour>) {
         let mut crashed = self.crashed.subscribe();
         let has_crashed = tokio::select! {
--- a/crates/anvil_gateway/tests/direct/warming_up.rs
+++ b/crates/anvil_gateway/tests/direct/warming_up.rs
@@ -7,7 +7,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::client::Client;
-use crate::endpoint::TestEndpoint;
+use crate::endpoint::{ReceivedRequest, Step, TestEndpoint, response_with};
 use crate::gateway::{TestGateway, WARM_UP, listed, table_with_warm_up};
 use crate::processes::{GATEWAYS, Processes};
 
@@ -110,6 +110,79 @@
     assert_eq!(gateway.gw.count_warming_up(), 1);
 }
 
+/// Idle time that endpoints announce in these tests.
+const IDLE_TIME: &str = "x-idle: 5000\r\n";
+
+/// Waits until a gateway takes this number of endpoints for warming up.
+async fn wait_until_warming_up(gateway: &TestGateway, count: u64) -> bool {
+    let end = Instant::now() + Duration::from_secs(2);
+    while gateway.gw.count_warming_up() != count && Instant::now() < end {
+        sleep(Duration::from_millis(5)).await;
+    }
+    gateway.gw.count_warming_up() == count
+}
+
+/// Guards against a flood at an endpoint that crashed and returned under the same id between two
+/// lists, while the gateway did not try to reach it.
+#[tokio::test]
+async fn endpoint_that_closed_idle_connections_may_be_warming_up() {
+    // The connection of the first request stays open beyond its idle time.
+    let answer = |number, req: &ReceivedRequest| {
+        let idle_time = if number == 0 {
+            "x-idle: 50\r\n"
+        } else {
+            IDLE_TIME
+        };
+        let answer = response_with(req, idle_time, "ran");
+        vec![Step::Pause(Duration::from_millis(100)), Step::Send(answer)]
+    };
+    for down in [Duration::ZERO, Duration::from_millis(800)] {
+        let endpoint = TestEndpoint::start(answer).await;
+        let gateway = start_gateway(&endpoint, false).await;
+        assert_eq!(tokio::join!(send(&gateway), send(&gateway)), (200, 200));
+        sleep(Duration::from_millis(60)).await;
+        endpoint.crash();
+        sleep(down).await;
+        // This list still names it as it was before.
+        list(&gateway, &endpoint, false);
+        let restarted = TestEndpoint::start_at(endpoint.addr, answer).await;
+        assert!(wait_until_warming_up(&gateway, 1).await, "after {down:?}");
+        assert_eq!(send(&gateway).await, 503);
+        assert!(restarted.received().is_empty());
+    }
+}
+
+/// Guards against endpoints that count as restarted because they close connections at their idle
+/// time, or one of several.
+#[tokio::test]
+async fn endpoint_that_closes_some_connections_stays_warm() {
+    let at_idle_time = |_, req: &ReceivedRequest| {
+        let answer = response_with(req, "x-idle: 100\r\n", "ran");
+        let idle_time = Duration::from_millis(100);
+        vec![Step::Send(answer), Step::Pause(idle_time), Step::Close]
+    };
+    let one_of_two = |number, req: &ReceivedRequest| {
+        let mut steps = vec![
+            Step::Pause(Duration::from_millis(100)),
+            Step::Send(response_with(req, IDLE_TIME, "ran")),
+        ];
+        if number == 0 {
+            steps.extend([Step::Pause(Duration::from_millis(50)), Step::Close]);
+        }
+        steps
+    };
+    for endpoint in [
+        TestEndpoint::start(at_idle_time).await,
+        TestEndpoint::start(one_of_two).await,
+    ] {
+        let gateway = start_gateway(&endpoint, false).await;
+        assert_eq!(tokio::join!(send(&gateway), send(&gateway)), (200, 200));
+        sleep(Duration::from_millis(300)).await;
+        assert_eq!(gateway.gw.count_warming_up(), 0);
+        assert_eq!(send(&gateway).await, 200);
+    }
+}
+
 /// Guards against a flood at endpoints that were restarted while their zone was evacuated.
 #[tokio::test]
 async fn endpoints_of_a_returned_zone_may_be_warming_up() {
--- a/crates/anvil_policy/src/warm_up.rs
+++ b/crates/anvil_policy/src/warm_up.rs
@@ -8,10 +8,10 @@
 //! them together crash it again, and it returns as empty as before.
 //!
 //! *Mechanism:* the platform's list states which endpoints are warming up. As the list lags, an
-//! endpoint also counts as warming up from the moment at which it could not be reached, or its zone
-//! was taken back, until a list that was read late enough states otherwise. Routers divide the rate
-//! that such an endpoint tolerates with [`crate::rate_share`]. A router takes part only while the
-//! others count it: [`may_take_part`].
+//! endpoint also counts as warming up from the moment at which it could not be reached, it closed
+//! its idle connections before their time, or its zone was taken back, until a list that was read
+//! late enough states otherwise. Routers divide the rate that such an endpoint tolerates with
+//! [`crate::rate_share`]. A router takes part only while the others count it: [`may_take_part`].
 //!
 //! *Thresholds:* a list counts once its lag has passed since the event; without any list the warm-up
 //! ends after its whole duration.
@@ -67,6 +67,14 @@
         self.suspicion = Some(Suspicion::Unreachable);
     }
 
+    /// Records that it closed all idle connections before their time: it may have crashed and
+    /// restarted although no connection to it was refused.
+    pub fn record_early_close(&mut self, now: Now) {
+        if !matches!(self.suspicion, Some(Suspicion::Unreachable)) {
+            self.suspicion = Some(Suspicion::Returned(now));
+        }
+    }
+
     /// Records that it answered a request.
     pub fn record_answer(&mut self, now: Now) {
         if let Some(Suspicion::Unreachable) = self.suspicion {
--- a/crates/anvil_policy/tests/warm_up.rs
+++ b/crates/anvil_policy/tests/warm_up.rs
@@ -43,6 +43,23 @@
     assert!(!view.is_warming_up(&RULE, ms(10_801)));
 }
 
+/// Guards against a flood at an endpoint that crashed and returned between two lists, before this
+/// router tried to reach it, and against its early close hiding that it is still unreachable.
+#[test]
+fn endpoint_that_closed_its_idle_connections_may_be_warming_up() {
+    let mut view = WarmUpView::default();
+    view.record_early_close(ms(1_000));
+    assert!(view.is_warming_up(&RULE, ms(1_001)));
+    view.record_listed(ms(1_700), RULE.list_lag, false);
+    assert!(view.is_warming_up(&RULE, ms(1_701)), "the list lags");
+    view.record_listed(ms(1_800), RULE.list_lag, false);
+    assert!(!view.is_warming_up(&RULE, ms(1_801)));
+    view.record_unreachable();
+    view.record_early_close(ms(2_000));
+    view.record_listed(ms(9_000), RULE.list_lag, false);
+    assert!(view.is_warming_up(&RULE, ms(9_001)));
+}
+
 /// Guards against a flood at endpoints of a zone that was taken back, and against a zone that stays
 /// limited while the list can't be read.
 #[test]
