--- a/crates/anvil_policy/tests/taken_up.rs
+++ b/crates/anvil_policy/tests/taken_up.rs
@@ -119,6 +119,7 @@
     let turn = RouterRank {
         rank: 0,
         routers: 1,
+        since: Duration::ZERO,
     };
     let mut share = RateShare::default();
     share.set_limit(Duration::ZERO, Some(4_000));
