--- a/crates/anvil_gateway/src/accept/client_listener.rs
+++ b/crates/anvil_gateway/src/accept/client_listener.rs
@@ -158,6 +158,7 @@
             expected: link.expected(),
             control_delay: link.take_control_delay(),
             link_delay: link.probe.delay(link),
+            shortest_target: link.probe.shortest_target(),
             lateness,
             has_descriptors: descriptors.has_room_for_client(),
         };
--- a/crates/anvil_gateway/src/accept/link_probe.rs
+++ b/crates/anvil_gateway/src/accept/link_probe.rs
@@ -4,6 +4,7 @@
 //! of this process, also not after their connections were closed. But a message to another router and its
 //! reply wait behind it, so their round trip measures the queue.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -41,6 +42,7 @@
 #[derive(Debug, Default)]
 pub struct LinkProbe {
     last: Mutex<Option<SentProbe>>,
+    shortest_target_ms: AtomicU64,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -89,6 +91,18 @@
         })
     }
 
+    /// Shortest target latency of the routes with prompts; zero until a routing table states one.
+    pub fn shortest_target(&self) -> Duration {
+        Duration::from_millis(self.shortest_target_ms.load(Ordering::Relaxed))
+    }
+
+    /// Sets it from a routing table.
+    pub fn set_shortest_target(&self, target: Option<Duration>) {
+        let target = target.unwrap_or_default().as_millis();
+        let target = u64::try_from(target).unwrap_or(u64::MAX);
+        self.shortest_target_ms.store(target, Ordering::Relaxed);
+    }
+
     fn set(&self, probe: Option<SentProbe>) {
         // Sound after a panic elsewhere: it is one value.
         *self.last.lock().unwrap_or_else(PoisonError::into_inner) = probe;
--- a/crates/anvil_gateway/src/ledger_updates.rs
+++ b/crates/anvil_gateway/src/ledger_updates.rs
@@ -111,6 +111,8 @@
         Ok(table) => {
             let version = table.version;
             balances::prepare_budgets(&gw.grant_account, &table.prepaid_budgets());
+            let target = table.shortest_stream_target();
+            gw.sockets.link.probe.set_shortest_target(target);
             gw.table.store(Some(Arc::new(table)));
             gw.state_changed.notify_waiters();
             event!(
--- a/crates/anvil_gateway/src/table.rs
+++ b/crates/anvil_gateway/src/table.rs
@@ -212,6 +212,13 @@
         self.organisations_by_key.get(key)
     }
 
+    /// Shortest target latency of the routes that stream, which are those with prompts.
+    pub fn shortest_stream_target(&self) -> Option<Duration> {
+        let routes = self.routes_by_host.values().flat_map(BTreeMap::values);
+        let streams = routes.filter(|route| route.retry_mode.is_stream());
+        streams.map(|route| route.target_latency).min()
+    }
+
     /// The prepaid budgets of all organisations.
     pub fn prepaid_budgets(&self) -> BTreeSet<BudgetId> {
         let organisations = self.organisations_by_key.values();
--- a/crates/anvil_policy/src/intake.rs
+++ b/crates/anvil_policy/src/intake.rs
@@ -20,7 +20,7 @@
 //! data of connections that were reset. So the router also probes the link ([`LinkDelay`]). It closes as soon as
 //! a probe has waited for the allowed delay while the link was full, and opens once a probe that was sent
 //! after the closing has returned, since then the queue has passed. The allowed delay falls if the queue
-//! took longer than [`MAX_DRAIN_TIME`] to pass, and rises again up to [`MAX_LINK_DELAY`]. While probes return, they
+//! took longer than [`DRAIN_FACTOR`] of it to pass, and rises again. While probes return, they
 //! decide in place of the use.
 //!
 //! *Thresholds:* data uses up to [`TARGET_USE`] of the link, less than [`crate::link_pacer`] lets
@@ -62,13 +62,16 @@
 /// While the link is busy, nothing is accepted if clients are still sending more than it carries in this time:
 /// a fraction of any route's target latency.
 const MAX_EXPECTED: Duration = Duration::from_millis(100);
-/// Delay of a probe from which on the link has a queue: several of the largest prompts at once are no overload,
-/// and it is a fraction of any route's target latency.
-const MAX_LINK_DELAY: Duration = Duration::from_millis(50);
+/// Bounds of [`allowed_link_delay`]: several of the largest prompts at once are no overload, and the ledger's
+/// messages are to arrive within the larger one.
+const ALLOWED_LINK_DELAY: (Duration, Duration) =
+    (Duration::from_millis(50), Duration::from_millis(100));
+/// The allowed delay as a part of the shortest target latency: as much is left for everything else.
+const ALLOWED_DELAY_DIVISOR: u32 = 5;
 /// The allowed delay doesn't fall below this, about what a probe takes between routers.
 const MIN_LINK_DELAY: Duration = Duration::from_millis(10);
-/// Time in which a queue is to pass, so that the ledger's messages arrive in time.
-const MAX_DRAIN_TIME: Duration = Duration::from_millis(80);
+/// Time in which a queue is to pass, as a multiple of the allowed delay without overload.
+const DRAIN_FACTOR: f64 = 1.6;
 /// Share of the link that is carried while a probe waits in its queue. Otherwise it waits elsewhere.
 const FULL_LINK: f64 = 0.7;
 /// For how long the allowed delay stays low after a closing.
@@ -162,6 +165,8 @@
     pub link_delay: Option<LinkDelay>,
     /// By how much the timer of this observation was late.
     pub lateness: Duration,
+    /// Shortest target latency of the routes with prompts; zero if it is not known.
+    pub shortest_target: Duration,
     /// Whether descriptors are left for another client.
     pub has_descriptors: bool,
 }
@@ -187,7 +192,8 @@
     draining_since: Option<Now>,
     /// End of the last such closing.
     drained_at: Now,
-    /// Delay of a probe that is allowed now.
+    /// Delay of a probe that is allowed without overload, and now.
+    usual_max_delay: Duration,
     max_delay: Duration,
     opened_at: Now,
     accepted_at: Now,
@@ -216,7 +222,8 @@
             closed_until: None,
             draining_since: None,
             drained_at: now,
-            max_delay: MAX_LINK_DELAY,
+            usual_max_delay: ALLOWED_LINK_DELAY.0,
+            max_delay: ALLOWED_LINK_DELAY.0,
             opened_at: now,
             accepted_at: now,
             promised: 0.0,
@@ -282,8 +289,9 @@
         }
         self.record_listening(step);
         self.record_traffic(now, step, load);
+        self.usual_max_delay = allowed_link_delay(load.shortest_target);
         if self.draining_since.is_none() && now > self.drained_at + OVERLOAD_TIME {
-            self.max_delay = MAX_LINK_DELAY;
+            self.max_delay = self.usual_max_delay;
         }
         let has_queue = self.has_queue(load);
         let is_open = self.next_phase(now, step, has_queue, load, rng);
@@ -449,12 +457,12 @@
 
     /// Adapts the allowed delay after a closing of this length.
     fn adapt_max_delay(&mut self, closed: Duration) {
-        let delay = if closed > MAX_DRAIN_TIME {
+        let delay = if closed > self.usual_max_delay.mul_f64(DRAIN_FACTOR) {
             self.max_delay / 2
         } else {
             self.max_delay.mul_f64(1.25)
         };
-        self.max_delay = delay.clamp(MIN_LINK_DELAY, MAX_LINK_DELAY);
+        self.max_delay = delay.clamp(MIN_LINK_DELAY, self.usual_max_delay);
     }
 
     /// Time that it has to be closed for, for each unit of time that it is open.
@@ -477,3 +485,9 @@
     let is_behind = |delay: LinkDelay| delay.round_trip.is_some() && since + delay.age <= now;
     load.link_delay.is_none_or(is_behind) || now >= since + MAX_DRAIN
 }
+
+/// Delay of a probe from which on the link has a queue.
+fn allowed_link_delay(shortest_target: Duration) -> Duration {
+    let (floor, ceiling) = ALLOWED_LINK_DELAY;
+    (shortest_target / ALLOWED_DELAY_DIVISOR).clamp(floor, ceiling)
+}
