--- a/crates/anvil_gateway/src/accept/link_probe.rs
+++ b/crates/anvil_gateway/src/accept/link_probe.rs
@@ -1,8 +1,8 @@
 //! Probes the queue of this router's link.
 //!
-//! Failure: clients send more than the link can carry. What waits upstream of the link shows in no counter
-//! of this process, also not after their connections were closed. But a message to another router and its
-//! reply wait behind it, so their round trip measures the queue.
+//! Failure: clients send more than the link can carry. What waits upstream of the link shows in no
+//! counter of this process, also not after their connections were closed. But a message to another
+//! router and its reply wait behind it, so their round trip measures the queue.
 
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -24,17 +24,18 @@
 use crate::send::link_budget::LinkBudget;
 use anvilreel::metrics::Metrics;
 
-/// Time between a reply and the next probe: short against the delay that the intake allows, and little
-/// work for a part of a core.
+/// Time between a reply and the next probe: short against the delay that the intake allows, and
+/// little work for a part of a core.
 const PROBE_INTERVAL: Duration = Duration::from_millis(10);
-/// The same while the link is overloaded.
+/// The same while connections are being rejected.
 const OVERLOADED_PROBE_INTERVAL: Duration = Duration::from_millis(5);
-/// Longest wait for the reply to a probe.
+/// Longest wait for the reply to a probe. The intake disregards an unanswered probe of this age.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
-/// A second sibling is probed if the first has not replied after this time: that may have stopped or be
-/// overloaded itself. Shorter than the delay that the intake allows.
+/// A second sibling is probed if the first has not replied after this time: that may have stopped
+/// or be overloaded itself. Shorter than the delay that the intake allows.
 const HEDGE_DELAY: Duration = Duration::from_millis(5);
-/// The link is probed while more than this fraction of it is in use.
+/// The link is probed while received data uses more than this fraction of it, or connections are
+/// being rejected.
 const PROBE_FROM_USE: f64 = 0.4;
 
 /// The last probe of the link.
@@ -117,14 +118,14 @@
         return;
     };
     let budget = &cx.sockets.link;
-    let mut before = (Instant::now(), budget.received());
+    let (mut last_at, mut last_received) = (Instant::now(), budget.received());
     let mut interval = PROBE_INTERVAL;
     let mut preferred = None;
     loop {
         sleep(interval).await;
-        let now = (Instant::now(), budget.received());
-        let is_used = is_in_use(link, now.0 - before.0, now.1 - before.1);
-        before = now;
+        let (now, received) = (Instant::now(), budget.received());
+        let is_used = is_in_use(link, now - last_at, received - last_received);
+        (last_at, last_received) = (now, received);
         let is_shedding = cx.status.is_shedding();
         if is_used || is_shedding {
             preferred = probe_once(&cx, preferred.as_ref()).await;
@@ -139,6 +140,7 @@
     }
 }
 
+/// Whether enough of the link was used to probe it: `received` bytes came in this time.
 fn is_in_use(link: BytesPerSecond, time: Duration, received: u64) -> bool {
     #[expect(clippy::cast_precision_loss, reason = "far below 2^52 bytes")]
     let in_use = received as f64 / (link.max(1) as f64 * time.as_secs_f64());
--- a/crates/anvil_gateway/src/account/balances.rs
+++ b/crates/anvil_gateway/src/account/balances.rs
@@ -51,8 +51,9 @@
     }
 }
 
-/// Prepares to hold tokens of these budgets from the first request on, if one read covers all of them: more
-/// budgets would cost more reads and grants than an outage soon after a start costs requests.
+/// Prepares to hold tokens of these budgets from the first request on, if one read covers all of
+/// them: more budgets would cost more reads and grants than an outage soon after a start costs
+/// requests.
 pub fn prepare_budgets(account: &GrantAccount, budgets: &BTreeSet<BudgetId>) {
     if budgets.len() <= MAX_BUDGETS {
         account.prepare(budgets);
--- a/crates/anvil_gateway/src/account/held_prompt_exchange.rs
+++ b/crates/anvil_gateway/src/account/held_prompt_exchange.rs
@@ -38,8 +38,8 @@
     }
 }
 
-/// Sends a message once. If it is lost, or the sibling is of a build that doesn't know it, both attempts of
-/// the request stay charged.
+/// Sends a message once. If it is lost, or the sibling is of a build that doesn't know it, both
+/// attempts of the request stay charged.
 async fn send(gw: Arc<Gateway>, sibling: InstanceId, message: HeldPromptRequest) {
     if let Some(channel) = gw.siblings.channel(&sibling) {
         gw.metrics.count(metrics::HELD_PROMPT_MESSAGES);
@@ -61,8 +61,8 @@
         }
     }
 
-    /// Records a charge that can't be reversed any more. Returns the gateways to which it is reported, as
-    /// they hold attempts of the same request.
+    /// Records a charge that can't be reversed any more. Returns the gateways to which it is
+    /// reported, as they hold attempts of the same request.
     pub fn record_final_charge(&self, charged: LostAttempt) -> Vec<InstanceId> {
         if self.held_prompts.is_idle() {
             return Vec::new();
--- a/crates/anvil_gateway/src/account/held_prompts.rs
+++ b/crates/anvil_gateway/src/account/held_prompts.rs
@@ -1,8 +1,9 @@
 //! The prompts of lost attempts that this gateway holds, and notices of those that others hold.
 //!
-//! Failure: an answer is lost, its client retries the request at another gateway, and the organisation pays
-//! for its prompt twice. [`anvil_policy::held_prompt`] decides which charge is released. Here are the tables
-//! with the reservations; [`super::held_prompt_exchange`] sends and receives the messages.
+//! Failure: an answer is lost, its client retries the request at another gateway, and the
+//! organisation pays for its prompt twice. [`anvil_policy::held_prompt`] decides which charge is
+//! released. Here are the tables with the reservations; [`super::held_prompt_exchange`] sends and
+//! receives the messages.
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -17,7 +18,7 @@
 use anvilreel::money::{GrantAccount, Reservation};
 use tokio::sync::Notify;
 
-/// Attempts in one message.
+/// Maximum number of attempts in one notification. Reports have no such limit.
 const MAX_ATTEMPTS_PER_MESSAGE: usize = 512;
 
 /// A lost attempt with the reservation that pays for it.
@@ -73,7 +74,7 @@
 /// What became of an attempt that ended in doubt.
 #[derive(Debug, PartialEq, Eq)]
 pub enum HoldResult {
-    /// It is held; the oldest one is not, if too many were.
+    /// It is held. The oldest attempt was charged in its place, if too many were held.
     Held(Option<EndedHold>),
     /// It was charged at once.
     Charged,
@@ -98,8 +99,8 @@
     held: Mutex<HeldAttempts<LostPrompt>>,
     notices: Mutex<Notices>,
     reports: Mutex<Reports>,
-    /// Number of attempts that are held here. This and the next one let charges take no lock while nothing is
-    /// held.
+    /// Number of attempts that are held here. This and the next one let charges take no lock while
+    /// nothing is held.
     held_count: AtomicUsize,
     /// Number of notices.
     notice_count: AtomicUsize,
@@ -108,8 +109,8 @@
 }
 
 impl HeldPrompts {
-    /// Empty tables. `first_number` is drawn at random, so that a report to an earlier incarnation means no
-    /// attempt of this one even if the clock was set back to the same time.
+    /// Empty tables. `first_number` is drawn at random, so that a report to an earlier incarnation
+    /// means no attempt of this one even if the clock was set back to the same time.
     pub fn new(
         account: Arc<GrantAccount>,
         own_id: InstanceId,
@@ -129,14 +130,15 @@
         }
     }
 
-    /// Holds the prompt of an attempt that has ended in doubt, and frees the rest of its reservation. Charges
-    /// it if it can't be held.
+    /// Holds the prompt of an attempt that has ended in doubt, and frees the rest of its
+    /// reservation. Charges it if it can't be held.
     pub fn hold(&self, now: Now, mut lost: LostPrompt, time_left: Duration) -> HoldResult {
         self.account
             .reduce(&mut lost.reservation, lost.attempt.prompt);
         let attempt = lost.attempt;
         let mut held = self.held();
-        // Checked under the lock: a grant that is recalled afterwards is found by `charge_recalled`.
+        // Checked under the lock: a grant that is recalled afterwards is found by
+        // `charge_recalled`.
         let is_recalled = lost.reservation.is_recalled() || self.account.is_fenced();
         let time_left = if is_recalled {
             Duration::ZERO
@@ -159,8 +161,9 @@
         }
     }
 
-    /// Records a charge that can't be reversed any more, by a request that is still running: the attempts of
-    /// the same request that are held here are released, and those held elsewhere are reported.
+    /// Records a charge that can't be reversed any more, by a request that is still running: the
+    /// attempts of the same request that are held here are released, and those held elsewhere are
+    /// reported.
     pub fn record_charge(&self, now: Now, charged: LostAttempt) -> ChargeEffects {
         if self.is_idle() {
             return ChargeEffects::default();
@@ -208,7 +211,7 @@
                 charges,
                 ..
             } if incarnation == self.incarnation => self.apply_report(&charges),
-            // It means attempts of an earlier process under this id.
+            // The report is about attempts of an earlier process with this id.
             HeldPromptRequest::Report { .. } => Vec::new(),
         }
     }
@@ -298,7 +301,8 @@
         incarnation: Incarnation,
         notice: &HeldPromptNotice,
     ) {
-        // A message that returns to its sender: a charge here releases its own attempts without a report.
+        // A message that returns to its sender: a charge here releases its own attempts without a
+        // report.
         if *origin == self.own_id {
             return;
         }
@@ -350,8 +354,8 @@
     }
 
     fn charge(&self, lost: LostPrompt, end: HoldEnd) -> EndedHold {
-        // On a broken invariant the grant account refuses everything that follows, and the grant loop logs
-        // it.
+        // On a broken invariant the grant account refuses everything that follows, and the grant
+        // loop logs it.
         let _ = self.account.settle(lost.reservation, lost.attempt.prompt);
         EndedHold {
             id: lost.id,
--- a/crates/anvil_gateway/src/choose/candidate.rs
+++ b/crates/anvil_gateway/src/choose/candidate.rs
@@ -71,6 +71,7 @@
         room.allows(within)
     }
 
+    /// Time until the endpoint accepts the request, by its limit, its warm-up and its pause.
     pub(super) fn wait(
         &self,
         warm_up: Option<&WarmUpTerms>,
@@ -88,6 +89,7 @@
 }
 
 impl Gateway {
+    /// What applies to all engines of a service for this prompt.
     pub(super) fn engine_terms<'a>(
         &self,
         service: &str,
@@ -130,6 +132,7 @@
         }
     }
 
+    /// What is expected of an endpoint for this prompt.
     pub(super) fn estimate<'a>(
         &self,
         now: Now,
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -247,8 +247,8 @@
         }
     }
 
-    /// Records that an endpoint may have run the request. Its charge is final from now on, and is reported to
-    /// the gateways that hold the prompt of an earlier attempt.
+    /// Records that an endpoint may have run the request. Its charge is final from now on, and is
+    /// reported to the gateways that hold the prompt of an earlier attempt.
     fn set_in_doubt(&mut self) {
         self.in_doubt = true;
         let Some(charge) = &mut self.charge else {
--- a/crates/anvil_gateway/src/exchange/place.rs
+++ b/crates/anvil_gateway/src/exchange/place.rs
@@ -60,8 +60,8 @@
         }
     }
 
-    /// Takes a slot for a stream that its client takes up. Where it is known when an endpoint of its
-    /// version accepts a request, the stream waits for that.
+    /// Takes a slot for a stream that its client takes up. Where it is known when an endpoint of
+    /// its version accepts a request, the stream waits for that.
     async fn wait_for_version(&mut self, queue: &Arc<ServiceQueue>) -> Result<Place, VersionWait> {
         let mut wait = TakenUpWait::new(queue.clone(), self.time_left());
         loop {
@@ -97,6 +97,8 @@
         }
     }
 
+    /// Takes a slot at once if no request waits and an endpoint has room, else after a wait in the
+    /// queue.
     async fn take_place_in_turn(
         &mut self,
         queue: &Arc<ServiceQueue>,
--- a/crates/anvil_gateway/src/pool.rs
+++ b/crates/anvil_gateway/src/pool.rs
@@ -27,8 +27,8 @@
 /// Fraction of the endpoint's idle timeout in which a connection is reused. If the endpoint closes
 /// the connection while a request is on its way, it is unknown whether the request ran.
 const IDLE_TIME_FRACTION: f64 = 0.6;
-/// Fraction of the endpoint's idle timeout before which it does not close a connection for its age.
-/// Its time began a little earlier than it began here.
+/// Within this fraction of its idle timeout, an endpoint does not close a connection for being
+/// idle. Less than 1, because its timer was started a little earlier than the one here.
 const EARLY_CLOSE_FRACTION: f64 = 0.9;
 /// Maximum number of idle connections to one endpoint.
 const MAX_IDLE_CONNECTIONS: usize = 64;
--- a/crates/anvil_gateway/src/request_charge.rs
+++ b/crates/anvil_gateway/src/request_charge.rs
@@ -23,8 +23,8 @@
 }
 
 impl RequestCharge {
-    /// Starts with a reservation that covers the prompt and the maximum output. `deadline` is when the client
-    /// gives up.
+    /// Starts with a reservation that covers the prompt and the maximum output. `deadline` is when
+    /// the client gives up.
     pub fn new(
         gw: Arc<Gateway>,
         reservation: Reservation,
@@ -53,8 +53,8 @@
         self.progress.record_not_run();
     }
 
-    /// Records that the charge can't be reversed any more. Returns the gateways to which it is reported,
-    /// because they hold lost attempts of the same request.
+    /// Records that the charge can't be reversed any more. Returns the gateways to which it is
+    /// reported, because they hold lost attempts of the same request.
     pub fn record_final(&mut self) -> Vec<InstanceId> {
         self.progress.record_final();
         self.report()
@@ -121,7 +121,8 @@
 
 impl Drop for RequestCharge {
     fn drop(&mut self) {
-        // Reported before the prompt is held: a charge that may still be released stands for no other.
+        // Reported before the prompt is held: a charge that may still be released stands for no
+        // other.
         self.record_final();
         let cost = self.cost();
         let Some(reservation) = self.reservation.take() else {
--- a/crates/anvil_gateway/src/request_digest.rs
+++ b/crates/anvil_gateway/src/request_digest.rs
@@ -32,8 +32,8 @@
     truncated(hash)
 }
 
-/// The same with the model's work: requests may have equal bodies and name their prompts' parts in
-/// headers.
+/// Digest of a request and the model's work: requests may have equal bodies and name their prompts'
+/// parts in headers. `digest` is that of the request.
 pub fn with_work(digest: ContentDigest, work: &ModelWork) -> ContentDigest {
     let mut hash = Sha256::new();
     hash.update(digest.to_be_bytes());
--- a/crates/anvil_gateway/src/wait.rs
+++ b/crates/anvil_gateway/src/wait.rs
@@ -11,10 +11,12 @@
 //! (a limit), a timer wakes one. A [`WaitingPlace`] is held by the waiting request and removes it
 //! on drop.
 //!
-//! Streams that clients take up and that wait for endpoints of their version are not in the queue, where
-//! they would be woken for places that they can't use: each looks for itself ([`TakenUpWait`]).
+//! Streams that clients take up and that wait for endpoints of their version are not in the queue,
+//! where they would be woken for places that they can't use: each looks for itself
+//! ([`TakenUpWait`]).
 //!
-//! While nothing waits, a request costs some atomic counters and one short lock here, and no allocation.
+//! While nothing waits, a request costs some atomic counters and one short lock here, and no
+//! allocation.
 
 mod service_queue;
 mod taken_up_wait;
--- a/crates/anvil_gateway/src/wait/taken_up_wait.rs
+++ b/crates/anvil_gateway/src/wait/taken_up_wait.rs
@@ -29,8 +29,8 @@
         }
     }
 
-    /// Begins a look for an endpoint. One that has waited, or finds others waiting, needs a turn for it;
-    /// the error is the time until the next turn.
+    /// Begins a look for an endpoint. One that has waited, or finds others waiting, needs a turn
+    /// for it; the error is the time until the next turn.
     pub fn try_begin_look(&mut self) -> Result<(), Duration> {
         if !self.has_joined && !self.queue.is_contended() {
             return Ok(());
@@ -49,8 +49,8 @@
         self.has_turn = false;
     }
 
-    /// Time until the next look, if the first endpoint accepts a request after `wait`; `None` if the stream
-    /// is not to wait for it.
+    /// Time until the next look, if the first endpoint accepts a request after `wait`; `None` if
+    /// the stream is not to wait for it.
     pub fn time_until_look(&mut self, wait: Duration) -> Option<Duration> {
         let now = self.queue.now();
         let at = next_look(now, wait, self.give_up_at)?;
--- a/crates/anvil_gateway/tests/direct/explanations.rs
+++ b/crates/anvil_gateway/tests/direct/explanations.rs
@@ -430,8 +430,8 @@
     );
 }
 
-/// Guards against a budget whose spending can't be explained: the lines show that the prompt of a lost
-/// attempt was held, and that it was not charged.
+/// Guards against a budget whose spending can't be explained: the lines show that the prompt of a
+/// lost attempt was held, and that it was not charged.
 #[tokio::test]
 async fn released_prompt_is_logged() {
     let losing_first = TestEndpoint::start(|number, req| match number {
--- a/crates/anvil_gateway/tests/direct/held_prompts.rs
+++ b/crates/anvil_gateway/tests/direct/held_prompts.rs
@@ -60,7 +60,8 @@
     assert!(lost.status >= 500, "{lost:?}");
 }
 
-/// Guards against prompts that are charged for the lost attempt and for the retry at another gateway.
+/// Guards against prompts that are charged for the lost attempt and for the retry at another
+/// gateway.
 #[tokio::test(flavor = "multi_thread")]
 async fn prompt_of_a_retried_request_is_charged_once() {
     let processes = start(|req| vec![Step::Send(response(req, "ran"))]).await;
@@ -75,8 +76,8 @@
     assert_eq!(processes.billed().await, 6 * PROMPT);
 }
 
-/// Guards against a request that counts as the retry of another one, because only the parts of its prompt
-/// differ, which are stated in a header.
+/// Guards against a request that counts as the retry of another one, because only the parts of its
+/// prompt differ, which are stated in a header.
 #[tokio::test(flavor = "multi_thread")]
 async fn request_with_another_prompt_releases_nothing() {
     let processes = start(|req| vec![Step::Send(response(req, "ran"))]).await;
@@ -112,8 +113,8 @@
     assert_eq!(processes.billed().await, PROMPT + 9);
 }
 
-/// Guards against a lost attempt without a retry that nobody pays for, and that is charged before its client
-/// could retry it.
+/// Guards against a lost attempt without a retry that nobody pays for, and that is charged before
+/// its client could retry it.
 #[tokio::test(flavor = "multi_thread")]
 async fn lost_request_without_a_retry_is_charged_after_the_wait() {
     let processes = start(|req| vec![Step::Send(response(req, "ran"))]).await;
@@ -129,8 +130,8 @@
     assert_eq!(processes.billed().await, PROMPT);
 }
 
-/// Guards against a retry that is refused or not charged because the gateway that held the lost attempt was
-/// killed and started again.
+/// Guards against a retry that is refused or not charged because the gateway that held the lost
+/// attempt was killed and started again.
 #[tokio::test(flavor = "multi_thread")]
 async fn retry_after_a_restart_of_the_origin_is_served() {
     let mut processes = start(|req| vec![Step::Send(response(req, "ran"))]).await;
--- a/crates/anvil_gateway/tests/direct/share_orders.rs
+++ b/crates/anvil_gateway/tests/direct/share_orders.rs
@@ -40,8 +40,8 @@
     Ok(())
 }
 
-/// How many requests of the route `once` are answered for one of the route `idempotent`, while a gateway gets
-/// the same number of both.
+/// How many requests of the route `once` are answered for one of the route `idempotent`, while a
+/// gateway gets the same number of both.
 async fn ratio_of_answers(processes: &Arc<Processes>, gateway: u8) -> f64 {
     let started_at = Instant::now();
     let mut sending = Vec::new();
@@ -66,8 +66,8 @@
     f64::from(answered[0]) / f64::from(answered[1].max(1))
 }
 
-/// Guards against an order that is acknowledged and not in force at a gateway a second later, or not after
-/// a power failure; and against one for a mistyped name that is acknowledged.
+/// Guards against an order that is acknowledged and not in force at a gateway a second later, or
+/// not after a power failure; and against one for a mistyped name that is acknowledged.
 #[tokio::test(flavor = "multi_thread")]
 async fn operator_sets_the_share_of_a_route_at_all_gateways() {
     let mut processes = start().await;
--- a/crates/anvil_gateway/tests/direct/versions.rs
+++ b/crates/anvil_gateway/tests/direct/versions.rs
@@ -307,8 +307,8 @@
     gw.apply_notice(&endpoint, "r", StatusCode::SERVICE_UNAVAILABLE, notice);
 }
 
-/// Guards against refusing streams whose version is back within a moment: their clients use up their
-/// attempts meanwhile. New streams run at another version.
+/// Guards against refusing streams whose version is back within a moment: their clients use up
+/// their attempts meanwhile. New streams run at another version.
 #[tokio::test]
 async fn taken_up_stream_waits_for_the_pause_of_its_version() {
     let (first, other) = (streaming("v1").await, streaming("v2").await);
@@ -339,7 +339,8 @@
     assert!(started.elapsed() < AT_ONCE);
 }
 
-/// Guards against a gateway that holds streams while it stops, when their clients could go elsewhere.
+/// Guards against a gateway that holds streams while it stops, when their clients could go
+/// elsewhere.
 #[tokio::test]
 async fn stopping_gateway_refuses_streams_that_wait() {
     let first = streaming("v1").await;
--- a/crates/anvil_gateway/tests/held_prompts/orders.rs
+++ b/crates/anvil_gateway/tests/held_prompts/orders.rs
@@ -120,8 +120,8 @@
     assert_eq!(model.charged, 2 * (2 * PROMPT + OUTPUT));
 }
 
-/// Guards against grants that a stopping or fenced router keeps, and against a release by a report that it
-/// receives afterwards.
+/// Guards against grants that a stopping or fenced router keeps, and against a release by a report
+/// that it receives afterwards.
 #[test]
 fn router_that_stops_or_is_fenced_charges_what_it_holds() {
     for end in [Model::stop, Model::fence] {
@@ -172,8 +172,8 @@
     assert_eq!(model.routers[0].account.budget_status("co-op").reserved, 0);
 }
 
-/// Guards against a late report that means an attempt of an earlier process under the same id, which had the
-/// same number.
+/// Guards against a late report that means an attempt of an earlier process under the same id,
+/// which had the same number.
 #[test]
 fn restarted_router_ignores_reports_of_its_earlier_incarnation() {
     let mut model = Model::new(CREDIT);
@@ -188,8 +188,8 @@
     assert_eq!(model.charged, 2 * PROMPT + OUTPUT);
 }
 
-/// Guards against a second release by a message that is delivered twice, and against a second report of
-/// the same charge.
+/// Guards against a second release by a message that is delivered twice, and against a second
+/// report of the same charge.
 #[test]
 fn duplicated_messages_have_no_effect() {
     let mut model = Model::new(CREDIT);
@@ -218,8 +218,8 @@
     assert_eq!(model.count(1, Fate::Released), 1);
 }
 
-/// Guards against notices that are kept, and looked up at each event of each stream, long after the last
-/// answer was lost.
+/// Guards against notices that are kept, and looked up at each event of each stream, long after the
+/// last answer was lost.
 #[test]
 fn notices_are_dropped_with_the_end_of_the_hold() {
     let mut model = Model::new(CREDIT);
--- a/crates/anvil_gateway/tests/held_prompts/random.rs
+++ b/crates/anvil_gateway/tests/held_prompts/random.rs
@@ -155,8 +155,8 @@
     player.finish()
 }
 
-/// Guards against an overspent budget, and against a request whose attempts are all released, whatever the
-/// order of losses, retries and messages is.
+/// Guards against an overspent budget, and against a request whose attempts are all released,
+/// whatever the order of losses, retries and messages is.
 #[test]
 fn every_request_is_charged_and_no_budget_is_overspent() {
     let mut released = 0;
@@ -178,7 +178,8 @@
     assert!(released > 1_000, "{released} were released");
 }
 
-/// Guards against the same when routers stop, are fenced, or are killed and restarted under the same id.
+/// Guards against the same when routers stop, are fenced, or are killed and restarted under the
+/// same id.
 #[test]
 fn every_request_is_charged_while_routers_stop_and_restart() {
     for seed in 0..200 {
--- a/crates/anvil_ledger/src/core/replica.rs
+++ b/crates/anvil_ledger/src/core/replica.rs
@@ -274,8 +274,8 @@
         matches!(self.role, Role::Leader(_))
     }
 
-    /// Whether this replica leads and has committed an entry of its term, so that it knows all entries that
-    /// earlier leaders have committed.
+    /// Whether this replica leads and has committed an entry of its term, so that it knows all
+    /// entries that earlier leaders have committed.
     pub fn has_committed_in_term(&self) -> bool {
         matches!(&self.role, Role::Leader(lead) if self.committed >= lead.first)
     }
--- a/crates/anvil_ledger/src/state/recent_changes.rs
+++ b/crates/anvil_ledger/src/state/recent_changes.rs
@@ -38,8 +38,8 @@
         self.recent.entry(index).or_default().insert(changed_item);
     }
 
-    /// Records a version without an item: what changed is part of every event for followers. The previous
-    /// build reads this, but could not read a new kind of item.
+    /// Records a version without an item: what changed is part of every event for followers. The
+    /// previous build reads this, but could not read a new kind of item.
     pub(super) fn record_version(&mut self, index: LogIndex) {
         self.recent.entry(index).or_default();
         if self.recent.len() > MAX_RECORDED
--- a/crates/anvil_ledger/src/state/share.rs
+++ b/crates/anvil_ledger/src/state/share.rs
@@ -7,8 +7,8 @@
 use super::operator_change::{AppliedChange, OperatorChange};
 
 impl State {
-    /// The shares are kept outside this state, and have to be changed only if the answer is a receipt of the
-    /// order's first application.
+    /// The shares are kept outside this state, and have to be changed only if the answer is a
+    /// receipt of the order's first application.
     pub(super) fn set_share(
         &mut self,
         index: LogIndex,
--- a/crates/anvil_ledger/tests/quarantines.rs
+++ b/crates/anvil_ledger/tests/quarantines.rs
@@ -291,8 +291,8 @@
     assert!(receipt(&restored.apply(&order)).1);
 }
 
-/// Guards against an order that is appended before all replicas can apply it. bincode writes the position
-/// of the kind first.
+/// Guards against an order that is appended before all replicas can apply it. bincode writes the
+/// position of the kind first.
 #[test]
 fn order_requires_its_kind() {
     let order = lift_content("one", REQUEST);
--- a/crates/anvil_ledger/tests/shares.rs
+++ b/crates/anvil_ledger/tests/shares.rs
@@ -60,8 +60,8 @@
     (receipt.revision, receipt.resent)
 }
 
-/// Guards against an order whose answer was lost, and which is sent again after another one: it must not
-/// be applied twice.
+/// Guards against an order whose answer was lost, and which is sent again after another one: it
+/// must not be applied twice.
 #[test]
 fn order_sent_again_is_acknowledged_and_not_applied() {
     let mut machine = Machine::default();
@@ -102,8 +102,8 @@
     assert_eq!(line.after.as_deref(), Some("factor 4: a sale"));
 }
 
-/// Guards against an order that followers are not sent, and against a snapshot that names a kind of item
-/// unknown to the previous build.
+/// Guards against an order that followers are not sent, and against a snapshot that names a kind of
+/// item unknown to the previous build.
 #[test]
 fn order_raises_the_version_and_records_no_item() {
     let mut machine = Machine::default();
@@ -112,8 +112,8 @@
     assert_eq!(machine.state.changed_since(0), Some(BTreeSet::new()));
 }
 
-/// Guards against shares that are lost with a snapshot, and against a snapshot that the previous build
-/// can't read, or that can't be read after it wrote one.
+/// Guards against shares that are lost with a snapshot, and against a snapshot that the previous
+/// build can't read, or that can't be read after it wrote one.
 #[test]
 fn snapshot_keeps_shares_and_is_read_by_the_previous_build() {
     let mut machine = Machine::default();
@@ -129,8 +129,8 @@
     assert_eq!(restored.shares, Shares::default());
 }
 
-/// Guards against replicas that differ in receipts or audit trail, because one of them ran the previous
-/// build meanwhile and lost the shares.
+/// Guards against replicas that differ in receipts or audit trail, because one of them ran the
+/// previous build meanwhile and lost the shares.
 #[test]
 fn order_has_the_same_effect_at_a_replica_without_the_shares() {
     let mut machine = Machine::default();
@@ -145,8 +145,8 @@
     assert_eq!(machine, upgraded);
 }
 
-/// Guards against an order that is appended before all replicas can apply it, because a kind was added
-/// and not counted. bincode writes the position of the kind first.
+/// Guards against an order that is appended before all replicas can apply it, because a kind was
+/// added and not counted. bincode writes the position of the kind first.
 #[test]
 fn number_of_command_kinds_counts_the_last_kind() {
     let order = order("one", "4");
--- a/crates/anvil_policy/src/admission.rs
+++ b/crates/anvil_policy/src/admission.rs
@@ -263,8 +263,8 @@
         )
     }
 
-    /// Expected wait behind more urgent requests, those that arrive meanwhile included, and this backlog
-    /// of its own urgency.
+    /// Expected wait behind more urgent requests, those that arrive meanwhile included, and this
+    /// backlog of its own urgency.
     fn priority_wait(&self, now: Now, priority: Priority, backlog: u64, cost: u64) -> Duration {
         let urgency = priority.urgency;
         if backlog == 0 && self.waiting.is_overdue(urgency) {
@@ -275,6 +275,7 @@
         let first_of_class = Urgency::first_of(urgency.class);
         let behind_all = self.time_behind(now, urgency, own);
         let share = f64::from(NEW_SHARE_DIVISOR);
+        // New requests get this part of the starts, however many streams of their class are ahead.
         let by_share = self.time_behind(now, first_of_class, own) * share;
         let wait_s = if urgency.is_new {
             behind_all.min(by_share)
@@ -284,7 +285,8 @@
         Duration::try_from_secs_f64(wait_s * self.rule.wait_safety_factor).unwrap_or(Duration::MAX)
     }
 
-    /// Time in seconds in which this slot time is worked off behind what is more urgent.
+    /// Seconds until the more urgent requests, and then `own` microseconds of slot time, have been
+    /// served.
     fn time_behind(&self, now: Now, urgency: Urgency, own: u64) -> f64 {
         let ahead = self.waiting.more_urgent_backlog(urgency);
         let running = self.running.min(self.limit).max(1);
--- a/crates/anvil_policy/src/entry_queue.rs
+++ b/crates/anvil_policy/src/entry_queue.rs
@@ -43,7 +43,7 @@
 /// A request waits at most this multiple of the time to its target start, if starts become slower
 /// after it was queued: its client is better served elsewhere.
 const MAX_WAIT_FACTOR: u32 = 2;
-/// Organisations with a lower load, in requests a second, are not compared.
+/// Organisations and routes with a lower load, in requests a second, are forgotten.
 const MIN_LOAD: f64 = 0.05;
 /// Number of organisations from which on idle ones are forgotten before [`LOAD_HORIZON`] has
 /// passed.
@@ -126,7 +126,7 @@
         self.by_route.insert(route.clone(), load);
     }
 
-    /// Part of the load that is on routes which are `included`.
+    /// Part of the load that is on the routes for which `included` holds, from 0 to 1.
     fn part(&self, now: Now, included: impl Fn(&RouteName) -> bool) -> f64 {
         let rates = self.by_route.iter();
         let included = rates.filter(|(route, _)| included(route));
@@ -278,6 +278,8 @@
         weight_by_load(own, mean, factor)
     }
 
+    /// Forgets the organisations with a load below [`MIN_LOAD`].
+    ///
     /// Failure: idle organisations lower the mean load. Compared with that, all others have a high
     /// load, and get turns in proportion to it.
     fn forget_idle(&mut self, now: Now) {
@@ -312,9 +314,9 @@
 
 /// Factor on an organisation's weight for the flow of a request.
 ///
-/// While a route has a share, its requests take turns apart from the organisation's others. The weight is
-/// divided among both in proportion to their loads: each with the whole weight would double the turns of an
-/// organisation for a factor that hardly differs from 1.
+/// While a route has a share, its requests take turns apart from the organisation's others. The
+/// weight is divided among both in proportion to their loads: each with the whole weight would
+/// double the turns of an organisation for a factor that hardly differs from 1.
 fn share_factor(now: Now, req: &EntryRequest, own: &OrganisationLoad) -> f64 {
     let shares = &req.shares;
     if shares.all().is_empty() {
--- a/crates/anvil_policy/src/fair.rs
+++ b/crates/anvil_policy/src/fair.rs
@@ -15,7 +15,8 @@
 /// Virtual time: cost divided by weight, in 1/1024 of the unit of cost.
 type Tag = u64;
 
-/// Keeps costs of a millisecond, in microseconds, distinct after the division by a weight of up to 100,000.
+/// Keeps costs of a millisecond, in microseconds, distinct after the division by a weight of up to
+/// 100,000.
 const SCALE: u64 = 1_024;
 
 /// By how much a turn advances a tag.
@@ -107,8 +108,8 @@
 /// Divisor of the load in proportion to which an organisation gets turns. Each is to be served at least a
 /// quarter as often as the average; a third leaves a margin for errors of the measured loads.
 const PROPORTIONAL_PART: f64 = 3.0;
-/// Weight of an organisation whose load is at most [`PROPORTIONAL_PART`] times the mean. Large enough that
-/// the weight of a tenth of its load stays distinct if operators divide it by 100.
+/// Weight of an organisation whose load is at most [`PROPORTIONAL_PART`] times the mean. Large
+/// enough that the weight of a tenth of its load stays distinct if operators divide it by 100.
 const USUAL_WEIGHT: f64 = 1_000.0;
 
 /// Weight of an organisation, by its load and the mean load of all organisations, times a factor.
--- a/crates/anvil_policy/src/held_prompt.rs
+++ b/crates/anvil_policy/src/held_prompt.rs
@@ -1,18 +1,20 @@
 //! Prompts of lost attempts: the prompt of a request that a client retries is charged once.
 //!
-//! *Load pattern:* an answer is lost after the endpoint may have read the prompt, and the client retries the
-//! request at another router of its zone.
+//! *Load pattern:* an answer is lost after the endpoint may have read the prompt, and the client
+//! retries the request at another router of its zone.
 //!
-//! *Without it:* each attempt is charged for the prompt, and the budget is used up before the organisation
-//! has received what it paid for.
+//! *Without it:* each attempt is charged for the prompt, and the budget is used up before the
+//! organisation has received what it paid for.
 //!
-//! *Mechanism:* the router of the lost attempt, the *origin*, keeps the prompt reserved ([`HeldAttempts`])
-//! and notifies the other routers of its zone. A router that charges the same request reports this for each
-//! notice that it has ([`Notices`]), and the origin releases the prompt instead of charging it.
+//! *Mechanism:* the router of the lost attempt, the *origin*, keeps the prompt reserved
+//! ([`HeldAttempts`]) and notifies the other routers of its zone. A router that charges the same
+//! request reports this for each notice that it has ([`Notices`]), and the origin releases the
+//! prompt instead of charging it.
 //!
-//! *Why every prompt is charged at least once:* a charge is reported only while its request runs, and only
-//! once it can't be reversed ([`ChargeProgress::may_report`]). A request is held after that, if at all. So a
-//! held attempt is released only by a request that ends later, and the last one is charged.
+//! *Why every prompt is charged at least once:* a charge is reported only while its request runs,
+//! and only once it can't be reversed ([`ChargeProgress::may_report`]). A request is held after
+//! that, if at all. So a held attempt is released only by a request that ends later, and the last
+//! one is charged.
 //!
 //! *Thresholds:* a hold lasts as long as the client may retry, at most [`MAX_HOLD_TIME`].
 
@@ -61,7 +63,8 @@
         self.may_have_run &= self.is_final;
     }
 
-    /// Records that the charge can't be reversed any more: an endpoint responded, or its response is lost.
+    /// Records that the charge can't be reversed any more: an endpoint responded, or its response
+    /// is lost. Without effect if no endpoint may have begun.
     pub fn record_final(&mut self) {
         self.is_final = self.may_have_run;
     }
@@ -120,8 +123,8 @@
     charge: T,
 }
 
-/// The attempts that a router holds, each with its charge. An attempt that is returned is no longer held, so
-/// each is released or charged once.
+/// The attempts that a router holds, each with its charge. An attempt that is returned is no longer
+/// held, so each is released or charged once.
 #[derive(Debug)]
 pub struct HeldAttempts<T> {
     held: BTreeMap<HoldNumber, Held<T>>,
@@ -145,8 +148,8 @@
         }
     }
 
-    /// Holds an attempt while its client may retry it. Returns the oldest one if there are too many; it is to
-    /// be charged.
+    /// Holds an attempt while its client may retry it. Returns the oldest one if there are too
+    /// many; it is to be charged.
     ///
     /// # Errors
     /// Returns the charge if it isn't held: no time is left, or nothing is held any more.
@@ -177,8 +180,8 @@
         Ok(oldest.and_then(|number| self.remove(number)))
     }
 
-    /// Ends a hold because another router reports that it has charged the request. `None` if the attempt is
-    /// not held, or if another request or less than its prompt was charged.
+    /// Ends a hold because another router reports that it has charged the request. `None` if the
+    /// attempt is not held, or if another request or less than its prompt was charged.
     pub fn release(&mut self, number: HoldNumber, charged: &LostAttempt) -> Option<T> {
         let held = self.held.get(&number)?;
         covers(charged, &held.attempt).then(|| self.remove(number))?
@@ -204,7 +207,7 @@
         self.remove_all(numbers)
     }
 
-    /// Ends the holds of these charges.
+    /// Ends the holds whose charge satisfies `is_taken`.
     pub fn take_if(&mut self, is_taken: impl Fn(&T) -> bool) -> Vec<T> {
         let taken = self.held.iter().filter(|(_, held)| is_taken(&held.charge));
         let numbers: Vec<_> = taken.map(|(number, _)| *number).collect();
@@ -268,8 +271,8 @@
     }
 }
 
-/// Whether a charge stands for that of a lost attempt. The prompt's tokens are stated by the client and not
-/// part of the request's hash.
+/// Whether a charge stands for that of a lost attempt. The prompt's tokens are stated by the client
+/// and not part of the request's hash.
 fn covers(charged: &LostAttempt, lost: &LostAttempt) -> bool {
     charged.request == lost.request && charged.prompt >= lost.prompt
 }
@@ -302,7 +305,7 @@
 pub struct Notices {
     by_arrival: BTreeMap<u64, Notice>,
     by_request: BTreeSet<(ContentDigest, u64)>,
-    next: u64,
+    next_arrival: u64,
 }
 
 impl Notices {
@@ -312,8 +315,8 @@
         if self.knows(&notice) {
             return;
         }
-        let arrival = self.next;
-        self.next += 1;
+        let arrival = self.next_arrival;
+        self.next_arrival += 1;
         self.by_request.insert((notice.request, arrival));
         self.by_arrival.insert(arrival, notice);
         if self.by_arrival.len() > MAX_NOTICES {
@@ -330,8 +333,8 @@
         taken.filter(|notice| now < notice.until).collect()
     }
 
-    /// Drops the oldest notices that have ended. A later one may be kept behind one that ends later, at most
-    /// for [`MAX_HOLD_TIME`].
+    /// Drops the oldest notices that have ended. A later one may be kept behind one that ends
+    /// later, at most for [`MAX_HOLD_TIME`].
     pub fn drop_ended(&mut self, now: Now) {
         while self.first_end().is_some_and(|end| end <= now) {
             self.drop_oldest();
--- a/crates/anvil_policy/src/intake.rs
+++ b/crates/anvil_policy/src/intake.rs
@@ -16,12 +16,13 @@
 //! of connections may wait to be accepted at once; so nothing is accepted either while accepted clients are
 //! still sending, or are expected to send, more than [`MAX_EXPECTED`] of the link.
 //!
-//! The use of the link doesn't show how much waits upstream of it, nor that what waits after a closing is
-//! data of connections that were reset. So the router also probes the link ([`LinkDelay`]). It closes as soon as
-//! a probe has waited for the allowed delay while the link was full, and opens once a probe that was sent
-//! after the closing has returned, since then the queue has passed. The allowed delay falls if the queue
-//! took longer than [`MAX_DRAIN_TIME`] to pass, and rises again up to [`MAX_LINK_DELAY`]. While probes return, they
-//! decide in place of the use.
+//! The use of the link doesn't show how much waits upstream of it, nor that what waits after a
+//! closing is data of connections that were reset. So the router also probes the link
+//! ([`LinkDelay`]). It closes as soon as a probe has waited for the allowed delay while the link
+//! was full, and opens once a probe that was sent after the closing has returned, since then the
+//! queue has passed. The allowed delay falls if the queue took longer than [`TARGET_DRAIN_TIME`] to
+//! pass, and rises again up to [`MAX_LINK_DELAY`]. While probes return, they decide in place of the
+//! use.
 //!
 //! *Thresholds:* data uses up to [`TARGET_USE`] of the link, less than [`crate::link_pacer`] lets
 //! through, so that its queue stays short. A queue of [`TARGET_BACKLOG`] is a fraction of any route's target
@@ -62,19 +63,21 @@
 /// While the link is busy, nothing is accepted if clients are still sending more than it carries in this time:
 /// a fraction of any route's target latency.
 const MAX_EXPECTED: Duration = Duration::from_millis(100);
-/// Delay of a probe from which on the link has a queue: several of the largest prompts at once are no overload,
-/// and it is a fraction of any route's target latency.
+/// Delay of a probe from which on the link has a queue: several of the largest prompts at once are
+/// no overload, and it is a fraction of any route's target latency.
 const MAX_LINK_DELAY: Duration = Duration::from_millis(50);
 /// The allowed delay doesn't fall below this, about what a probe takes between routers.
 const MIN_LINK_DELAY: Duration = Duration::from_millis(10);
 /// Time in which a queue is to pass, so that the ledger's messages arrive in time.
-const MAX_DRAIN_TIME: Duration = Duration::from_millis(80);
-/// Share of the link that is carried while a probe waits in its queue. Otherwise it waits elsewhere.
+const TARGET_DRAIN_TIME: Duration = Duration::from_millis(80);
+/// Part of its speed that the link carries at least while a probe waits in its queue. Below that,
+/// the probe waits elsewhere.
 const FULL_LINK: f64 = 0.7;
 /// For how long the allowed delay stays low after a closing.
 const OVERLOAD_TIME: Duration = Duration::from_secs(1);
-/// Longest closing because of a queue. A probe that has not returned by then was lost or is delayed elsewhere.
-const MAX_DRAIN: Duration = Duration::from_millis(300);
+/// Longest closing because of a queue. A probe that has not returned by then was lost or is delayed
+/// elsewhere.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time constant with which accepted connections, the bytes received and those expected of them fade.
 const DECAY_TIME: Duration = Duration::from_secs(1);
 /// Bounds of the pressure; the lower one decides how fast a router opens again.
@@ -95,8 +98,8 @@
 const USE_WINDOW: Duration = Duration::from_millis(200);
 /// Time between two observations.
 const OBSERVE_INTERVAL: Duration = Duration::from_millis(50);
-/// Shortest time between two observations while the link is probed, so that the listener closes while the
-/// queue is short.
+/// Shortest time between two observations while the link is probed, so that the listener closes
+/// while the queue is short.
 const MIN_PROBED_INTERVAL: Duration = Duration::from_millis(5);
 /// Longest time that one observation stands for.
 const MAX_STEP: Duration = Duration::from_millis(200);
@@ -104,8 +107,8 @@
 /// dropped.
 const MAX_AGE: Duration = Duration::from_secs(1);
 
-/// What the last probe of the link shows: a short message to another router, whose reply waits behind the
-/// data on the link.
+/// What the last probe of the link shows: a short message to another router, whose reply waits
+/// behind the data on the link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LinkDelay {
     /// Time since the probe was sent.
@@ -130,9 +133,10 @@
         delay >= max_delay && carried >= FULL_LINK
     }
 
-    /// A probe that has been outstanding for long was lost or is delayed elsewhere, and shows nothing.
+    /// A probe that has been outstanding for long was lost or is delayed elsewhere, and shows
+    /// nothing.
     fn is_known(&self) -> bool {
-        self.round_trip.is_some() || self.age < MAX_DRAIN
+        self.round_trip.is_some() || self.age < DRAIN_TIMEOUT
     }
 
     /// Time until an observation may find this delay.
@@ -241,8 +245,8 @@
             || self.recent_open_share < FULL_SHARE
     }
 
-    /// The part of the time in which the router is to listen, from 0 to 1, apart from the closings because
-    /// of a queue.
+    /// The part of the time in which the router is to listen, from 0 to 1, apart from the closings
+    /// because of a queue.
     pub fn open_share(&self) -> f64 {
         self.open_share
     }
@@ -287,7 +291,7 @@
         }
         let has_queue = self.has_queue(load);
         let is_open = self.next_phase(now, step, has_queue, load, rng);
-        let longest = match load.link_delay {
+        let max_interval = match load.link_delay {
             Some(delay) => delay.time_to(self.max_delay),
             None => OBSERVE_INTERVAL,
         };
@@ -296,7 +300,8 @@
         } else {
             None
         };
-        let interval = interval.map_or(longest, |time| time.max(MIN_OPENING).min(longest));
+        let interval =
+            interval.map_or(max_interval, |time| time.max(MIN_OPENING).min(max_interval));
         self.observe_at = now + interval;
         if let Some(until) = self.closed_until {
             self.observe_at = self.observe_at.min(until);
@@ -409,14 +414,8 @@
         load: &IntakeLoad,
         rng: &mut impl Rng,
     ) -> bool {
-        if let Some(since) = self.draining_since {
-            if !has_drained(now, since, load) {
-                return false;
-            }
-            self.draining_since = None;
-            self.drained_at = now;
-            self.adapt_max_delay(now.saturating_sub(since));
-            self.opened_at = now;
+        if self.is_draining(now, load) {
+            return false;
         }
         if let Some(until) = self.closed_until {
             if now < until {
@@ -447,9 +446,26 @@
         self.closed_until.is_none()
     }
 
-    /// Adapts the allowed delay after a closing of this length.
+    /// Whether the router stays closed until the link's queue has passed. Ends such a closing
+    /// once it has.
+    fn is_draining(&mut self, now: Now, load: &IntakeLoad) -> bool {
+        let Some(since) = self.draining_since else {
+            return false;
+        };
+        if !has_drained(now, since, load) {
+            return true;
+        }
+        self.draining_since = None;
+        self.drained_at = now;
+        self.adapt_max_delay(now.saturating_sub(since));
+        self.opened_at = now;
+        false
+    }
+
+    /// Adapts the allowed delay after a closing of this length: half after a long one, a quarter
+    /// more after a short one.
     fn adapt_max_delay(&mut self, closed: Duration) {
-        let delay = if closed > MAX_DRAIN_TIME {
+        let delay = if closed > TARGET_DRAIN_TIME {
             self.max_delay / 2
         } else {
             self.max_delay.mul_f64(1.25)
@@ -475,5 +491,5 @@
 /// Whether the queue that the link had at this time has passed.
 fn has_drained(now: Now, since: Now, load: &IntakeLoad) -> bool {
     let is_behind = |delay: LinkDelay| delay.round_trip.is_some() && since + delay.age <= now;
-    load.link_delay.is_none_or(is_behind) || now >= since + MAX_DRAIN
+    load.link_delay.is_none_or(is_behind) || now >= since + DRAIN_TIMEOUT
 }
--- a/crates/anvil_policy/src/outage_grant.rs
+++ b/crates/anvil_policy/src/outage_grant.rs
@@ -103,8 +103,8 @@
 }
 
 impl RouterPlace {
-    /// The place for one budget, of a router with this rank. All routers move their ranks by the same number, so
-    /// that not the same ones hold parts of all small budgets.
+    /// The place for one budget, of a router with this rank. All routers move their ranks by the
+    /// same number, so that not the same ones hold parts of all small budgets.
     pub fn at_budget(budget: &str, rank: u32, routers: u32) -> Self {
         let count = u64::from(routers.max(1));
         let position = (u64::from(rank) + xxh3_64(budget.as_bytes()) % count) % count;
@@ -116,8 +116,8 @@
 }
 
 impl OutageLimits {
-    /// Tokens that a router holds before it knows its demand. Parts bear a request of this size: if there are
-    /// not enough for all routers, those of the first positions hold one each.
+    /// Tokens that a router holds before it knows its demand. Parts bear a request of this size: if
+    /// there are not enough for all routers, those of the first positions hold one each.
     fn part_at_start(&self, request: Tokens) -> Tokens {
         let limit = self.limit();
         let routers = Tokens::from(self.place.routers.max(1));
@@ -136,10 +136,11 @@
         limit - limit / (SURPLUS_DIVISOR + 1)
     }
 
-    /// Tokens to be free in a router's grants, this long after its first request of any organisation.
-    /// `measured` is what [`OutageDemand::tokens_to_hold`] finds. Until the router has seen a whole window of
-    /// demand, a part of every budget that bears a request of this size counts for the rest of the
-    /// window. Both parts of all routers add up to the limit, once all have seen such a request.
+    /// Tokens to be free in a router's grants, this long after its first request of any
+    /// organisation. `measured` is what [`OutageDemand::tokens_to_hold`] finds. Until the router
+    /// has seen a whole window of demand, a part of every budget that bears a request of this size
+    /// counts for the rest of the window. Both parts of all routers add up to the limit, once all
+    /// have seen such a request.
     pub fn tokens_after_start(
         &self,
         since_first: Duration,
@@ -204,8 +205,9 @@
 }
 
 impl FleetBalance {
-    /// Records a balance while this router has no demand: the spending of the fleet and the router's own
-    /// demand are measured over the same time, so that the parts of all routers add up.
+    /// Records a balance while this router has no demand: the spending of the fleet and the
+    /// router's own demand are measured over the same time, so that the parts of all routers add
+    /// up.
     pub fn begin(&mut self, now: Now, left: Tokens, billed: Tokens) {
         self.last = Some((now, left, billed));
     }
--- a/crates/anvil_policy/src/waiting.rs
+++ b/crates/anvil_policy/src/waiting.rs
@@ -11,11 +11,12 @@
 //! deadline goes first. A request close to its target start is promoted ahead of all of these:
 //! fairness may reorder requests, but must not break the maximum wait that they were admitted with.
 //!
-//! Requests with a [`Priority`] have a lane for each [`Urgency`], and the most urgent lane with work goes
-//! first. Of the dispatches of a class, new requests get at least one in [`NEW_SHARE_DIVISOR`], however many
-//! streams are taken up. A class of which [`MAX_OFFERS_WITHOUT_START`] requests were offered and none was
-//! dispatched gets a turn before more urgent ones. Promotions would let every class go first under
-//! sustained overload, so there are none among these lanes.
+//! Requests with a [`Priority`] have a lane for each [`Urgency`], and the most urgent lane with
+//! work goes first. Of the dispatches of a class, new requests get at least one in
+//! [`NEW_SHARE_DIVISOR`], however many streams are taken up. A class of which
+//! [`MAX_OFFERS_WITHOUT_START`] requests were offered and none was dispatched gets a turn before
+//! more urgent ones. Promotions would let every class go first under sustained overload, so there
+//! are none among these lanes.
 //!
 //! *Thresholds:* the lead of a promotion is bounded both absolutely and as a part of the wait, see
 //! `MAX_PROMOTION_LEAD`; prompts count as long from the length at which prefill alone takes as
@@ -53,8 +54,8 @@
 /// 100 over a more urgent one.
 pub const MAX_OFFERS_WITHOUT_START: u32 = 20;
 
-/// Number of dispatches in a row of streams that clients take up, after which a new request of their class
-/// gets a turn, if one waits.
+/// Number of dispatches in a row of streams that clients take up, after which a new request of
+/// their class gets a turn, if one waits.
 const MAX_TAKEN_UP_IN_A_ROW: u32 = 3;
 /// Minimum part of the dispatches of a class that new requests get while some wait, as a divisor.
 pub const NEW_SHARE_DIVISOR: u32 = MAX_TAKEN_UP_IN_A_ROW + 1;
@@ -64,8 +65,8 @@
 pub struct Urgency {
     /// Priority class.
     pub class: PriorityClass,
-    /// Whether it is a new request. A stream that its client takes up goes before new ones of its class: it
-    /// has been paid for, and can't run at other software versions.
+    /// Whether it is a new request. A stream that its client takes up goes before new ones of its
+    /// class: it has been paid for, and can't run at other software versions.
     pub is_new: bool,
 }
 
@@ -131,7 +132,8 @@
 pub struct Flow {
     /// The organisation.
     pub organisation: OrganisationId,
-    /// Set if requests on this route have turns of their own, because an operator has set its share.
+    /// Set if requests on this route have turns of their own, because an operator has set its
+    /// share.
     pub route: Option<RouteName>,
 }
 
@@ -365,7 +367,10 @@
         } else {
             self.starts_in_turn = self.starts_in_turn.saturating_add(1);
         }
-        if ticket.priority.is_some_and(|one| !one.urgency.is_new) {
+        if ticket
+            .priority
+            .is_some_and(|priority| !priority.urgency.is_new)
+        {
             self.taken_up_in_a_row = self.taken_up_in_a_row.saturating_add(1);
         } else {
             self.taken_up_in_a_row = 0;
@@ -452,22 +457,22 @@
             }
         }
         let (most_urgent, _) = ready.next()?;
-        let new_ones = self.new_ones_after(*most_urgent);
-        Some(new_ones.unwrap_or(*most_urgent))
+        let new_requests = self.new_requests_after(*most_urgent);
+        Some(new_requests.unwrap_or(*most_urgent))
     }
 
     /// The lane of new requests whose turn it is after streams of their class that clients take up.
-    fn new_ones_after(&self, lane: Lane) -> Option<Lane> {
+    fn new_requests_after(&self, lane: Lane) -> Option<Lane> {
         let Lane::Priority(urgency) = lane else {
             return None;
         };
-        let new_ones = Lane::Priority(Urgency {
+        let new_requests = Lane::Priority(Urgency {
             is_new: true,
             ..urgency
         });
-        let queue = self.lanes.get(&new_ones)?;
+        let queue = self.lanes.get(&new_requests)?;
         let has_turn = self.taken_up_in_a_row >= MAX_TAKEN_UP_IN_A_ROW && !queue.queues.is_empty();
-        has_turn.then_some(new_ones)
+        has_turn.then_some(new_requests)
     }
 
     /// Whether more urgent classes have queued work.
--- a/crates/anvil_policy/tests/entry_queue.rs
+++ b/crates/anvil_policy/tests/entry_queue.rs
@@ -311,8 +311,8 @@
     }
 }
 
-/// Guards against streams that wait behind new requests when their clients take them up, and against these
-/// pushing new ones out: six slots serve 400 requests a second.
+/// Guards against streams that wait behind new requests when their clients take them up, and
+/// against these pushing new ones out: six slots serve 400 requests a second.
 #[test]
 fn taken_up_streams_go_first_and_leave_new_requests_a_quarter() {
     for taken_up_rate in [60.0, 250.0, 900.0] {
@@ -593,9 +593,10 @@
     Arc::new(shares)
 }
 
-/// Runs sources that together have five times the requests that can be served, and compares the parts of
-/// the starts that each source gets with the expected weights. Refused clients don't return: their retries
-/// would count as load, and one organisation's load decides how its weight is divided among its routes.
+/// Runs sources that together have five times the requests that can be served, and compares the
+/// parts of the starts that each source gets with the expected weights. Refused clients don't
+/// return: their retries would count as load, and one organisation's load decides how its weight is
+/// divided among its routes.
 fn assert_starts(mut sources: Vec<Source>, shares: Arc<Shares>, expected: &[f64]) {
     for source in &mut sources {
         source.returns = false;
@@ -652,8 +653,8 @@
     assert_starts(sources, shares, &[8.0, 2.0, 4.0, 1.0]);
 }
 
-/// Guards against an organisation that gets twice as many turns, because one of its routes has a factor
-/// that hardly differs from 1.
+/// Guards against an organisation that gets twice as many turns, because one of its routes has a
+/// factor that hardly differs from 1.
 #[test]
 fn route_with_a_factor_does_not_double_the_turns_of_its_organisation() {
     let rate = 5.0 * CAPACITY / 3.0;
--- a/crates/anvil_policy/tests/held_prompt.rs
+++ b/crates/anvil_policy/tests/held_prompt.rs
@@ -31,7 +31,8 @@
 
 const WAIT: Duration = Duration::from_secs(1);
 
-/// Guards against a hold for a request of which the client received output, or that certainly did not run.
+/// Guards against a hold for a request of which the client received output, or that certainly did
+/// not run.
 #[test]
 fn only_requests_in_doubt_without_output_are_held() {
     let mut progress = ChargeProgress::default();
@@ -45,7 +46,8 @@
     assert_eq!(progress.end(), ChargeEnd::Charge);
 }
 
-/// Guards against a report of a charge that is reversed afterwards: neither attempt would be charged.
+/// Guards against a report of a charge that is reversed afterwards: neither attempt would be
+/// charged.
 #[test]
 fn charge_that_can_be_reversed_is_not_reported() {
     let mut progress = ChargeProgress::default();
@@ -95,7 +97,8 @@
     assert_eq!(held.release(7, &lost(1)), None);
 }
 
-/// Guards against attempts of one request that stay charged when a retry at the same router is charged.
+/// Guards against attempts of one request that stay charged when a retry at the same router is
+/// charged.
 #[test]
 fn retry_at_the_same_router_releases_all_attempts_of_its_request() {
     let mut held = HeldAttempts::new(0);
--- a/crates/anvil_policy/tests/link_delay.rs
+++ b/crates/anvil_policy/tests/link_delay.rs
@@ -194,9 +194,9 @@
     }
 }
 
-/// Load pattern: a zone's clients send one router up to four times what its link can carry. Guards against
-/// a queue upstream of the link behind which the ledger's messages wait, and against a link that carries
-/// mostly data of connections that were reset.
+/// Load pattern: a zone's clients send one router up to four times what its link can carry. Guards
+/// against a queue upstream of the link behind which the ledger's messages wait, and against a link
+/// that carries mostly data of connections that were reset.
 #[test]
 fn queue_upstream_of_an_overloaded_link_stays_short() {
     let time = Duration::from_secs(20);
@@ -205,13 +205,15 @@
         model.run(time, demand);
         let late = model.late_share();
         assert!(late < 0.1, "at {demand}: late in {late} of the time");
-        // What waits when the listener closes is lost. While it is open, the link carries 1 of `demand`.
+        // What waits when the listener closes is lost. While it is open, the link carries 1 of
+        // `demand`.
         let used = model.used_share(time);
         assert!(used > 0.6 / demand, "at {demand}: {used} used");
     }
 }
 
-/// Guards against closings without need: single requests that follow each other closely are no overload.
+/// Guards against closings without need: single requests that follow each other closely are no
+/// overload.
 #[test]
 fn well_used_link_is_rarely_closed() {
     let mut model = Model::new();
@@ -220,7 +222,8 @@
     assert!(used > 0.55, "{used}");
 }
 
-/// Guards against a router that stays closed because its siblings stop replying for a reason of their own.
+/// Guards against a router that stays closed because its siblings stop replying for a reason of
+/// their own.
 #[test]
 fn outstanding_probe_closes_for_a_moment_only() {
     let mut model = Model::new();
--- a/crates/anvil_policy/tests/rate_share.rs
+++ b/crates/anvil_policy/tests/rate_share.rs
@@ -397,8 +397,8 @@
     }
 }
 
-/// Requests that arrive in ten seconds, all routers always having one, if their number changes in the
-/// first second.
+/// Requests that arrive in ten seconds, all routers always having one, if their number changes in
+/// the first second.
 fn simulate_change(tolerance: BurstTolerance, before: u32, after: u32, phase_ms: u64) -> Vec<Now> {
     let changed_at = Duration::from_millis(phase_ms % 1_000);
     let mut shares: Vec<_> = (0..before.max(after))
--- a/crates/anvil_policy/tests/taken_up.rs
+++ b/crates/anvil_policy/tests/taken_up.rs
@@ -1,4 +1,5 @@
-//! Streams that their clients take up while the endpoints of their version are in pauses or at limits.
+//! Streams that their clients take up while the endpoints of their version are in pauses or at
+//! limits.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -37,8 +38,8 @@
         }
     }
 
-    /// Starts a stream, which is answered at once, at an endpoint that accepts it. The error is the time
-    /// until the first one does.
+    /// Starts a stream, which is answered at once, at an endpoint that accepts it. The error is the
+    /// time until the first one does.
     fn try_start(&mut self, now: Now) -> Result<(), Duration> {
         let accepting = self.pauses.iter_mut().find_map(|pause| {
             let is_sent = pause.try_send(now);
@@ -95,9 +96,10 @@
     }
 }
 
-/// Guards against streams that are lost because their clients use up all attempts within pauses that end some
-/// hundred milliseconds later: soak 58200, where an engine restarted with thirty streams while all others of
-/// its version had asked for pauses of 426 ms, and 8 of 13 were refused.
+/// Guards against streams that are lost because their clients use up all attempts within pauses
+/// that end some hundred milliseconds later: soak 58200, where an engine restarted with thirty
+/// streams while all others of its version had asked for pauses of 426 ms, and 8 of 13 were
+/// refused.
 #[test]
 fn streams_of_a_lost_engine_outlast_the_pauses_of_the_others() {
     let mut rng = ChaCha8Rng::seed_from_u64(58_200);
@@ -112,8 +114,8 @@
     assert_eq!(streams.len(), 0, "of 30 were lost");
 }
 
-/// Guards against streams that wait taking every place at an endpoint with a limit: new requests, which can't
-/// wait that long, would be refused for as long as streams are taken up.
+/// Guards against streams that wait taking every place at an endpoint with a limit: new requests,
+/// which can't wait that long, would be refused for as long as streams are taken up.
 #[test]
 fn streams_leave_every_fourth_place_at_a_limit_to_new_requests() {
     let turn = RouterRank {
@@ -166,8 +168,8 @@
     }
 }
 
-/// Guards against a wait that leaves the client no time to take its stream up elsewhere, and against one
-/// that misses an endpoint that is listed meanwhile.
+/// Guards against a wait that leaves the client no time to take its stream up elsewhere, and
+/// against one that misses an endpoint that is listed meanwhile.
 #[test]
 fn wait_ends_in_time() {
     let give_up_at = ms(1_000) + max_wait(ms(4_000));
--- a/crates/anvil_wire/src/msg/ledger.rs
+++ b/crates/anvil_wire/src/msg/ledger.rs
@@ -125,8 +125,8 @@
         suspects: BTreeMap<ContentDigest, SuspectContent>,
         /// Rate limits that endpoints announced.
         limits: BTreeMap<InstanceId, EndpointLimit>,
-        /// All shares that operators have set; `None` from a replica or relay of the previous build, which
-        /// doesn't know them, and for followers that need none.
+        /// All shares that operators have set; `None` from a replica or relay of the previous
+        /// build, which doesn't know them, and for followers that need none.
         #[serde(deserialize_with = "none_if_missing")]
         shares: Option<Shares>,
     },
@@ -144,8 +144,8 @@
         suspects: Vec<(ContentDigest, Option<SuspectContent>)>,
         /// Rate limits that endpoints announced.
         limits: Vec<(InstanceId, Option<EndpointLimit>)>,
-        /// All shares that operators have set; `None` from a replica or relay of the previous build, which
-        /// doesn't know them, and for followers that need none.
+        /// All shares that operators have set; `None` from a replica or relay of the previous
+        /// build, which doesn't know them, and for followers that need none.
         #[serde(deserialize_with = "none_if_missing")]
         shares: Option<Shares>,
     },
@@ -157,8 +157,8 @@
     },
 }
 
-/// Reads the last field of an event. A sender of the previous build ends its message before it; messages
-/// are framed, so this is the only cause of an error at this place.
+/// Reads the last field of an event. A sender of the previous build ends its message before it;
+/// messages are framed, so this is the only cause of an error at this place.
 #[expect(clippy::unnecessary_wraps, reason = "serde requires this signature")]
 fn none_if_missing<'de, D: Deserializer<'de>>(source: D) -> Result<Option<Shares>, D::Error> {
     Ok(Option::deserialize(source).unwrap_or_default())
@@ -195,7 +195,8 @@
     Balances(Vec<BudgetId>),
     /// The suspect contents that are announced to routers.
     Suspects,
-    /// The shares that operators have set. A replica of a build without this query answers with an error.
+    /// The shares that operators have set. A replica of a build without this query answers with an
+    /// error.
     Shares,
 }
 
--- a/crates/anvil_wire/tests/codec.rs
+++ b/crates/anvil_wire/tests/codec.rs
@@ -77,8 +77,8 @@
     );
 }
 
-/// Guards against another order of the messages about held prompts, which routers of two builds exchange
-/// during an update: a notice would be read as a charge.
+/// Guards against another order of the messages about held prompts, which routers of two builds
+/// exchange during an update: a notice would be read as a charge.
 #[test]
 fn messages_about_held_prompts_keep_their_encoding() {
     let held = HeldPromptNotice {
@@ -126,8 +126,9 @@
     })
 }
 
-/// Guards against routers that can't read the events of a ledger replica of the previous build, which end
-/// before the shares; and against a change before that place, which the previous build could not read.
+/// Guards against routers that can't read the events of a ledger replica of the previous build,
+/// which end before the shares; and against a change before that place, which the previous build
+/// could not read.
 #[test]
 fn event_without_shares_is_read() {
     let mut shares = Shares::default();
--- a/crates/anvil_world/src/share.rs
+++ b/crates/anvil_world/src/share.rs
@@ -16,8 +16,8 @@
 /// Maximum factor, in thousandths.
 const MAX: u32 = 10 * UNIT;
 
-/// A factor from 0.1 to 10 in steps of a thousandth. Encoded as a whole number of thousandths, so that all
-/// replicas compute the same.
+/// A factor from 0.1 to 10 in steps of a thousandth. Encoded as a whole number of thousandths, so
+/// that all replicas compute the same.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(try_from = "u32", into = "u32")]
 pub struct ShareFactor(u32);
--- a/crates/anvilreel/src/ledger_service.rs
+++ b/crates/anvilreel/src/ledger_service.rs
@@ -80,7 +80,8 @@
     /// Rule by which permanently lost replicas are removed from the ledger; `None` leaves that to
     /// an operator.
     pub auto_removal: Option<AutoRemoval>,
-    /// Reads the names in a routing table; `None`: orders that name organisations or routes are refused.
+    /// Reads the names in a routing table; `None`: orders that name organisations or routes are
+    /// refused.
     pub parse_names: Option<ParseNames>,
     /// Whether a replica that has failed ends, instead of answering every request with `Stopped`.
     pub stop_on_failure: bool,
--- a/crates/anvilreel/src/ledger_service/configured_names.rs
+++ b/crates/anvilreel/src/ledger_service/configured_names.rs
@@ -27,8 +27,9 @@
 /// Reads the names in the text of a routing table; `None` if it can't be read.
 pub type ParseNames = fn(&str) -> Option<ConfiguredNames>;
 
-/// The names in the routing table in force. Reading a table of megabytes takes milliseconds in which the
-/// replica does nothing else, so each revision is read once, and only if there are shares or orders.
+/// The names in the routing table in force. Reading a table of megabytes takes milliseconds in
+/// which the replica does nothing else, so each revision is read once, and only if there are shares
+/// or orders.
 #[derive(Default)]
 pub(super) struct NamesInForce {
     revision: Revision,
--- a/crates/anvilreel/src/ledger_service/replica_task/shares.rs
+++ b/crates/anvilreel/src/ledger_service/replica_task/shares.rs
@@ -10,14 +10,16 @@
 use crate::event;
 use crate::ledger_service::events;
 
-/// Maximum number of shares. Every event for routers has all of them: with names of 60 bytes, 16 KB.
+/// Maximum number of shares. Every event for routers has all of them: with names of 60 bytes, 16
+/// KB.
 const MAX_SHARES: usize = 256;
 /// Operator in the audit trail of shares that the ledger drops.
 const LEDGER_OPERATOR: &str = "ledger";
 
 impl ReplicaTask {
-    /// Answers an order for a name that is not in the configuration, or for one share too many. A replica that does not lead has no
-    /// answer: it appends nothing, and may not know the newest configuration.
+    /// Answers an order for a name that is not in the configuration, or for one share too many. A
+    /// replica that does not lead has no answer: it appends nothing, and may not know the newest
+    /// configuration.
     pub(super) fn refused_share(&mut self, command: &Command) -> Option<LedgerReply> {
         let Command::SetShare(order) = command else {
             return None;
@@ -72,8 +74,9 @@
 
     /// Drops the shares of names that have been removed from the configuration.
     ///
-    /// An organisation that is added again later, under the name of an earlier one, would have its share
-    /// otherwise. Replicas can't read the routing table when they apply it, so this takes an entry.
+    /// An organisation that is added again later, under the name of an earlier one, would have its
+    /// share otherwise. Replicas can't read the routing table when they apply it, so this takes an
+    /// entry.
     pub(super) fn drop_shares_of_removed_names(&mut self) {
         if self.machine.shares.all().is_empty() || !self.replica.has_committed_in_term() {
             return;
--- a/crates/anvilreel/src/money/outage_cover.rs
+++ b/crates/anvilreel/src/money/outage_cover.rs
@@ -79,8 +79,8 @@
         self.policy.outage_horizon.is_some()
     }
 
-    /// Prepares to hold tokens of these budgets from the first request of any organisation on, so that an
-    /// outage soon after a start is covered.
+    /// Prepares to hold tokens of these budgets from the first request of any organisation on, so
+    /// that an outage soon after a start is covered.
     pub fn prepare<'a>(&self, budgets: impl IntoIterator<Item = &'a BudgetId>) {
         if !self.covers_outages() {
             return;
@@ -182,7 +182,8 @@
             return;
         };
         let mut cover = budget_grants.outage_cover();
-        // Before the first request of a budget that was prepared, there is no demand to be averaged.
+        // Before the first request of a budget that was prepared, there is no demand to be
+        // averaged.
         if budget_grants.demand.has_begun() {
             let (charged, requests) = (added.charged, added.requests);
             cover
--- a/crates/anvilreel/src/operator/report.rs
+++ b/crates/anvilreel/src/operator/report.rs
@@ -200,7 +200,8 @@
     pub evacuated: BTreeMap<TreePath, TreeEntry>,
     /// Contents in quarantine; `None` if the leader is of a build that doesn't tell.
     pub quarantined: Option<Vec<QuarantinedContent>>,
-    /// Factors by which operators have set shares; `None` if the leader is of a build that doesn't tell.
+    /// Factors of the shares that operators have set; `None` if the leader is of a build without
+    /// shares.
     pub shares: Option<BTreeMap<String, f64>>,
     /// Members with their presence.
     pub members: BTreeMap<InstanceId, Member>,
--- a/crates/anvilreel/src/operator/share.rs
+++ b/crates/anvilreel/src/operator/share.rs
@@ -11,11 +11,11 @@
 use super::change::{new_change_id, propose_change, wait_in_force};
 use super::{Client, CommittedChange, OperatorError};
 
-/// Timeout of the question which shares are in force. A leader of an earlier build does not know it, and
-/// the rest of the status is not held up by that.
+/// Timeout of the query for the shares in force. A leader of an earlier build does not answer it,
+/// which must not delay the rest of the status.
 const QUERY_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Reads the factors in force; `None` if the leader doesn't know the question.
+/// Reads the factors in force; `None` if the leader does not answer the query.
 pub(super) async fn shares(client: &Client) -> Option<BTreeMap<String, f64>> {
     let timeout = QUERY_TIMEOUT.min(client.timeout());
     let client = client.clone().with_timeout(timeout);
@@ -29,9 +29,9 @@
     )
 }
 
-/// Sets the share of an organisation or a route, then waits until that is in force everywhere or the
-/// client's timeout has passed. A factor of 1 ends the order. Idempotent: under the same id an order is
-/// applied only once.
+/// Sets the share of an organisation or a route, then waits until that is in force everywhere or
+/// the client's timeout has passed. A factor of 1 ends the order. Idempotent: under the same id an
+/// order is applied only once.
 pub async fn set_share(
     client: &Client,
     target: ShareTarget,
--- a/crates/anvilreel/tests/ledger_followers_and_evidence.rs
+++ b/crates/anvilreel/tests/ledger_followers_and_evidence.rs
@@ -300,7 +300,8 @@
     Ok(())
 }
 
-/// Guards against routers that don't learn of an order, or that learn of it and lose it with a later event.
+/// Guards against routers that don't learn of an order, or that learn of it and lose it with a
+/// later event.
 #[test]
 fn routers_receive_shares() -> Result<(), Failure> {
     let mut ledger = Ledger::default();
--- a/crates/anvilreel/tests/ledger_service/shares.rs
+++ b/crates/anvilreel/tests/ledger_service/shares.rs
@@ -55,8 +55,9 @@
     }
 }
 
-/// Guards against an acknowledged order that is lost with the processes of all replicas, and against one
-/// that is refused when it is sent again, because its name has been removed from the configuration since.
+/// Guards against an acknowledged order that is lost with the processes of all replicas, and
+/// against one that is refused when it is sent again, because its name has been removed from the
+/// configuration since.
 #[tokio::test(flavor = "multi_thread")]
 async fn order_survives_a_restart_of_all_replicas() -> Result<(), Failure> {
     let mut cluster = Cluster::start(3).await?;
@@ -103,8 +104,8 @@
     Ok(())
 }
 
-/// Guards against orders that make every event for routers large, and against a full table in which nothing
-/// can be changed.
+/// Guards against orders that make every event for routers large, and against a full table in which
+/// nothing can be changed.
 #[tokio::test(flavor = "multi_thread")]
 async fn orders_beyond_the_maximum_are_refused() -> Result<(), Failure> {
     const MAX_SHARES: usize = 256;
@@ -131,8 +132,8 @@
     Ok(())
 }
 
-/// Guards against a share that waits for a later organisation or route of the same name, and against one
-/// that is dropped although its name is still configured.
+/// Guards against a share that waits for a later organisation or route of the same name, and
+/// against one that is dropped although its name is still configured.
 #[tokio::test(flavor = "multi_thread")]
 async fn share_of_a_removed_name_is_dropped() -> Result<(), Failure> {
     let mut cluster = Cluster::start(3).await?;
@@ -164,7 +165,8 @@
     Ok(())
 }
 
-/// Guards against an entry that a replica of the previous build can't decode, at which it would stop.
+/// Guards against an entry that a replica of the previous build can't decode, at which it would
+/// stop.
 #[tokio::test(flavor = "multi_thread")]
 async fn order_is_denied_while_a_replica_of_the_previous_build_is_a_member() -> Result<(), Failure>
 {
--- a/crates/anvilreel/tests/money/outage.rs
+++ b/crates/anvilreel/tests/money/outage.rs
@@ -104,8 +104,8 @@
     assert_at_most_an_eighth(&long.held, &long.unspent);
 }
 
-/// Guards against an outage in which nothing can be paid for because the routers have just started and have
-/// not measured the demand, and against more than an eighth being held for it.
+/// Guards against an outage in which nothing can be paid for because the routers have just started
+/// and have not measured the demand, and against more than an eighth being held for it.
 #[test]
 fn outage_soon_after_the_start_is_paid_for() {
     let outage = 4_000..10_000;
--- a/crates/anvilreel/tests/money/reduced.rs
+++ b/crates/anvilreel/tests/money/reduced.rs
@@ -31,8 +31,8 @@
     ["a", "b", "c"].map(|budget| account.budget_status(budget).reserved)
 }
 
-/// Guards against a held prompt that is not covered by its reservation: its charge would be capped, and the
-/// account would refuse everything that follows.
+/// Guards against a held prompt that is not covered by its reservation: its charge would be capped,
+/// and the account would refuse everything that follows.
 #[test]
 fn reduced_reservation_covers_its_bound() {
     let mut ledger = ledger();
