--- a/crates/anvil_policy/tests/waiting.rs
+++ b/crates/anvil_policy/tests/waiting.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use anvil_policy::prelude::*;
+use anvil_policy::waiting::{Priority, Urgency};
 use anvil_world::document::WorkClass;
 use anvil_world::prelude::*;
 use proptest::prelude::*;
@@ -74,6 +75,38 @@
     assert!((59..=61).contains(&turns["three"]), "{turns:?}");
 }
 
+/// Guards against new requests that get less than a fourth of the starts of their class, because starts
+/// of a more urgent class come in between.
+#[test]
+fn new_requests_keep_their_share_beside_a_more_urgent_class() {
+    let with_urgency = |class, is_new| Ticket {
+        priority: Some(Priority {
+            urgency: Urgency { class, is_new },
+            target_start: LATE,
+            start_by: LATE,
+        }),
+        ..ticket("co-op", 5)
+    };
+    let mut queue = WaitQueue::default();
+    for _ in 0..200 {
+        push(&mut queue, with_urgency(1, true));
+        push(&mut queue, with_urgency(1, false));
+    }
+    let (mut new, mut all) = (0, 0);
+    for start in 0..200 {
+        if start % 3 == 0 {
+            push(&mut queue, with_urgency(0, true));
+        }
+        let waiter = queue.pop(Duration::ZERO).expect("a queued request");
+        let urgency = waiter.ticket.priority.expect("a priority").urgency;
+        if urgency.class == 1 {
+            all += 1;
+            new += u32::from(urgency.is_new);
+        }
+    }
+    assert!(4 * new + 4 >= all, "{new} of {all}");
+}
+
 /// An interactive request arrives while forty long batch requests are queued; later the interactive
 /// requests never stop. Guards against a single queue, where the interactive request waits for all
 /// batch requests, and against strict priority, where the batch requests never run.
