--- a/crates/anvil_gateway/tests/direct/charging.rs
+++ b/crates/anvil_gateway/tests/direct/charging.rs
@@ -244,7 +244,14 @@
         client
             .send("/stream/x", &format!("id-{number}"), &headers)
             .await;
-        tokio::time::sleep(Duration::from_millis(15)).await;
+        // A request whose client leaves earlier is not sent at all.
+        let sent = async {
+            while full.received().len() < number {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+        };
+        let sent = tokio::time::timeout(Duration::from_secs(2), sent).await;
+        assert!(sent.is_ok(), "request {number} was not sent");
         drop(client);
         tokio::time::sleep(Duration::from_millis(150)).await;
         assert_eq!(full.received().len(), number);
