Parts of budgets held after a start are removed

Cause: no gateway held them any more, since a kill soon after a start lost a part of every budget; what was left was dead code, two atomic operations for each reservation among it, and a second kind of rank. Grants are sized and tested as before.

--- a/crates/anvil_gateway/src/ledger_updates.rs
+++ b/crates/anvil_gateway/src/ledger_updates.rs
@@ -140,7 +140,7 @@
         gw.position_since_ms.store(gw.now_ms(), Ordering::Relaxed);
     }
     gw.gateway_rank.store(rank, Ordering::Relaxed);
-    gw.grant_account.set_routers(count, rank);
+    gw.grant_account.set_routers(count);
     if gw.gateway_count.swap(count, Ordering::Relaxed) != count {
         event!(gw.log, events::GATEWAY_PEERS_CHANGED, "gateways" => count);
     }
--- a/crates/anvil_policy/src/outage_grant.rs
+++ b/crates/anvil_policy/src/outage_grant.rs
@@ -24,14 +24,11 @@
 //! than others. The demand is averaged over twice the outage: over less, an organisation with a
 //! request every few seconds would appear to come and go. The fleet's spending is averaged in the
 //! same way, so that the parts of all routers add up. Two standard deviations are added to the
-//! expected number of requests, because a router that expects three of them often gets six. A
-//! router that has just started knows no demand; until it does, it holds a part of every budget
-//! that bears a request ([`OutageLimits::tokens_after_start`]).
+//! expected number of requests, because a router that expects three of them often gets six.
 
 use std::time::Duration;
 
 use anvil_world::prelude::*;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::token_counts::{to_tokens, tokens_to_f64};
 
@@ -89,74 +86,8 @@
     /// as much as this one: a measurement over a second or two often shows nothing of a sparse
     /// organisation.
     pub confidence: f64,
-    /// This router among those that draw on the budget.
-    pub place: RouterPlace,
-}
-
-/// A router among all that draw on a budget.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct RouterPlace {
-    /// Number of routers.
+    /// Number of routers that draw on the budget.
     pub routers: u32,
-    /// Its position among them, from 0.
-    pub position: u32,
-}
-
-impl RouterPlace {
-    /// The place for one budget, of a router with this rank. All routers move their ranks by the
-    /// same number, so that not the same ones hold parts of all small budgets.
-    pub fn at_budget(budget: &str, rank: u32, routers: u32) -> Self {
-        let count = u64::from(routers.max(1));
-        let position = (u64::from(rank) + xxh3_64(budget.as_bytes()) % count) % count;
-        Self {
-            routers,
-            position: u32::try_from(position).unwrap_or(0),
-        }
-    }
-}
-
-impl OutageLimits {
-    /// Tokens that a router holds before it knows its demand. Parts bear a request of this size: if
-    /// there are not enough for all routers, those of the first positions hold one each.
-    fn part_at_start(&self, request: Tokens) -> Tokens {
-        let limit = self.limit();
-        let routers = Tokens::from(self.place.routers.max(1));
-        let holders = routers.min(limit / request.max(1));
-        if Tokens::from(self.place.position) < holders {
-            limit / holders
-        } else {
-            0
-        }
-    }
-
-    /// What all routers together may hold.
-    fn limit(&self) -> Tokens {
-        let limit = self.left / LEFT_DIVISOR;
-        // Nothing is returned until the surplus is reached, so it counts as held.
-        limit - limit / (SURPLUS_DIVISOR + 1)
-    }
-
-    /// Tokens to be free in a router's grants, this long after its first request of any
-    /// organisation. `measured` is what [`OutageDemand::tokens_to_hold`] finds. Until the router
-    /// has seen a whole window of demand, a part of every budget that bears a request of this size
-    /// counts for the rest of the window. Both parts of all routers add up to the limit, once all
-    /// have seen such a request.
-    pub fn tokens_after_start(
-        &self,
-        since_first: Duration,
-        measured: Option<Tokens>,
-        request: Tokens,
-    ) -> Option<Tokens> {
-        let window = self.horizon * WINDOW_FACTOR;
-        if since_first >= window {
-            return measured;
-        }
-        let part = self.part_at_start(request);
-        let known = since_first.div_duration_f64(window);
-        let hold =
-            known * tokens_to_f64(measured.unwrap_or(0)) + (1.0 - known) * tokens_to_f64(part);
-        (hold >= 1.0).then(|| to_tokens(hold))
-    }
 }
 
 /// Minimum time that an average stands for: over less, the first requests would look like a burst.
@@ -205,13 +136,6 @@
 }
 
 impl FleetBalance {
-    /// Records a balance while this router has no demand: the spending of the fleet and the
-    /// router's own demand are measured over the same time, so that the parts of all routers add
-    /// up.
-    pub fn begin(&mut self, now: Now, left: Tokens, billed: Tokens) {
-        self.last = Some((now, left, billed));
-    }
-
     /// Records a balance. `billed` only rises, so top-ups do not count as spending.
     pub fn record(&mut self, horizon: Duration, now: Now, left: Tokens, billed: Tokens) {
         if let Some((at, _, billed_before)) = self.last {
@@ -229,7 +153,7 @@
     }
 
     /// What limits the tokens to be held; `None` without a balance from the last three horizons.
-    pub fn limits(&self, now: Now, horizon: Duration, place: RouterPlace) -> Option<OutageLimits> {
+    pub fn limits(&self, now: Now, horizon: Duration, routers: u32) -> Option<OutageLimits> {
         let (at, left, _) = self.last?;
         if now > at + horizon * BALANCE_LIFETIME_FACTOR {
             return None;
@@ -247,7 +171,7 @@
                 .usual
                 .observed
                 .div_duration_f64(horizon * WINDOW_FACTOR),
-            place,
+            routers,
         })
     }
 }
@@ -316,7 +240,7 @@
         if own <= 0.0 || bound == 0 {
             return None;
         }
-        let routers = limits.place.routers.max(1);
+        let routers = limits.routers.max(1);
         let assumed = own * f64::from(routers);
         let fleet = assumed + (limits.spending - assumed) * limits.confidence;
         let fleet = fleet.max(own);
@@ -329,7 +253,8 @@
         let mean_cost = own / demand.requests_per_s;
         let requests = expected + MARGIN * expected.sqrt();
         let needed = to_tokens((requests * mean_cost).ceil());
-        let limit = limits.limit();
+        // Nothing is returned until the surplus is reached, so it counts as held.
+        let limit = limit - limit / (SURPLUS_DIVISOR + 1);
         // A router with few requests holds one bound, if all routers can.
         let floors = bound.saturating_mul(Tokens::from(routers));
         let bears_floors = floors <= limit / FLOOR_DIVISOR;
--- a/crates/anvilreel/src/money/account.rs
+++ b/crates/anvilreel/src/money/account.rs
@@ -24,9 +24,6 @@
 /// Value of `unanswered_since` while no batch is in flight.
 pub(super) const NO_BATCH_PENDING: u64 = u64::MAX;
 
-/// Value of `first_request` before the first request.
-const NO_REQUEST: u64 = u64::MAX;
-
 pub(super) type Budgets = BTreeMap<BudgetId, Arc<BudgetGrants>>;
 
 /// The state of one budget at a router, for metrics and status.
@@ -62,17 +59,7 @@
     pub(super) stopping: AtomicBool,
     /// Number of routers that draw on the budgets; 0 if unknown.
     pub(super) routers: AtomicU32,
-    /// Rank of this router among them.
-    pub(super) rank: AtomicU32,
     pub(super) cover_ended: AtomicBool,
-    /// When the first request of any organisation came, in milliseconds; [`NO_REQUEST`] before.
-    first_request: AtomicU64,
-    /// Upper bound of the largest request of any organisation.
-    largest_request: AtomicU64,
-    /// Whether the first request has come and no batch has covered all budgets since.
-    pub(super) has_just_started: AtomicBool,
-    /// Whether parts of budgets are held after a start, see [`Self::prepare`].
-    pub(super) is_prepared: AtomicBool,
     pub(super) fenced: AtomicBool,
     /// The oldest grant whose closing the ledger has not confirmed.
     pub(super) oldest_open_grant: AtomicU64,
@@ -97,12 +84,7 @@
             urgent: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             routers: AtomicU32::new(0),
-            rank: AtomicU32::new(0),
             cover_ended: AtomicBool::new(false),
-            first_request: AtomicU64::new(NO_REQUEST),
-            largest_request: AtomicU64::new(0),
-            has_just_started: AtomicBool::new(false),
-            is_prepared: AtomicBool::new(false),
             fenced: AtomicBool::new(false),
             oldest_open_grant: AtomicU64::new(0),
             next_number: AtomicU64::new(1),
@@ -127,7 +109,6 @@
         if self.is_fenced() || self.invariant_violation().is_some() {
             return Err(refused(Reason::Leaving, UNREACHABLE_RETRY_AFTER));
         }
-        self.record_request(now, bound);
         let mut parts = Vec::new();
         for (budget, tokens) in split.bounds(bound) {
             let budget_grants = self.budget_grants(budget);
@@ -146,27 +127,6 @@
         })
     }
 
-    fn record_request(&self, now: Now, bound: Tokens) {
-        self.largest_request.fetch_max(bound, Ordering::Relaxed);
-        if self.first_request.load(Ordering::Relaxed) != NO_REQUEST {
-            return;
-        }
-        let before = self.first_request.swap(millis(now), Ordering::Relaxed);
-        if before == NO_REQUEST && self.is_prepared.load(Ordering::Acquire) {
-            self.has_just_started.store(true, Ordering::Release);
-            self.urgent.store(true, Ordering::Release);
-        }
-    }
-
-    /// Time since the first request of any organisation, and the bound of the largest one.
-    pub(super) fn since_first_request(&self, now: Now) -> Option<(Duration, Tokens)> {
-        let first = self.first_request.load(Ordering::Relaxed);
-        let since = now.saturating_sub(Duration::from_millis(first));
-        let largest = self.largest_request.load(Ordering::Relaxed);
-        let is_prepared = self.is_prepared.load(Ordering::Acquire);
-        (is_prepared && first != NO_REQUEST).then_some((since, largest))
-    }
-
     /// Describes the payment for the sidecar.
     pub fn payment(&self, reservation: &Reservation, price: Price) -> Payment {
         Payment {
--- a/crates/anvilreel/src/money/batch_exchange.rs
+++ b/crates/anvilreel/src/money/batch_exchange.rs
@@ -141,10 +141,8 @@
     /// shortage, so that an urgent request does not carry the reports of all others.
     fn compose(&self, now: Now, batches: &mut BatchState) -> Option<GrantBatch> {
         let since = now.saturating_sub(batches.last_full_at);
-        let has_just_started = self.has_just_started.swap(false, Ordering::AcqRel);
-        let covers_all = since >= self.policy.batch_interval
-            || has_just_started
-            || self.stopping.load(Ordering::Acquire);
+        let covers_all =
+            since >= self.policy.batch_interval || self.stopping.load(Ordering::Acquire);
         if covers_all {
             batches.last_full_at = now;
         }
--- a/crates/anvilreel/src/money/demand.rs
+++ b/crates/anvilreel/src/money/demand.rs
@@ -84,12 +84,7 @@
         self.largest.load(Ordering::Relaxed)
     }
 
-    /// Whether any request has come.
-    pub(super) fn has_begun(&self) -> bool {
-        !self.last_request().is_zero()
-    }
-
-    /// When tokens were last requested; zero if they never were.
+    /// When tokens were last requested.
     pub(super) fn last_request(&self) -> Now {
         Duration::from_millis(self.last_request_ms.load(Ordering::Relaxed))
     }
--- a/crates/anvilreel/src/money/outage_cover.rs
+++ b/crates/anvilreel/src/money/outage_cover.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use anvil_policy::outage_grant::{
-    FleetBalance, GrantReturn, OutageDemand, RouterPlace, Scarcity, demand_lifetime,
-    return_down_to, tokens_to_return,
+    FleetBalance, GrantReturn, OutageDemand, Scarcity, demand_lifetime, return_down_to,
+    tokens_to_return,
 };
 use anvil_wire::msg::BudgetBalance;
 use anvil_world::command::{GrantBatch, GrantBatchAnswer};
@@ -79,19 +79,6 @@
         self.policy.outage_horizon.is_some()
     }
 
-    /// Prepares to hold tokens of these budgets from the first request of any organisation on, so
-    /// that an outage soon after a start is covered. No gateway does so: one that is killed soon
-    /// after its start loses its part of every budget.
-    pub fn prepare<'a>(&self, budgets: impl IntoIterator<Item = &'a BudgetId>) {
-        if !self.covers_outages() {
-            return;
-        }
-        for budget in budgets {
-            self.budget_grants(budget);
-        }
-        self.is_prepared.store(true, Ordering::Release);
-    }
-
     /// The budgets, in order, whose balances are needed to decide what is held for an outage: those that had
     /// a request recently.
     pub fn budgets_in_demand(&self, now: Now) -> Vec<BudgetId> {
@@ -116,21 +103,17 @@
         for (id, balance) in balances {
             if let Some(budget_grants) = budgets.get(id) {
                 let mut cover = budget_grants.outage_cover();
-                let (left, billed) = (balance.left, balance.billed);
-                if budget_grants.demand.has_begun() {
-                    cover.balance.record(horizon, now, left, billed);
-                } else {
-                    cover.balance.begin(now, left, billed);
-                }
+                cover
+                    .balance
+                    .record(horizon, now, balance.left, balance.billed);
             }
         }
     }
 
-    /// Sets the number of routers that draw on the budgets, and this router's rank among them. The
-    /// largest number counts: a router that is not listed for a while may still hold tokens.
-    pub fn set_routers(&self, routers: u32, rank: u32) {
+    /// Sets the number of routers that draw on the budgets. The largest one counts: a router that
+    /// is not listed for a while may still hold tokens.
+    pub fn set_routers(&self, routers: u32) {
         self.routers.fetch_max(routers, Ordering::Relaxed);
-        self.rank.store(rank, Ordering::Relaxed);
     }
 
     /// Holds only what the next batch needs from now on: before a planned stop, so that little is
@@ -184,27 +167,20 @@
             return;
         };
         let mut cover = budget_grants.outage_cover();
-        // Before the first request of a budget that was prepared, there is no demand to be
-        // averaged.
-        if budget_grants.demand.has_begun() {
-            let (charged, requests) = (added.charged, added.requests);
-            cover
-                .demand
-                .update(horizon, elapsed, charged, requests, added.largest);
-        }
+        cover.demand.update(
+            horizon,
+            elapsed,
+            added.charged,
+            added.requests,
+            added.largest,
+        );
         let routers = self.routers.load(Ordering::Relaxed);
-        let rank = self.rank.load(Ordering::Relaxed);
-        let place = RouterPlace::at_budget(&budget_grants.budget, rank, routers);
-        let limits = cover.balance.limits(now, horizon, place);
+        let limits = cover.balance.limits(now, horizon, routers);
         let may_cover = routers > 0
             && !cover.scarcity.is_scarce(now)
             && !self.cover_ended.load(Ordering::Acquire);
         cover.hold = limits.filter(|_| may_cover).and_then(|limits| {
-            let measured = cover.demand.tokens_to_hold(&limits);
-            let hold = match self.since_first_request(now) {
-                Some((since, largest)) => limits.tokens_after_start(since, measured, largest)?,
-                None => measured?,
-            };
+            let hold = cover.demand.tokens_to_hold(&limits)?;
             Some(hold.max(needed_for(budget_grants.demand.rate(), self.horizon())))
         });
     }
