Orders of operators share the way to commit and wait, and the query that may be unknown

Cause: set-share and lift-quarantine each wrote again how a change is committed and waited for, as apply and drain have it, and how a query is asked that a leader of an earlier build doesn't answer. Change: change_everywhere, wait_everywhere and Client::query_new serve all of them. Result: anvilreel ledger_service and money green; behaviour as before.

--- a/crates/anvilreel/src/operator/change.rs
+++ b/crates/anvilreel/src/operator/change.rs
@@ -68,9 +68,7 @@
         edit,
         at: SystemTime::now(),
     };
-    let receipt = propose_change(client, &id, Command::Change(change)).await?;
-    let spread = wait_in_force(client, receipt.revision).await?;
-    Ok(CommittedChange { receipt, spread })
+    change_everywhere(client, &id, Command::Change(change)).await
 }
 
 /// Reads the documents below a folder, ordered so that each comes after those it refers to.
@@ -164,7 +162,7 @@
 }
 
 /// Proposes a command whose reply is a change receipt.
-pub(super) async fn propose_change(
+async fn propose_change(
     client: &Client,
     id: &ChangeId,
     command: Command,
@@ -175,6 +173,25 @@
     }
 }
 
+/// The same, then waits until the change is in force everywhere or the client's timeout has passed.
+pub(super) async fn change_everywhere(
+    client: &Client,
+    id: &ChangeId,
+    command: Command,
+) -> Result<CommittedChange, OperatorError> {
+    let receipt = propose_change(client, id, command).await?;
+    wait_everywhere(client, receipt).await
+}
+
+/// Waits until a committed change is in force everywhere or the client's timeout has passed.
+pub(super) async fn wait_everywhere(
+    client: &Client,
+    receipt: Receipt,
+) -> Result<CommittedChange, OperatorError> {
+    let spread = wait_in_force(client, receipt.revision).await?;
+    Ok(CommittedChange { receipt, spread })
+}
+
 /// Queries where a version is in force.
 pub async fn query_rollout(
     client: &Client,
--- a/crates/anvilreel/src/operator/client.rs
+++ b/crates/anvilreel/src/operator/client.rs
@@ -11,6 +11,9 @@
 use super::OperatorError;
 use crate::ledger_client::{LedgerClient, LedgerError};
 
+/// Timeout of a query that a leader of an earlier build does not answer.
+const NEW_QUERY_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// A client of the ledger, for one operator.
 #[derive(Clone)]
 pub struct Client {
@@ -83,6 +86,14 @@
         }
     }
 
+    /// The same for a query that a leader of an earlier build does not answer; `None` then. It does
+    /// not delay the rest of the status.
+    pub(super) async fn query_new(&self, query: Query) -> Option<QueryAnswer> {
+        let timeout = NEW_QUERY_TIMEOUT.min(self.timeout);
+        let client = self.clone().with_timeout(timeout);
+        client.query(query).await.ok()
+    }
+
     pub(super) fn not_done(&self) -> OperatorError {
         let addrs: Vec<_> = self.addrs.iter().map(ToString::to_string).collect();
         OperatorError::NotDone {
--- a/crates/anvilreel/src/operator/drain.rs
+++ b/crates/anvilreel/src/operator/drain.rs
@@ -2,7 +2,7 @@
 
 use anvil_world::prelude::*;
 
-use super::change::{CommittedChange, propose_drain, wait_in_force};
+use super::change::{CommittedChange, propose_drain, wait_everywhere};
 use super::{Client, OperatorError};
 
 /// Marks an instance as leaving and waits until the change is in force everywhere or the client's
@@ -15,6 +15,5 @@
     id: Option<ChangeId>,
 ) -> Result<CommittedChange, OperatorError> {
     let receipt = propose_drain(client, instance, id).await?;
-    let spread = wait_in_force(client, receipt.revision).await?;
-    Ok(CommittedChange { receipt, spread })
+    wait_everywhere(client, receipt).await
 }
--- a/crates/anvilreel/src/operator/quarantine.rs
+++ b/crates/anvilreel/src/operator/quarantine.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime};
+use std::time::SystemTime;
 
 use anvil_wire::msg::{Query, QueryAnswer};
 use anvil_world::command::{LiftQuarantine, QuarantineTarget};
@@ -10,13 +10,9 @@
 use anvil_world::prelude::*;
 use serde::Serialize;
 
-use super::change::{new_change_id, propose_change, wait_in_force};
+use super::change::{change_everywhere, new_change_id};
 use super::{Client, CommittedChange, OperatorError};
 
-/// Timeout of the question which contents are in quarantine. A leader of an earlier build does not know
-/// it, and the rest of the status is not held up by that.
-const QUERY_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// A content in quarantine.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct QuarantinedContent {
@@ -66,9 +62,7 @@
 
 /// Reads which contents are in quarantine; `None` if the leader doesn't know the question.
 pub(super) async fn quarantined(client: &Client) -> Option<Vec<QuarantinedContent>> {
-    let timeout = QUERY_TIMEOUT.min(client.timeout());
-    let client = client.clone().with_timeout(timeout);
-    let Ok(QueryAnswer::Suspects(suspects)) = client.query(Query::Suspects).await else {
+    let QueryAnswer::Suspects(suspects) = client.query_new(Query::Suspects).await? else {
         return None;
     };
     let now = SystemTime::now();
@@ -95,7 +89,5 @@
         reason,
         at: SystemTime::now(),
     };
-    let receipt = propose_change(client, &id, Command::LiftQuarantine(lift)).await?;
-    let spread = wait_in_force(client, receipt.revision).await?;
-    Ok(CommittedChange { receipt, spread })
+    change_everywhere(client, &id, Command::LiftQuarantine(lift)).await
 }
--- a/crates/anvilreel/src/operator/share.rs
+++ b/crates/anvilreel/src/operator/share.rs
@@ -2,24 +2,18 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime};
+use std::time::SystemTime;
 
 use anvil_wire::msg::{Query, QueryAnswer};
 use anvil_world::command::SetShare;
 use anvil_world::prelude::*;
 
-use super::change::{new_change_id, propose_change, wait_in_force};
+use super::change::{change_everywhere, new_change_id};
 use super::{Client, CommittedChange, OperatorError};
 
-/// Timeout of the query for the shares in force. A leader of an earlier build does not answer it,
-/// which must not delay the rest of the status.
-const QUERY_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Reads the factors in force; `None` if the leader does not answer the query.
 pub(super) async fn shares(client: &Client) -> Option<BTreeMap<String, f64>> {
-    let timeout = QUERY_TIMEOUT.min(client.timeout());
-    let client = client.clone().with_timeout(timeout);
-    let Ok(QueryAnswer::Shares(shares)) = client.query(Query::Shares).await else {
+    let QueryAnswer::Shares(shares) = client.query_new(Query::Shares).await? else {
         return None;
     };
     let all = shares.all().iter();
@@ -49,7 +43,5 @@
         reason,
         at: SystemTime::now(),
     };
-    let receipt = propose_change(client, &id, Command::SetShare(order)).await?;
-    let spread = wait_in_force(client, receipt.revision).await?;
-    Ok(CommittedChange { receipt, spread })
+    change_everywhere(client, &id, Command::SetShare(order)).await
 }
