The gateways' sizes of grants stand once

Cause: the model of outages repeated the gateway's GrantPolicy, so it could test other sizes than those in use. Change: GrantPolicy::for_gateways, used by the gateway and the model.

--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -180,35 +180,6 @@
 /// Number of gateways assumed to share the budget until the ledger reports it.
 const ASSUMED_GATEWAYS: u32 = 16;
 
-/// Sizes of grants. Without sidecars nothing shows what a lost gateway has spent, so everything
-/// left in its grants counts as spent.
-///
-/// Grants are therefore small, and a request that needs more triggers a batch to the ledger, which
-/// answers within about 10 ms. A lost gateway costs what its horizon covers, 0.7 s of its demand
-/// averaged over the last second, and what its running requests have reserved. With an outage
-/// horizon, it also costs what was held for an outage, while much of the budget is left.
-fn grant_policy(outage_horizon: Option<Duration>) -> GrantPolicy {
-    GrantPolicy {
-        outage_horizon,
-        horizon: Duration::from_millis(700),
-        // About five batches, and about the duration of a response to a prompt.
-        smoothing_window: Some(Duration::from_secs(1)),
-        max_ledger_wait: Duration::from_millis(450),
-        max_recall_wait: Duration::from_millis(120),
-        // Four batches: the ledger recalls in one, routers return in the next, and a lost one is
-        // sent again.
-        recall_timeout: Duration::from_millis(800),
-        max_refusal_gap: Duration::from_secs(10),
-        idle_timeout: Duration::from_millis(400),
-        batch_interval: Duration::from_millis(200),
-        urgent_batch_interval: Duration::from_millis(10),
-        refusal_lifetime: Duration::from_millis(300),
-        spare_requests: 0,
-        min_expected_requests: 1.0,
-        ..GrantPolicy::default()
-    }
-}
-
 impl Gateway {
     /// Creates a gateway without a routing table, endpoints or grants.
     pub fn new(cfg: GatewaySettings, log: Logger, metrics: Metrics) -> Self {
@@ -216,7 +187,7 @@
         // If the clock was set back, a later incarnation would look older and the ledger would
         // refuse its batches. A random part of the name keeps incarnations apart.
         let name = format!("{}#{:x}", cfg.id, rand::random::<u64>());
-        let policy = grant_policy(cfg.outage_horizon);
+        let policy = GrantPolicy::for_gateways(cfg.outage_horizon);
         let grant_account = GrantAccount::new(name.into(), lifecycle.incarnation, policy);
         let grant_account = Arc::new(grant_account);
         let held_prompts = HeldPrompts::new(
--- a/crates/anvilreel/src/money/sizing.rs
+++ b/crates/anvilreel/src/money/sizing.rs
@@ -83,6 +83,37 @@
     }
 }
 
+impl GrantPolicy {
+    /// Sizes of grants of a gateway. Without sidecars nothing shows what a lost gateway has spent, so everything
+    /// left in its grants counts as spent.
+    ///
+    /// Grants are therefore small, and a request that needs more triggers a batch to the ledger, which
+    /// answers within about 10 ms. A lost gateway costs what its horizon covers, 0.7 s of its demand
+    /// averaged over the last second, and what its running requests have reserved. With an outage
+    /// horizon, it also costs what was held for an outage, while much of the budget is left.
+    pub fn for_gateways(outage_horizon: Option<Duration>) -> Self {
+        Self {
+            outage_horizon,
+            horizon: Duration::from_millis(700),
+            // About five batches, and about the duration of a response to a prompt.
+            smoothing_window: Some(Duration::from_secs(1)),
+            max_ledger_wait: Duration::from_millis(450),
+            max_recall_wait: Duration::from_millis(120),
+            // Four batches: the ledger recalls in one, routers return in the next, and a lost one is
+            // sent again.
+            recall_timeout: Duration::from_millis(800),
+            max_refusal_gap: Duration::from_secs(10),
+            idle_timeout: Duration::from_millis(400),
+            batch_interval: Duration::from_millis(200),
+            urgent_batch_interval: Duration::from_millis(10),
+            refusal_lifetime: Duration::from_millis(300),
+            spare_requests: 0,
+            min_expected_requests: 1.0,
+            ..Self::default()
+        }
+    }
+}
+
 /// Tokens needed for this time at a rate in tokens per second.
 pub(super) fn needed_for(rate: Tokens, time: Duration) -> Tokens {
     let tokens = u128::from(rate) * time.as_millis() / 1_000;
--- a/crates/anvilreel/tests/money/outage.rs
+++ b/crates/anvilreel/tests/money/outage.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use anvil_world::prelude::*;
-use anvilreel::money::{GrantAccount, Shortage};
+use anvilreel::money::{GrantAccount, GrantPolicy, Shortage};
 
 use crate::ledger::{Ledger, at, split};
-use crate::outage_model::{MEAN_COST, Measured, OUTAGE_HORIZON, Payer, Plan, play, policy};
+use crate::outage_model::{MEAN_COST, Measured, OUTAGE_HORIZON, Payer, Plan, play};
 
 const PAYERS: usize = 24;
 /// The first of them have most requests.
@@ -43,7 +43,7 @@
         seed: 1,
         routers: 30,
         payers: (0..PAYERS).map(payer).collect(),
-        policy: policy(outage_horizon),
+        policy: GrantPolicy::for_gateways(outage_horizon),
         outage: OUTAGE,
         kill: None,
         end: OUTAGE.end + 7_000,
@@ -206,7 +206,11 @@
 /// A router's account with these budgets, each of which has paid for requests for a minute. `ends`
 /// is the number of milliseconds that it takes part in.
 fn loaded(ledger: &mut Ledger, budgets: &[BudgetId], ends: u64) -> GrantAccount {
-    let account = GrantAccount::new("r1".into(), 1, policy(Some(OUTAGE_HORIZON)));
+    let account = GrantAccount::new(
+        "r1".into(),
+        1,
+        GrantPolicy::for_gateways(Some(OUTAGE_HORIZON)),
+    );
     account.set_routers(2);
     for now in (10..ends).step_by(10) {
         if now % (1_000 / REQUESTS_PER_S) == 0 {
@@ -310,7 +314,11 @@
     let status = account.cover_status(at(60_000));
     assert!(status.free <= 4 * COST, "{}", status.free);
 
-    let account = GrantAccount::new("r2".into(), 1, policy(Some(OUTAGE_HORIZON)));
+    let account = GrantAccount::new(
+        "r2".into(),
+        1,
+        GrantPolicy::for_gateways(Some(OUTAGE_HORIZON)),
+    );
     account.set_routers(2);
     for now in (10..20_000).step_by(10) {
         if now % (1_000 / REQUESTS_PER_S) == 0
--- a/crates/anvilreel/tests/money/outage_model.rs
+++ b/crates/anvilreel/tests/money/outage_model.rs
@@ -25,26 +25,6 @@
 /// The outage horizon of the deployments.
 pub const OUTAGE_HORIZON: Duration = Duration::from_secs(9);
 
-/// The gateway's sizes of grants, with or without tokens held for an outage.
-pub fn policy(outage_horizon: Option<Duration>) -> GrantPolicy {
-    GrantPolicy {
-        horizon: Duration::from_millis(700),
-        smoothing_window: Some(Duration::from_secs(1)),
-        max_ledger_wait: Duration::from_millis(450),
-        max_recall_wait: Duration::from_millis(120),
-        recall_timeout: Duration::from_millis(800),
-        max_refusal_gap: Duration::from_secs(10),
-        idle_timeout: Duration::from_millis(400),
-        batch_interval: Duration::from_millis(200),
-        urgent_batch_interval: Duration::from_millis(10),
-        refusal_lifetime: Duration::from_millis(300),
-        spare_requests: 0,
-        min_expected_requests: 1.0,
-        outage_horizon,
-        ..GrantPolicy::default()
-    }
-}
-
 /// One organisation.
 #[derive(Debug, Clone)]
 pub struct Payer {
@@ -213,7 +193,11 @@
             if amount == 0 {
                 continue;
             }
-            let account = GrantAccount::new(format!("before-{payer}").into(), 1, policy(None));
+            let account = GrantAccount::new(
+                format!("before-{payer}").into(),
+                1,
+                GrantPolicy::for_gateways(None),
+            );
             let split = Split::single_payer(budget(payer));
             assert!(account.reserve(at(1), &split, amount).is_err());
             for now in [1, 1_000] {
