A charge looks only where something is held or noticed

Cause: while one attempt was held or noticed, each output event of each prepaid stream took three locks, that of the reports with nothing to report among them; whether anything is held was checked twice. Change: the holds are searched only if there are any, the notices likewise, and the reports are locked only to add one.

--- a/crates/anvil_gateway/src/account/held_prompt_exchange.rs
+++ b/crates/anvil_gateway/src/account/held_prompt_exchange.rs
@@ -64,9 +64,6 @@
     /// Records a charge that can't be reversed any more. Returns the gateways to which it is
     /// reported, as they hold attempts of the same request.
     pub fn record_final_charge(&self, charged: LostAttempt) -> Vec<InstanceId> {
-        if self.held_prompts.is_idle() {
-            return Vec::new();
-        }
         let now = self.lifecycle.now();
         let ChargeEffects {
             released,
--- a/crates/anvil_gateway/src/account/held_prompts.rs
+++ b/crates/anvil_gateway/src/account/held_prompts.rs
@@ -165,14 +165,26 @@
     /// attempts of the same request that are held here are released, and those held elsewhere are
     /// reported.
     pub fn record_charge(&self, now: Now, charged: LostAttempt) -> ChargeEffects {
-        if self.is_idle() {
-            return ChargeEffects::default();
+        let mut effects = ChargeEffects::default();
+        if self.count_held() > 0 {
+            let released = self.with_held(|held| held.release_equal(&charged));
+            effects.released = self.release_all(released);
         }
-        let released = self.with_held(|held| held.release_equal(&charged));
+        if self.notice_count.load(Ordering::Relaxed) > 0 {
+            effects.reported_to = self.report(now, charged);
+        }
+        effects
+    }
+
+    /// Reports a charge to the gateways that hold attempts of its request, and returns these.
+    fn report(&self, now: Now, charged: LostAttempt) -> Vec<InstanceId> {
         let mut notices = self.notices();
         let taken = notices.take(now, charged.request);
         self.notice_count.store(notices.len(), Ordering::Relaxed);
         drop(notices);
+        if taken.is_empty() {
+            return Vec::new();
+        }
         let reported_to = taken.iter().map(|notice| notice.origin.clone()).collect();
         let mut reports = self.reports();
         for notice in taken {
@@ -182,13 +194,10 @@
                 request: charged.request,
                 prompt: charged.prompt,
             });
-            self.changed.notify_one();
         }
         drop(reports);
-        ChargeEffects {
-            released: self.release_all(released),
-            reported_to,
-        }
+        self.changed.notify_one();
+        reported_to
     }
 
     /// Applies a message of another gateway.
