The queue of the link is a part of its own

Change: intake/link_queue.rs has the allowed delay and the closings because of it; link_pacer::used_share serves the intake and the probes.

--- a/crates/anvil_gateway/src/accept/link_probe.rs
+++ b/crates/anvil_gateway/src/accept/link_probe.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use anvil_policy::intake::LinkDelay;
-use anvil_policy::link_pacer::BytesPerSecond;
+use anvil_policy::link_pacer::{BytesPerSecond, used_share};
 use anvil_wire::msg::{OriginCall, OriginRequest};
 use anvil_wire::{Channel, WireError};
 use anvil_world::prelude::*;
@@ -138,10 +138,10 @@
     loop {
         sleep(interval).await;
         let (now, received) = (Instant::now(), budget.received());
-        let is_used = is_in_use(link, now - last_at, received - last_received);
+        let in_use = used_share(link, received - last_received, now - last_at);
         (last_at, last_received) = (now, received);
         let is_shedding = cx.status.is_shedding();
-        if is_used || is_shedding {
+        if in_use > PROBE_FROM_USE || is_shedding {
             preferred = probe_once(&cx, preferred.as_ref()).await;
         } else {
             budget.probe.set(None);
@@ -154,13 +154,6 @@
     }
 }
 
-/// Whether enough of the link was used to probe it: `received` bytes came in this time.
-fn is_in_use(link: BytesPerSecond, time: Duration, received: u64) -> bool {
-    #[expect(clippy::cast_precision_loss, reason = "far below 2^52 bytes")]
-    let in_use = received as f64 / (link.max(1) as f64 * time.as_secs_f64());
-    in_use > PROBE_FROM_USE
-}
-
 /// Sends one probe, to this sibling first. Returns the sibling that replied.
 async fn probe_once(cx: &ProbeContext<'_>, preferred: Option<&InstanceId>) -> Option<InstanceId> {
     let link = &cx.sockets.link;
--- a/crates/anvil_policy/src/intake.rs
+++ b/crates/anvil_policy/src/intake.rs
@@ -18,10 +18,8 @@
 //!
 //! The use of the link doesn't show how much waits upstream of it, nor that what waits after a
 //! closing is data of connections that were reset. So the router also probes the link
-//! ([`LinkDelay`]). It closes as soon as a probe has waited for the allowed delay while the link
-//! was full, and opens once a probe that was sent after the closing has returned, since then the
-//! queue has passed. The allowed delay falls if the queue took longer than [`DRAIN_FACTOR`] times
-//! it to pass, and rises again. While probes return, they decide in place of the use.
+//! ([`LinkDelay`]). It closes as soon as a probe has waited for too long while the link was full,
+//! and opens once the queue has passed. While probes return, they decide in place of the use.
 //!
 //! *Thresholds:* data uses up to [`TARGET_USE`] of the link, less than [`crate::link_pacer`] lets
 //! through, so that its queue stays short. A queue of [`TARGET_BACKLOG`] is a fraction of any route's target
@@ -34,13 +32,18 @@
 //! before it has accepted a connection in the last half second, so that the routers that a client tries
 //! never reject everything.
 
+mod link_queue;
+
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use anvil_world::prelude::*;
 use rand::{Rng, RngExt};
 
-use crate::link_pacer::BytesPerSecond;
+use self::link_queue::LinkQueue;
+use crate::link_pacer::{BytesPerSecond, used_share};
+
+pub use self::link_queue::LinkDelay;
 
 /// Share of the link, each way, that data may use.
 const TARGET_USE: f64 = 0.75;
@@ -62,25 +65,6 @@
 /// While the link is busy, nothing is accepted if clients are still sending more than it carries in this time:
 /// a fraction of any route's target latency.
 const MAX_EXPECTED: Duration = Duration::from_millis(100);
-/// Bounds of the allowed delay: several of the largest prompts at once are no overload, and the
-/// ledger's messages are to arrive within the larger one.
-const ALLOWED_LINK_DELAY: (Duration, Duration) =
-    (Duration::from_millis(50), Duration::from_millis(100));
-/// The allowed delay as a part of the shortest target latency: the rest is left for money, the
-/// endpoint and the way back.
-const ALLOWED_DELAY_DIVISOR: u32 = 5;
-/// The allowed delay doesn't fall below this, about what a probe takes between routers.
-const MIN_LINK_DELAY: Duration = Duration::from_millis(10);
-/// Time in which a queue is to pass, as a multiple of the allowed delay without overload.
-const DRAIN_FACTOR: f64 = 1.6;
-/// Part of its speed that the link carries at least while a probe waits in its queue. Below that,
-/// the probe waits elsewhere.
-const FULL_LINK: f64 = 0.7;
-/// For how long the allowed delay stays low after a closing.
-const OVERLOAD_TIME: Duration = Duration::from_secs(1);
-/// Longest closing because of a queue. A probe that has not returned by then was lost or is delayed
-/// elsewhere.
-const DRAIN_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time constant with which accepted connections, the bytes received and those expected of them fade.
 const DECAY_TIME: Duration = Duration::from_secs(1);
 /// Bounds of the pressure; the lower one decides how fast a router opens again.
@@ -101,57 +85,12 @@
 const USE_WINDOW: Duration = Duration::from_millis(200);
 /// Time between two observations.
 const OBSERVE_INTERVAL: Duration = Duration::from_millis(50);
-/// Shortest time between two observations while the link is probed, so that the listener closes
-/// while the queue is short.
-const MIN_PROBED_INTERVAL: Duration = Duration::from_millis(5);
 /// Longest time that one observation stands for.
 const MAX_STEP: Duration = Duration::from_millis(200);
 /// After a longer time without an observation the process was frozen, and what was measured before is
 /// dropped.
 const MAX_AGE: Duration = Duration::from_secs(1);
 
-/// What the last probe of the link shows: a short message to another router, whose reply waits
-/// behind the data on the link.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct LinkDelay {
-    /// Time since the probe was sent.
-    pub age: Duration,
-    /// Time to its reply; `None` if that is outstanding.
-    pub round_trip: Option<Duration>,
-    /// Bytes that the link carried meanwhile, of the busier direction.
-    pub carried: u64,
-}
-
-impl LinkDelay {
-    /// The delay so far.
-    pub fn so_far(self) -> Duration {
-        self.round_trip.unwrap_or(self.age)
-    }
-
-    /// Whether the probe has waited for this long in the queue of this link.
-    fn is_queued(self, link: BytesPerSecond, max_delay: Duration) -> bool {
-        let delay = self.so_far();
-        #[expect(clippy::cast_precision_loss, reason = "far below 2^52 bytes")]
-        let carried = self.carried as f64 / (link.max(1) as f64 * delay.as_secs_f64());
-        delay >= max_delay && carried >= FULL_LINK
-    }
-
-    /// A probe that has been outstanding for long was lost or is delayed elsewhere, and shows
-    /// nothing.
-    fn is_known(&self) -> bool {
-        self.round_trip.is_some() || self.age < DRAIN_TIMEOUT
-    }
-
-    /// Time until an observation may find this delay.
-    fn time_to(self, delay: Duration) -> Duration {
-        let left = match self.round_trip {
-            Some(_) => Duration::ZERO,
-            None => delay.saturating_sub(self.age),
-        };
-        left.max(MIN_PROBED_INTERVAL)
-    }
-}
-
 /// The load of a router at one time.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct IntakeLoad {
@@ -192,13 +131,8 @@
     next_closing: Duration,
     /// End of the current closing.
     closed_until: Option<Now>,
-    /// Start of the current closing, if it lasts until the link's queue has passed.
-    draining_since: Option<Now>,
-    /// End of the last such closing.
-    drained_at: Now,
-    /// Delay of a probe that is allowed without overload, and now.
-    usual_max_delay: Duration,
-    max_delay: Duration,
+    /// The queue upstream of the link, because of which the router closes too.
+    link_queue: LinkQueue,
     opened_at: Now,
     accepted_at: Now,
     /// Bytes that the accepted connections have yet to send, as far as that can be expected.
@@ -224,10 +158,7 @@
             owed: Duration::ZERO,
             next_closing: CLOSING.0,
             closed_until: None,
-            draining_since: None,
-            drained_at: now,
-            usual_max_delay: ALLOWED_LINK_DELAY.0,
-            max_delay: ALLOWED_LINK_DELAY.0,
+            link_queue: LinkQueue::new(now),
             opened_at: now,
             accepted_at: now,
             promised: 0.0,
@@ -246,10 +177,11 @@
 
     /// Whether a part of the connections is rejected.
     pub fn is_shedding(&self) -> bool {
-        self.open_share < FULL_SHARE
-            || self.closed_until.is_some()
-            || self.draining_since.is_some()
-            || self.recent_open_share < FULL_SHARE
+        self.open_share < FULL_SHARE || self.is_closed() || self.recent_open_share < FULL_SHARE
+    }
+
+    fn is_closed(&self) -> bool {
+        self.closed_until.is_some() || self.link_queue.is_closed()
     }
 
     /// The part of the time in which the router is to listen, from 0 to 1, apart from the closings
@@ -287,20 +219,17 @@
             self.saturated_at = None;
             self.owed = Duration::ZERO;
             self.promised = 0.0;
-            self.draining_since = None;
+            self.link_queue.abandon();
         } else if let Some(link) = self.link {
             self.adjust_share(now, link, step.min(MAX_STEP), load);
         }
         self.record_listening(step);
         self.record_traffic(now, step, load);
-        self.usual_max_delay = allowed_link_delay(load.shortest_target);
-        if self.draining_since.is_none() && now > self.drained_at + OVERLOAD_TIME {
-            self.max_delay = self.usual_max_delay;
-        }
+        self.link_queue.set_target(now, load.shortest_target);
         let has_queue = self.has_queue(load);
         let is_open = self.next_phase(now, step, has_queue, load, rng);
         let max_interval = match load.link_delay {
-            Some(delay) => delay.time_to(self.max_delay),
+            Some(delay) => self.link_queue.observe_within(delay),
             None => OBSERVE_INTERVAL,
         };
         let interval = if is_open {
@@ -356,7 +285,7 @@
             return false;
         };
         if let Some(delay) = load.link_delay {
-            return delay.is_queued(link, self.max_delay);
+            return self.link_queue.is_long(link, delay);
         }
         #[expect(clippy::cast_precision_loss, reason = "far below 2^52 bytes")]
         self.expects_queue(self.promised.max(load.expected as f64))
@@ -379,14 +308,11 @@
         };
         let bytes = load.received.saturating_sub(*received);
         let bytes = bytes.max(load.sent.saturating_sub(*sent));
-        let seconds = now.saturating_sub(*since).max(MIN_OPENING).as_secs_f64();
-        #[expect(clippy::cast_precision_loss, reason = "far below 2^52 bytes")]
-        let in_use = bytes as f64 / (seconds * link.max(1) as f64);
-        in_use
+        used_share(link, bytes, now.saturating_sub(*since).max(MIN_OPENING))
     }
 
     fn record_listening(&mut self, step: Duration) {
-        let is_open = self.closed_until.is_none() && self.draining_since.is_none();
+        let is_open = !self.is_closed();
         let kept = (-step.div_duration_f64(DECAY_TIME)).exp();
         self.recent_open_share = kept * self.recent_open_share + (1.0 - kept) * f64::from(is_open);
     }
@@ -422,7 +348,10 @@
         load: &IntakeLoad,
         rng: &mut impl Rng,
     ) -> bool {
-        if self.is_draining(now, load) {
+        if self.link_queue.try_open(now, load.link_delay) {
+            self.opened_at = now;
+        }
+        if self.link_queue.is_closed() {
             return false;
         }
         if let Some(until) = self.closed_until {
@@ -443,7 +372,7 @@
         let has_accepted = now < self.accepted_at + MAX_ACCEPT_GAP;
         let is_due = self.owed >= self.next_closing && now >= self.opened_at + MIN_OPENING;
         if has_queue && has_accepted && load.link_delay.is_some() {
-            self.draining_since = Some(now);
+            self.link_queue.close(now);
             return false;
         }
         let may_close = (is_due || has_queue) && has_accepted;
@@ -454,33 +383,6 @@
         self.closed_until.is_none()
     }
 
-    /// Whether the router stays closed until the link's queue has passed. Ends such a closing
-    /// once it has.
-    fn is_draining(&mut self, now: Now, load: &IntakeLoad) -> bool {
-        let Some(since) = self.draining_since else {
-            return false;
-        };
-        if !has_drained(now, since, load) {
-            return true;
-        }
-        self.draining_since = None;
-        self.drained_at = now;
-        self.adapt_max_delay(now.saturating_sub(since));
-        self.opened_at = now;
-        false
-    }
-
-    /// Adapts the allowed delay after a closing of this length: half after a long one, a quarter
-    /// more after a short one.
-    fn adapt_max_delay(&mut self, closed: Duration) {
-        let delay = if closed > self.usual_max_delay.mul_f64(DRAIN_FACTOR) {
-            self.max_delay / 2
-        } else {
-            self.max_delay.mul_f64(1.25)
-        };
-        self.max_delay = delay.clamp(MIN_LINK_DELAY, self.usual_max_delay);
-    }
-
     /// Time that it has to be closed for, for each unit of time that it is open.
     fn closed_per_open(&self) -> f64 {
         (1.0 - self.open_share) / self.open_share
@@ -495,15 +397,3 @@
         Some(missing.div_f64(self.closed_per_open()))
     }
 }
-
-/// Whether the queue that the link had at this time has passed.
-fn has_drained(now: Now, since: Now, load: &IntakeLoad) -> bool {
-    let is_behind = |delay: LinkDelay| delay.round_trip.is_some() && since + delay.age <= now;
-    load.link_delay.is_none_or(is_behind) || now >= since + DRAIN_TIMEOUT
-}
-
-/// Delay of a probe from which on the link has a queue.
-fn allowed_link_delay(shortest_target: Duration) -> Duration {
-    let (floor, ceiling) = ALLOWED_LINK_DELAY;
-    (shortest_target / ALLOWED_DELAY_DIVISOR).clamp(floor, ceiling)
-}
--- a/crates/anvil_policy/src/link_pacer.rs
+++ b/crates/anvil_policy/src/link_pacer.rs
@@ -30,6 +30,16 @@
 /// Longest time until the link counts as free again.
 const MAX_BACKLOG: Duration = Duration::from_millis(500);
 
+/// The part of a link's speed that these bytes are, if it carries them in this time.
+pub fn used_share(link: BytesPerSecond, bytes: u64, time: Duration) -> f64 {
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "bytes and links are far below 2^52"
+    )]
+    let seconds = bytes as f64 / link.max(1) as f64;
+    seconds / time.as_secs_f64()
+}
+
 /// The data that is waiting for one link.
 #[derive(Debug, Clone)]
 pub struct LinkPacer {
