Tests of orders share the replica of the previous build

Cause: the tests of shares and of quarantines each started a replica of the previous build, matched its denial and removed it. Change: PreviousReplica does; the assertions are the same.

--- a/crates/anvilreel/tests/ledger_service/quarantines.rs
+++ b/crates/anvilreel/tests/ledger_service/quarantines.rs
@@ -11,6 +11,7 @@
 use anvilreel::ledger_service::peer::{Hello, PeerReply};
 use anvilreel::ledger_service::remove;
 use serde::{Deserialize, Serialize};
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
 use crate::cluster::{Cluster, Failure, TEST_TIMEOUT};
@@ -134,8 +135,45 @@
     type Resp = PeerReply;
 }
 
+/// A replica of the previous build, beside two of this one.
+pub struct PreviousReplica {
+    instance: InstanceId,
+    /// The task that stands in for it.
+    pub serving: JoinHandle<()>,
+}
+
+impl PreviousReplica {
+    /// Starts it, and two replicas of this build.
+    pub async fn start() -> Result<(Cluster, Self), Failure> {
+        let mut cluster = Cluster::reserve(3)?;
+        let peer = cluster.peers[2].clone();
+        let server = Server::bind(peer.addr).await?;
+        let previous = Self {
+            serving: tokio::spawn(serve_previous_build(server, peer.id.clone())),
+            instance: peer.id,
+        };
+        for number in 0..2 {
+            cluster.run(number).await?;
+        }
+        Ok((cluster, previous))
+    }
+
+    /// Whether an order was denied because of this replica alone. The other replica of this build
+    /// confirms within a moment.
+    pub fn is_denial(&self, answer: &Answer) -> bool {
+        matches!(answer, Answer::Denied(Denial::NotApplicable { replicas }) if **replicas == *self.instance)
+    }
+
+    /// Removes it from the membership.
+    pub async fn remove(&self, cluster: &Cluster) -> Result<(), Failure> {
+        let addrs: Vec<_> = cluster.peers.iter().map(|peer| peer.addr).collect();
+        remove(&addrs, &self.instance).await?;
+        Ok(())
+    }
+}
+
 /// A voter that listens to other replicas like the previous build, and does nothing else.
-pub async fn serve_previous_build(server: Server, instance: InstanceId) {
+async fn serve_previous_build(server: Server, instance: InstanceId) {
     let handlers = Handlers::default().with::<PreviousCall, _, _>(move |req, tx| {
         let hello = PeerReply::Hello(Hello {
             id: 1,
@@ -162,24 +200,15 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn order_is_denied_while_a_replica_of_the_previous_build_is_a_member() -> Result<(), Failure>
 {
-    let mut cluster = Cluster::reserve(3)?;
-    let previous = cluster.peers[2].clone();
-    let server = Server::bind(previous.addr).await?;
-    let serving = tokio::spawn(serve_previous_build(server, previous.id.clone()));
-    for number in 0..2 {
-        cluster.run(number).await?;
-    }
+    let (mut cluster, previous) = PreviousReplica::start().await?;
     crash_three(&cluster).await?;
     let order = order("one", "repaired");
-    // The other replica of this build confirms within a moment.
-    let names_only_previous = |answer: &Answer| matches!(answer, Answer::Denied(Denial::NotApplicable { replicas }) if *replicas == *previous.id);
-    order_until(&cluster, &order, names_only_previous).await?;
+    order_until(&cluster, &order, |answer| previous.is_denial(answer)).await?;
     assert!(is_quarantined(&cluster).await?);
-    let addrs: Vec<_> = cluster.peers.iter().map(|peer| peer.addr).collect();
-    remove(&addrs, &previous.id).await?;
+    previous.remove(&cluster).await?;
     order_until(&cluster, &order, is_changed).await?;
     assert!(!is_quarantined(&cluster).await?);
-    serving.abort();
+    previous.serving.abort();
     cluster.stop_all().await;
     Ok(())
 }
--- a/crates/anvilreel/tests/ledger_service/shares.rs
+++ b/crates/anvilreel/tests/ledger_service/shares.rs
@@ -3,15 +3,13 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, SystemTime};
 
-use anvil_wire::Server;
 use anvil_wire::msg::{AuditFilter, LedgerReply, LedgerRequest, Query, QueryAnswer};
 use anvil_world::command::{Denial, ReplaceRouting, SetShare, change_id};
 use anvil_world::prelude::*;
-use anvilreel::ledger_service::remove;
 use tokio::time::{sleep, timeout};
 
 use crate::cluster::{Cluster, Failure, TEST_TIMEOUT};
-use crate::quarantines::{is_changed, order_until, serve_previous_build};
+use crate::quarantines::{PreviousReplica, is_changed, order_until};
 
 fn organisation() -> ShareTarget {
     ShareTarget::Organisation("co-op".into())
@@ -170,23 +168,15 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn order_is_denied_while_a_replica_of_the_previous_build_is_a_member() -> Result<(), Failure>
 {
-    let mut cluster = Cluster::reserve(3)?;
-    let previous = cluster.peers[2].clone();
-    let server = Server::bind(previous.addr).await?;
-    let serving = tokio::spawn(serve_previous_build(server, previous.id.clone()));
-    for number in 0..2 {
-        cluster.run(number).await?;
-    }
+    let (mut cluster, previous) = PreviousReplica::start().await?;
     configure(&cluster, 1, "co-op\ndesk").await?;
     let order = order(organisation(), "a sale")?;
-    let names_only_previous = |answer: &Answer| matches!(answer, Answer::Denied(Denial::NotApplicable { replicas }) if *replicas == *previous.id);
-    order_until(&cluster, &order, names_only_previous).await?;
+    order_until(&cluster, &order, |answer| previous.is_denial(answer)).await?;
     assert_eq!(shares(&cluster).await?, []);
-    let addrs: Vec<_> = cluster.peers.iter().map(|peer| peer.addr).collect();
-    remove(&addrs, &previous.id).await?;
+    previous.remove(&cluster).await?;
     order_until(&cluster, &order, is_changed).await?;
     assert_eq!(shares(&cluster).await?, [organisation()]);
-    serving.abort();
+    previous.serving.abort();
     cluster.stop_all().await;
     Ok(())
 }
