--- a/crates/anvil_policy/src/taken_up.rs
+++ b/crates/anvil_policy/src/taken_up.rs
@@ -22,14 +22,14 @@
 
 use anvil_world::prelude::*;
 
+use crate::waiting::MAX_TAKEN_UP_IN_A_ROW;
+
 /// Maximum number of streams of one service that wait at a router. With prompts of up to 55 KB
 /// each, they hold 3.5 MB.
 const MAX_WAITING: u32 = 64;
 /// A stream waits for at most this part of its client's remaining time, as a divisor: in the rest,
 /// its client can take it up at another router.
 const MAX_WAIT_DIVISOR: u32 = 2;
-/// Streams that start in a row before other requests have a turn.
-const MAX_IN_A_ROW: u32 = 3;
 /// Maximum duration of that turn.
 const OTHERS_TURN: Duration = Duration::from_millis(250);
 /// Longest time between two looks for an endpoint: meanwhile another one of the version may be
@@ -74,7 +74,7 @@
     /// Takes a turn to look for an endpoint; the error is the time until the next one. The turn
     /// counts as a start unless it is returned.
     pub fn try_take(&mut self, now: Now) -> Result<(), Duration> {
-        if self.in_a_row >= MAX_IN_A_ROW {
+        if self.in_a_row >= MAX_TAKEN_UP_IN_A_ROW {
             self.in_a_row = 0;
             self.others_until = now + OTHERS_TURN;
         }
--- a/crates/anvil_policy/src/waiting.rs
+++ b/crates/anvil_policy/src/waiting.rs
@@ -56,7 +56,7 @@
 
 /// Number of dispatches in a row of streams that clients take up, after which a new request of
 /// their class gets a turn, if one waits.
-const MAX_TAKEN_UP_IN_A_ROW: u32 = 3;
+pub const MAX_TAKEN_UP_IN_A_ROW: u32 = 3;
 /// Minimum part of the dispatches of a class that new requests get while some wait, as a divisor.
 pub const NEW_SHARE_DIVISOR: u32 = MAX_TAKEN_UP_IN_A_ROW + 1;
 
