Logs show what a planned stop cuts, and why no further attempt is made

A request that is open when a planned stop closes its connection has the outcome client_left. No line says why a request whose response was lost had no further attempt.

Logic unchanged.

Result: request_cut_by_a_planned_stop_is_explained was red before (client_left), green now; last_lines_are_written_before_a_process_ends.

--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -56,6 +56,17 @@
 /// Why a request is refused, and the retry-after time where a retry helps.
 pub type RequestRefusal = (Cause, Duration);
 
+/// Why a request is not sent to another endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RetryDenied {
+    /// It may have run, and may run only once.
+    MayHaveRun,
+    /// Its route allows no more attempts, or its deadline has passed.
+    NoAttemptsOrTimeLeft,
+    /// The retry budget that all gateways share.
+    BudgetUsedUp,
+}
+
 /// One request with the state of its attempts.
 pub struct Exchange {
     /// State shared by all requests.
@@ -285,11 +296,23 @@
         } else {
             failed
         };
-        let allowed = !self.in_doubt || self.route.retry_mode.may_run_again();
-        if !allowed || !self.has_attempts_left() || !self.retry_budget_allows() {
-            return Err((cause, self.retry_after(cause)));
+        let Some(denied) = self.retry_denied() else {
+            return Ok(());
+        };
+        self.trace
+            .step(format_args!("no further attempt: {denied:?}"));
+        Err((cause, self.retry_after(cause)))
+    }
+
+    /// Why no further attempt is made; `None` if one may be made, which the retry budget counts.
+    fn retry_denied(&self) -> Option<RetryDenied> {
+        if self.in_doubt && !self.route.retry_mode.may_run_again() {
+            return Some(RetryDenied::MayHaveRun);
+        }
+        if !self.has_attempts_left() {
+            return Some(RetryDenied::NoAttemptsOrTimeLeft);
         }
-        Ok(())
+        (!self.retry_budget_allows()).then_some(RetryDenied::BudgetUsedUp)
     }
 
     /// When the client may return after this failure.
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -14,7 +14,7 @@
 use anvilreel::event;
 use anvilreel::ledger_client::LedgerClient;
 use anvilreel::lifecycle::Lifecycle;
-use anvilreel::logs::DroppedLines;
+use anvilreel::logs::LogBuffer;
 use anvilreel::metrics::Metrics;
 use anvilreel::money::{GrantAccount, GrantPolicy};
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -105,8 +105,8 @@
     pub seeds: ArcSwap<Vec<SocketAddr>>,
     /// The log.
     pub log: Logger,
-    /// Counts dropped log lines.
-    pub dropped_log_lines: DroppedLines,
+    /// The buffer of the log.
+    pub log_buffer: LogBuffer,
     /// Metrics.
     pub metrics: Metrics,
     /// What was learned of engines.
@@ -155,6 +155,8 @@
     pub(crate) read_ahead: Mutex<ReadAhead>,
     /// Requests in progress.
     pub open_requests: AtomicU32,
+    /// Whether the grace period of a planned stop is over, so that connections are closed.
+    pub is_grace_over: AtomicBool,
     /// End of the time in which this gateway reports that it can't obtain grants, in milliseconds
     /// since the start.
     starved_until_ms: AtomicU64,
@@ -209,7 +211,7 @@
             seeds: ArcSwap::from_pointee(cfg.ledger.clone()),
             lifecycle,
             log,
-            dropped_log_lines: DroppedLines::default(),
+            log_buffer: LogBuffer::default(),
             metrics,
             engine_estimates: EngineEstimates::default(),
             gateway_count: AtomicU32::new(ASSUMED_GATEWAYS),
@@ -233,6 +235,7 @@
             intake: Arc::default(),
             read_ahead: Mutex::new(ReadAhead::new(cfg.limits.memory)),
             open_requests: AtomicU32::new(0),
+            is_grace_over: AtomicBool::new(false),
             starved_until_ms: AtomicU64::new(0),
             retry_budgets: Mutex::default(),
             cfg,
@@ -272,9 +275,9 @@
         self.starved_until_ms.store(0, Ordering::Relaxed);
     }
 
-    /// Sets the counter of dropped log lines.
-    pub fn with_dropped_counter(mut self, dropped: DroppedLines) -> Self {
-        self.dropped_log_lines = dropped;
+    /// Sets the buffer of the log.
+    pub fn with_log_buffer(mut self, log_buffer: LogBuffer) -> Self {
+        self.log_buffer = log_buffer;
         self
     }
 
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -284,7 +284,7 @@
                 age(self.ledger_confirmed_ms.load(Ordering::Relaxed)),
             ),
             (LIST_AGE, list_age),
-            (LOG_DROPPED, self.dropped_log_lines.count()),
+            (LOG_DROPPED, self.log_buffer.dropped_lines()),
         ] {
             self.metrics.gauge(name, value);
         }
--- a/crates/anvil_gateway/src/serve.rs
+++ b/crates/anvil_gateway/src/serve.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::io;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::{Request, Response, StatusCode};
@@ -75,6 +76,8 @@
     let _ = stop_tx.send(true);
     let end = stopped_at + gw.cfg.grace_period.saturating_sub(STOP_MARGIN);
     while let Ok(Some(_)) = timeout_at(end, connections.join_next()).await {}
+    gw.is_grace_over.store(true, Ordering::Relaxed);
+    connections.shutdown().await;
 }
 
 fn listener_context(gw: &Arc<Gateway>) -> ListenerContext {
--- a/crates/anvil_gateway/src/trace.rs
+++ b/crates/anvil_gateway/src/trace.rs
@@ -39,6 +39,10 @@
     outcome: Option<&'static str>,
 }
 
+/// Outcome of a request whose client disconnected before the response was complete.
+const CLIENT_LEFT: &str = "client_left";
+/// Outcome of a request that was still open at the end of a planned stop.
+const CUT_BY_STOP: &str = "cut_by_stop";
 /// Maximum number of parts of a prompt in one log line.
 const MAX_LOGGED_PARTS: usize = 16;
 /// No steps are added beyond this many bytes; a normal request has only a few steps.
@@ -145,7 +149,13 @@
 impl Drop for Trace {
     fn drop(&mut self) {
         self.stages.end();
-        let outcome = self.outcome.unwrap_or("client_left");
+        let is_grace_over = self.gw.is_grace_over.load(Ordering::Relaxed);
+        let dropped = if is_grace_over {
+            CUT_BY_STOP
+        } else {
+            CLIENT_LEFT
+        };
+        let outcome = self.outcome.unwrap_or(dropped);
         let took = self.started_at.elapsed();
         self.gw.open_requests.fetch_sub(1, Ordering::Relaxed);
         self.gw.metrics.count(&format!("requests.{outcome}"));
--- a/crates/anvil_gateway/tests/direct/explanations.rs
+++ b/crates/anvil_gateway/tests/direct/explanations.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use anvil_gateway::GatewaySettings;
 use anvilreel::logs::{LogLimits, to_writer};
 use anvilreel::metrics::Metrics;
 use anvilreel::operator::{Explanation, explain, losses};
@@ -16,7 +17,7 @@
     Step, TestEndpoint, chunk, event, refusal_with, response, response_with, stream_end,
     stream_head,
 };
-use crate::gateway::TestGateway;
+use crate::gateway::{TestGateway, settings};
 
 /// Everything written so far.
 #[derive(Clone, Default)]
@@ -50,10 +51,10 @@
     endpoints: &[(&str, &TestEndpoint)],
 ) -> (TestGateway, WrittenLog, impl Fn() -> String + use<>) {
     let log_output = WrittenLog::default();
-    let (log, dropped) = to_writer(log_output.clone(), LogLimits::default());
+    let (log, log_buffer) = to_writer(log_output.clone(), LogLimits::default());
     let (metrics, registry) = Metrics::in_memory("gateway");
     let gateway = TestGateway::start_with(endpoints, log, metrics).await;
-    assert_eq!(dropped.count(), 0);
+    assert_eq!(log_buffer.dropped_lines(), 0);
     (gateway, log_output, move || registry.render())
 }
 
@@ -253,7 +254,7 @@
         max_lines_per_second: 10_000,
         max_buffered_bytes: 20_000,
     };
-    let (log, dropped) = to_writer(StuckWriter, limits);
+    let (log, log_buffer) = to_writer(StuckWriter, limits);
     let gateway =
         TestGateway::start_with(&[("a", &working)], log, Metrics::disabled("gateway")).await;
     let mut client = Client::connect(gateway.addr).await;
@@ -263,7 +264,56 @@
         assert_eq!(response.status, 200);
     }
     assert!(started_at.elapsed() < Duration::from_secs(5));
-    assert!(dropped.count() > 0);
+    assert!(log_buffer.dropped_lines() > 0);
+}
+
+/// Guards against a request that a planned stop cuts being logged as one whose client left.
+#[tokio::test]
+async fn request_cut_by_a_planned_stop_is_explained() {
+    let endless = TestEndpoint::start(|_, req| {
+        vec![
+            Step::Send(stream_head(req)),
+            Step::Send(chunk(&event(1))),
+            Step::Hang,
+        ]
+    })
+    .await;
+    let log_output = WrittenLog::default();
+    let (log, _) = to_writer(log_output.clone(), LogLimits::default());
+    let cfg = GatewaySettings {
+        // Ends before the route's timeout.
+        grace_period: Duration::from_secs(3),
+        ..settings()
+    };
+    let metrics = Metrics::disabled("gateway");
+    let gateway = TestGateway::start_configured(cfg, &[("a", &endless)], log, metrics).await;
+    let mut client = Client::connect(gateway.addr).await;
+    client
+        .send(
+            "/stream/x",
+            "cut-1",
+            "content-length: 0\r\nx-wait: 20000\r\n",
+        )
+        .await;
+    while !client.read_some().await.contains("piece 1") {}
+    gateway.gw.lifecycle.begin_drain();
+    gateway.serving.await.expect("a complete stop");
+    let explanation = log_output.explain("cut-1").await;
+    let line = explanation.lines.last().expect("the request's line");
+    assert_eq!(line.values["outcome"], "cut_by_stop", "{line:?}");
+}
+
+/// Guards against a process that ends before its last lines are written, which explain its end.
+#[test]
+fn last_lines_are_written_before_a_process_ends() {
+    let log_output = WrittenLog::default();
+    let (log, log_buffer) = to_writer(log_output.clone(), LogLimits::default());
+    slog::info!(log, "first");
+    // The writer pauses after these lines.
+    std::thread::sleep(Duration::from_millis(10));
+    slog::info!(log, "last");
+    log_buffer.flush(Duration::from_secs(1));
+    assert!(log_output.text().contains("last"));
 }
 
 /// Guards against failures being lost when far more is logged than allowed: informational lines are
@@ -276,7 +326,7 @@
         max_lines_per_second: 10_000,
         max_buffered_bytes: 40_000,
     };
-    let (log, dropped) = to_writer(log_output.clone(), limits);
+    let (log, log_buffer) = to_writer(log_output.clone(), limits);
     for number in 0..500 {
         slog::info!(log, "fine"; "request" => number);
     }
@@ -293,7 +343,7 @@
         .sum::<usize>();
     assert!(bytes <= 12_000, "{bytes} bytes of ordinary lines");
     assert!(text.contains("log_lines_dropped"));
-    assert!(dropped.count() > 100);
+    assert!(log_buffer.dropped_lines() > 100);
 }
 
 /// Guards against floods of short lines: the number of lines is limited as well, and a line that
@@ -306,7 +356,7 @@
         max_lines_per_second: 40,
         max_buffered_bytes: 1_000_000,
     };
-    let (log, dropped) = to_writer(log_output.clone(), limits);
+    let (log, log_buffer) = to_writer(log_output.clone(), limits);
     for number in 0..200 {
         slog::info!(log, "fine"; "request" => number);
     }
@@ -316,7 +366,7 @@
     let fine = text.lines().filter(|line| line.contains("fine")).count();
     assert!((15..=30).contains(&fine), "{fine}");
     assert!(text.contains("\"failed\""));
-    assert!(dropped.count() >= 170);
+    assert!(log_buffer.dropped_lines() >= 170);
 }
 
 /// Guards against an unexplained refusal in a pause: the line names the endpoint, the answer that
--- a/crates/anvilreel/src/logs.rs
+++ b/crates/anvilreel/src/logs.rs
@@ -6,7 +6,7 @@
 use slog::{Drain, Logger, o};
 use slog_async::{Async, OverflowStrategy};
 
-pub use bounded::{DroppedLines, LogLimits};
+pub use bounded::{LogBuffer, LogLimits};
 
 /// Maximum number of queued lines; further ones are dropped and counted.
 const MAX_QUEUED_LINES: usize = 4_096;
@@ -21,12 +21,11 @@
     async_logger(slog_term::FullFormat::new(decorator).build().fuse())
 }
 
-/// A logger that writes JSON lines to standard output within these limits, and its count of
-/// dropped lines.
+/// A logger that writes JSON lines to standard output within these limits, and its buffer.
 ///
 /// A stalled reader of standard output delays no caller: a separate thread writes the lines, and
 /// those that exceed its buffer are dropped and counted.
-pub fn to_stdout(limits: LogLimits) -> (Logger, DroppedLines) {
+pub fn to_stdout(limits: LogLimits) -> (Logger, LogBuffer) {
     bounded::logger(std::io::stdout(), limits)
 }
 
@@ -34,7 +33,7 @@
 pub fn to_writer(
     writer: impl std::io::Write + Send + 'static,
     limits: LogLimits,
-) -> (Logger, DroppedLines) {
+) -> (Logger, LogBuffer) {
     bounded::logger(writer, limits)
 }
 
--- a/crates/anvilreel/src/logs/bounded.rs
+++ b/crates/anvilreel/src/logs/bounded.rs
@@ -44,14 +44,23 @@
 /// Pause between two writes, so that one wake-up of the thread writes many lines.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Count of the lines dropped since the process started. Cheap to clone.
-#[derive(Debug, Clone, Default)]
-pub struct DroppedLines(Arc<AtomicU64>);
+/// The buffer of a logger's lines. Cheap to clone; the default is that of no logger.
+#[derive(Clone, Default)]
+pub struct LogBuffer(Option<Arc<Shared>>);
 
-impl DroppedLines {
-    /// Number of dropped lines.
-    pub fn count(&self) -> u64 {
-        self.0.load(Ordering::Relaxed)
+impl LogBuffer {
+    /// Number of lines dropped since the process started.
+    pub fn dropped_lines(&self) -> u64 {
+        let shared = self.0.as_ref();
+        shared.map_or(0, |shared| shared.dropped.load(Ordering::Relaxed))
+    }
+
+    /// Waits until all lines are written, but no longer than this. To be called before the process
+    /// ends: the lines that explain its end are the last ones.
+    pub fn flush(&self, max_wait: Duration) {
+        if let Some(shared) = &self.0 {
+            shared.flush(max_wait);
+        }
     }
 }
 
@@ -91,6 +100,10 @@
     refilled_at: Instant,
     /// Lines dropped since the last write.
     dropped: u64,
+    /// Whether the thread writes lines that it has taken out.
+    is_writing: bool,
+    /// Whether the process is about to end, so that lines are written at once.
+    is_ending: bool,
 }
 
 struct Shared {
@@ -98,7 +111,12 @@
     buffer: Mutex<Buffer>,
     /// Notified when the buffer has become non-empty.
     not_empty: Condvar,
-    dropped: DroppedLines,
+    /// Notified when lines have been written.
+    written: Condvar,
+    /// Notified when the process is about to end.
+    ending: Condvar,
+    /// Lines dropped since the process started.
+    dropped: AtomicU64,
 }
 
 struct BoundedDrain(Arc<Shared>);
@@ -106,7 +124,7 @@
 pub(super) fn logger(
     writer: impl Write + Send + 'static,
     limits: LogLimits,
-) -> (Logger, DroppedLines) {
+) -> (Logger, LogBuffer) {
     let shared = Arc::new(Shared {
         limits,
         buffer: Mutex::new(Buffer {
@@ -115,14 +133,18 @@
             lines: TokenBucket::new(limits.max_lines_per_second),
             refilled_at: Instant::now(),
             dropped: 0,
+            is_writing: false,
+            is_ending: false,
         }),
         not_empty: Condvar::new(),
-        dropped: DroppedLines::default(),
+        written: Condvar::new(),
+        ending: Condvar::new(),
+        dropped: AtomicU64::new(0),
     });
-    let dropped = shared.dropped.clone();
+    let buffer = LogBuffer(Some(shared.clone()));
     let writer_shared = shared.clone();
     thread::spawn(move || writer_shared.write_loop(writer));
-    (Logger::root(BoundedDrain(shared).fuse(), o!()), dropped)
+    (Logger::root(BoundedDrain(shared).fuse(), o!()), buffer)
 }
 
 /// Appends a line to a buffer while it is being formatted.
@@ -205,7 +227,7 @@
 
     fn count_dropped(&self, buffer: &mut Buffer) {
         buffer.dropped += 1;
-        self.dropped.0.fetch_add(1, Ordering::Relaxed);
+        self.dropped.fetch_add(1, Ordering::Relaxed);
     }
 
     fn write_loop(&self, mut writer: impl Write) {
@@ -222,12 +244,32 @@
             let written = written.and_then(|()| writer.write_all(&lines));
             // A failed write can't be logged; the count of dropped lines is the only sign of it.
             if written.and_then(|()| writer.flush()).is_err() {
-                self.dropped.0.fetch_add(1, Ordering::Relaxed);
+                self.dropped.fetch_add(1, Ordering::Relaxed);
             }
-            thread::sleep(FLUSH_INTERVAL);
+            self.pause_after_write();
         }
     }
 
+    /// Lets lines accumulate, unless the process is about to end.
+    fn pause_after_write(&self) {
+        let mut buffer = self.lock();
+        buffer.is_writing = false;
+        self.written.notify_all();
+        // A pause that ends early or late only makes the next write smaller or larger.
+        let _ = self
+            .ending
+            .wait_timeout_while(buffer, FLUSH_INTERVAL, |buffer| !buffer.is_ending);
+    }
+
+    fn flush(&self, max_wait: Duration) {
+        let mut buffer = self.lock();
+        buffer.is_ending = true;
+        self.ending.notify_all();
+        let has_lines = |buffer: &mut Buffer| buffer.is_writing || !buffer.buf.is_empty();
+        // A reader that takes no lines must not delay the end of the process.
+        let _ = self.written.wait_timeout_while(buffer, max_wait, has_lines);
+    }
+
     /// Waits until lines are buffered, and takes them with the number of lines dropped before.
     fn wait_for_lines(&self) -> (Vec<u8>, u64) {
         let mut buffer = self.lock();
@@ -236,6 +278,7 @@
             buffer = woken.unwrap_or_else(PoisonError::into_inner);
         }
         let dropped = std::mem::take(&mut buffer.dropped);
+        buffer.is_writing = true;
         (std::mem::take(&mut buffer.buf), dropped)
     }
 }
