A silent endpoint is given up only once another one has taken over

Cause: the gateway called a resumable stream stalled after four times the route's longest gap, closed the connection to its endpoint, and only then asked whether another attempt was allowed and possible. Before the first byte it gave up after twice the target wherever the route may run again. With the retry budget used up, no other endpoint, or all others full or at their limits, the client lost an answer whose endpoint was about to go on (answer_lost, no_answer_in_time).

Another one takes over once the attempts of the route, the time, the quarantine and the retry budget allow it and a slot at an endpoint with room, which has not failed recently, has been taken with the link; then the old connection is closed, and the request sent. The budget and limits are counted only then. To allow for this, an attempt is split into handing the request to a connection and waiting for its head, which may be cancelled.

The two calls of the internal interface in direct/pausing.rs are adapted, with the same assertions.

--- a/crates/anvil_gateway/src/attempt.rs
+++ b/crates/anvil_gateway/src/attempt.rs
@@ -1,12 +1,18 @@
 //! One attempt: a request sent to one endpoint, and whether it ran there.
+//!
+//! [`send`] hands the request to a connection. Its caller waits for the head with
+//! [`SentRequest::head`], and may stop waiting at any time: dropping the request closes its connection.
 
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvil_world::prelude::*;
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Uri, response};
+use http::{Request, Response, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::SendRequest;
 use tokio::time::{Instant, timeout_at};
 
@@ -90,125 +96,177 @@
     Response(Box<EndpointResponse>),
 }
 
+/// A request as it is sent to an endpoint.
+pub type WholeRequest = Request<Full<Bytes>>;
+
 /// What is sent to an endpoint.
 pub struct OutgoingRequest<'a> {
-    /// Method.
-    pub method: &'a Method,
-    /// Path and query.
-    pub uri: &'a Uri,
-    /// Headers for this endpoint.
-    pub headers: HeaderMap,
-    /// The complete body.
-    pub body: Bytes,
+    /// The request with the headers for this endpoint.
+    pub request: WholeRequest,
     /// Id that the response must carry.
     pub id: &'a str,
     /// What it consists of.
     pub contents: RequestContents<'a>,
-    /// The response head is awaited until then.
-    pub response_deadline: Instant,
+    /// Whether idle connections are not used.
+    pub on_new_connection: bool,
+    /// Until then a connection must have been made.
+    pub connect_deadline: Instant,
     /// The request fails if it has no response by then.
     pub deadline: Instant,
     /// The connection of its client; `None` if it has none to check.
     pub client: Option<&'a ClientConnection>,
     /// Set to the connection on which the request is sent.
     pub watch: &'a mut Option<Arc<ConnectionWatch>>,
-    /// Receives the time that connecting and sending take.
+    /// Receives the time that connecting takes.
     pub stages: &'a mut StageTimes,
 }
 
-/// Sends one request to the endpoint of `slot` and waits for the response head.
+/// What has come in place of a response head, or the head.
+pub type ReceivedHead = Result<Response<Incoming>, TrySendError<WholeRequest>>;
+
+/// A request that a connection has taken, and whose response head has not been read.
+pub struct SentRequest {
+    slot: EndpointSlot,
+    connection: Connection,
+    id: AttemptId,
+    sent_at: Now,
+    receiving: Pin<Box<dyn Future<Output = ReceivedHead> + Send>>,
+}
+
+/// What has become of a sent request.
+pub enum SendOutcome {
+    /// The attempt has ended.
+    Ended(AttemptOutcome),
+    /// The endpoint had closed the idle connection. The request may be sent on a new one.
+    Unsent(Box<UnsentRequest>),
+}
+
+/// A request that came back from its connection unsent.
+pub struct UnsentRequest {
+    /// The slot that it holds.
+    pub slot: EndpointSlot,
+    /// The request.
+    pub request: WholeRequest,
+}
+
+/// Sends one request to the endpoint of `slot`.
 pub async fn send(
     gw: &Arc<Gateway>,
     mut slot: EndpointSlot,
     outgoing: OutgoingRequest<'_>,
-) -> AttemptOutcome {
+) -> Result<SentRequest, NotRun> {
     let endpoint = slot.endpoint.clone();
-    let mut force_new = false;
-    loop {
-        outgoing.stages.enter(Stage::Connect);
-        let connecting = async {
-            if force_new {
-                open_connection(gw, &endpoint).await
-            } else {
-                take_connection(gw, &endpoint).await
-            }
-        };
-        let Ok(connected) = timeout_at(outgoing.response_deadline, connecting).await else {
-            return AttemptOutcome::NotRun(NotRun::Unreachable("no time left to connect".into()));
-        };
-        let mut connection = match connected {
-            Ok(connection) => connection,
-            Err(ConnectError::NoDescriptor) => {
-                return AttemptOutcome::NotRun(NotRun::Withheld(Cause::NoDescriptors));
-            }
-            Err(e) => {
-                gw.record_unreachable(&endpoint);
-                return AttemptOutcome::NotRun(NotRun::Unreachable(e.to_string()));
-            }
-        };
-        if let Some(reason) = reason_not_to_send(gw, &endpoint, &outgoing) {
-            if !connection.reused {
-                endpoint.pool.put(connection.sender, connection.watch, None);
-            }
-            return AttemptOutcome::NotRun(reason);
+    outgoing.stages.enter(Stage::Connect);
+    let connecting = async {
+        if outgoing.on_new_connection {
+            open_connection(gw, &endpoint).await
+        } else {
+            take_connection(gw, &endpoint).await
+        }
+    };
+    let Ok(connected) = timeout_at(outgoing.connect_deadline, connecting).await else {
+        return Err(NotRun::Unreachable("no time left to connect".into()));
+    };
+    let mut connection = match connected {
+        Ok(connection) => connection,
+        Err(ConnectError::NoDescriptor) => return Err(NotRun::Withheld(Cause::NoDescriptors)),
+        Err(e) => {
+            gw.record_unreachable(&endpoint);
+            return Err(NotRun::Unreachable(e.to_string()));
         }
-        let handler = late_handler(gw, &endpoint, outgoing.id);
-        connection.watch.request_sent(handler);
-        let sent_at = gw.lifecycle.now();
-        slot.request_sent(sent_at);
-        *outgoing.watch = Some(connection.watch.clone());
-        let sending = connection.sender.try_send_request(build_request(&outgoing));
-        let sent = timeout_at(outgoing.response_deadline, sending).await;
-        if let Some(sent_at) = connection.watch.sent_at() {
-            outgoing.stages.enter_at(Stage::Response, sent_at);
+    };
+    if let Some(reason) = reason_not_to_send(gw, &endpoint, &outgoing) {
+        if !connection.reused {
+            endpoint.pool.put(connection.sender, connection.watch, None);
         }
-        let response = match sent {
-            Err(_) => return AttemptOutcome::Doubt(Doubt::Silent),
-            Ok(Ok(response)) => response,
-            Ok(Err(mut e)) => {
-                // The request came back unsent, so it may be sent on a new connection.
-                let unsent = e.take_message().is_some();
-                if unsent && connection.reused && !force_new {
-                    force_new = true;
-                    continue;
+        return Err(reason);
+    }
+    let id = AttemptId::from(outgoing.id);
+    let handler = late_handler(gw, &endpoint, id.clone());
+    connection.watch.request_sent(handler);
+    let sent_at = gw.lifecycle.now();
+    slot.request_sent(sent_at);
+    *outgoing.watch = Some(connection.watch.clone());
+    let receiving = Box::pin(connection.sender.try_send_request(outgoing.request));
+    Ok(SentRequest {
+        slot,
+        connection,
+        id,
+        sent_at,
+        receiving,
+    })
+}
+
+impl SentRequest {
+    /// When the last part of the request was written; `None` if nothing was.
+    pub fn written_at(&self) -> Option<Instant> {
+        self.connection.watch.sent_at()
+    }
+
+    /// Waits for the response head. The wait may be cancelled and taken up again.
+    pub async fn head(&mut self) -> ReceivedHead {
+        self.receiving.as_mut().await
+    }
+
+    /// What the head says about the attempt.
+    pub async fn outcome(self, gw: &Arc<Gateway>, head: ReceivedHead) -> SendOutcome {
+        let response = match head {
+            Ok(response) => response,
+            Err(mut e) => match e.take_message() {
+                Some(request) if self.connection.reused => {
+                    let slot = self.slot;
+                    return SendOutcome::Unsent(Box::new(UnsentRequest { slot, request }));
                 }
-                if unsent {
-                    return AttemptOutcome::NotRun(NotRun::Unreachable(e.into_error().to_string()));
+                Some(_) => {
+                    let reason = NotRun::Unreachable(e.into_error().to_string());
+                    return SendOutcome::Ended(AttemptOutcome::NotRun(reason));
                 }
-                return AttemptOutcome::Doubt(Doubt::Lost);
-            }
+                None => return SendOutcome::Ended(AttemptOutcome::Doubt(Doubt::Lost)),
+            },
         };
+        SendOutcome::Ended(self.responded(gw, response).await)
+    }
+
+    async fn responded(self, gw: &Arc<Gateway>, response: Response<Incoming>) -> AttemptOutcome {
+        let Self {
+            slot,
+            connection,
+            id,
+            sent_at,
+            ..
+        } = self;
+        let endpoint = &slot.endpoint;
         connection.watch.response_started();
         let (parts, body) = response.into_parts();
         let head = (gw.cfg.dialect.parse_response)(parts.status, &parts.headers);
-        gw.apply_notice(&endpoint, outgoing.id, parts.status, head.notice);
+        gw.apply_notice(endpoint, &id, parts.status, head.notice);
         // Failure: an endpoint sends a second, late response on the connection, and it is taken for
         // the response to the next request, from another client. Only the id tells them apart.
-        if head.id.as_deref().is_some_and(|id| id != outgoing.id) {
+        if head.id.as_deref().is_some_and(|answered| *answered != *id) {
             return AttemptOutcome::Doubt(Doubt::Misfit);
         }
-        gw.apply_announced_limit(&endpoint, sent_at, head.limit);
+        gw.apply_announced_limit(endpoint, sent_at, head.limit);
         // A 421 states the load of another incarnation.
         if let Some(load) = head.load.filter(|_| parts.status != MISDIRECTED_STATUS) {
             endpoint.apply_load(gw.lifecycle.now(), &load);
         }
         if head.not_run {
             let status = parts.status.as_u16();
-            drain_refusal(connection, &endpoint, &head, body).await;
+            drain_refusal(connection, endpoint, &head, body).await;
             return AttemptOutcome::NotRun(NotRun::Refused(status));
         }
         let is_complete_head = head.signed && !head.unexpected_encoding && head.id.is_some();
         if parts.status.is_success() && !is_complete_head {
             return AttemptOutcome::Doubt(Doubt::Spoiled);
         }
-        return AttemptOutcome::Response(Box::new(EndpointResponse {
+        AttemptOutcome::Response(Box::new(EndpointResponse {
             parts,
             head,
             body,
             sender: connection.sender,
             watch: connection.watch,
             slot,
-        }));
+        }))
     }
 }
 
@@ -232,8 +290,8 @@
 }
 
 /// Applies what a response states about its endpoint if nobody waits for it any more.
-fn late_handler(gw: &Arc<Gateway>, endpoint: &Arc<Endpoint>, id: &str) -> LateHandler {
-    let (gw, endpoint, id) = (gw.clone(), endpoint.clone(), String::from(id));
+fn late_handler(gw: &Arc<Gateway>, endpoint: &Arc<Endpoint>, id: AttemptId) -> LateHandler {
+    let (gw, endpoint) = (gw.clone(), endpoint.clone());
     Box::new(move |status, headers| {
         let head = (gw.cfg.dialect.parse_response)(status, headers);
         gw.apply_notice(&endpoint, &id, status, head.notice);
@@ -241,14 +299,6 @@
     })
 }
 
-fn build_request(outgoing: &OutgoingRequest<'_>) -> Request<Full<Bytes>> {
-    let mut req = Request::new(Full::new(outgoing.body.clone()));
-    *req.method_mut() = outgoing.method.clone();
-    *req.uri_mut() = outgoing.uri.clone();
-    *req.headers_mut() = outgoing.headers.clone();
-    req
-}
-
 /// Longest wait for the rest of a refusal before its connection is dropped.
 const REFUSAL_READ_TIMEOUT: Duration = Duration::from_millis(20);
 /// Longest body of a refusal that is read, in bytes.
--- a/crates/anvil_gateway/src/attempt_counter.rs
+++ b/crates/anvil_gateway/src/attempt_counter.rs
@@ -21,11 +21,22 @@
     counted: u32,
     missing: u32,
     was_received: bool,
+    /// Whether the last of the endpoints has not responded yet.
+    is_in_flight: bool,
 }
 
 impl AttemptCounter {
+    /// Records that an attempt at an endpoint begins. It counts until its outcome is known.
+    pub fn begin(&mut self, endpoint: InstanceId) {
+        self.endpoints.push(endpoint);
+        self.is_in_flight = true;
+    }
+
     /// Records the outcome of an attempt at an endpoint.
     pub fn record(&mut self, endpoint: InstanceId, outcome: &AttemptOutcome) {
+        if std::mem::take(&mut self.is_in_flight) {
+            self.endpoints.pop();
+        }
         if let AttemptOutcome::NotRun(NotRun::NotAccepting | NotRun::Withheld(_)) = outcome {
             return;
         }
@@ -66,11 +77,7 @@
 
     /// Whether another attempt is allowed if `max_attempts` endpoints may receive the request.
     pub fn may_continue(&self, max_attempts: u32) -> bool {
-        self.counted < max_attempts && self.missing < MAX_MISSING_ENDPOINTS
-    }
-
-    /// Whether the next attempt is the last one allowed.
-    pub fn is_last(&self, max_attempts: u32) -> bool {
-        self.counted + 1 >= max_attempts
+        let counted = self.counted + u32::from(self.is_in_flight);
+        counted < max_attempts && self.missing < MAX_MISSING_ENDPOINTS
     }
 }
--- a/crates/anvil_gateway/src/choose.rs
+++ b/crates/anvil_gateway/src/choose.rs
@@ -48,6 +48,9 @@
     /// If it can wait in front of the endpoints: it is placed only while an endpoint has room,
     /// where its response is expected within this time, or would not be delayed by other requests.
     pub with_room_within: Option<Duration>,
+    /// Whether another endpoint holds the request and may still respond: it is placed only
+    /// where there is room and no request has failed recently.
+    pub is_replacement: bool,
 }
 
 impl Gateway {
@@ -155,6 +158,12 @@
             }
             shortest_wait = shortest_wait.min(wait);
         }
+        if terms.is_replacement && !accepting.is_empty() {
+            accepting.retain(|one| one.may_replace_another(now, terms.within));
+            if accepting.is_empty() {
+                return Err(Unplaced::Busy);
+            }
+        }
         if !accepting.is_empty() && candidates.iter().any(|other| other.pause.is_paused) {
             accepting.retain(|candidate| candidate.endpoint.bears_another(now));
             if accepting.is_empty() {
--- a/crates/anvil_gateway/src/choose/candidate.rs
+++ b/crates/anvil_gateway/src/choose/candidate.rs
@@ -71,6 +71,16 @@
         room.allows(within)
     }
 
+    /// Whether it may take over a request whose endpoint may still respond: it would begin at once.
+    pub(super) fn may_replace_another(&self, now: Now, within: Duration) -> bool {
+        let has_room = if self.is_engine {
+            self.has_engine_room(now, within)
+        } else {
+            self.endpoint.has_free_slot(now)
+        };
+        has_room && !self.on_cooldown
+    }
+
     /// Time until the endpoint accepts the request, by its limit, its warm-up and its pause.
     pub(super) fn wait(
         &self,
--- a/crates/anvil_gateway/src/endpoint.rs
+++ b/crates/anvil_gateway/src/endpoint.rs
@@ -271,6 +271,11 @@
         }
     }
 
+    /// When it was taken.
+    pub fn taken_at(&self) -> Instant {
+        self.taken_at
+    }
+
     /// Records that the time of the first event doesn't show how fast the endpoint works.
     pub fn disregard_first_event(&mut self) {
         self.prefill = None;
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -3,6 +3,7 @@
 mod one_attempt;
 mod outcome;
 mod place;
+pub mod silence;
 mod take_up;
 
 use std::sync::Arc;
@@ -16,6 +17,8 @@
 use http_body_util::{BodyExt, Limited};
 use tokio::time::{Instant, timeout_at};
 
+use self::one_attempt::AttemptEnd;
+pub use self::place::Place;
 use crate::accept::client_socket::ClientConnection;
 use crate::attempt::{AttemptOutcome, Doubt, EndpointResponse, NotRun};
 use crate::attempt_counter::AttemptCounter;
@@ -124,7 +127,7 @@
             return self.refuse(refusal);
         }
         self.gw.count_first_attempt(&self.service);
-        match self.first_response(None).await {
+        match self.first_response(None, None).await {
             Ok(response)
                 if self.route.retry_mode.is_stream() && response.parts.status.is_success() =>
             {
@@ -146,15 +149,25 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Runs attempts until a response begins. `after` is the id of the last event that was
-    /// delivered.
+    /// Runs attempts until a response begins, the first one at `place` if there is one. `after` is the
+    /// id of the last event that was delivered.
     pub async fn first_response(
         &mut self,
         after: Option<u64>,
+        mut place: Option<Box<Place>>,
     ) -> Result<Box<EndpointResponse>, RequestRefusal> {
         let mut failure: Option<Box<EndpointResponse>> = None;
         loop {
-            let refusal = match self.one_attempt(after).await {
+            let outcome = match self.one_attempt(after, place.take()).await {
+                Ok(AttemptEnd::TakenOver(next)) => {
+                    self.record_doubt(Doubt::Silent);
+                    place = Some(next);
+                    continue;
+                }
+                Ok(AttemptEnd::Outcome(outcome)) => Ok(outcome),
+                Err(refusal) => Err(refusal),
+            };
+            let refusal = match outcome {
                 Ok(AttemptOutcome::Response(response)) if self.is_final(&response) => {
                     return Ok(response);
                 }
@@ -379,7 +392,7 @@
             };
             let cause = self.record_doubt(doubt);
             let next = match self.may_retry(cause) {
-                Ok(()) => self.first_response(None).await,
+                Ok(()) => self.first_response(None, None).await,
                 Err(refusal) => Err(refusal),
             };
             match next {
--- a/crates/anvil_gateway/src/exchange/one_attempt.rs
+++ b/crates/anvil_gateway/src/exchange/one_attempt.rs
@@ -5,14 +5,19 @@
 use anvil_policy::deadline::MIN_RETRY_AFTER;
 use anvil_policy::engine::Prompt;
 use anvil_world::prelude::*;
+use http_body_util::Full;
 use tokio::time::Instant;
 
 use super::place::Place;
+use super::silence::Waited;
 use super::take_up::TAKE_UP_RETRY_AFTER;
 use super::{DEFAULT_RETRY_AFTER, Exchange, RequestRefusal, spread_return};
-use crate::attempt::{AttemptOutcome, OutgoingRequest, send};
+use crate::attempt::{
+    AttemptOutcome, Doubt, OutgoingRequest, SendOutcome, UnsentRequest, WholeRequest, send,
+};
 use crate::choose::{PlacementTerms, Selection, Unplaced};
 use crate::dialect::ForwardedHead;
+use crate::endpoint::EndpointSlot;
 use crate::metrics;
 use crate::regions::Constraints;
 use crate::reply::Cause;
@@ -26,52 +31,42 @@
 const FIRST_TOKEN_FRACTION: f64 = 0.8;
 /// Retry-after time while no endpoint may be used and an operator has to act first.
 const OPERATOR_RETRY_AFTER: Duration = Duration::from_secs(2);
-/// If another endpoint may run the request, the response head is awaited for this multiple of the
-/// route's target: an endpoint that takes longer is more likely lost than slow.
-const UNRESPONSIVE_TARGETS: f64 = 2.0;
+/// How an attempt has ended.
+pub(super) enum AttemptEnd {
+    /// The endpoint has responded or failed.
+    Outcome(AttemptOutcome),
+    /// The endpoint was silent, and the request has a place at another one. It may have run.
+    TakenOver(Box<Place>),
+}
 
 impl Exchange {
-    /// Selects an endpoint and sends the request to it. `after` is the id of the last event that
-    /// was delivered.
+    /// Sends the request to the endpoint of `place`, or to one that is selected now. `after` is the id
+    /// of the last event that was delivered.
     pub(super) async fn one_attempt(
         &mut self,
         after: Option<u64>,
-    ) -> Result<AttemptOutcome, RequestRefusal> {
+        place: Option<Box<Place>>,
+    ) -> Result<AttemptEnd, RequestRefusal> {
+        let place = match place {
+            Some(place) => *place,
+            None => self.find_place().await?,
+        };
+        Ok(self.send_to(place, after).await)
+    }
+
+    async fn find_place(&mut self) -> Result<Place, RequestRefusal> {
         self.refuse_in_quarantine()?;
         self.trace.stages.enter(Stage::Place);
         let place = self.take_place().await;
         self.trace.stages.enter(Stage::Other);
-        let Place { selection, link } = place?;
+        place
+    }
+
+    async fn send_to(&mut self, place: Place, after: Option<u64>) -> AttemptEnd {
+        let Place { selection, link } = place;
         let endpoint = selection.slot.endpoint.clone();
         self.record_origin(&endpoint.version);
-        let forwarded = ForwardedHead {
-            endpoint: &endpoint.id,
-            organisation: self
-                .organisation
-                .as_ref()
-                .map(|organisation| &*organisation.id),
-            time_left: self.time_left(),
-            priority_class: self.priority_class(),
-            resume_after: after.or(self.request.resume_after),
-            copy_from: selection.copy_from,
-        };
-        let response_deadline = self.response_deadline();
-        let outgoing = OutgoingRequest {
-            method: &self.method,
-            uri: &self.uri,
-            headers: (self.gw.cfg.dialect.forward_headers)(&self.headers, &forwarded),
-            body: self.body.clone(),
-            id: &self.request.id,
-            contents: RequestContents {
-                request: self.request_digest,
-                shared: &self.shared,
-            },
-            response_deadline,
-            deadline: self.deadline,
-            client: Some(&*self.client),
-            watch: &mut self.awaited_connection,
-            stages: &mut self.trace.stages,
-        };
+        let request = self.outgoing_request(&selection, after);
         // Counted before it is sent: if the client disconnects, this function is dropped during the
         // wait, when the endpoint may have begun.
         let was_in_doubt = self.in_doubt;
@@ -80,19 +75,92 @@
         }
         link.record_sent();
         let sent_at = Instant::now();
-        let outcome = send(&self.gw, selection.slot, outgoing).await;
+        self.attempt_counter.begin(endpoint.id.clone());
+        let end = self.send_and_wait(selection.slot, request).await;
         self.awaited_connection = None;
+        let silent = AttemptOutcome::Doubt(Doubt::Silent);
+        let outcome = match &end {
+            AttemptEnd::Outcome(outcome) => outcome,
+            AttemptEnd::TakenOver(_) => &silent,
+        };
         if !matches!(outcome, AttemptOutcome::Response(_)) {
             self.trace.stages.enter(Stage::Other);
         }
-        self.attempt_counter.record(endpoint.id.clone(), &outcome);
+        self.attempt_counter.record(endpoint.id.clone(), outcome);
         if let (AttemptOutcome::NotRun(_), Some(charge), false) =
-            (&outcome, &mut self.charge, was_in_doubt)
+            (outcome, &mut self.charge, was_in_doubt)
         {
             charge.record_not_run();
         }
-        self.record_outcome(&endpoint, &outcome, sent_at.elapsed());
-        Ok(outcome)
+        self.record_outcome(&endpoint, outcome, sent_at.elapsed());
+        end
+    }
+
+    /// Sends the request and waits for the response head, up to the deadline or until another endpoint
+    /// takes over. The connection is closed in that case.
+    async fn send_and_wait(
+        &mut self,
+        mut slot: EndpointSlot,
+        mut request: WholeRequest,
+    ) -> AttemptEnd {
+        let silent_since = Instant::now();
+        let connect_deadline = self.replaceable_at(silent_since).unwrap_or(self.deadline);
+        let mut on_new_connection = false;
+        loop {
+            let outgoing = OutgoingRequest {
+                request,
+                id: &self.request.id,
+                contents: RequestContents {
+                    request: self.request_digest,
+                    shared: &self.shared,
+                },
+                on_new_connection,
+                connect_deadline,
+                deadline: self.deadline,
+                client: Some(&*self.client),
+                watch: &mut self.awaited_connection,
+                stages: &mut self.trace.stages,
+            };
+            let mut sent = match send(&self.gw, slot, outgoing).await {
+                Ok(sent) => sent,
+                Err(reason) => return AttemptEnd::Outcome(AttemptOutcome::NotRun(reason)),
+            };
+            let waited = self.wait_or_take_over(silent_since, sent.head()).await;
+            if let Some(written_at) = sent.written_at() {
+                self.trace.stages.enter_at(Stage::Response, written_at);
+            }
+            let head = match waited {
+                Waited::Sent(head) => head,
+                Waited::TakenOver(place) => return AttemptEnd::TakenOver(place),
+                Waited::TimedOut => {
+                    return AttemptEnd::Outcome(AttemptOutcome::Doubt(Doubt::Silent));
+                }
+            };
+            match sent.outcome(&self.gw, head).await {
+                SendOutcome::Ended(outcome) => return AttemptEnd::Outcome(outcome),
+                SendOutcome::Unsent(unsent) => {
+                    UnsentRequest { slot, request } = *unsent;
+                    on_new_connection = true;
+                }
+            }
+        }
+    }
+
+    fn outgoing_request(&self, selection: &Selection, after: Option<u64>) -> WholeRequest {
+        let organisation = self.organisation.as_ref();
+        let forwarded = ForwardedHead {
+            endpoint: &selection.slot.endpoint.id,
+            organisation: organisation.map(|organisation| &*organisation.id),
+            time_left: self.time_left(),
+            priority_class: self.priority_class(),
+            resume_after: after.or(self.request.resume_after),
+            copy_from: selection.copy_from,
+        };
+        let mut request = WholeRequest::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = (self.gw.cfg.dialect.forward_headers)(&self.headers, &forwarded);
+        request
     }
 
     /// Refuses a request under which endpoints crash.
@@ -118,6 +186,7 @@
         let terms = PlacementTerms {
             within: self.first_token_within(),
             with_room_within,
+            is_replacement: false,
         };
         let new_versions = self.versions_to_avoid();
         let selection = match self.select_avoiding(&new_versions, terms) {
@@ -129,6 +198,28 @@
             selection => selection,
         };
         let selection = selection?;
+        self.record_selection(&selection);
+        Ok(selection)
+    }
+
+    /// Takes a slot at an endpoint in place of a silent one.
+    pub(super) fn select_replacement(&mut self) -> Result<Selection, Unplaced> {
+        let terms = PlacementTerms {
+            within: self.first_token_within(),
+            with_room_within: None,
+            is_replacement: true,
+        };
+        let new_versions = self.versions_to_avoid();
+        let selection = match self.select_avoiding(&new_versions, terms) {
+            Err(_) if !new_versions.is_empty() => self.select_avoiding(&[], terms),
+            selection => selection,
+        };
+        let selection = selection?;
+        self.record_selection(&selection);
+        Ok(selection)
+    }
+
+    fn record_selection(&mut self, selection: &Selection) {
         let endpoint = &selection.slot.endpoint;
         self.trace.step(format_args!(
             "to {} ({}) expecting {:?}, {} tokens to read, {}",
@@ -146,7 +237,6 @@
         if !self.attempt_counter.endpoints().is_empty() {
             self.gw.metrics.count(metrics::ATTEMPTS_AFTER_FIRST);
         }
-        Ok(selection)
     }
 
     fn select_avoiding(
@@ -191,18 +281,6 @@
         }
     }
 
-    /// Until when the response head is awaited: up to the deadline, or less if another endpoint may
-    /// run the request instead.
-    fn response_deadline(&self) -> Instant {
-        let repeatable = self.route.retry_mode.may_run_again();
-        if !repeatable || self.attempt_counter.is_last(self.route.max_attempts) {
-            return self.deadline;
-        }
-        let unresponsive_at =
-            Instant::now() + self.route.target_latency.mul_f64(UNRESPONSIVE_TARGETS);
-        unresponsive_at.min(self.deadline)
-    }
-
     pub(super) fn priority_class(&self) -> u8 {
         let organisation_class = self
             .organisation
--- a/crates/anvil_gateway/src/exchange/place.rs
+++ b/crates/anvil_gateway/src/exchange/place.rs
@@ -27,7 +27,7 @@
 }
 
 /// What a request needs to be sent.
-pub(super) struct Place {
+pub struct Place {
     /// The slot at an endpoint.
     pub(super) selection: Selection,
     /// The link for its prompt.
--- /dev/null
+++ b/crates/anvil_gateway/src/exchange/silence.rs
@@ -0,0 +1,119 @@
+//! The wait for an endpoint that sends nothing. [`anvil_policy::silence`] decides how long it may.
+//!
+//! Failure: a sound endpoint is silent for a second, its connection is closed, and only then it turns
+//! out that no other endpoint may or can go on: the retry budget is used up, or all others are full.
+//! So a silent endpoint is given up only once a place at another one has been taken. Until then the
+//! response goes on if the endpoint does, and all that was reserved for the other one is given back.
+
+use std::pin::pin;
+use std::time::Duration;
+
+use anvil_policy::silence::{LOOK_INTERVAL, max_plain_silence, max_stream_silence};
+use tokio::time::{Instant, timeout_at};
+
+use super::Exchange;
+use super::place::Place;
+use crate::choose::Unplaced;
+
+/// How the wait for an endpoint has ended.
+pub enum Waited<T> {
+    /// It has sent this, or ended its connection.
+    Sent(T),
+    /// It was silent, and the request has a place at another one. The caller closes its connection
+    /// before it sends the request there.
+    TakenOver(Box<Place>),
+    /// It was silent up to the deadline.
+    TimedOut,
+}
+
+/// Why no other endpoint takes over.
+#[derive(Debug, Clone, Copy)]
+#[expect(dead_code, reason = "the reason is logged by its debug format")]
+enum NotReplaced {
+    /// Endpoints crash under the request.
+    InQuarantine,
+    /// The retry budget that all gateways share.
+    BudgetUsedUp,
+    /// The link is busy.
+    LinkBusy,
+    /// No endpoint would begin the request at once.
+    NoPlace(Unplaced),
+}
+
+impl Exchange {
+    /// Waits for `sent`, which comes from the endpoint that holds the request, up to the deadline or
+    /// until another endpoint takes over. `silent_since` is when the wait for it began.
+    pub async fn wait_or_take_over<T>(
+        &mut self,
+        silent_since: Instant,
+        sent: impl Future<Output = T>,
+    ) -> Waited<T> {
+        let mut sent = pin!(sent);
+        let mut next_look = self.replaceable_at(silent_since);
+        let mut is_reported = false;
+        loop {
+            let until = next_look.map_or(self.deadline, |at| at.min(self.deadline));
+            if let Ok(sent) = timeout_at(until, &mut sent).await {
+                return Waited::Sent(sent);
+            }
+            if self.time_left().is_zero() {
+                return Waited::TimedOut;
+            }
+            let replaced = tokio::select! {
+                biased;
+                sent = &mut sent => return Waited::Sent(sent),
+                replaced = self.take_replacement() => replaced,
+            };
+            match replaced {
+                Ok(place) => return Waited::TakenOver(Box::new(place)),
+                Err(reason) if !is_reported => {
+                    self.trace
+                        .step(format_args!("silent endpoint, not replaced: {reason:?}"));
+                    is_reported = true;
+                }
+                Err(_) => {}
+            }
+            next_look = Some(Instant::now() + LOOK_INTERVAL);
+        }
+    }
+
+    /// From when on another endpoint may take over from one that is silent since this time; `None` if
+    /// the request may not be sent to another one.
+    pub(super) fn replaceable_at(&self, silent_since: Instant) -> Option<Instant> {
+        let mode = self.route.retry_mode;
+        if !mode.may_run_again() || !self.has_attempts_left() {
+            return None;
+        }
+        silent_since.checked_add(self.max_silence())
+    }
+
+    fn max_silence(&self) -> Duration {
+        let target = self.route.target_latency;
+        if self.route.retry_mode.is_stream() {
+            max_stream_silence(target, self.route.max_gap)
+        } else {
+            max_plain_silence(target)
+        }
+    }
+
+    /// Takes a place at another endpoint, and counts the retry. Nothing is counted if there is none.
+    async fn take_replacement(&mut self) -> Result<Place, NotReplaced> {
+        let contents = self.contents();
+        let quarantine = self.gw.quarantine_at_service(&self.service, contents);
+        if quarantine.is_some() {
+            return Err(NotReplaced::InQuarantine);
+        }
+        let link = self.wait_for_link_elsewhere().await;
+        let link = link.ok_or(NotReplaced::LinkBusy)?;
+        // Asked before a place is taken, which uses a part of an endpoint's limit.
+        if !self.gw.has_retry(&self.service) {
+            return Err(NotReplaced::BudgetUsedUp);
+        }
+        let selection = self.select_replacement().map_err(NotReplaced::NoPlace)?;
+        if !self.gw.try_count_retry(&self.service) {
+            return Err(NotReplaced::BudgetUsedUp);
+        }
+        self.trace.step(format_args!("taken over"));
+        Ok(Place { selection, link })
+    }
+}
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -318,6 +318,12 @@
         self.with_retry_budget(service, |budget| budget.record_first_attempt(now));
     }
 
+    /// Whether the budget allows a retry at a service now. Nothing is counted.
+    pub fn has_retry(&self, service: &ServiceId) -> bool {
+        let now = self.lifecycle.now();
+        self.with_retry_budget(service, |budget| budget.has_retry(now))
+    }
+
     /// Whether the budget allows a retry at a service; if so, it is counted.
     pub fn try_count_retry(&self, service: &ServiceId) -> bool {
         let now = self.lifecycle.now();
--- a/crates/anvil_gateway/src/send/pacing.rs
+++ b/crates/anvil_gateway/src/send/pacing.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use anvil_policy::link_pacer::LinkBusy;
 use tokio::time::sleep;
 
 use super::link_budget::LinkReservation;
@@ -36,9 +37,8 @@
         } else {
             time_left.min(self.route.target_latency)
         };
-        let bytes = HEAD_BYTES + self.body.len() as u64;
         let max_wait = longest.mul_f64(MAX_WAIT_FRACTION);
-        let reserved = self.gw.sockets.link.reserve(bytes, max_wait);
+        let reserved = self.reserve_link(max_wait);
         let reservation = reserved.map_err(|busy| {
             let wait = busy.wait;
             self.trace.step(format_args!(
@@ -51,12 +51,29 @@
             };
             (cause, retry_elsewhere_after())
         })?;
-        if !reservation.wait().is_zero() {
-            let wait = reservation.wait();
+        self.wait_for_reserved(&reservation).await;
+        Ok(reservation)
+    }
+
+    /// The same for a request whose endpoint is silent: `None` if the link is busy for too long.
+    pub(crate) async fn wait_for_link_elsewhere(&mut self) -> Option<LinkReservation> {
+        let max_wait = self.time_left().mul_f64(MAX_WAIT_FRACTION);
+        let reservation = self.reserve_link(max_wait).ok()?;
+        self.wait_for_reserved(&reservation).await;
+        Some(reservation)
+    }
+
+    fn reserve_link(&self, max_wait: Duration) -> Result<LinkReservation, LinkBusy> {
+        let bytes = HEAD_BYTES + self.body.len() as u64;
+        self.gw.sockets.link.reserve(bytes, max_wait)
+    }
+
+    async fn wait_for_reserved(&mut self, reservation: &LinkReservation) {
+        let wait = reservation.wait();
+        if !wait.is_zero() {
             self.gw.metrics.time(metrics::LINK_WAIT, wait);
             self.trace.step(format_args!("waits {wait:?} for the link"));
             sleep(wait).await;
         }
-        Ok(reservation)
     }
 }
--- a/crates/anvil_gateway/src/stream_relay.rs
+++ b/crates/anvil_gateway/src/stream_relay.rs
@@ -3,7 +3,8 @@
 //! Failure: an endpoint is lost in the middle of a stream, and the client has only part of the
 //! response. Another endpoint of the same software version continues after the last delivered
 //! event, within the same response; the connection to the previous endpoint is closed first, which
-//! stops its run. If no endpoint can continue, the client's connection is closed without the end of
+//! stops its run. An endpoint that is only silent is kept until another one has a place for the
+//! stream. If no endpoint can continue, the client's connection is closed without the end of
 //! the stream.
 //!
 //! Failure: a client reads slowly, and the endpoint cuts off the response because it stays unread.
@@ -31,17 +32,12 @@
 use crate::connection_watch::ConnectionWatch;
 use crate::dialect::ResponseHead;
 use crate::endpoint::EndpointSlot;
-use crate::exchange::Exchange;
+use crate::exchange::silence::Waited;
+use crate::exchange::{Exchange, Place};
 use crate::metrics;
 use crate::reply::{Cause, IncompleteStream, Reply, remove_connection_headers};
 use crate::stream_events::{EventSplitter, StreamEvent};
 
-/// A resumable stream counts as stalled after this multiple of the route's maximum gap. The client
-/// gives up after eight such gaps.
-const STALL_GAPS: f64 = 4.0;
-/// Time after which a stream counts as stalled if its route sets no maximum gap.
-const DEFAULT_STALL_TIME: Duration = Duration::from_secs(2);
-
 /// From this event on an endpoint has survived the beginning of its response: one that crashes as
 /// it begins may still send the first event.
 const EVENTS_AFTER_BEGINNING: u32 = 2;
@@ -117,6 +113,8 @@
     Event(StreamEvent),
     End,
     Broken,
+    /// The endpoint is silent, and the stream has a place at another one.
+    TakenOver(Box<Place>),
 }
 
 impl StreamRelay {
@@ -258,21 +256,35 @@
                 }
                 NextEvent::Broken => {
                     let response = self.resume_elsewhere().await?;
-                    if let Some(head) = head.as_deref_mut() {
-                        *head = response.parts.clone();
-                        remove_connection_headers(&mut head.headers);
-                    }
-                    self.source = Some(StreamSource::from(response));
+                    self.go_on_at(response, head.as_deref_mut());
+                }
+                NextEvent::TakenOver(place) => {
+                    self.drop_source("silent endpoint");
+                    let response = self.resume_at(Some(place)).await?;
+                    self.go_on_at(response, head.as_deref_mut());
                 }
             }
         }
     }
 
+    fn go_on_at(&mut self, response: EndpointResponse, head: Option<&mut http::response::Parts>) {
+        if let Some(head) = head {
+            *head = response.parts.clone();
+            remove_connection_headers(&mut head.headers);
+        }
+        self.source = Some(StreamSource::from(response));
+    }
+
     async fn next_from_source(&mut self) -> NextEvent {
-        let deadline = self.stall_deadline();
         let Some(source) = &mut self.source else {
             return NextEvent::Broken;
         };
+        // Clients also give up if the first event does not come in time.
+        let silent_since = if source.events == 0 {
+            source.slot.taken_at()
+        } else {
+            Instant::now()
+        };
         loop {
             if let Some(event) = source.splitter.next_event() {
                 source.slot.response_started();
@@ -303,14 +315,16 @@
                 }
                 return NextEvent::Broken;
             }
-            match timeout_at(deadline, source.body.frame()).await {
-                Err(_) => {
+            let frame = source.body.frame();
+            match self.exchange.wait_or_take_over(silent_since, frame).await {
+                Waited::TimedOut => {
                     self.exchange.trace.step(format_args!("silent endpoint"));
                     return NextEvent::Broken;
                 }
-                Ok(None) if source.splitter.is_empty() => return NextEvent::End,
-                Ok(None | Some(Err(_))) => return NextEvent::Broken,
-                Ok(Some(Ok(frame))) => {
+                Waited::TakenOver(place) => return NextEvent::TakenOver(place),
+                Waited::Sent(None) if source.splitter.is_empty() => return NextEvent::End,
+                Waited::Sent(None | Some(Err(_))) => return NextEvent::Broken,
+                Waited::Sent(Some(Ok(frame))) => {
                     let Some(data) = frame.data_ref() else {
                         continue;
                     };
@@ -322,34 +336,24 @@
         }
     }
 
-    /// Until when the current endpoint may send nothing. Earlier than the deadline only if another
-    /// endpoint may resume the stream.
-    fn stall_deadline(&self) -> Instant {
-        let deadline = self.exchange.deadline;
-        if !self.exchange.route.retry_mode.may_resume_elsewhere()
-            || !self.exchange.has_attempts_left()
-        {
-            return deadline;
-        }
-        let gap = self.exchange.route.max_gap;
-        let stall_time = gap.map_or(DEFAULT_STALL_TIME, |gap| gap.mul_f64(STALL_GAPS));
-        deadline.min(Instant::now() + stall_time)
+    /// Records that the current endpoint has lost the stream. Its connection is closed, which stops its
+    /// run.
+    fn drop_source(&mut self, reason: &str) {
+        let Some(source) = self.source.take() else {
+            return;
+        };
+        let endpoint = &source.slot.endpoint;
+        self.exchange
+            .record_lost_response(endpoint, source.progress, reason);
+        let last_read = self.last_read;
+        let id = &endpoint.id;
+        self.exchange
+            .trace
+            .step(format_args!("{id} broke off after {last_read:?}"));
     }
 
     async fn resume_elsewhere(&mut self) -> Result<EndpointResponse, Cause> {
-        if let Some(source) = self.source.take() {
-            self.exchange.record_lost_response(
-                &source.slot.endpoint,
-                source.progress,
-                "stream ended early",
-            );
-            let last_read = self.last_read;
-            let id = &source.slot.endpoint.id;
-            self.exchange
-                .trace
-                .step(format_args!("{id} broke off after {last_read:?}"));
-            // Dropping the source closes its connection, which stops the endpoint's run.
-        }
+        self.drop_source("stream ended early");
         let timed_out = self.exchange.time_left().is_zero();
         let cause = if timed_out {
             Cause::ResponseTimeout
@@ -360,8 +364,13 @@
             return Err(cause);
         }
         self.exchange.may_retry(cause).map_err(|(cause, _)| cause)?;
+        self.resume_at(None).await
+    }
+
+    /// Resumes the stream at `place`, or at an endpoint that is selected now.
+    async fn resume_at(&mut self, place: Option<Box<Place>>) -> Result<EndpointResponse, Cause> {
         let last_read = self.last_read;
-        let response = self.exchange.first_response(last_read).await;
+        let response = self.exchange.first_response(last_read, place).await;
         let response = response.map_err(|(cause, _)| cause)?;
         if response.parts.status.is_success() {
             self.exchange.gw.metrics.count(metrics::STREAMS_RESUMED);
--- a/crates/anvil_gateway/tests/direct/explanations.rs
+++ b/crates/anvil_gateway/tests/direct/explanations.rs
@@ -519,6 +519,25 @@
     assert_eq!(undelivered.sum::<u64>(), 0);
 }
 
+/// Guards against a late answer whose line doesn't say why no other endpoint was asked.
+#[tokio::test]
+async fn silent_endpoint_that_is_kept_is_explained() {
+    let silent = TestEndpoint::start(|_, req| {
+        let pause = Step::Pause(Duration::from_millis(800));
+        vec![pause, Step::Send(response(req, "late"))]
+    })
+    .await;
+    let (gateway, log_output, _) = start_logged(&[("silent", &silent)]).await;
+    let mut client = Client::connect(gateway.addr).await;
+    let response = client.request("/idempotent/x", "late-1", "").await;
+    assert_eq!(response.status, 200);
+    let explanation = log_output.explain("late-1").await;
+    let line = explanation.lines.last().expect("the request's line");
+    let steps = &line.values["steps"];
+    let reason = "silent endpoint, not replaced: NoPlace(Nobody)";
+    assert_eq!(steps.matches(reason).count(), 1, "{steps}");
+}
+
 /// Guards against a refusal after a wait that looks like one at once.
 #[tokio::test]
 async fn wait_for_endpoints_is_counted_as_a_wait_for_a_place() {
--- a/crates/anvil_gateway/tests/direct/main.rs
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -24,6 +24,7 @@
 mod share_orders;
 mod shared_contents;
 mod siblings;
+mod silence;
 mod slow_readers;
 mod starting;
 mod streams;
--- a/crates/anvil_gateway/tests/direct/pausing.rs
+++ b/crates/anvil_gateway/tests/direct/pausing.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use anvil_gateway::Gateway;
-use anvil_gateway::attempt::{AttemptOutcome, NotRun, OutgoingRequest, send as send_attempt};
+use anvil_gateway::attempt::{
+    AttemptOutcome, NotRun, OutgoingRequest, WholeRequest, send as send_attempt,
+};
 use anvil_gateway::attempt_counter::AttemptCounter;
 use anvil_gateway::choose::{PlacementTerms, Selection, Unplaced};
 use anvil_gateway::dialect::AvailabilityNotice;
@@ -15,7 +17,7 @@
 use anvil_policy::engine::Prompt;
 use anvil_world::prelude::*;
 use anvilreel::retry_after::RetryAfter;
-use http::{HeaderMap, Method, StatusCode, Uri};
+use http::{StatusCode, Uri};
 use tokio::time::{Instant, sleep};
 
 use crate::client::{Client, ClientResponse};
@@ -151,6 +153,7 @@
     let terms = PlacementTerms {
         within: Duration::MAX,
         with_room_within: None,
+        is_replacement: false,
     };
     gw.select_endpoint(SERVICE, &prompt, constraints, terms)
 }
@@ -163,27 +166,24 @@
     let gateway = TestGateway::start(&[("a", &ready)]).await;
     let selection = select(&gateway.gw, &[]).expect("an endpoint");
     request_pause(&gateway.gw, "a", Duration::from_secs(1));
+    let mut request = WholeRequest::default();
+    *request.uri_mut() = Uri::from_static("/once/x");
     let outgoing = OutgoingRequest {
         contents: RequestContents {
             request: 0,
             shared: &[],
         },
-        method: &Method::GET,
-        uri: &Uri::from_static("/once/x"),
-        headers: HeaderMap::new(),
-        body: bytes::Bytes::new(),
+        request,
         id: "id",
-        response_deadline: Instant::now() + Duration::from_secs(1),
+        on_new_connection: false,
+        connect_deadline: Instant::now() + Duration::from_secs(1),
         deadline: Instant::now() + Duration::from_secs(1),
         client: None,
         watch: &mut None,
         stages: &mut StageTimes::new(Instant::now()),
     };
-    let outcome = send_attempt(&gateway.gw, selection.slot, outgoing).await;
-    assert!(matches!(
-        outcome,
-        AttemptOutcome::NotRun(NotRun::NotAccepting)
-    ));
+    let sent = send_attempt(&gateway.gw, selection.slot, outgoing).await;
+    assert!(matches!(sent, Err(NotRun::NotAccepting)));
     assert!(ready.received().is_empty());
 }
 
--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -47,6 +47,7 @@
 //! * [`room`]: when a request waits in that queue instead of being sent.
 //! * [`health`], with [`limit`] and [`ejection`]: how much work an endpoint is given.
 //! * [`retry`]: whether a failed attempt is repeated.
+//! * [`silence`]: how long an endpoint may send nothing before another one is asked.
 //! * [`grant`]: how much of a budget a router holds.
 //! * [`outage_grant`]: how much it holds so that it can pay for requests while the ledger does not
 //!   answer.
@@ -103,6 +104,7 @@
 pub mod recent_answers;
 pub mod retry;
 pub mod room;
+pub mod silence;
 pub mod stream_origins;
 pub mod subset;
 pub mod taken_up;
--- a/crates/anvil_policy/src/retry.rs
+++ b/crates/anvil_policy/src/retry.rs
@@ -97,6 +97,12 @@
         self.available = (self.available + self.rule.retry_ratio).min(self.rule.max_saved);
     }
 
+    /// Whether a retry is left. Doesn't count one.
+    pub fn has_retry(&mut self, now: Now) -> bool {
+        self.refill(now);
+        self.available >= 1.0
+    }
+
     /// Returns the backoff before the next attempt after `attempts` attempts, or `None` if there
     /// must be none. The backoff is drawn uniformly between zero and its bound, so that requests
     /// that failed together are spread out.
