A stopping router answers requests on connections in use

Cause: 300 ms after the signal each connection was closed as soon as no response was open on it. A caller that sent its next request when its stream ended, or on a connection that was idle or new at that moment, got neither an answer nor a refusal, and connections that the system had established and the router had not accepted were reset.

Change: responses of a stopping router announce the close ("connection: close"), the queue of established connections is accepted before the listener is closed, and a connection whose response began before is closed only when no request was open on it for a second. Requests that come until then are refused as "leaving", so that another router can serve them.

A planned stop takes a second longer while callers keep connections open.

--- a/crates/anvilreel/src/router.rs
+++ b/crates/anvilreel/src/router.rs
@@ -14,6 +14,7 @@
 mod chat_call;
 mod chat_encoder;
 mod claim_holders;
+mod connection;
 mod endpoint_pools;
 mod errors;
 mod follow;
@@ -130,7 +131,12 @@
         let core = Arc::new(Core::new(settings, wire_addr, log, metrics));
         event!(core.log, events::ROUTER_LISTENING, "addr" => addr.to_string());
         let close = Arc::new(Notify::new());
-        let serving = accept::serve(listener, routes::routes(&core), close.clone());
+        let serving = accept::serve(
+            listener,
+            routes::routes(&core),
+            core.lifecycle.clone(),
+            close.clone(),
+        );
         let serving = tokio::spawn(serving);
         let tasks = spawn_tasks(&core, server);
         Ok(Self {
--- a/crates/anvilreel/tests/path_fleet/stops.rs
+++ b/crates/anvilreel/tests/path_fleet/stops.rs
@@ -3,9 +3,15 @@
 use std::time::Duration;
 
 use anvil_standins::engine;
+use anvilreel::local::BEARER_KEY;
 use http_body_util::BodyExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
 
-use super::fleet::{Fleet, chat_body, eventually, expected, json, request, streamed_text};
+use super::fleet::{
+    Fleet, WAIT_TIMEOUT, chat_body, eventually, expected, json, request, streamed_text,
+};
 
 const CHAT: &str = "/v1/chat/completions";
 
@@ -100,3 +106,69 @@
     })
     .await;
 }
+
+/// Sends a chat request on this connection and reads to the end of its response, or of the
+/// connection.
+async fn exchange(connection: &mut TcpStream, body: &str) -> String {
+    let length = body.len();
+    let head = format!(
+        "POST {CHAT} HTTP/1.1\r\nhost: router\r\nauthorization: Bearer {BEARER_KEY}\r\n\
+         content-length: {length}\r\n\r\n"
+    );
+    // Fails if the connection is closed, in which case nothing is read either.
+    let _ = connection
+        .write_all(format!("{head}{body}").as_bytes())
+        .await;
+    let mut read = Vec::new();
+    let mut buf = [0; 4096];
+    let is_complete = |read: &[u8]| read.ends_with(b"\r\n0\r\n\r\n") || read.ends_with(b"}}");
+    while !is_complete(&read) {
+        let count = timeout(WAIT_TIMEOUT, connection.read(&mut buf)).await;
+        match count.expect("in time") {
+            Ok(0) | Err(_) => break,
+            Ok(count) => read.extend_from_slice(&buf[..count]),
+        }
+    }
+    String::from_utf8(read).expect("text")
+}
+
+/// Guards against a planned stop that closes a connection while its caller sends the next request on
+/// it, which is then neither answered nor refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_on_a_connection_in_use_is_answered_during_a_planned_stop() {
+    let mut fleet = Fleet::start_with(1, 1, slow()).await;
+    let router = fleet.routers[0].take().expect("it is running");
+    let addr = router.addr();
+    let mut streaming = TcpStream::connect(addr).await.expect("a connection");
+    let mut idle = TcpStream::connect(addr).await.expect("a connection");
+    let models = "GET /v1/models HTTP/1.1\r\nhost: router\r\n\r\n";
+    idle.write_all(models.as_bytes()).await.expect("it is open");
+    let read = idle.read(&mut [0; 4096]).await.expect("an answer");
+    assert!(read > 0, "closed before the stop");
+    let fresh = TcpStream::connect(addr).await;
+    let mut fresh = fresh.expect("a connection");
+    let stopping = tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        router.stop().await;
+    });
+    let late = chat_body("tokens=1 late", false);
+    let stream = async {
+        let whole = exchange(&mut streaming, &chat_body("tokens=100 in use", true)).await;
+        (whole, exchange(&mut streaming, &late).await)
+    };
+    let after_close = async {
+        tokio::time::sleep(Duration::from_millis(800)).await;
+        (
+            exchange(&mut idle, &late).await,
+            exchange(&mut fresh, &late).await,
+        )
+    };
+    let ((whole, next), (idle, fresh)) = tokio::join!(stream, after_close);
+    assert!(whole.contains("[DONE]"), "{whole}");
+    for refused in [&next, &idle, &fresh] {
+        assert!(refused.contains("503 Service Unavailable"), "{refused:?}");
+        assert!(refused.contains("connection: close"), "{refused:?}");
+    }
+    stopping.await.expect("stopped");
+    assert!(TcpStream::connect(addr).await.is_err());
+}
