A replaced incarnation of a router frees its address for callers

Cause: when the ledger ends a router's incarnation, the process starts the next one at the same addresses while the requests under way end at the last one. Since the listener is closed by a notification of its own and no longer by the drain, nothing closed it there: the next incarnation could not listen, the daemon gave up after ten attempts within a second and ended, and all requests under way were cut.

Change: a replaced incarnation closes its listener.

Result: the_next_incarnation_of_a_router_starts_while_streams_of_the_last_one_finish was red before (the address stayed in use for all ten attempts), and is green with the stream read to its end.

--- a/crates/anvilreel/src/router.rs
+++ b/crates/anvilreel/src/router.rs
@@ -222,11 +222,15 @@
     pub fn retire(self) {
         let Self {
             core,
+            close,
             serving,
             mut tasks,
             ..
         } = self;
         core.lifecycle.begin_drain();
+        // Callers reach the new incarnation at the same address, so nothing needs to be announced
+        // before.
+        close.notify_one();
         // The first task is the wire server; the new incarnation needs its address.
         tasks.remove(0).abort();
         tokio::spawn(async move {
--- a/crates/anvilreel/tests/path_fleet/fleet.rs
+++ b/crates/anvilreel/tests/path_fleet/fleet.rs
@@ -100,8 +100,33 @@
 
     /// Starts a router. Odd and even numbers are in different zones.
     pub async fn start_router(&self, number: usize) -> Router {
-        let zone = ["local-a", "local-b"][number % 2];
+        let settings = self.router_settings(number);
+        let started = Router::start(&settings, discard(), Metrics::disabled("router"));
+        started.await.expect("a router")
+    }
+
+    /// Starts the next incarnation of a router at the addresses of the previous one, with as many
+    /// attempts as the daemon makes; `None` if the addresses stay in use.
+    pub async fn restart_router(&self, number: usize, addrs: [SocketAddr; 2]) -> Option<Router> {
+        let [listen, wire_listen] = addrs;
         let settings = RouterSettings {
+            listen,
+            wire_listen,
+            ..self.router_settings(number)
+        };
+        for _ in 0..10 {
+            let started = Router::start(&settings, discard(), Metrics::disabled("router"));
+            if let Ok(router) = started.await {
+                return Some(router);
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+        None
+    }
+
+    fn router_settings(&self, number: usize) -> RouterSettings {
+        let zone = ["local-a", "local-b"][number % 2];
+        RouterSettings {
             id: format!("router-{number}").into(),
             zone: Zone::new("local", zone),
             listen: loopback(0),
@@ -110,9 +135,7 @@
             threads: 0,
             log_json: false,
             statsd: None,
-        };
-        let started = Router::start(&settings, discard(), Metrics::disabled("router"));
-        started.await.expect("a router")
+        }
     }
 
     async fn wait_ready(&self, routers: usize, sidecars: usize) {
--- a/crates/anvilreel/tests/path_fleet/stops.rs
+++ b/crates/anvilreel/tests/path_fleet/stops.rs
@@ -107,6 +107,38 @@
     .await;
 }
 
+/// Guards against a replaced incarnation that keeps the address for callers: the process can't start
+/// the next one, ends, and cuts the requests under way.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_next_incarnation_of_a_router_starts_while_streams_of_the_last_one_finish() {
+    let mut fleet = Fleet::start_with(1, 1, slow()).await;
+    let prompt = "tokens=100 replaced";
+    let url = fleet.url(0, CHAT);
+    let body = chat_body(prompt, true);
+    let sent = fleet.client.send(&url, request(&url, &[], body)).await;
+    let mut answer = sent.expect("an answer").into_body();
+    let first = answer.frame().await.expect("output");
+    let mut read = first
+        .expect("a valid frame")
+        .into_data()
+        .expect("bytes")
+        .to_vec();
+    let last = fleet.routers[0].take().expect("it is running");
+    let addrs = [last.addr(), last.wire_addr()];
+    last.retire();
+    let next = fleet.restart_router(0, addrs).await;
+    fleet.routers[0] = Some(next.expect("the addresses are free"));
+    while let Some(frame) = answer.frame().await {
+        let frame = frame.expect("a valid frame");
+        read.extend_from_slice(&frame.into_data().expect("bytes"));
+    }
+    assert_eq!(streamed_text(&read), (expected(prompt), true));
+    eventually("the next incarnation answers", || async {
+        fleet.chat(0, None, "tokens=1 next").await.status == 200
+    })
+    .await;
+}
+
 /// Sends a chat request on this connection and reads to the end of its response, or of the
 /// connection.
 async fn exchange(connection: &mut TcpStream, body: &str) -> String {
