A stopping sidecar keeps output until routers have read it

Cause: a planned stop waited for the end of the runs at the endpoint and half a second more. The output of a run that has ended is kept for readers that are slower than the endpoint, and was lost with the process: the router then found nobody at the address, and the caller's answer was cut.

Change: the stop also waits while replies are sent to a router. Readers end by their router's deadline, or with their connection when a router is unresponsive, so the stop ends.

Result: stop_waits_until_the_output_of_ended_runs_is_read was red before (the stream broke after its first window), as was stop_does_not_wait_for_readers_that_have_left, which also shows that a late start is refused meanwhile and that the stop ends when a reader leaves. Both are green.

--- a/crates/anvilreel/src/sidecar.rs
+++ b/crates/anvilreel/src/sidecar.rs
@@ -42,7 +42,7 @@
 use hub::Hub;
 use load::{Loads, first_load};
 
-/// Interval at which a planned stop checks whether runs are left.
+/// Interval at which a planned stop checks whether runs or readers are left.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// How long a non-idempotent key is remembered until the fleet document is known.
 const DEFAULT_ONCE_RETENTION: Duration = Duration::from_hours(25);
@@ -121,13 +121,17 @@
         self.core.lifecycle.incarnation
     }
 
-    /// The planned stop: refuses new work, waits until all runs have ended, and lingers so that
-    /// routers read their ends.
+    /// The planned stop: refuses new work, waits until all runs have ended and routers have read
+    /// their output, and lingers so that the last replies arrive.
+    ///
+    /// A caller that reads slowly receives output long after its run has ended. A router stops
+    /// reading at the request's deadline, and a router that is unresponsive loses its connection, so
+    /// the wait is bounded.
     pub async fn stop(self) {
         self.core.lifecycle.begin_drain();
         self.core.publish_accepting();
         event!(self.core.log, events::SIDECAR_LEAVING);
-        while self.core.hub.live_runs() > 0 {
+        while self.core.hub.live_runs() > 0 || self.core.hub.open_streams() > 0 {
             sleep(STOP_POLL_INTERVAL).await;
         }
         sleep(LINGER).await;
--- a/crates/anvilreel/src/sidecar/hub.rs
+++ b/crates/anvilreel/src/sidecar/hub.rs
@@ -25,6 +25,8 @@
     readers: BTreeMap<ReaderId, UnboundedSender<SidecarReply>>,
     drivers: BTreeMap<RunId, UnboundedSender<EndpointCommand>>,
     next_reader: ReaderId,
+    /// Readers whose stream has not been closed; some of them have been sent their last reply.
+    open_streams: usize,
 }
 
 /// All runs of a sidecar.
@@ -43,6 +45,7 @@
             readers: BTreeMap::new(),
             drivers: BTreeMap::new(),
             next_reader: 1,
+            open_streams: 0,
         };
         Self {
             state: Mutex::new(state),
@@ -62,6 +65,7 @@
         let mut state = self.lock();
         let reader = state.next_reader;
         state.next_reader += 1;
+        state.open_streams += 1;
         state.readers.insert(reader, tx);
         self.feed_locked(&mut state, make(reader));
         (reader, rx)
@@ -73,9 +77,10 @@
         self.feed_locked(&mut state, event);
     }
 
-    /// Removes a reader whose stream was closed.
+    /// Removes a reader whose stream was closed. To be called once for each reader.
     pub fn close_reader(self: &Arc<Self>, reader: ReaderId) {
         let mut state = self.lock();
+        state.open_streams -= 1;
         state.readers.remove(&reader);
         self.feed_locked(&mut state, Event::ReaderGone { reader });
     }
@@ -97,6 +102,11 @@
         self.lock().runs.live()
     }
 
+    /// Number of readers to which replies are still sent.
+    pub fn open_streams(&self) -> usize {
+        self.lock().open_streams
+    }
+
     /// Number of runs in progress at the endpoint, for the load report.
     pub fn driver_count(&self) -> usize {
         self.lock().drivers.len()
