Requests that wait for the last endpoint of a pool are not forgotten

Cause: when the only endpoint of a model or service left the list of live members (its sidecar's planned stop, or five seconds without heartbeats), the pool's queue was dropped while requests waited in it. Nothing served them or ended their wait, although the endpoint was back a second later: they were held until their deadline, ten minutes. A request that was queued while its place was handed out could be lost in the same way.

Change: a queue is dropped only when no request waits in it, and takes no request afterwards. A pool that has had no endpoints for five seconds refuses its waiting requests as new ones are refused. The place in the queue and its waiter are created under one lock.

--- a/crates/anvilreel/src/router/endpoint_pools.rs
+++ b/crates/anvilreel/src/router/endpoint_pools.rs
@@ -78,11 +78,12 @@
         let routers = u32::try_from(view.routers.len()).unwrap_or(u32::MAX);
         let mut queues = BTreeMap::clone(&self.queues.load());
         queues.retain(|key, queue| {
-            let known = to_watch.contains_key(key);
-            if !known {
-                queue.set_pool(self.lifecycle.now(), Pool::default());
+            if to_watch.contains_key(key) {
+                return true;
             }
-            known
+            // Requests that wait for the last endpoint are served if it is back in time.
+            queue.set_pool(self.lifecycle.now(), Pool::default());
+            !queue.close_if_idle()
         });
         for (key, instances) in &to_watch {
             let endpoints = instances.iter().filter_map(|i| states.get(&i.id)).cloned();
@@ -109,6 +110,7 @@
         let chooser = Chooser::default().with_zone(self.router.zone.clone());
         let name = format!("{}/{service}/{model:?}", self.router.id);
         Arc::new(PoolQueue::new(
+            service.clone(),
             chooser,
             xxh3_64(name.as_bytes()) ^ self.router.incarnation,
         ))
--- a/crates/anvilreel/src/router/pool_queue.rs
+++ b/crates/anvilreel/src/router/pool_queue.rs
@@ -17,6 +17,11 @@
 
 /// Interval between two health evaluations of all endpoints.
 const HEALTH_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Retry-After when no endpoint serves the request at present.
+const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// How long requests wait in a pool without endpoints. An endpoint that restarts, or whose heartbeats
+/// were late, is back sooner.
+const EMPTY_POOL_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Outcome of waiting in the queue.
 type AdmissionResult = Result<(), Refusal>;
@@ -24,6 +29,10 @@
 struct QueueState {
     gate: AdmissionGate,
     waiters: BTreeMap<WaiterId, oneshot::Sender<AdmissionResult>>,
+    /// Since when the pool has had no endpoints.
+    empty_since: Option<Now>,
+    /// Whether no request may wait here any more, because the queue is no longer ticked.
+    closed: bool,
     estimate: Estimate,
     health: Health,
     /// When the endpoints' health was last evaluated.
@@ -32,10 +41,33 @@
     rng: ChaCha8Rng,
 }
 
+/// Place of a request that was not refused.
+enum Place {
+    Admitted,
+    Waiting(WaiterId, oneshot::Receiver<AdmissionResult>),
+}
+
+impl QueueState {
+    fn wait(&mut self, id: WaiterId) -> Place {
+        let (tx, rx) = oneshot::channel();
+        self.waiters.insert(id, tx);
+        Place::Waiting(id, rx)
+    }
+
+    fn refuse_all(&mut self, refusal: &Refusal) {
+        for (id, tx) in std::mem::take(&mut self.waiters) {
+            self.gate.cancel(id);
+            // Sending fails only if the caller has disconnected.
+            let _ = tx.send(Err(refusal.clone()));
+        }
+    }
+}
+
 /// A pool of endpoints with its queue: the endpoints of one model, or of one plain service.
 pub struct PoolQueue {
     /// The endpoints known to this router.
     pub pool: ArcSwap<Pool>,
+    service: ServiceId,
     chooser: Chooser,
     queue: Mutex<QueueState>,
 }
@@ -81,10 +113,12 @@
 
 impl PoolQueue {
     /// A queue without endpoints.
-    pub fn new(chooser: Chooser, seed: u64) -> Self {
+    pub fn new(service: ServiceId, chooser: Chooser, seed: u64) -> Self {
         let queue = QueueState {
             gate: AdmissionGate::new(AdmissionRule::default()),
             waiters: BTreeMap::new(),
+            empty_since: None,
+            closed: false,
             estimate: Estimate::default(),
             health: Health::new(HealthRule::default()),
             health_checked_at: None,
@@ -93,6 +127,7 @@
         };
         Self {
             pool: ArcSwap::default(),
+            service,
             chooser,
             queue: Mutex::new(queue),
         }
@@ -100,13 +135,24 @@
 
     /// Replaces the set of endpoints.
     pub fn set_pool(&self, now: Now, pool: Pool) {
+        let is_empty = pool.endpoints().is_empty();
         self.pool.store(Arc::new(pool));
-        self.queue().health_checked_at = None;
+        let mut queue = self.queue();
+        queue.health_checked_at = None;
+        queue.empty_since = is_empty.then(|| queue.empty_since.unwrap_or(now));
+        drop(queue);
         self.tick(now);
     }
 
+    /// Closes the queue if no request waits in it; returns whether it is closed.
+    pub fn close_if_idle(&self) -> bool {
+        let mut queue = self.queue();
+        queue.closed |= queue.waiters.is_empty();
+        queue.closed
+    }
+
     /// Admits waiting requests for which there is room, and refuses those whose waiting time is
-    /// over. Must be called regularly.
+    /// over, and all of them when the pool stays without endpoints. Must be called regularly.
     pub fn tick(&self, now: Now) {
         let mut queue = self.queue();
         if queue
@@ -123,6 +169,10 @@
                 let _ = tx.send(Err(refusal));
             }
         }
+        let empty_since = queue.empty_since;
+        if empty_since.is_some_and(|since| now >= since + EMPTY_POOL_TIMEOUT) {
+            queue.refuse_all(&self.no_endpoint());
+        }
     }
 
     /// Applies a load report of an endpoint and admits waiting requests for which there is now
@@ -148,14 +198,12 @@
     ) -> Result<EndpointPermit, Refusal> {
         let ticket = self.ticket(lifecycle.now(), job, weight);
         if !self.pool.load().accepts_work() {
-            return Err(no_endpoint(job));
+            return Err(self.no_endpoint());
         }
-        let mut decision = self.queue().gate.offer(lifecycle.now(), ticket.clone());
+        let mut place = self.offer(lifecycle.now(), &ticket)?;
         loop {
-            match decision {
-                AdmissionDecision::Run => {}
-                AdmissionDecision::Refuse(refusal) => return Err(refusal),
-                AdmissionDecision::Wait(id) => self.wait(id).await?,
+            if let Place::Waiting(id, rx) = place {
+                self.wait(id, rx).await?;
             }
             let choice = self.choose(lifecycle.now(), job, avoid);
             match choice {
@@ -170,13 +218,25 @@
                 }
                 Choice::Unserved => {
                     self.queue().gate.finished();
-                    return Err(no_endpoint(job));
+                    return Err(self.no_endpoint());
                 }
-                Choice::Full => decision = self.requeue(lifecycle.now(), &ticket, job),
+                Choice::Full => place = self.requeue(lifecycle.now(), &ticket, job)?,
             }
         }
     }
 
+    fn offer(&self, now: Now, ticket: &Ticket) -> Result<Place, Refusal> {
+        let mut queue = self.queue();
+        if queue.closed {
+            return Err(self.no_endpoint());
+        }
+        match queue.gate.offer(now, ticket.clone()) {
+            AdmissionDecision::Run => Ok(Place::Admitted),
+            AdmissionDecision::Refuse(refusal) => Err(refusal),
+            AdmissionDecision::Wait(id) => Ok(queue.wait(id)),
+        }
+    }
+
     fn ticket(&self, now: Now, job: &Job, weight: u32) -> Ticket {
         let (prompt, output) = job.expected();
         Ticket {
@@ -208,19 +268,27 @@
         choice
     }
 
-    fn requeue(&self, now: Now, ticket: &Ticket, job: &Job) -> AdmissionDecision {
+    fn requeue(&self, now: Now, ticket: &Ticket, job: &Job) -> Result<Place, Refusal> {
+        let mut queue = self.queue();
+        if queue.closed {
+            queue.gate.finished();
+            return Err(self.no_endpoint());
+        }
         let waiter = Waiter {
             id: 0,
             ticket: ticket.clone(),
             arrived: now,
             start_by: now + job.queue_timeout.min(job.time_left()),
         };
-        AdmissionDecision::Wait(self.queue().gate.requeue(now, &waiter))
+        let id = queue.gate.requeue(now, &waiter);
+        Ok(queue.wait(id))
     }
 
-    async fn wait(self: &Arc<Self>, id: WaiterId) -> AdmissionResult {
-        let (tx, rx) = oneshot::channel();
-        self.queue().waiters.insert(id, tx);
+    async fn wait(
+        self: &Arc<Self>,
+        id: WaiterId,
+        rx: oneshot::Receiver<AdmissionResult>,
+    ) -> AdmissionResult {
         let mut guard = CancelOnDrop {
             pool_queue: self,
             id,
@@ -245,6 +313,11 @@
         }
     }
 
+    fn no_endpoint(&self) -> Refusal {
+        let reason = Reason::NoEndpoint(self.service.clone());
+        Refusal::new(reason).with_retry_after(NO_ENDPOINT_RETRY_AFTER)
+    }
+
     fn queue(&self) -> MutexGuard<'_, QueueState> {
         // Each update leaves the queue consistent, so a poisoned lock can be used.
         self.queue.lock().unwrap_or_else(PoisonError::into_inner)
@@ -274,14 +347,6 @@
     }
 }
 
-/// Retry-After when no endpoint serves the request at present.
-const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_secs(1);
-
-fn no_endpoint(job: &Job) -> Refusal {
-    let reason = Reason::NoEndpoint(job.service.clone());
-    Refusal::new(reason).with_retry_after(NO_ENDPOINT_RETRY_AFTER)
-}
-
 /// Latencies of a finished request. The estimated prefill time is subtracted, so that a long prompt
 /// does not count against the endpoint.
 fn measured_latency(finished: &FinishedRequest, estimate: &Estimate) -> Latency {
--- a/crates/anvilreel/tests/path_fleet.rs
+++ b/crates/anvilreel/tests/path_fleet.rs
@@ -20,3 +20,5 @@
 mod rolling;
 #[path = "path_fleet/stops.rs"]
 mod stops;
+#[path = "path_fleet/waiting.rs"]
+mod waiting;
