A request that gets a new endpoint finds it in the view

Cause: a new view put its endpoints into the pools before requests could see it. A waiting request that was admitted in between looked up its endpoint in the previous view, did not find it, and was refused as if no endpoint were there; a stream that was to be continued there ended. The same happened to a request whose endpoint was removed just after it was chosen.

Change: the view is published before the pools are updated, and an endpoint that has gone since it was chosen is left for another one.

--- a/crates/anvilreel/src/router.rs
+++ b/crates/anvilreel/src/router.rs
@@ -264,7 +264,7 @@
             let _ = tx.finish(&reply).await;
         }
     });
-    let view_core = core.clone();
+    let (view_core, pools_core) = (core.clone(), core.clone());
     let follower = Arc::new(Follower {
         view_state: core.view_state.clone(),
         ledger: core.ledger.clone(),
@@ -272,6 +272,8 @@
         log: core.log.clone(),
         metrics: core.metrics.clone(),
         on_change: Box::new(move |ledger_view, view| view_core.apply_view(ledger_view, view)),
+        // Waiting requests look up the endpoint that they get in the view.
+        on_published: Box::new(move |view| pools_core.pools.update(view)),
     });
     let (heartbeat_sender, tick_core, money_core) = (follower.clone(), core.clone(), core.clone());
     let lifecycle = core.lifecycle.clone();
@@ -373,7 +375,6 @@
         holder_history.record_members(self.lifecycle.now(), view.routers.values());
         drop(holder_history);
         self.grant_account.set_horizon(view.fleet.grant_horizon);
-        self.pools.update(view);
     }
 
     async fn tick(&self) {
--- a/crates/anvilreel/src/router/follow.rs
+++ b/crates/anvilreel/src/router/follow.rs
@@ -73,6 +73,8 @@
 
 /// Callback with the replicated settings and the view built from them.
 pub type OnViewChange = Box<dyn Fn(&LedgerView, &View) + Send + Sync>;
+/// Callback with a view that requests use already.
+pub type OnViewPublished = Box<dyn Fn(&View) + Send + Sync>;
 
 /// Dependencies of the loops that follow the ledger and send heartbeats.
 pub struct Follower {
@@ -88,6 +90,8 @@
     pub metrics: Metrics,
     /// Called before a new view is published.
     pub on_change: OnViewChange,
+    /// Called after a new view was published.
+    pub on_published: OnViewPublished,
 }
 
 impl Follower {
@@ -155,7 +159,9 @@
         let version = view.version;
         self.metrics.gauge(SETTINGS_VERSION, view.version);
         event!(self.log, events::ROUTER_SETTINGS_IN_FORCE, "version" => view.version);
-        self.view_state.view.store(Arc::new(view));
+        let view = Arc::new(view);
+        self.view_state.view.store(view.clone());
+        (self.on_published)(&view);
         self.view_state.changes.send_replace(version);
         if first {
             event!(self.log, events::ROUTER_READY);
--- a/crates/anvilreel/src/router/request_task.rs
+++ b/crates/anvilreel/src/router/request_task.rs
@@ -390,16 +390,19 @@
     let weight = view.organisations.get(&job.organisation);
     let weight = weight.map_or(1, |organisation| organisation.weight);
     drop(view);
-    let permit = pool_queue
-        .acquire(&core.lifecycle, job, weight, avoid)
-        .await?;
-    let view = core.view_state.view.load();
-    let sidecar = view
-        .sidecars
-        .get(&permit.endpoint.id)
-        .ok_or_else(no_endpoint)?;
-    let target = Target::new(sidecar.id.clone(), sidecar.incarnation);
-    Ok((permit, target))
+    let mut avoid = avoid.to_vec();
+    loop {
+        let permit = pool_queue
+            .acquire(&core.lifecycle, job, weight, &avoid)
+            .await?;
+        let view = core.view_state.view.load();
+        if let Some(sidecar) = view.sidecars.get(&permit.endpoint.id) {
+            let target = Target::new(sidecar.id.clone(), sidecar.incarnation);
+            return Ok((permit, target));
+        }
+        // It is gone since it was chosen.
+        avoid.push(permit.endpoint.id.clone());
+    }
 }
 
 async fn next_grant_change(grants_changed: &mut Option<Pin<Box<Notified<'_>>>>) {
