--- a/crates/anvilreel/src/router.rs
+++ b/crates/anvilreel/src/router.rs
@@ -14,6 +14,7 @@
 mod chat_call;
 mod chat_encoder;
 mod claim_holders;
+mod connection;
 mod endpoint_pools;
 mod errors;
 mod follow;
@@ -130,7 +131,12 @@
         let core = Arc::new(Core::new(settings, wire_addr, log, metrics));
         event!(core.log, events::ROUTER_LISTENING, "addr" => addr.to_string());
         let close = Arc::new(Notify::new());
-        let serving = accept::serve(listener, routes::routes(&core), close.clone());
+        let serving = accept::serve(
+            listener,
+            routes::routes(&core),
+            core.lifecycle.clone(),
+            close.clone(),
+        );
         let serving = tokio::spawn(serving);
         let tasks = spawn_tasks(&core, server);
         Ok(Self {
@@ -216,11 +222,15 @@
     pub fn retire(self) {
         let Self {
             core,
+            close,
             serving,
             mut tasks,
             ..
         } = self;
         core.lifecycle.begin_drain();
+        // Callers reach the new incarnation at the same address, so nothing needs to be announced
+        // before.
+        close.notify_one();
         // The first task is the wire server; the new incarnation needs its address.
         tasks.remove(0).abort();
         tokio::spawn(async move {
@@ -254,7 +264,7 @@
             let _ = tx.finish(&reply).await;
         }
     });
-    let view_core = core.clone();
+    let (view_core, pools_core) = (core.clone(), core.clone());
     let follower = Arc::new(Follower {
         view_state: core.view_state.clone(),
         ledger: core.ledger.clone(),
@@ -262,6 +272,8 @@
         log: core.log.clone(),
         metrics: core.metrics.clone(),
         on_change: Box::new(move |ledger_view, view| view_core.apply_view(ledger_view, view)),
+        // Waiting requests look up the endpoint that they get in the view.
+        on_published: Box::new(move |view| pools_core.pools.update(view)),
     });
     let (heartbeat_sender, tick_core, money_core) = (follower.clone(), core.clone(), core.clone());
     let lifecycle = core.lifecycle.clone();
@@ -363,7 +375,6 @@
         holder_history.record_members(self.lifecycle.now(), view.routers.values());
         drop(holder_history);
         self.grant_account.set_horizon(view.fleet.grant_horizon);
-        self.pools.update(view);
     }
 
     async fn tick(&self) {
