A stopping gateway begins only what it can complete, and serves to its end

Cause: a gateway that was told to stop began every request that it accepted for 2.6 s, and closed all connections at the end of the grace period less 0.35 s. Streams that need longer were cut in the middle, although another gateway could have served them. After the 2.6 s its listener was closed while the process ran on for seconds, so clients that a load balancer still sent there were refused connections. A connection accepted just before that was closed without an answer, because hyper's graceful shutdown closes connections on which nothing was read.

Change: anvil_policy::planned_stop decides whether a request begins: if its deadline lies before the end, or if its response is expected to be complete by then. The expectation is the longest response time of the route in the last 30 to 60 s, times 1.5, or times 3 while fewer than eight are known. Others are refused with `leaving` (503, not run): at admission once the body is read, while they wait in the queue as soon as the time is too short, and just before they are sent. The lifecycle knows when the stop began, and Gateway::time_to_close is the only place that knows its end. The gateway accepts connections until none is left, at least for 2.6 s; connections without a request are closed after one second from then on.

--- a/crates/anvil_gateway/src/accept/client_socket.rs
+++ b/crates/anvil_gateway/src/accept/client_socket.rs
@@ -40,6 +40,8 @@
     /// Whether the first request had arrived before the connection was accepted and has not been
     /// read.
     first_is_waiting: AtomicBool,
+    /// Whether the head of a request has been read.
+    has_begun_request: AtomicBool,
     /// Whether the last write had to wait, because the socket's buffer is full.
     reads_slowly: Arc<AtomicBool>,
 }
@@ -65,6 +67,7 @@
             socket: Arc::downgrade(&socket),
             accepted_at: Instant::now(),
             first_is_waiting: AtomicBool::new(first_is_waiting),
+            has_begun_request: AtomicBool::new(false),
             reads_slowly: reads_slowly.clone(),
         };
         let socket = Self {
@@ -94,6 +97,18 @@
         socket.is_none_or(|socket| peek(&lock(&socket)) == SocketState::Closed)
     }
 
+    /// Whether a request may be on its way that has not been read: the first one of the connection,
+    /// or one that has arrived.
+    pub fn expects_request(&self) -> bool {
+        let has_data = |socket: &Mutex<_>| peek(&lock(socket)) == SocketState::HasData;
+        let is_first = !self.has_begun_request.load(Ordering::Relaxed);
+        is_first
+            || self
+                .socket
+                .upgrade()
+                .is_some_and(|socket| has_data(&socket))
+    }
+
     /// Whether the client reads more slowly than it is written to.
     pub fn reads_slowly(&self) -> bool {
         self.reads_slowly.load(Ordering::Relaxed)
@@ -110,6 +125,7 @@
     /// Start of the time limit of a request whose head has just been read: the accept, if it is the
     /// first request and had arrived by then.
     pub fn request_started_at(&self) -> Instant {
+        self.has_begun_request.store(true, Ordering::Relaxed);
         if self.first_is_waiting.swap(false, Ordering::Relaxed) {
             self.accepted_at
         } else {
--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -148,6 +148,12 @@
     let body = read_body(body, table.limits.body_bytes, deadline).await?;
     trace.stages.enter(Stage::Other);
     drop(expected);
+    // Not before the body is read: closing a connection with unread data resets it, and the refusal
+    // could be lost.
+    if gw.stop_would_cut(&route, deadline) {
+        trace.step(format_args!("the planned stop leaves too little time"));
+        return Err((Cause::Leaving, RETRY_ELSEWHERE_AFTER));
+    }
     let payer = organisation.as_deref();
     let request_digest = request_digest::digest(payer, &route, &head.method, &head.uri, &body);
     let service = gw
--- a/crates/anvil_gateway/src/exchange/one_attempt.rs
+++ b/crates/anvil_gateway/src/exchange/one_attempt.rs
@@ -10,7 +10,7 @@
 use super::place::Place;
 use super::take_up::TAKE_UP_RETRY_AFTER;
 use super::{DEFAULT_RETRY_AFTER, Exchange, RequestRefusal, spread_return};
-use crate::attempt::{AttemptOutcome, OutgoingRequest, send};
+use crate::attempt::{AttemptOutcome, NotRun, OutgoingRequest, send};
 use crate::choose::{PlacementTerms, Selection, Unplaced};
 use crate::dialect::ForwardedHead;
 use crate::metrics;
@@ -42,6 +42,9 @@
         let place = self.take_place().await;
         self.trace.stages.enter(Stage::Other);
         let Place { selection, link } = place?;
+        if !self.in_doubt && self.gw.stop_would_cut(&self.route, self.deadline) {
+            return Ok(AttemptOutcome::NotRun(NotRun::Withheld(Cause::Leaving)));
+        }
         let endpoint = selection.slot.endpoint.clone();
         self.record_origin(&endpoint.version);
         let forwarded = ForwardedHead {
--- a/crates/anvil_gateway/src/exchange/place.rs
+++ b/crates/anvil_gateway/src/exchange/place.rs
@@ -14,6 +14,7 @@
 use crate::metrics;
 use crate::reply::Cause;
 use crate::send::link_budget::LinkReservation;
+use crate::send::pacing::retry_elsewhere_after;
 use crate::wait::{ServiceQueue, TakenUpWait, WaitRequest, WaitingPlace};
 
 /// Why a stream that its client takes up was not placed in front of the queue.
@@ -139,7 +140,14 @@
         mut place: WaitingPlace,
     ) -> Result<Place, RequestRefusal> {
         loop {
-            if let Err(retry_after) = place.woken().await {
+            let woken = tokio::select! {
+                woken = place.woken() => woken,
+                () = self.gw.until_stop_would_cut(&self.route, self.deadline) => {
+                    self.trace.step(format_args!("the planned stop leaves too little time"));
+                    return Err((Cause::Leaving, retry_elsewhere_after()));
+                }
+            };
+            if let Err(retry_after) = woken {
                 self.gw.metrics.count(metrics::QUEUE_EXPIRED);
                 return Err(self.refuse_in_queue(queue, Unplaced::Busy, retry_after));
             }
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use anvil_policy::crash::CrashWatch;
+use anvil_policy::planned_stop::ResponseTimes;
 use anvil_policy::rate_share::{BurstTolerance, RouterRank};
 use anvil_policy::read_ahead::ReadAhead;
 use anvil_policy::retry::{RetryBudget, RetryRule, RetrySafety};
@@ -155,6 +156,8 @@
     pub(crate) read_ahead: Mutex<ReadAhead>,
     /// Requests in progress.
     pub open_requests: AtomicU32,
+    /// How long responses recently took.
+    pub(crate) response_times: Mutex<ResponseTimes>,
     /// Whether the grace period of a planned stop is over, so that connections are closed.
     pub is_grace_over: AtomicBool,
     /// End of the time in which this gateway reports that it can't obtain grants, in milliseconds
@@ -235,6 +238,7 @@
             intake: Arc::default(),
             read_ahead: Mutex::new(ReadAhead::new(cfg.limits.memory)),
             open_requests: AtomicU32::new(0),
+            response_times: Mutex::default(),
             is_grace_over: AtomicBool::new(false),
             starved_until_ms: AtomicU64::new(0),
             retry_budgets: Mutex::default(),
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -12,7 +12,8 @@
 //! request to it, [`attempt_counter`] counts attempts, [`availability`] waits for a routing table
 //! or endpoints that are expected shortly, [`wait`] holds requests while no endpoint has room,
 //! [`stream_relay`] forwards a stream and resumes it at another endpoint, [`accept::client_socket`]
-//! shows whether its client reads fast enough, [`reply`] builds refusals.
+//! shows whether its client reads fast enough, [`reply`] builds refusals. [`planned_stop`] keeps a
+//! gateway that is stopping from beginning what it would have to cut off.
 //!
 //! Quarantine of requests that crash endpoints, and of what such requests have in common:
 //! [`crashes`] detects which endpoint crashed, [`suspects`] reports the contents to the ledger and
@@ -59,6 +60,7 @@
 pub mod log_events;
 pub mod metrics;
 pub mod pauses;
+pub mod planned_stop;
 pub mod pool;
 pub mod regions;
 pub mod reply;
--- /dev/null
+++ b/crates/anvil_gateway/src/planned_stop.rs
@@ -0,0 +1,55 @@
+//! Which requests a gateway still begins during its planned stop, and when it closes all
+//! connections. [`anvil_policy::planned_stop`] decides.
+
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use anvil_policy::planned_stop::begins_in_time;
+use anvil_world::prelude::*;
+use tokio::time::{Instant, sleep};
+
+use crate::gateway::Gateway;
+use crate::table::Route;
+
+/// All connections are closed this long before the end of the grace period.
+const STOP_MARGIN: Duration = Duration::from_millis(350);
+/// How often a waiting request checks whether it can still be complete.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+impl Gateway {
+    /// Time until the planned stop closes all connections; `None` if it has not begun.
+    pub(crate) fn time_to_close(&self) -> Option<Duration> {
+        let draining_since = self.lifecycle.draining_since()?;
+        let close_at = draining_since + self.cfg.grace_period.saturating_sub(STOP_MARGIN);
+        Some(close_at.saturating_sub(self.lifecycle.now()))
+    }
+
+    /// Records how long a complete response took.
+    pub(crate) fn record_response_time(&self, route: &RouteName, took: Duration) {
+        let now = self.lifecycle.now();
+        let times = self.response_times.lock();
+        // Sound after a panic elsewhere: each response time counts by itself.
+        let mut times = times.unwrap_or_else(PoisonError::into_inner);
+        times.record(now, route, took);
+    }
+
+    /// Whether the planned stop would cut a request off that begins now.
+    pub(crate) fn stop_would_cut(&self, route: &Route, deadline: Instant) -> bool {
+        let Some(time_to_close) = self.time_to_close() else {
+            return false;
+        };
+        let time_left = deadline.saturating_duration_since(Instant::now());
+        let times = self.response_times.lock();
+        let mut times = times.unwrap_or_else(PoisonError::into_inner);
+        let expected = times.expected(self.lifecycle.now(), &route.name);
+        !begins_in_time(expected, time_left, time_to_close)
+    }
+
+    /// Returns once the planned stop would cut a request off that begins then.
+    pub(crate) async fn until_stop_would_cut(&self, route: &Route, deadline: Instant) {
+        self.lifecycle.drain_begun().await;
+        while !self.stop_would_cut(route, deadline) {
+            sleep(CHECK_INTERVAL).await;
+        }
+    }
+}
--- a/crates/anvil_gateway/src/serve.rs
+++ b/crates/anvil_gateway/src/serve.rs
@@ -15,7 +15,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{sleep, timeout};
 
 use crate::accept::client_listener::{ClientListener, ListenerContext};
 use crate::accept::client_socket::{ClientConnection, ClientSocket};
@@ -27,11 +27,11 @@
 
 /// Idle timeout of a client's connection until a routing table sets one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-/// For how long a stopping process keeps accepting connections and requests: the load balancer
-/// checks once per second and acts on the second failed check.
-const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2_600);
-/// All connections are closed this long before the end of the grace period.
-const STOP_MARGIN: Duration = Duration::from_millis(350);
+/// Time in which load balancers notice that a process is stopping: they check once per second and
+/// act on the second failed check. Until then the process does not end, even if it is idle.
+const NOTICE_TIME: Duration = Duration::from_millis(2_600);
+/// Time after that in which a client sends the request for which it has connected.
+const LAST_REQUEST_TIME: Duration = Duration::from_secs(1);
 /// Pause after an accept failed for lack of file descriptors or memory.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 
@@ -41,45 +41,91 @@
 }
 
 /// Serves clients until a planned stop is complete.
-pub async fn serve_clients(gw: Arc<Gateway>, mut listener: ClientListener) {
-    let (stop_tx, stop_rx) = watch::channel(false);
-    let mut connections = JoinSet::new();
-    let stopping = async {
-        gw.lifecycle.drain_begun().await;
-        let stopped_at = Instant::now();
-        sleep_until(stopped_at + ACCEPT_AFTER_STOP).await;
-        stopped_at
-    };
-    tokio::pin!(stopping);
-    let stopped_at = loop {
-        tokio::select! {
-            stopped_at = &mut stopping => break stopped_at,
-            Some(_) = connections.join_next() => {}
-            accepted = listener.accept() => match accepted {
-                Ok(socket) => {
-                    // Without TCP_NODELAY small chunks wait for an acknowledgement. If setting it
-                    // fails, they are only slower.
-                    let _ = socket.set_nodelay(true);
-                    let (socket, client) = ClientSocket::new(socket, &gw.sockets);
-                    let served = serve_client(gw.clone(), socket, client, stop_rx.clone());
-                    connections.spawn(served);
-                }
-                Err(e) => {
-                    event!(gw.log, events::GATEWAY_CLIENT_CONNECTION, "error" => e.to_string());
-                    tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
-                }
-            },
-        }
+pub async fn serve_clients(gw: Arc<Gateway>, listener: ClientListener) {
+    let mut server = ClientServer {
+        gw,
+        listener,
+        connections: JoinSet::new(),
+        stop_tx: watch::Sender::new(false),
     };
+    server.serve_until_noticed().await;
+    let time_to_close = server.gw.time_to_close().unwrap_or_default();
+    // Connections that are left at the end are closed.
+    let _ = timeout(time_to_close, server.serve_until_idle()).await;
+    let ClientServer {
+        gw,
+        listener,
+        mut connections,
+        ..
+    } = server;
     drop(listener);
-    // Fails only if no connection is left.
-    let _ = stop_tx.send(true);
-    let end = stopped_at + gw.cfg.grace_period.saturating_sub(STOP_MARGIN);
-    while let Ok(Some(_)) = timeout_at(end, connections.join_next()).await {}
     gw.is_grace_over.store(true, Ordering::Relaxed);
     connections.shutdown().await;
 }
 
+/// The clients' connections.
+struct ClientServer {
+    gw: Arc<Gateway>,
+    listener: ClientListener,
+    connections: JoinSet<()>,
+    /// Whether connections end that have no request.
+    stop_tx: watch::Sender<bool>,
+}
+
+impl ClientServer {
+    /// Serves clients until load balancers have noticed that the process is stopping.
+    async fn serve_until_noticed(&mut self) {
+        let gw = self.gw.clone();
+        let noticed = async {
+            gw.lifecycle.drain_begun().await;
+            sleep(NOTICE_TIME.min(gw.time_to_close().unwrap_or_default())).await;
+        };
+        tokio::pin!(noticed);
+        loop {
+            tokio::select! {
+                () = &mut noticed => return,
+                Some(_) = self.connections.join_next() => {}
+                accepted = self.listener.accept() => self.serve_accepted(accepted).await,
+            }
+        }
+    }
+
+    /// Ends connections without a request, and serves clients until none is connected.
+    ///
+    /// Failure: where most routers of a zone stop together, load balancers go on sending
+    /// connections to all of them, and a closed listener would refuse them.
+    async fn serve_until_idle(&mut self) {
+        self.stop_tx.send_replace(true);
+        loop {
+            tokio::select! {
+                biased;
+                accepted = self.listener.accept() => self.serve_accepted(accepted).await,
+                ended = self.connections.join_next() => if ended.is_none() {
+                    return;
+                }
+            }
+        }
+    }
+
+    async fn serve_accepted(&mut self, accepted: io::Result<TcpStream>) {
+        match accepted {
+            Ok(socket) => {
+                // Without TCP_NODELAY small chunks wait for an acknowledgement. If setting it
+                // fails, they are only slower.
+                let _ = socket.set_nodelay(true);
+                let (socket, client) = ClientSocket::new(socket, &self.gw.sockets);
+                let stop_rx = self.stop_tx.subscribe();
+                let served = serve_client(self.gw.clone(), socket, client, stop_rx);
+                self.connections.spawn(served);
+            }
+            Err(e) => {
+                event!(self.gw.log, events::GATEWAY_CLIENT_CONNECTION, "error" => e.to_string());
+                sleep(ACCEPT_RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
 fn listener_context(gw: &Arc<Gateway>) -> ListenerContext {
     let close_gw = gw.clone();
     ListenerContext {
@@ -114,14 +160,21 @@
             Ok::<Reply, Infallible>(reply)
         }
     });
+    let is_late = *stop_rx.borrow();
+    let head_timeout = if is_late {
+        LAST_REQUEST_TIME
+    } else {
+        idle_timeout
+    };
     let connection = Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(idle_timeout)
+        .header_read_timeout(head_timeout)
+        .keep_alive(!is_late)
         .serve_connection(TokioIo::new(socket), service);
     tokio::pin!(connection);
     let served = tokio::select! {
         served = &mut connection => served,
-        () = wait_for_stop(&mut stop_rx) => {
+        () = wait_for_stop(&mut stop_rx, &client), if !is_late => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -131,9 +184,16 @@
     }
 }
 
-async fn wait_for_stop(stop_rx: &mut watch::Receiver<bool>) {
+/// Returns when the connection is to end after the request in progress, if there is one.
+///
+/// Failure: a client connects just before, and its request arrives just after. Its connection would
+/// be closed, without telling it whether the request has run.
+async fn wait_for_stop(stop_rx: &mut watch::Receiver<bool>, client: &ClientConnection) {
     // An error means that the accept loop has ended, which happens after the stop.
     let _ = stop_rx.wait_for(|stop| *stop).await;
+    if client.expects_request() {
+        sleep(LAST_REQUEST_TIME).await;
+    }
 }
 
 /// Answers readiness checks on any path for as long as the process runs.
@@ -148,7 +208,7 @@
                 Ok((socket, _)) => connections.push(answer_readiness_check(socket, is_ready)),
                 Err(e) => {
                     event!(log, events::GATEWAY_CLIENT_CONNECTION, "error" => e.to_string());
-                    tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
+                    sleep(ACCEPT_RETRY_PAUSE).await;
                 }
             },
         }
--- a/crates/anvil_gateway/src/trace.rs
+++ b/crates/anvil_gateway/src/trace.rs
@@ -190,6 +190,9 @@
             };
         }
         if outcome == "completed" {
+            if let Some(route) = &self.route {
+                self.gw.record_response_time(route, took);
+            }
             request_event!(events::GATEWAY_REQUEST_COMPLETED);
         } else {
             let lost = self.lost_contents.as_ref();
--- a/crates/anvil_gateway/tests/direct/leaving.rs
+++ b/crates/anvil_gateway/tests/direct/leaving.rs
@@ -1,12 +1,32 @@
 //! Planned changes: endpoints that leave, and a stop of the gateway itself.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::{Instant, sleep};
+use anvil_gateway::GatewaySettings;
+use anvilreel::metrics::Metrics;
+use slog::{Discard, Logger, o};
+use tokio::time::{Instant, sleep, timeout};
 
-use crate::client::Client;
-use crate::endpoint::{ReceivedRequest, Step, TestEndpoint, refusal_with, response, response_with};
-use crate::gateway::{TestGateway, listed};
+use crate::client::{Client, ClientResponse};
+use crate::endpoint::{
+    ReceivedRequest, Step, TestEndpoint, chunk, event, refusal_with, response, response_with,
+    stream_end, stream_head,
+};
+use crate::gateway::{TestGateway, listed, routes, settings, table};
+
+/// Time in which a load balancer notices that a gateway is stopping.
+const NOTICE_TIME: Duration = Duration::from_millis(2_600);
+/// All connections are closed this long before the end of the grace period.
+const STOP_MARGIN: Duration = Duration::from_millis(350);
+/// An answer that waits for nothing comes within this time.
+const AT_ONCE: Duration = Duration::from_millis(500);
+/// Longer than the requests of a test take.
+const LONG_GRACE: Duration = Duration::from_secs(20);
+/// Deadline of a request after the end of any stop.
+const LONG_WAIT: &str = "x-wait: 60000\r\n";
+/// A prompt, so that the request takes a slot at an endpoint.
+const PROMPT: &str = "x-tokens: 10,1\r\n";
 
 /// Guards against requests to a leaving endpoint: it is listed as leaving, then no longer, and
 /// then, by a list that lags, as ready again. It receives nothing once it was listed as leaving.
@@ -160,3 +180,306 @@
     let response = client.read_response().await;
     assert!(!response.complete, "{response:?}");
 }
+
+/// A gateway with this grace period and routes whose requests may last longer.
+async fn start_with_grace(grace_period: Duration, endpoint: &TestEndpoint) -> TestGateway {
+    let cfg = GatewaySettings {
+        grace_period,
+        ..settings()
+    };
+    let log = Logger::root(Discard, o!());
+    let metrics = Metrics::disabled("gateway");
+    let gateway = TestGateway::start_configured(cfg, &[("a", endpoint)], log, metrics).await;
+    let mut routes = routes();
+    for route in &mut routes {
+        route.timeout = Duration::from_mins(1);
+        route.target_latency = Duration::from_secs(10);
+    }
+    gateway.gw.table.store(Some(Arc::new(table(1, routes))));
+    gateway
+}
+
+/// An endpoint whose streams take as long as the request's `x-take-ms` says, and whose other
+/// responses are delayed by that time.
+async fn taking_as_told() -> TestEndpoint {
+    TestEndpoint::start(|_, req| {
+        let time = req.header("x-take-ms").and_then(|ms| ms.parse().ok());
+        let pause = Step::Pause(Duration::from_millis(time.unwrap_or(0)));
+        if !req.head.contains("/stream/") {
+            return vec![pause, Step::Send(response(req, "ran"))];
+        }
+        vec![
+            Step::Send(stream_head(req)),
+            Step::Send(chunk(&event(1))),
+            pause,
+            Step::Send(chunk(&event(2))),
+            Step::Send(stream_end()),
+        ]
+    })
+    .await
+}
+
+/// The header that has [`taking_as_told`] take this long.
+fn take(time: Duration) -> String {
+    format!("x-take-ms: {}\r\n", time.as_millis())
+}
+
+/// Sends a request that may last longer than the planned stop, on a connection of its own.
+async fn request_without_hurry(
+    gateway: &TestGateway,
+    path: &str,
+    time: Duration,
+) -> ClientResponse {
+    let mut client = Client::connect(gateway.addr).await;
+    let headers = format!("{LONG_WAIT}{}", take(time));
+    client.request(path, "id", &headers).await
+}
+
+/// Sends a request that keeps the gateway from ending for this time.
+async fn keep_busy(gateway: &TestGateway, endpoint: &TestEndpoint, time: Duration) -> Client {
+    let received = endpoint.received().len();
+    let mut client = Client::connect(gateway.addr).await;
+    let headers = format!("content-length: 0\r\n{PROMPT}{LONG_WAIT}{}", take(time));
+    client.send("/idempotent/x", "busy", &headers).await;
+    until(|| endpoint.received().len() > received).await;
+    client
+}
+
+async fn until(reached: impl Fn() -> bool) {
+    let started_at = Instant::now();
+    while !reached() {
+        assert!(started_at.elapsed() < Duration::from_secs(5));
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+fn assert_refused_as_leaving(refused: &ClientResponse) {
+    assert_eq!(refused.status, 503, "{refused:?}");
+    assert!(refused.body.contains("leaving"), "{refused:?}");
+    assert!(refused.head.contains("connection: close"), "{refused:?}");
+    let retry_after = refused.retry_after().expect("a retry-after time");
+    assert!(retry_after <= Duration::from_millis(100), "{retry_after:?}");
+}
+
+/// Guards against streams that a stopping gateway begins and then cuts off: nothing shows that they
+/// can be complete before its end, and another gateway could serve them.
+#[tokio::test]
+async fn stopping_gateway_refuses_streams_that_it_would_cut() {
+    let grace_period = Duration::from_secs(4);
+    // No stream was complete before; one was, and another one like it would take too long.
+    for known in [None, Some(Duration::from_millis(1_500))] {
+        let endpoint = taking_as_told().await;
+        let gateway = start_with_grace(grace_period, &endpoint).await;
+        if let Some(time) = known {
+            assert!(
+                request_without_hurry(&gateway, "/stream/x", time)
+                    .await
+                    .complete
+            );
+        }
+        let received = endpoint.received().len();
+        gateway.gw.lifecycle.begin_drain();
+        let stopped_at = Instant::now();
+        let mut client = Client::connect(gateway.addr).await;
+        let body = "b".repeat(9_000);
+        let head = format!(
+            "POST /stream/x HTTP/1.1\r\nhost: shop\r\nx-id: id\r\n{LONG_WAIT}{}content-length: {}\r\n\r\n",
+            take(grace_period),
+            body.len()
+        );
+        client.send_bytes(head.as_bytes()).await;
+        client.send_bytes(body.as_bytes()).await;
+        assert_refused_as_leaving(&client.read_response().await);
+        assert!(stopped_at.elapsed() < AT_ONCE, "{:?}", stopped_at.elapsed());
+        assert_eq!(endpoint.received().len(), received);
+    }
+}
+
+/// Guards against a stopping gateway that turns streams away although they are complete long before
+/// its end.
+#[tokio::test]
+async fn stopping_gateway_serves_streams_that_are_short_enough() {
+    let endpoint = taking_as_told().await;
+    let gateway = start_with_grace(Duration::from_secs(4), &endpoint).await;
+    let time = Duration::from_millis(300);
+    assert!(
+        request_without_hurry(&gateway, "/stream/x", time)
+            .await
+            .complete
+    );
+    gateway.gw.lifecycle.begin_drain();
+    let response = request_without_hurry(&gateway, "/stream/x", time).await;
+    assert_eq!((response.status, response.complete), (200, true));
+}
+
+/// Guards against clients that are turned away while the gateway still runs and could serve them:
+/// a load balancer without enough ready gateways sends connections to all of them up to the end.
+#[tokio::test]
+async fn stopping_gateway_serves_short_requests_up_to_its_end() {
+    let endpoint = taking_as_told().await;
+    let gateway = start_with_grace(Duration::from_secs(6), &endpoint).await;
+    request_without_hurry(&gateway, "/once/x", Duration::ZERO).await;
+    let mut busy = keep_busy(&gateway, &endpoint, Duration::from_secs(5)).await;
+    gateway.gw.lifecycle.begin_drain();
+    let stopped_at = Instant::now();
+    let mut served = 0;
+    while stopped_at.elapsed() < Duration::from_secs(4) {
+        // Known to be short.
+        let response = request_without_hurry(&gateway, "/once/x", Duration::ZERO).await;
+        assert_eq!((response.status, &*response.body), (200, "ran"));
+        assert!(response.head.contains("connection: close"));
+        // Over in time whatever happens.
+        let mut client = Client::connect(gateway.addr).await;
+        sleep(Duration::from_millis(100)).await;
+        let response = client
+            .request("/idempotent/x", "id", "x-wait: 500\r\n")
+            .await;
+        assert_eq!((response.status, &*response.body), (200, "ran"));
+        // Not known, and perhaps too long.
+        let refused = request_without_hurry(&gateway, "/stream/x", LONG_GRACE).await;
+        assert_refused_as_leaving(&refused);
+        served += 1;
+        sleep(Duration::from_millis(100)).await;
+    }
+    assert!(served > 5, "{served} rounds");
+    assert_eq!(busy.read_response().await.status, 200);
+}
+
+/// Guards against a connection that is closed without an answer because its first request arrives
+/// just after the gateway has begun to close idle connections.
+#[tokio::test]
+async fn connection_accepted_before_idle_ones_are_closed_is_answered() {
+    let endpoint = taking_as_told().await;
+    let gateway = start_with_grace(Duration::from_secs(6), &endpoint).await;
+    gateway.gw.lifecycle.begin_drain();
+    sleep(NOTICE_TIME.saturating_sub(Duration::from_millis(150))).await;
+    let mut client = Client::connect(gateway.addr).await;
+    sleep(Duration::from_millis(300)).await;
+    let response = client.request("/once/x", "id", "x-wait: 500\r\n").await;
+    assert_eq!((response.status, &*response.body), (200, "ran"));
+}
+
+/// Guards against a stopping gateway that waits for connections on which nothing happens, and
+/// against one that accepts clients for good.
+#[tokio::test]
+async fn stopping_gateway_ends_once_nothing_is_left() {
+    let endpoint = taking_as_told().await;
+    let gateway = start_with_grace(LONG_GRACE, &endpoint).await;
+    let mut kept = Client::connect(gateway.addr).await;
+    assert_eq!(kept.request("/once/x", "id", "").await.status, 200);
+    let _early = Client::connect(gateway.addr).await;
+    let mut busy = keep_busy(&gateway, &endpoint, Duration::from_secs(3)).await;
+    gateway.gw.lifecycle.begin_drain();
+    sleep(NOTICE_TIME + Duration::from_millis(200)).await;
+    let idle = Client::connect(gateway.addr).await;
+    let mut partial = Client::connect(gateway.addr).await;
+    partial.send_bytes(b"POST /once/x HTTP/1.1\r\n").await;
+    assert_eq!(busy.read_response().await.status, 200);
+    assert!(!gateway.serving.is_finished());
+    let ended = timeout(Duration::from_millis(1_500), gateway.serving).await;
+    assert!(ended.is_ok(), "waits for idle connections");
+    drop((idle, partial));
+}
+
+/// Guards against a process that is killed because clients connect to it up to the end of its grace
+/// period.
+#[tokio::test]
+async fn stopping_gateway_ends_in_time_while_clients_connect() {
+    let endpoint = taking_as_told().await;
+    let grace_period = Duration::from_secs(4);
+    let gateway = start_with_grace(grace_period, &endpoint).await;
+    gateway.gw.lifecycle.begin_drain();
+    let stopped_at = Instant::now();
+    let mut connected = Vec::new();
+    while !gateway.serving.is_finished() && stopped_at.elapsed() < grace_period {
+        connected.extend(Client::try_connect(gateway.addr).await);
+        sleep(Duration::from_millis(50)).await;
+    }
+    let ended_after = stopped_at.elapsed();
+    assert!(gateway.serving.is_finished(), "still running");
+    let close_after = grace_period.saturating_sub(STOP_MARGIN);
+    assert!(ended_after + AT_ONCE > close_after, "{ended_after:?}");
+}
+
+/// Guards against a request that waits for an endpoint when the stop begins: it would start too
+/// late, be held up to its end, or be cut off.
+#[tokio::test]
+async fn waiting_request_that_would_be_cut_is_refused() {
+    let endpoint = taking_as_told().await;
+    let gateway = start_with_grace(Duration::from_secs(4), &endpoint).await;
+    let mut engine = listed("one-slot", endpoint.addr);
+    engine.slots = 1;
+    gateway.gw.directory.apply_list(&[engine]);
+    let mut busy = keep_busy(&gateway, &endpoint, Duration::from_secs(1)).await;
+    let mut waiting = Client::connect(gateway.addr).await;
+    let headers = format!(
+        "content-length: 0\r\n{PROMPT}{LONG_WAIT}{}",
+        take(LONG_GRACE)
+    );
+    waiting.send("/stream/x", "waiting", &headers).await;
+    until(|| gateway.gw.directory.count_waiting() > 0).await;
+    gateway.gw.lifecycle.begin_drain();
+    let stopped_at = Instant::now();
+    assert_refused_as_leaving(&waiting.read_response().await);
+    assert!(stopped_at.elapsed() < AT_ONCE, "{:?}", stopped_at.elapsed());
+    assert_eq!(busy.read_response().await.status, 200);
+    assert_eq!(endpoint.received().len(), 1);
+}
+
+/// Guards against a request that a stopping gateway sends after a wait elsewhere than in the queue,
+/// and then cuts off.
+#[tokio::test]
+async fn admitted_request_is_not_sent_if_it_would_be_cut() {
+    let endpoint = taking_as_told().await;
+    let gone = TestEndpoint::start(|_, _| vec![Step::Crash]).await;
+    gone.crash();
+    let gateway = start_with_grace(Duration::from_secs(4), &gone).await;
+    let mut client = Client::connect(gateway.addr).await;
+    let headers = format!("content-length: 0\r\n{LONG_WAIT}{}", take(LONG_GRACE));
+    client.send("/stream/x", "id", &headers).await;
+    sleep(Duration::from_millis(300)).await;
+    gateway.gw.lifecycle.begin_drain();
+    let list = [listed("b", endpoint.addr)];
+    gateway.gw.directory.apply_list(&list);
+    gateway.gw.state_changed.notify_waiters();
+    assert_refused_as_leaving(&client.read_response().await);
+    assert!(endpoint.received().is_empty());
+}
+
+/// Guards against a stop that takes back what it has begun: a stream whose response was lost goes on
+/// at another endpoint, as it may have run.
+#[tokio::test]
+async fn begun_stream_goes_on_during_a_planned_stop() {
+    let breaking = TestEndpoint::start(|_, req| {
+        vec![
+            Step::Send(stream_head(req)),
+            Step::Send(chunk(&event(1))),
+            Step::Pause(Duration::from_millis(500)),
+            Step::Close,
+        ]
+    })
+    .await;
+    let other = TestEndpoint::start(|_, req| {
+        vec![
+            Step::Send(stream_head(req)),
+            Step::Send(chunk(&event(2))),
+            Step::Send(stream_end()),
+        ]
+    })
+    .await;
+    let gateway = start_with_grace(Duration::from_secs(4), &breaking).await;
+    let mut list = [
+        listed("breaking", breaking.addr),
+        listed("other", other.addr),
+    ];
+    list[1].zone = "local-b".into();
+    gateway.gw.directory.apply_list(&list);
+    let mut client = Client::connect(gateway.addr).await;
+    let headers = format!("content-length: 0\r\n{LONG_WAIT}");
+    client.send("/resumed/x", "id", &headers).await;
+    while !client.read_some().await.contains("piece 1") {}
+    gateway.gw.lifecycle.begin_drain();
+    let response = client.read_response().await;
+    assert!(response.complete, "{response:?}");
+    assert!(response.body.contains("piece 2"), "{response:?}");
+}
--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -64,6 +64,7 @@
 //! * [`version_history`]: which software versions of a service served, and when last.
 //! * [`stream_origins`]: which routers know at which version a stream began.
 //! * [`taken_up`]: how long a stream that its client takes up waits for an endpoint of its version.
+//! * [`planned_stop`]: which requests a router begins that is stopping.
 //! * [`prefix`]: which endpoints hold which prompt prefixes.
 //! * [`list_turn`]: which router reads the list of endpoints for the others.
 //! * [`link_pacer`], [`intake`] and [`descriptors`]: what a router with a narrow link or few
@@ -96,6 +97,7 @@
 pub mod pace;
 pub mod pause;
 pub mod placement;
+pub mod planned_stop;
 pub mod prefix;
 pub mod prelude;
 pub mod rate_share;
--- /dev/null
+++ b/crates/anvil_policy/src/planned_stop.rs
@@ -0,0 +1,115 @@
+//! Whether a router that is stopping begins to serve a request.
+//!
+//! *Load pattern:* a router is told to stop. Load balancers notice that only seconds later, and
+//! send it connections meanwhile; where many routers of a zone stop together, up to the end. Some
+//! requests take milliseconds, some streams almost as long as the whole stop.
+//!
+//! *Without it:* the router begins whatever it accepts, and closes all connections at the end of
+//! its grace period. Streams that began too late are cut in the middle, although another router
+//! could have served them from the start. A router that refuses everything instead turns away short
+//! requests when there is no other router to go to.
+//!
+//! *Mechanism:* a request begins if its deadline lies before the end of serving: it is answered by
+//! then, whatever happens. Any other one begins only if its response is expected to be complete by
+//! then ([`begins_in_time`]). The expectation comes from the longest of the route's responses that
+//! were recently complete ([`ResponseTimes`]), in two half windows, so that a maximum is forgotten.
+//! A route without any is refused.
+//!
+//! *Thresholds:* a refusal in vain costs the client one more connection, a response that is cut all
+//! of its work. So the margin is wide, and wider while few responses are known: the longest of a
+//! few says little about the next one.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use anvil_world::prelude::*;
+
+/// A response time counts for one to two of these.
+const HALF_WINDOW: Duration = Duration::from_secs(30);
+/// Maximum number of routes in one half window; the response times of others are not known.
+const MAX_ROUTES: usize = 4_096;
+/// The expected time of a response, as a multiple of the longest one known.
+const MARGIN: f64 = 1.5;
+/// The same while fewer than [`MIN_RESPONSES`] are known.
+const MARGIN_OF_FEW: f64 = 3.0;
+/// See [`MARGIN_OF_FEW`].
+const MIN_RESPONSES: u32 = 8;
+
+/// What is known of the responses of one route.
+#[derive(Debug, Clone, Copy, Default)]
+struct RouteTimes {
+    longest: Duration,
+    responses: u32,
+}
+
+impl RouteTimes {
+    fn and(self, other: Self) -> Self {
+        Self {
+            longest: self.longest.max(other.longest),
+            responses: self.responses.saturating_add(other.responses),
+        }
+    }
+
+    fn expected(self) -> Duration {
+        let is_few = self.responses < MIN_RESPONSES;
+        let margin = if is_few { MARGIN_OF_FEW } else { MARGIN };
+        self.longest.mul_f64(margin)
+    }
+}
+
+/// How long responses recently took, by route: from the request's arrival to the last byte.
+#[derive(Debug, Default)]
+pub struct ResponseTimes {
+    current: BTreeMap<RouteName, RouteTimes>,
+    previous: BTreeMap<RouteName, RouteTimes>,
+    /// When the current half window began.
+    current_since: Now,
+}
+
+impl ResponseTimes {
+    /// Records a complete response.
+    pub fn record(&mut self, now: Now, route: &RouteName, took: Duration) {
+        self.forget_old(now);
+        let response = RouteTimes {
+            longest: took,
+            responses: 1,
+        };
+        if let Some(times) = self.current.get_mut(route) {
+            *times = times.and(response);
+        } else if self.current.len() < MAX_ROUTES {
+            self.current.insert(route.clone(), response);
+        }
+    }
+
+    /// The time that a response of this route is expected to take at most; `None` if none was
+    /// complete recently.
+    pub fn expected(&mut self, now: Now, route: &str) -> Option<Duration> {
+        self.forget_old(now);
+        let halves = [self.current.get(route), self.previous.get(route)];
+        let times = halves.into_iter().flatten().copied();
+        times.reduce(RouteTimes::and).map(RouteTimes::expected)
+    }
+
+    fn forget_old(&mut self, now: Now) {
+        let age = now.saturating_sub(self.current_since);
+        if age < HALF_WINDOW {
+            return;
+        }
+        self.previous = std::mem::take(&mut self.current);
+        self.current_since += HALF_WINDOW;
+        if age >= 2 * HALF_WINDOW {
+            self.previous.clear();
+            self.current_since = now;
+        }
+    }
+}
+
+/// Whether a stopping router begins a request: `expected` is the expected time of its response,
+/// `time_left` the time until its deadline, `time_to_end` that until the end of serving.
+pub fn begins_in_time(
+    expected: Option<Duration>,
+    time_left: Duration,
+    time_to_end: Duration,
+) -> bool {
+    time_left < time_to_end || expected.is_some_and(|expected| expected < time_to_end)
+}
--- /dev/null
+++ b/crates/anvil_policy/tests/planned_stop.rs
@@ -0,0 +1,125 @@
+//! Which requests a stopping router begins.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvil_policy::planned_stop::{ResponseTimes, begins_in_time};
+
+/// More responses than make a route well known.
+const MANY: u32 = 20;
+/// After this time without responses a route is forgotten.
+const FORGOTTEN_AFTER: Duration = Duration::from_mins(1);
+
+fn secs(s: u64) -> Duration {
+    Duration::from_secs(s)
+}
+
+fn route(name: &str) -> Arc<str> {
+    name.into()
+}
+
+fn record_many(times: &mut ResponseTimes, now: Duration, route: &Arc<str>, took: Duration) {
+    for _ in 0..MANY {
+        times.record(now, route, took);
+    }
+}
+
+/// Guards against a response that is cut: neither its deadline nor what is known of its route says
+/// that it is complete before the end.
+#[test]
+fn request_begins_only_if_it_can_be_complete() {
+    let time_to_end = secs(5);
+    assert!(begins_in_time(None, secs(4), time_to_end));
+    assert!(!begins_in_time(None, secs(6), time_to_end));
+    assert!(begins_in_time(Some(secs(4)), secs(30), time_to_end));
+    assert!(!begins_in_time(Some(secs(6)), secs(30), time_to_end));
+    assert!(begins_in_time(Some(secs(6)), secs(4), time_to_end));
+    for expected in [None, Some(secs(1))] {
+        assert!(!begins_in_time(expected, secs(1), Duration::ZERO));
+    }
+}
+
+/// Guards against streams that begin because most responses of their route are short.
+#[test]
+fn longest_response_counts_with_a_margin() {
+    let (mut times, stream) = (ResponseTimes::default(), route("stream"));
+    record_many(&mut times, secs(0), &stream, secs(1));
+    let expected = times.expected(secs(1), "stream").expect("known");
+    assert!(expected > secs(1) && expected <= secs(2), "{expected:?}");
+    times.record(secs(1), &stream, secs(4));
+    record_many(&mut times, secs(2), &stream, secs(1));
+    let expected = times.expected(secs(2), "stream").expect("known");
+    assert!(expected > secs(4) && expected <= secs(8), "{expected:?}");
+    assert_eq!(times.expected(secs(2), "other"), None);
+}
+
+/// Guards against the first response of a route, which happens to be short, standing for all.
+#[test]
+fn few_responses_count_with_a_wider_margin() {
+    let mut times = ResponseTimes::default();
+    times.record(secs(0), &route("few"), secs(1));
+    record_many(&mut times, secs(0), &route("many"), secs(1));
+    let few = times.expected(secs(0), "few").expect("known");
+    let many = times.expected(secs(0), "many").expect("known");
+    assert!(few > many, "{few:?}, {many:?}");
+    // Both half windows count.
+    let (mut times, both) = (ResponseTimes::default(), route("both"));
+    for s in 20..40 {
+        times.record(secs(s), &both, secs(1));
+    }
+    assert_eq!(times.expected(secs(40), "both"), Some(many));
+}
+
+/// Guards against one long response that keeps requests of its route away for good, and against a
+/// long one that is forgotten while it still tells something.
+#[test]
+fn long_responses_are_forgotten_in_time() {
+    for begun in (0..60).map(secs) {
+        let (mut times, stream) = (ResponseTimes::default(), route("stream"));
+        times.record(begun, &stream, secs(9));
+        let mut forgotten = None;
+        for s in (0..90).map(secs) {
+            record_many(&mut times, begun + s, &stream, secs(1));
+            let expected = times.expected(begun + s, "stream").expect("known");
+            if expected < secs(9) {
+                forgotten.get_or_insert(s);
+            }
+        }
+        let forgotten = forgotten.expect("forgotten");
+        assert!(
+            (secs(30)..=FORGOTTEN_AFTER).contains(&forgotten),
+            "{forgotten:?}"
+        );
+    }
+}
+
+/// Guards against memory for routes that are gone, and against old response times of a route that
+/// has had none since.
+#[test]
+fn routes_without_responses_are_forgotten() {
+    let (mut times, gone) = (ResponseTimes::default(), route("gone"));
+    times.record(secs(10), &gone, secs(1));
+    assert!(times.expected(secs(39), "gone").is_some());
+    assert_eq!(times.expected(secs(10) + FORGOTTEN_AFTER, "gone"), None);
+    times.record(secs(200), &gone, secs(1));
+    for s in (200..300).step_by(59).map(secs) {
+        let is_known = times.expected(s, "gone").is_some();
+        assert!(!is_known || s < secs(200) + FORGOTTEN_AFTER, "{s:?}");
+    }
+    times.record(secs(500), &gone, secs(1));
+    assert_eq!(times.expected(secs(1_000), "gone"), None);
+}
+
+/// Guards against memory that grows with the number of routes.
+#[test]
+fn number_of_routes_is_bounded() {
+    let mut times = ResponseTimes::default();
+    for number in 0..10_000 {
+        times.record(secs(0), &route(&format!("route-{number}")), secs(1));
+    }
+    let known = (0..10_000).filter(|number| {
+        let name = format!("route-{number}");
+        times.expected(secs(0), &name).is_some()
+    });
+    assert_eq!(known.count(), 4_096);
+}
--- a/crates/anvilreel/src/lifecycle.rs
+++ b/crates/anvilreel/src/lifecycle.rs
@@ -13,7 +13,8 @@
     /// Incarnation of the instance that this process is.
     pub incarnation: Incarnation,
     started: Instant,
-    draining: Arc<watch::Sender<bool>>,
+    /// When the planned stop began.
+    draining_since: Arc<watch::Sender<Option<Now>>>,
     incarnation_ended: Arc<watch::Sender<bool>>,
 }
 
@@ -26,7 +27,7 @@
         Self {
             incarnation: Incarnation::try_from(micros).unwrap_or(Incarnation::MAX),
             started: Instant::now(),
-            draining: Arc::new(watch::Sender::new(false)),
+            draining_since: Arc::new(watch::Sender::new(None)),
             incarnation_ended: Arc::new(watch::Sender::new(false)),
         }
     }
@@ -38,19 +39,29 @@
 
     /// Begins the planned stop. Returns whether this call was the one that began it.
     pub fn begin_drain(&self) -> bool {
-        !self.draining.send_replace(true)
+        let now = self.now();
+        self.draining_since.send_if_modified(|since| {
+            let begins = since.is_none();
+            since.get_or_insert(now);
+            begins
+        })
     }
 
     /// Whether the planned stop has begun.
     pub fn is_draining(&self) -> bool {
-        *self.draining.borrow()
+        self.draining_since().is_some()
+    }
+
+    /// When the planned stop began; `None` if it has not.
+    pub fn draining_since(&self) -> Option<Now> {
+        *self.draining_since.borrow()
     }
 
     /// Returns when the planned stop begins.
     pub async fn drain_begun(&self) {
-        let mut rx = self.draining.subscribe();
+        let mut rx = self.draining_since.subscribe();
         // Can't fail: `self` keeps the sender alive.
-        let _ = rx.wait_for(|draining| *draining).await;
+        let _ = rx.wait_for(Option::is_some).await;
     }
 
     /// Records that the ledger has ended this incarnation. Returns whether this is the first call.
