The list of metrics has the requests that a planned stop cuts

Cause: requests.cut_by_stop was documented without its entry in the code's list, so catalogue::documented_metrics_match_the_code was red since then. Change: the entry. Result: green.

--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -12,6 +12,8 @@
 pub const REQUESTS_ENDPOINT_FAILED: &str = "requests.endpoint_failed";
 /// Requests whose clients disconnected before the end. Count.
 pub const REQUESTS_CLIENT_LEFT: &str = "requests.client_left";
+/// Requests that were open when a planned stop closed all connections. Count.
+pub const REQUESTS_CUT_BY_STOP: &str = "requests.cut_by_stop";
 /// Time from a request's arrival to the start of its response. Milliseconds.
 pub const FIRST_PIECE: &str = "request.first_piece";
 /// Time from a request's arrival to its end. Milliseconds.
@@ -156,6 +158,7 @@
     (REQUESTS_COMPLETED, "count"),
     (REQUESTS_ENDPOINT_FAILED, "count"),
     (REQUESTS_CLIENT_LEFT, "count"),
+    (REQUESTS_CUT_BY_STOP, "count"),
     (FIRST_PIECE, "milliseconds"),
     (REQUEST_TIME, "milliseconds"),
     (GRANT_WAIT, "milliseconds"),
