--- a/crates/anvil_gateway/src/exchange/one_attempt.rs
+++ b/crates/anvil_gateway/src/exchange/one_attempt.rs
@@ -13,7 +13,7 @@
 use super::take_up::TAKE_UP_RETRY_AFTER;
 use super::{DEFAULT_RETRY_AFTER, Exchange, RequestRefusal, spread_return};
 use crate::attempt::{
-    AttemptOutcome, Doubt, OutgoingRequest, SendOutcome, UnsentRequest, WholeRequest, send,
+    AttemptOutcome, Doubt, NotRun, OutgoingRequest, SendOutcome, UnsentRequest, WholeRequest, send,
 };
 use crate::choose::{PlacementTerms, Selection, Unplaced};
 use crate::dialect::ForwardedHead;
@@ -51,6 +51,10 @@
             Some(place) => *place,
             None => self.find_place().await?,
         };
+        if !self.in_doubt && self.gw.stop_would_cut(&self.route, self.deadline) {
+            let not_run = NotRun::Withheld(Cause::Leaving);
+            return Ok(AttemptEnd::Outcome(AttemptOutcome::NotRun(not_run)));
+        }
         Ok(self.send_to(place, after).await)
     }
 
