A silent endpoint is kept until another one can be reached

Cause: a crashed endpoint stays on the platform's list for seconds. A stream at a silent endpoint got a place there, the connection to the silent one was closed, and the new one could not be made: without another retry in the budget, the client lost a stream whose endpoint went on.

Change: the connection to the endpoint that takes over is made before the silent one is given up, beside the wait for it, and is used for the request. The retry is counted once the connection stands.

--- a/crates/anvil_gateway/src/attempt.rs
+++ b/crates/anvil_gateway/src/attempt.rs
@@ -107,6 +107,8 @@
     pub id: &'a str,
     /// What it consists of.
     pub contents: RequestContents<'a>,
+    /// A connection to the endpoint, if there is one already.
+    pub connection: Option<Connection>,
     /// Whether idle connections are not used.
     pub on_new_connection: bool,
     /// Until then a connection must have been made.
@@ -153,12 +155,15 @@
 pub async fn send(
     gw: &Arc<Gateway>,
     mut slot: EndpointSlot,
-    outgoing: OutgoingRequest<'_>,
+    mut outgoing: OutgoingRequest<'_>,
 ) -> Result<SentRequest, NotRun> {
     let endpoint = slot.endpoint.clone();
     outgoing.stages.enter(Stage::Connect);
+    let made = outgoing.connection.take();
     let connecting = async {
-        if outgoing.on_new_connection {
+        if let Some(made) = made {
+            Ok(made)
+        } else if outgoing.on_new_connection {
             open_connection(gw, &endpoint).await
         } else {
             take_connection(gw, &endpoint).await
--- a/crates/anvil_gateway/src/exchange/one_attempt.rs
+++ b/crates/anvil_gateway/src/exchange/one_attempt.rs
@@ -19,6 +19,7 @@
 use crate::dialect::ForwardedHead;
 use crate::endpoint::EndpointSlot;
 use crate::metrics;
+use crate::pool::Connection;
 use crate::regions::Constraints;
 use crate::reply::Cause;
 use crate::stage_times::Stage;
@@ -63,7 +64,11 @@
     }
 
     async fn send_to(&mut self, place: Place, after: Option<u64>) -> AttemptEnd {
-        let Place { selection, link } = place;
+        let Place {
+            selection,
+            link,
+            connection,
+        } = place;
         let endpoint = selection.slot.endpoint.clone();
         self.record_origin(&endpoint.version);
         let request = self.outgoing_request(&selection, after);
@@ -76,7 +81,9 @@
         link.record_sent();
         let sent_at = Instant::now();
         self.attempt_counter.begin(endpoint.id.clone());
-        let end = self.send_and_wait(selection.slot, request).await;
+        let end = self
+            .send_and_wait(selection.slot, request, connection)
+            .await;
         self.awaited_connection = None;
         let silent = AttemptOutcome::Doubt(Doubt::Silent);
         let outcome = match &end {
@@ -102,6 +109,7 @@
         &mut self,
         mut slot: EndpointSlot,
         mut request: WholeRequest,
+        mut connection: Option<Connection>,
     ) -> AttemptEnd {
         let silent_since = Instant::now();
         let connect_deadline = self.replaceable_at(silent_since).unwrap_or(self.deadline);
@@ -114,6 +122,7 @@
                     request: self.request_digest,
                     shared: &self.shared,
                 },
+                connection: connection.take(),
                 on_new_connection,
                 connect_deadline,
                 deadline: self.deadline,
--- a/crates/anvil_gateway/src/exchange/place.rs
+++ b/crates/anvil_gateway/src/exchange/place.rs
@@ -12,6 +12,7 @@
 use crate::choose::{Selection, Unplaced};
 use crate::log_events as events;
 use crate::metrics;
+use crate::pool::Connection;
 use crate::reply::Cause;
 use crate::send::link_budget::LinkReservation;
 use crate::wait::{ServiceQueue, TakenUpWait, WaitRequest, WaitingPlace};
@@ -32,6 +33,18 @@
     pub(super) selection: Selection,
     /// The link for its prompt.
     pub(super) link: LinkReservation,
+    /// A connection to the endpoint, if there is one already.
+    pub(super) connection: Option<Connection>,
+}
+
+impl Place {
+    fn new(selection: Selection, link: LinkReservation) -> Self {
+        Self {
+            selection,
+            link,
+            connection: None,
+        }
+    }
 }
 
 impl Exchange {
@@ -42,7 +55,7 @@
         let Some(queue) = queue.filter(|_| !self.in_doubt) else {
             let link = self.wait_for_link().await?;
             return match self.select_endpoint(None) {
-                Ok(selection) => Ok(Place { selection, link }),
+                Ok(selection) => Ok(Place::new(selection, link)),
                 Err(unplaced) => Err(self.refuse_unplaced(unplaced)),
             };
         };
@@ -69,7 +82,7 @@
             let unplaced = match wait.try_begin_look() {
                 Err(until_turn) => Unplaced::AtLimit(until_turn),
                 Ok(()) => match self.select_endpoint(Some(self.room_within())) {
-                    Ok(selection) => return Ok(Place { selection, link }),
+                    Ok(selection) => return Ok(Place::new(selection, link)),
                     Err(unplaced) => {
                         wait.end_look();
                         unplaced
@@ -109,7 +122,7 @@
             Unplaced::Busy
         } else {
             match self.select_endpoint(Some(self.room_within())) {
-                Ok(selection) => return Ok(Place { selection, link }),
+                Ok(selection) => return Ok(Place::new(selection, link)),
                 Err(unplaced) => unplaced,
             }
         };
@@ -151,7 +164,7 @@
             match self.select_endpoint(Some(self.room_within())) {
                 Ok(selection) => {
                     place.started(self.finds_further_room(&selection));
-                    return Ok(Place { selection, link });
+                    return Ok(Place::new(selection, link));
                 }
                 Err(unplaced) => match self.wait_for(unplaced) {
                     Some(min_wait) => place.put_back(unclaimed, min_wait),
--- a/crates/anvil_gateway/src/exchange/silence.rs
+++ b/crates/anvil_gateway/src/exchange/silence.rs
@@ -2,10 +2,12 @@
 //!
 //! Failure: a sound endpoint is silent for a second, its connection is closed, and only then it turns
 //! out that no other endpoint may or can go on: the retry budget is used up, or all others are full.
-//! So a silent endpoint is given up only once a place at another one has been taken. Until then the
-//! response goes on if the endpoint does, and all that was reserved for the other one is given back.
+//! So a silent endpoint is given up only once a place at another one has been taken, and a connection
+//! to it made. Until then the response goes on if the endpoint does, and what was reserved for the
+//! other one is given back.
 
 use std::pin::pin;
+use std::sync::Arc;
 use std::time::Duration;
 
 use anvil_policy::silence::{LOOK_INTERVAL, max_plain_silence, max_stream_silence};
@@ -14,6 +16,9 @@
 use super::Exchange;
 use super::place::Place;
 use crate::choose::Unplaced;
+use crate::endpoint::Endpoint;
+use crate::pool::{ConnectError, Connection};
+use crate::send::new_connection::take_connection;
 
 /// How the wait for an endpoint has ended.
 pub enum Waited<T> {
@@ -38,6 +43,8 @@
     LinkBusy,
     /// No endpoint would begin the request at once.
     NoPlace(Unplaced),
+    /// The endpoint that was selected can't be reached.
+    NoConnection,
 }
 
 impl Exchange {
@@ -110,10 +117,32 @@
             return Err(NotReplaced::BudgetUsedUp);
         }
         let selection = self.select_replacement().map_err(NotReplaced::NoPlace)?;
+        let endpoint = selection.slot.endpoint.clone();
+        let connection = self.connect_to_replacement(&endpoint).await;
+        let connection = connection.ok_or(NotReplaced::NoConnection)?;
         if !self.gw.try_count_retry(&self.service) {
             return Err(NotReplaced::BudgetUsedUp);
         }
         self.trace.step(format_args!("taken over"));
-        Ok(Place { selection, link })
+        let connection = Some(connection);
+        Ok(Place {
+            selection,
+            link,
+            connection,
+        })
+    }
+
+    /// A connection to the endpoint that is to take over. Crashed ones stay on the platform's list for
+    /// seconds.
+    async fn connect_to_replacement(&self, endpoint: &Arc<Endpoint>) -> Option<Connection> {
+        match take_connection(&self.gw, endpoint).await {
+            Ok(connection) => Some(connection),
+            Err(ConnectError::NoDescriptor) => None,
+            Err(e) => {
+                self.gw.record_unreachable(endpoint);
+                self.record_endpoint_failure(endpoint, &e.to_string());
+                None
+            }
+        }
     }
 }
--- a/crates/anvil_gateway/tests/direct/pausing.rs
+++ b/crates/anvil_gateway/tests/direct/pausing.rs
@@ -175,6 +175,7 @@
         },
         request,
         id: "id",
+        connection: None,
         on_new_connection: false,
         connect_deadline: Instant::now() + Duration::from_secs(1),
         deadline: Instant::now() + Duration::from_secs(1),
--- a/crates/anvil_gateway/tests/direct/silence.rs
+++ b/crates/anvil_gateway/tests/direct/silence.rs
@@ -186,6 +186,23 @@
     }
 }
 
+/// Guards against a silent endpoint being given up for one that turns out to be unreachable.
+#[tokio::test]
+async fn silent_endpoint_is_kept_while_the_other_is_unreachable() {
+    let gone = TestEndpoint::answering().await;
+    gone.crash();
+    for silent in [
+        silent_in_the_middle(Step::Pause(LONG)).await,
+        silent_before_head(LONG).await,
+    ] {
+        let endpoints = [("silent", &silent), ("gone", &gone)];
+        let gateway = start_with(with_one_retry(), &endpoints).await;
+        assert_whole_stream(&request(&gateway, "/resumed/x").await);
+        assert_eq!(silent.received().len(), 1);
+        assert!(gateway.gw.try_count_retry(&SERVICE.into()));
+    }
+}
+
 /// Guards against a silent endpoint being given up when all others are full, so that the stream lands
 /// in a queue or is turned away.
 #[tokio::test]
