Tests of streams that are read ahead or prepaid at silent endpoints

Cause: the change of what ends a silence also decides for streams that are read ahead of slow clients, and for prepaid ones that another endpoint takes over; neither had a test.

Change: one test each: the first goes on at its endpoint, the second is charged once.

--- a/crates/anvil_gateway/tests/direct/charging.rs
+++ b/crates/anvil_gateway/tests/direct/charging.rs
@@ -10,7 +10,7 @@
 
 use crate::client::Client;
 use crate::endpoint::{Step, TestEndpoint, chunk, event, refusal_with, stream_end, stream_head};
-use crate::gateway::{TestGateway, settings};
+use crate::gateway::{TestGateway, listed, settings};
 
 /// Header line with the key of the prepaid organisation.
 pub const KEY: &str = "x-key: key\r\n";
@@ -99,6 +99,27 @@
     assert_eq!(view.free + view.reserved, 500 - served * 109);
 }
 
+/// Guards against a stream being charged twice, or not at all, when another endpoint takes over from a
+/// silent one.
+#[tokio::test]
+async fn stream_that_is_taken_over_is_charged_once() {
+    let silent = TestEndpoint::start(|_, _| vec![Step::Hang]).await;
+    let other = endpoint_with_three_events().await;
+    let gateway = start_with_grant(&silent, 500).await;
+    let mut away = listed("b", other.addr);
+    away.zone = "local-b".into();
+    let endpoints = [listed("a", silent.addr), away];
+    gateway.gw.directory.apply_list(&endpoints);
+    let mut client = Client::connect(gateway.addr).await;
+    let headers = format!("{KEY}x-tokens: 100,30\r\n");
+    let response = client.request("/resumed/x", "id", &headers).await;
+    assert!(response.status == 200 && response.complete, "{response:?}");
+    assert_eq!((silent.received().len(), other.received().len()), (1, 1));
+    // 100 for its prompt and 9 for three events.
+    let view = gateway.gw.grant_account.budget_status("co-op");
+    assert_eq!((view.free, view.reserved), (500 - 109, 0));
+}
+
 /// Guards against a charge for a request whose client left before the endpoint began: otherwise an
 /// organisation with impatient clients exhausts its budget for nothing.
 #[tokio::test]
--- a/crates/anvil_gateway/tests/direct/slow_readers.rs
+++ b/crates/anvil_gateway/tests/direct/slow_readers.rs
@@ -1,6 +1,7 @@
 //! Clients that read their streams slowly, in front of an endpoint that cuts off what stays unread.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
@@ -268,6 +269,38 @@
     assert!(response.complete && response.body == expected);
 }
 
+/// Guards against a stream that is read ahead being moved, or ended, in a silence after which its
+/// endpoint goes on.
+#[tokio::test]
+async fn stream_that_is_read_ahead_goes_on_after_a_silence() {
+    let silence = Duration::from_millis(1_400);
+    let silent = TestEndpoint::start(move |_, req| {
+        let events = |range: RangeInclusive<u64>| range.flat_map(|id| chunk(&event(id)));
+        let mut begin = stream_head(req);
+        begin.extend(events(1..=EVENTS / 2));
+        let mut rest: Vec<_> = events(EVENTS / 2 + 1..=EVENTS).collect();
+        rest.extend(stream_end());
+        vec![Step::Send(begin), Step::Pause(silence), Step::Send(rest)]
+    })
+    .await;
+    let other = writing_endpoint(EVENTS, false).await;
+    let (metrics, registry) = Metrics::in_memory("gateway");
+    let gateway = TestGateway::start_on(listen(SOCKET_BYTES), silent.addr, metrics);
+    let mut away = listed("b", other.addr);
+    away.zone = "local-b".into();
+    let endpoints = [listed("a", silent.addr), away];
+    gateway.gw.directory.apply_list(&endpoints);
+    let mut client = connect_slowly(&gateway).await;
+    let headers = "content-length: 0\r\n";
+    client.send("/resumed/x", "slow", headers).await;
+    sleep(CUT_OFF_AFTER / 2).await;
+    let response = client.read_response().await;
+    let expected: String = (1..=EVENTS).map(event).collect();
+    assert!(response.complete && response.body == expected);
+    assert!(registry.render().contains("streams_read_ahead 1"));
+    assert_eq!((silent.received().len(), other.received().len()), (1, 0));
+}
+
 /// Guards against a task and a buffer for each stream: a client that keeps up needs none.
 #[tokio::test]
 async fn stream_of_a_client_that_keeps_up_is_not_read_ahead() {
