A stream of a sidecar that the ledger has declared gone is read to its end

Cause: when a sidecar left the members' list, its streams were dropped at once, although their connections were open and output came. The ledger declares a sidecar gone when its heartbeats stop: after ten minutes, but after five seconds in a planned stop, in which it still finishes its runs. The rest of the answer was then asked of another endpoint, or lost if there was none.

Change: while its replies are read, an open call counts for more than the list; a sidecar that does not run breaks the call. A later incarnation of the sidecar in the list still ends it at once.

--- a/crates/anvilreel/src/request/exchange.rs
+++ b/crates/anvilreel/src/request/exchange.rs
@@ -153,6 +153,11 @@
         matches!(self.step, Step::Finished)
     }
 
+    /// Whether it waits for the replies of the sidecar that runs the request.
+    pub fn is_reading(&self) -> bool {
+        matches!(self.step, Step::Reading)
+    }
+
     /// Bytes delivered to the caller.
     pub fn delivered(&self) -> Offset {
         self.delivered
--- a/crates/anvilreel/src/router/request_task.rs
+++ b/crates/anvilreel/src/router/request_task.rs
@@ -120,7 +120,7 @@
                     Some(Event::TimerFired)
                 }
                 // The sender lives as long as the router.
-                _ = changes.changed() => self.target_gone(),
+                _ = changes.changed() => self.target_gone(&exchange),
             };
             events.extend(event.map(|event| self.reclassify_unresponsive(event)));
         }
@@ -178,11 +178,16 @@
     }
 
     /// Whether the target's incarnation is over according to the members' list.
-    fn target_gone(&self) -> Option<Event> {
+    ///
+    /// A sidecar that the ledger has declared gone may go on: only its heartbeats were lost. While
+    /// its output is read, the open call shows that it runs; the call breaks if it does not.
+    fn target_gone(&self, exchange: &Exchange) -> Option<Event> {
         let target = self.target.as_ref()?;
         let view = self.core.view_state.view.load();
-        let now = view.sidecars.get(&target.sidecar);
-        let over = now.is_none_or(|now| now.incarnation != target.incarnation);
+        let over = match view.sidecars.get(&target.sidecar) {
+            Some(now) => now.incarnation != target.incarnation,
+            None => !exchange.is_reading() || self.calls.is_empty(),
+        };
         over.then(|| Event::TargetGone(target.clone()))
     }
 
--- a/crates/anvilreel/tests/path_fleet/losses.rs
+++ b/crates/anvilreel/tests/path_fleet/losses.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use anvil_standins::engine;
+use anvil_world::command::SetPresence;
+use anvil_world::prelude::*;
 use http_body_util::BodyExt;
 
-use super::fleet::{Fleet, chat_body, expected, json, request, streamed_text, text};
+use super::fleet::{Fleet, WAIT_TIMEOUT, chat_body, expected, json, request, streamed_text, text};
 
 const CHAT: &str = "/v1/chat/completions";
 
@@ -158,3 +160,36 @@
         assert!(received.contains(&wanted), "{wanted} is not in {received}");
     }
 }
+
+/// Guards against a stream that is given up although it goes on, because the ledger, which hears
+/// nothing from the sidecar, has declared it gone: for instance in a planned stop.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_of_a_sidecar_that_is_declared_gone_is_read_to_its_end() {
+    let mut fleet = Fleet::start_with(1, 1, slow()).await;
+    let prompt = "tokens=150 declared gone";
+    let url = fleet.url(0, CHAT);
+    let body = chat_body(prompt, true);
+    let sent = fleet.client.send(&url, request(&url, &[], body)).await;
+    let mut answer = sent.expect("an answer").into_body();
+    let first = answer.frame().await.expect("output");
+    let first = first.expect("a valid frame").into_data().expect("bytes");
+    let mut read = first.to_vec();
+    let sidecar = fleet.engines[0].sidecar.take().expect("it is running");
+    let gone = Command::SetPresence(SetPresence {
+        id: "sidecar-1".into(),
+        incarnation: sidecar.incarnation(),
+        presence: Presence::Gone,
+    });
+    let stopping = tokio::spawn(sidecar.stop());
+    fleet
+        .ledger
+        .propose(gone, WAIT_TIMEOUT)
+        .await
+        .expect("in the ledger");
+    while let Some(frame) = answer.frame().await {
+        let frame = frame.expect("a valid frame");
+        read.extend_from_slice(&frame.into_data().expect("bytes"));
+    }
+    assert_eq!(streamed_text(&read), (expected(prompt), true));
+    stopping.await.expect("stopped");
+}
