A run whose sidecar can't be reached is read there again if nobody takes it over

Cause: after three broken calls without output, or one while the ledger receives no heartbeats from the sidecar either, the run was left first, and only then was another endpoint looked for. Without one, the caller's answer ended as lost, although the sidecar went on with it and was back a moment later.

Change: if no other endpoint takes the run over, the sidecar is called again once a second for up to ten seconds, or until its incarnation is over or another endpoint has accepted the run. For a caller that chose its key, only as long as no claim names another endpoint.

An answer whose only sidecar is lost for good now ends up to ten seconds later than before.

--- a/crates/anvilreel/src/request/event.rs
+++ b/crates/anvilreel/src/request/event.rs
@@ -80,6 +80,9 @@
     },
     /// According to the members' list, this incarnation of a sidecar is over.
     TargetGone(Target),
+    /// A call to this incarnation broke, and the ledger receives nothing from it either; it may
+    /// still go on.
+    TargetUnresponsive(Target),
     /// The caller has disconnected.
     CallerGone,
     /// A time requested by the exchange has been reached.
--- a/crates/anvilreel/src/request/exchange.rs
+++ b/crates/anvilreel/src/request/exchange.rs
@@ -59,6 +59,16 @@
     Begun,
 }
 
+/// A sidecar that could not be reached while its run may go on.
+#[derive(Debug, Clone)]
+pub(super) struct Unreachable {
+    pub(super) target: Target,
+    /// Generation of the claim that names it.
+    pub(super) generation: u32,
+    /// Until when the run is read there again if no other endpoint takes it over.
+    pub(super) until: Now,
+}
+
 /// State of the caller's connection.
 #[derive(Debug, Default)]
 pub(super) struct Caller {
@@ -91,6 +101,8 @@
     pub(super) last_start_call: Dispatch,
     /// A sidecar that was given up because it can't be reached; the run may continue there.
     pub(super) abandoned_target: Option<Target>,
+    /// Set until output arrives again or another endpoint has taken the run over.
+    pub(super) unreachable: Option<Unreachable>,
     pub(super) attempt: u32,
     pub(super) consecutive_breaks: u32,
     pub(super) delivered: Offset,
@@ -129,6 +141,7 @@
             starts_sent: 0,
             last_start_call: 0,
             abandoned_target: None,
+            unreachable: None,
             attempt: 0,
             consecutive_breaks: 0,
             delivered: 0,
@@ -188,6 +201,7 @@
                 never_sent,
             } => self.call_broken(now, dispatch, never_sent),
             Event::TargetGone(target) => self.target_gone(&target),
+            Event::TargetUnresponsive(target) => self.target_unresponsive(&target),
             Event::CallerGone => self.caller_disconnected(),
             Event::TimerFired => self.timer_fired(now),
         }
@@ -213,6 +227,8 @@
         self.target = Some(target);
         self.start_state = StartState::NotSent;
         if self.spec.has_caller_key || self.spec.at_most_once {
+            // A caller that comes back is led by this claim from now on.
+            self.unreachable = None;
             return self.claim();
         }
         self.owns_claim = true;
@@ -220,7 +236,7 @@
     }
 
     fn not_chosen(&mut self, refusal: Refusal) {
-        if matches!(self.step, Step::Choosing) {
+        if matches!(self.step, Step::Choosing) && !self.return_to_unreachable() {
             self.refuse(refusal);
         }
     }
--- a/crates/anvilreel/src/request/failover.rs
+++ b/crates/anvilreel/src/request/failover.rs
@@ -6,7 +6,7 @@
 use anvil_wire::msg::{SidecarRequest, Work};
 use anvil_world::prelude::*;
 
-use super::exchange::{Exchange, StartState, Step};
+use super::exchange::{Exchange, StartState, Step, Unreachable};
 use super::{Action, Dispatch, Target};
 
 /// First pause before attaching again; doubled after each break.
@@ -15,6 +15,9 @@
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
 /// Consecutive breaks without any output after which the payer continues at another endpoint.
 const MAX_CONSECUTIVE_BREAKS: u32 = 3;
+/// For how long a run whose sidecar can't be reached is read there again if no other endpoint takes
+/// it over. A process that is frozen or cut off for a moment is back sooner.
+const UNREACHABLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long the owner of a non-idempotent key's claim has to send its call; longer than it may wait
 /// for a reservation.
 const CLAIM_OWNER_TIMEOUT: Duration = Duration::from_secs(8);
@@ -58,8 +61,7 @@
             && self.start_state == StartState::Begun
             && self.may_continue()
         {
-            self.abandoned_target = self.target.clone();
-            return self.resume_elsewhere();
+            return self.leave_unreachable();
         }
         let pause = MIN_BACKOFF * 2_u32.pow(self.consecutive_breaks.min(8) - 1);
         let until = now + pause.min(MAX_BACKOFF);
@@ -159,6 +161,41 @@
     /// Continues at another endpoint after the delivered output, under the same key, grants and
     /// reservation. The higher attempt number makes its charge the one that counts.
     pub(super) fn resume_elsewhere(&mut self) {
+        self.unreachable = None;
+        self.choose_other();
+    }
+
+    /// Looks for another endpoint that continues a run whose sidecar can't be reached.
+    fn leave_unreachable(&mut self) {
+        self.abandoned_target = self.target.clone();
+        let again = self.unreachable.take();
+        let again = again.filter(|known| self.target.as_ref() == Some(&known.target));
+        self.unreachable = self.target.clone().map(|target| Unreachable {
+            until: again.map_or(self.now + UNREACHABLE_TIMEOUT, |known| known.until),
+            generation: self.generation,
+            target,
+        });
+        self.choose_other();
+    }
+
+    /// Returns to the sidecar that could not be reached, because no other endpoint takes the run
+    /// over: it may go on there. Returns false if there is none, or its time is over.
+    pub(super) fn return_to_unreachable(&mut self) -> bool {
+        let Some(known) = self.unreachable.clone().filter(|it| self.now < it.until) else {
+            return false;
+        };
+        self.excluded.remove(&known.target.sidecar);
+        self.target = Some(known.target);
+        self.generation = known.generation;
+        self.start_state = StartState::Begun;
+        self.abandoned_target = None;
+        let until = self.now + MAX_BACKOFF;
+        self.step = Step::BackingOff { until };
+        self.actions.push(Action::SetTimer(until));
+        true
+    }
+
+    fn choose_other(&mut self) {
         self.attempt += 1;
         if self.excluded.len() + 1 >= MAX_ENDPOINTS {
             return self.finish(Outcome::Unknown(UnknownCause::EndpointLost), None);
@@ -200,6 +237,16 @@
         }
     }
 
+    /// Handles a call that broke while the ledger, too, receives nothing from the sidecar.
+    pub(super) fn target_unresponsive(&mut self, target: &Target) {
+        let reads = matches!(self.step, Step::Reading | Step::BackingOff { .. });
+        let begun = self.start_state == StartState::Begun && self.may_continue();
+        if reads && begun && self.target.as_ref() == Some(target) {
+            return self.leave_unreachable();
+        }
+        self.target_gone(target);
+    }
+
     /// Handles the end of the incarnation that was to run the key.
     pub(super) fn incarnation_ended(&mut self) {
         if matches!(self.step, Step::Cancelling) {
--- a/crates/anvilreel/src/request/late_charge.rs
+++ b/crates/anvilreel/src/request/late_charge.rs
@@ -44,7 +44,9 @@
                 dispatch,
                 reply: SidecarReply::Probed(answer),
             } if dispatch == self.dispatch => self.charge_answered(answer),
-            Event::TargetGone(target) if self.target.as_ref() == Some(&target) => {
+            Event::TargetGone(target) | Event::TargetUnresponsive(target)
+                if self.target.as_ref() == Some(&target) =>
+            {
                 self.verify_claim();
             }
             Event::Claimed {
--- a/crates/anvilreel/src/request/reading.rs
+++ b/crates/anvilreel/src/request/reading.rs
@@ -50,6 +50,7 @@
         }
         if self.start_state == StartState::Sent && !attached {
             self.start_state = StartState::Begun;
+            self.unreachable = None;
         }
     }
 
@@ -67,6 +68,7 @@
             return self.back_off(now);
         }
         self.consecutive_breaks = 0;
+        self.unreachable = None;
         self.delivered += frame.bytes.len() as u64;
         self.delivered_tokens = self.delivered_tokens.max(frame.tokens);
         if matches!(self.spec.work, Work::Chat { .. }) {
--- a/crates/anvilreel/src/router/request_task.rs
+++ b/crates/anvilreel/src/router/request_task.rs
@@ -126,7 +126,7 @@
         }
     }
 
-    /// Turns a broken call into the loss of its target if the ledger, too, receives no heartbeats
+    /// Reports the target of a broken call as unresponsive if the ledger, too, receives no heartbeats
     /// from that sidecar, long before its incarnation is declared over. Neither sign alone is
     /// enough: a run whose sidecar is only cut off from the ledger is still read.
     fn reclassify_unresponsive(&self, event: Event) -> Event {
@@ -139,7 +139,7 @@
         };
         let view = self.core.view_state.view.load();
         if view.unresponsive.contains(&target.sidecar) {
-            return Event::TargetGone(target.clone());
+            return Event::TargetUnresponsive(target.clone());
         }
         event
     }
@@ -158,7 +158,7 @@
     /// Reports an endpoint that failed this request to the health tracking, and logs it.
     fn record_endpoint_failure(&self, event: &Event) {
         let failed = match event {
-            Event::CallBroken { .. } | Event::TargetGone(_) => true,
+            Event::CallBroken { .. } | Event::TargetGone(_) | Event::TargetUnresponsive(_) => true,
             Event::Reply { reply, .. } => match reply {
                 SidecarReply::Refused(refusal) => refusal.reason == Reason::EndpointRefused,
                 SidecarReply::End(end) => {
--- a/crates/anvilreel/tests/request_refused.rs
+++ b/crates/anvilreel/tests/request_refused.rs
@@ -1,73 +1,14 @@
 //! A request that is refused by its first endpoint.
 
-use std::time::Duration;
-
-use anvil_wire::msg::{SidecarReply, SidecarRequest, Work};
-use anvil_world::command::GrantBatchAnswer;
-use anvil_world::document::WorkClass;
+use anvil_wire::msg::{SidecarReply, SidecarRequest};
 use anvil_world::prelude::*;
-use anvilreel::money::{GrantAccount, GrantPolicy};
-use anvilreel::request::{Action, Event, Exchange, RequestSpec, Target};
-
-const NOW: Now = Duration::from_secs(1);
-const BOUND: Tokens = 100;
+use anvilreel::money::GrantAccount;
+use anvilreel::request::{Action, Event, Exchange, Target};
 
-fn split() -> Split {
-    Split::single_payer("nairobi".into())
-}
+use crate::exchange::{BOUND, NOW, new_account, spec, split};
 
-fn spec() -> RequestSpec {
-    RequestSpec {
-        key: RequestKey {
-            team: "counter".into(),
-            id: "r1".into(),
-        },
-        claim_id: "c1".into(),
-        has_caller_key: false,
-        body_hash: [1; 32],
-        at_most_once: false,
-        split: split(),
-        price: Price::default(),
-        bound: BOUND,
-        work: Work::Chat {
-            model: "swatch-chat".into(),
-            body: "{}".into(),
-            max_output: 10,
-        },
-        class: WorkClass::Interactive,
-        deadline: Duration::from_mins(10),
-        retention: Duration::from_mins(5),
-        holders: Vec::new(),
-        probe_candidates: Vec::new(),
-    }
-}
-
-/// An account with one grant that is large enough.
-fn new_account() -> GrantAccount {
-    let account = GrantAccount::new("router-0".into(), 1, GrantPolicy::default());
-    assert!(account.reserve(NOW, &split(), BOUND).is_err());
-    let seq = account
-        .next_batch(NOW)
-        .expect("a batch with a grant request")
-        .seq;
-    let grant = Grant {
-        id: 1,
-        budget: "nairobi".into(),
-        router: "router-0".into(),
-        incarnation: 1,
-        amount: 10 * BOUND,
-        settled: 0,
-        returned: 0,
-        state: GrantState::Open,
-    };
-    let answer = GrantBatchAnswer {
-        seq,
-        opened: vec![grant],
-        ..GrantBatchAnswer::default()
-    };
-    account.apply_answer(NOW, &answer).unwrap();
-    account
-}
+#[path = "support/exchange.rs"]
+mod exchange;
 
 /// Feeds an event, makes a reservation where one is requested, and returns the call that the
 /// exchange makes.
