--- a/crates/anvilreel/src/router/request_task.rs
+++ b/crates/anvilreel/src/router/request_task.rs
@@ -120,13 +120,13 @@
                     Some(Event::TimerFired)
                 }
                 // The sender lives as long as the router.
-                _ = changes.changed() => self.target_gone(),
+                _ = changes.changed() => self.target_gone(&exchange),
             };
             events.extend(event.map(|event| self.reclassify_unresponsive(event)));
         }
     }
 
-    /// Turns a broken call into the loss of its target if the ledger, too, receives no heartbeats
+    /// Reports the target of a broken call as unresponsive if the ledger, too, receives no heartbeats
     /// from that sidecar, long before its incarnation is declared over. Neither sign alone is
     /// enough: a run whose sidecar is only cut off from the ledger is still read.
     fn reclassify_unresponsive(&self, event: Event) -> Event {
@@ -139,7 +139,7 @@
         };
         let view = self.core.view_state.view.load();
         if view.unresponsive.contains(&target.sidecar) {
-            return Event::TargetGone(target.clone());
+            return Event::TargetUnresponsive(target.clone());
         }
         event
     }
@@ -158,7 +158,7 @@
     /// Reports an endpoint that failed this request to the health tracking, and logs it.
     fn record_endpoint_failure(&self, event: &Event) {
         let failed = match event {
-            Event::CallBroken { .. } | Event::TargetGone(_) => true,
+            Event::CallBroken { .. } | Event::TargetGone(_) | Event::TargetUnresponsive(_) => true,
             Event::Reply { reply, .. } => match reply {
                 SidecarReply::Refused(refusal) => refusal.reason == Reason::EndpointRefused,
                 SidecarReply::End(end) => {
@@ -178,11 +178,16 @@
     }
 
     /// Whether the target's incarnation is over according to the members' list.
-    fn target_gone(&self) -> Option<Event> {
+    ///
+    /// A sidecar that the ledger has declared gone may go on: only its heartbeats were lost. While
+    /// its output is read, the open call shows that it runs; the call breaks if it does not.
+    fn target_gone(&self, exchange: &Exchange) -> Option<Event> {
         let target = self.target.as_ref()?;
         let view = self.core.view_state.view.load();
-        let now = view.sidecars.get(&target.sidecar);
-        let over = now.is_none_or(|now| now.incarnation != target.incarnation);
+        let over = match view.sidecars.get(&target.sidecar) {
+            Some(now) => now.incarnation != target.incarnation,
+            None => !exchange.is_reading() || self.calls.is_empty(),
+        };
         over.then(|| Event::TargetGone(target.clone()))
     }
 
