A test shows that a stopping gateway refuses before it reserves tokens

With the check at admission taken out, the check before sending refused as well, and no test was red. The refused stream is prepaid now, without a ledger: without the check at admission it is red (ledger_unreachable), with it green. Taking out the check before sending, or the one in the queue, has one test red each (admitted_request_is_not_sent_if_it_would_be_cut, waiting_request_that_would_be_cut_is_refused).

--- a/crates/anvil_gateway/tests/direct/leaving.rs
+++ b/crates/anvil_gateway/tests/direct/leaving.rs
@@ -282,8 +282,9 @@
         let stopped_at = Instant::now();
         let mut client = Client::connect(gateway.addr).await;
         let body = "b".repeat(9_000);
+        // Prepaid, while no ledger can be reached: it is refused before tokens are reserved.
         let head = format!(
-            "POST /stream/x HTTP/1.1\r\nhost: shop\r\nx-id: id\r\n{LONG_WAIT}{}content-length: {}\r\n\r\n",
+            "POST /stream/x HTTP/1.1\r\nhost: shop\r\nx-id: id\r\nx-key: key\r\n{PROMPT}{LONG_WAIT}{}content-length: {}\r\n\r\n",
             take(grace_period),
             body.len()
         );
