A stopping gateway judges a request by the tokens it states

Cause: a stopping gateway refused whatever might last as long as the longest response of its route.

Change: the expectation is the route's longest time to the beginning of a response plus the longest time for each token that a request allowed, times the tokens that this one states. Where requests state none it is as before.

Result: stated_tokens_tell_how_long_a_response_takes; the other tests of planned stops are unchanged but for the type.

--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -135,6 +135,7 @@
     trace.stages.enter(Stage::Other);
     let route = find_route(&table, &head).ok_or((Cause::NoRoute, DEFAULT_RETRY_AFTER))?;
     trace.record_route(&route, table.version);
+    trace.record_max_output(request.max_output());
     let organisation = identify_sender(&table, &route, &request)?;
     if let Some(organisation) = &organisation {
         trace.record_organisation(&organisation.id);
@@ -150,7 +151,7 @@
     drop(expected);
     // Not before the body is read: closing a connection with unread data resets it, and the refusal
     // could be lost.
-    if gw.stop_would_cut(&route, deadline) {
+    if gw.stop_would_cut(&route, request.max_output(), deadline) {
         trace.step(format_args!("the planned stop leaves too little time"));
         return Err((Cause::Leaving, RETRY_ELSEWHERE_AFTER));
     }
--- a/crates/anvil_gateway/src/dialect.rs
+++ b/crates/anvil_gateway/src/dialect.rs
@@ -56,6 +56,13 @@
     pub first_attempt: Option<AttemptId>,
 }
 
+impl RequestHead {
+    /// Maximum tokens of output that it states; 0 if it states none.
+    pub fn max_output(&self) -> Tokens {
+        self.model_work.as_ref().map_or(0, |work| work.max_output)
+    }
+}
+
 /// A request head that can't be served.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 #[snafu(display("{what} is missing or can't be read"))]
--- a/crates/anvil_gateway/src/exchange/one_attempt.rs
+++ b/crates/anvil_gateway/src/exchange/one_attempt.rs
@@ -52,7 +52,12 @@
             Some(place) => *place,
             None => self.find_place().await?,
         };
-        if !self.in_doubt && self.gw.stop_would_cut(&self.route, self.deadline) {
+        let max_output = self.request.max_output();
+        if !self.in_doubt
+            && self
+                .gw
+                .stop_would_cut(&self.route, max_output, self.deadline)
+        {
             let not_run = NotRun::Withheld(Cause::Leaving);
             return Ok(AttemptEnd::Outcome(AttemptOutcome::NotRun(not_run)));
         }
@@ -257,10 +262,9 @@
         avoided: &[SoftwareVersion],
         terms: PlacementTerms,
     ) -> Result<Selection, Unplaced> {
-        let work = self.request.model_work.as_ref();
         let prompt = Prompt {
             parts: &self.prompt_parts,
-            max_output: work.map_or(0, |work| work.max_output),
+            max_output: self.request.max_output(),
         };
         let constraints = Constraints {
             avoided,
--- a/crates/anvil_gateway/src/exchange/place.rs
+++ b/crates/anvil_gateway/src/exchange/place.rs
@@ -152,10 +152,11 @@
         queue: &Arc<ServiceQueue>,
         mut place: WaitingPlace,
     ) -> Result<Place, RequestRefusal> {
+        let max_output = self.request.max_output();
         loop {
             let woken = tokio::select! {
                 woken = place.woken() => woken,
-                () = self.gw.until_stop_would_cut(&self.route, self.deadline) => {
+                () = self.gw.until_stop_would_cut(&self.route, max_output, self.deadline) => {
                     self.trace.step(format_args!("the planned stop leaves too little time"));
                     return Err((Cause::Leaving, retry_elsewhere_after()));
                 }
--- a/crates/anvil_gateway/src/planned_stop.rs
+++ b/crates/anvil_gateway/src/planned_stop.rs
@@ -4,7 +4,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use anvil_policy::planned_stop::begins_in_time;
+use anvil_policy::planned_stop::{CompleteResponse, begins_in_time};
 use anvil_world::prelude::*;
 use tokio::time::{Instant, sleep};
 
@@ -25,30 +25,41 @@
     }
 
     /// Records how long a complete response took.
-    pub(crate) fn record_response_time(&self, route: &RouteName, took: Duration) {
+    pub(crate) fn record_response_time(&self, route: &RouteName, response: CompleteResponse) {
         let now = self.lifecycle.now();
         let times = self.response_times.lock();
         // Sound after a panic elsewhere: each response time counts by itself.
         let mut times = times.unwrap_or_else(PoisonError::into_inner);
-        times.record(now, route, took);
+        times.record(now, route, response);
     }
 
-    /// Whether the planned stop would cut a request off that begins now.
-    pub(crate) fn stop_would_cut(&self, route: &Route, deadline: Instant) -> bool {
+    /// Whether the planned stop would cut a request off that begins now and states so many output
+    /// tokens at most (0 if none).
+    pub(crate) fn stop_would_cut(
+        &self,
+        route: &Route,
+        max_output: Tokens,
+        deadline: Instant,
+    ) -> bool {
         let Some(time_to_close) = self.time_to_close() else {
             return false;
         };
         let time_left = deadline.saturating_duration_since(Instant::now());
         let times = self.response_times.lock();
         let mut times = times.unwrap_or_else(PoisonError::into_inner);
-        let expected = times.expected(self.lifecycle.now(), &route.name);
+        let expected = times.expected(self.lifecycle.now(), &route.name, max_output);
         !begins_in_time(expected, time_left, time_to_close)
     }
 
     /// Returns once the planned stop would cut a request off that begins then.
-    pub(crate) async fn until_stop_would_cut(&self, route: &Route, deadline: Instant) {
+    pub(crate) async fn until_stop_would_cut(
+        &self,
+        route: &Route,
+        max_output: Tokens,
+        deadline: Instant,
+    ) {
         self.lifecycle.drain_begun().await;
-        while !self.stop_would_cut(route, deadline) {
+        while !self.stop_would_cut(route, max_output, deadline) {
             sleep(CHECK_INTERVAL).await;
         }
     }
--- a/crates/anvil_gateway/src/trace.rs
+++ b/crates/anvil_gateway/src/trace.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use anvil_policy::planned_stop::CompleteResponse;
 use anvil_world::prelude::*;
 use anvilreel::event;
 use tokio::time::Instant;
@@ -28,6 +29,8 @@
     table_version: u64,
     target_latency: Option<Duration>,
     max_gap: Option<Duration>,
+    /// Maximum output tokens that the request states.
+    max_output: Tokens,
     /// Time in each stage up to the beginning of the response.
     pub stages: StageTimes,
     steps: String,
@@ -69,6 +72,7 @@
             table_version: 0,
             target_latency: None,
             max_gap: None,
+            max_output: 0,
             stages: StageTimes::new(started_at),
             steps: String::new(),
             first_piece_at: None,
@@ -88,6 +92,11 @@
         self.table_version = table_version;
     }
 
+    /// Records the maximum output tokens that the request states.
+    pub fn record_max_output(&mut self, tokens: Tokens) {
+        self.max_output = tokens;
+    }
+
     /// Records the organisation that sent the request.
     pub fn record_organisation(&mut self, organisation: &Arc<str>) {
         self.organisation = Some(organisation.clone());
@@ -191,7 +200,12 @@
         }
         if outcome == "completed" {
             if let Some(route) = &self.route {
-                self.gw.record_response_time(route, took);
+                let response = CompleteResponse {
+                    took,
+                    first: self.first_piece_at.unwrap_or(took),
+                    max_output: self.max_output,
+                };
+                self.gw.record_response_time(route, response);
             }
             request_event!(events::GATEWAY_REQUEST_COMPLETED);
         } else {
--- a/crates/anvil_policy/src/planned_stop.rs
+++ b/crates/anvil_policy/src/planned_stop.rs
@@ -11,9 +11,15 @@
 //!
 //! *Mechanism:* a request begins if its deadline lies before the end of serving: it is answered by
 //! then, whatever happens. Any other one begins only if its response is expected to be complete by
-//! then ([`begins_in_time`]). The expectation comes from the longest of the route's responses that
-//! were recently complete ([`ResponseTimes`]), in two half windows, so that a maximum is forgotten.
-//! A route without any is refused.
+//! then ([`begins_in_time`]). The expectation comes from the route's responses that were recently
+//! complete ([`ResponseTimes`]): the longest time to their beginning, and the longest time for each
+//! token that the request allowed, or the longest one as a whole where requests state no tokens. Two
+//! half windows are kept, so that a maximum is forgotten. A route without any is refused.
+//!
+//! The tokens matter: on a route whose responses take one to eight seconds, a refusal of all would
+//! turn away mostly requests that could be complete, and those that meet a second stopping router
+//! would not be served at all. They also keep a router that has just started, and knows only the
+//! short ones of a route, from beginning its long ones.
 //!
 //! *Thresholds:* a refusal in vain costs the client one more connection, a response that is cut all
 //! of its work. So the margin is wide, and wider while few responses are known: the longest of a
@@ -35,29 +41,70 @@
 /// See [`MARGIN_OF_FEW`].
 const MIN_RESPONSES: u32 = 8;
 
+/// A complete response.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CompleteResponse {
+    /// Time from the request's arrival to the last byte.
+    pub took: Duration,
+    /// The part of it up to the beginning of the response.
+    pub first: Duration,
+    /// Maximum output tokens that the request stated; 0 if it stated none.
+    pub max_output: Tokens,
+}
+
+/// Fewer tokens count as this many: a pause in a short response says little about longer ones.
+const MIN_RATED_TOKENS: Tokens = 64;
+
 /// What is known of the responses of one route.
 #[derive(Debug, Clone, Copy, Default)]
 struct RouteTimes {
     longest: Duration,
+    longest_first: Duration,
+    /// Longest time after the beginning, by token that the request allowed, in nanoseconds.
+    nanos_per_token: u64,
     responses: u32,
 }
 
+impl From<CompleteResponse> for RouteTimes {
+    fn from(response: CompleteResponse) -> Self {
+        let rest = response.took.saturating_sub(response.first);
+        let nanos = u64::try_from(rest.as_nanos()).unwrap_or(u64::MAX);
+        Self {
+            longest: response.took,
+            longest_first: response.first,
+            nanos_per_token: match response.max_output {
+                0 => 0,
+                max_output => nanos / max_output.max(MIN_RATED_TOKENS),
+            },
+            responses: 1,
+        }
+    }
+}
+
 impl RouteTimes {
     fn and(self, other: Self) -> Self {
         Self {
             longest: self.longest.max(other.longest),
+            longest_first: self.longest_first.max(other.longest_first),
+            nanos_per_token: self.nanos_per_token.max(other.nanos_per_token),
             responses: self.responses.saturating_add(other.responses),
         }
     }
 
-    fn expected(self) -> Duration {
+    fn expected(self, max_output: Tokens) -> Duration {
         let is_few = self.responses < MIN_RESPONSES;
         let margin = if is_few { MARGIN_OF_FEW } else { MARGIN };
-        self.longest.mul_f64(margin)
+        let longest = if max_output == 0 || self.nanos_per_token == 0 {
+            self.longest
+        } else {
+            let rest = self.nanos_per_token.saturating_mul(max_output);
+            self.longest_first + Duration::from_nanos(rest)
+        };
+        longest.mul_f64(margin)
     }
 }
 
-/// How long responses recently took, by route: from the request's arrival to the last byte.
+/// How long responses recently took, by route.
 #[derive(Debug, Default)]
 pub struct ResponseTimes {
     current: BTreeMap<RouteName, RouteTimes>,
@@ -68,12 +115,9 @@
 
 impl ResponseTimes {
     /// Records a complete response.
-    pub fn record(&mut self, now: Now, route: &RouteName, took: Duration) {
+    pub fn record(&mut self, now: Now, route: &RouteName, response: CompleteResponse) {
         self.forget_old(now);
-        let response = RouteTimes {
-            longest: took,
-            responses: 1,
-        };
+        let response = RouteTimes::from(response);
         if let Some(times) = self.current.get_mut(route) {
             *times = times.and(response);
         } else if self.current.len() < MAX_ROUTES {
@@ -81,13 +125,14 @@
         }
     }
 
-    /// The time that a response of this route is expected to take at most; `None` if none was
-    /// complete recently.
-    pub fn expected(&mut self, now: Now, route: &str) -> Option<Duration> {
+    /// The time that a response of this route is expected to take at most, if the request states so
+    /// many output tokens (0 if none); `None` if no response was complete recently.
+    pub fn expected(&mut self, now: Now, route: &str, max_output: Tokens) -> Option<Duration> {
         self.forget_old(now);
         let halves = [self.current.get(route), self.previous.get(route)];
         let times = halves.into_iter().flatten().copied();
-        times.reduce(RouteTimes::and).map(RouteTimes::expected)
+        let times = times.reduce(RouteTimes::and)?;
+        Some(times.expected(max_output))
     }
 
     fn forget_old(&mut self, now: Now) {
--- a/crates/anvil_policy/tests/planned_stop.rs
+++ b/crates/anvil_policy/tests/planned_stop.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvil_policy::planned_stop::{ResponseTimes, begins_in_time};
+use anvil_policy::planned_stop::{CompleteResponse, ResponseTimes, begins_in_time};
 
 /// More responses than make a route well known.
 const MANY: u32 = 20;
@@ -18,9 +18,18 @@
     name.into()
 }
 
+/// A response to a request that stated no tokens.
+fn whole(took: Duration) -> CompleteResponse {
+    CompleteResponse {
+        took,
+        first: took,
+        max_output: 0,
+    }
+}
+
 fn record_many(times: &mut ResponseTimes, now: Duration, route: &Arc<str>, took: Duration) {
     for _ in 0..MANY {
-        times.record(now, route, took);
+        times.record(now, route, whole(took));
     }
 }
 
@@ -44,30 +53,56 @@
 fn longest_response_counts_with_a_margin() {
     let (mut times, stream) = (ResponseTimes::default(), route("stream"));
     record_many(&mut times, secs(0), &stream, secs(1));
-    let expected = times.expected(secs(1), "stream").expect("known");
+    let expected = times.expected(secs(1), "stream", 0).expect("known");
     assert!(expected > secs(1) && expected <= secs(2), "{expected:?}");
-    times.record(secs(1), &stream, secs(4));
+    times.record(secs(1), &stream, whole(secs(4)));
     record_many(&mut times, secs(2), &stream, secs(1));
-    let expected = times.expected(secs(2), "stream").expect("known");
+    let expected = times.expected(secs(2), "stream", 0).expect("known");
     assert!(expected > secs(4) && expected <= secs(8), "{expected:?}");
-    assert_eq!(times.expected(secs(2), "other"), None);
+    assert_eq!(times.expected(secs(2), "other", 0), None);
 }
 
 /// Guards against the first response of a route, which happens to be short, standing for all.
 #[test]
 fn few_responses_count_with_a_wider_margin() {
     let mut times = ResponseTimes::default();
-    times.record(secs(0), &route("few"), secs(1));
+    times.record(secs(0), &route("few"), whole(secs(1)));
     record_many(&mut times, secs(0), &route("many"), secs(1));
-    let few = times.expected(secs(0), "few").expect("known");
-    let many = times.expected(secs(0), "many").expect("known");
+    let few = times.expected(secs(0), "few", 0).expect("known");
+    let many = times.expected(secs(0), "many", 0).expect("known");
     assert!(few > many, "{few:?}, {many:?}");
     // Both half windows count.
     let (mut times, both) = (ResponseTimes::default(), route("both"));
     for s in 20..40 {
-        times.record(secs(s), &both, secs(1));
+        times.record(secs(s), &both, whole(secs(1)));
+    }
+    assert_eq!(times.expected(secs(40), "both", 0), Some(many));
+}
+
+/// Guards against a router that refuses all streams of a route because its longest one is long, and
+/// against one that begins a long stream because it knows only short ones.
+#[test]
+fn stated_tokens_tell_how_long_a_response_takes() {
+    let (mut times, stream) = (ResponseTimes::default(), route("stream"));
+    // Half a second to the beginning, 10 ms for each token.
+    for max_output in [20, 50, 100, 30, 80, 60, 40, 100, 90, 1] {
+        let first = Duration::from_millis(500);
+        let response = CompleteResponse {
+            took: first + Duration::from_millis(10) * max_output,
+            first,
+            max_output: max_output.into(),
+        };
+        times.record(secs(0), &stream, response);
     }
-    assert_eq!(times.expected(secs(40), "both"), Some(many));
+    let mut expected = |max_output| {
+        times
+            .expected(secs(1), "stream", max_output)
+            .expect("known")
+    };
+    assert!(expected(50) >= secs(1) && expected(50) <= secs(2));
+    assert!(expected(500) >= Duration::from_millis(5_500));
+    // Tokens that aren't stated count like the longest response.
+    assert!(expected(0) >= Duration::from_millis(1_500) && expected(0) <= secs(3));
 }
 
 /// Guards against one long response that keeps requests of its route away for good, and against a
@@ -76,11 +111,11 @@
 fn long_responses_are_forgotten_in_time() {
     for begun in (0..60).map(secs) {
         let (mut times, stream) = (ResponseTimes::default(), route("stream"));
-        times.record(begun, &stream, secs(9));
+        times.record(begun, &stream, whole(secs(9)));
         let mut forgotten = None;
         for s in (0..90).map(secs) {
             record_many(&mut times, begun + s, &stream, secs(1));
-            let expected = times.expected(begun + s, "stream").expect("known");
+            let expected = times.expected(begun + s, "stream", 0).expect("known");
             if expected < secs(9) {
                 forgotten.get_or_insert(s);
             }
@@ -98,16 +133,16 @@
 #[test]
 fn routes_without_responses_are_forgotten() {
     let (mut times, gone) = (ResponseTimes::default(), route("gone"));
-    times.record(secs(10), &gone, secs(1));
-    assert!(times.expected(secs(39), "gone").is_some());
-    assert_eq!(times.expected(secs(10) + FORGOTTEN_AFTER, "gone"), None);
-    times.record(secs(200), &gone, secs(1));
+    times.record(secs(10), &gone, whole(secs(1)));
+    assert!(times.expected(secs(39), "gone", 0).is_some());
+    assert_eq!(times.expected(secs(10) + FORGOTTEN_AFTER, "gone", 0), None);
+    times.record(secs(200), &gone, whole(secs(1)));
     for s in (200..300).step_by(59).map(secs) {
-        let is_known = times.expected(s, "gone").is_some();
+        let is_known = times.expected(s, "gone", 0).is_some();
         assert!(!is_known || s < secs(200) + FORGOTTEN_AFTER, "{s:?}");
     }
-    times.record(secs(500), &gone, secs(1));
-    assert_eq!(times.expected(secs(1_000), "gone"), None);
+    times.record(secs(500), &gone, whole(secs(1)));
+    assert_eq!(times.expected(secs(1_000), "gone", 0), None);
 }
 
 /// Guards against memory that grows with the number of routes.
@@ -115,11 +150,11 @@
 fn number_of_routes_is_bounded() {
     let mut times = ResponseTimes::default();
     for number in 0..10_000 {
-        times.record(secs(0), &route(&format!("route-{number}")), secs(1));
+        times.record(secs(0), &route(&format!("route-{number}")), whole(secs(1)));
     }
     let known = (0..10_000).filter(|number| {
         let name = format!("route-{number}");
-        times.expected(secs(0), &name).is_some()
+        times.expected(secs(0), &name, 0).is_some()
     });
     assert_eq!(known.count(), 4_096);
 }
