A stopping gateway leaves time for a pause of the endpoint

Cause: a short request began if 1.5 times the longest known response of its route fitted before the end of the planned stop. For responses of 30 ms that leaves 45 ms, but a sound endpoint may be silent for 1.5 s, and then the request is cut.

Change: `begins_in_time` asks for 1.75 s beyond the expected time. A request whose deadline lies before the end still begins. Any other one is refused in the last seconds, with an immediate retry elsewhere.

--- a/crates/anvil_gateway/tests/direct/main.rs
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -6,6 +6,7 @@
 mod crashing_endpoints;
 mod dialect;
 mod disconnected_clients;
+mod end_of_stop;
 mod endpoint;
 mod evacuating;
 mod explanations;
--- a/crates/anvil_policy/src/planned_stop.rs
+++ b/crates/anvil_policy/src/planned_stop.rs
@@ -17,7 +17,8 @@
 //!
 //! *Thresholds:* a refusal in vain costs the client one more connection, a response that is cut all
 //! of its work. So the margin is wide, and wider while few responses are known: the longest of a
-//! few says little about the next one.
+//! few says little about the next one. A multiple of a short time is no reserve for a pause of an
+//! endpoint, so [`PAUSE_RESERVE`] is added. Short requests are refused that long before the end.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -35,6 +36,10 @@
 /// See [`MARGIN_OF_FEW`].
 const MIN_RESPONSES: u32 = 8;
 
+/// Time that is left beyond the expected time of a response: a sound endpoint may be silent for
+/// 1.5 s, and then the response is still to be passed on.
+const PAUSE_RESERVE: Duration = Duration::from_millis(1_750);
+
 /// What is known of the responses of one route.
 #[derive(Debug, Clone, Copy, Default)]
 struct RouteTimes {
@@ -111,5 +116,6 @@
     time_left: Duration,
     time_to_end: Duration,
 ) -> bool {
-    time_left < time_to_end || expected.is_some_and(|expected| expected < time_to_end)
+    let latest = time_to_end.saturating_sub(PAUSE_RESERVE);
+    time_left < time_to_end || expected.is_some_and(|expected| expected < latest)
 }
