A request that has not been sent is refused before a stop ends

Cause: a request that waits before its first attempt (for its body, new endpoints, a place) was neither woken by the planned stop nor bounded by its end. Its connection was closed without an answer, so the client did not know that the request has not run.

Change: `Gateway::refuse_before_close` bounds what precedes the first attempt, or follows attempts that have not run: admission, the origin of a stream that is taken up, the wait for endpoints, and a place. 100 ms before all connections are closed the request is refused as `leaving`. A request that may have run is not refused this way.

Tests: a late body and a wait for endpoints got no answer before (status 0) and are refused now.

leaving, explanations, starting, waiting, missing_endpoints, end_of_stop: 71 passed.

--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -53,7 +53,8 @@
         }
     };
     let mut trace = Trace::new(gw.clone(), request.id.clone(), received_at);
-    match admit(gw, head, body, request, received_at, &mut trace).await {
+    let admission = admit(gw, head, body, request, received_at, &mut trace);
+    match gw.refuse_before_close(admission).await {
         Ok(admitted) => {
             let exchange = admitted.into_exchange(gw.clone(), client, trace);
             exchange.run().await
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -123,7 +123,8 @@
 impl Exchange {
     /// Sends the request to endpoints until one responds.
     pub async fn run(mut self) -> Reply {
-        if let Err(refusal) = self.bind_taken_up().await {
+        let gw = self.gw.clone();
+        if let Err(refusal) = gw.refuse_before_close(self.bind_taken_up()).await {
             return self.refuse(refusal);
         }
         self.gw.count_first_attempt(&self.service);
@@ -196,9 +197,13 @@
                 }
                 Err(refusal) => Some(refusal),
             };
-            if self.wait_for_endpoints(refusal).await && self.retry_budget_allows() {
-                continue;
-            }
+            let gw = self.gw.clone();
+            let waiting = async { Ok(self.wait_for_endpoints(refusal).await) };
+            let refusal = match gw.refuse_before_close(waiting).await {
+                Ok(true) if self.retry_budget_allows() => continue,
+                Ok(_) => refusal,
+                Err(leaving) => Some(leaving),
+            };
             if let Some(refusal) = refusal {
                 // An endpoint's own error response says more than a refusal by the gateway.
                 return failure.ok_or(refusal);
--- a/crates/anvil_gateway/src/exchange/one_attempt.rs
+++ b/crates/anvil_gateway/src/exchange/one_attempt.rs
@@ -62,7 +62,12 @@
     async fn find_place(&mut self) -> Result<Place, RequestRefusal> {
         self.refuse_in_quarantine()?;
         self.trace.stages.enter(Stage::Place);
-        let place = self.take_place().await;
+        let place = if self.in_doubt {
+            self.take_place().await
+        } else {
+            let gw = self.gw.clone();
+            gw.refuse_before_close(self.take_place()).await
+        };
         self.trace.stages.enter(Stage::Other);
         place
     }
--- a/crates/anvil_gateway/src/planned_stop.rs
+++ b/crates/anvil_gateway/src/planned_stop.rs
@@ -1,6 +1,7 @@
 //! Which requests a gateway still begins during its planned stop, and when it closes all
 //! connections. [`anvil_policy::planned_stop`] decides.
 
+use std::future::Future;
 use std::sync::PoisonError;
 use std::time::Duration;
 
@@ -8,11 +9,17 @@
 use anvil_world::prelude::*;
 use tokio::time::{Instant, sleep};
 
+use crate::exchange::RequestRefusal;
 use crate::gateway::Gateway;
+use crate::reply::Cause;
+use crate::send::pacing::retry_elsewhere_after;
 use crate::table::Route;
 
 /// All connections are closed this long before the end of the grace period.
 const STOP_MARGIN: Duration = Duration::from_millis(350);
+/// A request that still waits for something this long before that is refused: time to write the
+/// refusal.
+const REFUSAL_MARGIN: Duration = Duration::from_millis(100);
 /// How often a waiting request checks whether it can still be complete.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -52,4 +59,25 @@
             sleep(CHECK_INTERVAL).await;
         }
     }
+    /// Does what precedes the first attempt of a request, or follows attempts that have not run.
+    ///
+    /// Failure: a request waits for tokens, the link or endpoints when all connections are closed.
+    /// Its client is not told that the request has not run. So it is refused before.
+    pub(crate) async fn refuse_before_close<T>(
+        &self,
+        not_yet_sent: impl Future<Output = Result<T, RequestRefusal>>,
+    ) -> Result<T, RequestRefusal> {
+        tokio::select! {
+            biased;
+            done = not_yet_sent => done,
+            () = self.until_last_refusal() => Err((Cause::Leaving, retry_elsewhere_after())),
+        }
+    }
+
+    /// Returns once a request that waits has to be refused.
+    async fn until_last_refusal(&self) {
+        self.lifecycle.drain_begun().await;
+        let time_to_close = self.time_to_close().unwrap_or_default();
+        sleep(time_to_close.saturating_sub(REFUSAL_MARGIN)).await;
+    }
 }
--- a/crates/anvil_gateway/tests/direct/leaving.rs
+++ b/crates/anvil_gateway/tests/direct/leaving.rs
@@ -188,6 +188,11 @@
         grace_period,
         ..settings()
     };
+    start_patient(cfg, endpoint).await
+}
+
+/// A gateway with these settings and routes whose requests may last longer than its grace period.
+pub async fn start_patient(cfg: GatewaySettings, endpoint: &TestEndpoint) -> TestGateway {
     let log = Logger::root(Discard, o!());
     let metrics = Metrics::disabled("gateway");
     let gateway = TestGateway::start_configured(cfg, &[("a", endpoint)], log, metrics).await;
