Clients refused at admission by a stop return at different times

Cause: admission stated a fixed retry-after time of 20 ms when the planned stop leaves too little time, so clients that are refused together return together.

Change: the same random time of 20 to 100 ms as everywhere else.

Test: 40 refusals in a row were all told 20 ms before, and are spread over at least 40 ms now. leaving and end_of_stop: 23 passed.

--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -24,6 +24,7 @@
 use crate::reply::{Cause, Reply, refusal};
 use crate::request_charge::RequestCharge;
 use crate::request_digest;
+use crate::send::pacing::retry_elsewhere_after;
 use crate::shared_content::{self, SharedContent};
 use crate::stage_times::Stage;
 use crate::suspects::RequestContents;
@@ -153,7 +154,7 @@
     // could be lost.
     if gw.stop_would_cut(&route, deadline) {
         trace.step(format_args!("the planned stop leaves too little time"));
-        return Err((Cause::Leaving, RETRY_ELSEWHERE_AFTER));
+        return Err((Cause::Leaving, retry_elsewhere_after()));
     }
     let payer = organisation.as_deref();
     let request_digest = request_digest::digest(payer, &route, &head.method, &head.uri, &body);
--- a/crates/anvil_gateway/tests/direct/end_of_stop.rs
+++ b/crates/anvil_gateway/tests/direct/end_of_stop.rs
@@ -1,5 +1,6 @@
 //! The last moments of a planned stop, before all connections are closed.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use anvil_gateway::GatewaySettings;
@@ -105,3 +106,23 @@
     client.send("/once/x", "tokens", &headers).await;
     assert_refused_as_leaving(&client.read_response().await);
 }
+
+/// Guards against clients that are refused together and return together.
+#[tokio::test]
+async fn refused_clients_are_told_to_return_at_different_times() {
+    let endpoint = TestEndpoint::answering().await;
+    let gateway = start_with_grace(GRACE_PERIOD, &endpoint).await;
+    gateway.gw.lifecycle.begin_drain();
+    let mut times = BTreeSet::new();
+    for _ in 0..40 {
+        let mut client = Client::connect(gateway.addr).await;
+        let refused = client.request("/once/x", "id", LONG_WAIT).await;
+        assert_refused_as_leaving(&refused);
+        times.extend(refused.retry_after());
+    }
+    assert!(times.len() > 10, "{times:?}");
+    let (first, last) = (times.first().copied(), times.last().copied());
+    let spread = last.zip(first).map(|(last, first)| last.abs_diff(first));
+    let spread = spread.expect("retry-after times");
+    assert!(spread >= Duration::from_millis(40), "{times:?}");
+}
