--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -24,6 +24,7 @@
 use crate::reply::{Cause, Reply, refusal};
 use crate::request_charge::RequestCharge;
 use crate::request_digest;
+use crate::send::pacing::retry_elsewhere_after;
 use crate::shared_content::{self, SharedContent};
 use crate::stage_times::Stage;
 use crate::suspects::RequestContents;
@@ -53,7 +54,8 @@
         }
     };
     let mut trace = Trace::new(gw.clone(), request.id.clone(), received_at);
-    match admit(gw, head, body, request, received_at, &mut trace).await {
+    let admission = admit(gw, head, body, request, received_at, &mut trace);
+    match gw.refuse_before_close(admission).await {
         Ok(admitted) => {
             let exchange = admitted.into_exchange(gw.clone(), client, trace);
             exchange.run().await
@@ -153,7 +155,7 @@
     // could be lost.
     if gw.stop_would_cut(&route, request.max_output(), deadline) {
         trace.step(format_args!("the planned stop leaves too little time"));
-        return Err((Cause::Leaving, RETRY_ELSEWHERE_AFTER));
+        return Err((Cause::Leaving, retry_elsewhere_after()));
     }
     let payer = organisation.as_deref();
     let request_digest = request_digest::digest(payer, &route, &head.method, &head.uri, &body);
