Move silent streams while their deadline allows a fresh start

Cause: the silence after which a stream is moved followed from the client's gap alone. A stream that fell silent with less time left than that was never moved, and was cut at its deadline beside free endpoints.

Change: the limit is also bounded by the time left less the route's targets for the latency and for a gap, which a fresh start needs, and is never below 1.5 s.

Result: stream_is_moved_before_its_deadline was red before (cut at 4 s) and is green.

--- a/crates/anvil_gateway/src/exchange/silence.rs
+++ b/crates/anvil_gateway/src/exchange/silence.rs
@@ -91,13 +91,14 @@
         if !mode.may_run_again() || !self.has_attempts_left() {
             return None;
         }
-        silent_since.checked_add(self.max_silence())
+        silent_since.checked_add(self.max_silence(silent_since))
     }
 
-    fn max_silence(&self) -> Duration {
+    fn max_silence(&self, silent_since: Instant) -> Duration {
         let target = self.route.target_latency;
         if self.route.retry_mode.is_stream() {
-            max_stream_silence(target, self.route.max_gap)
+            let time_left = self.deadline.saturating_duration_since(silent_since);
+            max_stream_silence(target, self.route.max_gap, time_left)
         } else {
             max_plain_silence(target)
         }
--- a/crates/anvil_gateway/tests/direct/silence.rs
+++ b/crates/anvil_gateway/tests/direct/silence.rs
@@ -388,6 +388,43 @@
     }
 }
 
+/// Guards against a stream at a lost endpoint being kept so close to its deadline that no other endpoint
+/// can complete it.
+#[tokio::test]
+async fn stream_is_moved_before_its_deadline() {
+    let until_late = Duration::from_millis(600);
+    let before_first = TestEndpoint::start(|_, _| vec![Step::Hang]).await;
+    let after_head =
+        TestEndpoint::start(|_, req| vec![Step::Send(stream_head(req)), Step::Hang]).await;
+    let late_in_the_middle = TestEndpoint::start(move |_, req| {
+        let mut steps = vec![Step::Send(stream_head(req)), Step::Pause(until_late)];
+        steps.extend(events(first_event(req)..=SILENT_BEFORE - 1));
+        steps.push(Step::Hang);
+        steps
+    })
+    .await;
+    for silent in [before_first, after_head, late_in_the_middle] {
+        let other = working().await;
+        let endpoints = [("silent", &silent), ("other", &other)];
+        let gateway = TestGateway::start(&endpoints).await;
+        let mut slow_routes = routes();
+        for route in &mut slow_routes {
+            // Clients abandon a stream after 4.8 s here.
+            route.timeout = Duration::from_secs(4);
+            route.target_latency = Duration::from_millis(1_200);
+            route.max_gap = Some(Duration::from_millis(300));
+        }
+        gateway
+            .gw
+            .table
+            .store(Some(Arc::new(table(2, slow_routes))));
+        let mut client = Client::connect(gateway.addr).await;
+        let received = client.request("/resumed/x", "id", "x-wait: 4000\r\n").await;
+        assert_whole_stream(&received);
+        assert_eq!((silent.received().len(), other.received().len()), (1, 1));
+    }
+}
+
 /// Guards against a stream being sent to more endpoints than its route allows when all are silent.
 #[tokio::test]
 async fn no_more_endpoints_are_asked_than_the_route_allows() {
--- a/crates/anvil_policy/src/silence.rs
+++ b/crates/anvil_policy/src/silence.rs
@@ -25,6 +25,8 @@
 const CLIENT_GAP_GAPS: u32 = 8;
 /// A stream is moved after this part of the client's gap.
 const STREAM_FRACTION: f64 = 0.75;
+/// Longest silence of a sound endpoint that goes on. No stream is moved before.
+pub const MIN_STREAM_SILENCE: Duration = Duration::from_millis(1_500);
 /// A plain request is sent elsewhere after this multiple of its target: an endpoint that takes longer
 /// is more likely lost than slow.
 const PLAIN_TARGETS: u32 = 2;
@@ -40,9 +42,17 @@
     MIN_CLIENT_GAP.max(by_target).max(by_gap)
 }
 
-/// Silence after which a stream that may be resumed is moved to another endpoint.
-pub fn max_stream_silence(target_latency: Duration, max_gap: Option<Duration>) -> Duration {
-    max_client_gap(target_latency, max_gap).mul_f64(STREAM_FRACTION)
+/// Silence after which a stream that may be resumed is moved to another endpoint. `time_left` is the
+/// time from the beginning of the silence to the deadline.
+pub fn max_stream_silence(
+    target_latency: Duration,
+    max_gap: Option<Duration>,
+    time_left: Duration,
+) -> Duration {
+    let by_client = max_client_gap(target_latency, max_gap).mul_f64(STREAM_FRACTION);
+    let fresh_start = target_latency.saturating_add(max_gap.unwrap_or_default());
+    let by_deadline = time_left.saturating_sub(fresh_start);
+    by_client.min(by_deadline.max(MIN_STREAM_SILENCE))
 }
 
 /// Silence after which a plain request that may be repeated is sent to another endpoint.
--- a/crates/anvil_policy/tests/silence.rs
+++ b/crates/anvil_policy/tests/silence.rs
@@ -27,7 +27,7 @@
 fn streams_are_moved_after_harmless_silences_and_before_clients_leave() {
     for target in (1..=40).map(|step| ms(50 * step)) {
         for gap in (0..=20).map(|step| (step > 0).then(|| ms(50 * step))) {
-            let moved = max_stream_silence(target, gap);
+            let moved = max_stream_silence(target, gap, Duration::MAX);
             assert!(moved >= HARMLESS, "{target:?} {gap:?}");
             let left = max_client_gap(target, gap).saturating_sub(moved);
             assert!(left >= 2 * LOOK_INTERVAL, "{target:?} {gap:?}");
@@ -35,6 +35,29 @@
     }
 }
 
+/// Guards against a stream that falls silent near its deadline being kept until no other endpoint can
+/// complete it.
+#[test]
+fn streams_are_moved_while_a_fresh_start_is_in_time() {
+    let gap = Some(ms(300));
+    let moved = |time_left| max_stream_silence(ms(1_200), gap, ms(time_left));
+    assert_eq!(moved(10_000), ms(3_600));
+    assert_eq!(moved(5_100), ms(3_600));
+    assert_eq!(moved(5_000), ms(3_500));
+    assert_eq!(moved(3_400), ms(1_900));
+}
+
+/// Guards against a stream near its deadline being moved because of a silence that is normal.
+#[test]
+fn streams_near_their_deadline_are_not_moved_after_harmless_silences() {
+    for time_left in (0..=60).map(|step| ms(100 * step)) {
+        for target in (1..=40).map(|step| ms(50 * step)) {
+            let moved = max_stream_silence(target, Some(ms(300)), time_left);
+            assert!(moved >= HARMLESS, "{target:?} {time_left:?}");
+        }
+    }
+}
+
 /// Guards against a plain request being repeated while its response is not late.
 #[test]
 fn plain_requests_are_repeated_only_after_their_target() {
@@ -46,5 +69,5 @@
 fn unbounded_targets_do_not_overflow() {
     assert_eq!(max_client_gap(Duration::MAX, None), Duration::MAX);
     assert_eq!(max_plain_silence(Duration::MAX), Duration::MAX);
-    assert!(max_stream_silence(Duration::MAX / 8, None) > HARMLESS);
+    assert!(max_stream_silence(Duration::MAX / 8, None, Duration::MAX) > HARMLESS);
 }
