Looks for another endpoint don't occupy the link

Cause: a stream at a silent endpoint reserved the link for its prompt at each look, before it was known whether a retry was left or an endpoint had room, and kept it through a wait and a connect. Many such streams kept a narrow link from requests that could be served.

Change: the retry budget, the link (without a reservation) and the selection are asked first. The link is reserved last, after the connection was made, and only if it is free at once. What a look can be denied for is thus mostly known before it uses a part of an endpoint's limit or takes a connection from the pool.

--- a/crates/anvil_gateway/src/exchange/silence.rs
+++ b/crates/anvil_gateway/src/exchange/silence.rs
@@ -111,16 +111,19 @@
         if quarantine.is_some() {
             return Err(NotReplaced::InQuarantine);
         }
-        let link = self.wait_for_link_elsewhere().await;
-        let link = link.ok_or(NotReplaced::LinkBusy)?;
-        // Asked before a place is taken, which uses a part of an endpoint's limit.
+        // Both are asked before a place is taken, which uses a part of an endpoint's limit.
         if !self.gw.has_retry(&self.service) {
             return Err(NotReplaced::BudgetUsedUp);
         }
+        if !self.gw.sockets.link.is_free() {
+            return Err(NotReplaced::LinkBusy);
+        }
         let selection = self.select_replacement().map_err(NotReplaced::NoPlace)?;
         let endpoint = selection.slot.endpoint.clone();
         let connection = self.connect_to_replacement(&endpoint).await;
         let connection = connection.ok_or(NotReplaced::NoConnection)?;
+        // Reserved last: many streams look in vain, and what each one reserves keeps others waiting.
+        let link = self.link_if_free().ok_or(NotReplaced::LinkBusy)?;
         if !self.gw.try_count_retry(&self.service) {
             return Err(NotReplaced::BudgetUsedUp);
         }
--- a/crates/anvil_gateway/src/send/link_budget.rs
+++ b/crates/anvil_gateway/src/send/link_budget.rs
@@ -114,6 +114,11 @@
         pacer.map_or(Duration::ZERO, |(now, pacer)| pacer.backlog(now))
     }
 
+    /// Whether a prompt would be sent at once.
+    pub fn is_free(&self) -> bool {
+        self.pacer().is_none_or(|(now, pacer)| pacer.is_free(now))
+    }
+
     /// Counts the body of a request that a client is sending, until the guard is dropped.
     pub fn expect(self: &Arc<Self>, bytes: u64) -> ExpectedBytes {
         self.expected.fetch_add(bytes, Ordering::Relaxed);
--- a/crates/anvil_gateway/src/send/pacing.rs
+++ b/crates/anvil_gateway/src/send/pacing.rs
@@ -55,12 +55,9 @@
         Ok(reservation)
     }
 
-    /// The same for a request whose endpoint is silent: `None` if the link is busy for too long.
-    pub(crate) async fn wait_for_link_elsewhere(&mut self) -> Option<LinkReservation> {
-        let max_wait = self.time_left().mul_f64(MAX_WAIT_FRACTION);
-        let reservation = self.reserve_link(max_wait).ok()?;
-        self.wait_for_reserved(&reservation).await;
-        Some(reservation)
+    /// The link for the request if it can be sent at once.
+    pub(crate) fn link_if_free(&self) -> Option<LinkReservation> {
+        self.reserve_link(Duration::ZERO).ok()
     }
 
     fn reserve_link(&self, max_wait: Duration) -> Result<LinkReservation, LinkBusy> {
--- a/crates/anvil_gateway/tests/direct/silence.rs
+++ b/crates/anvil_gateway/tests/direct/silence.rs
@@ -1,11 +1,13 @@
 //! Endpoints that send nothing for a while and go on: their answers are not given up unless another
 //! endpoint takes over.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use anvil_gateway::GatewaySettings;
+use anvil_gateway::accept::resource_limits::ResourceLimits;
 use anvil_policy::rate_share::RouterRank;
 use anvil_wire::msg::ListedEndpoint;
 use anvil_world::prelude::*;
@@ -425,6 +427,98 @@
     }
 }
 
+/// Streams that can't be moved at the same time.
+const SILENT_STREAMS: usize = 40;
+/// The body of each request on a narrow link.
+const PROMPT_BYTES: usize = 9_000;
+
+/// Streams that fall silent for good, and plain responses.
+async fn silent_at_streams() -> TestEndpoint {
+    TestEndpoint::start(|_, req| {
+        if req.head.contains("/once/") {
+            let work = Duration::from_millis(5);
+            return vec![Step::Pause(work), Step::Send(response(req, "ran"))];
+        }
+        let mut steps = vec![Step::Send(stream_head(req))];
+        steps.extend(events(first_event(req)..=SILENT_BEFORE - 1));
+        steps.push(Step::Hang);
+        steps
+    })
+    .await
+}
+
+/// Opens streams with a prompt each, and keeps them open.
+async fn open_silent_streams(gateway: &TestGateway) -> Vec<Client> {
+    let mut streams = Vec::new();
+    for number in 0..SILENT_STREAMS {
+        let mut client = Client::connect(gateway.addr).await;
+        let headers = format!("x-wait: 8000\r\ncontent-length: {PROMPT_BYTES}\r\n");
+        client
+            .send("/resumed/x", &format!("s{number}"), &headers)
+            .await;
+        client.send_bytes(&[b'b'; PROMPT_BYTES]).await;
+        streams.push(client);
+        sleep(Duration::from_millis(20)).await;
+    }
+    streams
+}
+
+/// Sends a plain request on a connection of its own.
+async fn is_served(gateway: SocketAddr) -> bool {
+    let Ok(mut client) = Client::try_connect(gateway).await else {
+        return false;
+    };
+    let body = "b".repeat(PROMPT_BYTES);
+    let response = client.try_request_with_body("/once/x", "p", &body).await;
+    response.is_ok_and(|response| response.status == 200)
+}
+
+/// Sends bursts of plain requests for 3 s. The numbers of those that were sent and of those that
+/// succeeded.
+async fn send_bursts(gateway: &TestGateway) -> (u32, u32) {
+    let (mut sent, mut succeeded) = (0, 0);
+    let started = Instant::now();
+    while started.elapsed() < Duration::from_secs(3) {
+        let burst = [(); 5].map(|()| tokio::spawn(is_served(gateway.addr)));
+        sleep(Duration::from_millis(100)).await;
+        for request in burst {
+            sent += 1;
+            succeeded += u32::from(request.await.expect("a task"));
+        }
+    }
+    (sent, succeeded)
+}
+
+/// Guards against requests being refused on a narrow link because streams that can't be moved occupy it
+/// while they look for another endpoint.
+#[tokio::test]
+async fn looks_for_another_endpoint_do_not_occupy_the_link() {
+    for retries in [without_retries(), with_one_retry()] {
+        let silent = silent_at_streams().await;
+        let mut cfg = retries;
+        cfg.limits = ResourceLimits {
+            link: Some(1_000_000),
+            ..ResourceLimits::default()
+        };
+        let gateway = start_with(cfg, &[("silent", &silent)]).await;
+        let mut with_slots = listed("silent", silent.addr);
+        with_slots.slots = 500;
+        gateway.gw.directory.apply_list(&[with_slots]);
+        let mut long_routes = routes();
+        for route in &mut long_routes {
+            route.timeout = Duration::from_secs(8);
+        }
+        let table = table(2, long_routes);
+        gateway.gw.table.store(Some(Arc::new(table)));
+        let _streams = open_silent_streams(&gateway).await;
+        sleep(Duration::from_millis(1_500)).await;
+        // 56 % of what the link may carry.
+        let (sent, succeeded) = send_bursts(&gateway).await;
+        assert_eq!(succeeded, sent);
+        assert!(sent >= 100, "{sent}");
+    }
+}
+
 /// Guards against a stream being sent to more endpoints than its route allows when all are silent.
 #[tokio::test]
 async fn no_more_endpoints_are_asked_than_the_route_allows() {
--- a/crates/anvil_policy/src/link_pacer.rs
+++ b/crates/anvil_policy/src/link_pacer.rs
@@ -77,7 +77,7 @@
         max_wait: Duration,
     ) -> Result<Duration, LinkBusy> {
         let backlog = self.backlog(now);
-        let wait = backlog.saturating_sub(MAX_BURST);
+        let wait = self.wait(now);
         if wait > max_wait || backlog >= MAX_BACKLOG {
             return Err(LinkBusy { wait });
         }
@@ -85,6 +85,15 @@
         Ok(wait)
     }
 
+    /// Whether data may be sent at once.
+    pub fn is_free(&self, now: Now) -> bool {
+        self.wait(now).is_zero()
+    }
+
+    fn wait(&self, now: Now) -> Duration {
+        self.backlog(now).saturating_sub(MAX_BURST)
+    }
+
     /// Gives back what was reserved for bytes that are not sent, as far as its time has not passed.
     pub fn release(&mut self, now: Now, bytes: u64) {
         let released = self.time_to_send(bytes).min(self.backlog(now));
--- a/crates/anvil_policy/tests/link_pacer.rs
+++ b/crates/anvil_policy/tests/link_pacer.rs
@@ -85,3 +85,17 @@
     assert_eq!(pacer.backlog(at(0)), at(500));
     assert_eq!(pacer.backlog(at(600)), Duration::ZERO);
 }
+
+/// Guards against a link that counts as free while data would wait, or as busy while it would not.
+#[test]
+fn free_link_sends_at_once() {
+    let mut pacer = LinkPacer::new(LINK);
+    for bytes in (0..40).map(|step| 1_000 * step) {
+        let is_free = pacer.is_free(at(0));
+        let reserved = pacer.clone().reserve(at(0), bytes, at(0));
+        assert_eq!(reserved.is_ok(), is_free);
+        pacer.count(at(0), bytes);
+    }
+    assert!(!pacer.is_free(at(0)));
+    assert!(pacer.is_free(at(600)));
+}
