Look for another endpoint once per interval, and less often in a long silence

Cause: the time of the next look was kept only while one frame was awaited. An event that came late and in many frames caused a look, and a step in the request's line, for each of them. Streams at a silent endpoint that can't be moved looked four times a second for as long as they lasted.

Change: the time of the next look belongs to the silence before one event or response head, and its step is logged once. The time between looks doubles from 250 ms up to 1 s.

Result: explanations::event_in_many_parts_counts_as_one_silence was red before (17 steps for one event) and is green. The 70 direct tests of silence, streams, slow_readers, pausing and explanations, and the policy's tests of silence pass. The processor time of looks was not measured again.

--- a/crates/anvil_gateway/src/exchange/one_attempt.rs
+++ b/crates/anvil_gateway/src/exchange/one_attempt.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use super::place::Place;
-use super::silence::Waited;
+use super::silence::{Silence, Waited};
 use super::take_up::TAKE_UP_RETRY_AFTER;
 use super::{DEFAULT_RETRY_AFTER, Exchange, RequestRefusal, spread_return};
 use crate::attempt::{
@@ -117,6 +117,7 @@
     ) -> AttemptEnd {
         let silent_since = Instant::now();
         let connect_deadline = self.replaceable_at(silent_since).unwrap_or(self.deadline);
+        let mut silence = Silence::since(silent_since);
         let mut on_new_connection = false;
         loop {
             let outgoing = OutgoingRequest {
@@ -138,7 +139,7 @@
                 Ok(sent) => sent,
                 Err(reason) => return AttemptEnd::Outcome(AttemptOutcome::NotRun(reason)),
             };
-            let waited = self.wait_or_take_over(silent_since, sent.head()).await;
+            let waited = self.wait_or_take_over(&mut silence, sent.head()).await;
             if let Some(written_at) = sent.written_at() {
                 self.trace.stages.enter_at(Stage::Response, written_at);
             }
--- a/crates/anvil_gateway/src/exchange/silence.rs
+++ b/crates/anvil_gateway/src/exchange/silence.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvil_policy::silence::{LOOK_INTERVAL, max_plain_silence, max_stream_silence};
+use anvil_policy::silence::{Looks, max_plain_silence, max_stream_silence};
 use tokio::time::{Instant, timeout_at};
 
 use super::Exchange;
@@ -31,6 +31,26 @@
     TimedOut,
 }
 
+/// The wait for one response head or event. One event may come in many frames, each of which is waited
+/// for, and the looks for another endpoint go on as before between them.
+pub struct Silence {
+    since: Instant,
+    /// `None` before the first look.
+    next_look: Option<Instant>,
+    looks: Looks,
+}
+
+impl Silence {
+    /// The wait that began at this time.
+    pub fn since(since: Instant) -> Self {
+        Self {
+            since,
+            next_look: None,
+            looks: Looks::default(),
+        }
+    }
+}
+
 /// Why no other endpoint takes over.
 #[derive(Debug, Clone, Copy)]
 #[expect(dead_code, reason = "the reason is logged by its debug format")]
@@ -49,16 +69,16 @@
 
 impl Exchange {
     /// Waits for `sent`, which comes from the endpoint that holds the request, up to the deadline or
-    /// until another endpoint takes over. `silent_since` is when the wait for it began.
+    /// until another endpoint takes over.
     pub async fn wait_or_take_over<T>(
         &mut self,
-        silent_since: Instant,
+        silence: &mut Silence,
         sent: impl Future<Output = T>,
     ) -> Waited<T> {
         let mut sent = pin!(sent);
-        let mut next_look = self.replaceable_at(silent_since);
-        let mut is_reported = false;
         loop {
+            let replaceable_at = self.replaceable_at(silence.since);
+            let next_look = replaceable_at.map(|at| silence.next_look.unwrap_or(at));
             let until = next_look.map_or(self.deadline, |at| at.min(self.deadline));
             if let Ok(sent) = timeout_at(until, &mut sent).await {
                 return Waited::Sent(sent);
@@ -73,14 +93,13 @@
             };
             match replaced {
                 Ok(place) => return Waited::TakenOver(Box::new(place)),
-                Err(reason) if !is_reported => {
+                Err(reason) if silence.next_look.is_none() => {
                     self.trace
                         .step(format_args!("silent endpoint, not replaced: {reason:?}"));
-                    is_reported = true;
                 }
                 Err(_) => {}
             }
-            next_look = Some(Instant::now() + LOOK_INTERVAL);
+            silence.next_look = Some(Instant::now() + silence.looks.next_interval());
         }
     }
 
--- a/crates/anvil_gateway/src/stream_relay.rs
+++ b/crates/anvil_gateway/src/stream_relay.rs
@@ -32,7 +32,7 @@
 use crate::connection_watch::ConnectionWatch;
 use crate::dialect::ResponseHead;
 use crate::endpoint::EndpointSlot;
-use crate::exchange::silence::Waited;
+use crate::exchange::silence::{Silence, Waited};
 use crate::exchange::{Exchange, Place};
 use crate::metrics;
 use crate::reply::{Cause, IncompleteStream, Reply, remove_connection_headers};
@@ -280,11 +280,11 @@
             return NextEvent::Broken;
         };
         // Clients also give up if the first event does not come in time.
-        let silent_since = if source.events == 0 {
+        let mut silence = Silence::since(if source.events == 0 {
             source.slot.taken_at()
         } else {
             Instant::now()
-        };
+        });
         loop {
             if let Some(event) = source.splitter.next_event() {
                 source.slot.response_started();
@@ -316,7 +316,7 @@
                 return NextEvent::Broken;
             }
             let frame = source.body.frame();
-            match self.exchange.wait_or_take_over(silent_since, frame).await {
+            match self.exchange.wait_or_take_over(&mut silence, frame).await {
                 Waited::TimedOut => {
                     self.exchange.trace.step(format_args!("silent endpoint"));
                     return NextEvent::Broken;
--- a/crates/anvil_gateway/tests/direct/explanations.rs
+++ b/crates/anvil_gateway/tests/direct/explanations.rs
@@ -538,6 +538,34 @@
     assert_eq!(steps.matches(reason).count(), 1, "{steps}");
 }
 
+/// Guards against a look for another endpoint, and a step in the request's line, for each part of an event
+/// that comes late and in many parts.
+#[tokio::test]
+async fn event_in_many_parts_counts_as_one_silence() {
+    let in_parts = TestEndpoint::start(|_, req| {
+        let mut steps = vec![
+            Step::Send(stream_head(req)),
+            Step::Send(chunk(&event(1))),
+            Step::Pause(Duration::from_millis(1_600)),
+        ];
+        for part in event(2).chars() {
+            steps.push(Step::Send(chunk(&part.to_string())));
+            steps.push(Step::Pause(Duration::from_millis(20)));
+        }
+        steps.push(Step::Send(stream_end()));
+        steps
+    })
+    .await;
+    let (gateway, log_output, _) = start_logged(&[("in-parts", &in_parts)]).await;
+    let mut client = Client::connect(gateway.addr).await;
+    let response = client.request("/resumed/x", "parts-1", "").await;
+    assert!(response.complete, "{response:?}");
+    let explanation = log_output.explain("parts-1").await;
+    let line = explanation.lines.last().expect("the request's line");
+    let steps = &line.values["steps"];
+    assert_eq!(steps.matches("silent endpoint").count(), 1, "{steps}");
+}
+
 /// Guards against a refusal after a wait that looks like one at once.
 #[tokio::test]
 async fn wait_for_endpoints_is_counted_as_a_wait_for_a_place() {
--- a/crates/anvil_policy/src/silence.rs
+++ b/crates/anvil_policy/src/silence.rs
@@ -9,8 +9,9 @@
 //! *Mechanism:* clients abandon a stream after [`max_client_gap`], also before its first event. A stream
 //! that may be resumed is moved after a part of that time ([`max_stream_silence`]), and a plain
 //! request that may be repeated after a multiple of its target ([`max_plain_silence`]). From then on the
-//! router looks for another endpoint every [`LOOK_INTERVAL`], and keeps the silent one until it has
-//! found one.
+//! router looks for another endpoint, and keeps the silent one until it has found one. The time between
+//! looks doubles from [`LOOK_INTERVAL`] up to [`MAX_LOOK_INTERVAL`], because hundreds of streams may look
+//! among hundreds of endpoints.
 //!
 //! *Thresholds:* the part is three quarters. That is at least 1.5 s, the longest silence of an endpoint
 //! that goes on, and leaves a quarter for the first event of the next endpoint.
@@ -31,8 +32,10 @@
 /// is more likely lost than slow.
 const PLAIN_TARGETS: u32 = 2;
 
-/// Time between two looks for an endpoint in place of a silent one.
+/// Time between the first two looks for an endpoint in place of a silent one.
 pub const LOOK_INTERVAL: Duration = Duration::from_millis(250);
+/// Longest time between two of them.
+pub const MAX_LOOK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Gap after which the client of a stream abandons it. `max_gap` is the route's target for the longest
 /// gap, if there is one.
@@ -59,3 +62,26 @@
 pub fn max_plain_silence(target_latency: Duration) -> Duration {
     target_latency.saturating_mul(PLAIN_TARGETS)
 }
+
+/// The looks for another endpoint in one silence.
+#[derive(Debug, Clone, Copy)]
+pub struct Looks {
+    interval: Duration,
+}
+
+impl Default for Looks {
+    fn default() -> Self {
+        Self {
+            interval: LOOK_INTERVAL,
+        }
+    }
+}
+
+impl Looks {
+    /// Time until the next look, after one that has found none.
+    pub fn next_interval(&mut self) -> Duration {
+        let interval = self.interval;
+        self.interval = interval.saturating_mul(2).min(MAX_LOOK_INTERVAL);
+        interval
+    }
+}
--- a/crates/anvil_policy/tests/silence.rs
+++ b/crates/anvil_policy/tests/silence.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use anvil_policy::silence::{LOOK_INTERVAL, max_client_gap, max_plain_silence, max_stream_silence};
+use anvil_policy::silence::{
+    LOOK_INTERVAL, Looks, max_client_gap, max_plain_silence, max_stream_silence,
+};
 
 /// Longest silence of an endpoint that goes on.
 const HARMLESS: Duration = Duration::from_millis(1_500);
@@ -71,3 +73,12 @@
     assert_eq!(max_plain_silence(Duration::MAX), Duration::MAX);
     assert!(max_stream_silence(Duration::MAX / 8, None, Duration::MAX) > HARMLESS);
 }
+
+/// Guards against looks for another endpoint that come too often, or so seldom that one with room isn't
+/// seen within a second.
+#[test]
+fn looks_become_less_frequent_up_to_one_a_second() {
+    let mut looks = Looks::default();
+    let intervals = [(); 5].map(|()| looks.next_interval());
+    assert_eq!(intervals, [250, 500, 1_000, 1_000, 1_000].map(ms));
+}
