A replacement that refuses doesn't use up a stream's attempts

Cause: an endpoint that was to take over from a silent one and refused counted as one of the route's attempts. With two attempts the stream ended there, while other endpoints were free.

Result: silence::stream_goes_on_when_the_first_replacement_refuses was red before (cut after the second event) and is green. A stream whose only replacement refuses is still ended. pausing.rs passes the new argument of AttemptCounter::record and is otherwise unchanged.

--- a/crates/anvil_gateway/src/attempt_counter.rs
+++ b/crates/anvil_gateway/src/attempt_counter.rs
@@ -4,7 +4,8 @@
 //! one attempt would be sent to one of them, be refused, come back and find the next one, while all
 //! others are free. An endpoint that is unreachable, or whose address belongs to another
 //! incarnation by now, has not received the request, so it does not count against the route's
-//! limit.
+//! limit. Nor does one that refuses a request which it was to take over from a silent endpoint: the
+//! refusal would end a response that has begun, while others are free.
 
 use anvil_world::prelude::*;
 
@@ -32,8 +33,9 @@
         self.is_in_flight = true;
     }
 
-    /// Records the outcome of an attempt at an endpoint.
-    pub fn record(&mut self, endpoint: InstanceId, outcome: &AttemptOutcome) {
+    /// Records the outcome of an attempt at an endpoint. `is_replacement` if it took over from a silent
+    /// one.
+    pub fn record(&mut self, endpoint: InstanceId, outcome: &AttemptOutcome, is_replacement: bool) {
         if std::mem::take(&mut self.is_in_flight) {
             self.endpoints.pop();
         }
@@ -47,6 +49,10 @@
                 self.missing += 1;
                 self.was_received = true;
             }
+            AttemptOutcome::NotRun(_) if is_replacement => {
+                self.missing += 1;
+                self.was_received = true;
+            }
             AttemptOutcome::NotRun(_) | AttemptOutcome::Doubt(_) | AttemptOutcome::Response(_) => {
                 self.counted += 1;
                 self.was_received = true;
--- a/crates/anvil_gateway/src/exchange/one_attempt.rs
+++ b/crates/anvil_gateway/src/exchange/one_attempt.rs
@@ -74,6 +74,8 @@
             connection,
         } = place;
         let endpoint = selection.slot.endpoint.clone();
+        // Only a replacement is connected to before the silent endpoint is given up.
+        let is_replacement = connection.is_some();
         self.record_origin(&endpoint.version);
         let request = self.outgoing_request(&selection, after);
         // Counted before it is sent: if the client disconnects, this function is dropped during the
@@ -97,7 +99,8 @@
         if !matches!(outcome, AttemptOutcome::Response(_)) {
             self.trace.stages.enter(Stage::Other);
         }
-        self.attempt_counter.record(endpoint.id.clone(), outcome);
+        self.attempt_counter
+            .record(endpoint.id.clone(), outcome, is_replacement);
         if let (AttemptOutcome::NotRun(_), Some(charge), false) =
             (outcome, &mut self.charge, was_in_doubt)
         {
--- a/crates/anvil_gateway/tests/direct/pausing.rs
+++ b/crates/anvil_gateway/tests/direct/pausing.rs
@@ -194,7 +194,7 @@
 fn request_that_was_not_sent_uses_no_attempt() {
     let mut counter = AttemptCounter::default();
     let outcome = AttemptOutcome::NotRun(NotRun::NotAccepting);
-    counter.record("a".into(), &outcome);
+    counter.record("a".into(), &outcome, false);
     assert!(counter.may_continue(1) && counter.reached_none());
     assert!(counter.endpoints().is_empty() && !counter.was_received());
 }
--- a/crates/anvil_gateway/tests/direct/silence.rs
+++ b/crates/anvil_gateway/tests/direct/silence.rs
@@ -17,8 +17,8 @@
 
 use crate::client::{Client, ClientResponse};
 use crate::endpoint::{
-    ReceivedRequest, Step, TestEndpoint, chunk, event, response, response_with, stream_end,
-    stream_head,
+    ReceivedRequest, Step, TestEndpoint, chunk, event, not_run, response, response_with,
+    stream_end, stream_head,
 };
 use crate::gateway::{SERVICE, TestGateway, listed, routes, settings, table};
 
@@ -427,6 +427,41 @@
     }
 }
 
+/// Guards against a stream being ended because the endpoint that takes over refuses it, although another
+/// one is free.
+#[tokio::test]
+async fn stream_goes_on_when_the_first_replacement_refuses() {
+    let silent = silent_in_the_middle(Step::Hang).await;
+    let refusing = TestEndpoint::start(|_, req| {
+        let until_listed = Duration::from_millis(200);
+        let refusal = not_run(req, "503 Service Unavailable");
+        vec![Step::Pause(until_listed), Step::Send(refusal)]
+    })
+    .await;
+    let other = working().await;
+    let endpoints = [("silent", &silent), ("refusing", &refusing)];
+    let gateway = start_with(settings(), &endpoints).await;
+    let list = [
+        listed("silent", silent.addr),
+        listed("refusing", refusing.addr),
+        listed("other", other.addr),
+    ];
+    // The stream begins at the silent one and is moved to the only other one.
+    gateway.gw.directory.apply_list(&list[..1]);
+    let mut client = Client::connect(gateway.addr).await;
+    client
+        .send("/resumed/x", "id", "content-length: 0\r\n")
+        .await;
+    sleep(Duration::from_millis(500)).await;
+    gateway.gw.directory.apply_list(&list[..2]);
+    while refusing.received().is_empty() {
+        sleep(Duration::from_millis(10)).await;
+    }
+    gateway.gw.directory.apply_list(&list);
+    assert_whole_stream(&client.read_response().await);
+    assert_eq!((refusing.received().len(), other.received().len()), (1, 1));
+}
+
 /// Streams that can't be moved at the same time.
 const SILENT_STREAMS: usize = 40;
 /// The body of each request on a narrow link.
