--- a/crates/anvil_gateway/src/exchange/one_attempt.rs
+++ b/crates/anvil_gateway/src/exchange/one_attempt.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use super::place::Place;
-use super::silence::Waited;
+use super::silence::{Silence, Waited};
 use super::take_up::TAKE_UP_RETRY_AFTER;
 use super::{DEFAULT_RETRY_AFTER, Exchange, RequestRefusal, spread_return};
 use crate::attempt::{
@@ -84,6 +84,8 @@
             connection,
         } = place;
         let endpoint = selection.slot.endpoint.clone();
+        // Only a replacement is connected to before the silent endpoint is given up.
+        let is_replacement = connection.is_some();
         self.record_origin(&endpoint.version);
         let request = self.outgoing_request(&selection, after);
         // Counted before it is sent: if the client disconnects, this function is dropped during the
@@ -107,7 +109,8 @@
         if !matches!(outcome, AttemptOutcome::Response(_)) {
             self.trace.stages.enter(Stage::Other);
         }
-        self.attempt_counter.record(endpoint.id.clone(), outcome);
+        self.attempt_counter
+            .record(endpoint.id.clone(), outcome, is_replacement);
         if let (AttemptOutcome::NotRun(_), Some(charge), false) =
             (outcome, &mut self.charge, was_in_doubt)
         {
@@ -127,6 +130,7 @@
     ) -> AttemptEnd {
         let silent_since = Instant::now();
         let connect_deadline = self.replaceable_at(silent_since).unwrap_or(self.deadline);
+        let mut silence = Silence::since(silent_since);
         let mut on_new_connection = false;
         loop {
             let outgoing = OutgoingRequest {
@@ -148,7 +152,7 @@
                 Ok(sent) => sent,
                 Err(reason) => return AttemptEnd::Outcome(AttemptOutcome::NotRun(reason)),
             };
-            let waited = self.wait_or_take_over(silent_since, sent.head()).await;
+            let waited = self.wait_or_take_over(&mut silence, sent.head()).await;
             if let Some(written_at) = sent.written_at() {
                 self.trace.stages.enter_at(Stage::Response, written_at);
             }
