--- a/crates/anvil_gateway/tests/direct/silence.rs
+++ b/crates/anvil_gateway/tests/direct/silence.rs
@@ -462,6 +462,21 @@
     assert_eq!((refusing.received().len(), other.received().len()), (1, 1));
 }
 
+/// Guards against a stream being ended because the only endpoint that could take over refuses it, while
+/// its own one goes on.
+#[tokio::test]
+async fn silent_endpoint_is_kept_when_the_only_replacement_refuses() {
+    let silent = silent_in_the_middle(Step::Pause(Duration::from_millis(1_700))).await;
+    let refusing = TestEndpoint::start(|_, req| {
+        let refusal = not_run(req, "503 Service Unavailable");
+        vec![Step::Send(refusal)]
+    })
+    .await;
+    let endpoints = [("silent", &silent), ("refusing", &refusing)];
+    let gateway = start_with(settings(), &endpoints).await;
+    assert_whole_stream(&request(&gateway, "/resumed/x").await);
+}
+
 /// Streams that can't be moved at the same time.
 const SILENT_STREAMS: usize = 40;
 /// The body of each request on a narrow link.
