--- a/crates/anvil_policy/src/planned_stop.rs
+++ b/crates/anvil_policy/src/planned_stop.rs
@@ -41,6 +41,11 @@
 const MARGIN_OF_FEW: f64 = 3.0;
 /// See [`MARGIN_OF_FEW`].
 const MIN_RESPONSES: u32 = 8;
+/// Fewer tokens count as this many: a pause in a short response says little about longer ones.
+const MIN_RATED_TOKENS: Tokens = 64;
+/// Time that is left beyond the expected time of a response: a sound endpoint may be silent for
+/// 1.5 s, and then the response is still to be passed on.
+const PAUSE_RESERVE: Duration = Duration::from_millis(1_750);
 
 /// A complete response.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -53,12 +58,6 @@
     pub max_output: Tokens,
 }
 
-/// Fewer tokens count as this many: a pause in a short response says little about longer ones.
-const MIN_RATED_TOKENS: Tokens = 64;
-/// Time that is left beyond the expected time of a response: a sound endpoint may be silent for
-/// 1.5 s, and then the response is still to be passed on.
-const PAUSE_RESERVE: Duration = Duration::from_millis(1_750);
-
 /// What is known of the responses of one route.
 #[derive(Debug, Clone, Copy, Default)]
 struct RouteTimes {
