Review: case 1, one unreadable entry blinds all routers to the list

Cause: the platform's list may hold an entry of another writer that can't be read. A page with such an entry is dropped whole, so no router learns that a runner is draining.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -7,4 +7,13 @@
     echo "not built: run the build of deploy/system.toml and review/build.sh" >&2
     exit 2
 fi
-exec "$standins" resume review/1/record.txt
+# Processes that are left if this script is stopped from outside.
+REVIEW_PIDS="$(mktemp)"
+export REVIEW_PIDS
+trap 'kill -9 $(cat "$REVIEW_PIDS") 2>/dev/null; rm -f "$REVIEW_PIDS"; exit 2' INT TERM
+"$standins" list review/1/record.txt &
+echo $! >> "$REVIEW_PIDS"
+wait $!
+code=$?
+rm -f "$REVIEW_PIDS"
+exit $code
--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -4,8 +4,8 @@
 //! The body of a request states how many events the engine generates: `events=N`.
 
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -29,6 +29,8 @@
     pub began: Duration,
     /// When it ended.
     pub ended: Option<Duration>,
+    /// Whether it came to its end.
+    pub is_complete: bool,
 }
 
 /// An engine; clones are the same one.
@@ -49,6 +51,9 @@
     runs: Arc<Mutex<Vec<Run>>>,
     /// Attempts whose answers are lost after the run.
     lost: Arc<Mutex<Vec<String>>>,
+    /// Its connections, also those that have ended.
+    sockets: Arc<Mutex<Vec<TcpStream>>>,
+    is_gone: Arc<AtomicBool>,
 }
 
 impl Engine {
@@ -71,11 +76,22 @@
             active: Arc::default(),
             runs: Arc::default(),
             lost: Arc::default(),
+            sockets: Arc::default(),
+            is_gone: Arc::default(),
         };
         let serving = engine.clone();
         thread::spawn(move || {
             for socket in listener.incoming().flatten() {
+                if serving.is_gone.load(Ordering::SeqCst) {
+                    return;
+                }
                 let engine = serving.clone();
+                let mut sockets = engine
+                    .sockets
+                    .lock()
+                    .unwrap_or_else(PoisonError::into_inner);
+                sockets.extend(socket.try_clone());
+                drop(sockets);
                 thread::spawn(move || engine.serve(socket));
             }
         });
@@ -88,6 +104,19 @@
         lost.push(attempt.into());
     }
 
+    /// The engine ends: it listens no more, and what it has not ended is cut off.
+    pub fn leave(&self) {
+        self.record.line(format!("{} ends", self.id));
+        self.is_gone.store(true, Ordering::SeqCst);
+        // Wakes the listener.
+        drop(TcpStream::connect(self.addr));
+        let sockets = self.sockets.lock().unwrap_or_else(PoisonError::into_inner);
+        for socket in sockets.iter() {
+            // Fails only for those that have ended.
+            let _ = socket.shutdown(Shutdown::Both);
+        }
+    }
+
     /// All runs so far.
     pub fn runs(&self) -> Vec<Run> {
         let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
@@ -101,9 +130,11 @@
         };
         while let Some(request) = requests.next() {
             if !self.answer(&mut socket, &request) {
-                return;
+                break;
             }
         }
+        // Also the copy that is kept for the engine's end.
+        let _ = socket.shutdown(Shutdown::Both);
     }
 
     /// Answers one request; false if the connection ends with it.
@@ -146,7 +177,8 @@
         let after: u64 = after.and_then(|id| id.parse().ok()).unwrap_or(0);
         let began = Instant::now();
         if !http::sleep_while_open(socket, began + FIRST_EVENT) {
-            self.record.line(format!("{} drops {attempt} before it runs", self.id));
+            self.record
+                .line(format!("{} drops {attempt} before it runs", self.id));
             return false;
         }
         let number = self.begin(request, attempt);
@@ -179,7 +211,7 @@
             (true, true) => "complete, and the answer is lost",
             (true, false) => "complete",
         };
-        self.end(number, end);
+        self.end(number, is_open, end);
         is_open && !is_lost
     }
 
@@ -193,14 +225,16 @@
             prompt: prompt.unwrap_or(0),
             began: self.record.now(),
             ended: None,
+            is_complete: false,
         });
         runs.len() - 1
     }
 
-    fn end(&self, number: usize, how: &str) {
+    fn end(&self, number: usize, is_complete: bool, how: &str) {
         let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
         let run = &mut runs[number];
         run.ended = Some(self.record.now());
+        run.is_complete = is_complete;
         let began = run.began.as_secs_f64();
         let line = format!(
             "{} ran {} of {} from {began:.3}: {how}",
@@ -219,6 +253,10 @@
 fn events_in(body: &[u8]) -> u64 {
     let text = String::from_utf8_lossy(body);
     let stated = text.split("events=").nth(1);
-    let digits = stated.map(|rest| rest.chars().take_while(char::is_ascii_digit).collect::<String>());
+    let digits = stated.map(|rest| {
+        rest.chars()
+            .take_while(char::is_ascii_digit)
+            .collect::<String>()
+    });
     digits.and_then(|digits| digits.parse().ok()).unwrap_or(1)
 }
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -4,6 +4,7 @@
 
 mod case_budget;
 mod case_first_start;
+mod case_list;
 mod case_resume;
 mod case_stop;
 mod client;
@@ -57,7 +58,7 @@
 
 fn run(case: &str, record: &Path, folder: &PathBuf) -> u8 {
     let (gap, ending) = match case {
-        "stop" => (30, 0),
+        "stop" | "list" => (30, 0),
         "resume" => (60, 60),
         _ => (20, 0),
     };
@@ -81,7 +82,9 @@
         std::process::exit(2);
     });
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-    fleet.record.line(format!("case {case}, trouble: {trouble}"));
+    fleet
+        .record
+        .line(format!("case {case}, trouble: {trouble}"));
     let setup = Setup {
         fleet: fleet.clone(),
         trouble,
@@ -90,6 +93,7 @@
         "stop" => case_stop::run(&setup),
         "budget" => case_budget::run(&setup),
         "resume" => case_resume::run(&setup),
+        "list" => case_list::run(&setup),
         "first-start" => case_first_start::run(&setup),
         _ => Verdict::NotRun("unknown case".into()),
     }));
