Review: case 1, streams of two software versions after all processes were killed

Cause: after a restart of all gateways nothing is left of the versions at which streams began, and the one version that the new lists name is taken for the only one that there was.

The cases of the list and of the planned stop become numbers 2 and 3; the one of resumed streams is no case any more and stays as a script of the stand-ins.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -11,7 +11,7 @@
 REVIEW_PIDS="$(mktemp)"
 export REVIEW_PIDS
 trap 'kill -9 $(cat "$REVIEW_PIDS") 2>/dev/null; rm -f "$REVIEW_PIDS"; exit 2' INT TERM
-"$standins" stop review/2/record.txt &
+"$standins" list review/2/record.txt &
 echo $! >> "$REVIEW_PIDS"
 wait $!
 code=$?
--- a/review/standins/src/case_list.rs
+++ b/review/standins/src/case_list.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use crate::client::{Question, Received, ask, new_attempt};
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, ListChange};
 use crate::{Setup, Verdict};
 
 /// Callers that ask one question after the other.
@@ -77,7 +77,11 @@
             scope.spawn(move || call(fleet, caller, is_over, answers));
         }
         thread::sleep(BEFORE);
-        fleet.set_list(Some(DRAINING), setup.trouble.then_some(UNREADABLE));
+        fleet.set_list(ListChange {
+            draining: Some(DRAINING),
+            gone: None,
+            more: setup.trouble.then_some(UNREADABLE),
+        });
         let shown_at = fleet.record.now();
         thread::sleep(DRAIN + LONGER);
         if let Some(engine) = fleet.engines.iter().find(|engine| engine.id == DRAINING) {
--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -42,6 +42,8 @@
     pub addr: SocketAddr,
     /// Its zone.
     pub zone: String,
+    /// Version of its software, which it writes into each event.
+    pub version: String,
     /// Time between two events.
     gap: Duration,
     /// Time between the last event and the end of the answer.
@@ -61,7 +63,7 @@
     pub fn start(
         id: &str,
         addr: SocketAddr,
-        zone: &str,
+        (zone, version): (&str, &str),
         (gap, ending): (Duration, Duration),
         record: &Record,
     ) -> std::io::Result<Self> {
@@ -70,6 +72,7 @@
             id: id.into(),
             addr,
             zone: zone.into(),
+            version: version.into(),
             gap,
             ending,
             record: record.clone(),
@@ -197,7 +200,7 @@
             if !is_open {
                 break;
             }
-            let event = format!("id: {id}\ndata: piece {id} of {attempt}\n\n");
+            let event = format!("id: {id}\ndata: piece {id} by {}\n\n", self.version);
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             is_open = is_lost || socket.write_all(chunk.as_bytes()).is_ok();
             at += self.gap;
--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -27,6 +27,45 @@
 /// Time after which the platform starts a process again that has ended.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 
+/// The zones, with their entry machines.
+const ZONES: [(&str, u8); 3] = [("zone-a", 3), ("zone-b", 3), ("zone-c", 2)];
+
+/// A runner of the deployment.
+#[derive(Debug, Clone, Copy)]
+pub struct Runner {
+    /// Its zone.
+    pub zone: &'static str,
+    /// Version of its software.
+    pub version: &'static str,
+}
+
+/// One runner of one version in each zone.
+pub const RUNNERS: [Runner; 3] = [
+    Runner {
+        zone: "zone-a",
+        version: "v1",
+    },
+    Runner {
+        zone: "zone-b",
+        version: "v1",
+    },
+    Runner {
+        zone: "zone-c",
+        version: "v1",
+    },
+];
+
+/// What is different in the platform's list from now on.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ListChange<'a> {
+    /// The runner that is draining.
+    pub draining: Option<&'a str>,
+    /// The runner that is no longer listed.
+    pub gone: Option<&'a str>,
+    /// One more entry, as text.
+    pub more: Option<&'a str>,
+}
+
 /// A machine.
 #[derive(Debug, Clone)]
 pub struct Machine {
@@ -98,47 +137,43 @@
 }
 
 impl Fleet {
-    /// Three zones with 3, 3 and 2 entry machines, of which the first of each has a disk, and one engine
-    /// with its machine in each zone. Nothing is started but the engines and the platform's list. `times` are
-    /// those between two events of an engine, and from the last event to the end of an answer.
+    /// Three zones with 3, 3 and 2 entry machines, of which the first of each has a disk, and these runners, each
+    /// with its machine. Nothing is started but the runners and the platform's list. `times` are those
+    /// between two events of a runner, and from the last event to the end of an answer.
     pub fn new(
         record: &Record,
         folder: &Path,
         times: (Duration, Duration),
+        runners: &[Runner],
     ) -> std::io::Result<Self> {
         let prefix = free_prefix()?;
         let mut machines = Vec::new();
         let mut engines = Vec::new();
-        for (zone_number, (zone, count)) in [("zone-a", 3), ("zone-b", 3), ("zone-c", 2)]
-            .iter()
-            .enumerate()
-        {
-            let zone_number = u8::try_from(zone_number).unwrap_or(0) + 1;
-            for number in 1..=*count {
+        for (zone_number, (zone, count)) in (1..).zip(ZONES) {
+            for number in 1..=count {
                 machines.push(Machine {
                     name: format!("edge-{zone}-{number}"),
                     ip: Ipv4Addr::new(127, prefix[1], zone_number, number),
-                    zone: (*zone).into(),
+                    zone: zone.into(),
                     has_disk: number == 1,
                     is_edge: true,
                 });
             }
-            let side = Machine {
-                name: format!("side-{zone}-1"),
-                ip: Ipv4Addr::new(127, prefix[1], zone_number, 101),
-                zone: (*zone).into(),
-                has_disk: false,
-                is_edge: false,
-            };
-            let addr = SocketAddr::new(IpAddr::V4(side.ip), APP);
-            engines.push(Engine::start(
-                &format!("i-{zone}-1"),
-                addr,
-                zone,
-                times,
-                record,
-            )?);
-            machines.push(side);
+            let here = runners.iter().filter(|runner| runner.zone == zone);
+            for (number, runner) in (1..).zip(here) {
+                let side = Machine {
+                    name: format!("side-{zone}-{number}"),
+                    ip: Ipv4Addr::new(127, prefix[1], zone_number, 100 + number),
+                    zone: zone.into(),
+                    has_disk: false,
+                    is_edge: false,
+                };
+                let addr = SocketAddr::new(IpAddr::V4(side.ip), APP);
+                let id = format!("i-{zone}-{number}");
+                let place = (zone, runner.version);
+                engines.push(Engine::start(&id, addr, place, times, record)?);
+                machines.push(side);
+            }
         }
         let fleet = Self {
             machines,
@@ -219,6 +254,19 @@
         }
     }
 
+    /// Kills all processes of all machines; they start again after this time.
+    pub fn kill_all(&self, down: Duration) {
+        self.record.line("all processes get SIGKILL");
+        let mut processes = self.processes();
+        for process in processes.values_mut() {
+            let _ = process.child.kill();
+            process.start_at = Some(Instant::now() + down);
+        }
+        for process in processes.values_mut() {
+            let _ = process.child.wait();
+        }
+    }
+
     /// Ends all processes, and nothing is started again.
     pub fn stop(&self) {
         let mut processes = self.processes();
@@ -289,18 +337,17 @@
         }
     }
 
-    /// Replaces the platform's list: this engine is draining in it, and it has one more entry.
-    pub fn set_list(&self, draining: Option<&str>, more: Option<&str>) {
-        let entries = self
+    /// Replaces the platform's list.
+    pub fn set_list(&self, change: ListChange<'_>) {
+        let listed = self
             .engines
             .iter()
-            .map(|engine| list_entry(engine, draining));
-        let entries: Vec<_> = entries.chain(more.map(String::from)).collect();
+            .filter(|engine| change.gone != Some(&*engine.id));
+        let entries = listed.map(|engine| list_entry(engine, change.draining));
+        let entries: Vec<_> = entries.chain(change.more.map(String::from)).collect();
         let page = format!("{{\"instances\":[{}],\"next\":null}}", entries.join(","));
-        if draining.is_some() || more.is_some() {
-            self.record
-                .line(format!("the platform's list from now on: {page}"));
-        }
+        self.record
+            .line(format!("the platform's list from now on: {page}"));
         *self.page.lock().unwrap_or_else(PoisonError::into_inner) = page;
     }
 
@@ -474,7 +521,7 @@
 
     /// Serves the platform's list of instances.
     fn serve_list(&self) -> std::io::Result<()> {
-        self.set_list(None, None);
+        self.set_list(ListChange::default());
         let addr = SocketAddr::new(
             IpAddr::V4(Ipv4Addr::new(127, self.prefix[1], 200, 61)),
             LIST,
@@ -498,10 +545,10 @@
         "ready"
     };
     format!(
-        "{{\"id\":\"{}\",\"backend\":\"pool\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
+        "{{\"id\":\"{}\",\"backend\":\"pool\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\
          \"batch_slots\":128,\"state\":\"{state}\",\"warmup_left_ms\":0,\"phase_kind\":\"mixed\",\
          \"models\":[{{\"name\":\"m\",\"version\":1,\"loras\":[]}}],\"born\":1764800000000}}",
-        engine.id, engine.addr, engine.zone
+        engine.id, engine.addr, engine.zone, engine.version
     )
 }
 
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -7,6 +7,7 @@
 mod case_list;
 mod case_resume;
 mod case_stop;
+mod case_versions;
 mod client;
 mod engine;
 mod fleet;
@@ -18,7 +19,7 @@
 use std::thread;
 use std::time::Duration;
 
-use fleet::Fleet;
+use fleet::{Fleet, RUNNERS, Runner};
 use record::Record;
 
 /// The whole run takes less than this.
@@ -60,12 +61,17 @@
     let (gap, ending) = match case {
         "stop" | "list" => (30, 0),
         "resume" => (60, 60),
+        "versions" => (50, 0),
         _ => (20, 0),
     };
+    let runners: &[Runner] = match case {
+        "versions" => &case_versions::RUNNERS,
+        _ => &RUNNERS,
+    };
     let times = (Duration::from_millis(gap), Duration::from_millis(ending));
     let started = std::fs::create_dir_all(folder)
         .and_then(|()| Record::create(record))
-        .and_then(|record| Fleet::new(&record, folder, times));
+        .and_then(|record| Fleet::new(&record, folder, times, runners));
     let fleet = match started {
         Ok(fleet) => fleet,
         Err(e) => {
@@ -93,6 +99,7 @@
         "stop" => case_stop::run(&setup),
         "budget" => case_budget::run(&setup),
         "resume" => case_resume::run(&setup),
+        "versions" => case_versions::run(&setup),
         "list" => case_list::run(&setup),
         "first-start" => case_first_start::run(&setup),
         _ => Verdict::NotRun("unknown case".into()),
