--- a/review/standins/src/case_versions.rs
+++ b/review/standins/src/case_versions.rs
@@ -100,6 +100,9 @@
             ..ListChange::default()
         });
         thread::sleep(KILLED);
+        // The final fault strikes right after one more change was acknowledged.
+        let changed = CONFIGURATION.replace("\"version\":7", "\"version\":8");
+        fleet.configure(&changed, Duration::from_millis(400));
         if setup.trouble {
             fleet.kill_all(DOWN);
         }
