--- a/crates/anvil_daemons/examples/slopes/messages.rs
+++ b/crates/anvil_daemons/examples/slopes/messages.rs
@@ -133,6 +133,7 @@
         suspects: BTreeMap::new(),
         limits: BTreeMap::new(),
         shares: Some(Shares::default()),
+        versions: Some(RecordedVersions::default()),
     }))
 }
 
@@ -154,6 +155,7 @@
         suspects: Vec::new(),
         limits: Vec::new(),
         shares: Some(Shares::default()),
+        versions: Some(RecordedVersions::default()),
     }))
 }
 
--- a/crates/anvil_gateway/src/exchange/take_up.rs
+++ b/crates/anvil_gateway/src/exchange/take_up.rs
@@ -6,14 +6,12 @@
 use anvil_world::prelude::*;
 
 use super::{Exchange, RequestRefusal, spread_return};
+use crate::availability;
 use crate::metrics;
 use crate::reply::Cause;
 use crate::stream_origins::RunningStream;
 use crate::stream_origins::ask::{FoundOrigin, OriginQuestion};
 
-/// How old a stream can be when its client takes it up, as a multiple of its route's timeout: one
-/// response, and the client's attempts after it.
-const MAX_AGE_TIMEOUTS: u32 = 2;
 /// Retry-after time of a stream that can't go on now: the time in which a lost gateway or endpoint
 /// returns.
 pub(super) const TAKE_UP_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -31,10 +29,11 @@
             .step(format_args!("takes up {first:?} after {after:?}"));
         self.gw.metrics.count(metrics::STREAMS_TAKEN_UP);
         let key = first.as_ref().map(|first| self.key_of(first));
+        self.wait_for_first_list().await;
         let question = OriginQuestion {
             key,
             service: &self.service,
-            span: self.stream_span(),
+            span: self.route.max_stream_age(),
             deadline: self.deadline,
         };
         let found = self.gw.find_origin(question).await;
@@ -44,6 +43,7 @@
                 version,
                 by,
             } => {
+                let by = by.as_deref().unwrap_or("the ledger");
                 self.trace
                     .step(format_args!("began at {version}, known by {by}"));
                 // A route that no longer names the service leaves the stream without endpoints.
@@ -58,8 +58,9 @@
                     .step(format_args!("began at {version}, the only settled version"));
                 version
             }
-            // No list yet: no endpoint either.
-            FoundOrigin::Unknown(versions) if versions.is_empty() => return Ok(()),
+            FoundOrigin::Unknown(versions) if versions.is_empty() => {
+                return Err((Cause::NoEndpoint, spread_return(TAKE_UP_RETRY_AFTER)));
+            }
             FoundOrigin::Unknown(versions) => {
                 self.trace
                     .step(format_args!("began at one of {versions:?}"));
@@ -68,11 +69,19 @@
         };
         if let Some(key) = key {
             self.gw.record_origin(self.running_stream(key), &version);
+            self.gw.mark_bound(key);
         }
         self.stream_version = Some(version);
         Ok(())
     }
 
+    /// Waits for a list of endpoints if this gateway has just started and has none.
+    async fn wait_for_first_list(&self) {
+        let max_wait = availability::endpoints_wait(self.gw.cfg.list.max_lag, self.time_left());
+        let has_list = || self.gw.has_listed_versions().then_some(());
+        availability::wait_until_available(&self.gw, max_wait, has_list).await;
+    }
+
     /// Records the version of the endpoint to which a stream is about to be sent, so that it is known
     /// elsewhere before its first event.
     pub(super) fn record_origin(&self, version: &SoftwareVersion) {
@@ -97,17 +106,24 @@
         stream_key(organisation.unwrap_or_default(), first_attempt)
     }
 
+    /// Binds the stream to the version of its first event, which goes to the client next.
+    pub fn bind_stream(&mut self, version: &SoftwareVersion) {
+        if self.stream_version.is_some() {
+            return;
+        }
+        self.stream_version = Some(version.clone());
+        if self.route.retry_mode.may_resume_elsewhere() {
+            self.gw.mark_bound(self.key_of(&self.request.id));
+        }
+    }
+
     fn running_stream(&self, key: StreamKey) -> RunningStream<'_> {
         RunningStream {
             key,
             service: &self.service,
             is_split: self.route.services.len() > 1,
-            span: self.stream_span(),
+            span: self.route.max_stream_age(),
             client_timeout: self.request.timeout,
         }
     }
-
-    fn stream_span(&self) -> Duration {
-        self.route.timeout.saturating_mul(MAX_AGE_TIMEOUTS)
-    }
 }
--- a/crates/anvil_gateway/src/ledger_updates.rs
+++ b/crates/anvil_gateway/src/ledger_updates.rs
@@ -89,6 +89,7 @@
     gw.apply_ledger_suspects(&cached.suspects);
     gw.apply_ledger_limits(&cached.limits);
     gw.apply_ledger_shares(&cached.shares);
+    gw.apply_ledger_versions(cached.service_versions.as_ref());
     let returned = gw.apply_zone_documents(&cached.tree);
     gw.record_zones_returned(&returned);
     let replicas = members::replicas(cached, &gw.seeds.load());
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -29,7 +29,8 @@
 //! state in answers that nobody waits for.
 //!
 //! Software versions: [`service_versions`] records which versions of a service's endpoints serve,
-//! [`stream_origins`] at which of them streams began, and what other gateways know of that.
+//! [`version_reports`] reports them to the ledger, [`stream_origins`] records at which of them streams
+//! began, and what other gateways and the ledger know of that.
 //!
 //! Where the gateway's view comes from: the routing table and the number of gateways from the
 //! ledger ([`ledger_updates`]), grants from the ledger ([`grant_loop`]), balances of budgets
@@ -80,6 +81,7 @@
 pub mod suspects;
 pub mod table;
 pub mod trace;
+pub mod version_reports;
 pub mod wait;
 pub mod warm_up;
 pub mod zones;
--- a/crates/anvil_gateway/src/list/discovery.rs
+++ b/crates/anvil_gateway/src/list/discovery.rs
@@ -226,9 +226,10 @@
     };
     let listed: Vec<ListedEndpoint> = snapshot.endpoints().cloned().collect();
     let read_at = gw.lifecycle.now().saturating_sub(snapshot.age());
+    // Before the endpoints are used: a stream may be sent to them at once.
+    gw.record_listed_versions(&listed);
     let changes = gw.directory.apply_list(&listed);
     gw.apply_listed_warm_up(&listed, read_at);
-    gw.record_listed_versions(&listed);
     for endpoint in &changes.vanished {
         gw.record_crash_evidence(endpoint, Evidence::Unlisted);
     }
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -86,6 +86,8 @@
 pub const STREAMS_WAITED: &str = "streams.waited";
 /// Messages that told other gateways at which versions streams run. Count.
 pub const ORIGIN_MESSAGES: &str = "streams.origin_messages";
+/// Reports to the ledger of the versions at which streams run. Count.
+pub const ORIGIN_REPORTS: &str = "streams.origin_reports";
 /// Streams of which no other gateway was told, because too many are told of. Count.
 pub const ORIGINS_UNTOLD: &str = "streams.origins_untold";
 /// Streams whose version this gateway knows, its own and those that others told of. Gauge.
@@ -194,6 +196,7 @@
     (STREAMS_TAKEN_UP, "count"),
     (STREAMS_WAITED, "count"),
     (ORIGIN_MESSAGES, "count"),
+    (ORIGIN_REPORTS, "count"),
     (ORIGINS_UNTOLD, "count"),
     (ORIGINS_KNOWN, "gauge"),
     (STREAMS_RESUMED, "count"),
--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -13,8 +13,8 @@
 use crate::gateway::Gateway;
 use crate::list::{discovery, siblings};
 use crate::log_events as events;
-use crate::stream_origins::tell;
-use crate::{endpoint_limits, grant_loop, ledger_updates, serve, suspects};
+use crate::stream_origins::{record, tell};
+use crate::{endpoint_limits, grant_loop, ledger_updates, serve, suspects, version_reports};
 
 /// Time to return grants to the ledger at a planned stop.
 const RETURN_GRANTS_TIME: Duration = Duration::from_millis(250);
@@ -75,6 +75,8 @@
             suspects::run(&task_gw),
             endpoint_limits::run(&task_gw),
             tell::run(&task_gw),
+            record::run(&task_gw),
+            version_reports::run(&task_gw),
             link_probe::run(probe_context(&task_gw)),
             held_prompt_exchange::run(&task_gw),
         );
--- a/crates/anvil_gateway/src/service_versions.rs
+++ b/crates/anvil_gateway/src/service_versions.rs
@@ -2,13 +2,15 @@
 //! [`anvil_policy::version_history`] decides what is known of the time before now.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use anvil_policy::version_history::VersionHistory;
-use anvil_wire::msg::{ListedEndpoint, ListedVersions};
+use anvil_policy::version_history::{ListedWithin, VersionHistory};
+use anvil_wire::msg::ListedEndpoint;
 use anvil_world::prelude::*;
 use anvilreel::event;
+use arc_swap::ArcSwapOption;
+use tokio::sync::Notify;
 
 use crate::gateway::Gateway;
 use crate::log_events as events;
@@ -23,10 +25,14 @@
 #[derive(Default)]
 pub struct ServiceVersions {
     histories: Mutex<BTreeMap<ServiceId, VersionHistory>>,
+    /// What the ledger has recorded; `None` until that is known.
+    pub(crate) recorded: ArcSwapOption<RecordedVersions>,
+    /// Wakes the task that reports to the ledger.
+    pub(crate) report_wanted: Notify,
 }
 
 impl ServiceVersions {
-    fn histories(&self) -> MutexGuard<'_, BTreeMap<ServiceId, VersionHistory>> {
+    pub(crate) fn histories(&self) -> MutexGuard<'_, BTreeMap<ServiceId, VersionHistory>> {
         // Sound after a panic elsewhere: each history is valid by itself.
         self.histories
             .lock()
@@ -70,25 +76,52 @@
             }
         }
         drop(histories);
+        self.service_versions.report_wanted.notify_one();
         if have_changed {
             self.update_origin_holders();
         }
     }
 
+    /// Applies the versions that the ledger has recorded; `None` if it has sent none.
+    pub fn apply_ledger_versions(&self, recorded: Option<&RecordedVersions>) {
+        let previous = self.service_versions.recorded.load();
+        if recorded.is_none() || previous.as_deref() == recorded {
+            return;
+        }
+        let recorded = recorded.cloned().map(Arc::new);
+        self.service_versions.recorded.store(recorded);
+        self.service_versions.report_wanted.notify_one();
+        self.update_origin_holders();
+    }
+
+    /// The versions of a service that the ledger has recorded, without those that are new by this
+    /// gateway's lists; `None` if it has recorded none, or that is not known.
+    pub fn recorded_versions(&self, service: &str) -> Option<BTreeSet<SoftwareVersion>> {
+        let recorded = self.service_versions.recorded.load();
+        let mut versions = recorded.as_ref()?.of(service)?.clone();
+        for new in self.new_versions(service) {
+            versions.remove(&new);
+        }
+        Some(versions)
+    }
+
+    /// Whether this gateway has had a list.
+    pub fn has_listed_versions(&self) -> bool {
+        !self.service_versions.histories().is_empty()
+    }
+
     /// The versions of a service that lists named within `span` before now.
-    pub fn versions_within(&self, service: &str, span: Duration) -> ListedVersions {
+    pub fn versions_within(&self, service: &str, span: Duration) -> ListedWithin {
         let histories = self.service_versions.histories();
         let Some(history) = histories.get(service) else {
-            return ListedVersions {
-                all: BTreeSet::new(),
-                settled: None,
-            };
+            return ListedWithin::default();
         };
         let now = self.lifecycle.now();
         let settled = history.settled_within(now, span, self.settling_time());
-        ListedVersions {
+        ListedWithin {
             all: history.listed_within(now, span).cloned().collect(),
             settled: settled.map(|versions| versions.cloned().collect()),
+            is_covering: history.covers(now, span),
         }
     }
 
@@ -114,11 +147,20 @@
         new.cloned().collect()
     }
 
-    /// Whether a service had more than one version within `span` before now.
+    /// Whether a service had more than one version within `span` before now, or others may take it for
+    /// one that had.
     pub fn is_mixed(&self, service: &str, span: Duration) -> bool {
         let histories = self.service_versions.histories();
         let history = histories.get(service);
-        history.is_some_and(|history| history.is_mixed(self.lifecycle.now(), span))
+        let is_listed = history.is_some_and(|history| history.is_mixed(self.lifecycle.now(), span));
+        is_listed || self.is_recorded_mixed(service)
+    }
+
+    /// Whether the ledger has recorded more than one version of a service.
+    fn is_recorded_mixed(&self, service: &str) -> bool {
+        let recorded = self.service_versions.recorded.load();
+        let recorded = recorded.as_ref().and_then(|recorded| recorded.of(service));
+        recorded.is_some_and(|versions| versions.len() > 1)
     }
 
     /// Number of services whose endpoints run more than one software version now.
--- a/crates/anvil_gateway/src/stream_origins.rs
+++ b/crates/anvil_gateway/src/stream_origins.rs
@@ -3,11 +3,12 @@
 //! Failure: a gateway is killed, and its clients take their streams up at others, which send the rest to
 //! endpoints of another version or of another service of the route: the client holds parts that don't
 //! fit together. [`tell`] sends the origins of this gateway's streams to the gateways that hold them,
-//! while there are several versions or services; [`ask`] finds the origin of a stream that a client takes
-//! up.
+//! while there are several versions or services; [`record`] reports them to the ledger, for the case that
+//! all gateways are killed together; [`ask`] finds the origin of a stream that a client takes up.
 //! [`anvil_policy::stream_origins`] decides which gateways these are.
 
 pub mod ask;
+pub mod record;
 pub mod tell;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -39,6 +40,8 @@
     silent: Mutex<BTreeMap<InstanceId, Now>>,
     /// Wakes the task that tells others.
     changed: Notify,
+    /// Wakes the task that reports to the ledger.
+    unrecorded: Notify,
 }
 
 /// A stream that ran at this gateway.
@@ -53,6 +56,10 @@
     untold: BTreeSet<InstanceId>,
     /// Holders that have been told, each in its incarnation.
     told: BTreeMap<InstanceId, Incarnation>,
+    /// Whether an event of it has gone to its client, so that its version can't change any more.
+    is_bound: bool,
+    /// Whether the ledger has recorded it.
+    is_recorded: bool,
 }
 
 impl ToldStream {
@@ -146,6 +153,8 @@
             span: stream.span,
             untold: BTreeSet::new(),
             told: BTreeMap::new(),
+            is_bound: false,
+            is_recorded: false,
         };
         let is_to_be_told = self.is_to_be_told(&told_stream);
         if is_to_be_told {
@@ -179,6 +188,7 @@
         }
         drop(told);
         self.stream_origins.changed.notify_one();
+        self.stream_origins.unrecorded.notify_one();
     }
 
     /// The other gateways that may hold this one's streams.
--- a/crates/anvil_gateway/src/stream_origins/ask.rs
+++ b/crates/anvil_gateway/src/stream_origins/ask.rs
@@ -4,7 +4,11 @@
 use std::time::Duration;
 
 use anvil_policy::stream_origins::{HOLDERS_PER_STREAM, Origin, StreamKey};
-use anvil_wire::msg::{ListedVersions, OriginCall, OriginReply, OriginRequest, StreamOrigin};
+use anvil_policy::version_history::{Beginning, ListedWithin, beginning};
+use anvil_wire::msg::{
+    ListedVersions, OriginCall, OriginReply, OriginRequest, Query, QueryAnswer, RecordedOrigin,
+    StreamOrigin,
+};
 use anvil_wire::{Channel, WireError};
 use anvil_world::prelude::*;
 use futures::stream::FuturesUnordered;
@@ -21,6 +25,8 @@
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(30);
 /// Timeout of one call, longer than any wait: a call that times out costs its channel the connection.
 const CALL_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest wait for the ledger, if no sibling knows the stream.
+const LEDGER_TIMEOUT: Duration = Duration::from_millis(150);
 /// Siblings that are asked while a service has several versions: the holders, others that may hold the
 /// stream in place of one that did not answer, and the gateway that ran it, which is none of them.
 const MAX_ASKED: usize = 8;
@@ -31,14 +37,14 @@
 /// What is known of where a stream began.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum FoundOrigin {
-    /// A gateway that ran it knows.
+    /// Somebody knows.
     Known {
         /// The service.
         service: ServiceId,
         /// The version.
         version: SoftwareVersion,
-        /// The gateway that knows.
-        by: InstanceId,
+        /// The gateway that knows; `None` if it is the ledger.
+        by: Option<InstanceId>,
     },
     /// Nobody knows the stream, but its service had only this version for as long as it can be old, but for
     /// new ones of which others would have been told.
@@ -61,18 +67,45 @@
 }
 
 impl Gateway {
-    /// Finds where a stream began: in this gateway's memory, or in that of its siblings.
+    /// Finds where a stream began: in this gateway's memory, in that of its siblings, or in the ledger.
     pub async fn find_origin(&self, question: OriginQuestion<'_>) -> FoundOrigin {
+        let found = self.find_at_gateways(question).await;
+        let FoundOrigin::Unknown(_) = found else {
+            return found;
+        };
+        self.find_recorded(question).await.unwrap_or(found)
+    }
+
+    /// Asks the ledger.
+    ///
+    /// Failure: all gateways that knew the stream were killed together.
+    async fn find_recorded(&self, question: OriginQuestion<'_>) -> Option<FoundOrigin> {
+        let query = Query::StreamOrigin(question.key?);
+        let time_left = question.deadline.saturating_duration_since(Instant::now());
+        let wait = LEDGER_TIMEOUT.min(time_left);
+        // Without an answer the stream stays unknown, and is refused.
+        let answer = self.ledger.query(query, wait).await.ok()?;
+        let QueryAnswer::StreamOrigin(Some(RecordedOrigin { service, version })) = answer else {
+            return None;
+        };
+        Some(FoundOrigin::Known {
+            service,
+            version,
+            by: None,
+        })
+    }
+
+    async fn find_at_gateways(&self, question: OriginQuestion<'_>) -> FoundOrigin {
         let own = question.key.and_then(|key| self.known_origin(key));
         if let Some(origin) = own {
             return FoundOrigin::Known {
                 service: origin.service,
                 version: origin.version,
-                by: self.cfg.id.clone(),
+                by: Some(self.cfg.id.clone()),
             };
         }
         let own = self.versions_within(question.service, question.span);
-        let (count, wait) = if own.all.len() > 1 {
+        let (count, wait) = if self.is_mixed(question.service, question.span) {
             (MAX_ASKED, ASK_TIMEOUT)
         } else {
             (HOLDERS_PER_STREAM + 1, CONFIRM_TIMEOUT)
@@ -97,13 +130,21 @@
                 return FoundOrigin::Known {
                     service,
                     version,
-                    by,
+                    by: Some(by),
                 };
             }
-            versions.push(listed);
+            versions.push(ListedWithin {
+                all: listed.all,
+                is_covering: listed.settled.is_some(),
+                settled: listed.settled,
+            });
             is_current = true;
         }
-        possible(versions, is_current)
+        let recorded = self.recorded_versions(question.service);
+        match beginning(&versions, recorded.as_ref(), is_current) {
+            Beginning::At(version) => FoundOrigin::OnlyVersion(version),
+            Beginning::Unknown(versions) => FoundOrigin::Unknown(versions),
+        }
     }
 
     /// The replies of the first siblings that a stream's origin is asked of, in the order in which they
@@ -152,7 +193,7 @@
             }
             OriginRequest::Ask { key, service, span } => OriginReply::Known {
                 origin: key.and_then(|key| self.origin_message(key)),
-                versions: self.versions_within(&service, span),
+                versions: listed_message(self.versions_within(&service, span)),
             },
         }
     }
@@ -163,25 +204,9 @@
     }
 }
 
-/// What is known of a stream that no gateway knows, from the versions that each of them listed.
-///
-/// Failure: a gateway that is cut off from the list and from all others knows one version only, and sends
-/// a stream to it that another gateway began at a version that came since. So one of the lists has to be
-/// current.
-fn possible(versions: Vec<ListedVersions>, is_current: bool) -> FoundOrigin {
-    let settled = versions.iter().filter_map(|listed| listed.settled.as_ref());
-    let settled: BTreeSet<_> = settled.flatten().cloned().collect();
-    let all = versions.into_iter().flat_map(|listed| listed.all);
-    let mut possible: BTreeSet<_> = if settled.is_empty() {
-        all.collect()
-    } else {
-        settled
-    };
-    if is_current
-        && possible.len() == 1
-        && let Some(only) = possible.pop_first()
-    {
-        return FoundOrigin::OnlyVersion(only);
+fn listed_message(listed: ListedWithin) -> ListedVersions {
+    ListedVersions {
+        all: listed.all,
+        settled: listed.settled.filter(|_| listed.is_covering),
     }
-    FoundOrigin::Unknown(possible)
 }
--- a/crates/anvil_gateway/src/stream_relay.rs
+++ b/crates/anvil_gateway/src/stream_relay.rs
@@ -302,9 +302,7 @@
                 // Failure: an endpoint repeats an event, or sends one of an earlier run. Ids
                 // increase by one; an event that does not follow is not delivered.
                 if is_next_event(self.last_read, event.id) {
-                    let version = &source.slot.endpoint.version;
-                    let bound = &mut self.exchange.stream_version;
-                    bound.get_or_insert_with(|| version.clone());
+                    self.exchange.bind_stream(&source.slot.endpoint.version);
                     source.events += 1;
                     source.slot.record_output(self.exchange.tokens_per_event);
                     if source.events == EVENTS_AFTER_BEGINNING {
--- a/crates/anvil_gateway/src/table.rs
+++ b/crates/anvil_gateway/src/table.rs
@@ -68,7 +68,16 @@
     pub regions: AllowedRegions,
 }
 
+/// How old a stream can be when its client takes it up, as a multiple of its route's timeout: one
+/// response, and the client's attempts after it.
+const MAX_STREAM_AGE_TIMEOUTS: u32 = 2;
+
 impl Route {
+    /// How old a stream can be when its client takes it up.
+    pub fn max_stream_age(&self) -> Duration {
+        self.timeout.saturating_mul(MAX_STREAM_AGE_TIMEOUTS)
+    }
+
     /// Whether requests on the route may go to this service.
     pub fn names(&self, service: &str) -> bool {
         let mut services = self.services.iter();
@@ -212,6 +221,12 @@
         self.organisations_by_key.get(key)
     }
 
+    /// All routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        let by_prefix = self.routes_by_host.values();
+        by_prefix.flat_map(BTreeMap::values)
+    }
+
     /// Shortest target latency of the routes that stream, which are those with prompts.
     pub fn shortest_stream_target(&self) -> Option<Duration> {
         let routes = self.routes_by_host.values().flat_map(BTreeMap::values);
--- a/crates/anvil_gateway/tests/direct/gateway.rs
+++ b/crates/anvil_gateway/tests/direct/gateway.rs
@@ -190,10 +190,29 @@
             other.zone = "local-b".into();
         }
         gateway.gw.directory.apply_list(&list);
+        gateway.record_versions(&list);
         gateway.gw.table.store(Some(Arc::new(table(1, routes()))));
         gateway
     }
 
+    /// Records the versions in a list, at the gateway and in what it knows of the ledger.
+    pub fn record_versions(&self, list: &[ListedEndpoint]) {
+        let mut recorded = RecordedVersions::default();
+        for listed in list {
+            recorded.add(&listed.service, &[listed.version.clone()].into());
+        }
+        self.gw.record_listed_versions(list);
+        self.gw.apply_ledger_versions(Some(&recorded));
+    }
+
+    /// A gateway with the default routes that has had no list of endpoints.
+    pub async fn start_without_list() -> Self {
+        let gateway = Self::start_empty().await;
+        let table = Arc::new(table(1, routes()));
+        gateway.gw.table.store(Some(table));
+        gateway
+    }
+
     /// A gateway without routing table and endpoints.
     pub async fn start_empty() -> Self {
         let log = Logger::root(Discard, o!());
--- a/crates/anvil_gateway/tests/direct/versions.rs
+++ b/crates/anvil_gateway/tests/direct/versions.rs
@@ -32,6 +32,8 @@
 const SETTLING_TIME: Duration = Duration::from_millis(2_500);
 /// Time in which all gateways read a list.
 const LISTING_TIME: Duration = Duration::from_millis(1_300);
+/// Time after which a gateway has its first list.
+const LIST_DELAY: Duration = Duration::from_millis(100);
 /// A pause that an endpoint asks for.
 const PAUSE: Duration = Duration::from_millis(400);
 /// Streams that are open when their gateway is killed.
@@ -92,10 +94,18 @@
     listed
 }
 
-/// A gateway with these endpoints.
+/// A gateway with these endpoints, whose versions the ledger has recorded.
 async fn start_gateway(endpoints: &[ListedEndpoint]) -> TestGateway {
     let gateway = TestGateway::start(&[]).await;
     gateway.gw.directory.apply_list(endpoints);
+    gateway.record_versions(endpoints);
+    gateway
+}
+
+/// A gateway with these endpoints that has heard nothing of the ledger.
+async fn start_gateway_without_record(endpoints: &[ListedEndpoint]) -> TestGateway {
+    let gateway = TestGateway::start_without_list().await;
+    gateway.gw.directory.apply_list(endpoints);
     gateway.gw.record_listed_versions(endpoints);
     gateway
 }
@@ -193,6 +203,28 @@
         *listed = format!("{listed}\n{added}");
     }
 
+    /// Lists the endpoints of this version no more.
+    fn remove_endpoints(&self, version: &str) {
+        let mut listed = self.listed.lock().expect("a list");
+        let left = listed.lines().filter(|line| !line.ends_with(version));
+        *listed = left.collect::<Vec<_>>().join("\n");
+    }
+
+    /// Takes streams up at the second gateway. Returns how many go on, each at its version.
+    async fn count_going_on(&self, begun: &[(String, Client, String)]) -> usize {
+        let mut went_on = 0;
+        for (id, _, version) in begun {
+            let client = self.processes.connect(1).await;
+            let received = take_up(client, &format!("next-{id}"), id).await;
+            if received.status != 503 {
+                assert_eq!(received.status, 200, "{received:?}");
+                assert_eq!(first_version(&received.body), version, "{id}");
+                went_on += 1;
+            }
+        }
+        went_on
+    }
+
     /// Opens several streams at the first gateway; each with its id, connection and version.
     async fn begin_all(&self) -> Vec<(String, Client, String)> {
         let begin = async |number| {
@@ -368,6 +400,43 @@
     }
 }
 
+/// Guards against a guess by a gateway that has just started, alone, and has not heard of the ledger: its
+/// one list says nothing of the time before.
+#[tokio::test]
+async fn unknown_stream_is_refused_while_the_past_is_not_known() {
+    let endpoint = streaming("v2").await;
+    let list = [listed_as("a", "v2", &endpoint, true)];
+    let gateway = start_gateway_without_record(&list).await;
+    let refused = take_up(Client::connect(gateway.addr).await, "next-1", "never-seen").await;
+    assert_eq!(refused.status, 503, "{refused:?}");
+    let mut recorded = RecordedVersions::default();
+    recorded.add(&list[0].service, &["v1".into(), "v2".into()].into());
+    gateway.gw.apply_ledger_versions(Some(&recorded));
+    let refused = take_up(Client::connect(gateway.addr).await, "next-2", "never-seen").await;
+    assert_eq!(refused.status, 503, "{refused:?}");
+    recorded.remove(&list[0].service, &["v1".into()].into());
+    gateway.gw.apply_ledger_versions(Some(&recorded));
+    let went_on = take_up(Client::connect(gateway.addr).await, "next-3", "never-seen").await;
+    assert_eq!(went_on.status, 200, "{went_on:?}");
+}
+
+/// Guards against a stream that is sent to any version by a gateway that has no list yet when its client
+/// takes it up.
+#[tokio::test]
+async fn stream_that_waits_for_the_first_list_is_not_sent_to_any_version() {
+    let endpoint = streaming("v2").await;
+    let list = [listed_as("a", "v2", &endpoint, true)];
+    let gateway = TestGateway::start_without_list().await;
+    let client = Client::connect(gateway.addr).await;
+    let waiting = tokio::spawn(async move { take_up(client, "next", "never-seen").await });
+    sleep(LIST_DELAY).await;
+    gateway.gw.record_listed_versions(&list);
+    gateway.gw.directory.apply_list(&list);
+    gateway.gw.state_changed.notify_waiters();
+    assert_eq!(waiting.await.expect("no panic").status, 503);
+    assert!(endpoint.received().is_empty());
+}
+
 /// Guards against requests that were meant for an endpoint's former version being sent to its successor
 /// under the same id, and against its connections being used on.
 #[tokio::test]
@@ -484,6 +553,31 @@
     assert_eq!(new.received().len(), 1);
 }
 
+/// Guards against streams that change versions after all processes were killed: the lists that the new
+/// ones have read name one version, and streams of the others go on there.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_keep_their_version_after_all_processes_were_killed() {
+    let mut service = MixedService::start().await;
+    let begun = service.begin_all().await;
+    sleep(TELLING_TIME).await;
+    service.remove_endpoints("v1");
+    service.processes.lose_power().await;
+    let of_the_version_left = begun.iter().filter(|(.., version)| version == "v2").count();
+    assert!(of_the_version_left > 0);
+    assert_eq!(service.count_going_on(&begun).await, of_the_version_left);
+}
+
+/// Guards against refusing every stream after all processes were killed, in a service that has had one
+/// version only.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_the_only_version_go_on_after_all_processes_were_killed() {
+    let mut service = MixedService::start_with(&["v1", "v1"]).await;
+    let begun = service.begin_all().await;
+    sleep(TELLING_TIME).await;
+    service.processes.lose_power().await;
+    assert_eq!(service.count_going_on(&begun).await, STREAMS);
+}
+
 /// Guards against a guess: a stream of which no gateway knows the version, in a service with two.
 #[tokio::test(flavor = "multi_thread")]
 async fn unknown_stream_is_refused_at_once_while_versions_are_mixed() {
--- a/crates/anvil_ledger/src/lib.rs
+++ b/crates/anvil_ledger/src/lib.rs
@@ -35,4 +35,5 @@
 pub mod machine;
 pub mod state;
 pub mod storage;
+pub mod stream_origins;
 pub mod suspects;
--- a/crates/anvil_ledger/src/machine.rs
+++ b/crates/anvil_ledger/src/machine.rs
@@ -1,5 +1,6 @@
 //! The state machine of a replica: the state, the lost incarnations of sidecars, and routers'
-//! reports on endpoints, namely requests during which they crashed and limits that they announced.
+//! reports, namely requests during which endpoints crashed, limits that endpoints announced, and
+//! software versions of services and streams.
 
 use std::collections::BTreeSet;
 
@@ -17,6 +18,7 @@
 use crate::limits::Limits;
 use crate::lost_incarnations::LostIncarnations;
 use crate::state::{ChangedItem, InvariantError, State};
+use crate::stream_origins::StreamOrigins;
 use crate::suspects::Suspects;
 
 /// An error after which the state machine can't continue. The replica stops.
@@ -58,6 +60,10 @@
     pub crashed_endpoints: CrashedEndpoints,
     /// Shares that operators have set.
     pub shares: Shares,
+    /// Software versions of each service.
+    pub service_versions: RecordedVersions,
+    /// Software versions at which streams run.
+    pub stream_origins: StreamOrigins,
 }
 
 impl Machine {
@@ -73,6 +79,8 @@
             limits: next_part(&mut rest)?,
             crashed_endpoints: next_part(&mut rest)?,
             shares: next_part(&mut rest)?,
+            service_versions: next_part(&mut rest)?,
+            stream_origins: next_part(&mut rest)?,
         })
     }
 
@@ -98,6 +106,7 @@
         self.apply_router_reports(entry.id.index, &command);
         self.record_crashed_endpoint(&command);
         self.record_share(&command, &answer);
+        self.record_versions(&command);
         Ok(answer)
     }
 
@@ -154,6 +163,18 @@
         }
     }
 
+    fn record_versions(&mut self, command: &Command) {
+        match command {
+            Command::RecordVersions(report) => {
+                let versions = &mut self.service_versions;
+                versions.remove(&report.service, &report.ended);
+                versions.add(&report.service, &report.listed);
+            }
+            Command::RecordOrigins(report) => self.stream_origins.record(report),
+            _ => {}
+        }
+    }
+
     fn lift_quarantine(&mut self, index: LogIndex, lift: &LiftQuarantine) -> Answer {
         let mut suspects = self.suspects.clone();
         let lifted = suspects.lift(&lift.contents);
--- a/crates/anvil_ledger/src/state.rs
+++ b/crates/anvil_ledger/src/state.rs
@@ -70,7 +70,12 @@
             Command::Noop
             | Command::ReportCrash(_)
             | Command::ClearSuspects(_)
-            | Command::ReportLimit(_) => Ok(Answer::Done),
+            | Command::ReportLimit(_)
+            | Command::RecordOrigins(_) => Ok(Answer::Done),
+            Command::RecordVersions(_) => {
+                self.recent_changes.record_version(index);
+                Ok(Answer::Done)
+            }
             Command::Change(change) => self.change(index, change),
             Command::TopUp(top_up) => self.top_up(top_up),
             Command::WriteOff(write_off) => self.write_off(write_off),
--- a/crates/anvil_wire/src/msg.rs
+++ b/crates/anvil_wire/src/msg.rs
@@ -13,7 +13,7 @@
 pub use ledger::{
     AuditFilter, BudgetBalance, BudgetView, ChargeEvidence, FollowEvent, FollowScope, Heartbeat,
     HeartbeatReply, KeyCharge, LedgerCall, LedgerReply, LedgerRequest, LedgerStatus, Query,
-    QueryAnswer, VersionRollout,
+    QueryAnswer, RecordedOrigin, VersionRollout,
 };
 pub use listing::{ListCall, ListDigest, ListReply, ListRequest, ListUpdate, ListedEndpoint};
 pub use origins::{ListedVersions, OriginCall, OriginReply, OriginRequest, StreamOrigin};
--- a/crates/anvil_wire/src/msg/ledger.rs
+++ b/crates/anvil_wire/src/msg/ledger.rs
@@ -129,6 +129,9 @@
         /// build, which doesn't know them, and for followers that need none.
         #[serde(deserialize_with = "none_if_missing")]
         shares: Option<Shares>,
+        /// Software versions of each service; `None` as for the shares.
+        #[serde(deserialize_with = "none_if_missing")]
+        versions: Option<RecordedVersions>,
     },
     /// The changes since the last event; `None` for what was removed.
     Delta {
@@ -148,6 +151,9 @@
         /// build, which doesn't know them, and for followers that need none.
         #[serde(deserialize_with = "none_if_missing")]
         shares: Option<Shares>,
+        /// Software versions of each service; `None` as for the shares.
+        #[serde(deserialize_with = "none_if_missing")]
+        versions: Option<RecordedVersions>,
     },
     /// Nothing changed: the replica confirms that this is the newest version it knows and that it has
     /// recently received a message from the leader.
@@ -157,10 +163,14 @@
     },
 }
 
-/// Reads the last field of an event. A sender of the previous build ends its message before it;
+/// Reads one of the last fields of an event. A sender of an earlier build ends its message before it;
 /// messages are framed, so this is the only cause of an error at this place.
 #[expect(clippy::unnecessary_wraps, reason = "serde requires this signature")]
-fn none_if_missing<'de, D: Deserializer<'de>>(source: D) -> Result<Option<Shares>, D::Error> {
+fn none_if_missing<'de, D, T>(source: D) -> Result<Option<T>, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Deserialize<'de>,
+{
     Ok(Option::deserialize(source).unwrap_or_default())
 }
 
@@ -198,6 +208,9 @@
     /// The shares that operators have set. A replica of a build without this query answers with an
     /// error.
     Shares,
+    /// Where the stream with this key began. A replica of a build without this query answers with an
+    /// error.
+    StreamOrigin(u128),
 }
 
 /// Selects entries of the audit trail.
@@ -238,6 +251,17 @@
     Suspects(BTreeMap<ContentDigest, SuspectContent>),
     /// See [`Query::Shares`].
     Shares(Shares),
+    /// See [`Query::StreamOrigin`]; `None` if it is not known.
+    StreamOrigin(Option<RecordedOrigin>),
+}
+
+/// Where a stream began, according to the ledger.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordedOrigin {
+    /// The service.
+    pub service: ServiceId,
+    /// The software version.
+    pub version: SoftwareVersion,
 }
 
 /// What is left of a budget.
--- a/crates/anvil_wire/src/msg/origins.rs
+++ b/crates/anvil_wire/src/msg/origins.rs
@@ -54,7 +54,7 @@
     /// All of them.
     pub all: BTreeSet<SoftwareVersion>,
     /// Those that have been listed for long enough to be known to all routers. `None` from a router whose
-    /// own lists don't reach back that far.
+    /// own lists don't cover the whole time.
     pub settled: Option<BTreeSet<SoftwareVersion>>,
 }
 
--- a/crates/anvil_world/src/lib.rs
+++ b/crates/anvil_world/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod outcome;
 pub mod path;
 pub mod prelude;
+pub mod recorded_versions;
 pub mod settings;
 pub mod share;
 pub mod suspect;
--- a/crates/anvil_world/src/prelude.rs
+++ b/crates/anvil_world/src/prelude.rs
@@ -9,6 +9,7 @@
 pub use crate::name::{NameError, checked_name};
 pub use crate::outcome::{Malformed, Outcome, Reason, Refusal, RequestKey, UnknownCause};
 pub use crate::path::TreePath;
+pub use crate::recorded_versions::RecordedVersions;
 pub use crate::settings::SettingsError;
 pub use crate::share::{ShareFactor, ShareTarget, Shares};
 pub use crate::suspect::SuspectContent;
--- a/crates/anvilreel/src/ledger_service/check.rs
+++ b/crates/anvilreel/src/ledger_service/check.rs
@@ -42,6 +42,7 @@
         Command::ReportLimit(report) => &mut report.at,
         Command::LiftQuarantine(lift) => &mut lift.at,
         Command::SetShare(order) => &mut order.at,
+        Command::RecordOrigins(report) => &mut report.at,
         Command::Noop
         | Command::GrantBatch(_)
         | Command::FenceRouter(_)
@@ -50,7 +51,8 @@
         | Command::Join(_)
         | Command::SetPresence(_)
         | Command::Order(_)
-        | Command::ClearSuspects(_) => return,
+        | Command::ClearSuspects(_)
+        | Command::RecordVersions(_) => return,
     };
     *at = now;
 }
--- a/crates/anvilreel/src/ledger_service/follow.rs
+++ b/crates/anvilreel/src/ledger_service/follow.rs
@@ -60,6 +60,7 @@
             suspects: suspects.map(|(request, s)| (request, s.clone())).collect(),
             limits: limits.map(|(id, limit)| (id.clone(), *limit)).collect(),
             shares,
+            versions: self.is_router().then(|| machine.service_versions.clone()),
         }
     }
 
@@ -102,6 +103,7 @@
             suspects,
             limits,
             shares: self.is_router().then(|| machine.shares.clone()),
+            versions: self.is_router().then(|| machine.service_versions.clone()),
         }
     }
 
--- a/crates/anvilreel/src/ledger_service/queries.rs
+++ b/crates/anvilreel/src/ledger_service/queries.rs
@@ -4,7 +4,9 @@
 
 use anvil_ledger::core::Replica;
 use anvil_ledger::machine::Machine;
-use anvil_wire::msg::{AuditFilter, BudgetBalance, BudgetView, LedgerStatus, Query, QueryAnswer};
+use anvil_wire::msg::{
+    AuditFilter, BudgetBalance, BudgetView, LedgerStatus, Query, QueryAnswer, RecordedOrigin,
+};
 use anvil_world::command::AuditEntry;
 use anvil_world::prelude::*;
 
@@ -69,6 +71,13 @@
                 QueryAnswer::Suspects(announced.map(|(c, s)| (c, s.clone())).collect())
             }
             Query::Shares => QueryAnswer::Shares(self.machine.shares.clone()),
+            Query::StreamOrigin(key) => {
+                let origin = self.machine.stream_origins.get(*key);
+                QueryAnswer::StreamOrigin(origin.map(|(service, version)| RecordedOrigin {
+                    service: service.clone(),
+                    version: version.clone(),
+                }))
+            }
             Query::Balances(ids) => {
                 let balances = ids.iter().filter_map(|id| {
                     let budget = state.budget(id)?;
--- a/crates/anvilreel/src/ledger_view.rs
+++ b/crates/anvilreel/src/ledger_view.rs
@@ -26,6 +26,8 @@
     pub limits: BTreeMap<InstanceId, EndpointLimit>,
     /// Shares that operators have set.
     pub shares: Shares,
+    /// Software versions of each service; `None` until a replica has sent them.
+    pub service_versions: Option<RecordedVersions>,
 }
 
 impl LedgerView {
@@ -44,11 +46,13 @@
                 suspects,
                 limits,
                 shares,
+                versions,
             } => {
                 if version <= self.version {
                     return false;
                 }
                 let shares = shares.unwrap_or_else(|| std::mem::take(&mut self.shares));
+                let service_versions = versions.or_else(|| self.service_versions.take());
                 *self = Self {
                     version,
                     tree,
@@ -57,6 +61,7 @@
                     suspects,
                     limits,
                     shares,
+                    service_versions,
                 };
                 true
             }
@@ -68,6 +73,7 @@
                 suspects,
                 limits,
                 shares,
+                versions,
             } => {
                 if version <= self.version {
                     return false;
@@ -81,6 +87,9 @@
                 if let Some(shares) = shares {
                     self.shares = shares;
                 }
+                if versions.is_some() {
+                    self.service_versions = versions;
+                }
                 true
             }
             FollowEvent::Current { .. } => false,
--- a/crates/anvilreel/tests/ledger_follow_frames.rs
+++ b/crates/anvilreel/tests/ledger_follow_frames.rs
@@ -25,6 +25,7 @@
         suspects: Vec::new(),
         limits: Vec::new(),
         shares: Some(Shares::default()),
+        versions: Some(RecordedVersions::default()),
     }
 }
 
--- a/crates/anvilreel/tests/ledger_followers_and_evidence.rs
+++ b/crates/anvilreel/tests/ledger_followers_and_evidence.rs
@@ -334,6 +334,7 @@
         suspects: Vec::new(),
         limits: Vec::new(),
         shares: None,
+        versions: None,
     }));
     assert_eq!(ledger_view.shares, ledger.machine.shares);
     Ok(())
