--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -137,7 +137,6 @@
     trace.stages.enter(Stage::Other);
     let route = find_route(&table, &head).ok_or((Cause::NoRoute, DEFAULT_RETRY_AFTER))?;
     trace.record_route(&route, table.version);
-    trace.record_max_output(request.max_output());
     let organisation = identify_sender(&table, &route, &request)?;
     if let Some(organisation) = &organisation {
         trace.record_organisation(&organisation.id);
--- a/crates/anvil_gateway/src/planned_stop.rs
+++ b/crates/anvil_gateway/src/planned_stop.rs
@@ -54,6 +54,12 @@
         let time_left = deadline.saturating_duration_since(Instant::now());
         let times = self.response_times.lock();
         let mut times = times.unwrap_or_else(PoisonError::into_inner);
+        // How long other responses take doesn't depend on their tokens as far as is known.
+        let max_output = if route.retry_mode.is_stream() {
+            max_output
+        } else {
+            0
+        };
         let expected = times.expected(self.lifecycle.now(), &route.name, max_output);
         !begins_in_time(expected, time_left, time_to_close)
     }
--- a/crates/anvil_gateway/src/stream_relay.rs
+++ b/crates/anvil_gateway/src/stream_relay.rs
@@ -161,6 +161,7 @@
                 .time(metrics::STREAM_GAP, now - previous);
         }
         let tokens = self.exchange.tokens_per_event;
+        self.exchange.trace.record_event(tokens);
         if let Some(charge) = &mut self.exchange.charge {
             charge.record_output(tokens);
         }
@@ -186,7 +187,8 @@
     }
 
     /// Goes on reading from the endpoint in a task of its own.
-    fn read_ahead(self) -> AheadReader {
+    fn read_ahead(mut self) -> AheadReader {
+        self.exchange.trace.record_slow_client();
         let gw = self.exchange.gw.clone();
         gw.metrics.count(metrics::STREAMS_READ_AHEAD);
         let (writer, reader) = ahead::buffer(gw, Taken::after(self.delivered_at));
--- a/crates/anvil_gateway/src/trace.rs
+++ b/crates/anvil_gateway/src/trace.rs
@@ -29,13 +29,16 @@
     table_version: u64,
     target_latency: Option<Duration>,
     max_gap: Option<Duration>,
-    /// Maximum output tokens that the request states.
-    max_output: Tokens,
+    /// Events that went to the client.
+    events: u64,
+    /// Output tokens in one event.
+    tokens_per_event: Tokens,
     /// Time in each stage up to the beginning of the response.
     pub stages: StageTimes,
     steps: String,
     first_piece_at: Option<Duration>,
     longest_gap: Duration,
+    is_client_slow: bool,
     cost: u64,
     prompt_held: Tokens,
     lost_contents: Option<LostContents>,
@@ -72,11 +75,13 @@
             table_version: 0,
             target_latency: None,
             max_gap: None,
-            max_output: 0,
+            events: 0,
+            tokens_per_event: 1,
             stages: StageTimes::new(started_at),
             steps: String::new(),
             first_piece_at: None,
             longest_gap: Duration::ZERO,
+            is_client_slow: false,
             cost: 0,
             prompt_held: 0,
             lost_contents: None,
@@ -92,9 +97,16 @@
         self.table_version = table_version;
     }
 
-    /// Records the maximum output tokens that the request states.
-    pub fn record_max_output(&mut self, tokens: Tokens) {
-        self.max_output = tokens;
+    /// Records an event that goes to the client, with its output tokens.
+    pub fn record_event(&mut self, tokens: Tokens) {
+        self.events += 1;
+        self.tokens_per_event = tokens;
+    }
+
+    /// Records that the client reads more slowly than events come: what is left of its response says
+    /// nothing about the time that others take.
+    pub fn record_slow_client(&mut self) {
+        self.is_client_slow = true;
     }
 
     /// Records the organisation that sent the request.
@@ -203,7 +215,9 @@
                 let response = CompleteResponse {
                     took,
                     first: self.first_piece_at.unwrap_or(took),
-                    max_output: self.max_output,
+                    events: if self.is_client_slow { 0 } else { self.events },
+                    tokens_per_event: self.tokens_per_event,
+                    longest_gap: self.longest_gap,
                 };
                 self.gw.record_response_time(route, response);
             }
--- a/crates/anvil_gateway/tests/direct/end_of_stop.rs
+++ b/crates/anvil_gateway/tests/direct/end_of_stop.rs
@@ -7,13 +7,15 @@
 use tokio::time::sleep;
 
 use crate::client::Client;
-use crate::endpoint::{Step, TestEndpoint, response};
+use crate::endpoint::{Step, TestEndpoint, chunk, event, response, stream_end, stream_head};
 use crate::gateway::{TestGateway, settings};
 use crate::leaving::{
     LONG_WAIT, STOP_MARGIN, assert_refused_as_leaving, start_patient, start_with_grace,
 };
 
 const GRACE_PERIOD: Duration = Duration::from_secs(4);
+/// Time between two events of a stream.
+const EVENT_INTERVAL: Duration = Duration::from_millis(12);
 /// Time until a request that was sent is known to wait.
 const BEGUN_WITHIN: Duration = Duration::from_millis(300);
 
@@ -49,6 +51,39 @@
     assert_eq!(endpoint.received().len(), known as usize);
 }
 
+/// An endpoint whose streams have as many events as the request's `x-events` says.
+async fn streaming_as_told() -> TestEndpoint {
+    TestEndpoint::start(|_, req| {
+        let events = req.header("x-events").and_then(|n| n.parse().ok());
+        let mut steps = vec![Step::Send(stream_head(req))];
+        for id in 1..=events.unwrap_or(1) {
+            steps.push(Step::Send(chunk(&event(id))));
+            steps.push(Step::Pause(EVENT_INTERVAL));
+        }
+        steps.push(Step::Send(stream_end()));
+        steps
+    })
+    .await
+}
+
+/// Guards against a stream that is begun and cut: it has as many tokens as its request allows, and
+/// those before it had a small part of them.
+#[tokio::test]
+async fn stream_is_not_begun_if_the_tokens_that_it_allows_would_be_cut() {
+    let endpoint = streaming_as_told().await;
+    let gateway = start_with_grace(GRACE_PERIOD, &endpoint).await;
+    let ask = async |events: u64| {
+        let mut client = Client::connect(gateway.addr).await;
+        let headers = format!("{LONG_WAIT}x-tokens: 10,600\r\nx-events: {events}\r\n");
+        client.request("/stream/x", "id", &headers).await
+    };
+    for _ in 0..20 {
+        assert!(ask(8).await.complete);
+    }
+    stop_until(&gateway, Duration::from_millis(2_250)).await;
+    assert_refused_as_leaving(&ask(200).await);
+}
+
 /// Guards against a request without an answer: its body is still arriving when all connections are
 /// closed.
 #[tokio::test]
--- a/crates/anvil_policy/src/planned_stop.rs
+++ b/crates/anvil_policy/src/planned_stop.rs
@@ -13,13 +13,19 @@
 //! then, whatever happens. Any other one begins only if its response is expected to be complete by
 //! then ([`begins_in_time`]). The expectation comes from the route's responses that were recently
 //! complete ([`ResponseTimes`]): the longest time to their beginning, and the longest time for each
-//! token that the request allowed, or the longest one as a whole where requests state no tokens. Two
-//! half windows are kept, so that a maximum is forgotten. A route without any is refused.
+//! token that they had, times the tokens that the request allows. Two half windows are kept, so that a
+//! maximum is forgotten. A route without any is refused, and so is a request that allows tokens on a
+//! route whose time for a token is not known. Requests that state no tokens are expected to take the
+//! longest time of a whole response.
 //!
 //! The tokens matter: on a route whose responses take one to eight seconds, a refusal of all would
 //! turn away mostly requests that could be complete, and those that meet a second stopping router
-//! would not be served at all. They also keep a router that has just started, and knows only the
-//! short ones of a route, from beginning its long ones.
+//! would not be served at all. What a request allows is a bound; how much of it other responses used
+//! says nothing about the next one. So the time of a response is divided by the tokens that it had,
+//! not by those that its request allowed, and each request counts as if it used all of its own.
+//!
+//! The longest gap of a response is no part of its time for a token: it is a pause, for which time is
+//! left in any case, and it would count many times over in a short response.
 //!
 //! *Thresholds:* a refusal in vain costs the client one more connection, a response that is cut all
 //! of its work. So the margin is wide, and wider while few responses are known: the longest of a
@@ -41,8 +47,10 @@
 const MARGIN_OF_FEW: f64 = 3.0;
 /// See [`MARGIN_OF_FEW`].
 const MIN_RESPONSES: u32 = 8;
-/// Fewer tokens count as this many: a pause in a short response says little about longer ones.
-const MIN_RATED_TOKENS: Tokens = 64;
+/// Responses with fewer events tell the time for a token only if no longer one does.
+const MIN_RATED_EVENTS: u64 = 8;
+/// Events that tell no time for a token: the first one, and the one after the longest gap.
+const UNRATED_EVENTS: u64 = 2;
 /// Time that is left beyond the expected time of a response: a sound endpoint may be silent for
 /// 1.5 s, and then the response is still to be passed on.
 const PAUSE_RESERVE: Duration = Duration::from_millis(1_750);
@@ -54,8 +62,24 @@
     pub took: Duration,
     /// The part of it up to the beginning of the response.
     pub first: Duration,
-    /// Maximum output tokens that the request stated; 0 if it stated none.
-    pub max_output: Tokens,
+    /// Events that it had; 0 if it was no stream, or was read more slowly than it came.
+    pub events: u64,
+    /// Output tokens in one event.
+    pub tokens_per_event: Tokens,
+    /// Longest gap between two events.
+    pub longest_gap: Duration,
+}
+
+impl CompleteResponse {
+    /// Time for one output token, in nanoseconds, without the longest gap; `None` if it had too few
+    /// events to tell.
+    fn nanos_per_token(&self) -> Option<u64> {
+        let rated = self.events.checked_sub(UNRATED_EVENTS)?;
+        let rest = self.took.saturating_sub(self.first);
+        let rest = rest.saturating_sub(self.longest_gap);
+        let nanos = u64::try_from(rest.as_nanos()).unwrap_or(u64::MAX);
+        nanos.checked_div(rated.saturating_mul(self.tokens_per_event))
+    }
 }
 
 /// What is known of the responses of one route.
@@ -63,22 +87,25 @@
 struct RouteTimes {
     longest: Duration,
     longest_first: Duration,
-    /// Longest time after the beginning, by token that the request allowed, in nanoseconds.
-    nanos_per_token: u64,
+    /// Longest time for a token, in nanoseconds.
+    nanos_per_token: Option<u64>,
+    /// The same in responses with few events.
+    nanos_per_token_of_short: Option<u64>,
+    /// Output tokens in the events that tell no time for a token.
+    unrated_tokens: Tokens,
     responses: u32,
 }
 
 impl From<CompleteResponse> for RouteTimes {
     fn from(response: CompleteResponse) -> Self {
-        let rest = response.took.saturating_sub(response.first);
-        let nanos = u64::try_from(rest.as_nanos()).unwrap_or(u64::MAX);
+        let nanos = response.nanos_per_token();
+        let is_rated = response.events >= MIN_RATED_EVENTS;
         Self {
             longest: response.took,
             longest_first: response.first,
-            nanos_per_token: match response.max_output {
-                0 => 0,
-                max_output => nanos / max_output.max(MIN_RATED_TOKENS),
-            },
+            nanos_per_token: nanos.filter(|_| is_rated),
+            nanos_per_token_of_short: nanos.filter(|_| !is_rated),
+            unrated_tokens: UNRATED_EVENTS.saturating_mul(response.tokens_per_event),
             responses: 1,
         }
     }
@@ -90,20 +117,26 @@
             longest: self.longest.max(other.longest),
             longest_first: self.longest_first.max(other.longest_first),
             nanos_per_token: self.nanos_per_token.max(other.nanos_per_token),
+            nanos_per_token_of_short: self
+                .nanos_per_token_of_short
+                .max(other.nanos_per_token_of_short),
+            unrated_tokens: self.unrated_tokens.max(other.unrated_tokens),
             responses: self.responses.saturating_add(other.responses),
         }
     }
 
-    fn expected(self, max_output: Tokens) -> Duration {
+    /// `None` if the time for a token is not known.
+    fn expected(self, max_output: Tokens) -> Option<Duration> {
         let is_few = self.responses < MIN_RESPONSES;
         let margin = if is_few { MARGIN_OF_FEW } else { MARGIN };
-        let longest = if max_output == 0 || self.nanos_per_token == 0 {
+        let longest = if max_output <= self.unrated_tokens {
             self.longest
         } else {
-            let rest = self.nanos_per_token.saturating_mul(max_output);
-            self.longest_first + Duration::from_nanos(rest)
+            let nanos = self.nanos_per_token.or(self.nanos_per_token_of_short)?;
+            let rest = Duration::from_nanos(nanos.saturating_mul(max_output));
+            self.longest_first.saturating_add(rest)
         };
-        longest.mul_f64(margin)
+        Some(longest.mul_f64(margin))
     }
 }
 
@@ -128,14 +161,14 @@
         }
     }
 
-    /// The time that a response of this route is expected to take at most, if the request states so
-    /// many output tokens (0 if none); `None` if no response was complete recently.
+    /// The time that a response of this route is expected to take at most, if the request allows so
+    /// many output tokens (0 if it states none); `None` if recent responses don't tell.
     pub fn expected(&mut self, now: Now, route: &str, max_output: Tokens) -> Option<Duration> {
         self.forget_old(now);
         let halves = [self.current.get(route), self.previous.get(route)];
         let times = halves.into_iter().flatten().copied();
         let times = times.reduce(RouteTimes::and)?;
-        Some(times.expected(max_output))
+        times.expected(max_output)
     }
 
     fn forget_old(&mut self, now: Now) {
--- a/crates/anvil_policy/tests/planned_stop.rs
+++ b/crates/anvil_policy/tests/planned_stop.rs
@@ -18,12 +18,24 @@
     name.into()
 }
 
-/// A response to a request that stated no tokens.
+/// A response that was no stream.
 fn whole(took: Duration) -> CompleteResponse {
     CompleteResponse {
         took,
         first: took,
-        max_output: 0,
+        ..CompleteResponse::default()
+    }
+}
+
+/// A stream that began after half a second, with events of 3 tokens at this interval.
+fn stream_of(events: u32, interval: Duration) -> CompleteResponse {
+    let first = Duration::from_millis(500);
+    CompleteResponse {
+        took: first + interval * (events - 1),
+        first,
+        events: events.into(),
+        tokens_per_event: 3,
+        longest_gap: if events > 1 { interval } else { secs(0) },
     }
 }
 
@@ -102,16 +114,11 @@
 /// Guards against a router that refuses all streams of a route because its longest one is long, and
 /// against one that begins a long stream because it knows only short ones.
 #[test]
-fn stated_tokens_tell_how_long_a_response_takes() {
+fn allowed_tokens_tell_how_long_a_response_takes() {
     let (mut times, stream) = (ResponseTimes::default(), route("stream"));
     // Half a second to the beginning, 10 ms for each token.
-    for max_output in [20, 50, 100, 30, 80, 60, 40, 100, 90, 1] {
-        let first = Duration::from_millis(500);
-        let response = CompleteResponse {
-            took: first + Duration::from_millis(10) * max_output,
-            first,
-            max_output: max_output.into(),
-        };
+    for events in [20, 50, 100, 30, 80, 60, 40, 100, 90, 1] {
+        let response = stream_of(events, Duration::from_millis(30));
         times.record(secs(0), &stream, response);
     }
     let mut expected = |max_output| {
@@ -122,7 +129,54 @@
     assert!(expected(50) >= secs(1) && expected(50) <= secs(2));
     assert!(expected(500) >= Duration::from_millis(5_500));
     // Tokens that aren't stated count like the longest response.
-    assert!(expected(0) >= Duration::from_millis(1_500) && expected(0) <= secs(3));
+    assert!(expected(0) >= Duration::from_millis(3_470) && expected(0) <= secs(6));
+}
+
+/// Guards against a stream that is begun and cut, because those before it on its route had far fewer
+/// events than they were allowed, as it was.
+#[test]
+fn tokens_that_other_responses_did_not_use_make_none_shorter() {
+    let (mut times, stream) = (ResponseTimes::default(), route("stream"));
+    let interval = Duration::from_millis(30);
+    for round in 0..MANY {
+        times.record(secs(0), &stream, stream_of(12 + round % 25, interval));
+    }
+    let max_output = 543;
+    let longest = stream_of(181, interval).took;
+    let expected = times.expected(secs(1), "stream", max_output);
+    let expected = expected.expect("known");
+    assert!(expected >= longest && expected <= 2 * longest);
+    assert!(!begins_in_time(Some(expected), secs(15), longest));
+}
+
+/// Guards against streams that are refused for a minute because an endpoint was silent for a moment
+/// in a short one, and against streams of a route of which only short ones are known being begun.
+#[test]
+fn pauses_and_short_streams_tell_little_of_the_time_for_a_token() {
+    let interval = Duration::from_millis(30);
+    let pause = Duration::from_millis(1_500);
+    let paused = |events| {
+        let whole = stream_of(events, interval);
+        CompleteResponse {
+            took: whole.took + pause,
+            longest_gap: pause + interval,
+            ..whole
+        }
+    };
+    let mut expected = |responses: &[CompleteResponse]| {
+        let (mut times, stream) = (ResponseTimes::default(), route("stream"));
+        for response in responses {
+            for _ in 0..MANY {
+                times.record(secs(0), &stream, *response);
+            }
+        }
+        times.expected(secs(1), "stream", 300)
+    };
+    let usual = expected(&[stream_of(40, interval)]);
+    assert_eq!(expected(&[paused(40)]), usual);
+    assert_eq!(expected(&[paused(40), paused(2), paused(3)]), usual);
+    assert_eq!(expected(&[stream_of(1, interval), paused(2)]), None);
+    assert!(expected(&[paused(3)]).is_some_and(|expected| expected >= secs(3)));
 }
 
 /// Guards against one long response that keeps requests of its route away for good, and against a
