--- a/crates/anvil_gateway/src/list/discovery.rs
+++ b/crates/anvil_gateway/src/list/discovery.rs
@@ -37,6 +37,8 @@
     reader: ListReader,
     /// Number of readings that failed in a row.
     failed_reads: u32,
+    /// Entries of the last reading that can't be read.
+    unreadable: u32,
     /// The gateway that the last list came from; `None` before the first list.
     source: Option<InstanceId>,
     /// When the siblings were known, or were no longer waited for.
@@ -54,6 +56,7 @@
     let mut discovery = Discovery {
         reader: ListReader::default(),
         failed_reads: 0,
+        unreadable: 0,
         source: None,
         began: Instant::now(),
         jitter: rand::random(),
@@ -116,11 +119,13 @@
         gw.metrics.count(metrics::LIST_READ);
         match self.reader.read_list(&gw.cfg.list).await {
             Ok((listed, unreadable)) => {
+                self.record_unreadable(gw, unreadable);
                 gw.list_cache.store_reading(started, listed);
                 self.record_newer(gw, &gw.cfg.id);
                 apply_newest(gw, unreadable);
             }
             Err(e) => {
+                gw.metrics.count(metrics::LIST_FAILED);
                 if self.failed_reads == 0 {
                     event!(gw.log, events::GATEWAY_LIST_LOST, "error" => e.to_string());
                 }
@@ -130,6 +135,15 @@
         }
     }
 
+    fn record_unreadable(&mut self, gw: &Gateway, unreadable: u32) {
+        gw.metrics
+            .gauge(metrics::LIST_UNREADABLE, unreadable.into());
+        if unreadable != self.unreadable {
+            event!(gw.log, events::GATEWAY_LIST_ENTRIES_UNREADABLE, "entries" => unreadable);
+            self.unreadable = unreadable;
+        }
+    }
+
     /// Waits before the platform is called again; meanwhile a sibling may have a newer list.
     async fn pause_after_failure(&mut self, gw: &Gateway) {
         let pause = pause_after_failures(self.failed_reads, rand::random());
--- a/crates/anvil_gateway/src/log_events.rs
+++ b/crates/anvil_gateway/src/log_events.rs
@@ -74,6 +74,8 @@
     GATEWAY_SERVICE_VERSIONS = 6034 Info "gateway_service_versions";
     /// A sibling did not store at which versions streams run; it is told again.
     GATEWAY_ORIGINS_NOT_STORED = 6035 Warning "gateway_origins_not_stored";
+    /// The number of entries of the platform's list that can't be read has changed.
+    GATEWAY_LIST_ENTRIES_UNREADABLE = 6036 Warning "gateway_list_entries_unreadable";
     /// A part of the clients' connections is rejected, because there is more load than the gateway
     /// can serve.
     GATEWAY_SHEDDING = 6041 Warning "gateway_shedding";
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -102,6 +102,10 @@
 pub const READ_AHEAD_BYTES: &str = "streams.read_ahead_bytes";
 /// Readings of the platform's list by this gateway. Count.
 pub const LIST_READ: &str = "list.read";
+/// Of these, the ones that failed. Count.
+pub const LIST_FAILED: &str = "list.failed";
+/// Entries in this gateway's last reading that can't be read. Gauge.
+pub const LIST_UNREADABLE: &str = "list.unreadable";
 /// Lists received from a sibling. Count.
 pub const LIST_FROM_SIBLING: &str = "list.told";
 /// Requests in progress. Gauge.
@@ -204,6 +208,8 @@
     (READ_AHEAD_STOPPED, "count"),
     (READ_AHEAD_BYTES, "gauge"),
     (LIST_READ, "count"),
+    (LIST_FAILED, "count"),
+    (LIST_UNREADABLE, "gauge"),
     (LIST_FROM_SIBLING, "count"),
     (OPEN_REQUESTS, "gauge"),
     (LINK_WAIT, "milliseconds"),
--- a/crates/anvil_policy/tests/planned_stop.rs
+++ b/crates/anvil_policy/tests/planned_stop.rs
@@ -163,7 +163,7 @@
             ..whole
         }
     };
-    let mut expected = |responses: &[CompleteResponse]| {
+    let expected = |responses: &[CompleteResponse]| {
         let (mut times, stream) = (ResponseTimes::default(), route("stream"));
         for response in responses {
             for _ in 0..MANY {
--- a/crates/anvilreel/src/lib.rs
+++ b/crates/anvilreel/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod claims;
 pub mod evacuation;
 pub mod events;
+pub mod json_items;
 pub mod ledger_client;
 pub mod ledger_service;
 pub mod ledger_view;
--- a/crates/anvilreel/src/sidecar/platform.rs
+++ b/crates/anvilreel/src/sidecar/platform.rs
@@ -10,17 +10,21 @@
 
 use anvil_world::prelude::*;
 use bytes::Bytes;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use serde::Deserialize;
+use serde::de::IgnoredAny;
 use tokio::time::{sleep, timeout};
 
 use super::Core;
 use super::http::{CallPurpose, EndpointClient};
+use crate::json_items;
 
 /// Interval at which the list is polled.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 /// Timeout of the list, for its head and its body each.
 const LIST_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest list, in bytes.
+const MAX_LIST_BYTES: usize = 4 << 20;
 
 /// An entry of the platform's list. Further fields are ignored.
 #[derive(Debug, Deserialize)]
@@ -39,10 +43,8 @@
     Other,
 }
 
-#[derive(Debug, Deserialize)]
-struct List {
-    instances: Vec<ListedInstance>,
-}
+/// Name of the list in a response.
+const ENTRIES: &str = "instances";
 
 /// Polls the list for as long as the process runs.
 pub async fn poll(core: &Core, platform: EndpointClient) {
@@ -67,10 +69,10 @@
 async fn fetch_leaving(platform: &EndpointClient, path: &str, id: &InstanceId) -> Option<bool> {
     let response = platform.send(CallPurpose::Other, "GET", path, &[], Bytes::new());
     let response = timeout(LIST_TIMEOUT, response).await.ok()?.ok()?;
-    let body = timeout(LIST_TIMEOUT, response.into_body().collect()).await;
-    let body = body.ok()?.ok()?;
-    let list: List = serde_json::from_slice(&body.to_bytes()).ok()?;
-    let own_entry = list.instances.iter().find(|entry| entry.id == *id)?;
+    let body = Limited::new(response.into_body(), MAX_LIST_BYTES).collect();
+    let body = timeout(LIST_TIMEOUT, body).await.ok()?.ok()?;
+    let list = json_items::read::<ListedInstance, IgnoredAny>(&body.to_bytes(), ENTRIES).ok()?;
+    let own_entry = list.items.iter().find(|entry| entry.id == *id)?;
     match own_entry.presence {
         ListedPresence::Live => Some(false),
         ListedPresence::Leaving => Some(true),
