--- a/crates/anvil_policy/src/planned_stop.rs
+++ b/crates/anvil_policy/src/planned_stop.rs
@@ -45,6 +45,10 @@
 const MARGIN: f64 = 1.5;
 /// The same while fewer than [`MIN_RESPONSES`] are known.
 const MARGIN_OF_FEW: f64 = 3.0;
+/// The same for a request that states the tokens that it allows: only the time for a token is expected.
+const MARGIN_OF_STATED: f64 = 1.2;
+/// The same while few responses are known.
+const MARGIN_OF_STATED_AND_FEW: f64 = 1.8;
 /// See [`MARGIN_OF_FEW`].
 const MIN_RESPONSES: u32 = 8;
 /// Responses with fewer events tell the time for a token only if no longer one does.
@@ -128,14 +132,18 @@
     /// `None` if the time for a token is not known.
     fn expected(self, max_output: Tokens) -> Option<Duration> {
         let is_few = self.responses < MIN_RESPONSES;
-        let margin = if is_few { MARGIN_OF_FEW } else { MARGIN };
-        let longest = if max_output <= self.unrated_tokens {
-            self.longest
+        if max_output <= self.unrated_tokens {
+            let margin = if is_few { MARGIN_OF_FEW } else { MARGIN };
+            return Some(self.longest.mul_f64(margin));
+        }
+        let margin = if is_few {
+            MARGIN_OF_STATED_AND_FEW
         } else {
-            let nanos = self.nanos_per_token.or(self.nanos_per_token_of_short)?;
-            let rest = Duration::from_nanos(nanos.saturating_mul(max_output));
-            self.longest_first.saturating_add(rest)
+            MARGIN_OF_STATED
         };
+        let nanos = self.nanos_per_token.or(self.nanos_per_token_of_short)?;
+        let rest = Duration::from_nanos(nanos.saturating_mul(max_output));
+        let longest = self.longest_first.saturating_add(rest);
         Some(longest.mul_f64(margin))
     }
 }
