--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -10,7 +10,6 @@
 use anvilreel::money::Shortage;
 use bytes::Bytes;
 use http::{Request, request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use tokio::time::{Instant, timeout_at};
 
@@ -30,6 +29,7 @@
 use crate::suspects::RequestContents;
 use crate::table::{Organisation, Route, RouteTable};
 use crate::trace::Trace;
+use crate::whole_body::{BodyError, read_whole};
 
 /// Retry-after time if another gateway may serve the request: at once.
 const RETRY_ELSEWHERE_AFTER: Duration = Duration::from_millis(20);
@@ -147,7 +147,7 @@
     }
     let expected = gw.sockets.link.expect(body.size_hint().lower());
     trace.stages.enter(Stage::Body);
-    let body = read_body(body, table.limits.body_bytes, deadline).await?;
+    let body = read_body(gw, body, table.limits.body_bytes, deadline).await?;
     trace.stages.enter(Stage::Other);
     drop(expected);
     // Not before the body is read: closing a connection with unread data resets it, and the refusal
@@ -234,6 +234,7 @@
 }
 
 async fn read_body(
+    gw: &Gateway,
     body: Incoming,
     max_bytes: usize,
     deadline: Instant,
@@ -242,13 +243,16 @@
     if body.size_hint().lower() > max_bytes as u64 {
         return Err((Cause::BodyTooLong, DEFAULT_RETRY_AFTER));
     }
-    let reading = Limited::new(body, max_bytes).collect();
-    match timeout_at(deadline, reading).await {
-        Err(_) => Err((Cause::BodyTimeout, DEFAULT_RETRY_AFTER)),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err((Cause::BodyTooLong, DEFAULT_RETRY_AFTER)),
-        Ok(Err(_)) => Err((Cause::BadHead, DEFAULT_RETRY_AFTER)),
-    }
+    let reading = read_whole(body, max_bytes, &gw.body_budget);
+    let read = timeout_at(deadline, reading).await;
+    let cause = match read {
+        Ok(Ok(body)) => return Ok(body),
+        Err(_) => Cause::BodyTimeout,
+        Ok(Err(BodyError::TooLong)) => Cause::BodyTooLong,
+        Ok(Err(BodyError::NoRoom)) => Cause::Overloaded,
+        Ok(Err(BodyError::Broken)) => Cause::BadHead,
+    };
+    Err((cause, DEFAULT_RETRY_AFTER))
 }
 
 /// What a charge is for.
--- a/crates/anvil_gateway/src/connection_watch.rs
+++ b/crates/anvil_gateway/src/connection_watch.rs
@@ -8,7 +8,7 @@
 
 use std::io;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant as StdInstant};
@@ -26,6 +26,13 @@
 /// milliseconds; one that does not close in this time is assumed to have begun.
 const LINGER: Duration = Duration::from_millis(100);
 
+/// Longest part of a response that is read before its head is complete, in bytes: a head, and what is read
+/// along with it.
+///
+/// Failure: an endpoint sends lines of a head, or interim heads, without end. Each reading finds more, so
+/// that the process does nothing else.
+const MAX_AWAITED_BYTES: usize = 256 << 10;
+
 /// What was observed on one connection.
 #[derive(Debug)]
 pub struct ConnectionWatch {
@@ -33,6 +40,8 @@
     awaiting_response: AtomicBool,
     /// When the last part of the request was written to the socket.
     sent_at: Mutex<Option<Instant>>,
+    /// Bytes that have come of the awaited response.
+    awaited_bytes: AtomicUsize,
     /// What has come of the awaited response.
     late_response: Mutex<LateResponse>,
     /// Whether the endpoint closed it.
@@ -60,6 +69,7 @@
         Arc::new(Self {
             awaiting_response: AtomicBool::new(false),
             sent_at: Mutex::default(),
+            awaited_bytes: AtomicUsize::new(0),
             late_response: Mutex::default(),
             closed_by_endpoint: AtomicBool::new(false),
             kept_until: Mutex::default(),
@@ -71,6 +81,7 @@
     /// nobody waits for it any more.
     pub fn request_sent(&self, handler: LateHandler) {
         *self.last_write() = None;
+        self.awaited_bytes.store(0, Ordering::Relaxed);
         *self.late_response() = LateResponse::new(handler);
         self.awaiting_response.store(true, Ordering::Relaxed);
     }
@@ -104,10 +115,17 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn record_received(&self, bytes: &[u8]) {
-        if self.awaiting_response.load(Ordering::Relaxed) {
-            self.late_response().push(bytes);
+    /// Records bytes of a response. An error means that its head has no end.
+    fn record_received(&self, bytes: &[u8]) -> io::Result<()> {
+        if !self.awaiting_response.load(Ordering::Relaxed) {
+            return Ok(());
+        }
+        self.late_response().push(bytes);
+        let before = self.awaited_bytes.fetch_add(bytes.len(), Ordering::Relaxed);
+        if before + bytes.len() > MAX_AWAITED_BYTES {
+            return Err(io::Error::other("the head of the response has no end"));
         }
+        Ok(())
     }
 
     /// How the connection ended, if the head of the awaited response has come.
@@ -236,9 +254,9 @@
     loop {
         match socket.read(&mut buf).await {
             Ok(0) => return End::Closed,
-            Ok(received) => watch.record_received(&buf[..received]),
-            // Data received before a reset may be lost.
-            Err(_) => return End::Abandoned,
+            Ok(received) if watch.record_received(&buf[..received]).is_ok() => {}
+            // It has no end, or data received before a reset may be lost.
+            Ok(_) | Err(_) => return End::Abandoned,
         }
         if let Some(end) = watch.end_by_late_response() {
             return end;
@@ -258,8 +276,8 @@
             self.watch.closed_by_endpoint.store(true, Ordering::Relaxed);
         }
         if buf.filled().len() > before {
-            self.watch.record_received(&buf.filled()[before..]);
             self.link.count_received(buf.filled().len() - before);
+            self.watch.record_received(&buf.filled()[before..])?;
         }
         polled
     }
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -14,7 +14,6 @@
 use anvilreel::event;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
-use http_body_util::{BodyExt, Limited};
 use tokio::time::{Instant, timeout_at};
 
 use self::one_attempt::AttemptEnd;
@@ -37,6 +36,7 @@
 use crate::stream_relay::StreamRelay;
 use crate::table::{Organisation, Route};
 use crate::trace::Trace;
+use crate::whole_body::read_whole;
 
 /// Longest non-streamed response body that is buffered, in bytes. Nothing reaches the client before
 /// the body is complete, so that a broken response can be requested again.
@@ -369,7 +369,7 @@
                 watch,
                 mut slot,
             } = response;
-            let reading = Limited::new(body, MAX_BUFFERED_BODY_BYTES).collect();
+            let reading = read_whole(body, MAX_BUFFERED_BODY_BYTES, &self.gw.body_budget);
             let read = timeout_at(self.deadline, reading).await;
             slot.response_started();
             if let Ok(Ok(body)) = read {
@@ -383,7 +383,7 @@
                 } else {
                     "endpoint_failed"
                 });
-                return Reply::from_parts(parts, full_body(body.to_bytes()));
+                return Reply::from_parts(parts, full_body(body));
             }
             self.record_lost_response(
                 &slot.endpoint,
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -38,6 +38,7 @@
 use crate::stream_origins::StreamOrigins;
 use crate::suspects::Suspects;
 use crate::table::RouteTable;
+use crate::whole_body::BodyBudget;
 
 /// Settings of a gateway.
 #[derive(Clone)]
@@ -154,6 +155,8 @@
     pub intake: Arc<IntakeStatus>,
     /// What streams have read ahead of their clients.
     pub(crate) read_ahead: Mutex<ReadAhead>,
+    /// What large bodies hold that are read whole.
+    pub(crate) body_budget: BodyBudget,
     /// Requests in progress.
     pub open_requests: AtomicU32,
     /// How long responses recently took.
@@ -237,6 +240,7 @@
             sockets: SocketBudgets::new(&cfg.limits),
             intake: Arc::default(),
             read_ahead: Mutex::new(ReadAhead::new(cfg.limits.memory)),
+            body_budget: BodyBudget::new(cfg.limits.memory),
             open_requests: AtomicU32::new(0),
             response_times: Mutex::default(),
             is_grace_over: AtomicBool::new(false),
--- a/crates/anvil_gateway/src/list/reader.rs
+++ b/crates/anvil_gateway/src/list/reader.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use crate::dialect::{ListPage, ListSource};
+use crate::pool::MAX_READ_BYTES;
 
 /// Longest wait for one page.
 const PAGE_TIMEOUT: Duration = Duration::from_millis(700);
@@ -113,7 +114,10 @@
     let failed = |details: String| ListError::Failed { details };
     let socket = TcpStream::connect(source.addr).await;
     let socket = socket.map_err(|e| failed(e.to_string()))?;
-    let handshake = Builder::new().handshake(TokioIo::new(socket)).await;
+    let handshake = Builder::new()
+        .max_buf_size(MAX_READ_BYTES)
+        .handshake(TokioIo::new(socket))
+        .await;
     let (sender, connection) = handshake.map_err(|e| failed(e.to_string()))?;
     tokio::spawn(async move {
         // An error reaches the caller that waits for the response.
--- a/crates/anvil_gateway/src/pool.rs
+++ b/crates/anvil_gateway/src/pool.rs
@@ -22,6 +22,8 @@
 /// Connect timeout. The next endpoint is tried instead, since a lost SYN is retransmitted only
 /// after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest part of a response that a connection holds, in bytes; a head that is longer is no head.
+pub const MAX_READ_BYTES: usize = 64 << 10;
 /// For how long an idle connection is reused if the endpoint does not announce its idle timeout.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(4);
 /// Fraction of the endpoint's idle timeout in which a connection is reused. If the endpoint closes
@@ -123,7 +125,10 @@
         // fails, the connection is only slower.
         let _ = socket.set_nodelay(true);
         let (socket, watch) = WatchedSocket::new(socket, link, descriptor);
-        let handshake = Builder::new().handshake(TokioIo::new(socket)).await;
+        let handshake = Builder::new()
+            .max_buf_size(MAX_READ_BYTES)
+            .handshake(TokioIo::new(socket))
+            .await;
         let (sender, connection) = handshake.context(HandshakeSnafu { addr })?;
         let watched = watch.clone();
         tokio::spawn(async move {
--- a/crates/anvil_gateway/tests/direct/endpoint.rs
+++ b/crates/anvil_gateway/tests/direct/endpoint.rs
@@ -46,6 +46,8 @@
     Crash,
     /// Waits until the other side closes the connection, and counts that.
     Hang,
+    /// Sends these bytes again and again until the other side closes the connection, and counts that.
+    Repeat(Vec<u8>),
 }
 
 /// A loopback address that no other caller in this process gets.
@@ -157,7 +159,8 @@
         received.iter().map(|req| req.at).collect()
     }
 
-    /// Number of requests that were abandoned by the other side during [`Step::Hang`].
+    /// Number of requests that were abandoned by the other side during [`Step::Hang`] or
+    /// [`Step::Repeat`].
     pub fn abandoned(&self) -> usize {
         *self.abandoned.lock().expect("a number")
     }
@@ -193,6 +196,11 @@
                         *self.abandoned.lock().expect("a number") += 1;
                         return;
                     }
+                    Step::Repeat(bytes) => {
+                        while socket.write_all(&bytes).await.is_ok() {}
+                        *self.abandoned.lock().expect("a number") += 1;
+                        return;
+                    }
                 }
             }
         }
--- a/crates/anvil_gateway/tests/direct/main.rs
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -7,6 +7,7 @@
 mod dialect;
 mod disconnected_clients;
 mod end_of_stop;
+mod endless;
 mod endpoint;
 mod evacuating;
 mod explanations;
