--- a/crates/anvil_policy/src/planned_stop.rs
+++ b/crates/anvil_policy/src/planned_stop.rs
@@ -45,10 +45,9 @@
 const MARGIN: f64 = 1.5;
 /// The same while fewer than [`MIN_RESPONSES`] are known.
 const MARGIN_OF_FEW: f64 = 3.0;
-/// The same for a request that states the tokens that it allows: only the time for a token is expected.
-const MARGIN_OF_STATED: f64 = 1.2;
-/// The same while few responses are known.
-const MARGIN_OF_STATED_AND_FEW: f64 = 1.8;
+/// The same for a request that states the tokens that it allows, while few responses are known; otherwise
+/// it has none. It counts as if it used them all, and [`PAUSE_RESERVE`] covers a slower endpoint too.
+const MARGIN_OF_STATED_AND_FEW: f64 = 1.5;
 /// See [`MARGIN_OF_FEW`].
 const MIN_RESPONSES: u32 = 8;
 /// Responses with fewer events tell the time for a token only if no longer one does.
@@ -139,7 +138,7 @@
         let margin = if is_few {
             MARGIN_OF_STATED_AND_FEW
         } else {
-            MARGIN_OF_STATED
+            1.0
         };
         let nanos = self.nanos_per_token.or(self.nanos_per_token_of_short)?;
         let rest = Duration::from_nanos(nanos.saturating_mul(max_output));
