--- a/crates/anvil_policy/src/planned_stop.rs
+++ b/crates/anvil_policy/src/planned_stop.rs
@@ -31,6 +31,8 @@
 //! of its work. So the margin is wide, and wider while few responses are known: the longest of a
 //! few says little about the next one. A multiple of a short time is no reserve for a pause of an
 //! endpoint, so [`PAUSE_RESERVE`] is added. Short requests are refused that long before the end.
+//! A request that states its tokens needs no margin once its route is known, as few responses use all of
+//! them.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -45,8 +47,7 @@
 const MARGIN: f64 = 1.5;
 /// The same while fewer than [`MIN_RESPONSES`] are known.
 const MARGIN_OF_FEW: f64 = 3.0;
-/// The same for a request that states the tokens that it allows, while few responses are known; otherwise
-/// it has none. It counts as if it used them all, and [`PAUSE_RESERVE`] covers a slower endpoint too.
+/// The same for a request that states the tokens that it allows.
 const MARGIN_OF_STATED_AND_FEW: f64 = 1.5;
 /// See [`MARGIN_OF_FEW`].
 const MIN_RESPONSES: u32 = 8;
