--- a/crates/anvilreel/src/json_items.rs
+++ b/crates/anvilreel/src/json_items.rs
@@ -55,33 +55,38 @@
 {
     let start = list_start(text, name).context(NoListSnafu { name })?;
     let list = List { text, start };
-    let mut items = Vec::new();
-    let mut unreadable = 0;
-    let mut at = start;
-    loop {
-        at = list.skip_separators(at);
-        if list.ends_at(at) {
-            break;
-        }
-        if let Some((item, end)) = list.value_at::<T>(at) {
-            items.push(item);
-            at = end;
-            continue;
-        }
-        unreadable += 1;
-        at = match list.value_at::<IgnoredAny>(at) {
-            Some((_, end)) => end,
-            None => list.resume_after::<T>(at).context(NoEndSnafu { name })?,
-        };
-    }
-    let beside = serde_json::from_slice(&list.without_items(at)).context(BesideSnafu)?;
+    let found = list
+        .items(IfArray::Skip)
+        .or_else(|| list.items(IfArray::Enter));
+    let found: Found<T> = found.context(NoEndSnafu { name })?;
+    let beside = serde_json::from_slice(&list.without_items(found.end)).context(BesideSnafu)?;
     Ok(JsonItems {
-        items,
-        unreadable,
+        items: found.items,
+        unreadable: found.unreadable,
         beside,
     })
 }
 
+/// What to do with an item that is an array, and so can't be read.
+///
+/// Failure: the item is the beginning of an array. The items after it, and the end of the list, complete
+/// it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum IfArray {
+    /// It ends where the array ends.
+    Skip,
+    /// It may end in the middle.
+    Enter,
+}
+
+/// The items of a list.
+struct Found<T> {
+    items: Vec<T>,
+    unreadable: u32,
+    /// Position of the bracket that ends the list.
+    end: usize,
+}
+
 /// Position after the bracket that begins the list.
 fn list_start(text: &[u8], name: &str) -> Option<usize> {
     let mut at = after(text, 0, b'{')?;
@@ -123,6 +128,36 @@
 }
 
 impl List<'_> {
+    /// All items; `None` if the list has no end.
+    fn items<T: DeserializeOwned>(&self, if_array: IfArray) -> Option<Found<T>> {
+        let mut items = Vec::new();
+        let mut unreadable = 0;
+        let mut at = self.start;
+        loop {
+            at = self.skip_separators(at);
+            if self.ends_at(at) {
+                break;
+            }
+            if let Some((item, end)) = self.value_at::<T>(at) {
+                items.push(item);
+                at = end;
+                continue;
+            }
+            unreadable += 1;
+            let may_skip = if_array == IfArray::Skip || self.text.get(at) != Some(&b'[');
+            let skipped = self.value_at::<IgnoredAny>(at).filter(|_| may_skip);
+            at = match skipped {
+                Some((_, end)) => end,
+                None => self.resume_after::<T>(at)?,
+            };
+        }
+        Some(Found {
+            items,
+            unreadable,
+            end: at,
+        })
+    }
+
     fn skip_separators(&self, at: usize) -> usize {
         let mut at = skip_space(self.text, at);
         while let Some(next) = after(self.text, at, b',') {
