--- a/crates/anvilreel/src/sidecar.rs
+++ b/crates/anvilreel/src/sidecar.rs
@@ -121,6 +121,11 @@
         self.core.lifecycle.incarnation
     }
 
+    /// Number of the ledger's replicas that it knows, from its settings and from answers to heartbeats.
+    pub fn known_replicas(&self) -> usize {
+        self.core.ledger.len()
+    }
+
     /// The planned stop: refuses new work, waits until all runs have ended and routers have read
     /// their output, and lingers so that the last replies arrive.
     ///
--- a/crates/anvilreel/tests/ledger_service/presence.rs
+++ b/crates/anvilreel/tests/ledger_service/presence.rs
@@ -34,6 +34,23 @@
     timeout(TEST_TIMEOUT, polling).await?
 }
 
+/// Waits until the present leader has received a heartbeat of an instance since its election.
+async fn wait_for_heartbeat(cluster: &Cluster, id: &InstanceId) -> Result<(), Failure> {
+    let any_version = LedgerRequest::Query(Query::InForce(0));
+    let polling = async {
+        loop {
+            match cluster.request(&any_version).await? {
+                LedgerReply::Read(QueryAnswer::InForce(rollout)) if rollout.there.contains(id) => {
+                    return Ok::<(), Failure>(());
+                }
+                LedgerReply::Read(_) => sleep(Duration::from_millis(50)).await,
+                other => return Err(format!("{other:?}").into()),
+            }
+        }
+    };
+    timeout(TEST_TIMEOUT, polling).await?
+}
+
 /// Guards against wrong presences of a router. It joins at its first heartbeat, is set to `Silent`
 /// a short time after its heartbeats stop, and back to `Live` by the next one. When they stop for
 /// longer than it may serve without the ledger, it is declared gone and fenced, so that its grants
@@ -111,7 +128,7 @@
 async fn a_sidecar_survives_the_loss_of_its_configured_replica() -> Result<(), Failure> {
     let mut cluster = Cluster::start(4).await?;
     declare_budget(&cluster).await?;
-    let configured = 3;
+    let configured = cluster.leader().await?;
     let settings = SidecarSettings {
         platform: None,
         id: "sidecar-1".into(),
@@ -132,9 +149,16 @@
     };
     let sidecar = Sidecar::start(&settings, discard(), Metrics::disabled("sidecar")).await?;
     wait_for_presence(&cluster, Presence::Live).await?;
+    // The ledger has its heartbeat before it has the answer, which names the other replicas.
+    let learning = async {
+        while sidecar.known_replicas() < cluster.peers.len() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(TEST_TIMEOUT, learning).await?;
     cluster.stop(configured).await;
-    // Heartbeats from before the loss no longer count.
-    wait_for_presence(&cluster, Presence::Silent).await?;
+    // The new leader has received no heartbeats from before the loss.
+    wait_for_heartbeat(&cluster, &settings.id).await?;
     wait_for_presence(&cluster, Presence::Live).await?;
     sidecar.kill().await;
     cluster.stop_all().await;
