--- a/crates/anvil_gateway/src/directory.rs
+++ b/crates/anvil_gateway/src/directory.rs
@@ -2,11 +2,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use anvil_policy::incarnation;
 use anvil_wire::msg::ListedEndpoint;
 use anvil_world::prelude::*;
 use arc_swap::ArcSwap;
+use tokio::time::Instant;
 
 use crate::endpoint::Endpoint;
 use crate::wait::{ServiceQueue, Wake};
@@ -14,19 +16,17 @@
 /// Endpoints of one service.
 pub type EndpointGroup = Vec<Arc<Endpoint>>;
 
-/// For how long a leaving endpoint is remembered after the list has dropped it: a multiple of the
-/// list's lag. Later the same id may belong to a new incarnation.
-const LEAVING_RETENTION: Duration = Duration::from_secs(5);
-
 /// All endpoints by service; replaced as a whole.
-#[derive(Default)]
 pub struct Directory {
+    /// How far a list may lag behind the endpoints.
+    max_lag: Duration,
     groups: ArcSwap<BTreeMap<ServiceId, EndpointGroup>>,
     /// By service: requests that wait for its endpoints. Kept while no endpoint is listed.
     queues: Mutex<BTreeMap<ServiceId, Arc<ServiceQueue>>>,
     /// Availability zones whose endpoints receive no new requests.
     evacuated_zones: ArcSwap<BTreeSet<ZoneId>>,
-    /// Leaving endpoints, with the time they were last listed so, or were last listed at all.
+    /// Leaving endpoints, listed or not, with the time when that was first known; for as long as a lagging
+    /// list may name them as ready.
     recently_leaving: Mutex<BTreeMap<InstanceId, Instant>>,
     /// By service: number of consecutive endpoints whose address another incarnation has taken
     /// over.
@@ -45,6 +45,8 @@
 pub struct Changes {
     /// Endpoints that were added.
     pub added: Vec<InstanceId>,
+    /// Of these, the ones that were leaving and have started again under their ids.
+    pub restarted: Vec<InstanceId>,
     /// Endpoints that accept no new requests from now on.
     pub leaving: Vec<InstanceId>,
     /// Endpoints that are no longer listed.
@@ -61,6 +63,18 @@
 }
 
 impl Directory {
+    /// Without endpoints; lists may lag by `max_lag`.
+    pub fn new(max_lag: Duration) -> Self {
+        Self {
+            max_lag,
+            groups: ArcSwap::default(),
+            queues: Mutex::default(),
+            evacuated_zones: ArcSwap::default(),
+            recently_leaving: Mutex::default(),
+            replaced: Mutex::default(),
+        }
+    }
+
     /// The endpoints of a service.
     pub fn service_endpoints(&self, service: &str) -> EndpointGroup {
         let groups = self.groups.load();
@@ -204,9 +218,15 @@
         (available.len() as u64, on_cooldown.count() as u64)
     }
 
-    /// Applies a complete list. An endpoint with the same id, address, service and version keeps its
-    /// connections and statistics; endpoints that are not listed receive no new requests.
+    /// Applies a complete list that has just been read.
     pub fn apply_list(&self, list: &[ListedEndpoint]) -> Changes {
+        self.apply_list_of_age(list, Duration::ZERO)
+    }
+
+    /// Applies a complete list that was read `age` ago. An endpoint with the same id, address, service and
+    /// version keeps its connections and statistics, unless it has started again; endpoints that are not
+    /// listed receive no new requests.
+    pub fn apply_list_of_age(&self, list: &[ListedEndpoint], age: Duration) -> Changes {
         let previous = self.groups.load();
         let mut known: BTreeMap<&InstanceId, &Arc<Endpoint>> = BTreeMap::new();
         for endpoint in previous.values().flatten() {
@@ -217,12 +237,16 @@
             .recently_leaving
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        recently_leaving.retain(|_, last_listed| last_listed.elapsed() < LEAVING_RETENTION);
+        recently_leaving
+            .retain(|_, since| !incarnation::is_new(since.elapsed(), age, self.max_lag));
         let mut changes = Changes::default();
         let mut groups: BTreeMap<ServiceId, EndpointGroup> = BTreeMap::new();
         for listed in list {
             let previous = known.remove(&listed.id);
+            let has_restarted = !listed.leaving
+                && previous.is_some_and(|endpoint| endpoint.has_restarted(age, self.max_lag));
             let unchanged = previous.filter(|endpoint| endpoint.is_listed_as(listed));
+            let unchanged = unchanged.filter(|_| !has_restarted);
             if unchanged.is_none()
                 && let Some(replaced) = previous
             {
@@ -231,9 +255,7 @@
                 replaced.pool.clear();
             }
             // Failure: a lagging list names an endpoint as ready that an earlier list had as
-            // leaving or no longer had, so it would receive requests just before it stops. It is
-            // left out rather than marked: the mark would outlast the lag and bind a new
-            // incarnation that has the same id.
+            // leaving or no longer had, so it would receive requests just before it stops.
             if unchanged.is_none() && !listed.leaving && recently_leaving.contains_key(&listed.id) {
                 continue;
             }
@@ -241,11 +263,14 @@
                 changes.added.push(listed.id.clone());
                 Arc::new(Endpoint::new(listed, self.queue_of(&listed.service)))
             });
+            if has_restarted {
+                changes.restarted.push(listed.id.clone());
+            }
+            if listed.leaving && endpoint.mark_leaving() {
+                changes.leaving.push(listed.id.clone());
+            }
             if listed.leaving {
-                recently_leaving.insert(listed.id.clone(), Instant::now());
-                if endpoint.mark_leaving() {
-                    changes.leaving.push(listed.id.clone());
-                }
+                remember_leaving(&mut recently_leaving, &endpoint);
             }
             groups
                 .entry(listed.service.clone())
@@ -257,7 +282,7 @@
                 changes.vanished.push(id.clone());
             } else {
                 // It may have stated so itself, and lists that lag may still name it as ready.
-                recently_leaving.insert(id.clone(), Instant::now());
+                remember_leaving(&mut recently_leaving, endpoint);
             }
             endpoint.pool.clear();
             changes.removed.push(id.clone());
@@ -275,3 +300,9 @@
         changes
     }
 }
+
+fn remember_leaving(recently_leaving: &mut BTreeMap<InstanceId, Instant>, endpoint: &Endpoint) {
+    if let Some(since) = endpoint.leaving_since() {
+        recently_leaving.insert(endpoint.id.clone(), since);
+    }
+}
--- a/crates/anvil_gateway/src/endpoint.rs
+++ b/crates/anvil_gateway/src/endpoint.rs
@@ -1,12 +1,12 @@
 //! One endpoint: its connections, its known load and its rate limit.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use anvil_policy::engine::speed::WorkAhead;
 use anvil_policy::engine::{EndpointView, EngineRule, Prompt};
+use anvil_policy::incarnation;
 use anvil_policy::rate_share::{Clocks, RateShare, RouterRank};
 use anvil_wire::msg::ListedEndpoint;
 use anvil_world::prelude::*;
@@ -43,17 +43,25 @@
     pub pool: ConnectionPool,
     /// Requests that wait for an endpoint of its service.
     pub queue: Arc<ServiceQueue>,
-    leaving: AtomicBool,
+    ending: OnceLock<Ending>,
     load: Mutex<EndpointView>,
     rate_share: Mutex<RateShare>,
     warm_up: Mutex<EndpointWarmUp>,
     pause: Mutex<EndpointPause>,
 }
 
+/// The end of an incarnation, from when it is first known.
+#[derive(Debug, Clone, Copy)]
+struct Ending {
+    known_at: Instant,
+    /// Whether another incarnation has its address.
+    is_replaced: bool,
+}
+
 impl Endpoint {
     /// Creates it from an entry of the platform's list, with the queue of its service.
     pub fn new(listed: &ListedEndpoint, queue: Arc<ServiceQueue>) -> Self {
-        Self {
+        let endpoint = Self {
             id: listed.id.clone(),
             service: listed.service.clone(),
             addr: listed.addr,
@@ -63,12 +71,16 @@
             content_scope: ContentScope::new(&listed.service, &listed.version),
             pool: ConnectionPool::new(listed.addr),
             queue,
-            leaving: AtomicBool::new(listed.leaving),
+            ending: OnceLock::new(),
             load: Mutex::default(),
             rate_share: Mutex::default(),
             warm_up: Mutex::default(),
             pause: Mutex::default(),
+        };
+        if listed.leaving {
+            endpoint.mark_leaving();
         }
+        endpoint
     }
 
     /// Whether an entry of the platform's list still names the same incarnation.
@@ -81,13 +93,39 @@
 
     /// Whether it accepts no new requests.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+        self.ending.get().is_some()
+    }
+
+    /// Since when it is known that it accepts no new requests; `None` if it does.
+    pub fn leaving_since(&self) -> Option<Instant> {
+        self.ending.get().map(|ending| ending.known_at)
     }
 
     /// Marks it as leaving. Returns whether that is new. An incarnation never becomes ready again,
     /// so a lagging list can't remove the mark.
     pub fn mark_leaving(&self) -> bool {
-        !self.leaving.swap(true, Ordering::Relaxed)
+        self.mark_ending(false)
+    }
+
+    /// Marks it as ended, since another incarnation answers at its address.
+    pub fn mark_replaced(&self) {
+        self.mark_ending(true);
+    }
+
+    fn mark_ending(&self, is_replaced: bool) -> bool {
+        let ending = Ending {
+            known_at: Instant::now(),
+            is_replaced,
+        };
+        self.ending.set(ending).is_ok()
+    }
+
+    /// Whether a list read `list_age` ago that names its id as ready shows a new incarnation. A list may
+    /// name a replaced one for long after its end, so it never does for that.
+    pub fn has_restarted(&self, list_age: Duration, max_lag: Duration) -> bool {
+        self.ending.get().is_some_and(|ending| {
+            !ending.is_replaced && incarnation::is_new(ending.known_at.elapsed(), list_age, max_lag)
+        })
     }
 
     /// Its known load.
--- a/crates/anvil_gateway/src/exchange/outcome.rs
+++ b/crates/anvil_gateway/src/exchange/outcome.rs
@@ -35,7 +35,7 @@
             AttemptOutcome::NotRun(NotRun::Refused(MISDIRECTED_STATUS)) => {
                 self.gw
                     .record_crash_evidence(&endpoint.id, Evidence::Replaced);
-                endpoint.mark_leaving();
+                endpoint.mark_replaced();
                 self.gw.directory.record_replaced(&self.service);
                 self.gw.list_mismatch.notify_one();
             }
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -207,7 +207,7 @@
         );
         Self {
             table: ArcSwapOption::empty(),
-            directory: Directory::default(),
+            directory: Directory::new(cfg.list.max_lag),
             grant_account,
             held_prompts,
             grants_wanted: Notify::new(),
--- a/crates/anvil_gateway/src/list/discovery.rs
+++ b/crates/anvil_gateway/src/list/discovery.rs
@@ -239,10 +239,11 @@
         return;
     };
     let listed: Vec<ListedEndpoint> = snapshot.endpoints().cloned().collect();
-    let read_at = gw.lifecycle.now().saturating_sub(snapshot.age());
+    let age = snapshot.age();
+    let read_at = gw.lifecycle.now().saturating_sub(age);
     // Before the endpoints are used: a stream may be sent to them at once.
     gw.record_listed_versions(&listed);
-    let changes = gw.directory.apply_list(&listed);
+    let changes = gw.directory.apply_list_of_age(&listed, age);
     gw.apply_listed_warm_up(&listed, read_at);
     for endpoint in &changes.vanished {
         gw.record_crash_evidence(endpoint, Evidence::Unlisted);
@@ -253,6 +254,7 @@
         event!(
             gw.log, events::GATEWAY_ENDPOINTS_CHANGED, "listed" => listed.len(),
             "unreadable" => unreadable, "came" => format!("{:?}", changes.added),
+            "restarted" => format!("{:?}", changes.restarted),
             "leaving" => format!("{:?}", changes.leaving), "gone" => format!("{:?}", changes.removed)
         );
     }
--- a/crates/anvil_gateway/tests/direct/leaving.rs
+++ b/crates/anvil_gateway/tests/direct/leaving.rs
@@ -14,6 +14,7 @@
     stream_end, stream_head,
 };
 use crate::gateway::{TestGateway, listed, routes, settings, table};
+use crate::returning::start_with_lagging_lists;
 
 /// Time in which a load balancer notices that a gateway is stopping.
 const NOTICE_TIME: Duration = Duration::from_millis(2_600);
@@ -34,7 +35,7 @@
 async fn leaving_endpoint_receives_no_new_requests() {
     let leaving = TestEndpoint::answering().await;
     let staying = TestEndpoint::answering().await;
-    let gateway = TestGateway::start(&[("leaving", &leaving), ("staying", &staying)]).await;
+    let gateway = start_with_lagging_lists(&[("leaving", &leaving), ("staying", &staying)]).await;
     let ready = [
         listed("leaving", leaving.addr),
         listed("staying", staying.addr),
@@ -58,31 +59,6 @@
     }
 }
 
-/// Guards against an endpoint that left and started again under the same id staying without
-/// requests for good.
-#[tokio::test]
-async fn endpoint_that_returns_under_its_id_receives_requests_again() {
-    let endpoint = TestEndpoint::answering().await;
-    let gateway = TestGateway::start(&[("a", &endpoint)]).await;
-    let ready = [listed("a", endpoint.addr)];
-    let mut leaving = ready.clone();
-    leaving[0].leaving = true;
-    gateway.gw.directory.apply_list(&leaving);
-    gateway.gw.directory.apply_list(&[]);
-    let removed_at = Instant::now();
-    let mut served_after = None;
-    while served_after.is_none() && removed_at.elapsed() < Duration::from_secs(8) {
-        gateway.gw.directory.apply_list(&ready);
-        let mut client = Client::connect(gateway.addr).await;
-        if client.request("/once/x", "id", "").await.status == 200 {
-            served_after = Some(removed_at.elapsed());
-        }
-        sleep(Duration::from_millis(100)).await;
-    }
-    let served_after = served_after.expect("served again");
-    assert!(served_after > Duration::from_secs(4), "{served_after:?}");
-}
-
 /// Guards against an endpoint receiving new requests after it stated in an answer that it is
 /// leaving, while no list shows it yet.
 #[tokio::test]
@@ -108,7 +84,8 @@
     for answer in answers {
         let leaving = TestEndpoint::start(move |_, req| answer(req)).await;
         let staying = TestEndpoint::answering().await;
-        let gateway = TestGateway::start(&[("leaving", &leaving), ("staying", &staying)]).await;
+        let gateway =
+            start_with_lagging_lists(&[("leaving", &leaving), ("staying", &staying)]).await;
         let mut client = Client::connect(gateway.addr).await;
         client.request("/idempotent/x", "first", "").await;
         // Past the cooldown after a failure.
--- a/crates/anvil_gateway/tests/direct/main.rs
+++ b/crates/anvil_gateway/tests/direct/main.rs
@@ -23,6 +23,7 @@
 mod prompt_parts;
 mod regions;
 mod responses;
+mod returning;
 mod share_orders;
 mod shared_contents;
 mod siblings;
--- a/crates/anvil_policy/src/lib.rs
+++ b/crates/anvil_policy/src/lib.rs
@@ -55,6 +55,7 @@
 //! * [`engine`]: which engine a prompt goes to, among engines without a sidecar.
 //! * [`pace`]: how much longer work takes where an endpoint shares its machine.
 //! * [`pause`]: when a router sends to an endpoint that asked for a pause.
+//! * [`incarnation`]: whether a list shows that an endpoint has started again under its id.
 //! * [`copying`]: when such an engine copies cached tokens from another one.
 //! * [`crash`]: which contents were in flight at an endpoint when it crashed, and
 //!   [`recent_answers`]: which are sound.
@@ -90,6 +91,7 @@
 pub mod grant;
 pub mod health;
 pub mod held_prompt;
+pub mod incarnation;
 pub mod intake;
 pub mod limit;
 pub mod link_pacer;
