--- a/crates/anvil_gateway/src/account/held_prompts.rs
+++ b/crates/anvil_gateway/src/account/held_prompts.rs
@@ -10,9 +10,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use anvil_policy::held_prompt::{
-    HeldAttempts, HoldNumber, LostAttempt, MAX_HOLD_TIME, Notice, Notices,
-};
+use anvil_policy::held_prompt::{HeldAttempts, HoldNumber, LostAttempt, Notice, Notices};
 use anvil_wire::msg::{HeldPromptNotice, HeldPromptRequest, PromptCharge};
 use anvil_world::prelude::*;
 use anvilreel::money::{GrantAccount, Reservation};
@@ -21,6 +19,9 @@
 /// Maximum number of attempts in one notification. Reports have no such limit.
 const MAX_ATTEMPTS_PER_MESSAGE: usize = 512;
 
+/// Longest wait of a client that another gateway can state.
+const MAX_CLIENT_WAIT: Duration = Duration::from_hours(24);
+
 /// A lost attempt with the reservation that pays for it.
 #[derive(Debug)]
 pub struct LostPrompt {
@@ -179,7 +180,7 @@
     /// Reports a charge to the gateways that hold attempts of its request, and returns these.
     fn report(&self, now: Now, charged: LostAttempt) -> Vec<InstanceId> {
         let mut notices = self.notices();
-        let taken = notices.take(now, charged.request);
+        let taken = notices.take(now, &charged);
         self.notice_count.store(notices.len(), Ordering::Relaxed);
         drop(notices);
         if taken.is_empty() {
@@ -261,7 +262,7 @@
         let notices = announced.into_iter().map(|announced| HeldPromptNotice {
             number: announced.number,
             request: announced.request,
-            keep: announced.keep,
+            client_waits: announced.client_waits,
         });
         Some(HeldPromptRequest::Notify {
             origin: self.own_id.clone(),
@@ -323,7 +324,9 @@
                 incarnation,
                 number: notice.number,
                 request: notice.request,
-                until: now + notice.keep.min(MAX_HOLD_TIME),
+                since: now,
+                // Bounded, as the sum could overflow.
+                client_deadline: now + notice.client_waits.min(MAX_CLIENT_WAIT),
             },
         );
         self.notice_count.store(notices.len(), Ordering::Relaxed);
@@ -332,13 +335,8 @@
     fn apply_report(&self, charges: &[PromptCharge]) -> Vec<EndedHold> {
         let release = |held: &mut HeldAttempts<LostPrompt>| {
             let charges = charges.iter();
-            let released = charges.filter_map(|charge| {
-                let retry = LostAttempt {
-                    request: charge.request,
-                    prompt: charge.prompt,
-                };
-                held.release(charge.number, &retry)
-            });
+            let released = charges
+                .filter_map(|charge| held.release(charge.number, charge.request, charge.prompt));
             released.collect()
         };
         let released = self.with_held(release);
--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -174,10 +174,13 @@
     let engine = table.services.get(&service).and_then(|s| s.engine);
     let tokens_per_event = engine.map_or(1, |engine| engine.tokens_per_event.max(1));
     trace.stages.enter(Stage::Money);
+    let received = gw.lifecycle.now().saturating_sub(received_at.elapsed());
     let terms = ChargeTerms {
         request: &request,
         digest: request_digest,
         deadline,
+        received,
+        client_deadline: received.saturating_add(request.timeout),
     };
     let charge = reserve(gw, organisation.as_deref(), terms, trace).await?;
     trace.stages.enter(Stage::Other);
@@ -262,6 +265,9 @@
     /// Equal for requests that count as the same one.
     digest: ContentDigest,
     deadline: Instant,
+    received: Now,
+    /// When the client gives up, whatever the route allows.
+    client_deadline: Now,
 }
 
 /// Reserves the most that the request can cost.
@@ -278,6 +284,8 @@
         request,
         digest,
         deadline,
+        received,
+        client_deadline,
     } = terms;
     let Some(work) = &request.model_work else {
         return Ok(None);
@@ -285,6 +293,8 @@
     let attempt = LostAttempt {
         request: request_digest::with_work(digest, work),
         prompt: work.prompt,
+        received,
+        client_deadline,
     };
     let split = Split::single_payer(organisation.id.clone());
     let max_cost = work.prompt.saturating_add(work.max_output);
--- a/crates/anvil_gateway/tests/direct/held_prompts.rs
+++ b/crates/anvil_gateway/tests/direct/held_prompts.rs
@@ -44,16 +44,23 @@
 }
 
 fn request(route: &str) -> TestRequest {
+    request_of(&format!("{route}{}", new_id()), CLIENT_TIME)
+}
+
+/// A request to a path by a client that waits this long.
+fn request_of(path: &str, wait: Duration) -> TestRequest {
     TestRequest {
-        path: format!("{route}{}", new_id()),
-        headers: format!(
-            "x-tokens: {PROMPT},30\r\nx-wait: {}\r\n",
-            CLIENT_TIME.as_millis()
-        ),
+        path: path.to_owned(),
+        headers: format!("x-tokens: {PROMPT},30\r\nx-wait: {}\r\n", wait.as_millis()),
     }
     .paid()
 }
 
+/// The request that its client sends again, up to the deadline that it had `since` on.
+fn retry_of(request: &TestRequest, since: Instant) -> TestRequest {
+    request_of(&request.path, CLIENT_TIME.saturating_sub(since.elapsed()))
+}
+
 /// Sends a request whose answer is lost.
 async fn lose(processes: &Processes, gateway: u8, request: &TestRequest) {
     let lost = processes.send(gateway, request).await;
@@ -67,9 +74,11 @@
     let processes = start(|req| vec![Step::Send(response(req, "ran"))]).await;
     for number in 0..6 {
         let request = request("/once/");
+        let since = Instant::now();
         lose(&processes, number % 3, &request).await;
         sleep(RETRY_PAUSE).await;
-        let served = processes.send((number + 1) % 3, &request).await;
+        let retry = retry_of(&request, since);
+        let served = processes.send((number + 1) % 3, &retry).await;
         assert_eq!(served.status, 200, "{served:?}");
     }
     sleep(CLIENT_TIME + REPORT_TIME).await;
@@ -81,19 +90,37 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn request_with_another_prompt_releases_nothing() {
     let processes = start(|req| vec![Step::Send(response(req, "ran"))]).await;
-    let first = request("/once/");
-    let with_parts = |parts: &str| TestRequest {
-        path: first.path.clone(),
-        headers: format!("{}x-parts: {parts}\r\n", first.headers),
+    let with_parts = |request: TestRequest, parts: &str| TestRequest {
+        headers: format!("{}x-parts: {parts}\r\n", request.headers),
+        ..request
     };
-    lose(&processes, 0, &with_parts("1:150,2:50")).await;
+    let first = with_parts(request("/once/"), "1:150,2:50");
+    let since = Instant::now();
+    lose(&processes, 0, &first).await;
     sleep(RETRY_PAUSE).await;
-    let served = processes.send(1, &with_parts("1:150,3:50")).await;
+    let other = with_parts(retry_of(&first, since), "1:150,3:50");
+    let served = processes.send(1, &other).await;
     assert_eq!(served.status, 200, "{served:?}");
     sleep(CLIENT_TIME + REPORT_TIME).await;
     assert_eq!(processes.billed().await, 2 * PROMPT);
 }
 
+/// Guards against more being used than was prepaid: another caller of the organisation sends an equal
+/// request, and its charge stands for that of the lost one.
+#[tokio::test(flavor = "multi_thread")]
+async fn equal_request_of_another_caller_is_charged_beside_a_lost_one() {
+    let processes = start(|req| vec![Step::Send(response(req, "ran"))]).await;
+    for gateway in [0, 1] {
+        let request = request("/once/");
+        lose(&processes, 0, &request).await;
+        sleep(RETRY_PAUSE).await;
+        let served = processes.send(gateway, &request).await;
+        assert_eq!(served.status, 200, "{served:?}");
+    }
+    sleep(CLIENT_TIME + REPORT_TIME).await;
+    assert_eq!(processes.billed().await, 4 * PROMPT);
+}
+
 /// Guards against prompts of streams that are charged twice, and against output that isn't charged.
 #[tokio::test(flavor = "multi_thread")]
 async fn prompt_of_a_retried_stream_is_charged_once() {
@@ -105,9 +132,11 @@
     };
     let processes = start(stream).await;
     let request = request("/stream/");
+    let since = Instant::now();
     lose(&processes, 0, &request).await;
     sleep(RETRY_PAUSE).await;
-    assert!(processes.send(1, &request).await.complete);
+    let retry = retry_of(&request, since);
+    assert!(processes.send(1, &retry).await.complete);
     sleep(CLIENT_TIME + REPORT_TIME).await;
     // Three events of three tokens.
     assert_eq!(processes.billed().await, PROMPT + 9);
--- a/crates/anvil_gateway/tests/direct/streams.rs
+++ b/crates/anvil_gateway/tests/direct/streams.rs
@@ -145,3 +145,44 @@
     tokio::time::sleep(Duration::from_millis(300)).await;
     assert_eq!(stalled.abandoned(), stalled.received().len());
 }
+
+/// Guards against a connection that is closed without an answer: a client takes up a stream of which it
+/// has the last event, but not the end, and the endpoint answers without an event.
+#[tokio::test]
+async fn stream_taken_up_after_its_last_event_is_answered() {
+    let chunked: fn(&ReceivedRequest) -> Vec<u8> = |req| [stream_head(req), stream_end()].concat();
+    let with_length: fn(&ReceivedRequest) -> Vec<u8> = |req| response(req, "");
+    let until_closed: fn(&ReceivedRequest) -> Vec<u8> = |req| {
+        let id = req.header("x-id").unwrap_or_default();
+        format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\n\r\n").into_bytes()
+    };
+    for ended in [chunked, with_length, until_closed] {
+        let endpoint =
+            TestEndpoint::start(move |_, req| vec![Step::Send(ended(req)), Step::Close]).await;
+        let gateway = TestGateway::start(&[("a", &endpoint)]).await;
+        for headers in ["x-after: 3\r\nx-first: first\r\n", ""] {
+            let mut client = Client::connect(gateway.addr).await;
+            let answer = client.request("/resumed/x", "id", headers).await;
+            assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+            assert_eq!(answer.body, "");
+        }
+        assert_eq!(endpoint.received().len(), 2);
+    }
+}
+
+/// Guards against a status that the endpoint didn't give, where it refuses a stream that is taken up
+/// after its last event.
+#[tokio::test]
+async fn refusal_of_a_stream_taken_up_after_its_last_event_is_passed_on() {
+    let endpoint = TestEndpoint::start(|_, req| {
+        let id = req.header("x-id").unwrap_or_default();
+        let gone = format!("HTTP/1.1 410 Gone\r\nx-id: {id}\r\nx-seal: s\r\ncontent-length: 0\r\n\r\n");
+        vec![Step::Send(gone.into_bytes())]
+    })
+    .await;
+    let gateway = TestGateway::start(&[("a", &endpoint)]).await;
+    let mut client = Client::connect(gateway.addr).await;
+    let headers = "x-after: 3\r\nx-first: first\r\n";
+    let answer = client.request("/resumed/x", "id", headers).await;
+    assert_eq!((answer.status, answer.complete), (410, true), "{answer:?}");
+}
--- a/crates/anvil_gateway/tests/held_prompts/model.rs
+++ b/crates/anvil_gateway/tests/held_prompts/model.rs
@@ -43,9 +43,22 @@
     pub id: AttemptId,
     pub request: ContentDigest,
     pub progress: ChargeProgress,
+    received: Now,
+    client_deadline: Now,
     reservation: Reservation,
 }
 
+impl Running {
+    fn attempt(&self) -> LostAttempt {
+        LostAttempt {
+            request: self.request,
+            prompt: PROMPT,
+            received: self.received,
+            client_deadline: self.client_deadline,
+        }
+    }
+}
+
 pub struct Router {
     pub account: Arc<GrantAccount>,
     pub prompts: HeldPrompts,
@@ -62,6 +75,8 @@
     pub fates: BTreeMap<ContentDigest, Vec<Fate>>,
     /// Tokens charged in all.
     pub charged: Tokens,
+    /// When the clients of the requests give up: each sends all attempts of one request.
+    deadlines: BTreeMap<ContentDigest, Now>,
     ledger: State,
     index: LogIndex,
     incarnation: Incarnation,
@@ -76,6 +91,7 @@
             messages: Vec::new(),
             fates: BTreeMap::new(),
             charged: 0,
+            deadlines: BTreeMap::new(),
             ledger: State::default(),
             index: 0,
             incarnation: 0,
@@ -153,6 +169,26 @@
         self.routers[router].account.next_batch(self.now)
     }
 
+    /// When the client of a request gives up. Once that is over, another one sends the same request.
+    fn client_deadline(&mut self, request: ContentDigest) -> Now {
+        let fresh = self.now + CLIENT_TIME;
+        let deadline = self.deadlines.entry(request).or_insert(fresh);
+        if *deadline <= self.now {
+            *deadline = fresh;
+        }
+        *deadline
+    }
+
+    /// Starts an attempt of another caller that sends an equal request now.
+    pub fn start_as_another_caller(&mut self, router: usize, request: ContentDigest) -> Running {
+        let client_deadline = self.now + CLIENT_TIME;
+        let running = self.start(router, request);
+        Running {
+            client_deadline,
+            ..running
+        }
+    }
+
     /// Starts an attempt, if the budget allows it.
     pub fn try_start(&mut self, router: usize, request: ContentDigest) -> Option<Running> {
         let split = Split::single_payer("co-op".into());
@@ -174,6 +210,8 @@
             id,
             request,
             progress,
+            received: self.now,
+            client_deadline: self.client_deadline(request),
             reservation,
         })
     }
@@ -188,12 +226,8 @@
         if !running.progress.may_report() {
             return;
         }
-        let charged = LostAttempt {
-            request: running.request,
-            prompt: PROMPT,
-        };
         let prompts = &self.routers[running.router].prompts;
-        let released = prompts.record_charge(self.now, charged).released;
+        let released = prompts.record_charge(self.now, running.attempt()).released;
         self.record_ended(running.router, released);
     }
 
@@ -221,14 +255,12 @@
     fn hold(&mut self, running: Running) {
         let lost = LostPrompt {
             id: running.id.clone(),
-            attempt: LostAttempt {
-                request: running.request,
-                prompt: PROMPT,
-            },
+            attempt: running.attempt(),
             reservation: running.reservation,
         };
         let prompts = &self.routers[running.router].prompts;
-        match prompts.hold(self.now, lost, CLIENT_TIME) {
+        let time_left = running.client_deadline.saturating_sub(self.now);
+        match prompts.hold(self.now, lost, time_left) {
             HoldResult::Held(ended) => self.record_ended(running.router, ended),
             HoldResult::Charged => {
                 self.charged += PROMPT;
--- a/crates/anvil_gateway/tests/held_prompts/orders.rs
+++ b/crates/anvil_gateway/tests/held_prompts/orders.rs
@@ -35,6 +35,25 @@
     assert_eq!(model.charged, PROMPT + OUTPUT);
 }
 
+/// Guards against a prompt that nobody is charged for, as another caller's equal request counts as the
+/// retry of a lost one, at the same router or at another.
+#[test]
+fn equal_request_of_another_caller_is_charged_beside_a_lost_one() {
+    for router in [0, 1] {
+        let mut model = Model::new(CREDIT);
+        model.lose(0, 1);
+        model.deliver_all();
+        model.advance(Duration::from_millis(400));
+        let mut other = model.start_as_another_caller(router, 1);
+        model.make_final(&mut other);
+        other.progress.record_answered();
+        model.end(other);
+        model.deliver_all();
+        model.advance(CLIENT_TIME);
+        assert_eq!(model.charged, 2 * PROMPT + OUTPUT);
+    }
+}
+
 /// Guards against a report that is made only at the end of a long stream, when the hold is over.
 #[test]
 fn retry_that_runs_when_the_notice_comes_is_charged_once() {
--- a/crates/anvil_policy/src/held_prompt.rs
+++ b/crates/anvil_policy/src/held_prompt.rs
@@ -7,10 +7,15 @@
 //! organisation has received what it paid for.
 //!
 //! *Mechanism:* the router of the lost attempt, the *origin*, keeps the prompt reserved
-//! ([`HeldAttempts`]) and notifies the other routers of its zone. A router that charges the same
-//! request reports this for each notice that it has ([`Notices`]), and the origin releases the
+//! ([`HeldAttempts`]) and notifies the other routers of its zone. A router that charges a retry of the
+//! same request reports this for each notice that it has ([`Notices`]), and the origin releases the
 //! prompt instead of charging it.
 //!
+//! *What is a retry:* callers of one organisation may send equal requests. A client retries after its
+//! attempt has ended, and waits up to the deadline that it had ([`LostAttempt::may_be_retry_of`]). An
+//! equal request without both is another caller's, and both prompts are charged: released for it, more
+//! would be used than was prepaid.
+//!
 //! *Why every prompt is charged at least once:* a charge is reported only while its request runs,
 //! and only once it can't be reversed ([`ChargeProgress::may_report`]). A request is held after
 //! that, if at all. So a held attempt is released only by a request that ends later, and the last
@@ -27,6 +32,10 @@
 pub const MAX_HOLD_TIME: Duration = Duration::from_secs(5);
 /// Attempts that one router holds. Beyond that the oldest is charged.
 pub const MAX_HELD_ATTEMPTS: usize = 4_096;
+/// How far the ends of one client's deadline may be apart, as seen by the routers of its attempts.
+pub const DEADLINE_TOLERANCE: Duration = Duration::from_millis(100);
+/// A router learns of a lost attempt at most this much later than its client, which may retry meanwhile.
+pub const NOTICE_DELAY: Duration = Duration::from_millis(150);
 /// Notices of other routers that one router keeps. Beyond that the oldest is dropped.
 pub const MAX_NOTICES: usize = 16_384;
 
@@ -99,10 +108,23 @@
 /// The request of an attempt, and the tokens that are charged for its prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LostAttempt {
-    /// Hash of the request; equal for its retries.
+    /// Hash of the request; equal for its retries, and for equal requests of other callers.
     pub request: ContentDigest,
     /// Its prompt.
     pub prompt: Tokens,
+    /// When it was received.
+    pub received: Now,
+    /// When its client gives up.
+    pub client_deadline: Now,
+}
+
+impl LostAttempt {
+    /// Whether it may be the retry of an attempt with the same contents whose client gives up at
+    /// `client_deadline`, and whose end was known at `ended`.
+    pub fn may_be_retry_of(&self, client_deadline: Now, ended: Now) -> bool {
+        self.received + NOTICE_DELAY >= ended
+            && self.client_deadline.abs_diff(client_deadline) <= DEADLINE_TOLERANCE
+    }
 }
 
 /// A held attempt as other routers are notified of it.
@@ -112,13 +134,14 @@
     pub number: HoldNumber,
     /// Its request.
     pub request: ContentDigest,
-    /// For how much longer it is held.
-    pub keep: Duration,
+    /// For how much longer its client waits, which may be longer than it is held.
+    pub client_waits: Duration,
 }
 
 #[derive(Debug)]
 struct Held<T> {
     attempt: LostAttempt,
+    since: Now,
     until: Now,
     charge: T,
 }
@@ -171,6 +194,7 @@
         self.unannounced.insert(number);
         let held = Held {
             attempt,
+            since: now,
             until,
             charge,
         };
@@ -180,23 +204,34 @@
         Ok(oldest.and_then(|number| self.remove(number)))
     }
 
-    /// Ends a hold because another router reports that it has charged the request. `None` if the
-    /// attempt is not held, or if another request or less than its prompt was charged.
-    pub fn release(&mut self, number: HoldNumber, charged: &LostAttempt) -> Option<T> {
-        let held = self.held.get(&number)?;
-        covers(charged, &held.attempt).then(|| self.remove(number))?
+    /// Ends a hold because another router reports that it has charged a retry, with these tokens for its
+    /// prompt. `None` if the attempt is not held, or if another request or less than its prompt was
+    /// charged.
+    pub fn release(
+        &mut self,
+        number: HoldNumber,
+        request: ContentDigest,
+        prompt: Tokens,
+    ) -> Option<T> {
+        let attempt = self.held.get(&number)?.attempt;
+        // The prompt's tokens are stated by the client and not part of the request's hash.
+        let is_covered = request == attempt.request && prompt >= attempt.prompt;
+        is_covered.then(|| self.remove(number))?
     }
 
-    /// Ends the holds of a request that this router has charged.
+    /// Ends the holds of attempts of which this router has charged a retry.
     pub fn release_equal(&mut self, charged: &LostAttempt) -> Vec<T> {
         let request = charged.request;
         let equal = self
             .by_request
             .range((request, 0)..=(request, HoldNumber::MAX));
-        let numbers: Vec<_> = equal.map(|(_, number)| *number).collect();
+        let held = equal.filter_map(|(_, number)| Some((*number, self.held.get(number)?)));
+        let retried = held
+            .filter(|(_, held)| charged.may_be_retry_of(held.attempt.client_deadline, held.since));
+        let numbers: Vec<_> = retried.map(|(number, _)| number).collect();
         let released = numbers.into_iter();
         released
-            .filter_map(|number| self.release(number, charged))
+            .filter_map(|number| self.release(number, request, charged.prompt))
             .collect()
     }
 
@@ -236,7 +271,7 @@
             announcements.extend(held.map(|held| Announcement {
                 number,
                 request: held.attempt.request,
-                keep: held.until.saturating_sub(now),
+                client_waits: held.attempt.client_deadline.saturating_sub(now),
             }));
         }
         announcements
@@ -271,12 +306,6 @@
     }
 }
 
-/// Whether a charge stands for that of a lost attempt. The prompt's tokens are stated by the client
-/// and not part of the request's hash.
-fn covers(charged: &LostAttempt, lost: &LostAttempt) -> bool {
-    charged.request == lost.request && charged.prompt >= lost.prompt
-}
-
 /// Notice of an attempt that another router holds.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Notice {
@@ -288,11 +317,18 @@
     pub number: HoldNumber,
     /// Its request.
     pub request: ContentDigest,
-    /// When it is charged, as far as known here.
-    pub until: Now,
+    /// When the notice came.
+    pub since: Now,
+    /// When its client gives up.
+    pub client_deadline: Now,
 }
 
 impl Notice {
+    /// When the attempt is charged, as far as known here.
+    fn until(&self) -> Now {
+        self.client_deadline.min(self.since + MAX_HOLD_TIME)
+    }
+
     fn is_of_same_attempt(&self, other: &Self) -> bool {
         self.number == other.number
             && self.incarnation == other.incarnation
@@ -324,13 +360,17 @@
         }
     }
 
-    /// Takes the notices of a request that has been charged here: each is reported once.
-    pub fn take(&mut self, now: Now, request: ContentDigest) -> Vec<Notice> {
-        let arrivals: Vec<_> = self.arrivals_of(request).collect();
+    /// Takes the notices of attempts of which a retry has been charged here: each is reported once.
+    pub fn take(&mut self, now: Now, charged: &LostAttempt) -> Vec<Notice> {
+        let equal = self.arrivals_of(charged.request);
+        let notices = equal.filter_map(|arrival| Some((arrival, self.by_arrival.get(&arrival)?)));
+        let retried = notices
+            .filter(|(_, notice)| charged.may_be_retry_of(notice.client_deadline, notice.since));
+        let arrivals: Vec<_> = retried.map(|(arrival, _)| arrival).collect();
         let taken = arrivals
             .into_iter()
             .filter_map(|arrival| self.remove(arrival));
-        taken.filter(|notice| now < notice.until).collect()
+        taken.filter(|notice| now < notice.until()).collect()
     }
 
     /// Drops the oldest notices that have ended. A later one may be kept behind one that ends
@@ -345,7 +385,7 @@
     pub fn first_end(&self) -> Option<Now> {
         self.by_arrival
             .first_key_value()
-            .map(|(_, oldest)| oldest.until)
+            .map(|(_, oldest)| oldest.until())
     }
 
     /// Number of notices.
--- a/crates/anvil_policy/tests/held_prompt.rs
+++ b/crates/anvil_policy/tests/held_prompt.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use anvil_policy::held_prompt::{
-    ChargeEnd, ChargeProgress, HeldAttempts, LostAttempt, MAX_HELD_ATTEMPTS, MAX_NOTICES, Notice,
-    Notices,
+    ChargeEnd, ChargeProgress, DEADLINE_TOLERANCE, HeldAttempts, LostAttempt, MAX_HELD_ATTEMPTS,
+    MAX_NOTICES, NOTICE_DELAY, Notice, Notices,
 };
 use anvil_world::prelude::*;
 
@@ -16,6 +16,8 @@
     LostAttempt {
         request,
         prompt: 100,
+        received: at(0),
+        client_deadline: at(1_000),
     }
 }
 
@@ -25,7 +27,8 @@
         incarnation: 1,
         number,
         request,
-        until: at(1_000),
+        since: at(0),
+        client_deadline: at(1_000),
     }
 }
 
@@ -74,8 +77,8 @@
 fn attempt_is_released_once() {
     let mut held = HeldAttempts::new(7);
     assert_eq!(held.hold(at(0), lost(1), WAIT, 'a'), Ok(None));
-    assert_eq!(held.release(7, &lost(1)), Some('a'));
-    assert_eq!(held.release(7, &lost(1)), None);
+    assert_eq!(held.release(7, 1, 100), Some('a'));
+    assert_eq!(held.release(7, 1, 100), None);
     assert_eq!(held.take_ended(at(1_000)), []);
 }
 
@@ -84,17 +87,17 @@
 fn attempt_is_released_only_by_a_charge_of_its_own_request_and_prompt() {
     let mut held = HeldAttempts::new(7);
     assert_eq!(held.hold(at(0), lost(1), WAIT, 'a'), Ok(None));
-    assert_eq!(held.release(8, &lost(1)), None);
-    assert_eq!(held.release(7, &lost(2)), None);
+    assert_eq!(held.release(8, 1, 100), None);
+    assert_eq!(held.release(7, 2, 100), None);
     let cheaper = LostAttempt {
-        request: 1,
         prompt: 99,
+        ..lost(1)
     };
-    assert_eq!(held.release(7, &cheaper), None);
+    assert_eq!(held.release(7, 1, 99), None);
     assert_eq!(held.release_equal(&cheaper), []);
     assert_eq!(held.take_ended(at(999)), []);
     assert_eq!(held.take_ended(at(1_000)), ['a']);
-    assert_eq!(held.release(7, &lost(1)), None);
+    assert_eq!(held.release(7, 1, 100), None);
 }
 
 /// Guards against attempts of one request that stay charged when a retry at the same router is
@@ -159,7 +162,7 @@
     let announced = held.take_announcements(at(200), 10);
     let announced: Vec<_> = announced
         .iter()
-        .map(|a| (a.number, a.request, a.keep))
+        .map(|a| (a.number, a.request, a.client_waits))
         .collect();
     assert_eq!(announced, [(5, 1, at(800))]);
     assert_eq!(held.take_announcements(at(200), 10), []);
@@ -174,9 +177,9 @@
     notices.insert(at(0), notice(1, 2));
     notices.insert(at(0), notice(2, 3));
     let numbers = |taken: Vec<Notice>| taken.iter().map(|n| n.number).collect::<Vec<_>>();
-    assert_eq!(numbers(notices.take(at(1), 1)), [1, 2]);
-    assert_eq!(numbers(notices.take(at(1), 1)), []);
-    assert_eq!(numbers(notices.take(at(1_000), 2)), []);
+    assert_eq!(numbers(notices.take(at(1), &lost(1))), [1, 2]);
+    assert_eq!(numbers(notices.take(at(1), &lost(1))), []);
+    assert_eq!(numbers(notices.take(at(1_000), &lost(2))), []);
     assert!(notices.is_empty());
 }
 
@@ -188,8 +191,37 @@
         notices.insert(at(0), notice(number as u128, number as u64));
     }
     assert_eq!(notices.len(), MAX_NOTICES);
-    assert_eq!(notices.take(at(0), 0), []);
-    assert_eq!(notices.take(at(0), 1), [notice(1, 1)]);
+    assert_eq!(notices.take(at(0), &lost(0)), []);
+    assert_eq!(notices.take(at(0), &lost(1)), [notice(1, 1)]);
     notices.insert(at(1_000), notice(0, 0));
     assert!(notices.len() <= 1, "expired notices are dropped");
 }
+
+/// Guards against more than the prepaid tokens being used: two callers of an organisation send equal
+/// requests, one answer is lost, and the charge of the other request releases the lost one's prompt.
+#[test]
+fn equal_request_of_another_caller_releases_nothing() {
+    let later_deadline = LostAttempt {
+        received: at(400),
+        client_deadline: at(1_001) + DEADLINE_TOLERANCE,
+        ..lost(1)
+    };
+    let earlier_deadline = LostAttempt {
+        client_deadline: at(999).saturating_sub(DEADLINE_TOLERANCE),
+        ..later_deadline
+    };
+    // Both were sent at the same time.
+    let ended = at(1) + NOTICE_DELAY;
+    for other in [later_deadline, earlier_deadline, lost(1)] {
+        let mut held = HeldAttempts::new(7);
+        assert_eq!(held.hold(ended, lost(1), WAIT, 'a'), Ok(None));
+        assert_eq!(held.release_equal(&other), []);
+        let mut notices = Notices::default();
+        let notice = Notice {
+            since: ended,
+            ..notice(1, 7)
+        };
+        notices.insert(ended, notice);
+        assert_eq!(notices.take(at(500), &other), []);
+    }
+}
--- a/crates/anvil_wire/src/msg/held_prompts.rs
+++ b/crates/anvil_wire/src/msg/held_prompts.rs
@@ -23,8 +23,9 @@
     pub number: u64,
     /// Hash of the request.
     pub request: ContentDigest,
-    /// For how much longer the prompt is held.
-    pub keep: Duration,
+    /// For how much longer the client of the attempt waits. Routers of earlier builds state for how much
+    /// longer the prompt is held, which is shorter if the client waits for longer than prompts are held.
+    pub client_waits: Duration,
 }
 
 /// A charge for a request that another router holds.
--- a/crates/anvil_wire/tests/codec.rs
+++ b/crates/anvil_wire/tests/codec.rs
@@ -84,7 +84,7 @@
     let held = HeldPromptNotice {
         number: 7,
         request: 11,
-        keep: std::time::Duration::from_secs(2),
+        client_waits: std::time::Duration::from_secs(2),
     };
     let notify = HeldPromptRequest::Notify {
         origin: "r1".into(),
