--- a/crates/anvil_gateway/src/stream_relay.rs
+++ b/crates/anvil_gateway/src/stream_relay.rs
@@ -67,6 +67,9 @@
     last_read: Option<u64>,
     /// The first event, read before the response head is sent.
     prefetched: Option<StreamEvent>,
+    /// Whether the endpoint has ended the stream. It may do so without an event, if its client has all
+    /// of them.
+    has_ended: bool,
     /// When the last event was handed to the client.
     delivered_at: Option<Instant>,
     /// Events handed to the client since they were last written to its socket.
@@ -129,6 +132,7 @@
             source: Some(StreamSource::from(response)),
             last_read,
             prefetched: None,
+            has_ended: false,
             delivered_at: None,
             unwritten: 0,
         };
@@ -171,6 +175,7 @@
     async fn read_event(&mut self) -> Result<Option<StreamEvent>, Cause> {
         match self.prefetched.take() {
             Some(event) => Ok(Some(event)),
+            None if self.has_ended => Ok(None),
             None => self.next_event_or_resume(None).await,
         }
     }
@@ -254,6 +259,7 @@
                 }
                 NextEvent::End => {
                     self.release_source();
+                    self.has_ended = true;
                     return Ok(None);
                 }
                 NextEvent::Broken => {
--- a/crates/anvil_gateway/tests/direct/streams.rs
+++ b/crates/anvil_gateway/tests/direct/streams.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use crate::client::Client;
-use crate::endpoint::{ReceivedRequest, Step, TestEndpoint, chunk, event, stream_end, stream_head};
+use crate::endpoint::{
+    ReceivedRequest, Step, TestEndpoint, chunk, event, response, stream_end, stream_head,
+};
 use crate::gateway::TestGateway;
 
 fn events(req: &ReceivedRequest, last: u64) -> Vec<Step> {
@@ -176,7 +178,8 @@
 async fn refusal_of_a_stream_taken_up_after_its_last_event_is_passed_on() {
     let endpoint = TestEndpoint::start(|_, req| {
         let id = req.header("x-id").unwrap_or_default();
-        let gone = format!("HTTP/1.1 410 Gone\r\nx-id: {id}\r\nx-seal: s\r\ncontent-length: 0\r\n\r\n");
+        let gone =
+            format!("HTTP/1.1 410 Gone\r\nx-id: {id}\r\nx-seal: s\r\ncontent-length: 0\r\n\r\n");
         vec![Step::Send(gone.into_bytes())]
     })
     .await;
