--- a/crates/anvil_gateway/src/version_reports.rs
+++ b/crates/anvil_gateway/src/version_reports.rs
@@ -76,6 +76,10 @@
         history: &VersionHistory,
         recorded: &BTreeSet<SoftwareVersion>,
     ) -> BTreeSet<SoftwareVersion> {
+        let listed_now: BTreeSet<_> = history.listed_now().cloned().collect();
+        if recorded.is_subset(&listed_now) {
+            return BTreeSet::new();
+        }
         let now = self.lifecycle.now();
         let rank = self.gateway_rank.load(Ordering::Relaxed);
         let span = self.record_retention(service) + ENDED_RANK_DELAY * rank;
