--- a/crates/anvilreel/src/ledger_service.rs
+++ b/crates/anvilreel/src/ledger_service.rs
@@ -201,6 +201,7 @@
         peer_addresses,
         follow_frames: follow_frames::FollowFrames::default(),
         disk: Disk::read_only(&cfg.data),
+        may_found: !cfg.join,
     };
     let (ended, mut task_ended) = watch::channel(false);
     let task = tokio::spawn(async move {
--- a/crates/anvilreel/src/ledger_service/bootstrap.rs
+++ b/crates/anvilreel/src/ledger_service/bootstrap.rs
@@ -1,9 +1,9 @@
 //! Founds a ledger or joins one, and keeps the replica's membership up to date.
 //!
 //! A founder that loses its disk and restarts with its old settings must not found a second ledger
-//! beside the first: budgets would look empty and grants would be issued twice. So only the founder
-//! with the smallest name founds a ledger, and only after all other founders have answered that
-//! their disks are empty too. A replica that finds a ledger joins it as a learner, under the
+//! beside the first: budgets would look empty and grants would be issued twice. So one that starts again
+//! may not found one. Of those that may, the one with the smallest name founds the ledger, and only after
+//! all other founders have answered that their disks are empty too. A replica that finds a ledger joins it as a learner, under the
 //! identifier of its new disk.
 
 use std::collections::BTreeMap;
@@ -172,7 +172,6 @@
                 None => incomplete = true,
             }
         }
-        let first = self.cfg.founders.iter().map(|peer| &peer.id).min();
         // The founder that may found is fixed by the settings at start: two different lists of
         // founders could have two different first ones. So seeds are only probed for an existing
         // ledger.
@@ -184,12 +183,26 @@
                 return ProbeResult::Ledger;
             }
         }
-        if incomplete || self.cfg.join || first != Some(&self.cfg.id) {
+        if incomplete || !self.replica.may_found || !self.is_first_that_may_found().await {
             return ProbeResult::Incomplete;
         }
         ProbeResult::Empty(empty)
     }
 
+    /// Whether all founders with smaller names have answered that they may not found a ledger. That is
+    /// final: a process that was started to join one is never started to found one later.
+    ///
+    /// Failure: the founder with the smallest name dies in the first start, before the ledger is founded.
+    /// All others would wait for it for good.
+    async fn is_first_that_may_found(&self) -> bool {
+        for peer in self.others().filter(|peer| peer.id < self.cfg.id) {
+            if request_may_found(peer.addr).await != Some(false) {
+                return false;
+            }
+        }
+        true
+    }
+
     async fn found_ledger(&self, voters: BTreeMap<ReplicaId, Site>) {
         let membership = Membership {
             ledger: rand::random::<u64>().max(1),
@@ -266,3 +279,13 @@
         _ => None,
     }
 }
+
+/// Whether a replica may found a ledger; `None` without an answer, also of an earlier build.
+async fn request_may_found(addr: SocketAddr) -> Option<bool> {
+    let channel = Channel::new(addr);
+    let response = channel.call::<PeerCall>(&PeerRequest::MayFound, REPLY_TIMEOUT);
+    match response.await.ok()? {
+        PeerReply::MayFound(may_found) => Some(may_found),
+        _ => None,
+    }
+}
--- a/crates/anvilreel/src/ledger_service/handlers.rs
+++ b/crates/anvilreel/src/ledger_service/handlers.rs
@@ -48,6 +48,8 @@
     pub follow_frames: FollowFrames,
     /// The data folder.
     pub disk: anvil_ledger::storage::Disk,
+    /// Whether the process was started to found a ledger, and not to join one.
+    pub may_found: bool,
 }
 
 impl ReplicaHandle {
@@ -204,6 +206,7 @@
 async fn handle_peer(replica: &ReplicaHandle, req: PeerRequest, mut tx: ReplySender<PeerReply>) {
     let reply = match req {
         PeerRequest::Hello => replica.request(Input::Hello).await.map(PeerReply::Hello),
+        PeerRequest::MayFound => Some(PeerReply::MayFound(replica.may_found)),
         PeerRequest::CommandKinds => Some(PeerReply::CommandKinds(COMMAND_KINDS)),
         PeerRequest::Join { id, site } => {
             let joined = replica.request(|reply| Input::Join(id, site, reply)).await;
--- a/crates/anvilreel/src/ledger_service/peer.rs
+++ b/crates/anvilreel/src/ledger_service/peer.rs
@@ -39,6 +39,8 @@
     Fetch,
     /// Requests which commands the replica applies. Reply: `CommandKinds`.
     CommandKinds,
+    /// Requests whether the replica may found a ledger. Reply: `MayFound`.
+    MayFound,
 }
 
 /// Identity of a replica.
@@ -76,4 +78,6 @@
     Nothing,
     /// Number of kinds of commands that the replica applies.
     CommandKinds(u32),
+    /// Whether the process was started to found a ledger, and not to join one.
+    MayFound(bool),
 }
--- a/crates/anvilreel/tests/ledger_service/main.rs
+++ b/crates/anvilreel/tests/ledger_service/main.rs
@@ -5,6 +5,7 @@
 mod evacuations;
 mod failures;
 mod followers;
+mod founding;
 mod joining;
 mod membership;
 #[path = "../support/ports.rs"]
