--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -128,7 +128,7 @@
             return self.refuse(refusal);
         }
         self.gw.count_first_attempt(&self.service);
-        match self.first_response(None, None).await {
+        match self.first_response(None).await {
             Ok(response)
                 if self.route.retry_mode.is_stream() && response.parts.status.is_success() =>
             {
@@ -150,13 +150,12 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Runs attempts until a response begins, the first one at `place` if there is one. `after` is the
-    /// id of the last event that was delivered.
+    /// Runs attempts until a response begins. `after` is the id of the last event that was delivered.
     pub async fn first_response(
         &mut self,
         after: Option<u64>,
-        mut place: Option<Box<Place>>,
     ) -> Result<Box<EndpointResponse>, RequestRefusal> {
+        let mut place = None;
         let mut failure: Option<Box<EndpointResponse>> = None;
         loop {
             let outcome = match self.one_attempt(after, place.take()).await {
@@ -211,6 +210,39 @@
         }
     }
 
+    /// Sends the request to the endpoint of `place`, for a stream that another endpoint began. Returns the
+    /// cause of a failure if the response is not one that goes on with it.
+    pub async fn response_at(
+        &mut self,
+        after: Option<u64>,
+        mut place: Box<Place>,
+    ) -> Result<Box<EndpointResponse>, Cause> {
+        loop {
+            let outcome = match self.one_attempt(after, Some(place)).await {
+                Ok(AttemptEnd::TakenOver(next)) => {
+                    self.record_doubt(Doubt::Silent);
+                    place = next;
+                    continue;
+                }
+                Ok(AttemptEnd::Outcome(outcome)) => outcome,
+                Err((cause, _)) => return Err(cause),
+            };
+            return match outcome {
+                AttemptOutcome::Response(response) => {
+                    self.set_in_doubt();
+                    let status = response.parts.status;
+                    if status.is_success() {
+                        return Ok(response);
+                    }
+                    self.trace.step(format_args!("status {status}"));
+                    Err(Cause::ResponseLost)
+                }
+                AttemptOutcome::NotRun(reason) => Err(self.record_not_run(&reason)),
+                AttemptOutcome::Doubt(doubt) => Err(self.record_doubt(doubt)),
+            };
+        }
+    }
+
     /// Waits once for endpoints when none of those tried still exists.
     ///
     /// No attempt has run, so the request may wait and go to any of the new endpoints.
@@ -397,7 +429,7 @@
             };
             let cause = self.record_doubt(doubt);
             let next = match self.may_retry(cause) {
-                Ok(()) => self.first_response(None, None).await,
+                Ok(()) => self.first_response(None).await,
                 Err(refusal) => Err(refusal),
             };
             match next {
--- a/crates/anvil_gateway/src/exchange/silence.rs
+++ b/crates/anvil_gateway/src/exchange/silence.rs
@@ -24,8 +24,7 @@
 pub enum Waited<T> {
     /// It has sent this, or ended its connection.
     Sent(T),
-    /// It was silent, and the request has a place at another one. The caller closes its connection
-    /// before it sends the request there.
+    /// It was silent, and the request has a place at another one.
     TakenOver(Box<Place>),
     /// It was silent up to the deadline.
     TimedOut,
--- a/crates/anvil_gateway/src/stream_relay.rs
+++ b/crates/anvil_gateway/src/stream_relay.rs
@@ -4,8 +4,8 @@
 //! response. Another endpoint of the same software version continues after the last delivered
 //! event, within the same response; the connection to the previous endpoint is closed first, which
 //! stops its run. An endpoint that is only silent is kept until another one has a place for the
-//! stream. If no endpoint can continue, the client's connection is closed without the end of
-//! the stream.
+//! stream, and for [`MAX_OVERLAP`] until that one has accepted it. If no endpoint can continue, the
+//! client's connection is closed without the end of the stream.
 //!
 //! Failure: a client reads slowly, and the endpoint cuts off the response because it stays unread.
 //! The stream is then read ahead into a buffer, by a task that is started once the client falls
@@ -13,6 +13,7 @@
 
 mod ahead;
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,14 +25,14 @@
 use hyper::body::{Frame, Incoming};
 use hyper::client::conn::http1::SendRequest;
 use tokio::task::yield_now;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use ahead::{AheadReader, AheadWriter, Taken};
 
 use crate::attempt::EndpointResponse;
 use crate::connection_watch::ConnectionWatch;
 use crate::dialect::ResponseHead;
-use crate::endpoint::EndpointSlot;
+use crate::endpoint::{Endpoint, EndpointSlot};
 use crate::exchange::silence::{Silence, Waited};
 use crate::exchange::{Exchange, Place};
 use crate::metrics;
@@ -46,6 +47,10 @@
 /// asks for no more.
 const MAX_UNWRITTEN_EVENTS: u32 = 8;
 
+/// For how long a silent endpoint is kept once the stream was sent to another one. Well under the time for
+/// which two endpoints may work on one request.
+const MAX_OVERLAP: Duration = Duration::from_millis(250);
+
 struct StreamSource {
     body: Incoming,
     splitter: EventSplitter,
@@ -57,6 +62,24 @@
     progress: CrashedRun,
     /// Events received from it.
     events: u32,
+    /// The wait for the next event, if one has begun. It goes on after another endpoint has refused the
+    /// stream.
+    silence: Option<Silence>,
+}
+
+/// What is recorded of a source whose connection is closed.
+struct LostSource {
+    endpoint: Arc<Endpoint>,
+    progress: CrashedRun,
+}
+
+impl From<StreamSource> for LostSource {
+    fn from(source: StreamSource) -> Self {
+        Self {
+            endpoint: source.slot.endpoint.clone(),
+            progress: source.progress,
+        }
+    }
 }
 
 /// A stream in progress.
@@ -266,11 +289,16 @@
                     let response = self.resume_elsewhere().await?;
                     self.go_on_at(response, head.as_deref_mut());
                 }
-                NextEvent::TakenOver(place) => {
-                    self.drop_source("silent endpoint");
-                    let response = self.resume_at(Some(place)).await?;
-                    self.go_on_at(response, head.as_deref_mut());
-                }
+                NextEvent::TakenOver(place) => match self.move_to(place).await {
+                    Ok(response) => self.go_on_at(response, head.as_deref_mut()),
+                    // It may still go on.
+                    Err(_) if self.source.is_some() => {}
+                    Err(cause) => {
+                        self.exchange.may_retry(cause).map_err(|(cause, _)| cause)?;
+                        let response = self.resume().await?;
+                        self.go_on_at(response, head.as_deref_mut());
+                    }
+                },
             }
         }
     }
@@ -287,14 +315,9 @@
         let Some(source) = &mut self.source else {
             return NextEvent::Broken;
         };
-        // Clients also give up if the first event does not come in time.
-        let mut silence = Silence::since(if source.events == 0 {
-            source.slot.taken_at()
-        } else {
-            Instant::now()
-        });
         loop {
             if let Some(event) = source.splitter.next_event() {
+                source.silence = None;
                 source.slot.response_started();
                 // A stream that another endpoint began says nothing about the time of a prompt.
                 if self.last_read.is_none() {
@@ -321,8 +344,16 @@
                 }
                 return NextEvent::Broken;
             }
+            // Clients also give up if the first event does not come in time.
+            let silence = source.silence.get_or_insert_with(|| {
+                Silence::since(if source.events == 0 {
+                    source.slot.taken_at()
+                } else {
+                    Instant::now()
+                })
+            });
             let frame = source.body.frame();
-            match self.exchange.wait_or_take_over(&mut silence, frame).await {
+            match self.exchange.wait_or_take_over(silence, frame).await {
                 Waited::TimedOut => {
                     self.exchange.trace.step(format_args!("silent endpoint"));
                     return NextEvent::Broken;
@@ -342,17 +373,52 @@
         }
     }
 
+    /// Sends the stream to `place` while the current endpoint is silent. That one is given up when the other
+    /// one has accepted the stream, or hasn't answered within [`MAX_OVERLAP`].
+    ///
+    /// Failure: the other endpoint refuses the stream, no further one may go on, and the silent one, which
+    /// would have, is given up already.
+    async fn move_to(&mut self, place: Box<Place>) -> Result<EndpointResponse, Cause> {
+        let Self {
+            exchange,
+            source,
+            last_read,
+            ..
+        } = self;
+        let mut given_up = None;
+        let response = {
+            let mut sent = pin!(exchange.response_at(*last_read, place));
+            if let Ok(response) = timeout(MAX_OVERLAP, &mut sent).await {
+                response
+            } else {
+                given_up = source.take().map(LostSource::from);
+                sent.await
+            }
+        };
+        if response.is_ok() {
+            given_up = given_up.or_else(|| self.source.take().map(LostSource::from));
+        }
+        if let Some(given_up) = given_up {
+            self.record_lost(&given_up, "silent endpoint");
+        }
+        let response = response?;
+        self.exchange.gw.metrics.count(metrics::STREAMS_RESUMED);
+        Ok(*response)
+    }
+
     /// Records that the current endpoint has lost the stream. Its connection is closed, which stops its
     /// run.
     fn drop_source(&mut self, reason: &str) {
-        let Some(source) = self.source.take() else {
-            return;
-        };
-        let endpoint = &source.slot.endpoint;
+        if let Some(source) = self.source.take() {
+            self.record_lost(&LostSource::from(source), reason);
+        }
+    }
+
+    fn record_lost(&mut self, lost: &LostSource, reason: &str) {
         self.exchange
-            .record_lost_response(endpoint, source.progress, reason);
+            .record_lost_response(&lost.endpoint, lost.progress, reason);
         let last_read = self.last_read;
-        let id = &endpoint.id;
+        let id = &lost.endpoint.id;
         self.exchange
             .trace
             .step(format_args!("{id} broke off after {last_read:?}"));
@@ -370,13 +436,13 @@
             return Err(cause);
         }
         self.exchange.may_retry(cause).map_err(|(cause, _)| cause)?;
-        self.resume_at(None).await
+        self.resume().await
     }
 
-    /// Resumes the stream at `place`, or at an endpoint that is selected now.
-    async fn resume_at(&mut self, place: Option<Box<Place>>) -> Result<EndpointResponse, Cause> {
+    /// Resumes the stream at an endpoint that is selected now. The retry is counted already.
+    async fn resume(&mut self) -> Result<EndpointResponse, Cause> {
         let last_read = self.last_read;
-        let response = self.exchange.first_response(last_read, place).await;
+        let response = self.exchange.first_response(last_read).await;
         let response = response.map_err(|(cause, _)| cause)?;
         if response.parts.status.is_success() {
             self.exchange.gw.metrics.count(metrics::STREAMS_RESUMED);
@@ -416,6 +482,7 @@
             slot: response.slot,
             progress: CrashedRun::BeforeOutput,
             events: 0,
+            silence: None,
         }
     }
 }
--- a/crates/anvil_gateway/tests/direct/silence.rs
+++ b/crates/anvil_gateway/tests/direct/silence.rs
@@ -27,6 +27,8 @@
 /// A silence after which a stream is moved if another endpoint takes it, and which ends before the
 /// deadline.
 const LONG: Duration = Duration::from_millis(2_200);
+/// Two endpoints may work on one request for this long.
+const BOTH_MAY_WORK: Duration = Duration::from_millis(400);
 /// Gap after which clients abandon a stream on the routes of the tests.
 const CLIENT_GAP: Duration = Duration::from_secs(2);
 /// Events of a whole stream.
@@ -477,6 +479,26 @@
     assert_whole_stream(&request(&gateway, "/resumed/x").await);
 }
 
+/// Guards against two endpoints that work on one stream for longer than a moment, since the one that
+/// takes over accepts it late.
+#[tokio::test]
+async fn silent_endpoint_is_given_up_soon_after_the_stream_was_sent_to_another_one() {
+    let silent = silent_in_the_middle(Step::Hang).await;
+    let slow = silent_before_head(Duration::from_millis(900)).await;
+    let endpoints = [("silent", &silent), ("slow", &slow)];
+    let gateway = start_with(settings(), &endpoints).await;
+    let answer = tokio::spawn(async move { request(&gateway, "/resumed/x").await });
+    while slow.received().is_empty() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    let sent_at = Instant::now();
+    while silent.abandoned() == 0 {
+        sleep(Duration::from_millis(5)).await;
+        assert!(sent_at.elapsed() < BOTH_MAY_WORK, "{:?}", sent_at.elapsed());
+    }
+    assert_whole_stream(&answer.await.expect("an answer"));
+}
+
 /// Streams that can't be moved at the same time.
 const SILENT_STREAMS: usize = 40;
 /// The body of each request on a narrow link.
