--- a/crates/anvil_gateway/src/exchange/silence.rs
+++ b/crates/anvil_gateway/src/exchange/silence.rs
@@ -48,6 +48,11 @@
             looks: Looks::default(),
         }
     }
+
+    /// Plans the next look for another endpoint.
+    pub fn look_later(&mut self) {
+        self.next_look = Some(Instant::now() + self.looks.next_interval());
+    }
 }
 
 /// Why no other endpoint takes over.
@@ -98,7 +103,7 @@
                 }
                 Err(_) => {}
             }
-            silence.next_look = Some(Instant::now() + silence.looks.next_interval());
+            silence.look_later();
         }
     }
 
--- a/crates/anvil_gateway/src/stream_relay.rs
+++ b/crates/anvil_gateway/src/stream_relay.rs
@@ -289,16 +289,23 @@
                     let response = self.resume_elsewhere().await?;
                     self.go_on_at(response, head.as_deref_mut());
                 }
-                NextEvent::TakenOver(place) => match self.move_to(place).await {
-                    Ok(response) => self.go_on_at(response, head.as_deref_mut()),
-                    // It may still go on.
-                    Err(_) if self.source.is_some() => {}
-                    Err(cause) => {
-                        self.exchange.may_retry(cause).map_err(|(cause, _)| cause)?;
-                        let response = self.resume().await?;
-                        self.go_on_at(response, head.as_deref_mut());
-                    }
-                },
+                NextEvent::TakenOver(place) => {
+                    let response = match (self.move_to(place).await, &mut self.source) {
+                        (Ok(response), _) => response,
+                        (Err(_), Some(silent)) => {
+                            // It may still go on. Each look may use a retry.
+                            if let Some(silence) = &mut silent.silence {
+                                silence.look_later();
+                            }
+                            continue;
+                        }
+                        (Err(cause), None) => {
+                            self.exchange.may_retry(cause).map_err(|(cause, _)| cause)?;
+                            self.resume().await?
+                        }
+                    };
+                    self.go_on_at(response, head.as_deref_mut());
+                }
             }
         }
     }
--- a/crates/anvilreel/src/ledger_service/bootstrap.rs
+++ b/crates/anvilreel/src/ledger_service/bootstrap.rs
@@ -2,9 +2,9 @@
 //!
 //! A founder that loses its disk and restarts with its old settings must not found a second ledger
 //! beside the first: budgets would look empty and grants would be issued twice. So one that starts again
-//! may not found one. Of those that may, the one with the smallest name founds the ledger, and only after
-//! all other founders have answered that their disks are empty too. A replica that finds a ledger joins it as a learner, under the
-//! identifier of its new disk.
+//! may not found one. Of those that may, the one with the smallest name founds the ledger, and only
+//! after all other founders have answered that their disks are empty too. A replica that finds a ledger
+//! joins it as a learner, under the identifier of its new disk.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
