--- a/crates/anvil_gateway/tests/direct/explanations.rs
+++ b/crates/anvil_gateway/tests/direct/explanations.rs
@@ -4,7 +4,7 @@
 use std::io::Write;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anvil_gateway::GatewaySettings;
 use anvilreel::logs::{LogLimits, to_writer};
@@ -258,7 +258,7 @@
     let gateway =
         TestGateway::start_with(&[("a", &working)], log, Metrics::disabled("gateway")).await;
     let mut client = Client::connect(gateway.addr).await;
-    let started_at = std::time::Instant::now();
+    let started_at = Instant::now();
     for number in 0..200 {
         let response = client.request("/once/x", &format!("id-{number}"), "").await;
         assert_eq!(response.status, 200);
@@ -490,16 +490,19 @@
     })
     .await;
     let (gateway, log_output, metrics) = start_logged(&[("a", &losing_first)]).await;
-    let headers = format!("{KEY}x-tokens: 100,30\r\n");
-    let send = async |id: &str| {
+    let client_wait = Duration::from_secs(2);
+    let send = async |id: &str, since: Instant| {
+        let time_left = client_wait.saturating_sub(since.elapsed()).as_millis();
+        let headers = format!("{KEY}x-tokens: 100,30\r\nx-wait: {time_left}\r\n");
         let mut client = Client::connect(gateway.addr).await;
         client.request("/once/x", id, &headers).await.status
     };
-    assert!(send("unpaid-1").await >= 400);
+    assert!(send("unpaid-1", Instant::now()).await >= 400);
     add_grant(&gateway, 1, 500);
-    assert!(send("lost-1").await >= 500);
+    let since = Instant::now();
+    assert!(send("lost-1", since).await >= 500);
     tokio::time::sleep(Duration::from_millis(500)).await;
-    assert_eq!(send("retry-1").await, 200);
+    assert_eq!(send("retry-1", since).await, 200);
     let explanation = log_output.explain("lost-1").await;
     let of_message = |message: &str| {
         let mut lines = explanation.lines.iter();
