--- a/crates/anvilreel/tests/ledger_service/cluster.rs
+++ b/crates/anvilreel/tests/ledger_service/cluster.rs
@@ -1,12 +1,14 @@
 //! A cluster of ledger replicas in this process, over real sockets and data folders.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, SystemTime};
 
 use anvil_ledger::core::{CoreSettings, Membership, Payload};
-use anvil_ledger::storage::Disk;
 use anvil_ledger::storage::recover::recover;
 use anvil_ledger::storage::store::read_identity;
+use anvil_ledger::storage::{Disk, Op};
 use anvil_wire::Channel;
 use anvil_wire::msg::{LedgerCall, LedgerReply, LedgerRequest, LedgerStatus, Query, QueryAnswer};
 use anvil_world::command::{Change, Edit, TopUp, change_id};
@@ -54,6 +56,19 @@
     /// then.
     pub known_peers: BTreeMap<usize, Vec<usize>>,
     pub running: Vec<Option<Running>>,
+    /// Time that each sync of a file takes in addition, in milliseconds.
+    sync_delay: Arc<AtomicU64>,
+}
+
+/// A disk on which each sync of a file takes longer by so many milliseconds.
+fn with_sync_delay(disk: Disk, delay_ms: Arc<AtomicU64>) -> Disk {
+    Disk::new(move |op| {
+        if matches!(op, Op::Sync(_)) {
+            let delay = Duration::from_millis(delay_ms.load(Ordering::Relaxed));
+            std::thread::sleep(delay);
+        }
+        disk.run(op)
+    })
 }
 
 impl Cluster {
@@ -99,10 +114,17 @@
             auto_removal: None,
             known_peers: BTreeMap::new(),
             running: (0..size).map(|_| None).collect(),
+            sync_delay: Arc::default(),
             peers,
         })
     }
 
+    /// Has each sync of a file on all disks take longer by this time.
+    pub fn delay_syncs(&self, delay: Duration) {
+        let delay_ms = delay.as_millis().try_into().unwrap_or(u64::MAX);
+        self.sync_delay.store(delay_ms, Ordering::Relaxed);
+    }
+
     fn founders_of(&self, number: usize) -> Vec<Peer> {
         let Some(known) = self.known_peers.get(&number) else {
             return self.peers.clone();
@@ -193,7 +215,7 @@
         };
         let cfg = self.settings(number);
         let peer_addresses = PeerAddresses::default();
-        let disk = open_disk(&cfg)?;
+        let disk = with_sync_delay(open_disk(&cfg)?, self.sync_delay.clone());
         let handle = start_on(disk, cfg, tuning, peer_addresses.clone(), log, stopped).await?;
         self.running[number] = Some(Running {
             peer_addresses,
--- a/crates/anvilreel/tests/ledger_service/main.rs
+++ b/crates/anvilreel/tests/ledger_service/main.rs
@@ -14,3 +14,4 @@
 mod quarantines;
 mod restart;
 mod shares;
+mod slow_disks;
