Logs and metrics tell how long syncs and commits of the ledger take

Change: gauges log.sync and log.commit, and sync_ms in ledger_yields and ledger_majority_lost. No logic changes.

--- a/crates/anvilreel/src/ledger_service/replica_task.rs
+++ b/crates/anvilreel/src/ledger_service/replica_task.rs
@@ -2,6 +2,7 @@
 //! applies committed entries to the state machine. All inputs but the clock arrive over one channel.
 
 mod disk;
+mod latency;
 mod leader_checks;
 mod outbox;
 mod requests;
@@ -36,6 +37,7 @@
 use super::pending::{Pending, ReplyTx};
 use crate::event;
 use crate::metrics::Metrics;
+use latency::Latency;
 use outbox::Outbox;
 pub use status::ReplicaStatus;
 
@@ -114,6 +116,7 @@
     heartbeats: HeartbeatTracker,
     evidence: GrantEvidence,
     outbox: Outbox,
+    latency: Latency,
     status: watch::Sender<ReplicaStatus>,
     /// Number of kinds of commands that other replicas apply, as they last said.
     command_kinds: BTreeMap<SocketAddr, u32>,
@@ -167,6 +170,7 @@
             heartbeats: HeartbeatTracker::default(),
             evidence: GrantEvidence::default(),
             outbox: Outbox::default(),
+            latency: Latency::default(),
             status,
             command_kinds: BTreeMap::new(),
             inbox,
@@ -338,24 +342,30 @@
             Action::Install { seq, meta, data } => self.install(seq, meta, data),
             Action::Send(envelope) => self.outbox.send(envelope),
             Action::Apply(entries) => self.apply(&entries),
-            Action::Accepted { id, entry } => self.pending.accept(id, entry),
+            Action::Accepted { id, entry } => {
+                self.latency.appended(entry.index, self.now());
+                self.pending.accept(id, entry);
+            }
             Action::Refused { id, why } => self.refused(id, why),
             Action::Confirmed { id, .. } => self.confirmed(id),
             Action::Deposed => {
                 event!(self.setup.log, events::LEDGER_DEPOSED);
+                self.latency.deposed();
                 self.pending.deposed();
             }
             Action::MajorityLost { heard, voters } => {
                 event!(
                     self.setup.log, events::LEDGER_MAJORITY_LOST,
-                    "heard" => heard, "voters" => voters
+                    "heard" => heard, "voters" => voters,
+                    "sync_ms" => self.latency.longest_sync(self.now()).as_millis()
                 );
             }
             Action::SlowCommit { index, waited } => {
                 let waited = waited.as_millis();
                 event!(
                     self.setup.log, events::LEDGER_YIELDS,
-                    "index" => index, "waited_ms" => waited
+                    "index" => index, "waited_ms" => waited,
+                    "sync_ms" => self.latency.longest_sync(self.now()).as_millis()
                 );
             }
             Action::Fetch { from, meta } => self.fetch(from, &meta),
--- a/crates/anvilreel/src/ledger_service/replica_task/disk.rs
+++ b/crates/anvilreel/src/ledger_service/replica_task/disk.rs
@@ -16,6 +16,7 @@
 
 impl ReplicaTask {
     pub(super) fn write(&mut self, write: Write) {
+        self.latency.written(write.seq, self.now());
         self.submit(Job::Write(write));
     }
 
@@ -31,7 +32,10 @@
 
     pub(super) fn disk_reported(&mut self, report: Report) {
         match report {
-            Report::Synced(seq) => self.feed(Event::Synced(seq)),
+            Report::Synced(seq) => {
+                self.latency.synced(seq, self.now());
+                self.feed(Event::Synced(seq));
+            }
             Report::Published(meta) => {
                 self.snapshot_task = None;
                 self.feed(Event::Saved(meta));
@@ -42,6 +46,9 @@
 
     /// Applies committed entries and answers their proposers.
     pub(super) fn apply(&mut self, entries: &[Entry]) {
+        if let Some(last) = entries.last() {
+            self.latency.committed(last.id.index, self.now());
+        }
         for entry in entries {
             if let Payload::Data(data) = &entry.payload {
                 self.bytes_since_snapshot += data.len() as u64;
--- a/crates/anvilreel/src/ledger_service/replica_task/status.rs
+++ b/crates/anvilreel/src/ledger_service/replica_task/status.rs
@@ -28,6 +28,10 @@
     pub needs_to_join: bool,
 }
 
+fn whole_millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 impl ReplicaTask {
     /// Sends the gauges every `GAUGE_INTERVAL`.
     pub(super) fn send_gauges(&mut self) {
@@ -36,6 +40,7 @@
             return;
         }
         self.next_gauges = now + GAUGE_INTERVAL;
+        let (sync, commit) = self.latency.take(now);
         let metrics = &self.setup.metrics;
         let leads = u64::from(self.replica.leads());
         metrics.gauge(metrics::LOG_COMMITTED, self.replica.committed());
@@ -47,6 +52,8 @@
         metrics.gauge(metrics::LOG_VOTERS, voters as u64);
         metrics.gauge(metrics::LOG_LEARNERS, learners as u64);
         metrics.gauge(metrics::LOG_VOTERS_HEARD, responsive as u64);
+        metrics.gauge(metrics::LOG_SYNC, whole_millis(sync));
+        metrics.gauge(metrics::LOG_COMMIT, whole_millis(commit));
     }
 
     fn listed_addr(&self) -> Option<SocketAddr> {
--- a/crates/anvilreel/src/metrics.rs
+++ b/crates/anvilreel/src/metrics.rs
@@ -44,6 +44,12 @@
 /// Voters that responded to the leader within the election timeout, including itself; 0 at other
 /// replicas. Gauge.
 pub const LOG_VOTERS_HEARD: &str = "log.voters_heard";
+/// Longest time from a write of a ledger replica until it was durable, since the last gauge, in
+/// milliseconds. Gauge.
+pub const LOG_SYNC: &str = "log.sync";
+/// Longest time from an entry of the leader until it was committed, since the last gauge, in
+/// milliseconds; 0 at other replicas. Gauge.
+pub const LOG_COMMIT: &str = "log.commit";
 /// Calls that a relay forwarded to the ledger. Count.
 pub const RELAY_PASSED: &str = "relay.passed";
 /// Calls forwarded by a relay whose outcome is in doubt. Count.
@@ -73,6 +79,8 @@
     (LOG_VOTERS, "gauge"),
     (LOG_LEARNERS, "gauge"),
     (LOG_VOTERS_HEARD, "gauge"),
+    (LOG_SYNC, "gauge"),
+    (LOG_COMMIT, "gauge"),
     (RELAY_PASSED, "count"),
     (RELAY_IN_DOUBT, "count"),
     (RELAY_NO_QUORUM, "count"),
