A resent command needs no log entry of its own

What callers saw: while commits take longer than a router waits for one replica (300 ms, a relay 250), every request is refused as ledger_unreachable, although a leader commits and routers follow it. Cause: a resent batch was appended as another entry, and only who still waited for that entry was answered. Each call ended before its commit, so nobody was ever answered, and the copies added to the work of slow disks and processes. Change: a router's newest batch that is applied is answered from the state, as a routing table in force is already; a command that equals one in flight waits for that one's entry. Equal commands in flight are concurrent, so one entry is a valid order of them; an order to an endpoint, which gets a number, is left out (the test of it is red without that). A commit of any length is so answered by the first retry after it.

--- a/crates/anvil_ledger/src/state/money/apply.rs
+++ b/crates/anvil_ledger/src/state/money/apply.rs
@@ -36,6 +36,12 @@
         Ok(Answer::Grants(answer))
     }
 
+    /// The answer to a batch that is already applied, if it is the router's newest one.
+    pub fn answer_to_applied_batch(&self, batch: &GrantBatch) -> Option<GrantBatchAnswer> {
+        self.check_incarnation(batch).ok()?;
+        self.resent_answer(batch).ok()?
+    }
+
     /// Guards against a router that was frozen, fenced and replaced, then resumes and sends a batch
     /// it had prepared: it would open a grant that nobody closes.
     fn check_incarnation(&self, batch: &GrantBatch) -> Result<(), Denial> {
--- a/crates/anvil_world/src/command.rs
+++ b/crates/anvil_world/src/command.rs
@@ -94,6 +94,12 @@
 pub const COMMAND_KINDS: u32 = 21;
 
 impl Command {
+    /// Whether equal commands that are proposed at the same time may share one log entry. Each order to an
+    /// endpoint gets a fencing number of its own.
+    pub fn may_share_entry(&self) -> bool {
+        !matches!(self, Self::Order(_))
+    }
+
     /// Number of kinds that a replica must apply to apply this one. A replica that can't decode a committed
     /// entry stops, so a kind that the previous build lacks is appended only once all replicas apply it.
     pub fn required_kinds(&self) -> u32 {
--- a/crates/anvilreel/src/ledger_service/check.rs
+++ b/crates/anvilreel/src/ledger_service/check.rs
@@ -29,8 +29,8 @@
     Some(Answer::Denied(Denial::Settings { message }))
 }
 
-/// Sets the time at which the leader accepted the command.
-pub fn set_time(command: &mut Command, now: SystemTime) {
+/// Sets the time at which the leader accepted the command; false if it has none.
+pub fn set_time(command: &mut Command, now: SystemTime) -> bool {
     let at = match command {
         Command::Change(change) => &mut change.at,
         Command::TopUp(top_up) => &mut top_up.at,
@@ -52,7 +52,8 @@
         | Command::SetPresence(_)
         | Command::Order(_)
         | Command::ClearSuspects(_)
-        | Command::RecordVersions(_) => return,
+        | Command::RecordVersions(_) => return false,
     };
     *at = now;
+    true
 }
--- a/crates/anvilreel/src/metrics.rs
+++ b/crates/anvilreel/src/metrics.rs
@@ -44,6 +44,9 @@
 /// Voters that responded to the leader within the election timeout, including itself; 0 at other
 /// replicas. Gauge.
 pub const LOG_VOTERS_HEARD: &str = "log.voters_heard";
+/// Commands that a ledger replica answered without a log entry of their own, as an equal one is in flight
+/// or applied. Count.
+pub const LOG_REPEATED: &str = "log.repeated";
 /// Longest time from a write of a ledger replica until it was durable, since the last gauge, in
 /// milliseconds. Gauge.
 pub const LOG_SYNC: &str = "log.sync";
@@ -79,6 +82,7 @@
     (LOG_VOTERS, "gauge"),
     (LOG_LEARNERS, "gauge"),
     (LOG_VOTERS_HEARD, "gauge"),
+    (LOG_REPEATED, "count"),
     (LOG_SYNC, "gauge"),
     (LOG_COMMIT, "gauge"),
     (RELAY_PASSED, "count"),
--- a/crates/anvilreel/tests/ledger_service/slow_disks.rs
+++ b/crates/anvilreel/tests/ledger_service/slow_disks.rs
@@ -1,12 +1,13 @@
 //! Callers whose timeouts are shorter than a commit on slow disks.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use anvil_ledger::core::Payload;
 use anvil_ledger::machine::decode;
 use anvil_ledger::storage::Disk;
 use anvil_ledger::storage::recover::recover;
-use anvil_world::command::{GrantBatch, GrantRequest};
+use anvil_world::command::{GrantBatch, GrantRequest, Order, OrderKind};
 use anvil_world::prelude::*;
 use anvilreel::ledger_client::LedgerClient;
 
@@ -46,7 +47,7 @@
     })
 }
 
-fn addrs(cluster: &Cluster) -> Vec<std::net::SocketAddr> {
+fn addrs(cluster: &Cluster) -> Vec<SocketAddr> {
     cluster.peers.iter().map(|peer| peer.addr).collect()
 }
 
@@ -95,18 +96,34 @@
     Ok(())
 }
 
-/// Guards against a call to the leader that ends when a follower refers to that leader: each hedge interval would
-/// append another copy until the commit.
+/// Guards against a copy of a batch in the log for each hedge interval: a follower refers the caller back to the
+/// leader, and the first call ends.
 #[tokio::test(flavor = "multi_thread")]
-async fn a_referral_to_the_leader_that_is_called_does_not_end_its_call() -> Result<(), Failure> {
+async fn a_batch_whose_hedge_is_referred_back_is_appended_once() -> Result<(), Failure> {
     let mut cluster = slow_cluster(1).await?;
+    let leader = cluster.leader().await?;
     let ledger = LedgerClient::new(&addrs(&cluster)).with_hedge(HEDGE_DELAY);
-    let calls_before = cluster.leader().await?;
     let answer = ledger.propose(batch(0), Duration::from_secs(4)).await;
     assert!(matches!(answer, Ok(Answer::Grants(_))), "{answer:?}");
     cluster.delay_syncs(Duration::ZERO);
-    let copies = copies(&cluster, calls_before, &batch(0))?;
+    let copies = copies(&cluster, leader, &batch(0))?;
     assert_eq!(copies, 1, "copies of the batch in the log");
     cluster.stop_all().await;
     Ok(())
 }
+
+/// Guards against equal orders of two operators that share a fencing number because they share a log entry.
+#[tokio::test(flavor = "multi_thread")]
+async fn equal_orders_in_flight_get_numbers_of_their_own() -> Result<(), Failure> {
+    let mut cluster = slow_cluster(0).await?;
+    let order = Command::Order(Order {
+        sidecar: "sidecar-1".into(),
+        kind: OrderKind::SetRole("decode".into()),
+    });
+    let (first, second) = tokio::join!(cluster.propose(order.clone()), cluster.propose(order));
+    let (first, second) = (first?, second?);
+    assert!(matches!(first, Answer::Fencing(_)), "{first:?}");
+    assert_ne!(first, second);
+    cluster.stop_all().await;
+    Ok(())
+}
