A leader whose own disk is slow doesn't hand over

Cause: a slow commit was always taken for slow links of the leader. A majority of the others commits without the leader's disk; if that disk has to be waited for, too few of the others are faster, and no other leader is. Change: an entry that the leader's own disk has lacked for a third of the limit doesn't count, and a leader whose smoothed sync takes as long doesn't hand over. In a_leader_with_a_stalled_commit... the story is of lossy links, but its driver never reported the leader's own sync; it does now, nothing else changed.

--- a/crates/anvil_ledger/src/core/leader.rs
+++ b/crates/anvil_ledger/src/core/leader.rs
@@ -102,20 +102,28 @@
     /// tenths of a second, and a majority of them is always held up. Grants then arrive too late at
     /// every router for as long as the loss lasts. A leader in another zone needs none of these
     /// links.
+    ///
+    /// A leader whose own disk is as slow doesn't hand over: a majority of the others commits without this
+    /// disk, and if it has to be waited for, their disks leave no leader that would be faster.
     fn slow_commit(&mut self) -> Option<(LogIndex, Duration)> {
         let (now, committed, last) = (self.now, self.committed, self.log.last().index);
         let limit = self.cfg.slow_commit_limit?;
-        let may_hand_over = self.may_hand_over() && self.others_have_majority();
+        let slow = limit / SLOW_WAIT_DIVISOR;
+        let disk_is_slow = self.sync_times.expected(now) >= slow;
+        let may_hand_over = self.may_hand_over() && self.others_have_majority() && !disk_is_slow;
+        let durable = self.writes.durable();
         let lead = self.leadership()?;
+        lead.record_own_disk(durable, now);
         let waited = lead.commit_wait.map(|(_, since)| now.saturating_sub(since));
         let waiting = lead.commit_wait.filter(|(index, _)| committed < *index);
         let Some((index, waited)) = waiting.zip(waited).map(|((i, _), waited)| (i, waited)) else {
-            lead.record_commit_wait(waited, limit / SLOW_WAIT_DIVISOR);
+            lead.record_commit_wait(waited, slow);
             lead.commit_wait = (committed < last).then_some((last, now));
+            lead.own_disk_wait = Duration::ZERO;
             return None;
         };
         let is_slow = waited >= limit || lead.slow_total + waited >= SLOW_SEQUENCE_FACTOR * limit;
-        (may_hand_over && is_slow).then_some((index, waited))
+        (may_hand_over && is_slow && lead.own_disk_wait < slow).then_some((index, waited))
     }
 
     /// Whether another leader may be faster: this replica has not handed over recently, and the
--- a/crates/anvil_ledger/src/core/leadership.rs
+++ b/crates/anvil_ledger/src/core/leadership.rs
@@ -41,6 +41,8 @@
     /// Position of an entry that was not committed at an earlier tick, and since when its commit is
     /// awaited.
     pub commit_wait: Option<(LogIndex, Duration)>,
+    /// For how long the leader's own disk has lacked that entry.
+    pub own_disk_wait: Duration,
     /// Total wait of the most recent slow entries in a row; zero after one that was not slow.
     pub slow_total: Duration,
     pub round: Round,
@@ -56,6 +58,7 @@
             first,
             next_heartbeat: now,
             commit_wait: None,
+            own_disk_wait: Duration::ZERO,
             slow_total: Duration::ZERO,
             round: 0,
             reads: VecDeque::new(),
@@ -67,9 +70,17 @@
         lead
     }
 
-    /// Records how long the last awaited entry took to commit, if one was awaited.
+    /// Records whether the leader's own disk still lacks the awaited entry.
+    pub fn record_own_disk(&mut self, durable: LogIndex, now: Duration) {
+        if let Some((_, since)) = self.commit_wait.filter(|(index, _)| durable < *index) {
+            self.own_disk_wait = now.saturating_sub(since);
+        }
+    }
+
+    /// Records how long the last awaited entry took to commit, if one was awaited. One for which the leader's
+    /// own disk was slow says nothing about its links.
     pub fn record_commit_wait(&mut self, waited: Option<Duration>, slow: Duration) {
-        match waited {
+        match waited.filter(|_| self.own_disk_wait < slow) {
             Some(waited) if waited >= slow => self.slow_total += waited,
             Some(_) => self.slow_total = Duration::ZERO,
             None => {}
--- a/crates/anvil_ledger/tests/core_guards.rs
+++ b/crates/anvil_ledger/tests/core_guards.rs
@@ -431,6 +431,7 @@
     );
     let data = "late".into();
     driver.feed(Event::Propose(vec![Proposal { id: 5, data }]));
+    driver.sync();
     driver.advance_with_acks(300, 3);
     assert!(driver.replica.leads(), "hands over before the limit");
     driver.advance_with_acks(300, 3);
@@ -452,6 +453,22 @@
     );
 }
 
+/// Guards against a leader that hands over because its own disk hangs: a majority of the others commits without
+/// it, and if it must be waited for, no other leader is faster.
+#[test]
+fn a_leader_whose_own_disk_hangs_keeps_leading() {
+    let mut driver = Driver::with(CoreSettings {
+        slow_commit_limit: Some(Duration::from_millis(450)),
+        ..CoreSettings::default()
+    });
+    driver.win_election();
+    driver.advance_with_acks(1_000, 3);
+    let data = "late".into();
+    driver.feed(Event::Propose(vec![Proposal { id: 5, data }]));
+    driver.advance_with_acks(2_000, 3);
+    assert!(driver.replica.leads());
+}
+
 /// Guards against a candidate that raises its term again and again while its vote is being synced: each vote
 /// would wait for one more sync, and none would count.
 #[test]
--- a/crates/anvil_ledger/tests/failures.rs
+++ b/crates/anvil_ledger/tests/failures.rs
@@ -280,6 +280,27 @@
     process.is_some_and(|process| process.replica.has_committed_in_term())
 }
 
+/// Guards against a ledger without a leader while every disk is slow: each candidate gave up before its own vote
+/// and those of its voters were synced, and the leaders that were elected handed over in turn. One may hand over
+/// while it doesn't know yet that its own disk is slow as well.
+#[test]
+fn slow_disks_everywhere_leave_the_ledger_its_leader() {
+    for replicas in [3, 4, 5, 7] {
+        for seed in 0..12 {
+            let mut fleet = Fleet::with(short_timeouts(), seed, replicas);
+            fleet.run_for(Duration::from_secs(5));
+            let leader = fleet.leader().expect("a leader within five seconds");
+            let term = fleet.term(leader);
+            fleet.conditions.slow_sync_rate = 1.0;
+            fleet.run_for(MINUTE);
+            assert!(can_commit(&fleet), "{replicas}, seed {seed}");
+            assert!(fleet.term(leader) <= term + 1, "{replicas}, seed {seed}");
+            fleet.conditions.clear();
+            fleet.converge();
+        }
+    }
+}
+
 /// Guards against elections without end after the leader is lost while every disk is slow.
 #[test]
 fn a_lost_leader_is_replaced_while_every_disk_is_slow() {
