A referral to the leader that is called doesn't end the call

What callers saw: with commits longer than the hedge (50 ms at routers, 120 ms for operators), each change and each batch was proposed anew at every hedge interval until it was committed. Cause: a follower that is called as the second address names the leader, which is the first address; its reply ended the call to the leader, and the search called that leader again. Change: while the second address names the first, the call goes on, and the second is asked again after a further hedge, so that a new leader is still found within one. Result: the leader is called once in place of until the timeout (its test is red on the code before); a second test holds that a new leader is called 200 ms after the lost one while the call to that is open (green before too).

--- a/crates/anvilreel/src/ledger_client.rs
+++ b/crates/anvilreel/src/ledger_client.rs
@@ -272,21 +272,35 @@
         if let Ok(result) = timeout(hedge, &mut first_call).await {
             return (result, false);
         }
-        let second_call = second.call::<LedgerCall>(req, within.saturating_sub(hedge));
-        tokio::pin!(second_call);
-        tokio::select! {
-            result = &mut first_call => match result {
-                Ok(result) => (Ok(result), false),
-                Err(_) => (second_call.await, true),
-            },
-            result = &mut second_call => match result {
-                Ok(result) => (Ok(result), true),
-                Err(_) => (first_call.await, false),
-            },
+        loop {
+            let second_call = second.call::<LedgerCall>(req, within.saturating_sub(hedge));
+            tokio::pin!(second_call);
+            let result = tokio::select! {
+                result = &mut first_call => return match result {
+                    Ok(result) => (Ok(result), false),
+                    Err(_) => (second_call.await, true),
+                },
+                result = &mut second_call => result,
+            };
+            match result {
+                Ok(reply) if !refers_to(&reply, first.addr()) => return (Ok(reply), true),
+                // The leader is called already, and its commit takes longer than the hedge.
+                Ok(_) => {
+                    if let Ok(result) = timeout(hedge, &mut first_call).await {
+                        return (result, false);
+                    }
+                }
+                Err(_) => return (first_call.await, false),
+            }
         }
     }
 }
 
+/// Whether a replica names this address as the leader's.
+fn refers_to(reply: &LedgerReply, addr: SocketAddr) -> bool {
+    matches!(reply, LedgerReply::NotLeader { leader: Some(leader) } if *leader == addr)
+}
+
 /// Added to the timeout for each byte of a request: ten times what a link of 100 Mbit/s takes,
 /// since the request is sent on to several replicas.
 const TIMEOUT_PER_BYTE: Duration = Duration::from_nanos(800);
--- a/crates/anvilreel/tests/ledger_leader_search.rs
+++ b/crates/anvilreel/tests/ledger_leader_search.rs
@@ -18,6 +18,11 @@
 
 /// A replica that gives every request the same reply; returns its number of calls.
 async fn replica(addr: SocketAddr, reply: LedgerReply) -> Arc<AtomicUsize> {
+    slow_replica(addr, reply, Duration::ZERO).await
+}
+
+/// A replica that gives every request the same reply after a delay; returns its number of calls.
+async fn slow_replica(addr: SocketAddr, reply: LedgerReply, delay: Duration) -> Arc<AtomicUsize> {
     let server = Server::bind(addr).await.expect("bind the address");
     let calls = Arc::new(AtomicUsize::new(0));
     let call_count = calls.clone();
@@ -25,6 +30,7 @@
         call_count.fetch_add(1, Ordering::Relaxed);
         let reply = reply.clone();
         async move {
+            tokio::time::sleep(delay).await;
             let _ = tx.finish(&reply).await;
         }
     });
@@ -77,3 +83,49 @@
     assert_eq!(got.expect("the leader's answer"), answer());
     assert_eq!(skipped_calls.load(Ordering::Relaxed), 0);
 }
+
+/// Guards against a client that ends its call to the leader and repeats it at each hedge interval, as followers
+/// refer back to the leader while its commit takes long.
+#[tokio::test]
+async fn a_referral_to_the_leader_that_is_called_does_not_end_its_call() {
+    const HEDGE: Duration = Duration::from_millis(50);
+    let replicas = addrs(2);
+    let calls = slow_replica(replicas[0], answer(), 8 * HEDGE).await;
+    let hint_to_leader = LedgerReply::NotLeader {
+        leader: Some(replicas[0]),
+    };
+    replica(replicas[1], hint_to_leader).await;
+    let client = LedgerClient::new(&replicas).with_hedge(HEDGE);
+    let got = client.send_request(&request(), CALL_TIMEOUT).await;
+    assert_eq!(got.expect("the leader's answer"), answer());
+    assert_eq!(calls.load(Ordering::Relaxed), 1);
+}
+
+/// Guards against a client that waits for a lost leader's timeout although a follower names the new one.
+#[tokio::test]
+async fn a_new_leader_is_called_while_the_call_to_the_lost_one_is_open() {
+    const HEDGE: Duration = Duration::from_millis(50);
+    let replicas = addrs(3);
+    slow_replica(replicas[0], answer(), Duration::from_mins(1)).await;
+    let named = Arc::new(std::sync::Mutex::new(replicas[0]));
+    let server = Server::bind(replicas[1]).await.expect("bind the address");
+    let leader = named.clone();
+    let handlers = Handlers::default().with::<LedgerCall, _, _>(move |_, tx| {
+        let leader = Some(*leader.lock().expect("not poisoned"));
+        async move {
+            let _ = tx.finish(&LedgerReply::NotLeader { leader }).await;
+        }
+    });
+    tokio::spawn(server.serve(handlers, std::future::pending()));
+    replica(replicas[2], answer()).await;
+    let new_leader = replicas[2];
+    tokio::spawn(async move {
+        tokio::time::sleep(4 * HEDGE).await;
+        *named.lock().expect("not poisoned") = new_leader;
+    });
+    let client = LedgerClient::new(&replicas).with_hedge(HEDGE);
+    let began = std::time::Instant::now();
+    let got = client.send_request(&request(), CALL_TIMEOUT).await;
+    assert_eq!(got.expect("the new leader's answer"), answer());
+    assert!(began.elapsed() < 10 * HEDGE, "{:?}", began.elapsed());
+}
