--- a/crates/anvil_ledger/src/core/sync_times.rs
+++ b/crates/anvil_ledger/src/core/sync_times.rs
@@ -18,7 +18,7 @@
     /// Records a sync.
     pub fn record(&mut self, now: Duration, took: Duration) {
         let smoothed = self.recent(now).map_or(took, |before| {
-            before - before / SMOOTHING_DIVISOR + took / SMOOTHING_DIVISOR
+            before.saturating_sub(before / SMOOTHING_DIVISOR) + took / SMOOTHING_DIVISOR
         });
         self.smoothed = Some((smoothed, now));
     }
