A stream taken up is told in the log before it is refused for money

Change: the step comes with the route, and steps of a refusal for money tell how many tokens were wanted. No logic changes.

--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -137,6 +137,10 @@
     trace.stages.enter(Stage::Other);
     let route = find_route(&table, &head).ok_or((Cause::NoRoute, DEFAULT_RETRY_AFTER))?;
     trace.record_route(&route, table.version);
+    if request.takes_up() && route.retry_mode.is_stream() {
+        let (first, after) = (&request.first_attempt, request.resume_after);
+        trace.step(format_args!("takes up {first:?} after {after:?}"));
+    }
     let organisation = identify_sender(&table, &route, &request)?;
     if let Some(organisation) = &organisation {
         trace.record_organisation(&organisation.id);
@@ -318,7 +322,10 @@
         };
         let (until, otherwise) = match shortage {
             Shortage::Refused(refusal) => {
-                trace.step(format_args!("no money: {:?}", refusal.reason));
+                trace.step(format_args!(
+                    "no money for {max_cost}: {:?}",
+                    refusal.reason
+                ));
                 return Err(shortage_refusal(gw, &refusal.reason));
             }
             Shortage::WaitFor { until, otherwise } => (until, otherwise),
@@ -328,7 +335,10 @@
         gw.grants_wanted.notify_one();
         let wait_until = (Instant::now() + time_left).min(deadline);
         if time_left.is_zero() || timeout_at(wait_until, changed).await.is_err() {
-            trace.step(format_args!("money did not come: {:?}", otherwise.reason));
+            trace.step(format_args!(
+                "money for {max_cost} did not come: {:?}",
+                otherwise.reason
+            ));
             return Err(match otherwise.reason {
                 Reason::BudgetExhausted(_) => (Cause::BudgetBusy, DEFAULT_RETRY_AFTER),
                 reason => shortage_refusal(gw, &reason),
--- a/crates/anvil_gateway/src/dialect.rs
+++ b/crates/anvil_gateway/src/dialect.rs
@@ -57,6 +57,11 @@
 }
 
 impl RequestHead {
+    /// Whether it takes up a stream that its client has in part.
+    pub fn takes_up(&self) -> bool {
+        self.resume_after.is_some() || self.first_attempt.is_some()
+    }
+
     /// Maximum tokens of output that it states; 0 if it states none.
     pub fn max_output(&self) -> Tokens {
         self.model_work.as_ref().map_or(0, |work| work.max_output)
--- a/crates/anvil_gateway/src/exchange/take_up.rs
+++ b/crates/anvil_gateway/src/exchange/take_up.rs
@@ -20,14 +20,11 @@
     /// If the client takes a stream up, restricts it to the service and version that began it. A stream
     /// whose version nobody knows is refused: any endpoint would be a guess.
     pub(super) async fn bind_taken_up(&mut self) -> Result<(), RequestRefusal> {
-        let (after, first) = (self.request.resume_after, &self.request.first_attempt);
-        let is_taken_up = after.is_some() || first.is_some();
-        if !is_taken_up || !self.route.retry_mode.is_stream() {
+        if !self.request.takes_up() || !self.route.retry_mode.is_stream() {
             return Ok(());
         }
-        self.trace
-            .step(format_args!("takes up {first:?} after {after:?}"));
         self.gw.metrics.count(metrics::STREAMS_TAKEN_UP);
+        let first = &self.request.first_attempt;
         let key = first.as_ref().map(|first| self.key_of(first));
         self.wait_for_first_list().await;
         let question = OriginQuestion {
