A candidate's votes count after its timeout, until it gives the term up

What callers saw: nothing yet; found by reading the change of the elections. Order of events: a voter grants its vote, its disk hangs, the candidate's timeout passes and it asks for pre-votes; the voter's disk goes on, its vote was dropped, and it refused pre-votes for up to 2.7 s, as it had voted. Change: while a replica that was a candidate asks for pre-votes, votes in the present term still count. It has not raised its term, and has voted for itself in it, so two leaders in one term stay impossible. Result: a_vote_that_arrives_after_the_election_timeout_counts is new; the tests of anvil_ledger pass.

--- a/crates/anvil_ledger/src/core/election.rs
+++ b/crates/anvil_ledger/src/core/election.rs
@@ -17,6 +17,9 @@
 
 impl Replica {
     /// Asks the other voters whether they would vote for this replica.
+    ///
+    /// If it is a candidate, votes in the present term still count: those of voters whose disks hang arrive
+    /// after its timeout, and these voters refuse pre-votes until they have seen how the election ends.
     pub(super) fn start_pre_vote(&mut self) {
         self.undecided_vote = None;
         self.wait_for_leader();
@@ -24,7 +27,12 @@
         if !self.is_voter() {
             return;
         }
-        self.role = Role::PreCandidate(Votes::from([self.id]));
+        let trial = Votes::from([self.id]);
+        let votes = match std::mem::replace(&mut self.role, Role::Follower) {
+            Role::Candidate(votes) | Role::PreCandidate { votes, .. } => votes,
+            Role::Follower | Role::Leader(_) => Votes::new(),
+        };
+        self.role = Role::PreCandidate { trial, votes };
         self.request_votes(self.hard.term + 1, true);
         self.count_votes();
     }
@@ -113,8 +121,12 @@
         }
         let next = self.hard.term + 1;
         match &mut self.role {
-            Role::PreCandidate(votes) if trial && term == next => votes.insert(from),
-            Role::Candidate(votes) if !trial && term == self.hard.term => votes.insert(from),
+            Role::PreCandidate { trial: votes, .. } if trial && term == next => votes.insert(from),
+            Role::Candidate(votes) | Role::PreCandidate { votes, .. }
+                if !trial && term == self.hard.term =>
+            {
+                votes.insert(from)
+            }
             _ => return,
         };
         self.count_votes();
@@ -126,8 +138,10 @@
                 .majority_satisfies(|id| votes.contains(&id))
         };
         match &self.role {
-            Role::PreCandidate(votes) if agreed(votes) => self.start_election(),
-            Role::Candidate(votes) if agreed(votes) => self.become_leader(),
+            Role::Candidate(votes) | Role::PreCandidate { votes, .. } if agreed(votes) => {
+                self.become_leader();
+            }
+            Role::PreCandidate { trial, .. } if agreed(trial) => self.start_election(),
             _ => {}
         }
     }
--- a/crates/anvil_ledger/src/core/replica.rs
+++ b/crates/anvil_ledger/src/core/replica.rs
@@ -74,7 +74,11 @@
 #[derive(Debug)]
 pub(super) enum Role {
     Follower,
-    PreCandidate(Votes),
+    PreCandidate {
+        trial: Votes,
+        /// Votes in an election of the present term that it has not given up.
+        votes: Votes,
+    },
     Candidate(Votes),
     Leader(Box<Leadership>),
 }
--- a/crates/anvil_ledger/tests/core_guards.rs
+++ b/crates/anvil_ledger/tests/core_guards.rs
@@ -492,6 +492,20 @@
     assert!(driver.replica.leads(), "its voters' syncs take as long");
 }
 
+/// Guards against a vote that is lost because its voter's disk hung: the candidate asks for pre-votes again
+/// meanwhile, and the voter refuses them as it has voted.
+#[test]
+fn a_vote_that_arrives_after_the_election_timeout_counts() {
+    let mut driver = Driver::new();
+    driver.advance_time(Duration::from_secs(6));
+    driver.vote(true);
+    driver.sync();
+    driver.advance_time(Duration::from_secs(4));
+    assert_eq!(driver.replica.term(), 4, "only a pre-vote");
+    driver.vote(false);
+    assert!(driver.replica.leads());
+}
+
 /// Guards against a leader behind lossy links that commits everything a third of a second late:
 /// never late enough to hand over for a single entry, but always too late for those who wait.
 #[test]
