--- a/crates/anvil_ledger/tests/failures.rs
+++ b/crates/anvil_ledger/tests/failures.rs
@@ -273,6 +273,18 @@
     }
 }
 
+/// Within which a deployment serves again after a loss.
+const RECOVERY: Duration = Duration::from_secs(12);
+
+/// A fleet with a leader, whose number is returned too, and from now on with slow disks only.
+fn fleet_with_slow_disks(seed: u64, replicas: usize) -> (Fleet, usize) {
+    let mut fleet = Fleet::with(short_timeouts(), seed, replicas);
+    fleet.run_for(Duration::from_secs(5));
+    let leader = fleet.leader().expect("a leader within five seconds");
+    fleet.conditions.slow_sync_rate = 1.0;
+    (fleet, leader)
+}
+
 /// Whether a leader stands that can commit.
 fn can_commit(fleet: &Fleet) -> bool {
     let leader = fleet.leader().map(|number| &fleet.instances[number]);
@@ -287,11 +299,8 @@
 fn slow_disks_everywhere_leave_the_ledger_its_leader() {
     for replicas in [3, 4, 5, 7] {
         for seed in 0..12 {
-            let mut fleet = Fleet::with(short_timeouts(), seed, replicas);
-            fleet.run_for(Duration::from_secs(5));
-            let leader = fleet.leader().expect("a leader within five seconds");
+            let (mut fleet, leader) = fleet_with_slow_disks(seed, replicas);
             let term = fleet.term(leader);
-            fleet.conditions.slow_sync_rate = 1.0;
             fleet.run_for(MINUTE);
             assert!(can_commit(&fleet), "{replicas}, seed {seed}");
             assert!(fleet.term(leader) <= term + 1, "{replicas}, seed {seed}");
@@ -304,14 +313,9 @@
 /// Guards against elections without end after the leader is lost while every disk is slow.
 #[test]
 fn a_lost_leader_is_replaced_while_every_disk_is_slow() {
-    /// Within which a deployment serves again after a loss.
-    const RECOVERY: Duration = Duration::from_secs(12);
     for replicas in [3, 4, 5, 7] {
         for seed in 0..12 {
-            let mut fleet = Fleet::with(short_timeouts(), seed, replicas);
-            fleet.run_for(Duration::from_secs(5));
-            let leader = fleet.leader().expect("a leader within five seconds");
-            fleet.conditions.slow_sync_rate = 1.0;
+            let (mut fleet, leader) = fleet_with_slow_disks(seed, replicas);
             fleet.crash(leader, false);
             let elected = fleet.run_until(RECOVERY, can_commit);
             assert!(elected, "{replicas}, seed {seed}");
@@ -324,13 +328,9 @@
 /// Guards against elections without end after all replicas lose power and come back with slow disks.
 #[test]
 fn replicas_with_slow_disks_that_start_together_elect_a_leader() {
-    /// Within which a deployment serves again after a loss.
-    const RECOVERY: Duration = Duration::from_secs(12);
     for replicas in [3, 4, 5, 7] {
         for seed in 0..12 {
-            let mut fleet = Fleet::with(short_timeouts(), seed, replicas);
-            fleet.run_for(Duration::from_secs(5));
-            fleet.conditions.slow_sync_rate = 1.0;
+            let (mut fleet, _) = fleet_with_slow_disks(seed, replicas);
             (0..replicas).for_each(|number| fleet.crash(number, true));
             fleet.run_for(Duration::from_millis(10));
             (0..replicas).for_each(|number| fleet.start(number));
