Routers that can't read the list come back by rank, not all at once

What callers see: after the platform has refused or lost its list for a while, a large fleet gets no list again, so endpoints that left stay in use and new ones don't come.

Cause: every router repeated a failed reading within 3.2 to 4.8 s. A thousand of them make more calls than the platform accepts, each reading needs all of its pages, and so hardly any is complete.

Change: routers that are not among the first five wait at least as long as four calls of every router take at the allowed rate, doubled with each failure, a minute at most. The first five come back as before, and their list is passed on.

No bound was changed.

--- a/crates/anvil_gateway/src/list/discovery.rs
+++ b/crates/anvil_gateway/src/list/discovery.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use anvil_policy::crash::Evidence;
-use anvil_policy::list_turn::{ListAges, RefreshStep, is_reader, next_step, pause_after_failures};
+use anvil_policy::list_turn::{ListAges, RefreshStep, is_reader, next_step};
 use anvil_wire::WireError;
 use anvil_wire::msg::{ListCall, ListReply, ListRequest, ListedEndpoint};
 use anvil_world::prelude::*;
@@ -87,7 +87,7 @@
         let (position, count) = (tree.position(&gw.cfg.id), tree.count());
         let skipped = gw.siblings.skipped_at(gw.lifecycle.now());
         let source = tree.source(&gw.cfg.id, |id| skipped.contains(id));
-        let ages = ListAges::new(gw.cfg.max_list_age, count, gw.cfg.list.calls_per_second);
+        let ages = list_ages(gw, count);
         let age = self.list_age(gw, &ages, position);
         match next_step((position, count), source, &ages, age, self.jitter) {
             RefreshStep::Read(at) => {
@@ -146,9 +146,11 @@
 
     /// Waits before the platform is called again; meanwhile a sibling may have a newer list.
     async fn pause_after_failure(&mut self, gw: &Gateway) {
-        let pause = pause_after_failures(self.failed_reads, rand::random());
         let started = Instant::now();
         let tree = gw.siblings.tree();
+        let ages = list_ages(gw, tree.count());
+        let position = tree.position(&gw.cfg.id);
+        let pause = ages.pause_after_failures(position, self.failed_reads, rand::random());
         let skipped = gw.siblings.skipped_at(gw.lifecycle.now());
         let sibling = tree.substitute_source(&gw.cfg.id, |id| skipped.contains(id));
         if let Some(sibling) = sibling {
@@ -225,6 +227,10 @@
     Ok(gw.list_cache.apply_reply(asked_at, reply))
 }
 
+fn list_ages(gw: &Gateway, gateways: usize) -> ListAges {
+    ListAges::new(gw.cfg.max_list_age, gateways, gw.cfg.list.calls_per_second)
+}
+
 fn skip_sibling(gw: &Gateway, sibling: &InstanceId, reason: &str) {
     gw.siblings.mark_skipped(sibling, gw.lifecycle.now());
     event!(
--- a/crates/anvil_policy/src/list_turn.rs
+++ b/crates/anvil_policy/src/list_turn.rs
@@ -60,14 +60,10 @@
 const FAILED_READ_PAUSE: Duration = Duration::from_millis(400);
 /// Longest pause after failed readings, without its random part.
 const MAX_FAILED_READ_PAUSE: Duration = Duration::from_millis(3_200);
-
-/// Pause after this many readings in a row have failed; up to half is added at random. `jitter`
-/// lies between 0 and 1.
-pub fn pause_after_failures(failed_reads: u32, jitter: f64) -> Duration {
-    let doubled = 2_u32.saturating_pow(failed_reads.saturating_sub(1));
-    let pause = FAILED_READ_PAUSE.saturating_mul(doubled);
-    pause.min(MAX_FAILED_READ_PAUSE).mul_f64(1.0 + jitter / 2.0)
-}
+/// Calls of one reading, for the pause of routers that may never have read the list.
+const EXPECTED_PAGES: u32 = 4;
+/// Longest pause of routers that are not among the first, without its random part.
+const MAX_SPREAD_PAUSE: Duration = Duration::from_mins(1);
 
 impl ListAges {
     /// Ages for this many routers and a list that a router must not keep for longer than `must_read`
@@ -106,6 +102,30 @@
         }
     }
 
+    /// Pause of the router at this position after this many readings in a row have failed; up to half
+    /// is added at random. `jitter` lies between 0 and 1.
+    ///
+    /// Readings have several pages. If all routers together repeat them faster than the platform
+    /// accepts calls, hardly any reading is complete, and nobody gets a list. So only the first
+    /// routers come back sooner than after the time that a reading by all takes.
+    pub fn pause_after_failures(
+        &self,
+        position: usize,
+        failed_reads: u32,
+        jitter: f64,
+    ) -> Duration {
+        let doubled = 2_u32.saturating_pow(failed_reads.saturating_sub(1));
+        let pause = FAILED_READ_PAUSE.saturating_mul(doubled);
+        let pause = pause.min(MAX_FAILED_READ_PAUSE);
+        let least = if is_reader(position) {
+            Duration::ZERO
+        } else {
+            let spread = self.spread.saturating_mul(EXPECTED_PAGES);
+            spread.saturating_mul(doubled).min(MAX_SPREAD_PAUSE)
+        };
+        pause.max(least).mul_f64(1.0 + jitter / 2.0)
+    }
+
     /// Age until which a router that has a copy of this age waits for a sibling's reply.
     pub fn request_until(&self, age: Duration) -> Duration {
         let expected = self.must_read.mul_f64(LIST_EXPECTED);
--- a/crates/anvil_policy/tests/list_turn.rs
+++ b/crates/anvil_policy/tests/list_turn.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use anvil_policy::list_turn::{ListAges, ListTree, RefreshStep, next_step, pause_after_failures};
+use anvil_policy::list_turn::{ListAges, ListTree, RefreshStep, next_step};
 use anvil_world::prelude::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -93,10 +93,14 @@
 impl Fleet {
     /// Routers in six zones that have just started.
     fn of(count: usize) -> Self {
+        Self::with_seed(count, 7)
+    }
+
+    fn with_seed(count: usize, seed: u64) -> Self {
         let ids: Vec<InstanceId> = (0..count).map(|n| format!("router-{n}").into()).collect();
         let zone = |n: usize| -> ZoneId { format!("zone-{}", n % 6).into() };
         let tree = ListTree::new(ids.iter().enumerate().map(|(n, id)| (id.clone(), zone(n))));
-        let mut rng = StdRng::seed_from_u64(7);
+        let mut rng = StdRng::seed_from_u64(seed);
         let router = |id: &InstanceId| Router {
             id: id.clone(),
             fault: Fault::None,
@@ -123,7 +127,11 @@
 
     /// A fleet that has run for a while.
     fn settled(count: usize) -> Self {
-        let mut fleet = Self::of(count);
+        Self::settled_with_seed(count, 7)
+    }
+
+    fn settled_with_seed(count: usize, seed: u64) -> Self {
+        let mut fleet = Self::with_seed(count, seed);
         fleet.simulate(Duration::from_secs(6));
         fleet.restart_counts();
         fleet
@@ -239,9 +247,11 @@
         let is_accepted =
             self.credit >= 1.0 && !self.refuses_all && self.routers[number].fault != Fault::NoList;
         if !is_accepted {
+            let (ages, jitter) = (self.ages(), self.rng.random());
             let router = &mut self.routers[number];
             router.failed_reads += 1;
-            let pause = pause_after_failures(router.failed_reads, self.rng.random());
+            let position = self.positions[number];
+            let pause = ages.pause_after_failures(position, router.failed_reads, jitter);
             let id = self.routers[number].id.clone();
             let next = self.tree.substitute_source(&id, |_| false);
             let until = self.now + pause;
@@ -332,7 +342,15 @@
 /// Guards against a storm of calls that keeps itself going: refused readings cause more readings.
 #[test]
 fn fleet_whose_copies_are_all_too_old_recovers() {
-    let mut fleet = Fleet::settled(1_000);
+    std::thread::scope(|scope| {
+        for seed in [1, 2, 7] {
+            scope.spawn(move || assert_recovers_from_refusals(seed));
+        }
+    });
+}
+
+fn assert_recovers_from_refusals(seed: u64) {
+    let mut fleet = Fleet::settled_with_seed(1_000, seed);
     fleet.refuses_all = true;
     fleet.simulate(Duration::from_secs(20));
     fleet.refuses_all = false;
