A substitute reads the list when its time has come

Cause: a router that got no newer list from its sibling paused for 50 ms whenever its own reading was due. The first substitute read at 485 ms in place of 432, and the second one, due at 480, at 505, before it had been given the list: both read each time. With the maximum age of 1.6 s that some deployments have the same holds; from about 1.7 s on it doesn't.

Change: the pause ends when the router's own reading is due; it is decided in anvil_policy::list_turn, which the model of the fleet uses as well (it had a pause of its own).

--- a/crates/anvil_gateway/src/list/discovery.rs
+++ b/crates/anvil_gateway/src/list/discovery.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use anvil_policy::crash::Evidence;
-use anvil_policy::list_turn::{ListAges, RefreshStep, is_reader, next_step};
+use anvil_policy::list_turn::{ListAges, RefreshStep, is_reader, next_step, pause_before_request};
 use anvil_wire::WireError;
 use anvil_wire::msg::{ListCall, ListReply, ListRequest, ListedEndpoint};
 use anvil_world::prelude::*;
@@ -29,8 +29,16 @@
 const REREAD_PAUSE: Duration = Duration::from_millis(250);
 /// Time allowed for a sibling's reply to arrive.
 const TRANSIT_TIME: Duration = Duration::from_millis(200);
-/// Pause after a reply without a newer list.
-const NOTHING_NEWER_PAUSE: Duration = Duration::from_millis(50);
+/// What a request for the list came to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum SiblingReply {
+    /// A newer list.
+    Newer,
+    /// The sibling has none.
+    NothingNewer,
+    /// No reply in time.
+    Nothing,
+}
 
 /// State kept between two readings.
 struct Discovery {
@@ -99,8 +107,14 @@
                 self.read_from_platform(gw).await;
             }
             RefreshStep::RequestFrom(sibling, until) => {
+                let asked_at = Instant::now();
                 let within = until.saturating_sub(age);
-                self.request_from_sibling(gw, sibling, within).await;
+                let reply = self.request_from_sibling(gw, sibling, within).await;
+                if reply == SiblingReply::NothingNewer {
+                    let age = age.saturating_add(asked_at.elapsed());
+                    let read_at = ages.read_at(position, count, self.jitter);
+                    sleep(pause_before_request(read_at, age)).await;
+                }
             }
         }
     }
@@ -162,7 +176,12 @@
     }
 
     /// Requests a newer list from a sibling. A sibling that does not reply is skipped for a while.
-    async fn request_from_sibling(&mut self, gw: &Gateway, sibling: &InstanceId, within: Duration) {
+    async fn request_from_sibling(
+        &mut self,
+        gw: &Gateway,
+        sibling: &InstanceId,
+        within: Duration,
+    ) -> SiblingReply {
         let until = Instant::now() + within;
         let max_age = gw.list_cache.age().min(gw.cfg.max_list_age) / 2;
         let newer = if self.is_wrong {
@@ -182,9 +201,13 @@
                 gw.metrics.count(metrics::LIST_FROM_SIBLING);
                 self.record_newer(gw, sibling);
                 apply_newest(gw, 0);
+                SiblingReply::Newer
+            }
+            Ok(false) => SiblingReply::NothingNewer,
+            Err(e) => {
+                skip_sibling(gw, sibling, &e.to_string());
+                SiblingReply::Nothing
             }
-            Ok(false) => sleep(NOTHING_NEWER_PAUSE).await,
-            Err(e) => skip_sibling(gw, sibling, &e.to_string()),
         }
     }
 
--- a/crates/anvil_policy/src/list_turn.rs
+++ b/crates/anvil_policy/src/list_turn.rs
@@ -65,6 +65,15 @@
 /// Longest pause of routers that are not among the first, without its random part.
 const MAX_SPREAD_PAUSE: Duration = Duration::from_mins(1);
 
+/// Pause after a reply without a newer list.
+const NOTHING_NEWER_PAUSE: Duration = Duration::from_millis(50);
+
+/// Pause before a sibling is asked again that had no newer list. It ends when this router reads the
+/// list itself: a late reading would coincide with that of the next substitute.
+pub fn pause_before_request(read_at: Duration, age: Duration) -> Duration {
+    read_at.saturating_sub(age).min(NOTHING_NEWER_PAUSE)
+}
+
 impl ListAges {
     /// Ages for this many routers and a list that a router must not keep for longer than `must_read`
     /// without reading it again, if the platform accepts this many calls a second.
--- a/crates/anvil_policy/tests/list_turn.rs
+++ b/crates/anvil_policy/tests/list_turn.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use anvil_policy::list_turn::{ListAges, ListTree, RefreshStep, next_step};
+use anvil_policy::list_turn::{ListAges, ListTree, RefreshStep, next_step, pause_before_request};
 use anvil_world::prelude::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -298,7 +298,11 @@
         match newer {
             Some((as_of, _)) if responds => self.take_copy(number, as_of),
             _ if responds && now >= until => {
-                self.routers[number].activity = Activity::Pausing { until: now + TICK };
+                let position = self.positions[number];
+                let jitter = self.routers[number].jitter;
+                let read_at = self.ages().read_at(position, self.tree.count(), jitter);
+                let pause = pause_before_request(read_at, self.age(number));
+                self.routers[number].activity = Activity::Pausing { until: now + pause };
             }
             _ if now >= until + TRANSIT_TIME => {
                 let router = &mut self.routers[number];
@@ -441,3 +445,24 @@
     let age = fleet.age(isolated.expect("a known position"));
     assert!(age < MAX_AGE + SLACK, "{age:?}");
 }
+
+/// Guards against two routers that read the list each time after the first one has died: a substitute
+/// that reads late leaves the next one no time to receive its list.
+#[test]
+fn a_substitute_reads_when_its_time_has_come() {
+    let sibling: InstanceId = "sibling".into();
+    for max_age in [600, 1_600, 3_600].map(Duration::from_millis) {
+        let ages = ListAges::new(max_age, 8, RATE);
+        for position in 1..=4 {
+            let read_at = ages.read_at(position, 8, 0.5);
+            let mut age = Duration::ZERO;
+            while let RefreshStep::RequestFrom(_, until) =
+                next_step((position, 8), Some(&sibling), &ages, age, 0.5)
+            {
+                age = age.max(until);
+                age += pause_before_request(read_at, age);
+            }
+            assert_eq!(age, read_at, "substitute {position}, {max_age:?}");
+        }
+    }
+}
