A replica that lacks committed entries doesn't call its state current

What callers can see: a router goes on with an older routing table (refuses a route that is there, uses an old service) although a newer version was acknowledged, for as long as the replica that it follows is behind.

Cause: a replica that had heard its leader within the election timeout told its followers that they were current, whatever the leader had committed.

Change: a replica calls its state current only if it has applied everything that a leader has announced as committed, and its newest committed entry is of the present term. Otherwise it sends nothing, and its followers move on after half a second, as they do when it has lost its leader. Newer states are sent as before.

--- a/crates/anvil_ledger/src/core/follower.rs
+++ b/crates/anvil_ledger/src/core/follower.rs
@@ -53,6 +53,7 @@
         if !self.accept_leader(from, term, round)? {
             return Ok(());
         }
+        self.announced = self.announced.max(committed);
         // Entries up to the base are committed, so they are the same at the leader.
         let base = self.log.base();
         let known = prev.index < base.index || self.log.id_at(prev.index) == Some(prev);
--- a/crates/anvil_ledger/src/core/replica.rs
+++ b/crates/anvil_ledger/src/core/replica.rs
@@ -93,6 +93,8 @@
     pub(super) hard: HardState,
     pub(super) log: Log,
     pub(super) committed: LogIndex,
+    /// Newest position that a leader has announced as committed.
+    pub(super) announced: LogIndex,
     pub(super) applied: LogIndex,
     /// The membership at each position that changed it; the first one is committed.
     pub(super) memberships: Vec<(LogIndex, Membership)>,
@@ -157,6 +159,7 @@
             hard,
             log,
             committed,
+            announced: committed,
             applied: committed,
             memberships,
             snapshot,
@@ -305,6 +308,16 @@
         self.leads() || self.has_recent_leader_contact()
     }
 
+    /// Whether this replica is connected and holds all that was known to be committed in the present
+    /// term.
+    ///
+    /// A replica that hears the leader may lack entries, and a new leader may not know yet that an entry is
+    /// committed: until it has committed one of its own term, neither it nor its followers can tell.
+    pub fn is_current(&self) -> bool {
+        let term = self.log.term_at(self.committed);
+        self.is_connected() && self.committed >= self.announced && term == Some(self.hard.term)
+    }
+
     /// Whether this replica has to ask for membership.
     ///
     /// A leader that is cut off may add a new disk; that entry never commits, the next leader does
--- a/crates/anvil_ledger/src/core/snapshot.rs
+++ b/crates/anvil_ledger/src/core/snapshot.rs
@@ -39,6 +39,7 @@
         if !self.accept_leader(from, term, round)? {
             return Ok(());
         }
+        self.announced = self.announced.max(meta.last.index);
         if self.log.id_at(meta.last.index) == Some(meta.last) || meta.last.index <= self.committed {
             // All entries covered by the snapshot are held already.
             self.verified = self
--- a/crates/anvil_ledger/tests/core_guards.rs
+++ b/crates/anvil_ledger/tests/core_guards.rs
@@ -5,7 +5,7 @@
 
 use anvil_ledger::core::{
     Action, CoreSettings, Entry, EntryId, Envelope, Event, HardState, Membership, Message, Payload,
-    Proposal, Replica, ReplicaId, Restored, Site,
+    Proposal, Replica, ReplicaId, Restored, Site, SnapshotMeta,
 };
 
 const ME: ReplicaId = 1;
@@ -538,3 +538,67 @@
         "keeps leading with slow entries in a row"
     );
 }
+
+/// Guards against routers that keep an older table in force: a replica that hears its leader, but lacks
+/// entries that the leader has committed, must not call its state current.
+#[test]
+fn a_replica_that_lacks_committed_entries_is_not_current() {
+    let append = |prev, entries, committed| Message::Append {
+        term: 4,
+        prev,
+        entries,
+        committed,
+        round: 0,
+    };
+    let mut driver = Driver::new();
+    let missing = EntryId { term: 4, index: 9 };
+    driver.receive_message(2, append(missing, Vec::new(), 9));
+    assert!(driver.replica.is_connected());
+    assert!(!driver.replica.is_current());
+
+    let entries = (3..=9)
+        .map(|index| entry(4, index, Payload::Data("new".into())))
+        .collect();
+    let last = EntryId { term: 2, index: 2 };
+    driver.receive_message(2, append(last, entries, 9));
+    assert!(driver.replica.is_current());
+
+    let meta = SnapshotMeta {
+        last: EntryId { term: 4, index: 20 },
+        membership: membership(),
+    };
+    let offer = Message::Offer {
+        term: 4,
+        meta: meta.into(),
+        round: 0,
+    };
+    driver.receive_message(2, offer);
+    assert!(driver.replica.is_connected());
+    assert!(!driver.replica.is_current());
+}
+
+/// Guards against followers that call an older state current right after an election: the new leader may
+/// not know yet which entries its predecessor committed.
+#[test]
+fn a_new_leader_and_its_followers_are_current_from_its_first_commit_on() {
+    let mut leader = Driver::leading();
+    assert!(!leader.replica.is_current());
+    leader.ack(2, 3, 0);
+    assert!(leader.replica.is_current());
+
+    let append = |prev, entries, committed| Message::Append {
+        term: 4,
+        prev,
+        entries,
+        committed,
+        round: 0,
+    };
+    let mut follower = Driver::new();
+    let last = EntryId { term: 2, index: 2 };
+    let first = entry(4, 3, Payload::Data("new".into()));
+    follower.receive_message(2, append(last, vec![first.clone()], 2));
+    assert!(follower.replica.is_connected());
+    assert!(!follower.replica.is_current());
+    follower.receive_message(2, append(first.id, Vec::new(), 3));
+    assert!(follower.replica.is_current());
+}
--- a/crates/anvilreel/src/ledger_service/handlers.rs
+++ b/crates/anvilreel/src/ledger_service/handlers.rs
@@ -146,18 +146,19 @@
 }
 
 /// The changes since the follower's version, or `Current` if there are none. Returns `None` while
-/// the replica is disconnected or behind the follower, so that the follower moves to another one.
+/// the replica is disconnected, lacks committed entries or is behind the follower, so that the
+/// follower moves to another one.
 async fn next_frame(
     replica: &ReplicaHandle,
     status: &watch::Receiver<ReplicaStatus>,
     follower: &Follower,
 ) -> Result<Option<FollowFrame>, WireError> {
-    let (version, connected) = {
-        let current_status = status.borrow();
-        (current_status.version, current_status.connected)
+    let (version, current) = {
+        let status = status.borrow();
+        (status.version, status.current)
     };
     let is_newer = version > follower.version;
-    let is_current = connected && version == follower.version;
+    let is_current = current && version == follower.version;
     if !is_newer && !is_current {
         return Ok(None);
     }
--- a/crates/anvilreel/src/ledger_service/replica_task/status.rs
+++ b/crates/anvilreel/src/ledger_service/replica_task/status.rs
@@ -20,6 +20,8 @@
     pub version: LogIndex,
     /// Whether the leader (or, at the leader, a majority) has responded recently.
     pub connected: bool,
+    /// Whether the applied state is the newest one that the leader knows to be committed.
+    pub current: bool,
     /// Addresses of the other replicas.
     pub peers: BTreeMap<ReplicaId, SocketAddr>,
     /// This replica's address in the membership, if it is a voter.
@@ -67,6 +69,7 @@
         let status = ReplicaStatus {
             version: self.machine.state.version(),
             connected: self.replica.is_connected() && !self.stopped,
+            current: self.replica.is_current() && !self.stopped,
             peers: others.map(|(id, site)| (id, site.addr)).collect(),
             voter_addr: self.listed_addr(),
             needs_to_join: self.replica.needs_to_join(),
--- a/crates/anvilreel/tests/ledger_service/followers.rs
+++ b/crates/anvilreel/tests/ledger_service/followers.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, SystemTime};
 
 use anvil_ledger::core::CoreSettings;
+use anvil_ledger::storage::snapshot;
 use anvil_wire::Channel;
 use anvil_wire::msg::{
     FollowEvent, FollowScope, LedgerCall, LedgerReply, LedgerRequest, Query, QueryAnswer,
@@ -11,9 +12,12 @@
 use anvil_world::prelude::*;
 use anvilreel::ledger_client::LedgerClient;
 use anvilreel::watcher::ReplicaWatcher;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
-use crate::cluster::{Cluster, Failure, TEST_TIMEOUT, declare_budget, free_addr, put};
+use crate::cluster::{Cluster, Failure, TEST_TIMEOUT, declare_budget, free_addr, put, top_up};
+
+/// Entries after which the replicas of the tests take a snapshot.
+const SNAPSHOT_ENTRIES: u64 = 200;
 
 /// Guards against followers that miss changes: at each replica, a router receives all documents
 /// first, then each change with a higher version.
@@ -91,6 +95,61 @@
     Ok(())
 }
 
+/// Guards against routers that keep an older routing table in force although a newer one was
+/// acknowledged: their replica hears the leader, lacks entries, and can't fetch a snapshot for now.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_that_lacks_entries_ends_its_follow_streams() -> Result<(), Failure> {
+    let mut cluster = Cluster::start(3).await?;
+    declare_budget(&cluster).await?;
+    let behind = (cluster.leader().await? + 1) % 3;
+    propose_top_ups(&cluster, 0..SNAPSHOT_ENTRIES).await?;
+    wait_for_snapshot(&cluster, behind).await?;
+    cluster.stop(behind).await;
+    propose_top_ups(&cluster, SNAPSHOT_ENTRIES..3 * SNAPSHOT_ENTRIES).await?;
+    for other in (0..3).filter(|other| *other != behind) {
+        wait_for_snapshot(&cluster, other).await?;
+        std::fs::remove_file(cluster.settings(other).data.join(snapshot::NAME))?;
+    }
+    cluster.run(behind).await?;
+    // Longer than the replica needs to hear from the leader.
+    sleep(Duration::from_secs(1)).await;
+
+    let follow = LedgerRequest::Follow {
+        instance: "router-1".into(),
+        interest: FollowScope::Router,
+        version: 0,
+    };
+    let channel = Channel::new(cluster.peers[behind].addr);
+    let mut replies = channel.open::<LedgerCall>(&follow).await?;
+    let stream_end = async {
+        while let Some(reply) = replies.next().await? {
+            let confirms = matches!(reply, LedgerReply::Follow(FollowEvent::Current { .. }));
+            assert!(!confirms, "an older state is called current");
+        }
+        Ok::<(), Failure>(())
+    };
+    timeout(TEST_TIMEOUT, stream_end).await??;
+    cluster.stop_all().await;
+    Ok(())
+}
+
+async fn propose_top_ups(cluster: &Cluster, numbers: std::ops::Range<u64>) -> Result<(), Failure> {
+    for number in numbers {
+        cluster.propose(top_up(number)).await?;
+    }
+    Ok(())
+}
+
+async fn wait_for_snapshot(cluster: &Cluster, number: usize) -> Result<(), Failure> {
+    let file = cluster.settings(number).data.join(snapshot::NAME);
+    let written = async {
+        while !file.exists() {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    Ok(timeout(TEST_TIMEOUT, written).await?)
+}
+
 /// Guards against new commands that wait behind copies of a large routing table, which an operator
 /// resends after its acknowledgement was lost. A table that is in force is acknowledged without a
 /// log entry.
