A pause of a replica's own process isn't silence of the others

The traces show two fleets that lost their majorities within 0.13 s, so the machine stood still for a third of a second.

Cause: the first thing that a leader does after such a pause is a tick. It has heard nobody for 350 ms, since nobody ran and nothing was read, and steps down; followers become candidates in the same way. Then a term or two pass without a leader.

Two tests of the core are red without the change (core_guards, a_leader_that_did_not_run... and a_follower_that_did_not_run...).

Change: ticks tell how long this process did not run. After a pause of one to six heartbeat intervals, a leader waits for answers and a follower for its heartbeats, for the length of the pause but two intervals at most; the sum counts until the others are heard, so that repeated pauses hide no loss. After a longer pause the others have a leader, and all is as before.

Weighed: a whole election timeout in place of two intervals.

--- a/crates/anvil_ledger/src/core.rs
+++ b/crates/anvil_ledger/src/core.rs
@@ -21,6 +21,7 @@
 pub mod membership;
 mod membership_change;
 pub mod message;
+mod own_pauses;
 mod read;
 pub mod replica;
 mod snapshot;
--- a/crates/anvil_ledger/src/core/follower.rs
+++ b/crates/anvil_ledger/src/core/follower.rs
@@ -34,6 +34,7 @@
         self.leader = Some(from);
         self.record_leader();
         self.last_leader_contact = Some(self.now);
+        self.own_pauses.others_heard();
         self.fast_election_until = Duration::ZERO;
         self.newest_round = self.newest_round.max(round);
         self.wait_for_leader();
--- a/crates/anvil_ledger/src/core/leader.rs
+++ b/crates/anvil_ledger/src/core/leader.rs
@@ -68,7 +68,9 @@
     /// Periodic work of a leader: steps down if it has to, advances membership changes, sends
     /// heartbeats.
     pub(super) fn tick_leader(&mut self) {
-        if !self.majority_responds() {
+        if self.majority_responds() {
+            self.own_pauses.others_heard();
+        } else if self.now >= self.majority_awaited_until {
             // A leader that is cut off would go on accepting proposals and reads that are never
             // confirmed. It steps down within one election timeout, and waiting callers learn that
             // their outcome is in doubt.
@@ -165,7 +167,7 @@
         self.candidacy_paused_until = Some(self.election_deadline);
     }
 
-    fn majority_responds(&self) -> bool {
+    pub(super) fn majority_responds(&self) -> bool {
         self.leads()
             && self
                 .membership()
--- a/crates/anvil_ledger/src/core/replica.rs
+++ b/crates/anvil_ledger/src/core/replica.rs
@@ -11,6 +11,7 @@
 use super::election::Votes;
 use super::leadership::Leadership;
 use super::log::Log;
+use super::own_pauses::OwnPauses;
 use super::sync_times::SyncTimes;
 use super::write::{HeldMessage, Writes};
 use super::{
@@ -115,6 +116,9 @@
     /// received a message from a leader.
     pub(super) fast_election_until: Duration,
     pub(super) election_deadline: Duration,
+    pub(super) own_pauses: OwnPauses,
+    /// Until when this replica leads although no majority has responded, after a pause of its own.
+    pub(super) majority_awaited_until: Duration,
     /// Position up to which the log is known to match the present leader's.
     pub(super) verified: LogIndex,
     /// The leader's newest read confirmation round.
@@ -173,6 +177,8 @@
             last_leader_contact: None,
             fast_election_until: now + STARTUP_ELECTION_TIMEOUTS * cfg.election_timeout,
             election_deadline: now,
+            own_pauses: OwnPauses::since(now),
+            majority_awaited_until: now,
             verified: 0,
             newest_round: 0,
             writes: Writes::new(last),
@@ -230,6 +236,7 @@
     }
 
     fn tick(&mut self) {
+        self.allow_for_own_pause();
         if matches!(self.role, Role::Leader(_)) {
             self.tick_leader();
         } else if self.now >= self.election_deadline && !self.writes.hard_pending() {
@@ -237,6 +244,21 @@
         }
     }
 
+    /// Waits longer for the others after a pause of this process.
+    fn allow_for_own_pause(&mut self) {
+        let interval = self.cfg.heartbeat_interval;
+        let allowance = self.own_pauses.allowance(self.now, interval);
+        if allowance.is_zero() {
+            return;
+        }
+        let until = self.now + allowance;
+        if self.leads() {
+            self.majority_awaited_until = until;
+        } else if self.now >= self.election_deadline {
+            self.election_deadline = until;
+        }
+    }
+
     fn receive(&mut self, envelope: Envelope) -> Result<(), CoreError> {
         let Envelope {
             ledger,
@@ -308,14 +330,19 @@
         self.leads() || self.has_recent_leader_contact()
     }
 
-    /// Whether this replica is connected and holds all that was known to be committed in the present
-    /// term.
+    /// Whether this replica is connected, as a leader to a majority, and holds all that is known to be committed
+    /// in the present term.
     ///
     /// A replica that hears the leader may lack entries, and a new leader may not know yet that an entry is
     /// committed: until it has committed one of its own term, neither it nor its followers can tell.
     pub fn is_current(&self) -> bool {
+        let hears_ledger = if self.leads() {
+            self.majority_responds()
+        } else {
+            self.has_recent_leader_contact()
+        };
         let term = self.log.term_at(self.committed);
-        self.is_connected() && self.committed >= self.announced && term == Some(self.hard.term)
+        hears_ledger && self.committed >= self.announced && term == Some(self.hard.term)
     }
 
     /// Whether this replica has to ask for membership.
--- a/crates/anvil_ledger/tests/core_guards.rs
+++ b/crates/anvil_ledger/tests/core_guards.rs
@@ -602,3 +602,68 @@
     follower.receive_message(2, append(first.id, Vec::new(), 3));
     assert!(follower.replica.is_current());
 }
+
+/// An election timeout that ends within a pause that counts as one.
+fn short_timeout() -> CoreSettings {
+    CoreSettings {
+        election_timeout: Duration::from_millis(300),
+        ..CoreSettings::default()
+    }
+}
+
+/// Guards against a ledger without a leader because a whole machine stood still: the leader has heard nobody
+/// meanwhile, although the others are there.
+#[test]
+fn a_leader_that_did_not_run_gives_the_others_time_to_respond() {
+    let mut driver = Driver::with(short_timeout());
+    driver.win_election();
+    driver.advance_with_acks(200, 3);
+    driver.advance_time(Duration::from_millis(400));
+    driver.ack(2, 3, 0);
+    driver.advance_time(Duration::from_millis(50));
+    assert!(driver.replica.leads());
+    assert!(!driver.actions.contains(&Action::Deposed));
+}
+
+/// Guards against a leader without a majority that pauses again and again and never steps down.
+#[test]
+fn a_leader_that_pauses_again_and_again_steps_down_without_a_majority() {
+    let mut driver = Driver::with(short_timeout());
+    driver.win_election();
+    driver.advance_with_acks(200, 3);
+    for _ in 0..4 {
+        driver.advance_time(Duration::from_millis(250));
+    }
+    assert!(driver.actions.contains(&Action::Deposed));
+}
+
+/// Guards against an election although there is a leader: a follower that did not run has its heartbeats
+/// still to read.
+#[test]
+fn a_follower_that_did_not_run_reads_its_heartbeats_first() {
+    let mut driver = Driver::with(short_timeout());
+    let heartbeat = |driver: &mut Driver| {
+        driver.receive_message(
+            2,
+            Message::Append {
+                term: 4,
+                prev: EntryId { term: 2, index: 2 },
+                entries: Vec::new(),
+                committed: 2,
+                round: 0,
+            },
+        );
+    };
+    heartbeat(&mut driver);
+    driver.sync();
+    driver.advance_time(Duration::from_millis(20));
+    driver.actions.clear();
+    driver.advance_time(Duration::from_millis(600));
+    heartbeat(&mut driver);
+    driver.advance_time(Duration::from_millis(20));
+    let asks_for_votes = |action: &Action| {
+        matches!(action, Action::Send(envelope)
+            if matches!(envelope.message, Message::AskVote { .. }))
+    };
+    assert!(!driver.actions.iter().any(asks_for_votes));
+}
