--- a/crates/anvil_ledger/tests/core_guards.rs
+++ b/crates/anvil_ledger/tests/core_guards.rs
@@ -31,6 +31,17 @@
     Entry { id, payload }
 }
 
+/// Entries or a heartbeat from a leader.
+fn append(term: u64, prev: EntryId, entries: Vec<Entry>, committed: u64) -> Message {
+    Message::Append {
+        term,
+        prev,
+        entries,
+        committed,
+        round: 0,
+    }
+}
+
 /// A replica in term 3 whose last entry is of term 2.
 fn restored() -> Restored {
     Restored {
@@ -290,22 +301,16 @@
 #[test]
 fn a_new_term_resets_the_verified_position() {
     let mut driver = Driver::new();
-    let append_message = |term, entries, committed| Message::Append {
-        term,
-        prev: EntryId { term: 2, index: 2 },
-        entries,
-        committed,
-        round: 0,
-    };
+    let last = EntryId { term: 2, index: 2 };
     let uncommitted = entry(3, 3, Payload::Data("unsettled".into()));
-    driver.receive_message(3, append_message(3, vec![uncommitted], 0));
+    driver.receive_message(3, append(3, last, vec![uncommitted], 0));
     driver.sync();
     driver.advance_time(Duration::from_secs(3));
     driver.vote(true);
     driver.sync();
     assert_eq!(driver.replica.term(), 4);
     driver.actions.clear();
-    driver.receive_message(2, append_message(4, Vec::new(), 3));
+    driver.receive_message(2, append(4, last, Vec::new(), 3));
     let acked_positions = driver.actions.iter().filter_map(|action| match action {
         Action::Send(Envelope {
             message: Message::Ack { matched, .. },
@@ -543,16 +548,9 @@
 /// entries that the leader has committed, must not call its state current.
 #[test]
 fn a_replica_that_lacks_committed_entries_is_not_current() {
-    let append = |prev, entries, committed| Message::Append {
-        term: 4,
-        prev,
-        entries,
-        committed,
-        round: 0,
-    };
     let mut driver = Driver::new();
     let missing = EntryId { term: 4, index: 9 };
-    driver.receive_message(2, append(missing, Vec::new(), 9));
+    driver.receive_message(2, append(4, missing, Vec::new(), 9));
     assert!(driver.replica.is_connected());
     assert!(!driver.replica.is_current());
 
@@ -560,7 +558,7 @@
         .map(|index| entry(4, index, Payload::Data("new".into())))
         .collect();
     let last = EntryId { term: 2, index: 2 };
-    driver.receive_message(2, append(last, entries, 9));
+    driver.receive_message(2, append(4, last, entries, 9));
     assert!(driver.replica.is_current());
 
     let meta = SnapshotMeta {
@@ -586,20 +584,13 @@
     leader.ack(2, 3, 0);
     assert!(leader.replica.is_current());
 
-    let append = |prev, entries, committed| Message::Append {
-        term: 4,
-        prev,
-        entries,
-        committed,
-        round: 0,
-    };
     let mut follower = Driver::new();
     let last = EntryId { term: 2, index: 2 };
     let first = entry(4, 3, Payload::Data("new".into()));
-    follower.receive_message(2, append(last, vec![first.clone()], 2));
+    follower.receive_message(2, append(4, last, vec![first.clone()], 2));
     assert!(follower.replica.is_connected());
     assert!(!follower.replica.is_current());
-    follower.receive_message(2, append(first.id, Vec::new(), 3));
+    follower.receive_message(2, append(4, first.id, Vec::new(), 3));
     assert!(follower.replica.is_current());
 }
 
@@ -642,18 +633,8 @@
 #[test]
 fn a_follower_that_did_not_run_reads_its_heartbeats_first() {
     let mut driver = Driver::with(short_timeout());
-    let heartbeat = |driver: &mut Driver| {
-        driver.receive_message(
-            2,
-            Message::Append {
-                term: 4,
-                prev: EntryId { term: 2, index: 2 },
-                entries: Vec::new(),
-                committed: 2,
-                round: 0,
-            },
-        );
-    };
+    let last = EntryId { term: 2, index: 2 };
+    let heartbeat = |driver: &mut Driver| driver.receive_message(2, append(4, last, Vec::new(), 2));
     heartbeat(&mut driver);
     driver.sync();
     driver.advance_time(Duration::from_millis(20));
