What bodies hold is counted from the first byte until nobody uses them

What callers see: clients send large bodies up to just before their end and stay; the process exceeds its memory and is ended (clients 101 to 110 MB of 80 MB, operators 205 to 296 MB).

Cause: a body counted from 256 kB on only, and only while it was read, not while its request waited or ran. The first frame was kept as it came: a slice of the HTTP library's read buffer, which stays as a whole. Operators' bodies were collected frame by frame without any sum. Nothing but the request's deadline ended a body that had stopped.

All bytes are copied together and count, from the first one until the last clone of the body is dropped (`Bytes::from_owner`); requests share a quarter of the memory, responses an eighth, of which 256 kB each are free, since they have run. Where there is no room, the unfinished body gives way that has held most for the longest time without progress, if it is worse than the one that asks, which is refused otherwise. So a caller at an ordinary pace doesn't lose to one that stops just short. A body of which nothing comes for the idle time ends with 408. While a large body is received and there is plenty of room, its socket has a larger receive buffer, which is counted too.

The tests of whole_body moved along: the same checks on responses, new ones for what counts how long and who gives way.

--- a/crates/anvil_gateway/src/accept/client_socket.rs
+++ b/crates/anvil_gateway/src/accept/client_socket.rs
@@ -11,7 +11,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::task::{Context, Poll};
 
+use anvil_http::limits::{LARGE_RECEIVE_BUFFER_BYTES, RECEIVE_BUFFER_BYTES};
 use rustix::io::Errno;
+use rustix::net::sockopt::set_socket_recv_buffer_size;
 use rustix::net::{RecvFlags, Shutdown, recv, shutdown};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -114,6 +116,15 @@
         self.reads_slowly.load(Ordering::Relaxed)
     }
 
+    /// Enlarges the receive buffer of the socket until the guard is dropped.
+    pub fn widen_receive_buffer(&self) -> WideReceiveBuffer {
+        let wide = WideReceiveBuffer {
+            socket: self.socket.clone(),
+        };
+        wide.set_size(LARGE_RECEIVE_BUFFER_BYTES);
+        wide
+    }
+
     /// Ends the connection both ways, also while a write waits for the client to read.
     pub fn shut_down(&self) {
         if let Some(socket) = self.socket.upgrade() {
@@ -134,6 +145,26 @@
     }
 }
 
+/// A receive buffer that is large until this is dropped.
+pub struct WideReceiveBuffer {
+    socket: Weak<Mutex<TcpStream>>,
+}
+
+impl WideReceiveBuffer {
+    fn set_size(&self, bytes: u32) {
+        if let Some(socket) = self.socket.upgrade() {
+            // If it can't be set, the connection is only slower, or as large as it is.
+            let _ = set_socket_recv_buffer_size(&*lock(&socket), bytes as usize);
+        }
+    }
+}
+
+impl Drop for WideReceiveBuffer {
+    fn drop(&mut self) {
+        self.set_size(RECEIVE_BUFFER_BYTES);
+    }
+}
+
 /// Looks at a socket without reading from it. Asks the kernel and not the runtime, which learns of
 /// new data and closed connections only between tasks.
 fn peek(socket: &TcpStream) -> SocketState {
--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvil_http::{BodyError, BodyLimits, read_whole};
 use anvil_policy::held_prompt::LostAttempt;
 use anvil_world::prelude::*;
 use anvilreel::money::Shortage;
@@ -27,9 +28,8 @@
 use crate::shared_content::{self, SharedContent};
 use crate::stage_times::Stage;
 use crate::suspects::RequestContents;
-use crate::table::{Organisation, Route, RouteTable};
+use crate::table::{Limits, Organisation, Route, RouteTable};
 use crate::trace::Trace;
-use crate::whole_body::{BodyError, read_whole};
 
 /// Retry-after time if another gateway may serve the request: at once.
 const RETRY_ELSEWHERE_AFTER: Duration = Duration::from_millis(20);
@@ -54,7 +54,11 @@
         }
     };
     let mut trace = Trace::new(gw.clone(), request.id.clone(), received_at);
-    let admission = admit(gw, head, body, request, received_at, &mut trace);
+    let incoming = IncomingBody {
+        body,
+        client: &client,
+    };
+    let admission = admit(gw, head, incoming, request, received_at, &mut trace);
     match gw.refuse_before_close(admission).await {
         Ok(admitted) => {
             let exchange = admitted.into_exchange(gw.clone(), client, trace);
@@ -127,7 +131,7 @@
 async fn admit(
     gw: &Arc<Gateway>,
     head: request::Parts,
-    body: Incoming,
+    incoming: IncomingBody<'_>,
     request: RequestHead,
     received_at: Instant,
     trace: &mut Trace,
@@ -149,9 +153,9 @@
     if deadline <= Instant::now() {
         return Err((Cause::Expired, DEFAULT_RETRY_AFTER));
     }
-    let expected = gw.sockets.link.expect(body.size_hint().lower());
+    let expected = gw.sockets.link.expect(incoming.body.size_hint().lower());
     trace.stages.enter(Stage::Body);
-    let body = read_body(gw, body, table.limits.body_bytes, deadline).await?;
+    let body = read_body(gw, incoming, table.limits, deadline).await?;
     trace.stages.enter(Stage::Other);
     drop(expected);
     // Not before the body is read: closing a connection with unread data resets it, and the refusal
@@ -240,21 +244,34 @@
     Ok(organisation.cloned())
 }
 
+/// The body of a request that its client is sending.
+struct IncomingBody<'a> {
+    body: Incoming,
+    client: &'a ClientConnection,
+}
+
 async fn read_body(
     gw: &Gateway,
-    body: Incoming,
-    max_bytes: usize,
+    incoming: IncomingBody<'_>,
+    limits: Limits,
     deadline: Instant,
 ) -> Result<Bytes, RequestRefusal> {
+    let IncomingBody { body, client } = incoming;
+    let max_bytes = limits.body_bytes;
     // A declared length over the limit is refused without reading the body.
     if body.size_hint().lower() > max_bytes as u64 {
         return Err((Cause::BodyTooLong, DEFAULT_RETRY_AFTER));
     }
-    let reading = read_whole(body, max_bytes, &gw.body_budget);
+    let limits = BodyLimits {
+        max_bytes,
+        idle_timeout: limits.idle_timeout,
+    };
+    let widen = || client.widen_receive_buffer();
+    let reading = read_whole(body, limits, &gw.request_bodies, widen);
     let read = timeout_at(deadline, reading).await;
     let cause = match read {
         Ok(Ok(body)) => return Ok(body),
-        Err(_) => Cause::BodyTimeout,
+        Err(_) | Ok(Err(BodyError::Stalled)) => Cause::BodyTimeout,
         Ok(Err(BodyError::TooLong)) => Cause::BodyTooLong,
         Ok(Err(BodyError::NoRoom)) => Cause::Overloaded,
         Ok(Err(BodyError::Broken)) => Cause::BadHead,
--- a/crates/anvil_gateway/src/exchange.rs
+++ b/crates/anvil_gateway/src/exchange.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvil_http::{BodyLimits, read_whole};
 use anvil_world::prelude::*;
 use anvil_world::suspect::CrashedRun;
 use anvilreel::event;
@@ -36,7 +37,6 @@
 use crate::stream_relay::StreamRelay;
 use crate::table::{Organisation, Route};
 use crate::trace::Trace;
-use crate::whole_body::read_whole;
 
 /// Longest non-streamed response body that is buffered, in bytes. Nothing reaches the client before
 /// the body is complete, so that a broken response can be requested again.
@@ -401,7 +401,12 @@
                 watch,
                 mut slot,
             } = response;
-            let reading = read_whole(body, MAX_BUFFERED_BODY_BYTES, &self.gw.body_budget);
+            let limits = BodyLimits {
+                max_bytes: MAX_BUFFERED_BODY_BYTES,
+                // The deadline ends it.
+                idle_timeout: self.time_left(),
+            };
+            let reading = read_whole(body, limits, &self.gw.response_bodies, || ());
             let read = timeout_at(self.deadline, reading).await;
             slot.response_started();
             if let Ok(Ok(body)) = read {
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -6,6 +6,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use anvil_http::MemoryBudget;
+use anvil_http::limits::{request_budget, response_budget};
 use anvil_policy::crash::CrashWatch;
 use anvil_policy::planned_stop::ResponseTimes;
 use anvil_policy::rate_share::{BurstTolerance, RouterRank};
@@ -38,7 +40,6 @@
 use crate::stream_origins::StreamOrigins;
 use crate::suspects::Suspects;
 use crate::table::RouteTable;
-use crate::whole_body::BodyBudget;
 
 /// Settings of a gateway.
 #[derive(Clone)]
@@ -155,8 +156,10 @@
     pub intake: Arc<IntakeStatus>,
     /// What streams have read ahead of their clients.
     pub(crate) read_ahead: Mutex<ReadAhead>,
-    /// What large bodies hold that are read whole.
-    pub(crate) body_budget: BodyBudget,
+    /// What the bodies of requests hold.
+    pub(crate) request_bodies: MemoryBudget,
+    /// What large bodies of responses hold that are read whole.
+    pub(crate) response_bodies: MemoryBudget,
     /// Requests in progress.
     pub open_requests: AtomicU32,
     /// How long responses recently took.
@@ -240,7 +243,8 @@
             sockets: SocketBudgets::new(&cfg.limits),
             intake: Arc::default(),
             read_ahead: Mutex::new(ReadAhead::new(cfg.limits.memory)),
-            body_budget: BodyBudget::new(cfg.limits.memory),
+            request_bodies: request_budget(cfg.limits.memory),
+            response_bodies: response_budget(cfg.limits.memory),
             open_requests: AtomicU32::new(0),
             response_times: Mutex::default(),
             is_grace_over: AtomicBool::new(false),
--- a/crates/anvil_gateway/src/lib.rs
+++ b/crates/anvil_gateway/src/lib.rs
@@ -12,8 +12,7 @@
 //! request to it, [`attempt_counter`] counts attempts, [`availability`] waits for a routing table
 //! or endpoints that are expected shortly, [`wait`] holds requests while no endpoint has room,
 //! [`stream_relay`] forwards a stream and resumes it at another endpoint, [`accept::client_socket`]
-//! shows whether its client reads fast enough, [`reply`] builds refusals, [`whole_body`] bounds
-//! bodies that are read whole. [`planned_stop`] keeps a gateway that is stopping from beginning what
+//! shows whether its client reads fast enough, [`reply`] builds refusals. [`planned_stop`] keeps a gateway that is stopping from beginning what
 //! it would have to cut off.
 //!
 //! Quarantine of requests that crash endpoints, and of what such requests have in common:
@@ -85,7 +84,6 @@
 pub mod version_reports;
 pub mod wait;
 pub mod warm_up;
-pub mod whole_body;
 pub mod zones;
 
 pub use gateway::{Gateway, GatewaySettings};
