A connection costs no more than is counted, at every HTTP listener

What callers see: heads over the limit, heads and empty lines without end and connections that send nothing make a process exceed its memory or its descriptors (clients 128 to 250 MB, metrics up to 188 MB, operators up to 173 MB of 80 MB; 1,611 descriptors of 1,200). A head over the limit reaches an endpoint; 300 short headers inside the limit are refused with 431.

Cause: `head_bytes` and `head_timeout` of the routing table were decoded and read by nobody. The HTTP library buffers 400 kB of a head, empty lines too, has place for 100 headers, and one timer for idling and for heads. Each listener set up its connections by itself. The kernel holds up to 130 kB unread of a connection that is new, and all but the clients' listener let in any number.

Change: anvil_http::serve_connection sets up the connections of all listeners of the platform's processes: clients, readiness, metrics, operators. Its socket lets the library read no more of a head than is allowed, and its state has the deadlines: of a head, of idling, of a client that doesn't read. What is ended is told why (431, 408 with Retry-After, 503 with Retry-After, "not_run"), and what is on its way is read for half a second, so that a reset doesn't take the refusal. Receive buffers are set to 8 kB, which the kernel doubles. All connections and requests count against a third of the memory; while it or the descriptors are used up, connections that have sent nothing, or a part of a head, for a second make room. The other listeners have 16 or 128 connections. A connection without a request doesn't hold the memory of one: the request's future is boxed.

--- a/crates/anvil_gateway/src/accept/client_listener.rs
+++ b/crates/anvil_gateway/src/accept/client_listener.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvil_http::{Admission, ConnectionLimits, listener};
 use anvil_policy::intake::{Intake, IntakeLoad};
 use anvil_world::prelude::*;
 use anvilreel::event;
@@ -26,6 +27,11 @@
 /// load about the limit doesn't fill the log.
 const CALM_BEFORE_END: Duration = Duration::from_secs(5);
 
+/// A connection that has sent nothing, or is within a head, for this long makes room for others.
+const STALLED_TIME: Duration = Duration::from_secs(1);
+/// Connections that make room at a time.
+const EVICTED_AT_ONCE: usize = 64;
+
 /// Closes up to this many idle connections to endpoints; returns how many were closed.
 pub type CloseIdle = Box<dyn Fn(u32) -> u32 + Send + Sync>;
 
@@ -37,6 +43,8 @@
     pub sockets: SocketBudgets,
     /// Where the state of the intake is published.
     pub status: Arc<IntakeStatus>,
+    /// The clients' connections.
+    pub clients: Admission,
     /// Closes idle connections to endpoints.
     pub close_idle: CloseIdle,
     /// The log.
@@ -53,7 +61,7 @@
     /// Keeps the address bound while there is no listener, so that no outgoing connection is given
     /// its port.
     placeholder: Option<TcpSocket>,
-    /// `None` if the settings state neither a narrow link nor descriptors: everything is accepted.
+    /// `None` if the settings state neither a narrow link, nor memory, nor descriptors: everything is accepted.
     control: Option<Control>,
 }
 
@@ -70,7 +78,9 @@
 impl ClientListener {
     /// Takes over a listener.
     pub fn new(listener: TcpListener, cx: ListenerContext) -> io::Result<Self> {
-        let is_limited = cx.limits.narrow_link().is_some() || cx.sockets.descriptors.is_limited();
+        let is_limited = cx.limits.narrow_link().is_some()
+            || cx.limits.memory.is_some()
+            || cx.sockets.descriptors.is_limited();
         Ok(Self {
             addr: listener.local_addr()?,
             listener: Some(listener),
@@ -86,7 +96,7 @@
                 return accept_on(self.listener.as_ref()).await;
             };
             let observe_at = control.started + control.intake.observe_at();
-            let has_room = control.cx.sockets.descriptors.has_room_for_client();
+            let has_room = control.has_room();
             if self.listener.is_none() || has_room {
                 tokio::select! {
                     biased;
@@ -95,19 +105,19 @@
                         let socket = accepted?;
                         // Connections to endpoints may have taken the last descriptors meanwhile; then
                         // this one is closed unread.
-                        if control.cx.sockets.descriptors.has_room_for_client() {
+                        if control.has_room() {
                             control.intake.record_accept(control.started.elapsed());
                             return Ok(socket);
                         }
                     }
                 }
             }
-            self.observe(observe_at).await;
+            self.observe(observe_at);
         }
     }
 
     /// Applies the present load, and listens or stops listening.
-    async fn observe(&mut self, due_at: Instant) {
+    fn observe(&mut self, due_at: Instant) {
         let Some(control) = &mut self.control else {
             return;
         };
@@ -121,7 +131,7 @@
                 self.placeholder = bind_only(self.addr).ok();
             }
         } else if self.listener.is_none() {
-            let bound = TcpListener::bind(self.addr).await;
+            let bound = listener::bind(self.addr);
             self.listener = control.record_bound(bound);
         }
     }
@@ -138,6 +148,12 @@
         }
     }
 
+    /// Whether there are descriptors and memory for another client.
+    fn has_room(&self) -> bool {
+        let limits = ConnectionLimits::default();
+        self.cx.sockets.descriptors.has_room_for_client() && self.cx.clients.has_room(&limits)
+    }
+
     fn now(&self) -> Now {
         self.started.elapsed()
     }
@@ -150,6 +166,12 @@
                 self.cx.metrics.count(metrics::IDLE_CLOSED);
             }
         }
+        if !self.has_room() {
+            let evicted = self.cx.clients.evict_stalled(EVICTED_AT_ONCE, STALLED_TIME);
+            for _ in 0..evicted {
+                self.cx.metrics.count(metrics::CLIENTS_EVICTED);
+            }
+        }
         let link = &self.cx.sockets.link;
         let load = IntakeLoad {
             backlog: link.backlog(),
@@ -160,7 +182,7 @@
             link_delay: link.probe.delay(link),
             shortest_target: link.probe.shortest_target(),
             lateness,
-            has_descriptors: descriptors.has_room_for_client(),
+            has_descriptors: self.has_room(),
         };
         let is_open = self.intake.observe(self.now(), &load, &mut rand::rng());
         let is_shedding = self.intake.is_shedding();
--- a/crates/anvil_gateway/src/admit.rs
+++ b/crates/anvil_gateway/src/admit.rs
@@ -54,6 +54,11 @@
         }
     };
     let mut trace = Trace::new(gw.clone(), request.id.clone(), received_at);
+    if gw.clients.is_overcommitted() {
+        trace.step(format_args!("no memory for the request"));
+        trace.record_outcome(Cause::Overloaded.text());
+        return refusal(Cause::Overloaded, Some(retry_elsewhere_after()));
+    }
     let incoming = IncomingBody {
         body,
         client: &client,
--- a/crates/anvil_gateway/src/gateway.rs
+++ b/crates/anvil_gateway/src/gateway.rs
@@ -6,8 +6,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use anvil_http::MemoryBudget;
-use anvil_http::limits::{request_budget, response_budget};
+use anvil_http::limits::{connections_bytes, request_budget, response_budget};
+use anvil_http::{Admission, MemoryBudget};
 use anvil_policy::crash::CrashWatch;
 use anvil_policy::planned_stop::ResponseTimes;
 use anvil_policy::rate_share::{BurstTolerance, RouterRank};
@@ -160,6 +160,8 @@
     pub(crate) request_bodies: MemoryBudget,
     /// What large bodies of responses hold that are read whole.
     pub(crate) response_bodies: MemoryBudget,
+    /// The clients' connections.
+    pub(crate) clients: Admission,
     /// Requests in progress.
     pub open_requests: AtomicU32,
     /// How long responses recently took.
@@ -245,6 +247,7 @@
             read_ahead: Mutex::new(ReadAhead::new(cfg.limits.memory)),
             request_bodies: request_budget(cfg.limits.memory),
             response_bodies: response_budget(cfg.limits.memory),
+            clients: Admission::within_memory(connections_bytes(cfg.limits.memory)),
             open_requests: AtomicU32::new(0),
             response_times: Mutex::default(),
             is_grace_over: AtomicBool::new(false),
--- a/crates/anvil_gateway/src/metrics.rs
+++ b/crates/anvil_gateway/src/metrics.rs
@@ -130,6 +130,8 @@
 pub const ENDPOINT_DESCRIPTORS: &str = "descriptors.endpoints";
 /// Idle connections to endpoints that were closed to free descriptors. Count.
 pub const IDLE_CLOSED: &str = "descriptors.idle_closed";
+/// Connections of clients that made room for others: they had sent nothing, or a part of a head. Count.
+pub const CLIENTS_EVICTED: &str = "clients.evicted";
 /// Version of the routing table in force. Gauge.
 pub const TABLE_VERSION: &str = "table.version";
 /// Gateways that share the retry budget. Gauge.
@@ -222,6 +224,7 @@
     (CLIENT_DESCRIPTORS, "gauge"),
     (ENDPOINT_DESCRIPTORS, "gauge"),
     (IDLE_CLOSED, "count"),
+    (CLIENTS_EVICTED, "count"),
     (TABLE_VERSION, "gauge"),
     (GATEWAYS, "gauge"),
     (ENDPOINTS_AVAILABLE, "gauge"),
--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -4,9 +4,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use anvil_http::listener;
 use anvilreel::{announce, event};
 use snafu::{ResultExt, Snafu};
-use tokio::net::TcpListener;
 
 use crate::accept::link_probe::{self, ProbeContext};
 use crate::account::{balances, held_prompt_exchange};
@@ -42,11 +42,11 @@
 pub async fn run(gw: Arc<Gateway>, stop: impl Future<Output = ()>) -> Result<(), GatewayError> {
     let (cfg, log) = (&gw.cfg, &gw.log);
     let addr = cfg.listen;
-    let clients = TcpListener::bind(addr).await;
+    let clients = listener::bind(addr);
     let clients = clients.and_then(|listener| serve::client_listener(&gw, listener));
     let clients = clients.context(ListenSnafu { addr })?;
     let addr = cfg.ready_listen;
-    let ready = TcpListener::bind(addr).await;
+    let ready = listener::bind(addr);
     let ready = ready.context(ListenSnafu { addr })?;
     let siblings = siblings::listen(&gw).await.context(SiblingsSnafu)?;
     event!(
@@ -56,7 +56,7 @@
     let task_gw = gw.clone();
     let background = tokio::spawn(async move {
         let instance = task_gw.instance();
-        let ready = serve::serve_readiness(ready, task_gw.log.clone(), || task_gw.is_ready());
+        let ready = serve::serve_readiness(task_gw.clone(), ready);
         tokio::join!(
             ready,
             ledger_updates::run(&task_gw),
--- a/crates/anvil_gateway/src/serve.rs
+++ b/crates/anvil_gateway/src/serve.rs
@@ -6,12 +6,13 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use anvil_http::admission::Admitted;
+use anvil_http::connection::ConnectionOptions;
+use anvil_http::listener::serve;
+use anvil_http::{Admission, ConnectionLimits, serve_connection};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
-use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use slog::Logger;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -25,8 +26,8 @@
 use crate::reply::{Reply, full_body, set_connection_close};
 use anvilreel::event;
 
-/// Idle timeout of a client's connection until a routing table sets one.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Connections that the listener for readiness checks has at a time.
+const READINESS_CONNECTIONS: usize = 16;
 /// Time in which load balancers notice that a process is stopping: they check once per second and
 /// act on the second failed check. Until then the process does not end, even if it is idle.
 const NOTICE_TIME: Duration = Duration::from_millis(2_600);
@@ -115,7 +116,8 @@
                 let _ = socket.set_nodelay(true);
                 let (socket, client) = ClientSocket::new(socket, &self.gw.sockets);
                 let stop_rx = self.stop_tx.subscribe();
-                let served = serve_client(self.gw.clone(), socket, client, stop_rx);
+                let admitted = self.gw.clients.register(self.connection_limits());
+                let served = serve_client(self.gw.clone(), socket, client, admitted, stop_rx);
                 self.connections.spawn(served);
             }
             Err(e) => {
@@ -126,12 +128,34 @@
     }
 }
 
+impl ClientServer {
+    /// The limits of a connection that is accepted now, as configured.
+    fn connection_limits(&self) -> ConnectionLimits {
+        let table = self.gw.table.load();
+        let configured = table.as_ref().map(|table| ConnectionLimits {
+            head_bytes: table.limits.head_bytes,
+            head_timeout: table.limits.head_timeout,
+            idle_timeout: table.limits.idle_timeout,
+        });
+        let limits = configured.unwrap_or_default();
+        if *self.stop_tx.borrow() {
+            return ConnectionLimits {
+                head_timeout: limits.head_timeout.min(LAST_REQUEST_TIME),
+                idle_timeout: LAST_REQUEST_TIME,
+                ..limits
+            };
+        }
+        limits
+    }
+}
+
 fn listener_context(gw: &Arc<Gateway>) -> ListenerContext {
     let close_gw = gw.clone();
     ListenerContext {
         limits: gw.cfg.limits,
         sockets: gw.sockets.clone(),
         status: gw.intake.clone(),
+        clients: gw.clients.clone(),
         close_idle: Box::new(move |count| close_gw.directory.close_idle(count)),
         log: gw.log.clone(),
         metrics: gw.metrics.clone(),
@@ -142,14 +166,10 @@
     gw: Arc<Gateway>,
     socket: ClientSocket,
     client: ClientConnection,
+    admitted: Admitted,
     mut stop_rx: watch::Receiver<bool>,
 ) {
     let client = Arc::new(client);
-    let table = gw.table.load();
-    let idle_timeout = table
-        .as_ref()
-        .map_or(DEFAULT_IDLE_TIMEOUT, |table| table.limits.idle_timeout);
-    drop(table);
     let service = service_fn(|req: Request<Incoming>| {
         let (gw, client) = (gw.clone(), client.clone());
         async move {
@@ -161,25 +181,19 @@
         }
     });
     let is_late = *stop_rx.borrow();
-    let head_timeout = if is_late {
-        LAST_REQUEST_TIME
-    } else {
-        idle_timeout
+    let options = ConnectionOptions {
+        keep_alive: !is_late,
+        ..ConnectionOptions::default()
     };
-    let connection = Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(head_timeout)
-        .keep_alive(!is_late)
-        .serve_connection(TokioIo::new(socket), service);
-    tokio::pin!(connection);
-    let served = tokio::select! {
-        served = &mut connection => served,
-        () = wait_for_stop(&mut stop_rx, &client), if !is_late => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let stop = async {
+        if is_late {
+            // It serves one request only.
+            std::future::pending::<()>().await;
         }
+        wait_for_stop(&mut stop_rx, &client).await;
     };
-    if let Err(e) = served {
+    let state = admitted.state.clone();
+    if let Err(e) = serve_connection(socket, state, options, service, stop).await {
         event!(gw.log, events::GATEWAY_CLIENT_CONNECTION, "error" => e.to_string());
     }
 }
@@ -196,28 +210,12 @@
     }
 }
 
-/// Answers readiness checks on any path for as long as the process runs.
-pub async fn serve_readiness(listener: TcpListener, log: Logger, is_ready: impl Fn() -> bool) {
-    let is_ready = &is_ready;
-    let mut connections = futures::stream::FuturesUnordered::new();
-    loop {
-        use futures::StreamExt;
-        tokio::select! {
-            Some(()) = connections.next() => {}
-            accepted = listener.accept() => match accepted {
-                Ok((socket, _)) => connections.push(answer_readiness_check(socket, is_ready)),
-                Err(e) => {
-                    event!(log, events::GATEWAY_CLIENT_CONNECTION, "error" => e.to_string());
-                    sleep(ACCEPT_RETRY_PAUSE).await;
-                }
-            },
-        }
-    }
-}
-
-async fn answer_readiness_check(socket: TcpStream, is_ready: impl Fn() -> bool) {
-    let service = service_fn(|_: Request<Incoming>| {
-        let status = if is_ready() {
+/// Answers readiness checks on any path for as long as the process runs. Without an answer the load balancer
+/// counts the check as failed.
+pub async fn serve_readiness(gw: Arc<Gateway>, listener: TcpListener) {
+    let check_gw = gw.clone();
+    let service = service_fn(move |_: Request<Incoming>| {
+        let status = if check_gw.is_ready() {
             StatusCode::OK
         } else {
             StatusCode::SERVICE_UNAVAILABLE
@@ -228,10 +226,9 @@
             Ok::<Reply, Infallible>(reply)
         }
     });
-    let connection = Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(DEFAULT_IDLE_TIMEOUT)
-        .serve_connection(TokioIo::new(socket), service);
-    // On failure the load balancer receives no answer and counts the check as failed.
-    let _ = connection.await;
+    let admission = Admission::new(READINESS_CONNECTIONS);
+    serve(listener, admission, service, |e| {
+        event!(gw.log, events::GATEWAY_CLIENT_CONNECTION, "error" => e.to_string());
+    })
+    .await;
 }
--- a/crates/anvilreel/src/metrics/exposition.rs
+++ b/crates/anvilreel/src/metrics/exposition.rs
@@ -9,28 +9,23 @@
 use std::fmt::Write;
 use std::io;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
+use anvil_http::{Admission, listener};
 use bytes::Bytes;
 use cadence::MetricSink;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
-use tokio::time::sleep;
 
 /// Upper bounds of a histogram's buckets, in milliseconds: from one message between two processes
 /// to the longest time that a request is held.
 pub const BUCKETS_MS: [u64; 14] = [
     1, 2, 5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000, 20_000,
 ];
-/// Idle timeout of a collector's connection.
-const COLLECTOR_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-/// Pause after a connection could not be accepted, before the next attempt.
-const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// Connections of collectors at a time.
+const COLLECTORS: usize = 16;
 
 #[derive(Debug, Clone, PartialEq)]
 enum Value {
@@ -148,26 +143,12 @@
     update_gauges: impl Fn() + Send + Sync + 'static,
 ) {
     let update_gauges = Arc::new(update_gauges);
-    loop {
-        let Ok((socket, _)) = listener.accept().await else {
-            sleep(ACCEPT_RETRY_PAUSE).await;
-            continue;
-        };
-        let registry = registry.clone();
-        let update_gauges = update_gauges.clone();
-        let service = service_fn(move |_: Request<Incoming>| {
-            update_gauges();
-            let mut response = Response::new(Full::new(Bytes::from(registry.render())));
-            *response.status_mut() = StatusCode::OK;
-            async move { Ok::<_, Infallible>(response) }
-        });
-        let connection = Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(COLLECTOR_IDLE_TIMEOUT)
-            .serve_connection(TokioIo::new(socket), service);
-        tokio::spawn(async move {
-            // The collector notices a broken connection itself, and scrapes again.
-            let _ = connection.await;
-        });
-    }
+    let service = service_fn(move |_: Request<Incoming>| {
+        update_gauges();
+        let mut response = Response::new(Full::new(Bytes::from(registry.render())));
+        *response.status_mut() = StatusCode::OK;
+        async move { Ok::<_, Infallible>(response) }
+    });
+    // A collector that isn't served scrapes again.
+    listener::serve(listener, Admission::new(COLLECTORS), service, |_| {}).await;
 }
