A gateway's refusals say whether the request ran, and 408 when to come back

What callers see: `{"error":{"type":"body_too_long"}}`, without the outcome that the README promises, and a 408 without Retry-After, although it states that the request has not run.

Cause: the gateway's refusals named their type only, and counted 429 and 503 as those after which a client may retry.

Change: each refusal has an `outcome`: `unknown` where the response was lost or did not come in time, `not_run` otherwise. 408 carries Retry-After too.

--- a/crates/anvil_gateway/src/reply.rs
+++ b/crates/anvil_gateway/src/reply.rs
@@ -170,14 +170,27 @@
 
     /// Whether the request has not run and the client may retry it.
     pub fn may_retry(self) -> bool {
-        let status = self.status();
-        status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS
+        matches!(
+            self.status(),
+            StatusCode::SERVICE_UNAVAILABLE
+                | StatusCode::TOO_MANY_REQUESTS
+                | StatusCode::REQUEST_TIMEOUT
+        )
+    }
+
+    /// What became of the request, for the client.
+    fn outcome(self) -> &'static str {
+        match self {
+            Self::ResponseLost | Self::ResponseTimeout => "unknown",
+            _ => "not_run",
+        }
     }
 }
 
 /// The response that states why a request is refused.
 pub fn refusal(cause: Cause, come_again: Option<Duration>) -> Reply {
-    let text = format!("{{\"error\":{{\"type\":\"{}\"}}}}", cause.text());
+    let (kind, outcome) = (cause.text(), cause.outcome());
+    let text = format!(r#"{{"error":{{"type":"{kind}","outcome":"{outcome}"}}}}"#);
     let body = Full::new(Bytes::from(text)).map_err(never).boxed_unsync();
     let mut reply = Response::new(body);
     *reply.status_mut() = cause.status();
