Routers with sidecars, and the quick start, stay within their memory

What callers see: 150 bodies of 4 MB that stop a byte short make `anvilreel local` use 672 MB, in large chunks 668 MB; nothing bounds it.

Cause: each body is bounded, their sum isn't, and nothing ends a body that has stopped. Connections are bounded in their buffers only.

Change: a router's settings have `memory_mb`, 256 unless given. Its callers' connections are set up by anvil_http, like a gateway's: a third of the memory for connections and requests, a quarter for bodies, which end after 15 s without a byte (408 `body_late`, not run) or at the request's timeout. Work beyond that is refused as `overloaded` with Retry-After. HTTP/2 is still served, with small windows and 64 streams a connection. The stand-ins set up their connections the same way, without a bound on their number.

--- a/crates/anvil_daemons/examples/slopes/live/bench.rs
+++ b/crates/anvil_daemons/examples/slopes/live/bench.rs
@@ -11,7 +11,7 @@
 use anvil_wire::Channel;
 use anvil_wire::msg::{LedgerCall, LedgerReply, LedgerRequest, Query};
 use anvil_world::prelude::*;
-use anvil_world::settings::{LedgerSettings, Peer, RouterSettings};
+use anvil_world::settings::{DEFAULT_MEMORY_MB, LedgerSettings, Peer, RouterSettings};
 use serde::Serialize;
 use tempfile::TempDir;
 use tokio::time::sleep;
@@ -100,6 +100,7 @@
             wire_listen: addr(),
             ledgers,
             threads: 2,
+            memory_mb: DEFAULT_MEMORY_MB,
             log_json: true,
             statsd: None,
         };
--- a/crates/anvil_standins/src/load/fleet.rs
+++ b/crates/anvil_standins/src/load/fleet.rs
@@ -16,7 +16,7 @@
 
 use anvil_world::prelude::*;
 use anvil_world::settings::{
-    EndpointSettings, LedgerSettings, Peer, RouterSettings, SidecarSettings,
+    DEFAULT_MEMORY_MB, EndpointSettings, LedgerSettings, Peer, RouterSettings, SidecarSettings,
 };
 use serde::Serialize;
 use snafu::ResultExt;
@@ -186,6 +186,7 @@
             wire_listen: free_addr()?,
             ledgers: self.ledger_addrs.clone(),
             threads: 2,
+            memory_mb: DEFAULT_MEMORY_MB,
             log_json: true,
             statsd: None,
         };
--- a/crates/anvil_standins/src/server.rs
+++ b/crates/anvil_standins/src/server.rs
@@ -1,10 +1,13 @@
 //! An HTTP server on loopback that can be stopped abruptly, like a killed process.
 
+use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
-use hyper_util::rt::{TokioExecutor, TokioIo};
-use hyper_util::server::conn::auto::Builder;
+use anvil_http::admission::Admitted;
+use anvil_http::connection::ConnectionOptions;
+use anvil_http::{Admission, ConnectionLimits, serve_connection};
 use snafu::ResultExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{AbortHandle, JoinSet};
@@ -12,6 +15,13 @@
 
 use crate::error::{Error, ListenSnafu};
 
+/// Limits of a connection: callers may keep one open for as long as a test lasts.
+const LIMITS: ConnectionLimits = ConnectionLimits {
+    head_bytes: 64 << 10,
+    head_timeout: Duration::from_secs(30),
+    idle_timeout: Duration::from_hours(1),
+};
+
 /// A running server. Dropping it closes the listener and every connection at once.
 #[derive(Debug)]
 pub struct Server {
@@ -54,13 +64,15 @@
 }
 
 async fn accept(listener: TcpListener, tree: Arc<Tree>) {
+    let admission = Admission::within_memory(None);
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             Some(_) = connections.join_next() => {}
             accepted = listener.accept() => match accepted {
                 Ok((socket, peer)) => {
-                    connections.spawn(serve(socket, peer, tree.clone()));
+                    let admitted = admission.register(LIMITS);
+                    connections.spawn(serve(socket, peer, admitted, tree.clone()));
                 }
                 // Out of file descriptors: wait for some connections to end.
                 Err(_) => tokio::task::yield_now().await,
@@ -69,13 +81,15 @@
     }
 }
 
-async fn serve(socket: TcpStream, peer: SocketAddr, tree: Arc<Tree>) {
+async fn serve(socket: TcpStream, peer: SocketAddr, admitted: Admitted, tree: Arc<Tree>) {
     // Without TCP_NODELAY small chunks wait for an acknowledgement. An error only costs latency.
     let _ = socket.set_nodelay(true);
     let responder = Responder::new(tree, Some(Arc::new(peer)));
-    let builder = Builder::new(TokioExecutor::new());
+    let options = ConnectionOptions {
+        http2: true,
+        ..ConnectionOptions::default()
+    };
+    let state = admitted.state.clone();
     // A broken connection needs no handling here: the peer sees it too.
-    let _ = builder
-        .serve_connection(TokioIo::new(socket), responder)
-        .await;
+    let _ = serve_connection(socket, state, options, responder, pending()).await;
 }
--- a/crates/anvil_world/src/outcome.rs
+++ b/crates/anvil_world/src/outcome.rs
@@ -106,6 +106,8 @@
     Cancelled,
     /// The router was declared lost, so sidecars refuse to start its requests.
     RouterFenced,
+    /// The caller did not send the whole body in time.
+    BodyLate,
 }
 
 /// Why a request is not well formed.
--- a/crates/anvil_world/src/settings.rs
+++ b/crates/anvil_world/src/settings.rs
@@ -10,5 +10,5 @@
 
 pub use check::{Problem, SettingsError, Validate, parse_settings};
 pub use ledger::{LedgerSettings, Peer};
-pub use router::RouterSettings;
+pub use router::{DEFAULT_MEMORY_MB, RouterSettings};
 pub use sidecar::{EndpointKind, EndpointSettings, SidecarSettings};
--- a/crates/anvil_world/src/settings/router.rs
+++ b/crates/anvil_world/src/settings/router.rs
@@ -25,6 +25,9 @@
     /// Threads that serve requests; 0 means one for each core.
     #[serde(default)]
     pub threads: usize,
+    /// Memory that the process may use, in MB; bounds what callers' connections and bodies hold.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u32,
     /// Log lines as JSON instead of terminal text.
     #[serde(default)]
     pub log_json: bool,
@@ -33,6 +36,22 @@
     pub statsd: Option<SocketAddr>,
 }
 
+/// Memory of a router whose settings state none, in MB.
+pub const DEFAULT_MEMORY_MB: u32 = 256;
+/// Least memory that can be stated, in MB.
+const MIN_MEMORY_MB: u32 = 64;
+
+fn default_memory_mb() -> u32 {
+    DEFAULT_MEMORY_MB
+}
+
+impl RouterSettings {
+    /// Memory that the process may use, in bytes.
+    pub fn memory_bytes(&self) -> u64 {
+        u64::from(self.memory_mb) * 1_000_000
+    }
+}
+
 impl Validate for RouterSettings {
     fn problems(&self) -> Vec<Problem> {
         let mut found = Problem::check_name("id", &self.id);
@@ -41,6 +60,11 @@
         if self.ledgers.is_empty() {
             found.push(Problem::new("ledgers", "none", "1 to 7 addresses"));
         }
+        if self.memory_mb < MIN_MEMORY_MB {
+            let allowed = format!("{MIN_MEMORY_MB} or more");
+            let found_mb = self.memory_mb.to_string();
+            found.push(Problem::new("memory_mb", found_mb, &allowed));
+        }
         found
     }
 }
--- a/crates/anvilreel/src/local.rs
+++ b/crates/anvilreel/src/local.rs
@@ -12,7 +12,8 @@
 use anvil_wire::WireError;
 use anvil_world::prelude::*;
 use anvil_world::settings::{
-    EndpointKind, EndpointSettings, LedgerSettings, Peer, RouterSettings, SidecarSettings,
+    DEFAULT_MEMORY_MB, EndpointKind, EndpointSettings, LedgerSettings, Peer, RouterSettings,
+    SidecarSettings,
 };
 use slog::Logger;
 use snafu::{ResultExt, Snafu};
@@ -227,6 +228,7 @@
         wire_listen: loopback(),
         ledgers: vec![ledger],
         threads: 0,
+        memory_mb: DEFAULT_MEMORY_MB,
         log_json: false,
         statsd: None,
     }
--- a/crates/anvilreel/src/router.rs
+++ b/crates/anvilreel/src/router.rs
@@ -30,6 +30,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use anvil_http::limits::{connections_bytes, request_budget};
+use anvil_http::{Admission, MemoryBudget, listener};
 use anvil_wire::msg::RouterCall;
 use anvil_wire::{Handlers, Server, WireError};
 use anvil_world::document::FleetDocument;
@@ -37,7 +39,6 @@
 use anvil_world::settings::RouterSettings;
 use slog::Logger;
 use snafu::{ResultExt, Snafu};
-use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
@@ -100,6 +101,10 @@
     holder_history: Mutex<HolderHistory>,
     generated_ids: AtomicU64,
     open_requests: AtomicUsize,
+    /// Callers' connections.
+    connections: Admission,
+    /// What the bodies of callers' requests hold.
+    request_bodies: MemoryBudget,
 }
 
 /// A running router.
@@ -120,9 +125,7 @@
         metrics: Metrics,
     ) -> Result<Self, RouterError> {
         let addr = settings.listen;
-        let listener = TcpListener::bind(addr)
-            .await
-            .context(ListenSnafu { addr })?;
+        let listener = listener::bind(addr).context(ListenSnafu { addr })?;
         let addr = listener.local_addr().context(ListenSnafu { addr })?;
         let server = Server::bind(settings.wire_listen)
             .await
@@ -134,6 +137,7 @@
         let serving = accept::serve(
             listener,
             routes::routes(&core),
+            core.connections.clone(),
             core.lifecycle.clone(),
             close.clone(),
         );
@@ -332,6 +336,8 @@
             holder_history: Mutex::new(holder_history),
             generated_ids: AtomicU64::new(0),
             open_requests: AtomicUsize::new(0),
+            connections: Admission::within_memory(connections_bytes(Some(settings.memory_bytes()))),
+            request_bodies: request_budget(Some(settings.memory_bytes())),
         }
     }
 
--- a/crates/anvilreel/src/router/accept.rs
+++ b/crates/anvilreel/src/router/accept.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvil_http::Admission;
 use futures::FutureExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
@@ -28,6 +29,7 @@
 pub async fn serve(
     listener: TcpListener,
     routes: viz::Router,
+    admission: Admission,
     lifecycle: Lifecycle,
     close: Arc<Notify>,
 ) {
@@ -35,9 +37,16 @@
     let closing = watch::Sender::new(false);
     let mut tasks = JoinSet::new();
     let spawn = |tasks: &mut JoinSet<()>, (socket, peer): (TcpStream, SocketAddr)| {
+        // Without room the connection is closed unread.
+        let Some(admitted) = admission.admit(connection::limits()) else {
+            return;
+        };
         let responder = Responder::new(tree.clone(), Some(Arc::new(peer)));
         let rx = closing.subscribe();
-        tasks.spawn(connection::serve(socket, responder, lifecycle.clone(), rx));
+        let lifecycle = lifecycle.clone();
+        tasks.spawn(connection::serve(
+            socket, admitted, responder, lifecycle, rx,
+        ));
     };
     loop {
         let accepted = tokio::select! {
--- a/crates/anvilreel/src/router/chat_call.rs
+++ b/crates/anvilreel/src/router/chat_call.rs
@@ -28,7 +28,7 @@
     let view = core.view_state.view.load_full();
     let team = authenticate(&view, req.headers())?;
     let (key, has_caller_key) = request_key(&core, &team, req.headers())?;
-    let body = read_body(&mut req, view.fleet.max_body).await?;
+    let body = read_body(&core, &mut req, &view.fleet).await?;
     let chat = Chat::try_from(body.as_ref());
     let chat = chat.map_err(|what| Refusal::new(Reason::Malformed(what)))?;
     let model = find_model(&view, &team, &chat, &body)?;
--- a/crates/anvilreel/src/router/connection.rs
+++ b/crates/anvilreel/src/router/connection.rs
@@ -5,17 +5,18 @@
 //! whether it ran. So responses of a stopping router announce the close, and a connection whose
 //! response began before is closed only when it has been idle for a while.
 
-use std::pin::{Pin, pin};
+use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use anvil_http::admission::Admitted;
+use anvil_http::connection::ConnectionOptions;
+use anvil_http::{ConnectionLimits, serve_connection};
 use futures::future::BoxFuture;
 use http::{HeaderValue, Version, header};
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use hyper::service::Service;
-use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
-use hyper_util::server::conn::auto::Builder;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
@@ -23,8 +24,6 @@
 
 use crate::lifecycle::Lifecycle;
 
-/// Buffer for one connection, in bytes and for each direction; bounds the memory of a slow reader.
-const CONNECTION_BUFFER: usize = 16 << 10;
 /// Longest time a caller may take to send a request's head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
 /// A connection without a request for this long is closed when the router stops: several times what
@@ -34,9 +33,18 @@
 /// The address of a caller, as the routes receive it.
 pub type Peer = Arc<std::net::SocketAddr>;
 
+/// Limits of a connection.
+pub fn limits() -> ConnectionLimits {
+    ConnectionLimits {
+        head_timeout: HEAD_TIMEOUT,
+        ..ConnectionLimits::default()
+    }
+}
+
 /// Serves a connection until the caller closes it, or until `closing` is set and it is idle.
 pub async fn serve(
     socket: TcpStream,
+    admitted: Admitted,
     responder: Responder<Peer>,
     lifecycle: Lifecycle,
     mut closing: watch::Receiver<bool>,
@@ -44,32 +52,25 @@
     // Disables Nagle's algorithm, which would delay small events; a failure here only costs
     // latency.
     let _ = socket.set_nodelay(true);
-    let mut builder = Builder::new(TokioExecutor::new());
-    builder
-        .http1()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
-        .max_buf_size(CONNECTION_BUFFER);
     let activity = watch::Sender::new(Activity::new());
     let service = TrackingService {
         responder,
         lifecycle,
         activity: activity.clone(),
     };
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(socket), service));
-    // In each case an error means that the caller disconnected; the task of its request notices that
-    // by itself.
-    tokio::select! {
-        _ = connection.as_mut() => return,
+    let stop = async {
         // An error means that the accepting task was aborted, which aborts this one.
-        _ = closing.wait_for(|closing| *closing) => {}
-    }
-    tokio::select! {
-        _ = connection.as_mut() => return,
-        () = idle(&activity, IDLE_LINGER) => {}
-    }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+        let _ = closing.wait_for(|closing| *closing).await;
+        idle(&activity, IDLE_LINGER).await;
+    };
+    let options = ConnectionOptions {
+        http2: true,
+        ..ConnectionOptions::default()
+    };
+    let state = admitted.state.clone();
+    // An error means that the caller disconnected or exceeded a limit; the task of its request
+    // notices that by itself.
+    let _ = serve_connection(socket, state, options, service, stop).await;
 }
 
 /// The requests of a connection.
--- a/crates/anvilreel/src/router/errors.rs
+++ b/crates/anvilreel/src/router/errors.rs
@@ -193,6 +193,11 @@
             "router_fenced",
             "this router was declared lost; another one serves the request",
         ),
+        Reason::BodyLate => (
+            StatusCode::REQUEST_TIMEOUT,
+            "body_late",
+            "the body did not come in time",
+        ),
         Reason::Cancelled => (
             StatusCode::BAD_REQUEST,
             "cancelled",
--- a/crates/anvilreel/src/router/plain_call.rs
+++ b/crates/anvilreel/src/router/plain_call.rs
@@ -56,7 +56,7 @@
     let (name, tail) = rest.split_at(split_at);
     let (service, document) = find_service(&view, &team, name)?;
     let (key, has_caller_key) = request_key(&core, &team, req.headers())?;
-    let body = read_body(&mut req, view.fleet.max_body).await?;
+    let body = read_body(&core, &mut req, &view.fleet).await?;
     let call = PlainCall {
         method: req.method().as_str().into(),
         tail: tail.trim_start_matches('/').into(),
--- a/crates/anvilreel/src/router/routes.rs
+++ b/crates/anvilreel/src/router/routes.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvil_http::{BodyError, BodyLimits, read_whole};
+use anvil_world::document::FleetDocument;
 use anvil_world::prelude::*;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 use http_body_util::BodyExt;
 use serde_json::json;
@@ -20,6 +22,8 @@
 const MAX_KEY_BYTES: usize = 255;
 /// Maximum number of bytes read and discarded from a refused body.
 const MAX_DISCARDED_BYTES: usize = 64 << 20;
+/// Longest time without a byte of a body.
+const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Longest time spent reading a refused body.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
 /// The header with the request's id, either generated here or given by the caller.
@@ -108,6 +112,11 @@
     if core.lifecycle.is_draining() {
         return Err(Refusal::new(Reason::Leaving).with_retry_after(super::UNAVAILABLE_RETRY_AFTER));
     }
+    if core.connections.is_overcommitted() {
+        return Err(
+            Refusal::new(Reason::Overloaded).with_retry_after(super::UNAVAILABLE_RETRY_AFTER)
+        );
+    }
     if !core.view_state.accepts_work() {
         return Err(
             Refusal::new(Reason::SettingsStale).with_retry_after(super::UNAVAILABLE_RETRY_AFTER)
@@ -161,29 +170,41 @@
 
 /// Reads a body up to the limit. A caller that disconnects before the end of the body is not
 /// charged.
-pub async fn read_body(req: &mut Request, limit: u64) -> Result<Bytes, Refusal> {
-    let too_large = || Refusal::new(Reason::TooLarge(limit));
+pub async fn read_body(
+    core: &Core,
+    req: &mut Request,
+    fleet: &FleetDocument,
+) -> Result<Bytes, Refusal> {
+    let limit = fleet.max_body;
     let declared_length = req.headers().get(header::CONTENT_LENGTH);
     let declared_length = declared_length.and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
     let mut body = std::mem::take(req.body_mut());
     if declared_length.is_some_and(|bytes| bytes > limit) {
         discard(&mut body).await;
-        return Err(too_large());
+        return Err(Refusal::new(Reason::TooLarge(limit)));
     }
-    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-    let mut buf = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| Refusal::new(Reason::Cancelled))?;
-        if let Ok(data) = frame.into_data() {
-            if buf.len() + data.len() > limit {
-                drop(buf);
-                discard(&mut body).await;
-                return Err(too_large());
-            }
-            buf.extend_from_slice(&data);
+    let limits = BodyLimits {
+        max_bytes: usize::try_from(limit).unwrap_or(usize::MAX),
+        idle_timeout: BODY_IDLE_TIMEOUT,
+    };
+    let reading = read_whole(&mut body, limits, &core.request_bodies, || ());
+    let read = timeout(fleet.request_timeout, reading).await;
+    let read = read.unwrap_or(Err(BodyError::Stalled));
+    let refusal = match read {
+        Ok(body) => return Ok(body),
+        Err(BodyError::TooLong) => {
+            discard(&mut body).await;
+            Refusal::new(Reason::TooLarge(limit))
         }
-    }
-    Ok(buf.freeze())
+        Err(BodyError::NoRoom) => {
+            Refusal::new(Reason::Overloaded).with_retry_after(super::UNAVAILABLE_RETRY_AFTER)
+        }
+        Err(BodyError::Stalled) => {
+            Refusal::new(Reason::BodyLate).with_retry_after(super::UNAVAILABLE_RETRY_AFTER)
+        }
+        Err(BodyError::Broken) => Refusal::new(Reason::Cancelled),
+    };
+    Err(refusal)
 }
 
 /// Reads the rest of a refused body and discards it, bounded in bytes and time.
--- a/crates/anvilreel/tests/path_fleet/fleet.rs
+++ b/crates/anvilreel/tests/path_fleet/fleet.rs
@@ -9,7 +9,8 @@
 use anvil_world::command::{Change, Edit, TopUp, change_id};
 use anvil_world::prelude::*;
 use anvil_world::settings::{
-    EndpointKind, EndpointSettings, LedgerSettings, Peer, RouterSettings, SidecarSettings,
+    DEFAULT_MEMORY_MB, EndpointKind, EndpointSettings, LedgerSettings, Peer, RouterSettings,
+    SidecarSettings,
 };
 use anvilreel::ledger_client::LedgerClient;
 use anvilreel::ledger_service::{LedgerHandle, Tuning, start as start_ledger};
@@ -133,6 +134,7 @@
             wire_listen: loopback(0),
             ledgers: vec![self.ledger_addr],
             threads: 0,
+            memory_mb: DEFAULT_MEMORY_MB,
             log_json: false,
             statsd: None,
         }
