A planned stop of a router doesn't wait for bodies that never end

What callers see: a caller that sends its body byte by byte holds a router's planned stop until the supervisor ends the process, which cuts everybody else's answers.

Cause: the stop waits for open requests, and a request is open while its body is read, for as long as its bytes drip in.

Change: 5 s after a planned stop has begun, bodies that are not whole are refused with `leaving` and Retry-After: they have not run.

--- a/crates/anvilreel/src/router/routes.rs
+++ b/crates/anvilreel/src/router/routes.rs
@@ -11,7 +11,7 @@
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 use http_body_util::BodyExt;
 use serde_json::json;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use viz::{Body, Request, Response};
 
 use super::errors::{self, full};
@@ -24,6 +24,8 @@
 const MAX_DISCARDED_BYTES: usize = 64 << 20;
 /// Longest time without a byte of a body.
 const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Time that a planned stop leaves callers to send the rest of their bodies.
+const STOP_BODY_TIMEOUT: Duration = Duration::from_secs(5);
 /// Longest time spent reading a refused body.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
 /// The header with the request's id, either generated here or given by the caller.
@@ -188,8 +190,16 @@
         idle_timeout: BODY_IDLE_TIMEOUT,
     };
     let reading = read_whole(&mut body, limits, &core.request_bodies, || ());
-    let read = timeout(fleet.request_timeout, reading).await;
-    let read = read.unwrap_or(Err(BodyError::Stalled));
+    let reading = timeout(fleet.request_timeout, reading);
+    let read = tokio::select! {
+        biased;
+        read = reading => read.unwrap_or(Err(BodyError::Stalled)),
+        () = stop_waits_no_longer(core) => {
+            return Err(
+                Refusal::new(Reason::Leaving).with_retry_after(super::UNAVAILABLE_RETRY_AFTER)
+            );
+        }
+    };
     let refusal = match read {
         Ok(body) => return Ok(body),
         Err(BodyError::TooLong) => {
@@ -207,6 +217,15 @@
     Err(refusal)
 }
 
+/// Returns when a planned stop waits no longer for bodies that callers are sending.
+///
+/// Failure: a caller sends its body byte by byte, or stops just short of its end. The planned stop waits for
+/// the request, which has not begun, until the supervisor ends the process.
+async fn stop_waits_no_longer(core: &Core) {
+    core.lifecycle.drain_begun().await;
+    sleep(STOP_BODY_TIMEOUT).await;
+}
+
 /// Reads the rest of a refused body and discards it, bounded in bytes and time.
 ///
 /// If the connection were closed while the caller still writes, it would see a broken pipe in place
--- a/crates/anvilreel/tests/path_fleet/stops.rs
+++ b/crates/anvilreel/tests/path_fleet/stops.rs
@@ -54,6 +54,33 @@
     assert!(budget.billed > 100);
 }
 
+/// Guards against a planned stop that waits for a caller that never completes its body.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_router_waits_no_longer_for_a_body_that_never_ends() {
+    let mut fleet = Fleet::start(1, 1).await;
+    let router = fleet.routers[0].take().expect("it is running");
+    let mut caller = TcpStream::connect(router.addr()).await.expect("connected");
+    let head = format!(
+        "POST {CHAT} HTTP/1.1\r\nhost: router\r\nauthorization: Bearer {BEARER_KEY}\r\ncontent-length: 100\r\n\r\n"
+    );
+    caller.write_all(head.as_bytes()).await.expect("sent");
+    let (mut reading, mut writing) = caller.into_split();
+    let dripping = tokio::spawn(async move {
+        while writing.write_all(b" ").await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+        }
+    });
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let stopped = timeout(WAIT_TIMEOUT, router.stop()).await;
+    stopped.expect("the stop ends");
+    let mut answer = String::new();
+    // It may be reset after the answer, as the caller goes on sending.
+    let _ = reading.read_to_string(&mut answer).await;
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("leaving"), "{answer}");
+    dripping.abort();
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stopping_router_is_not_ready_and_accepts_no_requests() {
     let mut fleet = Fleet::start(1, 1).await;
