Connections between processes that don't speak the protocol make room

What callers see: 1,600 connections to the ledger's port for other processes that send nothing take 1,612 descriptors of 1,200; the process can open none for its disk or its peers then.

Cause: the handshake of HTTP/2 waited for its other side without a time limit, and any number of them was pending.

Change: a handshake has 5 s, and where 64 are pending, the oldest makes room. Headers of a call are limited to 16 kB, which the library would have taken up to 16 MB of.

Open: other sides that do speak the protocol and leave messages unfinished; clients don't reach these ports.

--- a/crates/anvil_wire/src/lib.rs
+++ b/crates/anvil_wire/src/lib.rs
@@ -23,6 +23,7 @@
 mod channel;
 mod codec;
 mod error;
+mod handshakes;
 mod keepalive;
 pub mod msg;
 mod server;
--- a/crates/anvil_wire/src/server.rs
+++ b/crates/anvil_wire/src/server.rs
@@ -9,27 +9,26 @@
 use bytes::{Bytes, BytesMut};
 use futures::FutureExt;
 use futures::future::BoxFuture;
-use h2::server::{Builder, Connection, SendResponse};
+use h2::server::SendResponse;
 use h2::{RecvStream, SendStream};
 use http::{Request, Response, StatusCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::ResultExt;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
 use crate::call::Call;
 use crate::codec::{decode, encode};
 use crate::error::{BrokenSnafu, ListenSnafu, WireError};
+use crate::handshakes::{Handshakes, WireConnection};
 use crate::keepalive::{OpenStreams, until_unresponsive};
 
 /// Flow-control window of one stream, in bytes.
 pub(crate) const STREAM_WINDOW: u32 = 64 << 10;
 /// Flow-control window of one connection, in bytes.
 pub(crate) const CONNECTION_WINDOW: u32 = 16 << 20;
-/// Maximum concurrent streams on one connection.
-const MAX_STREAMS: u32 = 20_000;
 
 type Handler = Arc<dyn Fn(RecvStream, SendResponse<Bytes>) -> BoxFuture<'static, ()> + Send + Sync>;
 
@@ -154,21 +153,24 @@
     pub async fn serve(self, handlers: Handlers, stop: impl Future<Output = ()>) {
         let (stop_tx, stop_rx) = watch::channel(false);
         let mut connections = JoinSet::new();
+        let mut handshakes = Handshakes::default();
         tokio::pin!(stop);
         loop {
             tokio::select! {
                 () = &mut stop => break,
                 Some(_) = connections.join_next() => {}
+                connection = handshakes.next() => {
+                    connections.spawn(serve_connection(connection, handlers.clone(), stop_rx.clone()));
+                }
                 accepted = self.listener.accept() => match accepted {
-                    Ok((socket, _)) => {
-                        connections.spawn(serve_connection(socket, handlers.clone(), stop_rx.clone()));
-                    }
+                    Ok((socket, _)) => handshakes.begin(socket),
                     // For example out of file descriptors: lets some connections end first.
                     Err(_) => tokio::task::yield_now().await,
                 },
             }
         }
         drop(self.listener);
+        drop(handshakes);
         // Fails only if there is no connection to notify.
         let _ = stop_tx.send(true);
         while connections.join_next().await.is_some() {}
@@ -176,20 +178,10 @@
 }
 
 async fn serve_connection(
-    socket: TcpStream,
+    mut connection: WireConnection,
     handlers: Handlers,
     mut stop_rx: watch::Receiver<bool>,
 ) {
-    // Sends small frames without waiting for an acknowledgement; a failure only makes them slower.
-    let _ = socket.set_nodelay(true);
-    let handshake = Builder::new()
-        .initial_window_size(STREAM_WINDOW)
-        .initial_connection_window_size(CONNECTION_WINDOW)
-        .max_concurrent_streams(MAX_STREAMS)
-        .handshake(socket);
-    let Ok(mut connection): Result<Connection<_, Bytes>, _> = handshake.await else {
-        return;
-    };
     let open = OpenStreams::default();
     let unresponsive = until_unresponsive(connection.ping_pong(), open.clone());
     tokio::pin!(unresponsive);
