The intake is told whether there is room for a client, for whatever reason

Cause: since connections are also limited by memory, the field and the key of the log line `descriptors` named one of two reasons.

Change: `has_room` and `room`. Behaviour is unchanged.

Result: the tests of the intake pass.

--- a/crates/anvil_gateway/src/accept/client_listener.rs
+++ b/crates/anvil_gateway/src/accept/client_listener.rs
@@ -182,7 +182,7 @@
             link_delay: link.probe.delay(link),
             shortest_target: link.probe.shortest_target(),
             lateness,
-            has_descriptors: self.has_room(),
+            has_room: self.has_room(),
         };
         let is_open = self.intake.observe(self.now(), &load, &mut rand::rng());
         let is_shedding = self.intake.is_shedding();
@@ -199,7 +199,7 @@
                 event!(
                     log, events::GATEWAY_SHEDDING,
                     "backlog_ms" => load.backlog.as_millis(), "late_ms" => load.lateness.as_millis(),
-                    "descriptors" => load.has_descriptors,
+                    "room" => load.has_room,
                     "control_ms" => load.control_delay.map(|delay| delay.as_millis()),
                     "link_delay_ms" => load.link_delay.map(|delay| delay.so_far().as_millis())
                 );
--- a/crates/anvil_policy/src/intake.rs
+++ b/crates/anvil_policy/src/intake.rs
@@ -110,8 +110,8 @@
     pub lateness: Duration,
     /// Shortest target latency of the routes with prompts; zero if it is not known.
     pub shortest_target: Duration,
-    /// Whether descriptors are left for another client.
-    pub has_descriptors: bool,
+    /// Whether descriptors and memory are left for another client.
+    pub has_room: bool,
 }
 
 /// Decides when a router listens for connections.
@@ -376,7 +376,7 @@
             return false;
         }
         let may_close = (is_due || has_queue) && has_accepted;
-        if may_close || !load.has_descriptors {
+        if may_close || !load.has_room {
             self.owed = self.owed.saturating_sub(self.next_closing);
             self.closed_until = Some(now + self.next_closing);
         }
--- a/crates/anvil_policy/tests/intake.rs
+++ b/crates/anvil_policy/tests/intake.rs
@@ -54,7 +54,7 @@
             now: Duration::ZERO,
             is_open: true,
             load: IntakeLoad {
-                has_descriptors: true,
+                has_room: true,
                 ..IntakeLoad::default()
             },
             waiting: VecDeque::new(),
@@ -233,11 +233,11 @@
 #[test]
 fn nothing_is_accepted_without_descriptors() {
     let mut model = Model::new(None);
-    model.load.has_descriptors = false;
+    model.load.has_room = false;
     model.second(1.0);
     let second = model.second(1.0);
     assert!(second.rejected > 9 * second.accepted, "{second:?}");
-    model.load.has_descriptors = true;
+    model.load.has_room = true;
     model.second(1.0);
     assert_eq!(model.second(1.0).rejected, 0);
 }
--- a/crates/anvil_policy/tests/link_delay.rs
+++ b/crates/anvil_policy/tests/link_delay.rs
@@ -62,7 +62,7 @@
             now: Duration::ZERO,
             is_open: true,
             load: IntakeLoad {
-                has_descriptors: true,
+                has_room: true,
                 ..IntakeLoad::default()
             },
             queue: VecDeque::new(),
