The time that a client has to read starts when nothing can be written

What callers would see: a response that comes late could be given up at its first write that has to wait, since the time since the last write counts.

Change: the connection records since when nothing can be written. What is still on its way when a connection is refused is dropped 8 kB at a time.

Result: anvil_http's tests pass, with a new one for late responses.

--- a/crates/anvil_http/src/connection_state.rs
+++ b/crates/anvil_http/src/connection_state.rs
@@ -56,9 +56,8 @@
     since: Instant,
     /// Bytes read in this phase.
     read: usize,
-    /// When data was written last, or the connection was accepted.
-    written_at: Instant,
-    is_write_blocked: bool,
+    /// Since when nothing could be written, because the client doesn't read.
+    blocked_since: Option<Instant>,
     has_had_request: bool,
     open_requests: usize,
     is_closed_by_client: bool,
@@ -89,8 +88,7 @@
                 phase: Phase::Idle,
                 since: now,
                 read: 0,
-                written_at: now,
-                is_write_blocked: false,
+                blocked_since: None,
                 has_had_request: false,
                 open_requests: 0,
                 is_closed_by_client: false,
@@ -129,10 +127,10 @@
         match progress.phase {
             Phase::Idle => Some(progress.since + self.limits.idle_timeout),
             Phase::Head => Some(progress.since + self.limits.head_timeout),
-            Phase::Request if progress.is_write_blocked => {
-                Some(progress.written_at + self.limits.idle_timeout)
-            }
-            Phase::Request | Phase::Multiplexed => None,
+            Phase::Request => progress
+                .blocked_since
+                .map(|since| since + self.limits.idle_timeout),
+            Phase::Multiplexed => None,
         }
     }
 
@@ -166,7 +164,7 @@
     /// Whether the HTTP library has to be set up for it now: what it has yet to write would be lost.
     pub(crate) fn changes_parser(&self) -> bool {
         let progress = self.lock();
-        progress.parser == Parser::Outgrown && !progress.is_write_blocked
+        progress.parser == Parser::Outgrown && progress.blocked_since.is_none()
     }
 
     /// The HTTP library is set up for as many headers as fit into a head.
@@ -177,12 +175,13 @@
     /// Records a write, and whether it waits for the client to read.
     pub(crate) fn record_write(&self, is_blocked: bool) {
         let mut progress = self.lock();
-        progress.is_write_blocked = is_blocked;
-        if !is_blocked {
-            progress.written_at = Instant::now();
-            if progress.phase == Phase::Idle {
-                progress.since = progress.written_at;
-            }
+        if is_blocked {
+            progress.blocked_since.get_or_insert_with(Instant::now);
+            return;
+        }
+        progress.blocked_since = None;
+        if progress.phase == Phase::Idle {
+            progress.since = Instant::now();
         }
     }
 
--- a/crates/anvil_http/src/refusal.rs
+++ b/crates/anvil_http/src/refusal.rs
@@ -16,7 +16,7 @@
 /// Most bytes that are read and dropped.
 const LINGER_BYTES: usize = 1 << 20;
 /// Bytes that are dropped at a time.
-const LINGER_BUFFER_BYTES: usize = 2 << 10;
+const LINGER_BUFFER_BYTES: usize = 8 << 10;
 /// Time after which a client may return that did not send its head in time, or had to make room.
 const RETRY_AFTER: Duration = Duration::from_millis(200);
 
--- a/crates/anvil_http/tests/connections.rs
+++ b/crates/anvil_http/tests/connections.rs
@@ -25,14 +25,18 @@
 /// Memory for a few connections.
 const FEW_CONNECTIONS: u64 = 200 << 10;
 
-/// The client's side of a connection whose requests are answered with this body; `None`: they are not answered.
+/// The client's side of a connection whose requests are answered with this body, after the seconds that their
+/// header `x-after` says; `None`: they are not answered.
 fn connect(admitted: Admitted, body: impl Into<Option<Vec<u8>>>) -> DuplexStream {
     let (client, server) = duplex(PIPE_BYTES);
     let body = body.into().map(Bytes::from);
     tokio::spawn(async move {
-        let service = service_fn(|_: Request<Incoming>| {
+        let service = service_fn(|req: Request<Incoming>| {
             let body = body.clone();
-            async {
+            async move {
+                let after = req.headers().get("x-after");
+                let after = after.and_then(|after| after.to_str().ok()?.parse().ok());
+                sleep(Duration::from_secs(after.unwrap_or(0))).await;
                 match body {
                     Some(body) => Ok::<_, Infallible>(Response::new(Full::new(body))),
                     None => pending().await,
@@ -147,6 +151,22 @@
     }
 }
 
+/// Guards against a response that comes late, and is then given up because its client doesn't read at once.
+#[tokio::test(start_paused = true)]
+async fn client_that_reads_a_late_response_slowly_gets_it() {
+    let body = vec![b'x'; 4 * PIPE_BYTES];
+    let mut client = connect(Admission::new(1).register(LIMITS), body.clone());
+    let late = 2 * LIMITS.idle_timeout;
+    let head = format!("GET / HTTP/1.1\r\nx-after: {}\r\n\r\n", late.as_secs());
+    client.write_all(head.as_bytes()).await.expect("sent");
+    sleep(late).await;
+    let mut received = Vec::new();
+    while received.len() < body.len() {
+        sleep(LIMITS.idle_timeout / 2).await;
+        assert!(client.read_buf(&mut received).await.expect("more") > 0);
+    }
+}
+
 /// Guards against connections that take all the memory, and against memory that isn't returned.
 #[tokio::test(start_paused = true)]
 async fn connections_and_requests_stay_within_their_memory() {
