Operators and callers of routers with sidecars keep a window for large bodies

Found by reading; the tests run on loopback.

Cause: all listeners got receive buffers of 8 kB, which bound the window. Only a gateway enlarges them while it reads a large body.

Change: the size is a part of a connection's limits and counts in what it may cost: 64 kB at the operators' listener, at routers with sidecars and at stand-ins, 8 kB elsewhere.

--- a/crates/anvil_gateway/src/accept/client_listener.rs
+++ b/crates/anvil_gateway/src/accept/client_listener.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvil_http::limits::RECEIVE_BUFFER_BYTES;
 use anvil_http::{Admission, ConnectionLimits, listener};
 use anvil_policy::intake::{Intake, IntakeLoad};
 use anvil_world::prelude::*;
@@ -131,7 +132,7 @@
                 self.placeholder = bind_only(self.addr).ok();
             }
         } else if self.listener.is_none() {
-            let bound = listener::bind(self.addr);
+            let bound = listener::bind(self.addr, RECEIVE_BUFFER_BYTES);
             self.listener = control.record_bound(bound);
         }
     }
--- a/crates/anvil_gateway/src/serve.rs
+++ b/crates/anvil_gateway/src/serve.rs
@@ -136,6 +136,7 @@
             head_bytes: table.limits.head_bytes,
             head_timeout: table.limits.head_timeout,
             idle_timeout: table.limits.idle_timeout,
+            ..ConnectionLimits::default()
         });
         let limits = configured.unwrap_or_default();
         if *self.stop_tx.borrow() {
--- a/crates/anvil_http/src/lib.rs
+++ b/crates/anvil_http/src/lib.rs
@@ -5,7 +5,7 @@
 //!   [`refusal`] tells the client why it is ended.
 //! * [`admission`]: which connections a listener lets in, and which one makes room for another.
 //! * [`whole_body`]: reads bodies whole; all of them share a [`memory_budget`].
-//! * [`listener`]: listens with small receive buffers, and serves listeners that need nothing else.
+//! * [`listener`]: listens with receive buffers of a known size, and serves listeners that need nothing else.
 
 pub mod admission;
 pub mod connection;
--- a/crates/anvil_http/src/limits.rs
+++ b/crates/anvil_http/src/limits.rs
@@ -12,6 +12,8 @@
 /// Size that is set for the receive buffer of a socket, in bytes. The kernel doubles it, for its own
 /// structures.
 pub const RECEIVE_BUFFER_BYTES: u32 = 8 << 10;
+/// The same at listeners that receive large bodies and don't enlarge it for each of them.
+pub const MEDIUM_RECEIVE_BUFFER_BYTES: u32 = 64 << 10;
 /// The same while a large body is received: the window of a connection limits its speed.
 pub const LARGE_RECEIVE_BUFFER_BYTES: u32 = 128 << 10;
 /// Bytes that the kernel may hold unread of a connection, as a multiple of the size that is set.
@@ -55,6 +57,8 @@
     pub head_timeout: Duration,
     /// Longest time without a request, and without a byte of a body that is due.
     pub idle_timeout: Duration,
+    /// Size that is set for the receive buffer of its socket, in bytes. It bounds the speed of a large body.
+    pub receive_buffer_bytes: u32,
 }
 
 impl Default for ConnectionLimits {
@@ -63,6 +67,7 @@
             head_bytes: DEFAULT_HEAD_BYTES,
             head_timeout: DEFAULT_HEAD_TIMEOUT,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            receive_buffer_bytes: RECEIVE_BUFFER_BYTES,
         }
     }
 }
@@ -80,7 +85,7 @@
 
     /// What a connection may cost without a request, in bytes.
     pub(crate) fn connection_bytes(&self) -> u64 {
-        let unread = u64::from(RECEIVE_BUFFER_BYTES) * KERNEL_BUFFER_FACTOR;
+        let unread = u64::from(self.receive_buffer_bytes) * KERNEL_BUFFER_FACTOR;
         unread + self.read_buffer_bytes() as u64 + TASK_BYTES
     }
 
--- a/crates/anvil_http/src/listener.rs
+++ b/crates/anvil_http/src/listener.rs
@@ -1,4 +1,4 @@
-//! Listens with small receive buffers, and serves listeners that need nothing else.
+//! Listens with receive buffers of a known size, and serves listeners that need nothing else.
 
 use std::convert::Infallible;
 use std::future::pending;
@@ -15,16 +15,16 @@
 
 use crate::admission::{Admission, Admitted};
 use crate::connection::{ConnectionOptions, serve_connection};
-use crate::limits::{ConnectionLimits, RECEIVE_BUFFER_BYTES};
+use crate::limits::ConnectionLimits;
 
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
 /// Pause after a connection could not be accepted, before the next attempt.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 
-/// Listens at an address. Its connections have small receive buffers, since the kernel holds unread bytes
-/// for each of them.
-pub fn bind(addr: SocketAddr) -> io::Result<TcpListener> {
+/// Listens at an address. Its connections have receive buffers of this size, up to which the kernel holds
+/// unread bytes for each of them.
+pub fn bind(addr: SocketAddr, receive_buffer_bytes: u32) -> io::Result<TcpListener> {
     let socket = if addr.is_ipv4() {
         TcpSocket::new_v4()?
     } else {
@@ -32,7 +32,7 @@
     };
     socket.set_reuseaddr(true)?;
     // Connections take the size of the listener.
-    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    socket.set_recv_buffer_size(receive_buffer_bytes)?;
     socket.bind(addr)?;
     socket.listen(BACKLOG)
 }
--- a/crates/anvil_http/tests/connections.rs
+++ b/crates/anvil_http/tests/connections.rs
@@ -6,6 +6,7 @@
 
 use anvil_http::admission::Admitted;
 use anvil_http::connection::ConnectionOptions;
+use anvil_http::limits::RECEIVE_BUFFER_BYTES;
 use anvil_http::{Admission, ConnectionLimits, serve_connection};
 use bytes::Bytes;
 use http::{Request, Response};
@@ -19,6 +20,7 @@
     head_bytes: 16 << 10,
     head_timeout: Duration::from_secs(3),
     idle_timeout: Duration::from_secs(15),
+    receive_buffer_bytes: RECEIVE_BUFFER_BYTES,
 };
 /// Bytes that a connection holds on their way.
 const PIPE_BYTES: usize = 4 << 10;
--- a/crates/anvil_standins/src/server.rs
+++ b/crates/anvil_standins/src/server.rs
@@ -7,6 +7,7 @@
 
 use anvil_http::admission::Admitted;
 use anvil_http::connection::ConnectionOptions;
+use anvil_http::limits::MEDIUM_RECEIVE_BUFFER_BYTES;
 use anvil_http::{Admission, ConnectionLimits, serve_connection};
 use snafu::ResultExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -20,6 +21,7 @@
     head_bytes: 64 << 10,
     head_timeout: Duration::from_secs(30),
     idle_timeout: Duration::from_hours(1),
+    receive_buffer_bytes: MEDIUM_RECEIVE_BUFFER_BYTES,
 };
 
 /// A running server. Dropping it closes the listener and every connection at once.
--- a/crates/anvilreel/src/router/connection.rs
+++ b/crates/anvilreel/src/router/connection.rs
@@ -12,6 +12,7 @@
 
 use anvil_http::admission::Admitted;
 use anvil_http::connection::ConnectionOptions;
+use anvil_http::limits::MEDIUM_RECEIVE_BUFFER_BYTES;
 use anvil_http::{ConnectionLimits, serve_connection};
 use futures::future::BoxFuture;
 use http::{HeaderValue, Version, header};
@@ -37,6 +38,7 @@
 pub fn limits() -> ConnectionLimits {
     ConnectionLimits {
         head_timeout: HEAD_TIMEOUT,
+        receive_buffer_bytes: MEDIUM_RECEIVE_BUFFER_BYTES,
         ..ConnectionLimits::default()
     }
 }
