What waits to be accepted at operators' listeners is bounded, too

What was seen: with receive buffers of 64 kB at the operators' listener, 400 bodies of 255 kB made the ledger use 71 of 80 MB, 34 of them unread, and 600 bodies in chunks of a byte left 43 MB unread: more than the connections let in can have.

Cause: up to 1,024 connections wait to be accepted, and the kernel holds unread bytes of each.

Change: 128 may wait at listeners other than those of clients, and the medium size of receive buffers is 32 kB.

--- a/crates/anvil_gateway/src/accept/client_listener.rs
+++ b/crates/anvil_gateway/src/accept/client_listener.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use anvil_http::limits::RECEIVE_BUFFER_BYTES;
+use anvil_http::listener::CLIENT_BACKLOG;
 use anvil_http::{Admission, ConnectionLimits, listener};
 use anvil_policy::intake::{Intake, IntakeLoad};
 use anvil_world::prelude::*;
@@ -132,7 +133,7 @@
                 self.placeholder = bind_only(self.addr).ok();
             }
         } else if self.listener.is_none() {
-            let bound = listener::bind(self.addr, RECEIVE_BUFFER_BYTES);
+            let bound = listener::bind(self.addr, RECEIVE_BUFFER_BYTES, CLIENT_BACKLOG);
             self.listener = control.record_bound(bound);
         }
     }
--- a/crates/anvil_gateway/src/run.rs
+++ b/crates/anvil_gateway/src/run.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use anvil_http::limits::RECEIVE_BUFFER_BYTES;
-use anvil_http::listener;
+use anvil_http::listener::{self, BACKLOG, CLIENT_BACKLOG};
 use anvilreel::{announce, event};
 use snafu::{ResultExt, Snafu};
 
@@ -43,11 +43,11 @@
 pub async fn run(gw: Arc<Gateway>, stop: impl Future<Output = ()>) -> Result<(), GatewayError> {
     let (cfg, log) = (&gw.cfg, &gw.log);
     let addr = cfg.listen;
-    let clients = listener::bind(addr, RECEIVE_BUFFER_BYTES);
+    let clients = listener::bind(addr, RECEIVE_BUFFER_BYTES, CLIENT_BACKLOG);
     let clients = clients.and_then(|listener| serve::client_listener(&gw, listener));
     let clients = clients.context(ListenSnafu { addr })?;
     let addr = cfg.ready_listen;
-    let ready = listener::bind(addr, RECEIVE_BUFFER_BYTES);
+    let ready = listener::bind(addr, RECEIVE_BUFFER_BYTES, BACKLOG);
     let ready = ready.context(ListenSnafu { addr })?;
     let siblings = siblings::listen(&gw).await.context(SiblingsSnafu)?;
     event!(
--- a/crates/anvil_http/src/limits.rs
+++ b/crates/anvil_http/src/limits.rs
@@ -13,7 +13,7 @@
 /// structures.
 pub const RECEIVE_BUFFER_BYTES: u32 = 8 << 10;
 /// The same at listeners that receive large bodies and don't enlarge it for each of them.
-pub const MEDIUM_RECEIVE_BUFFER_BYTES: u32 = 64 << 10;
+pub const MEDIUM_RECEIVE_BUFFER_BYTES: u32 = 32 << 10;
 /// The same while a large body is received: the window of a connection limits its speed.
 pub const LARGE_RECEIVE_BUFFER_BYTES: u32 = 128 << 10;
 /// Bytes that the kernel may hold unread of a connection, as a multiple of the size that is set.
--- a/crates/anvil_http/src/listener.rs
+++ b/crates/anvil_http/src/listener.rs
@@ -17,14 +17,16 @@
 use crate::connection::{ConnectionOptions, serve_connection};
 use crate::limits::ConnectionLimits;
 
-/// Connections that may wait to be accepted.
-const BACKLOG: u32 = 1_024;
+/// Connections of clients that may wait to be accepted.
+pub const CLIENT_BACKLOG: u32 = 1_024;
+/// The same at other listeners: the kernel holds unread bytes of these, too.
+pub const BACKLOG: u32 = 128;
 /// Pause after a connection could not be accepted, before the next attempt.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 
 /// Listens at an address. Its connections have receive buffers of this size, up to which the kernel holds
-/// unread bytes for each of them.
-pub fn bind(addr: SocketAddr, receive_buffer_bytes: u32) -> io::Result<TcpListener> {
+/// unread bytes for each of them; `backlog` of them may wait to be accepted.
+pub fn bind(addr: SocketAddr, receive_buffer_bytes: u32, backlog: u32) -> io::Result<TcpListener> {
     let socket = if addr.is_ipv4() {
         TcpSocket::new_v4()?
     } else {
@@ -34,7 +36,7 @@
     // Connections take the size of the listener.
     socket.set_recv_buffer_size(receive_buffer_bytes)?;
     socket.bind(addr)?;
-    socket.listen(BACKLOG)
+    socket.listen(backlog)
 }
 
 /// Serves all connections of a listener, for as long as it isn't dropped. `on_error` is called when a
--- a/crates/anvilreel/src/router.rs
+++ b/crates/anvilreel/src/router.rs
@@ -31,6 +31,7 @@
 use std::time::Duration;
 
 use anvil_http::limits::{MEDIUM_RECEIVE_BUFFER_BYTES, connections_bytes, request_budget};
+use anvil_http::listener::CLIENT_BACKLOG;
 use anvil_http::{Admission, MemoryBudget, listener};
 use anvil_wire::msg::RouterCall;
 use anvil_wire::{Handlers, Server, WireError};
@@ -125,8 +126,8 @@
         metrics: Metrics,
     ) -> Result<Self, RouterError> {
         let addr = settings.listen;
-        let listener =
-            listener::bind(addr, MEDIUM_RECEIVE_BUFFER_BYTES).context(ListenSnafu { addr })?;
+        let listener = listener::bind(addr, MEDIUM_RECEIVE_BUFFER_BYTES, CLIENT_BACKLOG)
+            .context(ListenSnafu { addr })?;
         let addr = listener.local_addr().context(ListenSnafu { addr })?;
         let server = Server::bind(settings.wire_listen)
             .await
