A body that waits for room looks again when the one to give way has finished

Found by reading the change; no test shows it. A body that is told to give way in the moment in which its last byte is read finishes instead and returns nothing, so nobody was notified, and the body that waits for its room waited for any other one, up to its deadline.

Change: the end of an unfinished body notifies those that wait. A field that was written and never read is gone, and a lock is private to its file.

--- a/crates/anvil_http/src/guarded_socket.rs
+++ b/crates/anvil_http/src/guarded_socket.rs
@@ -66,7 +66,7 @@
     }
 }
 
-pub(crate) fn lock<S>(socket: &Mutex<S>) -> MutexGuard<'_, S> {
+fn lock<S>(socket: &Mutex<S>) -> MutexGuard<'_, S> {
     // Sound after a panic elsewhere: the lock guards single calls.
     socket.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/anvil_http/src/memory_budget.rs
+++ b/crates/anvil_http/src/memory_budget.rs
@@ -46,7 +46,6 @@
 #[derive(Debug, Clone, Copy)]
 struct HolderState {
     held: u64,
-    received: u64,
     /// When it last made progress, and how much it had received by then.
     progress: (Instant, u64),
     is_evicted: bool,
@@ -81,7 +80,6 @@
         let holder = Arc::new(Holder {
             state: Mutex::new(HolderState {
                 held: 0,
-                received: 0,
                 progress: (Instant::now(), 0),
                 is_evicted: false,
             }),
@@ -166,7 +164,7 @@
 
     fn record(&self, held: u64, received: u64) {
         let mut state = lock(&self.state);
-        (state.held, state.received) = (held, received);
+        state.held = held;
         let (_, before) = state.progress;
         if received - before > held / PROGRESS_DIVISOR {
             state.progress = (Instant::now(), received);
@@ -246,6 +244,8 @@
             .holders
             .remove(&self.id);
         self.budget.give_back(self.held);
+        // Whoever waits for it to give way looks for another one if it has finished instead.
+        self.budget.shared.released.notify_waiters();
     }
 }
 
