--- /dev/null
+++ b/review/standins-2/src/cases.rs
@@ -0,0 +1,26 @@
+//! The cases. Each returns whether its rule held.
+
+mod budget;
+mod denied;
+mod drain;
+mod invalid;
+mod limits;
+mod lost;
+mod route;
+
+use crate::fleet::CaseError;
+use crate::record::Record;
+
+/// Runs a case; with `trouble`, the disruption happens.
+pub fn run(case: &str, record: &Record, trouble: bool) -> Result<bool, CaseError> {
+    match case {
+        "lost" => lost::run(record, trouble),
+        "drain" => drain::run(record, trouble),
+        "limits" => limits::run(record, trouble),
+        "denied" => denied::run(record, trouble),
+        "budget" => budget::run(record, trouble),
+        "route" => route::run(record, trouble),
+        "invalid" => invalid::run(record, trouble),
+        _ => Err(CaseError(format!("no case {case}"))),
+    }
+}
