--- a/review/standins-2/src/client.rs
+++ b/review/standins-2/src/client.rs
@@ -114,6 +114,19 @@
     }
 }
 
+/// Sends a request on a new connection. Returns what came of the response, and whether it is whole.
+pub fn send_and_keep(
+    addr: SocketAddr,
+    request: &Request,
+    within: Duration,
+) -> std::io::Result<(Response, bool)> {
+    let mut connection = Connection::open(addr)?;
+    connection.send(request, within)?;
+    let mut response = read_response_head(&mut connection.input)?;
+    let is_whole = read_rest(&mut connection.input, &mut response).is_ok();
+    Ok((response, is_whole))
+}
+
 /// Number of complete events in a body.
 pub fn count_events(body: &[u8]) -> u64 {
     String::from_utf8_lossy(body).matches("\n\n").count() as u64
--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -1,5 +1,5 @@
 //! A small deployment on loopback addresses: three machines with a disk that run a router and a ledger replica,
-//! two more with a router, two with a relay beside a model engine, and two plain runners.
+//! two more with a router, three with a relay beside a model engine, and two plain runners.
 
 use std::collections::BTreeMap;
 use std::fs;
@@ -28,10 +28,12 @@
 pub const ENGINES: &str = "pool-1";
 /// Plain service.
 pub const DESK: &str = "desk-1";
-/// Key of the only tenant.
+/// Key of the tenant that may be prepaid.
 pub const KEY: &str = "k1n2ctnfzs989anu6wsj";
-/// Name of the only tenant.
+/// Its name.
 pub const TENANT: &str = "tenant-1";
+/// Key of another tenant, which isn't prepaid.
+pub const OTHER_KEY: &str = "k2anfqasnmgkcuyj8pjb";
 /// Prefix of the route to the engines; its streams may be resumed.
 pub const STREAM_PATH: &str = "/stream/";
 /// Prefix of the route to the plain service whose requests may run once at most.
@@ -55,7 +57,7 @@
 /// Machines without a disk that run a router, in the first zone.
 const PLAIN_EDGES: [u8; 2] = [4, 11];
 /// Machines beside which an engine runs.
-const SIDES: [u8; 2] = [5, 6];
+const SIDES: [u8; 3] = [5, 6, 12];
 /// Machines of the plain runners.
 const DESKS: [u8; 2] = [7, 8];
 /// Address of the platform's list at the start.
@@ -63,7 +65,7 @@
 /// Another address for it.
 const OTHER_CLOUD: u8 = 10;
 /// Machines are numbered up to this one.
-const LAST_MACHINE: u8 = 11;
+const LAST_MACHINE: u8 = 12;
 
 /// Machines of a zone with three routers: the first one is of the core.
 pub const FULL_ZONE: [u8; 3] = [1, 4, 11];
@@ -144,7 +146,7 @@
             ),
         ];
         format!(
-            r#"{{"version":{version},"routes":[{}],"backends":[{{"name":"{ENGINES}","health_path":"/healthz","max_connections":640,"protocol":"h1","tls_enabled":false,"runtime":{{"batch_slots":128,"kv_capacity":350318,"kv_bytes":262144,"bandwidth_mbps":150000.0,"migrations":true,"replicas_kv":true,"interval":{TOKENS_PER_EVENT},"most":12,"pin_ms":4000.0,"hold_ms":2000.0,"ref_s":5.0,"models":[{{"name":"m"}}]}}}},{{"name":"{DESK}","health_path":"/healthz","max_connections":130,"protocol":"h1","tls_enabled":false}}],"limits":{{"max_header_bytes":{max_header_bytes},"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"{TENANT}","api_keys":["{KEY}"],"priority_class":1{prepaid}}}]}}"#,
+            r#"{{"version":{version},"routes":[{}],"backends":[{{"name":"{ENGINES}","health_path":"/healthz","max_connections":640,"protocol":"h1","tls_enabled":false,"runtime":{{"batch_slots":128,"kv_capacity":350318,"kv_bytes":262144,"bandwidth_mbps":150000.0,"migrations":true,"replicas_kv":true,"interval":{TOKENS_PER_EVENT},"most":12,"pin_ms":4000.0,"hold_ms":2000.0,"ref_s":5.0,"models":[{{"name":"m"}}]}}}},{{"name":"{DESK}","health_path":"/healthz","max_connections":130,"protocol":"h1","tls_enabled":false}}],"limits":{{"max_header_bytes":{max_header_bytes},"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"{TENANT}","api_keys":["{KEY}"],"priority_class":1{prepaid}}},{{"name":"tenant-2","api_keys":["{OTHER_KEY}"],"priority_class":1}}]}}"#,
             routes.join(",")
         )
     }
@@ -231,6 +233,7 @@
             addr: self.addr(machine, RUNNER_PORT),
             zone: zone_of(machine).into(),
             slots: if service == ENGINES { 128 } else { 6 },
+            version: "v1",
             draining: false,
         };
         self.list.update(|entries| entries.push(entry.clone()));
--- a/review/standins-2/src/list.rs
+++ b/review/standins-2/src/list.rs
@@ -16,6 +16,8 @@
     pub addr: SocketAddr,
     pub zone: String,
     pub slots: u32,
+    /// Version of its software.
+    pub version: &'static str,
     pub draining: bool,
 }
 
@@ -24,8 +26,8 @@
     pub fn json(&self) -> String {
         let state = if self.draining { "draining" } else { "ready" };
         format!(
-            r#"{{"id":"{}","backend":"{}","address":"{}","zone":"{}","version":"v1","batch_slots":{},"state":"{state}","warmup_left_ms":0,"phase_kind":"mixed","models":[{{"name":"m","version":1,"loras":[]}}]}}"#,
-            self.id, self.service, self.addr, self.zone, self.slots
+            r#"{{"id":"{}","backend":"{}","address":"{}","zone":"{}","version":"{}","batch_slots":{},"state":"{state}","warmup_left_ms":0,"phase_kind":"mixed","models":[{{"name":"m","version":1,"loras":[]}}]}}"#,
+            self.id, self.service, self.addr, self.zone, self.version, self.slots
         )
     }
 }
--- a/review/standins-2/src/runner.rs
+++ b/review/standins-2/src/runner.rs
@@ -1,14 +1,14 @@
 //! Runners: a model engine that answers with a stream of events, and a plain service.
 
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::ops::Range;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 use crate::fleet::REPORT_PATH;
-use crate::http::{Request, Response, header, read_request, write_response};
+use crate::http::{Headers, Request, Response, header, read_request, write_response};
 use crate::list::Entry;
 use crate::record::Record;
 
@@ -22,10 +22,6 @@
     pub runner: String,
     pub tenant: String,
     pub at: Instant,
-    /// Tokens of its prompt, 0 if it states none.
-    pub prompt: u64,
-    /// Whether its answer was lost on purpose.
-    pub answer_lost: bool,
 }
 
 /// All runs of a case, in the order in which they began.
@@ -69,9 +65,17 @@
     work: Work,
     runs: Runs,
     record: Record,
-    /// Of 100 answers so many are lost.
-    lost_percent: Arc<AtomicU64>,
-    served: Arc<AtomicU64>,
+    life: Arc<Mutex<Life>>,
+}
+
+/// What ends with an incarnation of a runner.
+#[derive(Default)]
+struct Life {
+    /// Incarnations that have ended.
+    ended: u64,
+    sockets: Vec<TcpStream>,
+    /// Version of its software, if it isn't that of its entry.
+    version: Option<&'static str>,
 }
 
 impl Runner {
@@ -83,37 +87,64 @@
             work,
             runs: runs.clone(),
             record: record.clone(),
-            lost_percent: Arc::default(),
-            served: Arc::default(),
+            life: Arc::default(),
         };
-        let accepting = runner.clone();
+        runner.accept(listener);
+        Ok(runner)
+    }
+
+    /// Ends the runner's process without notice: its connections are closed, and new ones are refused.
+    pub fn crash(&self) {
+        let mut life = self.life();
+        life.ended += 1;
+        for socket in life.sockets.drain(..) {
+            // It may be closed already.
+            let _ = socket.shutdown(Shutdown::Both);
+        }
+        drop(life);
+        // Wakes the listener, which ends.
+        let _ = TcpStream::connect_timeout(&self.entry.addr, Duration::from_millis(200));
+    }
+
+    /// Starts it again after a crash, under its id and at its address, with another version of its software.
+    pub fn start_again(&self, version: &'static str) -> std::io::Result<()> {
+        let listener = TcpListener::bind(self.entry.addr)?;
+        self.life().version = Some(version);
+        self.accept(listener);
+        Ok(())
+    }
+
+    fn life(&self) -> MutexGuard<'_, Life> {
+        self.life.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn accept(&self, listener: TcpListener) {
+        let runner = self.clone();
+        let incarnation = self.life().ended;
         std::thread::spawn(move || {
             for socket in listener.incoming().flatten() {
-                let runner = accepting.clone();
+                let mut life = runner.life();
+                if life.ended != incarnation {
+                    return;
+                }
+                let version = life.version.unwrap_or(runner.entry.version);
+                life.sockets.extend(socket.try_clone());
+                drop(life);
+                let runner = runner.clone();
                 std::thread::spawn(move || {
                     // An error ends the connection, as its caller may at any time.
-                    let _ = runner.serve(socket);
+                    let _ = runner.serve(socket, version);
                 });
             }
         });
-        Ok(runner)
-    }
-
-    /// From now on so many of 100 answers are lost after the run.
-    pub fn lose_answers(&self, percent: u64) {
-        self.lost_percent.store(percent, Ordering::Relaxed);
     }
 
-    fn addr(&self) -> SocketAddr {
-        self.entry.addr
-    }
-
-    fn serve(&self, socket: TcpStream) -> std::io::Result<()> {
+    fn serve(&self, socket: TcpStream, version: &str) -> std::io::Result<()> {
         socket.set_nodelay(true)?;
         let mut output = socket.try_clone()?;
         let mut input = BufReader::new(socket);
         while let Some(request) = read_request(&mut input)? {
-            if !self.answer(&request, &mut output)? {
+            if !self.answer(&request, version, &mut output)? {
                 return Ok(());
             }
         }
@@ -121,7 +152,12 @@
     }
 
     /// Answers one request; false if the connection ends with it.
-    fn answer(&self, request: &Request, output: &mut TcpStream) -> std::io::Result<bool> {
+    fn answer(
+        &self,
+        request: &Request,
+        version: &str,
+        output: &mut TcpStream,
+    ) -> std::io::Result<bool> {
         let id = header(&request.headers, "attempt-id")
             .unwrap_or_default()
             .to_owned();
@@ -161,11 +197,7 @@
             )?;
             return Ok(true);
         }
-        let tokens = header(&request.headers, "token-count").map(parse_tokens);
-        let number = self.served.fetch_add(1, Ordering::Relaxed);
-        let lost_percent = self.lost_percent.load(Ordering::Relaxed);
-        // Spread evenly over the requests.
-        let answer_lost = (number + 1) * lost_percent / 100 > number * lost_percent / 100;
+        let max_output = header(&request.headers, "token-count").map(max_output);
         let run = Run {
             id: id.clone(),
             runner: self.entry.id.clone(),
@@ -173,26 +205,13 @@
                 .unwrap_or_default()
                 .into(),
             at: Instant::now(),
-            prompt: tokens.map_or(0, |(prompt, _)| prompt),
-            answer_lost,
         };
         self.record.line(&format!(
-            "runner {} at {} runs {id} of {:?}, prompt {}{}",
-            run.runner,
-            self.addr(),
-            run.tenant,
-            run.prompt,
-            if answer_lost {
-                ", and its answer is lost"
-            } else {
-                ""
-            }
+            "runner {} at {} runs {id} of {:?}",
+            run.runner, self.entry.addr, run.tenant
         ));
         self.runs.add(run);
         sleep(self.work.first);
-        if answer_lost {
-            return Ok(false);
-        }
         let mut headers = vec![
             ("Attempt-Id".to_owned(), id.clone()),
             (
@@ -208,10 +227,15 @@
         if request.target.starts_with(REPORT_PATH) {
             headers.push(("Content-Type".into(), "text/event-stream".into()));
             let (events, bytes) = self.work.report;
-            self.stream(output, &headers, 0, events, bytes)?;
+            self.stream(
+                output,
+                &headers,
+                0..events,
+                &format!("{version} {}", "x".repeat(bytes)),
+            )?;
             return Ok(true);
         }
-        let Some((_, max_output)) = tokens else {
+        let Some(max_output) = max_output else {
             let body = vec![b'x'; self.work.body_bytes];
             write_response(
                 output,
@@ -226,33 +250,29 @@
         headers.push(("Content-Type".into(), "text/event-stream".into()));
         let after = header(&request.headers, "last-event-id");
         let after = after.and_then(|after| after.parse().ok()).unwrap_or(0);
-        self.stream(
-            output,
-            &headers,
-            after,
-            max_output.div_ceil(TOKENS_PER_EVENT),
-            0,
-        )?;
+        // The answer is as long as its client has estimated, at most what it allows.
+        let hint = header(&request.headers, "length-hint").and_then(|hint| hint.parse().ok());
+        let output_tokens = hint.unwrap_or(max_output).min(max_output);
+        let events = after..output_tokens.div_ceil(TOKENS_PER_EVENT);
+        self.stream(output, &headers, events, version)?;
         Ok(true)
     }
 
-    /// Writes the events after `after`, up to the last one.
+    /// Writes the events after the first number, up to the second one, each with this text.
     fn stream(
         &self,
         output: &mut TcpStream,
-        headers: &crate::http::Headers,
-        after: u64,
-        last: u64,
-        more_bytes: usize,
+        headers: &Headers,
+        events: Range<u64>,
+        text: &str,
     ) -> std::io::Result<()> {
-        let mut text = "HTTP/1.1 200 Status\r\nTransfer-Encoding: chunked\r\n".to_owned();
+        let mut head = "HTTP/1.1 200 Status\r\nTransfer-Encoding: chunked\r\n".to_owned();
         for (name, value) in headers {
-            text += &format!("{name}: {value}\r\n");
+            head += &format!("{name}: {value}\r\n");
         }
-        output.write_all((text + "\r\n").as_bytes())?;
-        let more = "x".repeat(more_bytes);
-        for event in after + 1..=last {
-            let event = format!("id: {event}\ndata: part {event}{more}\n\n");
+        output.write_all((head + "\r\n").as_bytes())?;
+        for event in events {
+            let event = format!("id: {}\ndata: {text}\n\n", event + 1);
             output.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
             sleep(self.work.gap);
         }
@@ -260,10 +280,8 @@
     }
 }
 
-fn parse_tokens(text: &str) -> (u64, u64) {
-    let (prompt, output) = text.split_once(',').unwrap_or(("0", "0"));
-    (
-        prompt.trim().parse().unwrap_or(0),
-        output.trim().parse().unwrap_or(0),
-    )
+/// The most output tokens that a request allows.
+fn max_output(token_count: &str) -> u64 {
+    let (_, output) = token_count.split_once(',').unwrap_or_default();
+    output.trim().parse().unwrap_or(0)
 }
